LibSettings: Report every mistake with its file, line and column

Base file and overlays are merged by moving nodes, because toml++ drops the place of a copied one. Findings are collected and reported together; nothing is loaded if there is one. With it LibBase (ids, clock, findings, JSON-line log) and LibTask (event loop and task).

--- /dev/null
+++ b/Libraries/LibBase/Clock.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+
+namespace Dogwoodkeel
+{
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+
+/**
+ * Source of time. Every decision takes its time from the clock it was constructed with, so that tests
+ * move time by hand and never wait.
+ */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    /** @return monotonic time, for durations and deadlines. */
+    virtual SteadyTime now() const = 0;
+    /** @return calendar time, for what people read. Never used to decide anything. */
+    virtual WallTime wallNow() const = 0;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibBase/Encoding.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Dogwoodkeel
+{
+
+/** @return the bytes as base64 with padding (RFC 4648, section 4). */
+std::string encodeBase64(std::string_view bytes);
+
+/** @return the bytes behind base64 text, or nothing if it is malformed. */
+std::optional<std::string> decodeBase64(std::string_view text);
+
+/** @return the bytes as lower-case hexadecimal digits. */
+std::string encodeHex(std::string_view bytes);
+
+/** @return the SHA-256 of an API key as hexadecimal digits: what the settings hold in its place. */
+std::string hashOfKey(std::string_view key);
+
+/**
+ * @param count how many bytes
+ * @return random bytes from the operating system's generator, as hexadecimal digits
+ */
+std::string randomHex(std::size_t count);
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibBase/Identifiers.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibBase/StrongType.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+/** One start of one node process. Numbers only grow; 0 is no session. */
+using SessionNumber = StrongType<struct SessionNumberTag, std::uint64_t>;
+/** Index of a shard of the request and job ids. */
+using ShardNumber = StrongType<struct ShardNumberTag, std::uint32_t>;
+/** Counts the owners a shard has had. */
+using ShardEpoch = StrongType<struct ShardEpochTag, std::uint64_t>;
+/** Position of a group in a journal; the first is 1. */
+using GroupNumber = StrongType<struct GroupNumberTag, std::uint64_t>;
+/** Names a request for its whole life, over every resend. */
+using RequestId = StrongType<struct RequestIdTag, std::string>;
+/** Names one try of a request at one endpoint. */
+using AttemptId = StrongType<struct AttemptIdTag, std::uint64_t>;
+/** Names a batch job. */
+using JobId = StrongType<struct JobIdTag, std::string>;
+/** The accounting unit a caller's key maps to. */
+using TenantName = StrongType<struct TenantNameTag, std::string>;
+/** Name of a failure domain, as the settings give it. */
+using FailureDomain = StrongType<struct FailureDomainTag, std::string>;
+/** Name of a VM, as the settings give it. */
+using VmName = StrongType<struct VmNameTag, std::string>;
+/** Name of an endpoint (a model replica or a plain service's replica). */
+using EndpointName = StrongType<struct EndpointNameTag, std::string>;
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibBase/ManualClock.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Scheduler.h>
+
+#include <map>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+/** A clock and scheduler whose time moves only when told to; for tests and benchmarks of decision logic. */
+class ManualClock final : public Clock, public Scheduler
+{
+public:
+    SteadyTime now() const override
+    {
+        return this->time;
+    }
+
+    WallTime wallNow() const override
+    {
+        return WallTime(std::chrono::duration_cast<WallTime::duration>(this->time.time_since_epoch()));
+    }
+
+    TimerId schedule(std::chrono::milliseconds delay, std::function<void()> action) override
+    {
+        const TimerId id = ++this->lastTimer;
+        this->timers.emplace(std::pair(this->time + delay, id), std::move(action));
+        return id;
+    }
+
+    void cancel(TimerId id) override
+    {
+        std::erase_if(this->timers, [id](const auto &entry) {
+            return entry.first.second == id;
+        });
+    }
+
+    /**
+     * Move time forward, running the timers that fall due, in order.
+     * @param step how far to move
+     */
+    void advance(std::chrono::milliseconds step)
+    {
+        const SteadyTime target = this->time + step;
+        while (!this->timers.empty() && this->timers.begin()->first.first <= target) {
+            auto entry = this->timers.extract(this->timers.begin());
+            this->time = entry.key().first;
+            entry.mapped()();
+        }
+        this->time = target;
+    }
+
+private:
+    SteadyTime time = SteadyTime(std::chrono::hours(1));
+    TimerId lastTimer = 0;
+    std::map<std::pair<SteadyTime, TimerId>, std::function<void()>> timers;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -0,0 +1,114 @@
+#include <LibSettings/SettingsLoader.h>
+
+#include <LibSettings/SettingsChecks.h>
+#include <LibSettings/SettingsReader.h>
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+void mergeTable(toml::table &base, toml::table &&overlay);
+
+std::string nameOf(const toml::node &element)
+{
+    const toml::table *const table = element.as_table();
+    return table != nullptr ? (*table)["name"].value_or(std::string()) : std::string();
+}
+
+bool isListOfNamed(const toml::array &list)
+{
+    for (const toml::node &element : list) {
+        if (nameOf(element).empty()) {
+            return false;
+        }
+    }
+    return !list.empty();
+}
+
+void mergeNamedList(toml::array &base, toml::array &&overlay)
+{
+    for (toml::node &element : overlay) {
+        const std::string name = nameOf(element);
+        toml::table *match = nullptr;
+        for (toml::node &candidate : base) {
+            if (nameOf(candidate) == name) {
+                match = candidate.as_table();
+            }
+        }
+        if (match != nullptr) {
+            mergeTable(*match, std::move(*element.as_table()));
+        } else {
+            base.push_back(std::move(*element.as_table()));
+        }
+    }
+}
+
+// NOTE: Nodes are moved, never copied: toml++ drops the source place from a copy.
+void mergeTable(toml::table &base, toml::table &&overlay)
+{
+    for (auto &&[key, node] : overlay) {
+        toml::node *const existing = base.get(key.str());
+        if (existing != nullptr && existing->is_table() && node.is_table()) {
+            mergeTable(*existing->as_table(), std::move(*node.as_table()));
+            continue;
+        }
+        if (existing != nullptr && existing->is_array() && node.is_array() && isListOfNamed(*existing->as_array())
+            && isListOfNamed(*node.as_array())) {
+            mergeNamedList(*existing->as_array(), std::move(*node.as_array()));
+            continue;
+        }
+        const std::string name(key.str());
+        node.visit([&base, &name](auto &value) {
+            base.insert_or_assign(name, std::move(value));
+        });
+    }
+}
+
+} // namespace
+
+std::optional<Settings> loadSettings(const std::vector<SettingsSource> &sources, Findings &findings)
+{
+    toml::table merged;
+    const std::size_t before = findings.all().size();
+    for (const SettingsSource &source : sources) {
+        toml::parse_result parsed = toml::parse(source.text, source.name);
+        if (!parsed) {
+            const toml::parse_error &error = parsed.error();
+            findings.add({source.name, error.source().begin.line, error.source().begin.column}, std::string(error.description()));
+            continue;
+        }
+        mergeTable(merged, std::move(parsed).table());
+    }
+    if (findings.all().size() > before) {
+        return std::nullopt;
+    }
+    Settings settings;
+    SettingsReader reader(findings);
+    readSettings(reader, merged, settings);
+    checkSettings(settings, merged, reader);
+    if (findings.all().size() > before) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+void readSettingsFiles(const std::vector<std::string> &paths, std::vector<SettingsSource> &sources, Findings &findings)
+{
+    for (const std::string &path : paths) {
+        std::ifstream file(path, std::ios::binary);
+        std::ostringstream text;
+        if (!file || !(text << file.rdbuf())) {
+            findings.add({path, 0, 0}, "cannot be read");
+            continue;
+        }
+        sources.push_back({path, text.str()});
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibTask/EventLoop.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibBase/Scheduler.h>
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+struct event_base;
+struct event;
+
+namespace Dogwoodkeel
+{
+
+/**
+ * One event base and the messages sent to it. All but post() and stop() is called on the loop's own thread.
+ */
+class EventLoop final : public Scheduler
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /** Run until stop() is called. */
+    void run();
+
+    /** Make run() return; from any thread. */
+    void stop();
+
+    /**
+     * Run an action on the loop's thread; from any thread, in the order of the calls.
+     * @param action what to run
+     */
+    void post(std::function<void()> action);
+
+    TimerId schedule(std::chrono::milliseconds delay, std::function<void()> action) override;
+    void cancel(TimerId id) override;
+
+    /** @return the base, for the libraries that put their sockets on it. */
+    event_base *base() const;
+
+private:
+    struct Timer;
+
+    static void onWake(int descriptor, short what, void *self);
+    static void onTimer(int descriptor, short what, void *timer);
+    void runPosted();
+
+    event_base *eventBase = nullptr;
+    event *wake = nullptr;
+    std::mutex mutex;
+    std::deque<std::function<void()>> posted;
+    TimerId lastTimer = 0;
+    std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibTask/Sockets.cpp
@@ -0,0 +1,30 @@
+#include <LibTask/Sockets.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace Dogwoodkeel
+{
+
+sockaddr_in socketAddress(const Address &address)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+    return target;
+}
+
+Address boundAddress(int descriptor)
+{
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(bound.sin_port)};
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibTask/Sockets.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibBase/Address.h>
+
+#include <netinet/in.h>
+
+namespace Dogwoodkeel
+{
+
+/** @return the address in the form the socket calls take. */
+sockaddr_in socketAddress(const Address &address);
+
+/** @return where a socket is bound. */
+Address boundAddress(int descriptor);
+
+} // namespace Dogwoodkeel
