LibWire: Carry authenticated messages between nodes

Frames over TCP carry an HMAC over their place in a direction of a connection whose key is made from both ends' random numbers; datagrams carry a sequence number under theirs. So a replayed, dropped or moved message does not verify.

--- /dev/null
+++ b/Libraries/LibWire/PeerServer.cpp
@@ -0,0 +1,95 @@
+#include <LibWire/PeerServer.h>
+
+#include <LibTask/EventLoop.h>
+#include <LibTask/Sockets.h>
+
+#include <event2/listener.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+PeerServer::PeerServer(EventLoop &loop, const Address &address, PeerSecurity security) : loop(loop), security(std::move(security))
+{
+    const sockaddr_in target = socketAddress(address);
+    this->listener = evconnlistener_new_bind(loop.base(),
+                                             &PeerServer::onAccept,
+                                             this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                             -1,
+                                             reinterpret_cast<const sockaddr *>(&target),
+                                             sizeof(target));
+    if (this->listener == nullptr) {
+        throw std::runtime_error("cannot listen for nodes at " + address.toString());
+    }
+    this->listenAddress = boundAddress(evconnlistener_get_fd(this->listener));
+}
+
+PeerServer::~PeerServer()
+{
+    *this->alive = false;
+    evconnlistener_free(this->listener);
+}
+
+const Address &PeerServer::address() const
+{
+    return this->listenAddress;
+}
+
+void PeerServer::onAccept(evconnlistener *, int descriptor, sockaddr *, int, void *self)
+{
+    static_cast<PeerServer *>(self)->accept(descriptor);
+}
+
+void PeerServer::accept(int descriptor)
+{
+    const LinkId id = ++this->lastLink;
+    PeerLink::Hooks hooks{
+        .onFrame =
+            [this, id](const Frame &frame) {
+                this->receive(id, frame);
+            },
+        .onClosed =
+            [this, id] {
+                this->drop(id);
+            },
+    };
+    this->links.emplace(id, PeerLink::accept(this->loop, descriptor, this->security, std::move(hooks)));
+}
+
+void PeerServer::receive(LinkId id, const Frame &frame)
+{
+    const auto handler = this->handlers.find(frame.number);
+    const auto send
+        = [this, id, correlation = frame.correlation, alive = this->alive](MessageNumber number, std::string payload) {
+              if (!*alive) {
+                  return;
+              }
+              const auto link = this->links.find(id);
+              if (link != this->links.end()) {
+                  link->second->send({correlation, number, std::move(payload)});
+              }
+          };
+    if (handler != this->handlers.end() && handler->second(frame.payload, send)) {
+        return;
+    }
+    // The frame is genuine, so a node of another version sent it: it sees its call fail, as with a lost connection.
+    log(LogLevel::Warning, "request of another node not understood", {{"number", static_cast<std::int64_t>(frame.number)}});
+    this->drop(id);
+}
+
+void PeerServer::drop(LinkId id)
+{
+    const auto link = this->links.find(id);
+    if (link == this->links.end()) {
+        return;
+    }
+    // Freed after the link's own callback has returned.
+    std::shared_ptr<PeerLink> dropped = std::move(link->second);
+    this->links.erase(link);
+    this->loop.post([dropped] {});
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibWire/PeerServer.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <LibBase/Log.h>
+#include <LibWire/Codec.h>
+#include <LibWire/PeerLink.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace Dogwoodkeel
+{
+
+class EventLoop;
+
+/** Takes the requests of other nodes. Lives on one event loop. */
+class PeerServer
+{
+public:
+    template <typename Response>
+    using Respond = std::function<void(const Response &)>;
+
+    /**
+     * @param address where to listen; port 0 takes a free one
+     * @throws std::runtime_error if it cannot listen there
+     */
+    PeerServer(EventLoop &loop, const Address &address, PeerSecurity security);
+    ~PeerServer();
+    PeerServer(const PeerServer &) = delete;
+    PeerServer &operator=(const PeerServer &) = delete;
+
+    /** @return where it listens. */
+    const Address &address() const;
+
+    /**
+     * Set what answers one kind of request. The answer may come later; if the connection is gone by then, it is dropped.
+     * @param handler gets the request and the function that sends its response
+     */
+    template <typename Request>
+    void handle(std::function<void(const Request &, Respond<typename Request::Response>)> handler)
+    {
+        this->handlers[Request::number] = [handler = std::move(handler)](const std::string &payload, const SendPayload &send) {
+            const auto request = decode<Request>(payload);
+            if (!request) {
+                return false;
+            }
+            handler(*request, [send](const typename Request::Response &response) {
+                send(Request::Response::number, encode(response));
+            });
+            return true;
+        };
+    }
+
+private:
+    using SendPayload = std::function<void(MessageNumber, std::string)>;
+    using Handler = std::function<bool(const std::string &, const SendPayload &)>;
+    using LinkId = std::uint64_t;
+
+    static void onAccept(evconnlistener *listener, int descriptor, sockaddr *from, int length, void *self);
+    void accept(int descriptor);
+    void receive(LinkId id, const Frame &frame);
+    void drop(LinkId id);
+
+    EventLoop &loop;
+    PeerSecurity security;
+    Address listenAddress;
+    evconnlistener *listener = nullptr;
+    std::map<MessageNumber, Handler> handlers;
+    LinkId lastLink = 0;
+    std::map<LinkId, std::unique_ptr<PeerLink>> links;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibWire/ReplayWindow.cpp
@@ -0,0 +1,44 @@
+#include <LibWire/ReplayWindow.h>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::uint64_t windowSize = 64;
+
+}
+
+ReplayWindow::ReplayWindow(std::size_t senders) : limit(senders)
+{
+}
+
+bool ReplayWindow::admit(std::uint64_t sender, std::uint64_t sequence)
+{
+    auto [entry, isNew] = this->senders.try_emplace(sender);
+    Sender &state = entry->second;
+    if (isNew) {
+        state.place = this->byAge.insert(this->byAge.end(), sender);
+        if (this->senders.size() > this->limit) {
+            this->senders.erase(this->byAge.front());
+            this->byAge.pop_front();
+        }
+    } else {
+        this->byAge.splice(this->byAge.end(), this->byAge, state.place);
+    }
+    if (sequence > state.highest) {
+        const std::uint64_t step = sequence - state.highest;
+        state.seen = step < windowSize ? (state.seen << step) | 1U : 1U;
+        state.highest = sequence;
+        return true;
+    }
+    const std::uint64_t age = state.highest - sequence;
+    if (age >= windowSize || (state.seen >> age & 1U) != 0) {
+        return false;
+    }
+    state.seen |= std::uint64_t(1) << age;
+    return true;
+}
+
+} // namespace Dogwoodkeel
