--- /dev/null
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -0,0 +1,259 @@
+#include <LibHttp/HttpClient.h>
+
+#include <LibTask/EventLoop.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t idlePerAddress = 256;
+
+evhttp_cmd_type commandOf(std::string_view method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (method == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    if (method == "PATCH") {
+        return EVHTTP_REQ_PATCH;
+    }
+    if (method == "HEAD") {
+        return EVHTTP_REQ_HEAD;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+HttpHeaders headersOf(evhttp_request *request)
+{
+    HttpHeaders headers;
+    const evkeyvalq *const list = evhttp_request_get_input_headers(request);
+    for (const evkeyval *entry = list->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
+        headers.insert_or_assign(entry->key, entry->value);
+    }
+    return headers;
+}
+
+} // namespace
+
+struct HttpClient::Exchange
+{
+    HttpClient *client = nullptr;
+    ExchangeId id = 0;
+    Address address;
+    ExchangeHooks hooks;
+    evhttp_connection *connection = nullptr;
+    bool ended = false;
+};
+
+struct HttpClient::Callbacks
+{
+    static int onHeaders(evhttp_request *request, void *argument)
+    {
+        auto *const exchange = static_cast<Exchange *>(argument);
+        if (!exchange->ended) {
+            exchange->hooks.onHeaders(evhttp_request_get_response_code(request), headersOf(request));
+        }
+        return 0;
+    }
+
+    static void onData(evhttp_request *request, void *argument)
+    {
+        auto *const exchange = static_cast<Exchange *>(argument);
+        evbuffer *const input = evhttp_request_get_input_buffer(request);
+        const std::size_t size = evbuffer_get_length(input);
+        if (!exchange->ended && size > 0) {
+            const auto *const data = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
+            exchange->hooks.onData(std::string_view(data, size));
+        }
+    }
+
+    static void onDone(evhttp_request *request, void *argument)
+    {
+        auto *const exchange = static_cast<Exchange *>(argument);
+        if (request == nullptr) {
+            exchange->client->end(*exchange, ExchangeEnd::Broken);
+            return;
+        }
+        // NOTE: evhttp tells of a connection that could not be made by a request without a response code.
+        const bool answered = evhttp_request_get_response_code(request) != 0;
+        exchange->client->end(*exchange, answered ? ExchangeEnd::Complete : ExchangeEnd::NotConnected);
+    }
+};
+
+HttpClient::HttpClient(EventLoop &loop) : loop(loop)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    *this->alive = false;
+    for (const auto &[id, exchange] : this->exchanges) {
+        if (!exchange->ended) {
+            evhttp_connection_free(exchange->connection);
+        }
+    }
+    for (const auto &[address, connections] : this->idle) {
+        for (evhttp_connection *const connection : connections) {
+            evhttp_connection_free(connection);
+        }
+    }
+}
+
+evhttp_connection *HttpClient::takeConnection(const Address &address, ConnectionChoice choice)
+{
+    std::vector<evhttp_connection *> &pool = this->idle[address];
+    if (choice == ConnectionChoice::Pooled && !pool.empty()) {
+        evhttp_connection *const connection = pool.back();
+        pool.pop_back();
+        return connection;
+    }
+    evhttp_connection *const connection
+        = evhttp_connection_base_new(this->loop.base(), nullptr, address.ip.c_str(), address.port);
+    // The callers of this class set their own, shorter timeouts by cancelling.
+    constexpr int hour = 3600;
+    evhttp_connection_set_timeout(connection, hour);
+    return connection;
+}
+
+HttpClient::ExchangeId
+HttpClient::start(const Address &address, const HttpRequest &request, ConnectionChoice choice, ExchangeHooks hooks)
+{
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->client = this;
+    exchange->id = ++this->lastExchange;
+    exchange->address = address;
+    exchange->hooks = std::move(hooks);
+    exchange->connection = this->takeConnection(address, choice);
+    this->exchanges.emplace(exchange->id, exchange);
+
+    evhttp_request *const message = evhttp_request_new(&Callbacks::onDone, exchange.get());
+    evhttp_request_set_header_cb(message, &Callbacks::onHeaders);
+    evhttp_request_set_chunked_cb(message, &Callbacks::onData);
+    evkeyvalq *const headers = evhttp_request_get_output_headers(message);
+    evhttp_add_header(headers, "Host", address.toString().c_str());
+    for (const auto &[name, value] : request.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
+    const ExchangeId id = exchange->id;
+    if (evhttp_make_request(exchange->connection, message, commandOf(request.method), request.target().c_str()) != 0) {
+        this->loop.post([this, exchange, alive = this->alive] {
+            if (*alive) {
+                this->end(*exchange, ExchangeEnd::NotConnected);
+            }
+        });
+    }
+    return id;
+}
+
+HttpClient::ExchangeId HttpClient::fetch(const Address &address,
+                                         const HttpRequest &request,
+                                         std::chrono::milliseconds timeout,
+                                         std::function<void(ExchangeEnd, HttpResponse)> answered)
+{
+    struct Collected
+    {
+        HttpResponse response;
+        TimerId timer = 0;
+        std::function<void(ExchangeEnd, HttpResponse)> answered;
+    };
+    const auto collected = std::make_shared<Collected>();
+    collected->answered = std::move(answered);
+    ExchangeHooks hooks{
+        .onHeaders =
+            [collected](int status, const HttpHeaders &headers) {
+                collected->response.status = status;
+                collected->response.headers = headers;
+            },
+        .onData =
+            [collected](std::string_view data) {
+                collected->response.body.append(data);
+            },
+        .onEnd =
+            [this, collected](ExchangeEnd end) {
+                this->loop.cancel(collected->timer);
+                collected->answered(end, std::move(collected->response));
+            },
+    };
+    const ExchangeId id = this->start(address, request, ConnectionChoice::Pooled, std::move(hooks));
+    collected->timer = this->loop.schedule(timeout, [this, id, collected] {
+        this->cancel(id);
+        collected->answered(ExchangeEnd::Broken, {});
+    });
+    return id;
+}
+
+void HttpClient::cancel(ExchangeId id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end() || found->second->ended) {
+        return;
+    }
+    Exchange &exchange = *found->second;
+    exchange.ended = true;
+    exchange.hooks = {};
+    this->freeLater(exchange.connection);
+    this->loop.post([this, id, alive = this->alive] {
+        if (*alive) {
+            this->exchanges.erase(id);
+        }
+    });
+}
+
+void HttpClient::retireIdle(const Address &address)
+{
+    for (evhttp_connection *const connection : std::exchange(this->idle[address], {})) {
+        this->freeLater(connection);
+    }
+}
+
+void HttpClient::end(Exchange &exchange, ExchangeEnd how)
+{
+    if (std::exchange(exchange.ended, true)) {
+        return;
+    }
+    std::vector<evhttp_connection *> &pool = this->idle[exchange.address];
+    if (how == ExchangeEnd::Complete && pool.size() < idlePerAddress) {
+        // NOTE: evhttp is still inside this connection's callback. It may be used again only after that has returned.
+        this->loop.post([this, connection = exchange.connection, address = exchange.address, alive = this->alive] {
+            if (*alive) {
+                this->idle[address].push_back(connection);
+            } else {
+                evhttp_connection_free(connection);
+            }
+        });
+    } else {
+        this->freeLater(exchange.connection);
+    }
+    const ExchangeHooks hooks = std::move(exchange.hooks);
+    this->loop.post([this, id = exchange.id, alive = this->alive] {
+        if (*alive) {
+            this->exchanges.erase(id);
+        }
+    });
+    hooks.onEnd(how);
+}
+
+void HttpClient::freeLater(evhttp_connection *connection)
+{
+    this->loop.post([connection] {
+        evhttp_connection_free(connection);
+    });
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibHttp/HttpReply.cpp
@@ -0,0 +1,105 @@
+#include <LibHttp/HttpReply.h>
+
+#include <evhtp/evhtp.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+HttpReply::HttpReply(evhtp_request *request, std::shared_ptr<std::size_t> open, bool isLast)
+    : request(request), open(std::move(open)), isLast(isLast)
+{
+    ++*this->open;
+}
+
+HttpReply::~HttpReply()
+{
+    if (!this->started) {
+        // A handler that forgot its reply would otherwise leave the caller waiting for ever.
+        this->send({.status = 500, .body = "{\"error\":{\"message\":\"no answer was made\"}}\n"});
+    } else {
+        this->complete();
+    }
+}
+
+void HttpReply::addHeaders(const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers) {
+        evhtp_headers_add_header(this->request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    }
+    if (this->isLast) {
+        evhtp_headers_add_header(this->request->headers_out, evhtp_header_new("Connection", "close", 1, 1));
+        evhtp_request_set_keepalive(this->request, 0);
+    }
+}
+
+void HttpReply::send(const HttpResponse &response)
+{
+    if (std::exchange(this->started, true)) {
+        return;
+    }
+    if (this->request != nullptr) {
+        this->addHeaders(response.headers);
+        evbuffer_add(this->request->buffer_out, response.body.data(), response.body.size());
+        evhtp_send_reply(this->request, static_cast<evhtp_res>(response.status));
+    }
+    this->complete();
+}
+
+void HttpReply::start(int status, const HttpHeaders &headers)
+{
+    if (std::exchange(this->started, true) || this->request == nullptr) {
+        return;
+    }
+    this->addHeaders(headers);
+    evhtp_send_reply_chunk_start(this->request, static_cast<evhtp_res>(status));
+}
+
+void HttpReply::write(std::string_view data)
+{
+    if (this->request == nullptr || this->completed || data.empty()) {
+        return;
+    }
+    evbuffer *const chunk = evbuffer_new();
+    evbuffer_add(chunk, data.data(), data.size());
+    evhtp_send_reply_chunk(this->request, chunk);
+    evbuffer_free(chunk);
+}
+
+void HttpReply::finish()
+{
+    if (this->request != nullptr && !this->completed) {
+        evhtp_send_reply_chunk_end(this->request);
+    }
+    this->complete();
+}
+
+bool HttpReply::isConnected() const
+{
+    return this->request != nullptr;
+}
+
+bool HttpReply::isStarted() const
+{
+    return this->started;
+}
+
+void HttpReply::disconnect()
+{
+    this->request = nullptr;
+}
+
+void HttpReply::complete()
+{
+    if (std::exchange(this->completed, true)) {
+        return;
+    }
+    --*this->open;
+    if (this->request != nullptr) {
+        // NOTE: libevhtp wants the connection resumed after the reply, not before.
+        evhtp_request_resume(this->request);
+    }
+}
+
+} // namespace Dogwoodkeel
