LibJournal: Append in groups, read back unknown answers, fence by a seal

Group n goes to row n by insert-if-absent with one write in flight. A lost answer is settled by the row's nonce; a seal at the tail fences an owner that was paused, whatever its clock says.

--- /dev/null
+++ b/Libraries/LibJournal/JournalKeys.cpp
@@ -0,0 +1,57 @@
+#include <LibJournal/JournalKeys.h>
+
+#include <array>
+#include <cstdio>
+
+namespace Dogwoodkeel::JournalKeys
+{
+
+namespace
+{
+
+/** Fixed width, so that keys sort as their numbers do. */
+std::string padded(std::uint64_t number)
+{
+    std::array<char, 24> text{};
+    std::snprintf(text.data(), text.size(), "%020llu", static_cast<unsigned long long>(number));
+    return text.data();
+}
+
+} // namespace
+
+std::string session(SessionNumber number)
+{
+    return "session/" + padded(number.value());
+}
+
+std::string sessionsEnd()
+{
+    return "session0";
+}
+
+std::string group(SessionNumber session, GroupNumber number)
+{
+    return "journal/" + padded(session.value()) + '/' + padded(number.value());
+}
+
+std::string groupsEnd(SessionNumber session)
+{
+    return "journal/" + padded(session.value()) + '0';
+}
+
+std::string groupObject(SessionNumber session, GroupNumber number, const std::string &nonce)
+{
+    return group(session, number) + '/' + nonce;
+}
+
+std::string shard(ShardNumber shard)
+{
+    return "shard/" + padded(shard.value());
+}
+
+std::string shardsEnd()
+{
+    return "shard0";
+}
+
+} // namespace Dogwoodkeel::JournalKeys
--- /dev/null
+++ b/Libraries/LibJournal/JournalKeys.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibBase/Identifiers.h>
+
+#include <string>
+
+/** Names of the rows and objects that sessions, journals and shards are kept in. */
+namespace Dogwoodkeel::JournalKeys
+{
+
+/** The row that the next session number is taken from. */
+inline constexpr const char *sessionCounter = "session-counter";
+
+/** @return the row of a session. */
+std::string session(SessionNumber number);
+/** @return the first key behind all session rows. */
+std::string sessionsEnd();
+/** @return the row of a group; keys of one journal sort by group. */
+std::string group(SessionNumber session, GroupNumber number);
+/** @return the first key behind all groups of a journal. */
+std::string groupsEnd(SessionNumber session);
+/** @return the object that holds a large group's records. */
+std::string groupObject(SessionNumber session, GroupNumber number, const std::string &nonce);
+/** @return the row of a shard. */
+std::string shard(ShardNumber shard);
+/** @return the first key behind all shard rows. */
+std::string shardsEnd();
+
+} // namespace Dogwoodkeel::JournalKeys
--- /dev/null
+++ b/Libraries/LibJournal/JournalRecovery.cpp
@@ -0,0 +1,133 @@
+#include <LibJournal/JournalRecovery.h>
+
+#include <LibBase/Encoding.h>
+#include <LibBase/Log.h>
+#include <LibJournal/JournalKeys.h>
+#include <LibWire/Codec.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t rowsPerPage = 128;
+constexpr std::size_t nonceBytes = 12;
+constexpr std::chrono::milliseconds retryDelay{50};
+
+} // namespace
+
+JournalRecovery::JournalRecovery(
+    Platform &platform, Scheduler &scheduler, SessionNumber sealer, SessionNumber session, GroupNumber first, GroupNumber last)
+    : platform(platform), scheduler(scheduler), sealer(sealer), session(session), first(first), last(last)
+{
+}
+
+void JournalRecovery::start(Recovered recovered)
+{
+    this->recovered = std::move(recovered);
+    this->readPage();
+}
+
+std::uint64_t JournalRecovery::nextNumber() const
+{
+    return this->first.value() + this->groups.size();
+}
+
+void JournalRecovery::readPage()
+{
+    const std::string from = JournalKeys::group(this->session, GroupNumber(this->nextNumber()));
+    const std::string to = this->last.value() == 0 ? JournalKeys::groupsEnd(this->session)
+                                                   : JournalKeys::group(this->session, GroupNumber(this->last.value() + 1));
+    this->platform.tables().readRange(from, to, rowsPerPage, [self = this->shared_from_this()](const RowsResult &result) {
+        self->onRows(result);
+    });
+}
+
+void JournalRecovery::onRows(const RowsResult &result)
+{
+    if (result.outcome != ReadOutcome::Found) {
+        this->retry(&JournalRecovery::readPage);
+        return;
+    }
+    for (const Row &row : result.rows) {
+        auto group = decode<JournalGroup>(row.value);
+        if (!group) {
+            log(LogLevel::Error, "journal group cannot be read", {{"key", row.key}});
+            this->retry(&JournalRecovery::readPage);
+            return;
+        }
+        if (group->sealedBy.value() != 0) {
+            this->sealed = true;
+            break;
+        }
+        this->groups.push_back({GroupNumber(this->nextNumber()), std::move(*group)});
+    }
+    this->atEnd = this->sealed || result.rows.size() < rowsPerPage;
+    this->loadObjects();
+}
+
+void JournalRecovery::loadObjects()
+{
+    while (this->loaded < this->groups.size() && this->groups[this->loaded].group.objectKey.empty()) {
+        ++this->loaded;
+    }
+    if (this->loaded == this->groups.size()) {
+        this->finish();
+        return;
+    }
+    const std::string &key = this->groups[this->loaded].group.objectKey;
+    this->platform.objects().get(key, [self = this->shared_from_this()](const ObjectResult &result) {
+        auto group = result.outcome == ReadOutcome::Found ? decode<JournalGroup>(result.content) : std::nullopt;
+        if (!group) {
+            self->retry(&JournalRecovery::loadObjects);
+            return;
+        }
+        self->groups[self->loaded].group = std::move(*group);
+        ++self->loaded;
+        self->loadObjects();
+    });
+}
+
+void JournalRecovery::finish()
+{
+    if (!this->atEnd) {
+        this->readPage();
+        return;
+    }
+    if (this->last.value() == 0 && !this->sealed) {
+        this->insertSeal();
+        return;
+    }
+    this->recovered({std::move(this->groups), GroupNumber(this->nextNumber() - 1)});
+}
+
+void JournalRecovery::insertSeal()
+{
+    JournalGroup seal;
+    seal.nonce = randomHex(nonceBytes);
+    seal.sealedBy = this->sealer;
+    const std::string key = JournalKeys::group(this->session, GroupNumber(this->nextNumber()));
+    this->platform.tables().insertIfAbsent(key, encode(seal), [self = this->shared_from_this()](WriteOutcome outcome) {
+        if (outcome == WriteOutcome::Done) {
+            self->sealed = true;
+            self->finish();
+            return;
+        }
+        // Refused: the owner wrote one more group, or another node sealed. Unknown: the seal may stand. Reading on
+        // from the same place tells which, for all three.
+        self->atEnd = false;
+        self->retry(&JournalRecovery::readPage);
+    });
+}
+
+void JournalRecovery::retry(void (JournalRecovery::*step)())
+{
+    this->scheduler.schedule(retryDelay, [self = this->shared_from_this(), step] {
+        (self.get()->*step)();
+    });
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibJournal/JournalWriter.cpp
@@ -0,0 +1,238 @@
+#include <LibJournal/JournalWriter.h>
+
+#include <LibBase/Encoding.h>
+#include <LibBase/Log.h>
+#include <LibJournal/JournalKeys.h>
+#include <LibWire/Codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t nonceBytes = 12;
+/** What a record takes beside its payload. */
+constexpr std::size_t recordOverhead = 32;
+
+} // namespace
+
+JournalWriter::JournalWriter(Platform &platform, Scheduler &scheduler, const Clock &clock, SessionNumber session, Options options)
+    : platform(platform), scheduler(scheduler), clock(clock), session(session), options(options), backoff(options.firstBackoff)
+{
+}
+
+JournalWriter::~JournalWriter()
+{
+    *this->alive = false;
+    this->scheduler.cancel(this->timer);
+}
+
+void JournalWriter::append(JournalRecord record, Appended appended)
+{
+    if (this->fenced) {
+        appended(AppendOutcome::Fenced);
+        return;
+    }
+    ++this->appendedRecords;
+    this->pending.push_back({std::move(record), std::move(appended)});
+    this->wake();
+}
+
+GroupNumber JournalWriter::nextGroup() const
+{
+    return this->inFlight.empty() ? this->number : GroupNumber(this->number.value() + 1);
+}
+
+bool JournalWriter::isStalled() const
+{
+    return this->stalled;
+}
+
+bool JournalWriter::isFenced() const
+{
+    return this->fenced;
+}
+
+std::size_t JournalWriter::waiting() const
+{
+    return this->pending.size() + this->inFlight.size();
+}
+
+std::uint64_t JournalWriter::appended() const
+{
+    return this->appendedRecords;
+}
+
+std::uint64_t JournalWriter::durable() const
+{
+    return this->durableRecords;
+}
+
+std::uint64_t JournalWriter::groupsWritten() const
+{
+    return this->written;
+}
+
+void JournalWriter::wake()
+{
+    if (this->timer != 0 || !this->inFlight.empty() || this->pending.empty() || this->fenced) {
+        return;
+    }
+    const SteadyTime earliest = this->lastStart + this->options.groupInterval;
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(earliest - this->clock.now());
+    this->timer = this->scheduler.schedule(std::max(wait, std::chrono::milliseconds(0)), [this] {
+        this->timer = 0;
+        this->startGroup();
+    });
+}
+
+void JournalWriter::startGroup()
+{
+    this->lastStart = this->clock.now();
+    this->group = {};
+    this->group.nonce = randomHex(nonceBytes);
+    std::size_t size = 0;
+    while (!this->pending.empty()) {
+        size += this->pending.front().record.payload.size() + recordOverhead;
+        if (size > this->options.groupBytes && !this->inFlight.empty()) {
+            break;
+        }
+        this->group.records.push_back(this->pending.front().record);
+        this->inFlight.push_back(std::move(this->pending.front()));
+        this->pending.pop_front();
+    }
+    this->rowValue = encode(this->group);
+    if (this->rowValue.size() <= this->options.rowBytes) {
+        this->writeRow();
+        return;
+    }
+    this->objectValue = std::move(this->rowValue);
+    this->group.objectKey = JournalKeys::groupObject(this->session, this->number, this->group.nonce);
+    this->group.records.clear();
+    this->rowValue = encode(this->group);
+    this->writeObject();
+}
+
+void JournalWriter::writeObject()
+{
+    this->platform.objects().putIfAbsent(
+        this->group.objectKey, this->objectValue, [this, alive = this->alive](WriteOutcome outcome) {
+            if (!*alive) {
+                return;
+            }
+            // Refused: the key has this group's nonce, so what is there is what an earlier try of this write put there.
+            if (outcome == WriteOutcome::Done || outcome == WriteOutcome::Refused) {
+                this->objectValue.clear();
+                this->writeRow();
+                return;
+            }
+            this->retry(&JournalWriter::writeObject);
+        });
+}
+
+void JournalWriter::writeRow()
+{
+    this->platform.tables().insertIfAbsent(
+        JournalKeys::group(this->session, this->number), this->rowValue, [this, alive = this->alive](WriteOutcome outcome) {
+            if (*alive) {
+                this->onRowWritten(outcome);
+            }
+        });
+}
+
+void JournalWriter::onRowWritten(WriteOutcome outcome)
+{
+    switch (outcome) {
+    case WriteOutcome::Done:
+        this->completeGroup();
+        return;
+    case WriteOutcome::Refused:
+        // The row is there: this very group, if the answer to an earlier try was lost, or a seal.
+    case WriteOutcome::Unknown:
+        // The answer may have been lost after the write took effect. Writing a new group now could leave the same
+        // records in the journal twice, and giving up could lose them: the row itself says which it is.
+        this->readBack();
+        return;
+    case WriteOutcome::NotApplied:
+        this->retry(&JournalWriter::writeRow);
+        return;
+    }
+}
+
+void JournalWriter::readBack()
+{
+    this->platform.tables().read(JournalKeys::group(this->session, this->number),
+                                 [this, alive = this->alive](const RowResult &result) {
+                                     if (!*alive) {
+                                         return;
+                                     }
+                                     if (result.outcome == ReadOutcome::Failed) {
+                                         this->retry(&JournalWriter::readBack);
+                                         return;
+                                     }
+                                     if (result.outcome == ReadOutcome::Absent) {
+                                         // A late arrival of the lost write is harmless: it has the same nonce.
+                                         this->retry(&JournalWriter::writeRow);
+                                         return;
+                                     }
+                                     const auto found = decode<JournalGroup>(result.row.value);
+                                     if (found && found->nonce == this->group.nonce) {
+                                         this->completeGroup();
+                                         return;
+                                     }
+                                     this->fence();
+                                 });
+}
+
+void JournalWriter::retry(void (JournalWriter::*step)())
+{
+    if (!std::exchange(this->stalled, true)) {
+        log(LogLevel::Warning,
+            "journal write waits for the platform",
+            {{"group", static_cast<std::int64_t>(this->number.value())}});
+    }
+    this->timer = this->scheduler.schedule(this->backoff, [this, step] {
+        this->timer = 0;
+        (this->*step)();
+    });
+    this->backoff = std::min(this->backoff * 2, this->options.longestBackoff);
+}
+
+void JournalWriter::completeGroup()
+{
+    this->stalled = false;
+    this->backoff = this->options.firstBackoff;
+    this->number = GroupNumber(this->number.value() + 1);
+    ++this->written;
+    this->durableRecords += this->inFlight.size();
+    const std::shared_ptr<bool> stillAlive = this->alive;
+    for (const Pending &done : std::exchange(this->inFlight, {})) {
+        done.appended(AppendOutcome::Written);
+        if (!*stillAlive) {
+            return;
+        }
+    }
+    this->wake();
+}
+
+void JournalWriter::fence()
+{
+    log(LogLevel::Warning, "journal was sealed by another session", {{"group", static_cast<std::int64_t>(this->number.value())}});
+    this->fenced = true;
+    std::vector<Pending> lost = std::exchange(this->inFlight, {});
+    std::ranges::move(this->pending, std::back_inserter(lost));
+    this->pending.clear();
+    const std::shared_ptr<bool> stillAlive = this->alive;
+    for (const Pending &each : lost) {
+        each.appended(AppendOutcome::Fenced);
+        if (!*stillAlive) {
+            return;
+        }
+    }
+}
+
+} // namespace Dogwoodkeel
