--- /dev/null
+++ b/Libraries/LibMembership/MemberView.cpp
@@ -0,0 +1,61 @@
+#include <LibMembership/MemberView.h>
+
+#include <LibBase/Hash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::uint64_t shardSeed = 1;
+constexpr std::uint64_t laneSeed = 2;
+
+} // namespace
+
+MemberView::MemberView(std::vector<Member> members) : list(std::move(members))
+{
+}
+
+const std::vector<Member> &MemberView::members() const
+{
+    return this->list;
+}
+
+const Member *MemberView::find(SessionNumber session) const
+{
+    const auto found = std::ranges::find(this->list, session, &Member::session);
+    return found != this->list.end() ? &*found : nullptr;
+}
+
+const Member *MemberView::ownerOf(std::uint64_t key) const
+{
+    const Member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const Member &member : this->list) {
+        if (member.state == MemberState::Leaving) {
+            continue;
+        }
+        const std::uint64_t weight = rendezvousWeight(key, member.session.value());
+        if (best == nullptr || weight > bestWeight) {
+            best = &member;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+const Member *MemberView::ownerOf(ShardNumber shard) const
+{
+    return this->ownerOf(rendezvousWeight(shardSeed, shard.value()));
+}
+
+const Member *MemberView::holderOf(const EndpointName &replica) const
+{
+    return this->ownerOf(stableHash(replica.value(), laneSeed));
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibMembership/MemberView.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibWire/Generated/Messages.h>
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** The members as one node saw them at one moment; never changed, so tasks share it. */
+class MemberView
+{
+public:
+    /** @param members alive, suspect and leaving ones, in order of their sessions */
+    explicit MemberView(std::vector<Member> members);
+
+    const std::vector<Member> &members() const;
+
+    /** @return the member of a session, or null. */
+    const Member *find(SessionNumber session) const;
+
+    /**
+     * @param key hash of what is to be owned
+     * @return who should own it (rendezvous hashing over the members that are not leaving), or null if there is none
+     */
+    const Member *ownerOf(std::uint64_t key) const;
+
+    /** @return who should own a shard. */
+    const Member *ownerOf(ShardNumber shard) const;
+
+    /** @return who should hold the lane of a replica. */
+    const Member *holderOf(const EndpointName &replica) const;
+
+private:
+    std::vector<Member> list;
+};
+
+using MemberViewPointer = std::shared_ptr<const MemberView>;
+
+} // namespace Dogwoodkeel
