Services: Serve callers, own shards, run batch items on lanes

The thin path through every layer. A request is claimed at its shard's owner, run at an endpoint by the node it came to, committed to the owner and only then told as done.

--- /dev/null
+++ b/Programs/dogwoodkeel/Flags.cpp
@@ -0,0 +1,67 @@
+#include "Flags.h"
+
+#include <LibSettings/SettingsLoader.h>
+
+#include <fstream>
+#include <sstream>
+
+DEFINE_string(settings, "", "settings files, separated by commas: base first, then what differs");
+DEFINE_string(platform, "", "http or embedded: overrides platform.kind");
+DEFINE_string(http, "", "address for callers: overrides listen.http");
+DEFINE_string(engine, "", "for a trial: MODEL=ADDRESS of one engine");
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+std::vector<std::string> splitPaths(const std::string &list)
+{
+    std::vector<std::string> paths;
+    std::istringstream stream(list);
+    for (std::string path; std::getline(stream, path, ',');) {
+        paths.push_back(path);
+    }
+    return paths;
+}
+
+/** What a trial needs beside the flags, so that it starts without any file. */
+constexpr const char *trialDefaults = "[node]\nvm = \"trial\"\nfailure_domain = \"trial\"\n";
+
+/** Flags as one more, last settings source: they are checked as settings are. */
+std::string flagsAsSettings()
+{
+    std::string text;
+    if (!FLAGS_platform.empty()) {
+        text += "[platform]\nkind = \"" + FLAGS_platform + "\"\n";
+    }
+    if (!FLAGS_http.empty()) {
+        text += "[listen]\nhttp = \"" + FLAGS_http + "\"\n";
+    }
+    const std::size_t equals = FLAGS_engine.find('=');
+    if (equals != std::string::npos) {
+        text += "[[endpoint]]\nname = \"trial-engine\"\nfailure_domain = \"trial\"\nmodel = \"" + FLAGS_engine.substr(0, equals)
+            + "\"\naddress = \"" + FLAGS_engine.substr(equals + 1) + "\"\n";
+    }
+    return text;
+}
+
+} // namespace
+
+std::optional<Settings> loadServeSettings(Findings &findings)
+{
+    std::vector<SettingsSource> sources;
+    if (FLAGS_settings.empty()) {
+        sources.push_back({"defaults", trialDefaults});
+    }
+    const std::size_t before = findings.all().size();
+    readSettingsFiles(splitPaths(FLAGS_settings), sources, findings);
+    if (findings.all().size() > before) {
+        return std::nullopt;
+    }
+    sources.push_back({"command line", flagsAsSettings()});
+    return loadSettings(sources, findings);
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -0,0 +1,207 @@
+#include "Node.h"
+
+#include <LibBase/Log.h>
+#include <LibPlatform/EmbeddedPlatform.h>
+#include <LibPlatform/HttpPlatform.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds watchInterval{100};
+constexpr std::chrono::milliseconds pollInterval{20};
+
+std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const PlatformSettings &settings)
+{
+    if (settings.kind == PlatformKind::Embedded) {
+        const auto store = std::make_shared<EmbeddedStore>();
+        return [store](EventLoop &loop) {
+            return std::make_unique<EmbeddedPlatform>(store, loop);
+        };
+    }
+    return [&settings](EventLoop &loop) {
+        return std::make_unique<HttpPlatform>(loop, settings.address, settings.timeout);
+    };
+}
+
+} // namespace
+
+Node::Node(const Clock &clock, const Settings &settings)
+    : clock(clock)
+    , settings(settings)
+    , makePlatform(platformFactory(settings.platform))
+    , security{MessageKey(settings.peers.siteKey), static_cast<std::size_t>(settings.peers.frameBytes)}
+{
+}
+
+const Address &Node::httpAddress() const
+{
+    return this->http;
+}
+
+void Node::start()
+{
+    this->control
+        = std::make_unique<TaskHost<ControlTask>>("control", this->clock, this->settings, this->security, this->makePlatform);
+    std::promise<SessionNumber> session;
+    this->control->post([&session](ControlTask &control) {
+        control.openSession([&session](SessionNumber number) {
+            session.set_value(number);
+        });
+    });
+    this->self = session.get_future().get();
+    log(LogLevel::Info, "session opened", {{"session", static_cast<std::int64_t>(this->self.value())}});
+
+    this->owner = std::make_unique<TaskHost<OwnerTask>>(
+        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
+    this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
+    this->entry = std::make_unique<TaskHost<EntryTask>>(
+        "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
+
+    Member member;
+    member.session = this->self;
+    member.vm = VmName(this->settings.node.vm);
+    member.failureDomain = FailureDomain(this->settings.node.failureDomain);
+    member.owner = this->owner->ask<Address>([](OwnerTask &task) {
+        return task.address();
+    });
+    member.lane = this->lane->ask<Address>([](LaneTask &task) {
+        return task.address();
+    });
+    member.http = this->entry->ask<Address>([](EntryTask &task) {
+        return task.address();
+    });
+    this->http = member.http;
+    this->control->post([this, member](ControlTask &control) {
+        control.join(member, [this](const MemberViewPointer &view) {
+            this->spread(view);
+        });
+    });
+    this->owner->post([](OwnerTask &task) {
+        task.owner().start();
+    });
+    this->lane->post([](LaneTask &task) {
+        task.lane().start();
+    });
+    this->entry->post([](EntryTask &task) {
+        task.setReady(true);
+    });
+    this->watch = std::make_unique<Task>("watch");
+    this->watch->loop().post([this] {
+        this->watchBacklog();
+    });
+}
+
+void Node::spread(const MemberViewPointer &view)
+{
+    this->owner->post([view](OwnerTask &task) {
+        task.owner().setView(view);
+    });
+    this->lane->post([view](LaneTask &task) {
+        task.lane().setView(view);
+    });
+    this->entry->post([view](EntryTask &task) {
+        task.setView(view);
+    });
+}
+
+void Node::watchBacklog()
+{
+    this->owner->post([this](OwnerTask &task) {
+        const auto backlog = static_cast<std::uint32_t>(task.owner().backlog());
+        this->control->post([backlog](ControlTask &control) {
+            control.tellBacklog(backlog);
+        });
+    });
+    this->watch->loop().schedule(watchInterval, [this] {
+        this->watchBacklog();
+    });
+}
+
+bool Node::waitFor(const std::function<bool()> &isReached, SteadyTime deadline)
+{
+    while (!isReached()) {
+        if (this->clock.now() >= deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+void Node::stop()
+{
+    log(LogLevel::Info, "planned stop begins");
+    const SteadyTime deadline = this->clock.now() + this->settings.entry.drain;
+    this->watch.reset();
+    // Callers may hold an answer of /v1/entries that names this node until its time to live has passed: it goes on
+    // serving for that long, and nobody is told of it any more.
+    this->control->post([](ControlTask &control) {
+        control.update([](Member &member) {
+            member.state = MemberState::Leaving;
+            member.backlog = 0;
+        });
+    });
+    const auto laneDone = std::make_shared<std::atomic<bool>>(false);
+    this->lane->post([laneDone](LaneTask &task) {
+        task.lane().drain([laneDone] {
+            laneDone->store(true);
+        });
+    });
+    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings.entry.entryTtl);
+    this->waitFor(
+        [] {
+            return false;
+        },
+        entriesEnd);
+    this->entry->post([](EntryTask &task) {
+        task.drain();
+    });
+    const auto isAnswered = [this] {
+        return this->entry->ask<std::size_t>([](EntryTask &task) {
+            return task.openRequests();
+        }) == 0;
+    };
+    const bool isEntryDone = this->waitFor(isAnswered, deadline);
+    const bool isLaneDone = this->waitFor(
+        [&laneDone] {
+            return laneDone->load();
+        },
+        deadline);
+
+    const auto released = std::make_shared<std::atomic<bool>>(false);
+    this->owner->post([released](OwnerTask &task) {
+        task.owner().stop([released] {
+            released->store(true);
+        });
+    });
+    const bool isReleased = this->waitFor(
+        [&released] {
+            return released->load();
+        },
+        deadline + std::chrono::seconds(1));
+    this->control->post([](ControlTask &control) {
+        control.leave();
+    });
+    this->waitFor(
+        [] {
+            return false;
+        },
+        this->clock.now() + watchInterval);
+    log(LogLevel::Info,
+        "planned stop done",
+        {{"requests_finished", isEntryDone}, {"items_finished", isLaneDone}, {"shards_released", isReleased}});
+    this->entry.reset();
+    this->lane.reset();
+    this->owner.reset();
+    this->control.reset();
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Programs/dogwoodkeel/Node.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibMetrics/NodeMetrics.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/TaskHost.h>
+#include <Services/Control/ControlTask.h>
+#include <Services/Entry/EntryTask.h>
+#include <Services/Lane/LaneTask.h>
+#include <Services/Owner/OwnerTask.h>
+
+#include <memory>
+
+namespace Dogwoodkeel
+{
+
+/** One node: its four tasks, put together. */
+class Node
+{
+public:
+    Node(const Clock &clock, const Settings &settings);
+
+    /** Start; returns when the node takes requests. @throws std::runtime_error if it cannot listen */
+    void start();
+
+    /**
+     * Stop as planned: leave the entry answers, finish what runs, give up shards and lanes. Returns when that is done, or
+     * when entry.drain has passed.
+     */
+    void stop();
+
+    /** @return where callers connect. */
+    const Address &httpAddress() const;
+
+private:
+    void spread(const MemberViewPointer &view);
+    void watchBacklog();
+    bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
+
+    const Clock &clock;
+    const Settings &settings;
+    NodeMetrics metrics;
+    std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
+    PeerSecurity security;
+    SessionNumber self;
+    Address http;
+    std::unique_ptr<TaskHost<ControlTask>> control;
+    std::unique_ptr<TaskHost<OwnerTask>> owner;
+    std::unique_ptr<TaskHost<LaneTask>> lane;
+    std::unique_ptr<TaskHost<EntryTask>> entry;
+    /** Destroyed first: it posts to the tasks above. */
+    std::unique_ptr<Task> watch;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Programs/dogwoodkeel/ServeCommand.cpp
@@ -0,0 +1,75 @@
+#include "ServeCommand.h"
+
+#include "Flags.h"
+#include "Node.h"
+
+#include <LibBase/Log.h>
+#include <LibBase/SystemClock.h>
+#include <LibSettings/SettingsLoader.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <sstream>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+LogLevel levelOf(LogDetail detail)
+{
+    switch (detail) {
+    case LogDetail::Debug:
+        return LogLevel::Debug;
+    case LogDetail::Info:
+        return LogLevel::Info;
+    case LogDetail::Warning:
+        return LogLevel::Warning;
+    case LogDetail::Error:
+        return LogLevel::Error;
+    }
+    return LogLevel::Info;
+}
+
+/** Blocks the stop signals in this thread and all that it starts, so that one place waits for them. */
+sigset_t blockStopSignals()
+{
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+} // namespace
+
+ExitCode runServe(const std::vector<std::string> &)
+{
+    Findings findings;
+    const std::optional<Settings> settings = loadServeSettings(findings);
+    if (!settings) {
+        std::fputs(findings.toString().c_str(), stderr);
+        return ExitCode::Usage;
+    }
+    const sigset_t signals = blockStopSignals();
+    startLog(settings->node.vm, levelOf(settings->node.log));
+    const SystemClock clock;
+    try {
+        Node node(clock, *settings);
+        node.start();
+        log(LogLevel::Info, "serving", {{"address", node.httpAddress().toString()}});
+        int signal = 0;
+        sigwait(&signals, &signal);
+        node.stop();
+    } catch (const std::exception &error) {
+        log(LogLevel::Error, "cannot serve", {{"error", std::string(error.what())}});
+        return ExitCode::Failure;
+    }
+    return ExitCode::Success;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Control/ControlTask.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibJournal/SessionRegistry.h>
+#include <LibMembership/Membership.h>
+#include <LibPlatform/Platform.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+#include <LibWire/PeerLink.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Dogwoodkeel
+{
+
+/** What the control task has: this node's session, its membership and the socket for gossip. */
+class ControlTask
+{
+public:
+    using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
+
+    /** @throws std::runtime_error if it cannot take datagrams */
+    ControlTask(EventLoop &loop,
+                const Clock &clock,
+                const Settings &settings,
+                const PeerSecurity &security,
+                const PlatformFactory &makePlatform);
+
+    /** Take a session number; tries until the platform answers. */
+    void openSession(std::function<void(SessionNumber)> opened);
+
+    /**
+     * Become a member.
+     * @param self this node, without its gossip address
+     * @param onChange told of each new view, on this task
+     */
+    void join(Member self, std::function<void(MemberViewPointer)> onChange);
+
+    /** Tell the others of a change of this node. */
+    void update(const std::function<void(Member &)> &change);
+
+    /** Tell the others how many batch items wait here, if that has changed enough to matter. */
+    void tellBacklog(std::uint32_t backlog);
+
+    /** Tell the others that this node is gone, and remove its session's row. */
+    void leave();
+
+    /** @return where this node takes gossip. */
+    const Address &gossipAddress() const;
+
+private:
+    void receive(const Datagram &datagram);
+    void meetOthers();
+
+    EventLoop &loop;
+    const Clock &clock;
+    const Settings &settings;
+    std::unique_ptr<Platform> platform;
+    SessionRegistry sessions;
+    DatagramSocket datagrams;
+    std::optional<Membership> membership;
+    SessionNumber self;
+    std::uint32_t toldBacklog = 0;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/Authenticator.cpp
@@ -0,0 +1,38 @@
+#include <Services/Entry/Authenticator.h>
+
+#include <LibBase/Encoding.h>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::string_view scheme = "Bearer ";
+
+}
+
+Authenticator::Authenticator(const std::vector<TenantSettings> &tenants)
+{
+    for (const TenantSettings &tenant : tenants) {
+        for (const std::string &hash : tenant.keyHashes) {
+            this->byKeyHash[hash] = {TenantName(tenant.name), tenant.isOperator};
+        }
+    }
+}
+
+std::optional<Caller> Authenticator::authenticate(const HttpHeaders &headers) const
+{
+    if (this->byKeyHash.empty()) {
+        return Caller{TenantName("default"), true};
+    }
+    const std::string credentials = headerValue(headers, "Authorization").value_or(std::string());
+    if (!credentials.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    // The hash is looked up, not the key: how long that takes tells nothing of the key itself.
+    const auto found = this->byKeyHash.find(hashOfKey(credentials.substr(scheme.size())));
+    return found != this->byKeyHash.end() ? std::optional(found->second) : std::nullopt;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/EntryContext.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibFleet/ReplicaTable.h>
+#include <LibHttp/HttpClient.h>
+#include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/Platform.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Entry/LoadNotices.h>
+#include <Services/Entry/OwnerClient.h>
+
+#include <random>
+
+namespace Dogwoodkeel
+{
+
+/** What the handlers of one entry task share; all of it lives on that task. */
+struct EntryContext
+{
+    EventLoop &loop;
+    const Clock &clock;
+    const Settings &settings;
+    SessionNumber self;
+    HttpClient &http;
+    OwnerClient &owners;
+    ReplicaTable &replicas;
+    LoadNotices &notices;
+    Platform &platform;
+    NodeMetrics &metrics;
+    std::mt19937_64 &random;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/EntryService.cpp
@@ -0,0 +1,271 @@
+#include <Services/Entry/EntryService.h>
+
+#include <LibBase/Encoding.h>
+#include <LibBase/Hash.h>
+#include <Services/Entry/ApiErrors.h>
+#include <Services/Entry/OnlineRequest.h>
+#include <Services/Entry/PlainCall.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t idBytes = 12;
+constexpr std::size_t longestKey = 256;
+constexpr std::chrono::milliseconds resultPatience{10000};
+constexpr std::chrono::seconds comeBack{1};
+
+constexpr std::string_view servicesPath = "/v1/services/";
+constexpr std::string_view resultsPath = "/v1/results/";
+constexpr std::string_view batchesPath = "/v1/batches";
+
+void refuse(HttpReply &reply, int status, std::string_view reason, std::string message)
+{
+    reply.send(refusalResponse({status, reason, std::move(message), RunState::NotRun, {}}));
+}
+
+/** Request ids are kept apart by tenant: nobody reads another tenant's results. */
+std::string scoped(const Caller &caller, std::string_view id)
+{
+    return caller.tenant.value() + '/' + std::string(id);
+}
+
+} // namespace
+
+EntryService::EntryService(EntryContext &context)
+    : context(context)
+    , authenticator(context.settings.tenants)
+    , batches(context)
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
+{
+}
+
+void EntryService::setView(MemberViewPointer view)
+{
+    this->view = std::move(view);
+}
+
+void EntryService::setReady(bool isReady)
+{
+    this->ready = isReady;
+}
+
+void EntryService::serve(const HttpRequest &request, const Reply &reply)
+{
+    if (this->serveOpen(request, reply)) {
+        return;
+    }
+    const std::optional<Caller> caller = this->authenticator.authenticate(request.headers);
+    if (!caller) {
+        refuse(*reply, statusUnauthorized, "unknown_key", "send a known key as Authorization: Bearer KEY");
+        return;
+    }
+    const bool isPost = request.method == "POST";
+    if (isPost && request.path == "/v1/chat/completions") {
+        this->serveCompletion(*caller, CompletionForm::Chat, request, reply);
+    } else if (isPost && request.path == "/v1/completions") {
+        this->serveCompletion(*caller, CompletionForm::Text, request, reply);
+    } else if (request.path.starts_with(servicesPath)) {
+        this->serveService(*caller, request, reply);
+    } else if (request.method == "GET" && request.path.starts_with(resultsPath)) {
+        this->serveResult(*caller, std::string_view(request.path).substr(resultsPath.size()), reply);
+    } else if (!this->serveBatch(*caller, request, reply)) {
+        refuse(*reply, statusNotFound, "no_such_path", request.method + " " + request.path + " is not served");
+    }
+}
+
+bool EntryService::serveOpen(const HttpRequest &request, const Reply &reply)
+{
+    if (request.method != "GET") {
+        return false;
+    }
+    if (request.path == "/healthz") {
+        reply->send(jsonResponse(statusOk, "{\"status\":\"up\"}\n"));
+    } else if (request.path == "/readyz") {
+        reply->send(jsonResponse(this->ready ? statusOk : statusUnavailable,
+                                 this->ready ? "{\"status\":\"ready\"}\n" : "{\"status\":\"not ready\"}\n"));
+    } else if (request.path == "/metrics") {
+        reply->send({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.text()});
+    } else if (request.path == "/v1/entries") {
+        this->serveEntries(request, reply);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+bool EntryService::serveBatch(const Caller &caller, const HttpRequest &request, const Reply &reply)
+{
+    if (!request.path.starts_with(batchesPath)) {
+        return false;
+    }
+    const std::string_view rest = std::string_view(request.path).substr(batchesPath.size());
+    if (rest.empty() && request.method == "POST") {
+        this->batches.submit(caller, request, reply);
+        return true;
+    }
+    if (!rest.starts_with('/')) {
+        return false;
+    }
+    const std::size_t slash = std::min(rest.find('/', 1), rest.size());
+    const JobId job(std::string(rest.substr(1, slash - 1)));
+    const std::string_view action = rest.substr(slash);
+    if (action.empty() && request.method == "GET") {
+        this->batches.status(caller, job, reply);
+    } else if (action == "/results" && request.method == "GET") {
+        this->batches.results(caller, job, request.query, reply);
+    } else if (action == "/cancel" && request.method == "POST") {
+        this->batches.cancel(caller, job, reply);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+RequestId EntryService::requestIdOf(const Caller &caller, const HttpRequest &request)
+{
+    const auto key = headerValue(request.headers, "Idempotency-Key");
+    return RequestId(scoped(caller, key ? *key : "r-" + randomHex(idBytes)));
+}
+
+void EntryService::serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply)
+{
+    auto completion = CompletionRequest::parse(form, request.body);
+    if (!completion) {
+        refuse(*reply, statusBadRequest, "bad_request", "the body must be a JSON object with a model and a prompt or messages");
+        return;
+    }
+    if (headerValue(request.headers, "Idempotency-Key").value_or(std::string()).size() > longestKey) {
+        refuse(*reply, statusBadRequest, "bad_key", "the Idempotency-Key is too long");
+        return;
+    }
+    if (this->context.replicas.of(completion->model).empty()) {
+        refuse(*reply, statusNotFound, "no_such_model", "no endpoint serves the model " + completion->model);
+        return;
+    }
+    DurableRequest durable;
+    durable.id = this->requestIdOf(caller, request);
+    durable.tenant = caller.tenant;
+    durable.fingerprint = stableHash(request.path + '\n' + request.body);
+    durable.isNonIdempotent = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
+    durable.request = {.method = "POST", .path = request.path, .headers = {{"Content-Type", "application/json"}}};
+    durable.serves = completion->model;
+    durable.timeout = this->context.settings.entry.requestTimeout;
+    durable.completion = std::move(completion);
+    std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
+}
+
+void EntryService::serveService(const Caller &caller, const HttpRequest &request, const Reply &reply)
+{
+    const std::string_view rest = std::string_view(request.path).substr(servicesPath.size());
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    const std::string name(rest.substr(0, slash));
+    const auto &services = this->context.settings.services;
+    const auto service = std::ranges::find(services, name, &ServiceSettings::name);
+    if (service == services.end()) {
+        refuse(*reply, statusNotFound, "no_such_service", "there is no service " + name);
+        return;
+    }
+    HttpRequest forwarded;
+    forwarded.method = request.method;
+    forwarded.path = slash < rest.size() ? std::string(rest.substr(slash)) : "/";
+    forwarded.query = request.query;
+    forwarded.body = request.body;
+    forwarded.headers["Content-Type"] = headerValue(request.headers, "Content-Type").value_or("application/json");
+    const bool isMarked = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
+    const bool isNonIdempotent = !service->isIdempotent || isMarked;
+    if (!isNonIdempotent && !request.headers.contains("Idempotency-Key")) {
+        std::make_shared<PlainCall>(this->context, *service, std::move(forwarded), reply)->start();
+        return;
+    }
+    DurableRequest durable;
+    durable.id = this->requestIdOf(caller, request);
+    durable.tenant = caller.tenant;
+    durable.fingerprint = stableHash(request.method + ' ' + request.path + '?' + request.query + '\n' + forwarded.body);
+    durable.isNonIdempotent = isNonIdempotent;
+    durable.request = std::move(forwarded);
+    durable.serves = name;
+    durable.timeout = service->timeout;
+    std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
+}
+
+void EntryService::serveResult(const Caller &caller, std::string_view id, const Reply &reply)
+{
+    // Ids in answers carry the tenant already; ids that callers chose do not.
+    const std::string prefix = caller.tenant.value() + '/';
+    const RequestId request(id.starts_with(prefix) ? std::string(id) : prefix + std::string(id));
+    this->context.owners.call<ResultRequest>(
+        request.value(),
+        {request},
+        std::chrono::milliseconds(0),
+        this->context.clock.now() + resultPatience,
+        [](const ResultResponse &response) {
+            return response.state != RequestState::NotOwner;
+        },
+        [reply, request](const std::optional<ResultResponse> &response) {
+            if (!response) {
+                reply->send(refusalResponse(
+                    {statusUnavailable, "no_owner", "no node can answer for this id now", RunState::Unknown, comeBack}));
+                return;
+            }
+            switch (response->state) {
+            case RequestState::Done:
+                reply->send({response->answer.status, {{"Content-Type", response->answer.contentType}}, response->answer.body});
+                return;
+            case RequestState::Running:
+                reply->send(jsonResponse(statusAccepted, "{\"status\":\"running\"}\n"));
+                return;
+            case RequestState::OutcomeUnknown:
+                reply->send(refusalResponse(
+                    {statusConflict, "outcome_unknown", "it may have run once, and will not run again", RunState::Unknown, {}}));
+                return;
+            default:
+                refuse(*reply, statusNotFound, "no_such_id", "nothing is known of this id");
+            }
+        });
+}
+
+void EntryService::serveEntries(const HttpRequest &request, const Reply &reply)
+{
+    const EntrySettings &settings = this->context.settings.entry;
+    const std::string caller = queryValue(request.query, "caller").value_or(std::string());
+    const FailureDomain domain(queryValue(request.query, "failure_domain").value_or(this->context.settings.node.failureDomain));
+    std::vector<const Member *> members;
+    for (const Member &member : this->view->members()) {
+        if (member.state == MemberState::Alive) {
+            members.push_back(&member);
+        }
+    }
+    const std::uint64_t key = stableHash(caller);
+    std::ranges::sort(members, [&](const Member *left, const Member *right) {
+        const bool leftIsNear = left->failureDomain == domain;
+        const bool rightIsNear = right->failureDomain == domain;
+        if (leftIsNear != rightIsNear) {
+            return leftIsNear;
+        }
+        return rendezvousWeight(key, left->session.value()) > rendezvousWeight(key, right->session.value());
+    });
+    members.resize(std::min(members.size(), static_cast<std::size_t>(settings.entryCount)));
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const Member *const member : members) {
+        addresses.push_back({{"address", member->http.toString()}, {"failure_domain", member->failureDomain.value()}});
+    }
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(settings.entryTtl).count();
+    reply->send(jsonResponse(statusOk, nlohmann::json({{"entries", addresses}, {"ttl_seconds", seconds}}).dump() + '\n'));
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/EntryService.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibHttp/HttpReply.h>
+#include <LibHttp/HttpTypes.h>
+#include <LibMembership/MemberView.h>
+#include <Services/Entry/Authenticator.h>
+#include <Services/Entry/BatchApi.h>
+#include <Services/Entry/Completion.h>
+#include <Services/Entry/EntryContext.h>
+
+#include <memory>
+#include <string_view>
+
+namespace Dogwoodkeel
+{
+
+/** Takes each request of callers and operators to what answers it. */
+class EntryService
+{
+public:
+    explicit EntryService(EntryContext &context);
+
+    void serve(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
+
+    void setView(MemberViewPointer view);
+
+    /** @param isReady what GET /readyz tells */
+    void setReady(bool isReady);
+
+private:
+    using Reply = std::shared_ptr<HttpReply>;
+
+    bool serveOpen(const HttpRequest &request, const Reply &reply);
+    bool serveBatch(const Caller &caller, const HttpRequest &request, const Reply &reply);
+    void serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply);
+    void serveService(const Caller &caller, const HttpRequest &request, const Reply &reply);
+    void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
+    void serveEntries(const HttpRequest &request, const Reply &reply);
+    RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
+
+    EntryContext &context;
+    Authenticator authenticator;
+    BatchApi batches;
+    MemberViewPointer view;
+    bool ready = false;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/EntryTask.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibHttp/HttpServer.h>
+#include <LibMembership/MemberView.h>
+#include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/Platform.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/PeerClient.h>
+#include <Services/Entry/EntryContext.h>
+#include <Services/Entry/EntryService.h>
+
+#include <functional>
+#include <memory>
+
+namespace Dogwoodkeel
+{
+
+/** What the task that serves callers owns: its sockets, and all that the entry service uses. */
+class EntryTask
+{
+public:
+    using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
+
+    /** @throws std::runtime_error if it cannot listen */
+    EntryTask(EventLoop &loop,
+              const Clock &clock,
+              const Settings &settings,
+              SessionNumber self,
+              const PeerSecurity &security,
+              const PlatformFactory &makePlatform,
+              NodeMetrics &metrics);
+
+    /** @return where callers connect. */
+    const Address &address() const;
+
+    void setView(const MemberViewPointer &view);
+    void setReady(bool isReady);
+
+    /** Take no new connections. */
+    void drain();
+
+    /** @return requests not yet answered. */
+    std::size_t openRequests() const;
+
+private:
+    void repeatNotices();
+
+    EventLoop &loop;
+    std::unique_ptr<Platform> platform;
+    PeerClient peers;
+    OwnerClient owners;
+    HttpClient http;
+    ReplicaTable replicas;
+    DatagramSocket datagrams;
+    LoadNotices notices;
+    std::mt19937_64 random;
+    EntryContext context;
+    EntryService service;
+    HttpServer server;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/LoadNotices.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibFleet/Replica.h>
+#include <LibMembership/MemberView.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+
+#include <set>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Tells the holder of a replica's lane how many online requests this entry has there, at once when the number changes
+ * (changes of one turn of the loop together) and again at intervals, so that a lost datagram heals.
+ */
+class LoadNotices
+{
+public:
+    LoadNotices(EventLoop &loop, DatagramSocket &socket, SessionNumber self);
+
+    void setView(MemberViewPointer view);
+
+    /** The number of online requests on a replica changed. */
+    void changed(const Replica &replica);
+
+    /** Repeat the numbers of all replicas in use. */
+    void repeat(const std::vector<Replica> &replicas);
+
+private:
+    void flush();
+    void send(const EndpointName &name, std::uint32_t inFlight);
+
+    EventLoop &loop;
+    DatagramSocket &socket;
+    SessionNumber self;
+    MemberViewPointer view;
+    std::uint64_t sequence = 0;
+    std::set<const Replica *> dirty;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Lane/ItemRun.cpp
@@ -0,0 +1,133 @@
+#include <Services/Lane/ItemRun.h>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::size_t eventLimit = 1048576;
+constexpr std::string_view streamEnd = "[DONE]";
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusServerError = 500;
+constexpr int statusUnavailable = 503;
+
+bool isChat(const Json &item)
+{
+    return item.contains("messages");
+}
+
+} // namespace
+
+ItemRun::ItemRun(HttpClient &http, HeldItem held) : http(http), current(std::move(held)), events(eventLimit)
+{
+}
+
+const HeldItem &ItemRun::held() const
+{
+    return this->current;
+}
+
+std::string ItemRun::engineBody() const
+{
+    Json body = Json::parse(this->current.item.body, nullptr, false);
+    body["stream"] = true;
+    if (this->current.tokens > 0) {
+        body["resume"] = {{"text", this->current.text}, {"tokens", this->current.tokens}};
+    }
+    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void ItemRun::start(const Address &engine, Ended ended)
+{
+    this->ended = std::move(ended);
+    ++this->current.attempts;
+    const Json item = Json::parse(this->current.item.body, nullptr, false);
+    const HttpRequest request{.method = "POST",
+                              .path = isChat(item) ? "/v1/chat/completions" : "/v1/completions",
+                              .headers = {{"Content-Type", "application/json"}},
+                              .body = this->engineBody()};
+    ExchangeHooks hooks{
+        .onHeaders =
+            [self = this->shared_from_this()](int status, const HttpHeaders &) {
+                self->status = status;
+            },
+        .onData =
+            [self = this->shared_from_this()](std::string_view data) {
+                self->onData(data);
+            },
+        .onEnd =
+            [self = this->shared_from_this()](ExchangeEnd end) {
+                self->onEnd(end);
+            },
+    };
+    this->exchange = this->http.start(engine, request, ConnectionChoice::Pooled, std::move(hooks));
+}
+
+HeldItem ItemRun::stop()
+{
+    this->http.cancel(this->exchange);
+    this->ended = nullptr;
+    return this->current;
+}
+
+void ItemRun::onData(std::string_view data)
+{
+    if (this->status != statusOk) {
+        this->errorBody.append(data);
+        return;
+    }
+    for (const std::string &event : this->events.feed(data)) {
+        if (event == streamEnd) {
+            this->sawEnd = true;
+            continue;
+        }
+        const Json json = Json::parse(event, nullptr, false);
+        if (!json.is_object() || !json.contains("choices") || json["choices"].empty()) {
+            continue;
+        }
+        const Json &choice = json["choices"][0];
+        const std::string text
+            = choice.contains("delta") ? choice["delta"].value("content", std::string()) : choice.value("text", std::string());
+        if (!text.empty()) {
+            this->current.text += text;
+            ++this->current.tokens;
+        }
+        if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+            this->finishReason = choice["finish_reason"].get<std::string>();
+        }
+    }
+}
+
+void ItemRun::onEnd(ExchangeEnd end)
+{
+    if (end == ExchangeEnd::Complete && this->status == statusOk && this->sawEnd) {
+        const Json result{{"text", this->current.text},
+                          {"finish_reason", this->finishReason},
+                          {"usage", {{"completion_tokens", this->current.tokens}}}};
+        this->finish(RunEnd::Finished, result.dump(-1, ' ', false, Json::error_handler_t::replace));
+        return;
+    }
+    if (end == ExchangeEnd::Complete && this->status >= statusBadRequest && this->status < statusServerError) {
+        this->finish(RunEnd::Rejected, this->errorBody);
+        return;
+    }
+    const bool isRefusal = end == ExchangeEnd::NotConnected || this->status == statusUnavailable;
+    this->finish(isRefusal ? RunEnd::Refused : RunEnd::Lost, "the endpoint was lost");
+}
+
+void ItemRun::finish(RunEnd end, const std::string &detail)
+{
+    if (this->ended) {
+        std::exchange(this->ended, nullptr)(end, detail);
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Lane/LaneTask.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+#include <Services/Lane/LaneService.h>
+
+namespace Dogwoodkeel
+{
+
+/** What the task that runs batch items has: the socket for load notices, its clients and the lane service. */
+class LaneTask
+{
+public:
+    /** @throws std::runtime_error if it cannot take datagrams */
+    LaneTask(EventLoop &loop, const Clock &clock, const Settings &settings, SessionNumber self, const PeerSecurity &security)
+        : peers(loop, security)
+        , http(loop)
+        , service(loop, clock, settings, self, this->peers, this->http)
+        , datagrams(loop, settings.listen.lane, security.siteKey, [this](const Datagram &datagram) {
+            this->receive(datagram);
+        })
+    {
+    }
+
+    /** @return where load notices go. */
+    const Address &address() const
+    {
+        return this->datagrams.address();
+    }
+
+    LaneService &lane()
+    {
+        return this->service;
+    }
+
+private:
+    void receive(const Datagram &datagram)
+    {
+        if (datagram.number != ReplicaLoad::number) {
+            return;
+        }
+        if (const auto notice = decode<ReplicaLoad>(datagram.payload)) {
+            this->service.observe(*notice);
+        }
+    }
+
+    PeerClient peers;
+    HttpClient http;
+    LaneService service;
+    DatagramSocket datagrams;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Owner/OwnerTask.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibMembership/MemberView.h>
+#include <LibPlatform/Platform.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/PeerServer.h>
+#include <Services/Owner/OwnerService.h>
+
+#include <functional>
+#include <memory>
+
+namespace Dogwoodkeel
+{
+
+/** What the task that owns shards has: its listening socket, its platform client and the owner service. */
+class OwnerTask
+{
+public:
+    using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
+
+    /** @throws std::runtime_error if it cannot listen */
+    OwnerTask(EventLoop &loop,
+              const Clock &clock,
+              const Settings &settings,
+              SessionNumber self,
+              const PeerSecurity &security,
+              const PlatformFactory &makePlatform)
+        : platform(makePlatform(loop))
+        , server(loop, settings.listen.owner, security)
+        , service(loop, clock, *this->platform, settings, self)
+    {
+        this->service.serve(this->server);
+    }
+
+    /** @return where other nodes call it. */
+    const Address &address() const
+    {
+        return this->server.address();
+    }
+
+    OwnerService &owner()
+    {
+        return this->service;
+    }
+
+private:
+    std::unique_ptr<Platform> platform;
+    PeerServer server;
+    OwnerService service;
+};
+
+} // namespace Dogwoodkeel
