--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -4,7 +4,7 @@
 #include <LibSettings/SettingsReader.h>
 
 #include <fstream>
-#include <sstream>
+#include <iterator>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -102,12 +102,12 @@
 {
     for (const std::string &path : paths) {
         std::ifstream file(path, std::ios::binary);
-        std::ostringstream text;
-        if (!file || !(text << file.rdbuf())) {
+        std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+        if (!file) {
             findings.add({path, 0, 0}, "cannot be read");
             continue;
         }
-        sources.push_back({path, text.str()});
+        sources.push_back({path, std::move(text)});
     }
 }
 
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -38,6 +39,15 @@
     reply.send(refusalResponse({status, reason, std::move(message), RunState::NotRun, {}}));
 }
 
+std::size_t countOr(const std::optional<std::string> &text, std::size_t fallback)
+{
+    std::size_t count = fallback;
+    if (text) {
+        std::from_chars(text->data(), text->data() + text->size(), count);
+    }
+    return count;
+}
+
 /** Request ids are kept apart by tenant: nobody reads another tenant's results. */
 std::string scoped(const Caller &caller, std::string_view id)
 {
@@ -259,7 +269,8 @@
         }
         return rendezvousWeight(key, left->session.value()) > rendezvousWeight(key, right->session.value());
     });
-    members.resize(std::min(members.size(), static_cast<std::size_t>(settings.entryCount)));
+    const std::size_t wanted = countOr(queryValue(request.query, "count"), static_cast<std::size_t>(settings.entryCount));
+    members.resize(std::min(members.size(), wanted));
     nlohmann::json addresses = nlohmann::json::array();
     for (const Member *const member : members) {
         addresses.push_back({{"address", member->http.toString()}, {"failure_domain", member->failureDomain.value()}});
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <vector>
+
 using namespace Dogwoodkeel;
 using namespace std::chrono_literals;
 
@@ -76,3 +81,19 @@
     REQUIRE(findings.all().size() == 1);
     CHECK(findings.all()[0].place.line == 1);
 }
+
+TEST_CASE("an empty file is an overlay that changes nothing; a missing one is a finding")
+{
+    const std::string path = (std::filesystem::temp_directory_path() / "dogwoodkeel-empty-overlay.toml").string();
+    std::ofstream(path).close();
+    Findings findings;
+    std::vector<SettingsSource> sources;
+    readSettingsFiles({path}, sources, findings);
+    std::filesystem::remove(path);
+    CHECK(findings.isEmpty());
+    REQUIRE(sources.size() == 1);
+    CHECK(sources[0].text.empty());
+    readSettingsFiles({path}, sources, findings);
+    REQUIRE(findings.all().size() == 1);
+    CHECK(findings.all()[0].message == "cannot be read");
+}
