LibHttp: Tell that a caller has hung up while its answer is streamed

Cause: a request is paused while its answer is made, and libevhtp keeps a paused connection that breaks until it is resumed, without calling a hook. isConnected() stayed true for ever, so an engine's stand-in went on making all tokens of a stream whose reader was gone, and an entry would have done the same.

Ruled out: reading while paused. libevhtp turns reading off with the pause and its callback ignores what comes.

Change: isConnected() looks at the connection's error flag, which a failed write sets.

--- a/Libraries/LibHttp/HttpReply.cpp
+++ b/Libraries/LibHttp/HttpReply.cpp
@@ -58,7 +58,7 @@
 
 void HttpReply::write(std::string_view data)
 {
-    if (this->request == nullptr || this->completed || data.empty()) {
+    if (!this->isConnected() || this->completed || data.empty()) {
         return;
     }
     evbuffer *const chunk = evbuffer_new();
@@ -69,7 +69,7 @@
 
 void HttpReply::finish()
 {
-    if (this->request != nullptr && !this->completed) {
+    if (this->isConnected() && !this->completed) {
         evhtp_send_reply_chunk_end(this->request);
     }
     this->complete();
@@ -77,7 +77,8 @@
 
 bool HttpReply::isConnected() const
 {
-    return this->request != nullptr;
+    // A paused connection that breaks is kept by libevhtp until it is resumed, with no hook called but this flag set.
+    return this->request != nullptr && (this->request->conn->flags & EVHTP_CONN_FLAG_ERROR) == 0;
 }
 
 bool HttpReply::isStarted() const
