Fakes: Model an engine's prefill, cache, lag, cancel and faults

The stand-in was too kind to measure routing or batch work against: prefill cost the same for every prompt and held nobody up, there was no prefix cache, no cancel, no lag, no fault.

Now a step carries a bounded part of the prefill, so that long prompts slow down the streams beside them; a bounded prefix cache makes resuming cheap where the stream ran before; load reports and cache events lag and have gaps; streams can be cancelled by id; connections fall silent, the engine slows down, refuses or leaves when told to.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -42,6 +42,7 @@
     const std::size_t size = evbuffer_get_length(request->buffer_in);
     read.body.resize(size);
     evbuffer_remove(request->buffer_in, read.body.data(), size);
+    read.peer = toAddress(*reinterpret_cast<const sockaddr_in *>(request->conn->saddr));
     return read;
 }
 
--- a/Libraries/LibHttp/HttpTypes.h
+++ b/Libraries/LibHttp/HttpTypes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibBase/Address.h>
+
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +32,8 @@
     std::string query;
     HttpHeaders headers;
     std::string body;
+    /** At a server: where the connection comes from. */
+    Address peer;
 
     /** @return path and query, as in the request line. */
     std::string target() const;
--- a/Libraries/LibTask/Sockets.cpp
+++ b/Libraries/LibTask/Sockets.cpp
@@ -17,14 +17,19 @@
     return target;
 }
 
+Address toAddress(const sockaddr_in &address)
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(address.sin_port)};
+}
+
 Address boundAddress(int descriptor)
 {
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
     getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
-    return {text.data(), ntohs(bound.sin_port)};
+    return toAddress(bound);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibTask/Sockets.h
+++ b/Libraries/LibTask/Sockets.h
@@ -10,6 +10,9 @@
 /** @return the address in the form the socket calls take. */
 sockaddr_in socketAddress(const Address &address);
 
+/** @return an address from the form the socket calls give. */
+Address toAddress(const sockaddr_in &address);
+
 /** @return where a socket is bound. */
 Address boundAddress(int descriptor);
 
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -15,14 +16,21 @@
 {
 
 using Json = nlohmann::json;
+using std::chrono::microseconds;
 
 constexpr std::uint64_t bodyLimit = 16777216;
 constexpr std::uint32_t defaultTokens = 16;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
+constexpr int statusGone = 410;
+constexpr int statusUnavailable = 503;
 constexpr const char *crashMark = "crash-the-engine";
 constexpr const char *impossibleMark = "impossible-item";
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t notesKept = 65536;
+constexpr std::size_t eventsKept = 4096;
+constexpr int slowStartFactor = 3;
 
 std::string tokenAt(const std::string &prompt, std::uint32_t index)
 {
@@ -37,12 +45,29 @@
     return body.value("prompt", std::string());
 }
 
+HttpResponse jsonResponse(int status, const Json &body)
+{
+    return {status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+Json parseObject(const std::string &text)
+{
+    Json parsed = Json::parse(text, nullptr, false);
+    return parsed.is_object() ? parsed : Json::object();
+}
+
 } // namespace
 
-FakeEngine::FakeEngine(EventLoop &loop, const Address &address, std::size_t capacity, Costs costs)
+FakeEngine::FakeEngine(EventLoop &loop, const Address &address, Options options)
     : loop(loop)
-    , capacity(capacity)
-    , costs(costs)
+    , options(options)
+    , started(std::chrono::steady_clock::now())
+    , changed(this->started)
+    , cache(options.cachedBlocks,
+            [this](bool isStored, const PrefixBlock &block) {
+                this->addCacheEvent(isStored, block);
+            })
+    , reports{Report{this->started, 0, 0}}
     , server(loop, address, {bodyLimit}, [this](const HttpRequest &request, const Reply &reply) {
         this->serve(request, reply);
     })
@@ -65,48 +90,89 @@
 
 const std::map<std::string, std::uint32_t> &FakeEngine::starts() const
 {
-    return this->started;
+    return this->startsByPrompt;
 }
 
 void FakeEngine::serve(const HttpRequest &request, const Reply &reply)
 {
-    if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
-        this->complete(request, reply);
+    this->peers.insert(request.peer);
+    if (this->silentPeers.contains(request.peer)) {
+        this->unanswered.push_back(reply);
         return;
     }
-    if (request.path == "/load") {
-        const Json load{{"running", this->streams.size()},
-                        {"capacity", this->capacity},
-                        {"tokens", this->tokens},
-                        {"most_running", this->mostStreams}};
-        reply->send({statusOk, {{"Content-Type", "application/json"}}, load.dump()});
-        return;
+    if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
+        this->complete(request, reply);
+    } else if (request.path == "/cancel") {
+        this->cancel(request, reply);
+    } else if (request.path == "/load") {
+        reply->send(jsonResponse(statusOk, this->load()));
+    } else if (request.path == "/events") {
+        reply->send(jsonResponse(statusOk, this->events(request)));
+    } else if (request.path == "/counts") {
+        reply->send(jsonResponse(statusOk, this->counts()));
+    } else if (request.path == "/notes") {
+        std::string lines;
+        for (const std::string &line : this->notes) {
+            lines += line + '\n';
+        }
+        reply->send({statusOk, {}, lines});
+    } else if (request.path == "/faults") {
+        this->setFaults(request, reply);
+    } else if (request.path == "/kv/export") {
+        this->exportCache(request, reply);
+    } else if (request.path == "/kv/import") {
+        this->importCache(request, reply);
+    } else {
+        reply->send({statusNotFound, {}, {}});
     }
-    reply->send({statusNotFound, {}, {}});
 }
 
 void FakeEngine::complete(const HttpRequest &request, const Reply &reply)
 {
-    const Json body = Json::parse(request.body, nullptr, false);
-    const std::string prompt = body.is_object() ? promptOf(body) : std::string();
+    if (this->refuses) {
+        reply->send(jsonResponse(statusUnavailable, {{"error", "the engine takes no requests"}}));
+        return;
+    }
+    const Json body = parseObject(request.body);
+    const std::string prompt = promptOf(body);
     if (prompt.empty() || prompt.find(impossibleMark) != std::string::npos) {
-        reply->send({statusBadRequest, {{"Content-Type", "application/json"}}, "{\"error\":\"the prompt cannot be served\"}"});
+        reply->send(jsonResponse(statusBadRequest, {{"error", "the prompt cannot be served"}}));
         return;
     }
     if (prompt.find(crashMark) != std::string::npos) {
-        std::abort();
+        std::_Exit(EXIT_FAILURE);
     }
-    ++this->started[prompt];
-    Stream stream{reply, prompt, body.contains("messages"), 0, body.value("max_tokens", defaultTokens)};
+    ++this->startsByPrompt[prompt];
+    this->startsWhileLeaving += this->isLeaving ? 1 : 0;
+    Stream stream;
+    stream.reply = reply;
+    stream.requestId = body.value("request_id", std::string());
+    stream.prompt = prompt;
+    stream.isChat = body.contains("messages");
+    stream.end = body.value("max_tokens", defaultTokens);
     if (body.contains("resume")) {
         stream.next = body["resume"].value("tokens", 0U);
+        stream.text = body["resume"].value("text", std::string());
     }
-    this->loop.schedule(this->costs.prefill, [this, stream = std::move(stream)] {
-        stream.reply->start(statusOk, {{"Content-Type", "text/event-stream"}});
-        this->streams.push_back(stream);
-        this->mostStreams = std::max(this->mostStreams, this->streams.size());
-        this->armStep();
-    });
+    this->note("start", stream.requestId);
+    this->onChange();
+    this->queue.push_back(std::move(stream));
+    this->admit();
+    this->armStep();
+}
+
+void FakeEngine::admit()
+{
+    this->onChange();
+    while (this->streams.size() < this->options.capacity && !this->queue.empty()) {
+        Stream stream = std::move(this->queue.front());
+        this->queue.pop_front();
+        const std::string text = stream.prompt + stream.text;
+        const std::size_t cached = this->cache.match(PrefixCache::blocksOf(text)) * PrefixCache::blockBytes;
+        stream.prefillLeft = this->options.prefill + this->options.prefillPerKilobyte * (text.size() - cached) / kilobyte;
+        this->streams.push_back(std::move(stream));
+    }
+    this->mostStreams = std::max(this->mostStreams, this->streams.size());
 }
 
 void FakeEngine::armStep()
@@ -115,8 +181,23 @@
         return;
     }
     this->isStepping = true;
-    const auto cost = this->costs.step + this->costs.perStream * static_cast<int>(this->streams.size());
-    this->loop.schedule(std::chrono::ceil<std::chrono::milliseconds>(cost), [this] {
+    microseconds prefill{0};
+    int decoding = 0;
+    for (const Stream &stream : this->streams) {
+        prefill += stream.prefillLeft;
+        decoding += stream.prefillLeft.count() == 0 ? 1 : 0;
+    }
+    this->prefillOfStep = std::min(prefill, this->options.prefillChunk);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const bool isCold = now - this->started < this->options.slowStart;
+    const auto cost = this->options.step + this->options.perStream * decoding + this->prefillOfStep;
+    const double factor = this->slowness * (isCold ? slowStartFactor : 1);
+    // Counted from the end of the step before, else each step would be longer by the timer's lateness. An engine that
+    // the machine has kept from running does not catch up on more than one step.
+    const SteadyTime begin = std::max(this->stepEnd, now - cost);
+    this->stepEnd = begin + std::chrono::duration_cast<SteadyTime::duration>(cost * factor);
+    const auto delay = std::chrono::round<std::chrono::milliseconds>(this->stepEnd - now);
+    this->loop.schedule(std::max(delay, std::chrono::milliseconds(0)), [this] {
         this->step();
     });
 }
@@ -124,24 +205,56 @@
 void FakeEngine::step()
 {
     this->isStepping = false;
-    std::erase_if(this->streams, [](const Stream &stream) {
-        return !stream.reply->isConnected();
-    });
-    const std::size_t served = std::min(this->capacity, this->streams.size());
-    for (std::size_t i = 0; i < served; ++i) {
-        this->emit(this->streams[i]);
+    this->dropDisconnected();
+    for (Stream &stream : this->streams) {
+        if (stream.prefillLeft.count() == 0) {
+            this->emit(stream);
+        }
     }
-    std::erase_if(this->streams, [](const Stream &stream) {
-        return stream.next >= stream.end;
+    this->spendPrefill();
+    this->onChange();
+    std::erase_if(this->streams, [this](const Stream &stream) {
+        if (stream.next < stream.end) {
+            return false;
+        }
+        this->cache.insert(PrefixCache::blocksOf(stream.prompt + stream.text));
+        return true;
     });
+    this->admit();
     this->armStep();
 }
 
+void FakeEngine::spendPrefill()
+{
+    for (Stream &stream : this->streams) {
+        if (stream.prefillLeft.count() == 0) {
+            continue;
+        }
+        const microseconds spent = std::min(stream.prefillLeft, this->prefillOfStep);
+        stream.prefillLeft -= spent;
+        this->prefillOfStep -= spent;
+        if (stream.prefillLeft.count() == 0) {
+            this->cache.insert(PrefixCache::blocksOf(stream.prompt + stream.text));
+            if (!stream.isSilent) {
+                stream.reply->start(statusOk, {{"Content-Type", "text/event-stream"}});
+            }
+            this->emit(stream);
+        }
+    }
+}
+
 void FakeEngine::emit(Stream &stream)
 {
+    std::string token;
     if (stream.next < stream.end) {
-        const std::string token = tokenAt(stream.prompt, stream.next++);
+        token = tokenAt(stream.prompt, stream.next++);
+        stream.text += token;
         ++this->tokens;
+    }
+    if (stream.isSilent) {
+        return;
+    }
+    if (!token.empty()) {
         const bool isLast = stream.next >= stream.end;
         Json choice{{"index", 0}, {"finish_reason", isLast ? Json("stop") : Json()}};
         if (stream.isChat) {
@@ -157,4 +270,177 @@
     }
 }
 
+void FakeEngine::dropDisconnected()
+{
+    this->onChange();
+    const auto isGone = [this](const Stream &stream) {
+        if (stream.isSilent || stream.reply->isConnected()) {
+            return false;
+        }
+        ++this->cancelled;
+        this->note("hangup", stream.requestId);
+        this->cache.insert(PrefixCache::blocksOf(stream.prompt + stream.text));
+        return true;
+    };
+    std::erase_if(this->streams, isGone);
+    std::erase_if(this->queue, isGone);
+}
+
+void FakeEngine::cancel(const HttpRequest &request, const Reply &reply)
+{
+    const std::string id = parseObject(request.body).value("request_id", std::string());
+    Json answer{{"cancelled", false}};
+    const auto isIt = [this, &id, &answer](const Stream &stream) {
+        if (id.empty() || stream.requestId != id) {
+            return false;
+        }
+        ++this->cancelled;
+        answer = {{"cancelled", true}, {"tokens", stream.next}};
+        this->note("cancel", id);
+        this->cache.insert(PrefixCache::blocksOf(stream.prompt + stream.text));
+        if (stream.reply->isStarted()) {
+            stream.reply->finish();
+        } else {
+            stream.reply->send(jsonResponse(statusGone, {{"error", "cancelled"}}));
+        }
+        return true;
+    };
+    this->onChange();
+    std::erase_if(this->streams, isIt);
+    std::erase_if(this->queue, isIt);
+    this->admit();
+    reply->send(jsonResponse(statusOk, answer));
+}
+
+void FakeEngine::setFaults(const HttpRequest &request, const Reply &reply)
+{
+    const Json body = parseObject(request.body);
+    this->slowness = body.value("slow", this->slowness);
+    this->refuses = body.value("refuse", this->refuses);
+    this->isLeaving = body.value("leaving", this->isLeaving);
+    reply->send(jsonResponse(statusOk, Json::object()));
+    if (!body.value("silent", false)) {
+        return;
+    }
+    // What runs goes on running, as on a real engine whose caller cannot be reached; nobody hears of it.
+    this->silentPeers = this->peers;
+    for (Stream &stream : this->streams) {
+        stream.isSilent = true;
+    }
+    for (Stream &stream : this->queue) {
+        stream.isSilent = true;
+    }
+}
+
+void FakeEngine::exportCache(const HttpRequest &request, const Reply &reply)
+{
+    const Json body = parseObject(request.body);
+    std::vector<PrefixBlock> blocks
+        = PrefixCache::blocksOf(body.value("prompt", std::string()) + body.value("text", std::string()));
+    blocks.resize(this->cache.match(blocks));
+    Json listed = Json::array();
+    for (const PrefixBlock &block : blocks) {
+        listed.push_back({{"hash", block.hash}, {"parent", block.parent}, {"text", block.text}});
+    }
+    const auto cost = this->options.transferPerKilobyte * (blocks.size() * PrefixCache::blockBytes) / kilobyte;
+    this->loop.schedule(std::chrono::ceil<std::chrono::milliseconds>(cost), [reply, listed = std::move(listed)] {
+        reply->send(jsonResponse(statusOk, {{"blocks", listed}}));
+    });
+}
+
+void FakeEngine::importCache(const HttpRequest &request, const Reply &reply)
+{
+    std::vector<PrefixBlock> blocks;
+    for (const Json &block : parseObject(request.body).value("blocks", Json::array())) {
+        blocks.push_back(
+            {block.value("hash", std::uint64_t(0)), block.value("parent", std::uint64_t(0)), block.value("text", std::string())});
+    }
+    const auto cost = this->options.transferPerKilobyte * (blocks.size() * PrefixCache::blockBytes) / kilobyte;
+    this->loop.schedule(std::chrono::ceil<std::chrono::milliseconds>(cost), [this, reply, blocks = std::move(blocks)] {
+        this->cache.insert(blocks);
+        reply->send(jsonResponse(statusOk, Json::object()));
+    });
+}
+
+Json FakeEngine::load()
+{
+    const SteadyTime seen = std::chrono::steady_clock::now() - this->options.reportLag;
+    while (this->reports.size() > 1 && this->reports[1].at <= seen) {
+        this->reports.pop_front();
+    }
+    const Report &report = this->reports.front();
+    return {{"running", report.running},
+            {"queued", report.queued},
+            {"capacity", this->options.capacity},
+            {"leaving", this->isLeaving}};
+}
+
+Json FakeEngine::events(const HttpRequest &request) const
+{
+    const std::uint64_t after = std::strtoull(queryValue(request.query, "after").value_or("0").c_str(), nullptr, 10);
+    const SteadyTime seen = std::chrono::steady_clock::now() - this->options.eventLag;
+    Json listed = Json::array();
+    std::uint64_t next = after;
+    for (const CacheEvent &event : this->cacheEvents) {
+        if (event.number <= after || event.at > seen) {
+            continue;
+        }
+        listed.push_back({{"number", event.number},
+                          {"kind", event.isStored ? "stored" : "removed"},
+                          {"hash", event.block.hash},
+                          {"parent", event.block.parent},
+                          {"text", event.block.text}});
+        next = event.number;
+    }
+    return {{"events", listed}, {"next", next}, {"block_bytes", PrefixCache::blockBytes}};
+}
+
+Json FakeEngine::counts() const
+{
+    return {{"starts", this->startsByPrompt},
+            {"tokens", this->tokens},
+            {"cancelled", this->cancelled},
+            {"running", this->streams.size()},
+            {"queued", this->queue.size()},
+            {"most_streams", this->mostStreams},
+            {"over_capacity_us", this->overCapacity.count()},
+            {"starts_while_leaving", this->startsWhileLeaving},
+            {"cached_blocks", this->cache.size()}};
+}
+
+void FakeEngine::onChange()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!this->queue.empty()) {
+        this->overCapacity += std::chrono::duration_cast<microseconds>(now - this->changed);
+    }
+    this->changed = now;
+    this->reports.push_back({now, this->streams.size(), this->queue.size()});
+    const SteadyTime seen = now - this->options.reportLag;
+    while (this->reports.size() > 1 && this->reports[1].at <= seen) {
+        this->reports.pop_front();
+    }
+}
+
+void FakeEngine::note(const char *what, const std::string &requestId)
+{
+    const auto at = std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch());
+    this->notes.push_back(std::to_string(at.count()) + ' ' + what + ' ' + requestId);
+    if (this->notes.size() > notesKept) {
+        this->notes.pop_front();
+    }
+}
+
+void FakeEngine::addCacheEvent(bool isStored, const PrefixBlock &block)
+{
+    ++this->lastEvent;
+    if (this->options.eventLostEvery != 0 && this->lastEvent % this->options.eventLostEvery == 0) {
+        return;
+    }
+    this->cacheEvents.push_back({std::chrono::steady_clock::now(), this->lastEvent, isStored, block});
+    if (this->cacheEvents.size() > eventsKept) {
+        this->cacheEvents.pop_front();
+    }
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -1,34 +1,55 @@
 #pragma once
 
+#include <LibBase/Clock.h>
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/HttpServer.h>
 #include <LibTask/EventLoop.h>
+#include <Tests/Fakes/PrefixCache.h>
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace Dogwoodkeel
 {
 
 /**
- * Stand-in for a model engine with continuous batching: one step makes a token for every running stream, and takes
- * longer the more streams there are. Token n of a prompt is the same on every engine, so that a whole answer can be
- * checked wherever its parts came from.
+ * Stand-in for a model engine with continuous batching; docs/design/engine-stand-in.md tells its costs and its calls.
+ * Token n of a prompt is the same on every engine, so that a whole answer can be checked wherever its parts came from.
  */
 class FakeEngine
 {
 public:
-    /** What a step costs. */
-    struct Costs
+    /** What it costs to run, and how late it reports. */
+    struct Options
     {
+        /** Streams run side by side; further ones queue in the order they came. */
+        std::size_t capacity = 8;
         std::chrono::microseconds step{2000};
         std::chrono::microseconds perStream{100};
-        std::chrono::milliseconds prefill{5};
+        /** Of each request, whatever its prompt. */
+        std::chrono::microseconds prefill{5000};
+        /** Of each 1024 bytes of prompt that are not in the prefix cache. */
+        std::chrono::microseconds prefillPerKilobyte{2000};
+        /** Prefill that one step carries at most; the streams that make tokens wait for it. */
+        std::chrono::microseconds prefillChunk{4000};
+        /** Of moving 1024 bytes' worth of KV cache in or out. */
+        std::chrono::microseconds transferPerKilobyte{500};
+        std::size_t cachedBlocks = 4096;
+        std::chrono::milliseconds reportLag{0};
+        std::chrono::milliseconds eventLag{0};
+        /** Every such cache event is lost; 0 loses none. */
+        std::uint64_t eventLostEvery = 0;
+        /** Steps take three times as long for this time after the start. */
+        std::chrono::milliseconds slowStart{0};
     };
 
-    FakeEngine(EventLoop &loop, const Address &address, std::size_t capacity, Costs costs);
+    FakeEngine(EventLoop &loop, const Address &address, Options options);
 
     const Address &address() const;
 
@@ -40,30 +61,88 @@
 
 private:
     using Reply = std::shared_ptr<HttpReply>;
+    using Json = nlohmann::json;
 
     struct Stream
     {
         Reply reply;
+        std::string requestId;
         std::string prompt;
+        /** Of this answer, made here or before. */
+        std::string text;
         bool isChat = false;
+        /** Its connection has gone silent: it runs, and nobody hears of it. */
+        bool isSilent = false;
         std::uint32_t next = 0;
         std::uint32_t end = 0;
+        std::chrono::microseconds prefillLeft{0};
+    };
+
+    struct Report
+    {
+        SteadyTime at{};
+        std::size_t running = 0;
+        std::size_t queued = 0;
+    };
+
+    struct CacheEvent
+    {
+        SteadyTime at{};
+        std::uint64_t number = 0;
+        bool isStored = false;
+        PrefixBlock block;
     };
 
     void serve(const HttpRequest &request, const Reply &reply);
     void complete(const HttpRequest &request, const Reply &reply);
-    void step();
+    void cancel(const HttpRequest &request, const Reply &reply);
+    void setFaults(const HttpRequest &request, const Reply &reply);
+    void exportCache(const HttpRequest &request, const Reply &reply);
+    void importCache(const HttpRequest &request, const Reply &reply);
+    Json load();
+    Json events(const HttpRequest &request) const;
+    Json counts() const;
+
+    void admit();
     void armStep();
+    void step();
+    void spendPrefill();
     void emit(Stream &stream);
+    void dropDisconnected();
+    void onChange();
+    void note(const char *what, const std::string &requestId);
+    void addCacheEvent(bool isStored, const PrefixBlock &block);
 
     EventLoop &loop;
-    std::size_t capacity;
-    Costs costs;
+    Options options;
+    SteadyTime started;
+    SteadyTime changed;
+    SteadyTime stepEnd{};
+    std::chrono::microseconds prefillOfStep{0};
+    bool isStepping = false;
     std::vector<Stream> streams;
-    std::map<std::string, std::uint32_t> started;
+    std::deque<Stream> queue;
+    PrefixCache cache;
+
+    std::deque<Report> reports;
+    std::deque<CacheEvent> cacheEvents;
+    std::uint64_t lastEvent = 0;
+    std::map<std::string, std::uint32_t> startsByPrompt;
     std::uint64_t tokens = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t startsWhileLeaving = 0;
     std::size_t mostStreams = 0;
-    bool isStepping = false;
+    std::chrono::microseconds overCapacity{0};
+    std::deque<std::string> notes;
+
+    double slowness = 1;
+    bool refuses = false;
+    bool isLeaving = false;
+    /** Connections that were seen, and those of them that went silent. */
+    std::set<Address> peers;
+    std::set<Address> silentPeers;
+    /** Held, because a dropped reply would be answered. */
+    std::vector<Reply> unanswered;
     HttpServer server;
 };
 
--- a/Tests/Fakes/Main.cpp
+++ b/Tests/Fakes/Main.cpp
@@ -14,7 +14,15 @@
 DEFINE_uint64(capacity, 8, "streams an engine runs side by side");
 DEFINE_uint64(step_us, 2000, "an engine's step without streams, in microseconds");
 DEFINE_uint64(per_stream_us, 100, "what each stream adds to a step, in microseconds");
-DEFINE_uint64(prefill_ms, 5, "an engine's prefill, in milliseconds");
+DEFINE_uint64(prefill_us, 5000, "an engine's prefill of any request, in microseconds");
+DEFINE_uint64(prefill_kilobyte_us, 2000, "its prefill of a kilobyte of prompt that is not cached, in microseconds");
+DEFINE_uint64(prefill_chunk_us, 4000, "prefill that one step carries at most, in microseconds");
+DEFINE_uint64(transfer_kilobyte_us, 500, "moving a kilobyte's KV cache in or out, in microseconds");
+DEFINE_uint64(cached_blocks, 4096, "prompt blocks an engine keeps");
+DEFINE_uint64(report_lag_ms, 0, "how late an engine's load report is, in milliseconds");
+DEFINE_uint64(event_lag_ms, 0, "how late its cache events are, in milliseconds");
+DEFINE_uint64(event_lost_every, 0, "every such cache event is lost; 0 loses none");
+DEFINE_uint64(slow_start_ms, 0, "how long an engine is three times slower after its start, in milliseconds");
 DEFINE_uint64(delay_ms, 0, "a plain service's answer time, in milliseconds");
 
 namespace
@@ -22,6 +30,24 @@
 
 using namespace Dogwoodkeel;
 
+FakeEngine::Options engineOptions()
+{
+    FakeEngine::Options options;
+    options.capacity = FLAGS_capacity;
+    options.step = std::chrono::microseconds(FLAGS_step_us);
+    options.perStream = std::chrono::microseconds(FLAGS_per_stream_us);
+    options.prefill = std::chrono::microseconds(FLAGS_prefill_us);
+    options.prefillPerKilobyte = std::chrono::microseconds(FLAGS_prefill_kilobyte_us);
+    options.prefillChunk = std::chrono::microseconds(FLAGS_prefill_chunk_us);
+    options.transferPerKilobyte = std::chrono::microseconds(FLAGS_transfer_kilobyte_us);
+    options.cachedBlocks = FLAGS_cached_blocks;
+    options.reportLag = std::chrono::milliseconds(FLAGS_report_lag_ms);
+    options.eventLag = std::chrono::milliseconds(FLAGS_event_lag_ms);
+    options.eventLostEvery = FLAGS_event_lost_every;
+    options.slowStart = std::chrono::milliseconds(FLAGS_slow_start_ms);
+    return options;
+}
+
 int serve(const std::string &kind)
 {
     EventLoop loop;
@@ -36,10 +62,7 @@
     if (kind == "platform") {
         platform = std::make_unique<FakePlatform>(loop, *address, FLAGS_seed);
     } else if (kind == "engine") {
-        const FakeEngine::Costs costs{std::chrono::microseconds(FLAGS_step_us),
-                                      std::chrono::microseconds(FLAGS_per_stream_us),
-                                      std::chrono::milliseconds(FLAGS_prefill_ms)};
-        engine = std::make_unique<FakeEngine>(loop, *address, FLAGS_capacity, costs);
+        engine = std::make_unique<FakeEngine>(loop, *address, engineOptions());
     } else if (kind == "service") {
         service = std::make_unique<FakeService>(loop, *address, std::chrono::milliseconds(FLAGS_delay_ms));
     } else {
--- /dev/null
+++ b/Tests/Fakes/PrefixCache.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** One full block of a prompt. Its hash covers all blocks before it, so that equal hashes mean equal prefixes. */
+struct PrefixBlock
+{
+    std::uint64_t hash = 0;
+    std::uint64_t parent = 0;
+    std::string text;
+};
+
+/** The prompt prefixes an engine keeps: a bounded number of blocks, those unused for longest dropped first. */
+class PrefixCache
+{
+public:
+    static constexpr std::size_t blockBytes = 64;
+
+    /** Told of each block that is stored or dropped. */
+    using Changed = std::function<void(bool isStored, const PrefixBlock &block)>;
+
+    PrefixCache(std::size_t capacity, Changed changed);
+
+    /** @return the full blocks of a text. */
+    static std::vector<PrefixBlock> blocksOf(std::string_view text);
+
+    /** @return how many of the first blocks are kept; they count as used. */
+    std::size_t match(const std::vector<PrefixBlock> &blocks);
+
+    void insert(const std::vector<PrefixBlock> &blocks);
+
+    std::size_t size() const;
+
+private:
+    std::size_t capacity;
+    Changed changed;
+    std::list<PrefixBlock> byUse;
+    std::unordered_map<std::uint64_t, std::list<PrefixBlock>::iterator> byHash;
+};
+
+} // namespace Dogwoodkeel
