--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -5,7 +5,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibWire/PeerServer.h>
-#include <Services/Owner/ItemReader.h>
+#include <Services/Owner/BatchOwner.h>
 #include <Services/Owner/ShardKeeper.h>
 
 #include <functional>
@@ -56,16 +56,8 @@
     void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
     void release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond);
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
-    void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
-    void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
-    void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
-    void results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond);
-    void pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond);
-    void commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond);
-    void renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond);
 
     ShardState *stateOf(const std::string &id);
-    const JobRecord *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
 
     template <typename Record>
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
@@ -74,7 +66,7 @@
     const Settings &settings;
     JournalWriter journal;
     ShardKeeper keeper;
-    ItemReader items;
+    BatchOwner batch;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
