--- a/Libraries/LibBatch/JobTable.cpp
+++ b/Libraries/LibBatch/JobTable.cpp
@@ -1,25 +1,25 @@
 #include <LibBatch/JobTable.h>
 
+#include <LibWire/Codec.h>
+
 #include <algorithm>
-#include <utility>
 
 namespace Dogwoodkeel
 {
 
-JobTable::JobTable(const Clock &clock, std::chrono::milliseconds itemLease) : clock(clock), itemLease(itemLease)
+JobTable::JobTable(const Clock &clock, std::chrono::milliseconds itemLease, std::chrono::milliseconds takeoverHold)
+    : clock(clock), itemLease(itemLease), takeoverHold(takeoverHold)
 {
 }
 
 JobTable::Submission JobTable::submit(const JobRecord &job)
 {
-    const auto [found, isNew] = this->jobs.try_emplace(job.jobId);
-    Job &entry = found->second;
+    const auto [found, isNew] = this->jobs.try_emplace(job.jobId, job);
     if (isNew) {
-        entry.record = job;
-        entry.items.assign(job.itemCount, Stage::Waiting);
         return {SubmitDecision::Accepted, true};
     }
-    const bool isSame = entry.record.fingerprint == job.fingerprint && entry.record.tenant == job.tenant;
+    const Job &entry = found->second;
+    const bool isSame = entry.record().fingerprint == job.fingerprint && entry.record().tenant == job.tenant;
     if (!isSame) {
         return {SubmitDecision::Mismatch, false};
     }
@@ -27,185 +27,278 @@
     return {entry.isDurable ? SubmitDecision::Accepted : SubmitDecision::Unavailable, false};
 }
 
-void JobTable::apply(const JobRecord &job)
+void JobTable::apply(const JobRecord &record)
 {
-    Job &entry = this->jobs.try_emplace(job.jobId).first->second;
-    if (entry.items.empty()) {
-        entry.record = job;
-        entry.items.assign(job.itemCount, Stage::Waiting);
+    const auto [found, isReplayed] = this->jobs.try_emplace(record.jobId, record);
+    Job &job = found->second;
+    job.isDurable = true;
+    if (isReplayed) {
+        // Runners go on with what an earlier owner leased to them. Handing it out at once would run it twice.
+        job.holdUntil = this->clock.now() + this->takeoverHold;
+        this->timed.insert(record.jobId);
     }
-    entry.isDurable = true;
+    this->changed(job);
 }
 
 void JobTable::apply(const ItemRecord &item)
 {
     const auto found = this->jobs.find(item.jobId);
-    if (found == this->jobs.end() || item.index >= found->second.items.size()) {
+    if (found == this->jobs.end()) {
         return;
     }
     Job &job = found->second;
-    if (job.items[item.index] == Stage::Done) {
+    const std::size_t before = job.resultBytes();
+    if (job.apply(item)) {
+        this->completePages.emplace_back(item.jobId, job.pageOf(item.index));
+    }
+    this->bytesOfResults += job.resultBytes() - before;
+    this->withResults.insert(item.jobId);
+    this->changed(job);
+}
+
+void JobTable::apply(const PageRecord &page)
+{
+    const auto found = this->jobs.find(page.jobId);
+    if (found == this->jobs.end()) {
         return;
     }
-    job.items[item.index] = Stage::Done;
-    job.leases.erase(item.index);
-    job.results.emplace(item.index, item);
-    ++(item.status == ItemStatus::Succeeded ? job.succeeded : job.failed);
+    Job &job = found->second;
+    this->bytesOfResults -= job.resultBytes();
+    job.apply(page);
+    this->bytesOfResults += job.resultBytes();
+    if (job.resultBytes() == 0) {
+        this->withResults.erase(page.jobId);
+    }
+    this->changed(job);
 }
 
 void JobTable::apply(const CancelRecord &cancel)
 {
     const auto found = this->jobs.find(cancel.jobId);
     if (found != this->jobs.end()) {
-        found->second.isCancelled = true;
-        found->second.leases.clear();
+        found->second.cancel();
+        this->changed(found->second);
     }
 }
 
-std::vector<ItemPlace> JobTable::lease(const std::string &model, std::size_t limit, SessionNumber runner)
+std::optional<LeasedItems> JobTable::lease(const JobId &id, std::uint32_t limit, SessionNumber runner)
 {
-    std::vector<Job *> candidates;
-    for (auto &[id, job] : this->jobs) {
-        if (job.record.model == model && job.isDurable && stateOf(job) == JobState::Running) {
-            candidates.push_back(&job);
-        }
+    const auto found = this->jobs.find(id);
+    const SteadyTime now = this->clock.now();
+    if (found == this->jobs.end() || found->second.holdUntil > now) {
+        return std::nullopt;
     }
-    std::ranges::sort(candidates, {}, [](const Job *job) {
-        return job->record.due;
-    });
-    std::vector<ItemPlace> leased;
-    for (Job *const job : candidates) {
-        this->leaseFrom(*job, limit, runner, leased);
+    const auto span = found->second.lease(limit, runner, now + this->itemLease);
+    if (!span) {
+        return std::nullopt;
     }
-    return leased;
+    this->timed.insert(id);
+    this->changed(found->second);
+    return LeasedItems{id, *span};
 }
 
-void JobTable::leaseFrom(Job &job, std::size_t limit, SessionNumber runner, std::vector<ItemPlace> &leased)
+void JobTable::giveBack(const JobId &id, std::uint32_t index, SessionNumber runner)
 {
-    this->returnExpired(job);
-    while (leased.size() < limit && job.firstWaiting < job.items.size()) {
-        const std::uint32_t index = job.firstWaiting++;
-        if (job.items[index] != Stage::Waiting) {
-            continue;
-        }
-        job.items[index] = Stage::Leased;
-        job.leases[index] = {runner, this->clock.now() + this->itemLease};
-        leased.push_back({job.record.jobId, index});
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end()) {
+        found->second.giveBack(index, runner);
+        this->changed(found->second);
     }
 }
 
-void JobTable::returnExpired(Job &job)
+ItemVerdict JobTable::commit(const ItemRecord &result)
 {
-    const SteadyTime now = this->clock.now();
-    for (auto lease = job.leases.begin(); lease != job.leases.end();) {
-        if (lease->second.end > now) {
-            ++lease;
-            continue;
-        }
-        if (job.items[lease->first] == Stage::Leased) {
-            job.items[lease->first] = Stage::Waiting;
-            job.firstWaiting = std::min(job.firstWaiting, lease->first);
-        }
-        lease = job.leases.erase(lease);
+    const auto found = this->jobs.find(result.jobId);
+    if (found == this->jobs.end()) {
+        return ItemVerdict::Unknown;
     }
+    const ItemVerdict verdict = found->second.commit(result);
+    this->changed(found->second);
+    return verdict;
 }
 
-void JobTable::unlease(const ItemPlace &item)
+bool JobTable::renew(const HeldItems &held, SessionNumber runner, std::vector<ItemSpan> &lost)
 {
-    const auto found = this->jobs.find(item.jobId);
-    if (found == this->jobs.end()) {
-        return;
+    const auto found = this->jobs.find(held.jobId);
+    if (found == this->jobs.end() || found->second.state() != JobState::Running) {
+        return false;
     }
     Job &job = found->second;
-    if (job.items[item.index] == Stage::Leased) {
-        job.items[item.index] = Stage::Waiting;
-        job.firstWaiting = std::min(job.firstWaiting, item.index);
-        job.leases.erase(item.index);
+    const SteadyTime end = this->clock.now() + this->itemLease;
+    for (const ItemSpan &span : held.spans) {
+        const std::uint32_t last = std::min(span.first + span.count, job.record().itemCount);
+        for (std::uint32_t index = span.first; index < last; ++index) {
+            if (!job.keep(index, runner, end)) {
+                lost.push_back({index, 1});
+            }
+        }
+        job.renew(span, runner, end);
     }
+    this->timed.insert(held.jobId);
+    this->changed(job);
+    return true;
 }
 
-ItemVerdict JobTable::commit(const ItemRecord &result)
+void JobTable::forgetRunner(SessionNumber runner)
 {
-    const auto found = this->jobs.find(result.jobId);
-    if (found == this->jobs.end() || result.index >= found->second.items.size()) {
-        return ItemVerdict::Unknown;
+    for (const JobId &id : this->timed) {
+        Job &job = this->jobs.at(id);
+        if (job.returnRunner(runner)) {
+            this->changed(job);
+        }
     }
-    Stage &stage = found->second.items[result.index];
-    if (stage == Stage::ResultPending || stage == Stage::Done) {
-        return ItemVerdict::Superseded;
+}
+
+void JobTable::expire()
+{
+    const SteadyTime now = this->clock.now();
+    std::erase_if(this->timed, [this, now](const JobId &id) {
+        Job &job = this->jobs.at(id);
+        const bool wasHeld = job.holdUntil != SteadyTime();
+        if (wasHeld && job.holdUntil <= now) {
+            job.holdUntil = SteadyTime();
+        }
+        if (job.returnExpired(now) || (wasHeld && job.holdUntil == SteadyTime())) {
+            this->changed(job);
+        }
+        return job.holdUntil == SteadyTime() && job.leases().isEmpty();
+    });
+}
+
+void JobTable::changed(Job &job)
+{
+    const JobId &id = job.record().jobId;
+    this->waitingItems -= std::exchange(job.countedWaiting, job.waiting());
+    this->waitingItems += job.countedWaiting;
+    this->dirty.insert(id);
+}
+
+JobDemand JobTable::demand(const JobId &id) const
+{
+    const Job &job = this->jobs.at(id);
+    const JobRecord &record = job.record();
+    const bool isHeld = job.holdUntil > this->clock.now();
+    return {record.jobId, record.model, record.tenant, record.due, job.remaining(), isHeld ? 0 : job.waiting()};
+}
+
+std::vector<JobDemand> JobTable::takeChanged()
+{
+    std::vector<JobDemand> demands;
+    demands.reserve(this->dirty.size());
+    for (const JobId &id : std::exchange(this->dirty, {})) {
+        demands.push_back(this->demand(id));
     }
-    stage = Stage::ResultPending;
-    return ItemVerdict::Journal;
+    return demands;
 }
 
-bool JobTable::renew(const JobId &id, SessionNumber runner)
+std::optional<PageDraft> JobTable::takeDraft(std::size_t memoryBound)
 {
-    const auto found = this->jobs.find(id);
-    if (found == this->jobs.end() || stateOf(found->second) != JobState::Running) {
-        return false;
+    while (!this->completePages.empty()) {
+        const auto [id, page] = this->completePages.front();
+        this->completePages.pop_front();
+        if (auto draft = this->jobs.at(id).draft(page)) {
+            return draft;
+        }
     }
-    const SteadyTime end = this->clock.now() + this->itemLease;
-    for (auto &[index, lease] : found->second.leases) {
-        if (lease.runner == runner) {
-            lease.end = end;
+    return this->bytesOfResults > memoryBound ? this->draftUnfinished() : std::nullopt;
+}
+
+std::optional<PageDraft> JobTable::draftUnfinished()
+{
+    for (const JobId &id : this->withResults) {
+        Job &job = this->jobs.at(id);
+        const std::vector<std::uint32_t> pages = job.movablePages();
+        if (!pages.empty()) {
+            return job.draft(pages.front());
         }
     }
-    return true;
+    return std::nullopt;
 }
 
-const JobRecord *JobTable::job(const JobId &id) const
+void JobTable::undraft(const PageDraft &draft)
 {
-    const auto found = this->jobs.find(id);
-    return found != this->jobs.end() ? &found->second.record : nullptr;
+    this->jobs.at(draft.jobId).undraft(draft.page);
+    this->completePages.emplace_back(draft.jobId, draft.page);
 }
 
-JobState JobTable::stateOf(const Job &job)
+PageRecord JobTable::recordOf(const PageDraft &draft, std::string objectKey) const
 {
-    if (job.succeeded + job.failed == job.items.size()) {
-        return JobState::Completed;
+    const std::uint32_t size = this->jobs.at(draft.jobId).record().itemsPerObject;
+    ItemBits done(size);
+    ItemBits failed(size);
+    for (const ItemRecord &result : draft.results) {
+        done.set(result.index % size);
+        if (result.status == ItemStatus::Failed) {
+            failed.set(result.index % size);
+        }
     }
-    return job.isCancelled ? JobState::Cancelled : JobState::Running;
+    return {draft.jobId, draft.page, std::move(objectKey), done.slice(0, size), failed.slice(0, size)};
 }
 
-JobProgress JobTable::progress(const JobId &id) const
+const Job *JobTable::find(const JobId &id) const
 {
     const auto found = this->jobs.find(id);
-    if (found == this->jobs.end() || !found->second.isDurable) {
+    return found != this->jobs.end() ? &found->second : nullptr;
+}
+
+JobProgress JobTable::progress(const JobId &id) const
+{
+    const Job *const job = this->find(id);
+    if (job == nullptr || !job->isDurable) {
         return {};
     }
-    const Job &job = found->second;
-    return {stateOf(job), job.record.itemCount, job.succeeded, job.failed, job.record.created, job.record.due, job.record.model};
+    const JobRecord &record = job->record();
+    JobProgress progress;
+    progress.state = job->state();
+    progress.itemCount = record.itemCount;
+    progress.succeeded = job->succeeded();
+    progress.failed = job->failed();
+    progress.created = record.created;
+    progress.due = record.due;
+    progress.model = record.model;
+    return progress;
 }
 
-JobResultsResponse JobTable::results(const JobId &id, std::uint32_t from, std::size_t limit) const
+bool JobTable::warnOnce(const JobId &id)
 {
-    JobResultsResponse page;
     const auto found = this->jobs.find(id);
-    if (found == this->jobs.end()) {
-        return page;
-    }
-    const Job &job = found->second;
-    page.state = stateOf(job);
-    page.next = job.record.itemCount;
-    for (auto result = job.results.lower_bound(from); result != job.results.end(); ++result) {
-        if (page.results.size() == limit) {
-            page.next = result->first;
-            break;
-        }
-        page.results.push_back(result->second);
-    }
-    return page;
+    return found != this->jobs.end() && !std::exchange(found->second.isWarnedOf, true);
 }
 
 std::size_t JobTable::waiting() const
 {
-    std::size_t count = 0;
+    return this->waitingItems;
+}
+
+std::size_t JobTable::size() const
+{
+    return this->jobs.size();
+}
+
+std::size_t JobTable::resultBytes() const
+{
+    return this->bytesOfResults;
+}
+
+std::vector<std::pair<RecordKind, std::string>> JobTable::checkpointRecords() const
+{
+    std::vector<std::pair<RecordKind, std::string>> records;
     for (const auto &[id, job] : this->jobs) {
-        if (job.isDurable && stateOf(job) == JobState::Running) {
-            count += job.items.size() - job.succeeded - job.failed - job.leases.size();
+        if (!job.isDurable) {
+            continue;
+        }
+        records.emplace_back(RecordKind::Job, encode(job.record()));
+        for (const PageRecord &page : job.movedPages()) {
+            records.emplace_back(RecordKind::Page, encode(page));
+        }
+        for (const ItemRecord &item : job.resultsInMemory()) {
+            records.emplace_back(RecordKind::Item, encode(item));
+        }
+        if (job.isCancelled()) {
+            records.emplace_back(RecordKind::Cancel, encode(CancelRecord{id}));
         }
     }
-    return count;
+    return records;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -282,6 +282,8 @@
     Item,
     /** CancelRecord */
     Cancel,
+    /** PageRecord */
+    Page,
 };
 
 /** @return the value's name, for logs. */
@@ -298,6 +300,8 @@
         return "Item";
     case RecordKind::Cancel:
         return "Cancel";
+    case RecordKind::Page:
+        return "Page";
     }
     return "invalid";
 }
@@ -305,7 +309,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(RecordKind value)
 {
-    return value <= RecordKind::Cancel;
+    return value <= RecordKind::Page;
 }
 
 struct ClaimRequest;
@@ -329,6 +333,9 @@
 struct CommitItemsResponse;
 struct RenewItemsRequest;
 struct RenewItemsResponse;
+struct ReturnItemsRequest;
+struct ReturnItemsResponse;
+struct JobStopped;
 struct Ping;
 struct Pong;
 struct PingRequest;
@@ -464,6 +471,45 @@
     }
 };
 
+/** Results of a job were moved to an object. They need not be kept in memory, nor in a checkpoint, any more. */
+struct PageRecord
+{
+    /** The job. */
+    JobId jobId;
+    /** Which run of itemsPerObject items, from 0. */
+    std::uint32_t page = 0;
+    /** The object with the results, as a ResultPage. */
+    std::string objectKey;
+    /** One bit for each item of the page, the lowest first: whether its result is in the object, or in one of an earlier record.
+     */
+    std::string done;
+    /** One bit for each item of the page: whether it failed. */
+    std::string failed;
+
+    bool operator==(const PageRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->page, this->objectKey, this->done, this->failed);
+    }
+};
+
+/** What an object with results holds. */
+struct ResultPage
+{
+    /** In the order of their index. */
+    std::vector<ItemRecord> results;
+
+    bool operator==(const ResultPage &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->results);
+    }
+};
+
 /** One decision of a shard's owner. */
 struct JournalRecord
 {
@@ -582,13 +628,22 @@
     WallTime due;
     /** The model its items are for. */
     std::string model;
+    /** When it ends if its items go on finishing as fast as they do now; the epoch if that is not known. */
+    WallTime expectedEnd;
 
     bool operator==(const JobProgress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->state, this->itemCount, this->succeeded, this->failed, this->created, this->due, this->model);
+        archive(this->state,
+                this->itemCount,
+                this->succeeded,
+                this->failed,
+                this->created,
+                this->due,
+                this->model,
+                this->expectedEnd);
     }
 };
 
@@ -615,6 +670,40 @@
     }
 };
 
+/** A run of items. */
+struct ItemSpan
+{
+    /** The first one. */
+    std::uint32_t first = 0;
+    /** How many. */
+    std::uint32_t count = 0;
+
+    bool operator==(const ItemSpan &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->first, this->count);
+    }
+};
+
+/** Items of one job that a runner holds. */
+struct HeldItems
+{
+    /** The job. */
+    JobId jobId;
+    /** Which items. */
+    std::vector<ItemSpan> spans;
+
+    bool operator==(const HeldItems &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->spans);
+    }
+};
+
 /** A node, as gossip tells of it. The entry with the higher incarnation wins; at the same one, the graver state. */
 struct Member
 {
@@ -640,6 +729,8 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** One bit for each model (by its hash, modulo 64) that batch items wait for at its shards. */
+    std::uint64_t backlogModels = 0;
 
     bool operator==(const Member &) const = default;
 
@@ -656,7 +747,8 @@
                 this->gossip,
                 this->lane,
                 this->backlog,
-                this->configVersion);
+                this->configVersion,
+                this->backlogModels);
     }
 };
 
@@ -975,13 +1067,17 @@
     static constexpr MessageNumber number{17};
     /** Items to run, most urgent first. */
     std::vector<BatchItem> items;
+    /** Items of the model that still wait here. */
+    std::uint32_t waiting = 0;
+    /** When the most urgent of them must start to be done in time. */
+    WallTime latestStart;
 
     bool operator==(const PullItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->items);
+        archive(this->items, this->waiting, this->latestStart);
     }
 };
 
@@ -1031,13 +1127,15 @@
     std::vector<JobId> jobs;
     /** Who asks. */
     SessionNumber runner;
+    /** All items it holds of these jobs: an owner that has taken the shard over learns of their leases by this. */
+    std::vector<HeldItems> held;
 
     bool operator==(const RenewItemsRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->jobs, this->runner);
+        archive(this->jobs, this->runner, this->held);
     }
 };
 
@@ -1047,13 +1145,69 @@
     static constexpr MessageNumber number{21};
     /** Jobs whose items are to be cancelled. */
     std::vector<JobId> stopped;
+    /** Jobs that this node does not own, or not yet. */
+    std::vector<JobId> notOwned;
+    /** Items that are done, or that another runner has by now: not to be run on. */
+    std::vector<HeldItems> lost;
 
     bool operator==(const RenewItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->stopped);
+        archive(this->stopped, this->notOwned, this->lost);
+    }
+};
+
+/** A runner gives items back that it will not run, so that they need not wait for their leases to end. */
+struct ReturnItemsRequest
+{
+    static constexpr MessageNumber number{70};
+    using Response = ReturnItemsResponse;
+    /** Which. */
+    std::vector<HeldItems> items;
+    /** Who held them. */
+    SessionNumber runner;
+
+    bool operator==(const ReturnItemsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->items, this->runner);
+    }
+};
+
+/** The answer to a ReturnItemsRequest. */
+struct ReturnItemsResponse
+{
+    static constexpr MessageNumber number{71};
+    /** Jobs that this node does not own. */
+    std::vector<JobId> notOwned;
+
+    bool operator==(const ReturnItemsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->notOwned);
+    }
+};
+
+/** Datagram: an owner tells a runner that a job was cancelled. If it is lost, the runner learns of it when it renews its leases.
+ */
+struct JobStopped
+{
+    static constexpr MessageNumber number{72};
+    /** The job. */
+    JobId jobId;
+
+    bool operator==(const JobStopped &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId);
     }
 };
 
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -115,9 +115,9 @@
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
-        const auto backlog = static_cast<std::uint32_t>(task.owner().backlog());
+        const Backlog backlog = task.owner().backlog();
         this->control->post([backlog](ControlTask &control) {
-            control.tellBacklog(backlog);
+            control.tellBacklog(backlog.items, backlog.models);
         });
     });
     this->watch->loop().schedule(watchInterval, [this] {
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -102,18 +102,17 @@
     this->membership->update(change);
 }
 
-void ControlTask::tellBacklog(std::uint32_t backlog)
+void ControlTask::tellBacklog(std::uint32_t backlog, std::uint64_t models)
 {
-    // Each change is news to every node. What matters to the lanes is whether there is work, and roughly how much.
-    const std::uint32_t step = this->toldBacklog / 2;
-    const bool isClose = backlog + step >= this->toldBacklog && backlog <= this->toldBacklog + step;
-    const bool sameSign = (backlog == 0) == (this->toldBacklog == 0);
-    if (!this->membership || (isClose && sameSign)) {
+    // Each change is news to every node. What matters to the lanes is for which models there is work; how much, and how
+    // urgent it is, they learn when they ask for items.
+    if (!this->membership || models == this->toldModels) {
         return;
     }
-    this->toldBacklog = backlog;
-    this->membership->update([backlog](Member &member) {
+    this->toldModels = models;
+    this->membership->update([backlog, models](Member &member) {
         member.backlog = backlog;
+        member.backlogModels = models;
     });
 }
 
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -43,7 +43,7 @@
     void update(const std::function<void(Member &)> &change);
 
     /** Tell the others how many batch items wait here, if that has changed enough to matter. */
-    void tellBacklog(std::uint32_t backlog);
+    void tellBacklog(std::uint32_t backlog, std::uint64_t models);
 
     /** Tell the others that this node is gone, and remove its session's row. */
     void leave();
@@ -63,7 +63,7 @@
     DatagramSocket datagrams;
     std::optional<Membership> membership;
     SessionNumber self;
-    std::uint32_t toldBacklog = 0;
+    std::uint64_t toldModels = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -1,8 +1,13 @@
 #include <Services/Owner/BatchOwner.h>
 
+#include <LibBase/Encoding.h>
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+#include <LibBatch/BacklogModels.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -11,14 +16,92 @@
 namespace
 {
 
-constexpr std::size_t itemObjectsKept = 64;
+constexpr std::size_t itemBytesKept = 16777216;
+constexpr std::size_t resultBytesKept = 8388608;
+/** Results kept in memory before unfinished pages are moved to objects as well. */
+constexpr std::size_t resultBytesInMemory = 16777216;
 constexpr std::size_t resultsPerPage = 1000;
+constexpr std::size_t movesAtOnce = 4;
+constexpr std::size_t warningsAtOnce = 100;
+constexpr std::chrono::milliseconds tickInterval{200};
+constexpr std::chrono::milliseconds rateWindow{10000};
+constexpr std::chrono::milliseconds warningInterval{10000};
+/** How long a model stays advertised after its last item was handed out: each change is news to every node. */
+constexpr std::chrono::milliseconds backlogLinger{5000};
+/** A datagram may be lost; the runners also learn of a cancelled job when they renew their leases. */
+constexpr std::chrono::milliseconds tellAgain[] = {std::chrono::milliseconds(200), std::chrono::milliseconds(1000)};
+
+std::shared_ptr<const std::vector<std::string>> splitLines(const std::string &content)
+{
+    auto lines = std::make_shared<std::vector<std::string>>();
+    std::istringstream stream(content);
+    for (std::string line; std::getline(stream, line);) {
+        lines->push_back(std::move(line));
+    }
+    return lines;
+}
+
+std::shared_ptr<const ResultPage> parsePage(const std::string &content)
+{
+    auto page = decode<ResultPage>(content);
+    return page ? std::make_shared<const ResultPage>(std::move(*page)) : nullptr;
+}
 
 } // namespace
 
-BatchOwner::BatchOwner(ShardKeeper &keeper, JournalWriter &journal, ObjectStore &objects)
-    : keeper(keeper), journal(journal), items(objects, itemObjectsKept)
+struct BatchOwner::Pull
+{
+    PullItemsRequest request;
+    Respond<PullItemsResponse> respond;
+    std::map<std::size_t, std::vector<BatchItem>> read;
+    std::size_t pending = 0;
+};
+
+struct BatchOwner::Commit
+{
+    Respond<CommitItemsResponse> respond;
+    CommitItemsResponse response;
+    std::size_t pending = 1;
+
+    void finishOne()
+    {
+        if (--this->pending == 0) {
+            this->respond(this->response);
+        }
+    }
+};
+
+struct BatchOwner::Reading
+{
+    JobResultsRequest request;
+    Respond<JobResultsResponse> respond;
+    PageOfResults page;
+    std::size_t pending = 1;
+    bool hasFailed = false;
+};
+
+BatchOwner::BatchOwner(Scheduler &scheduler,
+                       const Clock &clock,
+                       ShardKeeper &keeper,
+                       JournalWriter &journal,
+                       ObjectStore &objects,
+                       TellStopped tellStopped)
+    : scheduler(scheduler)
+    , clock(clock)
+    , keeper(keeper)
+    , journal(journal)
+    , objects(objects)
+    , tellStopped(std::move(tellStopped))
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
+    , items(objects, itemBytesKept, splitLines)
+    , resultPages(objects, resultBytesKept, parsePage)
+    , schedule({})
+{
+}
+
+BatchOwner::~BatchOwner()
 {
+    *this->alive = false;
 }
 
 void BatchOwner::serve(PeerServer &server)
@@ -44,15 +127,112 @@
     server.handle<RenewItemsRequest>([this](const auto &request, auto respond) {
         this->renew(request, respond);
     });
+    server.handle<ReturnItemsRequest>([this](const auto &request, auto respond) {
+        this->giveBack(request, respond);
+    });
 }
 
-std::size_t BatchOwner::backlog() const
+void BatchOwner::start()
 {
-    std::size_t count = 0;
-    for (const auto &[shard, state] : this->keeper.owned()) {
-        count += state->jobs.waiting();
+    this->tick();
+}
+
+void BatchOwner::setView(MemberViewPointer view)
+{
+    for (const Member &member : this->view->members()) {
+        if (view->find(member.session) != nullptr) {
+            continue;
+        }
+        // Held dead. Should it live all the same, its results still count if they come first.
+        for (const auto &[shard, state] : this->keeper.owned()) {
+            state->jobs.forgetRunner(member.session);
+        }
+    }
+    this->view = std::move(view);
+}
+
+void BatchOwner::tick()
+{
+    this->refreshSchedule();
+    this->moveResults();
+    if (this->clock.now() - this->lastWarning >= warningInterval) {
+        this->lastWarning = this->clock.now();
+        this->warnOfLateJobs();
+    }
+    this->scheduler.schedule(tickInterval, [this, alive = this->alive] {
+        if (*alive) {
+            this->tick();
+        }
+    });
+}
+
+void BatchOwner::refreshSchedule()
+{
+    const auto &owned = this->keeper.owned();
+    std::erase_if(this->scheduled, [this, &owned](const auto &entry) {
+        const auto found = owned.find(entry.first);
+        if (found != owned.end() && found->second->row.epoch == entry.second.epoch) {
+            return false;
+        }
+        for (const JobId &job : entry.second.jobs) {
+            this->schedule.remove(job);
+        }
+        return true;
+    });
+    for (const auto &[shard, state] : owned) {
+        state->jobs.expire();
+        Scheduled &known = this->scheduled[shard];
+        known.epoch = state->row.epoch;
+        for (const JobDemand &demand : state->jobs.takeChanged()) {
+            this->schedule.update(demand);
+            if (demand.remaining > 0) {
+                known.jobs.insert(demand.jobId);
+            } else {
+                known.jobs.erase(demand.jobId);
+            }
+        }
+    }
+    for (auto &[model, rate] : this->rates) {
+        this->schedule.setTimePerItem(model, rate.timePerItem());
+    }
+}
+
+void BatchOwner::warnOfLateJobs()
+{
+    for (const JobId &id : this->schedule.startingBefore(this->clock.wallNow(), warningsAtOnce)) {
+        ShardState *const state = this->stateOf(id);
+        if (state == nullptr || !state->jobs.warnOnce(id)) {
+            continue;
+        }
+        const JobDemand demand = state->jobs.demand(id);
+        const auto time = this->schedule.timePerItem(demand.model) * demand.remaining;
+        log(LogLevel::Warning,
+            "batch job will be late",
+            {{"job", id.value()},
+             {"tenant", demand.tenant.value()},
+             {"remaining", static_cast<std::int64_t>(demand.remaining)},
+             {"work_seconds", std::chrono::duration<double>(time).count()},
+             {"due_in_seconds", std::chrono::duration<double>(demand.due - this->clock.wallNow()).count()}});
+    }
+}
+
+Backlog BatchOwner::backlog()
+{
+    this->refreshSchedule();
+    Backlog found;
+    const SteadyTime now = this->clock.now();
+    for (const std::string &model : this->schedule.models()) {
+        this->lastBacklog[model] = now;
+        found.items += static_cast<std::uint32_t>(this->schedule.waiting(model));
     }
-    return count;
+    std::erase_if(this->lastBacklog, [now](const auto &entry) {
+        return now - entry.second > backlogLinger;
+    });
+    for (const auto &[model, seen] : this->lastBacklog) {
+        found.models |= backlogBit(model);
+        found.items = std::max(found.items, 1U);
+    }
+    return found;
 }
 
 ShardState *BatchOwner::stateOf(const JobId &id)
@@ -91,10 +271,21 @@
     });
 }
 
-const JobRecord *BatchOwner::jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const
+const Job *BatchOwner::jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const
 {
-    const JobRecord *const job = state->jobs.job(id);
-    return job != nullptr && job->tenant == tenant ? job : nullptr;
+    const Job *const job = state->jobs.find(id);
+    return job != nullptr && job->isDurable && job->record().tenant == tenant ? job : nullptr;
+}
+
+JobProgress BatchOwner::progressOf(const ShardState &state, const JobId &id) const
+{
+    JobProgress progress = state.jobs.progress(id);
+    const auto time = this->schedule.timePerItem(progress.model);
+    if (progress.state == JobState::Running && time.count() > 0) {
+        const std::uint32_t remaining = progress.itemCount - progress.succeeded - progress.failed;
+        progress.expectedEnd = this->clock.wallNow() + std::chrono::duration_cast<WallTime::duration>(time * remaining);
+    }
+    return progress;
 }
 
 void BatchOwner::status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond)
@@ -105,7 +296,7 @@
         return;
     }
     const bool isKnown = this->jobOf(state, request.jobId, request.tenant) != nullptr;
-    respond({isKnown ? state->jobs.progress(request.jobId) : JobProgress()});
+    respond({isKnown ? this->progressOf(*state, request.jobId) : JobProgress()});
 }
 
 void BatchOwner::cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond)
@@ -127,11 +318,35 @@
             respond({{.state = JobState::NotOwner}});
             return;
         }
+        const Job *const job = state->jobs.find(record.jobId);
+        const std::vector<SessionNumber> runners = job != nullptr ? job->leases().runners() : std::vector<SessionNumber>();
         state->jobs.apply(record);
-        respond({state->jobs.progress(record.jobId)});
+        this->tellRunners(record.jobId, runners);
+        respond({this->progressOf(*state, record.jobId)});
     });
 }
 
+void BatchOwner::tellRunners(const JobId &job, const std::vector<SessionNumber> &runners)
+{
+    std::vector<Address> lanes;
+    for (const SessionNumber runner : runners) {
+        if (const Member *const member = this->view->find(runner)) {
+            lanes.push_back(member->lane);
+        }
+    }
+    const auto tell = [this, job, lanes, alive = this->alive] {
+        for (const Address &lane : lanes) {
+            if (*alive) {
+                this->tellStopped(lane, {job});
+            }
+        }
+    };
+    tell();
+    for (const std::chrono::milliseconds delay : tellAgain) {
+        this->scheduler.schedule(delay, tell);
+    }
+}
+
 void BatchOwner::results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond)
 {
     ShardState *const state = this->stateOf(request.jobId);
@@ -139,93 +354,242 @@
         respond({.state = JobState::NotOwner});
         return;
     }
-    if (this->jobOf(state, request.jobId, request.tenant) == nullptr) {
+    const Job *const job = this->jobOf(state, request.jobId, request.tenant);
+    if (job == nullptr) {
         respond({});
         return;
     }
-    const std::size_t limit = std::min<std::size_t>(request.limit, resultsPerPage);
-    respond(state->jobs.results(request.jobId, request.from, limit));
+    const auto reading = std::make_shared<Reading>(Reading{request, respond, job->resultsFrom(request.from)});
+    const std::vector<std::string> objects = reading->page.objects;
+    reading->pending += objects.size();
+    for (const std::string &object : objects) {
+        this->resultPages.read(object, [this, reading](const std::shared_ptr<const ResultPage> &page) {
+            if (page != nullptr) {
+                std::ranges::copy(page->results, std::back_inserter(reading->page.inMemory));
+            } else {
+                reading->hasFailed = true;
+            }
+            this->finishReading(*reading);
+        });
+    }
+    this->finishReading(*reading);
 }
 
-void BatchOwner::pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond)
+void BatchOwner::finishReading(Reading &reading)
 {
-    struct Pull
-    {
-        PullItemsResponse response;
-        std::size_t pending = 0;
-    };
-    const auto pull = std::make_shared<Pull>();
-    std::vector<ItemPlace> places;
-    for (const auto &[shard, state] : this->keeper.owned()) {
-        if (places.size() < request.limit) {
-            std::ranges::move(state->jobs.lease(request.model, request.limit - places.size(), request.runner),
-                              std::back_inserter(places));
-        }
+    if (--reading.pending > 0) {
+        return;
     }
-    pull->pending = places.size();
-    if (places.empty()) {
-        respond({});
+    if (reading.hasFailed) {
+        // The object cannot be read now. Without it the page would look as if its items were not done.
+        reading.respond({.state = JobState::NotOwner});
         return;
     }
-    for (const ItemPlace &place : places) {
-        const JobRecord job = *this->stateOf(place.jobId)->jobs.job(place.jobId);
-        this->items.read(job, place.index, [this, pull, job, place, respond](std::optional<std::string> body) {
-            if (body) {
-                pull->response.items.push_back({place.jobId, place.index, job.tenant, job.due, std::move(*body)});
-            } else if (ShardState *const state = this->stateOf(place.jobId)) {
-                state->jobs.unlease(place);
-            }
-            if (--pull->pending == 0) {
-                respond(pull->response);
-            }
-        });
+    std::vector<ItemRecord> &results = reading.page.inMemory;
+    std::erase_if(results, [&reading](const ItemRecord &result) {
+        return result.index < reading.request.from;
+    });
+    std::ranges::sort(results, {}, &ItemRecord::index);
+    const std::size_t limit = std::min<std::size_t>(std::max(reading.request.limit, 1U), resultsPerPage);
+    JobResultsResponse response;
+    response.state = reading.page.state;
+    response.next = reading.page.end;
+    if (results.size() > limit) {
+        response.next = results[limit].index;
+        results.resize(limit);
     }
+    response.results = std::move(results);
+    reading.respond(response);
 }
 
-void BatchOwner::commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond)
+std::vector<LeasedItems> BatchOwner::leaseNext(const PullItemsRequest &request)
 {
-    struct Commit
-    {
-        CommitItemsResponse response{.isJournalled = true};
-        std::size_t pending = 1;
-    };
-    const auto commit = std::make_shared<Commit>();
-    const auto finishOne = [commit, respond] {
-        if (--commit->pending == 0) {
-            respond(commit->response);
+    std::vector<LeasedItems> leased;
+    std::uint32_t free = request.limit;
+    while (free > 0) {
+        const std::optional<JobId> id = this->schedule.next(request.model);
+        ShardState *const state = id ? this->stateOf(*id) : nullptr;
+        if (state == nullptr) {
+            break;
         }
-    };
+        const auto items = state->jobs.lease(*id, free, request.runner);
+        if (items) {
+            this->schedule.leased(*id, items->span.count);
+            free -= items->span.count;
+            leased.push_back(*items);
+        }
+        this->schedule.update(state->jobs.demand(*id));
+    }
+    return leased;
+}
+
+void BatchOwner::pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond)
+{
+    this->refreshSchedule();
+    const std::vector<LeasedItems> leased = this->leaseNext(request);
+    const auto pull = std::make_shared<Pull>(Pull{request, respond, {}, leased.size() + 1});
+    for (const LeasedItems &each : leased) {
+        this->readLeased(pull, each);
+    }
+    if (--pull->pending == 0) {
+        this->answerPull(*pull);
+    }
+}
+
+void BatchOwner::answerPull(Pull &pull)
+{
+    PullItemsResponse response;
+    for (auto &[order, items] : pull.read) {
+        std::ranges::move(items, std::back_inserter(response.items));
+    }
+    response.waiting = static_cast<std::uint32_t>(this->schedule.waiting(pull.request.model));
+    response.latestStart = this->schedule.latestStart(pull.request.model).value_or(WallTime());
+    pull.respond(response);
+}
+
+void BatchOwner::readLeased(const std::shared_ptr<Pull> &pull, const LeasedItems &leased)
+{
+    const JobRecord &job = this->stateOf(leased.jobId)->jobs.find(leased.jobId)->record();
+    const std::uint32_t object = leased.span.first / job.itemsPerObject;
+    const std::uint32_t line = leased.span.first % job.itemsPerObject;
+    const std::size_t order = pull->read.size();
+    pull->read.emplace(order, std::vector<BatchItem>());
+    const BatchItem blank{leased.jobId, 0, job.tenant, job.due, {}};
+    this->items.read(job.itemObjects.at(object),
+                     [this, pull, leased, line, order, blank](const std::shared_ptr<const Lines> &lines) {
+                         for (std::uint32_t i = 0; i < leased.span.count; ++i) {
+                             BatchItem item = blank;
+                             item.index = leased.span.first + i;
+                             if (lines != nullptr && line + i < lines->size()) {
+                                 item.body = (*lines)[line + i];
+                                 pull->read[order].push_back(std::move(item));
+                             } else if (ShardState *const state = this->stateOf(leased.jobId)) {
+                                 state->jobs.giveBack(leased.jobId, item.index, pull->request.runner);
+                             }
+                         }
+                         if (--pull->pending == 0) {
+                             this->answerPull(*pull);
+                         }
+                     });
+    // The next object is asked for before it is needed, one ahead.
+    const bool isPastHalf = (line + leased.span.count) * 2 > job.itemsPerObject;
+    if (isPastHalf && object + 1 < job.itemObjects.size()) {
+        this->items.read(job.itemObjects[object + 1], [](const std::shared_ptr<const Lines> &) {});
+    }
+}
+
+void BatchOwner::commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond)
+{
+    const auto commit = std::make_shared<Commit>(Commit{respond, {.isJournalled = true, .notOwned = {}}});
     for (const ItemRecord &result : request.results) {
-        const ShardNumber shard = this->keeper.shardOf(result.jobId.value());
+        this->commitOne(commit, result);
+    }
+    commit->finishOne();
+}
+
+void BatchOwner::commitOne(const std::shared_ptr<Commit> &commit, const ItemRecord &result)
+{
+    const ShardNumber shard = this->keeper.shardOf(result.jobId.value());
+    ShardState *const state = this->keeper.find(shard);
+    if (state == nullptr) {
+        commit->response.notOwned.push_back(result.jobId);
+        return;
+    }
+    if (state->jobs.commit(result) != ItemVerdict::Journal) {
+        return;
+    }
+    ++commit->pending;
+    this->append(shard, RecordKind::Item, result, [this, shard, result, commit](AppendOutcome outcome) {
         ShardState *const state = this->keeper.find(shard);
-        if (state == nullptr) {
+        if (outcome == AppendOutcome::Fenced) {
             commit->response.notOwned.push_back(result.jobId);
-            continue;
+        } else if (state != nullptr) {
+            state->jobs.apply(result);
+            const std::string &model = state->jobs.demand(result.jobId).model;
+            this->rates.try_emplace(model, this->clock, rateWindow).first->second.finished(1);
         }
-        if (state->jobs.commit(result) != ItemVerdict::Journal) {
-            continue;
+        commit->finishOne();
+    });
+}
+
+void BatchOwner::moveResults()
+{
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        while (this->moving < movesAtOnce) {
+            const auto draft = state->jobs.takeDraft(resultBytesInMemory);
+            if (!draft) {
+                break;
+            }
+            this->move(shard, *draft);
+        }
+    }
+}
+
+void BatchOwner::move(ShardNumber shard, const PageDraft &draft)
+{
+    ++this->moving;
+    const std::string content = encode(ResultPage{draft.results});
+    const std::uint64_t hash = stableHash(content);
+    // Named by its content: written again after a lost answer, or by the next owner, it is the same object.
+    const std::string key = "results/" + draft.jobId.value() + '/' + std::to_string(draft.page) + '-'
+        + encodeHex(std::string_view(reinterpret_cast<const char *>(&hash), sizeof(hash)));
+    this->objects.putIfAbsent(key, content, [this, shard, draft, key, alive = this->alive](WriteOutcome outcome) {
+        if (!*alive) {
+            return;
+        }
+        --this->moving;
+        ShardState *const state = this->keeper.find(shard);
+        if (state == nullptr || state->jobs.find(draft.jobId) == nullptr) {
+            return;
         }
-        ++commit->pending;
-        this->append(shard, RecordKind::Item, result, [this, shard, result, commit, finishOne](AppendOutcome outcome) {
+        if (outcome != WriteOutcome::Done && outcome != WriteOutcome::Refused) {
+            state->jobs.undraft(draft);
+            return;
+        }
+        const PageRecord record = state->jobs.recordOf(draft, key);
+        this->append(shard, RecordKind::Page, record, [this, shard, record](AppendOutcome outcome) {
             ShardState *const state = this->keeper.find(shard);
-            if (outcome == AppendOutcome::Fenced) {
-                commit->response.notOwned.push_back(result.jobId);
-            } else if (state != nullptr) {
-                state->jobs.apply(result);
+            if (outcome == AppendOutcome::Written && state != nullptr) {
+                state->jobs.apply(record);
             }
-            finishOne();
         });
-    }
-    finishOne();
+    });
 }
 
 void BatchOwner::renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond)
 {
     RenewItemsResponse response;
-    for (const JobId &job : request.jobs) {
-        ShardState *const state = this->stateOf(job);
-        if (state != nullptr && !state->jobs.renew(job, request.runner)) {
-            response.stopped.push_back(job);
+    for (const HeldItems &held : request.held) {
+        ShardState *const state = this->stateOf(held.jobId);
+        if (state == nullptr) {
+            response.notOwned.push_back(held.jobId);
+            continue;
+        }
+        HeldItems lost{held.jobId, {}};
+        if (!state->jobs.renew(held, request.runner, lost.spans)) {
+            response.stopped.push_back(held.jobId);
+        } else if (!lost.spans.empty()) {
+            response.lost.push_back(std::move(lost));
+        }
+    }
+    respond(response);
+}
+
+void BatchOwner::giveBack(const ReturnItemsRequest &request, const Respond<ReturnItemsResponse> &respond)
+{
+    ReturnItemsResponse response;
+    for (const HeldItems &held : request.items) {
+        ShardState *const state = this->stateOf(held.jobId);
+        if (state == nullptr) {
+            response.notOwned.push_back(held.jobId);
+            continue;
+        }
+        for (const ItemSpan &span : held.spans) {
+            const Job *const job = state->jobs.find(held.jobId);
+            const std::uint32_t end = job != nullptr ? std::min(span.first + span.count, job->record().itemCount) : 0;
+            for (std::uint32_t index = span.first; index < end; ++index) {
+                state->jobs.giveBack(held.jobId, index, request.runner);
+            }
         }
     }
     respond(response);
--- a/Services/Owner/BatchOwner.h
+++ b/Services/Owner/BatchOwner.h
@@ -1,31 +1,74 @@
 #pragma once
 
+#include <LibBase/Clock.h>
+#include <LibBase/Scheduler.h>
+#include <LibBatch/JobSchedule.h>
+#include <LibBatch/RateMeter.h>
 #include <LibJournal/JournalWriter.h>
+#include <LibMembership/MemberView.h>
 #include <LibPlatform/ObjectStore.h>
 #include <LibWire/PeerServer.h>
-#include <Services/Owner/ItemReader.h>
+#include <Services/Owner/ObjectCache.h>
 #include <Services/Owner/ShardKeeper.h>
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <set>
+#include <vector>
 
 namespace Dogwoodkeel
 {
 
-/** Answers for the batch jobs of the shards this node owns. What it tells others as done is in the journal by then. */
+/** What an owner tells the lanes of its waiting items. */
+struct Backlog
+{
+    std::uint32_t items = 0;
+    /** See Member::backlogModels. */
+    std::uint64_t models = 0;
+
+    bool operator==(const Backlog &) const = default;
+};
+
+/**
+ * Answers for the batch jobs of the shards this node owns. What it tells others as done is in the journal by then.
+ */
 class BatchOwner
 {
 public:
-    BatchOwner(ShardKeeper &keeper, JournalWriter &journal, ObjectStore &objects);
+    /** Tells a runner that a job was cancelled; it may be lost. */
+    using TellStopped = std::function<void(const Address &lane, const JobStopped &)>;
+
+    BatchOwner(Scheduler &scheduler,
+               const Clock &clock,
+               ShardKeeper &keeper,
+               JournalWriter &journal,
+               ObjectStore &objects,
+               TellStopped tellStopped);
+    ~BatchOwner();
+    BatchOwner(const BatchOwner &) = delete;
+    BatchOwner &operator=(const BatchOwner &) = delete;
 
     /** Answer the calls of other nodes, and of this one. */
     void serve(PeerServer &server);
 
-    /** @return batch items that wait at this node's shards. */
-    std::size_t backlog() const;
+    void start();
+    void setView(MemberViewPointer view);
+
+    /** @return what waits at this node's shards. */
+    Backlog backlog();
 
 private:
     template <typename Response>
     using Respond = PeerServer::Respond<Response>;
+    using Lines = std::vector<std::string>;
+
+    /** Items that are being read for a lane. */
+    struct Pull;
+    /** Results that are being journalled for a lane. */
+    struct Commit;
+    /** A part of a job's results that is being read for a caller. */
+    struct Reading;
 
     void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
     void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
@@ -34,16 +77,51 @@
     void pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond);
     void commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond);
     void renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond);
+    void giveBack(const ReturnItemsRequest &request, const Respond<ReturnItemsResponse> &respond);
 
     ShardState *stateOf(const JobId &id);
-    const JobRecord *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
+    const Job *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
+    JobProgress progressOf(const ShardState &state, const JobId &id) const;
+
+    void tick();
+    void refreshSchedule();
+    void warnOfLateJobs();
+    void tellRunners(const JobId &job, const std::vector<SessionNumber> &runners);
+    std::vector<LeasedItems> leaseNext(const PullItemsRequest &request);
+    void answerPull(Pull &pull);
+    void readLeased(const std::shared_ptr<Pull> &pull, const LeasedItems &leased);
+    void commitOne(const std::shared_ptr<Commit> &commit, const ItemRecord &result);
+    void moveResults();
+    void move(ShardNumber shard, const PageDraft &draft);
+    void finishReading(Reading &reading);
 
     template <typename Record>
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
 
+    Scheduler &scheduler;
+    const Clock &clock;
     ShardKeeper &keeper;
     JournalWriter &journal;
-    ItemReader items;
+    ObjectStore &objects;
+    TellStopped tellStopped;
+    MemberViewPointer view;
+    ObjectCache<Lines> items;
+    ObjectCache<ResultPage> resultPages;
+
+    JobSchedule schedule;
+    /** The jobs that the schedule has of each shard, and under which epoch they were put there. */
+    struct Scheduled
+    {
+        ShardEpoch epoch;
+        std::set<JobId> jobs;
+    };
+    std::map<ShardNumber, Scheduled> scheduled;
+    std::map<std::string, RateMeter> rates;
+    /** When each model last had waiting items. */
+    std::map<std::string, SteadyTime> lastBacklog;
+    std::size_t moving = 0;
+    SteadyTime lastWarning{};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Owner/ObjectCache.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <LibPlatform/ObjectStore.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Reads objects of one kind and keeps the ones read last, up to a number of bytes. Reads of an object that is on its
+ * way wait for it together.
+ * @tparam Content what an object holds
+ */
+template <typename Content>
+class ObjectCache
+{
+public:
+    using Pointer = std::shared_ptr<const Content>;
+    /** Gets the content, or null if it cannot be read now. */
+    using Read = std::function<void(const Pointer &)>;
+    /** Makes the content of an object's bytes; null if it is none. */
+    using Parse = std::function<Pointer(const std::string &)>;
+
+    ObjectCache(ObjectStore &objects, std::size_t bytesKept, Parse parse)
+        : objects(objects), bytesKept(bytesKept), parse(std::move(parse))
+    {
+    }
+
+    ~ObjectCache()
+    {
+        *this->alive = false;
+    }
+
+    ObjectCache(const ObjectCache &) = delete;
+    ObjectCache &operator=(const ObjectCache &) = delete;
+
+    void read(const std::string &key, Read read)
+    {
+        const auto found = this->kept.find(key);
+        if (found != this->kept.end()) {
+            this->byUse.splice(this->byUse.end(), this->byUse, found->second.use);
+            read(found->second.content);
+            return;
+        }
+        const auto [waiting, isFirst] = this->loading.try_emplace(key);
+        waiting->second.push_back(std::move(read));
+        if (!isFirst) {
+            return;
+        }
+        this->objects.get(key, [this, key, alive = this->alive](const ObjectResult &result) {
+            if (*alive) {
+                this->loaded(key, result);
+            }
+        });
+    }
+
+private:
+    struct Kept
+    {
+        Pointer content;
+        std::size_t bytes = 0;
+        std::list<std::string>::iterator use;
+    };
+
+    void loaded(const std::string &key, const ObjectResult &result)
+    {
+        Pointer content;
+        if (result.outcome == ReadOutcome::Found) {
+            content = this->parse(result.content);
+        }
+        if (content != nullptr) {
+            this->kept[key] = {content, result.content.size(), this->byUse.insert(this->byUse.end(), key)};
+            this->bytes += result.content.size();
+        }
+        while (this->bytes > this->bytesKept && this->byUse.size() > 1) {
+            const auto oldest = this->kept.find(this->byUse.front());
+            this->bytes -= oldest->second.bytes;
+            this->kept.erase(oldest);
+            this->byUse.pop_front();
+        }
+        auto waiting = this->loading.extract(key);
+        for (const Read &each : waiting.mapped()) {
+            each(content);
+        }
+    }
+
+    ObjectStore &objects;
+    std::size_t bytesKept;
+    Parse parse;
+    std::size_t bytes = 0;
+    std::unordered_map<std::string, Kept> kept;
+    std::list<std::string> byUse;
+    std::unordered_map<std::string, std::vector<Read>> loading;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -45,13 +45,17 @@
 
 } // namespace
 
-OwnerService::OwnerService(
-    Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self)
+OwnerService::OwnerService(Scheduler &scheduler,
+                           const Clock &clock,
+                           Platform &platform,
+                           const Settings &settings,
+                           SessionNumber self,
+                           BatchOwner::TellStopped tellStopped)
     : scheduler(scheduler)
     , settings(settings)
     , journal(platform, scheduler, clock, self, journalOptions(settings))
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings))
-    , batch(this->keeper, this->journal, platform.objects())
+    , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
 {
 }
 
@@ -80,10 +84,12 @@
 void OwnerService::start()
 {
     this->keeper.start();
+    this->batch.start();
 }
 
 void OwnerService::setView(MemberViewPointer view)
 {
+    this->batch.setView(view);
     this->keeper.setView(std::move(view));
 }
 
@@ -92,7 +98,7 @@
     this->keeper.releaseAll(std::move(stopped));
 }
 
-std::size_t OwnerService::backlog() const
+Backlog OwnerService::backlog()
 {
     return this->batch.backlog();
 }
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,7 +21,13 @@
 class OwnerService
 {
 public:
-    OwnerService(Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self);
+    /** @param tellStopped see BatchOwner::TellStopped */
+    OwnerService(Scheduler &scheduler,
+                 const Clock &clock,
+                 Platform &platform,
+                 const Settings &settings,
+                 SessionNumber self,
+                 BatchOwner::TellStopped tellStopped);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -37,8 +43,8 @@
     /** Give everything up, as planned. @param stopped told when the last shard is released */
     void stop(std::function<void()> stopped);
 
-    /** @return batch items that wait at this node's shards. */
-    std::size_t backlog() const;
+    /** @return what waits of batch jobs at this node's shards. */
+    Backlog backlog();
 
     /** @return shards owned now. */
     std::size_t shardCount() const;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
 
@@ -29,7 +30,10 @@
               const PlatformFactory &makePlatform)
         : platform(makePlatform(loop))
         , server(loop, settings.listen.owner, security)
-        , service(loop, clock, *this->platform, settings, self)
+        , datagrams(loop, {settings.listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
+        , service(loop, clock, *this->platform, settings, self, [this](const Address &lane, const JobStopped &stopped) {
+            this->datagrams.send(lane, stopped);
+        })
     {
         this->service.serve(this->server);
     }
@@ -48,6 +52,7 @@
 private:
     std::unique_ptr<Platform> platform;
     PeerServer server;
+    DatagramSocket datagrams;
     OwnerService service;
 };
 
--- a/Services/Owner/ShardState.cpp
+++ b/Services/Owner/ShardState.cpp
@@ -43,6 +43,9 @@
     case RecordKind::Cancel:
         replayInto<CancelRecord>(this->jobs, record);
         return;
+    case RecordKind::Page:
+        replayInto<PageRecord>(this->jobs, record);
+        return;
     }
 }
 
--- /dev/null
+++ b/Tests/LibBatch/TestJobSchedule.cpp
@@ -0,0 +1,108 @@
+#include <LibBase/ManualClock.h>
+#include <LibBatch/JobSchedule.h>
+#include <LibBatch/RateMeter.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string model = "appraisal";
+
+JobDemand demand(const std::string &id, const std::string &tenant, std::chrono::seconds due, std::uint32_t remaining)
+{
+    return {JobId(id), model, TenantName(tenant), WallTime(due), remaining, remaining};
+}
+
+/** Hands out items one by one. @return how many each job got */
+std::map<JobId, int> handOut(JobSchedule &schedule, std::map<JobId, JobDemand> &jobs, int items)
+{
+    std::map<JobId, int> given;
+    for (int i = 0; i < items; ++i) {
+        const JobId job = *schedule.next(model);
+        ++given[job];
+        schedule.leased(job, 1);
+        --jobs[job].waiting;
+        schedule.update(jobs[job]);
+    }
+    return given;
+}
+
+} // namespace
+
+TEST_CASE("the job with the least slack goes first: due later, but with more work left")
+{
+    JobSchedule schedule({});
+    schedule.update(demand("small", "shop", 5000s, 10));
+    schedule.update(demand("large", "shop", 6000s, 4000));
+    CHECK(schedule.next(model) == JobId("small"));
+    schedule.setTimePerItem(model, 1s);
+    CHECK(schedule.next(model) == JobId("large"));
+    CHECK(schedule.startingBefore(WallTime(3000s), 10) == std::vector<JobId>{JobId("large")});
+}
+
+TEST_CASE("a job without waiting items is passed over, and comes back with them")
+{
+    JobSchedule schedule({});
+    JobDemand first = demand("first", "shop", 10s, 5);
+    schedule.update(first);
+    schedule.update(demand("second", "shop", 20s, 5));
+    first.waiting = 0;
+    schedule.update(first);
+    CHECK(schedule.next(model) == JobId("second"));
+    CHECK(schedule.waiting(model) == 5);
+    first.waiting = 2;
+    schedule.update(first);
+    CHECK(schedule.next(model) == JobId("first"));
+    schedule.remove(JobId("first"));
+    schedule.remove(JobId("second"));
+    CHECK_FALSE(schedule.next(model));
+    CHECK(schedule.models().empty());
+}
+
+TEST_CASE("urgent jobs of one tenant lead only so far")
+{
+    JobSchedule schedule({.tenantLead = 100});
+    std::map<JobId, JobDemand> jobs;
+    jobs[JobId("urgent")] = demand("urgent", "loud", 10s, 100000);
+    jobs[JobId("patient")] = demand("patient", "quiet", 90000s, 100000);
+    for (const auto &[id, each] : jobs) {
+        schedule.update(each);
+    }
+    auto given = handOut(schedule, jobs, 100);
+    CHECK(given[JobId("urgent")] == 100);
+    given = handOut(schedule, jobs, 1000);
+    CHECK(given[JobId("urgent")] == 500);
+    CHECK(given[JobId("patient")] == 500);
+}
+
+TEST_CASE("a tenant that was away has no claim to what it did not use")
+{
+    JobSchedule schedule({.tenantLead = 1});
+    std::map<JobId, JobDemand> jobs;
+    jobs[JobId("old")] = demand("old", "there", 10s, 100000);
+    schedule.update(jobs[JobId("old")]);
+    handOut(schedule, jobs, 5000);
+    jobs[JobId("new")] = demand("new", "back", 10s, 100000);
+    schedule.update(jobs[JobId("new")]);
+    auto given = handOut(schedule, jobs, 1000);
+    CHECK(given[JobId("old")] == 500);
+}
+
+TEST_CASE("the rate is of the time with work")
+{
+    ManualClock clock;
+    RateMeter meter(clock, 10s);
+    CHECK(meter.timePerItem() == 0ns);
+    clock.advance(1h);
+    for (int i = 0; i < 101; ++i) {
+        meter.finished(1);
+        clock.advance(100ms);
+    }
+    CHECK(std::chrono::duration<double>(meter.timePerItem()).count() == doctest::Approx(0.1).epsilon(0.02));
+}
