--- /dev/null
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -0,0 +1,119 @@
+#include <LibRouting/Quarantine.h>
+
+#include <LibBase/Hash.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+ContentFingerprint contentFingerprint(std::string_view serves, std::string_view body)
+{
+    const std::uint64_t seed = stableHash(serves);
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (json.is_object()) {
+        for (const char *const key : {"messages", "prompt"}) {
+            if (const auto found = json.find(key); found != json.end()) {
+                return ContentFingerprint(
+                    stableHash(found->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), seed));
+            }
+        }
+    }
+    return ContentFingerprint(stableHash(body, seed));
+}
+
+Quarantine::Quarantine(const Clock &clock, Options options) : clock(clock), options(options)
+{
+}
+
+const Quarantine::Record *Quarantine::find(ContentFingerprint request) const
+{
+    const auto found = this->records.find(request);
+    const bool isCurrent = found != this->records.end() && this->clock.now() < found->second.until;
+    return isCurrent ? &found->second : nullptr;
+}
+
+Standing Quarantine::standing(ContentFingerprint request) const
+{
+    const Record *const record = this->find(request);
+    if (record == nullptr) {
+        return Standing::Clear;
+    }
+    return record->points.size() >= this->options.losses ? Standing::Quarantined : Standing::Suspect;
+}
+
+std::chrono::milliseconds Quarantine::remaining(ContentFingerprint request) const
+{
+    if (this->standing(request) != Standing::Quarantined) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(this->find(request)->until - this->clock.now());
+}
+
+Standing Quarantine::lost(ContentFingerprint request, const CrashPoint &point)
+{
+    this->forgetOld();
+    if (this->find(request) == nullptr) {
+        this->records[request] = {};
+    }
+    Record &record = this->records[request];
+    const bool isSameEvent = std::ranges::any_of(record.points, [&point](const CrashPoint &known) {
+        return known.failureDomain == point.failureDomain && point.sent <= known.seen;
+    });
+    if (!isSameEvent) {
+        record.points.push_back(point);
+        record.until = this->clock.now() + this->options.duration;
+        this->ages.emplace_back(this->clock.now(), request);
+    }
+    return this->standing(request);
+}
+
+bool Quarantine::succeeded(ContentFingerprint request)
+{
+    return this->records.erase(request) > 0;
+}
+
+std::vector<CrashPoint> Quarantine::points(ContentFingerprint request) const
+{
+    const Record *const record = this->find(request);
+    return record != nullptr ? record->points : std::vector<CrashPoint>();
+}
+
+std::vector<ContentFingerprint> Quarantine::quarantined() const
+{
+    std::vector<ContentFingerprint> found;
+    for (const auto &[request, record] : this->records) {
+        if (this->standing(request) == Standing::Quarantined) {
+            found.push_back(request);
+        }
+    }
+    return found;
+}
+
+std::size_t Quarantine::size() const
+{
+    return this->records.size();
+}
+
+void Quarantine::forgetOld()
+{
+    while (!this->ages.empty()) {
+        const auto &[since, request] = this->ages.front();
+        const auto found = this->records.find(request);
+        const bool isStale = found == this->records.end() || found->second.until != since + this->options.duration;
+        const bool isExpired = since + this->options.duration <= this->clock.now();
+        const bool isFull = this->records.size() >= this->options.remembered;
+        if (!isStale && !isExpired && !isFull) {
+            return;
+        }
+        if (!isStale) {
+            this->records.erase(found);
+        }
+        this->ages.pop_front();
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/LibRouting/TestQuarantine.cpp
@@ -0,0 +1,89 @@
+#include <LibBase/ManualClock.h>
+#include <LibRouting/Quarantine.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+const ContentFingerprint poison(1);
+const ContentFingerprint bystander(2);
+
+CrashPoint lossAt(const char *endpoint, const char *domain, SteadyTime sent, SteadyTime seen)
+{
+    return {EndpointName(endpoint), FailureDomain(domain), sent, seen};
+}
+
+} // namespace
+
+TEST_CASE("a request that is sent again after each loss reaches two endpoints and no third")
+{
+    // The caller sees its request refused instead of a site without endpoints. The first endpoint is lost, the retry
+    // goes to another one and takes that down as well; the caller's resend under a new id has the same content.
+    ManualClock clock;
+    Quarantine quarantine(clock, {});
+    CHECK(quarantine.lost(poison, lossAt("a", "one", clock.now(), clock.now())) == Standing::Suspect);
+    clock.advance(std::chrono::milliseconds(10));
+    CHECK(quarantine.lost(poison, lossAt("b", "one", clock.now(), clock.now())) == Standing::Quarantined);
+    CHECK(quarantine.remaining(poison) == Quarantine::Options().duration);
+    clock.advance(Quarantine::Options().duration);
+    CHECK(quarantine.standing(poison) == Standing::Clear);
+}
+
+TEST_CASE("the same loss told again by other nodes counts once")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock, {});
+    const CrashPoint loss = lossAt("a", "one", clock.now(), clock.now() + std::chrono::milliseconds(5));
+    CHECK(quarantine.lost(poison, loss) == Standing::Suspect);
+    clock.advance(std::chrono::milliseconds(100));
+    CHECK(quarantine.lost(poison, loss) == Standing::Suspect);
+}
+
+TEST_CASE("a popular request that ran on several endpoints of a lost failure domain is not quarantined")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock, {});
+    const SteadyTime sent = clock.now();
+    clock.advance(std::chrono::milliseconds(50));
+    CHECK(quarantine.lost(bystander, lossAt("a", "one", sent, clock.now())) == Standing::Suspect);
+    clock.advance(std::chrono::milliseconds(1));
+    CHECK(quarantine.lost(bystander, lossAt("b", "one", sent, clock.now())) == Standing::Suspect);
+}
+
+TEST_CASE("a bystander is cleared by its first success, and a later loss starts from nothing")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock, {});
+    quarantine.lost(bystander, lossAt("a", "one", clock.now(), clock.now()));
+    CHECK(quarantine.succeeded(bystander));
+    clock.advance(std::chrono::milliseconds(10));
+    CHECK(quarantine.lost(bystander, lossAt("b", "two", clock.now(), clock.now())) == Standing::Suspect);
+}
+
+TEST_CASE("a suspicion ends by itself, and the number of records is bounded")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock, {.remembered = 3});
+    for (std::uint64_t i = 10; i < 20; ++i) {
+        quarantine.lost(ContentFingerprint(i), lossAt("a", "one", clock.now(), clock.now()));
+        clock.advance(std::chrono::milliseconds(1));
+    }
+    CHECK(quarantine.size() <= 3);
+    CHECK(quarantine.standing(ContentFingerprint(19)) == Standing::Suspect);
+    clock.advance(Quarantine::Options().duration);
+    CHECK(quarantine.standing(ContentFingerprint(19)) == Standing::Clear);
+}
+
+TEST_CASE("the content is known again under another length or as a batch item, and not for another model")
+{
+    const std::string online = R"({"model":"m","prompt":"a trail","stream":true})";
+    const std::string item = R"({"prompt":"a trail","max_tokens":5})";
+    CHECK(contentFingerprint("m", online) == contentFingerprint("m", item));
+    CHECK(contentFingerprint("m", online) != contentFingerprint("other", online));
+    CHECK(contentFingerprint("s", "plain one") != contentFingerprint("s", "plain two"));
+}
