--- a/Benchmarks/Support/LocalFleet.cpp
+++ b/Benchmarks/Support/LocalFleet.cpp
@@ -141,8 +141,8 @@
     const std::string any = "\"" + address.ip + ":0\"";
     const std::string own = "[node]\nvm = \"" + name + "\"\nfailure_domain = \"" + place.failureDomain + "\"\n[listen]\nhttp = \""
         + address.toString() + "\"\nowner = " + any + "\ngossip = " + any + "\nlane = " + any + "\n";
-    const std::string files = this->writeFile("base.toml", this->sharedSettings) + ',' + this->writeFile(name + ".toml", own)
-        + ',' + this->writeFile(name + "-overlay.toml", place.overlay);
+    const std::string files = this->writeFile(name + "-base.toml", this->sharedSettings) + ','
+        + this->writeFile(name + ".toml", own) + ',' + this->writeFile(name + "-overlay.toml", place.overlay);
     const std::size_t index
         = this->start(name, {this->programs + "/Programs/dogwoodkeel", "serve", "--settings=" + files}, address);
     this->nodeIndexes.push_back(index);
