LibSettings: Let each task swap its settings by a message

Cause: the tasks held references into one Settings that lived as long as the process, so a configuration could come into force by a restart only.

Ruled out: assigning a new Settings over the old one on each task keeps the call sites as they were, but copies every tenant and endpoint once per task, and breaks whoever holds a reference into a list.

Change: a task owns a SettingsHandle; its services read through it, and putInForce() swaps the shared, immutable Settings between two turns of the loop. Replicas no longer move: one that stays keeps its load and health, one that was taken out lives until its last request has ended. Lanes take the new capacity and give places up at once.

--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -20,6 +20,12 @@
     this->notices.erase(entry);
 }
 
+void Lane::resize(std::uint32_t capacity, std::uint32_t headroom)
+{
+    this->capacity = capacity;
+    this->headroom = headroom;
+}
+
 void Lane::itemStarted()
 {
     ++this->items;
--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -30,6 +30,9 @@
     /** An entry is gone, and its requests with it. */
     void forget(SessionNumber entry);
 
+    /** The settings say otherwise now. Counts what the constructor's parameters do. */
+    void resize(std::uint32_t capacity, std::uint32_t headroom);
+
     void itemStarted();
     void itemStopped();
 
--- a/Libraries/LibFleet/ReplicaTable.cpp
+++ b/Libraries/LibFleet/ReplicaTable.cpp
@@ -1,34 +1,52 @@
 #include <LibFleet/ReplicaTable.h>
 
 #include <algorithm>
+#include <list>
 
 namespace Dogwoodkeel
 {
 
 ReplicaTable::ReplicaTable(const std::vector<EndpointSettings> &endpoints)
 {
+    this->update(endpoints);
+}
+
+void ReplicaTable::update(const std::vector<EndpointSettings> &endpoints)
+{
+    std::list<Replica> before;
+    before.swap(this->replicas);
+    std::unordered_map<std::string, std::list<Replica>::iterator> known;
+    for (auto replica = before.begin(); replica != before.end(); ++replica) {
+        known[replica->name.value()] = replica;
+    }
+    this->byService.clear();
     for (const EndpointSettings &endpoint : endpoints) {
-        const std::string &serves = endpoint.model.empty() ? endpoint.service : endpoint.model;
-        this->byService[serves].push_back(this->replicas.size());
-        this->replicas.push_back({.name = EndpointName(endpoint.name),
-                                  .address = endpoint.address,
-                                  .failureDomain = FailureDomain(endpoint.failureDomain),
-                                  .serves = serves,
-                                  .capacity = static_cast<std::uint32_t>(endpoint.capacity)});
+        const auto found = known.find(endpoint.name);
+        // Another address is another endpoint: what was learnt of the old one, and its load, do not hold for it.
+        if (found != known.end() && found->second->address == endpoint.address) {
+            this->replicas.splice(this->replicas.end(), before, found->second);
+            known.erase(found);
+        } else {
+            this->replicas.emplace_back();
+        }
+        Replica &replica = this->replicas.back();
+        replica.name = EndpointName(endpoint.name);
+        replica.address = endpoint.address;
+        replica.failureDomain = FailureDomain(endpoint.failureDomain);
+        replica.serves = endpoint.model.empty() ? endpoint.service : endpoint.model;
+        replica.capacity = static_cast<std::uint32_t>(endpoint.capacity);
+        this->byService[replica.serves].push_back(&replica);
     }
+    this->removed.splice(this->removed.end(), before);
+    this->removed.remove_if([](const Replica &replica) {
+        return replica.inFlight == 0;
+    });
 }
 
 std::vector<Replica *> ReplicaTable::of(const std::string &serves)
 {
-    std::vector<Replica *> found;
-    const auto indexes = this->byService.find(serves);
-    if (indexes == this->byService.end()) {
-        return found;
-    }
-    for (const std::size_t index : indexes->second) {
-        found.push_back(&this->replicas[index]);
-    }
-    return found;
+    const auto found = this->byService.find(serves);
+    return found != this->byService.end() ? found->second : std::vector<Replica *>();
 }
 
 Replica *ReplicaTable::find(const EndpointName &name)
@@ -37,7 +55,7 @@
     return found != this->replicas.end() ? &*found : nullptr;
 }
 
-std::vector<Replica> &ReplicaTable::all()
+std::list<Replica> &ReplicaTable::all()
 {
     return this->replicas;
 }
--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -3,6 +3,7 @@
 #include <LibFleet/Replica.h>
 #include <LibSettings/Generated/Settings.h>
 
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,11 +24,18 @@
     /** @return a replica, or null. */
     Replica *find(const EndpointName &name);
 
-    std::vector<Replica> &all();
+    std::list<Replica> &all();
+
+    /**
+     * Put other endpoints into force. What is known of a replica that stays is kept; one that was taken out is no longer
+     * found, and lives on until its last request has ended. Replicas never move, so pointers to them stay good.
+     */
+    void update(const std::vector<EndpointSettings> &endpoints);
 
 private:
-    std::vector<Replica> replicas;
-    std::unordered_map<std::string, std::vector<std::size_t>> byService;
+    std::list<Replica> replicas;
+    std::list<Replica> removed;
+    std::unordered_map<std::string, std::vector<Replica *>> byService;
 };
 
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -18,26 +18,26 @@
 constexpr std::chrono::milliseconds watchInterval{100};
 constexpr std::chrono::milliseconds pollInterval{20};
 
-std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const PlatformSettings &settings)
+std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings)
 {
-    if (settings.kind == PlatformKind::Embedded) {
+    if (settings->platform.kind == PlatformKind::Embedded) {
         const auto store = std::make_shared<EmbeddedStore>();
         return [store](EventLoop &loop) {
             return std::make_unique<EmbeddedPlatform>(store, loop);
         };
     }
-    return [&settings](EventLoop &loop) {
-        return std::make_unique<HttpPlatform>(loop, settings.address, settings.timeout);
+    return [settings](EventLoop &loop) {
+        return std::make_unique<HttpPlatform>(loop, settings->platform.address, settings->platform.timeout);
     };
 }
 
 } // namespace
 
-Node::Node(const Clock &clock, const Settings &settings)
+Node::Node(const Clock &clock, SettingsPointer settings)
     : clock(clock)
-    , settings(settings)
-    , makePlatform(platformFactory(settings.platform))
-    , security{MessageKey(settings.peers.siteKey), static_cast<std::size_t>(settings.peers.frameBytes)}
+    , settings(std::move(settings))
+    , makePlatform(platformFactory(this->settings))
+    , security{MessageKey(this->settings->peers.siteKey), static_cast<std::size_t>(this->settings->peers.frameBytes)}
 {
 }
 
@@ -67,8 +67,8 @@
 
     Member member;
     member.session = this->self;
-    member.vm = VmName(this->settings.node.vm);
-    member.failureDomain = FailureDomain(this->settings.node.failureDomain);
+    member.vm = VmName(this->settings->node.vm);
+    member.failureDomain = FailureDomain(this->settings->node.failureDomain);
     member.owner = this->owner->ask<Address>([](OwnerTask &task) {
         return task.address();
     });
@@ -139,7 +139,7 @@
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
-    const SteadyTime deadline = this->clock.now() + this->settings.entry.drain;
+    const SteadyTime deadline = this->clock.now() + this->settings->entry.drain;
     this->watch.reset();
     // Callers may hold an answer of /v1/entries that names this node until its time to live has passed: it goes on
     // serving for that long, and nobody is told of it any more.
@@ -155,7 +155,7 @@
             laneDone->store(true);
         });
     });
-    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings.entry.entryTtl);
+    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings->entry.entryTtl);
     this->waitFor(
         [] {
             return false;
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -2,7 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMetrics/NodeMetrics.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
 #include <Services/Entry/EntryTask.h>
@@ -18,7 +18,7 @@
 class Node
 {
 public:
-    Node(const Clock &clock, const Settings &settings);
+    Node(const Clock &clock, SettingsPointer settings);
 
     /** Start; returns when the node takes requests. @throws std::runtime_error if it cannot listen */
     void start();
@@ -38,7 +38,7 @@
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
     const Clock &clock;
-    const Settings &settings;
+    SettingsPointer settings;
     NodeMetrics metrics;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
--- a/Programs/dogwoodkeel/ServeCommand.cpp
+++ b/Programs/dogwoodkeel/ServeCommand.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <memory>
 #include <sstream>
 
 namespace Dogwoodkeel
@@ -50,7 +51,7 @@
 ExitCode runServe(const std::vector<std::string> &)
 {
     Findings findings;
-    const std::optional<Settings> settings = loadServeSettings(findings);
+    std::optional<Settings> settings = loadServeSettings(findings);
     if (!settings) {
         std::fputs(findings.toString().c_str(), stderr);
         return ExitCode::Usage;
@@ -59,7 +60,7 @@
     startLog(settings->node.vm, levelOf(settings->node.log));
     const SystemClock clock;
     try {
-        Node node(clock, *settings);
+        Node node(clock, std::make_shared<const Settings>(*std::move(settings)));
         node.start();
         log(LogLevel::Info, "serving", {{"address", node.httpAddress().toString()}});
         int signal = 0;
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -27,7 +27,7 @@
 
 ControlTask::ControlTask(EventLoop &loop,
                          const Clock &clock,
-                         const Settings &settings,
+                         const SettingsPointer &settings,
                          const PeerSecurity &security,
                          const PlatformFactory &makePlatform)
     : loop(loop)
@@ -35,7 +35,7 @@
     , settings(settings)
     , platform(makePlatform(loop))
     , sessions(*this->platform, loop)
-    , datagrams(loop, settings.listen.gossip, security.siteKey, [this](const Datagram &datagram) {
+    , datagrams(loop, settings->listen.gossip, security.siteKey, [this](const Datagram &datagram) {
         this->receive(datagram);
     })
 {
@@ -44,8 +44,8 @@
 void ControlTask::openSession(std::function<void(SessionNumber)> opened)
 {
     SessionRow row;
-    row.vm = VmName(this->settings.node.vm);
-    row.failureDomain = FailureDomain(this->settings.node.failureDomain);
+    row.vm = VmName(this->settings->node.vm);
+    row.failureDomain = FailureDomain(this->settings->node.failureDomain);
     row.gossip = this->datagrams.address();
     row.started = this->clock.wallNow();
     this->sessions.open(row, [this, opened = std::move(opened)](SessionNumber number) {
@@ -72,9 +72,13 @@
             },
         .onChange = std::move(onChange),
     };
-    this->membership.emplace(
-        this->clock, this->loop, membershipOptions(this->settings), std::move(self), std::random_device()(), std::move(hooks));
-    this->membership->start(this->settings.peers.seeds);
+    this->membership.emplace(this->clock,
+                             this->loop,
+                             membershipOptions(this->settings.current()),
+                             std::move(self),
+                             std::random_device()(),
+                             std::move(hooks));
+    this->membership->start(this->settings->peers.seeds);
     this->meetOthers();
 }
 
@@ -82,7 +86,7 @@
 {
     // Nodes that lost sight of each other for longer than they remember the dead would never meet again by gossip alone;
     // the platform's rows and the seeds name them.
-    this->membership->contact(this->settings.peers.seeds);
+    this->membership->contact(this->settings->peers.seeds);
     this->sessions.list([this](const std::optional<std::vector<SessionRegistry::Listed>> &listed) {
         std::vector<Address> strangers;
         for (const SessionRegistry::Listed &session : listed.value_or(std::vector<SessionRegistry::Listed>())) {
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,7 +4,7 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerLink.h>
@@ -25,7 +25,7 @@
     /** @throws std::runtime_error if it cannot take datagrams */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
-                const Settings &settings,
+                const SettingsPointer &settings,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -57,7 +57,7 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     SessionRegistry sessions;
     DatagramSocket datagrams;
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -130,7 +130,7 @@
 
 void BatchApi::submit(const Caller &caller, const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
 {
-    const BatchSettings &batch = this->context.settings.batch;
+    const BatchSettings &batch = this->context.settings->batch;
     const JobBounds bounds{static_cast<std::size_t>(batch.items),
                            static_cast<std::size_t>(batch.itemBytes),
                            static_cast<std::size_t>(batch.itemsPerObject)};
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -5,7 +5,7 @@
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
@@ -20,7 +20,7 @@
 {
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    const SettingsHandle &settings;
     SessionNumber self;
     HttpClient &http;
     OwnerClient &owners;
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -58,7 +58,7 @@
 
 EntryService::EntryService(EntryContext &context)
     : context(context)
-    , authenticator(context.settings.tenants)
+    , authenticator(context.settings->tenants)
     , batches(context)
     , view(std::make_shared<MemberView>(std::vector<Member>()))
 {
@@ -69,6 +69,11 @@
     this->view = std::move(view);
 }
 
+void EntryService::settingsChanged()
+{
+    this->authenticator = Authenticator(this->context.settings->tenants);
+}
+
 void EntryService::setReady(bool isReady)
 {
     this->ready = isReady;
@@ -174,7 +179,7 @@
     durable.isNonIdempotent = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     durable.request = {.method = "POST", .path = request.path, .headers = {{"Content-Type", "application/json"}}};
     durable.serves = completion->model;
-    durable.timeout = this->context.settings.entry.requestTimeout;
+    durable.timeout = this->context.settings->entry.requestTimeout;
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
@@ -184,7 +189,7 @@
     const std::string_view rest = std::string_view(request.path).substr(servicesPath.size());
     const std::size_t slash = std::min(rest.find('/'), rest.size());
     const std::string name(rest.substr(0, slash));
-    const auto &services = this->context.settings.services;
+    const auto &services = this->context.settings->services;
     const auto service = std::ranges::find(services, name, &ServiceSettings::name);
     if (service == services.end()) {
         refuse(*reply, statusNotFound, "no_such_service", "there is no service " + name);
@@ -251,9 +256,9 @@
 
 void EntryService::serveEntries(const HttpRequest &request, const Reply &reply)
 {
-    const EntrySettings &settings = this->context.settings.entry;
+    const EntrySettings &settings = this->context.settings->entry;
     const std::string caller = queryValue(request.query, "caller").value_or(std::string());
-    const FailureDomain domain(queryValue(request.query, "failure_domain").value_or(this->context.settings.node.failureDomain));
+    const FailureDomain domain(queryValue(request.query, "failure_domain").value_or(this->context.settings->node.failureDomain));
     std::vector<const Member *> members;
     for (const Member &member : this->view->members()) {
         if (member.state == MemberState::Alive) {
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -24,6 +24,9 @@
 
     void setView(MemberViewPointer view);
 
+    /** The settings of the context were replaced. */
+    void settingsChanged();
+
     /** @param isReady what GET /readyz tells */
     void setReady(bool isReady);
 
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -19,23 +19,24 @@
 
 EntryTask::EntryTask(EventLoop &loop,
                      const Clock &clock,
-                     const Settings &settings,
+                     const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics)
     : loop(loop)
+    , settings(settings)
     , platform(makePlatform(loop))
     , peers(loop, security)
-    , owners(loop, clock, this->peers, ownerOptions(settings))
+    , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
-    , replicas(settings.endpoints)
-    , datagrams(loop, {settings.listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , replicas(settings->endpoints)
+    , datagrams(loop, {settings->listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
     , context{loop,
               clock,
-              settings,
+              this->settings,
               self,
               this->http,
               this->owners,
@@ -46,8 +47,8 @@
               this->random}
     , service(this->context)
     , server(loop,
-             settings.listen.http,
-             {static_cast<std::uint64_t>(settings.entry.jobBytes)},
+             settings->listen.http,
+             {static_cast<std::uint64_t>(settings->entry.jobBytes)},
              [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
                  this->service.serve(request, reply);
              })
@@ -72,6 +73,15 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::putInForce(const SettingsPointer &settings)
+{
+    this->settings.replace(settings);
+    // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
+    this->notices.flush();
+    this->replicas.update(settings->endpoints);
+    this->service.settingsChanged();
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -5,7 +5,7 @@
 #include <LibMembership/MemberView.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
@@ -26,7 +26,7 @@
     /** @throws std::runtime_error if it cannot listen */
     EntryTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
@@ -38,6 +38,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** Put a new configuration into force; requests that run go on with what they have. */
+    void putInForce(const SettingsPointer &settings);
+
     /** Take no new connections. */
     void drain();
 
@@ -48,6 +51,7 @@
     void repeatNotices();
 
     EventLoop &loop;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     PeerClient peers;
     OwnerClient owners;
--- a/Services/Entry/LoadNotices.cpp
+++ b/Services/Entry/LoadNotices.cpp
@@ -32,7 +32,7 @@
     }
 }
 
-void LoadNotices::repeat(const std::vector<Replica> &replicas)
+void LoadNotices::repeat(const std::list<Replica> &replicas)
 {
     for (const Replica &replica : replicas) {
         if (replica.inFlight > 0) {
--- a/Services/Entry/LoadNotices.h
+++ b/Services/Entry/LoadNotices.h
@@ -5,6 +5,7 @@
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 
+#include <list>
 #include <set>
 
 namespace Dogwoodkeel
@@ -25,10 +26,12 @@
     void changed(const Replica &replica);
 
     /** Repeat the numbers of all replicas in use. */
-    void repeat(const std::vector<Replica> &replicas);
+    void repeat(const std::list<Replica> &replicas);
 
-private:
+    /** Tell of the changes so far now, before replicas are taken out. */
     void flush();
+
+private:
     void send(const EndpointName &name, std::uint32_t inFlight);
 
     EventLoop &loop;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -117,9 +117,9 @@
 
 void OnlineRequest::dispatch()
 {
-    const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->request.serves), wish, this->context.random);
-    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings.entry.attempts);
+    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted || this->context.clock.now() >= this->deadline) {
         const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
         this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", run, comeBack});
@@ -181,7 +181,7 @@
 {
     this->context.loop.cancel(this->progressTimer);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
-    const auto wait = std::max(std::chrono::milliseconds(0), std::min(left, this->context.settings.entry.progressTimeout));
+    const auto wait = std::max(std::chrono::milliseconds(0), std::min(left, this->context.settings->entry.progressTimeout));
     this->progressTimer = this->context.loop.schedule(wait, [self = this->shared_from_this()] {
         self->onSilence();
     });
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -34,9 +34,9 @@
 
 void PlainCall::dispatch()
 {
-    const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->service.name), wish, this->context.random);
-    const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings.entry.attempts);
+    const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings->entry.attempts);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
     if (chosen == nullptr || isExhausted || left.count() <= 0) {
         const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -27,7 +27,8 @@
     void onEnd(Replica &replica, ExchangeEnd end, const HttpResponse &response);
 
     EntryContext &context;
-    const ServiceSettings &service;
+    /** A copy: the settings may be replaced while the call runs. */
+    ServiceSettings service;
     HttpRequest request;
     std::shared_ptr<HttpReply> reply;
     SteadyTime started;
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -20,14 +20,14 @@
 } // namespace
 
 LaneService::LaneService(
-    EventLoop &loop, const Clock &clock, const Settings &settings, SessionNumber self, PeerClient &peers, HttpClient &http)
+    EventLoop &loop, const Clock &clock, const SettingsHandle &settings, SessionNumber self, PeerClient &peers, HttpClient &http)
     : loop(loop)
     , clock(clock)
     , settings(settings)
     , self(self)
     , peers(peers)
     , http(http)
-    , replicas(settings.endpoints)
+    , replicas(settings->endpoints)
     , view(std::make_shared<MemberView>(std::vector<Member>()))
 {
 }
@@ -54,12 +54,28 @@
     this->view = std::move(view);
 }
 
+void LaneService::settingsChanged()
+{
+    this->replicas.update(this->settings->endpoints);
+    const auto headroom = static_cast<std::uint32_t>(this->settings->batch.headroom);
+    for (auto held = this->lanes.begin(); held != this->lanes.end();) {
+        const Replica *const replica = this->replicas.find(held->first);
+        if (replica != nullptr) {
+            held->second.serves = replica->serves;
+            held->second.lane.resize(replica->capacity, headroom);
+            this->yield(held->second);
+        }
+        const bool isOver = replica == nullptr && held->second.runs.empty();
+        held = isOver ? this->lanes.erase(held) : std::next(held);
+    }
+}
+
 void LaneService::observe(const ReplicaLoad &notice)
 {
     const auto found = this->lanes.find(notice.endpoint);
     if (found != this->lanes.end()) {
         found->second.lane.observeOnline(notice.from, notice.sequence, notice.inFlight);
-        this->yield(*this->replicas.find(notice.endpoint), found->second);
+        this->yield(found->second);
     }
 }
 
@@ -91,7 +107,7 @@
     if (this->draining && this->drained && this->isIdle()) {
         std::exchange(this->drained, nullptr)();
     }
-    this->loop.schedule(this->settings.batch.pullInterval, [this, alive = this->alive] {
+    this->loop.schedule(this->settings->batch.pullInterval, [this, alive = this->alive] {
         if (*alive) {
             this->tick();
         }
@@ -100,14 +116,14 @@
 
 void LaneService::takeLanes()
 {
-    const auto headroom = static_cast<std::uint32_t>(this->settings.batch.headroom);
-    for (const EndpointSettings &endpoint : this->settings.endpoints) {
+    const auto headroom = static_cast<std::uint32_t>(this->settings->batch.headroom);
+    for (const EndpointSettings &endpoint : this->settings->endpoints) {
         const EndpointName name(endpoint.name);
         const Member *const holder = this->view->holderOf(name);
         const bool isOurs = holder != nullptr && holder->session == this->self && !endpoint.model.empty() && !this->draining;
         const auto held = this->lanes.find(name);
         if (isOurs && held == this->lanes.end()) {
-            this->lanes.emplace(name, HeldLane(static_cast<std::uint32_t>(endpoint.capacity), headroom));
+            this->lanes.emplace(name, HeldLane(endpoint.model, static_cast<std::uint32_t>(endpoint.capacity), headroom));
         }
         if (!isOurs && held != this->lanes.end() && held->second.runs.empty()) {
             this->lanes.erase(held);
@@ -115,7 +131,7 @@
     }
 }
 
-void LaneService::yield(const Replica &replica, HeldLane &held)
+void LaneService::yield(HeldLane &held)
 {
     std::uint32_t excess = held.lane.excess();
     // The items with the fewest tokens lose the least by stopping.
@@ -128,7 +144,7 @@
         held.lane.itemStopped();
         --item.attempts;
         --excess;
-        this->waiting[replica.serves].push_front(std::move(item));
+        this->waiting[held.serves].push_front(std::move(item));
     }
 }
 
@@ -163,7 +179,7 @@
     const Member &owner = *owners[this->nextOwner++ % owners.size()];
     this->peers.call<PullItemsRequest>(owner.owner,
                                        {model, itemsPerPull, this->self},
-                                       this->settings.peers.callTimeout,
+                                       this->settings->peers.callTimeout,
                                        [this, model, alive = this->alive](CallResult<PullItemsResponse> result) {
                                            if (!*alive) {
                                                return;
@@ -199,7 +215,7 @@
     std::erase(held.runs, run);
     held.lane.itemStopped();
     HeldItem item = run->held();
-    const bool isLastAttempt = item.attempts >= static_cast<std::uint32_t>(this->settings.batch.itemAttempts);
+    const bool isLastAttempt = item.attempts >= static_cast<std::uint32_t>(this->settings->batch.itemAttempts);
     switch (end) {
     case RunEnd::Finished:
         this->addResult(item, ItemStatus::Succeeded, detail);
@@ -218,7 +234,7 @@
         break;
     }
     if (!this->draining) {
-        this->waiting[this->replicas.find(replica)->serves].push_back(std::move(item));
+        this->waiting[held.serves].push_back(std::move(item));
     }
 }
 
@@ -248,7 +264,7 @@
 
 const Member *LaneService::ownerOf(const JobId &job) const
 {
-    const auto shards = static_cast<std::uint64_t>(this->settings.owner.shards);
+    const auto shards = static_cast<std::uint64_t>(this->settings->owner.shards);
     return this->view->ownerOf(ShardNumber(static_cast<std::uint32_t>(stableHash(job.value()) % shards)));
 }
 
@@ -273,7 +289,7 @@
     }
     this->peers.call<CommitItemsRequest>(owner->owner,
                                          {results, this->self},
-                                         this->settings.peers.callTimeout,
+                                         this->settings->peers.callTimeout,
                                          [this, results, again, alive = this->alive](CallResult<CommitItemsResponse> result) {
                                              if (!*alive) {
                                                  return;
@@ -298,7 +314,7 @@
 
 void LaneService::renewLeases()
 {
-    if (this->clock.now() - this->lastRenewal < this->settings.batch.itemLease / 4) {
+    if (this->clock.now() - this->lastRenewal < this->settings->batch.itemLease / 4) {
         return;
     }
     this->lastRenewal = this->clock.now();
@@ -322,7 +338,7 @@
     for (const auto &[owner, owned] : byOwner) {
         this->peers.call<RenewItemsRequest>(owner,
                                             {owned, this->self},
-                                            this->settings.peers.callTimeout,
+                                            this->settings->peers.callTimeout,
                                             [this, alive = this->alive](CallResult<RenewItemsResponse> result) {
                                                 if (!*alive || !result.response) {
                                                     return;
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -5,7 +5,7 @@
 #include <LibFleet/ReplicaTable.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMembership/MemberView.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Lane/ItemRun.h>
@@ -25,8 +25,12 @@
 class LaneService
 {
 public:
-    LaneService(
-        EventLoop &loop, const Clock &clock, const Settings &settings, SessionNumber self, PeerClient &peers, HttpClient &http);
+    LaneService(EventLoop &loop,
+                const Clock &clock,
+                const SettingsHandle &settings,
+                SessionNumber self,
+                PeerClient &peers,
+                HttpClient &http);
     ~LaneService();
     LaneService(const LaneService &) = delete;
     LaneService &operator=(const LaneService &) = delete;
@@ -34,6 +38,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** The settings behind the handle were replaced. */
+    void settingsChanged();
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
@@ -43,17 +50,20 @@
 private:
     struct HeldLane
     {
-        explicit HeldLane(std::uint32_t capacity, std::uint32_t headroom) : lane(capacity, headroom)
+        HeldLane(std::string serves, std::uint32_t capacity, std::uint32_t headroom)
+            : serves(std::move(serves)), lane(capacity, headroom)
         {
         }
 
+        /** The model; kept here because a new configuration may take the endpoint out while items run there. */
+        std::string serves;
         Lane lane;
         std::vector<std::shared_ptr<ItemRun>> runs;
     };
 
     void tick();
     void takeLanes();
-    void yield(const Replica &replica, HeldLane &held);
+    void yield(HeldLane &held);
     void fill(const Replica &replica, HeldLane &held);
     void pull(const std::string &model);
     void startItem(const Replica &replica, HeldLane &held, HeldItem item);
@@ -68,7 +78,7 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    const SettingsHandle &settings;
     SessionNumber self;
     PeerClient &peers;
     HttpClient &http;
--- a/Services/Lane/LaneTask.h
+++ b/Services/Lane/LaneTask.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <Services/Lane/LaneService.h>
@@ -14,11 +14,13 @@
 {
 public:
     /** @throws std::runtime_error if it cannot take datagrams */
-    LaneTask(EventLoop &loop, const Clock &clock, const Settings &settings, SessionNumber self, const PeerSecurity &security)
-        : peers(loop, security)
+    LaneTask(
+        EventLoop &loop, const Clock &clock, const SettingsPointer &settings, SessionNumber self, const PeerSecurity &security)
+        : settings(settings)
+        , peers(loop, security)
         , http(loop)
-        , service(loop, clock, settings, self, this->peers, this->http)
-        , datagrams(loop, settings.listen.lane, security.siteKey, [this](const Datagram &datagram) {
+        , service(loop, clock, this->settings, self, this->peers, this->http)
+        , datagrams(loop, settings->listen.lane, security.siteKey, [this](const Datagram &datagram) {
             this->receive(datagram);
         })
     {
@@ -35,6 +37,13 @@
         return this->service;
     }
 
+    /** Put a new configuration into force; items that run go on. */
+    void putInForce(const SettingsPointer &settings)
+    {
+        this->settings.replace(settings);
+        this->service.settingsChanged();
+    }
+
 private:
     void receive(const Datagram &datagram)
     {
@@ -46,6 +55,7 @@
         }
     }
 
+    SettingsHandle settings;
     PeerClient peers;
     HttpClient http;
     LaneService service;
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -48,11 +48,11 @@
 } // namespace
 
 OwnerService::OwnerService(
-    Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self)
+    Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self)
     : scheduler(scheduler)
     , settings(settings)
-    , journal(platform, scheduler, clock, self, journalOptions(settings))
-    , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings))
+    , journal(platform, scheduler, clock, self, journalOptions(settings.current()))
+    , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
     , items(platform.objects(), itemObjectsKept)
 {
 }
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -3,7 +3,7 @@
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/ItemReader.h>
 #include <Services/Owner/ShardKeeper.h>
@@ -21,7 +21,8 @@
 class OwnerService
 {
 public:
-    OwnerService(Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self);
+    OwnerService(
+        Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -71,7 +72,7 @@
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
 
     Scheduler &scheduler;
-    const Settings &settings;
+    const SettingsHandle &settings;
     JournalWriter journal;
     ShardKeeper keeper;
     ItemReader items;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -3,7 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
@@ -23,13 +23,14 @@
     /** @throws std::runtime_error if it cannot listen */
     OwnerTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform)
-        : platform(makePlatform(loop))
-        , server(loop, settings.listen.owner, security)
-        , service(loop, clock, *this->platform, settings, self)
+        : settings(settings)
+        , platform(makePlatform(loop))
+        , server(loop, settings->listen.owner, security)
+        , service(loop, clock, *this->platform, this->settings, self)
     {
         this->service.serve(this->server);
     }
@@ -45,7 +46,14 @@
         return this->service;
     }
 
+    /** Put a new configuration into force. */
+    void putInForce(const SettingsPointer &settings)
+    {
+        this->settings.replace(settings);
+    }
+
 private:
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     PeerServer server;
     OwnerService service;
