--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -3,7 +3,7 @@
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/BatchOwner.h>
 #include <Services/Owner/ShardKeeper.h>
@@ -21,6 +21,7 @@
 class OwnerService
 {
 public:
+<<<<<<< HEAD
     /** @param tellStopped see BatchOwner::TellStopped */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
@@ -28,6 +29,10 @@
                  const Settings &settings,
                  SessionNumber self,
                  BatchOwner::TellStopped tellStopped);
+=======
+    OwnerService(
+        Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self);
+>>>>>>> main
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -69,7 +74,7 @@
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
 
     Scheduler &scheduler;
-    const Settings &settings;
+    const SettingsHandle &settings;
     JournalWriter journal;
     ShardKeeper keeper;
     BatchOwner batch;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -3,7 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerServer.h>
@@ -24,14 +24,15 @@
     /** @throws std::runtime_error if it cannot listen */
     OwnerTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform)
-        : platform(makePlatform(loop))
-        , server(loop, settings.listen.owner, security)
-        , datagrams(loop, {settings.listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
-        , service(loop, clock, *this->platform, settings, self, [this](const Address &lane, const JobStopped &stopped) {
+        : settings(settings)
+        , platform(makePlatform(loop))
+        , server(loop, settings->listen.owner, security)
+        , datagrams(loop, {settings->listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
+        , service(loop, clock, *this->platform, this->settings, self, [this](const Address &lane, const JobStopped &stopped) {
             this->datagrams.send(lane, stopped);
         })
     {
@@ -49,7 +50,14 @@
         return this->service;
     }
 
+    /** Put a new configuration into force. */
+    void putInForce(const SettingsPointer &settings)
+    {
+        this->settings.replace(settings);
+    }
+
 private:
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     PeerServer server;
     DatagramSocket datagrams;
