Services: Cancel at once, take over with what runs

Change: the owner tells the runners by datagram, repeated, and again when they renew; lanes cancel by id at the engine and by closing the connection, drop what they have pulled, and remember stopped jobs for a minute, since items may still be on their way. Runners name the items they hold when they renew: a new owner learns of the leases, and items whose handing out was lost run out. Items that wait are given back at a planned stop.

Lanes: headroom is learned from how fast online requests came within one reaction time, and the number of streams beside online ones from how the engine's time per token grew. A holder that took a lane over, or that stood still, goes by the engine's reports until they show nothing strange. A lane that is given up sees its items through, and gives way to what queues at the engine. Runs that make no progress are stopped and run again over a new connection. Items that ran on a lost endpoint run one at a time on a replica and fail after the second loss; a bystander used to fail after three losses it had nothing to do with.

--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -1,29 +1,105 @@
 #include <LibBatch/Lane.h>
 
+#include <algorithm>
+
 namespace Dogwoodkeel
 {
 
-Lane::Lane(std::uint32_t capacity, std::uint32_t headroom) : capacity(capacity), headroom(headroom)
+namespace
+{
+
+/** Entries repeat a notice ten times a second while they have requests there. */
+constexpr std::chrono::milliseconds noticeLife{1000};
+/** Reports in a row without strange streams after which a lane is settled. They lag, so one is not enough. */
+constexpr std::uint32_t reportsToSettle = 3;
+/** Reports after which an unsettled lane may start items in the places that nothing shows as taken. */
+constexpr std::uint32_t reportsToStart = 2;
+/** Reports in a row with strange streams after which a settled lane no longer is: one shows what has just ended. */
+constexpr std::uint32_t reportsToUnsettle = 3;
+/** Streams beyond the known ones that are no sign of another holder: requests start and end while a report is made. */
+constexpr std::uint32_t toleratedStreams = 1;
+
+} // namespace
+
+Lane::Lane(const Clock &clock, const Options &options)
+    : clock(clock), options(options), rises(clock, options.reaction), reportsMissing(reportsToSettle)
+{
+}
+
+void Lane::configure(const Options &options)
 {
+    this->options = options;
 }
 
 void Lane::observeOnline(SessionNumber entry, std::uint64_t sequence, std::uint32_t inFlight)
 {
     Notice &notice = this->notices[entry];
-    if (sequence > notice.sequence) {
-        notice = {sequence, inFlight};
+    if (sequence <= notice.sequence) {
+        return;
     }
+    this->onlineSum += inFlight - notice.inFlight;
+    notice = {sequence, inFlight, this->clock.now()};
+    this->rises.observe(this->onlineSum);
 }
 
 void Lane::forget(SessionNumber entry)
 {
-    this->notices.erase(entry);
+    const auto found = this->notices.find(entry);
+    if (found != this->notices.end()) {
+        this->onlineSum -= found->second.inFlight;
+        this->notices.erase(found);
+        this->rises.observe(this->onlineSum);
+    }
+}
+
+void Lane::expireNotices()
+{
+    // The notice that says zero may be lost, and is not repeated: without this the places would stay kept for nobody.
+    const SteadyTime oldest = this->clock.now() - noticeLife;
+    for (auto &[entry, notice] : this->notices) {
+        if (notice.at < oldest && notice.inFlight > 0) {
+            this->onlineSum -= notice.inFlight;
+            notice.inFlight = 0;
+        }
+    }
+}
+
+void Lane::observeReport(const EngineReport &report)
+{
+    const std::uint32_t known = this->items + this->onlineSum;
+    const std::uint32_t reported = report.running + report.queued;
+    const std::uint32_t strange = reported > known + toleratedStreams ? reported - known : 0;
+    this->reportsStrange = strange > 0 ? this->reportsStrange + 1 : 0;
+    if (this->isSettled()) {
+        if (this->reportsStrange < reportsToUnsettle) {
+            return;
+        }
+        this->unsettle();
+    }
+    ++this->reportsSeen;
+    this->foreign = strange;
+    this->reportsMissing = strange > 0 ? reportsToSettle : this->reportsMissing - 1;
+}
+
+void Lane::observeGap(std::chrono::nanoseconds gap)
+{
+    this->steps.observe(gap, this->items + this->onlineSum);
+}
+
+void Lane::unsettle()
+{
+    this->reportsMissing = reportsToSettle;
+    this->reportsSeen = 0;
+}
+
+void Lane::settle()
+{
+    this->reportsMissing = 0;
 }
 
-void Lane::resize(std::uint32_t capacity, std::uint32_t headroom)
+bool Lane::isSettled() const
 {
-    this->capacity = capacity;
-    this->headroom = headroom;
+    return this->reportsMissing == 0;
 }
 
 void Lane::itemStarted()
@@ -36,26 +112,49 @@
     --this->items;
 }
 
-std::uint32_t Lane::online() const
+std::uint32_t Lane::limit() const
 {
-    std::uint32_t sum = 0;
-    for (const auto &[entry, notice] : this->notices) {
-        sum += notice.inFlight;
+    if (this->onlineSum == 0) {
+        return this->options.capacity;
     }
-    return sum;
+    const auto most = this->steps.mostStreams(this->onlineSum, this->options.slowdown);
+    return std::min(this->options.capacity, most.value_or(this->options.capacity));
 }
 
 std::uint32_t Lane::freePlaces() const
 {
-    const std::uint32_t taken = this->online() + this->headroom + this->items;
-    return taken < this->capacity ? this->capacity - taken : 0;
+    if (!this->isSettled() && this->reportsSeen < reportsToStart) {
+        return 0;
+    }
+    std::uint32_t limit = this->options.capacity;
+    std::uint32_t taken = this->items + (this->isSettled() ? 0 : this->foreign);
+    switch (this->options.policy) {
+    case LanePolicy::Yield:
+        limit = this->limit();
+        taken += this->onlineSum + this->headroom();
+        break;
+    case LanePolicy::FixedLimit:
+        limit = std::min(limit, this->options.fixedLimit);
+        break;
+    case LanePolicy::Unlimited:
+        break;
+    }
+    return taken < limit ? limit - taken : 0;
 }
 
 std::uint32_t Lane::excess() const
 {
-    const std::uint32_t online = this->online();
-    const std::uint32_t left = online < this->capacity ? this->capacity - online : 0;
-    return this->items > left ? this->items - left : 0;
+    if (this->options.policy != LanePolicy::Yield || this->onlineSum == 0) {
+        return 0;
+    }
+    const std::uint32_t limit = this->limit();
+    const std::uint32_t headroom = this->headroom();
+    const std::uint32_t taken = this->onlineSum + this->items + (this->isSettled() ? 0 : this->foreign);
+    // Half the headroom may be used up before items stop to give it back, else each single request would stop one.
+    if (taken + headroom / 2 <= limit) {
+        return 0;
+    }
+    return std::min(this->items, taken + headroom - limit);
 }
 
 std::uint32_t Lane::running() const
@@ -63,4 +162,15 @@
     return this->items;
 }
 
+std::uint32_t Lane::online() const
+{
+    return this->onlineSum;
+}
+
+std::uint32_t Lane::headroom() const
+{
+    // A replica that is kept wholly free for bursts would run no batch items at all.
+    return std::min(std::max(this->options.headroom, this->rises.value()), this->options.capacity / 2);
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -1,25 +1,62 @@
 #pragma once
 
+#include <LibBase/Clock.h>
 #include <LibBase/Identifiers.h>
+#include <LibBatch/HeadroomEstimate.h>
+#include <LibBatch/StepModel.h>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 
 namespace Dogwoodkeel
 {
 
+/** How a lane makes room for online requests. */
+enum class LanePolicy {
+    /** Batch items fill what online requests leave, and stop for them. */
+    Yield,
+    /** A fixed number of batch items, whatever runs beside them. */
+    FixedLimit,
+    /** Batch items take every place, and stop for nothing. */
+    Unlimited,
+};
+
+/** What an engine reports of itself, late. */
+struct EngineReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
 /**
  * How many batch items may run on one replica. Its holder alone starts batch work there, and so can stop it at once
  * when online requests come.
+ *
+ * A lane that was just taken, or whose holder was paused, is not settled: items of another holder may run there. Until
+ * the engine's reports have shown for a while that none do, what they show beyond what is known counts as taken.
  */
 class Lane
 {
 public:
-    /**
-     * @param capacity requests the replica runs side by side
-     * @param headroom places kept free for online requests that are not yet known of
-     */
-    Lane(std::uint32_t capacity, std::uint32_t headroom);
+    struct Options
+    {
+        LanePolicy policy = LanePolicy::Yield;
+        /** Requests the replica runs side by side. */
+        std::uint32_t capacity = 0;
+        /** Places kept free for online requests that are not yet known of, at least. */
+        std::uint32_t headroom = 0;
+        /** With FixedLimit. */
+        std::uint32_t fixedLimit = 0;
+        /** How much longer online requests' time per token may get because of batch items, 0.1 for a tenth. */
+        double slowdown = 0;
+        /** From an online request's dispatch until the places of cancelled items are free. */
+        std::chrono::milliseconds reaction{50};
+    };
+
+    Lane(const Clock &clock, const Options &options);
+
+    void configure(const Options &options);
 
     /**
      * An entry told how many online requests it has there. The number is absolute, so a lost notice heals with the
@@ -30,8 +67,20 @@
     /** An entry is gone, and its requests with it. */
     void forget(SessionNumber entry);
 
-    /** The settings say otherwise now. Counts what the constructor's parameters do. */
-    void resize(std::uint32_t capacity, std::uint32_t headroom);
+    /** Drop the notices that their entries should have repeated since. */
+    void expireNotices();
+
+    void observeReport(const EngineReport &report);
+
+    /** A batch item got a token. @param gap since the one before */
+    void observeGap(std::chrono::nanoseconds gap);
+
+    /** Another holder may run items there: trust the engine's reports only. */
+    void unsettle();
+    bool isSettled() const;
+
+    /** No report can be had, and every lease of another holder has ended by now. */
+    void settle();
 
     void itemStarted();
     void itemStopped();
@@ -43,20 +92,31 @@
     std::uint32_t excess() const;
 
     std::uint32_t running() const;
+    std::uint32_t online() const;
+    std::uint32_t headroom() const;
 
 private:
     struct Notice
     {
         std::uint64_t sequence = 0;
         std::uint32_t inFlight = 0;
+        SteadyTime at{};
     };
 
-    std::uint32_t online() const;
+    std::uint32_t limit() const;
 
-    std::uint32_t capacity;
-    std::uint32_t headroom;
+    const Clock &clock;
+    Options options;
     std::uint32_t items = 0;
+    std::uint32_t onlineSum = 0;
     std::map<SessionNumber, Notice> notices;
+    HeadroomEstimate rises;
+    StepModel steps;
+    /** Streams that the engine reports and nobody here knows of. */
+    std::uint32_t foreign = 0;
+    std::uint32_t reportsMissing = 0;
+    std::uint32_t reportsSeen = 0;
+    std::uint32_t reportsStrange = 0;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibBatch/StepModel.cpp
@@ -0,0 +1,48 @@
+#include <LibBatch/StepModel.h>
+
+#include <algorithm>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Weight of the newest token once enough are known. */
+constexpr double newest = 0.002;
+constexpr double enough = 200;
+/** Without some spread in the number of streams the line could have any slope. */
+constexpr double leastVariance = 0.25;
+/** A gap longer than this many times the mean is the machine's or a prefill's doing, and counts as that. */
+constexpr double longestGap = 3;
+
+} // namespace
+
+void StepModel::observe(std::chrono::nanoseconds gap, std::uint32_t streams)
+{
+    this->weight = std::min(this->weight + 1, 1 / newest);
+    const double share = 1 / this->weight;
+    double seconds = std::chrono::duration<double>(gap).count();
+    if (this->weight > enough) {
+        seconds = std::min(seconds, this->meanGap * longestGap);
+    }
+    const double fromStreams = streams - this->meanStreams;
+    const double fromGap = seconds - this->meanGap;
+    this->meanStreams += share * fromStreams;
+    this->meanGap += share * fromGap;
+    this->varianceStreams = (1 - share) * (this->varianceStreams + share * fromStreams * fromStreams);
+    this->covariance = (1 - share) * (this->covariance + share * fromStreams * fromGap);
+}
+
+std::optional<std::uint32_t> StepModel::mostStreams(std::uint32_t online, double slowdown) const
+{
+    if (this->weight < enough || this->varianceStreams < leastVariance || this->covariance <= 0) {
+        return std::nullopt;
+    }
+    const double perStream = this->covariance / this->varianceStreams;
+    const double alone = std::max(this->meanGap - perStream * this->meanStreams, 0.0);
+    const double allowed = (1 + slowdown) * (alone + perStream * online);
+    return static_cast<std::uint32_t>(std::max((allowed - alone) / perStream, static_cast<double>(online)));
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -32,6 +32,16 @@
     Error,
 };
 
+/** How batch items make room for online requests. */
+enum class BatchPolicy : std::uint8_t {
+    /** They fill what online requests leave, and stop for them. */
+    Yield,
+    /** Each replica runs batch.fixed_limit of them, whatever else runs. */
+    FixedLimit,
+    /** They take every free place, and stop for nothing. */
+    Unlimited,
+};
+
 /** This VM. Stated per VM, in a file of its own. */
 struct NodeSettings
 {
@@ -148,8 +158,18 @@
     std::chrono::milliseconds due = std::chrono::milliseconds(43200000);
     /** How often a lane looks for items. */
     std::chrono::milliseconds pullInterval = std::chrono::milliseconds(50);
-    /** Places of a replica kept free for online requests at least. */
+    /** Places of a replica kept free for online requests at least; more are kept as online requests are seen to come faster. */
     std::int64_t headroom = 1;
+    /** How batch items make room for online requests: yield, fixed_limit or unlimited. */
+    BatchPolicy policy = BatchPolicy::Yield;
+    /** With policy fixed_limit: batch items a replica runs side by side. */
+    std::int64_t fixedLimit = 4;
+    /** How much longer the time between an online request's tokens may get because of batch items beside it; 0.1 for a tenth. */
+    double slowdown = 0.1;
+    /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
+    std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
+    /** Items that a node pulls for one model ahead of the places it has. */
+    std::int64_t prefetch = 64;
 };
 
 /** A replica that work is sent to: a model engine or a plain service. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -131,8 +131,20 @@
 
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
-    reader.rejectUnknownKeys(
-        table, {"items", "item_bytes", "items_per_object", "item_lease", "item_attempts", "due", "pull_interval", "headroom"});
+    reader.rejectUnknownKeys(table,
+                             {"items",
+                              "item_bytes",
+                              "items_per_object",
+                              "item_lease",
+                              "item_attempts",
+                              "due",
+                              "pull_interval",
+                              "headroom",
+                              "policy",
+                              "fixed_limit",
+                              "slowdown",
+                              "reaction",
+                              "prefetch"});
     reader.readInteger(table, "items", target.items, Presence::Optional, {.least = 1, .most = 10000000});
     reader.readInteger(table, "item_bytes", target.itemBytes, Presence::Optional, {.least = 64, .most = 67108864});
     reader.readInteger(table, "items_per_object", target.itemsPerObject, Presence::Optional, {.least = 1, .most = 100000});
@@ -153,6 +165,20 @@
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
     reader.readInteger(table, "headroom", target.headroom, Presence::Optional, {.least = 0, .most = 10000});
+    reader.readEnum<BatchPolicy>(
+        table,
+        "policy",
+        target.policy,
+        Presence::Optional,
+        {{"yield", BatchPolicy::Yield}, {"fixed_limit", BatchPolicy::FixedLimit}, {"unlimited", BatchPolicy::Unlimited}});
+    reader.readInteger(table, "fixed_limit", target.fixedLimit, Presence::Optional, {.least = 0, .most = 100000});
+    reader.readNumber(table, "slowdown", target.slowdown, Presence::Optional, {.least = 0.0, .most = 10.0});
+    reader.readDuration(table,
+                        "reaction",
+                        target.reaction,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
+    reader.readInteger(table, "prefetch", target.prefetch, Presence::Optional, {.least = 1, .most = 10000});
 }
 
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -12,6 +12,7 @@
 
 using Json = nlohmann::json;
 
+constexpr std::chrono::milliseconds cancelTimeout{2000};
 constexpr std::size_t eventLimit = 1048576;
 constexpr std::string_view streamEnd = "[DONE]";
 constexpr int statusOk = 200;
@@ -26,10 +27,21 @@
 
 } // namespace
 
-ItemRun::ItemRun(HttpClient &http, HeldItem held) : http(http), current(std::move(held)), events(eventLimit)
+ItemRun::ItemRun(HttpClient &http, const Clock &clock, HeldItem held, std::string runId)
+    : http(http), clock(clock), current(std::move(held)), runId(std::move(runId)), events(eventLimit)
 {
 }
 
+SteadyTime ItemRun::sent() const
+{
+    return this->sentAt;
+}
+
+SteadyTime ItemRun::lastProgress() const
+{
+    return this->progressAt;
+}
+
 const HeldItem &ItemRun::held() const
 {
     return this->current;
@@ -39,16 +51,20 @@
 {
     Json body = Json::parse(this->current.item.body, nullptr, false);
     body["stream"] = true;
+    body["request_id"] = this->runId;
     if (this->current.tokens > 0) {
         body["resume"] = {{"text", this->current.text}, {"tokens", this->current.tokens}};
     }
     return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-void ItemRun::start(const Address &engine, Ended ended)
+void ItemRun::start(const Address &engine, ConnectionChoice connection, Gap gap, Ended ended)
 {
+    this->engine = engine;
+    this->gap = std::move(gap);
     this->ended = std::move(ended);
-    ++this->current.attempts;
+    this->sentAt = this->clock.now();
+    this->progressAt = this->sentAt;
     const Json item = Json::parse(this->current.item.body, nullptr, false);
     const HttpRequest request{.method = "POST",
                               .path = isChat(item) ? "/v1/chat/completions" : "/v1/completions",
@@ -68,12 +84,19 @@
                 self->onEnd(end);
             },
     };
-    this->exchange = this->http.start(engine, request, ConnectionChoice::Pooled, std::move(hooks));
+    this->exchange = this->http.start(engine, request, connection, std::move(hooks));
 }
 
 HeldItem ItemRun::stop()
 {
+    const Json body{{"request_id", this->runId}};
+    this->http.fetch(
+        this->engine,
+        {.method = "POST", .path = "/cancel", .headers = {{"Content-Type", "application/json"}}, .body = body.dump()},
+        cancelTimeout,
+        [](ExchangeEnd, const HttpResponse &) {});
     this->http.cancel(this->exchange);
+    this->gap = nullptr;
     this->ended = nullptr;
     return this->current;
 }
@@ -84,6 +107,7 @@
         this->errorBody.append(data);
         return;
     }
+    const std::uint32_t before = this->current.tokens;
     for (const std::string &event : this->events.feed(data)) {
         if (event == streamEnd) {
             this->sawEnd = true;
@@ -104,6 +128,16 @@
             this->finishReason = choice["finish_reason"].get<std::string>();
         }
     }
+    this->tellGap(this->current.tokens - before);
+}
+
+void ItemRun::tellGap(std::uint32_t tokens)
+{
+    const SteadyTime now = this->clock.now();
+    if (tokens > 0 && std::exchange(this->hasToken, true) && this->gap) {
+        this->gap((now - this->progressAt) / tokens);
+    }
+    this->progressAt = now;
 }
 
 void ItemRun::onEnd(ExchangeEnd end)
--- a/Services/Lane/ItemRun.h
+++ b/Services/Lane/ItemRun.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <LibFleet/Replica.h>
+#include <LibBase/Clock.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/ServerSentEvents.h>
+#include <LibRouting/Quarantine.h>
 #include <LibWire/Generated/Messages.h>
 
 #include <functional>
@@ -18,7 +19,9 @@
     BatchItem item;
     std::string text;
     std::uint32_t tokens = 0;
-    std::uint32_t attempts = 0;
+    /** Runs that went silent; none of them is held against it. */
+    std::uint32_t silences = 0;
+    ContentFingerprint fingerprint;
 };
 
 /** How a run of an item ended. */
@@ -38,25 +41,47 @@
 public:
     using Ended = std::function<void(RunEnd, const std::string &detail)>;
 
-    ItemRun(HttpClient &http, HeldItem held);
+    /** Told of the time between two tokens. */
+    using Gap = std::function<void(std::chrono::nanoseconds)>;
+
+    /** @param runId names this run to the engine; no other run has the same */
+    ItemRun(HttpClient &http, const Clock &clock, HeldItem held, std::string runId);
 
     /** @param ended told once, unless stop() comes first */
-    void start(const Address &engine, Ended ended);
+    void start(const Address &engine, ConnectionChoice connection, Gap gap, Ended ended);
 
-    /** Cancel it at the engine. @return the item, with the tokens it got */
+    /**
+     * Cancel it at the engine: by its id, which takes effect at once, and by closing the connection, which engines notice
+     * at a later token.
+     * @return the item, with the tokens it got
+     */
     HeldItem stop();
 
+    /** @return when it was sent. */
+    SteadyTime sent() const;
+
+    /** @return when the engine last gave a sign of life on it. */
+    SteadyTime lastProgress() const;
+
     const HeldItem &held() const;
 
 private:
     std::string engineBody() const;
     void onData(std::string_view data);
+    void tellGap(std::uint32_t tokens);
     void onEnd(ExchangeEnd end);
     void finish(RunEnd end, const std::string &detail);
 
     HttpClient &http;
+    const Clock &clock;
     HeldItem current;
+    std::string runId;
+    Address engine;
+    Gap gap;
     Ended ended;
+    SteadyTime sentAt{};
+    SteadyTime progressAt{};
+    bool hasToken = false;
     HttpClient::ExchangeId exchange = 0;
     ServerSentEvents events;
     std::string finishReason;
--- /dev/null
+++ b/Services/Lane/JobOwners.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibBase/Hash.h>
+#include <LibMembership/MemberView.h>
+#include <LibSettings/SettingsHandle.h>
+
+#include <memory>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+/** Which node owns a job, as far as this node knows. */
+class JobOwners
+{
+public:
+    explicit JobOwners(const SettingsHandle &settings)
+        : settings(settings), current(std::make_shared<MemberView>(std::vector<Member>()))
+    {
+    }
+
+    void setView(MemberViewPointer view)
+    {
+        this->current = std::move(view);
+    }
+
+    const MemberView &view() const
+    {
+        return *this->current;
+    }
+
+    /** @return the owner, or null if there is none now. */
+    const Member *of(const JobId &job) const
+    {
+        const auto shards = static_cast<std::uint64_t>(this->settings->owner.shards);
+        return this->current->ownerOf(ShardNumber(static_cast<std::uint32_t>(stableHash(job.value()) % shards)));
+    }
+
+private:
+    const SettingsHandle &settings;
+    MemberViewPointer current;
+};
+
+} // namespace Dogwoodkeel
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -1,10 +1,10 @@
 #include <Services/Lane/LaneService.h>
 
-#include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -13,9 +13,30 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds resultInterval{20};
-constexpr std::chrono::milliseconds resultRetry{200};
-constexpr std::uint32_t itemsPerPull = 64;
+constexpr std::chrono::milliseconds reportTimeout{1000};
+/** How often an engine is asked for its load while its lane is not settled, or while this node only sees items through. */
+constexpr std::chrono::milliseconds reportOften{150};
+constexpr std::chrono::milliseconds reportSeldom{1000};
+/** A tick that comes so much late means that the process or its VM stood still. */
+constexpr std::chrono::milliseconds pauseNoticed{1000};
+/** How long an engine is left alone that is away or takes nothing. */
+constexpr std::chrono::milliseconds restAfterRefusal{500};
+/** Runs of one item that may go silent before it ends failed. */
+constexpr std::uint32_t mostSilences = 10;
+constexpr int statusOk = 200;
+
+LanePolicy policyOf(BatchPolicy policy)
+{
+    switch (policy) {
+    case BatchPolicy::Yield:
+        return LanePolicy::Yield;
+    case BatchPolicy::FixedLimit:
+        return LanePolicy::FixedLimit;
+    case BatchPolicy::Unlimited:
+        return LanePolicy::Unlimited;
+    }
+    return LanePolicy::Yield;
+}
 
 } // namespace
 
@@ -25,10 +46,42 @@
     , clock(clock)
     , settings(settings)
     , self(self)
-    , peers(peers)
     , http(http)
     , replicas(settings->endpoints)
-    , view(std::make_shared<MemberView>(std::vector<Member>()))
+    , owners(settings)
+    , results(loop, settings, self, peers, this->owners)
+    , leases(loop,
+             clock,
+             settings,
+             self,
+             peers,
+             this->owners,
+             {.held =
+                  [this] {
+                      return this->heldItems();
+                  },
+              .stopJob =
+                  [this](const JobId &job) {
+                      this->observe(JobStopped{job});
+                  },
+              .dropItems =
+                  [this](const JobId &job, const std::set<std::uint32_t> &dropped) {
+                      this->items.dropItems(job, dropped);
+                      this->stopRuns([&](const HeldItem &item) {
+                          return item.item.jobId == job && dropped.contains(item.item.index);
+                      });
+                  }})
+    , items(loop,
+            clock,
+            settings,
+            self,
+            peers,
+            this->owners,
+            [this](const std::string &model) {
+                this->fillAll(model);
+            })
+    , quarantine(clock, {})
+    , lastTick(clock.now())
 {
 }
 
@@ -44,25 +97,41 @@
 
 void LaneService::setView(MemberViewPointer view)
 {
-    for (const Member &member : this->view->members()) {
-        if (view->find(member.session) == nullptr) {
-            for (auto &[name, held] : this->lanes) {
-                held.lane.forget(member.session);
-            }
+    for (const Member &member : this->owners.view().members()) {
+        if (view->find(member.session) != nullptr) {
+            continue;
         }
+        for (auto &[name, held] : this->lanes) {
+            held.lane.forget(member.session);
+        }
+        this->items.forgetOwner(member.session);
     }
-    this->view = std::move(view);
+    this->owners.setView(std::move(view));
+    this->takeLanes();
+    this->leases.ownersChanged();
+}
+
+Lane::Options LaneService::laneOptions(std::uint32_t capacity) const
+{
+    const BatchSettings &batch = this->settings->batch;
+    Lane::Options options;
+    options.policy = policyOf(batch.policy);
+    options.capacity = capacity;
+    options.headroom = static_cast<std::uint32_t>(batch.headroom);
+    options.fixedLimit = static_cast<std::uint32_t>(batch.fixedLimit);
+    options.slowdown = batch.slowdown;
+    options.reaction = batch.reaction;
+    return options;
 }
 
 void LaneService::settingsChanged()
 {
     this->replicas.update(this->settings->endpoints);
-    const auto headroom = static_cast<std::uint32_t>(this->settings->batch.headroom);
     for (auto held = this->lanes.begin(); held != this->lanes.end();) {
         const Replica *const replica = this->replicas.find(held->first);
         if (replica != nullptr) {
             held->second.serves = replica->serves;
-            held->second.lane.resize(replica->capacity, headroom);
+            held->second.lane.configure(this->laneOptions(replica->capacity));
             this->yield(held->second);
         }
         const bool isOver = replica == nullptr && held->second.runs.empty();
@@ -76,15 +145,25 @@
     if (found != this->lanes.end()) {
         found->second.lane.observeOnline(notice.from, notice.sequence, notice.inFlight);
         this->yield(found->second);
+        // Also on the other replicas: what had to stop here may go on there.
+        this->fillAll(found->second.serves);
     }
 }
 
+void LaneService::observe(const JobStopped &stopped)
+{
+    this->items.dropJob(stopped.jobId);
+    this->stopRuns([&stopped](const HeldItem &item) {
+        return item.item.jobId == stopped.jobId;
+    });
+}
+
 void LaneService::drain(std::function<void()> drained)
 {
     this->draining = true;
     this->drained = std::move(drained);
-    // Items that wait here were leased to this node: their owners hand them out again when the leases run out.
-    this->waiting.clear();
+    this->leases.giveBack(this->items.close());
+    this->takeLanes();
 }
 
 bool LaneService::isIdle() const
@@ -92,18 +171,20 @@
     const bool isRunning = std::ranges::any_of(this->lanes, [](const auto &entry) {
         return !entry.second.runs.empty();
     });
-    return !isRunning && this->results.empty() && this->unsent == 0;
+    return !isRunning && this->results.isEmpty();
 }
 
 void LaneService::tick()
 {
+    this->noticePause();
     this->takeLanes();
     for (auto &[name, held] : this->lanes) {
-        if (const Replica *const replica = this->replicas.find(name)) {
-            this->fill(*replica, held);
-        }
+        held.lane.expireNotices();
+        this->stopSilentRuns(name, held);
+        this->askEngine(name, held);
+        this->fill(name, held);
     }
-    this->renewLeases();
+    this->leases.tick();
     if (this->draining && this->drained && this->isIdle()) {
         std::exchange(this->drained, nullptr)();
     }
@@ -114,16 +195,36 @@
     });
 }
 
+void LaneService::noticePause()
+{
+    // While this process stood still, others may have held it dead and another node may run items in its lanes. Its view
+    // of the members is as old as the pause, so only the engines can tell.
+    const SteadyTime now = this->clock.now();
+    if (now - std::exchange(this->lastTick, now) < this->settings->batch.pullInterval + pauseNoticed) {
+        return;
+    }
+    log(LogLevel::Warning, "lanes stood still, asking the engines what runs");
+    for (auto &[name, held] : this->lanes) {
+        held.lane.unsettle();
+        held.unsettledSince = now;
+    }
+}
+
 void LaneService::takeLanes()
 {
-    const auto headroom = static_cast<std::uint32_t>(this->settings->batch.headroom);
     for (const EndpointSettings &endpoint : this->settings->endpoints) {
         const EndpointName name(endpoint.name);
-        const Member *const holder = this->view->holderOf(name);
+        const Member *const holder = this->owners.view().holderOf(name);
         const bool isOurs = holder != nullptr && holder->session == this->self && !endpoint.model.empty() && !this->draining;
         const auto held = this->lanes.find(name);
         if (isOurs && held == this->lanes.end()) {
-            this->lanes.emplace(name, HeldLane(endpoint.model, static_cast<std::uint32_t>(endpoint.capacity), headroom));
+            const Lane::Options options = this->laneOptions(static_cast<std::uint32_t>(endpoint.capacity));
+            HeldLane &taken = this->lanes.emplace(name, HeldLane(endpoint.model, this->clock, options)).first->second;
+            taken.unsettledSince = this->clock.now();
+        } else if (held != this->lanes.end() && held->second.isOurs != isOurs) {
+            held->second.isOurs = isOurs;
+            held->second.lane.unsettle();
+            held->second.unsettledSince = this->clock.now();
         }
         if (!isOurs && held != this->lanes.end() && held->second.runs.empty()) {
             this->lanes.erase(held);
@@ -131,231 +232,219 @@
     }
 }
 
-void LaneService::yield(HeldLane &held)
+void LaneService::stopSilentRuns(const EndpointName &name, HeldLane &held)
 {
-    std::uint32_t excess = held.lane.excess();
-    // The items with the fewest tokens lose the least by stopping.
-    std::ranges::sort(held.runs, std::ranges::greater(), [](const auto &run) {
-        return run->held().tokens;
-    });
-    while (excess > 0 && !held.runs.empty()) {
-        HeldItem item = held.runs.back()->stop();
-        held.runs.pop_back();
+    const SteadyTime oldest = this->clock.now() - this->settings->entry.progressTimeout;
+    std::vector<HeldItem> silent;
+    std::erase_if(held.runs, [&](const std::shared_ptr<ItemRun> &run) {
+        if (run->lastProgress() >= oldest) {
+            return false;
+        }
+        silent.push_back(run->stop());
         held.lane.itemStopped();
-        --item.attempts;
-        --excess;
-        this->waiting[held.serves].push_front(std::move(item));
+        return true;
+    });
+    if (silent.empty()) {
+        return;
+    }
+    // The connection may have gone silent while the engine is well: what is left idle of its kind is not used again.
+    if (const Replica *const replica = this->replicas.find(name)) {
+        this->http.retireIdle(replica->address);
+    }
+    for (HeldItem &item : silent) {
+        if (++item.silences >= mostSilences) {
+            this->addResult(item, ItemStatus::Failed, "no endpoint made progress on it");
+        } else {
+            this->items.putBack(held.serves, std::move(item));
+        }
     }
 }
 
-void LaneService::fill(const Replica &replica, HeldLane &held)
+void LaneService::askEngine(const EndpointName &name, HeldLane &held)
 {
-    std::deque<HeldItem> &queue = this->waiting[replica.serves];
-    const Member *const holder = this->view->holderOf(replica.name);
-    const bool isOurs = holder != nullptr && holder->session == this->self;
-    std::uint32_t free = isOurs && !this->draining ? held.lane.freePlaces() : 0;
-    while (free > 0 && !queue.empty()) {
-        HeldItem item = std::move(queue.front());
-        queue.pop_front();
-        this->startItem(replica, held, std::move(item));
-        --free;
+    const SteadyTime now = this->clock.now();
+    const auto interval = held.isOurs && held.lane.isSettled() ? reportSeldom : reportOften;
+    const Replica *const replica = this->replicas.find(name);
+    if (replica == nullptr || held.isAsking || now - held.lastAsked < interval) {
+        return;
     }
-    if (free > 0) {
-        this->pull(replica.serves);
+    if (!held.lane.isSettled() && now - held.unsettledSince > this->settings->batch.itemLease) {
+        held.lane.settle();
     }
+    held.isAsking = true;
+    held.lastAsked = now;
+    this->http.fetch(replica->address,
+                     {.method = "GET", .path = "/load"},
+                     reportTimeout,
+                     [this, name, alive = this->alive](ExchangeEnd end, const HttpResponse &response) {
+                         if (!*alive) {
+                             return;
+                         }
+                         const auto found = this->lanes.find(name);
+                         if (found == this->lanes.end()) {
+                             return;
+                         }
+                         found->second.isAsking = false;
+                         if (end == ExchangeEnd::Complete && response.status == statusOk) {
+                             this->onReport(name, response);
+                         }
+                     });
 }
 
-void LaneService::pull(const std::string &model)
+void LaneService::onReport(const EndpointName &name, const HttpResponse &response)
 {
-    std::vector<const Member *> owners;
-    for (const Member &member : this->view->members()) {
-        if (member.backlog > 0) {
-            owners.push_back(&member);
-        }
+    const auto json = nlohmann::json::parse(response.body, nullptr, false);
+    if (!json.is_object()) {
+        return;
     }
-    if (owners.empty() || std::exchange(this->pulling[model], true)) {
+    HeldLane &held = this->lanes.at(name);
+    const EngineReport report{json.value("running", 0U), json.value("queued", 0U)};
+    held.isLeaving = held.isLeaving || json.value("leaving", false);
+    if (held.isOurs) {
+        held.lane.observeReport(report);
+        this->fill(name, held);
         return;
     }
-    const Member &owner = *owners[this->nextOwner++ % owners.size()];
-    this->peers.call<PullItemsRequest>(owner.owner,
-                                       {model, itemsPerPull, this->self},
-                                       this->settings->peers.callTimeout,
-                                       [this, model, alive = this->alive](CallResult<PullItemsResponse> result) {
-                                           if (!*alive) {
-                                               return;
-                                           }
-                                           this->pulling[model] = false;
-                                           if (!result.response || this->draining) {
-                                               return;
-                                           }
-                                           for (BatchItem &item : result.response->items) {
-                                               this->waiting[model].push_back({std::move(item), {}, 0, 0});
-                                           }
-                                       });
+    // Entries tell the new holder of their requests, not this node. What queues at the engine is all there is to go by.
+    this->yieldTo(held, report.queued);
 }
 
-void LaneService::startItem(const Replica &replica, HeldLane &held, HeldItem item)
+void LaneService::yield(HeldLane &held)
 {
-    const auto run = std::make_shared<ItemRun>(this->http, std::move(item));
-    held.runs.push_back(run);
-    held.lane.itemStarted();
-    run->start(replica.address, [this, name = replica.name, run, alive = this->alive](RunEnd end, const std::string &detail) {
-        if (*alive) {
-            this->onRunEnded(name, run, end, detail);
-        }
-    });
+    this->yieldTo(held, held.lane.excess());
 }
 
-void LaneService::onRunEnded(const EndpointName &replica,
-                             const std::shared_ptr<ItemRun> &run,
-                             RunEnd end,
-                             const std::string &detail)
+void LaneService::yieldTo(HeldLane &held, std::uint32_t places)
 {
-    HeldLane &held = this->lanes.at(replica);
-    std::erase(held.runs, run);
-    held.lane.itemStopped();
-    HeldItem item = run->held();
-    const bool isLastAttempt = item.attempts >= static_cast<std::uint32_t>(this->settings->batch.itemAttempts);
-    switch (end) {
-    case RunEnd::Finished:
-        this->addResult(item, ItemStatus::Succeeded, detail);
-        return;
-    case RunEnd::Rejected:
-        this->addResult(item, ItemStatus::Failed, detail);
+    if (places == 0 || held.runs.empty()) {
         return;
-    case RunEnd::Refused:
-        --item.attempts;
-        break;
-    case RunEnd::Lost:
-        if (isLastAttempt) {
-            this->addResult(item, ItemStatus::Failed, "every endpoint that ran it was lost");
-            return;
-        }
-        break;
     }
-    if (!this->draining) {
-        this->waiting[held.serves].push_back(std::move(item));
+    // The items with the fewest tokens lose the least by stopping.
+    std::ranges::sort(held.runs, std::ranges::greater(), [](const auto &run) {
+        return run->held().tokens;
+    });
+    while (places > 0 && !held.runs.empty()) {
+        HeldItem item = held.runs.back()->stop();
+        held.runs.pop_back();
+        held.lane.itemStopped();
+        --places;
+        this->items.putBack(held.serves, std::move(item));
     }
 }
 
-void LaneService::addResult(const HeldItem &item, ItemStatus status, const std::string &body)
+bool LaneService::mayRun(const HeldLane &held, const HeldItem &item) const
 {
-    if (this->results.empty()) {
-        this->loop.schedule(resultInterval, [this, alive = this->alive] {
-            if (*alive) {
-                this->flushResults();
-            }
-        });
+    // Items that ran on an endpoint that was lost run one at a time on a replica: should one of them crash it again, the
+    // others are not taken for it.
+    if (this->quarantine.standing(item.fingerprint) == Standing::Clear) {
+        return true;
     }
-    this->results.push_back({item.item.jobId, item.item.index, status, body});
+    return std::ranges::none_of(held.runs, [this](const std::shared_ptr<ItemRun> &run) {
+        return this->quarantine.standing(run->held().fingerprint) != Standing::Clear;
+    });
 }
 
-void LaneService::flushResults()
+void LaneService::fill(const EndpointName &name, HeldLane &held)
 {
-    std::map<SessionNumber, std::vector<ItemRecord>> byOwner;
-    for (ItemRecord &result : std::exchange(this->results, {})) {
-        const Member *const owner = this->ownerOf(result.jobId);
-        byOwner[owner != nullptr ? owner->session : SessionNumber(0)].push_back(std::move(result));
+    const Replica *const replica = this->replicas.find(name);
+    const bool isResting = held.restUntil > this->clock.now();
+    if (replica == nullptr || !held.isOurs || held.isLeaving || isResting || this->draining) {
+        return;
     }
-    for (const auto &[owner, batch] : byOwner) {
-        this->sendResults(batch);
+    std::uint32_t free = held.lane.freePlaces();
+    const auto allowed = [this, &held](const HeldItem &item) {
+        return this->mayRun(held, item);
+    };
+    while (free > 0) {
+        auto item = this->items.take(held.serves, allowed);
+        if (!item) {
+            break;
+        }
+        if (this->quarantine.standing(item->fingerprint) == Standing::Quarantined) {
+            this->addResult(*item, ItemStatus::Failed, "the endpoints that ran it crashed");
+            continue;
+        }
+        this->startItem(*replica, held, std::move(*item));
+        --free;
     }
+    // Pulled for also while there is no place: the next one is not to wait for a round trip.
+    this->items.refill(held.serves);
 }
 
-const Member *LaneService::ownerOf(const JobId &job) const
+void LaneService::fillAll(const std::string &model)
 {
-    const auto shards = static_cast<std::uint64_t>(this->settings->owner.shards);
-    return this->view->ownerOf(ShardNumber(static_cast<std::uint32_t>(stableHash(job.value()) % shards)));
+    for (auto &[name, held] : this->lanes) {
+        if (held.serves == model) {
+            this->fill(name, held);
+        }
+    }
 }
 
-void LaneService::sendResults(const std::vector<ItemRecord> &results)
+void LaneService::startItem(const Replica &replica, HeldLane &held, HeldItem item)
 {
-    const Member *const owner = this->ownerOf(results.front().jobId);
-    this->unsent += results.size();
-    // A result is kept here until its owner says that it is journalled; what was not goes round again.
-    const auto again = [this, alive = this->alive](std::vector<ItemRecord> rest) {
-        this->loop.schedule(resultRetry, [this, alive, rest = std::move(rest)] {
-            if (!*alive) {
-                return;
-            }
-            this->unsent -= rest.size();
-            std::ranges::copy(rest, std::back_inserter(this->results));
-            this->flushResults();
-        });
+    const std::string runId = "batch-" + std::to_string(this->self.value()) + '-' + std::to_string(++this->lastRun);
+    const ConnectionChoice connection = item.silences > 0 ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
+    const auto run = std::make_shared<ItemRun>(this->http, this->clock, std::move(item), runId);
+    held.runs.push_back(run);
+    held.lane.itemStarted();
+    const auto gap = [this, name = replica.name, alive = this->alive](std::chrono::nanoseconds passed) {
+        const auto found = this->lanes.find(name);
+        if (*alive && found != this->lanes.end()) {
+            found->second.lane.observeGap(passed);
+        }
     };
-    if (owner == nullptr) {
-        again(results);
+    run->start(replica.address,
+               connection,
+               gap,
+               [this, name = replica.name, run, alive = this->alive](RunEnd end, const std::string &detail) {
+                   if (*alive) {
+                       this->onRunEnded(name, run, end, detail);
+                   }
+               });
+}
+
+void LaneService::onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail)
+{
+    HeldLane &held = this->lanes.at(name);
+    std::erase(held.runs, run);
+    held.lane.itemStopped();
+    const HeldItem &item = run->held();
+    switch (end) {
+    case RunEnd::Finished:
+        this->quarantine.succeeded(item.fingerprint);
+        this->addResult(item, ItemStatus::Succeeded, detail);
+        break;
+    case RunEnd::Rejected:
+        this->addResult(item, ItemStatus::Failed, detail);
+        break;
+    case RunEnd::Refused:
+        this->items.putBack(held.serves, item);
+        held.restUntil = this->clock.now() + restAfterRefusal;
+        return;
+    case RunEnd::Lost:
+        this->onLost(name, held, *run);
         return;
     }
-    this->peers.call<CommitItemsRequest>(owner->owner,
-                                         {results, this->self},
-                                         this->settings->peers.callTimeout,
-                                         [this, results, again, alive = this->alive](CallResult<CommitItemsResponse> result) {
-                                             if (!*alive) {
-                                                 return;
-                                             }
-                                             if (!result.response) {
-                                                 again(results);
-                                                 return;
-                                             }
-                                             const std::vector<JobId> &notOwned = result.response->notOwned;
-                                             std::vector<ItemRecord> rest;
-                                             for (const ItemRecord &each : results) {
-                                                 if (std::ranges::find(notOwned, each.jobId) != notOwned.end()) {
-                                                     rest.push_back(each);
-                                                 }
-                                             }
-                                             this->unsent -= results.size() - rest.size();
-                                             if (!rest.empty()) {
-                                                 again(std::move(rest));
-                                             }
-                                         });
+    this->fill(name, held);
 }
 
-void LaneService::renewLeases()
+void LaneService::onLost(const EndpointName &name, HeldLane &held, const ItemRun &run)
 {
-    if (this->clock.now() - this->lastRenewal < this->settings->batch.itemLease / 4) {
+    const Replica *const replica = this->replicas.find(name);
+    const FailureDomain domain = replica != nullptr ? replica->failureDomain : FailureDomain();
+    const HeldItem &item = run.held();
+    if (this->quarantine.lost(item.fingerprint, {name, domain, run.sent(), this->clock.now()}) == Standing::Quarantined) {
+        this->addResult(item, ItemStatus::Failed, "the endpoints that ran it crashed");
         return;
     }
-    this->lastRenewal = this->clock.now();
-    std::set<JobId> jobs;
-    for (const auto &[name, held] : this->lanes) {
-        for (const auto &run : held.runs) {
-            jobs.insert(run->held().item.jobId);
-        }
-    }
-    for (const auto &[model, queue] : this->waiting) {
-        for (const HeldItem &item : queue) {
-            jobs.insert(item.item.jobId);
-        }
-    }
-    std::map<Address, std::vector<JobId>> byOwner;
-    for (const JobId &job : jobs) {
-        if (const Member *const owner = this->ownerOf(job)) {
-            byOwner[owner->owner].push_back(job);
-        }
-    }
-    for (const auto &[owner, owned] : byOwner) {
-        this->peers.call<RenewItemsRequest>(owner,
-                                            {owned, this->self},
-                                            this->settings->peers.callTimeout,
-                                            [this, alive = this->alive](CallResult<RenewItemsResponse> result) {
-                                                if (!*alive || !result.response) {
-                                                    return;
-                                                }
-                                                for (const JobId &job : result.response->stopped) {
-                                                    this->stopJob(job);
-                                                }
-                                            });
-    }
+    this->items.putBack(held.serves, item);
 }
 
-void LaneService::stopJob(const JobId &job)
+void LaneService::stopRuns(const std::function<bool(const HeldItem &)> &isWanted)
 {
-    for (auto &entry : this->lanes) {
-        HeldLane &held = entry.second;
-        std::erase_if(held.runs, [&held, &job](const std::shared_ptr<ItemRun> &run) {
-            if (run->held().item.jobId != job) {
+    for (auto &[name, held] : this->lanes) {
+        std::erase_if(held.runs, [&held = held, &isWanted](const std::shared_ptr<ItemRun> &run) {
+            if (!isWanted(run->held())) {
                 return false;
             }
             run->stop();
@@ -363,11 +452,23 @@
             return true;
         });
     }
-    for (auto &[model, queue] : this->waiting) {
-        std::erase_if(queue, [&job](const HeldItem &item) {
-            return item.item.jobId == job;
-        });
+}
+
+void LaneService::addResult(const HeldItem &item, ItemStatus status, const std::string &body)
+{
+    this->results.add({item.item.jobId, item.item.index, status, body});
+}
+
+ItemsByJob LaneService::heldItems() const
+{
+    ItemsByJob held = this->results.items();
+    this->items.addHeld(held);
+    for (const auto &[name, lane] : this->lanes) {
+        for (const auto &run : lane.runs) {
+            held[run->held().item.jobId].insert(run->held().item.index);
+        }
     }
+    return held;
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -5,22 +5,28 @@
 #include <LibFleet/ReplicaTable.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMembership/MemberView.h>
+#include <LibRouting/Quarantine.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Lane/ItemRun.h>
+#include <Services/Lane/ItemSource.h>
+#include <Services/Lane/LeaseRenewer.h>
+#include <Services/Lane/ResultReporter.h>
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace Dogwoodkeel
 {
 
 /**
- * Runs batch items on the replicas whose lanes this node holds: pulls items from the owners that have some, starts as
- * many as online requests leave room for, and stops them as soon as online requests need the room.
+ * Runs batch items on the replicas whose lanes this node holds: starts as many as online requests leave room for, and
+ * stops them as soon as online requests need the room. Stopped items keep their tokens and go on here, on any replica of
+ * their model.
  */
 class LaneService
 {
@@ -44,14 +50,17 @@
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
-    /** Start nothing more, and tell when nothing runs. Items that run are finished. */
+    /** An owner told that a job was cancelled. */
+    void observe(const JobStopped &stopped);
+
+    /** Start nothing more, and tell when nothing runs. Items that run are finished, those that wait are given back. */
     void drain(std::function<void()> drained);
 
 private:
     struct HeldLane
     {
-        HeldLane(std::string serves, std::uint32_t capacity, std::uint32_t headroom)
-            : serves(std::move(serves)), lane(capacity, headroom)
+        HeldLane(std::string serves, const Clock &clock, const Lane::Options &options)
+            : serves(std::move(serves)), lane(clock, options)
         {
         }
 
@@ -59,39 +68,51 @@
         std::string serves;
         Lane lane;
         std::vector<std::shared_ptr<ItemRun>> runs;
+        /** Whether this node starts items there; else it only sees the running ones through. */
+        bool isOurs = true;
+        /** The engine's own word; once seen, it stays so. */
+        bool isLeaving = false;
+        bool isAsking = false;
+        SteadyTime lastAsked{};
+        SteadyTime unsettledSince{};
+        /** Nothing is started before: the engine refused. */
+        SteadyTime restUntil{};
     };
 
     void tick();
+    void noticePause();
     void takeLanes();
+    void stopSilentRuns(const EndpointName &name, HeldLane &held);
+    void askEngine(const EndpointName &name, HeldLane &held);
+    void onReport(const EndpointName &name, const HttpResponse &response);
     void yield(HeldLane &held);
-    void fill(const Replica &replica, HeldLane &held);
-    void pull(const std::string &model);
+    void yieldTo(HeldLane &held, std::uint32_t places);
+    void fill(const EndpointName &name, HeldLane &held);
+    void fillAll(const std::string &model);
+    bool mayRun(const HeldLane &held, const HeldItem &item) const;
     void startItem(const Replica &replica, HeldLane &held, HeldItem item);
-    void onRunEnded(const EndpointName &replica, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail);
-    const Member *ownerOf(const JobId &job) const;
+    void onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail);
+    void onLost(const EndpointName &name, HeldLane &held, const ItemRun &run);
+    void stopRuns(const std::function<bool(const HeldItem &)> &isWanted);
     void addResult(const HeldItem &item, ItemStatus status, const std::string &body);
-    void flushResults();
-    void sendResults(const std::vector<ItemRecord> &results);
-    void renewLeases();
-    void stopJob(const JobId &job);
+    ItemsByJob heldItems() const;
+    Lane::Options laneOptions(std::uint32_t capacity) const;
     bool isIdle() const;
 
     EventLoop &loop;
     const Clock &clock;
     const SettingsHandle &settings;
     SessionNumber self;
-    PeerClient &peers;
     HttpClient &http;
     ReplicaTable replicas;
-    MemberViewPointer view;
+    JobOwners owners;
+    ResultReporter results;
+    LeaseRenewer leases;
+    ItemSource items;
+    Quarantine quarantine;
     std::map<EndpointName, HeldLane> lanes;
-    /** Items that were pulled, or that had to yield, by model. */
-    std::map<std::string, std::deque<HeldItem>> waiting;
-    std::map<std::string, bool> pulling;
-    std::size_t nextOwner = 0;
-    std::vector<ItemRecord> results;
-    std::size_t unsent = 0;
-    SteadyTime lastRenewal{};
+    std::uint64_t lastRun = 0;
+    SteadyTime lastTick;
     bool draining = false;
     std::function<void()> drained;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Lane/LaneTask.h
+++ b/Services/Lane/LaneTask.h
@@ -47,11 +47,23 @@
 private:
     void receive(const Datagram &datagram)
     {
-        if (datagram.number != ReplicaLoad::number) {
+        switch (datagram.number) {
+        case ReplicaLoad::number:
+            this->take<ReplicaLoad>(datagram);
+            return;
+        case JobStopped::number:
+            this->take<JobStopped>(datagram);
+            return;
+        default:
             return;
         }
-        if (const auto notice = decode<ReplicaLoad>(datagram.payload)) {
-            this->service.observe(*notice);
+    }
+
+    template <typename Message>
+    void take(const Datagram &datagram)
+    {
+        if (const auto message = decode<Message>(datagram.payload)) {
+            this->service.observe(*message);
         }
     }
 
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -45,27 +45,17 @@
 
 } // namespace
 
-<<<<<<< HEAD
 OwnerService::OwnerService(Scheduler &scheduler,
                            const Clock &clock,
                            Platform &platform,
-                           const Settings &settings,
+                           const SettingsHandle &settings,
                            SessionNumber self,
                            BatchOwner::TellStopped tellStopped)
     : scheduler(scheduler)
     , settings(settings)
-    , journal(platform, scheduler, clock, self, journalOptions(settings))
-    , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings))
-    , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
-=======
-OwnerService::OwnerService(
-    Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self)
-    : scheduler(scheduler)
-    , settings(settings)
     , journal(platform, scheduler, clock, self, journalOptions(settings.current()))
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
-    , batch(this->keeper, this->journal, platform.objects())
->>>>>>> main
+    , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
 {
 }
 
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,18 +21,13 @@
 class OwnerService
 {
 public:
-<<<<<<< HEAD
     /** @param tellStopped see BatchOwner::TellStopped */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
                  Platform &platform,
-                 const Settings &settings,
+                 const SettingsHandle &settings,
                  SessionNumber self,
                  BatchOwner::TellStopped tellStopped);
-=======
-    OwnerService(
-        Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self);
->>>>>>> main
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
