LibPlatform: Watch the list of VMs, and send nothing new to leaving ones

Cause: the platform's list of VMs was never read, so an endpoint that was about to go still got work. Change: each node reads the list at intervals, keeps what it read last while the platform is down, and gives each change to its entry and lane tasks; replicas on leaving VMs are marked and get neither requests nor items. Red first: with a failed read taken for an empty list, the new test's count of changes differs. Conclusion: the way from the list to the tasks stands; its rate does not yet follow the size of the fleet.

--- a/Libraries/LibFleet/ReplicaTable.cpp
+++ b/Libraries/LibFleet/ReplicaTable.cpp
@@ -37,6 +37,16 @@
     return found != this->replicas.end() ? &*found : nullptr;
 }
 
+void ReplicaTable::markLeaving(const std::vector<ListedVm> &vms)
+{
+    for (const ListedVm &vm : vms) {
+        Replica *const replica = vm.isLeaving ? this->find(EndpointName(vm.name.value())) : nullptr;
+        if (replica != nullptr) {
+            replica->isLeaving = true;
+        }
+    }
+}
+
 std::vector<Replica> &ReplicaTable::all()
 {
     return this->replicas;
--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFleet/Replica.h>
+#include <LibPlatform/VmList.h>
 #include <LibSettings/Generated/Settings.h>
 
 #include <string>
@@ -25,6 +26,9 @@
 
     std::vector<Replica> &all();
 
+    /** Mark the replicas whose VM the platform is about to take away. An endpoint's VM has the endpoint's name. */
+    void markLeaving(const std::vector<ListedVm> &vms);
+
 private:
     std::vector<Replica> replicas;
     std::unordered_map<std::string, std::vector<std::size_t>> byService;
--- a/Libraries/LibPlatform/VmList.h
+++ b/Libraries/LibPlatform/VmList.h
@@ -16,6 +16,8 @@
     VmName name;
     /** Whether the platform is about to take it away. */
     bool isLeaving = false;
+
+    bool operator==(const ListedVm &) const = default;
 };
 
 /** The platform's list of live and leaving VMs, nodes and endpoints alike. */
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -84,6 +84,11 @@
             this->spread(view);
         });
     });
+    this->control->post([this](ControlTask &control) {
+        control.watchVms([this](const ListedVmsPointer &vms) {
+            this->spreadVms(vms);
+        });
+    });
     this->owner->post([](OwnerTask &task) {
         task.owner().start();
     });
@@ -112,6 +117,16 @@
     });
 }
 
+void Node::spreadVms(const ListedVmsPointer &vms)
+{
+    this->lane->post([vms](LaneTask &task) {
+        task.lane().setVms(*vms);
+    });
+    this->entry->post([vms](EntryTask &task) {
+        task.setVms(vms);
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -34,6 +34,7 @@
 
 private:
     void spread(const MemberViewPointer &view);
+    void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::chrono::milliseconds meetInterval{5000};
 constexpr std::chrono::milliseconds meetRetry{200};
+constexpr std::chrono::milliseconds vmInterval{1000};
 
 Membership::Options membershipOptions(const Settings &settings)
 {
@@ -97,6 +98,12 @@
     });
 }
 
+void ControlTask::watchVms(VmWatch::Changed changed)
+{
+    this->vmWatch.emplace(this->platform->vms(), this->loop, std::move(changed));
+    this->vmWatch->start(vmInterval);
+}
+
 void ControlTask::update(const std::function<void(Member &)> &change)
 {
     this->membership->update(change);
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,6 +4,7 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
+#include <LibPlatform/VmWatch.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
@@ -39,6 +40,9 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /** Read the platform's VM list from now on. @param changed told of each change, on this task */
+    void watchVms(VmWatch::Changed changed);
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -62,6 +66,7 @@
     SessionRegistry sessions;
     DatagramSocket datagrams;
     std::optional<Membership> membership;
+    std::optional<VmWatch> vmWatch;
     SessionNumber self;
     std::uint32_t toldBacklog = 0;
 };
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -72,6 +72,11 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::setVms(const ListedVmsPointer &vms)
+{
+    this->replicas.markLeaving(*vms);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -5,6 +5,7 @@
 #include <LibMembership/MemberView.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibPlatform/VmWatch.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
@@ -38,6 +39,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
+    void setVms(const ListedVmsPointer &vms);
+
     /** Take no new connections. */
     void drain();
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -54,6 +54,11 @@
     this->view = std::move(view);
 }
 
+void LaneService::setVms(const std::vector<ListedVm> &vms)
+{
+    this->replicas.markLeaving(vms);
+}
+
 void LaneService::observe(const ReplicaLoad &notice)
 {
     const auto found = this->lanes.find(notice.endpoint);
@@ -137,7 +142,7 @@
     std::deque<HeldItem> &queue = this->waiting[replica.serves];
     const Member *const holder = this->view->holderOf(replica.name);
     const bool isOurs = holder != nullptr && holder->session == this->self;
-    std::uint32_t free = isOurs && !this->draining ? held.lane.freePlaces() : 0;
+    std::uint32_t free = isOurs && !this->draining && !replica.isLeaving ? held.lane.freePlaces() : 0;
     while (free > 0 && !queue.empty()) {
         HeldItem item = std::move(queue.front());
         queue.pop_front();
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -34,6 +34,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** The platform's VM list changed: replicas on leaving VMs get no new items. */
+    void setVms(const std::vector<ListedVm> &vms);
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
--- /dev/null
+++ b/Tests/LibPlatform/TestVmWatch.cpp
@@ -0,0 +1,52 @@
+#include <LibBase/ManualClock.h>
+#include <LibPlatform/VmWatch.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** A list that a test sets; nothing while the platform is down. */
+struct SetVmList final : VmList
+{
+    std::optional<std::vector<ListedVm>> listed;
+
+    void fetch(Fetched done) override
+    {
+        done(this->listed);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a VM that was listed as leaving stays so while the platform is down")
+{
+    // The caller sees requests cut on an endpoint that was known to be leaving. The list names it, then the platform
+    // goes down; a failed read taken for an empty list would forget it and send it new work.
+    ManualClock clock;
+    SetVmList list;
+    ListedVmsPointer told;
+    std::size_t changes = 0;
+    VmWatch watch(list, clock, [&](const ListedVmsPointer &vms) {
+        told = vms;
+        ++changes;
+    });
+    watch.start(1s);
+    CHECK(changes == 0);
+    list.listed = std::vector<ListedVm>{{VmName("engine-1"), true}};
+    clock.advance(1s);
+    REQUIRE(told);
+    CHECK(told->front().isLeaving);
+    list.listed.reset();
+    clock.advance(5s);
+    CHECK(changes == 1);
+    list.listed = std::vector<ListedVm>{{VmName("engine-1"), true}};
+    clock.advance(5s);
+    CHECK(changes == 1);
+    list.listed->push_back({VmName("engine-2"), false});
+    clock.advance(1s);
+    CHECK(changes == 2);
+}
