--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFleet/Replica.h>
+#include <LibPlatform/VmList.h>
 #include <LibSettings/Generated/Settings.h>
 
 #include <list>
@@ -32,6 +33,9 @@
      */
     void update(const std::vector<EndpointSettings> &endpoints);
 
+    /** Mark the replicas whose VM the platform is about to take away. An endpoint's VM has the endpoint's name. */
+    void markLeaving(const std::vector<ListedVm> &vms);
+
 private:
     std::list<Replica> replicas;
     std::list<Replica> removed;
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -82,6 +82,11 @@
     this->service.settingsChanged();
 }
 
+void EntryTask::setVms(const ListedVmsPointer &vms)
+{
+    this->replicas.markLeaving(*vms);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -5,6 +5,7 @@
 #include <LibMembership/MemberView.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibPlatform/VmWatch.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
@@ -41,6 +42,9 @@
     /** Put a new configuration into force; requests that run go on with what they have. */
     void putInForce(const SettingsPointer &settings);
 
+    /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
+    void setVms(const ListedVmsPointer &vms);
+
     /** Take no new connections. */
     void drain();
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -139,6 +139,11 @@
     }
 }
 
+void LaneService::setVms(const std::vector<ListedVm> &vms)
+{
+    this->replicas.markLeaving(vms);
+}
+
 void LaneService::observe(const ReplicaLoad &notice)
 {
     const auto found = this->lanes.find(notice.endpoint);
@@ -348,7 +353,7 @@
 {
     const Replica *const replica = this->replicas.find(name);
     const bool isResting = held.restUntil > this->clock.now();
-    if (replica == nullptr || !held.isOurs || held.isLeaving || isResting || this->draining) {
+    if (replica == nullptr || !held.isOurs || held.isLeaving || replica->isLeaving || isResting || this->draining) {
         return;
     }
     std::uint32_t free = held.lane.freePlaces();
