Benchmarks: Measure what batch work does to online requests, and how fast it yields

colocation serves the users' mixes without and with a batch job in one fleet, under no yielding, a static split, a fixed limit and the lanes as they are. yield reads the engines' own notes: from a request that found every place taken to the next cancellation of an item.

--- /dev/null
+++ b/Benchmarks/Support/OnlineLoad.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <Benchmarks/Support/Figures.h>
+
+#include <LibHttp/HttpClient.h>
+#include <LibTask/EventLoop.h>
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** What interactive callers send. Arrivals are random and do not wait for answers. */
+struct OnlineMix
+{
+    std::string model;
+    /** Streamed completions a second, outside bursts and in them. */
+    double requestsPerSecond = 0;
+    double burstRequestsPerSecond = 0;
+    std::chrono::milliseconds burstEvery{2000};
+    std::chrono::milliseconds burstLength{500};
+    std::uint32_t tokens = 16;
+    /** Of each prompt; half of them stand in every prompt alike. */
+    std::size_t promptBytes = 512;
+    /** Lookups a second at a plain service, if it is named. */
+    std::string service;
+    double lookupsPerSecond = 0;
+};
+
+/** What callers saw. */
+struct OnlineFigures
+{
+    Durations firstToken;
+    Durations betweenTokens;
+    Durations total;
+    Durations lookup;
+    std::uint64_t tokens = 0;
+    std::uint64_t failed = 0;
+};
+
+/** Sends one mix to the nodes for a time, as many callers would. */
+class OnlineLoad
+{
+public:
+    OnlineLoad(std::vector<Address> entries, OnlineMix mix, std::uint64_t seed);
+
+    /** @return what the requests saw that were sent within this time; returns when all are answered */
+    OnlineFigures run(std::chrono::milliseconds time);
+
+private:
+    using Time = std::chrono::steady_clock::time_point;
+
+    void scheduleCompletion();
+    void scheduleLookup();
+    void complete();
+    void lookUp();
+    void finishOne();
+    double rateNow() const;
+    const Address &entry();
+    std::string prompt();
+
+    EventLoop loop;
+    HttpClient client;
+    std::vector<Address> entries;
+    OnlineMix mix;
+    std::mt19937_64 random;
+    OnlineFigures figures;
+    Time begin;
+    Time end;
+    std::uint64_t sent = 0;
+    std::size_t open = 0;
+};
+
+} // namespace Dogwoodkeel
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -425,7 +425,8 @@
 void FakeEngine::note(const char *what, const std::string &requestId)
 {
     const auto at = std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch());
-    this->notes.push_back(std::to_string(at.count()) + ' ' + what + ' ' + requestId);
+    const std::size_t present = this->streams.size() + this->queue.size();
+    this->notes.push_back(std::to_string(at.count()) + ' ' + what + ' ' + std::to_string(present) + ' ' + requestId);
     if (this->notes.size() > notesKept) {
         this->notes.pop_front();
     }
