LibBatch: Learn the reaction time, and distrust a slope that noise could have made

And the number of streams beside online ones was cut to 2 to 4 of 8 on some lanes, from slopes that a busy machine's noise had made.

Ruled out: too few items pulled (33 to 62 waited on every node), lanes not settled (all were).

Change: the reaction is followed near its slowest twentieth, from engine answers until a cancellation was seen. A place that is free before the engine's next step costs a request nothing, so only the share counts whose step the reaction misses. The slope is taken two standard errors low, steps counted and not tokens.

--- a/Benchmarks/Measure/Colocation.cpp
+++ b/Benchmarks/Measure/Colocation.cpp
@@ -17,6 +17,7 @@
 DEFINE_int32(seconds, 8, "how long each half of a variant is measured");
 DEFINE_string(mix, "trocamundo", "trocamundo (notes, bursts) or hoshizora (labels, steady)");
 DEFINE_string(variants, "unlimited,static,fixed,yield", "what to compare");
+DEFINE_bool(debug, false, "let the nodes log what the lanes do; KEEP_LOGS=1 keeps the logs");
 DEFINE_uint64(seed, 1, "of the arrivals");
 
 namespace
@@ -76,8 +77,9 @@
         this->fleet.addSettings("[[service]]\nname = \"prices\"\n[batch]\n");
         this->fleet.addSettings(this->isStatic || variant == "unlimited" ? "policy = \"unlimited\"\n" : "");
         this->fleet.addSettings(variant == "fixed" ? "policy = \"fixed_limit\"\nfixed_limit = 4\n" : "");
+        const std::string overlay = FLAGS_debug ? "[node]\nlog = \"debug\"\n" : "";
         for (int i = 0; i < FLAGS_nodes; ++i) {
-            this->nodes.push_back(this->fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], ""}));
+            this->nodes.push_back(this->fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], overlay}));
         }
         this->isReady = this->fleet.waitReady(60s);
     }
--- a/Benchmarks/Measure/Yield.cpp
+++ b/Benchmarks/Measure/Yield.cpp
@@ -89,6 +89,7 @@
     LocalFleet fleet(FLAGS_programs);
     fleet.startPlatform();
     std::vector<std::size_t> engines;
+    engines.reserve(static_cast<std::size_t>(FLAGS_engines));
     for (int i = 0; i < FLAGS_engines; ++i) {
         engines.push_back(fleet.startEndpoint("engine",
                                               "notes",
@@ -99,6 +100,7 @@
     // A small headroom, so that each burst has to stop items.
     fleet.addSettings("[batch]\nheadroom = 1\n");
     std::vector<Address> entries;
+    entries.reserve(static_cast<std::size_t>(FLAGS_nodes));
     for (int i = 0; i < FLAGS_nodes; ++i) {
         const std::size_t node = fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], ""});
         entries.push_back(fleet.process(node).address);
--- a/Libraries/LibBatch/HeadroomEstimate.cpp
+++ b/Libraries/LibBatch/HeadroomEstimate.cpp
@@ -10,15 +10,18 @@
 
 /** What is left of an arrival's weight at each later one: the last thousand or so count. */
 constexpr double decay = 0.999;
-/** Share of arrivals that may find less than they need. */
-constexpr double shortShare = 0.01;
 
 } // namespace
 
-HeadroomEstimate::HeadroomEstimate(const Clock &clock, std::chrono::milliseconds reaction) : clock(clock), reaction(reaction)
+HeadroomEstimate::HeadroomEstimate(const Clock &clock, std::chrono::nanoseconds reaction) : clock(clock), reaction(reaction)
 {
 }
 
+void HeadroomEstimate::setReaction(std::chrono::nanoseconds reaction)
+{
+    this->reaction = reaction;
+}
+
 void HeadroomEstimate::observe(std::uint32_t online)
 {
     const SteadyTime now = this->clock.now();
@@ -42,7 +45,7 @@
     this->last = online;
 }
 
-std::uint32_t HeadroomEstimate::value() const
+std::uint32_t HeadroomEstimate::value(double shortShare) const
 {
     double above = 0;
     for (std::size_t rise = mostRise; rise > 0; --rise) {
--- a/Libraries/LibBatch/HeadroomEstimate.h
+++ b/Libraries/LibBatch/HeadroomEstimate.h
@@ -20,12 +20,19 @@
 class HeadroomEstimate
 {
 public:
+    /** @param reaction see setReaction; until one has been measured */
+    HeadroomEstimate(const Clock &clock, std::chrono::nanoseconds reaction);
+
     /** @param reaction from an online request's dispatch until the places of cancelled items are free */
-    HeadroomEstimate(const Clock &clock, std::chrono::milliseconds reaction);
+    void setReaction(std::chrono::nanoseconds reaction);
 
     void observe(std::uint32_t online);
 
-    std::uint32_t value() const;
+    /**
+     * @param shortShare share of arrivals that may find less than they need
+     * @return places to keep free
+     */
+    std::uint32_t value(double shortShare) const;
 
 private:
     struct Sample
@@ -37,7 +44,7 @@
     static constexpr std::size_t mostRise = 64;
 
     const Clock &clock;
-    std::chrono::milliseconds reaction;
+    std::chrono::nanoseconds reaction;
     /** The numbers within the last reaction time, and the one before. */
     std::deque<Sample> recent;
     std::uint32_t last = 0;
--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -1,6 +1,7 @@
 #include <LibBatch/Lane.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -8,6 +9,13 @@
 namespace
 {
 
+/** Share of online requests that may start a step late because no place was free. */
+constexpr double lateShare = 0.01;
+/** Share of them that may find no place at all. */
+constexpr double mostShort = 0.5;
+/** Their logarithms are as 19 to 1, so that a twentieth of the reactions is slower than what is followed. */
+constexpr double reactionUp = 1.1;
+constexpr double reactionDown = 0.995;
 /** Entries repeat a notice ten times a second while they have requests there. */
 constexpr std::chrono::milliseconds noticeLife{1000};
 /** Reports in a row without strange streams after which a lane is settled. They lag, so one is not enough. */
@@ -22,7 +30,7 @@
 } // namespace
 
 Lane::Lane(const Clock &clock, const Options &options)
-    : clock(clock), options(options), rises(clock, options.reaction), reportsMissing(reportsToSettle)
+    : clock(clock), options(options), rises(clock, options.reaction), reaction(options.reaction), reportsMissing(reportsToSettle)
 {
 }
 
@@ -86,6 +94,43 @@
     this->steps.observe(gap, this->items + this->onlineSum);
 }
 
+void Lane::observeCancel(std::chrono::nanoseconds passed)
+{
+    if (!std::exchange(this->isReactionMeasured, true)) {
+        this->reaction = passed;
+    }
+    this->followReaction(passed);
+}
+
+void Lane::observeAnswer(std::chrono::nanoseconds passed)
+{
+    if (this->isReactionMeasured) {
+        return;
+    }
+    if (!std::exchange(this->isAnswerMeasured, true)) {
+        this->reaction = passed;
+    }
+    this->followReaction(passed);
+}
+
+void Lane::followReaction(std::chrono::nanoseconds passed)
+{
+    // The notice of the request takes about as long as the engine's answer does on its way back, so that the measured time
+    // stands for the whole. Followed up in large steps and down in small ones, it stays near the slowest twentieth.
+    const double step = passed > this->reaction ? reactionUp : reactionDown;
+    this->reaction = std::chrono::duration_cast<std::chrono::nanoseconds>(this->reaction * step);
+    this->rises.setReaction(this->reaction);
+}
+
+double Lane::shortShare() const
+{
+    // A place that becomes free before the engine's next step costs the request nothing, since it can start no sooner. So
+    // of the requests that find no place only the share is late in whose time to the next step the reaction does not fit.
+    const auto step = this->steps.meanStep();
+    const double late = step.count() > 0 ? static_cast<double>(this->reaction.count()) / static_cast<double>(step.count()) : 1;
+    return std::clamp(lateShare / std::max(late, lateShare), lateShare, mostShort);
+}
+
 void Lane::unsettle()
 {
     this->reportsMissing = reportsToSettle;
@@ -112,7 +157,7 @@
     --this->items;
 }
 
-std::uint32_t Lane::limit() const
+std::uint32_t Lane::streamLimit() const
 {
     if (this->onlineSum == 0) {
         return this->options.capacity;
@@ -130,7 +175,7 @@
     std::uint32_t taken = this->items + (this->isSettled() ? 0 : this->foreign);
     switch (this->options.policy) {
     case LanePolicy::Yield:
-        limit = this->limit();
+        limit = this->streamLimit();
         taken += this->onlineSum + this->headroom();
         break;
     case LanePolicy::FixedLimit:
@@ -147,7 +192,7 @@
     if (this->options.policy != LanePolicy::Yield || this->onlineSum == 0) {
         return 0;
     }
-    const std::uint32_t limit = this->limit();
+    const std::uint32_t limit = this->streamLimit();
     const std::uint32_t headroom = this->headroom();
     const std::uint32_t taken = this->onlineSum + this->items + (this->isSettled() ? 0 : this->foreign);
     // Half the headroom may be used up before items stop to give it back, else each single request would stop one.
@@ -167,10 +212,15 @@
     return this->onlineSum;
 }
 
+std::chrono::nanoseconds Lane::reactionTime() const
+{
+    return this->reaction;
+}
+
 std::uint32_t Lane::headroom() const
 {
     // A replica that is kept wholly free for bursts would run no batch items at all.
-    return std::min(std::max(this->options.headroom, this->rises.value()), this->options.capacity / 2);
+    return std::min(std::max(this->options.headroom, this->rises.value(this->shortShare())), this->options.capacity / 2);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -50,7 +50,7 @@
         std::uint32_t fixedLimit = 0;
         /** How much longer online requests' time per token may get because of batch items, 0.1 for a tenth. */
         double slowdown = 0;
-        /** From an online request's dispatch until the places of cancelled items are free. */
+        /** From an online request's dispatch until the places of cancelled items are free; until it has been measured. */
         std::chrono::milliseconds reaction{50};
     };
 
@@ -75,6 +75,15 @@
     /** A batch item got a token. @param gap since the one before */
     void observeGap(std::chrono::nanoseconds gap);
 
+    /** The engine has confirmed that an item is cancelled. @param passed since it was told */
+    void observeCancel(std::chrono::nanoseconds passed);
+
+    /**
+     * The engine has answered a call. Stands in for a cancellation's time until one was seen: with a headroom for a slow
+     * reaction no item would ever have to stop, and the reaction would never be learned.
+     */
+    void observeAnswer(std::chrono::nanoseconds passed);
+
     /** Another holder may run items there: trust the engine's reports only. */
     void unsettle();
     bool isSettled() const;
@@ -95,6 +104,12 @@
     std::uint32_t online() const;
     std::uint32_t headroom() const;
 
+    /** @return streams, online and batch, that may run beside each other now. */
+    std::uint32_t streamLimit() const;
+
+    /** @return how long it takes to free a place, as measured. */
+    std::chrono::nanoseconds reactionTime() const;
+
 private:
     struct Notice
     {
@@ -103,7 +118,8 @@
         SteadyTime at{};
     };
 
-    std::uint32_t limit() const;
+    double shortShare() const;
+    void followReaction(std::chrono::nanoseconds passed);
 
     const Clock &clock;
     Options options;
@@ -111,6 +127,9 @@
     std::uint32_t onlineSum = 0;
     std::map<SessionNumber, Notice> notices;
     HeadroomEstimate rises;
+    std::chrono::nanoseconds reaction;
+    bool isReactionMeasured = false;
+    bool isAnswerMeasured = false;
     StepModel steps;
     /** Streams that the engine reports and nobody here knows of. */
     std::uint32_t foreign = 0;
--- a/Libraries/LibBatch/StepModel.h
+++ b/Libraries/LibBatch/StepModel.h
@@ -24,11 +24,17 @@
      */
     std::optional<std::uint32_t> mostStreams(std::uint32_t online, double slowdown) const;
 
+    /** @return the mean time per token; zero while nothing is known. */
+    std::chrono::nanoseconds meanStep() const;
+
 private:
+    double surePerStream() const;
+
     double weight = 0;
     double meanStreams = 0;
     double meanGap = 0;
     double varianceStreams = 0;
+    double varianceGap = 0;
     double covariance = 0;
 };
 
--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -87,7 +87,7 @@
     this->exchange = this->http.start(engine, request, connection, std::move(hooks));
 }
 
-HeldItem ItemRun::stop()
+HeldItem ItemRun::stop(Gap cancelled)
 {
     const Json body{{"request_id", this->runId}};
     this->http.fetch(
--- a/Services/Lane/ItemRun.h
+++ b/Services/Lane/ItemRun.h
@@ -53,9 +53,10 @@
     /**
      * Cancel it at the engine: by its id, which takes effect at once, and by closing the connection, which engines notice
      * at a later token.
+     * @param cancelled told how long the engine took to confirm, if it does; may be empty
      * @return the item, with the tokens it got
      */
-    HeldItem stop();
+    HeldItem stop(Gap cancelled = {});
 
     /** @return when it was sent. */
     SteadyTime sent() const;
--- a/Services/Lane/ItemSource.cpp
+++ b/Services/Lane/ItemSource.cpp
@@ -147,6 +147,12 @@
     return items;
 }
 
+std::size_t ItemSource::waiting(const std::string &model) const
+{
+    const auto found = this->queues.find(model);
+    return found != this->queues.end() ? found->second.size() : 0;
+}
+
 void ItemSource::addHeld(ItemsByJob &held) const
 {
     for (const auto &[model, queue] : this->queues) {
--- a/Services/Lane/ItemSource.h
+++ b/Services/Lane/ItemSource.h
@@ -54,6 +54,9 @@
     /** Pull nothing more. @return what waited */
     ItemsByJob close();
 
+    /** @return items of a model that wait here. */
+    std::size_t waiting(const std::string &model) const;
+
     void addHeld(ItemsByJob &held) const;
 
 private:
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds restAfterRefusal{500};
 /** Runs of one item that may go silent before it ends failed. */
 constexpr std::uint32_t mostSilences = 10;
+constexpr std::chrono::milliseconds logInterval{2000};
 constexpr int statusOk = 200;
 
 LanePolicy policyOf(BatchPolicy policy)
@@ -132,7 +133,7 @@
         if (replica != nullptr) {
             held->second.serves = replica->serves;
             held->second.lane.configure(this->laneOptions(replica->capacity));
-            this->yield(held->second);
+            this->yield(held->first, held->second);
         }
         const bool isOver = replica == nullptr && held->second.runs.empty();
         held = isOver ? this->lanes.erase(held) : std::next(held);
@@ -149,7 +150,7 @@
     const auto found = this->lanes.find(notice.endpoint);
     if (found != this->lanes.end()) {
         found->second.lane.observeOnline(notice.from, notice.sequence, notice.inFlight);
-        this->yield(found->second);
+        this->yield(found->first, found->second);
         // Also on the other replicas: what had to stop here may go on there.
         this->fillAll(found->second.serves);
     }
@@ -190,6 +191,7 @@
         this->fill(name, held);
     }
     this->leases.tick();
+    this->logLanes();
     if (this->draining && this->drained && this->isIdle()) {
         std::exchange(this->drained, nullptr)();
     }
@@ -200,6 +202,28 @@
     });
 }
 
+void LaneService::logLanes()
+{
+    const SteadyTime now = this->clock.now();
+    if (now - this->lastLog < logInterval) {
+        return;
+    }
+    this->lastLog = now;
+    for (const auto &[name, held] : this->lanes) {
+        log(LogLevel::Debug,
+            "lane",
+            {{"endpoint", name.value()},
+             {"items", static_cast<std::int64_t>(held.lane.running())},
+             {"online", static_cast<std::int64_t>(held.lane.online())},
+             {"headroom", static_cast<std::int64_t>(held.lane.headroom())},
+             {"limit", static_cast<std::int64_t>(held.lane.streamLimit())},
+             {"reaction_ms", std::chrono::duration<double, std::milli>(held.lane.reactionTime()).count()},
+             {"waiting", static_cast<std::int64_t>(this->items.waiting(held.serves))},
+             {"is_ours", held.isOurs},
+             {"is_settled", held.lane.isSettled()}});
+    }
+}
+
 void LaneService::noticePause()
 {
     // While this process stood still, others may have held it dead and another node may run items in its lanes. Its view
@@ -281,7 +305,7 @@
     this->http.fetch(replica->address,
                      {.method = "GET", .path = "/load"},
                      reportTimeout,
-                     [this, name, alive = this->alive](ExchangeEnd end, const HttpResponse &response) {
+                     [this, name, now, alive = this->alive](ExchangeEnd end, const HttpResponse &response) {
                          if (!*alive) {
                              return;
                          }
@@ -291,6 +315,7 @@
                          }
                          found->second.isAsking = false;
                          if (end == ExchangeEnd::Complete && response.status == statusOk) {
+                             found->second.lane.observeAnswer(this->clock.now() - now);
                              this->onReport(name, response);
                          }
                      });
@@ -311,25 +336,31 @@
         return;
     }
     // Entries tell the new holder of their requests, not this node. What queues at the engine is all there is to go by.
-    this->yieldTo(held, report.queued);
+    this->yieldTo(name, held, report.queued);
 }
 
-void LaneService::yield(HeldLane &held)
+void LaneService::yield(const EndpointName &name, HeldLane &held)
 {
-    this->yieldTo(held, held.lane.excess());
+    this->yieldTo(name, held, held.lane.excess());
 }
 
-void LaneService::yieldTo(HeldLane &held, std::uint32_t places)
+void LaneService::yieldTo(const EndpointName &name, HeldLane &held, std::uint32_t places)
 {
     if (places == 0 || held.runs.empty()) {
         return;
     }
+    const auto cancelled = [this, name, alive = this->alive](std::chrono::nanoseconds passed) {
+        const auto found = this->lanes.find(name);
+        if (*alive && found != this->lanes.end()) {
+            found->second.lane.observeCancel(passed);
+        }
+    };
     // The items with the fewest tokens lose the least by stopping.
     std::ranges::sort(held.runs, std::ranges::greater(), [](const auto &run) {
         return run->held().tokens;
     });
     while (places > 0 && !held.runs.empty()) {
-        HeldItem item = held.runs.back()->stop();
+        HeldItem item = held.runs.back()->stop(cancelled);
         held.runs.pop_back();
         held.lane.itemStopped();
         --places;
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -83,13 +83,14 @@
     };
 
     void tick();
+    void logLanes();
     void noticePause();
     void takeLanes();
     void stopSilentRuns(const EndpointName &name, HeldLane &held);
     void askEngine(const EndpointName &name, HeldLane &held);
     void onReport(const EndpointName &name, const HttpResponse &response);
-    void yield(HeldLane &held);
-    void yieldTo(HeldLane &held, std::uint32_t places);
+    void yield(const EndpointName &name, HeldLane &held);
+    void yieldTo(const EndpointName &name, HeldLane &held, std::uint32_t places);
     void fill(const EndpointName &name, HeldLane &held);
     void fillAll(const std::string &model);
     bool mayRun(const HeldLane &held, const HeldItem &item) const;
@@ -116,6 +117,7 @@
     std::map<EndpointName, HeldLane> lanes;
     std::uint64_t lastRun = 0;
     SteadyTime lastTick;
+    SteadyTime lastLog{};
     bool draining = false;
     std::function<void()> drained;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
