LibControl: Keep configuration versions and follow them on every node

Cause: a configuration was what each VM's file said; nothing made all nodes work by the same one.

Ways weighed: a head row that is swapped conditionally needs two rows in one transaction and lets a lost answer be told apart from a lost race only by reading both; one row a version, inserted if absent, needs one. Keys sort newest first, so the head is one ranged read of one row whatever the history. Content above the row limit stands in parts whose borders depend on the text nearby, so that a change of a line costs two or three parts.

Change: ConfigurationWriter checks a proposal for every site, writes parts, inserts the row, and resolves every lost answer by the nonce. ConfigurationKeeper only goes up, takes rows from the peer that told of them and from the platform in turn, and is not ready before one answered. All nodes together look at the platform ten times a second at most, which finds a version whose writer died before telling anyone.

Not wired into the node yet.

--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -4,9 +4,11 @@
 
 #include <LibBase/Address.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -39,6 +41,8 @@
     std::string vm;
     /** The failure domain this VM is in. */
     std::string failureDomain;
+    /** The site this VM is at: which overlay of a configuration version it works by. */
+    std::string site;
     /** How much is logged: debug, info, warning or error. */
     LogDetail log = LogDetail::Info;
 };
@@ -224,4 +228,7 @@
     std::vector<TenantSettings> tenants;
 };
 
+/** Sections that stay in a VM's own files; configuration versions cover all others. */
+inline constexpr std::array<std::string_view, 6> localSections{"node", "listen", "platform", "peers", "membership", "owner"};
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -12,9 +12,10 @@
 
 void readNodeSettings(SettingsReader &reader, const toml::table &table, NodeSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"vm", "failure_domain", "log"});
+    reader.rejectUnknownKeys(table, {"vm", "failure_domain", "site", "log"});
     reader.readString(table, "vm", target.vm, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
+    reader.readString(table, "site", target.site, Presence::Optional);
     reader.readEnum<LogDetail>(
         table,
         "log",
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -3,6 +3,7 @@
 #include <LibSettings/SettingsChecks.h>
 #include <LibSettings/SettingsReader.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <utility>
@@ -70,11 +71,33 @@
     }
 }
 
+bool isLocal(std::string_view section)
+{
+    return std::ranges::find(localSections, section) != localSections.end();
+}
+
+void applyScope(toml::table &table, const SettingsSource &source, SettingsReader &reader)
+{
+    std::vector<std::string> passedOver;
+    for (const auto &[key, node] : table) {
+        if (source.scope == SettingsScope::LocalSections && !isLocal(key.str())) {
+            passedOver.emplace_back(key.str());
+        }
+        if (source.scope == SettingsScope::SharedSections && isLocal(key.str())) {
+            reader.add(node, "[" + std::string(key.str()) + "] belongs into the VM's own file, not into a version");
+        }
+    }
+    for (const std::string &key : passedOver) {
+        table.erase(key);
+    }
+}
+
 } // namespace
 
 std::optional<Settings> loadSettings(const std::vector<SettingsSource> &sources, Findings &findings)
 {
     toml::table merged;
+    SettingsReader reader(findings);
     const std::size_t before = findings.all().size();
     for (const SettingsSource &source : sources) {
         toml::parse_result parsed = toml::parse(source.text, source.name);
@@ -83,13 +106,14 @@
             findings.add({source.name, error.source().begin.line, error.source().begin.column}, std::string(error.description()));
             continue;
         }
-        mergeTable(merged, std::move(parsed).table());
+        toml::table table = std::move(parsed).table();
+        applyScope(table, source, reader);
+        mergeTable(merged, std::move(table));
     }
     if (findings.all().size() > before) {
         return std::nullopt;
     }
     Settings settings;
-    SettingsReader reader(findings);
     readSettings(reader, merged, settings);
     checkSettings(settings, merged, reader);
     if (findings.all().size() > before) {
--- a/Libraries/LibSettings/SettingsLoader.h
+++ b/Libraries/LibSettings/SettingsLoader.h
@@ -10,12 +10,22 @@
 namespace Dogwoodkeel
 {
 
+/** Which sections of a settings file count. */
+enum class SettingsScope {
+    All,
+    /** Of a VM's own file beside a configuration version: what it says of the node itself; the rest is passed over. */
+    LocalSections,
+    /** Of a configuration version: a section that belongs into a VM's own file is a mistake. */
+    SharedSections,
+};
+
 /** The text of one settings file. */
 struct SettingsSource
 {
     /** How findings name it. */
     std::string name;
     std::string text;
+    SettingsScope scope = SettingsScope::All;
 };
 
 /**
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -308,6 +308,32 @@
     return value <= RecordKind::Cancel;
 }
 
+/** What a node's settings come from. */
+enum class ConfigurationSource : std::uint8_t {
+    /** No version was ever accepted: its VM's own files. */
+    OwnFiles,
+    /** An accepted version, and what its VM's own files say of the node itself. */
+    Version,
+};
+
+/** @return the value's name, for logs. */
+constexpr std::string_view toString(ConfigurationSource value)
+{
+    switch (value) {
+    case ConfigurationSource::OwnFiles:
+        return "OwnFiles";
+    case ConfigurationSource::Version:
+        return "Version";
+    }
+    return "invalid";
+}
+
+/** @return whether a decoded number is a value of the enum. */
+constexpr bool isValid(ConfigurationSource value)
+{
+    return value <= ConfigurationSource::Version;
+}
+
 struct ClaimRequest;
 struct ClaimResponse;
 struct CommitRequest;
@@ -333,6 +359,14 @@
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
+struct ConfigurationRequest;
+struct ConfigurationResponse;
+struct ConfigurationPartRequest;
+struct ConfigurationPartResponse;
+struct ConfigurationStateRequest;
+struct ConfigurationStateResponse;
+struct StatusRequest;
+struct StatusResponse;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -660,6 +694,67 @@
     }
 };
 
+/** What differs at one site. */
+struct ConfigurationOverlay
+{
+    /** The site, as node.site names it. */
+    std::string site;
+    /** TOML. */
+    std::string text;
+
+    bool operator==(const ConfigurationOverlay &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->site, this->text);
+    }
+};
+
+/** What operators wrote: the base that all sites share, and the overlays of all sites. */
+struct ConfigurationContent
+{
+    /** TOML. */
+    std::string base;
+    /** In order of their sites. */
+    std::vector<ConfigurationOverlay> overlays;
+
+    bool operator==(const ConfigurationContent &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->base, this->overlays);
+    }
+};
+
+/** One accepted version, as its row holds it. A number has one content for ever. */
+struct ConfigurationRow
+{
+    /** Version number; the first is 1. */
+    std::uint64_t number = 0;
+    /** Chosen by the operator's tool, the same in every resend of one apply. */
+    std::string nonce;
+    /** Who applied it. */
+    std::string author;
+    /** Why, in the author's words. */
+    std::string reason;
+    /** When it was applied, by the clock of the node that wrote it. */
+    WallTime created;
+    /** The encoded ConfigurationContent, if it fits into the row. */
+    std::string content;
+    /** If it does not: keys of the objects that hold it, in order. A key is made from what the object holds. */
+    std::vector<std::string> parts;
+
+    bool operator==(const ConfigurationRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number, this->nonce, this->author, this->reason, this->created, this->content, this->parts);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1140,4 +1235,150 @@
     }
 };
 
+/** Asks a node for the newest version it holds. */
+struct ConfigurationRequest
+{
+    static constexpr MessageNumber number{80};
+    using Response = ConfigurationResponse;
+    /** Who asks; 0 while it has no session. */
+    SessionNumber from;
+
+    bool operator==(const ConfigurationRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
+/** The answer to a ConfigurationRequest. */
+struct ConfigurationResponse
+{
+    static constexpr MessageNumber number{81};
+    /** False if the node has learnt of none itself yet: the answer then says nothing. */
+    bool isKnown = false;
+    /** The newest version; number 0 if none was ever accepted, as far as the node knows. */
+    ConfigurationRow row;
+
+    bool operator==(const ConfigurationResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->isKnown, this->row);
+    }
+};
+
+/** Asks a node for a part of the version it holds. */
+struct ConfigurationPartRequest
+{
+    static constexpr MessageNumber number{82};
+    using Response = ConfigurationPartResponse;
+    /** Of the part. */
+    std::string key;
+
+    bool operator==(const ConfigurationPartRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->key);
+    }
+};
+
+/** The answer to a ConfigurationPartRequest. */
+struct ConfigurationPartResponse
+{
+    static constexpr MessageNumber number{83};
+    /** Whether the node holds the part. */
+    bool isFound = false;
+    /** With isFound. */
+    std::string content;
+
+    bool operator==(const ConfigurationPartResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->isFound, this->content);
+    }
+};
+
+/** Asks a node what it has in force. */
+struct ConfigurationStateRequest
+{
+    static constexpr MessageNumber number{84};
+    using Response = ConfigurationStateResponse;
+    /** Who asks. */
+    SessionNumber from;
+
+    bool operator==(const ConfigurationStateRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
+/** The answer to a ConfigurationStateRequest. */
+struct ConfigurationStateResponse
+{
+    static constexpr MessageNumber number{85};
+    /** The VM. */
+    VmName vm;
+    /** Its site. */
+    std::string site;
+    /** Where the VM is. */
+    FailureDomain failureDomain;
+    /** The version all its tasks work by. */
+    std::uint64_t inForce = 0;
+    /** The newest it has heard of. */
+    std::uint64_t seen = 0;
+    /** Why it has not put a newer one into force; empty if nothing is in the way. */
+    std::string obstacle;
+
+    bool operator==(const ConfigurationStateResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->vm, this->site, this->failureDomain, this->inForce, this->seen, this->obstacle);
+    }
+};
+
+/** Asks a node for its part of the status that operators read. */
+struct StatusRequest
+{
+    static constexpr MessageNumber number{86};
+    using Response = StatusResponse;
+    /** Who asks. */
+    SessionNumber from;
+
+    bool operator==(const StatusRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
+/** The answer to a StatusRequest. */
+struct StatusResponse
+{
+    static constexpr MessageNumber number{87};
+    /** JSON, as docs/operators/status.md tells. */
+    std::string report;
+
+    bool operator==(const StatusResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->report);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -171,8 +171,8 @@
 def settings_header():
     schema = load("settings.toml")
     lines = [NOTE.format(source="Schema/settings.toml"), "#pragma once", "", "#include <LibBase/Address.h>", "",
-             "#include <chrono>", "#include <cstdint>", "#include <string>", "#include <vector>", "",
-             "namespace Dogwoodkeel", "{", ""]
+             "#include <array>", "#include <chrono>", "#include <cstdint>", "#include <string>", "#include <string_view>",
+             "#include <vector>", "", "namespace Dogwoodkeel", "{", ""]
     lines += settings_enums(schema)
     for section in schema["section"]:
         lines += settings_struct(section)
@@ -181,7 +181,10 @@
         kind = f"std::vector<{section['struct']}>" if section.get("list") else section["struct"]
         lines += [f"    /** {section['doc']} */",
                   f"    {kind} {member(section['name'])}{'s' if section.get('list') else ''};"]
-    lines += ["};", "", "}", ""]
+    local = [f'"{section["name"]}"' for section in schema["section"] if section.get("local")]
+    lines += ["};", "", "/** Sections that stay in a VM's own files; configuration versions cover all others. */",
+              f"inline constexpr std::array<std::string_view, {len(local)}> localSections{{{', '.join(local)}}};",
+              "", "}", ""]
     return formatted("\n".join(lines))
 
 
@@ -243,7 +246,8 @@
              "`2s`, `5min`, `1h`, `7d`. Every mistake is reported with its file, line and column, and nothing starts.", ""]
     for section in schema["section"]:
         title = f"[[{section['name']}]]" if section.get("list") else f"[{section['name']}]"
-        lines += [f"## `{title}`", "", section["doc"], "", "| key | type | default | bounds | meaning |",
+        place = "In the VM's own files only." if section.get("local") else "Covered by configuration versions."
+        lines += [f"## `{title}`", "", f"{section['doc']} {place}", "", "| key | type | default | bounds | meaning |",
                   "|---|---|---|---|---|"]
         for key in section["keys"]:
             default = "required" if key.get("required") else f"`{key.get('default', '')}`"
--- /dev/null
+++ b/Services/Control/ConfigurationKeeper.cpp
@@ -0,0 +1,356 @@
+#include <Services/Control/ConfigurationKeeper.h>
+
+#include <LibBase/Log.h>
+#include <LibControl/ConfigurationCheck.h>
+#include <LibControl/ConfigurationKeys.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+ConfigurationKeeper::ConfigurationKeeper(
+    ConfigurationStore &store, Scheduler &scheduler, const Clock &clock, std::uint64_t seed, Options options, Hooks hooks)
+    : store(store)
+    , scheduler(scheduler)
+    , clock(clock)
+    , options(std::move(options))
+    , hooks(std::move(hooks))
+    , random(seed)
+    , loaded(this->options.ownSettings)
+{
+}
+
+ConfigurationKeeper::~ConfigurationKeeper()
+{
+    *this->alive = false;
+    this->scheduler.cancel(this->lookTimer);
+}
+
+void ConfigurationKeeper::start(std::function<void(SettingsPointer)> learnt)
+{
+    this->learnt = std::move(learnt);
+    this->look();
+}
+
+void ConfigurationKeeper::look()
+{
+    this->store.readNewest(1, [this, alive = this->alive](const ConfigurationRows &read) {
+        if (*alive) {
+            this->onLooked(read);
+        }
+    });
+}
+
+void ConfigurationKeeper::onLooked(const ConfigurationRows &read)
+{
+    this->platformAnswers = read.outcome == ReadOutcome::Found;
+    this->scheduleLook();
+    if (!this->platformAnswers) {
+        return;
+    }
+    if (read.rows.empty()) {
+        this->learnNone();
+        return;
+    }
+    const ConfigurationRow &row = read.rows.front();
+    this->newest = std::max(this->newest, row.number);
+    if (row.number > this->held.number && !this->fetching) {
+        this->fetching = true;
+        this->fetchParts(std::make_shared<Fetch>(Fetch{row, {}, std::nullopt}));
+    }
+}
+
+void ConfigurationKeeper::scheduleLook()
+{
+    const auto shared = this->options.lookPerMember * static_cast<int>(this->peers.size() + 1);
+    const auto interval = this->known ? std::max(this->options.leastLook, shared) : this->options.retry;
+    // A random share apart, so that nodes that started together do not look together.
+    std::uniform_int_distribution<std::int64_t> jitter(0, interval.count() / 2);
+    const auto delay = interval * 3 / 4 + std::chrono::milliseconds(jitter(this->random));
+    this->lookTimer = this->scheduler.schedule(delay, [this] {
+        this->look();
+    });
+}
+
+void ConfigurationKeeper::setPeers(std::vector<Peer> peers)
+{
+    this->peers = std::move(peers);
+    std::uint64_t highest = 0;
+    for (const Peer &peer : this->peers) {
+        highest = std::max(highest, peer.version);
+    }
+    this->hear(highest);
+}
+
+void ConfigurationKeeper::hear(std::uint64_t number)
+{
+    this->newest = std::max(this->newest, number);
+    const bool isBehind = this->newest > this->held.number;
+    const bool mayLearn = !this->known && !this->peers.empty();
+    if ((isBehind || mayLearn) && !this->fetching) {
+        this->fetch();
+    }
+}
+
+const ConfigurationKeeper::Peer *ConfigurationKeeper::peerThatHas(std::uint64_t number)
+{
+    std::vector<const Peer *> able;
+    for (const Peer &peer : this->peers) {
+        if (peer.version >= number) {
+            able.push_back(&peer);
+        }
+    }
+    if (able.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, able.size() - 1);
+    return able[choice(this->random)];
+}
+
+void ConfigurationKeeper::fetch()
+{
+    this->fetching = true;
+    const Peer *const peer = this->peerThatHas(this->newest);
+    if (peer != nullptr && !this->askPlatformNext) {
+        this->fetchRowFromPeer(peer->address);
+        return;
+    }
+    this->fetchRowFromPlatform();
+}
+
+void ConfigurationKeeper::fetchRowFromPeer(const Address &peer)
+{
+    this->hooks.askPeer(peer, [this, peer, alive = this->alive](std::optional<ConfigurationResponse> response) {
+        if (!*alive) {
+            return;
+        }
+        if (!response || !response->isKnown) {
+            this->fetchFailed();
+            return;
+        }
+        this->newest = std::max(this->newest, response->row.number);
+        if (response->row.number == 0) {
+            this->fetching = false;
+            this->learnNone();
+            return;
+        }
+        this->fetchParts(std::make_shared<Fetch>(Fetch{std::move(response->row), {}, peer}));
+    });
+}
+
+void ConfigurationKeeper::fetchRowFromPlatform()
+{
+    this->store.readNewest(1, [this, alive = this->alive](const ConfigurationRows &read) {
+        if (!*alive) {
+            return;
+        }
+        this->platformAnswers = read.outcome == ReadOutcome::Found;
+        if (!this->platformAnswers || read.rows.empty()) {
+            this->fetchFailed();
+            if (this->platformAnswers) {
+                this->learnNone();
+            }
+            return;
+        }
+        this->newest = std::max(this->newest, read.rows.front().number);
+        this->fetchParts(std::make_shared<Fetch>(Fetch{read.rows.front(), {}, std::nullopt}));
+    });
+}
+
+void ConfigurationKeeper::fetchParts(const std::shared_ptr<Fetch> &fetch)
+{
+    if (fetch->row.number <= this->held.number) {
+        // The source is behind the one that was heard of. What is held is newer; it stays.
+        this->fetchFailed();
+        return;
+    }
+    for (const std::string &key : fetch->row.parts) {
+        if (fetch->parts.contains(key)) {
+            continue;
+        }
+        const auto known = this->heldParts.find(key);
+        if (known != this->heldParts.end()) {
+            fetch->parts.insert(*known);
+            continue;
+        }
+        const auto onPart = [this, fetch, key, alive = this->alive](std::optional<std::string> content) {
+            if (*alive) {
+                this->onPart(fetch, key, std::move(content));
+            }
+        };
+        if (!fetch->from) {
+            this->store.readPart(key, onPart);
+            return;
+        }
+        this->hooks.askPeerForPart(*fetch->from, key, [onPart](std::optional<ConfigurationPartResponse> response) {
+            const bool isFound = response && response->isFound;
+            onPart(isFound ? std::optional(std::move(response->content)) : std::nullopt);
+        });
+        return;
+    }
+    this->fetching = false;
+    this->askPlatformNext = false;
+    this->hold(fetch->row, std::move(fetch->parts));
+    this->hear(this->newest);
+}
+
+void ConfigurationKeeper::onPart(const std::shared_ptr<Fetch> &fetch, const std::string &key, std::optional<std::string> content)
+{
+    if (!content || ConfigurationKeys::part(*content) != key) {
+        this->fetchFailed();
+        return;
+    }
+    fetch->parts[key] = *std::move(content);
+    this->fetchParts(fetch);
+}
+
+void ConfigurationKeeper::fetchFailed()
+{
+    this->askPlatformNext = !this->askPlatformNext;
+    if (this->newest > this->number) {
+        this->reason = "version " + std::to_string(this->newest) + " could not be fetched yet";
+    }
+    this->scheduler.schedule(this->options.retry, [this, alive = this->alive] {
+        if (*alive) {
+            this->fetching = false;
+            this->hear(this->newest);
+        }
+    });
+}
+
+void ConfigurationKeeper::adopt(const ConfigurationRow &row, const ConfigurationContent &content)
+{
+    this->newest = std::max(this->newest, row.number);
+    ConfigurationRow repacked = row;
+    ConfigurationPartMap parts;
+    if (!row.parts.empty()) {
+        parts = packContent(content, 0, repacked);
+    }
+    this->hold(row, std::move(parts));
+}
+
+void ConfigurationKeeper::hold(const ConfigurationRow &row, ConfigurationPartMap parts)
+{
+    if (row.number <= this->held.number) {
+        return;
+    }
+    auto content = unpackContent(row, parts);
+    if (!content) {
+        this->reason = "version " + std::to_string(row.number) + " is damaged";
+        log(LogLevel::Error, "configuration damaged", {{"version", static_cast<std::int64_t>(row.number)}});
+        return;
+    }
+    this->known = true;
+    this->held = row;
+    this->heldParts = std::move(parts);
+    this->heldContent = *std::move(content);
+    this->load();
+}
+
+void ConfigurationKeeper::load()
+{
+    Findings findings;
+    std::optional<Settings> settings = loadVersion(this->heldContent, this->options.site, this->options.ownFiles, findings);
+    if (!settings) {
+        // Checked before it was accepted, so a program of another version accepted it, or this VM's own file is wrong.
+        this->reason = "version " + std::to_string(this->held.number) + " does not load here: " + findings.toString();
+        log(LogLevel::Error, "configuration does not load", {{"findings", findings.toString()}});
+        return;
+    }
+    this->loaded = std::make_shared<const Settings>(*std::move(settings));
+    this->loadedNumber = this->held.number;
+    this->tellLearnt(this->loaded);
+    this->putInForce();
+}
+
+void ConfigurationKeeper::learnNone()
+{
+    if (this->newest == 0) {
+        this->known = true;
+        this->tellLearnt(this->options.ownSettings);
+    }
+}
+
+void ConfigurationKeeper::tellLearnt(const SettingsPointer &settings)
+{
+    if (!this->learnt) {
+        return;
+    }
+    this->number = this->loadedNumber;
+    this->hooks.onInForce(this->number);
+    std::exchange(this->learnt, nullptr)(settings);
+}
+
+void ConfigurationKeeper::follow()
+{
+    this->following = true;
+    this->putInForce();
+}
+
+void ConfigurationKeeper::putInForce()
+{
+    if (!this->following || this->putting || this->loadedNumber <= this->number) {
+        return;
+    }
+    this->putting = true;
+    const std::uint64_t target = this->loadedNumber;
+    this->hooks.putInForce(this->loaded, target, [this, target, alive = this->alive] {
+        if (!*alive) {
+            return;
+        }
+        this->putting = false;
+        this->number = target;
+        if (this->number >= this->newest) {
+            this->reason.clear();
+        }
+        log(LogLevel::Info, "configuration in force", {{"version", static_cast<std::int64_t>(target)}});
+        this->hooks.onInForce(target);
+        this->putInForce();
+    });
+}
+
+ConfigurationResponse ConfigurationKeeper::respond(const ConfigurationRequest &) const
+{
+    return {this->known, this->held};
+}
+
+ConfigurationPartResponse ConfigurationKeeper::respond(const ConfigurationPartRequest &request) const
+{
+    const auto found = this->heldParts.find(request.key);
+    const bool isFound = found != this->heldParts.end();
+    return {isFound, isFound ? found->second : std::string()};
+}
+
+std::uint64_t ConfigurationKeeper::inForce() const
+{
+    return this->number;
+}
+
+std::uint64_t ConfigurationKeeper::seen() const
+{
+    return this->newest;
+}
+
+const std::string &ConfigurationKeeper::obstacle() const
+{
+    return this->reason;
+}
+
+const ConfigurationRow &ConfigurationKeeper::row() const
+{
+    return this->held;
+}
+
+const ConfigurationContent &ConfigurationKeeper::content() const
+{
+    return this->heldContent;
+}
+
+bool ConfigurationKeeper::isPlatformAnswering() const
+{
+    return this->platformAnswers;
+}
+
+} // namespace Dogwoodkeel
--- a/Tests/Fakes/FaultyPlatform.cpp
+++ b/Tests/Fakes/FaultyPlatform.cpp
@@ -42,6 +42,11 @@
     return this->rowsWritten;
 }
 
+std::size_t FaultyPlatform::rowReads() const
+{
+    return this->rowsRead;
+}
+
 const std::shared_ptr<EmbeddedStore> &FaultyPlatform::store() const
 {
     return this->data;
@@ -92,6 +97,7 @@
 
 void FaultyPlatform::read(const std::string &key, RowRead done)
 {
+    ++this->rowsRead;
     if (this->down) {
         this->scheduler.schedule(latency, [done = std::move(done)] {
             done({});
@@ -103,6 +109,7 @@
 
 void FaultyPlatform::readRange(const std::string &from, const std::string &to, std::size_t limit, RowsRead done)
 {
+    ++this->rowsRead;
     if (this->down) {
         this->scheduler.schedule(latency, [done = std::move(done)] {
             done({});
--- a/Tests/Fakes/FaultyPlatform.h
+++ b/Tests/Fakes/FaultyPlatform.h
@@ -24,6 +24,8 @@
     /** @param count how many of the next writes are lost on their way, and told as unknown */
     void loseWrites(std::size_t count);
     std::size_t rowWrites() const;
+    /** @return reads of one row or of a range. */
+    std::size_t rowReads() const;
     const std::shared_ptr<EmbeddedStore> &store() const;
 
     TableService &tables() override;
@@ -47,6 +49,7 @@
     std::size_t answersToLose = 0;
     std::size_t writesToLose = 0;
     std::size_t rowsWritten = 0;
+    std::size_t rowsRead = 0;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/LibControl/TestConfigurationWriter.cpp
@@ -0,0 +1,210 @@
+#include <LibBase/ManualClock.h>
+#include <LibControl/ConfigurationKeys.h>
+#include <LibControl/ConfigurationParts.h>
+#include <LibControl/ConfigurationWriter.h>
+#include <Tests/Fakes/FaultyPlatform.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Fixture
+{
+    ManualClock clock;
+    FaultyPlatform platform{clock};
+    ConfigurationStore store{platform};
+    ConfigurationWriter writer{store, clock, clock, {}};
+    std::vector<ApplyResult> results;
+
+    void apply(std::uint64_t edited, const std::string &nonce, const std::string &base = {})
+    {
+        this->writer.apply({edited, nonce, "ana", "why", {base, {}}}, [this](const ApplyResult &result) {
+            this->results.push_back(result);
+        });
+        this->clock.advance(1s);
+    }
+
+    std::size_t versions() const
+    {
+        return this->platform.store()->readRange("config/", ConfigurationKeys::versionsEnd(), 100).size();
+    }
+};
+
+std::string manyTenants(std::size_t count)
+{
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i) {
+        text += "[[tenant]]\nname = \"workspace-" + std::to_string(i) + "\"\nconcurrency = " + std::to_string(i % 90 + 1) + "\n";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("of two operators who edited the same version one wins, and the other is told what won")
+{
+    // Both edited version 1. Each node inserts row 2 if it is absent, so the platform decides; the loser gets the
+    // winner's row, against which it can rebase. Without the condition the later one would silently undo the first.
+    Fixture fixture;
+    fixture.apply(0, "first");
+    fixture.apply(1, "ana");
+    fixture.apply(1, "bruno");
+
+    REQUIRE(fixture.results.size() == 3);
+    CHECK(fixture.results[1].outcome == ApplyOutcome::Accepted);
+    CHECK(fixture.results[2].outcome == ApplyOutcome::Raced);
+    CHECK(fixture.results[2].row.nonce == "ana");
+    CHECK(fixture.versions() == 2);
+}
+
+TEST_CASE("operators who race while the platform looks at both get one winner")
+{
+    Fixture fixture;
+    FaultyPlatform second(fixture.platform.store(), fixture.clock);
+    ConfigurationStore otherStore(second);
+    ConfigurationWriter other(otherStore, fixture.clock, fixture.clock, {});
+    std::vector<ApplyOutcome> outcomes;
+    const auto applied = [&outcomes](const ApplyResult &result) {
+        outcomes.push_back(result.outcome);
+    };
+    fixture.writer.apply({0, "ana", "ana", "", {}}, applied);
+    other.apply({0, "bruno", "bruno", "", {}}, applied);
+    fixture.clock.advance(1s);
+
+    REQUIRE(outcomes.size() == 2);
+    CHECK((outcomes[0] == ApplyOutcome::Accepted) != (outcomes[1] == ApplyOutcome::Accepted));
+    CHECK(fixture.versions() == 1);
+}
+
+TEST_CASE("an apply whose answer was lost is accepted once")
+{
+    // The operator sees "accepted". The platform takes the row and loses the answer; the node cannot tell that from a
+    // row that another operator inserted. The nonce can.
+    Fixture fixture;
+    fixture.platform.loseAnswers(1);
+    fixture.apply(0, "one");
+
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::Accepted);
+    CHECK(fixture.versions() == 1);
+}
+
+TEST_CASE("an insert that was lost on its way is sent again")
+{
+    Fixture fixture;
+    fixture.platform.loseWrites(1);
+    fixture.apply(0, "one");
+
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::Accepted);
+    CHECK(fixture.versions() == 1);
+}
+
+TEST_CASE("a resent apply is told the version it made, also when others have followed")
+{
+    Fixture fixture;
+    fixture.apply(0, "one");
+    fixture.apply(1, "two");
+    fixture.apply(2, "three");
+    fixture.apply(1, "two");
+
+    CHECK(fixture.results[3].outcome == ApplyOutcome::Accepted);
+    CHECK(fixture.results[3].row.number == 2);
+    CHECK(fixture.versions() == 3);
+}
+
+TEST_CASE("when the platform goes down behind a lost answer the operator is told that it may have been accepted")
+{
+    // Telling "not applied" here would make the operator write the change again under another nonce, on top of itself.
+    Fixture fixture;
+    fixture.platform.loseAnswers(1);
+    fixture.writer.apply({0, "one", "ana", "", {}}, [&fixture](const ApplyResult &result) {
+        fixture.results.push_back(result);
+    });
+    fixture.clock.advance(50ms);
+    fixture.platform.setDown(true);
+    fixture.clock.advance(20s);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::Unknown);
+
+    fixture.platform.setDown(false);
+    fixture.apply(0, "one");
+    CHECK(fixture.results[1].outcome == ApplyOutcome::Accepted);
+    CHECK(fixture.versions() == 1);
+}
+
+TEST_CASE("with the platform down from the start nothing was applied, and that is told")
+{
+    Fixture fixture;
+    fixture.platform.setDown(true);
+    fixture.apply(0, "one");
+    fixture.clock.advance(20s);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::NotApplied);
+}
+
+TEST_CASE("a version cannot be built on one that is not there")
+{
+    // An operator's tool that claims to have edited version 7 of a chain of one would open a gap: the row 8 would be
+    // newest, and operators who edit 1 would go on to win 2, 3, ... unseen.
+    Fixture fixture;
+    fixture.apply(0, "one");
+    fixture.apply(7, "eight");
+    CHECK(fixture.results[1].outcome == ApplyOutcome::Invalid);
+    CHECK(fixture.versions() == 1);
+}
+
+TEST_CASE("all mistakes of all sites are told together with their places, and nothing is written")
+{
+    Fixture fixture;
+    const ConfigurationContent content{"[entry]\nentry_ttl = 5\n",
+                                       {{"kyushu", "[batch]\nitems = 0\n"}, {"montevideo", "\n[node]\nvm = \"x\"\n"}}};
+    fixture.writer.apply({0, "one", "ana", "", content}, [&fixture](const ApplyResult &result) {
+        fixture.results.push_back(result);
+    });
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::Invalid);
+    const std::string told = fixture.results[0].findings.toString();
+    CHECK(told.find("base.toml:2:13: entry_ttl") != std::string::npos);
+    CHECK(told.find("entry_ttl", told.find("entry_ttl") + 1) == std::string::npos);
+    CHECK(told.find("sites/kyushu.toml:2:9: items") != std::string::npos);
+    CHECK(told.find("sites/montevideo.toml:2:1: [node]") != std::string::npos);
+    CHECK(fixture.versions() == 0);
+}
+
+TEST_CASE("a large version stands in parts, and a small change of it changes few of them")
+{
+    Fixture fixture;
+    const std::string before = manyTenants(10000);
+    std::string after = before;
+    after.replace(after.find("workspace-5000"), 14, "workspace-five");
+    fixture.apply(0, "one", before);
+    fixture.apply(1, "two", after);
+    REQUIRE(fixture.results.size() == 2);
+    REQUIRE(fixture.results[1].outcome == ApplyOutcome::Accepted);
+
+    const ConfigurationRow &first = fixture.results[0].row;
+    const ConfigurationRow &second = fixture.results[1].row;
+    CHECK(first.content.empty());
+    CHECK(first.parts.size() > 10);
+    std::size_t changed = 0;
+    for (const std::string &key : second.parts) {
+        changed += std::ranges::count(first.parts, key) == 0 ? 1 : 0;
+    }
+    // The text's length stands at the start, and the changed line is in one part, or moved the border of two.
+    CHECK(changed <= 3);
+    std::string read;
+    fixture.store.readContent(second, [&read](const std::optional<ConfigurationContent> &content) {
+        read = content->base;
+    });
+    fixture.clock.advance(1s);
+    CHECK(read == after);
+}
