Services: Put configuration versions into force and let operators drive them

Cause: the keeper and the writer of versions were not reached by anyone.

Change: the control task learns the configuration before the other tasks are made, follows it from then on, and has the three tasks swap their settings; a version counts as in force when the last one has. A new one is told to four members at once, each of which tells four. Other nodes are answered through the owner task's listening socket. /v1/config and /v1/status take an operator's key; `config check|diff|apply|show|log| revert|wait` and `status` are clients of it. A status part is a name and a function that calls back with it.

Found on the way: a first version without tenants would have opened a running system to everyone; it is refused now, as is one without an operator. Mistakes of a version's shape hid those of its values; both are told together. A planned stop let the control task post to tasks that were gone already; it is made silent first.

--- a/Libraries/LibControl/ConfigurationCheck.cpp
+++ b/Libraries/LibControl/ConfigurationCheck.cpp
@@ -39,10 +39,31 @@
     }
 }
 
-void checkSite(const ConfigurationContent &content, const std::string &site, Findings &findings)
+/** A version must not open the system to everyone, nor shut out those who could change it back. */
+void checkAccess(const Settings &settings, const std::string &site, Access access, Findings &findings)
+{
+    const std::string file = site.empty() ? baseFileName : overlayFileName(site);
+    if (settings.tenants.empty()) {
+        if (access == Access::NeedsKeys) {
+            findings.add({file, 0, 0}, "there is no [[tenant]] any more: everyone would be let in as an operator");
+        }
+        return;
+    }
+    const bool hasOperator = std::ranges::any_of(settings.tenants, [](const TenantSettings &tenant) {
+        return tenant.isOperator && !tenant.keyHashes.empty();
+    });
+    if (!hasOperator) {
+        findings.add({file, 0, 0}, "no [[tenant]] with a key is an operator: nobody could change the configuration again");
+    }
+}
+
+void checkSite(const ConfigurationContent &content, const std::string &site, Access access, Findings &findings)
 {
     Findings ofSite;
-    loadVersion(content, site, {{"own", anyNode}}, ofSite);
+    const auto settings = loadVersion(content, site, {{"own", anyNode}}, ofSite);
+    if (settings) {
+        checkAccess(*settings, site, access, ofSite);
+    }
     for (const Finding &finding : ofSite.all()) {
         const std::string text = finding.toString();
         const bool isKnown = std::ranges::any_of(findings.all(), [&text](const Finding &known) {
@@ -79,14 +100,14 @@
     return loadSettings(sources, findings);
 }
 
-void checkConfiguration(const ConfigurationContent &content, Findings &findings)
+void checkConfiguration(const ConfigurationContent &content, Access access, Findings &findings)
 {
     checkShape(content, findings);
     if (content.overlays.empty()) {
-        checkSite(content, std::string(), findings);
+        checkSite(content, std::string(), access, findings);
     }
     for (const ConfigurationOverlay &overlay : content.overlays) {
-        checkSite(content, overlay.site, findings);
+        checkSite(content, overlay.site, access, findings);
     }
 }
 
--- a/Libraries/LibControl/ConfigurationCheck.h
+++ b/Libraries/LibControl/ConfigurationCheck.h
@@ -28,10 +28,19 @@
                                     const std::vector<SettingsSource> &ownFiles,
                                     Findings &findings);
 
+/** Who may call a node that works by a configuration. */
+enum class Access {
+    /** A configuration without tenants lets everyone in, as an operator: a trial. */
+    MayBeOpen,
+    /** There are keys today; a version that takes all of them away is a mistake, not a trial. */
+    NeedsKeys,
+};
+
 /**
  * Check a version as every site's nodes will load it.
+ * @param access whether it may leave every caller in without a key
  * @param findings gets all mistakes of all sites together; one that several sites meet in the base is told once
  */
-void checkConfiguration(const ConfigurationContent &content, Findings &findings);
+void checkConfiguration(const ConfigurationContent &content, Access access, Findings &findings);
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibControl/ConfigurationWriter.cpp
+++ b/Libraries/LibControl/ConfigurationWriter.cpp
@@ -1,7 +1,5 @@
 #include <LibControl/ConfigurationWriter.h>
 
-#include <LibControl/ConfigurationCheck.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -37,7 +35,7 @@
 void ConfigurationWriter::apply(ConfigurationProposal proposal, Applied applied)
 {
     Findings findings;
-    checkConfiguration(proposal.content, findings);
+    checkConfiguration(proposal.content, proposal.access, findings);
     if (proposal.nonce.empty()) {
         findings.add({"request", 0, 0}, "the nonce is missing");
     }
--- a/Libraries/LibControl/ConfigurationWriter.h
+++ b/Libraries/LibControl/ConfigurationWriter.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/Findings.h>
 #include <LibBase/Scheduler.h>
+#include <LibControl/ConfigurationCheck.h>
 #include <LibControl/ConfigurationStore.h>
 
 #include <chrono>
@@ -24,6 +25,7 @@
     std::string author;
     std::string reason;
     ConfigurationContent content;
+    Access access = Access::MayBeOpen;
 };
 
 /** What became of a proposal. */
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -79,8 +79,9 @@
 void applyScope(toml::table &table, const SettingsSource &source, SettingsReader &reader)
 {
     std::vector<std::string> passedOver;
+    const bool wantsLocal = source.scope == SettingsScope::LocalSections;
     for (const auto &[key, node] : table) {
-        if (source.scope == SettingsScope::LocalSections && !isLocal(key.str())) {
+        if (source.scope != SettingsScope::All && isLocal(key.str()) != wantsLocal) {
             passedOver.emplace_back(key.str());
         }
         if (source.scope == SettingsScope::SharedSections && isLocal(key.str())) {
@@ -99,18 +100,20 @@
     toml::table merged;
     SettingsReader reader(findings);
     const std::size_t before = findings.all().size();
+    bool isParsed = true;
     for (const SettingsSource &source : sources) {
         toml::parse_result parsed = toml::parse(source.text, source.name);
         if (!parsed) {
             const toml::parse_error &error = parsed.error();
             findings.add({source.name, error.source().begin.line, error.source().begin.column}, std::string(error.description()));
+            isParsed = false;
             continue;
         }
         toml::table table = std::move(parsed).table();
         applyScope(table, source, reader);
         mergeTable(merged, std::move(table));
     }
-    if (findings.all().size() > before) {
+    if (!isParsed) {
         return std::nullopt;
     }
     Settings settings;
--- a/Programs/dogwoodkeel/Commands.cpp
+++ b/Programs/dogwoodkeel/Commands.cpp
@@ -1,10 +1,10 @@
 #include "Command.h"
 
-#include "Flags.h"
+#include "ConfigCommand.h"
 #include "ServeCommand.h"
+#include "StatusCommand.h"
 
 #include <LibBase/Encoding.h>
-#include <LibBase/Findings.h>
 
 #include <cstdio>
 #include <iostream>
@@ -32,21 +32,6 @@
     return ExitCode::Success;
 }
 
-ExitCode runConfig(const std::vector<std::string> &arguments)
-{
-    if (arguments.size() != 1 || arguments.front() != "check") {
-        std::fputs("usage: dogwoodkeel config check --settings=FILE,...\n", stderr);
-        return ExitCode::Usage;
-    }
-    Findings findings;
-    if (!loadServeSettings(findings)) {
-        std::fputs(findings.toString().c_str(), stderr);
-        return ExitCode::Usage;
-    }
-    std::puts("the settings are in order");
-    return ExitCode::Success;
-}
-
 } // namespace
 
 const std::vector<Command> &commands()
@@ -58,12 +43,12 @@
          "Runs a node until SIGTERM, then stops it as planned.\n"
          "exit codes: 0 stopped as planned, 1 could not serve, 2 wrong settings or command line\n",
          runServe},
-        {"config",
-         "check settings files",
-         "usage: dogwoodkeel config check --settings=FILE,...\n"
-         "Reports every mistake with its file, line and column.\n"
-         "exit codes: 0 in order, 2 mistakes\n",
-         runConfig},
+        {"config", "check, compare, apply, show, list and revert configuration versions", configHelp, runConfig},
+        {"status",
+         "tell the state of all nodes, what is degraded and what to do",
+         "usage: dogwoodkeel status [--json] [--node=ADDRESS] [--key_file=FILE]\n"
+         "exit codes: 0 told, 1 no node answered\n",
+         runStatus},
         {"hash-key",
          "make the hash of an API key for the settings",
          "usage: dogwoodkeel hash-key < FILE\nexit codes: 0 done, 2 no key given\n",
--- /dev/null
+++ b/Programs/dogwoodkeel/ConfigCommand.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Command.h"
+
+namespace Dogwoodkeel
+{
+
+/** Checks, compares, applies, shows, lists and reverts configuration versions. */
+ExitCode runConfig(const std::vector<std::string> &arguments);
+
+/** How to use runConfig(). */
+extern const char *const configHelp;
+
+} // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Flags.cpp
+++ b/Programs/dogwoodkeel/Flags.cpp
@@ -49,9 +49,8 @@
 
 } // namespace
 
-std::optional<Settings> loadServeSettings(Findings &findings)
+std::optional<Settings> loadServeSettings(std::vector<SettingsSource> &sources, Findings &findings)
 {
-    std::vector<SettingsSource> sources;
     if (FLAGS_settings.empty()) {
         sources.push_back({"defaults", trialDefaults});
     }
--- a/Programs/dogwoodkeel/Flags.h
+++ b/Programs/dogwoodkeel/Flags.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <LibBase/Findings.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsLoader.h>
 
 #include <optional>
+#include <vector>
 
 #include <gflags/gflags.h>
 
@@ -17,9 +18,10 @@
 
 /**
  * Load the settings that the flags name, and let the flags override.
+ * @param sources gets the texts of the files, flags last
  * @param findings gets every mistake with its place
  * @return the settings, or nothing if there was a mistake
  */
-std::optional<Settings> loadServeSettings(Findings &findings);
+std::optional<Settings> loadServeSettings(std::vector<SettingsSource> &sources, Findings &findings);
 
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::chrono::milliseconds watchInterval{100};
 constexpr std::chrono::milliseconds pollInterval{20};
+/** How often a node that cannot start yet says so. */
+constexpr std::chrono::seconds waitNotice{5};
 
 std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings)
 {
@@ -33,9 +35,10 @@
 
 } // namespace
 
-Node::Node(const Clock &clock, SettingsPointer settings)
+Node::Node(const Clock &clock, SettingsPointer settings, std::vector<SettingsSource> ownFiles)
     : clock(clock)
     , settings(std::move(settings))
+    , ownFiles(std::move(ownFiles))
     , makePlatform(platformFactory(this->settings))
     , security{MessageKey(this->settings->peers.siteKey), static_cast<std::size_t>(this->settings->peers.frameBytes)}
 {
@@ -46,25 +49,51 @@
     return this->http;
 }
 
-void Node::start()
+void Node::openSession()
 {
-    this->control
-        = std::make_unique<TaskHost<ControlTask>>("control", this->clock, this->settings, this->security, this->makePlatform);
     std::promise<SessionNumber> session;
     this->control->post([&session](ControlTask &control) {
         control.openSession([&session](SessionNumber number) {
             session.set_value(number);
         });
     });
-    this->self = session.get_future().get();
+    std::future<SessionNumber> opened = session.get_future();
+    while (opened.wait_for(waitNotice) != std::future_status::ready) {
+        log(LogLevel::Warning, "not ready: the platform has not given a session number yet");
+    }
+    this->self = opened.get();
     log(LogLevel::Info, "session opened", {{"session", static_cast<std::int64_t>(this->self.value())}});
+}
+
+void Node::learnConfiguration()
+{
+    std::promise<SettingsPointer> configuration;
+    this->control->post([&configuration](ControlTask &control) {
+        control.learnConfiguration([&configuration](const SettingsPointer &settings) {
+            configuration.set_value(settings);
+        });
+    });
+    std::future<SettingsPointer> learnt = configuration.get_future();
+    while (learnt.wait_for(waitNotice) != std::future_status::ready) {
+        log(LogLevel::Warning, "not ready: neither the platform nor a peer has told the configuration yet, or it does not load");
+    }
+    this->settings = learnt.get();
+}
 
+void Node::makeTasks()
+{
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
         "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
     this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
+    const OperatorGateway operators = [this](OperatorRequest request, OperatorRespond respond) {
+        this->askControl(std::move(request), std::move(respond));
+    };
     this->entry = std::make_unique<TaskHost<EntryTask>>(
-        "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
+        "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics, operators);
+}
 
+Member Node::makeMember()
+{
     Member member;
     member.session = this->self;
     member.vm = VmName(this->settings->node.vm);
@@ -78,11 +107,26 @@
     member.http = this->entry->ask<Address>([](EntryTask &task) {
         return task.address();
     });
+    return member;
+}
+
+void Node::start()
+{
+    this->control = std::make_unique<TaskHost<ControlTask>>(
+        "control", this->clock, this->settings, this->ownFiles, this->security, this->makePlatform);
+    this->openSession();
+    this->learnConfiguration();
+    this->makeTasks();
+    this->serveControlCalls();
+    const Member member = this->makeMember();
     this->http = member.http;
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
+        control.followConfiguration([this](const SettingsPointer &settings, const std::function<void()> &done) {
+            this->putInForce(settings, done);
+        });
     });
     this->owner->post([](OwnerTask &task) {
         task.owner().start();
@@ -99,6 +143,85 @@
     });
 }
 
+void Node::putInForce(const SettingsPointer &settings, const std::function<void()> &done)
+{
+    // Told as in force when the last task has swapped: before that a request could still run by the older settings.
+    constexpr int tasks = 3;
+    const auto missing = std::make_shared<std::atomic<int>>(tasks);
+    const auto swapped = [this, missing, done] {
+        if (--*missing == 0) {
+            this->control->post([done](ControlTask &) {
+                done();
+            });
+        }
+    };
+    this->owner->post([settings, swapped](OwnerTask &task) {
+        task.putInForce(settings);
+        swapped();
+    });
+    this->lane->post([settings, swapped](LaneTask &task) {
+        task.putInForce(settings);
+        swapped();
+    });
+    this->entry->post([settings, swapped](EntryTask &task) {
+        task.putInForce(settings);
+        swapped();
+    });
+}
+
+void Node::askControl(OperatorRequest request, OperatorRespond respond)
+{
+    this->control->post([this, request = std::move(request), respond = std::move(respond)](ControlTask &control) {
+        control.operators().serve(request, [this, respond, &control](HttpResponse response) {
+            if (control.isClosed()) {
+                return;
+            }
+            this->entry->post([respond, response = std::move(response)](EntryTask &) {
+                respond(response);
+            });
+        });
+    });
+}
+
+template <typename Request>
+void Node::forwardToControl(
+    std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer)
+{
+    using Response = typename Request::Response;
+    this->owner->post([this, answer = std::move(answer)](OwnerTask &task) {
+        task.peers().handle<Request>([this, answer](const Request &request, PeerServer::Respond<Response> respond) {
+            this->control->post([this, answer, request, respond = std::move(respond)](ControlTask &control) {
+                answer(control, request, [this, respond, &control](const Response &response) {
+                    if (control.isClosed()) {
+                        return;
+                    }
+                    this->owner->post([respond, response](OwnerTask &) {
+                        respond(response);
+                    });
+                });
+            });
+        });
+    });
+}
+
+void Node::serveControlCalls()
+{
+    this->forwardToControl<ConfigurationRequest>([](ControlTask &control, const auto &request, const auto &respond) {
+        respond(control.configuration().keeper().respond(request));
+    });
+    this->forwardToControl<ConfigurationPartRequest>([](ControlTask &control, const auto &request, const auto &respond) {
+        respond(control.configuration().keeper().respond(request));
+    });
+    this->forwardToControl<ConfigurationStateRequest>([](ControlTask &control, const auto &, const auto &respond) {
+        respond(control.configuration().state());
+    });
+    this->forwardToControl<StatusRequest>([](ControlTask &control, const auto &, const auto &respond) {
+        control.statusBoard().report([respond](std::string report) {
+            respond({std::move(report)});
+        });
+    });
+}
+
 void Node::spread(const MemberViewPointer &view)
 {
     this->owner->post([view](OwnerTask &task) {
@@ -198,6 +321,11 @@
     log(LogLevel::Info,
         "planned stop done",
         {{"requests_finished", isEntryDone}, {"items_finished", isLaneDone}, {"shards_released", isReleased}});
+    // The control task posts to the others, and they to it: it is made silent first and destroyed last.
+    this->control->ask<bool>([](ControlTask &control) {
+        control.close();
+        return true;
+    });
     this->entry.reset();
     this->lane.reset();
     this->owner.reset();
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -10,6 +10,7 @@
 #include <Services/Owner/OwnerTask.h>
 
 #include <memory>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -18,7 +19,11 @@
 class Node
 {
 public:
-    Node(const Clock &clock, SettingsPointer settings);
+    /**
+     * @param settings of the VM's own files and the flags
+     * @param ownFiles the texts of those
+     */
+    Node(const Clock &clock, SettingsPointer settings, std::vector<SettingsSource> ownFiles);
 
     /** Start; returns when the node takes requests. @throws std::runtime_error if it cannot listen */
     void start();
@@ -33,12 +38,23 @@
     const Address &httpAddress() const;
 
 private:
+    void openSession();
+    void learnConfiguration();
+    void makeTasks();
+    Member makeMember();
     void spread(const MemberViewPointer &view);
+    void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
+    void askControl(OperatorRequest request, OperatorRespond respond);
+    void serveControlCalls();
+    template <typename Request>
+    void
+    forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
     void watchBacklog();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
     const Clock &clock;
     SettingsPointer settings;
+    std::vector<SettingsSource> ownFiles;
     NodeMetrics metrics;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
--- a/Programs/dogwoodkeel/ServeCommand.cpp
+++ b/Programs/dogwoodkeel/ServeCommand.cpp
@@ -51,7 +51,8 @@
 ExitCode runServe(const std::vector<std::string> &)
 {
     Findings findings;
-    std::optional<Settings> settings = loadServeSettings(findings);
+    std::vector<SettingsSource> sources;
+    std::optional<Settings> settings = loadServeSettings(sources, findings);
     if (!settings) {
         std::fputs(findings.toString().c_str(), stderr);
         return ExitCode::Usage;
@@ -60,7 +61,7 @@
     startLog(settings->node.vm, levelOf(settings->node.log));
     const SystemClock clock;
     try {
-        Node node(clock, std::make_shared<const Settings>(*std::move(settings)));
+        Node node(clock, std::make_shared<const Settings>(*std::move(settings)), std::move(sources));
         node.start();
         log(LogLevel::Info, "serving", {{"address", node.httpAddress().toString()}});
         int signal = 0;
--- a/Services/Control/ConfigurationKeeper.cpp
+++ b/Services/Control/ConfigurationKeeper.cpp
@@ -348,6 +348,11 @@
     return this->heldContent;
 }
 
+const SettingsPointer &ConfigurationKeeper::settings() const
+{
+    return this->loaded;
+}
+
 bool ConfigurationKeeper::isPlatformAnswering() const
 {
     return this->platformAnswers;
--- a/Services/Control/ConfigurationKeeper.h
+++ b/Services/Control/ConfigurationKeeper.h
@@ -103,6 +103,8 @@
     const ConfigurationRow &row() const;
     /** @return its content. */
     const ConfigurationContent &content() const;
+    /** @return the settings that were loaded last. */
+    const SettingsPointer &settings() const;
     /** @return whether the platform answered when it was last asked. */
     bool isPlatformAnswering() const;
 
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -2,6 +2,7 @@
 
 #include <LibWire/Codec.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,8 @@
 
 constexpr std::chrono::milliseconds meetInterval{5000};
 constexpr std::chrono::milliseconds meetRetry{200};
+/** Members told of a new configuration at once, each of which tells as many: gossip alone takes a probe a step. */
+constexpr std::size_t newsFanOut = 4;
 
 Membership::Options membershipOptions(const Settings &settings)
 {
@@ -28,6 +31,7 @@
 ControlTask::ControlTask(EventLoop &loop,
                          const Clock &clock,
                          const SettingsPointer &settings,
+                         const std::vector<SettingsSource> &ownFiles,
                          const PeerSecurity &security,
                          const PlatformFactory &makePlatform)
     : loop(loop)
@@ -35,10 +39,30 @@
     , settings(settings)
     , platform(makePlatform(loop))
     , sessions(*this->platform, loop)
-    , datagrams(loop, settings->listen.gossip, security.siteKey, [this](const Datagram &datagram) {
-        this->receive(datagram);
+    , datagrams(loop,
+                settings->listen.gossip,
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->receive(datagram);
+                })
+    , random(std::random_device()())
+    , peers(loop, security)
+    , versions(loop,
+               clock,
+               *this->platform,
+               this->peers,
+               settings,
+               ownFiles,
+               [this](std::uint64_t version) {
+                   this->tellConfiguration(version);
+               })
+    , api(this->versions, this->board, this->peers, [this] {
+        return this->membership ? this->membership->view()->members() : std::vector<Member>();
     })
 {
+    this->board.add("configuration", [this](const StatusBoard::Collected &collected) {
+        collected(this->versions.status());
+    });
 }
 
 void ControlTask::openSession(std::function<void(SessionNumber)> opened)
@@ -57,6 +81,7 @@
 void ControlTask::join(Member self, std::function<void(MemberViewPointer)> onChange)
 {
     self.gossip = this->datagrams.address();
+    self.configVersion = this->versions.keeper().inForce();
     Membership::Hooks hooks{
         .sendPing =
             [this](const Address &to, const Ping &ping) {
@@ -70,7 +95,13 @@
             [this](const Address &to, const PingRequest &request) {
                 this->datagrams.send(to, request);
             },
-        .onChange = std::move(onChange),
+        .onChange =
+            [this, onChange = std::move(onChange)](const MemberViewPointer &view) {
+                if (!this->closed) {
+                    this->versions.setMembers(view->members(), this->self);
+                    onChange(view);
+                }
+            },
     };
     this->membership.emplace(this->clock,
                              this->loop,
@@ -101,6 +132,79 @@
     });
 }
 
+void ControlTask::meetBeforeJoining()
+{
+    // A starting node learns from the seeds whom to ask for the configuration, in case the platform does not answer.
+    if (this->membership || this->closed) {
+        return;
+    }
+    for (const Address &seed : this->settings->peers.seeds) {
+        this->datagrams.send(seed, Ping{this->self, 0, {}});
+    }
+    this->loop.schedule(meetRetry, [this] {
+        this->meetBeforeJoining();
+    });
+}
+
+void ControlTask::learnConfiguration(std::function<void(SettingsPointer)> learnt)
+{
+    this->versions.learn(std::move(learnt));
+    this->meetBeforeJoining();
+}
+
+void ControlTask::followConfiguration(ConfigurationService::PutInForce putInForce)
+{
+    this->versions.follow([this, putInForce = std::move(putInForce)](const SettingsPointer &settings, const auto &done) {
+        if (!this->closed) {
+            putInForce(settings, done);
+        }
+    });
+}
+
+ConfigurationService &ControlTask::configuration()
+{
+    return this->versions;
+}
+
+StatusBoard &ControlTask::statusBoard()
+{
+    return this->board;
+}
+
+OperatorApi &ControlTask::operators()
+{
+    return this->api;
+}
+
+void ControlTask::close()
+{
+    this->closed = true;
+}
+
+bool ControlTask::isClosed() const
+{
+    return this->closed;
+}
+
+void ControlTask::tellConfiguration(std::uint64_t version)
+{
+    if (!this->membership) {
+        return;
+    }
+    this->membership->update([version](Member &member) {
+        member.configVersion = version;
+    });
+    std::vector<Address> others;
+    for (const Member &member : this->membership->view()->members()) {
+        if (member.session != this->self && member.configVersion < version) {
+            others.push_back(member.gossip);
+        }
+    }
+    std::ranges::shuffle(others, this->random);
+    others.resize(std::min(others.size(), newsFanOut));
+    this->membership->contact(others);
+}
+
 void ControlTask::update(const std::function<void(Member &)> &change)
 {
     this->membership->update(change);
@@ -142,6 +246,10 @@
 void ControlTask::receive(const Datagram &datagram)
 {
     if (!this->membership) {
+        const auto pong = datagram.number == Pong::number ? decode<Pong>(datagram.payload) : std::nullopt;
+        if (pong) {
+            this->versions.setMembers(pong->members, this->self);
+        }
         return;
     }
     switch (datagram.number) {
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -7,11 +7,17 @@
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
+#include <LibWire/PeerClient.h>
 #include <LibWire/PeerLink.h>
+#include <Services/Control/ConfigurationService.h>
+#include <Services/Control/OperatorApi.h>
+#include <Services/Control/StatusBoard.h>
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -22,10 +28,15 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot take datagrams */
+    /**
+     * @param settings of the VM's own files
+     * @param ownFiles the texts of those files
+     * @throws std::runtime_error if it cannot take datagrams
+     */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
                 const SettingsPointer &settings,
+                const std::vector<SettingsSource> &ownFiles,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -39,6 +50,28 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /**
+     * Find out the configuration in force, from the platform or a peer; goes on until one answers.
+     * @param learnt told once, with the settings to start by
+     */
+    void learnConfiguration(std::function<void(SettingsPointer)> learnt);
+
+    /** Hand newer configurations on. @param putInForce has every task swap its settings */
+    void followConfiguration(ConfigurationService::PutInForce putInForce);
+
+    ConfigurationService &configuration();
+
+    /** Where the parts of the node's status are collected. */
+    StatusBoard &statusBoard();
+
+    OperatorApi &operators();
+
+    /** Send nothing to the node's other tasks from now on: they are about to be destroyed. */
+    void close();
+
+    /** @return whether close() was called. */
+    bool isClosed() const;
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -54,6 +87,8 @@
 private:
     void receive(const Datagram &datagram);
     void meetOthers();
+    void meetBeforeJoining();
+    void tellConfiguration(std::uint64_t version);
 
     EventLoop &loop;
     const Clock &clock;
@@ -63,6 +98,12 @@
     DatagramSocket datagrams;
     std::optional<Membership> membership;
     SessionNumber self;
+    std::mt19937_64 random;
+    PeerClient peers;
+    ConfigurationService versions;
+    StatusBoard board;
+    OperatorApi api;
+    bool closed = false;
     std::uint32_t toldBacklog = 0;
 };
 
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -7,6 +7,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Control/OperatorRequest.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
 
@@ -29,6 +30,8 @@
     Platform &platform;
     NodeMetrics &metrics;
     std::mt19937_64 &random;
+    /** Takes operators' requests to the control task. */
+    OperatorGateway operators;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -22,6 +22,7 @@
 constexpr int statusAccepted = 202;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
+constexpr int statusForbidden = 403;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
@@ -32,6 +33,8 @@
 
 constexpr std::string_view servicesPath = "/v1/services/";
 constexpr std::string_view resultsPath = "/v1/results/";
+constexpr std::string_view configurationPath = "/v1/config";
+constexpr std::string_view statusPath = "/v1/status";
 constexpr std::string_view batchesPath = "/v1/batches";
 
 void refuse(HttpReply &reply, int status, std::string_view reason, std::string message)
@@ -96,6 +99,8 @@
         this->serveCompletion(*caller, CompletionForm::Text, request, reply);
     } else if (request.path.starts_with(servicesPath)) {
         this->serveService(*caller, request, reply);
+    } else if (request.path.starts_with(configurationPath) || request.path == statusPath) {
+        this->serveOperator(*caller, request, reply);
     } else if (request.method == "GET" && request.path.starts_with(resultsPath)) {
         this->serveResult(*caller, std::string_view(request.path).substr(resultsPath.size()), reply);
     } else if (!this->serveBatch(*caller, request, reply)) {
@@ -218,6 +223,17 @@
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
 
+void EntryService::serveOperator(const Caller &caller, const HttpRequest &request, const Reply &reply)
+{
+    if (!caller.isOperator) {
+        refuse(*reply, statusForbidden, "no_operator", "this takes an operator's key");
+        return;
+    }
+    this->context.operators({request, caller.tenant.value()}, [reply](const HttpResponse &response) {
+        reply->send(response);
+    });
+}
+
 void EntryService::serveResult(const Caller &caller, std::string_view id, const Reply &reply)
 {
     // Ids in answers carry the tenant already; ids that callers chose do not.
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -37,6 +37,7 @@
     bool serveBatch(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply);
     void serveService(const Caller &caller, const HttpRequest &request, const Reply &reply);
+    void serveOperator(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
     void serveEntries(const HttpRequest &request, const Reply &reply);
     RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -23,7 +23,8 @@
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
-                     NodeMetrics &metrics)
+                     NodeMetrics &metrics,
+                     OperatorGateway operators)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
@@ -44,7 +45,8 @@
               this->notices,
               *this->platform,
               metrics,
-              this->random}
+              this->random,
+              std::move(operators)}
     , service(this->context)
     , server(loop,
              settings->listen.http,
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -30,7 +30,8 @@
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
-              NodeMetrics &metrics);
+              NodeMetrics &metrics,
+              OperatorGateway operators);
 
     /** @return where callers connect. */
     const Address &address() const;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -41,6 +41,12 @@
         return this->server.address();
     }
 
+    /** Takes the calls of other nodes; other tasks' handlers are hung in here. */
+    PeerServer &peers()
+    {
+        return this->server;
+    }
+
     OwnerService &owner()
     {
         return this->service;
--- a/Tests/LibControl/TestConfigurationWriter.cpp
+++ b/Tests/LibControl/TestConfigurationWriter.cpp
@@ -40,7 +40,7 @@
 
 std::string manyTenants(std::size_t count)
 {
-    std::string text;
+    std::string text = "[[tenant]]\nname = \"operators\"\nkey_hashes = [\"00\"]\nis_operator = true\n";
     for (std::size_t i = 0; i < count; ++i) {
         text += "[[tenant]]\nname = \"workspace-" + std::to_string(i) + "\"\nconcurrency = " + std::to_string(i % 90 + 1) + "\n";
     }
@@ -165,8 +165,9 @@
 TEST_CASE("all mistakes of all sites are told together with their places, and nothing is written")
 {
     Fixture fixture;
-    const ConfigurationContent content{"[entry]\nentry_ttl = 5\n",
-                                       {{"kyushu", "[batch]\nitems = 0\n"}, {"montevideo", "\n[node]\nvm = \"x\"\n"}}};
+    const ConfigurationContent content{
+        "[entry]\nentry_ttl = 5\n",
+        {{"kyushu", "[batch]\nitems = 0\n"}, {"montevideo", "\n[node]\nvm = \"x\"\n[batch]\nitems = 0\n"}}};
     fixture.writer.apply({0, "one", "ana", "", content}, [&fixture](const ApplyResult &result) {
         fixture.results.push_back(result);
     });
@@ -177,9 +178,25 @@
     CHECK(told.find("entry_ttl", told.find("entry_ttl") + 1) == std::string::npos);
     CHECK(told.find("sites/kyushu.toml:2:9: items") != std::string::npos);
     CHECK(told.find("sites/montevideo.toml:2:1: [node]") != std::string::npos);
+    CHECK(told.find("sites/montevideo.toml:5:9: items") != std::string::npos);
     CHECK(fixture.versions() == 0);
 }
 
+TEST_CASE("a version can neither open the system to everyone nor shut every operator out")
+{
+    // Without tenants everyone is let in as an operator: meant for a trial. A first version that forgets the tenants of
+    // the VMs' own files would open a running system; one whose tenants have no operator could never be taken back.
+    Fixture fixture;
+    const auto applied = [&fixture](const ApplyResult &result) {
+        fixture.results.push_back(result);
+    };
+    fixture.writer.apply({0, "one", "ana", "", {}, Access::NeedsKeys}, applied);
+    fixture.writer.apply({0, "two", "ana", "", {"[[tenant]]\nname = \"shop\"\nkey_hashes = [\"ab\"]\n", {}}}, applied);
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[0].outcome == ApplyOutcome::Invalid);
+    CHECK(fixture.results[1].outcome == ApplyOutcome::Invalid);
+}
+
 TEST_CASE("a large version stands in parts, and a small change of it changes few of them")
 {
     Fixture fixture;
