--- a/Libraries/LibJournal/JournalKeys.cpp
+++ b/Libraries/LibJournal/JournalKeys.cpp
@@ -1,6 +1,7 @@
 #include <LibJournal/JournalKeys.h>
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace Dogwoodkeel::JournalKeys
@@ -34,6 +35,14 @@
     return "journal/" + padded(session.value()) + '/' + padded(number.value());
 }
 
+GroupNumber groupOf(const std::string &key)
+{
+    const std::size_t digits = key.rfind('/') + 1;
+    std::uint64_t number = 0;
+    std::from_chars(key.data() + digits, key.data() + key.size(), number);
+    return GroupNumber(number);
+}
+
 std::string groupsEnd(SessionNumber session)
 {
     return "journal/" + padded(session.value()) + '0';
@@ -54,4 +63,19 @@
     return "shard0";
 }
 
+std::string checkpoint(ShardNumber shard, const std::string &nonce)
+{
+    return "state/" + padded(shard.value()) + "/checkpoint/" + nonce;
+}
+
+std::string run(ShardNumber shard, const std::string &nonce)
+{
+    return "state/" + padded(shard.value()) + "/run/" + nonce;
+}
+
+std::string block(ShardNumber shard, const std::string &nonce, std::size_t index)
+{
+    return "state/" + padded(shard.value()) + "/block/" + nonce + '/' + std::to_string(index);
+}
+
 } // namespace Dogwoodkeel::JournalKeys
--- a/Libraries/LibJournal/JournalKeys.h
+++ b/Libraries/LibJournal/JournalKeys.h
@@ -17,6 +17,8 @@
 std::string sessionsEnd();
 /** @return the row of a group; keys of one journal sort by group. */
 std::string group(SessionNumber session, GroupNumber number);
+/** @return the number of a group, from the key of its row; 0 if the key is no such key. */
+GroupNumber groupOf(const std::string &key);
 /** @return the first key behind all groups of a journal. */
 std::string groupsEnd(SessionNumber session);
 /** @return the object that holds a large group's records. */
@@ -25,5 +27,11 @@
 std::string shard(ShardNumber shard);
 /** @return the first key behind all shard rows. */
 std::string shardsEnd();
+/** @return the object of a checkpoint. */
+std::string checkpoint(ShardNumber shard, const std::string &nonce);
+/** @return the object that describes a run of result blocks. */
+std::string run(ShardNumber shard, const std::string &nonce);
+/** @return the object of one block of a run. */
+std::string block(ShardNumber shard, const std::string &nonce, std::size_t index);
 
 } // namespace Dogwoodkeel::JournalKeys
--- a/Libraries/LibJournal/JournalRecovery.cpp
+++ b/Libraries/LibJournal/JournalRecovery.cpp
@@ -31,6 +31,11 @@
     this->readPage();
 }
 
+bool JournalRecovery::isOpen() const
+{
+    return this->last.value() == 0;
+}
+
 std::uint64_t JournalRecovery::nextNumber() const
 {
     return this->first.value() + this->groups.size();
@@ -39,8 +44,8 @@
 void JournalRecovery::readPage()
 {
     const std::string from = JournalKeys::group(this->session, GroupNumber(this->nextNumber()));
-    const std::string to = this->last.value() == 0 ? JournalKeys::groupsEnd(this->session)
-                                                   : JournalKeys::group(this->session, GroupNumber(this->last.value() + 1));
+    const std::string to = this->isOpen() ? JournalKeys::groupsEnd(this->session)
+                                          : JournalKeys::group(this->session, GroupNumber(this->last.value() + 1));
     this->platform.tables().readRange(from, to, rowsPerPage, [self = this->shared_from_this()](const RowsResult &result) {
         self->onRows(result);
     });
@@ -52,23 +57,38 @@
         this->retry(&JournalRecovery::readPage);
         return;
     }
+    bool isWhole = true;
     for (const Row &row : result.rows) {
-        auto group = decode<JournalGroup>(row.value);
-        if (!group) {
-            log(LogLevel::Error, "journal group cannot be read", {{"key", row.key}});
-            this->retry(&JournalRecovery::readPage);
-            return;
-        }
-        if (group->sealedBy.value() != 0) {
-            this->sealed = true;
+        isWhole = this->take(row);
+        if (!isWhole) {
             break;
         }
-        this->groups.push_back({GroupNumber(this->nextNumber()), std::move(*group)});
     }
-    this->atEnd = this->sealed || result.rows.size() < rowsPerPage;
+    this->atEnd = !isWhole || this->sealed || result.rows.size() < rowsPerPage;
     this->loadObjects();
 }
 
+bool JournalRecovery::take(const Row &row)
+{
+    // A row behind a gap says nothing of the gap. When several nodes take over different shards of one owner, one of
+    // them may have sealed behind a group that is still on its way: read on past the gap, that group would be missing
+    // here while its writer could still acknowledge it. The journal's end is where the first row is absent.
+    if (JournalKeys::groupOf(row.key).value() != this->nextNumber()) {
+        return false;
+    }
+    auto group = decode<JournalGroup>(row.value);
+    if (!group) {
+        log(LogLevel::Error, "journal group cannot be read", {{"key", row.key}});
+        return false;
+    }
+    if (group->sealedBy.value() != 0) {
+        this->sealed = true;
+        return false;
+    }
+    this->groups.push_back({GroupNumber(this->nextNumber()), std::move(*group)});
+    return true;
+}
+
 void JournalRecovery::loadObjects()
 {
     while (this->loaded < this->groups.size() && this->groups[this->loaded].group.objectKey.empty()) {
@@ -80,6 +100,11 @@
     }
     const std::string &key = this->groups[this->loaded].group.objectKey;
     this->platform.objects().get(key, [self = this->shared_from_this()](const ObjectResult &result) {
+        if (result.outcome == ReadOutcome::Absent) {
+            // Objects are written before their rows: this one was there, and was deleted since.
+            self->tell(false);
+            return;
+        }
         auto group = result.outcome == ReadOutcome::Found ? decode<JournalGroup>(result.content) : std::nullopt;
         if (!group) {
             self->retry(&JournalRecovery::loadObjects);
@@ -97,11 +122,19 @@
         this->readPage();
         return;
     }
-    if (this->last.value() == 0 && !this->sealed) {
+    if (this->isOpen() && !this->sealed) {
         this->insertSeal();
         return;
     }
-    this->recovered({std::move(this->groups), GroupNumber(this->nextNumber() - 1)});
+    this->tell(this->isOpen() || this->nextNumber() > this->last.value());
+}
+
+void JournalRecovery::tell(bool isComplete)
+{
+    // Counted before the groups are moved away: an end taken from the emptied list would close the span before its first
+    // group, and the next owner after this one would replay nothing.
+    const GroupNumber end(this->nextNumber() - 1);
+    this->recovered({std::move(this->groups), end, isComplete});
 }
 
 void JournalRecovery::insertSeal()
--- a/Libraries/LibJournal/JournalRecovery.h
+++ b/Libraries/LibJournal/JournalRecovery.h
@@ -25,6 +25,11 @@
     std::vector<RecoveredGroup> groups;
     /** The last group of records: first - 1 if there is none. */
     GroupNumber last;
+    /**
+     * False if a group of a closed span is gone: whoever owns the shard has written a checkpoint since its row was
+     * read, and deleted what the row no longer needs. The row is to be read again.
+     */
+    bool isComplete = true;
 };
 
 /**
@@ -56,11 +61,14 @@
     void start(Recovered recovered);
 
 private:
+    bool isOpen() const;
     void readPage();
     void onRows(const RowsResult &result);
+    bool take(const Row &row);
     void loadObjects();
-    void insertSeal();
     void finish();
+    void insertSeal();
+    void tell(bool isComplete);
     void retry(void (JournalRecovery::*step)());
     std::uint64_t nextNumber() const;
 
--- a/Libraries/LibJournal/JournalWriter.cpp
+++ b/Libraries/LibJournal/JournalWriter.cpp
@@ -21,7 +21,12 @@
 } // namespace
 
 JournalWriter::JournalWriter(Platform &platform, Scheduler &scheduler, const Clock &clock, SessionNumber session, Options options)
-    : platform(platform), scheduler(scheduler), clock(clock), session(session), options(options), backoff(options.firstBackoff)
+    : platform(platform)
+    , scheduler(scheduler)
+    , clock(clock)
+    , session(session)
+    , options(std::move(options))
+    , backoff(this->options.firstBackoff)
 {
 }
 
@@ -47,6 +52,11 @@
     return this->inFlight.empty() ? this->number : GroupNumber(this->number.value() + 1);
 }
 
+GroupNumber JournalWriter::lastDurableGroup() const
+{
+    return GroupNumber(this->number.value() - 1);
+}
+
 bool JournalWriter::isStalled() const
 {
     return this->stalled;
@@ -227,6 +237,9 @@
     std::ranges::move(this->pending, std::back_inserter(lost));
     this->pending.clear();
     const std::shared_ptr<bool> stillAlive = this->alive;
+    if (this->options.onFenced) {
+        this->options.onFenced();
+    }
     for (const Pending &each : lost) {
         each.appended(AppendOutcome::Fenced);
         if (!*stillAlive) {
--- a/Libraries/LibJournal/JournalWriter.h
+++ b/Libraries/LibJournal/JournalWriter.h
@@ -47,6 +47,8 @@
         /** First and longest wait before a write is tried again. */
         std::chrono::milliseconds firstBackoff{20};
         std::chrono::milliseconds longestBackoff{1000};
+        /** Told once, before the records that are lost: another session has sealed this journal. */
+        std::function<void()> onFenced;
     };
 
     JournalWriter(Platform &platform, Scheduler &scheduler, const Clock &clock, SessionNumber session, Options options);
@@ -64,6 +66,9 @@
     /** @return the number that the next group to be started will have. */
     GroupNumber nextGroup() const;
 
+    /** @return the last group that is durable; 0 if there is none. */
+    GroupNumber lastDurableGroup() const;
+
     /** @return since when the write in flight has not gone through, if its platform call has failed at least once. */
     bool isStalled() const;
 
--- a/Libraries/LibJournal/RequestTable.cpp
+++ b/Libraries/LibJournal/RequestTable.cpp
@@ -13,58 +13,91 @@
 {
     const auto [found, isNew] = this->entries.try_emplace(request.requestId);
     Entry &entry = found->second;
-    if (isNew) {
-        entry.fingerprint = request.fingerprint;
-        entry.runner = request.runner;
-        entry.claim = request.claim;
-        entry.leaseEnd = this->clock.now() + this->lease;
-        entry.stage = request.isNonIdempotent ? Stage::IntentPending : Stage::Claimed;
-        return request.isNonIdempotent ? ClaimVerdict::RunAfterIntent : ClaimVerdict::Run;
+    if (!isNew) {
+        return this->claimAgain(entry, request);
     }
+    entry.fingerprint = request.fingerprint;
+    this->hold(entry, request);
+    entry.stage = request.isNonIdempotent ? Stage::IntentPending : Stage::Claimed;
+    return request.isNonIdempotent ? ClaimVerdict::RunAfterIntent : ClaimVerdict::Run;
+}
+
+ClaimVerdict RequestTable::claimAgain(Entry &entry, const ClaimRequest &request)
+{
     if (entry.fingerprint != request.fingerprint) {
         return ClaimVerdict::Mismatch;
     }
+    const bool hasLapsed = this->clock.now() >= entry.leaseEnd;
     switch (entry.stage) {
     case Stage::Done:
         return ClaimVerdict::Done;
     case Stage::IntentOrphaned:
         return ClaimVerdict::OutcomeUnknown;
     case Stage::Claimed:
-        if (isHolder(entry, request) || this->clock.now() >= entry.leaseEnd) {
-            entry.runner = request.runner;
-            entry.claim = request.claim;
-            entry.leaseEnd = this->clock.now() + this->lease;
+        if (isHolder(entry, request) || hasLapsed) {
+            this->hold(entry, request);
             return ClaimVerdict::Run;
         }
         return ClaimVerdict::Join;
     case Stage::IntentDurable:
         // The answer to this very claim was lost on its way. The runner acts on one answer only, so it has not run yet.
-        return isHolder(entry, request) ? ClaimVerdict::Run : ClaimVerdict::Join;
+        if (isHolder(entry, request)) {
+            return ClaimVerdict::Run;
+        }
+        // Its claimer lives, but never learnt that it may run, or never got round to telling: a resend would wait for
+        // ever. It may have run, so the resend is told just that. A result that still comes is taken.
+        return hasLapsed ? ClaimVerdict::OutcomeUnknown : ClaimVerdict::Join;
     case Stage::IntentPending:
+    case Stage::WithdrawPending:
     case Stage::ResultPending:
         return ClaimVerdict::Join;
     }
     return ClaimVerdict::Join;
 }
 
-bool RequestTable::isHolder(const Entry &entry, const ClaimRequest &request)
+void RequestTable::hold(Entry &entry, const ClaimRequest &request)
+{
+    entry.runner = request.runner;
+    entry.claim = request.claim;
+    entry.leaseEnd = this->clock.now() + this->lease;
+}
+
+template <typename Request>
+bool RequestTable::isHolder(const Entry &entry, const Request &request)
 {
     return entry.runner == request.runner && entry.claim == request.claim;
 }
 
-void RequestTable::intentJournalled(const RequestId &id, bool isDurable)
+IntentVerdict RequestTable::intentJournalled(const RequestId &id)
 {
     const auto found = this->entries.find(id);
     if (found == this->entries.end() || found->second.stage != Stage::IntentPending) {
-        return;
+        return IntentVerdict::Gone;
     }
-    if (isDurable) {
-        found->second.stage = Stage::IntentDurable;
-        this->tellWaiting(found->second);
-        return;
+    Entry &entry = found->second;
+    entry.stage = entry.isAbandoned ? Stage::WithdrawPending : Stage::IntentDurable;
+    if (entry.isAbandoned) {
+        return IntentVerdict::Withdraw;
+    }
+    this->tellWaiting(entry);
+    return IntentVerdict::Run;
+}
+
+void RequestTable::abandonIntent(const ClaimRequest &request)
+{
+    const auto found = this->entries.find(request.requestId);
+    const bool isPending = found != this->entries.end() && found->second.stage == Stage::IntentPending;
+    if (isPending && isHolder(found->second, request)) {
+        found->second.isAbandoned = true;
+    }
+}
+
+void RequestTable::withdrawn(const RequestId &id)
+{
+    const auto found = this->entries.find(id);
+    if (found != this->entries.end() && found->second.stage == Stage::WithdrawPending) {
+        this->remove(found);
     }
-    auto removed = this->entries.extract(found);
-    this->tellWaiting(removed.mapped());
 }
 
 CommitVerdict RequestTable::commit(const CommitRequest &request)
@@ -93,18 +126,64 @@
     this->tellWaiting(found->second);
 }
 
-bool RequestTable::release(const ReleaseRequest &request)
+ReleaseVerdict RequestTable::release(const ReleaseRequest &request)
 {
     const auto found = this->entries.find(request.requestId);
-    if (found == this->entries.end() || found->second.stage != Stage::Claimed) {
-        return false;
+    if (found == this->entries.end() || !isHolder(found->second, request)) {
+        return ReleaseVerdict::Refused;
+    }
+    switch (found->second.stage) {
+    case Stage::Claimed:
+        this->remove(found);
+        return ReleaseVerdict::Released;
+    case Stage::IntentPending:
+        found->second.isAbandoned = true;
+        return ReleaseVerdict::Released;
+    case Stage::IntentDurable:
+        found->second.stage = Stage::WithdrawPending;
+        return ReleaseVerdict::Withdraw;
+    case Stage::WithdrawPending:
+        return ReleaseVerdict::Released;
+    case Stage::IntentOrphaned:
+    case Stage::ResultPending:
+    case Stage::Done:
+        return ReleaseVerdict::Refused;
     }
-    if (found->second.runner != request.runner || found->second.claim != request.claim) {
-        return false;
+    return ReleaseVerdict::Refused;
+}
+
+void RequestTable::dropRunners(const std::function<bool(SessionNumber)> &isGone)
+{
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        const auto current = entry++;
+        Entry &each = current->second;
+        const bool isRunning
+            = each.stage == Stage::Claimed || each.stage == Stage::IntentPending || each.stage == Stage::IntentDurable;
+        if (!isRunning || !isGone(each.runner)) {
+            continue;
+        }
+        switch (each.stage) {
+        case Stage::Claimed:
+            this->remove(current);
+            break;
+        case Stage::IntentPending:
+            // It was not told to run yet, and now is not told.
+            each.isAbandoned = true;
+            break;
+        default:
+            each.stage = Stage::IntentOrphaned;
+            this->tellWaiting(each);
+            break;
+        }
+    }
+}
+
+void RequestTable::abandon()
+{
+    Entries dropped = std::exchange(this->entries, {});
+    for (auto &[id, entry] : dropped) {
+        this->tellWaiting(entry);
     }
-    auto removed = this->entries.extract(found);
-    this->tellWaiting(removed.mapped());
-    return true;
 }
 
 RequestState RequestTable::state(const RequestId &id) const
@@ -138,9 +217,23 @@
 void RequestTable::replay(const IntentRecord &record)
 {
     const auto [found, isNew] = this->entries.try_emplace(record.requestId);
-    if (isNew) {
-        found->second.stage = Stage::IntentOrphaned;
-        found->second.fingerprint = record.fingerprint;
+    if (!isNew) {
+        return;
+    }
+    // Its runner may live: the owner that journalled the intent is gone, not the node that runs it. dropRunners() tells.
+    Entry &entry = found->second;
+    entry.stage = Stage::IntentDurable;
+    entry.fingerprint = record.fingerprint;
+    entry.runner = record.runner;
+    entry.claim = record.claim;
+    entry.leaseEnd = this->clock.now() + this->lease;
+}
+
+void RequestTable::replay(const WithdrawRecord &record)
+{
+    const auto found = this->entries.find(record.requestId);
+    if (found != this->entries.end() && found->second.stage != Stage::Done) {
+        this->entries.erase(found);
     }
 }
 
@@ -160,6 +253,12 @@
     return this->entries.size();
 }
 
+void RequestTable::remove(Entries::iterator entry)
+{
+    auto removed = this->entries.extract(entry);
+    this->tellWaiting(removed.mapped());
+}
+
 void RequestTable::tellWaiting(Entry &entry)
 {
     for (const std::function<void()> &told : std::exchange(entry.waiting, {})) {
--- a/Libraries/LibJournal/RequestTable.h
+++ b/Libraries/LibJournal/RequestTable.h
@@ -37,34 +37,69 @@
     Superseded,
 };
 
+/** What the owner of a shard decides about a claim that is given back. */
+enum class ReleaseVerdict {
+    /** The asker does not hold it. */
+    Refused,
+    /** It is free again, or will be when its intent's fate is known. */
+    Released,
+    /** It is free again when its withdrawal is durable: journal that. */
+    Withdraw,
+};
+
+/** What the owner does when an intent has become durable. */
+enum class IntentVerdict {
+    /** Tell its claimer to run. */
+    Run,
+    /** Its claimer has been told not to run, or is gone unanswered: journal a withdrawal. */
+    Withdraw,
+    /** It is not waited for any more. */
+    Gone,
+};
+
 /**
  * The requests of one shard: who runs them, and their results. Decides; the owner task journals and answers.
  *
  * An idempotent claim is a lease in memory: if it is lost with its owner, two nodes may run the request, and the first
  * result to be journalled is the one that all callers get. A non-idempotent claim is an intent in the journal, and is
- * never given out again.
+ * given out again only after a withdrawal in the journal, which needs proof that the request never left for an endpoint.
  */
 class RequestTable
 {
 public:
     /**
      * @param clock measures the leases
-     * @param lease how long a runner may keep an idempotent request
+     * @param lease how long a runner may keep a request
      */
     RequestTable(const Clock &clock, std::chrono::milliseconds lease);
 
     ClaimVerdict claim(const ClaimRequest &request);
 
-    /** The intent is durable, or its journalling failed. */
-    void intentJournalled(const RequestId &id, bool isDurable);
+    /** The intent is durable. @return whether its claimer may run */
+    IntentVerdict intentJournalled(const RequestId &id);
+
+    /** The claimer of an intent that is not durable yet is told that it must not run. */
+    void abandonIntent(const ClaimRequest &request);
+
+    /** The withdrawal of an intent is durable: the request may be claimed again. */
+    void withdrawn(const RequestId &id);
 
     CommitVerdict commit(const CommitRequest &request);
 
     /** The first result is durable: it is told to those who wait. */
     void resultJournalled(const RequestId &id);
 
-    /** Give a claim back that was proved not to have run. @return whether the runner had it */
-    bool release(const ReleaseRequest &request);
+    /** Give a claim back that was proved not to have run. */
+    ReleaseVerdict release(const ReleaseRequest &request);
+
+    /**
+     * A session is gone, and what it ran with it: its idempotent claims are free again, its intents end as unknown.
+     * @param isGone tells whether a session is
+     */
+    void dropRunners(const std::function<bool(SessionNumber)> &isGone);
+
+    /** Forget everything and tell all who wait: this node does not own the shard any more. */
+    void abandon();
 
     /** @return where a request stands. */
     RequestState state(const RequestId &id) const;
@@ -80,6 +115,7 @@
 
     /** Take over what a journal says. */
     void replay(const IntentRecord &record);
+    void replay(const WithdrawRecord &record);
     void replay(const ResultRecord &record);
 
     std::size_t size() const;
@@ -89,8 +125,9 @@
         Claimed,
         IntentPending,
         IntentDurable,
-        /** An intent that was replayed: its runner was lost with the former owner's memory of it. */
+        /** The intent of a runner that is gone: it may have run, and nobody will tell. */
         IntentOrphaned,
+        WithdrawPending,
         ResultPending,
         Done,
     };
@@ -103,16 +140,24 @@
         /** Of the runner: tells a repeated call from another caller's resend at the same node. */
         std::uint64_t claim = 0;
         SteadyTime leaseEnd{};
+        /** With IntentPending: its claimer will not run. */
+        bool isAbandoned = false;
         Answer answer;
         std::vector<std::function<void()>> waiting;
     };
 
-    static bool isHolder(const Entry &entry, const ClaimRequest &request);
+    using Entries = std::unordered_map<RequestId, Entry>;
+
+    template <typename Request>
+    static bool isHolder(const Entry &entry, const Request &request);
+    ClaimVerdict claimAgain(Entry &entry, const ClaimRequest &request);
+    void hold(Entry &entry, const ClaimRequest &request);
+    void remove(Entries::iterator entry);
     void tellWaiting(Entry &entry);
 
     const Clock &clock;
     std::chrono::milliseconds lease;
-    std::unordered_map<RequestId, Entry> entries;
+    Entries entries;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -282,6 +282,8 @@
     Item,
     /** CancelRecord */
     Cancel,
+    /** WithdrawRecord */
+    Withdraw,
 };
 
 /** @return the value's name, for logs. */
@@ -298,6 +300,8 @@
         return "Item";
     case RecordKind::Cancel:
         return "Cancel";
+    case RecordKind::Withdraw:
+        return "Withdraw";
     }
     return "invalid";
 }
@@ -305,7 +309,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(RecordKind value)
 {
-    return value <= RecordKind::Cancel;
+    return value <= RecordKind::Withdraw;
 }
 
 struct ClaimRequest;
@@ -360,13 +364,32 @@
     RequestId requestId;
     /** Hash of what was asked. */
     std::uint64_t fingerprint = 0;
+    /** Who runs it: while that session lives, the next owner lets others wait for it. */
+    SessionNumber runner;
+    /** Of the ClaimRequest. */
+    std::uint64_t claim = 0;
 
     bool operator==(const IntentRecord &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->requestId, this->fingerprint);
+        archive(this->requestId, this->fingerprint, this->runner, this->claim);
+    }
+};
+
+/** An intent's request was proved never to have left for an endpoint: it may be claimed again. */
+struct WithdrawRecord
+{
+    /** The request. */
+    RequestId requestId;
+
+    bool operator==(const WithdrawRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->requestId);
     }
 };
 
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -74,8 +74,10 @@
         claim,
         joinWait,
         patience,
-        [](const ClaimResponse &response) {
-            return response.decision != ClaimDecision::NotOwner && response.decision != ClaimDecision::Unavailable;
+        [isNonIdempotent = this->request.isNonIdempotent](const ClaimResponse &response) {
+            // Without the platform a non-idempotent request cannot run for now: its caller is told at once.
+            const bool isUndecided = response.decision == ClaimDecision::Unavailable && !isNonIdempotent;
+            return response.decision != ClaimDecision::NotOwner && !isUndecided;
         },
         [self = this->shared_from_this()](const std::optional<ClaimResponse> &response) {
             self->onClaim(response);
@@ -109,8 +111,14 @@
             this->refuse({statusGatewayTimeout, "still_running", "it is still running; ask again", RunState::Unknown, comeBack});
         }
         return;
-    case ClaimDecision::NotOwner:
     case ClaimDecision::Unavailable:
+        this->refuse({statusUnavailable,
+                      "platform_unavailable",
+                      "it must not be repeated, and that it runs cannot be recorded now",
+                      RunState::NotRun,
+                      comeBack});
+        return;
+    case ClaimDecision::NotOwner:
         return;
     }
 }
@@ -418,12 +426,11 @@
 
 void OnlineRequest::refuse(const Refusal &refusal)
 {
-    if (refusal.reason == "no_endpoint") {
-        if (this->request.isNonIdempotent) {
-            const HttpResponse response = refusalResponse(refusal);
-            this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
-            return;
-        }
+    // It has not run, so a resend may. Also when no owner answered: one may have got the claim all the same, and would let
+    // resends wait for a runner that is not there.
+    const bool mayHoldClaim
+        = refusal.reason == "no_endpoint" || refusal.reason == "no_owner" || refusal.reason == "platform_unavailable";
+    if (mayHoldClaim && (refusal.run == RunState::NotRun || !this->request.isNonIdempotent)) {
         const ReleaseRequest release{this->request.id, this->context.self, this->claimNumber};
         this->context.owners.call<ReleaseRequest>(
             this->request.id.value(),
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -15,14 +15,8 @@
 constexpr std::size_t resultsPerPage = 1000;
 /** How long a commit may wait for the platform before its runner is told that the result is held. */
 constexpr std::chrono::milliseconds holdAfter{500};
-
-JournalWriter::Options journalOptions(const Settings &settings)
-{
-    JournalWriter::Options options;
-    options.groupInterval = settings.owner.groupInterval;
-    options.rowBytes = static_cast<std::size_t>(settings.platform.rowBytes);
-    return options;
-}
+/** How long an intent may wait for the platform before its claimer is told that the request was not run. */
+constexpr std::chrono::milliseconds intentPatience{1000};
 
 ShardKeeper::Options keeperOptions(const Settings &settings)
 {
@@ -31,6 +25,7 @@
     options.claimLease = settings.owner.claimLease;
     options.itemLease = settings.batch.itemLease;
     options.strangerGrace = settings.membership.suspicion * 3;
+    options.pauseLimit = settings.membership.suspicion;
     return options;
 }
 
@@ -47,16 +42,36 @@
 
 } // namespace
 
-OwnerService::OwnerService(
-    Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self)
+OwnerService::OwnerService(Scheduler &scheduler,
+                           const Clock &clock,
+                           Platform &platform,
+                           const Settings &settings,
+                           SessionNumber self,
+                           std::function<void()> onFenced)
     : scheduler(scheduler)
     , settings(settings)
-    , journal(platform, scheduler, clock, self, journalOptions(settings))
+    , onFenced(std::move(onFenced))
+    , journal(platform, scheduler, clock, self, this->journalOptions())
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings))
     , items(platform.objects(), itemObjectsKept)
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
 {
 }
 
+JournalWriter::Options OwnerService::journalOptions()
+{
+    JournalWriter::Options options;
+    options.groupInterval = this->settings.owner.groupInterval;
+    options.rowBytes = static_cast<std::size_t>(this->settings.platform.rowBytes);
+    options.onFenced = [this] {
+        this->keeper.fenced();
+        if (this->onFenced) {
+            this->onFenced();
+        }
+    };
+    return options;
+}
+
 OwnerService::~OwnerService()
 {
     *this->alive = false;
@@ -104,9 +119,10 @@
     this->keeper.start();
 }
 
-void OwnerService::setView(MemberViewPointer view)
+void OwnerService::setView(const MemberViewPointer &view)
 {
-    this->keeper.setView(std::move(view));
+    this->view = view;
+    this->keeper.setView(view);
 }
 
 void OwnerService::stop(std::function<void()> stopped)
@@ -135,7 +151,7 @@
 
 ShardState *OwnerService::stateOf(const std::string &id)
 {
-    return this->keeper.find(this->keeper.shardOf(id));
+    return this->keeper.serving(this->keeper.shardOf(id));
 }
 
 template <typename Record>
@@ -181,15 +197,55 @@
 
 void OwnerService::writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
 {
+    const auto answer = onlyOnce<ClaimResponse>(respond);
     const ShardNumber shard = this->keeper.shardOf(request.requestId.value());
-    const IntentRecord record{request.requestId, request.fingerprint};
-    this->append(shard, RecordKind::Intent, record, [this, shard, request, respond](AppendOutcome outcome) {
+    const IntentRecord record{request.requestId, request.fingerprint, request.runner, request.claim};
+    this->append(shard, RecordKind::Intent, record, [this, request, answer](AppendOutcome outcome) {
+        this->onIntent(request, answer, outcome);
+    });
+    this->scheduler.schedule(intentPatience, [this, shard, request, answer, alive = this->alive] {
+        if (!*alive) {
+            return;
+        }
+        // The claimer tells its caller that the request was not run. Should the intent become durable after all, it is
+        // withdrawn: left standing, it would answer every resend with "it may have run", which is not so.
+        if (ShardState *const state = this->keeper.find(shard)) {
+            state->requests.abandonIntent(request);
+        }
+        answer({ClaimDecision::Unavailable, {}});
+    });
+}
+
+void OwnerService::onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome)
+{
+    const ShardNumber shard = this->keeper.shardOf(request.requestId.value());
+    ShardState *const state = this->keeper.find(shard);
+    if (outcome == AppendOutcome::Fenced || state == nullptr) {
+        // Given up meanwhile: the new owner finds the intent, and lets the claimer run when it asks there.
+        respond({ClaimDecision::NotOwner, {}});
+        return;
+    }
+    switch (state->requests.intentJournalled(request.requestId)) {
+    case IntentVerdict::Run:
+        respond({ClaimDecision::Run, {}});
+        return;
+    case IntentVerdict::Withdraw:
+        respond({ClaimDecision::Unavailable, {}});
+        this->writeWithdrawal(shard, request.requestId);
+        return;
+    case IntentVerdict::Gone:
+        respond({ClaimDecision::NotOwner, {}});
+        return;
+    }
+}
+
+void OwnerService::writeWithdrawal(ShardNumber shard, const RequestId &id)
+{
+    this->append(shard, RecordKind::Withdraw, WithdrawRecord{id}, [this, shard, id](AppendOutcome outcome) {
         ShardState *const state = this->keeper.find(shard);
-        const bool isDurable = outcome == AppendOutcome::Written;
-        if (state != nullptr) {
-            state->requests.intentJournalled(request.requestId, isDurable);
+        if (outcome == AppendOutcome::Written && state != nullptr) {
+            state->requests.withdrawn(id);
         }
-        respond({isDurable ? ClaimDecision::Run : ClaimDecision::NotOwner, {}});
     });
 }
 
@@ -197,6 +253,7 @@
 {
     const auto answer = onlyOnce<ClaimResponse>(respond);
     ShardState *const state = this->stateOf(request.requestId.value());
+    // NOTE: claim() has just found the request there.
     state->requests.await(request.requestId, [this, request, answer, alive = this->alive] {
         // Told from inside the table: looked at again from the loop.
         this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, answer, alive] {
@@ -258,7 +315,11 @@
 void OwnerService::release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond)
 {
     ShardState *const state = this->stateOf(request.requestId.value());
-    respond({state != nullptr && state->requests.release(request)});
+    const ReleaseVerdict verdict = state != nullptr ? state->requests.release(request) : ReleaseVerdict::Refused;
+    if (verdict == ReleaseVerdict::Withdraw) {
+        this->writeWithdrawal(this->keeper.shardOf(request.requestId.value()), request.requestId);
+    }
+    respond({verdict != ReleaseVerdict::Refused});
 }
 
 void OwnerService::result(const ResultRequest &request, const Respond<ResultResponse> &respond)
@@ -268,8 +329,21 @@
         respond({RequestState::NotOwner, {}});
         return;
     }
-    const Answer *const answer = state->requests.answer(request.requestId);
-    respond({state->requests.state(request.requestId), answer != nullptr ? *answer : Answer()});
+    if (const Answer *const answer = state->requests.answer(request.requestId)) {
+        respond({RequestState::Done, *answer});
+        return;
+    }
+    // Another node may have taken the shard without this one having noticed, and may have a result that was committed
+    // since. That there is none is told only when the shard's row still names this node.
+    this->keeper.confirmOwned(this->keeper.shardOf(request.requestId.value()), [this, request, respond](bool isOwned) {
+        ShardState *const state = this->stateOf(request.requestId.value());
+        if (!isOwned || state == nullptr) {
+            respond({RequestState::NotOwner, {}});
+            return;
+        }
+        const Answer *const answer = state->requests.answer(request.requestId);
+        respond({state->requests.state(request.requestId), answer != nullptr ? *answer : Answer()});
+    });
 }
 
 void OwnerService::submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond)
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,7 +21,13 @@
 class OwnerService
 {
 public:
-    OwnerService(Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self);
+    /** @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more */
+    OwnerService(Scheduler &scheduler,
+                 const Clock &clock,
+                 Platform &platform,
+                 const Settings &settings,
+                 SessionNumber self,
+                 std::function<void()> onFenced = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -32,7 +38,7 @@
     /** Start taking shards. */
     void start();
 
-    void setView(MemberViewPointer view);
+    void setView(const MemberViewPointer &view);
 
     /** Give everything up, as planned. @param stopped told when the last shard is released */
     void stop(std::function<void()> stopped);
@@ -45,17 +51,24 @@
 
     const JournalWriter &journalWriter() const;
 
-private:
     template <typename Response>
     using Respond = PeerServer::Respond<Response>;
 
+    /** Decide whether the asking node runs a request. */
     void claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
-    void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
-    void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    /** Take a result: the first one counts. */
     void commit(const CommitRequest &request, const Respond<CommitResponse> &respond);
-    void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
+    /** Take a claim back whose request was proved not to have run. */
     void release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond);
+    /** Tell where a request stands. */
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
+
+private:
+    void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
+    void writeWithdrawal(ShardNumber shard, const RequestId &id);
+    void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
     void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
     void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
     void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
@@ -64,6 +77,7 @@
     void commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond);
     void renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond);
 
+    JournalWriter::Options journalOptions();
     ShardState *stateOf(const std::string &id);
     const JobRecord *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
 
@@ -72,9 +86,11 @@
 
     Scheduler &scheduler;
     const Settings &settings;
+    std::function<void()> onFenced;
     JournalWriter journal;
     ShardKeeper keeper;
     ItemReader items;
+    MemberViewPointer view;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -16,6 +17,7 @@
 {
 
 constexpr std::chrono::milliseconds releaseRetry{50};
+constexpr std::chrono::milliseconds runnerCheckInterval{1000};
 
 ShardNumber shardOfKey(const std::string &key)
 {
@@ -36,6 +38,7 @@
     , journal(journal)
     , options(options)
     , view(std::make_shared<MemberView>(std::vector<Member>()))
+    , lastTick(clock.now())
 {
 }
 
@@ -55,6 +58,17 @@
     for (const Member &member : this->view->members()) {
         this->everSeen.insert(member.session);
     }
+    this->dropLostRunners();
+}
+
+void ShardKeeper::dropLostRunners()
+{
+    this->lastRunnerCheck = this->clock.now();
+    for (const auto &[shard, state] : this->shards) {
+        state->requests.dropRunners([this](SessionNumber runner) {
+            return this->hasLeft(runner);
+        });
+    }
 }
 
 ShardState *ShardKeeper::find(ShardNumber shard)
@@ -63,11 +77,80 @@
     return found != this->shards.end() ? found->second.get() : nullptr;
 }
 
-const std::map<ShardNumber, std::unique_ptr<ShardState>> &ShardKeeper::owned() const
+bool ShardKeeper::wasPaused() const
+{
+    return this->unsure || this->clock.now() - this->lastTick > this->options.pauseLimit;
+}
+
+ShardState *ShardKeeper::serving(ShardNumber shard)
+{
+    // A VM that was paused wakes with shards in its memory that others may own by now. What it would tell of them is
+    // old: it would let requests run again that are answered. The journal's seal keeps such runs from counting, but not
+    // from being made.
+    return this->wasPaused() ? nullptr : this->find(shard);
+}
+
+const std::map<ShardNumber, std::shared_ptr<ShardState>> &ShardKeeper::owned() const
 {
     return this->shards;
 }
 
+void ShardKeeper::fenced()
+{
+    for (const auto &[shard, state] : std::exchange(this->shards, {})) {
+        state->requests.abandon();
+    }
+}
+
+bool ShardKeeper::isSameOwnership(const ShardState &state, const Row &row)
+{
+    const auto found = decode<ShardRow>(row.value);
+    return found && found->owner == state.row.owner && found->epoch == state.row.epoch;
+}
+
+void ShardKeeper::confirmOwned(ShardNumber shard, std::function<void(bool)> told)
+{
+    this->platform.tables().read(
+        JournalKeys::shard(shard), [this, shard, told = std::move(told), alive = this->alive](const RowResult &result) {
+            if (!*alive) {
+                return;
+            }
+            ShardState *const state = this->find(shard);
+            told(state != nullptr && result.outcome == ReadOutcome::Found && isSameOwnership(*state, result.row));
+        });
+}
+
+void ShardKeeper::checkOwned()
+{
+    this->platform.tables().readRange(JournalKeys::shard(ShardNumber(0)),
+                                      JournalKeys::shardsEnd(),
+                                      this->options.shards,
+                                      [this, alive = this->alive](const RowsResult &result) {
+                                          if (!*alive) {
+                                              return;
+                                          }
+                                          // Without the platform, nothing can be found out, and nobody can take over either:
+                                          // the node goes on with what it has. What it decides still has to pass the journal.
+                                          this->unsure = false;
+                                          if (result.outcome == ReadOutcome::Found) {
+                                              this->dropLost(result.rows);
+                                          }
+                                      });
+}
+
+void ShardKeeper::dropLost(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows) {
+        const auto found = this->shards.find(shardOfKey(row.key));
+        if (found == this->shards.end() || isSameOwnership(*found->second, row)) {
+            continue;
+        }
+        log(LogLevel::Warning, "shard was lost while this node was paused", {{"shard", std::int64_t{found->first.value()}}});
+        const auto lost = this->shards.extract(found);
+        lost.mapped()->requests.abandon();
+    }
+}
+
 ShardNumber ShardKeeper::shardOf(const std::string &id) const
 {
     return ShardNumber(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
@@ -75,7 +158,16 @@
 
 void ShardKeeper::tick()
 {
-    if (!this->busy && !this->closing && !this->journal.isFenced()) {
+    if (!this->unsure && this->wasPaused()) {
+        this->unsure = true;
+        this->checkOwned();
+    }
+    this->lastTick = this->clock.now();
+    // A runner that no member has told of since counts as lost after a while, which no new view tells.
+    if (this->lastTick - this->lastRunnerCheck >= runnerCheckInterval) {
+        this->dropLostRunners();
+    }
+    if (!this->busy && !this->closing && !this->unsure && !this->journal.isFenced()) {
         this->releaseUnwanted();
         this->look();
     }
@@ -86,12 +178,19 @@
     });
 }
 
+bool ShardKeeper::isHeld(ShardNumber shard) const
+{
+    // A shard that is being released is not taken back before its row is written. The row still names this session:
+    // taken as it stands, its open span would be skipped as this node's own, and all results in it would be missing.
+    return this->shards.contains(shard) || this->releasing.contains(shard);
+}
+
 void ShardKeeper::look()
 {
     bool isMissing = false;
     for (std::uint32_t number = 0; number < this->options.shards && !isMissing; ++number) {
         const Member *const wanted = this->view->ownerOf(ShardNumber(number));
-        isMissing = wanted != nullptr && wanted->session == this->self && !this->shards.contains(ShardNumber(number));
+        isMissing = wanted != nullptr && wanted->session == this->self && !this->isHeld(ShardNumber(number));
     }
     if (!isMissing) {
         return;
@@ -104,7 +203,7 @@
                                           if (!*alive) {
                                               return;
                                           }
-                                          this->busy = false;
+                                          this->finishTakeover();
                                           if (result.outcome == ReadOutcome::Found && !this->closing) {
                                               this->consider(result.rows);
                                           }
@@ -117,11 +216,11 @@
     for (const Row &row : rows) {
         byShard[shardOfKey(row.key)] = row;
     }
-    std::vector<ReadRow> takeable;
+    std::vector<ReadShard> takeable;
     for (std::uint32_t number = 0; number < this->options.shards; ++number) {
         const ShardNumber shard(number);
         const Member *const wanted = this->view->ownerOf(shard);
-        if (wanted == nullptr || wanted->session != this->self || this->shards.contains(shard)) {
+        if (wanted == nullptr || wanted->session != this->self || this->isHeld(shard)) {
             continue;
         }
         const auto found = byShard.find(shard);
@@ -134,7 +233,8 @@
             log(LogLevel::Error, "shard row cannot be read", {{"shard", static_cast<std::int64_t>(number)}});
             continue;
         }
-        if (this->isGone(row->owner)) {
+        const bool isFree = row->owner.value() == 0 || row->owner == this->self || this->hasLeft(row->owner);
+        if (isFree) {
             takeable.push_back({shard, std::move(*row), found->second.version});
         }
     }
@@ -143,10 +243,10 @@
     }
 }
 
-bool ShardKeeper::isGone(SessionNumber session)
+bool ShardKeeper::hasLeft(SessionNumber session)
 {
-    if (session.value() == 0 || session == this->self) {
-        return true;
+    if (session == this->self) {
+        return false;
     }
     if (this->view->find(session) != nullptr) {
         this->strangers.erase(session);
@@ -161,143 +261,124 @@
     return this->clock.now() - since->second >= this->options.strangerGrace;
 }
 
-void ShardKeeper::takeOver(std::vector<ReadRow> rows)
+void ShardKeeper::takeOver(std::vector<ReadShard> shards)
 {
     this->busy = true;
+    for (ReadShard &shard : shards) {
+        this->closeOwnSpans(shard.row);
+    }
     const auto takeover = std::make_shared<Takeover>();
-    takeover->rows = std::move(rows);
-    this->recover(takeover);
+    takeover->recovery = std::make_shared<ShardRecovery>(this->platform, this->scheduler, this->self, std::move(shards));
+    takeover->recovery->start([this, takeover, alive = this->alive](bool isComplete) {
+        if (!*alive) {
+            return;
+        }
+        if (!isComplete) {
+            // A row has changed since it was read: the next look reads it again.
+            this->finishTakeover();
+            return;
+        }
+        this->claim(takeover);
+    });
 }
 
-void ShardKeeper::recover(const std::shared_ptr<Takeover> &takeover)
+void ShardKeeper::closeOwnSpans(ShardRow &row) const
 {
-    std::map<SessionNumber, JournalSpan> wanted;
-    for (const ReadRow &read : takeover->rows) {
-        for (const JournalSpan &span : read.row.spans) {
-            if (span.session == this->self && span.last.value() == 0) {
-                continue;
-            }
-            JournalSpan &merged = wanted.try_emplace(span.session, span).first->second;
-            merged.first = std::min(merged.first, span.first);
-            const bool isOpen = merged.last.value() == 0 || span.last.value() == 0;
-            merged.last = isOpen ? GroupNumber(0) : std::max(merged.last, span.last);
+    // A claim that counted as lost took effect after all: its span is open and names this very session, which must not be
+    // sealed. All that this session has written of the shard is durable, as the shard is neither owned nor being released.
+    for (JournalSpan &span : row.spans) {
+        if (span.session == this->self && span.last.value() == 0) {
+            span.last = this->journal.lastDurableGroup();
         }
     }
-    takeover->pending = wanted.size();
-    if (wanted.empty()) {
-        this->claim(takeover);
-        return;
-    }
-    for (const auto &[session, span] : wanted) {
-        const auto recovery
-            = std::make_shared<JournalRecovery>(this->platform, this->scheduler, this->self, session, span.first, span.last);
-        recovery->start([this, takeover, session = session, alive = this->alive](RecoveredJournal journal) {
-            if (!*alive) {
-                return;
-            }
-            takeover->journals[session] = std::move(journal);
-            if (--takeover->pending == 0) {
-                this->claim(takeover);
-            }
-        });
-    }
+    std::erase_if(row.spans, [this](const JournalSpan &span) {
+        return span.session == this->self && span.last < span.first;
+    });
 }
 
 void ShardKeeper::claim(const std::shared_ptr<Takeover> &takeover)
 {
-    takeover->pending = takeover->rows.size();
-    for (std::size_t i = 0; i < takeover->rows.size(); ++i) {
-        this->claimOne(takeover, i);
+    takeover->pending = takeover->recovery->shards().size();
+    for (const ReadShard &shard : takeover->recovery->shards()) {
+        this->claimOne(takeover, shard);
     }
 }
 
-void ShardKeeper::claimOne(const std::shared_ptr<Takeover> &takeover, std::size_t index)
+void ShardKeeper::claimOne(const std::shared_ptr<Takeover> &takeover, const ReadShard &shard)
 {
-    const ReadRow &read = takeover->rows[index];
-    ShardRow claimed = read.row;
+    ShardRow claimed = takeover->recovery->closedRow(shard);
     claimed.owner = this->self;
-    claimed.epoch = ShardEpoch(read.row.epoch.value() + 1);
-    for (JournalSpan &span : claimed.spans) {
-        if (span.last.value() == 0 && span.session != this->self) {
-            span.last = takeover->journals.at(span.session).last;
-        }
-    }
-    // An empty span (nothing was written since it was opened) is dropped, else rows would grow with every owner.
-    std::erase_if(claimed.spans, [](const JournalSpan &span) {
-        return span.last.value() != 0 && span.last < span.first;
-    });
+    claimed.epoch = ShardEpoch(shard.row.epoch.value() + 1);
     claimed.spans.push_back({this->self, this->journal.nextGroup(), GroupNumber(0)});
     Transaction transaction;
-    transaction.conditions.push_back({JournalKeys::shard(read.shard), read.version});
-    transaction.writes.push_back({JournalKeys::shard(read.shard), encode(claimed)});
-    this->platform.tables().transact(transaction, [this, takeover, index, claimed, alive = this->alive](WriteOutcome outcome) {
+    transaction.conditions.push_back({JournalKeys::shard(shard.shard), shard.version});
+    transaction.writes.push_back({JournalKeys::shard(shard.shard), encode(claimed)});
+    this->platform.tables().transact(transaction, [this, takeover, shard, claimed, alive = this->alive](WriteOutcome outcome) {
         if (!*alive) {
             return;
         }
         if (outcome == WriteOutcome::Done || outcome == WriteOutcome::Unknown) {
-            this->confirm(takeover, index, claimed);
+            this->confirm(takeover, shard, claimed);
             return;
         }
         // Another node was first, or the platform was not reached: the next look finds out.
-        if (--takeover->pending == 0) {
-            this->busy = false;
-        }
+        this->finishOne(takeover);
     });
 }
 
-void ShardKeeper::confirm(const std::shared_ptr<Takeover> &takeover, std::size_t index, const ShardRow &claimed)
+void ShardKeeper::confirm(const std::shared_ptr<Takeover> &takeover, const ReadShard &shard, const ShardRow &claimed)
 {
-    const ShardNumber shard = takeover->rows[index].shard;
     this->platform.tables().read(
-        JournalKeys::shard(shard), [this, takeover, index, claimed, alive = this->alive](const RowResult &result) {
+        JournalKeys::shard(shard.shard), [this, takeover, shard, claimed, alive = this->alive](const RowResult &result) {
             if (!*alive) {
                 return;
             }
             if (result.outcome == ReadOutcome::Failed) {
-                this->scheduler.schedule(releaseRetry, [this, takeover, index, claimed, alive] {
+                this->scheduler.schedule(releaseRetry, [this, takeover, shard, claimed, alive] {
                     if (*alive) {
-                        this->confirm(takeover, index, claimed);
+                        this->confirm(takeover, shard, claimed);
                     }
                 });
                 return;
             }
             const auto row = result.outcome == ReadOutcome::Found ? decode<ShardRow>(result.row.value) : std::nullopt;
-            if (row && *row == claimed) {
-                ReadRow &read = takeover->rows[index];
-                read.version = result.row.version;
-                this->adopt(*takeover, read, claimed);
-            }
-            if (--takeover->pending == 0) {
-                this->busy = false;
+            if (row && *row == claimed && !this->journal.isFenced()) {
+                this->adopt(*takeover->recovery, shard, claimed, result.row.version);
             }
+            this->finishOne(takeover);
         });
 }
 
-void ShardKeeper::adopt(const Takeover &takeover, const ReadRow &read, const ShardRow &claimed)
+void ShardKeeper::adopt(const ShardRecovery &recovery, const ReadShard &shard, const ShardRow &claimed, RowVersion version)
 {
-    auto state = std::make_unique<ShardState>(this->clock, this->options.claimLease, this->options.itemLease);
+    auto state = std::make_shared<ShardState>(this->clock, this->options.claimLease, this->options.itemLease);
     state->row = claimed;
-    state->version = *read.version;
-    for (const JournalSpan &span : claimed.spans) {
-        const auto journal = takeover.journals.find(span.session);
-        if (journal == takeover.journals.end()) {
-            continue;
-        }
-        for (const RecoveredGroup &recovered : journal->second.groups) {
-            const bool isInSpan = recovered.number >= span.first && (span.last.value() == 0 || recovered.number <= span.last);
-            for (const JournalRecord &record : recovered.group.records) {
-                if (isInSpan && record.shard == read.shard) {
-                    state->replay(record);
-                }
-            }
-        }
-    }
+    state->version = version;
+    recovery.replay(shard, claimed, *state);
+    state->requests.dropRunners([this](SessionNumber runner) {
+        return this->hasLeft(runner);
+    });
     log(LogLevel::Info,
         "shard taken",
-        {{"shard", static_cast<std::int64_t>(read.shard.value())},
+        {{"shard", static_cast<std::int64_t>(shard.shard.value())},
          {"epoch", static_cast<std::int64_t>(claimed.epoch.value())},
          {"requests", static_cast<std::int64_t>(state->requests.size())}});
-    this->shards[read.shard] = std::move(state);
+    this->shards[shard.shard] = std::move(state);
+}
+
+void ShardKeeper::finishOne(const std::shared_ptr<Takeover> &takeover)
+{
+    if (--takeover->pending == 0) {
+        this->finishTakeover();
+    }
+}
+
+void ShardKeeper::finishTakeover()
+{
+    this->busy = false;
+    if (this->closing) {
+        this->releaseOwned();
+    }
 }
 
 void ShardKeeper::releaseUnwanted()
@@ -318,6 +399,11 @@
 {
     this->closing = true;
     this->released = std::move(released);
+    this->releaseOwned();
+}
+
+void ShardKeeper::releaseOwned()
+{
     std::vector<ShardNumber> all;
     for (const auto &[shard, state] : this->shards) {
         all.push_back(shard);
@@ -331,8 +417,9 @@
 void ShardKeeper::release(ShardNumber shard)
 {
     auto entry = this->shards.extract(shard);
-    ++this->releasing;
-    this->writeRelease(std::move(entry.mapped()), shard, this->journal.appended());
+    this->releasing.insert(shard);
+    entry.mapped()->requests.abandon();
+    this->writeRelease(entry.mapped(), shard, this->journal.appended());
 }
 
 void ShardKeeper::writeRelease(const std::shared_ptr<ShardState> &state, ShardNumber shard, std::uint64_t appended)
@@ -343,8 +430,7 @@
         }
     };
     if (this->journal.isFenced()) {
-        --this->releasing;
-        this->releaseFinished();
+        this->releaseWritten(shard);
         return;
     }
     // Records of this shard may still be on their way to the journal. The span must hold them, so the row is written
@@ -355,19 +441,13 @@
     }
     ShardRow row = state->row;
     row.owner = SessionNumber(0);
-    const GroupNumber last(this->journal.nextGroup().value() - 1);
-    for (JournalSpan &span : row.spans) {
-        if (span.session == this->self && span.last.value() == 0) {
-            span.last = last;
-        }
-    }
-    std::erase_if(row.spans, [](const JournalSpan &span) {
-        return span.last < span.first;
-    });
+    // The last durable group and not the one in flight: that one holds nothing of this shard, and if it never arrived,
+    // the span's end would be missing for ever.
+    this->closeOwnSpans(row);
     Transaction transaction;
     transaction.conditions.push_back({JournalKeys::shard(shard), state->version});
     transaction.writes.push_back({JournalKeys::shard(shard), encode(row)});
-    this->platform.tables().transact(transaction, [this, again, alive = this->alive](WriteOutcome outcome) {
+    this->platform.tables().transact(transaction, [this, again, shard, alive = this->alive](WriteOutcome outcome) {
         if (!*alive) {
             return;
         }
@@ -377,14 +457,21 @@
             this->scheduler.schedule(releaseRetry, again);
             return;
         }
-        --this->releasing;
-        this->releaseFinished();
+        this->releaseWritten(shard);
     });
 }
 
+void ShardKeeper::releaseWritten(ShardNumber shard)
+{
+    this->releasing.erase(shard);
+    this->releaseFinished();
+}
+
 void ShardKeeper::releaseFinished()
 {
-    if (this->closing && this->releasing == 0 && this->released) {
+    // A takeover in progress brings shards that are then to be released as well: a row left behind would name a session
+    // that is gone, and its shard would wait for others to find that out.
+    if (this->closing && !this->busy && this->releasing.empty() && this->released) {
         std::exchange(this->released, nullptr)();
     }
 }
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -2,10 +2,10 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Scheduler.h>
-#include <LibJournal/JournalRecovery.h>
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
+#include <Services/Owner/ShardRecovery.h>
 #include <Services/Owner/ShardState.h>
 
 #include <chrono>
@@ -38,6 +38,8 @@
         std::chrono::milliseconds interval{100};
         /** How long an owner that no member has ever told of must stay unknown before it counts as gone. */
         std::chrono::milliseconds strangerGrace{3000};
+        /** A node that did not run for so long may have lost its shards meanwhile, and reads their rows first. */
+        std::chrono::milliseconds pauseLimit{1000};
     };
 
     ShardKeeper(Platform &platform,
@@ -56,44 +58,59 @@
     /** Give up every shard and take none; told when all rows are written. */
     void releaseAll(std::function<void()> released);
 
-    /** @return a shard's state, or null if this node does not own it now. */
+    /** The journal was sealed by another session: all shards are lost, and those who wait at them are told. */
+    void fenced();
+
+    /** @return a shard's state, or null if this node does not own it. */
     ShardState *find(ShardNumber shard);
 
-    const std::map<ShardNumber, std::unique_ptr<ShardState>> &owned() const;
+    /** @return a shard's state to answer from, or null if this node does not own it or was paused and has to look first. */
+    ShardState *serving(ShardNumber shard);
+
+    /**
+     * Find out whether a shard is still this node's.
+     * @param told gets whether its row says so; false also if the platform does not answer
+     */
+    void confirmOwned(ShardNumber shard, std::function<void(bool isOwned)> told);
+
+    const std::map<ShardNumber, std::shared_ptr<ShardState>> &owned() const;
 
     /** @return the shard of a request or job id. */
     ShardNumber shardOf(const std::string &id) const;
 
 private:
-    /** A shard row as it was read, with its version. */
-    struct ReadRow
-    {
-        ShardNumber shard;
-        ShardRow row;
-        std::optional<RowVersion> version;
-    };
+    using States = std::map<ShardNumber, std::shared_ptr<ShardState>>;
 
-    /** Shards being taken in one go, and the journals they are replayed from. */
+    /** Claims that are on their way. */
     struct Takeover
     {
-        std::vector<ReadRow> rows;
-        std::map<SessionNumber, RecoveredJournal> journals;
+        std::shared_ptr<ShardRecovery> recovery;
         std::size_t pending = 0;
     };
 
     void tick();
     void look();
     void consider(const std::vector<Row> &rows);
-    bool isGone(SessionNumber session);
-    void takeOver(std::vector<ReadRow> rows);
-    void recover(const std::shared_ptr<Takeover> &takeover);
+    void takeOver(std::vector<ReadShard> shards);
+    void closeOwnSpans(ShardRow &row) const;
     void claim(const std::shared_ptr<Takeover> &takeover);
-    void claimOne(const std::shared_ptr<Takeover> &takeover, std::size_t index);
-    void adopt(const Takeover &takeover, const ReadRow &read, const ShardRow &claimed);
-    void confirm(const std::shared_ptr<Takeover> &takeover, std::size_t index, const ShardRow &claimed);
+    void claimOne(const std::shared_ptr<Takeover> &takeover, const ReadShard &shard);
+    void confirm(const std::shared_ptr<Takeover> &takeover, const ReadShard &shard, const ShardRow &claimed);
+    void adopt(const ShardRecovery &recovery, const ReadShard &shard, const ShardRow &claimed, RowVersion version);
+    void finishOne(const std::shared_ptr<Takeover> &takeover);
+    void finishTakeover();
+    bool wasPaused() const;
+    void checkOwned();
+    void dropLost(const std::vector<Row> &rows);
+    static bool isSameOwnership(const ShardState &state, const Row &row);
+    bool isHeld(ShardNumber shard) const;
+    bool hasLeft(SessionNumber session);
+    void dropLostRunners();
     void releaseUnwanted();
+    void releaseOwned();
     void release(ShardNumber shard);
     void writeRelease(const std::shared_ptr<ShardState> &state, ShardNumber shard, std::uint64_t appended);
+    void releaseWritten(ShardNumber shard);
     void releaseFinished();
 
     Platform &platform;
@@ -103,12 +120,17 @@
     JournalWriter &journal;
     Options options;
     MemberViewPointer view;
-    std::map<ShardNumber, std::unique_ptr<ShardState>> shards;
+    States shards;
+    /** Given up here, while their rows may still name this session. */
+    std::set<ShardNumber> releasing;
+    SteadyTime lastTick;
+    SteadyTime lastRunnerCheck{};
+    /** This node was paused, and has not read its rows since. */
+    bool unsure = false;
     std::set<SessionNumber> everSeen;
     std::map<SessionNumber, SteadyTime> strangers;
     bool busy = false;
     bool closing = false;
-    std::size_t releasing = 0;
     std::function<void()> released;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/Services/Owner/ShardRecovery.cpp
@@ -0,0 +1,128 @@
+#include <Services/Owner/ShardRecovery.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+bool isOpen(const JournalSpan &span)
+{
+    return span.last.value() == 0;
+}
+
+/** Spans of one journal, joined where they overlap or touch: the gaps between them may have been deleted. */
+std::vector<JournalSpan> joined(std::vector<JournalSpan> spans)
+{
+    std::ranges::sort(spans, {}, &JournalSpan::first);
+    std::vector<JournalSpan> result;
+    for (const JournalSpan &span : spans) {
+        const bool touches = !result.empty() && (isOpen(result.back()) || span.first.value() <= result.back().last.value() + 1);
+        if (!touches) {
+            result.push_back(span);
+            continue;
+        }
+        JournalSpan &into = result.back();
+        into.last = isOpen(into) || isOpen(span) ? GroupNumber(0) : std::max(into.last, span.last);
+    }
+    return result;
+}
+
+} // namespace
+
+ShardRecovery::ShardRecovery(Platform &platform, Scheduler &scheduler, SessionNumber self, std::vector<ReadShard> shards)
+    : platform(platform), scheduler(scheduler), self(self), wanted(std::move(shards))
+{
+}
+
+const std::vector<ReadShard> &ShardRecovery::shards() const
+{
+    return this->wanted;
+}
+
+std::map<SessionNumber, std::vector<JournalSpan>> ShardRecovery::wantedSpans() const
+{
+    std::map<SessionNumber, std::vector<JournalSpan>> spans;
+    for (const ReadShard &shard : this->wanted) {
+        for (const JournalSpan &span : shard.row.spans) {
+            spans[span.session].push_back(span);
+        }
+    }
+    return spans;
+}
+
+void ShardRecovery::start(std::function<void(bool)> recovered)
+{
+    this->recovered = std::move(recovered);
+    std::vector<JournalSpan> all;
+    for (auto &[session, spans] : this->wantedSpans()) {
+        std::ranges::copy(joined(std::move(spans)), std::back_inserter(all));
+    }
+    this->pending = all.size() + 1;
+    for (const JournalSpan &span : all) {
+        this->recoverSpan(span);
+    }
+    this->finishOne(true);
+}
+
+void ShardRecovery::recoverSpan(const JournalSpan &span)
+{
+    const auto recovery
+        = std::make_shared<JournalRecovery>(this->platform, this->scheduler, this->self, span.session, span.first, span.last);
+    recovery->start([self = this->shared_from_this(), span](RecoveredJournal journal) {
+        Groups &groups = self->journals[span.session];
+        for (RecoveredGroup &each : journal.groups) {
+            groups[each.number] = std::move(each.group);
+        }
+        if (isOpen(span)) {
+            self->ends[span.session] = journal.last;
+        }
+        self->finishOne(journal.isComplete);
+    });
+}
+
+void ShardRecovery::finishOne(bool isComplete)
+{
+    this->complete = this->complete && isComplete;
+    if (--this->pending == 0) {
+        std::exchange(this->recovered, nullptr)(this->complete);
+    }
+}
+
+ShardRow ShardRecovery::closedRow(const ReadShard &shard) const
+{
+    ShardRow row = shard.row;
+    for (JournalSpan &span : row.spans) {
+        if (isOpen(span)) {
+            span.last = this->ends.at(span.session);
+        }
+    }
+    // An empty span (nothing was written since it was opened) is dropped, else rows would grow with every owner.
+    std::erase_if(row.spans, [](const JournalSpan &span) {
+        return span.last < span.first;
+    });
+    return row;
+}
+
+void ShardRecovery::replay(const ReadShard &shard, const ShardRow &row, ShardState &state) const
+{
+    for (const JournalSpan &span : row.spans) {
+        const auto journal = this->journals.find(span.session);
+        if (journal == this->journals.end()) {
+            continue;
+        }
+        const Groups &groups = journal->second;
+        for (auto group = groups.lower_bound(span.first); group != groups.end() && group->first <= span.last; ++group) {
+            for (const JournalRecord &record : group->second.records) {
+                if (record.shard == shard.shard) {
+                    state.replay(record);
+                }
+            }
+        }
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Owner/ShardRecovery.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibBase/Scheduler.h>
+#include <LibJournal/JournalRecovery.h>
+#include <LibPlatform/Platform.h>
+#include <Services/Owner/ShardState.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** A shard row as it was read, with its version. */
+struct ReadShard
+{
+    ShardNumber shard;
+    ShardRow row;
+    /** Nothing if there was no row. */
+    std::optional<RowVersion> version;
+};
+
+/**
+ * Reads what shards are replayed from, and seals the journals that their owners may still write. Groups that several
+ * shards need are read once.
+ */
+class ShardRecovery : public std::enable_shared_from_this<ShardRecovery>
+{
+public:
+    /** @param shards what to recover; spans of this session itself are closed already */
+    ShardRecovery(Platform &platform, Scheduler &scheduler, SessionNumber self, std::vector<ReadShard> shards);
+
+    /**
+     * Start.
+     * @param recovered told once; false if something that a row names is gone, because the row has changed since
+     */
+    void start(std::function<void(bool isComplete)> recovered);
+
+    const std::vector<ReadShard> &shards() const;
+
+    /** @return the shard's row with every span closed, and those without a group left out. */
+    ShardRow closedRow(const ReadShard &shard) const;
+
+    /** Replay a row's spans, oldest first, into the state of its shard. */
+    void replay(const ReadShard &shard, const ShardRow &row, ShardState &state) const;
+
+private:
+    using Groups = std::map<GroupNumber, JournalGroup>;
+
+    std::map<SessionNumber, std::vector<JournalSpan>> wantedSpans() const;
+    void recoverSpan(const JournalSpan &span);
+    void finishOne(bool isComplete);
+
+    Platform &platform;
+    Scheduler &scheduler;
+    SessionNumber self;
+    std::vector<ReadShard> wanted;
+    std::map<SessionNumber, Groups> journals;
+    /** The last group of each journal that was sealed here. */
+    std::map<SessionNumber, GroupNumber> ends;
+    std::size_t pending = 0;
+    bool complete = true;
+    std::function<void(bool)> recovered;
+};
+
+} // namespace Dogwoodkeel
--- a/Services/Owner/ShardState.cpp
+++ b/Services/Owner/ShardState.cpp
@@ -31,6 +31,9 @@
     case RecordKind::Intent:
         replayInto<IntentRecord>(this->requests, record);
         return;
+    case RecordKind::Withdraw:
+        replayInto<WithdrawRecord>(this->requests, record);
+        return;
     case RecordKind::Result:
         replayInto<ResultRecord>(this->requests, record);
         return;
--- a/Tests/LibJournal/TestJournalWriter.cpp
+++ b/Tests/LibJournal/TestJournalWriter.cpp
@@ -117,3 +117,46 @@
     CHECK(fixture.written.size() == 501);
     CHECK(fixture.platform.rowWrites() == 2);
 }
+
+TEST_CASE("a seal behind a group that is still on its way is not taken for the journal's end")
+{
+    // Two nodes take over different shards of one owner. The first reads from behind the group that the owner has in
+    // flight, and seals there. The second reads from the start, finds the seal with the gap before it, and must not
+    // stop there: the group could still arrive, be acknowledged, and be missing at the new owner.
+    Fixture fixture;
+    fixture.append("in group 1");
+    fixture.clock.advance(100ms);
+    const auto behind = std::make_shared<JournalRecovery>(
+        fixture.platform, fixture.clock, SessionNumber(3), ownerSession, GroupNumber(3), GroupNumber(0));
+    bool isSealedBehind = false;
+    behind->start([&isSealedBehind](const RecoveredJournal &) {
+        isSealedBehind = true;
+    });
+    fixture.clock.advance(1s);
+    REQUIRE(isSealedBehind);
+    const Payloads recovered = fixture.recover();
+    fixture.append("in group 2");
+    fixture.clock.advance(1s);
+    CHECK(recovered == Payloads{"in group 1"});
+    CHECK(fixture.written == Payloads{"in group 1"});
+    CHECK(fixture.fenced == Payloads{"in group 2"});
+}
+
+TEST_CASE("a recovery tells where the journal ends")
+{
+    // The taker closes the span in the shard's row with it. Closed too early, the span would drop out of the row, and the
+    // owner after the taker would not know of the results in it.
+    Fixture fixture;
+    fixture.append("group 1");
+    fixture.clock.advance(100ms);
+    fixture.append("group 2");
+    fixture.clock.advance(100ms);
+    GroupNumber last;
+    const auto recovery = std::make_shared<JournalRecovery>(
+        fixture.platform, fixture.clock, takerSession, ownerSession, GroupNumber(2), GroupNumber(0));
+    recovery->start([&last](const RecoveredJournal &journal) {
+        last = journal.last;
+    });
+    fixture.clock.advance(1s);
+    CHECK((last == GroupNumber(2)));
+}
--- /dev/null
+++ b/Tests/ServiceOwner/TestNonIdempotent.cpp
@@ -0,0 +1,125 @@
+#include <Tests/ServiceOwner/OwnerFixture.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr SessionNumber third{3};
+
+ReleaseRequest releaseOf(const ClaimRequest &claim)
+{
+    return {claim.requestId, claim.runner, claim.claim};
+}
+
+bool release(OwnerFixture &fixture, OwnerNode &node, const ClaimRequest &claim)
+{
+    Answers<ReleaseResponse> answers;
+    node.service.release(releaseOf(claim), answers.keep());
+    fixture.clock.advance(1s);
+    return answers.count() == 1 && answers.last().isReleased;
+}
+
+} // namespace
+
+TEST_CASE("an intent that was proved not to have left is withdrawn, and a resend runs")
+{
+    // No endpoint could be reached, the caller was told "not run", and sends again. The intent in the journal must not
+    // turn that into "it may have run", neither at this owner nor at the next one.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    const ClaimRequest claim = fixture.a.claimOf("payout", 1, true);
+    REQUIRE((fixture.claim(fixture.a, claim).decision == ClaimDecision::Run));
+    REQUIRE(release(fixture, fixture.a, claim));
+    fixture.b.service.setView(viewOf({OwnerFixture::first, OwnerFixture::second}));
+    fixture.show({OwnerFixture::second}, 3s);
+    CHECK((fixture.claim(fixture.b, fixture.b.claimOf("payout", 2, true)).decision == ClaimDecision::Run));
+}
+
+TEST_CASE("an intent runs at most once over resends, a release by another and a takeover")
+{
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    const ClaimRequest claim = fixture.a.claimOf("payout", 1, true);
+    REQUIRE((fixture.claim(fixture.a, claim).decision == ClaimDecision::Run));
+    CHECK((fixture.claim(fixture.a, fixture.a.claimOf("payout", 2, true)).decision == ClaimDecision::StillRunning));
+    CHECK_FALSE(release(fixture, fixture.a, fixture.a.claimOf("payout", 2, true)));
+    fixture.a.platform.setDown(true);
+    fixture.b.service.setView(viewOf({OwnerFixture::first, OwnerFixture::second}));
+    fixture.show({OwnerFixture::second}, 3s);
+    CHECK((fixture.claim(fixture.b, fixture.b.claimOf("payout", 3, true)).decision == ClaimDecision::OutcomeUnknown));
+}
+
+TEST_CASE("an intent whose runner is lost ends as unknown while its owner lives")
+{
+    // The entry node dies while it runs the call. Its caller sends again, by another entry: without news of the loss it
+    // would be told "still running" for ever.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first, third});
+    OwnerNode &owner = fixture.a;
+    fixture.show({OwnerFixture::first}, 5s);
+    fixture.show({OwnerFixture::first, third}, 10ms);
+    ClaimRequest claim = owner.claimOf("payout", 1, true);
+    claim.runner = third;
+    Answers<ClaimResponse> answers;
+    owner.service.claim(claim, answers.keep());
+    fixture.clock.advance(50ms);
+    REQUIRE((answers.count() == 1 && answers.last().decision == ClaimDecision::Run));
+    fixture.show({OwnerFixture::first}, 100ms);
+    CHECK((fixture.claim(owner, owner.claimOf("payout", 2, true)).decision == ClaimDecision::OutcomeUnknown));
+}
+
+TEST_CASE("a planned handover does not turn a running intent into an unknown outcome")
+{
+    // The owner gives its shard up while the entry node still runs the call: a resend waits for that run.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    ClaimRequest claim = fixture.a.claimOf("payout", 1, true);
+    claim.runner = OwnerFixture::second;
+    fixture.a.service.setView(viewOf({OwnerFixture::first}));
+    Answers<ClaimResponse> answers;
+    fixture.a.service.claim(claim, answers.keep());
+    fixture.clock.advance(50ms);
+    REQUIRE((answers.count() == 1 && answers.last().decision == ClaimDecision::Run));
+    fixture.show({OwnerFixture::second}, 2s);
+    CHECK((fixture.claim(fixture.b, fixture.b.claimOf("payout", 2, true)).decision == ClaimDecision::StillRunning));
+    CHECK((fixture.commit(fixture.b, "payout", "paid") == CommitDecision::Committed));
+    CHECK((fixture.claim(fixture.b, fixture.b.claimOf("payout", 3, true)).decision == ClaimDecision::Done));
+}
+
+TEST_CASE("a non-idempotent claim is refused at once while the platform takes no writes, and runs when it is back")
+{
+    // The intent is on its way when the platform goes down. The caller is told "not run" after a second; the intent that
+    // becomes durable later is withdrawn, so that the resend is not told that it may have run.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    fixture.a.platform.setDown(true);
+    Answers<ClaimResponse> answers;
+    fixture.a.service.claim(fixture.a.claimOf("payout", 1, true), answers.keep());
+    fixture.clock.advance(1001ms);
+    REQUIRE((answers.count() == 1 && answers.last().decision == ClaimDecision::Unavailable));
+    Answers<ClaimResponse> other;
+    fixture.a.service.claim(fixture.a.claimOf("another payout", 2, true), other.keep());
+    CHECK((other.count() == 1 && other.last().decision == ClaimDecision::Unavailable));
+    fixture.a.platform.setDown(false);
+    fixture.clock.advance(3s);
+    CHECK(answers.count() == 1);
+    CHECK((fixture.claim(fixture.a, fixture.a.claimOf("payout", 3, true)).decision == ClaimDecision::Run));
+}
+
+TEST_CASE("an idempotent claim of a lost runner is free at once")
+{
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    fixture.a.service.setView(viewOf({OwnerFixture::first, third}));
+    ClaimRequest claim = fixture.a.claimOf("label", 1);
+    claim.runner = third;
+    Answers<ClaimResponse> answers;
+    fixture.a.service.claim(claim, answers.keep());
+    REQUIRE((answers.count() == 1 && answers.last().decision == ClaimDecision::Run));
+    fixture.show({OwnerFixture::first}, 10ms);
+    CHECK((fixture.claim(fixture.a, fixture.a.claimOf("label", 2)).decision == ClaimDecision::Run));
+}
--- /dev/null
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -0,0 +1,47 @@
+#include <Tests/ServiceOwner/OwnerFixture.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+TEST_CASE("those who wait at an owner that is fenced are told so at once")
+{
+    // A resend waits for the first run's result, which is on its way to the journal when another node seals it. Left
+    // waiting, the resend's caller would hear "still running" from a node that decides nothing any more.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    REQUIRE((fixture.claim(fixture.a, fixture.a.claimOf("offer", 1)).decision == ClaimDecision::Run));
+    fixture.a.platform.setDown(true);
+    Answers<ClaimResponse> joined;
+    fixture.a.service.claim(fixture.a.claimOf("offer", 2), joined.keep());
+    Answers<CommitResponse> firstCommit;
+    Answers<CommitResponse> secondCommit;
+    fixture.a.service.commit(fixture.a.commitOf("offer", "one"), firstCommit.keep());
+    fixture.a.service.commit(fixture.a.commitOf("offer", "two"), secondCommit.keep());
+    fixture.b.service.setView(viewOf({OwnerFixture::first, OwnerFixture::second}));
+    fixture.b.service.setView(viewOf({OwnerFixture::second}));
+    fixture.clock.advance(300ms);
+    fixture.a.platform.setDown(false);
+    fixture.clock.advance(180ms);
+    REQUIRE(joined.count() == 1);
+    CHECK((joined.last().decision == ClaimDecision::NotOwner));
+    REQUIRE(firstCommit.count() == 1);
+    CHECK((firstCommit.last().decision == CommitDecision::NotOwner));
+    REQUIRE(secondCommit.count() == 1);
+    CHECK((secondCommit.last().decision == CommitDecision::NotOwner));
+    CHECK(fixture.a.service.shardCount() == 0);
+}
+
+TEST_CASE("an owner that was paused while another took over does not say that a kept result is unknown")
+{
+    // The result is committed at the new owner. The paused one wakes, is asked before it has written anything, and its
+    // memory knows nothing of the id: "no such id" would be false.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    fixture.b.service.setView(viewOf({OwnerFixture::first, OwnerFixture::second}));
+    fixture.b.service.setView(viewOf({OwnerFixture::second}));
+    fixture.clock.advance(2s);
+    REQUIRE((fixture.commit(fixture.b, "offer", "note") == CommitDecision::Committed));
+    CHECK((fixture.result(fixture.a, "offer").state == RequestState::NotOwner));
+}
