--- a/Benchmarks/Support/LocalFleet.cpp
+++ b/Benchmarks/Support/LocalFleet.cpp
@@ -56,7 +56,7 @@
 Address LocalFleet::nextAddress()
 {
     const auto pid = static_cast<unsigned>(getpid());
-    const unsigned host = ++this->addresses;
+    const unsigned host = ++LocalFleet::addresses;
     // 127.x.y.z: 14 bits of the process id and 9 bits of the process in the fleet, none of them on 127.0.0.x.
     const unsigned number = ((pid & 0x3FFFU) << 9U) | (host & 0x1FFU);
     const unsigned high = 1 + ((number >> 16U) & 0x7FU);
--- a/Benchmarks/Support/LocalFleet.h
+++ b/Benchmarks/Support/LocalFleet.h
@@ -100,7 +100,8 @@
     std::vector<Process> processes;
     std::vector<std::size_t> nodeIndexes;
     std::size_t platformIndex = 0;
-    std::uint16_t addresses = 0;
+    /** Over all fleets of this driver: the ports of one that has ended may not be free yet. */
+    static inline std::uint16_t addresses = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibBase/ManualClock.h
+++ b/Libraries/LibBase/ManualClock.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/Scheduler.h>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -46,12 +47,18 @@
         const SteadyTime target = this->time + step;
         while (!this->timers.empty() && this->timers.begin()->first.first <= target) {
             auto entry = this->timers.extract(this->timers.begin());
-            this->time = entry.key().first;
+            this->time = std::max(this->time, entry.key().first);
             entry.mapped()();
         }
         this->time = target;
     }
 
+    /** Move time forward without running what falls due: as for a process that is paused meanwhile. */
+    void jump(std::chrono::milliseconds step)
+    {
+        this->time += step;
+    }
+
 private:
     SteadyTime time = SteadyTime(std::chrono::hours(1));
     TimerId lastTimer = 0;
--- a/Libraries/LibJournal/JournalWriter.cpp
+++ b/Libraries/LibJournal/JournalWriter.cpp
@@ -47,6 +47,23 @@
     this->wake();
 }
 
+void JournalWriter::lookForSeal()
+{
+    this->platform.tables().readRange(JournalKeys::group(this->session, this->number),
+                                      JournalKeys::groupsEnd(this->session),
+                                      1,
+                                      [this, alive = this->alive](const RowsResult &result) {
+                                          // A write in flight finds the seal by itself.
+                                          if (!*alive || this->fenced || !this->inFlight.empty() || result.rows.empty()) {
+                                              return;
+                                          }
+                                          const auto found = decode<JournalGroup>(result.rows.front().value);
+                                          if (found && found->sealedBy.value() != 0) {
+                                              this->fence();
+                                          }
+                                      });
+}
+
 GroupNumber JournalWriter::nextGroup() const
 {
     return this->inFlight.empty() ? this->number : GroupNumber(this->number.value() + 1);
--- a/Libraries/LibJournal/JournalWriter.h
+++ b/Libraries/LibJournal/JournalWriter.h
@@ -63,6 +63,9 @@
      */
     void append(JournalRecord record, Appended appended);
 
+    /** Find out whether another session has sealed this journal, without waiting for the next append to fail. */
+    void lookForSeal();
+
     /** @return the number that the next group to be started will have. */
     GroupNumber nextGroup() const;
 
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -60,7 +60,9 @@
     log(LogLevel::Info, "session opened", {{"session", static_cast<std::int64_t>(this->self.value())}});
 
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
-        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
+        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform, [this] {
+            this->renewSession();
+        });
     this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
@@ -112,6 +114,34 @@
     });
 }
 
+void Node::renewSession()
+{
+    if (this->stopping) {
+        return;
+    }
+    // Another node held this one dead, took its shards over and sealed its journal: a VM that was paused, or cut off. As it
+    // is, it could own nothing for the rest of its life. It goes on as a new member; its callers notice nothing.
+    this->control->post([this](ControlTask &control) {
+        control.renewSession([this, &control](SessionNumber session) {
+            if (this->stopping) {
+                return;
+            }
+            log(LogLevel::Warning, "session renewed", {{"session", static_cast<std::int64_t>(session.value())}});
+            this->owner->post([session](OwnerTask &task) {
+                task.renew(session);
+                task.owner().start();
+            });
+            this->lane->post([session](LaneTask &task) {
+                task.lane().setSession(session);
+            });
+            this->entry->post([session](EntryTask &task) {
+                task.setSession(session);
+            });
+            control.rejoin();
+        });
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
@@ -139,6 +169,7 @@
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
+    this->stopping = true;
     const SteadyTime deadline = this->clock.now() + this->settings.entry.drain;
     this->watch.reset();
     // Callers may hold an answer of /v1/entries that names this node until its time to live has passed: it goes on
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -9,6 +9,7 @@
 #include <Services/Lane/LaneTask.h>
 #include <Services/Owner/OwnerTask.h>
 
+#include <atomic>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -34,6 +35,7 @@
 
 private:
     void spread(const MemberViewPointer &view);
+    void renewSession();
     void watchBacklog();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
@@ -43,6 +45,7 @@
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
+    std::atomic<bool> stopping = false;
     Address http;
     std::unique_ptr<TaskHost<ControlTask>> control;
     std::unique_ptr<TaskHost<OwnerTask>> owner;
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -57,6 +57,8 @@
 void ControlTask::join(Member self, std::function<void(MemberViewPointer)> onChange)
 {
     self.gossip = this->datagrams.address();
+    this->joined = self;
+    this->onChange = std::move(onChange);
     Membership::Hooks hooks{
         .sendPing =
             [this](const Address &to, const Ping &ping) {
@@ -70,12 +72,34 @@
             [this](const Address &to, const PingRequest &request) {
                 this->datagrams.send(to, request);
             },
-        .onChange = std::move(onChange),
+        .onChange = this->onChange,
     };
     this->membership.emplace(
         this->clock, this->loop, membershipOptions(this->settings), std::move(self), std::random_device()(), std::move(hooks));
     this->membership->start(this->settings.peers.seeds);
-    this->meetOthers();
+    if (!std::exchange(this->meeting, true)) {
+        this->meetOthers();
+    }
+}
+
+void ControlTask::renewSession(std::function<void(SessionNumber)> opened)
+{
+    this->leave();
+    this->openSession(std::move(opened));
+}
+
+void ControlTask::rejoin()
+{
+    Member self = this->joined;
+    self.session = this->self;
+    // The former session's members are asked first: they are likely to be there still.
+    std::vector<Address> others;
+    for (const Member &member : this->membership->view()->members()) {
+        others.push_back(member.gossip);
+    }
+    this->toldBacklog = 0;
+    this->join(std::move(self), this->onChange);
+    this->membership->contact(others);
 }
 
 void ControlTask::meetOthers()
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -39,6 +39,15 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /**
+     * Leave as this session and take another: this one's journal was sealed, so it can own nothing any more.
+     * @param opened told when the platform has given a number out
+     */
+    void renewSession(std::function<void(SessionNumber)> opened);
+
+    /** Become a member again, as the session that was taken last. */
+    void rejoin();
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -63,6 +72,10 @@
     DatagramSocket datagrams;
     std::optional<Membership> membership;
     SessionNumber self;
+    /** As it joined, to join again. */
+    Member joined;
+    std::function<void(MemberViewPointer)> onChange;
+    bool meeting = false;
     std::uint32_t toldBacklog = 0;
 };
 
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -72,6 +72,12 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::setSession(SessionNumber self)
+{
+    this->context.self = self;
+    this->notices.setSession(self);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -38,6 +38,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** This node goes on as another session; requests in progress are not touched. */
+    void setSession(SessionNumber self);
+
     /** Take no new connections. */
     void drain();
 
--- a/Services/Entry/LoadNotices.cpp
+++ b/Services/Entry/LoadNotices.cpp
@@ -15,6 +15,11 @@
     this->view = std::move(view);
 }
 
+void LoadNotices::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 void LoadNotices::changed(const Replica &replica)
 {
     if (this->dirty.empty()) {
--- a/Services/Entry/LoadNotices.h
+++ b/Services/Entry/LoadNotices.h
@@ -21,6 +21,9 @@
 
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The number of online requests on a replica changed. */
     void changed(const Replica &replica);
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -54,6 +54,11 @@
     this->view = std::move(view);
 }
 
+void LaneService::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 void LaneService::observe(const ReplicaLoad &notice)
 {
     const auto found = this->lanes.find(notice.endpoint);
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -34,6 +34,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -20,18 +21,36 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot listen */
+    /**
+     * @param onFenced told, on this task, when the session's journal was sealed by another
+     * @throws std::runtime_error if it cannot listen
+     */
     OwnerTask(EventLoop &loop,
               const Clock &clock,
               const Settings &settings,
               SessionNumber self,
               const PeerSecurity &security,
-              const PlatformFactory &makePlatform)
-        : platform(makePlatform(loop))
+              const PlatformFactory &makePlatform,
+              std::function<void()> onFenced)
+        : loop(loop)
+        , clock(clock)
+        , settings(settings)
+        , onFenced(std::move(onFenced))
+        , platform(makePlatform(loop))
         , server(loop, settings.listen.owner, security)
-        , service(loop, clock, *this->platform, settings, self)
     {
-        this->service.serve(this->server);
+        this->renew(self);
+    }
+
+    /**
+     * Begin again as another session, with an empty journal and no shards: the former one was fenced, and what it had is
+     * with others.
+     */
+    void renew(SessionNumber self)
+    {
+        this->service
+            = std::make_unique<OwnerService>(this->loop, this->clock, *this->platform, this->settings, self, this->onFenced);
+        this->service->serve(this->server);
     }
 
     /** @return where other nodes call it. */
@@ -42,13 +61,17 @@
 
     OwnerService &owner()
     {
-        return this->service;
+        return *this->service;
     }
 
 private:
+    EventLoop &loop;
+    const Clock &clock;
+    const Settings &settings;
+    std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
-    OwnerService service;
+    std::unique_ptr<OwnerService> service;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -140,6 +140,7 @@
 
 void ShardKeeper::dropLost(const std::vector<Row> &rows)
 {
+    bool isAnyLost = false;
     for (const Row &row : rows) {
         const auto found = this->shards.find(shardOfKey(row.key));
         if (found == this->shards.end() || isSameOwnership(*found->second, row)) {
@@ -148,6 +149,11 @@
         log(LogLevel::Warning, "shard was lost while this node was paused", {{"shard", std::int64_t{found->first.value()}}});
         const auto lost = this->shards.extract(found);
         lost.mapped()->requests.abandon();
+        isAnyLost = true;
+    }
+    // Whoever took a shard has sealed this journal first. What this node would take now, it could not write for.
+    if (isAnyLost) {
+        this->journal.lookForSeal();
     }
 }
 
--- a/Tests/ServiceOwner/TestOwnerService.cpp
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -45,3 +45,40 @@
     REQUIRE((fixture.commit(fixture.b, "offer", "note") == CommitDecision::Committed));
     CHECK((fixture.result(fixture.a, "offer").state == RequestState::NotOwner));
 }
+
+TEST_CASE("a node that was paused while its shards were taken finds out when it wakes, before it answers")
+{
+    // The VM is paused for longer than the suspicion. On waking it is asked for a request that was answered meanwhile: it
+    // must not let that run again. Its journal is sealed, so it has to go on as another session, and is told so at once.
+    OwnerFixture fixture;
+    bool isFenced = false;
+    ManualClock pausedClock;
+    FaultyPlatform platform(fixture.store, pausedClock);
+    OwnerService paused(pausedClock, pausedClock, platform, fixture.settings, SessionNumber(3), [&isFenced] {
+        isFenced = true;
+    });
+    paused.start();
+    paused.setView(viewOf({SessionNumber(3)}));
+    pausedClock.advance(1s);
+    REQUIRE(paused.shardCount() == 4);
+
+    fixture.a.service.setView(viewOf({OwnerFixture::first, SessionNumber(3)}));
+    fixture.show({OwnerFixture::first}, 2s);
+    REQUIRE((fixture.commit(fixture.a, "offer", "note") == CommitDecision::Committed));
+
+    pausedClock.jump(3s);
+    Answers<ClaimResponse> answers;
+    paused.claim({RequestId("offer"), 1, false, SessionNumber(3), 1, 100ms}, answers.keep());
+    CHECK((answers.count() == 1 && answers.last().decision == ClaimDecision::NotOwner));
+    pausedClock.advance(200ms);
+    CHECK(isFenced);
+    CHECK(paused.shardCount() == 0);
+
+    // As a new session, the same node takes its share again.
+    OwnerNode renewed(fixture.store, fixture.clock, fixture.settings, SessionNumber(4));
+    fixture.a.service.setView(viewOf({SessionNumber(4)}));
+    renewed.service.setView(viewOf({SessionNumber(4)}));
+    fixture.clock.advance(2s);
+    CHECK(renewed.service.shardCount() == 4);
+    CHECK(fixture.result(renewed, "offer").answer.body == "note");
+}
