--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,7 +4,8 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibPlatform/VmWatch.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerLink.h>
@@ -25,7 +26,7 @@
     /** @throws std::runtime_error if it cannot take datagrams */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
-                const Settings &settings,
+                const SettingsPointer &settings,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -48,6 +49,9 @@
     /** Become a member again, as the session that was taken last. */
     void rejoin();
 
+    /** Read the platform's VM list from now on. @param changed told of each change, on this task */
+    void watchVms(VmWatch::Changed changed);
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -66,11 +70,12 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     SessionRegistry sessions;
     DatagramSocket datagrams;
     std::optional<Membership> membership;
+    std::optional<VmWatch> vmWatch;
     SessionNumber self;
     /** As it joined, to join again. */
     Member joined;
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -3,9 +3,9 @@
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibWire/PeerServer.h>
-#include <Services/Owner/ItemReader.h>
+#include <Services/Owner/BatchOwner.h>
 #include <Services/Owner/ShardKeeper.h>
 
 #include <functional>
@@ -25,7 +25,7 @@
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
                  Platform &platform,
-                 const Settings &settings,
+                 const SettingsHandle &settings,
                  SessionNumber self,
                  std::function<void()> onFenced = {});
     ~OwnerService();
@@ -69,28 +69,19 @@
     void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
     void writeWithdrawal(ShardNumber shard, const RequestId &id);
     void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
-    void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
-    void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
-    void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
-    void results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond);
-    void pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond);
-    void commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond);
-    void renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond);
 
     JournalWriter::Options journalOptions();
     ShardState *stateOf(const std::string &id);
-    const JobRecord *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
 
     template <typename Record>
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
 
     Scheduler &scheduler;
-    const Settings &settings;
+    const SettingsHandle &settings;
     std::function<void()> onFenced;
     JournalWriter journal;
     ShardKeeper keeper;
-    ItemReader items;
-    MemberViewPointer view;
+    BatchOwner batch;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -3,7 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
@@ -27,7 +27,7 @@
      */
     OwnerTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
@@ -37,7 +37,7 @@
         , settings(settings)
         , onFenced(std::move(onFenced))
         , platform(makePlatform(loop))
-        , server(loop, settings.listen.owner, security)
+        , server(loop, settings->listen.owner, security)
     {
         this->renew(self);
     }
@@ -64,10 +64,16 @@
         return *this->service;
     }
 
+    /** Put a new configuration into force. */
+    void putInForce(const SettingsPointer &settings)
+    {
+        this->settings.replace(settings);
+    }
+
 private:
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
--- a/Tests/ServiceOwner/OwnerFixture.h
+++ b/Tests/ServiceOwner/OwnerFixture.h
@@ -28,7 +28,7 @@
 /** An owner service on a platform client of its own; several on one store act as nodes beside each other. */
 struct OwnerNode
 {
-    OwnerNode(const std::shared_ptr<EmbeddedStore> &store, ManualClock &clock, const Settings &settings, SessionNumber session)
+    OwnerNode(const std::shared_ptr<EmbeddedStore> &store, ManualClock &clock, const SettingsHandle &settings, SessionNumber session)
         : session(session), platform(store, clock), service(clock, clock, this->platform, settings, session)
     {
         this->service.start();
@@ -76,10 +76,10 @@
 /** Two nodes on one store with four shards. */
 struct OwnerFixture
 {
-    static Settings fourShards()
+    static SettingsPointer fourShards()
     {
-        Settings settings;
-        settings.owner.shards = 4;
+        auto settings = std::make_shared<Settings>();
+        settings->owner.shards = 4;
         return settings;
     }
 
@@ -121,7 +121,7 @@
     static constexpr SessionNumber first{1};
     static constexpr SessionNumber second{2};
 
-    Settings settings = fourShards();
+    SettingsHandle settings{fourShards()};
     ManualClock clock;
     std::shared_ptr<EmbeddedStore> store = std::make_shared<EmbeddedStore>();
     OwnerNode a{this->store, this->clock, this->settings, first};
