--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -83,7 +83,9 @@
 void Node::makeTasks()
 {
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
-        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
+        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform, [this] {
+            this->renewSession();
+        });
     this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
     const OperatorGateway operators = [this](OperatorRequest request, OperatorRespond respond) {
         this->askControl(std::move(request), std::move(respond));
@@ -128,6 +130,11 @@
             this->putInForce(settings, done);
         });
     });
+    this->control->post([this](ControlTask &control) {
+        control.watchVms([this](const ListedVmsPointer &vms) {
+            this->spreadVms(vms);
+        });
+    });
     this->owner->post([](OwnerTask &task) {
         task.owner().start();
     });
@@ -235,6 +242,44 @@
     });
 }
 
+void Node::renewSession()
+{
+    if (this->stopping) {
+        return;
+    }
+    // Another node held this one dead, took its shards over and sealed its journal: a VM that was paused, or cut off. As it
+    // is, it could own nothing for the rest of its life. It goes on as a new member; its callers notice nothing.
+    this->control->post([this](ControlTask &control) {
+        control.renewSession([this, &control](SessionNumber session) {
+            if (this->stopping) {
+                return;
+            }
+            log(LogLevel::Warning, "session renewed", {{"session", static_cast<std::int64_t>(session.value())}});
+            this->owner->post([session](OwnerTask &task) {
+                task.renew(session);
+                task.owner().start();
+            });
+            this->lane->post([session](LaneTask &task) {
+                task.lane().setSession(session);
+            });
+            this->entry->post([session](EntryTask &task) {
+                task.setSession(session);
+            });
+            control.rejoin();
+        });
+    });
+}
+
+void Node::spreadVms(const ListedVmsPointer &vms)
+{
+    this->lane->post([vms](LaneTask &task) {
+        task.lane().setVms(*vms);
+    });
+    this->entry->post([vms](EntryTask &task) {
+        task.setVms(vms);
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
@@ -262,7 +307,11 @@
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
-    const SteadyTime deadline = this->clock.now() + this->settings->entry.drain;
+    this->stopping = true;
+    const auto inForce = this->control->ask<SettingsPointer>([](ControlTask &control) {
+        return control.configuration().keeper().settings();
+    });
+    const SteadyTime deadline = this->clock.now() + inForce->entry.drain;
     this->watch.reset();
     // Callers may hold an answer of /v1/entries that names this node until its time to live has passed: it goes on
     // serving for that long, and nobody is told of it any more.
@@ -278,7 +327,7 @@
             laneDone->store(true);
         });
     });
-    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings->entry.entryTtl);
+    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + inForce->entry.entryTtl);
     this->waitFor(
         [] {
             return false;
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -9,6 +9,7 @@
 #include <Services/Lane/LaneTask.h>
 #include <Services/Owner/OwnerTask.h>
 
+#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -49,6 +50,8 @@
     template <typename Request>
     void
     forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
+    void renewSession();
+    void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
@@ -59,6 +62,7 @@
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
+    std::atomic<bool> stopping = false;
     Address http;
     std::unique_ptr<TaskHost<ControlTask>> control;
     std::unique_ptr<TaskHost<OwnerTask>> owner;
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds meetRetry{200};
 /** Members told of a new configuration at once, each of which tells as many: gossip alone takes a probe a step. */
 constexpr std::size_t newsFanOut = 4;
+constexpr std::chrono::milliseconds vmInterval{1000};
 
 Membership::Options membershipOptions(const Settings &settings)
 {
@@ -82,6 +83,8 @@
 {
     self.gossip = this->datagrams.address();
     self.configVersion = this->versions.keeper().inForce();
+    this->joined = self;
+    this->onChange = std::move(onChange);
     Membership::Hooks hooks{
         .sendPing =
             [this](const Address &to, const Ping &ping) {
@@ -96,10 +99,10 @@
                 this->datagrams.send(to, request);
             },
         .onChange =
-            [this, onChange = std::move(onChange)](const MemberViewPointer &view) {
+            [this](const MemberViewPointer &view) {
                 if (!this->closed) {
                     this->versions.setMembers(view->members(), this->self);
-                    onChange(view);
+                    this->onChange(view);
                 }
             },
     };
@@ -110,7 +113,29 @@
                              std::random_device()(),
                              std::move(hooks));
     this->membership->start(this->settings->peers.seeds);
-    this->meetOthers();
+    if (!std::exchange(this->meeting, true)) {
+        this->meetOthers();
+    }
+}
+
+void ControlTask::renewSession(std::function<void(SessionNumber)> opened)
+{
+    this->leave();
+    this->openSession(std::move(opened));
+}
+
+void ControlTask::rejoin()
+{
+    Member self = this->joined;
+    self.session = this->self;
+    // The former session's members are asked first: they are likely to be there still.
+    std::vector<Address> others;
+    for (const Member &member : this->membership->view()->members()) {
+        others.push_back(member.gossip);
+    }
+    this->toldBacklog = 0;
+    this->join(std::move(self), this->onChange);
+    this->membership->contact(others);
 }
 
 void ControlTask::meetOthers()
@@ -205,6 +230,16 @@
     this->membership->contact(others);
 }
 
+void ControlTask::watchVms(VmWatch::Changed changed)
+{
+    this->vmWatch.emplace(this->platform->vms(), this->loop, [this, changed = std::move(changed)](const ListedVmsPointer &vms) {
+        if (!this->closed) {
+            changed(vms);
+        }
+    });
+    this->vmWatch->start(vmInterval);
+}
+
 void ControlTask::update(const std::function<void(Member &)> &change)
 {
     this->membership->update(change);
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,6 +4,7 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
+#include <LibPlatform/VmWatch.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
@@ -72,6 +73,18 @@
     /** @return whether close() was called. */
     bool isClosed() const;
 
+    /**
+     * Leave as this session and take another: this one's journal was sealed, so it can own nothing any more.
+     * @param opened told when the platform has given a number out
+     */
+    void renewSession(std::function<void(SessionNumber)> opened);
+
+    /** Become a member again, as the session that was taken last. */
+    void rejoin();
+
+    /** Read the platform's VM list from now on. @param changed told of each change, on this task */
+    void watchVms(VmWatch::Changed changed);
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -97,6 +110,7 @@
     SessionRegistry sessions;
     DatagramSocket datagrams;
     std::optional<Membership> membership;
+    std::optional<VmWatch> vmWatch;
     SessionNumber self;
     std::mt19937_64 random;
     PeerClient peers;
@@ -104,6 +118,10 @@
     StatusBoard board;
     OperatorApi api;
     bool closed = false;
+    /** As it joined, to join again. */
+    Member joined;
+    std::function<void(MemberViewPointer)> onChange;
+    bool meeting = false;
     std::uint32_t toldBacklog = 0;
 };
 
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -75,6 +75,12 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::setSession(SessionNumber self)
+{
+    this->context.self = self;
+    this->notices.setSession(self);
+}
+
 void EntryTask::putInForce(const SettingsPointer &settings)
 {
     this->settings.replace(settings);
@@ -84,6 +90,11 @@
     this->service.settingsChanged();
 }
 
+void EntryTask::setVms(const ListedVmsPointer &vms)
+{
+    this->replicas.markLeaving(*vms);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -38,9 +38,15 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
+    /** The platform's VM list changed: replicas on leaving VMs get no new items. */
+    void setVms(const std::vector<ListedVm> &vms);
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
