--- /dev/null
+++ b/Benchmarks/Support/HistoryCaller.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibHistory/History.h>
+#include <LibHttp/HttpClient.h>
+#include <LibTask/EventLoop.h>
+
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** Ids that callers share, so that one resends what another has sent, also while that still runs. */
+class SharedIds
+{
+public:
+    void add(const std::string &id);
+
+    /** @param choice any number, for the choice @return one of the latest ids, or nothing if there is none */
+    std::optional<std::string> recent(std::uint64_t choice);
+
+    /** The id is never sent again: its last refusal said that it did not run. */
+    void retire(const std::string &id);
+    std::vector<std::string> live();
+
+private:
+    std::mutex mutex;
+    std::vector<std::string> ids;
+};
+
+/** Makes calls to nodes on a loop of its own, and records each as its caller sees it. */
+class HistoryCaller
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /** @param start of the run, which the recorded times count from */
+    HistoryCaller(std::vector<Address> nodes, Time start);
+
+    /** The request that an id stands for is made from the id, so that each resend is the same. */
+    static std::string promptOf(const std::string &id);
+    static std::string offerOf(const std::string &id);
+    static constexpr std::uint32_t tokens = 12;
+
+    CallOutcome complete(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
+    CallOutcome issue(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
+    CallOutcome readResult(const std::string &id, bool isCompletion, std::size_t node, std::chrono::milliseconds patience);
+    CallOutcome submitJob(const std::string &id, std::uint32_t items, std::size_t node, std::chrono::milliseconds patience);
+    CallOutcome cancelJob(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
+
+    /** @return a job's state as its status tells, with its finished items; nothing if it could not be read. */
+    struct JobStatus
+    {
+        std::string status;
+        std::uint32_t finished = 0;
+    };
+    std::optional<JobStatus> jobStatus(const std::string &id, std::size_t node);
+
+    /** @return the texts of a job's results, or nothing if they could not be read. */
+    std::optional<std::map<std::uint32_t, std::string>> jobResults(const std::string &id, std::size_t node);
+
+    const std::vector<HistoryCall> &calls() const;
+
+private:
+    HttpResponse send(std::size_t node, const HttpRequest &request, std::chrono::milliseconds patience);
+    CallOutcome record(CallKind kind,
+                       const std::string &id,
+                       std::size_t node,
+                       const HttpRequest &request,
+                       std::chrono::milliseconds patience,
+                       bool isCompletion);
+    static CallOutcome outcomeOf(const HttpResponse &response);
+    static std::string jobPath(const std::string &id);
+
+    std::vector<Address> nodes;
+    Time start;
+    EventLoop loop;
+    HttpClient client{loop};
+    std::vector<HistoryCall> recorded;
+    std::map<std::string, std::string> jobIds;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Meta/model-check.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Check the models in Specification/: each must hold, and must fail with each of its safeguards taken out. Exits non-zero
+# if a property fails or a mutation passes. Usage: Meta/model-check.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failures=0
+
+# verify MODEL FLAGS...: prints the summary; the exit status tells whether all properties held in all states.
+verify() {
+    local model=$PWD/Specification/$1.pml
+    shift
+    (
+        cd "$work"
+        rm -f pan*
+        spin -a "$@" "$model" >spin.log || { cat spin.log >&2; exit 2; }
+        gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c
+        ./pan -m200000 -E >pan.log 2>&1
+        # A search that ran out of memory or depth has proved nothing.
+        ! grep -q 'Search not completed\|max search depth too small' pan.log || exit 1
+        grep -q 'errors: 0' pan.log
+    )
+}
+
+states() {
+    sed -n 's/^ *\([0-9]*\) states, stored.*/\1/p' "$work/pan.log"
+}
+
+holds() {
+    if verify "$@"; then
+        echo "holds: $* ($(states) states)"
+    else
+        echo "FAILS: $*: $(grep -m1 'violated\|Search\|depth' "$work/pan.log")"
+        failures=1
+    fi
+}
+
+# mutation MODEL FLAGS...: it must be refuted by a property, not by a search that was cut short.
+mutation() {
+    if ! verify "$@" && grep -q 'assertion violated' "$work/pan.log"; then
+        echo "refuted, as it must be: $*: $(grep -m1 'violated' "$work/pan.log")"
+    else
+        echo "NOT REFUTED: $*"
+        failures=1
+    fi
+}
+
+holds CoreProtocol -DLOST=2
+holds CoreProtocol -DNON_IDEMPOTENT -DLOST=1
+mutation CoreProtocol -DNO_SEAL
+mutation CoreProtocol -DNO_READ_BACK
+mutation CoreProtocol -DNON_IDEMPOTENT -DDISPATCH_BEFORE_INTENT
+mutation CoreProtocol -DNON_IDEMPOTENT -DUNPROVED_NOT_RUN
+exit "$failures"
