--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -41,6 +41,9 @@
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
+    /** The platform's VM list changed: replicas on leaving VMs get no new items. */
+    void setVms(const std::vector<ListedVm> &vms);
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
