LibJournal: Write checkpoints, keep old results in runs, delete old groups

A new owner replayed everything its shards had ever journalled, the groups stayed for ever, and every result stayed in memory for ever.

A checkpoint now puts a shard's open state into one object and its new results into a sorted run of blocks; the row then starts from there by its conditional transaction, after the objects stand. A claim, a commit or a read of an id that is not in memory asks the runs' filters (two bytes an id) and reads one block if one may have it. While that block cannot be read, the request is not run: it could get a second result. Young runs are merged; runs past owner.result_retention are dropped. An intent stays in the checkpoint until it has a result.

Groups that no row needs are deleted, by the session itself or, for lost sessions, by the owner of shard 0. Seals stay: a paused owner writes at that very place when it wakes. A taker that read a row before a checkpoint finds objects or groups gone, and reads the row again in place of taking the gap for an empty state.

Ruled out: checkpoints that hold all results (each would rewrite all of them), and an index in the table service (a write for each request).

--- a/Libraries/LibBatch/JobTable.cpp
+++ b/Libraries/LibBatch/JobTable.cpp
@@ -1,5 +1,7 @@
 #include <LibBatch/JobTable.h>
 
+#include <LibWire/Codec.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -197,6 +199,24 @@
     return page;
 }
 
+std::vector<std::pair<RecordKind, std::string>> JobTable::checkpointRecords() const
+{
+    std::vector<std::pair<RecordKind, std::string>> records;
+    for (const auto &[id, job] : this->jobs) {
+        if (!job.isDurable) {
+            continue;
+        }
+        records.emplace_back(RecordKind::Job, encode(job.record));
+        for (const auto &[index, result] : job.results) {
+            records.emplace_back(RecordKind::Item, encode(result));
+        }
+        if (job.isCancelled) {
+            records.emplace_back(RecordKind::Cancel, encode(CancelRecord{id}));
+        }
+    }
+    return records;
+}
+
 std::size_t JobTable::waiting() const
 {
     std::size_t count = 0;
--- a/Libraries/LibBatch/JobTable.h
+++ b/Libraries/LibBatch/JobTable.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -80,6 +81,9 @@
     /** @return items that wait to be leased, over all jobs. */
     std::size_t waiting() const;
 
+    /** @return the records that bring back this state, for a checkpoint: kind and encoded record. */
+    std::vector<std::pair<RecordKind, std::string>> checkpointRecords() const;
+
 private:
     enum class Stage : std::uint8_t {
         Waiting,
--- /dev/null
+++ b/Libraries/LibJournal/IdFilter.cpp
@@ -0,0 +1,78 @@
+#include <LibJournal/IdFilter.h>
+
+#include <LibBase/Hash.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t bytesPerId = 2;
+constexpr unsigned probes = 8;
+constexpr std::uint64_t firstSeed = 11;
+constexpr std::uint64_t secondSeed = 12;
+constexpr unsigned bitsPerByte = 8;
+
+/** The places of an id's bits: two hashes give all of them (Kirsch and Mitzenmacher, 2006). */
+class Probes
+{
+public:
+    Probes(std::string_view id, std::size_t bytes)
+        : position(stableHash(id, firstSeed)), step(stableHash(id, secondSeed) | 1U), bits(bytes * bitsPerByte)
+    {
+    }
+
+    std::size_t next()
+    {
+        this->position += this->step;
+        return static_cast<std::size_t>(this->position % this->bits);
+    }
+
+private:
+    std::uint64_t position;
+    std::uint64_t step;
+    std::uint64_t bits;
+};
+
+} // namespace
+
+IdFilter::IdFilter(std::size_t expected) : bits(std::max<std::size_t>(expected * bytesPerId, 1), '\0')
+{
+}
+
+void IdFilter::add(std::string_view id)
+{
+    Probes places(id, this->bits.size());
+    for (unsigned i = 0; i < probes; ++i) {
+        const std::size_t place = places.next();
+        const auto byte = static_cast<unsigned char>(this->bits[place / bitsPerByte]);
+        this->bits[place / bitsPerByte] = static_cast<char>(byte | (1U << (place % bitsPerByte)));
+    }
+}
+
+const std::string &IdFilter::bytes() const
+{
+    return this->bits;
+}
+
+bool IdFilter::mayHold(std::string_view bytes, std::string_view id)
+{
+    if (bytes.empty()) {
+        return false;
+    }
+    Probes places(id, bytes.size());
+    for (unsigned i = 0; i < probes; ++i) {
+        const std::size_t place = places.next();
+        const auto byte = static_cast<unsigned char>(bytes[place / bitsPerByte]);
+        if ((byte & (1U << (place % bitsPerByte))) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibJournal/JournalKeys.cpp
+++ b/Libraries/LibJournal/JournalKeys.cpp
@@ -43,11 +43,24 @@
     return GroupNumber(number);
 }
 
+SessionNumber sessionOf(const std::string &groupKey)
+{
+    const std::size_t digits = groupKey.find('/') + 1;
+    std::uint64_t number = 0;
+    std::from_chars(groupKey.data() + digits, groupKey.data() + groupKey.size(), number);
+    return SessionNumber(number);
+}
+
 std::string groupsEnd(SessionNumber session)
 {
     return "journal/" + padded(session.value()) + '0';
 }
 
+std::string journalsEnd()
+{
+    return "journal0";
+}
+
 std::string groupObject(SessionNumber session, GroupNumber number, const std::string &nonce)
 {
     return group(session, number) + '/' + nonce;
--- a/Libraries/LibJournal/JournalKeys.h
+++ b/Libraries/LibJournal/JournalKeys.h
@@ -19,8 +19,12 @@
 std::string group(SessionNumber session, GroupNumber number);
 /** @return the number of a group, from the key of its row; 0 if the key is no such key. */
 GroupNumber groupOf(const std::string &key);
+/** @return whose journal a group's row belongs to; 0 if the key is no such key. */
+SessionNumber sessionOf(const std::string &groupKey);
 /** @return the first key behind all groups of a journal. */
 std::string groupsEnd(SessionNumber session);
+/** @return the first key behind all journals. */
+std::string journalsEnd();
 /** @return the object that holds a large group's records. */
 std::string groupObject(SessionNumber session, GroupNumber number, const std::string &nonce);
 /** @return the row of a shard. */
--- a/Libraries/LibJournal/RequestTable.cpp
+++ b/Libraries/LibJournal/RequestTable.cpp
@@ -1,11 +1,15 @@
 #include <LibJournal/RequestTable.h>
 
+#include <LibWire/Codec.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
 {
 
-RequestTable::RequestTable(const Clock &clock, std::chrono::milliseconds lease) : clock(clock), lease(lease)
+RequestTable::RequestTable(const Clock &clock, std::chrono::milliseconds lease, std::size_t recentBytes)
+    : clock(clock), lease(lease), recentBytes(recentBytes)
 {
 }
 
@@ -75,6 +79,7 @@
         return IntentVerdict::Gone;
     }
     Entry &entry = found->second;
+    entry.hasIntent = true;
     entry.stage = entry.isAbandoned ? Stage::WithdrawPending : Stage::IntentDurable;
     if (entry.isAbandoned) {
         return IntentVerdict::Withdraw;
@@ -119,13 +124,95 @@
 void RequestTable::resultJournalled(const RequestId &id)
 {
     const auto found = this->entries.find(id);
-    if (found == this->entries.end()) {
+    if (found == this->entries.end() || found->second.stage != Stage::ResultPending) {
         return;
     }
-    found->second.stage = Stage::Done;
+    this->finish(id, found->second);
     this->tellWaiting(found->second);
 }
 
+void RequestTable::finish(const RequestId &id, Entry &entry)
+{
+    entry.stage = Stage::Done;
+    this->notIndexed.push_back(id);
+    this->notIndexedBytes += sizeOf(id, entry);
+}
+
+std::size_t RequestTable::sizeOf(const RequestId &id, const Entry &entry)
+{
+    return id.value().size() + entry.answer.body.size() + entry.answer.contentType.size() + sizeof(Entry);
+}
+
+std::vector<ResultRecord> RequestTable::unindexed() const
+{
+    std::vector<ResultRecord> results;
+    for (const RequestId &id : this->notIndexed) {
+        const Entry &entry = this->entries.at(id);
+        results.push_back({id, entry.fingerprint, entry.answer});
+    }
+    std::ranges::sort(results, {}, &ResultRecord::requestId);
+    return results;
+}
+
+std::size_t RequestTable::unindexedBytes() const
+{
+    return this->notIndexedBytes;
+}
+
+void RequestTable::indexed(const std::vector<ResultRecord> &results)
+{
+    for (const ResultRecord &result : results) {
+        const auto found = this->entries.find(result.requestId);
+        if (found != this->entries.end() && found->second.stage == Stage::Done && !found->second.isIndexed) {
+            found->second.isIndexed = true;
+            this->notIndexedBytes -= sizeOf(found->first, found->second);
+            this->keepRecent(found->first, found->second);
+        }
+    }
+    std::erase_if(this->notIndexed, [this](const RequestId &id) {
+        const auto found = this->entries.find(id);
+        return found == this->entries.end() || found->second.isIndexed;
+    });
+}
+
+void RequestTable::keepRecent(const RequestId &id, Entry &entry)
+{
+    this->bytesOfRecent += sizeOf(id, entry);
+    this->recent.push_back(id);
+    // The one just added stays, whatever its size: whoever restored it is about to answer from it.
+    while (this->bytesOfRecent > this->recentBytes && this->recent.size() > 1) {
+        const auto oldest = this->entries.find(this->recent.front());
+        this->bytesOfRecent -= sizeOf(oldest->first, oldest->second);
+        this->entries.erase(oldest);
+        this->recent.pop_front();
+    }
+}
+
+void RequestTable::restore(const ResultRecord &result)
+{
+    const auto [found, isNew] = this->entries.try_emplace(result.requestId);
+    if (!isNew) {
+        return;
+    }
+    Entry &entry = found->second;
+    entry.stage = Stage::Done;
+    entry.fingerprint = result.fingerprint;
+    entry.answer = result.answer;
+    entry.isIndexed = true;
+    this->keepRecent(result.requestId, entry);
+}
+
+std::vector<std::pair<RecordKind, std::string>> RequestTable::checkpointRecords() const
+{
+    std::vector<std::pair<RecordKind, std::string>> records;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.hasIntent && entry.stage != Stage::Done) {
+            records.emplace_back(RecordKind::Intent, encode(IntentRecord{id, entry.fingerprint, entry.runner, entry.claim}));
+        }
+    }
+    return records;
+}
+
 ReleaseVerdict RequestTable::release(const ReleaseRequest &request)
 {
     const auto found = this->entries.find(request.requestId);
@@ -181,6 +268,10 @@
 void RequestTable::abandon()
 {
     Entries dropped = std::exchange(this->entries, {});
+    this->notIndexed.clear();
+    this->notIndexedBytes = 0;
+    this->recent.clear();
+    this->bytesOfRecent = 0;
     for (auto &[id, entry] : dropped) {
         this->tellWaiting(entry);
     }
@@ -223,6 +314,7 @@
     // Its runner may live: the owner that journalled the intent is gone, not the node that runs it. dropRunners() tells.
     Entry &entry = found->second;
     entry.stage = Stage::IntentDurable;
+    entry.hasIntent = true;
     entry.fingerprint = record.fingerprint;
     entry.runner = record.runner;
     entry.claim = record.claim;
@@ -243,9 +335,9 @@
     if (entry.stage == Stage::Done) {
         return;
     }
-    entry.stage = Stage::Done;
     entry.fingerprint = record.fingerprint;
     entry.answer = record.answer;
+    this->finish(record.requestId, entry);
 }
 
 std::size_t RequestTable::size() const
--- a/Libraries/LibJournal/RequestTable.h
+++ b/Libraries/LibJournal/RequestTable.h
@@ -4,8 +4,11 @@
 #include <LibWire/Generated/Messages.h>
 
 #include <chrono>
+#include <deque>
 #include <functional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -70,8 +73,9 @@
     /**
      * @param clock measures the leases
      * @param lease how long a runner may keep a request
+     * @param recentBytes results that are in a run and kept in memory all the same, at most
      */
-    RequestTable(const Clock &clock, std::chrono::milliseconds lease);
+    RequestTable(const Clock &clock, std::chrono::milliseconds lease, std::size_t recentBytes);
 
     ClaimVerdict claim(const ClaimRequest &request);
 
@@ -113,6 +117,21 @@
      */
     void await(const RequestId &id, std::function<void()> told);
 
+    /** @return durable results that are in no run of the shard's index yet, sorted by id. */
+    std::vector<ResultRecord> unindexed() const;
+
+    /** @return bytes of the results that are in no run yet. */
+    std::size_t unindexedBytes() const;
+
+    /** These results are in a run now: only the youngest are kept in memory. */
+    void indexed(const std::vector<ResultRecord> &results);
+
+    /** A result was read from a run. */
+    void restore(const ResultRecord &result);
+
+    /** @return the records that bring back all durable state but the results: kind and encoded record. */
+    std::vector<std::pair<RecordKind, std::string>> checkpointRecords() const;
+
     /** Take over what a journal says. */
     void replay(const IntentRecord &record);
     void replay(const WithdrawRecord &record);
@@ -142,6 +161,10 @@
         SteadyTime leaseEnd{};
         /** With IntentPending: its claimer will not run. */
         bool isAbandoned = false;
+        /** Its intent is durable: a checkpoint has to hold it until there is a result. */
+        bool hasIntent = false;
+        /** With Done: whether it is in a run. */
+        bool isIndexed = false;
         Answer answer;
         std::vector<std::function<void()>> waiting;
     };
@@ -153,11 +176,20 @@
     ClaimVerdict claimAgain(Entry &entry, const ClaimRequest &request);
     void hold(Entry &entry, const ClaimRequest &request);
     void remove(Entries::iterator entry);
+    void finish(const RequestId &id, Entry &entry);
+    void keepRecent(const RequestId &id, Entry &entry);
+    static std::size_t sizeOf(const RequestId &id, const Entry &entry);
     void tellWaiting(Entry &entry);
 
     const Clock &clock;
     std::chrono::milliseconds lease;
+    std::size_t recentBytes;
     Entries entries;
+    std::vector<RequestId> notIndexed;
+    std::size_t notIndexedBytes = 0;
+    /** Results in memory that are in a run, oldest first. */
+    std::deque<RequestId> recent;
+    std::size_t bytesOfRecent = 0;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibJournal/ResultIndex.cpp
@@ -0,0 +1,98 @@
+#include <LibJournal/ResultIndex.h>
+
+#include <LibJournal/IdFilter.h>
+#include <LibWire/Codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+ResultIndex::ResultIndex(ObjectStore &objects) : objects(objects)
+{
+}
+
+ResultIndex::~ResultIndex()
+{
+    *this->alive = false;
+}
+
+void ResultIndex::add(LoadedRun run)
+{
+    this->loaded.push_back(std::move(run));
+    ++this->changes;
+}
+
+void ResultIndex::replace(std::vector<LoadedRun> runs)
+{
+    this->loaded = std::move(runs);
+    ++this->changes;
+}
+
+std::uint64_t ResultIndex::generation() const
+{
+    return this->changes;
+}
+
+const std::vector<LoadedRun> &ResultIndex::runs() const
+{
+    return this->loaded;
+}
+
+const BlockEntry *ResultIndex::blockOf(const ResultRun &run, const RequestId &id)
+{
+    if (!IdFilter::mayHold(run.filter, id.value())) {
+        return nullptr;
+    }
+    const auto block = std::ranges::lower_bound(run.blocks, id, {}, &BlockEntry::last);
+    return block != run.blocks.end() && block->first <= id ? &*block : nullptr;
+}
+
+bool ResultIndex::mayHold(const RequestId &id) const
+{
+    return std::ranges::any_of(this->loaded, [&id](const LoadedRun &each) {
+        return blockOf(each.run, id) != nullptr;
+    });
+}
+
+void ResultIndex::find(const RequestId &id, Looked looked)
+{
+    const auto blocks = std::make_shared<std::vector<std::string>>();
+    for (const LoadedRun &each : this->loaded) {
+        if (const BlockEntry *const block = blockOf(each.run, id)) {
+            blocks->push_back(block->objectKey);
+        }
+    }
+    this->readNext(blocks, id, std::move(looked));
+}
+
+void ResultIndex::readNext(const std::shared_ptr<std::vector<std::string>> &blocks, const RequestId &id, Looked looked)
+{
+    if (blocks->empty()) {
+        looked(ReadOutcome::Absent, std::nullopt);
+        return;
+    }
+    const std::string key = std::move(blocks->back());
+    blocks->pop_back();
+    this->objects.get(key, [this, blocks, id, looked = std::move(looked), alive = this->alive](const ObjectResult &result) {
+        if (!*alive) {
+            looked(ReadOutcome::Failed, std::nullopt);
+            return;
+        }
+        const auto block = result.outcome == ReadOutcome::Found ? decode<ResultBlock>(result.content) : std::nullopt;
+        if (!block) {
+            // NOTE: Also when the object is gone. Runs may have been merged since; that the id is not there is not known.
+            looked(ReadOutcome::Failed, std::nullopt);
+            return;
+        }
+        const auto found = std::ranges::lower_bound(block->results, id, {}, &ResultRecord::requestId);
+        if (found != block->results.end() && found->requestId == id) {
+            looked(ReadOutcome::Found, *found);
+            return;
+        }
+        this->readNext(blocks, id, looked);
+    });
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -106,6 +106,15 @@
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
+    /** How long a request's result stays readable at least. An id used again after that runs again. */
+    std::chrono::milliseconds resultRetention = std::chrono::milliseconds(604800000);
+    /** Results that one shard keeps in memory beside those not yet in its index, in bytes; older ones are read from the object
+     * store. */
+    std::int64_t recentBytes = 4194304;
+    /** A shard writes a checkpoint when it has so many bytes of new results. */
+    std::int64_t checkpointBytes = 4194304;
+    /** A shard writes a checkpoint when its owner's journal has grown by so many groups: what a new owner reads at most. */
+    std::int64_t checkpointGroups = 2000;
     /** Results a node holds unwritten while the platform takes no writes. */
     std::int64_t heldResults = 10000;
 };
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -83,7 +83,15 @@
 
 void readOwnerSettings(SettingsReader &reader, const toml::table &table, OwnerSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"shards", "group_interval", "claim_lease", "held_results"});
+    reader.rejectUnknownKeys(table,
+                             {"shards",
+                              "group_interval",
+                              "claim_lease",
+                              "result_retention",
+                              "recent_bytes",
+                              "checkpoint_bytes",
+                              "checkpoint_groups",
+                              "held_results"});
     reader.readInteger(table, "shards", target.shards, Presence::Optional, {.least = 1, .most = 65536});
     reader.readDuration(table,
                         "group_interval",
@@ -95,6 +103,14 @@
                         target.claimLease,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "result_retention",
+                        target.resultRetention,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(60000), .most = std::chrono::milliseconds(315360000000)});
+    reader.readInteger(table, "recent_bytes", target.recentBytes, Presence::Optional, {.least = 65536, .most = 1073741824});
+    reader.readInteger(table, "checkpoint_bytes", target.checkpointBytes, Presence::Optional, {.least = 4096, .most = 268435456});
+    reader.readInteger(table, "checkpoint_groups", target.checkpointGroups, Presence::Optional, {.least = 10, .most = 1000000});
     reader.readInteger(table, "held_results", target.heldResults, Presence::Optional, {.least = 0, .most = 10000000});
 }
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -567,6 +567,78 @@
     }
 };
 
+/** What an object with results of one shard holds. */
+struct ResultBlock
+{
+    /** Sorted by request id. */
+    std::vector<ResultRecord> results;
+
+    bool operator==(const ResultBlock &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->results);
+    }
+};
+
+/** Where a part of a run's results stands. */
+struct BlockEntry
+{
+    /** The object with the ResultBlock. */
+    std::string objectKey;
+    /** The lowest id in it. */
+    RequestId first;
+    /** The highest id in it. */
+    RequestId last;
+
+    bool operator==(const BlockEntry &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->objectKey, this->first, this->last);
+    }
+};
+
+/** A sorted run of results of one shard, in blocks: what an owner keeps in memory to find any of them. */
+struct ResultRun
+{
+    /** Sorted by id. */
+    std::vector<BlockEntry> blocks;
+    /** Tells ids that are certainly not in it (an IdFilter). */
+    std::string filter;
+    /** Of all blocks. */
+    std::uint64_t bytes = 0;
+    /** No result in it is younger. */
+    WallTime newest;
+
+    bool operator==(const ResultRun &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->blocks, this->filter, this->bytes, this->newest);
+    }
+};
+
+/** The state of a shard up to the spans of its row. */
+struct Checkpoint
+{
+    /** Replayed in order, they bring back all but the results. */
+    std::vector<JournalRecord> records;
+    /** Keys of the objects with the ResultRuns, oldest first. */
+    std::vector<std::string> runs;
+
+    bool operator==(const Checkpoint &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->records, this->runs);
+    }
+};
+
 /** One start of one node. */
 struct SessionRow
 {
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -20,8 +20,12 @@
 {
     ShardKeeper::Options options;
     options.shards = static_cast<std::uint32_t>(settings.owner.shards);
-    options.claimLease = settings.owner.claimLease;
-    options.itemLease = settings.batch.itemLease;
+    options.state.claimLease = settings.owner.claimLease;
+    options.state.itemLease = settings.batch.itemLease;
+    options.state.recentBytes = static_cast<std::size_t>(settings.owner.recentBytes);
+    options.checkpoint.bytes = static_cast<std::size_t>(settings.owner.checkpointBytes);
+    options.checkpoint.groups = static_cast<std::uint64_t>(settings.owner.checkpointGroups);
+    options.checkpoint.retention = settings.owner.resultRetention;
     options.strangerGrace = settings.membership.suspicion * 3;
     options.pauseLimit = settings.membership.suspicion;
     return options;
@@ -111,6 +115,15 @@
     return this->batch.backlog();
 }
 
+std::size_t OwnerService::resultsInMemory() const
+{
+    std::size_t count = 0;
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        count += state->requests.size();
+    }
+    return count;
+}
+
 std::size_t OwnerService::shardCount() const
 {
     return this->keeper.owned().size();
@@ -132,13 +145,54 @@
     this->journal.append({shard, kind, encode(record)}, appended);
 }
 
-void OwnerService::claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+void OwnerService::lookUp(const RequestId &id, const LookedUp &then)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
+    ShardState *const state = this->stateOf(id.value());
     if (state == nullptr) {
-        respond({ClaimDecision::NotOwner, {}});
+        then(nullptr, true);
         return;
     }
+    if (state->requests.state(id) != RequestState::Absent || !state->index.mayHold(id)) {
+        then(state, true);
+        return;
+    }
+    const auto looked = [this, id, then, epoch = state->row.epoch, generation = state->index.generation(), alive = this->alive](
+                            ReadOutcome outcome, const std::optional<ResultRecord> &found) {
+        if (!*alive) {
+            return;
+        }
+        ShardState *const state = this->stateOf(id.value());
+        const bool isChanged = state != nullptr && (state->row.epoch != epoch || state->index.generation() != generation);
+        if (isChanged) {
+            // While the object was read, a result of the id may have gone through memory into a run of its own.
+            this->lookUp(id, then);
+            return;
+        }
+        if (state != nullptr && found) {
+            state->requests.restore(*found);
+        }
+        then(state, outcome != ReadOutcome::Failed);
+    };
+    state->index.find(id, looked);
+}
+
+void OwnerService::claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+{
+    this->lookUp(request.requestId, [this, request, respond](ShardState *state, bool isCertain) {
+        if (state == nullptr) {
+            respond({ClaimDecision::NotOwner, {}});
+        } else if (!isCertain) {
+            // Its result may stand in an object that cannot be read now: run again, the request would have two.
+            respond({ClaimDecision::Unavailable, {}});
+        } else {
+            this->claimAt(*state, request, respond);
+        }
+    });
+}
+
+void OwnerService::claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+{
+    ShardState *const state = &owned;
     if (request.isNonIdempotent && this->journal.isStalled()
         && state->requests.state(request.requestId) == RequestState::Absent) {
         // Its intent could not be journalled now, and without that it must not run.
@@ -241,11 +295,20 @@
 
 void OwnerService::commit(const CommitRequest &request, const Respond<CommitResponse> &respond)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
-    if (state == nullptr) {
-        respond({CommitDecision::NotOwner, {}});
-        return;
-    }
+    this->lookUp(request.requestId, [this, request, respond](ShardState *state, bool isCertain) {
+        if (state == nullptr) {
+            respond({CommitDecision::NotOwner, {}});
+        } else if (!isCertain) {
+            respond({CommitDecision::Unavailable, {}});
+        } else {
+            this->commitAt(*state, request, respond);
+        }
+    });
+}
+
+void OwnerService::commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond)
+{
+    ShardState *const state = &owned;
     const auto answer = onlyOnce<CommitResponse>(respond);
     switch (state->requests.commit(request)) {
     case CommitVerdict::Superseded:
@@ -296,19 +359,25 @@
 
 void OwnerService::result(const ResultRequest &request, const Respond<ResultResponse> &respond)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
-    if (state == nullptr) {
-        respond({RequestState::NotOwner, {}});
-        return;
-    }
-    if (const Answer *const answer = state->requests.answer(request.requestId)) {
-        respond({RequestState::Done, *answer});
-        return;
-    }
+    this->lookUp(request.requestId, [this, request, respond](const ShardState *state, bool isCertain) {
+        if (state == nullptr || !isCertain) {
+            respond({RequestState::NotOwner, {}});
+            return;
+        }
+        if (const Answer *const answer = state->requests.answer(request.requestId)) {
+            respond({RequestState::Done, *answer});
+            return;
+        }
+        this->confirmNoResult(request, respond);
+    });
+}
+
+void OwnerService::confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond)
+{
     // Another node may have taken the shard without this one having noticed, and may have a result that was committed
     // since. That there is none is told only when the shard's row still names this node.
     this->keeper.confirmOwned(this->keeper.shardOf(request.requestId.value()), [this, request, respond](bool isOwned) {
-        ShardState *const state = this->stateOf(request.requestId.value());
+        const ShardState *const state = this->stateOf(request.requestId.value());
         if (!isOwned || state == nullptr) {
             respond({RequestState::NotOwner, {}});
             return;
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -46,6 +46,9 @@
     /** @return batch items that wait at this node's shards. */
     std::size_t backlog() const;
 
+    /** @return requests of all shards that are in memory. */
+    std::size_t resultsInMemory() const;
+
     /** @return shards owned now. */
     std::size_t shardCount() const;
 
@@ -64,6 +67,14 @@
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
 
 private:
+    /** Gets the shard's state, or null if this node does not own it, and whether it is certain what the id's result is. */
+    using LookedUp = std::function<void(ShardState *state, bool isCertain)>;
+
+    /** Bring a result that was written long ago into memory, if there is one. */
+    void lookUp(const RequestId &id, const LookedUp &then);
+    void claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond);
+    void confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond);
     void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -37,6 +37,14 @@
     , self(self)
     , journal(journal)
     , options(options)
+    , checkpointer(platform, scheduler, clock, self, journal, options.checkpoint)
+    , cleaner(platform,
+              clock,
+              self,
+              [this](SessionNumber session) {
+                  return this->hasLeft(session);
+              },
+              {options.shards, options.cleanInterval})
     , view(std::make_shared<MemberView>(std::vector<Member>()))
     , lastTick(clock.now())
 {
@@ -176,6 +184,8 @@
     if (!this->busy && !this->closing && !this->unsure && !this->journal.isFenced()) {
         this->releaseUnwanted();
         this->look();
+        this->checkpointOne();
+        this->cleanJournals();
     }
     this->scheduler.schedule(this->options.interval, [this, alive = this->alive] {
         if (*alive) {
@@ -350,6 +360,10 @@
             const auto row = result.outcome == ReadOutcome::Found ? decode<ShardRow>(result.row.value) : std::nullopt;
             if (row && *row == claimed && !this->journal.isFenced()) {
                 this->adopt(*takeover->recovery, shard, claimed, result.row.version);
+            } else {
+                // The claim may yet arrive, if its answer was lost: the groups from its span on are kept for that.
+                const GroupNumber first = claimed.spans.back().first;
+                this->unconfirmedSpan = std::min(first, this->unconfirmedSpan.value_or(first));
             }
             this->finishOne(takeover);
         });
@@ -357,7 +371,7 @@
 
 void ShardKeeper::adopt(const ShardRecovery &recovery, const ReadShard &shard, const ShardRow &claimed, RowVersion version)
 {
-    auto state = std::make_shared<ShardState>(this->clock, this->options.claimLease, this->options.itemLease);
+    auto state = std::make_shared<ShardState>(this->clock, this->platform.objects(), this->options.state);
     state->row = claimed;
     state->version = version;
     recovery.replay(shard, claimed, *state);
@@ -387,6 +401,27 @@
     }
 }
 
+void ShardKeeper::checkpointOne()
+{
+    if (this->checkpointer.isBusy()) {
+        return;
+    }
+    const auto due = std::ranges::find_if(this->shards, [this](const auto &each) {
+        return this->checkpointer.isDue(*each.second);
+    });
+    if (due != this->shards.end()) {
+        this->checkpointer.write(due->first, due->second);
+    }
+}
+
+void ShardKeeper::cleanJournals()
+{
+    const GroupNumber next(this->journal.lastDurableGroup().value() + 1);
+    const Member *const cleaning = this->view->ownerOf(ShardNumber(0));
+    const bool cleansOthers = cleaning != nullptr && cleaning->session == this->self;
+    this->cleaner.tick({std::min(next, this->unconfirmedSpan.value_or(next)), cleansOthers});
+}
+
 void ShardKeeper::releaseUnwanted()
 {
     std::vector<ShardNumber> unwanted;
@@ -440,8 +475,8 @@
         return;
     }
     // Records of this shard may still be on their way to the journal. The span must hold them, so the row is written
-    // only when all that was appended before the release is durable.
-    if (this->journal.durable() < appended) {
+    // only when all that was appended before the release is durable. A checkpoint that is on its way changes the row too.
+    if (this->journal.durable() < appended || state->isCheckpointing) {
         this->scheduler.schedule(releaseRetry, again);
         return;
     }
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -5,6 +5,8 @@
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
+#include <Services/Owner/Checkpointer.h>
+#include <Services/Owner/JournalCleaner.h>
 #include <Services/Owner/ShardRecovery.h>
 #include <Services/Owner/ShardState.h>
 
@@ -32,14 +34,16 @@
     struct Options
     {
         std::uint32_t shards = 64;
-        std::chrono::milliseconds claimLease{120000};
-        std::chrono::milliseconds itemLease{30000};
+        ShardState::Options state;
+        Checkpointer::Options checkpoint;
         /** How often ownership is looked at. */
         std::chrono::milliseconds interval{100};
         /** How long an owner that no member has ever told of must stay unknown before it counts as gone. */
         std::chrono::milliseconds strangerGrace{3000};
         /** A node that did not run for so long may have lost its shards meanwhile, and reads their rows first. */
         std::chrono::milliseconds pauseLimit{1000};
+        /** How often groups that are not needed any more are deleted. */
+        std::chrono::milliseconds cleanInterval{30000};
     };
 
     ShardKeeper(Platform &platform,
@@ -106,6 +110,8 @@
     bool isHeld(ShardNumber shard) const;
     bool hasLeft(SessionNumber session);
     void dropLostRunners();
+    void checkpointOne();
+    void cleanJournals();
     void releaseUnwanted();
     void releaseOwned();
     void release(ShardNumber shard);
@@ -119,6 +125,10 @@
     SessionNumber self;
     JournalWriter &journal;
     Options options;
+    Checkpointer checkpointer;
+    JournalCleaner cleaner;
+    /** Where the span of a claim starts that may still reach the platform. */
+    std::optional<GroupNumber> unconfirmedSpan;
     MemberViewPointer view;
     States shards;
     /** Given up here, while their rows may still name this session. */
--- a/Services/Owner/ShardRecovery.cpp
+++ b/Services/Owner/ShardRecovery.cpp
@@ -1,5 +1,7 @@
 #include <Services/Owner/ShardRecovery.h>
 
+#include <LibWire/Codec.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +11,8 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds loadRetry{50};
+
 bool isOpen(const JournalSpan &span)
 {
     return span.last.value() == 0;
@@ -62,12 +66,65 @@
         std::ranges::copy(joined(std::move(spans)), std::back_inserter(all));
     }
     this->pending = all.size() + 1;
+    for (const ReadShard &shard : this->wanted) {
+        if (!shard.row.checkpoint.empty()) {
+            ++this->pending;
+            this->loadCheckpoint(shard.shard, shard.row.checkpoint);
+        }
+    }
     for (const JournalSpan &span : all) {
         this->recoverSpan(span);
     }
     this->finishOne(true);
 }
 
+template <typename Content>
+void ShardRecovery::load(const std::string &key, std::function<void(std::optional<Content>)> loaded)
+{
+    this->platform.objects().get(
+        key, [self = this->shared_from_this(), key, loaded = std::move(loaded)](const ObjectResult &result) {
+            if (result.outcome == ReadOutcome::Absent) {
+                loaded(std::nullopt);
+                return;
+            }
+            auto content = result.outcome == ReadOutcome::Found ? decode<Content>(result.content) : std::nullopt;
+            if (content) {
+                loaded(std::move(content));
+                return;
+            }
+            self->scheduler.schedule(loadRetry, [self, key, loaded] {
+                self->load<Content>(key, loaded);
+            });
+        });
+}
+
+void ShardRecovery::loadCheckpoint(ShardNumber shard, const std::string &key)
+{
+    this->load<Checkpoint>(key, [this, shard](std::optional<Checkpoint> checkpoint) {
+        if (!checkpoint) {
+            this->finishOne(false);
+            return;
+        }
+        this->pending += checkpoint->runs.size();
+        LoadedCheckpoint &loaded = this->checkpoints[shard];
+        loaded.checkpoint = std::move(*checkpoint);
+        for (const std::string &run : loaded.checkpoint.runs) {
+            this->loadRun(shard, run);
+        }
+        this->finishOne(true);
+    });
+}
+
+void ShardRecovery::loadRun(ShardNumber shard, const std::string &key)
+{
+    this->load<ResultRun>(key, [this, shard, key](std::optional<ResultRun> run) {
+        if (run) {
+            this->checkpoints[shard].runs[key] = std::move(*run);
+        }
+        this->finishOne(run.has_value());
+    });
+}
+
 void ShardRecovery::recoverSpan(const JournalSpan &span)
 {
     const auto recovery
@@ -109,6 +166,15 @@
 
 void ShardRecovery::replay(const ReadShard &shard, const ShardRow &row, ShardState &state) const
 {
+    const auto loaded = this->checkpoints.find(shard.shard);
+    if (loaded != this->checkpoints.end()) {
+        for (const JournalRecord &record : loaded->second.checkpoint.records) {
+            state.replay(record);
+        }
+        for (const std::string &key : loaded->second.checkpoint.runs) {
+            state.index.add({key, loaded->second.runs.at(key)});
+        }
+    }
     for (const JournalSpan &span : row.spans) {
         const auto journal = this->journals.find(span.session);
         if (journal == this->journals.end()) {
--- a/Services/Owner/ShardRecovery.h
+++ b/Services/Owner/ShardRecovery.h
@@ -44,13 +44,24 @@
     /** @return the shard's row with every span closed, and those without a group left out. */
     ShardRow closedRow(const ReadShard &shard) const;
 
-    /** Replay a row's spans, oldest first, into the state of its shard. */
+    /** Bring a shard's state back: its checkpoint, and on top of it the row's spans, oldest first. */
     void replay(const ReadShard &shard, const ShardRow &row, ShardState &state) const;
 
 private:
     using Groups = std::map<GroupNumber, JournalGroup>;
 
+    /** A checkpoint and the runs it names. */
+    struct LoadedCheckpoint
+    {
+        Checkpoint checkpoint;
+        std::map<std::string, ResultRun> runs;
+    };
+
     std::map<SessionNumber, std::vector<JournalSpan>> wantedSpans() const;
+    void loadCheckpoint(ShardNumber shard, const std::string &key);
+    void loadRun(ShardNumber shard, const std::string &key);
+    template <typename Content>
+    void load(const std::string &key, std::function<void(std::optional<Content>)> loaded);
     void recoverSpan(const JournalSpan &span);
     void finishOne(bool isComplete);
 
@@ -61,6 +72,7 @@
     std::map<SessionNumber, Groups> journals;
     /** The last group of each journal that was sealed here. */
     std::map<SessionNumber, GroupNumber> ends;
+    std::map<ShardNumber, LoadedCheckpoint> checkpoints;
     std::size_t pending = 0;
     bool complete = true;
     std::function<void(bool)> recovered;
--- a/Services/Owner/ShardState.h
+++ b/Services/Owner/ShardState.h
@@ -2,6 +2,7 @@
 
 #include <LibBatch/JobTable.h>
 #include <LibJournal/RequestTable.h>
+#include <LibJournal/ResultIndex.h>
 #include <LibPlatform/Outcomes.h>
 #include <LibWire/Generated/Messages.h>
 
@@ -11,8 +12,16 @@
 /** A shard that this node owns. */
 struct ShardState
 {
-    ShardState(const Clock &clock, std::chrono::milliseconds claimLease, std::chrono::milliseconds itemLease)
-        : requests(clock, claimLease), jobs(clock, itemLease)
+    /** Times and sizes. */
+    struct Options
+    {
+        std::chrono::milliseconds claimLease{120000};
+        std::chrono::milliseconds itemLease{30000};
+        std::size_t recentBytes = 4194304;
+    };
+
+    ShardState(const Clock &clock, ObjectStore &objects, const Options &options)
+        : requests(clock, options.claimLease, options.recentBytes), jobs(clock, options.itemLease), index(objects)
     {
     }
 
@@ -21,6 +30,10 @@
     RowVersion version = 0;
     RequestTable requests;
     JobTable jobs;
+    /** Results written long ago. */
+    ResultIndex index;
+    /** A checkpoint is being written: the row must not be changed by anything else. */
+    bool isCheckpointing = false;
 
     /** Take over one journalled decision. Records that cannot be read are reported and left out. */
     void replay(const JournalRecord &record);
