--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -40,6 +40,15 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /**
+     * Leave as this session and take another: this one's journal was sealed, so it can own nothing any more.
+     * @param opened told when the platform has given a number out
+     */
+    void renewSession(std::function<void(SessionNumber)> opened);
+
+    /** Become a member again, as the session that was taken last. */
+    void rejoin();
+
     /** Read the platform's VM list from now on. @param changed told of each change, on this task */
     void watchVms(VmWatch::Changed changed);
 
@@ -68,6 +77,10 @@
     std::optional<Membership> membership;
     std::optional<VmWatch> vmWatch;
     SessionNumber self;
+    /** As it joined, to join again. */
+    Member joined;
+    std::function<void(MemberViewPointer)> onChange;
+    bool meeting = false;
     std::uint32_t toldBacklog = 0;
 };
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -54,6 +54,11 @@
     this->view = std::move(view);
 }
 
+void LaneService::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 void LaneService::settingsChanged()
 {
     this->replicas.update(this->settings->endpoints);
