--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -23,7 +23,8 @@
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
-                     NodeMetrics &metrics)
+                     NodeMetrics &metrics,
+                     OperatorGateway operators)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
@@ -44,7 +45,8 @@
               this->notices,
               *this->platform,
               metrics,
-              this->random}
+              this->random,
+              std::move(operators)}
     , service(this->context)
     , server(loop,
              settings->listen.http,
@@ -73,6 +75,12 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::setSession(SessionNumber self)
+{
+    this->context.self = self;
+    this->notices.setSession(self);
+}
+
 void EntryTask::putInForce(const SettingsPointer &settings)
 {
     this->settings.replace(settings);
--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -87,7 +87,7 @@
     this->exchange = this->http.start(engine, request, connection, std::move(hooks));
 }
 
-HeldItem ItemRun::stop(Gap cancelled)
+HeldItem ItemRun::stop(const Gap &cancelled)
 {
     const Json body{{"request_id", this->runId}};
     this->http.fetch(
--- a/Services/Lane/ItemRun.h
+++ b/Services/Lane/ItemRun.h
@@ -56,7 +56,7 @@
      * @param cancelled told how long the engine took to confirm, if it does; may be empty
      * @return the item, with the tokens it got
      */
-    HeldItem stop(Gap cancelled = {});
+    HeldItem stop(const Gap &cancelled = {});
 
     /** @return when it was sent. */
     SteadyTime sent() const;
--- a/Services/Lane/ItemSource.cpp
+++ b/Services/Lane/ItemSource.cpp
@@ -20,7 +20,7 @@
 ItemSource::ItemSource(EventLoop &loop,
                        const Clock &clock,
                        const SettingsHandle &settings,
-                       SessionNumber self,
+                       const SessionNumber &self,
                        PeerClient &peers,
                        const JobOwners &owners,
                        std::function<void(const std::string &model)> arrived)
--- a/Services/Lane/ItemSource.h
+++ b/Services/Lane/ItemSource.h
@@ -25,7 +25,7 @@
     ItemSource(EventLoop &loop,
                const Clock &clock,
                const SettingsHandle &settings,
-               SessionNumber self,
+               const SessionNumber &self,
                PeerClient &peers,
                const JobOwners &owners,
                std::function<void(const std::string &model)> arrived);
@@ -65,7 +65,8 @@
     EventLoop &loop;
     const Clock &clock;
     const SettingsHandle &settings;
-    SessionNumber self;
+    /** Of the lanes; it changes when this node has to begin again as another session. */
+    const SessionNumber &self;
     PeerClient &peers;
     const JobOwners &owners;
     std::function<void(const std::string &model)> arrived;
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -50,11 +50,11 @@
     , http(http)
     , replicas(settings->endpoints)
     , owners(settings)
-    , results(loop, settings, self, peers, this->owners)
+    , results(loop, settings, this->self, peers, this->owners)
     , leases(loop,
              clock,
              settings,
-             self,
+             this->self,
              peers,
              this->owners,
              {.held =
@@ -75,7 +75,7 @@
     , items(loop,
             clock,
             settings,
-            self,
+            this->self,
             peers,
             this->owners,
             [this](const std::string &model) {
@@ -125,6 +125,11 @@
     return options;
 }
 
+void LaneService::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 void LaneService::settingsChanged()
 {
     this->replicas.update(this->settings->endpoints);
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -44,6 +44,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
--- a/Services/Lane/LeaseRenewer.cpp
+++ b/Services/Lane/LeaseRenewer.cpp
@@ -26,7 +26,7 @@
 LeaseRenewer::LeaseRenewer(EventLoop &loop,
                            const Clock &clock,
                            const SettingsHandle &settings,
-                           SessionNumber self,
+                           const SessionNumber &self,
                            PeerClient &peers,
                            const JobOwners &owners,
                            Hooks hooks)
--- a/Services/Lane/LeaseRenewer.h
+++ b/Services/Lane/LeaseRenewer.h
@@ -35,7 +35,7 @@
     LeaseRenewer(EventLoop &loop,
                  const Clock &clock,
                  const SettingsHandle &settings,
-                 SessionNumber self,
+                 const SessionNumber &self,
                  PeerClient &peers,
                  const JobOwners &owners,
                  Hooks hooks);
@@ -60,7 +60,8 @@
     EventLoop &loop;
     const Clock &clock;
     const SettingsHandle &settings;
-    SessionNumber self;
+    /** Of the lanes; it changes when this node has to begin again as another session. */
+    const SessionNumber &self;
     PeerClient &peers;
     const JobOwners &owners;
     Hooks hooks;
--- a/Services/Lane/ResultReporter.cpp
+++ b/Services/Lane/ResultReporter.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 ResultReporter::ResultReporter(
-    EventLoop &loop, const SettingsHandle &settings, SessionNumber self, PeerClient &peers, const JobOwners &owners)
+    EventLoop &loop, const SettingsHandle &settings, const SessionNumber &self, PeerClient &peers, const JobOwners &owners)
     : loop(loop), settings(settings), self(self), peers(peers), owners(owners)
 {
 }
--- a/Services/Lane/ResultReporter.h
+++ b/Services/Lane/ResultReporter.h
@@ -20,7 +20,7 @@
 {
 public:
     ResultReporter(
-        EventLoop &loop, const SettingsHandle &settings, SessionNumber self, PeerClient &peers, const JobOwners &owners);
+        EventLoop &loop, const SettingsHandle &settings, const SessionNumber &self, PeerClient &peers, const JobOwners &owners);
     ~ResultReporter();
     ResultReporter(const ResultReporter &) = delete;
     ResultReporter &operator=(const ResultReporter &) = delete;
@@ -41,7 +41,8 @@
 
     EventLoop &loop;
     const SettingsHandle &settings;
-    SessionNumber self;
+    /** Of the lanes; it changes when this node has to begin again as another session. */
+    const SessionNumber &self;
     PeerClient &peers;
     const JobOwners &owners;
     /** Results to be sent at the next flush. */
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -336,7 +336,7 @@
     }
     const auto tell = [this, job, lanes, alive = this->alive] {
         for (const Address &lane : lanes) {
-            if (*alive) {
+            if (*alive && this->tellStopped) {
                 this->tellStopped(lane, {job});
             }
         }
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -13,22 +13,21 @@
 
 /** How long a commit may wait for the platform before its runner is told that the result is held. */
 constexpr std::chrono::milliseconds holdAfter{500};
-
-JournalWriter::Options journalOptions(const Settings &settings)
-{
-    JournalWriter::Options options;
-    options.groupInterval = settings.owner.groupInterval;
-    options.rowBytes = static_cast<std::size_t>(settings.platform.rowBytes);
-    return options;
-}
+/** How long an intent may wait for the platform before its claimer is told that the request was not run. */
+constexpr std::chrono::milliseconds intentPatience{1000};
 
 ShardKeeper::Options keeperOptions(const Settings &settings)
 {
     ShardKeeper::Options options;
     options.shards = static_cast<std::uint32_t>(settings.owner.shards);
-    options.claimLease = settings.owner.claimLease;
-    options.itemLease = settings.batch.itemLease;
+    options.state.claimLease = settings.owner.claimLease;
+    options.state.itemLease = settings.batch.itemLease;
+    options.state.recentBytes = static_cast<std::size_t>(settings.owner.recentBytes);
+    options.checkpoint.bytes = static_cast<std::size_t>(settings.owner.checkpointBytes);
+    options.checkpoint.groups = static_cast<std::uint64_t>(settings.owner.checkpointGroups);
+    options.checkpoint.retention = settings.owner.resultRetention;
     options.strangerGrace = settings.membership.suspicion * 3;
+    options.pauseLimit = settings.membership.suspicion;
     return options;
 }
 
@@ -50,15 +49,31 @@
                            Platform &platform,
                            const SettingsHandle &settings,
                            SessionNumber self,
+                           std::function<void()> onFenced,
                            BatchOwner::TellStopped tellStopped)
     : scheduler(scheduler)
     , settings(settings)
-    , journal(platform, scheduler, clock, self, journalOptions(settings.current()))
+    , onFenced(std::move(onFenced))
+    , journal(platform, scheduler, clock, self, this->journalOptions())
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
     , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
 {
 }
 
+JournalWriter::Options OwnerService::journalOptions()
+{
+    JournalWriter::Options options;
+    options.groupInterval = this->settings->owner.groupInterval;
+    options.rowBytes = static_cast<std::size_t>(this->settings->platform.rowBytes);
+    options.onFenced = [this] {
+        this->keeper.fenced();
+        if (this->onFenced) {
+            this->onFenced();
+        }
+    };
+    return options;
+}
+
 OwnerService::~OwnerService()
 {
     *this->alive = false;
@@ -87,10 +102,10 @@
     this->batch.start();
 }
 
-void OwnerService::setView(MemberViewPointer view)
+void OwnerService::setView(const MemberViewPointer &view)
 {
     this->batch.setView(view);
-    this->keeper.setView(std::move(view));
+    this->keeper.setView(view);
 }
 
 void OwnerService::stop(std::function<void()> stopped)
@@ -103,6 +118,15 @@
     return this->batch.backlog();
 }
 
+std::size_t OwnerService::resultsInMemory() const
+{
+    std::size_t count = 0;
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        count += state->requests.size();
+    }
+    return count;
+}
+
 std::size_t OwnerService::shardCount() const
 {
     return this->keeper.owned().size();
@@ -115,7 +139,7 @@
 
 ShardState *OwnerService::stateOf(const std::string &id)
 {
-    return this->keeper.find(this->keeper.shardOf(id));
+    return this->keeper.serving(this->keeper.shardOf(id));
 }
 
 template <typename Record>
@@ -124,13 +148,54 @@
     this->journal.append({shard, kind, encode(record)}, appended);
 }
 
-void OwnerService::claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+void OwnerService::lookUp(const RequestId &id, const LookedUp &then)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
+    ShardState *const state = this->stateOf(id.value());
     if (state == nullptr) {
-        respond({ClaimDecision::NotOwner, {}});
+        then(nullptr, true);
         return;
     }
+    if (state->requests.state(id) != RequestState::Absent || !state->index.mayHold(id)) {
+        then(state, true);
+        return;
+    }
+    const auto looked = [this, id, then, epoch = state->row.epoch, generation = state->index.generation(), alive = this->alive](
+                            ReadOutcome outcome, const std::optional<ResultRecord> &found) {
+        if (!*alive) {
+            return;
+        }
+        ShardState *const state = this->stateOf(id.value());
+        const bool isChanged = state != nullptr && (state->row.epoch != epoch || state->index.generation() != generation);
+        if (isChanged) {
+            // While the object was read, a result of the id may have gone through memory into a run of its own.
+            this->lookUp(id, then);
+            return;
+        }
+        if (state != nullptr && found) {
+            state->requests.restore(*found);
+        }
+        then(state, outcome != ReadOutcome::Failed);
+    };
+    state->index.find(id, looked);
+}
+
+void OwnerService::claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+{
+    this->lookUp(request.requestId, [this, request, respond](ShardState *state, bool isCertain) {
+        if (state == nullptr) {
+            respond({ClaimDecision::NotOwner, {}});
+        } else if (!isCertain) {
+            // Its result may stand in an object that cannot be read now: run again, the request would have two.
+            respond({ClaimDecision::Unavailable, {}});
+        } else {
+            this->claimAt(*state, request, respond);
+        }
+    });
+}
+
+void OwnerService::claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+{
+    ShardState *const state = &owned;
     if (request.isNonIdempotent && this->journal.isStalled()
         && state->requests.state(request.requestId) == RequestState::Absent) {
         // Its intent could not be journalled now, and without that it must not run.
@@ -160,16 +225,56 @@
 }
 
 void OwnerService::writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
+{
+    const auto answer = onlyOnce<ClaimResponse>(respond);
+    const ShardNumber shard = this->keeper.shardOf(request.requestId.value());
+    const IntentRecord record{request.requestId, request.fingerprint, request.runner, request.claim};
+    this->append(shard, RecordKind::Intent, record, [this, request, answer](AppendOutcome outcome) {
+        this->onIntent(request, answer, outcome);
+    });
+    this->scheduler.schedule(intentPatience, [this, shard, request, answer, alive = this->alive] {
+        if (!*alive) {
+            return;
+        }
+        // The claimer tells its caller that the request was not run. Should the intent become durable after all, it is
+        // withdrawn: left standing, it would answer every resend with "it may have run", which is not so.
+        if (ShardState *const state = this->keeper.find(shard)) {
+            state->requests.abandonIntent(request);
+        }
+        answer({ClaimDecision::Unavailable, {}});
+    });
+}
+
+void OwnerService::onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome)
 {
     const ShardNumber shard = this->keeper.shardOf(request.requestId.value());
-    const IntentRecord record{request.requestId, request.fingerprint};
-    this->append(shard, RecordKind::Intent, record, [this, shard, request, respond](AppendOutcome outcome) {
+    ShardState *const state = this->keeper.find(shard);
+    if (outcome == AppendOutcome::Fenced || state == nullptr) {
+        // Given up meanwhile: the new owner finds the intent, and lets the claimer run when it asks there.
+        respond({ClaimDecision::NotOwner, {}});
+        return;
+    }
+    switch (state->requests.intentJournalled(request.requestId)) {
+    case IntentVerdict::Run:
+        respond({ClaimDecision::Run, {}});
+        return;
+    case IntentVerdict::Withdraw:
+        respond({ClaimDecision::Unavailable, {}});
+        this->writeWithdrawal(shard, request.requestId);
+        return;
+    case IntentVerdict::Gone:
+        respond({ClaimDecision::NotOwner, {}});
+        return;
+    }
+}
+
+void OwnerService::writeWithdrawal(ShardNumber shard, const RequestId &id)
+{
+    this->append(shard, RecordKind::Withdraw, WithdrawRecord{id}, [this, shard, id](AppendOutcome outcome) {
         ShardState *const state = this->keeper.find(shard);
-        const bool isDurable = outcome == AppendOutcome::Written;
-        if (state != nullptr) {
-            state->requests.intentJournalled(request.requestId, isDurable);
+        if (outcome == AppendOutcome::Written && state != nullptr) {
+            state->requests.withdrawn(id);
         }
-        respond({isDurable ? ClaimDecision::Run : ClaimDecision::NotOwner, {}});
     });
 }
 
@@ -177,6 +282,7 @@
 {
     const auto answer = onlyOnce<ClaimResponse>(respond);
     ShardState *const state = this->stateOf(request.requestId.value());
+    // NOTE: claim() has just found the request there.
     state->requests.await(request.requestId, [this, request, answer, alive = this->alive] {
         // Told from inside the table: looked at again from the loop.
         this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, answer, alive] {
@@ -192,11 +298,20 @@
 
 void OwnerService::commit(const CommitRequest &request, const Respond<CommitResponse> &respond)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
-    if (state == nullptr) {
-        respond({CommitDecision::NotOwner, {}});
-        return;
-    }
+    this->lookUp(request.requestId, [this, request, respond](ShardState *state, bool isCertain) {
+        if (state == nullptr) {
+            respond({CommitDecision::NotOwner, {}});
+        } else if (!isCertain) {
+            respond({CommitDecision::Unavailable, {}});
+        } else {
+            this->commitAt(*state, request, respond);
+        }
+    });
+}
+
+void OwnerService::commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond)
+{
+    ShardState *const state = &owned;
     const auto answer = onlyOnce<CommitResponse>(respond);
     switch (state->requests.commit(request)) {
     case CommitVerdict::Superseded:
@@ -238,18 +353,41 @@
 void OwnerService::release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond)
 {
     ShardState *const state = this->stateOf(request.requestId.value());
-    respond({state != nullptr && state->requests.release(request)});
+    const ReleaseVerdict verdict = state != nullptr ? state->requests.release(request) : ReleaseVerdict::Refused;
+    if (verdict == ReleaseVerdict::Withdraw) {
+        this->writeWithdrawal(this->keeper.shardOf(request.requestId.value()), request.requestId);
+    }
+    respond({verdict != ReleaseVerdict::Refused});
 }
 
 void OwnerService::result(const ResultRequest &request, const Respond<ResultResponse> &respond)
 {
-    ShardState *const state = this->stateOf(request.requestId.value());
-    if (state == nullptr) {
-        respond({RequestState::NotOwner, {}});
-        return;
-    }
-    const Answer *const answer = state->requests.answer(request.requestId);
-    respond({state->requests.state(request.requestId), answer != nullptr ? *answer : Answer()});
+    this->lookUp(request.requestId, [this, request, respond](const ShardState *state, bool isCertain) {
+        if (state == nullptr || !isCertain) {
+            respond({RequestState::NotOwner, {}});
+            return;
+        }
+        if (const Answer *const answer = state->requests.answer(request.requestId)) {
+            respond({RequestState::Done, *answer});
+            return;
+        }
+        this->confirmNoResult(request, respond);
+    });
+}
+
+void OwnerService::confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond)
+{
+    // Another node may have taken the shard without this one having noticed, and may have a result that was committed
+    // since. That there is none is told only when the shard's row still names this node.
+    this->keeper.confirmOwned(this->keeper.shardOf(request.requestId.value()), [this, request, respond](bool isOwned) {
+        const ShardState *const state = this->stateOf(request.requestId.value());
+        if (!isOwned || state == nullptr) {
+            respond({RequestState::NotOwner, {}});
+            return;
+        }
+        const Answer *const answer = state->requests.answer(request.requestId);
+        respond({state->requests.state(request.requestId), answer != nullptr ? *answer : Answer()});
+    });
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,13 +21,17 @@
 class OwnerService
 {
 public:
-    /** @param tellStopped see BatchOwner::TellStopped */
+    /**
+     * @param tellStopped see BatchOwner::TellStopped
+     * @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more
+     */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
                  Platform &platform,
                  const SettingsHandle &settings,
                  SessionNumber self,
-                 BatchOwner::TellStopped tellStopped);
+                 std::function<void()> onFenced = {},
+                 BatchOwner::TellStopped tellStopped = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -38,7 +42,7 @@
     /** Start taking shards. */
     void start();
 
-    void setView(MemberViewPointer view);
+    void setView(const MemberViewPointer &view);
 
     /** Give everything up, as planned. @param stopped told when the last shard is released */
     void stop(std::function<void()> stopped);
@@ -46,23 +50,42 @@
     /** @return what waits of batch jobs at this node's shards. */
     Backlog backlog();
 
+    /** @return requests of all shards that are in memory. */
+    std::size_t resultsInMemory() const;
+
     /** @return shards owned now. */
     std::size_t shardCount() const;
 
     const JournalWriter &journalWriter() const;
 
-private:
     template <typename Response>
     using Respond = PeerServer::Respond<Response>;
 
+    /** Decide whether the asking node runs a request. */
     void claim(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
-    void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
-    void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    /** Take a result: the first one counts. */
     void commit(const CommitRequest &request, const Respond<CommitResponse> &respond);
-    void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
+    /** Take a claim back whose request was proved not to have run. */
     void release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond);
+    /** Tell where a request stands. */
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
 
+private:
+    /** Gets the shard's state, or null if this node does not own it, and whether it is certain what the id's result is. */
+    using LookedUp = std::function<void(ShardState *state, bool isCertain)>;
+
+    /** Bring a result that was written long ago into memory, if there is one. */
+    void lookUp(const RequestId &id, const LookedUp &then);
+    void claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond);
+    void confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond);
+    void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
+    void writeWithdrawal(ShardNumber shard, const RequestId &id);
+    void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
+
+    JournalWriter::Options journalOptions();
     ShardState *stateOf(const std::string &id);
 
     template <typename Record>
@@ -70,6 +93,7 @@
 
     Scheduler &scheduler;
     const SettingsHandle &settings;
+    std::function<void()> onFenced;
     JournalWriter journal;
     ShardKeeper keeper;
     BatchOwner batch;
