Services: Pull only a few items ahead of the places

Cause: a node pulled 64 items at a time. A job of 60 items ran on one node while the other node's lane stood empty (debug log: 48 waiting on one node, 0 items on the other), and so would the end of every job.

Change: a node pulls what its places can take now and half as many ahead.

Tests of real processes, each found by its engines' counts: a paused holder and its successor do not fill a replica twice; an item that crashes engines ends failed after two, 39 items beside it complete; a job survives silent connections.

--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -181,7 +181,7 @@
     double slowdown = 0.1;
     /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
     std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
-    /** Items that a node pulls for one model ahead of the places it has. */
+    /** Items that wait on a node for one model at most, to be started as soon as a place is free. */
     std::int64_t prefetch = 64;
 };
 
--- a/Services/Lane/ItemSource.cpp
+++ b/Services/Lane/ItemSource.cpp
@@ -60,10 +60,10 @@
     }
 }
 
-void ItemSource::refill(const std::string &model)
+void ItemSource::refill(const std::string &model, std::size_t wanted)
 {
-    const auto wanted = static_cast<std::size_t>(this->settings->batch.prefetch);
-    if (this->isClosed || this->queues[model].size() * 2 > wanted || this->pulling[model]) {
+    const std::size_t there = this->queues[model].size();
+    if (this->isClosed || there >= wanted || this->pulling[model]) {
         return;
     }
     std::vector<SessionNumber> candidates;
@@ -78,7 +78,7 @@
         return;
     }
     this->pulling[model] = true;
-    const auto limit = static_cast<std::uint32_t>(wanted - std::min(wanted, this->queues[model].size()));
+    const auto limit = static_cast<std::uint32_t>(wanted - there);
     this->peers.call<PullItemsRequest>(
         this->owners.view().find(*chosen)->owner,
         {model, limit, this->self},
--- a/Services/Lane/ItemSource.h
+++ b/Services/Lane/ItemSource.h
@@ -42,8 +42,8 @@
     /** An item waits again, before the others: it has tokens already, or was first in line. */
     void putBack(const std::string &model, HeldItem item);
 
-    /** Pull more of a model if few are left. */
-    void refill(const std::string &model);
+    /** Pull more of a model. @param wanted items that are to wait here */
+    void refill(const std::string &model, std::size_t wanted);
 
     void dropJob(const JobId &job);
     void dropItems(const JobId &job, const std::set<std::uint32_t> &items);
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -408,8 +408,20 @@
         this->startItem(*replica, held, std::move(*item));
         --free;
     }
-    // Pulled for also while there is no place: the next one is not to wait for a round trip.
-    this->items.refill(held.serves);
+    this->items.refill(held.serves, this->wantedItems(held.serves));
+}
+
+std::size_t LaneService::wantedItems(const std::string &model) const
+{
+    // A few ahead of the places, so that the next place does not wait for a round trip. No more: what waits here is kept
+    // from nodes whose lanes may stand empty, and the last items of a job would all run on one node.
+    std::size_t wanted = 0;
+    for (const auto &[name, held] : this->lanes) {
+        if (held.serves == model && held.isOurs) {
+            wanted += held.lane.freePlaces() + (held.lane.running() + 1) / 2;
+        }
+    }
+    return std::min(wanted, static_cast<std::size_t>(this->settings->batch.prefetch));
 }
 
 void LaneService::fillAll(const std::string &model)
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -96,6 +96,7 @@
     void yieldTo(const EndpointName &name, HeldLane &held, std::uint32_t places);
     void fill(const EndpointName &name, HeldLane &held);
     void fillAll(const std::string &model);
+    std::size_t wantedItems(const std::string &model) const;
     bool mayRun(const HeldLane &held, const HeldItem &item) const;
     void startItem(const Replica &replica, HeldLane &held, HeldItem item);
     void onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail);
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -173,6 +173,7 @@
         this->streams.push_back(std::move(stream));
     }
     this->mostStreams = std::max(this->mostStreams, this->streams.size());
+    this->mostQueued = std::max(this->mostQueued, this->queue.size());
 }
 
 void FakeEngine::armStep()
@@ -403,6 +404,7 @@
             {"running", this->streams.size()},
             {"queued", this->queue.size()},
             {"most_streams", this->mostStreams},
+            {"most_queued", this->mostQueued},
             {"over_capacity_us", this->overCapacity.count()},
             {"starts_while_leaving", this->startsWhileLeaving},
             {"cached_blocks", this->cache.size()}};
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -132,6 +132,7 @@
     std::uint64_t cancelled = 0;
     std::uint64_t startsWhileLeaving = 0;
     std::size_t mostStreams = 0;
+    std::size_t mostQueued = 0;
     std::chrono::microseconds overCapacity{0};
     std::deque<std::string> notes;
 
--- a/Tests/Processes/TestBatchJobs.cpp
+++ b/Tests/Processes/TestBatchJobs.cpp
@@ -26,7 +26,7 @@
         for (const char *const domain : {"one", "two"}) {
             this->engines.push_back(this->fleet.startEndpoint("engine", "notes", domain, {"--capacity=4"}, "capacity = 4"));
         }
-        this->fleet.addSettings("[batch]\nitem_lease = \"5s\"\n");
+        this->fleet.addSettings("[batch]\nitem_lease = \"5s\"\n[entry]\nprogress_timeout = \"1s\"\n");
         for (const char *const domain : {"one", "two"}) {
             this->nodes.push_back(this->fleet.startNode({domain, ""}));
         }
@@ -74,11 +74,25 @@
         return total;
     }
 
+    int most(const std::string &name)
+    {
+        int found = 0;
+        for (const std::size_t engine : this->engines) {
+            found = std::max(found, this->ask(engine, "GET", "/counts").value(name, 0));
+        }
+        return found;
+    }
+
     LocalFleet fleet;
     std::vector<std::size_t> engines;
     std::vector<std::size_t> nodes;
 };
 
+bool hasEnded(Site &site, const std::string &job)
+{
+    return site.status(job).value("status", std::string()) == "completed";
+}
+
 bool waitUntil(const std::function<bool()> &isReached)
 {
     constexpr int tries = 300;
@@ -133,3 +147,70 @@
         = LocalFleet::call(site.fleet.process(site.nodes[0]).address, "GET", "/v1/batches/" + job + "/results?limit=1000");
     CHECK(std::count(results.body.begin(), results.body.end(), '\n') == items);
 }
+
+// The node that holds both lanes' items stands still, its connections to the engines open and its items running. The other
+// node takes its lanes over. It must not start a full set beside them: an online request would queue behind all of it.
+// When the first wakes, it must not start more either before it has seen what runs.
+TEST_CASE("a paused holder and its successor do not fill a replica twice")
+{
+    Site site;
+    constexpr int items = 60;
+    const std::string job = site.submit(items, "slow", 400);
+    REQUIRE(waitUntil([&site] {
+        return site.sum("running") >= 6;
+    }));
+    site.fleet.signal(site.nodes[1], SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    site.fleet.signal(site.nodes[1], SIGCONT);
+    CHECK(waitUntil([&] {
+        return hasEnded(site, job);
+    }));
+    CHECK(site.status(job).value("succeeded", 0) == items);
+    CHECK(site.most("most_queued") <= 1);
+}
+
+// One item crashes each engine that runs it. The engines come back after a while. The lot must complete: the item ends
+// failed after the second engine, and the items that were running beside it are not blamed.
+TEST_CASE("an item that crashes engines ends failed and the others complete")
+{
+    Site site;
+    constexpr int items = 40;
+    std::string lines;
+    for (int i = 0; i < items; ++i) {
+        const std::string prompt = i == 10 ? "crash-the-engine" : "bystander " + std::to_string(i);
+        lines += Json({{"model", "notes"}, {"prompt", prompt}, {"max_tokens", 60}}).dump() + '\n';
+    }
+    const std::string job = site.ask(site.nodes[0], "POST", "/v1/batches", lines).at("id");
+    int crashes = 0;
+    CHECK(waitUntil([&] {
+        for (const std::size_t engine : site.engines) {
+            if (site.fleet.waitEnd(engine, 1ms) >= 0) {
+                ++crashes;
+                site.fleet.restart(engine);
+            }
+        }
+        return hasEnded(site, job);
+    }));
+    CHECK(crashes == 2);
+    CHECK(site.status(job).value("failed", 0) == 1);
+    CHECK(site.status(job).value("succeeded", 0) == items - 1);
+}
+
+// Every connection to the engines goes silent for good, new ones work. The items that ran there are run again over new
+// connections once they have made no progress for a while, and the job completes.
+TEST_CASE("a job survives connections that go silent")
+{
+    Site site;
+    constexpr int items = 30;
+    const std::string job = site.submit(items, "quiet", 300);
+    REQUIRE(waitUntil([&site] {
+        return site.sum("running") >= 6;
+    }));
+    for (const std::size_t engine : site.engines) {
+        site.ask(engine, "POST", "/faults", R"({"silent": true})");
+    }
+    CHECK(waitUntil([&] {
+        return hasEnded(site, job);
+    }));
+    CHECK(site.status(job).value("succeeded", 0) == items);
+}
