LibBatch: Start items one at a time where online requests come

Change: a lane where online requests have come in the last 10 s has one item without its first token at a time.

--- a/Benchmarks/Measure/Colocation.cpp
+++ b/Benchmarks/Measure/Colocation.cpp
@@ -18,6 +18,7 @@
 DEFINE_string(mix, "trocamundo", "trocamundo (notes, bursts) or hoshizora (labels, steady)");
 DEFINE_string(variants, "unlimited,static,fixed,yield", "what to compare");
 DEFINE_bool(debug, false, "let the nodes log what the lanes do; KEEP_LOGS=1 keeps the logs");
+DEFINE_int32(capacity, 8, "streams an engine runs side by side; the load grows with it");
 DEFINE_uint64(seed, 1, "of the arrivals");
 
 namespace
@@ -29,7 +30,6 @@
 
 constexpr int replicas = 9;
 constexpr int services = 3;
-constexpr int capacity = 8;
 constexpr int jobItems = 20000;
 constexpr int jobTokens = 48;
 constexpr int staticBatchReplicas = 3;
@@ -37,19 +37,21 @@
 
 OnlineMix mixOf(const std::string &name)
 {
+    constexpr double usualCapacity = 8;
+    const double scale = FLAGS_capacity / usualCapacity;
     OnlineMix mix;
     mix.model = "online";
     mix.service = "prices";
     mix.lookupsPerSecond = 50;
     if (name == "hoshizora") {
-        mix.requestsPerSecond = 70;
-        mix.burstRequestsPerSecond = 70;
+        mix.requestsPerSecond = 70 * scale;
+        mix.burstRequestsPerSecond = 70 * scale;
         mix.tokens = 8;
         mix.promptBytes = 128;
         return mix;
     }
-    mix.requestsPerSecond = 15;
-    mix.burstRequestsPerSecond = 90;
+    mix.requestsPerSecond = 15 * scale;
+    mix.burstRequestsPerSecond = 90 * scale;
     mix.tokens = 24;
     mix.promptBytes = 768;
     return mix;
@@ -64,19 +66,20 @@
         this->fleet.startPlatform();
         for (int i = 0; i < replicas; ++i) {
             const bool isForBatch = this->isStatic && i % domains.size() == 0;
-            this->engines.push_back(
-                this->fleet.startEndpoint("engine",
-                                          isForBatch ? "batch" : "online",
-                                          domains[static_cast<std::size_t>(i / services)],
-                                          {"--capacity=" + std::to_string(capacity), "--step_us=20000", "--per_stream_us=150"},
-                                          "capacity = " + std::to_string(capacity)));
+            this->engines.push_back(this->fleet.startEndpoint(
+                "engine",
+                isForBatch ? "batch" : "online",
+                domains[static_cast<std::size_t>(i / services)],
+                {"--capacity=" + std::to_string(FLAGS_capacity), "--step_us=20000", "--per_stream_us=150"},
+                "capacity = " + std::to_string(FLAGS_capacity)));
         }
         for (int i = 0; i < services; ++i) {
             this->fleet.startEndpoint("service", "prices", domains[static_cast<std::size_t>(i)]);
         }
         this->fleet.addSettings("[[service]]\nname = \"prices\"\n[batch]\n");
         this->fleet.addSettings(this->isStatic || variant == "unlimited" ? "policy = \"unlimited\"\n" : "");
-        this->fleet.addSettings(variant == "fixed" ? "policy = \"fixed_limit\"\nfixed_limit = 4\n" : "");
+        this->fleet.addSettings(
+            variant == "fixed" ? "policy = \"fixed_limit\"\nfixed_limit = " + std::to_string(FLAGS_capacity / 2) + "\n" : "");
         const std::string overlay = FLAGS_debug ? "[node]\nlog = \"debug\"\n" : "";
         for (int i = 0; i < FLAGS_nodes; ++i) {
             this->nodes.push_back(this->fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], overlay}));
--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -16,6 +16,10 @@
 /** Their logarithms are as 19 to 1, so that a twentieth of the reactions is slower than what is followed. */
 constexpr double reactionUp = 1.1;
 constexpr double reactionDown = 0.995;
+/** Items whose prompts an engine may have before it while online requests come. */
+constexpr std::uint32_t startsAtOnce = 1;
+/** How long after its last online request a replica is held to get more. */
+constexpr std::chrono::milliseconds onlineRemembered{10000};
 /** Entries repeat a notice ten times a second while they have requests there. */
 constexpr std::chrono::milliseconds noticeLife{1000};
 /** Reports in a row without strange streams after which a lane is settled. They lag, so one is not enough. */
@@ -46,6 +50,7 @@
         return;
     }
     this->onlineSum += inFlight - notice.inFlight;
+    this->lastOnline = inFlight > 0 ? this->clock.now() : this->lastOnline;
     notice = {sequence, inFlight, this->clock.now()};
     this->rises.observe(this->onlineSum);
 }
@@ -150,11 +155,23 @@
 void Lane::itemStarted()
 {
     ++this->items;
+    ++this->starting;
 }
 
-void Lane::itemStopped()
+void Lane::itemProceeds()
+{
+    --this->starting;
+}
+
+void Lane::itemStopped(bool proceeded)
 {
     --this->items;
+    this->starting -= proceeded ? 0 : 1;
+}
+
+bool Lane::isShared() const
+{
+    return this->onlineSum > 0 || (this->lastOnline > SteadyTime() && this->clock.now() - this->lastOnline < onlineRemembered);
 }
 
 std::uint32_t Lane::streamLimit() const
@@ -184,7 +201,14 @@
     case LanePolicy::Unlimited:
         break;
     }
-    return taken < limit ? limit - taken : 0;
+    const std::uint32_t free = taken < limit ? limit - taken : 0;
+    if (this->options.policy != LanePolicy::Yield || !this->isShared()) {
+        return free;
+    }
+    // An engine reads prompts in the order they came. Were all free places filled at once, the next online request would
+    // wait for the prompts of all these items: its first token was up to half as late again. One at a time, it waits for one.
+    const std::uint32_t mayStart = this->starting < startsAtOnce ? startsAtOnce - this->starting : 0;
+    return std::min(free, mayStart);
 }
 
 std::uint32_t Lane::excess() const
--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -92,7 +92,10 @@
     void settle();
 
     void itemStarted();
-    void itemStopped();
+    /** An item has its first token, so that the engine is done with its prompt. */
+    void itemProceeds();
+    /** @param proceeded whether it had its first token */
+    void itemStopped(bool proceeded);
 
     /** @return items that may be started now. */
     std::uint32_t freePlaces() const;
@@ -119,11 +122,15 @@
     };
 
     double shortShare() const;
+    bool isShared() const;
     void followReaction(std::chrono::nanoseconds passed);
 
     const Clock &clock;
     Options options;
     std::uint32_t items = 0;
+    /** Those without their first token. */
+    std::uint32_t starting = 0;
+    SteadyTime lastOnline{};
     std::uint32_t onlineSum = 0;
     std::map<SessionNumber, Notice> notices;
     HeadroomEstimate rises;
--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -58,11 +58,15 @@
     return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-void ItemRun::start(const Address &engine, ConnectionChoice connection, Gap gap, Ended ended)
+bool ItemRun::hasProceeded() const
+{
+    return this->hasToken;
+}
+
+void ItemRun::start(const Address &engine, ConnectionChoice connection, Hooks hooks)
 {
     this->engine = engine;
-    this->gap = std::move(gap);
-    this->ended = std::move(ended);
+    this->hooks = std::move(hooks);
     this->sentAt = this->clock.now();
     this->progressAt = this->sentAt;
     const Json item = Json::parse(this->current.item.body, nullptr, false);
@@ -70,7 +74,7 @@
                               .path = isChat(item) ? "/v1/chat/completions" : "/v1/completions",
                               .headers = {{"Content-Type", "application/json"}},
                               .body = this->engineBody()};
-    ExchangeHooks hooks{
+    ExchangeHooks exchangeHooks{
         .onHeaders =
             [self = this->shared_from_this()](int status, const HttpHeaders &) {
                 self->status = status;
@@ -84,7 +88,7 @@
                 self->onEnd(end);
             },
     };
-    this->exchange = this->http.start(engine, request, connection, std::move(hooks));
+    this->exchange = this->http.start(engine, request, connection, std::move(exchangeHooks));
 }
 
 HeldItem ItemRun::stop(const Gap &cancelled)
@@ -96,8 +100,7 @@
         cancelTimeout,
         [](ExchangeEnd, const HttpResponse &) {});
     this->http.cancel(this->exchange);
-    this->gap = nullptr;
-    this->ended = nullptr;
+    this->hooks = {};
     return this->current;
 }
 
@@ -134,10 +137,15 @@
 void ItemRun::tellGap(std::uint32_t tokens)
 {
     const SteadyTime now = this->clock.now();
-    if (tokens > 0 && std::exchange(this->hasToken, true) && this->gap) {
-        this->gap((now - this->progressAt) / tokens);
+    const auto passed = now - std::exchange(this->progressAt, now);
+    if (tokens == 0) {
+        return;
+    }
+    if (std::exchange(this->hasToken, true)) {
+        this->hooks.gap(passed / tokens);
+    } else {
+        this->hooks.firstToken();
     }
-    this->progressAt = now;
 }
 
 void ItemRun::onEnd(ExchangeEnd end)
@@ -159,8 +167,8 @@
 
 void ItemRun::finish(RunEnd end, const std::string &detail)
 {
-    if (this->ended) {
-        std::exchange(this->ended, nullptr)(end, detail);
+    if (this->hooks.ended) {
+        std::exchange(this->hooks, {}).ended(end, detail);
     }
 }
 
--- a/Services/Lane/ItemRun.h
+++ b/Services/Lane/ItemRun.h
@@ -41,14 +41,26 @@
 public:
     using Ended = std::function<void(RunEnd, const std::string &detail)>;
 
-    /** Told of the time between two tokens. */
+    /** Told of a time that has passed. */
     using Gap = std::function<void(std::chrono::nanoseconds)>;
 
+    /** What a run tells. */
+    struct Hooks
+    {
+        std::function<void()> firstToken;
+        /** The time between two tokens. */
+        Gap gap;
+        /** Told once, unless stop() comes first; nothing comes after it. */
+        Ended ended;
+    };
+
     /** @param runId names this run to the engine; no other run has the same */
     ItemRun(HttpClient &http, const Clock &clock, HeldItem held, std::string runId);
 
-    /** @param ended told once, unless stop() comes first */
-    void start(const Address &engine, ConnectionChoice connection, Gap gap, Ended ended);
+    void start(const Address &engine, ConnectionChoice connection, Hooks hooks);
+
+    /** @return whether this run got a token. */
+    bool hasProceeded() const;
 
     /**
      * Cancel it at the engine: by its id, which takes effect at once, and by closing the connection, which engines notice
@@ -78,8 +90,7 @@
     HeldItem current;
     std::string runId;
     Address engine;
-    Gap gap;
-    Ended ended;
+    Hooks hooks;
     SteadyTime sentAt{};
     SteadyTime progressAt{};
     bool hasToken = false;
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -275,7 +275,7 @@
             return false;
         }
         silent.push_back(run->stop());
-        held.lane.itemStopped();
+        held.lane.itemStopped(run->hasProceeded());
         return true;
     });
     if (silent.empty()) {
@@ -365,9 +365,10 @@
         return run->held().tokens;
     });
     while (places > 0 && !held.runs.empty()) {
-        HeldItem item = held.runs.back()->stop(cancelled);
+        const std::shared_ptr<ItemRun> run = held.runs.back();
         held.runs.pop_back();
-        held.lane.itemStopped();
+        HeldItem item = run->stop(cancelled);
+        held.lane.itemStopped(run->hasProceeded());
         --places;
         this->items.putBack(held.serves, std::move(item));
     }
@@ -440,27 +441,34 @@
     const auto run = std::make_shared<ItemRun>(this->http, this->clock, std::move(item), runId);
     held.runs.push_back(run);
     held.lane.itemStarted();
-    const auto gap = [this, name = replica.name, alive = this->alive](std::chrono::nanoseconds passed) {
-        const auto found = this->lanes.find(name);
-        if (*alive && found != this->lanes.end()) {
-            found->second.lane.observeGap(passed);
-        }
-    };
-    run->start(replica.address,
-               connection,
-               gap,
-               [this, name = replica.name, run, alive = this->alive](RunEnd end, const std::string &detail) {
-                   if (*alive) {
-                       this->onRunEnded(name, run, end, detail);
-                   }
-               });
+    run->start(replica.address, connection, this->hooksOf(replica.name, run));
+}
+
+ItemRun::Hooks LaneService::hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run)
+{
+    return {.firstToken =
+                [this, name] {
+                    HeldLane &held = this->lanes.at(name);
+                    held.lane.itemProceeds();
+                    this->fill(name, held);
+                },
+            .gap =
+                [this, name](std::chrono::nanoseconds passed) {
+                    this->lanes.at(name).lane.observeGap(passed);
+                },
+            .ended =
+                [this, name, run, alive = this->alive](RunEnd end, const std::string &detail) {
+                    if (*alive) {
+                        this->onRunEnded(name, run, end, detail);
+                    }
+                }};
 }
 
 void LaneService::onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail)
 {
     HeldLane &held = this->lanes.at(name);
     std::erase(held.runs, run);
-    held.lane.itemStopped();
+    held.lane.itemStopped(run->hasProceeded());
     const HeldItem &item = run->held();
     switch (end) {
     case RunEnd::Finished:
@@ -501,7 +509,7 @@
                 return false;
             }
             run->stop();
-            held.lane.itemStopped();
+            held.lane.itemStopped(run->hasProceeded());
             return true;
         });
     }
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -99,6 +99,7 @@
     std::size_t wantedItems(const std::string &model) const;
     bool mayRun(const HeldLane &held, const HeldItem &item) const;
     void startItem(const Replica &replica, HeldLane &held, HeldItem item);
+    ItemRun::Hooks hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run);
     void onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail);
     void onLost(const EndpointName &name, HeldLane &held, const ItemRun &run);
     void stopRuns(const std::function<bool(const HeldItem &)> &isWanted);
