Control: Bring engines to the intended state by fenced orders

Cause: models, versions and roles stood in the configuration and nobody brought the engines to them.

Change: one node of each site holds the lease of orders, a row that it renews; the epoch is the orders' fencing number. The row also keeps the newest configuration that orders were given by and the rollouts that were stopped for their errors, so a new holder undoes neither. The stand-in engine takes orders, loads for a while and checks fencing numbers or not.

Red with the safeguard taken out, green with it: fencing number in orders, configuration in the row, protection of the last serving replica, pace of the weight store, limit in a failure domain, look at what is loading, stop in the row, holder's margin, new holder's wait (one test each). Three of the tests did not fail at first: they looked only after the next comparison had put things right, or at what the engine changed and not at what it was sent; they now look at once.

--- /dev/null
+++ b/Libraries/LibControl/OrderLease.cpp
@@ -0,0 +1,218 @@
+#include <LibControl/OrderLease.h>
+
+#include <LibBase/Log.h>
+#include <LibWire/Codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t candidates = 3;
+/** How much rarer all other nodes look, in lease lengths. */
+constexpr int rareLook = 3;
+constexpr int renewalsPerLease = 3;
+
+std::string keyOf(const std::string &site)
+{
+    return "orders/" + site;
+}
+
+} // namespace
+
+OrderLease::OrderLease(Platform &platform, Scheduler &scheduler, const Clock &clock, SessionNumber self, Options options)
+    : platform(platform), scheduler(scheduler), clock(clock), self(self), options(std::move(options))
+{
+}
+
+OrderLease::~OrderLease()
+{
+    *this->alive = false;
+    this->scheduler.cancel(this->timer);
+}
+
+void OrderLease::start()
+{
+    this->look();
+}
+
+void OrderLease::setRank(std::size_t rank)
+{
+    this->rank = rank;
+}
+
+void OrderLease::setSession(SessionNumber session)
+{
+    this->self = session;
+    this->held = false;
+    this->releasing = false;
+    this->lookLater();
+}
+
+bool OrderLease::mayOrder() const
+{
+    const SteadyTime now = this->clock.now();
+    return this->held && !this->releasing && now >= this->orderFrom && now < this->validUntil - this->options.margin;
+}
+
+std::uint64_t OrderLease::fence() const
+{
+    return this->current.epoch;
+}
+
+const OrderLeaseRow &OrderLease::row() const
+{
+    return this->current;
+}
+
+bool OrderLease::covers(std::uint64_t configVersion)
+{
+    if (configVersion > this->wantedVersion) {
+        this->wantedVersion = configVersion;
+        this->look();
+    }
+    return this->current.configVersion == configVersion;
+}
+
+void OrderLease::setStopped(std::vector<std::string> rollouts)
+{
+    this->wantedStopped = std::move(rollouts);
+}
+
+void OrderLease::lost()
+{
+    this->held = false;
+}
+
+void OrderLease::release()
+{
+    this->releasing = true;
+    if (!std::exchange(this->held, false)) {
+        return;
+    }
+    this->platform.tables().read(keyOf(this->options.site), [this, alive = this->alive](const RowResult &result) {
+        if (*alive) {
+            this->writeRelease(result);
+        }
+    });
+}
+
+void OrderLease::writeRelease(const RowResult &result)
+{
+    auto row = result.outcome == ReadOutcome::Found ? decode<OrderLeaseRow>(result.row.value) : std::nullopt;
+    if (!row || row->holder != this->self) {
+        return;
+    }
+    row->holder = SessionNumber(0);
+    const std::string key = keyOf(this->options.site);
+    this->platform.tables().transact({{{key, result.row.version}}, {{key, encode(*row)}}}, [](WriteOutcome) {});
+}
+
+void OrderLease::look()
+{
+    this->platform.tables().read(keyOf(this->options.site), [this, alive = this->alive](const RowResult &result) {
+        if (*alive && !this->releasing) {
+            this->onRead(result);
+        }
+    });
+}
+
+void OrderLease::lookLater()
+{
+    const auto often = this->options.lease / renewalsPerLease;
+    const bool isCandidate = this->held || this->rank < candidates;
+    this->scheduler.cancel(this->timer);
+    this->timer = this->scheduler.schedule(isCandidate ? often : this->options.lease * rareLook, [this] {
+        this->look();
+    });
+}
+
+void OrderLease::onRead(const RowResult &result)
+{
+    this->lookLater();
+    if (result.outcome == ReadOutcome::Failed) {
+        // Held or not, nothing is known. A holder's lease runs out by its own clock.
+        return;
+    }
+    if (result.outcome == ReadOutcome::Absent) {
+        this->take({}, std::nullopt);
+        return;
+    }
+    const auto row = decode<OrderLeaseRow>(result.row.value);
+    if (!row) {
+        log(LogLevel::Error, "lease of orders is damaged", {{"site", this->options.site}});
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    if (this->seenVersion != result.row.version) {
+        this->seenVersion = result.row.version;
+        this->seenSince = now;
+    }
+    this->current = *row;
+    const bool isOurs = row->holder == this->self;
+    if (!isOurs) {
+        this->held = false;
+    }
+    if (isOurs && this->held) {
+        this->renew(result.row.version);
+        return;
+    }
+    // A row of this very session that it does not know it holds: the answer to its taking was lost. It is taken anew, by
+    // the next epoch, after the lease that the lost write might have begun.
+    const bool isRunOut = now - this->seenSince >= this->options.lease;
+    if (row->holder == SessionNumber(0) || isRunOut) {
+        this->take(*row, result.row.version);
+    }
+}
+
+void OrderLease::take(const OrderLeaseRow &current, std::optional<RowVersion> version)
+{
+    OrderLeaseRow row = current;
+    row.holder = this->self;
+    row.renewals = 0;
+    ++row.epoch;
+    this->write(row, version);
+}
+
+void OrderLease::renew(RowVersion version)
+{
+    OrderLeaseRow row = this->current;
+    ++row.renewals;
+    row.configVersion = std::max(row.configVersion, this->wantedVersion);
+    row.stopped = this->wantedStopped.value_or(row.stopped);
+    this->write(row, version);
+}
+
+void OrderLease::write(const OrderLeaseRow &row, std::optional<RowVersion> version)
+{
+    const SteadyTime sent = this->clock.now();
+    const std::string key = keyOf(this->options.site);
+    const bool isTaking = row.renewals == 0;
+    const auto done = [this, row, sent, isTaking, alive = this->alive](WriteOutcome outcome) {
+        if (!*alive || this->releasing) {
+            return;
+        }
+        if (outcome == WriteOutcome::Refused) {
+            this->held = false;
+        }
+        if (outcome != WriteOutcome::Done || row.holder != this->self) {
+            return;
+        }
+        this->current = row;
+        this->validUntil = sent + this->options.lease;
+        if (isTaking) {
+            this->held = true;
+            this->orderFrom = this->clock.now() + this->options.margin;
+            log(LogLevel::Info,
+                "lease of orders taken",
+                {{"site", this->options.site}, {"epoch", static_cast<std::int64_t>(row.epoch)}});
+        }
+    };
+    this->platform.tables().transact({{{key, version}}, {{key, encode(row)}}}, done);
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -175,6 +175,8 @@
     std::string generation;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
+    /** What the engine does: `serve`, or a role that it knows and that takes no requests of callers. */
+    std::string role = "serve";
 };
 
 /** A plain service. */
@@ -201,6 +203,47 @@
     std::int64_t concurrency = 1000;
 };
 
+/** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+struct ModelSettings
+{
+    /** Its name, as endpoints and callers use it. */
+    std::string name;
+    /** The version its engines shall serve. */
+    std::string version;
+    /** The version that is being rolled out; empty: none. */
+    std::string nextVersion;
+    /** Share of the endpoints that shall serve next_version. */
+    double nextShare = 0;
+    /** Adapters its engines shall have loaded. */
+    std::vector<std::string> adapters = {};
+    /** Size of its weights, for the pace of loads. */
+    std::int64_t weightBytes = 0;
+    /** Whether its last serving replica may be taken for a new version; without it, one replica alone keeps the version it has.
+     */
+    bool mayInterrupt = false;
+};
+
+/** Orders to model engines. */
+struct OrderSettings
+{
+    /** How often the engines' state is compared with the intended one. */
+    std::chrono::milliseconds interval = std::chrono::milliseconds(2000);
+    /** How long the node that gives orders may go without renewing. */
+    std::chrono::milliseconds lease = std::chrono::milliseconds(10000);
+    /** How long before the lease's end its holder stops, and how long a new holder waits. */
+    std::chrono::milliseconds leaseMargin = std::chrono::milliseconds(2000);
+    /** Engines of one failure domain that load at once. */
+    std::int64_t loadsPerDomain = 1;
+    /** Rate of the weight store; loads are started no faster. */
+    std::int64_t weightBytesPerSecond = 1000000000;
+    /** How long a load may take before it is told as overdue. */
+    std::chrono::milliseconds loadTimeout = std::chrono::milliseconds(600000);
+    /** A rollout stops when its share of failed requests exceeds that of the version before by more. */
+    double errorLimit = 0.05;
+    /** Requests of the new version before its errors are judged. */
+    std::int64_t errorRequests = 50;
+};
+
 /** All settings of a node. */
 struct Settings
 {
@@ -226,6 +269,10 @@
     std::vector<ServiceSettings> services;
     /** An accounting unit, and the keys of its callers. */
     std::vector<TenantSettings> tenants;
+    /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+    std::vector<ModelSettings> models;
+    /** Orders to model engines. */
+    OrderSettings orders;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -159,7 +159,7 @@
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "checks_fencing"});
+        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "checks_fencing", "role"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -168,6 +168,7 @@
     reader.readInteger(table, "capacity", target.capacity, Presence::Optional, {.least = 1, .most = 100000});
     reader.readString(table, "generation", target.generation, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
+    reader.readString(table, "role", target.role, Presence::Optional);
 }
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
@@ -191,12 +192,75 @@
     reader.readInteger(table, "concurrency", target.concurrency, Presence::Optional, {.least = 1, .most = 1000000});
 }
 
+void readModelSettings(SettingsReader &reader, const toml::table &table, ModelSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"name", "version", "next_version", "next_share", "adapters", "weight_bytes", "may_interrupt"});
+    reader.readString(table, "name", target.name, Presence::Required);
+    reader.readString(table, "version", target.version, Presence::Required);
+    reader.readString(table, "next_version", target.nextVersion, Presence::Optional);
+    reader.readNumber(table, "next_share", target.nextShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readStrings(table, "adapters", target.adapters, Presence::Optional);
+    reader.readInteger(table, "weight_bytes", target.weightBytes, Presence::Optional, {.least = 0, .most = 100000000000000});
+    reader.readBool(table, "may_interrupt", target.mayInterrupt, Presence::Optional);
+}
+
+void readOrderSettings(SettingsReader &reader, const toml::table &table, OrderSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"interval",
+                              "lease",
+                              "lease_margin",
+                              "loads_per_domain",
+                              "weight_bytes_per_second",
+                              "load_timeout",
+                              "error_limit",
+                              "error_requests"});
+    reader.readDuration(table,
+                        "interval",
+                        target.interval,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease",
+                        target.lease,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(500), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease_margin",
+                        target.leaseMargin,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(table, "loads_per_domain", target.loadsPerDomain, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readInteger(
+        table, "weight_bytes_per_second", target.weightBytesPerSecond, Presence::Optional, {.least = 1, .most = 1000000000000});
+    reader.readDuration(table,
+                        "load_timeout",
+                        target.loadTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(86400000)});
+    reader.readNumber(table, "error_limit", target.errorLimit, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readInteger(table, "error_requests", target.errorRequests, Presence::Optional, {.least = 1, .most = 1000000});
+}
+
 } // namespace
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
 {
-    reader.rejectUnknownKeys(
-        root, {"node", "listen", "platform", "peers", "membership", "owner", "entry", "batch", "endpoint", "service", "tenant"});
+    reader.rejectUnknownKeys(root,
+                             {"node",
+                              "listen",
+                              "platform",
+                              "peers",
+                              "membership",
+                              "owner",
+                              "entry",
+                              "batch",
+                              "endpoint",
+                              "service",
+                              "tenant",
+                              "model",
+                              "orders"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -208,6 +272,8 @@
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
+    reader.readList(root, "model", settings.models, readModelSettings);
+    reader.readTable(root, "orders", settings.orders, Presence::Optional, readOrderSettings);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/SettingsChecks.cpp
+++ b/Libraries/LibSettings/SettingsChecks.cpp
@@ -49,6 +49,23 @@
     }
 }
 
+void checkModels(const Settings &settings, const toml::table &root, SettingsReader &reader)
+{
+    for (std::size_t i = 0; i < settings.models.size(); ++i) {
+        const ModelSettings &model = settings.models[i];
+        if (model.nextShare > 0 && model.nextVersion.empty()) {
+            reader.add(elementAt(root, "model", i), "model " + model.name + " has a next_share without a next_version");
+        }
+        if (model.version.empty()) {
+            reader.add(elementAt(root, "model", i), "model " + model.name + " has an empty version");
+        }
+    }
+    if (settings.orders.leaseMargin * 2 >= settings.orders.lease) {
+        const toml::node *const orders = root.get("orders");
+        reader.add(orders != nullptr ? *orders : root, "orders.lease must be more than twice orders.lease_margin");
+    }
+}
+
 } // namespace
 
 void checkSettings(const Settings &settings, const toml::table &root, SettingsReader &reader)
@@ -56,7 +73,9 @@
     checkNamesAreUnique(settings.endpoints, "endpoint", root, reader);
     checkNamesAreUnique(settings.services, "service", root, reader);
     checkNamesAreUnique(settings.tenants, "tenant", root, reader);
+    checkNamesAreUnique(settings.models, "model", root, reader);
     checkEndpoints(settings, root, reader);
+    checkModels(settings, root, reader);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -778,6 +778,30 @@
     }
 };
 
+/** Who gives orders to the engines of a site. It changes with each renewal; a holder whose row has not changed for a lease's
+ * length has lost it. */
+struct OrderLeaseRow
+{
+    /** The holding session; 0 when it was released. */
+    SessionNumber holder;
+    /** Counts the holders; the fencing number of their orders. */
+    std::uint64_t epoch = 0;
+    /** Of this holder. */
+    std::uint64_t renewals = 0;
+    /** The newest version that orders were given by: nobody gives orders by an older one. */
+    std::uint64_t configVersion = 0;
+    /** Rollouts that were stopped for their errors, as MODEL@VERSION. */
+    std::vector<std::string> stopped;
+
+    bool operator==(const OrderLeaseRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->holder, this->epoch, this->renewals, this->configVersion, this->stopped);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -126,6 +126,7 @@
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
+        control.startOrders();
         control.followConfiguration([this](const SettingsPointer &settings, const std::function<void()> &done) {
             this->putInForce(settings, done);
         });
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -102,6 +102,9 @@
             [this](const MemberViewPointer &view) {
                 if (!this->closed) {
                     this->versions.setMembers(view->members(), this->self);
+                    if (this->orders) {
+                        this->orders->setView(*view);
+                    }
                     this->onChange(view);
                 }
             },
@@ -126,6 +129,9 @@
 
 void ControlTask::rejoin()
 {
+    if (this->orders) {
+        this->orders->setSession(this->self);
+    }
     Member self = this->joined;
     self.session = this->self;
     // The former session's members are asked first: they are likely to be there still.
@@ -186,6 +192,19 @@
     });
 }
 
+void ControlTask::startOrders()
+{
+    this->orders.emplace(this->loop, this->clock, *this->platform, this->self, this->settings.current(), [this] {
+        const ConfigurationKeeper &keeper = this->versions.keeper();
+        return Reconciler::Configuration{keeper.settings(), keeper.inForce()};
+    });
+    this->board.add("orders", [this](const StatusBoard::Collected &collected) {
+        collected(this->orders->status());
+    });
+    this->orders->setView(*this->membership->view());
+    this->orders->start();
+}
+
 ConfigurationService &ControlTask::configuration()
 {
     return this->versions;
@@ -262,6 +281,9 @@
 
 void ControlTask::leave()
 {
+    if (this->orders) {
+        this->orders->release();
+    }
     this->membership->update([](Member &member) {
         member.state = MemberState::Dead;
     });
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -12,6 +12,7 @@
 #include <LibWire/PeerLink.h>
 #include <Services/Control/ConfigurationService.h>
 #include <Services/Control/OperatorApi.h>
+#include <Services/Control/OrderService.h>
 #include <Services/Control/StatusBoard.h>
 
 #include <functional>
@@ -60,6 +61,9 @@
     /** Hand newer configurations on. @param putInForce has every task swap its settings */
     void followConfiguration(ConfigurationService::PutInForce putInForce);
 
+    /** Give orders to the engines from now on, while this node holds the lease of it. */
+    void startOrders();
+
     ConfigurationService &configuration();
 
     /** Where the parts of the node's status are collected. */
@@ -117,6 +121,7 @@
     ConfigurationService versions;
     StatusBoard board;
     OperatorApi api;
+    std::optional<OrderService> orders;
     bool closed = false;
     /** As it joined, to join again. */
     Member joined;
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -23,6 +23,7 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
 constexpr int statusGone = 410;
 constexpr int statusUnavailable = 503;
 constexpr const char *crashMark = "crash-the-engine";
@@ -67,6 +68,7 @@
             [this](bool isStored, const PrefixBlock &block) {
                 this->addCacheEvent(isStored, block);
             })
+    , orders(this->clock, options.orders)
     , reports{Report{this->started, 0, 0}}
     , server(loop, address, {bodyLimit}, [this](const HttpRequest &request, const Reply &reply) {
         this->serve(request, reply);
@@ -102,6 +104,8 @@
     }
     if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
         this->complete(request, reply);
+    } else if (request.path == EngineProtocol::ordersPath) {
+        this->order(request, reply);
     } else if (request.path == "/cancel") {
         this->cancel(request, reply);
     } else if (request.path == "/load") {
@@ -286,6 +290,15 @@
     std::erase_if(this->queue, isGone);
 }
 
+void FakeEngine::order(const HttpRequest &request, const Reply &reply)
+{
+    const auto order = request.method == "POST" ? EngineProtocol::parseOrder(request.body) : std::nullopt;
+    const bool isStale = order && !this->orders.take(*order);
+    reply->send({isStale ? statusConflict : statusOk,
+                 {{"Content-Type", "application/json"}},
+                 EngineProtocol::format(this->orders.report())});
+}
+
 void FakeEngine::cancel(const HttpRequest &request, const Reply &reply)
 {
     const std::string id = parseObject(request.body).value("request_id", std::string());
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <LibBase/Clock.h>
+#include <LibBase/SystemClock.h>
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/HttpServer.h>
 #include <LibTask/EventLoop.h>
+#include <Tests/Fakes/EngineOrders.h>
 #include <Tests/Fakes/PrefixCache.h>
 
 #include <deque>
@@ -47,6 +48,8 @@
         std::uint64_t eventLostEvery = 0;
         /** Steps take three times as long for this time after the start. */
         std::chrono::milliseconds slowStart{0};
+        /** How long an ordered load takes, and whether old fencing numbers are refused. */
+        EngineOrders::Options orders;
     };
 
     FakeEngine(EventLoop &loop, const Address &address, Options options);
@@ -95,6 +98,7 @@
 
     void serve(const HttpRequest &request, const Reply &reply);
     void complete(const HttpRequest &request, const Reply &reply);
+    void order(const HttpRequest &request, const Reply &reply);
     void cancel(const HttpRequest &request, const Reply &reply);
     void setFaults(const HttpRequest &request, const Reply &reply);
     void exportCache(const HttpRequest &request, const Reply &reply);
@@ -123,6 +127,8 @@
     std::vector<Stream> streams;
     std::deque<Stream> queue;
     PrefixCache cache;
+    SystemClock clock;
+    EngineOrders orders;
 
     std::deque<Report> reports;
     std::deque<CacheEvent> cacheEvents;
--- a/Tests/Fakes/Main.cpp
+++ b/Tests/Fakes/Main.cpp
@@ -23,6 +23,8 @@
 DEFINE_uint64(event_lag_ms, 0, "how late its cache events are, in milliseconds");
 DEFINE_uint64(event_lost_every, 0, "every such cache event is lost; 0 loses none");
 DEFINE_uint64(slow_start_ms, 0, "how long an engine is three times slower after its start, in milliseconds");
+DEFINE_uint64(load_ms, 0, "how long an ordered load takes, in milliseconds");
+DEFINE_bool(checks_fencing, false, "whether an engine refuses orders with an old fencing number");
 DEFINE_uint64(delay_ms, 0, "a plain service's answer time, in milliseconds");
 
 namespace
@@ -45,6 +47,7 @@
     options.eventLag = std::chrono::milliseconds(FLAGS_event_lag_ms);
     options.eventLostEvery = FLAGS_event_lost_every;
     options.slowStart = std::chrono::milliseconds(FLAGS_slow_start_ms);
+    options.orders = {FLAGS_checks_fencing, std::chrono::milliseconds(FLAGS_load_ms)};
     return options;
 }
 
