--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -3,10 +3,12 @@
 #include <LibTask/EventLoop.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -57,6 +59,7 @@
     Address address;
     ExchangeHooks hooks;
     evhttp_connection *connection = nullptr;
+    bool isReused = false;
     bool ended = false;
 };
 
@@ -114,20 +117,20 @@
     }
 }
 
-evhttp_connection *HttpClient::takeConnection(const Address &address, ConnectionChoice choice)
+void HttpClient::takeConnection(Exchange &exchange, ConnectionChoice choice)
 {
+    const Address &address = exchange.address;
     std::vector<evhttp_connection *> &pool = this->idle[address];
     if (choice == ConnectionChoice::Pooled && !pool.empty()) {
-        evhttp_connection *const connection = pool.back();
+        exchange.connection = pool.back();
+        exchange.isReused = true;
         pool.pop_back();
-        return connection;
+        return;
     }
-    evhttp_connection *const connection
-        = evhttp_connection_base_new(this->loop.base(), nullptr, address.ip.c_str(), address.port);
+    exchange.connection = evhttp_connection_base_new(this->loop.base(), nullptr, address.ip.c_str(), address.port);
     // The callers of this class set their own, shorter timeouts by cancelling.
     constexpr int hour = 3600;
-    evhttp_connection_set_timeout(connection, hour);
-    return connection;
+    evhttp_connection_set_timeout(exchange.connection, hour);
 }
 
 HttpClient::ExchangeId
@@ -138,7 +141,7 @@
     exchange->id = ++this->lastExchange;
     exchange->address = address;
     exchange->hooks = std::move(hooks);
-    exchange->connection = this->takeConnection(address, choice);
+    this->takeConnection(*exchange, choice);
     this->exchanges.emplace(exchange->id, exchange);
 
     evhttp_request *const message = evhttp_request_new(&Callbacks::onDone, exchange.get());
@@ -215,6 +218,24 @@
     });
 }
 
+bool HttpClient::isConnected(ExchangeId id) const
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end() || found->second->ended) {
+        return false;
+    }
+    sockaddr_storage peer{};
+    socklen_t size = sizeof(peer);
+    const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(found->second->connection));
+    return descriptor >= 0 && getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &size) == 0;
+}
+
+bool HttpClient::isReused(ExchangeId id) const
+{
+    const auto found = this->exchanges.find(id);
+    return found != this->exchanges.end() && found->second->isReused;
+}
+
 void HttpClient::retireIdle(const Address &address)
 {
     for (evhttp_connection *const connection : std::exchange(this->idle[address], {})) {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -78,6 +78,12 @@
     /** Drop an exchange and its connection; its hooks are told nothing more. */
     void cancel(ExchangeId id);
 
+    /** @return whether an exchange's connection was made, so that its request may have left. False proves that not. */
+    bool isConnected(ExchangeId id) const;
+
+    /** @return whether an exchange uses a connection that was idle before: it may have gone silent unnoticed. */
+    bool isReused(ExchangeId id) const;
+
     /** Close the idle connections to an address: they may be of the kind that went silent. */
     void retireIdle(const Address &address);
 
@@ -87,7 +93,7 @@
 private:
     struct Exchange;
 
-    evhttp_connection *takeConnection(const Address &address, ConnectionChoice choice);
+    void takeConnection(Exchange &exchange, ConnectionChoice choice);
     void end(Exchange &exchange, ExchangeEnd how);
     void freeLater(evhttp_connection *connection);
 
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -123,14 +123,40 @@
     std::int64_t entryCount = 3;
     /** How long a planned stop may take at most. */
     std::chrono::milliseconds drain = std::chrono::milliseconds(30000);
-    /** How long an endpoint's stream may be silent before it is resumed elsewhere. */
-    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(10000);
+    /** How long connecting to an endpoint may take before another is tried. */
+    std::chrono::milliseconds connectTimeout = std::chrono::milliseconds(1000);
+    /** How long an endpoint may take to begin its answer to a completion. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(10000);
+    /** How long an answer may be silent before it is resumed, over a new connection first and elsewhere then. */
+    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(2000);
     /** Deadline of an online request whose caller named none. */
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
 
+/** How many retries a node makes for one tenant, and towards one endpoint. */
+struct RetrySettings
+{
+    /** Retries that one success pays for. */
+    double perSuccess = 0.2;
+    /** Retries a second that are free. */
+    double perSecond = 1;
+    /** Retries that may be saved up: as many requests as a node may lose with one endpoint. */
+    double burst = 50;
+};
+
+/** Requests that crash the endpoints that run them. */
+struct QuarantineSettings
+{
+    /** Endpoints lost with a request after which it runs no more. */
+    std::int64_t losses = 2;
+    /** How long a suspicion or a quarantine lasts after the last loss. */
+    std::chrono::milliseconds duration = std::chrono::milliseconds(600000);
+    /** Suspected requests a node remembers. */
+    std::int64_t remembered = 10000;
+};
+
 /** Batch jobs and the lanes that run them. */
 struct BatchSettings
 {
@@ -182,6 +208,8 @@
     bool isIdempotent = true;
     /** How long one call may take. */
     std::chrono::milliseconds timeout = std::chrono::milliseconds(5000);
+    /** How long an endpoint may take to begin its answer before a call that may be repeated is tried again. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(1000);
 };
 
 /** An accounting unit, and the keys of its callers. */
@@ -214,6 +242,10 @@
     OwnerSettings owner;
     /** What callers see. */
     EntrySettings entry;
+    /** How many retries a node makes for one tenant, and towards one endpoint. */
+    RetrySettings retries;
+    /** Requests that crash the endpoints that run them. */
+    QuarantineSettings quarantine;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
     /** A replica that work is sent to: a model engine or a plain service. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -100,9 +100,17 @@
 
 void readEntrySettings(SettingsReader &reader, const toml::table &table, EntrySettings &target)
 {
-    reader.rejectUnknownKeys(
-        table,
-        {"body_bytes", "job_bytes", "entry_ttl", "entry_count", "drain", "progress_timeout", "request_timeout", "attempts"});
+    reader.rejectUnknownKeys(table,
+                             {"body_bytes",
+                              "job_bytes",
+                              "entry_ttl",
+                              "entry_count",
+                              "drain",
+                              "connect_timeout",
+                              "first_byte_timeout",
+                              "progress_timeout",
+                              "request_timeout",
+                              "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
     reader.readDuration(table,
@@ -116,11 +124,21 @@
                         target.drain,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "connect_timeout",
+                        target.connectTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "progress_timeout",
                         target.progressTimeout,
                         Presence::Optional,
-                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "request_timeout",
                         target.requestTimeout,
@@ -129,6 +147,26 @@
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
+void readRetrySettings(SettingsReader &reader, const toml::table &table, RetrySettings &target)
+{
+    reader.rejectUnknownKeys(table, {"per_success", "per_second", "burst"});
+    reader.readNumber(table, "per_success", target.perSuccess, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readNumber(table, "per_second", target.perSecond, Presence::Optional, {.least = 0.0, .most = 1000000.0});
+    reader.readNumber(table, "burst", target.burst, Presence::Optional, {.least = 1.0, .most = 1000000.0});
+}
+
+void readQuarantineSettings(SettingsReader &reader, const toml::table &table, QuarantineSettings &target)
+{
+    reader.rejectUnknownKeys(table, {"losses", "duration", "remembered"});
+    reader.readInteger(table, "losses", target.losses, Presence::Optional, {.least = 1, .most = 100});
+    reader.readDuration(table,
+                        "duration",
+                        target.duration,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(2592000000)});
+    reader.readInteger(table, "remembered", target.remembered, Presence::Optional, {.least = 1, .most = 10000000});
+}
+
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
     reader.rejectUnknownKeys(
@@ -171,7 +209,7 @@
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout"});
+    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout", "first_byte_timeout"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readBool(table, "is_idempotent", target.isIdempotent, Presence::Optional);
     reader.readDuration(table,
@@ -179,6 +217,11 @@
                         target.timeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
 }
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
@@ -194,8 +237,20 @@
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
 {
-    reader.rejectUnknownKeys(
-        root, {"node", "listen", "platform", "peers", "membership", "owner", "entry", "batch", "endpoint", "service", "tenant"});
+    reader.rejectUnknownKeys(root,
+                             {"node",
+                              "listen",
+                              "platform",
+                              "peers",
+                              "membership",
+                              "owner",
+                              "entry",
+                              "retries",
+                              "quarantine",
+                              "batch",
+                              "endpoint",
+                              "service",
+                              "tenant"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -203,6 +258,8 @@
     reader.readTable(root, "membership", settings.membership, Presence::Optional, readMembershipSettings);
     reader.readTable(root, "owner", settings.owner, Presence::Optional, readOwnerSettings);
     reader.readTable(root, "entry", settings.entry, Presence::Optional, readEntrySettings);
+    reader.readTable(root, "retries", settings.retries, Presence::Optional, readRetrySettings);
+    reader.readTable(root, "quarantine", settings.quarantine, Presence::Optional, readQuarantineSettings);
     reader.readTable(root, "batch", settings.batch, Presence::Optional, readBatchSettings);
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -333,6 +333,7 @@
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
+struct SuspectNotice;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -660,6 +661,29 @@
     }
 };
 
+/** A request that was running on an endpoint when that was lost. */
+struct Suspect
+{
+    /** Hash of its content. */
+    std::uint64_t fingerprint = 0;
+    /** Which endpoint. */
+    EndpointName endpoint;
+    /** Where that endpoint is. */
+    FailureDomain failureDomain;
+    /** How long ago it was sent there. */
+    std::uint32_t sentMillisecondsAgo = 0;
+    /** How long ago the loss was seen. */
+    std::uint32_t lostMillisecondsAgo = 0;
+
+    bool operator==(const Suspect &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->endpoint, this->failureDomain, this->sentMillisecondsAgo, this->lostMillisecondsAgo);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1140,4 +1164,25 @@
     }
 };
 
+/** Datagram: a node tells all, a few times over, which requests it lost with an endpoint, and which of them have since run to
+ * their end. */
+struct SuspectNotice
+{
+    static constexpr MessageNumber number{60};
+    /** Who tells. */
+    SessionNumber from;
+    /** Requests lost with an endpoint. */
+    std::vector<Suspect> suspects;
+    /** Hashes of the content of suspects that succeeded. */
+    std::vector<std::uint64_t> cleared;
+
+    bool operator==(const SuspectNotice &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->suspects, this->cleared);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -65,6 +65,14 @@
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
 
+    this->lane->post([this](LaneTask &task) {
+        task.setSuspectHook([this](const SuspectNotice &notice) {
+            this->entry->post([notice](EntryTask &entry) {
+                entry.receive(notice);
+            });
+        });
+    });
+
     Member member;
     member.session = this->self;
     member.vm = VmName(this->settings.node.vm);
@@ -198,6 +206,10 @@
     log(LogLevel::Info,
         "planned stop done",
         {{"requests_finished", isEntryDone}, {"items_finished", isLaneDone}, {"shards_released", isReleased}});
+    this->lane->ask<bool>([](LaneTask &task) {
+        task.setSuspectHook({});
+        return true;
+    });
     this->entry.reset();
     this->lane.reset();
     this->owner.reset();
--- /dev/null
+++ b/Services/Entry/Attempt.cpp
@@ -0,0 +1,127 @@
+#include <Services/Entry/Attempt.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+Attempt::Attempt(EventLoop &loop, const Clock &clock, HttpClient &http, ProgressLimits limits)
+    : loop(loop), clock(clock), http(http), limits(limits)
+{
+}
+
+Attempt::~Attempt()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+    this->http.cancel(this->exchange);
+}
+
+void Attempt::start(const Address &address, const HttpRequest &request, ConnectionChoice choice, Hooks hooks)
+{
+    this->address = address;
+    this->hooks = std::move(hooks);
+    const auto ifAlive = [alive = this->alive](auto &&action) {
+        if (*alive) {
+            action();
+        }
+    };
+    ExchangeHooks exchangeHooks{
+        .onHeaders =
+            [this, ifAlive](int status, const HttpHeaders &headers) {
+                ifAlive([&] {
+                    this->progress();
+                    this->hooks.onHeaders(status, headers);
+                });
+            },
+        .onData =
+            [this, ifAlive](std::string_view data) {
+                ifAlive([&] {
+                    this->progress();
+                    this->hooks.onData(data);
+                });
+            },
+        .onEnd =
+            [this, ifAlive](ExchangeEnd how) {
+                ifAlive([&] {
+                    switch (how) {
+                    case ExchangeEnd::Complete:
+                        this->end(AttemptEnd::Complete);
+                        return;
+                    case ExchangeEnd::NotConnected:
+                        this->end(AttemptEnd::NotConnected);
+                        return;
+                    case ExchangeEnd::Broken:
+                        this->end(AttemptEnd::Broken);
+                        return;
+                    }
+                });
+            },
+    };
+    this->exchange = this->http.start(address, request, choice, std::move(exchangeHooks));
+    this->lastProgress = this->clock.now();
+    this->isConnected = this->http.isReused(this->exchange);
+    this->watch(this->limit());
+}
+
+void Attempt::progress()
+{
+    this->isConnected = true;
+    this->hasBytes = true;
+    this->lastProgress = this->clock.now();
+}
+
+std::chrono::milliseconds Attempt::limit() const
+{
+    if (!this->isConnected) {
+        return this->limits.connect;
+    }
+    return this->hasBytes ? this->limits.between : this->limits.firstByte;
+}
+
+void Attempt::watch(std::chrono::milliseconds wait)
+{
+    this->timer = this->loop.schedule(wait, [this] {
+        this->check();
+    });
+}
+
+void Attempt::check()
+{
+    // One timer for the whole attempt: setting it anew with each token would cost more than the token.
+    if (!this->isConnected && this->http.isConnected(this->exchange)) {
+        this->isConnected = true;
+    }
+    const auto silent = this->clock.now() - this->lastProgress;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->limit() - silent);
+    if (left.count() > 0) {
+        this->watch(left);
+        return;
+    }
+    this->giveUp();
+}
+
+void Attempt::giveUp()
+{
+    if (!this->isConnected) {
+        this->end(AttemptEnd::NotConnected);
+        return;
+    }
+    const bool isReused = this->http.isReused(this->exchange);
+    // Something between the two ends may have lost track of the connections of this age: nothing tells, and every one of
+    // them would cost another request its time. New ones are not affected.
+    this->http.retireIdle(this->address);
+    this->end(isReused ? AttemptEnd::SilentReused : AttemptEnd::SilentFresh);
+}
+
+void Attempt::end(AttemptEnd how)
+{
+    *this->alive = false;
+    this->loop.cancel(std::exchange(this->timer, 0));
+    this->http.cancel(this->exchange);
+    const auto told = std::move(this->hooks.onEnd);
+    told(how);
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -5,10 +5,12 @@
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/RetryBudget.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
+#include <Services/Entry/SuspectNotices.h>
 
 #include <random>
 
@@ -29,6 +31,8 @@
     Platform &platform;
     NodeMetrics &metrics;
     std::mt19937_64 &random;
+    RetryBudget &retries;
+    SuspectNotices &suspects;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -30,6 +30,7 @@
 constexpr std::chrono::milliseconds resultPatience{10000};
 constexpr std::chrono::seconds comeBack{1};
 
+constexpr std::string_view badDeadline = "Dogwoodkeel-Deadline-Ms must be a whole number of milliseconds above 0";
 constexpr std::string_view servicesPath = "/v1/services/";
 constexpr std::string_view resultsPath = "/v1/results/";
 constexpr std::string_view batchesPath = "/v1/batches";
@@ -48,6 +49,25 @@
     return count;
 }
 
+/**
+ * @param longest what applies without the header, and the most it may ask for
+ * @return how long the caller waits for its answer, or nothing if its header is no such number
+ */
+std::optional<std::chrono::milliseconds> timeoutOf(const HttpRequest &request, std::chrono::milliseconds longest)
+{
+    const auto header = headerValue(request.headers, "Dogwoodkeel-Deadline-Ms");
+    if (!header) {
+        return longest;
+    }
+    std::int64_t count = 0;
+    const char *const end = header->data() + header->size();
+    const auto [rest, error] = std::from_chars(header->data(), end, count);
+    if (error != std::errc() || rest != end || count <= 0) {
+        return std::nullopt;
+    }
+    return std::min(std::chrono::milliseconds(count), longest);
+}
+
 /** Request ids are kept apart by tenant: nobody reads another tenant's results. */
 std::string scoped(const Caller &caller, std::string_view id)
 {
@@ -167,6 +187,11 @@
         refuse(*reply, statusNotFound, "no_such_model", "no endpoint serves the model " + completion->model);
         return;
     }
+    const auto timeout = timeoutOf(request, this->context.settings.entry.requestTimeout);
+    if (!timeout) {
+        refuse(*reply, statusBadRequest, "bad_deadline", std::string(badDeadline));
+        return;
+    }
     DurableRequest durable;
     durable.id = this->requestIdOf(caller, request);
     durable.tenant = caller.tenant;
@@ -174,7 +199,9 @@
     durable.isNonIdempotent = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     durable.request = {.method = "POST", .path = request.path, .headers = {{"Content-Type", "application/json"}}};
     durable.serves = completion->model;
-    durable.timeout = this->context.settings.entry.requestTimeout;
+    durable.isNamedByCaller = request.headers.contains("Idempotency-Key");
+    durable.content = contentFingerprint(completion->model, request.body);
+    durable.timeout = *timeout;
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
@@ -190,6 +217,11 @@
         refuse(*reply, statusNotFound, "no_such_service", "there is no service " + name);
         return;
     }
+    const auto timeout = timeoutOf(request, service->timeout);
+    if (!timeout) {
+        refuse(*reply, statusBadRequest, "bad_deadline", std::string(badDeadline));
+        return;
+    }
     HttpRequest forwarded;
     forwarded.method = request.method;
     forwarded.path = slash < rest.size() ? std::string(rest.substr(slash)) : "/";
@@ -199,17 +231,19 @@
     const bool isMarked = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     const bool isNonIdempotent = !service->isIdempotent || isMarked;
     if (!isNonIdempotent && !request.headers.contains("Idempotency-Key")) {
-        std::make_shared<PlainCall>(this->context, *service, std::move(forwarded), reply)->start();
+        std::make_shared<PlainCall>(this->context, *service, caller.tenant, std::move(forwarded), *timeout, reply)->start();
         return;
     }
     DurableRequest durable;
     durable.id = this->requestIdOf(caller, request);
     durable.tenant = caller.tenant;
     durable.fingerprint = stableHash(request.method + ' ' + request.path + '?' + request.query + '\n' + forwarded.body);
+    durable.isNamedByCaller = request.headers.contains("Idempotency-Key");
+    durable.content = contentFingerprint(name, forwarded.method + ' ' + forwarded.target() + '\n' + forwarded.body);
     durable.isNonIdempotent = isNonIdempotent;
     durable.request = std::move(forwarded);
     durable.serves = name;
-    durable.timeout = service->timeout;
+    durable.timeout = *timeout;
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
 
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -15,6 +15,16 @@
     return {static_cast<std::uint32_t>(settings.owner.shards), settings.peers.callTimeout};
 }
 
+RetryBudget::Options retryOptions(const RetrySettings &settings)
+{
+    return {.perSuccess = settings.perSuccess, .perSecond = settings.perSecond, .most = settings.burst};
+}
+
+Quarantine::Options quarantineOptions(const QuarantineSettings &settings)
+{
+    return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
+}
+
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -33,6 +43,8 @@
     , datagrams(loop, {settings.listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
+    , retries(clock, retryOptions(settings.retries))
+    , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings.quarantine))
     , context{loop,
               clock,
               settings,
@@ -43,7 +55,9 @@
               this->notices,
               *this->platform,
               metrics,
-              this->random}
+              this->random,
+              this->retries,
+              this->suspects}
     , service(this->context)
     , server(loop,
              settings.listen.http,
@@ -64,6 +78,7 @@
 {
     this->owners.setView(view);
     this->notices.setView(view);
+    this->suspects.setView(view);
     this->service.setView(view);
 }
 
@@ -72,6 +87,11 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::receive(const SuspectNotice &notice)
+{
+    this->suspects.receive(notice);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -38,6 +38,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** Another node tells of requests that were lost with an endpoint. */
+    void receive(const SuspectNotice &notice);
+
     /** Take no new connections. */
     void drain();
 
@@ -56,6 +59,8 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    RetryBudget retries;
+    SuspectNotices suspects;
     EntryContext context;
     EntryService service;
     HttpServer server;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -3,8 +3,6 @@
 #include <LibBase/Log.h>
 #include <LibRouting/ReplicaChoice.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -17,16 +15,24 @@
 constexpr std::string_view streamEnd = "[DONE]";
 constexpr std::size_t eventLimit = 1048576;
 constexpr std::chrono::milliseconds joinWait{2000};
-/** How long to look for an owner that can decide, before a request that has not run is refused. */
+/** How long to look for an owner that can decide, before the caller is refused. */
 constexpr std::chrono::milliseconds claimPatience{5000};
+/** An owner answers a claim that may be repeated from memory. What takes longer has been lost with its connection. */
+constexpr std::chrono::milliseconds claimAnswerTimeout{1000};
 constexpr std::chrono::seconds comeBack{1};
-constexpr std::chrono::milliseconds commitRetry{500};
+/** How long an owner may hold a commit before it answers Held. */
+constexpr std::chrono::milliseconds commitWait{500};
+constexpr std::chrono::milliseconds firstCommitPause{500};
+constexpr std::chrono::milliseconds longestCommitPause{10000};
+/** How long a caller waits for a result to be durable when no owner answers at all. */
+constexpr std::chrono::milliseconds pendingAfter{5000};
 /** How long a runner keeps a result that its owner does not have durably. */
 constexpr std::chrono::minutes commitPatience{30};
 
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusServerError = 500;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
@@ -37,59 +43,87 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now - start);
 }
 
+ProgressLimits progressLimits(const EntrySettings &settings)
+{
+    return {settings.connectTimeout, settings.firstByteTimeout, settings.progressTimeout};
+}
+
 } // namespace
 
 OnlineRequest::OnlineRequest(EntryContext &context, DurableRequest request, std::shared_ptr<HttpReply> reply)
     : context(context)
     , request(std::move(request))
-    , reply(std::move(reply))
+    , reply(std::move(reply),
+            this->request.id,
+            this->request.completion && this->request.completion->isStream ? &*this->request.completion : nullptr)
     , started(context.clock.now())
     , deadline(this->started + this->request.timeout)
     , claimNumber(context.random())
     , events(eventLimit)
+    , commitPause(firstCommitPause)
 {
 }
 
 void OnlineRequest::start()
 {
+    this->armDeadline(this->request.timeout);
     this->claim();
 }
 
-bool OnlineRequest::isStreaming() const
+void OnlineRequest::armDeadline(std::chrono::milliseconds wait)
 {
-    return this->request.completion && this->request.completion->isStream;
+    this->context.loop.cancel(this->deadlineTimer);
+    this->deadlineTimer = this->context.loop.schedule(wait, [self = this->shared_from_this()] {
+        self->deadlineTimer = 0;
+        self->onDeadline();
+    });
+}
+
+std::string OnlineRequest::kind() const
+{
+    return this->request.completion ? "online" : "service";
 }
 
 void OnlineRequest::claim()
 {
+    const SteadyTime now = this->context.clock.now();
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - now);
     const ClaimRequest claim{this->request.id,
                              this->request.fingerprint,
                              this->request.isNonIdempotent,
                              this->context.self,
                              this->claimNumber,
-                             joinWait};
-    const SteadyTime patience = std::min(this->deadline, this->context.clock.now() + claimPatience);
+                             std::min(joinWait, left)};
     this->context.owners.call<ClaimRequest>(
         this->request.id.value(),
         claim,
-        joinWait,
-        patience,
+        claim.wait,
+        std::min(this->deadline, now + claimPatience),
         [](const ClaimResponse &response) {
             return response.decision != ClaimDecision::NotOwner && response.decision != ClaimDecision::Unavailable;
         },
         [self = this->shared_from_this()](const std::optional<ClaimResponse> &response) {
             self->onClaim(response);
-        });
+        },
+        this->request.isNonIdempotent ? std::nullopt : std::optional(claimAnswerTimeout));
 }
 
 void OnlineRequest::onClaim(const std::optional<ClaimResponse> &response)
 {
+    const Refusal noOwner{statusUnavailable, "no_owner", "no node can take the request now", this->runState(), comeBack};
     if (!response) {
-        this->refuse({statusUnavailable, "no_owner", "no node can take the request now", RunState::NotRun, comeBack});
+        this->refuse(noOwner);
+        this->settleClaim();
+        return;
+    }
+    this->hasClaim = response->decision == ClaimDecision::Run;
+    if (this->phase == Phase::Ended) {
+        this->giveBack(noOwner);
         return;
     }
     switch (response->decision) {
     case ClaimDecision::Run:
+        this->phase = Phase::Running;
         this->dispatch();
         return;
     case ClaimDecision::Done:
@@ -97,17 +131,14 @@
         return;
     case ClaimDecision::Mismatch:
         this->refuse(
-            {statusUnprocessable, "id_reused", "this Idempotency-Key was used for another request", RunState::NotRun, {}});
+            {statusUnprocessable, "id_reused", "this Idempotency-Key was used for another request", RunState::Unknown, {}});
         return;
     case ClaimDecision::OutcomeUnknown:
         this->refuse({statusConflict, "outcome_unknown", "it may have run once, and will not run again", RunState::Unknown, {}});
         return;
     case ClaimDecision::StillRunning:
-        if (this->context.clock.now() < this->deadline) {
-            this->claim();
-        } else {
-            this->refuse({statusGatewayTimeout, "still_running", "it is still running; ask again", RunState::Unknown, comeBack});
-        }
+        // Past the deadline the caller has been answered by onDeadline().
+        this->claim();
         return;
     case ClaimDecision::NotOwner:
     case ClaimDecision::Unavailable:
@@ -115,20 +146,89 @@
     }
 }
 
+void OnlineRequest::settleClaim()
+{
+    if (!this->request.isNamedByCaller) {
+        return;
+    }
+    // The claim may have been given, and its answer lost: every resend would then wait for a runner that does not exist,
+    // until the lease ends, and for a non-idempotent request for good. The same claim is asked again until it is known.
+    const ClaimRequest claim{this->request.id,
+                             this->request.fingerprint,
+                             this->request.isNonIdempotent,
+                             this->context.self,
+                             this->claimNumber,
+                             std::chrono::milliseconds(0)};
+    this->context.owners.call<ClaimRequest>(
+        this->request.id.value(),
+        claim,
+        claim.wait,
+        this->context.clock.now() + this->context.settings.owner.claimLease,
+        [](const ClaimResponse &response) {
+            return response.decision != ClaimDecision::NotOwner && response.decision != ClaimDecision::Unavailable;
+        },
+        [self = this->shared_from_this()](const std::optional<ClaimResponse> &response) {
+            if (response) {
+                self->onClaim(response);
+            }
+        });
+}
+
+void OnlineRequest::giveBack(const Refusal &refusal)
+{
+    if (!std::exchange(this->hasClaim, false)) {
+        return;
+    }
+    if (this->request.isNonIdempotent) {
+        // Its intent is durable and cannot be taken back: the refusal becomes its answer, and every resend gets it.
+        const HttpResponse response = refusalResponse(refusal);
+        this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
+        return;
+    }
+    this->context.owners.call<ReleaseRequest>(
+        this->request.id.value(),
+        ReleaseRequest{this->request.id, this->context.self, this->claimNumber},
+        std::chrono::milliseconds(0),
+        this->context.clock.now() + this->context.settings.owner.claimLease,
+        [](const ReleaseResponse &) {
+            return true;
+        },
+        [](const std::optional<ReleaseResponse> &) {});
+}
+
 void OnlineRequest::dispatch()
 {
+    const SuspectNotices &suspects = this->context.suspects;
+    if (suspects.quarantine().standing(this->request.content) == Standing::Quarantined) {
+        const auto left = std::chrono::ceil<std::chrono::seconds>(suspects.quarantine().remaining(this->request.content));
+        this->refuse({statusUnprocessable, "quarantined", "endpoints were lost while they ran it", this->runState(), left});
+        return;
+    }
     const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->request.serves), wish, this->context.random);
     const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings.entry.attempts);
-    if (chosen == nullptr || isExhausted || this->context.clock.now() >= this->deadline) {
-        const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
-        this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", run, comeBack});
+    if (chosen == nullptr || isExhausted) {
+        this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", this->runState(), comeBack});
+        return;
+    }
+    if (this->attempts > 0 && !this->mayRetryAt(*chosen)) {
         return;
     }
-    this->sendTo(*chosen);
+    // A non-idempotent call gets a connection of its own: an idle one may have gone silent unnoticed, and the call could
+    // then neither be known to have run nor be sent again.
+    this->sendTo(*chosen, this->request.isNonIdempotent ? ConnectionChoice::Fresh : ConnectionChoice::Pooled);
+}
+
+bool OnlineRequest::mayRetryAt(const Replica &chosen)
+{
+    if (this->context.retries.take(this->request.tenant, chosen.name)) {
+        return true;
+    }
+    this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
+    return false;
 }
 
-void OnlineRequest::sendTo(Replica &replica)
+void OnlineRequest::sendTo(Replica &replica, ConnectionChoice choice)
 {
     ++this->attempts;
     this->replica = &replica;
@@ -139,77 +239,40 @@
     this->body.clear();
     this->sawEnd = false;
     this->events = ServerSentEvents(eventLimit);
+    this->sent = this->context.clock.now();
 
     HttpRequest message = this->request.request;
     if (this->request.completion) {
         message.body = this->request.completion->engineBody(this->completion.text, this->completion.tokens);
     }
-    // A non-idempotent call gets a connection of its own: an idle one may have gone silent unnoticed, and the call could
-    // then neither be known to have run nor be sent again.
-    const auto choice = this->request.isNonIdempotent ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
-    // NOTE: Each attempt's hooks carry its number. What an abandoned attempt still tells is dropped here, so that a late
-    // answer never mixes with another attempt's.
-    const auto current = [self = this->shared_from_this(), number = this->attempts] {
-        return self->attempts == number && self->replica;
-    };
-    ExchangeHooks hooks{
+    // NOTE: The attempt lives no longer than this request and tells nothing after its end, so its hooks hold no owner.
+    Attempt::Hooks hooks{
         .onHeaders =
-            [self = this->shared_from_this(), current](int status, const HttpHeaders &headers) {
-                if (current()) {
-                    self->onHeaders(status, headers);
-                }
+            [this](int status, const HttpHeaders &headers) {
+                this->onHeaders(status, headers);
             },
         .onData =
-            [self = this->shared_from_this(), current](std::string_view data) {
-                if (current()) {
-                    self->onData(data);
-                }
+            [this](std::string_view data) {
+                this->onData(data);
             },
         .onEnd =
-            [self = this->shared_from_this(), current](ExchangeEnd end) {
-                if (current()) {
-                    self->onEnd(end);
-                }
+            [self = this->shared_from_this()](AttemptEnd end) {
+                self->onEnd(end);
             },
     };
-    this->exchange = this->context.http.start(replica.address, message, choice, std::move(hooks));
-    this->lastProgress = this->context.clock.now();
-    this->armProgress();
-}
-
-void OnlineRequest::armProgress()
-{
-    this->context.loop.cancel(this->progressTimer);
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
-    const auto wait = std::max(std::chrono::milliseconds(0), std::min(left, this->context.settings.entry.progressTimeout));
-    this->progressTimer = this->context.loop.schedule(wait, [self = this->shared_from_this()] {
-        self->onSilence();
-    });
-}
-
-void OnlineRequest::onSilence()
-{
-    this->progressTimer = 0;
-    if (this->replica == nullptr) {
-        return;
-    }
-    // The connection may have gone silent for good while new ones work, so the idle ones of its age are closed as well,
-    // and the request goes on elsewhere over a new one.
-    this->context.http.cancel(this->exchange);
-    this->context.http.retireIdle(this->replica->address);
-    this->attemptFailed(RunState::Unknown, "silent");
+    this->attempt = std::make_unique<Attempt>(
+        this->context.loop, this->context.clock, this->context.http, progressLimits(this->context.settings.entry));
+    this->attempt->start(replica.address, message, choice, std::move(hooks));
 }
 
 void OnlineRequest::onHeaders(int status, const HttpHeaders &headers)
 {
     this->status = status;
     this->contentType = headerValue(headers, "Content-Type").value_or("application/octet-stream");
-    this->armProgress();
 }
 
 void OnlineRequest::onData(std::string_view data)
 {
-    this->armProgress();
     if (!this->request.completion || this->status != statusOk) {
         this->body.append(data);
         return;
@@ -233,43 +296,59 @@
     if (this->completion.tokens == 0) {
         this->context.metrics.observeFirstToken("online", since(this->started, now));
     } else {
-        this->context.metrics.observeBetweenTokens("online", since(this->lastProgress, now));
+        this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
     }
-    this->lastProgress = now;
+    this->lastToken = now;
     this->completion.add(*delta);
-    if (this->isStreaming() && !delta->text.empty()) {
-        this->startStream();
-        const CompletionDelta shown{delta->text, {}};
-        this->reply->write(ServerSentEvents::format(
-            shown.format(this->request.completion->form, this->request.id, this->request.completion->model)));
-    }
+    this->reply.write(delta->text);
 }
 
-void OnlineRequest::startStream()
+bool OnlineRequest::isWhole() const
 {
-    if (!this->reply->isStarted()) {
-        this->reply->start(statusOk,
-                           {{"Content-Type", "text/event-stream"},
-                            {"Cache-Control", "no-store"},
-                            {"Dogwoodkeel-Request-Id", this->request.id.value()}});
-    }
+    // An engine may be lost between its last token and the end of its stream: there is nothing left to resume.
+    return this->request.completion && this->status == statusOk && (this->sawEnd || !this->completion.finishReason.empty());
 }
 
-void OnlineRequest::onEnd(ExchangeEnd end)
+void OnlineRequest::onEnd(AttemptEnd end)
 {
+    this->attempt = nullptr;
+    if (end != AttemptEnd::Complete && this->isWhole()) {
+        end = AttemptEnd::Complete;
+    }
     switch (end) {
-    case ExchangeEnd::NotConnected:
+    case AttemptEnd::Complete:
+        this->attemptDone();
+        return;
+    case AttemptEnd::NotConnected:
         this->attemptFailed(RunState::NotRun, "not_connected");
         return;
-    case ExchangeEnd::Broken:
+    case AttemptEnd::Broken:
+        this->lostWithEndpoint();
         this->attemptFailed(RunState::Unknown, "broken");
         return;
-    case ExchangeEnd::Complete:
-        this->attemptDone();
+    case AttemptEnd::SilentFresh:
+        this->attemptFailed(RunState::Unknown, "silent");
         return;
+    case AttemptEnd::SilentReused: {
+        // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
+        this->context.metrics.countRetry("silent_connection");
+        Replica &same = *this->replica;
+        this->mayHaveRun = true;
+        this->leaveReplica(false);
+        if (this->mayRetryAt(same)) {
+            this->sendTo(same, ConnectionChoice::Fresh);
+        }
+        return;
+    }
     }
 }
 
+void OnlineRequest::lostWithEndpoint()
+{
+    const SteadyTime now = this->context.clock.now();
+    this->context.suspects.lost(this->request.content, {this->replica->name, this->replica->failureDomain, this->sent, now});
+}
+
 void OnlineRequest::attemptDone()
 {
     if (this->status == statusUnavailable) {
@@ -277,12 +356,15 @@
         this->attemptFailed(RunState::NotRun, "refused");
         return;
     }
-    const bool isCutShort = this->request.completion && this->status == statusOk && !this->sawEnd;
-    const bool isEndpointError = this->status >= statusServerError;
+    const bool isCutShort = this->request.completion && this->status == statusOk && !this->isWhole();
+    // An endpoint that has no room or fails may be followed by one that serves: its answer is no result to be kept.
+    const bool isEndpointError = this->status >= statusServerError || this->status == statusTooManyRequests;
     if (isCutShort || (isEndpointError && !this->request.isNonIdempotent)) {
         this->attemptFailed(RunState::Unknown, isCutShort ? "cut_short" : "endpoint_error");
         return;
     }
+    this->context.suspects.succeeded(this->request.content);
+    this->context.retries.succeeded(this->request.tenant, this->replica->name);
     this->leaveReplica(false);
     if (this->request.completion && this->status == statusOk) {
         this->commit(this->completion.answer(*this->request.completion, this->request.id));
@@ -293,7 +375,6 @@
 
 void OnlineRequest::leaveReplica(bool hasFailed)
 {
-    this->context.loop.cancel(std::exchange(this->progressTimer, 0));
     Replica &left = *std::exchange(this->replica, nullptr);
     --left.inFlight;
     left.failuresInARow = hasFailed ? left.failuresInARow + 1 : 0;
@@ -313,12 +394,11 @@
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
     if (this->request.isNonIdempotent && run == RunState::Unknown) {
         // It may have run, so it must not run again. This is committed as its answer: every resend gets the same.
-        const HttpResponse response = refusalResponse({statusBadGateway,
-                                                       "outcome_unknown",
-                                                       "the endpoint was lost while it ran; it will not run again",
-                                                       RunState::Unknown,
-                                                       {}});
-        this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
+        this->refuse({statusBadGateway,
+                      "outcome_unknown",
+                      "the endpoint was lost while it ran; it will not run again",
+                      RunState::Unknown,
+                      {}});
         return;
     }
     this->context.metrics.countRetry(std::string(reason));
@@ -327,21 +407,32 @@
 
 void OnlineRequest::commit(const Answer &answer)
 {
-    const CommitRequest commit{this->request.id, this->request.fingerprint, this->context.self, answer};
+    this->phase = Phase::Committing;
+    this->hasClaim = false;
+    this->result = answer;
+    this->sendCommit();
+    if (this->reply.isOpen()) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
+        this->armDeadline(std::clamp(left, std::chrono::milliseconds(0), pendingAfter));
+    }
+}
+
+void OnlineRequest::sendCommit()
+{
     this->context.owners.call<CommitRequest>(
         this->request.id.value(),
-        commit,
-        commitRetry,
+        CommitRequest{this->request.id, this->request.fingerprint, this->context.self, this->result},
+        commitWait,
         this->context.clock.now() + commitPatience,
         [](const CommitResponse &response) {
             return response.decision != CommitDecision::NotOwner && response.decision != CommitDecision::Unavailable;
         },
-        [self = this->shared_from_this(), answer](const std::optional<CommitResponse> &response) {
-            self->onCommit(answer, response);
+        [self = this->shared_from_this()](const std::optional<CommitResponse> &response) {
+            self->onCommit(response);
         });
 }
 
-void OnlineRequest::onCommit(const Answer &own, const std::optional<CommitResponse> &response)
+void OnlineRequest::onCommit(const std::optional<CommitResponse> &response)
 {
     if (!response) {
         log(LogLevel::Error, "result was not taken by any owner", {{"request", this->request.id.value()}});
@@ -349,14 +440,18 @@
     }
     switch (response->decision) {
     case CommitDecision::Committed:
-        this->finish(own, "committed");
+        this->finish(this->result, "committed");
         return;
     case CommitDecision::Superseded:
         this->finish(response->answer, "committed");
         return;
     case CommitDecision::Held:
-        this->finish(own, "pending");
-        this->keepCommitting(own);
+        // This node and the owner both hold the result until the platform is back: one of them may be lost.
+        this->finish(this->result, "pending");
+        this->context.loop.schedule(this->commitPause, [self = this->shared_from_this()] {
+            self->sendCommit();
+        });
+        this->commitPause = std::min(this->commitPause * 2, longestCommitPause);
         return;
     case CommitDecision::NotOwner:
     case CommitDecision::Unavailable:
@@ -364,86 +459,64 @@
     }
 }
 
-void OnlineRequest::keepCommitting(const Answer &own)
+void OnlineRequest::finish(const Answer &answer, std::string_view result)
 {
-    // This node and the owner both hold the result until the platform is back: one of them may be lost.
-    this->context.loop.schedule(commitRetry, [self = this->shared_from_this(), own] {
-        self->commit(own);
-    });
+    if (!this->reply.isOpen()) {
+        return;
+    }
+    this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
+    this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
+    this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
+    this->reply.finish(answer, result);
 }
 
-void OnlineRequest::finish(const Answer &answer, std::string_view result)
+void OnlineRequest::onDeadline()
 {
-    if (this->reply == nullptr) {
+    if (!this->reply.isOpen()) {
         return;
     }
-    this->context.metrics.countAnswer(this->request.completion ? "online" : "service", std::to_string(answer.status));
-    this->context.metrics.observeTotal(this->request.completion ? "online" : "service",
-                                       since(this->started, this->context.clock.now()));
-    if (this->isStreaming() && answer.status == statusOk) {
-        this->finishStream(answer, result);
-    } else {
-        this->reply->send({answer.status,
-                           {{"Content-Type", answer.contentType},
-                            {"Dogwoodkeel-Request-Id", this->request.id.value()},
-                            {"Dogwoodkeel-Result", std::string(result)}},
-                           answer.body});
+    if (this->phase == Phase::Committing) {
+        this->finish(this->result, "pending");
+        return;
     }
-    this->reply = nullptr;
+    const Refusal refusal{
+        statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", this->runState(), comeBack};
+    if (this->replica == nullptr) {
+        this->refuse(refusal);
+        return;
+    }
+    Refusal running = refusal;
+    running.run = RunState::Unknown;
+    if (this->request.isNonIdempotent) {
+        // It is running, and can neither be stopped for certain nor run again. The caller is told at once; its resend
+        // gets the endpoint's answer, if that still comes.
+        this->context.metrics.countAnswer(this->kind(), std::string(running.reason));
+        this->reply.refuse(running);
+        return;
+    }
+    // The endpoint did nothing wrong. What it would still make is of use to nobody.
+    this->attempt = nullptr;
+    this->leaveReplica(false);
+    this->refuse(running);
 }
 
-void OnlineRequest::finishStream(const Answer &answer, std::string_view result)
+RunState OnlineRequest::runState() const
 {
-    const CompletionRequest &asked = *this->request.completion;
-    CompletionDelta last = deltaOfAnswer(asked.form, answer.body).value_or(CompletionDelta());
-    if (this->reply->isStarted()) {
-        // The caller has the text already, unless another runner's result was first: then this stream must not end as
-        // if it were the answer.
-        const bool isSame = last.text == this->completion.text;
-        if (!isSame) {
-            const nlohmann::json event{
-                {"error", {{"reason", "superseded"}, {"message", "another run's answer counts; read it by its id"}}}};
-            this->reply->write(ServerSentEvents::format(event.dump()));
-            this->reply->finish();
-            return;
-        }
-        last.text.clear();
-    }
-    this->startStream();
-    this->reply->write(ServerSentEvents::format(last.format(asked.form, this->request.id, asked.model)));
-    this->reply->write(": result " + std::string(result) + "\n\n");
-    this->reply->write(ServerSentEvents::format(streamEnd));
-    this->reply->finish();
+    // An id that the caller chose may have come before, here or at another node, and that sending may have run. Only the
+    // durable intent of a non-idempotent request proves that none has: it is written once, before any attempt.
+    const bool hasProof = !this->request.isNamedByCaller || (this->hasClaim && this->request.isNonIdempotent);
+    return this->mayHaveRun || !hasProof ? RunState::Unknown : RunState::NotRun;
 }
 
 void OnlineRequest::refuse(const Refusal &refusal)
 {
-    if (refusal.reason == "no_endpoint") {
-        if (this->request.isNonIdempotent) {
-            const HttpResponse response = refusalResponse(refusal);
-            this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
-            return;
-        }
-        const ReleaseRequest release{this->request.id, this->context.self, this->claimNumber};
-        this->context.owners.call<ReleaseRequest>(
-            this->request.id.value(),
-            release,
-            std::chrono::milliseconds(0),
-            this->context.clock.now() + claimPatience,
-            [](const ReleaseResponse &) {
-                return true;
-            },
-            [](const std::optional<ReleaseResponse> &) {});
-    }
-    this->context.metrics.countAnswer(this->request.completion ? "online" : "service", std::string(refusal.reason));
-    const HttpResponse response = refusalResponse(refusal);
-    if (this->reply->isStarted()) {
-        this->reply->write(ServerSentEvents::format(response.body.substr(0, response.body.size() - 1)));
-        this->reply->finish();
-    } else {
-        this->reply->send(response);
+    this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
+    this->phase = Phase::Ended;
+    if (this->reply.isOpen()) {
+        this->context.metrics.countAnswer(this->kind(), std::string(refusal.reason));
+        this->reply.refuse(refusal);
     }
-    this->reply = nullptr;
+    this->giveBack(refusal);
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -2,14 +2,15 @@
 
 #include <LibBase/Clock.h>
 #include <LibFleet/Replica.h>
-#include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/ServerSentEvents.h>
+#include <LibRouting/Quarantine.h>
 #include <Services/Entry/ApiErrors.h>
+#include <Services/Entry/Attempt.h>
+#include <Services/Entry/CallerReply.h>
 #include <Services/Entry/Completion.h>
 #include <Services/Entry/EntryContext.h>
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,9 +23,13 @@
 struct DurableRequest
 {
     RequestId id;
+    /** Whether the caller chose the id, so that an earlier sending of it may have run. */
+    bool isNamedByCaller = false;
     TenantName tenant;
     /** Hash of all that was asked. */
     std::uint64_t fingerprint = 0;
+    /** Hash of what it asks for, whatever its id. */
+    ContentFingerprint content;
     bool isNonIdempotent = false;
     /** What is sent to the endpoint, but for a completion's body. */
     HttpRequest request;
@@ -39,7 +44,8 @@
  * Runs one durable request: claim it at its owner, run it at an endpoint, commit the result, answer the caller.
  *
  * It goes on when the caller hangs up: the result is what a resend will get. A stream's last event and a whole answer
- * go out only when the owner has the result.
+ * go out only when the owner has the result. A claim that is not used is given back, so that a resend need not wait for
+ * its lease to end.
  */
 class OnlineRequest : public std::enable_shared_from_this<OnlineRequest>
 {
@@ -49,42 +55,60 @@
     void start();
 
 private:
+    enum class Phase {
+        Claiming,
+        Running,
+        Committing,
+        /** Refused; what still arrives is settled without the caller. */
+        Ended,
+    };
+
+    void armDeadline(std::chrono::milliseconds wait);
     void claim();
     void onClaim(const std::optional<ClaimResponse> &response);
+    void settleClaim();
+    void giveBack(const Refusal &refusal);
+
     void dispatch();
-    void sendTo(Replica &replica);
+    bool mayRetryAt(const Replica &chosen);
+    void sendTo(Replica &replica, ConnectionChoice choice);
     void onHeaders(int status, const HttpHeaders &headers);
     void onData(std::string_view data);
     void onEvent(const std::string &data);
-    void onEnd(ExchangeEnd end);
+    void onEnd(AttemptEnd end);
     void attemptDone();
     void attemptFailed(RunState run, std::string_view reason);
+    void lostWithEndpoint();
     void leaveReplica(bool hasFailed);
-    void armProgress();
-    void onSilence();
+    bool isWhole() const;
+
     void commit(const Answer &answer);
-    void onCommit(const Answer &own, const std::optional<CommitResponse> &response);
-    void keepCommitting(const Answer &own);
+    void sendCommit();
+    void onCommit(const std::optional<CommitResponse> &response);
     void finish(const Answer &answer, std::string_view result);
-    void finishStream(const Answer &answer, std::string_view result);
+
+    void onDeadline();
+    RunState runState() const;
     void refuse(const Refusal &refusal);
-    void startStream();
-    bool isStreaming() const;
+    std::string kind() const;
 
     EntryContext &context;
     DurableRequest request;
-    std::shared_ptr<HttpReply> reply;
+    CallerReply reply;
     SteadyTime started;
     SteadyTime deadline;
     std::uint64_t claimNumber;
+    Phase phase = Phase::Claiming;
+    bool hasClaim = false;
+    TimerId deadlineTimer = 0;
 
     std::uint32_t attempts = 0;
     std::vector<EndpointName> tried;
     FailureDomain failedDomain;
     Replica *replica = nullptr;
-    HttpClient::ExchangeId exchange = 0;
-    TimerId progressTimer = 0;
-    SteadyTime lastProgress{};
+    SteadyTime sent{};
+    std::unique_ptr<Attempt> attempt;
+    SteadyTime lastToken{};
     int status = 0;
     std::string contentType;
     std::string body;
@@ -92,6 +116,9 @@
     CompletionText completion;
     bool sawEnd = false;
     bool mayHaveRun = false;
+
+    Answer result;
+    std::chrono::milliseconds commitPause;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/OwnerClient.h
+++ b/Services/Entry/OwnerClient.h
@@ -5,6 +5,7 @@
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -26,6 +27,10 @@
     {
         std::uint32_t shards = 64;
         std::chrono::milliseconds callTimeout{5000};
+        /** First pause before a call is repeated; doubled with each repetition. */
+        std::chrono::milliseconds firstPause{20};
+        /** Longest pause: an owner that is being replaced is found this late at most, and is not hammered meanwhile. */
+        std::chrono::milliseconds longestPause{1000};
     };
 
     OwnerClient(EventLoop &loop, const Clock &clock, PeerClient &peers, Options options);
@@ -40,6 +45,8 @@
      * @param deadline when to give up
      * @param isFinal whether a response counts, or the call is to be repeated
      * @param answered gets the response, or nothing if none counted before the deadline
+     * @param answerTimeout how long one answer may take beyond the wait, for an owner that answers from memory; by default
+     *                      long enough for one that writes to the platform first
      */
     template <typename Request>
     void call(const std::string &id,
@@ -47,36 +54,64 @@
               std::chrono::milliseconds wait,
               SteadyTime deadline,
               std::function<bool(const typename Request::Response &)> isFinal,
-              std::function<void(std::optional<typename Request::Response>)> answered)
+              std::function<void(std::optional<typename Request::Response>)> answered,
+              std::optional<std::chrono::milliseconds> answerTimeout = {})
+    {
+        const auto repeated
+            = std::make_shared<Repeated<Request>>(Repeated<Request>{id,
+                                                                    std::move(request),
+                                                                    wait,
+                                                                    deadline,
+                                                                    std::move(isFinal),
+                                                                    std::move(answered),
+                                                                    answerTimeout.value_or(this->options.callTimeout)});
+        this->attempt<Request>(repeated, this->options.firstPause);
+    }
+
+private:
+    /** A call, over all its repetitions. */
+    template <typename Request>
+    struct Repeated
+    {
+        std::string id;
+        Request request;
+        std::chrono::milliseconds wait;
+        SteadyTime deadline;
+        std::function<bool(const typename Request::Response &)> isFinal;
+        std::function<void(std::optional<typename Request::Response>)> answered;
+        std::chrono::milliseconds answerTimeout;
+    };
+
+    template <typename Request>
+    void attempt(const std::shared_ptr<Repeated<Request>> &call, std::chrono::milliseconds pause)
     {
         using Response = typename Request::Response;
-        const Member *const owner = this->ownerOf(id);
-        if (this->clock.now() >= deadline) {
-            answered(std::nullopt);
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(call->deadline - this->clock.now());
+        if (left.count() <= 0) {
+            call->answered(std::nullopt);
             return;
         }
-        auto again = [this, id, request, wait, deadline, isFinal, answered] {
-            this->loop.schedule(retryDelay, [this, id, request, wait, deadline, isFinal, answered] {
-                this->call<Request>(id, request, wait, deadline, isFinal, answered);
+        const auto again = [this, call, left, pause] {
+            this->loop.schedule(std::min(left, pause), [this, call, pause] {
+                this->attempt<Request>(call, std::min(pause * 2, this->options.longestPause));
             });
         };
+        const Member *const owner = this->ownerOf(call->id);
         if (owner == nullptr) {
             again();
             return;
         }
-        this->peers.call<Request>(
-            owner->owner, request, wait + this->options.callTimeout, [again, isFinal, answered](CallResult<Response> result) {
-                if (result.response && isFinal(*result.response)) {
-                    answered(std::move(result.response));
-                    return;
-                }
-                again();
-            });
+        // The call's own deadline bounds the wait for one answer: a lost answer would otherwise be noticed only after it.
+        const auto timeout = std::min(left, call->wait + call->answerTimeout);
+        this->peers.call<Request>(owner->owner, call->request, timeout, [again, call](CallResult<Response> result) {
+            if (result.response && call->isFinal(*result.response)) {
+                call->answered(std::move(result.response));
+                return;
+            }
+            again();
+        });
     }
 
-private:
-    static constexpr std::chrono::milliseconds retryDelay{50};
-
     const Member *ownerOf(const std::string &id) const;
 
     EventLoop &loop;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -1,9 +1,7 @@
 #include <Services/Entry/PlainCall.h>
 
 #include <LibRouting/ReplicaChoice.h>
-#include <Services/Entry/ApiErrors.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -12,67 +10,179 @@
 namespace
 {
 
+constexpr int statusUnprocessable = 422;
 constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
 constexpr std::chrono::seconds comeBack{1};
 
 } // namespace
 
-PlainCall::PlainCall(EntryContext &context, const ServiceSettings &service, HttpRequest request, std::shared_ptr<HttpReply> reply)
+PlainCall::PlainCall(EntryContext &context,
+                     const ServiceSettings &service,
+                     TenantName tenant,
+                     HttpRequest request,
+                     std::chrono::milliseconds timeout,
+                     std::shared_ptr<HttpReply> reply)
     : context(context)
     , service(service)
+    , tenant(std::move(tenant))
     , request(std::move(request))
+    , content(contentFingerprint(service.name, this->request.method + ' ' + this->request.target() + '\n' + this->request.body))
     , reply(std::move(reply))
     , started(context.clock.now())
-    , deadline(this->started + service.timeout)
+    , timeout(timeout)
 {
 }
 
 void PlainCall::start()
 {
+    this->deadlineTimer = this->context.loop.schedule(this->timeout, [self = this->shared_from_this()] {
+        self->deadlineTimer = 0;
+        self->onDeadline();
+    });
     this->dispatch();
 }
 
 void PlainCall::dispatch()
 {
+    const Quarantine &quarantine = this->context.suspects.quarantine();
+    if (quarantine.standing(this->content) == Standing::Quarantined) {
+        const auto left = std::chrono::ceil<std::chrono::seconds>(quarantine.remaining(this->content));
+        this->refuse(statusUnprocessable, "quarantined", "endpoints were lost while they ran it", left);
+        return;
+    }
     const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->service.name), wish, this->context.random);
     const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings.entry.attempts);
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
-    if (chosen == nullptr || isExhausted || left.count() <= 0) {
-        const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
-        this->context.metrics.countAnswer("lookup", "no_endpoint");
-        this->reply->send(
-            refusalResponse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", run, comeBack}));
+    if (chosen == nullptr || isExhausted) {
+        this->refuse(statusUnavailable, "no_endpoint", "no endpoint can serve the request now", comeBack);
         return;
     }
-    ++chosen->inFlight;
-    this->tried.push_back(chosen->name);
-    this->context.http.fetch(chosen->address,
-                             this->request,
-                             left,
-                             [self = this->shared_from_this(), chosen](ExchangeEnd end, const HttpResponse &response) {
-                                 self->onEnd(*chosen, end, response);
-                             });
+    if (!this->tried.empty() && !this->mayRetryAt(*chosen)) {
+        return;
+    }
+    this->sendTo(*chosen, ConnectionChoice::Pooled);
 }
 
-void PlainCall::onEnd(Replica &replica, ExchangeEnd end, const HttpResponse &response)
+bool PlainCall::mayRetryAt(const Replica &chosen)
 {
-    --replica.inFlight;
-    const bool hasAnswer = end == ExchangeEnd::Complete && response.status != statusUnavailable;
-    replica.failuresInARow = hasAnswer ? 0 : replica.failuresInARow + 1;
-    if (!hasAnswer) {
-        this->failedDomain = replica.failureDomain;
-        this->mayHaveRun = this->mayHaveRun || end == ExchangeEnd::Broken;
-        this->context.metrics.countRetry(end == ExchangeEnd::Complete ? "refused" : "lost");
-        this->dispatch();
+    if (this->context.retries.take(this->tenant, chosen.name)) {
+        return true;
+    }
+    this->refuse(statusUnavailable, "retry_budget", "too many requests have to be retried", comeBack);
+    return false;
+}
+
+void PlainCall::sendTo(Replica &replica, ConnectionChoice choice)
+{
+    this->replica = &replica;
+    ++replica.inFlight;
+    this->tried.push_back(replica.name);
+    this->sent = this->context.clock.now();
+    this->response = {};
+    Attempt::Hooks hooks{
+        .onHeaders =
+            [this](int status, const HttpHeaders &headers) {
+                this->response.status = status;
+                this->response.headers["Content-Type"]
+                    = headerValue(headers, "Content-Type").value_or("application/octet-stream");
+            },
+        .onData =
+            [this](std::string_view data) {
+                this->response.body.append(data);
+            },
+        .onEnd =
+            [self = this->shared_from_this()](AttemptEnd end) {
+                self->onEnd(end);
+            },
+    };
+    const EntrySettings &entry = this->context.settings.entry;
+    const ProgressLimits limits{entry.connectTimeout, this->service.firstByteTimeout, entry.progressTimeout};
+    this->attempt = std::make_unique<Attempt>(this->context.loop, this->context.clock, this->context.http, limits);
+    this->attempt->start(replica.address, this->request, choice, std::move(hooks));
+}
+
+void PlainCall::onEnd(AttemptEnd end)
+{
+    this->attempt = nullptr;
+    switch (end) {
+    case AttemptEnd::Complete:
+        if (this->response.status == statusUnavailable) {
+            this->failed(RunState::NotRun, "refused");
+        } else {
+            this->answer();
+        }
+        return;
+    case AttemptEnd::NotConnected:
+        this->failed(RunState::NotRun, "not_connected");
+        return;
+    case AttemptEnd::Broken:
+        this->context.suspects.lost(this->content,
+                                    {this->replica->name, this->replica->failureDomain, this->sent, this->context.clock.now()});
+        this->failed(RunState::Unknown, "broken");
+        return;
+    case AttemptEnd::SilentFresh:
+        this->failed(RunState::Unknown, "silent");
+        return;
+    case AttemptEnd::SilentReused: {
+        // The connection is blamed first, not the endpoint.
+        this->context.metrics.countRetry("silent_connection");
+        Replica &same = *this->replica;
+        this->mayHaveRun = true;
+        this->leaveReplica(false);
+        if (this->mayRetryAt(same)) {
+            this->sendTo(same, ConnectionChoice::Fresh);
+        }
         return;
     }
-    HttpResponse passed{response.status, {}, response.body};
-    passed.headers["Content-Type"] = headerValue(response.headers, "Content-Type").value_or("application/octet-stream");
-    this->context.metrics.countAnswer("lookup", std::to_string(response.status));
+    }
+}
+
+void PlainCall::leaveReplica(bool hasFailed)
+{
+    Replica &left = *std::exchange(this->replica, nullptr);
+    --left.inFlight;
+    left.failuresInARow = hasFailed ? left.failuresInARow + 1 : 0;
+}
+
+void PlainCall::failed(RunState run, std::string_view reason)
+{
+    this->failedDomain = this->replica->failureDomain;
+    this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
+    this->leaveReplica(true);
+    this->context.metrics.countRetry(std::string(reason));
+    this->dispatch();
+}
+
+void PlainCall::answer()
+{
+    this->context.suspects.succeeded(this->content);
+    this->context.retries.succeeded(this->tenant, this->replica->name);
+    this->leaveReplica(false);
+    this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
+    this->context.metrics.countAnswer("lookup", std::to_string(this->response.status));
     this->context.metrics.observeTotal(
         "lookup", std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started));
-    this->reply->send(passed);
+    this->reply->send(this->response);
+}
+
+void PlainCall::onDeadline()
+{
+    if (this->replica != nullptr) {
+        // The endpoint did nothing wrong: the caller's time is up.
+        this->attempt = nullptr;
+        this->mayHaveRun = true;
+        this->leaveReplica(false);
+    }
+    this->refuse(statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", comeBack);
+}
+
+void PlainCall::refuse(int status, std::string_view reason, std::string message, std::chrono::seconds retryAfter)
+{
+    this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
+    this->context.metrics.countAnswer("lookup", std::string(reason));
+    const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
+    this->reply->send(refusalResponse({status, reason, std::move(message), run, retryAfter}));
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -2,6 +2,9 @@
 
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/HttpTypes.h>
+#include <LibRouting/Quarantine.h>
+#include <Services/Entry/ApiErrors.h>
+#include <Services/Entry/Attempt.h>
 #include <Services/Entry/EntryContext.h>
 
 #include <memory>
@@ -18,20 +21,41 @@
 class PlainCall : public std::enable_shared_from_this<PlainCall>
 {
 public:
-    PlainCall(EntryContext &context, const ServiceSettings &service, HttpRequest request, std::shared_ptr<HttpReply> reply);
+    /** @param timeout how long the caller waits */
+    PlainCall(EntryContext &context,
+              const ServiceSettings &service,
+              TenantName tenant,
+              HttpRequest request,
+              std::chrono::milliseconds timeout,
+              std::shared_ptr<HttpReply> reply);
 
     void start();
 
 private:
     void dispatch();
-    void onEnd(Replica &replica, ExchangeEnd end, const HttpResponse &response);
+    bool mayRetryAt(const Replica &chosen);
+    void sendTo(Replica &replica, ConnectionChoice choice);
+    void onEnd(AttemptEnd end);
+    void leaveReplica(bool hasFailed);
+    void failed(RunState run, std::string_view reason);
+    void answer();
+    void refuse(int status, std::string_view reason, std::string message, std::chrono::seconds retryAfter);
+    void onDeadline();
 
     EntryContext &context;
-    const ServiceSettings &service;
+    /** A copy: the settings may be replaced while the call runs. */
+    ServiceSettings service;
+    TenantName tenant;
     HttpRequest request;
+    ContentFingerprint content;
     std::shared_ptr<HttpReply> reply;
     SteadyTime started;
-    SteadyTime deadline;
+    std::chrono::milliseconds timeout;
+    TimerId deadlineTimer = 0;
+    Replica *replica = nullptr;
+    SteadyTime sent{};
+    std::unique_ptr<Attempt> attempt;
+    HttpResponse response;
     std::vector<EndpointName> tried;
     FailureDomain failedDomain;
     bool mayHaveRun = false;
--- /dev/null
+++ b/Services/Entry/SuspectNotices.cpp
@@ -0,0 +1,138 @@
+#include <Services/Entry/SuspectNotices.h>
+
+#include <LibBase/Log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** A datagram that is larger than a packet is lost more easily. */
+constexpr std::size_t perNotice = 16;
+/** When a notice is repeated: three losses in a row on one path within a second are no chance, but a partition. */
+constexpr std::chrono::milliseconds repeats[] = {std::chrono::milliseconds(50), std::chrono::milliseconds(1000)};
+
+std::uint32_t millisecondsSince(SteadyTime then, SteadyTime now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+template <typename T>
+std::vector<T> takeSome(std::vector<T> &from)
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min(perNotice, from.size()));
+    std::vector<T> taken(from.begin(), from.begin() + count);
+    from.erase(from.begin(), from.begin() + count);
+    return taken;
+}
+
+} // namespace
+
+SuspectNotices::SuspectNotices(
+    EventLoop &loop, const Clock &clock, DatagramSocket &socket, SessionNumber self, Quarantine::Options options)
+    : loop(loop)
+    , clock(clock)
+    , socket(socket)
+    , self(self)
+    , held(clock, options)
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
+{
+}
+
+void SuspectNotices::setView(MemberViewPointer view)
+{
+    this->view = std::move(view);
+}
+
+const Quarantine &SuspectNotices::quarantine() const
+{
+    return this->held;
+}
+
+void SuspectNotices::lost(ContentFingerprint request, const CrashPoint &point)
+{
+    if (this->held.lost(request, point) == Standing::Quarantined) {
+        log(LogLevel::Warning,
+            "request quarantined",
+            {{"fingerprint", static_cast<std::int64_t>(request.value())}, {"endpoint", point.endpoint.value()}});
+    }
+    this->newLosses.push_back({request, point});
+    this->tellSoon();
+}
+
+void SuspectNotices::succeeded(ContentFingerprint request)
+{
+    if (this->held.succeeded(request)) {
+        this->newCleared.push_back(request.value());
+        this->tellSoon();
+    }
+}
+
+void SuspectNotices::tellSoon()
+{
+    if (std::exchange(this->isTelling, true)) {
+        return;
+    }
+    this->loop.post([this] {
+        this->isTelling = false;
+        while (!this->newLosses.empty() || !this->newCleared.empty()) {
+            const std::vector<Loss> losses = takeSome(this->newLosses);
+            const std::vector<std::uint64_t> cleared = takeSome(this->newCleared);
+            this->tell(losses, cleared);
+            for (const std::chrono::milliseconds delay : repeats) {
+                this->loop.schedule(delay, [this, losses, cleared] {
+                    this->tell(losses, cleared);
+                });
+            }
+        }
+    });
+}
+
+void SuspectNotices::tell(const std::vector<Loss> &losses, const std::vector<std::uint64_t> &cleared)
+{
+    const SuspectNotice message = this->notice(losses, cleared);
+    for (const Member &member : this->view->members()) {
+        if (member.session != this->self) {
+            this->socket.send(member.lane, message);
+        }
+    }
+}
+
+SuspectNotice SuspectNotices::notice(const std::vector<Loss> &losses, const std::vector<std::uint64_t> &cleared) const
+{
+    const SteadyTime now = this->clock.now();
+    SuspectNotice message{this->self, {}, cleared};
+    for (const Loss &loss : losses) {
+        // A request that has succeeded since is not accused again by the repetition.
+        if (this->held.standing(loss.request) != Standing::Clear) {
+            message.suspects.push_back({loss.request.value(),
+                                        loss.point.endpoint,
+                                        loss.point.failureDomain,
+                                        millisecondsSince(loss.point.sent, now),
+                                        millisecondsSince(loss.point.seen, now)});
+        }
+    }
+    return message;
+}
+
+void SuspectNotices::receive(const SuspectNotice &notice)
+{
+    const SteadyTime now = this->clock.now();
+    for (const Suspect &suspect : notice.suspects) {
+        this->held.lost(ContentFingerprint(suspect.fingerprint),
+                        {suspect.endpoint,
+                         suspect.failureDomain,
+                         now - std::chrono::milliseconds(suspect.sentMillisecondsAgo),
+                         now - std::chrono::milliseconds(suspect.lostMillisecondsAgo)});
+    }
+    for (const std::uint64_t cleared : notice.cleared) {
+        this->held.succeeded(ContentFingerprint(cleared));
+    }
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Lane/LaneTask.h
+++ b/Services/Lane/LaneTask.h
@@ -6,6 +6,9 @@
 #include <LibWire/DatagramSocket.h>
 #include <Services/Lane/LaneService.h>
 
+#include <functional>
+#include <utility>
+
 namespace Dogwoodkeel
 {
 
@@ -35,9 +38,21 @@
         return this->service;
     }
 
+    /** @param hook told, on this task, when another node tells of requests that were lost with an endpoint */
+    void setSuspectHook(std::function<void(const SuspectNotice &)> hook)
+    {
+        this->onSuspects = std::move(hook);
+    }
+
 private:
     void receive(const Datagram &datagram)
     {
+        if (datagram.number == SuspectNotice::number && this->onSuspects) {
+            if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
+                this->onSuspects(*notice);
+            }
+            return;
+        }
         if (datagram.number != ReplicaLoad::number) {
             return;
         }
@@ -46,6 +61,7 @@
         }
     }
 
+    std::function<void(const SuspectNotice &)> onSuspects;
     PeerClient peers;
     HttpClient http;
     LaneService service;
--- /dev/null
+++ b/Tests/Fakes/ScriptedEndpoint.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibBase/Address.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace Dogwoodkeel
+{
+
+class EventLoop;
+
+/** Stand-in for an endpoint that fails as a test tells it to: breaks off, goes silent, answers late or nonsense. */
+class ScriptedEndpoint
+{
+public:
+    /** One request it got, and the way to answer it. All calls do nothing once its connection is gone. */
+    class Exchange
+    {
+    public:
+        Exchange(ScriptedEndpoint &endpoint, std::uint64_t connection, std::string head, std::string body);
+
+        /** The request's first line and headers. */
+        const std::string head;
+        const std::string body;
+        /** Counts the connections, from 1. */
+        const std::uint64_t connection;
+
+        void answer(int status, const std::string &body);
+        void beginStream();
+        /** @param finishReason empty but for the last token */
+        void token(const std::string &text, const std::string &finishReason = {});
+        void endStream();
+        /** Break the connection off, as a crash does. */
+        void close();
+
+    private:
+        void chunk(const std::string &data);
+
+        ScriptedEndpoint &endpoint;
+    };
+
+    using Script = std::function<void(const std::shared_ptr<Exchange> &)>;
+
+    ScriptedEndpoint(EventLoop &loop, Script script);
+    ~ScriptedEndpoint();
+    ScriptedEndpoint(const ScriptedEndpoint &) = delete;
+    ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
+
+    const Address &address() const;
+
+    /** Change what it does from now on. */
+    void setScript(Script script);
+
+    /** @return requests it got. */
+    std::size_t requests() const;
+
+private:
+    struct Connection;
+
+    void accept(int descriptor);
+    void receive(std::uint64_t id);
+    void write(std::uint64_t id, const std::string &data);
+    void drop(std::uint64_t id);
+
+    EventLoop &loop;
+    Script script;
+    evconnlistener *listener = nullptr;
+    Address listenAddress;
+    std::uint64_t lastConnection = 0;
+    std::size_t count = 0;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -0,0 +1,390 @@
+#include <Tests/ServiceEntry/EntryBench.h>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+using Exchange = std::shared_ptr<ScriptedEndpoint::Exchange>;
+
+const HttpHeaders named{{"Idempotency-Key", "k"}};
+
+HttpHeaders withDeadline(const char *milliseconds, HttpHeaders headers = {})
+{
+    headers["Dogwoodkeel-Deadline-Ms"] = milliseconds;
+    return headers;
+}
+
+HttpHeaders nonIdempotent(HttpHeaders headers = {})
+{
+    headers["Dogwoodkeel-Idempotent"] = "false";
+    return headers;
+}
+
+std::uint32_t resumedTokens(const Exchange &exchange)
+{
+    const auto body = nlohmann::json::parse(exchange->body);
+    return body.contains("resume") ? body["resume"]["tokens"].get<std::uint32_t>() : 0;
+}
+
+/** Answers with tokens 0 to 3, from where a resumed request left off. */
+void serveFourTokens(const Exchange &exchange)
+{
+    exchange->beginStream();
+    for (std::uint32_t i = resumedTokens(exchange); i < 4; ++i) {
+        exchange->token(std::to_string(i), i == 3 ? "stop" : "");
+    }
+    exchange->endStream();
+}
+
+} // namespace
+
+TEST_CASE("a stream whose endpoint is lost is resumed elsewhere, and the caller sees one unbroken answer")
+{
+    // The caller sees four tokens in order and the end. The first endpoint breaks off after two; the second is asked to
+    // go on behind them; the late tokens of the first find no one.
+    EntryBench bench(2);
+    bench.start();
+    std::size_t asked = 0;
+    const auto script = [&](const Exchange &exchange) {
+        if (++asked > 1) {
+            CHECK(resumedTokens(exchange) == 2);
+            serveFourTokens(exchange);
+            return;
+        }
+        exchange->beginStream();
+        exchange->token("0");
+        exchange->token("1");
+        exchange->close();
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p");
+    bench.untilEnd(answer);
+    CHECK(answer->text() == "0123");
+    CHECK(answer->body.find("[DONE]") != std::string::npos);
+    REQUIRE(bench.owner.commits.size() == 1);
+    CHECK(bench.owner.commits[0].answer.body.find("0123") != std::string::npos);
+}
+
+TEST_CASE("the late reply of an abandoned attempt does not reach the caller")
+{
+    // The first endpoint goes silent over a new connection and is given up; it answers while the second one does.
+    EntryBench bench(2);
+    bench.start();
+    Exchange first;
+    const auto script = [&](const Exchange &exchange) {
+        if (!first) {
+            first = exchange;
+            exchange->beginStream();
+            exchange->token("0");
+            return;
+        }
+        first->token("X");
+        first->endStream();
+        bench.loop.schedule(std::chrono::milliseconds(10), [exchange] {
+            serveFourTokens(exchange);
+        });
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p");
+    bench.untilEnd(answer);
+    CHECK(answer->text() == "0123");
+}
+
+TEST_CASE("a stream that was lost between its last token and its end is whole: nothing runs again")
+{
+    EntryBench bench(2);
+    bench.start();
+    const auto script = [&](const Exchange &exchange) {
+        exchange->beginStream();
+        exchange->token("0", "stop");
+        exchange->close();
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p");
+    bench.untilEnd(answer);
+    CHECK(answer->text() == "0");
+    CHECK(bench.endpoints[0]->requests() + bench.endpoints[1]->requests() == 1);
+}
+
+TEST_CASE("a connection that went silent is replaced at the same endpoint, which is not blamed")
+{
+    // The second request goes over the first one's idle connection, which something between the two ends has lost track
+    // of. Its answer comes over a new connection to the same, only endpoint; a third one is not sent over an old one.
+    EntryBench bench(1);
+    bench.start();
+    bench.endpoints[0]->setScript([](const Exchange &exchange) {
+        if (exchange->connection == 1 && exchange->body.find("second") != std::string::npos) {
+            return;
+        }
+        serveFourTokens(exchange);
+    });
+    bench.settings.entry.firstByteTimeout = std::chrono::milliseconds(60);
+    bench.untilEnd(bench.complete("first"));
+    const auto second = bench.complete("second");
+    bench.untilEnd(second);
+    CHECK(second->text() == "0123");
+    CHECK(bench.endpoints[0]->requests() == 3);
+}
+
+TEST_CASE("an id that may have run before is never refused as not run")
+{
+    // The caller's first sending ran at another node. Its resend meets a node that reaches no owner: had it been told
+    // "not_run", the caller would issue the offer again under another id.
+    EntryBench bench(1);
+    bench.owner.onClaim = [](const auto &, const auto &) {};
+    bench.start();
+    const auto resent = bench.complete("p", withDeadline("100", nonIdempotent(named)));
+    bench.untilEnd(resent);
+    CHECK(resent->error("run") == "unknown");
+    const auto fresh = bench.complete("p", withDeadline("100", nonIdempotent()));
+    bench.untilEnd(fresh);
+    CHECK(fresh->error("run") == "not_run");
+    CHECK(bench.endpoints[0]->requests() == 0);
+}
+
+TEST_CASE("a claim whose answer was lost is given back after the refusal")
+{
+    // The caller is refused in time, and its resend need not wait for the lease of a runner that never was.
+    EntryBench bench(1);
+    bench.settings.peers.callTimeout = std::chrono::milliseconds(50);
+    bench.owner.onClaim = [](const auto &, const auto &) {};
+    bench.start();
+    const auto answer = bench.complete("p", withDeadline("100", named));
+    bench.untilEnd(answer);
+    bench.owner.onClaim = [](const auto &, const auto &respond) {
+        respond({ClaimDecision::Run, {}});
+    };
+    bench.until([&] {
+        return !bench.owner.releases.empty();
+    });
+    CHECK(bench.owner.releases[0].claim == bench.owner.claims[0].claim);
+    CHECK(bench.endpoints[0]->requests() == 0);
+}
+
+TEST_CASE("a non-idempotent claim whose answer was lost is settled by a refusal that every resend gets")
+{
+    EntryBench bench(1);
+    bench.settings.peers.callTimeout = std::chrono::milliseconds(50);
+    bench.owner.onClaim = [](const auto &, const auto &) {};
+    bench.start();
+    bench.untilEnd(bench.complete("p", withDeadline("100", nonIdempotent(named))));
+    bench.owner.onClaim = [](const auto &, const auto &respond) {
+        respond({ClaimDecision::Run, {}});
+    };
+    bench.until([&] {
+        return !bench.owner.commits.empty();
+    });
+    CHECK(bench.owner.commits[0].answer.status == 503);
+    CHECK(bench.endpoints[0]->requests() == 0);
+}
+
+TEST_CASE("a caller whose deadline passes in the middle of a stream is told so, and the endpoint is not blamed")
+{
+    EntryBench bench(2);
+    bench.start();
+    const auto script = [&](const Exchange &exchange) {
+        exchange->beginStream();
+        exchange->token("0");
+        bench.loop.schedule(std::chrono::milliseconds(40), [exchange] {
+            exchange->token("1");
+        });
+        bench.loop.schedule(std::chrono::milliseconds(80), [exchange] {
+            exchange->token("2");
+        });
+        bench.loop.schedule(std::chrono::milliseconds(120), [exchange] {
+            exchange->token("3");
+        });
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p", withDeadline("100", named));
+    bench.untilEnd(answer);
+    CHECK(answer->body.find("deadline_exceeded") != std::string::npos);
+    CHECK(answer->body.find("[DONE]") == std::string::npos);
+    CHECK(bench.endpoints[0]->requests() + bench.endpoints[1]->requests() == 1);
+    bench.until([&] {
+        return !bench.owner.releases.empty();
+    });
+    CHECK(bench.owner.commits.empty());
+}
+
+TEST_CASE("a non-idempotent run that outlasts its caller's deadline is kept for the resend")
+{
+    EntryBench bench(2);
+    bench.start();
+    const auto script = [&](const Exchange &exchange) {
+        bench.loop.schedule(std::chrono::milliseconds(120), [exchange] {
+            serveFourTokens(exchange);
+        });
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p", withDeadline("50", nonIdempotent(named)), false);
+    bench.untilEnd(answer);
+    CHECK(answer->status == 504);
+    CHECK(answer->error("run") == "unknown");
+    bench.until([&] {
+        return !bench.owner.commits.empty();
+    });
+    CHECK(bench.owner.commits[0].answer.body.find("0123") != std::string::npos);
+    CHECK(bench.endpoints[0]->requests() + bench.endpoints[1]->requests() == 1);
+}
+
+TEST_CASE("a non-idempotent run that is lost is not run again, and its resends are told unknown")
+{
+    EntryBench bench(2);
+    bench.start();
+    const auto script = [](const Exchange &exchange) {
+        exchange->close();
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p", nonIdempotent(named), false);
+    bench.untilEnd(answer);
+    CHECK(answer->error("run") == "unknown");
+    CHECK(bench.endpoints[0]->requests() + bench.endpoints[1]->requests() == 1);
+    bench.until([&] {
+        return !bench.owner.commits.empty();
+    });
+    CHECK(bench.owner.commits[0].answer.body.find("\"unknown\"") != std::string::npos);
+}
+
+TEST_CASE("a non-idempotent run that the endpoint answers with an error is not run again")
+{
+    EntryBench bench(2);
+    bench.start();
+    const auto script = [](const Exchange &exchange) {
+        exchange->answer(500, "{\"broken\":true}");
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p", nonIdempotent(named), false);
+    bench.untilEnd(answer);
+    CHECK(answer->status == 500);
+    CHECK(bench.endpoints[0]->requests() + bench.endpoints[1]->requests() == 1);
+}
+
+TEST_CASE("an endpoint's 429 is no answer to be kept: another endpoint serves")
+{
+    EntryBench bench(2);
+    bench.start();
+    std::size_t asked = 0;
+    const auto script = [&](const Exchange &exchange) {
+        if (++asked == 1) {
+            exchange->answer(429, "{}");
+        } else {
+            serveFourTokens(exchange);
+        }
+    };
+    bench.endpoints[0]->setScript(script);
+    bench.endpoints[1]->setScript(script);
+    const auto answer = bench.complete("p");
+    bench.untilEnd(answer);
+    CHECK(answer->text() == "0123");
+}
+
+TEST_CASE("a caller that hangs up leaves a run that is finished and kept")
+{
+    EntryBench bench(1);
+    bench.start();
+    bench.endpoints[0]->setScript([&](const Exchange &exchange) {
+        bench.client.cancel(bench.lastExchange);
+        bench.loop.schedule(std::chrono::milliseconds(10), [exchange] {
+            serveFourTokens(exchange);
+        });
+    });
+    bench.complete("p", named);
+    bench.until([&] {
+        return !bench.owner.commits.empty();
+    });
+    CHECK(bench.owner.commits[0].answer.body.find("0123") != std::string::npos);
+}
+
+TEST_CASE("a result that no owner takes is given at the deadline, marked as pending, and handed in later")
+{
+    // The owner is paused when the run ends. The caller has its answer; a resend finds it once the owner is back.
+    EntryBench bench(1);
+    bench.settings.peers.callTimeout = std::chrono::milliseconds(50);
+    bench.owner.onCommit = [](const auto &, const auto &) {};
+    bench.start();
+    bench.endpoints[0]->setScript(serveFourTokens);
+    const auto answer = bench.complete("p", withDeadline("150", named), false);
+    bench.untilEnd(answer);
+    CHECK(answer->status == 200);
+    CHECK(headerValue(answer->headers, "Dogwoodkeel-Result") == "pending");
+    const std::size_t before = bench.owner.commits.size();
+    bench.until([&] {
+        return bench.owner.commits.size() > before;
+    });
+}
+
+TEST_CASE("a stream that another run's result superseded does not end as if it were the answer")
+{
+    EntryBench bench(1);
+    bench.owner.onCommit = [](const CommitRequest &request, const auto &respond) {
+        Answer other = request.answer;
+        other.body = R"({"choices":[{"text":"other","finish_reason":"stop"}]})";
+        respond({CommitDecision::Superseded, other});
+    };
+    bench.start();
+    bench.endpoints[0]->setScript(serveFourTokens);
+    const auto streamed = bench.complete("p", named);
+    bench.untilEnd(streamed);
+    CHECK(streamed->body.find("superseded") != std::string::npos);
+    CHECK(streamed->body.find("[DONE]") == std::string::npos);
+    const auto whole = bench.complete("p", named, false);
+    bench.untilEnd(whole);
+    CHECK(whole->body.find("other") != std::string::npos);
+}
+
+TEST_CASE("a refusal that supersedes a stream ends the stream")
+{
+    // A resend at another node was refused and that was committed first: the caller must not wait for ever.
+    EntryBench bench(1);
+    bench.owner.onCommit = [](const CommitRequest &, const auto &respond) {
+        respond({CommitDecision::Superseded, {503, "application/json", "{}"}});
+    };
+    bench.start();
+    bench.endpoints[0]->setScript(serveFourTokens);
+    const auto answer = bench.complete("p", named);
+    bench.untilEnd(answer);
+    CHECK(answer->end == ExchangeEnd::Complete);
+    CHECK(answer->body.find("superseded") != std::string::npos);
+}
+
+TEST_CASE("a deadline that is no number of milliseconds is refused")
+{
+    EntryBench bench(1);
+    bench.start();
+    for (const char *const wrong : {"soon", "0", "-5", "10x", ""}) {
+        const auto answer = bench.complete("p", withDeadline(wrong));
+        bench.untilEnd(answer);
+        CHECK(answer->status == 400);
+    }
+}
+
+TEST_CASE("in a total outage the attempts stay near the number of requests")
+{
+    EntryBench bench(3);
+    bench.settings.retries.burst = 2;
+    bench.settings.retries.perSecond = 0;
+    bench.start();
+    for (const auto &endpoint : bench.endpoints) {
+        endpoint->setScript([](const Exchange &exchange) {
+            exchange->answer(500, "{}");
+        });
+    }
+    constexpr std::size_t requests = 20;
+    for (std::size_t i = 0; i < requests; ++i) {
+        bench.untilEnd(bench.complete("p" + std::to_string(i), {}, false));
+    }
+    std::size_t attempts = 0;
+    for (const auto &endpoint : bench.endpoints) {
+        attempts += endpoint->requests();
+    }
+    CHECK(attempts == requests + 2);
+}
