--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,7 +4,8 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibPlatform/VmWatch.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerLink.h>
@@ -25,7 +26,7 @@
     /** @throws std::runtime_error if it cannot take datagrams */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
-                const Settings &settings,
+                const SettingsPointer &settings,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -39,6 +40,18 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /**
+     * Leave as this session and take another: this one's journal was sealed, so it can own nothing any more.
+     * @param opened told when the platform has given a number out
+     */
+    void renewSession(std::function<void(SessionNumber)> opened);
+
+    /** Become a member again, as the session that was taken last. */
+    void rejoin();
+
+    /** Read the platform's VM list from now on. @param changed told of each change, on this task */
+    void watchVms(VmWatch::Changed changed);
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -57,12 +70,17 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     SessionRegistry sessions;
     DatagramSocket datagrams;
     std::optional<Membership> membership;
+    std::optional<VmWatch> vmWatch;
     SessionNumber self;
+    /** As it joined, to join again. */
+    Member joined;
+    std::function<void(MemberViewPointer)> onChange;
+    bool meeting = false;
     std::uint32_t toldBacklog = 0;
 };
 
--- a/Services/Entry/CallerReply.cpp
+++ b/Services/Entry/CallerReply.cpp
@@ -71,7 +71,7 @@
 
 void CallerReply::finishStream(const Answer &answer, std::string_view result)
 {
-    CompletionDelta last = deltaOfAnswer(this->streamed->form, answer.body).value_or(CompletionDelta());
+    CompletionDelta last = CompletionDelta::parse(answer.body).value_or(CompletionDelta());
     if (answer.status != statusOk || !last.text.starts_with(this->shown)) {
         // Another runner's result was first. The caller has the beginning of a text that is not the answer: the stream
         // must not end as if it were.
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -6,7 +6,7 @@
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
 #include <LibRouting/RetryBudget.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
@@ -22,7 +22,7 @@
 {
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    const SettingsHandle &settings;
     SessionNumber self;
     HttpClient &http;
     OwnerClient &owners;
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -29,25 +29,26 @@
 
 EntryTask::EntryTask(EventLoop &loop,
                      const Clock &clock,
-                     const Settings &settings,
+                     const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics)
     : loop(loop)
+    , settings(settings)
     , platform(makePlatform(loop))
     , peers(loop, security)
-    , owners(loop, clock, this->peers, ownerOptions(settings))
+    , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
-    , replicas(settings.endpoints)
-    , datagrams(loop, {settings.listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , replicas(settings->endpoints)
+    , datagrams(loop, {settings->listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
-    , retries(clock, retryOptions(settings.retries))
-    , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings.quarantine))
+    , retries(clock, retryOptions(settings->retries))
+    , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
     , context{loop,
               clock,
-              settings,
+              this->settings,
               self,
               this->http,
               this->owners,
@@ -60,8 +61,8 @@
               this->suspects}
     , service(this->context)
     , server(loop,
-             settings.listen.http,
-             {static_cast<std::uint64_t>(settings.entry.jobBytes)},
+             settings->listen.http,
+             {static_cast<std::uint64_t>(settings->entry.jobBytes)},
              [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
                  this->service.serve(request, reply);
              })
@@ -92,6 +93,26 @@
     this->suspects.receive(notice);
 }
 
+void EntryTask::setSession(SessionNumber self)
+{
+    this->context.self = self;
+    this->notices.setSession(self);
+}
+
+void EntryTask::putInForce(const SettingsPointer &settings)
+{
+    this->settings.replace(settings);
+    // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
+    this->notices.flush();
+    this->replicas.update(settings->endpoints);
+    this->service.settingsChanged();
+}
+
+void EntryTask::setVms(const ListedVmsPointer &vms)
+{
+    this->replicas.markLeaving(*vms);
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -5,7 +5,8 @@
 #include <LibMembership/MemberView.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibPlatform/VmWatch.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
@@ -26,7 +27,7 @@
     /** @throws std::runtime_error if it cannot listen */
     EntryTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
@@ -41,6 +42,15 @@
     /** Another node tells of requests that were lost with an endpoint. */
     void receive(const SuspectNotice &notice);
 
+    /** This node goes on as another session; requests in progress are not touched. */
+    void setSession(SessionNumber self);
+
+    /** Put a new configuration into force; requests that run go on with what they have. */
+    void putInForce(const SettingsPointer &settings);
+
+    /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
+    void setVms(const ListedVmsPointer &vms);
+
     /** Take no new connections. */
     void drain();
 
@@ -51,6 +61,7 @@
     void repeatNotices();
 
     EventLoop &loop;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     PeerClient peers;
     OwnerClient owners;
--- a/Services/Entry/LoadNotices.h
+++ b/Services/Entry/LoadNotices.h
@@ -5,6 +5,7 @@
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 
+#include <list>
 #include <set>
 
 namespace Dogwoodkeel
@@ -21,14 +22,19 @@
 
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The number of online requests on a replica changed. */
     void changed(const Replica &replica);
 
     /** Repeat the numbers of all replicas in use. */
-    void repeat(const std::vector<Replica> &replicas);
+    void repeat(const std::list<Replica> &replicas);
 
-private:
+    /** Tell of the changes so far now, before replicas are taken out. */
     void flush();
+
+private:
     void send(const EndpointName &name, std::uint32_t inFlight);
 
     EventLoop &loop;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -58,6 +58,7 @@
             this->request.completion && this->request.completion->isStream ? &*this->request.completion : nullptr)
     , started(context.clock.now())
     , deadline(this->started + this->request.timeout)
+    , runner(context.self)
     , claimNumber(context.random())
     , events(eventLimit)
     , commitPause(firstCommitPause)
@@ -91,7 +92,7 @@
     const ClaimRequest claim{this->request.id,
                              this->request.fingerprint,
                              this->request.isNonIdempotent,
-                             this->context.self,
+                             this->runner,
                              this->claimNumber,
                              std::min(joinWait, left)};
     this->context.owners.call<ClaimRequest>(
@@ -99,8 +100,10 @@
         claim,
         claim.wait,
         std::min(this->deadline, now + claimPatience),
-        [](const ClaimResponse &response) {
-            return response.decision != ClaimDecision::NotOwner && response.decision != ClaimDecision::Unavailable;
+        [isNonIdempotent = this->request.isNonIdempotent](const ClaimResponse &response) {
+            // Without the platform a non-idempotent request cannot run for now: its caller is told at once.
+            const bool isUndecided = response.decision == ClaimDecision::Unavailable && !isNonIdempotent;
+            return response.decision != ClaimDecision::NotOwner && !isUndecided;
         },
         [self = this->shared_from_this()](const std::optional<ClaimResponse> &response) {
             self->onClaim(response);
@@ -140,8 +143,14 @@
         // Past the deadline the caller has been answered by onDeadline().
         this->claim();
         return;
-    case ClaimDecision::NotOwner:
     case ClaimDecision::Unavailable:
+        this->refuse({statusUnavailable,
+                      "platform_unavailable",
+                      "it must not be repeated, and that it runs cannot be recorded now",
+                      this->runState(),
+                      comeBack});
+        return;
+    case ClaimDecision::NotOwner:
         return;
     }
 }
@@ -156,14 +165,14 @@
     const ClaimRequest claim{this->request.id,
                              this->request.fingerprint,
                              this->request.isNonIdempotent,
-                             this->context.self,
+                             this->runner,
                              this->claimNumber,
                              std::chrono::milliseconds(0)};
     this->context.owners.call<ClaimRequest>(
         this->request.id.value(),
         claim,
         claim.wait,
-        this->context.clock.now() + this->context.settings.owner.claimLease,
+        this->context.clock.now() + this->context.settings->owner.claimLease,
         [](const ClaimResponse &response) {
             return response.decision != ClaimDecision::NotOwner && response.decision != ClaimDecision::Unavailable;
         },
@@ -187,9 +196,9 @@
     }
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
-        ReleaseRequest{this->request.id, this->context.self, this->claimNumber},
+        ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
-        this->context.clock.now() + this->context.settings.owner.claimLease,
+        this->context.clock.now() + this->context.settings->owner.claimLease,
         [](const ReleaseResponse &) {
             return true;
         },
@@ -204,9 +213,9 @@
         this->refuse({statusUnprocessable, "quarantined", "endpoints were lost while they ran it", this->runState(), left});
         return;
     }
-    const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->request.serves), wish, this->context.random);
-    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings.entry.attempts);
+    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
         this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", this->runState(), comeBack});
         return;
@@ -261,7 +270,7 @@
             },
     };
     this->attempt = std::make_unique<Attempt>(
-        this->context.loop, this->context.clock, this->context.http, progressLimits(this->context.settings.entry));
+        this->context.loop, this->context.clock, this->context.http, progressLimits(this->context.settings->entry));
     this->attempt->start(replica.address, message, choice, std::move(hooks));
 }
 
@@ -288,7 +297,7 @@
         this->sawEnd = true;
         return;
     }
-    const auto delta = CompletionDelta::parse(this->request.completion->form, data);
+    const auto delta = CompletionDelta::parse(data);
     if (!delta) {
         return;
     }
@@ -421,7 +430,7 @@
 {
     this->context.owners.call<CommitRequest>(
         this->request.id.value(),
-        CommitRequest{this->request.id, this->request.fingerprint, this->context.self, this->result},
+        CommitRequest{this->request.id, this->request.fingerprint, this->runner, this->result},
         commitWait,
         this->context.clock.now() + commitPatience,
         [](const CommitResponse &response) {
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -97,6 +97,8 @@
     CallerReply reply;
     SteadyTime started;
     SteadyTime deadline;
+    /** Of the claim: the node may go on as another session meanwhile. */
+    SessionNumber runner;
     std::uint64_t claimNumber;
     Phase phase = Phase::Claiming;
     bool hasClaim = false;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -51,9 +51,9 @@
         this->refuse(statusUnprocessable, "quarantined", "endpoints were lost while they ran it", left);
         return;
     }
-    const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
     Replica *const chosen = chooseReplica(this->context.replicas.of(this->service.name), wish, this->context.random);
-    const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings.entry.attempts);
+    const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
         this->refuse(statusUnavailable, "no_endpoint", "no endpoint can serve the request now", comeBack);
         return;
@@ -96,7 +96,7 @@
                 self->onEnd(end);
             },
     };
-    const EntrySettings &entry = this->context.settings.entry;
+    const EntrySettings &entry = this->context.settings->entry;
     const ProgressLimits limits{entry.connectTimeout, this->service.firstByteTimeout, entry.progressTimeout};
     this->attempt = std::make_unique<Attempt>(this->context.loop, this->context.clock, this->context.http, limits);
     this->attempt->start(replica.address, this->request, choice, std::move(hooks));
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -126,7 +126,7 @@
         this->entry = std::make_unique<EntryTask>(
             this->loop,
             this->clock,
-            this->settings,
+            std::make_shared<const Settings>(this->settings),
             SessionNumber(1),
             PeerSecurity{MessageKey(""), 1048576},
             [store](EventLoop &on) {
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -122,7 +122,6 @@
         }
         serveFourTokens(exchange);
     });
-    bench.settings.entry.firstByteTimeout = std::chrono::milliseconds(60);
     bench.untilEnd(bench.complete("first"));
     const auto second = bench.complete("second");
     bench.untilEnd(second);
