LibRouting: Choose by load, service time, prefix and rollout, and eject outliers

Cause: a choice knew only this node's own requests and a count of failures. It copied the whole list of replicas, so its cost grew with the fleet; old and new accelerators counted the same; a replica that kept failing stayed in the draw. Change: LibFleet keeps what is known of each replica: own requests exactly, the others' from load reports that fade into the pool's mean with age (this node's own count of the report's moment is taken off, not that of now), decaying averages of service time and failures, hints from cache events, version, adapters, and a leaving state that only another start of the endpoint, or a VM that left the list and came again, ends. LibRouting chooses the prefix's home on a ring under a load bound, else the cheaper of two draws; versions get their weights; outliers are ejected under a cap, for twice as long each time, and come back by a slow start. Means and ejections are renewed every 50 ms, so a choice looks at a few replicas whatever their number. Ruled out: forgetting all hints at a gap in the events (one lost event would give up the cache). Not measured yet.

--- /dev/null
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -0,0 +1,135 @@
+#include <LibFleet/FleetState.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace Dogwoodkeel
+{
+
+FleetState::FleetState(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas)
+    : clock(clock), settings(settings), replicas(replicas)
+{
+}
+
+void FleetState::begin(Replica &replica)
+{
+    replica.history.record(++replica.inFlight, this->clock.now());
+}
+
+void FleetState::end(Replica &replica, const AttemptResult &result)
+{
+    const SteadyTime now = this->clock.now();
+    replica.history.record(--replica.inFlight, now);
+    switch (result.outcome) {
+    case AttemptOutcome::Succeeded:
+        replica.failuresInARow = 0;
+        replica.failures.observe(0, now, this->settings.failureHalfLife);
+        break;
+    case AttemptOutcome::NotConnected:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Silent:
+        ++replica.failuresInARow;
+        replica.failures.observe(1, now, this->settings.failureHalfLife);
+        break;
+    case AttemptOutcome::Refused:
+    case AttemptOutcome::Abandoned:
+        break;
+    }
+    if (result.serviceTime) {
+        const double seconds = std::chrono::duration<double>(*result.serviceTime).count();
+        replica.serviceTime.observe(seconds, now, this->settings.latencyHalfLife);
+    }
+}
+
+bool FleetState::observe(const ReplicaReport &report)
+{
+    Replica *const replica = this->replicas.find(report.endpoint);
+    if (replica == nullptr) {
+        return false;
+    }
+    const SteadyTime at = this->clock.now() - std::chrono::milliseconds(report.ageMilliseconds);
+    const bool isNewer = at > replica->others.at;
+    if (isNewer) {
+        const double own = replica->history.at(at);
+        replica->others = {std::max(0.0, report.inFlight - own), at};
+        replica->version = report.version;
+        replica->adapters = report.adapters;
+        this->observeInstance(*replica, report.instance);
+    }
+    return report.isLeaving && this->markLeaving(*replica, report.instance);
+}
+
+void FleetState::observeInstance(Replica &replica, const std::string &instance)
+{
+    if (instance.empty() || instance == replica.instance) {
+        return;
+    }
+    const bool isRestart = !replica.instance.empty();
+    replica.instance = instance;
+    if (replica.isLeaving && replica.leavingInstance.empty()) {
+        replica.leavingInstance = instance;
+    }
+    if (replica.isLeaving && instance != replica.leavingInstance) {
+        // The platform's list lags and may say either for a while: another start of the endpoint ends its leaving.
+        replica.isLeaving = false;
+        replica.isVmGone = false;
+    }
+    if (isRestart) {
+        this->restarted(replica);
+    }
+}
+
+void FleetState::restarted(Replica &replica)
+{
+    replica.prefixes.clear();
+    replica.failuresInARow = 0;
+    replica.ejection = {};
+    replica.rampStart = this->clock.now();
+}
+
+std::vector<Replica *> FleetState::observe(const std::vector<ListedVm> &vms)
+{
+    std::unordered_map<VmName, bool> isLeaving;
+    for (const ListedVm &vm : vms) {
+        isLeaving[vm.name] = vm.isLeaving;
+    }
+    std::vector<Replica *> news;
+    for (Replica &replica : this->replicas.all()) {
+        const auto listed = isLeaving.find(replica.vm);
+        if (listed == isLeaving.end()) {
+            replica.isVmGone = replica.isLeaving;
+        } else if (listed->second && this->markLeaving(replica)) {
+            news.push_back(&replica);
+        } else if (!listed->second && replica.isVmGone) {
+            replica.isLeaving = false;
+            replica.isVmGone = false;
+            this->restarted(replica);
+        }
+    }
+    return news;
+}
+
+bool FleetState::markLeaving(Replica &replica, const std::string &instance)
+{
+    const bool isOldNews
+        = !instance.empty() && !replica.instance.empty() && instance != replica.instance && instance == replica.leavingInstance;
+    if (replica.isLeaving || isOldNews) {
+        return false;
+    }
+    replica.isLeaving = true;
+    replica.leavingInstance = instance.empty() ? replica.instance : instance;
+    return true;
+}
+
+void FleetState::observe(Replica &replica, const std::vector<CacheEvent> &events)
+{
+    replica.prefixes.observe(events);
+}
+
+double estimatedInFlight(const Replica &replica, SteadyTime now, std::chrono::milliseconds halfLife, double poolMean)
+{
+    const double trust = remainingShare(now - replica.others.at, halfLife);
+    return replica.inFlight + trust * replica.others.inFlight + (1 - trust) * poolMean;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -16,9 +16,11 @@
 public:
     /** @param endpoints from the settings */
     explicit ReplicaTable(const std::vector<EndpointSettings> &endpoints);
+    ReplicaTable(const ReplicaTable &) = delete;
+    ReplicaTable &operator=(const ReplicaTable &) = delete;
 
     /** @return the replicas of a model or plain service, in settings order. */
-    std::vector<Replica *> of(const std::string &serves);
+    const std::vector<Replica *> &of(const std::string &serves) const;
 
     /** @return a replica, or null. */
     Replica *find(const EndpointName &name);
@@ -27,7 +29,8 @@
 
 private:
     std::vector<Replica> replicas;
-    std::unordered_map<std::string, std::vector<std::size_t>> byService;
+    std::unordered_map<std::string, std::vector<Replica *>> byService;
+    std::unordered_map<EndpointName, Replica *> byName;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibRouting/ReplicaChooser.cpp
@@ -0,0 +1,234 @@
+#include <LibRouting/ReplicaChooser.h>
+
+#include <LibFleet/FleetState.h>
+#include <LibRouting/OutlierEjection.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** How long what was learnt by a look at a whole pool is used. */
+constexpr std::chrono::milliseconds renewInterval{50};
+/** Draws before a pool is looked through, because most of it cannot serve the request. */
+constexpr int mostDraws = 12;
+/** Points of the ring that are looked at for a replica with room. */
+constexpr std::size_t mostPoints = 64;
+
+bool wasTried(const Replica &replica, const ChoiceWish &wish)
+{
+    return std::ranges::find(wish.avoid, replica.name) != wish.avoid.end();
+}
+
+bool hasAdapter(const Replica &replica, const ChoiceWish &wish)
+{
+    return wish.adapter.empty() || std::ranges::find(replica.adapters, wish.adapter) != replica.adapters.end();
+}
+
+/** @return whether it can serve the request at all. */
+bool canServe(const Replica &replica, const ChoiceWish &wish)
+{
+    return !replica.isLeaving && hasAdapter(replica, wish) && !wasTried(replica, wish);
+}
+
+/** @return whether nothing speaks against it. */
+bool isGood(const Replica &replica, const ChoiceWish &wish)
+{
+    const bool isElsewhere = wish.avoidDomain.value().empty() || replica.failureDomain != wish.avoidDomain;
+    return canServe(replica, wish) && !replica.ejection.isEjected && isElsewhere;
+}
+
+} // namespace
+
+ReplicaChooser::Pool::Pool(const std::vector<Replica *> &replicas) : all(replicas), ring(replicas)
+{
+}
+
+ReplicaChooser::ReplicaChooser(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas, std::mt19937_64 &random)
+    : clock(clock), settings(settings), replicas(replicas), random(random)
+{
+}
+
+ReplicaChooser::Pool *ReplicaChooser::poolOf(const std::string &serves)
+{
+    const auto found = this->pools.find(serves);
+    if (found != this->pools.end()) {
+        return &found->second;
+    }
+    const std::vector<Replica *> &all = this->replicas.of(serves);
+    return all.empty() ? nullptr : &this->pools.emplace(serves, Pool(all)).first->second;
+}
+
+void ReplicaChooser::setRollout(const std::string &model, std::vector<VersionWeight> weights)
+{
+    if (Pool *const pool = this->poolOf(model)) {
+        pool->rollout = std::move(weights);
+    }
+}
+
+void ReplicaChooser::renew(Pool &pool, SteadyTime now)
+{
+    if (now - pool.renewed < renewInterval) {
+        return;
+    }
+    pool.renewed = now;
+    renewEjections(pool.all, now, this->settings);
+    pool.usable.clear();
+    pool.usableByVersion.clear();
+    for (Replica *const replica : pool.all) {
+        if (!replica->isLeaving && !replica->ejection.isEjected) {
+            pool.usable.push_back(replica);
+            pool.usableByVersion[replica->version].push_back(replica);
+        }
+    }
+    renewMeans(pool, now, this->settings);
+}
+
+void ReplicaChooser::renewMeans(Pool &pool, SteadyTime now, const FleetSettings &settings)
+{
+    double known = 0;
+    double knownOthers = 0;
+    double capacity = 0;
+    double own = 0;
+    double serviceTime = 0;
+    double measured = 0;
+    for (const Replica *const replica : pool.usable) {
+        // Each counts as much as its report is fresh.
+        const double trust = remainingShare(now - replica->others.at, settings.loadHalfLife);
+        known += trust * replica->capacity;
+        knownOthers += trust * replica->others.inFlight;
+        capacity += replica->capacity;
+        own += replica->inFlight;
+        const double seconds = replica->serviceTime.valueOr(0);
+        serviceTime += seconds;
+        measured += seconds > 0 ? 1 : 0;
+    }
+    pool.means.othersPerCapacity = known > 0 ? knownOthers / known : 0;
+    pool.means.inFlightPerCapacity = pool.means.othersPerCapacity + (capacity > 0 ? own / capacity : 0);
+    pool.means.serviceTime = measured > 0 ? serviceTime / measured : 0;
+}
+
+std::string ReplicaChooser::versionFor(const Pool &pool, const ChoiceWish &wish)
+{
+    if (!wish.version.empty() || pool.rollout.empty()) {
+        return wish.version;
+    }
+    double sum = 0;
+    for (const VersionWeight &part : pool.rollout) {
+        sum += pool.usableByVersion.contains(part.version) ? part.weight : 0;
+    }
+    double place = std::uniform_real_distribution<double>(0, sum)(this->random);
+    for (const VersionWeight &part : pool.rollout) {
+        place -= pool.usableByVersion.contains(part.version) ? part.weight : 0;
+        if (place < 0) {
+            return part.version;
+        }
+    }
+    return {};
+}
+
+Replica *ReplicaChooser::choose(const std::string &serves, const ChoiceWish &wish)
+{
+    Pool *const pool = this->poolOf(serves);
+    if (pool == nullptr) {
+        return nullptr;
+    }
+    const SteadyTime now = this->clock.now();
+    this->renew(*pool, now);
+    const std::string version = this->versionFor(*pool, wish);
+    const auto ofVersion = pool->usableByVersion.find(version);
+    if (!wish.version.empty() && ofVersion == pool->usableByVersion.end()) {
+        return nullptr;
+    }
+    const bool anyVersion = version.empty() || ofVersion == pool->usableByVersion.end();
+    const Draw draw{*pool, anyVersion ? pool->usable : ofVersion->second, wish, now};
+    if (wish.prefix != 0) {
+        if (Replica *const replica = this->byPrefix(draw, anyVersion ? std::string() : version)) {
+            return replica;
+        }
+    }
+    return this->cheaperOfTwo(draw);
+}
+
+Replica *ReplicaChooser::byPrefix(const Draw &draw, const std::string &version) const
+{
+    return draw.pool.ring.walk(draw.wish.prefix, mostPoints, [&](const Replica &replica) {
+        const bool isOfVersion = version.empty() || replica.version == version;
+        return isOfVersion && isGood(replica, draw.wish) && this->hasRoom(replica, draw);
+    });
+}
+
+bool ReplicaChooser::hasRoom(const Replica &replica, const Draw &draw) const
+{
+    const double capacity = replica.capacity * rampShare(replica, draw.now, this->settings.slowStart);
+    const double others = draw.pool.means.othersPerCapacity * replica.capacity;
+    const double inFlight = estimatedInFlight(replica, draw.now, this->settings.loadHalfLife, others);
+    const double mean = draw.pool.means.inFlightPerCapacity * capacity;
+    return inFlight + 1 <= std::ceil(this->settings.prefixLoadBound * (mean + 1)) && inFlight < capacity;
+}
+
+double ReplicaChooser::cost(const Replica &replica, const Draw &draw) const
+{
+    return replicaCost(replica, draw.pool.means, draw.wish.ownDomain, draw.wish.prefix, draw.now, this->settings);
+}
+
+Replica *ReplicaChooser::cheaperOfTwo(const Draw &draw)
+{
+    Replica *const first = this->drawOne(draw, nullptr);
+    if (first == nullptr) {
+        return this->lastResort(draw);
+    }
+    Replica *const second = this->drawOne(draw, first);
+    return second == nullptr || this->cost(*first, draw) <= this->cost(*second, draw) ? first : second;
+}
+
+Replica *ReplicaChooser::drawOne(const Draw &draw, const Replica *other)
+{
+    if (draw.candidates.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> place(0, draw.candidates.size() - 1);
+    for (int tries = 0; tries < mostDraws; ++tries) {
+        Replica *const replica = draw.candidates[place(this->random)];
+        if (replica != other && isGood(*replica, draw.wish)) {
+            return replica;
+        }
+    }
+    return nullptr;
+}
+
+Replica *ReplicaChooser::lastResort(const Draw &draw)
+{
+    // Few can serve, so all are looked at: those against which nothing speaks first, then those in the domain that just
+    // failed, then those that were ejected. A try there may fail; refusing without one is sure to.
+    const auto rank = [&draw](const Replica &replica) {
+        return isGood(replica, draw.wish) ? 0 : replica.ejection.isEjected ? 2 : 1;
+    };
+    std::vector<Replica *> best;
+    int bestRank = 3;
+    for (Replica *const replica : draw.pool.all) {
+        const bool isOfVersion = draw.wish.version.empty() || replica->version == draw.wish.version;
+        if (!isOfVersion || !canServe(*replica, draw.wish) || rank(*replica) > bestRank) {
+            continue;
+        }
+        if (rank(*replica) < bestRank) {
+            bestRank = rank(*replica);
+            best.clear();
+        }
+        best.push_back(replica);
+    }
+    if (best.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> place(0, best.size() - 1);
+    Replica *const first = best[place(this->random)];
+    Replica *const second = best[place(this->random)];
+    return this->cost(*first, draw) <= this->cost(*second, draw) ? first : second;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -152,6 +152,35 @@
     std::int64_t headroom = 1;
 };
 
+/** What is learnt of endpoints, and how one is chosen. */
+struct FleetSettings
+{
+    /** How often an endpoint's load report and cache events are read, by one node for all. */
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    /** Load reports a node lets the others send it; with more replicas in use they come less often. */
+    std::int64_t loadBytesPerSecond = 4096;
+    /** After this age a load report counts half, and the pool's mean the other half. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How fast the measured service time forgets. */
+    std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
+    /** How fast the measured share of failures forgets. */
+    std::chrono::milliseconds failureHalfLife = std::chrono::milliseconds(10000);
+    /** How much of a prompt's start sends requests that share it to the same replica. */
+    std::int64_t prefixBytes = 256;
+    /** How far above the pool's mean load a replica may be to get a request for its cached prefix. */
+    double prefixLoadBound = 1.25;
+    /** Failures in a row after which a replica gets no requests for a while. */
+    std::int64_t ejectFailures = 3;
+    /** Share of a pool that may be ejected at once. */
+    double ejectShare = 0.5;
+    /** How long a first ejection lasts; each further one lasts twice as long. */
+    std::chrono::milliseconds ejectTime = std::chrono::milliseconds(2000);
+    /** How long an ejection lasts at most. */
+    std::chrono::milliseconds ejectTimeMost = std::chrono::milliseconds(60000);
+    /** How long a new or returned replica takes to get its whole share. */
+    std::chrono::milliseconds slowStart = std::chrono::milliseconds(5000);
+};
+
 /** A replica that work is sent to: a model engine or a plain service. */
 struct EndpointSettings
 {
@@ -169,6 +198,8 @@
     std::int64_t capacity = 8;
     /** Its hardware generation. */
     std::string generation;
+    /** The VM it runs on, as the platform's list of VMs has it; empty if it has the endpoint's name. */
+    std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
 };
@@ -216,6 +247,8 @@
     EntrySettings entry;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
+    /** What is learnt of endpoints, and how one is chosen. */
+    FleetSettings fleet;
     /** A replica that work is sent to: a model engine or a plain service. */
     std::vector<EndpointSettings> endpoints;
     /** A plain service. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -155,10 +155,68 @@
     reader.readInteger(table, "headroom", target.headroom, Presence::Optional, {.least = 0, .most = 10000});
 }
 
+void readFleetSettings(SettingsReader &reader, const toml::table &table, FleetSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"load_poll",
+                              "load_bytes_per_second",
+                              "load_half_life",
+                              "latency_half_life",
+                              "failure_half_life",
+                              "prefix_bytes",
+                              "prefix_load_bound",
+                              "eject_failures",
+                              "eject_share",
+                              "eject_time",
+                              "eject_time_most",
+                              "slow_start"});
+    reader.readDuration(table,
+                        "load_poll",
+                        target.loadPoll,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(
+        table, "load_bytes_per_second", target.loadBytesPerSecond, Presence::Optional, {.least = 64, .most = 10000000});
+    reader.readDuration(table,
+                        "load_half_life",
+                        target.loadHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "latency_half_life",
+                        target.latencyHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "failure_half_life",
+                        target.failureHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "prefix_bytes", target.prefixBytes, Presence::Optional, {.least = 1, .most = 1048576});
+    reader.readNumber(table, "prefix_load_bound", target.prefixLoadBound, Presence::Optional, {.least = 1.0, .most = 100.0});
+    reader.readInteger(table, "eject_failures", target.ejectFailures, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readNumber(table, "eject_share", target.ejectShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readDuration(table,
+                        "eject_time",
+                        target.ejectTime,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "eject_time_most",
+                        target.ejectTimeMost,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(86400000)});
+    reader.readDuration(table,
+                        "slow_start",
+                        target.slowStart,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+}
+
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "checks_fencing"});
+        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -166,6 +224,7 @@
     reader.readString(table, "service", target.service, Presence::Optional);
     reader.readInteger(table, "capacity", target.capacity, Presence::Optional, {.least = 1, .most = 100000});
     reader.readString(table, "generation", target.generation, Presence::Optional);
+    reader.readString(table, "vm", target.vm, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
 }
 
@@ -194,8 +253,19 @@
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
 {
-    reader.rejectUnknownKeys(
-        root, {"node", "listen", "platform", "peers", "membership", "owner", "entry", "batch", "endpoint", "service", "tenant"});
+    reader.rejectUnknownKeys(root,
+                             {"node",
+                              "listen",
+                              "platform",
+                              "peers",
+                              "membership",
+                              "owner",
+                              "entry",
+                              "batch",
+                              "fleet",
+                              "endpoint",
+                              "service",
+                              "tenant"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -204,6 +274,7 @@
     reader.readTable(root, "owner", settings.owner, Presence::Optional, readOwnerSettings);
     reader.readTable(root, "entry", settings.entry, Presence::Optional, readEntrySettings);
     reader.readTable(root, "batch", settings.batch, Presence::Optional, readBatchSettings);
+    reader.readTable(root, "fleet", settings.fleet, Presence::Optional, readFleetSettings);
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -102,7 +102,7 @@
 {
     for (const std::string &path : paths) {
         std::ifstream file(path, std::ios::binary);
-        std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+        std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
         if (!file) {
             findings.add({path, 0, 0}, "cannot be read");
             continue;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -333,6 +333,9 @@
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
+struct LoadInterest;
+struct LoadReports;
+struct EndpointLeaving;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -640,6 +643,8 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** Where its entry task takes load reports. */
+    Address fleet;
 
     bool operator==(const Member &) const = default;
 
@@ -656,7 +661,41 @@
                 this->gossip,
                 this->lane,
                 this->backlog,
-                this->configVersion);
+                this->configVersion,
+                this->fleet);
+    }
+};
+
+/** What an endpoint says of itself, as one node read it for all. */
+struct ReplicaReport
+{
+    /** Which replica. */
+    EndpointName endpoint;
+    /** Online requests that run or wait there. */
+    std::uint32_t inFlight = 0;
+    /** How long ago that was so. */
+    std::uint32_t ageMilliseconds = 0;
+    /** It is about to go and must get nothing new. */
+    bool isLeaving = false;
+    /** Which start of the endpoint; empty if it does not say. */
+    std::string instance;
+    /** The model version it has loaded; empty if it does not say. */
+    std::string version;
+    /** The adapters it has loaded. */
+    std::vector<std::string> adapters;
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint,
+                this->inFlight,
+                this->ageMilliseconds,
+                this->isLeaving,
+                this->instance,
+                this->version,
+                this->adapters);
     }
 };
 
@@ -1140,4 +1179,60 @@
     }
 };
 
+/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
+struct LoadInterest
+{
+    static constexpr MessageNumber number{50};
+    /** Who wants them. */
+    SessionNumber from;
+    /** How far apart they may come at the closest. */
+    std::uint32_t intervalMilliseconds = 0;
+    /** Which replicas. */
+    std::vector<EndpointName> endpoints;
+
+    bool operator==(const LoadInterest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->intervalMilliseconds, this->endpoints);
+    }
+};
+
+/** Datagram: load reports for a node that asked for them. */
+struct LoadReports
+{
+    static constexpr MessageNumber number{51};
+    /** Who polls the endpoints. */
+    SessionNumber from;
+    /** The latest reports. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const LoadReports &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
+struct EndpointLeaving
+{
+    static constexpr MessageNumber number{52};
+    /** Who tells. */
+    SessionNumber from;
+    /** The endpoints, each with its instance. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const EndpointLeaving &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibFleet/ReplicaTable.h>
+#include <LibFleet/FleetState.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/ReplicaChooser.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Entry/LoadNotices.h>
@@ -29,6 +30,8 @@
     Platform &platform;
     NodeMetrics &metrics;
     std::mt19937_64 &random;
+    FleetState &fleet;
+    ReplicaChooser &chooser;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -5,6 +5,7 @@
 #include <Services/Entry/ApiErrors.h>
 #include <Services/Entry/OnlineRequest.h>
 #include <Services/Entry/PlainCall.h>
+#include <Services/Entry/PromptPrefix.h>
 
 #include <nlohmann/json.hpp>
 
@@ -174,6 +175,7 @@
     durable.isNonIdempotent = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     durable.request = {.method = "POST", .path = request.path, .headers = {{"Content-Type", "application/json"}}};
     durable.serves = completion->model;
+    durable.prefix = promptPrefix(*completion, static_cast<std::size_t>(this->context.settings.fleet.prefixBytes));
     durable.timeout = this->context.settings.entry.requestTimeout;
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -33,6 +33,8 @@
     , datagrams(loop, {settings.listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
+    , fleet(clock, settings.fleet, this->replicas)
+    , chooser(clock, settings.fleet, this->replicas, this->random)
     , context{loop,
               clock,
               settings,
@@ -43,7 +45,9 @@
               this->notices,
               *this->platform,
               metrics,
-              this->random}
+              this->random,
+              this->fleet,
+              this->chooser}
     , service(this->context)
     , server(loop,
              settings.listen.http,
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -56,6 +56,8 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    FleetState fleet;
+    ReplicaChooser chooser;
     EntryContext context;
     EntryService service;
     HttpServer server;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -1,7 +1,6 @@
 #include <Services/Entry/OnlineRequest.h>
 
 #include <LibBase/Log.h>
-#include <LibRouting/ReplicaChoice.h>
 
 #include <nlohmann/json.hpp>
 
@@ -117,8 +116,9 @@
 
 void OnlineRequest::dispatch()
 {
-    const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
-    Replica *const chosen = chooseReplica(this->context.replicas.of(this->request.serves), wish, this->context.random);
+    ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    wish.prefix = this->request.prefix;
+    Replica *const chosen = this->context.chooser.choose(this->request.serves, wish);
     const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings.entry.attempts);
     if (chosen == nullptr || isExhausted || this->context.clock.now() >= this->deadline) {
         const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
@@ -132,7 +132,9 @@
 {
     ++this->attempts;
     this->replica = &replica;
-    ++replica.inFlight;
+    this->context.fleet.begin(replica);
+    this->attemptStarted = this->context.clock.now();
+    this->tokensBefore = this->completion.tokens;
     this->context.notices.changed(replica);
     this->tried.push_back(replica.name);
     this->status = 0;
@@ -197,7 +199,7 @@
     // and the request goes on elsewhere over a new one.
     this->context.http.cancel(this->exchange);
     this->context.http.retireIdle(this->replica->address);
-    this->attemptFailed(RunState::Unknown, "silent");
+    this->attemptFailed(AttemptOutcome::Silent, RunState::Unknown, "silent");
 }
 
 void OnlineRequest::onHeaders(int status, const HttpHeaders &headers)
@@ -235,6 +237,9 @@
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastProgress, now));
     }
+    if (this->completion.tokens == this->tokensBefore) {
+        this->attemptFirstToken = now;
+    }
     this->lastProgress = now;
     this->completion.add(*delta);
     if (this->isStreaming() && !delta->text.empty()) {
@@ -259,10 +264,10 @@
 {
     switch (end) {
     case ExchangeEnd::NotConnected:
-        this->attemptFailed(RunState::NotRun, "not_connected");
+        this->attemptFailed(AttemptOutcome::NotConnected, RunState::NotRun, "not_connected");
         return;
     case ExchangeEnd::Broken:
-        this->attemptFailed(RunState::Unknown, "broken");
+        this->attemptFailed(AttemptOutcome::Failed, RunState::Unknown, "broken");
         return;
     case ExchangeEnd::Complete:
         this->attemptDone();
@@ -274,16 +279,16 @@
 {
     if (this->status == statusUnavailable) {
         // By the endpoints' contract (docs/operators/endpoints.md) a 503 is given before anything is run.
-        this->attemptFailed(RunState::NotRun, "refused");
+        this->attemptFailed(AttemptOutcome::Refused, RunState::NotRun, "refused");
         return;
     }
     const bool isCutShort = this->request.completion && this->status == statusOk && !this->sawEnd;
     const bool isEndpointError = this->status >= statusServerError;
     if (isCutShort || (isEndpointError && !this->request.isNonIdempotent)) {
-        this->attemptFailed(RunState::Unknown, isCutShort ? "cut_short" : "endpoint_error");
+        this->attemptFailed(AttemptOutcome::Failed, RunState::Unknown, isCutShort ? "cut_short" : "endpoint_error");
         return;
     }
-    this->leaveReplica(false);
+    this->leaveReplica({AttemptOutcome::Succeeded, this->serviceTime()});
     if (this->request.completion && this->status == statusOk) {
         this->commit(this->completion.answer(*this->request.completion, this->request.id));
         return;
@@ -291,16 +296,27 @@
     this->commit({static_cast<std::uint16_t>(this->status), this->contentType, this->body});
 }
 
-void OnlineRequest::leaveReplica(bool hasFailed)
+std::optional<std::chrono::microseconds> OnlineRequest::serviceTime() const
+{
+    if (!this->request.completion) {
+        return since(this->attemptStarted, this->context.clock.now());
+    }
+    const std::uint32_t tokens = this->completion.tokens - this->tokensBefore;
+    if (tokens < 2) {
+        return {};
+    }
+    return since(this->attemptFirstToken, this->lastProgress) / (tokens - 1);
+}
+
+void OnlineRequest::leaveReplica(const AttemptResult &result)
 {
     this->context.loop.cancel(std::exchange(this->progressTimer, 0));
     Replica &left = *std::exchange(this->replica, nullptr);
-    --left.inFlight;
-    left.failuresInARow = hasFailed ? left.failuresInARow + 1 : 0;
+    this->context.fleet.end(left, result);
     this->context.notices.changed(left);
 }
 
-void OnlineRequest::attemptFailed(RunState run, std::string_view reason)
+void OnlineRequest::attemptFailed(AttemptOutcome outcome, RunState run, std::string_view reason)
 {
     log(LogLevel::Info,
         "attempt failed",
@@ -309,7 +325,7 @@
          {"failure_domain", this->replica->failureDomain.value()},
          {"reason", std::string(reason)}});
     this->failedDomain = this->replica->failureDomain;
-    this->leaveReplica(true);
+    this->leaveReplica({outcome, {}});
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
     if (this->request.isNonIdempotent && run == RunState::Unknown) {
         // It may have run, so it must not run again. This is committed as its answer: every resend gets the same.
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibFleet/Replica.h>
+#include <LibFleet/FleetState.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/ServerSentEvents.h>
@@ -33,6 +33,8 @@
     std::chrono::milliseconds timeout{0};
     /** For a completion. */
     std::optional<CompletionRequest> completion;
+    /** Key of the prompt's first bytes, shared by requests that may profit from one cache; 0 for none. */
+    std::uint64_t prefix = 0;
 };
 
 /**
@@ -58,8 +60,9 @@
     void onEvent(const std::string &data);
     void onEnd(ExchangeEnd end);
     void attemptDone();
-    void attemptFailed(RunState run, std::string_view reason);
-    void leaveReplica(bool hasFailed);
+    void attemptFailed(AttemptOutcome outcome, RunState run, std::string_view reason);
+    void leaveReplica(const AttemptResult &result);
+    std::optional<std::chrono::microseconds> serviceTime() const;
     void armProgress();
     void onSilence();
     void commit(const Answer &answer);
@@ -85,6 +88,9 @@
     HttpClient::ExchangeId exchange = 0;
     TimerId progressTimer = 0;
     SteadyTime lastProgress{};
+    SteadyTime attemptStarted{};
+    SteadyTime attemptFirstToken{};
+    std::uint32_t tokensBefore = 0;
     int status = 0;
     std::string contentType;
     std::string body;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -1,6 +1,5 @@
 #include <Services/Entry/PlainCall.h>
 
-#include <LibRouting/ReplicaChoice.h>
 #include <Services/Entry/ApiErrors.h>
 
 #include <algorithm>
@@ -35,7 +34,7 @@
 void PlainCall::dispatch()
 {
     const ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
-    Replica *const chosen = chooseReplica(this->context.replicas.of(this->service.name), wish, this->context.random);
+    Replica *const chosen = this->context.chooser.choose(this->service.name, wish);
     const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings.entry.attempts);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
     if (chosen == nullptr || isExhausted || left.count() <= 0) {
@@ -45,21 +44,41 @@
             refusalResponse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", run, comeBack}));
         return;
     }
-    ++chosen->inFlight;
+    this->context.fleet.begin(*chosen);
+    const SteadyTime sent = this->context.clock.now();
     this->tried.push_back(chosen->name);
     this->context.http.fetch(chosen->address,
                              this->request,
                              left,
-                             [self = this->shared_from_this(), chosen](ExchangeEnd end, const HttpResponse &response) {
+                             [self = this->shared_from_this(), chosen, sent](ExchangeEnd end, const HttpResponse &response) {
+                                 self->leave(*chosen, end, response.status, sent);
                                  self->onEnd(*chosen, end, response);
                              });
 }
 
+void PlainCall::leave(Replica &replica, ExchangeEnd end, int status, SteadyTime sent)
+{
+    AttemptResult result;
+    switch (end) {
+    case ExchangeEnd::NotConnected:
+        result.outcome = AttemptOutcome::NotConnected;
+        break;
+    case ExchangeEnd::Broken:
+        result.outcome = AttemptOutcome::Failed;
+        break;
+    case ExchangeEnd::Complete:
+        result.outcome = status == statusUnavailable ? AttemptOutcome::Refused : AttemptOutcome::Succeeded;
+        break;
+    }
+    if (result.outcome == AttemptOutcome::Succeeded) {
+        result.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - sent);
+    }
+    this->context.fleet.end(replica, result);
+}
+
 void PlainCall::onEnd(Replica &replica, ExchangeEnd end, const HttpResponse &response)
 {
-    --replica.inFlight;
     const bool hasAnswer = end == ExchangeEnd::Complete && response.status != statusUnavailable;
-    replica.failuresInARow = hasAnswer ? 0 : replica.failuresInARow + 1;
     if (!hasAnswer) {
         this->failedDomain = replica.failureDomain;
         this->mayHaveRun = this->mayHaveRun || end == ExchangeEnd::Broken;
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -24,6 +24,7 @@
 
 private:
     void dispatch();
+    void leave(Replica &replica, ExchangeEnd end, int status, SteadyTime sent);
     void onEnd(Replica &replica, ExchangeEnd end, const HttpResponse &response);
 
     EntryContext &context;
--- /dev/null
+++ b/Tests/LibFleet/TestFleetState.cpp
@@ -0,0 +1,164 @@
+#include <LibBase/ManualClock.h>
+#include <LibFleet/FleetState.h>
+#include <LibFleet/PrefixKey.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Fixture
+{
+    Fixture()
+    {
+        EndpointSettings endpoint;
+        endpoint.name = "a";
+        endpoint.model = "m";
+        endpoint.capacity = 8;
+        endpoint.vm = "vm-a";
+        this->endpoints = {endpoint};
+        this->table.emplace(this->endpoints);
+        this->state.emplace(this->clock, this->settings, *this->table);
+    }
+
+    Replica &replica()
+    {
+        return *this->table->find(EndpointName("a"));
+    }
+
+    ReplicaReport report(std::uint32_t inFlight, std::chrono::milliseconds age, const std::string &instance = "first")
+    {
+        ReplicaReport report;
+        report.endpoint = EndpointName("a");
+        report.inFlight = inFlight;
+        report.ageMilliseconds = static_cast<std::uint32_t>(age.count());
+        report.instance = instance;
+        return report;
+    }
+
+    double estimate(double poolMean)
+    {
+        return estimatedInFlight(this->replica(), this->clock.now(), this->settings.loadHalfLife, poolMean);
+    }
+
+    ManualClock clock;
+    FleetSettings settings;
+    std::vector<EndpointSettings> endpoints;
+    std::optional<ReplicaTable> table;
+    std::optional<FleetState> state;
+};
+
+} // namespace
+
+TEST_CASE("a late load report counts the others' requests, not this node's burst since")
+{
+    // The report says 5 as of a second ago, when this node had 2 there. It has since sent 4 more. Taking its 6 of now
+    // off the 5 would say that the others have none, and the next request would pile on a replica with 9.
+    Fixture fixture;
+    fixture.state->begin(fixture.replica());
+    fixture.state->begin(fixture.replica());
+    fixture.clock.advance(1000ms);
+    for (int i = 0; i < 4; ++i) {
+        fixture.state->begin(fixture.replica());
+    }
+    fixture.state->observe(fixture.report(5, 900ms));
+    CHECK(fixture.replica().others.inFlight == doctest::Approx(3));
+    CHECK(fixture.estimate(3) == doctest::Approx(9));
+}
+
+TEST_CASE("a load report fades into the pool's mean as it grows old")
+{
+    Fixture fixture;
+    fixture.state->observe(fixture.report(8, 0ms));
+    CHECK(fixture.estimate(2) == doctest::Approx(8));
+    fixture.clock.advance(fixture.settings.loadHalfLife);
+    CHECK(fixture.estimate(2) == doctest::Approx(5));
+    fixture.clock.advance(fixture.settings.loadHalfLife * 20);
+    CHECK(fixture.estimate(2) == doctest::Approx(2).epsilon(0.01));
+}
+
+TEST_CASE("a load report that arrives late does not replace a newer one")
+{
+    Fixture fixture;
+    fixture.state->observe(fixture.report(8, 100ms));
+    fixture.state->observe(fixture.report(1, 300ms));
+    CHECK(fixture.replica().others.inFlight == doctest::Approx(8));
+}
+
+TEST_CASE("leaving is sticky: a lagging VM list or an old report does not bring the endpoint back")
+{
+    // The endpoint says itself that it is about to go. The platform's list still has it live, and a report that was
+    // delayed on its way says the same. Believing either would send it requests that are cut when it goes.
+    Fixture fixture;
+    ReplicaReport word = fixture.report(0, 0ms);
+    word.isLeaving = true;
+    CHECK(fixture.state->observe(word));
+    CHECK_FALSE(fixture.state->observe(word));
+    fixture.state->observe({{VmName("vm-a"), false}});
+    fixture.clock.advance(1000ms);
+    fixture.state->observe(fixture.report(0, 0ms));
+    CHECK(fixture.replica().isLeaving);
+
+    fixture.clock.advance(1000ms);
+    fixture.state->observe(fixture.report(0, 0ms, "second"));
+    CHECK_FALSE(fixture.replica().isLeaving);
+    CHECK(fixture.replica().rampStart == fixture.clock.now());
+}
+
+TEST_CASE("news of a former start's leaving, late by gossip, does not touch the next start")
+{
+    Fixture fixture;
+    fixture.state->observe(fixture.report(0, 0ms));
+    CHECK(fixture.state->markLeaving(fixture.replica(), "first"));
+    fixture.clock.advance(1000ms);
+    fixture.state->observe(fixture.report(0, 0ms, "second"));
+    CHECK_FALSE(fixture.state->markLeaving(fixture.replica(), "first"));
+    CHECK_FALSE(fixture.replica().isLeaving);
+}
+
+TEST_CASE("an endpoint that tells no instance is back when its VM left the list and came again")
+{
+    Fixture fixture;
+    CHECK(fixture.state->observe({{VmName("vm-a"), true}}).size() == 1);
+    CHECK(fixture.state->observe({{VmName("vm-a"), true}}).empty());
+    fixture.state->observe({{VmName("vm-a"), false}});
+    CHECK(fixture.replica().isLeaving);
+    fixture.state->observe({{VmName("other"), false}});
+    fixture.state->observe({{VmName("vm-a"), false}});
+    CHECK_FALSE(fixture.replica().isLeaving);
+}
+
+TEST_CASE("a gap in the cache events lowers the trust in hints, and events without gaps restore it")
+{
+    // The events lost may have been evictions. Trusting the hints as before would send requests where their prefix is
+    // gone; forgetting them all would give up the cache for one lost event.
+    const std::string block(prefixBlockBytes, 'x');
+    const std::string other(prefixBlockBytes, 'y');
+    PrefixHints hints;
+    hints.observe({{1, true, 101, 0, block}, {2, true, 102, 101, other}});
+    CHECK(hints.confidence(prefixKey(block, 1000)) == doctest::Approx(1));
+    CHECK(hints.confidence(prefixKey(block + other, 1000)) == doctest::Approx(1));
+    CHECK(hints.confidence(prefixKey(other, 1000)) == 0);
+
+    hints.observe({{9, true, 109, 108, other}});
+    const double afterGap = hints.confidence(prefixKey(block, 1000));
+    CHECK(afterGap < 0.6);
+    hints.observe({{9, true, 109, 108, other}, {10, false, 102, 101, other}});
+    CHECK(hints.confidence(prefixKey(block, 1000)) > afterGap);
+    CHECK(hints.confidence(prefixKey(block + other, 1000)) == 0);
+}
+
+TEST_CASE("an endpoint's next start has an empty cache")
+{
+    Fixture fixture;
+    const std::string block(prefixBlockBytes, 'x');
+    fixture.state->observe(fixture.report(0, 0ms));
+    FleetState::observe(fixture.replica(), {{1, true, 101, 0, block}});
+    fixture.clock.advance(1000ms);
+    fixture.state->observe(fixture.report(0, 0ms, "second"));
+    CHECK(fixture.replica().prefixes.confidence(prefixKey(block, 1000)) == 0);
+    CHECK(fixture.replica().prefixes.last() == 0);
+}
