Services: Learn about endpoints once for all nodes, and tell all of a leaving one

Cause: nothing read the endpoints' load reports, and an endpoint's word that it leaves was not heard. Change: each endpoint is polled by the holder of its lane. Nodes ask the holders for reports of the replicas they use and say how often they can take them: the bytes they get are bounded, the reports' age grows instead. A response header gives a fresh load for nothing. Whoever learns that an endpoint leaves (load report, response header, list of VMs) marks it and tells the holder, which tells all nodes, three times over. Lanes hear of it from the entry task of their node, so that they also know what no list says, and an endpoint that is back. Ruled out: every node polling every endpoint (390 polls an interval at each of 1,800 replicas at the target size). Tests: three watchers on one loop learn of a leaving endpoint that told only one of them, and of its next start.

--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -13,7 +13,8 @@
 
 void FleetState::begin(Replica &replica)
 {
-    replica.history.record(++replica.inFlight, this->clock.now());
+    replica.used = this->clock.now();
+    replica.history.record(++replica.inFlight, replica.used);
 }
 
 void FleetState::end(Replica &replica, const AttemptResult &result)
@@ -48,10 +49,11 @@
         return false;
     }
     const SteadyTime at = this->clock.now() - std::chrono::milliseconds(report.ageMilliseconds);
-    const bool isNewer = at > replica->others.at;
-    if (isNewer) {
-        const double own = replica->history.at(at);
-        replica->others = {std::max(0.0, report.inFlight - own), at};
+    if (at > replica->others.at) {
+        observeLoad(*replica, report.inFlight, at);
+    }
+    if (at > replica->reported) {
+        replica->reported = at;
         replica->version = report.version;
         replica->adapters = report.adapters;
         this->observeInstance(*replica, report.instance);
@@ -59,6 +61,12 @@
     return report.isLeaving && this->markLeaving(*replica, report.instance);
 }
 
+void FleetState::observeLoad(Replica &replica, std::uint32_t inFlight, SteadyTime at)
+{
+    const double own = replica.history.at(at);
+    replica.others = {std::max(0.0, inFlight - own), at};
+}
+
 void FleetState::observeInstance(Replica &replica, const std::string &instance)
 {
     if (instance.empty() || instance == replica.instance) {
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -70,6 +70,9 @@
      */
     std::vector<Replica *> observe(const std::vector<ListedVm> &vms);
 
+    /** An endpoint told how many requests it has, with an answer: as fresh as it gets, and free. */
+    static void observeLoad(Replica &replica, std::uint32_t inFlight, SteadyTime at);
+
     /** Cache events came. */
     static void observe(Replica &replica, const std::vector<CacheEvent> &events);
 
--- a/Libraries/LibFleet/Replica.h
+++ b/Libraries/LibFleet/Replica.h
@@ -60,8 +60,12 @@
     std::string version;
     std::vector<std::string> adapters;
 
+    /** When this node last sent a request there. */
+    SteadyTime used{};
     InFlightHistory history;
     OthersLoad others;
+    /** Of when the last whole report is: it may be older than the last word on the load. */
+    SteadyTime reported{};
     /** Share of attempts that failed. */
     DecayingAverage failures;
     /** Time of service: per token for a stream, of the whole call for a plain service; in seconds. */
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -79,11 +79,26 @@
         return task.address();
     });
     this->http = member.http;
+    member.fleet = this->entry->ask<Address>([](EntryTask &task) {
+        return task.fleetAddress();
+    });
+    this->entry->post([this](EntryTask &task) {
+        task.watchFleet([this](const EndpointName &endpoint, bool isLeaving) {
+            this->lane->post([endpoint, isLeaving](LaneTask &lane) {
+                lane.lane().setLeaving(endpoint, isLeaving);
+            });
+        });
+    });
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
     });
+    this->control->post([this](ControlTask &control) {
+        control.watchVms([this](const ListedVmsPointer &vms) {
+            this->spreadVms(vms);
+        });
+    });
     this->owner->post([](OwnerTask &task) {
         task.owner().start();
     });
@@ -112,6 +127,13 @@
     });
 }
 
+void Node::spreadVms(const ListedVmsPointer &vms)
+{
+    this->entry->post([vms](EntryTask &task) {
+        task.setVms(vms);
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
--- /dev/null
+++ b/Services/Entry/EndpointReports.cpp
@@ -0,0 +1,82 @@
+#include <Services/Entry/EndpointReports.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::size_t mostAdapters = 256;
+constexpr std::size_t longestName = 128;
+
+/** @return the member as a number; 0 if it is missing or none, since an endpoint's word must not end this node. */
+template <typename Number>
+Number numberIn(const Json &object, const char *name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_unsigned() ? found->get<Number>() : Number(0);
+}
+
+std::string textIn(const Json &object, const char *name, std::size_t longest)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get_ref<const std::string &>().substr(0, longest) : std::string();
+}
+
+bool flagIn(const Json &object, const char *name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
+} // namespace
+
+std::optional<ReplicaReport> parseLoadReport(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return {};
+    }
+    ReplicaReport report;
+    report.inFlight = numberIn<std::uint32_t>(json, "running") + numberIn<std::uint32_t>(json, "queued");
+    report.ageMilliseconds = numberIn<std::uint32_t>(json, "age_ms");
+    report.isLeaving = flagIn(json, "leaving");
+    report.instance = textIn(json, "instance", longestName);
+    report.version = textIn(json, "version", longestName);
+    const auto adapters = json.find("adapters");
+    if (adapters != json.end() && adapters->is_array()) {
+        for (const Json &adapter : *adapters) {
+            if (adapter.is_string() && report.adapters.size() < mostAdapters) {
+                report.adapters.push_back(adapter.get_ref<const std::string &>().substr(0, longestName));
+            }
+        }
+    }
+    return report;
+}
+
+std::vector<CacheEvent> parseCacheEvents(const std::string &body)
+{
+    std::vector<CacheEvent> events;
+    const Json json = Json::parse(body, nullptr, false);
+    const auto listed = json.is_object() ? json.find("events") : json.end();
+    if (listed == json.end() || !listed->is_array()) {
+        return events;
+    }
+    for (const Json &event : *listed) {
+        if (!event.is_object()) {
+            continue;
+        }
+        events.push_back({numberIn<std::uint64_t>(event, "number"),
+                          textIn(event, "kind", longestName) == "stored",
+                          numberIn<std::uint64_t>(event, "hash"),
+                          numberIn<std::uint64_t>(event, "parent"),
+                          textIn(event, "text", longestName)});
+    }
+    return events;
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -8,6 +8,7 @@
 #include <LibRouting/ReplicaChooser.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Entry/FleetWatch.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
 
@@ -32,6 +33,7 @@
     std::mt19937_64 &random;
     FleetState &fleet;
     ReplicaChooser &chooser;
+    FleetWatch &watch;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -30,10 +30,16 @@
     , owners(loop, clock, this->peers, ownerOptions(settings))
     , http(loop)
     , replicas(settings.endpoints)
-    , datagrams(loop, {settings.listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , datagrams(loop,
+                {settings.listen.lane.ip, 0},
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->watch.receive(datagram);
+                })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
     , fleet(clock, settings.fleet, this->replicas)
+    , watch(loop, clock, settings, self, this->http, this->datagrams, this->replicas, this->fleet)
     , chooser(clock, settings.fleet, this->replicas, this->random)
     , context{loop,
               clock,
@@ -47,7 +53,8 @@
               metrics,
               this->random,
               this->fleet,
-              this->chooser}
+              this->chooser,
+              this->watch}
     , service(this->context)
     , server(loop,
              settings.listen.http,
@@ -68,6 +75,7 @@
 {
     this->owners.setView(view);
     this->notices.setView(view);
+    this->watch.setView(view);
     this->service.setView(view);
 }
 
@@ -76,6 +84,21 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::setVms(const ListedVmsPointer &vms)
+{
+    this->watch.observe(*vms);
+}
+
+const Address &EntryTask::fleetAddress() const
+{
+    return this->datagrams.address();
+}
+
+void EntryTask::watchFleet(FleetWatch::LeavingChanged leaving)
+{
+    this->watch.start(std::move(leaving));
+}
+
 void EntryTask::drain()
 {
     this->server.drain();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -5,11 +5,13 @@
 #include <LibMembership/MemberView.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibPlatform/VmWatch.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
 #include <Services/Entry/EntryService.h>
+#include <Services/Entry/FleetWatch.h>
 
 #include <functional>
 #include <memory>
@@ -38,6 +40,15 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
+    void setVms(const ListedVmsPointer &vms);
+
+    /** @return where load reports go. */
+    const Address &fleetAddress() const;
+
+    /** Read load reports from now on. @param leaving told of each endpoint that leaves or is back, on this task */
+    void watchFleet(FleetWatch::LeavingChanged leaving);
+
     /** Take no new connections. */
     void drain();
 
@@ -57,6 +68,7 @@
     LoadNotices notices;
     std::mt19937_64 random;
     FleetState fleet;
+    FleetWatch watch;
     ReplicaChooser chooser;
     EntryContext context;
     EntryService service;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -205,6 +205,7 @@
 void OnlineRequest::onHeaders(int status, const HttpHeaders &headers)
 {
     this->status = status;
+    this->context.watch.sawHeaders(*this->replica, headers);
     this->contentType = headerValue(headers, "Content-Type").value_or("application/octet-stream");
     this->armProgress();
 }
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -51,6 +51,7 @@
                              this->request,
                              left,
                              [self = this->shared_from_this(), chosen, sent](ExchangeEnd end, const HttpResponse &response) {
+                                 self->context.watch.sawHeaders(*chosen, response.headers);
                                  self->leave(*chosen, end, response.status, sent);
                                  self->onEnd(*chosen, end, response);
                              });
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -34,6 +34,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** A replica is about to go, and gets no new items; or another start of it is back. */
+    void setLeaving(const EndpointName &endpoint, bool isLeaving);
+
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
--- /dev/null
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -0,0 +1,208 @@
+#include <LibBase/SystemClock.h>
+#include <LibHttp/HttpReply.h>
+#include <LibHttp/HttpServer.h>
+#include <LibRouting/ReplicaChooser.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Entry/EndpointReports.h>
+#include <Services/Entry/FleetWatch.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const Address anyPort{"127.0.0.1", 0};
+constexpr std::chrono::seconds patience{20};
+
+/** An endpoint that only reports. */
+struct Endpoint
+{
+    explicit Endpoint(EventLoop &loop)
+        : server(loop, anyPort, {4096}, [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+            this->polls += request.path == "/load" ? 1 : 0;
+            reply->send({200, {}, this->report});
+        })
+    {
+    }
+
+    std::string report = R"({"running":3,"queued":1,"instance":"first","version":"7","adapters":["notes"]})";
+    int polls = 0;
+    HttpServer server;
+};
+
+/** What of a node learns about endpoints. */
+struct Watcher
+{
+    Watcher(EventLoop &loop, const Clock &clock, const Settings &settings, std::uint64_t number)
+        : self(number)
+        , http(loop)
+        , replicas(settings.endpoints)
+        , state(clock, settings.fleet, this->replicas)
+        , datagrams(loop,
+                    anyPort,
+                    MessageKey("key"),
+                    [this](const Datagram &datagram) {
+                        this->watch.receive(datagram);
+                    })
+        , watch(loop, clock, settings, this->self, this->http, this->datagrams, this->replicas, this->state)
+    {
+    }
+
+    Member member() const
+    {
+        Member member;
+        member.session = this->self;
+        member.fleet = this->datagrams.address();
+        return member;
+    }
+
+    Replica &replica()
+    {
+        return this->replicas.all().front();
+    }
+
+    SessionNumber self;
+    HttpClient http;
+    ReplicaTable replicas;
+    FleetState state;
+    DatagramSocket datagrams;
+    FleetWatch watch;
+    std::vector<bool> told;
+};
+
+struct Fixture
+{
+    Fixture() : endpoint(this->loop)
+    {
+        this->settings.fleet.loadPoll = 20ms;
+        EndpointSettings listed;
+        listed.name = "engine";
+        listed.model = "m";
+        listed.address = this->endpoint.server.address();
+        listed.capacity = 8;
+        listed.vm = "vm-engine";
+        this->settings.endpoints = {listed};
+        std::vector<Member> members;
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            this->watchers.push_back(std::make_unique<Watcher>(this->loop, this->clock, this->settings, number));
+            members.push_back(this->watchers.back()->member());
+        }
+        const auto view = std::make_shared<MemberView>(std::move(members));
+        for (const auto &watcher : this->watchers) {
+            Watcher *const each = watcher.get();
+            each->state.begin(each->replica());
+            each->watch.setView(view);
+            each->watch.start([each](const EndpointName &, bool isLeaving) {
+                each->told.push_back(isLeaving);
+            });
+        }
+    }
+
+    /** Run until something is so for all three watchers. @return whether it was in time */
+    bool reached(const std::function<bool(Watcher &)> &isSo)
+    {
+        const SteadyTime end = this->clock.now() + patience;
+        bool isReached = false;
+        std::function<void()> look = [&] {
+            isReached = std::ranges::all_of(this->watchers, [&isSo](const auto &watcher) {
+                return isSo(*watcher);
+            });
+            if (isReached || this->clock.now() >= end) {
+                this->loop.stop();
+                return;
+            }
+            this->loop.schedule(2ms, look);
+        };
+        look();
+        if (!isReached) {
+            this->loop.run();
+        }
+        return isReached;
+    }
+
+    EventLoop loop;
+    SystemClock clock;
+    Settings settings;
+    Endpoint endpoint;
+    std::vector<std::unique_ptr<Watcher>> watchers;
+};
+
+} // namespace
+
+TEST_CASE("one node polls an endpoint, and all that use it learn what it says")
+{
+    Fixture fixture;
+    CHECK(fixture.reached([](Watcher &watcher) {
+        return watcher.replica().version == "7" && watcher.replica().others.inFlight > 0;
+    }));
+    for (const auto &watcher : fixture.watchers) {
+        CHECK(watcher->replica().adapters == std::vector<std::string>{"notes"});
+        CHECK(watcher->replica().others.inFlight == doctest::Approx(3));
+    }
+}
+
+TEST_CASE("an endpoint's word that it leaves, given to one node, is known to all, until its next start")
+{
+    // Only one entry meets the refusal with the leaving header. The others have not sent anything there for a while and
+    // would send it their next request, which it refuses or takes and cuts.
+    Fixture fixture;
+    REQUIRE(fixture.reached([](Watcher &watcher) {
+        return watcher.replica().instance == "first";
+    }));
+    Watcher &witness = *fixture.watchers[1];
+    witness.watch.sawHeaders(witness.replica(), {{"dogwoodkeel-leaving", "true"}});
+    CHECK(fixture.reached([](Watcher &watcher) {
+        return watcher.replica().isLeaving && watcher.told == std::vector<bool>{true};
+    }));
+    fixture.endpoint.report = R"({"running":0,"instance":"second"})";
+    CHECK(fixture.reached([](Watcher &watcher) {
+        return !watcher.replica().isLeaving && watcher.told == std::vector<bool>{true, false};
+    }));
+}
+
+TEST_CASE("an endpoint that leaves by its load report, or by one node's VM list, is known to all")
+{
+    SUBCASE("load report")
+    {
+        Fixture fixture;
+        fixture.endpoint.report = R"({"running":3,"leaving":true})";
+        CHECK(fixture.reached([](Watcher &watcher) {
+            return watcher.replica().isLeaving;
+        }));
+    }
+    SUBCASE("VM list")
+    {
+        Fixture fixture;
+        fixture.watchers[2]->watch.observe({{VmName("vm-engine"), true}});
+        CHECK(fixture.reached([](Watcher &watcher) {
+            return watcher.replica().isLeaving;
+        }));
+    }
+}
+
+TEST_CASE("whatever an endpoint sends in place of a report is met without harm")
+{
+    for (const char *const body : {"",
+                                   "[]",
+                                   "{",
+                                   "null",
+                                   R"({"running":-1,"queued":"x","adapters":7,"leaving":1})",
+                                   R"({"running":1e99,"instance":{},"adapters":[1,null,{}]})"}) {
+        const auto report = parseLoadReport(body);
+        if (report) {
+            CHECK(report->inFlight == 0);
+            CHECK_FALSE(report->isLeaving);
+            CHECK(report->adapters.empty());
+        }
+        CHECK(parseCacheEvents(body).empty());
+    }
+    CHECK(parseCacheEvents(R"({"events":[1,{"number":"x"},{"number":4,"kind":"stored","hash":9,"text":"abc"}]})").size() == 2);
+}
