--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -6,7 +6,7 @@
 namespace Dogwoodkeel
 {
 
-FleetState::FleetState(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas)
+FleetState::FleetState(const Clock &clock, const SettingsHandle &settings, ReplicaTable &replicas)
     : clock(clock), settings(settings), replicas(replicas)
 {
 }
@@ -24,13 +24,13 @@
     switch (result.outcome) {
     case AttemptOutcome::Succeeded:
         replica.failuresInARow = 0;
-        replica.failures.observe(0, now, this->settings.failureHalfLife);
+        replica.failures.observe(0, now, this->settings->fleet.failureHalfLife);
         break;
     case AttemptOutcome::NotConnected:
     case AttemptOutcome::Failed:
     case AttemptOutcome::Silent:
         ++replica.failuresInARow;
-        replica.failures.observe(1, now, this->settings.failureHalfLife);
+        replica.failures.observe(1, now, this->settings->fleet.failureHalfLife);
         break;
     case AttemptOutcome::Refused:
     case AttemptOutcome::Abandoned:
@@ -38,7 +38,7 @@
     }
     if (result.serviceTime) {
         const double seconds = std::chrono::duration<double>(*result.serviceTime).count();
-        replica.serviceTime.observe(seconds, now, this->settings.latencyHalfLife);
+        replica.serviceTime.observe(seconds, now, this->settings->fleet.latencyHalfLife);
     }
 }
 
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -3,7 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibFleet/ReplicaTable.h>
 #include <LibPlatform/VmList.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibWire/Generated/Messages.h>
 
 #include <chrono>
@@ -41,7 +41,7 @@
 class FleetState
 {
 public:
-    FleetState(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas);
+    FleetState(const Clock &clock, const SettingsHandle &settings, ReplicaTable &replicas);
 
     /** A request of this node goes to a replica. Each begin() is followed by one end(). */
     void begin(Replica &replica);
@@ -81,7 +81,7 @@
     void restarted(Replica &replica);
 
     const Clock &clock;
-    const FleetSettings &settings;
+    const SettingsHandle &settings;
     ReplicaTable &replicas;
 };
 
--- a/Libraries/LibFleet/ReplicaTable.cpp
+++ b/Libraries/LibFleet/ReplicaTable.cpp
@@ -1,24 +1,50 @@
 #include <LibFleet/ReplicaTable.h>
 
+#include <list>
+
 namespace Dogwoodkeel
 {
 
 ReplicaTable::ReplicaTable(const std::vector<EndpointSettings> &endpoints)
 {
-    this->replicas.reserve(endpoints.size());
+    this->update(endpoints);
+}
+
+void ReplicaTable::update(const std::vector<EndpointSettings> &endpoints)
+{
+    std::list<Replica> before;
+    before.swap(this->replicas);
+    std::unordered_map<std::string, std::list<Replica>::iterator> known;
+    for (auto replica = before.begin(); replica != before.end(); ++replica) {
+        known[replica->name.value()] = replica;
+    }
+    ++this->changes;
+    this->byService.clear();
+    this->byName.clear();
     for (const EndpointSettings &endpoint : endpoints) {
-        const std::string &serves = endpoint.model.empty() ? endpoint.service : endpoint.model;
-        Replica &replica = this->replicas.emplace_back();
+        const auto found = known.find(endpoint.name);
+        // Another address is another endpoint: what was learnt of the old one, and its load, do not hold for it.
+        if (found != known.end() && found->second->address == endpoint.address) {
+            this->replicas.splice(this->replicas.end(), before, found->second);
+            known.erase(found);
+        } else {
+            this->replicas.emplace_back();
+        }
+        Replica &replica = this->replicas.back();
         replica.name = EndpointName(endpoint.name);
         replica.address = endpoint.address;
         replica.failureDomain = FailureDomain(endpoint.failureDomain);
-        replica.serves = serves;
+        replica.serves = endpoint.model.empty() ? endpoint.service : endpoint.model;
         replica.capacity = static_cast<std::uint32_t>(endpoint.capacity);
         replica.vm = VmName(endpoint.vm.empty() ? endpoint.name : endpoint.vm);
         replica.generation = endpoint.generation;
-        this->byService[serves].push_back(&replica);
+        this->byService[replica.serves].push_back(&replica);
         this->byName.emplace(replica.name, &replica);
     }
+    this->removed.splice(this->removed.end(), before);
+    this->removed.remove_if([](const Replica &replica) {
+        return replica.inFlight == 0;
+    });
 }
 
 const std::vector<Replica *> &ReplicaTable::of(const std::string &serves) const
@@ -34,7 +60,12 @@
     return found != this->byName.end() ? found->second : nullptr;
 }
 
-std::vector<Replica> &ReplicaTable::all()
+std::uint64_t ReplicaTable::version() const
+{
+    return this->changes;
+}
+
+std::list<Replica> &ReplicaTable::all()
 {
     return this->replicas;
 }
--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -3,6 +3,8 @@
 #include <LibFleet/Replica.h>
 #include <LibSettings/Generated/Settings.h>
 
+#include <cstdint>
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,12 +27,23 @@
     /** @return a replica, or null. */
     Replica *find(const EndpointName &name);
 
-    std::vector<Replica> &all();
+    std::list<Replica> &all();
+
+    /** @return a number that changes with every update(): what was derived from the table is to be renewed then. */
+    std::uint64_t version() const;
+
+    /**
+     * Put other endpoints into force. What is known of a replica that stays is kept; one that was taken out is no longer
+     * found, and lives on until its last request has ended. Replicas never move, so pointers to them stay good.
+     */
+    void update(const std::vector<EndpointSettings> &endpoints);
 
 private:
-    std::vector<Replica> replicas;
+    std::list<Replica> replicas;
+    std::list<Replica> removed;
     std::unordered_map<std::string, std::vector<Replica *>> byService;
     std::unordered_map<EndpointName, Replica *> byName;
+    std::uint64_t changes = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibRouting/ReplicaChooser.cpp
+++ b/Libraries/LibRouting/ReplicaChooser.cpp
@@ -45,11 +45,15 @@
 
 } // namespace
 
-ReplicaChooser::Pool::Pool(const std::vector<Replica *> &replicas) : all(replicas), ring(replicas)
+ReplicaChooser::Pool::Pool(std::vector<Replica *> replicas, std::uint64_t tableVersion)
+    : all(std::move(replicas)), tableVersion(tableVersion), ring(this->all)
 {
 }
 
-ReplicaChooser::ReplicaChooser(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas, std::mt19937_64 &random)
+ReplicaChooser::ReplicaChooser(const Clock &clock,
+                               const SettingsHandle &settings,
+                               ReplicaTable &replicas,
+                               std::mt19937_64 &random)
     : clock(clock), settings(settings), replicas(replicas), random(random)
 {
 }
@@ -57,11 +61,19 @@
 ReplicaChooser::Pool *ReplicaChooser::poolOf(const std::string &serves)
 {
     const auto found = this->pools.find(serves);
-    if (found != this->pools.end()) {
+    if (found != this->pools.end() && found->second.tableVersion == this->replicas.version()) {
         return &found->second;
     }
     const std::vector<Replica *> &all = this->replicas.of(serves);
-    return all.empty() ? nullptr : &this->pools.emplace(serves, Pool(all)).first->second;
+    if (all.empty()) {
+        this->pools.erase(serves);
+        return nullptr;
+    }
+    Pool pool(all, this->replicas.version());
+    if (found != this->pools.end()) {
+        pool.rollout = std::move(found->second.rollout);
+    }
+    return &this->pools.insert_or_assign(serves, std::move(pool)).first->second;
 }
 
 void ReplicaChooser::setRollout(const std::string &model, std::vector<VersionWeight> weights)
@@ -77,7 +89,7 @@
         return;
     }
     pool.renewed = now;
-    renewEjections(pool.all, now, this->settings);
+    renewEjections(pool.all, now, this->settings->fleet);
     pool.usable.clear();
     pool.usableByVersion.clear();
     for (Replica *const replica : pool.all) {
@@ -86,7 +98,7 @@
             pool.usableByVersion[replica->version].push_back(replica);
         }
     }
-    renewMeans(pool, now, this->settings);
+    renewMeans(pool, now, this->settings->fleet);
 }
 
 void ReplicaChooser::renewMeans(Pool &pool, SteadyTime now, const FleetSettings &settings)
@@ -165,16 +177,16 @@
 
 bool ReplicaChooser::hasRoom(const Replica &replica, const Draw &draw) const
 {
-    const double capacity = replica.capacity * rampShare(replica, draw.now, this->settings.slowStart);
+    const double capacity = replica.capacity * rampShare(replica, draw.now, this->settings->fleet.slowStart);
     const double others = draw.pool.means.othersPerCapacity * replica.capacity;
-    const double inFlight = estimatedInFlight(replica, draw.now, this->settings.loadHalfLife, others);
+    const double inFlight = estimatedInFlight(replica, draw.now, this->settings->fleet.loadHalfLife, others);
     const double mean = draw.pool.means.inFlightPerCapacity * capacity;
-    return inFlight + 1 <= std::ceil(this->settings.prefixLoadBound * (mean + 1)) && inFlight < capacity;
+    return inFlight + 1 <= std::ceil(this->settings->fleet.prefixLoadBound * (mean + 1)) && inFlight < capacity;
 }
 
 double ReplicaChooser::cost(const Replica &replica, const Draw &draw) const
 {
-    return replicaCost(replica, draw.pool.means, draw.wish.ownDomain, draw.wish.prefix, draw.now, this->settings);
+    return replicaCost(replica, draw.pool.means, draw.wish.ownDomain, draw.wish.prefix, draw.now, this->settings->fleet);
 }
 
 Replica *ReplicaChooser::cheaperOfTwo(const Draw &draw)
--- a/Libraries/LibRouting/ReplicaChooser.h
+++ b/Libraries/LibRouting/ReplicaChooser.h
@@ -4,7 +4,7 @@
 #include <LibFleet/ReplicaTable.h>
 #include <LibRouting/PrefixRing.h>
 #include <LibRouting/ReplicaScore.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 
 #include <random>
 #include <string>
@@ -48,7 +48,7 @@
 class ReplicaChooser
 {
 public:
-    ReplicaChooser(const Clock &clock, const FleetSettings &settings, ReplicaTable &replicas, std::mt19937_64 &random);
+    ReplicaChooser(const Clock &clock, const SettingsHandle &settings, ReplicaTable &replicas, std::mt19937_64 &random);
 
     /**
      * @param serves the model or plain service
@@ -67,9 +67,11 @@
 private:
     struct Pool
     {
-        explicit Pool(const std::vector<Replica *> &replicas);
+        Pool(std::vector<Replica *> replicas, std::uint64_t tableVersion);
 
-        const std::vector<Replica *> &all;
+        std::vector<Replica *> all;
+        /** Of the table it was made from. */
+        std::uint64_t tableVersion;
         /** Not leaving and not ejected, as of the last renewal. */
         std::vector<Replica *> usable;
         std::unordered_map<std::string, std::vector<Replica *>> usableByVersion;
@@ -100,7 +102,7 @@
     double cost(const Replica &replica, const Draw &draw) const;
 
     const Clock &clock;
-    const FleetSettings &settings;
+    const SettingsHandle &settings;
     ReplicaTable &replicas;
     std::mt19937_64 &random;
     std::unordered_map<std::string, Pool> pools;
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -5,7 +5,7 @@
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
 #include <LibPlatform/VmWatch.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerLink.h>
@@ -26,7 +26,7 @@
     /** @throws std::runtime_error if it cannot take datagrams */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
-                const Settings &settings,
+                const SettingsPointer &settings,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -61,7 +61,7 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     SessionRegistry sessions;
     DatagramSocket datagrams;
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -6,7 +6,7 @@
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
 #include <LibRouting/ReplicaChooser.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Entry/FleetWatch.h>
 #include <Services/Entry/LoadNotices.h>
@@ -22,7 +22,7 @@
 {
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    const SettingsHandle &settings;
     SessionNumber self;
     HttpClient &http;
     OwnerClient &owners;
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -19,31 +19,32 @@
 
 EntryTask::EntryTask(EventLoop &loop,
                      const Clock &clock,
-                     const Settings &settings,
+                     const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics)
     : loop(loop)
+    , settings(settings)
     , platform(makePlatform(loop))
     , peers(loop, security)
-    , owners(loop, clock, this->peers, ownerOptions(settings))
+    , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
-    , replicas(settings.endpoints)
+    , replicas(settings->endpoints)
     , datagrams(loop,
-                {settings.listen.lane.ip, 0},
+                {settings->listen.lane.ip, 0},
                 security.siteKey,
                 [this](const Datagram &datagram) {
                     this->watch.receive(datagram);
                 })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
-    , fleet(clock, settings.fleet, this->replicas)
-    , watch(loop, clock, settings, self, this->http, this->datagrams, this->replicas, this->fleet)
-    , chooser(clock, settings.fleet, this->replicas, this->random)
+    , fleet(clock, this->settings, this->replicas)
+    , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
+    , chooser(clock, this->settings, this->replicas, this->random)
     , context{loop,
               clock,
-              settings,
+              this->settings,
               self,
               this->http,
               this->owners,
@@ -57,8 +58,8 @@
               this->watch}
     , service(this->context)
     , server(loop,
-             settings.listen.http,
-             {static_cast<std::uint64_t>(settings.entry.jobBytes)},
+             settings->listen.http,
+             {static_cast<std::uint64_t>(settings->entry.jobBytes)},
              [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
                  this->service.serve(request, reply);
              })
@@ -84,6 +85,15 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::putInForce(const SettingsPointer &settings)
+{
+    this->settings.replace(settings);
+    // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
+    this->notices.flush();
+    this->replicas.update(settings->endpoints);
+    this->service.settingsChanged();
+}
+
 void EntryTask::setVms(const ListedVmsPointer &vms)
 {
     this->watch.observe(*vms);
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -6,7 +6,7 @@
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
 #include <LibPlatform/VmWatch.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
@@ -28,7 +28,7 @@
     /** @throws std::runtime_error if it cannot listen */
     EntryTask(EventLoop &loop,
               const Clock &clock,
-              const Settings &settings,
+              const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
@@ -40,6 +40,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** Put a new configuration into force; requests that run go on with what they have. */
+    void putInForce(const SettingsPointer &settings);
+
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
@@ -59,6 +62,7 @@
     void repeatNotices();
 
     EventLoop &loop;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     PeerClient peers;
     OwnerClient owners;
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -34,7 +34,7 @@
 
 FleetWatch::FleetWatch(EventLoop &loop,
                        const Clock &clock,
-                       const Settings &settings,
+                       const SettingsHandle &settings,
                        SessionNumber self,
                        HttpClient &http,
                        DatagramSocket &datagrams,
@@ -83,7 +83,7 @@
         }
     }
     this->sendReports();
-    this->loop.schedule(this->settings.fleet.loadPoll, [this, alive = this->alive] {
+    this->loop.schedule(this->settings->fleet.loadPoll, [this, alive = this->alive] {
         if (*alive) {
             this->poll();
         }
@@ -102,7 +102,7 @@
             this->onLoad(name, sent, response.body);
         }
     };
-    this->http.fetch(replica.address, {.method = "GET", .path = "/load"}, this->settings.fleet.loadPoll * 2, answered);
+    this->http.fetch(replica.address, {.method = "GET", .path = "/load"}, this->settings->fleet.loadPoll * 2, answered);
 }
 
 void FleetWatch::onLoad(const EndpointName &name, SteadyTime asked, const std::string &body)
@@ -122,15 +122,16 @@
 void FleetWatch::pollEvents(Replica &replica)
 {
     const std::string query = "after=" + std::to_string(replica.prefixes.last());
-    const auto answered
-        = [this, &replica, instance = replica.instance, alive = this->alive](ExchangeEnd end, const HttpResponse &response) {
-              const bool isAnswer = *alive && end == ExchangeEnd::Complete && response.status == statusOk;
-              if (isAnswer && instance == replica.instance) {
-                  FleetState::observe(replica, parseCacheEvents(response.body));
-              }
-          };
+    const auto answered = [this, name = replica.name, instance = replica.instance, alive = this->alive](
+                              ExchangeEnd end, const HttpResponse &response) {
+        const bool isAnswer = *alive && end == ExchangeEnd::Complete && response.status == statusOk;
+        Replica *const asked = isAnswer ? this->replicas.find(name) : nullptr;
+        if (asked != nullptr && instance == asked->instance) {
+            FleetState::observe(*asked, parseCacheEvents(response.body));
+        }
+    };
     this->http.fetch(
-        replica.address, {.method = "GET", .path = "/events", .query = query}, this->settings.fleet.loadPoll * 2, answered);
+        replica.address, {.method = "GET", .path = "/events", .query = query}, this->settings->fleet.loadPoll * 2, answered);
 }
 
 void FleetWatch::sendReports()
@@ -179,7 +180,7 @@
 void FleetWatch::askForReports()
 {
     const std::vector<const Replica *> wanted = this->inUse();
-    const FleetSettings &fleet = this->settings.fleet;
+    const FleetSettings &fleet = this->settings->fleet;
     const auto interval
         = ReportSubscriptions::interval(wanted.size(), static_cast<std::size_t>(fleet.loadBytesPerSecond), fleet.loadPoll);
     std::map<Address, LoadInterest> byHolder;
@@ -234,7 +235,7 @@
 
 void FleetWatch::receive(const LoadInterest &interest)
 {
-    const auto interval = std::max(this->settings.fleet.loadPoll, std::chrono::milliseconds(interest.intervalMilliseconds));
+    const auto interval = std::max(this->settings->fleet.loadPoll, std::chrono::milliseconds(interest.intervalMilliseconds));
     this->subscriptions.renew(interest.from, interval, interest.endpoints, this->clock.now());
 }
 
--- a/Services/Entry/FleetWatch.h
+++ b/Services/Entry/FleetWatch.h
@@ -5,7 +5,7 @@
 #include <LibFleet/ReportSubscriptions.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMembership/MemberView.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 
@@ -33,7 +33,7 @@
 
     FleetWatch(EventLoop &loop,
                const Clock &clock,
-               const Settings &settings,
+               const SettingsHandle &settings,
                SessionNumber self,
                HttpClient &http,
                DatagramSocket &datagrams,
@@ -74,7 +74,7 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    const SettingsHandle &settings;
     SessionNumber self;
     HttpClient &http;
     DatagramSocket &datagrams;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -116,10 +116,10 @@
 
 void OnlineRequest::dispatch()
 {
-    ChoiceWish wish{FailureDomain(this->context.settings.node.failureDomain), this->tried, this->failedDomain};
+    ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
     wish.prefix = this->request.prefix;
     Replica *const chosen = this->context.chooser.choose(this->request.serves, wish);
-    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings.entry.attempts);
+    const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted || this->context.clock.now() >= this->deadline) {
         const RunState run = this->mayHaveRun ? RunState::Unknown : RunState::NotRun;
         this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", run, comeBack});
@@ -183,7 +183,7 @@
 {
     this->context.loop.cancel(this->progressTimer);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->context.clock.now());
-    const auto wait = std::max(std::chrono::milliseconds(0), std::min(left, this->context.settings.entry.progressTimeout));
+    const auto wait = std::max(std::chrono::milliseconds(0), std::min(left, this->context.settings->entry.progressTimeout));
     this->progressTimer = this->context.loop.schedule(wait, [self = this->shared_from_this()] {
         self->onSilence();
     });
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -3,9 +3,9 @@
 #include <LibJournal/JournalWriter.h>
 #include <LibMembership/MemberView.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibWire/PeerServer.h>
-#include <Services/Owner/ItemReader.h>
+#include <Services/Owner/BatchOwner.h>
 #include <Services/Owner/ShardKeeper.h>
 
 #include <functional>
@@ -21,7 +21,8 @@
 class OwnerService
 {
 public:
-    OwnerService(Scheduler &scheduler, const Clock &clock, Platform &platform, const Settings &settings, SessionNumber self);
+    OwnerService(
+        Scheduler &scheduler, const Clock &clock, Platform &platform, const SettingsHandle &settings, SessionNumber self);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -56,25 +57,17 @@
     void writeResult(const CommitRequest &request, const Respond<CommitResponse> &respond);
     void release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond);
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
-    void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
-    void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
-    void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
-    void results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond);
-    void pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond);
-    void commitItems(const CommitItemsRequest &request, const Respond<CommitItemsResponse> &respond);
-    void renew(const RenewItemsRequest &request, const Respond<RenewItemsResponse> &respond);
 
     ShardState *stateOf(const std::string &id);
-    const JobRecord *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
 
     template <typename Record>
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
 
     Scheduler &scheduler;
-    const Settings &settings;
+    const SettingsHandle &settings;
     JournalWriter journal;
     ShardKeeper keeper;
-    ItemReader items;
+    BatchOwner batch;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/LibFleet/TestFleetState.cpp
+++ b/Tests/LibFleet/TestFleetState.cpp
@@ -21,7 +21,7 @@
         endpoint.vm = "vm-a";
         this->endpoints = {endpoint};
         this->table.emplace(this->endpoints);
-        this->state.emplace(this->clock, this->settings, *this->table);
+        this->state.emplace(this->clock, this->handle, *this->table);
     }
 
     Replica &replica()
@@ -45,7 +45,8 @@
     }
 
     ManualClock clock;
-    FleetSettings settings;
+    SettingsHandle handle{std::make_shared<Settings>()};
+    const FleetSettings &settings = this->handle->fleet;
     std::vector<EndpointSettings> endpoints;
     std::optional<ReplicaTable> table;
     std::optional<FleetState> state;
--- a/Tests/LibRouting/TestReplicaChooser.cpp
+++ b/Tests/LibRouting/TestReplicaChooser.cpp
@@ -28,13 +28,13 @@
             this->endpoints.push_back(endpoint);
         }
         this->table.emplace(this->endpoints);
-        this->state.emplace(this->clock, this->settings, *this->table);
-        this->chooser.emplace(this->clock, this->settings, *this->table, this->random);
+        this->state.emplace(this->clock, this->handle, *this->table);
+        this->chooser.emplace(this->clock, this->handle, *this->table, this->random);
     }
 
     Replica &replica(std::size_t index)
     {
-        return this->table->all()[index];
+        return *this->table->find(EndpointName("r" + std::to_string(index)));
     }
 
     Replica *choose(const ChoiceWish &wish = {})
@@ -70,7 +70,8 @@
     }
 
     ManualClock clock;
-    FleetSettings settings;
+    SettingsHandle handle{std::make_shared<Settings>()};
+    const FleetSettings &settings = this->handle->fleet;
     std::vector<EndpointSettings> endpoints;
     std::mt19937_64 random{7};
     std::optional<ReplicaTable> table;
@@ -253,3 +254,19 @@
     wish.adapter = "other";
     CHECK(fixture.choose(wish) == nullptr);
 }
+
+TEST_CASE("a replica that a new configuration takes out is not chosen, and one that it adds is")
+{
+    Fixture fixture(3);
+    ChoiceWish wish;
+    wish.prefix = 5;
+    fixture.choose(wish);
+    fixture.endpoints.erase(fixture.endpoints.begin(), fixture.endpoints.begin() + 2);
+    fixture.endpoints.push_back(fixture.endpoints.front());
+    fixture.endpoints.back().name = "new";
+    fixture.table->update(fixture.endpoints);
+    const std::map<std::string, int> counts = fixture.fill(20);
+    CHECK(counts.size() == 2);
+    CHECK(counts.contains("new"));
+    CHECK(fixture.choose(wish) != nullptr);
+}
--- a/Tests/ServiceEntry/TestFleetWatch.cpp
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -41,11 +41,11 @@
 /** What of a node learns about endpoints. */
 struct Watcher
 {
-    Watcher(EventLoop &loop, const Clock &clock, const Settings &settings, std::uint64_t number)
+    Watcher(EventLoop &loop, const Clock &clock, const SettingsHandle &settings, std::uint64_t number)
         : self(number)
         , http(loop)
-        , replicas(settings.endpoints)
-        , state(clock, settings.fleet, this->replicas)
+        , replicas(settings->endpoints)
+        , state(clock, settings, this->replicas)
         , datagrams(loop,
                     anyPort,
                     MessageKey("key"),
@@ -82,14 +82,16 @@
 {
     Fixture() : endpoint(this->loop)
     {
-        this->settings.fleet.loadPoll = 20ms;
+        Settings settings;
+        settings.fleet.loadPoll = 20ms;
         EndpointSettings listed;
         listed.name = "engine";
         listed.model = "m";
         listed.address = this->endpoint.server.address();
         listed.capacity = 8;
         listed.vm = "vm-engine";
-        this->settings.endpoints = {listed};
+        settings.endpoints = {listed};
+        this->settings.replace(std::make_shared<Settings>(settings));
         std::vector<Member> members;
         for (std::uint64_t number = 1; number <= 3; ++number) {
             this->watchers.push_back(std::make_unique<Watcher>(this->loop, this->clock, this->settings, number));
@@ -130,7 +132,7 @@
 
     EventLoop loop;
     SystemClock clock;
-    Settings settings;
+    SettingsHandle settings{std::make_shared<Settings>()};
     Endpoint endpoint;
     std::vector<std::unique_ptr<Watcher>> watchers;
 };
