--- a/Libraries/LibFleet/ReplicaTable.cpp
+++ b/Libraries/LibFleet/ReplicaTable.cpp
@@ -1,6 +1,5 @@
 #include <LibFleet/ReplicaTable.h>
 
-#include <algorithm>
 #include <list>
 
 namespace Dogwoodkeel
@@ -19,7 +18,9 @@
     for (auto replica = before.begin(); replica != before.end(); ++replica) {
         known[replica->name.value()] = replica;
     }
+    ++this->changes;
     this->byService.clear();
+    this->byName.clear();
     for (const EndpointSettings &endpoint : endpoints) {
         const auto found = known.find(endpoint.name);
         // Another address is another endpoint: what was learnt of the old one, and its load, do not hold for it.
@@ -35,7 +36,10 @@
         replica.failureDomain = FailureDomain(endpoint.failureDomain);
         replica.serves = endpoint.model.empty() ? endpoint.service : endpoint.model;
         replica.capacity = static_cast<std::uint32_t>(endpoint.capacity);
+        replica.vm = VmName(endpoint.vm.empty() ? endpoint.name : endpoint.vm);
+        replica.generation = endpoint.generation;
         this->byService[replica.serves].push_back(&replica);
+        this->byName.emplace(replica.name, &replica);
     }
     this->removed.splice(this->removed.end(), before);
     this->removed.remove_if([](const Replica &replica) {
@@ -43,26 +47,22 @@
     });
 }
 
-std::vector<Replica *> ReplicaTable::of(const std::string &serves)
+const std::vector<Replica *> &ReplicaTable::of(const std::string &serves) const
 {
+    static const std::vector<Replica *> none;
     const auto found = this->byService.find(serves);
-    return found != this->byService.end() ? found->second : std::vector<Replica *>();
+    return found != this->byService.end() ? found->second : none;
 }
 
 Replica *ReplicaTable::find(const EndpointName &name)
 {
-    const auto found = std::ranges::find(this->replicas, name, &Replica::name);
-    return found != this->replicas.end() ? &*found : nullptr;
+    const auto found = this->byName.find(name);
+    return found != this->byName.end() ? found->second : nullptr;
 }
 
-void ReplicaTable::markLeaving(const std::vector<ListedVm> &vms)
+std::uint64_t ReplicaTable::version() const
 {
-    for (const ListedVm &vm : vms) {
-        Replica *const replica = vm.isLeaving ? this->find(EndpointName(vm.name.value())) : nullptr;
-        if (replica != nullptr) {
-            replica->isLeaving = true;
-        }
-    }
+    return this->changes;
 }
 
 std::list<Replica> &ReplicaTable::all()
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -372,6 +372,9 @@
 struct ConfigurationStateResponse;
 struct StatusRequest;
 struct StatusResponse;
+struct LoadInterest;
+struct LoadReports;
+struct EndpointLeaving;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -698,6 +701,8 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** Where its entry task takes load reports. */
+    Address fleet;
 
     bool operator==(const Member &) const = default;
 
@@ -714,7 +719,8 @@
                 this->gossip,
                 this->lane,
                 this->backlog,
-                this->configVersion);
+                this->configVersion,
+                this->fleet);
     }
 };
 
@@ -802,6 +808,39 @@
     }
 };
 
+/** What an endpoint says of itself, as one node read it for all. */
+struct ReplicaReport
+{
+    /** Which replica. */
+    EndpointName endpoint;
+    /** Online requests that run or wait there. */
+    std::uint32_t inFlight = 0;
+    /** How long ago that was so. */
+    std::uint32_t ageMilliseconds = 0;
+    /** It is about to go and must get nothing new. */
+    bool isLeaving = false;
+    /** Which start of the endpoint; empty if it does not say. */
+    std::string instance;
+    /** The model version it has loaded; empty if it does not say. */
+    std::string version;
+    /** The adapters it has loaded. */
+    std::vector<std::string> adapters;
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint,
+                this->inFlight,
+                this->ageMilliseconds,
+                this->isLeaving,
+                this->instance,
+                this->version,
+                this->adapters);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1449,4 +1488,60 @@
     }
 };
 
+/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
+struct LoadInterest
+{
+    static constexpr MessageNumber number{50};
+    /** Who wants them. */
+    SessionNumber from;
+    /** How far apart they may come at the closest. */
+    std::uint32_t intervalMilliseconds = 0;
+    /** Which replicas. */
+    std::vector<EndpointName> endpoints;
+
+    bool operator==(const LoadInterest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->intervalMilliseconds, this->endpoints);
+    }
+};
+
+/** Datagram: load reports for a node that asked for them. */
+struct LoadReports
+{
+    static constexpr MessageNumber number{51};
+    /** Who polls the endpoints. */
+    SessionNumber from;
+    /** The latest reports. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const LoadReports &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
+struct EndpointLeaving
+{
+    static constexpr MessageNumber number{52};
+    /** Who tells. */
+    SessionNumber from;
+    /** The endpoints, each with its instance. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const EndpointLeaving &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -67,14 +67,6 @@
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
 
-    this->lane->post([this](LaneTask &task) {
-        task.setSuspectHook([this](const SuspectNotice &notice) {
-            this->entry->post([notice](EntryTask &entry) {
-                entry.receive(notice);
-            });
-        });
-    });
-
     Member member;
     member.session = this->self;
     member.vm = VmName(this->settings->node.vm);
@@ -89,6 +81,16 @@
         return task.address();
     });
     this->http = member.http;
+    member.fleet = this->entry->ask<Address>([](EntryTask &task) {
+        return task.fleetAddress();
+    });
+    this->entry->post([this](EntryTask &task) {
+        task.watchFleet([this](const EndpointName &endpoint, bool isLeaving) {
+            this->lane->post([endpoint, isLeaving](LaneTask &lane) {
+                lane.lane().setLeaving(endpoint, isLeaving);
+            });
+        });
+    });
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
@@ -157,9 +159,6 @@
 
 void Node::spreadVms(const ListedVmsPointer &vms)
 {
-    this->lane->post([vms](LaneTask &task) {
-        task.lane().setVms(*vms);
-    });
     this->entry->post([vms](EntryTask &task) {
         task.setVms(vms);
     });
@@ -252,10 +251,6 @@
     log(LogLevel::Info,
         "planned stop done",
         {{"requests_finished", isEntryDone}, {"items_finished", isLaneDone}, {"shards_released", isReleased}});
-    this->lane->ask<bool>([](LaneTask &task) {
-        task.setSuspectHook({});
-        return true;
-    });
     this->entry.reset();
     this->lane.reset();
     this->owner.reset();
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibFleet/ReplicaTable.h>
+#include <LibFleet/FleetState.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/ReplicaChooser.h>
 #include <LibRouting/RetryBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Entry/FleetWatch.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
 #include <Services/Entry/SuspectNotices.h>
@@ -33,6 +35,9 @@
     std::mt19937_64 &random;
     RetryBudget &retries;
     SuspectNotices &suspects;
+    FleetState &fleet;
+    ReplicaChooser &chooser;
+    FleetWatch &watch;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -5,6 +5,7 @@
 #include <Services/Entry/ApiErrors.h>
 #include <Services/Entry/OnlineRequest.h>
 #include <Services/Entry/PlainCall.h>
+#include <Services/Entry/PromptPrefix.h>
 
 #include <nlohmann/json.hpp>
 
@@ -207,6 +208,7 @@
     durable.isNamedByCaller = request.headers.contains("Idempotency-Key");
     durable.content = contentFingerprint(completion->model, request.body);
     durable.timeout = *timeout;
+    durable.prefix = promptPrefix(*completion, static_cast<std::size_t>(this->context.settings->fleet.prefixBytes));
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -41,11 +41,19 @@
     , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
     , replicas(settings->endpoints)
-    , datagrams(loop, {settings->listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , datagrams(loop,
+                {settings->listen.lane.ip, 0},
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->watch.receive(datagram);
+                })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
     , retries(clock, retryOptions(settings->retries))
     , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
+    , fleet(clock, this->settings, this->replicas)
+    , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
+    , chooser(clock, this->settings, this->replicas, this->random)
     , context{loop,
               clock,
               this->settings,
@@ -58,7 +66,10 @@
               metrics,
               this->random,
               this->retries,
-              this->suspects}
+              this->suspects,
+              this->fleet,
+              this->chooser,
+              this->watch}
     , service(this->context)
     , server(loop,
              settings->listen.http,
@@ -80,6 +91,7 @@
     this->owners.setView(view);
     this->notices.setView(view);
     this->suspects.setView(view);
+    this->watch.setView(view);
     this->service.setView(view);
 }
 
@@ -88,9 +100,15 @@
     this->service.setReady(isReady);
 }
 
-void EntryTask::receive(const SuspectNotice &notice)
+void EntryTask::receive(const Datagram &datagram)
 {
-    this->suspects.receive(notice);
+    if (datagram.number != SuspectNotice::number) {
+        this->watch.receive(datagram);
+        return;
+    }
+    if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
+        this->suspects.receive(*notice);
+    }
 }
 
 void EntryTask::setSession(SessionNumber self)
@@ -110,7 +128,17 @@
 
 void EntryTask::setVms(const ListedVmsPointer &vms)
 {
-    this->replicas.markLeaving(*vms);
+    this->watch.observe(*vms);
+}
+
+const Address &EntryTask::fleetAddress() const
+{
+    return this->datagrams.address();
+}
+
+void EntryTask::watchFleet(FleetWatch::LeavingChanged leaving)
+{
+    this->watch.start(std::move(leaving));
 }
 
 void EntryTask::drain()
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -1,7 +1,6 @@
 #include <Services/Entry/OnlineRequest.h>
 
 #include <LibBase/Log.h>
-#include <LibRouting/ReplicaChoice.h>
 
 #include <algorithm>
 #include <utility>
@@ -213,8 +212,9 @@
         this->refuse({statusUnprocessable, "quarantined", "endpoints were lost while they ran it", this->runState(), left});
         return;
     }
-    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
-    Replica *const chosen = chooseReplica(this->context.replicas.of(this->request.serves), wish, this->context.random);
+    ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
+    wish.prefix = this->request.prefix;
+    Replica *const chosen = this->context.chooser.choose(this->request.serves, wish);
     const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
         this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", this->runState(), comeBack});
@@ -241,7 +241,8 @@
 {
     ++this->attempts;
     this->replica = &replica;
-    ++replica.inFlight;
+    this->context.fleet.begin(replica);
+    this->tokensBefore = this->completion.tokens;
     this->context.notices.changed(replica);
     this->tried.push_back(replica.name);
     this->status = 0;
@@ -277,6 +278,7 @@
 void OnlineRequest::onHeaders(int status, const HttpHeaders &headers)
 {
     this->status = status;
+    this->context.watch.sawHeaders(*this->replica, headers);
     this->contentType = headerValue(headers, "Content-Type").value_or("application/octet-stream");
 }
 
@@ -307,6 +309,9 @@
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
     }
+    if (this->completion.tokens == this->tokensBefore) {
+        this->attemptFirstToken = now;
+    }
     this->lastToken = now;
     this->completion.add(*delta);
     this->reply.write(delta->text);
@@ -329,21 +334,21 @@
         this->attemptDone();
         return;
     case AttemptEnd::NotConnected:
-        this->attemptFailed(RunState::NotRun, "not_connected");
+        this->attemptFailed(AttemptOutcome::NotConnected, RunState::NotRun, "not_connected");
         return;
     case AttemptEnd::Broken:
         this->lostWithEndpoint();
-        this->attemptFailed(RunState::Unknown, "broken");
+        this->attemptFailed(AttemptOutcome::Failed, RunState::Unknown, "broken");
         return;
     case AttemptEnd::SilentFresh:
-        this->attemptFailed(RunState::Unknown, "silent");
+        this->attemptFailed(AttemptOutcome::Silent, RunState::Unknown, "silent");
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
         this->context.metrics.countRetry("silent_connection");
         Replica &same = *this->replica;
         this->mayHaveRun = true;
-        this->leaveReplica(false);
+        this->leaveReplica({AttemptOutcome::Abandoned, {}});
         if (this->mayRetryAt(same)) {
             this->sendTo(same, ConnectionChoice::Fresh);
         }
@@ -362,19 +367,19 @@
 {
     if (this->status == statusUnavailable) {
         // By the endpoints' contract (docs/operators/endpoints.md) a 503 is given before anything is run.
-        this->attemptFailed(RunState::NotRun, "refused");
+        this->attemptFailed(AttemptOutcome::Refused, RunState::NotRun, "refused");
         return;
     }
     const bool isCutShort = this->request.completion && this->status == statusOk && !this->isWhole();
     // An endpoint that has no room or fails may be followed by one that serves: its answer is no result to be kept.
     const bool isEndpointError = this->status >= statusServerError || this->status == statusTooManyRequests;
     if (isCutShort || (isEndpointError && !this->request.isNonIdempotent)) {
-        this->attemptFailed(RunState::Unknown, isCutShort ? "cut_short" : "endpoint_error");
+        this->attemptFailed(AttemptOutcome::Failed, RunState::Unknown, isCutShort ? "cut_short" : "endpoint_error");
         return;
     }
     this->context.suspects.succeeded(this->request.content);
     this->context.retries.succeeded(this->request.tenant, this->replica->name);
-    this->leaveReplica(false);
+    this->leaveReplica({AttemptOutcome::Succeeded, this->serviceTime()});
     if (this->request.completion && this->status == statusOk) {
         this->commit(this->completion.answer(*this->request.completion, this->request.id));
         return;
@@ -382,15 +387,26 @@
     this->commit({static_cast<std::uint16_t>(this->status), this->contentType, this->body});
 }
 
-void OnlineRequest::leaveReplica(bool hasFailed)
+std::optional<std::chrono::microseconds> OnlineRequest::serviceTime() const
+{
+    if (!this->request.completion) {
+        return since(this->sent, this->context.clock.now());
+    }
+    const std::uint32_t tokens = this->completion.tokens - this->tokensBefore;
+    if (tokens < 2) {
+        return {};
+    }
+    return since(this->attemptFirstToken, this->lastToken) / (tokens - 1);
+}
+
+void OnlineRequest::leaveReplica(const AttemptResult &result)
 {
     Replica &left = *std::exchange(this->replica, nullptr);
-    --left.inFlight;
-    left.failuresInARow = hasFailed ? left.failuresInARow + 1 : 0;
+    this->context.fleet.end(left, result);
     this->context.notices.changed(left);
 }
 
-void OnlineRequest::attemptFailed(RunState run, std::string_view reason)
+void OnlineRequest::attemptFailed(AttemptOutcome outcome, RunState run, std::string_view reason)
 {
     log(LogLevel::Info,
         "attempt failed",
@@ -399,7 +415,7 @@
          {"failure_domain", this->replica->failureDomain.value()},
          {"reason", std::string(reason)}});
     this->failedDomain = this->replica->failureDomain;
-    this->leaveReplica(true);
+    this->leaveReplica({outcome, {}});
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
     if (this->request.isNonIdempotent && run == RunState::Unknown) {
         // It may have run, so it must not run again. This is committed as its answer: every resend gets the same.
@@ -505,7 +521,7 @@
     }
     // The endpoint did nothing wrong. What it would still make is of use to nobody.
     this->attempt = nullptr;
-    this->leaveReplica(false);
+    this->leaveReplica({AttemptOutcome::Abandoned, {}});
     this->refuse(running);
 }
 
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibFleet/Replica.h>
+#include <LibFleet/FleetState.h>
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/ServerSentEvents.h>
 #include <LibRouting/Quarantine.h>
@@ -38,6 +38,8 @@
     std::chrono::milliseconds timeout{0};
     /** For a completion. */
     std::optional<CompletionRequest> completion;
+    /** Key of the prompt's first bytes, shared by requests that may profit from one cache; 0 for none. */
+    std::uint64_t prefix = 0;
 };
 
 /**
@@ -77,9 +79,10 @@
     void onEvent(const std::string &data);
     void onEnd(AttemptEnd end);
     void attemptDone();
-    void attemptFailed(RunState run, std::string_view reason);
+    void attemptFailed(AttemptOutcome outcome, RunState run, std::string_view reason);
     void lostWithEndpoint();
-    void leaveReplica(bool hasFailed);
+    void leaveReplica(const AttemptResult &result);
+    std::optional<std::chrono::microseconds> serviceTime() const;
     bool isWhole() const;
 
     void commit(const Answer &answer);
@@ -111,6 +114,9 @@
     SteadyTime sent{};
     std::unique_ptr<Attempt> attempt;
     SteadyTime lastToken{};
+    SteadyTime attemptFirstToken{};
+    /** Tokens that came from earlier attempts. */
+    std::uint32_t tokensBefore = 0;
     int status = 0;
     std::string contentType;
     std::string body;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -1,7 +1,5 @@
 #include <Services/Entry/PlainCall.h>
 
-#include <LibRouting/ReplicaChoice.h>
-
 #include <utility>
 
 namespace Dogwoodkeel
@@ -52,7 +50,7 @@
         return;
     }
     const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
-    Replica *const chosen = chooseReplica(this->context.replicas.of(this->service.name), wish, this->context.random);
+    Replica *const chosen = this->context.chooser.choose(this->service.name, wish);
     const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
         this->refuse(statusUnavailable, "no_endpoint", "no endpoint can serve the request now", comeBack);
@@ -76,13 +74,14 @@
 void PlainCall::sendTo(Replica &replica, ConnectionChoice choice)
 {
     this->replica = &replica;
-    ++replica.inFlight;
+    this->context.fleet.begin(replica);
     this->tried.push_back(replica.name);
     this->sent = this->context.clock.now();
     this->response = {};
     Attempt::Hooks hooks{
         .onHeaders =
             [this](int status, const HttpHeaders &headers) {
+                this->context.watch.sawHeaders(*this->replica, headers);
                 this->response.status = status;
                 this->response.headers["Content-Type"]
                     = headerValue(headers, "Content-Type").value_or("application/octet-stream");
@@ -108,28 +107,28 @@
     switch (end) {
     case AttemptEnd::Complete:
         if (this->response.status == statusUnavailable) {
-            this->failed(RunState::NotRun, "refused");
+            this->failed(AttemptOutcome::Refused, RunState::NotRun, "refused");
         } else {
             this->answer();
         }
         return;
     case AttemptEnd::NotConnected:
-        this->failed(RunState::NotRun, "not_connected");
+        this->failed(AttemptOutcome::NotConnected, RunState::NotRun, "not_connected");
         return;
     case AttemptEnd::Broken:
         this->context.suspects.lost(this->content,
                                     {this->replica->name, this->replica->failureDomain, this->sent, this->context.clock.now()});
-        this->failed(RunState::Unknown, "broken");
+        this->failed(AttemptOutcome::Failed, RunState::Unknown, "broken");
         return;
     case AttemptEnd::SilentFresh:
-        this->failed(RunState::Unknown, "silent");
+        this->failed(AttemptOutcome::Silent, RunState::Unknown, "silent");
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint.
         this->context.metrics.countRetry("silent_connection");
         Replica &same = *this->replica;
         this->mayHaveRun = true;
-        this->leaveReplica(false);
+        this->leaveReplica({AttemptOutcome::Abandoned, {}});
         if (this->mayRetryAt(same)) {
             this->sendTo(same, ConnectionChoice::Fresh);
         }
@@ -138,18 +137,17 @@
     }
 }
 
-void PlainCall::leaveReplica(bool hasFailed)
+void PlainCall::leaveReplica(const AttemptResult &result)
 {
     Replica &left = *std::exchange(this->replica, nullptr);
-    --left.inFlight;
-    left.failuresInARow = hasFailed ? left.failuresInARow + 1 : 0;
+    this->context.fleet.end(left, result);
 }
 
-void PlainCall::failed(RunState run, std::string_view reason)
+void PlainCall::failed(AttemptOutcome outcome, RunState run, std::string_view reason)
 {
     this->failedDomain = this->replica->failureDomain;
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
-    this->leaveReplica(true);
+    this->leaveReplica({outcome, {}});
     this->context.metrics.countRetry(std::string(reason));
     this->dispatch();
 }
@@ -158,7 +156,8 @@
 {
     this->context.suspects.succeeded(this->content);
     this->context.retries.succeeded(this->tenant, this->replica->name);
-    this->leaveReplica(false);
+    const auto taken = std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->sent);
+    this->leaveReplica({AttemptOutcome::Succeeded, taken});
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer("lookup", std::to_string(this->response.status));
     this->context.metrics.observeTotal(
@@ -172,7 +171,7 @@
         // The endpoint did nothing wrong: the caller's time is up.
         this->attempt = nullptr;
         this->mayHaveRun = true;
-        this->leaveReplica(false);
+        this->leaveReplica({AttemptOutcome::Abandoned, {}});
     }
     this->refuse(statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", comeBack);
 }
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -36,8 +36,8 @@
     bool mayRetryAt(const Replica &chosen);
     void sendTo(Replica &replica, ConnectionChoice choice);
     void onEnd(AttemptEnd end);
-    void leaveReplica(bool hasFailed);
-    void failed(RunState run, std::string_view reason);
+    void leaveReplica(const AttemptResult &result);
+    void failed(AttemptOutcome outcome, RunState run, std::string_view reason);
     void answer();
     void refuse(int status, std::string_view reason, std::string message, std::chrono::seconds retryAfter);
     void onDeadline();
--- a/Services/Entry/SuspectNotices.cpp
+++ b/Services/Entry/SuspectNotices.cpp
@@ -98,7 +98,7 @@
     const SuspectNotice message = this->notice(losses, cleared);
     for (const Member &member : this->view->members()) {
         if (member.session != this->self) {
-            this->socket.send(member.lane, message);
+            this->socket.send(member.fleet, message);
         }
     }
 }
--- a/Services/Lane/LaneTask.h
+++ b/Services/Lane/LaneTask.h
@@ -6,9 +6,6 @@
 #include <LibWire/DatagramSocket.h>
 #include <Services/Lane/LaneService.h>
 
-#include <functional>
-#include <utility>
-
 namespace Dogwoodkeel
 {
 
@@ -40,12 +37,6 @@
         return this->service;
     }
 
-    /** @param hook told, on this task, when another node tells of requests that were lost with an endpoint */
-    void setSuspectHook(std::function<void(const SuspectNotice &)> hook)
-    {
-        this->onSuspects = std::move(hook);
-    }
-
     /** Put a new configuration into force; items that run go on. */
     void putInForce(const SettingsPointer &settings)
     {
@@ -56,12 +47,6 @@
 private:
     void receive(const Datagram &datagram)
     {
-        if (datagram.number == SuspectNotice::number && this->onSuspects) {
-            if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
-                this->onSuspects(*notice);
-            }
-            return;
-        }
         if (datagram.number != ReplicaLoad::number) {
             return;
         }
@@ -70,7 +55,6 @@
         }
     }
 
-    std::function<void(const SuspectNotice &)> onSuspects;
     SettingsHandle settings;
     PeerClient peers;
     HttpClient http;
--- a/Tests/ServiceEntry/TestQuarantinedRequest.cpp
+++ b/Tests/ServiceEntry/TestQuarantinedRequest.cpp
@@ -60,7 +60,7 @@
     const std::uint64_t content = contentFingerprint("m", R"({"prompt":"poison"})").value();
     notice.suspects.push_back({content, EndpointName("m0"), FailureDomain("domain0"), 50, 40});
     notice.suspects.push_back({content, EndpointName("m1"), FailureDomain("domain1"), 30, 20});
-    bench.entry->receive(notice);
+    bench.entry->receive({{}, SuspectNotice::number, encode(notice)});
     const auto answer = bench.complete("poison");
     bench.untilEnd(answer);
     CHECK(answer->status == 422);
@@ -69,7 +69,7 @@
 
     notice.suspects.clear();
     notice.cleared.push_back(content);
-    bench.entry->receive(notice);
+    bench.entry->receive({{}, SuspectNotice::number, encode(notice)});
     for (const auto &endpoint : bench.endpoints) {
         endpoint->setScript([](const Exchange &exchange) {
             exchange->beginStream();
