--- a/Services/Control/ConfigurationKeeper.cpp
+++ b/Services/Control/ConfigurationKeeper.cpp
@@ -348,6 +348,16 @@
     return this->heldContent;
 }
 
+bool ConfigurationKeeper::holdsPart(const std::string &key) const
+{
+    return this->heldParts.contains(key);
+}
+
+const SettingsPointer &ConfigurationKeeper::settings() const
+{
+    return this->loaded;
+}
+
 bool ConfigurationKeeper::isPlatformAnswering() const
 {
     return this->platformAnswers;
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -9,6 +9,8 @@
 #include <LibRouting/RetryBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Control/OperatorRequest.h>
+#include <Services/Entry/Admission.h>
 #include <Services/Entry/FleetWatch.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
@@ -35,9 +37,12 @@
     std::mt19937_64 &random;
     RetryBudget &retries;
     SuspectNotices &suspects;
+    Admission &admission;
     FleetState &fleet;
     ReplicaChooser &chooser;
     FleetWatch &watch;
+    /** Takes operators' requests to the control task. */
+    OperatorGateway operators;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -33,7 +33,8 @@
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
-                     NodeMetrics &metrics)
+                     NodeMetrics &metrics,
+                     OperatorGateway operators)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
@@ -45,12 +46,13 @@
                 {settings->listen.lane.ip, 0},
                 security.siteKey,
                 [this](const Datagram &datagram) {
-                    this->watch.receive(datagram);
+                    this->receive(datagram);
                 })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
     , retries(clock, retryOptions(settings->retries))
     , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
+    , admission(loop, clock, this->settings, this->replicas)
     , fleet(clock, this->settings, this->replicas)
     , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
     , chooser(clock, this->settings, this->replicas, this->random)
@@ -67,9 +69,11 @@
               this->random,
               this->retries,
               this->suspects,
+              this->admission,
               this->fleet,
               this->chooser,
-              this->watch}
+              this->watch,
+              std::move(operators)}
     , service(this->context)
     , server(loop,
              settings->listen.http,
@@ -111,6 +115,11 @@
     }
 }
 
+std::size_t EntryTask::quarantinedRequests() const
+{
+    return this->suspects.quarantine().quarantined().size();
+}
+
 void EntryTask::setSession(SessionNumber self)
 {
     this->context.self = self;
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -32,7 +32,8 @@
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
-              NodeMetrics &metrics);
+              NodeMetrics &metrics,
+              OperatorGateway operators);
 
     /** @return where callers connect. */
     const Address &address() const;
@@ -43,6 +44,9 @@
     /** A datagram of another node came. */
     void receive(const Datagram &datagram);
 
+    /** @return requests held to crash endpoints, that run nowhere for now. */
+    std::size_t quarantinedRequests() const;
+
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
 
@@ -79,6 +83,7 @@
     std::mt19937_64 random;
     RetryBudget retries;
     SuspectNotices suspects;
+    Admission admission;
     FleetState fleet;
     FleetWatch watch;
     ReplicaChooser chooser;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -125,8 +125,7 @@
     }
     switch (response->decision) {
     case ClaimDecision::Run:
-        this->phase = Phase::Running;
-        this->dispatch();
+        this->waitForRoom();
         return;
     case ClaimDecision::Done:
         this->finish(response->answer, "committed");
@@ -204,6 +203,28 @@
         [](const std::optional<ReleaseResponse> &) {});
 }
 
+void OnlineRequest::waitForRoom()
+{
+    this->phase = Phase::Waiting;
+    const auto self = this->shared_from_this();
+    this->ticket = this->context.admission.enter(
+        this->request.serves,
+        this->deadline,
+        {.run =
+             [self] {
+                 self->phase = Phase::Running;
+                 self->dispatch();
+             },
+         .refuse =
+             [self](std::chrono::milliseconds retryAfter) {
+                 self->refuse({statusUnavailable,
+                               "overloaded",
+                               "it would not be answered by its deadline",
+                               self->runState(),
+                               std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(retryAfter))});
+             }});
+}
+
 void OnlineRequest::dispatch()
 {
     const SuspectNotices &suspects = this->context.suspects;
@@ -403,6 +424,7 @@
 {
     Replica &left = *std::exchange(this->replica, nullptr);
     this->context.fleet.end(left, result);
+    this->context.admission.served(this->request.serves, since(this->sent, this->context.clock.now()));
     this->context.notices.changed(left);
 }
 
@@ -535,6 +557,9 @@
 
 void OnlineRequest::refuse(const Refusal &refusal)
 {
+    if (this->phase == Phase::Waiting) {
+        this->context.admission.leave(this->request.serves, this->ticket);
+    }
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->phase = Phase::Ended;
     if (this->reply.isOpen()) {
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -59,6 +59,8 @@
 private:
     enum class Phase {
         Claiming,
+        /** In the queue for room at a replica. */
+        Waiting,
         Running,
         Committing,
         /** Refused; what still arrives is settled without the caller. */
@@ -71,6 +73,7 @@
     void settleClaim();
     void giveBack(const Refusal &refusal);
 
+    void waitForRoom();
     void dispatch();
     bool mayRetryAt(const Replica &chosen);
     void sendTo(Replica &replica, ConnectionChoice choice);
@@ -106,6 +109,7 @@
     Phase phase = Phase::Claiming;
     bool hasClaim = false;
     TimerId deadlineTimer = 0;
+    Admission::Ticket ticket = 0;
 
     std::uint32_t attempts = 0;
     std::vector<EndpointName> tried;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -1,5 +1,6 @@
 #include <Services/Entry/PlainCall.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -38,7 +39,26 @@
         self->deadlineTimer = 0;
         self->onDeadline();
     });
-    this->dispatch();
+    this->waitForRoom();
+}
+
+void PlainCall::waitForRoom()
+{
+    const auto self = this->shared_from_this();
+    this->ticket = this->context.admission.enter(
+        this->service.name,
+        this->started + this->timeout,
+        {.run =
+             [self] {
+                 self->dispatch();
+             },
+         .refuse =
+             [self](std::chrono::milliseconds retryAfter) {
+                 self->refuse(statusUnavailable,
+                              "overloaded",
+                              "it would not be answered by its deadline",
+                              std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(retryAfter)));
+             }});
 }
 
 void PlainCall::dispatch()
@@ -141,6 +161,8 @@
 {
     Replica &left = *std::exchange(this->replica, nullptr);
     this->context.fleet.end(left, result);
+    const auto taken = std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->sent);
+    this->context.admission.served(this->service.name, taken);
 }
 
 void PlainCall::failed(AttemptOutcome outcome, RunState run, std::string_view reason)
@@ -172,6 +194,8 @@
         this->attempt = nullptr;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
+    } else {
+        this->context.admission.leave(this->service.name, this->ticket);
     }
     this->refuse(statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", comeBack);
 }
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -32,6 +32,7 @@
     void start();
 
 private:
+    void waitForRoom();
     void dispatch();
     bool mayRetryAt(const Replica &chosen);
     void sendTo(Replica &replica, ConnectionChoice choice);
@@ -52,6 +53,7 @@
     SteadyTime started;
     std::chrono::milliseconds timeout;
     TimerId deadlineTimer = 0;
+    Admission::Ticket ticket = 0;
     Replica *replica = nullptr;
     SteadyTime sent{};
     std::unique_ptr<Attempt> attempt;
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -132,7 +132,8 @@
             [store](EventLoop &on) {
                 return std::make_unique<EmbeddedPlatform>(store, on);
             },
-            this->metrics);
+            this->metrics,
+            OperatorGateway());
         Member member;
         member.session = SessionNumber(1);
         member.owner = this->owner.server.address();
--- a/Tests/ServiceEntry/TestQuarantinedRequest.cpp
+++ b/Tests/ServiceEntry/TestQuarantinedRequest.cpp
@@ -60,7 +60,12 @@
     const std::uint64_t content = contentFingerprint("m", R"({"prompt":"poison"})").value();
     notice.suspects.push_back({content, EndpointName("m0"), FailureDomain("domain0"), 50, 40});
     notice.suspects.push_back({content, EndpointName("m1"), FailureDomain("domain1"), 30, 20});
-    bench.entry->receive({{}, SuspectNotice::number, encode(notice)});
+    DatagramSocket other(bench.loop, {"127.0.0.1", 0}, MessageKey(""), [](const Datagram &) {});
+    other.send(bench.entry->fleetAddress(), notice);
+    // The datagram is on its way by the socket; one turn of the loop after it has come, the notice counts.
+    bench.until([&] {
+        return bench.entry->quarantinedRequests() == 1;
+    });
     const auto answer = bench.complete("poison");
     bench.untilEnd(answer);
     CHECK(answer->status == 422);
