--- a/Specification/CoreProtocol.pml
+++ b/Specification/CoreProtocol.pml
@@ -6,13 +6,13 @@
  * every runner may be lost or paused at every point. Session 0 owns the shard at the start; sessions 1 and 2 each take
  * over once, at any time, also at the same time. README.md maps the lines to the code.
  *
- * Build flags: NON_IDEMPOTENT for an id that may run at most once; LOST, CLAIMS, COMMITS: how many
+ * Build flags: NON_IDEMPOTENT for an id that may run at most once; NO_RELEASE leaves claims that are given back out; LOST, CLAIMS, COMMITS: how many
  * answers the platform loses, and how often a runner calls an owner with each call.
- * Mutations that must fail: NO_SEAL, NO_READ_BACK, DISPATCH_BEFORE_INTENT, UNPROVED_NOT_RUN.
+ * Mutations that must fail: NO_SEAL, NO_READ_BACK, DISPATCH_BEFORE_INTENT, UNPROVED_NOT_RUN, LATE_ANSWER.
  */
 #define SESSIONS 3
 #define RUNNERS 2
-#define GROUPS 3
+#define GROUPS 5
 #ifndef LOST
 #define LOST 2
 #endif
@@ -23,11 +23,12 @@
 #define COMMITS 1
 #endif
 
-/* What a journal row holds. RESULT + r is the result of runner r. */
+/* What a journal row holds. INTENT + r and RESULT + r are of runner r. */
 #define EMPTY 0
 #define SEAL 1
-#define INTENT 2
-#define RESULT 3
+#define WITHDRAW 2
+#define INTENT 3
+#define RESULT 5
 #define ROW(s, n) ((s) * GROUPS + (n))
 
 /* What an owner knows of the id (RequestTable::Stage). */
@@ -35,13 +36,14 @@
 #define CLAIMED 1
 #define INTENT_PENDING 2
 #define INTENT_DURABLE 3
-#define ORPHANED 4
+#define WITHDRAW_PENDING 4
 #define RESULT_PENDING 5
 #define DONE 6
 
 /* Calls to an owner, and its decisions. */
 #define CLAIM 1
 #define COMMIT 2
+#define RELEASE 3
 #define RUN 1
 #define ANSWER 2
 #define OUTCOME_UNKNOWN 3
@@ -54,7 +56,7 @@
 #define LOST_ANSWER 3
 
 /* The platform: journals, the shard row, and one write whose answer was lost and that may arrive late. */
-byte journal[9];
+byte journal[SESSIONS * GROUPS];
 byte rowOwner = 0;
 byte rowEpoch = 0;
 byte chain[SESSIONS]; /* the session that owned the shard in each epoch */
@@ -130,7 +132,8 @@
 inline replay(record)
 {
     if
-    :: record == INTENT && stage == ABSENT -> stage = ORPHANED
+    :: record >= INTENT && record < RESULT && stage == ABSENT -> stage = INTENT_DURABLE; holder = record - INTENT
+    :: record == WITHDRAW && stage != DONE -> stage = ABSENT; holder = 0
     :: record >= RESULT && stage != DONE -> stage = DONE; result = record
     :: else
     fi
@@ -246,14 +249,19 @@
            calls[self] ? call, runner, number ->
            if
            :: call == CLAIM && stage == DONE -> answers[runner] ! number, ANSWER, result
-           :: call == CLAIM && stage == ORPHANED -> answers[runner] ! number, OUTCOME_UNKNOWN, 0
 #ifdef NON_IDEMPOTENT
            :: call == CLAIM && stage == ABSENT -> answers[runner] ! number, UNAVAILABLE, 0 /* the platform is down */
            :: call == CLAIM && stage == ABSENT -> stage = INTENT_PENDING; holder = runner; call = 0; goto intent
            :: call == CLAIM && stage == INTENT_DURABLE ->
                if
                :: holder == runner -> answers[runner] ! number, RUN, 0
-               :: else /* join: told to ask again */
+               :: holder != runner /* join: told to ask again */
+               :: answers[runner] ! number, OUTCOME_UNKNOWN, 0 /* its runner is gone, or silent for a lease's time */
+               fi
+           :: call == RELEASE ->
+               if
+               :: stage == INTENT_DURABLE && holder == runner -> stage = WITHDRAW_PENDING; call = 0; goto withdraw
+               :: else
                fi
 #else
            :: call == CLAIM && stage == ABSENT -> stage = CLAIMED; holder = runner; answers[runner] ! number, RUN, 0
@@ -271,7 +279,7 @@
 #ifdef DISPATCH_BEFORE_INTENT
        answers[runner] ! number, RUN, 0;
 #endif
-       append(INTENT);
+       append(INTENT + holder);
        atomic {
            if
            :: fenced -> goto gone
@@ -285,6 +293,15 @@
            runner = 0; number = 0
        };
        goto serving;
+withdraw:
+       append(WITHDRAW);
+       atomic {
+           if
+           :: fenced -> goto gone
+           :: else -> stage = ABSENT; holder = 0; runner = 0; number = 0
+           fi
+       };
+       goto serving;
 commit:
        append(result);
        atomic {
@@ -356,10 +373,16 @@
         :: else
         fi;
 #endif
-        goto gone
+        goto release
     od;
 
 dispatch:
+#ifdef NON_IDEMPOTENT
+    if
+    :: skip /* sent */
+    :: atomic { assert(runs == 0); goto release } /* the endpoint was not reached: refused as not_run */
+    fi;
+#endif
     atomic {
         runs++;
 #ifdef NON_IDEMPOTENT
@@ -378,6 +401,19 @@
     :: tries == COMMITS -> goto gone /* kept, and sent again later */
     od;
 
+release:
+#if defined(NON_IDEMPOTENT) && !defined(NO_RELEASE)
+    /* It was never sent and never will be: whatever claim an owner may hold for it is given back. */
+    callOwner(RELEASE);
+#ifdef LATE_ANSWER
+    if
+    :: atomic { answers[self] ? reply, decision, value -> decision == RUN }; goto dispatch
+    :: skip
+    fi;
+#endif
+#endif
+    goto gone;
+
 answer:
     atomic {
         assert(answered == 0 || answered == value);
