--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -84,7 +84,15 @@
 
 void readOwnerSettings(SettingsReader &reader, const toml::table &table, OwnerSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"shards", "group_interval", "claim_lease", "held_results"});
+    reader.rejectUnknownKeys(table,
+                             {"shards",
+                              "group_interval",
+                              "claim_lease",
+                              "result_retention",
+                              "recent_bytes",
+                              "checkpoint_bytes",
+                              "checkpoint_groups",
+                              "held_results"});
     reader.readInteger(table, "shards", target.shards, Presence::Optional, {.least = 1, .most = 65536});
     reader.readDuration(table,
                         "group_interval",
@@ -96,14 +104,31 @@
                         target.claimLease,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "result_retention",
+                        target.resultRetention,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(60000), .most = std::chrono::milliseconds(315360000000)});
+    reader.readInteger(table, "recent_bytes", target.recentBytes, Presence::Optional, {.least = 65536, .most = 1073741824});
+    reader.readInteger(table, "checkpoint_bytes", target.checkpointBytes, Presence::Optional, {.least = 4096, .most = 268435456});
+    reader.readInteger(table, "checkpoint_groups", target.checkpointGroups, Presence::Optional, {.least = 10, .most = 1000000});
     reader.readInteger(table, "held_results", target.heldResults, Presence::Optional, {.least = 0, .most = 10000000});
 }
 
 void readEntrySettings(SettingsReader &reader, const toml::table &table, EntrySettings &target)
 {
-    reader.rejectUnknownKeys(
-        table,
-        {"body_bytes", "job_bytes", "entry_ttl", "entry_count", "drain", "progress_timeout", "request_timeout", "attempts"});
+    reader.rejectUnknownKeys(table,
+                             {"body_bytes",
+                              "job_bytes",
+                              "entry_ttl",
+                              "entry_count",
+                              "drain",
+                              "connect_timeout",
+                              "first_byte_timeout",
+                              "progress_timeout",
+                              "request_timeout",
+                              "queue_length",
+                              "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
     reader.readDuration(table,
@@ -117,19 +142,50 @@
                         target.drain,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "connect_timeout",
+                        target.connectTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "progress_timeout",
                         target.progressTimeout,
                         Presence::Optional,
-                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "request_timeout",
                         target.requestTimeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "queue_length", target.queueLength, Presence::Optional, {.least = 0, .most = 1000000});
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
+void readRetrySettings(SettingsReader &reader, const toml::table &table, RetrySettings &target)
+{
+    reader.rejectUnknownKeys(table, {"per_success", "per_second", "burst"});
+    reader.readNumber(table, "per_success", target.perSuccess, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readNumber(table, "per_second", target.perSecond, Presence::Optional, {.least = 0.0, .most = 1000000.0});
+    reader.readNumber(table, "burst", target.burst, Presence::Optional, {.least = 1.0, .most = 1000000.0});
+}
+
+void readQuarantineSettings(SettingsReader &reader, const toml::table &table, QuarantineSettings &target)
+{
+    reader.rejectUnknownKeys(table, {"losses", "duration", "remembered"});
+    reader.readInteger(table, "losses", target.losses, Presence::Optional, {.least = 1, .most = 100});
+    reader.readDuration(table,
+                        "duration",
+                        target.duration,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(2592000000)});
+    reader.readInteger(table, "remembered", target.remembered, Presence::Optional, {.least = 1, .most = 10000000});
+}
+
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
     reader.rejectUnknownKeys(
@@ -156,10 +212,69 @@
     reader.readInteger(table, "headroom", target.headroom, Presence::Optional, {.least = 0, .most = 10000});
 }
 
+void readFleetSettings(SettingsReader &reader, const toml::table &table, FleetSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"load_poll",
+                              "load_bytes_per_second",
+                              "load_half_life",
+                              "latency_half_life",
+                              "failure_half_life",
+                              "prefix_bytes",
+                              "prefix_load_bound",
+                              "eject_failures",
+                              "eject_share",
+                              "eject_time",
+                              "eject_time_most",
+                              "slow_start"});
+    reader.readDuration(table,
+                        "load_poll",
+                        target.loadPoll,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(
+        table, "load_bytes_per_second", target.loadBytesPerSecond, Presence::Optional, {.least = 64, .most = 10000000});
+    reader.readDuration(table,
+                        "load_half_life",
+                        target.loadHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "latency_half_life",
+                        target.latencyHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "failure_half_life",
+                        target.failureHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "prefix_bytes", target.prefixBytes, Presence::Optional, {.least = 1, .most = 1048576});
+    reader.readNumber(table, "prefix_load_bound", target.prefixLoadBound, Presence::Optional, {.least = 1.0, .most = 100.0});
+    reader.readInteger(table, "eject_failures", target.ejectFailures, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readNumber(table, "eject_share", target.ejectShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readDuration(table,
+                        "eject_time",
+                        target.ejectTime,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "eject_time_most",
+                        target.ejectTimeMost,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(86400000)});
+    reader.readDuration(table,
+                        "slow_start",
+                        target.slowStart,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+}
+
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "checks_fencing", "role"});
+        table,
+        {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing", "role"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -167,13 +282,14 @@
     reader.readString(table, "service", target.service, Presence::Optional);
     reader.readInteger(table, "capacity", target.capacity, Presence::Optional, {.least = 1, .most = 100000});
     reader.readString(table, "generation", target.generation, Presence::Optional);
+    reader.readString(table, "vm", target.vm, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
     reader.readString(table, "role", target.role, Presence::Optional);
 }
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout"});
+    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout", "first_byte_timeout"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readBool(table, "is_idempotent", target.isIdempotent, Presence::Optional);
     reader.readDuration(table,
@@ -181,6 +297,11 @@
                         target.timeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
 }
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
@@ -255,7 +376,10 @@
                               "membership",
                               "owner",
                               "entry",
+                              "retries",
+                              "quarantine",
                               "batch",
+                              "fleet",
                               "endpoint",
                               "service",
                               "tenant",
@@ -268,7 +392,10 @@
     reader.readTable(root, "membership", settings.membership, Presence::Optional, readMembershipSettings);
     reader.readTable(root, "owner", settings.owner, Presence::Optional, readOwnerSettings);
     reader.readTable(root, "entry", settings.entry, Presence::Optional, readEntrySettings);
+    reader.readTable(root, "retries", settings.retries, Presence::Optional, readRetrySettings);
+    reader.readTable(root, "quarantine", settings.quarantine, Presence::Optional, readQuarantineSettings);
     reader.readTable(root, "batch", settings.batch, Presence::Optional, readBatchSettings);
+    reader.readTable(root, "fleet", settings.fleet, Presence::Optional, readFleetSettings);
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -109,6 +109,9 @@
     member.http = this->entry->ask<Address>([](EntryTask &task) {
         return task.address();
     });
+    member.fleet = this->entry->ask<Address>([](EntryTask &task) {
+        return task.fleetAddress();
+    });
     return member;
 }
 
@@ -122,6 +125,13 @@
     this->serveControlCalls();
     const Member member = this->makeMember();
     this->http = member.http;
+    this->entry->post([this](EntryTask &task) {
+        task.watchFleet([this](const EndpointName &endpoint, bool isLeaving) {
+            this->lane->post([endpoint, isLeaving](LaneTask &lane) {
+                lane.lane().setLeaving(endpoint, isLeaving);
+            });
+        });
+    });
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
@@ -273,9 +283,6 @@
 
 void Node::spreadVms(const ListedVmsPointer &vms)
 {
-    this->lane->post([vms](LaneTask &task) {
-        task.lane().setVms(*vms);
-    });
     this->entry->post([vms](EntryTask &task) {
         task.setVms(vms);
     });
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -75,9 +75,11 @@
     }
 }
 
-void LaneService::setVms(const std::vector<ListedVm> &vms)
+void LaneService::setLeaving(const EndpointName &endpoint, bool isLeaving)
 {
-    this->replicas.markLeaving(vms);
+    if (Replica *const replica = this->replicas.find(endpoint)) {
+        replica->isLeaving = isLeaving;
+    }
 }
 
 void LaneService::observe(const ReplicaLoad &notice)
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -41,12 +41,12 @@
     /** This node goes on as another session. */
     void setSession(SessionNumber self);
 
+    /** A replica is about to go, and gets no new items; or another start of it is back. */
+    void setLeaving(const EndpointName &endpoint, bool isLeaving);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
-    /** The platform's VM list changed: replicas on leaving VMs get no new items. */
-    void setVms(const std::vector<ListedVm> &vms);
-
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
