--- a/Libraries/LibRouting/Quarantine.cpp
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -36,6 +36,11 @@
     return isCurrent ? &found->second : nullptr;
 }
 
+void Quarantine::setOptions(const Options &options)
+{
+    this->options = options;
+}
+
 Standing Quarantine::standing(ContentFingerprint request) const
 {
     const Record *const record = this->find(request);
--- a/Libraries/LibRouting/Quarantine.h
+++ b/Libraries/LibRouting/Quarantine.h
@@ -72,6 +72,9 @@
 
     Quarantine(const Clock &clock, Options options);
 
+    /** Other times and sizes, for the losses from now on. */
+    void setOptions(const Options &options);
+
     /** @return how a request stands now. */
     Standing standing(ContentFingerprint request) const;
 
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -22,6 +22,11 @@
     return bucket;
 }
 
+void RetryBudget::setOptions(const Options &options)
+{
+    this->options = options;
+}
+
 void RetryBudget::succeeded(const TenantName &tenant, const EndpointName &endpoint)
 {
     for (Bucket *const bucket :
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -34,6 +34,9 @@
 
     RetryBudget(const Clock &clock, Options options);
 
+    /** Other sizes from now on; what was saved up stays, up to the new bound. */
+    void setOptions(const Options &options);
+
     /** An attempt succeeded. */
     void succeeded(const TenantName &tenant, const EndpointName &endpoint);
 
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,5 +1,7 @@
 #include "Node.h"
 
+#include "NodeStatus.h"
+
 #include <LibBase/Log.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
@@ -123,6 +125,7 @@
     this->learnConfiguration();
     this->makeTasks();
     this->serveControlCalls();
+    this->addStatusParts();
     const Member member = this->makeMember();
     this->http = member.http;
     this->entry->post([this](EntryTask &task) {
@@ -190,6 +193,9 @@
 void Node::askControl(OperatorRequest request, OperatorRespond respond)
 {
     this->control->post([this, request = std::move(request), respond = std::move(respond)](ControlTask &control) {
+        if (control.isClosed()) {
+            return;
+        }
         control.operators().serve(request, [this, respond, &control](HttpResponse response) {
             if (control.isClosed()) {
                 return;
@@ -209,6 +215,9 @@
     this->owner->post([this, answer = std::move(answer)](OwnerTask &task) {
         task.peers().handle<Request>([this, answer](const Request &request, PeerServer::Respond<Response> respond) {
             this->control->post([this, answer, request, respond = std::move(respond)](ControlTask &control) {
+                if (control.isClosed()) {
+                    return;
+                }
                 answer(control, request, [this, respond, &control](const Response &response) {
                     if (control.isClosed()) {
                         return;
@@ -222,6 +231,28 @@
     });
 }
 
+void Node::addStatusParts()
+{
+    // Each part is made on the task that knows it and handed back on the control task.
+    const auto back = [this](const StatusBoard::Collected &collected, StatusPart part) {
+        this->control->post([collected, part = std::move(part)](ControlTask &) {
+            collected(part);
+        });
+    };
+    this->control->post([this, back](ControlTask &control) {
+        control.statusBoard().add("shards", [this, back](const StatusBoard::Collected &collected) {
+            this->owner->post([back, collected](OwnerTask &task) {
+                back(collected, shardStatus(task.owner()));
+            });
+        });
+        control.statusBoard().add("endpoints", [this, back](const StatusBoard::Collected &collected) {
+            this->entry->post([back, collected](EntryTask &task) {
+                back(collected, endpointStatus(task.endpoints(), task.openRequests()));
+            });
+        });
+    });
+}
+
 void Node::serveControlCalls()
 {
     this->forwardToControl<ConfigurationRequest>([](ControlTask &control, const auto &request, const auto &respond) {
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -47,6 +47,7 @@
     void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
     void askControl(OperatorRequest request, OperatorRespond respond);
     void serveControlCalls();
+    void addStatusParts();
     template <typename Request>
     void
     forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -132,6 +132,8 @@
     // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
     this->notices.flush();
     this->replicas.update(settings->endpoints);
+    this->retries.setOptions(retryOptions(settings->retries));
+    this->suspects.setOptions(quarantineOptions(settings->quarantine));
     this->service.settingsChanged();
 }
 
@@ -155,6 +157,11 @@
     this->server.drain();
 }
 
+const std::list<Replica> &EntryTask::endpoints()
+{
+    return this->replicas.all();
+}
+
 std::size_t EntryTask::openRequests() const
 {
     return this->server.openRequests();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -14,6 +14,7 @@
 #include <Services/Entry/FleetWatch.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -65,6 +66,9 @@
     /** Take no new connections. */
     void drain();
 
+    /** @return the endpoints as this node has them. */
+    const std::list<Replica> &endpoints();
+
     /** @return requests not yet answered. */
     std::size_t openRequests() const;
 
--- a/Services/Entry/SuspectNotices.cpp
+++ b/Services/Entry/SuspectNotices.cpp
@@ -54,6 +54,11 @@
     return this->held;
 }
 
+void SuspectNotices::setOptions(const Quarantine::Options &options)
+{
+    this->held.setOptions(options);
+}
+
 void SuspectNotices::lost(ContentFingerprint request, const CrashPoint &point)
 {
     if (this->held.lost(request, point) == Standing::Quarantined) {
--- a/Services/Entry/SuspectNotices.h
+++ b/Services/Entry/SuspectNotices.h
@@ -24,6 +24,9 @@
 
     void setView(MemberViewPointer view);
 
+    /** Other times and sizes of the quarantine from now on. */
+    void setOptions(const Quarantine::Options &options);
+
     const Quarantine &quarantine() const;
 
     /** A request was lost with the endpoint it ran on. */
