LibJournal: Pace group commits by the platform's budget

A write after a quiet time starts at once; while at least four records are expected within 75 ms (owner.group_gather), a write waits that long so that they share it. Where the parts would fall under 8 writes a second, only some members hold journals and own shards: the oldest sessions of each failure domain in turn, so that a member that joins takes nobody's place and a lost one is followed by one other. At 300 writes a second that is 28 journals of 390 nodes.

Ruled out: a hash to choose the holders (each join may move shards), and a longer fixed interval (callers of a quiet system would wait for nothing).

--- a/Libraries/LibJournal/JournalWriter.cpp
+++ b/Libraries/LibJournal/JournalWriter.cpp
@@ -26,6 +26,7 @@
     , clock(clock)
     , session(session)
     , options(std::move(options))
+    , pace(this->options.pace)
     , backoff(this->options.firstBackoff)
 {
 }
@@ -43,10 +44,16 @@
         return;
     }
     ++this->appendedRecords;
+    this->pace.recordAdded(this->clock.now());
     this->pending.push_back({std::move(record), std::move(appended)});
     this->wake();
 }
 
+void JournalWriter::setWritesPerSecond(double rate)
+{
+    this->pace.setWritesPerSecond(rate, this->clock.now());
+}
+
 void JournalWriter::lookForSeal()
 {
     this->platform.tables().readRange(JournalKeys::group(this->session, this->number),
@@ -109,7 +116,7 @@
     if (this->timer != 0 || !this->inFlight.empty() || this->pending.empty() || this->fenced) {
         return;
     }
-    const SteadyTime earliest = this->lastStart + this->options.groupInterval;
+    const SteadyTime earliest = this->pace.nextStart(this->clock.now());
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(earliest - this->clock.now());
     this->timer = this->scheduler.schedule(std::max(wait, std::chrono::milliseconds(0)), [this] {
         this->timer = 0;
@@ -119,7 +126,6 @@
 
 void JournalWriter::startGroup()
 {
-    this->lastStart = this->clock.now();
     this->group = {};
     this->group.nonce = randomHex(nonceBytes);
     std::size_t size = 0;
@@ -133,7 +139,9 @@
         this->pending.pop_front();
     }
     this->rowValue = encode(this->group);
-    if (this->rowValue.size() <= this->options.rowBytes) {
+    const bool isLarge = this->rowValue.size() > this->options.rowBytes;
+    this->pace.writeStarted(this->clock.now(), isLarge ? 2 : 1);
+    if (!isLarge) {
         this->writeRow();
         return;
     }
--- a/Libraries/LibJournal/JournalWriter.h
+++ b/Libraries/LibJournal/JournalWriter.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Scheduler.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/Platform.h>
 #include <LibWire/Generated/Messages.h>
 
@@ -38,8 +39,7 @@
     /** How groups are made. */
     struct Options
     {
-        /** Shortest time between the starts of two writes. */
-        std::chrono::milliseconds groupInterval{5};
+        WritePace::Options pace;
         /** Largest row; a larger group goes to an object that the row names. */
         std::size_t rowBytes = 32768;
         /** Largest group. */
@@ -63,6 +63,9 @@
      */
     void append(JournalRecord record, Appended appended);
 
+    /** Change how many writes a second this journal may make. */
+    void setWritesPerSecond(double rate);
+
     /** Find out whether another session has sealed this journal, without waiting for the next append to fail. */
     void lookForSeal();
 
@@ -118,7 +121,7 @@
     std::string rowValue;
     std::string objectValue;
     GroupNumber number{1};
-    SteadyTime lastStart{};
+    WritePace pace;
     TimerId timer = 0;
     std::chrono::milliseconds backoff;
     bool stalled = false;
--- a/Libraries/LibMembership/MemberView.cpp
+++ b/Libraries/LibMembership/MemberView.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/MemberView.h>
 
 #include <LibBase/Hash.h>
+#include <LibMembership/JournalHolders.h>
 
 #include <algorithm>
 #include <utility>
@@ -50,7 +51,31 @@
 
 const Member *MemberView::ownerOf(ShardNumber shard) const
 {
-    return this->ownerOf(rendezvousWeight(shardSeed, shard.value()));
+    const std::uint64_t key = rendezvousWeight(shardSeed, shard.value());
+    if (this->journalHolders.empty()) {
+        return this->ownerOf(key);
+    }
+    const auto best = std::ranges::max_element(this->journalHolders, {}, [this, key](std::size_t place) {
+        return rendezvousWeight(key, this->list[place].session.value());
+    });
+    return &this->list[*best];
+}
+
+std::shared_ptr<const MemberView> MemberView::withJournals(std::size_t most) const
+{
+    auto view = std::make_shared<MemberView>(*this);
+    view->journalHolders = chooseJournalHolders(this->list, most);
+    return view;
+}
+
+std::size_t MemberView::journals() const
+{
+    if (!this->journalHolders.empty()) {
+        return this->journalHolders.size();
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(this->list, [](const Member &member) {
+        return member.state != MemberState::Leaving;
+    }));
 }
 
 const Member *MemberView::holderOf(const EndpointName &replica) const
--- a/Libraries/LibMembership/MemberView.h
+++ b/Libraries/LibMembership/MemberView.h
@@ -2,6 +2,7 @@
 
 #include <LibWire/Generated/Messages.h>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -28,6 +29,16 @@
      */
     const Member *ownerOf(std::uint64_t key) const;
 
+    /**
+     * @param most how many members may hold a journal
+     * @return the same view, in which only some members own shards if there are more than that: each holds a journal, and
+     * the platform takes only so many writes. The others send their claims and results there.
+     */
+    std::shared_ptr<const MemberView> withJournals(std::size_t most) const;
+
+    /** @return how many members own shards. */
+    std::size_t journals() const;
+
     /** @return who should own a shard. */
     const Member *ownerOf(ShardNumber shard) const;
 
@@ -36,6 +47,8 @@
 
 private:
     std::vector<Member> list;
+    /** Places in the list of those who own shards; empty if all do that are not leaving. */
+    std::vector<std::size_t> journalHolders;
 };
 
 using MemberViewPointer = std::shared_ptr<const MemberView>;
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -108,6 +108,8 @@
     std::int64_t shards = 64;
     /** Shortest time between two writes of one journal; stretched as the write budget demands. */
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
+    /** How long a write may wait for more records to share it, while they come in fast. */
+    std::chrono::milliseconds groupGather = std::chrono::milliseconds(75);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
     /** How long a request's result stays readable at least. An id used again after that runs again. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -87,6 +87,7 @@
     reader.rejectUnknownKeys(table,
                              {"shards",
                               "group_interval",
+                              "group_gather",
                               "claim_lease",
                               "result_retention",
                               "recent_bytes",
@@ -99,6 +100,11 @@
                         target.groupInterval,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(5000)});
+    reader.readDuration(table,
+                        "group_gather",
+                        target.groupGather,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(5000)});
     reader.readDuration(table,
                         "claim_lease",
                         target.claimLease,
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node.h"
 
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
@@ -106,8 +107,10 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -34,7 +34,7 @@
     const Address &httpAddress() const;
 
 private:
-    void spread(const MemberViewPointer &view);
+    void spread(const MemberViewPointer &seen);
     void renewSession();
     void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -62,7 +62,8 @@
 JournalWriter::Options OwnerService::journalOptions()
 {
     JournalWriter::Options options;
-    options.groupInterval = this->settings->owner.groupInterval;
+    options.pace.shortest = this->settings->owner.groupInterval;
+    options.pace.gather = this->settings->owner.groupGather;
     options.rowBytes = static_cast<std::size_t>(this->settings->platform.rowBytes);
     options.onFenced = [this] {
         this->keeper.fenced();
@@ -103,6 +104,8 @@
 void OwnerService::setView(const MemberViewPointer &view)
 {
     this->keeper.setView(view);
+    const auto budget = static_cast<double>(this->settings->platform.writesPerSecond);
+    this->journal.setWritesPerSecond(journalWritesPerSecond(budget, view->journals()));
 }
 
 void OwnerService::stop(std::function<void()> stopped)
--- /dev/null
+++ b/Tests/LibMembership/TestJournalHolders.cpp
@@ -0,0 +1,80 @@
+#include <LibMembership/JournalHolders.h>
+#include <LibMembership/MemberView.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+std::vector<Member> fleet(std::size_t nodes, std::size_t domains)
+{
+    std::vector<Member> members(nodes);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        members[i].session = SessionNumber(i + 1);
+        members[i].failureDomain = FailureDomain("domain-" + std::to_string(i % domains));
+    }
+    return members;
+}
+
+std::set<SessionNumber> holders(const std::vector<Member> &members, std::size_t most)
+{
+    std::set<SessionNumber> sessions;
+    for (const std::size_t place : chooseJournalHolders(members, most)) {
+        sessions.insert(members[place].session);
+    }
+    return sessions;
+}
+
+} // namespace
+
+TEST_CASE("journals are spread over the failure domains")
+{
+    const std::vector<Member> members = fleet(390, 7);
+    std::map<FailureDomain, int> perDomain;
+    for (const std::size_t place : chooseJournalHolders(members, 28)) {
+        ++perDomain[members[place].failureDomain];
+    }
+    REQUIRE(perDomain.size() == 7);
+    for (const auto &[domain, count] : perDomain) {
+        CHECK(count == 4);
+    }
+    CHECK(chooseJournalHolders(fleet(11, 3), 28).empty());
+}
+
+TEST_CASE("a member that joins takes nobody's journal, and one that is lost is followed by one other")
+{
+    std::vector<Member> members = fleet(390, 7);
+    const std::set<SessionNumber> before = holders(members, 28);
+    members.push_back(members.front());
+    members.back().session = SessionNumber(1000);
+    CHECK(holders(members, 28) == before);
+    members.erase(members.begin());
+    const std::set<SessionNumber> after = holders(members, 28);
+    std::size_t stayed = 0;
+    for (const SessionNumber session : after) {
+        stayed += before.contains(session) ? 1 : 0;
+    }
+    CHECK(after.size() == 28);
+    CHECK(stayed == 27);
+}
+
+TEST_CASE("only those who hold a journal own shards, and a leaving one does not")
+{
+    std::vector<Member> members = fleet(60, 3);
+    members[0].state = MemberState::Leaving;
+    const MemberView all(members);
+    const MemberViewPointer view = all.withJournals(6);
+    CHECK(view->journals() == 6);
+    std::set<SessionNumber> owners;
+    for (std::uint32_t shard = 0; shard < 1000; ++shard) {
+        owners.insert(view->ownerOf(ShardNumber(shard))->session);
+    }
+    CHECK(owners == holders(members, 6));
+    CHECK_FALSE(owners.contains(members[0].session));
+}
