--- a/Libraries/LibControl/ConfigurationWriter.h
+++ b/Libraries/LibControl/ConfigurationWriter.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/Findings.h>
 #include <LibBase/Scheduler.h>
+#include <LibControl/ConfigurationCheck.h>
 #include <LibControl/ConfigurationStore.h>
 
 #include <chrono>
@@ -24,6 +25,7 @@
     std::string author;
     std::string reason;
     ConfigurationContent content;
+    Access access = Access::MayBeOpen;
 };
 
 /** What became of a proposal. */
@@ -71,6 +73,8 @@
         std::chrono::milliseconds retry{100};
         /** When to give up. */
         std::chrono::milliseconds patience{10000};
+        /** Tells of parts that are on the platform for sure, because an accepted version names them; may be empty. */
+        std::function<bool(const std::string &key)> isStored;
     };
 
     ConfigurationWriter(ConfigurationStore &store, Scheduler &scheduler, const Clock &clock, Options options);
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -31,7 +31,8 @@
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
-              NodeMetrics &metrics);
+              NodeMetrics &metrics,
+              OperatorGateway operators);
 
     /** @return where callers connect. */
     const Address &address() const;
