--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node.h"
 
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
@@ -239,8 +240,10 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
