--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -49,13 +49,14 @@
                            Platform &platform,
                            const SettingsHandle &settings,
                            SessionNumber self,
-                           std::function<void()> onFenced)
+                           std::function<void()> onFenced,
+                           BatchOwner::TellStopped tellStopped)
     : scheduler(scheduler)
     , settings(settings)
     , onFenced(std::move(onFenced))
     , journal(platform, scheduler, clock, self, this->journalOptions())
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
-    , batch(this->keeper, this->journal, platform.objects())
+    , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
 {
 }
 
@@ -99,10 +100,12 @@
 void OwnerService::start()
 {
     this->keeper.start();
+    this->batch.start();
 }
 
 void OwnerService::setView(const MemberViewPointer &view)
 {
+    this->batch.setView(view);
     this->keeper.setView(view);
     const auto budget = static_cast<double>(this->settings->platform.writesPerSecond);
     this->journal.setWritesPerSecond(journalWritesPerSecond(budget, view->journals()));
@@ -113,7 +116,7 @@
     this->keeper.releaseAll(std::move(stopped));
 }
 
-std::size_t OwnerService::backlog() const
+Backlog OwnerService::backlog()
 {
     return this->batch.backlog();
 }
