Services: Bound the results held in an outage, give no claim to a caller that left

While the platform takes no writes, results were held without a bound. Results of requests that ran already are still taken.

A resend that had waited for the first run and been told "still running" was claimed for when that run gave up. If its caller had left, the request stood still until the claim's lease ended; a non-idempotent one got an intent that nobody ran, and ended as "it may have run". The waiting claim now ends with its answer.

--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -32,6 +32,8 @@
     NotOwner,
     /** Cannot be decided now (the platform is down, or recovery is going on); nothing was run. */
     Unavailable,
+    /** The owner holds as many unwritten results as it may, as the platform takes no writes; nothing was run. */
+    Full,
 };
 
 /** @return the value's name, for logs. */
@@ -52,6 +54,8 @@
         return "NotOwner";
     case ClaimDecision::Unavailable:
         return "Unavailable";
+    case ClaimDecision::Full:
+        return "Full";
     }
     return "invalid";
 }
@@ -59,7 +63,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(ClaimDecision value)
 {
-    return value <= ClaimDecision::Unavailable;
+    return value <= ClaimDecision::Full;
 }
 
 /** What the owner says to a result. */
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -118,6 +118,13 @@
                       RunState::NotRun,
                       comeBack});
         return;
+    case ClaimDecision::Full:
+        this->refuse({statusUnavailable,
+                      "platform_unavailable",
+                      "no more results can be held until the platform takes writes again",
+                      RunState::NotRun,
+                      comeBack});
+        return;
     case ClaimDecision::NotOwner:
         return;
     }
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -202,6 +202,10 @@
         respond({ClaimDecision::Unavailable, {}});
         return;
     }
+    if (this->isFull() && state->requests.state(request.requestId) == RequestState::Absent) {
+        respond({ClaimDecision::Full, {}});
+        return;
+    }
     switch (state->requests.claim(request)) {
     case ClaimVerdict::Run:
         respond({ClaimDecision::Run, {}});
@@ -224,6 +228,12 @@
     }
 }
 
+bool OwnerService::isFull() const
+{
+    // Results that were run already are taken beyond the bound: no more of them come than were running when it was met.
+    return this->journal.waiting() >= static_cast<std::size_t>(this->settings->owner.heldResults);
+}
+
 void OwnerService::writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
 {
     const auto answer = onlyOnce<ClaimResponse>(respond);
@@ -280,19 +290,22 @@
 
 void OwnerService::join(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
 {
-    const auto answer = onlyOnce<ClaimResponse>(respond);
     ShardState *const state = this->stateOf(request.requestId.value());
+    const auto isWaiting = std::make_shared<bool>(true);
     // NOTE: claim() has just found the request there.
-    state->requests.await(request.requestId, [this, request, answer, alive = this->alive] {
+    state->requests.await(request.requestId, [this, request, respond, isWaiting, alive = this->alive] {
         // Told from inside the table: looked at again from the loop.
-        this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, answer, alive] {
-            if (*alive) {
-                this->claim(request, answer);
+        this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, respond, isWaiting, alive] {
+            // One that was told "still running" may be gone. A claim made for it would keep the request from running.
+            if (*alive && std::exchange(*isWaiting, false)) {
+                this->claim(request, respond);
             }
         });
     });
-    this->scheduler.schedule(request.wait, [answer] {
-        answer({ClaimDecision::StillRunning, {}});
+    this->scheduler.schedule(request.wait, [respond, isWaiting] {
+        if (std::exchange(*isWaiting, false)) {
+            respond({ClaimDecision::StillRunning, {}});
+        }
     });
 }
 
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -75,6 +75,8 @@
     void claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond);
     void confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond);
+    /** @return whether as many results wait for the platform as this node may hold: nothing new is run then. */
+    bool isFull() const;
     void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
--- a/Tests/ServiceOwner/TestOwnerService.cpp
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -82,3 +82,47 @@
     CHECK(renewed.service.shardCount() == 4);
     CHECK(fixture.result(renewed, "offer").answer.body == "note");
 }
+
+TEST_CASE("a resend that stopped waiting does not take the claim when the runner gives up")
+{
+    // A resend waits for the first run, is told "still running", and its caller goes away. Then the first runner gives the
+    // claim back. Given to the resend that is not there, the request would stand still until the claim's lease ends; a
+    // non-idempotent one would even get an intent that nobody runs, and end as "it may have run".
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    for (const bool isNonIdempotent : {false, true}) {
+        CAPTURE(isNonIdempotent);
+        const std::string id = isNonIdempotent ? "payout" : "label";
+        const ClaimRequest running = fixture.a.claimOf(id, 1, isNonIdempotent);
+        REQUIRE((fixture.claim(fixture.a, running).decision == ClaimDecision::Run));
+        REQUIRE((fixture.claim(fixture.a, fixture.a.claimOf(id, 2, isNonIdempotent)).decision == ClaimDecision::StillRunning));
+        Answers<ReleaseResponse> released;
+        fixture.a.service.release({running.requestId, running.runner, running.claim}, released.keep());
+        fixture.clock.advance(1s);
+        CHECK((fixture.claim(fixture.a, fixture.a.claimOf(id, 3, isNonIdempotent)).decision == ClaimDecision::Run));
+    }
+}
+
+TEST_CASE("while the platform is down results are held up to the bound, and nothing new runs beyond it")
+{
+    // Callers get their answers, marked as pending, until the node holds as many results as it may. From then on requests
+    // are refused before they run. When the platform is back, all that was held is kept.
+    OwnerFixture fixture;
+    const auto settings = std::make_shared<Settings>(fixture.settings.current());
+    settings->owner.heldResults = 3;
+    fixture.settings.replace(settings);
+    fixture.show({OwnerFixture::first});
+    fixture.a.platform.setDown(true);
+    for (const char *const id : {"one", "two", "three"}) {
+        REQUIRE((fixture.claim(fixture.a, fixture.a.claimOf(id, 1)).decision == ClaimDecision::Run));
+        CHECK((fixture.commit(fixture.a, id, "note") == CommitDecision::Held));
+    }
+    CHECK((fixture.claim(fixture.a, fixture.a.claimOf("four", 1)).decision == ClaimDecision::Full));
+    CHECK((fixture.result(fixture.a, "one").state == RequestState::NotOwner));
+    fixture.a.platform.setDown(false);
+    fixture.clock.advance(3s);
+    CHECK((fixture.claim(fixture.a, fixture.a.claimOf("four", 1)).decision == ClaimDecision::Run));
+    for (const char *const id : {"one", "two", "three"}) {
+        CHECK(fixture.result(fixture.a, id).answer.body == "note");
+    }
+}
