--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -3,6 +3,7 @@
 #include "NodeStatus.h"
 
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
@@ -271,8 +272,10 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
@@ -322,9 +325,9 @@
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
-        const auto backlog = static_cast<std::uint32_t>(task.owner().backlog());
+        const Backlog backlog = task.owner().backlog();
         this->control->post([backlog](ControlTask &control) {
-            control.tellBacklog(backlog);
+            control.tellBacklog(backlog.items, backlog.models);
         });
     });
     this->watch->loop().schedule(watchInterval, [this] {
