Control: Start by the platform's word on the newest version only

Cause: the model of the chain shows that a VM that restarts while the platform is down can start by a peer that missed the newest version, and so go below what it had in force before. The keeper let it: a peer's answer was enough to start by.

Ruled out: asking all peers and taking the highest helps only while one that has the version is left. A node needs the platform for its session number before anything else, so waiting for its word costs no restart.

Change: a node learns its configuration when the platform has told the newest number and that version or a newer one is loaded. The test that let a node start by a peer alone asked for the fault; it is replaced by one that must not start so, with the peer behind. The engines' report is named EngineStateReport: the batch lanes have an EngineReport, and the two did not compile together.

--- a/Libraries/LibControl/EngineState.cpp
+++ b/Libraries/LibControl/EngineState.cpp
@@ -65,7 +65,7 @@
     return json ? std::optional(EngineOrder{stateOf(*json), numberIn(*json, "fence")}) : std::nullopt;
 }
 
-std::string format(const EngineReport &report)
+std::string format(const EngineStateReport &report)
 {
     Json json = toJson(report.state);
     if (report.loading) {
@@ -77,13 +77,14 @@
     return json.dump();
 }
 
-std::optional<EngineReport> parseReport(std::string_view body)
+std::optional<EngineStateReport> parseReport(std::string_view body)
 {
     const auto json = parseObject(body);
     if (!json) {
         return std::nullopt;
     }
-    EngineReport report{stateOf(*json), {}, numberIn(*json, "fence"), numberIn(*json, "requests"), numberIn(*json, "errors")};
+    EngineStateReport report{
+        stateOf(*json), {}, numberIn(*json, "fence"), numberIn(*json, "requests"), numberIn(*json, "errors")};
     const auto loading = json->find("loading");
     if (loading != json->end() && loading->is_object()) {
         report.loading = stateOf(*loading);
--- a/Libraries/LibControl/EngineState.h
+++ b/Libraries/LibControl/EngineState.h
@@ -23,7 +23,7 @@
 };
 
 /** What an engine says of itself. */
-struct EngineReport
+struct EngineStateReport
 {
     EngineState state;
     /** What it is loading; nothing: it is not. */
@@ -52,8 +52,8 @@
 
 std::string format(const EngineOrder &order);
 std::optional<EngineOrder> parseOrder(std::string_view body);
-std::string format(const EngineReport &report);
-std::optional<EngineReport> parseReport(std::string_view body);
+std::string format(const EngineStateReport &report);
+std::optional<EngineStateReport> parseReport(std::string_view body);
 } // namespace EngineProtocol
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibControl/OrderPlanner.cpp
+++ b/Libraries/LibControl/OrderPlanner.cpp
@@ -27,7 +27,7 @@
     }
 };
 
-ErrorCount errorsOf(const EngineReports &reports, const std::string &model, const std::string &version)
+ErrorCount errorsOf(const EngineStateReports &reports, const std::string &model, const std::string &version)
 {
     ErrorCount count;
     for (const auto &[name, report] : reports) {
@@ -39,14 +39,14 @@
     return count;
 }
 
-bool makesErrorsRise(const ModelSettings &model, const OrderSettings &orders, const EngineReports &reports)
+bool makesErrorsRise(const ModelSettings &model, const OrderSettings &orders, const EngineStateReports &reports)
 {
     const ErrorCount next = errorsOf(reports, model.name, model.nextVersion);
     const bool isEnough = next.requests >= static_cast<std::uint64_t>(orders.errorRequests);
     return isEnough && next.share() > errorsOf(reports, model.name, model.version).share() + orders.errorLimit;
 }
 
-bool hasVersion(const EngineReports &reports, const EndpointSettings &endpoint, const std::string &version)
+bool hasVersion(const EngineStateReports &reports, const EndpointSettings &endpoint, const std::string &version)
 {
     const auto report = reports.find(EndpointName(endpoint.name));
     if (report == reports.end()) {
@@ -77,7 +77,7 @@
 struct OrderPlanner::Round
 {
     const Settings &settings;
-    const EngineReports &reports;
+    const EngineStateReports &reports;
     std::map<EndpointName, EngineState> intended;
     /** Engines that serve and have got no order in this round that would stop them. */
     std::map<EndpointName, EngineState> serving;
@@ -142,7 +142,7 @@
 }
 
 std::map<EndpointName, EngineState>
-OrderPlanner::intendedStates(const Settings &settings, const EngineReports &reports, const std::set<std::string> &stopped)
+OrderPlanner::intendedStates(const Settings &settings, const EngineStateReports &reports, const std::set<std::string> &stopped)
 {
     std::map<EndpointName, EngineState> intended;
     for (const ModelSettings &model : settings.models) {
@@ -162,7 +162,7 @@
     return intended;
 }
 
-OrderPlan OrderPlanner::plan(const Settings &settings, const EngineReports &reports, const std::set<std::string> &stopped)
+OrderPlan OrderPlanner::plan(const Settings &settings, const EngineStateReports &reports, const std::set<std::string> &stopped)
 {
     Round round{settings, reports, {}, {}, {}, {}};
     std::set<std::string> allStopped = stopped;
@@ -222,7 +222,7 @@
         round.wait(endpoint, "does not answer");
         return;
     }
-    const EngineReport &report = found->second;
+    const EngineStateReport &report = found->second;
     if (report.loading == intended) {
         if (this->clock.now() - this->loading.at(name) > round.settings.orders.loadTimeout) {
             round.wait(endpoint, "its load takes longer than orders.load_timeout; see to the weight store");
--- a/Libraries/LibControl/OrderPlanner.h
+++ b/Libraries/LibControl/OrderPlanner.h
@@ -14,7 +14,7 @@
 {
 
 /** What was heard from the engines in one round; an engine that did not answer is absent. */
-using EngineReports = std::map<EndpointName, EngineReport>;
+using EngineStateReports = std::map<EndpointName, EngineStateReport>;
 
 /** An order that is to be sent now. */
 struct PlannedOrder
@@ -54,11 +54,11 @@
      * @param reports of this round
      * @param stopped rollouts that were stopped before
      */
-    OrderPlan plan(const Settings &settings, const EngineReports &reports, const std::set<std::string> &stopped);
+    OrderPlan plan(const Settings &settings, const EngineStateReports &reports, const std::set<std::string> &stopped);
 
     /** @return what each endpoint shall have; one whose model is not listed gets no orders and is absent. */
     static std::map<EndpointName, EngineState>
-    intendedStates(const Settings &settings, const EngineReports &reports, const std::set<std::string> &stopped);
+    intendedStates(const Settings &settings, const EngineStateReports &reports, const std::set<std::string> &stopped);
 
 private:
     struct Round;
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -78,7 +78,7 @@
     });
     std::future<SettingsPointer> learnt = configuration.get_future();
     while (learnt.wait_for(waitNotice) != std::future_status::ready) {
-        log(LogLevel::Warning, "not ready: neither the platform nor a peer has told the configuration yet, or it does not load");
+        log(LogLevel::Warning, "not ready: the platform has not told the newest configuration yet, or it does not load");
     }
     this->settings = learnt.get();
 }
--- a/Services/Control/ConfigurationKeeper.cpp
+++ b/Services/Control/ConfigurationKeeper.cpp
@@ -55,7 +55,7 @@
         return;
     }
     const ConfigurationRow &row = read.rows.front();
-    this->newest = std::max(this->newest, row.number);
+    this->platformSays(row.number);
     if (row.number > this->held.number && !this->fetching) {
         this->fetching = true;
         this->fetchParts(std::make_shared<Fetch>(Fetch{row, {}, std::nullopt}));
@@ -133,7 +133,6 @@
         this->newest = std::max(this->newest, response->row.number);
         if (response->row.number == 0) {
             this->fetching = false;
-            this->learnNone();
             return;
         }
         this->fetchParts(std::make_shared<Fetch>(Fetch{std::move(response->row), {}, peer}));
@@ -154,7 +153,7 @@
             }
             return;
         }
-        this->newest = std::max(this->newest, read.rows.front().number);
+        this->platformSays(read.rows.front().number);
         this->fetchParts(std::make_shared<Fetch>(Fetch{read.rows.front(), {}, std::nullopt}));
     });
 }
@@ -261,7 +260,7 @@
     }
     this->loaded = std::make_shared<const Settings>(*std::move(settings));
     this->loadedNumber = this->held.number;
-    this->tellLearnt(this->loaded);
+    this->tellLearnt();
     this->putInForce();
 }
 
@@ -269,18 +268,31 @@
 {
     if (this->newest == 0) {
         this->known = true;
-        this->tellLearnt(this->options.ownSettings);
+        this->platformSays(0);
+    }
+}
+
+void ConfigurationKeeper::platformSays(std::uint64_t number)
+{
+    this->newest = std::max(this->newest, number);
+    if (!this->platformNumber) {
+        this->platformNumber = number;
+        this->tellLearnt();
     }
 }
 
-void ConfigurationKeeper::tellLearnt(const SettingsPointer &settings)
+void ConfigurationKeeper::tellLearnt()
 {
-    if (!this->learnt) {
+    // By a peer's word alone this VM could go below what it had in force: the peer may have missed the newest version
+    // when the platform went down, and nothing here remembers it.
+    const bool isUpToDate = this->platformNumber && this->loadedNumber >= *this->platformNumber;
+    const bool isNone = this->loadedNumber == 0 && this->newest > 0;
+    if (!this->learnt || !isUpToDate || isNone) {
         return;
     }
     this->number = this->loadedNumber;
     this->hooks.onInForce(this->number);
-    std::exchange(this->learnt, nullptr)(settings);
+    std::exchange(this->learnt, nullptr)(this->loaded);
 }
 
 void ConfigurationKeeper::follow()
--- a/Services/Control/ConfigurationKeeper.h
+++ b/Services/Control/ConfigurationKeeper.h
@@ -76,8 +76,10 @@
 
     /**
      * Ask the platform, and the peers as they become known.
-     * @param learnt told once, as soon as either has answered and the answer can be loaded. Until then the node must
-     *     not serve: what its own files say may be older than a version that it had in force before a restart.
+     * @param learnt told once, as soon as the platform has told the newest number and that version, or a newer one, is
+     *     loaded. Until then the node must not serve: what its own files say, and what a peer has that is behind, may be
+     *     older than a version that this VM had in force before a restart. A node needs the platform to start anyway,
+     *     for its session number.
      */
     void start(std::function<void(SettingsPointer)> learnt);
 
@@ -133,7 +135,8 @@
     void hold(const ConfigurationRow &row, ConfigurationPartMap parts);
     void load();
     void learnNone();
-    void tellLearnt(const SettingsPointer &settings);
+    void platformSays(std::uint64_t number);
+    void tellLearnt();
     void putInForce();
     const Peer *peerThatHas(std::uint64_t number);
 
@@ -146,7 +149,9 @@
     std::function<void(SettingsPointer)> learnt;
     std::vector<Peer> peers;
 
-    /** Whether the platform or a peer has answered, even if it was to say that there is no version. */
+    /** What the platform said first to be the newest number. */
+    std::optional<std::uint64_t> platformNumber;
+    /** Whether a version is held, or the platform has said that there is none. */
     bool known = false;
     ConfigurationRow held;
     ConfigurationPartMap heldParts;
--- a/Services/Control/OrderService.cpp
+++ b/Services/Control/OrderService.cpp
@@ -51,7 +51,7 @@
 {
     Reconciler::Hooks hooks;
     hooks.configuration = std::move(configuration);
-    hooks.fetchReport = [this](const Address &address, const std::function<void(std::optional<EngineReport>)> &heard) {
+    hooks.fetchReport = [this](const Address &address, const std::function<void(std::optional<EngineStateReport>)> &heard) {
         const HttpRequest request{.method = "GET", .path = EngineProtocol::ordersPath};
         this->http.fetch(address, request, enginePatience, [heard](ExchangeEnd end, const HttpResponse &response) {
             const bool isGood = end == ExchangeEnd::Complete && response.status == statusOk;
--- a/Services/Control/Reconciler.cpp
+++ b/Services/Control/Reconciler.cpp
@@ -91,7 +91,7 @@
     }
     const EndpointSettings &endpoint = round->endpoints[round->asked++];
     const auto heard
-        = [this, round, name = EndpointName(endpoint.name), alive = this->alive](std::optional<EngineReport> report) {
+        = [this, round, name = EndpointName(endpoint.name), alive = this->alive](std::optional<EngineStateReport> report) {
               if (!*alive) {
                   return;
               }
--- a/Services/Control/Reconciler.h
+++ b/Services/Control/Reconciler.h
@@ -47,7 +47,7 @@
     struct Hooks
     {
         std::function<Configuration()> configuration;
-        std::function<void(const Address &, std::function<void(std::optional<EngineReport>)>)> fetchReport;
+        std::function<void(const Address &, std::function<void(std::optional<EngineStateReport>)>)> fetchReport;
         std::function<void(const Address &, const EngineOrder &, std::function<void(OrderOutcome)>)> sendOrder;
     };
 
@@ -69,7 +69,7 @@
         std::vector<EndpointSettings> endpoints;
         std::size_t asked = 0;
         std::size_t answered = 0;
-        EngineReports reports;
+        EngineStateReports reports;
         std::vector<PlannedOrder> orders;
     };
     using RoundPointer = std::shared_ptr<Round>;
--- a/Specification/ConfigurationChain.pml
+++ b/Specification/ConfigurationChain.pml
@@ -7,8 +7,7 @@
  *
  * Mutations that must fail: OVERWRITE (a version is written whether or not its number is free), NO_READ_BACK (a lost
  * answer counts as accepted), GO_DOWN (a node takes what it is told, also when that is older), GAPS (an operator may
- * insert behind a version that is not there). STALE_PEER lets a node start by a peer that is behind: it fails too, see
- * README.md.
+ * insert behind a version that is not there), STALE_PEER (a node starts by a peer's word alone, which may be behind).
  */
 #define NODES 3
 #define VERSIONS 4
@@ -164,7 +163,7 @@
            newest = 0
        }
     :: atomic {
-           /* Fetches from a peer. A node that has learnt nothing yet may start by one. */
+           /* Fetches from a peer; a node that the platform has told nothing yet does not start by it. */
            if
            :: n != 0 && known[0] -> newest = 0
            :: n != 1 && known[1] -> newest = 1
@@ -174,7 +173,7 @@
 #ifdef STALE_PEER
            :: 1 -> take(n, held[newest], heldNonce[newest])
 #else
-           :: known[n] || held[newest] >= everInForce[n] -> take(n, held[newest], heldNonce[newest])
+           :: known[n] -> take(n, held[newest], heldNonce[newest])
            :: else
 #endif
            fi;
--- a/Tests/Fakes/EngineOrders.cpp
+++ b/Tests/Fakes/EngineOrders.cpp
@@ -35,7 +35,7 @@
     return true;
 }
 
-EngineReport EngineOrders::report()
+EngineStateReport EngineOrders::report()
 {
     this->finishLoad();
     return this->current;
--- a/Tests/Fakes/EngineOrders.h
+++ b/Tests/Fakes/EngineOrders.h
@@ -25,7 +25,7 @@
     /** @return whether the order was taken; false: its fencing number is old */
     bool take(const EngineOrder &order);
 
-    EngineReport report();
+    EngineStateReport report();
 
     /** Start again with nothing loaded, as an engine does whose process ended. */
     void restart();
@@ -46,7 +46,7 @@
 
     const Clock &clock;
     Options options;
-    EngineReport current;
+    EngineStateReport current;
     SteadyTime loadEnd{};
     std::vector<EngineOrder> history;
     std::size_t receivedOrders = 0;
--- a/Tests/ServiceControl/TestConfigurationKeeper.cpp
+++ b/Tests/ServiceControl/TestConfigurationKeeper.cpp
@@ -212,26 +212,31 @@
     CHECK(second.settings->entry.entryCount == 5);
 }
 
-TEST_CASE("a starting node is not ready before the platform or a peer has answered, and never works by older settings")
+TEST_CASE("a starting node is not ready before the platform has told the newest version")
 {
-    // All nodes but one are restarted while the platform is down. Their own files are older than version 2. A node that
-    // served by them would put a withdrawn configuration back into force for its callers.
+    // A node had version 2 in force; the other missed it and has version 1. The platform goes down and the first is
+    // restarted: it remembers nothing, its own file is older still, and the only peer would take it back to version 1.
+    // Its callers would see a withdrawn configuration again.
     Fleet fleet;
     Fleet::Node &survivor = fleet.start(1);
-    fleet.start(2);
+    Fleet::Node &other = fleet.start(2);
     fleet.run(1s);
     REQUIRE(fleet.apply(survivor, 0, countFive) == ApplyOutcome::Accepted);
-    REQUIRE(fleet.apply(survivor, 1, countSix) == ApplyOutcome::Accepted);
     fleet.run(1s);
+    survivor.platform.setDown(true);
+    fleet.cutOff.insert(survivor.address);
+    REQUIRE(fleet.apply(other, 1, countSix) == ApplyOutcome::Accepted);
+    REQUIRE(other.keeper->inForce() == 2);
     fleet.nodes.erase(Fleet::addressOf(2));
     fleet.setPlatformDown(true);
+    fleet.cutOff.clear();
 
-    fleet.cutOff.insert(Fleet::addressOf(2));
     Fleet::Node &restarted = fleet.start(2);
     fleet.run(3s);
+    CHECK(survivor.keeper->inForce() == 1);
     CHECK(!restarted.isReady);
 
-    fleet.cutOff.clear();
+    fleet.setPlatformDown(false);
     fleet.run(1s);
     REQUIRE(restarted.isReady);
     CHECK(restarted.settings->entry.entryCount == 6);
--- a/Tests/ServiceControl/TestReconciler.cpp
+++ b/Tests/ServiceControl/TestReconciler.cpp
@@ -116,7 +116,7 @@
             std::size_t loading = 0;
             std::size_t serving = 0;
             for (const auto &[address, engine] : this->engines) {
-                const EngineReport report = engine->report();
+                const EngineStateReport report = engine->report();
                 loading += report.loading ? 1 : 0;
                 serving += report.state.version.empty() ? 0 : 1;
             }
