Services/Entry: Take a job's items as they arrive, in bounded memory

The body of a job was held whole and then again in pieces: the peak memory a submission added was 2.9 times its body, 333 MB for 260,000 items (116 MB); a small VM has less.

Lines are now checked as they arrive, a full chunk goes to the object store while the next fills, and reading stops while four wait. Objects are named by their content, so a resend writes nothing twice; what was stored for a job that is refused stays, since another submission of the same job may own it. A line beyond the bound is dropped unkept. Chunks of large items are cut at 4 MB by a rule that sees only the items. While the platform takes no writes the job is refused not_run after 30 s without progress.

Also: POST /v1/files and a job from input_file_id; lines with custom_id and body, whose ids stand in the results; GET /v1/batches lists a tenant's jobs by asking each owner, 16 at a time, and says is_complete false when one gave no answer; a job for a model that nobody serves is refused; only submissions may be larger than entry.body_bytes; endpoints' headers that describe the content are passed on to callers of plain services.

--- a/Libraries/LibBase/Hash.h
+++ b/Libraries/LibBase/Hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string_view>
 
 namespace Dogwoodkeel
@@ -14,6 +15,26 @@
  */
 std::uint64_t stableHash(std::string_view data, std::uint64_t seed = 0);
 
+/** stableHash of data that comes in parts. */
+class StreamingHash
+{
+public:
+    explicit StreamingHash(std::uint64_t seed = 0);
+    ~StreamingHash();
+    StreamingHash(const StreamingHash &) = delete;
+    StreamingHash &operator=(const StreamingHash &) = delete;
+
+    /** @param data the next part */
+    void add(std::string_view data);
+
+    /** @return the hash of all parts so far, as stableHash gives for them in one piece. */
+    std::uint64_t value() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
 /**
  * Weight of a candidate for a key in rendezvous hashing: the candidate with the largest weight is chosen,
  * so that losing one candidate moves only the keys it had.
--- a/Libraries/LibBatch/JobTable.cpp
+++ b/Libraries/LibBatch/JobTable.cpp
@@ -177,6 +177,21 @@
     return {stateOf(job), job.record.itemCount, job.succeeded, job.failed, job.record.created, job.record.due, job.record.model};
 }
 
+std::vector<ListedJob> JobTable::list(const TenantName &tenant, std::size_t limit) const
+{
+    std::vector<ListedJob> listed;
+    for (const auto &[id, job] : this->jobs) {
+        if (job.isDurable && job.record.tenant == tenant) {
+            listed.push_back({id, this->progress(id)});
+        }
+    }
+    std::ranges::sort(listed, [](const ListedJob &left, const ListedJob &right) {
+        return left.progress.created > right.progress.created;
+    });
+    listed.resize(std::min(listed.size(), limit));
+    return listed;
+}
+
 JobResultsResponse JobTable::results(const JobId &id, std::uint32_t from, std::size_t limit) const
 {
     JobResultsResponse page;
--- a/Libraries/LibBatch/JobTable.h
+++ b/Libraries/LibBatch/JobTable.h
@@ -74,6 +74,9 @@
     const JobRecord *job(const JobId &id) const;
     JobProgress progress(const JobId &id) const;
 
+    /** @return up to limit jobs of a tenant, the newest first. */
+    std::vector<ListedJob> list(const TenantName &tenant, std::size_t limit) const;
+
     /** @return finished items from an index on, at most limit of them; next tells where to read on. */
     JobResultsResponse results(const JobId &id, std::uint32_t from, std::size_t limit) const;
 
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -117,6 +117,14 @@
     std::int64_t bodyBytes = 4194304;
     /** Largest body of a job's submission. */
     std::int64_t jobBytes = 1073741824;
+    /** Largest headers of a request, all together. */
+    std::int64_t headerBytes = 65536;
+    /** How long a request's headers may take; found with a delay of up to the same time. */
+    std::chrono::milliseconds headerTimeout = std::chrono::milliseconds(10000);
+    /** How long a caller's connection may be idle, or leave an answer unread. */
+    std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(120000);
+    /** What a caller may leave unread of a stream before its connection is closed; the answer is kept. */
+    std::int64_t unreadBytes = 4194304;
     /** How long a caller may keep an answer of /v1/entries. */
     std::chrono::milliseconds entryTtl = std::chrono::milliseconds(10000);
     /** How many addresses an answer of /v1/entries names. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -100,11 +100,33 @@
 
 void readEntrySettings(SettingsReader &reader, const toml::table &table, EntrySettings &target)
 {
-    reader.rejectUnknownKeys(
-        table,
-        {"body_bytes", "job_bytes", "entry_ttl", "entry_count", "drain", "progress_timeout", "request_timeout", "attempts"});
+    reader.rejectUnknownKeys(table,
+                             {"body_bytes",
+                              "job_bytes",
+                              "header_bytes",
+                              "header_timeout",
+                              "idle_timeout",
+                              "unread_bytes",
+                              "entry_ttl",
+                              "entry_count",
+                              "drain",
+                              "progress_timeout",
+                              "request_timeout",
+                              "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
+    reader.readInteger(table, "header_bytes", target.headerBytes, Presence::Optional, {.least = 1024, .most = 1048576});
+    reader.readDuration(table,
+                        "header_timeout",
+                        target.headerTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "idle_timeout",
+                        target.idleTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "unread_bytes", target.unreadBytes, Presence::Optional, {.least = 65536, .most = 1073741824});
     reader.readDuration(table,
                         "entry_ttl",
                         target.entryTtl,
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -320,6 +320,8 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct ListJobsRequest;
+struct ListJobsResponse;
 struct CancelJobRequest;
 struct JobResultsRequest;
 struct JobResultsResponse;
@@ -592,6 +594,23 @@
     }
 };
 
+/** A job in a list. */
+struct ListedJob
+{
+    /** The job. */
+    JobId jobId;
+    /** Where it stands. */
+    JobProgress progress;
+
+    bool operator==(const ListedJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->progress);
+    }
+};
+
 /** One item as a lane gets it. */
 struct BatchItem
 {
@@ -886,6 +905,41 @@
     }
 };
 
+/** Asks a node for a tenant's jobs among the shards it owns. */
+struct ListJobsRequest
+{
+    static constexpr MessageNumber number{110};
+    using Response = ListJobsResponse;
+    /** Whose jobs. */
+    TenantName tenant;
+    /** How many at most, the newest first. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const ListJobsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->limit);
+    }
+};
+
+/** The answer to a ListJobsRequest. */
+struct ListJobsResponse
+{
+    static constexpr MessageNumber number{111};
+    /** The jobs, the newest first. */
+    std::vector<ListedJob> jobs;
+
+    bool operator==(const ListJobsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Stops a job: its items get no new run, and running ones are cancelled. */
 struct CancelJobRequest
 {
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -1,13 +1,13 @@
 #include <Services/Entry/BatchApi.h>
 
 #include <LibBase/Encoding.h>
-#include <LibBase/Hash.h>
 #include <Services/Entry/ApiErrors.h>
-#include <Services/Entry/JobParser.h>
 #include <Services/Entry/JobSubmission.h>
+#include <Services/Entry/StoredFile.h>
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -18,19 +18,15 @@
 {
 
 constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds patience{10000};
 constexpr std::chrono::seconds comeBack{1};
 constexpr std::size_t idBytes = 12;
 constexpr std::uint32_t resultsPerPage = 1000;
-
-std::string hexOfHash(std::string_view text, std::uint64_t seed)
-{
-    const std::uint64_t hash = stableHash(text, seed);
-    return encodeHex(std::string_view(reinterpret_cast<const char *>(&hash), sizeof(hash)));
-}
+constexpr std::uint32_t jobsListed = 100;
+/** An object that names a file is smaller; a larger body is items. */
+constexpr std::size_t fileRequestBytes = 16384;
 
 /** A job's id: of its key, so that a resend reaches the same owner and finds the job. */
 JobId jobIdOf(const Caller &caller, const std::optional<std::string> &key)
@@ -39,7 +35,7 @@
         return JobId("batch-" + randomHex(idBytes));
     }
     const std::string name = caller.tenant.value() + '\n' + *key;
-    return JobId("batch-" + hexOfHash(name, 1) + hexOfHash(name, 2));
+    return JobId("batch-" + contentName(name));
 }
 
 const char *wordOf(JobState state)
@@ -61,22 +57,32 @@
     return std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count();
 }
 
-std::string progressJson(const JobId &id, const JobProgress &progress)
+/** @return the file that a request to make a job from names, or nothing if the body is no such request. */
+std::optional<std::string> fileNamedIn(const std::string &body)
+{
+    const nlohmann::json wanted = nlohmann::json::parse(body, nullptr, false);
+    const bool isNamed = wanted.is_object() && wanted.contains("input_file_id") && wanted["input_file_id"].is_string();
+    return isNamed ? std::optional(wanted["input_file_id"].get<std::string>()) : std::nullopt;
+}
+
+nlohmann::json progressJson(const JobId &id, const JobProgress &progress)
 {
-    const nlohmann::json body{{"id", id.value()},
-                              {"status", wordOf(progress.state)},
-                              {"model", progress.model},
-                              {"items", progress.itemCount},
-                              {"succeeded", progress.succeeded},
-                              {"failed", progress.failed},
-                              {"created_at", unixSeconds(progress.created)},
-                              {"due_at", unixSeconds(progress.due)}};
-    return body.dump() + '\n';
+    return {{"id", id.value()},
+            {"status", wordOf(progress.state)},
+            {"model", progress.model},
+            {"items", progress.itemCount},
+            {"succeeded", progress.succeeded},
+            {"failed", progress.failed},
+            {"created_at", unixSeconds(progress.created)},
+            {"due_at", unixSeconds(progress.due)}};
 }
 
-std::string resultLine(const ItemRecord &result)
+std::string resultLine(const ItemRecord &result, const std::optional<std::string> &customId)
 {
     nlohmann::json line{{"index", result.index}};
+    if (customId) {
+        line["custom_id"] = *customId;
+    }
     if (result.status == ItemStatus::Succeeded) {
         const nlohmann::json response = nlohmann::json::parse(result.body, nullptr, false);
         line["response"] = response.is_discarded() ? nlohmann::json(result.body) : response;
@@ -113,7 +119,7 @@
     } else if (response->progress.state == JobState::Absent) {
         refuseUnknownJob(reply);
     } else {
-        reply.send(jsonResponse(statusOk, progressJson(job, response->progress)));
+        reply.send(jsonResponse(statusOk, progressJson(job, response->progress).dump() + '\n'));
     }
 }
 
@@ -124,37 +130,145 @@
 
 } // namespace
 
-BatchApi::BatchApi(EntryContext &context) : context(context)
+BatchApi::BatchApi(EntryContext &context) : context(context), customIds(context.platform.objects())
+{
+}
+
+BodyHooks BatchApi::submit(const Caller &caller, const HttpRequest &head, const std::shared_ptr<HttpReply> &reply)
 {
+    /** A body that may still be an object that names a file. */
+    struct Start
+    {
+        std::string body;
+        BodyHooks upload;
+    };
+    const auto start = std::make_shared<Start>();
+    start->upload = this->uploadJob(caller, head, reply);
+    return {.onData =
+                [start](std::string_view data) {
+                    if (start->body.size() <= fileRequestBytes) {
+                        start->body.append(data);
+                        data = start->body.size() > fileRequestBytes ? std::string_view(start->body) : std::string_view();
+                    }
+                    start->upload.onData(data);
+                },
+            .onEnd =
+                [this, start, caller, head, reply] {
+                    if (start->body.size() > fileRequestBytes) {
+                        start->upload.onEnd();
+                    } else if (const auto file = fileNamedIn(start->body)) {
+                        this->submitFile(caller, head, *file, reply);
+                    } else {
+                        start->upload.onData(start->body);
+                        start->upload.onEnd();
+                    }
+                },
+            .onLost = start->upload.onLost};
 }
 
-void BatchApi::submit(const Caller &caller, const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
+BodyHooks BatchApi::uploadJob(const Caller &caller, const HttpRequest &head, const std::shared_ptr<HttpReply> &reply)
 {
-    const BatchSettings &batch = this->context.settings.batch;
-    const JobBounds bounds{static_cast<std::size_t>(batch.items),
-                           static_cast<std::size_t>(batch.itemBytes),
-                           static_cast<std::size_t>(batch.itemsPerObject)};
-    Findings findings;
-    ParsedJob parsed = parseJob(request.body, bounds, findings);
-    if (!findings.isEmpty()) {
-        reply->send(refusalResponse({statusBadRequest, "bad_items", findings.toString(), RunState::NotRun, {}}));
+    // The id is made here and kept with the head, so that a job without a key has one id for its objects and its record.
+    HttpRequest named = head;
+    named.headers.try_emplace("Idempotency-Key", randomHex(idBytes));
+    const std::string folder = "items/" + jobIdOf(caller, headerValue(named.headers, "Idempotency-Key")).value() + '/';
+    const auto upload
+        = std::make_shared<JobUpload>(this->context, folder, reply, [this, caller, named, reply](StoredItems items) {
+              this->handOver(caller, named, std::move(items), reply);
+          });
+    return upload->hooks();
+}
+
+BodyHooks BatchApi::uploadFile(const Caller &caller, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::string folder = "items/" + contentName(caller.tenant.value()) + '/';
+    const auto upload
+        = std::make_shared<JobUpload>(this->context, folder, reply, [this, caller, reply](const StoredItems &items) {
+              this->storeFile(caller, items, reply);
+          });
+    return upload->hooks();
+}
+
+void BatchApi::storeFile(const Caller &caller, const StoredItems &items, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::string id = StoredFile::idOf(caller.tenant, items);
+    this->context.platform.objects().putIfAbsent(
+        StoredFile::keyOf(id), StoredFile::encode(caller.tenant, items), [id, items, reply](WriteOutcome outcome) {
+            if (outcome != WriteOutcome::Done && outcome != WriteOutcome::Refused) {
+                reply->send(refusalResponse({statusUnavailable,
+                                             "not_stored",
+                                             "the file could not be stored; send it again",
+                                             RunState::NotRun,
+                                             comeBack}));
+                return;
+            }
+            const nlohmann::json body{{"id", id}, {"object", "file"}, {"purpose", "batch"}, {"items", items.itemCount}};
+            reply->send(jsonResponse(statusOk, body.dump() + '\n'));
+        });
+}
+
+void BatchApi::submitFile(const Caller &caller,
+                          const HttpRequest &head,
+                          const std::string &file,
+                          const std::shared_ptr<HttpReply> &reply)
+{
+    this->context.platform.objects().get(StoredFile::keyOf(file), [this, caller, head, reply](const ObjectResult &result) {
+        if (result.outcome == ReadOutcome::Failed) {
+            reply->send(
+                refusalResponse({statusUnavailable, "no_platform", "the file cannot be read now", RunState::NotRun, comeBack}));
+            return;
+        }
+        auto items = StoredFile::decode(caller.tenant, result.content);
+        if (!items) {
+            reply->send(refusalResponse({statusNotFound, "no_such_file", "there is no such file", RunState::NotRun, {}}));
+            return;
+        }
+        this->handOver(caller, head, std::move(*items), reply);
+    });
+}
+
+void BatchApi::handOver(const Caller &caller, const HttpRequest &head, StoredItems items, const std::shared_ptr<HttpReply> &reply)
+{
+    if (this->context.replicas.of(items.model).empty()) {
+        reply->send(refusalResponse(
+            {statusNotFound, "no_such_model", "no endpoint serves the model " + items.model, RunState::NotRun, {}}));
         return;
     }
     JobRecord job;
-    job.jobId = jobIdOf(caller, headerValue(request.headers, "Idempotency-Key"));
+    job.jobId = jobIdOf(caller, headerValue(head.headers, "Idempotency-Key"));
     job.tenant = caller.tenant;
-    job.fingerprint = stableHash(request.body);
-    job.model = parsed.model;
+    job.fingerprint = items.fingerprint;
+    job.model = items.model;
     job.created = this->context.clock.wallNow();
-    const std::uint32_t dueInSeconds = numberOr(queryValue(request.query, "due_in"), 0);
-    job.due = job.created + (dueInSeconds > 0 ? std::chrono::seconds(dueInSeconds) : batch.due);
-    job.itemCount = parsed.itemCount;
-    job.itemsPerObject = static_cast<std::uint32_t>(batch.itemsPerObject);
-    const std::string folder = "items/" + job.jobId.value() + '/' + hexOfHash(request.body, 0) + '/';
-    for (std::size_t i = 0; i < parsed.objects.size(); ++i) {
-        job.itemObjects.push_back(folder + std::to_string(i));
-    }
-    std::make_shared<JobSubmission>(this->context, std::move(job), std::move(parsed.objects), reply)->start();
+    const std::uint32_t dueInSeconds = numberOr(queryValue(head.query, "due_in"), 0);
+    job.due = job.created + (dueInSeconds > 0 ? std::chrono::seconds(dueInSeconds) : this->context.settings.batch.due);
+    job.itemCount = items.itemCount;
+    job.itemsPerObject = items.itemsPerObject;
+    job.itemObjects = std::move(items.objects);
+    std::make_shared<JobSubmission>(this->context, std::move(job), std::move(items.idObjects), reply)->start();
+}
+
+void BatchApi::list(const Caller &caller, const std::string &query, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::uint32_t limit = std::clamp(numberOr(queryValue(query, "limit"), jobsListed), 1U, jobsListed);
+    this->context.owners.callAll<ListJobsRequest>(
+        {caller.tenant, limit}, [limit, reply](const std::vector<ListJobsResponse> &responses, std::size_t silent) {
+            std::vector<ListedJob> jobs;
+            for (const ListJobsResponse &response : responses) {
+                jobs.insert(jobs.end(), response.jobs.begin(), response.jobs.end());
+            }
+            std::ranges::sort(jobs, [](const ListedJob &left, const ListedJob &right) {
+                return left.progress.created > right.progress.created;
+            });
+            jobs.resize(std::min<std::size_t>(jobs.size(), limit));
+            nlohmann::json data = nlohmann::json::array();
+            for (const ListedJob &job : jobs) {
+                data.push_back(progressJson(job.jobId, job.progress));
+            }
+            // A node that gave no answer may own jobs that are not listed: the caller is told, never misled.
+            const nlohmann::json body{{"data", data}, {"is_complete", silent == 0}};
+            reply->send(jsonResponse(statusOk, body.dump() + '\n'));
+        });
 }
 
 void BatchApi::status(const Caller &caller, const JobId &job, const std::shared_ptr<HttpReply> &reply)
@@ -193,24 +307,37 @@
         [](const JobResultsResponse &response) {
             return response.state != JobState::NotOwner;
         },
-        [reply](const std::optional<JobResultsResponse> &response) {
+        [this, job, reply](const std::optional<JobResultsResponse> &response) {
             if (!response) {
                 refuseUnreachable(*reply);
-                return;
-            }
-            if (response->state == JobState::Absent) {
+            } else if (response->state == JobState::Absent) {
                 refuseUnknownJob(*reply);
-                return;
+            } else {
+                this->answerResults(job, *response, reply);
             }
-            std::string lines;
-            for (const ItemRecord &result : response->results) {
-                lines += resultLine(result);
-            }
-            HttpResponse page{statusOk, {{"Content-Type", "application/x-ndjson"}}, std::move(lines)};
-            page.headers["Dogwoodkeel-Next"] = std::to_string(response->next);
-            page.headers["Dogwoodkeel-Job"] = wordOf(response->state);
-            reply->send(page);
         });
 }
 
+void BatchApi::answerResults(const JobId &job, const JobResultsResponse &response, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::uint32_t first = response.results.empty() ? 0 : response.results.front().index;
+    const std::uint32_t end = response.results.empty() ? 0 : response.results.back().index + 1;
+    this->customIds.find(job, first, end - first, [response, first, reply](const std::optional<CustomIds::Ids> &ids) {
+        if (!ids) {
+            reply->send(refusalResponse(
+                {statusUnavailable, "no_platform", "the items' custom ids cannot be read now", RunState::NotRun, comeBack}));
+            return;
+        }
+        std::string lines;
+        for (const ItemRecord &result : response.results) {
+            const std::size_t place = result.index - first;
+            lines += resultLine(result, place < ids->size() ? (*ids)[place] : std::nullopt);
+        }
+        HttpResponse page{statusOk, {{"Content-Type", "application/x-ndjson"}}, std::move(lines)};
+        page.headers["Dogwoodkeel-Next"] = std::to_string(response.next);
+        page.headers["Dogwoodkeel-Job"] = wordOf(response.state);
+        reply->send(page);
+    });
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/BatchApi.h
+++ b/Services/Entry/BatchApi.h
@@ -3,7 +3,9 @@
 #include <LibHttp/HttpReply.h>
 #include <LibHttp/HttpTypes.h>
 #include <Services/Entry/Authenticator.h>
+#include <Services/Entry/CustomIds.h>
 #include <Services/Entry/EntryContext.h>
+#include <Services/Entry/JobUpload.h>
 
 #include <memory>
 #include <string>
@@ -11,14 +13,21 @@
 namespace Dogwoodkeel
 {
 
-/** The HTTP calls on batch jobs: submit, status, results, cancel. */
+/** The HTTP calls on batch jobs and the files they are made from. */
 class BatchApi
 {
 public:
     explicit BatchApi(EntryContext &context);
 
-    /** POST /v1/batches: JSON lines in the body, an item a line. */
-    void submit(const Caller &caller, const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
+    /**
+     * POST /v1/batches: a job in one call, as JSON lines, or a JSON object that names a file as its input_file_id.
+     * @return what takes the body as it arrives
+     */
+    BodyHooks submit(const Caller &caller, const HttpRequest &head, const std::shared_ptr<HttpReply> &reply);
+    /** POST /v1/files with JSON lines. @return what takes the body as it arrives */
+    BodyHooks uploadFile(const Caller &caller, const std::shared_ptr<HttpReply> &reply);
+    /** GET /v1/batches?limit=N: the caller's jobs, the newest first. */
+    void list(const Caller &caller, const std::string &query, const std::shared_ptr<HttpReply> &reply);
     /** GET /v1/batches/{id} */
     void status(const Caller &caller, const JobId &job, const std::shared_ptr<HttpReply> &reply);
     /** GET /v1/batches/{id}/results?from=N&limit=N: JSON lines in item order. */
@@ -27,7 +36,15 @@
     void cancel(const Caller &caller, const JobId &job, const std::shared_ptr<HttpReply> &reply);
 
 private:
+    BodyHooks uploadJob(const Caller &caller, const HttpRequest &head, const std::shared_ptr<HttpReply> &reply);
+    void
+    submitFile(const Caller &caller, const HttpRequest &head, const std::string &file, const std::shared_ptr<HttpReply> &reply);
+    void handOver(const Caller &caller, const HttpRequest &head, StoredItems items, const std::shared_ptr<HttpReply> &reply);
+    void storeFile(const Caller &caller, const StoredItems &items, const std::shared_ptr<HttpReply> &reply);
+    void answerResults(const JobId &job, const JobResultsResponse &response, const std::shared_ptr<HttpReply> &reply);
+
     EntryContext &context;
+    CustomIds customIds;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -20,6 +20,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+constexpr int statusNoContent = 204;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
@@ -33,6 +34,19 @@
 constexpr std::string_view servicesPath = "/v1/services/";
 constexpr std::string_view resultsPath = "/v1/results/";
 constexpr std::string_view batchesPath = "/v1/batches";
+constexpr std::string_view filesPath = "/v1/files";
+constexpr std::string_view allowedMethods = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
+
+bool isHeadOrGet(const HttpRequest &request)
+{
+    return request.method == "GET" || request.method == "HEAD";
+}
+
+/** @return whether the body may be items, as JSON lines. */
+bool mayHoldItems(const HttpRequest &head)
+{
+    return head.method == "POST" && (head.path == filesPath || head.path == batchesPath);
+}
 
 void refuse(HttpReply &reply, int status, std::string_view reason, std::string message)
 {
@@ -74,8 +88,37 @@
     this->ready = isReady;
 }
 
+BodyAdmission EntryService::admit(const HttpRequest &head)
+{
+    if (!mayHoldItems(head)) {
+        return {static_cast<std::uint64_t>(this->context.settings.entry.bodyBytes), {}};
+    }
+    return {static_cast<std::uint64_t>(this->context.settings.entry.jobBytes),
+            [this](const HttpRequest &admitted, const Reply &reply) {
+                return this->takeItems(admitted, reply);
+            }};
+}
+
+BodyHooks EntryService::takeItems(const HttpRequest &head, const Reply &reply)
+{
+    const std::optional<Caller> caller = this->authenticator.authenticate(head.headers);
+    if (!caller) {
+        refuse(*reply, statusUnauthorized, "unknown_key", "send a known key as Authorization: Bearer KEY");
+        return {};
+    }
+    if (headerValue(head.headers, "Idempotency-Key").value_or(std::string()).size() > longestKey) {
+        refuse(*reply, statusBadRequest, "bad_key", "the Idempotency-Key is too long");
+        return {};
+    }
+    return head.path == filesPath ? this->batches.uploadFile(*caller, reply) : this->batches.submit(*caller, head, reply);
+}
+
 void EntryService::serve(const HttpRequest &request, const Reply &reply)
 {
+    if (request.method == "OPTIONS" && !request.path.starts_with(servicesPath)) {
+        reply->send({statusNoContent, {{"Allow", std::string(allowedMethods)}}, {}});
+        return;
+    }
     if (this->serveOpen(request, reply)) {
         return;
     }
@@ -91,7 +134,7 @@
         this->serveCompletion(*caller, CompletionForm::Text, request, reply);
     } else if (request.path.starts_with(servicesPath)) {
         this->serveService(*caller, request, reply);
-    } else if (request.method == "GET" && request.path.starts_with(resultsPath)) {
+    } else if (isHeadOrGet(request) && request.path.starts_with(resultsPath)) {
         this->serveResult(*caller, std::string_view(request.path).substr(resultsPath.size()), reply);
     } else if (!this->serveBatch(*caller, request, reply)) {
         refuse(*reply, statusNotFound, "no_such_path", request.method + " " + request.path + " is not served");
@@ -100,7 +143,7 @@
 
 bool EntryService::serveOpen(const HttpRequest &request, const Reply &reply)
 {
-    if (request.method != "GET") {
+    if (!isHeadOrGet(request)) {
         return false;
     }
     if (request.path == "/healthz") {
@@ -124,8 +167,8 @@
         return false;
     }
     const std::string_view rest = std::string_view(request.path).substr(batchesPath.size());
-    if (rest.empty() && request.method == "POST") {
-        this->batches.submit(caller, request, reply);
+    if (rest.empty() && isHeadOrGet(request)) {
+        this->batches.list(caller, request.query, reply);
         return true;
     }
     if (!rest.starts_with('/')) {
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/HttpReply.h>
+#include <LibHttp/HttpServer.h>
 #include <LibHttp/HttpTypes.h>
 #include <LibMembership/MemberView.h>
 #include <Services/Entry/Authenticator.h>
@@ -20,6 +21,9 @@
 public:
     explicit EntryService(EntryContext &context);
 
+    /** @return how a request's body is taken: only the items of a job may be large, and they are stored as they come. */
+    BodyAdmission admit(const HttpRequest &head);
+
     void serve(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
 
     void setView(MemberViewPointer view);
@@ -30,6 +34,7 @@
 private:
     using Reply = std::shared_ptr<HttpReply>;
 
+    BodyHooks takeItems(const HttpRequest &head, const Reply &reply);
     bool serveOpen(const HttpRequest &request, const Reply &reply);
     bool serveBatch(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply);
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -15,6 +15,17 @@
     return {static_cast<std::uint32_t>(settings.owner.shards), settings.peers.callTimeout};
 }
 
+HttpLimits limitsOf(const Settings &settings)
+{
+    HttpLimits limits;
+    limits.bodyBytes = static_cast<std::uint64_t>(settings.entry.bodyBytes);
+    limits.headerBytes = static_cast<std::size_t>(settings.entry.headerBytes);
+    limits.headerTimeout = settings.entry.headerTimeout;
+    limits.idleTimeout = settings.entry.idleTimeout;
+    limits.unreadBytes = static_cast<std::size_t>(settings.entry.unreadBytes);
+    return limits;
+}
+
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -45,12 +56,16 @@
               metrics,
               this->random}
     , service(this->context)
-    , server(loop,
-             settings.listen.http,
-             {static_cast<std::uint64_t>(settings.entry.jobBytes)},
-             [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
-                 this->service.serve(request, reply);
-             })
+    , server(
+          loop,
+          settings.listen.http,
+          limitsOf(settings),
+          [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+              this->service.serve(request, reply);
+          },
+          [this](const HttpRequest &head) {
+              return this->service.admit(head);
+          })
 {
     this->repeatNotices();
 }
--- a/Services/Entry/JobParser.cpp
+++ b/Services/Entry/JobParser.cpp
@@ -2,7 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <string_view>
+#include <algorithm>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -11,17 +12,101 @@
 {
 
 constexpr std::size_t findingsShown = 20;
+/** A job of large items gets smaller chunks, so that a chunk stays about this size. The rule looks at nothing but the
+    items, so that a resend makes the same chunks. */
+constexpr std::size_t chunkBytes = 4194304;
 
-/** @return what is wrong with an item, or an empty text; takes its model. */
-std::string checkItem(std::string_view line, const JobBounds &bounds, std::string &model)
+std::string dump(const nlohmann::json &json)
 {
-    if (line.size() > bounds.itemBytes) {
-        return "the item is larger than " + std::to_string(bounds.itemBytes) + " bytes";
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+JobParser::JobParser(JobBounds bounds) : bounds(bounds)
+{
+}
+
+void JobParser::feed(std::string_view data)
+{
+    this->hash.add(data);
+    while (!data.empty() && !this->isHopeless()) {
+        const std::size_t end = data.find('\n');
+        const std::string_view part = data.substr(0, end);
+        if (this->line.size() + part.size() <= this->bounds.itemBytes) {
+            this->line.append(part);
+        } else {
+            this->isLineTooLong = true;
+        }
+        if (end == std::string_view::npos) {
+            return;
+        }
+        data.remove_prefix(end + 1);
+        this->takeLine();
+    }
+}
+
+void JobParser::end()
+{
+    if (!this->line.empty() || this->isLineTooLong) {
+        this->takeLine();
+    }
+    if (this->inChunk > 0) {
+        this->closeChunk();
+    }
+    if (this->count == 0 && this->found.isEmpty()) {
+        this->found.add({"body", 0, 0}, "the job has no items");
     }
-    const nlohmann::json item = nlohmann::json::parse(line, nullptr, false);
+}
+
+void JobParser::takeLine()
+{
+    const std::uint32_t number = this->lineNumber++;
+    std::string taken = std::exchange(this->line, {});
+    if (std::exchange(this->isLineTooLong, false)) {
+        this->found.add({"body", number, 1}, "the item is larger than " + std::to_string(this->bounds.itemBytes) + " bytes");
+        return;
+    }
+    if (taken.ends_with('\r')) {
+        taken.pop_back();
+    }
+    if (taken.empty() || this->isHopeless()) {
+        return;
+    }
+    const std::string problem = this->checkItem(taken);
+    if (!problem.empty()) {
+        this->found.add({"body", number, 1}, problem);
+        return;
+    }
+    ++this->count;
+    ++this->inChunk;
+    if (this->count == this->bounds.items + 1) {
+        this->found.add({"body", number, 1}, "the job has more than " + std::to_string(this->bounds.items) + " items");
+    }
+    const bool isFirstFull = this->perChunk == 0 && this->open.items.size() >= chunkBytes;
+    const std::size_t most = this->perChunk > 0 ? this->perChunk : this->bounds.itemsPerObject;
+    if (isFirstFull || this->inChunk >= most) {
+        this->closeChunk();
+    }
+}
+
+std::string JobParser::checkItem(std::string_view line)
+{
+    nlohmann::json item = nlohmann::json::parse(line, nullptr, false);
     if (!item.is_object()) {
         return "the item is no JSON object";
     }
+    nlohmann::json customId;
+    if (item.contains("body")) {
+        customId = item.value("custom_id", nlohmann::json());
+        if (!customId.is_string()) {
+            return "the item has a body but no custom_id that is text";
+        }
+        item = nlohmann::json(std::move(item["body"]));
+        if (!item.is_object()) {
+            return "the item's body is no JSON object";
+        }
+    }
     const auto named = item.find("model");
     if (named == item.end() || !named->is_string()) {
         return "the item names no model";
@@ -29,48 +114,72 @@
     if (!item.contains("prompt") && !item.contains("messages")) {
         return "the item has neither a prompt nor messages";
     }
-    if (model.empty()) {
-        model = named->get<std::string>();
+    if (this->modelName.empty()) {
+        this->modelName = named->get<std::string>();
+    }
+    if (*named != this->modelName) {
+        return "the item is for another model than the first";
     }
-    return *named == model ? std::string() : "the item is for another model than the first";
+    this->hasIds = this->hasIds || customId.is_string();
+    this->openIds += (this->openIds.empty() ? "" : ",") + dump(customId);
+    this->open.items.append(customId.is_string() ? dump(item) : std::string(line)).push_back('\n');
+    return {};
 }
 
-} // namespace
-
-ParsedJob parseJob(const std::string &body, const JobBounds &bounds, Findings &findings)
-{
-    ParsedJob job;
-    std::string_view rest = body;
-    std::uint32_t lineNumber = 0;
-    while (!rest.empty() && findings.all().size() < findingsShown) {
-        const std::size_t end = std::min(rest.find('\n'), rest.size());
-        std::string_view line = rest.substr(0, end);
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-        ++lineNumber;
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (line.empty()) {
-            continue;
-        }
-        const std::string problem = checkItem(line, bounds, job.model);
-        if (!problem.empty()) {
-            findings.add({"body", lineNumber, 1}, problem);
-            continue;
-        }
-        if (job.itemCount % bounds.itemsPerObject == 0) {
-            job.objects.emplace_back();
-        }
-        job.objects.back().append(line).push_back('\n');
-        ++job.itemCount;
-    }
-    if (job.itemCount == 0 && findings.isEmpty()) {
-        findings.add({"body", 0, 0}, "the job has no items");
+void JobParser::closeChunk()
+{
+    this->perChunk = std::max(this->perChunk, this->inChunk);
+    if (this->hasIds) {
+        this->open.customIds = '[' + this->openIds + ']';
     }
-    if (job.itemCount > bounds.items) {
-        findings.add({"body", 0, 0}, "the job has more than " + std::to_string(bounds.items) + " items");
+    this->full.push_back(std::exchange(this->open, {}));
+    this->openIds.clear();
+    this->inChunk = 0;
+}
+
+std::optional<ItemChunk> JobParser::takeChunk()
+{
+    if (this->full.empty()) {
+        return std::nullopt;
     }
-    return job;
+    ItemChunk chunk = std::move(this->full.front());
+    this->full.pop_front();
+    return chunk;
+}
+
+std::size_t JobParser::chunks() const
+{
+    return this->full.size();
+}
+
+const Findings &JobParser::findings() const
+{
+    return this->found;
+}
+
+bool JobParser::isHopeless() const
+{
+    return this->found.all().size() >= findingsShown;
+}
+
+const std::string &JobParser::model() const
+{
+    return this->modelName;
+}
+
+std::uint32_t JobParser::itemCount() const
+{
+    return this->count;
+}
+
+std::uint32_t JobParser::itemsPerChunk() const
+{
+    return this->perChunk;
+}
+
+std::uint64_t JobParser::fingerprint() const
+{
+    return this->hash.value();
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/JobSubmission.cpp
+++ b/Services/Entry/JobSubmission.cpp
@@ -1,6 +1,7 @@
 #include <Services/Entry/JobSubmission.h>
 
 #include <Services/Entry/ApiErrors.h>
+#include <Services/Entry/CustomIds.h>
 
 #include <nlohmann/json.hpp>
 
@@ -23,11 +24,11 @@
 
 JobSubmission::JobSubmission(EntryContext &context,
                              JobRecord job,
-                             std::vector<std::string> objects,
+                             std::vector<std::string> idObjects,
                              std::shared_ptr<HttpReply> reply)
     : context(context)
     , job(std::move(job))
-    , objects(std::move(objects))
+    , idObjects(std::move(idObjects))
     , reply(std::move(reply))
     , deadline(context.clock.now() + patience)
 {
@@ -35,62 +36,70 @@
 
 void JobSubmission::start()
 {
-    this->putNext();
+    this->context.owners.call<SubmitJobRequest>(
+        this->job.jobId.value(),
+        SubmitJobRequest{this->job},
+        std::chrono::milliseconds(0),
+        this->deadline,
+        [](const SubmitJobResponse &response) {
+            return response.decision == SubmitDecision::Accepted || response.decision == SubmitDecision::Mismatch;
+        },
+        [self = this->shared_from_this()](const std::optional<SubmitJobResponse> &response) {
+            self->onDecision(response ? response->decision : SubmitDecision::Unavailable);
+        });
 }
 
-void JobSubmission::putNext()
+void JobSubmission::onDecision(SubmitDecision decision)
 {
-    if (this->stored == this->objects.size()) {
-        this->hand();
+    if (decision == SubmitDecision::Mismatch) {
+        this->context.metrics.countAnswer("job", "id_reused");
+        this->reply->send(refusalResponse(
+            {statusUnprocessable, "id_reused", "this Idempotency-Key was used for another job", RunState::NotRun, {}}));
         return;
     }
-    if (this->context.clock.now() >= this->deadline) {
+    if (decision != SubmitDecision::Accepted) {
         this->refuse();
         return;
     }
-    this->context.platform.objects().putIfAbsent(this->job.itemObjects[this->stored],
-                                                 this->objects[this->stored],
+    if (this->idObjects.empty()) {
+        this->accept();
+        return;
+    }
+    this->putIds();
+}
+
+void JobSubmission::putIds()
+{
+    // Only after the owner accepted: of two jobs with one key and other items, the one that was turned away must not
+    // leave its ids for the other. If this node is lost in between, a resend of the job does it.
+    this->context.platform.objects().putIfAbsent(CustomIds::keyOf(this->job.jobId),
+                                                 CustomIds::manifest(this->job.itemsPerObject, this->idObjects),
                                                  [self = this->shared_from_this()](WriteOutcome outcome) {
-                                                     // Refused: an earlier submission stored the same items there.
                                                      if (outcome == WriteOutcome::Done || outcome == WriteOutcome::Refused) {
-                                                         ++self->stored;
-                                                         self->putNext();
+                                                         self->accept();
+                                                         return;
+                                                     }
+                                                     if (self->context.clock.now() >= self->deadline) {
+                                                         self->refuse();
                                                          return;
                                                      }
                                                      self->context.loop.schedule(retryDelay, [self] {
-                                                         self->putNext();
+                                                         self->putIds();
                                                      });
                                                  });
 }
 
-void JobSubmission::hand()
+void JobSubmission::accept()
 {
-    this->context.owners.call<SubmitJobRequest>(
-        this->job.jobId.value(),
-        SubmitJobRequest{this->job},
-        std::chrono::milliseconds(0),
-        this->deadline,
-        [](const SubmitJobResponse &response) {
-            return response.decision == SubmitDecision::Accepted || response.decision == SubmitDecision::Mismatch;
-        },
-        [self = this->shared_from_this()](const std::optional<SubmitJobResponse> &response) {
-            if (!response) {
-                self->refuse();
-                return;
-            }
-            if (response->decision == SubmitDecision::Mismatch) {
-                self->reply->send(refusalResponse(
-                    {statusUnprocessable, "id_reused", "this Idempotency-Key was used for another job", RunState::NotRun, {}}));
-                return;
-            }
-            const nlohmann::json body{{"id", self->job.jobId.value()}, {"items", self->job.itemCount}, {"status", "running"}};
-            self->reply->send(jsonResponse(statusAccepted, body.dump() + '\n'));
-        });
+    this->context.metrics.countAnswer("job", "accepted");
+    const nlohmann::json body{{"id", this->job.jobId.value()}, {"items", this->job.itemCount}, {"status", "running"}};
+    this->reply->send(jsonResponse(statusAccepted, body.dump() + '\n'));
 }
 
 void JobSubmission::refuse()
 {
     // The journal may have the job all the same, if its owner was lost with its answer: a resend finds it.
+    this->context.metrics.countAnswer("job", "not_journalled");
     this->reply->send(refusalResponse({statusUnavailable,
                                        "not_stored",
                                        "the job could not be made durable; submit it again with the same Idempotency-Key",
--- a/Services/Entry/JobSubmission.h
+++ b/Services/Entry/JobSubmission.h
@@ -12,27 +12,28 @@
 {
 
 /**
- * Stores a job's items, then hands the job to its owner. The caller is told that the job is accepted only when it is
- * journalled; the items' keys are made from what they hold, so a resend writes nothing twice.
+ * Hands a job whose items are stored to its owner. The caller is told that the job is accepted only when it is
+ * journalled, and when its custom ids can be found.
  */
 class JobSubmission : public std::enable_shared_from_this<JobSubmission>
 {
 public:
-    JobSubmission(EntryContext &context, JobRecord job, std::vector<std::string> objects, std::shared_ptr<HttpReply> reply);
+    /** @param idObjects keys of the objects with the items' custom ids; empty if there are none */
+    JobSubmission(EntryContext &context, JobRecord job, std::vector<std::string> idObjects, std::shared_ptr<HttpReply> reply);
 
     void start();
 
 private:
-    void putNext();
-    void hand();
+    void onDecision(SubmitDecision decision);
+    void putIds();
+    void accept();
     void refuse();
 
     EntryContext &context;
     JobRecord job;
-    std::vector<std::string> objects;
+    std::vector<std::string> idObjects;
     std::shared_ptr<HttpReply> reply;
     SteadyTime deadline;
-    std::size_t stored = 0;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/JobUpload.cpp
@@ -0,0 +1,190 @@
+#include <Services/Entry/JobUpload.h>
+
+#include <LibBase/Encoding.h>
+#include <LibBase/Hash.h>
+#include <Services/Entry/ApiErrors.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusBadRequest = 400;
+constexpr int statusUnavailable = 503;
+/** Objects that may wait for the platform before reading stops. */
+constexpr std::size_t pendingMost = 4;
+constexpr std::chrono::milliseconds retryDelay{200};
+constexpr std::chrono::seconds patience{30};
+constexpr std::chrono::seconds comeBack{5};
+
+JobBounds boundsOf(const BatchSettings &batch)
+{
+    return {static_cast<std::size_t>(batch.items),
+            static_cast<std::size_t>(batch.itemBytes),
+            static_cast<std::size_t>(batch.itemsPerObject)};
+}
+
+std::string hexOfHash(std::string_view text, std::uint64_t seed)
+{
+    const std::uint64_t hash = stableHash(text, seed);
+    return encodeHex(std::string_view(reinterpret_cast<const char *>(&hash), sizeof(hash)));
+}
+
+} // namespace
+
+std::string contentName(std::string_view content)
+{
+    return hexOfHash(content, 1) + hexOfHash(content, 2);
+}
+
+JobUpload::JobUpload(EntryContext &context,
+                     std::string folder,
+                     std::shared_ptr<HttpReply> reply,
+                     std::function<void(StoredItems)> stored)
+    : context(context)
+    , folder(std::move(folder))
+    , reply(std::move(reply))
+    , stored(std::move(stored))
+    , parser(boundsOf(context.settings.batch))
+    , lastProgress(context.clock.now())
+{
+}
+
+BodyHooks JobUpload::hooks()
+{
+    return {.onData =
+                [self = this->shared_from_this()](std::string_view data) {
+                    self->onData(data);
+                },
+            .onEnd =
+                [self = this->shared_from_this()] {
+                    self->onEnd();
+                },
+            .onLost =
+                [self = this->shared_from_this()] {
+                    self->isOver = true;
+                }};
+}
+
+void JobUpload::onData(std::string_view data)
+{
+    if (this->isOver) {
+        return;
+    }
+    this->parser.feed(data);
+    if (this->parser.isHopeless()) {
+        this->refuseItems();
+        return;
+    }
+    this->takeChunks();
+    if (this->pending.size() >= pendingMost) {
+        this->reply->pauseBody();
+    }
+}
+
+void JobUpload::onEnd()
+{
+    if (this->isOver) {
+        return;
+    }
+    this->parser.end();
+    if (!this->parser.findings().isEmpty()) {
+        this->refuseItems();
+        return;
+    }
+    this->isEnded = true;
+    this->takeChunks();
+    this->putNext();
+}
+
+void JobUpload::takeChunks()
+{
+    // Once a line is wrong the job is refused at its end: nothing more is stored, the other wrong lines are still found.
+    const bool isWanted = this->parser.findings().isEmpty();
+    while (std::optional<ItemChunk> chunk = this->parser.takeChunk()) {
+        if (!isWanted) {
+            continue;
+        }
+        std::string key = this->folder + std::to_string(this->items.objects.size()) + '-' + contentName(chunk->items);
+        this->items.objects.push_back(key);
+        this->pending.push_back({std::move(key), std::move(chunk->items)});
+        if (!chunk->customIds.empty()) {
+            key = this->folder + "ids-" + contentName(chunk->customIds);
+            this->items.idObjects.push_back(key);
+            this->pending.push_back({std::move(key), std::move(chunk->customIds)});
+        }
+    }
+    this->putNext();
+}
+
+void JobUpload::putNext()
+{
+    if (this->isOver || this->isPutting) {
+        return;
+    }
+    if (!this->pending.empty()) {
+        this->isPutting = true;
+        this->context.platform.objects().putIfAbsent(
+            this->pending.front().key, this->pending.front().content, [self = this->shared_from_this()](WriteOutcome outcome) {
+                self->onPut(outcome);
+            });
+        return;
+    }
+    this->reply->resumeBody();
+    if (!this->isEnded) {
+        return;
+    }
+    this->isOver = true;
+    this->items.model = this->parser.model();
+    this->items.fingerprint = this->parser.fingerprint();
+    this->items.itemCount = this->parser.itemCount();
+    this->items.itemsPerObject = this->parser.itemsPerChunk();
+    this->stored(std::move(this->items));
+}
+
+void JobUpload::onPut(WriteOutcome outcome)
+{
+    // Refused: an earlier submission stored the same items there.
+    if (outcome == WriteOutcome::Done || outcome == WriteOutcome::Refused) {
+        this->isPutting = false;
+        this->lastProgress = this->context.clock.now();
+        if (!this->pending.empty()) {
+            this->pending.pop_front();
+        }
+        this->putNext();
+        return;
+    }
+    if (this->context.clock.now() - this->lastProgress >= patience) {
+        this->giveUp();
+        return;
+    }
+    this->context.loop.schedule(retryDelay, [self = this->shared_from_this()] {
+        self->isPutting = false;
+        self->putNext();
+    });
+}
+
+void JobUpload::refuseItems()
+{
+    this->isOver = true;
+    this->pending.clear();
+    this->context.metrics.countAnswer("job", "bad_items");
+    this->reply->send(refusalResponse({statusBadRequest, "bad_items", this->parser.findings().toString(), RunState::NotRun, {}}));
+}
+
+void JobUpload::giveUp()
+{
+    this->isOver = true;
+    this->pending.clear();
+    this->context.metrics.countAnswer("job", "not_stored");
+    this->reply->send(refusalResponse({statusUnavailable,
+                                       "not_stored",
+                                       "the platform takes no writes now: the items are not stored, and the job was not accepted",
+                                       RunState::NotRun,
+                                       comeBack}));
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Entry/OwnerClient.cpp
+++ b/Services/Entry/OwnerClient.cpp
@@ -23,4 +23,15 @@
     return this->view->ownerOf(shard);
 }
 
+std::vector<Address> OwnerClient::reachableOwners() const
+{
+    std::vector<Address> owners;
+    for (const Member &member : this->view->members()) {
+        if (member.state != MemberState::Dead) {
+            owners.push_back(member.owner);
+        }
+    }
+    return owners;
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/OwnerClient.h
+++ b/Services/Entry/OwnerClient.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -74,8 +75,63 @@
             });
     }
 
+    /**
+     * Call every node that is not dead, once, a bounded number at a time.
+     * @param answered gets the responses, and how many nodes gave none
+     */
+    template <typename Request>
+    void callAll(const Request &request, std::function<void(std::vector<typename Request::Response>, std::size_t)> answered)
+    {
+        const auto round = std::make_shared<Round<Request>>();
+        round->request = request;
+        round->answered = std::move(answered);
+        round->nodes = this->reachableOwners();
+        for (std::size_t i = 0; i < callsAtOnce; ++i) {
+            ++round->open;
+            this->callNext(round);
+        }
+    }
+
 private:
     static constexpr std::chrono::milliseconds retryDelay{50};
+    /** So that a call of all nodes of a large fleet does not fill the connections to them at once. */
+    static constexpr std::size_t callsAtOnce = 16;
+
+    /** A call of all nodes. */
+    template <typename Request>
+    struct Round
+    {
+        Request request;
+        std::vector<Address> nodes;
+        std::size_t open = 0;
+        std::size_t silent = 0;
+        std::vector<typename Request::Response> responses;
+        std::function<void(std::vector<typename Request::Response>, std::size_t)> answered;
+    };
+
+    template <typename Request>
+    void callNext(const std::shared_ptr<Round<Request>> &round)
+    {
+        if (round->nodes.empty()) {
+            if (--round->open == 0) {
+                round->answered(std::move(round->responses), round->silent);
+            }
+            return;
+        }
+        const Address node = round->nodes.back();
+        round->nodes.pop_back();
+        this->peers.call<Request>(
+            node, round->request, this->options.callTimeout, [this, round](CallResult<typename Request::Response> result) {
+                if (result.response) {
+                    round->responses.push_back(std::move(*result.response));
+                } else {
+                    ++round->silent;
+                }
+                this->callNext(round);
+            });
+    }
+
+    std::vector<Address> reachableOwners() const;
 
     const Member *ownerOf(const std::string &id) const;
 
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -67,8 +67,8 @@
         this->dispatch();
         return;
     }
-    HttpResponse passed{response.status, {}, response.body};
-    passed.headers["Content-Type"] = headerValue(response.headers, "Content-Type").value_or("application/octet-stream");
+    HttpResponse passed{response.status, passedHeaders(response.headers), response.body};
+    passed.headers.try_emplace("Content-Type", "application/octet-stream");
     this->context.metrics.countAnswer("lookup", std::to_string(response.status));
     this->context.metrics.observeTotal(
         "lookup", std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started));
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -82,6 +82,9 @@
     server.handle<JobStatusRequest>([this](const auto &request, auto respond) {
         this->status(request, respond);
     });
+    server.handle<ListJobsRequest>([this](const auto &request, auto respond) {
+        this->list(request, respond);
+    });
     server.handle<CancelJobRequest>([this](const auto &request, auto respond) {
         this->cancel(request, respond);
     });
@@ -314,6 +317,20 @@
     respond({isKnown ? state->jobs.progress(request.jobId) : JobProgress()});
 }
 
+void OwnerService::list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond)
+{
+    ListJobsResponse response;
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        const std::vector<ListedJob> listed = state->jobs.list(request.tenant, request.limit);
+        response.jobs.insert(response.jobs.end(), listed.begin(), listed.end());
+    }
+    std::ranges::sort(response.jobs, [](const ListedJob &left, const ListedJob &right) {
+        return left.progress.created > right.progress.created;
+    });
+    response.jobs.resize(std::min<std::size_t>(response.jobs.size(), request.limit));
+    respond(response);
+}
+
 void OwnerService::cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond)
 {
     const ShardNumber shard = this->keeper.shardOf(request.jobId.value());
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -58,6 +58,7 @@
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
     void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
     void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
+    void list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond);
     void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
     void results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond);
     void pull(const PullItemsRequest &request, const Respond<PullItemsResponse> &respond);
