--- a/Libraries/LibHttp/HttpReply.cpp
+++ b/Libraries/LibHttp/HttpReply.cpp
@@ -79,7 +79,7 @@
 
 void HttpReply::write(std::string_view data)
 {
-    if (this->request == nullptr || this->completed || data.empty()) {
+    if (!this->isConnected() || this->completed || data.empty()) {
         return;
     }
     const std::size_t unread = evbuffer_get_length(bufferevent_get_output(evhtp_request_get_bev(this->request)));
@@ -96,7 +96,7 @@
 
 void HttpReply::finish()
 {
-    if (this->request != nullptr && !this->completed) {
+    if (this->isConnected() && !this->completed) {
         evhtp_send_reply_chunk_end(this->request);
     }
     this->complete();
@@ -119,7 +119,8 @@
 
 bool HttpReply::isConnected() const
 {
-    return this->request != nullptr;
+    // A paused connection that breaks is kept by libevhtp until it is resumed, with no hook called but this flag set.
+    return this->request != nullptr && (this->request->conn->flags & EVHTP_CONN_FLAG_ERROR) == 0;
 }
 
 bool HttpReply::isStarted() const
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -54,6 +54,7 @@
         read.query = textOrEmpty(request->uri->query_raw);
     }
     evhtp_kvs_for_each(request->headers_in, &addHeader, &read.headers);
+    read.peer = toAddress(*reinterpret_cast<const sockaddr_in *>(request->conn->saddr));
     return read;
 }
 
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -4,7 +4,8 @@
 #include <LibJournal/SessionRegistry.h>
 #include <LibMembership/Membership.h>
 #include <LibPlatform/Platform.h>
-#include <LibSettings/Generated/Settings.h>
+#include <LibPlatform/VmWatch.h>
+#include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerLink.h>
@@ -25,7 +26,7 @@
     /** @throws std::runtime_error if it cannot take datagrams */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
-                const Settings &settings,
+                const SettingsPointer &settings,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -39,6 +40,9 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /** Read the platform's VM list from now on. @param changed told of each change, on this task */
+    void watchVms(VmWatch::Changed changed);
+
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
@@ -57,11 +61,12 @@
 
     EventLoop &loop;
     const Clock &clock;
-    const Settings &settings;
+    SettingsHandle settings;
     std::unique_ptr<Platform> platform;
     SessionRegistry sessions;
     DatagramSocket datagrams;
     std::optional<Membership> membership;
+    std::optional<VmWatch> vmWatch;
     SessionNumber self;
     std::uint32_t toldBacklog = 0;
 };
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -241,7 +241,7 @@
     job.model = items.model;
     job.created = this->context.clock.wallNow();
     const std::uint32_t dueInSeconds = numberOr(queryValue(head.query, "due_in"), 0);
-    job.due = job.created + (dueInSeconds > 0 ? std::chrono::seconds(dueInSeconds) : this->context.settings.batch.due);
+    job.due = job.created + (dueInSeconds > 0 ? std::chrono::seconds(dueInSeconds) : this->context.settings->batch.due);
     job.itemCount = items.itemCount;
     job.itemsPerObject = items.itemsPerObject;
     job.itemObjects = std::move(items.objects);
--- a/Services/Entry/JobUpload.cpp
+++ b/Services/Entry/JobUpload.cpp
@@ -48,7 +48,7 @@
     , folder(std::move(folder))
     , reply(std::move(reply))
     , stored(std::move(stored))
-    , parser(boundsOf(context.settings.batch))
+    , parser(boundsOf(context.settings->batch))
     , lastProgress(context.clock.now())
 {
 }
