LibWire: Find silent connections while calls wait, refuse numbers of no enum

A connection between nodes that goes silent was found only when a call on it reached its own timeout, which for a join is the whole wait; and each call that timed out closed the connection and took the other calls with it, though it may have been well. While calls wait, the client now looks each second whether anything came; if not it sends a probe that the other end sends back, and closes the connection after two more silent looks. Its calls end with an unknown outcome and the next one makes a new connection. A call's own timeout ends that call alone. Ruled out: probes on all connections all the time, which at 390 nodes would cost 30 kB/s a node; without calls nothing is sent. Closing no longer scans all calls, each connection knows its own.

A number that is no value of its enum is refused by the generated decoders; it would have reached switches without a case for it.

--- a/Libraries/LibRouting/Quarantine.cpp
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/Quarantine.h>
 
 #include <LibBase/Hash.h>
+#include <LibBase/JsonDepth.h>
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +14,7 @@
 ContentFingerprint contentFingerprint(std::string_view serves, std::string_view body)
 {
     const std::uint64_t seed = stableHash(serves);
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = isNestedTooDeep(body) ? nlohmann::json() : nlohmann::json::parse(body, nullptr, false);
     if (json.is_object()) {
         for (const char *const key : {"messages", "prompt"}) {
             if (const auto found = json.find(key); found != json.end()) {
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -7,6 +7,8 @@
 #include <LibBase/Identifiers.h>
 #include <LibWire/MessageNumber.h>
 
+#include <cereal/cereal.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -320,6 +322,7 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct LinkProbe;
 struct ListJobsRequest;
 struct ListJobsResponse;
 struct CancelJobRequest;
@@ -448,6 +451,11 @@
     void serialize(Archive &archive)
     {
         archive(this->jobId, this->index, this->status, this->body);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->status)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -482,6 +490,11 @@
     void serialize(Archive &archive)
     {
         archive(this->shard, this->kind, this->payload);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->kind)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -591,6 +604,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->itemCount, this->succeeded, this->failed, this->created, this->due, this->model);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -676,6 +694,11 @@
                 this->lane,
                 this->backlog,
                 this->configVersion);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -721,6 +744,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -762,6 +790,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -834,6 +867,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -867,6 +905,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -905,6 +948,23 @@
     }
 };
 
+/** Asks the other end of a connection to send it back: whether the connection still carries anything. */
+struct LinkProbe
+{
+    static constexpr MessageNumber number{112};
+    using Response = LinkProbe;
+    /** Counts the probes of a connection. */
+    std::uint64_t probe = 0;
+
+    bool operator==(const LinkProbe &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->probe);
+    }
+};
+
 /** Asks a node for a tenant's jobs among the shards it owns. */
 struct ListJobsRequest
 {
@@ -999,6 +1059,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->results, this->next);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
--- a/Libraries/LibWire/PeerClient.h
+++ b/Libraries/LibWire/PeerClient.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Dogwoodkeel
 {
@@ -34,6 +35,17 @@
     std::optional<Response> response;
 };
 
+/** Reaches a server in this process without a socket. */
+struct LocalPeer
+{
+    using Respond = std::function<void(MessageNumber, std::string)>;
+
+    /** Where the server listens for others. */
+    Address address;
+    /** Hands a request to the server's task; the response may be given there. */
+    std::function<void(MessageNumber number, std::string payload, Respond respond)> call;
+};
+
 /** Calls other nodes, over one connection each. Lives on one event loop. */
 class PeerClient
 {
@@ -41,7 +53,8 @@
     template <typename Response>
     using Answered = std::function<void(CallResult<Response>)>;
 
-    PeerClient(EventLoop &loop, PeerSecurity security);
+    /** @param local if set, calls to its address go to it instead of through a socket */
+    PeerClient(EventLoop &loop, PeerSecurity security, std::optional<LocalPeer> local = std::nullopt);
     ~PeerClient();
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
@@ -85,7 +98,24 @@
 
     void callEncoded(
         const Address &address, MessageNumber number, std::string payload, std::chrono::milliseconds timeout, Finish finish);
-    PeerLink &linkTo(const Address &address);
+    /** A connection and the calls that wait on it. */
+    struct Link
+    {
+        std::unique_ptr<PeerLink> connection;
+        std::unordered_set<Correlation> calls;
+        std::uint64_t timer = 0;
+        /** What had come by the last look. */
+        std::uint64_t bytesSeen = 0;
+        std::uint64_t probes = 0;
+        /** Looks since anything came. */
+        int silentLooks = 0;
+    };
+    class LocalReturn;
+
+    Link &linkTo(const Address &address);
+    void callLocal(Correlation correlation, MessageNumber number, std::string payload);
+    void lookAt(const Address &address);
+    void armLook(const Address &address, Link &link);
     void receive(const Frame &frame);
     void onTimeout(Correlation correlation);
     void onClosed(const Address &address);
@@ -93,7 +123,9 @@
 
     EventLoop &loop;
     PeerSecurity security;
-    std::map<Address, std::unique_ptr<PeerLink>> links;
+    std::optional<LocalPeer> local;
+    std::shared_ptr<LocalReturn> localReturn;
+    std::map<Address, Link> links;
     Correlation lastCorrelation = 0;
     std::unordered_map<Correlation, Call> calls;
 };
--- a/Libraries/LibWire/PeerLink.cpp
+++ b/Libraries/LibWire/PeerLink.cpp
@@ -75,6 +75,11 @@
     bufferevent_write(this->stream, bytes.data(), bytes.size());
 }
 
+std::uint64_t PeerLink::bytesReceived() const
+{
+    return this->received;
+}
+
 bool PeerLink::wasOpen() const
 {
     return this->opened;
@@ -118,6 +123,7 @@
 
 void PeerLink::receive()
 {
+    this->received += evbuffer_get_length(bufferevent_get_input(this->stream));
     if (!this->reader && !this->takeGreeting()) {
         return;
     }
--- a/Libraries/LibWire/PeerLink.h
+++ b/Libraries/LibWire/PeerLink.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibWire/FrameCodec.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -23,6 +24,11 @@
     MessageKey siteKey;
     /** Largest frame taken, in bytes. */
     std::size_t frameBytes = 0;
+    /**
+     * While calls wait on a connection, how often it is looked whether anything came; then it is probed, and closed if
+     * nothing came by the next look. So a silent one is found within three of these. Without calls it costs nothing.
+     */
+    std::chrono::milliseconds heartbeat{1000};
 };
 
 /**
@@ -54,6 +60,9 @@
 
     void send(const Frame &frame);
 
+    /** @return bytes that have come from the other end: a connection on which they grow is alive. */
+    std::uint64_t bytesReceived() const;
+
     /** @return whether the connection stood: before that, no frame has left. */
     bool wasOpen() const;
 
@@ -80,6 +89,7 @@
     std::optional<FrameWriter> writer;
     std::optional<FrameReader> reader;
     std::vector<Frame> waiting;
+    std::uint64_t received = 0;
     bool opened = false;
     bool closed = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Libraries/LibWire/PeerServer.cpp
+++ b/Libraries/LibWire/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
+#include <LibWire/Generated/Messages.h>
 
 #include <event2/listener.h>
 
@@ -61,7 +62,6 @@
 
 void PeerServer::receive(LinkId id, const Frame &frame)
 {
-    const auto handler = this->handlers.find(frame.number);
     const auto send
         = [this, id, correlation = frame.correlation, alive = this->alive](MessageNumber number, std::string payload) {
               if (!*alive) {
@@ -72,7 +72,11 @@
                   link->second->send({correlation, number, std::move(payload)});
               }
           };
-    if (handler != this->handlers.end() && handler->second(frame.payload, send)) {
+    if (frame.number == LinkProbe::number) {
+        send(frame.number, frame.payload);
+        return;
+    }
+    if (this->answer(frame.number, frame.payload, send)) {
         return;
     }
     // The frame is genuine, so a node of another version sent it: it sees its call fail, as with a lost connection.
@@ -80,6 +84,12 @@
     this->drop(id);
 }
 
+bool PeerServer::answer(MessageNumber number, const std::string &payload, const SendPayload &send) const
+{
+    const auto handler = this->handlers.find(number);
+    return handler != this->handlers.end() && handler->second(payload, send);
+}
+
 void PeerServer::drop(LinkId id)
 {
     const auto link = this->links.find(id);
--- a/Libraries/LibWire/PeerServer.h
+++ b/Libraries/LibWire/PeerServer.h
@@ -55,8 +55,16 @@
         };
     }
 
-private:
+    /** Sends the response to one request. */
     using SendPayload = std::function<void(MessageNumber, std::string)>;
+
+    /**
+     * Answer a request that a task of this process makes, on the loop.
+     * @return whether it was understood
+     */
+    bool answer(MessageNumber number, const std::string &payload, const SendPayload &send) const;
+
+private:
     using Handler = std::function<bool(const std::string &, const SendPayload &)>;
     using LinkId = std::uint64_t;
 
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -85,9 +85,19 @@
         lines.append(f"    /** {field['doc']} */")
         lines.append(f"    {wire_type(field['type'], known)} {field['name']}{default_of(field['type'], enums)};")
     names = ", ".join(f"this->{field['name']}" for field in struct["fields"])
+    checked = [field["name"] for field in struct["fields"] if field["type"] in enums]
+    if any(field["type"].strip("[]") in enums and field["type"] not in enums for field in struct["fields"]):
+        sys.exit(f"Schema/messages.toml: {struct['name']} has a list of enums, whose values would not be checked")
     lines += ["", f"    bool operator==(const {struct['name']} &) const = default;", "",
               "    template<typename Archive>", "    void serialize(Archive &archive)", "    {",
-              f"        archive({names});", "    }", "};", ""]
+              f"        archive({names});"]
+    if checked:
+        # A number that is no value of its enum would reach switches that have no case for it.
+        condition = " || ".join(f"!isValid(this->{name})" for name in checked)
+        lines += ["        if constexpr (Archive::is_loading::value) {", f"            if ({condition}) {{",
+                  '                throw cereal::Exception("a number is no value of its enum");',
+                  "            }", "        }"]
+    lines += ["    }", "};", ""]
     return lines
 
 
@@ -101,7 +111,7 @@
         sys.exit("Schema/messages.toml: two messages have one number")
     lines = [NOTE.format(source="Schema/messages.toml"), "#pragma once", "",
              "#include <LibBase/Address.h>", "#include <LibBase/Clock.h>", "#include <LibBase/Identifiers.h>",
-             "#include <LibWire/MessageNumber.h>", "",
+             "#include <LibWire/MessageNumber.h>", "", "#include <cereal/cereal.hpp>", "",
              "#include <chrono>", "#include <cstdint>", "#include <string>", "#include <string_view>",
              "#include <vector>", "", "namespace Dogwoodkeel", "{", ""]
     for enum in schema["enum"]:
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -61,9 +61,10 @@
 
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
         "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
-    this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
+    const LocalPeer ownOwner = this->localOwner();
+    this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security, ownOwner);
     this->entry = std::make_unique<TaskHost<EntryTask>>(
-        "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
+        "entry", this->clock, this->settings, this->self, this->security, ownOwner, this->makePlatform, this->metrics);
 
     Member member;
     member.session = this->self;
@@ -104,6 +105,20 @@
     });
 }
 
+LocalPeer Node::localOwner()
+{
+    LocalPeer local;
+    local.address = this->owner->ask<Address>([](OwnerTask &task) {
+        return task.address();
+    });
+    local.call = [this](MessageNumber number, std::string payload, LocalPeer::Respond respond) {
+        this->owner->post([number, payload = std::move(payload), respond = std::move(respond)](OwnerTask &task) {
+            task.answer(number, payload, respond);
+        });
+    };
+    return local;
+}
+
 void Node::spread(const MemberViewPointer &view)
 {
     this->owner->post([view](OwnerTask &task) {
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -33,6 +33,7 @@
     const Address &httpAddress() const;
 
 private:
+    LocalPeer localOwner();
     void spread(const MemberViewPointer &view);
     void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -1,6 +1,7 @@
 #include <Services/Entry/BatchApi.h>
 
 #include <LibBase/Encoding.h>
+#include <LibBase/JsonDepth.h>
 #include <Services/Entry/ApiErrors.h>
 #include <Services/Entry/JobSubmission.h>
 #include <Services/Entry/StoredFile.h>
@@ -84,8 +85,9 @@
         line["custom_id"] = *customId;
     }
     if (result.status == ItemStatus::Succeeded) {
-        const nlohmann::json response = nlohmann::json::parse(result.body, nullptr, false);
-        line["response"] = response.is_discarded() ? nlohmann::json(result.body) : response;
+        nlohmann::json response
+            = isNestedTooDeep(result.body) ? nlohmann::json(result.body) : nlohmann::json::parse(result.body, nullptr, false);
+        line["response"] = response.is_discarded() ? nlohmann::json(result.body) : std::move(response);
     } else {
         line["error"] = result.body;
     }
--- a/Services/Entry/Completion.cpp
+++ b/Services/Entry/Completion.cpp
@@ -1,5 +1,7 @@
 #include <Services/Entry/Completion.h>
 
+#include <LibBase/JsonDepth.h>
+
 #include <nlohmann/json.hpp>
 
 namespace Dogwoodkeel
@@ -56,6 +58,9 @@
 
 std::optional<CompletionRequest> CompletionRequest::parse(CompletionForm form, const std::string &body)
 {
+    if (isNestedTooDeep(body)) {
+        return std::nullopt;
+    }
     const Json json = Json::parse(body, nullptr, false);
     if (!json.is_object()) {
         return std::nullopt;
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -33,12 +33,13 @@
                      const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
+                     const LocalPeer &ownOwner,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
-    , peers(loop, security)
+    , peers(loop, security, ownOwner)
     , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
     , replicas(settings->endpoints)
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -24,12 +24,16 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot listen */
+    /**
+     * @param ownOwner reaches the owner of this node
+     * @throws std::runtime_error if it cannot listen
+     */
     EntryTask(EventLoop &loop,
               const Clock &clock,
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
+              const LocalPeer &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics);
 
--- a/Services/Entry/JobParser.cpp
+++ b/Services/Entry/JobParser.cpp
@@ -1,5 +1,7 @@
 #include <Services/Entry/JobParser.h>
 
+#include <LibBase/JsonDepth.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -92,6 +94,9 @@
 
 std::string JobParser::checkItem(std::string_view line)
 {
+    if (isNestedTooDeep(line)) {
+        return "the item is nested too deep";
+    }
     nlohmann::json item = nlohmann::json::parse(line, nullptr, false);
     if (!item.is_object()) {
         return "the item is no JSON object";
--- a/Services/Lane/LaneTask.h
+++ b/Services/Lane/LaneTask.h
@@ -14,10 +14,14 @@
 {
 public:
     /** @throws std::runtime_error if it cannot take datagrams */
-    LaneTask(
-        EventLoop &loop, const Clock &clock, const SettingsPointer &settings, SessionNumber self, const PeerSecurity &security)
+    LaneTask(EventLoop &loop,
+             const Clock &clock,
+             const SettingsPointer &settings,
+             SessionNumber self,
+             const PeerSecurity &security,
+             const LocalPeer &ownOwner)
         : settings(settings)
-        , peers(loop, security)
+        , peers(loop, security, ownOwner)
         , http(loop)
         , service(loop, clock, this->settings, self, this->peers, this->http)
         , datagrams(loop, settings->listen.lane, security.siteKey, [this](const Datagram &datagram) {
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -41,6 +41,15 @@
         return this->server.address();
     }
 
+    /** Answer a request that another task of this node makes. */
+    void answer(MessageNumber number, const std::string &payload, const PeerServer::SendPayload &send)
+    {
+        if (!this->server.answer(number, payload, send)) {
+            // The caller's call ends as unknown: its number fits no response.
+            send(MessageNumber(), {});
+        }
+    }
+
     OwnerService &owner()
     {
         return this->service;
