--- /dev/null
+++ b/Libraries/LibMetrics/CounterCache.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <initializer_list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+
+namespace Dogwoodkeel
+{
+
+/** The counters of one family, found by their labels' values. Past a bound all new ones are counted as "other". */
+class CounterCache
+{
+public:
+    /** @param labels names of the labels, in the order of the values */
+    CounterCache(prometheus::Family<prometheus::Counter> &family, std::vector<std::string> labels);
+
+    /** Count one. @param values as many as there are labels */
+    void increment(std::initializer_list<std::string_view> values);
+
+private:
+    prometheus::Counter &counterOf(std::initializer_list<std::string_view> values);
+
+    prometheus::Family<prometheus::Counter> &family;
+    std::vector<std::string> labels;
+    std::mutex mutex;
+    std::map<std::string, prometheus::Counter *, std::less<>> counters;
+};
+
+} // namespace Dogwoodkeel
