LibPlatform: Keep to this node's share of the rates, leave a platform that is down alone

Every task of every node repeated its calls against the platform at its own pace: while it was down or coming back the repeats alone could keep it busy, and nothing bounded what all nodes together ask for. A call that is turned away is told as not applied, which is true: it was not made.

--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Log.h>
 #include <LibPlatform/EmbeddedPlatform.h>
+#include <LibPlatform/GuardedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
 #include <atomic>
@@ -18,7 +19,15 @@
 constexpr std::chrono::milliseconds watchInterval{100};
 constexpr std::chrono::milliseconds pollInterval{20};
 
-std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings)
+CallBudget::Rates ratesOf(const PlatformSettings &platform)
+{
+    return {static_cast<double>(platform.readsPerSecond), static_cast<double>(platform.writesPerSecond)};
+}
+
+std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings,
+                                                                      const Clock &clock,
+                                                                      const std::shared_ptr<CallBudget> &budget,
+                                                                      NodeMetrics &metrics)
 {
     if (settings->platform.kind == PlatformKind::Embedded) {
         const auto store = std::make_shared<EmbeddedStore>();
@@ -26,8 +35,17 @@
             return std::make_unique<EmbeddedPlatform>(store, loop);
         };
     }
-    return [settings](EventLoop &loop) {
-        return std::make_unique<HttpPlatform>(loop, settings->platform.address, settings->platform.timeout);
+    const auto count = [&metrics](CallKind kind, std::string_view cause, std::string_view outcome) {
+        metrics.countPlatformCall(kind == CallKind::Read ? "read" : "write", cause, outcome);
+    };
+    return [settings, &clock, budget, count](EventLoop &loop) {
+        const PlatformSettings &platform = settings->platform;
+        return std::make_unique<GuardedPlatform>(std::make_unique<HttpPlatform>(loop, platform.address, platform.timeout),
+                                                 loop,
+                                                 clock,
+                                                 budget,
+                                                 platform.timeout,
+                                                 count);
     };
 }
 
@@ -36,7 +54,8 @@
 Node::Node(const Clock &clock, SettingsPointer settings)
     : clock(clock)
     , settings(std::move(settings))
-    , makePlatform(platformFactory(this->settings))
+    , platformBudget(std::make_shared<CallBudget>(clock, ratesOf(this->settings->platform)))
+    , makePlatform(platformFactory(this->settings, clock, this->platformBudget, this->metrics))
     , security{MessageKey(this->settings->peers.siteKey), static_cast<std::size_t>(this->settings->peers.frameBytes)}
 {
 }
@@ -121,6 +140,7 @@
 
 void Node::spread(const MemberViewPointer &view)
 {
+    this->platformBudget->setMembers(view->members().size());
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/CallBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
@@ -42,6 +43,7 @@
     const Clock &clock;
     SettingsPointer settings;
     NodeMetrics metrics;
+    std::shared_ptr<CallBudget> platformBudget;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
