--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -7,6 +7,8 @@
 #include <LibBase/Identifiers.h>
 #include <LibWire/MessageNumber.h>
 
+#include <cereal/cereal.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -358,6 +360,9 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct LinkProbe;
+struct ListJobsRequest;
+struct ListJobsResponse;
 struct CancelJobRequest;
 struct JobResultsRequest;
 struct JobResultsResponse;
@@ -518,6 +523,11 @@
     void serialize(Archive &archive)
     {
         archive(this->jobId, this->index, this->status, this->body);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->status)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -591,6 +601,11 @@
     void serialize(Archive &archive)
     {
         archive(this->shard, this->kind, this->payload);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->kind)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -781,6 +796,28 @@
                 this->due,
                 this->model,
                 this->expectedEnd);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** A job in a list. */
+struct ListedJob
+{
+    /** The job. */
+    JobId jobId;
+    /** Where it stands. */
+    JobProgress progress;
+
+    bool operator==(const ListedJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->progress);
     }
 };
 
@@ -889,6 +926,11 @@
                 this->configVersion,
                 this->fleet,
                 this->backlogModels);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1075,6 +1117,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1116,6 +1163,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1188,6 +1240,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1221,6 +1278,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1259,6 +1321,58 @@
     }
 };
 
+/** Asks the other end of a connection to send it back: whether the connection still carries anything. */
+struct LinkProbe
+{
+    static constexpr MessageNumber number{112};
+    using Response = LinkProbe;
+    /** Counts the probes of a connection. */
+    std::uint64_t probe = 0;
+
+    bool operator==(const LinkProbe &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->probe);
+    }
+};
+
+/** Asks a node for a tenant's jobs among the shards it owns. */
+struct ListJobsRequest
+{
+    static constexpr MessageNumber number{110};
+    using Response = ListJobsResponse;
+    /** Whose jobs. */
+    TenantName tenant;
+    /** How many at most, the newest first. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const ListJobsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->limit);
+    }
+};
+
+/** The answer to a ListJobsRequest. */
+struct ListJobsResponse
+{
+    static constexpr MessageNumber number{111};
+    /** The jobs, the newest first. */
+    std::vector<ListedJob> jobs;
+
+    bool operator==(const ListJobsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Stops a job: its items get no new run, and running ones are cancelled. */
 struct CancelJobRequest
 {
@@ -1318,6 +1432,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->results, this->next);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
