--- a/Libraries/LibJournal/JournalKeys.cpp
+++ b/Libraries/LibJournal/JournalKeys.cpp
@@ -1,8 +1,11 @@
 #include <LibJournal/JournalKeys.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <limits>
+#include <system_error>
 
 namespace Dogwoodkeel::JournalKeys
 {
@@ -76,19 +79,33 @@
     return "shard0";
 }
 
+std::string statePrefix(ShardNumber shard)
+{
+    return "state/" + padded(shard.value()) + '/';
+}
+
+ShardEpoch epochOf(ShardNumber shard, const std::string &stateKey)
+{
+    const std::size_t kind = statePrefix(shard).size();
+    const std::size_t digits = stateKey.find('/', std::min(kind, stateKey.size())) + 1;
+    std::uint64_t epoch = 0;
+    const auto [end, error] = std::from_chars(stateKey.data() + digits, stateKey.data() + stateKey.size(), epoch);
+    return error == std::errc() ? ShardEpoch(epoch) : ShardEpoch(std::numeric_limits<std::uint64_t>::max());
+}
+
 std::string checkpoint(ShardNumber shard, const std::string &nonce)
 {
-    return "state/" + padded(shard.value()) + "/checkpoint/" + nonce;
+    return statePrefix(shard) + "checkpoint/" + nonce;
 }
 
 std::string run(ShardNumber shard, const std::string &nonce)
 {
-    return "state/" + padded(shard.value()) + "/run/" + nonce;
+    return statePrefix(shard) + "run/" + nonce;
 }
 
 std::string block(ShardNumber shard, const std::string &nonce, std::size_t index)
 {
-    return "state/" + padded(shard.value()) + "/block/" + nonce + '/' + std::to_string(index);
+    return statePrefix(shard) + "block/" + nonce + '/' + std::to_string(index);
 }
 
 } // namespace Dogwoodkeel::JournalKeys
--- a/Libraries/LibJournal/JournalKeys.h
+++ b/Libraries/LibJournal/JournalKeys.h
@@ -31,7 +31,11 @@
 std::string shard(ShardNumber shard);
 /** @return the first key behind all shard rows. */
 std::string shardsEnd();
-/** @return the object of a checkpoint. */
+/** @return what the keys of all objects of a shard's state begin with. */
+std::string statePrefix(ShardNumber shard);
+/** @return the epoch that an object of a shard's state was written in; the highest if the key is no such key. */
+ShardEpoch epochOf(ShardNumber shard, const std::string &stateKey);
+/** @return the object of a checkpoint. @param nonce begins with the epoch */
 std::string checkpoint(ShardNumber shard, const std::string &nonce);
 /** @return the object that describes a run of result blocks. */
 std::string run(ShardNumber shard, const std::string &nonce);
--- a/Services/Owner/Checkpointer.cpp
+++ b/Services/Owner/Checkpointer.cpp
@@ -8,6 +8,7 @@
 #include <LibWire/Codec.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -46,6 +47,7 @@
     std::vector<std::string> blocksToRead;
     std::deque<std::pair<std::string, std::string>> puts;
     ShardRow row;
+    std::function<void()> ended;
 };
 
 Checkpointer::Checkpointer(Platform &platform,
@@ -73,16 +75,29 @@
     if (this->journal.isStalled() || this->journal.isFenced() || state.row.spans.empty()) {
         return false;
     }
+    const bool hasFormerSpans = state.row.spans.size() > 1;
+    const bool hasGrown = this->growth(state) >= this->options.groups;
+    return hasFormerSpans || hasGrown || state.requests.unindexedBytes() >= this->options.bytes;
+}
+
+std::uint64_t Checkpointer::growth(const ShardState &state) const
+{
     const std::uint64_t first = state.row.spans.back().first.value();
     const std::uint64_t next = this->journal.lastDurableGroup().value() + 1;
-    const bool hasFormerSpans = state.row.spans.size() > 1;
-    return hasFormerSpans || next >= first + this->options.groups || state.requests.unindexedBytes() >= this->options.bytes;
+    return next > first ? next - first : 0;
 }
 
-void Checkpointer::write(ShardNumber shard, std::shared_ptr<ShardState> state)
+bool Checkpointer::isWorthBeforeHandover(const ShardState &state) const
+{
+    const bool canWrite = !this->journal.isStalled() && !this->journal.isFenced() && !state.row.spans.empty();
+    return canWrite && this->growth(state) * this->options.handoverPart >= this->options.groups;
+}
+
+void Checkpointer::write(ShardNumber shard, std::shared_ptr<ShardState> state, std::function<void()> ended)
 {
     this->busy = true;
     const auto work = std::make_shared<Work>();
+    work->ended = std::move(ended);
     work->shard = shard;
     work->state = std::move(state);
     work->state->isCheckpointing = true;
@@ -302,12 +317,43 @@
     for (const std::string &key : unneeded) {
         this->platform.objects().remove(key, [](WriteOutcome) {});
     }
+    if (!std::exchange(state.isSwept, true)) {
+        this->sweep(work.shard, work.state);
+    }
+}
+
+void Checkpointer::sweep(ShardNumber shard, const std::shared_ptr<ShardState> &state)
+{
+    // A former owner that was lost while it wrote a checkpoint left objects that no row names. Only those of earlier epochs
+    // are looked at: rows to come refer to what this row names and to objects of this or later epochs, so nobody will
+    // need them, even if this node is itself a former owner by now.
+    this->platform.objects().list(JournalKeys::statePrefix(shard),
+                                  [this, shard, state, alive = this->alive](const ObjectKeysResult &listed) {
+                                      if (!*alive || listed.outcome != ReadOutcome::Found) {
+                                          return;
+                                      }
+                                      std::set<std::string> named{state->row.checkpoint};
+                                      for (const LoadedRun &run : state->index.runs()) {
+                                          named.insert(run.key);
+                                          for (const BlockEntry &block : run.run.blocks) {
+                                              named.insert(block.objectKey);
+                                          }
+                                      }
+                                      for (const std::string &key : listed.keys) {
+                                          if (!named.contains(key) && JournalKeys::epochOf(shard, key) < state->row.epoch) {
+                                              this->platform.objects().remove(key, [](WriteOutcome) {});
+                                          }
+                                      }
+                                  });
 }
 
 void Checkpointer::finish(const std::shared_ptr<Work> &work)
 {
     work->state->isCheckpointing = false;
     this->busy = false;
+    if (work->ended) {
+        work->ended();
+    }
 }
 
 void Checkpointer::retry(const std::shared_ptr<Work> &work, void (Checkpointer::*step)(const std::shared_ptr<Work> &))
--- a/Services/Owner/Checkpointer.h
+++ b/Services/Owner/Checkpointer.h
@@ -40,6 +40,8 @@
         std::size_t runsToMerge = 4;
         /** Runs larger than this together are not merged. */
         std::size_t mergeBytes = 67108864;
+        /** Growth of the journal that makes a checkpoint worth it before a planned handover, as a part of groups. */
+        std::uint64_t handoverPart = 10;
     };
 
     Checkpointer(Platform &platform,
@@ -57,8 +59,14 @@
 
     bool isDue(const ShardState &state) const;
 
-    /** Write a checkpoint. The state may go on changing; what becomes durable meanwhile is left to the row's span. */
-    void write(ShardNumber shard, std::shared_ptr<ShardState> state);
+    /** @return whether a new owner would replay so much that a checkpoint before a planned handover is worth its writes. */
+    bool isWorthBeforeHandover(const ShardState &state) const;
+
+    /**
+     * Write a checkpoint. The state may go on changing; what becomes durable meanwhile is left to the row's span.
+     * @param ended told when it is written, or given up
+     */
+    void write(ShardNumber shard, std::shared_ptr<ShardState> state, std::function<void()> ended = {});
 
 private:
     struct Work;
@@ -72,6 +80,8 @@
     void readBack(const std::shared_ptr<Work> &work);
     void adopt(Work &work, RowVersion version);
     void finish(const std::shared_ptr<Work> &work);
+    void sweep(ShardNumber shard, const std::shared_ptr<ShardState> &state);
+    std::uint64_t growth(const ShardState &state) const;
     void retry(const std::shared_ptr<Work> &work, void (Checkpointer::*step)(const std::shared_ptr<Work> &));
 
     Platform &platform;
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -186,6 +186,8 @@
         this->look();
         this->checkpointOne();
         this->cleanJournals();
+    } else if (!this->busy && this->closing) {
+        this->releaseOwned();
     }
     this->scheduler.schedule(this->options.interval, [this, alive = this->alive] {
         if (*alive) {
@@ -432,7 +434,7 @@
         }
     }
     for (const ShardNumber shard : unwanted) {
-        this->release(shard);
+        this->handOver(shard);
     }
 }
 
@@ -450,11 +452,30 @@
         all.push_back(shard);
     }
     for (const ShardNumber shard : all) {
-        this->release(shard);
+        this->handOver(shard);
     }
     this->releaseFinished();
 }
 
+void ShardKeeper::handOver(ShardNumber shard)
+{
+    // While a shard is between two owners nobody answers for it. So what its next owner has to replay is made short first,
+    // while this one still serves.
+    const std::shared_ptr<ShardState> &state = this->shards.at(shard);
+    const bool wantsCheckpoint = !state->isHandoverPrepared && this->checkpointer.isWorthBeforeHandover(*state);
+    if (state->isCheckpointing || (wantsCheckpoint && this->checkpointer.isBusy())) {
+        return;
+    }
+    if (!wantsCheckpoint) {
+        this->release(shard);
+        return;
+    }
+    state->isHandoverPrepared = true;
+    this->checkpointer.write(shard, state, [this] {
+        this->closing ? this->releaseOwned() : this->releaseUnwanted();
+    });
+}
+
 void ShardKeeper::release(ShardNumber shard)
 {
     auto entry = this->shards.extract(shard);
@@ -512,7 +533,8 @@
 {
     // A takeover in progress brings shards that are then to be released as well: a row left behind would name a session
     // that is gone, and its shard would wait for others to find that out.
-    if (this->closing && !this->busy && this->releasing.empty() && this->released) {
+    const bool isLeft = this->busy || !this->shards.empty() || !this->releasing.empty();
+    if (this->closing && !isLeft && this->released) {
         std::exchange(this->released, nullptr)();
     }
 }
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -114,6 +114,7 @@
     void cleanJournals();
     void releaseUnwanted();
     void releaseOwned();
+    void handOver(ShardNumber shard);
     void release(ShardNumber shard);
     void writeRelease(const std::shared_ptr<ShardState> &state, ShardNumber shard, std::uint64_t appended);
     void releaseWritten(ShardNumber shard);
--- a/Services/Owner/ShardState.h
+++ b/Services/Owner/ShardState.h
@@ -34,6 +34,10 @@
     ResultIndex index;
     /** A checkpoint is being written: the row must not be changed by anything else. */
     bool isCheckpointing = false;
+    /** A checkpoint was begun because the shard is to be handed over. */
+    bool isHandoverPrepared = false;
+    /** Objects that former owners left behind were looked for. */
+    bool isSwept = false;
 
     /** Take over one journalled decision. Records that cannot be read are reported and left out. */
     void replay(const JournalRecord &record);
--- a/Tests/ServiceOwner/TestCheckpoint.cpp
+++ b/Tests/ServiceOwner/TestCheckpoint.cpp
@@ -186,3 +186,44 @@
     fixture.owner.platform.setDown(false);
     CHECK(fixture.commitMany(400, 401) == 0);
 }
+
+TEST_CASE("a planned stop writes a checkpoint first, and the next owner has little to replay")
+{
+    Checkpointed fixture;
+    REQUIRE(fixture.commitMany(0, 35) == 35);
+    bool isStopped = false;
+    fixture.owner.service.stop([&isStopped] {
+        isStopped = true;
+    });
+    fixture.clock.advance(2s);
+    REQUIRE(isStopped);
+    for (std::uint32_t shard = 0; shard < 4; ++shard) {
+        const auto row = decode<ShardRow>(fixture.store->read(JournalKeys::shard(ShardNumber(shard)))->value);
+        CHECK((row->owner == SessionNumber(0)));
+        CHECK_FALSE(row->checkpoint.empty());
+        CHECK(row->spans.empty());
+    }
+    fixture.taker.service.setView(viewOf({Checkpointed::takerSession}));
+    fixture.clock.advance(1s);
+    CHECK(fixture.result(fixture.taker, Checkpointed::idOf(0)).answer.body == "note 0");
+}
+
+TEST_CASE("what a lost owner left half-written is swept, and nothing that is needed")
+{
+    // The owner dies between the objects of a checkpoint and the row that would have named them.
+    Checkpointed fixture;
+    REQUIRE(fixture.commitMany(0, 300) == 300);
+    const std::string left = JournalKeys::block(ShardNumber(0), "1-halfwritten", 0);
+    const std::string later = JournalKeys::block(ShardNumber(0), "99-another", 0);
+    fixture.store->putIfAbsent(left, "left");
+    fixture.store->putIfAbsent(later, "of a later owner");
+    fixture.loseOwner();
+    fixture.clock.advance(5s);
+    CHECK_FALSE(fixture.store->get(left));
+    CHECK(fixture.store->get(later));
+    int wrong = 0;
+    for (int i = 0; i < 300; i += 7) {
+        wrong += fixture.result(fixture.taker, Checkpointed::idOf(i)).answer.body == "note " + std::to_string(i) ? 0 : 1;
+    }
+    CHECK(wrong == 0);
+}
