--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -288,6 +288,8 @@
     Cancel,
     /** WithdrawRecord */
     Withdraw,
+    /** PageRecord */
+    Page,
 };
 
 /** @return the value's name, for logs. */
@@ -306,6 +308,8 @@
         return "Cancel";
     case RecordKind::Withdraw:
         return "Withdraw";
+    case RecordKind::Page:
+        return "Page";
     }
     return "invalid";
 }
@@ -313,7 +317,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(RecordKind value)
 {
-    return value <= RecordKind::Withdraw;
+    return value <= RecordKind::Page;
 }
 
 /** What a node's settings come from. */
@@ -363,10 +367,14 @@
 struct CommitItemsResponse;
 struct RenewItemsRequest;
 struct RenewItemsResponse;
+struct ReturnItemsRequest;
+struct ReturnItemsResponse;
+struct JobStopped;
 struct Ping;
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
+struct SuspectNotice;
 struct ConfigurationRequest;
 struct ConfigurationResponse;
 struct ConfigurationPartRequest;
@@ -375,6 +383,9 @@
 struct ConfigurationStateResponse;
 struct StatusRequest;
 struct StatusResponse;
+struct LoadInterest;
+struct LoadReports;
+struct EndpointLeaving;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -525,6 +536,45 @@
     }
 };
 
+/** Results of a job were moved to an object. They need not be kept in memory, nor in a checkpoint, any more. */
+struct PageRecord
+{
+    /** The job. */
+    JobId jobId;
+    /** Which run of itemsPerObject items, from 0. */
+    std::uint32_t page = 0;
+    /** The object with the results, as a ResultPage. */
+    std::string objectKey;
+    /** One bit for each item of the page, the lowest first: whether its result is in the object, or in one of an earlier record.
+     */
+    std::string done;
+    /** One bit for each item of the page: whether it failed. */
+    std::string failed;
+
+    bool operator==(const PageRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->page, this->objectKey, this->done, this->failed);
+    }
+};
+
+/** What an object with results holds. */
+struct ResultPage
+{
+    /** In the order of their index. */
+    std::vector<ItemRecord> results;
+
+    bool operator==(const ResultPage &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->results);
+    }
+};
+
 /** One decision of a shard's owner. */
 struct JournalRecord
 {
@@ -715,13 +765,22 @@
     WallTime due;
     /** The model its items are for. */
     std::string model;
+    /** When it ends if its items go on finishing as fast as they do now; the epoch if that is not known. */
+    WallTime expectedEnd;
 
     bool operator==(const JobProgress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->state, this->itemCount, this->succeeded, this->failed, this->created, this->due, this->model);
+        archive(this->state,
+                this->itemCount,
+                this->succeeded,
+                this->failed,
+                this->created,
+                this->due,
+                this->model,
+                this->expectedEnd);
     }
 };
 
@@ -748,6 +807,40 @@
     }
 };
 
+/** A run of items. */
+struct ItemSpan
+{
+    /** The first one. */
+    std::uint32_t first = 0;
+    /** How many. */
+    std::uint32_t count = 0;
+
+    bool operator==(const ItemSpan &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->first, this->count);
+    }
+};
+
+/** Items of one job that a runner holds. */
+struct HeldItems
+{
+    /** The job. */
+    JobId jobId;
+    /** Which items. */
+    std::vector<ItemSpan> spans;
+
+    bool operator==(const HeldItems &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->spans);
+    }
+};
+
 /** A node, as gossip tells of it. The entry with the higher incarnation wins; at the same one, the graver state. */
 struct Member
 {
@@ -773,6 +866,10 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** Where its entry task takes load reports. */
+    Address fleet;
+    /** One bit for each model (by its hash, modulo 64) that batch items wait for at its shards. */
+    std::uint64_t backlogModels = 0;
 
     bool operator==(const Member &) const = default;
 
@@ -789,7 +886,32 @@
                 this->gossip,
                 this->lane,
                 this->backlog,
-                this->configVersion);
+                this->configVersion,
+                this->fleet,
+                this->backlogModels);
+    }
+};
+
+/** A request that was running on an endpoint when that was lost. */
+struct Suspect
+{
+    /** Hash of its content. */
+    std::uint64_t fingerprint = 0;
+    /** Which endpoint. */
+    EndpointName endpoint;
+    /** Where that endpoint is. */
+    FailureDomain failureDomain;
+    /** How long ago it was sent there. */
+    std::uint32_t sentMillisecondsAgo = 0;
+    /** How long ago the loss was seen. */
+    std::uint32_t lostMillisecondsAgo = 0;
+
+    bool operator==(const Suspect &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->endpoint, this->failureDomain, this->sentMillisecondsAgo, this->lostMillisecondsAgo);
     }
 };
 
@@ -854,6 +976,63 @@
     }
 };
 
+/** Who gives orders to the engines of a site. It changes with each renewal; a holder whose row has not changed for a lease's
+ * length has lost it. */
+struct OrderLeaseRow
+{
+    /** The holding session; 0 when it was released. */
+    SessionNumber holder;
+    /** Counts the holders; the fencing number of their orders. */
+    std::uint64_t epoch = 0;
+    /** Of this holder. */
+    std::uint64_t renewals = 0;
+    /** The newest version that orders were given by: nobody gives orders by an older one. */
+    std::uint64_t configVersion = 0;
+    /** Rollouts that were stopped for their errors, as MODEL@VERSION. */
+    std::vector<std::string> stopped;
+
+    bool operator==(const OrderLeaseRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->holder, this->epoch, this->renewals, this->configVersion, this->stopped);
+    }
+};
+
+/** What an endpoint says of itself, as one node read it for all. */
+struct ReplicaReport
+{
+    /** Which replica. */
+    EndpointName endpoint;
+    /** Online requests that run or wait there. */
+    std::uint32_t inFlight = 0;
+    /** How long ago that was so. */
+    std::uint32_t ageMilliseconds = 0;
+    /** It is about to go and must get nothing new. */
+    bool isLeaving = false;
+    /** Which start of the endpoint; empty if it does not say. */
+    std::string instance;
+    /** The model version it has loaded; empty if it does not say. */
+    std::string version;
+    /** The adapters it has loaded. */
+    std::vector<std::string> adapters;
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint,
+                this->inFlight,
+                this->ageMilliseconds,
+                this->isLeaving,
+                this->instance,
+                this->version,
+                this->adapters);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1169,13 +1348,17 @@
     static constexpr MessageNumber number{17};
     /** Items to run, most urgent first. */
     std::vector<BatchItem> items;
+    /** Items of the model that still wait here. */
+    std::uint32_t waiting = 0;
+    /** When the most urgent of them must start to be done in time. */
+    WallTime latestStart;
 
     bool operator==(const PullItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->items);
+        archive(this->items, this->waiting, this->latestStart);
     }
 };
 
@@ -1225,13 +1408,15 @@
     std::vector<JobId> jobs;
     /** Who asks. */
     SessionNumber runner;
+    /** All items it holds of these jobs: an owner that has taken the shard over learns of their leases by this. */
+    std::vector<HeldItems> held;
 
     bool operator==(const RenewItemsRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->jobs, this->runner);
+        archive(this->jobs, this->runner, this->held);
     }
 };
 
@@ -1241,13 +1426,69 @@
     static constexpr MessageNumber number{21};
     /** Jobs whose items are to be cancelled. */
     std::vector<JobId> stopped;
+    /** Jobs that this node does not own, or not yet. */
+    std::vector<JobId> notOwned;
+    /** Items that are done, or that another runner has by now: not to be run on. */
+    std::vector<HeldItems> lost;
 
     bool operator==(const RenewItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->stopped);
+        archive(this->stopped, this->notOwned, this->lost);
+    }
+};
+
+/** A runner gives items back that it will not run, so that they need not wait for their leases to end. */
+struct ReturnItemsRequest
+{
+    static constexpr MessageNumber number{70};
+    using Response = ReturnItemsResponse;
+    /** Which. */
+    std::vector<HeldItems> items;
+    /** Who held them. */
+    SessionNumber runner;
+
+    bool operator==(const ReturnItemsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->items, this->runner);
+    }
+};
+
+/** The answer to a ReturnItemsRequest. */
+struct ReturnItemsResponse
+{
+    static constexpr MessageNumber number{71};
+    /** Jobs that this node does not own. */
+    std::vector<JobId> notOwned;
+
+    bool operator==(const ReturnItemsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->notOwned);
+    }
+};
+
+/** Datagram: an owner tells a runner that a job was cancelled. If it is lost, the runner learns of it when it renews its leases.
+ */
+struct JobStopped
+{
+    static constexpr MessageNumber number{72};
+    /** The job. */
+    JobId jobId;
+
+    bool operator==(const JobStopped &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId);
     }
 };
 
@@ -1334,6 +1575,27 @@
     }
 };
 
+/** Datagram: a node tells all, a few times over, which requests it lost with an endpoint, and which of them have since run to
+ * their end. */
+struct SuspectNotice
+{
+    static constexpr MessageNumber number{60};
+    /** Who tells. */
+    SessionNumber from;
+    /** Requests lost with an endpoint. */
+    std::vector<Suspect> suspects;
+    /** Hashes of the content of suspects that succeeded. */
+    std::vector<std::uint64_t> cleared;
+
+    bool operator==(const SuspectNotice &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->suspects, this->cleared);
+    }
+};
+
 /** Asks a node for the newest version it holds. */
 struct ConfigurationRequest
 {
@@ -1480,4 +1742,60 @@
     }
 };
 
+/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
+struct LoadInterest
+{
+    static constexpr MessageNumber number{50};
+    /** Who wants them. */
+    SessionNumber from;
+    /** How far apart they may come at the closest. */
+    std::uint32_t intervalMilliseconds = 0;
+    /** Which replicas. */
+    std::vector<EndpointName> endpoints;
+
+    bool operator==(const LoadInterest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->intervalMilliseconds, this->endpoints);
+    }
+};
+
+/** Datagram: load reports for a node that asked for them. */
+struct LoadReports
+{
+    static constexpr MessageNumber number{51};
+    /** Who polls the endpoints. */
+    SessionNumber from;
+    /** The latest reports. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const LoadReports &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
+struct EndpointLeaving
+{
+    static constexpr MessageNumber number{52};
+    /** Who tells. */
+    SessionNumber from;
+    /** The endpoints, each with its instance. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const EndpointLeaving &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -102,6 +102,9 @@
             [this](const MemberViewPointer &view) {
                 if (!this->closed) {
                     this->versions.setMembers(view->members(), this->self);
+                    if (this->orders) {
+                        this->orders->setView(*view);
+                    }
                     this->onChange(view);
                 }
             },
@@ -126,6 +129,9 @@
 
 void ControlTask::rejoin()
 {
+    if (this->orders) {
+        this->orders->setSession(this->self);
+    }
     Member self = this->joined;
     self.session = this->self;
     // The former session's members are asked first: they are likely to be there still.
@@ -133,7 +139,7 @@
     for (const Member &member : this->membership->view()->members()) {
         others.push_back(member.gossip);
     }
-    this->toldBacklog = 0;
+    this->toldModels = 0;
     this->join(std::move(self), this->onChange);
     this->membership->contact(others);
 }
@@ -186,6 +192,19 @@
     });
 }
 
+void ControlTask::startOrders()
+{
+    this->orders.emplace(this->loop, this->clock, *this->platform, this->self, this->settings.current(), [this] {
+        const ConfigurationKeeper &keeper = this->versions.keeper();
+        return Reconciler::Configuration{keeper.settings(), keeper.inForce()};
+    });
+    this->board.add("orders", [this](const StatusBoard::Collected &collected) {
+        collected(this->orders->status());
+    });
+    this->orders->setView(*this->membership->view());
+    this->orders->start();
+}
+
 ConfigurationService &ControlTask::configuration()
 {
     return this->versions;
@@ -245,23 +264,25 @@
     this->membership->update(change);
 }
 
-void ControlTask::tellBacklog(std::uint32_t backlog)
+void ControlTask::tellBacklog(std::uint32_t backlog, std::uint64_t models)
 {
-    // Each change is news to every node. What matters to the lanes is whether there is work, and roughly how much.
-    const std::uint32_t step = this->toldBacklog / 2;
-    const bool isClose = backlog + step >= this->toldBacklog && backlog <= this->toldBacklog + step;
-    const bool sameSign = (backlog == 0) == (this->toldBacklog == 0);
-    if (!this->membership || (isClose && sameSign)) {
+    // Each change is news to every node. What matters to the lanes is for which models there is work; how much, and how
+    // urgent it is, they learn when they ask for items.
+    if (!this->membership || models == this->toldModels) {
         return;
     }
-    this->toldBacklog = backlog;
-    this->membership->update([backlog](Member &member) {
+    this->toldModels = models;
+    this->membership->update([backlog, models](Member &member) {
         member.backlog = backlog;
+        member.backlogModels = models;
     });
 }
 
 void ControlTask::leave()
 {
+    if (this->orders) {
+        this->orders->release();
+    }
     this->membership->update([](Member &member) {
         member.state = MemberState::Dead;
     });
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -1,15 +1,20 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibFleet/ReplicaTable.h>
+#include <LibFleet/FleetState.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/ReplicaChooser.h>
+#include <LibRouting/RetryBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Control/OperatorRequest.h>
+#include <Services/Entry/Admission.h>
+#include <Services/Entry/FleetWatch.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
+#include <Services/Entry/SuspectNotices.h>
 
 #include <random>
 
@@ -30,6 +35,12 @@
     Platform &platform;
     NodeMetrics &metrics;
     std::mt19937_64 &random;
+    RetryBudget &retries;
+    SuspectNotices &suspects;
+    Admission &admission;
+    FleetState &fleet;
+    ReplicaChooser &chooser;
+    FleetWatch &watch;
     /** Takes operators' requests to the control task. */
     OperatorGateway operators;
 };
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -15,6 +15,16 @@
     return {static_cast<std::uint32_t>(settings.owner.shards), settings.peers.callTimeout};
 }
 
+RetryBudget::Options retryOptions(const RetrySettings &settings)
+{
+    return {.perSuccess = settings.perSuccess, .perSecond = settings.perSecond, .most = settings.burst};
+}
+
+Quarantine::Options quarantineOptions(const QuarantineSettings &settings)
+{
+    return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
+}
+
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -32,9 +42,20 @@
     , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
     , replicas(settings->endpoints)
-    , datagrams(loop, {settings->listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , datagrams(loop,
+                {settings->listen.lane.ip, 0},
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->receive(datagram);
+                })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
+    , retries(clock, retryOptions(settings->retries))
+    , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
+    , admission(loop, clock, this->settings, this->replicas)
+    , fleet(clock, this->settings, this->replicas)
+    , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
+    , chooser(clock, this->settings, this->replicas, this->random)
     , context{loop,
               clock,
               this->settings,
@@ -46,6 +67,12 @@
               *this->platform,
               metrics,
               this->random,
+              this->retries,
+              this->suspects,
+              this->admission,
+              this->fleet,
+              this->chooser,
+              this->watch,
               std::move(operators)}
     , service(this->context)
     , server(loop,
@@ -67,6 +94,8 @@
 {
     this->owners.setView(view);
     this->notices.setView(view);
+    this->suspects.setView(view);
+    this->watch.setView(view);
     this->service.setView(view);
 }
 
@@ -75,6 +104,22 @@
     this->service.setReady(isReady);
 }
 
+void EntryTask::receive(const Datagram &datagram)
+{
+    if (datagram.number != SuspectNotice::number) {
+        this->watch.receive(datagram);
+        return;
+    }
+    if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
+        this->suspects.receive(*notice);
+    }
+}
+
+std::size_t EntryTask::quarantinedRequests() const
+{
+    return this->suspects.quarantine().quarantined().size();
+}
+
 void EntryTask::setSession(SessionNumber self)
 {
     this->context.self = self;
@@ -92,7 +137,17 @@
 
 void EntryTask::setVms(const ListedVmsPointer &vms)
 {
-    this->replicas.markLeaving(*vms);
+    this->watch.observe(*vms);
+}
+
+const Address &EntryTask::fleetAddress() const
+{
+    return this->datagrams.address();
+}
+
+void EntryTask::watchFleet(FleetWatch::LeavingChanged leaving)
+{
+    this->watch.start(std::move(leaving));
 }
 
 void EntryTask::drain()
--- /dev/null
+++ b/Services/Entry/FleetWatch.cpp
@@ -0,0 +1,347 @@
+#include <Services/Entry/FleetWatch.h>
+
+#include <LibBase/Log.h>
+#include <Services/Entry/EndpointReports.h>
+
+#include <algorithm>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr std::size_t namesPerDatagram = 32;
+constexpr std::size_t reportsPerDatagram = 16;
+/** A pool counts as in use for this long after the last request. */
+constexpr std::chrono::seconds useMemory{30};
+/** A datagram may be lost; that an endpoint leaves is told this often. */
+constexpr int leavingRepeats = 3;
+constexpr std::chrono::milliseconds leavingRepeat{300};
+constexpr const char *leavingHeader = "Dogwoodkeel-Leaving";
+constexpr const char *loadHeader = "Dogwoodkeel-Load";
+
+std::uint32_t millisecondsSince(SteadyTime then, SteadyTime now)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count());
+}
+
+} // namespace
+
+FleetWatch::FleetWatch(EventLoop &loop,
+                       const Clock &clock,
+                       const SettingsHandle &settings,
+                       SessionNumber self,
+                       HttpClient &http,
+                       DatagramSocket &datagrams,
+                       ReplicaTable &replicas,
+                       FleetState &state)
+    : loop(loop)
+    , clock(clock)
+    , settings(settings)
+    , self(self)
+    , http(http)
+    , datagrams(datagrams)
+    , replicas(replicas)
+    , state(state)
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
+{
+}
+
+FleetWatch::~FleetWatch()
+{
+    *this->alive = false;
+}
+
+void FleetWatch::start(LeavingChanged leaving)
+{
+    this->leaving = std::move(leaving);
+    this->poll();
+    this->askForReports();
+}
+
+void FleetWatch::setView(MemberViewPointer view)
+{
+    this->view = std::move(view);
+}
+
+bool FleetWatch::isPolledHere(const Replica &replica) const
+{
+    const Member *const holder = this->view->holderOf(replica.name);
+    return holder != nullptr && holder->session == this->self;
+}
+
+void FleetWatch::poll()
+{
+    for (Replica &replica : this->replicas.all()) {
+        if (this->isPolledHere(replica) && this->asked.insert(replica.name).second) {
+            this->pollOne(replica);
+        }
+    }
+    this->sendReports();
+    this->loop.schedule(this->settings->fleet.loadPoll, [this, alive = this->alive] {
+        if (*alive) {
+            this->poll();
+        }
+    });
+}
+
+void FleetWatch::pollOne(Replica &replica)
+{
+    const auto answered = [this, name = replica.name, sent = this->clock.now(), alive = this->alive](
+                              ExchangeEnd end, const HttpResponse &response) {
+        if (!*alive) {
+            return;
+        }
+        this->asked.erase(name);
+        if (end == ExchangeEnd::Complete && response.status == statusOk) {
+            this->onLoad(name, sent, response.body);
+        }
+    };
+    this->http.fetch(replica.address, {.method = "GET", .path = "/load"}, this->settings->fleet.loadPoll * 2, answered);
+}
+
+void FleetWatch::onLoad(const EndpointName &name, SteadyTime asked, const std::string &body)
+{
+    std::optional<ReplicaReport> report = parseLoadReport(body);
+    Replica *const replica = this->replicas.find(name);
+    if (!report || replica == nullptr) {
+        return;
+    }
+    report->endpoint = name;
+    this->latest[name] = {*report, asked};
+    report->ageMilliseconds += millisecondsSince(asked, this->clock.now());
+    this->learnt(*report);
+    this->pollEvents(*replica);
+}
+
+void FleetWatch::pollEvents(Replica &replica)
+{
+    const std::string query = "after=" + std::to_string(replica.prefixes.last());
+    const auto answered = [this, name = replica.name, instance = replica.instance, alive = this->alive](
+                              ExchangeEnd end, const HttpResponse &response) {
+        const bool isAnswer = *alive && end == ExchangeEnd::Complete && response.status == statusOk;
+        Replica *const asked = isAnswer ? this->replicas.find(name) : nullptr;
+        if (asked != nullptr && instance == asked->instance) {
+            FleetState::observe(*asked, parseCacheEvents(response.body));
+        }
+    };
+    this->http.fetch(
+        replica.address, {.method = "GET", .path = "/events", .query = query}, this->settings->fleet.loadPoll * 2, answered);
+}
+
+void FleetWatch::sendReports()
+{
+    const SteadyTime now = this->clock.now();
+    for (const ReportSubscriptions::Due &due : this->subscriptions.due(now)) {
+        const Member *const member = this->view->find(due.to);
+        if (member == nullptr) {
+            continue;
+        }
+        LoadReports message{this->self, {}};
+        for (const EndpointName &name : due.endpoints) {
+            const auto known = this->latest.find(name);
+            if (known == this->latest.end()) {
+                continue;
+            }
+            ReplicaReport &report = message.reports.emplace_back(known->second.report);
+            report.ageMilliseconds += millisecondsSince(known->second.at, now);
+            if (message.reports.size() == reportsPerDatagram) {
+                this->datagrams.send(member->fleet, message);
+                message.reports.clear();
+            }
+        }
+        if (!message.reports.empty()) {
+            this->datagrams.send(member->fleet, message);
+        }
+    }
+}
+
+std::vector<const Replica *> FleetWatch::inUse()
+{
+    const SteadyTime now = this->clock.now();
+    std::unordered_map<std::string, bool> used;
+    for (const Replica &replica : this->replicas.all()) {
+        used[replica.serves] |= now - replica.used < useMemory;
+    }
+    std::vector<const Replica *> wanted;
+    for (const Replica &replica : this->replicas.all()) {
+        if (used[replica.serves]) {
+            wanted.push_back(&replica);
+        }
+    }
+    return wanted;
+}
+
+void FleetWatch::askForReports()
+{
+    const std::vector<const Replica *> wanted = this->inUse();
+    const FleetSettings &fleet = this->settings->fleet;
+    const auto interval
+        = ReportSubscriptions::interval(wanted.size(), static_cast<std::size_t>(fleet.loadBytesPerSecond), fleet.loadPoll);
+    std::map<Address, LoadInterest> byHolder;
+    for (const Replica *const replica : wanted) {
+        const Member *const holder = this->view->holderOf(replica->name);
+        if (holder == nullptr || holder->session == this->self) {
+            continue;
+        }
+        LoadInterest &interest = byHolder[holder->fleet];
+        interest.endpoints.push_back(replica->name);
+        if (interest.endpoints.size() == namesPerDatagram) {
+            interest.from = this->self;
+            interest.intervalMilliseconds = static_cast<std::uint32_t>(interval.count());
+            this->datagrams.send(holder->fleet, std::exchange(interest, {}));
+        }
+    }
+    for (auto &[address, interest] : byHolder) {
+        interest.from = this->self;
+        interest.intervalMilliseconds = static_cast<std::uint32_t>(interval.count());
+        this->datagrams.send(address, interest);
+    }
+    const auto again = std::min<std::chrono::milliseconds>(ReportSubscriptions::renewal(interval), useMemory);
+    this->loop.schedule(again, [this, alive = this->alive] {
+        if (*alive) {
+            this->askForReports();
+        }
+    });
+}
+
+void FleetWatch::receive(const Datagram &datagram)
+{
+    switch (datagram.number) {
+    case LoadInterest::number:
+        if (const auto interest = decode<LoadInterest>(datagram.payload)) {
+            this->receive(*interest);
+        }
+        return;
+    case LoadReports::number:
+        if (const auto reports = decode<LoadReports>(datagram.payload)) {
+            this->receive(*reports);
+        }
+        return;
+    case EndpointLeaving::number:
+        if (const auto message = decode<EndpointLeaving>(datagram.payload)) {
+            this->receive(*message);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void FleetWatch::receive(const LoadInterest &interest)
+{
+    const auto interval = std::max(this->settings->fleet.loadPoll, std::chrono::milliseconds(interest.intervalMilliseconds));
+    this->subscriptions.renew(interest.from, interval, interest.endpoints, this->clock.now());
+}
+
+void FleetWatch::receive(const LoadReports &reports)
+{
+    for (const ReplicaReport &report : reports.reports) {
+        this->learnt(report);
+    }
+}
+
+void FleetWatch::receive(const EndpointLeaving &leaving)
+{
+    for (const ReplicaReport &report : leaving.reports) {
+        Replica *const replica = this->replicas.find(report.endpoint);
+        if (replica != nullptr && this->state.markLeaving(*replica, report.instance)) {
+            this->tellLeaving(*replica);
+            this->tellChange(*replica);
+        }
+    }
+}
+
+void FleetWatch::learnt(const ReplicaReport &report)
+{
+    if (this->state.observe(report)) {
+        this->tellLeaving(*this->replicas.find(report.endpoint));
+    }
+    if (const Replica *const replica = this->replicas.find(report.endpoint)) {
+        this->tellChange(*replica);
+    }
+}
+
+void FleetWatch::observe(const std::vector<ListedVm> &vms)
+{
+    for (const Replica *const replica : this->state.observe(vms)) {
+        this->tellLeaving(*replica);
+    }
+    for (const Replica &replica : this->replicas.all()) {
+        this->tellChange(replica);
+    }
+}
+
+void FleetWatch::sawHeaders(Replica &replica, const HttpHeaders &headers)
+{
+    const auto leaving = headerValue(headers, leavingHeader);
+    if (leaving && *leaving == "true" && this->state.markLeaving(replica)) {
+        this->tellLeaving(replica);
+        this->tellChange(replica);
+    }
+    const auto load = headerValue(headers, loadHeader);
+    std::uint32_t inFlight = 0;
+    if (load && std::from_chars(load->data(), load->data() + load->size(), inFlight).ec == std::errc()) {
+        FleetState::observeLoad(replica, inFlight, this->clock.now());
+    }
+}
+
+void FleetWatch::tellLeaving(const Replica &replica)
+{
+    log(LogLevel::Info,
+        "endpoint leaves",
+        {{"endpoint", replica.name.value()}, {"failure_domain", replica.failureDomain.value()}});
+    ReplicaReport report;
+    report.endpoint = replica.name;
+    report.isLeaving = true;
+    report.instance = replica.leavingInstance;
+    this->tellOthers(report, leavingRepeats);
+}
+
+void FleetWatch::tellOthers(const ReplicaReport &report, int times)
+{
+    // The node that polls the endpoint tells all; any other tells only that node. So each node hears of it at a cost
+    // that grows with the number of nodes, and not with its square.
+    const EndpointLeaving message{this->self, {report}};
+    const Member *const holder = this->view->holderOf(report.endpoint);
+    if (holder != nullptr && holder->session != this->self) {
+        this->datagrams.send(holder->fleet, message);
+    } else {
+        for (const Member &member : this->view->members()) {
+            if (member.session != this->self) {
+                this->datagrams.send(member.fleet, message);
+            }
+        }
+    }
+    if (times > 1) {
+        this->loop.schedule(leavingRepeat, [this, report, times, alive = this->alive] {
+            if (*alive) {
+                this->tellOthers(report, times - 1);
+            }
+        });
+    }
+}
+
+void FleetWatch::tellChange(const Replica &replica)
+{
+    const bool wasTold = this->toldLeaving.contains(replica.name);
+    if (replica.isLeaving == wasTold) {
+        return;
+    }
+    if (replica.isLeaving) {
+        this->toldLeaving.insert(replica.name);
+    } else {
+        this->toldLeaving.erase(replica.name);
+        log(LogLevel::Info, "endpoint is back", {{"endpoint", replica.name.value()}});
+    }
+    if (this->leaving) {
+        this->leaving(replica.name, replica.isLeaving);
+    }
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,13 +21,17 @@
 class OwnerService
 {
 public:
-    /** @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more */
+    /**
+     * @param tellStopped see BatchOwner::TellStopped
+     * @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more
+     */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
                  Platform &platform,
                  const SettingsHandle &settings,
                  SessionNumber self,
-                 std::function<void()> onFenced = {});
+                 std::function<void()> onFenced = {},
+                 BatchOwner::TellStopped tellStopped = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -43,8 +47,8 @@
     /** Give everything up, as planned. @param stopped told when the last shard is released */
     void stop(std::function<void()> stopped);
 
-    /** @return batch items that wait at this node's shards. */
-    std::size_t backlog() const;
+    /** @return what waits of batch jobs at this node's shards. */
+    Backlog backlog();
 
     /** @return requests of all shards that are in memory. */
     std::size_t resultsInMemory() const;
