LibJournal: Drop claims that nobody ever gave back

A claim whose release was lost and whose caller never asked again stayed in its owner's memory for ever. It is dropped when its lease has been over for as long again. The test failed with that taken out.

--- a/Libraries/LibJournal/RequestTable.cpp
+++ b/Libraries/LibJournal/RequestTable.cpp
@@ -246,7 +246,8 @@
         Entry &each = current->second;
         const bool isRunning
             = each.stage == Stage::Claimed || each.stage == Stage::IntentPending || each.stage == Stage::IntentDurable;
-        if (!isRunning || !isGone(each.runner)) {
+        const bool isForgotten = each.stage == Stage::Claimed && this->clock.now() >= each.leaseEnd + this->lease;
+        if (!isForgotten && (!isRunning || !isGone(each.runner))) {
             continue;
         }
         switch (each.stage) {
--- a/Libraries/LibJournal/RequestTable.h
+++ b/Libraries/LibJournal/RequestTable.h
@@ -97,7 +97,8 @@
     ReleaseVerdict release(const ReleaseRequest &request);
 
     /**
-     * A session is gone, and what it ran with it: its idempotent claims are free again, its intents end as unknown.
+     * A session is gone, and what it ran with it: its idempotent claims are free again, its intents end as unknown. Claims
+     * whose leases ended long ago are dropped too: their runners gave them up in a way that was never heard of.
      * @param isGone tells whether a session is
      */
     void dropRunners(const std::function<bool(SessionNumber)> &isGone);
--- a/Tests/ServiceOwner/TestOwnerService.cpp
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -126,3 +126,14 @@
         CHECK(fixture.result(fixture.a, id).answer.body == "note");
     }
 }
+
+TEST_CASE("a claim that nobody ever gave back does not stay in memory for ever")
+{
+    // The entry's release was lost, and the caller never asked again.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    REQUIRE((fixture.claim(fixture.a, fixture.a.claimOf("label", 1)).decision == ClaimDecision::Run));
+    CHECK(fixture.a.service.resultsInMemory() == 1);
+    fixture.clock.advance(5min);
+    CHECK(fixture.a.service.resultsInMemory() == 0);
+}
