--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -23,7 +23,7 @@
 };
 
 /** What an engine reports of itself, late. */
-struct EngineReport
+struct EngineLoad
 {
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
@@ -70,7 +70,7 @@
     /** Drop the notices that their entries should have repeated since. */
     void expireNotices();
 
-    void observeReport(const EngineReport &report);
+    void observeReport(const EngineLoad &report);
 
     /** A batch item got a token. @param gap since the one before */
     void observeGap(std::chrono::nanoseconds gap);
@@ -92,7 +92,10 @@
     void settle();
 
     void itemStarted();
-    void itemStopped();
+    /** An item has its first token, so that the engine is done with its prompt. */
+    void itemProceeds();
+    /** @param proceeded whether it had its first token */
+    void itemStopped(bool proceeded);
 
     /** @return items that may be started now. */
     std::uint32_t freePlaces() const;
@@ -119,11 +122,15 @@
     };
 
     double shortShare() const;
+    bool isShared() const;
     void followReaction(std::chrono::nanoseconds passed);
 
     const Clock &clock;
     Options options;
     std::uint32_t items = 0;
+    /** Those without their first token. */
+    std::uint32_t starting = 0;
+    SteadyTime lastOnline{};
     std::uint32_t onlineSum = 0;
     std::map<SessionNumber, Notice> notices;
     HeadroomEstimate rises;
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/CallBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
@@ -39,6 +40,7 @@
     const Address &httpAddress() const;
 
 private:
+    LocalPeer localOwner();
     void openSession();
     void learnConfiguration();
     void makeTasks();
@@ -60,6 +62,7 @@
     SettingsPointer settings;
     std::vector<SettingsSource> ownFiles;
     NodeMetrics metrics;
+    std::shared_ptr<CallBudget> platformBudget;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
