Entry: Take a configuration that is larger than an online request

Cause: /v1/config fell under entry.body_bytes; the configuration of a site with 38,000 tenants and their keys (4.3 MB) was refused with 413 and could never have been changed.

Change: who has an operator's key may send 128 MiB to /v1/config, everyone else no more than before. A reconciler whose row is only waiting for its renewal no longer says that its node is behind.

--- a/Services/Control/Reconciler.cpp
+++ b/Services/Control/Reconciler.cpp
@@ -71,8 +71,13 @@
         return false;
     }
     if (!this->lease.covers(round.configuration.version)) {
-        this->waits = {"orders were given by configuration " + std::to_string(this->lease.row().configVersion)
-                       + ", this node has " + std::to_string(round.configuration.version)};
+        // Older in the row: its renewal is on its way, and orders wait for that only.
+        const std::uint64_t given = this->lease.row().configVersion;
+        this->waits.clear();
+        if (given > round.configuration.version) {
+            this->waits.push_back("orders were given by configuration " + std::to_string(given) + ", this node has "
+                                  + std::to_string(round.configuration.version));
+        }
         return false;
     }
     for (const EndpointSettings &endpoint : round.configuration.settings->endpoints) {
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -37,6 +37,8 @@
 constexpr std::string_view servicesPath = "/v1/services/";
 constexpr std::string_view resultsPath = "/v1/results/";
 constexpr std::string_view configurationPath = "/v1/config";
+/** As JSON, in which the 64 MiB that a configuration may have take more. */
+constexpr std::uint64_t configurationBytes = 134217728;
 constexpr std::string_view statusPath = "/v1/status";
 constexpr std::string_view batchesPath = "/v1/batches";
 constexpr std::string_view filesPath = "/v1/files";
@@ -119,6 +121,13 @@
 
 BodyAdmission EntryService::admit(const HttpRequest &head)
 {
+    // A configuration holds all tenants and endpoints; the bound of an online request would refuse a large site's. Whoever
+    // has no operator's key gets no more room than others.
+    const bool isConfiguration = head.path.starts_with(configurationPath);
+    const std::optional<Caller> caller = isConfiguration ? this->authenticator.authenticate(head.headers) : std::nullopt;
+    if (caller && caller->isOperator) {
+        return {configurationBytes, {}};
+    }
     if (!mayHoldItems(head)) {
         return {static_cast<std::uint64_t>(this->context.settings->entry.bodyBytes), {}};
     }
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -134,7 +134,7 @@
                 return std::make_unique<EmbeddedPlatform>(store, on);
             },
             this->metrics,
-            OperatorGateway());
+            this->operators);
         Member member;
         member.session = SessionNumber(1);
         member.owner = this->owner.server.address();
@@ -202,6 +202,7 @@
     SystemClock clock;
     Settings settings;
     NodeMetrics metrics;
+    OperatorGateway operators;
     ScriptedOwner owner{loop};
     std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
     HttpClient client{loop};
