Services: Give back the claim of a non-idempotent request that was never sent

Found by the history check: after a refusal (overloaded, no endpoint, a claim whose answer came late) the refusal was committed as the answer of the id. Retry-After told the caller to come back, and each resend got the same refusal for good. What may have run is still committed as unknown.

--- a/Benchmarks/Support/HistoryCaller.cpp
+++ b/Benchmarks/Support/HistoryCaller.cpp
@@ -128,6 +128,8 @@
     call.outcome = outcomeOf(response);
     if (call.outcome == CallOutcome::Answered || call.outcome == CallOutcome::Pending) {
         call.text = textOf(response, isCompletion);
+    } else if (call.outcome != CallOutcome::Lost) {
+        call.text = refusalWord(response, "reason");
     }
     if (kind == CallKind::JobSubmission && response.status == statusRunning) {
         call.outcome = CallOutcome::Answered;
--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-void Lane::observeReport(const EngineReport &report)
+void Lane::observeReport(const EngineLoad &report)
 {
     const std::uint32_t known = this->items + this->onlineSum;
     const std::uint32_t reported = report.running + report.queued;
--- a/Libraries/LibBatch/Lane.h
+++ b/Libraries/LibBatch/Lane.h
@@ -23,7 +23,7 @@
 };
 
 /** What an engine reports of itself, late. */
-struct EngineReport
+struct EngineLoad
 {
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
@@ -70,7 +70,7 @@
     /** Drop the notices that their entries should have repeated since. */
     void expireNotices();
 
-    void observeReport(const EngineReport &report);
+    void observeReport(const EngineLoad &report);
 
     /** A batch item got a token. @param gap since the one before */
     void observeGap(std::chrono::nanoseconds gap);
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -193,12 +193,14 @@
     if (!std::exchange(this->hasClaim, false)) {
         return;
     }
-    if (this->request.isNonIdempotent) {
-        // Its intent is durable and cannot be taken back: the refusal becomes its answer, and every resend gets it.
+    if (this->request.isNonIdempotent && this->mayHaveRun) {
+        // It must not run again: the refusal becomes its answer, and every resend gets it.
         const HttpResponse response = refusalResponse(refusal);
         this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
         return;
     }
+    // It was not sent and will not be. Kept as an answer, the refusal would meet its caller at each resend, though
+    // Retry-After had told it to come back: given back, a resend runs. The owner withdraws a durable intent by a record.
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -335,7 +335,7 @@
         return;
     }
     HeldLane &held = this->lanes.at(name);
-    const EngineReport report{json.value("running", 0U), json.value("queued", 0U)};
+    const EngineLoad report{json.value("running", 0U), json.value("queued", 0U)};
     held.isLeaving = held.isLeaving || json.value("leaving", false);
     if (held.isOurs) {
         held.lane.observeReport(report);
