--- a/Libraries/LibBatch/JobTable.h
+++ b/Libraries/LibBatch/JobTable.h
@@ -110,6 +110,9 @@
     const Job *find(const JobId &id) const;
     JobProgress progress(const JobId &id) const;
 
+    /** @return up to limit jobs of a tenant, the newest first. */
+    std::vector<ListedJob> list(const TenantName &tenant, std::size_t limit) const;
+
     /** Mark a job as warned of. @return whether it was not yet */
     bool warnOnce(const JobId &id);
 
--- a/Libraries/LibTask/Sockets.h
+++ b/Libraries/LibTask/Sockets.h
@@ -16,4 +16,7 @@
 /** @return where a socket is bound. */
 Address boundAddress(int descriptor);
 
+/** Send what is written to a TCP socket at once instead of waiting for the last part's acknowledgement. */
+void sendWithoutDelay(int descriptor);
+
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/CallBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
@@ -39,6 +40,7 @@
     const Address &httpAddress() const;
 
 private:
+    LocalPeer localOwner();
     void openSession();
     void learnConfiguration();
     void makeTasks();
@@ -47,6 +49,7 @@
     void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
     void askControl(OperatorRequest request, OperatorRespond respond);
     void serveControlCalls();
+    void addStatusParts();
     template <typename Request>
     void
     forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
@@ -59,6 +62,7 @@
     SettingsPointer settings;
     std::vector<SettingsSource> ownFiles;
     NodeMetrics metrics;
+    std::shared_ptr<CallBudget> platformBudget;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -103,8 +103,8 @@
             [this](int status, const HttpHeaders &headers) {
                 this->context.watch.sawHeaders(*this->replica, headers);
                 this->response.status = status;
-                this->response.headers["Content-Type"]
-                    = headerValue(headers, "Content-Type").value_or("application/octet-stream");
+                this->response.headers = passedHeaders(headers);
+                this->response.headers.try_emplace("Content-Type", "application/octet-stream");
             },
         .onData =
             [this](std::string_view data) {
