LibRouting: Age load reports by how long requests last, and bound prefixes by time

Change: the last report counts for half after half a request's mean lifetime (measured by Little's law); what is missing is filled by the average of the replica's reports, which shows what is lastingly uneven, and only then by the pool's mean. The bound compares requests weighted by service time. Endpoints are polled every 200 ms; load_lag says how late reports are that don't say it.

--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -2,10 +2,18 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 
 namespace Dogwoodkeel
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds shortestHalfLife{10};
+
+} // namespace
+
 FleetState::FleetState(const Clock &clock, const SettingsHandle &settings, ReplicaTable &replicas)
     : clock(clock), settings(settings), replicas(replicas)
 {
@@ -14,12 +22,16 @@
 void FleetState::begin(Replica &replica)
 {
     replica.used = this->clock.now();
+    occupy(replica, replica.used);
     replica.history.record(++replica.inFlight, replica.used);
 }
 
 void FleetState::end(Replica &replica, const AttemptResult &result)
 {
     const SteadyTime now = this->clock.now();
+    occupy(replica, now);
+    // Little's law: the request-seconds over the requests that ended are the mean time a request lasts.
+    replica.lifetime.observe(std::exchange(replica.occupied, 0), now, this->settings->fleet.latencyHalfLife);
     replica.history.record(--replica.inFlight, now);
     switch (result.outcome) {
     case AttemptOutcome::Succeeded:
@@ -42,6 +54,12 @@
     }
 }
 
+void FleetState::occupy(Replica &replica, SteadyTime now)
+{
+    replica.occupied += replica.inFlight * std::chrono::duration<double>(now - replica.occupiedUntil).count();
+    replica.occupiedUntil = now;
+}
+
 bool FleetState::observe(const ReplicaReport &report)
 {
     Replica *const replica = this->replicas.find(report.endpoint);
@@ -64,7 +82,9 @@
 void FleetState::observeLoad(Replica &replica, std::uint32_t inFlight, SteadyTime at)
 {
     const double own = replica.history.at(at);
-    replica.others = {std::max(0.0, inFlight - own), at};
+    replica.others.inFlight = std::max(0.0, inFlight - own);
+    replica.others.at = at;
+    replica.others.average.observe(replica.others.inFlight, this->clock.now(), this->settings->fleet.loadHalfLife);
 }
 
 void FleetState::observeInstance(Replica &replica, const std::string &instance)
@@ -134,10 +154,16 @@
     replica.prefixes.observe(events);
 }
 
-double estimatedInFlight(const Replica &replica, SteadyTime now, std::chrono::milliseconds halfLife, double poolMean)
+double estimatedInFlight(const Replica &replica, SteadyTime now, const LoadPrior &prior)
 {
-    const double trust = remainingShare(now - replica.others.at, halfLife);
-    return replica.inFlight + trust * replica.others.inFlight + (1 - trust) * poolMean;
+    const auto age = now - replica.others.at;
+    const double averageTrust = remainingShare(age, prior.averageHalfLife);
+    const double average = replica.others.average.valueOr(prior.othersMean);
+    const double lasting = averageTrust * average + (1 - averageTrust) * prior.othersMean;
+    // NOTE: Half of the mean lifetime, not all of it: the other nodes saw the same report and have acted on it.
+    const auto halfLife = std::chrono::ceil<std::chrono::milliseconds>(prior.lifetime / 2);
+    const double trust = remainingShare(age, std::max(halfLife, shortestHalfLife));
+    return replica.inFlight + trust * replica.others.inFlight + (1 - trust) * lasting;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -71,7 +71,7 @@
     std::vector<Replica *> observe(const std::vector<ListedVm> &vms);
 
     /** An endpoint told how many requests it has, with an answer: as fresh as it gets, and free. */
-    static void observeLoad(Replica &replica, std::uint32_t inFlight, SteadyTime at);
+    void observeLoad(Replica &replica, std::uint32_t inFlight, SteadyTime at);
 
     /** Cache events came. */
     static void observe(Replica &replica, const std::vector<CacheEvent> &events);
@@ -79,17 +79,29 @@
 private:
     void observeInstance(Replica &replica, const std::string &instance);
     void restarted(Replica &replica);
+    static void occupy(Replica &replica, SteadyTime now);
 
     const Clock &clock;
     const SettingsHandle &settings;
     ReplicaTable &replicas;
 };
 
+/** What is assumed of a replica where its reports say too little. */
+struct LoadPrior
+{
+    /** The other nodes' requests on a replica of its capacity, on average over the pool. */
+    double othersMean = 0;
+    /** How long a request lasts, on average over the pool; 0 if it is not known. */
+    std::chrono::duration<double> lifetime{0};
+    /** How fast the average of the reports forgets. */
+    std::chrono::milliseconds averageHalfLife{0};
+};
+
 /**
- * Requests on a replica, of all nodes: this node's own, which are exact, and the others', which count less the longer
- * ago they were told; what is missing is filled with the pool's mean.
- * @param poolMean the others' requests on a replica of its capacity, on average over the pool
+ * Requests on a replica, of all nodes: this node's own, which are exact, and the others'. Of those the last report says
+ * something only as long as the requests it counted last; after that the average of the reports says more, because it
+ * shows what is lastingly uneven (a popular prefix, a slow replica); and after that the pool's mean.
  */
-double estimatedInFlight(const Replica &replica, SteadyTime now, std::chrono::milliseconds halfLife, double poolMean);
+double estimatedInFlight(const Replica &replica, SteadyTime now, const LoadPrior &prior);
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibFleet/Replica.h
+++ b/Libraries/LibFleet/Replica.h
@@ -20,6 +20,8 @@
     double inFlight = 0;
     /** When that was so; the epoch if it was never told. */
     SteadyTime at{};
+    /** Over the reports that came. */
+    DecayingAverage average;
 };
 
 /** Whether a replica is kept out of the choice because it failed too often. */
@@ -70,6 +72,11 @@
     DecayingAverage failures;
     /** Time of service: per token for a stream, of the whole call for a plain service; in seconds. */
     DecayingAverage serviceTime;
+    /** How long requests of this node last there, in seconds. */
+    DecayingAverage lifetime;
+    /** Request-seconds there since the last one ended. */
+    double occupied = 0;
+    SteadyTime occupiedUntil{};
     Ejection ejection;
     /** Since when it is being given more again, after it was new or ejected. */
     SteadyTime rampStart{};
--- a/Libraries/LibRouting/ReplicaChooser.cpp
+++ b/Libraries/LibRouting/ReplicaChooser.cpp
@@ -105,24 +105,27 @@
 {
     double known = 0;
     double knownOthers = 0;
-    double capacity = 0;
-    double own = 0;
     double serviceTime = 0;
     double measured = 0;
+    double lifetime = 0;
     for (const Replica *const replica : pool.usable) {
         // Each counts as much as its report is fresh.
         const double trust = remainingShare(now - replica->others.at, settings.loadHalfLife);
         known += trust * replica->capacity;
-        knownOthers += trust * replica->others.inFlight;
-        capacity += replica->capacity;
-        own += replica->inFlight;
+        knownOthers += trust * replica->others.average.valueOr(0);
         const double seconds = replica->serviceTime.valueOr(0);
         serviceTime += seconds;
         measured += seconds > 0 ? 1 : 0;
+        lifetime += replica->lifetime.valueOr(0);
     }
     pool.means.othersPerCapacity = known > 0 ? knownOthers / known : 0;
-    pool.means.inFlightPerCapacity = pool.means.othersPerCapacity + (capacity > 0 ? own / capacity : 0);
     pool.means.serviceTime = measured > 0 ? serviceTime / measured : 0;
+    pool.means.lifetime = measured > 0 ? lifetime / measured : 0;
+    double busy = 0;
+    for (const Replica *const replica : pool.usable) {
+        busy += busyness(*replica, pool.means, 0, now, settings);
+    }
+    pool.means.busyness = pool.usable.empty() ? 0 : busy / static_cast<double>(pool.usable.size());
 }
 
 std::string ReplicaChooser::versionFor(const Pool &pool, const ChoiceWish &wish)
@@ -177,11 +180,10 @@
 
 bool ReplicaChooser::hasRoom(const Replica &replica, const Draw &draw) const
 {
-    const double capacity = replica.capacity * rampShare(replica, draw.now, this->settings->fleet.slowStart);
-    const double others = draw.pool.means.othersPerCapacity * replica.capacity;
-    const double inFlight = estimatedInFlight(replica, draw.now, this->settings->fleet.loadHalfLife, others);
-    const double mean = draw.pool.means.inFlightPerCapacity * capacity;
-    return inFlight + 1 <= std::ceil(this->settings->fleet.prefixLoadBound * (mean + 1)) && inFlight < capacity;
+    const FleetSettings &fleet = this->settings->fleet;
+    const double onePlace = 1 / std::max(1.0, static_cast<double>(replica.capacity));
+    const double busy = busyness(replica, draw.pool.means, 1, draw.now, fleet);
+    return busy <= fleet.prefixLoadBound * (draw.pool.means.busyness + onePlace);
 }
 
 double ReplicaChooser::cost(const Replica &replica, const Draw &draw) const
--- a/Libraries/LibRouting/ReplicaScore.cpp
+++ b/Libraries/LibRouting/ReplicaScore.cpp
@@ -41,6 +41,16 @@
     return std::max(leastRamp, share);
 }
 
+double busyness(const Replica &replica, const PoolMeans &means, double more, SteadyTime now, const FleetSettings &settings)
+{
+    const double capacity = std::max(1.0, static_cast<double>(replica.capacity));
+    const LoadPrior prior{
+        means.othersPerCapacity * capacity, std::chrono::duration<double>(means.lifetime), settings.loadHalfLife};
+    const double inFlight = estimatedInFlight(replica, now, prior);
+    const double places = capacity * rampShare(replica, now, settings.slowStart);
+    return relativeServiceTime(replica, means) * (inFlight + more) / places;
+}
+
 double replicaCost(const Replica &replica,
                    const PoolMeans &means,
                    const FailureDomain &failureDomain,
@@ -48,11 +58,7 @@
                    SteadyTime now,
                    const FleetSettings &settings)
 {
-    const double capacity = std::max(1.0, static_cast<double>(replica.capacity));
-    const double others = means.othersPerCapacity * capacity;
-    const double inFlight = estimatedInFlight(replica, now, settings.loadHalfLife, others);
-    double cost = relativeServiceTime(replica, means) * (inFlight + 1) / capacity;
-    cost /= rampShare(replica, now, settings.slowStart);
+    double cost = busyness(replica, means, 1, now, settings);
     // What fails with probability p has to be sent 1/(1-p) times on average.
     const double failed = replica.failures.valueOr(0) * std::min(1.0, static_cast<double>(replica.failuresInARow));
     cost /= 1 - std::min(failed, worstFailureShare);
--- a/Libraries/LibRouting/ReplicaScore.h
+++ b/Libraries/LibRouting/ReplicaScore.h
@@ -11,10 +11,12 @@
 {
     /** The other nodes' requests per unit of capacity. */
     double othersPerCapacity = 0;
-    /** All requests per unit of capacity. */
-    double inFlightPerCapacity = 0;
+    /** How full the replicas are, weighted by their service time, as busyness() has it. */
+    double busyness = 0;
     /** Seconds; 0 if nothing was measured. */
     double serviceTime = 0;
+    /** How long a request lasts, in seconds; 0 if nothing was measured. */
+    double lifetime = 0;
 };
 
 /**
@@ -23,6 +25,12 @@
  */
 double rampShare(const Replica &replica, SteadyTime now, std::chrono::milliseconds slowStart);
 
+/**
+ * How full a replica is, weighted by its service time: requests per place, times how much longer than the mean it takes.
+ * @param more requests to count beside those that are there
+ */
+double busyness(const Replica &replica, const PoolMeans &means, double more, SteadyTime now, const FleetSettings &settings);
+
 /**
  * How long a request would take on a replica, in relation to the others: its service time, from what was measured,
  * times how full it would be. So an old accelerator that takes twice as long gets half as many requests, whatever
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -156,11 +156,14 @@
 struct FleetSettings
 {
     /** How often an endpoint's load report and cache events are read, by one node for all. */
-    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(200);
     /** Load reports a node lets the others send it; with more replicas in use they come less often. */
     std::int64_t loadBytesPerSecond = 4096;
-    /** After this age a load report counts half, and the pool's mean the other half. */
-    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How late the load reports of endpoints are that do not say it themselves. */
+    std::chrono::milliseconds loadLag = std::chrono::milliseconds(0);
+    /** How fast the average of a replica's load reports forgets. How fast the last report itself ages follows from how long
+     * requests last. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured service time forgets. */
     std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured share of failures forgets. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -160,6 +160,7 @@
     reader.rejectUnknownKeys(table,
                              {"load_poll",
                               "load_bytes_per_second",
+                              "load_lag",
                               "load_half_life",
                               "latency_half_life",
                               "failure_half_life",
@@ -177,6 +178,11 @@
                         {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(60000)});
     reader.readInteger(
         table, "load_bytes_per_second", target.loadBytesPerSecond, Presence::Optional, {.least = 64, .most = 10000000});
+    reader.readDuration(table,
+                        "load_lag",
+                        target.loadLag,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(60000)});
     reader.readDuration(table,
                         "load_half_life",
                         target.loadHalfLife,
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -113,6 +113,9 @@
         return;
     }
     report->endpoint = name;
+    if (report->ageMilliseconds == 0) {
+        report->ageMilliseconds = static_cast<std::uint32_t>(this->settings->fleet.loadLag.count());
+    }
     this->latest[name] = {*report, asked};
     report->ageMilliseconds += millisecondsSince(asked, this->clock.now());
     this->learnt(*report);
@@ -287,7 +290,7 @@
     const auto load = headerValue(headers, loadHeader);
     std::uint32_t inFlight = 0;
     if (load && std::from_chars(load->data(), load->data() + load->size(), inFlight).ec == std::errc()) {
-        FleetState::observeLoad(replica, inFlight, this->clock.now());
+        this->state.observeLoad(replica, inFlight, this->clock.now());
     }
 }
 
