--- a/Benchmarks/Measure/Routing.cpp
+++ b/Benchmarks/Measure/Routing.cpp
@@ -202,15 +202,15 @@
         rate += 1 / (Seconds(decode + prefillCost + prefixCost).count() * slownessOf(i));
     }
     const SettingsHandle settings(std::make_shared<Settings>(base));
-    std::vector<std::unique_ptr<Node>> nodes;
+    std::deque<Node> nodes;
     for (int i = 0; i < FLAGS_nodes; ++i) {
-        nodes.push_back(std::make_unique<Node>(time, settings, FLAGS_seed + static_cast<std::uint64_t>(i)));
+        nodes.emplace_back(time, settings, FLAGS_seed + static_cast<std::uint64_t>(i));
     }
     const std::function<void()> report = [&] {
         for (std::size_t i = 0; i < engines.size(); ++i) {
             time.after(lag, [&, i, load = engines[i]->load()] {
-                for (const auto &node : nodes) {
-                    node->state.observe({EndpointName(std::to_string(i)), load, static_cast<std::uint32_t>(lag.count())});
+                for (Node &node : nodes) {
+                    node.state.observe({EndpointName(std::to_string(i)), load, static_cast<std::uint32_t>(lag.count())});
                 }
             });
         }
@@ -230,7 +230,7 @@
     Durations first;
     Durations total;
     const std::function<void()> arrive = [&] {
-        Node &node = *nodes[random() % nodes.size()];
+        Node &node = nodes[random() % nodes.size()];
         const std::uint64_t prefix = rendezvousWeight(1, 1 + popular(random));
         Replica *const replica = choose(node, prefix);
         node.state.begin(*replica);
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -40,6 +40,9 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** This node goes on as another session; requests in progress are not touched. */
+    void setSession(SessionNumber self);
+
     /** Put a new configuration into force; requests that run go on with what they have. */
     void putInForce(const SettingsPointer &settings);
 
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -69,6 +69,11 @@
     this->view = std::move(view);
 }
 
+void FleetWatch::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 bool FleetWatch::isPolledHere(const Replica &replica) const
 {
     const Member *const holder = this->view->holderOf(replica.name);
--- a/Services/Entry/FleetWatch.h
+++ b/Services/Entry/FleetWatch.h
@@ -46,6 +46,9 @@
     void start(LeavingChanged leaving);
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The platform's list of VMs came. */
     void observe(const std::vector<ListedVm> &vms);
 
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -41,6 +41,9 @@
     /** A replica is about to go, and gets no new items; or another start of it is back. */
     void setLeaving(const EndpointName &endpoint, bool isLeaving);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
