--- a/Services/Entry/EndpointReports.cpp
+++ b/Services/Entry/EndpointReports.cpp
@@ -38,7 +38,7 @@
 std::optional<ReplicaReport> parseLoadReport(const std::string &body)
 {
     const Json json = Json::parse(body, nullptr, false);
-    if (!json.is_object()) {
+    if (!json.is_object() || !(json.contains("running") || json.contains("leaving"))) {
         return {};
     }
     ReplicaReport report;
--- a/Services/Entry/EndpointReports.h
+++ b/Services/Entry/EndpointReports.h
@@ -12,7 +12,7 @@
 
 /**
  * Read an endpoint's load report (docs/operators/endpoints.md). What it leaves out keeps its default.
- * @return the report without the endpoint's name, or nothing if the body is no JSON object
+ * @return the report without the endpoint's name, or nothing if the body is none: a plain service may answer any path
  */
 std::optional<ReplicaReport> parseLoadReport(const std::string &body);
 
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -130,7 +130,11 @@
 void FakeEngine::complete(const HttpRequest &request, const Reply &reply)
 {
     if (this->refuses) {
-        reply->send(jsonResponse(statusUnavailable, {{"error", "the engine takes no requests"}}));
+        HttpResponse refusal = jsonResponse(statusUnavailable, {{"error", "the engine takes no requests"}});
+        if (this->isLeaving) {
+            refusal.headers["Dogwoodkeel-Leaving"] = "true";
+        }
+        reply->send(refusal);
         return;
     }
     const Json body = parseObject(request.body);
@@ -372,7 +376,8 @@
     return {{"running", report.running},
             {"queued", report.queued},
             {"capacity", this->options.capacity},
-            {"leaving", this->isLeaving}};
+            {"instance", std::to_string(this->started.time_since_epoch().count())},
+            {"leaving", this->isLeaving && !this->refuses}};
 }
 
 Json FakeEngine::events(const HttpRequest &request) const
--- a/Tests/ServiceEntry/TestFleetWatch.cpp
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -206,5 +206,6 @@
         }
         CHECK(parseCacheEvents(body).empty());
     }
+    CHECK_FALSE(parseLoadReport(R"({"path":"/load","run":1})"));
     CHECK(parseCacheEvents(R"({"events":[1,{"number":"x"},{"number":4,"kind":"stored","hash":9,"text":"abc"}]})").size() == 2);
 }
