--- a/Libraries/LibRouting/ReplicaChooser.cpp
+++ b/Libraries/LibRouting/ReplicaChooser.cpp
@@ -98,34 +98,7 @@
             pool.usableByVersion[replica->version].push_back(replica);
         }
     }
-    renewMeans(pool, now, this->settings->fleet);
-}
-
-void ReplicaChooser::renewMeans(Pool &pool, SteadyTime now, const FleetSettings &settings)
-{
-    double known = 0;
-    double knownOthers = 0;
-    double serviceTime = 0;
-    double measured = 0;
-    double lifetime = 0;
-    for (const Replica *const replica : pool.usable) {
-        // Each counts as much as its report is fresh.
-        const double trust = remainingShare(now - replica->others.at, settings.loadHalfLife);
-        known += trust * replica->capacity;
-        knownOthers += trust * replica->others.average.valueOr(0);
-        const double seconds = replica->serviceTime.valueOr(0);
-        serviceTime += seconds;
-        measured += seconds > 0 ? 1 : 0;
-        lifetime += replica->lifetime.valueOr(0);
-    }
-    pool.means.othersPerCapacity = known > 0 ? knownOthers / known : 0;
-    pool.means.serviceTime = measured > 0 ? serviceTime / measured : 0;
-    pool.means.lifetime = measured > 0 ? lifetime / measured : 0;
-    double busy = 0;
-    for (const Replica *const replica : pool.usable) {
-        busy += busyness(*replica, pool.means, 0, now, settings);
-    }
-    pool.means.busyness = pool.usable.empty() ? 0 : busy / static_cast<double>(pool.usable.size());
+    pool.means = meansOf(pool.usable, now, this->settings->fleet);
 }
 
 std::string ReplicaChooser::versionFor(const Pool &pool, const ChoiceWish &wish)
--- a/Libraries/LibRouting/ReplicaScore.h
+++ b/Libraries/LibRouting/ReplicaScore.h
@@ -3,6 +3,8 @@
 #include <LibFleet/Replica.h>
 #include <LibSettings/Generated/Settings.h>
 
+#include <vector>
+
 namespace Dogwoodkeel
 {
 
@@ -19,6 +21,12 @@
     double lifetime = 0;
 };
 
+/** @return the means of replicas; those of a pool that can be used. */
+PoolMeans meansOf(const std::vector<Replica *> &replicas, SteadyTime now, const FleetSettings &settings);
+
+/** @return requests on a replica, of all nodes, as far as this one can tell. */
+double requestsOn(const Replica &replica, const PoolMeans &means, SteadyTime now, const FleetSettings &settings);
+
 /**
  * @return how much of its share a replica should get by now: near 0 when it is new or returned, 1 at the end of its slow
  * start
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -110,6 +110,15 @@
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
+    /** How long a request's result stays readable at least. An id used again after that runs again. */
+    std::chrono::milliseconds resultRetention = std::chrono::milliseconds(604800000);
+    /** Results that one shard keeps in memory beside those not yet in its index, in bytes; older ones are read from the object
+     * store. */
+    std::int64_t recentBytes = 4194304;
+    /** A shard writes a checkpoint when it has so many bytes of new results. */
+    std::int64_t checkpointBytes = 4194304;
+    /** A shard writes a checkpoint when its owner's journal has grown by so many groups: what a new owner reads at most. */
+    std::int64_t checkpointGroups = 2000;
     /** Results a node holds unwritten while the platform takes no writes. */
     std::int64_t heldResults = 10000;
 };
@@ -127,14 +136,42 @@
     std::int64_t entryCount = 3;
     /** How long a planned stop may take at most. */
     std::chrono::milliseconds drain = std::chrono::milliseconds(30000);
-    /** How long an endpoint's stream may be silent before it is resumed elsewhere. */
-    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(10000);
+    /** How long connecting to an endpoint may take before another is tried. */
+    std::chrono::milliseconds connectTimeout = std::chrono::milliseconds(1000);
+    /** How long an endpoint may take to begin its answer to a completion. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(10000);
+    /** How long an answer may be silent before it is resumed, over a new connection first and elsewhere then. */
+    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(2000);
     /** Deadline of an online request whose caller named none. */
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
+    /** Requests for one model or service that wait in a node for room at its replicas. */
+    std::int64_t queueLength = 256;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
 
+/** How many retries a node makes for one tenant, and towards one endpoint. */
+struct RetrySettings
+{
+    /** Retries that one success pays for. */
+    double perSuccess = 0.2;
+    /** Retries a second that are free. */
+    double perSecond = 1;
+    /** Retries that may be saved up: as many requests as a node may lose with one endpoint. */
+    double burst = 50;
+};
+
+/** Requests that crash the endpoints that run them. */
+struct QuarantineSettings
+{
+    /** Endpoints lost with a request after which it runs no more. */
+    std::int64_t losses = 2;
+    /** How long a suspicion or a quarantine lasts after the last loss. */
+    std::chrono::milliseconds duration = std::chrono::milliseconds(600000);
+    /** Suspected requests a node remembers. */
+    std::int64_t remembered = 10000;
+};
+
 /** Batch jobs and the lanes that run them. */
 struct BatchSettings
 {
@@ -220,6 +257,8 @@
     bool isIdempotent = true;
     /** How long one call may take. */
     std::chrono::milliseconds timeout = std::chrono::milliseconds(5000);
+    /** How long an endpoint may take to begin its answer before a call that may be repeated is tried again. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(1000);
 };
 
 /** An accounting unit, and the keys of its callers. */
@@ -252,6 +291,10 @@
     OwnerSettings owner;
     /** What callers see. */
     EntrySettings entry;
+    /** How many retries a node makes for one tenant, and towards one endpoint. */
+    RetrySettings retries;
+    /** Requests that crash the endpoints that run them. */
+    QuarantineSettings quarantine;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
     /** What is learnt of endpoints, and how one is chosen. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -84,7 +84,15 @@
 
 void readOwnerSettings(SettingsReader &reader, const toml::table &table, OwnerSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"shards", "group_interval", "claim_lease", "held_results"});
+    reader.rejectUnknownKeys(table,
+                             {"shards",
+                              "group_interval",
+                              "claim_lease",
+                              "result_retention",
+                              "recent_bytes",
+                              "checkpoint_bytes",
+                              "checkpoint_groups",
+                              "held_results"});
     reader.readInteger(table, "shards", target.shards, Presence::Optional, {.least = 1, .most = 65536});
     reader.readDuration(table,
                         "group_interval",
@@ -96,14 +104,31 @@
                         target.claimLease,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "result_retention",
+                        target.resultRetention,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(60000), .most = std::chrono::milliseconds(315360000000)});
+    reader.readInteger(table, "recent_bytes", target.recentBytes, Presence::Optional, {.least = 65536, .most = 1073741824});
+    reader.readInteger(table, "checkpoint_bytes", target.checkpointBytes, Presence::Optional, {.least = 4096, .most = 268435456});
+    reader.readInteger(table, "checkpoint_groups", target.checkpointGroups, Presence::Optional, {.least = 10, .most = 1000000});
     reader.readInteger(table, "held_results", target.heldResults, Presence::Optional, {.least = 0, .most = 10000000});
 }
 
 void readEntrySettings(SettingsReader &reader, const toml::table &table, EntrySettings &target)
 {
-    reader.rejectUnknownKeys(
-        table,
-        {"body_bytes", "job_bytes", "entry_ttl", "entry_count", "drain", "progress_timeout", "request_timeout", "attempts"});
+    reader.rejectUnknownKeys(table,
+                             {"body_bytes",
+                              "job_bytes",
+                              "entry_ttl",
+                              "entry_count",
+                              "drain",
+                              "connect_timeout",
+                              "first_byte_timeout",
+                              "progress_timeout",
+                              "request_timeout",
+                              "queue_length",
+                              "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
     reader.readDuration(table,
@@ -117,19 +142,50 @@
                         target.drain,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "connect_timeout",
+                        target.connectTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "progress_timeout",
                         target.progressTimeout,
                         Presence::Optional,
-                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "request_timeout",
                         target.requestTimeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "queue_length", target.queueLength, Presence::Optional, {.least = 0, .most = 1000000});
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
+void readRetrySettings(SettingsReader &reader, const toml::table &table, RetrySettings &target)
+{
+    reader.rejectUnknownKeys(table, {"per_success", "per_second", "burst"});
+    reader.readNumber(table, "per_success", target.perSuccess, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readNumber(table, "per_second", target.perSecond, Presence::Optional, {.least = 0.0, .most = 1000000.0});
+    reader.readNumber(table, "burst", target.burst, Presence::Optional, {.least = 1.0, .most = 1000000.0});
+}
+
+void readQuarantineSettings(SettingsReader &reader, const toml::table &table, QuarantineSettings &target)
+{
+    reader.rejectUnknownKeys(table, {"losses", "duration", "remembered"});
+    reader.readInteger(table, "losses", target.losses, Presence::Optional, {.least = 1, .most = 100});
+    reader.readDuration(table,
+                        "duration",
+                        target.duration,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(2592000000)});
+    reader.readInteger(table, "remembered", target.remembered, Presence::Optional, {.least = 1, .most = 10000000});
+}
+
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
     reader.rejectUnknownKeys(
@@ -237,7 +293,7 @@
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout"});
+    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout", "first_byte_timeout"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readBool(table, "is_idempotent", target.isIdempotent, Presence::Optional);
     reader.readDuration(table,
@@ -245,6 +301,11 @@
                         target.timeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
 }
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
@@ -268,6 +329,8 @@
                               "membership",
                               "owner",
                               "entry",
+                              "retries",
+                              "quarantine",
                               "batch",
                               "fleet",
                               "endpoint",
@@ -280,6 +343,8 @@
     reader.readTable(root, "membership", settings.membership, Presence::Optional, readMembershipSettings);
     reader.readTable(root, "owner", settings.owner, Presence::Optional, readOwnerSettings);
     reader.readTable(root, "entry", settings.entry, Presence::Optional, readEntrySettings);
+    reader.readTable(root, "retries", settings.retries, Presence::Optional, readRetrySettings);
+    reader.readTable(root, "quarantine", settings.quarantine, Presence::Optional, readQuarantineSettings);
     reader.readTable(root, "batch", settings.batch, Presence::Optional, readBatchSettings);
     reader.readTable(root, "fleet", settings.fleet, Presence::Optional, readFleetSettings);
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -363,9 +363,7 @@
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
-struct LoadInterest;
-struct LoadReports;
-struct EndpointLeaving;
+struct SuspectNotice;
 struct ConfigurationRequest;
 struct ConfigurationResponse;
 struct ConfigurationPartRequest;
@@ -374,6 +372,9 @@
 struct ConfigurationStateResponse;
 struct StatusRequest;
 struct StatusResponse;
+struct LoadInterest;
+struct LoadReports;
+struct EndpointLeaving;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -604,6 +605,78 @@
     }
 };
 
+/** What an object with results of one shard holds. */
+struct ResultBlock
+{
+    /** Sorted by request id. */
+    std::vector<ResultRecord> results;
+
+    bool operator==(const ResultBlock &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->results);
+    }
+};
+
+/** Where a part of a run's results stands. */
+struct BlockEntry
+{
+    /** The object with the ResultBlock. */
+    std::string objectKey;
+    /** The lowest id in it. */
+    RequestId first;
+    /** The highest id in it. */
+    RequestId last;
+
+    bool operator==(const BlockEntry &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->objectKey, this->first, this->last);
+    }
+};
+
+/** A sorted run of results of one shard, in blocks: what an owner keeps in memory to find any of them. */
+struct ResultRun
+{
+    /** Sorted by id. */
+    std::vector<BlockEntry> blocks;
+    /** Tells ids that are certainly not in it (an IdFilter). */
+    std::string filter;
+    /** Of all blocks. */
+    std::uint64_t bytes = 0;
+    /** No result in it is younger. */
+    WallTime newest;
+
+    bool operator==(const ResultRun &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->blocks, this->filter, this->bytes, this->newest);
+    }
+};
+
+/** The state of a shard up to the spans of its row. */
+struct Checkpoint
+{
+    /** Replayed in order, they bring back all but the results. */
+    std::vector<JournalRecord> records;
+    /** Keys of the objects with the ResultRuns, oldest first. */
+    std::vector<std::string> runs;
+
+    bool operator==(const Checkpoint &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->records, this->runs);
+    }
+};
+
 /** One start of one node. */
 struct SessionRow
 {
@@ -723,36 +796,26 @@
     }
 };
 
-/** What an endpoint says of itself, as one node read it for all. */
-struct ReplicaReport
+/** A request that was running on an endpoint when that was lost. */
+struct Suspect
 {
-    /** Which replica. */
+    /** Hash of its content. */
+    std::uint64_t fingerprint = 0;
+    /** Which endpoint. */
     EndpointName endpoint;
-    /** Online requests that run or wait there. */
-    std::uint32_t inFlight = 0;
-    /** How long ago that was so. */
-    std::uint32_t ageMilliseconds = 0;
-    /** It is about to go and must get nothing new. */
-    bool isLeaving = false;
-    /** Which start of the endpoint; empty if it does not say. */
-    std::string instance;
-    /** The model version it has loaded; empty if it does not say. */
-    std::string version;
-    /** The adapters it has loaded. */
-    std::vector<std::string> adapters;
+    /** Where that endpoint is. */
+    FailureDomain failureDomain;
+    /** How long ago it was sent there. */
+    std::uint32_t sentMillisecondsAgo = 0;
+    /** How long ago the loss was seen. */
+    std::uint32_t lostMillisecondsAgo = 0;
 
-    bool operator==(const ReplicaReport &) const = default;
+    bool operator==(const Suspect &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->endpoint,
-                this->inFlight,
-                this->ageMilliseconds,
-                this->isLeaving,
-                this->instance,
-                this->version,
-                this->adapters);
+        archive(this->fingerprint, this->endpoint, this->failureDomain, this->sentMillisecondsAgo, this->lostMillisecondsAgo);
     }
 };
 
@@ -817,6 +880,39 @@
     }
 };
 
+/** What an endpoint says of itself, as one node read it for all. */
+struct ReplicaReport
+{
+    /** Which replica. */
+    EndpointName endpoint;
+    /** Online requests that run or wait there. */
+    std::uint32_t inFlight = 0;
+    /** How long ago that was so. */
+    std::uint32_t ageMilliseconds = 0;
+    /** It is about to go and must get nothing new. */
+    bool isLeaving = false;
+    /** Which start of the endpoint; empty if it does not say. */
+    std::string instance;
+    /** The model version it has loaded; empty if it does not say. */
+    std::string version;
+    /** The adapters it has loaded. */
+    std::vector<std::string> adapters;
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint,
+                this->inFlight,
+                this->ageMilliseconds,
+                this->isLeaving,
+                this->instance,
+                this->version,
+                this->adapters);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1297,59 +1393,24 @@
     }
 };
 
-/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
-struct LoadInterest
-{
-    static constexpr MessageNumber number{50};
-    /** Who wants them. */
-    SessionNumber from;
-    /** How far apart they may come at the closest. */
-    std::uint32_t intervalMilliseconds = 0;
-    /** Which replicas. */
-    std::vector<EndpointName> endpoints;
-
-    bool operator==(const LoadInterest &) const = default;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(this->from, this->intervalMilliseconds, this->endpoints);
-    }
-};
-
-/** Datagram: load reports for a node that asked for them. */
-struct LoadReports
+/** Datagram: a node tells all, a few times over, which requests it lost with an endpoint, and which of them have since run to
+ * their end. */
+struct SuspectNotice
 {
-    static constexpr MessageNumber number{51};
-    /** Who polls the endpoints. */
-    SessionNumber from;
-    /** The latest reports. */
-    std::vector<ReplicaReport> reports;
-
-    bool operator==(const LoadReports &) const = default;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(this->from, this->reports);
-    }
-};
-
-/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
-struct EndpointLeaving
-{
-    static constexpr MessageNumber number{52};
+    static constexpr MessageNumber number{60};
     /** Who tells. */
     SessionNumber from;
-    /** The endpoints, each with its instance. */
-    std::vector<ReplicaReport> reports;
+    /** Requests lost with an endpoint. */
+    std::vector<Suspect> suspects;
+    /** Hashes of the content of suspects that succeeded. */
+    std::vector<std::uint64_t> cleared;
 
-    bool operator==(const EndpointLeaving &) const = default;
+    bool operator==(const SuspectNotice &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->reports);
+        archive(this->from, this->suspects, this->cleared);
     }
 };
 
@@ -1499,4 +1560,60 @@
     }
 };
 
+/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
+struct LoadInterest
+{
+    static constexpr MessageNumber number{50};
+    /** Who wants them. */
+    SessionNumber from;
+    /** How far apart they may come at the closest. */
+    std::uint32_t intervalMilliseconds = 0;
+    /** Which replicas. */
+    std::vector<EndpointName> endpoints;
+
+    bool operator==(const LoadInterest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->intervalMilliseconds, this->endpoints);
+    }
+};
+
+/** Datagram: load reports for a node that asked for them. */
+struct LoadReports
+{
+    static constexpr MessageNumber number{51};
+    /** Who polls the endpoints. */
+    SessionNumber from;
+    /** The latest reports. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const LoadReports &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
+struct EndpointLeaving
+{
+    static constexpr MessageNumber number{52};
+    /** Who tells. */
+    SessionNumber from;
+    /** The endpoints, each with its instance. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const EndpointLeaving &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -14,6 +14,7 @@
 #include <Services/Entry/FleetWatch.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -32,7 +33,8 @@
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
-              NodeMetrics &metrics);
+              NodeMetrics &metrics,
+              OperatorGateway operators);
 
     /** @return where callers connect. */
     const Address &address() const;
@@ -40,6 +42,12 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** A datagram of another node came. */
+    void receive(const Datagram &datagram);
+
+    /** @return requests held to crash endpoints, that run nowhere for now. */
+    std::size_t quarantinedRequests() const;
+
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
 
@@ -49,6 +57,9 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** How many batch items this node's lanes run on each replica. */
+    void setItems(const std::map<EndpointName, std::uint32_t> &items);
+
     /** @return where load reports go. */
     const Address &fleetAddress() const;
 
@@ -74,6 +85,9 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    RetryBudget retries;
+    SuspectNotices suspects;
+    Admission admission;
     FleetState fleet;
     FleetWatch watch;
     ReplicaChooser chooser;
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -74,6 +74,11 @@
     this->self = self;
 }
 
+void FleetWatch::setItems(const EndpointName &endpoint, std::uint32_t items)
+{
+    this->items[endpoint].record(items, this->clock.now());
+}
+
 bool FleetWatch::isPolledHere(const Replica &replica) const
 {
     const Member *const holder = this->view->holderOf(replica.name);
@@ -121,6 +126,13 @@
     if (report->ageMilliseconds == 0) {
         report->ageMilliseconds = static_cast<std::uint32_t>(this->settings->fleet.loadLag.count());
     }
+    const auto items = this->items.find(name);
+    if (items != this->items.end()) {
+        // Batch items give way to online requests within milliseconds. Counted as load, they would make a replica look
+        // full that has all its places free, and requests would wait behind batch work.
+        const std::uint32_t running = items->second.at(asked - std::chrono::milliseconds(report->ageMilliseconds));
+        report->inFlight -= std::min(report->inFlight, running);
+    }
     this->latest[name] = {*report, asked};
     report->ageMilliseconds += millisecondsSince(asked, this->clock.now());
     this->learnt(*report);
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -91,6 +91,15 @@
     }
 }
 
+std::map<EndpointName, std::uint32_t> LaneService::itemsRunning() const
+{
+    std::map<EndpointName, std::uint32_t> items;
+    for (const auto &[name, held] : this->lanes) {
+        items[name] = static_cast<std::uint32_t>(held.runs.size());
+    }
+    return items;
+}
+
 void LaneService::drain(std::function<void()> drained)
 {
     this->draining = true;
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -38,18 +38,21 @@
     void start();
     void setView(MemberViewPointer view);
 
-    /** A replica is about to go, and gets no new items; or another start of it is back. */
-    void setLeaving(const EndpointName &endpoint, bool isLeaving);
-
     /** This node goes on as another session. */
     void setSession(SessionNumber self);
 
+    /** A replica is about to go, and gets no new items; or another start of it is back. */
+    void setLeaving(const EndpointName &endpoint, bool isLeaving);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
+    /** @return how many items run on each replica whose lane is held here. */
+    std::map<EndpointName, std::uint32_t> itemsRunning() const;
+
     /** Start nothing more, and tell when nothing runs. Items that run are finished. */
     void drain(std::function<void()> drained);
 
