--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -34,6 +34,16 @@
     Error,
 };
 
+/** How batch items make room for online requests. */
+enum class BatchPolicy : std::uint8_t {
+    /** They fill what online requests leave, and stop for them. */
+    Yield,
+    /** Each replica runs batch.fixed_limit of them, whatever else runs. */
+    FixedLimit,
+    /** They take every free place, and stop for nothing. */
+    Unlimited,
+};
+
 /** This VM. Stated per VM, in a file of its own. */
 struct NodeSettings
 {
@@ -108,6 +118,8 @@
     std::int64_t shards = 64;
     /** Shortest time between two writes of one journal; stretched as the write budget demands. */
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
+    /** How long a write may wait for more records to share it, while they come in fast. */
+    std::chrono::milliseconds groupGather = std::chrono::milliseconds(75);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
     /** How long a request's result stays readable at least. An id used again after that runs again. */
@@ -189,8 +201,18 @@
     std::chrono::milliseconds due = std::chrono::milliseconds(43200000);
     /** How often a lane looks for items. */
     std::chrono::milliseconds pullInterval = std::chrono::milliseconds(50);
-    /** Places of a replica kept free for online requests at least. */
+    /** Places of a replica kept free for online requests at least; more are kept as online requests are seen to come faster. */
     std::int64_t headroom = 1;
+    /** How batch items make room for online requests: yield, fixed_limit or unlimited. */
+    BatchPolicy policy = BatchPolicy::Yield;
+    /** With policy fixed_limit: batch items a replica runs side by side. */
+    std::int64_t fixedLimit = 4;
+    /** How much longer the time between an online request's tokens may get because of batch items beside it; 0.1 for a tenth. */
+    double slowdown = 0.1;
+    /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
+    std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
+    /** Items that a node pulls for one model ahead of the places it has. */
+    std::int64_t prefetch = 64;
 };
 
 /** What is learnt of endpoints, and how one is chosen. */
@@ -246,6 +268,8 @@
     std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
+    /** What the engine does: `serve`, or a role that it knows and that takes no requests of callers. */
+    std::string role = "serve";
 };
 
 /** A plain service. */
@@ -274,6 +298,47 @@
     std::int64_t concurrency = 1000;
 };
 
+/** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+struct ModelSettings
+{
+    /** Its name, as endpoints and callers use it. */
+    std::string name;
+    /** The version its engines shall serve. */
+    std::string version;
+    /** The version that is being rolled out; empty: none. */
+    std::string nextVersion;
+    /** Share of the endpoints that shall serve next_version. */
+    double nextShare = 0;
+    /** Adapters its engines shall have loaded. */
+    std::vector<std::string> adapters = {};
+    /** Size of its weights, for the pace of loads. */
+    std::int64_t weightBytes = 0;
+    /** Whether its last serving replica may be taken for a new version; without it, one replica alone keeps the version it has.
+     */
+    bool mayInterrupt = false;
+};
+
+/** Orders to model engines. */
+struct OrderSettings
+{
+    /** How often the engines' state is compared with the intended one. */
+    std::chrono::milliseconds interval = std::chrono::milliseconds(2000);
+    /** How long the node that gives orders may go without renewing. */
+    std::chrono::milliseconds lease = std::chrono::milliseconds(10000);
+    /** How long before the lease's end its holder stops, and how long a new holder waits. */
+    std::chrono::milliseconds leaseMargin = std::chrono::milliseconds(2000);
+    /** Engines of one failure domain that load at once. */
+    std::int64_t loadsPerDomain = 1;
+    /** Rate of the weight store; loads are started no faster. */
+    std::int64_t weightBytesPerSecond = 1000000000;
+    /** How long a load may take before it is told as overdue. */
+    std::chrono::milliseconds loadTimeout = std::chrono::milliseconds(600000);
+    /** A rollout stops when its share of failed requests exceeds that of the version before by more. */
+    double errorLimit = 0.05;
+    /** Requests of the new version before its errors are judged. */
+    std::int64_t errorRequests = 50;
+};
+
 /** All settings of a node. */
 struct Settings
 {
@@ -305,6 +370,10 @@
     std::vector<ServiceSettings> services;
     /** An accounting unit, and the keys of its callers. */
     std::vector<TenantSettings> tenants;
+    /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+    std::vector<ModelSettings> models;
+    /** Orders to model engines. */
+    OrderSettings orders;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -32,6 +32,8 @@
     NotOwner,
     /** Cannot be decided now (the platform is down, or recovery is going on); nothing was run. */
     Unavailable,
+    /** The owner holds as many unwritten results as it may, as the platform takes no writes; nothing was run. */
+    Full,
 };
 
 /** @return the value's name, for logs. */
@@ -52,6 +54,8 @@
         return "NotOwner";
     case ClaimDecision::Unavailable:
         return "Unavailable";
+    case ClaimDecision::Full:
+        return "Full";
     }
     return "invalid";
 }
@@ -59,7 +63,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(ClaimDecision value)
 {
-    return value <= ClaimDecision::Unavailable;
+    return value <= ClaimDecision::Full;
 }
 
 /** What the owner says to a result. */
@@ -284,6 +288,8 @@
     Cancel,
     /** WithdrawRecord */
     Withdraw,
+    /** PageRecord */
+    Page,
 };
 
 /** @return the value's name, for logs. */
@@ -302,6 +308,8 @@
         return "Cancel";
     case RecordKind::Withdraw:
         return "Withdraw";
+    case RecordKind::Page:
+        return "Page";
     }
     return "invalid";
 }
@@ -309,7 +317,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(RecordKind value)
 {
-    return value <= RecordKind::Withdraw;
+    return value <= RecordKind::Page;
 }
 
 /** What a node's settings come from. */
@@ -359,6 +367,9 @@
 struct CommitItemsResponse;
 struct RenewItemsRequest;
 struct RenewItemsResponse;
+struct ReturnItemsRequest;
+struct ReturnItemsResponse;
+struct JobStopped;
 struct Ping;
 struct Pong;
 struct PingRequest;
@@ -525,6 +536,45 @@
     }
 };
 
+/** Results of a job were moved to an object. They need not be kept in memory, nor in a checkpoint, any more. */
+struct PageRecord
+{
+    /** The job. */
+    JobId jobId;
+    /** Which run of itemsPerObject items, from 0. */
+    std::uint32_t page = 0;
+    /** The object with the results, as a ResultPage. */
+    std::string objectKey;
+    /** One bit for each item of the page, the lowest first: whether its result is in the object, or in one of an earlier record.
+     */
+    std::string done;
+    /** One bit for each item of the page: whether it failed. */
+    std::string failed;
+
+    bool operator==(const PageRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->page, this->objectKey, this->done, this->failed);
+    }
+};
+
+/** What an object with results holds. */
+struct ResultPage
+{
+    /** In the order of their index. */
+    std::vector<ItemRecord> results;
+
+    bool operator==(const ResultPage &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->results);
+    }
+};
+
 /** One decision of a shard's owner. */
 struct JournalRecord
 {
@@ -715,13 +765,22 @@
     WallTime due;
     /** The model its items are for. */
     std::string model;
+    /** When it ends if its items go on finishing as fast as they do now; the epoch if that is not known. */
+    WallTime expectedEnd;
 
     bool operator==(const JobProgress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->state, this->itemCount, this->succeeded, this->failed, this->created, this->due, this->model);
+        archive(this->state,
+                this->itemCount,
+                this->succeeded,
+                this->failed,
+                this->created,
+                this->due,
+                this->model,
+                this->expectedEnd);
     }
 };
 
@@ -748,6 +807,40 @@
     }
 };
 
+/** A run of items. */
+struct ItemSpan
+{
+    /** The first one. */
+    std::uint32_t first = 0;
+    /** How many. */
+    std::uint32_t count = 0;
+
+    bool operator==(const ItemSpan &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->first, this->count);
+    }
+};
+
+/** Items of one job that a runner holds. */
+struct HeldItems
+{
+    /** The job. */
+    JobId jobId;
+    /** Which items. */
+    std::vector<ItemSpan> spans;
+
+    bool operator==(const HeldItems &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->spans);
+    }
+};
+
 /** A node, as gossip tells of it. The entry with the higher incarnation wins; at the same one, the graver state. */
 struct Member
 {
@@ -775,6 +868,8 @@
     std::uint64_t configVersion = 0;
     /** Where its entry task takes load reports. */
     Address fleet;
+    /** One bit for each model (by its hash, modulo 64) that batch items wait for at its shards. */
+    std::uint64_t backlogModels = 0;
 
     bool operator==(const Member &) const = default;
 
@@ -792,7 +887,8 @@
                 this->lane,
                 this->backlog,
                 this->configVersion,
-                this->fleet);
+                this->fleet,
+                this->backlogModels);
     }
 };
 
@@ -880,6 +976,30 @@
     }
 };
 
+/** Who gives orders to the engines of a site. It changes with each renewal; a holder whose row has not changed for a lease's
+ * length has lost it. */
+struct OrderLeaseRow
+{
+    /** The holding session; 0 when it was released. */
+    SessionNumber holder;
+    /** Counts the holders; the fencing number of their orders. */
+    std::uint64_t epoch = 0;
+    /** Of this holder. */
+    std::uint64_t renewals = 0;
+    /** The newest version that orders were given by: nobody gives orders by an older one. */
+    std::uint64_t configVersion = 0;
+    /** Rollouts that were stopped for their errors, as MODEL@VERSION. */
+    std::vector<std::string> stopped;
+
+    bool operator==(const OrderLeaseRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->holder, this->epoch, this->renewals, this->configVersion, this->stopped);
+    }
+};
+
 /** What an endpoint says of itself, as one node read it for all. */
 struct ReplicaReport
 {
@@ -1228,13 +1348,17 @@
     static constexpr MessageNumber number{17};
     /** Items to run, most urgent first. */
     std::vector<BatchItem> items;
+    /** Items of the model that still wait here. */
+    std::uint32_t waiting = 0;
+    /** When the most urgent of them must start to be done in time. */
+    WallTime latestStart;
 
     bool operator==(const PullItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->items);
+        archive(this->items, this->waiting, this->latestStart);
     }
 };
 
@@ -1284,13 +1408,15 @@
     std::vector<JobId> jobs;
     /** Who asks. */
     SessionNumber runner;
+    /** All items it holds of these jobs: an owner that has taken the shard over learns of their leases by this. */
+    std::vector<HeldItems> held;
 
     bool operator==(const RenewItemsRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->jobs, this->runner);
+        archive(this->jobs, this->runner, this->held);
     }
 };
 
@@ -1300,13 +1426,69 @@
     static constexpr MessageNumber number{21};
     /** Jobs whose items are to be cancelled. */
     std::vector<JobId> stopped;
+    /** Jobs that this node does not own, or not yet. */
+    std::vector<JobId> notOwned;
+    /** Items that are done, or that another runner has by now: not to be run on. */
+    std::vector<HeldItems> lost;
 
     bool operator==(const RenewItemsResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->stopped);
+        archive(this->stopped, this->notOwned, this->lost);
+    }
+};
+
+/** A runner gives items back that it will not run, so that they need not wait for their leases to end. */
+struct ReturnItemsRequest
+{
+    static constexpr MessageNumber number{70};
+    using Response = ReturnItemsResponse;
+    /** Which. */
+    std::vector<HeldItems> items;
+    /** Who held them. */
+    SessionNumber runner;
+
+    bool operator==(const ReturnItemsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->items, this->runner);
+    }
+};
+
+/** The answer to a ReturnItemsRequest. */
+struct ReturnItemsResponse
+{
+    static constexpr MessageNumber number{71};
+    /** Jobs that this node does not own. */
+    std::vector<JobId> notOwned;
+
+    bool operator==(const ReturnItemsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->notOwned);
+    }
+};
+
+/** Datagram: an owner tells a runner that a job was cancelled. If it is lost, the runner learns of it when it renews its leases.
+ */
+struct JobStopped
+{
+    static constexpr MessageNumber number{72};
+    /** The job. */
+    JobId jobId;
+
+    bool operator==(const JobStopped &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId);
     }
 };
 
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node.h"
 
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
@@ -138,6 +139,7 @@
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
+        control.startOrders();
         control.followConfiguration([this](const SettingsPointer &settings, const std::function<void()> &done) {
             this->putInForce(settings, done);
         });
@@ -242,8 +244,10 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
@@ -305,9 +309,9 @@
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
-        const auto backlog = static_cast<std::uint32_t>(task.owner().backlog());
+        const Backlog backlog = task.owner().backlog();
         this->control->post([backlog](ControlTask &control) {
-            control.tellBacklog(backlog);
+            control.tellBacklog(backlog.items, backlog.models);
         });
     });
     this->watch->loop().schedule(watchInterval, [this] {
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -12,6 +12,7 @@
 #include <LibWire/PeerLink.h>
 #include <Services/Control/ConfigurationService.h>
 #include <Services/Control/OperatorApi.h>
+#include <Services/Control/OrderService.h>
 #include <Services/Control/StatusBoard.h>
 
 #include <functional>
@@ -60,6 +61,9 @@
     /** Hand newer configurations on. @param putInForce has every task swap its settings */
     void followConfiguration(ConfigurationService::PutInForce putInForce);
 
+    /** Give orders to the engines from now on, while this node holds the lease of it. */
+    void startOrders();
+
     ConfigurationService &configuration();
 
     /** Where the parts of the node's status are collected. */
@@ -89,7 +93,7 @@
     void update(const std::function<void(Member &)> &change);
 
     /** Tell the others how many batch items wait here, if that has changed enough to matter. */
-    void tellBacklog(std::uint32_t backlog);
+    void tellBacklog(std::uint32_t backlog, std::uint64_t models);
 
     /** Tell the others that this node is gone, and remove its session's row. */
     void leave();
@@ -117,12 +121,13 @@
     ConfigurationService versions;
     StatusBoard board;
     OperatorApi api;
+    std::optional<OrderService> orders;
     bool closed = false;
     /** As it joined, to join again. */
     Member joined;
     std::function<void(MemberViewPointer)> onChange;
     bool meeting = false;
-    std::uint32_t toldBacklog = 0;
+    std::uint64_t toldModels = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -49,20 +49,22 @@
                            Platform &platform,
                            const SettingsHandle &settings,
                            SessionNumber self,
-                           std::function<void()> onFenced)
+                           std::function<void()> onFenced,
+                           BatchOwner::TellStopped tellStopped)
     : scheduler(scheduler)
     , settings(settings)
     , onFenced(std::move(onFenced))
     , journal(platform, scheduler, clock, self, this->journalOptions())
     , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
-    , batch(this->keeper, this->journal, platform.objects())
+    , batch(scheduler, clock, this->keeper, this->journal, platform.objects(), std::move(tellStopped))
 {
 }
 
 JournalWriter::Options OwnerService::journalOptions()
 {
     JournalWriter::Options options;
-    options.groupInterval = this->settings->owner.groupInterval;
+    options.pace.shortest = this->settings->owner.groupInterval;
+    options.pace.gather = this->settings->owner.groupGather;
     options.rowBytes = static_cast<std::size_t>(this->settings->platform.rowBytes);
     options.onFenced = [this] {
         this->keeper.fenced();
@@ -98,11 +100,15 @@
 void OwnerService::start()
 {
     this->keeper.start();
+    this->batch.start();
 }
 
 void OwnerService::setView(const MemberViewPointer &view)
 {
+    this->batch.setView(view);
     this->keeper.setView(view);
+    const auto budget = static_cast<double>(this->settings->platform.writesPerSecond);
+    this->journal.setWritesPerSecond(journalWritesPerSecond(budget, view->journals()));
 }
 
 void OwnerService::stop(std::function<void()> stopped)
@@ -110,7 +116,7 @@
     this->keeper.releaseAll(std::move(stopped));
 }
 
-std::size_t OwnerService::backlog() const
+Backlog OwnerService::backlog()
 {
     return this->batch.backlog();
 }
@@ -199,6 +205,10 @@
         respond({ClaimDecision::Unavailable, {}});
         return;
     }
+    if (this->isFull() && state->requests.state(request.requestId) == RequestState::Absent) {
+        respond({ClaimDecision::Full, {}});
+        return;
+    }
     switch (state->requests.claim(request)) {
     case ClaimVerdict::Run:
         respond({ClaimDecision::Run, {}});
@@ -221,6 +231,12 @@
     }
 }
 
+bool OwnerService::isFull() const
+{
+    // Results that were run already are taken beyond the bound: no more of them come than were running when it was met.
+    return this->journal.waiting() >= static_cast<std::size_t>(this->settings->owner.heldResults);
+}
+
 void OwnerService::writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
 {
     const auto answer = onlyOnce<ClaimResponse>(respond);
@@ -277,19 +293,22 @@
 
 void OwnerService::join(const ClaimRequest &request, const Respond<ClaimResponse> &respond)
 {
-    const auto answer = onlyOnce<ClaimResponse>(respond);
     ShardState *const state = this->stateOf(request.requestId.value());
+    const auto isWaiting = std::make_shared<bool>(true);
     // NOTE: claim() has just found the request there.
-    state->requests.await(request.requestId, [this, request, answer, alive = this->alive] {
+    state->requests.await(request.requestId, [this, request, respond, isWaiting, alive = this->alive] {
         // Told from inside the table: looked at again from the loop.
-        this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, answer, alive] {
-            if (*alive) {
-                this->claim(request, answer);
+        this->scheduler.schedule(std::chrono::milliseconds(0), [this, request, respond, isWaiting, alive] {
+            // One that was told "still running" may be gone. A claim made for it would keep the request from running.
+            if (*alive && std::exchange(*isWaiting, false)) {
+                this->claim(request, respond);
             }
         });
     });
-    this->scheduler.schedule(request.wait, [answer] {
-        answer({ClaimDecision::StillRunning, {}});
+    this->scheduler.schedule(request.wait, [respond, isWaiting] {
+        if (std::exchange(*isWaiting, false)) {
+            respond({ClaimDecision::StillRunning, {}});
+        }
     });
 }
 
