LibFleet: Send callers' requests to serving endpoints only

Cause: the settings gave endpoints a role, and the choice did not look at it. Change: an endpoint of another role than serve is known and polled, but is in no pool.

--- a/Libraries/LibFleet/ReplicaTable.cpp
+++ b/Libraries/LibFleet/ReplicaTable.cpp
@@ -5,6 +5,14 @@
 namespace Dogwoodkeel
 {
 
+namespace
+{
+
+/** The role of endpoints that take requests of callers. */
+constexpr const char *servingRole = "serve";
+
+} // namespace
+
 ReplicaTable::ReplicaTable(const std::vector<EndpointSettings> &endpoints)
 {
     this->update(endpoints);
@@ -38,7 +46,9 @@
         replica.capacity = static_cast<std::uint32_t>(endpoint.capacity);
         replica.vm = VmName(endpoint.vm.empty() ? endpoint.name : endpoint.vm);
         replica.generation = endpoint.generation;
-        this->byService[replica.serves].push_back(&replica);
+        if (endpoint.role == servingRole) {
+            this->byService[replica.serves].push_back(&replica);
+        }
         this->byName.emplace(replica.name, &replica);
     }
     this->removed.splice(this->removed.end(), before);
--- a/Libraries/LibFleet/ReplicaTable.h
+++ b/Libraries/LibFleet/ReplicaTable.h
@@ -21,7 +21,7 @@
     ReplicaTable(const ReplicaTable &) = delete;
     ReplicaTable &operator=(const ReplicaTable &) = delete;
 
-    /** @return the replicas of a model or plain service, in settings order. */
+    /** @return the replicas that take requests for a model or plain service, in settings order. */
     const std::vector<Replica *> &of(const std::string &serves) const;
 
     /** @return a replica, or null. */
--- a/Tests/LibFleet/TestReplicaTable.cpp
+++ b/Tests/LibFleet/TestReplicaTable.cpp
@@ -63,3 +63,12 @@
     CHECK(table.find(EndpointName("a"))->address == *Address::parse("127.0.0.1:9"));
     CHECK(table.all().size() == 1);
 }
+
+TEST_CASE("an endpoint of another role is known, and gets no requests of callers")
+{
+    EndpointSettings spare = endpoint("b", "127.0.0.1:2", "m");
+    spare.role = "prefill";
+    ReplicaTable table({endpoint("a", "127.0.0.1:1", "m"), spare});
+    CHECK(table.find(EndpointName("b")) != nullptr);
+    CHECK(table.of("m") == std::vector<Replica *>{table.find(EndpointName("a"))});
+}
