--- a/Services/Entry/Completion.cpp
+++ b/Services/Entry/Completion.cpp
@@ -1,5 +1,6 @@
 #include <Services/Entry/Completion.h>
 
+#include <LibBase/JsonDepth.h>
 #include <LibFleet/EngineEvent.h>
 
 #include <nlohmann/json.hpp>
@@ -43,6 +44,9 @@
 
 std::optional<CompletionRequest> CompletionRequest::parse(CompletionForm form, const std::string &body)
 {
+    if (isNestedTooDeep(body)) {
+        return std::nullopt;
+    }
     const Json json = Json::parse(body, nullptr, false);
     if (!json.is_object()) {
         return std::nullopt;
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -286,7 +286,7 @@
             return false;
         }
         silent.push_back(run->stop());
-        held.lane.itemStopped();
+        held.lane.itemStopped(run->hasProceeded());
         return true;
     });
     if (silent.empty()) {
@@ -345,7 +345,8 @@
     }
     HeldLane &held = this->lanes.at(name);
     const EngineLoad report{json.value("running", 0U), json.value("queued", 0U)};
-    held.isLeaving = held.isLeaving || json.value("leaving", false);
+    // What has to last, over a list that lags and until another start of the endpoint, the entry task says (setLeaving).
+    held.isLeaving = json.value("leaving", false);
     if (held.isOurs) {
         held.lane.observeReport(report);
         this->fill(name, held);
@@ -376,9 +377,10 @@
         return run->held().tokens;
     });
     while (places > 0 && !held.runs.empty()) {
-        HeldItem item = held.runs.back()->stop(cancelled);
+        const std::shared_ptr<ItemRun> run = held.runs.back();
         held.runs.pop_back();
-        held.lane.itemStopped();
+        HeldItem item = run->stop(cancelled);
+        held.lane.itemStopped(run->hasProceeded());
         --places;
         this->items.putBack(held.serves, std::move(item));
     }
@@ -419,8 +421,20 @@
         this->startItem(*replica, held, std::move(*item));
         --free;
     }
-    // Pulled for also while there is no place: the next one is not to wait for a round trip.
-    this->items.refill(held.serves);
+    this->items.refill(held.serves, this->wantedItems(held.serves));
+}
+
+std::size_t LaneService::wantedItems(const std::string &model) const
+{
+    // A few ahead of the places, so that the next place does not wait for a round trip. No more: what waits here is kept
+    // from nodes whose lanes may stand empty, and the last items of a job would all run on one node.
+    std::size_t wanted = 0;
+    for (const auto &[name, held] : this->lanes) {
+        if (held.serves == model && held.isOurs) {
+            wanted += held.lane.freePlaces() + (held.lane.running() + 1) / 2;
+        }
+    }
+    return std::min(wanted, static_cast<std::size_t>(this->settings->batch.prefetch));
 }
 
 void LaneService::fillAll(const std::string &model)
@@ -439,27 +453,34 @@
     const auto run = std::make_shared<ItemRun>(this->http, this->clock, std::move(item), runId);
     held.runs.push_back(run);
     held.lane.itemStarted();
-    const auto gap = [this, name = replica.name, alive = this->alive](std::chrono::nanoseconds passed) {
-        const auto found = this->lanes.find(name);
-        if (*alive && found != this->lanes.end()) {
-            found->second.lane.observeGap(passed);
-        }
-    };
-    run->start(replica.address,
-               connection,
-               gap,
-               [this, name = replica.name, run, alive = this->alive](RunEnd end, const std::string &detail) {
-                   if (*alive) {
-                       this->onRunEnded(name, run, end, detail);
-                   }
-               });
+    run->start(replica.address, connection, this->hooksOf(replica.name, run));
+}
+
+ItemRun::Hooks LaneService::hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run)
+{
+    return {.firstToken =
+                [this, name] {
+                    HeldLane &held = this->lanes.at(name);
+                    held.lane.itemProceeds();
+                    this->fill(name, held);
+                },
+            .gap =
+                [this, name](std::chrono::nanoseconds passed) {
+                    this->lanes.at(name).lane.observeGap(passed);
+                },
+            .ended =
+                [this, name, run, alive = this->alive](RunEnd end, const std::string &detail) {
+                    if (*alive) {
+                        this->onRunEnded(name, run, end, detail);
+                    }
+                }};
 }
 
 void LaneService::onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail)
 {
     HeldLane &held = this->lanes.at(name);
     std::erase(held.runs, run);
-    held.lane.itemStopped();
+    held.lane.itemStopped(run->hasProceeded());
     const HeldItem &item = run->held();
     switch (end) {
     case RunEnd::Finished:
@@ -500,7 +521,7 @@
                 return false;
             }
             run->stop();
-            held.lane.itemStopped();
+            held.lane.itemStopped(run->hasProceeded());
             return true;
         });
     }
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -112,6 +112,9 @@
     server.handle<JobStatusRequest>([this](const auto &request, auto respond) {
         this->status(request, respond);
     });
+    server.handle<ListJobsRequest>([this](const auto &request, auto respond) {
+        this->list(request, respond);
+    });
     server.handle<CancelJobRequest>([this](const auto &request, auto respond) {
         this->cancel(request, respond);
     });
@@ -299,6 +302,20 @@
     respond({isKnown ? this->progressOf(*state, request.jobId) : JobProgress()});
 }
 
+void BatchOwner::list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond)
+{
+    ListJobsResponse response;
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        const std::vector<ListedJob> listed = state->jobs.list(request.tenant, request.limit);
+        response.jobs.insert(response.jobs.end(), listed.begin(), listed.end());
+    }
+    std::ranges::sort(response.jobs, [](const ListedJob &left, const ListedJob &right) {
+        return left.progress.created > right.progress.created;
+    });
+    response.jobs.resize(std::min<std::size_t>(response.jobs.size(), request.limit));
+    respond(response);
+}
+
 void BatchOwner::cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond)
 {
     const ShardNumber shard = this->keeper.shardOf(request.jobId.value());
