--- a/Services/Entry/FleetWatch.h
+++ b/Services/Entry/FleetWatch.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -46,9 +47,15 @@
     void start(LeavingChanged leaving);
     void setView(MemberViewPointer view);
 
+    /** This node goes on as another session. */
+    void setSession(SessionNumber self);
+
     /** The platform's list of VMs came. */
     void observe(const std::vector<ListedVm> &vms);
 
+    /** How many batch items this node's lanes run on a replica: its load report counts them, and they give way. */
+    void setItems(const EndpointName &endpoint, std::uint32_t items);
+
     /** A datagram of another node's FleetWatch came. */
     void receive(const Datagram &datagram);
 
@@ -90,6 +97,8 @@
         SteadyTime at{};
     };
     std::map<EndpointName, Latest> latest;
+    /** Batch items of this node's lanes, over time, as load reports are late. */
+    std::unordered_map<EndpointName, InFlightHistory> items;
     /** Polls without an answer yet. */
     std::set<EndpointName> asked;
     std::set<EndpointName> toldLeaving;
--- a/Tests/ServiceEntry/TestFleetWatch.cpp
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -151,6 +151,19 @@
     }
 }
 
+TEST_CASE("batch items are no load to online requests")
+{
+    // Lanes fill a replica with batch items, which give way at once. If its report of 3 running and 1 waiting counted
+    // them, the replica would look taken, and lookups would queue behind work that is due at dawn.
+    Fixture fixture;
+    for (const auto &watcher : fixture.watchers) {
+        watcher->watch.setItems(EndpointName("engine"), 2);
+    }
+    CHECK(fixture.reached([](Watcher &watcher) {
+        return watcher.replica().others.at > SteadyTime() && watcher.replica().others.inFlight < 1.5;
+    }));
+}
+
 TEST_CASE("an endpoint's word that it leaves, given to one node, is known to all, until its next start")
 {
     // Only one entry meets the refusal with the leaving header. The others have not sent anything there for a while and
@@ -206,5 +219,6 @@
         }
         CHECK(parseCacheEvents(body).empty());
     }
+    CHECK_FALSE(parseLoadReport(R"({"path":"/load","run":1})"));
     CHECK(parseCacheEvents(R"({"events":[1,{"number":"x"},{"number":4,"kind":"stored","hash":9,"text":"abc"}]})").size() == 2);
 }
