--- a/Services/Entry/Admission.cpp
+++ b/Services/Entry/Admission.cpp
@@ -1,6 +1,6 @@
 #include <Services/Entry/Admission.h>
 
-#include <LibFleet/FleetState.h>
+#include <LibRouting/ReplicaScore.h>
 
 #include <algorithm>
 #include <utility>
@@ -46,22 +46,17 @@
 double Admission::countRoom(const std::string &serves) const
 {
     const SteadyTime now = this->clock.now();
-    const std::vector<Replica *> &replicas = this->replicas.of(serves);
-    double others = 0;
-    double capacity = 0;
-    for (const Replica *const replica : replicas) {
-        others += replica->others.inFlight;
-        capacity += replica->capacity;
+    std::vector<Replica *> usable;
+    for (Replica *const replica : this->replicas.of(serves)) {
+        if (!replica->isLeaving && !replica->ejection.isEjected) {
+            usable.push_back(replica);
+        }
     }
-    const double othersPerCapacity = capacity > 0 ? others / capacity : 0;
+    const FleetSettings &fleet = this->settings->fleet;
+    const PoolMeans means = meansOf(usable, now, fleet);
     double room = 0;
-    for (const Replica *const replica : replicas) {
-        if (replica->isLeaving || replica->ejection.isEjected) {
-            continue;
-        }
-        const double mean = othersPerCapacity * replica->capacity;
-        const double taken = estimatedInFlight(*replica, now, this->settings->fleet.loadHalfLife, mean);
-        room += std::max(0.0, replica->capacity - taken);
+    for (const Replica *const replica : usable) {
+        room += std::max(0.0, replica->capacity - requestsOn(*replica, means, now, fleet));
     }
     return room;
 }
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -56,6 +56,9 @@
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
+    /** @return how many items run on each replica whose lane is held here. */
+    std::map<EndpointName, std::uint32_t> itemsRunning() const;
+
     /** An owner told that a job was cancelled. */
     void observe(const JobStopped &stopped);
 
