Lane: Rest after a loss, and run suspects over fresh connections

Cause, seen in the log added here: an item was lost twice within 0.4 ms, the second time on a connection that the dying engine had still accepted; one crash counted twice and the item was quarantined. Change: a lane starts nothing for half a second after a loss, as after a refusal.

--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds pauseNoticed{1000};
 /** How long an engine is left alone that is away or takes nothing. */
 constexpr std::chrono::milliseconds restAfterRefusal{500};
+constexpr std::chrono::milliseconds restAfterLoss{500};
 /** Runs of one item that may go silent before it ends failed. */
 constexpr std::uint32_t mostSilences = 10;
 constexpr std::chrono::milliseconds logInterval{2000};
@@ -449,7 +450,10 @@
 void LaneService::startItem(const Replica &replica, HeldLane &held, HeldItem item)
 {
     const std::string runId = "batch-" + std::to_string(this->self.value()) + '-' + std::to_string(++this->lastRun);
-    const ConnectionChoice connection = item.silences > 0 ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
+    // An idle connection of an engine that crashed and is back breaks as soon as it is used. Taken for a second crash, that
+    // would end an item that only ran beside the one that crashes: over a fresh connection, a break is the engine's.
+    const bool isSuspect = this->quarantine.standing(item.fingerprint) != Standing::Clear;
+    const auto connection = item.silences > 0 || isSuspect ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
     const auto run = std::make_shared<ItemRun>(this->http, this->clock, std::move(item), runId);
     held.runs.push_back(run);
     held.lane.itemStarted();
@@ -506,6 +510,15 @@
     const Replica *const replica = this->replicas.find(name);
     const FailureDomain domain = replica != nullptr ? replica->failureDomain : FailureDomain();
     const HeldItem &item = run.held();
+    // An engine that is going down may still accept a connection and break it. An item that is started there at once would
+    // be lost a second time to the same crash, and be taken for its cause.
+    held.restUntil = this->clock.now() + restAfterLoss;
+    log(LogLevel::Info,
+        "item lost with its endpoint",
+        {{"job", item.item.jobId.value()},
+         {"item", static_cast<std::int64_t>(item.item.index)},
+         {"endpoint", name.value()},
+         {"tokens", static_cast<std::int64_t>(item.tokens)}});
     if (this->quarantine.lost(item.fingerprint, {name, domain, run.sent(), this->clock.now()}) == Standing::Quarantined) {
         this->addResult(item, ItemStatus::Failed, "the endpoints that ran it crashed");
         return;
