--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -1,5 +1,6 @@
 #include <Services/Entry/FleetWatch.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 #include <Services/Entry/EndpointReports.h>
 
@@ -72,6 +73,7 @@
 void FleetWatch::setSession(SessionNumber self)
 {
     this->self = self;
+    this->polledBasis = 0;
 }
 
 void FleetWatch::setItems(const EndpointName &endpoint, std::uint32_t items)
@@ -87,9 +89,11 @@
 
 void FleetWatch::poll()
 {
-    for (Replica &replica : this->replicas.all()) {
-        if (this->isPolledHere(replica) && this->asked.insert(replica.name).second) {
-            this->pollOne(replica);
+    this->renewPolled();
+    for (const EndpointName &name : this->polled) {
+        Replica *const replica = this->replicas.find(name);
+        if (replica != nullptr && this->asked.insert(name).second) {
+            this->pollOne(*replica);
         }
     }
     this->sendReports();
@@ -100,6 +104,27 @@
     });
 }
 
+void FleetWatch::renewPolled()
+{
+    // Views change with each news of a member; who holds what changes only with who there is. Looking for the holder of
+    // each of 1,800 replicas among 390 members at each poll took 3.4% of a core.
+    std::uint64_t basis = this->replicas.version();
+    for (const Member &member : this->view->members()) {
+        const std::uint64_t isLeaving = member.state == MemberState::Leaving ? 1 : 0;
+        basis = rendezvousWeight(basis, 2 * member.session.value() + isLeaving);
+    }
+    if (basis == this->polledBasis) {
+        return;
+    }
+    this->polledBasis = basis;
+    this->polled.clear();
+    for (const Replica &replica : this->replicas.all()) {
+        if (this->isPolledHere(replica)) {
+            this->polled.push_back(replica.name);
+        }
+    }
+}
+
 void FleetWatch::pollOne(Replica &replica)
 {
     const auto answered = [this, name = replica.name, sent = this->clock.now(), alive = this->alive](
--- a/Services/Entry/FleetWatch.h
+++ b/Services/Entry/FleetWatch.h
@@ -64,6 +64,7 @@
 
 private:
     void poll();
+    void renewPolled();
     void pollOne(Replica &replica);
     void onLoad(const EndpointName &name, SteadyTime asked, const std::string &body);
     void pollEvents(Replica &replica);
@@ -99,6 +100,9 @@
     std::map<EndpointName, Latest> latest;
     /** Batch items of this node's lanes, over time, as load reports are late. */
     std::unordered_map<EndpointName, InFlightHistory> items;
+    /** The endpoints that are polled here, and a hash of the members and the configuration that this follows from. */
+    std::vector<EndpointName> polled;
+    std::uint64_t polledBasis = 0;
     /** Polls without an answer yet. */
     std::set<EndpointName> asked;
     std::set<EndpointName> toldLeaving;
