Services/Owner: Call no accepted job unknown from a paused owner's memory

A node that was paused while another took its shards told the status of a job that was accepted there as absent, like it did for requests. That a job is absent is told only after the shard's row was read and still names this node. The test failed with that taken out.

--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -298,8 +298,22 @@
         respond({{.state = JobState::NotOwner}});
         return;
     }
-    const bool isKnown = this->jobOf(state, request.jobId, request.tenant) != nullptr;
-    respond({isKnown ? this->progressOf(*state, request.jobId) : JobProgress()});
+    if (this->jobOf(state, request.jobId, request.tenant) == nullptr) {
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({{.state = found}});
+        });
+        return;
+    }
+    respond({this->progressOf(*state, request.jobId)});
+}
+
+void BatchOwner::confirmAbsent(const JobId &id, const std::function<void(JobState)> &told)
+{
+    // Another node may have taken the shard without this one having noticed, and may have the job: accepted work must not be
+    // called unknown. So the shard's row is read first.
+    this->keeper.confirmOwned(this->keeper.shardOf(id.value()), [told](bool isOwned) {
+        told(isOwned ? JobState::Absent : JobState::NotOwner);
+    });
 }
 
 void BatchOwner::list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond)
@@ -325,7 +339,9 @@
         return;
     }
     if (this->jobOf(state, request.jobId, request.tenant) == nullptr) {
-        respond({});
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({{.state = found}});
+        });
         return;
     }
     const CancelRecord record{request.jobId};
@@ -373,7 +389,9 @@
     }
     const Job *const job = this->jobOf(state, request.jobId, request.tenant);
     if (job == nullptr) {
-        respond({});
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({.state = found});
+        });
         return;
     }
     const auto reading = std::make_shared<Reading>(Reading{request, respond, job->resultsFrom(request.from)});
--- a/Services/Owner/BatchOwner.h
+++ b/Services/Owner/BatchOwner.h
@@ -36,6 +36,9 @@
 class BatchOwner
 {
 public:
+    template <typename Response>
+    using Respond = PeerServer::Respond<Response>;
+
     /** Tells a runner that a job was cancelled; it may be lost. */
     using TellStopped = std::function<void(const Address &lane, const JobStopped &)>;
 
@@ -58,9 +61,10 @@
     /** @return what waits at this node's shards. */
     Backlog backlog();
 
+    /** Tell where a job stands. */
+    void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
+
 private:
-    template <typename Response>
-    using Respond = PeerServer::Respond<Response>;
     using Lines = std::vector<std::string>;
 
     /** Items that are being read for a lane. */
@@ -70,8 +74,9 @@
     /** A part of a job's results that is being read for a caller. */
     struct Reading;
 
+    /** @param told gets Absent only if this node still owns the job's shard */
+    void confirmAbsent(const JobId &id, const std::function<void(JobState)> &told);
     void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
-    void status(const JobStatusRequest &request, const Respond<JobStatusResponse> &respond);
     void list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond);
     void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
     void results(const JobResultsRequest &request, const Respond<JobResultsResponse> &respond);
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -135,6 +135,11 @@
     return this->keeper.owned().size();
 }
 
+BatchOwner &OwnerService::batches()
+{
+    return this->batch;
+}
+
 const JournalWriter &OwnerService::journalWriter() const
 {
     return this->journal;
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -58,6 +58,9 @@
 
     const JournalWriter &journalWriter() const;
 
+    /** @return the part that answers for batch jobs. */
+    BatchOwner &batches();
+
     template <typename Response>
     using Respond = PeerServer::Respond<Response>;
 
--- a/Tests/ServiceOwner/TestOwnerService.cpp
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -44,6 +44,11 @@
     fixture.clock.advance(2s);
     REQUIRE((fixture.commit(fixture.b, "offer", "note") == CommitDecision::Committed));
     CHECK((fixture.result(fixture.a, "offer").state == RequestState::NotOwner));
+    // A job that was accepted there is not called unknown either.
+    Answers<JobStatusResponse> status;
+    fixture.a.service.batches().status({JobId("lot"), TenantName("retailer")}, status.keep());
+    fixture.clock.advance(1s);
+    CHECK((status.count() == 1 && status.last().progress.state == JobState::NotOwner));
 }
 
 TEST_CASE("a node that was paused while its shards were taken finds out when it wakes, before it answers")
