--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -140,6 +140,7 @@
 {
     this->context.self = self;
     this->notices.setSession(self);
+    this->watch.setSession(self);
 }
 
 void EntryTask::putInForce(const SettingsPointer &settings)
@@ -158,6 +159,13 @@
     this->watch.observe(*vms);
 }
 
+void EntryTask::setItems(const std::map<EndpointName, std::uint32_t> &items)
+{
+    for (const auto &[endpoint, running] : items) {
+        this->watch.setItems(endpoint, running);
+    }
+}
+
 const Address &EntryTask::fleetAddress() const
 {
     return this->datagrams.address();
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -69,6 +69,16 @@
     this->view = std::move(view);
 }
 
+void FleetWatch::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
+void FleetWatch::setItems(const EndpointName &endpoint, std::uint32_t items)
+{
+    this->items[endpoint].record(items, this->clock.now());
+}
+
 bool FleetWatch::isPolledHere(const Replica &replica) const
 {
     const Member *const holder = this->view->holderOf(replica.name);
@@ -113,6 +123,16 @@
         return;
     }
     report->endpoint = name;
+    if (report->ageMilliseconds == 0) {
+        report->ageMilliseconds = static_cast<std::uint32_t>(this->settings->fleet.loadLag.count());
+    }
+    const auto items = this->items.find(name);
+    if (items != this->items.end()) {
+        // Batch items give way to online requests within milliseconds. Counted as load, they would make a replica look
+        // full that has all its places free, and requests would wait behind batch work.
+        const std::uint32_t running = items->second.at(asked - std::chrono::milliseconds(report->ageMilliseconds));
+        report->inFlight -= std::min(report->inFlight, running);
+    }
     this->latest[name] = {*report, asked};
     report->ageMilliseconds += millisecondsSince(asked, this->clock.now());
     this->learnt(*report);
@@ -287,7 +307,7 @@
     const auto load = headerValue(headers, loadHeader);
     std::uint32_t inFlight = 0;
     if (load && std::from_chars(load->data(), load->data() + load->size(), inFlight).ec == std::errc()) {
-        FleetState::observeLoad(replica, inFlight, this->clock.now());
+        this->state.observeLoad(replica, inFlight, this->clock.now());
     }
 }
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -163,6 +163,15 @@
     }
 }
 
+std::map<EndpointName, std::uint32_t> LaneService::itemsRunning() const
+{
+    std::map<EndpointName, std::uint32_t> items;
+    for (const auto &[name, held] : this->lanes) {
+        items[name] = static_cast<std::uint32_t>(held.runs.size());
+    }
+    return items;
+}
+
 void LaneService::observe(const JobStopped &stopped)
 {
     this->items.dropJob(stopped.jobId);
@@ -336,7 +345,8 @@
     }
     HeldLane &held = this->lanes.at(name);
     const EngineLoad report{json.value("running", 0U), json.value("queued", 0U)};
-    held.isLeaving = held.isLeaving || json.value("leaving", false);
+    // What has to last, over a list that lags and until another start of the endpoint, the entry task says (setLeaving).
+    held.isLeaving = json.value("leaving", false);
     if (held.isOurs) {
         held.lane.observeReport(report);
         this->fill(name, held);
