Services: Hold limits of tenants over all nodes, keep room for slow runs

Limits of a tenant (rate and concurrency, online and lookups) hold for the site. A node enforces its share: the limit by the number of nodes, or the part that the member splitting this tenant's limits has granted it by the demand it told, by datagrams (61, 62) twice a second. Ruled out: a central counter (a call a request), gossip of all tenants to all nodes (38,000 tenants on 390 nodes), and even shares alone.

The queue keeps room for service times above the mean, and lets a replica have a quarter more than its places, so that it does not idle while other nodes' load is known late (entry.overcommit).

--- a/Benchmarks/Measure/Overload.cpp
+++ b/Benchmarks/Measure/Overload.cpp
@@ -16,6 +16,8 @@
 
 DEFINE_string(programs, "build", "folder with the programs");
 DEFINE_int32(seconds, 5, "how long each load is offered");
+DEFINE_double(overcommit, 1, "entry.overcommit of the nodes");
+DEFINE_bool(unbounded, true, "measure the engines without the queue as well");
 DEFINE_int32(capacity_per_second, 0, "requests a second that count as 1x; 0 measures it");
 
 namespace
@@ -38,7 +40,8 @@
                 "engine", "m", domain, {"--step_us=10000", "--capacity=8"}, "capacity = " + capacity + "\n");
             this->local.startEndpoint("service", "prices", domain, {"--delay_ms=2"});
         }
-        this->local.addSettings("[[service]]\nname = \"prices\"\n");
+        this->local.addSettings("[entry]\novercommit = " + std::to_string(FLAGS_overcommit)
+                                + "\n[[service]]\nname = \"prices\"\n");
         for (const std::string &domain : domains) {
             this->local.startNode({domain, ""});
         }
@@ -175,6 +178,8 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     double one = FLAGS_capacity_per_second;
     measure("queue", "8", one);
-    measure("unbounded", "100000", one);
+    if (FLAGS_unbounded) {
+        measure("unbounded", "100000", one);
+    }
     return 0;
 }
--- a/Libraries/LibRouting/DeadlineQueue.cpp
+++ b/Libraries/LibRouting/DeadlineQueue.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr double serviceWeight = 0.05;
+/** What is begun and then not finished in time is wasted: room is kept for service times above the mean. */
+constexpr double deviationsKept = 2;
 /** Places given before the rate is believed. */
 constexpr double knownFrom = 4;
 
@@ -95,7 +97,12 @@
 void DeadlineQueue::served(std::chrono::microseconds service)
 {
     const double taken = seconds(service);
-    this->service = this->service == 0 ? taken : this->service + (taken - this->service) * serviceWeight;
+    if (this->service == 0) {
+        this->service = taken;
+        return;
+    }
+    this->deviation += (std::abs(taken - this->service) - this->deviation) * serviceWeight;
+    this->service += (taken - this->service) * serviceWeight;
 }
 
 double DeadlineQueue::ratePerSecond() const
@@ -125,7 +132,8 @@
 
 bool DeadlineQueue::isHopeless(SteadyTime deadline, std::size_t others) const
 {
-    const auto service = std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(this->service));
+    const auto service = std::chrono::duration_cast<SteadyTime::duration>(
+        std::chrono::duration<double>(this->service + deviationsKept * this->deviation));
     return this->clock.now() + this->waitBehind(others) + service > deadline;
 }
 
--- a/Libraries/LibRouting/DeadlineQueue.h
+++ b/Libraries/LibRouting/DeadlineQueue.h
@@ -86,6 +86,8 @@
     SteadyTime busySince{};
     /** Decaying mean of the service time, in seconds. */
     double service = 0;
+    /** Decaying mean of how far service times are from it, in seconds. */
+    double deviation = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -146,6 +146,9 @@
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
     /** Requests for one model or service that wait in a node for room at its replicas. */
     std::int64_t queueLength = 256;
+    /** How much of a replica's capacity may be in use before requests wait in the node. Above 1 the replica has the next requests
+     * at hand while other nodes' load is known late. */
+    double overcommit = 1.25;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
@@ -267,8 +270,14 @@
     std::vector<std::string> keyHashes = {};
     /** Whether its keys may change the configuration. */
     bool isOperator = false;
-    /** Online requests of it that one node runs at once. */
+    /** Online requests of it that all nodes together run at once. */
     std::int64_t concurrency = 1000;
+    /** Online requests of it a second, at all nodes together. */
+    double rate = 1000;
+    /** Lookups of it that all nodes together run at once. */
+    std::int64_t lookupConcurrency = 1000;
+    /** Lookups of it a second, at all nodes together. */
+    double lookupRate = 10000;
 };
 
 /** All settings of a node. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -128,6 +128,7 @@
                               "progress_timeout",
                               "request_timeout",
                               "queue_length",
+                              "overcommit",
                               "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
@@ -163,6 +164,7 @@
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(3600000)});
     reader.readInteger(table, "queue_length", target.queueLength, Presence::Optional, {.least = 0, .most = 1000000});
+    reader.readNumber(table, "overcommit", target.overcommit, Presence::Optional, {.least = 1.0, .most = 100.0});
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
@@ -304,11 +306,15 @@
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "key_hashes", "is_operator", "concurrency"});
+    reader.rejectUnknownKeys(table,
+                             {"name", "key_hashes", "is_operator", "concurrency", "rate", "lookup_concurrency", "lookup_rate"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readStrings(table, "key_hashes", target.keyHashes, Presence::Optional);
     reader.readBool(table, "is_operator", target.isOperator, Presence::Optional);
     reader.readInteger(table, "concurrency", target.concurrency, Presence::Optional, {.least = 1, .most = 1000000});
+    reader.readNumber(table, "rate", target.rate, Presence::Optional, {.least = 0.1, .most = 1000000.0});
+    reader.readInteger(table, "lookup_concurrency", target.lookupConcurrency, Presence::Optional, {.least = 1, .most = 1000000});
+    reader.readNumber(table, "lookup_rate", target.lookupRate, Presence::Optional, {.least = 0.1, .most = 1000000.0});
 }
 
 } // namespace
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -375,6 +375,8 @@
 struct LoadInterest;
 struct LoadReports;
 struct EndpointLeaving;
+struct LimitDemands;
+struct LimitShares;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -913,6 +915,27 @@
     }
 };
 
+/** A part of a tenant's limit, or the demand for one. */
+struct LimitAmount
+{
+    /** Whose. */
+    TenantName tenant;
+    /** Of its lookups, or else of its online requests. */
+    bool isLookup = false;
+    /** Requests a second. */
+    std::uint32_t perSecond = 0;
+    /** Requests at once. */
+    std::uint32_t concurrency = 0;
+
+    bool operator==(const LimitAmount &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->isLookup, this->perSecond, this->concurrency);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1616,4 +1639,40 @@
     }
 };
 
+/** Datagram: a node tells the member that splits these tenants' limits how much it could use. */
+struct LimitDemands
+{
+    static constexpr MessageNumber number{61};
+    /** Who tells. */
+    SessionNumber from;
+    /** The demands. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitDemands &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
+/** Datagram: the parts that a node may use. */
+struct LimitShares
+{
+    static constexpr MessageNumber number{62};
+    /** Who splits. */
+    SessionNumber from;
+    /** The parts. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitShares &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/Admission.cpp
+++ b/Services/Entry/Admission.cpp
@@ -61,7 +61,7 @@
         }
         const double mean = othersPerCapacity * replica->capacity;
         const double taken = estimatedInFlight(*replica, now, this->settings->fleet.loadHalfLife, mean);
-        room += std::max(0.0, replica->capacity - taken);
+        room += std::max(0.0, replica->capacity * this->settings->entry.overcommit - taken);
     }
     return room;
 }
--- a/Services/Entry/EntryContext.h
+++ b/Services/Entry/EntryContext.h
@@ -12,6 +12,7 @@
 #include <Services/Control/OperatorRequest.h>
 #include <Services/Entry/Admission.h>
 #include <Services/Entry/FleetWatch.h>
+#include <Services/Entry/LimitSharing.h>
 #include <Services/Entry/LoadNotices.h>
 #include <Services/Entry/OwnerClient.h>
 #include <Services/Entry/SuspectNotices.h>
@@ -38,6 +39,7 @@
     RetryBudget &retries;
     SuspectNotices &suspects;
     Admission &admission;
+    LimitSharing &limits;
     FleetState &fleet;
     ReplicaChooser &chooser;
     FleetWatch &watch;
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -26,6 +26,7 @@
 constexpr int statusForbidden = 403;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
 constexpr std::size_t idBytes = 12;
 constexpr std::size_t longestKey = 256;
@@ -177,6 +178,20 @@
     return true;
 }
 
+LimitSharing::Hold EntryService::admit(const Caller &caller, LimitClass kind, const HttpRequest &request, const Reply &reply)
+{
+    LimitSharing::Admitted admitted = this->context.limits.admit(caller.tenant, kind);
+    if (!admitted.hold) {
+        // An id that the caller chose may have run by an earlier sending.
+        const RunState run = request.headers.contains("Idempotency-Key") ? RunState::Unknown : RunState::NotRun;
+        const auto seconds = std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(admitted.retryAfter));
+        this->context.metrics.countAnswer(kind == LimitClass::Lookup ? "lookup" : "online", "tenant_limit");
+        reply->send(
+            refusalResponse({statusTooManyRequests, "tenant_limit", "the tenant is at its limit of requests", run, seconds}));
+    }
+    return admitted.hold;
+}
+
 RequestId EntryService::requestIdOf(const Caller &caller, const HttpRequest &request)
 {
     const auto key = headerValue(request.headers, "Idempotency-Key");
@@ -203,6 +218,10 @@
         refuse(*reply, statusBadRequest, "bad_deadline", std::string(badDeadline));
         return;
     }
+    auto hold = this->admit(caller, LimitClass::Online, request, reply);
+    if (!hold) {
+        return;
+    }
     DurableRequest durable;
     durable.id = this->requestIdOf(caller, request);
     durable.tenant = caller.tenant;
@@ -214,6 +233,7 @@
     durable.content = contentFingerprint(completion->model, request.body);
     durable.timeout = *timeout;
     durable.prefix = promptPrefix(*completion, static_cast<std::size_t>(this->context.settings->fleet.prefixBytes));
+    durable.hold = std::move(hold);
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
@@ -242,8 +262,15 @@
     forwarded.headers["Content-Type"] = headerValue(request.headers, "Content-Type").value_or("application/json");
     const bool isMarked = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     const bool isNonIdempotent = !service->isIdempotent || isMarked;
-    if (!isNonIdempotent && !request.headers.contains("Idempotency-Key")) {
-        std::make_shared<PlainCall>(this->context, *service, caller.tenant, std::move(forwarded), *timeout, reply)->start();
+    const bool isLookup = !isNonIdempotent && !request.headers.contains("Idempotency-Key");
+    auto hold = this->admit(caller, isLookup ? LimitClass::Lookup : LimitClass::Online, request, reply);
+    if (!hold) {
+        return;
+    }
+    if (isLookup) {
+        std::make_shared<PlainCall>(
+            this->context, *service, caller.tenant, std::move(forwarded), *timeout, reply, std::move(hold))
+            ->start();
         return;
     }
     DurableRequest durable;
@@ -255,6 +282,7 @@
     durable.isNonIdempotent = isNonIdempotent;
     durable.request = std::move(forwarded);
     durable.serves = name;
+    durable.hold = std::move(hold);
     durable.timeout = *timeout;
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -40,6 +40,8 @@
     void serveOperator(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
     void serveEntries(const HttpRequest &request, const Reply &reply);
+    /** @return what keeps the request counted; null if its tenant is at a limit, which the caller has been told */
+    LimitSharing::Hold admit(const Caller &caller, LimitClass kind, const HttpRequest &request, const Reply &reply);
     RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
 
     EntryContext &context;
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -53,6 +53,7 @@
     , retries(clock, retryOptions(settings->retries))
     , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
     , admission(loop, clock, this->settings, this->replicas)
+    , limits(loop, clock, this->settings, this->datagrams, self)
     , fleet(clock, this->settings, this->replicas)
     , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
     , chooser(clock, this->settings, this->replicas, this->random)
@@ -70,6 +71,7 @@
               this->retries,
               this->suspects,
               this->admission,
+              this->limits,
               this->fleet,
               this->chooser,
               this->watch,
@@ -95,6 +97,7 @@
     this->owners.setView(view);
     this->notices.setView(view);
     this->suspects.setView(view);
+    this->limits.setView(view);
     this->watch.setView(view);
     this->service.setView(view);
 }
@@ -106,12 +109,24 @@
 
 void EntryTask::receive(const Datagram &datagram)
 {
-    if (datagram.number != SuspectNotice::number) {
-        this->watch.receive(datagram);
+    switch (datagram.number) {
+    case SuspectNotice::number:
+        if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
+            this->suspects.receive(*notice);
+        }
         return;
-    }
-    if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
-        this->suspects.receive(*notice);
+    case LimitDemands::number:
+        if (const auto demands = decode<LimitDemands>(datagram.payload)) {
+            this->limits.receive(*demands);
+        }
+        return;
+    case LimitShares::number:
+        if (const auto shares = decode<LimitShares>(datagram.payload)) {
+            this->limits.receive(*shares);
+        }
+        return;
+    default:
+        this->watch.receive(datagram);
     }
 }
 
@@ -124,6 +139,7 @@
 {
     this->context.self = self;
     this->notices.setSession(self);
+    this->limits.setSession(self);
 }
 
 void EntryTask::putInForce(const SettingsPointer &settings)
@@ -132,6 +148,7 @@
     // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
     this->notices.flush();
     this->replicas.update(settings->endpoints);
+    this->limits.settingsChanged();
     this->service.settingsChanged();
 }
 
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -84,6 +84,7 @@
     RetryBudget retries;
     SuspectNotices suspects;
     Admission admission;
+    LimitSharing limits;
     FleetState fleet;
     FleetWatch watch;
     ReplicaChooser chooser;
--- /dev/null
+++ b/Services/Entry/LimitSharing.cpp
@@ -0,0 +1,150 @@
+#include <Services/Entry/LimitSharing.h>
+
+#include <LibBase/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tellInterval{500};
+/** A part counts this long without being renewed: a few datagrams may be lost. */
+constexpr std::chrono::milliseconds grantLife{3000};
+/** How long a node's demand counts with the one that splits. */
+constexpr std::chrono::milliseconds demandLife{2000};
+/** Tenants in one datagram. */
+constexpr std::size_t perDatagram = 24;
+
+std::uint32_t whole(double value)
+{
+    return static_cast<std::uint32_t>(std::clamp(std::ceil(value), 0.0, 4e9));
+}
+
+} // namespace
+
+LimitSharing::LimitSharing(
+    EventLoop &loop, const Clock &clock, const SettingsHandle &settings, DatagramSocket &socket, SessionNumber self)
+    : loop(loop)
+    , settings(settings)
+    , socket(socket)
+    , self(self)
+    , view(std::make_shared<MemberView>(std::vector<Member>()))
+    , splitter(clock, demandLife)
+    , limits(std::make_shared<TenantLimits>(clock, grantLife, [this](const TenantName &tenant, LimitClass kind) {
+        return this->limitOf(tenant, kind);
+    }))
+{
+    this->settingsChanged();
+    this->loop.schedule(tellInterval, [this] {
+        this->tell();
+    });
+}
+
+void LimitSharing::setView(MemberViewPointer view)
+{
+    this->view = std::move(view);
+    this->limits->setNodes(this->view->members().size());
+}
+
+void LimitSharing::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
+void LimitSharing::settingsChanged()
+{
+    this->tenants.clear();
+    for (const TenantSettings &tenant : this->settings->tenants) {
+        this->tenants.emplace(TenantName(tenant.name), tenant);
+    }
+}
+
+std::optional<RequestLimit> LimitSharing::limitOf(const TenantName &tenant, LimitClass kind) const
+{
+    const auto found = this->tenants.find(tenant);
+    if (found == this->tenants.end()) {
+        return std::nullopt;
+    }
+    const TenantSettings &settings = found->second;
+    if (kind == LimitClass::Lookup) {
+        return RequestLimit{settings.lookupRate, static_cast<double>(settings.lookupConcurrency)};
+    }
+    return RequestLimit{settings.rate, static_cast<double>(settings.concurrency)};
+}
+
+LimitSharing::Admitted LimitSharing::admit(const TenantName &tenant, LimitClass kind)
+{
+    if (const auto retryAfter = this->limits->admit(tenant, kind)) {
+        return {nullptr, *retryAfter};
+    }
+    const auto release = [limits = this->limits, tenant, kind](void *) {
+        limits->release(tenant, kind);
+    };
+    return {Hold(this, release), {}};
+}
+
+void LimitSharing::tell()
+{
+    std::map<SessionNumber, std::vector<LimitAmount>> byMember;
+    for (const TenantDemand &demand : this->limits->demands()) {
+        if (const Member *const member = this->view->ownerOf(stableHash(demand.tenant.value()))) {
+            byMember[member->session].push_back({demand.tenant,
+                                                 demand.kind == LimitClass::Lookup,
+                                                 whole(demand.wanted.perSecond),
+                                                 whole(demand.wanted.concurrency)});
+        }
+    }
+    for (auto &[session, amounts] : byMember) {
+        for (std::size_t from = 0; from < amounts.size(); from += perDatagram) {
+            const auto first = amounts.begin() + static_cast<std::ptrdiff_t>(from);
+            const auto last = amounts.begin() + static_cast<std::ptrdiff_t>(std::min(from + perDatagram, amounts.size()));
+            const LimitDemands demands{this->self, {first, last}};
+            if (session == this->self) {
+                this->receive(this->split(demands));
+            } else {
+                this->socket.send(this->view->find(session)->fleet, demands);
+            }
+        }
+    }
+    this->loop.schedule(tellInterval, [this] {
+        this->tell();
+    });
+}
+
+LimitShares LimitSharing::split(const LimitDemands &demands)
+{
+    LimitShares shares{this->self, {}};
+    for (const LimitAmount &amount : demands.amounts) {
+        const LimitClass kind = amount.isLookup ? LimitClass::Lookup : LimitClass::Online;
+        if (const auto limit = this->limitOf(amount.tenant, kind)) {
+            const RequestLimit wanted{static_cast<double>(amount.perSecond), static_cast<double>(amount.concurrency)};
+            const RequestLimit part = this->splitter.split(demands.from, {amount.tenant, kind, wanted}, *limit);
+            shares.amounts.push_back({amount.tenant, amount.isLookup, whole(part.perSecond), whole(part.concurrency)});
+        }
+    }
+    return shares;
+}
+
+void LimitSharing::receive(const LimitDemands &demands)
+{
+    if (const Member *const member = this->view->find(demands.from)) {
+        this->socket.send(member->fleet, this->split(demands));
+    }
+}
+
+void LimitSharing::receive(const LimitShares &shares)
+{
+    for (const LimitAmount &amount : shares.amounts) {
+        this->limits->grant(amount.tenant,
+                            amount.isLookup ? LimitClass::Lookup : LimitClass::Online,
+                            {static_cast<double>(amount.perSecond), static_cast<double>(amount.concurrency)});
+    }
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -515,6 +515,7 @@
     this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
+    this->request.hold = nullptr;
 }
 
 void OnlineRequest::onDeadline()
@@ -565,6 +566,7 @@
     if (this->reply.isOpen()) {
         this->context.metrics.countAnswer(this->kind(), std::string(refusal.reason));
         this->reply.refuse(refusal);
+        this->request.hold = nullptr;
     }
     this->giveBack(refusal);
 }
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -40,6 +40,8 @@
     std::optional<CompletionRequest> completion;
     /** Key of the prompt's first bytes, shared by requests that may profit from one cache; 0 for none. */
     std::uint64_t prefix = 0;
+    /** Counts it against its tenant's limits until its caller is answered. */
+    LimitSharing::Hold hold;
 };
 
 /**
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -21,13 +21,15 @@
                      TenantName tenant,
                      HttpRequest request,
                      std::chrono::milliseconds timeout,
-                     std::shared_ptr<HttpReply> reply)
+                     std::shared_ptr<HttpReply> reply,
+                     LimitSharing::Hold hold)
     : context(context)
     , service(service)
     , tenant(std::move(tenant))
     , request(std::move(request))
     , content(contentFingerprint(service.name, this->request.method + ' ' + this->request.target() + '\n' + this->request.body))
     , reply(std::move(reply))
+    , hold(std::move(hold))
     , started(context.clock.now())
     , timeout(timeout)
 {
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -21,13 +21,17 @@
 class PlainCall : public std::enable_shared_from_this<PlainCall>
 {
 public:
-    /** @param timeout how long the caller waits */
+    /**
+     * @param timeout how long the caller waits
+     * @param hold counts it against its tenant's limits
+     */
     PlainCall(EntryContext &context,
               const ServiceSettings &service,
               TenantName tenant,
               HttpRequest request,
               std::chrono::milliseconds timeout,
-              std::shared_ptr<HttpReply> reply);
+              std::shared_ptr<HttpReply> reply,
+              LimitSharing::Hold hold);
 
     void start();
 
@@ -50,6 +54,7 @@
     HttpRequest request;
     ContentFingerprint content;
     std::shared_ptr<HttpReply> reply;
+    LimitSharing::Hold hold;
     SteadyTime started;
     std::chrono::milliseconds timeout;
     TimerId deadlineTimer = 0;
--- a/Tests/ServiceEntry/TestAdmission.cpp
+++ b/Tests/ServiceEntry/TestAdmission.cpp
@@ -139,3 +139,34 @@
     CHECK(lookup->status == 200);
     CHECK(bench.endpoints[0]->requests() == 1);
 }
+
+TEST_CASE("a tenant at its limit is refused at once, and gets room when a request of its is answered")
+{
+    EntryBench bench(1);
+    bench.settings.tenants[0] = {.name = "default", .concurrency = 2};
+    bench.settings.entry.firstByteTimeout = std::chrono::seconds(10);
+    bench.start();
+    std::vector<Exchange> running;
+    bench.endpoints[0]->setScript([&](const Exchange &exchange) {
+        running.push_back(exchange);
+    });
+    const auto first = bench.complete("a");
+    bench.complete("b");
+    bench.until([&] {
+        return running.size() == 2;
+    });
+    const auto refused = bench.complete("c");
+    bench.untilEnd(refused);
+    CHECK(refused->status == 429);
+    CHECK(refused->error("run") == "not_run");
+    CHECK(headerValue(refused->headers, "Retry-After").has_value());
+    const auto named = bench.complete("c", {{"Idempotency-Key", "k"}});
+    bench.untilEnd(named);
+    CHECK(named->error("run") == "unknown");
+    serve(running[0]);
+    bench.untilEnd(first);
+    bench.complete("d");
+    bench.until([&] {
+        return running.size() == 3;
+    });
+}
