--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -87,6 +87,7 @@
     reader.rejectUnknownKeys(table,
                              {"shards",
                               "group_interval",
+                              "group_gather",
                               "claim_lease",
                               "result_retention",
                               "recent_bytes",
@@ -99,6 +100,11 @@
                         target.groupInterval,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(5000)});
+    reader.readDuration(table,
+                        "group_gather",
+                        target.groupGather,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(5000)});
     reader.readDuration(table,
                         "claim_lease",
                         target.claimLease,
@@ -190,8 +196,20 @@
 
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
-    reader.rejectUnknownKeys(
-        table, {"items", "item_bytes", "items_per_object", "item_lease", "item_attempts", "due", "pull_interval", "headroom"});
+    reader.rejectUnknownKeys(table,
+                             {"items",
+                              "item_bytes",
+                              "items_per_object",
+                              "item_lease",
+                              "item_attempts",
+                              "due",
+                              "pull_interval",
+                              "headroom",
+                              "policy",
+                              "fixed_limit",
+                              "slowdown",
+                              "reaction",
+                              "prefetch"});
     reader.readInteger(table, "items", target.items, Presence::Optional, {.least = 1, .most = 10000000});
     reader.readInteger(table, "item_bytes", target.itemBytes, Presence::Optional, {.least = 64, .most = 67108864});
     reader.readInteger(table, "items_per_object", target.itemsPerObject, Presence::Optional, {.least = 1, .most = 100000});
@@ -212,6 +230,20 @@
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
     reader.readInteger(table, "headroom", target.headroom, Presence::Optional, {.least = 0, .most = 10000});
+    reader.readEnum<BatchPolicy>(
+        table,
+        "policy",
+        target.policy,
+        Presence::Optional,
+        {{"yield", BatchPolicy::Yield}, {"fixed_limit", BatchPolicy::FixedLimit}, {"unlimited", BatchPolicy::Unlimited}});
+    reader.readInteger(table, "fixed_limit", target.fixedLimit, Presence::Optional, {.least = 0, .most = 100000});
+    reader.readNumber(table, "slowdown", target.slowdown, Presence::Optional, {.least = 0.0, .most = 10.0});
+    reader.readDuration(table,
+                        "reaction",
+                        target.reaction,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
+    reader.readInteger(table, "prefetch", target.prefetch, Presence::Optional, {.least = 1, .most = 10000});
 }
 
 void readFleetSettings(SettingsReader &reader, const toml::table &table, FleetSettings &target)
@@ -275,7 +307,8 @@
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing"});
+        table,
+        {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing", "role"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -285,6 +318,7 @@
     reader.readString(table, "generation", target.generation, Presence::Optional);
     reader.readString(table, "vm", target.vm, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
+    reader.readString(table, "role", target.role, Presence::Optional);
 }
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
@@ -317,6 +351,57 @@
     reader.readNumber(table, "lookup_rate", target.lookupRate, Presence::Optional, {.least = 0.1, .most = 1000000.0});
 }
 
+void readModelSettings(SettingsReader &reader, const toml::table &table, ModelSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"name", "version", "next_version", "next_share", "adapters", "weight_bytes", "may_interrupt"});
+    reader.readString(table, "name", target.name, Presence::Required);
+    reader.readString(table, "version", target.version, Presence::Required);
+    reader.readString(table, "next_version", target.nextVersion, Presence::Optional);
+    reader.readNumber(table, "next_share", target.nextShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readStrings(table, "adapters", target.adapters, Presence::Optional);
+    reader.readInteger(table, "weight_bytes", target.weightBytes, Presence::Optional, {.least = 0, .most = 100000000000000});
+    reader.readBool(table, "may_interrupt", target.mayInterrupt, Presence::Optional);
+}
+
+void readOrderSettings(SettingsReader &reader, const toml::table &table, OrderSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"interval",
+                              "lease",
+                              "lease_margin",
+                              "loads_per_domain",
+                              "weight_bytes_per_second",
+                              "load_timeout",
+                              "error_limit",
+                              "error_requests"});
+    reader.readDuration(table,
+                        "interval",
+                        target.interval,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease",
+                        target.lease,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(500), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease_margin",
+                        target.leaseMargin,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(table, "loads_per_domain", target.loadsPerDomain, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readInteger(
+        table, "weight_bytes_per_second", target.weightBytesPerSecond, Presence::Optional, {.least = 1, .most = 1000000000000});
+    reader.readDuration(table,
+                        "load_timeout",
+                        target.loadTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(86400000)});
+    reader.readNumber(table, "error_limit", target.errorLimit, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readInteger(table, "error_requests", target.errorRequests, Presence::Optional, {.least = 1, .most = 1000000});
+}
+
 } // namespace
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
@@ -335,7 +420,9 @@
                               "fleet",
                               "endpoint",
                               "service",
-                              "tenant"});
+                              "tenant",
+                              "model",
+                              "orders"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -350,6 +437,8 @@
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
+    reader.readList(root, "model", settings.models, readModelSettings);
+    reader.readTable(root, "orders", settings.orders, Presence::Optional, readOrderSettings);
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -148,6 +148,13 @@
                       this->runState(),
                       comeBack});
         return;
+    case ClaimDecision::Full:
+        this->refuse({statusUnavailable,
+                      "platform_unavailable",
+                      "no more results can be held until the platform takes writes again",
+                      RunState::NotRun,
+                      comeBack});
+        return;
     case ClaimDecision::NotOwner:
         return;
     }
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
 
@@ -38,6 +39,7 @@
         , onFenced(std::move(onFenced))
         , platform(makePlatform(loop))
         , server(loop, settings->listen.owner, security)
+        , datagrams(loop, {settings->listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
     {
         this->renew(self);
     }
@@ -48,8 +50,11 @@
      */
     void renew(SessionNumber self)
     {
-        this->service
-            = std::make_unique<OwnerService>(this->loop, this->clock, *this->platform, this->settings, self, this->onFenced);
+        const auto tellStopped = [this](const Address &lane, const JobStopped &stopped) {
+            this->datagrams.send(lane, stopped);
+        };
+        this->service = std::make_unique<OwnerService>(
+            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, tellStopped);
         this->service->serve(this->server);
     }
 
@@ -83,6 +88,7 @@
     std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
+    DatagramSocket datagrams;
     std::unique_ptr<OwnerService> service;
 };
 
