--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -142,6 +142,14 @@
     std::int64_t bodyBytes = 4194304;
     /** Largest body of a job's submission. */
     std::int64_t jobBytes = 1073741824;
+    /** Largest headers of a request, all together. */
+    std::int64_t headerBytes = 65536;
+    /** How long a request's headers may take; found with a delay of up to the same time. */
+    std::chrono::milliseconds headerTimeout = std::chrono::milliseconds(10000);
+    /** How long a caller's connection may be idle, or leave an answer unread. */
+    std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(120000);
+    /** What a caller may leave unread of a stream before its connection is closed; the answer is kept. */
+    std::int64_t unreadBytes = 4194304;
     /** How long a caller may keep an answer of /v1/entries. */
     std::chrono::milliseconds entryTtl = std::chrono::milliseconds(10000);
     /** How many addresses an answer of /v1/entries names. */
@@ -214,7 +222,7 @@
     double slowdown = 0.1;
     /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
     std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
-    /** Items that a node pulls for one model ahead of the places it has. */
+    /** Items that wait on a node for one model at most, to be started as soon as a place is free. */
     std::int64_t prefetch = 64;
 };
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -7,6 +7,8 @@
 #include <LibBase/Identifiers.h>
 #include <LibWire/MessageNumber.h>
 
+#include <cereal/cereal.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -358,6 +360,9 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct LinkProbe;
+struct ListJobsRequest;
+struct ListJobsResponse;
 struct CancelJobRequest;
 struct JobResultsRequest;
 struct JobResultsResponse;
@@ -520,6 +525,11 @@
     void serialize(Archive &archive)
     {
         archive(this->jobId, this->index, this->status, this->body);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->status)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -593,6 +603,11 @@
     void serialize(Archive &archive)
     {
         archive(this->shard, this->kind, this->payload);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->kind)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -783,6 +798,28 @@
                 this->due,
                 this->model,
                 this->expectedEnd);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** A job in a list. */
+struct ListedJob
+{
+    /** The job. */
+    JobId jobId;
+    /** Where it stands. */
+    JobProgress progress;
+
+    bool operator==(const ListedJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->progress);
     }
 };
 
@@ -891,6 +928,11 @@
                 this->configVersion,
                 this->fleet,
                 this->backlogModels);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1098,6 +1140,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1139,6 +1186,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1211,6 +1263,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1244,6 +1301,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1282,6 +1344,58 @@
     }
 };
 
+/** Asks the other end of a connection to send it back: whether the connection still carries anything. */
+struct LinkProbe
+{
+    static constexpr MessageNumber number{112};
+    using Response = LinkProbe;
+    /** Counts the probes of a connection. */
+    std::uint64_t probe = 0;
+
+    bool operator==(const LinkProbe &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->probe);
+    }
+};
+
+/** Asks a node for a tenant's jobs among the shards it owns. */
+struct ListJobsRequest
+{
+    static constexpr MessageNumber number{110};
+    using Response = ListJobsResponse;
+    /** Whose jobs. */
+    TenantName tenant;
+    /** How many at most, the newest first. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const ListJobsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->limit);
+    }
+};
+
+/** The answer to a ListJobsRequest. */
+struct ListJobsResponse
+{
+    static constexpr MessageNumber number{111};
+    /** The jobs, the newest first. */
+    std::vector<ListedJob> jobs;
+
+    bool operator==(const ListJobsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Stops a job: its items get no new run, and running ones are cancelled. */
 struct CancelJobRequest
 {
@@ -1341,6 +1455,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->results, this->next);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -25,6 +25,17 @@
     return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
 }
 
+HttpLimits limitsOf(const Settings &settings)
+{
+    HttpLimits limits;
+    limits.bodyBytes = static_cast<std::uint64_t>(settings.entry.bodyBytes);
+    limits.headerBytes = static_cast<std::size_t>(settings.entry.headerBytes);
+    limits.headerTimeout = settings.entry.headerTimeout;
+    limits.idleTimeout = settings.entry.idleTimeout;
+    limits.unreadBytes = static_cast<std::size_t>(settings.entry.unreadBytes);
+    return limits;
+}
+
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -32,13 +43,14 @@
                      const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
+                     const LocalPeer &ownOwner,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics,
                      OperatorGateway operators)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
-    , peers(loop, security)
+    , peers(loop, security, ownOwner)
     , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
     , replicas(settings->endpoints)
@@ -77,12 +89,16 @@
               this->watch,
               std::move(operators)}
     , service(this->context)
-    , server(loop,
-             settings->listen.http,
-             {static_cast<std::uint64_t>(settings->entry.jobBytes)},
-             [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
-                 this->service.serve(request, reply);
-             })
+    , server(
+          loop,
+          settings->listen.http,
+          limitsOf(*settings),
+          [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+              this->service.serve(request, reply);
+          },
+          [this](const HttpRequest &head) {
+              return this->service.admit(head);
+          })
 {
     this->repeatNotices();
 }
@@ -149,6 +165,8 @@
     this->notices.flush();
     this->replicas.update(settings->endpoints);
     this->limits.settingsChanged();
+    this->retries.setOptions(retryOptions(settings->retries));
+    this->suspects.setOptions(quarantineOptions(settings->quarantine));
     this->service.settingsChanged();
 }
 
@@ -172,6 +190,11 @@
     this->server.drain();
 }
 
+const std::list<Replica> &EntryTask::endpoints()
+{
+    return this->replicas.all();
+}
+
 std::size_t EntryTask::openRequests() const
 {
     return this->server.openRequests();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -14,6 +14,7 @@
 #include <Services/Entry/FleetWatch.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -25,12 +26,16 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot listen */
+    /**
+     * @param ownOwner reaches the owner of this node
+     * @throws std::runtime_error if it cannot listen
+     */
     EntryTask(EventLoop &loop,
               const Clock &clock,
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
+              const LocalPeer &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics,
               OperatorGateway operators);
@@ -65,6 +70,9 @@
     /** Take no new connections. */
     void drain();
 
+    /** @return the endpoints as this node has them. */
+    const std::list<Replica> &endpoints();
+
     /** @return requests not yet answered. */
     std::size_t openRequests() const;
 
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -129,6 +129,7 @@
             std::make_shared<const Settings>(this->settings),
             SessionNumber(1),
             PeerSecurity{MessageKey(""), 1048576},
+            LocalPeer(),
             [store](EventLoop &on) {
                 return std::make_unique<EmbeddedPlatform>(store, on);
             },
