--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr std::chrono::milliseconds watchInterval{100};
+/** How often the entry task hears how many batch items run, to take them off the load reports. */
+constexpr std::chrono::milliseconds itemsInterval{25};
 constexpr std::chrono::milliseconds pollInterval{20};
 /** How often a node that cannot start yet says so. */
 constexpr std::chrono::seconds waitNotice{5};
@@ -97,7 +99,7 @@
     });
     std::future<SettingsPointer> learnt = configuration.get_future();
     while (learnt.wait_for(waitNotice) != std::future_status::ready) {
-        log(LogLevel::Warning, "not ready: neither the platform nor a peer has told the configuration yet, or it does not load");
+        log(LogLevel::Warning, "not ready: the platform has not told the newest configuration yet, or it does not load");
     }
     this->settings = learnt.get();
 }
@@ -182,6 +184,7 @@
     this->watch = std::make_unique<Task>("watch");
     this->watch->loop().post([this] {
         this->watchBacklog();
+        this->watchItems();
     });
 }
 
@@ -357,6 +360,18 @@
     });
 }
 
+void Node::watchItems()
+{
+    this->lane->post([this](LaneTask &task) {
+        this->entry->post([items = task.lane().itemsRunning()](EntryTask &entry) {
+            entry.setItems(items);
+        });
+    });
+    this->watch->loop().schedule(itemsInterval, [this] {
+        this->watchItems();
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
