Benchmarks: Stop nodes as planned and lose domains in the history check

Two more kinds of faults: a planned stop and its restart, and the loss of all processes of one failure domain.

--- a/Benchmarks/Measure/History.cpp
+++ b/Benchmarks/Measure/History.cpp
@@ -292,12 +292,16 @@
                       "[peers]\nsite_key = \"history\"\ncall_timeout = \"1s\"\n"
                       "[membership]\nsuspicion = \"500ms\"\n"
                       "[batch]\nitem_lease = \"3s\"\n"
-                      "[entry]\nprogress_timeout = \"2s\"\nrequest_timeout = \"20s\"\n");
+                      "[entry]\nprogress_timeout = \"2s\"\nrequest_timeout = \"20s\"\nentry_ttl = \"1s\"\ndrain = \"5s\"\n");
     std::vector<Address> addresses;
     for (int i = 0; i < FLAGS_nodes; ++i) {
         targets.nodes.push_back(fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], ""}));
         addresses.push_back(fleet.process(targets.nodes.back()).address);
     }
+    // The plain services stay up: they count the runs that the check needs.
+    for (std::size_t i = 0; i < domains.size() && i < targets.nodes.size(); ++i) {
+        targets.domains.push_back({targets.nodes[i], targets.engines[i]});
+    }
     if (!fleet.waitReady(std::chrono::seconds(30))) {
         std::fputs("the nodes did not become ready\n", stderr);
         return 2;
--- a/Benchmarks/Support/FaultSchedule.cpp
+++ b/Benchmarks/Support/FaultSchedule.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::chrono::milliseconds stepTime{10};
+constexpr std::chrono::seconds longestStop{20};
+constexpr int kinds = 10;
 
 } // namespace
 
@@ -80,7 +82,7 @@
 
 void FaultSchedule::inject()
 {
-    switch (std::uniform_int_distribution(0, 7)(this->random)) {
+    switch (std::uniform_int_distribution(0, kinds - 1)(this->random)) {
     case 0:
     case 1:
         this->kill("node_killed", this->targets.nodes);
@@ -100,6 +102,12 @@
                             std::bernoulli_distribution(0.5)(this->random) ? R"({"delay_ms":250})" : R"({"silent":true})",
                             R"({"delay_ms":0,"silent":false})");
         return;
+    case 7:
+        this->stopAsPlanned();
+        return;
+    case 8:
+        this->loseDomain();
+        return;
     default:
         this->breakPlatform("platform_loses_answers", R"({"lost_answers":0.3})", R"({"lost_answers":0})");
     }
@@ -134,6 +142,45 @@
                             }});
 }
 
+void FaultSchedule::stopAsPlanned()
+{
+    const std::vector<std::size_t> candidates = this->running(this->targets.nodes);
+    if (candidates.size() < 2) {
+        return;
+    }
+    const std::size_t index = candidates[this->random() % candidates.size()];
+    this->fleet.signal(index, SIGTERM);
+    ++this->counts["node_stopped"];
+    this->active.push_back({"node_stopped", std::chrono::steady_clock::now() + this->between(2000, 4000), [this, index] {
+                                if (this->fleet.process(index).pid > 0 && this->fleet.waitEnd(index, longestStop) != 0) {
+                                    this->fleet.signal(index, SIGKILL);
+                                    ++this->counts["node_stop_too_slow"];
+                                }
+                                this->fleet.restart(index);
+                            }});
+}
+
+void FaultSchedule::loseDomain()
+{
+    const bool isAnyProcessHit = std::ranges::any_of(this->active, [](const Active &fault) {
+        return !fault.name.starts_with("platform");
+    });
+    // Only from a whole fleet: with another process gone as well, no domain might be left.
+    if (this->targets.domains.empty() || isAnyProcessHit) {
+        return;
+    }
+    const std::vector<std::size_t> lost = this->targets.domains[this->random() % this->targets.domains.size()];
+    for (const std::size_t index : lost) {
+        this->fleet.signal(index, SIGKILL);
+    }
+    ++this->counts["domain_lost"];
+    this->active.push_back({"domain_lost", std::chrono::steady_clock::now() + this->between(500, 3000), [this, lost] {
+                                for (const std::size_t index : lost) {
+                                    this->fleet.restart(index);
+                                }
+                            }});
+}
+
 void FaultSchedule::breakPlatform(const std::string &name, const std::string &faults, const std::string &repaired)
 {
     if (this->isHit(name)) {
--- a/Benchmarks/Support/FaultSchedule.h
+++ b/Benchmarks/Support/FaultSchedule.h
@@ -21,6 +21,8 @@
     {
         std::vector<std::size_t> nodes;
         std::vector<std::size_t> engines;
+        /** The processes of each failure domain; may be empty. */
+        std::vector<std::vector<std::size_t>> domains;
     };
 
     FaultSchedule(LocalFleet &fleet, Targets targets, std::uint64_t seed);
@@ -49,6 +51,8 @@
     void inject();
     void kill(const std::string &name, const std::vector<std::size_t> &among);
     void pause();
+    void stopAsPlanned();
+    void loseDomain();
     void breakPlatform(const std::string &name, const std::string &faults, const std::string &repaired);
     void repairUntil(Time now);
     bool isHit(const std::string &name) const;
--- a/Programs/dogwoodkeel/NodeStatus.cpp
+++ b/Programs/dogwoodkeel/NodeStatus.cpp
@@ -15,12 +15,12 @@
 
 } // namespace
 
-StatusPart shardStatus(const OwnerService &owner)
+StatusPart shardStatus(OwnerService &owner)
 {
     const JournalWriter &journal = owner.journalWriter();
     StatusPart part;
     part.json = nlohmann::json({{"owned", owner.shardCount()},
-                                {"items_waiting", owner.backlog()},
+                                {"items_waiting", owner.backlog().items},
                                 {"journal_lag", journal.waiting()},
                                 {"journal_stalled", journal.isStalled()}})
                     .dump();
--- a/Programs/dogwoodkeel/NodeStatus.h
+++ b/Programs/dogwoodkeel/NodeStatus.h
@@ -11,7 +11,7 @@
 {
 
 /** @return the part of the status on shards, batch items that wait, and the journal. */
-StatusPart shardStatus(const OwnerService &owner);
+StatusPart shardStatus(OwnerService &owner);
 
 /**
  * @param openRequests requests of callers not yet answered
