--- a/Services/Entry/Admission.cpp
+++ b/Services/Entry/Admission.cpp
@@ -56,7 +56,7 @@
     const PoolMeans means = meansOf(usable, now, fleet);
     double room = 0;
     for (const Replica *const replica : usable) {
-        room += std::max(0.0, replica->capacity - requestsOn(*replica, means, now, fleet));
+        room += std::max(0.0, replica->capacity * this->settings->entry.overcommit - requestsOn(*replica, means, now, fleet));
     }
     return room;
 }
