Services: Give a claim back to its owner, not to the node that was asked first

Found by the history check: a non-idempotent id whose runner had given up was waited for by every resend until the claim lease ended. The runner took any answer to its release for the end, also that of a node that did not own the shard any more, or not yet. The answer now says so, and the release goes on to the owner.

The new test failed before (with any answer taken for the end: the second release never came), passes now.

--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1196,7 +1196,9 @@
 struct ReleaseResponse
 {
     static constexpr MessageNumber number{6};
-    /** False if this node does not own the shard, or another holds the claim. */
+    /** False if this node does not own the shard: the claim stands, the owner is to be asked. */
+    bool isOwner = false;
+    /** False if another holds the claim, or its result is known. */
     bool isReleased = false;
 
     bool operator==(const ReleaseResponse &) const = default;
@@ -1204,7 +1206,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isReleased);
+        archive(this->isOwner, this->isReleased);
     }
 };
 
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -206,8 +206,10 @@
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
-        [](const ReleaseResponse &) {
-            return true;
+        [](const ReleaseResponse &response) {
+            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
+            // would wait for it until its lease ends.
+            return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
 }
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -369,11 +369,15 @@
 void OwnerService::release(const ReleaseRequest &request, const Respond<ReleaseResponse> &respond)
 {
     ShardState *const state = this->stateOf(request.requestId.value());
-    const ReleaseVerdict verdict = state != nullptr ? state->requests.release(request) : ReleaseVerdict::Refused;
+    if (state == nullptr) {
+        respond({.isOwner = false, .isReleased = false});
+        return;
+    }
+    const ReleaseVerdict verdict = state->requests.release(request);
     if (verdict == ReleaseVerdict::Withdraw) {
         this->writeWithdrawal(this->keeper.shardOf(request.requestId.value()), request.requestId);
     }
-    respond({verdict != ReleaseVerdict::Refused});
+    respond({.isOwner = true, .isReleased = verdict != ReleaseVerdict::Refused});
 }
 
 void OwnerService::result(const ResultRequest &request, const Respond<ResultResponse> &respond)
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -35,10 +35,14 @@
         });
         this->server.handle<ReleaseRequest>([this](const ReleaseRequest &request, const auto &respond) {
             this->releases.push_back(request);
-            respond({true});
+            this->onRelease(request, respond);
         });
     }
 
+    std::function<void(const ReleaseRequest &, const PeerServer::Respond<ReleaseResponse> &)> onRelease
+        = [](const ReleaseRequest &, const auto &respond) {
+              respond({true, true});
+          };
     std::function<void(const ClaimRequest &, const PeerServer::Respond<ClaimResponse> &)> onClaim
         = [](const ClaimRequest &, const auto &respond) {
               respond({ClaimDecision::Run, {}});
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -204,6 +204,26 @@
     CHECK(bench.owner.commits.empty());
 }
 
+TEST_CASE("a claim is given back to its owner, not to the node that no longer owns the shard")
+{
+    // The shard changes hands while the claim is given back. The node asked first says that it is not the owner: were that
+    // taken for the end, the intent would stand at the next owner, and resends would wait for it until the lease ends.
+    EntryBench bench(1);
+    bench.owner.onRelease = [&bench](const ReleaseRequest &, const auto &respond) {
+        const bool isOwner = bench.owner.releases.size() > 1;
+        respond({isOwner, isOwner});
+    };
+    bench.start();
+    bench.endpoints[0]->setScript([](const Exchange &exchange) {
+        exchange->answer(503, "{}");
+    });
+    bench.untilEnd(bench.complete("p", nonIdempotent(named), false));
+    bench.until([&] {
+        return bench.owner.releases.size() == 2;
+    });
+    CHECK(bench.owner.releases[0].claim == bench.owner.releases[1].claim);
+}
+
 TEST_CASE("a caller whose deadline passes in the middle of a stream is told so, and the endpoint is not blamed")
 {
     EntryBench bench(2);
