--- a/Libraries/LibRouting/ReplicaChooser.h
+++ b/Libraries/LibRouting/ReplicaChooser.h
@@ -92,7 +92,6 @@
 
     Pool *poolOf(const std::string &serves);
     void renew(Pool &pool, SteadyTime now);
-    static void renewMeans(Pool &pool, SteadyTime now, const FleetSettings &settings);
     std::string versionFor(const Pool &pool, const ChoiceWish &wish);
     Replica *byPrefix(const Draw &draw, const std::string &version) const;
     bool hasRoom(const Replica &replica, const Draw &draw) const;
--- a/Libraries/LibRouting/ReplicaScore.cpp
+++ b/Libraries/LibRouting/ReplicaScore.cpp
@@ -31,6 +31,42 @@
 
 } // namespace
 
+PoolMeans meansOf(const std::vector<Replica *> &replicas, SteadyTime now, const FleetSettings &settings)
+{
+    double known = 0;
+    double knownOthers = 0;
+    double serviceTime = 0;
+    double measured = 0;
+    double lifetime = 0;
+    for (const Replica *const replica : replicas) {
+        // Each counts as much as its reports are fresh.
+        const double trust = remainingShare(now - replica->others.at, settings.loadHalfLife);
+        known += trust * replica->capacity;
+        knownOthers += trust * replica->others.average.valueOr(0);
+        const double seconds = replica->serviceTime.valueOr(0);
+        serviceTime += seconds;
+        measured += seconds > 0 ? 1 : 0;
+        lifetime += replica->lifetime.valueOr(0);
+    }
+    PoolMeans means;
+    means.othersPerCapacity = known > 0 ? knownOthers / known : 0;
+    means.serviceTime = measured > 0 ? serviceTime / measured : 0;
+    means.lifetime = measured > 0 ? lifetime / measured : 0;
+    double busy = 0;
+    for (const Replica *const replica : replicas) {
+        busy += busyness(*replica, means, 0, now, settings);
+    }
+    means.busyness = replicas.empty() ? 0 : busy / static_cast<double>(replicas.size());
+    return means;
+}
+
+double requestsOn(const Replica &replica, const PoolMeans &means, SteadyTime now, const FleetSettings &settings)
+{
+    const LoadPrior prior{
+        means.othersPerCapacity * replica.capacity, std::chrono::duration<double>(means.lifetime), settings.loadHalfLife};
+    return estimatedInFlight(replica, now, prior);
+}
+
 double rampShare(const Replica &replica, SteadyTime now, std::chrono::milliseconds slowStart)
 {
     const auto age = now - replica.rampStart;
@@ -41,6 +77,14 @@
     return std::max(leastRamp, share);
 }
 
+double busyness(const Replica &replica, const PoolMeans &means, double more, SteadyTime now, const FleetSettings &settings)
+{
+    const double capacity = std::max(1.0, static_cast<double>(replica.capacity));
+    const double inFlight = requestsOn(replica, means, now, settings);
+    const double places = capacity * rampShare(replica, now, settings.slowStart);
+    return relativeServiceTime(replica, means) * (inFlight + more) / places;
+}
+
 double replicaCost(const Replica &replica,
                    const PoolMeans &means,
                    const FailureDomain &failureDomain,
@@ -48,11 +92,7 @@
                    SteadyTime now,
                    const FleetSettings &settings)
 {
-    const double capacity = std::max(1.0, static_cast<double>(replica.capacity));
-    const double others = means.othersPerCapacity * capacity;
-    const double inFlight = estimatedInFlight(replica, now, settings.loadHalfLife, others);
-    double cost = relativeServiceTime(replica, means) * (inFlight + 1) / capacity;
-    cost /= rampShare(replica, now, settings.slowStart);
+    double cost = busyness(replica, means, 1, now, settings);
     // What fails with probability p has to be sent 1/(1-p) times on average.
     const double failed = replica.failures.valueOr(0) * std::min(1.0, static_cast<double>(replica.failuresInARow));
     cost /= 1 - std::min(failed, worstFailureShare);
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -61,6 +62,9 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** How many batch items this node's lanes run on each replica. */
+    void setItems(const std::map<EndpointName, std::uint32_t> &items);
+
     /** @return where load reports go. */
     const Address &fleetAddress() const;
 
@@ -92,6 +96,7 @@
     RetryBudget retries;
     SuspectNotices suspects;
     Admission admission;
+    LimitSharing limits;
     FleetState fleet;
     FleetWatch watch;
     ReplicaChooser chooser;
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -1,5 +1,6 @@
 #include <Services/Entry/FleetWatch.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 #include <Services/Entry/EndpointReports.h>
 
@@ -69,6 +70,17 @@
     this->view = std::move(view);
 }
 
+void FleetWatch::setSession(SessionNumber self)
+{
+    this->self = self;
+    this->polledBasis = 0;
+}
+
+void FleetWatch::setItems(const EndpointName &endpoint, std::uint32_t items)
+{
+    this->items[endpoint].record(items, this->clock.now());
+}
+
 bool FleetWatch::isPolledHere(const Replica &replica) const
 {
     const Member *const holder = this->view->holderOf(replica.name);
@@ -77,9 +89,11 @@
 
 void FleetWatch::poll()
 {
-    for (Replica &replica : this->replicas.all()) {
-        if (this->isPolledHere(replica) && this->asked.insert(replica.name).second) {
-            this->pollOne(replica);
+    this->renewPolled();
+    for (const EndpointName &name : this->polled) {
+        Replica *const replica = this->replicas.find(name);
+        if (replica != nullptr && this->asked.insert(name).second) {
+            this->pollOne(*replica);
         }
     }
     this->sendReports();
@@ -90,6 +104,27 @@
     });
 }
 
+void FleetWatch::renewPolled()
+{
+    // Views change with each news of a member; who holds what changes only with who there is. Looking for the holder of
+    // each of 1,800 replicas among 390 members at each poll took 3.4% of a core.
+    std::uint64_t basis = this->replicas.version();
+    for (const Member &member : this->view->members()) {
+        const std::uint64_t isLeaving = member.state == MemberState::Leaving ? 1 : 0;
+        basis = rendezvousWeight(basis, 2 * member.session.value() + isLeaving);
+    }
+    if (basis == this->polledBasis) {
+        return;
+    }
+    this->polledBasis = basis;
+    this->polled.clear();
+    for (const Replica &replica : this->replicas.all()) {
+        if (this->isPolledHere(replica)) {
+            this->polled.push_back(replica.name);
+        }
+    }
+}
+
 void FleetWatch::pollOne(Replica &replica)
 {
     const auto answered = [this, name = replica.name, sent = this->clock.now(), alive = this->alive](
@@ -113,6 +148,16 @@
         return;
     }
     report->endpoint = name;
+    if (report->ageMilliseconds == 0) {
+        report->ageMilliseconds = static_cast<std::uint32_t>(this->settings->fleet.loadLag.count());
+    }
+    const auto items = this->items.find(name);
+    if (items != this->items.end()) {
+        // Batch items give way to online requests within milliseconds. Counted as load, they would make a replica look
+        // full that has all its places free, and requests would wait behind batch work.
+        const std::uint32_t running = items->second.at(asked - std::chrono::milliseconds(report->ageMilliseconds));
+        report->inFlight -= std::min(report->inFlight, running);
+    }
     this->latest[name] = {*report, asked};
     report->ageMilliseconds += millisecondsSince(asked, this->clock.now());
     this->learnt(*report);
@@ -287,7 +332,7 @@
     const auto load = headerValue(headers, loadHeader);
     std::uint32_t inFlight = 0;
     if (load && std::from_chars(load->data(), load->data() + load->size(), inFlight).ec == std::errc()) {
-        FleetState::observeLoad(replica, inFlight, this->clock.now());
+        this->state.observeLoad(replica, inFlight, this->clock.now());
     }
 }
 
