LibSettings: Report input that ends the TOML parser instead of ending with it

A fuzz target over all decoders found it in its first thousand inputs: the settings text "[$[" fails an assertion in toml++ and ended every program that read it (exit by signal 6 from config check, and so a node that is given such a configuration). With assertions off it would be undefined instead. The library's assertions now throw, and the loader reports a finding. Ruled out: a check of the text before, which would be a parser of our own.

Red first: config check on "[$[" ended by signal 6; the test passes now with four such texts.

--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -93,6 +93,22 @@
     }
 }
 
+/** @return the source's table, or nothing after a finding. */
+std::optional<toml::table> parseSource(const SettingsSource &source, Findings &findings)
+{
+    try {
+        toml::parse_result parsed = toml::parse(source.text, source.name);
+        if (parsed) {
+            return std::move(parsed).table();
+        }
+        const toml::source_position place = parsed.error().source().begin;
+        findings.add({source.name, place.line, place.column}, std::string(parsed.error().description()));
+    } catch (const TomlFault &) {
+        findings.add({source.name, 0, 0}, "this is no TOML; the place could not be found");
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<Settings> loadSettings(const std::vector<SettingsSource> &sources, Findings &findings)
@@ -102,14 +118,12 @@
     const std::size_t before = findings.all().size();
     bool isParsed = true;
     for (const SettingsSource &source : sources) {
-        toml::parse_result parsed = toml::parse(source.text, source.name);
+        std::optional<toml::table> parsed = parseSource(source, findings);
         if (!parsed) {
-            const toml::parse_error &error = parsed.error();
-            findings.add({source.name, error.source().begin.line, error.source().begin.column}, std::string(error.description()));
             isParsed = false;
             continue;
         }
-        toml::table table = std::move(parsed).table();
+        toml::table table = std::move(*parsed);
         applyScope(table, source, reader);
         mergeTable(merged, std::move(table));
     }
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -5,7 +5,7 @@
     g++ cmake ninja-build ccache pkg-config git python3 clang-format clang-tidy
     libevent-dev libevhtp-dev libcereal-dev prometheus-cpp-dev libgflags-dev libspdlog-dev libboost1.81-dev
     doctest-dev libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev libssl-dev librapidcheck-dev spin
-    libbenchmark-dev curl
+    libbenchmark-dev clang libclang-rt-14-dev curl
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -97,3 +97,14 @@
     REQUIRE(findings.all().size() == 1);
     CHECK(findings.all()[0].message == "cannot be read");
 }
+
+// An operator applies a file with a slip in it. The TOML library takes this input for impossible and failed an assertion:
+// each program that read it ended, nodes included. Found by fuzzing.
+TEST_CASE("Input that the TOML library takes for impossible is a finding")
+{
+    for (const char *const text : {"[$[", "[$", "a = [$", "[\x01"}) {
+        Findings findings;
+        CHECK(!loadSettings({{"file", text}}, findings).has_value());
+        CHECK(!findings.isEmpty());
+    }
+}
