dogwoodkeel: Submit, watch, read, list and cancel jobs from the command line

batch submit|status|list|results|cancel, results and entries, with exit codes told in their help. They do what a caller should: ask which addresses to use, go on to the next when one gives no answer or cannot serve, keep a submission's idempotency key over the tries and tell it when the outcome is not known.

Tested against stand-in nodes: a dead one, a full one and a refusal.

--- /dev/null
+++ b/Libraries/LibClient/CallerClient.cpp
@@ -0,0 +1,111 @@
+#include <LibClient/CallerClient.h>
+
+#include <LibHttp/HttpClient.h>
+#include <LibTask/EventLoop.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <thread>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+/** Enough to outlive the loss of a failure domain. */
+constexpr const char *entriesQuery = "count=8";
+
+/** @return when the system wants to be asked again. */
+std::chrono::milliseconds pauseOf(const HttpResponse &response, std::chrono::milliseconds fallback)
+{
+    const std::string after = headerValue(response.headers, "Retry-After").value_or(std::string());
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(after.data(), after.data() + after.size(), seconds);
+    return error == std::errc() && !after.empty() ? std::chrono::seconds(seconds) : fallback;
+}
+
+} // namespace
+
+CallerClient::CallerClient(Options options) : options(std::move(options))
+{
+}
+
+std::optional<HttpResponse> CallerClient::callOne(const Address &address, const HttpRequest &request) const
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    std::optional<HttpResponse> answer;
+    client.fetch(address, request, this->options.timeout, [&loop, &answer](ExchangeEnd end, HttpResponse response) {
+        if (end == ExchangeEnd::Complete) {
+            answer = std::move(response);
+        }
+        loop.stop();
+    });
+    loop.run();
+    return answer;
+}
+
+std::vector<Address> CallerClient::entries()
+{
+    if (!this->known.empty()) {
+        return this->known;
+    }
+    for (const Address &node : this->options.nodes) {
+        const auto answer = this->callOne(node, {.method = "GET", .path = "/v1/entries", .query = entriesQuery});
+        if (!answer || answer->status != statusOk) {
+            continue;
+        }
+        const nlohmann::json told = nlohmann::json::parse(answer->body, nullptr, false);
+        if (!told.is_object() || !told.contains("entries")) {
+            continue;
+        }
+        for (const nlohmann::json &entry : told["entries"]) {
+            const bool isNamed = entry.is_object() && entry.contains("address") && entry["address"].is_string();
+            const auto address = isNamed ? Address::parse(entry["address"].get<std::string>()) : std::nullopt;
+            if (address) {
+                this->known.push_back(*address);
+            }
+        }
+        if (!this->known.empty()) {
+            return this->known;
+        }
+    }
+    return this->options.nodes;
+}
+
+HttpResponse CallerClient::call(const std::string &method,
+                                const std::string &path,
+                                const std::string &query,
+                                const std::string &body,
+                                const HttpHeaders &headers)
+{
+    HttpRequest request{.method = method, .path = path, .query = query, .headers = headers, .body = body};
+    if (!this->options.key.empty()) {
+        request.headers["Authorization"] = "Bearer " + this->options.key;
+    }
+    HttpResponse last{0, {}, "no node answered"};
+    for (int round = 0; round < this->options.rounds; ++round) {
+        for (const Address &address : this->entries()) {
+            auto answer = this->callOne(address, request);
+            if (answer && answer->status != statusUnavailable) {
+                return std::move(*answer);
+            }
+            if (answer) {
+                last = std::move(*answer);
+            }
+        }
+        // Those that were named may all be gone by now.
+        this->known.clear();
+        if (round + 1 < this->options.rounds) {
+            std::this_thread::sleep_for(pauseOf(last, this->options.pause));
+        }
+    }
+    return last;
+}
+
+} // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Command.h
+++ b/Programs/dogwoodkeel/Command.h
@@ -14,6 +14,8 @@
     Failure = 1,
     /** The command line or the settings are wrong; nothing was started. */
     Usage = 2,
+    /** The system refused it, and said why. */
+    Refused = 3,
 };
 
 /** A subcommand of the program. */
--- a/Programs/dogwoodkeel/Commands.cpp
+++ b/Programs/dogwoodkeel/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Command.h"
 
+#include "BatchCommand.h"
 #include "ConfigCommand.h"
 #include "ServeCommand.h"
 #include "StatusCommand.h"
@@ -49,6 +50,17 @@
          "usage: dogwoodkeel status [--json] [--node=ADDRESS] [--key_file=FILE]\n"
          "exit codes: 0 told, 1 no node answered\n",
          runStatus},
+        {"batch", "submit, watch, read, list and cancel batch jobs", batchHelp, runBatch},
+        {"results",
+         "print the stored answer of a request",
+         "usage: dogwoodkeel results ID [--nodes=ADDRESS,...] [--key_file=FILE]\n"
+         "exit codes: 0 printed, or still running, 1 no node answered, 2 wrong command line, 3 refused or unknown\n",
+         runResults},
+        {"entries",
+         "print the addresses that a caller should use",
+         "usage: dogwoodkeel entries [--json] [--nodes=ADDRESS,...]\n"
+         "exit codes: 0 printed, 1 no node answered, 2 wrong command line, 3 refused\n",
+         runEntries},
         {"hash-key",
          "make the hash of an API key for the settings",
          "usage: dogwoodkeel hash-key < FILE\nexit codes: 0 done, 2 no key given\n",
--- /dev/null
+++ b/Tests/LibClient/TestCallerClient.cpp
@@ -0,0 +1,136 @@
+#include <LibClient/CallerClient.h>
+#include <LibHttp/HttpReply.h>
+#include <LibHttp/HttpServer.h>
+#include <LibTask/TaskHost.h>
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+/** Stand-in for a node: names the entries it was told, and answers all else with one status. */
+class FakeNode
+{
+public:
+    explicit FakeNode(EventLoop &loop)
+        : server(loop, {"127.0.0.1", 0}, {65536}, [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+            this->serve(request, reply);
+        })
+    {
+    }
+
+    HttpServer server;
+    std::vector<Address> entries;
+    int status = 200;
+    std::vector<HttpRequest> requests;
+
+private:
+    void serve(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
+    {
+        if (request.path != "/v1/entries") {
+            this->requests.push_back(request);
+            reply->send({this->status, {}, "answer"});
+            return;
+        }
+        nlohmann::json named = nlohmann::json::array();
+        for (const Address &entry : this->entries) {
+            named.push_back({{"address", entry.toString()}});
+        }
+        reply->send({200, {}, nlohmann::json({{"entries", named}, {"ttl_seconds", 10}}).dump()});
+    }
+};
+
+struct Node
+{
+    TaskHost<FakeNode> host{"node"};
+
+    Address address()
+    {
+        return this->host.ask<Address>([](FakeNode &node) {
+            return node.server.address();
+        });
+    }
+
+    std::size_t requestCount()
+    {
+        return this->host.ask<std::size_t>([](FakeNode &node) {
+            return node.requests.size();
+        });
+    }
+
+    void set(std::vector<Address> entries, int status = 200)
+    {
+        this->host.ask<bool>([&](FakeNode &node) {
+            node.entries = entries;
+            node.status = status;
+            return true;
+        });
+    }
+};
+
+/** Nothing listens there. */
+const Address nowhere{"127.0.0.1", 1};
+
+CallerClient::Options optionsFor(std::vector<Address> nodes)
+{
+    CallerClient::Options options;
+    options.nodes = std::move(nodes);
+    options.key = "secret";
+    options.pause = std::chrono::milliseconds(1);
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("The addresses that the system names are used, with the key")
+{
+    Node asked;
+    Node named;
+    asked.set({named.address()});
+    CallerClient client(optionsFor({asked.address()}));
+    CHECK(client.call("GET", "/v1/batches/x").status == 200);
+    CHECK(asked.requestCount() == 0);
+    CHECK(named.requestCount() == 1);
+    const auto key = named.host.ask<std::string>([](FakeNode &node) {
+        return headerValue(node.requests.front().headers, "Authorization").value_or("");
+    });
+    CHECK(key == "Bearer secret");
+}
+
+// A node that was named is gone, and another cannot serve now. The caller goes on to the next address at once: there is no
+// balancer that would do it.
+TEST_CASE("An address that gives no answer is followed by the next")
+{
+    Node asked;
+    Node full;
+    Node good;
+    full.set({}, 503);
+    asked.set({nowhere, full.address(), good.address()});
+    CallerClient client(optionsFor({nowhere, asked.address()}));
+    CHECK(client.call("POST", "/v1/batches", "", "items").status == 200);
+    CHECK(full.requestCount() == 1);
+    CHECK(good.requestCount() == 1);
+}
+
+TEST_CASE("When nobody answers, that is told")
+{
+    CallerClient client(optionsFor({nowhere}));
+    const HttpResponse answer = client.call("GET", "/v1/batches/x");
+    CHECK(answer.status == 0);
+    CHECK(answer.body == "no node answered");
+}
+
+TEST_CASE("A refusal is passed on and not tried elsewhere")
+{
+    Node node;
+    node.set({node.address(), node.address()}, 422);
+    CallerClient client(optionsFor({node.address()}));
+    CHECK(client.call("POST", "/v1/batches").status == 422);
+    CHECK(node.requestCount() == 1);
+}
