--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -34,6 +34,16 @@
     Error,
 };
 
+/** How batch items make room for online requests. */
+enum class BatchPolicy : std::uint8_t {
+    /** They fill what online requests leave, and stop for them. */
+    Yield,
+    /** Each replica runs batch.fixed_limit of them, whatever else runs. */
+    FixedLimit,
+    /** They take every free place, and stop for nothing. */
+    Unlimited,
+};
+
 /** This VM. Stated per VM, in a file of its own. */
 struct NodeSettings
 {
@@ -108,6 +118,8 @@
     std::int64_t shards = 64;
     /** Shortest time between two writes of one journal; stretched as the write budget demands. */
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
+    /** How long a write may wait for more records to share it, while they come in fast. */
+    std::chrono::milliseconds groupGather = std::chrono::milliseconds(75);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
     /** How long a request's result stays readable at least. An id used again after that runs again. */
@@ -144,14 +156,42 @@
     std::int64_t entryCount = 3;
     /** How long a planned stop may take at most. */
     std::chrono::milliseconds drain = std::chrono::milliseconds(30000);
-    /** How long an endpoint's stream may be silent before it is resumed elsewhere. */
-    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(10000);
+    /** How long connecting to an endpoint may take before another is tried. */
+    std::chrono::milliseconds connectTimeout = std::chrono::milliseconds(1000);
+    /** How long an endpoint may take to begin its answer to a completion. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(10000);
+    /** How long an answer may be silent before it is resumed, over a new connection first and elsewhere then. */
+    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(2000);
     /** Deadline of an online request whose caller named none. */
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
+    /** Requests for one model or service that wait in a node for room at its replicas. */
+    std::int64_t queueLength = 256;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
 
+/** How many retries a node makes for one tenant, and towards one endpoint. */
+struct RetrySettings
+{
+    /** Retries that one success pays for. */
+    double perSuccess = 0.2;
+    /** Retries a second that are free. */
+    double perSecond = 1;
+    /** Retries that may be saved up: as many requests as a node may lose with one endpoint. */
+    double burst = 50;
+};
+
+/** Requests that crash the endpoints that run them. */
+struct QuarantineSettings
+{
+    /** Endpoints lost with a request after which it runs no more. */
+    std::int64_t losses = 2;
+    /** How long a suspicion or a quarantine lasts after the last loss. */
+    std::chrono::milliseconds duration = std::chrono::milliseconds(600000);
+    /** Suspected requests a node remembers. */
+    std::int64_t remembered = 10000;
+};
+
 /** Batch jobs and the lanes that run them. */
 struct BatchSettings
 {
@@ -169,8 +209,47 @@
     std::chrono::milliseconds due = std::chrono::milliseconds(43200000);
     /** How often a lane looks for items. */
     std::chrono::milliseconds pullInterval = std::chrono::milliseconds(50);
-    /** Places of a replica kept free for online requests at least. */
+    /** Places of a replica kept free for online requests at least; more are kept as online requests are seen to come faster. */
     std::int64_t headroom = 1;
+    /** How batch items make room for online requests: yield, fixed_limit or unlimited. */
+    BatchPolicy policy = BatchPolicy::Yield;
+    /** With policy fixed_limit: batch items a replica runs side by side. */
+    std::int64_t fixedLimit = 4;
+    /** How much longer the time between an online request's tokens may get because of batch items beside it; 0.1 for a tenth. */
+    double slowdown = 0.1;
+    /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
+    std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
+    /** Items that a node pulls for one model ahead of the places it has. */
+    std::int64_t prefetch = 64;
+};
+
+/** What is learnt of endpoints, and how one is chosen. */
+struct FleetSettings
+{
+    /** How often an endpoint's load report and cache events are read, by one node for all. */
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    /** Load reports a node lets the others send it; with more replicas in use they come less often. */
+    std::int64_t loadBytesPerSecond = 4096;
+    /** After this age a load report counts half, and the pool's mean the other half. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How fast the measured service time forgets. */
+    std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
+    /** How fast the measured share of failures forgets. */
+    std::chrono::milliseconds failureHalfLife = std::chrono::milliseconds(10000);
+    /** How much of a prompt's start sends requests that share it to the same replica. */
+    std::int64_t prefixBytes = 256;
+    /** How far above the pool's mean load a replica may be to get a request for its cached prefix. */
+    double prefixLoadBound = 1.25;
+    /** Failures in a row after which a replica gets no requests for a while. */
+    std::int64_t ejectFailures = 3;
+    /** Share of a pool that may be ejected at once. */
+    double ejectShare = 0.5;
+    /** How long a first ejection lasts; each further one lasts twice as long. */
+    std::chrono::milliseconds ejectTime = std::chrono::milliseconds(2000);
+    /** How long an ejection lasts at most. */
+    std::chrono::milliseconds ejectTimeMost = std::chrono::milliseconds(60000);
+    /** How long a new or returned replica takes to get its whole share. */
+    std::chrono::milliseconds slowStart = std::chrono::milliseconds(5000);
 };
 
 /** A replica that work is sent to: a model engine or a plain service. */
@@ -190,8 +269,12 @@
     std::int64_t capacity = 8;
     /** Its hardware generation. */
     std::string generation;
+    /** The VM it runs on, as the platform's list of VMs has it; empty if it has the endpoint's name. */
+    std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
+    /** What the engine does: `serve`, or a role that it knows and that takes no requests of callers. */
+    std::string role = "serve";
 };
 
 /** A plain service. */
@@ -203,6 +286,8 @@
     bool isIdempotent = true;
     /** How long one call may take. */
     std::chrono::milliseconds timeout = std::chrono::milliseconds(5000);
+    /** How long an endpoint may take to begin its answer before a call that may be repeated is tried again. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(1000);
 };
 
 /** An accounting unit, and the keys of its callers. */
@@ -218,6 +303,47 @@
     std::int64_t concurrency = 1000;
 };
 
+/** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+struct ModelSettings
+{
+    /** Its name, as endpoints and callers use it. */
+    std::string name;
+    /** The version its engines shall serve. */
+    std::string version;
+    /** The version that is being rolled out; empty: none. */
+    std::string nextVersion;
+    /** Share of the endpoints that shall serve next_version. */
+    double nextShare = 0;
+    /** Adapters its engines shall have loaded. */
+    std::vector<std::string> adapters = {};
+    /** Size of its weights, for the pace of loads. */
+    std::int64_t weightBytes = 0;
+    /** Whether its last serving replica may be taken for a new version; without it, one replica alone keeps the version it has.
+     */
+    bool mayInterrupt = false;
+};
+
+/** Orders to model engines. */
+struct OrderSettings
+{
+    /** How often the engines' state is compared with the intended one. */
+    std::chrono::milliseconds interval = std::chrono::milliseconds(2000);
+    /** How long the node that gives orders may go without renewing. */
+    std::chrono::milliseconds lease = std::chrono::milliseconds(10000);
+    /** How long before the lease's end its holder stops, and how long a new holder waits. */
+    std::chrono::milliseconds leaseMargin = std::chrono::milliseconds(2000);
+    /** Engines of one failure domain that load at once. */
+    std::int64_t loadsPerDomain = 1;
+    /** Rate of the weight store; loads are started no faster. */
+    std::int64_t weightBytesPerSecond = 1000000000;
+    /** How long a load may take before it is told as overdue. */
+    std::chrono::milliseconds loadTimeout = std::chrono::milliseconds(600000);
+    /** A rollout stops when its share of failed requests exceeds that of the version before by more. */
+    double errorLimit = 0.05;
+    /** Requests of the new version before its errors are judged. */
+    std::int64_t errorRequests = 50;
+};
+
 /** All settings of a node. */
 struct Settings
 {
@@ -235,14 +361,24 @@
     OwnerSettings owner;
     /** What callers see. */
     EntrySettings entry;
+    /** How many retries a node makes for one tenant, and towards one endpoint. */
+    RetrySettings retries;
+    /** Requests that crash the endpoints that run them. */
+    QuarantineSettings quarantine;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
+    /** What is learnt of endpoints, and how one is chosen. */
+    FleetSettings fleet;
     /** A replica that work is sent to: a model engine or a plain service. */
     std::vector<EndpointSettings> endpoints;
     /** A plain service. */
     std::vector<ServiceSettings> services;
     /** An accounting unit, and the keys of its callers. */
     std::vector<TenantSettings> tenants;
+    /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+    std::vector<ModelSettings> models;
+    /** Orders to model engines. */
+    OrderSettings orders;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -87,6 +87,7 @@
     reader.rejectUnknownKeys(table,
                              {"shards",
                               "group_interval",
+                              "group_gather",
                               "claim_lease",
                               "result_retention",
                               "recent_bytes",
@@ -99,6 +100,11 @@
                         target.groupInterval,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(5000)});
+    reader.readDuration(table,
+                        "group_gather",
+                        target.groupGather,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(5000)});
     reader.readDuration(table,
                         "claim_lease",
                         target.claimLease,
@@ -127,8 +133,11 @@
                               "entry_ttl",
                               "entry_count",
                               "drain",
+                              "connect_timeout",
+                              "first_byte_timeout",
                               "progress_timeout",
                               "request_timeout",
+                              "queue_length",
                               "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
@@ -155,23 +164,66 @@
                         target.drain,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "connect_timeout",
+                        target.connectTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "progress_timeout",
                         target.progressTimeout,
                         Presence::Optional,
-                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(600000)});
     reader.readDuration(table,
                         "request_timeout",
                         target.requestTimeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "queue_length", target.queueLength, Presence::Optional, {.least = 0, .most = 1000000});
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
+void readRetrySettings(SettingsReader &reader, const toml::table &table, RetrySettings &target)
+{
+    reader.rejectUnknownKeys(table, {"per_success", "per_second", "burst"});
+    reader.readNumber(table, "per_success", target.perSuccess, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readNumber(table, "per_second", target.perSecond, Presence::Optional, {.least = 0.0, .most = 1000000.0});
+    reader.readNumber(table, "burst", target.burst, Presence::Optional, {.least = 1.0, .most = 1000000.0});
+}
+
+void readQuarantineSettings(SettingsReader &reader, const toml::table &table, QuarantineSettings &target)
+{
+    reader.rejectUnknownKeys(table, {"losses", "duration", "remembered"});
+    reader.readInteger(table, "losses", target.losses, Presence::Optional, {.least = 1, .most = 100});
+    reader.readDuration(table,
+                        "duration",
+                        target.duration,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(2592000000)});
+    reader.readInteger(table, "remembered", target.remembered, Presence::Optional, {.least = 1, .most = 10000000});
+}
+
 void readBatchSettings(SettingsReader &reader, const toml::table &table, BatchSettings &target)
 {
-    reader.rejectUnknownKeys(
-        table, {"items", "item_bytes", "items_per_object", "item_lease", "item_attempts", "due", "pull_interval", "headroom"});
+    reader.rejectUnknownKeys(table,
+                             {"items",
+                              "item_bytes",
+                              "items_per_object",
+                              "item_lease",
+                              "item_attempts",
+                              "due",
+                              "pull_interval",
+                              "headroom",
+                              "policy",
+                              "fixed_limit",
+                              "slowdown",
+                              "reaction",
+                              "prefetch"});
     reader.readInteger(table, "items", target.items, Presence::Optional, {.least = 1, .most = 10000000});
     reader.readInteger(table, "item_bytes", target.itemBytes, Presence::Optional, {.least = 64, .most = 67108864});
     reader.readInteger(table, "items_per_object", target.itemsPerObject, Presence::Optional, {.least = 1, .most = 100000});
@@ -192,12 +244,85 @@
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
     reader.readInteger(table, "headroom", target.headroom, Presence::Optional, {.least = 0, .most = 10000});
+    reader.readEnum<BatchPolicy>(
+        table,
+        "policy",
+        target.policy,
+        Presence::Optional,
+        {{"yield", BatchPolicy::Yield}, {"fixed_limit", BatchPolicy::FixedLimit}, {"unlimited", BatchPolicy::Unlimited}});
+    reader.readInteger(table, "fixed_limit", target.fixedLimit, Presence::Optional, {.least = 0, .most = 100000});
+    reader.readNumber(table, "slowdown", target.slowdown, Presence::Optional, {.least = 0.0, .most = 10.0});
+    reader.readDuration(table,
+                        "reaction",
+                        target.reaction,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1), .most = std::chrono::milliseconds(10000)});
+    reader.readInteger(table, "prefetch", target.prefetch, Presence::Optional, {.least = 1, .most = 10000});
+}
+
+void readFleetSettings(SettingsReader &reader, const toml::table &table, FleetSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"load_poll",
+                              "load_bytes_per_second",
+                              "load_half_life",
+                              "latency_half_life",
+                              "failure_half_life",
+                              "prefix_bytes",
+                              "prefix_load_bound",
+                              "eject_failures",
+                              "eject_share",
+                              "eject_time",
+                              "eject_time_most",
+                              "slow_start"});
+    reader.readDuration(table,
+                        "load_poll",
+                        target.loadPoll,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(
+        table, "load_bytes_per_second", target.loadBytesPerSecond, Presence::Optional, {.least = 64, .most = 10000000});
+    reader.readDuration(table,
+                        "load_half_life",
+                        target.loadHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "latency_half_life",
+                        target.latencyHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "failure_half_life",
+                        target.failureHalfLife,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "prefix_bytes", target.prefixBytes, Presence::Optional, {.least = 1, .most = 1048576});
+    reader.readNumber(table, "prefix_load_bound", target.prefixLoadBound, Presence::Optional, {.least = 1.0, .most = 100.0});
+    reader.readInteger(table, "eject_failures", target.ejectFailures, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readNumber(table, "eject_share", target.ejectShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readDuration(table,
+                        "eject_time",
+                        target.ejectTime,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(3600000)});
+    reader.readDuration(table,
+                        "eject_time_most",
+                        target.ejectTimeMost,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(86400000)});
+    reader.readDuration(table,
+                        "slow_start",
+                        target.slowStart,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(3600000)});
 }
 
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "checks_fencing"});
+        table,
+        {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing", "role"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -205,12 +330,14 @@
     reader.readString(table, "service", target.service, Presence::Optional);
     reader.readInteger(table, "capacity", target.capacity, Presence::Optional, {.least = 1, .most = 100000});
     reader.readString(table, "generation", target.generation, Presence::Optional);
+    reader.readString(table, "vm", target.vm, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
+    reader.readString(table, "role", target.role, Presence::Optional);
 }
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout"});
+    reader.rejectUnknownKeys(table, {"name", "is_idempotent", "timeout", "first_byte_timeout"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readBool(table, "is_idempotent", target.isIdempotent, Presence::Optional);
     reader.readDuration(table,
@@ -218,6 +345,11 @@
                         target.timeout,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "first_byte_timeout",
+                        target.firstByteTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(10), .most = std::chrono::milliseconds(600000)});
 }
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
@@ -229,12 +361,78 @@
     reader.readInteger(table, "concurrency", target.concurrency, Presence::Optional, {.least = 1, .most = 1000000});
 }
 
+void readModelSettings(SettingsReader &reader, const toml::table &table, ModelSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"name", "version", "next_version", "next_share", "adapters", "weight_bytes", "may_interrupt"});
+    reader.readString(table, "name", target.name, Presence::Required);
+    reader.readString(table, "version", target.version, Presence::Required);
+    reader.readString(table, "next_version", target.nextVersion, Presence::Optional);
+    reader.readNumber(table, "next_share", target.nextShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readStrings(table, "adapters", target.adapters, Presence::Optional);
+    reader.readInteger(table, "weight_bytes", target.weightBytes, Presence::Optional, {.least = 0, .most = 100000000000000});
+    reader.readBool(table, "may_interrupt", target.mayInterrupt, Presence::Optional);
+}
+
+void readOrderSettings(SettingsReader &reader, const toml::table &table, OrderSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"interval",
+                              "lease",
+                              "lease_margin",
+                              "loads_per_domain",
+                              "weight_bytes_per_second",
+                              "load_timeout",
+                              "error_limit",
+                              "error_requests"});
+    reader.readDuration(table,
+                        "interval",
+                        target.interval,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease",
+                        target.lease,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(500), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease_margin",
+                        target.leaseMargin,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(table, "loads_per_domain", target.loadsPerDomain, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readInteger(
+        table, "weight_bytes_per_second", target.weightBytesPerSecond, Presence::Optional, {.least = 1, .most = 1000000000000});
+    reader.readDuration(table,
+                        "load_timeout",
+                        target.loadTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(86400000)});
+    reader.readNumber(table, "error_limit", target.errorLimit, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readInteger(table, "error_requests", target.errorRequests, Presence::Optional, {.least = 1, .most = 1000000});
+}
+
 } // namespace
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
 {
-    reader.rejectUnknownKeys(
-        root, {"node", "listen", "platform", "peers", "membership", "owner", "entry", "batch", "endpoint", "service", "tenant"});
+    reader.rejectUnknownKeys(root,
+                             {"node",
+                              "listen",
+                              "platform",
+                              "peers",
+                              "membership",
+                              "owner",
+                              "entry",
+                              "retries",
+                              "quarantine",
+                              "batch",
+                              "fleet",
+                              "endpoint",
+                              "service",
+                              "tenant",
+                              "model",
+                              "orders"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -242,10 +440,15 @@
     reader.readTable(root, "membership", settings.membership, Presence::Optional, readMembershipSettings);
     reader.readTable(root, "owner", settings.owner, Presence::Optional, readOwnerSettings);
     reader.readTable(root, "entry", settings.entry, Presence::Optional, readEntrySettings);
+    reader.readTable(root, "retries", settings.retries, Presence::Optional, readRetrySettings);
+    reader.readTable(root, "quarantine", settings.quarantine, Presence::Optional, readQuarantineSettings);
     reader.readTable(root, "batch", settings.batch, Presence::Optional, readBatchSettings);
+    reader.readTable(root, "fleet", settings.fleet, Presence::Optional, readFleetSettings);
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
+    reader.readList(root, "model", settings.models, readModelSettings);
+    reader.readTable(root, "orders", settings.orders, Presence::Optional, readOrderSettings);
 }
 
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node.h"
 
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibPlatform/GuardedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
@@ -129,6 +130,9 @@
     member.http = this->entry->ask<Address>([](EntryTask &task) {
         return task.address();
     });
+    member.fleet = this->entry->ask<Address>([](EntryTask &task) {
+        return task.fleetAddress();
+    });
     return member;
 }
 
@@ -142,10 +146,18 @@
     this->serveControlCalls();
     const Member member = this->makeMember();
     this->http = member.http;
+    this->entry->post([this](EntryTask &task) {
+        task.watchFleet([this](const EndpointName &endpoint, bool isLeaving) {
+            this->lane->post([endpoint, isLeaving](LaneTask &lane) {
+                lane.lane().setLeaving(endpoint, isLeaving);
+            });
+        });
+    });
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
+        control.startOrders();
         control.followConfiguration([this](const SettingsPointer &settings, const std::function<void()> &done) {
             this->putInForce(settings, done);
         });
@@ -263,9 +275,11 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
-    this->platformBudget->setMembers(view->members().size());
+    this->platformBudget->setMembers(seen->members().size());
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
@@ -307,9 +321,6 @@
 
 void Node::spreadVms(const ListedVmsPointer &vms)
 {
-    this->lane->post([vms](LaneTask &task) {
-        task.lane().setVms(*vms);
-    });
     this->entry->post([vms](EntryTask &task) {
         task.setVms(vms);
     });
@@ -318,9 +329,9 @@
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
-        const auto backlog = static_cast<std::uint32_t>(task.owner().backlog());
+        const Backlog backlog = task.owner().backlog();
         this->control->post([backlog](ControlTask &control) {
-            control.tellBacklog(backlog);
+            control.tellBacklog(backlog.items, backlog.models);
         });
     });
     this->watch->loop().schedule(watchInterval, [this] {
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -45,7 +45,7 @@
     void learnConfiguration();
     void makeTasks();
     Member makeMember();
-    void spread(const MemberViewPointer &view);
+    void spread(const MemberViewPointer &seen);
     void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
     void askControl(OperatorRequest request, OperatorRespond respond);
     void serveControlCalls();
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -11,6 +11,7 @@
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
 #include <Services/Entry/EntryService.h>
+#include <Services/Entry/FleetWatch.h>
 
 #include <functional>
 #include <memory>
@@ -25,7 +26,7 @@
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
     /**
-     * @param ownOwner reaches the owner of this node
+     * @param ownOwner reaches the owner of this node without a socket, if there is one
      * @throws std::runtime_error if it cannot listen
      */
     EntryTask(EventLoop &loop,
@@ -33,7 +34,7 @@
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
-              const LocalPeer &ownOwner,
+              const std::optional<LocalPeer> &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics,
               OperatorGateway operators);
@@ -44,6 +45,12 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** A datagram of another node came. */
+    void receive(const Datagram &datagram);
+
+    /** @return requests held to crash endpoints, that run nowhere for now. */
+    std::size_t quarantinedRequests() const;
+
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
 
@@ -53,6 +60,12 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** @return where load reports go. */
+    const Address &fleetAddress() const;
+
+    /** Read load reports from now on. @param leaving told of each endpoint that leaves or is back, on this task */
+    void watchFleet(FleetWatch::LeavingChanged leaving);
+
     /** Take no new connections. */
     void drain();
 
@@ -72,6 +85,12 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    RetryBudget retries;
+    SuspectNotices suspects;
+    Admission admission;
+    FleetState fleet;
+    FleetWatch watch;
+    ReplicaChooser chooser;
     EntryContext context;
     EntryService service;
     HttpServer server;
