--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -15,6 +15,16 @@
     return {static_cast<std::uint32_t>(settings.owner.shards), settings.peers.callTimeout};
 }
 
+RetryBudget::Options retryOptions(const RetrySettings &settings)
+{
+    return {.perSuccess = settings.perSuccess, .perSecond = settings.perSecond, .most = settings.burst};
+}
+
+Quarantine::Options quarantineOptions(const QuarantineSettings &settings)
+{
+    return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
+}
+
 HttpLimits limitsOf(const Settings &settings)
 {
     HttpLimits limits;
@@ -26,16 +36,6 @@
     return limits;
 }
 
-RetryBudget::Options retryOptions(const RetrySettings &settings)
-{
-    return {.perSuccess = settings.perSuccess, .perSecond = settings.perSecond, .most = settings.burst};
-}
-
-Quarantine::Options quarantineOptions(const QuarantineSettings &settings)
-{
-    return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
-}
-
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -148,6 +148,8 @@
     // A replica that is taken out without requests is gone at once; a notice of its last one must not point to it.
     this->notices.flush();
     this->replicas.update(settings->endpoints);
+    this->retries.setOptions(retryOptions(settings->retries));
+    this->suspects.setOptions(quarantineOptions(settings->quarantine));
     this->service.settingsChanged();
 }
 
@@ -171,6 +173,11 @@
     this->server.drain();
 }
 
+const std::list<Replica> &EntryTask::endpoints()
+{
+    return this->replicas.all();
+}
+
 std::size_t EntryTask::openRequests() const
 {
     return this->server.openRequests();
