--- a/Benchmarks/Measure/History.cpp
+++ b/Benchmarks/Measure/History.cpp
@@ -155,20 +155,22 @@
     }
 
     template <typename Call>
-    void finish(const std::vector<std::string> &ids, bool isCompletion, const Call &call)
+    void finish(std::vector<std::string> ids, bool isCompletion, const Call &call)
     {
-        for (std::size_t i = 0; i < ids.size(); ++i) {
-            CallOutcome outcome = CallOutcome::Lost;
-            for (std::size_t attempt = i; !isFinal(outcome) && Steady::now() < this->deadline; ++attempt) {
-                outcome = call(ids[i], attempt % this->nodes);
-                if (!isFinal(outcome)) {
-                    std::this_thread::sleep_for(settlePause);
+        // All are sent in turn, so that one that gets no answer does not use up the time of the others.
+        for (std::size_t round = 0; !ids.empty() && Steady::now() < this->deadline; ++round) {
+            std::vector<std::string> open;
+            for (std::size_t i = 0; i < ids.size() && Steady::now() < this->deadline; ++i) {
+                if (!isFinal(call(ids[i], (i + round) % this->nodes))) {
+                    open.push_back(ids[i]);
+                    continue;
+                }
+                for (std::size_t read = 0; read < readsPerId; ++read) {
+                    this->caller.readResult(ids[i], isCompletion, (i + read) % this->nodes, settlePatience);
                 }
             }
-            // What got no answer in all that time is lost work as it stands; reading it would only take longer.
-            for (std::size_t read = 0; read < readsPerId && isFinal(outcome); ++read) {
-                this->caller.readResult(ids[i], isCompletion, (i + read) % this->nodes, settlePatience);
-            }
+            ids = std::move(open);
+            std::this_thread::sleep_for(settlePause);
         }
     }
 
@@ -290,12 +292,16 @@
                       "[peers]\nsite_key = \"history\"\ncall_timeout = \"1s\"\n"
                       "[membership]\nsuspicion = \"500ms\"\n"
                       "[batch]\nitem_lease = \"3s\"\n"
-                      "[entry]\nprogress_timeout = \"2s\"\nrequest_timeout = \"20s\"\n");
+                      "[entry]\nprogress_timeout = \"2s\"\nrequest_timeout = \"20s\"\nentry_ttl = \"1s\"\ndrain = \"5s\"\n");
     std::vector<Address> addresses;
     for (int i = 0; i < FLAGS_nodes; ++i) {
         targets.nodes.push_back(fleet.startNode({domains[static_cast<std::size_t>(i) % domains.size()], ""}));
         addresses.push_back(fleet.process(targets.nodes.back()).address);
     }
+    // The plain services stay up: they count the runs that the check needs.
+    for (std::size_t i = 0; i < domains.size() && i < targets.nodes.size(); ++i) {
+        targets.domains.push_back({targets.nodes[i], targets.engines[i]});
+    }
     if (!fleet.waitReady(std::chrono::seconds(30))) {
         std::fputs("the nodes did not become ready\n", stderr);
         return 2;
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -166,6 +166,9 @@
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
     /** Requests for one model or service that wait in a node for room at its replicas. */
     std::int64_t queueLength = 256;
+    /** How much of a replica's capacity may be in use before requests wait in the node. Above 1 the replica has the next requests
+     * at hand while other nodes' load is known late. */
+    double overcommit = 1.25;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
@@ -227,11 +230,14 @@
 struct FleetSettings
 {
     /** How often an endpoint's load report and cache events are read, by one node for all. */
-    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(200);
     /** Load reports a node lets the others send it; with more replicas in use they come less often. */
     std::int64_t loadBytesPerSecond = 4096;
-    /** After this age a load report counts half, and the pool's mean the other half. */
-    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How late the load reports of endpoints are that do not say it themselves. */
+    std::chrono::milliseconds loadLag = std::chrono::milliseconds(0);
+    /** How fast the average of a replica's load reports forgets. How fast the last report itself ages follows from how long
+     * requests last. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured service time forgets. */
     std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured share of failures forgets. */
@@ -299,8 +305,14 @@
     std::vector<std::string> keyHashes = {};
     /** Whether its keys may change the configuration. */
     bool isOperator = false;
-    /** Online requests of it that one node runs at once. */
+    /** Online requests of it that all nodes together run at once. */
     std::int64_t concurrency = 1000;
+    /** Online requests of it a second, at all nodes together. */
+    double rate = 1000;
+    /** Lookups of it that all nodes together run at once. */
+    std::int64_t lookupConcurrency = 1000;
+    /** Lookups of it a second, at all nodes together. */
+    double lookupRate = 10000;
 };
 
 /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -56,6 +56,7 @@
     void renewSession();
     void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
+    void watchItems();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
     const Clock &clock;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -194,12 +194,14 @@
     if (!std::exchange(this->hasClaim, false)) {
         return;
     }
-    if (this->request.isNonIdempotent) {
-        // Its intent is durable and cannot be taken back: the refusal becomes its answer, and every resend gets it.
+    if (this->request.isNonIdempotent && this->mayHaveRun) {
+        // It must not run again: the refusal becomes its answer, and every resend gets it.
         const HttpResponse response = refusalResponse(refusal);
         this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
         return;
     }
+    // It was not sent and will not be. Kept as an answer, the refusal would meet its caller at each resend, though
+    // Retry-After had told it to come back: given back, a resend runs. The owner withdraws a durable intent by a record.
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
@@ -530,6 +532,7 @@
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
     this->context.metrics.observeTotal(this->request.tenant, since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
+    this->request.hold = nullptr;
 }
 
 void OnlineRequest::onDeadline()
@@ -580,6 +583,7 @@
     if (this->reply.isOpen()) {
         this->context.metrics.countAnswer(this->kind(), std::string(refusal.reason));
         this->reply.refuse(refusal);
+        this->request.hold = nullptr;
     }
     this->giveBack(refusal);
 }
