--- a/Libraries/LibPlatform/GuardedPlatform.cpp
+++ b/Libraries/LibPlatform/GuardedPlatform.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::milliseconds atOnce{0};
 constexpr std::string_view vmsCause = "vms";
+constexpr std::string_view journalCause = "journal";
 
 std::string causeOf(std::string_view key)
 {
@@ -81,7 +82,8 @@
         this->scheduler.schedule(atOnce, std::move(turnAway));
         return;
     }
-    const auto wait = this->budget->take(kind, this->longestWait);
+    // The journals pace themselves by the whole budget, and only some nodes hold one: an equal share would starve those.
+    const auto wait = cause == journalCause ? std::optional(atOnce) : this->budget->take(kind, this->longestWait);
     if (!wait) {
         // NOTE: A probe that is turned away here is told as failed, or the circuit would wait for its outcome for ever.
         this->circuit.onOutcome(!this->circuit.isOpen());
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -66,6 +66,7 @@
 
 void OnlineRequest::start()
 {
+    this->context.metrics.countRequest(this->request.tenant);
     this->armDeadline(this->request.timeout);
     this->claim();
 }
@@ -282,6 +283,10 @@
     this->sawEnd = false;
     this->events = ServerSentEvents(eventLimit);
     this->sent = this->context.clock.now();
+    if (this->attempts == 1) {
+        this->context.metrics.observeQueueing(this->kind(), since(this->started, this->sent));
+        this->context.metrics.observeQueueing(this->request.tenant, since(this->started, this->sent));
+    }
 
     HttpRequest message = this->request.request;
     if (this->request.completion) {
@@ -338,8 +343,10 @@
     const SteadyTime now = this->context.clock.now();
     if (this->completion.tokens == 0) {
         this->context.metrics.observeFirstToken("online", since(this->started, now));
+        this->context.metrics.observeFirstToken(this->request.tenant, since(this->started, now));
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
+        this->context.metrics.observeBetweenTokens(this->request.tenant, since(this->lastToken, now));
     }
     if (this->completion.tokens == this->tokensBefore) {
         this->attemptFirstToken = now;
@@ -525,6 +532,7 @@
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
+    this->context.metrics.observeTotal(this->request.tenant, since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
     this->request.hold = nullptr;
 }
