Services: Notice a silent connection before the caller's deadline, refuse when all leave

Two faults, each with a test that was red without the change: - An idle connection that had gone silent was given the endpoint's whole time to begin (10 s), longer than a caller waits.

--- a/Services/Entry/Admission.cpp
+++ b/Services/Entry/Admission.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/ReplicaScore.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -52,6 +53,11 @@
             usable.push_back(replica);
         }
     }
+    if (usable.empty()) {
+        // Nobody may wait for replicas that are all gone or leaving: what is sent on is refused at once, or tried on the
+        // last resort.
+        return std::numeric_limits<double>::infinity();
+    }
     const FleetSettings &fleet = this->settings->fleet;
     const PoolMeans means = meansOf(usable, now, fleet);
     double room = 0;
--- a/Services/Entry/Attempt.cpp
+++ b/Services/Entry/Attempt.cpp
@@ -77,7 +77,13 @@
     if (!this->isConnected) {
         return this->limits.connect;
     }
-    return this->hasBytes ? this->limits.between : this->limits.firstByte;
+    if (this->hasBytes) {
+        return this->limits.between;
+    }
+    // A connection that had been idle may have gone silent unnoticed. Waiting as long as an endpoint may take to begin
+    // would cost the caller its deadline, so it has to show sooner that it lives; the next try gets the full time.
+    const bool isReused = this->http.isReused(this->exchange);
+    return isReused ? std::min(this->limits.firstByte, this->limits.between) : this->limits.firstByte;
 }
 
 void Attempt::watch(std::chrono::milliseconds wait)
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -261,6 +261,7 @@
 bool OnlineRequest::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->request.tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
@@ -375,7 +376,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -457,7 +458,7 @@
                       {}});
         return;
     }
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -116,6 +116,8 @@
     std::uint32_t attempts = 0;
     std::vector<EndpointName> tried;
     FailureDomain failedDomain;
+    /** Why the last attempt failed: the reason of the next one. */
+    std::string lastFailure;
     Replica *replica = nullptr;
     SteadyTime sent{};
     std::unique_ptr<Attempt> attempt;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -87,6 +87,7 @@
 bool PlainCall::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse(statusUnavailable, "retry_budget", "too many requests have to be retried", comeBack);
@@ -147,7 +148,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -172,7 +173,7 @@
     this->failedDomain = this->replica->failureDomain;
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
     this->leaveReplica({outcome, {}});
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -65,6 +65,8 @@
     HttpResponse response;
     std::vector<EndpointName> tried;
     FailureDomain failedDomain;
+    /** Why the last attempt failed: the reason of the next one. */
+    std::string lastFailure;
     bool mayHaveRun = false;
 };
 
--- a/Tests/ServiceEntry/TestAdmission.cpp
+++ b/Tests/ServiceEntry/TestAdmission.cpp
@@ -170,3 +170,19 @@
         return running.size() == 3;
     });
 }
+
+TEST_CASE("when every replica is leaving, a request is refused at once and does not wait for room")
+{
+    // The caller has a minute; nothing will come free in it. Without the rule it would wait for its deadline.
+    EntryBench bench(1);
+    bench.settings.entry.firstByteTimeout = std::chrono::seconds(10);
+    bench.start();
+    const auto vms = std::make_shared<std::vector<ListedVm>>();
+    vms->push_back({VmName("m0"), true});
+    bench.entry->setVms(vms);
+    const auto refused = bench.complete("a", deadline("60000"));
+    bench.untilEnd(refused);
+    CHECK(refused->status == 503);
+    CHECK(refused->error("run") == "not_run");
+    CHECK(bench.endpoints[0]->requests() == 0);
+}
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -129,6 +129,24 @@
     CHECK(bench.endpoints[0]->requests() == 3);
 }
 
+TEST_CASE("a connection that went silent is noticed long before an endpoint's time to begin is over")
+{
+    // A new prompt may take long to begin, so that limit is longer than the caller's deadline. An idle connection that
+    // gives no sign is given up sooner, and the new one has the full time.
+    EntryBench bench(1);
+    bench.settings.entry.firstByteTimeout = std::chrono::seconds(60);
+    bench.start();
+    bench.endpoints[0]->setScript([](const Exchange &exchange) {
+        if (exchange->connection > 1 || exchange->body.find("second") == std::string::npos) {
+            serveFourTokens(exchange);
+        }
+    });
+    bench.untilEnd(bench.complete("first"));
+    const auto second = bench.complete("second", withDeadline("10000"));
+    bench.untilEnd(second);
+    CHECK(second->text() == "0123");
+}
+
 TEST_CASE("an id that may have run before is never refused as not run")
 {
     // The caller's first sending ran at another node. Its resend meets a node that reaches no owner: had it been told
