--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -118,6 +118,8 @@
     std::int64_t shards = 64;
     /** Shortest time between two writes of one journal; stretched as the write budget demands. */
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
+    /** How long a write may wait for more records to share it, while they come in fast. */
+    std::chrono::milliseconds groupGather = std::chrono::milliseconds(75);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
     /** How long a request's result stays readable at least. An id used again after that runs again. */
@@ -140,20 +142,59 @@
     std::int64_t bodyBytes = 4194304;
     /** Largest body of a job's submission. */
     std::int64_t jobBytes = 1073741824;
+    /** Largest headers of a request, all together. */
+    std::int64_t headerBytes = 65536;
+    /** How long a request's headers may take; found with a delay of up to the same time. */
+    std::chrono::milliseconds headerTimeout = std::chrono::milliseconds(10000);
+    /** How long a caller's connection may be idle, or leave an answer unread. */
+    std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(120000);
+    /** What a caller may leave unread of a stream before its connection is closed; the answer is kept. */
+    std::int64_t unreadBytes = 4194304;
     /** How long a caller may keep an answer of /v1/entries. */
     std::chrono::milliseconds entryTtl = std::chrono::milliseconds(10000);
     /** How many addresses an answer of /v1/entries names. */
     std::int64_t entryCount = 3;
     /** How long a planned stop may take at most. */
     std::chrono::milliseconds drain = std::chrono::milliseconds(30000);
-    /** How long an endpoint's stream may be silent before it is resumed elsewhere. */
-    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(10000);
+    /** How long connecting to an endpoint may take before another is tried. */
+    std::chrono::milliseconds connectTimeout = std::chrono::milliseconds(1000);
+    /** How long an endpoint may take to begin its answer to a completion. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(10000);
+    /** How long an answer may be silent before it is resumed, over a new connection first and elsewhere then. */
+    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(2000);
     /** Deadline of an online request whose caller named none. */
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
+    /** Requests for one model or service that wait in a node for room at its replicas. */
+    std::int64_t queueLength = 256;
+    /** How much of a replica's capacity may be in use before requests wait in the node. Above 1 the replica has the next requests
+     * at hand while other nodes' load is known late. */
+    double overcommit = 1.25;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
 
+/** How many retries a node makes for one tenant, and towards one endpoint. */
+struct RetrySettings
+{
+    /** Retries that one success pays for. */
+    double perSuccess = 0.2;
+    /** Retries a second that are free. */
+    double perSecond = 1;
+    /** Retries that may be saved up: as many requests as a node may lose with one endpoint. */
+    double burst = 50;
+};
+
+/** Requests that crash the endpoints that run them. */
+struct QuarantineSettings
+{
+    /** Endpoints lost with a request after which it runs no more. */
+    std::int64_t losses = 2;
+    /** How long a suspicion or a quarantine lasts after the last loss. */
+    std::chrono::milliseconds duration = std::chrono::milliseconds(600000);
+    /** Suspected requests a node remembers. */
+    std::int64_t remembered = 10000;
+};
+
 /** Batch jobs and the lanes that run them. */
 struct BatchSettings
 {
@@ -185,6 +226,38 @@
     std::int64_t prefetch = 64;
 };
 
+/** What is learnt of endpoints, and how one is chosen. */
+struct FleetSettings
+{
+    /** How often an endpoint's load report and cache events are read, by one node for all. */
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(200);
+    /** Load reports a node lets the others send it; with more replicas in use they come less often. */
+    std::int64_t loadBytesPerSecond = 4096;
+    /** How late the load reports of endpoints are that do not say it themselves. */
+    std::chrono::milliseconds loadLag = std::chrono::milliseconds(0);
+    /** How fast the average of a replica's load reports forgets. How fast the last report itself ages follows from how long
+     * requests last. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(5000);
+    /** How fast the measured service time forgets. */
+    std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
+    /** How fast the measured share of failures forgets. */
+    std::chrono::milliseconds failureHalfLife = std::chrono::milliseconds(10000);
+    /** How much of a prompt's start sends requests that share it to the same replica. */
+    std::int64_t prefixBytes = 256;
+    /** How far above the pool's mean load a replica may be to get a request for its cached prefix. */
+    double prefixLoadBound = 1.25;
+    /** Failures in a row after which a replica gets no requests for a while. */
+    std::int64_t ejectFailures = 3;
+    /** Share of a pool that may be ejected at once. */
+    double ejectShare = 0.5;
+    /** How long a first ejection lasts; each further one lasts twice as long. */
+    std::chrono::milliseconds ejectTime = std::chrono::milliseconds(2000);
+    /** How long an ejection lasts at most. */
+    std::chrono::milliseconds ejectTimeMost = std::chrono::milliseconds(60000);
+    /** How long a new or returned replica takes to get its whole share. */
+    std::chrono::milliseconds slowStart = std::chrono::milliseconds(5000);
+};
+
 /** A replica that work is sent to: a model engine or a plain service. */
 struct EndpointSettings
 {
@@ -202,8 +275,12 @@
     std::int64_t capacity = 8;
     /** Its hardware generation. */
     std::string generation;
+    /** The VM it runs on, as the platform's list of VMs has it; empty if it has the endpoint's name. */
+    std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
+    /** What the engine does: `serve`, or a role that it knows and that takes no requests of callers. */
+    std::string role = "serve";
 };
 
 /** A plain service. */
@@ -215,6 +292,8 @@
     bool isIdempotent = true;
     /** How long one call may take. */
     std::chrono::milliseconds timeout = std::chrono::milliseconds(5000);
+    /** How long an endpoint may take to begin its answer before a call that may be repeated is tried again. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(1000);
 };
 
 /** An accounting unit, and the keys of its callers. */
@@ -226,8 +305,55 @@
     std::vector<std::string> keyHashes = {};
     /** Whether its keys may change the configuration. */
     bool isOperator = false;
-    /** Online requests of it that one node runs at once. */
+    /** Online requests of it that all nodes together run at once. */
     std::int64_t concurrency = 1000;
+    /** Online requests of it a second, at all nodes together. */
+    double rate = 1000;
+    /** Lookups of it that all nodes together run at once. */
+    std::int64_t lookupConcurrency = 1000;
+    /** Lookups of it a second, at all nodes together. */
+    double lookupRate = 10000;
+};
+
+/** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+struct ModelSettings
+{
+    /** Its name, as endpoints and callers use it. */
+    std::string name;
+    /** The version its engines shall serve. */
+    std::string version;
+    /** The version that is being rolled out; empty: none. */
+    std::string nextVersion;
+    /** Share of the endpoints that shall serve next_version. */
+    double nextShare = 0;
+    /** Adapters its engines shall have loaded. */
+    std::vector<std::string> adapters = {};
+    /** Size of its weights, for the pace of loads. */
+    std::int64_t weightBytes = 0;
+    /** Whether its last serving replica may be taken for a new version; without it, one replica alone keeps the version it has.
+     */
+    bool mayInterrupt = false;
+};
+
+/** Orders to model engines. */
+struct OrderSettings
+{
+    /** How often the engines' state is compared with the intended one. */
+    std::chrono::milliseconds interval = std::chrono::milliseconds(2000);
+    /** How long the node that gives orders may go without renewing. */
+    std::chrono::milliseconds lease = std::chrono::milliseconds(10000);
+    /** How long before the lease's end its holder stops, and how long a new holder waits. */
+    std::chrono::milliseconds leaseMargin = std::chrono::milliseconds(2000);
+    /** Engines of one failure domain that load at once. */
+    std::int64_t loadsPerDomain = 1;
+    /** Rate of the weight store; loads are started no faster. */
+    std::int64_t weightBytesPerSecond = 1000000000;
+    /** How long a load may take before it is told as overdue. */
+    std::chrono::milliseconds loadTimeout = std::chrono::milliseconds(600000);
+    /** A rollout stops when its share of failed requests exceeds that of the version before by more. */
+    double errorLimit = 0.05;
+    /** Requests of the new version before its errors are judged. */
+    std::int64_t errorRequests = 50;
 };
 
 /** All settings of a node. */
@@ -247,14 +373,24 @@
     OwnerSettings owner;
     /** What callers see. */
     EntrySettings entry;
+    /** How many retries a node makes for one tenant, and towards one endpoint. */
+    RetrySettings retries;
+    /** Requests that crash the endpoints that run them. */
+    QuarantineSettings quarantine;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
+    /** What is learnt of endpoints, and how one is chosen. */
+    FleetSettings fleet;
     /** A replica that work is sent to: a model engine or a plain service. */
     std::vector<EndpointSettings> endpoints;
     /** A plain service. */
     std::vector<ServiceSettings> services;
     /** An accounting unit, and the keys of its callers. */
     std::vector<TenantSettings> tenants;
+    /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+    std::vector<ModelSettings> models;
+    /** Orders to model engines. */
+    OrderSettings orders;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -7,6 +7,8 @@
 #include <LibBase/Identifiers.h>
 #include <LibWire/MessageNumber.h>
 
+#include <cereal/cereal.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -32,6 +34,8 @@
     NotOwner,
     /** Cannot be decided now (the platform is down, or recovery is going on); nothing was run. */
     Unavailable,
+    /** The owner holds as many unwritten results as it may, as the platform takes no writes; nothing was run. */
+    Full,
 };
 
 /** @return the value's name, for logs. */
@@ -52,6 +56,8 @@
         return "NotOwner";
     case ClaimDecision::Unavailable:
         return "Unavailable";
+    case ClaimDecision::Full:
+        return "Full";
     }
     return "invalid";
 }
@@ -59,7 +65,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(ClaimDecision value)
 {
-    return value <= ClaimDecision::Unavailable;
+    return value <= ClaimDecision::Full;
 }
 
 /** What the owner says to a result. */
@@ -354,6 +360,9 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct LinkProbe;
+struct ListJobsRequest;
+struct ListJobsResponse;
 struct CancelJobRequest;
 struct JobResultsRequest;
 struct JobResultsResponse;
@@ -370,6 +379,7 @@
 struct Pong;
 struct PingRequest;
 struct ReplicaLoad;
+struct SuspectNotice;
 struct ConfigurationRequest;
 struct ConfigurationResponse;
 struct ConfigurationPartRequest;
@@ -378,6 +388,11 @@
 struct ConfigurationStateResponse;
 struct StatusRequest;
 struct StatusResponse;
+struct LoadInterest;
+struct LoadReports;
+struct EndpointLeaving;
+struct LimitDemands;
+struct LimitShares;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -510,6 +525,11 @@
     void serialize(Archive &archive)
     {
         archive(this->jobId, this->index, this->status, this->body);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->status)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -583,6 +603,11 @@
     void serialize(Archive &archive)
     {
         archive(this->shard, this->kind, this->payload);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->kind)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -773,6 +798,28 @@
                 this->due,
                 this->model,
                 this->expectedEnd);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** A job in a list. */
+struct ListedJob
+{
+    /** The job. */
+    JobId jobId;
+    /** Where it stands. */
+    JobProgress progress;
+
+    bool operator==(const ListedJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->progress);
     }
 };
 
@@ -858,6 +905,8 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** Where its entry task takes load reports. */
+    Address fleet;
     /** One bit for each model (by its hash, modulo 64) that batch items wait for at its shards. */
     std::uint64_t backlogModels = 0;
 
@@ -877,7 +926,36 @@
                 this->lane,
                 this->backlog,
                 this->configVersion,
+                this->fleet,
                 this->backlogModels);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** A request that was running on an endpoint when that was lost. */
+struct Suspect
+{
+    /** Hash of its content. */
+    std::uint64_t fingerprint = 0;
+    /** Which endpoint. */
+    EndpointName endpoint;
+    /** Where that endpoint is. */
+    FailureDomain failureDomain;
+    /** How long ago it was sent there. */
+    std::uint32_t sentMillisecondsAgo = 0;
+    /** How long ago the loss was seen. */
+    std::uint32_t lostMillisecondsAgo = 0;
+
+    bool operator==(const Suspect &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->endpoint, this->failureDomain, this->sentMillisecondsAgo, this->lostMillisecondsAgo);
     }
 };
 
@@ -942,6 +1020,84 @@
     }
 };
 
+/** Who gives orders to the engines of a site. It changes with each renewal; a holder whose row has not changed for a lease's
+ * length has lost it. */
+struct OrderLeaseRow
+{
+    /** The holding session; 0 when it was released. */
+    SessionNumber holder;
+    /** Counts the holders; the fencing number of their orders. */
+    std::uint64_t epoch = 0;
+    /** Of this holder. */
+    std::uint64_t renewals = 0;
+    /** The newest version that orders were given by: nobody gives orders by an older one. */
+    std::uint64_t configVersion = 0;
+    /** Rollouts that were stopped for their errors, as MODEL@VERSION. */
+    std::vector<std::string> stopped;
+
+    bool operator==(const OrderLeaseRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->holder, this->epoch, this->renewals, this->configVersion, this->stopped);
+    }
+};
+
+/** What an endpoint says of itself, as one node read it for all. */
+struct ReplicaReport
+{
+    /** Which replica. */
+    EndpointName endpoint;
+    /** Online requests that run or wait there. */
+    std::uint32_t inFlight = 0;
+    /** How long ago that was so. */
+    std::uint32_t ageMilliseconds = 0;
+    /** It is about to go and must get nothing new. */
+    bool isLeaving = false;
+    /** Which start of the endpoint; empty if it does not say. */
+    std::string instance;
+    /** The model version it has loaded; empty if it does not say. */
+    std::string version;
+    /** The adapters it has loaded. */
+    std::vector<std::string> adapters;
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint,
+                this->inFlight,
+                this->ageMilliseconds,
+                this->isLeaving,
+                this->instance,
+                this->version,
+                this->adapters);
+    }
+};
+
+/** A part of a tenant's limit, or the demand for one. */
+struct LimitAmount
+{
+    /** Whose. */
+    TenantName tenant;
+    /** Of its lookups, or else of its online requests. */
+    bool isLookup = false;
+    /** Requests a second. */
+    std::uint32_t perSecond = 0;
+    /** Requests at once. */
+    std::uint32_t concurrency = 0;
+
+    bool operator==(const LimitAmount &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->isLookup, this->perSecond, this->concurrency);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -984,6 +1140,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1025,6 +1186,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1053,7 +1219,9 @@
 struct ReleaseResponse
 {
     static constexpr MessageNumber number{6};
-    /** False if this node does not own the shard, or another holds the claim. */
+    /** False if this node does not own the shard: the claim stands, the owner is to be asked. */
+    bool isOwner = false;
+    /** False if another holds the claim, or its result is known. */
     bool isReleased = false;
 
     bool operator==(const ReleaseResponse &) const = default;
@@ -1061,7 +1229,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isReleased);
+        archive(this->isOwner, this->isReleased);
     }
 };
 
@@ -1097,6 +1265,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1130,6 +1303,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1168,6 +1346,58 @@
     }
 };
 
+/** Asks the other end of a connection to send it back: whether the connection still carries anything. */
+struct LinkProbe
+{
+    static constexpr MessageNumber number{112};
+    using Response = LinkProbe;
+    /** Counts the probes of a connection. */
+    std::uint64_t probe = 0;
+
+    bool operator==(const LinkProbe &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->probe);
+    }
+};
+
+/** Asks a node for a tenant's jobs among the shards it owns. */
+struct ListJobsRequest
+{
+    static constexpr MessageNumber number{110};
+    using Response = ListJobsResponse;
+    /** Whose jobs. */
+    TenantName tenant;
+    /** How many at most, the newest first. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const ListJobsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->limit);
+    }
+};
+
+/** The answer to a ListJobsRequest. */
+struct ListJobsResponse
+{
+    static constexpr MessageNumber number{111};
+    /** The jobs, the newest first. */
+    std::vector<ListedJob> jobs;
+
+    bool operator==(const ListJobsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Stops a job: its items get no new run, and running ones are cancelled. */
 struct CancelJobRequest
 {
@@ -1227,6 +1457,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->results, this->next);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1484,6 +1719,27 @@
     }
 };
 
+/** Datagram: a node tells all, a few times over, which requests it lost with an endpoint, and which of them have since run to
+ * their end. */
+struct SuspectNotice
+{
+    static constexpr MessageNumber number{60};
+    /** Who tells. */
+    SessionNumber from;
+    /** Requests lost with an endpoint. */
+    std::vector<Suspect> suspects;
+    /** Hashes of the content of suspects that succeeded. */
+    std::vector<std::uint64_t> cleared;
+
+    bool operator==(const SuspectNotice &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->suspects, this->cleared);
+    }
+};
+
 /** Asks a node for the newest version it holds. */
 struct ConfigurationRequest
 {
@@ -1630,4 +1886,96 @@
     }
 };
 
+/** Datagram: a node wants the load reports of replicas whose endpoints the receiver polls. Ends by itself unless renewed. */
+struct LoadInterest
+{
+    static constexpr MessageNumber number{50};
+    /** Who wants them. */
+    SessionNumber from;
+    /** How far apart they may come at the closest. */
+    std::uint32_t intervalMilliseconds = 0;
+    /** Which replicas. */
+    std::vector<EndpointName> endpoints;
+
+    bool operator==(const LoadInterest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->intervalMilliseconds, this->endpoints);
+    }
+};
+
+/** Datagram: load reports for a node that asked for them. */
+struct LoadReports
+{
+    static constexpr MessageNumber number{51};
+    /** Who polls the endpoints. */
+    SessionNumber from;
+    /** The latest reports. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const LoadReports &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: endpoints that are about to go. Sent to the node that polls them, and by that node to all, a few times over. */
+struct EndpointLeaving
+{
+    static constexpr MessageNumber number{52};
+    /** Who tells. */
+    SessionNumber from;
+    /** The endpoints, each with its instance. */
+    std::vector<ReplicaReport> reports;
+
+    bool operator==(const EndpointLeaving &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->reports);
+    }
+};
+
+/** Datagram: a node tells the member that splits these tenants' limits how much it could use. */
+struct LimitDemands
+{
+    static constexpr MessageNumber number{61};
+    /** Who tells. */
+    SessionNumber from;
+    /** The demands. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitDemands &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
+/** Datagram: the parts that a node may use. */
+struct LimitShares
+{
+    static constexpr MessageNumber number{62};
+    /** Who splits. */
+    SessionNumber from;
+    /** The parts. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitShares &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -1,7 +1,11 @@
 #include "Node.h"
 
+#include "NodeStatus.h"
+
 #include <LibBase/Log.h>
+#include <LibJournal/WritePace.h>
 #include <LibPlatform/EmbeddedPlatform.h>
+#include <LibPlatform/GuardedPlatform.h>
 #include <LibPlatform/HttpPlatform.h>
 
 #include <atomic>
@@ -16,11 +20,21 @@
 {
 
 constexpr std::chrono::milliseconds watchInterval{100};
+/** How often the entry task hears how many batch items run, to take them off the load reports. */
+constexpr std::chrono::milliseconds itemsInterval{25};
 constexpr std::chrono::milliseconds pollInterval{20};
 /** How often a node that cannot start yet says so. */
 constexpr std::chrono::seconds waitNotice{5};
 
-std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings)
+CallBudget::Rates ratesOf(const PlatformSettings &platform)
+{
+    return {static_cast<double>(platform.readsPerSecond), static_cast<double>(platform.writesPerSecond)};
+}
+
+std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings,
+                                                                      const Clock &clock,
+                                                                      const std::shared_ptr<CallBudget> &budget,
+                                                                      NodeMetrics &metrics)
 {
     if (settings->platform.kind == PlatformKind::Embedded) {
         const auto store = std::make_shared<EmbeddedStore>();
@@ -28,8 +42,17 @@
             return std::make_unique<EmbeddedPlatform>(store, loop);
         };
     }
-    return [settings](EventLoop &loop) {
-        return std::make_unique<HttpPlatform>(loop, settings->platform.address, settings->platform.timeout);
+    const auto count = [&metrics](CallKind kind, std::string_view cause, std::string_view outcome) {
+        metrics.countPlatformCall(kind == CallKind::Read ? "read" : "write", cause, outcome);
+    };
+    return [settings, &clock, budget, count](EventLoop &loop) {
+        const PlatformSettings &platform = settings->platform;
+        return std::make_unique<GuardedPlatform>(std::make_unique<HttpPlatform>(loop, platform.address, platform.timeout),
+                                                 loop,
+                                                 clock,
+                                                 budget,
+                                                 platform.timeout,
+                                                 count);
     };
 }
 
@@ -39,7 +62,8 @@
     : clock(clock)
     , settings(std::move(settings))
     , ownFiles(std::move(ownFiles))
-    , makePlatform(platformFactory(this->settings))
+    , platformBudget(std::make_shared<CallBudget>(clock, ratesOf(this->settings->platform)))
+    , makePlatform(platformFactory(this->settings, clock, this->platformBudget, this->metrics))
     , security{MessageKey(this->settings->peers.siteKey), static_cast<std::size_t>(this->settings->peers.frameBytes)}
 {
 }
@@ -75,7 +99,7 @@
     });
     std::future<SettingsPointer> learnt = configuration.get_future();
     while (learnt.wait_for(waitNotice) != std::future_status::ready) {
-        log(LogLevel::Warning, "not ready: neither the platform nor a peer has told the configuration yet, or it does not load");
+        log(LogLevel::Warning, "not ready: the platform has not told the newest configuration yet, or it does not load");
     }
     this->settings = learnt.get();
 }
@@ -86,12 +110,13 @@
         "owner", this->clock, this->settings, this->self, this->security, this->makePlatform, [this] {
             this->renewSession();
         });
-    this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
+    const LocalPeer ownOwner = this->localOwner();
+    this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security, ownOwner);
     const OperatorGateway operators = [this](OperatorRequest request, OperatorRespond respond) {
         this->askControl(std::move(request), std::move(respond));
     };
     this->entry = std::make_unique<TaskHost<EntryTask>>(
-        "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics, operators);
+        "entry", this->clock, this->settings, this->self, this->security, ownOwner, this->makePlatform, this->metrics, operators);
 }
 
 Member Node::makeMember()
@@ -109,6 +134,9 @@
     member.http = this->entry->ask<Address>([](EntryTask &task) {
         return task.address();
     });
+    member.fleet = this->entry->ask<Address>([](EntryTask &task) {
+        return task.fleetAddress();
+    });
     return member;
 }
 
@@ -120,12 +148,21 @@
     this->learnConfiguration();
     this->makeTasks();
     this->serveControlCalls();
+    this->addStatusParts();
     const Member member = this->makeMember();
     this->http = member.http;
+    this->entry->post([this](EntryTask &task) {
+        task.watchFleet([this](const EndpointName &endpoint, bool isLeaving) {
+            this->lane->post([endpoint, isLeaving](LaneTask &lane) {
+                lane.lane().setLeaving(endpoint, isLeaving);
+            });
+        });
+    });
     this->control->post([this, member](ControlTask &control) {
         control.join(member, [this](const MemberViewPointer &view) {
             this->spread(view);
         });
+        control.startOrders();
         control.followConfiguration([this](const SettingsPointer &settings, const std::function<void()> &done) {
             this->putInForce(settings, done);
         });
@@ -147,9 +184,24 @@
     this->watch = std::make_unique<Task>("watch");
     this->watch->loop().post([this] {
         this->watchBacklog();
+        this->watchItems();
     });
 }
 
+LocalPeer Node::localOwner()
+{
+    LocalPeer local;
+    local.address = this->owner->ask<Address>([](OwnerTask &task) {
+        return task.address();
+    });
+    local.call = [this](MessageNumber number, std::string payload, LocalPeer::Respond respond) {
+        this->owner->post([number, payload = std::move(payload), respond = std::move(respond)](OwnerTask &task) {
+            task.answer(number, payload, respond);
+        });
+    };
+    return local;
+}
+
 void Node::putInForce(const SettingsPointer &settings, const std::function<void()> &done)
 {
     // Told as in force when the last task has swapped: before that a request could still run by the older settings.
@@ -179,6 +231,9 @@
 void Node::askControl(OperatorRequest request, OperatorRespond respond)
 {
     this->control->post([this, request = std::move(request), respond = std::move(respond)](ControlTask &control) {
+        if (control.isClosed()) {
+            return;
+        }
         control.operators().serve(request, [this, respond, &control](HttpResponse response) {
             if (control.isClosed()) {
                 return;
@@ -198,6 +253,9 @@
     this->owner->post([this, answer = std::move(answer)](OwnerTask &task) {
         task.peers().handle<Request>([this, answer](const Request &request, PeerServer::Respond<Response> respond) {
             this->control->post([this, answer, request, respond = std::move(respond)](ControlTask &control) {
+                if (control.isClosed()) {
+                    return;
+                }
                 answer(control, request, [this, respond, &control](const Response &response) {
                     if (control.isClosed()) {
                         return;
@@ -211,6 +269,28 @@
     });
 }
 
+void Node::addStatusParts()
+{
+    // Each part is made on the task that knows it and handed back on the control task.
+    const auto back = [this](const StatusBoard::Collected &collected, StatusPart part) {
+        this->control->post([collected, part = std::move(part)](ControlTask &) {
+            collected(part);
+        });
+    };
+    this->control->post([this, back](ControlTask &control) {
+        control.statusBoard().add("shards", [this, back](const StatusBoard::Collected &collected) {
+            this->owner->post([back, collected](OwnerTask &task) {
+                back(collected, shardStatus(task.owner()));
+            });
+        });
+        control.statusBoard().add("endpoints", [this, back](const StatusBoard::Collected &collected) {
+            this->entry->post([back, collected](EntryTask &task) {
+                back(collected, endpointStatus(task.endpoints(), task.openRequests()));
+            });
+        });
+    });
+}
+
 void Node::serveControlCalls()
 {
     this->forwardToControl<ConfigurationRequest>([](ControlTask &control, const auto &request, const auto &respond) {
@@ -229,8 +309,11 @@
     });
 }
 
-void Node::spread(const MemberViewPointer &view)
+void Node::spread(const MemberViewPointer &seen)
 {
+    const auto writesPerSecond = static_cast<double>(this->settings->platform.writesPerSecond);
+    const MemberViewPointer view = seen->withJournals(journalsWithin(writesPerSecond));
+    this->platformBudget->setMembers(seen->members().size());
     this->owner->post([view](OwnerTask &task) {
         task.owner().setView(view);
     });
@@ -272,14 +355,23 @@
 
 void Node::spreadVms(const ListedVmsPointer &vms)
 {
-    this->lane->post([vms](LaneTask &task) {
-        task.lane().setVms(*vms);
-    });
     this->entry->post([vms](EntryTask &task) {
         task.setVms(vms);
     });
 }
 
+void Node::watchItems()
+{
+    this->lane->post([this](LaneTask &task) {
+        this->entry->post([items = task.lane().itemsRunning()](EntryTask &entry) {
+            entry.setItems(items);
+        });
+    });
+    this->watch->loop().schedule(itemsInterval, [this] {
+        this->watchItems();
+    });
+}
+
 void Node::watchBacklog()
 {
     this->owner->post([this](OwnerTask &task) {
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMetrics/NodeMetrics.h>
+#include <LibPlatform/CallBudget.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
@@ -39,26 +40,30 @@
     const Address &httpAddress() const;
 
 private:
+    LocalPeer localOwner();
     void openSession();
     void learnConfiguration();
     void makeTasks();
     Member makeMember();
-    void spread(const MemberViewPointer &view);
+    void spread(const MemberViewPointer &seen);
     void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
     void askControl(OperatorRequest request, OperatorRespond respond);
     void serveControlCalls();
+    void addStatusParts();
     template <typename Request>
     void
     forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
     void renewSession();
     void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
+    void watchItems();
     bool waitFor(const std::function<bool()> &isReached, SteadyTime deadline);
 
     const Clock &clock;
     SettingsPointer settings;
     std::vector<SettingsSource> ownFiles;
     NodeMetrics metrics;
+    std::shared_ptr<CallBudget> platformBudget;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
     SessionNumber self;
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -5,6 +5,7 @@
 #include <Services/Entry/ApiErrors.h>
 #include <Services/Entry/OnlineRequest.h>
 #include <Services/Entry/PlainCall.h>
+#include <Services/Entry/PromptPrefix.h>
 
 #include <nlohmann/json.hpp>
 
@@ -20,22 +21,40 @@
 
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+constexpr int statusNoContent = 204;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusForbidden = 403;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
 constexpr std::size_t idBytes = 12;
 constexpr std::size_t longestKey = 256;
 constexpr std::chrono::milliseconds resultPatience{10000};
 constexpr std::chrono::seconds comeBack{1};
 
+constexpr std::string_view badDeadline = "Dogwoodkeel-Deadline-Ms must be a whole number of milliseconds above 0";
 constexpr std::string_view servicesPath = "/v1/services/";
 constexpr std::string_view resultsPath = "/v1/results/";
 constexpr std::string_view configurationPath = "/v1/config";
+/** As JSON, in which the 64 MiB that a configuration may have take more. */
+constexpr std::uint64_t configurationBytes = 134217728;
 constexpr std::string_view statusPath = "/v1/status";
 constexpr std::string_view batchesPath = "/v1/batches";
+constexpr std::string_view filesPath = "/v1/files";
+constexpr std::string_view allowedMethods = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
+
+bool isHeadOrGet(const HttpRequest &request)
+{
+    return request.method == "GET" || request.method == "HEAD";
+}
+
+/** @return whether the body may be items, as JSON lines. */
+bool mayHoldItems(const HttpRequest &head)
+{
+    return head.method == "POST" && (head.path == filesPath || head.path == batchesPath);
+}
 
 void refuse(HttpReply &reply, int status, std::string_view reason, std::string message)
 {
@@ -51,6 +70,25 @@
     return count;
 }
 
+/**
+ * @param longest what applies without the header, and the most it may ask for
+ * @return how long the caller waits for its answer, or nothing if its header is no such number
+ */
+std::optional<std::chrono::milliseconds> timeoutOf(const HttpRequest &request, std::chrono::milliseconds longest)
+{
+    const auto header = headerValue(request.headers, "Dogwoodkeel-Deadline-Ms");
+    if (!header) {
+        return longest;
+    }
+    std::int64_t count = 0;
+    const char *const end = header->data() + header->size();
+    const auto [rest, error] = std::from_chars(header->data(), end, count);
+    if (error != std::errc() || rest != end || count <= 0) {
+        return std::nullopt;
+    }
+    return std::min(std::chrono::milliseconds(count), longest);
+}
+
 /** Request ids are kept apart by tenant: nobody reads another tenant's results. */
 std::string scoped(const Caller &caller, std::string_view id)
 {
@@ -82,8 +120,44 @@
     this->ready = isReady;
 }
 
+BodyAdmission EntryService::admit(const HttpRequest &head)
+{
+    // A configuration holds all tenants and endpoints; the bound of an online request would refuse a large site's. Whoever
+    // has no operator's key gets no more room than others.
+    const bool isConfiguration = head.path.starts_with(configurationPath);
+    const std::optional<Caller> caller = isConfiguration ? this->authenticator.authenticate(head.headers) : std::nullopt;
+    if (caller && caller->isOperator) {
+        return {configurationBytes, {}};
+    }
+    if (!mayHoldItems(head)) {
+        return {static_cast<std::uint64_t>(this->context.settings->entry.bodyBytes), {}};
+    }
+    return {static_cast<std::uint64_t>(this->context.settings->entry.jobBytes),
+            [this](const HttpRequest &admitted, const Reply &reply) {
+                return this->takeItems(admitted, reply);
+            }};
+}
+
+BodyHooks EntryService::takeItems(const HttpRequest &head, const Reply &reply)
+{
+    const std::optional<Caller> caller = this->authenticator.authenticate(head.headers);
+    if (!caller) {
+        refuse(*reply, statusUnauthorized, "unknown_key", "send a known key as Authorization: Bearer KEY");
+        return {};
+    }
+    if (headerValue(head.headers, "Idempotency-Key").value_or(std::string()).size() > longestKey) {
+        refuse(*reply, statusBadRequest, "bad_key", "the Idempotency-Key is too long");
+        return {};
+    }
+    return head.path == filesPath ? this->batches.uploadFile(*caller, reply) : this->batches.submit(*caller, head, reply);
+}
+
 void EntryService::serve(const HttpRequest &request, const Reply &reply)
 {
+    if (request.method == "OPTIONS" && !request.path.starts_with(servicesPath)) {
+        reply->send({statusNoContent, {{"Allow", std::string(allowedMethods)}}, {}});
+        return;
+    }
     if (this->serveOpen(request, reply)) {
         return;
     }
@@ -101,7 +175,7 @@
         this->serveService(*caller, request, reply);
     } else if (request.path.starts_with(configurationPath) || request.path == statusPath) {
         this->serveOperator(*caller, request, reply);
-    } else if (request.method == "GET" && request.path.starts_with(resultsPath)) {
+    } else if (isHeadOrGet(request) && request.path.starts_with(resultsPath)) {
         this->serveResult(*caller, std::string_view(request.path).substr(resultsPath.size()), reply);
     } else if (!this->serveBatch(*caller, request, reply)) {
         refuse(*reply, statusNotFound, "no_such_path", request.method + " " + request.path + " is not served");
@@ -110,7 +184,7 @@
 
 bool EntryService::serveOpen(const HttpRequest &request, const Reply &reply)
 {
-    if (request.method != "GET") {
+    if (!isHeadOrGet(request)) {
         return false;
     }
     if (request.path == "/healthz") {
@@ -134,8 +208,8 @@
         return false;
     }
     const std::string_view rest = std::string_view(request.path).substr(batchesPath.size());
-    if (rest.empty() && request.method == "POST") {
-        this->batches.submit(caller, request, reply);
+    if (rest.empty() && isHeadOrGet(request)) {
+        this->batches.list(caller, request.query, reply);
         return true;
     }
     if (!rest.starts_with('/')) {
@@ -156,6 +230,20 @@
     return true;
 }
 
+LimitSharing::Hold EntryService::admit(const Caller &caller, LimitClass kind, const HttpRequest &request, const Reply &reply)
+{
+    LimitSharing::Admitted admitted = this->context.limits.admit(caller.tenant, kind);
+    if (!admitted.hold) {
+        // An id that the caller chose may have run by an earlier sending.
+        const RunState run = request.headers.contains("Idempotency-Key") ? RunState::Unknown : RunState::NotRun;
+        const auto seconds = std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(admitted.retryAfter));
+        this->context.metrics.countAnswer(kind == LimitClass::Lookup ? "lookup" : "online", "tenant_limit");
+        reply->send(
+            refusalResponse({statusTooManyRequests, "tenant_limit", "the tenant is at its limit of requests", run, seconds}));
+    }
+    return admitted.hold;
+}
+
 RequestId EntryService::requestIdOf(const Caller &caller, const HttpRequest &request)
 {
     const auto key = headerValue(request.headers, "Idempotency-Key");
@@ -177,6 +265,15 @@
         refuse(*reply, statusNotFound, "no_such_model", "no endpoint serves the model " + completion->model);
         return;
     }
+    const auto timeout = timeoutOf(request, this->context.settings->entry.requestTimeout);
+    if (!timeout) {
+        refuse(*reply, statusBadRequest, "bad_deadline", std::string(badDeadline));
+        return;
+    }
+    auto hold = this->admit(caller, LimitClass::Online, request, reply);
+    if (!hold) {
+        return;
+    }
     DurableRequest durable;
     durable.id = this->requestIdOf(caller, request);
     durable.tenant = caller.tenant;
@@ -184,7 +281,11 @@
     durable.isNonIdempotent = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     durable.request = {.method = "POST", .path = request.path, .headers = {{"Content-Type", "application/json"}}};
     durable.serves = completion->model;
-    durable.timeout = this->context.settings->entry.requestTimeout;
+    durable.isNamedByCaller = request.headers.contains("Idempotency-Key");
+    durable.content = contentFingerprint(completion->model, request.body);
+    durable.timeout = *timeout;
+    durable.prefix = promptPrefix(*completion, static_cast<std::size_t>(this->context.settings->fleet.prefixBytes));
+    durable.hold = std::move(hold);
     durable.completion = std::move(completion);
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
@@ -200,6 +301,11 @@
         refuse(*reply, statusNotFound, "no_such_service", "there is no service " + name);
         return;
     }
+    const auto timeout = timeoutOf(request, service->timeout);
+    if (!timeout) {
+        refuse(*reply, statusBadRequest, "bad_deadline", std::string(badDeadline));
+        return;
+    }
     HttpRequest forwarded;
     forwarded.method = request.method;
     forwarded.path = slash < rest.size() ? std::string(rest.substr(slash)) : "/";
@@ -208,18 +314,28 @@
     forwarded.headers["Content-Type"] = headerValue(request.headers, "Content-Type").value_or("application/json");
     const bool isMarked = headerValue(request.headers, "Dogwoodkeel-Idempotent") == "false";
     const bool isNonIdempotent = !service->isIdempotent || isMarked;
-    if (!isNonIdempotent && !request.headers.contains("Idempotency-Key")) {
-        std::make_shared<PlainCall>(this->context, *service, std::move(forwarded), reply)->start();
+    const bool isLookup = !isNonIdempotent && !request.headers.contains("Idempotency-Key");
+    auto hold = this->admit(caller, isLookup ? LimitClass::Lookup : LimitClass::Online, request, reply);
+    if (!hold) {
+        return;
+    }
+    if (isLookup) {
+        std::make_shared<PlainCall>(
+            this->context, *service, caller.tenant, std::move(forwarded), *timeout, reply, std::move(hold))
+            ->start();
         return;
     }
     DurableRequest durable;
     durable.id = this->requestIdOf(caller, request);
     durable.tenant = caller.tenant;
     durable.fingerprint = stableHash(request.method + ' ' + request.path + '?' + request.query + '\n' + forwarded.body);
+    durable.isNamedByCaller = request.headers.contains("Idempotency-Key");
+    durable.content = contentFingerprint(name, forwarded.method + ' ' + forwarded.target() + '\n' + forwarded.body);
     durable.isNonIdempotent = isNonIdempotent;
     durable.request = std::move(forwarded);
     durable.serves = name;
-    durable.timeout = service->timeout;
+    durable.hold = std::move(hold);
+    durable.timeout = *timeout;
     std::make_shared<OnlineRequest>(this->context, std::move(durable), reply)->start();
 }
 
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -11,8 +11,11 @@
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
 #include <Services/Entry/EntryService.h>
+#include <Services/Entry/FleetWatch.h>
 
 #include <functional>
+#include <list>
+#include <map>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -24,12 +27,16 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot listen */
+    /**
+     * @param ownOwner reaches the owner of this node without a socket, if there is one
+     * @throws std::runtime_error if it cannot listen
+     */
     EntryTask(EventLoop &loop,
               const Clock &clock,
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
+              const std::optional<LocalPeer> &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics,
               OperatorGateway operators);
@@ -40,6 +47,12 @@
     void setView(const MemberViewPointer &view);
     void setReady(bool isReady);
 
+    /** A datagram of another node came. */
+    void receive(const Datagram &datagram);
+
+    /** @return requests held to crash endpoints, that run nowhere for now. */
+    std::size_t quarantinedRequests() const;
+
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
 
@@ -49,9 +62,21 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** How many batch items this node's lanes run on each replica. */
+    void setItems(const std::map<EndpointName, std::uint32_t> &items);
+
+    /** @return where load reports go. */
+    const Address &fleetAddress() const;
+
+    /** Read load reports from now on. @param leaving told of each endpoint that leaves or is back, on this task */
+    void watchFleet(FleetWatch::LeavingChanged leaving);
+
     /** Take no new connections. */
     void drain();
 
+    /** @return the endpoints as this node has them. */
+    const std::list<Replica> &endpoints();
+
     /** @return requests not yet answered. */
     std::size_t openRequests() const;
 
@@ -68,6 +93,13 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    RetryBudget retries;
+    SuspectNotices suspects;
+    Admission admission;
+    LimitSharing limits;
+    FleetState fleet;
+    FleetWatch watch;
+    ReplicaChooser chooser;
     EntryContext context;
     EntryService service;
     HttpServer server;
--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -91,7 +91,7 @@
     this->exchange = this->http.start(engine, request, connection, std::move(exchangeHooks));
 }
 
-HeldItem ItemRun::stop(const Gap &cancelled)
+HeldItem ItemRun::stop(const Gap &)
 {
     const Json body{{"request_id", this->runId}};
     this->http.fetch(
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -47,15 +47,18 @@
     /** This node goes on as another session. */
     void setSession(SessionNumber self);
 
+    /** A replica is about to go, and gets no new items; or another start of it is back. */
+    void setLeaving(const EndpointName &endpoint, bool isLeaving);
+
     /** The settings behind the handle were replaced. */
     void settingsChanged();
 
-    /** The platform's VM list changed: replicas on leaving VMs get no new items. */
-    void setVms(const std::vector<ListedVm> &vms);
-
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
+    /** @return how many items run on each replica whose lane is held here. */
+    std::map<EndpointName, std::uint32_t> itemsRunning() const;
+
     /** An owner told that a job was cancelled. */
     void observe(const JobStopped &stopped);
 
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -112,6 +112,9 @@
     server.handle<JobStatusRequest>([this](const auto &request, auto respond) {
         this->status(request, respond);
     });
+    server.handle<ListJobsRequest>([this](const auto &request, auto respond) {
+        this->list(request, respond);
+    });
     server.handle<CancelJobRequest>([this](const auto &request, auto respond) {
         this->cancel(request, respond);
     });
@@ -295,8 +298,36 @@
         respond({{.state = JobState::NotOwner}});
         return;
     }
-    const bool isKnown = this->jobOf(state, request.jobId, request.tenant) != nullptr;
-    respond({isKnown ? this->progressOf(*state, request.jobId) : JobProgress()});
+    if (this->jobOf(state, request.jobId, request.tenant) == nullptr) {
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({{.state = found}});
+        });
+        return;
+    }
+    respond({this->progressOf(*state, request.jobId)});
+}
+
+void BatchOwner::confirmAbsent(const JobId &id, const std::function<void(JobState)> &told)
+{
+    // Another node may have taken the shard without this one having noticed, and may have the job: accepted work must not be
+    // called unknown. So the shard's row is read first.
+    this->keeper.confirmOwned(this->keeper.shardOf(id.value()), [told](bool isOwned) {
+        told(isOwned ? JobState::Absent : JobState::NotOwner);
+    });
+}
+
+void BatchOwner::list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond)
+{
+    ListJobsResponse response;
+    for (const auto &[shard, state] : this->keeper.owned()) {
+        const std::vector<ListedJob> listed = state->jobs.list(request.tenant, request.limit);
+        response.jobs.insert(response.jobs.end(), listed.begin(), listed.end());
+    }
+    std::ranges::sort(response.jobs, [](const ListedJob &left, const ListedJob &right) {
+        return left.progress.created > right.progress.created;
+    });
+    response.jobs.resize(std::min<std::size_t>(response.jobs.size(), request.limit));
+    respond(response);
 }
 
 void BatchOwner::cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond)
@@ -308,7 +339,9 @@
         return;
     }
     if (this->jobOf(state, request.jobId, request.tenant) == nullptr) {
-        respond({});
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({{.state = found}});
+        });
         return;
     }
     const CancelRecord record{request.jobId};
@@ -356,7 +389,9 @@
     }
     const Job *const job = this->jobOf(state, request.jobId, request.tenant);
     if (job == nullptr) {
-        respond({});
+        this->confirmAbsent(request.jobId, [respond](JobState found) {
+            respond({.state = found});
+        });
         return;
     }
     const auto reading = std::make_shared<Reading>(Reading{request, respond, job->resultsFrom(request.from)});
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -58,6 +58,9 @@
 
     const JournalWriter &journalWriter() const;
 
+    /** @return the part that answers for batch jobs. */
+    BatchOwner &batches();
+
     template <typename Response>
     using Respond = PeerServer::Respond<Response>;
 
@@ -79,6 +82,8 @@
     void claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond);
     void confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond);
+    /** @return whether as many results wait for the platform as this node may hold: nothing new is run then. */
+    bool isFull() const;
     void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
