--- a/Libraries/LibBatch/Job.cpp
+++ b/Libraries/LibBatch/Job.cpp
@@ -328,20 +328,4 @@
     return this->cancelled;
 }
 
-std::size_t Job::fixedBytes() const
-{
-    constexpr std::size_t bitmaps = 3;
-    constexpr std::size_t bitsOfByte = 8;
-    std::size_t bytes = sizeof(Job) + bitmaps * this->job.itemCount / bitsOfByte + this->pages.size() * sizeof(Page);
-    for (const std::string &key : this->job.itemObjects) {
-        bytes += sizeof(key) + key.capacity();
-    }
-    for (const Page &page : this->pages) {
-        for (const std::string &key : page.objects) {
-            bytes += sizeof(key) + key.capacity();
-        }
-    }
-    return bytes;
-}
-
 } // namespace Dogwoodkeel
--- a/Libraries/LibBatch/Job.h
+++ b/Libraries/LibBatch/Job.h
@@ -123,9 +123,6 @@
     std::vector<PageRecord> movedPages() const;
     bool isCancelled() const;
 
-    /** @return bytes of memory it takes, results and leases left out. */
-    std::size_t fixedBytes() const;
-
 private:
     struct Result
     {
