LibHttp: Take out TLS until it can be switched on by a setting

Nothing called it and no test held it: reading a certificate, and using one for new connections. It comes back with its setting, its reload and its tests.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,7 +1,6 @@
 #include <LibHttp/HttpServer.h>
 
 #include <LibHttp/HttpReply.h>
-#include <LibHttp/TlsContext.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
 
@@ -306,15 +305,6 @@
     return this->listenAddress;
 }
 
-void HttpServer::useTls(const TlsContext &context)
-{
-    // Connections hold the context they began with, by its count of holders.
-    if (this->server->ssl_ctx != nullptr) {
-        SSL_CTX_free(this->server->ssl_ctx);
-    }
-    this->server->ssl_ctx = context.share();
-}
-
 void HttpServer::drain()
 {
     if (!std::exchange(this->draining, true)) {
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -19,7 +19,6 @@
 {
 
 class EventLoop;
-class TlsContext;
 
 /** What a server takes at most, so that no caller can make it hold more. */
 struct HttpLimits
@@ -81,9 +80,6 @@
     /** @return where it listens. */
     const Address &address() const;
 
-    /** Speak TLS on connections made from now on; open ones keep what they have. */
-    void useTls(const TlsContext &context);
-
     /** Take no new connections, and close each open one after its next answer. */
     void drain();
 
