--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -207,8 +207,10 @@
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
-        [](const ReleaseResponse &) {
-            return true;
+        [](const ReleaseResponse &response) {
+            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
+            // would wait for it until its lease ends.
+            return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
 }
@@ -262,6 +264,7 @@
 bool OnlineRequest::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->request.tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
@@ -382,7 +385,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -464,7 +467,7 @@
                       {}});
         return;
     }
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -129,6 +129,24 @@
     CHECK(bench.endpoints[0]->requests() == 3);
 }
 
+TEST_CASE("a connection that went silent is noticed long before an endpoint's time to begin is over")
+{
+    // A new prompt may take long to begin, so that limit is longer than the caller's deadline. An idle connection that
+    // gives no sign is given up sooner, and the new one has the full time.
+    EntryBench bench(1);
+    bench.settings.entry.firstByteTimeout = std::chrono::seconds(60);
+    bench.start();
+    bench.endpoints[0]->setScript([](const Exchange &exchange) {
+        if (exchange->connection > 1 || exchange->body.find("second") == std::string::npos) {
+            serveFourTokens(exchange);
+        }
+    });
+    bench.untilEnd(bench.complete("first"));
+    const auto second = bench.complete("second", withDeadline("10000"));
+    bench.untilEnd(second);
+    CHECK(second->text() == "0123");
+}
+
 TEST_CASE("an id that may have run before is never refused as not run")
 {
     // The caller's first sending ran at another node. Its resend meets a node that reaches no owner: had it been told
@@ -204,6 +222,26 @@
     CHECK(bench.owner.commits.empty());
 }
 
+TEST_CASE("a claim is given back to its owner, not to the node that no longer owns the shard")
+{
+    // The shard changes hands while the claim is given back. The node asked first says that it is not the owner: were that
+    // taken for the end, the intent would stand at the next owner, and resends would wait for it until the lease ends.
+    EntryBench bench(1);
+    bench.owner.onRelease = [&bench](const ReleaseRequest &, const auto &respond) {
+        const bool isOwner = bench.owner.releases.size() > 1;
+        respond({isOwner, isOwner});
+    };
+    bench.start();
+    bench.endpoints[0]->setScript([](const Exchange &exchange) {
+        exchange->answer(503, "{}");
+    });
+    bench.untilEnd(bench.complete("p", nonIdempotent(named), false));
+    bench.until([&] {
+        return bench.owner.releases.size() == 2;
+    });
+    CHECK(bench.owner.releases[0].claim == bench.owner.releases[1].claim);
+}
+
 TEST_CASE("a caller whose deadline passes in the middle of a stream is told so, and the endpoint is not blamed")
 {
     EntryBench bench(2);
