--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -43,7 +43,7 @@
                      const SettingsPointer &settings,
                      SessionNumber self,
                      const PeerSecurity &security,
-                     const LocalPeer &ownOwner,
+                     const std::optional<LocalPeer> &ownOwner,
                      const PlatformFactory &makePlatform,
                      NodeMetrics &metrics,
                      OperatorGateway operators)
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -66,6 +66,7 @@
 
 void OnlineRequest::start()
 {
+    this->context.metrics.countRequest(this->request.tenant);
     this->armDeadline(this->request.timeout);
     this->claim();
 }
@@ -206,8 +207,10 @@
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
-        [](const ReleaseResponse &) {
-            return true;
+        [](const ReleaseResponse &response) {
+            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
+            // would wait for it until its lease ends.
+            return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
 }
@@ -281,6 +284,10 @@
     this->sawEnd = false;
     this->events = ServerSentEvents(eventLimit);
     this->sent = this->context.clock.now();
+    if (this->attempts == 1) {
+        this->context.metrics.observeQueueing(this->kind(), since(this->started, this->sent));
+        this->context.metrics.observeQueueing(this->request.tenant, since(this->started, this->sent));
+    }
 
     HttpRequest message = this->request.request;
     if (this->request.completion) {
@@ -337,8 +344,10 @@
     const SteadyTime now = this->context.clock.now();
     if (this->completion.tokens == 0) {
         this->context.metrics.observeFirstToken("online", since(this->started, now));
+        this->context.metrics.observeFirstToken(this->request.tenant, since(this->started, now));
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
+        this->context.metrics.observeBetweenTokens(this->request.tenant, since(this->lastToken, now));
     }
     if (this->completion.tokens == this->tokensBefore) {
         this->attemptFirstToken = now;
@@ -524,6 +533,7 @@
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
+    this->context.metrics.observeTotal(this->request.tenant, since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
     this->request.hold = nullptr;
 }
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -37,6 +37,7 @@
 
 void PlainCall::start()
 {
+    this->context.metrics.countRequest(this->tenant);
     this->deadlineTimer = this->context.loop.schedule(this->timeout, [self = this->shared_from_this()] {
         self->deadlineTimer = 0;
         self->onDeadline();
@@ -101,6 +102,11 @@
     this->tried.push_back(replica.name);
     this->sent = this->context.clock.now();
     this->response = {};
+    if (this->tried.size() == 1) {
+        const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(this->sent - this->started);
+        this->context.metrics.observeQueueing("lookup", waited);
+        this->context.metrics.observeQueueing(this->tenant, waited);
+    }
     Attempt::Hooks hooks{
         .onHeaders =
             [this](int status, const HttpHeaders &headers) {
@@ -185,8 +191,9 @@
     this->leaveReplica({AttemptOutcome::Succeeded, taken});
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer("lookup", std::to_string(this->response.status));
-    this->context.metrics.observeTotal(
-        "lookup", std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started));
+    const auto total = std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started);
+    this->context.metrics.observeTotal("lookup", total);
+    this->context.metrics.observeTotal(this->tenant, total);
     this->reply->send(this->response);
 }
 
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -35,10 +35,14 @@
         });
         this->server.handle<ReleaseRequest>([this](const ReleaseRequest &request, const auto &respond) {
             this->releases.push_back(request);
-            respond({true});
+            this->onRelease(request, respond);
         });
     }
 
+    std::function<void(const ReleaseRequest &, const PeerServer::Respond<ReleaseResponse> &)> onRelease
+        = [](const ReleaseRequest &, const auto &respond) {
+              respond({true, true});
+          };
     std::function<void(const ClaimRequest &, const PeerServer::Respond<ClaimResponse> &)> onClaim
         = [](const ClaimRequest &, const auto &respond) {
               respond({ClaimDecision::Run, {}});
@@ -129,7 +133,7 @@
             std::make_shared<const Settings>(this->settings),
             SessionNumber(1),
             PeerSecurity{MessageKey(""), 1048576},
-            LocalPeer(),
+            std::nullopt,
             [store](EventLoop &on) {
                 return std::make_unique<EmbeddedPlatform>(store, on);
             },
