Benchmarks: Never hit one process with two faults at once

The schedule could kill a node that was stopping as planned, and then start it twice: two processes with one address, one of which outlived the run.

--- a/Benchmarks/Support/FaultSchedule.cpp
+++ b/Benchmarks/Support/FaultSchedule.cpp
@@ -72,8 +72,11 @@
 {
     std::vector<std::size_t> found;
     for (const std::size_t index : among) {
-        const LocalFleet::Process &process = this->fleet.process(index);
-        if (process.pid > 0 && !process.isPaused) {
+        // Two repairs of one process would start it twice.
+        const bool isHit = std::ranges::any_of(this->active, [index](const Active &fault) {
+            return std::ranges::find(fault.hit, index) != fault.hit.end();
+        });
+        if (!isHit) {
             found.push_back(index);
         }
     }
@@ -123,9 +126,12 @@
     const std::size_t index = candidates[this->random() % candidates.size()];
     this->fleet.signal(index, SIGKILL);
     ++this->counts[name];
-    this->active.push_back({name, std::chrono::steady_clock::now() + this->between(0, 2000), [this, index] {
+    this->active.push_back({name,
+                            std::chrono::steady_clock::now() + this->between(0, 2000),
+                            [this, index] {
                                 this->fleet.restart(index);
-                            }});
+                            },
+                            {index}});
 }
 
 void FaultSchedule::pause()
@@ -137,9 +143,12 @@
     const std::size_t index = candidates[this->random() % candidates.size()];
     this->fleet.signal(index, SIGSTOP);
     ++this->counts["node_paused"];
-    this->active.push_back({"node_paused", std::chrono::steady_clock::now() + this->between(100, 3500), [this, index] {
+    this->active.push_back({"node_paused",
+                            std::chrono::steady_clock::now() + this->between(100, 3500),
+                            [this, index] {
                                 this->fleet.signal(index, SIGCONT);
-                            }});
+                            },
+                            {index}});
 }
 
 void FaultSchedule::stopAsPlanned()
@@ -151,13 +160,16 @@
     const std::size_t index = candidates[this->random() % candidates.size()];
     this->fleet.signal(index, SIGTERM);
     ++this->counts["node_stopped"];
-    this->active.push_back({"node_stopped", std::chrono::steady_clock::now() + this->between(2000, 4000), [this, index] {
-                                if (this->fleet.process(index).pid > 0 && this->fleet.waitEnd(index, longestStop) != 0) {
+    this->active.push_back({"node_stopped",
+                            std::chrono::steady_clock::now() + this->between(2000, 4000),
+                            [this, index] {
+                                if (this->fleet.waitEnd(index, longestStop) != 0) {
                                     this->fleet.signal(index, SIGKILL);
                                     ++this->counts["node_stop_too_slow"];
                                 }
                                 this->fleet.restart(index);
-                            }});
+                            },
+                            {index}});
 }
 
 void FaultSchedule::loseDomain()
@@ -174,11 +186,14 @@
         this->fleet.signal(index, SIGKILL);
     }
     ++this->counts["domain_lost"];
-    this->active.push_back({"domain_lost", std::chrono::steady_clock::now() + this->between(500, 3000), [this, lost] {
+    this->active.push_back({"domain_lost",
+                            std::chrono::steady_clock::now() + this->between(500, 3000),
+                            [this, lost] {
                                 for (const std::size_t index : lost) {
                                     this->fleet.restart(index);
                                 }
-                            }});
+                            },
+                            lost});
 }
 
 void FaultSchedule::breakPlatform(const std::string &name, const std::string &faults, const std::string &repaired)
@@ -188,9 +203,12 @@
     }
     LocalFleet::call(this->fleet.platform(), "POST", "/faults", faults);
     ++this->counts[name];
-    this->active.push_back({name, std::chrono::steady_clock::now() + this->between(300, 3000), [this, repaired] {
+    this->active.push_back({name,
+                            std::chrono::steady_clock::now() + this->between(300, 3000),
+                            [this, repaired] {
                                 LocalFleet::call(this->fleet.platform(), "POST", "/faults", repaired);
-                            }});
+                            },
+                            {}});
 }
 
 } // namespace Dogwoodkeel
--- a/Benchmarks/Support/FaultSchedule.h
+++ b/Benchmarks/Support/FaultSchedule.h
@@ -45,6 +45,8 @@
         std::string name;
         Time end;
         std::function<void()> repair;
+        /** The processes it is in force on: no second fault hits them meanwhile. */
+        std::vector<std::size_t> hit;
     };
 
     std::chrono::milliseconds between(int least, int most);
