--- a/Libraries/LibPlatform/CallBudget.cpp
+++ b/Libraries/LibPlatform/CallBudget.cpp
@@ -10,6 +10,8 @@
 
 /** What may be used at once after a quiet time; a second's worth would let all nodes together exceed the limit at once. */
 constexpr std::chrono::milliseconds burst{250};
+/** Calls a second that a node may make however many nodes there are: a start or a takeover must come to an end. */
+constexpr double leastShare = 2;
 
 } // namespace
 
@@ -34,7 +36,8 @@
     const std::lock_guard lock(this->mutex);
     const double rate = kind == CallKind::Read ? this->rates.readsPerSecond : this->rates.writesPerSecond;
     Pace &pace = kind == CallKind::Read ? this->reads : this->writes;
-    const std::chrono::duration<double> step(static_cast<double>(this->members) / rate);
+    const double share = std::max(leastShare, rate / static_cast<double>(this->members));
+    const std::chrono::duration<double> step(1 / share);
     const SteadyTime now = this->clock.now();
     pace.next = std::max(pace.next, now - burst);
     const SteadyTime mine = pace.next;
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -28,7 +28,7 @@
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
     /**
-     * @param ownOwner reaches the owner of this node
+     * @param ownOwner reaches the owner of this node without a socket, if there is one
      * @throws std::runtime_error if it cannot listen
      */
     EntryTask(EventLoop &loop,
@@ -36,7 +36,7 @@
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
-              const LocalPeer &ownOwner,
+              const std::optional<LocalPeer> &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics,
               OperatorGateway operators);
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -66,6 +66,7 @@
 
 void OnlineRequest::start()
 {
+    this->context.metrics.countRequest(this->request.tenant);
     this->armDeadline(this->request.timeout);
     this->claim();
 }
@@ -263,6 +264,7 @@
 bool OnlineRequest::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->request.tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
@@ -282,6 +284,10 @@
     this->sawEnd = false;
     this->events = ServerSentEvents(eventLimit);
     this->sent = this->context.clock.now();
+    if (this->attempts == 1) {
+        this->context.metrics.observeQueueing(this->kind(), since(this->started, this->sent));
+        this->context.metrics.observeQueueing(this->request.tenant, since(this->started, this->sent));
+    }
 
     HttpRequest message = this->request.request;
     if (this->request.completion) {
@@ -338,8 +344,10 @@
     const SteadyTime now = this->context.clock.now();
     if (this->completion.tokens == 0) {
         this->context.metrics.observeFirstToken("online", since(this->started, now));
+        this->context.metrics.observeFirstToken(this->request.tenant, since(this->started, now));
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
+        this->context.metrics.observeBetweenTokens(this->request.tenant, since(this->lastToken, now));
     }
     if (this->completion.tokens == this->tokensBefore) {
         this->attemptFirstToken = now;
@@ -377,7 +385,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -459,7 +467,7 @@
                       {}});
         return;
     }
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
@@ -525,6 +533,7 @@
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
+    this->context.metrics.observeTotal(this->request.tenant, since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
     this->request.hold = nullptr;
 }
