--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -89,6 +89,7 @@
     };
 
     void tick();
+    void giveBackUnrunnable();
     void logLanes();
     void noticePause();
     void takeLanes();
