--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,188 @@
+#include <LibMembership/MemberTable.h>
+
+#include <LibBase/Hash.h>
+
+#include <numeric>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+bool isGone(const Member &member)
+{
+    return member.state >= MemberState::Dead;
+}
+
+MemberNews newsOf(const Member &member)
+{
+    return {member.session, member.incarnation, member.state, member.isLeaving, member.isReady, SessionNumber(0)};
+}
+
+MemberLoad loadOf(const Member &member)
+{
+    return {member.session, member.loadVersion, member.backlog, member.configVersion, member.pressure};
+}
+
+MemberTable::MemberTable(Member self, SteadyTime now) : self(self.session)
+{
+    this->known[this->self] = {std::move(self), now, true};
+}
+
+bool MemberTable::isNewer(const MemberNews &told, const Member &known)
+{
+    if (known.state == MemberState::Left || told.state == MemberState::Left) {
+        return known.state != MemberState::Left;
+    }
+    if (told.incarnation != known.incarnation) {
+        return told.incarnation > known.incarnation;
+    }
+    return told.state > known.state;
+}
+
+MergeResult MemberTable::merge(const Member &told, SteadyTime now)
+{
+    const auto [found, isNew] = this->known.try_emplace(told.session);
+    Entry &entry = found->second;
+    if (isNew) {
+        entry = {told, now, true};
+        this->digestChanged();
+        return MergeResult::Changed;
+    }
+    const bool wasDescribed = std::exchange(entry.isDescribed, true);
+    if (!wasDescribed) {
+        // Its state alone was known. That goes on to count: the description may come from one that has not heard.
+        const MemberNews current = newsOf(entry.member);
+        entry.member = told;
+        entry.member.incarnation = current.incarnation;
+        entry.member.state = current.state;
+        this->digestChanged();
+    }
+    const MergeResult result = this->merge(newsOf(told), now);
+    const MergeResult load = this->merge(loadOf(told));
+    if (!wasDescribed || result == MergeResult::Changed) {
+        return MergeResult::Changed;
+    }
+    return load;
+}
+
+MergeResult MemberTable::merge(const MemberNews &told, SteadyTime now)
+{
+    const auto found = this->known.find(told.session);
+    if (found == this->known.end()) {
+        if (told.state < MemberState::Dead) {
+            return MergeResult::NeedsDescription;
+        }
+        Entry &entry = this->known[told.session];
+        entry.member.session = told.session;
+        entry.member.incarnation = told.incarnation;
+        entry.member.state = told.state;
+        entry.since = now;
+        return MergeResult::Changed;
+    }
+    Entry &entry = found->second;
+    if (!isNewer(told, entry.member)) {
+        return MergeResult::Nothing;
+    }
+    if (!entry.isDescribed && told.state < MemberState::Dead) {
+        return MergeResult::NeedsDescription;
+    }
+    if (entry.member.state != told.state) {
+        entry.since = now;
+    }
+    entry.member.incarnation = told.incarnation;
+    entry.member.state = told.state;
+    entry.member.isLeaving = told.isLeaving;
+    entry.member.isReady = told.isReady;
+    this->digestChanged();
+    return MergeResult::Changed;
+}
+
+MergeResult MemberTable::merge(const MemberLoad &told)
+{
+    const auto found = this->known.find(told.session);
+    if (found == this->known.end()) {
+        return MergeResult::NeedsDescription;
+    }
+    Member &member = found->second.member;
+    if (told.version <= member.loadVersion) {
+        return MergeResult::Nothing;
+    }
+    member.loadVersion = told.version;
+    member.backlog = told.backlog;
+    member.configVersion = told.configVersion;
+    member.pressure = told.pressure;
+    return MergeResult::Changed;
+}
+
+Member &MemberTable::own()
+{
+    return this->known.at(this->self).member;
+}
+
+const Member &MemberTable::own() const
+{
+    return this->known.at(this->self).member;
+}
+
+void MemberTable::ownChanged()
+{
+    this->digestChanged();
+}
+
+const MemberTable::Entry *MemberTable::find(SessionNumber session) const
+{
+    const auto found = this->known.find(session);
+    return found != this->known.end() ? &found->second : nullptr;
+}
+
+const std::map<SessionNumber, MemberTable::Entry> &MemberTable::entries() const
+{
+    return this->known;
+}
+
+std::vector<const Member *> MemberTable::others() const
+{
+    std::vector<const Member *> members;
+    for (const auto &[session, entry] : this->known) {
+        if (session != this->self && !isGone(entry.member)) {
+            members.push_back(&entry.member);
+        }
+    }
+    return members;
+}
+
+std::vector<std::uint32_t> MemberTable::digests() const
+{
+    if (!std::exchange(this->isDigestCurrent, true)) {
+        this->partDigests.assign(parts, 0);
+        for (const auto &[session, entry] : this->known) {
+            if (isGone(entry.member)) {
+                continue;
+            }
+            // NOTE: Suspect counts as alive: it is on its way to one or the other, and each step would cost a comparison.
+            const std::uint64_t weight = rendezvousWeight(session.value(), entry.member.incarnation);
+            this->partDigests[session.value() % parts] += static_cast<std::uint32_t>(weight);
+        }
+    }
+    return this->partDigests;
+}
+
+std::uint32_t MemberTable::digest() const
+{
+    const std::vector<std::uint32_t> all = this->digests();
+    return std::accumulate(all.begin(), all.end(), std::uint32_t(0));
+}
+
+void MemberTable::forget(SteadyTime before)
+{
+    std::erase_if(this->known, [this, before](const auto &entry) {
+        return entry.first != this->self && isGone(entry.second.member) && entry.second.since < before;
+    });
+}
+
+void MemberTable::digestChanged()
+{
+    this->isDigestCurrent = false;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibWire/Generated/Messages.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** What came of taking in something that was told. */
+enum class MergeResult : std::uint8_t {
+    /** It was known, or is older than what is known. */
+    Nothing,
+    /** It changed what is known of a member. */
+    Changed,
+    /** It is about a member that no description was given of; the teller has to be asked. */
+    NeedsDescription,
+};
+
+/**
+ * What a node knows of the members, itself included. Merging is the same in whatever order things are told: of two
+ * entries the higher incarnation wins, at the same incarnation the graver state, and Left wins always.
+ *
+ * Members that are dead or left are remembered, without cost to the others, so that late gossip cannot bring them back:
+ * only a higher incarnation can, and only a member itself raises its own.
+ */
+class MemberTable
+{
+public:
+    /** A member as it is known. */
+    struct Entry
+    {
+        Member member;
+        /** When its state changed last. */
+        SteadyTime since{};
+        /** Whether its addresses are known; not so for one that was first heard of when it was dead. */
+        bool isDescribed = false;
+    };
+
+    /** Parts of the digest, so that only members in parts that differ are sent. */
+    static constexpr std::size_t parts = 16;
+
+    explicit MemberTable(Member self, SteadyTime now);
+
+    MergeResult merge(const Member &told, SteadyTime now);
+    MergeResult merge(const MemberNews &told, SteadyTime now);
+    MergeResult merge(const MemberLoad &told);
+
+    /** @return this node itself, to be changed by its owner; call ownChanged() after. */
+    Member &own();
+    const Member &own() const;
+    void ownChanged();
+
+    /** @return what is known of a session, or null. */
+    const Entry *find(SessionNumber session) const;
+
+    const std::map<SessionNumber, Entry> &entries() const;
+
+    /** @return the other members that are neither dead nor left. */
+    std::vector<const Member *> others() const;
+
+    /** @return digests of the parts. */
+    std::vector<std::uint32_t> digests() const;
+
+    /** @return digest of all members that are neither dead nor left. */
+    std::uint32_t digest() const;
+
+    /** Forget members that have been dead or left since before a time. */
+    void forget(SteadyTime before);
+
+private:
+    static bool isNewer(const MemberNews &told, const Member &known);
+    void digestChanged();
+
+    SessionNumber self;
+    std::map<SessionNumber, Entry> known;
+    mutable std::vector<std::uint32_t> partDigests;
+    mutable bool isDigestCurrent = false;
+};
+
+/** @return whether a member is dead or left. */
+bool isGone(const Member &member);
+
+/** @return what is told of a member to those that have its description. */
+MemberNews newsOf(const Member &member);
+
+/** @return what is told of a member's load. */
+MemberLoad loadOf(const Member &member);
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibMembership/MemberView.cpp
+++ b/Libraries/LibMembership/MemberView.cpp
@@ -16,10 +16,15 @@
 
 } // namespace
 
-MemberView::MemberView(std::vector<Member> members) : list(std::move(members))
+MemberView::MemberView(std::vector<Member> members, bool isMinority) : list(std::move(members)), minority(isMinority)
 {
 }
 
+bool MemberView::isMinority() const
+{
+    return this->minority;
+}
+
 const std::vector<Member> &MemberView::members() const
 {
     return this->list;
@@ -27,8 +32,8 @@
 
 const Member *MemberView::find(SessionNumber session) const
 {
-    const auto found = std::ranges::find(this->list, session, &Member::session);
-    return found != this->list.end() ? &*found : nullptr;
+    const auto found = std::ranges::lower_bound(this->list, session, {}, &Member::session);
+    return found != this->list.end() && found->session == session ? &*found : nullptr;
 }
 
 const Member *MemberView::ownerOf(std::uint64_t key) const
--- a/Libraries/LibMembership/MemberView.h
+++ b/Libraries/LibMembership/MemberView.h
@@ -14,11 +14,20 @@
 class MemberView
 {
 public:
-    /** @param members alive, suspect and leaving ones, in order of their sessions */
-    explicit MemberView(std::vector<Member> members);
+    /**
+     * @param members alive, suspect and leaving ones, in order of their sessions
+     * @param isMinority whether this node has lost sight of more members than it sees
+     */
+    explicit MemberView(std::vector<Member> members, bool isMinority = false);
 
     const std::vector<Member> &members() const;
 
+    /**
+     * @return whether this node has lately lost sight of more members than it sees, itself included. It is then more
+     * likely to be cut off than to have outlived them: what it would take over from them is most likely not free.
+     */
+    bool isMinority() const;
+
     /** @return the member of a session, or null. */
     const Member *find(SessionNumber session) const;
 
@@ -36,6 +45,7 @@
 
 private:
     std::vector<Member> list;
+    bool minority = false;
 };
 
 using MemberViewPointer = std::shared_ptr<const MemberView>;
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -1,8 +1,10 @@
 #include <LibMembership/Membership.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -12,22 +14,42 @@
 {
 
 constexpr std::size_t relaysKept = 64;
-
-bool isNewer(const Member &news, const Member &old)
-{
-    if (news.incarnation != old.incarnation) {
-        return news.incarnation > old.incarnation;
-    }
-    return news.state > old.state;
-}
+constexpr std::size_t contactsAtOnce = 8;
+constexpr std::size_t farewells = 32;
+constexpr std::size_t newsInDatagram = 12;
+constexpr std::size_t membersInDatagram = 5;
+constexpr std::size_t membersInPush = 20;
+constexpr std::size_t departedInPush = 64;
+constexpr std::size_t loadsInDatagram = 8;
+constexpr std::size_t vmsInDatagram = 4;
+/** Above this, a new configVersion is not news: it goes with the node's own probes and answers. */
+constexpr std::size_t tellVersionsUpTo = 32;
+constexpr std::uint32_t tellingsPerDoubling = 3;
+constexpr std::uint32_t fewestTellings = 6;
+constexpr std::size_t smallestTalk = 2;
+/** How many times longer an unconfirmed suspicion lasts, and a node that hears nothing waits before it accuses. */
+constexpr int unconfirmedFactor = 3;
+constexpr int deafFactor = 5;
+constexpr int pullFactor = 10;
+constexpr int reconnectFactor = 25;
+constexpr std::chrono::minutes lostFor{10};
+constexpr std::chrono::minutes leavingKept{10};
+constexpr std::chrono::minutes correctedKept{1};
 
 } // namespace
 
 Membership::Membership(const Clock &clock, Scheduler &scheduler, Options options, Member self, std::uint64_t seed, Hooks hooks)
-    : clock(clock), scheduler(scheduler), options(options), self(self.session), hooks(std::move(hooks)), random(seed)
+    : clock(clock)
+    , scheduler(scheduler)
+    , options(options)
+    , self(self.session)
+    , hooks(std::move(hooks))
+    , random(seed)
+    , table(std::move(self), clock.now())
+    , lastHeard(clock.now())
 {
-    this->known[this->self] = {std::move(self), 0, clock.now()};
-    this->current = std::make_shared<MemberView>(std::vector<Member>{this->known.begin()->second.member});
+    this->newMembers.add(this->self);
+    this->current = std::make_shared<MemberView>(std::vector<Member>{this->table.own()});
 }
 
 Membership::~Membership()
@@ -36,216 +58,680 @@
     for (const auto &[sequence, probe] : this->probes) {
         this->scheduler.cancel(probe.timer);
     }
+    for (const auto &[session, suspected] : this->suspected) {
+        this->scheduler.cancel(suspected.timer);
+    }
 }
 
 void Membership::start(const std::vector<Address> &contacts)
 {
-    this->contact(contacts);
+    this->tickDue = this->clock.now();
+    this->changed = true;
+    this->contacts = contacts;
     this->tick();
 }
 
 void Membership::contact(const std::vector<Address> &addresses)
 {
-    const Address &own = this->known.at(this->self).member.gossip;
-    for (const Address &address : addresses) {
-        if (address != own) {
-            this->hooks.sendPing(address, {this->self, ++this->lastSequence, this->news()});
+    std::vector<Address> chosen;
+    std::ranges::sample(addresses, std::back_inserter(chosen), contactsAtOnce, this->random);
+    for (const Address &address : chosen) {
+        if (address != this->table.own().gossip && !this->hasLeft) {
+            this->hooks.sendPing(address, {this->self, ++this->lastSequence, this->gossipFor(SessionNumber(0))});
         }
     }
 }
 
 void Membership::tick()
 {
-    this->expireSuspects();
+    if (this->wasPaused(this->tickDue)) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    this->table.forget(now - this->options.forgetDead);
+    std::erase_if(this->leavingSince, [now](const auto &entry) {
+        return now - entry.second > leavingKept;
+    });
+    std::erase_if(this->corrected, [now](const auto &entry) {
+        return now - entry.second > correctedKept;
+    });
+    if (const SessionNumber target = this->nextTarget(); target.value() != 0) {
+        this->probe(target);
+    }
+    if (this->table.others().empty()) {
+        // The first word to the others may have been lost.
+        this->contact(this->contacts);
+    }
+    this->reconnect();
+    this->publish();
+    this->tickDue = now + this->interval();
+    this->timer = this->scheduler.schedule(this->interval(), [this] {
+        this->tick();
+    });
+}
+
+std::chrono::milliseconds Membership::interval() const
+{
+    const auto nodes = static_cast<std::int64_t>(this->table.others().size() + 1);
+    const auto stretched = this->options.probeInterval * nodes / static_cast<std::int64_t>(this->options.stretchFrom);
+    const auto longest = std::max(this->options.probeInterval, this->options.longestProbeInterval);
+    return std::clamp(stretched, this->options.probeInterval, longest) * this->health.factor();
+}
+
+std::chrono::milliseconds Membership::probeTimeout() const
+{
+    return this->options.probeTimeout * this->health.factor();
+}
+
+std::uint32_t Membership::tellings() const
+{
+    const std::size_t nodes = this->table.others().size() + 1;
+    return std::max(fewestTellings, tellingsPerDoubling * static_cast<std::uint32_t>(std::bit_width(nodes)));
+}
+
+bool Membership::wasPaused(SteadyTime due)
+{
+    // A node that was stopped for a while finds all its timers late at once, and would take the answers that lie unread
+    // in its socket for missing: every member it was probing or suspecting would be accused by the one that was at fault.
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - due);
+    if (late <= this->options.probeTimeout) {
+        return false;
+    }
+    this->health.failed();
+    this->lastHeard += late;
+    this->lastHeard = std::min(this->lastHeard, this->clock.now());
+    for (auto &[sequence, probe] : this->probes) {
+        this->scheduler.cancel(probe.timer);
+    }
+    this->probes.clear();
+    for (auto &[session, suspected] : this->suspected) {
+        suspected.suspicion.extend(late);
+        this->scheduleDeath(session);
+    }
+    this->scheduler.cancel(this->timer);
+    this->tickDue = this->clock.now() + this->interval();
+    this->timer = this->scheduler.schedule(this->interval(), [this] {
+        this->tick();
+    });
+    return true;
+}
+
+bool Membership::isDeaf() const
+{
+    // Where several others are known and none is heard, the fault is more likely here. If the silence lasts, they are gone.
+    const auto silence = this->clock.now() - this->lastHeard;
+    const bool hasOthers = this->table.others().size() >= smallestTalk;
+    return hasOthers && silence > this->interval() * 2 && !this->isAlone();
+}
+
+bool Membership::isAlone() const
+{
+    return this->clock.now() - this->lastHeard >= this->options.suspicion * deafFactor;
+}
+
+SessionNumber Membership::nextTarget()
+{
     if (this->round.empty()) {
-        for (const Member *const member : this->reachable()) {
+        for (const Member *const member : this->table.others()) {
             this->round.push_back(member->session);
         }
         std::ranges::shuffle(this->round, this->random);
     }
-    if (!this->round.empty()) {
+    while (!this->round.empty()) {
         const SessionNumber target = this->round.back();
         this->round.pop_back();
-        this->probe(target);
+        const MemberTable::Entry *const entry = this->table.find(target);
+        if (entry != nullptr && !isGone(entry->member) && !this->isProbing(target)) {
+            return target;
+        }
     }
-    this->publish();
-    this->timer = this->scheduler.schedule(this->options.probeInterval, [this] {
-        this->tick();
-    });
+    return {};
 }
 
-void Membership::probe(SessionNumber target)
+void Membership::reconnect()
 {
-    const auto found = this->known.find(target);
-    if (found == this->known.end() || found->second.member.state == MemberState::Dead) {
+    // Two sides of a partition hold each other dead and would never speak again; so one of the dead is tried now and then.
+    const SteadyTime now = this->clock.now();
+    if (now < this->nextReconnect) {
         return;
     }
+    this->nextReconnect = now + this->options.probeInterval * reconnectFactor;
+    std::vector<Address> lost;
+    for (const auto &[session, entry] : this->table.entries()) {
+        if (entry.isDescribed && entry.member.state == MemberState::Dead) {
+            lost.push_back(entry.member.gossip);
+        }
+    }
+    std::vector<Address> chosen;
+    std::ranges::sample(lost, std::back_inserter(chosen), 1, this->random);
+    this->contact(chosen);
+}
+
+bool Membership::isProbing(SessionNumber target) const
+{
+    return std::ranges::any_of(this->probes, [target](const auto &entry) {
+        return entry.second.target == target;
+    });
+}
+
+void Membership::probe(SessionNumber target)
+{
     const std::uint64_t sequence = ++this->lastSequence;
-    this->probes[sequence] = {target, false, this->scheduler.schedule(this->options.probeTimeout, [this, sequence] {
-                                  this->probeByOthers(sequence);
-                              })};
-    this->hooks.sendPing(found->second.member.gossip, {this->self, sequence, this->news()});
+    const SteadyTime now = this->clock.now();
+    const TimerId timeout = this->scheduler.schedule(this->probeTimeout(), [this, sequence] {
+        this->probeByOthers(sequence);
+    });
+    this->probes[sequence] = {target, now, now + this->probeTimeout(), timeout};
+    this->hooks.sendPing(this->table.find(target)->member.gossip, {this->self, sequence, this->gossipFor(target)});
 }
 
 void Membership::probeByOthers(std::uint64_t sequence)
 {
     Probe &probe = this->probes.at(sequence);
-    probe.isIndirect = true;
-    const Address target = this->known.at(probe.target).member.gossip;
-    std::vector<const Member *> helpers = this->reachable();
-    std::erase_if(helpers, [&probe](const Member *member) {
-        return member->session == probe.target;
+    if (this->wasPaused(probe.due)) {
+        return;
+    }
+    const MemberTable::Entry *const entry = this->table.find(probe.target);
+    if (entry == nullptr || isGone(entry->member)) {
+        this->probes.erase(sequence);
+        return;
+    }
+    for (const Member *const helper : this->helpersFor(probe.target)) {
+        this->hooks.sendPingRequest(helper->gossip, {this->self, entry->member.gossip, sequence});
+    }
+    probe.due = this->clock.now() + this->probeTimeout() * 2;
+    probe.timer = this->scheduler.schedule(this->probeTimeout() * 2, [this, sequence] {
+        this->probeFailed(sequence);
+    });
+}
+
+void Membership::probeFailed(std::uint64_t sequence)
+{
+    const Probe probe = this->probes.at(sequence);
+    if (this->wasPaused(probe.due)) {
+        return;
+    }
+    this->probes.erase(sequence);
+    this->health.failed();
+    const bool hasWitness = this->lastHeard >= probe.started || this->table.others().size() < smallestTalk;
+    if (hasWitness) {
+        this->accuse(probe.target);
+    } else if (this->isAlone()) {
+        for (const Member *const member : this->table.others()) {
+            this->accuse(member->session);
+        }
+    }
+}
+
+std::vector<const Member *> Membership::helpersFor(SessionNumber target)
+{
+    std::vector<const Member *> helpers = this->table.others();
+    std::erase_if(helpers, [target](const Member *member) {
+        return member->session == target;
     });
     std::ranges::shuffle(helpers, this->random);
     helpers.resize(std::min(helpers.size(), this->options.helpers));
-    for (const Member *const helper : helpers) {
-        this->hooks.sendPingRequest(helper->gossip, {this->self, target, sequence});
-    }
-    probe.timer = this->scheduler.schedule(this->options.probeTimeout * 2, [this, sequence] {
-        const SessionNumber target = this->probes.at(sequence).target;
-        this->probes.erase(sequence);
-        this->suspect(target);
+    return helpers;
+}
+
+std::vector<const Member *> Membership::confirmersOf(SessionNumber target) const
+{
+    // The same few for every accuser, so that a suspicion costs few probes however many hear of it.
+    std::vector<const Member *> members = this->table.others();
+    members.push_back(&this->table.own());
+    std::erase_if(members, [target](const Member *member) {
+        return member->session == target;
     });
+    const std::size_t count = std::min(members.size(), this->options.helpers + 1);
+    std::ranges::partial_sort(
+        members, members.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::greater(), [target](const Member *member) {
+            return rendezvousWeight(target.value(), member->session.value());
+        });
+    members.resize(count);
+    return members;
 }
 
-void Membership::suspect(SessionNumber target)
+void Membership::accuse(SessionNumber target)
 {
-    const auto found = this->known.find(target);
-    if (found == this->known.end() || found->second.member.state >= MemberState::Suspect) {
+    const MemberTable::Entry *const entry = this->table.find(target);
+    if (entry == nullptr || isGone(entry->member)) {
         return;
     }
-    Member suspected = found->second.member;
-    suspected.state = MemberState::Suspect;
-    this->mergeOne(suspected);
+    MemberNews news = newsOf(entry->member);
+    news.state = MemberState::Suspect;
+    news.accuser = this->self;
+    this->take(news);
     this->publish();
 }
 
-void Membership::expireSuspects()
+void Membership::startSuspicion(const MemberNews &news)
 {
-    const SteadyTime now = this->clock.now();
-    for (auto entry = this->known.begin(); entry != this->known.end();) {
-        Known &known = entry->second;
-        if (known.member.state == MemberState::Suspect && now - known.since >= this->options.suspicion) {
-            Member dead = known.member;
-            dead.state = MemberState::Dead;
-            this->mergeOne(dead);
+    const SessionNumber target = news.session;
+    const std::vector<const Member *> confirmers = this->confirmersOf(target);
+    const std::size_t expected = this->isAlone() ? 0 : std::min(confirmers.size() - 1, this->options.helpers);
+    const Suspicion::Options times{this->options.suspicion, this->options.suspicion * unconfirmedFactor, expected};
+    this->stopSuspicion(target);
+    this->suspected.emplace(target, Suspected{Suspicion(this->clock.now(), news.accuser, times), {}, 0});
+    this->lastAccuser[target] = news.accuser;
+    this->scheduleDeath(target);
+    if (news.accuser == this->self) {
+        this->tellConfirmers(target);
+        return;
+    }
+    const bool isAsked = std::ranges::find(confirmers, this->self, &Member::session) != confirmers.end();
+    if (isAsked && !this->isProbing(target)) {
+        // A look of its own either confirms or lets the member hear of it and refute.
+        this->probe(target);
+    }
+}
+
+void Membership::tellConfirmers(SessionNumber target)
+{
+    for (const Member *const confirmer : this->confirmersOf(target)) {
+        if (confirmer->session != this->self) {
+            this->hooks.sendPing(confirmer->gossip, {this->self, ++this->lastSequence, this->gossipFor(target)});
         }
-        const bool isForgotten = known.member.state == MemberState::Dead && now - known.since >= this->options.forgetDead;
-        entry = isForgotten ? this->known.erase(entry) : std::next(entry);
     }
 }
 
+void Membership::scheduleDeath(SessionNumber target)
+{
+    Suspected &suspected = this->suspected.at(target);
+    this->scheduler.cancel(suspected.timer);
+    suspected.due = std::max(suspected.suspicion.deadline(), this->clock.now());
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(suspected.due - this->clock.now());
+    suspected.timer = this->scheduler.schedule(wait, [this, target] {
+        this->expire(target);
+    });
+}
+
+void Membership::expire(SessionNumber target)
+{
+    Suspected &suspected = this->suspected.at(target);
+    if (this->wasPaused(suspected.due)) {
+        return;
+    }
+    if (this->isDeaf()) {
+        suspected.suspicion.extend(this->interval());
+        this->scheduleDeath(target);
+        return;
+    }
+    MemberNews news = newsOf(this->table.find(target)->member);
+    news.state = MemberState::Dead;
+    this->take(news);
+    this->publish();
+}
+
+void Membership::stopSuspicion(SessionNumber target)
+{
+    const auto found = this->suspected.find(target);
+    if (found != this->suspected.end()) {
+        this->scheduler.cancel(found->second.timer);
+        this->suspected.erase(found);
+    }
+    this->lastAccuser.erase(target);
+}
+
 void Membership::receive(const Address &from, const Ping &ping)
 {
-    this->merge(ping.members);
-    this->hooks.sendPong(from, {this->self, ping.sequence, this->news()});
+    if (this->hasLeft) {
+        return;
+    }
+    this->hear(ping.from, ping.gossip);
+    this->hooks.sendPong(from, {this->self, ping.sequence, this->gossipFor(ping.from)});
+    this->compare(from, ping.gossip.digest);
+    this->publish();
 }
 
-void Membership::receive(const Address &, const Pong &pong)
+void Membership::receive(const Address &from, const Pong &pong)
 {
-    this->merge(pong.members);
+    if (this->hasLeft) {
+        return;
+    }
+    this->hear(pong.from, pong.gossip);
+    this->publish();
     if (const auto relay = this->relays.extract(pong.sequence); !relay.empty()) {
-        this->hooks.sendPong(relay.mapped().asker, {pong.from, relay.mapped().sequence, this->news()});
+        this->hooks.sendPong(relay.mapped().asker, {pong.from, relay.mapped().sequence, this->gossipFor(SessionNumber(0))});
         return;
     }
     const auto probe = this->probes.find(pong.sequence);
     if (probe != this->probes.end() && probe->second.target == pong.from) {
         this->scheduler.cancel(probe->second.timer);
         this->probes.erase(probe);
+        this->health.succeeded();
     }
+    this->correct(pong.from);
+    this->compare(from, pong.gossip.digest);
 }
 
 void Membership::receive(const Address &from, const PingRequest &request)
 {
+    if (this->hasLeft) {
+        return;
+    }
+    this->lastHeard = this->clock.now();
     while (this->relays.size() >= relaysKept) {
         this->relays.erase(this->relays.begin());
     }
     const std::uint64_t sequence = ++this->lastSequence;
     this->relays[sequence] = {from, request.sequence};
-    this->hooks.sendPing(request.target, {this->self, sequence, this->news()});
+    this->hooks.sendPing(request.target, {this->self, sequence, this->gossipFor(SessionNumber(0))});
 }
 
-void Membership::merge(const std::vector<Member> &news)
+void Membership::receive(const Address &from, const MembersPull &pull)
 {
-    for (const Member &member : news) {
-        this->mergeOne(member);
+    const std::vector<std::uint32_t> digests = this->table.digests();
+    if (this->hasLeft || pull.digests.size() != digests.size()) {
+        return;
+    }
+    this->lastHeard = this->clock.now();
+    MembersPush push{this->self, {}, {}};
+    for (const auto &[session, entry] : this->table.entries()) {
+        const std::size_t part = session.value() % MemberTable::parts;
+        if (digests[part] == pull.digests[part]) {
+            continue;
+        }
+        if (!isGone(entry.member)) {
+            push.members.push_back(entry.member);
+        } else if (push.departed.size() < departedInPush) {
+            push.departed.push_back(newsOf(entry.member));
+        }
+        if (push.members.size() == membersInPush) {
+            this->hooks.sendPush(from, std::exchange(push, MembersPush{this->self, {}, {}}));
+        }
+    }
+    this->hooks.sendPush(from, push);
+}
+
+void Membership::receive(const Address &, const MembersPush &push)
+{
+    if (this->hasLeft) {
+        return;
+    }
+    this->lastHeard = this->clock.now();
+    for (const MemberNews &departed : push.departed) {
+        this->take(departed);
+    }
+    for (const Member &member : push.members) {
+        this->take(member);
+        // All that differs between two views is exchanged at once: passed on as news as well, a fleet that forms would be
+        // busy for a minute with what everybody knows.
+        this->newMembers.remove(member.session);
+        const MemberTable::Entry *const entry = this->table.find(member.session);
+        if (entry != nullptr && isGone(entry->member)) {
+            // The other side has not heard that this one is gone.
+            this->changedMembers.add(member.session);
+        }
     }
     this->publish();
 }
 
-void Membership::mergeOne(const Member &news)
+void Membership::hear(SessionNumber session, const Gossip &gossip)
+{
+    this->lastHeard = this->clock.now();
+    this->hasHeard = this->hasHeard || session != this->self;
+    for (const Member &member : gossip.members) {
+        this->take(member);
+    }
+    for (const MemberNews &news : gossip.news) {
+        this->take(news);
+    }
+    this->take(gossip.load);
+    for (const MemberLoad &load : gossip.loads) {
+        this->take(load);
+    }
+    this->takeLeaving(gossip.leavingVms);
+}
+
+void Membership::compare(const Address &with, std::uint32_t digest)
 {
-    if (news.session == this->self) {
-        this->refute(news);
+    const SteadyTime now = this->clock.now();
+    if (digest == this->table.digest() || now < this->nextPull) {
         return;
     }
-    const auto [found, isNew] = this->known.try_emplace(news.session);
-    Known &known = found->second;
-    if (!isNew && !isNewer(news, known.member)) {
+    const bool isJoining = this->table.others().size() < smallestTalk;
+    this->nextPull = now + (isJoining ? this->options.probeTimeout : this->interval() * pullFactor);
+    this->hooks.sendPull(with, {this->self, this->table.digests()});
+}
+
+void Membership::correct(SessionNumber session)
+{
+    const MemberTable::Entry *const entry = this->table.find(session);
+    const bool isWronged = entry != nullptr && entry->isDescribed
+        && (entry->member.state == MemberState::Suspect || entry->member.state == MemberState::Dead);
+    const SteadyTime now = this->clock.now();
+    if (!isWronged || now - this->corrected[session] < this->options.probeTimeout) {
         return;
     }
-    const bool stateChanged = isNew || known.member.state != news.state;
-    if (stateChanged) {
+    // It answers and is held dead: told so, it refutes. Without this two sides of a partition would not meet again.
+    this->corrected[session] = now;
+    this->hooks.sendPing(entry->member.gossip, {this->self, ++this->lastSequence, this->gossipFor(session)});
+}
+
+void Membership::take(const Member &told)
+{
+    if (told.session == this->self || !isValid(told.state)) {
+        this->take(newsOf(told));
+        return;
+    }
+    const MemberTable::Entry *const before = this->table.find(told.session);
+    if (before != nullptr && before->isDescribed) {
+        this->take(newsOf(told));
+        this->take(loadOf(told));
+        return;
+    }
+    if (this->table.merge(told, this->clock.now()) != MergeResult::Changed) {
+        return;
+    }
+    this->changed = true;
+    const Member &member = this->table.find(told.session)->member;
+    if (isGone(member)) {
+        this->changedMembers.add(told.session);
+        return;
+    }
+    log(LogLevel::Info,
+        "member found",
+        {{"session", static_cast<std::int64_t>(member.session.value())},
+         {"member_vm", member.vm.value()},
+         {"state", std::string(toString(member.state))}});
+    this->newMembers.add(told.session);
+    this->supersede(member);
+    if (this->table.find(told.session)->member.state == MemberState::Suspect) {
+        this->startSuspicion(newsOf(told));
+    }
+}
+
+void Membership::take(const MemberNews &told)
+{
+    if (!isValid(told.state)) {
+        return;
+    }
+    if (told.session == this->self) {
+        this->refute(told);
+        return;
+    }
+    const MemberTable::Entry *const entry = this->table.find(told.session);
+    const MemberState before = entry != nullptr ? entry->member.state : MemberState::Alive;
+    const auto suspected = this->suspected.find(told.session);
+    const bool isConfirmation = told.state == MemberState::Suspect && suspected != this->suspected.end()
+        && told.incarnation == entry->member.incarnation && told.accuser.value() != 0;
+    if (isConfirmation) {
+        if (suspected->second.suspicion.confirm(told.accuser)) {
+            this->lastAccuser[told.session] = told.accuser;
+            this->changedMembers.add(told.session);
+            this->scheduleDeath(told.session);
+            if (told.accuser == this->self) {
+                this->tellConfirmers(told.session);
+            }
+        }
+        return;
+    }
+    if (this->table.merge(told, this->clock.now()) != MergeResult::Changed) {
+        return;
+    }
+    this->changed = true;
+    this->changedMembers.add(told.session);
+    if (before != told.state) {
         log(LogLevel::Info,
             "member changed",
-            {{"session", static_cast<std::int64_t>(news.session.value())},
-             {"member_vm", news.vm.value()},
-             {"state", std::string(toString(news.state))}});
-        known.since = this->clock.now();
+            {{"session", static_cast<std::int64_t>(told.session.value())},
+             {"member_vm", this->table.find(told.session)->member.vm.value()},
+             {"accuser", static_cast<std::int64_t>(told.accuser.value())},
+             {"state", std::string(toString(told.state))}});
     }
-    known.member = news;
-    known.told = 0;
-    this->changed = true;
+    if (told.state != MemberState::Suspect) {
+        this->stopSuspicion(told.session);
+        return;
+    }
+    this->startSuspicion(told);
 }
 
-void Membership::refute(const Member &news)
+void Membership::take(const MemberLoad &told)
 {
-    Member &own = this->known.at(this->self).member;
-    const bool isWrong = news.incarnation >= own.incarnation && news.state != own.state;
-    if (isWrong) {
-        this->update([&news](Member &member) {
-            member.incarnation = std::max(member.incarnation, news.incarnation);
-        });
+    if (told.session != this->self && this->table.merge(told) == MergeResult::Changed) {
+        this->changed = true;
     }
 }
 
-void Membership::update(const std::function<void(Member &)> &change)
+void Membership::takeLeaving(const std::vector<VmName> &vms)
 {
-    Known &own = this->known.at(this->self);
-    change(own.member);
-    ++own.member.incarnation;
-    own.told = 0;
+    std::vector<VmName> fresh;
+    for (const VmName &vm : vms) {
+        if (this->leavingSince.try_emplace(vm, this->clock.now()).second) {
+            fresh.push_back(vm);
+            this->leavingVms.add(vm);
+        }
+    }
+    if (!fresh.empty()) {
+        this->hooks.onLeavingVms(fresh);
+    }
+}
+
+void Membership::tellLeaving(const std::vector<VmName> &vms)
+{
+    this->takeLeaving(vms);
+}
+
+void Membership::supersede(const Member &newcomer)
+{
+    // A socket belongs to one process: of two sessions with one gossip address the earlier is over, and need not be
+    // suspected first.
+    std::vector<MemberNews> over;
+    for (const auto &[session, entry] : this->table.entries()) {
+        const bool isSame = entry.isDescribed && entry.member.gossip == newcomer.gossip && session != newcomer.session;
+        if (isSame && !isGone(entry.member)) {
+            const bool isOlder = session < newcomer.session;
+            over.push_back(newsOf(isOlder ? entry.member : newcomer));
+        }
+    }
+    for (MemberNews &news : over) {
+        news.state = MemberState::Left;
+        if (news.session != this->self) {
+            this->take(news);
+        }
+    }
+}
+
+void Membership::refute(const MemberNews &news)
+{
+    Member &own = this->table.own();
+    const bool isWrong = news.incarnation >= own.incarnation && (news.state != own.state || news.incarnation > own.incarnation);
+    if (!isWrong || this->hasLeft) {
+        return;
+    }
+    own.incarnation = news.incarnation + 1;
+    this->table.ownChanged();
+    this->health.failed();
+    this->changedMembers.add(this->self);
     this->changed = true;
+}
+
+void Membership::update(const std::function<void(Member &)> &change)
+{
+    Member &own = this->table.own();
+    const Member before = own;
+    change(own);
+    if (own.state == MemberState::Leaving) {
+        own.state = MemberState::Alive;
+        own.isLeaving = true;
+    }
+    const bool isVersionNew = own.configVersion != before.configVersion;
+    const bool isLoadNew = own.backlog != before.backlog || own.pressure != before.pressure;
+    if (isLoadNew || isVersionNew) {
+        ++own.loadVersion;
+        this->changed = true;
+        if (isLoadNew || this->table.others().size() < tellVersionsUpTo) {
+            this->changedLoads.add(this->self);
+        }
+    }
+    if (newsOf(own) != newsOf(before)) {
+        ++own.incarnation;
+        this->table.ownChanged();
+        this->changedMembers.add(this->self);
+        this->changed = true;
+    }
     this->publish();
 }
 
-std::vector<Member> Membership::news()
+void Membership::leave()
 {
-    // Those told least go first, so a change spreads at once and old knowledge fills the rest.
-    std::vector<Known *> candidates;
-    for (auto &[session, known] : this->known) {
-        candidates.push_back(&known);
+    this->update([](Member &member) {
+        member.state = MemberState::Left;
+    });
+    std::vector<const Member *> hearers;
+    std::ranges::sample(this->table.others(), std::back_inserter(hearers), farewells, this->random);
+    for (const Member *const hearer : hearers) {
+        Gossip farewell;
+        farewell.digest = this->table.digest();
+        farewell.load = loadOf(this->table.own());
+        farewell.news.push_back(newsOf(this->table.own()));
+        this->hooks.sendPing(hearer->gossip, {this->self, ++this->lastSequence, farewell});
     }
-    const std::size_t count = std::min(candidates.size(), this->options.newsPerDatagram);
-    std::ranges::shuffle(candidates, this->random);
-    std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count), {}, &Known::told);
-    std::vector<Member> told;
-    for (std::size_t i = 0; i < count; ++i) {
-        ++candidates[i]->told;
-        told.push_back(candidates[i]->member);
+    this->hasLeft = true;
+    this->scheduler.cancel(this->timer);
+    for (const auto &[sequence, probe] : this->probes) {
+        this->scheduler.cancel(probe.timer);
     }
-    return told;
+    this->probes.clear();
 }
 
-std::vector<const Member *> Membership::reachable() const
+Gossip Membership::gossipFor(SessionNumber hearer)
 {
-    std::vector<const Member *> members;
-    for (const auto &[session, known] : this->known) {
-        if (session != this->self && known.member.state != MemberState::Dead) {
-            members.push_back(&known.member);
+    Gossip gossip;
+    gossip.digest = this->table.digest();
+    gossip.load = loadOf(this->table.own());
+    const MemberTable::Entry *const entry = this->table.find(hearer);
+    if (entry != nullptr && (entry->member.state == MemberState::Suspect || entry->member.state == MemberState::Dead)) {
+        gossip.news.push_back(this->tellable(entry->member));
+    }
+    const std::uint32_t tellings = this->tellings();
+    for (const SessionNumber session : this->newMembers.take(membersInDatagram, tellings)) {
+        if (const MemberTable::Entry *const told = this->table.find(session); told != nullptr && told->isDescribed) {
+            gossip.members.push_back(told->member);
         }
     }
-    return members;
+    for (const SessionNumber session : this->changedMembers.take(newsInDatagram, tellings)) {
+        if (const MemberTable::Entry *const told = this->table.find(session)) {
+            gossip.news.push_back(this->tellable(told->member));
+        }
+    }
+    for (const SessionNumber session : this->changedLoads.take(loadsInDatagram, tellings / tellingsPerDoubling)) {
+        if (const MemberTable::Entry *const told = this->table.find(session)) {
+            gossip.loads.push_back(loadOf(told->member));
+        }
+    }
+    gossip.leavingVms = this->leavingVms.take(vmsInDatagram, tellings);
+    return gossip;
+}
+
+MemberNews Membership::tellable(const Member &member) const
+{
+    MemberNews news = newsOf(member);
+    const auto accuser = this->lastAccuser.find(member.session);
+    if (member.state == MemberState::Suspect && accuser != this->lastAccuser.end()) {
+        news.accuser = accuser->second;
+    }
+    return news;
 }
 
 void Membership::publish()
@@ -254,29 +740,54 @@
         return;
     }
     std::vector<Member> members;
-    for (const auto &[session, known] : this->known) {
-        if (known.member.state != MemberState::Dead) {
-            members.push_back(known.member);
+    for (const auto &[session, entry] : this->table.entries()) {
+        if (isGone(entry.member)) {
+            continue;
+        }
+        Member &member = members.emplace_back(entry.member);
+        if (member.isLeaving) {
+            member.state = MemberState::Leaving;
         }
     }
-    this->current = std::make_shared<MemberView>(std::move(members));
+    this->current = std::make_shared<MemberView>(std::move(members), this->isMinority());
     this->hooks.onChange(this->current);
 }
 
+bool Membership::isMinority() const
+{
+    std::set<VmName> present;
+    std::size_t alive = 0;
+    std::size_t lost = 0;
+    for (const auto &[session, entry] : this->table.entries()) {
+        if (!isGone(entry.member)) {
+            ++alive;
+            present.insert(entry.member.vm);
+        }
+    }
+    const SteadyTime now = this->clock.now();
+    for (const auto &[session, entry] : this->table.entries()) {
+        const bool isBack = !entry.member.vm.value().empty() && present.contains(entry.member.vm);
+        if (entry.member.state == MemberState::Dead && now - entry.since < lostFor && !isBack) {
+            ++lost;
+        }
+    }
+    return lost > alive;
+}
+
 MemberViewPointer Membership::view() const
 {
     return this->current;
 }
 
-std::vector<Address> Membership::lostAddresses() const
+bool Membership::hasHeardOthers() const
 {
-    std::vector<Address> addresses;
-    for (const auto &[session, known] : this->known) {
-        if (known.member.state == MemberState::Dead) {
-            addresses.push_back(known.member.gossip);
-        }
-    }
-    return addresses;
+    return this->hasHeard;
+}
+
+std::optional<SteadyTime> Membership::goneSince(SessionNumber session) const
+{
+    const MemberTable::Entry *const entry = this->table.find(session);
+    return entry != nullptr && isGone(entry->member) ? std::optional(entry->since) : std::nullopt;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -2,24 +2,32 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Scheduler.h>
+#include <LibMembership/LocalHealth.h>
+#include <LibMembership/MemberTable.h>
 #include <LibMembership/MemberView.h>
+#include <LibMembership/NewsQueue.h>
+#include <LibMembership/Suspicion.h>
 #include <LibWire/Generated/Messages.h>
 
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace Dogwoodkeel
 {
 
 /**
- * Knows which nodes there are, by probing and gossip over datagrams (after SWIM: Das, Gupta, Motivala, 2002).
+ * Knows which nodes there are, by probing and gossip over datagrams (after SWIM: Das, Gupta, Motivala, 2002, and
+ * Lifeguard: Dadgar, Phillips, Currey, 2018).
  *
- * Each node probes one member per interval, whatever their number, and tells a bounded number of members in each
- * datagram: cost per node does not grow with the fleet. A member that does not answer is probed through others before
- * it is suspected, and has the suspicion time to refute before it counts as dead.
+ * Each node probes one member an interval, whatever their number, so that each member is probed about once an interval
+ * by someone. News is told a bounded number of times; what it missed is found by comparing digests. A member that does
+ * not answer is probed through others before it is suspected, others are asked to confirm, and it has time to refute
+ * before it counts as dead. A node that finds itself paused or deaf accuses nobody.
  *
  * NOTE: What this class says is a hint. Nothing durable depends on it being right: who owns a shard is decided by the
  * platform's rows, and a journal's seal fences an owner that was held dead by mistake.
@@ -30,15 +38,18 @@
     /** Timing and sizes. */
     struct Options
     {
+        /** Between two probes, in a fleet of up to stretchFrom nodes; in proportion in a larger one. */
         std::chrono::milliseconds probeInterval{200};
+        /** As far as the interval is stretched. */
+        std::chrono::milliseconds longestProbeInterval{500};
+        std::size_t stretchFrom = 64;
         std::chrono::milliseconds probeTimeout{100};
+        /** How long a suspected member has to refute, if others confirm that it does not answer. */
         std::chrono::milliseconds suspicion{1000};
-        /** Members told of in one datagram. */
-        std::size_t newsPerDatagram = 8;
-        /** Members asked to probe for us. */
-        std::size_t helpers = 2;
-        /** How long a dead member is remembered, so that late gossip cannot bring it back. */
-        std::chrono::milliseconds forgetDead{60000};
+        /** Members asked to probe for us, and to confirm a suspicion. */
+        std::size_t helpers = 3;
+        /** How long the dead are remembered, so that late gossip cannot bring them back. */
+        std::chrono::milliseconds forgetDead{3600000};
     };
 
     /** How datagrams leave, and who hears of changes. */
@@ -47,7 +58,11 @@
         std::function<void(const Address &, const Ping &)> sendPing;
         std::function<void(const Address &, const Pong &)> sendPong;
         std::function<void(const Address &, const PingRequest &)> sendPingRequest;
+        std::function<void(const Address &, const MembersPull &)> sendPull;
+        std::function<void(const Address &, const MembersPush &)> sendPush;
         std::function<void(MemberViewPointer)> onChange;
+        /** Told of VMs that the platform is about to take away, as others saw them on its list. */
+        std::function<void(const std::vector<VmName> &)> onLeavingVms;
     };
 
     Membership(const Clock &clock, Scheduler &scheduler, Options options, Member self, std::uint64_t seed, Hooks hooks);
@@ -64,29 +79,34 @@
     void receive(const Address &from, const Ping &ping);
     void receive(const Address &from, const Pong &pong);
     void receive(const Address &from, const PingRequest &request);
+    void receive(const Address &from, const MembersPull &pull);
+    void receive(const Address &from, const MembersPush &push);
 
     /** Tell the others of a change of this node itself. */
     void update(const std::function<void(Member &)> &change);
 
+    /** Tell the others that this session is over, and stop probing. */
+    void leave();
+
+    /** Tell the others of VMs that the platform is about to take away. */
+    void tellLeaving(const std::vector<VmName> &vms);
+
     MemberViewPointer view() const;
 
-    /** @return the gossip addresses of members held dead that were not seen to leave: they may be behind a partition. */
-    std::vector<Address> lostAddresses() const;
+    /** @return whether any other member has been heard. */
+    bool hasHeardOthers() const;
 
-private:
-    struct Known
-    {
-        Member member;
-        /** Datagrams that told of its latest change. */
-        std::uint32_t told = 0;
-        SteadyTime since{};
-    };
+    /** @return whether a session is held dead or left, and since when. */
+    std::optional<SteadyTime> goneSince(SessionNumber session) const;
 
+private:
     /** A probe that waits for its answer. */
     struct Probe
     {
         SessionNumber target;
-        bool isIndirect = false;
+        SteadyTime started{};
+        /** When its timer is due. */
+        SteadyTime due{};
         TimerId timer = 0;
     };
 
@@ -97,17 +117,51 @@
         std::uint64_t sequence = 0;
     };
 
+    /** A member under suspicion. */
+    struct Suspected
+    {
+        Suspicion suspicion;
+        SteadyTime due{};
+        TimerId timer = 0;
+    };
+
     void tick();
+    std::chrono::milliseconds interval() const;
+    std::chrono::milliseconds probeTimeout() const;
+    std::uint32_t tellings() const;
+    bool wasPaused(SteadyTime due);
+    bool isDeaf() const;
+    bool isAlone() const;
+    SessionNumber nextTarget();
+    void reconnect();
+
     void probe(SessionNumber target);
     void probeByOthers(std::uint64_t sequence);
-    void suspect(SessionNumber target);
-    void expireSuspects();
-    void merge(const std::vector<Member> &news);
-    void mergeOne(const Member &news);
-    void refute(const Member &news);
-    std::vector<Member> news();
-    std::vector<const Member *> reachable() const;
+    void probeFailed(std::uint64_t sequence);
+    bool isProbing(SessionNumber target) const;
+    std::vector<const Member *> helpersFor(SessionNumber target);
+    std::vector<const Member *> confirmersOf(SessionNumber target) const;
+
+    void accuse(SessionNumber target);
+    void startSuspicion(const MemberNews &news);
+    void tellConfirmers(SessionNumber target);
+    void scheduleDeath(SessionNumber target);
+    void expire(SessionNumber target);
+    void stopSuspicion(SessionNumber target);
+
+    void hear(SessionNumber session, const Gossip &gossip);
+    void compare(const Address &with, std::uint32_t digest);
+    void correct(SessionNumber session);
+    void take(const Member &told);
+    void take(const MemberNews &told);
+    void take(const MemberLoad &told);
+    void takeLeaving(const std::vector<VmName> &vms);
+    void supersede(const Member &newcomer);
+    void refute(const MemberNews &news);
+    Gossip gossipFor(SessionNumber hearer);
+    MemberNews tellable(const Member &member) const;
     void publish();
+    bool isMinority() const;
 
     const Clock &clock;
     Scheduler &scheduler;
@@ -115,13 +169,29 @@
     SessionNumber self;
     Hooks hooks;
     std::mt19937_64 random;
-    std::map<SessionNumber, Known> known;
-    std::vector<SessionNumber> round;
-    std::uint64_t lastSequence = 0;
+    MemberTable table;
+    LocalHealth health;
+    NewsQueue<SessionNumber> changedMembers;
+    NewsQueue<SessionNumber> newMembers;
+    NewsQueue<SessionNumber> changedLoads;
+    NewsQueue<VmName> leavingVms;
+    std::map<VmName, SteadyTime> leavingSince;
+    std::map<SessionNumber, Suspected> suspected;
+    std::map<SessionNumber, SessionNumber> lastAccuser;
+    std::map<SessionNumber, SteadyTime> corrected;
     std::map<std::uint64_t, Probe> probes;
     std::map<std::uint64_t, Relay> relays;
+    std::vector<SessionNumber> round;
+    std::vector<Address> contacts;
+    std::uint64_t lastSequence = 0;
     TimerId timer = 0;
-    bool changed = true;
+    SteadyTime tickDue{};
+    SteadyTime lastHeard{};
+    SteadyTime nextPull{};
+    SteadyTime nextReconnect{};
+    bool hasHeard = false;
+    bool hasLeft = false;
+    bool changed = false;
     MemberViewPointer current;
 };
 
--- a/Libraries/LibPlatform/VmWatch.cpp
+++ b/Libraries/LibPlatform/VmWatch.cpp
@@ -1,5 +1,6 @@
 #include <LibPlatform/VmWatch.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -44,10 +45,35 @@
 
 void VmWatch::receive(std::vector<ListedVm> listed)
 {
-    if (this->last && *this->last == listed) {
+    this->listed = std::move(listed);
+    // What the others saw counts until the VM is off the list.
+    std::erase_if(this->leaving, [this](const VmName &name) {
+        return std::ranges::find(this->listed, name, &ListedVm::name) == this->listed.end();
+    });
+    this->tell();
+}
+
+void VmWatch::markLeaving(const std::vector<VmName> &names)
+{
+    this->leaving.insert(names.begin(), names.end());
+    this->tell();
+}
+
+void VmWatch::tell()
+{
+    std::vector<ListedVm> seen = this->listed;
+    for (const VmName &name : this->leaving) {
+        const auto found = std::ranges::find(seen, name, &ListedVm::name);
+        if (found != seen.end()) {
+            found->isLeaving = true;
+        } else {
+            seen.push_back({name, true});
+        }
+    }
+    if (this->last && *this->last == seen) {
         return;
     }
-    this->last = std::make_shared<const std::vector<ListedVm>>(std::move(listed));
+    this->last = std::make_shared<const std::vector<ListedVm>>(std::move(seen));
     this->changed(this->last);
 }
 
--- a/Libraries/LibPlatform/VmWatch.h
+++ b/Libraries/LibPlatform/VmWatch.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -36,17 +37,23 @@
     /** Read now, and then at intervals. @param interval between the end of one read and the start of the next */
     void start(std::chrono::milliseconds interval);
 
+    /** Other nodes saw on the list that these VMs are leaving; this node's own reading may lag behind theirs. */
+    void markLeaving(const std::vector<VmName> &names);
+
     /** Change the interval; takes effect with the next read. */
     void setInterval(std::chrono::milliseconds interval);
 
 private:
     void read();
     void receive(std::vector<ListedVm> listed);
+    void tell();
 
     VmList &vms;
     Scheduler &scheduler;
     Changed changed;
     std::chrono::milliseconds interval{1000};
+    std::vector<ListedVm> listed;
+    std::set<VmName> leaving;
     ListedVmsPointer last;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -5,6 +5,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/Identifiers.h>
+#include <LibWire/Compact.h>
 #include <LibWire/MessageNumber.h>
 
 #include <chrono>
@@ -244,8 +245,10 @@
     Suspect,
     /** It is stopping as planned and takes nothing new. */
     Leaving,
-    /** Its suspicion was not refuted in time, or it said that it left. */
+    /** Its suspicion was not refuted in time. */
     Dead,
+    /** It stopped as planned, or a later session took its address: it never comes back. */
+    Left,
 };
 
 /** @return the value's name, for logs. */
@@ -260,6 +263,8 @@
         return "Leaving";
     case MemberState::Dead:
         return "Dead";
+    case MemberState::Left:
+        return "Left";
     }
     return "invalid";
 }
@@ -267,7 +272,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(MemberState value)
 {
-    return value <= MemberState::Dead;
+    return value <= MemberState::Left;
 }
 
 /** Tells the records of a journal apart. */
@@ -332,6 +337,8 @@
 struct Ping;
 struct Pong;
 struct PingRequest;
+struct MembersPull;
+struct MembersPush;
 struct ReplicaLoad;
 
 /** The whole answer to one request, as the caller gets it. */
@@ -640,23 +647,125 @@
     std::uint32_t backlog = 0;
     /** The configuration it has in force. */
     std::uint64_t configVersion = 0;
+    /** How busy its entry is, in percent; 100 and more is overloaded. */
+    std::uint32_t pressure = 0;
+    /** Raised by the node itself with each change of backlog, configVersion or pressure. */
+    std::uint64_t loadVersion = 0;
+    /** Whether it is stopping as planned. */
+    bool isLeaving = false;
+    /** Whether it takes callers. */
+    bool isReady = false;
+    /** When it started. */
+    WallTime started;
 
     bool operator==(const Member &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->session,
-                this->incarnation,
+        archive(Compact::field(this->session),
+                Compact::field(this->incarnation),
+                this->state,
+                Compact::field(this->vm),
+                Compact::field(this->failureDomain),
+                Compact::field(this->http),
+                Compact::field(this->owner),
+                Compact::field(this->gossip),
+                Compact::field(this->lane),
+                Compact::field(this->backlog),
+                Compact::field(this->configVersion),
+                Compact::field(this->pressure),
+                Compact::field(this->loadVersion),
+                this->isLeaving,
+                this->isReady,
+                Compact::field(this->started));
+    }
+};
+
+/** A change of a member whose description the hearer has. */
+struct MemberNews
+{
+    /** The member. */
+    SessionNumber session;
+    /** As in Member. */
+    std::uint64_t incarnation = 0;
+    /** As in Member. */
+    MemberState state = MemberState::Alive;
+    /** As in Member. */
+    bool isLeaving = false;
+    /** As in Member. */
+    bool isReady = false;
+    /** With Suspect: the member that got no answer. */
+    SessionNumber accuser;
+
+    bool operator==(const MemberNews &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(Compact::field(this->session),
+                Compact::field(this->incarnation),
                 this->state,
-                this->vm,
-                this->failureDomain,
-                this->http,
-                this->owner,
-                this->gossip,
-                this->lane,
-                this->backlog,
-                this->configVersion);
+                this->isLeaving,
+                this->isReady,
+                Compact::field(this->accuser));
+    }
+};
+
+/** What changes often about a member and need not be known at once. */
+struct MemberLoad
+{
+    /** The member. */
+    SessionNumber session;
+    /** The loadVersion of Member. */
+    std::uint64_t version = 0;
+    /** As in Member. */
+    std::uint32_t backlog = 0;
+    /** As in Member. */
+    std::uint64_t configVersion = 0;
+    /** As in Member. */
+    std::uint32_t pressure = 0;
+
+    bool operator==(const MemberLoad &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(Compact::field(this->session),
+                Compact::field(this->version),
+                Compact::field(this->backlog),
+                Compact::field(this->configVersion),
+                Compact::field(this->pressure));
+    }
+};
+
+/** What each probe and each answer carries. */
+struct Gossip
+{
+    /** Hash of all members the sender holds alive; another one is a reason to compare notes. */
+    std::uint32_t digest = 0;
+    /** Of the sender. */
+    MemberLoad load;
+    /** Recent changes. */
+    std::vector<MemberNews> news;
+    /** Members that were heard of recently. */
+    std::vector<Member> members;
+    /** Recent changes of load. */
+    std::vector<MemberLoad> loads;
+    /** VMs that the platform is about to take away. */
+    std::vector<VmName> leavingVms;
+
+    bool operator==(const Gossip &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(Compact::field(this->digest),
+                this->load,
+                Compact::field(this->news),
+                Compact::field(this->members),
+                Compact::field(this->loads),
+                Compact::field(this->leavingVms));
     }
 };
 
@@ -1057,50 +1166,50 @@
     }
 };
 
-/** Datagram: asks a member for a sign of life, and tells some members. */
+/** Datagram: asks a member for a sign of life. */
 struct Ping
 {
-    static constexpr MessageNumber number{22};
+    static constexpr MessageNumber number{40};
     /** Who asks. */
     SessionNumber from;
     /** Matches the Pong. */
     std::uint64_t sequence = 0;
-    /** News. */
-    std::vector<Member> members;
+    /** What the sender has to tell. */
+    Gossip gossip;
 
     bool operator==(const Ping &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->sequence, this->members);
+        archive(Compact::field(this->from), Compact::field(this->sequence), this->gossip);
     }
 };
 
 /** Datagram: the sign of life. */
 struct Pong
 {
-    static constexpr MessageNumber number{23};
+    static constexpr MessageNumber number{41};
     /** Who answers. */
     SessionNumber from;
     /** Of the Ping. */
     std::uint64_t sequence = 0;
-    /** News. */
-    std::vector<Member> members;
+    /** What the sender has to tell. */
+    Gossip gossip;
 
     bool operator==(const Pong &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->sequence, this->members);
+        archive(Compact::field(this->from), Compact::field(this->sequence), this->gossip);
     }
 };
 
 /** Datagram: asks a third member to ping one that did not answer. */
 struct PingRequest
 {
-    static constexpr MessageNumber number{24};
+    static constexpr MessageNumber number{42};
     /** Who asks. */
     SessionNumber from;
     /** Whom to ping. */
@@ -1113,7 +1222,45 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->target, this->sequence);
+        archive(Compact::field(this->from), Compact::field(this->target), Compact::field(this->sequence));
+    }
+};
+
+/** Datagram: asks for the members in which the receiver's view differs from the sender's. */
+struct MembersPull
+{
+    static constexpr MessageNumber number{43};
+    /** Who asks. */
+    SessionNumber from;
+    /** Digest of each part of the sender's view; a member's part is its session modulo the number of parts. */
+    std::vector<std::uint32_t> digests;
+
+    bool operator==(const MembersPull &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(Compact::field(this->from), Compact::field(this->digests));
+    }
+};
+
+/** Datagram: some of the members that a MembersPull asked for. */
+struct MembersPush
+{
+    static constexpr MessageNumber number{44};
+    /** Who answers. */
+    SessionNumber from;
+    /** Members of the parts that differ. */
+    std::vector<Member> members;
+    /** Members of those parts that are dead or left. */
+    std::vector<MemberNews> departed;
+
+    bool operator==(const MembersPush &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(Compact::field(this->from), Compact::field(this->members), Compact::field(this->departed));
     }
 };
 
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -75,6 +75,13 @@
     return ""
 
 
+def archived(struct, field, enums):
+    name = f"this->{field['name']}"
+    plain = field["type"] in ("bool", "double", "milliseconds") or field["type"] in enums
+    is_field = field["type"] in WIRE_TYPES or field["type"].startswith("[")
+    return f"Compact::field({name})" if struct.get("compact") and is_field and not plain else name
+
+
 def struct_code(struct, known, enums):
     lines = [f"/** {struct['doc']} */", f"struct {struct['name']} {{"]
     if "number" in struct:
@@ -84,7 +91,7 @@
     for field in struct["fields"]:
         lines.append(f"    /** {field['doc']} */")
         lines.append(f"    {wire_type(field['type'], known)} {field['name']}{default_of(field['type'], enums)};")
-    names = ", ".join(f"this->{field['name']}" for field in struct["fields"])
+    names = ", ".join(archived(struct, field, enums) for field in struct["fields"])
     lines += ["", f"    bool operator==(const {struct['name']} &) const = default;", "",
               "    template<typename Archive>", "    void serialize(Archive &archive)", "    {",
               f"        archive({names});", "    }", "};", ""]
@@ -101,7 +108,7 @@
         sys.exit("Schema/messages.toml: two messages have one number")
     lines = [NOTE.format(source="Schema/messages.toml"), "#pragma once", "",
              "#include <LibBase/Address.h>", "#include <LibBase/Clock.h>", "#include <LibBase/Identifiers.h>",
-             "#include <LibWire/MessageNumber.h>", "",
+             "#include <LibWire/Compact.h>", "#include <LibWire/MessageNumber.h>", "",
              "#include <chrono>", "#include <cstdint>", "#include <string>", "#include <string_view>",
              "#include <vector>", "", "namespace Dogwoodkeel", "{", ""]
     for enum in schema["enum"]:
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -67,6 +67,8 @@
 
     Member member;
     member.session = this->self;
+    member.started = this->clock.wallNow();
+    member.isReady = true;
     member.vm = VmName(this->settings.node.vm);
     member.failureDomain = FailureDomain(this->settings.node.failureDomain);
     member.owner = this->owner->ask<Address>([](OwnerTask &task) {
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -2,6 +2,7 @@
 
 #include <LibWire/Codec.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -11,9 +12,11 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds meetInterval{5000};
+constexpr std::chrono::milliseconds shortestMeetInterval{5000};
+constexpr std::chrono::milliseconds meetIntervalPerNode{1500};
 constexpr std::chrono::milliseconds meetRetry{200};
 constexpr std::chrono::milliseconds vmInterval{1000};
+constexpr std::chrono::milliseconds vmIntervalPerNode{500};
 
 Membership::Options membershipOptions(const Settings &settings)
 {
@@ -71,7 +74,25 @@
             [this](const Address &to, const PingRequest &request) {
                 this->datagrams.send(to, request);
             },
-        .onChange = std::move(onChange),
+        .sendPull =
+            [this](const Address &to, const MembersPull &pull) {
+                this->datagrams.send(to, pull);
+            },
+        .sendPush =
+            [this](const Address &to, const MembersPush &push) {
+                this->datagrams.send(to, push);
+            },
+        .onChange =
+            [this, onChange = std::move(onChange)](const MemberViewPointer &view) {
+                this->followFleetSize(view->members().size());
+                onChange(view);
+            },
+        .onLeavingVms =
+            [this](const std::vector<VmName> &vms) {
+                if (this->vmWatch) {
+                    this->vmWatch->markLeaving(vms);
+                }
+            },
     };
     this->membership.emplace(
         this->clock, this->loop, membershipOptions(this->settings), std::move(self), std::random_device()(), std::move(hooks));
@@ -92,7 +113,7 @@
             }
         }
         this->membership->contact(strangers);
-        this->loop.schedule(listed ? meetInterval : meetRetry, [this] {
+        this->loop.schedule(listed ? this->meetInterval : meetRetry, [this] {
             this->meetOthers();
         });
     });
@@ -100,10 +121,38 @@
 
 void ControlTask::watchVms(VmWatch::Changed changed)
 {
-    this->vmWatch.emplace(this->platform->vms(), this->loop, std::move(changed));
+    this->vmWatch.emplace(
+        this->platform->vms(), this->loop, [this, changed = std::move(changed)](const ListedVmsPointer &listed) {
+            this->tellLeaving(*listed);
+            changed(listed);
+        });
     this->vmWatch->start(vmInterval);
 }
 
+void ControlTask::tellLeaving(const std::vector<ListedVm> &listed)
+{
+    std::vector<VmName> leaving;
+    for (const ListedVm &vm : listed) {
+        if (vm.isLeaving) {
+            leaving.push_back(vm.name);
+        }
+    }
+    if (this->membership) {
+        this->membership->tellLeaving(leaving);
+    }
+}
+
+void ControlTask::followFleetSize(std::size_t nodes)
+{
+    // All nodes together read the platform's lists at a rate that does not grow with their number; what one of them finds
+    // on the list of VMs it tells the others.
+    const auto count = static_cast<std::int64_t>(nodes);
+    this->meetInterval = std::max(shortestMeetInterval, meetIntervalPerNode * count);
+    if (this->vmWatch) {
+        this->vmWatch->setInterval(std::max(vmInterval, vmIntervalPerNode * count));
+    }
+}
+
 void ControlTask::update(const std::function<void(Member &)> &change)
 {
     this->membership->update(change);
@@ -126,14 +175,7 @@
 
 void ControlTask::leave()
 {
-    this->membership->update([](Member &member) {
-        member.state = MemberState::Dead;
-    });
-    std::vector<Address> others;
-    for (const Member &member : this->membership->view()->members()) {
-        others.push_back(member.gossip);
-    }
-    this->membership->contact(others);
+    this->membership->leave();
     this->sessions.close(this->self);
 }
 
@@ -163,6 +205,16 @@
             this->membership->receive(datagram.from, *request);
         }
         return;
+    case MembersPull::number:
+        if (const auto pull = decode<MembersPull>(datagram.payload)) {
+            this->membership->receive(datagram.from, *pull);
+        }
+        return;
+    case MembersPush::number:
+        if (const auto push = decode<MembersPush>(datagram.payload)) {
+            this->membership->receive(datagram.from, *push);
+        }
+        return;
     default:
         return;
     }
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -58,6 +58,8 @@
 private:
     void receive(const Datagram &datagram);
     void meetOthers();
+    void tellLeaving(const std::vector<ListedVm> &listed);
+    void followFleetSize(std::size_t nodes);
 
     EventLoop &loop;
     const Clock &clock;
@@ -69,6 +71,7 @@
     std::optional<VmWatch> vmWatch;
     SessionNumber self;
     std::uint32_t toldBacklog = 0;
+    std::chrono::milliseconds meetInterval{5000};
 };
 
 } // namespace Dogwoodkeel
