--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -18,26 +18,26 @@
 constexpr std::chrono::milliseconds watchInterval{100};
 constexpr std::chrono::milliseconds pollInterval{20};
 
-std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const PlatformSettings &settings)
+std::function<std::unique_ptr<Platform>(EventLoop &)> platformFactory(const SettingsPointer &settings)
 {
-    if (settings.kind == PlatformKind::Embedded) {
+    if (settings->platform.kind == PlatformKind::Embedded) {
         const auto store = std::make_shared<EmbeddedStore>();
         return [store](EventLoop &loop) {
             return std::make_unique<EmbeddedPlatform>(store, loop);
         };
     }
-    return [&settings](EventLoop &loop) {
-        return std::make_unique<HttpPlatform>(loop, settings.address, settings.timeout);
+    return [settings](EventLoop &loop) {
+        return std::make_unique<HttpPlatform>(loop, settings->platform.address, settings->platform.timeout);
     };
 }
 
 } // namespace
 
-Node::Node(const Clock &clock, const Settings &settings)
+Node::Node(const Clock &clock, SettingsPointer settings)
     : clock(clock)
-    , settings(settings)
-    , makePlatform(platformFactory(settings.platform))
-    , security{MessageKey(settings.peers.siteKey), static_cast<std::size_t>(settings.peers.frameBytes)}
+    , settings(std::move(settings))
+    , makePlatform(platformFactory(this->settings))
+    , security{MessageKey(this->settings->peers.siteKey), static_cast<std::size_t>(this->settings->peers.frameBytes)}
 {
 }
 
@@ -60,7 +60,9 @@
     log(LogLevel::Info, "session opened", {{"session", static_cast<std::int64_t>(this->self.value())}});
 
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
-        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform);
+        "owner", this->clock, this->settings, this->self, this->security, this->makePlatform, [this] {
+            this->renewSession();
+        });
     this->lane = std::make_unique<TaskHost<LaneTask>>("lane", this->clock, this->settings, this->self, this->security);
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics);
@@ -69,8 +71,8 @@
     member.session = this->self;
     member.started = this->clock.wallNow();
     member.isReady = true;
-    member.vm = VmName(this->settings.node.vm);
-    member.failureDomain = FailureDomain(this->settings.node.failureDomain);
+    member.vm = VmName(this->settings->node.vm);
+    member.failureDomain = FailureDomain(this->settings->node.failureDomain);
     member.owner = this->owner->ask<Address>([](OwnerTask &task) {
         return task.address();
     });
@@ -119,6 +121,34 @@
     });
 }
 
+void Node::renewSession()
+{
+    if (this->stopping) {
+        return;
+    }
+    // Another node held this one dead, took its shards over and sealed its journal: a VM that was paused, or cut off. As it
+    // is, it could own nothing for the rest of its life. It goes on as a new member; its callers notice nothing.
+    this->control->post([this](ControlTask &control) {
+        control.renewSession([this, &control](SessionNumber session) {
+            if (this->stopping) {
+                return;
+            }
+            log(LogLevel::Warning, "session renewed", {{"session", static_cast<std::int64_t>(session.value())}});
+            this->owner->post([session](OwnerTask &task) {
+                task.renew(session);
+                task.owner().start();
+            });
+            this->lane->post([session](LaneTask &task) {
+                task.lane().setSession(session);
+            });
+            this->entry->post([session](EntryTask &task) {
+                task.setSession(session);
+            });
+            control.rejoin();
+        });
+    });
+}
+
 void Node::spreadVms(const ListedVmsPointer &vms)
 {
     this->lane->post([vms](LaneTask &task) {
@@ -156,7 +186,8 @@
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
-    const SteadyTime deadline = this->clock.now() + this->settings.entry.drain;
+    this->stopping = true;
+    const SteadyTime deadline = this->clock.now() + this->settings->entry.drain;
     this->watch.reset();
     // Callers may hold an answer of /v1/entries that names this node until its time to live has passed: it goes on
     // serving for that long, and nobody is told of it any more.
@@ -172,7 +203,7 @@
             laneDone->store(true);
         });
     });
-    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings.entry.entryTtl);
+    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings->entry.entryTtl);
     this->waitFor(
         [] {
             return false;
--- a/Services/Entry/LoadNotices.cpp
+++ b/Services/Entry/LoadNotices.cpp
@@ -15,6 +15,11 @@
     this->view = std::move(view);
 }
 
+void LoadNotices::setSession(SessionNumber self)
+{
+    this->self = self;
+}
+
 void LoadNotices::changed(const Replica &replica)
 {
     if (this->dirty.empty()) {
@@ -32,7 +37,7 @@
     }
 }
 
-void LoadNotices::repeat(const std::vector<Replica> &replicas)
+void LoadNotices::repeat(const std::list<Replica> &replicas)
 {
     for (const Replica &replica : replicas) {
         if (replica.inFlight > 0) {
