Services: Take callers only when members are known, send them away before a planned stop

Cause: a node told callers that it was ready before it knew another member, and did not answer at all while it waited for the platform; on a planned stop, open connections were kept alive to the end, so a caller could write into a closing one; the row of a node that died stayed in the platform for ever. Change: GET /readyz says 503 and what is waited for from the first moment on; callers are refused as not run until then and the node is in no entry answer; a stopping node closes each connection after its next answer, waits until news of its leaving has spread and the answers that named it have run out, and a second signal ends that wait; the rows of sessions that nobody has heard of for 15 minutes are removed by one node; a node whose row was removed writes it again; an entry that does not keep up is told to the others as overloaded.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -64,7 +64,7 @@
         auto *const server = static_cast<HttpServer *>(self);
         evhtp_request_pause(request);
         HttpRequest read = readRequest(request);
-        const auto reply = std::make_shared<HttpReply>(request, server->open, server->draining);
+        const auto reply = std::make_shared<HttpReply>(request, server->open, server->closing);
         evhtp_request_set_hook(request,
                                evhtp_hook_on_request_fini,
                                reinterpret_cast<evhtp_hook>(reinterpret_cast<void *>(&onRequestFinished)),
@@ -98,8 +98,14 @@
     return this->listenAddress;
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    this->closing = true;
+}
+
 void HttpServer::drain()
 {
+    this->closing = true;
     if (!std::exchange(this->draining, true)) {
         evhtp_unbind_socket(this->server);
     }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -41,6 +41,12 @@
     /** @return where it listens. */
     const Address &address() const;
 
+    /**
+     * Close each connection after its next answer, and say so in it (Connection: close, RFC 9112 section 9.6). New
+     * connections are taken as before.
+     */
+    void closeAfterAnswers();
+
     /** Take no new connections, and close each open one after its next answer. */
     void drain();
 
@@ -57,6 +63,7 @@
     evhtp *server = nullptr;
     Address listenAddress;
     bool draining = false;
+    bool closing = false;
     std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
 };
 
--- a/Libraries/LibJournal/SessionRegistry.cpp
+++ b/Libraries/LibJournal/SessionRegistry.cpp
@@ -89,6 +89,11 @@
     this->platform.tables().transact({{}, {{JournalKeys::session(number), std::nullopt}}}, [](WriteOutcome) {});
 }
 
+void SessionRegistry::restore(SessionNumber number)
+{
+    this->platform.tables().insertIfAbsent(JournalKeys::session(number), encode(this->row), [](WriteOutcome) {});
+}
+
 void SessionRegistry::list(std::function<void(std::optional<std::vector<Listed>>)> listed)
 {
     this->platform.tables().readRange(JournalKeys::session(SessionNumber(0)),
--- a/Libraries/LibJournal/SessionRegistry.h
+++ b/Libraries/LibJournal/SessionRegistry.h
@@ -37,6 +37,9 @@
     /** Remove a session's row, best effort: it only tells starting nodes whom to ask. */
     void close(SessionNumber number);
 
+    /** Write the row of this node's session again, which another node has removed. */
+    void restore(SessionNumber number);
+
     /** @param listed gets the sessions that are not closed, or nothing if the platform did not answer */
     void list(std::function<void(std::optional<std::vector<Listed>>)> listed);
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -779,6 +779,11 @@
     return this->current;
 }
 
+std::chrono::milliseconds Membership::spreadTime() const
+{
+    return this->interval() * std::bit_width(this->table.others().size() + 1);
+}
+
 bool Membership::hasHeardOthers() const
 {
     return this->hasHeard;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -93,6 +93,9 @@
 
     MemberViewPointer view() const;
 
+    /** @return how long news takes to reach every node, most likely. */
+    std::chrono::milliseconds spreadTime() const;
+
     /** @return whether any other member has been heard. */
     bool hasHeardOthers() const;
 
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -48,6 +48,7 @@
 
 void Node::start()
 {
+    this->starting = std::make_unique<TaskHost<StartingTask>>("starting", this->settings->listen.http, "a session number");
     this->control
         = std::make_unique<TaskHost<ControlTask>>("control", this->clock, this->settings, this->security, this->makePlatform);
     std::promise<SessionNumber> session;
@@ -59,6 +60,7 @@
     this->self = session.get_future().get();
     log(LogLevel::Info, "session opened", {{"session", static_cast<std::int64_t>(this->self.value())}});
 
+    this->starting.reset();
     this->owner = std::make_unique<TaskHost<OwnerTask>>(
         "owner", this->clock, this->settings, this->self, this->security, this->makePlatform, [this] {
             this->renewSession();
@@ -70,7 +72,6 @@
     Member member;
     member.session = this->self;
     member.started = this->clock.wallNow();
-    member.isReady = true;
     member.vm = VmName(this->settings->node.vm);
     member.failureDomain = FailureDomain(this->settings->node.failureDomain);
     member.owner = this->owner->ask<Address>([](OwnerTask &task) {
@@ -99,8 +100,15 @@
     this->lane->post([](LaneTask &task) {
         task.lane().start();
     });
-    this->entry->post([](EntryTask &task) {
-        task.setReady(true);
+    this->control->post([this](ControlTask &control) {
+        control.awaitMembers([this, &control] {
+            control.update([](Member &member) {
+                member.isReady = true;
+            });
+            this->entry->post([](EntryTask &task) {
+                task.setWaitingFor({});
+            });
+        });
     });
     this->watch = std::make_unique<Task>("watch");
     this->watch->loop().post([this] {
@@ -167,6 +175,13 @@
             control.tellBacklog(backlog);
         });
     });
+    const SteadyTime posted = this->clock.now();
+    this->entry->post([this, posted](EntryTask &) {
+        const auto delay = this->clock.now() - posted;
+        this->control->post([this, delay](ControlTask &control) {
+            control.tellPressure(this->pressure.observe(delay));
+        });
+    });
     this->watch->loop().schedule(watchInterval, [this] {
         this->watchBacklog();
     });
@@ -183,6 +198,11 @@
     return true;
 }
 
+void Node::hurry()
+{
+    this->hurried = true;
+}
+
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
@@ -203,12 +223,17 @@
             laneDone->store(true);
         });
     });
-    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + this->settings->entry.entryTtl);
+    this->entry->post([](EntryTask &task) {
+        task.sendCallersAway();
+    });
+    const auto spread = this->control->ask<std::chrono::milliseconds>([](ControlTask &control) {
+        return control.spreadTime();
+    });
     this->waitFor(
-        [] {
-            return false;
+        [this] {
+            return this->hurried.load();
         },
-        entriesEnd);
+        std::min(deadline, this->clock.now() + spread + this->settings->entry.entryTtl));
     this->entry->post([](EntryTask &task) {
         task.drain();
     });
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibMembership/EntryPressure.h>
 #include <LibMetrics/NodeMetrics.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Control/ControlTask.h>
 #include <Services/Entry/EntryTask.h>
+#include <Services/Entry/StartingTask.h>
 #include <Services/Lane/LaneTask.h>
 #include <Services/Owner/OwnerTask.h>
 
@@ -30,6 +32,9 @@
      */
     void stop();
 
+    /** Do not wait for the entry answers that name this node; requests in progress are finished. From any thread. */
+    void hurry();
+
     /** @return where callers connect. */
     const Address &httpAddress() const;
 
@@ -48,6 +53,10 @@
     SessionNumber self;
     std::atomic<bool> stopping = false;
     Address http;
+    /** Reckoned with on the control task. */
+    EntryPressure pressure;
+    std::atomic<bool> hurried = false;
+    std::unique_ptr<TaskHost<StartingTask>> starting;
     std::unique_ptr<TaskHost<ControlTask>> control;
     std::unique_ptr<TaskHost<OwnerTask>> owner;
     std::unique_ptr<TaskHost<LaneTask>> lane;
--- a/Programs/dogwoodkeel/ServeCommand.cpp
+++ b/Programs/dogwoodkeel/ServeCommand.cpp
@@ -12,6 +12,7 @@
 #include <exception>
 #include <memory>
 #include <sstream>
+#include <thread>
 
 namespace Dogwoodkeel
 {
@@ -46,6 +47,19 @@
     return signals;
 }
 
+/** Waits for a second signal while a planned stop goes on. */
+void hurryAtSignal(Node &node, const sigset_t &signals, const std::stop_token &stopped)
+{
+    constexpr timespec look{0, 100'000'000};
+    while (!stopped.stop_requested()) {
+        if (sigtimedwait(&signals, nullptr, &look) > 0) {
+            log(LogLevel::Warning, "told to stop again: not waiting for entry answers to run out");
+            node.hurry();
+            return;
+        }
+    }
+}
+
 } // namespace
 
 ExitCode runServe(const std::vector<std::string> &)
@@ -65,6 +79,9 @@
         log(LogLevel::Info, "serving", {{"address", node.httpAddress().toString()}});
         int signal = 0;
         sigwait(&signals, &signal);
+        const std::jthread hurrying([&node, &signals](const std::stop_token &stopped) {
+            hurryAtSignal(node, signals, stopped);
+        });
         node.stop();
     } catch (const std::exception &error) {
         log(LogLevel::Error, "cannot serve", {{"error", std::string(error.what())}});
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -1,5 +1,6 @@
 #include <Services/Control/ControlTask.h>
 
+#include <LibBase/Log.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 constexpr std::chrono::milliseconds meetIntervalPerNode{1500};
 constexpr std::chrono::milliseconds meetRetry{200};
 constexpr std::chrono::milliseconds vmInterval{1000};
+/** How long the row of a session that nobody hears of is kept: longer than regions lose each other. */
+constexpr std::chrono::minutes rowKept{15};
 constexpr std::chrono::milliseconds vmIntervalPerNode{500};
 
 Membership::Options membershipOptions(const Settings &settings)
@@ -88,6 +91,7 @@
             [this](const MemberViewPointer &view) {
                 this->followFleetSize(view->members().size());
                 this->onChange(view);
+                this->checkMet(false);
             },
         .onLeavingVms =
             [this](const std::vector<VmName> &vms) {
@@ -141,12 +145,66 @@
             }
         }
         this->membership->contact(strangers);
+        if (listed) {
+            this->checkMet(strangers.empty());
+            // Rows alone may be those of nodes that died: nobody behind them answers.
+            this->loop.schedule(this->settings->membership.suspicion, [this] {
+                this->checkMet(true);
+            });
+            this->cleanRows(*listed);
+        }
         this->loop.schedule(listed ? this->meetInterval : meetRetry, [this] {
             this->meetOthers();
         });
     });
 }
 
+void ControlTask::awaitMembers(std::function<void()> met)
+{
+    this->met = std::move(met);
+    this->checkMet(false);
+}
+
+void ControlTask::checkMet(bool isAlone)
+{
+    if (!this->met || !this->membership) {
+        return;
+    }
+    if (this->membership->view()->members().size() > 1 || isAlone) {
+        std::exchange(this->met, nullptr)();
+    }
+}
+
+void ControlTask::cleanRows(const std::vector<SessionRegistry::Listed> &listed)
+{
+    // A node that dies leaves its row behind. Were nobody to remove it, the rows would grow by more than a hundred a day,
+    // and every start would write to all those addresses. Removed by mistake, a row does no harm: gossip goes on, and its
+    // node writes it again.
+    const MemberView &view = *this->membership->view();
+    const SteadyTime now = this->clock.now();
+    bool isOwnListed = false;
+    std::map<SessionNumber, SteadyTime> unknown;
+    for (const SessionRegistry::Listed &row : listed) {
+        isOwnListed = isOwnListed || row.number == this->self;
+        if (row.number == this->self || view.find(row.number) != nullptr) {
+            continue;
+        }
+        const auto before = this->unknownRows.find(row.number);
+        const SteadyTime since = before != this->unknownRows.end() ? before->second : now;
+        unknown[row.number] = since;
+        const Member *const cleaner = view.ownerOf(row.number.value());
+        const bool isOurs = cleaner != nullptr && cleaner->session == this->self;
+        if (isOurs && now - since >= rowKept && !view.isMinority()) {
+            log(LogLevel::Info, "session row removed", {{"session", static_cast<std::int64_t>(row.number.value())}});
+            this->sessions.close(row.number);
+        }
+    }
+    this->unknownRows = std::move(unknown);
+    if (!isOwnListed) {
+        this->sessions.restore(this->self);
+    }
+}
+
 void ControlTask::watchVms(VmWatch::Changed changed)
 {
     this->vmWatch.emplace(
@@ -186,6 +244,22 @@
     this->membership->update(change);
 }
 
+std::chrono::milliseconds ControlTask::spreadTime() const
+{
+    return this->membership->spreadTime();
+}
+
+void ControlTask::tellPressure(std::uint32_t pressure)
+{
+    if (!this->membership || pressure == this->toldPressure) {
+        return;
+    }
+    this->toldPressure = pressure;
+    this->membership->update([pressure](Member &member) {
+        member.pressure = pressure;
+    });
+}
+
 void ControlTask::tellBacklog(std::uint32_t backlog)
 {
     // Each change is news to every node. What matters to the lanes is whether there is work, and roughly how much.
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -11,6 +11,7 @@
 #include <LibWire/PeerLink.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -55,6 +56,15 @@
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
+    /** @param met told once, when this node knows the members: one has answered, or there are none */
+    void awaitMembers(std::function<void()> met);
+
+    /** @return how long news takes to reach every node, most likely. */
+    std::chrono::milliseconds spreadTime() const;
+
+    /** Tell the others how busy the entry is, if that has changed. @param pressure as in Member */
+    void tellPressure(std::uint32_t pressure);
+
     /** Tell the others how many batch items wait here, if that has changed enough to matter. */
     void tellBacklog(std::uint32_t backlog);
 
@@ -69,6 +79,8 @@
     void meetOthers();
     void tellLeaving(const std::vector<ListedVm> &listed);
     void followFleetSize(std::size_t nodes);
+    void checkMet(bool isAlone);
+    void cleanRows(const std::vector<SessionRegistry::Listed> &listed);
 
     EventLoop &loop;
     const Clock &clock;
@@ -83,7 +95,10 @@
     Member joined;
     std::function<void(MemberViewPointer)> onChange;
     bool meeting = false;
+    std::function<void()> met;
+    std::map<SessionNumber, SteadyTime> unknownRows;
     std::uint32_t toldBacklog = 0;
+    std::uint32_t toldPressure = 0;
     std::chrono::milliseconds meetInterval{5000};
 };
 
--- a/Services/Entry/ApiErrors.cpp
+++ b/Services/Entry/ApiErrors.cpp
@@ -21,6 +21,13 @@
     return response;
 }
 
+HttpResponse notReadyResponse(const std::string &waitingFor)
+{
+    constexpr int statusUnavailable = 503;
+    const nlohmann::json body{{"status", "not ready"}, {"waiting_for", waitingFor}};
+    return jsonResponse(statusUnavailable, body.dump() + '\n');
+}
+
 HttpResponse jsonResponse(int status, std::string body)
 {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
--- a/Services/Entry/ApiErrors.h
+++ b/Services/Entry/ApiErrors.h
@@ -34,6 +34,9 @@
 /** @return the response that tells a caller of a refusal, with its run member. */
 HttpResponse refusalResponse(const Refusal &refusal);
 
+/** @return the answer of GET /readyz while the node is not ready. @param waitingFor what it waits for */
+HttpResponse notReadyResponse(const std::string &waitingFor);
+
 /** @return a response with a JSON body. */
 HttpResponse jsonResponse(int status, std::string body);
 
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -39,15 +39,6 @@
     reply.send(refusalResponse({status, reason, std::move(message), RunState::NotRun, {}}));
 }
 
-std::size_t countOr(const std::optional<std::string> &text, std::size_t fallback)
-{
-    std::size_t count = fallback;
-    if (text) {
-        std::from_chars(text->data(), text->data() + text->size(), count);
-    }
-    return count;
-}
-
 /** Request ids are kept apart by tenant: nobody reads another tenant's results. */
 std::string scoped(const Caller &caller, std::string_view id)
 {
@@ -60,6 +51,7 @@
     : context(context)
     , authenticator(context.settings->tenants)
     , batches(context)
+    , entries(context)
     , view(std::make_shared<MemberView>(std::vector<Member>()))
 {
 }
@@ -74,9 +66,9 @@
     this->authenticator = Authenticator(this->context.settings->tenants);
 }
 
-void EntryService::setReady(bool isReady)
+void EntryService::setWaitingFor(std::string waitingFor)
 {
-    this->ready = isReady;
+    this->waitingFor = std::move(waitingFor);
 }
 
 void EntryService::serve(const HttpRequest &request, const Reply &reply)
@@ -84,6 +76,12 @@
     if (this->serveOpen(request, reply)) {
         return;
     }
+    if (!this->waitingFor.empty()) {
+        // Without the members it does not know who owns a request, and would make every caller wait for its timeout.
+        reply->send(refusalResponse(
+            {statusUnavailable, "starting", "this node waits for " + this->waitingFor, RunState::NotRun, comeBack}));
+        return;
+    }
     const std::optional<Caller> caller = this->authenticator.authenticate(request.headers);
     if (!caller) {
         refuse(*reply, statusUnauthorized, "unknown_key", "send a known key as Authorization: Bearer KEY");
@@ -111,12 +109,12 @@
     if (request.path == "/healthz") {
         reply->send(jsonResponse(statusOk, "{\"status\":\"up\"}\n"));
     } else if (request.path == "/readyz") {
-        reply->send(jsonResponse(this->ready ? statusOk : statusUnavailable,
-                                 this->ready ? "{\"status\":\"ready\"}\n" : "{\"status\":\"not ready\"}\n"));
+        reply->send(this->waitingFor.empty() ? jsonResponse(statusOk, "{\"status\":\"ready\"}\n")
+                                             : notReadyResponse(this->waitingFor));
     } else if (request.path == "/metrics") {
         reply->send({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.text()});
     } else if (request.path == "/v1/entries") {
-        this->serveEntries(request, reply);
+        this->entries.serve(*this->view, request, *reply);
     } else {
         return false;
     }
@@ -254,34 +252,4 @@
         });
 }
 
-void EntryService::serveEntries(const HttpRequest &request, const Reply &reply)
-{
-    const EntrySettings &settings = this->context.settings->entry;
-    const std::string caller = queryValue(request.query, "caller").value_or(std::string());
-    const FailureDomain domain(queryValue(request.query, "failure_domain").value_or(this->context.settings->node.failureDomain));
-    std::vector<const Member *> members;
-    for (const Member &member : this->view->members()) {
-        if (member.state == MemberState::Alive) {
-            members.push_back(&member);
-        }
-    }
-    const std::uint64_t key = stableHash(caller);
-    std::ranges::sort(members, [&](const Member *left, const Member *right) {
-        const bool leftIsNear = left->failureDomain == domain;
-        const bool rightIsNear = right->failureDomain == domain;
-        if (leftIsNear != rightIsNear) {
-            return leftIsNear;
-        }
-        return rendezvousWeight(key, left->session.value()) > rendezvousWeight(key, right->session.value());
-    });
-    const std::size_t wanted = countOr(queryValue(request.query, "count"), static_cast<std::size_t>(settings.entryCount));
-    members.resize(std::min(members.size(), wanted));
-    nlohmann::json addresses = nlohmann::json::array();
-    for (const Member *const member : members) {
-        addresses.push_back({{"address", member->http.toString()}, {"failure_domain", member->failureDomain.value()}});
-    }
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(settings.entryTtl).count();
-    reply->send(jsonResponse(statusOk, nlohmann::json({{"entries", addresses}, {"ttl_seconds", seconds}}).dump() + '\n'));
-}
-
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -6,6 +6,7 @@
 #include <Services/Entry/Authenticator.h>
 #include <Services/Entry/BatchApi.h>
 #include <Services/Entry/Completion.h>
+#include <Services/Entry/EntriesApi.h>
 #include <Services/Entry/EntryContext.h>
 
 #include <memory>
@@ -27,8 +28,8 @@
     /** The settings of the context were replaced. */
     void settingsChanged();
 
-    /** @param isReady what GET /readyz tells */
-    void setReady(bool isReady);
+    /** @param waitingFor what the node waits for before it takes callers; empty when it is ready */
+    void setWaitingFor(std::string waitingFor);
 
 private:
     using Reply = std::shared_ptr<HttpReply>;
@@ -38,14 +39,14 @@
     void serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply);
     void serveService(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
-    void serveEntries(const HttpRequest &request, const Reply &reply);
     RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
 
     EntryContext &context;
     Authenticator authenticator;
     BatchApi batches;
+    EntriesApi entries;
     MemberViewPointer view;
-    bool ready = false;
+    std::string waitingFor = "members";
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -68,9 +68,14 @@
     this->service.setView(view);
 }
 
-void EntryTask::setReady(bool isReady)
+void EntryTask::setWaitingFor(std::string waitingFor)
 {
-    this->service.setReady(isReady);
+    this->service.setWaitingFor(std::move(waitingFor));
+}
+
+void EntryTask::sendCallersAway()
+{
+    this->server.closeAfterAnswers();
 }
 
 void EntryTask::setSession(SessionNumber self)
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -37,7 +37,8 @@
     const Address &address() const;
 
     void setView(const MemberViewPointer &view);
-    void setReady(bool isReady);
+    /** @param waitingFor what the node waits for before it takes callers; empty when it is ready */
+    void setWaitingFor(std::string waitingFor);
 
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
@@ -48,6 +49,9 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** Ask callers to leave: each connection is closed after its next answer, new ones are taken as before. */
+    void sendCallersAway();
+
     /** Take no new connections. */
     void drain();
 
