Services: Serve a shard on until the news of its new owner has spread

Cause: an owner gave a shard up as soon as it heard that another member should own it. Change: the former owner serves on for the time that news takes to spread; then it gives up all such shards together and tells the new owners, which look at once and replay the journals once for all of them; an entry that meets a node which does not own the shard asks the one that answered last, and repeats after 4 ms at first.

--- a/Libraries/LibMembership/MemberView.cpp
+++ b/Libraries/LibMembership/MemberView.cpp
@@ -16,10 +16,16 @@
 
 } // namespace
 
-MemberView::MemberView(std::vector<Member> members, bool isMinority) : list(std::move(members)), minority(isMinority)
+MemberView::MemberView(std::vector<Member> members, bool isMinority, std::chrono::milliseconds spreadTime)
+    : list(std::move(members)), minority(isMinority), spread(spreadTime)
 {
 }
 
+std::chrono::milliseconds MemberView::spreadTime() const
+{
+    return this->spread;
+}
+
 bool MemberView::isMinority() const
 {
     return this->minority;
--- a/Libraries/LibMembership/MemberView.h
+++ b/Libraries/LibMembership/MemberView.h
@@ -2,6 +2,7 @@
 
 #include <LibWire/Generated/Messages.h>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -17,8 +18,11 @@
     /**
      * @param members alive, suspect and leaving ones, in order of their sessions
      * @param isMinority whether this node has lost sight of more members than it sees
+     * @param spreadTime how long news takes to reach every member, most likely
      */
-    explicit MemberView(std::vector<Member> members, bool isMinority = false);
+    explicit MemberView(std::vector<Member> members,
+                        bool isMinority = false,
+                        std::chrono::milliseconds spreadTime = std::chrono::milliseconds(0));
 
     const std::vector<Member> &members() const;
 
@@ -28,6 +32,9 @@
      */
     bool isMinority() const;
 
+    /** @return how long it takes until every member has most likely the same view. */
+    std::chrono::milliseconds spreadTime() const;
+
     /** @return the member of a session, or null. */
     const Member *find(SessionNumber session) const;
 
@@ -46,6 +53,7 @@
 private:
     std::vector<Member> list;
     bool minority = false;
+    std::chrono::milliseconds spread{0};
 };
 
 using MemberViewPointer = std::shared_ptr<const MemberView>;
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -749,7 +749,7 @@
             member.state = MemberState::Leaving;
         }
     }
-    this->current = std::make_shared<MemberView>(std::move(members), this->isMinority());
+    this->current = std::make_shared<MemberView>(std::move(members), this->isMinority(), this->spreadTime());
     this->hooks.onChange(this->current);
 }
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -369,6 +369,8 @@
 struct PingRequest;
 struct MembersPull;
 struct MembersPush;
+struct ShardsReleasedRequest;
+struct ShardsReleasedResponse;
 struct ReplicaLoad;
 struct ConfigurationRequest;
 struct ConfigurationResponse;
@@ -1382,6 +1384,39 @@
     }
 };
 
+/** An owner has given up shards that the receiver should own: it may take them at once. */
+struct ShardsReleasedRequest
+{
+    static constexpr MessageNumber number{45};
+    using Response = ShardsReleasedResponse;
+    /** Who owned them. */
+    SessionNumber from;
+
+    bool operator==(const ShardsReleasedRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
+/** The answer to a ShardsReleasedRequest. */
+struct ShardsReleasedResponse
+{
+    static constexpr MessageNumber number{46};
+    /** Who looks for them now. */
+    SessionNumber from;
+
+    bool operator==(const ShardsReleasedResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
 /** Datagram: an entry tells the holder of a replica's lane how many online requests it has there. Absolute, so a lost one heals
  * with the next. */
 struct ReplicaLoad
--- a/Services/Entry/OwnerClient.cpp
+++ b/Services/Entry/OwnerClient.cpp
@@ -17,10 +17,20 @@
     this->view = std::move(view);
 }
 
-const Member *OwnerClient::ownerOf(const std::string &id) const
+ShardNumber OwnerClient::shardOf(const std::string &id) const
 {
-    const ShardNumber shard(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
-    return this->view->ownerOf(shard);
+    return ShardNumber(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
+}
+
+std::optional<Address> OwnerClient::targetFor(const std::string &id, std::uint32_t attempt) const
+{
+    const ShardNumber shard = this->shardOf(id);
+    const auto last = this->lastServing.find(shard);
+    if (attempt % 2 == 1 && last != this->lastServing.end()) {
+        return last->second;
+    }
+    const Member *const owner = this->view->ownerOf(shard);
+    return owner != nullptr ? std::optional(owner->owner) : std::nullopt;
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/OwnerClient.h
+++ b/Services/Entry/OwnerClient.h
@@ -5,8 +5,11 @@
 #include <LibTask/EventLoop.h>
 #include <LibWire/PeerClient.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +43,7 @@
      * @param deadline when to give up
      * @param isFinal whether a response counts, or the call is to be repeated
      * @param answered gets the response, or nothing if none counted before the deadline
+     * @param attempt how often it was called before
      */
     template <typename Request>
     void call(const std::string &id,
@@ -47,43 +51,61 @@
               std::chrono::milliseconds wait,
               SteadyTime deadline,
               std::function<bool(const typename Request::Response &)> isFinal,
-              std::function<void(std::optional<typename Request::Response>)> answered)
+              std::function<void(std::optional<typename Request::Response>)> answered,
+              std::uint32_t attempt = 0)
     {
         using Response = typename Request::Response;
-        const Member *const owner = this->ownerOf(id);
+        const std::optional<Address> owner = this->targetFor(id, attempt);
         if (this->clock.now() >= deadline) {
             answered(std::nullopt);
             return;
         }
-        auto again = [this, id, request, wait, deadline, isFinal, answered] {
-            this->loop.schedule(retryDelay, [this, id, request, wait, deadline, isFinal, answered] {
-                this->call<Request>(id, request, wait, deadline, isFinal, answered);
+        auto again = [this, id, request, wait, deadline, isFinal, answered, attempt] {
+            this->loop.schedule(retryDelay(attempt), [this, id, request, wait, deadline, isFinal, answered, attempt] {
+                this->call<Request>(id, request, wait, deadline, isFinal, answered, attempt + 1);
             });
         };
-        if (owner == nullptr) {
+        if (!owner) {
             again();
             return;
         }
-        this->peers.call<Request>(
-            owner->owner, request, wait + this->options.callTimeout, [again, isFinal, answered](CallResult<Response> result) {
-                if (result.response && isFinal(*result.response)) {
-                    answered(std::move(result.response));
-                    return;
-                }
-                again();
-            });
+        this->peers.call<Request>(*owner,
+                                  request,
+                                  wait + this->options.callTimeout,
+                                  [this, id, owner, again, isFinal, answered](CallResult<Response> result) {
+                                      if (result.response && isFinal(*result.response)) {
+                                          this->lastServing[this->shardOf(id)] = *owner;
+                                          answered(std::move(result.response));
+                                          return;
+                                      }
+                                      again();
+                                  });
     }
 
 private:
-    static constexpr std::chrono::milliseconds retryDelay{50};
+    /** @return short at first, since a planned change of owner is over in some milliseconds; then bounded. */
+    static std::chrono::milliseconds retryDelay(std::uint32_t attempt)
+    {
+        constexpr std::chrono::milliseconds shortest{4};
+        constexpr std::chrono::milliseconds longest{50};
+        constexpr std::uint32_t doublings = 4;
+        return std::min(longest, shortest * (1U << std::min(attempt, doublings)));
+    }
 
-    const Member *ownerOf(const std::string &id) const;
+    ShardNumber shardOf(const std::string &id) const;
+
+    /**
+     * @return whom to ask: the member that should own the id's shard, and at every second attempt the one that answered for
+     * it last. While a shard changes hands, the former owner goes on until every node has heard of the new one.
+     */
+    std::optional<Address> targetFor(const std::string &id, std::uint32_t attempt) const;
 
     EventLoop &loop;
     const Clock &clock;
     PeerClient &peers;
     Options options;
     MemberViewPointer view;
+    std::map<ShardNumber, Address> lastServing;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -16,7 +16,7 @@
 /** How long an intent may wait for the platform before its claimer is told that the request was not run. */
 constexpr std::chrono::milliseconds intentPatience{1000};
 
-ShardKeeper::Options keeperOptions(const Settings &settings)
+ShardKeeper::Options keeperOptions(const Settings &settings, std::function<void(const Member &)> onReleased)
 {
     ShardKeeper::Options options;
     options.shards = static_cast<std::uint32_t>(settings.owner.shards);
@@ -24,6 +24,7 @@
     options.itemLease = settings.batch.itemLease;
     options.strangerGrace = settings.membership.suspicion * 3;
     options.pauseLimit = settings.membership.suspicion;
+    options.onReleased = std::move(onReleased);
     return options;
 }
 
@@ -45,12 +46,13 @@
                            Platform &platform,
                            const SettingsHandle &settings,
                            SessionNumber self,
-                           std::function<void()> onFenced)
+                           std::function<void()> onFenced,
+                           std::function<void(const Member &)> onReleased)
     : scheduler(scheduler)
     , settings(settings)
     , onFenced(std::move(onFenced))
     , journal(platform, scheduler, clock, self, this->journalOptions())
-    , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current()))
+    , keeper(platform, scheduler, clock, self, this->journal, keeperOptions(settings.current(), std::move(onReleased)))
     , batch(this->keeper, this->journal, platform.objects())
 {
 }
@@ -86,6 +88,10 @@
     server.handle<ReleaseRequest>([this](const auto &request, auto respond) {
         this->release(request, respond);
     });
+    server.handle<ShardsReleasedRequest>([this](const auto &, auto respond) {
+        this->keeper.lookSoon();
+        respond({});
+    });
     server.handle<ResultRequest>([this](const auto &request, auto respond) {
         this->result(request, respond);
     });
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -21,13 +21,17 @@
 class OwnerService
 {
 public:
-    /** @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more */
+    /**
+     * @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more
+     * @param onReleased told of the member that should own a shard which has just been given up
+     */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
                  Platform &platform,
                  const SettingsHandle &settings,
                  SessionNumber self,
-                 std::function<void()> onFenced = {});
+                 std::function<void()> onFenced = {},
+                 std::function<void(const Member &)> onReleased = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <LibWire/PeerClient.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
 
@@ -38,6 +39,7 @@
         , onFenced(std::move(onFenced))
         , platform(makePlatform(loop))
         , server(loop, settings->listen.owner, security)
+        , peers(loop, security)
     {
         this->renew(self);
     }
@@ -48,8 +50,10 @@
      */
     void renew(SessionNumber self)
     {
-        this->service
-            = std::make_unique<OwnerService>(this->loop, this->clock, *this->platform, this->settings, self, this->onFenced);
+        this->service = std::make_unique<OwnerService>(
+            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, [this](const Member &successor) {
+                this->tellReleased(successor.owner);
+            });
         this->service->serve(this->server);
     }
 
@@ -71,12 +75,20 @@
     }
 
 private:
+    /** Tell a member that shards wait for it; it would find them by itself a little later. */
+    void tellReleased(const Address &successor)
+    {
+        this->peers.call<ShardsReleasedRequest>(
+            successor, {}, this->settings->peers.callTimeout, [](const CallResult<ShardsReleasedResponse> &) {});
+    }
+
     EventLoop &loop;
     const Clock &clock;
     SettingsHandle settings;
     std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
+    PeerClient peers;
     std::unique_ptr<OwnerService> service;
 };
 
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr std::chrono::milliseconds releaseRetry{50};
+/** How often a release looks whether the journal has written all that came before it: that costs nothing. */
+constexpr std::chrono::milliseconds durableInterval{2};
 constexpr std::chrono::milliseconds runnerCheckInterval{1000};
 
 ShardNumber shardOfKey(const std::string &key)
@@ -61,6 +63,28 @@
     this->dropLostRunners();
 }
 
+bool ShardKeeper::mayChange() const
+{
+    return !this->busy && !this->closing && !this->unsure && !this->journal.isFenced();
+}
+
+void ShardKeeper::releaseAndTake()
+{
+    if (this->mayChange()) {
+        this->releaseUnwanted();
+        this->look();
+    }
+}
+
+void ShardKeeper::lookSoon()
+{
+    if (this->busy) {
+        this->lookAgain = true;
+    } else if (this->mayChange()) {
+        this->look();
+    }
+}
+
 void ShardKeeper::dropLostRunners()
 {
     this->lastRunnerCheck = this->clock.now();
@@ -173,10 +197,7 @@
     if (this->lastTick - this->lastRunnerCheck >= runnerCheckInterval) {
         this->dropLostRunners();
     }
-    if (!this->busy && !this->closing && !this->unsure && !this->journal.isFenced()) {
-        this->releaseUnwanted();
-        this->look();
-    }
+    this->releaseAndTake();
     this->scheduler.schedule(this->options.interval, [this, alive = this->alive] {
         if (*alive) {
             this->tick();
@@ -384,19 +405,37 @@
     this->busy = false;
     if (this->closing) {
         this->releaseOwned();
+    } else if (std::exchange(this->lookAgain, false)) {
+        this->scheduler.schedule(std::chrono::milliseconds(0), [this, alive = this->alive] {
+            if (*alive) {
+                this->lookSoon();
+            }
+        });
     }
 }
 
 void ShardKeeper::releaseUnwanted()
 {
-    std::vector<ShardNumber> unwanted;
+    // Given up as soon as this node hears of the new owner, a shard would have nobody to answer for it until the others
+    // have heard of that one too: requests would wait for most of a second. So it is served on until the news has spread;
+    // those who ask the new owner too early are told that it is not the owner, and come here.
+    const SteadyTime now = this->clock.now();
+    std::map<ShardNumber, SteadyTime> unwanted;
+    std::vector<ShardNumber> due;
     for (const auto &[shard, state] : this->shards) {
         const Member *const wanted = this->view->ownerOf(shard);
-        if (wanted != nullptr && wanted->session != this->self) {
-            unwanted.push_back(shard);
+        if (wanted == nullptr || wanted->session == this->self) {
+            continue;
+        }
+        const auto before = this->unwantedSince.find(shard);
+        const SteadyTime since = before != this->unwantedSince.end() ? before->second : now;
+        unwanted[shard] = since;
+        if (now - since >= this->view->spreadTime()) {
+            due.push_back(shard);
         }
     }
-    for (const ShardNumber shard : unwanted) {
+    this->unwantedSince = std::move(unwanted);
+    for (const ShardNumber shard : due) {
         this->release(shard);
     }
 }
@@ -404,7 +443,7 @@
 void ShardKeeper::releaseAll(std::function<void()> released)
 {
     this->closing = true;
-    this->released = std::move(released);
+    this->onAllReleased = std::move(released);
     this->releaseOwned();
 }
 
@@ -442,7 +481,7 @@
     // Records of this shard may still be on their way to the journal. The span must hold them, so the row is written
     // only when all that was appended before the release is durable.
     if (this->journal.durable() < appended) {
-        this->scheduler.schedule(releaseRetry, again);
+        this->scheduler.schedule(durableInterval, again);
         return;
     }
     ShardRow row = state->row;
@@ -469,16 +508,34 @@
 
 void ShardKeeper::releaseWritten(ShardNumber shard)
 {
+    log(LogLevel::Info, "shard released", {{"shard", static_cast<std::int64_t>(shard.value())}});
     this->releasing.erase(shard);
+    this->released.push_back(shard);
+    // Told one by one, a successor would replay the same journals once for each, and the last shard would wait for all.
+    if (this->releasing.empty()) {
+        this->tellSuccessors();
+    }
     this->releaseFinished();
 }
 
+void ShardKeeper::tellSuccessors()
+{
+    std::set<SessionNumber> told;
+    for (const ShardNumber shard : std::exchange(this->released, {})) {
+        const Member *const successor = this->view->ownerOf(shard);
+        const bool isOther = successor != nullptr && successor->session != this->self;
+        if (isOther && this->options.onReleased && told.insert(successor->session).second) {
+            this->options.onReleased(*successor);
+        }
+    }
+}
+
 void ShardKeeper::releaseFinished()
 {
     // A takeover in progress brings shards that are then to be released as well: a row left behind would name a session
     // that is gone, and its shard would wait for others to find that out.
-    if (this->closing && !this->busy && this->releasing.empty() && this->released) {
-        std::exchange(this->released, nullptr)();
+    if (this->closing && !this->busy && this->releasing.empty() && this->onAllReleased) {
+        std::exchange(this->onAllReleased, nullptr)();
     }
 }
 
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -40,6 +40,8 @@
         std::chrono::milliseconds strangerGrace{3000};
         /** A node that did not run for so long may have lost its shards meanwhile, and reads their rows first. */
         std::chrono::milliseconds pauseLimit{1000};
+        /** Told of the member that should own a shard whose row now says that it is free. */
+        std::function<void(const Member &successor)> onReleased;
     };
 
     ShardKeeper(Platform &platform,
@@ -55,6 +57,9 @@
     void start();
     void setView(MemberViewPointer view);
 
+    /** Look for shards to take now: one has just been given up. */
+    void lookSoon();
+
     /** Give up every shard and take none; told when all rows are written. */
     void releaseAll(std::function<void()> released);
 
@@ -89,6 +94,8 @@
     };
 
     void tick();
+    bool mayChange() const;
+    void releaseAndTake();
     void look();
     void consider(const std::vector<Row> &rows);
     void takeOver(std::vector<ReadShard> shards);
@@ -111,6 +118,7 @@
     void release(ShardNumber shard);
     void writeRelease(const std::shared_ptr<ShardState> &state, ShardNumber shard, std::uint64_t appended);
     void releaseWritten(ShardNumber shard);
+    void tellSuccessors();
     void releaseFinished();
 
     Platform &platform;
@@ -129,9 +137,15 @@
     bool unsure = false;
     std::set<SessionNumber> everSeen;
     std::map<SessionNumber, SteadyTime> strangers;
+    /** Since when a shard has been another member's to own. */
+    std::map<ShardNumber, SteadyTime> unwantedSince;
+    /** A shard was given up while a takeover was going on. */
+    bool lookAgain = false;
     bool busy = false;
     bool closing = false;
-    std::function<void()> released;
+    /** Given up since the successors were told last. */
+    std::vector<ShardNumber> released;
+    std::function<void()> onAllReleased;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
