--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -20,7 +20,7 @@
 
 MemberLoad loadOf(const Member &member)
 {
-    return {member.session, member.loadVersion, member.backlog, member.configVersion, member.pressure};
+    return {member.session, member.loadVersion, member.backlog, member.configVersion, member.pressure, member.backlogModels};
 }
 
 MemberTable::MemberTable(Member self, SteadyTime now) : self(self.session)
@@ -111,6 +111,7 @@
     member.backlog = told.backlog;
     member.configVersion = told.configVersion;
     member.pressure = told.pressure;
+    member.backlogModels = told.backlogModels;
     return MergeResult::Changed;
 }
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -656,7 +656,8 @@
         own.isLeaving = true;
     }
     const bool isVersionNew = own.configVersion != before.configVersion;
-    const bool isLoadNew = own.backlog != before.backlog || own.pressure != before.pressure;
+    const bool isLoadNew
+        = own.backlog != before.backlog || own.backlogModels != before.backlogModels || own.pressure != before.pressure;
     if (isLoadNew || isVersionNew) {
         ++own.loadVersion;
         this->changed = true;
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -34,6 +34,16 @@
     Error,
 };
 
+/** How batch items make room for online requests. */
+enum class BatchPolicy : std::uint8_t {
+    /** They fill what online requests leave, and stop for them. */
+    Yield,
+    /** Each replica runs batch.fixed_limit of them, whatever else runs. */
+    FixedLimit,
+    /** They take every free place, and stop for nothing. */
+    Unlimited,
+};
+
 /** This VM. Stated per VM, in a file of its own. */
 struct NodeSettings
 {
@@ -108,8 +118,19 @@
     std::int64_t shards = 64;
     /** Shortest time between two writes of one journal; stretched as the write budget demands. */
     std::chrono::milliseconds groupInterval = std::chrono::milliseconds(5);
+    /** How long a write may wait for more records to share it, while they come in fast. */
+    std::chrono::milliseconds groupGather = std::chrono::milliseconds(75);
     /** How long a runner may keep an idempotent request before another may run it. */
     std::chrono::milliseconds claimLease = std::chrono::milliseconds(120000);
+    /** How long a request's result stays readable at least. An id used again after that runs again. */
+    std::chrono::milliseconds resultRetention = std::chrono::milliseconds(604800000);
+    /** Results that one shard keeps in memory beside those not yet in its index, in bytes; older ones are read from the object
+     * store. */
+    std::int64_t recentBytes = 4194304;
+    /** A shard writes a checkpoint when it has so many bytes of new results. */
+    std::int64_t checkpointBytes = 4194304;
+    /** A shard writes a checkpoint when its owner's journal has grown by so many groups: what a new owner reads at most. */
+    std::int64_t checkpointGroups = 2000;
     /** Results a node holds unwritten while the platform takes no writes. */
     std::int64_t heldResults = 10000;
 };
@@ -127,14 +148,42 @@
     std::int64_t entryCount = 3;
     /** How long a planned stop may take at most. */
     std::chrono::milliseconds drain = std::chrono::milliseconds(30000);
-    /** How long an endpoint's stream may be silent before it is resumed elsewhere. */
-    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(10000);
+    /** How long connecting to an endpoint may take before another is tried. */
+    std::chrono::milliseconds connectTimeout = std::chrono::milliseconds(1000);
+    /** How long an endpoint may take to begin its answer to a completion. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(10000);
+    /** How long an answer may be silent before it is resumed, over a new connection first and elsewhere then. */
+    std::chrono::milliseconds progressTimeout = std::chrono::milliseconds(2000);
     /** Deadline of an online request whose caller named none. */
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
+    /** Requests for one model or service that wait in a node for room at its replicas. */
+    std::int64_t queueLength = 256;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
 
+/** How many retries a node makes for one tenant, and towards one endpoint. */
+struct RetrySettings
+{
+    /** Retries that one success pays for. */
+    double perSuccess = 0.2;
+    /** Retries a second that are free. */
+    double perSecond = 1;
+    /** Retries that may be saved up: as many requests as a node may lose with one endpoint. */
+    double burst = 50;
+};
+
+/** Requests that crash the endpoints that run them. */
+struct QuarantineSettings
+{
+    /** Endpoints lost with a request after which it runs no more. */
+    std::int64_t losses = 2;
+    /** How long a suspicion or a quarantine lasts after the last loss. */
+    std::chrono::milliseconds duration = std::chrono::milliseconds(600000);
+    /** Suspected requests a node remembers. */
+    std::int64_t remembered = 10000;
+};
+
 /** Batch jobs and the lanes that run them. */
 struct BatchSettings
 {
@@ -152,8 +201,47 @@
     std::chrono::milliseconds due = std::chrono::milliseconds(43200000);
     /** How often a lane looks for items. */
     std::chrono::milliseconds pullInterval = std::chrono::milliseconds(50);
-    /** Places of a replica kept free for online requests at least. */
+    /** Places of a replica kept free for online requests at least; more are kept as online requests are seen to come faster. */
     std::int64_t headroom = 1;
+    /** How batch items make room for online requests: yield, fixed_limit or unlimited. */
+    BatchPolicy policy = BatchPolicy::Yield;
+    /** With policy fixed_limit: batch items a replica runs side by side. */
+    std::int64_t fixedLimit = 4;
+    /** How much longer the time between an online request's tokens may get because of batch items beside it; 0.1 for a tenth. */
+    double slowdown = 0.1;
+    /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
+    std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
+    /** Items that a node pulls for one model ahead of the places it has. */
+    std::int64_t prefetch = 64;
+};
+
+/** What is learnt of endpoints, and how one is chosen. */
+struct FleetSettings
+{
+    /** How often an endpoint's load report and cache events are read, by one node for all. */
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    /** Load reports a node lets the others send it; with more replicas in use they come less often. */
+    std::int64_t loadBytesPerSecond = 4096;
+    /** After this age a load report counts half, and the pool's mean the other half. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How fast the measured service time forgets. */
+    std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
+    /** How fast the measured share of failures forgets. */
+    std::chrono::milliseconds failureHalfLife = std::chrono::milliseconds(10000);
+    /** How much of a prompt's start sends requests that share it to the same replica. */
+    std::int64_t prefixBytes = 256;
+    /** How far above the pool's mean load a replica may be to get a request for its cached prefix. */
+    double prefixLoadBound = 1.25;
+    /** Failures in a row after which a replica gets no requests for a while. */
+    std::int64_t ejectFailures = 3;
+    /** Share of a pool that may be ejected at once. */
+    double ejectShare = 0.5;
+    /** How long a first ejection lasts; each further one lasts twice as long. */
+    std::chrono::milliseconds ejectTime = std::chrono::milliseconds(2000);
+    /** How long an ejection lasts at most. */
+    std::chrono::milliseconds ejectTimeMost = std::chrono::milliseconds(60000);
+    /** How long a new or returned replica takes to get its whole share. */
+    std::chrono::milliseconds slowStart = std::chrono::milliseconds(5000);
 };
 
 /** A replica that work is sent to: a model engine or a plain service. */
@@ -173,6 +261,8 @@
     std::int64_t capacity = 8;
     /** Its hardware generation. */
     std::string generation;
+    /** The VM it runs on, as the platform's list of VMs has it; empty if it has the endpoint's name. */
+    std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
 };
@@ -186,6 +276,8 @@
     bool isIdempotent = true;
     /** How long one call may take. */
     std::chrono::milliseconds timeout = std::chrono::milliseconds(5000);
+    /** How long an endpoint may take to begin its answer before a call that may be repeated is tried again. */
+    std::chrono::milliseconds firstByteTimeout = std::chrono::milliseconds(1000);
 };
 
 /** An accounting unit, and the keys of its callers. */
@@ -218,8 +310,14 @@
     OwnerSettings owner;
     /** What callers see. */
     EntrySettings entry;
+    /** How many retries a node makes for one tenant, and towards one endpoint. */
+    RetrySettings retries;
+    /** Requests that crash the endpoints that run them. */
+    QuarantineSettings quarantine;
     /** Batch jobs and the lanes that run them. */
     BatchSettings batch;
+    /** What is learnt of endpoints, and how one is chosen. */
+    FleetSettings fleet;
     /** A replica that work is sent to: a model engine or a plain service. */
     std::vector<EndpointSettings> endpoints;
     /** A plain service. */
--- a/Programs/dogwoodkeel/Node.h
+++ b/Programs/dogwoodkeel/Node.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <memory>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -21,7 +22,11 @@
 class Node
 {
 public:
-    Node(const Clock &clock, SettingsPointer settings);
+    /**
+     * @param settings of the VM's own files and the flags
+     * @param ownFiles the texts of those
+     */
+    Node(const Clock &clock, SettingsPointer settings, std::vector<SettingsSource> ownFiles);
 
     /** Start; returns when the node takes requests. @throws std::runtime_error if it cannot listen */
     void start();
@@ -39,7 +44,17 @@
     const Address &httpAddress() const;
 
 private:
-    void spread(const MemberViewPointer &view);
+    void openSession();
+    void learnConfiguration();
+    void makeTasks();
+    Member makeMember();
+    void spread(const MemberViewPointer &seen);
+    void putInForce(const SettingsPointer &settings, const std::function<void()> &done);
+    void askControl(OperatorRequest request, OperatorRespond respond);
+    void serveControlCalls();
+    template <typename Request>
+    void
+    forwardToControl(std::function<void(ControlTask &, const Request &, PeerServer::Respond<typename Request::Response>)> answer);
     void renewSession();
     void spreadVms(const ListedVmsPointer &vms);
     void watchBacklog();
@@ -47,6 +62,7 @@
 
     const Clock &clock;
     SettingsPointer settings;
+    std::vector<SettingsSource> ownFiles;
     NodeMetrics metrics;
     std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform;
     PeerSecurity security;
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds shortestMeetInterval{5000};
 constexpr std::chrono::milliseconds meetIntervalPerNode{1500};
 constexpr std::chrono::milliseconds meetRetry{200};
+/** Members told of a new configuration at once, each of which tells as many: gossip alone takes a probe a step. */
+constexpr std::size_t newsFanOut = 4;
 constexpr std::chrono::milliseconds vmInterval{1000};
 /** How long the row of a session that nobody hears of is kept: longer than regions lose each other. */
 constexpr std::chrono::minutes rowKept{15};
@@ -35,6 +37,7 @@
 ControlTask::ControlTask(EventLoop &loop,
                          const Clock &clock,
                          const SettingsPointer &settings,
+                         const std::vector<SettingsSource> &ownFiles,
                          const PeerSecurity &security,
                          const PlatformFactory &makePlatform)
     : loop(loop)
@@ -42,10 +45,30 @@
     , settings(settings)
     , platform(makePlatform(loop))
     , sessions(*this->platform, loop)
-    , datagrams(loop, settings->listen.gossip, security.siteKey, [this](const Datagram &datagram) {
-        this->receive(datagram);
+    , datagrams(loop,
+                settings->listen.gossip,
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->receive(datagram);
+                })
+    , random(std::random_device()())
+    , peers(loop, security)
+    , versions(loop,
+               clock,
+               *this->platform,
+               this->peers,
+               settings,
+               ownFiles,
+               [this](std::uint64_t version) {
+                   this->tellConfiguration(version);
+               })
+    , api(this->versions, this->board, this->peers, [this] {
+        return this->membership ? this->membership->view()->members() : std::vector<Member>();
     })
 {
+    this->board.add("configuration", [this](const StatusBoard::Collected &collected) {
+        collected(this->versions.status());
+    });
 }
 
 void ControlTask::openSession(std::function<void(SessionNumber)> opened)
@@ -64,6 +87,7 @@
 void ControlTask::join(Member self, std::function<void(MemberViewPointer)> onChange)
 {
     self.gossip = this->datagrams.address();
+    self.configVersion = this->versions.keeper().inForce();
     this->joined = self;
     this->onChange = std::move(onChange);
     Membership::Hooks hooks{
@@ -89,7 +113,11 @@
             },
         .onChange =
             [this](const MemberViewPointer &view) {
+                if (this->closed) {
+                    return;
+                }
                 this->followFleetSize(view->members().size());
+                this->versions.setMembers(view->members(), this->self);
                 this->onChange(view);
                 this->checkMet(false);
             },
@@ -127,7 +155,7 @@
     for (const Member &member : this->membership->view()->members()) {
         others.push_back(member.gossip);
     }
-    this->toldBacklog = 0;
+    this->toldModels = 0;
     this->join(std::move(self), this->onChange);
     this->membership->contact(others);
 }
@@ -205,12 +233,87 @@
     }
 }
 
+void ControlTask::meetBeforeJoining()
+{
+    // A starting node learns from the seeds whom to ask for the configuration, in case the platform does not answer.
+    if (this->membership || this->closed) {
+        return;
+    }
+    for (const Address &seed : this->settings->peers.seeds) {
+        this->datagrams.send(seed, MembersPull{this->self, std::vector<std::uint32_t>(MemberTable::parts, 0)});
+    }
+    this->loop.schedule(meetRetry, [this] {
+        this->meetBeforeJoining();
+    });
+}
+
+void ControlTask::learnConfiguration(std::function<void(SettingsPointer)> learnt)
+{
+    this->versions.learn(std::move(learnt));
+    this->meetBeforeJoining();
+}
+
+void ControlTask::followConfiguration(ConfigurationService::PutInForce putInForce)
+{
+    this->versions.follow([this, putInForce = std::move(putInForce)](const SettingsPointer &settings, const auto &done) {
+        if (!this->closed) {
+            putInForce(settings, done);
+        }
+    });
+}
+
+ConfigurationService &ControlTask::configuration()
+{
+    return this->versions;
+}
+
+StatusBoard &ControlTask::statusBoard()
+{
+    return this->board;
+}
+
+OperatorApi &ControlTask::operators()
+{
+    return this->api;
+}
+
+void ControlTask::close()
+{
+    this->closed = true;
+}
+
+bool ControlTask::isClosed() const
+{
+    return this->closed;
+}
+
+void ControlTask::tellConfiguration(std::uint64_t version)
+{
+    if (!this->membership) {
+        return;
+    }
+    this->membership->update([version](Member &member) {
+        member.configVersion = version;
+    });
+    std::vector<Address> others;
+    for (const Member &member : this->membership->view()->members()) {
+        if (member.session != this->self && member.configVersion < version) {
+            others.push_back(member.gossip);
+        }
+    }
+    std::ranges::shuffle(others, this->random);
+    others.resize(std::min(others.size(), newsFanOut));
+    this->membership->contact(others);
+}
+
 void ControlTask::watchVms(VmWatch::Changed changed)
 {
     this->vmWatch.emplace(
         this->platform->vms(), this->loop, [this, changed = std::move(changed)](const ListedVmsPointer &listed) {
             this->tellLeaving(*listed);
-            changed(listed);
+            if (!this->closed) {
+                changed(listed);
+            }
         });
     this->vmWatch->start(vmInterval);
 }
@@ -260,18 +363,17 @@
     });
 }
 
-void ControlTask::tellBacklog(std::uint32_t backlog)
+void ControlTask::tellBacklog(std::uint32_t backlog, std::uint64_t models)
 {
-    // Each change is news to every node. What matters to the lanes is whether there is work, and roughly how much.
-    const std::uint32_t step = this->toldBacklog / 2;
-    const bool isClose = backlog + step >= this->toldBacklog && backlog <= this->toldBacklog + step;
-    const bool sameSign = (backlog == 0) == (this->toldBacklog == 0);
-    if (!this->membership || (isClose && sameSign)) {
+    // Each change is news to every node. What matters to the lanes is for which models there is work; how much, and how
+    // urgent it is, they learn when they ask for items.
+    if (!this->membership || models == this->toldModels) {
         return;
     }
-    this->toldBacklog = backlog;
-    this->membership->update([backlog](Member &member) {
+    this->toldModels = models;
+    this->membership->update([backlog, models](Member &member) {
         member.backlog = backlog;
+        member.backlogModels = models;
     });
 }
 
@@ -289,6 +391,10 @@
 void ControlTask::receive(const Datagram &datagram)
 {
     if (!this->membership) {
+        const auto push = datagram.number == MembersPush::number ? decode<MembersPush>(datagram.payload) : std::nullopt;
+        if (push) {
+            this->versions.setMembers(push->members, this->self);
+        }
         return;
     }
     switch (datagram.number) {
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -8,12 +8,18 @@
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
+#include <LibWire/PeerClient.h>
 #include <LibWire/PeerLink.h>
+#include <Services/Control/ConfigurationService.h>
+#include <Services/Control/OperatorApi.h>
+#include <Services/Control/StatusBoard.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -24,10 +30,15 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot take datagrams */
+    /**
+     * @param settings of the VM's own files
+     * @param ownFiles the texts of those files
+     * @throws std::runtime_error if it cannot take datagrams
+     */
     ControlTask(EventLoop &loop,
                 const Clock &clock,
                 const SettingsPointer &settings,
+                const std::vector<SettingsSource> &ownFiles,
                 const PeerSecurity &security,
                 const PlatformFactory &makePlatform);
 
@@ -41,6 +52,28 @@
      */
     void join(Member self, std::function<void(MemberViewPointer)> onChange);
 
+    /**
+     * Find out the configuration in force, from the platform or a peer; goes on until one answers.
+     * @param learnt told once, with the settings to start by
+     */
+    void learnConfiguration(std::function<void(SettingsPointer)> learnt);
+
+    /** Hand newer configurations on. @param putInForce has every task swap its settings */
+    void followConfiguration(ConfigurationService::PutInForce putInForce);
+
+    ConfigurationService &configuration();
+
+    /** Where the parts of the node's status are collected. */
+    StatusBoard &statusBoard();
+
+    OperatorApi &operators();
+
+    /** Send nothing to the node's other tasks from now on: they are about to be destroyed. */
+    void close();
+
+    /** @return whether close() was called. */
+    bool isClosed() const;
+
     /**
      * Leave as this session and take another: this one's journal was sealed, so it can own nothing any more.
      * @param opened told when the platform has given a number out
@@ -66,7 +99,7 @@
     void tellPressure(std::uint32_t pressure);
 
     /** Tell the others how many batch items wait here, if that has changed enough to matter. */
-    void tellBacklog(std::uint32_t backlog);
+    void tellBacklog(std::uint32_t backlog, std::uint64_t models);
 
     /** Tell the others that this node is gone, and remove its session's row. */
     void leave();
@@ -81,6 +114,8 @@
     void followFleetSize(std::size_t nodes);
     void checkMet(bool isAlone);
     void cleanRows(const std::vector<SessionRegistry::Listed> &listed);
+    void meetBeforeJoining();
+    void tellConfiguration(std::uint64_t version);
 
     EventLoop &loop;
     const Clock &clock;
@@ -91,6 +126,12 @@
     std::optional<Membership> membership;
     std::optional<VmWatch> vmWatch;
     SessionNumber self;
+    std::mt19937_64 random;
+    PeerClient peers;
+    ConfigurationService versions;
+    StatusBoard board;
+    OperatorApi api;
+    bool closed = false;
     /** As it joined, to join again. */
     Member joined;
     std::function<void(MemberViewPointer)> onChange;
@@ -100,6 +141,7 @@
     std::uint32_t toldBacklog = 0;
     std::uint32_t toldPressure = 0;
     std::chrono::milliseconds meetInterval{5000};
+    std::uint64_t toldModels = 0;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Entry/Admission.cpp
@@ -0,0 +1,171 @@
+#include <Services/Entry/Admission.h>
+
+#include <LibFleet/FleetState.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** How often the places of a pool are counted: between two counts, what this node sends and gets back is reckoned in. */
+constexpr std::chrono::milliseconds countInterval{10};
+/** Places are freed by other nodes' requests too, and requests become hopeless, without this node noticing. */
+constexpr std::chrono::milliseconds tickInterval{10};
+
+DeadlineQueue::Options queueOptions(const EntrySettings &settings)
+{
+    return {.most = static_cast<std::size_t>(settings.queueLength)};
+}
+
+} // namespace
+
+Admission::Pool::Pool(const Clock &clock, DeadlineQueue::Options options) : queue(clock, options)
+{
+}
+
+Admission::Admission(EventLoop &loop, const Clock &clock, const SettingsHandle &settings, ReplicaTable &replicas)
+    : loop(loop), clock(clock), settings(settings), replicas(replicas)
+{
+}
+
+Admission::~Admission()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+Admission::Pool &Admission::poolOf(const std::string &serves)
+{
+    return this->pools.try_emplace(serves, this->clock, queueOptions(this->settings->entry)).first->second;
+}
+
+double Admission::countRoom(const std::string &serves) const
+{
+    const SteadyTime now = this->clock.now();
+    const std::vector<Replica *> &replicas = this->replicas.of(serves);
+    double others = 0;
+    double capacity = 0;
+    for (const Replica *const replica : replicas) {
+        others += replica->others.inFlight;
+        capacity += replica->capacity;
+    }
+    const double othersPerCapacity = capacity > 0 ? others / capacity : 0;
+    double room = 0;
+    for (const Replica *const replica : replicas) {
+        if (replica->isLeaving || replica->ejection.isEjected) {
+            continue;
+        }
+        const double mean = othersPerCapacity * replica->capacity;
+        const double taken = estimatedInFlight(*replica, now, this->settings->fleet.loadHalfLife, mean);
+        room += std::max(0.0, replica->capacity - taken);
+    }
+    return room;
+}
+
+bool Admission::hasRoom(const std::string &serves, Pool &pool)
+{
+    const SteadyTime now = this->clock.now();
+    if (now - pool.counted >= countInterval) {
+        pool.room = this->countRoom(serves);
+        pool.counted = now;
+    }
+    return pool.room >= 1;
+}
+
+Admission::Ticket Admission::enter(const std::string &serves, SteadyTime deadline, Hooks hooks)
+{
+    Pool &pool = this->poolOf(serves);
+    const Ticket ticket = ++this->lastTicket;
+    const bool isKnown = !this->replicas.of(serves).empty();
+    if (!isKnown || (pool.queue.size() == 0 && this->hasRoom(serves, pool))) {
+        --pool.room;
+        pool.queue.placed();
+        hooks.run();
+        return ticket;
+    }
+    const DeadlineQueue::Offer offer = pool.queue.offer(ticket, deadline);
+    if (!offer.isQueued) {
+        hooks.refuse(pool.queue.expectedWait());
+        return ticket;
+    }
+    pool.hooks.emplace(ticket, std::move(hooks));
+    if (offer.displaced) {
+        this->refuse(pool, *offer.displaced);
+    }
+    if (this->timer == 0) {
+        this->tick();
+    }
+    return ticket;
+}
+
+void Admission::refuse(Pool &pool, Ticket ticket)
+{
+    const auto hooks = pool.hooks.extract(ticket);
+    if (!hooks.empty()) {
+        hooks.mapped().refuse(pool.queue.expectedWait());
+    }
+}
+
+void Admission::leave(const std::string &serves, Ticket ticket)
+{
+    Pool &pool = this->poolOf(serves);
+    pool.queue.remove(ticket);
+    pool.hooks.erase(ticket);
+}
+
+void Admission::served(const std::string &serves, std::chrono::microseconds service)
+{
+    Pool &pool = this->poolOf(serves);
+    ++pool.room;
+    pool.queue.served(service);
+    if (pool.queue.size() > 0) {
+        this->loop.post([this, serves, alive = this->alive] {
+            if (*alive) {
+                this->pump(serves);
+            }
+        });
+    }
+}
+
+void Admission::pump(const std::string &serves)
+{
+    Pool &pool = this->poolOf(serves);
+    for (const Ticket ticket : pool.queue.takeHopeless()) {
+        this->refuse(pool, ticket);
+    }
+    while (pool.queue.size() > 0 && this->hasRoom(serves, pool)) {
+        const auto hooks = pool.hooks.extract(*pool.queue.take());
+        --pool.room;
+        pool.queue.placed();
+        hooks.mapped().run();
+    }
+}
+
+void Admission::tick()
+{
+    this->timer = 0;
+    bool isWaiting = false;
+    for (auto &[serves, pool] : this->pools) {
+        if (pool.queue.size() > 0) {
+            this->pump(serves);
+            isWaiting = isWaiting || pool.queue.size() > 0;
+        }
+    }
+    if (isWaiting) {
+        this->timer = this->loop.schedule(tickInterval, [this] {
+            this->tick();
+        });
+    }
+}
+
+std::size_t Admission::waiting(const std::string &serves) const
+{
+    const auto found = this->pools.find(serves);
+    return found != this->pools.end() ? found->second.queue.size() : 0;
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -38,6 +38,7 @@
     bool serveBatch(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveCompletion(const Caller &caller, CompletionForm form, const HttpRequest &request, const Reply &reply);
     void serveService(const Caller &caller, const HttpRequest &request, const Reply &reply);
+    void serveOperator(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
     RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
 
@@ -46,7 +47,7 @@
     BatchApi batches;
     EntriesApi entries;
     MemberViewPointer view;
-    std::string waitingFor = "members";
+    std::string waitingFor;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -15,6 +15,16 @@
     return {static_cast<std::uint32_t>(settings.owner.shards), settings.peers.callTimeout};
 }
 
+RetryBudget::Options retryOptions(const RetrySettings &settings)
+{
+    return {.perSuccess = settings.perSuccess, .perSecond = settings.perSecond, .most = settings.burst};
+}
+
+Quarantine::Options quarantineOptions(const QuarantineSettings &settings)
+{
+    return {static_cast<std::size_t>(settings.losses), settings.duration, static_cast<std::size_t>(settings.remembered)};
+}
+
 } // namespace
 
 EntryTask::EntryTask(EventLoop &loop,
@@ -23,7 +33,8 @@
                      SessionNumber self,
                      const PeerSecurity &security,
                      const PlatformFactory &makePlatform,
-                     NodeMetrics &metrics)
+                     NodeMetrics &metrics,
+                     OperatorGateway operators)
     : loop(loop)
     , settings(settings)
     , platform(makePlatform(loop))
@@ -31,9 +42,20 @@
     , owners(loop, clock, this->peers, ownerOptions(*settings))
     , http(loop)
     , replicas(settings->endpoints)
-    , datagrams(loop, {settings->listen.lane.ip, 0}, security.siteKey, [](const Datagram &) {})
+    , datagrams(loop,
+                {settings->listen.lane.ip, 0},
+                security.siteKey,
+                [this](const Datagram &datagram) {
+                    this->receive(datagram);
+                })
     , notices(loop, this->datagrams, self)
     , random(std::random_device()())
+    , retries(clock, retryOptions(settings->retries))
+    , suspects(loop, clock, this->datagrams, self, quarantineOptions(settings->quarantine))
+    , admission(loop, clock, this->settings, this->replicas)
+    , fleet(clock, this->settings, this->replicas)
+    , watch(loop, clock, this->settings, self, this->http, this->datagrams, this->replicas, this->fleet)
+    , chooser(clock, this->settings, this->replicas, this->random)
     , context{loop,
               clock,
               this->settings,
@@ -44,7 +66,14 @@
               this->notices,
               *this->platform,
               metrics,
-              this->random}
+              this->random,
+              this->retries,
+              this->suspects,
+              this->admission,
+              this->fleet,
+              this->chooser,
+              this->watch,
+              std::move(operators)}
     , service(this->context)
     , server(loop,
              settings->listen.http,
@@ -53,6 +82,7 @@
                  this->service.serve(request, reply);
              })
 {
+    this->service.setWaitingFor("members");
     this->repeatNotices();
 }
 
@@ -65,6 +95,8 @@
 {
     this->owners.setView(view);
     this->notices.setView(view);
+    this->suspects.setView(view);
+    this->watch.setView(view);
     this->service.setView(view);
 }
 
@@ -78,6 +110,22 @@
     this->server.closeAfterAnswers();
 }
 
+void EntryTask::receive(const Datagram &datagram)
+{
+    if (datagram.number != SuspectNotice::number) {
+        this->watch.receive(datagram);
+        return;
+    }
+    if (const auto notice = decode<SuspectNotice>(datagram.payload)) {
+        this->suspects.receive(*notice);
+    }
+}
+
+std::size_t EntryTask::quarantinedRequests() const
+{
+    return this->suspects.quarantine().quarantined().size();
+}
+
 void EntryTask::setSession(SessionNumber self)
 {
     this->context.self = self;
@@ -95,7 +143,17 @@
 
 void EntryTask::setVms(const ListedVmsPointer &vms)
 {
-    this->replicas.markLeaving(*vms);
+    this->watch.observe(*vms);
+}
+
+const Address &EntryTask::fleetAddress() const
+{
+    return this->datagrams.address();
+}
+
+void EntryTask::watchFleet(FleetWatch::LeavingChanged leaving)
+{
+    this->watch.start(std::move(leaving));
 }
 
 void EntryTask::drain()
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -11,6 +11,7 @@
 #include <LibWire/PeerClient.h>
 #include <Services/Entry/EntryContext.h>
 #include <Services/Entry/EntryService.h>
+#include <Services/Entry/FleetWatch.h>
 
 #include <functional>
 #include <memory>
@@ -31,7 +32,8 @@
               SessionNumber self,
               const PeerSecurity &security,
               const PlatformFactory &makePlatform,
-              NodeMetrics &metrics);
+              NodeMetrics &metrics,
+              OperatorGateway operators);
 
     /** @return where callers connect. */
     const Address &address() const;
@@ -40,6 +42,12 @@
     /** @param waitingFor what the node waits for before it takes callers; empty when it is ready */
     void setWaitingFor(std::string waitingFor);
 
+    /** A datagram of another node came. */
+    void receive(const Datagram &datagram);
+
+    /** @return requests held to crash endpoints, that run nowhere for now. */
+    std::size_t quarantinedRequests() const;
+
     /** This node goes on as another session; requests in progress are not touched. */
     void setSession(SessionNumber self);
 
@@ -51,6 +59,11 @@
 
     /** Ask callers to leave: each connection is closed after its next answer, new ones are taken as before. */
     void sendCallersAway();
+    /** @return where load reports go. */
+    const Address &fleetAddress() const;
+
+    /** Read load reports from now on. @param leaving told of each endpoint that leaves or is back, on this task */
+    void watchFleet(FleetWatch::LeavingChanged leaving);
 
     /** Take no new connections. */
     void drain();
@@ -71,6 +84,12 @@
     DatagramSocket datagrams;
     LoadNotices notices;
     std::mt19937_64 random;
+    RetryBudget retries;
+    SuspectNotices suspects;
+    Admission admission;
+    FleetState fleet;
+    FleetWatch watch;
+    ReplicaChooser chooser;
     EntryContext context;
     EntryService service;
     HttpServer server;
--- a/Services/Entry/OwnerClient.cpp
+++ b/Services/Entry/OwnerClient.cpp
@@ -22,11 +22,11 @@
     return ShardNumber(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
 }
 
-std::optional<Address> OwnerClient::targetFor(const std::string &id, std::uint32_t attempt) const
+std::optional<Address> OwnerClient::targetFor(const std::string &id, bool asksFormer) const
 {
     const ShardNumber shard = this->shardOf(id);
     const auto last = this->lastServing.find(shard);
-    if (attempt % 2 == 1 && last != this->lastServing.end()) {
+    if (asksFormer && last != this->lastServing.end()) {
         return last->second;
     }
     const Member *const owner = this->view->ownerOf(shard);
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -23,6 +23,7 @@
 public:
     /**
      * @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more
+     * @param tellStopped see BatchOwner::TellStopped
      * @param onReleased told of the member that should own a shard which has just been given up
      */
     OwnerService(Scheduler &scheduler,
@@ -31,6 +32,7 @@
                  const SettingsHandle &settings,
                  SessionNumber self,
                  std::function<void()> onFenced = {},
+                 BatchOwner::TellStopped tellStopped = {},
                  std::function<void(const Member &)> onReleased = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
@@ -47,8 +49,11 @@
     /** Give everything up, as planned. @param stopped told when the last shard is released */
     void stop(std::function<void()> stopped);
 
-    /** @return batch items that wait at this node's shards. */
-    std::size_t backlog() const;
+    /** @return what waits of batch jobs at this node's shards. */
+    Backlog backlog();
+
+    /** @return requests of all shards that are in memory. */
+    std::size_t resultsInMemory() const;
 
     /** @return shards owned now. */
     std::size_t shardCount() const;
@@ -68,6 +73,14 @@
     void result(const ResultRequest &request, const Respond<ResultResponse> &respond);
 
 private:
+    /** Gets the shard's state, or null if this node does not own it, and whether it is certain what the id's result is. */
+    using LookedUp = std::function<void(ShardState *state, bool isCertain)>;
+
+    /** Bring a result that was written long ago into memory, if there is one. */
+    void lookUp(const RequestId &id, const LookedUp &then);
+    void claimAt(ShardState &owned, const ClaimRequest &request, const Respond<ClaimResponse> &respond);
+    void commitAt(ShardState &owned, const CommitRequest &request, const Respond<CommitResponse> &respond);
+    void confirmNoResult(const ResultRequest &request, const Respond<ResultResponse> &respond);
     void join(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void writeIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond);
     void onIntent(const ClaimRequest &request, const Respond<ClaimResponse> &respond, AppendOutcome outcome);
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
 #include <LibWire/PeerClient.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
@@ -39,7 +40,8 @@
         , onFenced(std::move(onFenced))
         , platform(makePlatform(loop))
         , server(loop, settings->listen.owner, security)
-        , peers(loop, security)
+        , otherNodes(loop, security)
+        , datagrams(loop, {settings->listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
     {
         this->renew(self);
     }
@@ -50,10 +52,14 @@
      */
     void renew(SessionNumber self)
     {
+        const auto tellStopped = [this](const Address &lane, const JobStopped &stopped) {
+            this->datagrams.send(lane, stopped);
+        };
+        const auto onReleased = [this](const Member &successor) {
+            this->tellReleased(successor.owner);
+        };
         this->service = std::make_unique<OwnerService>(
-            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, [this](const Member &successor) {
-                this->tellReleased(successor.owner);
-            });
+            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, tellStopped, onReleased);
         this->service->serve(this->server);
     }
 
@@ -63,6 +69,12 @@
         return this->server.address();
     }
 
+    /** Takes the calls of other nodes; other tasks' handlers are hung in here. */
+    PeerServer &peers()
+    {
+        return this->server;
+    }
+
     OwnerService &owner()
     {
         return *this->service;
@@ -78,7 +90,7 @@
     /** Tell a member that shards wait for it; it would find them by itself a little later. */
     void tellReleased(const Address &successor)
     {
-        this->peers.call<ShardsReleasedRequest>(
+        this->otherNodes.call<ShardsReleasedRequest>(
             successor, {}, this->settings->peers.callTimeout, [](const CallResult<ShardsReleasedResponse> &) {});
     }
 
@@ -88,7 +100,8 @@
     std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
-    PeerClient peers;
+    PeerClient otherNodes;
+    DatagramSocket datagrams;
     std::unique_ptr<OwnerService> service;
 };
 
