Services: Let the node, not its entry task, say that members are awaited

Change: the node sets what its entry waits for; the fleet for measurements takes an answer without entries for none.

--- a/Benchmarks/Support/LocalFleet.cpp
+++ b/Benchmarks/Support/LocalFleet.cpp
@@ -174,7 +174,8 @@
             const Answer ready = call(this->processes[index].address, "GET", "/readyz");
             const Answer entries = call(this->processes[index].address, "GET", "/v1/entries?count=100000");
             const auto parsed = nlohmann::json::parse(entries.body, nullptr, false);
-            const bool knowsAll = parsed.is_object() && parsed["entries"].size() >= this->nodeIndexes.size();
+            const bool knowsAll
+                = parsed.is_object() && parsed.contains("entries") && parsed["entries"].size() >= this->nodeIndexes.size();
             if (ready.status == 200 && knowsAll) {
                 break;
             }
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -93,6 +93,9 @@
     };
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, this->makePlatform, this->metrics, operators);
+    this->entry->post([](EntryTask &task) {
+        task.setWaitingFor("members");
+    });
 }
 
 Member Node::makeMember()
--- a/Services/Entry/EntryTask.cpp
+++ b/Services/Entry/EntryTask.cpp
@@ -82,7 +82,6 @@
                  this->service.serve(request, reply);
              })
 {
-    this->service.setWaitingFor("members");
     this->repeatNotices();
 }
 
