--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -142,6 +142,14 @@
     std::int64_t bodyBytes = 4194304;
     /** Largest body of a job's submission. */
     std::int64_t jobBytes = 1073741824;
+    /** Largest headers of a request, all together. */
+    std::int64_t headerBytes = 65536;
+    /** How long a request's headers may take; found with a delay of up to the same time. */
+    std::chrono::milliseconds headerTimeout = std::chrono::milliseconds(10000);
+    /** How long a caller's connection may be idle, or leave an answer unread. */
+    std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(120000);
+    /** What a caller may leave unread of a stream before its connection is closed; the answer is kept. */
+    std::int64_t unreadBytes = 4194304;
     /** How long a caller may keep an answer of /v1/entries. */
     std::chrono::milliseconds entryTtl = std::chrono::milliseconds(10000);
     /** How many addresses an answer of /v1/entries names. */
@@ -158,6 +166,9 @@
     std::chrono::milliseconds requestTimeout = std::chrono::milliseconds(120000);
     /** Requests for one model or service that wait in a node for room at its replicas. */
     std::int64_t queueLength = 256;
+    /** How much of a replica's capacity may be in use before requests wait in the node. Above 1 the replica has the next requests
+     * at hand while other nodes' load is known late. */
+    double overcommit = 1.25;
     /** Tries of one idempotent request at most. */
     std::int64_t attempts = 3;
 };
@@ -211,7 +222,7 @@
     double slowdown = 0.1;
     /** From an online request's dispatch until the places of cancelled batch items are free at the engine. */
     std::chrono::milliseconds reaction = std::chrono::milliseconds(50);
-    /** Items that a node pulls for one model ahead of the places it has. */
+    /** Items that wait on a node for one model at most, to be started as soon as a place is free. */
     std::int64_t prefetch = 64;
 };
 
@@ -219,11 +230,14 @@
 struct FleetSettings
 {
     /** How often an endpoint's load report and cache events are read, by one node for all. */
-    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(500);
+    std::chrono::milliseconds loadPoll = std::chrono::milliseconds(200);
     /** Load reports a node lets the others send it; with more replicas in use they come less often. */
     std::int64_t loadBytesPerSecond = 4096;
-    /** After this age a load report counts half, and the pool's mean the other half. */
-    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(2000);
+    /** How late the load reports of endpoints are that do not say it themselves. */
+    std::chrono::milliseconds loadLag = std::chrono::milliseconds(0);
+    /** How fast the average of a replica's load reports forgets. How fast the last report itself ages follows from how long
+     * requests last. */
+    std::chrono::milliseconds loadHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured service time forgets. */
     std::chrono::milliseconds latencyHalfLife = std::chrono::milliseconds(5000);
     /** How fast the measured share of failures forgets. */
@@ -265,6 +279,8 @@
     std::string vm;
     /** Whether it refuses orders with an old fencing number. */
     bool checksFencing = false;
+    /** What the engine does: `serve`, or a role that it knows and that takes no requests of callers. */
+    std::string role = "serve";
 };
 
 /** A plain service. */
@@ -289,8 +305,55 @@
     std::vector<std::string> keyHashes = {};
     /** Whether its keys may change the configuration. */
     bool isOperator = false;
-    /** Online requests of it that one node runs at once. */
+    /** Online requests of it that all nodes together run at once. */
     std::int64_t concurrency = 1000;
+    /** Online requests of it a second, at all nodes together. */
+    double rate = 1000;
+    /** Lookups of it that all nodes together run at once. */
+    std::int64_t lookupConcurrency = 1000;
+    /** Lookups of it a second, at all nodes together. */
+    double lookupRate = 10000;
+};
+
+/** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+struct ModelSettings
+{
+    /** Its name, as endpoints and callers use it. */
+    std::string name;
+    /** The version its engines shall serve. */
+    std::string version;
+    /** The version that is being rolled out; empty: none. */
+    std::string nextVersion;
+    /** Share of the endpoints that shall serve next_version. */
+    double nextShare = 0;
+    /** Adapters its engines shall have loaded. */
+    std::vector<std::string> adapters = {};
+    /** Size of its weights, for the pace of loads. */
+    std::int64_t weightBytes = 0;
+    /** Whether its last serving replica may be taken for a new version; without it, one replica alone keeps the version it has.
+     */
+    bool mayInterrupt = false;
+};
+
+/** Orders to model engines. */
+struct OrderSettings
+{
+    /** How often the engines' state is compared with the intended one. */
+    std::chrono::milliseconds interval = std::chrono::milliseconds(2000);
+    /** How long the node that gives orders may go without renewing. */
+    std::chrono::milliseconds lease = std::chrono::milliseconds(10000);
+    /** How long before the lease's end its holder stops, and how long a new holder waits. */
+    std::chrono::milliseconds leaseMargin = std::chrono::milliseconds(2000);
+    /** Engines of one failure domain that load at once. */
+    std::int64_t loadsPerDomain = 1;
+    /** Rate of the weight store; loads are started no faster. */
+    std::int64_t weightBytesPerSecond = 1000000000;
+    /** How long a load may take before it is told as overdue. */
+    std::chrono::milliseconds loadTimeout = std::chrono::milliseconds(600000);
+    /** A rollout stops when its share of failed requests exceeds that of the version before by more. */
+    double errorLimit = 0.05;
+    /** Requests of the new version before its errors are judged. */
+    std::int64_t errorRequests = 50;
 };
 
 /** All settings of a node. */
@@ -324,6 +387,10 @@
     std::vector<ServiceSettings> services;
     /** An accounting unit, and the keys of its callers. */
     std::vector<TenantSettings> tenants;
+    /** A model whose engines get orders. A model that is not listed is left as its engines have it. */
+    std::vector<ModelSettings> models;
+    /** Orders to model engines. */
+    OrderSettings orders;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -126,6 +126,10 @@
     reader.rejectUnknownKeys(table,
                              {"body_bytes",
                               "job_bytes",
+                              "header_bytes",
+                              "header_timeout",
+                              "idle_timeout",
+                              "unread_bytes",
                               "entry_ttl",
                               "entry_count",
                               "drain",
@@ -134,9 +138,22 @@
                               "progress_timeout",
                               "request_timeout",
                               "queue_length",
+                              "overcommit",
                               "attempts"});
     reader.readInteger(table, "body_bytes", target.bodyBytes, Presence::Optional, {.least = 1024, .most = 1073741824});
     reader.readInteger(table, "job_bytes", target.jobBytes, Presence::Optional, {.least = 1024, .most = 17179869184});
+    reader.readInteger(table, "header_bytes", target.headerBytes, Presence::Optional, {.least = 1024, .most = 1048576});
+    reader.readDuration(table,
+                        "header_timeout",
+                        target.headerTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "idle_timeout",
+                        target.idleTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(3600000)});
+    reader.readInteger(table, "unread_bytes", target.unreadBytes, Presence::Optional, {.least = 65536, .most = 1073741824});
     reader.readDuration(table,
                         "entry_ttl",
                         target.entryTtl,
@@ -169,6 +186,7 @@
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(3600000)});
     reader.readInteger(table, "queue_length", target.queueLength, Presence::Optional, {.least = 0, .most = 1000000});
+    reader.readNumber(table, "overcommit", target.overcommit, Presence::Optional, {.least = 1.0, .most = 100.0});
     reader.readInteger(table, "attempts", target.attempts, Presence::Optional, {.least = 1, .most = 10});
 }
 
@@ -249,6 +267,7 @@
     reader.rejectUnknownKeys(table,
                              {"load_poll",
                               "load_bytes_per_second",
+                              "load_lag",
                               "load_half_life",
                               "latency_half_life",
                               "failure_half_life",
@@ -266,6 +285,11 @@
                         {.least = std::chrono::milliseconds(20), .most = std::chrono::milliseconds(60000)});
     reader.readInteger(
         table, "load_bytes_per_second", target.loadBytesPerSecond, Presence::Optional, {.least = 64, .most = 10000000});
+    reader.readDuration(table,
+                        "load_lag",
+                        target.loadLag,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(60000)});
     reader.readDuration(table,
                         "load_half_life",
                         target.loadHalfLife,
@@ -305,7 +329,8 @@
 void readEndpointSettings(SettingsReader &reader, const toml::table &table, EndpointSettings &target)
 {
     reader.rejectUnknownKeys(
-        table, {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing"});
+        table,
+        {"name", "address", "failure_domain", "model", "service", "capacity", "generation", "vm", "checks_fencing", "role"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readAddress(table, "address", target.address, Presence::Required);
     reader.readString(table, "failure_domain", target.failureDomain, Presence::Required);
@@ -315,6 +340,7 @@
     reader.readString(table, "generation", target.generation, Presence::Optional);
     reader.readString(table, "vm", target.vm, Presence::Optional);
     reader.readBool(table, "checks_fencing", target.checksFencing, Presence::Optional);
+    reader.readString(table, "role", target.role, Presence::Optional);
 }
 
 void readServiceSettings(SettingsReader &reader, const toml::table &table, ServiceSettings &target)
@@ -336,11 +362,66 @@
 
 void readTenantSettings(SettingsReader &reader, const toml::table &table, TenantSettings &target)
 {
-    reader.rejectUnknownKeys(table, {"name", "key_hashes", "is_operator", "concurrency"});
+    reader.rejectUnknownKeys(table,
+                             {"name", "key_hashes", "is_operator", "concurrency", "rate", "lookup_concurrency", "lookup_rate"});
     reader.readString(table, "name", target.name, Presence::Required);
     reader.readStrings(table, "key_hashes", target.keyHashes, Presence::Optional);
     reader.readBool(table, "is_operator", target.isOperator, Presence::Optional);
     reader.readInteger(table, "concurrency", target.concurrency, Presence::Optional, {.least = 1, .most = 1000000});
+    reader.readNumber(table, "rate", target.rate, Presence::Optional, {.least = 0.1, .most = 1000000.0});
+    reader.readInteger(table, "lookup_concurrency", target.lookupConcurrency, Presence::Optional, {.least = 1, .most = 1000000});
+    reader.readNumber(table, "lookup_rate", target.lookupRate, Presence::Optional, {.least = 0.1, .most = 1000000.0});
+}
+
+void readModelSettings(SettingsReader &reader, const toml::table &table, ModelSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"name", "version", "next_version", "next_share", "adapters", "weight_bytes", "may_interrupt"});
+    reader.readString(table, "name", target.name, Presence::Required);
+    reader.readString(table, "version", target.version, Presence::Required);
+    reader.readString(table, "next_version", target.nextVersion, Presence::Optional);
+    reader.readNumber(table, "next_share", target.nextShare, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readStrings(table, "adapters", target.adapters, Presence::Optional);
+    reader.readInteger(table, "weight_bytes", target.weightBytes, Presence::Optional, {.least = 0, .most = 100000000000000});
+    reader.readBool(table, "may_interrupt", target.mayInterrupt, Presence::Optional);
+}
+
+void readOrderSettings(SettingsReader &reader, const toml::table &table, OrderSettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"interval",
+                              "lease",
+                              "lease_margin",
+                              "loads_per_domain",
+                              "weight_bytes_per_second",
+                              "load_timeout",
+                              "error_limit",
+                              "error_requests"});
+    reader.readDuration(table,
+                        "interval",
+                        target.interval,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(50), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease",
+                        target.lease,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(500), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "lease_margin",
+                        target.leaseMargin,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readInteger(table, "loads_per_domain", target.loadsPerDomain, Presence::Optional, {.least = 1, .most = 1000});
+    reader.readInteger(
+        table, "weight_bytes_per_second", target.weightBytesPerSecond, Presence::Optional, {.least = 1, .most = 1000000000000});
+    reader.readDuration(table,
+                        "load_timeout",
+                        target.loadTimeout,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(86400000)});
+    reader.readNumber(table, "error_limit", target.errorLimit, Presence::Optional, {.least = 0.0, .most = 1.0});
+    reader.readInteger(table, "error_requests", target.errorRequests, Presence::Optional, {.least = 1, .most = 1000000});
 }
 
 } // namespace
@@ -361,7 +442,9 @@
                               "fleet",
                               "endpoint",
                               "service",
-                              "tenant"});
+                              "tenant",
+                              "model",
+                              "orders"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -376,6 +459,8 @@
     reader.readList(root, "endpoint", settings.endpoints, readEndpointSettings);
     reader.readList(root, "service", settings.services, readServiceSettings);
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
+    reader.readList(root, "model", settings.models, readModelSettings);
+    reader.readTable(root, "orders", settings.orders, Presence::Optional, readOrderSettings);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -8,6 +8,8 @@
 #include <LibWire/Compact.h>
 #include <LibWire/MessageNumber.h>
 
+#include <cereal/cereal.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -33,6 +35,8 @@
     NotOwner,
     /** Cannot be decided now (the platform is down, or recovery is going on); nothing was run. */
     Unavailable,
+    /** The owner holds as many unwritten results as it may, as the platform takes no writes; nothing was run. */
+    Full,
 };
 
 /** @return the value's name, for logs. */
@@ -53,6 +57,8 @@
         return "NotOwner";
     case ClaimDecision::Unavailable:
         return "Unavailable";
+    case ClaimDecision::Full:
+        return "Full";
     }
     return "invalid";
 }
@@ -60,7 +66,7 @@
 /** @return whether a decoded number is a value of the enum. */
 constexpr bool isValid(ClaimDecision value)
 {
-    return value <= ClaimDecision::Unavailable;
+    return value <= ClaimDecision::Full;
 }
 
 /** What the owner says to a result. */
@@ -359,6 +365,9 @@
 struct SubmitJobResponse;
 struct JobStatusRequest;
 struct JobStatusResponse;
+struct LinkProbe;
+struct ListJobsRequest;
+struct ListJobsResponse;
 struct CancelJobRequest;
 struct JobResultsRequest;
 struct JobResultsResponse;
@@ -391,6 +400,8 @@
 struct LoadInterest;
 struct LoadReports;
 struct EndpointLeaving;
+struct LimitDemands;
+struct LimitShares;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -523,6 +534,11 @@
     void serialize(Archive &archive)
     {
         archive(this->jobId, this->index, this->status, this->body);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->status)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -596,6 +612,11 @@
     void serialize(Archive &archive)
     {
         archive(this->shard, this->kind, this->payload);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->kind)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -786,6 +807,28 @@
                 this->due,
                 this->model,
                 this->expectedEnd);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** A job in a list. */
+struct ListedJob
+{
+    /** The job. */
+    JobId jobId;
+    /** Where it stands. */
+    JobProgress progress;
+
+    bool operator==(const ListedJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobId, this->progress);
     }
 };
 
@@ -909,6 +952,11 @@
                 this->isLeaving,
                 this->isReady,
                 Compact::field(this->started));
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -939,6 +987,11 @@
                 this->isLeaving,
                 this->isReady,
                 Compact::field(this->accuser));
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1086,6 +1139,30 @@
     }
 };
 
+/** Who gives orders to the engines of a site. It changes with each renewal; a holder whose row has not changed for a lease's
+ * length has lost it. */
+struct OrderLeaseRow
+{
+    /** The holding session; 0 when it was released. */
+    SessionNumber holder;
+    /** Counts the holders; the fencing number of their orders. */
+    std::uint64_t epoch = 0;
+    /** Of this holder. */
+    std::uint64_t renewals = 0;
+    /** The newest version that orders were given by: nobody gives orders by an older one. */
+    std::uint64_t configVersion = 0;
+    /** Rollouts that were stopped for their errors, as MODEL@VERSION. */
+    std::vector<std::string> stopped;
+
+    bool operator==(const OrderLeaseRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->holder, this->epoch, this->renewals, this->configVersion, this->stopped);
+    }
+};
+
 /** What an endpoint says of itself, as one node read it for all. */
 struct ReplicaReport
 {
@@ -1119,6 +1196,27 @@
     }
 };
 
+/** A part of a tenant's limit, or the demand for one. */
+struct LimitAmount
+{
+    /** Whose. */
+    TenantName tenant;
+    /** Of its lookups, or else of its online requests. */
+    bool isLookup = false;
+    /** Requests a second. */
+    std::uint32_t perSecond = 0;
+    /** Requests at once. */
+    std::uint32_t concurrency = 0;
+
+    bool operator==(const LimitAmount &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->isLookup, this->perSecond, this->concurrency);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -1161,6 +1259,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1202,6 +1305,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1230,7 +1338,9 @@
 struct ReleaseResponse
 {
     static constexpr MessageNumber number{6};
-    /** False if this node does not own the shard, or another holds the claim. */
+    /** False if this node does not own the shard: the claim stands, the owner is to be asked. */
+    bool isOwner = false;
+    /** False if another holds the claim, or its result is known. */
     bool isReleased = false;
 
     bool operator==(const ReleaseResponse &) const = default;
@@ -1238,7 +1348,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isReleased);
+        archive(this->isOwner, this->isReleased);
     }
 };
 
@@ -1274,6 +1384,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->answer);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1307,6 +1422,11 @@
     void serialize(Archive &archive)
     {
         archive(this->decision);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1345,6 +1465,58 @@
     }
 };
 
+/** Asks the other end of a connection to send it back: whether the connection still carries anything. */
+struct LinkProbe
+{
+    static constexpr MessageNumber number{112};
+    using Response = LinkProbe;
+    /** Counts the probes of a connection. */
+    std::uint64_t probe = 0;
+
+    bool operator==(const LinkProbe &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->probe);
+    }
+};
+
+/** Asks a node for a tenant's jobs among the shards it owns. */
+struct ListJobsRequest
+{
+    static constexpr MessageNumber number{110};
+    using Response = ListJobsResponse;
+    /** Whose jobs. */
+    TenantName tenant;
+    /** How many at most, the newest first. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const ListJobsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->tenant, this->limit);
+    }
+};
+
+/** The answer to a ListJobsRequest. */
+struct ListJobsResponse
+{
+    static constexpr MessageNumber number{111};
+    /** The jobs, the newest first. */
+    std::vector<ListedJob> jobs;
+
+    bool operator==(const ListJobsResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Stops a job: its items get no new run, and running ones are cancelled. */
 struct CancelJobRequest
 {
@@ -1404,6 +1576,11 @@
     void serialize(Archive &archive)
     {
         archive(this->state, this->results, this->next);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->state)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
     }
 };
 
@@ -1955,4 +2132,40 @@
     }
 };
 
+/** Datagram: a node tells the member that splits these tenants' limits how much it could use. */
+struct LimitDemands
+{
+    static constexpr MessageNumber number{61};
+    /** Who tells. */
+    SessionNumber from;
+    /** The demands. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitDemands &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
+/** Datagram: the parts that a node may use. */
+struct LimitShares
+{
+    static constexpr MessageNumber number{62};
+    /** Who splits. */
+    SessionNumber from;
+    /** The parts. */
+    std::vector<LimitAmount> amounts;
+
+    bool operator==(const LimitShares &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->amounts);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -14,6 +14,8 @@
 #include <Services/Entry/FleetWatch.h>
 
 #include <functional>
+#include <list>
+#include <map>
 #include <memory>
 
 namespace Dogwoodkeel
@@ -25,12 +27,16 @@
 public:
     using PlatformFactory = std::function<std::unique_ptr<Platform>(EventLoop &)>;
 
-    /** @throws std::runtime_error if it cannot listen */
+    /**
+     * @param ownOwner reaches the owner of this node without a socket, if there is one
+     * @throws std::runtime_error if it cannot listen
+     */
     EntryTask(EventLoop &loop,
               const Clock &clock,
               const SettingsPointer &settings,
               SessionNumber self,
               const PeerSecurity &security,
+              const std::optional<LocalPeer> &ownOwner,
               const PlatformFactory &makePlatform,
               NodeMetrics &metrics,
               OperatorGateway operators);
@@ -59,6 +65,10 @@
 
     /** Ask callers to leave: each connection is closed after its next answer, new ones are taken as before. */
     void sendCallersAway();
+
+    /** How many batch items this node's lanes run on each replica. */
+    void setItems(const std::map<EndpointName, std::uint32_t> &items);
+
     /** @return where load reports go. */
     const Address &fleetAddress() const;
 
@@ -68,6 +78,9 @@
     /** Take no new connections. */
     void drain();
 
+    /** @return the endpoints as this node has them. */
+    const std::list<Replica> &endpoints();
+
     /** @return requests not yet answered. */
     std::size_t openRequests() const;
 
@@ -87,6 +100,7 @@
     RetryBudget retries;
     SuspectNotices suspects;
     Admission admission;
+    LimitSharing limits;
     FleetState fleet;
     FleetWatch watch;
     ReplicaChooser chooser;
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -66,6 +66,7 @@
 
 void OnlineRequest::start()
 {
+    this->context.metrics.countRequest(this->request.tenant);
     this->armDeadline(this->request.timeout);
     this->claim();
 }
@@ -148,6 +149,13 @@
                       this->runState(),
                       comeBack});
         return;
+    case ClaimDecision::Full:
+        this->refuse({statusUnavailable,
+                      "platform_unavailable",
+                      "no more results can be held until the platform takes writes again",
+                      RunState::NotRun,
+                      comeBack});
+        return;
     case ClaimDecision::NotOwner:
         return;
     }
@@ -186,19 +194,23 @@
     if (!std::exchange(this->hasClaim, false)) {
         return;
     }
-    if (this->request.isNonIdempotent) {
-        // Its intent is durable and cannot be taken back: the refusal becomes its answer, and every resend gets it.
+    if (this->request.isNonIdempotent && this->mayHaveRun) {
+        // It must not run again: the refusal becomes its answer, and every resend gets it.
         const HttpResponse response = refusalResponse(refusal);
         this->commit({static_cast<std::uint16_t>(response.status), "application/json", response.body});
         return;
     }
+    // It was not sent and will not be. Kept as an answer, the refusal would meet its caller at each resend, though
+    // Retry-After had told it to come back: given back, a resend runs. The owner withdraws a durable intent by a record.
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
-        [](const ReleaseResponse &) {
-            return true;
+        [](const ReleaseResponse &response) {
+            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
+            // would wait for it until its lease ends.
+            return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
 }
@@ -252,6 +264,7 @@
 bool OnlineRequest::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->request.tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
@@ -271,6 +284,10 @@
     this->sawEnd = false;
     this->events = ServerSentEvents(eventLimit);
     this->sent = this->context.clock.now();
+    if (this->attempts == 1) {
+        this->context.metrics.observeQueueing(this->kind(), since(this->started, this->sent));
+        this->context.metrics.observeQueueing(this->request.tenant, since(this->started, this->sent));
+    }
 
     HttpRequest message = this->request.request;
     if (this->request.completion) {
@@ -327,8 +344,10 @@
     const SteadyTime now = this->context.clock.now();
     if (this->completion.tokens == 0) {
         this->context.metrics.observeFirstToken("online", since(this->started, now));
+        this->context.metrics.observeFirstToken(this->request.tenant, since(this->started, now));
     } else {
         this->context.metrics.observeBetweenTokens("online", since(this->lastToken, now));
+        this->context.metrics.observeBetweenTokens(this->request.tenant, since(this->lastToken, now));
     }
     if (this->completion.tokens == this->tokensBefore) {
         this->attemptFirstToken = now;
@@ -366,7 +385,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint: its place in the stream is resumed there over a new one.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -448,7 +467,7 @@
                       {}});
         return;
     }
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
@@ -514,7 +533,9 @@
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer(this->kind(), std::to_string(answer.status));
     this->context.metrics.observeTotal(this->kind(), since(this->started, this->context.clock.now()));
+    this->context.metrics.observeTotal(this->request.tenant, since(this->started, this->context.clock.now()));
     this->reply.finish(answer, result);
+    this->request.hold = nullptr;
 }
 
 void OnlineRequest::onDeadline()
@@ -565,6 +586,7 @@
     if (this->reply.isOpen()) {
         this->context.metrics.countAnswer(this->kind(), std::string(refusal.reason));
         this->reply.refuse(refusal);
+        this->request.hold = nullptr;
     }
     this->giveBack(refusal);
 }
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -40,6 +40,8 @@
     std::optional<CompletionRequest> completion;
     /** Key of the prompt's first bytes, shared by requests that may profit from one cache; 0 for none. */
     std::uint64_t prefix = 0;
+    /** Counts it against its tenant's limits until its caller is answered. */
+    LimitSharing::Hold hold;
 };
 
 /**
@@ -114,6 +116,8 @@
     std::uint32_t attempts = 0;
     std::vector<EndpointName> tried;
     FailureDomain failedDomain;
+    /** Why the last attempt failed: the reason of the next one. */
+    std::string lastFailure;
     Replica *replica = nullptr;
     SteadyTime sent{};
     std::unique_ptr<Attempt> attempt;
--- a/Services/Entry/OwnerClient.cpp
+++ b/Services/Entry/OwnerClient.cpp
@@ -33,4 +33,15 @@
     return owner != nullptr ? std::optional(owner->owner) : std::nullopt;
 }
 
+std::vector<Address> OwnerClient::reachableOwners() const
+{
+    std::vector<Address> owners;
+    for (const Member &member : this->view->members()) {
+        if (member.state != MemberState::Dead) {
+            owners.push_back(member.owner);
+        }
+    }
+    return owners;
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -21,13 +21,15 @@
                      TenantName tenant,
                      HttpRequest request,
                      std::chrono::milliseconds timeout,
-                     std::shared_ptr<HttpReply> reply)
+                     std::shared_ptr<HttpReply> reply,
+                     LimitSharing::Hold hold)
     : context(context)
     , service(service)
     , tenant(std::move(tenant))
     , request(std::move(request))
     , content(contentFingerprint(service.name, this->request.method + ' ' + this->request.target() + '\n' + this->request.body))
     , reply(std::move(reply))
+    , hold(std::move(hold))
     , started(context.clock.now())
     , timeout(timeout)
 {
@@ -35,6 +37,7 @@
 
 void PlainCall::start()
 {
+    this->context.metrics.countRequest(this->tenant);
     this->deadlineTimer = this->context.loop.schedule(this->timeout, [self = this->shared_from_this()] {
         self->deadlineTimer = 0;
         self->onDeadline();
@@ -85,6 +88,7 @@
 bool PlainCall::mayRetryAt(const Replica &chosen)
 {
     if (this->context.retries.take(this->tenant, chosen.name)) {
+        this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
     this->refuse(statusUnavailable, "retry_budget", "too many requests have to be retried", comeBack);
@@ -98,13 +102,18 @@
     this->tried.push_back(replica.name);
     this->sent = this->context.clock.now();
     this->response = {};
+    if (this->tried.size() == 1) {
+        const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(this->sent - this->started);
+        this->context.metrics.observeQueueing("lookup", waited);
+        this->context.metrics.observeQueueing(this->tenant, waited);
+    }
     Attempt::Hooks hooks{
         .onHeaders =
             [this](int status, const HttpHeaders &headers) {
                 this->context.watch.sawHeaders(*this->replica, headers);
                 this->response.status = status;
-                this->response.headers["Content-Type"]
-                    = headerValue(headers, "Content-Type").value_or("application/octet-stream");
+                this->response.headers = passedHeaders(headers);
+                this->response.headers.try_emplace("Content-Type", "application/octet-stream");
             },
         .onData =
             [this](std::string_view data) {
@@ -145,7 +154,7 @@
         return;
     case AttemptEnd::SilentReused: {
         // The connection is blamed first, not the endpoint.
-        this->context.metrics.countRetry("silent_connection");
+        this->lastFailure = "silent_connection";
         Replica &same = *this->replica;
         this->mayHaveRun = true;
         this->leaveReplica({AttemptOutcome::Abandoned, {}});
@@ -170,7 +179,7 @@
     this->failedDomain = this->replica->failureDomain;
     this->mayHaveRun = this->mayHaveRun || run == RunState::Unknown;
     this->leaveReplica({outcome, {}});
-    this->context.metrics.countRetry(std::string(reason));
+    this->lastFailure = reason;
     this->dispatch();
 }
 
@@ -182,8 +191,9 @@
     this->leaveReplica({AttemptOutcome::Succeeded, taken});
     this->context.loop.cancel(std::exchange(this->deadlineTimer, 0));
     this->context.metrics.countAnswer("lookup", std::to_string(this->response.status));
-    this->context.metrics.observeTotal(
-        "lookup", std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started));
+    const auto total = std::chrono::duration_cast<std::chrono::microseconds>(this->context.clock.now() - this->started);
+    this->context.metrics.observeTotal("lookup", total);
+    this->context.metrics.observeTotal(this->tenant, total);
     this->reply->send(this->response);
 }
 
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds pauseNoticed{1000};
 /** How long an engine is left alone that is away or takes nothing. */
 constexpr std::chrono::milliseconds restAfterRefusal{500};
+constexpr std::chrono::milliseconds restAfterLoss{500};
 /** Runs of one item that may go silent before it ends failed. */
 constexpr std::uint32_t mostSilences = 10;
 constexpr std::chrono::milliseconds logInterval{2000};
@@ -163,6 +164,15 @@
     }
 }
 
+std::map<EndpointName, std::uint32_t> LaneService::itemsRunning() const
+{
+    std::map<EndpointName, std::uint32_t> items;
+    for (const auto &[name, held] : this->lanes) {
+        items[name] = static_cast<std::uint32_t>(held.runs.size());
+    }
+    return items;
+}
+
 void LaneService::observe(const JobStopped &stopped)
 {
     this->items.dropJob(stopped.jobId);
@@ -277,7 +287,7 @@
             return false;
         }
         silent.push_back(run->stop());
-        held.lane.itemStopped();
+        held.lane.itemStopped(run->hasProceeded());
         return true;
     });
     if (silent.empty()) {
@@ -335,8 +345,9 @@
         return;
     }
     HeldLane &held = this->lanes.at(name);
-    const EngineReport report{json.value("running", 0U), json.value("queued", 0U)};
-    held.isLeaving = held.isLeaving || json.value("leaving", false);
+    const EngineLoad report{json.value("running", 0U), json.value("queued", 0U)};
+    // What has to last, over a list that lags and until another start of the endpoint, the entry task says (setLeaving).
+    held.isLeaving = json.value("leaving", false);
     if (held.isOurs) {
         held.lane.observeReport(report);
         this->fill(name, held);
@@ -367,9 +378,10 @@
         return run->held().tokens;
     });
     while (places > 0 && !held.runs.empty()) {
-        HeldItem item = held.runs.back()->stop(cancelled);
+        const std::shared_ptr<ItemRun> run = held.runs.back();
         held.runs.pop_back();
-        held.lane.itemStopped();
+        HeldItem item = run->stop(cancelled);
+        held.lane.itemStopped(run->hasProceeded());
         --places;
         this->items.putBack(held.serves, std::move(item));
     }
@@ -410,8 +422,20 @@
         this->startItem(*replica, held, std::move(*item));
         --free;
     }
-    // Pulled for also while there is no place: the next one is not to wait for a round trip.
-    this->items.refill(held.serves);
+    this->items.refill(held.serves, this->wantedItems(held.serves));
+}
+
+std::size_t LaneService::wantedItems(const std::string &model) const
+{
+    // A few ahead of the places, so that the next place does not wait for a round trip. No more: what waits here is kept
+    // from nodes whose lanes may stand empty, and the last items of a job would all run on one node.
+    std::size_t wanted = 0;
+    for (const auto &[name, held] : this->lanes) {
+        if (held.serves == model && held.isOurs) {
+            wanted += held.lane.freePlaces() + (held.lane.running() + 1) / 2;
+        }
+    }
+    return std::min(wanted, static_cast<std::size_t>(this->settings->batch.prefetch));
 }
 
 void LaneService::fillAll(const std::string &model)
@@ -426,31 +450,41 @@
 void LaneService::startItem(const Replica &replica, HeldLane &held, HeldItem item)
 {
     const std::string runId = "batch-" + std::to_string(this->self.value()) + '-' + std::to_string(++this->lastRun);
-    const ConnectionChoice connection = item.silences > 0 ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
+    // An idle connection of an engine that crashed and is back breaks as soon as it is used. Taken for a second crash, that
+    // would end an item that only ran beside the one that crashes: over a fresh connection, a break is the engine's.
+    const bool isSuspect = this->quarantine.standing(item.fingerprint) != Standing::Clear;
+    const auto connection = item.silences > 0 || isSuspect ? ConnectionChoice::Fresh : ConnectionChoice::Pooled;
     const auto run = std::make_shared<ItemRun>(this->http, this->clock, std::move(item), runId);
     held.runs.push_back(run);
     held.lane.itemStarted();
-    const auto gap = [this, name = replica.name, alive = this->alive](std::chrono::nanoseconds passed) {
-        const auto found = this->lanes.find(name);
-        if (*alive && found != this->lanes.end()) {
-            found->second.lane.observeGap(passed);
-        }
-    };
-    run->start(replica.address,
-               connection,
-               gap,
-               [this, name = replica.name, run, alive = this->alive](RunEnd end, const std::string &detail) {
-                   if (*alive) {
-                       this->onRunEnded(name, run, end, detail);
-                   }
-               });
+    run->start(replica.address, connection, this->hooksOf(replica.name, run));
+}
+
+ItemRun::Hooks LaneService::hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run)
+{
+    return {.firstToken =
+                [this, name] {
+                    HeldLane &held = this->lanes.at(name);
+                    held.lane.itemProceeds();
+                    this->fill(name, held);
+                },
+            .gap =
+                [this, name](std::chrono::nanoseconds passed) {
+                    this->lanes.at(name).lane.observeGap(passed);
+                },
+            .ended =
+                [this, name, run, alive = this->alive](RunEnd end, const std::string &detail) {
+                    if (*alive) {
+                        this->onRunEnded(name, run, end, detail);
+                    }
+                }};
 }
 
 void LaneService::onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail)
 {
     HeldLane &held = this->lanes.at(name);
     std::erase(held.runs, run);
-    held.lane.itemStopped();
+    held.lane.itemStopped(run->hasProceeded());
     const HeldItem &item = run->held();
     switch (end) {
     case RunEnd::Finished:
@@ -476,6 +510,15 @@
     const Replica *const replica = this->replicas.find(name);
     const FailureDomain domain = replica != nullptr ? replica->failureDomain : FailureDomain();
     const HeldItem &item = run.held();
+    // An engine that is going down may still accept a connection and break it. An item that is started there at once would
+    // be lost a second time to the same crash, and be taken for its cause.
+    held.restUntil = this->clock.now() + restAfterLoss;
+    log(LogLevel::Info,
+        "item lost with its endpoint",
+        {{"job", item.item.jobId.value()},
+         {"item", static_cast<std::int64_t>(item.item.index)},
+         {"endpoint", name.value()},
+         {"tokens", static_cast<std::int64_t>(item.tokens)}});
     if (this->quarantine.lost(item.fingerprint, {name, domain, run.sent(), this->clock.now()}) == Standing::Quarantined) {
         this->addResult(item, ItemStatus::Failed, "the endpoints that ran it crashed");
         return;
@@ -491,7 +534,7 @@
                 return false;
             }
             run->stop();
-            held.lane.itemStopped();
+            held.lane.itemStopped(run->hasProceeded());
             return true;
         });
     }
--- a/Services/Lane/LaneService.h
+++ b/Services/Lane/LaneService.h
@@ -56,6 +56,9 @@
     /** An entry told of its online requests on a replica. */
     void observe(const ReplicaLoad &notice);
 
+    /** @return how many items run on each replica whose lane is held here. */
+    std::map<EndpointName, std::uint32_t> itemsRunning() const;
+
     /** An owner told that a job was cancelled. */
     void observe(const JobStopped &stopped);
 
@@ -96,8 +99,10 @@
     void yieldTo(const EndpointName &name, HeldLane &held, std::uint32_t places);
     void fill(const EndpointName &name, HeldLane &held);
     void fillAll(const std::string &model);
+    std::size_t wantedItems(const std::string &model) const;
     bool mayRun(const HeldLane &held, const HeldItem &item) const;
     void startItem(const Replica &replica, HeldLane &held, HeldItem item);
+    ItemRun::Hooks hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run);
     void onRunEnded(const EndpointName &name, const std::shared_ptr<ItemRun> &run, RunEnd end, const std::string &detail);
     void onLost(const EndpointName &name, HeldLane &held, const ItemRun &run);
     void stopRuns(const std::function<bool(const HeldItem &)> &isWanted);
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -35,10 +35,14 @@
         });
         this->server.handle<ReleaseRequest>([this](const ReleaseRequest &request, const auto &respond) {
             this->releases.push_back(request);
-            respond({true});
+            this->onRelease(request, respond);
         });
     }
 
+    std::function<void(const ReleaseRequest &, const PeerServer::Respond<ReleaseResponse> &)> onRelease
+        = [](const ReleaseRequest &, const auto &respond) {
+              respond({true, true});
+          };
     std::function<void(const ClaimRequest &, const PeerServer::Respond<ClaimResponse> &)> onClaim
         = [](const ClaimRequest &, const auto &respond) {
               respond({ClaimDecision::Run, {}});
@@ -129,11 +133,12 @@
             std::make_shared<const Settings>(this->settings),
             SessionNumber(1),
             PeerSecurity{MessageKey(""), 1048576},
+            std::nullopt,
             [store](EventLoop &on) {
                 return std::make_unique<EmbeddedPlatform>(store, on);
             },
             this->metrics,
-            OperatorGateway());
+            this->operators);
         Member member;
         member.session = SessionNumber(1);
         member.owner = this->owner.server.address();
@@ -201,6 +206,7 @@
     SystemClock clock;
     Settings settings;
     NodeMetrics metrics;
+    OperatorGateway operators;
     ScriptedOwner owner{loop};
     std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
     HttpClient client{loop};
