--- a/Benchmarks/Measure/Replace.cpp
+++ b/Benchmarks/Measure/Replace.cpp
@@ -132,7 +132,9 @@
 {
     std::string items;
     for (int i = 0; i < FLAGS_items; ++i) {
-        items += "{\"model\":\"appraisal\",\"max_tokens\":60,\"prompt\":\"lot item " + std::to_string(i) + "\"}\n";
+        items += "{\"model\":\"appraisal\",\"max_tokens\":60,\"prompt\":\"lot item ";
+        items += std::to_string(i);
+        items += "\"}\n";
     }
     const Address address = fleet.fleet.process(fleet.running.front()).address;
     const auto answer = LocalFleet::call(address, "POST", "/v1/batches", items);
@@ -177,7 +179,8 @@
 {
     for (auto &[phase, kinds] : callers.tallies()) {
         for (auto &[kind, tally] : kinds) {
-            const std::string prefix = "replace." + phase + '.' + kind + '.';
+            std::string prefix = "replace.";
+            prefix.append(phase).append(".").append(kind).append(".");
             std::uint64_t refused = 0;
             for (const auto &[reason, count] : tally.refused) {
                 std::printf("note %srefused %s: %llu\n", prefix.c_str(), reason.c_str(), static_cast<unsigned long long>(count));
--- a/Benchmarks/Support/FollowingCallers.cpp
+++ b/Benchmarks/Support/FollowingCallers.cpp
@@ -143,11 +143,11 @@
                                 this->send(caller, request, address + 1);
                                 return;
                             }
-                            if (end != ExchangeEnd::Complete) {
-                                ++tally.cut;
-                            } else if (response.status != statusOk) {
+                            const bool isComplete = end == ExchangeEnd::Complete;
+                            const bool isRefused = isComplete && response.status != statusOk;
+                            if (isRefused) {
                                 ++tally.refused[reasonOf(response)];
-                            } else if (!this->kinds[caller->kind].isWhole(response)) {
+                            } else if (!isComplete || !this->kinds[caller->kind].isWhole(response)) {
                                 ++tally.cut;
                             } else {
                                 tally.answered.add(std::chrono::steady_clock::now() - caller->sent);
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -31,8 +31,12 @@
 
 } // namespace
 
-ShardKeeper::ShardKeeper(
-    Platform &platform, Scheduler &scheduler, const Clock &clock, SessionNumber self, JournalWriter &journal, Options options)
+ShardKeeper::ShardKeeper(Platform &platform,
+                         Scheduler &scheduler,
+                         const Clock &clock,
+                         SessionNumber self,
+                         JournalWriter &journal,
+                         const Options &options)
     : platform(platform)
     , scheduler(scheduler)
     , clock(clock)
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -53,7 +53,7 @@
                 const Clock &clock,
                 SessionNumber self,
                 JournalWriter &journal,
-                Options options);
+                const Options &options);
     ~ShardKeeper();
     ShardKeeper(const ShardKeeper &) = delete;
     ShardKeeper &operator=(const ShardKeeper &) = delete;
