--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -305,8 +305,14 @@
     return this->listenAddress;
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    this->closing = true;
+}
+
 void HttpServer::drain()
 {
+    this->closing = true;
     if (!std::exchange(this->draining, true)) {
         evhtp_unbind_socket(this->server);
     }
@@ -320,7 +326,7 @@
 std::shared_ptr<HttpReply> HttpServer::makeReply(Connection &connection, evhtp_request *request)
 {
     HttpReply::Options options{
-        .isLast = this->draining,
+        .isLast = this->closing,
         .isBodyPending = connection.isBodyPending,
         .unreadBytes = this->limits.unreadBytes,
         .close =
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -80,6 +80,12 @@
     /** @return where it listens. */
     const Address &address() const;
 
+    /**
+     * Close each connection after its next answer, and say so in it (Connection: close, RFC 9112 section 9.6). New
+     * connections are taken as before.
+     */
+    void closeAfterAnswers();
+
     /** Take no new connections, and close each open one after its next answer. */
     void drain();
 
@@ -115,6 +121,7 @@
     evhtp *server = nullptr;
     Address listenAddress;
     bool draining = false;
+    bool closing = false;
     std::uint64_t watchTimer = 0;
     std::uint64_t lastConnection = 0;
     std::unordered_map<evhtp_connection *, std::unique_ptr<Connection>> connections;
--- a/Libraries/LibMembership/MemberView.h
+++ b/Libraries/LibMembership/MemberView.h
@@ -2,6 +2,7 @@
 
 #include <LibWire/Generated/Messages.h>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -15,11 +16,26 @@
 class MemberView
 {
 public:
-    /** @param members alive, suspect and leaving ones, in order of their sessions */
-    explicit MemberView(std::vector<Member> members);
+    /**
+     * @param members alive, suspect and leaving ones, in order of their sessions
+     * @param isMinority whether this node has lost sight of more members than it sees
+     * @param spreadTime how long news takes to reach every member, most likely
+     */
+    explicit MemberView(std::vector<Member> members,
+                        bool isMinority = false,
+                        std::chrono::milliseconds spreadTime = std::chrono::milliseconds(0));
 
     const std::vector<Member> &members() const;
 
+    /**
+     * @return whether this node has lately lost sight of more members than it sees, itself included. It is then more
+     * likely to be cut off than to have outlived them: what it would take over from them is most likely not free.
+     */
+    bool isMinority() const;
+
+    /** @return how long it takes until every member has most likely the same view. */
+    std::chrono::milliseconds spreadTime() const;
+
     /** @return the member of a session, or null. */
     const Member *find(SessionNumber session) const;
 
@@ -47,6 +63,8 @@
 
 private:
     std::vector<Member> list;
+    bool minority = false;
+    std::chrono::milliseconds spread{0};
     /** Places in the list of those who own shards; empty if all do that are not leaving. */
     std::vector<std::size_t> journalHolders;
 };
--- a/Programs/dogwoodkeel/Node.cpp
+++ b/Programs/dogwoodkeel/Node.cpp
@@ -117,12 +117,16 @@
     };
     this->entry = std::make_unique<TaskHost<EntryTask>>(
         "entry", this->clock, this->settings, this->self, this->security, ownOwner, this->makePlatform, this->metrics, operators);
+    this->entry->post([](EntryTask &task) {
+        task.setWaitingFor("members");
+    });
 }
 
 Member Node::makeMember()
 {
     Member member;
     member.session = this->self;
+    member.started = this->clock.wallNow();
     member.vm = VmName(this->settings->node.vm);
     member.failureDomain = FailureDomain(this->settings->node.failureDomain);
     member.owner = this->owner->ask<Address>([](OwnerTask &task) {
@@ -142,10 +146,15 @@
 
 void Node::start()
 {
+    this->starting = std::make_unique<TaskHost<StartingTask>>("starting", this->settings->listen.http, "a session number");
     this->control = std::make_unique<TaskHost<ControlTask>>(
         "control", this->clock, this->settings, this->ownFiles, this->security, this->makePlatform);
     this->openSession();
+    this->starting->post([](StartingTask &task) {
+        task.setWaitingFor("the configuration");
+    });
     this->learnConfiguration();
+    this->starting.reset();
     this->makeTasks();
     this->serveControlCalls();
     this->addStatusParts();
@@ -178,8 +187,15 @@
     this->lane->post([](LaneTask &task) {
         task.lane().start();
     });
-    this->entry->post([](EntryTask &task) {
-        task.setReady(true);
+    this->control->post([this](ControlTask &control) {
+        control.awaitMembers([this, &control] {
+            control.update([](Member &member) {
+                member.isReady = true;
+            });
+            this->entry->post([](EntryTask &task) {
+                task.setWaitingFor({});
+            });
+        });
     });
     this->watch = std::make_unique<Task>("watch");
     this->watch->loop().post([this] {
@@ -380,6 +396,13 @@
             control.tellBacklog(backlog.items, backlog.models);
         });
     });
+    const SteadyTime posted = this->clock.now();
+    this->entry->post([this, posted](EntryTask &) {
+        const auto delay = this->clock.now() - posted;
+        this->control->post([this, delay](ControlTask &control) {
+            control.tellPressure(this->pressure.observe(delay));
+        });
+    });
     this->watch->loop().schedule(watchInterval, [this] {
         this->watchBacklog();
     });
@@ -396,6 +419,11 @@
     return true;
 }
 
+void Node::hurry()
+{
+    this->hurried = true;
+}
+
 void Node::stop()
 {
     log(LogLevel::Info, "planned stop begins");
@@ -419,12 +447,17 @@
             laneDone->store(true);
         });
     });
-    const SteadyTime entriesEnd = std::min(deadline, this->clock.now() + inForce->entry.entryTtl);
+    this->entry->post([](EntryTask &task) {
+        task.sendCallersAway();
+    });
+    const auto spread = this->control->ask<std::chrono::milliseconds>([](ControlTask &control) {
+        return control.spreadTime();
+    });
     this->waitFor(
-        [] {
-            return false;
+        [this] {
+            return this->hurried.load();
         },
-        entriesEnd);
+        std::min(deadline, this->clock.now() + spread + inForce->entry.entryTtl));
     this->entry->post([](EntryTask &task) {
         task.drain();
     });
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -1,5 +1,6 @@
 #include <Services/Control/ControlTask.h>
 
+#include <LibBase/Log.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
@@ -12,11 +13,15 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds meetInterval{5000};
+constexpr std::chrono::milliseconds shortestMeetInterval{5000};
+constexpr std::chrono::milliseconds meetIntervalPerNode{1500};
 constexpr std::chrono::milliseconds meetRetry{200};
 /** Members told of a new configuration at once, each of which tells as many: gossip alone takes a probe a step. */
 constexpr std::size_t newsFanOut = 4;
 constexpr std::chrono::milliseconds vmInterval{1000};
+/** How long the row of a session that nobody hears of is kept: longer than regions lose each other. */
+constexpr std::chrono::minutes rowKept{15};
+constexpr std::chrono::milliseconds vmIntervalPerNode{500};
 
 Membership::Options membershipOptions(const Settings &settings)
 {
@@ -98,14 +103,31 @@
             [this](const Address &to, const PingRequest &request) {
                 this->datagrams.send(to, request);
             },
+        .sendPull =
+            [this](const Address &to, const MembersPull &pull) {
+                this->datagrams.send(to, pull);
+            },
+        .sendPush =
+            [this](const Address &to, const MembersPush &push) {
+                this->datagrams.send(to, push);
+            },
         .onChange =
             [this](const MemberViewPointer &view) {
-                if (!this->closed) {
-                    this->versions.setMembers(view->members(), this->self);
-                    if (this->orders) {
-                        this->orders->setView(*view);
-                    }
-                    this->onChange(view);
+                if (this->closed) {
+                    return;
+                }
+                this->followFleetSize(view->members().size());
+                this->versions.setMembers(view->members(), this->self);
+                if (this->orders) {
+                    this->orders->setView(*view);
+                }
+                this->onChange(view);
+                this->checkMet(false);
+            },
+        .onLeavingVms =
+            [this](const std::vector<VmName> &vms) {
+                if (this->vmWatch) {
+                    this->vmWatch->markLeaving(vms);
                 }
             },
     };
@@ -157,12 +179,66 @@
             }
         }
         this->membership->contact(strangers);
-        this->loop.schedule(listed ? meetInterval : meetRetry, [this] {
+        if (listed) {
+            this->checkMet(strangers.empty());
+            // Rows alone may be those of nodes that died: nobody behind them answers.
+            this->loop.schedule(this->settings->membership.suspicion, [this] {
+                this->checkMet(true);
+            });
+            this->cleanRows(*listed);
+        }
+        this->loop.schedule(listed ? this->meetInterval : meetRetry, [this] {
             this->meetOthers();
         });
     });
 }
 
+void ControlTask::awaitMembers(std::function<void()> met)
+{
+    this->met = std::move(met);
+    this->checkMet(false);
+}
+
+void ControlTask::checkMet(bool isAlone)
+{
+    if (!this->met || !this->membership) {
+        return;
+    }
+    if (this->membership->view()->members().size() > 1 || isAlone) {
+        std::exchange(this->met, nullptr)();
+    }
+}
+
+void ControlTask::cleanRows(const std::vector<SessionRegistry::Listed> &listed)
+{
+    // A node that dies leaves its row behind. Were nobody to remove it, the rows would grow by more than a hundred a day,
+    // and every start would write to all those addresses. Removed by mistake, a row does no harm: gossip goes on, and its
+    // node writes it again.
+    const MemberView &view = *this->membership->view();
+    const SteadyTime now = this->clock.now();
+    bool isOwnListed = false;
+    std::map<SessionNumber, SteadyTime> unknown;
+    for (const SessionRegistry::Listed &row : listed) {
+        isOwnListed = isOwnListed || row.number == this->self;
+        if (row.number == this->self || view.find(row.number) != nullptr) {
+            continue;
+        }
+        const auto before = this->unknownRows.find(row.number);
+        const SteadyTime since = before != this->unknownRows.end() ? before->second : now;
+        unknown[row.number] = since;
+        const Member *const cleaner = view.ownerOf(row.number.value());
+        const bool isOurs = cleaner != nullptr && cleaner->session == this->self;
+        if (isOurs && now - since >= rowKept && !view.isMinority()) {
+            log(LogLevel::Info, "session row removed", {{"session", static_cast<std::int64_t>(row.number.value())}});
+            this->sessions.close(row.number);
+        }
+    }
+    this->unknownRows = std::move(unknown);
+    if (!isOwnListed) {
+        this->sessions.restore(this->self);
+    }
+}
+
 void ControlTask::meetBeforeJoining()
 {
     // A starting node learns from the seeds whom to ask for the configuration, in case the platform does not answer.
@@ -170,7 +246,7 @@
         return;
     }
     for (const Address &seed : this->settings->peers.seeds) {
-        this->datagrams.send(seed, Ping{this->self, 0, {}});
+        this->datagrams.send(seed, MembersPull{this->self, std::vector<std::uint32_t>(MemberTable::parts, 0)});
     }
     this->loop.schedule(meetRetry, [this] {
         this->meetBeforeJoining();
@@ -251,19 +327,61 @@
 
 void ControlTask::watchVms(VmWatch::Changed changed)
 {
-    this->vmWatch.emplace(this->platform->vms(), this->loop, [this, changed = std::move(changed)](const ListedVmsPointer &vms) {
-        if (!this->closed) {
-            changed(vms);
-        }
-    });
+    this->vmWatch.emplace(
+        this->platform->vms(), this->loop, [this, changed = std::move(changed)](const ListedVmsPointer &listed) {
+            this->tellLeaving(*listed);
+            if (!this->closed) {
+                changed(listed);
+            }
+        });
     this->vmWatch->start(vmInterval);
 }
 
+void ControlTask::tellLeaving(const std::vector<ListedVm> &listed)
+{
+    std::vector<VmName> leaving;
+    for (const ListedVm &vm : listed) {
+        if (vm.isLeaving) {
+            leaving.push_back(vm.name);
+        }
+    }
+    if (this->membership) {
+        this->membership->tellLeaving(leaving);
+    }
+}
+
+void ControlTask::followFleetSize(std::size_t nodes)
+{
+    // All nodes together read the platform's lists at a rate that does not grow with their number; what one of them finds
+    // on the list of VMs it tells the others.
+    const auto count = static_cast<std::int64_t>(nodes);
+    this->meetInterval = std::max(shortestMeetInterval, meetIntervalPerNode * count);
+    if (this->vmWatch) {
+        this->vmWatch->setInterval(std::max(vmInterval, vmIntervalPerNode * count));
+    }
+}
+
 void ControlTask::update(const std::function<void(Member &)> &change)
 {
     this->membership->update(change);
 }
 
+std::chrono::milliseconds ControlTask::spreadTime() const
+{
+    return this->membership->spreadTime();
+}
+
+void ControlTask::tellPressure(std::uint32_t pressure)
+{
+    if (!this->membership || pressure == this->toldPressure) {
+        return;
+    }
+    this->toldPressure = pressure;
+    this->membership->update([pressure](Member &member) {
+        member.pressure = pressure;
+    });
+}
+
 void ControlTask::tellBacklog(std::uint32_t backlog, std::uint64_t models)
 {
     // Each change is news to every node. What matters to the lanes is for which models there is work; how much, and how
@@ -283,14 +401,7 @@
     if (this->orders) {
         this->orders->release();
     }
-    this->membership->update([](Member &member) {
-        member.state = MemberState::Dead;
-    });
-    std::vector<Address> others;
-    for (const Member &member : this->membership->view()->members()) {
-        others.push_back(member.gossip);
-    }
-    this->membership->contact(others);
+    this->membership->leave();
     this->sessions.close(this->self);
 }
 
@@ -302,9 +413,9 @@
 void ControlTask::receive(const Datagram &datagram)
 {
     if (!this->membership) {
-        const auto pong = datagram.number == Pong::number ? decode<Pong>(datagram.payload) : std::nullopt;
-        if (pong) {
-            this->versions.setMembers(pong->members, this->self);
+        const auto push = datagram.number == MembersPush::number ? decode<MembersPush>(datagram.payload) : std::nullopt;
+        if (push) {
+            this->versions.setMembers(push->members, this->self);
         }
         return;
     }
@@ -324,6 +435,16 @@
             this->membership->receive(datagram.from, *request);
         }
         return;
+    case MembersPull::number:
+        if (const auto pull = decode<MembersPull>(datagram.payload)) {
+            this->membership->receive(datagram.from, *pull);
+        }
+        return;
+    case MembersPush::number:
+        if (const auto push = decode<MembersPush>(datagram.payload)) {
+            this->membership->receive(datagram.from, *push);
+        }
+        return;
     default:
         return;
     }
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -16,6 +16,7 @@
 #include <Services/Control/StatusBoard.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -92,6 +93,15 @@
     /** Tell the others of a change of this node. */
     void update(const std::function<void(Member &)> &change);
 
+    /** @param met told once, when this node knows the members: one has answered, or there are none */
+    void awaitMembers(std::function<void()> met);
+
+    /** @return how long news takes to reach every node, most likely. */
+    std::chrono::milliseconds spreadTime() const;
+
+    /** Tell the others how busy the entry is, if that has changed. @param pressure as in Member */
+    void tellPressure(std::uint32_t pressure);
+
     /** Tell the others how many batch items wait here, if that has changed enough to matter. */
     void tellBacklog(std::uint32_t backlog, std::uint64_t models);
 
@@ -104,6 +114,10 @@
 private:
     void receive(const Datagram &datagram);
     void meetOthers();
+    void tellLeaving(const std::vector<ListedVm> &listed);
+    void followFleetSize(std::size_t nodes);
+    void checkMet(bool isAlone);
+    void cleanRows(const std::vector<SessionRegistry::Listed> &listed);
     void meetBeforeJoining();
     void tellConfiguration(std::uint64_t version);
 
@@ -127,6 +141,11 @@
     Member joined;
     std::function<void(MemberViewPointer)> onChange;
     bool meeting = false;
+    std::function<void()> met;
+    std::map<SessionNumber, SteadyTime> unknownRows;
+    std::uint32_t toldBacklog = 0;
+    std::uint32_t toldPressure = 0;
+    std::chrono::milliseconds meetInterval{5000};
     std::uint64_t toldModels = 0;
 };
 
--- a/Services/Entry/EntryService.h
+++ b/Services/Entry/EntryService.h
@@ -7,6 +7,7 @@
 #include <Services/Entry/Authenticator.h>
 #include <Services/Entry/BatchApi.h>
 #include <Services/Entry/Completion.h>
+#include <Services/Entry/EntriesApi.h>
 #include <Services/Entry/EntryContext.h>
 
 #include <memory>
@@ -31,8 +32,8 @@
     /** The settings of the context were replaced. */
     void settingsChanged();
 
-    /** @param isReady what GET /readyz tells */
-    void setReady(bool isReady);
+    /** @param waitingFor what the node waits for before it takes callers; empty when it is ready */
+    void setWaitingFor(std::string waitingFor);
 
 private:
     using Reply = std::shared_ptr<HttpReply>;
@@ -44,7 +45,6 @@
     void serveService(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveOperator(const Caller &caller, const HttpRequest &request, const Reply &reply);
     void serveResult(const Caller &caller, std::string_view id, const Reply &reply);
-    void serveEntries(const HttpRequest &request, const Reply &reply);
     /** @return what keeps the request counted; null if its tenant is at a limit, which the caller has been told */
     LimitSharing::Hold admit(const Caller &caller, LimitClass kind, const HttpRequest &request, const Reply &reply);
     RequestId requestIdOf(const Caller &caller, const HttpRequest &request);
@@ -52,8 +52,9 @@
     EntryContext &context;
     Authenticator authenticator;
     BatchApi batches;
+    EntriesApi entries;
     MemberViewPointer view;
-    bool ready = false;
+    std::string waitingFor;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/EntryTask.h
+++ b/Services/Entry/EntryTask.h
@@ -45,7 +45,8 @@
     const Address &address() const;
 
     void setView(const MemberViewPointer &view);
-    void setReady(bool isReady);
+    /** @param waitingFor what the node waits for before it takes callers; empty when it is ready */
+    void setWaitingFor(std::string waitingFor);
 
     /** A datagram of another node came. */
     void receive(const Datagram &datagram);
@@ -62,6 +63,9 @@
     /** The platform's VM list changed: endpoints on leaving VMs get no new work. */
     void setVms(const ListedVmsPointer &vms);
 
+    /** Ask callers to leave: each connection is closed after its next answer, new ones are taken as before. */
+    void sendCallersAway();
+
     /** How many batch items this node's lanes run on each replica. */
     void setItems(const std::map<EndpointName, std::uint32_t> &items);
 
--- a/Services/Entry/OwnerClient.h
+++ b/Services/Entry/OwnerClient.h
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,7 +68,7 @@
                                                                     std::move(isFinal),
                                                                     std::move(answered),
                                                                     answerTimeout.value_or(this->options.callTimeout)});
-        this->attempt<Request>(repeated, this->options.firstPause);
+        this->attempt<Request>(repeated, this->options.firstPause, false);
     }
 
     /**
@@ -101,7 +103,7 @@
     };
 
     template <typename Request>
-    void attempt(const std::shared_ptr<Repeated<Request>> &call, std::chrono::milliseconds pause)
+    void attempt(const std::shared_ptr<Repeated<Request>> &call, std::chrono::milliseconds pause, bool asksFormer)
     {
         using Response = typename Request::Response;
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(call->deadline - this->clock.now());
@@ -109,20 +111,24 @@
             call->answered(std::nullopt);
             return;
         }
-        const auto again = [this, call, left, pause] {
-            this->loop.schedule(std::min(left, pause), [this, call, pause] {
-                this->attempt<Request>(call, std::min(pause * 2, this->options.longestPause));
+        // The former owner, if it is another, is asked at once; only then is there a pause.
+        const bool hasFormer = !asksFormer && this->targetFor(call->id, true) != this->targetFor(call->id, false);
+        const auto again = [this, call, left, pause, hasFormer] {
+            const auto next = hasFormer ? pause : std::min(pause * 2, this->options.longestPause);
+            this->loop.schedule(hasFormer ? std::chrono::milliseconds(0) : std::min(left, pause), [this, call, next, hasFormer] {
+                this->attempt<Request>(call, next, hasFormer);
             });
         };
-        const Member *const owner = this->ownerOf(call->id);
-        if (owner == nullptr) {
+        const std::optional<Address> owner = this->targetFor(call->id, asksFormer);
+        if (!owner) {
             again();
             return;
         }
         // The call's own deadline bounds the wait for one answer: a lost answer would otherwise be noticed only after it.
         const auto timeout = std::min(left, call->wait + call->answerTimeout);
-        this->peers.call<Request>(owner->owner, call->request, timeout, [again, call](CallResult<Response> result) {
+        this->peers.call<Request>(*owner, call->request, timeout, [this, owner, again, call](CallResult<Response> result) {
             if (result.response && call->isFinal(*result.response)) {
+                this->lastServing[this->shardOf(call->id)] = *owner;
                 call->answered(std::move(result.response));
                 return;
             }
@@ -169,13 +175,21 @@
 
     std::vector<Address> reachableOwners() const;
 
-    const Member *ownerOf(const std::string &id) const;
+    ShardNumber shardOf(const std::string &id) const;
+
+    /**
+     * @param asksFormer whether to ask the node that answered last for the id's shard, if there is one. While a shard
+     *                   changes hands, its former owner goes on until every node has heard of the new one.
+     * @return whom to ask, else the member that should own the shard
+     */
+    std::optional<Address> targetFor(const std::string &id, bool asksFormer) const;
 
     EventLoop &loop;
     const Clock &clock;
     PeerClient &peers;
     Options options;
     MemberViewPointer view;
+    std::map<ShardNumber, Address> lastServing;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Owner/OwnerService.h
+++ b/Services/Owner/OwnerService.h
@@ -22,8 +22,9 @@
 {
 public:
     /**
-     * @param tellStopped see BatchOwner::TellStopped
      * @param onFenced told once, when another session has sealed this one's journal: it can decide nothing any more
+     * @param tellStopped see BatchOwner::TellStopped
+     * @param onReleased told of the member that should own a shard which has just been given up
      */
     OwnerService(Scheduler &scheduler,
                  const Clock &clock,
@@ -31,7 +32,8 @@
                  const SettingsHandle &settings,
                  SessionNumber self,
                  std::function<void()> onFenced = {},
-                 BatchOwner::TellStopped tellStopped = {});
+                 BatchOwner::TellStopped tellStopped = {},
+                 std::function<void(const Member &)> onReleased = {});
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
--- a/Services/Owner/OwnerTask.h
+++ b/Services/Owner/OwnerTask.h
@@ -6,6 +6,7 @@
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
+#include <LibWire/PeerClient.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/OwnerService.h>
 
@@ -39,6 +40,7 @@
         , onFenced(std::move(onFenced))
         , platform(makePlatform(loop))
         , server(loop, settings->listen.owner, security)
+        , otherNodes(loop, security)
         , datagrams(loop, {settings->listen.owner.ip, 0}, security.siteKey, [](const Datagram &) {})
     {
         this->renew(self);
@@ -53,8 +55,11 @@
         const auto tellStopped = [this](const Address &lane, const JobStopped &stopped) {
             this->datagrams.send(lane, stopped);
         };
+        const auto onReleased = [this](const Member &successor) {
+            this->tellReleased(successor.owner);
+        };
         this->service = std::make_unique<OwnerService>(
-            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, tellStopped);
+            this->loop, this->clock, *this->platform, this->settings, self, this->onFenced, tellStopped, onReleased);
         this->service->serve(this->server);
     }
 
@@ -91,12 +96,20 @@
     }
 
 private:
+    /** Tell a member that shards wait for it; it would find them by itself a little later. */
+    void tellReleased(const Address &successor)
+    {
+        this->otherNodes.call<ShardsReleasedRequest>(
+            successor, {}, this->settings->peers.callTimeout, [](const CallResult<ShardsReleasedResponse> &) {});
+    }
+
     EventLoop &loop;
     const Clock &clock;
     SettingsHandle settings;
     std::function<void()> onFenced;
     std::unique_ptr<Platform> platform;
     PeerServer server;
+    PeerClient otherNodes;
     DatagramSocket datagrams;
     std::unique_ptr<OwnerService> service;
 };
