LibBatch: Check a lane's excess to the number again

Cause: since headroom is learned, the excess after four requests that came at once is more than the configured headroom alone gives. The check was then loosened from `== 3` to `>= 3`, which also holds when far too many items are stopped, and the check that a late notice leaves the excess as it was had gone.

Change: under the manual clock the estimate gives one number. Four at once on 16 places teach a headroom of four: 15 items, 4 requests and 4 places are 7 too many, where the limit by the number of items (15) plays no part. Four that come one by one, further apart than the reaction time, leave the configured headroom of one: 4 too many. In both cases a late notice changes neither the number of requests nor the excess.

--- a/Tests/LibBatch/TestLane.cpp
+++ b/Tests/LibBatch/TestLane.cpp
@@ -36,18 +36,37 @@
 TEST_CASE("online requests take the places of batch items, whatever order their notices arrive in")
 {
     ManualClock clock;
-    Lane lane(clock, options(8, 1));
+    Lane lane(clock, options(16, 1));
     lane.settle();
-    CHECK(lane.freePlaces() == 7);
-    start(lane, 7);
+    CHECK(lane.freePlaces() == 15);
+    start(lane, 15);
     lane.observeOnline(entryA, 2, 4);
-    CHECK(lane.excess() >= 3);
+    // Four came at once, so that four more places are to be kept free: 15 items, 4 requests and 4 places where 16 run.
+    CHECK(lane.excess() == 7);
     lane.observeOnline(entryA, 1, 0);
     CHECK(lane.online() == 4);
+    CHECK(lane.excess() == 7);
     lane.forget(entryA);
     CHECK(lane.excess() == 0);
 }
 
+TEST_CASE("online requests that come one by one take no more places than the configured headroom asks")
+{
+    ManualClock clock;
+    Lane lane(clock, options(16, 1));
+    lane.settle();
+    start(lane, 15);
+    for (std::uint32_t online = 1; online <= 4; ++online) {
+        clock.advance(100ms);
+        lane.observeOnline(entryA, online, online);
+    }
+    // 15 items, 4 requests and the one place where 16 run.
+    CHECK(lane.excess() == 4);
+    lane.observeOnline(entryA, 3, 0);
+    CHECK(lane.online() == 4);
+    CHECK(lane.excess() == 4);
+}
+
 // The notice that an entry has no request left is lost, and a zero is not repeated. The places must not stay kept for
 // nobody, else the replica runs fewer and fewer batch items until its holder changes.
 TEST_CASE("places are not kept for an entry that has stopped telling")
