ServiceOwner: Read results pages in a class of its own

The reading of results needs only the object store, and so parts with the fewest ties.

Change: ResultReader reads the part of a job's results that a request names, from memory and from the objects' cache. The code is moved; behaviour is unchanged.

--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -17,10 +17,8 @@
 {
 
 constexpr std::size_t itemBytesKept = 16777216;
-constexpr std::size_t resultBytesKept = 8388608;
 /** Results kept in memory before unfinished pages are moved to objects as well. */
 constexpr std::size_t resultBytesInMemory = 16777216;
-constexpr std::size_t resultsPerPage = 1000;
 constexpr std::size_t movesAtOnce = 4;
 constexpr std::size_t warningsAtOnce = 100;
 constexpr std::chrono::milliseconds tickInterval{200};
@@ -41,12 +39,6 @@
     return lines;
 }
 
-std::shared_ptr<const ResultPage> parsePage(const std::string &content)
-{
-    auto page = decode<ResultPage>(content);
-    return page ? std::make_shared<const ResultPage>(std::move(*page)) : nullptr;
-}
-
 } // namespace
 
 struct BatchOwner::Pull
@@ -71,15 +63,6 @@
     }
 };
 
-struct BatchOwner::Reading
-{
-    JobResultsRequest request;
-    Respond<JobResultsResponse> respond;
-    PageOfResults page;
-    std::size_t pending = 1;
-    bool hasFailed = false;
-};
-
 BatchOwner::BatchOwner(Scheduler &scheduler,
                        const Clock &clock,
                        ShardKeeper &keeper,
@@ -94,7 +77,7 @@
     , tellStopped(std::move(tellStopped))
     , view(std::make_shared<MemberView>(std::vector<Member>()))
     , items(objects, itemBytesKept, splitLines)
-    , resultPages(objects, resultBytesKept, parsePage)
+    , resultReader(objects)
     , schedule({})
 {
 }
@@ -394,47 +377,7 @@
         });
         return;
     }
-    const auto reading = std::make_shared<Reading>(Reading{request, respond, job->resultsFrom(request.from)});
-    const std::vector<std::string> objects = reading->page.objects;
-    reading->pending += objects.size();
-    for (const std::string &object : objects) {
-        this->resultPages.read(object, [this, reading](const std::shared_ptr<const ResultPage> &page) {
-            if (page != nullptr) {
-                std::ranges::copy(page->results, std::back_inserter(reading->page.inMemory));
-            } else {
-                reading->hasFailed = true;
-            }
-            this->finishReading(*reading);
-        });
-    }
-    this->finishReading(*reading);
-}
-
-void BatchOwner::finishReading(Reading &reading)
-{
-    if (--reading.pending > 0) {
-        return;
-    }
-    if (reading.hasFailed) {
-        // The object cannot be read now. Without it the page would look as if its items were not done.
-        reading.respond({.state = JobState::NotOwner});
-        return;
-    }
-    std::vector<ItemRecord> &results = reading.page.inMemory;
-    std::erase_if(results, [&reading](const ItemRecord &result) {
-        return result.index < reading.request.from;
-    });
-    std::ranges::sort(results, {}, &ItemRecord::index);
-    const std::size_t limit = std::min<std::size_t>(std::max(reading.request.limit, 1U), resultsPerPage);
-    JobResultsResponse response;
-    response.state = reading.page.state;
-    response.next = reading.page.end;
-    if (results.size() > limit) {
-        response.next = results[limit].index;
-        results.resize(limit);
-    }
-    response.results = std::move(results);
-    reading.respond(response);
+    this->resultReader.read(request, job->resultsFrom(request.from), respond);
 }
 
 std::vector<LeasedItems> BatchOwner::leaseNext(const PullItemsRequest &request)
--- a/Services/Owner/BatchOwner.h
+++ b/Services/Owner/BatchOwner.h
@@ -9,6 +9,7 @@
 #include <LibPlatform/ObjectStore.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Owner/ObjectCache.h>
+#include <Services/Owner/ResultReader.h>
 #include <Services/Owner/ShardKeeper.h>
 
 #include <functional>
@@ -71,8 +72,6 @@
     struct Pull;
     /** Results that are being journalled for a lane. */
     struct Commit;
-    /** A part of a job's results that is being read for a caller. */
-    struct Reading;
 
     /** @param told gets Absent only if this node still owns the job's shard */
     void confirmAbsent(const JobId &id, const std::function<void(JobState)> &told);
@@ -99,7 +98,6 @@
     void commitOne(const std::shared_ptr<Commit> &commit, const ItemRecord &result);
     void moveResults();
     void move(ShardNumber shard, const PageDraft &draft);
-    void finishReading(Reading &reading);
 
     template <typename Record>
     void append(ShardNumber shard, RecordKind kind, const Record &record, const JournalWriter::Appended &appended);
@@ -112,7 +110,7 @@
     TellStopped tellStopped;
     MemberViewPointer view;
     ObjectCache<Lines> items;
-    ObjectCache<ResultPage> resultPages;
+    ResultReader resultReader;
 
     JobSchedule schedule;
     /** The jobs that the schedule has of each shard, and under which epoch they were put there. */
