ServiceLane: Read stream events as the entry does

Cause: a run of a batch item built a JSON tree of each event of its stream, in code of its own, and took the text for a string wherever its member was there. An event with null for its text, with which engines open a chat's stream, threw type_error.302 out of the lane's event loop. Nothing catches there, so that (read from the code, not run with a node) the process would end, and the item would go on to the next holder.

Change: the run reads events by EngineEvent::parse, which builds no tree and takes only strings for text.

Shown red: TestItemRun with the former code throws type_error.302, "type must be string, but is null"; with this change its 4 checks pass. All 19 tests pass. What the parsing costs less was not measured here.

Weighed and left: one piece for the AttemptEnd::SilentReused cases of OnlineRequest and PlainCall. They share the order of seven lines, but each line touches the state of its own class (replica, failure, run state, refusal); a common piece would need five hooks or a base class over both.

--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -1,5 +1,7 @@
 #include <Services/Lane/ItemRun.h>
 
+#include <LibFleet/EngineEvent.h>
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -116,19 +118,16 @@
             this->sawEnd = true;
             continue;
         }
-        const Json json = Json::parse(event, nullptr, false);
-        if (!json.is_object() || !json.contains("choices") || json["choices"].empty()) {
+        const auto said = EngineEvent::parse(event);
+        if (!said) {
             continue;
         }
-        const Json &choice = json["choices"][0];
-        const std::string text
-            = choice.contains("delta") ? choice["delta"].value("content", std::string()) : choice.value("text", std::string());
-        if (!text.empty()) {
-            this->current.text += text;
+        if (!said->text.empty()) {
+            this->current.text += said->text;
             ++this->current.tokens;
         }
-        if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
-            this->finishReason = choice["finish_reason"].get<std::string>();
+        if (!said->finishReason.empty()) {
+            this->finishReason = said->finishReason;
         }
     }
     this->tellGap(this->current.tokens - before);
--- /dev/null
+++ b/Tests/ServiceLane/TestItemRun.cpp
@@ -0,0 +1,75 @@
+#include <LibBase/SystemClock.h>
+#include <LibHttp/ServerSentEvents.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Lane/ItemRun.h>
+#include <Tests/Fakes/ScriptedEndpoint.h>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+/** How a run ended at an endpoint that answers with these events. */
+struct Outcome
+{
+    RunEnd end = RunEnd::Lost;
+    std::string detail;
+    std::uint32_t tokens = 0;
+};
+
+Outcome runAgainst(const std::vector<std::string> &events)
+{
+    EventLoop loop;
+    const SystemClock clock;
+    HttpClient http(loop);
+    ScriptedEndpoint endpoint(loop, [&events](const auto &exchange) {
+        std::string body;
+        for (const std::string &event : events) {
+            body += ServerSentEvents::format(event);
+        }
+        exchange->answer(200, body);
+    });
+    HeldItem held;
+    held.item.body = R"({"messages":[]})";
+    const auto run = std::make_shared<ItemRun>(http, clock, held, "run");
+    Outcome outcome;
+    ItemRun::Hooks hooks;
+    hooks.firstToken = [] {};
+    hooks.gap = [](std::chrono::nanoseconds) {};
+    hooks.ended = [&](RunEnd end, const std::string &detail) {
+        outcome = {end, detail, run->held().tokens};
+        loop.stop();
+    };
+    run->start(endpoint.address(), ConnectionChoice::Fresh, std::move(hooks));
+    loop.run();
+    return outcome;
+}
+
+} // namespace
+
+// An engine opens a chat's stream with an event that names the role and has null for its content, as the API allows, or
+// sends something that is no event. Taken for a string, the null threw out of the event loop and ended the node, and with
+// it every item and request there; the item then did the same to the next node.
+TEST_CASE("an event without text counts for no token and does no harm")
+{
+    const Outcome outcome = runAgainst({R"({"choices":[{"delta":{"role":"assistant","content":null}}]})",
+                                        R"({"choices":[{"text":null}]})",
+                                        R"({"choices":[{"delta":null}]})",
+                                        R"({"choices":{"a":1}})",
+                                        "no JSON",
+                                        R"({"choices":[{"delta":{"content":"a"},"finish_reason":null}]})",
+                                        R"({"choices":[{"delta":{"content":"b"},"finish_reason":"stop"}]})",
+                                        "[DONE]"});
+    CHECK(outcome.end == RunEnd::Finished);
+    CHECK(outcome.tokens == 2);
+    const auto result = nlohmann::json::parse(outcome.detail);
+    CHECK(result["text"] == "ab");
+    CHECK(result["finish_reason"] == "stop");
+}
