--- a/Benchmarks/Measure/Capacity.cpp
+++ b/Benchmarks/Measure/Capacity.cpp
@@ -168,6 +168,9 @@
         const Site site(3, 3, replicas);
         printIdle(site, "idle.replicas_" + std::to_string(replicas));
     }
+    // The same replicas over more nodes: tells what each lane that is held costs from what each replica that is known costs.
+    const Site spread(11, 3, 1800);
+    printIdle(spread, "idle.replicas_1800_nodes_11");
 }
 
 void measureLookups()
