OwnerService: Tell a release as done only when its withdrawal is durable

The owner was then lost before it wrote the withdrawal. The next owner found an intent whose runner lives, and answered every resend "still running" until the claim's lease of two minutes ended. Two gaps led to that: the entry did not give such a claim back at all, and an owner told a release as done before the withdrawal was durable.

The job reported beside the request had only been sent to a node that was down, and was first submitted after the settle time, which the stuck request had used up.

Change: after "cannot be recorded now" the entry gives the claim back, at the next owner if the first is lost. The owner answers a release when the withdrawal is durable, and "not the owner" when it lost the shard before that.

--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -120,6 +120,9 @@
         return;
     }
     this->hasClaim = response->decision == ClaimDecision::Run;
+    if (response->decision == ClaimDecision::Unavailable) {
+        this->release();
+    }
     if (this->phase == Phase::Ended) {
         this->giveBack(noOwner);
         return;
@@ -201,15 +204,18 @@
         return;
     }
     // It was not sent and will not be. Kept as an answer, the refusal would meet its caller at each resend, though
-    // Retry-After had told it to come back: given back, a resend runs. The owner withdraws a durable intent by a record.
+    // Retry-After had told it to come back: given back, a resend runs.
+    this->release();
+}
+
+void OnlineRequest::release()
+{
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
         [](const ReleaseResponse &response) {
-            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
-            // would wait for it until its lease ends.
             return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -388,7 +388,19 @@
     if (verdict == ReleaseVerdict::Withdraw) {
         this->writeWithdrawal(this->keeper.shardOf(request.requestId.value()), request.requestId);
     }
-    respond({.isOwner = true, .isReleased = verdict != ReleaseVerdict::Refused});
+    const bool isRefused = verdict == ReleaseVerdict::Refused;
+    if (isRefused || state->requests.state(request.requestId) == RequestState::Absent) {
+        respond({.isOwner = true, .isReleased = !isRefused});
+        return;
+    }
+    // Told before the withdrawal is durable, the claimer would leave it at that. Were this owner then lost, the next one
+    // would find an intent whose runner lives, and resends would wait for it until its lease ends. Told "not the owner",
+    // the claimer goes on to the next one.
+    state->requests.await(request.requestId, [this, id = request.requestId, respond] {
+        const ShardState *const state = this->stateOf(id.value());
+        const bool isReleased = state != nullptr && state->requests.state(id) == RequestState::Absent;
+        respond({.isOwner = state != nullptr, .isReleased = isReleased});
+    });
 }
 
 void OwnerService::result(const ResultRequest &request, const Respond<ResultResponse> &respond)
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -242,6 +242,31 @@
     CHECK(bench.owner.releases[0].claim == bench.owner.releases[1].claim);
 }
 
+TEST_CASE("a non-idempotent claim that could not be recorded in time is given back until an owner has it")
+{
+    // The owner answers that it cannot record the intent now, and the caller is refused. The intent may stand in the journal
+    // all the same, and the owner may die before it withdraws it: the next owner would let resends wait for this claim until
+    // its lease ends.
+    EntryBench bench(1);
+    bench.owner.onClaim = [](const ClaimRequest &, const auto &respond) {
+        respond({ClaimDecision::Unavailable, {}});
+    };
+    bench.owner.onRelease = [&bench](const ReleaseRequest &, const auto &respond) {
+        const bool isOwner = bench.owner.releases.size() > 1;
+        respond({isOwner, isOwner});
+    };
+    bench.start();
+    const auto answer = bench.complete("p", nonIdempotent(named), false);
+    bench.untilEnd(answer);
+    CHECK(answer->error("reason") == "platform_unavailable");
+    CHECK(answer->error("run") == "unknown");
+    bench.until([&] {
+        return bench.owner.releases.size() == 2;
+    });
+    CHECK(bench.owner.releases[0].claim == bench.owner.claims[0].claim);
+    CHECK(bench.owner.releases[1].claim == bench.owner.claims[0].claim);
+}
+
 TEST_CASE("a caller whose deadline passes in the middle of a stream is told so, and the endpoint is not blamed")
 {
     EntryBench bench(2);
--- a/Tests/ServiceOwner/TestNonIdempotent.cpp
+++ b/Tests/ServiceOwner/TestNonIdempotent.cpp
@@ -110,6 +110,44 @@
     CHECK((fixture.claim(fixture.a, fixture.a.claimOf("payout", 3, true)).decision == ClaimDecision::Run));
 }
 
+TEST_CASE("a release is told as done only when the withdrawal of its intent is durable")
+{
+    // The platform goes down, the entry gives its claim back, and the owner is lost before it could write the withdrawal.
+    // Told "released" before that, the entry would leave it at that. The next owner finds an intent whose runner lives:
+    // resends, whose caller was told "not run", would wait for a run that never was until the lease ends.
+    OwnerFixture fixture;
+    fixture.show({OwnerFixture::first});
+    const ClaimRequest claim = fixture.a.claimOf("payout", 1, true);
+    REQUIRE((fixture.claim(fixture.a, claim).decision == ClaimDecision::Run));
+    fixture.a.platform.setDown(true);
+    Answers<ReleaseResponse> first;
+    fixture.a.service.release(releaseOf(claim), first.keep());
+    Answers<ReleaseResponse> again;
+    fixture.a.service.release(releaseOf(claim), again.keep());
+    fixture.clock.advance(1s);
+    CHECK(first.count() == 0);
+    CHECK(again.count() == 0);
+
+    SUBCASE("the owner gets to write it")
+    {
+        fixture.a.platform.setDown(false);
+        fixture.clock.advance(3s);
+        CHECK((first.count() == 1 && first.last().isOwner));
+        CHECK((again.count() == 1 && again.last().isOwner));
+        CHECK((fixture.claim(fixture.a, fixture.a.claimOf("payout", 2, true)).decision == ClaimDecision::Run));
+    }
+    SUBCASE("another takes over first")
+    {
+        fixture.b.service.setView(viewOf({OwnerFixture::first, OwnerFixture::second}));
+        fixture.b.service.setView(viewOf({OwnerFixture::second}));
+        fixture.clock.advance(3s);
+        fixture.a.platform.setDown(false);
+        fixture.clock.advance(3s);
+        CHECK((first.count() == 1 && !first.last().isOwner));
+        CHECK((again.count() == 1 && !again.last().isOwner));
+    }
+}
+
 TEST_CASE("an idempotent claim of a lost runner is free at once")
 {
     OwnerFixture fixture;
