OnlineRequest: Give back a claim that is left waiting for its own intent

Cause: the answer to a non-idempotent claim is lost with its owner or its connection. After the request had ended, that answer was taken for the end of it: the intent became durable with nobody to run it, and resends waited for it until the claim's lease of two minutes ended.

Change: told to wait after its end, a non-idempotent request gives its claim back. The owner refuses that to one that does not hold it, so another's run is not touched.

--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -120,7 +120,8 @@
         return;
     }
     this->hasClaim = response->decision == ClaimDecision::Run;
-    if (response->decision == ClaimDecision::Unavailable) {
+    const bool isLeftWaiting = this->phase == Phase::Ended && response->decision == ClaimDecision::StillRunning;
+    if (response->decision == ClaimDecision::Unavailable || (isLeftWaiting && this->request.isNonIdempotent)) {
         this->release();
     }
     if (this->phase == Phase::Ended) {
@@ -142,7 +143,6 @@
         this->refuse({statusConflict, "outcome_unknown", "it may have run once, and will not run again", RunState::Unknown, {}});
         return;
     case ClaimDecision::StillRunning:
-        // Past the deadline the caller has been answered by onDeadline().
         this->claim();
         return;
     case ClaimDecision::Unavailable:
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -76,9 +76,9 @@
     void giveBack(const Refusal &refusal);
     /**
      * Have the owner take the claim back; it withdraws a durable intent by a record. Even a claim that it could not record
-     * in time may stand in the journal as an intent, and the owner may be lost before it withdraws it. So a node that does
-     * not own the shard, or not yet, is no end of it: the next owner would find an intent whose runner lives, and resends
-     * would wait for that runner until the claim's lease ends.
+     * in time, or that met its own intent when it was asked again, may stand in the journal as an intent, and the owner may be
+     * lost before it withdraws it. So a node that does not own the shard, or not yet, is no end of it: the next owner would find
+     * an intent whose runner lives, and resends would wait for that runner until the claim's lease ends.
      */
     void release();
 
--- a/Tests/ServiceEntry/TestOnlineRequest.cpp
+++ b/Tests/ServiceEntry/TestOnlineRequest.cpp
@@ -267,6 +267,27 @@
     CHECK(bench.owner.releases[1].claim == bench.owner.claims[0].claim);
 }
 
+TEST_CASE("a non-idempotent claim that is told to wait after its request has ended is given back")
+{
+    // The first answer to a claim is lost, and the claim asked again meets its own intent on its way to the journal: it is
+    // told to wait, after its caller has been refused. Left at that, the intent would stand with nobody to run it, and
+    // resends would wait for it until its lease ends.
+    EntryBench bench(1);
+    bench.owner.onClaim = [&bench](const ClaimRequest &, const auto &respond) {
+        bench.loop.schedule(std::chrono::milliseconds(150), [respond] {
+            respond({ClaimDecision::StillRunning, {}});
+        });
+    };
+    bench.start();
+    const auto answer = bench.complete("p", withDeadline("100", nonIdempotent(named)), false);
+    bench.untilEnd(answer);
+    CHECK(answer->error("reason") == "deadline_exceeded");
+    bench.until([&] {
+        return bench.owner.releases.size() == 1;
+    });
+    CHECK(bench.owner.releases[0].claim == bench.owner.claims[0].claim);
+}
+
 TEST_CASE("a caller whose deadline passes in the middle of a stream is told so, and the endpoint is not blamed")
 {
     EntryBench bench(2);
