--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -120,6 +120,10 @@
         return;
     }
     this->hasClaim = response->decision == ClaimDecision::Run;
+    const bool isLeftWaiting = this->phase == Phase::Ended && response->decision == ClaimDecision::StillRunning;
+    if (response->decision == ClaimDecision::Unavailable || (isLeftWaiting && this->request.isNonIdempotent)) {
+        this->release();
+    }
     if (this->phase == Phase::Ended) {
         this->giveBack(noOwner);
         return;
@@ -139,7 +143,6 @@
         this->refuse({statusConflict, "outcome_unknown", "it may have run once, and will not run again", RunState::Unknown, {}});
         return;
     case ClaimDecision::StillRunning:
-        // Past the deadline the caller has been answered by onDeadline().
         this->claim();
         return;
     case ClaimDecision::Unavailable:
@@ -201,15 +204,18 @@
         return;
     }
     // It was not sent and will not be. Kept as an answer, the refusal would meet its caller at each resend, though
-    // Retry-After had told it to come back: given back, a resend runs. The owner withdraws a durable intent by a record.
+    // Retry-After had told it to come back: given back, a resend runs.
+    this->release();
+}
+
+void OnlineRequest::release()
+{
     this->context.owners.call<ReleaseRequest>(
         this->request.id.value(),
         ReleaseRequest{this->request.id, this->runner, this->claimNumber},
         std::chrono::milliseconds(0),
         this->context.clock.now() + this->context.settings->owner.claimLease,
         [](const ReleaseResponse &response) {
-            // Told by a node that does not own the shard, or not yet: left at that, the claim would stand, and resends
-            // would wait for it until its lease ends.
             return response.isOwner;
         },
         [](const std::optional<ReleaseResponse> &) {});
