LibBase: Work out the shard of an id in one place

The entry, the owner and the lanes each had the formula of their own; were one to change alone, calls would go to nodes that do not own the shard and wait until their deadline. Ruled out as worth a change: the lists of handlers in BatchOwner and OwnerService (each line names another message) and the platform's interface overrides.

--- a/Services/Entry/OwnerClient.cpp
+++ b/Services/Entry/OwnerClient.cpp
@@ -1,6 +1,6 @@
 #include <Services/Entry/OwnerClient.h>
 
-#include <LibBase/Hash.h>
+#include <LibBase/Shards.h>
 
 #include <utility>
 
@@ -19,7 +19,7 @@
 
 ShardNumber OwnerClient::shardOf(const std::string &id) const
 {
-    return ShardNumber(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
+    return shardOfId(id, this->options.shards);
 }
 
 std::optional<Address> OwnerClient::targetFor(const std::string &id, bool asksFormer) const
--- a/Services/Lane/JobOwners.h
+++ b/Services/Lane/JobOwners.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibBase/Hash.h>
+#include <LibBase/Shards.h>
 #include <LibMembership/MemberView.h>
 #include <LibSettings/SettingsHandle.h>
 
@@ -33,7 +33,7 @@
     const Member *of(const JobId &job) const
     {
         const auto shards = static_cast<std::uint64_t>(this->settings->owner.shards);
-        return this->current->ownerOf(ShardNumber(static_cast<std::uint32_t>(stableHash(job.value()) % shards)));
+        return this->current->ownerOf(shardOfId(job.value(), shards));
     }
 
 private:
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -1,7 +1,7 @@
 #include <Services/Owner/ShardKeeper.h>
 
-#include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibBase/Shards.h>
 #include <LibJournal/JournalKeys.h>
 #include <LibWire/Codec.h>
 
@@ -199,7 +199,7 @@
 
 ShardNumber ShardKeeper::shardOf(const std::string &id) const
 {
-    return ShardNumber(static_cast<std::uint32_t>(stableHash(id) % this->options.shards));
+    return shardOfId(id, this->options.shards);
 }
 
 void ShardKeeper::tick()
