--- /dev/null
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -0,0 +1,369 @@
+#include <LibDispatch/Dispatcher.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** A waiting request that its node has not asked for again in this time is over: the word of its end was lost. */
+constexpr std::chrono::milliseconds waitingForgotten{600};
+/** A placement that its node has not reported in this time is over; nodes report several times as often. */
+constexpr std::chrono::milliseconds placementForgotten{1500};
+/** A report may have left its node before the word of a placement reached it; longer than any datagram travels. */
+constexpr std::chrono::milliseconds reportLag{250};
+/** An order to stop that has had no effect by then was lost, and is repeated. */
+constexpr std::chrono::milliseconds stopRepeat{40};
+/** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it
+ * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
+constexpr std::chrono::milliseconds batchCalm{30};
+/** Weight of the newest value in running means: the last fifty or so requests count. */
+constexpr double meanWeight = 0.02;
+
+} // namespace
+
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks))
+{
+}
+
+void Dispatcher::setReplicas(const std::vector<DispatchReplica> &replicas)
+{
+    std::map<EndpointName, Replica> updated;
+    for (const DispatchReplica &traits : replicas) {
+        const auto known = this->replicas.find(traits.instance);
+        Replica replica = known != this->replicas.end() ? known->second : Replica();
+        replica.traits = traits;
+        updated.emplace(traits.instance, std::move(replica));
+    }
+    this->replicas = std::move(updated);
+    for (auto placement = this->placements.begin(); placement != this->placements.end();) {
+        const auto next = std::next(placement);
+        if (!this->replicas.contains(placement->second.replica)) {
+            this->forget(placement);
+        }
+        placement = next;
+    }
+    // Items make up what they lose; they must not hold up a replica that leaves.
+    for (auto &[id, placement] : this->placements) {
+        const bool isLeaving = this->replicas.at(placement.replica).traits.isDraining;
+        if (isLeaving && placement.work == WorkClass::Batch && !placement.stopped) {
+            this->stop(placement);
+        }
+    }
+    this->assign();
+}
+
+bool Dispatcher::ask(const PlacementRequest &request)
+{
+    const auto placed = this->placements.find(request.id);
+    if (placed != this->placements.end()) {
+        placed->second.confirmed = this->clock.now();
+        this->hooks.place(request.id, placed->second.replica);
+        return true;
+    }
+    std::list<Waiting> &queue = request.work == WorkClass::Online ? this->online : this->batch;
+    const auto known = std::ranges::find_if(queue, [&request](const Waiting &waiting) {
+        return waiting.request.id == request.id;
+    });
+    if (known != queue.end()) {
+        known->asked = this->clock.now();
+        return false;
+    }
+    queue.push_back({request, this->clock.now()});
+    this->assign();
+    return this->placements.contains(request.id);
+}
+
+void Dispatcher::end(TicketId id, PlacementVerdict verdict)
+{
+    const auto isIt = [id](const Waiting &waiting) {
+        return waiting.request.id == id;
+    };
+    this->online.remove_if(isIt);
+    this->batch.remove_if(isIt);
+    const auto placed = this->placements.find(id);
+    if (placed != this->placements.end()) {
+        this->remove(placed, verdict);
+    }
+    this->assign();
+}
+
+void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
+{
+    const SteadyTime now = this->clock.now();
+    std::map<std::uint64_t, const RunningPlacement *> reported;
+    for (const RunningPlacement &entry : running) {
+        reported.emplace(entry.ticket, &entry);
+    }
+    for (auto placement = this->placements.lower_bound({node, 0});
+         placement != this->placements.end() && placement->first.node == node;) {
+        const auto next = std::next(placement);
+        const auto report = reported.find(placement->first.number);
+        if (report != reported.end() && report->second->replica == placement->second.replica) {
+            placement->second.confirmed = now;
+            reported.erase(report);
+        } else if (report != reported.end()) {
+            // The node had waited too long for the answer, and chose a replica by itself.
+            this->forget(placement);
+        } else if (placement->first.number <= lastTicket && now - placement->second.placed > reportLag) {
+            this->forget(placement);
+        }
+        placement = next;
+    }
+    for (const auto &[number, entry] : reported) {
+        const auto replica = this->replicas.find(entry->replica);
+        if (replica == this->replicas.end()) {
+            continue;
+        }
+        const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
+        const TicketId id{node, number};
+        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, now, std::nullopt});
+        (work == WorkClass::Batch ? replica->second.batch : replica->second.online) += 1;
+        this->online.remove_if([id](const Waiting &waiting) {
+            return waiting.request.id == id;
+        });
+    }
+    this->assign();
+}
+
+void Dispatcher::dropNode(SessionNumber node)
+{
+    const auto isOfNode = [node](const Waiting &waiting) {
+        return waiting.request.id.node == node;
+    };
+    this->online.remove_if(isOfNode);
+    this->batch.remove_if(isOfNode);
+    for (auto placement = this->placements.lower_bound({node, 0});
+         placement != this->placements.end() && placement->first.node == node;) {
+        const auto next = std::next(placement);
+        this->forget(placement);
+        placement = next;
+    }
+    this->assign();
+}
+
+void Dispatcher::tick()
+{
+    const SteadyTime now = this->clock.now();
+    const auto isForgotten = [now](const Waiting &waiting) {
+        return now - waiting.asked > waitingForgotten || now > waiting.request.deadline;
+    };
+    this->online.remove_if(isForgotten);
+    this->batch.remove_if(isForgotten);
+    for (auto placement = this->placements.begin(); placement != this->placements.end();) {
+        const auto next = std::next(placement);
+        Placement &entry = placement->second;
+        if (now - entry.confirmed > placementForgotten) {
+            this->forget(placement);
+        } else if (entry.stopped && now - *entry.stopped > stopRepeat) {
+            entry.stopped = now;
+            this->hooks.stop(entry.id);
+        }
+        placement = next;
+    }
+    this->assign();
+}
+
+Dispatcher::Load Dispatcher::load() const
+{
+    Load load;
+    load.slots = this->totalSlots();
+    for (const auto &[instance, replica] : this->replicas) {
+        load.onlineRunning += replica.online;
+        load.batchRunning += replica.batch;
+    }
+    load.onlineWaiting = this->online.size();
+    load.batchWaiting = this->batch.size();
+    return load;
+}
+
+void Dispatcher::assign()
+{
+    if (std::exchange(this->isAssigning, true)) {
+        return;
+    }
+    this->assignOnline();
+    if (this->online.empty()) {
+        this->assignBatch();
+    }
+    this->isAssigning = false;
+}
+
+void Dispatcher::assignOnline()
+{
+    // Under overload, first come first served makes everybody late. Who can still be on time goes first, then the others.
+    const SteadyTime now = this->clock.now();
+    this->online.sort([now](const Waiting &left, const Waiting &right) {
+        const auto rank = [now](const PlacementRequest &request) {
+            return std::tuple(request.priority, now > request.due, request.arrived);
+        };
+        return rank(left.request) < rank(right.request);
+    });
+    for (auto waiting = this->online.begin(); waiting != this->online.end();) {
+        const PlacementRequest request = waiting->request;
+        if (this->placeOnline(request)) {
+            waiting = this->online.erase(waiting);
+            continue;
+        }
+        // One that finds no place though it avoids no replica shows that there is none for the others either.
+        if (request.avoided.empty()) {
+            return;
+        }
+        ++waiting;
+    }
+}
+
+void Dispatcher::assignBatch()
+{
+    this->batch.sort([](const Waiting &left, const Waiting &right) {
+        return left.request.due < right.request.due;
+    });
+    for (auto waiting = this->batch.begin(); waiting != this->batch.end();) {
+        const PlacementRequest request = waiting->request;
+        if (!this->placeBatch(request)) {
+            return;
+        }
+        waiting = this->batch.erase(waiting);
+    }
+}
+
+bool Dispatcher::placeOnline(const PlacementRequest &request)
+{
+    if (Replica *const replica = this->freeReplica(request)) {
+        this->place(request, *replica);
+        return true;
+    }
+    if (Placement *const victim = this->victimFor(request)) {
+        Replica &replica = this->replicas.at(victim->replica);
+        this->stop(*victim);
+        this->place(request, replica);
+        return true;
+    }
+    return false;
+}
+
+bool Dispatcher::placeBatch(const PlacementRequest &request)
+{
+    Replica *const replica = this->freeReplica(request);
+    if (replica == nullptr || this->clock.now() - replica->lastFull < batchCalm) {
+        return false;
+    }
+    this->place(request, *replica);
+    return true;
+}
+
+Dispatcher::Replica *Dispatcher::freeReplica(const PlacementRequest &request)
+{
+    Replica *best = nullptr;
+    double bestScore = 0;
+    for (auto &[instance, replica] : this->replicas) {
+        if (!this->isUsable(replica, request) || !hasFreeSlot(replica)) {
+            continue;
+        }
+        // Between failure domains bytes cost; at equal load the near replica is taken.
+        const bool isNear = replica.traits.failureDomain == request.failureDomain;
+        const double running = replica.online + replica.batch + (isNear ? 0.0 : 0.9);
+        const double score = running / replica.traits.slots;
+        if (best == nullptr || score < bestScore) {
+            best = &replica;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+Dispatcher::Placement *Dispatcher::victimFor(const PlacementRequest &request)
+{
+    // The item that is due last gives way; what it has generated so far is kept by its node.
+    Placement *victim = nullptr;
+    for (auto &[id, placement] : this->placements) {
+        if (placement.work != WorkClass::Batch || placement.stopped) {
+            continue;
+        }
+        if (!this->isUsable(this->replicas.at(placement.replica), request)) {
+            continue;
+        }
+        if (victim == nullptr || placement.due > victim->due) {
+            victim = &placement;
+        }
+    }
+    return victim;
+}
+
+void Dispatcher::place(const PlacementRequest &request, Replica &replica)
+{
+    const SteadyTime now = this->clock.now();
+    (request.work == WorkClass::Batch ? replica.batch : replica.online) += 1;
+    if (!hasFreeSlot(replica)) {
+        replica.lastFull = now;
+    }
+    replica.gate.noteSent(now);
+    this->placements.insert_or_assign(
+        request.id, Placement{request.id, request.work, replica.traits.instance, now, now, request.due, std::nullopt});
+    this->hooks.place(request.id, replica.traits.instance);
+}
+
+void Dispatcher::stop(Placement &placement)
+{
+    placement.stopped = this->clock.now();
+    this->replicas.at(placement.replica).batch -= 1;
+    this->hooks.stop(placement.id);
+}
+
+void Dispatcher::remove(Placements::iterator placement, PlacementVerdict verdict)
+{
+    const Placement &entry = placement->second;
+    const SteadyTime now = this->clock.now();
+    const auto replica = this->replicas.find(entry.replica);
+    if (replica != this->replicas.end()) {
+        replica->second.gate.noteEnd(verdict, now);
+    }
+    if (verdict == PlacementVerdict::Finished && entry.work == WorkClass::Online) {
+        const std::chrono::duration<double, std::milli> hold = now - entry.placed;
+        this->meanHold += (hold - this->meanHold) * meanWeight;
+    }
+    this->forget(placement);
+}
+
+void Dispatcher::forget(Placements::iterator placement)
+{
+    const Placement &entry = placement->second;
+    const auto replica = this->replicas.find(entry.replica);
+    if (replica != this->replicas.end() && !entry.stopped) {
+        if (!hasFreeSlot(replica->second)) {
+            replica->second.lastFull = this->clock.now();
+        }
+        (entry.work == WorkClass::Batch ? replica->second.batch : replica->second.online) -= 1;
+    }
+    this->placements.erase(placement);
+}
+
+bool Dispatcher::isUsable(const Replica &replica, const PlacementRequest &request) const
+{
+    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !isAvoided(request, replica.traits.instance);
+}
+
+bool Dispatcher::isAvoided(const PlacementRequest &request, const EndpointName &instance)
+{
+    return std::ranges::find(request.avoided, instance) != request.avoided.end();
+}
+
+bool Dispatcher::hasFreeSlot(const Replica &replica)
+{
+    return replica.online + replica.batch < replica.traits.slots;
+}
+
+std::size_t Dispatcher::totalSlots() const
+{
+    std::size_t slots = 0;
+    for (const auto &[instance, replica] : this->replicas) {
+        slots += replica.traits.isDraining ? 0 : replica.traits.slots;
+    }
+    return slots;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibDispatch/PlacementTypes.h>
+#include <LibDispatch/ReplicaGate.h>
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Decides for one service, over all nodes, which request goes to which replica, and when.
+ *
+ * One queue and one count a replica: no slot stands idle while a request waits anywhere, and no request waits in a
+ * replica's own queue, where its order could no longer be chosen. Batch items fill what online requests leave, and are
+ * stopped for them at once: a replica reads the item's tokens again in some milliseconds when it goes on.
+ *
+ * Its state is soft. Nodes report what they run, which corrects what lost datagrams left wrong, and tells a new dispatcher
+ * what there is. Nothing that must hold depends on it: a replica that gets one request too many queues or rejects it.
+ */
+class Dispatcher
+{
+public:
+    /** Who hears of decisions. */
+    struct Hooks
+    {
+        std::function<void(TicketId, const EndpointName &)> place;
+        /** A batch item has to give up its place. */
+        std::function<void(TicketId)> stop;
+        /** It can't be served in time. */
+        std::function<void(TicketId, std::chrono::milliseconds comeBack)> refuse;
+    };
+
+    /** What there is, for metrics and status. */
+    struct Load
+    {
+        std::size_t slots = 0;
+        std::size_t onlineRunning = 0;
+        std::size_t batchRunning = 0;
+        std::size_t onlineWaiting = 0;
+        std::size_t batchWaiting = 0;
+    };
+
+    Dispatcher(const Clock &clock, Hooks hooks);
+
+    /** The replicas there are now. */
+    void setReplicas(const std::vector<DispatchReplica> &replicas);
+
+    /** A request wants a place; asked again, it gets the same answer. @return whether it has one now */
+    bool ask(const PlacementRequest &request);
+
+    /** A request is over, or wants no place any more. */
+    void end(TicketId id, PlacementVerdict verdict);
+
+    /**
+     * All that a node runs.
+     * @param lastTicket tickets of the node above it are not covered
+     */
+    void reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running);
+
+    /** A node is gone, and with it all its requests. */
+    void dropNode(SessionNumber node);
+
+    /** Look after what time brings: waits that are over, replicas that may be tried again, orders that were lost. */
+    void tick();
+
+    Load load() const;
+
+private:
+    struct Placement
+    {
+        TicketId id;
+        WorkClass work = WorkClass::Online;
+        EndpointName replica;
+        SteadyTime placed{};
+        /** When its node was last heard of it. */
+        SteadyTime confirmed{};
+        SteadyTime due{};
+        /** When it was told to stop, if it was. */
+        std::optional<SteadyTime> stopped;
+    };
+
+    struct Waiting
+    {
+        PlacementRequest request;
+        /** When its node last asked. */
+        SteadyTime asked{};
+    };
+
+    struct Replica
+    {
+        DispatchReplica traits;
+        ReplicaGate gate;
+        std::uint32_t online = 0;
+        /** Batch items that were not told to stop. */
+        std::uint32_t batch = 0;
+        /** When it last had no free slot. */
+        SteadyTime lastFull{};
+    };
+
+    using Placements = std::map<TicketId, Placement>;
+
+    void assign();
+    void assignOnline();
+    void assignBatch();
+    bool placeOnline(const PlacementRequest &request);
+    bool placeBatch(const PlacementRequest &request);
+    Replica *freeReplica(const PlacementRequest &request);
+    Placement *victimFor(const PlacementRequest &request);
+    void place(const PlacementRequest &request, Replica &replica);
+    void stop(Placement &placement);
+    void remove(Placements::iterator placement, PlacementVerdict verdict);
+    void forget(Placements::iterator placement);
+    bool isUsable(const Replica &replica, const PlacementRequest &request) const;
+    static bool isAvoided(const PlacementRequest &request, const EndpointName &instance);
+    static bool hasFreeSlot(const Replica &replica);
+    std::size_t totalSlots() const;
+
+    const Clock &clock;
+    Hooks hooks;
+    std::map<EndpointName, Replica> replicas;
+    Placements placements;
+    std::list<Waiting> online;
+    std::list<Waiting> batch;
+    /** Running mean of how long an online request keeps its slot. */
+    std::chrono::duration<double, std::milli> meanHold{800};
+    bool isAssigning = false;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -0,0 +1,74 @@
+#include <LibDispatch/LocalPlacement.h>
+
+#include <algorithm>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** A replica in another failure domain is worth this part of a request's load: at equal load the near one is taken. */
+constexpr double farPenalty = 0.5;
+/** A replica that failed lately is taken only if all did: some answer is better than none. */
+constexpr double blockedPenalty = 1000;
+
+} // namespace
+
+LocalPlacement::LocalPlacement(const Clock &clock, std::uint64_t seed)
+    : clock(clock), random(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+void LocalPlacement::setReplicas(const std::vector<DispatchReplica> &replicas)
+{
+    std::map<EndpointName, Replica> updated;
+    for (const DispatchReplica &traits : replicas) {
+        const auto known = this->replicas.find(traits.instance);
+        Replica replica = known != this->replicas.end() ? known->second : Replica();
+        replica.traits = traits;
+        updated.emplace(traits.instance, std::move(replica));
+    }
+    this->replicas = std::move(updated);
+}
+
+std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near, const std::vector<EndpointName> &avoided)
+{
+    std::optional<EndpointName> best;
+    double bestScore = 0;
+    std::uniform_real_distribution<double> tieBreak(0, 0.25);
+    for (const auto &[instance, replica] : this->replicas) {
+        if (replica.traits.isDraining || std::ranges::find(avoided, instance) != avoided.end()) {
+            continue;
+        }
+        const bool isOpen = replica.gate.isOpen(this->clock.now());
+        const double far = replica.traits.failureDomain == near ? 0 : farPenalty;
+        const double load = (replica.running + far + tieBreak(this->random)) / replica.traits.slots;
+        const double score = load + (isOpen ? 0 : blockedPenalty);
+        if (!best || score < bestScore) {
+            best = instance;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void LocalPlacement::begin(const EndpointName &instance)
+{
+    const auto replica = this->replicas.find(instance);
+    if (replica != this->replicas.end()) {
+        ++replica->second.running;
+        replica->second.gate.noteSent(this->clock.now());
+    }
+}
+
+void LocalPlacement::end(const EndpointName &instance, PlacementVerdict verdict)
+{
+    const auto replica = this->replicas.find(instance);
+    if (replica != this->replicas.end()) {
+        replica->second.running -= std::min<std::uint32_t>(replica->second.running, 1);
+        replica->second.gate.noteEnd(verdict, this->clock.now());
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Identifiers.h>
+#include <LibWire/Generated/Messages.h>
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** Names a request that wants a place at a replica, among all nodes. */
+struct TicketId
+{
+    SessionNumber node;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const TicketId &) const = default;
+};
+
+/** Whether a request can be made to wait in favour of others. */
+enum class WorkClass {
+    /** Somebody waits for it. */
+    Online,
+    /** An item of a batch job: it gives its place up when an online request needs it. */
+    Batch,
+};
+
+/** A request that wants a place. */
+struct PlacementRequest
+{
+    TicketId id;
+    WorkClass work = WorkClass::Online;
+    /** The most urgent is 0. */
+    std::uint32_t priority = 0;
+    /** When it arrived at its node. */
+    SteadyTime arrived{};
+    /** Until when its first event is on time; for a batch item, until when its job is due. */
+    SteadyTime due{};
+    /** Until when its caller waits. */
+    SteadyTime deadline{};
+    /** Estimate of its work: prompt tokens, and output tokens ten times. */
+    std::uint32_t tokens = 0;
+    /** Where its node is. */
+    FailureDomain failureDomain;
+    /** Replicas that turned it away or failed it. */
+    std::vector<EndpointName> avoided;
+};
+
+/** A replica as far as placing requests needs to know it. */
+struct DispatchReplica
+{
+    EndpointName instance;
+    FailureDomain failureDomain;
+    /** Requests that it runs side by side. */
+    std::uint32_t slots = 1;
+    /** Whether it takes no new requests. */
+    bool isDraining = false;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/ReplicaGate.cpp
@@ -0,0 +1,63 @@
+#include <LibDispatch/ReplicaGate.h>
+
+#include <algorithm>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** About how long a replica that is full takes to free a place: a tenth of a short answer. */
+constexpr std::chrono::milliseconds rejectedPause{50};
+/** A connection that breaks can be the fault of one request: a replica is left alone only after several in a row. */
+constexpr int brokenInRow = 2;
+constexpr std::chrono::milliseconds firstPause{200};
+/** Replicas are back some seconds after a crash; waiting much longer would leave them idle. */
+constexpr std::chrono::milliseconds longestPause{1600};
+/** How long the request that tries a replica has to tell how it went, before the next may try. */
+constexpr std::chrono::milliseconds trialTime{400};
+
+} // namespace
+
+bool ReplicaGate::isOpen(SteadyTime now) const
+{
+    return now >= this->blockedUntil;
+}
+
+void ReplicaGate::noteSent(SteadyTime now)
+{
+    if (this->failures >= brokenInRow) {
+        this->block(trialTime, now);
+    }
+}
+
+void ReplicaGate::noteEnd(PlacementVerdict verdict, SteadyTime now)
+{
+    switch (verdict) {
+    case PlacementVerdict::Finished:
+        this->failures = 0;
+        this->blockedUntil = {};
+        return;
+    case PlacementVerdict::Rejected:
+        this->block(rejectedPause, now);
+        return;
+    case PlacementVerdict::Broken:
+        if (++this->failures < brokenInRow) {
+            return;
+        }
+        break;
+    case PlacementVerdict::Unreachable:
+        this->failures = std::max(this->failures + 1, brokenInRow);
+        break;
+    }
+    const int doublings = std::min(this->failures - brokenInRow, 3);
+    this->block(std::min(firstPause * (1 << doublings), longestPause), now);
+}
+
+void ReplicaGate::block(std::chrono::milliseconds time, SteadyTime now)
+{
+    this->blockedUntil = std::max(this->blockedUntil, now + time);
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/ReplicaGate.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibWire/Generated/Messages.h>
+
+#include <chrono>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Whether a replica should get requests, judged by what its last ones met. After a failure it is left alone for a while,
+ * then one request tries it; each further failure doubles the while. So a replica that went dark costs one request a try,
+ * and one that fails now and then stays in use.
+ */
+class ReplicaGate
+{
+public:
+    /** @return whether a request may be sent there now. */
+    bool isOpen(SteadyTime now) const;
+
+    /** A request was sent there. */
+    void noteSent(SteadyTime now);
+
+    /** A request ended. */
+    void noteEnd(PlacementVerdict verdict, SteadyTime now);
+
+private:
+    void block(std::chrono::milliseconds time, SteadyTime now);
+
+    int failures = 0;
+    SteadyTime blockedUntil{};
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -0,0 +1,99 @@
+#include <LibGateway/EventSplitter.h>
+
+#include <charconv>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** @return what stands behind the field's name and colon, without the one space that may follow it. */
+std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ':') {
+        return std::nullopt;
+    }
+    std::string_view value = line.substr(name.size() + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    return value;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+StreamEvent parseEvent(std::string_view text)
+{
+    StreamEvent event;
+    event.text = text;
+    bool hasData = false;
+    while (!text.empty()) {
+        const std::size_t feed = text.find('\n');
+        std::string_view line = text.substr(0, feed);
+        text.remove_prefix(feed == std::string_view::npos ? text.size() : feed + 1);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (const std::optional<std::string_view> id = fieldValue(line, "id")) {
+            event.id = numberOf(*id);
+        } else if (const std::optional<std::string_view> data = fieldValue(line, "data")) {
+            event.data.append(hasData ? "\n" : "").append(*data);
+            hasData = true;
+        }
+    }
+    return event;
+}
+
+/** @return the place behind the first empty line, or npos. */
+std::size_t eventEnd(std::string_view text, std::size_t from)
+{
+    for (std::size_t feed = text.find('\n', from); feed != std::string_view::npos; feed = text.find('\n', feed + 1)) {
+        const std::string_view behind = text.substr(feed + 1);
+        if (behind.starts_with("\n")) {
+            return feed + 2;
+        }
+        if (behind.starts_with("\r\n")) {
+            return feed + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+EventSplitter::EventSplitter(std::size_t largestEvent) : largestEvent(largestEvent)
+{
+}
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
+{
+    this->rest.append(bytes);
+    std::vector<StreamEvent> events;
+    std::size_t start = 0;
+    for (std::size_t end = eventEnd(this->rest, start); end != std::string::npos; end = eventEnd(this->rest, start)) {
+        events.push_back(parseEvent(std::string_view(this->rest).substr(start, end - start)));
+        start = end;
+    }
+    this->rest.erase(0, start);
+    this->broken = this->broken || this->rest.size() > this->largestEvent;
+    return events;
+}
+
+bool EventSplitter::hasRest() const
+{
+    return !this->rest.empty();
+}
+
+bool EventSplitter::isBroken() const
+{
+    return this->broken;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -0,0 +1,174 @@
+#include <LibGateway/JobRows.h>
+
+#include <LibWire/Codec.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Dogwoodkeel::JobRows
+{
+
+namespace
+{
+
+constexpr const char *jobTable = "jobs";
+constexpr const char *headKey = "head";
+constexpr const char *contentPrefix = "content/";
+constexpr const char *resultPrefix = "result/";
+constexpr std::string_view openPrefix = "job/";
+constexpr const char *routePrefix = "route/";
+/** Row values are counted as they are sent, in base64, which takes four bytes for three; some is left for the rest. */
+constexpr std::size_t encodedNumerator = 7;
+constexpr std::size_t encodedDenominator = 10;
+
+std::string resultKey(std::uint64_t position)
+{
+    char digits[32];
+    std::snprintf(digits, sizeof(digits), "%s%09llu", resultPrefix, static_cast<unsigned long long>(position));
+    return digits;
+}
+
+std::string pieceKey(const std::string &prefix, std::size_t piece)
+{
+    char digits[32];
+    std::snprintf(digits, sizeof(digits), "%04zu", piece);
+    return prefix + digits;
+}
+
+} // namespace
+
+RowPlace head(const JobId &job)
+{
+    return {jobTable, job.value(), headKey};
+}
+
+RowPlace contentPiece(const JobId &job, std::uint32_t piece)
+{
+    return {jobTable, job.value(), pieceKey(contentPrefix, piece)};
+}
+
+RowRange headAndContent(const JobId &job)
+{
+    return {jobTable, job.value(), "", std::string(headKey) + '~', 0};
+}
+
+RowRange headOnly(const JobId &job)
+{
+    return {jobTable, job.value(), headKey, std::string(headKey) + '~', 0};
+}
+
+RowRange resultsFrom(const JobId &job, std::uint64_t position)
+{
+    return {jobTable, job.value(), resultKey(position), "", 0};
+}
+
+RowPlace open(const JobId &job)
+{
+    return {openTable, "", std::string(openPrefix) + job.value()};
+}
+
+std::optional<JobId> openJobOf(const std::string &key)
+{
+    return key.starts_with(openPrefix) ? std::optional(JobId(key.substr(openPrefix.size()))) : std::nullopt;
+}
+
+RowPlace routeOrder(const std::string &route)
+{
+    return {openTable, "", routePrefix + route};
+}
+
+std::string contentObject(const JobId &job)
+{
+    return "job-content-" + job.value();
+}
+
+std::vector<std::string> split(const std::string &encoded, std::size_t rowBytes)
+{
+    const std::size_t size = std::max<std::size_t>(1, rowBytes * encodedNumerator / encodedDenominator);
+    std::vector<std::string> pieces;
+    for (std::size_t place = 0; place < encoded.size(); place += size) {
+        pieces.push_back(encoded.substr(place, size));
+    }
+    return pieces;
+}
+
+std::vector<RowPut> putResult(const JobId &job, std::uint64_t position, const ItemResult &result, std::size_t rowBytes)
+{
+    const ItemResultRecord record{result.id.value(), result.outcome == ItemOutcome::Completed, result.output};
+    const std::vector<std::string> pieces = split(encode(record), rowBytes);
+    std::vector<RowPut> puts;
+    for (std::size_t piece = 0; piece < pieces.size(); ++piece) {
+        // The last piece has a key of its own, so that a reader knows when it has them all.
+        const bool isLast = piece + 1 == pieces.size();
+        const std::string key = resultKey(position) + (isLast ? "/z" : pieceKey("/p", piece));
+        puts.push_back({{jobTable, job.value(), key}, pieces[piece]});
+    }
+    return puts;
+}
+
+std::vector<ItemResult> readResults(const std::vector<StoredRow> &rows, std::uint64_t from)
+{
+    std::vector<ItemResult> results;
+    std::string encoded;
+    for (const StoredRow &row : rows) {
+        const std::string expected = resultKey(from + results.size());
+        if (!row.place.key.starts_with(expected)) {
+            break;
+        }
+        encoded.append(row.value);
+        if (!row.place.key.ends_with("/z")) {
+            continue;
+        }
+        const std::optional<ItemResultRecord> record = decode<ItemResultRecord>(encoded);
+        if (!record) {
+            break;
+        }
+        const ItemOutcome outcome = record->isCompleted ? ItemOutcome::Completed : ItemOutcome::Abandoned;
+        results.push_back({ItemId(record->id), outcome, record->output});
+        encoded.clear();
+    }
+    return results;
+}
+
+std::optional<JobContent> readContent(const std::vector<StoredRow> &rows, std::uint32_t pieces)
+{
+    std::string encoded;
+    std::uint32_t found = 0;
+    for (const StoredRow &row : rows) {
+        if (row.place.key.starts_with(contentPrefix)) {
+            encoded.append(row.value);
+            ++found;
+        }
+    }
+    return found == pieces ? decode<JobContent>(encoded) : std::nullopt;
+}
+
+std::optional<std::pair<JobHead, RowVersion>> readHead(const std::vector<StoredRow> &rows, const JobId &job)
+{
+    const auto found = std::ranges::find(rows, head(job), &StoredRow::place);
+    if (found == rows.end()) {
+        return std::nullopt;
+    }
+    const std::optional<JobHead> decoded = decode<JobHead>(found->value);
+    return decoded ? std::optional(std::pair(*decoded, found->version)) : std::nullopt;
+}
+
+JobItemRecord recordOf(const JobItem &item)
+{
+    JobItemRecord record{item.id.value(), item.target, {}, item.body, item.tokens};
+    for (const HeaderField &field : item.headers.fields()) {
+        record.headers.push_back({field.name, field.value});
+    }
+    return record;
+}
+
+JobItem itemOf(const JobItemRecord &record)
+{
+    JobItem item{ItemId(record.id), record.target, {}, record.body, record.tokens};
+    for (const HeaderRecord &header : record.headers) {
+        item.headers.add(header.name, header.value);
+    }
+    return item;
+}
+
+} // namespace Dogwoodkeel::JobRows
--- /dev/null
+++ b/Libraries/LibGateway/ServingConfiguration.cpp
@@ -0,0 +1,49 @@
+#include <LibGateway/ServingConfiguration.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace Dogwoodkeel
+{
+
+const Route *ServingConfiguration::findRoute(std::string_view host, std::string_view path) const
+{
+    const Route *best = nullptr;
+    for (const Route &route : this->routes) {
+        const bool matches = route.host == host && path.starts_with(route.prefix);
+        if (matches && (best == nullptr || route.prefix.size() > best->prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const Route *ServingConfiguration::findRoute(std::string_view name) const
+{
+    const auto found = std::ranges::find(this->routes, name, &Route::name);
+    return found != this->routes.end() ? &*found : nullptr;
+}
+
+const Service *ServingConfiguration::findService(const ServiceName &name) const
+{
+    const auto found = std::ranges::find(this->services, name, &Service::name);
+    return found != this->services.end() ? &*found : nullptr;
+}
+
+const RouteTarget *chooseTarget(const Route &route, double point)
+{
+    const double total
+        = std::accumulate(route.targets.begin(), route.targets.end(), 0.0, [](double sum, const RouteTarget &target) {
+              return sum + target.weight;
+          });
+    double left = point * total;
+    for (const RouteTarget &target : route.targets) {
+        left -= target.weight;
+        if (left < 0 && target.weight > 0) {
+            return &target;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibGateway/ServingReplica.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Identifiers.h>
+#include <LibGateway/ServingConfiguration.h>
+
+#include <cstdint>
+
+namespace Dogwoodkeel
+{
+
+/** One incarnation of a replica, as it told of itself on the platform. */
+struct ServingReplica
+{
+    /** Names this incarnation: after a restart it has another. */
+    EndpointName instance;
+    ServiceName service;
+    Address address;
+    FailureDomain failureDomain;
+    /** Requests that it runs side by side. */
+    std::uint32_t slots = 1;
+    /** Whether it is leaving: it finishes what it has and takes nothing new. */
+    bool isDraining = false;
+
+    bool operator==(const ServingReplica &) const = default;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibPlatform/RowStore.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <LibPlatform/Outcomes.h>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** Where a row lies. Rows of one part are changed together at no extra cost, and one after the other. */
+struct RowPlace
+{
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const RowPlace &) const = default;
+};
+
+/** A row as it was read, or as it was when it was removed. */
+struct StoredRow
+{
+    RowPlace place;
+    std::string value;
+    RowVersion version = 0;
+    bool isRemoved = false;
+};
+
+/** What must hold of a row for a transaction to take effect. */
+struct RowExpectation
+{
+    RowPlace place;
+    /** The version that it must have; 0: it must be absent. */
+    RowVersion version = 0;
+};
+
+/** A new value of a row. */
+struct RowPut
+{
+    RowPlace place;
+    std::string value;
+};
+
+/** Changes that take effect together, if all expectations hold. */
+struct RowTransaction
+{
+    std::vector<RowExpectation> expectations;
+    std::vector<RowPut> puts;
+    std::vector<RowPlace> removals;
+};
+
+/** What became of a transaction. */
+struct RowTransactionResult
+{
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    /** With Done: the version that all rows put by it have now. */
+    RowVersion version = 0;
+    /** With Refused: the expected rows that are there, as they are now. */
+    std::vector<StoredRow> current;
+};
+
+/** Rows of one part in key order. */
+struct RowRange
+{
+    std::string table;
+    std::string part;
+    /** The first key; empty: from the start. */
+    std::string from;
+    /** The key behind the last; empty: to the end. */
+    std::string to;
+    /** How many rows at most; 0: as many as one answer holds. */
+    std::size_t limit = 0;
+};
+
+/** The answer to a ranged read, as of one moment. */
+struct RowRangeResult
+{
+    /** Found, also when there are no rows, or Failed. */
+    ReadOutcome outcome = ReadOutcome::Failed;
+    std::vector<StoredRow> rows;
+    /** Whether there are more rows than were answered. */
+    bool isTruncated = false;
+    /** The newest version of any row at that moment: where to follow a table from. */
+    RowVersion version = 0;
+};
+
+/** What became of following a table. */
+enum class FollowOutcome {
+    /** The changes, possibly none, up to the version told. */
+    Followed,
+    /** The history since then is not kept: the table has to be read anew. */
+    HistoryLost,
+    /** No answer. */
+    Failed,
+};
+
+/** Changes of a table in their order. */
+struct FollowResult
+{
+    FollowOutcome outcome = FollowOutcome::Failed;
+    std::vector<StoredRow> rows;
+    RowVersion version = 0;
+};
+
+/** The platform's rows and objects. Answers come on the owning loop, never from inside the call. */
+class RowStore
+{
+public:
+    virtual ~RowStore() = default;
+
+    virtual void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) = 0;
+    virtual void read(RowRange range, std::function<void(RowRangeResult)> done) = 0;
+
+    /**
+     * Ask for the changes of a table since a version; answered as soon as there is one.
+     * @param wait how long the platform may wait for one
+     */
+    virtual void
+    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, std::function<void(FollowResult)> done)
+        = 0;
+
+    /** Write an object. One of that name that is there is left as it is, and counts as written. */
+    virtual void putObject(const std::string &name, std::string content, std::function<void(WriteOutcome)> done) = 0;
+    virtual void readObject(const std::string &name, std::function<void(ReadOutcome, std::string)> done) = 0;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -0,0 +1,287 @@
+#include <LibProxy/CallerConnection.h>
+
+#include <LibProxy/ReasonPhrase.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <cstdio>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusBadRequest = 400;
+constexpr int statusContentTooLarge = 413;
+constexpr int statusHeadersTooLarge = 431;
+/** Requests that a caller sends ahead wait unread beyond this, so that it cannot make the node hold more. */
+constexpr std::size_t readAheadBytes = 65536;
+/** How long a caller may take to close its side after the last answer; enough for a round trip to any caller. */
+constexpr std::chrono::milliseconds lingerTime{1000};
+
+} // namespace
+
+CallerConnection::CallerConnection(const Clock &clock, bufferevent *stream, Hooks hooks)
+    : clock(clock)
+    , stream(stream)
+    , hooks(std::move(hooks))
+    , reader(MessageReader::Kind::Request, this->hooks.limits().headBytes)
+    , lastProgress(clock.now())
+{
+    bufferevent_setcb(stream, &onReadable, &onWritten, &onEvent, this);
+    bufferevent_setwatermark(stream, EV_READ, 0, readAheadBytes);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+}
+
+CallerConnection::~CallerConnection()
+{
+    if (this->stream != nullptr) {
+        bufferevent_free(this->stream);
+    }
+    if (this->exchange) {
+        this->exchange->connection = nullptr;
+    }
+}
+
+bool CallerConnection::isBusy() const
+{
+    const bool isWaiting = this->state == State::AwaitingHead;
+    const bool hasBytes = this->stream != nullptr && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+    return this->state != State::Closed && (!isWaiting || hasBytes);
+}
+
+void CallerConnection::checkTimeouts()
+{
+    const std::chrono::nanoseconds quiet = this->clock.now() - this->lastProgress;
+    const CallerLimits &limits = this->hooks.limits();
+    const bool isReading = this->state == State::ReadingBody || (this->state == State::AwaitingHead && this->isBusy());
+    const bool isSlow = isReading && quiet > limits.headTimeout;
+    const bool isIdle = this->state == State::AwaitingHead && quiet > limits.idleTimeout;
+    const bool hasLingered = this->state == State::Closing && quiet > std::max(limits.headTimeout, lingerTime);
+    if (isSlow || isIdle || hasLingered) {
+        this->close();
+    }
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (this->state == State::AwaitingHead && !this->isBusy()) {
+        this->close();
+    }
+}
+
+void CallerConnection::onReadable(bufferevent *, void *self)
+{
+    static_cast<CallerConnection *>(self)->advance();
+}
+
+void CallerConnection::onWritten(bufferevent *stream, void *self)
+{
+    auto *const connection = static_cast<CallerConnection *>(self);
+    if (connection->state == State::Closing && !std::exchange(connection->isShutDown, true)) {
+        // Closing at once would reset the connection if the caller has sent more, and a reset can overtake the answer.
+        ::shutdown(bufferevent_getfd(stream), SHUT_WR);
+        connection->lastProgress = connection->clock.now();
+    }
+}
+
+void CallerConnection::onEvent(bufferevent *, short, void *self)
+{
+    // Both ends of file and errors: a caller that closed its side does not wait for an answer any more.
+    static_cast<CallerConnection *>(self)->close();
+}
+
+void CallerConnection::advance()
+{
+    if (std::exchange(this->isAdvancing, true)) {
+        return;
+    }
+    while (this->step()) { }
+    this->isAdvancing = false;
+}
+
+bool CallerConnection::step()
+{
+    switch (this->state) {
+    case State::AwaitingHead:
+        return this->readHead();
+    case State::ReadingBody:
+        return this->readBody();
+    case State::Closing:
+        evbuffer_drain(bufferevent_get_input(this->stream), evbuffer_get_length(bufferevent_get_input(this->stream)));
+        return false;
+    case State::Answering:
+    case State::Closed:
+        return false;
+    }
+    return false;
+}
+
+bool CallerConnection::readHead()
+{
+    evbuffer *const input = bufferevent_get_input(this->stream);
+    if (evbuffer_get_length(input) == 0) {
+        return false;
+    }
+    const ReadProgress progress = this->reader.readHead(input);
+    if (progress == ReadProgress::NeedMore) {
+        return false;
+    }
+    this->lastProgress = this->clock.now();
+    if (progress == ReadProgress::TooLarge) {
+        this->refuse(statusHeadersTooLarge, "the headers are larger than allowed");
+        return true;
+    }
+    const MessageHead &head = this->reader.head();
+    if (progress == ReadProgress::Malformed || head.headers.count("Host") != 1) {
+        this->refuse(statusBadRequest, "the request is malformed");
+        return true;
+    }
+    if (head.length > this->hooks.limits().bodyBytes) {
+        this->refuse(statusContentTooLarge, "the body is larger than allowed");
+        return true;
+    }
+    if (head.headers.hasToken("Expect", "100-continue")) {
+        this->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    this->state = State::ReadingBody;
+    return true;
+}
+
+bool CallerConnection::readBody()
+{
+    const std::size_t before = this->body.size();
+    const ReadProgress progress = this->reader.readBody(bufferevent_get_input(this->stream), this->body);
+    if (this->body.size() > before) {
+        this->lastProgress = this->clock.now();
+    }
+    if (progress == ReadProgress::Malformed) {
+        this->refuse(statusBadRequest, "the body is malformed");
+        return true;
+    }
+    if (this->body.size() > this->hooks.limits().bodyBytes) {
+        this->refuse(statusContentTooLarge, "the body is larger than allowed");
+        return true;
+    }
+    if (progress == ReadProgress::NeedMore) {
+        return false;
+    }
+    this->isLast = !this->reader.head().isPersistent;
+    this->state = State::Answering;
+    this->exchange = std::make_shared<CallerExchange>(*this, this->reader.head(), std::move(this->body));
+    this->body.clear();
+    const std::shared_ptr<CallerExchange> started = this->exchange;
+    this->hooks.onRequest(started);
+    return true;
+}
+
+void CallerConnection::refuse(int status, std::string_view reason)
+{
+    // Where the rest of what was sent begins and ends is not known, so nothing more is read from this connection.
+    this->isLast = true;
+    this->state = State::Answering;
+    HeaderList headers;
+    headers.add("Content-Type", "text/plain");
+    this->sendWhole(status, headers, std::string(reason) + "\n");
+}
+
+void CallerConnection::sendWhole(int status, const HeaderList &headers, std::string_view body)
+{
+    this->isLast = this->isLast || this->hooks.isClosing();
+    char start[160];
+    const int size = std::snprintf(start,
+                                   sizeof(start),
+                                   "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s",
+                                   status,
+                                   reasonPhrase(status),
+                                   body.size(),
+                                   this->isLast ? "Connection: close\r\n" : "");
+    std::string text(start, static_cast<std::size_t>(size));
+    text.append(headers.toText()).append("\r\n").append(body);
+    this->write(text);
+    this->finishAnswer();
+}
+
+void CallerConnection::sendHead(int status, const HeaderList &headers)
+{
+    this->isLast = this->isLast || this->hooks.isClosing();
+    char start[160];
+    const int size = std::snprintf(start,
+                                   sizeof(start),
+                                   "HTTP/1.1 %d %s\r\nTransfer-Encoding: chunked\r\n%s",
+                                   status,
+                                   reasonPhrase(status),
+                                   this->isLast ? "Connection: close\r\n" : "");
+    std::string text(start, static_cast<std::size_t>(size));
+    text.append(headers.toText()).append("\r\n");
+    this->write(text);
+}
+
+void CallerConnection::sendPart(std::string_view data)
+{
+    char size[32];
+    const int length = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    std::string text(size, static_cast<std::size_t>(length));
+    text.append(data).append("\r\n");
+    this->write(text);
+    if (evbuffer_get_length(bufferevent_get_output(this->stream)) > this->hooks.limits().unreadBytes) {
+        this->close();
+    }
+}
+
+void CallerConnection::sendEnd()
+{
+    this->write("0\r\n\r\n");
+    this->finishAnswer();
+}
+
+void CallerConnection::breakOff()
+{
+    this->exchange.reset();
+    this->close();
+}
+
+void CallerConnection::write(std::string_view text)
+{
+    if (this->stream != nullptr) {
+        bufferevent_write(this->stream, text.data(), text.size());
+    }
+}
+
+void CallerConnection::finishAnswer()
+{
+    this->exchange.reset();
+    this->lastProgress = this->clock.now();
+    if (this->isLast) {
+        this->startClosing();
+        return;
+    }
+    this->reader.reset();
+    this->state = State::AwaitingHead;
+    this->advance();
+}
+
+void CallerConnection::startClosing()
+{
+    this->state = State::Closing;
+    this->advance();
+}
+
+void CallerConnection::close()
+{
+    if (std::exchange(this->state, State::Closed) == State::Closed) {
+        return;
+    }
+    bufferevent_free(std::exchange(this->stream, nullptr));
+    if (const std::shared_ptr<CallerExchange> open = std::exchange(this->exchange, nullptr)) {
+        open->lose();
+    }
+    this->hooks.onClosed();
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibProxy/CallerExchange.cpp
@@ -0,0 +1,87 @@
+#include <LibProxy/CallerExchange.h>
+
+#include <LibProxy/CallerConnection.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+CallerExchange::CallerExchange(CallerConnection &connection, MessageHead head, std::string body)
+    : connection(&connection), requestHead(std::move(head)), requestBody(std::move(body))
+{
+}
+
+const MessageHead &CallerExchange::head() const
+{
+    return this->requestHead;
+}
+
+const std::string &CallerExchange::body() const
+{
+    return this->requestBody;
+}
+
+bool CallerExchange::isOver() const
+{
+    return this->connection == nullptr;
+}
+
+bool CallerExchange::isBegun() const
+{
+    return this->begun;
+}
+
+void CallerExchange::whenGone(std::function<void()> gone)
+{
+    this->gone = std::move(gone);
+}
+
+void CallerExchange::send(int status, const HeaderList &headers, std::string_view body)
+{
+    if (CallerConnection *const answering = std::exchange(this->connection, nullptr)) {
+        this->begun = true;
+        this->gone = nullptr;
+        answering->sendWhole(status, headers, body);
+    }
+}
+
+void CallerExchange::begin(int status, const HeaderList &headers)
+{
+    if (this->connection != nullptr && !std::exchange(this->begun, true)) {
+        this->connection->sendHead(status, headers);
+    }
+}
+
+void CallerExchange::write(std::string_view data)
+{
+    if (this->connection != nullptr && !data.empty()) {
+        this->connection->sendPart(data);
+    }
+}
+
+void CallerExchange::end()
+{
+    if (CallerConnection *const answering = std::exchange(this->connection, nullptr)) {
+        this->gone = nullptr;
+        answering->sendEnd();
+    }
+}
+
+void CallerExchange::breakOff()
+{
+    if (CallerConnection *const answering = std::exchange(this->connection, nullptr)) {
+        this->gone = nullptr;
+        answering->breakOff();
+    }
+}
+
+void CallerExchange::lose()
+{
+    this->connection = nullptr;
+    if (const std::function<void()> tell = std::exchange(this->gone, nullptr)) {
+        tell();
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -0,0 +1,314 @@
+#include <LibProxy/MessageReader.h>
+
+#include <event2/buffer.h>
+#include <evhtp/parser.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr std::string_view tokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+/** Opens the parser for the chunks of a body: it decodes them only behind a head that announces them. */
+constexpr std::string_view chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr int stopParsing = 1;
+constexpr int firstFinalStatus = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+/** What the parser's hooks collect. */
+struct Collected
+{
+    HeaderList *headers = nullptr;
+    std::string name;
+    bool isNamePending = false;
+    bool isFolded = false;
+    std::string *body = nullptr;
+    bool isComplete = false;
+    bool hasTrailer = false;
+};
+
+Collected &collectedOf(htparser *parser)
+{
+    return *static_cast<Collected *>(htparser_get_userdata(parser));
+}
+
+int onHeaderName(htparser *parser, const char *text, std::size_t size)
+{
+    Collected &collected = collectedOf(parser);
+    collected.name.assign(text, size);
+    collected.isNamePending = true;
+    return 0;
+}
+
+int onHeaderValue(htparser *parser, const char *text, std::size_t size)
+{
+    Collected &collected = collectedOf(parser);
+    // A value without a name continues the line before: obsolete folding, read differently by different programs.
+    collected.isFolded = collected.isFolded || !collected.isNamePending;
+    collected.isNamePending = false;
+    std::string_view value(text, size);
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+        value.remove_prefix(1);
+    }
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
+        value.remove_suffix(1);
+    }
+    collected.headers->add(collected.name, std::string(value));
+    return 0;
+}
+
+int onHeadComplete(htparser *)
+{
+    return stopParsing;
+}
+
+int onTrailer(htparser *parser, const char *, std::size_t)
+{
+    collectedOf(parser).hasTrailer = true;
+    return stopParsing;
+}
+
+int onBody(htparser *parser, const char *text, std::size_t size)
+{
+    collectedOf(parser).body->append(text, size);
+    return 0;
+}
+
+int onMessageComplete(htparser *parser)
+{
+    collectedOf(parser).isComplete = true;
+    return stopParsing;
+}
+
+htparse_hooks headHooks()
+{
+    htparse_hooks hooks{};
+    hooks.hdr_key = &onHeaderName;
+    hooks.hdr_val = &onHeaderValue;
+    hooks.on_hdrs_complete = &onHeadComplete;
+    return hooks;
+}
+
+htparse_hooks chunkHooks()
+{
+    htparse_hooks hooks{};
+    hooks.hdr_key = &onTrailer;
+    hooks.body = &onBody;
+    hooks.on_msg_complete = &onMessageComplete;
+    return hooks;
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of(tokenCharacters) == std::string_view::npos;
+}
+
+/** @return whether every line ends with CR LF and there is no NUL: other ends are read differently by different programs. */
+bool hasCleanLines(std::string_view text)
+{
+    for (std::size_t place = 0; place < text.size(); ++place) {
+        const char character = text[place];
+        const bool isBareFeed = character == '\n' && (place == 0 || text[place - 1] != '\r');
+        const bool isBareReturn = character == '\r' && (place + 1 == text.size() || text[place + 1] != '\n');
+        if (isBareFeed || isBareReturn || character == '\0') {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+void MessageReader::Free::operator()(htparser *parser) const
+{
+    std::free(parser);
+}
+
+MessageReader::MessageReader(Kind kind, std::size_t headBytes) : kind(kind), headBytes(headBytes), parser(htparser_new())
+{
+}
+
+MessageReader::~MessageReader() = default;
+
+void MessageReader::reset()
+{
+    this->current = {};
+    this->remaining = 0;
+}
+
+const MessageHead &MessageReader::head() const
+{
+    return this->current;
+}
+
+ReadProgress MessageReader::readHead(evbuffer *input)
+{
+    // An empty line before a message is passed over (RFC 9112, section 2.2).
+    while (evbuffer_get_length(input) >= 2) {
+        const auto *const start = reinterpret_cast<const char *>(evbuffer_pullup(input, 2));
+        if (std::string_view(start, 2) != "\r\n") {
+            break;
+        }
+        evbuffer_drain(input, 2);
+    }
+    const evbuffer_ptr end = evbuffer_search(input, headEnd.data(), headEnd.size(), nullptr);
+    if (end.pos < 0) {
+        return evbuffer_get_length(input) > this->headBytes ? ReadProgress::TooLarge : ReadProgress::NeedMore;
+    }
+    const std::size_t size = static_cast<std::size_t>(end.pos) + headEnd.size();
+    if (size > this->headBytes) {
+        return ReadProgress::TooLarge;
+    }
+    std::string text(size, '\0');
+    evbuffer_remove(input, text.data(), text.size());
+    return this->parseHead(text);
+}
+
+ReadProgress MessageReader::parseHead(const std::string &text)
+{
+    const std::string_view startLine(text.data(), text.find("\r\n"));
+    if (!hasCleanLines(text) || !this->parseStartLine(startLine)) {
+        return ReadProgress::Malformed;
+    }
+    Collected collected;
+    collected.headers = &this->current.headers;
+    htparser_init(this->parser.get(), this->kind == Kind::Request ? htp_type_request : htp_type_response);
+    htparser_set_userdata(this->parser.get(), &collected);
+    htparse_hooks hooks = headHooks();
+    const std::size_t read = htparser_run(this->parser.get(), &hooks, text.data(), text.size());
+    const bool isStopped = htparser_get_error(this->parser.get()) == htparse_error_user;
+    if (read != text.size() || !isStopped || collected.isFolded) {
+        return ReadProgress::Malformed;
+    }
+    const bool areNamesClean = std::ranges::all_of(this->current.headers.fields(), [](const HeaderField &field) {
+        return isToken(field.name);
+    });
+    const bool isHttp10 = startLine.find("HTTP/1.0") != std::string_view::npos;
+    return areNamesClean && this->findFraming(isHttp10) ? ReadProgress::Done : ReadProgress::Malformed;
+}
+
+bool MessageReader::parseStartLine(std::string_view line)
+{
+    const std::size_t first = line.find(' ');
+    if (first == std::string_view::npos) {
+        return false;
+    }
+    if (this->kind == Kind::Response) {
+        const std::optional<std::uint64_t> status = numberOf(line.substr(first + 1, 3));
+        this->current.status = static_cast<int>(status.value_or(0));
+        return line.starts_with("HTTP/1.") && status.has_value() && *status >= 100;
+    }
+    const std::size_t last = line.rfind(' ');
+    const std::string_view version = line.substr(last + 1);
+    this->current.method = line.substr(0, first);
+    this->current.target = first < last ? line.substr(first + 1, last - first - 1) : std::string_view();
+    const bool isClean = this->current.target.find(' ') == std::string::npos && this->current.target.starts_with("/");
+    return isToken(this->current.method) && isClean && (version == "HTTP/1.1" || version == "HTTP/1.0");
+}
+
+bool MessageReader::findFraming(bool isHttp10)
+{
+    MessageHead &head = this->current;
+    const std::size_t lengths = head.headers.count("Content-Length");
+    const std::size_t codings = head.headers.count("Transfer-Encoding");
+    const bool wantsKept = head.headers.hasToken("Connection", "keep-alive");
+    head.isPersistent = !head.headers.hasToken("Connection", "close") && (!isHttp10 || wantsKept);
+    if (lengths + codings > 1 || (codings > 0 && isHttp10)) {
+        return false;
+    }
+    const bool hasNoBody = head.status != 0
+        && (head.status < firstFinalStatus || head.status == statusNoContent || head.status == statusNotModified);
+    if (hasNoBody) {
+        return true;
+    }
+    if (codings == 1) {
+        if (!isSameToken(*head.headers.find("Transfer-Encoding"), "chunked")) {
+            return false;
+        }
+        head.framing = BodyFraming::Chunked;
+        htparser_init(this->parser.get(), htp_type_response);
+        htparse_hooks none{};
+        htparser_run(this->parser.get(), &none, chunkedHead.data(), chunkedHead.size());
+        return true;
+    }
+    if (lengths == 1) {
+        const std::optional<std::uint64_t> length = numberOf(*head.headers.find("Content-Length"));
+        head.framing = length.value_or(0) > 0 ? BodyFraming::Length : BodyFraming::None;
+        head.length = length.value_or(0);
+        this->remaining = head.length;
+        return length.has_value();
+    }
+    if (this->kind == Kind::Response) {
+        head.framing = BodyFraming::UntilClose;
+        head.isPersistent = false;
+    }
+    return true;
+}
+
+ReadProgress MessageReader::readBody(evbuffer *input, std::string &data)
+{
+    if (this->current.framing == BodyFraming::None) {
+        return ReadProgress::Done;
+    }
+    if (this->current.framing == BodyFraming::Chunked) {
+        return this->readChunks(input, data);
+    }
+    const std::size_t available = evbuffer_get_length(input);
+    const bool hasLength = this->current.framing == BodyFraming::Length;
+    const std::size_t size
+        = hasLength ? static_cast<std::size_t>(std::min<std::uint64_t>(available, this->remaining)) : available;
+    const std::size_t before = data.size();
+    data.resize(before + size);
+    evbuffer_remove(input, data.data() + before, size);
+    if (!hasLength) {
+        return ReadProgress::NeedMore;
+    }
+    this->remaining -= size;
+    return this->remaining == 0 ? ReadProgress::Done : ReadProgress::NeedMore;
+}
+
+ReadProgress MessageReader::readChunks(evbuffer *input, std::string &data)
+{
+    const std::size_t size = evbuffer_get_length(input);
+    if (size == 0) {
+        return ReadProgress::NeedMore;
+    }
+    Collected collected;
+    collected.body = &data;
+    htparser_set_userdata(this->parser.get(), &collected);
+    htparse_hooks hooks = chunkHooks();
+    const auto *const bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
+    const std::size_t read = htparser_run(this->parser.get(), &hooks, bytes, size);
+    const htpparse_error error = htparser_get_error(this->parser.get());
+    htparser_set_userdata(this->parser.get(), nullptr);
+    // NOTE: This parser loses its place behind a trailer, so a body with one counts as malformed.
+    if (collected.hasTrailer) {
+        return ReadProgress::Malformed;
+    }
+    if (collected.isComplete) {
+        evbuffer_drain(input, read);
+        return ReadProgress::Done;
+    }
+    if (error != htparse_error_none) {
+        return ReadProgress::Malformed;
+    }
+    evbuffer_drain(input, size);
+    return ReadProgress::NeedMore;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -0,0 +1,253 @@
+#include <LibProxy/OutboundConnection.h>
+
+#include <LibTask/Sockets.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr std::size_t responseHeadBytes = 65536;
+/** Answers to earlier requests that may lie on a connection before the one that is waited for. */
+constexpr int mostSkipped = 4;
+constexpr int firstFinalStatus = 200;
+/** How long an idle connection counts as kept if the server does not say: servers that keep one for less than a second
+ * cannot say so in whole seconds. */
+constexpr std::chrono::milliseconds unstatedKeepAlive{250};
+/**
+ * Bytes that the other side has not acknowledged for so long are lost with its network path or its power. Without a bound
+ * the call would hang until its own deadline. A round trip takes some milliseconds; the kernel repeats a lost packet
+ * several times within this time.
+ */
+constexpr unsigned int unacknowledgedMilliseconds = 1500;
+
+std::optional<std::chrono::seconds> statedKeepAlive(const HeaderList &headers)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::string_view value = headers.find("Keep-Alive").value_or(std::string_view());
+    const std::size_t place = value.find(name);
+    if (place == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = value.substr(place + name.size());
+    std::int64_t seconds = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return error == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+} // namespace
+
+OutboundConnection::OutboundConnection(OutboundPool &pool, const Address &address)
+    : pool(pool), target(address), reader(MessageReader::Kind::Response, responseHeadBytes)
+{
+}
+
+OutboundConnection::~OutboundConnection()
+{
+    *this->alive = false;
+    this->pool.loop.cancel(this->connectTimer);
+    if (this->stream != nullptr) {
+        bufferevent_free(this->stream);
+    }
+}
+
+const Address &OutboundConnection::address() const
+{
+    return this->target;
+}
+
+SteadyTime OutboundConnection::idleSince() const
+{
+    return this->idleStart;
+}
+
+SteadyTime OutboundConnection::keptUntil() const
+{
+    return this->keepUntil;
+}
+
+void OutboundConnection::begin(OutboundPool::CallId id, OutboundCall call, CallHooks hooks)
+{
+    this->current = id;
+    this->call = std::move(call);
+    this->hooks = std::move(hooks);
+    this->isHeadRead = false;
+    this->isSkipping = false;
+    this->skipped = 0;
+    this->reader.reset();
+    if (this->stream == nullptr) {
+        this->connect(this->call.connectTimeout);
+    }
+    if (this->stream == nullptr) {
+        return;
+    }
+    std::string text = std::move(this->call.head);
+    if (!this->call.body.empty() || text.starts_with("POST") || text.starts_with("PUT")) {
+        text.append("Content-Length: ").append(std::to_string(this->call.body.size())).append("\r\n");
+    }
+    text.append("\r\n").append(this->call.body);
+    bufferevent_write(this->stream, text.data(), text.size());
+    this->call.body.clear();
+}
+
+void OutboundConnection::forget()
+{
+    this->current = 0;
+    this->hooks = {};
+}
+
+void OutboundConnection::connect(std::chrono::milliseconds timeout)
+{
+    this->stream = bufferevent_socket_new(this->pool.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const sockaddr_in address = socketAddress(this->target);
+    bufferevent_setcb(this->stream, &onReadable, nullptr, &onEvent, this);
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    const int failed = bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    const auto giveUp = [this, alive = this->alive] {
+        if (*alive && !this->isConnected) {
+            this->finish(CallEnd::NotSent);
+        }
+    };
+    if (failed != 0) {
+        bufferevent_free(std::exchange(this->stream, nullptr));
+        this->pool.loop.post(giveUp);
+        return;
+    }
+    const int descriptor = bufferevent_getfd(this->stream);
+    sendWithoutDelay(descriptor);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof(unacknowledgedMilliseconds));
+    this->connectTimer = this->pool.loop.schedule(timeout, giveUp);
+}
+
+void OutboundConnection::onReadable(bufferevent *, void *self)
+{
+    static_cast<OutboundConnection *>(self)->read();
+}
+
+void OutboundConnection::onEvent(bufferevent *, short what, void *self)
+{
+    auto *const connection = static_cast<OutboundConnection *>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connection->isConnected = true;
+        connection->pool.loop.cancel(connection->connectTimer);
+        return;
+    }
+    if (connection->current == 0) {
+        connection->pool.dropIdle(*connection);
+        return;
+    }
+    const bool isEndOfFile = (what & BEV_EVENT_EOF) != 0;
+    const bool endsBody
+        = connection->isHeadRead && !connection->isSkipping && connection->reader.head().framing == BodyFraming::UntilClose;
+    if (!connection->isConnected) {
+        connection->finish(CallEnd::NotSent);
+    } else if (isEndOfFile && endsBody) {
+        connection->finish(CallEnd::Complete);
+    } else {
+        connection->finish(CallEnd::Broken);
+    }
+}
+
+void OutboundConnection::read()
+{
+    if (this->current == 0) {
+        // Bytes that no request asked for would be taken for the next one's answer.
+        this->pool.dropIdle(*this);
+        return;
+    }
+    const std::shared_ptr<bool> stillHere = this->alive;
+    while (*stillHere && this->current != 0 && (this->isHeadRead ? this->readBody() : this->readHead())) { }
+}
+
+bool OutboundConnection::readHead()
+{
+    evbuffer *const input = bufferevent_get_input(this->stream);
+    const ReadProgress progress = this->reader.readHead(input);
+    if (progress == ReadProgress::NeedMore) {
+        return false;
+    }
+    if (progress != ReadProgress::Done) {
+        this->finish(CallEnd::Broken);
+        return false;
+    }
+    if (this->reader.head().status < firstFinalStatus) {
+        this->reader.reset();
+        return true;
+    }
+    this->isHeadRead = true;
+    this->isSkipping = this->call.isAnswer && !this->call.isAnswer(this->reader.head());
+    if (!this->isSkipping) {
+        this->hooks.onHead(this->reader.head());
+    }
+    return true;
+}
+
+bool OutboundConnection::readBody()
+{
+    std::string data;
+    const ReadProgress progress = this->reader.readBody(bufferevent_get_input(this->stream), data);
+    const std::shared_ptr<bool> stillHere = this->alive;
+    if (!data.empty() && !this->isSkipping) {
+        this->hooks.onBody(data);
+        if (!*stillHere || this->current == 0) {
+            return false;
+        }
+    }
+    if (progress == ReadProgress::NeedMore) {
+        return false;
+    }
+    if (progress != ReadProgress::Done) {
+        this->finish(CallEnd::Broken);
+        return false;
+    }
+    if (!this->isSkipping) {
+        this->finish(CallEnd::Complete);
+        return false;
+    }
+    const bool hasMore = this->reader.head().isPersistent && ++this->skipped < mostSkipped;
+    this->reader.reset();
+    this->isHeadRead = false;
+    this->isSkipping = false;
+    if (!hasMore) {
+        this->finish(CallEnd::Broken);
+    }
+    return hasMore;
+}
+
+bool OutboundConnection::isReusable() const
+{
+    // A server may answer before it has read the whole request, and read on later: the next request's bytes would be taken
+    // for the rest of this one's. So the connection is used again only once all has left, and nothing unasked has come.
+    const bool isFlushed = evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+    const bool isEmpty = evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+    return this->reader.head().isPersistent && isFlushed && isEmpty;
+}
+
+void OutboundConnection::finish(CallEnd end)
+{
+    const bool isKept = end == CallEnd::Complete && this->isReusable();
+    const OutboundPool::CallId ended = std::exchange(this->current, 0);
+    const CallHooks told = std::exchange(this->hooks, {});
+    this->idleStart = this->pool.clock.now();
+    this->keepUntil = this->idleStart;
+    if (isKept) {
+        const std::optional<std::chrono::seconds> stated = statedKeepAlive(this->reader.head().headers);
+        this->keepUntil += stated ? std::chrono::milliseconds(*stated) / 2 : unstatedKeepAlive;
+    }
+    this->pool.finished(ended, isKept);
+    if (told.onEnd) {
+        told.onEnd(end);
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -0,0 +1,190 @@
+#include <LibProxy/OutboundPool.h>
+
+#include <LibProxy/OutboundConnection.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** How often idle connections that are past their time are looked for. */
+constexpr std::chrono::milliseconds sweepInterval{1000};
+
+} // namespace
+
+OutboundPool::OutboundPool(EventLoop &loop, const Clock &clock, std::size_t idlePerAddress)
+    : loop(loop), clock(clock), idlePerAddress(idlePerAddress)
+{
+    this->sweep();
+}
+
+OutboundPool::~OutboundPool()
+{
+    *this->alive = false;
+    this->loop.cancel(this->sweepTimer);
+}
+
+OutboundPool::CallId OutboundPool::start(OutboundCall call, CallHooks hooks)
+{
+    const CallId id = ++this->lastCall;
+    std::unique_ptr<OutboundConnection> connection = this->takeIdle(call);
+    if (!connection) {
+        connection = std::make_unique<OutboundConnection>(*this, call.address);
+        ++this->made;
+    }
+    OutboundConnection &used = *connection;
+    this->active.emplace(id, std::move(connection));
+    used.begin(id, std::move(call), std::move(hooks));
+    return id;
+}
+
+OutboundPool::CallId
+OutboundPool::fetch(OutboundCall call, std::chrono::milliseconds timeout, std::function<void(CollectedResponse)> done)
+{
+    struct Pending
+    {
+        CollectedResponse response;
+        TimerId timer = 0;
+        std::function<void(CollectedResponse)> done;
+    };
+    const auto pending = std::make_shared<Pending>();
+    pending->done = std::move(done);
+    CallHooks hooks{
+        .onHead =
+            [pending](const MessageHead &head) {
+                pending->response.head = head;
+            },
+        .onBody =
+            [pending](std::string_view data) {
+                pending->response.body.append(data);
+            },
+        .onEnd =
+            [this, pending](CallEnd end) {
+                this->loop.cancel(pending->timer);
+                pending->response.end = end;
+                pending->done(std::move(pending->response));
+            },
+    };
+    const CallId id = this->start(std::move(call), std::move(hooks));
+    pending->timer = this->loop.schedule(timeout, [this, id, pending] {
+        this->cancel(id);
+        pending->done(CollectedResponse{});
+    });
+    return id;
+}
+
+void OutboundPool::cancel(CallId id)
+{
+    const auto found = this->active.find(id);
+    if (found == this->active.end()) {
+        return;
+    }
+    std::unique_ptr<OutboundConnection> connection = std::move(found->second);
+    this->active.erase(found);
+    connection->forget();
+    this->freeLater(std::move(connection));
+}
+
+void OutboundPool::closeIdle(const Address &address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end()) {
+        return;
+    }
+    for (std::unique_ptr<OutboundConnection> &connection : found->second) {
+        this->freeLater(std::move(connection));
+    }
+    this->idle.erase(found);
+}
+
+std::uint64_t OutboundPool::connectionsMade() const
+{
+    return this->made;
+}
+
+std::unique_ptr<OutboundConnection> OutboundPool::takeIdle(const OutboundCall &call)
+{
+    const auto found = this->idle.find(call.address);
+    if (found == this->idle.end() || call.longestIdle.count() == 0) {
+        return nullptr;
+    }
+    // The one used last: it has been idle for the shortest time.
+    const SteadyTime now = this->clock.now();
+    Connections &connections = found->second;
+    const OutboundConnection &newest = *connections.back();
+    if (now >= newest.keptUntil() || now - newest.idleSince() > call.longestIdle) {
+        return nullptr;
+    }
+    std::unique_ptr<OutboundConnection> taken = std::move(connections.back());
+    connections.pop_back();
+    if (connections.empty()) {
+        this->idle.erase(found);
+    }
+    return taken;
+}
+
+void OutboundPool::finished(CallId id, bool isReusable)
+{
+    const auto found = this->active.find(id);
+    if (found == this->active.end()) {
+        return;
+    }
+    std::unique_ptr<OutboundConnection> connection = std::move(found->second);
+    this->active.erase(found);
+    if (!isReusable) {
+        this->freeLater(std::move(connection));
+        return;
+    }
+    Connections &connections = this->idle[connection->address()];
+    connections.push_back(std::move(connection));
+    if (connections.size() > this->idlePerAddress) {
+        this->freeLater(std::move(connections.front()));
+        connections.pop_front();
+    }
+}
+
+void OutboundPool::freeLater(std::unique_ptr<OutboundConnection> connection)
+{
+    // It may be inside one of its own callbacks.
+    std::shared_ptr<OutboundConnection> held = std::move(connection);
+    this->loop.post([held] {});
+}
+
+void OutboundPool::dropIdle(const OutboundConnection &connection)
+{
+    const auto found = this->idle.find(connection.address());
+    if (found == this->idle.end()) {
+        return;
+    }
+    const auto place = std::ranges::find(found->second, &connection, &std::unique_ptr<OutboundConnection>::get);
+    if (place != found->second.end()) {
+        this->freeLater(std::move(*place));
+        found->second.erase(place);
+    }
+    if (found->second.empty()) {
+        this->idle.erase(found);
+    }
+}
+
+void OutboundPool::sweep()
+{
+    const SteadyTime now = this->clock.now();
+    for (auto &[address, connections] : this->idle) {
+        while (!connections.empty() && now >= connections.front()->keptUntil()) {
+            this->freeLater(std::move(connections.front()));
+            connections.pop_front();
+        }
+    }
+    std::erase_if(this->idle, [](const auto &entry) {
+        return entry.second.empty();
+    });
+    this->sweepTimer = this->loop.schedule(sweepInterval, [this] {
+        this->sweep();
+    });
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -356,6 +356,32 @@
     std::int64_t errorRequests = 50;
 };
 
+/** Serving on a platform whose operators write the configuration to its store and whose replicas register there (`dogwoodkeel
+ * gateway`). */
+struct GatewaySettings
+{
+    /** Where the platform asks whether this node takes callers. */
+    Address ready = *Address::parse("127.0.0.1:0");
+    /** Where callers ask which addresses to use. */
+    Address directory = *Address::parse("127.0.0.1:0");
+    /** Where metrics are served. */
+    Address metrics = *Address::parse("127.0.0.1:0");
+    /** How long the platform waits after SIGTERM before it kills the process. */
+    std::chrono::milliseconds grace = std::chrono::milliseconds(8000);
+    /** How long a caller may keep the addresses that it was told. */
+    std::chrono::milliseconds addressTtl = std::chrono::milliseconds(1000);
+    /** Within which a configuration must be in force on every node. */
+    std::chrono::milliseconds applyBound = std::chrono::milliseconds(2000);
+    /** How long the store is asked to wait for a change. Short, so that a silent connection is noticed within apply_bound. */
+    std::chrono::milliseconds storeWait = std::chrono::milliseconds(1000);
+    /** How long after the store's return an entry of a replica that lapsed is kept. */
+    std::chrono::milliseconds lapsedKept = std::chrono::milliseconds(2500);
+    /** The processor cores that this VM has: its weight when callers and duties are spread. */
+    double processorShare = 1;
+    /** Memory that the process may use, in MB. */
+    std::int64_t memoryMb = 512;
+};
+
 /** All settings of a node. */
 struct Settings
 {
@@ -391,9 +417,13 @@
     std::vector<ModelSettings> models;
     /** Orders to model engines. */
     OrderSettings orders;
+    /** Serving on a platform whose operators write the configuration to its store and whose replicas register there (`dogwoodkeel
+     * gateway`). */
+    GatewaySettings gateway;
 };
 
 /** Sections that stay in a VM's own files; configuration versions cover all others. */
-inline constexpr std::array<std::string_view, 6> localSections{"node", "listen", "platform", "peers", "membership", "owner"};
+inline constexpr std::array<std::string_view, 7> localSections{
+    "node", "listen", "platform", "peers", "membership", "owner", "gateway"};
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -424,6 +424,51 @@
     reader.readInteger(table, "error_requests", target.errorRequests, Presence::Optional, {.least = 1, .most = 1000000});
 }
 
+void readGatewaySettings(SettingsReader &reader, const toml::table &table, GatewaySettings &target)
+{
+    reader.rejectUnknownKeys(table,
+                             {"ready",
+                              "directory",
+                              "metrics",
+                              "grace",
+                              "address_ttl",
+                              "apply_bound",
+                              "store_wait",
+                              "lapsed_kept",
+                              "processor_share",
+                              "memory_mb"});
+    reader.readAddress(table, "ready", target.ready, Presence::Optional);
+    reader.readAddress(table, "directory", target.directory, Presence::Optional);
+    reader.readAddress(table, "metrics", target.metrics, Presence::Optional);
+    reader.readDuration(table,
+                        "grace",
+                        target.grace,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(600000)});
+    reader.readDuration(table,
+                        "address_ttl",
+                        target.addressTtl,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "apply_bound",
+                        target.applyBound,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "store_wait",
+                        target.storeWait,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(30000)});
+    reader.readDuration(table,
+                        "lapsed_kept",
+                        target.lapsedKept,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(60000)});
+    reader.readNumber(table, "processor_share", target.processorShare, Presence::Optional, {.least = 0.01, .most = 1000.0});
+    reader.readInteger(table, "memory_mb", target.memoryMb, Presence::Optional, {.least = 16, .most = 1048576});
+}
+
 } // namespace
 
 void readSettings(SettingsReader &reader, const toml::table &root, Settings &settings)
@@ -444,7 +489,8 @@
                               "service",
                               "tenant",
                               "model",
-                              "orders"});
+                              "orders",
+                              "gateway"});
     reader.readTable(root, "node", settings.node, Presence::Required, readNodeSettings);
     reader.readTable(root, "listen", settings.listen, Presence::Optional, readListenSettings);
     reader.readTable(root, "platform", settings.platform, Presence::Optional, readPlatformSettings);
@@ -461,6 +507,7 @@
     reader.readList(root, "tenant", settings.tenants, readTenantSettings);
     reader.readList(root, "model", settings.models, readModelSettings);
     reader.readTable(root, "orders", settings.orders, Presence::Optional, readOrderSettings);
+    reader.readTable(root, "gateway", settings.gateway, Presence::Optional, readGatewaySettings);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace Dogwoodkeel
 {
@@ -207,17 +208,17 @@
         std::int64_t milliseconds;
     };
     static constexpr std::array<Unit, 5> units{{{"ms", 1}, {"s", 1000}, {"min", 60'000}, {"h", 3'600'000}, {"d", 86'400'000}}};
-    static constexpr std::int64_t largestNumber = 1'000'000'000;
-    std::int64_t number = 0;
+    static constexpr double largestNumber = 1'000'000'000;
+    double number = 0;
     const char *const end = text.data() + text.size();
-    const auto [numberEnd, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || number < 0 || number > largestNumber) {
+    const auto [numberEnd, error] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    if (error != std::errc() || !(number >= 0 && number <= largestNumber)) {
         return std::nullopt;
     }
     const std::string_view unitText(numberEnd, static_cast<std::size_t>(end - numberEnd));
     for (const Unit &unit : units) {
         if (unit.name == unitText) {
-            return std::chrono::milliseconds(number * unit.milliseconds);
+            return std::chrono::milliseconds(std::llround(number * static_cast<double>(unit.milliseconds)));
         }
     }
     return std::nullopt;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -353,6 +353,74 @@
     return value <= ConfigurationSource::Version;
 }
 
+/** What the dispatcher of a service says to a node that wants to send a request to a replica. */
+enum class PlacementDecision : std::uint8_t {
+    /** All replicas are full; the answer comes when there is a place. */
+    Waiting,
+    /** The request may go to the replica that is named. */
+    Placed,
+    /** It can't be served in time; the caller is told when to come back. */
+    Refused,
+    /** A batch item that runs must make room; it asks again. */
+    Stopped,
+};
+
+/** @return the value's name, for logs. */
+constexpr std::string_view toString(PlacementDecision value)
+{
+    switch (value) {
+    case PlacementDecision::Waiting:
+        return "Waiting";
+    case PlacementDecision::Placed:
+        return "Placed";
+    case PlacementDecision::Refused:
+        return "Refused";
+    case PlacementDecision::Stopped:
+        return "Stopped";
+    }
+    return "invalid";
+}
+
+/** @return whether a decoded number is a value of the enum. */
+constexpr bool isValid(PlacementDecision value)
+{
+    return value <= PlacementDecision::Stopped;
+}
+
+/** How a placed request ended, as far as it tells something of the replica. */
+enum class PlacementVerdict : std::uint8_t {
+    /** The replica answered, or the caller gave up. */
+    Finished,
+    /** The replica said that it did not run the request. */
+    Rejected,
+    /** No connection could be made. */
+    Unreachable,
+    /** The connection broke, fell silent or carried what is no answer. */
+    Broken,
+};
+
+/** @return the value's name, for logs. */
+constexpr std::string_view toString(PlacementVerdict value)
+{
+    switch (value) {
+    case PlacementVerdict::Finished:
+        return "Finished";
+    case PlacementVerdict::Rejected:
+        return "Rejected";
+    case PlacementVerdict::Unreachable:
+        return "Unreachable";
+    case PlacementVerdict::Broken:
+        return "Broken";
+    }
+    return "invalid";
+}
+
+/** @return whether a decoded number is a value of the enum. */
+constexpr bool isValid(PlacementVerdict value)
+{
+    return value <= PlacementVerdict::Broken;
+}
+
 struct ClaimRequest;
 struct ClaimResponse;
 struct CommitRequest;
@@ -402,6 +470,19 @@
 struct EndpointLeaving;
 struct LimitDemands;
 struct LimitShares;
+struct PlacementAsk;
+struct PlacementAnswer;
+struct PlacementEnd;
+struct PlacementsRunning;
+struct ConfigurationText;
+struct ConfigurationTextRequest;
+struct JobEnded;
+struct JobContent;
+struct JobHead;
+struct OpenJob;
+struct ItemResultRecord;
+struct NodeRecord;
+struct CrashNotice;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -1217,6 +1298,65 @@
     }
 };
 
+/** A request that a node has at a replica. */
+struct RunningPlacement
+{
+    /** Names it at that node. */
+    std::uint64_t ticket = 0;
+    /** Where it runs. */
+    EndpointName replica;
+    /** Whether it is a batch item. */
+    bool isBatch = false;
+
+    bool operator==(const RunningPlacement &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->ticket, this->replica, this->isBatch);
+    }
+};
+
+/** One header line of a batch item. */
+struct HeaderRecord
+{
+    /** Its name. */
+    std::string name;
+    /** Its value. */
+    std::string value;
+
+    bool operator==(const HeaderRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->name, this->value);
+    }
+};
+
+/** One item of a job as it was submitted. */
+struct JobItemRecord
+{
+    /** Names it. */
+    std::string id;
+    /** Path and query that a replica gets. */
+    std::string target;
+    /** Headers that a replica gets. */
+    std::vector<HeaderRecord> headers;
+    /** The bytes that a replica gets. */
+    std::string body;
+    /** Of the prompt and the longest output. */
+    std::uint64_t tokens = 0;
+
+    bool operator==(const JobItemRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->id, this->target, this->headers, this->body, this->tokens);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -2168,4 +2308,309 @@
     }
 };
 
+/** Datagram: a node asks the dispatcher of a service for a place. It is sent again until there is an answer. */
+struct PlacementAsk
+{
+    static constexpr MessageNumber number{120};
+    /** Who asks. */
+    SessionNumber from;
+    /** Names the request at that node. */
+    std::uint64_t ticket = 0;
+    /** The service that is to run it. */
+    std::string service;
+    /** Whether it is a batch item, which makes room for others. */
+    bool isBatch = false;
+    /** Of its route; the most urgent is 0. */
+    std::uint32_t priority = 0;
+    /** How long it has waited so far. */
+    std::chrono::milliseconds waited = std::chrono::milliseconds(0);
+    /** Within which its first event is on time, counted from its arrival; for a batch item, until its job is due. */
+    std::chrono::milliseconds objective = std::chrono::milliseconds(0);
+    /** How long its caller will wait from now on. */
+    std::chrono::milliseconds patience = std::chrono::milliseconds(0);
+    /** Estimate of its work: prompt tokens, and output tokens ten times. */
+    std::uint32_t tokens = 0;
+    /** Where the asking node is. */
+    FailureDomain failureDomain;
+    /** Replicas that turned it away or failed it. */
+    std::vector<EndpointName> avoided;
+
+    bool operator==(const PlacementAsk &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from,
+                this->ticket,
+                this->service,
+                this->isBatch,
+                this->priority,
+                this->waited,
+                this->objective,
+                this->patience,
+                this->tokens,
+                this->failureDomain,
+                this->avoided);
+    }
+};
+
+/** Datagram: the dispatcher's answer, or its order to stop a batch item. */
+struct PlacementAnswer
+{
+    static constexpr MessageNumber number{121};
+    /** Of the PlacementAsk. */
+    std::uint64_t ticket = 0;
+    /** The service. */
+    std::string service;
+    /** What was decided. */
+    PlacementDecision decision = PlacementDecision::Waiting;
+    /** Of Placed: where it goes. */
+    EndpointName replica;
+    /** Of Refused: after which there is room. */
+    std::chrono::milliseconds comeBack = std::chrono::milliseconds(0);
+
+    bool operator==(const PlacementAnswer &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->ticket, this->service, this->decision, this->replica, this->comeBack);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->decision)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** Datagram: a placed or waiting request is over. */
+struct PlacementEnd
+{
+    static constexpr MessageNumber number{122};
+    /** Who asked. */
+    SessionNumber from;
+    /** Which. */
+    std::uint64_t ticket = 0;
+    /** The service. */
+    std::string service;
+    /** What it tells of the replica. */
+    PlacementVerdict verdict = PlacementVerdict::Finished;
+
+    bool operator==(const PlacementEnd &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->ticket, this->service, this->verdict);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->verdict)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** Datagram: all that a node has at the replicas of a service. It corrects what lost datagrams left wrong, and tells a new
+ * dispatcher what runs. */
+struct PlacementsRunning
+{
+    static constexpr MessageNumber number{123};
+    /** Who tells. */
+    SessionNumber from;
+    /** The service. */
+    std::string service;
+    /** Tickets above it are not covered. */
+    std::uint64_t lastTicket = 0;
+    /** The requests. */
+    std::vector<RunningPlacement> running;
+
+    bool operator==(const PlacementsRunning &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->service, this->lastTicket, this->running);
+    }
+};
+
+/** The newest configuration that a node has, as the platform holds it. */
+struct ConfigurationText
+{
+    static constexpr MessageNumber number{124};
+    /** Its version; 0 if the node has none. */
+    std::uint64_t version = 0;
+    /** The configuration in the platform's format. */
+    std::string text;
+
+    bool operator==(const ConfigurationText &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->version, this->text);
+    }
+};
+
+/** Asks a node for the newest configuration that it has. */
+struct ConfigurationTextRequest
+{
+    static constexpr MessageNumber number{125};
+    using Response = ConfigurationText;
+    /** The version that the asking node has; an older one is not sent. */
+    std::uint64_t known = 0;
+
+    bool operator==(const ConfigurationTextRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->known);
+    }
+};
+
+/** Datagram: a job was ended by its caller; whoever runs its items stops them. */
+struct JobEnded
+{
+    static constexpr MessageNumber number{126};
+    /** Which. */
+    JobId job;
+
+    bool operator==(const JobEnded &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->job);
+    }
+};
+
+/** Record: the items of a job. Written once, at its submission. */
+struct JobContent
+{
+    static constexpr MessageNumber number{127};
+    /** In the order of the submission. */
+    std::vector<JobItemRecord> items;
+
+    bool operator==(const JobContent &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->items);
+    }
+};
+
+/** Record: where a job stands. Every change of a job changes it, so its version orders them. */
+struct JobHead
+{
+    static constexpr MessageNumber number{128};
+    /** Name of the route that it was submitted on. */
+    std::string route;
+    /** Host of that route. */
+    std::string host;
+    /** When it was accepted. */
+    WallTime submitted;
+    /** How many items it has. */
+    std::uint32_t total = 0;
+    /** Rows that hold its content; 0: an object of the job's name does. */
+    std::uint32_t contentPieces = 0;
+    /** The items that have a result, by their number in the submission, in the order of the results. */
+    std::vector<std::uint32_t> listed;
+    /** The items whose run failed at a replica, once for each failure. */
+    std::vector<std::uint32_t> failures;
+    /** Whether its caller ended it. */
+    bool isEnded = false;
+
+    bool operator==(const JobHead &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->route,
+                this->host,
+                this->submitted,
+                this->total,
+                this->contentPieces,
+                this->listed,
+                this->failures,
+                this->isEnded);
+    }
+};
+
+/** Record: a job that has items without a result. Removed with the last result, or when the job is ended. */
+struct OpenJob
+{
+    static constexpr MessageNumber number{129};
+    /** Name of its route. */
+    std::string route;
+    /** Tokens of the items without a result. */
+    std::uint64_t waitingTokens = 0;
+    /** When all results are due. */
+    WallTime due;
+    /** The node that runs its items, for as long as it is there. */
+    SessionNumber runner;
+
+    bool operator==(const OpenJob &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->route, this->waitingTokens, this->due, this->runner);
+    }
+};
+
+/** Record: the result of one item. Never changed. */
+struct ItemResultRecord
+{
+    static constexpr MessageNumber number{130};
+    /** Names the item. */
+    std::string id;
+    /** Whether it has its whole output; else it was given up. */
+    bool isCompleted = false;
+    /** The data of its events, joined by line feeds. */
+    std::string output;
+
+    bool operator==(const ItemResultRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->id, this->isCompleted, this->output);
+    }
+};
+
+/** Record: a node tells the others how to reach it. */
+struct NodeRecord
+{
+    static constexpr MessageNumber number{131};
+    /** Which start of the node. */
+    SessionNumber session;
+    /** Where it takes datagrams. */
+    Address gossip;
+
+    bool operator==(const NodeRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->session, this->gossip);
+    }
+};
+
+/** Datagram: a replica broke off while it ran a request; a request that does so again and again is refused everywhere. */
+struct CrashNotice
+{
+    static constexpr MessageNumber number{132};
+    /** Hash of what the request asks for. */
+    std::uint64_t fingerprint = 0;
+
+    bool operator==(const CrashNotice &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/Commands.cpp
+++ b/Programs/dogwoodkeel/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "BatchCommand.h"
 #include "ConfigCommand.h"
+#include "GatewayCommand.h"
 #include "ServeCommand.h"
 #include "StatusCommand.h"
 
@@ -44,6 +45,13 @@
          "Runs a node until SIGTERM, then stops it as planned.\n"
          "exit codes: 0 stopped as planned, 1 could not serve, 2 wrong settings or command line\n",
          runServe},
+        {"gateway",
+         "run a node on a platform whose store holds configuration, replicas and jobs",
+         "usage: dogwoodkeel gateway [--settings=FILE,...]\n"
+         "Runs a node until SIGTERM, then stops it as planned. Without --settings, the file is the one that the variable\n"
+         "DOGWOODKEEL_SETTINGS names. SIGHUP checks the file again.\n"
+         "exit codes: 0 stopped as planned, 1 could not serve, 2 wrong settings or command line\n",
+         runGateway},
         {"config", "check, compare, apply, show, list and revert configuration versions", configHelp, runConfig},
         {"status",
          "tell the state of all nodes, what is degraded and what to do",
--- /dev/null
+++ b/Programs/dogwoodkeel/GatewayCommand.cpp
@@ -0,0 +1,93 @@
+#include "GatewayCommand.h"
+
+#include "Flags.h"
+#include "Signals.h"
+
+#include <LibBase/Log.h>
+#include <LibBase/SystemClock.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Gateway/Gateway.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <memory>
+#include <thread>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** The platform tells where it has put the settings file by this variable. */
+constexpr const char *settingsVariable = "DOGWOODKEEL_SETTINGS";
+
+void useSettingsOfPlatform()
+{
+    const char *const path = std::getenv(settingsVariable);
+    if (FLAGS_settings.empty() && path != nullptr) {
+        FLAGS_settings = path;
+    }
+}
+
+/** Say what is wrong with changed settings; what they hold takes effect at the next start. */
+void checkChangedSettings()
+{
+    Findings findings;
+    std::vector<SettingsSource> sources;
+    const bool isGood = loadServeSettings(sources, findings).has_value();
+    log(isGood ? LogLevel::Info : LogLevel::Error,
+        "settings file read again",
+        {{"good", isGood}, {"findings", findings.toString()}});
+}
+
+/** Waits for signals until one stops the node. */
+void awaitStop(const sigset_t &signals)
+{
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+        checkChangedSettings();
+    }
+    log(LogLevel::Info, "told to stop", {{"signal", static_cast<std::int64_t>(signal)}});
+}
+
+} // namespace
+
+ExitCode runGateway(const std::vector<std::string> &)
+{
+    useSettingsOfPlatform();
+    Findings findings;
+    std::vector<SettingsSource> sources;
+    std::optional<Settings> loaded = loadServeSettings(sources, findings);
+    if (!loaded) {
+        std::fputs(findings.toString().c_str(), stderr);
+        return ExitCode::Usage;
+    }
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT, SIGHUP});
+    const auto settings = std::make_shared<const Settings>(*std::move(loaded));
+    startLog(settings->node.vm, logLevelOf(settings->node.log));
+    const SystemClock clock;
+    try {
+        EventLoop loop;
+        Gateway gateway(loop, clock, settings);
+        log(LogLevel::Info, "started", {{"address", settings->listen.http.toString()}});
+        // NOTE: Not joined: if the loop ends by a failure, no signal may ever come, and the process has to end at once.
+        std::thread([&loop, &gateway, signals] {
+            awaitStop(signals);
+            loop.post([&loop, &gateway] {
+                gateway.stop([&loop] {
+                    loop.stop();
+                });
+            });
+        }).detach();
+        loop.run();
+    } catch (const std::exception &error) {
+        log(LogLevel::Error, "cannot serve", {{"error", std::string(error.what())}});
+        return ExitCode::Failure;
+    }
+    return ExitCode::Success;
+}
+
+} // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/ServeCommand.cpp
+++ b/Programs/dogwoodkeel/ServeCommand.cpp
@@ -2,6 +2,7 @@
 
 #include "Flags.h"
 #include "Node.h"
+#include "Signals.h"
 
 #include <LibBase/Log.h>
 #include <LibBase/SystemClock.h>
@@ -20,33 +21,6 @@
 namespace
 {
 
-LogLevel levelOf(LogDetail detail)
-{
-    switch (detail) {
-    case LogDetail::Debug:
-        return LogLevel::Debug;
-    case LogDetail::Info:
-        return LogLevel::Info;
-    case LogDetail::Warning:
-        return LogLevel::Warning;
-    case LogDetail::Error:
-        return LogLevel::Error;
-    }
-    return LogLevel::Info;
-}
-
-/** Blocks the stop signals in this thread and all that it starts, so that one place waits for them. */
-sigset_t blockStopSignals()
-{
-    sigset_t signals{};
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 /** Waits for a second signal while a planned stop goes on. */
 void hurryAtSignal(Node &node, const sigset_t &signals, const std::stop_token &stopped)
 {
@@ -71,8 +45,8 @@
         std::fputs(findings.toString().c_str(), stderr);
         return ExitCode::Usage;
     }
-    const sigset_t signals = blockStopSignals();
-    startLog(settings->node.vm, levelOf(settings->node.log));
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT});
+    startLog(settings->node.vm, logLevelOf(settings->node.log));
     const SystemClock clock;
     try {
         Node node(clock, std::make_shared<const Settings>(*std::move(settings)), std::move(sources));
--- /dev/null
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibGateway/ServingConfiguration.h>
+#include <LibPlatform/RowStore.h>
+#include <Services/Gateway/PeerNetwork.h>
+#include <Services/Gateway/TableFollower.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Has the newest configuration that the store or any other node tells of. It never goes back: an older version, from a
+ * store that lags or a node that was cut off, is passed over.
+ */
+class ConfigurationFollower
+{
+public:
+    /** How a text of the platform becomes a configuration. */
+    struct Format
+    {
+        std::string table;
+        std::string key;
+        std::function<std::optional<ServingConfiguration>(std::string_view)> decode;
+    };
+
+    using Changed = std::function<void(const ServingConfigurationPointer &)>;
+
+    ConfigurationFollower(EventLoop &loop,
+                          RowStore &store,
+                          PeerNetwork &peers,
+                          std::chrono::milliseconds storeWait,
+                          Format format,
+                          Changed changed);
+    ~ConfigurationFollower();
+    ConfigurationFollower(const ConfigurationFollower &) = delete;
+    ConfigurationFollower &operator=(const ConfigurationFollower &) = delete;
+
+    /** @return the configuration in force on this node, or null. */
+    const ServingConfigurationPointer &current() const;
+
+    /** The members changed: one may have a newer configuration. */
+    void look(const MemberView &view);
+
+private:
+    void take(const std::string &text, std::string_view source);
+    void askSeeds();
+    void askPeer(const Address &peer);
+    std::uint64_t version() const;
+
+    EventLoop &loop;
+    PeerNetwork &peers;
+    Format format;
+    Changed changed;
+    std::string text;
+    ServingConfigurationPointer configuration;
+    bool isAsking = false;
+    TimerId seedTimer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::optional<TableFollower> follower;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/Gateway.cpp
@@ -0,0 +1,351 @@
+#include <Services/Gateway/Gateway.h>
+
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+#include <LibWire/Codec.h>
+#include <Services/Gateway/OnlineCall.h>
+#include <platform/ConfigurationFormat.h>
+#include <platform/DirectoryFormat.h>
+#include <platform/JobFormat.h>
+#include <platform/ReplicaFormat.h>
+#include <platform/RequestFormat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t idleToStore = 8;
+/** Idle connections kept to one replica: a node seldom has more requests at one replica at once. */
+constexpr std::size_t idleToReplica = 4;
+constexpr std::chrono::milliseconds stopLook{100};
+/** Callers keep an answer for its time to live, some of them three times as long. */
+constexpr int addressLives = 3;
+/** Kept of the platform's grace for the end of the process. */
+constexpr std::chrono::milliseconds graceMargin{700};
+constexpr std::chrono::milliseconds unknownPause{300};
+
+std::uint64_t seedOf(const Settings &settings, const Clock &clock)
+{
+    return stableHash(settings.node.vm, static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
+}
+
+void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const std::string &type, const std::string &body)
+{
+    HeaderList headers;
+    if (!type.empty()) {
+        headers.add("Content-Type", type);
+    }
+    exchange->send(status, headers, body);
+}
+
+} // namespace
+
+Gateway::Gateway(EventLoop &loop, const Clock &clock, const SettingsPointer &settings)
+    : loop(loop)
+    , clock(clock)
+    , settings(settings)
+    , random(static_cast<std::minstd_rand::result_type>(seedOf(*settings, clock)))
+    , crashes(clock)
+    , storePool(loop, clock, idleToStore)
+    , replicaPool(loop, clock, idleToReplica)
+    , store(this->storePool, settings->platform.address, settings->platform.timeout)
+    , peers(loop,
+            clock,
+            this->store,
+            *settings,
+            {.onView =
+                 [this](const MemberViewPointer &view) {
+                     this->takeView(view);
+                 },
+             .onDatagram =
+                 [this](const Datagram &datagram) {
+                     this->takeDatagram(datagram);
+                 }})
+    , placements(loop, clock, this->peers, FailureDomain(settings->node.failureDomain))
+    , listed(loop,
+             clock,
+             this->store,
+             {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
+             {replicaTable, &decodeReplica},
+             [this] {
+                 this->updateReplicas();
+             })
+    , configuration(loop,
+                    this->store,
+                    this->peers,
+                    settings->gateway.storeWait,
+                    {configurationTable, configurationKey, &decodeConfiguration},
+                    [this](const ServingConfigurationPointer &taken) {
+                        this->takeConfiguration(taken);
+                    })
+    , context{loop,
+              clock,
+              this->replicaPool,
+              this->placements,
+              this->listed,
+              this->metrics,
+              this->crashes,
+              [this](std::uint64_t fingerprint) {
+                  this->tellAll([this, fingerprint](const Address &peer) {
+                      this->peers.datagrams().send(peer, CrashNotice{fingerprint});
+                  });
+              },
+              this->random}
+    , jobs(loop, clock, this->store, this->peers.self(), static_cast<std::size_t>(settings->platform.rowBytes), this->random())
+    , jobApi(this->context,
+             this->jobs,
+             [this](const JobId &job) {
+                 this->runners.stopJob(job);
+                 this->tellAll([this, &job](const Address &peer) {
+                     this->peers.datagrams().send(peer, JobEnded{job});
+                 });
+             })
+    , runners(this->context,
+              this->store,
+              this->jobs,
+              this->peers,
+              settings->gateway.storeWait,
+              [this] {
+                  return this->configuration.current();
+              })
+    , callers(loop,
+              clock,
+              settings->listen.http,
+              {},
+              [this](const std::shared_ptr<CallerExchange> &exchange) {
+                  this->handleCaller(exchange);
+              })
+    , directory(loop,
+                clock,
+                settings->gateway.directory,
+                {},
+                [this](const std::shared_ptr<CallerExchange> &exchange) {
+                    this->handleDirectory(exchange);
+                })
+    , readiness(loop,
+                clock,
+                settings->gateway.ready,
+                {},
+                [this](const std::shared_ptr<CallerExchange> &exchange) {
+                    this->handleReadiness(exchange);
+                })
+    , metricsServer(loop, clock, settings->gateway.metrics, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
+        this->handleMetrics(exchange);
+    })
+{
+    this->isComplete = true;
+    this->takeView(this->peers.view());
+}
+
+Gateway::~Gateway()
+{
+    this->loop.cancel(this->stopTimer);
+}
+
+void Gateway::takeView(const MemberViewPointer &view)
+{
+    // The first views come while the parts that want them are still being made.
+    if (!this->isComplete) {
+        return;
+    }
+    log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
+    this->placements.setView(view);
+    this->configuration.look(*view);
+    this->runners.setView(view);
+}
+
+void Gateway::takeDatagram(const Datagram &datagram)
+{
+    if (!this->isComplete) {
+        return;
+    }
+    if (datagram.number == CrashNotice::number) {
+        if (const auto notice = decode<CrashNotice>(datagram.payload)) {
+            this->crashes.noteCrash(notice->fingerprint);
+        }
+    } else if (datagram.number == JobEnded::number) {
+        if (const auto ended = decode<JobEnded>(datagram.payload)) {
+            this->runners.stopJob(ended->job);
+        }
+    } else {
+        this->placements.receive(datagram);
+    }
+}
+
+void Gateway::takeConfiguration(const ServingConfigurationPointer &configuration)
+{
+    if (!this->isComplete) {
+        return;
+    }
+    const StatedLimits &stated = configuration->limits;
+    CallerLimits limits;
+    limits.headBytes = stated.headBytes > 0 ? stated.headBytes : limits.headBytes;
+    limits.bodyBytes = stated.bodyBytes > 0 ? stated.bodyBytes : limits.bodyBytes;
+    limits.headTimeout = stated.headTimeout.count() > 0 ? stated.headTimeout : limits.headTimeout;
+    limits.idleTimeout = stated.idleTimeout.count() > 0 ? stated.idleTimeout : limits.idleTimeout;
+    this->callers.setLimits(limits);
+    this->updateReplicas();
+}
+
+void Gateway::updateReplicas()
+{
+    if (!this->isComplete) {
+        return;
+    }
+    const ServingConfigurationPointer current = this->configuration.current();
+    if (!current) {
+        return;
+    }
+    for (const Service &service : current->services) {
+        std::vector<DispatchReplica> replicas;
+        for (const ServingReplica &replica : this->listed.ofService(service.name)) {
+            const std::uint32_t slots = service.engine && service.engine->slots > 0 ? service.engine->slots : replica.slots;
+            replicas.push_back({replica.instance, replica.failureDomain, slots, replica.isDraining});
+        }
+        this->placements.setService(service.name, replicas, service.engine.has_value());
+    }
+    this->updateReadiness();
+}
+
+void Gateway::updateReadiness()
+{
+    const bool isReadyNow = this->configuration.current() && this->listed.isKnown() && !this->stopped;
+    if (std::exchange(this->isReady, isReadyNow) != isReadyNow) {
+        log(LogLevel::Info, isReadyNow ? "ready for callers" : "not ready for callers");
+        this->peers.setReady(isReadyNow);
+    }
+}
+
+void Gateway::handleCaller(const std::shared_ptr<CallerExchange> &exchange)
+{
+    const ServingConfigurationPointer current = this->configuration.current();
+    if (!current) {
+        exchange->send(statusUnavailable, retryHeaders(unknownPause), {});
+        this->metrics.countRequest("", statusUnavailable, std::chrono::nanoseconds(0));
+        return;
+    }
+    const MessageHead &head = exchange->head();
+    const JobCall jobCall = decodeJobCall(head);
+    if (!std::holds_alternative<std::monostate>(jobCall)) {
+        this->jobApi.answer(jobCall, exchange);
+        return;
+    }
+    const std::string_view host = head.headers.find("Host").value_or(std::string_view());
+    const Route *const route = current->findRoute(host, pathOf(head.target));
+    if (route == nullptr) {
+        log(LogLevel::Info,
+            "no route",
+            {{"host", std::string(host)},
+             {"target", head.target},
+             {"configuration", static_cast<std::int64_t>(current->version)}});
+        this->metrics.countRequest("", statusNotFound, std::chrono::nanoseconds(0));
+        answer(exchange, statusNotFound, "text/plain", "no route\n");
+        return;
+    }
+    if (route->kind == RouteKind::Batch) {
+        this->jobApi.submit(*route, exchange);
+        return;
+    }
+    std::make_shared<OnlineCall>(this->context, current, *route, exchange)->start();
+}
+
+void Gateway::handleDirectory(const std::shared_ptr<CallerExchange> &exchange)
+{
+    const std::optional<AddressQuery> query = decodeAddressQuery(exchange->head());
+    if (!query) {
+        answer(exchange, statusNotFound, "text/plain", "not found\n");
+        return;
+    }
+    std::vector<Address> addresses;
+    for (const Member &member : this->peers.view()->members()) {
+        if (member.isReady && !member.isLeaving) {
+            addresses.push_back(member.http);
+        }
+    }
+    std::ranges::shuffle(addresses, this->random);
+    addresses.resize(std::min(addresses.size(), mostAddresses));
+    if (addresses.empty()) {
+        exchange->send(statusUnavailable, retryHeaders(unknownPause), {});
+        return;
+    }
+    answer(exchange, statusOk, "application/json", encodeAddresses(addresses, this->settings->gateway.addressTtl));
+}
+
+void Gateway::handleReadiness(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (!isReadinessQuery(exchange->head())) {
+        answer(exchange, statusNotFound, "text/plain", "not found\n");
+        return;
+    }
+    answer(exchange, this->isReady ? statusOk : statusUnavailable, {}, {});
+}
+
+void Gateway::handleMetrics(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (const ServingConfigurationPointer current = this->configuration.current()) {
+        this->metrics.setGauge("configuration_version", static_cast<double>(current->version));
+        for (const Service &service : current->services) {
+            if (const std::optional<Dispatcher::Load> load = this->placements.dispatcherLoad(service.name)) {
+                this->metrics.setGauge(service.name.value() + "_slots", static_cast<double>(load->slots));
+                this->metrics.setGauge(service.name.value() + "_online_running", static_cast<double>(load->onlineRunning));
+                this->metrics.setGauge(service.name.value() + "_batch_running", static_cast<double>(load->batchRunning));
+                this->metrics.setGauge(service.name.value() + "_online_waiting", static_cast<double>(load->onlineWaiting));
+                this->metrics.setGauge(service.name.value() + "_batch_waiting", static_cast<double>(load->batchWaiting));
+            }
+        }
+    }
+    this->metrics.setGauge("members", static_cast<double>(this->peers.view()->members().size()));
+    this->metrics.setGauge("placed_by_own_counts", static_cast<double>(this->placements.fallbacks()));
+    this->metrics.setGauge("connections_to_replicas", static_cast<double>(this->replicaPool.connectionsMade()));
+    answer(exchange, statusOk, "text/plain; version=0.0.4", this->metrics.toText());
+}
+
+void Gateway::tellAll(const std::function<void(const Address &)> &send)
+{
+    for (const Member &member : this->peers.view()->members()) {
+        if (member.session != this->peers.self()) {
+            send(member.gossip);
+        }
+    }
+}
+
+void Gateway::stop(std::function<void()> done)
+{
+    log(LogLevel::Info, "stopping");
+    this->stopped = std::move(done);
+    this->stopStarted = this->clock.now();
+    this->updateReadiness();
+    this->peers.leave();
+    this->runners.stopAll();
+    this->callers.closeAfterAnswers();
+    this->watchStop();
+}
+
+void Gateway::watchStop()
+{
+    const std::chrono::nanoseconds passed = this->clock.now() - this->stopStarted;
+    const std::chrono::milliseconds mostTime = this->settings->gateway.grace - graceMargin;
+    const auto lived = std::min(this->settings->gateway.addressTtl * addressLives, mostTime / 2);
+    if (passed > lived) {
+        this->callers.stopAccepting();
+    }
+    const std::size_t busy = this->callers.busyConnections();
+    if ((passed > lived && busy == 0) || passed > mostTime) {
+        log(LogLevel::Info, "stopped", {{"open_requests", static_cast<std::int64_t>(busy)}});
+        this->stopped();
+        return;
+    }
+    this->stopTimer = this->loop.schedule(stopLook, [this] {
+        this->watchStop();
+    });
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/Gateway.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibGateway/CrashMemory.h>
+#include <LibProxy/CallerServer.h>
+#include <LibProxy/OutboundPool.h>
+#include <LibSettings/SettingsHandle.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Gateway/ConfigurationFollower.h>
+#include <Services/Gateway/GatewayContext.h>
+#include <Services/Gateway/GatewayMetrics.h>
+#include <Services/Gateway/JobApi.h>
+#include <Services/Gateway/JobRunners.h>
+#include <Services/Gateway/JobStore.h>
+#include <Services/Gateway/PeerNetwork.h>
+#include <Services/Gateway/PlacementClient.h>
+#include <Services/Gateway/ReplicaFollower.h>
+#include <platform/PlatformStore.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * A node that serves callers on a platform whose store holds the configuration, the list of replicas and the batch jobs.
+ * It keeps nothing of its own: any node can take any call at any moment. Lives on one event loop.
+ */
+class Gateway
+{
+public:
+    /** @throws std::runtime_error if it cannot listen at its addresses */
+    Gateway(EventLoop &loop, const Clock &clock, const SettingsPointer &settings);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /**
+     * Stop as planned: leave the addresses that callers are told, hand batch jobs on, finish what runs.
+     * @param done told once nothing is left to do, or the platform's grace is nearly over
+     */
+    void stop(std::function<void()> done);
+
+private:
+    void takeView(const MemberViewPointer &view);
+    void takeDatagram(const Datagram &datagram);
+    void takeConfiguration(const ServingConfigurationPointer &configuration);
+    void updateReplicas();
+    void updateReadiness();
+    void handleCaller(const std::shared_ptr<CallerExchange> &exchange);
+    void handleRoute(const Route &route, const std::shared_ptr<CallerExchange> &exchange);
+    void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
+    void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
+    void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
+    void tellAll(const std::function<void(const Address &)> &send);
+    void watchStop();
+
+    EventLoop &loop;
+    const Clock &clock;
+    SettingsPointer settings;
+    // NOTE: Before the parts: they tell of what they learn already while they are made.
+    /** Whether all parts are made. */
+    bool isComplete = false;
+    bool isReady = false;
+    std::function<void()> stopped;
+    SteadyTime stopStarted{};
+    TimerId stopTimer = 0;
+    std::minstd_rand random;
+    GatewayMetrics metrics;
+    CrashMemory crashes;
+    OutboundPool storePool;
+    OutboundPool replicaPool;
+    PlatformStore store;
+    PeerNetwork peers;
+    PlacementClient placements;
+    ReplicaFollower listed;
+    ConfigurationFollower configuration;
+    GatewayContext context;
+    JobStore jobs;
+    JobApi jobApi;
+    JobRunners runners;
+    CallerServer callers;
+    CallerServer directory;
+    CallerServer readiness;
+    CallerServer metricsServer;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/GatewayContext.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibGateway/CrashMemory.h>
+#include <LibProxy/OutboundPool.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Gateway/GatewayMetrics.h>
+#include <Services/Gateway/PlacementClient.h>
+#include <Services/Gateway/ReplicaFollower.h>
+
+#include <functional>
+#include <random>
+
+namespace Dogwoodkeel
+{
+
+/** What the parts of a gateway node that handle requests share. All live on one event loop. */
+struct GatewayContext
+{
+    EventLoop &loop;
+    const Clock &clock;
+    /** Connections to replicas. */
+    OutboundPool &replicas;
+    PlacementClient &placements;
+    ReplicaFollower &listed;
+    GatewayMetrics &metrics;
+    CrashMemory &crashes;
+    /** Tell the other nodes that a request broke the replica that ran it. */
+    std::function<void(std::uint64_t fingerprint)> tellCrash;
+    std::minstd_rand &random;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -0,0 +1,264 @@
+#include <Services/Gateway/ItemAttempt.h>
+
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+#include <platform/RequestFormat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int firstRedirection = 300;
+constexpr int statusUnprocessable = 422;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t largestEvent = 1048576;
+/** An item can go on anywhere, so a silent replica is left; but not before a slow one has had time for a few events. */
+constexpr int silentPauses = 6;
+constexpr std::chrono::milliseconds shortestSilence{2000};
+constexpr std::chrono::milliseconds retryPause{100};
+/** A replica that turned an item away is passed by only for its next try: it may be the only one. */
+constexpr std::size_t avoidedAtOnce = 2;
+/** While the replicas crash that run it, an item waits this long before it is looked at again. */
+constexpr std::chrono::milliseconds crashPause{2000};
+constexpr std::chrono::milliseconds longestIdle{10000};
+
+} // namespace
+
+ItemAttempt::ItemAttempt(GatewayContext &context, const JobItem &item, std::string host, SteadyTime due, Hooks hooks)
+    : context(context)
+    , item(item)
+    , host(std::move(host))
+    , due(due)
+    , hooks(std::move(hooks))
+    , fingerprint(stableHash(item.body, stableHash(item.target)))
+    , splitter(largestEvent)
+{
+}
+
+void ItemAttempt::start()
+{
+    this->lastEvent.reset();
+    this->output.clear();
+    this->askForPlace();
+}
+
+void ItemAttempt::cancel()
+{
+    this->isOver = true;
+    this->context.loop.cancel(std::exchange(this->retryTimer, 0));
+    this->leave(PlacementVerdict::Finished);
+    this->hooks = {};
+}
+
+void ItemAttempt::askForPlace()
+{
+    this->retryTimer = 0;
+    const std::optional<Target> found = this->hooks.target();
+    if (!found) {
+        this->askLater();
+        return;
+    }
+    if (this->context.crashes.isRefused(this->fingerprint)) {
+        this->retryTimer = this->context.loop.schedule(crashPause, [self = this->shared_from_this()] {
+            self->askForPlace();
+        });
+        return;
+    }
+    this->target = *found;
+    PlacementWish wish;
+    wish.service = this->target.service;
+    wish.work = WorkClass::Batch;
+    wish.priority = this->target.priority;
+    wish.arrived = this->context.clock.now();
+    wish.due = this->due;
+    wish.deadline = wish.arrived + std::chrono::hours(1);
+    wish.tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(this->item.tokens, 1'000'000'000));
+    wish.avoided = this->avoided;
+    this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
+        self->takePlacement(placement);
+    });
+}
+
+void ItemAttempt::askLater()
+{
+    this->retryTimer = this->context.loop.schedule(retryPause, [self = this->shared_from_this()] {
+        self->askForPlace();
+    });
+}
+
+void ItemAttempt::takePlacement(const Placement &placement)
+{
+    if (this->isOver) {
+        return;
+    }
+    if (placement.decision == PlacementDecision::Stopped) {
+        this->context.metrics.countEvent("batch item stopped");
+        log(LogLevel::Debug, "batch item makes room", {{"item", this->item.id.value()}});
+        this->leave(PlacementVerdict::Finished);
+        this->askForPlace();
+        return;
+    }
+    if (placement.decision == PlacementDecision::Refused) {
+        this->leave(PlacementVerdict::Finished);
+        this->askLater();
+        return;
+    }
+    const ServingReplica *const found = this->context.listed.find(placement.replica);
+    const std::optional<Target> current = this->hooks.target();
+    if (found == nullptr || !current || current->service != this->target.service) {
+        this->goOn(PlacementVerdict::Finished, "the replica is not listed any more, or the route has moved");
+        return;
+    }
+    this->send(*found);
+}
+
+void ItemAttempt::send(const ServingReplica &replica)
+{
+    const std::shared_ptr<ItemAttempt> self = this->shared_from_this();
+    this->replica = replica;
+    this->answer.reset();
+    this->splitter = EventSplitter(largestEvent);
+    OutboundCall outbound;
+    outbound.address = replica.address;
+    outbound.head = encodeItemRequest(this->item, this->host, replica, this->lastEvent);
+    outbound.body = this->item.body;
+    outbound.longestIdle = longestIdle;
+    outbound.isAnswer = [id = this->item.id.value()](const MessageHead &head) {
+        const ReplicaAnswer read = decodeReplicaAnswer(head);
+        return read.requestId.empty() || read.requestId == id;
+    };
+    CallHooks calls{
+        .onHead =
+            [self](const MessageHead &head) {
+                self->takeHead(head);
+            },
+        .onBody =
+            [self](std::string_view data) {
+                self->takeBody(data);
+            },
+        .onEnd =
+            [self](CallEnd end) {
+                self->takeEnd(end);
+            },
+    };
+    this->call = this->context.replicas.start(std::move(outbound), std::move(calls));
+    this->armSilence();
+}
+
+void ItemAttempt::takeHead(const MessageHead &head)
+{
+    const ReplicaAnswer read = decodeReplicaAnswer(head);
+    this->answer = head;
+    const bool isSuccess = read.status >= statusOk && read.status < firstRedirection;
+    if (read.isNotExecuted) {
+        const bool isFull = read.status == statusUnavailable;
+        this->goOn(isFull ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable, "the replica did not run it");
+    } else if (!read.isSigned) {
+        this->goOn(PlacementVerdict::Broken, "an answer without the replica's signature");
+    } else if (read.status == statusUnprocessable) {
+        this->finish(End::Impossible);
+    } else if (!isSuccess) {
+        this->finish(End::Failed);
+    }
+}
+
+void ItemAttempt::takeBody(std::string_view data)
+{
+    if (!this->replica || this->isOver) {
+        return;
+    }
+    const std::vector<StreamEvent> events = this->splitter.feed(data);
+    for (const StreamEvent &event : events) {
+        const std::uint64_t expected = this->lastEvent.value_or(0) + 1;
+        if (event.id != expected) {
+            this->goOn(PlacementVerdict::Broken, "an event is out of order");
+            return;
+        }
+        this->output.append(expected > 1 ? "\n" : "").append(event.data);
+        this->lastEvent = event.id;
+    }
+    if (this->splitter.isBroken()) {
+        this->goOn(PlacementVerdict::Broken, "an event is too large");
+    } else if (!events.empty()) {
+        this->armSilence();
+    }
+}
+
+void ItemAttempt::takeEnd(CallEnd end)
+{
+    this->call = 0;
+    if (this->isOver || !this->replica) {
+        return;
+    }
+    if (end == CallEnd::NotSent) {
+        this->goOn(PlacementVerdict::Unreachable, "no connection to the replica");
+    } else if (end == CallEnd::Broken) {
+        this->context.crashes.noteCrash(this->fingerprint);
+        this->context.tellCrash(this->fingerprint);
+        this->goOn(PlacementVerdict::Broken, "the connection to the replica broke");
+    } else if (this->splitter.hasRest()) {
+        this->goOn(PlacementVerdict::Broken, "the stream ended inside an event");
+    } else {
+        this->finish(End::Completed);
+    }
+}
+
+void ItemAttempt::leave(PlacementVerdict verdict)
+{
+    this->context.loop.cancel(std::exchange(this->silenceTimer, 0));
+    if (this->call != 0) {
+        this->context.replicas.cancel(std::exchange(this->call, 0));
+    }
+    if (this->ticket != 0) {
+        this->context.placements.end(std::exchange(this->ticket, 0), verdict);
+    }
+    if (this->replica && verdict != PlacementVerdict::Finished) {
+        this->avoided.push_back(this->replica->instance);
+        if (this->avoided.size() > avoidedAtOnce) {
+            this->avoided.erase(this->avoided.begin());
+        }
+    } else {
+        this->avoided.clear();
+    }
+    this->replica.reset();
+}
+
+void ItemAttempt::goOn(PlacementVerdict verdict, std::string_view reason)
+{
+    log(LogLevel::Info,
+        "batch item goes on elsewhere",
+        {{"item", this->item.id.value()},
+         {"replica", this->replica ? this->replica->instance.value() : std::string()},
+         {"reason", std::string(reason)},
+         {"last_event", static_cast<std::int64_t>(this->lastEvent.value_or(0))}});
+    this->context.metrics.countEvent("batch item went on elsewhere");
+    this->leave(verdict);
+    this->askLater();
+}
+
+void ItemAttempt::armSilence()
+{
+    const auto pause = std::max(this->target.longestPause * silentPauses, shortestSilence);
+    this->context.loop.cancel(this->silenceTimer);
+    this->silenceTimer = this->context.loop.schedule(pause, [self = this->shared_from_this()] {
+        self->silenceTimer = 0;
+        if (self->replica && !self->isOver) {
+            self->goOn(PlacementVerdict::Broken, "the replica fell silent");
+        }
+    });
+}
+
+void ItemAttempt::finish(End end)
+{
+    this->leave(PlacementVerdict::Finished);
+    const std::function<void(End, std::string)> ended = this->hooks.ended;
+    ended(end, std::move(this->output));
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/ItemAttempt.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibGateway/BatchTypes.h>
+#include <LibGateway/EventSplitter.h>
+#include <Services/Gateway/GatewayContext.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** Runs one batch item to its end: at one replica after the other, each going on where the one before stopped. */
+class ItemAttempt : public std::enable_shared_from_this<ItemAttempt>
+{
+public:
+    /** How an item left the replicas. */
+    enum class End {
+        /** It has its whole output. */
+        Completed,
+        /** A replica ran it and failed. */
+        Failed,
+        /** A replica says that it can never be done. */
+        Impossible,
+    };
+
+    /** Where items of its job go now. */
+    struct Target
+    {
+        ServiceName service;
+        std::uint32_t priority = 0;
+        std::chrono::milliseconds longestPause{0};
+    };
+
+    struct Hooks
+    {
+        /** @return where it goes, by the configuration in force; nothing: nowhere for now. */
+        std::function<std::optional<Target>()> target;
+        std::function<void(End, std::string output)> ended;
+    };
+
+    ItemAttempt(GatewayContext &context, const JobItem &item, std::string host, SteadyTime due, Hooks hooks);
+
+    /** Begin, or begin anew after a failure. */
+    void start();
+
+    /** Give up at once; the hooks are told nothing more. */
+    void cancel();
+
+private:
+    void askForPlace();
+    void askLater();
+    void takePlacement(const Placement &placement);
+    void send(const ServingReplica &replica);
+    void takeHead(const MessageHead &head);
+    void takeBody(std::string_view data);
+    void takeEnd(CallEnd end);
+    void leave(PlacementVerdict verdict);
+    void goOn(PlacementVerdict verdict, std::string_view reason);
+    void armSilence();
+    void finish(End end);
+
+    GatewayContext &context;
+    const JobItem item;
+    std::string host;
+    SteadyTime due;
+    Hooks hooks;
+    std::uint64_t fingerprint;
+    Target target;
+    std::vector<EndpointName> avoided;
+    PlacementClient::Ticket ticket = 0;
+    std::optional<ServingReplica> replica;
+    OutboundPool::CallId call = 0;
+    std::optional<MessageHead> answer;
+    EventSplitter splitter;
+    std::optional<std::uint64_t> lastEvent;
+    std::string output;
+    TimerId silenceTimer = 0;
+    TimerId retryTimer = 0;
+    bool isOver = false;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/JobApi.cpp
@@ -0,0 +1,164 @@
+#include <Services/Gateway/JobApi.h>
+
+#include <LibBase/Log.h>
+#include <platform/RequestFormat.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+/** A caller that does not say how long it waits gets this long. */
+constexpr std::chrono::milliseconds defaultPatience{3000};
+/** After a refusal: about how long the store takes to be back, or some items to be done. */
+constexpr std::chrono::milliseconds storePause{300};
+constexpr std::chrono::milliseconds fullPause{1000};
+constexpr std::size_t mostAnswerBytes = 900'000;
+
+int statusOf(SubmitOutcome outcome)
+{
+    switch (outcome) {
+    case SubmitOutcome::Accepted:
+        return statusAccepted;
+    case SubmitOutcome::Full:
+        return statusTooManyRequests;
+    case SubmitOutcome::NotStored:
+        return statusUnavailable;
+    case SubmitOutcome::Unknown:
+        return statusBadGateway;
+    }
+    return statusBadGateway;
+}
+
+int statusOf(JobReadOutcome outcome)
+{
+    switch (outcome) {
+    case JobReadOutcome::Found:
+        return statusOk;
+    case JobReadOutcome::Absent:
+        return statusNotFound;
+    case JobReadOutcome::Failed:
+        return statusUnavailable;
+    }
+    return statusUnavailable;
+}
+
+} // namespace
+
+JobApi::JobApi(GatewayContext &context, JobStore &store, std::function<void(const JobId &)> tellEnded)
+    : context(context), store(store), tellEnded(std::move(tellEnded))
+{
+}
+
+void JobApi::reply(const Exchange &exchange, const std::string &what, const JobId &job, int status, const std::string &body)
+{
+    log(LogLevel::Info, "job call answered", {{"call", what}, {"job", job.value()}, {"status", status}});
+    this->context.metrics.countEvent("job " + what + " " + std::to_string(status));
+    HeaderList headers;
+    if (status == statusUnavailable) {
+        headers = retryHeaders(storePause);
+    } else if (status == statusTooManyRequests) {
+        headers = retryHeaders(fullPause);
+    }
+    if (!body.empty()) {
+        headers.add("Content-Type", "application/json");
+    }
+    exchange->send(status, headers, body);
+}
+
+void JobApi::submit(const Route &route, const Exchange &exchange)
+{
+    const RequestTraits traits = decodeTraits(exchange->head().headers);
+    std::optional<std::vector<JobItem>> items = decodeSubmission(exchange->body());
+    const JobId job(traits.id);
+    if (!items || traits.id.empty()) {
+        this->reply(exchange, "submit", job, statusBadRequest, R"({"error":"the body lists no items, or the job has no id"})");
+        return;
+    }
+    Submission submission;
+    submission.id = job;
+    submission.route = route.name;
+    submission.host = route.host;
+    submission.waitingTokensLimit = route.waitingTokens;
+    submission.completionTarget = route.completionTarget;
+    submission.items = *std::move(items);
+    submission.deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
+    this->store.submit(std::move(submission), [this, exchange, job](SubmitOutcome outcome) {
+        this->reply(exchange, "submit", job, statusOf(outcome));
+    });
+}
+
+void JobApi::answer(const JobCall &call, const Exchange &exchange)
+{
+    if (const auto *const results = std::get_if<ReadResultsCall>(&call)) {
+        this->readResults(*results, exchange);
+    } else if (const auto *const item = std::get_if<ReadItemCall>(&call)) {
+        this->readItem(*item, exchange);
+    } else if (const auto *const end = std::get_if<EndJobCall>(&call)) {
+        this->end(*end, exchange);
+    }
+}
+
+void JobApi::readResults(const ReadResultsCall &call, const Exchange &exchange)
+{
+    this->store.readResults(call.job, call.from, [this, call, exchange](JobResults read) {
+        if (read.outcome != JobReadOutcome::Found) {
+            this->reply(exchange, "results", call.job, statusOf(read.outcome));
+            return;
+        }
+        std::size_t bytes = 0;
+        const auto fits = [&bytes](const ItemResult &result) {
+            bytes += result.output.size();
+            return bytes <= mostAnswerBytes;
+        };
+        const auto firstOver = std::ranges::find_if_not(read.results, fits);
+        const auto kept = std::max<std::ptrdiff_t>(firstOver - read.results.begin(), read.results.empty() ? 0 : 1);
+        read.results.resize(static_cast<std::size_t>(kept));
+        const std::uint64_t next = call.from + read.results.size();
+        this->reply(exchange, "results", call.job, statusOk, encodeResults(read.total, next, read.results));
+    });
+}
+
+void JobApi::readItem(const ReadItemCall &call, const Exchange &exchange)
+{
+    this->store.load(call.job, [this, call, exchange](const LoadedJob &loaded) {
+        if (loaded.outcome != JobReadOutcome::Found || loaded.head.isEnded) {
+            const bool isFailed = loaded.outcome == JobReadOutcome::Failed;
+            this->reply(exchange, "item", call.job, isFailed ? statusUnavailable : statusNotFound);
+            return;
+        }
+        const auto item = std::ranges::find(loaded.items, call.item, &JobItem::id);
+        if (item == loaded.items.end()) {
+            this->reply(exchange, "item", call.job, statusNotFound);
+            return;
+        }
+        log(LogLevel::Info, "job call answered", {{"call", "item"}, {"job", call.job.value()}, {"status", statusOk}});
+        exchange->send(statusOk, {}, item->body);
+    });
+}
+
+void JobApi::end(const EndJobCall &call, const Exchange &exchange)
+{
+    const RequestTraits traits = decodeTraits(exchange->head().headers);
+    const SteadyTime deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
+    this->store.end(call.job, deadline, [this, call, exchange](JobReadOutcome outcome) {
+        if (outcome == JobReadOutcome::Found) {
+            this->tellEnded(call.job);
+        }
+        this->reply(exchange, "end", call.job, statusOf(outcome));
+    });
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/JobApi.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibGateway/ServingConfiguration.h>
+#include <LibProxy/CallerExchange.h>
+#include <Services/Gateway/GatewayContext.h>
+#include <Services/Gateway/JobStore.h>
+#include <platform/JobFormat.h>
+
+#include <functional>
+#include <memory>
+
+namespace Dogwoodkeel
+{
+
+/** Answers the calls on batch jobs. */
+class JobApi
+{
+public:
+    using Exchange = std::shared_ptr<CallerExchange>;
+
+    /** @param tellEnded tells all nodes that a job was ended */
+    JobApi(GatewayContext &context, JobStore &store, std::function<void(const JobId &)> tellEnded);
+
+    void submit(const Route &route, const Exchange &exchange);
+    void answer(const JobCall &call, const Exchange &exchange);
+
+private:
+    void readResults(const ReadResultsCall &call, const Exchange &exchange);
+    void readItem(const ReadItemCall &call, const Exchange &exchange);
+    void end(const EndJobCall &call, const Exchange &exchange);
+    void reply(const Exchange &exchange, const std::string &what, const JobId &job, int status, const std::string &body = {});
+
+    GatewayContext &context;
+    JobStore &store;
+    std::function<void(const JobId &)> tellEnded;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/JobRun.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <Services/Gateway/ItemAttempt.h>
+#include <Services/Gateway/JobStore.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Runs the items of one job on this node, and adds their results to the job. Another node may run the same job at the same
+ * time, after a change of the members: each change is made under the condition of the head's version, so positions and
+ * results stay what they are, and only work is wasted.
+ */
+class JobRun : public std::enable_shared_from_this<JobRun>
+{
+public:
+    struct Hooks
+    {
+        /** @return where an item of the job goes, by the configuration in force. */
+        std::function<std::optional<ItemAttempt::Target>(const std::string &host, const std::string &target)> target;
+        /** @return the route of the job, or null if there is none any more. */
+        std::function<const Route *(const std::string &name)> route;
+        /** The job needs no runner any more. */
+        std::function<void()> over;
+    };
+
+    JobRun(GatewayContext &context, JobStore &store, SessionNumber self, JobId job, Hooks hooks);
+
+    void start();
+
+    /** Stop all items at once, and tell nothing more. */
+    void cancel();
+
+private:
+    /** An item without a result. */
+    struct Open
+    {
+        std::shared_ptr<ItemAttempt> attempt;
+    };
+
+    void load();
+    void takeLoaded(const LoadedJob &loaded);
+    void startItems();
+    void startItem(std::uint32_t number);
+    void takeItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output);
+    void takeFailure(std::uint32_t number);
+    void abandon(std::uint32_t number, std::string_view reason);
+    void checkRetention();
+    void writeSoon();
+    void write();
+    void takeWritten(const JobHead &written, RowVersion version, std::size_t count);
+    void takeUnwritten(WriteOutcome outcome);
+    void mergeFailures();
+    std::uint64_t waitingTokens(const JobHead &head) const;
+    void stopAll();
+
+    GatewayContext &context;
+    JobStore &store;
+    SessionNumber self;
+    JobId job;
+    Hooks hooks;
+    JobHead head;
+    RowVersion version = 0;
+    std::vector<JobItem> items;
+    std::map<std::uint32_t, Open> open;
+    /** Results that are not written yet, by item. */
+    std::vector<std::pair<std::uint32_t, ItemResult>> unwritten;
+    /** How often each item failed at a replica. */
+    std::map<std::uint32_t, std::uint32_t> failures;
+    /** Whether there are failures that are not written yet. */
+    bool hasNewFailures = false;
+    bool isLoaded = false;
+    bool isWriting = false;
+    bool isWriteScheduled = false;
+    int writeFailures = 0;
+    TimerId timer = 0;
+    TimerId retentionTimer = 0;
+    bool isOver = false;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/JobRunners.cpp
@@ -0,0 +1,196 @@
+#include <Services/Gateway/JobRunners.h>
+
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+#include <LibWire/Codec.h>
+#include <platform/RequestFormat.h>
+
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Each result changes its job's row; the changes are taken in groups. Far below the time in which an ended job's items
+ * must stop. */
+constexpr std::chrono::milliseconds changesPace{150};
+
+} // namespace
+
+JobRunners::JobRunners(GatewayContext &context,
+                       RowStore &rows,
+                       JobStore &store,
+                       PeerNetwork &peers,
+                       std::chrono::milliseconds storeWait,
+                       std::function<ServingConfigurationPointer()> configuration)
+    : context(context), store(store), peers(peers), configuration(std::move(configuration)), view(peers.view())
+{
+    this->follower.emplace(context.loop,
+                           rows,
+                           stableHash(JobRows::openTable) ^ peers.self().value(),
+                           TableFollower::Options{JobRows::openTable, storeWait, changesPace},
+                           TableFollower::Hooks{
+                               .onAll =
+                                   [this](const std::vector<StoredRow> &all) {
+                                       this->takeAll(all);
+                                   },
+                               .onChange =
+                                   [this](const StoredRow &row) {
+                                       this->takeChange(row);
+                                   },
+                               .onAnswer = [] {},
+                               .onFailure = [] {},
+                           });
+}
+
+JobRunners::~JobRunners()
+{
+    *this->alive = false;
+    this->stopAll();
+}
+
+void JobRunners::takeAll(const std::vector<StoredRow> &rows)
+{
+    std::set<JobId> listed;
+    for (const StoredRow &row : rows) {
+        if (const std::optional<JobId> job = JobRows::openJobOf(row.place.key)) {
+            listed.insert(*job);
+        }
+        this->takeChange(row);
+    }
+    std::vector<JobId> gone;
+    for (const auto &[job, row] : this->open) {
+        if (!listed.contains(job)) {
+            gone.push_back(job);
+        }
+    }
+    for (const JobId &job : gone) {
+        this->stopJob(job);
+    }
+}
+
+void JobRunners::takeChange(const StoredRow &row)
+{
+    const std::optional<JobId> job = JobRows::openJobOf(row.place.key);
+    if (!job) {
+        return;
+    }
+    if (row.isRemoved) {
+        this->stopJob(*job);
+        return;
+    }
+    const std::optional<OpenJob> decoded = decode<OpenJob>(row.value);
+    if (!decoded) {
+        log(LogLevel::Error, "unreadable row of an open job", {{"job", job->value()}});
+        return;
+    }
+    this->open.insert_or_assign(*job, *decoded);
+    this->decide(*job);
+}
+
+bool JobRunners::isOurs(const JobId &job, const OpenJob &open) const
+{
+    // Its runner keeps it as long as it is there: a change of the members must not make items run twice.
+    const Member *const runner = this->view->find(open.runner);
+    if (runner != nullptr && !runner->isLeaving) {
+        return open.runner == this->peers.self();
+    }
+    const Member *const holder = dutyHolder(*this->view, stableHash(job.value()));
+    return holder != nullptr && holder->session == this->peers.self();
+}
+
+void JobRunners::decide(const JobId &job)
+{
+    const auto row = this->open.find(job);
+    const bool isOurs = !this->isStopped && row != this->open.end() && this->isOurs(job, row->second);
+    const bool isRunning = this->runs.contains(job);
+    if (isOurs && !isRunning) {
+        this->startRun(job);
+    } else if (!isOurs && isRunning) {
+        log(LogLevel::Info, "job handed on", {{"job", job.value()}});
+        this->stopRun(job);
+    }
+}
+
+void JobRunners::startRun(const JobId &job)
+{
+    JobRun::Hooks hooks{
+        .target =
+            [this](const std::string &host, const std::string &target) {
+                return this->targetOf(host, target);
+            },
+        .route = [this](const std::string &name) -> const Route * {
+            const ServingConfigurationPointer current = this->configuration();
+            return current ? current->findRoute(name) : nullptr;
+        },
+        .over =
+            [this, job, alive = this->alive] {
+                this->context.loop.post([this, job, alive] {
+                    if (*alive) {
+                        this->stopJob(job);
+                    }
+                });
+            },
+    };
+    const auto run = std::make_shared<JobRun>(this->context, this->store, this->peers.self(), job, std::move(hooks));
+    this->runs.emplace(job, run);
+    run->start();
+}
+
+std::optional<ItemAttempt::Target> JobRunners::targetOf(const std::string &host, const std::string &target) const
+{
+    const ServingConfigurationPointer current = this->configuration();
+    const Route *const route = current ? current->findRoute(host, pathOf(target)) : nullptr;
+    if (route == nullptr || route->kind != RouteKind::Batch) {
+        return std::nullopt;
+    }
+    // The same item always goes to the same service of a split, so that a stopped item can go on where it was.
+    const double point = std::ldexp(static_cast<double>(stableHash(target) >> 11), -53);
+    const RouteTarget *const chosen = chooseTarget(*route, point);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    return ItemAttempt::Target{chosen->service, static_cast<std::uint32_t>(std::max(0, route->priority)), route->longestPause};
+}
+
+void JobRunners::setView(const MemberViewPointer &view)
+{
+    this->view = view;
+    std::vector<JobId> jobs;
+    for (const auto &[job, row] : this->open) {
+        jobs.push_back(job);
+    }
+    for (const JobId &job : jobs) {
+        this->decide(job);
+    }
+}
+
+void JobRunners::stopJob(const JobId &job)
+{
+    this->open.erase(job);
+    this->stopRun(job);
+}
+
+void JobRunners::stopRun(const JobId &job)
+{
+    const auto found = this->runs.find(job);
+    if (found != this->runs.end()) {
+        const std::shared_ptr<JobRun> run = found->second;
+        this->runs.erase(found);
+        run->cancel();
+    }
+}
+
+void JobRunners::stopAll()
+{
+    this->isStopped = true;
+    for (const auto &[job, run] : std::exchange(this->runs, {})) {
+        run->cancel();
+    }
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/JobRunners.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibGateway/ServingConfiguration.h>
+#include <Services/Gateway/JobRun.h>
+#include <Services/Gateway/PeerNetwork.h>
+#include <Services/Gateway/TableFollower.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Dogwoodkeel
+{
+
+/** Runs the open jobs that fall to this node. */
+class JobRunners
+{
+public:
+    /** @param configuration gives the configuration in force, or null */
+    JobRunners(GatewayContext &context,
+               RowStore &rows,
+               JobStore &store,
+               PeerNetwork &peers,
+               std::chrono::milliseconds storeWait,
+               std::function<ServingConfigurationPointer()> configuration);
+    ~JobRunners();
+    JobRunners(const JobRunners &) = delete;
+    JobRunners &operator=(const JobRunners &) = delete;
+
+    /** The members changed: jobs may fall to other nodes. */
+    void setView(const MemberViewPointer &view);
+
+    /** A job was ended by its caller. */
+    void stopJob(const JobId &job);
+
+    /** Give all jobs back: this node is leaving. */
+    void stopAll();
+
+private:
+    void takeAll(const std::vector<StoredRow> &rows);
+    void takeChange(const StoredRow &row);
+    void decide(const JobId &job);
+    bool isOurs(const JobId &job, const OpenJob &open) const;
+    void startRun(const JobId &job);
+    void stopRun(const JobId &job);
+    std::optional<ItemAttempt::Target> targetOf(const std::string &host, const std::string &target) const;
+
+    GatewayContext &context;
+    JobStore &store;
+    PeerNetwork &peers;
+    std::function<ServingConfigurationPointer()> configuration;
+    MemberViewPointer view;
+    std::map<JobId, OpenJob> open;
+    std::map<JobId, std::shared_ptr<JobRun>> runs;
+    bool isStopped = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::optional<TableFollower> follower;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/OnlineCall.cpp
@@ -0,0 +1,447 @@
+#include <Services/Gateway/OnlineCall.h>
+
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int statusServerError = 500;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+constexpr int statusOk = 200;
+constexpr int firstRedirection = 300;
+constexpr std::size_t largestEvent = 1048576;
+/** A caller that does not say how long it waits gets this long. */
+constexpr std::chrono::seconds defaultPatience{60};
+/** Replicas that may turn a request away unrun before it is refused: enough to pass by all that are just full. */
+constexpr std::uint32_t mostUnrunAttempts = 6;
+/** A stream that may be resumed goes on elsewhere after so many of its longest pauses without an event. */
+constexpr int silentPauses = 2;
+constexpr std::chrono::milliseconds shortestSilence{400};
+/** How long an idle connection may have been idle for a request that runs at most once: if the replica closes it just
+ * then, nobody can tell whether the request ran. */
+constexpr std::chrono::milliseconds longestIdleOnce{500};
+constexpr std::chrono::milliseconds longestIdleIdempotent{10000};
+/** Answer this long before the caller stops waiting, so that the answer still reaches it. */
+constexpr std::chrono::milliseconds answerMargin{20};
+/** After a refusal for want of a replica or a configuration, about how long it takes until there may be one. */
+constexpr std::chrono::milliseconds refusalPause{300};
+constexpr std::uint32_t outputWeight = 10;
+
+std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+} // namespace
+
+OnlineCall::OnlineCall(GatewayContext &context,
+                       ServingConfigurationPointer configuration,
+                       const Route &route,
+                       std::shared_ptr<CallerExchange> exchange)
+    : context(context)
+    , configuration(std::move(configuration))
+    , route(route)
+    , exchange(std::move(exchange))
+    , traits(decodeTraits(this->exchange->head().headers))
+    , arrived(context.clock.now())
+    , splitter(largestEvent)
+    , lastEvent(this->traits.lastEvent)
+{
+    std::chrono::milliseconds patience = this->traits.patience.value_or(defaultPatience);
+    if (route.timeout.count() > 0) {
+        patience = std::min(patience, route.timeout);
+    }
+    this->deadline = this->arrived + patience;
+    this->fingerprint = stableHash(this->exchange->body(), stableHash(this->exchange->head().target));
+}
+
+SteadyTime OnlineCall::now() const
+{
+    return this->context.clock.now();
+}
+
+bool OnlineCall::isStream() const
+{
+    return this->route.kind == RouteKind::Stream;
+}
+
+bool OnlineCall::mayRepeat() const
+{
+    return this->route.kind == RouteKind::Idempotent || (this->isStream() && this->route.isResumable);
+}
+
+void OnlineCall::start()
+{
+    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
+    this->exchange->whenGone([self] {
+        self->onGone();
+    });
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->now()) - answerMargin;
+    this->deadlineTimer = this->context.loop.schedule(std::max(remaining, std::chrono::milliseconds(0)), [self] {
+        self->onDeadline();
+    });
+    if (this->context.crashes.isRefused(this->fingerprint)) {
+        this->refuse(statusUnavailable, refusalPause, "it crashed the replicas that ran it");
+        return;
+    }
+    std::uniform_real_distribution<double> point(0, 1);
+    const RouteTarget *const target = chooseTarget(this->route, point(this->context.random));
+    if (target == nullptr) {
+        this->refuse(statusUnavailable, refusalPause, "the route has no service");
+        return;
+    }
+    this->service = target->service;
+    this->askForPlace();
+}
+
+void OnlineCall::askForPlace()
+{
+    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
+    this->stage = Stage::Placing;
+    this->asked = this->now();
+    PlacementWish wish;
+    wish.service = this->service;
+    wish.priority = static_cast<std::uint32_t>(std::max(0, this->route.priority));
+    wish.arrived = this->arrived;
+    wish.due = this->arrived + this->route.objective;
+    wish.deadline = this->deadline;
+    wish.tokens = static_cast<std::uint32_t>(this->traits.promptTokens + outputWeight * this->traits.estimatedOutputTokens);
+    wish.avoided = this->avoided;
+    this->ticket = this->context.placements.ask(wish, [self](const Placement &placement) {
+        self->takePlacement(placement);
+    });
+}
+
+void OnlineCall::takePlacement(const Placement &placement)
+{
+    if (this->stage != Stage::Placing) {
+        return;
+    }
+    if (placement.decision == PlacementDecision::Refused) {
+        this->refuse(statusUnavailable, placement.comeBack, "there is no room in time");
+        return;
+    }
+    this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
+    const ServingReplica *const found = this->context.listed.find(placement.replica);
+    if (found == nullptr) {
+        this->retryUnrun(PlacementVerdict::Unreachable, "the replica is not listed any more");
+        return;
+    }
+    this->send(*found);
+}
+
+void OnlineCall::send(const ServingReplica &replica)
+{
+    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
+    this->replica = replica;
+    this->stage = Stage::Sending;
+    ++this->attempts;
+    this->body.clear();
+    this->splitter = EventSplitter(largestEvent);
+    const auto remaining = std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->now());
+    OutboundCall outbound;
+    outbound.address = replica.address;
+    outbound.head = encodeReplicaRequest(this->exchange->head(), replica, remaining, this->lastEvent);
+    outbound.body = this->exchange->body();
+    outbound.longestIdle = this->mayRepeat() ? longestIdleIdempotent : longestIdleOnce;
+    outbound.isAnswer = [id = this->traits.id](const MessageHead &head) {
+        const ReplicaAnswer read = decodeReplicaAnswer(head);
+        return read.requestId.empty() || read.requestId == id;
+    };
+    CallHooks hooks{
+        .onHead =
+            [self](const MessageHead &head) {
+                self->takeHead(head);
+            },
+        .onBody =
+            [self](std::string_view data) {
+                self->takeBody(data);
+            },
+        .onEnd =
+            [self](CallEnd end) {
+                self->takeEnd(end);
+            },
+    };
+    this->call = this->context.replicas.start(std::move(outbound), std::move(hooks));
+    this->armSilence();
+}
+
+void OnlineCall::takeHead(const MessageHead &head)
+{
+    this->stage = Stage::Receiving;
+    // Of a stream that goes on elsewhere, the caller has the head already.
+    if (this->eventsPassed == 0) {
+        this->answer = head;
+    }
+    const ReplicaAnswer read = decodeReplicaAnswer(head);
+    const bool isSuccess = read.status >= statusOk && read.status < firstRedirection;
+    if (read.isNotExecuted) {
+        const PlacementVerdict verdict
+            = read.status == statusUnavailable ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable;
+        this->context.replicas.cancel(std::exchange(this->call, 0));
+        this->retryUnrun(verdict, "the replica did not run it");
+        return;
+    }
+    if (isSuccess && !read.isSigned) {
+        this->recover(PlacementVerdict::Broken, "an answer without the replica's signature");
+        return;
+    }
+    if (!isSuccess && this->eventsPassed > 0) {
+        this->recover(PlacementVerdict::Broken, "the replica refused to go on with the stream");
+        return;
+    }
+    if (!isSuccess && this->mayRepeat() && this->attempts < this->route.maxAttempts && read.status >= statusServerError) {
+        this->recover(PlacementVerdict::Finished, "the replica failed");
+    }
+}
+
+void OnlineCall::takeBody(std::string_view data)
+{
+    if (this->stage != Stage::Receiving) {
+        return;
+    }
+    const bool isSuccess = this->answer.status >= statusOk && this->answer.status < firstRedirection;
+    if (this->isStream() && isSuccess) {
+        this->takeEvents(data);
+        return;
+    }
+    this->body.append(data);
+}
+
+void OnlineCall::takeEvents(std::string_view data)
+{
+    const std::vector<StreamEvent> events = this->splitter.feed(data);
+    std::string passed;
+    for (const StreamEvent &event : events) {
+        const std::uint64_t expected = this->lastEvent.value_or(0) + 1;
+        if (event.id && *event.id != expected) {
+            this->exchange->write(passed);
+            this->recover(PlacementVerdict::Broken, "an event is out of order");
+            return;
+        }
+        if (event.id) {
+            this->lastEvent = event.id;
+        }
+        if (this->eventsPassed++ == 0) {
+            this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
+            this->context.metrics.countFirstByte(this->route.name, this->now() - this->arrived);
+        }
+        passed.append(event.text);
+    }
+    this->exchange->write(passed);
+    if (this->stage == Stage::Over) {
+        return;
+    }
+    if (this->splitter.isBroken()) {
+        this->recover(PlacementVerdict::Broken, "an event is too large");
+        return;
+    }
+    if (!events.empty()) {
+        this->armSilence();
+    }
+}
+
+void OnlineCall::takeEnd(CallEnd end)
+{
+    this->call = 0;
+    if (this->stage == Stage::Over || !this->replica) {
+        return;
+    }
+    if (end == CallEnd::NotSent) {
+        this->retryUnrun(PlacementVerdict::Unreachable, "no connection to the replica");
+        return;
+    }
+    if (end == CallEnd::Broken) {
+        this->context.crashes.noteCrash(this->fingerprint);
+        this->context.tellCrash(this->fingerprint);
+        this->recover(PlacementVerdict::Broken, "the connection to the replica broke");
+        return;
+    }
+    const bool isSuccess = this->answer.status >= statusOk && this->answer.status < firstRedirection;
+    if (this->isStream() && isSuccess) {
+        this->completeStream();
+    } else {
+        this->completeWhole();
+    }
+}
+
+void OnlineCall::completeWhole()
+{
+    this->leaveReplica(PlacementVerdict::Finished);
+    if (this->exchange->isBegun()) {
+        this->exchange->breakOff();
+        this->finish(0, "the stream could not go on");
+        return;
+    }
+    this->context.metrics.countFirstByte(this->route.name, this->now() - this->arrived);
+    this->exchange->send(this->answer.status, this->answer.headers.forwarded(), this->body);
+    this->finish(this->answer.status, "answered");
+}
+
+void OnlineCall::completeStream()
+{
+    if (this->splitter.hasRest()) {
+        this->recover(PlacementVerdict::Broken, "the stream ended inside an event");
+        return;
+    }
+    this->leaveReplica(PlacementVerdict::Finished);
+    this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
+    this->exchange->end();
+    this->finish(this->answer.status, "answered");
+}
+
+void OnlineCall::recover(PlacementVerdict verdict, std::string_view reason)
+{
+    this->leaveReplica(verdict);
+    const bool hasTime = this->deadline - this->now() > answerMargin * 2;
+    if (!this->mayRepeat() || this->attempts >= this->route.maxAttempts || !hasTime) {
+        this->fail(reason);
+        return;
+    }
+    log(LogLevel::Info,
+        "request goes on at another replica",
+        {{"request", this->traits.id},
+         {"from", this->avoided.back().value()},
+         {"reason", std::string(reason)},
+         {"last_event", static_cast<std::int64_t>(this->lastEvent.value_or(0))}});
+    this->context.metrics.countEvent("request repeated");
+    this->askForPlace();
+}
+
+void OnlineCall::retryUnrun(PlacementVerdict verdict, std::string_view reason)
+{
+    const bool wasSent = this->replica.has_value();
+    this->leaveReplica(verdict);
+    this->attempts -= wasSent ? 1 : 0;
+    log(LogLevel::Info,
+        "request was not run, trying another replica",
+        {{"request", this->traits.id},
+         {"replica", this->avoided.empty() ? std::string() : this->avoided.back().value()},
+         {"reason", std::string(reason)}});
+    if (++this->unrunAttempts >= mostUnrunAttempts) {
+        if (this->attempts == 0) {
+            this->refuse(statusUnavailable, refusalPause, "all replicas turned it away");
+        } else {
+            this->fail("all replicas turned it away");
+        }
+        return;
+    }
+    this->askForPlace();
+}
+
+void OnlineCall::leaveReplica(PlacementVerdict verdict)
+{
+    this->context.loop.cancel(std::exchange(this->silenceTimer, 0));
+    if (this->call != 0) {
+        this->context.replicas.cancel(std::exchange(this->call, 0));
+    }
+    if (this->ticket != 0) {
+        this->context.placements.end(std::exchange(this->ticket, 0), verdict);
+    }
+    if (this->replica) {
+        this->avoided.push_back(this->replica->instance);
+        this->replica.reset();
+    }
+}
+
+void OnlineCall::armSilence()
+{
+    if (!this->isStream() || !this->mayRepeat() || this->attempts >= this->route.maxAttempts) {
+        return;
+    }
+    // Before its first event a stream waits for its prompt to be read, and perhaps in the replica's queue.
+    const auto pause = std::max(this->eventsPassed > 0 ? this->route.longestPause : this->route.objective, shortestSilence);
+    this->context.loop.cancel(this->silenceTimer);
+    this->silenceTimer = this->context.loop.schedule(pause * silentPauses, [self = this->shared_from_this()] {
+        self->onSilence();
+    });
+}
+
+void OnlineCall::onSilence()
+{
+    this->silenceTimer = 0;
+    if (this->stage == Stage::Sending || this->stage == Stage::Receiving) {
+        this->recover(PlacementVerdict::Broken, "the replica fell silent");
+    }
+}
+
+void OnlineCall::onDeadline()
+{
+    this->deadlineTimer = 0;
+    if (this->stage == Stage::Over) {
+        return;
+    }
+    const bool mayHaveRun = this->attempts > 0;
+    this->leaveReplica(PlacementVerdict::Finished);
+    if (this->exchange->isBegun()) {
+        this->exchange->breakOff();
+        this->finish(0, "time is up");
+    } else if (mayHaveRun) {
+        this->exchange->send(statusGatewayTimeout, {}, {});
+        this->finish(statusGatewayTimeout, "time is up");
+    } else {
+        this->refuse(statusUnavailable, refusalPause, "no place in time");
+    }
+}
+
+void OnlineCall::onGone()
+{
+    if (this->stage == Stage::Over) {
+        return;
+    }
+    this->leaveReplica(PlacementVerdict::Finished);
+    this->finish(0, "the caller left");
+}
+
+void OnlineCall::refuse(int status, std::chrono::milliseconds comeBack, std::string_view reason)
+{
+    this->leaveReplica(PlacementVerdict::Finished);
+    this->exchange->send(status, retryHeaders(comeBack), {});
+    this->finish(status, reason);
+}
+
+void OnlineCall::fail(std::string_view reason)
+{
+    if (this->exchange->isBegun()) {
+        this->exchange->breakOff();
+        this->finish(0, reason);
+        return;
+    }
+    this->exchange->send(statusBadGateway, {}, {});
+    this->finish(statusBadGateway, reason);
+}
+
+void OnlineCall::finish(int status, std::string_view reason)
+{
+    if (std::exchange(this->stage, Stage::Over) == Stage::Over) {
+        return;
+    }
+    this->context.loop.cancel(this->deadlineTimer);
+    this->context.loop.cancel(this->silenceTimer);
+    const SteadyTime ended = this->now();
+    this->context.metrics.countRequest(this->route.name, status, ended - this->arrived);
+    log(LogLevel::Info,
+        "request over",
+        {{"request", this->traits.id},
+         {"route", this->route.name},
+         {"service", this->service.value()},
+         {"configuration", static_cast<std::int64_t>(this->configuration->version)},
+         {"status", status},
+         {"reason", std::string(reason)},
+         {"attempts", static_cast<std::int64_t>(this->attempts)},
+         {"turned_away", static_cast<std::int64_t>(this->unrunAttempts)},
+         {"events", static_cast<std::int64_t>(this->eventsPassed)},
+         {"placed_ms", millisecondsBetween(this->arrived, this->asked)},
+         {"took_ms", millisecondsBetween(this->arrived, ended)}});
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/OnlineCall.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <LibGateway/EventSplitter.h>
+#include <LibGateway/ServingConfiguration.h>
+#include <LibProxy/CallerExchange.h>
+#include <Services/Gateway/GatewayContext.h>
+#include <platform/RequestFormat.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * One request of a caller, from its arrival to the end of its answer.
+ *
+ * It is sent to one replica at a time. What is proved not to have run goes to another replica; what may have run is
+ * repeated only if it is idempotent, or a stream that may be resumed, and then the caller sees one stream without a seam.
+ * Every other loss is told as a failure that promises nothing; a refusal is only given for what never ran.
+ */
+class OnlineCall : public std::enable_shared_from_this<OnlineCall>
+{
+public:
+    OnlineCall(GatewayContext &context,
+               ServingConfigurationPointer configuration,
+               const Route &route,
+               std::shared_ptr<CallerExchange> exchange);
+
+    void start();
+
+private:
+    enum class Stage {
+        Placing,
+        Sending,
+        /** The replica's answer has begun. */
+        Receiving,
+        Over,
+    };
+
+    bool isStream() const;
+    bool mayRepeat() const;
+    void askForPlace();
+    void takePlacement(const Placement &placement);
+    void send(const ServingReplica &replica);
+    void takeHead(const MessageHead &head);
+    void takeBody(std::string_view data);
+    void takeEvents(std::string_view data);
+    void takeEnd(CallEnd end);
+    void completeWhole();
+    void completeStream();
+    void recover(PlacementVerdict verdict, std::string_view reason);
+    void retryUnrun(PlacementVerdict verdict, std::string_view reason);
+    void leaveReplica(PlacementVerdict verdict);
+    void armSilence();
+    void onSilence();
+    void onDeadline();
+    void onGone();
+    void refuse(int status, std::chrono::milliseconds comeBack, std::string_view reason);
+    void fail(std::string_view reason);
+    void finish(int status, std::string_view reason);
+    SteadyTime now() const;
+
+    GatewayContext &context;
+    ServingConfigurationPointer configuration;
+    /** Kept by the configuration. */
+    const Route &route;
+    std::shared_ptr<CallerExchange> exchange;
+    RequestTraits traits;
+    std::uint64_t fingerprint = 0;
+    ServiceName service;
+    SteadyTime arrived;
+    SteadyTime deadline;
+    Stage stage = Stage::Placing;
+    /** Replicas that may have run it. */
+    std::uint32_t attempts = 0;
+    std::uint32_t unrunAttempts = 0;
+    std::vector<EndpointName> avoided;
+    PlacementClient::Ticket ticket = 0;
+    SteadyTime asked{};
+    std::optional<ServingReplica> replica;
+    OutboundPool::CallId call = 0;
+    MessageHead answer;
+    std::string body;
+    EventSplitter splitter;
+    std::optional<std::uint64_t> lastEvent;
+    std::uint32_t eventsPassed = 0;
+    TimerId deadlineTimer = 0;
+    TimerId silenceTimer = 0;
+    TimerId retryTimer = 0;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -0,0 +1,309 @@
+#include <Services/Gateway/PeerNetwork.h>
+
+#include <LibBase/Hash.h>
+#include <LibBase/Log.h>
+#include <LibWire/Codec.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr const char *nodeTable = "nodes";
+constexpr std::chrono::milliseconds announceRetry{500};
+/** A row of a node that nobody sees is removed after this look and the next: a node that died cannot do so itself. */
+constexpr std::chrono::seconds cleanInterval{20};
+constexpr std::chrono::milliseconds nodesPace{500};
+/** Nodes come and go rarely, and gossip tells of it much faster: the table only brings those together who never met. */
+constexpr std::chrono::milliseconds nodesWait{5000};
+
+PeerSecurity securityOf(const Settings &settings)
+{
+    return {MessageKey(settings.peers.siteKey), static_cast<std::size_t>(settings.peers.frameBytes)};
+}
+
+/** @return a number that grows from one start of a node to the next, and differs between nodes. */
+SessionNumber newSession(const Clock &clock, const std::string &vm)
+{
+    constexpr int hashBits = 12;
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count();
+    const std::uint64_t mark = stableHash(vm) & ((1U << hashBits) - 1);
+    return SessionNumber((static_cast<std::uint64_t>(time) << hashBits) | mark);
+}
+
+/** @return the seeds with the port at which nodes take datagrams, which is the same on all nodes. */
+std::vector<Address> gossipSeeds(const Settings &settings)
+{
+    std::vector<Address> seeds;
+    for (const Address &seed : settings.peers.seeds) {
+        seeds.push_back({seed.ip, settings.listen.gossip.port});
+    }
+    return seeds;
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks)
+    : loop(loop)
+    , clock(clock)
+    , store(store)
+    , hooks(std::move(hooks))
+    , seeds(gossipSeeds(settings))
+    , session(newSession(clock, settings.node.vm))
+    , rowKey(settings.node.vm + "/" + std::to_string(session.value()))
+    , socket(loop,
+             settings.listen.gossip,
+             MessageKey(settings.peers.siteKey),
+             [this](const Datagram &datagram) {
+                 this->receive(datagram);
+             })
+    , peerServer(loop, settings.listen.owner, securityOf(settings))
+    , peerClient(loop, securityOf(settings))
+{
+    Membership::Options options;
+    options.probeInterval = settings.membership.probeInterval;
+    options.probeTimeout = settings.membership.probeTimeout;
+    options.suspicion = settings.membership.suspicion;
+    this->membership.emplace(clock, loop, options, this->makeMember(settings), stableHash(this->rowKey), this->membershipHooks());
+    this->membership->start(this->seeds);
+    this->announce();
+    this->nodes.emplace(loop,
+                        store,
+                        stableHash(this->rowKey),
+                        TableFollower::Options{nodeTable, nodesWait, nodesPace},
+                        TableFollower::Hooks{
+                            .onAll =
+                                [this](const std::vector<StoredRow> &rows) {
+                                    this->takeNodes(rows);
+                                },
+                            .onChange =
+                                [this](const StoredRow &row) {
+                                    this->takeNode(row);
+                                },
+                            .onAnswer = [] {},
+                            .onFailure = [] {},
+                        });
+    this->cleanTimer = loop.schedule(cleanInterval, [this] {
+        this->removeStaleRows();
+    });
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    *this->alive = false;
+    this->loop.cancel(this->announceTimer);
+    this->loop.cancel(this->cleanTimer);
+}
+
+Member PeerNetwork::makeMember(const Settings &settings) const
+{
+    Member member;
+    member.session = this->session;
+    member.vm = VmName(settings.node.vm);
+    member.failureDomain = FailureDomain(settings.node.failureDomain);
+    member.http = settings.listen.http;
+    member.owner = this->peerServer.address();
+    member.gossip = this->socket.address();
+    member.started = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
+    return member;
+}
+
+Membership::Hooks PeerNetwork::membershipHooks()
+{
+    const auto send = [this](const Address &to, const auto &message) {
+        this->socket.send(to, message);
+    };
+    return {
+        .sendPing = send,
+        .sendPong = send,
+        .sendPingRequest = send,
+        .sendPull = send,
+        .sendPush = send,
+        .onChange =
+            [this](const MemberViewPointer &view) {
+                this->hooks.onView(view);
+            },
+        .onLeavingVms = [](const std::vector<VmName> &) {},
+    };
+}
+
+SessionNumber PeerNetwork::self() const
+{
+    return this->session;
+}
+
+MemberViewPointer PeerNetwork::view() const
+{
+    return this->membership->view();
+}
+
+void PeerNetwork::setReady(bool isReady)
+{
+    this->membership->update([isReady](Member &member) {
+        member.isReady = isReady;
+    });
+}
+
+void PeerNetwork::setConfigurationVersion(std::uint64_t version)
+{
+    this->membership->update([version](Member &member) {
+        member.configVersion = version;
+    });
+}
+
+void PeerNetwork::leave()
+{
+    this->hasLeft = true;
+    this->loop.cancel(this->announceTimer);
+    this->membership->update([](Member &member) {
+        member.isReady = false;
+        member.isLeaving = true;
+    });
+    RowTransaction removal;
+    removal.removals.push_back({nodeTable, "", this->rowKey});
+    this->store.transact(std::move(removal), [](const RowTransactionResult &result) {
+        log(LogLevel::Info, "node row removed", {{"outcome", static_cast<std::int64_t>(result.outcome)}});
+    });
+}
+
+std::vector<Address> PeerNetwork::contacts() const
+{
+    std::vector<Address> all = this->seeds;
+    for (const auto &[key, record] : this->known) {
+        all.push_back(record.gossip);
+    }
+    return all;
+}
+
+DatagramSocket &PeerNetwork::datagrams()
+{
+    return this->socket;
+}
+
+PeerServer &PeerNetwork::server()
+{
+    return this->peerServer;
+}
+
+PeerClient &PeerNetwork::client()
+{
+    return this->peerClient;
+}
+
+void PeerNetwork::receive(const Datagram &datagram)
+{
+    if (!this->membership) {
+        return;
+    }
+    const auto take = [this, &datagram](auto message) {
+        if (message) {
+            this->membership->receive(datagram.from, *message);
+        }
+    };
+    if (datagram.number == Ping::number) {
+        take(decode<Ping>(datagram.payload));
+    } else if (datagram.number == Pong::number) {
+        take(decode<Pong>(datagram.payload));
+    } else if (datagram.number == PingRequest::number) {
+        take(decode<PingRequest>(datagram.payload));
+    } else if (datagram.number == MembersPull::number) {
+        take(decode<MembersPull>(datagram.payload));
+    } else if (datagram.number == MembersPush::number) {
+        take(decode<MembersPush>(datagram.payload));
+    } else {
+        this->hooks.onDatagram(datagram);
+    }
+}
+
+void PeerNetwork::announce()
+{
+    RowTransaction put;
+    put.puts.push_back({{nodeTable, "", this->rowKey}, encode(NodeRecord{this->session, this->socket.address()})});
+    this->store.transact(std::move(put), [this, alive = this->alive](const RowTransactionResult &result) {
+        if (!*alive || this->hasLeft || result.outcome == WriteOutcome::Done) {
+            return;
+        }
+        this->announceTimer = this->loop.schedule(announceRetry, [this] {
+            this->announce();
+        });
+    });
+}
+
+void PeerNetwork::takeNodes(const std::vector<StoredRow> &rows)
+{
+    this->known.clear();
+    for (const StoredRow &row : rows) {
+        this->takeNode(row);
+    }
+}
+
+void PeerNetwork::takeNode(const StoredRow &row)
+{
+    if (row.isRemoved) {
+        this->known.erase(row.place.key);
+        return;
+    }
+    const std::optional<NodeRecord> record = decode<NodeRecord>(row.value);
+    if (!record) {
+        log(LogLevel::Warning, "unreadable node row", {{"key", row.place.key}});
+        return;
+    }
+    this->known.insert_or_assign(row.place.key, *record);
+    if (record->session != this->session && this->membership->view()->find(record->session) == nullptr) {
+        this->membership->contact({record->gossip});
+    }
+}
+
+void PeerNetwork::removeStaleRows()
+{
+    // One node cleans: the one that would also have any other duty of this name.
+    const MemberView &view = *this->membership->view();
+    const Member *const cleaner = dutyHolder(view, stableHash(nodeTable));
+    if (cleaner != nullptr && cleaner->session == this->session && !view.isMinority()) {
+        RowTransaction removal;
+        std::vector<Address> strangers;
+        for (const auto &[key, record] : this->known) {
+            const bool isGone = this->membership->goneSince(record.session).has_value();
+            if (record.session != this->session && view.find(record.session) == nullptr) {
+                strangers.push_back(record.gossip);
+                if (isGone) {
+                    removal.removals.push_back({nodeTable, "", key});
+                }
+            }
+        }
+        this->membership->contact(strangers);
+        if (!removal.removals.empty()) {
+            const auto count = static_cast<std::int64_t>(removal.removals.size());
+            this->store.transact(std::move(removal), [count](const RowTransactionResult &result) {
+                log(LogLevel::Info,
+                    "rows of dead nodes removed",
+                    {{"rows", count}, {"outcome", static_cast<std::int64_t>(result.outcome)}});
+            });
+        }
+    }
+    this->cleanTimer = this->loop.schedule(cleanInterval, [this] {
+        this->removeStaleRows();
+    });
+}
+
+const Member *dutyHolder(const MemberView &view, std::uint64_t key)
+{
+    const Member *holder = nullptr;
+    std::uint64_t best = 0;
+    for (const Member &member : view.members()) {
+        if (!member.isReady || member.isLeaving) {
+            continue;
+        }
+        const std::uint64_t weight = rendezvousWeight(key, member.session.value());
+        if (holder == nullptr || weight > best) {
+            holder = &member;
+            best = weight;
+        }
+    }
+    return holder;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/PeerNetwork.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibMembership/Membership.h>
+#include <LibPlatform/RowStore.h>
+#include <LibSettings/Generated/Settings.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+#include <LibWire/PeerClient.h>
+#include <LibWire/PeerServer.h>
+#include <Services/Gateway/TableFollower.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace Dogwoodkeel
+{
+
+/** Which nodes there are, and the ways to reach them. */
+class PeerNetwork
+{
+public:
+    struct Hooks
+    {
+        std::function<void(const MemberViewPointer &)> onView;
+        /** A datagram that is not about membership. */
+        std::function<void(const Datagram &)> onDatagram;
+    };
+
+    PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks);
+    ~PeerNetwork();
+    PeerNetwork(const PeerNetwork &) = delete;
+    PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+    SessionNumber self() const;
+    MemberViewPointer view() const;
+
+    /** Tell the others whether this node takes callers. */
+    void setReady(bool isReady);
+
+    /** Tell the others which configuration this node has. */
+    void setConfigurationVersion(std::uint64_t version);
+
+    /** Tell the others that this node is leaving, and remove its row. */
+    void leave();
+
+    /** @return addresses of nodes that may be there, seeds included, for a node that has met nobody yet. */
+    std::vector<Address> contacts() const;
+
+    DatagramSocket &datagrams();
+    PeerServer &server();
+    PeerClient &client();
+
+private:
+    void receive(const Datagram &datagram);
+    void announce();
+    void takeNodes(const std::vector<StoredRow> &rows);
+    void takeNode(const StoredRow &row);
+    void removeStaleRows();
+    Member makeMember(const Settings &settings) const;
+    Membership::Hooks membershipHooks();
+
+    EventLoop &loop;
+    const Clock &clock;
+    RowStore &store;
+    Hooks hooks;
+    std::vector<Address> seeds;
+    SessionNumber session;
+    std::string rowKey;
+    DatagramSocket socket;
+    PeerServer peerServer;
+    PeerClient peerClient;
+    std::optional<Membership> membership;
+    std::map<std::string, NodeRecord> known;
+    std::optional<TableFollower> nodes;
+    bool hasLeft = false;
+    TimerId announceTimer = 0;
+    TimerId cleanTimer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+/**
+ * @param key hash of a duty, such as dispatching for a service or running a job
+ * @return the ready member that should have it (rendezvous hashing), or null if there is none
+ */
+const Member *dutyHolder(const MemberView &view, std::uint64_t key);
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/PlacementClient.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibDispatch/Dispatcher.h>
+#include <LibDispatch/LocalPlacement.h>
+#include <LibGateway/ServingConfiguration.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+#include <Services/Gateway/PeerNetwork.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace Dogwoodkeel
+{
+
+/** Where a request was placed, or why not. */
+struct Placement
+{
+    PlacementDecision decision = PlacementDecision::Placed;
+    /** With Placed. */
+    EndpointName replica;
+    /** With Refused. */
+    std::chrono::milliseconds comeBack{0};
+};
+
+/** What a request says of itself when it wants a place. */
+struct PlacementWish
+{
+    ServiceName service;
+    WorkClass work = WorkClass::Online;
+    std::uint32_t priority = 0;
+    SteadyTime arrived{};
+    SteadyTime due{};
+    SteadyTime deadline{};
+    std::uint32_t tokens = 0;
+    std::vector<EndpointName> avoided;
+};
+
+/**
+ * Gets places at replicas for the requests of this node, and holds the dispatchers that this node is for others.
+ *
+ * A node that gets no answer from a service's dispatcher in some tens of milliseconds places its online requests by its own
+ * counts: a dispatcher that is lost, paused or cut off delays callers by no more than that. Batch items wait.
+ */
+class PlacementClient
+{
+public:
+    using Ticket = std::uint64_t;
+    /** Told Placed or Refused once; and Stopped after Placed if a batch item has to make room. */
+    using Decided = std::function<void(const Placement &)>;
+
+    PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, FailureDomain own);
+    ~PlacementClient();
+    PlacementClient(const PlacementClient &) = delete;
+    PlacementClient &operator=(const PlacementClient &) = delete;
+
+    /** The replicas of a service, and whether places are given by a dispatcher or by each node itself. */
+    void setService(const ServiceName &service, const std::vector<DispatchReplica> &replicas, bool isDispatched);
+
+    /** Ask for a place. The answer never comes from inside this call. */
+    Ticket ask(const PlacementWish &wish, Decided decided);
+
+    /** The request is over, or wants no place any more. */
+    void end(Ticket ticket, PlacementVerdict verdict);
+
+    /** The members changed. */
+    void setView(const MemberViewPointer &view);
+
+    /** A datagram about placements. */
+    void receive(const Datagram &datagram);
+
+    /** @return what this node's dispatcher for a service has, or nothing if there is none. */
+    std::optional<Dispatcher::Load> dispatcherLoad(const ServiceName &service) const;
+
+    /** @return requests that this node placed by itself because the dispatcher did not answer. */
+    std::uint64_t fallbacks() const;
+
+private:
+    struct Asked
+    {
+        PlacementWish wish;
+        Decided decided;
+        SteadyTime sent{};
+        SteadyTime firstSent{};
+        /** When the dispatcher last said that it waits. */
+        std::optional<SteadyTime> heard;
+        std::optional<EndpointName> replica;
+        /** Placed by this node alone. */
+        bool isLocal = false;
+    };
+
+    struct ServiceState
+    {
+        bool isDispatched = false;
+        std::vector<DispatchReplica> replicas;
+        LocalPlacement local;
+        /** Made when somebody asks this node. */
+        std::unique_ptr<Dispatcher> dispatcher;
+        /** Where the nodes that ask this dispatcher are. */
+        std::map<SessionNumber, Address> askers;
+        /** Until then the dispatcher is taken to be away. */
+        SteadyTime doubtedUntil{};
+        SteadyTime lastReport{};
+        bool hadRunning = false;
+    };
+
+    ServiceState &stateOf(const ServiceName &service);
+    const Member *dispatcherOf(const ServiceName &service) const;
+    void sendAsk(Ticket ticket, Asked &asked);
+    void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
+    void placeLocally(Ticket ticket, Asked &asked);
+    void decide(Ticket ticket, const Placement &placement);
+    void tick();
+    void tickTicket(Ticket ticket, Asked &asked);
+    void report(const ServiceName &service, ServiceState &state);
+    void takeAnswer(const PlacementAnswer &answer);
+    void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
+    void takeReport(const Datagram &datagram, const PlacementsRunning &report);
+    Dispatcher &dispatcherFor(const ServiceName &service);
+    void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
+
+    EventLoop &loop;
+    const Clock &clock;
+    PeerNetwork &peers;
+    FailureDomain own;
+    std::map<ServiceName, ServiceState> services;
+    std::map<Ticket, Asked> tickets;
+    Ticket lastTicket = 0;
+    std::uint64_t fallbackCount = 0;
+    MemberViewPointer view;
+    TimerId timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/ReplicaFollower.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibGateway/ReplicaList.h>
+#include <LibTask/EventLoop.h>
+#include <Services/Gateway/TableFollower.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** Follows the replicas that register in the platform's store. */
+class ReplicaFollower
+{
+public:
+    /** How a row of the platform becomes a replica. */
+    struct Format
+    {
+        std::string table;
+        std::function<std::optional<ServingReplica>(const std::string &key, std::string_view text)> decode;
+    };
+
+    struct Options
+    {
+        std::chrono::milliseconds storeWait{1000};
+        /** How long after the store's return an entry that lapsed is kept. */
+        std::chrono::milliseconds lapsedKept{2500};
+        std::uint64_t seed = 0;
+    };
+
+    ReplicaFollower(EventLoop &loop,
+                    const Clock &clock,
+                    RowStore &store,
+                    const Options &options,
+                    Format format,
+                    std::function<void()> changed);
+    ~ReplicaFollower();
+    ReplicaFollower(const ReplicaFollower &) = delete;
+    ReplicaFollower &operator=(const ReplicaFollower &) = delete;
+
+    /** @return whether the list has been read once. */
+    bool isKnown() const;
+
+    /** @return the replica of that instance, or null if it is not listed any more. */
+    const ServingReplica *find(const EndpointName &instance) const;
+
+    /** @return the replicas of a service, draining ones among them. */
+    std::vector<ServingReplica> ofService(const ServiceName &service) const;
+
+private:
+    std::optional<ServingReplica> decode(const StoredRow &row) const;
+    void takeAll(const std::vector<StoredRow> &rows);
+    void takeChange(const StoredRow &row);
+    void expire();
+
+    EventLoop &loop;
+    Format format;
+    std::function<void()> changed;
+    ReplicaList list;
+    bool known = false;
+    TimerId expiryTimer = 0;
+    std::optional<TableFollower> follower;
+};
+
+} // namespace Dogwoodkeel
