ReplicaFollower: Learn replicas from other nodes while the store does not answer

Cause of the broken DRAIN rule: a node that the store turned away was the dispatcher of a service, and went on giving places at a replica that it did not know to be leaving; the nodes that knew obeyed. Of the LOST rule: a replica's entry that lapsed around an outage and came back unchanged was still dropped, so the list was empty for good.

A node that does not reach the store says so, duties go to others, and it asks them for their list. A place at a leaving replica is not taken. An entry that is back counts, also where nothing in it is new.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -28,6 +28,20 @@
     }
 }
 
+void ReplicaList::replaceNow(const std::vector<ServingReplica> &replicas)
+{
+    this->list.clear();
+    this->lapsed.clear();
+    for (const ServingReplica &replica : replicas) {
+        this->put(replica);
+    }
+}
+
+bool ReplicaList::isOut() const
+{
+    return this->isAway;
+}
+
 void ReplicaList::put(const ServingReplica &replica)
 {
     std::erase(this->lapsed, replica.instance);
@@ -55,13 +69,13 @@
 
 void ReplicaList::noteOutage()
 {
-    this->isOut = true;
+    this->isAway = true;
 }
 
 void ReplicaList::noteAnswer()
 {
-    if (this->isOut) {
-        this->isOut = false;
+    if (this->isAway) {
+        this->isAway = false;
         this->returned = this->clock.now();
     }
 }
@@ -85,7 +99,7 @@
 
 bool ReplicaList::isAroundOutage() const
 {
-    return this->isOut || (this->returned && this->clock.now() - *this->returned < this->lapsedKept);
+    return this->isAway || (this->returned && this->clock.now() - *this->returned < this->lapsedKept);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -26,6 +26,9 @@
     /** Take a whole list, as it is after a start or a gap in what was followed. */
     void replaceAll(const std::vector<ServingReplica> &replicas);
 
+    /** Take a whole list from a node that kept to this class itself: nothing beside it is kept. */
+    void replaceNow(const std::vector<ServingReplica> &replicas);
+
     /** Take a new or changed entry. */
     void put(const ServingReplica &replica);
 
@@ -41,6 +44,9 @@
     /** Drop the entries whose time is over. @return whether there was one */
     bool expire();
 
+    /** @return whether the platform has not answered since an outage began. */
+    bool isOut() const;
+
     /** @return the entries by instance, lapsed ones that are still kept among them. */
     const std::map<EndpointName, ServingReplica> &replicas() const;
 
@@ -52,7 +58,7 @@
     std::map<EndpointName, ServingReplica> list;
     /** Entries that are gone from the platform. */
     std::vector<EndpointName> lapsed;
-    bool isOut = false;
+    bool isAway = false;
     std::optional<SteadyTime> returned;
 };
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -15,7 +15,7 @@
 
 MemberNews newsOf(const Member &member)
 {
-    return {member.session, member.incarnation, member.state, member.isLeaving, member.isReady, SessionNumber(0)};
+    return {member.session, member.incarnation, member.state, member.isLeaving, member.isReady, SessionNumber(0), member.hasLostStore};
 }
 
 MemberLoad loadOf(const Member &member)
@@ -93,6 +93,7 @@
     entry.member.state = told.state;
     entry.member.isLeaving = told.isLeaving;
     entry.member.isReady = told.isReady;
+    entry.member.hasLostStore = told.hasLostStore;
     this->digestChanged();
     return MergeResult::Changed;
 }
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -483,6 +483,8 @@
 struct ItemResultRecord;
 struct NodeRecord;
 struct CrashNotice;
+struct ReplicaRecords;
+struct ReplicaRecordsRequest;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -1009,6 +1011,8 @@
     bool isReady = false;
     /** When it started. */
     WallTime started;
+    /** Whether it does not reach the platform's store, so that what it knows from there may be out of date. */
+    bool hasLostStore = false;
 
     bool operator==(const Member &) const = default;
 
@@ -1032,7 +1036,8 @@
                 Compact::field(this->loadVersion),
                 this->isLeaving,
                 this->isReady,
-                Compact::field(this->started));
+                Compact::field(this->started),
+                this->hasLostStore);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->state)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -1056,6 +1061,8 @@
     bool isReady = false;
     /** With Suspect: the member that got no answer. */
     SessionNumber accuser;
+    /** As in Member. */
+    bool hasLostStore = false;
 
     bool operator==(const MemberNews &) const = default;
 
@@ -1067,7 +1074,8 @@
                 this->state,
                 this->isLeaving,
                 this->isReady,
-                Compact::field(this->accuser));
+                Compact::field(this->accuser),
+                this->hasLostStore);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->state)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -1357,6 +1365,31 @@
     }
 };
 
+/** A replica as the platform lists it. */
+struct ReplicaRecord
+{
+    /** Names this incarnation. */
+    EndpointName instance;
+    /** The service. */
+    std::string service;
+    /** Where it takes requests. */
+    Address address;
+    /** Where it is. */
+    FailureDomain failureDomain;
+    /** Requests that it runs side by side. */
+    std::uint32_t slots = 0;
+    /** Whether it is leaving. */
+    bool isDraining = false;
+
+    bool operator==(const ReplicaRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->instance, this->service, this->address, this->failureDomain, this->slots, this->isDraining);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -2613,4 +2646,41 @@
     }
 };
 
+/** The replicas that a node knows. */
+struct ReplicaRecords
+{
+    static constexpr MessageNumber number{133};
+    /** Whether it has read the list at all. */
+    bool isKnown = false;
+    /** When the store last answered it, counted back. */
+    std::chrono::milliseconds age = std::chrono::milliseconds(0);
+    /** The list. */
+    std::vector<ReplicaRecord> replicas;
+
+    bool operator==(const ReplicaRecords &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->isKnown, this->age, this->replicas);
+    }
+};
+
+/** Asks a node for the replicas that it knows: from one that does not reach the store. */
+struct ReplicaRecordsRequest
+{
+    static constexpr MessageNumber number{134};
+    using Response = ReplicaRecords;
+    /** Who asks. */
+    SessionNumber from;
+
+    bool operator==(const ReplicaRecordsRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -73,6 +73,7 @@
     , listed(loop,
              clock,
              this->store,
+             this->peers,
              {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
              {replicaTable, &decodeReplica},
              [this] {
@@ -156,7 +157,9 @@
     if (!this->isComplete) {
         return;
     }
-    log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
+    if (std::exchange(this->memberCount, view->members().size()) != view->members().size()) {
+        log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
+    }
     this->placements.setView(view);
     this->configuration.look(*view);
     this->runners.setView(view);
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -64,6 +64,7 @@
     /** Whether all parts are made. */
     bool isComplete = false;
     bool isReady = false;
+    std::size_t memberCount = 0;
     std::function<void()> stopped;
     SteadyTime stopStarted{};
     TimerId stopTimer = 0;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -111,8 +111,8 @@
     }
     const ServingReplica *const found = this->context.listed.find(placement.replica);
     const std::optional<Target> current = this->hooks.target();
-    if (found == nullptr || !current || current->service != this->target.service) {
-        this->goOn(PlacementVerdict::Finished, "the replica is not listed any more, or the route has moved");
+    if (found == nullptr || found->isDraining || !current || current->service != this->target.service) {
+        this->goOn(PlacementVerdict::Finished, "the replica is leaving or not listed any more, or the route has moved");
         return;
     }
     this->send(*found);
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -132,8 +132,9 @@
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
     const ServingReplica *const found = this->context.listed.find(placement.replica);
-    if (found == nullptr) {
-        this->retryUnrun(PlacementVerdict::Unreachable, "the replica is not listed any more");
+    if (found == nullptr || found->isDraining) {
+        this->avoided.push_back(placement.replica);
+        this->retryUnrun(PlacementVerdict::Finished, "the replica is not listed any more, or is leaving");
         return;
     }
     this->send(*found);
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -147,6 +147,13 @@
     });
 }
 
+void PeerNetwork::setStoreLost(bool isLost)
+{
+    this->membership->update([isLost](Member &member) {
+        member.hasLostStore = isLost;
+    });
+}
+
 void PeerNetwork::setConfigurationVersion(std::uint64_t version)
 {
     this->membership->update([version](Member &member) {
@@ -292,12 +299,12 @@
 const Member *dutyHolder(const MemberView &view, std::uint64_t key)
 {
     const Member *holder = nullptr;
-    std::uint64_t best = 0;
+    std::pair<bool, std::uint64_t> best;
     for (const Member &member : view.members()) {
         if (!member.isReady || member.isLeaving) {
             continue;
         }
-        const std::uint64_t weight = rendezvousWeight(key, member.session.value());
+        const std::pair weight(!member.hasLostStore, rendezvousWeight(key, member.session.value()));
         if (holder == nullptr || weight > best) {
             holder = &member;
             best = weight;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -41,6 +41,9 @@
     /** Tell the others whether this node takes callers. */
     void setReady(bool isReady);
 
+    /** Tell the others whether this node reaches the platform's store. */
+    void setStoreLost(bool isLost);
+
     /** Tell the others which configuration this node has. */
     void setConfigurationVersion(std::uint64_t version);
 
@@ -84,7 +87,8 @@
 
 /**
  * @param key hash of a duty, such as dispatching for a service or running a job
- * @return the ready member that should have it (rendezvous hashing), or null if there is none
+ * @return the ready member that should have it (rendezvous hashing), or null if there is none; one that reaches the store
+ * goes before all that do not, because those know neither new replicas nor which are leaving
  */
 const Member *dutyHolder(const MemberView &view, std::uint64_t key);
 
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -14,13 +14,33 @@
  * draining replica must get nothing new. */
 constexpr std::chrono::milliseconds changesPace{200};
 constexpr std::chrono::milliseconds expiryInterval{250};
+/** A store that has not answered for so long is lost: longer than it is asked to wait for a change, and a slow answer. */
+constexpr std::chrono::milliseconds lostAfter{1600};
+/** A draining replica gets requests for two seconds at most: others are asked well within that. */
+constexpr std::chrono::milliseconds peerInterval{250};
+constexpr std::chrono::milliseconds peerTimeout{400};
 
 } // namespace
 
-ReplicaFollower::ReplicaFollower(
-    EventLoop &loop, const Clock &clock, RowStore &store, const Options &options, Format format, std::function<void()> changed)
-    : loop(loop), format(std::move(format)), changed(std::move(changed)), list(clock, options.lapsedKept)
+ReplicaFollower::ReplicaFollower(EventLoop &loop,
+                                 const Clock &clock,
+                                 RowStore &store,
+                                 PeerNetwork &peers,
+                                 const Options &options,
+                                 Format format,
+                                 std::function<void()> changed)
+    : loop(loop)
+    , clock(clock)
+    , peers(peers)
+    , random(static_cast<std::minstd_rand::result_type>(options.seed))
+    , format(std::move(format))
+    , changed(std::move(changed))
+    , list(clock, options.lapsedKept)
+    , lastTold(clock.now())
 {
+    peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &, const auto &respond) {
+        respond(this->records());
+    });
     this->follower.emplace(loop,
                            store,
                            options.seed,
@@ -36,6 +56,7 @@
                                    },
                                .onAnswer =
                                    [this] {
+                                       this->lastTold = this->clock.now();
                                        this->list.noteAnswer();
                                    },
                                .onFailure =
@@ -44,10 +65,13 @@
                                    },
                            });
     this->expire();
+    this->watchStore();
 }
 
 ReplicaFollower::~ReplicaFollower()
 {
+    *this->alive = false;
+    this->loop.cancel(this->watchTimer);
     this->loop.cancel(this->expiryTimer);
 }
 
@@ -110,7 +134,10 @@
         return;
     }
     const ServingReplica *const before = this->find(instance);
-    if (before != nullptr && *before == *replica) {
+    const bool isSame = before != nullptr && *before == *replica;
+    // Also where nothing is new: an entry that had lapsed is back by this.
+    this->list.put(*replica);
+    if (isSame) {
         return;
     }
     log(LogLevel::Info,
@@ -119,7 +146,6 @@
          {"service", replica->service.value()},
          {"address", replica->address.toString()},
          {"draining", replica->isDraining}});
-    this->list.put(*replica);
     this->changed();
 }
 
@@ -134,4 +160,87 @@
     });
 }
 
+std::chrono::milliseconds ReplicaFollower::age() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastTold);
+}
+
+void ReplicaFollower::watchStore()
+{
+    const bool isLost = this->list.isOut() || this->age() > lostAfter;
+    if (std::exchange(this->hasLostStore, isLost) != isLost) {
+        log(LogLevel::Warning, isLost ? "store lost" : "store regained", {{"age_ms", this->age().count()}});
+        this->peers.setStoreLost(isLost);
+    }
+    if (isLost || !this->known) {
+        this->askPeer();
+    }
+    this->watchTimer = this->loop.schedule(peerInterval, [this] {
+        this->watchStore();
+    });
+}
+
+void ReplicaFollower::askPeer()
+{
+    std::vector<const Member *> best;
+    const MemberViewPointer view = this->peers.view();
+    for (const Member &member : view->members()) {
+        const bool isUseful = member.session != this->peers.self() && (!member.hasLostStore || !this->known);
+        if (isUseful) {
+            best.push_back(&member);
+        }
+    }
+    if (best.empty()) {
+        return;
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, best.size() - 1);
+    this->peers.client().call(best[choice(this->random)]->owner,
+                              ReplicaRecordsRequest{this->peers.self()},
+                              peerTimeout,
+                              [this, alive = this->alive](const CallResult<ReplicaRecords> &result) {
+                                  if (*alive && result.response && result.response->isKnown) {
+                                      this->takePeer(*result.response);
+                                  }
+                              });
+}
+
+void ReplicaFollower::takePeer(const ReplicaRecords &records)
+{
+    if (this->known && records.age >= this->age()) {
+        return;
+    }
+    this->lastTold = this->clock.now() - records.age;
+    std::vector<ServingReplica> replicas;
+    for (const ReplicaRecord &record : records.replicas) {
+        replicas.push_back({record.instance,
+                            ServiceName(record.service),
+                            record.address,
+                            record.failureDomain,
+                            std::max<std::uint32_t>(1, record.slots),
+                            record.isDraining});
+    }
+    log(LogLevel::Debug,
+        "replicas told by another node",
+        {{"count", static_cast<std::int64_t>(replicas.size())}, {"age_ms", records.age.count()}});
+    this->list.replaceNow(replicas);
+    this->known = true;
+    this->changed();
+}
+
+ReplicaRecords ReplicaFollower::records() const
+{
+    ReplicaRecords records;
+    records.isKnown = this->known;
+    records.age = this->age();
+    for (const auto &[instance, replica] : this->list.replicas()) {
+        records.replicas.push_back({instance,
+                                    replica.service.value(),
+                                    replica.address,
+                                    replica.failureDomain,
+                                    replica.slots,
+                                    replica.isDraining});
+    }
+    return records;
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -2,17 +2,23 @@
 
 #include <LibGateway/ReplicaList.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/TableFollower.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 namespace Dogwoodkeel
 {
 
-/** Follows the replicas that register in the platform's store. */
+/**
+ * Follows the replicas that register in the platform's store. A node that does not reach the store asks the others for what
+ * they know: without it, it would send requests to replicas that are gone, and to none of the new ones.
+ */
 class ReplicaFollower
 {
 public:
@@ -34,6 +40,7 @@
     ReplicaFollower(EventLoop &loop,
                     const Clock &clock,
                     RowStore &store,
+                    PeerNetwork &peers,
                     const Options &options,
                     Format format,
                     std::function<void()> changed);
@@ -55,13 +62,26 @@
     void takeAll(const std::vector<StoredRow> &rows);
     void takeChange(const StoredRow &row);
     void expire();
+    void watchStore();
+    void askPeer();
+    void takePeer(const ReplicaRecords &records);
+    ReplicaRecords records() const;
+    std::chrono::milliseconds age() const;
 
     EventLoop &loop;
+    const Clock &clock;
+    PeerNetwork &peers;
+    std::minstd_rand random;
     Format format;
     std::function<void()> changed;
     ReplicaList list;
     bool known = false;
+    /** When the store, or a node that it answered, last told the list. */
+    SteadyTime lastTold{};
+    bool hasLostStore = false;
     TimerId expiryTimer = 0;
+    TimerId watchTimer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<TableFollower> follower;
 };
 
