--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -1,8 +1,15 @@
 #include <LibBase/Log.h>
 
+#include <LibBase/LogGate.h>
+#include <LibBase/SystemClock.h>
+
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <mutex>
 
 namespace Dogwoodkeel
 {
@@ -34,7 +41,7 @@
 spdlog::logger &logger()
 {
     static const std::shared_ptr<spdlog::logger> instance = [] {
-        auto created = spdlog::stderr_logger_mt("dogwoodkeel");
+        auto created = spdlog::stdout_logger_mt("dogwoodkeel");
         created->set_level(spdlog::level::off);
         created->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l",%v})");
         return created;
@@ -42,6 +49,47 @@
     return *instance;
 }
 
+/** A pipe that reports room takes so many bytes without waiting (PIPE_BUF on Linux), less what the pattern adds. */
+constexpr std::size_t longestLine = 3900;
+
+/** Guards what bounds the lines. Tasks log side by side. */
+struct SharedGate
+{
+    std::mutex mutex;
+    SystemClock clock;
+    LogGate gate{this->clock, {}};
+};
+
+SharedGate &sharedGate()
+{
+    static SharedGate instance;
+    return instance;
+}
+
+/** @return whether standard output takes a line without waiting: a reader that stopped reading must not stop the node. */
+bool isWritable()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/** @return whether a line may be written; and the count of those left out before, once. */
+bool admit(LogLevel level, std::uint64_t &dropped)
+{
+    SharedGate &shared = sharedGate();
+    const std::scoped_lock lock(shared.mutex);
+    const bool isGrave = level == LogLevel::Warning || level == LogLevel::Error;
+    if (!shared.gate.admit(isGrave ? LogGate::Weight::Grave : LogGate::Weight::Ordinary)) {
+        return false;
+    }
+    if (!isWritable()) {
+        shared.gate.noteBlocked();
+        return false;
+    }
+    dropped = shared.gate.takeDropped();
+    return true;
+}
+
 } // namespace
 
 void startLog(std::string_view vm, LogLevel level)
@@ -55,6 +103,10 @@
     if (!logger().should_log(levelOf(level))) {
         return;
     }
+    std::uint64_t dropped = 0;
+    if (!admit(level, dropped)) {
+        return;
+    }
     nlohmann::ordered_json line;
     line["vm"] = vmOfProcess();
     line["event"] = event;
@@ -65,9 +117,15 @@
             },
             field.value);
     }
+    if (dropped > 0) {
+        line["lines_left_out_before"] = dropped;
+    }
     // NOTE: The pattern opens the object with time and level, so the object's own opening brace is left off,
     // as is its closing one, which the pattern writes.
-    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() > longestLine) {
+        text = nlohmann::ordered_json{{"vm", vmOfProcess()}, {"event", event}, {"too_long", text.size()}}.dump();
+    }
     logger().log(levelOf(level), "{}", std::string_view(text).substr(1, text.size() - 2));
 }
 
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -24,7 +24,8 @@
 };
 
 /**
- * Start writing log lines to standard error.
+ * Start writing log lines to standard output. Writing never waits: lines over a bound a second, and those that a full pipe
+ * would not take, are left out, and the next line tells how many.
  * @param vm name of this VM, part of every line
  * @param level lines below it are left out
  */
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -32,7 +32,7 @@
     index=$((index + 1))
     printf '[node]\nvm = "entry-%s"\nfailure_domain = "%s"\n[listen]\nhttp = "127.0.0.1:770%s"\n' \
         "$index" "$domain" "$index" >"$work/node-$index.toml"
-    build/Programs/dogwoodkeel serve --settings="Meta/demo/base.toml,$work/node-$index.toml" 2>"$work/node-$index.log" &
+    build/Programs/dogwoodkeel serve --settings="Meta/demo/base.toml,$work/node-$index.toml" >"$work/node-$index.log" 2>&1 &
     nodes+=($!)
 done
 ready() {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -151,6 +151,16 @@
     this->loop.cancel(this->stopTimer);
 }
 
+const Address &Gateway::callerAddress() const
+{
+    return this->callers.address();
+}
+
+const Address &Gateway::readyAddress() const
+{
+    return this->readiness.address();
+}
+
 void Gateway::takeView(const MemberViewPointer &view)
 {
     // The first views come while the parts that want them are still being made.
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -43,6 +43,12 @@
      */
     void stop(std::function<void()> done);
 
+    /** @return where callers connect. */
+    const Address &callerAddress() const;
+
+    /** @return where the platform asks whether this node takes callers. */
+    const Address &readyAddress() const;
+
 private:
     void takeView(const MemberViewPointer &view);
     void takeDatagram(const Datagram &datagram);
--- /dev/null
+++ b/Tests/Fakes/StandInStore.cpp
@@ -0,0 +1,148 @@
+#include <Tests/Fakes/StandInStore.h>
+
+#include <LibBase/Encoding.h>
+#include <LibHttp/HttpTypes.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+std::string parameter(const std::string &query, const char *name)
+{
+    return queryValue(query, name).value_or("");
+}
+
+RowPlace placeOf(const Json &entry)
+{
+    return {entry.value("table", ""), entry.value("part", ""), entry.value("key", "")};
+}
+
+Json encodeRows(const std::vector<StoredRow> &rows)
+{
+    Json list = Json::array();
+    for (const StoredRow &row : rows) {
+        Json entry{{"table", row.place.table}, {"part", row.place.part}, {"key", row.place.key}, {"ver", row.version}};
+        if (row.isRemoved) {
+            entry["deleted"] = true;
+        } else {
+            entry["value"] = encodeBase64(row.value);
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const Json &body)
+{
+    HeaderList headers;
+    headers.add("Content-Type", "application/json");
+    exchange->send(status, headers, body.dump());
+}
+
+} // namespace
+
+StandInStore::StandInStore(EventLoop &loop, const Clock &clock)
+    : store(loop), server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
+        this->handle(exchange);
+    })
+{
+}
+
+const Address &StandInStore::address() const
+{
+    return this->server.address();
+}
+
+FakeRowStore &StandInStore::rows()
+{
+    return this->store;
+}
+
+void StandInStore::setMood(Mood mood)
+{
+    this->mood = mood;
+}
+
+void StandInStore::handle(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (this->mood == Mood::Silent) {
+        return;
+    }
+    if (this->mood == Mood::Busy) {
+        exchange->send(503, {}, {});
+        return;
+    }
+    const std::string &target = exchange->head().target;
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    const std::string path = target.substr(0, mark);
+    const std::string query = target.substr(std::min(mark + 1, target.size()));
+    if (path == "/rows-tx") {
+        this->transact(exchange);
+    } else if (path == "/rows-get") {
+        this->read(exchange, query);
+    } else if (path == "/rows-feed") {
+        this->follow(exchange, query);
+    } else {
+        exchange->send(404, {}, {});
+    }
+}
+
+void StandInStore::transact(const std::shared_ptr<CallerExchange> &exchange)
+{
+    const Json body = Json::parse(exchange->body());
+    RowTransaction transaction;
+    for (const Json &entry : body["expectedRev"]) {
+        transaction.expectations.push_back({placeOf(entry), entry["ver"].get<RowVersion>()});
+    }
+    for (const Json &entry : body["puts"]) {
+        transaction.puts.push_back({placeOf(entry), decodeBase64(entry["value"].get<std::string>()).value()});
+    }
+    for (const Json &entry : body["remove"]) {
+        transaction.removals.push_back(placeOf(entry));
+    }
+    this->store.transact(std::move(transaction), [exchange](const RowTransactionResult &result) {
+        if (result.outcome == WriteOutcome::Done) {
+            answer(exchange, 200, {{"ver", result.version}, {"nowMs", 1}});
+        } else if (result.outcome == WriteOutcome::Refused) {
+            answer(exchange, 412, {{"rows", encodeRows(result.current)}});
+        } else if (result.outcome == WriteOutcome::NotApplied) {
+            exchange->send(503, {}, {});
+        }
+    });
+}
+
+void StandInStore::read(const std::shared_ptr<CallerExchange> &exchange, const std::string &query)
+{
+    const RowRange range{
+        parameter(query, "table"), parameter(query, "part"), parameter(query, "from"), parameter(query, "to"), 0};
+    this->store.read(range, [exchange](const RowRangeResult &result) {
+        if (result.outcome != ReadOutcome::Found) {
+            exchange->send(503, {}, {});
+            return;
+        }
+        answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"truncated", false}, {"ver", result.version}});
+    });
+}
+
+void StandInStore::follow(const std::shared_ptr<CallerExchange> &exchange, const std::string &query)
+{
+    const RowVersion since = std::stoull(parameter(query, "afterRev"));
+    const std::chrono::milliseconds wait(std::stoll(parameter(query, "waitMs")));
+    this->store.follow(parameter(query, "table"), since, wait, [exchange](const FollowResult &result) {
+        if (result.outcome == FollowOutcome::HistoryLost) {
+            exchange->send(410, {}, {});
+        } else if (result.outcome == FollowOutcome::Failed) {
+            exchange->send(503, {}, {});
+        } else {
+            answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"ver", result.version}});
+        }
+    });
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/Fakes/StandInStore.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibProxy/CallerServer.h>
+#include <Tests/Fakes/FakeRowStore.h>
+
+#include <memory>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+/** Stand-in for the platform's store that speaks its HTTP calls, before the rows of a FakeRowStore. */
+class StandInStore
+{
+public:
+    /** How it treats its callers. */
+    enum class Mood {
+        Serving,
+        /** It answers 503. */
+        Busy,
+        /** It takes requests and never answers. */
+        Silent,
+    };
+
+    StandInStore(EventLoop &loop, const Clock &clock);
+
+    const Address &address() const;
+    FakeRowStore &rows();
+    void setMood(Mood mood);
+
+private:
+    void handle(const std::shared_ptr<CallerExchange> &exchange);
+    void transact(const std::shared_ptr<CallerExchange> &exchange);
+    void read(const std::shared_ptr<CallerExchange> &exchange, const std::string &query);
+    void follow(const std::shared_ptr<CallerExchange> &exchange, const std::string &query);
+
+    FakeRowStore store;
+    Mood mood = Mood::Serving;
+    CallerServer server;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <LibBase/SystemClock.h>
+#include <LibProxy/CallerServer.h>
+#include <LibTask/TaskHost.h>
+#include <Services/Gateway/Gateway.h>
+#include <Tests/Fakes/RawConnection.h>
+#include <Tests/Fakes/StandInStore.h>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** A replica that answers as a test tells it to. */
+class StandInReplica
+{
+public:
+    using Script = std::function<void(const std::shared_ptr<CallerExchange> &)>;
+
+    StandInReplica(EventLoop &loop, const Clock &clock, Script script)
+        : script(std::move(script))
+        , server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
+            this->heads.push_back(exchange->head());
+            this->script(exchange);
+        })
+    {
+    }
+
+    const Address &address() const
+    {
+        return this->server.address();
+    }
+
+    Script script;
+    std::vector<MessageHead> heads;
+
+private:
+    CallerServer server;
+};
+
+/** @return headers of an answer that a replica signs. */
+inline HeaderList signedHeaders(const std::shared_ptr<CallerExchange> &exchange)
+{
+    HeaderList headers;
+    headers.add("X-Request-Id", std::string(exchange->head().headers.find("X-Request-Id").value_or("")));
+    headers.add("X-Server-Signature", "sig");
+    return headers;
+}
+
+/** Sends the events of a stream from behind the one that the request names; leaves it open. */
+inline void sendEvents(const std::shared_ptr<CallerExchange> &exchange, int to)
+{
+    const int from = std::stoi(std::string(exchange->head().headers.find("Last-Event-Id").value_or("0"))) + 1;
+    exchange->begin(200, signedHeaders(exchange));
+    for (int event = from; event <= to; ++event) {
+        const std::string number = std::to_string(event);
+        exchange->write("id: " + number + "\ndata: t" + number + "\n\n");
+    }
+}
+
+/** A whole gateway node before a stand-in store and stand-in replicas, on one event loop. */
+class GatewayBench
+{
+public:
+    explicit GatewayBench(EventLoop &loop) : loop(loop), store(loop, this->clock)
+    {
+        this->settings.node.vm = "vm";
+        this->settings.node.failureDomain = "z";
+        this->settings.listen.http = {"127.0.0.1", 0};
+        this->settings.platform.address = this->store.address();
+        this->settings.platform.timeout = std::chrono::milliseconds(300);
+        this->settings.gateway.storeWait = std::chrono::milliseconds(200);
+    }
+
+    /** Register a replica; it is there before start(). */
+    StandInReplica &addReplica(const std::string &instance, const std::string &service, StandInReplica::Script script)
+    {
+        this->replicas.push_back(std::make_unique<StandInReplica>(this->loop, this->clock, std::move(script)));
+        this->registerReplica(instance, service, this->replicas.back()->address(), "ready");
+        return *this->replicas.back();
+    }
+
+    void registerReplica(const std::string &instance, const std::string &service, const Address &address, const std::string &state)
+    {
+        const nlohmann::json entry{
+            {"service", service}, {"address", address.toString()}, {"zone", "z"}, {"slots", 2}, {"state", state}};
+        this->store.rows().put({"servers", "", instance}, entry.dump());
+    }
+
+    void configure(const std::string &text)
+    {
+        this->store.rows().put({"op", "", "config"}, text);
+    }
+
+    void start()
+    {
+        this->gateway
+            = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(this->settings));
+    }
+
+    EventLoop &loop;
+    SystemClock clock;
+    Settings settings;
+    StandInStore store;
+    std::vector<std::unique_ptr<StandInReplica>> replicas;
+    std::unique_ptr<Gateway> gateway;
+};
+
+/** A configuration with a resumable stream, a stream that is not, an idempotent route, another and a batch route. */
+inline const char *const benchConfiguration = R"({"version":1,"routes":[
+    {"name":"resumable","host":"h","prefix":"/r/","routeKind":"streaming","timeoutMs":3000,"fullValueMs":300,"service":"llm",
+     "maxAttempts":2,"resumable":true,"gapTargetMs":300},
+    {"name":"once","host":"h","prefix":"/o/","routeKind":"streaming","timeoutMs":3000,"fullValueMs":300,"service":"llm",
+     "maxAttempts":1,"resumable":false,"gapTargetMs":300},
+    {"name":"safe","host":"h","prefix":"/s/","routeKind":"safe","timeoutMs":2000,"fullValueMs":300,"service":"api",
+     "maxAttempts":2},
+    {"name":"unsafe","host":"h","prefix":"/u/","routeKind":"unsafe","timeoutMs":2000,"fullValueMs":300,"service":"api",
+     "maxAttempts":2},
+    {"name":"batch","host":"h","prefix":"/b/","routeKind":"batch","fullValueMs":400,"completionTargetMs":18000,"service":"llm",
+     "maxAttempts":2,"maxCount":10000,"retentionS":60}],
+    "services":[{"name":"llm","engine":{"slots":2}},{"name":"api"}],
+    "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -0,0 +1,382 @@
+#include <Tests/ServiceGateway/GatewayBench.h>
+
+#include <LibBase/Encoding.h>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <thread>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+/** Bounds every wait in these tests; none of them measures time. */
+constexpr std::chrono::seconds waitLimit{10};
+
+void await(const std::function<bool()> &isReached)
+{
+    const auto end = std::chrono::steady_clock::now() + waitLimit;
+    while (!isReached() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(isReached());
+}
+
+/** A gateway that has its configuration and its replicas. */
+class Running
+{
+public:
+    explicit Running(const std::function<void(GatewayBench &)> &prepare) : host("gateway")
+    {
+        this->host.ask<bool>([&prepare](GatewayBench &bench) {
+            bench.configure(benchConfiguration);
+            prepare(bench);
+            bench.start();
+            return true;
+        });
+        await([this] {
+            return this->isReady();
+        });
+    }
+
+    bool isReady()
+    {
+        RawConnection probe(this->address(&Gateway::readyAddress));
+        probe.send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+        return probe.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200");
+    }
+
+    Address address(const Address &(Gateway::*which)() const)
+    {
+        return this->host.ask<Address>([which](GatewayBench &bench) {
+            return (bench.gateway.get()->*which)();
+        });
+    }
+
+    /** Send one request on a connection of its own. @return all that came until the connection was closed */
+    std::string call(const std::string &startLine, const std::string &headers = {}, const std::string &body = {})
+    {
+        RawConnection caller(this->address(&Gateway::callerAddress));
+        caller.send(startLine + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 2500\r\n" + headers
+                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return caller.readAll();
+    }
+
+    TaskHost<GatewayBench> host;
+};
+
+bool has(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+void answerWhole(const std::shared_ptr<CallerExchange> &exchange)
+{
+    exchange->send(200, signedHeaders(exchange), "[" + exchange->body() + "]");
+}
+
+void streamWhole(const std::shared_ptr<CallerExchange> &exchange)
+{
+    sendEvents(exchange, 3);
+    exchange->end();
+}
+
+void ignore(const std::shared_ptr<CallerExchange> &)
+{
+}
+
+} // namespace
+
+TEST_CASE("a request goes to a replica of its service, unchanged, and its answer comes back signed")
+{
+    StandInReplica *replica = nullptr;
+    Running running([&replica](GatewayBench &bench) {
+        replica = &bench.addReplica("i-1", "api", answerWhole);
+    });
+    const std::string answer = running.call("POST /s/a%20b?c=d", "X-Custom: 1\r\n", "hello");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(has(answer, "X-Server-Signature: sig\r\n"));
+    CHECK(answer.ends_with("[hello]"));
+    const MessageHead head = running.host.ask<MessageHead>([&replica](GatewayBench &) {
+        return replica->heads.at(0);
+    });
+    CHECK(head.target == "/s/a%20b?c=d");
+    CHECK(head.headers.find("X-Custom") == "1");
+    CHECK(head.headers.find("X-Expect-Instance") == "i-1");
+    CHECK(running.call("GET /nowhere/").starts_with("HTTP/1.1 404"));
+}
+
+TEST_CASE("a stream is passed on with its events")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", streamWhole);
+    });
+    const std::string answer = running.call("POST /o/x");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(has(answer, "id: 1\ndata: t1\n\n"));
+    CHECK(has(answer, "id: 3\ndata: t3\n\n"));
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+// A replica crashes in the middle of a stream that may be resumed. The caller sees one stream: the second replica goes on
+// behind the last whole event, and the half event of the first is dropped.
+TEST_CASE("a stream that may be resumed goes on at another replica without a seam")
+{
+    Running running([](GatewayBench &bench) {
+        for (const char *const instance : {"i-1", "i-2"}) {
+            bench.addReplica(instance, "llm", [](const std::shared_ptr<CallerExchange> &exchange) {
+                if (exchange->head().headers.find("Last-Event-Id")) {
+                    streamWhole(exchange);
+                    return;
+                }
+                sendEvents(exchange, 2);
+                exchange->write("id: 3\ndata: ha");
+                exchange->breakOff();
+            });
+        }
+    });
+    const std::string answer = running.call("POST /r/x");
+    CHECK(has(answer, "id: 2\ndata: t2\n\n"));
+    CHECK(has(answer, "id: 3\ndata: t3\n\n"));
+    CHECK_FALSE(has(answer, "data: ha"));
+    CHECK(answer.find("id: 3") == answer.rfind("id: 3"));
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+// The same crash in a stream that runs at most once. Nothing may be repeated; the caller must see that the end is missing.
+TEST_CASE("a stream that runs once and breaks off does not look complete")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", [](const std::shared_ptr<CallerExchange> &exchange) {
+            sendEvents(exchange, 2);
+            exchange->breakOff();
+        });
+        bench.addReplica("i-2", "llm", [](const std::shared_ptr<CallerExchange> &exchange) {
+            sendEvents(exchange, 2);
+            exchange->breakOff();
+        });
+    });
+    const std::string answer = running.call("POST /o/x");
+    CHECK(has(answer, "id: 2"));
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    const std::size_t runs = running.host.ask<std::size_t>([](GatewayBench &bench) {
+        return bench.replicas[0]->heads.size() + bench.replicas[1]->heads.size();
+    });
+    CHECK(runs == 1);
+}
+
+// The replica runs the request and the connection breaks before the answer. It may not run again, and 503 would say that it
+// never ran.
+TEST_CASE("a request that runs once and loses its answer is neither repeated nor called unrun")
+{
+    Running running([](GatewayBench &bench) {
+        for (const char *const instance : {"i-1", "i-2"}) {
+            bench.addReplica(instance, "api", [](const std::shared_ptr<CallerExchange> &exchange) {
+                exchange->breakOff();
+            });
+        }
+    });
+    CHECK(running.call("POST /u/x").starts_with("HTTP/1.1 502"));
+    const std::size_t runs = running.host.ask<std::size_t>([](GatewayBench &bench) {
+        return bench.replicas[0]->heads.size() + bench.replicas[1]->heads.size();
+    });
+    CHECK(runs == 1);
+}
+
+TEST_CASE("a request that a replica proves not to have run goes to another, also if it runs at most once")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", [](const std::shared_ptr<CallerExchange> &exchange) {
+            HeaderList headers;
+            headers.add("X-Not-Executed", "1");
+            exchange->send(503, headers, {});
+        });
+        bench.addReplica("i-2", "api", answerWhole);
+    });
+    for (int i = 0; i < 4; ++i) {
+        CHECK(running.call("POST /u/x").starts_with("HTTP/1.1 200"));
+    }
+}
+
+// A success without the replica's signature comes from something else that has its address, or from a fault on the way.
+TEST_CASE("a success that no replica signed is not passed on")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", [](const std::shared_ptr<CallerExchange> &exchange) {
+            exchange->send(200, {}, "forged");
+        });
+    });
+    const std::string answer = running.call("POST /u/x");
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK_FALSE(has(answer, "forged"));
+}
+
+TEST_CASE("a request for which there is no place is refused with the time to come back, before its time is over")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", ignore);
+    });
+    const std::string unrun = running.call("POST /o/x");
+    CHECK(unrun.starts_with("HTTP/1.1 503"));
+    CHECK(has(unrun, "Retry-After: "));
+    CHECK(running.call("POST /u/x").starts_with("HTTP/1.1 504"));
+}
+
+// A caller hangs up while a replica works for it. The replica would work on for nobody.
+TEST_CASE("a caller that leaves takes its request from the replica")
+{
+    bool isLeft = false;
+    Running running([&isLeft](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", [&isLeft](const std::shared_ptr<CallerExchange> &exchange) {
+            sendEvents(exchange, 1);
+            exchange->whenGone([&isLeft] {
+                isLeft = true;
+            });
+        });
+    });
+    {
+        RawConnection caller(running.address(&Gateway::callerAddress));
+        caller.send("POST /o/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\nContent-Length: 0\r\n\r\n");
+        caller.readUntil("id: 1");
+    }
+    await([&running, &isLeft] {
+        return running.host.ask<bool>([&isLeft](GatewayBench &) {
+            return isLeft;
+        });
+    });
+}
+
+TEST_CASE("a newer configuration comes into force, and an older one does not")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", answerWhole);
+    });
+    const auto configure = [&running](const std::string &text) {
+        running.host.ask<bool>([&text](GatewayBench &bench) {
+            bench.configure(text);
+            return true;
+        });
+    };
+    configure(R"({"version":5,"routes":[{"name":"n","host":"h","prefix":"/n/","routeKind":"safe","service":"api"}],
+        "services":[{"name":"api"}]})");
+    await([&running] {
+        return running.call("POST /n/x").starts_with("HTTP/1.1 200");
+    });
+    CHECK(running.call("POST /s/x").starts_with("HTTP/1.1 404"));
+    configure(benchConfiguration);
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    CHECK(running.call("POST /n/x").starts_with("HTTP/1.1 200"));
+}
+
+// The store goes away, and with it the entries of all replicas; it comes back with none of them, and they return one by
+// one. Callers are served all the while.
+TEST_CASE("callers are served while the store is away, and while the replicas' entries are not back yet")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", answerWhole);
+    });
+    const auto setMood = [&running](StandInStore::Mood mood) {
+        running.host.ask<bool>([mood](GatewayBench &bench) {
+            bench.store.setMood(mood);
+            return true;
+        });
+    };
+    setMood(StandInStore::Mood::Busy);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(running.call("POST /s/x").starts_with("HTTP/1.1 200"));
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.store.rows().remove({"servers", "", "i-1"});
+        return true;
+    });
+    setMood(StandInStore::Mood::Serving);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    CHECK(running.call("POST /s/x").starts_with("HTTP/1.1 200"));
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.registerReplica("i-1", "api", bench.replicas[0]->address(), "ready");
+        return true;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+    CHECK(running.call("POST /s/x").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a batch job runs to its end, and its results can be read from any position")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", [](const std::shared_ptr<CallerExchange> &exchange) {
+            if (exchange->body() == "impossible") {
+                exchange->send(422, signedHeaders(exchange), {});
+                return;
+            }
+            streamWhole(exchange);
+        });
+    });
+    const auto item = [](const std::string &id, const std::string &body) {
+        return nlohmann::json{{"id", id}, {"path", "/b/" + id}, {"headers", {{"X-Model", "m"}}}, {"body", encodeBase64(body)}, {"tokens", 9}};
+    };
+    const nlohmann::json job{{"requests", {item("a", "x"), item("b", "impossible"), item("c", "y")}}};
+    CHECK(running.call("POST /b/job", {}, job.dump()).starts_with("HTTP/1.1 202"));
+    std::string read;
+    await([&running, &read] {
+        read = running.call("GET /lots/q1?afterRev=0");
+        return has(read, "\"next\":3");
+    });
+    CHECK(has(read, "\"total\":3"));
+    CHECK(has(read, R"("output":"t1\nt2\nt3","state":"completed")"));
+    CHECK(has(read, R"("id":"b","output":"","state":"abandoned")"));
+    CHECK(has(running.call("GET /lots/q1?afterRev=2"), "\"next\":3"));
+    CHECK(running.call("GET /lots/unknown?afterRev=0").starts_with("HTTP/1.1 404"));
+    CHECK(running.call("POST /b/job", {}, job.dump()).starts_with("HTTP/1.1 202"));
+}
+
+TEST_CASE("a job that is ended stops, and its items' bodies can be read before that")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", ignore);
+    });
+    const nlohmann::json job{{"requests", {{{"id", "a"}, {"path", "/b/a"}, {"body", encodeBase64("text")}, {"tokens", 9}}}}};
+    CHECK(running.call("POST /b/job", {}, job.dump()).starts_with("HTTP/1.1 202"));
+    CHECK(running.call("GET /items/q1?id=a").ends_with("text"));
+    CHECK(running.call("DELETE /lots/q1").starts_with("HTTP/1.1 200"));
+    CHECK(running.call("DELETE /lots/q1").starts_with("HTTP/1.1 200"));
+    CHECK(running.call("GET /items/q1?id=a").starts_with("HTTP/1.1 404"));
+}
+
+// A node is told to stop while it serves. It is not ready any more, finishes what it has, and tells callers to go elsewhere.
+TEST_CASE("a node that stops finishes what it has")
+{
+    std::shared_ptr<CallerExchange> held;
+    Running running([&held](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", [&held](const std::shared_ptr<CallerExchange> &exchange) {
+            held = exchange;
+        });
+    });
+    RawConnection caller(running.address(&Gateway::callerAddress));
+    caller.send("POST /u/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\nContent-Length: 0\r\n\r\n");
+    await([&running, &held] {
+        return running.host.ask<bool>([&held](GatewayBench &) {
+            return held != nullptr;
+        });
+    });
+    bool isStopped = false;
+    running.host.ask<bool>([&isStopped](GatewayBench &bench) {
+        bench.gateway->stop([&isStopped] {
+            isStopped = true;
+        });
+        return true;
+    });
+    CHECK_FALSE(running.isReady());
+    running.host.ask<bool>([&held](GatewayBench &) {
+        answerWhole(std::exchange(held, nullptr));
+        return true;
+    });
+    const std::string answer = caller.readAll();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(has(answer, "Connection: close"));
+    await([&running, &isStopped] {
+        return running.host.ask<bool>([&isStopped](GatewayBench &) {
+            return isStopped;
+        });
+    });
+}
