--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -243,7 +243,14 @@
 void CallerConnection::breakOff()
 {
     this->exchange.reset();
-    this->close();
+    this->lastProgress = this->clock.now();
+    // What has been written still goes out; the missing last chunk shows the caller that more was to come.
+    const bool isSent = this->stream == nullptr || evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+    if (isSent) {
+        this->close();
+        return;
+    }
+    this->startClosing();
 }
 
 void CallerConnection::write(std::string_view text)
--- a/Tests/Fakes/FakeRowStore.cpp
+++ b/Tests/Fakes/FakeRowStore.cpp
@@ -17,9 +17,23 @@
 {
 }
 
+FakeRowStore::~FakeRowStore()
+{
+    *this->alive = false;
+}
+
+void FakeRowStore::later(std::chrono::milliseconds delay, std::function<void()> action)
+{
+    this->scheduler.schedule(delay, [alive = this->alive, action = std::move(action)] {
+        if (*alive) {
+            action();
+        }
+    });
+}
+
 void FakeRowStore::answer(std::function<void()> action)
 {
-    this->scheduler.schedule(latency, std::move(action));
+    this->later(latency, std::move(action));
 }
 
 RowTransactionResult FakeRowStore::apply(const RowTransaction &transaction)
@@ -61,14 +75,14 @@
         return;
     }
     const auto unknown = [this, done] {
-        this->scheduler.schedule(callTimeout, [done] {
+        this->later(callTimeout, [done] {
             done({WriteOutcome::Unknown, 0, {}});
         });
     };
     if (this->writesToDelay > 0) {
         --this->writesToDelay;
         unknown();
-        this->scheduler.schedule(this->writeDelay, [this, transaction] {
+        this->later(this->writeDelay, [this, transaction] {
             this->apply(transaction);
         });
         return;
@@ -130,7 +144,7 @@
 {
     const FollowResult now = this->changesOf(table, since);
     const bool isNews = now.outcome != FollowOutcome::Followed || !now.rows.empty();
-    this->scheduler.schedule(isNews ? latency : std::min(wait, std::chrono::milliseconds(20)), [this, table, since, done] {
+    this->later(isNews ? latency : std::min(wait, std::chrono::milliseconds(20)), [this, table, since, done] {
         done(this->changesOf(table, since));
     });
 }
--- a/Tests/Fakes/FakeRowStore.h
+++ b/Tests/Fakes/FakeRowStore.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
 {
 public:
     explicit FakeRowStore(Scheduler &scheduler);
+    ~FakeRowStore() override;
+    FakeRowStore(const FakeRowStore &) = delete;
+    FakeRowStore &operator=(const FakeRowStore &) = delete;
 
     void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) override;
     void read(RowRange range, std::function<void(RowRangeResult)> done) override;
@@ -52,6 +56,7 @@
 private:
     RowTransactionResult apply(const RowTransaction &transaction);
     FollowResult changesOf(const std::string &table, RowVersion since) const;
+    void later(std::chrono::milliseconds delay, std::function<void()> action);
     void answer(std::function<void()> action);
 
     Scheduler &scheduler;
@@ -64,6 +69,7 @@
     std::size_t answersToLose = 0;
     std::size_t writesToDelay = 0;
     std::chrono::milliseconds writeDelay{0};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Dogwoodkeel
