JobLedger: Keep what a runner has to write apart from the calls that write it

Found by a stack trace in a scratch copy. Ruled out: hooks destroyed while they run (mended before, the crash stayed), memory (4 MB at the peak).

Reads and writes of a job take turns now, and what is to be written lies in a class that drops by item, not by count.

--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -17,9 +17,6 @@
 constexpr std::chrono::milliseconds longestRetry{400};
 constexpr std::chrono::milliseconds loadRetry{200};
 constexpr std::chrono::milliseconds retentionLook{1000};
-/** Puts of one transaction are bounded by the store; each result takes one row, a long one several. */
-constexpr std::size_t mostResultsAtOnce = 20;
-constexpr std::size_t mostOutputAtOnce = 400'000;
 
 } // namespace
 
@@ -53,6 +50,7 @@
 
 void JobRun::load()
 {
+    this->isBusyWithStore = true;
     this->store.load(this->job, [self = this->shared_from_this()](const LoadedJob &loaded) {
         if (!self->isOver) {
             self->takeLoaded(loaded);
@@ -68,62 +66,48 @@
         });
         return;
     }
-    const bool isDone
-        = loaded.outcome == JobReadOutcome::Absent || loaded.head.isEnded || loaded.head.listed.size() >= loaded.head.total;
-    if (isDone) {
-        const std::function<void()> over = this->hooks.over;
-        this->cancel();
-        over();
+    this->isBusyWithStore = false;
+    if (loaded.outcome == JobReadOutcome::Absent || loaded.head.isEnded) {
+        this->endRun();
+        return;
+    }
+    this->ledger.adopt(loaded.head, loaded.version);
+    if (this->ledger.isComplete()) {
+        this->endRun();
         return;
     }
-    this->head = loaded.head;
-    this->version = loaded.version;
     this->items = loaded.items;
-    // What another runner has listed meanwhile is not written a second time.
-    std::erase_if(this->unwritten, [this](const auto &result) {
-        return std::ranges::find(this->head.listed, result.first) != this->head.listed.end();
-    });
     if (!std::exchange(this->isLoaded, true)) {
         log(LogLevel::Info,
             "running a job",
             {{"job", this->job.value()},
-             {"items", static_cast<std::int64_t>(this->head.total)},
-             {"listed", static_cast<std::int64_t>(this->head.listed.size())}});
+             {"items", static_cast<std::int64_t>(loaded.head.total)},
+             {"listed", static_cast<std::int64_t>(loaded.head.listed.size())}});
     }
     this->startItems();
-    this->mergeFailures();
-    if (!this->unwritten.empty() || this->hasNewFailures) {
+    if (this->ledger.hasNews()) {
         this->writeSoon();
     }
 }
 
-void JobRun::mergeFailures()
+void JobRun::endRun()
 {
-    std::map<std::uint32_t, std::uint32_t> written;
-    for (const std::uint32_t number : this->head.failures) {
-        ++written[number];
-    }
-    for (const auto &[number, count] : written) {
-        std::uint32_t &known = this->failures[number];
-        known = std::max(known, count);
-    }
+    const std::function<void()> over = this->hooks.over;
+    this->cancel();
+    over();
 }
 
 void JobRun::startItems()
 {
     for (auto item = this->open.begin(); item != this->open.end();) {
-        const bool isListed = std::ranges::find(this->head.listed, item->first) != this->head.listed.end();
+        const bool isListed = this->ledger.isListed(item->first);
         if (isListed) {
             item->second.attempt->cancel();
         }
         item = isListed ? this->open.erase(item) : std::next(item);
     }
     for (std::uint32_t number = 0; number < this->items.size(); ++number) {
-        const bool isListed = std::ranges::find(this->head.listed, number) != this->head.listed.end();
-        const bool isKept = std::ranges::any_of(this->unwritten, [number](const auto &result) {
-            return result.first == number;
-        });
-        if (!isListed && !isKept && !this->open.contains(number)) {
+        if (!this->ledger.hasResult(number) && !this->open.contains(number)) {
             this->startItem(number);
         }
     }
@@ -132,13 +116,13 @@
 void JobRun::startItem(std::uint32_t number)
 {
     const JobItem &item = this->items[number];
-    const Route *const route = this->hooks.route(this->head.route);
+    const Route *const route = this->hooks.route(this->ledger.head().route);
     const std::chrono::milliseconds target = route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
-    const auto age = this->context.clock.wallNow() - this->head.submitted;
+    const auto age = this->context.clock.wallNow() - this->ledger.head().submitted;
     const SteadyTime due = this->context.clock.now() + std::chrono::duration_cast<std::chrono::milliseconds>(target - age);
     const std::weak_ptr<JobRun> self = this->weak_from_this();
     ItemAttempt::Hooks hooks{
-        .target = [self, host = this->head.host, path = item.target]() -> std::optional<ItemAttempt::Target> {
+        .target = [self, host = this->ledger.head().host, path = item.target]() -> std::optional<ItemAttempt::Target> {
             const std::shared_ptr<JobRun> run = self.lock();
             return run && !run->isOver ? run->hooks.target(host, path) : std::nullopt;
         },
@@ -150,7 +134,7 @@
                 }
             },
     };
-    auto attempt = std::make_shared<ItemAttempt>(this->context, item, this->head.host, due, std::move(hooks));
+    auto attempt = std::make_shared<ItemAttempt>(this->context, item, this->ledger.head().host, due, std::move(hooks));
     this->open[number].attempt = attempt;
     attempt->start();
 }
@@ -161,7 +145,7 @@
     case ItemAttempt::End::Completed:
         this->context.metrics.countEvent("batch item completed");
         this->open.erase(number);
-        this->unwritten.emplace_back(number, ItemResult{this->items[number].id, ItemOutcome::Completed, std::move(output)});
+        this->ledger.add(number, ItemResult{this->items[number].id, ItemOutcome::Completed, std::move(output)});
         this->writeSoon();
         return;
     case ItemAttempt::End::Impossible:
@@ -176,9 +160,8 @@
 void JobRun::takeFailure(std::uint32_t number)
 {
     // Failures are written before the item runs again: with another runner it must not begin to count anew.
-    const std::uint32_t failed = ++this->failures[number];
-    this->hasNewFailures = true;
-    const Route *const route = this->hooks.route(this->head.route);
+    const std::uint32_t failed = this->ledger.fail(number);
+    const Route *const route = this->hooks.route(this->ledger.head().route);
     if (route != nullptr && failed >= route->maxAttempts) {
         this->abandon(number, "it failed too often");
         return;
@@ -198,15 +181,15 @@
         found->second.attempt->cancel();
         this->open.erase(found);
     }
-    this->unwritten.emplace_back(number, ItemResult{this->items[number].id, ItemOutcome::Abandoned, {}});
+    this->ledger.add(number, ItemResult{this->items[number].id, ItemOutcome::Abandoned, {}});
     this->writeSoon();
 }
 
 void JobRun::checkRetention()
 {
-    const Route *const route = this->isLoaded ? this->hooks.route(this->head.route) : nullptr;
+    const Route *const route = this->isLoaded ? this->hooks.route(this->ledger.head().route) : nullptr;
     const bool isKnown = route != nullptr && route->retention.count() > 0;
-    if (isKnown && this->context.clock.wallNow() - this->head.submitted > route->retention) {
+    if (isKnown && this->context.clock.wallNow() - this->ledger.head().submitted > route->retention) {
         while (!this->open.empty()) {
             this->abandon(this->open.begin()->first, "its time is over");
         }
@@ -218,14 +201,12 @@
 
 void JobRun::writeSoon()
 {
-    if (this->isWriting || std::exchange(this->isWriteScheduled, true)) {
+    if (this->isBusyWithStore || std::exchange(this->isWriteScheduled, true)) {
         return;
     }
-    const auto grown = std::min(firstRetry * (1 << std::min(this->writeFailures, 4)), longestRetry);
-    const std::chrono::milliseconds delay = this->writeFailures > 0 ? grown : gatherTime;
-    this->timer = this->context.loop.schedule(delay, [self = this->shared_from_this()] {
+    this->timer = this->context.loop.schedule(gatherTime, [self = this->shared_from_this()] {
         self->isWriteScheduled = false;
-        if (!self->isOver) {
+        if (!self->isOver && !self->isBusyWithStore) {
             self->write();
         }
     });
@@ -233,42 +214,25 @@
 
 void JobRun::write()
 {
-    JobHead next = this->head;
-    std::vector<ItemResult> results;
-    std::size_t bytes = 0;
-    for (const auto &[number, result] : this->unwritten) {
-        const bool isFirst = results.empty();
-        bytes += result.output.size();
-        if (!isFirst && (results.size() >= mostResultsAtOnce || bytes > mostOutputAtOnce)) {
-            break;
-        }
-        next.listed.push_back(number);
-        results.push_back(result);
-    }
-    next.failures.clear();
-    for (const auto &[number, failed] : this->failures) {
-        next.failures.insert(next.failures.end(), failed, number);
-    }
-    this->hasNewFailures = false;
+    const JobLedger::Write next = this->ledger.nextWrite();
     std::optional<OpenJob> row;
-    if (next.listed.size() < next.total) {
-        const Route *const route = this->hooks.route(next.route);
+    if (next.head.listed.size() < next.head.total) {
+        const Route *const route = this->hooks.route(next.head.route);
         const std::chrono::milliseconds target = route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
-        row = OpenJob{next.route, this->waitingTokens(next), next.submitted + target, this->self};
+        row = OpenJob{next.head.route, this->waitingTokens(next.head), next.head.submitted + target, this->self};
     }
-    this->isWriting = true;
+    this->isBusyWithStore = true;
     this->store.update(this->job,
-                       this->version,
-                       next,
-                       results,
+                       this->ledger.version(),
+                       next.head,
+                       next.results,
                        row,
-                       [self = this->shared_from_this(), next, count = results.size()](WriteOutcome outcome, RowVersion version) {
+                       [self = this->shared_from_this(), head = next.head](WriteOutcome outcome, RowVersion version) {
                            if (self->isOver) {
                                return;
                            }
-                           self->isWriting = false;
                            if (outcome == WriteOutcome::Done) {
-                               self->takeWritten(next, version, count);
+                               self->takeWritten(head, version);
                            } else {
                                self->takeUnwritten(outcome);
                            }
@@ -278,34 +242,32 @@
 void JobRun::takeUnwritten(WriteOutcome outcome)
 {
     ++this->writeFailures;
-    this->hasNewFailures = true;
+    this->ledger.noteFailedWrite();
     log(LogLevel::Warning,
         "results not written",
         {{"job", this->job.value()},
          {"outcome", static_cast<std::int64_t>(outcome)},
-         {"results", static_cast<std::int64_t>(this->unwritten.size())}});
+         {"results", static_cast<std::int64_t>(this->ledger.unwritten())}});
     // The head may have changed, by this write or by another node: it is read before the next.
-    this->timer = this->context.loop.schedule(firstRetry, [self = this->shared_from_this()] {
+    const auto grown = std::min(firstRetry * (1 << std::min(this->writeFailures, 4)), longestRetry);
+    this->timer = this->context.loop.schedule(grown, [self = this->shared_from_this()] {
         if (!self->isOver) {
             self->load();
         }
     });
 }
 
-void JobRun::takeWritten(const JobHead &written, RowVersion version, std::size_t count)
+void JobRun::takeWritten(const JobHead &written, RowVersion version)
 {
+    this->isBusyWithStore = false;
     this->writeFailures = 0;
-    this->head = written;
-    this->version = version;
-    this->unwritten.erase(this->unwritten.begin(), this->unwritten.begin() + static_cast<std::ptrdiff_t>(count));
-    if (written.listed.size() >= written.total) {
+    this->ledger.confirm(written, version);
+    if (this->ledger.isComplete()) {
         log(LogLevel::Info, "job complete", {{"job", this->job.value()}});
-        const std::function<void()> over = this->hooks.over;
-        this->cancel();
-        over();
+        this->endRun();
         return;
     }
-    if (!this->unwritten.empty() || this->hasNewFailures) {
+    if (this->ledger.hasNews()) {
         this->writeSoon();
     }
 }
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/JobLedger.h>
 #include <Services/Gateway/ItemAttempt.h>
 #include <Services/Gateway/JobStore.h>
 
@@ -55,9 +56,9 @@
     void checkRetention();
     void writeSoon();
     void write();
-    void takeWritten(const JobHead &written, RowVersion version, std::size_t count);
+    void takeWritten(const JobHead &written, RowVersion version);
     void takeUnwritten(WriteOutcome outcome);
-    void mergeFailures();
+    void endRun();
     std::uint64_t waitingTokens(const JobHead &head) const;
     void stopAll();
 
@@ -66,18 +67,12 @@
     SessionNumber self;
     JobId job;
     Hooks hooks;
-    JobHead head;
-    RowVersion version = 0;
+    JobLedger ledger;
     std::vector<JobItem> items;
     std::map<std::uint32_t, Open> open;
-    /** Results that are not written yet, by item. */
-    std::vector<std::pair<std::uint32_t, ItemResult>> unwritten;
-    /** How often each item failed at a replica. */
-    std::map<std::uint32_t, std::uint32_t> failures;
-    /** Whether there are failures that are not written yet. */
-    bool hasNewFailures = false;
     bool isLoaded = false;
-    bool isWriting = false;
+    /** Reading and writing the job take turns: the answer to one is understood by what the other left. */
+    bool isBusyWithStore = false;
     bool isWriteScheduled = false;
     int writeFailures = 0;
     TimerId timer = 0;
--- /dev/null
+++ b/Tests/LibGateway/TestJobLedger.cpp
@@ -0,0 +1,91 @@
+#include <LibGateway/JobLedger.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+ItemResult resultOf(const std::string &output)
+{
+    return {ItemId("i"), ItemOutcome::Completed, output};
+}
+
+JobHead headOf(std::uint32_t total, std::vector<std::uint32_t> listed = {}, std::vector<std::uint32_t> failures = {})
+{
+    JobHead head;
+    head.total = total;
+    head.listed = std::move(listed);
+    head.failures = std::move(failures);
+    return head;
+}
+
+} // namespace
+
+// A write has no answer. While the next is on its way, the head is read and shows that the first took effect after all. The
+// answer to the next write then comes to results of which some are gone already: taking away as many as it wrote would take
+// results that nobody has written, or more than there are.
+TEST_CASE("a write that is confirmed after the head was read again takes away what is listed, and nothing else")
+{
+    JobLedger ledger;
+    ledger.adopt(headOf(3), 1);
+    ledger.add(0, resultOf("a"));
+    ledger.add(1, resultOf("b"));
+    const JobLedger::Write write = ledger.nextWrite();
+    ledger.adopt(headOf(3, {0}), 2);
+    CHECK(ledger.unwritten() == 1);
+    ledger.add(2, resultOf("c"));
+    ledger.confirm(write.head, 3);
+    CHECK(ledger.unwritten() == 1);
+    CHECK(ledger.hasResult(2));
+    CHECK_FALSE(ledger.isListed(2));
+}
+
+TEST_CASE("results are added behind those that are listed, in the order in which they came")
+{
+    JobLedger ledger;
+    ledger.adopt(headOf(3, {2}), 1);
+    ledger.add(1, resultOf("b"));
+    ledger.add(0, resultOf("a"));
+    ledger.add(1, resultOf("again"));
+    ledger.add(2, resultOf("listed"));
+    const JobLedger::Write write = ledger.nextWrite();
+    CHECK(write.head.listed == std::vector<std::uint32_t>{2, 1, 0});
+    REQUIRE(write.results.size() == 2);
+    CHECK(write.results[0].output == "b");
+    ledger.confirm(write.head, 2);
+    CHECK(ledger.isComplete());
+    CHECK_FALSE(ledger.hasNews());
+}
+
+// A runner dies with failures of an item counted. The next must not begin at none: the item would be sent to more replicas
+// than its route allows. Nor may a write whose answer was lost count a failure twice: the item would be given up too early.
+TEST_CASE("failures are counted over runners, and none twice")
+{
+    JobLedger first;
+    first.adopt(headOf(2), 1);
+    CHECK(first.fail(0) == 1);
+    const JobLedger::Write lost = first.nextWrite();
+    CHECK(lost.head.failures == std::vector<std::uint32_t>{0});
+    first.noteFailedWrite();
+    first.adopt(lost.head, 2);
+    CHECK(first.nextWrite().head.failures == std::vector<std::uint32_t>{0});
+    JobLedger second;
+    second.adopt(lost.head, 2);
+    CHECK(second.fail(0) == 2);
+}
+
+TEST_CASE("a write holds no more than a transaction takes, and at least one result")
+{
+    JobLedger ledger;
+    ledger.adopt(headOf(50), 1);
+    ledger.add(0, resultOf(std::string(900'000, 'x')));
+    for (std::uint32_t item = 1; item < 50; ++item) {
+        ledger.add(item, resultOf("x"));
+    }
+    const JobLedger::Write first = ledger.nextWrite();
+    CHECK(first.results.size() == 1);
+    ledger.confirm(first.head, 2);
+    CHECK(ledger.nextWrite().results.size() == 20);
+}
