Dispatcher: Keep its queues in order, and give the duty to VMs that can carry it

Duties go to VMs with at least half of the largest processor; queues are kept in order; waiting requests ask five times a second, batch items once.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -1,7 +1,6 @@
 #include <LibDispatch/Dispatcher.h>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -11,7 +10,8 @@
 {
 
 /** A waiting request that its node has not asked for again in this time is over: the word of its end was lost. */
-constexpr std::chrono::milliseconds waitingForgotten{600};
+constexpr std::chrono::milliseconds waitingForgotten{800};
+constexpr std::chrono::milliseconds batchWaitingForgotten{4000};
 /** A placement that its node has not reported in this time is over; nodes report several times as often. */
 constexpr std::chrono::milliseconds placementForgotten{1500};
 /** A report may have left its node before the word of a placement reached it; longer than any datagram travels. */
@@ -65,26 +65,19 @@
         this->hooks.place(request.id, placed->second.replica);
         return true;
     }
-    std::list<Waiting> &queue = request.work == WorkClass::Online ? this->online : this->batch;
-    const auto known = std::ranges::find_if(queue, [&request](const Waiting &waiting) {
-        return waiting.request.id == request.id;
-    });
-    if (known != queue.end()) {
-        known->asked = this->clock.now();
+    const auto known = this->queued.find(request.id);
+    if (known != this->queued.end()) {
+        this->queueOf(request.work).at(known->second).asked = this->clock.now();
         return false;
     }
-    queue.push_back({request, this->clock.now()});
+    this->enqueue(request, this->clock.now());
     this->assign();
     return this->placements.contains(request.id);
 }
 
 void Dispatcher::end(TicketId id, PlacementVerdict verdict)
 {
-    const auto isIt = [id](const Waiting &waiting) {
-        return waiting.request.id == id;
-    };
-    this->online.remove_if(isIt);
-    this->batch.remove_if(isIt);
+    this->dequeue(id);
     const auto placed = this->placements.find(id);
     if (placed != this->placements.end()) {
         this->remove(placed, verdict);
@@ -121,22 +114,21 @@
         }
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
+        this->dequeue(id);
         this->placements.emplace(id, Placement{id, work, entry->replica, now, now, now, std::nullopt});
         (work == WorkClass::Batch ? replica->second.batch : replica->second.online) += 1;
-        this->online.remove_if([id](const Waiting &waiting) {
-            return waiting.request.id == id;
-        });
+        if (work == WorkClass::Batch) {
+            this->stoppable.emplace(now, id);
+        }
     }
     this->assign();
 }
 
 void Dispatcher::dropNode(SessionNumber node)
 {
-    const auto isOfNode = [node](const Waiting &waiting) {
+    this->dropWaiting([node](const Waiting &waiting) {
         return waiting.request.id.node == node;
-    };
-    this->online.remove_if(isOfNode);
-    this->batch.remove_if(isOfNode);
+    });
     for (auto placement = this->placements.lower_bound({node, 0});
          placement != this->placements.end() && placement->first.node == node;) {
         const auto next = std::next(placement);
@@ -149,11 +141,11 @@
 void Dispatcher::tick()
 {
     const SteadyTime now = this->clock.now();
-    const auto isForgotten = [now](const Waiting &waiting) {
-        return now - waiting.asked > waitingForgotten || now > waiting.request.deadline;
-    };
-    this->online.remove_if(isForgotten);
-    this->batch.remove_if(isForgotten);
+    this->dropWaiting([now](const Waiting &waiting) {
+        const bool isBatch = waiting.request.work == WorkClass::Batch;
+        return now - waiting.asked > (isBatch ? batchWaitingForgotten : waitingForgotten) || now > waiting.request.deadline;
+    });
+    this->sinkLate();
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
         Placement &entry = placement->second;
@@ -195,39 +187,84 @@
 
 void Dispatcher::assignOnline()
 {
-    // Under overload, first come first served makes everybody late. Who can still be on time goes first, then the others.
-    const SteadyTime now = this->clock.now();
-    this->online.sort([now](const Waiting &left, const Waiting &right) {
-        const auto rank = [now](const PlacementRequest &request) {
-            return std::tuple(request.priority, now > request.due, request.arrived);
-        };
-        return rank(left.request) < rank(right.request);
-    });
     for (auto waiting = this->online.begin(); waiting != this->online.end();) {
-        const PlacementRequest request = waiting->request;
+        const auto next = std::next(waiting);
+        const PlacementRequest request = waiting->second.request;
         if (this->placeOnline(request)) {
-            waiting = this->online.erase(waiting);
-            continue;
-        }
-        // One that finds no place though it avoids no replica shows that there is none for the others either.
-        if (request.avoided.empty()) {
+            this->dequeue(request.id);
+        } else if (request.avoided.empty()) {
+            // One that finds no place though it avoids no replica shows that there is none for the others either.
             return;
         }
-        ++waiting;
+        waiting = next;
     }
 }
 
 void Dispatcher::assignBatch()
 {
-    this->batch.sort([](const Waiting &left, const Waiting &right) {
-        return left.request.due < right.request.due;
-    });
     for (auto waiting = this->batch.begin(); waiting != this->batch.end();) {
-        const PlacementRequest request = waiting->request;
-        if (!this->placeBatch(request)) {
+        const auto next = std::next(waiting);
+        const PlacementRequest request = waiting->second.request;
+        if (this->placeBatch(request)) {
+            this->dequeue(request.id);
+        } else if (request.avoided.empty()) {
             return;
         }
-        waiting = this->batch.erase(waiting);
+        waiting = next;
+    }
+}
+
+Dispatcher::Queue &Dispatcher::queueOf(WorkClass work)
+{
+    return work == WorkClass::Online ? this->online : this->batch;
+}
+
+void Dispatcher::enqueue(const PlacementRequest &request, SteadyTime asked)
+{
+    const bool isOnline = request.work == WorkClass::Online;
+    const bool isLate = isOnline && this->clock.now() > request.due;
+    const QueueKey key(request.priority, isLate, isOnline ? request.arrived : request.due, request.id);
+    this->queueOf(request.work).insert_or_assign(key, Waiting{request, asked});
+    this->queued.insert_or_assign(request.id, key);
+}
+
+void Dispatcher::dequeue(TicketId id)
+{
+    const auto known = this->queued.find(id);
+    if (known == this->queued.end()) {
+        return;
+    }
+    this->online.erase(known->second);
+    this->batch.erase(known->second);
+    this->queued.erase(known);
+}
+
+void Dispatcher::dropWaiting(const std::function<bool(const Waiting &)> &isDropped)
+{
+    for (Queue *const queue : {&this->online, &this->batch}) {
+        for (auto waiting = queue->begin(); waiting != queue->end();) {
+            const auto next = std::next(waiting);
+            if (isDropped(waiting->second)) {
+                this->dequeue(waiting->second.request.id);
+            }
+            waiting = next;
+        }
+    }
+}
+
+void Dispatcher::sinkLate()
+{
+    // Under overload, first come first served makes everybody late. Who can still be on time goes first, then the others.
+    const SteadyTime now = this->clock.now();
+    std::vector<Waiting> late;
+    for (const auto &[key, waiting] : this->online) {
+        if (!std::get<1>(key) && now > waiting.request.due) {
+            late.push_back(waiting);
+        }
+    }
+    for (const Waiting &waiting : late) {
+        this->dequeue(waiting.request.id);
+        this->enqueue(waiting.request, waiting.asked);
     }
 }
 
@@ -279,19 +316,13 @@
 Dispatcher::Placement *Dispatcher::victimFor(const PlacementRequest &request)
 {
     // The item that is due last gives way; what it has generated so far is kept by its node.
-    Placement *victim = nullptr;
-    for (auto &[id, placement] : this->placements) {
-        if (placement.work != WorkClass::Batch || placement.stopped) {
-            continue;
-        }
-        if (!this->isUsable(this->replicas.at(placement.replica), request)) {
-            continue;
-        }
-        if (victim == nullptr || placement.due > victim->due) {
-            victim = &placement;
+    for (auto item = this->stoppable.rbegin(); item != this->stoppable.rend(); ++item) {
+        Placement &placement = this->placements.at(item->second);
+        if (this->isUsable(this->replicas.at(placement.replica), request)) {
+            return &placement;
         }
     }
-    return victim;
+    return nullptr;
 }
 
 void Dispatcher::place(const PlacementRequest &request, Replica &replica)
@@ -304,12 +335,16 @@
     replica.gate.noteSent(now);
     this->placements.insert_or_assign(
         request.id, Placement{request.id, request.work, replica.traits.instance, now, now, request.due, std::nullopt});
+    if (request.work == WorkClass::Batch) {
+        this->stoppable.emplace(request.due, request.id);
+    }
     this->hooks.place(request.id, replica.traits.instance);
 }
 
 void Dispatcher::stop(Placement &placement)
 {
     placement.stopped = this->clock.now();
+    this->stoppable.erase({placement.due, placement.id});
     this->replicas.at(placement.replica).batch -= 1;
     this->hooks.stop(placement.id);
 }
@@ -339,6 +374,7 @@
         }
         (entry.work == WorkClass::Batch ? replica->second.batch : replica->second.online) -= 1;
     }
+    this->stoppable.erase({entry.due, entry.id});
     this->placements.erase(placement);
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -6,10 +6,10 @@
 
 #include <chrono>
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
+#include <tuple>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -105,6 +105,9 @@
         SteadyTime lastFull{};
     };
 
+    /** Orders the waiting: whom to serve first stands first. */
+    using QueueKey = std::tuple<std::uint32_t, bool, SteadyTime, TicketId>;
+    using Queue = std::map<QueueKey, Waiting>;
     using Placements = std::map<TicketId, Placement>;
 
     void assign();
@@ -115,6 +118,11 @@
     Replica *freeReplica(const PlacementRequest &request);
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, Replica &replica);
+    void enqueue(const PlacementRequest &request, SteadyTime asked);
+    void dequeue(TicketId id);
+    Queue &queueOf(WorkClass work);
+    void dropWaiting(const std::function<bool(const Waiting &)> &isDropped);
+    void sinkLate();
     void stop(Placement &placement);
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
@@ -127,8 +135,12 @@
     Hooks hooks;
     std::map<EndpointName, Replica> replicas;
     Placements placements;
-    std::list<Waiting> online;
-    std::list<Waiting> batch;
+    Queue online;
+    Queue batch;
+    /** Where a waiting request stands. */
+    std::map<TicketId, QueueKey> queued;
+    /** Batch items that run and were not told to stop, by the time at which they are due. */
+    std::set<std::pair<SteadyTime, TicketId>> stoppable;
     /** Running mean of how long an online request keeps its slot. */
     std::chrono::duration<double, std::milli> meanHold{800};
     bool isAssigning = false;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1013,6 +1013,8 @@
     WallTime started;
     /** Whether it does not reach the platform's store, so that what it knows from there may be out of date. */
     bool hasLostStore = false;
+    /** The processor that its VM has, in hundredths of a core; 0: not told. */
+    std::uint32_t processorShare = 0;
 
     bool operator==(const Member &) const = default;
 
@@ -1037,7 +1039,8 @@
                 this->isLeaving,
                 this->isReady,
                 Compact::field(this->started),
-                this->hasLostStore);
+                this->hasLostStore,
+                Compact::field(this->processorShare));
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->state)) {
                 throw cereal::Exception("a number is no value of its enum");
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -4,6 +4,8 @@
 #include <LibBase/Log.h>
 #include <LibWire/Codec.h>
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -107,6 +109,7 @@
     member.http = settings.listen.http;
     member.owner = this->peerServer.address();
     member.gossip = this->socket.address();
+    member.processorShare = static_cast<std::uint32_t>(std::lround(settings.gateway.processorShare * 100));
     member.started = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
     return member;
 }
@@ -298,10 +301,17 @@
 
 const Member *dutyHolder(const MemberView &view, std::uint64_t key)
 {
+    const auto isCandidate = [](const Member &member) {
+        return member.isReady && !member.isLeaving;
+    };
+    std::uint32_t largestShare = 0;
+    for (const Member &member : view.members()) {
+        largestShare = std::max(largestShare, isCandidate(member) ? member.processorShare : 0);
+    }
     const Member *holder = nullptr;
     std::pair<bool, std::uint64_t> best;
     for (const Member &member : view.members()) {
-        if (!member.isReady || member.isLeaving) {
+        if (!isCandidate(member) || member.processorShare * 2 < largestShare) {
             continue;
         }
         const std::pair weight(!member.hasLostStore, rendezvousWeight(key, member.session.value()));
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -88,7 +88,8 @@
 /**
  * @param key hash of a duty, such as dispatching for a service or running a job
  * @return the ready member that should have it (rendezvous hashing), or null if there is none; one that reaches the store
- * goes before all that do not, because those know neither new replicas nor which are leaving
+ * goes before all that do not, because those know neither new replicas nor which are leaving. VMs with less than half of
+ * the largest processor get no duties: a dispatcher that falls behind delays the requests of all nodes.
  */
 const Member *dutyHolder(const MemberView &view, std::uint64_t key);
 
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -18,10 +18,12 @@
 constexpr std::chrono::milliseconds askRepeat{20};
 /** A dispatcher that has not answered by then is away. A fifth of the shortest objective that callers have. */
 constexpr std::chrono::milliseconds askPatience{60};
-/** While a request waits, it is asked for again this often; the answer may have been lost. */
-constexpr std::chrono::milliseconds waitRepeat{80};
+/** While a request waits, it is asked for again this often; the answer may have been lost. Under overload hundreds wait, and
+ * each question takes some of the dispatcher's processor. */
+constexpr std::chrono::milliseconds waitRepeat{200};
+constexpr std::chrono::milliseconds batchWaitRepeat{1000};
 /** A dispatcher that does not say any more that a request waits is away. */
-constexpr std::chrono::milliseconds waitPatience{250};
+constexpr std::chrono::milliseconds waitPatience{500};
 /** How long a dispatcher that did not answer is not waited for; then one request tries it again. */
 constexpr std::chrono::milliseconds doubtTime{400};
 constexpr std::chrono::milliseconds reportInterval{200};
@@ -257,7 +259,9 @@
         this->placeLocally(ticket, asked);
         return;
     }
-    if (now - asked.sent >= (asked.heard ? waitRepeat : askRepeat)) {
+    const bool isBatch = asked.wish.work == WorkClass::Batch;
+    const std::chrono::milliseconds heardRepeat = isBatch ? batchWaitRepeat : waitRepeat;
+    if (now - asked.sent >= (asked.heard ? heardRepeat : askRepeat)) {
         this->sendAsk(ticket, asked);
     }
 }
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -233,12 +233,8 @@
     records.isKnown = this->known;
     records.age = this->age();
     for (const auto &[instance, replica] : this->list.replicas()) {
-        records.replicas.push_back({instance,
-                                    replica.service.value(),
-                                    replica.address,
-                                    replica.failureDomain,
-                                    replica.slots,
-                                    replica.isDraining});
+        records.replicas.push_back(
+            {instance, replica.service.value(), replica.address, replica.failureDomain, replica.slots, replica.isDraining});
     }
     return records;
 }
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -133,7 +133,7 @@
     Bench bench(1, 1);
     bench.ask(1);
     bench.ask(2);
-    bench.clock.advance(std::chrono::milliseconds(350));
+    bench.pass(std::chrono::milliseconds(350));
     bench.ask(3);
     bench.end(1);
     CHECK(bench.isPlaced(3));
@@ -216,7 +216,7 @@
     Bench bench(1, 1);
     bench.ask(1);
     bench.ask(2);
-    bench.pass(std::chrono::milliseconds(700));
+    bench.pass(std::chrono::milliseconds(900));
     bench.end(1);
     CHECK_FALSE(bench.isPlaced(2));
 }
