Gateway: Count the time to the first event into what is on time, ask peers for configurations rarely, start accepted jobs at once

One node is asked, 450 ms after the store should have told. The time to the first event is learned and counted. A job runs where it was accepted without waiting for its row, so the rows are followed once a second.

--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -11,16 +12,28 @@
 namespace
 {
 
-/** A starting node asks others this often until it has a configuration. */
-constexpr std::chrono::milliseconds seedInterval{150};
+constexpr std::chrono::milliseconds watchInterval{150};
+/** The store tells all nodes at once; another node is asked only if that does not reach this one. A configuration can be
+ * large, and asking at each change would carry it between failure domains once more for each node. */
+constexpr std::chrono::milliseconds storePatience{450};
 /** A peer answers from memory; one that does not within this time is cut off. */
 constexpr std::chrono::milliseconds peerTimeout{400};
 
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(
-    EventLoop &loop, RowStore &store, PeerNetwork &peers, std::chrono::milliseconds storeWait, Format format, Changed changed)
-    : loop(loop), peers(peers), format(std::move(format)), changed(std::move(changed))
+ConfigurationFollower::ConfigurationFollower(EventLoop &loop,
+                                             const Clock &clock,
+                                             RowStore &store,
+                                             PeerNetwork &peers,
+                                             std::chrono::milliseconds storeWait,
+                                             Format format,
+                                             Changed changed)
+    : loop(loop)
+    , clock(clock)
+    , random(static_cast<std::minstd_rand::result_type>(peers.self().value()))
+    , peers(peers)
+    , format(std::move(format))
+    , changed(std::move(changed))
 {
     peers.server().handle<ConfigurationTextRequest>([this](const ConfigurationTextRequest &request, const auto &respond) {
         const bool isNewer = this->version() > request.known;
@@ -46,15 +59,13 @@
                                .onAnswer = [] {},
                                .onFailure = [] {},
                            });
-    this->seedTimer = loop.schedule(seedInterval, [this] {
-        this->askSeeds();
-    });
+    this->watch();
 }
 
 ConfigurationFollower::~ConfigurationFollower()
 {
     *this->alive = false;
-    this->loop.cancel(this->seedTimer);
+    this->loop.cancel(this->watchTimer);
 }
 
 const ServingConfigurationPointer &ConfigurationFollower::current() const
@@ -88,32 +99,39 @@
     this->changed(this->configuration);
 }
 
-void ConfigurationFollower::askSeeds()
+void ConfigurationFollower::watch()
 {
-    // While the store is away, a node that has just started can learn the configuration only from the others.
-    if (this->configuration) {
-        return;
+    const MemberViewPointer view = this->peers.view();
+    const bool isBehind = std::ranges::any_of(view->members(), [this](const Member &member) {
+        return member.configVersion > this->version();
+    });
+    const SteadyTime now = this->clock.now();
+    if (!isBehind) {
+        this->behindSince.reset();
+    } else if (!this->behindSince) {
+        this->behindSince = now;
     }
-    for (const Member &member : this->peers.view()->members()) {
-        if (member.configVersion > 0) {
-            this->askPeer(member.owner);
-        }
+    // A node that has just started, perhaps while the store is away, answers no caller before it has one.
+    const bool isPatient = this->configuration && isBehind && now - *this->behindSince < storePatience;
+    if (isBehind && !isPatient && !this->isAsking) {
+        this->askSomebodyNewer();
     }
-    this->seedTimer = this->loop.schedule(seedInterval, [this] {
-        this->askSeeds();
+    this->watchTimer = this->loop.schedule(watchInterval, [this] {
+        this->watch();
     });
 }
 
-void ConfigurationFollower::look(const MemberView &view)
+void ConfigurationFollower::askSomebodyNewer()
 {
-    const Member *newest = nullptr;
-    for (const Member &member : view.members()) {
-        const bool isNewer = member.configVersion > (newest != nullptr ? newest->configVersion : this->version());
-        newest = isNewer ? &member : newest;
-    }
-    if (newest != nullptr && !this->isAsking) {
-        this->askPeer(newest->owner);
+    const MemberViewPointer view = this->peers.view();
+    std::vector<const Member *> newer;
+    for (const Member &member : view->members()) {
+        if (member.configVersion > this->version()) {
+            newer.push_back(&member);
+        }
     }
+    std::uniform_int_distribution<std::size_t> choice(0, newer.size() - 1);
+    this->askPeer(newer[choice(this->random)]->owner);
 }
 
 void ConfigurationFollower::askPeer(const Address &peer)
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace Dogwoodkeel
@@ -32,6 +33,7 @@
     using Changed = std::function<void(const ServingConfigurationPointer &)>;
 
     ConfigurationFollower(EventLoop &loop,
+                          const Clock &clock,
                           RowStore &store,
                           PeerNetwork &peers,
                           std::chrono::milliseconds storeWait,
@@ -44,23 +46,25 @@
     /** @return the configuration in force on this node, or null. */
     const ServingConfigurationPointer &current() const;
 
-    /** The members changed: one may have a newer configuration. */
-    void look(const MemberView &view);
-
 private:
     void take(const std::string &text, std::string_view source);
-    void askSeeds();
+    void watch();
+    void askSomebodyNewer();
     void askPeer(const Address &peer);
     std::uint64_t version() const;
 
     EventLoop &loop;
+    const Clock &clock;
+    std::minstd_rand random;
     PeerNetwork &peers;
     Format format;
     Changed changed;
     std::string text;
     ServingConfigurationPointer configuration;
     bool isAsking = false;
-    TimerId seedTimer = 0;
+    /** Since when others have a newer configuration than this node. */
+    std::optional<SteadyTime> behindSince;
+    TimerId watchTimer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<TableFollower> follower;
 };
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -80,6 +80,7 @@
                  this->updateReplicas();
              })
     , configuration(loop,
+                    clock,
                     this->store,
                     this->peers,
                     settings->gateway.storeWait,
@@ -101,14 +102,18 @@
               },
               this->random}
     , jobs(loop, clock, this->store, this->peers.self(), static_cast<std::size_t>(settings->platform.rowBytes), this->random())
-    , jobApi(this->context,
-             this->jobs,
-             [this](const JobId &job) {
-                 this->runners.stopJob(job);
-                 this->tellAll([this, &job](const Address &peer) {
-                     this->peers.datagrams().send(peer, JobEnded{job});
-                 });
-             })
+    , jobApi(
+          this->context,
+          this->jobs,
+          [this](const JobId &job) {
+              this->runners.takeAccepted(job);
+          },
+          [this](const JobId &job) {
+              this->runners.stopJob(job);
+              this->tellAll([this, &job](const Address &peer) {
+                  this->peers.datagrams().send(peer, JobEnded{job});
+              });
+          })
     , runners(this->context,
               this->store,
               this->jobs,
@@ -171,7 +176,6 @@
         log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
     }
     this->placements.setView(view);
-    this->configuration.look(*view);
     this->runners.setView(view);
 }
 
@@ -278,7 +282,8 @@
         return;
     }
     std::vector<Address> addresses;
-    for (const Member &member : this->peers.view()->members()) {
+    const MemberViewPointer view = this->peers.view();
+    for (const Member &member : view->members()) {
         if (member.isReady && !member.isLeaving) {
             addresses.push_back(member.http);
         }
@@ -323,7 +328,8 @@
 
 void Gateway::tellAll(const std::function<void(const Address &)> &send)
 {
-    for (const Member &member : this->peers.view()->members()) {
+    const MemberViewPointer view = this->peers.view();
+    for (const Member &member : view->members()) {
         if (member.session != this->peers.self()) {
             send(member.gossip);
         }
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibDispatch/FirstEventEstimate.h>
 #include <LibGateway/CrashMemory.h>
 #include <LibProxy/OutboundPool.h>
 #include <LibTask/EventLoop.h>
@@ -9,6 +10,7 @@
 #include <Services/Gateway/ReplicaFollower.h>
 
 #include <functional>
+#include <map>
 #include <random>
 
 namespace Dogwoodkeel
@@ -28,6 +30,8 @@
     /** Tell the other nodes that a request broke the replica that ran it. */
     std::function<void(std::uint64_t fingerprint)> tellCrash;
     std::minstd_rand &random;
+    /** By service, learned from this node's requests. */
+    std::map<ServiceName, FirstEventEstimate> firstEvents{};
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -31,6 +31,7 @@
 {
     switch (outcome) {
     case SubmitOutcome::Accepted:
+    case SubmitOutcome::Known:
         return statusAccepted;
     case SubmitOutcome::Full:
         return statusTooManyRequests;
@@ -57,8 +58,8 @@
 
 } // namespace
 
-JobApi::JobApi(GatewayContext &context, JobStore &store, std::function<void(const JobId &)> tellEnded)
-    : context(context), store(store), tellEnded(std::move(tellEnded))
+JobApi::JobApi(GatewayContext &context, JobStore &store, JobHook accepted, JobHook tellEnded)
+    : context(context), store(store), accepted(std::move(accepted)), tellEnded(std::move(tellEnded))
 {
 }
 
@@ -97,6 +98,9 @@
     submission.deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
     this->store.submit(std::move(submission), [this, exchange, job](SubmitOutcome outcome) {
         this->reply(exchange, "submit", job, statusOf(outcome));
+        if (outcome == SubmitOutcome::Accepted) {
+            this->accepted(job);
+        }
     });
 }
 
--- a/Services/Gateway/JobApi.h
+++ b/Services/Gateway/JobApi.h
@@ -18,8 +18,13 @@
 public:
     using Exchange = std::shared_ptr<CallerExchange>;
 
-    /** @param tellEnded tells all nodes that a job was ended */
-    JobApi(GatewayContext &context, JobStore &store, std::function<void(const JobId &)> tellEnded);
+    using JobHook = std::function<void(const JobId &)>;
+
+    /**
+     * @param accepted told of each job that this node has accepted
+     * @param tellEnded tells all nodes that a job was ended
+     */
+    JobApi(GatewayContext &context, JobStore &store, JobHook accepted, JobHook tellEnded);
 
     void submit(const Route &route, const Exchange &exchange);
     void answer(const JobCall &call, const Exchange &exchange);
@@ -32,7 +37,8 @@
 
     GatewayContext &context;
     JobStore &store;
-    std::function<void(const JobId &)> tellEnded;
+    JobHook accepted;
+    JobHook tellEnded;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-/** Each result changes its job's row; the changes are taken in groups. Far below the time in which an ended job's items
- * must stop. */
-constexpr std::chrono::milliseconds changesPace{150};
+/** Each result changes its job's row; the changes are taken in groups. They tell of jobs that fall to another node, and of
+ * ended jobs where the word of it was lost: seconds matter for neither. */
+constexpr std::chrono::milliseconds changesPace{1000};
 
 } // namespace
 
@@ -169,6 +169,15 @@
     }
 }
 
+void JobRunners::takeAccepted(const JobId &job)
+{
+    // The row that names this node as the runner is read back later; the items need not wait for that. A job that was
+    // accepted before may be run elsewhere, or be complete: the row, or the job itself, tells.
+    if (!this->isStopped && !this->open.contains(job) && !this->runs.contains(job)) {
+        this->startRun(job);
+    }
+}
+
 void JobRunners::stopJob(const JobId &job)
 {
     this->open.erase(job);
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -31,6 +31,9 @@
     /** The members changed: jobs may fall to other nodes. */
     void setView(const MemberViewPointer &view);
 
+    /** This node has accepted a job, or found that it was: unless it is known to fall to another, it is run here. */
+    void takeAccepted(const JobId &job);
+
     /** A job was ended by its caller. */
     void stopJob(const JobId &job);
 
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -137,7 +137,7 @@
             orderVersion = row.place == JobRows::routeOrder(submission.route) ? row.version : orderVersion;
         }
         if (isKnown) {
-            submitting->done(SubmitOutcome::Accepted);
+            submitting->done(SubmitOutcome::Known);
         } else if (waiting + submitting->tokens > limit || result.isTruncated) {
             this->confirm(submitting, SubmitOutcome::Full);
         } else {
@@ -189,7 +189,7 @@
             return row.place == JobRows::head(job) && row.version > 0 && !row.isRemoved;
         });
         if (isKnown) {
-            submitting->done(SubmitOutcome::Accepted);
+            submitting->done(SubmitOutcome::Known);
             return;
         }
         this->retry(submitting, SubmitOutcome::NotStored);
@@ -209,7 +209,7 @@
 {
     this->loadHead(submitting->submission.id, [this, submitting, otherwise](const LoadedJob &loaded) {
         if (loaded.outcome == JobReadOutcome::Found) {
-            submitting->done(SubmitOutcome::Accepted);
+            submitting->done(SubmitOutcome::Known);
         } else if (loaded.outcome == JobReadOutcome::Absent && otherwise == SubmitOutcome::Full) {
             submitting->done(submitting->isMaybeWritten ? SubmitOutcome::Unknown : SubmitOutcome::Full);
         } else {
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -20,8 +20,10 @@
 
 /** What came of a submission. */
 enum class SubmitOutcome {
-    /** The job is kept, now or since an earlier submission. */
+    /** The job is kept now, by this submission. */
     Accepted,
+    /** The job is kept since an earlier submission. */
+    Known,
     /** Too many tokens wait on its route; nothing is kept and nothing will run. */
     Full,
     /** Nothing is kept and nothing will run. */
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -112,7 +112,8 @@
     wish.service = this->service;
     wish.priority = static_cast<std::uint32_t>(std::max(0, this->route.priority));
     wish.arrived = this->arrived;
-    wish.due = this->arrived + this->route.objective;
+    const auto firstEvent = this->isStream() ? this->context.firstEvents[this->service].value() : std::chrono::milliseconds(0);
+    wish.due = this->arrived + std::max(this->route.objective - firstEvent, std::chrono::milliseconds(0));
     wish.deadline = this->deadline;
     wish.tokens = static_cast<std::uint32_t>(this->traits.promptTokens + outputWeight * this->traits.estimatedOutputTokens);
     wish.avoided = this->avoided;
@@ -145,6 +146,7 @@
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
     this->replica = replica;
     this->stage = Stage::Sending;
+    this->sent = this->now();
     ++this->attempts;
     this->body.clear();
     this->splitter = EventSplitter(largestEvent);
@@ -235,6 +237,7 @@
         if (this->eventsPassed++ == 0) {
             this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
             this->context.metrics.countFirstByte(this->route.name, this->now() - this->arrived);
+            this->context.firstEvents[this->service].note(this->now() - this->sent);
         }
         passed.append(event.text);
     }
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -80,6 +80,7 @@
     std::vector<EndpointName> avoided;
     PlacementClient::Ticket ticket = 0;
     SteadyTime asked{};
+    SteadyTime sent{};
     std::optional<ServingReplica> replica;
     OutboundPool::CallId call = 0;
     MessageHead answer;
