--- a/Libraries/LibGateway/JobRows.cpp
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -14,6 +14,7 @@
 constexpr const char *jobTable = "jobs";
 constexpr const char *headKey = "head";
 constexpr const char *contentPrefix = "content/";
+constexpr const char *progressPrefix = "progress/";
 constexpr const char *resultPrefix = "result/";
 constexpr std::string_view openPrefix = "job/";
 constexpr const char *routePrefix = "route/";
@@ -153,6 +154,43 @@
     return decoded ? std::optional(std::pair(*decoded, found->version)) : std::nullopt;
 }
 
+RowPlace progress(const JobId &job, const ItemProgress &part)
+{
+    char digits[64];
+    std::snprintf(
+        digits, sizeof(digits), "%s%06u/%09llu", progressPrefix, part.item, static_cast<unsigned long long>(part.firstEvent));
+    return {jobTable, job.value(), digits};
+}
+
+RowRange progressOf(const JobId &job)
+{
+    return {jobTable, job.value(), progressPrefix, std::string(progressPrefix) + '~', 0};
+}
+
+std::map<std::uint32_t, Generated> readProgress(const std::vector<StoredRow> &rows)
+{
+    // Two runners may have written parts of the same item side by side. A part follows another only if it is of the same run,
+    // or of a run that was asked to go on just there: whatever else is joined was never one generation.
+    std::map<std::uint32_t, Generated> items;
+    std::map<std::uint32_t, std::uint64_t> lastRuns;
+    for (const StoredRow &row : rows) {
+        const std::optional<ItemProgress> part = decode<ItemProgress>(row.value);
+        if (!part) {
+            continue;
+        }
+        Generated &generated = items[part->item];
+        std::uint64_t &lastRun = lastRuns[part->item];
+        const bool isNext = part->firstEvent == generated.lastEvent + 1 && part->lastEvent >= part->firstEvent;
+        const bool isSameRun = generated.lastEvent > 0 && part->firstRun == lastRun;
+        if (isNext && (isSameRun || part->firstRunAfter == generated.lastEvent)) {
+            generated.output.append(part->firstEvent > 1 ? "\n" : "").append(part->output);
+            generated.lastEvent = part->lastEvent;
+            lastRun = part->lastRun;
+        }
+    }
+    return items;
+}
+
 JobItemRecord recordOf(const JobItem &item)
 {
     JobItemRecord record{item.id.value(), item.target, {}, item.body, item.tokens};
--- a/Libraries/LibGateway/JobRows.h
+++ b/Libraries/LibGateway/JobRows.h
@@ -6,6 +6,7 @@
 #include <LibWire/Generated/Messages.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -74,6 +75,22 @@
 /** @return the head and its version among rows. */
 std::optional<std::pair<JobHead, RowVersion>> readHead(const std::vector<StoredRow> &rows, const JobId &job);
 
+/** What an item has generated so far. */
+struct Generated
+{
+    std::uint64_t lastEvent = 0;
+    std::string output;
+};
+
+/** @return where a part of an item's progress lies. */
+RowPlace progress(const JobId &job, const ItemProgress &part);
+
+/** @return the rows of the progress of a job's items. */
+RowRange progressOf(const JobId &job);
+
+/** @return what each item has generated, as far as its parts follow each other without a gap. */
+std::map<std::uint32_t, Generated> readProgress(const std::vector<StoredRow> &rows);
+
 /** @return an item as it is kept. */
 JobItemRecord recordOf(const JobItem &item);
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -485,6 +485,7 @@
 struct CrashNotice;
 struct ReplicaRecords;
 struct ReplicaRecordsRequest;
+struct ItemProgress;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -2686,4 +2687,32 @@
     }
 };
 
+/** Record: a part of what an item has generated before it has its result. Whoever runs it next goes on behind it. */
+struct ItemProgress
+{
+    static constexpr MessageNumber number{135};
+    /** The item, by its number in the submission. */
+    std::uint32_t item = 0;
+    /** The first event of this part. */
+    std::uint64_t firstEvent = 0;
+    /** The last event of this part. */
+    std::uint64_t lastEvent = 0;
+    /** The data of these events, joined by line feeds. */
+    std::string output;
+    /** Names the run at a replica that generated the first event. */
+    std::uint64_t firstRun = 0;
+    /** The event behind which that run was asked to go on; 0: it began at the start. */
+    std::uint64_t firstRunAfter = 0;
+    /** Names the run that generated the last event. */
+    std::uint64_t lastRun = 0;
+
+    bool operator==(const ItemProgress &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->item, this->firstEvent, this->lastEvent, this->output, this->firstRun, this->firstRunAfter, this->lastRun);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -41,13 +41,46 @@
 {
 }
 
-void ItemAttempt::start()
+void ItemAttempt::start(JobRows::Generated before)
+{
+    this->output = std::move(before.output);
+    this->keptEvent = before.lastEvent;
+    this->keptBytes = this->output.size();
+    if (before.lastEvent > 0) {
+        this->lastEvent = before.lastEvent;
+    }
+    this->askForPlace();
+}
+
+void ItemAttempt::restart()
 {
     this->lastEvent.reset();
     this->output.clear();
+    this->keptEvent = 0;
+    this->keptBytes = 0;
     this->askForPlace();
 }
 
+std::optional<ItemProgress> ItemAttempt::takeProgress(std::uint32_t number)
+{
+    const std::uint64_t last = this->lastEvent.value_or(0);
+    if (last <= this->keptEvent) {
+        return std::nullopt;
+    }
+    // The line feed between this part and the one before belongs to neither.
+    const std::size_t from = this->keptBytes + (this->keptEvent > 0 ? 1 : 0);
+    ItemProgress part{number,
+                      this->keptEvent + 1,
+                      last,
+                      this->output.substr(from),
+                      this->firstUnkept.name,
+                      this->firstUnkept.after,
+                      this->lastGenerated.name};
+    this->keptEvent = last;
+    this->keptBytes = this->output.size();
+    return part;
+}
+
 void ItemAttempt::cancel()
 {
     this->isOver = true;
@@ -122,6 +155,8 @@
 {
     const std::shared_ptr<ItemAttempt> self = this->shared_from_this();
     this->replica = replica;
+    this->run
+        = {(static_cast<std::uint64_t>(this->context.random()) << 32) ^ this->context.random(), this->lastEvent.value_or(0)};
     this->answer.reset();
     this->splitter = EventSplitter(largestEvent);
     OutboundCall outbound;
@@ -181,6 +216,10 @@
             return;
         }
         this->output.append(expected > 1 ? "\n" : "").append(event.data);
+        if (expected == this->keptEvent + 1) {
+            this->firstUnkept = this->run;
+        }
+        this->lastGenerated = this->run;
         this->lastEvent = event.id;
     }
     if (this->splitter.isBroken()) {
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/BatchTypes.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibGateway/JobRows.h>
 #include <Services/Gateway/GatewayContext.h>
 
 #include <functional>
@@ -44,8 +45,14 @@
 
     ItemAttempt(GatewayContext &context, const JobItem &item, std::string host, SteadyTime due, Hooks hooks);
 
-    /** Begin, or begin anew after a failure. */
-    void start();
+    /** Begin behind what was generated before, by this node or another. */
+    void start(JobRows::Generated before);
+
+    /** Begin anew after a failure. */
+    void restart();
+
+    /** @return what was generated since the last call, as a part to be kept; nothing if there is nothing new. */
+    std::optional<ItemProgress> takeProgress(std::uint32_t number);
 
     /** Give up at once; the hooks are told nothing more. */
     void cancel();
@@ -78,6 +85,19 @@
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::string output;
+    /** Up to where the output is kept. */
+    std::uint64_t keptEvent = 0;
+    std::size_t keptBytes = 0;
+    /** Names the run at a replica, and says behind which event it was asked to go on. */
+    struct Run
+    {
+        std::uint64_t name = 0;
+        std::uint64_t after = 0;
+    };
+    Run run;
+    /** The run that generated the first event that is not kept, and the last one. */
+    Run firstUnkept;
+    Run lastGenerated;
     TimerId silenceTimer = 0;
     TimerId retryTimer = 0;
     bool isOver = false;
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -17,6 +17,11 @@
 constexpr std::chrono::milliseconds longestRetry{400};
 constexpr std::chrono::milliseconds loadRetry{200};
 constexpr std::chrono::milliseconds retentionLook{1000};
+/** An item runs for some seconds; a node that is lost takes no more than this of each of its items with it. */
+constexpr std::chrono::milliseconds progressInterval{1000};
+constexpr std::chrono::milliseconds takeOverPause{100};
+/** Entries of one transaction of the store. */
+constexpr std::size_t mostParts = 90;
 
 } // namespace
 
@@ -25,10 +30,58 @@
 {
 }
 
-void JobRun::start()
+void JobRun::start(Origin origin)
 {
-    this->load();
+    if (origin == Origin::Accepted) {
+        this->load();
+    } else {
+        // The node that gives the job up may just be writing what its items have generated.
+        this->isBusyWithStore = true;
+        this->timer = this->context.loop.schedule(takeOverPause, [self = this->shared_from_this()] {
+            self->readProgress();
+        });
+    }
     this->checkRetention();
+    this->keepProgress();
+}
+
+void JobRun::readProgress()
+{
+    this->store.readProgress(this->job, [self = this->shared_from_this()](const auto &generated) {
+        if (self->isOver) {
+            return;
+        }
+        if (!generated) {
+            self->timer = self->context.loop.schedule(loadRetry, [self] {
+                self->readProgress();
+            });
+            return;
+        }
+        self->before = *generated;
+        self->load();
+    });
+}
+
+void JobRun::keepProgress()
+{
+    this->saveProgress();
+    this->progressTimer = this->context.loop.schedule(progressInterval, [self = this->shared_from_this()] {
+        self->keepProgress();
+    });
+}
+
+void JobRun::saveProgress()
+{
+    std::vector<ItemProgress> parts;
+    for (const auto &[number, item] : this->open) {
+        std::optional<ItemProgress> part = parts.size() < mostParts ? item.attempt->takeProgress(number) : std::nullopt;
+        if (part) {
+            parts.push_back(*std::move(part));
+        }
+    }
+    if (!parts.empty()) {
+        this->store.saveProgress(this->job, parts);
+    }
 }
 
 void JobRun::cancel()
@@ -36,6 +89,7 @@
     this->isOver = true;
     this->context.loop.cancel(std::exchange(this->timer, 0));
     this->context.loop.cancel(std::exchange(this->retentionTimer, 0));
+    this->context.loop.cancel(std::exchange(this->progressTimer, 0));
     this->stopAll();
     this->hooks = {};
 }
@@ -136,7 +190,8 @@
     };
     auto attempt = std::make_shared<ItemAttempt>(this->context, item, this->ledger.head().host, due, std::move(hooks));
     this->open[number].attempt = attempt;
-    attempt->start();
+    const auto generated = this->before.find(number);
+    attempt->start(generated != this->before.end() ? generated->second : JobRows::Generated());
 }
 
 void JobRun::takeItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output)
@@ -167,7 +222,7 @@
         return;
     }
     this->writeSoon();
-    this->open.at(number).attempt->start();
+    this->open.at(number).attempt->restart();
 }
 
 void JobRun::abandon(std::uint32_t number, std::string_view reason)
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -32,9 +32,18 @@
         std::function<void()> over;
     };
 
+    /** Whether another node may have run items of the job before. */
+    enum class Origin {
+        Accepted,
+        TakenOver,
+    };
+
     JobRun(GatewayContext &context, JobStore &store, SessionNumber self, JobId job, Hooks hooks);
 
-    void start();
+    void start(Origin origin);
+
+    /** Keep what the items have generated, for whoever runs them next. */
+    void saveProgress();
 
     /** Stop all items at once, and tell nothing more. */
     void cancel();
@@ -46,6 +55,8 @@
         std::shared_ptr<ItemAttempt> attempt;
     };
 
+    void readProgress();
+    void keepProgress();
     void load();
     void takeLoaded(const LoadedJob &loaded);
     void startItems();
@@ -70,6 +81,8 @@
     JobLedger ledger;
     std::vector<JobItem> items;
     std::map<std::uint32_t, Open> open;
+    /** What items had generated before this run. */
+    std::map<std::uint32_t, JobRows::Generated> before;
     bool isLoaded = false;
     /** Reading and writing the job take turns: the answer to one is understood by what the other left. */
     bool isBusyWithStore = false;
@@ -77,6 +90,7 @@
     int writeFailures = 0;
     TimerId timer = 0;
     TimerId retentionTimer = 0;
+    TimerId progressTimer = 0;
     bool isOver = false;
 };
 
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -109,14 +109,15 @@
     const bool isOurs = !this->isStopped && row != this->open.end() && this->isOurs(job, row->second);
     const bool isRunning = this->runs.contains(job);
     if (isOurs && !isRunning) {
-        this->startRun(job);
+        this->startRun(job, JobRun::Origin::TakenOver);
     } else if (!isOurs && isRunning) {
         log(LogLevel::Info, "job handed on", {{"job", job.value()}});
+        this->runs.at(job)->saveProgress();
         this->stopRun(job);
     }
 }
 
-void JobRunners::startRun(const JobId &job)
+void JobRunners::startRun(const JobId &job, JobRun::Origin origin)
 {
     JobRun::Hooks hooks{
         .target =
@@ -138,7 +139,7 @@
     };
     const auto run = std::make_shared<JobRun>(this->context, this->store, this->peers.self(), job, std::move(hooks));
     this->runs.emplace(job, run);
-    run->start();
+    run->start(origin);
 }
 
 std::optional<ItemAttempt::Target> JobRunners::targetOf(const std::string &host, const std::string &target) const
@@ -174,7 +175,7 @@
     // The row that names this node as the runner is read back later; the items need not wait for that. A job that was
     // accepted before may be run elsewhere, or be complete: the row, or the job itself, tells.
     if (!this->isStopped && !this->open.contains(job) && !this->runs.contains(job)) {
-        this->startRun(job);
+        this->startRun(job, JobRun::Origin::Accepted);
     }
 }
 
@@ -198,6 +199,7 @@
 {
     this->isStopped = true;
     for (const auto &[job, run] : std::exchange(this->runs, {})) {
+        run->saveProgress();
         run->cancel();
     }
 }
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -45,7 +45,7 @@
     void takeChange(const StoredRow &row);
     void decide(const JobId &job);
     bool isOurs(const JobId &job, const OpenJob &open) const;
-    void startRun(const JobId &job);
+    void startRun(const JobId &job, JobRun::Origin origin);
     void stopRun(const JobId &job);
     std::optional<ItemAttempt::Target> targetOf(const std::string &host, const std::string &target) const;
 
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -396,4 +396,34 @@
                          });
 }
 
+void JobStore::readProgress(const JobId &job,
+                            std::function<void(std::optional<std::map<std::uint32_t, JobRows::Generated>>)> done)
+{
+    this->store.read(JobRows::progressOf(job), [alive = this->alive, done = std::move(done)](const RowRangeResult &result) {
+        if (!*alive) {
+            return;
+        }
+        if (result.outcome != ReadOutcome::Found) {
+            done(std::nullopt);
+            return;
+        }
+        done(JobRows::readProgress(result.rows));
+    });
+}
+
+void JobStore::saveProgress(const JobId &job, const std::vector<ItemProgress> &parts)
+{
+    RowTransaction transaction;
+    for (const ItemProgress &part : parts) {
+        transaction.puts.push_back({JobRows::progress(job, part), encode(part)});
+    }
+    this->store.transact(std::move(transaction), [job](const RowTransactionResult &result) {
+        if (result.outcome != WriteOutcome::Done) {
+            log(LogLevel::Debug,
+                "progress not kept",
+                {{"job", job.value()}, {"outcome", static_cast<std::int64_t>(result.outcome)}});
+        }
+    });
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -110,6 +110,12 @@
                 const std::optional<OpenJob> &open,
                 std::function<void(WriteOutcome, RowVersion)> done);
 
+    /** Read what the items of a job have generated so far; nothing if it can't be told now. */
+    void readProgress(const JobId &job, std::function<void(std::optional<std::map<std::uint32_t, JobRows::Generated>>)> done);
+
+    /** Keep what items have generated since it was kept last. Lost without harm: the items then generate it again. */
+    void saveProgress(const JobId &job, const std::vector<ItemProgress> &parts);
+
 private:
     struct Submitting;
     struct Ending;
