--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -96,13 +96,13 @@
          placement != this->placements.end() && placement->first.node == node;) {
         const auto next = std::next(placement);
         const auto report = reported.find(placement->first.number);
-        if (report != reported.end() && report->second->replica == placement->second.replica) {
+        const bool isReported = report != reported.end();
+        const bool isCovered = placement->first.number <= lastTicket && now - placement->second.placed > reportLag;
+        if (isReported && report->second->replica == placement->second.replica) {
             placement->second.confirmed = now;
             reported.erase(report);
-        } else if (report != reported.end()) {
-            // The node had waited too long for the answer, and chose a replica by itself.
-            this->forget(placement);
-        } else if (placement->first.number <= lastTicket && now - placement->second.placed > reportLag) {
+        } else if (isReported || isCovered) {
+            // It is over; or its node had waited too long for the answer, and chose a replica by itself.
             this->forget(placement);
         }
         placement = next;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -15,7 +15,13 @@
 
 MemberNews newsOf(const Member &member)
 {
-    return {member.session, member.incarnation, member.state, member.isLeaving, member.isReady, SessionNumber(0), member.hasLostStore};
+    return {member.session,
+            member.incarnation,
+            member.state,
+            member.isLeaving,
+            member.isReady,
+            SessionNumber(0),
+            member.hasLostStore};
 }
 
 MemberLoad loadOf(const Member &member)
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -307,16 +307,22 @@
             // The new one has to know what runs before it fills the replicas a second time.
             this->report(service, state);
         }
-        if (state.dispatcher) {
-            std::erase_if(state.askers, [&](const auto &asker) {
-                const bool isGone = asker.first != this->peers.self() && view->find(asker.first) == nullptr;
-                if (isGone) {
-                    state.dispatcher->dropNode(asker.first);
-                }
-                return isGone;
-            });
-        }
+        this->dropGoneAskers(state);
+    }
+}
+
+void PlacementClient::dropGoneAskers(ServiceState &state)
+{
+    if (!state.dispatcher) {
+        return;
     }
+    std::erase_if(state.askers, [this, &state](const auto &asker) {
+        const bool isGone = asker.first != this->peers.self() && this->view->find(asker.first) == nullptr;
+        if (isGone) {
+            state.dispatcher->dropNode(asker.first);
+        }
+        return isGone;
+    });
 }
 
 void PlacementClient::receive(const Datagram &datagram)
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -120,6 +120,7 @@
     void tick();
     void tickTicket(Ticket ticket, Asked &asked);
     void report(const ServiceName &service, ServiceState &state);
+    void dropGoneAskers(ServiceState &state);
     void takeAnswer(const PlacementAnswer &answer);
     void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
     void takeReport(const Datagram &datagram, const PlacementsRunning &report);
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -54,11 +54,11 @@
             this->readFrom(result.rows.back().place.key + '\0', std::move(before));
             return;
         }
-        this->takeAll(std::move(before), result.version);
+        this->takeAll(before, result.version);
     });
 }
 
-void TableFollower::takeAll(std::vector<StoredRow> rows, RowVersion version)
+void TableFollower::takeAll(const std::vector<StoredRow> &rows, RowVersion version)
 {
     this->failures = 0;
     this->since = version;
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -45,7 +45,7 @@
 
 private:
     void readFrom(const std::string &key, std::vector<StoredRow> before);
-    void takeAll(std::vector<StoredRow> rows, RowVersion version);
+    void takeAll(const std::vector<StoredRow> &rows, RowVersion version);
     void follow();
     void takeChanges(const FollowResult &result);
     void fail(std::function<void()> again);
--- a/Tests/LibGateway/TestJobRows.cpp
+++ b/Tests/LibGateway/TestJobRows.cpp
@@ -18,6 +18,7 @@
         return put.place.key;
     });
     std::vector<StoredRow> rows;
+    rows.reserve(puts.size());
     for (const RowPut &put : puts) {
         rows.push_back({put.place, put.value, 1, false});
     }
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -60,7 +60,9 @@
     exchange->begin(200, signedHeaders(exchange));
     for (int event = from; event <= to; ++event) {
         const std::string number = std::to_string(event);
-        exchange->write("id: " + number + "\ndata: t" + number + "\n\n");
+        std::string text("id: ");
+        text.append(number).append("\ndata: t").append(number).append("\n\n");
+        exchange->write(text);
     }
 }
 
@@ -86,7 +88,8 @@
         return *this->replicas.back();
     }
 
-    void registerReplica(const std::string &instance, const std::string &service, const Address &address, const std::string &state)
+    void
+    registerReplica(const std::string &instance, const std::string &service, const Address &address, const std::string &state)
     {
         const nlohmann::json entry{
             {"service", service}, {"address", address.toString()}, {"zone", "z"}, {"slots", 2}, {"state", state}};
@@ -100,8 +103,7 @@
 
     void start()
     {
-        this->gateway
-            = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(this->settings));
+        this->gateway = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(this->settings));
     }
 
     EventLoop &loop;
--- a/Tests/ServiceGateway/TestGateway.cpp
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -59,8 +59,8 @@
     std::string call(const std::string &startLine, const std::string &headers = {}, const std::string &body = {})
     {
         RawConnection caller(this->address(&Gateway::callerAddress));
-        caller.send(startLine + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 2500\r\n" + headers
-                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        caller.send(startLine + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 2500\r\n"
+                    + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         return caller.readAll();
     }
 
@@ -313,7 +313,8 @@
         });
     });
     const auto item = [](const std::string &id, const std::string &body) {
-        return nlohmann::json{{"id", id}, {"path", "/b/" + id}, {"headers", {{"X-Model", "m"}}}, {"body", encodeBase64(body)}, {"tokens", 9}};
+        return nlohmann::json{
+            {"id", id}, {"path", "/b/" + id}, {"headers", {{"X-Model", "m"}}}, {"body", encodeBase64(body)}, {"tokens", 9}};
     };
     const nlohmann::json job{{"requests", {item("a", "x"), item("b", "impossible"), item("c", "y")}}};
     CHECK(running.call("POST /b/job", {}, job.dump()).starts_with("HTTP/1.1 202"));
