--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds reportLag{250};
 /** An order to stop that has had no effect by then was lost, and is repeated. */
 constexpr std::chrono::milliseconds stopRepeat{40};
+/** An item that may wait for less than this would be late if it were stopped: most likely no slot is free again sooner. */
+constexpr std::chrono::milliseconds stopSlack{500};
+/** Of an item whose slack was not told: it may be stopped, but after those that are known to have more. */
+constexpr std::chrono::milliseconds unknownSlack{1000};
 /** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it
  * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
 constexpr std::chrono::milliseconds batchCalm{30};
@@ -115,10 +119,10 @@
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
         this->dequeue(id);
-        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, now, std::nullopt});
+        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
         (work == WorkClass::Batch ? replica->second.batch : replica->second.online) += 1;
         if (work == WorkClass::Batch) {
-            this->stoppable.emplace(now, id);
+            this->stoppable.emplace(unknownSlack, id);
         }
     }
     this->assign();
@@ -221,8 +225,10 @@
 
 void Dispatcher::enqueue(const PlacementRequest &request, SteadyTime asked)
 {
+    // Under overload, first come first served makes everybody late, and so does first due. Who can still be on time goes
+    // first, then the others.
     const bool isOnline = request.work == WorkClass::Online;
-    const bool isLate = isOnline && this->clock.now() > request.due;
+    const bool isLate = this->clock.now() > request.due;
     const QueueKey key(request.priority, isLate, isOnline ? request.arrived : request.due, request.id);
     this->queueOf(request.work).insert_or_assign(key, Waiting{request, asked});
     this->queued.insert_or_assign(request.id, key);
@@ -254,12 +260,13 @@
 
 void Dispatcher::sinkLate()
 {
-    // Under overload, first come first served makes everybody late. Who can still be on time goes first, then the others.
     const SteadyTime now = this->clock.now();
     std::vector<Waiting> late;
-    for (const auto &[key, waiting] : this->online) {
-        if (!std::get<1>(key) && now > waiting.request.due) {
-            late.push_back(waiting);
+    for (const Queue *const queue : {&this->online, &this->batch}) {
+        for (const auto &[key, waiting] : *queue) {
+            if (!std::get<1>(key) && now > waiting.request.due) {
+                late.push_back(waiting);
+            }
         }
     }
     for (const Waiting &waiting : late) {
@@ -315,8 +322,12 @@
 
 Dispatcher::Placement *Dispatcher::victimFor(const PlacementRequest &request)
 {
-    // The item that is due last gives way; what it has generated so far is kept by its node.
+    // The item with the most time left gives way, one that is late anyway before all; what it has generated is kept by its
+    // node. One that would be late by being stopped stays: it is nearer to its end than any request that would take its place.
     for (auto item = this->stoppable.rbegin(); item != this->stoppable.rend(); ++item) {
+        if (item->first < stopSlack) {
+            return nullptr;
+        }
         Placement &placement = this->placements.at(item->second);
         if (this->isUsable(this->replicas.at(placement.replica), request)) {
             return &placement;
@@ -333,10 +344,11 @@
         replica.lastFull = now;
     }
     replica.gate.noteSent(now);
+    const std::chrono::nanoseconds slack = now > request.due ? std::chrono::nanoseconds::max() : request.due - now;
     this->placements.insert_or_assign(
-        request.id, Placement{request.id, request.work, replica.traits.instance, now, now, request.due, std::nullopt});
+        request.id, Placement{request.id, request.work, replica.traits.instance, now, now, slack, std::nullopt});
     if (request.work == WorkClass::Batch) {
-        this->stoppable.emplace(request.due, request.id);
+        this->stoppable.emplace(slack, request.id);
     }
     this->hooks.place(request.id, replica.traits.instance);
 }
@@ -344,7 +356,7 @@
 void Dispatcher::stop(Placement &placement)
 {
     placement.stopped = this->clock.now();
-    this->stoppable.erase({placement.due, placement.id});
+    this->stoppable.erase({placement.slack, placement.id});
     this->replicas.at(placement.replica).batch -= 1;
     this->hooks.stop(placement.id);
 }
@@ -374,7 +386,7 @@
         }
         (entry.work == WorkClass::Batch ? replica->second.batch : replica->second.online) -= 1;
     }
-    this->stoppable.erase({entry.due, entry.id});
+    this->stoppable.erase({entry.slack, entry.id});
     this->placements.erase(placement);
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -82,7 +82,11 @@
         SteadyTime placed{};
         /** When its node was last heard of it. */
         SteadyTime confirmed{};
-        SteadyTime due{};
+        /**
+         * Of a batch item: how long it may wait in all without being late. It stays the same while the item runs. An item that
+         * is late anyway has any time.
+         */
+        std::chrono::nanoseconds slack{0};
         /** When it was told to stop, if it was. */
         std::optional<SteadyTime> stopped;
     };
@@ -139,8 +143,8 @@
     Queue batch;
     /** Where a waiting request stands. */
     std::map<TicketId, QueueKey> queued;
-    /** Batch items that run and were not told to stop, by the time at which they are due. */
-    std::set<std::pair<SteadyTime, TicketId>> stoppable;
+    /** Batch items that run and were not told to stop, by their slack. */
+    std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
     /** Running mean of how long an online request keeps its slot. */
     std::chrono::duration<double, std::milli> meanHold{800};
     bool isAssigning = false;
--- /dev/null
+++ b/Libraries/LibDispatch/ItemEstimate.cpp
@@ -0,0 +1,38 @@
+#include <LibDispatch/ItemEstimate.h>
+
+#include <algorithm>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Weight of the newest value: the last twenty or so items count. */
+constexpr double weight = 0.05;
+/** Runs of fewer events tell more of the prompt's reading than of the pace. */
+constexpr std::uint64_t fewestEvents = 10;
+/** An item that is longer than the mean is near its end, most likely, but not at it. */
+constexpr double smallestShare = 0.1;
+
+} // namespace
+
+void ItemEstimate::noteCompleted(std::uint64_t events)
+{
+    this->meanEvents += (static_cast<double>(events) - this->meanEvents) * weight;
+}
+
+void ItemEstimate::noteRun(std::uint64_t events, std::chrono::nanoseconds took)
+{
+    if (events >= fewestEvents) {
+        this->perEvent += (Milliseconds(took) / static_cast<double>(events) - this->perEvent) * weight;
+    }
+}
+
+std::chrono::milliseconds ItemEstimate::remaining(std::uint64_t events) const
+{
+    const double left = std::max(this->meanEvents - static_cast<double>(events), this->meanEvents * smallestShare);
+    return std::chrono::ceil<std::chrono::milliseconds>(this->perEvent * left);
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -38,7 +38,7 @@
     std::uint32_t priority = 0;
     /** When it arrived at its node. */
     SteadyTime arrived{};
-    /** Until when its first event is on time; for a batch item, until when its job is due. */
+    /** Until when it has to have a place to be on time. */
     SteadyTime due{};
     /** Until when its caller waits. */
     SteadyTime deadline{};
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2361,7 +2361,7 @@
     std::uint32_t priority = 0;
     /** How long it has waited so far. */
     std::chrono::milliseconds waited = std::chrono::milliseconds(0);
-    /** Within which its first event is on time, counted from its arrival; for a batch item, until its job is due. */
+    /** Within which it has to have a place to be on time, counted from its arrival. */
     std::chrono::milliseconds objective = std::chrono::milliseconds(0);
     /** How long its caller will wait from now on. */
     std::chrono::milliseconds patience = std::chrono::milliseconds(0);
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibDispatch/FirstEventEstimate.h>
+#include <LibDispatch/ItemEstimate.h>
 #include <LibGateway/CrashMemory.h>
 #include <LibProxy/OutboundPool.h>
 #include <LibTask/EventLoop.h>
@@ -32,6 +33,7 @@
     std::minstd_rand &random;
     /** By service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEvents{};
+    std::map<ServiceName, ItemEstimate> itemRuns{};
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -109,7 +109,8 @@
     wish.work = WorkClass::Batch;
     wish.priority = this->target.priority;
     wish.arrived = this->context.clock.now();
-    wish.due = this->due;
+    // Until then it has to have a place to be done when its job is due.
+    wish.due = this->due - this->context.itemRuns[this->target.service].remaining(this->lastEvent.value_or(0));
     wish.deadline = wish.arrived + std::chrono::hours(1);
     wish.tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(this->item.tokens, 1'000'000'000));
     wish.avoided = this->avoided;
@@ -155,6 +156,7 @@
 {
     const std::shared_ptr<ItemAttempt> self = this->shared_from_this();
     this->replica = replica;
+    this->sent = this->context.clock.now();
     this->run
         = {(static_cast<std::uint64_t>(this->context.random()) << 32) ^ this->context.random(), this->lastEvent.value_or(0)};
     this->answer.reset();
@@ -251,6 +253,10 @@
 void ItemAttempt::leave(PlacementVerdict verdict)
 {
     this->context.loop.cancel(std::exchange(this->silenceTimer, 0));
+    if (this->replica) {
+        const std::uint64_t generated = this->lastEvent.value_or(0) - this->run.after;
+        this->context.itemRuns[this->target.service].noteRun(generated, this->context.clock.now() - this->sent);
+    }
     if (this->call != 0) {
         this->context.replicas.cancel(std::exchange(this->call, 0));
     }
@@ -296,6 +302,9 @@
 void ItemAttempt::finish(End end)
 {
     this->leave(PlacementVerdict::Finished);
+    if (end == End::Completed) {
+        this->context.itemRuns[this->target.service].noteCompleted(this->lastEvent.value_or(0));
+    }
     const std::function<void(End, std::string)> ended = this->hooks.ended;
     ended(end, std::move(this->output));
 }
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -95,6 +95,7 @@
         std::uint64_t after = 0;
     };
     Run run;
+    SteadyTime sent{};
     /** The run that generated the first event that is not kept, and the last one. */
     Run firstUnkept;
     Run lastGenerated;
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -15,8 +15,9 @@
 
 /** Rows of content that one transaction takes beside its others; what needs more goes into an object. */
 constexpr std::size_t mostContentRows = 12;
-/** Two submissions on one route at the same moment collide; each round lets one of them through. */
-constexpr int mostTries = 12;
+/** Two submissions on one route at the same moment collide; each round lets one of them through. A store that is away may
+ * be back before the caller's time is over, which bounds the tries too. */
+constexpr int mostTries = 60;
 constexpr std::chrono::milliseconds firstPause{5};
 constexpr std::chrono::milliseconds longestPause{250};
 /** Kept back from the caller's time, so that the answer still reaches it. */
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -40,7 +40,7 @@
         made.id = {SessionNumber(1), number};
         made.work = work;
         made.arrived = this->clock.now();
-        made.due = this->clock.now() + std::chrono::milliseconds(300);
+        made.due = this->clock.now() + (work == WorkClass::Online ? std::chrono::milliseconds(300) : std::chrono::seconds(10));
         made.deadline = this->clock.now() + std::chrono::seconds(5);
         return made;
     }
@@ -220,3 +220,40 @@
     bench.end(1);
     CHECK_FALSE(bench.isPlaced(2));
 }
+
+// Work is over the replicas' slots for a while. Items that are past hope stand first by their due time; served first, they
+// make all others late as well.
+TEST_CASE("a batch item that can still be in time goes before one that can not")
+{
+    Bench bench(1, 1);
+    PlacementRequest late = bench.request(1, WorkClass::Batch);
+    late.due = bench.clock.now() - std::chrono::seconds(1);
+    PlacementRequest inTime = bench.request(2, WorkClass::Batch);
+    bench.ask(3);
+    bench.dispatcher.ask(late);
+    bench.dispatcher.ask(inTime);
+    bench.end(3);
+    bench.pass(std::chrono::milliseconds(50));
+    CHECK(bench.isPlaced(2));
+    CHECK_FALSE(bench.isPlaced(1));
+}
+
+// A burst takes the slots of batch items. Of two items the one with more time gives way; one that would be late by it keeps its
+// slot, for it is nearly done, and the request that wants the slot would be as late a moment later.
+TEST_CASE("the item with the most time gives way, and one without time to spare does not")
+{
+    Bench bench(1, 3);
+    PlacementRequest urgent = bench.request(1, WorkClass::Batch);
+    urgent.due = bench.clock.now() + std::chrono::milliseconds(100);
+    PlacementRequest relaxed = bench.request(2, WorkClass::Batch);
+    PlacementRequest late = bench.request(3, WorkClass::Batch);
+    late.due = bench.clock.now() - std::chrono::seconds(1);
+    bench.dispatcher.ask(urgent);
+    bench.dispatcher.ask(relaxed);
+    bench.dispatcher.ask(late);
+    for (std::uint64_t number = 4; number <= 6; ++number) {
+        bench.ask(number);
+    }
+    CHECK(bench.stopped == std::vector<std::uint64_t>{3, 2});
+    CHECK_FALSE(bench.isPlaced(6));
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestItemEstimate.cpp
@@ -0,0 +1,19 @@
+#include <LibDispatch/ItemEstimate.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+TEST_CASE("what an item still needs follows from the items before it")
+{
+    ItemEstimate estimate;
+    for (int i = 0; i < 200; ++i) {
+        estimate.noteCompleted(100);
+        estimate.noteRun(50, std::chrono::milliseconds(500));
+        estimate.noteRun(3, std::chrono::milliseconds(500));
+    }
+    CHECK(estimate.remaining(0) >= std::chrono::milliseconds(990));
+    CHECK(estimate.remaining(0) <= std::chrono::milliseconds(1010));
+    CHECK(estimate.remaining(60) <= std::chrono::milliseconds(410));
+    CHECK(estimate.remaining(500) >= std::chrono::milliseconds(90));
+}
