--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -444,7 +444,8 @@
          {"attempts", static_cast<std::int64_t>(this->attempts)},
          {"turned_away", static_cast<std::int64_t>(this->unrunAttempts)},
          {"events", static_cast<std::int64_t>(this->eventsPassed)},
-         {"placed_ms", millisecondsBetween(this->arrived, this->asked)},
+         {"replica", this->avoided.empty() ? std::string() : this->avoided.back().value()},
+         {"sent_after_ms", this->sent > this->arrived ? millisecondsBetween(this->arrived, this->sent) : -1},
          {"took_ms", millisecondsBetween(this->arrived, ended)}});
 }
 
