--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -486,6 +486,10 @@
 struct ReplicaRecords;
 struct ReplicaRecordsRequest;
 struct ItemProgress;
+struct StoreTransactResponse;
+struct StoreTransactRequest;
+struct StoreReadResponse;
+struct StoreReadRequest;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -1394,6 +1398,29 @@
     }
 };
 
+/** A row of the platform's store, or what is expected of one. */
+struct StoreRow
+{
+    /** Its table. */
+    std::string table;
+    /** Its part. */
+    std::string part;
+    /** Its key. */
+    std::string key;
+    /** Its value, where there is one. */
+    std::string value;
+    /** Its version, or the one that it must have. */
+    std::uint64_t version = 0;
+
+    bool operator==(const StoreRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->table, this->part, this->key, this->value, this->version);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -2715,4 +2742,92 @@
     }
 };
 
+/** What became of a transaction that another node made for the asking one. */
+struct StoreTransactResponse
+{
+    static constexpr MessageNumber number{136};
+    /** Of the store's client: done, refused, not applied or unknown. */
+    std::uint32_t outcome = 0;
+    /** That the rows have now. */
+    std::uint64_t version = 0;
+    /** With a refusal: the expected rows that are there. */
+    std::vector<StoreRow> current;
+
+    bool operator==(const StoreTransactResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->outcome, this->version, this->current);
+    }
+};
+
+/** Asks a node that reaches the store to make a transaction for one that does not. */
+struct StoreTransactRequest
+{
+    static constexpr MessageNumber number{137};
+    using Response = StoreTransactResponse;
+    /** Rows with the versions that they must have. */
+    std::vector<StoreRow> expectations;
+    /** New values. */
+    std::vector<StoreRow> puts;
+    /** Rows to be removed. */
+    std::vector<StoreRow> removals;
+
+    bool operator==(const StoreTransactRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->expectations, this->puts, this->removals);
+    }
+};
+
+/** What another node read for the asking one. */
+struct StoreReadResponse
+{
+    static constexpr MessageNumber number{138};
+    /** Whether the store answered. */
+    bool isRead = false;
+    /** The rows. */
+    std::vector<StoreRow> rows;
+    /** Whether there are more. */
+    bool isTruncated = false;
+    /** The newest version of any row. */
+    std::uint64_t version = 0;
+
+    bool operator==(const StoreReadResponse &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->isRead, this->rows, this->isTruncated, this->version);
+    }
+};
+
+/** Asks a node that reaches the store to read rows for one that does not. */
+struct StoreReadRequest
+{
+    static constexpr MessageNumber number{139};
+    using Response = StoreReadResponse;
+    /** The table. */
+    std::string table;
+    /** The part. */
+    std::string part;
+    /** The first key. */
+    std::string from;
+    /** The key behind the last; empty: to the end. */
+    std::string to;
+    /** How many rows at most; 0: as many as one answer holds. */
+    std::uint32_t limit = 0;
+
+    bool operator==(const StoreReadRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->table, this->part, this->from, this->to, this->limit);
+    }
+};
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -101,7 +101,13 @@
                   });
               },
               this->random}
-    , jobs(loop, clock, this->store, this->peers.self(), static_cast<std::size_t>(settings->platform.rowBytes), this->random())
+    , relayedStore(this->store, this->peers, this->random())
+    , jobs(loop,
+           clock,
+           this->relayedStore,
+           this->peers.self(),
+           static_cast<std::size_t>(settings->platform.rowBytes),
+           this->random())
     , jobApi(
           this->context,
           this->jobs,
@@ -161,6 +167,11 @@
     return this->callers.address();
 }
 
+std::size_t Gateway::members() const
+{
+    return this->peers.view()->members().size();
+}
+
 const Address &Gateway::readyAddress() const
 {
     return this->readiness.address();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -14,6 +14,7 @@
 #include <Services/Gateway/JobStore.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/PlacementClient.h>
+#include <Services/Gateway/RelayedStore.h>
 #include <Services/Gateway/ReplicaFollower.h>
 #include <platform/PlatformStore.h>
 
@@ -46,6 +47,9 @@
     /** @return where callers connect. */
     const Address &callerAddress() const;
 
+    /** @return how many nodes this one sees, itself included. */
+    std::size_t members() const;
+
     /** @return where the platform asks whether this node takes callers. */
     const Address &readyAddress() const;
 
@@ -85,6 +89,7 @@
     ReplicaFollower listed;
     ConfigurationFollower configuration;
     GatewayContext context;
+    RelayedStore relayedStore;
     JobStore jobs;
     JobApi jobApi;
     JobRunners runners;
--- a/Tests/Fakes/StandInStore.cpp
+++ b/Tests/Fakes/StandInStore.cpp
@@ -47,8 +47,16 @@
 
 } // namespace
 
-StandInStore::StandInStore(EventLoop &loop, const Clock &clock)
-    : store(loop), server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
+StandInStore::StandInStore(EventLoop &loop, const Clock &clock) : StandInStore(loop, clock, std::make_shared<FakeRowStore>(loop))
+{
+}
+
+StandInStore::StandInStore(EventLoop &loop, const Clock &clock, StandInStore &shared) : StandInStore(loop, clock, shared.store)
+{
+}
+
+StandInStore::StandInStore(EventLoop &loop, const Clock &clock, std::shared_ptr<FakeRowStore> rows)
+    : store(std::move(rows)), server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
         this->handle(exchange);
     })
 {
@@ -61,7 +69,7 @@
 
 FakeRowStore &StandInStore::rows()
 {
-    return this->store;
+    return *this->store;
 }
 
 void StandInStore::setMood(Mood mood)
@@ -106,7 +114,7 @@
     for (const Json &entry : body["remove"]) {
         transaction.removals.push_back(placeOf(entry));
     }
-    this->store.transact(std::move(transaction), [exchange](const RowTransactionResult &result) {
+    this->store->transact(std::move(transaction), [exchange](const RowTransactionResult &result) {
         if (result.outcome == WriteOutcome::Done) {
             answer(exchange, 200, {{"ver", result.version}, {"nowMs", 1}});
         } else if (result.outcome == WriteOutcome::Refused) {
@@ -121,7 +129,7 @@
 {
     const RowRange range{
         parameter(query, "table"), parameter(query, "part"), parameter(query, "from"), parameter(query, "to"), 0};
-    this->store.read(range, [exchange](const RowRangeResult &result) {
+    this->store->read(range, [exchange](const RowRangeResult &result) {
         if (result.outcome != ReadOutcome::Found) {
             exchange->send(503, {}, {});
             return;
@@ -134,7 +142,7 @@
 {
     const RowVersion since = std::stoull(parameter(query, "afterRev"));
     const std::chrono::milliseconds wait(std::stoll(parameter(query, "waitMs")));
-    this->store.follow(parameter(query, "table"), since, wait, [exchange](const FollowResult &result) {
+    this->store->follow(parameter(query, "table"), since, wait, [exchange](const FollowResult &result) {
         if (result.outcome == FollowOutcome::HistoryLost) {
             exchange->send(410, {}, {});
         } else if (result.outcome == FollowOutcome::Failed) {
--- a/Tests/Fakes/StandInStore.h
+++ b/Tests/Fakes/StandInStore.h
@@ -24,6 +24,9 @@
 
     StandInStore(EventLoop &loop, const Clock &clock);
 
+    /** Another way to the rows of a store, which can treat its callers differently. */
+    StandInStore(EventLoop &loop, const Clock &clock, StandInStore &shared);
+
     const Address &address() const;
     FakeRowStore &rows();
     void setMood(Mood mood);
@@ -34,7 +37,9 @@
     void read(const std::shared_ptr<CallerExchange> &exchange, const std::string &query);
     void follow(const std::shared_ptr<CallerExchange> &exchange, const std::string &query);
 
-    FakeRowStore store;
+    StandInStore(EventLoop &loop, const Clock &clock, std::shared_ptr<FakeRowStore> rows);
+
+    std::shared_ptr<FakeRowStore> store;
     Mood mood = Mood::Serving;
     CallerServer server;
 };
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -106,12 +106,23 @@
         this->gateway = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(this->settings));
     }
 
+    /** Start a second node, which reaches the store by a way of its own. */
+    void startOther()
+    {
+        Settings others = this->settings;
+        others.node.vm = "other";
+        others.platform.address = this->otherWay.address();
+        this->other = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(others));
+    }
+
     EventLoop &loop;
     SystemClock clock;
     Settings settings;
     StandInStore store;
+    StandInStore otherWay{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
     std::unique_ptr<Gateway> gateway;
+    std::unique_ptr<Gateway> other;
 };
 
 /** A configuration with a resumable stream, a stream that is not, an idempotent route, another and a batch route. */
--- a/Tests/ServiceGateway/TestGateway.cpp
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -344,6 +344,43 @@
     CHECK(running.call("GET /items/q1?id=a").starts_with("HTTP/1.1 404"));
 }
 
+// The store turns one node away and serves the other. Without help, the jobs that run at the first would get their results
+// late, and calls on jobs would be refused there; it takes a way through the second.
+TEST_CASE("a node that the store turns away takes and runs jobs through another")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", streamWhole);
+        bench.startOther();
+    });
+    const auto addressOfOther = [&running] {
+        return running.host.ask<Address>([](GatewayBench &bench) {
+            return bench.other->callerAddress();
+        });
+    };
+    const auto callOther = [&addressOfOther](const std::string &startLine, const std::string &body) {
+        RawConnection caller(addressOfOther());
+        caller.send(startLine + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q9\r\nX-Deadline-Ms: 2500\r\n"
+                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return caller.readAll();
+    };
+    await([&running] {
+        return running.host.ask<bool>([](GatewayBench &bench) {
+            return bench.gateway->members() == 2 && bench.other->members() == 2;
+        });
+    });
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.otherWay.setMood(StandInStore::Mood::Busy);
+        return true;
+    });
+    const nlohmann::json job{{"requests", {{{"id", "a"}, {"path", "/b/a"}, {"body", ""}, {"tokens", 9}}}}};
+    await([&callOther, &job] {
+        return callOther("POST /b/job", job.dump()).starts_with("HTTP/1.1 202");
+    });
+    await([&callOther] {
+        return has(callOther("GET /lots/q9?afterRev=0", {}), "\"next\":1");
+    });
+}
+
 // A node is told to stop while it serves. It is not ready any more, finishes what it has, and tells callers to go elsewhere.
 TEST_CASE("a node that stops finishes what it has")
 {
