--- a/Libraries/LibGateway/JobRows.cpp
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr const char *jobTable = "jobs";
 constexpr const char *headKey = "head";
 constexpr const char *contentPrefix = "content/";
 constexpr const char *progressPrefix = "progress/";
@@ -38,6 +37,11 @@
 
 } // namespace
 
+RowRange allOf(const JobId &job)
+{
+    return {jobTable, job.value(), "", "", 0};
+}
+
 RowPlace head(const JobId &job)
 {
     return {jobTable, job.value(), headKey};
--- a/Libraries/LibGateway/JobRows.h
+++ b/Libraries/LibGateway/JobRows.h
@@ -24,6 +24,12 @@
 namespace JobRows
 {
 
+/** The table in which each job is a part of its own. */
+inline constexpr const char *jobTable = "jobs";
+
+/** @return all rows of a job. */
+RowRange allOf(const JobId &job);
+
 /** @return where the head of a job lies. */
 RowPlace head(const JobId &job);
 
--- a/Libraries/LibPlatform/RowStore.h
+++ b/Libraries/LibPlatform/RowStore.h
@@ -88,6 +88,14 @@
     RowVersion version = 0;
 };
 
+/** The parts of a table that have rows. */
+struct RowPartsResult
+{
+    /** Found, also when there are none, or Failed. */
+    ReadOutcome outcome = ReadOutcome::Failed;
+    std::vector<std::string> parts;
+};
+
 /** What became of following a table. */
 enum class FollowOutcome {
     /** The changes, possibly none, up to the version told. */
@@ -123,9 +131,13 @@
     follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, std::function<void(FollowResult)> done)
         = 0;
 
+    /** List parts of a table in order. @param after the last part of the answer before; empty: from the start */
+    virtual void listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done) = 0;
+
     /** Write an object. One of that name that is there is left as it is, and counts as written. */
     virtual void putObject(const std::string &name, std::string content, std::function<void(WriteOutcome)> done) = 0;
     virtual void readObject(const std::string &name, std::function<void(ReadOutcome, std::string)> done) = 0;
+    virtual void removeObject(const std::string &name, std::function<void(WriteOutcome)> done) = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -435,6 +435,7 @@
                               "apply_bound",
                               "store_wait",
                               "lapsed_kept",
+                              "jobs_kept",
                               "processor_share",
                               "memory_mb"});
     reader.readAddress(table, "ready", target.ready, Presence::Optional);
@@ -465,6 +466,11 @@
                         target.lapsedKept,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(0), .most = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "jobs_kept",
+                        target.jobsKept,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(31536000000)});
     reader.readNumber(table, "processor_share", target.processorShare, Presence::Optional, {.least = 0.01, .most = 1000.0});
     reader.readInteger(table, "memory_mb", target.memoryMb, Presence::Optional, {.least = 16, .most = 1048576});
 }
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -128,6 +128,20 @@
               [this] {
                   return this->configuration.current();
               })
+    , cleaner(loop,
+              clock,
+              this->store,
+              settings->gateway.jobsKept,
+              {.isOurDuty =
+                   [this] {
+                       const MemberViewPointer view = this->peers.view();
+                       const Member *const holder = dutyHolder(*view, stableHash(JobRows::jobTable));
+                       return holder != nullptr && holder->session == this->peers.self();
+                   },
+               .isOpen =
+                   [this](const JobId &job) {
+                       return this->runners.isOpen(job);
+                   }})
     , callers(loop,
               clock,
               settings->listen.http,
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include <Services/Gateway/GatewayContext.h>
 #include <Services/Gateway/GatewayMetrics.h>
 #include <Services/Gateway/JobApi.h>
+#include <Services/Gateway/JobCleaner.h>
 #include <Services/Gateway/JobRunners.h>
 #include <Services/Gateway/JobStore.h>
 #include <Services/Gateway/PeerNetwork.h>
@@ -93,6 +94,7 @@
     JobStore jobs;
     JobApi jobApi;
     JobRunners runners;
+    JobCleaner cleaner;
     CallerServer callers;
     CallerServer directory;
     CallerServer readiness;
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -179,6 +179,11 @@
     }
 }
 
+bool JobRunners::isOpen(const JobId &job) const
+{
+    return this->open.contains(job) || this->runs.contains(job);
+}
+
 void JobRunners::stopJob(const JobId &job)
 {
     this->open.erase(job);
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -34,6 +34,9 @@
     /** This node has accepted a job, or found that it was: unless it is known to fall to another, it is run here. */
     void takeAccepted(const JobId &job);
 
+    /** @return whether a job has items without a result, as far as this node knows. */
+    bool isOpen(const JobId &job) const;
+
     /** A job was ended by its caller. */
     void stopJob(const JobId &job);
 
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -227,4 +227,14 @@
     this->direct.readObject(name, std::move(done));
 }
 
+void RelayedStore::listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done)
+{
+    this->direct.listParts(table, after, std::move(done));
+}
+
+void RelayedStore::removeObject(const std::string &name, std::function<void(WriteOutcome)> done)
+{
+    this->direct.removeObject(name, std::move(done));
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/RelayedStore.h
+++ b/Services/Gateway/RelayedStore.h
@@ -30,8 +30,10 @@
                 RowVersion since,
                 std::chrono::milliseconds wait,
                 std::function<void(FollowResult)> done) override;
+    void listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done) override;
     void putObject(const std::string &name, std::string content, std::function<void(WriteOutcome)> done) override;
     void readObject(const std::string &name, std::function<void(ReadOutcome, std::string)> done) override;
+    void removeObject(const std::string &name, std::function<void(WriteOutcome)> done) override;
 
 private:
     std::optional<Address> relay();
--- a/Tests/Fakes/FakeRowStore.cpp
+++ b/Tests/Fakes/FakeRowStore.cpp
@@ -218,4 +218,32 @@
     this->apply(transaction);
 }
 
+void FakeRowStore::listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done)
+{
+    RowPartsResult result;
+    if (!this->down) {
+        result.outcome = ReadOutcome::Found;
+        for (const auto &[place, row] : this->rows) {
+            const bool isNew = result.parts.empty() || result.parts.back() != place.part;
+            if (place.table == table && place.part > after && isNew) {
+                result.parts.push_back(place.part);
+            }
+        }
+    }
+    this->answer([done = std::move(done), result = std::move(result)] {
+        done(result);
+    });
+}
+
+void FakeRowStore::removeObject(const std::string &name, std::function<void(WriteOutcome)> done)
+{
+    const WriteOutcome outcome = this->down ? WriteOutcome::NotApplied : WriteOutcome::Done;
+    if (!this->down) {
+        this->objects.erase(name);
+    }
+    this->answer([done = std::move(done), outcome] {
+        done(outcome);
+    });
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -125,15 +125,20 @@
     std::unique_ptr<Gateway> other;
 };
 
-/** A configuration with a resumable stream, a stream that is not, an idempotent route, another and a batch route. */
+/** A configuration with a resumable stream, a stream that is not, an idempotent route, another, two short of time and a batch
+ * route. The others have more time than any test takes, also on a busy machine. */
 inline const char *const benchConfiguration = R"({"version":1,"routes":[
-    {"name":"resumable","host":"h","prefix":"/r/","routeKind":"streaming","timeoutMs":3000,"fullValueMs":300,"service":"llm",
+    {"name":"resumable","host":"h","prefix":"/r/","routeKind":"streaming","timeoutMs":30000,"fullValueMs":300,"service":"llm",
      "maxAttempts":2,"resumable":true,"gapTargetMs":300},
-    {"name":"once","host":"h","prefix":"/o/","routeKind":"streaming","timeoutMs":3000,"fullValueMs":300,"service":"llm",
+    {"name":"once","host":"h","prefix":"/o/","routeKind":"streaming","timeoutMs":30000,"fullValueMs":300,"service":"llm",
      "maxAttempts":1,"resumable":false,"gapTargetMs":300},
-    {"name":"safe","host":"h","prefix":"/s/","routeKind":"safe","timeoutMs":2000,"fullValueMs":300,"service":"api",
+    {"name":"safe","host":"h","prefix":"/s/","routeKind":"safe","timeoutMs":30000,"fullValueMs":300,"service":"api",
      "maxAttempts":2},
-    {"name":"unsafe","host":"h","prefix":"/u/","routeKind":"unsafe","timeoutMs":2000,"fullValueMs":300,"service":"api",
+    {"name":"unsafe","host":"h","prefix":"/u/","routeKind":"unsafe","timeoutMs":30000,"fullValueMs":300,"service":"api",
+     "maxAttempts":2},
+    {"name":"short once","host":"h","prefix":"/so/","routeKind":"streaming","timeoutMs":700,"fullValueMs":300,"service":"llm",
+     "maxAttempts":1,"resumable":false,"gapTargetMs":300},
+    {"name":"short unsafe","host":"h","prefix":"/su/","routeKind":"unsafe","timeoutMs":700,"fullValueMs":300,"service":"api",
      "maxAttempts":2},
     {"name":"batch","host":"h","prefix":"/b/","routeKind":"batch","fullValueMs":400,"completionTargetMs":18000,"service":"llm",
      "maxAttempts":2,"maxCount":10000,"retentionS":60}],
--- /dev/null
+++ b/Tests/ServiceGateway/TestJobCleaner.cpp
@@ -0,0 +1,97 @@
+#include <LibBase/ManualClock.h>
+#include <LibWire/Codec.h>
+#include <Services/Gateway/JobCleaner.h>
+#include <Tests/Fakes/FakeRowStore.h>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+constexpr std::chrono::minutes kept{2};
+
+/** A cleaner before a stand-in store with jobs of several ages. */
+class Bench
+{
+public:
+    void addJob(const std::string &name, std::size_t results, std::uint32_t total = 0)
+    {
+        JobHead head;
+        head.total = total;
+        head.submitted = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
+        this->store.put(JobRows::head(JobId(name)), encode(head));
+        for (std::size_t i = 0; i < results; ++i) {
+            const ItemResult result{ItemId("i"), ItemOutcome::Completed, "x"};
+            for (const RowPut &put : JobRows::putResult(JobId(name), i, result, 1000)) {
+                this->store.put(put.place, put.value);
+            }
+        }
+    }
+
+    std::set<std::string> jobs() const
+    {
+        std::set<std::string> names;
+        for (const StoredRow &row : this->store.rowsOf(JobRows::jobTable)) {
+            names.insert(row.place.part);
+        }
+        return names;
+    }
+
+    ManualClock clock;
+    FakeRowStore store{this->clock};
+    bool isOurDuty = true;
+    std::set<JobId> open;
+    JobCleaner cleaner{this->clock,
+                       this->clock,
+                       this->store,
+                       kept,
+                       {.isOurDuty =
+                            [this] {
+                                return this->isOurDuty;
+                            },
+                        .isOpen =
+                            [this](const JobId &job) {
+                                return this->open.contains(job);
+                            }}};
+};
+
+} // namespace
+
+TEST_CASE("a job's rows go when its time is over, however many they are, and no earlier")
+{
+    Bench bench;
+    bench.addJob("old", 250);
+    bench.clock.advance(std::chrono::seconds(150));
+    bench.addJob("new", 3);
+    CHECK(bench.jobs() == std::set<std::string>{"new", "old"});
+    bench.clock.advance(std::chrono::seconds(120));
+    CHECK(bench.jobs() == std::set<std::string>{"new"});
+    CHECK(bench.store.rowsOf(JobRows::jobTable).size() == 4);
+}
+
+// A node has just started and has not read which jobs are open. A job that waits for its items for a long time must not go.
+TEST_CASE("a job with items that are not listed is kept, whatever is known of open jobs")
+{
+    Bench bench;
+    bench.addJob("unfinished", 1, 2);
+    bench.clock.advance(std::chrono::minutes(10));
+    CHECK(bench.jobs() == std::set<std::string>{"unfinished"});
+}
+
+TEST_CASE("a job that is open is kept, and a node that has not the duty removes nothing")
+{
+    Bench bench;
+    bench.addJob("open", 1);
+    bench.open.insert(JobId("open"));
+    bench.addJob("closed", 1);
+    bench.isOurDuty = false;
+    bench.clock.advance(std::chrono::minutes(10));
+    CHECK(bench.jobs().size() == 2);
+    bench.isOurDuty = true;
+    bench.clock.advance(std::chrono::minutes(5));
+    CHECK(bench.jobs() == std::set<std::string>{"open"});
+}
