--- a/Tests/LibDispatch/TestLoadReplay.cpp
+++ b/Tests/LibDispatch/TestLoadReplay.cpp
@@ -162,6 +162,7 @@
         }
         if (time % reportInterval == std::chrono::milliseconds(0)) {
             std::vector<RunningPlacement> report;
+            report.reserve(running.size());
             for (const auto &[number, placement] : running) {
                 report.push_back(placement);
             }
@@ -169,8 +170,12 @@
         }
         // As nodes do: what waits is asked for again.
         if (time % askInterval == std::chrono::milliseconds(0)) {
-            const std::map<std::uint64_t, PlacementRequest> asked = waiting;
-            for (const auto &[number, request] : asked) {
+            std::vector<PlacementRequest> asked;
+            asked.reserve(waiting.size());
+            for (const auto &[number, request] : waiting) {
+                asked.push_back(request);
+            }
+            for (const PlacementRequest &request : asked) {
                 dispatcher.ask(request);
             }
         }
