Gateway: Take out what nothing uses

Found on reading the whole change again: a timer of OnlineCall that is never set, the dispatcher's mean hold time that nothing reads, OutboundPool's closeIdle and PeerNetwork's contacts without a caller, a variable of the load replay. No behaviour changes; no check is touched.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -25,8 +25,6 @@
 /** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it
  * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
 constexpr std::chrono::milliseconds batchCalm{30};
-/** Weight of the newest value in running means: the last fifty or so requests count. */
-constexpr double meanWeight = 0.02;
 
 } // namespace
 
@@ -369,10 +367,6 @@
     if (replica != this->replicas.end()) {
         replica->second.gate.noteEnd(verdict, now);
     }
-    if (verdict == PlacementVerdict::Finished && entry.work == WorkClass::Online) {
-        const std::chrono::duration<double, std::milli> hold = now - entry.placed;
-        this->meanHold += (hold - this->meanHold) * meanWeight;
-    }
     this->forget(placement);
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -145,8 +145,6 @@
     std::map<TicketId, QueueKey> queued;
     /** Batch items that run and were not told to stop, by their slack. */
     std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
-    /** Running mean of how long an online request keeps its slot. */
-    std::chrono::duration<double, std::milli> meanHold{800};
     bool isAssigning = false;
 };
 
--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -89,18 +89,6 @@
     this->freeLater(std::move(connection));
 }
 
-void OutboundPool::closeIdle(const Address &address)
-{
-    const auto found = this->idle.find(address);
-    if (found == this->idle.end()) {
-        return;
-    }
-    for (std::unique_ptr<OutboundConnection> &connection : found->second) {
-        this->freeLater(std::move(connection));
-    }
-    this->idle.erase(found);
-}
-
 std::uint64_t OutboundPool::connectionsMade() const
 {
     return this->made;
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -90,7 +90,6 @@
     std::uint32_t eventsPassed = 0;
     TimerId deadlineTimer = 0;
     TimerId silenceTimer = 0;
-    TimerId retryTimer = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -179,15 +179,6 @@
     });
 }
 
-std::vector<Address> PeerNetwork::contacts() const
-{
-    std::vector<Address> all = this->seeds;
-    for (const auto &[key, record] : this->known) {
-        all.push_back(record.gossip);
-    }
-    return all;
-}
-
 DatagramSocket &PeerNetwork::datagrams()
 {
     return this->socket;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -50,9 +50,6 @@
     /** Tell the others that this node is leaving, and remove its row. */
     void leave();
 
-    /** @return addresses of nodes that may be there, seeds included, for a node that has met nobody yet. */
-    std::vector<Address> contacts() const;
-
     DatagramSocket &datagrams();
     PeerServer &server();
     PeerClient &client();
--- a/Tests/LibDispatch/TestLoadReplay.cpp
+++ b/Tests/LibDispatch/TestLoadReplay.cpp
@@ -84,7 +84,6 @@
 Outcome replayDispatcher(double perSecond, Yielding yielding)
 {
     ManualClock clock;
-    const SteadyTime start = clock.now();
     std::map<std::uint64_t, SteadyTime> arrived;
     std::map<std::uint64_t, SteadyTime> itemStarts;
     std::multimap<SteadyTime, std::uint64_t> ends;
