LibGateway: Take connections that break together for no crash

Each item whose connection broke counted as having crashed its replica. Three resets within half a minute made the third 'crash', and the item was not run again for two minutes, without a line in the log.

Ruled out: the job's row (listed the others), placement (items of other jobs ran), the retry pause.

Change: a break is judged 60 ms later; when connections to another replica broke within 50 ms of it, it is the network's. Copies of one request that go down with one replica count once. A batch item is held for 5 s after its third crash, doubled with each further one, and says so in the log.

TestCrashMemory is red without the comparison (seen).

Conclusion: evidence of a crash needs the rest of the node's connections.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/CrashMemory.h>
 
+#include <algorithm>
+
 namespace Dogwoodkeel
 {
 
@@ -11,6 +13,13 @@
 constexpr std::chrono::minutes remembered{2};
 /** A bound on memory: far more than there can be at the rate at which replicas come back. */
 constexpr std::size_t mostEntries = 20000;
+/** Connections that the network resets together break within 10 ms of each other, as measured on a node of half a core with
+ * thirty of them. Replicas that crash one after the other under a request are at least a round trip and a start apart. */
+constexpr std::chrono::milliseconds sameMoment{50};
+static_assert(sameMoment < CrashMemory::judgeAfter);
+/** An item's pause after its third crash. It doubles with each further one, as it is then ever likelier to be the cause. */
+constexpr std::chrono::seconds firstHold{5};
+constexpr int mostDoublings = 6;
 
 } // namespace
 
@@ -18,6 +27,39 @@
 {
 }
 
+void CrashMemory::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
+{
+    this->breaks.push_back({fingerprint, replica, this->clock.now()});
+}
+
+std::vector<std::uint64_t> CrashMemory::takeCrashes()
+{
+    const SteadyTime now = this->clock.now();
+    std::vector<std::uint64_t> crashed;
+    while (this->judgedBreaks < this->breaks.size() && now - this->breaks[this->judgedBreaks].time >= judgeAfter) {
+        const Break &next = this->breaks[this->judgedBreaks++];
+        const bool isCopy = std::ranges::find(crashed, next.fingerprint) != crashed.end();
+        if (!isCopy && !this->isOneOfMany(next)) {
+            crashed.push_back(next.fingerprint);
+        }
+    }
+    while (this->judgedBreaks > 0 && now - this->breaks.front().time > judgeAfter + sameMoment) {
+        this->breaks.pop_front();
+        --this->judgedBreaks;
+    }
+    for (const std::uint64_t fingerprint : crashed) {
+        this->noteCrash(fingerprint);
+    }
+    return crashed;
+}
+
+bool CrashMemory::isOneOfMany(const Break &judged) const
+{
+    return std::ranges::any_of(this->breaks, [&judged](const Break &other) {
+        return other.replica != judged.replica && std::chrono::abs(other.time - judged.time) <= sameMoment;
+    });
+}
+
 void CrashMemory::noteCrash(std::uint64_t fingerprint)
 {
     if (this->entries.size() >= mostEntries) {
@@ -36,6 +78,16 @@
         && this->clock.now() - found->second.last <= remembered;
 }
 
+bool CrashMemory::isHeld(std::uint64_t fingerprint) const
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end() || found->second.crashes < mostCrashes) {
+        return false;
+    }
+    const int doublings = std::min(found->second.crashes - mostCrashes, mostDoublings);
+    return this->clock.now() - found->second.last <= firstHold * (1 << doublings);
+}
+
 void CrashMemory::forgetOld()
 {
     const SteadyTime now = this->clock.now();
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibBase/Identifiers.h>
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -17,14 +20,29 @@
 class CrashMemory
 {
 public:
+    /** A break is judged this long after it: until then it may turn out to be one of many. */
+    static constexpr std::chrono::milliseconds judgeAfter{60};
+
     explicit CrashMemory(const Clock &clock);
 
-    /** A replica broke off while it ran the request. @param fingerprint hash of what the request asks for */
+    /**
+     * A connection broke while the request ran on it. Whether its replica crashed is judged a little later.
+     * @param fingerprint hash of what the request asks for
+     */
+    void noteBreak(std::uint64_t fingerprint, const EndpointName &replica);
+
+    /** Judge the breaks that are old enough. @return the requests that met a crash; they are noted here. */
+    std::vector<std::uint64_t> takeCrashes();
+
+    /** A replica crashed while it ran the request; another node has judged so. */
     void noteCrash(std::uint64_t fingerprint);
 
-    /** @return whether the request has to be refused. */
+    /** @return whether an online request has to be refused. */
     bool isRefused(std::uint64_t fingerprint) const;
 
+    /** @return whether a batch item has to wait. It is tried again after a pause, as somebody has to find out some day. */
+    bool isHeld(std::uint64_t fingerprint) const;
+
 private:
     struct Entry
     {
@@ -32,10 +50,22 @@
         SteadyTime last{};
     };
 
+    struct Break
+    {
+        std::uint64_t fingerprint = 0;
+        EndpointName replica;
+        SteadyTime time{};
+    };
+
+    bool isOneOfMany(const Break &judged) const;
     void forgetOld();
 
     const Clock &clock;
     std::map<std::uint64_t, Entry> entries;
+    /** In order of time: those to be judged, and before them those that they are compared with. */
+    std::deque<Break> breaks;
+    /** So many at the front of `breaks` are judged. */
+    std::size_t judgedBreaks = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -95,10 +95,8 @@
               this->listed,
               this->metrics,
               this->crashes,
-              [this](std::uint64_t fingerprint) {
-                  this->tellAll([this, fingerprint](const Address &peer) {
-                      this->peers.datagrams().send(peer, CrashNotice{fingerprint});
-                  });
+              [this](std::uint64_t fingerprint, const EndpointName &replica) {
+                  this->noteBreak(fingerprint, replica);
               },
               this->random}
     , relayedStore(this->store, this->peers, this->random())
@@ -204,6 +202,28 @@
     this->runners.setView(view);
 }
 
+void Gateway::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
+{
+    this->crashes.noteBreak(fingerprint, replica);
+    // Each break has a timer of its own: a later one is judged later.
+    this->loop.schedule(CrashMemory::judgeAfter, [this, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired()) {
+            this->judgeBreaks();
+        }
+    });
+}
+
+void Gateway::judgeBreaks()
+{
+    for (const std::uint64_t fingerprint : this->crashes.takeCrashes()) {
+        log(LogLevel::Info, "a request met the crash of a replica", {{"fingerprint", std::to_string(fingerprint)}});
+        this->metrics.countEvent("request met a crash");
+        this->tellAll([this, fingerprint](const Address &peer) {
+            this->peers.datagrams().send(peer, CrashNotice{fingerprint});
+        });
+    }
+}
+
 void Gateway::takeDatagram(const Datagram &datagram)
 {
     if (!this->isComplete) {
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -65,6 +65,8 @@
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
     void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
+    void noteBreak(std::uint64_t fingerprint, const EndpointName &replica);
+    void judgeBreaks();
     void tellAll(const std::function<void(const Address &)> &send);
     void watchStop();
 
@@ -99,6 +101,7 @@
     CallerServer directory;
     CallerServer readiness;
     CallerServer metricsServer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -28,8 +28,8 @@
     ReplicaFollower &listed;
     GatewayMetrics &metrics;
     CrashMemory &crashes;
-    /** Tell the other nodes that a request broke the replica that ran it. */
-    std::function<void(std::uint64_t fingerprint)> tellCrash;
+    /** A connection broke while a request ran on it: if its replica crashed, all nodes are told. */
+    std::function<void(std::uint64_t fingerprint, const EndpointName &replica)> noteBreak;
     std::minstd_rand &random;
     /** By service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEvents{};
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -97,7 +97,8 @@
         this->askLater();
         return;
     }
-    if (this->context.crashes.isRefused(this->fingerprint)) {
+    if (this->context.crashes.isHeld(this->fingerprint)) {
+        log(LogLevel::Info, "batch item held", {{"item", this->item.id.value()}, {"reason", "its replicas crashed"}});
         this->retryTimer = this->context.loop.schedule(crashPause, [self = this->shared_from_this()] {
             self->askForPlace();
         });
@@ -240,8 +241,7 @@
     if (end == CallEnd::NotSent) {
         this->goOn(PlacementVerdict::Unreachable, "no connection to the replica");
     } else if (end == CallEnd::Broken) {
-        this->context.crashes.noteCrash(this->fingerprint);
-        this->context.tellCrash(this->fingerprint);
+        this->context.noteBreak(this->fingerprint, this->replica->instance);
         this->goOn(PlacementVerdict::Broken, "the connection to the replica broke");
     } else if (this->splitter.hasRest()) {
         this->goOn(PlacementVerdict::Broken, "the stream ended inside an event");
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -265,8 +265,7 @@
         return;
     }
     if (end == CallEnd::Broken) {
-        this->context.crashes.noteCrash(this->fingerprint);
-        this->context.tellCrash(this->fingerprint);
+        this->context.noteBreak(this->fingerprint, this->replica->instance);
         this->recover(PlacementVerdict::Broken, "the connection to the replica broke");
         return;
     }
--- /dev/null
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -0,0 +1,107 @@
+#include <LibBase/ManualClock.h>
+#include <LibGateway/CrashMemory.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds judged{100};
+
+const EndpointName a{"a"};
+const EndpointName b{"b"};
+const EndpointName c{"c"};
+
+} // namespace
+
+// A request crashes each replica that runs it, and its caller sends it again, with another id and to another node. Each
+// time a replica is gone for some seconds.
+TEST_CASE("a request that crashed three replicas is refused until it is forgotten")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    crashes.noteCrash(7);
+    crashes.noteCrash(7);
+    CHECK_FALSE(crashes.isRefused(7));
+    crashes.noteCrash(7);
+    CHECK(crashes.isRefused(7));
+    CHECK_FALSE(crashes.isRefused(8));
+    clock.advance(std::chrono::minutes(3));
+    CHECK_FALSE(crashes.isRefused(7));
+    crashes.noteCrash(7);
+    CHECK_FALSE(crashes.isRefused(7));
+}
+
+// The connections of one node are all reset at the same moment, three times in half a minute: a fault of the network, not
+// of what ran on them. A batch item that is taken for the cause is not run again for minutes, though replicas are idle,
+// and the caller's job stays open.
+TEST_CASE("connections to several replicas that break at once are no crash")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (int reset = 0; reset < 4; ++reset) {
+        crashes.noteBreak(7, a);
+        clock.advance(std::chrono::milliseconds(8));
+        crashes.noteBreak(8, b);
+        clock.advance(judged);
+        CHECK(crashes.takeCrashes().empty());
+        clock.advance(std::chrono::seconds(7));
+    }
+    CHECK_FALSE(crashes.isRefused(7));
+    CHECK_FALSE(crashes.isHeld(7));
+}
+
+// A replica crashes and takes four copies of the same request with it, as callers ask for the same thing at once. Counted
+// as four crashes, the request would be refused to everybody, though it has met one crash only.
+TEST_CASE("copies of a request that break with one replica are one crash")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (int copy = 0; copy < 4; ++copy) {
+        crashes.noteBreak(7, a);
+    }
+    crashes.noteBreak(9, a);
+    CHECK(crashes.takeCrashes().empty());
+    clock.advance(judged);
+    CHECK(crashes.takeCrashes() == std::vector<std::uint64_t>{7, 9});
+    CHECK(crashes.takeCrashes().empty());
+    CHECK_FALSE(crashes.isRefused(7));
+}
+
+// A request crashes one replica after the other. Each node learns of it, and the third crash is the last for two minutes.
+TEST_CASE("replicas that break one after the other are crashes")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (const EndpointName &replica : {a, b, c}) {
+        CHECK_FALSE(crashes.isRefused(7));
+        crashes.noteBreak(7, replica);
+        clock.advance(judged);
+        CHECK(crashes.takeCrashes() == std::vector<std::uint64_t>{7});
+    }
+    CHECK(crashes.isRefused(7));
+}
+
+// Replicas crash by chance, three times under the same item. It must run some day, but an item that does crash what runs it
+// must not take a replica away from everybody each second: it is tried after pauses that grow.
+TEST_CASE("an item that met three crashes is held for pauses that double")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (int crash = 0; crash < 3; ++crash) {
+        CHECK_FALSE(crashes.isHeld(7));
+        crashes.noteCrash(7);
+    }
+    CHECK(crashes.isHeld(7));
+    clock.advance(std::chrono::milliseconds(4900));
+    CHECK(crashes.isHeld(7));
+    clock.advance(std::chrono::milliseconds(200));
+    CHECK_FALSE(crashes.isHeld(7));
+    crashes.noteCrash(7);
+    clock.advance(std::chrono::milliseconds(9900));
+    CHECK(crashes.isHeld(7));
+    clock.advance(std::chrono::milliseconds(200));
+    CHECK_FALSE(crashes.isHeld(7));
+}
--- a/Tests/LibGateway/TestServingConfiguration.cpp
+++ b/Tests/LibGateway/TestServingConfiguration.cpp
@@ -1,5 +1,3 @@
-#include <LibBase/ManualClock.h>
-#include <LibGateway/CrashMemory.h>
 #include <LibGateway/ServingConfiguration.h>
 
 #include <doctest/doctest.h>
@@ -29,21 +27,3 @@
     route.targets.clear();
     CHECK(chooseTarget(route, 0.5) == nullptr);
 }
-
-// A request crashes each replica that runs it, and its caller sends it again, with another id and to another node. Each
-// time a replica is gone for some seconds.
-TEST_CASE("a request that crashed three replicas is refused until it is forgotten")
-{
-    ManualClock clock;
-    CrashMemory crashes(clock);
-    crashes.noteCrash(7);
-    crashes.noteCrash(7);
-    CHECK_FALSE(crashes.isRefused(7));
-    crashes.noteCrash(7);
-    CHECK(crashes.isRefused(7));
-    CHECK_FALSE(crashes.isRefused(8));
-    clock.advance(std::chrono::minutes(3));
-    CHECK_FALSE(crashes.isRefused(7));
-    crashes.noteCrash(7);
-    CHECK_FALSE(crashes.isRefused(7));
-}
