Gateway: Explain what became of a request; wait for the list of replicas

'request over' now tells who chose the replica and how old the list was; a request that meets no route or no configuration is named in its line. The line of a changed dispatcher no longer overwrites the vm of the node that wrote it.

--- a/Programs/dogwoodkeel/Commands.cpp
+++ b/Programs/dogwoodkeel/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "BatchCommand.h"
 #include "ConfigCommand.h"
+#include "ExplainCommand.h"
 #include "GatewayCommand.h"
 #include "ServeCommand.h"
 #include "StatusCommand.h"
@@ -64,6 +65,7 @@
          "usage: dogwoodkeel results ID [--nodes=ADDRESS,...] [--key_file=FILE]\n"
          "exit codes: 0 printed, or still running, 1 no node answered, 2 wrong command line, 3 refused or unknown\n",
          runResults},
+        {"explain", "tell from logs what became of a request, a job or an item, and why", explainHelp, runExplain},
         {"entries",
          "print the addresses that a caller should use",
          "usage: dogwoodkeel entries [--json] [--nodes=ADDRESS,...]\n"
--- /dev/null
+++ b/Programs/dogwoodkeel/ExplainCommand.cpp
@@ -0,0 +1,76 @@
+#include "ExplainCommand.h"
+
+#include <LibExplain/Account.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <utility>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(log, "", "log files to explain from, separated by commas; more may follow the id");
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+void readLines(std::istream &stream, Account &account)
+{
+    std::string text;
+    while (std::getline(stream, text)) {
+        if (std::optional<LogLine> line = parseLogLine(text)) {
+            account.add(*std::move(line));
+        }
+    }
+}
+
+bool readFile(const std::string &name, Account &account)
+{
+    if (name == "-") {
+        readLines(std::cin, account);
+        return true;
+    }
+    std::ifstream file(name);
+    if (!file) {
+        std::fprintf(stderr, "can't read %s\n", name.c_str());
+        return false;
+    }
+    readLines(file, account);
+    return true;
+}
+
+} // namespace
+
+ExitCode runExplain(const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> files;
+    std::istringstream listed(FLAGS_log);
+    for (std::string name; std::getline(listed, name, ',');) {
+        files.push_back(name);
+    }
+    if (!arguments.empty()) {
+        files.insert(files.end(), arguments.begin() + 1, arguments.end());
+    }
+    if (arguments.empty() || files.empty()) {
+        std::fputs(std::string(explainHelp).c_str(), stderr);
+        return ExitCode::Usage;
+    }
+    Account account(arguments.front());
+    for (const std::string &name : files) {
+        if (!readFile(name, account)) {
+            return ExitCode::Failure;
+        }
+    }
+    if (!account.isKnown()) {
+        std::fprintf(stderr, "no line tells of %s\n", arguments.front().c_str());
+        return ExitCode::Failure;
+    }
+    std::fputs(account.text().c_str(), stdout);
+    return ExitCode::Success;
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -290,6 +290,9 @@
 {
     const ServingConfigurationPointer current = this->configuration.current();
     if (!current) {
+        log(LogLevel::Info,
+            "request refused, no configuration is known",
+            {{"request", decodeTraits(exchange->head().headers).id}, {"status", statusUnavailable}});
         exchange->send(statusUnavailable, retryHeaders(unknownPause), {});
         this->metrics.countRequest("", statusUnavailable, std::chrono::nanoseconds(0));
         return;
@@ -305,7 +308,8 @@
     if (route == nullptr) {
         log(LogLevel::Info,
             "no route",
-            {{"host", std::string(host)},
+            {{"request", decodeTraits(head.headers).id},
+             {"host", std::string(host)},
              {"target", head.target},
              {"configuration", static_cast<std::int64_t>(current->version)}});
         this->metrics.countRequest("", statusNotFound, std::chrono::nanoseconds(0));
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -34,6 +34,11 @@
 constexpr std::chrono::milliseconds answerMargin{20};
 /** After a refusal for want of a replica or a configuration, about how long it takes until there may be one. */
 constexpr std::chrono::milliseconds refusalPause{300};
+/** A node that has just started learns the replicas from the store or another node in about 0.2 s; after this, something
+ * else is wrong, and another node may serve the caller sooner. */
+constexpr std::chrono::milliseconds listPatience{1000};
+constexpr std::chrono::milliseconds listLook{20};
+/** An output token costs a replica about as much as ten tokens of a prompt, which it reads many at a time. */
 constexpr std::uint32_t outputWeight = 10;
 
 std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
@@ -103,10 +108,27 @@
     this->askForPlace();
 }
 
+void OnlineCall::awaitReplicas()
+{
+    if (this->now() - this->arrived > listPatience) {
+        this->refuse(statusUnavailable, refusalPause, "this node does not know the replicas yet");
+        return;
+    }
+    this->listTimer = this->context.loop.schedule(listLook, [self = this->shared_from_this()] {
+        self->listTimer = 0;
+        self->askForPlace();
+    });
+}
+
 void OnlineCall::askForPlace()
 {
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
     this->stage = Stage::Placing;
+    if (!this->context.listed.isKnown()) {
+        // A dispatcher at another node would give places at replicas whose addresses this one does not have.
+        this->awaitReplicas();
+        return;
+    }
     this->asked = this->now();
     PlacementWish wish;
     wish.service = this->service;
@@ -132,6 +154,8 @@
         return;
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
+    this->isOwnChoice = placement.isOwnChoice;
+    this->listAge = this->context.listed.age();
     const ServingReplica *const found = this->context.listed.find(placement.replica);
     if (found == nullptr || found->isDraining) {
         this->avoided.push_back(placement.replica);
@@ -430,6 +454,7 @@
     }
     this->context.loop.cancel(this->deadlineTimer);
     this->context.loop.cancel(this->silenceTimer);
+    this->context.loop.cancel(this->listTimer);
     const SteadyTime ended = this->now();
     this->context.metrics.countRequest(this->route.name, status, ended - this->arrived);
     log(LogLevel::Info,
@@ -444,6 +469,8 @@
          {"turned_away", static_cast<std::int64_t>(this->unrunAttempts)},
          {"events", static_cast<std::int64_t>(this->eventsPassed)},
          {"replica", this->avoided.empty() ? std::string() : this->avoided.back().value()},
+         {"placed_by", this->isOwnChoice ? "own counts" : "dispatcher"},
+         {"list_age_ms", static_cast<std::int64_t>(this->listAge.count())},
          {"sent_after_ms", this->sent > this->arrived ? millisecondsBetween(this->arrived, this->sent) : -1},
          {"took_ms", millisecondsBetween(this->arrived, ended)}});
 }
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -42,6 +42,7 @@
 
     bool isStream() const;
     bool mayRepeat() const;
+    void awaitReplicas();
     void askForPlace();
     void takePlacement(const Placement &placement);
     void send(const ServingReplica &replica);
@@ -80,6 +81,10 @@
     std::vector<EndpointName> avoided;
     PlacementClient::Ticket ticket = 0;
     SteadyTime asked{};
+    /** Whether this node chose the last replica by its own counts. */
+    bool isOwnChoice = false;
+    /** How old the list of replicas was at that choice. */
+    std::chrono::milliseconds listAge{0};
     SteadyTime sent{};
     std::optional<ServingReplica> replica;
     OutboundPool::CallId call = 0;
@@ -89,6 +94,7 @@
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventsPassed = 0;
     TimerId deadlineTimer = 0;
+    TimerId listTimer = 0;
     TimerId silenceTimer = 0;
 };
 
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -133,7 +133,7 @@
         const auto found = *alive ? this->tickets.find(ticket) : this->tickets.end();
         if (*alive && found != this->tickets.end()) {
             const Decided decided = found->second.decided;
-            decided({PlacementDecision::Placed, instance, {}});
+            decided({PlacementDecision::Placed, instance, {}, true});
         }
     });
 }
@@ -302,7 +302,7 @@
         if (!isSame && state.isDispatched) {
             log(LogLevel::Info,
                 "dispatcher changed",
-                {{"service", service.value()}, {"vm", is != nullptr ? is->vm.value() : std::string()}});
+                {{"service", service.value()}, {"dispatcher_vm", is != nullptr ? is->vm.value() : std::string()}});
             state.doubtedUntil = {};
             // The new one has to know what runs before it fills the replicas a second time.
             this->report(service, state);
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -28,6 +28,8 @@
     EndpointName replica;
     /** With Refused. */
     std::chrono::milliseconds comeBack{0};
+    /** Whether this node chose by its own counts, because it heard of no dispatcher. */
+    bool isOwnChoice = false;
 };
 
 /** What a request says of itself when it wants a place. */
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -19,6 +19,8 @@
 /** A draining replica gets requests for two seconds at most: others are asked well within that. */
 constexpr std::chrono::milliseconds peerInterval{250};
 constexpr std::chrono::milliseconds peerTimeout{400};
+/** A node without any list keeps its callers waiting, so it asks more often. */
+constexpr std::chrono::milliseconds firstPeerInterval{50};
 
 } // namespace
 
@@ -175,7 +177,7 @@
     if (isLost || !this->known) {
         this->askPeer();
     }
-    this->watchTimer = this->loop.schedule(peerInterval, [this] {
+    this->watchTimer = this->loop.schedule(this->known ? peerInterval : firstPeerInterval, [this] {
         this->watchStore();
     });
 }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -54,6 +54,9 @@
     /** @return the replica of that instance, or null if it is not listed any more. */
     const ServingReplica *find(const EndpointName &instance) const;
 
+    /** @return how long ago the store, or a node that it answered, last told the list. */
+    std::chrono::milliseconds age() const;
+
     /** @return the replicas of a service, draining ones among them. */
     std::vector<ServingReplica> ofService(const ServiceName &service) const;
 
@@ -66,7 +69,6 @@
     void askPeer();
     void takePeer(const ReplicaRecords &records);
     ReplicaRecords records() const;
-    std::chrono::milliseconds age() const;
 
     EventLoop &loop;
     const Clock &clock;
--- a/Tests/Fakes/StandInStore.cpp
+++ b/Tests/Fakes/StandInStore.cpp
@@ -77,6 +77,11 @@
     this->mood = mood;
 }
 
+void StandInStore::withhold(const std::string &table)
+{
+    this->withheldTable = table;
+}
+
 void StandInStore::handle(const std::shared_ptr<CallerExchange> &exchange)
 {
     if (this->mood == Mood::Silent) {
@@ -90,7 +95,10 @@
     const std::size_t mark = std::min(target.find('?'), target.size());
     const std::string path = target.substr(0, mark);
     const std::string query = target.substr(std::min(mark + 1, target.size()));
-    if (path == "/rows-tx") {
+    const bool isWithheld = !this->withheldTable.empty() && parameter(query, "table") == this->withheldTable;
+    if (isWithheld) {
+        exchange->send(503, {}, {});
+    } else if (path == "/rows-tx") {
         this->transact(exchange);
     } else if (path == "/rows-get") {
         this->read(exchange, query);
--- a/Tests/Fakes/StandInStore.h
+++ b/Tests/Fakes/StandInStore.h
@@ -31,6 +31,9 @@
     FakeRowStore &rows();
     void setMood(Mood mood);
 
+    /** Answer 503 to whoever reads or follows this table. */
+    void withhold(const std::string &table);
+
 private:
     void handle(const std::shared_ptr<CallerExchange> &exchange);
     void transact(const std::shared_ptr<CallerExchange> &exchange);
@@ -41,6 +44,7 @@
 
     std::shared_ptr<FakeRowStore> store;
     Mood mood = Mood::Serving;
+    std::string withheldTable;
     CallerServer server;
 };
 
--- a/Tests/ServiceGateway/TestGateway.cpp
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -382,6 +382,33 @@
     });
 }
 
+// A node starts while the store does not tell it the replicas. The dispatcher, at another node, gives its requests places at
+// replicas that it knows nothing of, one after the other; it has to learn of them before it calls them unable to serve.
+TEST_CASE("a node that does not know the replicas yet lets its callers wait for them")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", answerWhole);
+        bench.addReplica("i-2", "llm", streamWhole);
+        bench.otherWay.withhold("servers");
+    });
+    const Address address = running.host.ask<Address>([](GatewayBench &bench) {
+        bench.startOther();
+        return bench.other->callerAddress();
+    });
+    const auto callOther = [&address](const std::string &target) {
+        RawConnection caller(address);
+        caller.send("POST " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q\r\n"
+                    + "X-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n");
+        return caller.readAll();
+    };
+    // It has a configuration as soon as it knows that there is no such route.
+    await([&callOther] {
+        return callOther("/nowhere").starts_with("HTTP/1.1 404");
+    });
+    CHECK(callOther("/r/x").starts_with("HTTP/1.1 200"));
+    CHECK(callOther("/s/x").starts_with("HTTP/1.1 200"));
+}
+
 // A node is told to stop while it serves. It is not ready any more, finishes what it has, and tells callers to go elsewhere.
 TEST_CASE("a node that stops finishes what it has")
 {
