LibDispatch: Tell who can't be served in time to come back, at once

Ruled out: idle slots (none while something waits), batch (gives way within 40 ms).

Change: LoadForecast learns what the slots serve and what comes in the long run. Who can't be on time is sent away at once while there is usual room, each to a moment of its own (ReturnSchedule), and goes first when it comes back. Where the load stays, nobody is promised a place; who waits a third of its time without a prospect is told so, and goes behind the others if it comes back. Only requests that never were at a replica are refused.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -26,9 +26,19 @@
  * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
 constexpr std::chrono::milliseconds batchCalm{30};
 
+/** Callers come back after at most a third of the time that they have left, whatever they are told. */
+constexpr int returnShare = 3;
+/** The part of the usual room that is promised: the rest is for bursts within the next seconds. */
+constexpr double promisedRoom = 1.0;
+/** A late request without a prospect is told so after this part (one in so many) of its caller's time, while there is time
+ * left to come back. */
+constexpr int hopelessParts = 3;
+/** A service with so much of its capacity unused in the long run has bursts; with less, its load stays. */
+constexpr double burstRoom = 0.05;
+
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks))
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), forecast(clock)
 {
 }
 
@@ -42,6 +52,7 @@
         updated.emplace(traits.instance, std::move(replica));
     }
     this->replicas = std::move(updated);
+    this->forecast.setSlots(this->totalSlots());
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
         if (!this->replicas.contains(placement->second.replica)) {
@@ -72,9 +83,95 @@
         this->queueOf(request.work).at(known->second).asked = this->clock.now();
         return false;
     }
-    this->enqueue(request, this->clock.now());
+    PlacementRequest taken = request;
+    this->welcome(taken);
+    this->enqueue(taken, this->clock.now());
     this->assign();
-    return this->placements.contains(request.id);
+    this->sendAwayIfLate(taken);
+    return !this->queued.contains(request.id);
+}
+
+void Dispatcher::welcome(PlacementRequest &request)
+{
+    if (request.work != WorkClass::Online || !request.mayRefuse) {
+        return;
+    }
+    const std::optional<ReturnSchedule::Return> back = this->returns.take(request.content);
+    if (!back) {
+        this->forecast.noteArrival();
+        return;
+    }
+    // One that was promised a place goes before all that came after it, and is not sent away a second time. One that was not
+    // promised any goes behind those that can be on time: they would be late in its stead.
+    request.arrived = std::min(request.arrived, back->arrived);
+    if (back->isPromised) {
+        request.mayRefuse = false;
+    } else {
+        request.due = this->clock.now() - std::chrono::milliseconds(1);
+    }
+}
+
+void Dispatcher::sendAwayIfLate(const PlacementRequest &request)
+{
+    const double rate = this->forecast.serviceRate();
+    if (!request.mayRefuse || !this->queued.contains(request.id) || rate <= 0) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    const std::chrono::duration<double> wait(static_cast<double>(this->onTimeAhead(request.priority)) / rate);
+    const SteadyTime longest = now + (request.deadline - now) / returnShare;
+    if (now + wait <= request.due) {
+        return;
+    }
+    const std::optional<SteadyTime> comes = this->returns.promise(
+        request.content, request.arrived, now + (longest - now) / 2, longest, this->forecast.usualRoom() * promisedRoom);
+    if (comes) {
+        this->sendAway(request, *comes - now);
+    }
+}
+
+void Dispatcher::sendAwayHopeless()
+{
+    // After a burst the late ones are served; only where the load stays they are not.
+    const double rate = this->forecast.serviceRate();
+    if (rate <= 0 || this->forecast.usualRoom() > rate * burstRoom) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    const double lateRate = this->forecast.lateRate();
+    std::vector<PlacementRequest> hopeless;
+    std::size_t ahead = 0;
+    for (const auto &[key, waiting] : this->online) {
+        const PlacementRequest &request = waiting.request;
+        const bool isLate = std::get<1>(key);
+        const bool hasWaitedLong = (now - request.arrived) * hopelessParts > request.deadline - request.arrived;
+        const std::chrono::duration<double> remaining = request.deadline - now;
+        ahead += isLate ? 1 : 0;
+        if (isLate && request.mayRefuse && hasWaitedLong && static_cast<double>(ahead) > lateRate * remaining.count()) {
+            hopeless.push_back(request);
+            --ahead;
+        }
+    }
+    for (const PlacementRequest &request : hopeless) {
+        const std::chrono::nanoseconds comeBack = (request.deadline - now) / returnShare;
+        this->returns.expect(request.content, request.arrived, now + comeBack);
+        this->sendAway(request, comeBack);
+    }
+}
+
+std::size_t Dispatcher::onTimeAhead(std::uint32_t priority) const
+{
+    std::size_t ahead = 0;
+    for (auto count = this->onTimeWaiting.begin(); count != this->onTimeWaiting.end() && count->first <= priority; ++count) {
+        ahead += count->second;
+    }
+    return ahead;
+}
+
+void Dispatcher::sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack)
+{
+    this->dequeue(request.id);
+    this->hooks.refuse(request.id, std::chrono::ceil<std::chrono::milliseconds>(comeBack));
 }
 
 void Dispatcher::end(TicketId id, PlacementVerdict verdict)
@@ -148,6 +245,8 @@
         return now - waiting.asked > (isBatch ? batchWaitingForgotten : waitingForgotten) || now > waiting.request.deadline;
     });
     this->sinkLate();
+    this->sendAwayHopeless();
+    this->returns.forgetOld(now);
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
         Placement &entry = placement->second;
@@ -230,6 +329,9 @@
     const QueueKey key(request.priority, isLate, isOnline ? request.arrived : request.due, request.id);
     this->queueOf(request.work).insert_or_assign(key, Waiting{request, asked});
     this->queued.insert_or_assign(request.id, key);
+    if (isOnline && !isLate) {
+        ++this->onTimeWaiting[request.priority];
+    }
 }
 
 void Dispatcher::dequeue(TicketId id)
@@ -238,7 +340,10 @@
     if (known == this->queued.end()) {
         return;
     }
-    this->online.erase(known->second);
+    const auto &[priority, isLate, order, ticket] = known->second;
+    if (this->online.erase(known->second) > 0 && !isLate) {
+        --this->onTimeWaiting[priority];
+    }
     this->batch.erase(known->second);
     this->queued.erase(known);
 }
@@ -342,6 +447,9 @@
         replica.lastFull = now;
     }
     replica.gate.noteSent(now);
+    if (request.work == WorkClass::Online && now > request.due) {
+        this->forecast.noteLatePlaced();
+    }
     const std::chrono::nanoseconds slack = now > request.due ? std::chrono::nanoseconds::max() : request.due - now;
     this->placements.insert_or_assign(
         request.id, Placement{request.id, request.work, replica.traits.instance, now, now, slack, std::nullopt});
@@ -367,6 +475,9 @@
     if (replica != this->replicas.end()) {
         replica->second.gate.noteEnd(verdict, now);
     }
+    if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
+        this->forecast.noteRun(now - entry.placed);
+    }
     this->forget(placement);
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibDispatch/LoadForecast.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaGate.h>
+#include <LibDispatch/ReturnSchedule.h>
 
 #include <chrono>
 #include <functional>
@@ -127,6 +129,11 @@
     Queue &queueOf(WorkClass work);
     void dropWaiting(const std::function<bool(const Waiting &)> &isDropped);
     void sinkLate();
+    void welcome(PlacementRequest &request);
+    void sendAwayIfLate(const PlacementRequest &request);
+    void sendAwayHopeless();
+    std::size_t onTimeAhead(std::uint32_t priority) const;
+    void sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack);
     void stop(Placement &placement);
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
@@ -146,6 +153,10 @@
     /** Batch items that run and were not told to stop, by their slack. */
     std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
     bool isAssigning = false;
+    LoadForecast forecast;
+    ReturnSchedule returns;
+    /** Online requests that wait and can still be on time, by priority. */
+    std::map<std::uint32_t, std::size_t> onTimeWaiting;
 };
 
 } // namespace Dogwoodkeel
--- /dev/null
+++ b/Libraries/LibDispatch/LoadForecast.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * What a service can serve and what is asked of it, learned from the requests themselves: how fast slots become free, how
+ * fast requests come in the long run, and how many that are late already get a place nevertheless. The first two tell a burst,
+ * after which there is room, from a load that stays.
+ */
+class LoadForecast
+{
+public:
+    explicit LoadForecast(const Clock &clock);
+
+    /** An online request came for the first time. */
+    void noteArrival();
+
+    /** A request that was late already got a place, which nobody else wanted. */
+    void noteLatePlaced();
+
+    /** An online request gave its slot back. @param held how long it had it */
+    void noteRun(std::chrono::nanoseconds held);
+
+    /** @param slots that all replicas have together */
+    void setSlots(std::size_t slots);
+
+    /** @return online requests a second that all slots can serve; 0 as long as it isn't known. */
+    double serviceRate() const;
+
+    /** @return late requests that got a place in a second, lately. */
+    double lateRate() const;
+
+    /** @return online requests a second that can be served beyond what comes in the long run; 0 if none or not known. */
+    double usualRoom() const;
+
+private:
+    /** Counts events, and forgets them over a time. */
+    class Rate
+    {
+    public:
+        explicit Rate(std::chrono::duration<double> memory);
+
+        void note(SteadyTime now);
+        /** @return events a second. */
+        double perSecond(SteadyTime now) const;
+        /** @return since the first event, as a share of the time that is remembered. */
+        double experience(SteadyTime now) const;
+
+    private:
+        std::chrono::duration<double> memory;
+        SteadyTime first{};
+        SteadyTime last{};
+        double count = 0;
+    };
+
+    const Clock &clock;
+    Rate late;
+    Rate usual;
+    std::size_t slots = 0;
+    std::chrono::duration<double> meanHeld{0};
+};
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -46,6 +46,10 @@
     std::uint32_t tokens = 0;
     /** Where its node is. */
     FailureDomain failureDomain;
+    /** Hash of what it asks for: by it, a request that was sent away is known when it comes back. */
+    std::uint64_t content = 0;
+    /** Whether it has never been at a replica: only then it may be refused. */
+    bool mayRefuse = false;
     /** Replicas that turned it away or failed it. */
     std::vector<EndpointName> avoided;
 };
--- /dev/null
+++ b/Libraries/LibDispatch/ReturnSchedule.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace Dogwoodkeel
+{
+
+/** When requests that were sent away come back, so that each comes back to a place of its own and not all at once. */
+class ReturnSchedule
+{
+public:
+    /** A request that was sent away. */
+    struct Return
+    {
+        /** When it came first. */
+        SteadyTime arrived{};
+        /** When it was told to come. */
+        SteadyTime comes{};
+        /** Whether a place is set aside for it. */
+        bool isPromised = false;
+    };
+
+    /**
+     * Set a place aside.
+     * @param content what the request asks for
+     * @param arrived when it came first
+     * @param latest after which it does not come any more
+     * @param perSecond returns for which there is room
+     * @return when it is to come, or nothing if all room until then is given away
+     */
+    std::optional<SteadyTime>
+    promise(std::uint64_t content, SteadyTime arrived, SteadyTime earliest, SteadyTime latest, double perSecond);
+
+    /** A request was sent away without a place set aside. */
+    void expect(std::uint64_t content, SteadyTime arrived, SteadyTime comes);
+
+    /** A request comes. @return what it was told, if it was sent away before */
+    std::optional<Return> take(std::uint64_t content);
+
+    /** Drop the promises that nobody has come back for. */
+    void forgetOld(SteadyTime now);
+
+private:
+    std::multimap<std::uint64_t, Return> expected;
+    SteadyTime last{};
+};
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2396,6 +2396,10 @@
     std::uint32_t tokens = 0;
     /** Where the asking node is. */
     FailureDomain failureDomain;
+    /** Hash of what it asks for: a request that was sent away is known by it when it comes back. */
+    std::uint64_t content = 0;
+    /** Whether it has never been at a replica, so that a refusal would be true. */
+    bool mayRefuse = false;
     /** Replicas that turned it away or failed it. */
     std::vector<EndpointName> avoided;
 
@@ -2414,6 +2418,8 @@
                 this->patience,
                 this->tokens,
                 this->failureDomain,
+                this->content,
+                this->mayRefuse,
                 this->avoided);
     }
 };
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -138,6 +138,8 @@
     wish.due = this->arrived + std::max(this->route.objective - firstEvent, std::chrono::milliseconds(0));
     wish.deadline = this->deadline;
     wish.tokens = static_cast<std::uint32_t>(this->traits.promptTokens + outputWeight * this->traits.estimatedOutputTokens);
+    wish.content = this->fingerprint;
+    wish.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
     wish.avoided = this->avoided;
     this->ticket = this->context.placements.ask(wish, [self](const Placement &placement) {
         self->takePlacement(placement);
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -105,6 +105,8 @@
     ask.patience = millisecondsOf(wish.deadline - now);
     ask.tokens = wish.tokens;
     ask.failureDomain = this->own;
+    ask.content = wish.content;
+    ask.mayRefuse = wish.mayRefuse;
     ask.avoided = wish.avoided;
     const Member *const dispatcher = this->dispatcherOf(wish.service);
     if (dispatcher == nullptr || dispatcher->session == this->peers.self()) {
@@ -361,6 +363,8 @@
     request.deadline = now + ask.patience;
     request.tokens = ask.tokens;
     request.failureDomain = ask.failureDomain;
+    request.content = ask.content;
+    request.mayRefuse = ask.mayRefuse;
     request.avoided = ask.avoided;
     if (!dispatcher.ask(request)) {
         this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}});
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -42,6 +42,10 @@
     SteadyTime due{};
     SteadyTime deadline{};
     std::uint32_t tokens = 0;
+    /** Hash of what the request asks for. */
+    std::uint64_t content = 0;
+    /** Whether it has never been at a replica. */
+    bool mayRefuse = false;
     std::vector<EndpointName> avoided;
 };
 
--- /dev/null
+++ b/Tests/LibDispatch/TestReturnSchedule.cpp
@@ -0,0 +1,60 @@
+#include <LibBase/ManualClock.h>
+#include <LibDispatch/LoadForecast.h>
+#include <LibDispatch/ReturnSchedule.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+TEST_CASE("promised returns are spread over the room, and end where it ends")
+{
+    const SteadyTime now = SteadyTime(std::chrono::seconds(100));
+    const SteadyTime latest = now + std::chrono::milliseconds(500);
+    ReturnSchedule schedule;
+    CHECK(schedule.promise(1, now, now + std::chrono::milliseconds(300), latest, 10) == now + std::chrono::milliseconds(300));
+    CHECK(schedule.promise(2, now, now + std::chrono::milliseconds(300), latest, 10) == now + std::chrono::milliseconds(400));
+    CHECK(schedule.promise(3, now, now, latest, 10) == latest);
+    CHECK_FALSE(schedule.promise(4, now, now, latest, 10));
+    CHECK_FALSE(schedule.promise(5, now, now, latest + std::chrono::seconds(5), 0));
+    const auto back = schedule.take(2);
+    REQUIRE(back);
+    CHECK(back->arrived == now);
+    CHECK(back->isPromised);
+    CHECK_FALSE(schedule.take(2));
+}
+
+TEST_CASE("who does not come back is forgotten")
+{
+    const SteadyTime now = SteadyTime(std::chrono::seconds(100));
+    ReturnSchedule schedule;
+    schedule.expect(1, now, now + std::chrono::seconds(1));
+    schedule.forgetOld(now + std::chrono::seconds(2));
+    CHECK_FALSE(schedule.take(1)->isPromised);
+    schedule.expect(1, now, now + std::chrono::seconds(1));
+    schedule.forgetOld(now + std::chrono::seconds(4));
+    CHECK_FALSE(schedule.take(1));
+}
+
+// A burst right after the start of a dispatcher looks like a load that stays, and the other way round; until it knows, it
+// must not promise room.
+TEST_CASE("room is told only when the usual load is known")
+{
+    ManualClock clock;
+    LoadForecast forecast(clock);
+    forecast.setSlots(100);
+    CHECK(forecast.serviceRate() == 0);
+    forecast.noteRun(std::chrono::seconds(1));
+    CHECK(forecast.serviceRate() == doctest::Approx(100));
+    for (int arrival = 0; arrival < 250; ++arrival) {
+        clock.advance(std::chrono::milliseconds(20));
+        forecast.noteArrival();
+    }
+    CHECK(forecast.usualRoom() == 0);
+    for (int arrival = 0; arrival < 1000; ++arrival) {
+        clock.advance(std::chrono::milliseconds(20));
+        forecast.noteArrival();
+    }
+    CHECK(forecast.usualRoom() == doctest::Approx(50).epsilon(0.05));
+    forecast.setSlots(40);
+    CHECK(forecast.usualRoom() == 0);
+}
