--- a/Benchmarks/Support/LocalFleet.cpp
+++ b/Benchmarks/Support/LocalFleet.cpp
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -29,6 +30,8 @@
 constexpr std::chrono::milliseconds pollInterval{20};
 constexpr std::chrono::seconds callTimeout{10};
 constexpr int exitNoProgram = 127;
+/** Bytes at the end of a log that tell why a process ended. */
+constexpr std::size_t shownLog = 4000;
 
 } // namespace
 
@@ -91,6 +94,7 @@
     if (pid != 0) {
         process.pid = pid;
         process.isPaused = false;
+        process.isStopping = false;
         return;
     }
     const int log = open(process.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -151,19 +155,28 @@
     return index;
 }
 
-bool LocalFleet::reportEnded()
+std::vector<std::string> LocalFleet::takeEnded()
 {
+    std::vector<std::string> ended;
     for (Process &process : this->processes) {
-        if (process.pid <= 0 || waitpid(process.pid, nullptr, WNOHANG) != process.pid) {
+        if (process.pid <= 0 || process.isStopping || waitpid(process.pid, nullptr, WNOHANG) != process.pid) {
             continue;
         }
         process.pid = 0;
         std::ifstream log(process.logFile);
         const std::string text{std::istreambuf_iterator<char>(log), std::istreambuf_iterator<char>()};
-        std::fprintf(stderr, "%s ended by itself: %s\n", process.name.c_str(), text.c_str());
-        return true;
+        ended.push_back(process.name + " ended by itself: " + text.substr(text.size() - std::min(text.size(), shownLog)));
+    }
+    return ended;
+}
+
+bool LocalFleet::reportEnded()
+{
+    const std::vector<std::string> ended = this->takeEnded();
+    for (const std::string &process : ended) {
+        std::fprintf(stderr, "%s\n", process.c_str());
     }
-    return false;
+    return !ended.empty();
 }
 
 bool LocalFleet::waitReady(std::chrono::milliseconds timeout)
@@ -199,6 +212,7 @@
         waitpid(process.pid, nullptr, 0);
         process.pid = 0;
     }
+    process.isStopping = process.isStopping || number == SIGTERM || number == SIGKILL;
     process.isPaused = number == SIGSTOP || (process.isPaused && number != SIGCONT && number != SIGKILL);
 }
 
--- a/Benchmarks/Support/LocalFleet.h
+++ b/Benchmarks/Support/LocalFleet.h
@@ -27,6 +27,8 @@
         pid_t pid = 0;
         Address address;
         bool isPaused = false;
+        /** Whether it was told to end. */
+        bool isStopping = false;
     };
 
     /** A node's place. */
@@ -70,6 +72,18 @@
      */
     bool waitReady(std::chrono::milliseconds timeout);
 
+    /** @return a loopback address that no other process of this machine's fleets uses. */
+    Address nextAddress();
+
+    /** Start any process. @return its index */
+    std::size_t start(const std::string &name, std::vector<std::string> command, const Address &address);
+
+    /** @return the path of a new file that goes with the fleet. */
+    std::string writeFile(const std::string &name, const std::string &text);
+
+    /** @return the processes that ended though nobody told them to, with the last lines of their logs; each is told once. */
+    std::vector<std::string> takeEnded();
+
     /** Send a signal: SIGKILL, SIGTERM, SIGSTOP, SIGCONT. */
     void signal(std::size_t index, int number);
 
@@ -92,11 +106,8 @@
     static Answer call(const Address &address, const std::string &method, const std::string &path, const std::string &body = {});
 
 private:
-    Address nextAddress();
-    std::size_t start(const std::string &name, std::vector<std::string> command, const Address &address);
     void spawn(Process &process);
     bool reportEnded();
-    std::string writeFile(const std::string &name, const std::string &text);
 
     std::string programs;
     std::string folder;
--- a/Tests/Fakes/RawConnection.cpp
+++ b/Tests/Fakes/RawConnection.cpp
@@ -65,6 +65,17 @@
     return this->received;
 }
 
+void RawConnection::drop(std::size_t bytes)
+{
+    this->received.erase(0, bytes);
+}
+
+std::string RawConnection::readBytes(std::size_t bytes)
+{
+    while (this->received.size() < bytes && this->readMore()) { }
+    return this->received;
+}
+
 bool RawConnection::isClosed() const
 {
     return this->closed;
--- a/Tests/Fakes/RawConnection.h
+++ b/Tests/Fakes/RawConnection.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Address.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,12 @@
     /** @return all that was received until the server closed the connection. */
     std::string readAll();
 
+    /** Forget the first bytes of what was received. */
+    void drop(std::size_t bytes);
+
+    /** @return all that was received and not dropped, once it is that much, or the server closed the connection. */
+    std::string readBytes(std::size_t bytes);
+
     /** @return whether the server closed the connection. */
     bool isClosed() const;
 
--- a/Tests/Fakes/StandInStore.cpp
+++ b/Tests/Fakes/StandInStore.cpp
@@ -142,7 +142,7 @@
             exchange->send(503, {}, {});
             return;
         }
-        answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"truncated", false}, {"ver", result.version}});
+        answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"truncated", result.isTruncated}, {"ver", result.version}});
     });
 }
 
--- /dev/null
+++ b/Tests/Soak/FaultProxy.cpp
@@ -0,0 +1,194 @@
+#include <Tests/Soak/FaultProxy.h>
+
+#include <LibTask/Sockets.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+constexpr int backlog = 256;
+
+/** Closing the descriptor then sends a reset instead of an orderly end. */
+void resetOnClose(int descriptor)
+{
+    const linger hard{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+}
+
+} // namespace
+
+/** A connection of a client and the one to the target that goes with it. */
+class FaultProxy::Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(FaultProxy &proxy, int descriptor) : proxy(proxy)
+    {
+        event_base *const base = proxy.loop.base();
+        this->client = bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+        this->server = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(this->client, onRead, nullptr, onEvent, this);
+        bufferevent_setcb(this->server, onRead, nullptr, onEvent, this);
+        const sockaddr_in to = socketAddress(proxy.target);
+        bufferevent_socket_connect(this->server, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+        bufferevent_enable(this->client, EV_READ | EV_WRITE);
+        bufferevent_enable(this->server, EV_READ | EV_WRITE);
+    }
+
+    ~Link()
+    {
+        bufferevent_free(this->client);
+        bufferevent_free(this->server);
+    }
+
+    Link(const Link &) = delete;
+    Link &operator=(const Link &) = delete;
+
+    void reset()
+    {
+        resetOnClose(bufferevent_getfd(this->client));
+        resetOnClose(bufferevent_getfd(this->server));
+    }
+
+private:
+    static void onRead(bufferevent *from, void *self)
+    {
+        static_cast<Link *>(self)->pass(from);
+    }
+
+    static void onEvent(bufferevent *from, short what, void *self)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<Link *>(self)->end(from, (what & BEV_EVENT_ERROR) != 0);
+        }
+    }
+
+    bool isLost(const bufferevent *from) const
+    {
+        const bool isFromClient = from == this->client;
+        return this->proxy.mode == Mode::Silent || (this->proxy.mode == Mode::OneWay && isFromClient);
+    }
+
+    bufferevent *otherOf(const bufferevent *from) const
+    {
+        return from == this->client ? this->server : this->client;
+    }
+
+    void pass(bufferevent *from)
+    {
+        evbuffer *const input = bufferevent_get_input(from);
+        if (this->isLost(from)) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+            return;
+        }
+        if (this->proxy.mode != Mode::Delay && this->delayed == 0) {
+            bufferevent_write_buffer(this->otherOf(from), input);
+            return;
+        }
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        // Later parts wait for those that are delayed, so that the order stays.
+        ++this->delayed;
+        this->later([bytes = std::move(bytes), to = this->otherOf(from)](Link &link) {
+            --link.delayed;
+            bufferevent_write(to, bytes.data(), bytes.size());
+        });
+    }
+
+    void end(const bufferevent *from, bool isReset)
+    {
+        if (this->isLost(from)) {
+            return;
+        }
+        if (isReset) {
+            this->reset();
+        }
+        // What was passed on before leaves first: a moment is enough on loopback.
+        this->later([](Link &link) {
+            link.proxy.links.erase(link.shared_from_this());
+        });
+    }
+
+    void later(std::function<void(Link &)> action)
+    {
+        constexpr std::chrono::milliseconds moment{5};
+        this->proxy.loop.schedule(this->proxy.delay + moment, [weak = this->weak_from_this(), action = std::move(action)] {
+            if (const std::shared_ptr<Link> link = weak.lock()) {
+                action(*link);
+            }
+        });
+    }
+
+    FaultProxy &proxy;
+    bufferevent *client = nullptr;
+    bufferevent *server = nullptr;
+    std::size_t delayed = 0;
+};
+
+FaultProxy::FaultProxy(EventLoop &loop, const Address &target) : loop(loop), target(target)
+{
+    const sockaddr_in any = socketAddress({"127.0.0.1", 0});
+    this->listener = evconnlistener_new_bind(loop.base(),
+                                             onAccept,
+                                             this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                             backlog,
+                                             reinterpret_cast<const sockaddr *>(&any),
+                                             sizeof(any));
+    if (this->listener == nullptr) {
+        throw std::runtime_error("no port for a proxy");
+    }
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&bound), &size);
+    this->own = {"127.0.0.1", ntohs(bound.sin_port)};
+}
+
+FaultProxy::~FaultProxy()
+{
+    this->links.clear();
+    evconnlistener_free(this->listener);
+}
+
+const Address &FaultProxy::address() const
+{
+    return this->own;
+}
+
+void FaultProxy::setMode(Mode mode, std::chrono::milliseconds delay)
+{
+    this->mode = mode;
+    this->delay = delay;
+    if (mode == Mode::Reset) {
+        for (const std::shared_ptr<Link> &link : this->links) {
+            link->reset();
+        }
+        this->links.clear();
+    }
+}
+
+void FaultProxy::onAccept(evconnlistener *, int descriptor, sockaddr *, int, void *self)
+{
+    auto &proxy = *static_cast<FaultProxy *>(self);
+    if (proxy.mode == Mode::Reset) {
+        resetOnClose(descriptor);
+        evutil_closesocket(descriptor);
+        return;
+    }
+    proxy.links.insert(std::make_shared<Link>(proxy, descriptor));
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/Soak/Soak.cpp
@@ -0,0 +1,388 @@
+// Runs nodes as processes of their own, injects faults from outside them as a seed says, and holds what callers and replicas
+// see against what was promised to them.
+
+#include <Benchmarks/Support/LocalFleet.h>
+#include <LibTask/TaskHost.h>
+#include <Tests/Soak/SoakCaller.h>
+#include <Tests/Soak/SoakWorld.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(programs, "build", "folder with the build's programs");
+DEFINE_uint32(seed, 1, "what faults come, and when");
+DEFINE_uint32(seconds, 20, "how long faults come");
+DEFINE_uint32(nodes, 4, "node processes");
+DEFINE_uint32(replicas, 6, "stand-in replicas; one in three is a plain service");
+DEFINE_uint32(callers, 12, "callers at once");
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds shortestFault{100};
+constexpr std::chrono::milliseconds longestFault{3500};
+constexpr std::chrono::milliseconds longestPause{900};
+/** Everything is back this long after the last fault; what callers were promised holds from then on. */
+constexpr std::chrono::seconds recovery{12};
+constexpr std::chrono::seconds jobPatience{60};
+/** A node ends by itself this long after SIGTERM: the grace of its settings, and a busy machine. */
+constexpr std::chrono::seconds stopPatience{20};
+constexpr double servedAfter = 0.9;
+constexpr int probes = 40;
+constexpr std::uint16_t peerPort = 7601;
+constexpr std::uint16_t readyPort = 7602;
+
+class Soak
+{
+public:
+    Soak() : fleet(FLAGS_programs), world("world", this->record, FLAGS_nodes, FLAGS_replicas), random(FLAGS_seed)
+    {
+        for (std::uint32_t node = 0; node < FLAGS_nodes; ++node) {
+            this->addresses.push_back(this->fleet.nextAddress());
+        }
+        for (std::uint32_t node = 0; node < FLAGS_nodes; ++node) {
+            this->startNode(node);
+        }
+    }
+
+    /** @return whether all promises were kept. */
+    bool run()
+    {
+        std::vector<std::thread> threads;
+        for (std::uint32_t number = 0; number < FLAGS_callers; ++number) {
+            threads.emplace_back([this, number] {
+                SoakCaller(this->record, this->addresses, "c" + std::to_string(number), FLAGS_seed * 1000 + number)
+                    .run(this->isStopped);
+            });
+        }
+        this->passTime(Clock::now() + std::chrono::seconds(2));
+        const auto end = Clock::now() + std::chrono::seconds(FLAGS_seconds);
+        while (Clock::now() < end) {
+            this->injectFault();
+            this->passTime(Clock::now() + this->randomTime(std::chrono::milliseconds(0), longestPause));
+        }
+        while (!this->pending.empty()) {
+            this->passTime(Clock::now() + longestPause);
+        }
+        this->passTime(Clock::now() + recovery);
+        this->isStopped = true;
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        this->finish();
+        return this->record.violations().empty();
+    }
+
+    void report() const
+    {
+        std::printf("seed %u: %s\n", FLAGS_seed, this->record.summary().c_str());
+        for (const std::string &violation : this->record.violations()) {
+            std::printf("  BROKEN %s\n", violation.c_str());
+        }
+        if (!this->record.violations().empty()) {
+            std::printf("  faults:\n");
+            for (const std::string &fault : this->faults) {
+                std::printf("    %s\n", fault.c_str());
+            }
+            std::printf("  logs: %s and beside it\n", this->fleet.process(0).logFile.c_str());
+        }
+    }
+
+private:
+    void startNode(std::uint32_t node)
+    {
+        std::string seeds;
+        for (const Address &address : this->addresses) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + Address{address.ip, peerPort}.toString() + '"';
+        }
+        const Address &own = this->addresses[node];
+        const std::string name = "node-" + std::to_string(node);
+        const Address store = this->world.ask<Address>([node](SoakWorld &world) {
+            return world.storeWay(node).address();
+        });
+        const std::string peer = Address{own.ip, peerPort}.toString();
+        const std::string settings = "[node]\nvm = \"" + name + "\"\nfailure_domain = \"z" + std::to_string(node % 3)
+            + "\"\n[listen]\nhttp = \"" + own.toString() + "\"\ngossip = \"" + peer + "\"\nowner = \"" + peer
+            + "\"\n[platform]\naddress = \"" + store.toString()
+            + "\"\ntimeout = \"1500ms\"\n[peers]\nsite_key = \"soak\"\nseeds = [" + seeds + "]\n[gateway]\nready = \""
+            + Address{own.ip, readyPort}.toString() + "\"\n";
+        const std::string file = this->fleet.writeFile(name + ".toml", settings);
+        this->processes.push_back(
+            this->fleet.start(name, {FLAGS_programs + "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, own));
+        this->isDisturbed.push_back(false);
+    }
+
+    std::chrono::milliseconds randomTime(std::chrono::milliseconds least, std::chrono::milliseconds most)
+    {
+        std::uniform_int_distribution<std::int64_t> spread(least.count(), most.count());
+        return std::chrono::milliseconds(spread(this->random));
+    }
+
+    void later(std::chrono::milliseconds delay, std::function<void()> action)
+    {
+        this->pending.emplace(Clock::now() + delay, std::move(action));
+    }
+
+    /** Do what is due until then. */
+    void passTime(Clock::time_point until)
+    {
+        constexpr std::chrono::milliseconds look{5};
+        while (Clock::now() < until) {
+            while (!this->pending.empty() && this->pending.begin()->first <= Clock::now()) {
+                const std::function<void()> action = this->pending.begin()->second;
+                this->pending.erase(this->pending.begin());
+                action();
+            }
+            for (const std::string &ended : this->fleet.takeEnded()) {
+                this->record.violate(ended);
+            }
+            std::this_thread::sleep_for(look);
+        }
+    }
+
+    void note(const std::string &fault)
+    {
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - this->started);
+        this->faults.push_back(std::to_string(since.count()) + " ms: " + fault);
+    }
+
+    void injectFault()
+    {
+        const std::chrono::milliseconds length = this->randomTime(shortestFault, longestFault);
+        switch (this->random() % 12) {
+        case 0:
+            this->disturbNode(SIGKILL, length);
+            return;
+        case 1:
+            this->disturbNode(SIGSTOP, length);
+            return;
+        case 2:
+            this->disturbNode(SIGTERM, length);
+            return;
+        case 3:
+            this->hangUp();
+            return;
+        case 4:
+        case 5:
+            this->disturbWay("store way", this->random() % FLAGS_nodes, length, &SoakWorld::storeWay);
+            return;
+        case 6:
+        case 7:
+            this->disturbWay("replica way", this->random() % FLAGS_replicas, length, &SoakWorld::replicaWay);
+            return;
+        case 8:
+            this->disturbStore(length);
+            return;
+        case 9:
+            this->disturbWrites();
+            return;
+        case 10:
+            this->drainReplica(length);
+            return;
+        default:
+            this->changeAll(length);
+            return;
+        }
+    }
+
+    void disturbNode(int signal, std::chrono::milliseconds length)
+    {
+        const std::uint32_t node = this->random() % FLAGS_nodes;
+        if (std::exchange(this->isDisturbed[node], true)) {
+            return;
+        }
+        this->note("signal " + std::to_string(signal) + " to node " + std::to_string(node) + " for "
+                   + std::to_string(length.count()) + " ms");
+        this->fleet.signal(this->processes[node], signal);
+        if (signal == SIGTERM) {
+            this->awaitStop(node, Clock::now() + stopPatience);
+            return;
+        }
+        this->later(length, [this, node, signal] {
+            if (signal == SIGSTOP) {
+                this->fleet.signal(this->processes[node], SIGCONT);
+            } else {
+                this->fleet.restart(this->processes[node]);
+            }
+            this->isDisturbed[node] = false;
+        });
+    }
+
+    void awaitStop(std::uint32_t node, Clock::time_point until)
+    {
+        constexpr std::chrono::milliseconds look{30};
+        const int status = this->fleet.waitEnd(this->processes[node], std::chrono::milliseconds(1));
+        if (this->fleet.process(this->processes[node]).pid > 0 && Clock::now() < until) {
+            this->later(look, [this, node, until] {
+                this->awaitStop(node, until);
+            });
+            return;
+        }
+        if (status != 0) {
+            this->record.violate("node " + std::to_string(node) + " did not stop as planned");
+            this->fleet.signal(this->processes[node], SIGKILL);
+        }
+        this->fleet.restart(this->processes[node]);
+        this->isDisturbed[node] = false;
+    }
+
+    void hangUp()
+    {
+        const std::uint32_t node = this->random() % FLAGS_nodes;
+        this->note("SIGHUP to node " + std::to_string(node));
+        this->fleet.signal(this->processes[node], SIGHUP);
+    }
+
+    void disturbWay(const std::string &what,
+                    std::uint32_t number,
+                    std::chrono::milliseconds length,
+                    FaultProxy &(SoakWorld::*way)(std::size_t))
+    {
+        static constexpr FaultProxy::Mode modes[]
+            = {FaultProxy::Mode::Delay, FaultProxy::Mode::Reset, FaultProxy::Mode::OneWay, FaultProxy::Mode::Silent};
+        const std::size_t kind = this->random() % std::size(modes);
+        const std::chrono::milliseconds delay = this->randomTime(std::chrono::milliseconds(5), std::chrono::milliseconds(400));
+        this->note(what + ' ' + std::to_string(number) + " in mode " + std::to_string(kind + 1) + " for "
+                   + std::to_string(length.count()) + " ms");
+        this->world.post([way, number, mode = modes[kind], delay](SoakWorld &world) {
+            (world.*way)(number).setMode(mode, delay);
+        });
+        this->later(length, [this, way, number] {
+            this->world.post([way, number](SoakWorld &world) {
+                // Connections over which bytes were lost are of no use any more: the network tells so in the end.
+                (world.*way)(number).setMode(FaultProxy::Mode::Reset);
+                (world.*way)(number).setMode(FaultProxy::Mode::Pass);
+            });
+        });
+    }
+
+    void disturbStore(std::chrono::milliseconds length)
+    {
+        const bool isSilent = this->random() % 2 == 0;
+        this->note(std::string("store ") + (isSilent ? "silent" : "busy") + " for " + std::to_string(length.count()) + " ms");
+        this->world.post([isSilent](SoakWorld &world) {
+            world.platform().setMood(isSilent ? StandInStore::Mood::Silent : StandInStore::Mood::Busy);
+        });
+        this->later(length, [this] {
+            this->world.post([](SoakWorld &world) {
+                world.platform().setMood(StandInStore::Mood::Serving);
+            });
+        });
+    }
+
+    void disturbWrites()
+    {
+        const std::size_t count = 1 + this->random() % 8;
+        const std::chrono::milliseconds delay = this->randomTime(std::chrono::milliseconds(50), longestFault);
+        const unsigned kind = this->random() % 3;
+        this->note("kind " + std::to_string(kind) + " of disturbed writes, " + std::to_string(count));
+        this->world.post([count, delay, kind](SoakWorld &world) {
+            if (kind == 0) {
+                world.platform().rows().loseAnswers(count);
+            } else if (kind == 1) {
+                world.platform().rows().delayWrites(count, delay);
+            } else {
+                world.platform().rows().dropHistory();
+            }
+        });
+    }
+
+    void drainReplica(std::chrono::milliseconds length)
+    {
+        const std::uint32_t replica = this->random() % FLAGS_replicas;
+        this->note("replica " + std::to_string(replica) + " leaves for " + std::to_string(length.count()) + " ms");
+        this->world.post([replica](SoakWorld &world) {
+            world.registerReplica(replica, "draining");
+        });
+        this->later(length, [this, replica] {
+            this->world.post([replica](SoakWorld &world) {
+                world.registerReplica(replica, "ready");
+            });
+        });
+    }
+
+    /** A new configuration; one time in three, all nodes are killed just after it. */
+    void changeAll(std::chrono::milliseconds length)
+    {
+        this->note("new configuration");
+        this->world.post([](SoakWorld &world) {
+            world.configure();
+        });
+        if (this->random() % 3 != 0) {
+            return;
+        }
+        this->note("all nodes are killed for " + std::to_string(length.count()) + " ms");
+        for (std::uint32_t node = 0; node < FLAGS_nodes; ++node) {
+            if (std::exchange(this->isDisturbed[node], true)) {
+                continue;
+            }
+            this->fleet.signal(this->processes[node], SIGKILL);
+            this->later(length, [this, node] {
+                this->fleet.restart(this->processes[node]);
+                this->isDisturbed[node] = false;
+            });
+        }
+    }
+
+    void finish()
+    {
+        SoakCaller last(this->record, this->addresses, "last", FLAGS_seed);
+        last.finishJobs(jobPatience);
+        const double served = last.probe(probes);
+        if (served < servedAfter) {
+            this->record.violate("only " + std::to_string(served) + " of the requests are served after all faults");
+        }
+        for (const std::size_t process : this->processes) {
+            this->fleet.signal(process, SIGTERM);
+        }
+        for (const std::size_t process : this->processes) {
+            if (this->fleet.waitEnd(process, stopPatience) != 0) {
+                this->record.violate(this->fleet.process(process).name + " did not stop as planned in the end");
+            }
+        }
+        this->record.checkEnd();
+    }
+
+    SoakRecord record;
+    LocalFleet fleet;
+    TaskHost<SoakWorld> world;
+    std::minstd_rand random;
+    const Clock::time_point started = Clock::now();
+    std::vector<Address> addresses;
+    std::vector<std::size_t> processes;
+    std::deque<bool> isDisturbed;
+    std::multimap<Clock::time_point, std::function<void()>> pending;
+    std::vector<std::string> faults;
+    std::atomic<bool> isStopped = false;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("soak --seed=N --seconds=S [--nodes=N] [--replicas=N] [--callers=N]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    Soak soak;
+    const bool isKept = soak.run();
+    soak.report();
+    if (!isKept) {
+        setenv("KEEP_LOGS", "1", 1);
+    }
+    return isKept ? 0 : 1;
+}
--- /dev/null
+++ b/Tests/Soak/SoakCaller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <Tests/Fakes/RawConnection.h>
+#include <Tests/Soak/SoakRecord.h>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * A caller that sends one request after the other, keeps its connection as long as the node does, and holds what it gets
+ * against what the replicas generate. Blocks its thread.
+ */
+class SoakCaller
+{
+public:
+    /** @param name part of all its ids */
+    SoakCaller(SoakRecord &record, std::vector<Address> nodes, std::string name, unsigned seed);
+
+    /** Send requests until told to stop. */
+    void run(const std::atomic<bool> &isStopped);
+
+    /** Read the results of all open jobs until they are complete, or the time is over. */
+    void finishJobs(std::chrono::seconds patience);
+
+    /** @return the share of so many ordinary requests that are served. */
+    double probe(int count);
+
+private:
+    struct Response
+    {
+        int status = 0;
+        std::string body;
+        bool isComplete = false;
+    };
+
+    /** A kind of online request. */
+    struct Kind
+    {
+        const char *prefix;
+        Repeats repeats;
+        bool isStream;
+    };
+
+    std::string nextId();
+    Address anyNode();
+    bool callOnline(const Kind &kind);
+    TryEnd tryOnline(const Kind &kind, const std::string &body);
+    void checkAnswer(const Kind &kind, const std::string &id, const std::string &body, const Response &response);
+    void submitJob();
+    void readJob(const std::string &job);
+    void endJob(const std::string &job);
+    Response call(const std::string &startLine, const std::string &id, const std::string &body);
+    Response readResponse();
+    void readChunks(Response &response, std::size_t from);
+
+    SoakRecord &record;
+    std::vector<Address> nodes;
+    std::string name;
+    std::minstd_rand random;
+    std::uint64_t lastId = 0;
+    std::unique_ptr<RawConnection> connection;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/Soak/SoakRecord.cpp
@@ -0,0 +1,137 @@
+#include <Tests/Soak/SoakRecord.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+void SoakRecord::noteRun(const std::string &id)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->runs[id];
+}
+
+void SoakRecord::noteTry(const std::string &id, Repeats repeats, TryEnd end)
+{
+    const std::lock_guard lock(this->mutex);
+    this->repeats[id] = repeats;
+    this->answered += end == TryEnd::Answered ? 1 : 0;
+    this->open += end == TryEnd::Open ? 1 : 0;
+    if (end == TryEnd::Refused) {
+        this->refused.insert(id);
+    }
+}
+
+void SoakRecord::noteJob(const std::string &job, const std::map<std::string, std::string> &outputs)
+{
+    const std::lock_guard lock(this->mutex);
+    this->jobs[job].outputs = outputs;
+}
+
+void SoakRecord::noteRefusedJob(const std::vector<std::string> &items)
+{
+    const std::lock_guard lock(this->mutex);
+    this->refusedItems.insert(items.begin(), items.end());
+}
+
+void SoakRecord::noteResults(const std::string &job,
+                             std::uint64_t total,
+                             const std::vector<std::pair<std::string, std::string>> &results)
+{
+    const std::lock_guard lock(this->mutex);
+    Job &known = this->jobs[job];
+    const auto violateItem = [this, &job](const std::string &item, const std::string &what) {
+        std::string text("job ");
+        text.append(job).append(": item ").append(item).append(what);
+        this->broken.push_back(std::move(text));
+    };
+    if (total != known.outputs.size()) {
+        this->broken.push_back("job " + job + ": total " + std::to_string(total) + " of " + std::to_string(known.outputs.size()));
+    }
+    for (std::size_t position = 0; position < results.size(); ++position) {
+        const auto &[item, output] = results[position];
+        if (position < known.results.size()) {
+            if (known.results[position] != results[position]) {
+                this->broken.push_back("job " + job + ": position " + std::to_string(position) + " has changed");
+            }
+            continue;
+        }
+        const auto expected = known.outputs.find(item);
+        if (expected == known.outputs.end() || expected->second != output) {
+            violateItem(item, " has a wrong output: " + output);
+        }
+        for (const auto &[before, text] : known.results) {
+            if (before == item) {
+                violateItem(item, " is listed twice");
+            }
+        }
+        known.results.push_back(results[position]);
+    }
+}
+
+void SoakRecord::noteJobEnded(const std::string &job)
+{
+    const std::lock_guard lock(this->mutex);
+    this->jobs[job].isEnded = true;
+}
+
+void SoakRecord::violate(const std::string &what)
+{
+    const std::lock_guard lock(this->mutex);
+    this->broken.push_back(what);
+}
+
+std::vector<std::string> SoakRecord::openJobs() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> open;
+    for (const auto &[name, job] : this->jobs) {
+        if (!job.isEnded && job.results.size() < job.outputs.size()) {
+            open.push_back(name);
+        }
+    }
+    return open;
+}
+
+void SoakRecord::checkEnd()
+{
+    for (const std::string &job : this->openJobs()) {
+        this->violate("job " + job + ": items without a result, though all faults are over");
+    }
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[id, kind] : this->repeats) {
+        const auto count = this->runs.find(id);
+        const int ran = count != this->runs.end() ? count->second : 0;
+        if (kind == Repeats::Never && ran > 1) {
+            this->broken.push_back("request " + id + " ran " + std::to_string(ran) + " times");
+        }
+        if (kind == Repeats::Never && ran > 0 && this->refused.contains(id)) {
+            this->broken.push_back("request " + id + " was refused as not run, and has run");
+        }
+    }
+    for (const std::string &item : this->refusedItems) {
+        if (this->runs.contains(item)) {
+            this->broken.push_back("item " + item + " has run, though its job was refused");
+        }
+    }
+}
+
+std::vector<std::string> SoakRecord::violations() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->broken;
+}
+
+std::string SoakRecord::summary() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t listed = 0;
+    for (const auto &[name, job] : this->jobs) {
+        listed += job.results.size();
+    }
+    return std::to_string(this->answered) + " answered, " + std::to_string(this->refused.size()) + " refused, "
+        + std::to_string(this->open) + " left open, " + std::to_string(this->jobs.size()) + " jobs, " + std::to_string(listed)
+        + " results";
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/Soak/SoakRecord.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** What a kind of request promises of its runs. */
+enum class Repeats {
+    /** It may run more than once. */
+    Allowed,
+    /** It runs at most once. */
+    Never,
+};
+
+/** How one try of a caller ended. */
+enum class TryEnd {
+    /** The whole answer. */
+    Answered,
+    /** 429 or 503: it has not run, and never will. */
+    Refused,
+    /** Anything that promises nothing. */
+    Open,
+};
+
+/** All that callers and replicas have seen, and what of it breaks a promise. Used from all threads. */
+class SoakRecord
+{
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /** A replica begins to run a request. */
+    void noteRun(const std::string &id);
+
+    /** A caller's try is over. */
+    void noteTry(const std::string &id, Repeats repeats, TryEnd end);
+
+    /** A job was accepted. @param outputs the expected output of each item, by its id */
+    void noteJob(const std::string &job, const std::map<std::string, std::string> &outputs);
+
+    /** A submission was refused, with the word that nothing of it will run. @param items their ids */
+    void noteRefusedJob(const std::vector<std::string> &items);
+
+    /** A job's results were read. @param results output by position, from the first on */
+    void
+    noteResults(const std::string &job, std::uint64_t total, const std::vector<std::pair<std::string, std::string>> &results);
+
+    /** The end of a job was acknowledged. */
+    void noteJobEnded(const std::string &job);
+
+    /** A promise was broken. */
+    void violate(const std::string &what);
+
+    /** @return jobs that were accepted and not ended, and are not known to be complete. */
+    std::vector<std::string> openJobs() const;
+
+    /** Look at what can be told only at the end. */
+    void checkEnd();
+
+    std::vector<std::string> violations() const;
+
+    /** @return counts, for the report. */
+    std::string summary() const;
+
+private:
+    struct Job
+    {
+        std::map<std::string, std::string> outputs;
+        std::vector<std::pair<std::string, std::string>> results;
+        bool isEnded = false;
+    };
+
+    mutable std::mutex mutex;
+    std::map<std::string, int> runs;
+    std::map<std::string, Repeats> repeats;
+    std::set<std::string> refused;
+    std::set<std::string> refusedItems;
+    std::map<std::string, Job> jobs;
+    std::vector<std::string> broken;
+    int answered = 0;
+    int open = 0;
+};
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Tests/Soak/SoakWorld.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibBase/SystemClock.h>
+#include <LibProxy/CallerServer.h>
+#include <LibTask/EventLoop.h>
+#include <Tests/Fakes/StandInStore.h>
+#include <Tests/Soak/FaultProxy.h>
+#include <Tests/Soak/SoakRecord.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/** @return the output that a replica generates for a request with this body: its events in order. */
+std::vector<std::string> outputOf(const std::string &body);
+
+/** What is outside the nodes: the platform's store and the replicas, each behind a proxy. Lives on one event loop. */
+class SoakWorld
+{
+public:
+    /** @param nodes as many ways to the store are made */
+    SoakWorld(EventLoop &loop, SoakRecord &record, std::size_t nodes, std::size_t replicas);
+
+    /** @return the way of a node to the store. */
+    FaultProxy &storeWay(std::size_t node);
+    /** @return the way of all nodes to a replica. */
+    FaultProxy &replicaWay(std::size_t replica);
+    StandInStore &platform();
+    std::size_t replicaCount() const;
+
+    /** Bring a newer version of the configuration into force. */
+    void configure();
+
+    /** Tell the nodes that a replica is there, or leaves. */
+    void registerReplica(std::size_t replica, const std::string &state);
+
+private:
+    struct Replica
+    {
+        std::string instance;
+        std::string service;
+        std::unique_ptr<CallerServer> server;
+        std::unique_ptr<FaultProxy> way;
+    };
+
+    void addReplica(const std::string &service);
+    void serve(const std::string &service, const std::shared_ptr<CallerExchange> &exchange);
+    void generate(const std::shared_ptr<CallerExchange> &exchange, const std::vector<std::string> &output, std::size_t next);
+
+    EventLoop &loop;
+    SoakRecord &record;
+    SystemClock clock;
+    StandInStore store;
+    std::vector<std::unique_ptr<FaultProxy>> storeWays;
+    std::vector<Replica> replicas;
+    int version = 0;
+};
+
+} // namespace Dogwoodkeel
