Specification: A model of a batch job's rows; Tests: the soak tells maybe-ended jobs

The checker took a job for open whose end had been sent and not answered, as happens to a call at a node that is killed; such an end may take effect. Mended; not proved to be what happened there, so the finding stays open; rows are printed from now on.

--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -69,10 +69,23 @@
     return "$failures"
 }
 
+checkJobRows() {
+    holds JobRows -DACCEPTANCE
+    holds JobRows
+    mutation JobRows -DNO_VERSION
+    mutation JobRows -DBLIND_END
+    mutation JobRows -DACCEPTANCE -DNO_ORDER
+    mutation JobRows -DACCEPTANCE -DUNKNOWN_IS_REFUSED
+    return "$failures"
+}
+
 checkCoreProtocol &
 core=$!
 work=$root/chain
 mkdir "$work"
 checkConfigurationChain || failures=1
+work=$root/jobs
+mkdir "$work"
+checkJobRows || failures=1
 wait "$core" || failures=1
 exit "$failures"
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -343,6 +343,9 @@
     {
         SoakCaller last(this->record, this->addresses, "last", FLAGS_seed);
         last.finishJobs(jobPatience);
+        for (const std::string &job : this->record.openJobs()) {
+            this->note("rows of " + job + ": " + this->rowsOf(job));
+        }
         const double served = last.probe(probes);
         if (served < servedAfter) {
             this->record.violate("only " + std::to_string(served) + " of the requests are served after all faults");
@@ -358,6 +361,22 @@
         this->record.checkEnd();
     }
 
+    /** @return what the store holds of a job, to tell why it is not done. */
+    std::string rowsOf(const std::string &job)
+    {
+        return this->world.ask<std::string>([&job](SoakWorld &world) {
+            std::string text;
+            for (const char *const table : {"jobs", "jobs-open"}) {
+                for (const StoredRow &row : world.platform().rows().rowsOf(table)) {
+                    const bool isOfJob = row.place.part == job || row.place.key.ends_with(job);
+                    text += isOfJob ? row.place.table + ' ' + row.place.key + " version " + std::to_string(row.version) + "; "
+                                    : "";
+                }
+            }
+            return text;
+        });
+    }
+
     SoakRecord record;
     LocalFleet fleet;
     TaskHost<SoakWorld> world;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -191,9 +191,8 @@
 
 void SoakCaller::endJob(const std::string &job)
 {
-    if (this->call("DELETE /lots/" + job, this->nextId(), {}).status == 200) {
-        this->record.noteJobEnded(job);
-    }
+    this->record.noteEndAsked(job);
+    this->call("DELETE /lots/" + job, this->nextId(), {});
 }
 
 void SoakCaller::finishJobs(std::chrono::seconds patience)
--- a/Tests/Soak/SoakRecord.cpp
+++ b/Tests/Soak/SoakRecord.cpp
@@ -69,10 +69,10 @@
     }
 }
 
-void SoakRecord::noteJobEnded(const std::string &job)
+void SoakRecord::noteEndAsked(const std::string &job)
 {
     const std::lock_guard lock(this->mutex);
-    this->jobs[job].isEnded = true;
+    this->jobs[job].isEndAsked = true;
 }
 
 void SoakRecord::violate(const std::string &what)
@@ -86,7 +86,7 @@
     const std::lock_guard lock(this->mutex);
     std::vector<std::string> open;
     for (const auto &[name, job] : this->jobs) {
-        if (!job.isEnded && job.results.size() < job.outputs.size()) {
+        if (!job.isEndAsked && job.results.size() < job.outputs.size()) {
             open.push_back(name);
         }
     }
--- a/Tests/Soak/SoakRecord.h
+++ b/Tests/Soak/SoakRecord.h
@@ -51,13 +51,13 @@
     void
     noteResults(const std::string &job, std::uint64_t total, const std::vector<std::pair<std::string, std::string>> &results);
 
-    /** The end of a job was acknowledged. */
-    void noteJobEnded(const std::string &job);
+    /** The end of a job is asked for. Also without an acknowledgement it may take effect: its items need not be done. */
+    void noteEndAsked(const std::string &job);
 
     /** A promise was broken. */
     void violate(const std::string &what);
 
-    /** @return jobs that were accepted and not ended, and are not known to be complete. */
+    /** @return jobs that were accepted, that nobody wanted to end, and that are not known to be complete. */
     std::vector<std::string> openJobs() const;
 
     /** Look at what can be told only at the end. */
@@ -73,7 +73,7 @@
     {
         std::map<std::string, std::string> outputs;
         std::vector<std::pair<std::string, std::string>> results;
-        bool isEnded = false;
+        bool isEndAsked = false;
     };
 
     mutable std::mutex mutex;
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -43,7 +43,7 @@
             {"timeoutMs", 6000},
             {"fullValueMs", 400},
             {"service", service},
-            {"maxAttempts", isResumable ? 3 : 1},
+            {"maxAttempts", 3},
             {"resumable", isResumable},
             {"gapTargetMs", 300}};
 }
