Gateway: One way to take a replica's answer; status codes in one place

The hooks of a call and the test whether an answer is the request's own stood in OnlineCall and in ItemAttempt; they are hooksFor() and isAnswerTo() now.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/CallerConnection.h>
 
+#include <LibProxy/HttpStatus.h>
 #include <LibProxy/ReasonPhrase.h>
 
 #include <event2/buffer.h>
@@ -16,9 +17,6 @@
 namespace
 {
 
-constexpr int statusBadRequest = 400;
-constexpr int statusContentTooLarge = 413;
-constexpr int statusHeadersTooLarge = 431;
 /** Requests that a caller sends ahead wait unread beyond this, so that it cannot make the node hold more. */
 constexpr std::size_t readAheadBytes = 65536;
 /** How long a caller may take to close its side after the last answer; enough for a round trip to any caller. */
--- a/Libraries/LibProxy/MessageReader.cpp
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/MessageReader.h>
 
+#include <LibProxy/HttpStatus.h>
 #include <event2/buffer.h>
 #include <evhtp/parser.h>
 
@@ -19,8 +20,6 @@
 constexpr std::string_view chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr int stopParsing = 1;
 constexpr int firstFinalStatus = 200;
-constexpr int statusNoContent = 204;
-constexpr int statusNotModified = 304;
 
 /** What the parser's hooks collect. */
 struct Collected
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibProxy/HttpStatus.h>
 #include <LibWire/Codec.h>
 #include <Services/Gateway/OnlineCall.h>
 #include <platform/ConfigurationFormat.h>
@@ -19,9 +20,6 @@
 namespace
 {
 
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 constexpr std::size_t idleToStore = 8;
 /** Idle connections kept to one replica: a node seldom has more requests at one replica at once. */
 constexpr std::size_t idleToReplica = 4;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibProxy/HttpStatus.h>
 #include <platform/RequestFormat.h>
 
 #include <algorithm>
@@ -13,10 +14,6 @@
 namespace
 {
 
-constexpr int statusOk = 200;
-constexpr int firstRedirection = 300;
-constexpr int statusUnprocessable = 422;
-constexpr int statusUnavailable = 503;
 constexpr std::size_t largestEvent = 1048576;
 /** An item can go on anywhere, so a silent replica is left; but not before a slow one has had time for a few events. */
 constexpr int silentPauses = 6;
@@ -155,7 +152,6 @@
 
 void ItemAttempt::send(const ServingReplica &replica)
 {
-    const std::shared_ptr<ItemAttempt> self = this->shared_from_this();
     this->replica = replica;
     this->sent = this->context.clock.now();
     this->run
@@ -167,25 +163,8 @@
     outbound.head = encodeItemRequest(this->item, this->host, replica, this->lastEvent);
     outbound.body = this->item.body;
     outbound.longestIdle = longestIdle;
-    outbound.isAnswer = [id = this->item.id.value()](const MessageHead &head) {
-        const ReplicaAnswer read = decodeReplicaAnswer(head);
-        return read.requestId.empty() || read.requestId == id;
-    };
-    CallHooks calls{
-        .onHead =
-            [self](const MessageHead &head) {
-                self->takeHead(head);
-            },
-        .onBody =
-            [self](std::string_view data) {
-                self->takeBody(data);
-            },
-        .onEnd =
-            [self](CallEnd end) {
-                self->takeEnd(end);
-            },
-    };
-    this->call = this->context.replicas.start(std::move(outbound), std::move(calls));
+    outbound.isAnswer = isAnswerTo(this->item.id.value());
+    this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armSilence();
 }
 
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -4,6 +4,7 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/JobRows.h>
 #include <Services/Gateway/GatewayContext.h>
+#include <Services/Gateway/ReplicaCall.h>
 
 #include <functional>
 #include <memory>
@@ -15,7 +16,7 @@
 {
 
 /** Runs one batch item to its end: at one replica after the other, each going on where the one before stopped. */
-class ItemAttempt : public std::enable_shared_from_this<ItemAttempt>
+class ItemAttempt final : public ReplicaAnswerTaker, public std::enable_shared_from_this<ItemAttempt>
 {
 public:
     /** How an item left the replicas. */
@@ -62,9 +63,9 @@
     void askLater();
     void takePlacement(const Placement &placement);
     void send(const ServingReplica &replica);
-    void takeHead(const MessageHead &head);
-    void takeBody(std::string_view data);
-    void takeEnd(CallEnd end);
+    void takeHead(const MessageHead &head) override;
+    void takeBody(std::string_view data) override;
+    void takeEnd(CallEnd end) override;
     void leave(PlacementVerdict verdict);
     void goOn(PlacementVerdict verdict, std::string_view reason);
     void armSilence();
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -1,6 +1,7 @@
 #include <Services/Gateway/JobApi.h>
 
 #include <LibBase/Log.h>
+#include <LibProxy/HttpStatus.h>
 #include <platform/RequestFormat.h>
 
 #include <algorithm>
@@ -13,13 +14,6 @@
 namespace
 {
 
-constexpr int statusOk = 200;
-constexpr int statusAccepted = 202;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusTooManyRequests = 429;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
 /** A caller that does not say how long it waits gets this long. */
 constexpr std::chrono::milliseconds defaultPatience{3000};
 /** After a refusal: about how long the store takes to be back, or some items to be done. */
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibProxy/HttpStatus.h>
 
 #include <algorithm>
 #include <utility>
@@ -12,12 +13,6 @@
 namespace
 {
 
-constexpr int statusServerError = 500;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusGatewayTimeout = 504;
-constexpr int statusOk = 200;
-constexpr int firstRedirection = 300;
 constexpr std::size_t largestEvent = 1048576;
 /** A caller that does not say how long it waits gets this long. */
 constexpr std::chrono::seconds defaultPatience{60};
@@ -169,7 +164,6 @@
 
 void OnlineCall::send(const ServingReplica &replica)
 {
-    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
     this->replica = replica;
     this->stage = Stage::Sending;
     this->sent = this->now();
@@ -182,25 +176,8 @@
     outbound.head = encodeReplicaRequest(this->exchange->head(), replica, remaining, this->lastEvent);
     outbound.body = this->exchange->body();
     outbound.longestIdle = this->mayRepeat() ? longestIdleIdempotent : longestIdleOnce;
-    outbound.isAnswer = [id = this->traits.id](const MessageHead &head) {
-        const ReplicaAnswer read = decodeReplicaAnswer(head);
-        return read.requestId.empty() || read.requestId == id;
-    };
-    CallHooks hooks{
-        .onHead =
-            [self](const MessageHead &head) {
-                self->takeHead(head);
-            },
-        .onBody =
-            [self](std::string_view data) {
-                self->takeBody(data);
-            },
-        .onEnd =
-            [self](CallEnd end) {
-                self->takeEnd(end);
-            },
-    };
-    this->call = this->context.replicas.start(std::move(outbound), std::move(hooks));
+    outbound.isAnswer = isAnswerTo(this->traits.id);
+    this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armSilence();
 }
 
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -4,6 +4,7 @@
 #include <LibGateway/ServingConfiguration.h>
 #include <LibProxy/CallerExchange.h>
 #include <Services/Gateway/GatewayContext.h>
+#include <Services/Gateway/ReplicaCall.h>
 #include <platform/RequestFormat.h>
 
 #include <memory>
@@ -21,7 +22,7 @@
  * repeated only if it is idempotent, or a stream that may be resumed, and then the caller sees one stream without a seam.
  * Every other loss is told as a failure that promises nothing; a refusal is only given for what never ran.
  */
-class OnlineCall : public std::enable_shared_from_this<OnlineCall>
+class OnlineCall final : public ReplicaAnswerTaker, public std::enable_shared_from_this<OnlineCall>
 {
 public:
     OnlineCall(GatewayContext &context,
@@ -46,10 +47,10 @@
     void askForPlace();
     void takePlacement(const Placement &placement);
     void send(const ServingReplica &replica);
-    void takeHead(const MessageHead &head);
-    void takeBody(std::string_view data);
+    void takeHead(const MessageHead &head) override;
+    void takeBody(std::string_view data) override;
     void takeEvents(std::string_view data);
-    void takeEnd(CallEnd end);
+    void takeEnd(CallEnd end) override;
     void completeWhole();
     void completeStream();
     void recover(PlacementVerdict verdict, std::string_view reason);
