--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -28,8 +28,6 @@
 
 /** Callers come back after at most a third of the time that they have left, whatever they are told. */
 constexpr int returnShare = 3;
-/** The part of the usual room that is promised: the rest is for bursts within the next seconds. */
-constexpr double promisedRoom = 1.0;
 /** A late request without a prospect is told so after this part (one in so many) of its caller's time, while there is time
  * left to come back. */
 constexpr int hopelessParts = 3;
@@ -123,8 +121,8 @@
     if (now + wait <= request.due) {
         return;
     }
-    const std::optional<SteadyTime> comes = this->returns.promise(
-        request.content, request.arrived, now + (longest - now) / 2, longest, this->forecast.usualRoom() * promisedRoom);
+    const std::optional<SteadyTime> comes
+        = this->returns.promise(request.content, request.arrived, now + (longest - now) / 2, longest, this->forecast.usualRoom());
     if (comes) {
         this->sendAway(request, *comes - now);
     }
@@ -132,7 +130,8 @@
 
 void Dispatcher::sendAwayHopeless()
 {
-    // After a burst the late ones are served; only where the load stays they are not.
+    // After a burst the late ones are served; only where the load stays they are not. A dispatcher that is too young to tell
+    // takes the load for one that stays: who is sent away then comes back within a third of its time.
     const double rate = this->forecast.serviceRate();
     if (rate <= 0 || this->forecast.usualRoom() > rate * burstRoom) {
         return;
