Review: One piece of code for what stood twice; an estimate that nothing read goes

What stood more than once, and what serves now: the number that a whole text is (five copies, one of them the ConfigCommand's, now parseNumber); the decoding of membership datagrams in both kinds of node (receiveDatagram); carrying a replica's state over to a new list in the dispatcher and in the local choice (updateReplicas); a random suitable member in three followers (randomMember); who has a duty (hasDuty, otherDispatcher); the query of a target; success and first final status; the trimming of header values; what a request says of itself when it wants a place (PlacementTraits); the loops over the two queues; the completion target of a job's route; the headers that stand-in replicas sign.

Taken out: the estimate of a request's work, which travelled with each ask and was never read. Work done in the wrong place: explain sorted each line into its place as it came, and gathered what the id is about anew for each line; both are done once now.

Behaviour is unchanged. No test's assertion was touched.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -1,5 +1,7 @@
 #include <LibDispatch/Dispatcher.h>
 
+#include <LibDispatch/UpdateReplicas.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -42,14 +44,7 @@
 
 void Dispatcher::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
-    std::map<EndpointName, Replica> updated;
-    for (const DispatchReplica &traits : replicas) {
-        const auto known = this->replicas.find(traits.instance);
-        Replica replica = known != this->replicas.end() ? known->second : Replica();
-        replica.traits = traits;
-        updated.emplace(traits.instance, std::move(replica));
-    }
-    this->replicas = std::move(updated);
+    updateReplicas(this->replicas, replicas);
     this->forecast.setSlots(this->totalSlots());
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
@@ -278,19 +273,19 @@
     if (std::exchange(this->isAssigning, true)) {
         return;
     }
-    this->assignOnline();
+    this->assignFrom(this->online, &Dispatcher::placeOnline);
     if (this->online.empty()) {
-        this->assignBatch();
+        this->assignFrom(this->batch, &Dispatcher::placeBatch);
     }
     this->isAssigning = false;
 }
 
-void Dispatcher::assignOnline()
+void Dispatcher::assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &))
 {
-    for (auto waiting = this->online.begin(); waiting != this->online.end();) {
+    for (auto waiting = queue.begin(); waiting != queue.end();) {
         const auto next = std::next(waiting);
         const PlacementRequest request = waiting->second.request;
-        if (this->placeOnline(request)) {
+        if ((this->*place)(request)) {
             this->dequeue(request.id);
         } else if (request.avoided.empty()) {
             // One that finds no place though it avoids no replica shows that there is none for the others either.
@@ -300,20 +295,6 @@
     }
 }
 
-void Dispatcher::assignBatch()
-{
-    for (auto waiting = this->batch.begin(); waiting != this->batch.end();) {
-        const auto next = std::next(waiting);
-        const PlacementRequest request = waiting->second.request;
-        if (this->placeBatch(request)) {
-            this->dequeue(request.id);
-        } else if (request.avoided.empty()) {
-            return;
-        }
-        waiting = next;
-    }
-}
-
 Dispatcher::Queue &Dispatcher::queueOf(WorkClass work)
 {
     return work == WorkClass::Online ? this->online : this->batch;
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -117,8 +117,7 @@
     using Placements = std::map<TicketId, Placement>;
 
     void assign();
-    void assignOnline();
-    void assignBatch();
+    void assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &));
     bool placeOnline(const PlacementRequest &request);
     bool placeBatch(const PlacementRequest &request);
     Replica *freeReplica(const PlacementRequest &request);
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -1,5 +1,7 @@
 #include <LibDispatch/LocalPlacement.h>
 
+#include <LibDispatch/UpdateReplicas.h>
+
 #include <algorithm>
 
 namespace Dogwoodkeel
@@ -22,14 +24,7 @@
 
 void LocalPlacement::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
-    std::map<EndpointName, Replica> updated;
-    for (const DispatchReplica &traits : replicas) {
-        const auto known = this->replicas.find(traits.instance);
-        Replica replica = known != this->replicas.end() ? known->second : Replica();
-        replica.traits = traits;
-        updated.emplace(traits.instance, std::move(replica));
-    }
-    this->replicas = std::move(updated);
+    updateReplicas(this->replicas, replicas);
 }
 
 std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near, const std::vector<EndpointName> &avoided)
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -29,10 +29,9 @@
     Batch,
 };
 
-/** A request that wants a place. */
-struct PlacementRequest
+/** What a request says of itself when it wants a place. */
+struct PlacementTraits
 {
-    TicketId id;
     WorkClass work = WorkClass::Online;
     /** The most urgent is 0. */
     std::uint32_t priority = 0;
@@ -42,10 +41,6 @@
     SteadyTime due{};
     /** Until when its caller waits. */
     SteadyTime deadline{};
-    /** Estimate of its work: prompt tokens, and output tokens ten times. */
-    std::uint32_t tokens = 0;
-    /** Where its node is. */
-    FailureDomain failureDomain;
     /** Hash of what it asks for: by it, a request that was sent away is known when it comes back. */
     std::uint64_t content = 0;
     /** Whether it has never been at a replica: only then it may be refused. */
@@ -54,6 +49,14 @@
     std::vector<EndpointName> avoided;
 };
 
+/** A request that wants a place, as its dispatcher knows it. */
+struct PlacementRequest : PlacementTraits
+{
+    TicketId id;
+    /** Where its node is. */
+    FailureDomain failureDomain;
+};
+
 /** A replica as far as placing requests needs to know it. */
 struct DispatchReplica
 {
--- a/Libraries/LibExplain/Account.cpp
+++ b/Libraries/LibExplain/Account.cpp
@@ -19,12 +19,6 @@
 constexpr std::string_view workFields[] = {"request", "item", "job"};
 constexpr std::string_view lostLines = "lines_left_out_before";
 
-void insertInOrder(std::vector<LogLine> &lines, LogLine line)
-{
-    const auto place = std::ranges::upper_bound(lines, line.time, {}, &LogLine::time);
-    lines.insert(place, std::move(line));
-}
-
 bool tellsOfWork(const LogLine &line)
 {
     return std::ranges::any_of(workFields, [&line](std::string_view name) {
@@ -83,11 +77,11 @@
 void Account::add(LogLine line)
 {
     if (line.mentions(this->id)) {
-        insertInOrder(this->own, std::move(line));
+        this->own.push_back(std::move(line));
     } else if (!tellsOfWork(line)) {
-        insertInOrder(this->general, std::move(line));
+        this->general.push_back(std::move(line));
     } else if (!leftReplica(line).empty()) {
-        insertInOrder(this->departures, std::move(line));
+        this->departures.push_back(std::move(line));
     }
 }
 
@@ -96,8 +90,11 @@
     return !this->own.empty();
 }
 
-std::string Account::text() const
+std::string Account::text()
 {
+    for (std::vector<LogLine> *const lines : {&this->own, &this->general, &this->departures}) {
+        std::ranges::stable_sort(*lines, {}, &LogLine::time);
+    }
     return this->ownLines() + this->beliefs() + this->neighbours() + this->gaps();
 }
 
@@ -129,22 +126,32 @@
     return values;
 }
 
-bool Account::isConcerned(const LogLine &line) const
+Account::Concern Account::concern() const
+{
+    Concern concern;
+    concern.replicas = this->valuesOf({"replica", "from"});
+    concern.services = this->valuesOf({"service"});
+    for (const LogLine &line : this->own) {
+        concern.vms.insert(line.vm);
+    }
+    return concern;
+}
+
+bool Account::isConcerned(const LogLine &line, const Concern &concern) const
 {
-    const std::set<std::string> replicas = this->valuesOf({"replica", "from"});
-    const std::set<std::string> services = this->valuesOf({"service"});
-    const bool isOtherReplica = !line.field("replica").empty() && !replicas.contains(std::string(line.field("replica")));
-    const bool isOtherService
-        = !line.field("service").empty() && !services.empty() && !services.contains(std::string(line.field("service")));
-    const bool isSameVm = std::ranges::find(this->own, line.vm, &LogLine::vm) != this->own.end();
-    return isSameVm && !isOtherReplica && !isOtherService && line.time <= this->own.back().time;
+    const std::string replica(line.field("replica"));
+    const std::string service(line.field("service"));
+    const bool isOtherReplica = !replica.empty() && !concern.replicas.contains(replica);
+    const bool isOtherService = !service.empty() && !concern.services.empty() && !concern.services.contains(service);
+    return concern.vms.contains(line.vm) && !isOtherReplica && !isOtherService && line.time <= this->own.back().time;
 }
 
 std::string Account::beliefs() const
 {
+    const Concern concern = this->concern();
     std::map<std::string, const LogLine *> latest;
     for (const LogLine &line : this->general) {
-        if (this->isConcerned(line)) {
+        if (this->isConcerned(line, concern)) {
             latest[topicOf(line)] = &line;
         }
     }
--- a/Libraries/LibExplain/Account.h
+++ b/Libraries/LibExplain/Account.h
@@ -26,23 +26,34 @@
     /** @return whether any line tells of the id. */
     bool isKnown() const;
 
-    /** @return the account, as text for a terminal. */
-    std::string text() const;
+    /** Sort what was taken. @return the account, as text for a terminal. */
+    std::string text();
 
 private:
+    /** What the id's own lines are about. */
+    struct Concern
+    {
+        std::set<std::string> vms;
+        std::set<std::string> replicas;
+        std::set<std::string> services;
+    };
+
     std::string ownLines() const;
     std::string beliefs() const;
     std::string neighbours() const;
     std::string gaps() const;
     std::set<std::string> valuesOf(std::initializer_list<std::string_view> names) const;
-    bool isConcerned(const LogLine &line) const;
+    Concern concern() const;
+    bool isConcerned(const LogLine &line, const Concern &concern) const;
 
     std::string id;
-    /** The lines that tell of the id, in order of time. */
+    // NOTE: In order of time once text() has sorted them: lines come file by file, and putting each one at its place would
+    // move all that stand behind it.
+    /** The lines that tell of the id. */
     std::vector<LogLine> own;
-    /** Lines that tell of no single request, in order of time. */
+    /** Lines that tell of no single request. */
     std::vector<LogLine> general;
-    /** Lines that tell of other requests and items that had to leave a replica, in order of time. */
+    /** Lines that tell of other requests and items that had to leave a replica. */
     std::vector<LogLine> departures;
 };
 
--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -1,6 +1,6 @@
 #include <LibGateway/EventSplitter.h>
 
-#include <charconv>
+#include <LibBase/Numbers.h>
 
 namespace Dogwoodkeel
 {
@@ -21,14 +21,6 @@
     return value;
 }
 
-std::optional<std::uint64_t> numberOf(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isNumber = error == std::errc() && end == text.data() + text.size();
-    return isNumber ? std::optional(number) : std::nullopt;
-}
-
 StreamEvent parseEvent(std::string_view text)
 {
     StreamEvent event;
@@ -42,7 +34,7 @@
             line.remove_suffix(1);
         }
         if (const std::optional<std::string_view> id = fieldValue(line, "id")) {
-            event.id = numberOf(*id);
+            event.id = parseNumber(*id);
         } else if (const std::optional<std::string_view> data = fieldValue(line, "data")) {
             event.data.append(hasData ? "\n" : "").append(*data);
             hasData = true;
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -10,6 +10,9 @@
 namespace Dogwoodkeel
 {
 
+/** Events of replicas hold a few tokens; one of so many bytes is no event, and must not fill the node's memory. */
+inline constexpr std::size_t largestStreamEvent = 1'048'576;
+
 /** One whole event of a stream (HTML Living Standard, section 9.2). */
 struct StreamEvent
 {
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/HttpServer.h>
 
+#include <LibBase/Numbers.h>
 #include <LibHttp/HttpReply.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
@@ -8,7 +9,6 @@
 #include <evhtp/evhtp.h>
 
 #include <algorithm>
-#include <charconv>
 #include <stdexcept>
 #include <utility>
 
@@ -80,10 +80,7 @@
 std::optional<std::uint64_t> lengthOf(const HttpHeaders &headers)
 {
     const std::string length = headerValue(headers, "Content-Length").value_or("0");
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(length.data(), length.data() + length.size(), number);
-    const bool isNumber = error == std::errc() && end == length.data() + length.size();
-    return isNumber ? std::optional(number) : std::nullopt;
+    return parseNumber(length);
 }
 
 /** @return whether all ends of the path must agree on where the body ends (RFC 9112 section 6.3). */
--- a/Libraries/LibProxy/HeaderList.cpp
+++ b/Libraries/LibProxy/HeaderList.cpp
@@ -29,6 +29,8 @@
     return std::tolower(static_cast<unsigned char>(character));
 }
 
+} // namespace
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view space = " \t";
@@ -39,8 +41,6 @@
     return text.substr(first, text.find_last_not_of(space) - first + 1);
 }
 
-} // namespace
-
 bool isSameToken(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right, {}, &lowerCase, &lowerCase);
--- a/Libraries/LibProxy/HeaderList.h
+++ b/Libraries/LibProxy/HeaderList.h
@@ -19,6 +19,9 @@
 /** @return whether two header names or tokens are the same without regard to case (RFC 9110, section 5.1). */
 bool isSameToken(std::string_view left, std::string_view right);
 
+/** @return the text without the spaces and tabs around it. */
+std::string_view trimmed(std::string_view text);
+
 /** The header lines of a message in their order, repeated names included, so that they can be passed on unchanged. */
 class HeaderList
 {
--- a/Libraries/LibProxy/HttpStatus.h
+++ b/Libraries/LibProxy/HttpStatus.h
@@ -4,11 +4,11 @@
 {
 
 // Status codes of HTTP (RFC 9110, RFC 6585) by name.
+/** Whatever is below it is not the final answer to a request. */
+inline constexpr int firstFinalStatus = 200;
 inline constexpr int statusOk = 200;
 inline constexpr int statusAccepted = 202;
 inline constexpr int statusNoContent = 204;
-/** Whatever is below it and from 200 on is a success. */
-inline constexpr int firstRedirection = 300;
 inline constexpr int statusNotModified = 304;
 inline constexpr int statusBadRequest = 400;
 inline constexpr int statusNotFound = 404;
@@ -25,4 +25,11 @@
 inline constexpr int statusGatewayTimeout = 504;
 inline constexpr int statusInsufficientStorage = 507;
 
+/** @return whether a status code tells of success (RFC 9110, section 15.3). */
+constexpr bool isSuccess(int status)
+{
+    constexpr int firstRedirection = 300;
+    return status >= statusOk && status < firstRedirection;
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibProxy/MessageReader.cpp
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -1,11 +1,12 @@
 #include <LibProxy/MessageReader.h>
 
+#include <LibBase/Numbers.h>
 #include <LibProxy/HttpStatus.h>
+
 #include <event2/buffer.h>
 #include <evhtp/parser.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 
 namespace Dogwoodkeel
@@ -19,7 +20,6 @@
 /** Opens the parser for the chunks of a body: it decodes them only behind a head that announces them. */
 constexpr std::string_view chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr int stopParsing = 1;
-constexpr int firstFinalStatus = 200;
 
 /** What the parser's hooks collect. */
 struct Collected
@@ -52,14 +52,7 @@
     // A value without a name continues the line before: obsolete folding, read differently by different programs.
     collected.isFolded = collected.isFolded || !collected.isNamePending;
     collected.isNamePending = false;
-    std::string_view value(text, size);
-    while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
-        value.remove_prefix(1);
-    }
-    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
-        value.remove_suffix(1);
-    }
-    collected.headers->add(collected.name, std::string(value));
+    collected.headers->add(collected.name, std::string(trimmed({text, size})));
     return 0;
 }
 
@@ -123,14 +116,6 @@
     return true;
 }
 
-std::optional<std::uint64_t> numberOf(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isNumber = error == std::errc() && end == text.data() + text.size();
-    return isNumber ? std::optional(number) : std::nullopt;
-}
-
 } // namespace
 
 void MessageReader::Free::operator()(htparser *parser) const
@@ -208,7 +193,7 @@
         return false;
     }
     if (this->kind == Kind::Response) {
-        const std::optional<std::uint64_t> status = numberOf(line.substr(first + 1, 3));
+        const std::optional<std::uint64_t> status = parseNumber(line.substr(first + 1, 3));
         this->current.status = static_cast<int>(status.value_or(0));
         return line.starts_with("HTTP/1.") && status.has_value() && *status >= 100;
     }
@@ -246,7 +231,7 @@
         return true;
     }
     if (lengths == 1) {
-        const std::optional<std::uint64_t> length = numberOf(*head.headers.find("Content-Length"));
+        const std::optional<std::uint64_t> length = parseNumber(*head.headers.find("Content-Length"));
         head.framing = length.value_or(0) > 0 ? BodyFraming::Length : BodyFraming::None;
         head.length = length.value_or(0);
         this->remaining = head.length;
--- a/Libraries/LibProxy/OutboundConnection.cpp
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/OutboundConnection.h>
 
+#include <LibProxy/HttpStatus.h>
 #include <LibTask/Sockets.h>
 
 #include <event2/buffer.h>
@@ -20,7 +21,6 @@
 constexpr std::size_t responseHeadBytes = 65536;
 /** Answers to earlier requests that may lie on a connection before the one that is waited for. */
 constexpr int mostSkipped = 4;
-constexpr int firstFinalStatus = 200;
 /** How long an idle connection counts as kept if the server does not say: servers that keep one for less than a second
  * cannot say so in whole seconds. */
 constexpr std::chrono::milliseconds unstatedKeepAlive{250};
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2392,8 +2392,6 @@
     std::chrono::milliseconds objective = std::chrono::milliseconds(0);
     /** How long its caller will wait from now on. */
     std::chrono::milliseconds patience = std::chrono::milliseconds(0);
-    /** Estimate of its work: prompt tokens, and output tokens ten times. */
-    std::uint32_t tokens = 0;
     /** Where the asking node is. */
     FailureDomain failureDomain;
     /** Hash of what it asks for: a request that was sent away is known by it when it comes back. */
@@ -2416,7 +2414,6 @@
                 this->waited,
                 this->objective,
                 this->patience,
-                this->tokens,
                 this->failureDomain,
                 this->content,
                 this->mayRefuse,
--- a/Programs/dogwoodkeel/ConfigCommand.cpp
+++ b/Programs/dogwoodkeel/ConfigCommand.cpp
@@ -6,6 +6,7 @@
 #include "OperatorClient.h"
 
 #include <LibBase/Encoding.h>
+#include <LibBase/Numbers.h>
 #include <LibControl/ConfigurationCheck.h>
 #include <LibControl/ConfigurationJson.h>
 #include <LibControl/TextDifference.h>
@@ -14,7 +15,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <ctime>
 #include <set>
@@ -324,13 +324,6 @@
     return ExitCode::Success;
 }
 
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return error == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
-}
-
 ExitCode revert(std::uint64_t number)
 {
     HttpResponse response;
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -1,6 +1,7 @@
 #include <Services/Control/ControlTask.h>
 
 #include <LibBase/Log.h>
+#include <LibMembership/MembershipDatagrams.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
@@ -419,35 +420,7 @@
         }
         return;
     }
-    switch (datagram.number) {
-    case Ping::number:
-        if (const auto ping = decode<Ping>(datagram.payload)) {
-            this->membership->receive(datagram.from, *ping);
-        }
-        return;
-    case Pong::number:
-        if (const auto pong = decode<Pong>(datagram.payload)) {
-            this->membership->receive(datagram.from, *pong);
-        }
-        return;
-    case PingRequest::number:
-        if (const auto request = decode<PingRequest>(datagram.payload)) {
-            this->membership->receive(datagram.from, *request);
-        }
-        return;
-    case MembersPull::number:
-        if (const auto pull = decode<MembersPull>(datagram.payload)) {
-            this->membership->receive(datagram.from, *pull);
-        }
-        return;
-    case MembersPush::number:
-        if (const auto push = decode<MembersPush>(datagram.payload)) {
-            this->membership->receive(datagram.from, *push);
-        }
-        return;
-    default:
-        return;
-    }
+    receiveDatagram(*this->membership, datagram);
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -56,8 +56,6 @@
                                        }
                                    },
                                .onChange = takeRow,
-                               .onAnswer = [] {},
-                               .onFailure = [] {},
                            });
     this->watch();
 }
@@ -124,14 +122,12 @@
 void ConfigurationFollower::askSomebodyNewer()
 {
     const MemberViewPointer view = this->peers.view();
-    std::vector<const Member *> newer;
-    for (const Member &member : view->members()) {
-        if (member.configVersion > this->version()) {
-            newer.push_back(&member);
-        }
+    const Member *const newer = randomMember(*view, this->random, [this](const Member &member) {
+        return member.configVersion > this->version();
+    });
+    if (newer != nullptr) {
+        this->askPeer(newer->owner);
     }
-    std::uniform_int_distribution<std::size_t> choice(0, newer.size() - 1);
-    this->askPeer(newer[choice(this->random)]->owner);
 }
 
 void ConfigurationFollower::askPeer(const Address &peer)
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -130,9 +130,7 @@
               settings->gateway.jobsKept,
               {.isOurDuty =
                    [this] {
-                       const MemberViewPointer view = this->peers.view();
-                       const Member *const holder = dutyHolder(*view, stableHash(JobRows::jobTable));
-                       return holder != nullptr && holder->session == this->peers.self();
+                       return hasDuty(*this->peers.view(), this->peers.self(), stableHash(JobRows::jobTable));
                    },
                .isOpen =
                    [this](const JobId &job) {
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::size_t largestEvent = 1048576;
 /** An item can go on anywhere, so a silent replica is left; but not before a slow one has had time for a few events. */
 constexpr int silentPauses = 6;
 constexpr std::chrono::milliseconds shortestSilence{2000};
@@ -34,7 +33,7 @@
     , due(due)
     , hooks(std::move(hooks))
     , fingerprint(stableHash(item.body, stableHash(item.target)))
-    , splitter(largestEvent)
+    , splitter(largestStreamEvent)
 {
 }
 
@@ -110,7 +109,6 @@
     // Until then it has to have a place to be done when its job is due.
     wish.due = this->due - this->context.itemRuns[this->target.service].remaining(this->lastEvent.value_or(0));
     wish.deadline = wish.arrived + std::chrono::hours(1);
-    wish.tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(this->item.tokens, 1'000'000'000));
     wish.avoided = this->avoided;
     this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
@@ -157,7 +155,7 @@
     this->run
         = {(static_cast<std::uint64_t>(this->context.random()) << 32) ^ this->context.random(), this->lastEvent.value_or(0)};
     this->answer.reset();
-    this->splitter = EventSplitter(largestEvent);
+    this->splitter = EventSplitter(largestStreamEvent);
     OutboundCall outbound;
     outbound.address = replica.address;
     outbound.head = encodeItemRequest(this->item, this->host, replica, this->lastEvent);
@@ -172,7 +170,7 @@
 {
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     this->answer = head;
-    const bool isSuccess = read.status >= statusOk && read.status < firstRedirection;
+    const bool isGood = isSuccess(read.status);
     if (read.isNotExecuted) {
         const bool isFull = read.status == statusUnavailable;
         this->goOn(isFull ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable, "the replica did not run it");
@@ -180,7 +178,7 @@
         this->goOn(PlacementVerdict::Broken, "an answer without the replica's signature");
     } else if (read.status == statusUnprocessable) {
         this->finish(End::Impossible);
-    } else if (!isSuccess) {
+    } else if (!isGood) {
         this->finish(End::Failed);
     }
 }
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -170,8 +170,7 @@
 void JobRun::startItem(std::uint32_t number)
 {
     const JobItem &item = this->items[number];
-    const Route *const route = this->hooks.route(this->ledger.head().route);
-    const std::chrono::milliseconds target = route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
+    const std::chrono::milliseconds target = this->completionTarget();
     const auto age = this->context.clock.wallNow() - this->ledger.head().submitted;
     const SteadyTime due = this->context.clock.now() + std::chrono::duration_cast<std::chrono::milliseconds>(target - age);
     const std::weak_ptr<JobRun> self = this->weak_from_this();
@@ -194,6 +193,12 @@
     attempt->start(generated != this->before.end() ? generated->second : JobRows::Generated());
 }
 
+std::chrono::milliseconds JobRun::completionTarget() const
+{
+    const Route *const route = this->hooks.route(this->ledger.head().route);
+    return route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
+}
+
 void JobRun::takeItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output)
 {
     switch (end) {
@@ -272,9 +277,8 @@
     const JobLedger::Write next = this->ledger.nextWrite();
     std::optional<OpenJob> row;
     if (next.head.listed.size() < next.head.total) {
-        const Route *const route = this->hooks.route(next.head.route);
-        const std::chrono::milliseconds target = route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
-        row = OpenJob{next.head.route, this->waitingTokens(next.head), next.head.submitted + target, this->self};
+        const WallTime due = next.head.submitted + this->completionTarget();
+        row = OpenJob{next.head.route, this->waitingTokens(next.head), due, this->self};
     }
     this->isBusyWithStore = true;
     this->store.update(this->job,
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -71,6 +71,7 @@
     void takeUnwritten(WriteOutcome outcome);
     void endRun();
     std::uint64_t waitingTokens(const JobHead &head) const;
+    std::chrono::milliseconds completionTarget() const;
     void stopAll();
 
     GatewayContext &context;
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -42,8 +42,6 @@
                                    [this](const StoredRow &row) {
                                        this->takeChange(row);
                                    },
-                               .onAnswer = [] {},
-                               .onFailure = [] {},
                            });
 }
 
@@ -99,8 +97,7 @@
     if (runner != nullptr && !runner->isLeaving) {
         return open.runner == this->peers.self();
     }
-    const Member *const holder = dutyHolder(*this->view, stableHash(job.value()));
-    return holder != nullptr && holder->session == this->peers.self();
+    return hasDuty(*this->view, this->peers.self(), stableHash(job.value()));
 }
 
 void JobRunners::decide(const JobId &job)
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr std::size_t largestEvent = 1048576;
 /** A caller that does not say how long it waits gets this long. */
 constexpr std::chrono::seconds defaultPatience{60};
 /** Replicas that may turn a request away unrun before it is refused: enough to pass by all that are just full. */
@@ -33,8 +32,6 @@
  * else is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listPatience{1000};
 constexpr std::chrono::milliseconds listLook{20};
-/** An output token costs a replica about as much as ten tokens of a prompt, which it reads many at a time. */
-constexpr std::uint32_t outputWeight = 10;
 
 std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
@@ -53,7 +50,7 @@
     , exchange(std::move(exchange))
     , traits(decodeTraits(this->exchange->head().headers))
     , arrived(context.clock.now())
-    , splitter(largestEvent)
+    , splitter(largestStreamEvent)
     , lastEvent(this->traits.lastEvent)
 {
     std::chrono::milliseconds patience = this->traits.patience.value_or(defaultPatience);
@@ -117,7 +114,6 @@
 
 void OnlineCall::askForPlace()
 {
-    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
     this->stage = Stage::Placing;
     if (!this->context.listed.isKnown()) {
         // A dispatcher at another node would give places at replicas whose addresses this one does not have.
@@ -132,11 +128,10 @@
     const auto firstEvent = this->isStream() ? this->context.firstEvents[this->service].value() : std::chrono::milliseconds(0);
     wish.due = this->arrived + std::max(this->route.objective - firstEvent, std::chrono::milliseconds(0));
     wish.deadline = this->deadline;
-    wish.tokens = static_cast<std::uint32_t>(this->traits.promptTokens + outputWeight * this->traits.estimatedOutputTokens);
     wish.content = this->fingerprint;
     wish.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
     wish.avoided = this->avoided;
-    this->ticket = this->context.placements.ask(wish, [self](const Placement &placement) {
+    this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
 }
@@ -169,7 +164,7 @@
     this->sent = this->now();
     ++this->attempts;
     this->body.clear();
-    this->splitter = EventSplitter(largestEvent);
+    this->splitter = EventSplitter(largestStreamEvent);
     const auto remaining = std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->now());
     OutboundCall outbound;
     outbound.address = replica.address;
@@ -189,7 +184,7 @@
         this->answer = head;
     }
     const ReplicaAnswer read = decodeReplicaAnswer(head);
-    const bool isSuccess = read.status >= statusOk && read.status < firstRedirection;
+    const bool isGood = isSuccess(read.status);
     if (read.isNotExecuted) {
         const PlacementVerdict verdict
             = read.status == statusUnavailable ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable;
@@ -197,15 +192,15 @@
         this->retryUnrun(verdict, "the replica did not run it");
         return;
     }
-    if (isSuccess && !read.isSigned) {
+    if (isGood && !read.isSigned) {
         this->recover(PlacementVerdict::Broken, "an answer without the replica's signature");
         return;
     }
-    if (!isSuccess && this->eventsPassed > 0) {
+    if (!isGood && this->eventsPassed > 0) {
         this->recover(PlacementVerdict::Broken, "the replica refused to go on with the stream");
         return;
     }
-    if (!isSuccess && this->mayRepeat() && this->attempts < this->route.maxAttempts && read.status >= statusServerError) {
+    if (!isGood && this->mayRepeat() && this->attempts < this->route.maxAttempts && read.status >= statusServerError) {
         this->recover(PlacementVerdict::Finished, "the replica failed");
     }
 }
@@ -215,8 +210,8 @@
     if (this->stage != Stage::Receiving) {
         return;
     }
-    const bool isSuccess = this->answer.status >= statusOk && this->answer.status < firstRedirection;
-    if (this->isStream() && isSuccess) {
+    const bool isGood = isSuccess(this->answer.status);
+    if (this->isStream() && isGood) {
         this->takeEvents(data);
         return;
     }
@@ -272,8 +267,8 @@
         this->recover(PlacementVerdict::Broken, "the connection to the replica broke");
         return;
     }
-    const bool isSuccess = this->answer.status >= statusOk && this->answer.status < firstRedirection;
-    if (this->isStream() && isSuccess) {
+    const bool isGood = isSuccess(this->answer.status);
+    if (this->isStream() && isGood) {
         this->completeStream();
     } else {
         this->completeWhole();
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibMembership/MembershipDatagrams.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
@@ -85,8 +86,6 @@
                                 [this](const StoredRow &row) {
                                     this->takeNode(row);
                                 },
-                            .onAnswer = [] {},
-                            .onFailure = [] {},
                         });
     this->cleanTimer = loop.schedule(cleanInterval, [this] {
         this->removeStaleRows();
@@ -199,22 +198,7 @@
     if (!this->membership) {
         return;
     }
-    const auto take = [this, &datagram](auto message) {
-        if (message) {
-            this->membership->receive(datagram.from, *message);
-        }
-    };
-    if (datagram.number == Ping::number) {
-        take(decode<Ping>(datagram.payload));
-    } else if (datagram.number == Pong::number) {
-        take(decode<Pong>(datagram.payload));
-    } else if (datagram.number == PingRequest::number) {
-        take(decode<PingRequest>(datagram.payload));
-    } else if (datagram.number == MembersPull::number) {
-        take(decode<MembersPull>(datagram.payload));
-    } else if (datagram.number == MembersPush::number) {
-        take(decode<MembersPush>(datagram.payload));
-    } else {
+    if (!receiveDatagram(*this->membership, datagram)) {
         this->hooks.onDatagram(datagram);
     }
 }
@@ -262,8 +246,7 @@
 {
     // One node cleans: the one that would also have any other duty of this name.
     const MemberView &view = *this->membership->view();
-    const Member *const cleaner = dutyHolder(view, stableHash(nodeTable));
-    if (cleaner != nullptr && cleaner->session == this->session && !view.isMinority()) {
+    if (hasDuty(view, this->session, stableHash(nodeTable)) && !view.isMinority()) {
         RowTransaction removal;
         std::vector<Address> strangers;
         for (const auto &[key, record] : this->known) {
@@ -314,4 +297,26 @@
     return holder;
 }
 
+bool hasDuty(const MemberView &view, SessionNumber session, std::uint64_t key)
+{
+    const Member *const holder = dutyHolder(view, key);
+    return holder != nullptr && holder->session == session;
+}
+
+const Member *
+randomMember(const MemberView &view, std::minstd_rand &random, const std::function<bool(const Member &)> &isSuitable)
+{
+    std::vector<const Member *> suitable;
+    for (const Member &member : view.members()) {
+        if (isSuitable(member)) {
+            suitable.push_back(&member);
+        }
+    }
+    if (suitable.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, suitable.size() - 1);
+    return suitable[choice(random)];
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -90,4 +90,14 @@
  */
 const Member *dutyHolder(const MemberView &view, std::uint64_t key);
 
+/** @return whether a member is the one that should have a duty. */
+bool hasDuty(const MemberView &view, SessionNumber session, std::uint64_t key);
+
+/**
+ * Choose one of the members that an answer is wanted of, so that not all nodes ask the same one.
+ * @return null if none is suitable
+ */
+const Member *
+randomMember(const MemberView &view, std::minstd_rand &random, const std::function<bool(const Member &)> &isSuitable);
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -69,9 +69,10 @@
     }
 }
 
-const Member *PlacementClient::dispatcherOf(const ServiceName &service) const
+const Member *PlacementClient::otherDispatcher(const ServiceName &service) const
 {
-    return dutyHolder(*this->view, stableHash(service.value()));
+    const Member *const holder = dutyHolder(*this->view, stableHash(service.value()));
+    return holder != nullptr && holder->session != this->peers.self() ? holder : nullptr;
 }
 
 PlacementClient::Ticket PlacementClient::ask(const PlacementWish &wish, Decided decided)
@@ -103,13 +104,12 @@
     ask.waited = millisecondsOf(now - wish.arrived);
     ask.objective = millisecondsOf(wish.due - wish.arrived);
     ask.patience = millisecondsOf(wish.deadline - now);
-    ask.tokens = wish.tokens;
     ask.failureDomain = this->own;
     ask.content = wish.content;
     ask.mayRefuse = wish.mayRefuse;
     ask.avoided = wish.avoided;
-    const Member *const dispatcher = this->dispatcherOf(wish.service);
-    if (dispatcher == nullptr || dispatcher->session == this->peers.self()) {
+    const Member *const dispatcher = this->otherDispatcher(wish.service);
+    if (dispatcher == nullptr) {
         this->loop.post([this, ask, alive = this->alive] {
             if (*alive) {
                 this->takeAsk(Datagram{}, ask);
@@ -160,8 +160,8 @@
 void PlacementClient::sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict)
 {
     const PlacementEnd end{this->peers.self(), ticket, service.value(), verdict};
-    const Member *const dispatcher = this->dispatcherOf(service);
-    if (dispatcher == nullptr || dispatcher->session == this->peers.self()) {
+    const Member *const dispatcher = this->otherDispatcher(service);
+    if (dispatcher == nullptr) {
         this->dispatcherFor(service).end({end.from, ticket}, verdict);
         return;
     }
@@ -285,8 +285,8 @@
     if (!isNews) {
         return;
     }
-    const Member *const dispatcher = this->dispatcherOf(service);
-    if (dispatcher == nullptr || dispatcher->session == this->peers.self()) {
+    const Member *const dispatcher = this->otherDispatcher(service);
+    if (dispatcher == nullptr) {
         this->takeReport(Datagram{}, running);
         return;
     }
@@ -361,7 +361,6 @@
     request.arrived = now - ask.waited;
     request.due = request.arrived + ask.objective;
     request.deadline = now + ask.patience;
-    request.tokens = ask.tokens;
     request.failureDomain = ask.failureDomain;
     request.content = ask.content;
     request.mayRefuse = ask.mayRefuse;
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -32,21 +32,10 @@
     bool isOwnChoice = false;
 };
 
-/** What a request says of itself when it wants a place. */
-struct PlacementWish
+/** A request that wants a place, as its node knows it. */
+struct PlacementWish : PlacementTraits
 {
     ServiceName service;
-    WorkClass work = WorkClass::Online;
-    std::uint32_t priority = 0;
-    SteadyTime arrived{};
-    SteadyTime due{};
-    SteadyTime deadline{};
-    std::uint32_t tokens = 0;
-    /** Hash of what the request asks for. */
-    std::uint64_t content = 0;
-    /** Whether it has never been at a replica. */
-    bool mayRefuse = false;
-    std::vector<EndpointName> avoided;
 };
 
 /**
@@ -118,7 +107,8 @@
     };
 
     ServiceState &stateOf(const ServiceName &service);
-    const Member *dispatcherOf(const ServiceName &service) const;
+    /** @return the node to ask for places, or null if it is this one, or there is none and this one has to do. */
+    const Member *otherDispatcher(const ServiceName &service) const;
     void sendAsk(Ticket ticket, Asked &asked);
     void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
     void placeLocally(Ticket ticket, Asked &asked);
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -116,17 +116,10 @@
 std::optional<Address> RelayedStore::relay()
 {
     const MemberViewPointer view = this->peers.view();
-    std::vector<Address> reaching;
-    for (const Member &member : view->members()) {
-        if (member.session != this->peers.self() && member.isReady && !member.isLeaving && !member.hasLostStore) {
-            reaching.push_back(member.owner);
-        }
-    }
-    if (reaching.empty()) {
-        return std::nullopt;
-    }
-    std::uniform_int_distribution<std::size_t> choice(0, reaching.size() - 1);
-    return reaching[choice(this->random)];
+    const Member *const reaching = randomMember(*view, this->random, [this](const Member &member) {
+        return member.session != this->peers.self() && member.isReady && !member.isLeaving && !member.hasLostStore;
+    });
+    return reaching != nullptr ? std::optional(reaching->owner) : std::nullopt;
 }
 
 void RelayedStore::transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done)
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -184,19 +184,14 @@
 
 void ReplicaFollower::askPeer()
 {
-    std::vector<const Member *> best;
     const MemberViewPointer view = this->peers.view();
-    for (const Member &member : view->members()) {
-        const bool isUseful = member.session != this->peers.self() && (!member.hasLostStore || !this->known);
-        if (isUseful) {
-            best.push_back(&member);
-        }
-    }
-    if (best.empty()) {
+    const Member *const peer = randomMember(*view, this->random, [this](const Member &member) {
+        return member.session != this->peers.self() && (!member.hasLostStore || !this->known);
+    });
+    if (peer == nullptr) {
         return;
     }
-    std::uniform_int_distribution<std::size_t> choice(0, best.size() - 1);
-    this->peers.client().call(best[choice(this->random)]->owner,
+    this->peers.client().call(peer->owner,
                               ReplicaRecordsRequest{this->peers.self()},
                               peerTimeout,
                               [this, alive = this->alive](const CallResult<ReplicaRecords> &result) {
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -33,9 +33,9 @@
         /** A row was put or removed. */
         std::function<void(const StoredRow &)> onChange;
         /** The store answered. */
-        std::function<void()> onAnswer;
+        std::function<void()> onAnswer = [] {};
         /** The store did not answer. */
-        std::function<void()> onFailure;
+        std::function<void()> onFailure = [] {};
     };
 
     TableFollower(Scheduler &scheduler, RowStore &store, std::uint64_t seed, Options options, Hooks hooks);
--- /dev/null
+++ b/Tests/Fakes/SignedHeaders.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibProxy/CallerExchange.h>
+
+#include <memory>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+/** @return headers of an answer that a replica signs. */
+inline HeaderList signedHeaders(const std::shared_ptr<CallerExchange> &exchange)
+{
+    HeaderList headers;
+    headers.add("X-Request-Id", std::string(exchange->head().headers.find("X-Request-Id").value_or("")));
+    headers.add("X-Server-Signature", "sig");
+    return headers;
+}
+
+} // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -5,6 +5,7 @@
 #include <LibTask/TaskHost.h>
 #include <Services/Gateway/Gateway.h>
 #include <Tests/Fakes/RawConnection.h>
+#include <Tests/Fakes/SignedHeaders.h>
 #include <Tests/Fakes/StandInStore.h>
 
 #include <nlohmann/json.hpp>
@@ -44,15 +45,6 @@
     CallerServer server;
 };
 
-/** @return headers of an answer that a replica signs. */
-inline HeaderList signedHeaders(const std::shared_ptr<CallerExchange> &exchange)
-{
-    HeaderList headers;
-    headers.add("X-Request-Id", std::string(exchange->head().headers.find("X-Request-Id").value_or("")));
-    headers.add("X-Server-Signature", "sig");
-    return headers;
-}
-
 /** Sends the events of a stream from behind the one that the request names; leaves it open. */
 inline void sendEvents(const std::shared_ptr<CallerExchange> &exchange, int to)
 {
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -1,6 +1,7 @@
 #include <Tests/Soak/SoakWorld.h>
 
 #include <LibBase/Hash.h>
+#include <Tests/Fakes/SignedHeaders.h>
 
 #include <nlohmann/json.hpp>
 
@@ -26,14 +27,6 @@
     return std::string(exchange->head().headers.find(name).value_or(""));
 }
 
-HeaderList signedHeaders(const std::shared_ptr<CallerExchange> &exchange)
-{
-    HeaderList headers;
-    headers.add("X-Request-Id", header(exchange, "X-Request-Id"));
-    headers.add("X-Server-Signature", "sig-" + header(exchange, "X-Request-Id"));
-    return headers;
-}
-
 nlohmann::json route(const char *name, const char *kind, const char *service, bool isResumable)
 {
     return {{"name", name},
