LibTask: Give up the one event whose handler throws, not the node

Cause: an exception that left a handler passed through the event library and ended the process with all that it served. Seen as 'cannot serve, error: map::at' on a fleet of 295 nodes. Weighed: a planned stop instead. What throws at one node throws at the next one, to which the callers go: nodes would stop in turn. Change: runGuarded() around each timer, message, datagram, connection event and request; a connection whose handler threw is closed, so that nothing goes on from a half-changed state; one log line with place and error, and a count.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Numbers.h>
 #include <LibHttp/HttpReply.h>
+#include <LibTask/EventGuard.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
 
@@ -237,7 +238,10 @@
         } else {
             HttpRequest read = std::move(connection.head);
             read.body = takeBody(request);
-            server->handler(std::move(read), server->makeReply(connection, request));
+            const std::shared_ptr<HttpReply> reply = server->makeReply(connection, request);
+            runGuarded("request of a caller", [&] {
+                server->handler(std::move(read), reply);
+            });
         }
     }
 
--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/HttpStatus.h>
 #include <LibProxy/ReasonPhrase.h>
+#include <LibTask/EventGuard.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -75,7 +76,15 @@
 
 void CallerConnection::onReadable(bufferevent *, void *self)
 {
-    static_cast<CallerConnection *>(self)->advance();
+    auto *const connection = static_cast<CallerConnection *>(self);
+    const bool isHandled = runGuarded("bytes of a caller", [connection] {
+        connection->advance();
+    });
+    if (!isHandled) {
+        runGuarded("end of a caller's connection", [connection] {
+            connection->close();
+        });
+    }
 }
 
 void CallerConnection::onWritten(bufferevent *stream, void *self)
@@ -91,7 +100,9 @@
 void CallerConnection::onEvent(bufferevent *, short, void *self)
 {
     // Both ends of file and errors: a caller that closed its side does not wait for an answer any more.
-    static_cast<CallerConnection *>(self)->close();
+    runGuarded("end of a caller's connection", [self] {
+        static_cast<CallerConnection *>(self)->close();
+    });
 }
 
 void CallerConnection::advance()
--- a/Libraries/LibProxy/CallerServer.cpp
+++ b/Libraries/LibProxy/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/CallerServer.h>
 
+#include <LibTask/EventGuard.h>
 #include <LibTask/Sockets.h>
 
 #include <event2/bufferevent.h>
@@ -95,7 +96,9 @@
 
 void CallerServer::onAccept(evconnlistener *, int descriptor, sockaddr *, int, void *self)
 {
-    static_cast<CallerServer *>(self)->accept(descriptor);
+    runGuarded("new connection of a caller", [self, descriptor] {
+        static_cast<CallerServer *>(self)->accept(descriptor);
+    });
 }
 
 void CallerServer::accept(int descriptor)
--- a/Libraries/LibProxy/OutboundConnection.cpp
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/OutboundConnection.h>
 
 #include <LibProxy/HttpStatus.h>
+#include <LibTask/EventGuard.h>
 #include <LibTask/Sockets.h>
 
 #include <event2/buffer.h>
@@ -131,30 +132,50 @@
 
 void OutboundConnection::onReadable(bufferevent *, void *self)
 {
-    static_cast<OutboundConnection *>(self)->read();
+    static_cast<OutboundConnection *>(self)->handle([](OutboundConnection &connection) {
+        connection.read();
+    });
 }
 
 void OutboundConnection::onEvent(bufferevent *, short what, void *self)
 {
-    auto *const connection = static_cast<OutboundConnection *>(self);
+    static_cast<OutboundConnection *>(self)->handle([what](OutboundConnection &connection) {
+        connection.takeEvent(what);
+    });
+}
+
+void OutboundConnection::handle(const std::function<void(OutboundConnection &)> &event)
+{
+    const std::shared_ptr<bool> stillHere = this->alive;
+    const bool isHandled = runGuarded("connection to a server", [this, &event] {
+        event(*this);
+    });
+    if (!isHandled && *stillHere && this->current != 0) {
+        runGuarded("end of a connection to a server", [this] {
+            this->finish(CallEnd::Broken);
+        });
+    }
+}
+
+void OutboundConnection::takeEvent(short what)
+{
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        connection->isConnected = true;
-        connection->pool.loop.cancel(connection->connectTimer);
+        this->isConnected = true;
+        this->pool.loop.cancel(this->connectTimer);
         return;
     }
-    if (connection->current == 0) {
-        connection->pool.dropIdle(*connection);
+    if (this->current == 0) {
+        this->pool.dropIdle(*this);
         return;
     }
     const bool isEndOfFile = (what & BEV_EVENT_EOF) != 0;
-    const bool endsBody
-        = connection->isHeadRead && !connection->isSkipping && connection->reader.head().framing == BodyFraming::UntilClose;
-    if (!connection->isConnected) {
-        connection->finish(CallEnd::NotSent);
+    const bool endsBody = this->isHeadRead && !this->isSkipping && this->reader.head().framing == BodyFraming::UntilClose;
+    if (!this->isConnected) {
+        this->finish(CallEnd::NotSent);
     } else if (isEndOfFile && endsBody) {
-        connection->finish(CallEnd::Complete);
+        this->finish(CallEnd::Complete);
     } else {
-        connection->finish(CallEnd::Broken);
+        this->finish(CallEnd::Broken);
     }
 }
 
--- a/Libraries/LibProxy/OutboundConnection.h
+++ b/Libraries/LibProxy/OutboundConnection.h
@@ -37,6 +37,8 @@
 private:
     static void onReadable(bufferevent *stream, void *self);
     static void onEvent(bufferevent *stream, short what, void *self);
+    void handle(const std::function<void(OutboundConnection &)> &event);
+    void takeEvent(short what);
 
     void connect(std::chrono::milliseconds timeout);
     void read();
--- /dev/null
+++ b/Libraries/LibTask/EventGuard.cpp
@@ -0,0 +1,33 @@
+#include <LibTask/EventGuard.h>
+
+#include <LibBase/Log.h>
+
+#include <atomic>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+std::atomic<std::uint64_t> givenUp{0};
+
+} // namespace
+
+void noteGivenUpEvent(std::string_view place, std::string_view error) noexcept
+{
+    ++givenUp;
+    try {
+        log(LogLevel::Error, "event given up", {{"place", std::string(place)}, {"error", std::string(error)}});
+    } catch (const std::exception &) {
+        // No memory for the line; the count tells.
+    }
+}
+
+std::uint64_t eventsGivenUp() noexcept
+{
+    return givenUp;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibTask/EventLoop.cpp
+++ b/Libraries/LibTask/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include <LibTask/EventLoop.h>
 
+#include <LibTask/EventGuard.h>
+
 #include <event2/event.h>
 #include <event2/thread.h>
 
@@ -98,7 +100,7 @@
     EventLoop *const loop = due->loop;
     const std::function<void()> action = std::move(due->action);
     loop->timers.erase(due->id);
-    action();
+    runGuarded("timer", action);
 }
 
 void EventLoop::runPosted()
@@ -108,8 +110,8 @@
         const std::lock_guard lock(this->mutex);
         batch.swap(this->posted);
     }
-    for (std::function<void()> &action : batch) {
-        action();
+    for (const std::function<void()> &action : batch) {
+        runGuarded("message", action);
     }
 }
 
--- a/Libraries/LibTask/Task.cpp
+++ b/Libraries/LibTask/Task.cpp
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 
+#include <exception>
 #include <future>
 
 namespace Dogwoodkeel
@@ -30,10 +31,14 @@
 {
     std::promise<void> done;
     this->eventLoop.post([&] {
-        action();
-        done.set_value();
+        try {
+            action();
+            done.set_value();
+        } catch (...) {
+            done.set_exception(std::current_exception());
+        }
     });
-    done.get_future().wait();
+    done.get_future().get();
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/DatagramSocket.cpp
+++ b/Libraries/LibWire/DatagramSocket.cpp
@@ -1,5 +1,6 @@
 #include <LibWire/DatagramSocket.h>
 
+#include <LibTask/EventGuard.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
 
@@ -116,7 +117,10 @@
         }
         std::array<char, INET_ADDRSTRLEN> text{};
         inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-        this->take({text.data(), ntohs(from.sin_port)}, std::string_view(buffer.data(), static_cast<std::size_t>(size)));
+        const Address sender{text.data(), ntohs(from.sin_port)};
+        runGuarded("datagram", [&] {
+            this->take(sender, std::string_view(buffer.data(), static_cast<std::size_t>(size)));
+        });
     }
 }
 
--- a/Libraries/LibWire/PeerLink.cpp
+++ b/Libraries/LibWire/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include <LibWire/PeerLink.h>
 
 #include <LibBase/Encoding.h>
+#include <LibTask/EventGuard.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
 
@@ -87,7 +88,16 @@
 
 void PeerLink::onRead(bufferevent *, void *self)
 {
-    static_cast<PeerLink *>(self)->receive();
+    auto *const link = static_cast<PeerLink *>(self);
+    const std::shared_ptr<bool> stillAlive = link->alive;
+    const bool isHandled = runGuarded("bytes of another node", [link] {
+        link->receive();
+    });
+    if (!isHandled && *stillAlive) {
+        runGuarded("end of a link to another node", [link] {
+            link->close();
+        });
+    }
 }
 
 void PeerLink::onEvent(bufferevent *event, short what, void *self)
@@ -98,7 +108,9 @@
         link->opened = true;
         return;
     }
-    link->close();
+    runGuarded("end of a link to another node", [link] {
+        link->close();
+    });
 }
 
 bool PeerLink::takeGreeting()
--- a/Libraries/LibWire/PeerServer.cpp
+++ b/Libraries/LibWire/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include <LibWire/PeerServer.h>
 
+#include <LibTask/EventGuard.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
 #include <LibWire/Generated/Messages.h>
@@ -41,7 +42,9 @@
 
 void PeerServer::onAccept(evconnlistener *, int descriptor, sockaddr *, int, void *self)
 {
-    static_cast<PeerServer *>(self)->accept(descriptor);
+    runGuarded("new connection of another node", [self, descriptor] {
+        static_cast<PeerServer *>(self)->accept(descriptor);
+    });
 }
 
 void PeerServer::accept(int descriptor)
