LibDispatch: Tell decisions when all is changed; find a ticket where it stands

Cause of the end of a node: Dispatcher::ask looked for a known ticket in the queue of the class that is asked for now. Two nodes with one session number have the same tickets, and the one stood in the other queue. Change: a ticket remembers its queue; each .at() is a find with an answer for what is missing; hooks are told after the state is whole, so one that calls back finds no iterator to invalidate. The guard against assigning twice is not needed any more.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -55,12 +55,14 @@
     }
     // Items make up what they lose; they must not hold up a replica that leaves.
     for (auto &[id, placement] : this->placements) {
-        const bool isLeaving = this->replicas.at(placement.replica).traits.isDraining;
+        const Replica *const replica = this->replicaOf(placement);
+        const bool isLeaving = replica != nullptr && replica->traits.isDraining;
         if (isLeaving && placement.work == WorkClass::Batch && !placement.stopped) {
             this->stop(placement);
         }
     }
     this->assign();
+    this->tell();
 }
 
 bool Dispatcher::ask(const PlacementRequest &request)
@@ -68,12 +70,12 @@
     const auto placed = this->placements.find(request.id);
     if (placed != this->placements.end()) {
         placed->second.confirmed = this->clock.now();
-        this->hooks.place(request.id, placed->second.replica);
+        this->decisions.push_back({PlacementDecision::Placed, request.id, placed->second.replica, {}});
+        this->tell();
         return true;
     }
-    const auto known = this->queued.find(request.id);
-    if (known != this->queued.end()) {
-        this->queueOf(request.work).at(known->second).asked = this->clock.now();
+    if (Waiting *const waiting = this->findWaiting(request.id)) {
+        waiting->asked = this->clock.now();
         return false;
     }
     PlacementRequest taken = request;
@@ -81,7 +83,28 @@
     this->enqueue(taken, this->clock.now());
     this->assign();
     this->sendAwayIfLate(taken);
-    return !this->queued.contains(request.id);
+    const bool isDecided = !this->queued.contains(request.id);
+    this->tell();
+    return isDecided;
+}
+
+void Dispatcher::tell()
+{
+    for (const Decision &decision : std::exchange(this->decisions, {})) {
+        switch (decision.kind) {
+        case PlacementDecision::Placed:
+            this->hooks.place(decision.id, decision.replica);
+            break;
+        case PlacementDecision::Stopped:
+            this->hooks.stop(decision.id);
+            break;
+        case PlacementDecision::Refused:
+            this->hooks.refuse(decision.id, decision.comeBack);
+            break;
+        case PlacementDecision::Waiting:
+            break;
+        }
+    }
 }
 
 void Dispatcher::welcome(PlacementRequest &request)
@@ -165,7 +188,8 @@
 void Dispatcher::sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack)
 {
     this->dequeue(request.id);
-    this->hooks.refuse(request.id, std::chrono::ceil<std::chrono::milliseconds>(comeBack));
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(comeBack);
+    this->decisions.push_back({PlacementDecision::Refused, request.id, {}, wait});
 }
 
 void Dispatcher::end(TicketId id, PlacementVerdict verdict)
@@ -176,6 +200,7 @@
         this->remove(placed, verdict);
     }
     this->assign();
+    this->tell();
 }
 
 void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
@@ -215,6 +240,7 @@
         }
     }
     this->assign();
+    this->tell();
 }
 
 void Dispatcher::dropNode(SessionNumber node)
@@ -229,6 +255,7 @@
         placement = next;
     }
     this->assign();
+    this->tell();
 }
 
 void Dispatcher::tick()
@@ -248,11 +275,12 @@
             this->forget(placement);
         } else if (entry.stopped && now - *entry.stopped > stopRepeat) {
             entry.stopped = now;
-            this->hooks.stop(entry.id);
+            this->decisions.push_back({PlacementDecision::Stopped, entry.id, {}, {}});
         }
         placement = next;
     }
     this->assign();
+    this->tell();
 }
 
 Dispatcher::Load Dispatcher::load() const
@@ -270,14 +298,10 @@
 
 void Dispatcher::assign()
 {
-    if (std::exchange(this->isAssigning, true)) {
-        return;
-    }
     this->assignFrom(this->online, &Dispatcher::placeOnline);
     if (this->online.empty()) {
         this->assignFrom(this->batch, &Dispatcher::placeBatch);
     }
-    this->isAssigning = false;
 }
 
 void Dispatcher::assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &))
@@ -300,6 +324,17 @@
     return work == WorkClass::Online ? this->online : this->batch;
 }
 
+Dispatcher::Waiting *Dispatcher::findWaiting(TicketId id)
+{
+    const auto known = this->queued.find(id);
+    if (known == this->queued.end()) {
+        return nullptr;
+    }
+    Queue &queue = this->queueOf(known->second.work);
+    const auto waiting = queue.find(known->second.key);
+    return waiting != queue.end() ? &waiting->second : nullptr;
+}
+
 void Dispatcher::enqueue(const PlacementRequest &request, SteadyTime asked)
 {
     // Under overload, first come first served makes everybody late, and so does first due. Who can still be on time goes
@@ -308,7 +343,7 @@
     const bool isLate = this->clock.now() > request.due;
     const QueueKey key(request.priority, isLate, isOnline ? request.arrived : request.due, request.id);
     this->queueOf(request.work).insert_or_assign(key, Waiting{request, asked});
-    this->queued.insert_or_assign(request.id, key);
+    this->queued.insert_or_assign(request.id, QueuePlace{request.work, key});
     if (isOnline && !isLate) {
         ++this->onTimeWaiting[request.priority];
     }
@@ -320,11 +355,12 @@
     if (known == this->queued.end()) {
         return;
     }
-    const auto &[priority, isLate, order, ticket] = known->second;
-    if (this->online.erase(known->second) > 0 && !isLate) {
+    const auto &[work, key] = known->second;
+    this->queueOf(work).erase(key);
+    const auto &[priority, isLate, order, ticket] = key;
+    if (work == WorkClass::Online && !isLate) {
         --this->onTimeWaiting[priority];
     }
-    this->batch.erase(known->second);
     this->queued.erase(known);
 }
 
@@ -364,13 +400,14 @@
         this->place(request, *replica);
         return true;
     }
-    if (Placement *const victim = this->victimFor(request)) {
-        Replica &replica = this->replicas.at(victim->replica);
-        this->stop(*victim);
-        this->place(request, replica);
-        return true;
+    Placement *const victim = this->victimFor(request);
+    if (victim == nullptr) {
+        return false;
     }
-    return false;
+    Replica *const replica = this->replicaOf(*victim);
+    this->stop(*victim);
+    this->place(request, *replica);
+    return true;
 }
 
 bool Dispatcher::placeBatch(const PlacementRequest &request)
@@ -411,9 +448,13 @@
         if (item->first < stopSlack) {
             return nullptr;
         }
-        Placement &placement = this->placements.at(item->second);
-        if (this->isUsable(this->replicas.at(placement.replica), request)) {
-            return &placement;
+        const auto placement = this->placements.find(item->second);
+        if (placement == this->placements.end()) {
+            continue;
+        }
+        const Replica *const replica = this->replicaOf(placement->second);
+        if (replica != nullptr && this->isUsable(*replica, request)) {
+            return &placement->second;
         }
     }
     return nullptr;
@@ -436,24 +477,31 @@
     if (request.work == WorkClass::Batch) {
         this->stoppable.emplace(slack, request.id);
     }
-    this->hooks.place(request.id, replica.traits.instance);
+    this->decisions.push_back({PlacementDecision::Placed, request.id, replica.traits.instance, {}});
 }
 
 void Dispatcher::stop(Placement &placement)
 {
     placement.stopped = this->clock.now();
     this->stoppable.erase({placement.slack, placement.id});
-    this->replicas.at(placement.replica).batch -= 1;
-    this->hooks.stop(placement.id);
+    if (Replica *const replica = this->replicaOf(placement)) {
+        replica->batch -= 1;
+    }
+    this->decisions.push_back({PlacementDecision::Stopped, placement.id, {}, {}});
+}
+
+Dispatcher::Replica *Dispatcher::replicaOf(const Placement &placement)
+{
+    const auto found = this->replicas.find(placement.replica);
+    return found != this->replicas.end() ? &found->second : nullptr;
 }
 
 void Dispatcher::remove(Placements::iterator placement, PlacementVerdict verdict)
 {
     const Placement &entry = placement->second;
     const SteadyTime now = this->clock.now();
-    const auto replica = this->replicas.find(entry.replica);
-    if (replica != this->replicas.end()) {
-        replica->second.gate.noteEnd(verdict, now);
+    if (Replica *const replica = this->replicaOf(entry)) {
+        replica->gate.noteEnd(verdict, now);
     }
     if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
         this->forecast.noteRun(now - entry.placed);
@@ -464,12 +512,12 @@
 void Dispatcher::forget(Placements::iterator placement)
 {
     const Placement &entry = placement->second;
-    const auto replica = this->replicas.find(entry.replica);
-    if (replica != this->replicas.end() && !entry.stopped) {
-        if (!hasFreeSlot(replica->second)) {
-            replica->second.lastFull = this->clock.now();
+    Replica *const replica = this->replicaOf(entry);
+    if (replica != nullptr && !entry.stopped) {
+        if (!hasFreeSlot(*replica)) {
+            replica->lastFull = this->clock.now();
         }
-        (entry.work == WorkClass::Batch ? replica->second.batch : replica->second.online) -= 1;
+        (entry.work == WorkClass::Batch ? replica->batch : replica->online) -= 1;
     }
     this->stoppable.erase({entry.slack, entry.id});
     this->placements.erase(placement);
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -30,7 +30,7 @@
 class Dispatcher
 {
 public:
-    /** Who hears of decisions. */
+    /** Who hears of decisions. Told after each call, when all that the call changes is changed: a hook may call back. */
     struct Hooks
     {
         std::function<void(TicketId, const EndpointName &)> place;
@@ -114,18 +114,39 @@
     /** Orders the waiting: whom to serve first stands first. */
     using QueueKey = std::tuple<std::uint32_t, bool, SteadyTime, TicketId>;
     using Queue = std::map<QueueKey, Waiting>;
+
+    /** Where a waiting request stands. */
+    struct QueuePlace
+    {
+        WorkClass work = WorkClass::Online;
+        QueueKey key;
+    };
+
+    /** What is still to be told. */
+    struct Decision
+    {
+        PlacementDecision kind = PlacementDecision::Placed;
+        TicketId id;
+        /** With Placed. */
+        EndpointName replica;
+        /** With Refused. */
+        std::chrono::milliseconds comeBack{0};
+    };
     using Placements = std::map<TicketId, Placement>;
 
+    void tell();
     void assign();
     void assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &));
     bool placeOnline(const PlacementRequest &request);
     bool placeBatch(const PlacementRequest &request);
     Replica *freeReplica(const PlacementRequest &request);
+    Replica *replicaOf(const Placement &placement);
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, Replica &replica);
     void enqueue(const PlacementRequest &request, SteadyTime asked);
     void dequeue(TicketId id);
     Queue &queueOf(WorkClass work);
+    Waiting *findWaiting(TicketId id);
     void dropWaiting(const std::function<bool(const Waiting &)> &isDropped);
     void sinkLate();
     void welcome(PlacementRequest &request);
@@ -147,11 +168,10 @@
     Placements placements;
     Queue online;
     Queue batch;
-    /** Where a waiting request stands. */
-    std::map<TicketId, QueueKey> queued;
+    std::map<TicketId, QueuePlace> queued;
+    std::vector<Decision> decisions;
     /** Batch items that run and were not told to stop, by their slack. */
     std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
-    bool isAssigning = false;
     LoadForecast forecast;
     ReturnSchedule returns;
     /** Online requests that wait and can still be on time, by priority. */
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -4,7 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace Dogwoodkeel;
 
@@ -257,3 +260,184 @@
     CHECK(bench.stopped == std::vector<std::uint64_t>{3, 2});
     CHECK_FALSE(bench.isPlaced(6));
 }
+
+// Two nodes go by one session number for a moment, so their tickets are the same: an online request of the one is asked for
+// again under the ticket with which a batch item of the other waits. The dispatcher must not fall over this, for with it the
+// node would end, and all that it serves.
+TEST_CASE("a ticket that is asked for again as another kind of work is known")
+{
+    Bench bench(1, 1);
+    bench.ask(1);
+    bench.ask(2, WorkClass::Batch);
+    bench.ask(2);
+    CHECK(bench.dispatcher.load().batchWaiting == 1);
+    CHECK(bench.dispatcher.load().onlineWaiting == 0);
+    bench.end(1);
+    bench.pass(std::chrono::seconds(1));
+    CHECK(bench.isPlaced(2));
+}
+
+namespace
+{
+
+/** A dispatcher whose hooks ask and end at once, in the call that tells them, as an impatient node would. */
+class ImpatientNode
+{
+public:
+    explicit ImpatientNode(unsigned seed)
+        : random(seed)
+        , dispatcher(this->clock,
+                     {.place =
+                          [this](TicketId id, const EndpointName &) {
+                              this->running.insert(id);
+                              this->meddle(id);
+                          },
+                      .stop =
+                          [this](TicketId id) {
+                              this->meddle(id);
+                          },
+                      .refuse =
+                          [this](TicketId id, std::chrono::milliseconds) {
+                              this->meddle(id);
+                          }})
+    {
+    }
+
+    void step()
+    {
+        switch (this->below(8)) {
+        case 0:
+            this->dispatcher.tick();
+            break;
+        case 1:
+            this->dispatcher.setReplicas(this->someReplicas());
+            break;
+        case 2:
+            this->dispatcher.dropNode(SessionNumber(1 + this->below(3)));
+            break;
+        case 3:
+            this->report();
+            break;
+        case 4:
+            this->clock.advance(std::chrono::milliseconds(this->below(600)));
+            break;
+        case 5:
+            this->end(this->anyTicket());
+            break;
+        default:
+            this->ask(this->anyTicket());
+        }
+    }
+
+    /** Give everything back. */
+    void settle()
+    {
+        this->isSettling = true;
+        for (std::uint32_t node = 1; node <= 3; ++node) {
+            this->dispatcher.dropNode(SessionNumber(node));
+        }
+    }
+
+    std::minstd_rand random;
+    ManualClock clock;
+    Dispatcher dispatcher;
+
+private:
+    std::uint32_t below(std::uint32_t bound)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(0, bound - 1)(this->random);
+    }
+
+    TicketId anyTicket()
+    {
+        return {SessionNumber(1 + this->below(3)), 1 + this->below(12)};
+    }
+
+    void ask(TicketId id)
+    {
+        PlacementRequest request;
+        request.id = id;
+        request.work = this->below(2) == 0 ? WorkClass::Online : WorkClass::Batch;
+        request.priority = this->below(2);
+        request.arrived = this->clock.now();
+        request.due = this->clock.now() + std::chrono::milliseconds(this->below(400));
+        request.deadline = this->clock.now() + std::chrono::milliseconds(this->below(3000));
+        request.content = this->below(4);
+        request.mayRefuse = this->below(2) == 0;
+        if (this->below(3) == 0) {
+            request.avoided.emplace_back("r" + std::to_string(this->below(4)));
+        }
+        this->dispatcher.ask(request);
+    }
+
+    void end(TicketId id)
+    {
+        this->running.erase(id);
+        this->dispatcher.end(id, static_cast<PlacementVerdict>(this->below(4)));
+    }
+
+    void meddle(TicketId id)
+    {
+        if (this->isSettling || this->depth > 2) {
+            return;
+        }
+        ++this->depth;
+        if (this->below(2) == 0) {
+            this->end(id);
+        }
+        if (this->below(4) == 0) {
+            this->step();
+        }
+        --this->depth;
+    }
+
+    void report()
+    {
+        const SessionNumber node(1 + this->below(3));
+        std::vector<RunningPlacement> entries;
+        for (const TicketId &id : this->running) {
+            if (id.node == node) {
+                entries.push_back({id.number, EndpointName("r" + std::to_string(this->below(4))), this->below(2) == 0});
+            }
+        }
+        this->dispatcher.reconcile(node, this->below(14), entries);
+    }
+
+    std::vector<DispatchReplica> someReplicas()
+    {
+        std::vector<DispatchReplica> replicas;
+        for (std::uint32_t number = 0; number < 4; ++number) {
+            if (this->below(4) > 0) {
+                const bool isDraining = this->below(5) == 0;
+                replicas.push_back(
+                    {EndpointName("r" + std::to_string(number)), FailureDomain("z"), 1 + this->below(3), isDraining});
+            }
+        }
+        return replicas;
+    }
+
+    std::set<TicketId> running;
+    int depth = 0;
+    bool isSettling = false;
+};
+
+} // namespace
+
+// Whatever nodes ask, end, report and lose, in whatever order, and also from inside the word of a decision: the dispatcher's
+// counts stay right. Were one to be wrong, a slot would stand idle for ever, or a replica be filled beyond its slots.
+TEST_CASE("any order of calls, from hooks as well, leaves no count behind")
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        ImpatientNode node(seed);
+        for (int step = 0; step < 200; ++step) {
+            node.step();
+        }
+        node.settle();
+        const Dispatcher::Load load = node.dispatcher.load();
+        CAPTURE(seed);
+        CHECK(load.onlineRunning == 0);
+        CHECK(load.batchRunning == 0);
+        CHECK(load.onlineWaiting == 0);
+        CHECK(load.batchWaiting == 0);
+    }
+}
