Membership: Draw session numbers at random; a node that lost its number takes another

Cause: a session number was the time of day in milliseconds and 12 bits of a hash of the VM's name. Among 300 nodes that start together some share one (295 nodes knew of 291 members): each takes the other's news, tickets and rows for its own. And the order of two numbers told which of two sessions at one address was over: after the time of day had jumped back, a node that started again was held over by all others for as long as it lived. Change: 63 random bits. Which session at an address lives is asked there: the one that answers a probe ends the other. Who meets its own number in another node's news, datagrams or row, or is held over, says so and goes on under a new one. Numbers that a row of the platform counts (serve) keep their order and its test. Membership's iterators and .at() across hooks are replaced by finds or by collecting first.

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -137,6 +137,17 @@
     this->digestChanged();
 }
 
+void MemberTable::renameOwn(SessionNumber next)
+{
+    auto node = this->known.extract(this->self);
+    this->known.erase(next);
+    node.key() = next;
+    node.mapped().member.session = next;
+    this->known.insert(std::move(node));
+    this->self = next;
+    this->digestChanged();
+}
+
 const MemberTable::Entry *MemberTable::find(SessionNumber session) const
 {
     const auto found = this->known.find(session);
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -56,6 +56,9 @@
     const Member &own() const;
     void ownChanged();
 
+    /** Know this node itself under another session number. */
+    void renameOwn(SessionNumber next);
+
     /** @return what is known of a session, or null. */
     const Entry *find(SessionNumber session) const;
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -227,10 +227,11 @@
 
 void Membership::probeByOthers(std::uint64_t sequence)
 {
-    Probe &probe = this->probes.at(sequence);
-    if (this->wasPaused(probe.due)) {
+    const auto found = this->probes.find(sequence);
+    if (found == this->probes.end() || this->wasPaused(found->second.due)) {
         return;
     }
+    Probe &probe = found->second;
     const MemberTable::Entry *const entry = this->table.find(probe.target);
     if (entry == nullptr || isGone(entry->member)) {
         this->probes.erase(sequence);
@@ -247,18 +248,22 @@
 
 void Membership::probeFailed(std::uint64_t sequence)
 {
-    const Probe probe = this->probes.at(sequence);
-    if (this->wasPaused(probe.due)) {
+    const auto found = this->probes.find(sequence);
+    if (found == this->probes.end() || this->wasPaused(found->second.due)) {
         return;
     }
-    this->probes.erase(sequence);
+    const Probe probe = found->second;
+    this->probes.erase(found);
     this->health.failed();
     const bool hasWitness = this->lastHeard >= probe.started || this->table.others().size() < smallestTalk;
     if (hasWitness) {
         this->accuse(probe.target);
     } else if (this->isAlone()) {
-        for (const Member *const member : this->table.others()) {
-            this->accuse(member->session);
+        // Each accusation is published, and who hears of it may change the table.
+        std::vector<SessionNumber> silent;
+        std::ranges::transform(this->table.others(), std::back_inserter(silent), &Member::session);
+        for (const SessionNumber session : silent) {
+            this->accuse(session);
         }
     }
 }
@@ -336,7 +341,11 @@
 
 void Membership::scheduleDeath(SessionNumber target)
 {
-    Suspected &suspected = this->suspected.at(target);
+    const auto found = this->suspected.find(target);
+    if (found == this->suspected.end()) {
+        return;
+    }
+    Suspected &suspected = found->second;
     this->scheduler.cancel(suspected.timer);
     suspected.due = std::max(suspected.suspicion.deadline(), this->clock.now());
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(suspected.due - this->clock.now());
@@ -347,16 +356,17 @@
 
 void Membership::expire(SessionNumber target)
 {
-    Suspected &suspected = this->suspected.at(target);
-    if (this->wasPaused(suspected.due)) {
+    const auto found = this->suspected.find(target);
+    const MemberTable::Entry *const entry = this->table.find(target);
+    if (found == this->suspected.end() || entry == nullptr || this->wasPaused(found->second.due)) {
         return;
     }
     if (this->isDeaf()) {
-        suspected.suspicion.extend(this->interval());
+        found->second.suspicion.extend(this->interval());
         this->scheduleDeath(target);
         return;
     }
-    MemberNews news = newsOf(this->table.find(target)->member);
+    MemberNews news = newsOf(entry->member);
     news.state = MemberState::Dead;
     this->take(news);
     this->publish();
@@ -379,10 +389,27 @@
     }
     this->hear(ping.from, ping.gossip);
     this->hooks.sendPong(from, {this->self, ping.sequence, this->gossipFor(ping.from)});
+    this->tellNamesake(from, ping);
     this->compare(from, ping.gossip.digest);
     this->publish();
 }
 
+void Membership::tellNamesake(const Address &from, const Ping &ping)
+{
+    // Two nodes with one number: the one that is heard here is not the one that is known here.
+    if (ping.from == this->self) {
+        if (from != this->table.own().gossip) {
+            this->loseSession("another node has the same number");
+        }
+        return;
+    }
+    const MemberTable::Entry *const entry = this->table.find(ping.from);
+    const bool isKnownElsewhere = entry != nullptr && entry->isDescribed && entry->member.gossip != from;
+    if (isKnownElsewhere) {
+        this->hooks.sendPush(from, {this->self, {entry->member}, {}});
+    }
+}
+
 void Membership::receive(const Address &from, const Pong &pong)
 {
     if (this->hasLeft) {
@@ -399,6 +426,8 @@
         this->scheduler.cancel(probe->second.timer);
         this->probes.erase(probe);
         this->health.succeeded();
+    } else if (probe != this->probes.end()) {
+        this->takeHolder(pong.from, probe->second.target);
     }
     this->correct(pong.from);
     this->compare(from, pong.gossip.digest);
@@ -420,11 +449,19 @@
 
 void Membership::receive(const Address &from, const MembersPull &pull)
 {
-    const std::vector<std::uint32_t> digests = this->table.digests();
-    if (this->hasLeft || pull.digests.size() != digests.size()) {
+    if (this->hasLeft || pull.digests.size() != MemberTable::parts) {
         return;
     }
     this->lastHeard = this->clock.now();
+    for (const MembersPush &push : this->answerTo(pull)) {
+        this->hooks.sendPush(from, push);
+    }
+}
+
+std::vector<MembersPush> Membership::answerTo(const MembersPull &pull) const
+{
+    const std::vector<std::uint32_t> digests = this->table.digests();
+    std::vector<MembersPush> pushes;
     MembersPush push{this->self, {}, {}};
     for (const auto &[session, entry] : this->table.entries()) {
         const std::size_t part = session.value() % MemberTable::parts;
@@ -437,10 +474,11 @@
             push.departed.push_back(newsOf(entry.member));
         }
         if (push.members.size() == membersInPush) {
-            this->hooks.sendPush(from, std::exchange(push, MembersPush{this->self, {}, {}}));
+            pushes.push_back(std::exchange(push, MembersPush{this->self, {}, {}}));
         }
     }
-    this->hooks.sendPush(from, push);
+    pushes.push_back(std::move(push));
+    return pushes;
 }
 
 void Membership::receive(const Address &, const MembersPush &push)
@@ -510,6 +548,10 @@
 
 void Membership::take(const Member &told)
 {
+    if (told.session == this->self && told.gossip != this->table.own().gossip) {
+        this->loseSession("another node has the same number");
+        return;
+    }
     if (told.session == this->self || !isValid(told.state)) {
         this->take(newsOf(told));
         return;
@@ -617,13 +659,24 @@
     // A socket belongs to one process: of two sessions with one gossip address the earlier is over, and need not be
     // suspected first.
     std::vector<MemberNews> over;
+    std::vector<SessionNumber> doubtful;
     for (const auto &[session, entry] : this->table.entries()) {
         const bool isSame = entry.isDescribed && entry.member.gossip == newcomer.gossip && session != newcomer.session;
-        if (isSame && !isGone(entry.member)) {
+        if (!isSame || isGone(entry.member) || session == this->self) {
+            continue;
+        }
+        if (this->options.sessionOrder == SessionOrder::Random) {
+            doubtful.push_back(session);
+        } else {
             const bool isOlder = session < newcomer.session;
             over.push_back(newsOf(isOlder ? entry.member : newcomer));
         }
     }
+    for (const SessionNumber session : doubtful) {
+        if (!this->isProbing(session)) {
+            this->probe(session);
+        }
+    }
     for (MemberNews &news : over) {
         news.state = MemberState::Left;
         if (news.session != this->self) {
@@ -632,8 +685,52 @@
     }
 }
 
+void Membership::takeHolder(SessionNumber answered, SessionNumber expected)
+{
+    const MemberTable::Entry *const holder = this->table.find(answered);
+    const MemberTable::Entry *const former = this->table.find(expected);
+    const bool isKnown = holder != nullptr && holder->isDescribed && former != nullptr && former->isDescribed;
+    // The same sequence may also stand in a late answer to the process that had this node's address before.
+    if (!isKnown || isGone(former->member) || holder->member.gossip != former->member.gossip) {
+        return;
+    }
+    MemberNews news = newsOf(former->member);
+    news.state = MemberState::Left;
+    this->take(news);
+    this->publish();
+}
+
+void Membership::loseSession(std::string_view reason)
+{
+    log(LogLevel::Warning,
+        "session number lost",
+        {{"session", static_cast<std::int64_t>(this->self.value())}, {"reason", std::string(reason)}});
+    if (this->hooks.onSessionLost) {
+        this->hooks.onSessionLost();
+    }
+}
+
+void Membership::renew(SessionNumber next)
+{
+    if (this->hasLeft) {
+        return;
+    }
+    this->newMembers.remove(this->self);
+    this->changedMembers.remove(this->self);
+    this->changedLoads.remove(this->self);
+    this->table.renameOwn(next);
+    this->self = next;
+    this->newMembers.add(next);
+    this->changed = true;
+    this->publish();
+}
+
 void Membership::refute(const MemberNews &news)
 {
+    if (news.state == MemberState::Left && !this->hasLeft) {
+        this->loseSession("the others hold it over");
+        return;
+    }
     Member &own = this->table.own();
     const bool isWrong = news.incarnation >= own.incarnation && (news.state != own.state || news.incarnation > own.incarnation);
     if (!isWrong || this->hasLeft) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -35,9 +36,18 @@
 class Membership
 {
 public:
+    /** What the numbers of two sessions at one address tell. */
+    enum class SessionOrder : std::uint8_t {
+        /** The lower one is over: a row of the platform counts the sessions of a VM. */
+        Ascending,
+        /** Nothing, since they are drawn at random: the one that answers at the address lives. */
+        Random,
+    };
+
     /** Timing and sizes. */
     struct Options
     {
+        SessionOrder sessionOrder = SessionOrder::Ascending;
         /** Between two probes, in a fleet of up to stretchFrom nodes; in proportion in a larger one. */
         std::chrono::milliseconds probeInterval{200};
         /** As far as the interval is stretched. */
@@ -63,6 +73,8 @@
         std::function<void(MemberViewPointer)> onChange;
         /** Told of VMs that the platform is about to take away, as others saw them on its list. */
         std::function<void(const std::vector<VmName> &)> onLeavingVms;
+        /** Told that this node needs another session number; may be empty where a number can't be lost. See renew(). */
+        std::function<void()> onSessionLost;
     };
 
     Membership(const Clock &clock, Scheduler &scheduler, Options options, Member self, std::uint64_t seed, Hooks hooks);
@@ -88,6 +100,12 @@
     /** Tell the others that this session is over, and stop probing. */
     void leave();
 
+    /**
+     * Go on under another session number. A number is lost if another node has the same one (each would take the other's
+     * news for its own), or if the others hold it over: nothing that this node says of it would be believed any more.
+     */
+    void renew(SessionNumber next);
+
     /** Tell the others of VMs that the platform is about to take away. */
     void tellLeaving(const std::vector<VmName> &vms);
 
@@ -154,13 +172,17 @@
 
     void hear(SessionNumber session, const Gossip &gossip);
     void compare(const Address &with, std::uint32_t digest);
+    std::vector<MembersPush> answerTo(const MembersPull &pull) const;
     void correct(SessionNumber session);
     void take(const Member &told);
     void take(const MemberNews &told);
     void take(const MemberLoad &told);
     void takeLeaving(const std::vector<VmName> &vms);
     void supersede(const Member &newcomer);
+    void takeHolder(SessionNumber answered, SessionNumber expected);
+    void tellNamesake(const Address &from, const Ping &ping);
     void refute(const MemberNews &news);
+    void loseSession(std::string_view reason);
     Gossip gossipFor(SessionNumber hearer);
     MemberNews tellable(const Member &member) const;
     void publish();
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
 #include <LibProxy/HttpStatus.h>
+#include <LibTask/EventGuard.h>
 #include <LibWire/Codec.h>
 #include <Services/Gateway/OnlineCall.h>
 #include <platform/ConfigurationFormat.h>
@@ -46,7 +47,10 @@
 
 } // namespace
 
-Gateway::Gateway(EventLoop &loop, const Clock &clock, const SettingsPointer &settings)
+Gateway::Gateway(EventLoop &loop,
+                 const Clock &clock,
+                 const SettingsPointer &settings,
+                 const std::function<SessionNumber()> &newSession)
     : loop(loop)
     , clock(clock)
     , settings(settings)
@@ -66,7 +70,8 @@
              .onDatagram =
                  [this](const Datagram &datagram) {
                      this->takeDatagram(datagram);
-                 }})
+                 },
+             .newSession = newSession})
     , placements(loop, clock, this->peers, FailureDomain(settings->node.failureDomain))
     , listed(loop,
              clock,
@@ -98,12 +103,15 @@
               },
               this->random}
     , relayedStore(this->store, this->peers, this->random())
-    , jobs(loop,
-           clock,
-           this->relayedStore,
-           this->peers.self(),
-           static_cast<std::size_t>(settings->platform.rowBytes),
-           this->random())
+    , jobs(
+          loop,
+          clock,
+          this->relayedStore,
+          [this] {
+              return this->peers.self();
+          },
+          static_cast<std::size_t>(settings->platform.rowBytes),
+          this->random())
     , jobApi(
           this->context,
           this->jobs,
@@ -365,6 +373,7 @@
             }
         }
     }
+    this->metrics.setGauge("events_given_up", static_cast<double>(eventsGivenUp()));
     this->metrics.setGauge("members", static_cast<double>(this->peers.view()->members().size()));
     this->metrics.setGauge("placed_by_own_counts", static_cast<double>(this->placements.fallbacks()));
     this->metrics.setGauge("connections_to_replicas", static_cast<double>(this->replicaPool.connectionsMade()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -33,8 +33,14 @@
 class Gateway
 {
 public:
-    /** @throws std::runtime_error if it cannot listen at its addresses */
-    Gateway(EventLoop &loop, const Clock &clock, const SettingsPointer &settings);
+    /**
+     * @param newSession gives the numbers that this start of the node goes by, see PeerNetwork
+     * @throws std::runtime_error if it cannot listen at its addresses
+     */
+    Gateway(EventLoop &loop,
+            const Clock &clock,
+            const SettingsPointer &settings,
+            const std::function<SessionNumber()> &newSession = &randomSession);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-JobRun::JobRun(GatewayContext &context, JobStore &store, SessionNumber self, JobId job, Hooks hooks)
-    : context(context), store(store), self(self), job(std::move(job)), hooks(std::move(hooks))
+JobRun::JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks)
+    : context(context), store(store), job(std::move(job)), hooks(std::move(hooks))
 {
 }
 
@@ -227,7 +227,10 @@
         return;
     }
     this->writeSoon();
-    this->open.at(number).attempt->restart();
+    const auto found = this->open.find(number);
+    if (found != this->open.end()) {
+        found->second.attempt->restart();
+    }
 }
 
 void JobRun::abandon(std::uint32_t number, std::string_view reason)
@@ -278,7 +281,7 @@
     std::optional<OpenJob> row;
     if (next.head.listed.size() < next.head.total) {
         const WallTime due = next.head.submitted + this->completionTarget();
-        row = OpenJob{next.head.route, this->waitingTokens(next.head), due, this->self};
+        row = OpenJob{next.head.route, this->waitingTokens(next.head), due, this->hooks.self()};
     }
     this->isBusyWithStore = true;
     this->store.update(this->job,
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -24,6 +24,8 @@
 public:
     struct Hooks
     {
+        /** @return the number that this node goes by now. */
+        std::function<SessionNumber()> self;
         /** @return where an item of the job goes, by the configuration in force. */
         std::function<std::optional<ItemAttempt::Target>(const std::string &host, const std::string &target)> target;
         /** @return the route of the job, or null if there is none any more. */
@@ -38,7 +40,7 @@
         TakenOver,
     };
 
-    JobRun(GatewayContext &context, JobStore &store, SessionNumber self, JobId job, Hooks hooks);
+    JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks);
 
     void start(Origin origin);
 
@@ -76,7 +78,6 @@
 
     GatewayContext &context;
     JobStore &store;
-    SessionNumber self;
     JobId job;
     Hooks hooks;
     JobLedger ledger;
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -104,12 +104,13 @@
 {
     const auto row = this->open.find(job);
     const bool isOurs = !this->isStopped && row != this->open.end() && this->isOurs(job, row->second);
-    const bool isRunning = this->runs.contains(job);
+    const auto run = this->runs.find(job);
+    const bool isRunning = run != this->runs.end();
     if (isOurs && !isRunning) {
         this->startRun(job, JobRun::Origin::TakenOver);
     } else if (!isOurs && isRunning) {
         log(LogLevel::Info, "job handed on", {{"job", job.value()}});
-        this->runs.at(job)->saveProgress();
+        run->second->saveProgress();
         this->stopRun(job);
     }
 }
@@ -117,6 +118,10 @@
 void JobRunners::startRun(const JobId &job, JobRun::Origin origin)
 {
     JobRun::Hooks hooks{
+        .self =
+            [this] {
+                return this->peers.self();
+            },
         .target =
             [this](const std::string &host, const std::string &target) {
                 return this->targetOf(host, target);
@@ -134,7 +139,7 @@
                 });
             },
     };
-    const auto run = std::make_shared<JobRun>(this->context, this->store, this->peers.self(), job, std::move(hooks));
+    const auto run = std::make_shared<JobRun>(this->context, this->store, job, std::move(hooks));
     this->runs.emplace(job, run);
     run->start(origin);
 }
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -53,12 +53,16 @@
     std::function<void(JobReadOutcome)> done;
 };
 
-JobStore::JobStore(
-    Scheduler &scheduler, const Clock &clock, RowStore &store, SessionNumber self, std::size_t rowBytes, std::uint64_t seed)
+JobStore::JobStore(Scheduler &scheduler,
+                   const Clock &clock,
+                   RowStore &store,
+                   std::function<SessionNumber()> self,
+                   std::size_t rowBytes,
+                   std::uint64_t seed)
     : scheduler(scheduler)
     , clock(clock)
     , store(store)
-    , self(self)
+    , self(std::move(self))
     , rowBytes(rowBytes)
     , random(static_cast<std::minstd_rand::result_type>(seed))
 {
@@ -158,7 +162,7 @@
     head.submitted = now;
     head.total = static_cast<std::uint32_t>(submission.items.size());
     head.contentPieces = static_cast<std::uint32_t>(submitting->pieces.size());
-    const OpenJob open{submission.route, submitting->tokens, now + submission.completionTarget, this->self};
+    const OpenJob open{submission.route, submitting->tokens, now + submission.completionTarget, this->self()};
     RowTransaction transaction;
     transaction.expectations.push_back({JobRows::head(submission.id), 0});
     transaction.puts.push_back({JobRows::head(submission.id), encode(head)});
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -75,9 +75,16 @@
 class JobStore
 {
 public:
-    /** @param rowBytes the largest row that the store takes */
-    JobStore(
-        Scheduler &scheduler, const Clock &clock, RowStore &store, SessionNumber self, std::size_t rowBytes, std::uint64_t seed);
+    /**
+     * @param self gives the session number of this node
+     * @param rowBytes the largest row that the store takes
+     */
+    JobStore(Scheduler &scheduler,
+             const Clock &clock,
+             RowStore &store,
+             std::function<SessionNumber()> self,
+             std::size_t rowBytes,
+             std::uint64_t seed);
     ~JobStore();
     JobStore(const JobStore &) = delete;
     JobStore &operator=(const JobStore &) = delete;
@@ -133,7 +140,7 @@
     Scheduler &scheduler;
     const Clock &clock;
     RowStore &store;
-    SessionNumber self;
+    std::function<SessionNumber()> self;
     std::size_t rowBytes;
     std::minstd_rand random;
     /** Totals never change; knowing one saves a read. */
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -6,9 +6,14 @@
 #include <LibWire/Codec.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cmath>
+#include <limits>
+#include <system_error>
 #include <utility>
 
+#include <unistd.h>
+
 namespace Dogwoodkeel
 {
 
@@ -28,15 +33,6 @@
     return {MessageKey(settings.peers.siteKey), static_cast<std::size_t>(settings.peers.frameBytes)};
 }
 
-/** @return a number that grows from one start of a node to the next, and differs between nodes. */
-SessionNumber newSession(const Clock &clock, const std::string &vm)
-{
-    constexpr int hashBits = 12;
-    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count();
-    const std::uint64_t mark = stableHash(vm) & ((1U << hashBits) - 1);
-    return SessionNumber((static_cast<std::uint64_t>(time) << hashBits) | mark);
-}
-
 /** @return the seeds with the port at which nodes take datagrams, which is the same on all nodes. */
 std::vector<Address> gossipSeeds(const Settings &settings)
 {
@@ -49,14 +45,27 @@
 
 } // namespace
 
+SessionNumber randomSession()
+{
+    // NOTE: The sign is left out: log lines show the number as a signed one.
+    constexpr std::uint64_t mask = std::numeric_limits<std::int64_t>::max();
+    std::uint64_t number = 0;
+    while ((number & mask) == 0) {
+        if (getentropy(&number, sizeof(number)) != 0) {
+            throw std::system_error(errno, std::generic_category(), "no random session number");
+        }
+    }
+    return SessionNumber(number & mask);
+}
+
 PeerNetwork::PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks)
     : loop(loop)
     , clock(clock)
     , store(store)
     , hooks(std::move(hooks))
     , seeds(gossipSeeds(settings))
-    , session(newSession(clock, settings.node.vm))
-    , rowKey(settings.node.vm + "/" + std::to_string(session.value()))
+    , vm(settings.node.vm)
+    , session(this->hooks.newSession())
     , socket(loop,
              settings.listen.gossip,
              MessageKey(settings.peers.siteKey),
@@ -70,12 +79,14 @@
     options.probeInterval = settings.membership.probeInterval;
     options.probeTimeout = settings.membership.probeTimeout;
     options.suspicion = settings.membership.suspicion;
-    this->membership.emplace(clock, loop, options, this->makeMember(settings), stableHash(this->rowKey), this->membershipHooks());
+    options.sessionOrder = Membership::SessionOrder::Random;
+    const std::uint64_t seed = stableHash(this->rowKey());
+    this->membership.emplace(clock, loop, options, this->makeMember(settings), seed, this->membershipHooks());
     this->membership->start(this->seeds);
     this->announce();
     this->nodes.emplace(loop,
                         store,
-                        stableHash(this->rowKey),
+                        seed,
                         TableFollower::Options{nodeTable, nodesWait, nodesPace},
                         TableFollower::Hooks{
                             .onAll =
@@ -129,9 +140,31 @@
                 this->hooks.onView(view);
             },
         .onLeavingVms = [](const std::vector<VmName> &) {},
+        .onSessionLost =
+            [this] {
+                this->renewSession();
+            },
     };
 }
 
+void PeerNetwork::renewSession()
+{
+    if (this->hasLeft) {
+        return;
+    }
+    this->loop.cancel(std::exchange(this->announceTimer, 0));
+    // The row has the VM's name before the number, so it is this node's own also where another one has the same number.
+    this->removeRow();
+    this->session = this->hooks.newSession();
+    this->membership->renew(this->session);
+    this->announce();
+}
+
+std::string PeerNetwork::rowKey() const
+{
+    return this->vm + "/" + std::to_string(this->session.value());
+}
+
 SessionNumber PeerNetwork::self() const
 {
     return this->session;
@@ -171,8 +204,13 @@
         member.isReady = false;
         member.isLeaving = true;
     });
+    this->removeRow();
+}
+
+void PeerNetwork::removeRow()
+{
     RowTransaction removal;
-    removal.removals.push_back({nodeTable, "", this->rowKey});
+    removal.removals.push_back({nodeTable, "", this->rowKey()});
     this->store.transact(std::move(removal), [](const RowTransactionResult &result) {
         log(LogLevel::Info, "node row removed", {{"outcome", static_cast<std::int64_t>(result.outcome)}});
     });
@@ -206,9 +244,11 @@
 void PeerNetwork::announce()
 {
     RowTransaction put;
-    put.puts.push_back({{nodeTable, "", this->rowKey}, encode(NodeRecord{this->session, this->socket.address()})});
-    this->store.transact(std::move(put), [this, alive = this->alive](const RowTransactionResult &result) {
-        if (!*alive || this->hasLeft || result.outcome == WriteOutcome::Done) {
+    put.puts.push_back({{nodeTable, "", this->rowKey()}, encode(NodeRecord{this->session, this->socket.address()})});
+    const SessionNumber announced = this->session;
+    this->store.transact(std::move(put), [this, announced, alive = this->alive](const RowTransactionResult &result) {
+        const bool isOver = !*alive || this->hasLeft || this->session != announced;
+        if (isOver || result.outcome == WriteOutcome::Done) {
             return;
         }
         this->announceTimer = this->loop.schedule(announceRetry, [this] {
@@ -237,6 +277,11 @@
         return;
     }
     this->known.insert_or_assign(row.place.key, *record);
+    const bool isNamesake = record->session == this->session && record->gossip != this->socket.address();
+    if (isNamesake) {
+        log(LogLevel::Warning, "another node has the same session number", {{"key", row.place.key}});
+        this->renewSession();
+    }
     if (record->session != this->session && this->membership->view()->find(record->session) == nullptr) {
         this->membership->contact({record->gossip});
     }
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -28,6 +28,8 @@
         std::function<void(const MemberViewPointer &)> onView;
         /** A datagram that is not about membership. */
         std::function<void(const Datagram &)> onDatagram;
+        /** @return a session number that no other start of a node has. */
+        std::function<SessionNumber()> newSession;
     };
 
     PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks);
@@ -35,6 +37,7 @@
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
 
+    /** @return the number of this start of the node; it may change, see Membership::renew(). */
     SessionNumber self() const;
     MemberViewPointer view() const;
 
@@ -57,6 +60,9 @@
 private:
     void receive(const Datagram &datagram);
     void announce();
+    void removeRow();
+    void renewSession();
+    std::string rowKey() const;
     void takeNodes(const std::vector<StoredRow> &rows);
     void takeNode(const StoredRow &row);
     void removeStaleRows();
@@ -68,8 +74,8 @@
     RowStore &store;
     Hooks hooks;
     std::vector<Address> seeds;
+    std::string vm;
     SessionNumber session;
-    std::string rowKey;
     DatagramSocket socket;
     PeerServer peerServer;
     PeerClient peerClient;
@@ -82,6 +88,12 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
+/**
+ * @return a number that names one start of a node. Drawn at random, with 63 bits: of 390 nodes that start at once two have the
+ * same in one of 10^14 cases. It does not hang on the time of day, which may be wrong, or jump back between two starts.
+ */
+SessionNumber randomSession();
+
 /**
  * @param key hash of a duty, such as dispatching for a service or running a job
  * @return the ready member that should have it (rendezvous hashing), or null if there is none; one that reaches the store
--- a/Tests/Fakes/GossipNetwork.cpp
+++ b/Tests/Fakes/GossipNetwork.cpp
@@ -3,6 +3,7 @@
 #include <LibWire/Codec.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -60,6 +61,7 @@
     std::deque<std::function<void()>> held;
     std::deque<std::function<void()>> unread;
     std::unique_ptr<Membership> membership;
+    SessionNumber session;
 };
 
 GossipNetwork::GossipNetwork(Membership::Options options, std::uint64_t seed) : options(options), random(seed)
@@ -125,19 +127,31 @@
                 }
             },
         .onLeavingVms = [](const std::vector<VmName> &) {},
+        .onSessionLost =
+            [this, number] {
+                Node &node = *this->nodes.at(number);
+                node.session = SessionNumber(this->newSessions++);
+                node.membership->renew(node.session);
+            },
     };
 }
 
 Membership &GossipNetwork::add(Number number, const std::vector<Number> &contacts)
+{
+    return this->add(number, contacts, SessionNumber(number));
+}
+
+Membership &GossipNetwork::add(Number number, const std::vector<Number> &contacts, SessionNumber session)
 {
     Member self;
-    self.session = SessionNumber(number);
+    self.session = session;
     self.vm = VmName("entry-" + std::to_string(number));
     self.failureDomain = FailureDomain("domain-" + std::to_string(number % 7));
     self.gossip = addressOf(number);
     self.http = self.owner = self.lane = self.gossip;
     self.isReady = true;
     const auto node = std::make_shared<Node>(this->clock);
+    node->session = session;
     node->membership
         = std::make_unique<Membership>(this->clock, *node, this->options, self, this->random(), this->hooksOf(number));
     this->nodes[number] = node;
@@ -188,12 +202,19 @@
     return numbers;
 }
 
+SessionNumber GossipNetwork::sessionOf(Number number) const
+{
+    return this->nodes.at(number)->session;
+}
+
 bool GossipNetwork::sees(Number number, const std::vector<Number> &members)
 {
+    std::set<SessionNumber> expected;
+    for (const Number member : members) {
+        expected.insert(this->isRunning(member) ? this->sessionOf(member) : SessionNumber(member));
+    }
     const std::vector<Member> &seen = this->member(number).view()->members();
-    return std::ranges::equal(seen, members, {}, [](const Member &member) {
-        return member.session.value();
-    });
+    return expected.size() == members.size() && std::ranges::equal(seen, expected, {}, &Member::session);
 }
 
 bool GossipNetwork::isConverged()
--- a/Tests/Fakes/GossipNetwork.h
+++ b/Tests/Fakes/GossipNetwork.h
@@ -31,9 +31,15 @@
     GossipNetwork(const GossipNetwork &) = delete;
     GossipNetwork &operator=(const GossipNetwork &) = delete;
 
-    /** Start a node that knows the gossip addresses of some others. */
+    /** Start a node that knows the gossip addresses of some others, and has its own number as that of its session. */
     Membership &add(Number number, const std::vector<Number> &contacts);
 
+    /** Start a node under another session number. One that loses it takes the next of newSessions. */
+    Membership &add(Number number, const std::vector<Number> &contacts, SessionNumber session);
+
+    /** @return the session that a node goes by. */
+    SessionNumber sessionOf(Number number) const;
+
     /** A node is gone without a word. */
     void kill(Number number);
 
@@ -65,6 +71,8 @@
     std::function<void(Number, const MemberView &)> onView;
     std::uint64_t bytes = 0;
     std::uint64_t datagrams = 0;
+    /** The next session number for a node that lost its own. */
+    Number newSessions = 1000000;
 
 private:
     struct Node;
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -195,6 +195,68 @@
     CHECK(isGone(network, 1, 3));
 }
 
+// Callers are sent to an address where nobody listens any more, or to none where a node has started again. A VM's process is
+// killed and starts anew; its number is drawn at random, so it tells nothing of which of the two is over.
+TEST_CASE("a session ends the one that had its address before, whatever their numbers")
+{
+    for (const GossipNetwork::Number next : {GossipNetwork::Number(2), GossipNetwork::Number(500)}) {
+        Membership::Options options;
+        options.sessionOrder = Membership::SessionOrder::Random;
+        GossipNetwork network(options);
+        for (Number number = 1; number <= 5; ++number) {
+            network.add(number, {1}, SessionNumber(100 + number));
+        }
+        network.clock.advance(10s);
+        REQUIRE(network.isConverged());
+        bool wasSuspected = false;
+        network.onView = [&wasSuspected](Number, const MemberView &view) {
+            const Member *const member = view.find(SessionNumber(103));
+            wasSuspected = wasSuspected || (member != nullptr && member->state == MemberState::Suspect);
+        };
+        network.kill(3);
+        network.add(3, {1}, SessionNumber(next));
+        network.clock.advance(1s);
+        CHECK(network.isConverged());
+        CHECK(!wasSuspected);
+    }
+}
+
+// A late word of a node that is over says that its successor at the same address is the one that is over. The successor would
+// be left out by all others for as long as it lives: nobody sends callers to it.
+TEST_CASE("a node that the others hold over by mistake goes on under another number")
+{
+    Membership::Options options;
+    options.sessionOrder = Membership::SessionOrder::Random;
+    GossipNetwork network(options);
+    startFleet(network, 5);
+    MemberNews over;
+    over.session = SessionNumber(3);
+    over.state = MemberState::Left;
+    network.member(1).receive(GossipNetwork::addressOf(2), MembersPush{SessionNumber(2), {}, {over}});
+    REQUIRE(isGone(network, 1, 3));
+    network.clock.advance(5s);
+    CHECK(network.sessionOf(3) != SessionNumber(3));
+    CHECK(network.isConverged());
+}
+
+// Hundreds of nodes start in the same moment, and two have drawn one number. Each takes what the others say of its namesake for
+// its own, the others know only one of the two, and one node never gets a caller.
+TEST_CASE("two nodes with one session number notice it and take others")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Membership::Options options;
+        options.sessionOrder = Membership::SessionOrder::Random;
+        GossipNetwork network(options, seed);
+        for (Number number = 1; number <= 12; ++number) {
+            const bool isNamesake = number == 5 || number == 9;
+            network.add(number, {1}, SessionNumber(isNamesake ? 77 : 100 + number));
+        }
+        network.clock.advance(10s);
+        CHECK(network.sessionOf(5) != network.sessionOf(9));
+        CHECK(network.isConverged());
+    }
+}
+
 TEST_CASE("a confirmed suspicion ends sooner than one that nobody confirms")
 {
     const Suspicion::Options options{1000ms, 3000ms, 3};
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -95,7 +95,8 @@
 
     void start()
     {
-        this->gateway = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(this->settings));
+        this->gateway = std::make_unique<Gateway>(
+            this->loop, this->clock, std::make_shared<const Settings>(this->settings), this->newSession);
     }
 
     /** Start a second node, which reaches the store by a way of its own. */
@@ -104,12 +105,15 @@
         Settings others = this->settings;
         others.node.vm = "other";
         others.platform.address = this->otherWay.address();
-        this->other = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(others));
+        this->other
+            = std::make_unique<Gateway>(this->loop, this->clock, std::make_shared<const Settings>(others), this->newSession);
     }
 
     EventLoop &loop;
     SystemClock clock;
     Settings settings;
+    /** Gives the nodes their session numbers. */
+    std::function<SessionNumber()> newSession = &randomSession;
     StandInStore store;
     StandInStore otherWay{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
--- a/Tests/ServiceGateway/TestJobStore.cpp
+++ b/Tests/ServiceGateway/TestJobStore.cpp
@@ -78,8 +78,22 @@
 
     ManualClock clock;
     FakeRowStore store{this->clock};
-    JobStore one{this->clock, this->clock, this->store, SessionNumber(1), rowBytes, 1};
-    JobStore two{this->clock, this->clock, this->store, SessionNumber(2), rowBytes, 2};
+    JobStore one{this->clock,
+                 this->clock,
+                 this->store,
+                 [] {
+                     return SessionNumber(1);
+                 },
+                 rowBytes,
+                 1};
+    JobStore two{this->clock,
+                 this->clock,
+                 this->store,
+                 [] {
+                     return SessionNumber(2);
+                 },
+                 rowBytes,
+                 2};
 };
 
 } // namespace
