Gateway: Know a replica that started again under its name; pass over spoilt entries

Change: an incarnation is named by the registered name and its birth, so gates, counts, placements and trials of the one before go with its name; idle connections to its address are closed; requests name the registered one. Each field that a replica writes is checked (a missing 'slots' counted as one slot before); what can't be read is told once, and a known replica behind it is held back: nothing new, what runs goes on.

--- a/Fuzz/FuzzDecoders.cpp
+++ b/Fuzz/FuzzDecoders.cpp
@@ -10,6 +10,9 @@
 #include <LibWire/Generated/Messages.h>
 #include <Services/Entry/Completion.h>
 #include <Services/Entry/JobParser.h>
+#include <platform/ConfigurationFormat.h>
+#include <platform/JobFormat.h>
+#include <platform/ReplicaFormat.h>
 
 #include <array>
 #include <cstdint>
@@ -78,8 +81,21 @@
     loadSettings({{"fuzz", text}}, findings);
 }
 
-constexpr std::array<void (*)(const std::string &), 7> readers{
-    readCompletion, readJob, readEvents, readFrames, readMessages, readPlatform, readSettings};
+/** Rows of the users' platform that other programs may write as well. */
+void readSharedRows(const std::string &text)
+{
+    decodeReplica("key", text);
+    decodeConfiguration(text);
+    decodeSubmission(text);
+    decode<NodeRecord>(text);
+    decode<OpenJob>(text);
+    decode<JobHead>(text);
+    decode<JobContent>(text);
+    decode<ItemProgress>(text);
+}
+
+constexpr std::array<void (*)(const std::string &), 8> readers{
+    readCompletion, readJob, readEvents, readFrames, readMessages, readPlatform, readSettings, readSharedRows};
 
 } // namespace
 
--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Dogwoodkeel
 {
 
-ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept) : clock(clock), lapsedKept(lapsedKept)
+ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted)
+    : clock(clock), lapsedKept(lapsedKept), restarted(std::move(restarted))
 {
 }
 
@@ -20,21 +22,25 @@
     std::vector<EndpointName> missing;
     for (const auto &[instance, replica] : this->list) {
         if (!present.contains(instance)) {
-            missing.push_back(instance);
+            missing.push_back(replica.registeredName);
         }
     }
-    for (const EndpointName &instance : missing) {
-        this->remove(instance);
+    for (const EndpointName &registeredName : missing) {
+        this->remove(registeredName);
     }
 }
 
 void ReplicaList::replaceNow(const std::vector<ServingReplica> &replicas)
 {
-    this->list.clear();
     this->lapsed.clear();
+    std::set<EndpointName> present;
     for (const ServingReplica &replica : replicas) {
+        present.insert(replica.instance);
         this->put(replica);
     }
+    std::erase_if(this->list, [&present](const auto &entry) {
+        return !present.contains(entry.first);
+    });
 }
 
 bool ReplicaList::isOut() const
@@ -45,26 +51,63 @@
 void ReplicaList::put(const ServingReplica &replica)
 {
     std::erase(this->lapsed, replica.instance);
-    // An address belongs to one replica at a time: whoever had it before is gone, whatever the list still says.
-    std::erase_if(this->list, [&replica](const auto &entry) {
-        return entry.second.address == replica.address && entry.first != replica.instance;
-    });
+    this->dropOthersLike(replica);
     this->list.insert_or_assign(replica.instance, replica);
 }
 
-void ReplicaList::remove(const EndpointName &instance)
+void ReplicaList::dropOthersLike(const ServingReplica &replica)
+{
+    std::vector<ServingReplica> former;
+    std::erase_if(this->list, [&replica, &former](const auto &entry) {
+        const ServingReplica &other = entry.second;
+        if (other.instance == replica.instance) {
+            return false;
+        }
+        const bool isFormer = other.registeredName == replica.registeredName;
+        if (isFormer) {
+            former.push_back(other);
+        }
+        // An address belongs to one replica at a time: whoever had it before is gone, whatever the list still says.
+        return isFormer || other.address == replica.address;
+    });
+    for (const ServingReplica &over : former) {
+        std::erase(this->lapsed, over.instance);
+        this->restarted(over);
+    }
+}
+
+void ReplicaList::remove(const EndpointName &registeredName)
 {
-    const auto found = this->list.find(instance);
-    if (found == this->list.end()) {
+    const ServingReplica *const found = this->findRegistered(registeredName);
+    if (found == nullptr) {
         return;
     }
-    if (this->isAroundOutage() && !found->second.isDraining) {
+    const EndpointName instance = found->instance;
+    if (this->isAroundOutage() && !found->isDraining) {
         if (std::ranges::find(this->lapsed, instance) == this->lapsed.end()) {
             this->lapsed.push_back(instance);
         }
         return;
     }
-    this->list.erase(found);
+    this->list.erase(instance);
+}
+
+bool ReplicaList::holdBack(const EndpointName &registeredName)
+{
+    const ServingReplica *const found = this->findRegistered(registeredName);
+    if (found == nullptr || found->isDraining) {
+        return false;
+    }
+    this->list.at(found->instance).isDraining = true;
+    return true;
+}
+
+const ServingReplica *ReplicaList::findRegistered(const EndpointName &registeredName) const
+{
+    const auto found = std::ranges::find_if(this->list, [&registeredName](const auto &entry) {
+        return entry.second.registeredName == registeredName;
+    });
+    return found != this->list.end() ? &found->second : nullptr;
 }
 
 void ReplicaList::noteOutage()
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -4,6 +4,7 @@
 #include <LibGateway/ServingReplica.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,8 +21,11 @@
 class ReplicaList
 {
 public:
+    /** Told of the incarnation that is over when a replica has started again under its name. */
+    using Restarted = std::function<void(const ServingReplica &former)>;
+
     /** @param lapsedKept how long after the platform's return a missing entry is kept */
-    ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept);
+    ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted);
 
     /** Take a whole list, as it is after a start or a gap in what was followed. */
     void replaceAll(const std::vector<ServingReplica> &replicas);
@@ -33,7 +37,17 @@
     void put(const ServingReplica &replica);
 
     /** Take the end of an entry. */
-    void remove(const EndpointName &instance);
+    void remove(const EndpointName &registeredName);
+
+    /**
+     * An entry can't be read any more: it names no replica to use until it is right again. What runs there goes on, as at one
+     * that leaves, for most likely the replica is as it was and only its entry is spoilt.
+     * @return whether there was such an entry in use
+     */
+    bool holdBack(const EndpointName &registeredName);
+
+    /** @return the entry under a registered name, or null. */
+    const ServingReplica *findRegistered(const EndpointName &registeredName) const;
 
     /** The platform could not be reached just now. */
     void noteOutage();
@@ -52,9 +66,11 @@
 
 private:
     bool isAroundOutage() const;
+    void dropOthersLike(const ServingReplica &replica);
 
     const Clock &clock;
     std::chrono::milliseconds lapsedKept;
+    Restarted restarted;
     std::map<EndpointName, ServingReplica> list;
     /** Entries that are gone from the platform. */
     std::vector<EndpointName> lapsed;
--- a/Libraries/LibGateway/ServingReplica.h
+++ b/Libraries/LibGateway/ServingReplica.h
@@ -12,8 +12,10 @@
 /** One incarnation of a replica, as it told of itself on the platform. */
 struct ServingReplica
 {
-    /** Names this incarnation: after a restart it has another. */
+    /** Names this incarnation among all: after a restart it is another, also if the registered name stays. */
     EndpointName instance;
+    /** The name under which it registers itself, and by which a request says whom it is meant for. */
+    EndpointName registeredName;
     ServiceName service;
     Address address;
     FailureDomain failureDomain;
--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -142,6 +142,18 @@
     this->loop.post([held] {});
 }
 
+void OutboundPool::dropIdle(const Address &address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end()) {
+        return;
+    }
+    for (std::unique_ptr<OutboundConnection> &connection : found->second) {
+        this->freeLater(std::move(connection));
+    }
+    this->idle.erase(found);
+}
+
 void OutboundPool::dropIdle(const OutboundConnection &connection)
 {
     const auto found = this->idle.find(connection.address());
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -91,6 +91,9 @@
     /** Drop a call and close its connection; its hooks are told nothing more. */
     void cancel(CallId id);
 
+    /** Close the idle connections to an address: who listened there is over. */
+    void dropIdle(const Address &address);
+
     /** @return connections made so far. */
     std::uint64_t connectionsMade() const;
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1378,6 +1378,8 @@
 {
     /** Names this incarnation. */
     EndpointName instance;
+    /** The name under which it registers itself. */
+    EndpointName registeredName;
     /** The service. */
     std::string service;
     /** Where it takes requests. */
@@ -1394,7 +1396,13 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->instance, this->service, this->address, this->failureDomain, this->slots, this->isDraining);
+        archive(this->instance,
+                this->registeredName,
+                this->service,
+                this->address,
+                this->failureDomain,
+                this->slots,
+                this->isDraining);
     }
 };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -79,9 +79,15 @@
              this->peers,
              {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
              {replicaTable, &decodeReplica},
-             [this] {
-                 this->updateReplicas();
-             })
+             {.changed =
+                  [this] {
+                      this->updateReplicas();
+                  },
+              .restarted =
+                  [this](const ServingReplica &former) {
+                      this->replicaPool.dropIdle(former.address);
+                      ++this->replicasRestarted;
+                  }})
     , configuration(loop,
                     clock,
                     this->store,
@@ -188,6 +194,11 @@
     return this->peers.view()->members().size();
 }
 
+const Address &Gateway::metricsAddress() const
+{
+    return this->metricsServer.address();
+}
+
 const Address &Gateway::readyAddress() const
 {
     return this->readiness.address();
@@ -373,6 +384,8 @@
             }
         }
     }
+    this->metrics.setGauge("replicas_restarted", static_cast<double>(this->replicasRestarted));
+    this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->listed.unreadableEntries()));
     this->metrics.setGauge("events_given_up", static_cast<double>(eventsGivenUp()));
     this->metrics.setGauge("members", static_cast<double>(this->peers.view()->members().size()));
     this->metrics.setGauge("placed_by_own_counts", static_cast<double>(this->placements.fallbacks()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -57,6 +57,9 @@
     /** @return how many nodes this one sees, itself included. */
     std::size_t members() const;
 
+    /** @return where the metrics are read. */
+    const Address &metricsAddress() const;
+
     /** @return where the platform asks whether this node takes callers. */
     const Address &readyAddress() const;
 
@@ -84,6 +87,8 @@
     bool isComplete = false;
     bool isReady = false;
     std::size_t memberCount = 0;
+    /** Replicas that were seen to start again under their names. */
+    std::uint64_t replicasRestarted = 0;
     std::function<void()> stopped;
     SteadyTime stopStarted{};
     TimerId stopTimer = 0;
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -21,23 +21,24 @@
 constexpr std::chrono::milliseconds peerTimeout{400};
 /** A node without any list keeps its callers waiting, so it asks more often. */
 constexpr std::chrono::milliseconds firstPeerInterval{50};
+/** A bound on memory, many times the replicas of a fleet: names of entries that can't be read. */
+constexpr std::size_t mostUnreadable = 20000;
 
 } // namespace
 
-ReplicaFollower::ReplicaFollower(EventLoop &loop,
-                                 const Clock &clock,
-                                 RowStore &store,
-                                 PeerNetwork &peers,
-                                 const Options &options,
-                                 Format format,
-                                 std::function<void()> changed)
+ReplicaFollower::ReplicaFollower(
+    EventLoop &loop, const Clock &clock, RowStore &store, PeerNetwork &peers, const Options &options, Format format, Hooks hooks)
     : loop(loop)
     , clock(clock)
     , peers(peers)
     , random(static_cast<std::minstd_rand::result_type>(options.seed))
     , format(std::move(format))
-    , changed(std::move(changed))
-    , list(clock, options.lapsedKept)
+    , hooks(std::move(hooks))
+    , list(clock,
+           options.lapsedKept,
+           [this](const ServingReplica &former) {
+               this->takeRestart(former);
+           })
     , lastTold(clock.now())
 {
     peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &, const auto &respond) {
@@ -99,43 +100,67 @@
     return found;
 }
 
-std::optional<ServingReplica> ReplicaFollower::decode(const StoredRow &row) const
+std::optional<ServingReplica> ReplicaFollower::decode(const StoredRow &row)
 {
     std::optional<ServingReplica> replica = this->format.decode(row.place.key, row.value);
-    if (!replica) {
-        log(LogLevel::Warning, "unreadable entry of a replica", {{"key", row.place.key}});
+    const EndpointName name(row.place.key);
+    if (replica) {
+        this->unreadable.erase(name);
+    } else if (this->unreadable.size() < mostUnreadable && this->unreadable.insert(name).second) {
+        // Told once, not at each heartbeat.
+        log(LogLevel::Warning,
+            "entry names no replica to use",
+            {{"key", row.place.key}, {"version", static_cast<std::int64_t>(row.version)}});
     }
     return replica;
 }
 
+void ReplicaFollower::takeRestart(const ServingReplica &former)
+{
+    log(LogLevel::Info,
+        "replica has started again under its name",
+        {{"replica", former.registeredName.value()}, {"former", former.instance.value()}});
+    this->hooks.restarted(former);
+}
+
 void ReplicaFollower::takeAll(const std::vector<StoredRow> &rows)
 {
     std::vector<ServingReplica> replicas;
     for (const StoredRow &row : rows) {
         if (std::optional<ServingReplica> replica = this->decode(row)) {
             replicas.push_back(*std::move(replica));
+            continue;
+        }
+        const EndpointName name(row.place.key);
+        this->list.holdBack(name);
+        if (const ServingReplica *const known = this->list.findRegistered(name)) {
+            replicas.push_back(*known);
         }
     }
     this->list.replaceAll(replicas);
     this->known = true;
     log(LogLevel::Info, "replicas read", {{"count", static_cast<std::int64_t>(replicas.size())}});
-    this->changed();
+    this->hooks.changed();
 }
 
 void ReplicaFollower::takeChange(const StoredRow &row)
 {
-    const EndpointName instance(row.place.key);
+    const EndpointName name(row.place.key);
     if (row.isRemoved) {
-        log(LogLevel::Info, "replica gone from the list", {{"replica", instance.value()}});
-        this->list.remove(instance);
-        this->changed();
+        log(LogLevel::Info, "replica gone from the list", {{"replica", name.value()}});
+        this->unreadable.erase(name);
+        this->list.remove(name);
+        this->hooks.changed();
         return;
     }
     const std::optional<ServingReplica> replica = this->decode(row);
     if (!replica) {
+        if (this->list.holdBack(name)) {
+            this->hooks.changed();
+        }
         return;
     }
-    const ServingReplica *const before = this->find(instance);
+    const ServingReplica *const before = this->find(replica->instance);
     const bool isSame = before != nullptr && *before == *replica;
     // Also where nothing is new: an entry that had lapsed is back by this.
     this->list.put(*replica);
@@ -144,24 +169,29 @@
     }
     log(LogLevel::Info,
         "replica changed",
-        {{"replica", instance.value()},
+        {{"replica", replica->instance.value()},
          {"service", replica->service.value()},
          {"address", replica->address.toString()},
          {"draining", replica->isDraining}});
-    this->changed();
+    this->hooks.changed();
 }
 
 void ReplicaFollower::expire()
 {
     if (this->list.expire()) {
         log(LogLevel::Info, "replicas that lapsed around an outage of the store dropped");
-        this->changed();
+        this->hooks.changed();
     }
     this->expiryTimer = this->loop.schedule(expiryInterval, [this] {
         this->expire();
     });
 }
 
+std::size_t ReplicaFollower::unreadableEntries() const
+{
+    return this->unreadable.size();
+}
+
 std::chrono::milliseconds ReplicaFollower::age() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastTold);
@@ -210,6 +240,7 @@
     std::vector<ServingReplica> replicas;
     for (const ReplicaRecord &record : records.replicas) {
         replicas.push_back({record.instance,
+                            record.registeredName,
                             ServiceName(record.service),
                             record.address,
                             record.failureDomain,
@@ -221,7 +252,7 @@
         {{"count", static_cast<std::int64_t>(replicas.size())}, {"age_ms", records.age.count()}});
     this->list.replaceNow(replicas);
     this->known = true;
-    this->changed();
+    this->hooks.changed();
 }
 
 ReplicaRecords ReplicaFollower::records() const
@@ -230,8 +261,13 @@
     records.isKnown = this->known;
     records.age = this->age();
     for (const auto &[instance, replica] : this->list.replicas()) {
-        records.replicas.push_back(
-            {instance, replica.service.value(), replica.address, replica.failureDomain, replica.slots, replica.isDraining});
+        records.replicas.push_back({instance,
+                                    replica.registeredName,
+                                    replica.service.value(),
+                                    replica.address,
+                                    replica.failureDomain,
+                                    replica.slots,
+                                    replica.isDraining});
     }
     return records;
 }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,13 @@
         std::function<std::optional<ServingReplica>(const std::string &key, std::string_view text)> decode;
     };
 
+    struct Hooks
+    {
+        std::function<void()> changed;
+        /** A replica has started again under its name: nothing that is known of the one before holds. */
+        std::function<void(const ServingReplica &former)> restarted;
+    };
+
     struct Options
     {
         std::chrono::milliseconds storeWait{1000};
@@ -43,7 +51,7 @@
                     PeerNetwork &peers,
                     const Options &options,
                     Format format,
-                    std::function<void()> changed);
+                    Hooks hooks);
     ~ReplicaFollower();
     ReplicaFollower(const ReplicaFollower &) = delete;
     ReplicaFollower &operator=(const ReplicaFollower &) = delete;
@@ -54,6 +62,9 @@
     /** @return the replica of that instance, or null if it is not listed any more. */
     const ServingReplica *find(const EndpointName &instance) const;
 
+    /** @return entries of the list that name no replica to use. */
+    std::size_t unreadableEntries() const;
+
     /** @return how long ago the store, or a node that it answered, last told the list. */
     std::chrono::milliseconds age() const;
 
@@ -61,9 +72,10 @@
     std::vector<ServingReplica> ofService(const ServiceName &service) const;
 
 private:
-    std::optional<ServingReplica> decode(const StoredRow &row) const;
+    std::optional<ServingReplica> decode(const StoredRow &row);
     void takeAll(const std::vector<StoredRow> &rows);
     void takeChange(const StoredRow &row);
+    void takeRestart(const ServingReplica &former);
     void expire();
     void watchStore();
     void askPeer();
@@ -75,8 +87,10 @@
     PeerNetwork &peers;
     std::minstd_rand random;
     Format format;
-    std::function<void()> changed;
+    Hooks hooks;
     ReplicaList list;
+    /** Registered names whose entries can't be read; each is told once. */
+    std::set<EndpointName> unreadable;
     bool known = false;
     /** When the store, or a node that it answered, last told the list. */
     SteadyTime lastTold{};
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -12,7 +12,7 @@
 
 ServingReplica replica(const std::string &instance, std::uint16_t port)
 {
-    return {EndpointName(instance), ServiceName("s"), {"10.0.0.1", port}, FailureDomain("z"), 8, false};
+    return {EndpointName(instance), EndpointName(instance), ServiceName("s"), {"10.0.0.1", port}, FailureDomain("z"), 8, false};
 }
 
 } // namespace
@@ -22,7 +22,7 @@
 TEST_CASE("entries that lapse around an outage are kept until they are back or their time is over")
 {
     ManualClock clock;
-    ReplicaList list(clock, kept);
+    ReplicaList list(clock, kept, [](const ServingReplica &) {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.noteOutage();
     clock.advance(std::chrono::seconds(5));
@@ -41,7 +41,7 @@
 TEST_CASE("in calm times an entry that goes is gone at once")
 {
     ManualClock clock;
-    ReplicaList list(clock, kept);
+    ReplicaList list(clock, kept, [](const ServingReplica &) {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.remove(EndpointName("a"));
     CHECK(list.replicas().size() == 1);
@@ -50,7 +50,7 @@
 TEST_CASE("a replica that was draining is not kept around an outage")
 {
     ManualClock clock;
-    ReplicaList list(clock, kept);
+    ReplicaList list(clock, kept, [](const ServingReplica &) {});
     ServingReplica leaving = replica("a", 1);
     leaving.isDraining = true;
     list.put(leaving);
@@ -63,9 +63,50 @@
 TEST_CASE("an entry ends when another replica has its address")
 {
     ManualClock clock;
-    ReplicaList list(clock, kept);
+    ReplicaList list(clock, kept, [](const ServingReplica &) {});
     list.put(replica("a", 1));
     list.put(replica("b", 1));
     CHECK(list.replicas().size() == 1);
     CHECK(list.replicas().contains(EndpointName("b")));
 }
+
+// A replica crashes and starts again under its name, with nothing of what it had: its load, what it ran, the connections to it
+// and the failures that were held against it are those of the one before.
+TEST_CASE("a replica that starts again under its name takes the place of the one before")
+{
+    ManualClock clock;
+    std::vector<EndpointName> over;
+    ReplicaList list(clock, kept, [&over](const ServingReplica &former) {
+        over.push_back(former.instance);
+    });
+    ServingReplica first = replica("a", 1);
+    first.instance = EndpointName("a@1");
+    ServingReplica second = first;
+    second.instance = EndpointName("a@2");
+    list.put(first);
+    list.put(first);
+    CHECK(over.empty());
+    list.put(second);
+    CHECK(over == std::vector{EndpointName("a@1")});
+    CHECK(list.replicas().size() == 1);
+    CHECK(list.replicas().contains(EndpointName("a@2")));
+    list.replaceNow({first});
+    CHECK(over.size() == 2);
+    list.remove(EndpointName("a"));
+    CHECK(list.replicas().empty());
+}
+
+// For a moment a good replica's entry is spoilt, and comes right again. What it runs must not be given up for that.
+TEST_CASE("a replica whose entry can't be read is held back until the entry is right again")
+{
+    ManualClock clock;
+    ReplicaList list(clock, kept, [](const ServingReplica &) {});
+    list.replaceAll({replica("a", 1), replica("b", 2)});
+    CHECK(list.holdBack(EndpointName("a")));
+    CHECK_FALSE(list.holdBack(EndpointName("a")));
+    CHECK_FALSE(list.holdBack(EndpointName("unknown")));
+    CHECK(list.findRegistered(EndpointName("a"))->isDraining);
+    CHECK_FALSE(list.findRegistered(EndpointName("b"))->isDraining);
+    list.put(replica("a", 1));
+    CHECK_FALSE(list.findRegistered(EndpointName("a"))->isDraining);
+}
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -4,7 +4,12 @@
 #include <platform/ReplicaFormat.h>
 #include <platform/RequestFormat.h>
 
+#include <LibGateway/JobRows.h>
+#include <LibWire/Codec.h>
+
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace Dogwoodkeel;
 
@@ -19,7 +24,15 @@
     return head;
 }
 
-const ServingReplica replica{EndpointName("i-7"), ServiceName("s"), {"10.0.0.1", 80}, FailureDomain("z"), 8, false};
+const ServingReplica replica{
+    EndpointName("i-7@5"), EndpointName("i-7"), ServiceName("s"), {"10.0.0.1", 80}, FailureDomain("z"), 8, false};
+
+/** What a replica writes of itself. */
+nlohmann::json replicaEntry()
+{
+    return nlohmann::json::parse(R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,
+        "state":"draining","coldLeftMs":0,"born":1764700000000,"seq":3})");
+}
 
 } // namespace
 
@@ -59,9 +72,10 @@
 
 TEST_CASE("a replica's entry is read, and one without an address is none")
 {
-    const auto read = decodeReplica("i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,"state":"draining"})");
+    const auto read = decodeReplica("i-1", replicaEntry().dump());
     REQUIRE(read);
-    CHECK(read->instance == EndpointName("i-1"));
+    CHECK(read->registeredName == EndpointName("i-1"));
+    CHECK(read->slots == 8);
     CHECK(read->isDraining);
     CHECK_FALSE(decodeReplica("i-1", R"({"service":"s"})"));
     CHECK_FALSE(decodeReplica("i-1", "nonsense"));
@@ -159,3 +173,76 @@
     CHECK(query->callerDomain == FailureDomain("z-1"));
     CHECK_FALSE(decodeAddressQuery(requestHead("POST", "/resolve")));
 }
+
+TEST_CASE("a replica that starts again under its name is another incarnation")
+{
+    nlohmann::json again = replicaEntry();
+    again["born"] = 1764700009000;
+    const auto first = decodeReplica("i-1", replicaEntry().dump());
+    const auto second = decodeReplica("i-1", again.dump());
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(first->instance != second->instance);
+    CHECK(first->registeredName == second->registeredName);
+    again.erase("born");
+    CHECK(decodeReplica("i-1", again.dump())->instance == EndpointName("i-1"));
+}
+
+// Another program writes into the list: a field is missing or of another type, the state is one that nobody knows, the bytes are
+// no text. A node that made a replica of it would send callers' requests to an address where none listens, or count slots that
+// are not there.
+TEST_CASE("an entry that is not what a replica writes names none")
+{
+    const std::map<std::string, std::vector<nlohmann::json>> spoilt{
+        {"service", {nullptr, "", 7, nlohmann::json::array()}},
+        {"address", {nullptr, "", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:99999", "host:80", 80}},
+        {"zone", {nullptr, "", 1}},
+        {"version", {nullptr, 2, nlohmann::json::object()}},
+        {"slots", {nullptr, 0, -1, 2.5, "8", 1e18, true}},
+        {"state", {nullptr, "", "gone", "READY", 1}},
+        {"coldLeftMs", {nullptr, "0", -1}},
+        {"seq", {nullptr, -1, 1.5, "3"}},
+        {"born", {nullptr, -1, 1.5, "1764700000000", true, nlohmann::json::array()}},
+    };
+    for (const auto &[field, values] : spoilt) {
+        nlohmann::json entry = replicaEntry();
+        entry.erase(field);
+        CAPTURE(field);
+        CHECK(decodeReplica("i-1", entry.dump()).has_value() == (field == "born"));
+        for (const nlohmann::json &value : values) {
+            entry[field] = value;
+            CAPTURE(value.dump());
+            CHECK_FALSE(decodeReplica("i-1", entry.dump()));
+        }
+    }
+    nlohmann::json more = replicaEntry();
+    more["new"] = {{"a", 1}};
+    CHECK(decodeReplica("i-1", more.dump()));
+    CHECK_FALSE(decodeReplica("", replicaEntry().dump()));
+    CHECK_FALSE(decodeReplica("i-1", "\xff\xfe" + replicaEntry().dump()));
+    CHECK_FALSE(decodeReplica("i-1", ""));
+}
+
+TEST_CASE("rows that others may write are read or passed over, whatever they hold")
+{
+    rc::check("any text", [](const std::string &text) {
+        decodeReplica("i-1", text);
+        decodeConfiguration(text);
+        decode<NodeRecord>(text);
+        decode<OpenJob>(text);
+        decode<JobHead>(text);
+        decode<JobContent>(text);
+        decode<ItemProgress>(text);
+    });
+    rc::check("an entry with some bytes changed", [](const std::vector<std::pair<std::uint8_t, char>> &changes) {
+        std::string text = replicaEntry().dump();
+        for (const auto &[place, byte] : changes) {
+            text[place % text.size()] = byte;
+        }
+        if (const auto read = decodeReplica("i-1", text)) {
+            RC_ASSERT(read->slots > 0);
+            RC_ASSERT(read->address.port > 0);
+            RC_ASSERT(!read->service.value().empty());
+        }
+    });
+}
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -83,8 +83,15 @@
     void
     registerReplica(const std::string &instance, const std::string &service, const Address &address, const std::string &state)
     {
-        const nlohmann::json entry{
-            {"service", service}, {"address", address.toString()}, {"zone", "z"}, {"slots", 2}, {"state", state}};
+        const nlohmann::json entry{{"service", service},
+                                   {"address", address.toString()},
+                                   {"zone", "z"},
+                                   {"version", "v1"},
+                                   {"slots", 2},
+                                   {"state", state},
+                                   {"coldLeftMs", 0},
+                                   {"born", this->born},
+                                   {"seq", ++this->entries}};
         this->store.rows().put({"servers", "", instance}, entry.dump());
     }
 
@@ -115,6 +122,9 @@
     /** Gives the nodes their session numbers. */
     std::function<SessionNumber()> newSession = &randomSession;
     StandInStore store;
+    /** When the replicas say they were started, and entries written. */
+    std::uint64_t born = 1764700000000;
+    std::uint64_t entries = 0;
     StandInStore otherWay{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
     std::unique_ptr<Gateway> gateway;
--- a/Tests/ServiceGateway/RunningGateway.h
+++ b/Tests/ServiceGateway/RunningGateway.h
@@ -50,6 +50,13 @@
         return probe.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200");
     }
 
+    std::string metrics()
+    {
+        RawConnection reader(this->address(&Gateway::metricsAddress));
+        reader.send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return reader.readAll();
+    }
+
     Address address(const Address &(Gateway::*which)() const)
     {
         return this->host.ask<Address>([which](GatewayBench &bench) {
--- a/Tests/ServiceGateway/TestGateway.cpp
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -361,3 +361,71 @@
         });
     });
 }
+
+// A replica crashes and is back under its name and address at once. The node still has a connection to the one before, whose
+// bytes nobody would read, and holds its failures against it.
+TEST_CASE("a replica that started again under its name is met with nothing of the one before")
+{
+    StandInReplica *replica = nullptr;
+    Running running([&replica](GatewayBench &bench) {
+        replica = &bench.addReplica("i-1", "api", answerWhole);
+    });
+    REQUIRE(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
+    running.host.ask<bool>([&replica](GatewayBench &bench) {
+        bench.born += 1;
+        bench.registerReplica("i-1", "api", replica->address(), "ready");
+        return true;
+    });
+    await([&running] {
+        return has(running.metrics(), "name=\"replicas_restarted\"} 1");
+    });
+    CHECK(running.call("POST /s/b").starts_with("HTTP/1.1 200"));
+    const MessageHead head = running.host.ask<MessageHead>([&replica](GatewayBench &) {
+        return replica->heads.back();
+    });
+    CHECK(head.headers.find("X-Expect-Instance") == "i-1");
+}
+
+// Another program writes over the entry of one of two replicas. Requests go to the other; when the entry is right again, to both.
+TEST_CASE("a replica whose entry is spoilt gets nothing new until it is right again")
+{
+    StandInReplica *spoilt = nullptr;
+    StandInReplica *good = nullptr;
+    Running running([&](GatewayBench &bench) {
+        spoilt = &bench.addReplica("i-1", "api", answerWhole);
+        good = &bench.addReplica("i-2", "api", answerWhole);
+    });
+    const auto served = [&running](StandInReplica *replica) {
+        return running.host.ask<std::size_t>([replica](GatewayBench &) {
+            return replica->heads.size();
+        });
+    };
+    const auto serveUntil = [&running](const std::function<bool()> &isReached) {
+        await([&] {
+            REQUIRE(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
+            return isReached();
+        });
+    };
+    serveUntil([&] {
+        return served(spoilt) > 0 && served(good) > 0;
+    });
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.store.rows().put({"servers", "", "i-1"}, "{\"service\":\"api\"}");
+        return true;
+    });
+    await([&running] {
+        return has(running.metrics(), "name=\"replicas_unreadable\"} 1");
+    });
+    const std::size_t before = served(spoilt);
+    for (int call = 0; call < 6; ++call) {
+        CHECK(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(served(spoilt) == before);
+    running.host.ask<bool>([&spoilt](GatewayBench &bench) {
+        bench.registerReplica("i-1", "api", spoilt->address(), "ready");
+        return true;
+    });
+    serveUntil([&] {
+        return served(spoilt) > before;
+    });
+}
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -26,6 +26,7 @@
 DEFINE_uint32(nodes, 4, "node processes");
 DEFINE_uint32(replicas, 6, "stand-in replicas; one in three is a plain service");
 DEFINE_uint32(callers, 12, "callers at once");
+DEFINE_uint32(kinds, 14, "kinds of faults; a seed that was found with fewer of them is played with as many as then");
 
 using namespace Dogwoodkeel;
 
@@ -164,7 +165,7 @@
     void injectFault()
     {
         const std::chrono::milliseconds length = this->randomTime(shortestFault, longestFault);
-        switch (this->random() % 12) {
+        switch (this->random() % FLAGS_kinds) {
         case 0:
             this->disturbNode(SIGKILL, length);
             return;
@@ -194,6 +195,12 @@
         case 10:
             this->drainReplica(length);
             return;
+        case 12:
+            this->restartReplica();
+            return;
+        case 13:
+            this->spoilEntry(length);
+            return;
         default:
             this->changeAll(length);
             return;
@@ -316,6 +323,31 @@
         });
     }
 
+    void restartReplica()
+    {
+        const std::uint32_t replica = this->random() % FLAGS_replicas;
+        this->note("replica " + std::to_string(replica) + " starts again under its name");
+        this->world.post([replica](SoakWorld &world) {
+            world.restartReplica(replica);
+        });
+    }
+
+    void spoilEntry(std::chrono::milliseconds length)
+    {
+        static constexpr const char *texts[] = {"\xff\xfe", "{}", R"({"service":"llm","slots":1e99})", "[[[[", ""};
+        const std::uint32_t replica = this->random() % FLAGS_replicas;
+        const std::string text = texts[this->random() % std::size(texts)];
+        this->note("entry of replica " + std::to_string(replica) + " spoilt for " + std::to_string(length.count()) + " ms");
+        this->world.post([replica, text](SoakWorld &world) {
+            world.spoilEntry(replica, text);
+        });
+        this->later(length, [this, replica] {
+            this->world.post([replica](SoakWorld &world) {
+                world.registerReplica(replica, "ready");
+            });
+        });
+    }
+
     /** A new configuration; one time in three, all nodes are killed just after it. */
     void changeAll(std::chrono::milliseconds length)
     {
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -158,9 +158,28 @@
     const nlohmann::json entry{{"service", one.service},
                                {"address", one.way->address().toString()},
                                {"zone", "z" + std::to_string(replica % 3)},
+                               {"version", "v1"},
                                {"slots", replicaSlots},
-                               {"state", state}};
+                               {"state", state},
+                               {"coldLeftMs", 0},
+                               {"born", one.born},
+                               {"seq", ++this->entriesWritten}};
     this->store.rows().put({"servers", "", one.instance}, entry.dump());
 }
 
+void SoakWorld::restartReplica(std::size_t replica)
+{
+    Replica &one = this->replicas.at(replica);
+    ++one.born;
+    // What ran there is over: its connections are reset, and its runs end with them.
+    one.way->setMode(FaultProxy::Mode::Reset);
+    one.way->setMode(FaultProxy::Mode::Pass);
+    this->registerReplica(replica, "ready");
+}
+
+void SoakWorld::spoilEntry(std::size_t replica, const std::string &text)
+{
+    this->store.rows().put({"servers", "", this->replicas.at(replica).instance}, text);
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -37,11 +37,19 @@
     /** Tell the nodes that a replica is there, or leaves. */
     void registerReplica(std::size_t replica, const std::string &state);
 
+    /** A replica crashes, and is there again under its name at once. */
+    void restartReplica(std::size_t replica);
+
+    /** Another program writes over a replica's entry. */
+    void spoilEntry(std::size_t replica, const std::string &text);
+
 private:
     struct Replica
     {
         std::string instance;
         std::string service;
+        /** Its start, in milliseconds of the time of day. */
+        std::uint64_t born = 1764700000000;
         std::unique_ptr<CallerServer> server;
         std::unique_ptr<FaultProxy> way;
     };
@@ -57,6 +65,7 @@
     std::vector<std::unique_ptr<FaultProxy>> storeWays;
     std::vector<Replica> replicas;
     int version = 0;
+    std::uint64_t entriesWritten = 0;
 };
 
 } // namespace Dogwoodkeel
