LibPlatform: Tell the ages of jobs by the store's steady time, not by the time of day

Cause: a job's submission and age were told by the time of day, in whole seconds. Ruled out: carrying the age along (rewritten all the time), a margin (items late that need not be). Change: StoreClock takes the time from the store's answers, also through a relaying node; JobHead.submitted is a StoreTime in milliseconds; OpenJob.due, which nothing read, goes. Seeds are random instead of the time of day.

--- a/Libraries/LibBase/Clock.h
+++ b/Libraries/LibBase/Clock.h
@@ -8,6 +8,18 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 
+/** Tags the steady time that the platform's store tells in its answers; it is the same for all nodes. */
+struct StoreTimeTag
+{
+    using duration = std::chrono::milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<StoreTimeTag>;
+    static constexpr bool is_steady = true;
+};
+
+using StoreTime = StoreTimeTag::time_point;
+
 /**
  * Source of time. Every decision takes its time from the clock it was constructed with, so that tests
  * move time by hand and never wait.
--- a/Libraries/LibWire/Compact.h
+++ b/Libraries/LibWire/Compact.h
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <string>
@@ -130,6 +131,22 @@
     time = WallTime(std::chrono::duration_cast<WallTime::duration>(std::chrono::seconds(seconds)));
 }
 
+template <typename Archive>
+void write(Archive &archive, const StoreTime &time)
+{
+    write(archive, static_cast<std::uint64_t>(time.time_since_epoch().count()));
+}
+
+template <typename Archive>
+void read(Archive &archive, StoreTime &time)
+{
+    // Bounded, so that a wrong number cannot overflow the sum with a duration.
+    constexpr std::uint64_t longest = std::uint64_t(1) << 52U;
+    std::uint64_t milliseconds = 0;
+    read(archive, milliseconds);
+    time = StoreTime(std::chrono::milliseconds(std::min(milliseconds, longest)));
+}
+
 template <typename Archive, typename Tag, typename Representation>
 void write(Archive &archive, const StrongType<Tag, Representation> &value)
 {
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2584,7 +2584,7 @@
     /** Host of that route. */
     std::string host;
     /** When it was accepted. */
-    WallTime submitted;
+    StoreTime submitted;
     /** How many items it has. */
     std::uint32_t total = 0;
     /** Rows that hold its content; 0: an object of the job's name does. */
@@ -2620,8 +2620,6 @@
     std::string route;
     /** Tokens of the items without a result. */
     std::uint64_t waitingTokens = 0;
-    /** When all results are due. */
-    WallTime due;
     /** The node that runs its items, for as long as it is there. */
     SessionNumber runner;
 
@@ -2630,7 +2628,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->route, this->waitingTokens, this->due, this->runner);
+        archive(this->route, this->waitingTokens, this->runner);
     }
 };
 
@@ -2763,13 +2761,15 @@
     std::uint64_t version = 0;
     /** With a refusal: the expected rows that are there. */
     std::vector<StoreRow> current;
+    /** The time at the store. */
+    StoreTime storeNow;
 
     bool operator==(const StoreTransactResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->outcome, this->version, this->current);
+        archive(this->outcome, this->version, this->current, this->storeNow);
     }
 };
 
@@ -2806,13 +2806,15 @@
     bool isTruncated = false;
     /** The newest version of any row. */
     std::uint64_t version = 0;
+    /** The time at the store. */
+    StoreTime storeNow;
 
     bool operator==(const StoreReadResponse &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isRead, this->rows, this->isTruncated, this->version);
+        archive(this->isRead, this->rows, this->isTruncated, this->version, this->storeNow);
     }
 };
 
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -22,6 +22,7 @@
     "double": "double",
     "milliseconds": "std::chrono::milliseconds",
     "WallTime": "WallTime",
+    "StoreTime": "StoreTime",
     "Address": "Address",
 }
 IDENTIFIERS = ["SessionNumber", "ShardNumber", "ShardEpoch", "GroupNumber", "RequestId", "AttemptId", "JobId",
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -31,11 +31,6 @@
 constexpr std::chrono::milliseconds graceMargin{700};
 constexpr std::chrono::milliseconds unknownPause{300};
 
-std::uint64_t seedOf(const Settings &settings, const Clock &clock)
-{
-    return stableHash(settings.node.vm, static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
-}
-
 void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const std::string &type, const std::string &body)
 {
     HeaderList headers;
@@ -54,11 +49,12 @@
     : loop(loop)
     , clock(clock)
     , settings(settings)
-    , random(static_cast<std::minstd_rand::result_type>(seedOf(*settings, clock)))
+    , random(static_cast<std::minstd_rand::result_type>(randomSession().value()))
     , crashes(clock)
+    , storeClock(clock)
     , storePool(loop, clock, idleToStore)
     , replicaPool(loop, clock, idleToReplica)
-    , store(this->storePool, settings->platform.address, settings->platform.timeout)
+    , store(this->storePool, settings->platform.address, this->storeClock, settings->platform.timeout)
     , peers(loop,
             clock,
             this->store,
@@ -99,6 +95,7 @@
                     })
     , context{loop,
               clock,
+              this->storeClock,
               this->replicaPool,
               this->placements,
               this->listed,
@@ -108,11 +105,12 @@
                   this->noteBreak(fingerprint, replica);
               },
               this->random}
-    , relayedStore(this->store, this->peers, this->random())
+    , relayedStore(this->store, this->peers, this->storeClock, this->random())
     , jobs(
           loop,
           clock,
           this->relayedStore,
+          this->storeClock,
           [this] {
               return this->peers.self();
           },
@@ -139,7 +137,7 @@
                   return this->configuration.current();
               })
     , cleaner(loop,
-              clock,
+              this->storeClock,
               this->store,
               settings->gateway.jobsKept,
               {.isOurDuty =
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -95,6 +95,7 @@
     std::minstd_rand random;
     GatewayMetrics metrics;
     CrashMemory crashes;
+    StoreClock storeClock;
     OutboundPool storePool;
     OutboundPool replicaPool;
     PlatformStore store;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include <LibDispatch/FirstEventEstimate.h>
 #include <LibDispatch/ItemEstimate.h>
 #include <LibGateway/CrashMemory.h>
+#include <LibPlatform/StoreClock.h>
 #include <LibProxy/OutboundPool.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Gateway/GatewayMetrics.h>
@@ -22,6 +23,8 @@
 {
     EventLoop &loop;
     const Clock &clock;
+    /** By it the ages of jobs are told. */
+    const StoreClock &storeClock;
     /** Connections to replicas. */
     OutboundPool &replicas;
     PlacementClient &placements;
--- a/Services/Gateway/JobCleaner.cpp
+++ b/Services/Gateway/JobCleaner.cpp
@@ -13,15 +13,16 @@
 constexpr std::chrono::seconds lookInterval{30};
 /** Between two jobs that are examined, so that cleaning takes a small part of the store's rate. */
 constexpr std::chrono::milliseconds pace{50};
-/** Clocks of nodes differ, and a repeat of a submission may come late: kept beyond what was promised. */
+/** A repeat of a submission may come late: kept beyond what was promised. */
 constexpr std::chrono::seconds margin{60};
 /** Entries that one transaction takes. */
 constexpr std::size_t mostRemovals = 90;
 
 } // namespace
 
-JobCleaner::JobCleaner(Scheduler &scheduler, const Clock &clock, RowStore &store, std::chrono::milliseconds kept, Hooks hooks)
-    : scheduler(scheduler), clock(clock), store(store), kept(kept), hooks(std::move(hooks))
+JobCleaner::JobCleaner(
+    Scheduler &scheduler, const StoreClock &storeClock, RowStore &store, std::chrono::milliseconds kept, Hooks hooks)
+    : scheduler(scheduler), storeClock(storeClock), store(store), kept(kept), hooks(std::move(hooks))
 {
     this->timer = scheduler.schedule(lookInterval, [this] {
         this->look();
@@ -76,9 +77,9 @@
     });
 }
 
-bool JobCleaner::isOver(WallTime submitted) const
+bool JobCleaner::isOver(StoreTime submitted) const
 {
-    return this->clock.wallNow() - submitted > this->kept + margin;
+    return this->storeClock.now().value_or(submitted) - submitted > this->kept + margin;
 }
 
 void JobCleaner::examine(const JobId &job)
--- a/Services/Gateway/JobCleaner.h
+++ b/Services/Gateway/JobCleaner.h
@@ -4,6 +4,7 @@
 #include <LibBase/Scheduler.h>
 #include <LibGateway/JobRows.h>
 #include <LibPlatform/RowStore.h>
+#include <LibPlatform/StoreClock.h>
 
 #include <chrono>
 #include <deque>
@@ -29,7 +30,7 @@
     };
 
     /** @param kept how long after its submission a job is kept */
-    JobCleaner(Scheduler &scheduler, const Clock &clock, RowStore &store, std::chrono::milliseconds kept, Hooks hooks);
+    JobCleaner(Scheduler &scheduler, const StoreClock &storeClock, RowStore &store, std::chrono::milliseconds kept, Hooks hooks);
     ~JobCleaner();
     JobCleaner(const JobCleaner &) = delete;
     JobCleaner &operator=(const JobCleaner &) = delete;
@@ -41,15 +42,15 @@
     void examine(const JobId &job);
     void remove(const JobId &job);
     void removeRows(const JobId &job, const std::vector<StoredRow> &rows);
-    bool isOver(WallTime submitted) const;
+    bool isOver(StoreTime submitted) const;
 
     Scheduler &scheduler;
-    const Clock &clock;
+    const StoreClock &storeClock;
     RowStore &store;
     std::chrono::milliseconds kept;
     Hooks hooks;
     /** When each job was submitted, as its head said; heads are read once. */
-    std::map<JobId, WallTime> submitted;
+    std::map<JobId, StoreTime> submitted;
     std::deque<JobId> waiting;
     TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -170,9 +170,7 @@
 void JobRun::startItem(std::uint32_t number)
 {
     const JobItem &item = this->items[number];
-    const std::chrono::milliseconds target = this->completionTarget();
-    const auto age = this->context.clock.wallNow() - this->ledger.head().submitted;
-    const SteadyTime due = this->context.clock.now() + std::chrono::duration_cast<std::chrono::milliseconds>(target - age);
+    const SteadyTime due = this->context.clock.now() + this->completionTarget() - this->age();
     const std::weak_ptr<JobRun> self = this->weak_from_this();
     ItemAttempt::Hooks hooks{
         .target = [self, host = this->ledger.head().host, path = item.target]() -> std::optional<ItemAttempt::Target> {
@@ -193,6 +191,13 @@
     attempt->start(generated != this->before.end() ? generated->second : JobRows::Generated());
 }
 
+std::chrono::milliseconds JobRun::age() const
+{
+    const StoreTime submitted = this->ledger.head().submitted;
+    // Jobs are read from the store, so its time is known.
+    return this->context.storeClock.now().value_or(submitted) - submitted;
+}
+
 std::chrono::milliseconds JobRun::completionTarget() const
 {
     const Route *const route = this->hooks.route(this->ledger.head().route);
@@ -252,7 +257,7 @@
 {
     const Route *const route = this->isLoaded ? this->hooks.route(this->ledger.head().route) : nullptr;
     const bool isKnown = route != nullptr && route->retention.count() > 0;
-    if (isKnown && this->context.clock.wallNow() - this->ledger.head().submitted > route->retention) {
+    if (isKnown && this->age() > route->retention) {
         while (!this->open.empty()) {
             this->abandon(this->open.begin()->first, "its time is over");
         }
@@ -280,8 +285,7 @@
     const JobLedger::Write next = this->ledger.nextWrite();
     std::optional<OpenJob> row;
     if (next.head.listed.size() < next.head.total) {
-        const WallTime due = next.head.submitted + this->completionTarget();
-        row = OpenJob{next.head.route, this->waitingTokens(next.head), due, this->hooks.self()};
+        row = OpenJob{next.head.route, this->waitingTokens(next.head), this->hooks.self()};
     }
     this->isBusyWithStore = true;
     this->store.update(this->job,
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -74,6 +74,7 @@
     void endRun();
     std::uint64_t waitingTokens(const JobHead &head) const;
     std::chrono::milliseconds completionTarget() const;
+    std::chrono::milliseconds age() const;
     void stopAll();
 
     GatewayContext &context;
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -56,12 +56,14 @@
 JobStore::JobStore(Scheduler &scheduler,
                    const Clock &clock,
                    RowStore &store,
+                   const StoreClock &storeClock,
                    std::function<SessionNumber()> self,
                    std::size_t rowBytes,
                    std::uint64_t seed)
     : scheduler(scheduler)
     , clock(clock)
     , store(store)
+    , storeClock(storeClock)
     , self(std::move(self))
     , rowBytes(rowBytes)
     , random(static_cast<std::minstd_rand::result_type>(seed))
@@ -119,7 +121,7 @@
 void JobStore::checkRoom(const std::shared_ptr<Submitting> &submitting)
 {
     const std::uint64_t limit = submitting->submission.waitingTokensLimit;
-    if (limit == 0) {
+    if (limit == 0 && this->storeClock.now()) {
         this->write(submitting, 0, 0);
         return;
     }
@@ -144,7 +146,7 @@
         }
         if (isKnown) {
             submitting->done(SubmitOutcome::Known);
-        } else if (waiting + submitting->tokens > limit) {
+        } else if (limit > 0 && waiting + submitting->tokens > limit) {
             this->confirm(submitting, SubmitOutcome::Full);
         } else {
             this->write(submitting, waiting, orderVersion);
@@ -154,15 +156,20 @@
 
 void JobStore::write(const std::shared_ptr<Submitting> &submitting, std::uint64_t waiting, RowVersion orderVersion)
 {
+    const std::optional<StoreTime> now = this->storeClock.now();
+    if (!now) {
+        // The store has answered, but without its time: nobody could tell how old the job is.
+        this->retry(submitting, SubmitOutcome::NotStored);
+        return;
+    }
     const Submission &submission = submitting->submission;
-    const WallTime now = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
     JobHead head;
     head.route = submission.route;
     head.host = submission.host;
-    head.submitted = now;
+    head.submitted = *now;
     head.total = static_cast<std::uint32_t>(submission.items.size());
     head.contentPieces = static_cast<std::uint32_t>(submitting->pieces.size());
-    const OpenJob open{submission.route, submitting->tokens, now + submission.completionTarget, this->self()};
+    const OpenJob open{submission.route, submitting->tokens, this->self()};
     RowTransaction transaction;
     transaction.expectations.push_back({JobRows::head(submission.id), 0});
     transaction.puts.push_back({JobRows::head(submission.id), encode(head)});
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -6,6 +6,7 @@
 #include <LibGateway/JobRows.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibPlatform/RowStore.h>
+#include <LibPlatform/StoreClock.h>
 
 #include <functional>
 #include <map>
@@ -76,12 +77,14 @@
 {
 public:
     /**
+     * @param storeClock by which the ages of jobs are told
      * @param self gives the session number of this node
      * @param rowBytes the largest row that the store takes
      */
     JobStore(Scheduler &scheduler,
              const Clock &clock,
              RowStore &store,
+             const StoreClock &storeClock,
              std::function<SessionNumber()> self,
              std::size_t rowBytes,
              std::uint64_t seed);
@@ -140,6 +143,7 @@
     Scheduler &scheduler;
     const Clock &clock;
     RowStore &store;
+    const StoreClock &storeClock;
     std::function<SessionNumber()> self;
     std::size_t rowBytes;
     std::minstd_rand random;
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -120,7 +120,6 @@
     member.owner = this->peerServer.address();
     member.gossip = this->socket.address();
     member.processorShare = static_cast<std::uint32_t>(std::lround(settings.gateway.processorShare * 100));
-    member.started = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
     return member;
 }
 
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -83,20 +83,26 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(RowStore &direct, PeerNetwork &peers, std::uint64_t seed)
-    : direct(direct), peers(peers), random(static_cast<std::minstd_rand::result_type>(seed))
+RelayedStore::RelayedStore(RowStore &direct, PeerNetwork &peers, StoreClock &storeClock, std::uint64_t seed)
+    : direct(direct), peers(peers), storeClock(storeClock), random(static_cast<std::minstd_rand::result_type>(seed))
 {
     peers.server().handle<StoreTransactRequest>([this](const StoreTransactRequest &request, const auto &respond) {
-        this->direct.transact(decodeTransaction(request), [respond](const RowTransactionResult &result) {
-            respond(
-                StoreTransactResponse{static_cast<std::uint32_t>(result.outcome), result.version, encodeRows(result.current)});
+        this->direct.transact(decodeTransaction(request), [this, respond](const RowTransactionResult &result) {
+            respond(StoreTransactResponse{static_cast<std::uint32_t>(result.outcome),
+                                          result.version,
+                                          encodeRows(result.current),
+                                          this->storeClock.now().value_or(StoreTime())});
         });
     });
     peers.server().handle<StoreReadRequest>([this](const StoreReadRequest &request, const auto &respond) {
         const RowRange range{request.table, request.part, request.from, request.to, request.limit};
-        this->direct.read(range, [respond](const RowRangeResult &result) {
+        this->direct.read(range, [this, respond](const RowRangeResult &result) {
             const bool isRead = result.outcome == ReadOutcome::Found;
-            respond(StoreReadResponse{isRead, encodeRows(result.rows), result.isTruncated, result.version});
+            respond(StoreReadResponse{isRead,
+                                      encodeRows(result.rows),
+                                      result.isTruncated,
+                                      result.version,
+                                      this->storeClock.now().value_or(StoreTime())});
         });
     });
 }
@@ -146,23 +152,33 @@
                                    const RowTransaction &transaction,
                                    std::function<void(RowTransactionResult)> done)
 {
-    this->peers.client().call(peer,
-                              encodeTransaction(transaction),
-                              relayTimeout,
-                              [alive = this->alive, done = std::move(done)](const CallResult<StoreTransactResponse> &result) {
-                                  if (!*alive) {
-                                      return;
-                                  }
-                                  RowTransactionResult relayed;
-                                  if (result.response) {
-                                      relayed.outcome = outcomeOf(result.response->outcome);
-                                      relayed.version = result.response->version;
-                                      relayed.current = decodeRows(result.response->current);
-                                  } else if (result.outcome == CallOutcome::NotSent) {
-                                      relayed.outcome = WriteOutcome::NotApplied;
-                                  }
-                                  done(std::move(relayed));
-                              });
+    this->peers.client().call(
+        peer,
+        encodeTransaction(transaction),
+        relayTimeout,
+        [this, alive = this->alive, done = std::move(done)](const CallResult<StoreTransactResponse> &result) {
+            if (!*alive) {
+                return;
+            }
+            RowTransactionResult relayed;
+            if (result.response) {
+                this->noteTime(result.response->storeNow);
+                relayed.outcome = outcomeOf(result.response->outcome);
+                relayed.version = result.response->version;
+                relayed.current = decodeRows(result.response->current);
+            } else if (result.outcome == CallOutcome::NotSent) {
+                relayed.outcome = WriteOutcome::NotApplied;
+            }
+            done(std::move(relayed));
+        });
+}
+
+void RelayedStore::noteTime(StoreTime told)
+{
+    // The epoch: the other node does not know it either.
+    if (told != StoreTime()) {
+        this->storeClock.note(told);
+    }
 }
 
 void RelayedStore::read(RowRange range, std::function<void(RowRangeResult)> done)
@@ -186,20 +202,23 @@
 void RelayedStore::readThrough(const Address &peer, const RowRange &range, std::function<void(RowRangeResult)> done)
 {
     const StoreReadRequest request{range.table, range.part, range.from, range.to, static_cast<std::uint32_t>(range.limit)};
-    this->peers.client().call(
-        peer, request, relayTimeout, [alive = this->alive, done = std::move(done)](const CallResult<StoreReadResponse> &result) {
-            if (!*alive) {
-                return;
-            }
-            RowRangeResult relayed;
-            if (result.response && result.response->isRead) {
-                relayed.outcome = ReadOutcome::Found;
-                relayed.rows = decodeRows(result.response->rows);
-                relayed.isTruncated = result.response->isTruncated;
-                relayed.version = result.response->version;
-            }
-            done(std::move(relayed));
-        });
+    this->peers.client().call(peer,
+                              request,
+                              relayTimeout,
+                              [this, alive = this->alive, done = std::move(done)](const CallResult<StoreReadResponse> &result) {
+                                  if (!*alive) {
+                                      return;
+                                  }
+                                  RowRangeResult relayed;
+                                  if (result.response && result.response->isRead) {
+                                      this->noteTime(result.response->storeNow);
+                                      relayed.outcome = ReadOutcome::Found;
+                                      relayed.rows = decodeRows(result.response->rows);
+                                      relayed.isTruncated = result.response->isTruncated;
+                                      relayed.version = result.response->version;
+                                  }
+                                  done(std::move(relayed));
+                              });
 }
 
 void RelayedStore::follow(const std::string &table,
--- a/Services/Gateway/RelayedStore.h
+++ b/Services/Gateway/RelayedStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlatform/RowStore.h>
+#include <LibPlatform/StoreClock.h>
 #include <Services/Gateway/PeerNetwork.h>
 
 #include <memory>
@@ -19,7 +20,7 @@
 {
 public:
     /** @param direct the store as this node reaches it by itself; calls for other nodes are made there too */
-    RelayedStore(RowStore &direct, PeerNetwork &peers, std::uint64_t seed);
+    RelayedStore(RowStore &direct, PeerNetwork &peers, StoreClock &storeClock, std::uint64_t seed);
     ~RelayedStore() override;
     RelayedStore(const RelayedStore &) = delete;
     RelayedStore &operator=(const RelayedStore &) = delete;
@@ -38,11 +39,13 @@
 private:
     std::optional<Address> relay();
     bool hasLostStore() const;
+    void noteTime(StoreTime told);
     void transactThrough(const Address &peer, const RowTransaction &transaction, std::function<void(RowTransactionResult)> done);
     void readThrough(const Address &peer, const RowRange &range, std::function<void(RowRangeResult)> done);
 
     RowStore &direct;
     PeerNetwork &peers;
+    StoreClock &storeClock;
     std::minstd_rand random;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/Fakes/StandInStore.cpp
+++ b/Tests/Fakes/StandInStore.cpp
@@ -56,7 +56,9 @@
 }
 
 StandInStore::StandInStore(EventLoop &loop, const Clock &clock, std::shared_ptr<FakeRowStore> rows)
-    : store(std::move(rows)), server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
+    : clock(clock)
+    , store(std::move(rows))
+    , server(loop, clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
         this->handle(exchange);
     })
 {
@@ -82,6 +84,12 @@
     this->withheldTable = table;
 }
 
+std::int64_t StandInStore::nowMs() const
+{
+    constexpr std::chrono::hours sinceItsStart{1000};
+    return std::chrono::floor<std::chrono::milliseconds>(this->clock.now().time_since_epoch() + sinceItsStart).count();
+}
+
 void StandInStore::handle(const std::shared_ptr<CallerExchange> &exchange)
 {
     if (this->mood == Mood::Silent) {
@@ -122,9 +130,9 @@
     for (const Json &entry : body["remove"]) {
         transaction.removals.push_back(placeOf(entry));
     }
-    this->store->transact(std::move(transaction), [exchange](const RowTransactionResult &result) {
+    this->store->transact(std::move(transaction), [this, exchange](const RowTransactionResult &result) {
         if (result.outcome == WriteOutcome::Done) {
-            answer(exchange, 200, {{"ver", result.version}, {"nowMs", 1}});
+            answer(exchange, 200, {{"ver", result.version}, {"nowMs", this->nowMs()}});
         } else if (result.outcome == WriteOutcome::Refused) {
             answer(exchange, 412, {{"rows", encodeRows(result.current)}});
         } else if (result.outcome == WriteOutcome::NotApplied) {
@@ -137,12 +145,17 @@
 {
     const RowRange range{
         parameter(query, "table"), parameter(query, "part"), parameter(query, "from"), parameter(query, "to"), 0};
-    this->store->read(range, [exchange](const RowRangeResult &result) {
+    this->store->read(range, [this, exchange](const RowRangeResult &result) {
         if (result.outcome != ReadOutcome::Found) {
             exchange->send(503, {}, {});
             return;
         }
-        answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"truncated", result.isTruncated}, {"ver", result.version}});
+        answer(exchange,
+               200,
+               {{"rows", encodeRows(result.rows)},
+                {"truncated", result.isTruncated},
+                {"ver", result.version},
+                {"nowMs", this->nowMs()}});
     });
 }
 
@@ -150,13 +163,13 @@
 {
     const RowVersion since = std::stoull(parameter(query, "afterRev"));
     const std::chrono::milliseconds wait(std::stoll(parameter(query, "waitMs")));
-    this->store->follow(parameter(query, "table"), since, wait, [exchange](const FollowResult &result) {
+    this->store->follow(parameter(query, "table"), since, wait, [this, exchange](const FollowResult &result) {
         if (result.outcome == FollowOutcome::HistoryLost) {
             exchange->send(410, {}, {});
         } else if (result.outcome == FollowOutcome::Failed) {
             exchange->send(503, {}, {});
         } else {
-            answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"ver", result.version}});
+            answer(exchange, 200, {{"rows", encodeRows(result.rows)}, {"ver", result.version}, {"nowMs", this->nowMs()}});
         }
     });
 }
--- a/Tests/Fakes/StandInStore.h
+++ b/Tests/Fakes/StandInStore.h
@@ -35,6 +35,8 @@
     void withhold(const std::string &table);
 
 private:
+    /** @return its steady time, which no node has. */
+    std::int64_t nowMs() const;
     void handle(const std::shared_ptr<CallerExchange> &exchange);
     void transact(const std::shared_ptr<CallerExchange> &exchange);
     void read(const std::shared_ptr<CallerExchange> &exchange, const std::string &query);
@@ -42,6 +44,7 @@
 
     StandInStore(EventLoop &loop, const Clock &clock, std::shared_ptr<FakeRowStore> rows);
 
+    const Clock &clock;
     std::shared_ptr<FakeRowStore> store;
     Mood mood = Mood::Serving;
     std::string withheldTable;
--- a/Tests/ServiceGateway/TestJobCleaner.cpp
+++ b/Tests/ServiceGateway/TestJobCleaner.cpp
@@ -18,11 +18,16 @@
 class Bench
 {
 public:
+    Bench()
+    {
+        this->storeClock.note(StoreTime(std::chrono::hours(1)));
+    }
+
     void addJob(const std::string &name, std::size_t results, std::uint32_t total = 0)
     {
         JobHead head;
         head.total = total;
-        head.submitted = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow());
+        head.submitted = this->storeClock.now().value();
         this->store.put(JobRows::head(JobId(name)), encode(head));
         for (std::size_t i = 0; i < results; ++i) {
             const ItemResult result{ItemId("i"), ItemOutcome::Completed, "x"};
@@ -43,10 +48,11 @@
 
     ManualClock clock;
     FakeRowStore store{this->clock};
+    StoreClock storeClock{this->clock};
     bool isOurDuty = true;
     std::set<JobId> open;
     JobCleaner cleaner{this->clock,
-                       this->clock,
+                       this->storeClock,
                        this->store,
                        kept,
                        {.isOurDuty =
--- a/Tests/ServiceGateway/TestJobStore.cpp
+++ b/Tests/ServiceGateway/TestJobStore.cpp
@@ -12,6 +12,14 @@
 namespace
 {
 
+/** @return the store's time as a node knows it after an answer. */
+StoreClock toldClock(const Clock &clock)
+{
+    StoreClock told(clock);
+    told.note(StoreTime(std::chrono::hours(1)));
+    return told;
+}
+
 constexpr std::size_t rowBytes = 65536;
 
 Submission submissionOf(const std::string &job, std::size_t items, const ManualClock &clock, std::uint64_t limit = 0)
@@ -78,9 +86,11 @@
 
     ManualClock clock;
     FakeRowStore store{this->clock};
+    StoreClock storeClock = toldClock(this->clock);
     JobStore one{this->clock,
                  this->clock,
                  this->store,
+                 this->storeClock,
                  [] {
                      return SessionNumber(1);
                  },
@@ -89,6 +99,7 @@
     JobStore two{this->clock,
                  this->clock,
                  this->store,
+                 this->storeClock,
                  [] {
                      return SessionNumber(2);
                  },
