--- a/Libraries/LibBase/Clock.h
+++ b/Libraries/LibBase/Clock.h
@@ -12,13 +12,9 @@
 struct StoreTimeTag
 {
     using duration = std::chrono::milliseconds;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = std::chrono::time_point<StoreTimeTag>;
-    static constexpr bool is_steady = true;
 };
 
-using StoreTime = StoreTimeTag::time_point;
+using StoreTime = std::chrono::time_point<StoreTimeTag>;
 
 /**
  * Source of time. Every decision takes its time from the clock it was constructed with, so that tests
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -37,6 +37,23 @@
     return statusBadGateway;
 }
 
+std::string_view nameOf(SubmitOutcome outcome)
+{
+    switch (outcome) {
+    case SubmitOutcome::Accepted:
+        return "accepted";
+    case SubmitOutcome::Known:
+        return "known already";
+    case SubmitOutcome::Full:
+        return "the route is full";
+    case SubmitOutcome::NotStored:
+        return "surely not stored";
+    case SubmitOutcome::Unknown:
+        return "perhaps stored";
+    }
+    return "invalid";
+}
+
 int statusOf(JobReadOutcome outcome)
 {
     switch (outcome) {
@@ -89,8 +106,18 @@
     submission.waitingTokensLimit = route.waitingTokens;
     submission.completionTarget = route.completionTarget;
     submission.items = *std::move(items);
-    submission.deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
-    this->store.submit(std::move(submission), [this, exchange, job](SubmitOutcome outcome) {
+    const SteadyTime arrived = this->context.clock.now();
+    submission.deadline = arrived + traits.patience.value_or(defaultPatience);
+    const std::size_t count = submission.items.size();
+    this->store.submit(std::move(submission), [this, exchange, job, arrived, count](SubmitOutcome outcome) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(this->context.clock.now() - arrived);
+        log(LogLevel::Info,
+            "job submission decided",
+            {{"job", job.value()},
+             {"items", static_cast<std::int64_t>(count)},
+             {"outcome", std::string(nameOf(outcome))},
+             {"took_ms", took.count()},
+             {"caller_left", exchange->isOver()}});
         this->reply(exchange, "submit", job, statusOf(outcome));
         if (outcome == SubmitOutcome::Accepted) {
             this->accepted(job);
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -328,6 +328,12 @@
     this->isBusyWithStore = false;
     this->writeFailures = 0;
     this->ledger.confirm(written, version);
+    log(LogLevel::Info,
+        "results written",
+        {{"job", this->job.value()},
+         {"listed", static_cast<std::int64_t>(written.listed.size())},
+         {"items", static_cast<std::int64_t>(written.total)},
+         {"age_ms", this->age().count()}});
     if (this->ledger.isComplete()) {
         log(LogLevel::Info, "job complete", {{"job", this->job.value()}});
         this->endRun();
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -204,12 +204,13 @@
         {"seq", {nullptr, -1, 1.5, "3"}},
         {"born", {nullptr, -1, 1.5, "1764700000000", true, nlohmann::json::array()}},
     };
-    for (const auto &[field, values] : spoilt) {
+    for (const auto &one : spoilt) {
+        const std::string &field = one.first;
         nlohmann::json entry = replicaEntry();
         entry.erase(field);
         CAPTURE(field);
         CHECK(decodeReplica("i-1", entry.dump()).has_value() == (field == "born"));
-        for (const nlohmann::json &value : values) {
+        for (const nlohmann::json &value : one.second) {
             entry[field] = value;
             CAPTURE(value.dump());
             CHECK_FALSE(decodeReplica("i-1", entry.dump()));
