StoreReach: Take no duties for a loss of the store that most members share

Cause: in an outage of the whole store each node notices it, and its end, at its own moment, and hears of the others' loss by gossip. Ruled out: waiting at the dispatcher (p50 1 ms, p90 1 to 55 ms until 22.5 s). Change: a member's loss of the store counts against its duties once it has stood for 2 s and the members' spreading time, and most members have had the store for as long.

--- /dev/null
+++ b/Libraries/LibMembership/StoreReach.cpp
@@ -0,0 +1,71 @@
+#include <LibMembership/StoreReach.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/**
+ * In this time all members notice that the store is away, or back: they call a silent store lost after 1.6 s, and look for its
+ * return every 0.4 s. News of it takes the members' spreading time beside.
+ */
+constexpr std::chrono::milliseconds noticeTime{2000};
+
+} // namespace
+
+StoreReach::StoreReach(const Clock &clock) : clock(clock)
+{
+}
+
+void StoreReach::update(const MemberViewPointer &view)
+{
+    const SteadyTime now = this->clock.now();
+    this->view = view;
+    std::map<SessionNumber, SteadyTime> lost;
+    for (const Member &member : view->members()) {
+        if (member.hasLostStore) {
+            const auto before = this->lostSince.find(member.session);
+            lost.emplace(member.session, before != this->lostSince.end() ? before->second : now);
+        }
+    }
+    this->lostSince = std::move(lost);
+    const bool isCommon = this->lostSince.size() * 2 < view->members().size();
+    if (!isCommon) {
+        this->commonSince.reset();
+    } else if (!this->commonSince) {
+        this->commonSince = now;
+    }
+    this->last.reset();
+}
+
+bool StoreReach::isCutOff(const Member &member, SteadyTime now) const
+{
+    const std::chrono::milliseconds settling = noticeTime + this->view->spreadTime();
+    const auto since = this->lostSince.find(member.session);
+    return since != this->lostSince.end() && this->commonSince && now - since->second >= settling
+        && now - *this->commonSince >= settling;
+}
+
+MemberViewPointer StoreReach::settled()
+{
+    if (this->lostSince.empty()) {
+        return this->view;
+    }
+    const SteadyTime now = this->clock.now();
+    std::vector<Member> members = this->view->members();
+    for (Member &member : members) {
+        member.hasLostStore = this->isCutOff(member, now);
+    }
+    const bool isSame
+        = this->last && std::ranges::equal(members, this->last->members(), {}, &Member::hasLostStore, &Member::hasLostStore);
+    if (!isSame) {
+        this->last = std::make_shared<const MemberView>(std::move(members), this->view->isMinority(), this->view->spreadTime());
+    }
+    return this->last;
+}
+
+} // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -142,7 +142,7 @@
               settings->gateway.jobsKept,
               {.isOurDuty =
                    [this] {
-                       return hasDuty(*this->peers.view(), this->peers.self(), stableHash(JobRows::jobTable));
+                       return hasDuty(*this->peers.dutyView(), this->peers.self(), stableHash(JobRows::jobTable));
                    },
                .isOpen =
                    [this](const JobId &job) {
@@ -174,7 +174,7 @@
     })
 {
     this->isComplete = true;
-    this->takeView(this->peers.view());
+    this->takeView(this->peers.dutyView());
 }
 
 Gateway::~Gateway()
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -27,7 +27,7 @@
                        PeerNetwork &peers,
                        std::chrono::milliseconds storeWait,
                        std::function<ServingConfigurationPointer()> configuration)
-    : context(context), store(store), peers(peers), configuration(std::move(configuration)), view(peers.view())
+    : context(context), store(store), peers(peers), configuration(std::move(configuration)), view(peers.dutyView())
 {
     this->follower.emplace(context.loop,
                            rows,
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -25,6 +25,8 @@
 /** A row of a node that nobody sees is removed after this look and the next: a node that died cannot do so itself. */
 constexpr std::chrono::seconds cleanInterval{20};
 constexpr std::chrono::milliseconds nodesPace{500};
+/** How often it is looked whether a member's loss of the store has stood for long enough to count; short against that time. */
+constexpr std::chrono::milliseconds reachLook{250};
 /** Nodes come and go rarely, and gossip tells of it much faster: the table only brings those together who never met. */
 constexpr std::chrono::milliseconds nodesWait{5000};
 
@@ -74,6 +76,7 @@
              })
     , peerServer(loop, settings.listen.owner, securityOf(settings))
     , peerClient(loop, securityOf(settings))
+    , reach(clock)
 {
     Membership::Options options;
     options.probeInterval = settings.membership.probeInterval;
@@ -82,7 +85,9 @@
     options.sessionOrder = Membership::SessionOrder::Random;
     const std::uint64_t seed = stableHash(this->rowKey());
     this->membership.emplace(clock, loop, options, this->makeMember(settings), seed, this->membershipHooks());
+    this->takeView(this->membership->view());
     this->membership->start(this->seeds);
+    this->watchReach();
     this->announce();
     this->nodes.emplace(loop,
                         store,
@@ -108,6 +113,7 @@
     *this->alive = false;
     this->loop.cancel(this->announceTimer);
     this->loop.cancel(this->cleanTimer);
+    this->loop.cancel(this->reachTimer);
 }
 
 Member PeerNetwork::makeMember(const Settings &settings) const
@@ -136,7 +142,7 @@
         .sendPush = send,
         .onChange =
             [this](const MemberViewPointer &view) {
-                this->hooks.onView(view);
+                this->takeView(view);
             },
         .onLeavingVms = [](const std::vector<VmName> &) {},
         .onSessionLost =
@@ -174,6 +180,29 @@
     return this->membership->view();
 }
 
+MemberViewPointer PeerNetwork::dutyView() const
+{
+    return this->duties;
+}
+
+void PeerNetwork::takeView(const MemberViewPointer &view)
+{
+    this->reach.update(view);
+    this->duties = this->reach.settled();
+    this->hooks.onView(this->duties);
+}
+
+void PeerNetwork::watchReach()
+{
+    const MemberViewPointer settled = this->reach.settled();
+    if (std::exchange(this->duties, settled) != settled) {
+        this->hooks.onView(settled);
+    }
+    this->reachTimer = this->loop.schedule(reachLook, [this] {
+        this->watchReach();
+    });
+}
+
 void PeerNetwork::setReady(bool isReady)
 {
     this->membership->update([isReady](Member &member) {
@@ -289,7 +318,7 @@
 void PeerNetwork::removeStaleRows()
 {
     // One node cleans: the one that would also have any other duty of this name.
-    const MemberView &view = *this->membership->view();
+    const MemberView &view = *this->duties;
     if (hasDuty(view, this->session, stableHash(nodeTable)) && !view.isMinority()) {
         RowTransaction removal;
         std::vector<Address> strangers;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibMembership/Membership.h>
+#include <LibMembership/StoreReach.h>
 #include <LibPlatform/RowStore.h>
 #include <LibSettings/Generated/Settings.h>
 #include <LibTask/EventLoop.h>
@@ -25,6 +26,7 @@
 public:
     struct Hooks
     {
+        /** Told of the members by which duties are given, see dutyView(). */
         std::function<void(const MemberViewPointer &)> onView;
         /** A datagram that is not about membership. */
         std::function<void(const Datagram &)> onDatagram;
@@ -41,6 +43,9 @@
     SessionNumber self() const;
     MemberViewPointer view() const;
 
+    /** @return the members by which duties are given: a loss of the store counts there only once it is no common one. */
+    MemberViewPointer dutyView() const;
+
     /** Tell the others whether this node takes callers. */
     void setReady(bool isReady);
 
@@ -66,6 +71,8 @@
     void takeNodes(const std::vector<StoredRow> &rows);
     void takeNode(const StoredRow &row);
     void removeStaleRows();
+    void takeView(const MemberViewPointer &view);
+    void watchReach();
     Member makeMember(const Settings &settings) const;
     Membership::Hooks membershipHooks();
 
@@ -80,6 +87,9 @@
     PeerServer peerServer;
     PeerClient peerClient;
     std::optional<Membership> membership;
+    StoreReach reach;
+    MemberViewPointer duties;
+    TimerId reachTimer = 0;
     std::map<std::string, NodeRecord> known;
     std::optional<TableFollower> nodes;
     bool hasLeft = false;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 PlacementClient::PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, FailureDomain own)
-    : loop(loop), clock(clock), peers(peers), own(std::move(own)), view(peers.view())
+    : loop(loop), clock(clock), peers(peers), own(std::move(own)), view(peers.dutyView())
 {
     this->tick();
 }
