PlacementClient: Pass asks on to the dispatcher when asked in its stead

Change: asks, ends and reports that reach a node which holds another one for the dispatcher are passed on, once; a node that loses the duty forgets what it knew.

--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2408,6 +2408,8 @@
     bool mayRefuse = false;
     /** Replicas that turned it away or failed it. */
     std::vector<EndpointName> avoided;
+    /** Where the asking node is, if this was passed on by another one. */
+    Address replyTo;
 
     bool operator==(const PlacementAsk &) const = default;
 
@@ -2425,7 +2427,8 @@
                 this->failureDomain,
                 this->content,
                 this->mayRefuse,
-                this->avoided);
+                this->avoided,
+                this->replyTo);
     }
 };
 
@@ -2470,13 +2473,15 @@
     std::string service;
     /** What it tells of the replica. */
     PlacementVerdict verdict = PlacementVerdict::Finished;
+    /** Whether it was passed on by another node. */
+    bool isPassedOn = false;
 
     bool operator==(const PlacementEnd &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->ticket, this->service, this->verdict);
+        archive(this->from, this->ticket, this->service, this->verdict, this->isPassedOn);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->verdict)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -2498,13 +2503,15 @@
     std::uint64_t lastTicket = 0;
     /** The requests. */
     std::vector<RunningPlacement> running;
+    /** Where the telling node is, if this was passed on by another one. */
+    Address replyTo;
 
     bool operator==(const PlacementsRunning &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->service, this->lastTicket, this->running);
+        archive(this->from, this->service, this->lastTicket, this->running, this->replyTo);
     }
 };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -192,6 +192,16 @@
     return this->peers.view()->members().size();
 }
 
+std::size_t Gateway::readyMembers() const
+{
+    return static_cast<std::size_t>(std::ranges::count(this->peers.view()->members(), true, &Member::isReady));
+}
+
+MemberViewPointer Gateway::dutyView() const
+{
+    return this->peers.dutyView();
+}
+
 const Address &Gateway::metricsAddress() const
 {
     return this->metricsServer.address();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -57,6 +57,12 @@
     /** @return how many nodes this one sees, itself included. */
     std::size_t members() const;
 
+    /** @return how many of them take callers. */
+    std::size_t readyMembers() const;
+
+    /** @return the members by which duties are given. */
+    MemberViewPointer dutyView() const;
+
     /** @return where the metrics are read. */
     const Address &metricsAddress() const;
 
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -159,7 +159,7 @@
 
 void PlacementClient::sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict)
 {
-    const PlacementEnd end{this->peers.self(), ticket, service.value(), verdict};
+    const PlacementEnd end{this->peers.self(), ticket, service.value(), verdict, false};
     const Member *const dispatcher = this->otherDispatcher(service);
     if (dispatcher == nullptr) {
         this->dispatcherFor(service).end({end.from, ticket}, verdict);
@@ -306,6 +306,11 @@
                 "dispatcher changed",
                 {{"service", service.value()}, {"dispatcher_vm", is != nullptr ? is->vm.value() : std::string()}});
             state.doubtedUntil = {};
+            if (was != nullptr && was->session == this->peers.self()) {
+                // What it knew is told to the new one by those who ask and run; kept, it would go on to give places away.
+                state.dispatcher.reset();
+                state.askers.clear();
+            }
             // The new one has to know what runs before it fills the replicas a second time.
             this->report(service, state);
         }
@@ -339,7 +344,7 @@
         }
     } else if (datagram.number == PlacementEnd::number) {
         if (const auto end = decode<PlacementEnd>(datagram.payload)) {
-            this->dispatcherFor(ServiceName(end->service)).end({end->from, end->ticket}, end->verdict);
+            this->takeEnd(*end);
         }
     } else if (datagram.number == PlacementsRunning::number) {
         if (const auto report = decode<PlacementsRunning>(datagram.payload)) {
@@ -348,11 +353,46 @@
     }
 }
 
+// A node that still holds this one for the dispatcher has not heard of a newer member. What it sends is passed on, once: were it
+// served here, two dispatchers would each fill all replicas, and what is over their slots would wait in their queues.
+template <typename Message>
+bool PlacementClient::passOn(const Datagram &datagram, const Message &message)
+{
+    const bool isPassedOn = message.replyTo != Address();
+    const Member *const dispatcher = isPassedOn ? nullptr : this->otherDispatcher(ServiceName(message.service));
+    if (dispatcher == nullptr) {
+        return false;
+    }
+    Message passed = message;
+    passed.replyTo = datagram.from;
+    this->peers.datagrams().send(dispatcher->gossip, passed);
+    return true;
+}
+
+void PlacementClient::takeEnd(const PlacementEnd &end)
+{
+    const ServiceName service(end.service);
+    const Member *const other = end.isPassedOn ? nullptr : this->otherDispatcher(service);
+    if (other != nullptr) {
+        PlacementEnd passed = end;
+        passed.isPassedOn = true;
+        this->peers.datagrams().send(other->gossip, passed);
+    }
+    ServiceState &state = this->stateOf(service);
+    if (state.dispatcher) {
+        state.dispatcher->end({end.from, end.ticket}, end.verdict);
+    }
+}
+
 void PlacementClient::takeAsk(const Datagram &datagram, const PlacementAsk &ask)
 {
+    if (this->passOn(datagram, ask)) {
+        return;
+    }
     const ServiceName service(ask.service);
     Dispatcher &dispatcher = this->dispatcherFor(service);
-    this->stateOf(service).askers.insert_or_assign(ask.from, datagram.from);
+    const Address asker = ask.replyTo != Address() ? ask.replyTo : datagram.from;
+    this->stateOf(service).askers.insert_or_assign(ask.from, asker);
     const SteadyTime now = this->clock.now();
     PlacementRequest request;
     request.id = {ask.from, ask.ticket};
@@ -372,9 +412,13 @@
 
 void PlacementClient::takeReport(const Datagram &datagram, const PlacementsRunning &report)
 {
+    if (this->passOn(datagram, report)) {
+        return;
+    }
     const ServiceName service(report.service);
     Dispatcher &dispatcher = this->dispatcherFor(service);
-    this->stateOf(service).askers.insert_or_assign(report.from, datagram.from);
+    const Address asker = report.replyTo != Address() ? report.replyTo : datagram.from;
+    this->stateOf(service).askers.insert_or_assign(report.from, asker);
     dispatcher.reconcile(report.from, report.lastTicket, report.running);
 }
 
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -118,7 +118,10 @@
     void report(const ServiceName &service, ServiceState &state);
     void dropGoneAskers(ServiceState &state);
     void takeAnswer(const PlacementAnswer &answer);
+    template <typename Message>
+    bool passOn(const Datagram &datagram, const Message &message);
     void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
+    void takeEnd(const PlacementEnd &end);
     void takeReport(const Datagram &datagram, const PlacementsRunning &report);
     Dispatcher &dispatcherFor(const ServiceName &service);
     void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
