Dispatcher: Give places where the asking node has an open connection

Change: an ask tells the marks of the replicas to which its node has a connection that the request may use; one is worth two requests of difference in load. Where an item has to give way, one of the 24 with the most time to spare whose replica is connected goes first. Own choices do the same.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -28,6 +28,11 @@
  * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
 constexpr std::chrono::milliseconds batchCalm{30};
 
+/** A connection that is open already is worth so many requests of difference in load. */
+constexpr double connectionWorth = 2;
+/** So many items with the most time to spare are looked at for one whose replica has an open connection. */
+constexpr std::size_t victimsCompared = 24;
+
 /** Callers come back after at most a third of the time that they have left, whatever they are told. */
 constexpr int returnShare = 3;
 /** A late request without a prospect is told so after this part (one in so many) of its caller's time, while there is time
@@ -45,6 +50,9 @@
 void Dispatcher::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
     updateReplicas(this->replicas, replicas);
+    for (auto &[instance, replica] : this->replicas) {
+        replica.mark = markOf(instance);
+    }
     this->forecast.setSlots(this->totalSlots());
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
@@ -430,7 +438,8 @@
         }
         // Between failure domains bytes cost; at equal load the near replica is taken.
         const bool isNear = replica.traits.failureDomain == request.failureDomain;
-        const double running = replica.online + replica.batch + (isNear ? 0.0 : 0.9);
+        const double running
+            = replica.online + replica.batch + (isNear ? 0.0 : 0.9) - (isConnected(request, replica) ? connectionWorth : 0.0);
         const double score = running / replica.traits.slots;
         if (best == nullptr || score < bestScore) {
             best = &replica;
@@ -444,20 +453,24 @@
 {
     // The item with the most time left gives way, one that is late anyway before all; what it has generated is kept by its
     // node. One that would be late by being stopped stays: it is nearer to its end than any request that would take its place.
-    for (auto item = this->stoppable.rbegin(); item != this->stoppable.rend(); ++item) {
+    Placement *first = nullptr;
+    std::size_t seen = 0;
+    for (auto item = this->stoppable.rbegin(); item != this->stoppable.rend() && seen < victimsCompared; ++item) {
         if (item->first < stopSlack) {
-            return nullptr;
+            break;
         }
         const auto placement = this->placements.find(item->second);
-        if (placement == this->placements.end()) {
+        const Replica *const replica = placement != this->placements.end() ? this->replicaOf(placement->second) : nullptr;
+        if (replica == nullptr || !this->isUsable(*replica, request)) {
             continue;
         }
-        const Replica *const replica = this->replicaOf(placement->second);
-        if (replica != nullptr && this->isUsable(*replica, request)) {
+        if (isConnected(request, *replica)) {
             return &placement->second;
         }
+        first = first == nullptr ? &placement->second : first;
+        ++seen;
     }
-    return nullptr;
+    return first;
 }
 
 void Dispatcher::place(const PlacementRequest &request, Replica &replica)
@@ -528,6 +541,11 @@
     return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !isAvoided(request, replica.traits.instance);
 }
 
+bool Dispatcher::isConnected(const PlacementRequest &request, const Replica &replica)
+{
+    return std::ranges::find(request.connected, replica.mark) != request.connected.end();
+}
+
 bool Dispatcher::isAvoided(const PlacementRequest &request, const EndpointName &instance)
 {
     return std::ranges::find(request.avoided, instance) != request.avoided.end();
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -103,6 +103,8 @@
     struct Replica
     {
         DispatchReplica traits;
+        /** Its short name. */
+        std::uint32_t mark = 0;
         ReplicaGate gate;
         std::uint32_t online = 0;
         /** Batch items that were not told to stop. */
@@ -158,6 +160,7 @@
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
     bool isUsable(const Replica &replica, const PlacementRequest &request) const;
+    static bool isConnected(const PlacementRequest &request, const Replica &replica);
     static bool isAvoided(const PlacementRequest &request, const EndpointName &instance);
     static bool hasFreeSlot(const Replica &replica);
     std::size_t totalSlots() const;
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -12,6 +12,8 @@
 
 /** A replica in another failure domain is worth this part of a request's load: at equal load the near one is taken. */
 constexpr double farPenalty = 0.5;
+/** A connection that is open already is worth this part of a request's load. */
+constexpr double connectionWorth = 0.6;
 /** A replica that failed lately is taken only if all did: some answer is better than none. */
 constexpr double blockedPenalty = 1000;
 
@@ -27,7 +29,9 @@
     updateReplicas(this->replicas, replicas);
 }
 
-std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near, const std::vector<EndpointName> &avoided)
+std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near,
+                                                   const std::vector<EndpointName> &avoided,
+                                                   const std::vector<std::uint32_t> &connected)
 {
     std::optional<EndpointName> best;
     double bestScore = 0;
@@ -38,7 +42,9 @@
         }
         const bool isOpen = replica.gate.isOpen(this->clock.now());
         const double far = replica.traits.failureDomain == near ? 0 : farPenalty;
-        const double load = (replica.running + far + tieBreak(this->random)) / replica.traits.slots;
+        const bool isConnected = std::ranges::find(connected, markOf(instance)) != connected.end();
+        const double open = isConnected ? connectionWorth : 0;
+        const double load = (replica.running + far - open + tieBreak(this->random)) / replica.traits.slots;
         const double score = load + (isOpen ? 0 : blockedPenalty);
         if (!best || score < bestScore) {
             best = instance;
--- a/Libraries/LibDispatch/LocalPlacement.h
+++ b/Libraries/LibDispatch/LocalPlacement.h
@@ -24,8 +24,12 @@
 
     void setReplicas(const std::vector<DispatchReplica> &replicas);
 
-    /** @return the replica to use, or nothing if there is none that may be used. */
-    std::optional<EndpointName> choose(const FailureDomain &near, const std::vector<EndpointName> &avoided);
+    /**
+     * @param connected marks of the replicas to which this node has an open connection
+     * @return the replica to use, or nothing if there is none that may be used
+     */
+    std::optional<EndpointName>
+    choose(const FailureDomain &near, const std::vector<EndpointName> &avoided, const std::vector<std::uint32_t> &connected = {});
 
     /** A request was sent there; end() has to follow. */
     void begin(const EndpointName &instance);
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -29,6 +29,10 @@
     Batch,
 };
 
+/** @return a short name of a replica, for lists of many: two replicas of a fleet of thousands share one in one case of a
+ * thousand. */
+std::uint32_t markOf(const EndpointName &instance);
+
 /** What a request says of itself when it wants a place. */
 struct PlacementTraits
 {
@@ -47,6 +51,8 @@
     bool mayRefuse = false;
     /** Replicas that turned it away or failed it. */
     std::vector<EndpointName> avoided;
+    /** Marks of the replicas to which its node has an open connection that it can use. */
+    std::vector<std::uint32_t> connected;
 };
 
 /** A request that wants a place, as its dispatcher knows it. */
--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -53,6 +53,12 @@
     std::erase(this->lapsed, replica.instance);
     this->dropOthersLike(replica);
     this->list.insert_or_assign(replica.instance, replica);
+    this->instancesAt.insert_or_assign(replica.address, replica.instance);
+    if (this->instancesAt.size() > this->list.size() * 2 + 16) {
+        std::erase_if(this->instancesAt, [this](const auto &entry) {
+            return !this->list.contains(entry.second);
+        });
+    }
 }
 
 void ReplicaList::dropOthersLike(const ServingReplica &replica)
@@ -102,6 +108,13 @@
     return true;
 }
 
+const ServingReplica *ReplicaList::findAt(const Address &address) const
+{
+    const auto named = this->instancesAt.find(address);
+    const auto found = named != this->instancesAt.end() ? this->list.find(named->second) : this->list.end();
+    return found != this->list.end() && found->second.address == address ? &found->second : nullptr;
+}
+
 const ServingReplica *ReplicaList::findRegistered(const EndpointName &registeredName) const
 {
     const auto found = std::ranges::find_if(this->list, [&registeredName](const auto &entry) {
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -46,6 +46,9 @@
      */
     bool holdBack(const EndpointName &registeredName);
 
+    /** @return the entry with an address, or null. */
+    const ServingReplica *findAt(const Address &address) const;
+
     /** @return the entry under a registered name, or null. */
     const ServingReplica *findRegistered(const EndpointName &registeredName) const;
 
@@ -72,6 +75,7 @@
     std::chrono::milliseconds lapsedKept;
     Restarted restarted;
     std::map<EndpointName, ServingReplica> list;
+    std::map<Address, EndpointName> instancesAt;
     /** Entries that are gone from the platform. */
     std::vector<EndpointName> lapsed;
     bool isAway = false;
--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -94,6 +94,23 @@
     return this->made;
 }
 
+std::vector<Address> OutboundPool::connectedAddresses(std::chrono::milliseconds longestIdle) const
+{
+    std::vector<Address> connected;
+    for (const auto &[address, connections] : this->idle) {
+        if (this->isUsable(*connections.back(), longestIdle)) {
+            connected.push_back(address);
+        }
+    }
+    return connected;
+}
+
+bool OutboundPool::isUsable(const OutboundConnection &idle, std::chrono::milliseconds longestIdle) const
+{
+    const SteadyTime now = this->clock.now();
+    return now < idle.keptUntil() && now - idle.idleSince() <= longestIdle;
+}
+
 std::unique_ptr<OutboundConnection> OutboundPool::takeIdle(const OutboundCall &call)
 {
     const auto found = this->idle.find(call.address);
@@ -101,10 +118,8 @@
         return nullptr;
     }
     // The one used last: it has been idle for the shortest time.
-    const SteadyTime now = this->clock.now();
     Connections &connections = found->second;
-    const OutboundConnection &newest = *connections.back();
-    if (now >= newest.keptUntil() || now - newest.idleSince() > call.longestIdle) {
+    if (!this->isUsable(*connections.back(), call.longestIdle)) {
         return nullptr;
     }
     std::unique_ptr<OutboundConnection> taken = std::move(connections.back());
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -91,6 +91,12 @@
     /** Drop a call and close its connection; its hooks are told nothing more. */
     void cancel(CallId id);
 
+    /**
+     * @param longestIdle how long a connection may have been idle to be of use
+     * @return the addresses to which there is an idle connection that a call may use now
+     */
+    std::vector<Address> connectedAddresses(std::chrono::milliseconds longestIdle) const;
+
     /** Close the idle connections to an address: who listened there is over. */
     void dropIdle(const Address &address);
 
@@ -101,6 +107,7 @@
     friend class OutboundConnection;
     using Connections = std::list<std::unique_ptr<OutboundConnection>>;
 
+    bool isUsable(const OutboundConnection &idle, std::chrono::milliseconds longestIdle) const;
     std::unique_ptr<OutboundConnection> takeIdle(const OutboundCall &call);
     void finished(CallId id, bool isReusable);
     void freeLater(std::unique_ptr<OutboundConnection> connection);
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2408,6 +2408,8 @@
     bool mayRefuse = false;
     /** Replicas that turned it away or failed it. */
     std::vector<EndpointName> avoided;
+    /** Marks of the replicas to which the asking node has an open connection. */
+    std::vector<std::uint32_t> connected;
     /** Where the asking node is, if this was passed on by another one. */
     Address replyTo;
 
@@ -2428,6 +2430,7 @@
                 this->content,
                 this->mayRefuse,
                 this->avoided,
+                this->connected,
                 this->replyTo);
     }
 };
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -110,6 +110,7 @@
     wish.due = this->due - this->context.itemRuns[this->target.service].remaining(this->lastEvent.value_or(0));
     wish.deadline = wish.arrived + std::chrono::hours(1);
     wish.avoided = this->avoided;
+    wish.connected = connectedReplicas(this->context, wish.service, longestIdle);
     this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -76,6 +76,11 @@
     return this->route.kind == RouteKind::Idempotent || (this->isStream() && this->route.isResumable);
 }
 
+std::chrono::milliseconds OnlineCall::longestIdle() const
+{
+    return this->mayRepeat() ? longestIdleIdempotent : longestIdleOnce;
+}
+
 void OnlineCall::start()
 {
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
@@ -131,6 +136,7 @@
     wish.content = this->fingerprint;
     wish.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
     wish.avoided = this->avoided;
+    wish.connected = connectedReplicas(this->context, this->service, this->longestIdle());
     this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
@@ -170,7 +176,7 @@
     outbound.address = replica.address;
     outbound.head = encodeReplicaRequest(this->exchange->head(), replica, remaining, this->lastEvent);
     outbound.body = this->exchange->body();
-    outbound.longestIdle = this->mayRepeat() ? longestIdleIdempotent : longestIdleOnce;
+    outbound.longestIdle = this->longestIdle();
     outbound.isAnswer = isAnswerTo(this->traits.id);
     this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armSilence();
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -43,6 +43,7 @@
 
     bool isStream() const;
     bool mayRepeat() const;
+    std::chrono::milliseconds longestIdle() const;
     void awaitReplicas();
     void askForPlace();
     void takePlacement(const Placement &placement);
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -108,6 +108,7 @@
     ask.content = wish.content;
     ask.mayRefuse = wish.mayRefuse;
     ask.avoided = wish.avoided;
+    ask.connected = wish.connected;
     const Member *const dispatcher = this->otherDispatcher(wish.service);
     if (dispatcher == nullptr) {
         this->loop.post([this, ask, alive = this->alive] {
@@ -123,7 +124,7 @@
 void PlacementClient::placeLocally(Ticket ticket, Asked &asked)
 {
     ServiceState &state = this->stateOf(asked.wish.service);
-    const std::optional<EndpointName> chosen = state.local.choose(this->own, asked.wish.avoided);
+    const std::optional<EndpointName> chosen = state.local.choose(this->own, asked.wish.avoided, asked.wish.connected);
     if (!chosen) {
         return;
     }
@@ -405,6 +406,7 @@
     request.content = ask.content;
     request.mayRefuse = ask.mayRefuse;
     request.avoided = ask.avoided;
+    request.connected = ask.connected;
     if (!dispatcher.ask(request)) {
         this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}});
     }
--- a/Services/Gateway/ReplicaCall.cpp
+++ b/Services/Gateway/ReplicaCall.cpp
@@ -33,4 +33,17 @@
     };
 }
 
+std::vector<std::uint32_t>
+connectedReplicas(const GatewayContext &context, const ServiceName &service, std::chrono::milliseconds longestIdle)
+{
+    std::vector<std::uint32_t> marks;
+    for (const Address &address : context.replicas.connectedAddresses(longestIdle)) {
+        const ServingReplica *const replica = context.listed.findAt(address);
+        if (replica != nullptr && replica->service == service) {
+            marks.push_back(markOf(replica->instance));
+        }
+    }
+    return marks;
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ReplicaCall.h
+++ b/Services/Gateway/ReplicaCall.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <LibProxy/OutboundPool.h>
+#include <Services/Gateway/GatewayContext.h>
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -32,4 +36,11 @@
  */
 std::function<bool(const MessageHead &)> isAnswerTo(std::string id);
 
+/**
+ * @param longestIdle how long a connection may have been idle to be of use for the request
+ * @return marks of the replicas of a service to which this node has an open connection
+ */
+std::vector<std::uint32_t>
+connectedReplicas(const GatewayContext &context, const ServiceName &service, std::chrono::milliseconds longestIdle);
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -89,6 +89,11 @@
     return found != this->list.replicas().end() ? &found->second : nullptr;
 }
 
+const ServingReplica *ReplicaFollower::findAt(const Address &address) const
+{
+    return this->list.findAt(address);
+}
+
 std::vector<ServingReplica> ReplicaFollower::ofService(const ServiceName &service) const
 {
     std::vector<ServingReplica> found;
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -56,6 +56,9 @@
     ReplicaFollower(const ReplicaFollower &) = delete;
     ReplicaFollower &operator=(const ReplicaFollower &) = delete;
 
+    /** @return the replica with an address, or null. */
+    const ServingReplica *findAt(const Address &address) const;
+
     /** @return whether the list has been read once. */
     bool isKnown() const;
 
--- a/Tests/ServiceGateway/TestGateway.cpp
+++ b/Tests/ServiceGateway/TestGateway.cpp
@@ -386,46 +386,45 @@
     CHECK(head.headers.find("X-Expect-Instance") == "i-1");
 }
 
-// Another program writes over the entry of one of two replicas. Requests go to the other; when the entry is right again, to both.
+// Another program writes over the entry of the replica that requests go to. They go to the other one; and when the entry is right
+// again and the other's is spoilt, back.
 TEST_CASE("a replica whose entry is spoilt gets nothing new until it is right again")
 {
-    StandInReplica *spoilt = nullptr;
-    StandInReplica *good = nullptr;
+    const std::vector<std::string> names{"i-1", "i-2"};
+    std::vector<StandInReplica *> replicas;
     Running running([&](GatewayBench &bench) {
-        spoilt = &bench.addReplica("i-1", "api", answerWhole);
-        good = &bench.addReplica("i-2", "api", answerWhole);
+        for (const std::string &name : names) {
+            replicas.push_back(&bench.addReplica(name, "api", answerWhole));
+        }
     });
-    const auto served = [&running](StandInReplica *replica) {
-        return running.host.ask<std::size_t>([replica](GatewayBench &) {
-            return replica->heads.size();
+    const auto served = [&](std::size_t which) {
+        return running.host.ask<std::size_t>([&replicas, which](GatewayBench &) {
+            return replicas[which]->heads.size();
+        });
+    };
+    const auto spoil = [&](std::size_t which) {
+        running.host.ask<bool>([&](GatewayBench &bench) {
+            bench.store.rows().put({"servers", "", names[which]}, "{\"service\":\"api\"}");
+            bench.registerReplica(names[1 - which], "api", replicas[1 - which]->address(), "ready");
+            return true;
         });
     };
-    const auto serveUntil = [&running](const std::function<bool()> &isReached) {
+    REQUIRE(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
+    const std::size_t first = served(0) > 0 ? 0 : 1;
+    for (const std::size_t spoilt : {first, 1 - first}) {
+        spoil(spoilt);
         await([&] {
+            const std::size_t before = served(1 - spoilt);
             REQUIRE(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
-            return isReached();
+            return served(1 - spoilt) > before;
         });
-    };
-    serveUntil([&] {
-        return served(spoilt) > 0 && served(good) > 0;
-    });
-    running.host.ask<bool>([](GatewayBench &bench) {
-        bench.store.rows().put({"servers", "", "i-1"}, "{\"service\":\"api\"}");
-        return true;
-    });
+        const std::size_t before = served(spoilt);
+        for (int call = 0; call < 6; ++call) {
+            CHECK(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
+        }
+        CHECK(served(spoilt) == before);
+    }
     await([&running] {
         return has(running.metrics(), "name=\"replicas_unreadable\"} 1");
     });
-    const std::size_t before = served(spoilt);
-    for (int call = 0; call < 6; ++call) {
-        CHECK(running.call("POST /s/a").starts_with("HTTP/1.1 200"));
-    }
-    CHECK(served(spoilt) == before);
-    running.host.ask<bool>([&spoilt](GatewayBench &bench) {
-        bench.registerReplica("i-1", "api", spoilt->address(), "ready");
-        return true;
-    });
-    serveUntil([&] {
-        return served(spoilt) > before;
-    });
 }
