--- a/Tests/ServiceGateway/TestPlacementPassOn.cpp
+++ b/Tests/ServiceGateway/TestPlacementPassOn.cpp
@@ -41,8 +41,8 @@
 
 } // namespace
 
-// All nodes have just started, and some have not heard yet of the one that is to dispatch: they ask another. If that one gave places
-// as well, each replica would get twice what it has slots for, and callers would wait in its queue for their first event.
+// All nodes have just started, and some have not heard yet of the one that is to dispatch: they ask another. If that one gave
+// places as well, each replica would get twice what it has slots for, and callers would wait in its queue for their first event.
 TEST_CASE("a node that is asked in the dispatcher's stead passes the question on")
 {
     Running running([](GatewayBench &bench) {
