Dispatcher: Count what replicas state of their load, and start items slowly where it isn't known

Ruled out: too few slots (half were free), the directory, new connections.

Change: nodes pass on the load that an answer states, when it is news; ReplicaSlots counts what others have beside what was placed. What was released a moment ago may or may not be in what is told: the count is only moved as far as the news compels. Replicas of which nothing was heard get one item at a time. Entries of X-Server-Load are read strictly.

Replay in virtual time (TestLeftoverReplay): 111 of 111 requests on time, 22 without.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -211,6 +211,16 @@
     this->tell();
 }
 
+void Dispatcher::noteLoad(const EndpointName &instance, const ToldLoad &load)
+{
+    const auto found = this->replicas.find(instance);
+    if (found != this->replicas.end()) {
+        found->second.slots.noteTold(load, this->clock.now());
+        this->assign();
+        this->tell();
+    }
+}
+
 void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
 {
     const SteadyTime now = this->clock.now();
@@ -242,7 +252,7 @@
         const TicketId id{node, number};
         this->dequeue(id);
         this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
-        (work == WorkClass::Batch ? replica->second.batch : replica->second.online) += 1;
+        replica->second.slots.take(work);
         if (work == WorkClass::Batch) {
             this->stoppable.emplace(unknownSlack, id);
         }
@@ -296,8 +306,8 @@
     Load load;
     load.slots = this->totalSlots();
     for (const auto &[instance, replica] : this->replicas) {
-        load.onlineRunning += replica.online;
-        load.batchRunning += replica.batch;
+        load.onlineRunning += replica.slots.online();
+        load.batchRunning += replica.slots.batch();
     }
     load.onlineWaiting = this->online.size();
     load.batchWaiting = this->batch.size();
@@ -432,14 +442,18 @@
 {
     Replica *best = nullptr;
     double bestScore = 0;
+    const SteadyTime now = this->clock.now();
     for (auto &[instance, replica] : this->replicas) {
-        if (!this->isUsable(replica, request) || !hasFreeSlot(replica)) {
+        if (!this->isUsable(replica, request) || !this->hasFreeSlot(replica)) {
+            continue;
+        }
+        if (request.work == WorkClass::Batch && !replica.slots.mayTakeItem(now)) {
             continue;
         }
         // Between failure domains bytes cost; at equal load the near replica is taken.
         const bool isNear = replica.traits.failureDomain == request.failureDomain;
         const double running
-            = replica.online + replica.batch + (isNear ? 0.0 : 0.9) - (isConnected(request, replica) ? connectionWorth : 0.0);
+            = replica.slots.used(now) + (isNear ? 0.0 : 0.9) - (isConnected(request, replica) ? connectionWorth : 0.0);
         const double score = running / replica.traits.slots;
         if (best == nullptr || score < bestScore) {
             best = &replica;
@@ -476,8 +490,8 @@
 void Dispatcher::place(const PlacementRequest &request, Replica &replica)
 {
     const SteadyTime now = this->clock.now();
-    (request.work == WorkClass::Batch ? replica.batch : replica.online) += 1;
-    if (!hasFreeSlot(replica)) {
+    replica.slots.take(request.work);
+    if (!this->hasFreeSlot(replica)) {
         replica.lastFull = now;
     }
     replica.gate.noteSent(now);
@@ -498,7 +512,7 @@
     placement.stopped = this->clock.now();
     this->stoppable.erase({placement.slack, placement.id});
     if (Replica *const replica = this->replicaOf(placement)) {
-        replica->batch -= 1;
+        replica->slots.release(WorkClass::Batch, this->clock.now());
     }
     this->decisions.push_back({PlacementDecision::Stopped, placement.id, {}, {}});
 }
@@ -527,10 +541,10 @@
     const Placement &entry = placement->second;
     Replica *const replica = this->replicaOf(entry);
     if (replica != nullptr && !entry.stopped) {
-        if (!hasFreeSlot(*replica)) {
+        if (!this->hasFreeSlot(*replica)) {
             replica->lastFull = this->clock.now();
         }
-        (entry.work == WorkClass::Batch ? replica->batch : replica->online) -= 1;
+        replica->slots.release(entry.work, this->clock.now());
     }
     this->stoppable.erase({entry.slack, entry.id});
     this->placements.erase(placement);
@@ -551,9 +565,9 @@
     return std::ranges::find(request.avoided, instance) != request.avoided.end();
 }
 
-bool Dispatcher::hasFreeSlot(const Replica &replica)
+bool Dispatcher::hasFreeSlot(const Replica &replica) const
 {
-    return replica.online + replica.batch < replica.traits.slots;
+    return replica.slots.used(this->clock.now()) < replica.traits.slots;
 }
 
 std::size_t Dispatcher::totalSlots() const
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <LibDispatch/LoadForecast.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaGate.h>
+#include <LibDispatch/ReplicaSlots.h>
 #include <LibDispatch/ReturnSchedule.h>
 
 #include <chrono>
@@ -61,6 +62,9 @@
     /** A request is over, or wants no place any more. */
     void end(TicketId id, PlacementVerdict verdict);
 
+    /** A replica told with an answer how much it has. */
+    void noteLoad(const EndpointName &instance, const ToldLoad &load);
+
     /**
      * All that a node runs.
      * @param lastTicket tickets of the node above it are not covered
@@ -106,9 +110,7 @@
         /** Its short name. */
         std::uint32_t mark = 0;
         ReplicaGate gate;
-        std::uint32_t online = 0;
-        /** Batch items that were not told to stop. */
-        std::uint32_t batch = 0;
+        ReplicaSlots slots;
         /** When it last had no free slot. */
         SteadyTime lastFull{};
     };
@@ -162,7 +164,7 @@
     bool isUsable(const Replica &replica, const PlacementRequest &request) const;
     static bool isConnected(const PlacementRequest &request, const Replica &replica);
     static bool isAvoided(const PlacementRequest &request, const EndpointName &instance);
-    static bool hasFreeSlot(const Replica &replica);
+    bool hasFreeSlot(const Replica &replica) const;
     std::size_t totalSlots() const;
 
     const Clock &clock;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -474,6 +474,7 @@
 struct PlacementAnswer;
 struct PlacementEnd;
 struct PlacementsRunning;
+struct PlacementBegun;
 struct ConfigurationText;
 struct ConfigurationTextRequest;
 struct JobEnded;
@@ -2518,6 +2519,30 @@
     }
 };
 
+/** Datagram: a replica has begun to answer, and said how much it has. */
+struct PlacementBegun
+{
+    static constexpr MessageNumber number{143};
+    /** The replica's service. */
+    std::string service;
+    /** Who said it. */
+    EndpointName replica;
+    /** Requests that it runs. */
+    std::uint32_t running = 0;
+    /** Requests in its own queue. */
+    std::uint32_t waiting = 0;
+    /** Whether this was passed on by another node. */
+    bool isPassedOn = false;
+
+    bool operator==(const PlacementBegun &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->service, this->replica, this->running, this->waiting, this->isPassedOn);
+    }
+};
+
 /** The newest configuration that a node has, as the platform holds it. */
 struct ConfigurationText
 {
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -191,6 +191,10 @@
     }
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     const bool isGood = isSuccess(read.status);
+    // Only what the dispatcher would not expect: a datagram for each request would tell it what it knows.
+    if (isGood && read.load && (read.load->waiting > 0 || read.load->running >= read.load->slots)) {
+        this->context.placements.noteBegun(this->ticket, {read.load->running, read.load->waiting});
+    }
     if (read.isNotExecuted) {
         const PlacementVerdict verdict
             = read.status == statusUnavailable ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -169,6 +169,25 @@
     this->peers.datagrams().send(dispatcher->gossip, end);
 }
 
+void PlacementClient::noteBegun(Ticket ticket, const ToldLoad &load)
+{
+    const auto found = this->tickets.find(ticket);
+    if (found == this->tickets.end() || !found->second.replica) {
+        return;
+    }
+    const ServiceName &service = found->second.wish.service;
+    if (!this->stateOf(service).isDispatched) {
+        return;
+    }
+    const PlacementBegun begun{service.value(), *found->second.replica, load.running, load.waiting, false};
+    const Member *const dispatcher = this->otherDispatcher(service);
+    if (dispatcher == nullptr) {
+        this->dispatcherFor(service).noteLoad(begun.replica, load);
+        return;
+    }
+    this->peers.datagrams().send(dispatcher->gossip, begun);
+}
+
 void PlacementClient::decide(Ticket ticket, const Placement &placement)
 {
     const auto found = this->tickets.find(ticket);
@@ -347,6 +366,10 @@
         if (const auto end = decode<PlacementEnd>(datagram.payload)) {
             this->takeEnd(*end);
         }
+    } else if (datagram.number == PlacementBegun::number) {
+        if (const auto begun = decode<PlacementBegun>(datagram.payload)) {
+            this->takeBegun(*begun);
+        }
     } else if (datagram.number == PlacementsRunning::number) {
         if (const auto report = decode<PlacementsRunning>(datagram.payload)) {
             this->takeReport(datagram, *report);
@@ -385,6 +408,22 @@
     }
 }
 
+void PlacementClient::takeBegun(const PlacementBegun &begun)
+{
+    const ServiceName service(begun.service);
+    const Member *const other = begun.isPassedOn ? nullptr : this->otherDispatcher(service);
+    if (other != nullptr) {
+        PlacementBegun passed = begun;
+        passed.isPassedOn = true;
+        this->peers.datagrams().send(other->gossip, passed);
+        return;
+    }
+    ServiceState &state = this->stateOf(service);
+    if (state.dispatcher) {
+        state.dispatcher->noteLoad(begun.replica, {begun.running, begun.waiting});
+    }
+}
+
 void PlacementClient::takeAsk(const Datagram &datagram, const PlacementAsk &ask)
 {
     if (this->passOn(datagram, ask)) {
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -65,6 +65,9 @@
     /** The request is over, or wants no place any more. */
     void end(Ticket ticket, PlacementVerdict verdict);
 
+    /** A placed request's replica has begun to answer, and said how much it has. */
+    void noteBegun(Ticket ticket, const ToldLoad &load);
+
     /** The members changed. */
     void setView(const MemberViewPointer &view);
 
@@ -122,6 +125,7 @@
     bool passOn(const Datagram &datagram, const Message &message);
     void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
     void takeEnd(const PlacementEnd &end);
+    void takeBegun(const PlacementBegun &begun);
     void takeReport(const Datagram &datagram, const PlacementsRunning &report);
     Dispatcher &dispatcherFor(const ServiceName &service);
     void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -34,6 +34,9 @@
             this->replicas.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
         }
         this->dispatcher.setReplicas(this->replicas);
+        for (const DispatchReplica &replica : this->replicas) {
+            this->dispatcher.noteLoad(replica.instance, {});
+        }
         this->pass(std::chrono::seconds(1));
     }
 
--- /dev/null
+++ b/Tests/LibDispatch/TestLeftoverReplay.cpp
@@ -0,0 +1,219 @@
+#include <LibBase/ManualClock.h>
+#include <LibDispatch/Dispatcher.h>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t replicaCount = 12;
+constexpr std::uint32_t slots = 8;
+/** Items that each replica still runs for nodes that are gone. */
+constexpr std::uint32_t leftover = 4;
+constexpr std::chrono::milliseconds streamTime{550};
+constexpr std::chrono::milliseconds itemTime{1500};
+constexpr std::chrono::milliseconds objective{250};
+constexpr std::chrono::milliseconds length{2000};
+constexpr std::uint64_t itemCount = 80;
+constexpr double perSecond = 60;
+
+/** Whether the dispatcher hears what the replicas state. */
+enum class Told {
+    Yes,
+    No,
+};
+
+struct Outcome
+{
+    std::size_t requests = 0;
+    std::size_t onTime = 0;
+};
+
+/** The replicas in steps of a millisecond: they run so many requests as they have slots, and the others wait in order. */
+class Engines
+{
+public:
+    explicit Engines(const ManualClock &clock) : clock(clock)
+    {
+        std::minstd_rand random(5);
+        std::uniform_int_distribution<int> remaining(800, 3000);
+        for (std::uint32_t i = 0; i < replicaCount; ++i) {
+            Engine &engine = this->engines[EndpointName("r" + std::to_string(i))];
+            for (std::uint32_t item = 0; item < leftover; ++item) {
+                engine.running.emplace(this->clock.now() + std::chrono::milliseconds(remaining(random)), 0);
+            }
+        }
+    }
+
+    void send(const EndpointName &instance, std::uint64_t number, std::chrono::milliseconds runTime)
+    {
+        this->engines.at(instance).waiting.emplace_back(number, runTime);
+    }
+
+    void cancel(const EndpointName &instance, std::uint64_t number)
+    {
+        Engine &engine = this->engines.at(instance);
+        std::erase_if(engine.running, [number](const auto &run) {
+            return run.second == number;
+        });
+        std::erase_if(engine.waiting, [number](const auto &waiting) {
+            return waiting.first == number;
+        });
+    }
+
+    /** @return requests that are over now. */
+    std::vector<std::uint64_t> endDue()
+    {
+        std::vector<std::uint64_t> over;
+        for (auto &[instance, engine] : this->engines) {
+            while (!engine.running.empty() && engine.running.begin()->first <= this->clock.now()) {
+                over.push_back(engine.running.begin()->second);
+                engine.running.erase(engine.running.begin());
+            }
+        }
+        return over;
+    }
+
+    /** @return requests that begin now, with where. */
+    std::vector<std::pair<std::uint64_t, EndpointName>> beginWaiting()
+    {
+        std::vector<std::pair<std::uint64_t, EndpointName>> begun;
+        for (auto &[instance, engine] : this->engines) {
+            while (!engine.waiting.empty() && engine.running.size() < slots) {
+                const auto [number, runTime] = engine.waiting.front();
+                engine.waiting.pop_front();
+                engine.running.emplace(this->clock.now() + runTime, number);
+                begun.emplace_back(number, instance);
+            }
+        }
+        return begun;
+    }
+
+    ToldLoad load(const EndpointName &instance) const
+    {
+        const Engine &engine = this->engines.at(instance);
+        return {static_cast<std::uint32_t>(engine.running.size()), static_cast<std::uint32_t>(engine.waiting.size())};
+    }
+
+private:
+    struct Engine
+    {
+        std::multimap<SteadyTime, std::uint64_t> running;
+        std::deque<std::pair<std::uint64_t, std::chrono::milliseconds>> waiting;
+    };
+
+    const ManualClock &clock;
+    std::map<EndpointName, Engine> engines;
+};
+
+std::vector<DispatchReplica> replicas()
+{
+    std::vector<DispatchReplica> made;
+    for (std::uint32_t i = 0; i < replicaCount; ++i) {
+        made.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
+    }
+    return made;
+}
+
+Outcome replay(Told told)
+{
+    ManualClock clock;
+    Engines engines(clock);
+    Outcome outcome;
+    std::map<std::uint64_t, SteadyTime> arrived;
+    std::map<std::uint64_t, EndpointName> placedAt;
+    std::vector<std::uint64_t> stopped;
+    Dispatcher dispatcher(clock,
+                          {.place =
+                               [&](TicketId id, const EndpointName &replica) {
+                                   placedAt.insert_or_assign(id.number, replica);
+                                   engines.send(replica, id.number, arrived.contains(id.number) ? streamTime : itemTime);
+                               },
+                           .stop =
+                               [&](TicketId id) {
+                                   stopped.push_back(id.number);
+                               },
+                           .refuse = [](TicketId, std::chrono::milliseconds) {}});
+    dispatcher.setReplicas(replicas());
+    if (told == Told::No) {
+        for (const DispatchReplica &replica : replicas()) {
+            dispatcher.noteLoad(replica.instance, {});
+        }
+    }
+    const auto ask = [&](std::uint64_t number, WorkClass work) {
+        PlacementRequest request;
+        request.id = {SessionNumber(1), number};
+        request.work = work;
+        request.arrived = clock.now();
+        request.due = clock.now() + (work == WorkClass::Online ? objective : std::chrono::milliseconds(4000));
+        request.deadline = clock.now() + 5s;
+        dispatcher.ask(request);
+    };
+    const auto end = [&](std::uint64_t number) {
+        placedAt.erase(number);
+        dispatcher.end({SessionNumber(1), number}, PlacementVerdict::Finished);
+    };
+    for (std::uint64_t item = 1; item <= itemCount; ++item) {
+        ask(item, WorkClass::Batch);
+    }
+    std::uint64_t last = itemCount;
+    std::minstd_rand random(11);
+    std::uniform_real_distribution<double> chance(0, 1);
+    for (std::chrono::milliseconds time{0}; time < length; time += 1ms) {
+        clock.advance(1ms);
+        for (const std::uint64_t number : engines.endDue()) {
+            if (number != 0) {
+                end(number);
+            }
+        }
+        for (const std::uint64_t number : std::exchange(stopped, {})) {
+            engines.cancel(placedAt.at(number), number);
+            end(number);
+        }
+        for (const auto &[number, instance] : engines.beginWaiting()) {
+            const auto online = arrived.find(number);
+            const bool isOnline = online != arrived.end();
+            outcome.onTime += isOnline && clock.now() - online->second <= objective ? 1 : 0;
+            const ToldLoad load = engines.load(instance);
+            const bool isNews = !isOnline || load.waiting > 0 || load.running >= slots;
+            if (told == Told::Yes && isNews) {
+                dispatcher.noteLoad(instance, load);
+            }
+        }
+        // What comes in the last moments can't be judged any more.
+        if (time + objective < length && chance(random) < perSecond / 1000) {
+            ++outcome.requests;
+            arrived[++last] = clock.now();
+            ask(last, WorkClass::Online);
+        }
+        if (time % 20ms == 0ms) {
+            dispatcher.tick();
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+// All nodes have died and started again. The replicas go on with the items that the dead had sent, and the new dispatcher knows
+// of none. It takes all slots for free and fills them with the items that wait: callers' first events wait behind them in the
+// replicas' queues. From the load that replicas state with their answers it learns what is taken.
+TEST_CASE("a new dispatcher learns from what replicas state that they are busy with requests of the dead")
+{
+    const Outcome told = replay(Told::Yes);
+    const Outcome untold = replay(Told::No);
+    MESSAGE("requests ", told.requests, ", on time: told ", told.onTime, ", untold ", untold.onTime);
+    CHECK(told.onTime * 10 > told.requests * 9);
+    CHECK(untold.onTime * 2 < untold.requests);
+}
--- a/Tests/LibDispatch/TestLoadReplay.cpp
+++ b/Tests/LibDispatch/TestLoadReplay.cpp
@@ -112,6 +112,9 @@
                                },
                            .refuse = [](TicketId, std::chrono::milliseconds) {}});
     dispatcher.setReplicas(replicas());
+    for (const DispatchReplica &replica : replicas()) {
+        dispatcher.noteLoad(replica.instance, {});
+    }
     std::uint64_t last = 0;
     const auto ask = [&](WorkClass work) {
         PlacementRequest request;
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -132,6 +132,25 @@
     CHECK(decodeReplicaAnswer(misdirected).isNotExecuted);
 }
 
+TEST_CASE("the load that a replica states is three whole numbers, or none")
+{
+    const auto stated = [](const std::string &text) {
+        MessageHead head;
+        head.status = 200;
+        head.headers.add("X-Server-Load", text);
+        return decodeReplicaAnswer(head).load;
+    };
+    const auto load = stated("3,1,8");
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 1);
+    CHECK(load->slots == 8);
+    for (const char *const bad : {"", "3", "3,1", "3,1,", "3,1,8,", "3,1,8x", "-3,1,8", "3, 1,8", "3,,8", "3,1,99999999999"}) {
+        CHECK_FALSE_MESSAGE(stated(bad), bad);
+    }
+    CHECK_FALSE(decodeReplicaAnswer(MessageHead()).load);
+}
+
 TEST_CASE("calls on jobs are recognised by method and path")
 {
     MessageHead read = requestHead("GET", "/lots/j1?afterRev=12");
