PlacementClient: Give the dispatchers that a node holds for others a class of their own

PlacementServer holds dispatchers, knows who asks them, and passes on what is another one's; PlacementClient asks, places alone when nobody answers, and reports. What a node tells a dispatcher goes through one function, wherever the dispatcher is. An end or a load of a service that this node doesn't dispatch makes no dispatcher any more.

--- a/Benchmarks/Days/ceiling.py
+++ b/Benchmarks/Days/ceiling.py
@@ -149,8 +149,6 @@
         earned += worth - lost
         if window["worth"] is not None:
             windows.append((1 - lost / worth if worth else 1.0, begin))
-    global ALL
-    ALL = windows
     worst = statistics.mean(value for value, _ in sorted(windows)[:2])
     return earned / owed, worst, sorted(windows)[:2]
 
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -37,7 +37,13 @@
 } // namespace
 
 PlacementClient::PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, FailureDomain own)
-    : loop(loop), clock(clock), peers(peers), own(std::move(own)), view(peers.dutyView())
+    : loop(loop)
+    , clock(clock)
+    , peers(peers)
+    , own(std::move(own))
+    , server(loop, clock, peers, [this](const PlacementAnswer &answer) {
+        this->takeAnswer(answer);
+    })
 {
     this->tick();
 }
@@ -62,17 +68,8 @@
 {
     ServiceState &state = this->stateOf(service);
     state.isDispatched = isDispatched;
-    state.replicas = replicas;
     state.local.setReplicas(replicas);
-    if (state.dispatcher) {
-        state.dispatcher->setReplicas(replicas);
-    }
-}
-
-const Member *PlacementClient::otherDispatcher(const ServiceName &service) const
-{
-    const Member *const holder = dutyHolder(*this->view, stableHash(service.value()));
-    return holder != nullptr && holder->session != this->peers.self() ? holder : nullptr;
+    this->server.setReplicas(service, replicas);
 }
 
 PlacementClient::Ticket PlacementClient::ask(const PlacementWish &wish, Decided decided)
@@ -109,16 +106,18 @@
     ask.mayRefuse = wish.mayRefuse;
     ask.avoided = wish.avoided;
     ask.connected = wish.connected;
-    const Member *const dispatcher = this->otherDispatcher(wish.service);
-    if (dispatcher == nullptr) {
-        this->loop.post([this, ask, alive = this->alive] {
-            if (*alive) {
-                this->takeAsk(Datagram{}, ask);
-            }
-        });
+    this->tellDispatcher(wish.service, ask);
+}
+
+template <typename Message>
+void PlacementClient::tellDispatcher(const ServiceName &service, const Message &message)
+{
+    const Member *const other = this->server.otherDispatcher(service);
+    if (other != nullptr) {
+        this->peers.datagrams().send(other->gossip, message);
         return;
     }
-    this->peers.datagrams().send(dispatcher->gossip, ask);
+    this->server.take(message);
 }
 
 void PlacementClient::placeLocally(Ticket ticket, Asked &asked)
@@ -160,13 +159,7 @@
 
 void PlacementClient::sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict)
 {
-    const PlacementEnd end{this->peers.self(), ticket, service.value(), verdict, false};
-    const Member *const dispatcher = this->otherDispatcher(service);
-    if (dispatcher == nullptr) {
-        this->dispatcherFor(service).end({end.from, ticket}, verdict);
-        return;
-    }
-    this->peers.datagrams().send(dispatcher->gossip, end);
+    this->tellDispatcher(service, PlacementEnd{this->peers.self(), ticket, service.value(), verdict, false});
 }
 
 void PlacementClient::noteBegun(Ticket ticket, const ToldLoad &load)
@@ -179,13 +172,7 @@
     if (!this->stateOf(service).isDispatched) {
         return;
     }
-    const PlacementBegun begun{service.value(), *found->second.replica, load.running, load.waiting, false};
-    const Member *const dispatcher = this->otherDispatcher(service);
-    if (dispatcher == nullptr) {
-        this->dispatcherFor(service).noteLoad(begun.replica, load);
-        return;
-    }
-    this->peers.datagrams().send(dispatcher->gossip, begun);
+    this->tellDispatcher(service, PlacementBegun{service.value(), *found->second.replica, load.running, load.waiting, false});
 }
 
 void PlacementClient::decide(Ticket ticket, const Placement &placement)
@@ -248,10 +235,8 @@
             this->tickTicket(ticket, found->second);
         }
     }
+    this->server.tick();
     for (auto &[service, state] : this->services) {
-        if (state.dispatcher) {
-            state.dispatcher->tick();
-        }
         if (state.isDispatched && this->clock.now() - state.lastReport >= reportInterval) {
             this->report(service, state);
         }
@@ -305,210 +290,50 @@
     if (!isNews) {
         return;
     }
-    const Member *const dispatcher = this->otherDispatcher(service);
-    if (dispatcher == nullptr) {
-        this->takeReport(Datagram{}, running);
-        return;
-    }
-    this->peers.datagrams().send(dispatcher->gossip, running);
+    this->tellDispatcher(service, running);
 }
 
 void PlacementClient::setView(const MemberViewPointer &view)
 {
-    const MemberViewPointer before = std::exchange(this->view, view);
+    std::map<ServiceName, SessionNumber> before;
+    for (const auto &[service, state] : this->services) {
+        before[service] = this->dispatcherSession(service);
+    }
+    this->server.setView(view);
     for (auto &[service, state] : this->services) {
-        const std::uint64_t key = stableHash(service.value());
-        const Member *const was = dutyHolder(*before, key);
-        const Member *const is = dutyHolder(*view, key);
-        const bool isSame = (was == nullptr) == (is == nullptr) && (was == nullptr || was->session == is->session);
-        if (!isSame && state.isDispatched) {
-            log(LogLevel::Info,
-                "dispatcher changed",
-                {{"service", service.value()}, {"dispatcher_vm", is != nullptr ? is->vm.value() : std::string()}});
-            state.doubtedUntil = {};
-            if (was != nullptr && was->session == this->peers.self()) {
-                // What it knew is told to the new one by those who ask and run; kept, it would go on to give places away.
-                state.dispatcher.reset();
-                state.askers.clear();
-            }
-            // The new one has to know what runs before it fills the replicas a second time.
-            this->report(service, state);
+        if (!state.isDispatched || this->dispatcherSession(service) == before[service]) {
+            continue;
         }
-        this->dropGoneAskers(state);
+        const Member *const dispatcher = this->server.dispatcherOf(service);
+        log(LogLevel::Info,
+            "dispatcher changed",
+            {{"service", service.value()}, {"dispatcher_vm", dispatcher != nullptr ? dispatcher->vm.value() : std::string()}});
+        state.doubtedUntil = {};
+        // The new one has to know what runs before it fills the replicas a second time.
+        this->report(service, state);
     }
 }
 
-void PlacementClient::dropGoneAskers(ServiceState &state)
+SessionNumber PlacementClient::dispatcherSession(const ServiceName &service) const
 {
-    if (!state.dispatcher) {
-        return;
-    }
-    std::erase_if(state.askers, [this, &state](const auto &asker) {
-        const bool isGone = asker.first != this->peers.self() && this->view->find(asker.first) == nullptr;
-        if (isGone) {
-            state.dispatcher->dropNode(asker.first);
-        }
-        return isGone;
-    });
+    const Member *const dispatcher = this->server.dispatcherOf(service);
+    return dispatcher != nullptr ? dispatcher->session : SessionNumber();
 }
 
 void PlacementClient::receive(const Datagram &datagram)
 {
-    if (datagram.number == PlacementAnswer::number) {
-        if (const auto answer = decode<PlacementAnswer>(datagram.payload)) {
-            this->takeAnswer(*answer);
-        }
-    } else if (datagram.number == PlacementAsk::number) {
-        if (const auto ask = decode<PlacementAsk>(datagram.payload)) {
-            this->takeAsk(datagram, *ask);
-        }
-    } else if (datagram.number == PlacementEnd::number) {
-        if (const auto end = decode<PlacementEnd>(datagram.payload)) {
-            this->takeEnd(*end);
-        }
-    } else if (datagram.number == PlacementBegun::number) {
-        if (const auto begun = decode<PlacementBegun>(datagram.payload)) {
-            this->takeBegun(*begun);
-        }
-    } else if (datagram.number == PlacementsRunning::number) {
-        if (const auto report = decode<PlacementsRunning>(datagram.payload)) {
-            this->takeReport(datagram, *report);
-        }
-    }
-}
-
-// A node that still holds this one for the dispatcher has not heard of a newer member. What it sends is passed on, once: were it
-// served here, two dispatchers would each fill all replicas, and what is over their slots would wait in their queues.
-template <typename Message>
-bool PlacementClient::passOn(const Datagram &datagram, const Message &message)
-{
-    const bool isPassedOn = message.replyTo != Address();
-    const Member *const dispatcher = isPassedOn ? nullptr : this->otherDispatcher(ServiceName(message.service));
-    if (dispatcher == nullptr) {
-        return false;
-    }
-    Message passed = message;
-    passed.replyTo = datagram.from;
-    this->peers.datagrams().send(dispatcher->gossip, passed);
-    return true;
-}
-
-void PlacementClient::takeEnd(const PlacementEnd &end)
-{
-    const ServiceName service(end.service);
-    const Member *const other = end.isPassedOn ? nullptr : this->otherDispatcher(service);
-    if (other != nullptr) {
-        PlacementEnd passed = end;
-        passed.isPassedOn = true;
-        this->peers.datagrams().send(other->gossip, passed);
-    }
-    ServiceState &state = this->stateOf(service);
-    if (state.dispatcher) {
-        state.dispatcher->end({end.from, end.ticket}, end.verdict);
-    }
-}
-
-void PlacementClient::takeBegun(const PlacementBegun &begun)
-{
-    const ServiceName service(begun.service);
-    const Member *const other = begun.isPassedOn ? nullptr : this->otherDispatcher(service);
-    if (other != nullptr) {
-        PlacementBegun passed = begun;
-        passed.isPassedOn = true;
-        this->peers.datagrams().send(other->gossip, passed);
-        return;
-    }
-    ServiceState &state = this->stateOf(service);
-    if (state.dispatcher) {
-        state.dispatcher->noteLoad(begun.replica, {begun.running, begun.waiting});
-    }
-}
-
-void PlacementClient::takeAsk(const Datagram &datagram, const PlacementAsk &ask)
-{
-    if (this->passOn(datagram, ask)) {
-        return;
-    }
-    const ServiceName service(ask.service);
-    Dispatcher &dispatcher = this->dispatcherFor(service);
-    const Address asker = ask.replyTo != Address() ? ask.replyTo : datagram.from;
-    this->stateOf(service).askers.insert_or_assign(ask.from, asker);
-    const SteadyTime now = this->clock.now();
-    PlacementRequest request;
-    request.id = {ask.from, ask.ticket};
-    request.work = ask.isBatch ? WorkClass::Batch : WorkClass::Online;
-    request.priority = ask.priority;
-    request.arrived = now - ask.waited;
-    request.due = request.arrived + ask.objective;
-    request.deadline = now + ask.patience;
-    request.failureDomain = ask.failureDomain;
-    request.content = ask.content;
-    request.mayRefuse = ask.mayRefuse;
-    request.avoided = ask.avoided;
-    request.connected = ask.connected;
-    if (!dispatcher.ask(request)) {
-        this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}});
-    }
-}
-
-void PlacementClient::takeReport(const Datagram &datagram, const PlacementsRunning &report)
-{
-    if (this->passOn(datagram, report)) {
+    if (datagram.number != PlacementAnswer::number) {
+        this->server.receive(datagram);
         return;
     }
-    const ServiceName service(report.service);
-    Dispatcher &dispatcher = this->dispatcherFor(service);
-    const Address asker = report.replyTo != Address() ? report.replyTo : datagram.from;
-    this->stateOf(service).askers.insert_or_assign(report.from, asker);
-    dispatcher.reconcile(report.from, report.lastTicket, report.running);
-}
-
-Dispatcher &PlacementClient::dispatcherFor(const ServiceName &service)
-{
-    ServiceState &state = this->stateOf(service);
-    if (!state.dispatcher) {
-        Dispatcher::Hooks hooks{
-            .place =
-                [this, service](TicketId id, const EndpointName &instance) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Placed, instance, {}});
-                },
-            .stop =
-                [this, service](TicketId id) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Stopped, {}, {}});
-                },
-            .refuse =
-                [this, service](TicketId id, std::chrono::milliseconds comeBack) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, comeBack});
-                },
-        };
-        state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
-        state.dispatcher->setReplicas(state.replicas);
-    }
-    return *state.dispatcher;
-}
-
-void PlacementClient::answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer)
-{
-    if (id.node == this->peers.self()) {
-        this->loop.post([this, answer, alive = this->alive] {
-            if (*alive) {
-                this->takeAnswer(answer);
-            }
-        });
-        return;
-    }
-    const ServiceState &state = this->stateOf(service);
-    const auto asker = state.askers.find(id.node);
-    if (asker != state.askers.end()) {
-        this->peers.datagrams().send(asker->second, answer);
+    if (const auto answer = decode<PlacementAnswer>(datagram.payload)) {
+        this->takeAnswer(*answer);
     }
 }
 
 std::optional<Dispatcher::Load> PlacementClient::dispatcherLoad(const ServiceName &service) const
 {
-    const auto found = this->services.find(service);
-    const bool hasOne = found != this->services.end() && found->second.dispatcher;
-    return hasOne ? std::optional(found->second.dispatcher->load()) : std::nullopt;
+    return this->server.load(service);
 }
 
 std::uint64_t PlacementClient::fallbacks() const
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -7,15 +7,13 @@
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <Services/Gateway/PeerNetwork.h>
+#include <Services/Gateway/PlacementServer.h>
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
-#include <string>
-#include <unordered_map>
 
 namespace Dogwoodkeel
 {
@@ -39,7 +37,7 @@
 };
 
 /**
- * Gets places at replicas for the requests of this node, and holds the dispatchers that this node is for others.
+ * Gets places at replicas for the requests of this node.
  *
  * A node that gets no answer from a service's dispatcher in some tens of milliseconds places its online requests by its own
  * counts: a dispatcher that is lost, paused or cut off delays callers by no more than that. Batch items wait.
@@ -97,12 +95,7 @@
     struct ServiceState
     {
         bool isDispatched = false;
-        std::vector<DispatchReplica> replicas;
         LocalPlacement local;
-        /** Made when somebody asks this node. */
-        std::unique_ptr<Dispatcher> dispatcher;
-        /** Where the nodes that ask this dispatcher are. */
-        std::map<SessionNumber, Address> askers;
         /** Until then the dispatcher is taken to be away. */
         SteadyTime doubtedUntil{};
         SteadyTime lastReport{};
@@ -110,25 +103,19 @@
     };
 
     ServiceState &stateOf(const ServiceName &service);
-    /** @return the node to ask for places, or null if it is this one, or there is none and this one has to do. */
-    const Member *otherDispatcher(const ServiceName &service) const;
     void sendAsk(Ticket ticket, Asked &asked);
+    /** Tell whoever dispatches the service; this node itself if there is no other. */
+    template <typename Message>
+    void tellDispatcher(const ServiceName &service, const Message &message);
     void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
     void placeLocally(Ticket ticket, Asked &asked);
     void decide(Ticket ticket, const Placement &placement);
     void tick();
     void tickTicket(Ticket ticket, Asked &asked);
     void report(const ServiceName &service, ServiceState &state);
-    void dropGoneAskers(ServiceState &state);
+    /** @return who dispatches a service; an empty number if nobody does. */
+    SessionNumber dispatcherSession(const ServiceName &service) const;
     void takeAnswer(const PlacementAnswer &answer);
-    template <typename Message>
-    bool passOn(const Datagram &datagram, const Message &message);
-    void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
-    void takeEnd(const PlacementEnd &end);
-    void takeBegun(const PlacementBegun &begun);
-    void takeReport(const Datagram &datagram, const PlacementsRunning &report);
-    Dispatcher &dispatcherFor(const ServiceName &service);
-    void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
 
     EventLoop &loop;
     const Clock &clock;
@@ -138,7 +125,7 @@
     std::map<Ticket, Asked> tickets;
     Ticket lastTicket = 0;
     std::uint64_t fallbackCount = 0;
-    MemberViewPointer view;
+    PlacementServer server;
     TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/Services/Gateway/PlacementServer.cpp
@@ -0,0 +1,257 @@
+#include <Services/Gateway/PlacementServer.h>
+
+#include <LibBase/Hash.h>
+#include <LibWire/Codec.h>
+
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+PlacementServer::PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, Answer answerOwn)
+    : loop(loop), clock(clock), peers(peers), answerOwn(std::move(answerOwn)), view(peers.dutyView())
+{
+}
+
+PlacementServer::~PlacementServer()
+{
+    *this->alive = false;
+}
+
+void PlacementServer::setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas)
+{
+    ServiceState &state = this->services[service];
+    state.replicas = replicas;
+    if (state.dispatcher) {
+        state.dispatcher->setReplicas(replicas);
+    }
+}
+
+void PlacementServer::setView(const MemberViewPointer &view)
+{
+    const MemberViewPointer before = std::exchange(this->view, view);
+    for (auto &[service, state] : this->services) {
+        const Member *const was = holderIn(*before, service);
+        const Member *const is = holderIn(*view, service);
+        const bool wasOwn = was != nullptr && was->session == this->peers.self();
+        const bool isOwn = is != nullptr && is->session == this->peers.self();
+        if (wasOwn && !isOwn) {
+            // What it knew is told to the new one by those who ask and run; kept, it would go on to give places away.
+            state.dispatcher.reset();
+            state.askers.clear();
+        }
+        this->dropGoneAskers(state);
+    }
+}
+
+const Member *PlacementServer::holderIn(const MemberView &view, const ServiceName &service)
+{
+    return dutyHolder(view, stableHash(service.value()));
+}
+
+const Member *PlacementServer::dispatcherOf(const ServiceName &service) const
+{
+    return holderIn(*this->view, service);
+}
+
+const Member *PlacementServer::otherDispatcher(const ServiceName &service) const
+{
+    const Member *const holder = this->dispatcherOf(service);
+    return holder != nullptr && holder->session != this->peers.self() ? holder : nullptr;
+}
+
+void PlacementServer::dropGoneAskers(ServiceState &state)
+{
+    if (!state.dispatcher) {
+        return;
+    }
+    std::erase_if(state.askers, [this, &state](const auto &asker) {
+        const bool isGone = asker.first != this->peers.self() && this->view->find(asker.first) == nullptr;
+        if (isGone) {
+            state.dispatcher->dropNode(asker.first);
+        }
+        return isGone;
+    });
+}
+
+void PlacementServer::receive(const Datagram &datagram)
+{
+    if (datagram.number == PlacementAsk::number) {
+        if (const auto ask = decode<PlacementAsk>(datagram.payload)) {
+            this->takeAsk(datagram, *ask);
+        }
+    } else if (datagram.number == PlacementEnd::number) {
+        if (const auto end = decode<PlacementEnd>(datagram.payload)) {
+            this->passOn(*end);
+            // Until a moment ago the dispatcher may have been here.
+            this->take(*end);
+        }
+    } else if (datagram.number == PlacementBegun::number) {
+        const auto begun = decode<PlacementBegun>(datagram.payload);
+        if (begun && !this->passOn(*begun)) {
+            this->take(*begun);
+        }
+    } else if (datagram.number == PlacementsRunning::number) {
+        if (const auto report = decode<PlacementsRunning>(datagram.payload)) {
+            this->takeReport(datagram, *report);
+        }
+    }
+}
+
+// A node that still holds this one for the dispatcher has not heard of a newer member. What it sends is passed on, once: were it
+// served here, two dispatchers would each fill all replicas, and what is over their slots would wait in their queues.
+template <typename Message>
+bool PlacementServer::passOn(const Datagram &datagram, const Message &message)
+{
+    const bool isPassedOn = message.replyTo != Address();
+    const Member *const dispatcher = isPassedOn ? nullptr : this->otherDispatcher(ServiceName(message.service));
+    if (dispatcher == nullptr) {
+        return false;
+    }
+    Message passed = message;
+    passed.replyTo = datagram.from;
+    this->peers.datagrams().send(dispatcher->gossip, passed);
+    return true;
+}
+
+// As above, of messages that nobody answers.
+template <typename Message>
+bool PlacementServer::passOn(const Message &message)
+{
+    const Member *const dispatcher = message.isPassedOn ? nullptr : this->otherDispatcher(ServiceName(message.service));
+    if (dispatcher == nullptr) {
+        return false;
+    }
+    Message passed = message;
+    passed.isPassedOn = true;
+    this->peers.datagrams().send(dispatcher->gossip, passed);
+    return true;
+}
+
+void PlacementServer::take(const PlacementAsk &ask)
+{
+    this->takeAsk(Datagram{}, ask);
+}
+
+void PlacementServer::take(const PlacementsRunning &report)
+{
+    this->takeReport(Datagram{}, report);
+}
+
+void PlacementServer::take(const PlacementEnd &end)
+{
+    if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(end.service))) {
+        dispatcher->end({end.from, end.ticket}, end.verdict);
+    }
+}
+
+void PlacementServer::take(const PlacementBegun &begun)
+{
+    if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(begun.service))) {
+        dispatcher->noteLoad(begun.replica, {begun.running, begun.waiting});
+    }
+}
+
+void PlacementServer::takeAsk(const Datagram &datagram, const PlacementAsk &ask)
+{
+    if (this->passOn(datagram, ask)) {
+        return;
+    }
+    const ServiceName service(ask.service);
+    Dispatcher &dispatcher = this->dispatcherFor(service);
+    const Address asker = ask.replyTo != Address() ? ask.replyTo : datagram.from;
+    this->services[service].askers.insert_or_assign(ask.from, asker);
+    const SteadyTime now = this->clock.now();
+    PlacementRequest request;
+    request.id = {ask.from, ask.ticket};
+    request.work = ask.isBatch ? WorkClass::Batch : WorkClass::Online;
+    request.priority = ask.priority;
+    request.arrived = now - ask.waited;
+    request.due = request.arrived + ask.objective;
+    request.deadline = now + ask.patience;
+    request.failureDomain = ask.failureDomain;
+    request.content = ask.content;
+    request.mayRefuse = ask.mayRefuse;
+    request.avoided = ask.avoided;
+    request.connected = ask.connected;
+    if (!dispatcher.ask(request)) {
+        this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}});
+    }
+}
+
+void PlacementServer::takeReport(const Datagram &datagram, const PlacementsRunning &report)
+{
+    if (this->passOn(datagram, report)) {
+        return;
+    }
+    const ServiceName service(report.service);
+    Dispatcher &dispatcher = this->dispatcherFor(service);
+    const Address asker = report.replyTo != Address() ? report.replyTo : datagram.from;
+    this->services[service].askers.insert_or_assign(report.from, asker);
+    dispatcher.reconcile(report.from, report.lastTicket, report.running);
+}
+
+Dispatcher *PlacementServer::findDispatcher(const ServiceName &service)
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() ? found->second.dispatcher.get() : nullptr;
+}
+
+Dispatcher &PlacementServer::dispatcherFor(const ServiceName &service)
+{
+    ServiceState &state = this->services[service];
+    if (!state.dispatcher) {
+        Dispatcher::Hooks hooks{
+            .place =
+                [this, service](TicketId id, const EndpointName &instance) {
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Placed, instance, {}});
+                },
+            .stop =
+                [this, service](TicketId id) {
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Stopped, {}, {}});
+                },
+            .refuse =
+                [this, service](TicketId id, std::chrono::milliseconds comeBack) {
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, comeBack});
+                },
+        };
+        state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
+        state.dispatcher->setReplicas(state.replicas);
+    }
+    return *state.dispatcher;
+}
+
+void PlacementServer::answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer)
+{
+    if (id.node == this->peers.self()) {
+        this->loop.post([this, answer, alive = this->alive] {
+            if (*alive) {
+                this->answerOwn(answer);
+            }
+        });
+        return;
+    }
+    const ServiceState &state = this->services[service];
+    const auto asker = state.askers.find(id.node);
+    if (asker != state.askers.end()) {
+        this->peers.datagrams().send(asker->second, answer);
+    }
+}
+
+void PlacementServer::tick()
+{
+    for (auto &[service, state] : this->services) {
+        if (state.dispatcher) {
+            state.dispatcher->tick();
+        }
+    }
+}
+
+std::optional<Dispatcher::Load> PlacementServer::load(const ServiceName &service) const
+{
+    const auto found = this->services.find(service);
+    const bool hasOne = found != this->services.end() && found->second.dispatcher;
+    return hasOne ? std::optional(found->second.dispatcher->load()) : std::nullopt;
+}
+
+} // namespace Dogwoodkeel
--- /dev/null
+++ b/Services/Gateway/PlacementServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibDispatch/Dispatcher.h>
+#include <LibGateway/ServingConfiguration.h>
+#include <LibTask/EventLoop.h>
+#include <LibWire/DatagramSocket.h>
+#include <Services/Gateway/PeerNetwork.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * Holds the dispatchers that this node is for all nodes, and brings to them what nodes say, its own included.
+ *
+ * The members that a node sees decide which one dispatches a service. They may see different ones for a moment: what comes here
+ * for another dispatcher is passed on to it, once.
+ */
+class PlacementServer
+{
+public:
+    using Answer = std::function<void(const PlacementAnswer &)>;
+
+    /** @param answerOwn told of answers to this node itself; never from inside a call */
+    PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, Answer answerOwn);
+    ~PlacementServer();
+    PlacementServer(const PlacementServer &) = delete;
+    PlacementServer &operator=(const PlacementServer &) = delete;
+
+    /** The replicas of a service. */
+    void setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas);
+
+    /** The members changed. */
+    void setView(const MemberViewPointer &view);
+
+    /** @return who dispatches a service, or null if nobody can. */
+    const Member *dispatcherOf(const ServiceName &service) const;
+
+    /** @return the node to ask for places, or null if it is this one, or there is none and this one has to do. */
+    const Member *otherDispatcher(const ServiceName &service) const;
+
+    /** What this node says itself, while no other one dispatches the service. */
+    void take(const PlacementAsk &ask);
+    void take(const PlacementEnd &end);
+    void take(const PlacementsRunning &report);
+    void take(const PlacementBegun &begun);
+
+    /** A datagram of another node. */
+    void receive(const Datagram &datagram);
+
+    /** Look after what time brings. */
+    void tick();
+
+    /** @return what this node's dispatcher for a service has, or nothing if there is none. */
+    std::optional<Dispatcher::Load> load(const ServiceName &service) const;
+
+private:
+    struct ServiceState
+    {
+        std::vector<DispatchReplica> replicas;
+        /** Made when somebody asks this node. */
+        std::unique_ptr<Dispatcher> dispatcher;
+        /** Where the nodes that ask this dispatcher are. */
+        std::map<SessionNumber, Address> askers;
+    };
+
+    static const Member *holderIn(const MemberView &view, const ServiceName &service);
+    void dropGoneAskers(ServiceState &state);
+    template <typename Message>
+    bool passOn(const Datagram &datagram, const Message &message);
+    template <typename Message>
+    bool passOn(const Message &message);
+    void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
+    void takeReport(const Datagram &datagram, const PlacementsRunning &report);
+    Dispatcher *findDispatcher(const ServiceName &service);
+    Dispatcher &dispatcherFor(const ServiceName &service);
+    void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
+
+    EventLoop &loop;
+    const Clock &clock;
+    PeerNetwork &peers;
+    Answer answerOwn;
+    std::map<ServiceName, ServiceState> services;
+    MemberViewPointer view;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace Dogwoodkeel
