--- a/Programs/dogwoodkeel/Main.cpp
+++ b/Programs/dogwoodkeel/Main.cpp
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <gflags/gflags.h>
 
@@ -43,10 +48,32 @@
     return command->run(std::vector<std::string>(words.begin() + 1, words.end()));
 }
 
+/**
+ * Found before gflags reads the command line: its own help lists the flags of all libraries, and no commands.
+ * @return the words beside --help, or nothing if it isn't asked for
+ */
+std::optional<std::vector<std::string>> helpTopics(const std::vector<std::string> &words)
+{
+    const bool isAsked = std::ranges::any_of(words, [](const std::string &word) {
+        return word == "--help" || word == "-help" || word == "-h";
+    });
+    if (!isAsked) {
+        return std::nullopt;
+    }
+    std::vector<std::string> topics;
+    std::ranges::copy_if(words, std::back_inserter(topics), [](std::string_view word) {
+        return !word.starts_with('-') && word != "help";
+    });
+    return topics;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    if (const auto topics = helpTopics({argv + 1, argv + argc})) {
+        return static_cast<int>(help(*topics));
+    }
     gflags::SetUsageMessage("dogwoodkeel help lists the commands");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     return static_cast<int>(run(std::vector<std::string>(argv + 1, argv + argc)));
