--- a/Benchmarks/Days/ceiling.py
+++ b/Benchmarks/Days/ceiling.py
@@ -110,15 +110,37 @@
     return 0.0
 
 
+def mark_shares(day, events):
+    """Note with each event what share of its targets the day's fault hits; 0: all."""
+    shares = [(fault["kind"], float(fault["at"]), fault.get("share", 0)) for fault in day["faults"]]
+    for event in events:
+        event["share"] = next((share for kind, at, share in shares
+                               if event["kind"].startswith(kind) and abs(at - event["at_s"]) < 0.3), 0)
+
+
+def online_balance(classes, day, begin, dark):
+    """What the requests that come in a window are expected to be worth, their share that is lost, and how many they are."""
+    count, worth, lost = 0.0, 0.0, 0.0
+    for traffic in day["traffic"]:
+        total = sum(traffic["mix"].values())
+        for kind, share in traffic["mix"].items():
+            if classes[kind].get("kind") == "batch":
+                continue
+            for step in range(int(WINDOW / STEP)):
+                time = begin + step * STEP
+                requests = traffic["per_s"] * share / total * shape_at(traffic, time) * STEP
+                count += requests
+                worth += requests * classes[kind]["worth"]
+                lost += requests * classes[kind]["worth"] * online_loss(classes[kind], time, dark)
+    return count, worth, lost
+
+
 def ceiling(site, report, output):
+    """The bound of the whole day, of its two worst windows, and which these are."""
     classes = {cls["name"]: cls for cls in site["classes"]}
     name, _, _ = report["day"].partition(":")
     day = next(day for day in site["day"] if day["name"] == name)
-    shares = {f["kind"] + str(f["at"]): f.get("share", 0) for f in day["faults"]}
-    for event in report["events"]:
-        near = [share for key, share in shares.items() if event["kind"].startswith(re.match(r"[a-z_]+", key)[0])
-                and abs(float(key[len(re.match(r"[a-z_]+", key)[0]):]) - event["at_s"]) < 0.3]
-        event["share"] = near[0] if near else 0
+    mark_shares(day, report["events"])
     dark = dark_times(output, report, report["machines"])
     away = sorted(outages(report) + dark)
     batch = next(cls for cls in classes.values() if cls.get("kind") == "batch")
@@ -129,28 +151,17 @@
         here = [(time, items) for time, items in jobs if begin <= time < begin + WINDOW]
         worth = sum(items * batch["worth"] for _, items in here)
         lost = sum(items * batch["worth"] * job_loss(batch, time, away) for time, items in here)
-        online = max(0, window["n"] - sum(items for _, items in here))
-        expected = dict.fromkeys(classes, 0.0)
-        expected_lost = dict.fromkeys(classes, 0.0)
-        for traffic in day["traffic"]:
-            total = sum(traffic["mix"].values())
-            for kind, share in traffic["mix"].items():
-                if classes[kind].get("kind") == "batch":
-                    continue
-                for step in range(int(WINDOW / STEP)):
-                    time = begin + step * STEP
-                    rate = traffic["per_s"] * share / total * shape_at(traffic, time) * STEP
-                    expected[kind] += rate
-                    expected_lost[kind] += rate * online_loss(classes[kind], time, dark)
-        scale = online / max(sum(expected.values()), 1e-9)
-        worth += scale * sum(count * classes[kind]["worth"] for kind, count in expected.items())
-        lost += scale * sum(count * classes[kind]["worth"] for kind, count in expected_lost.items())
+        requests = max(0, window["n"] - sum(items for _, items in here))
+        expected, online_worth, online_lost = online_balance(classes, day, begin, dark)
+        scale = requests / max(expected, 1e-9)
+        worth += scale * online_worth
+        lost += scale * online_lost
         owed += worth
         earned += worth - lost
         if window["worth"] is not None:
             windows.append((1 - lost / worth if worth else 1.0, begin))
-    worst = statistics.mean(value for value, _ in sorted(windows)[:2])
-    return earned / owed, worst, sorted(windows)[:2]
+    worst = sorted(windows)[:2]
+    return earned / owed, statistics.mean(value for value, _ in worst), worst
 
 
 def main():
