--- a/Tests/ServiceGateway/TestPlacementPassOn.cpp
+++ b/Tests/ServiceGateway/TestPlacementPassOn.cpp
@@ -54,7 +54,7 @@
             return bench.gateway->readyMembers() == 2 && bench.other->readyMembers() == 2;
         });
     });
-    const auto asker = running.host.ask<std::shared_ptr<Asker>>([](GatewayBench &bench) {
+    auto asker = running.host.ask<std::shared_ptr<Asker>>([](GatewayBench &bench) {
         return std::make_shared<Asker>(bench);
     });
     std::optional<Address> dispatcher;
