PlacementServer, LibDispatch: One place for what is passed on, one type of a told load, marks made once

Read again as a whole, nothing changes in what is decided: - what comes from other nodes is passed on in receive() alone. Tests keep their assertions; TestFormats names the field by its new name.

--- a/Benchmarks/Days/ceiling.py
+++ b/Benchmarks/Days/ceiling.py
@@ -48,10 +48,10 @@
                 continue
 
 
-def job_arrivals(output):
+def job_arrivals(lines):
     """First submission and number of items of each job, as the nodes saw them."""
     first, items = {}, {}
-    for time, _, line in log_lines(output):
+    for time, _, line in lines:
         if line["event"] == "job submission decided":
             first[line["job"]] = min(first.get(line["job"], time), time - line["took_ms"] / 1000)
             items[line["job"]] = line["items"]
@@ -64,15 +64,15 @@
             if e["kind"].startswith("platform_down") and "nodes" not in e["kind"] and e["share"] == 0]
 
 
-def dark_times(output, report, machines):
+def dark_times(lines, report):
     """When no node can answer: from a loss of all of them until the first could know routes and replicas again."""
-    started = sorted(time for time, _, line in log_lines(output) if line["event"] == "started")
+    started = sorted(time for time, _, line in lines if line["event"] == "started")
     dark = []
     for event in report["events"]:
         match = re.search(r"and (\d+) more", event["what"])
         hit = event["what"].count("front") + (int(match[1]) if match else 0)
         is_loss = any(word in event["kind"] for word in ("power_off_all", "kill_all", "wipe_after_ack", "herd_kill"))
-        if not is_loss or hit < machines - 1:
+        if not is_loss or hit < report["machines"] - 1:
             continue
         back = next((time for time in started if time > event["at_s"]), event["to_s"])
         for begin, end in outages(report):
@@ -141,10 +141,11 @@
     name, _, _ = report["day"].partition(":")
     day = next(day for day in site["day"] if day["name"] == name)
     mark_shares(day, report["events"])
-    dark = dark_times(output, report, report["machines"])
+    lines = list(log_lines(output))
+    dark = dark_times(lines, report)
     away = sorted(outages(report) + dark)
     batch = next(cls for cls in classes.values() if cls.get("kind") == "batch")
-    jobs = job_arrivals(output)
+    jobs = job_arrivals(lines)
     windows, earned, owed = [], 0.0, 0.0
     for window in report["windows"]:
         begin = float(window["name"])
@@ -179,13 +180,14 @@
             report["day"] = day
             whole, worst, which = ceiling(site, report, output)
             weights = {name: weight for name, weight, _ in report["parts"]}
+            shares = {name: share for name, _, share in report["parts"]}
             prices = sum(price for _, _, price in report["prices"])
             bound = sum(weight * {"whole day": whole, "worst windows": worst}.get(name, 1.0) for name, weight in weights.items())
             bounds.append(bound - prices)
             worths.append(report["G"])
             print(f"{day}: worth {report['G']:.3f} of at most {bound - prices:.3f}; whole day "
-                  f"{dict((n, v) for n, _, v in report['parts'])['whole day']:.3f} of {whole:.3f}, worst windows "
-                  f"{dict((n, v) for n, _, v in report['parts'])['worst windows']:.3f} of {worst:.3f} "
+                  f"{shares['whole day']:.3f} of {whole:.3f}, worst windows "
+                  f"{shares['worst windows']:.3f} of {worst:.3f} "
                   f"({', '.join(f'{begin:.0f} s {value:.2f}' for value, begin in which)})")
     print(f"{len(worths)} days: mean worth {statistics.mean(worths):.3f} of at most {statistics.mean(bounds):.3f}")
 
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -48,9 +48,6 @@
 void Dispatcher::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
     updateReplicas(this->replicas, replicas);
-    for (auto &[instance, replica] : this->replicas) {
-        replica.mark = markOf(instance);
-    }
     this->forecast.setSlots(this->totalSlots());
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -42,7 +42,7 @@
         }
         const bool isOpen = replica.gate.isOpen(this->clock.now());
         const double far = replica.traits.failureDomain == near ? 0 : farPenalty;
-        const bool isConnected = std::ranges::find(connected, markOf(instance)) != connected.end();
+        const bool isConnected = std::ranges::find(connected, replica.mark) != connected.end();
         const double open = isConnected ? connectionWorth : 0;
         const double load = (replica.running + far - open + tieBreak(this->random)) / replica.traits.slots;
         const double score = load + (isOpen ? 0 : blockedPenalty);
--- a/Libraries/LibDispatch/LocalPlacement.h
+++ b/Libraries/LibDispatch/LocalPlacement.h
@@ -40,6 +40,8 @@
     struct Replica
     {
         DispatchReplica traits;
+        /** Its short name. */
+        std::uint32_t mark = 0;
         ReplicaGate gate;
         std::uint32_t running = 0;
     };
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -74,13 +74,4 @@
     bool isDraining = false;
 };
 
-/** The load that a replica states with an answer. */
-struct ToldLoad
-{
-    /** Requests that it runs. */
-    std::uint32_t running = 0;
-    /** Requests in its own queue. */
-    std::uint32_t waiting = 0;
-};
-
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/UpdateReplicas.h
+++ b/Libraries/LibDispatch/UpdateReplicas.h
@@ -12,7 +12,7 @@
 /**
  * Bring what is known of each replica up to a new list: those that stay keep their state, new ones begin with none, and
  * those that went are dropped.
- * @tparam Known state of a replica with a member `traits`
+ * @tparam Known state of a replica with the members `traits` and `mark`, its short name
  */
 template <typename Known>
 void updateReplicas(std::map<EndpointName, Known> &known, const std::vector<DispatchReplica> &replicas)
@@ -22,6 +22,9 @@
         const auto before = known.find(traits.instance);
         Known replica = before != known.end() ? before->second : Known();
         replica.traits = traits;
+        if (before == known.end()) {
+            replica.mark = markOf(traits.instance);
+        }
         updated.emplace(traits.instance, std::move(replica));
     }
     known = std::move(updated);
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1334,6 +1334,23 @@
     }
 };
 
+/** The load that a replica states with an answer. */
+struct ToldLoad
+{
+    /** Requests that it runs. */
+    std::uint32_t running = 0;
+    /** Requests in its own queue. */
+    std::uint32_t waiting = 0;
+
+    bool operator==(const ToldLoad &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->running, this->waiting);
+    }
+};
+
 /** One header line of a batch item. */
 struct HeaderRecord
 {
@@ -2527,10 +2544,8 @@
     std::string service;
     /** Who said it. */
     EndpointName replica;
-    /** Requests that it runs. */
-    std::uint32_t running = 0;
-    /** Requests in its own queue. */
-    std::uint32_t waiting = 0;
+    /** What it said. */
+    ToldLoad load;
     /** Whether this was passed on by another node. */
     bool isPassedOn = false;
 
@@ -2539,7 +2554,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->service, this->replica, this->running, this->waiting, this->isPassedOn);
+        archive(this->service, this->replica, this->load, this->isPassedOn);
     }
 };
 
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -183,8 +183,7 @@
         this->finish(End::Failed);
     } else {
         // The dispatcher waits for it: until the replica of the first item has said what it runs, it gets no second one.
-        const StatedLoad load = read.load.value_or(StatedLoad());
-        this->context.placements.noteBegun(this->ticket, {load.running, load.waiting});
+        this->context.placements.noteBegun(this->ticket, read.stated.value_or(StatedLoad()).load);
     }
 }
 
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -192,8 +192,8 @@
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     const bool isGood = isSuccess(read.status);
     // Only what the dispatcher would not expect: a datagram for each request would tell it what it knows.
-    if (isGood && read.load && (read.load->waiting > 0 || read.load->running >= read.load->slots)) {
-        this->context.placements.noteBegun(this->ticket, {read.load->running, read.load->waiting});
+    if (isGood && read.stated && (read.stated->load.waiting > 0 || read.stated->load.running >= read.stated->slots)) {
+        this->context.placements.noteBegun(this->ticket, read.stated->load);
     }
     if (read.isNotExecuted) {
         const PlacementVerdict verdict
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -172,7 +172,7 @@
     if (!this->stateOf(service).isDispatched) {
         return;
     }
-    this->tellDispatcher(service, PlacementBegun{service.value(), *found->second.replica, load.running, load.waiting, false});
+    this->tellDispatcher(service, PlacementBegun{service.value(), *found->second.replica, load, false});
 }
 
 void PlacementClient::decide(Ticket ticket, const Placement &placement)
@@ -295,13 +295,9 @@
 
 void PlacementClient::setView(const MemberViewPointer &view)
 {
-    std::map<ServiceName, SessionNumber> before;
-    for (const auto &[service, state] : this->services) {
-        before[service] = this->dispatcherSession(service);
-    }
-    this->server.setView(view);
-    for (auto &[service, state] : this->services) {
-        if (!state.isDispatched || this->dispatcherSession(service) == before[service]) {
+    for (const ServiceName &service : this->server.setView(view)) {
+        ServiceState &state = this->stateOf(service);
+        if (!state.isDispatched) {
             continue;
         }
         const Member *const dispatcher = this->server.dispatcherOf(service);
@@ -314,12 +310,6 @@
     }
 }
 
-SessionNumber PlacementClient::dispatcherSession(const ServiceName &service) const
-{
-    const Member *const dispatcher = this->server.dispatcherOf(service);
-    return dispatcher != nullptr ? dispatcher->session : SessionNumber();
-}
-
 void PlacementClient::receive(const Datagram &datagram)
 {
     if (datagram.number != PlacementAnswer::number) {
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -113,8 +113,6 @@
     void tick();
     void tickTicket(Ticket ticket, Asked &asked);
     void report(const ServiceName &service, ServiceState &state);
-    /** @return who dispatches a service; an empty number if nobody does. */
-    SessionNumber dispatcherSession(const ServiceName &service) const;
     void takeAnswer(const PlacementAnswer &answer);
 
     EventLoop &loop;
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -8,6 +8,18 @@
 namespace Dogwoodkeel
 {
 
+namespace
+{
+
+/** @return where the node is that asks or reports; another one may have passed it on. */
+template <typename Message>
+Address askerOf(const Datagram &datagram, const Message &message)
+{
+    return message.replyTo != Address() ? message.replyTo : datagram.from;
+}
+
+} // namespace
+
 PlacementServer::PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, Answer answerOwn)
     : loop(loop), clock(clock), peers(peers), answerOwn(std::move(answerOwn)), view(peers.dutyView())
 {
@@ -27,21 +39,26 @@
     }
 }
 
-void PlacementServer::setView(const MemberViewPointer &view)
+std::vector<ServiceName> PlacementServer::setView(const MemberViewPointer &view)
 {
     const MemberViewPointer before = std::exchange(this->view, view);
+    std::vector<ServiceName> moved;
     for (auto &[service, state] : this->services) {
         const Member *const was = holderIn(*before, service);
         const Member *const is = holderIn(*view, service);
-        const bool wasOwn = was != nullptr && was->session == this->peers.self();
-        const bool isOwn = is != nullptr && is->session == this->peers.self();
-        if (wasOwn && !isOwn) {
+        const SessionNumber former = was != nullptr ? was->session : SessionNumber();
+        const SessionNumber current = is != nullptr ? is->session : SessionNumber();
+        if (former != current) {
+            moved.push_back(service);
+        }
+        if (former != current && former == this->peers.self()) {
             // What it knew is told to the new one by those who ask and run; kept, it would go on to give places away.
             state.dispatcher.reset();
             state.askers.clear();
         }
         this->dropGoneAskers(state);
     }
+    return moved;
 }
 
 const Member *PlacementServer::holderIn(const MemberView &view, const ServiceName &service)
@@ -77,8 +94,9 @@
 void PlacementServer::receive(const Datagram &datagram)
 {
     if (datagram.number == PlacementAsk::number) {
-        if (const auto ask = decode<PlacementAsk>(datagram.payload)) {
-            this->takeAsk(datagram, *ask);
+        const auto ask = decode<PlacementAsk>(datagram.payload);
+        if (ask && !this->passOn(datagram, *ask)) {
+            this->take(*ask, askerOf(datagram, *ask));
         }
     } else if (datagram.number == PlacementEnd::number) {
         if (const auto end = decode<PlacementEnd>(datagram.payload)) {
@@ -92,8 +110,9 @@
             this->take(*begun);
         }
     } else if (datagram.number == PlacementsRunning::number) {
-        if (const auto report = decode<PlacementsRunning>(datagram.payload)) {
-            this->takeReport(datagram, *report);
+        const auto report = decode<PlacementsRunning>(datagram.payload);
+        if (report && !this->passOn(datagram, *report)) {
+            this->take(*report, askerOf(datagram, *report));
         }
     }
 }
@@ -128,16 +147,6 @@
     return true;
 }
 
-void PlacementServer::take(const PlacementAsk &ask)
-{
-    this->takeAsk(Datagram{}, ask);
-}
-
-void PlacementServer::take(const PlacementsRunning &report)
-{
-    this->takeReport(Datagram{}, report);
-}
-
 void PlacementServer::take(const PlacementEnd &end)
 {
     if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(end.service))) {
@@ -148,18 +157,14 @@
 void PlacementServer::take(const PlacementBegun &begun)
 {
     if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(begun.service))) {
-        dispatcher->noteLoad(begun.replica, {begun.running, begun.waiting});
+        dispatcher->noteLoad(begun.replica, begun.load);
     }
 }
 
-void PlacementServer::takeAsk(const Datagram &datagram, const PlacementAsk &ask)
+void PlacementServer::take(const PlacementAsk &ask, const Address &asker)
 {
-    if (this->passOn(datagram, ask)) {
-        return;
-    }
     const ServiceName service(ask.service);
     Dispatcher &dispatcher = this->dispatcherFor(service);
-    const Address asker = ask.replyTo != Address() ? ask.replyTo : datagram.from;
     this->services[service].askers.insert_or_assign(ask.from, asker);
     const SteadyTime now = this->clock.now();
     PlacementRequest request;
@@ -179,14 +184,10 @@
     }
 }
 
-void PlacementServer::takeReport(const Datagram &datagram, const PlacementsRunning &report)
+void PlacementServer::take(const PlacementsRunning &report, const Address &asker)
 {
-    if (this->passOn(datagram, report)) {
-        return;
-    }
     const ServiceName service(report.service);
     Dispatcher &dispatcher = this->dispatcherFor(service);
-    const Address asker = report.replyTo != Address() ? report.replyTo : datagram.from;
     this->services[service].askers.insert_or_assign(report.from, asker);
     dispatcher.reconcile(report.from, report.lastTicket, report.running);
 }
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -36,8 +36,8 @@
     /** The replicas of a service. */
     void setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas);
 
-    /** The members changed. */
-    void setView(const MemberViewPointer &view);
+    /** The members changed. @return the services that another node dispatches now */
+    std::vector<ServiceName> setView(const MemberViewPointer &view);
 
     /** @return who dispatches a service, or null if nobody can. */
     const Member *dispatcherOf(const ServiceName &service) const;
@@ -45,10 +45,13 @@
     /** @return the node to ask for places, or null if it is this one, or there is none and this one has to do. */
     const Member *otherDispatcher(const ServiceName &service) const;
 
-    /** What this node says itself, while no other one dispatches the service. */
-    void take(const PlacementAsk &ask);
+    /**
+     * What a node says while this one dispatches the service.
+     * @param asker where that node is; not needed of this node itself
+     */
+    void take(const PlacementAsk &ask, const Address &asker = {});
+    void take(const PlacementsRunning &report, const Address &asker = {});
     void take(const PlacementEnd &end);
-    void take(const PlacementsRunning &report);
     void take(const PlacementBegun &begun);
 
     /** A datagram of another node. */
@@ -76,8 +79,6 @@
     bool passOn(const Datagram &datagram, const Message &message);
     template <typename Message>
     bool passOn(const Message &message);
-    void takeAsk(const Datagram &datagram, const PlacementAsk &ask);
-    void takeReport(const Datagram &datagram, const PlacementsRunning &report);
     Dispatcher *findDispatcher(const ServiceName &service);
     Dispatcher &dispatcherFor(const ServiceName &service);
     void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/ManualClock.h>
 #include <LibDispatch/Dispatcher.h>
+#include <Tests/LibDispatch/EqualReplicas.h>
 
 #include <doctest/doctest.h>
 
@@ -30,9 +31,7 @@
                           },
                       .refuse = [](TicketId, std::chrono::milliseconds) {}})
     {
-        for (std::uint32_t i = 0; i < replicas; ++i) {
-            this->replicas.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
-        }
+        this->replicas = equalReplicas(replicas, slots);
         this->dispatcher.setReplicas(this->replicas);
         for (const DispatchReplica &replica : this->replicas) {
             this->dispatcher.noteLoad(replica.instance, {});
--- a/Tests/LibDispatch/TestLeftoverReplay.cpp
+++ b/Tests/LibDispatch/TestLeftoverReplay.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/ManualClock.h>
 #include <LibDispatch/Dispatcher.h>
+#include <Tests/LibDispatch/EqualReplicas.h>
 
 #include <doctest/doctest.h>
 
@@ -117,15 +118,6 @@
     std::map<EndpointName, Engine> engines;
 };
 
-std::vector<DispatchReplica> replicas()
-{
-    std::vector<DispatchReplica> made;
-    for (std::uint32_t i = 0; i < replicaCount; ++i) {
-        made.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
-    }
-    return made;
-}
-
 Outcome replay(Told told)
 {
     ManualClock clock;
@@ -145,9 +137,9 @@
                                    stopped.push_back(id.number);
                                },
                            .refuse = [](TicketId, std::chrono::milliseconds) {}});
-    dispatcher.setReplicas(replicas());
+    dispatcher.setReplicas(equalReplicas(replicaCount, slots));
     if (told == Told::No) {
-        for (const DispatchReplica &replica : replicas()) {
+        for (const DispatchReplica &replica : equalReplicas(replicaCount, slots)) {
             dispatcher.noteLoad(replica.instance, {});
         }
     }
--- a/Tests/LibDispatch/TestLoadReplay.cpp
+++ b/Tests/LibDispatch/TestLoadReplay.cpp
@@ -1,6 +1,7 @@
 #include <LibBase/ManualClock.h>
 #include <LibDispatch/Dispatcher.h>
 #include <LibDispatch/LocalPlacement.h>
+#include <Tests/LibDispatch/EqualReplicas.h>
 
 #include <doctest/doctest.h>
 
@@ -46,15 +47,6 @@
     return time % period >= burstStart ? burstFactor : troughFactor;
 }
 
-std::vector<DispatchReplica> replicas()
-{
-    std::vector<DispatchReplica> made;
-    for (std::uint32_t i = 0; i < replicaCount; ++i) {
-        made.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
-    }
-    return made;
-}
-
 /** Arrivals in steps of a millisecond, the same for the same seed. */
 class Arrivals
 {
@@ -111,8 +103,8 @@
                                    stops.push_back(id.number);
                                },
                            .refuse = [](TicketId, std::chrono::milliseconds) {}});
-    dispatcher.setReplicas(replicas());
-    for (const DispatchReplica &replica : replicas()) {
+    dispatcher.setReplicas(equalReplicas(replicaCount, slots));
+    for (const DispatchReplica &replica : equalReplicas(replicaCount, slots)) {
         dispatcher.noteLoad(replica.instance, {});
     }
     std::uint64_t last = 0;
@@ -193,7 +185,7 @@
     std::vector<std::unique_ptr<LocalPlacement>> nodes;
     for (std::size_t node = 0; node < nodeCount; ++node) {
         nodes.push_back(std::make_unique<LocalPlacement>(clock, node + 1));
-        nodes.back()->setReplicas(replicas());
+        nodes.back()->setReplicas(equalReplicas(replicaCount, slots));
     }
     struct Engine
     {
--- a/Tests/LibDispatch/TestRefusalReplay.cpp
+++ b/Tests/LibDispatch/TestRefusalReplay.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/ManualClock.h>
 #include <LibDispatch/Dispatcher.h>
+#include <Tests/LibDispatch/EqualReplicas.h>
 
 #include <doctest/doctest.h>
 
@@ -113,11 +114,7 @@
         if (std::exchange(this->present, count) == count) {
             return;
         }
-        std::vector<DispatchReplica> made;
-        for (std::size_t i = 0; i < count; ++i) {
-            made.push_back({EndpointName("r" + std::to_string(i)), FailureDomain("z"), slots, false});
-        }
-        this->dispatcher.setReplicas(made);
+        this->dispatcher.setReplicas(equalReplicas(count, slots));
     }
 
     void ask(Caller caller)
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -138,17 +138,17 @@
         MessageHead head;
         head.status = 200;
         head.headers.add("X-Server-Load", text);
-        return decodeReplicaAnswer(head).load;
+        return decodeReplicaAnswer(head).stated;
     };
     const auto load = stated("3,1,8");
     REQUIRE(load);
-    CHECK(load->running == 3);
-    CHECK(load->waiting == 1);
+    CHECK(load->load.running == 3);
+    CHECK(load->load.waiting == 1);
     CHECK(load->slots == 8);
     for (const char *const bad : {"", "3", "3,1", "3,1,", "3,1,8,", "3,1,8x", "-3,1,8", "3, 1,8", "3,,8", "3,1,99999999999"}) {
         CHECK_FALSE_MESSAGE(stated(bad), bad);
     }
-    CHECK_FALSE(decodeReplicaAnswer(MessageHead()).load);
+    CHECK_FALSE(decodeReplicaAnswer(MessageHead()).stated);
 }
 
 TEST_CASE("calls on jobs are recognised by method and path")
--- a/Tests/ServiceGateway/TestJobStore.cpp
+++ b/Tests/ServiceGateway/TestJobStore.cpp
@@ -41,14 +41,16 @@
 class Bench
 {
 public:
-    std::optional<SubmitOutcome> submit(JobStore &node, const Submission &submission)
+    /** @param wait how long the answer is waited for */
+    std::optional<SubmitOutcome>
+    submit(JobStore &node, const Submission &submission, std::chrono::milliseconds wait = std::chrono::seconds(5))
     {
-        std::optional<SubmitOutcome> told;
-        node.submit(submission, [&told](SubmitOutcome outcome) {
-            told = outcome;
+        this->told.reset();
+        node.submit(submission, [this](SubmitOutcome outcome) {
+            this->told = outcome;
         });
-        this->clock.advance(std::chrono::seconds(5));
-        return told;
+        this->clock.advance(wait);
+        return this->told;
     }
 
     LoadedJob load(JobStore &node, const std::string &job)
@@ -85,6 +87,8 @@
     }
 
     ManualClock clock;
+    /** What became of the last submission. */
+    std::optional<SubmitOutcome> told;
     FakeRowStore store{this->clock};
     StoreClock storeClock = toldClock(this->clock);
     JobStore one{this->clock,
@@ -214,12 +218,8 @@
 {
     Bench bench;
     bench.store.setDown(true);
-    std::optional<SubmitOutcome> told;
-    bench.one.submit(submissionOf("j", 3, bench.clock, 1000), [&told](SubmitOutcome outcome) {
-        told = outcome;
-    });
-    bench.clock.advance(std::chrono::milliseconds(100));
-    CHECK(told == SubmitOutcome::NotStored);
+    const Submission submission = submissionOf("j", 3, bench.clock, 1000);
+    CHECK(bench.submit(bench.one, submission, std::chrono::milliseconds(100)) == SubmitOutcome::NotStored);
 }
 
 // One call fails, because the store had closed the connection just then; the next one is answered.
@@ -227,14 +227,10 @@
 {
     Bench bench;
     bench.store.setDown(true);
-    std::optional<SubmitOutcome> told;
-    bench.one.submit(submissionOf("j", 3, bench.clock, 1000), [&told](SubmitOutcome outcome) {
-        told = outcome;
-    });
-    bench.clock.advance(std::chrono::milliseconds(1));
+    bench.submit(bench.one, submissionOf("j", 3, bench.clock, 1000), std::chrono::milliseconds(1));
     bench.store.setDown(false);
     bench.clock.advance(std::chrono::milliseconds(100));
-    CHECK(told == SubmitOutcome::Accepted);
+    CHECK(bench.told == SubmitOutcome::Accepted);
 }
 
 // Two nodes run the same job for a while, because each believes the other gone. The one that lists an item first decides
