Dispatcher: Look for replicas with room once for all that wait; claims without a storm

And items: the best replica had been full within 30 ms most of the time, which kept items from all others: 25 to 30 of 854 slots stood free while 250 items waited.

Change: the replicas with room are looked for once a message; the pause after a slot was full keeps items from that replica only. A dispatcher made for what was passed on here is dropped again.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -324,15 +324,41 @@
 
 void Dispatcher::assign()
 {
-    this->assignFrom(this->online, &Dispatcher::placeOnline);
+    if (this->online.empty() && this->batch.empty()) {
+        return;
+    }
+    OpenReplicas open = this->openReplicas();
+    this->assignFrom(this->online, open, &Dispatcher::placeOnline);
     if (this->online.empty()) {
-        this->assignFrom(this->batch, &Dispatcher::placeBatch);
+        const SteadyTime now = this->clock.now();
+        std::erase_if(open, [now](const Replica *replica) {
+            return now - replica->lastFull < batchCalm;
+        });
+        this->assignFrom(this->batch, open, &Dispatcher::placeBatch);
+    }
+}
+
+// Looked for once for all that wait. Looked for by each of them, a thousand waiting before a hundred replicas took the whole
+// processor of the dispatcher, which then answered nobody.
+Dispatcher::OpenReplicas Dispatcher::openReplicas()
+{
+    const SteadyTime now = this->clock.now();
+    OpenReplicas open;
+    for (auto &[instance, replica] : this->replicas) {
+        if (!replica.traits.isDraining && replica.gate.isOpen(now) && this->hasFreeSlot(replica)) {
+            open.push_back(&replica);
+        }
     }
+    return open;
 }
 
-void Dispatcher::assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &))
+void Dispatcher::assignFrom(Queue &queue, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &))
 {
+    const bool mayStop = &queue == &this->online;
     for (auto waiting = queue.begin(); waiting != queue.end();) {
+        if (open.empty() && (!mayStop || this->stoppable.empty())) {
+            return;
+        }
         const auto next = std::next(waiting);
         const PlacementRequest request = waiting->second.request;
         if (!std::get<1>(waiting->first) && this->clock.now() > request.due) {
@@ -344,7 +370,7 @@
             waiting = queue.upper_bound(before);
             continue;
         }
-        if ((this->*place)(request)) {
+        if ((this->*place)(request, open)) {
             this->dequeue(request.id);
         } else if (request.avoided.empty()) {
             // One that finds no place though it avoids no replica shows that there is none for the others either.
@@ -429,10 +455,9 @@
     }
 }
 
-bool Dispatcher::placeOnline(const PlacementRequest &request)
+bool Dispatcher::placeOnline(const PlacementRequest &request, OpenReplicas &open)
 {
-    if (Replica *const replica = this->freeReplica(request)) {
-        this->place(request, *replica);
+    if (this->placeOpen(request, open)) {
         return true;
     }
     Placement *const victim = this->victimFor(request);
@@ -445,23 +470,32 @@
     return true;
 }
 
-bool Dispatcher::placeBatch(const PlacementRequest &request)
+bool Dispatcher::placeBatch(const PlacementRequest &request, OpenReplicas &open)
+{
+    return this->placeOpen(request, open);
+}
+
+bool Dispatcher::placeOpen(const PlacementRequest &request, OpenReplicas &open)
 {
-    Replica *const replica = this->freeReplica(request);
-    if (replica == nullptr || this->clock.now() - replica->lastFull < batchCalm) {
+    const auto best = this->bestReplica(request, open);
+    if (best == open.end()) {
         return false;
     }
-    this->place(request, *replica);
+    this->place(request, **best);
+    if (!this->hasFreeSlot(**best)) {
+        open.erase(best);
+    }
     return true;
 }
 
-Dispatcher::Replica *Dispatcher::freeReplica(const PlacementRequest &request)
+Dispatcher::OpenReplicas::iterator Dispatcher::bestReplica(const PlacementRequest &request, OpenReplicas &open) const
 {
-    Replica *best = nullptr;
+    auto best = open.end();
     double bestScore = 0;
     const SteadyTime now = this->clock.now();
-    for (auto &[instance, replica] : this->replicas) {
-        if (!this->isUsable(replica, request) || !this->hasFreeSlot(replica)) {
+    for (auto candidate = open.begin(); candidate != open.end(); ++candidate) {
+        const Replica &replica = **candidate;
+        if (isAvoided(request, replica.traits.instance)) {
             continue;
         }
         if (request.work == WorkClass::Batch && !replica.slots.mayTakeItem(now)) {
@@ -472,8 +506,8 @@
         const double running
             = replica.slots.used(now) + (isNear ? 0.0 : 0.9) - (isConnected(request, replica) ? connectionWorth : 0.0);
         const double score = running / replica.traits.slots;
-        if (best == nullptr || score < bestScore) {
-            best = &replica;
+        if (best == open.end() || score < bestScore) {
+            best = candidate;
             bestScore = score;
         }
     }
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -137,13 +137,17 @@
         std::chrono::milliseconds comeBack{0};
     };
     using Placements = std::map<TicketId, Placement>;
+    /** Replicas that have a free slot and take requests now. */
+    using OpenReplicas = std::vector<Replica *>;
 
     void tell();
     void assign();
-    void assignFrom(Queue &queue, bool (Dispatcher::*place)(const PlacementRequest &));
-    bool placeOnline(const PlacementRequest &request);
-    bool placeBatch(const PlacementRequest &request);
-    Replica *freeReplica(const PlacementRequest &request);
+    OpenReplicas openReplicas();
+    void assignFrom(Queue &queue, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &));
+    bool placeOnline(const PlacementRequest &request, OpenReplicas &open);
+    bool placeBatch(const PlacementRequest &request, OpenReplicas &open);
+    bool placeOpen(const PlacementRequest &request, OpenReplicas &open);
+    OpenReplicas::iterator bestReplica(const PlacementRequest &request, OpenReplicas &open) const;
     Replica *replicaOf(const Placement &placement);
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, Replica &replica);
--- a/Libraries/LibMembership/ClaimedDuty.cpp
+++ b/Libraries/LibMembership/ClaimedDuty.cpp
@@ -202,8 +202,10 @@
 
 bool ClaimedDuty::mayKeep(const Member &claimed) const
 {
-    // Nodes hear of the holder's loss of the store at different moments. It knows first, and names its successor to all.
-    return claimed.session == this->self ? mayKeepDuty(*this->settled, claimed) : takesDuties(claimed);
+    // Nodes hear at different moments that the holder takes callers, or has lost the store. It knows first, and names its
+    // successor to all when it can't go on. Were the others to judge as well, each claim would be answered by those of whom it is
+    // news.
+    return claimed.session == this->self ? mayKeepDuty(*this->settled, claimed) : !claimed.isLeaving;
 }
 
 const Member *ClaimedDuty::findClaimed()
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds questionInterval{100};
 constexpr std::size_t questionsAtOnce = 3;
 
+/** How long a dispatcher that this node should not be is kept after it was asked last: by then its placements are forgotten. */
+constexpr std::chrono::milliseconds strayKept{2000};
+
 /** How often a dispatcher tells what it has: often enough to see a burst, and a line a second for each service of a fleet. */
 constexpr std::chrono::milliseconds loadLineInterval{1000};
 
@@ -294,6 +297,7 @@
 {
     const ServiceName service(ask.service);
     Dispatcher &dispatcher = this->dispatcherFor(service);
+    this->stateOf(service).lastAsked = this->clock.now();
     this->stateOf(service).askers.insert_or_assign(ask.from, asker);
     const SteadyTime now = this->clock.now();
     PlacementRequest request;
@@ -383,10 +387,25 @@
             this->peers.datagrams().send(doubted->gossip, state.duty->question());
         }
         this->claimDuty(service, state);
-        if (state.dispatcher) {
-            state.dispatcher->tick();
-            this->logLoad(service, state);
-        }
+        this->tickDispatcher(service, state);
+    }
+}
+
+void PlacementServer::tickDispatcher(const ServiceName &service, ServiceState &state)
+{
+    if (!state.dispatcher) {
+        return;
+    }
+    const bool isOurs = this->otherDispatcher(service) == nullptr;
+    if (!isOurs && this->clock.now() - state.lastAsked > strayKept) {
+        // Made for what was passed on here by a node that named this one too early.
+        state.dispatcher.reset();
+        state.askers.clear();
+        return;
+    }
+    state.dispatcher->tick();
+    if (isOurs) {
+        this->logLoad(service, state);
     }
 }
 
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -85,6 +85,7 @@
         std::unique_ptr<Dispatcher> dispatcher;
         /** Where the nodes that ask this dispatcher are. */
         std::map<SessionNumber, Address> askers;
+        SteadyTime lastAsked{};
         SteadyTime nextLoadLine{};
     };
 
@@ -95,6 +96,7 @@
     void tellNewcomers(const ClaimedDuty &duty, const MemberView &before);
     void receive(const Address &from, const DutyClaim &claim);
     void tellClaim(const Address &to, const ServiceName &service);
+    void tickDispatcher(const ServiceName &service, ServiceState &state);
     void logLoad(const ServiceName &service, ServiceState &state);
     void dropGoneAskers(ServiceState &state);
     template <typename Message>
