dogwoodkeel gateway: Hold back signals before the settings are read

It is blocked first now; what remains lies before main. Test: a process whose settings are a pipe gets the signal while it waits for them (exit by signal before, 0 after).

--- a/Programs/dogwoodkeel/GatewayCommand.cpp
+++ b/Programs/dogwoodkeel/GatewayCommand.cpp
@@ -57,6 +57,8 @@
 
 ExitCode runGateway(const std::vector<std::string> &)
 {
+    // First of all: a VM may be told to stop while its node still reads the settings.
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT, SIGHUP});
     useSettingsOfPlatform();
     Findings findings;
     std::vector<SettingsSource> sources;
@@ -65,7 +67,6 @@
         std::fputs(findings.toString().c_str(), stderr);
         return ExitCode::Usage;
     }
-    const sigset_t signals = blockSignals({SIGTERM, SIGINT, SIGHUP});
     const auto settings = std::make_shared<const Settings>(*std::move(loaded));
     startLog(settings->node.vm, logLevelOf(settings->node.log));
     const SystemClock clock;
