--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), forecast(clock)
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), waiting(clock), forecast(clock)
 {
 }
 
@@ -77,17 +77,17 @@
         this->tell();
         return true;
     }
-    if (Waiting *const waiting = this->findWaiting(request.id)) {
+    if (WaitingQueue::Waiting *const waiting = this->waiting.find(request.id)) {
         waiting->asked = this->clock.now();
         return false;
     }
     PlacementRequest taken = request;
     this->welcome(taken);
-    this->enqueue(taken, this->clock.now());
+    this->waiting.add(taken, this->clock.now());
     this->assign();
-    this->forecast.noteWaiting(this->isOnTimeWaiting());
+    this->forecast.noteWaiting(this->waiting.isAnyOnTime());
     this->sendAwayIfLate(taken);
-    const bool isDecided = !this->queued.contains(request.id);
+    const bool isDecided = !this->waiting.contains(request.id);
     this->tell();
     return isDecided;
 }
@@ -134,11 +134,11 @@
 void Dispatcher::sendAwayIfLate(const PlacementRequest &request)
 {
     const double rate = this->forecast.serviceRate();
-    if (!request.mayRefuse || !this->queued.contains(request.id) || rate <= 0) {
+    if (!request.mayRefuse || !this->waiting.contains(request.id) || rate <= 0) {
         return;
     }
     const SteadyTime now = this->clock.now();
-    const std::chrono::duration<double> wait(static_cast<double>(this->onTimeAhead(request.priority)) / rate);
+    const std::chrono::duration<double> wait(static_cast<double>(this->waiting.onTimeAhead(request.priority)) / rate);
     const SteadyTime longest = now + (request.deadline - now) / returnShare;
     const std::optional<SteadyTime> burstEnd = this->forecast.burstEnd();
     // Who comes back into the same burst would take the place of one that can still be on time. Served late after the burst, it
@@ -166,7 +166,7 @@
     const double lateRate = this->forecast.lateRate();
     std::vector<PlacementRequest> hopeless;
     std::size_t ahead = 0;
-    for (const auto &[key, waiting] : this->online) {
+    for (const auto &[key, waiting] : this->waiting.of(WorkClass::Online)) {
         const PlacementRequest &request = waiting.request;
         const bool isLate = std::get<1>(key);
         const bool hasWaitedLong = (now - request.arrived) * hopelessParts > request.deadline - request.arrived;
@@ -184,32 +184,16 @@
     }
 }
 
-std::size_t Dispatcher::onTimeAhead(std::uint32_t priority) const
-{
-    std::size_t ahead = 0;
-    for (auto count = this->onTimeWaiting.begin(); count != this->onTimeWaiting.end() && count->first <= priority; ++count) {
-        ahead += count->second;
-    }
-    return ahead;
-}
-
-bool Dispatcher::isOnTimeWaiting() const
-{
-    return std::ranges::any_of(this->onTimeWaiting, [](const auto &count) {
-        return count.second > 0;
-    });
-}
-
 void Dispatcher::sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack)
 {
-    this->dequeue(request.id);
+    this->waiting.remove(request.id);
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(comeBack);
     this->decisions.push_back({PlacementDecision::Refused, request.id, {}, wait});
 }
 
 void Dispatcher::end(TicketId id, PlacementVerdict verdict)
 {
-    this->dequeue(id);
+    this->waiting.remove(id);
     const auto placed = this->placements.find(id);
     if (placed != this->placements.end()) {
         this->remove(placed, verdict);
@@ -257,7 +241,7 @@
         }
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
-        this->dequeue(id);
+        this->waiting.remove(id);
         this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
         replica->second.slots.take(work);
         if (work == WorkClass::Batch) {
@@ -270,7 +254,7 @@
 
 void Dispatcher::dropNode(SessionNumber node)
 {
-    this->dropWaiting([node](const Waiting &waiting) {
+    this->waiting.removeIf([node](const WaitingQueue::Waiting &waiting) {
         return waiting.request.id.node == node;
     });
     for (auto placement = this->placements.lower_bound({node, 0});
@@ -286,12 +270,12 @@
 void Dispatcher::tick()
 {
     const SteadyTime now = this->clock.now();
-    this->dropWaiting([now](const Waiting &waiting) {
+    this->waiting.removeIf([now](const WaitingQueue::Waiting &waiting) {
         const bool isBatch = waiting.request.work == WorkClass::Batch;
         return now - waiting.asked > (isBatch ? batchWaitingForgotten : waitingForgotten) || now > waiting.request.deadline;
     });
-    this->sinkLate();
-    this->forecast.noteWaiting(this->isOnTimeWaiting());
+    this->waiting.sinkLate();
+    this->forecast.noteWaiting(this->waiting.isAnyOnTime());
     this->sendAwayHopeless();
     this->returns.forgetOld(now);
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
@@ -317,24 +301,25 @@
         load.onlineRunning += replica.slots.online();
         load.batchRunning += replica.slots.batch();
     }
-    load.onlineWaiting = this->online.size();
-    load.batchWaiting = this->batch.size();
+    load.onlineWaiting = this->waiting.of(WorkClass::Online).size();
+    load.batchWaiting = this->waiting.of(WorkClass::Batch).size();
     return load;
 }
 
 void Dispatcher::assign()
 {
-    if (this->online.empty() && this->batch.empty()) {
+    const WaitingQueue::Queue &online = this->waiting.of(WorkClass::Online);
+    if (online.empty() && this->waiting.of(WorkClass::Batch).empty()) {
         return;
     }
     OpenReplicas open = this->openReplicas();
-    this->assignFrom(this->online, open, &Dispatcher::placeOnline);
-    if (this->online.empty()) {
+    this->assignFrom(WorkClass::Online, open, &Dispatcher::placeOnline);
+    if (online.empty()) {
         const SteadyTime now = this->clock.now();
         std::erase_if(open, [now](const Replica *replica) {
             return now - replica->lastFull < batchCalm;
         });
-        this->assignFrom(this->batch, open, &Dispatcher::placeBatch);
+        this->assignFrom(WorkClass::Batch, open, &Dispatcher::placeOpen);
     }
 }
 
@@ -352,106 +337,30 @@
     return open;
 }
 
-void Dispatcher::assignFrom(Queue &queue, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &))
+void Dispatcher::assignFrom(WorkClass work,
+                            OpenReplicas &open,
+                            bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &))
 {
-    const bool mayStop = &queue == &this->online;
-    for (auto waiting = queue.begin(); waiting != queue.end();) {
+    const WaitingQueue::Queue &queue = this->waiting.of(work);
+    const bool mayStop = work == WorkClass::Online;
+    for (auto next = queue.begin(); next != queue.end();) {
         if (open.empty() && (!mayStop || this->stoppable.empty())) {
             return;
         }
-        const auto next = std::next(waiting);
-        const PlacementRequest request = waiting->second.request;
-        if (!std::get<1>(waiting->first) && this->clock.now() > request.due) {
+        const WaitingQueue::Key key = next->first;
+        const PlacementRequest request = next->second.request;
+        if (this->waiting.sinkIfLate(request.id)) {
             // Since the last look it has become late: who is still on time goes first. It comes again behind those.
-            const QueueKey before = waiting->first;
-            const SteadyTime asked = waiting->second.asked;
-            this->dequeue(request.id);
-            this->enqueue(request, asked);
-            waiting = queue.upper_bound(before);
+            next = queue.upper_bound(key);
             continue;
         }
         if ((this->*place)(request, open)) {
-            this->dequeue(request.id);
+            this->waiting.remove(request.id);
         } else if (request.avoided.empty()) {
             // One that finds no place though it avoids no replica shows that there is none for the others either.
             return;
         }
-        waiting = next;
-    }
-}
-
-Dispatcher::Queue &Dispatcher::queueOf(WorkClass work)
-{
-    return work == WorkClass::Online ? this->online : this->batch;
-}
-
-Dispatcher::Waiting *Dispatcher::findWaiting(TicketId id)
-{
-    const auto known = this->queued.find(id);
-    if (known == this->queued.end()) {
-        return nullptr;
-    }
-    Queue &queue = this->queueOf(known->second.work);
-    const auto waiting = queue.find(known->second.key);
-    return waiting != queue.end() ? &waiting->second : nullptr;
-}
-
-void Dispatcher::enqueue(const PlacementRequest &request, SteadyTime asked)
-{
-    // Under overload, first come first served makes everybody late, and so does first due. Who can still be on time goes
-    // first, then the others.
-    const bool isOnline = request.work == WorkClass::Online;
-    const bool isLate = this->clock.now() > request.due;
-    const QueueKey key(request.priority, isLate, isOnline ? request.arrived : request.due, request.id);
-    this->queueOf(request.work).insert_or_assign(key, Waiting{request, asked});
-    this->queued.insert_or_assign(request.id, QueuePlace{request.work, key});
-    if (isOnline && !isLate) {
-        ++this->onTimeWaiting[request.priority];
-    }
-}
-
-void Dispatcher::dequeue(TicketId id)
-{
-    const auto known = this->queued.find(id);
-    if (known == this->queued.end()) {
-        return;
-    }
-    const auto &[work, key] = known->second;
-    this->queueOf(work).erase(key);
-    const auto &[priority, isLate, order, ticket] = key;
-    if (work == WorkClass::Online && !isLate) {
-        --this->onTimeWaiting[priority];
-    }
-    this->queued.erase(known);
-}
-
-void Dispatcher::dropWaiting(const std::function<bool(const Waiting &)> &isDropped)
-{
-    for (Queue *const queue : {&this->online, &this->batch}) {
-        for (auto waiting = queue->begin(); waiting != queue->end();) {
-            const auto next = std::next(waiting);
-            if (isDropped(waiting->second)) {
-                this->dequeue(waiting->second.request.id);
-            }
-            waiting = next;
-        }
-    }
-}
-
-void Dispatcher::sinkLate()
-{
-    const SteadyTime now = this->clock.now();
-    std::vector<Waiting> late;
-    for (const Queue *const queue : {&this->online, &this->batch}) {
-        for (const auto &[key, waiting] : *queue) {
-            if (!std::get<1>(key) && now > waiting.request.due) {
-                late.push_back(waiting);
-            }
-        }
-    }
-    for (const Waiting &waiting : late) {
-        this->dequeue(waiting.request.id);
-        this->enqueue(waiting.request, waiting.asked);
+        next = queue.upper_bound(key);
     }
 }
 
@@ -470,11 +379,6 @@
     return true;
 }
 
-bool Dispatcher::placeBatch(const PlacementRequest &request, OpenReplicas &open)
-{
-    return this->placeOpen(request, open);
-}
-
 bool Dispatcher::placeOpen(const PlacementRequest &request, OpenReplicas &open)
 {
     const auto best = this->bestReplica(request, open);
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -6,13 +6,13 @@
 #include <LibDispatch/ReplicaGate.h>
 #include <LibDispatch/ReplicaSlots.h>
 #include <LibDispatch/ReturnSchedule.h>
+#include <LibDispatch/WaitingQueue.h>
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
-#include <tuple>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -97,13 +97,6 @@
         std::optional<SteadyTime> stopped;
     };
 
-    struct Waiting
-    {
-        PlacementRequest request;
-        /** When its node last asked. */
-        SteadyTime asked{};
-    };
-
     struct Replica
     {
         DispatchReplica traits;
@@ -115,17 +108,6 @@
         SteadyTime lastFull{};
     };
 
-    /** Orders the waiting: whom to serve first stands first. */
-    using QueueKey = std::tuple<std::uint32_t, bool, SteadyTime, TicketId>;
-    using Queue = std::map<QueueKey, Waiting>;
-
-    /** Where a waiting request stands. */
-    struct QueuePlace
-    {
-        WorkClass work = WorkClass::Online;
-        QueueKey key;
-    };
-
     /** What is still to be told. */
     struct Decision
     {
@@ -143,25 +125,16 @@
     void tell();
     void assign();
     OpenReplicas openReplicas();
-    void assignFrom(Queue &queue, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &));
+    void assignFrom(WorkClass work, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &));
     bool placeOnline(const PlacementRequest &request, OpenReplicas &open);
-    bool placeBatch(const PlacementRequest &request, OpenReplicas &open);
     bool placeOpen(const PlacementRequest &request, OpenReplicas &open);
     OpenReplicas::iterator bestReplica(const PlacementRequest &request, OpenReplicas &open) const;
     Replica *replicaOf(const Placement &placement);
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, Replica &replica);
-    void enqueue(const PlacementRequest &request, SteadyTime asked);
-    void dequeue(TicketId id);
-    Queue &queueOf(WorkClass work);
-    Waiting *findWaiting(TicketId id);
-    void dropWaiting(const std::function<bool(const Waiting &)> &isDropped);
-    void sinkLate();
     void welcome(PlacementRequest &request);
     void sendAwayIfLate(const PlacementRequest &request);
     void sendAwayHopeless();
-    std::size_t onTimeAhead(std::uint32_t priority) const;
-    bool isOnTimeWaiting() const;
     void sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack);
     void stop(Placement &placement);
     void remove(Placements::iterator placement, PlacementVerdict verdict);
@@ -176,16 +149,12 @@
     Hooks hooks;
     std::map<EndpointName, Replica> replicas;
     Placements placements;
-    Queue online;
-    Queue batch;
-    std::map<TicketId, QueuePlace> queued;
+    WaitingQueue waiting;
     std::vector<Decision> decisions;
     /** Batch items that run and were not told to stop, by their slack. */
     std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
     LoadForecast forecast;
     ReturnSchedule returns;
-    /** Online requests that wait and can still be on time, by priority. */
-    std::map<std::uint32_t, std::size_t> onTimeWaiting;
 };
 
 } // namespace Dogwoodkeel
