--- a/Benchmarks/Measure/Placing.cpp
+++ b/Benchmarks/Measure/Placing.cpp
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-// What a dispatcher's processor spends on one online request: its ask, the load that its replica states, and its end, which gives the
-// slot to one that waits. Arguments: replicas, and requests that wait.
+// What a dispatcher's processor spends on one online request: its ask, the load that its replica states, and its end, which gives
+// the slot to one that waits. Arguments: replicas, and requests that wait.
 
 using namespace Dogwoodkeel;
 
