ClaimedDuty: A successor whose loss of many is confirmed by others claims the duty

Found on reading again: where half of the nodes die at once with the holder, the successor took itself for cut off and claimed nothing for five seconds, and the others kept naming the dead holder for three: all placed by their own counts meanwhile. Several others that reach it and miss the holder too prove that it is not cut off. A doubt counts for the holder that the claim names, also after this node has given it up; a question from the holder's address is no sign of life, for it comes from a new start there.

Tests: a successor that has lost sight of many (red before: no claim), half of the nodes die at once (replay).

--- a/Libraries/LibMembership/ClaimedDuty.cpp
+++ b/Libraries/LibMembership/ClaimedDuty.cpp
@@ -136,7 +136,7 @@
 
 void ClaimedDuty::hearDoubt(const DutyDoubt &doubt)
 {
-    if (this->chosen == nullptr || this->chosen->session != doubt.holder || doubt.holder == this->self) {
+    if (!this->current || this->current->holder != doubt.holder || doubt.holder == this->self) {
         return;
     }
     const SteadyTime now = this->clock.now();
@@ -144,12 +144,18 @@
     std::erase_if(this->doubters, [now](const auto &doubter) {
         return now - doubter.second > doubtKept;
     });
-    const std::size_t others = this->members->members().size() - std::min<std::size_t>(this->members->members().size(), 2);
-    if (this->doubters.size() >= std::min(enoughDoubters, std::max<std::size_t>(others, 1))) {
+    if (this->hasEnoughDoubters()) {
         this->doubted = this->doubted.value_or(now);
     }
 }
 
+bool ClaimedDuty::hasEnoughDoubters() const
+{
+    // In a fleet of a few, all but this node and the holder.
+    const std::size_t others = std::max<std::size_t>(this->members->members().size(), 3) - 2;
+    return this->doubters.size() >= std::min(enoughDoubters, others);
+}
+
 void ClaimedDuty::noteHolderAlive()
 {
     this->doubters.clear();
@@ -181,8 +187,10 @@
     const bool isClaimed = this->current && this->current->holder == next;
     const bool isOurs = next == this->self;
     const bool isGivenUp = this->current && this->current->holder == this->self;
-    const bool isTakenUp = isOurs && !this->hasLostMany() && !this->isNew() && !this->isHolderUnknown();
-    if (isClaimed || !(isGivenUp || isTakenUp)) {
+    // Who is told by several others that they miss the holder as well is not the one that is cut off.
+    const bool isConfirmed = this->isSilent() && this->hasEnoughDoubters();
+    const bool isSure = isConfirmed || (!this->hasLostMany() && !this->isNew() && !this->isHolderUnknown());
+    if (isClaimed || !(isGivenUp || (isOurs && isSure))) {
         return std::nullopt;
     }
     const std::uint64_t term = this->current ? this->current->term + 1 : 1;
--- a/Libraries/LibMembership/ClaimedDuty.h
+++ b/Libraries/LibMembership/ClaimedDuty.h
@@ -86,6 +86,7 @@
     bool isSilent() const;
     bool isHolderUnknown() const;
     bool hasLostMany() const;
+    bool hasEnoughDoubters() const;
 
     const Clock &clock;
     std::string duty;
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -163,7 +163,9 @@
         return;
     }
     const Member *const holder = found->second.duty->holder();
-    if (holder != nullptr && holder->gossip == from) {
+    // A question from its address is none of its own: it has started anew, and knows nothing of what it held.
+    const bool isFromHolder = holder != nullptr && holder->gossip == from && claim.term > 0;
+    if (isFromHolder) {
         found->second.duty->noteHolderAlive();
     }
     switch (found->second.duty->hear(claim)) {
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -341,6 +341,48 @@
     CHECK(*claim == DutyClaim{"llm", 6, SessionNumber(1)});
 }
 
+// Half of the nodes are killed at once, the holder among them. The successor has lost sight of many members, as if it were cut
+// off; but others reach it, and miss the holder as well. Were it to wait, all would place by their own counts for seconds.
+TEST_CASE("a successor that has lost sight of many claims the duty if several others miss the holder")
+{
+    ManualClock clock;
+    ClaimedDuty duty(clock, "llm");
+    std::vector<Member> members;
+    for (Number number = 1; number <= 10; ++number) {
+        members.push_back(memberOf(number));
+    }
+    duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
+    duty.hear({"llm", 1, SessionNumber(10)});
+    members.resize(5);
+    duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
+    const SessionNumber successor = duty.successor()->session;
+    duty.setView(successor, viewOf(members), viewOf(members));
+    clock.advance(300ms);
+    CHECK(!duty.makeClaim());
+    for (Number from = 1; from <= 5; ++from) {
+        if (SessionNumber(from) != successor) {
+            duty.hearDoubt({"llm", SessionNumber(10), SessionNumber(from)});
+        }
+    }
+    duty.makeClaim();
+    CHECK(duty.claim() == DutyClaim{"llm", 2, successor});
+}
+
+TEST_CASE("half of the nodes die at once with the holder, and the others agree on one successor")
+{
+    const Outcome outcome = replay([](DutyNetwork &network, std::minstd_rand &random) {
+        std::vector<Number> dead = shuffledNodes(random);
+        dead.resize(nodeCount / 2);
+        std::erase(dead, network.holder());
+        dead.push_back(network.holder());
+        for (const Number number : dead) {
+            network.kill(number);
+        }
+    });
+    CHECK(outcome.strayed <= fewNodes);
+    CHECK(outcome.changes == 1);
+}
+
 TEST_CASE("a holder that leaves names its successor")
 {
     ManualClock clock;
