--- a/Benchmarks/Measure/DecisionsBatch.cpp
+++ b/Benchmarks/Measure/DecisionsBatch.cpp
@@ -40,7 +40,7 @@
 {
     JobRecord job;
     job.jobId = JobId("batch-0123456789abcdef-" + std::to_string(number));
-    job.tenant = TenantName("tenant-" + std::to_string(random() % 1000));
+    job.tenant = WorkspaceName("tenant-" + std::to_string(random() % 1000));
     job.model = model;
     job.due = WallTime(std::chrono::seconds(random() % 86400));
     job.itemCount = items;
--- a/Benchmarks/Measure/Metrics.cpp
+++ b/Benchmarks/Measure/Metrics.cpp
@@ -41,7 +41,7 @@
         family.Add({{"kind", std::string("online")}}, buckets).Observe(std::chrono::duration<double>(wait).count());
     });
     NodeMetrics metrics;
-    const TenantName tenant("trocamundo");
+    const WorkspaceName tenant("trocamundo");
     metrics.countRequest(tenant);
     measure("kind", [&] {
         metrics.observeBetweenTokens("online", wait);
--- a/Benchmarks/Measure/Peers.cpp
+++ b/Benchmarks/Measure/Peers.cpp
@@ -64,7 +64,7 @@
     }
     const auto start = Clock::now();
     client.peers.call<JobStatusRequest>(
-        address, {JobId("job"), TenantName("t")}, std::chrono::seconds(10), [&client, address, &done, start](auto) {
+        address, {JobId("job"), WorkspaceName("t")}, std::chrono::seconds(10), [&client, address, &done, start](auto) {
             client.durations.add(Clock::now() - start);
             callNext(client, address, done);
         });
--- a/Libraries/LibBase/Identifiers.h
+++ b/Libraries/LibBase/Identifiers.h
@@ -23,7 +23,7 @@
 /** Names a batch job. */
 using JobId = StrongType<struct JobIdTag, std::string>;
 /** The accounting unit a caller's key maps to. */
-using TenantName = StrongType<struct TenantNameTag, std::string>;
+using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
 /** Name of a failure domain, as the settings give it. */
 using FailureDomain = StrongType<struct FailureDomainTag, std::string>;
 /** Name of a VM, as the settings give it. */
--- a/Libraries/LibBatch/JobSchedule.cpp
+++ b/Libraries/LibBatch/JobSchedule.cpp
@@ -27,7 +27,7 @@
 
 struct JobSchedule::TenantQueue
 {
-    TenantName name;
+    WorkspaceName name;
     std::uint64_t number = 0;
     /** Items it has had, from where it joined. */
     std::uint64_t served = 0;
@@ -40,7 +40,7 @@
 {
     std::chrono::nanoseconds timePerItem{0};
     std::uint64_t waiting = 0;
-    std::map<TenantName, TenantQueue> tenants;
+    std::map<WorkspaceName, TenantQueue> tenants;
     /** Tenants with waiting jobs, by what they had and by their most urgent job. */
     std::map<std::pair<std::uint64_t, std::uint64_t>, TenantQueue *> byServed;
     std::map<Key, TenantQueue *> byUrgency;
--- a/Libraries/LibBatch/JobTable.cpp
+++ b/Libraries/LibBatch/JobTable.cpp
@@ -259,7 +259,7 @@
     return progress;
 }
 
-std::vector<ListedJob> JobTable::list(const TenantName &tenant, std::size_t limit) const
+std::vector<ListedJob> JobTable::list(const WorkspaceName &tenant, std::size_t limit) const
 {
     std::vector<ListedJob> listed;
     for (const auto &[id, job] : this->jobs) {
--- a/Libraries/LibBatch/JobTable.h
+++ b/Libraries/LibBatch/JobTable.h
@@ -22,7 +22,7 @@
 {
     JobId jobId;
     std::string model;
-    TenantName tenant;
+    WorkspaceName tenant;
     WallTime due{};
     /** Items without a result; 0 once the job has ended. */
     std::uint32_t remaining = 0;
@@ -111,7 +111,7 @@
     JobProgress progress(const JobId &id) const;
 
     /** @return up to limit jobs of a tenant, the newest first. */
-    std::vector<ListedJob> list(const TenantName &tenant, std::size_t limit) const;
+    std::vector<ListedJob> list(const WorkspaceName &tenant, std::size_t limit) const;
 
     /** Mark a job as warned of. @return whether it was not yet */
     bool warnOnce(const JobId &id);
--- a/Libraries/LibGateway/JobRows.cpp
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/JobRows.h>
 
+#include <LibBase/Hash.h>
 #include <LibWire/Codec.h>
 
 #include <algorithm>
@@ -18,7 +19,7 @@
 constexpr std::string_view openPrefix = "job/";
 /** Sorts before the open jobs: whoever reads the table in parts has this row's version before it counts the jobs, and so
  * finds out if another job was accepted meanwhile. */
-constexpr const char *routePrefix = "accepted/";
+constexpr const char *orderPrefix = "accepted/";
 /** Row values are counted as they are sent, in base64, which takes four bytes for three; some is left for the rest. */
 constexpr std::size_t encodedNumerator = 7;
 constexpr std::size_t encodedDenominator = 10;
@@ -37,8 +38,24 @@
     return prefix + digits;
 }
 
+/** @return a name that is unique in its workspace as one that is unique in all; safe in row keys and object names. */
+std::string scoped(const WorkspaceName &workspace, std::string_view name)
+{
+    if (workspace.value().empty()) {
+        return std::string(name);
+    }
+    char prefix[32];
+    std::snprintf(prefix, sizeof(prefix), "%016llx.", static_cast<unsigned long long>(stableHash(workspace.value())));
+    return std::string(prefix).append(name);
+}
+
 } // namespace
 
+JobId jobOf(const WorkspaceName &workspace, std::string_view name)
+{
+    return JobId(scoped(workspace, name));
+}
+
 RowRange allOf(const JobId &job)
 {
     return {jobTable, job.value(), "", "", 0};
@@ -79,9 +96,9 @@
     return key.starts_with(openPrefix) ? std::optional(JobId(key.substr(openPrefix.size()))) : std::nullopt;
 }
 
-RowPlace routeOrder(const std::string &route)
+RowPlace acceptanceOrder(const std::string &route, const WorkspaceName &workspace)
 {
-    return {openTable, "", routePrefix + route};
+    return {openTable, "", orderPrefix + scoped(workspace, route)};
 }
 
 std::string contentObject(const JobId &job)
--- a/Libraries/LibGateway/JobRows.h
+++ b/Libraries/LibGateway/JobRows.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -19,7 +20,7 @@
  *
  * Each job is a part of its own in one table: its head, whose version orders all changes of the job; its content, written
  * once; and its results, one after the other, never changed. Beside them, each job that has items without a result has a
- * row in a table that all nodes follow, and each route a row there that orders the acceptance of its jobs.
+ * row in a table that all nodes follow, and each workspace on a route a row there that orders the acceptance of its jobs.
  */
 namespace JobRows
 {
@@ -27,6 +28,13 @@
 /** The table in which each job is a part of its own. */
 inline constexpr const char *jobTable = "jobs";
 
+/**
+ * @param workspace whose job it is; empty if callers need no key
+ * @param name by which its caller knows it
+ * @return the job among those of all workspaces, so that one workspace can't meet the job of another by its name
+ */
+JobId jobOf(const WorkspaceName &workspace, std::string_view name);
+
 /** @return all rows of a job. */
 RowRange allOf(const JobId &job);
 
@@ -54,8 +62,8 @@
 /** @return the job whose open row has that key, or nothing if it is another row. */
 std::optional<JobId> openJobOf(const std::string &key);
 
-/** @return the row that orders the acceptance of a route's jobs. */
-RowPlace routeOrder(const std::string &route);
+/** @return the row that orders the acceptance of a workspace's jobs on a route. */
+RowPlace acceptanceOrder(const std::string &route, const WorkspaceName &workspace);
 
 /** @return the name of the object that holds a content that is too large for rows. */
 std::string contentObject(const JobId &job);
--- a/Libraries/LibGateway/ServingConfiguration.cpp
+++ b/Libraries/LibGateway/ServingConfiguration.cpp
@@ -30,6 +30,15 @@
     return found != this->services.end() ? &*found : nullptr;
 }
 
+std::uint32_t priorityOf(const Route &route, const Workspace *workspace)
+{
+    constexpr std::uint32_t mostRoutePriorities = 1U << 16U;
+    constexpr std::uint32_t mostPriorities = 1U << 15U;
+    const auto ofRoute = std::min(static_cast<std::uint32_t>(std::max(0, route.priority)), mostRoutePriorities - 1);
+    const std::uint32_t ofWorkspace = workspace != nullptr ? std::min(workspace->priority, mostPriorities) : 0;
+    return ofWorkspace * mostRoutePriorities + ofRoute;
+}
+
 const RouteTarget *chooseTarget(const Route &route, double point)
 {
     const double total
--- a/Libraries/LibGateway/ServingConfiguration.h
+++ b/Libraries/LibGateway/ServingConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/StrongType.h>
+#include <LibWorkspace/WorkspaceDirectory.h>
 
 #include <chrono>
 #include <cstdint>
@@ -58,7 +59,9 @@
     std::uint32_t maxAttempts = 1;
     /** Whether a broken stream may go on at another replica. */
     bool isResumable = false;
-    /** Batch: tokens that may wait on the route; 0: no limit. */
+    /** Whether its callers need no key. */
+    bool isPublic = false;
+    /** Batch: tokens that may wait on the route, of each workspace if there are any; 0: no limit. */
     std::uint64_t waitingTokens = 0;
     /** Batch: when all results are due, counted from the job's first submission. */
     std::chrono::milliseconds completionTarget{0};
@@ -110,6 +113,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     StatedLimits limits;
+    /** Null: callers need no key. */
+    std::shared_ptr<const WorkspaceDirectory> workspaces;
 
     /** @return the route with the longest prefix that begins the path, among those of the host, or null. */
     const Route *findRoute(std::string_view host, std::string_view path) const;
@@ -123,6 +128,12 @@
 
 using ServingConfigurationPointer = std::shared_ptr<const ServingConfiguration>;
 
+/**
+ * @param workspace null if callers need no key
+ * @return the priority of its requests on a route; the most urgent is 0. The workspace's goes before the route's.
+ */
+std::uint32_t priorityOf(const Route &route, const Workspace *workspace);
+
 /**
  * @param point from 0 to below 1; the same point gives the same target as long as the weights stay
  * @return the target at that point of the weights, or null if there is none
--- a/Libraries/LibMetrics/NodeMetrics.cpp
+++ b/Libraries/LibMetrics/NodeMetrics.cpp
@@ -131,7 +131,7 @@
         this->byKind[place][static_cast<std::size_t>(span)]->Observe(inSeconds(time));
     }
 
-    void observe(const TenantName &tenant, Span span, std::chrono::microseconds time)
+    void observe(const WorkspaceName &tenant, Span span, std::chrono::microseconds time)
     {
         const std::lock_guard lock(this->tenantMutex);
         const auto found = this->tenants.find(tenant.value());
@@ -139,7 +139,7 @@
         series[static_cast<std::size_t>(span)]->Observe(inSeconds(time));
     }
 
-    void countRequest(const TenantName &tenant)
+    void countRequest(const WorkspaceName &tenant)
     {
         const std::lock_guard lock(this->tenantMutex);
         const auto review = this->topTenants.count(tenant.value());
@@ -221,27 +221,27 @@
     this->series->observe(kind, Span::Queueing, wait);
 }
 
-void NodeMetrics::countRequest(const TenantName &tenant)
+void NodeMetrics::countRequest(const WorkspaceName &tenant)
 {
     this->series->countRequest(tenant);
 }
 
-void NodeMetrics::observeFirstToken(const TenantName &tenant, std::chrono::microseconds wait)
+void NodeMetrics::observeFirstToken(const WorkspaceName &tenant, std::chrono::microseconds wait)
 {
     this->series->observe(tenant, Span::FirstToken, wait);
 }
 
-void NodeMetrics::observeBetweenTokens(const TenantName &tenant, std::chrono::microseconds wait)
+void NodeMetrics::observeBetweenTokens(const WorkspaceName &tenant, std::chrono::microseconds wait)
 {
     this->series->observe(tenant, Span::BetweenTokens, wait);
 }
 
-void NodeMetrics::observeTotal(const TenantName &tenant, std::chrono::microseconds wait)
+void NodeMetrics::observeTotal(const WorkspaceName &tenant, std::chrono::microseconds wait)
 {
     this->series->observe(tenant, Span::Total, wait);
 }
 
-void NodeMetrics::observeQueueing(const TenantName &tenant, std::chrono::microseconds wait)
+void NodeMetrics::observeQueueing(const WorkspaceName &tenant, std::chrono::microseconds wait)
 {
     this->series->observe(tenant, Span::Queueing, wait);
 }
--- a/Libraries/LibMetrics/NodeMetrics.h
+++ b/Libraries/LibMetrics/NodeMetrics.h
@@ -41,11 +41,11 @@
     void observeQueueing(std::string_view kind, std::chrono::microseconds wait);
 
     /** A tenant sent a request: the largest are shown by name. */
-    void countRequest(const TenantName &tenant);
-    void observeFirstToken(const TenantName &tenant, std::chrono::microseconds wait);
-    void observeBetweenTokens(const TenantName &tenant, std::chrono::microseconds wait);
-    void observeTotal(const TenantName &tenant, std::chrono::microseconds wait);
-    void observeQueueing(const TenantName &tenant, std::chrono::microseconds wait);
+    void countRequest(const WorkspaceName &tenant);
+    void observeFirstToken(const WorkspaceName &tenant, std::chrono::microseconds wait);
+    void observeBetweenTokens(const WorkspaceName &tenant, std::chrono::microseconds wait);
+    void observeTotal(const WorkspaceName &tenant, std::chrono::microseconds wait);
+    void observeQueueing(const WorkspaceName &tenant, std::chrono::microseconds wait);
 
     /** @return all numbers in the text format that Prometheus reads. */
     std::string text() const;
--- a/Libraries/LibProxy/HttpStatus.h
+++ b/Libraries/LibProxy/HttpStatus.h
@@ -11,6 +11,7 @@
 inline constexpr int statusNoContent = 204;
 inline constexpr int statusNotModified = 304;
 inline constexpr int statusBadRequest = 400;
+inline constexpr int statusUnauthorized = 401;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusGone = 410;
 inline constexpr int statusPreconditionFailed = 412;
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -27,7 +27,7 @@
     this->options = options;
 }
 
-void RetryBudget::succeeded(const TenantName &tenant, const EndpointName &endpoint)
+void RetryBudget::succeeded(const WorkspaceName &tenant, const EndpointName &endpoint)
 {
     for (Bucket *const bucket :
          {&this->refilled(this->tenants, tenant.value()), &this->refilled(this->endpoints, endpoint.value())}) {
@@ -35,7 +35,7 @@
     }
 }
 
-bool RetryBudget::take(const TenantName &tenant, const EndpointName &endpoint)
+bool RetryBudget::take(const WorkspaceName &tenant, const EndpointName &endpoint)
 {
     Bucket &ofTenant = this->refilled(this->tenants, tenant.value());
     Bucket &ofEndpoint = this->refilled(this->endpoints, endpoint.value());
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -38,14 +38,14 @@
     void setOptions(const Options &options);
 
     /** An attempt succeeded. */
-    void succeeded(const TenantName &tenant, const EndpointName &endpoint);
+    void succeeded(const WorkspaceName &tenant, const EndpointName &endpoint);
 
     /**
      * Take a retry out of both budgets, or out of none.
      * @param endpoint where the retry is to go
      * @return whether the retry may be made
      */
-    bool take(const TenantName &tenant, const EndpointName &endpoint);
+    bool take(const WorkspaceName &tenant, const EndpointName &endpoint);
 
 private:
     struct Bucket
--- a/Libraries/LibRouting/TenantLimits.cpp
+++ b/Libraries/LibRouting/TenantLimits.cpp
@@ -82,7 +82,7 @@
     return {share.perSecond, std::max(1.0, share.concurrency)};
 }
 
-std::optional<std::chrono::milliseconds> TenantLimits::admit(const TenantName &tenant, LimitClass kind)
+std::optional<std::chrono::milliseconds> TenantLimits::admit(const WorkspaceName &tenant, LimitClass kind)
 {
     const std::optional<RequestLimit> limit = this->limitOf(tenant, kind);
     if (!limit) {
@@ -111,7 +111,7 @@
     return std::nullopt;
 }
 
-void TenantLimits::release(const TenantName &tenant, LimitClass kind)
+void TenantLimits::release(const WorkspaceName &tenant, LimitClass kind)
 {
     const auto found = this->uses.find({tenant, kind});
     if (found != this->uses.end()) {
@@ -119,7 +119,7 @@
     }
 }
 
-void TenantLimits::grant(const TenantName &tenant, LimitClass kind, const RequestLimit &share)
+void TenantLimits::grant(const WorkspaceName &tenant, LimitClass kind, const RequestLimit &share)
 {
     const auto found = this->uses.find({tenant, kind});
     if (found != this->uses.end()) {
--- a/Libraries/LibRouting/TenantLimits.h
+++ b/Libraries/LibRouting/TenantLimits.h
@@ -31,7 +31,7 @@
 /** How much of a tenant's limit a node could use. */
 struct TenantDemand
 {
-    TenantName tenant;
+    WorkspaceName tenant;
     LimitClass kind = LimitClass::Online;
     RequestLimit wanted;
 };
@@ -56,7 +56,7 @@
         SteadyTime at{};
     };
 
-    using Key = std::pair<TenantName, LimitClass>;
+    using Key = std::pair<WorkspaceName, LimitClass>;
 
     const Clock &clock;
     std::chrono::milliseconds memory;
@@ -71,7 +71,7 @@
 {
 public:
     /** @return a tenant's limits in the whole site, or nothing if it has none. */
-    using LimitOf = std::function<std::optional<RequestLimit>(const TenantName &tenant, LimitClass kind)>;
+    using LimitOf = std::function<std::optional<RequestLimit>(const WorkspaceName &tenant, LimitClass kind)>;
 
     /** @param grantLife how long a granted share counts */
     TenantLimits(const Clock &clock, std::chrono::milliseconds grantLife, LimitOf limitOf);
@@ -82,13 +82,13 @@
      * Take a request in, if the share allows.
      * @return nothing if it is taken, to be given back by release(); else when there is room again
      */
-    std::optional<std::chrono::milliseconds> admit(const TenantName &tenant, LimitClass kind);
+    std::optional<std::chrono::milliseconds> admit(const WorkspaceName &tenant, LimitClass kind);
 
     /** A request that was taken in is over. */
-    void release(const TenantName &tenant, LimitClass kind);
+    void release(const WorkspaceName &tenant, LimitClass kind);
 
     /** The share that was granted to this node. */
-    void grant(const TenantName &tenant, LimitClass kind, const RequestLimit &share);
+    void grant(const WorkspaceName &tenant, LimitClass kind, const RequestLimit &share);
 
     /** @return what this node could use since the last call, of limits that it comes near to. */
     std::vector<TenantDemand> demands();
@@ -108,7 +108,7 @@
         std::optional<SteadyTime> grantedAt;
     };
 
-    using Key = std::pair<TenantName, LimitClass>;
+    using Key = std::pair<WorkspaceName, LimitClass>;
 
     RequestLimit shareOf(const Use &use, const RequestLimit &limit) const;
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -574,7 +574,7 @@
     /** The job. */
     JobId jobId;
     /** Who pays for it. */
-    TenantName tenant;
+    WorkspaceName tenant;
     /** Hash of its items. */
     std::uint64_t fingerprint = 0;
     /** The model all its items are for. */
@@ -931,7 +931,7 @@
     /** Place in the job, from 0. */
     std::uint32_t index = 0;
     /** Who pays for it. */
-    TenantName tenant;
+    WorkspaceName tenant;
     /** When the job's results are wanted. */
     WallTime due;
     /** The request to the engine, as JSON. */
@@ -1300,7 +1300,7 @@
 struct LimitAmount
 {
     /** Whose. */
-    TenantName tenant;
+    WorkspaceName tenant;
     /** Of its lookups, or else of its online requests. */
     bool isLookup = false;
     /** Requests a second. */
@@ -1670,7 +1670,7 @@
     /** The job. */
     JobId jobId;
     /** Who asks; another tenant's job is Absent. */
-    TenantName tenant;
+    WorkspaceName tenant;
 
     bool operator==(const JobStatusRequest &) const = default;
 
@@ -1720,7 +1720,7 @@
     static constexpr MessageNumber number{110};
     using Response = ListJobsResponse;
     /** Whose jobs. */
-    TenantName tenant;
+    WorkspaceName tenant;
     /** How many at most, the newest first. */
     std::uint32_t limit = 0;
 
@@ -1757,7 +1757,7 @@
     /** The job. */
     JobId jobId;
     /** Who asks. */
-    TenantName tenant;
+    WorkspaceName tenant;
 
     bool operator==(const CancelJobRequest &) const = default;
 
@@ -1776,7 +1776,7 @@
     /** The job. */
     JobId jobId;
     /** Who asks. */
-    TenantName tenant;
+    WorkspaceName tenant;
     /** The first item to look at. */
     std::uint32_t from = 0;
     /** How many results at most. */
@@ -2689,6 +2689,8 @@
     std::vector<std::uint32_t> failures;
     /** Whether its caller ended it. */
     bool isEnded = false;
+    /** Whose it is; empty if callers needed no key when it was submitted. */
+    WorkspaceName workspace;
 
     bool operator==(const JobHead &) const = default;
 
@@ -2702,7 +2704,8 @@
                 this->contentPieces,
                 this->listed,
                 this->failures,
-                this->isEnded);
+                this->isEnded,
+                this->workspace);
     }
 };
 
@@ -2712,6 +2715,8 @@
     static constexpr MessageNumber number{129};
     /** Name of its route. */
     std::string route;
+    /** As in JobHead. */
+    WorkspaceName workspace;
     /** Tokens of the items without a result. */
     std::uint64_t waitingTokens = 0;
     /** The node that runs its items, for as long as it is there. */
@@ -2722,7 +2727,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->route, this->waitingTokens, this->runner);
+        archive(this->route, this->workspace, this->waitingTokens, this->runner);
     }
 };
 
--- /dev/null
+++ b/Libraries/LibWorkspace/KeyDigest.cpp
@@ -0,0 +1,32 @@
+#include <LibWorkspace/KeyDigest.h>
+
+#include <openssl/sha.h>
+
+#include <cstring>
+
+namespace Dogwoodkeel
+{
+
+static_assert(KeyDigest::size == SHA256_DIGEST_LENGTH);
+
+KeyDigest KeyDigest::of(std::string_view key)
+{
+    KeyDigest digest;
+    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.content.data());
+    return digest;
+}
+
+const std::array<unsigned char, KeyDigest::size> &KeyDigest::bytes() const
+{
+    return this->content;
+}
+
+} // namespace Dogwoodkeel
+
+// Any part of a cryptographic digest is as evenly spread as a hash of all of it.
+std::size_t std::hash<Dogwoodkeel::KeyDigest>::operator()(const Dogwoodkeel::KeyDigest &digest) const noexcept
+{
+    std::size_t part = 0;
+    std::memcpy(&part, digest.bytes().data(), sizeof(part));
+    return part;
+}
--- a/Services/Entry/Authenticator.cpp
+++ b/Services/Entry/Authenticator.cpp
@@ -16,7 +16,7 @@
 {
     for (const TenantSettings &tenant : tenants) {
         for (const std::string &hash : tenant.keyHashes) {
-            this->byKeyHash[hash] = {TenantName(tenant.name), tenant.isOperator};
+            this->byKeyHash[hash] = {WorkspaceName(tenant.name), tenant.isOperator};
         }
     }
 }
@@ -24,7 +24,7 @@
 std::optional<Caller> Authenticator::authenticate(const HttpHeaders &headers) const
 {
     if (this->byKeyHash.empty()) {
-        return Caller{TenantName("default"), true};
+        return Caller{WorkspaceName("default"), true};
     }
     const std::string credentials = headerValue(headers, "Authorization").value_or(std::string());
     if (!credentials.starts_with(scheme)) {
--- a/Services/Entry/Authenticator.h
+++ b/Services/Entry/Authenticator.h
@@ -15,7 +15,7 @@
 /** Who sent a request. */
 struct Caller
 {
-    TenantName tenant;
+    WorkspaceName tenant;
     bool isOperator = false;
 };
 
--- a/Services/Entry/LimitSharing.cpp
+++ b/Services/Entry/LimitSharing.cpp
@@ -36,7 +36,7 @@
     , self(self)
     , view(std::make_shared<MemberView>(std::vector<Member>()))
     , splitter(clock, demandLife)
-    , limits(std::make_shared<TenantLimits>(clock, grantLife, [this](const TenantName &tenant, LimitClass kind) {
+    , limits(std::make_shared<TenantLimits>(clock, grantLife, [this](const WorkspaceName &tenant, LimitClass kind) {
         return this->limitOf(tenant, kind);
     }))
 {
@@ -61,11 +61,11 @@
 {
     this->tenants.clear();
     for (const TenantSettings &tenant : this->settings->tenants) {
-        this->tenants.emplace(TenantName(tenant.name), tenant);
+        this->tenants.emplace(WorkspaceName(tenant.name), tenant);
     }
 }
 
-std::optional<RequestLimit> LimitSharing::limitOf(const TenantName &tenant, LimitClass kind) const
+std::optional<RequestLimit> LimitSharing::limitOf(const WorkspaceName &tenant, LimitClass kind) const
 {
     const auto found = this->tenants.find(tenant);
     if (found == this->tenants.end()) {
@@ -78,7 +78,7 @@
     return RequestLimit{settings.rate, static_cast<double>(settings.concurrency)};
 }
 
-LimitSharing::Admitted LimitSharing::admit(const TenantName &tenant, LimitClass kind)
+LimitSharing::Admitted LimitSharing::admit(const WorkspaceName &tenant, LimitClass kind)
 {
     if (const auto retryAfter = this->limits->admit(tenant, kind)) {
         return {nullptr, *retryAfter};
--- a/Services/Entry/LimitSharing.h
+++ b/Services/Entry/LimitSharing.h
@@ -41,14 +41,14 @@
     /** The settings were replaced. */
     void settingsChanged();
 
-    Admitted admit(const TenantName &tenant, LimitClass kind);
+    Admitted admit(const WorkspaceName &tenant, LimitClass kind);
 
     void receive(const LimitDemands &demands);
     void receive(const LimitShares &shares);
 
 private:
     void tell();
-    std::optional<RequestLimit> limitOf(const TenantName &tenant, LimitClass kind) const;
+    std::optional<RequestLimit> limitOf(const WorkspaceName &tenant, LimitClass kind) const;
     LimitShares split(const LimitDemands &demands);
 
     EventLoop &loop;
@@ -56,7 +56,7 @@
     DatagramSocket &socket;
     SessionNumber self;
     MemberViewPointer view;
-    std::unordered_map<TenantName, TenantSettings> tenants;
+    std::unordered_map<WorkspaceName, TenantSettings> tenants;
     LimitSplitter splitter;
     /** Shared with the holds, which may outlive this. */
     std::shared_ptr<TenantLimits> limits;
--- a/Services/Entry/OnlineRequest.h
+++ b/Services/Entry/OnlineRequest.h
@@ -25,7 +25,7 @@
     RequestId id;
     /** Whether the caller chose the id, so that an earlier sending of it may have run. */
     bool isNamedByCaller = false;
-    TenantName tenant;
+    WorkspaceName tenant;
     /** Hash of all that was asked. */
     std::uint64_t fingerprint = 0;
     /** Hash of what it asks for, whatever its id. */
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -18,7 +18,7 @@
 
 PlainCall::PlainCall(EntryContext &context,
                      const ServiceSettings &service,
-                     TenantName tenant,
+                     WorkspaceName tenant,
                      HttpRequest request,
                      std::chrono::milliseconds timeout,
                      std::shared_ptr<HttpReply> reply,
--- a/Services/Entry/PlainCall.h
+++ b/Services/Entry/PlainCall.h
@@ -27,7 +27,7 @@
      */
     PlainCall(EntryContext &context,
               const ServiceSettings &service,
-              TenantName tenant,
+              WorkspaceName tenant,
               HttpRequest request,
               std::chrono::milliseconds timeout,
               std::shared_ptr<HttpReply> reply,
@@ -50,7 +50,7 @@
     EntryContext &context;
     /** A copy: the settings may be replaced while the call runs. */
     ServiceSettings service;
-    TenantName tenant;
+    WorkspaceName tenant;
     HttpRequest request;
     ContentFingerprint content;
     std::shared_ptr<HttpReply> reply;
--- a/Services/Entry/StoredFile.cpp
+++ b/Services/Entry/StoredFile.cpp
@@ -5,7 +5,7 @@
 namespace Dogwoodkeel::StoredFile
 {
 
-std::string idOf(const TenantName &tenant, const StoredItems &items)
+std::string idOf(const WorkspaceName &tenant, const StoredItems &items)
 {
     std::string parts = tenant.value();
     for (const std::string &object : items.objects) {
@@ -22,7 +22,7 @@
     return "files/" + std::string(id);
 }
 
-std::string encode(const TenantName &tenant, const StoredItems &items)
+std::string encode(const WorkspaceName &tenant, const StoredItems &items)
 {
     return nlohmann::json({{"tenant", tenant.value()},
                            {"model", items.model},
@@ -34,7 +34,7 @@
         .dump();
 }
 
-std::optional<StoredItems> decode(const TenantName &tenant, std::string_view content)
+std::optional<StoredItems> decode(const WorkspaceName &tenant, std::string_view content)
 {
     const nlohmann::json file = nlohmann::json::parse(content, nullptr, false);
     if (!file.is_object() || file.value("tenant", "") != tenant.value()) {
--- a/Services/Entry/StoredFile.h
+++ b/Services/Entry/StoredFile.h
@@ -11,14 +11,14 @@
 {
 
 /** @return the file's id: of its owner and its content, so that the same file sent again is the same file. */
-std::string idOf(const TenantName &tenant, const StoredItems &items);
+std::string idOf(const WorkspaceName &tenant, const StoredItems &items);
 
 /** @return key of the file's object. */
 std::string keyOf(std::string_view id);
 
-std::string encode(const TenantName &tenant, const StoredItems &items);
+std::string encode(const WorkspaceName &tenant, const StoredItems &items);
 
 /** @return the items, or nothing if the content is no file of the tenant. */
-std::optional<StoredItems> decode(const TenantName &tenant, std::string_view content);
+std::optional<StoredItems> decode(const WorkspaceName &tenant, std::string_view content);
 
 } // namespace Dogwoodkeel::StoredFile
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -99,10 +99,7 @@
 
 void ConfigurationFollower::watch()
 {
-    const MemberViewPointer view = this->peers.view();
-    const bool isBehind = std::ranges::any_of(view->members(), [this](const Member &member) {
-        return member.configVersion > this->version();
-    });
+    const bool isBehind = this->isBehind();
     const SteadyTime now = this->clock.now();
     if (!isBehind) {
         this->behindSince.reset();
@@ -111,16 +108,27 @@
     }
     // A node that has just started, perhaps while the store is away, answers no caller before it has one.
     const bool isPatient = this->configuration && isBehind && now - *this->behindSince < storePatience;
-    if (isBehind && !isPatient && !this->isAsking) {
-        this->askSomebodyNewer();
+    if (isBehind && !isPatient) {
+        this->catchUp();
     }
     this->watchTimer = this->loop.schedule(watchInterval, [this] {
         this->watch();
     });
 }
 
-void ConfigurationFollower::askSomebodyNewer()
+bool ConfigurationFollower::isBehind() const
 {
+    const MemberViewPointer view = this->peers.view();
+    return std::ranges::any_of(view->members(), [this](const Member &member) {
+        return member.configVersion > this->version();
+    });
+}
+
+void ConfigurationFollower::catchUp()
+{
+    if (this->isAsking) {
+        return;
+    }
     const MemberViewPointer view = this->peers.view();
     const Member *const newer = randomMember(*view, this->random, [this](const Member &member) {
         return member.configVersion > this->version();
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -46,12 +46,19 @@
     /** @return the configuration in force on this node, or null. */
     const ServingConfigurationPointer &current() const;
 
+    /** @return the version in force on this node; 0: none. */
+    std::uint64_t version() const;
+
+    /** @return whether another node tells of a newer version. */
+    bool isBehind() const;
+
+    /** Ask a node that has a newer version for it, at once. */
+    void catchUp();
+
 private:
     void take(const std::string &text, std::string_view source);
     void watch();
-    void askSomebodyNewer();
     void askPeer(const Address &peer);
-    std::uint64_t version() const;
 
     EventLoop &loop;
     const Clock &clock;
--- /dev/null
+++ b/Services/Gateway/DutyKeeper.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibMembership/ClaimedDuty.h>
+#include <LibWire/DatagramSocket.h>
+#include <Services/Gateway/PeerNetwork.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace Dogwoodkeel
+{
+
+/** Which node has which duty, as the nodes tell each other, see ClaimedDuty. */
+class DutyKeeper
+{
+public:
+    /** Told when another node has the duty. @param former who had it before */
+    using Moved = std::function<void(SessionNumber former)>;
+
+    DutyKeeper(const Clock &clock, PeerNetwork &peers);
+    DutyKeeper(const DutyKeeper &) = delete;
+    DutyKeeper &operator=(const DutyKeeper &) = delete;
+
+    /** Follow a duty from now on; one that is followed already goes on as it is. */
+    void follow(const std::string &duty, Moved moved);
+
+    /** @return who has a duty, or null if nobody can; valid until the next event. */
+    const Member *holder(const std::string &duty) const;
+
+    /** @return who has a duty if it is another node, else null. */
+    const Member *otherHolder(const std::string &duty) const;
+
+    /** @return whether this node has a duty by a claim, and not only because nobody has told of one. */
+    bool isClaimedHere(const std::string &duty) const;
+
+    /** @return who would have a duty if its holder were gone, or null if there is nobody. */
+    const Member *successor(const std::string &duty) const;
+
+    /** The holder of a duty does not answer this node. */
+    void doubtHolder(const std::string &duty);
+
+    /** Tell a node who has a duty, if a claim is known. */
+    void tellClaim(const Address &to, const std::string &duty);
+
+    /** The members changed, see PeerNetwork::dutyView(). */
+    void setView(const MemberViewPointer &view);
+
+    /** @return whether the datagram was about duties. */
+    bool receive(const Datagram &datagram);
+
+    /** Look after what time brings. */
+    void tick();
+
+private:
+    struct Followed
+    {
+        std::unique_ptr<ClaimedDuty> duty;
+        /** Who had it when it was last looked. */
+        SessionNumber holder;
+        Moved moved;
+    };
+
+    const Followed *find(const std::string &duty) const;
+    void takeHolder(Followed &followed);
+    void claim(const std::string &name, Followed &followed);
+    void askForClaim(const ClaimedDuty &duty);
+    void tellNewcomers(const ClaimedDuty &duty, const MemberView &before);
+    void receive(const Address &from, const DutyClaim &claim);
+
+    const Clock &clock;
+    PeerNetwork &peers;
+    MemberViewPointer view;
+    std::minstd_rand random;
+    std::map<std::string, Followed> duties;
+    /** When nodes that may know a claim are asked for it again. */
+    SteadyTime nextQuestion{};
+};
+
+} // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -2,11 +2,9 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
-#include <LibDispatch/ReturnSchedule.h>
 #include <LibProxy/HttpStatus.h>
 #include <LibTask/EventGuard.h>
 #include <LibWire/Codec.h>
-#include <Services/Gateway/OnlineCall.h>
 #include <platform/ConfigurationFormat.h>
 #include <platform/DirectoryFormat.h>
 #include <platform/JobFormat.h>
@@ -25,6 +23,8 @@
 constexpr std::size_t idleToStore = 8;
 /** Idle connections kept to one replica: a node seldom has more requests at one replica at once. */
 constexpr std::size_t idleToReplica = 4;
+/** Datagrams that got no answer are sent again about so often: several round trips between failure domains. */
+constexpr std::chrono::milliseconds tickInterval{20};
 constexpr std::chrono::milliseconds stopLook{100};
 /** Callers keep an answer for its time to live, some of them three times as long. */
 constexpr int addressLives = 3;
@@ -32,19 +32,6 @@
 constexpr std::chrono::milliseconds graceMargin{700};
 /** Told to who asks for addresses while there are none: a node is ready again about so long after its start. */
 constexpr std::chrono::milliseconds unknownPause{300};
-/** Of a caller that does not say how long it waits. */
-constexpr std::chrono::milliseconds defaultPatience{900};
-
-/**
- * When the platform answers again can't be known. Callers come back once or twice: who returns soon finds the same, with most of
- * its time unused, so it is told the longest that it would wait. Over 80 days with faults callers' answers were worth 0.006 more
- * (of 1, standard error 0.004) than with a fixed pause of 300 ms.
- */
-std::chrono::milliseconds comeBackUnknown(const RequestTraits &traits)
-{
-    return traits.patience.value_or(defaultPatience) / returnShare;
-}
-
 void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const std::string &type, const std::string &body)
 {
     HeaderList headers;
@@ -82,7 +69,8 @@
                      this->takeDatagram(datagram);
                  },
              .newSession = newSession})
-    , placements(loop, clock, this->peers, FailureDomain(settings->node.failureDomain))
+    , duties(clock, this->peers)
+    , placements(loop, clock, this->peers, this->duties, FailureDomain(settings->node.failureDomain))
     , listed(loop,
              clock,
              this->store,
@@ -162,12 +150,13 @@
                    [this](const JobId &job) {
                        return this->runners.isOpen(job);
                    }})
+    , router(this->context, this->configuration, this->jobApi)
     , callers(loop,
               clock,
               settings->listen.http,
               {},
               [this](const std::shared_ptr<CallerExchange> &exchange) {
-                  this->handleCaller(exchange);
+                  this->router.handle(exchange);
               })
     , directory(loop,
                 clock,
@@ -189,10 +178,12 @@
 {
     this->isComplete = true;
     this->takeView(this->peers.dutyView());
+    this->tick();
 }
 
 Gateway::~Gateway()
 {
+    this->loop.cancel(this->tickTimer);
     this->loop.cancel(this->stopTimer);
 }
 
@@ -240,10 +231,20 @@
     if (std::exchange(this->memberCount, view->members().size()) != view->members().size()) {
         log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
     }
+    this->duties.setView(view);
     this->placements.setView(view);
     this->runners.setView(view);
 }
 
+void Gateway::tick()
+{
+    this->duties.tick();
+    this->placements.tick();
+    this->tickTimer = this->loop.schedule(tickInterval, [this] {
+        this->tick();
+    });
+}
+
 void Gateway::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
 {
     this->crashes.noteBreak(fingerprint, replica);
@@ -279,7 +280,7 @@
         if (const auto ended = decode<JobEnded>(datagram.payload)) {
             this->runners.stopJob(ended->job);
         }
-    } else {
+    } else if (!this->duties.receive(datagram)) {
         this->placements.receive(datagram);
     }
 }
@@ -297,6 +298,7 @@
     limits.idleTimeout = stated.idleTimeout.count() > 0 ? stated.idleTimeout : limits.idleTimeout;
     this->callers.setLimits(limits);
     this->updateReplicas();
+    this->router.retryHeld();
 }
 
 void Gateway::updateReplicas()
@@ -328,45 +330,6 @@
     }
 }
 
-void Gateway::handleCaller(const std::shared_ptr<CallerExchange> &exchange)
-{
-    const ServingConfigurationPointer current = this->configuration.current();
-    if (!current) {
-        const RequestTraits traits = decodeTraits(exchange->head().headers);
-        const std::chrono::milliseconds comeBack = comeBackUnknown(traits);
-        log(LogLevel::Info,
-            "request refused, no configuration is known",
-            {{"request", traits.id}, {"status", statusUnavailable}, {"come_back_ms", comeBack.count()}});
-        exchange->send(statusUnavailable, retryHeaders(comeBack), {});
-        this->metrics.countRequest("", statusUnavailable, std::chrono::nanoseconds(0));
-        return;
-    }
-    const MessageHead &head = exchange->head();
-    const JobCall jobCall = decodeJobCall(head);
-    if (!std::holds_alternative<std::monostate>(jobCall)) {
-        this->jobApi.answer(jobCall, exchange);
-        return;
-    }
-    const std::string_view host = head.headers.find("Host").value_or(std::string_view());
-    const Route *const route = current->findRoute(host, pathOf(head.target));
-    if (route == nullptr) {
-        log(LogLevel::Info,
-            "no route",
-            {{"request", decodeTraits(head.headers).id},
-             {"host", std::string(host)},
-             {"target", head.target},
-             {"configuration", static_cast<std::int64_t>(current->version)}});
-        this->metrics.countRequest("", statusNotFound, std::chrono::nanoseconds(0));
-        answer(exchange, statusNotFound, "text/plain", "no route\n");
-        return;
-    }
-    if (route->kind == RouteKind::Batch) {
-        this->jobApi.submit(*route, exchange);
-        return;
-    }
-    std::make_shared<OnlineCall>(this->context, current, *route, exchange)->start();
-}
-
 void Gateway::handleDirectory(const std::shared_ptr<CallerExchange> &exchange)
 {
     const std::optional<AddressQuery> query = decodeAddressQuery(exchange->head());
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -6,7 +6,9 @@
 #include <LibProxy/OutboundPool.h>
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
+#include <Services/Gateway/CallerRouter.h>
 #include <Services/Gateway/ConfigurationFollower.h>
+#include <Services/Gateway/DutyKeeper.h>
 #include <Services/Gateway/GatewayContext.h>
 #include <Services/Gateway/GatewayMetrics.h>
 #include <Services/Gateway/JobApi.h>
@@ -78,8 +80,6 @@
     void takeConfiguration(const ServingConfigurationPointer &configuration);
     void updateReplicas();
     void updateReadiness();
-    void handleCaller(const std::shared_ptr<CallerExchange> &exchange);
-    void handleRoute(const Route &route, const std::shared_ptr<CallerExchange> &exchange);
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
     void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
@@ -87,6 +87,7 @@
     void judgeBreaks();
     void tellAll(const std::function<void(const Address &)> &send);
     void watchStop();
+    void tick();
 
     EventLoop &loop;
     const Clock &clock;
@@ -101,6 +102,7 @@
     std::function<void()> stopped;
     SteadyTime stopStarted{};
     TimerId stopTimer = 0;
+    TimerId tickTimer = 0;
     std::minstd_rand random;
     GatewayMetrics metrics;
     CrashMemory crashes;
@@ -109,6 +111,7 @@
     OutboundPool replicaPool;
     PlatformStore store;
     PeerNetwork peers;
+    DutyKeeper duties;
     PlacementClient placements;
     ReplicaFollower listed;
     ConfigurationFollower configuration;
@@ -118,6 +121,7 @@
     JobApi jobApi;
     JobRunners runners;
     JobCleaner cleaner;
+    CallerRouter router;
     CallerServer callers;
     CallerServer directory;
     CallerServer readiness;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -26,10 +26,10 @@
 
 } // namespace
 
-ItemAttempt::ItemAttempt(GatewayContext &context, const JobItem &item, std::string host, SteadyTime due, Hooks hooks)
+ItemAttempt::ItemAttempt(GatewayContext &context, const JobItem &item, Origin origin, SteadyTime due, Hooks hooks)
     : context(context)
     , item(item)
-    , host(std::move(host))
+    , origin(std::move(origin))
     , due(due)
     , hooks(std::move(hooks))
     , fingerprint(stableHash(item.body, stableHash(item.target)))
@@ -159,7 +159,7 @@
     this->splitter = EventSplitter(largestStreamEvent);
     OutboundCall outbound;
     outbound.address = replica.address;
-    outbound.head = encodeItemRequest(this->item, this->host, replica, this->lastEvent);
+    outbound.head = encodeItemRequest(this->item, this->origin.host, this->origin.workspace, replica, this->lastEvent);
     outbound.body = this->item.body;
     outbound.longestIdle = longestIdle;
     outbound.isAnswer = isAnswerTo(this->item.id.value());
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -37,6 +37,14 @@
         std::chrono::milliseconds longestPause{0};
     };
 
+    /** What all items of its job have in common. */
+    struct Origin
+    {
+        std::string host;
+        /** Whose job it is; empty if its caller needed no key. */
+        WorkspaceName workspace;
+    };
+
     struct Hooks
     {
         /** @return where it goes, by the configuration in force; nothing: nowhere for now. */
@@ -44,7 +52,7 @@
         std::function<void(End, std::string output)> ended;
     };
 
-    ItemAttempt(GatewayContext &context, const JobItem &item, std::string host, SteadyTime due, Hooks hooks);
+    ItemAttempt(GatewayContext &context, const JobItem &item, Origin origin, SteadyTime due, Hooks hooks);
 
     /** Begin behind what was generated before, by this node or another. */
     void start(JobRows::Generated before);
@@ -73,7 +81,7 @@
 
     GatewayContext &context;
     const JobItem item;
-    std::string host;
+    Origin origin;
     SteadyTime due;
     Hooks hooks;
     std::uint64_t fingerprint;
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -67,6 +67,12 @@
     return statusUnavailable;
 }
 
+/** @return the workspace's name, or an empty one if callers need no key. */
+WorkspaceName nameOf(const Workspace *workspace)
+{
+    return workspace != nullptr ? workspace->name : WorkspaceName();
+}
+
 } // namespace
 
 JobApi::JobApi(GatewayContext &context, JobStore &store, JobHook accepted, JobHook tellEnded)
@@ -90,11 +96,12 @@
     exchange->send(status, headers, body);
 }
 
-void JobApi::submit(const Route &route, const Exchange &exchange)
+void JobApi::submit(const Route &route, const Workspace *workspace, const Exchange &exchange)
 {
     const RequestTraits traits = decodeTraits(exchange->head().headers);
     std::optional<std::vector<JobItem>> items = decodeSubmission(exchange->body());
-    const JobId job(traits.id);
+    const WorkspaceName owner = nameOf(workspace);
+    const JobId job = JobRows::jobOf(owner, traits.id);
     if (!items || traits.id.empty()) {
         this->reply(exchange, "submit", job, statusBadRequest, R"({"error":"the body lists no items, or the job has no id"})");
         return;
@@ -103,6 +110,7 @@
     submission.id = job;
     submission.route = route.name;
     submission.host = route.host;
+    submission.workspace = owner;
     submission.waitingTokensLimit = route.waitingTokens;
     submission.completionTarget = route.completionTarget;
     submission.items = *std::move(items);
@@ -125,22 +133,23 @@
     });
 }
 
-void JobApi::answer(const JobCall &call, const Exchange &exchange)
+void JobApi::answer(const JobCall &call, const Workspace *workspace, const Exchange &exchange)
 {
+    const WorkspaceName owner = nameOf(workspace);
     if (const auto *const results = std::get_if<ReadResultsCall>(&call)) {
-        this->readResults(*results, exchange);
+        this->readResults(JobRows::jobOf(owner, results->job.value()), results->from, exchange);
     } else if (const auto *const item = std::get_if<ReadItemCall>(&call)) {
-        this->readItem(*item, exchange);
+        this->readItem(JobRows::jobOf(owner, item->job.value()), item->item, exchange);
     } else if (const auto *const end = std::get_if<EndJobCall>(&call)) {
-        this->end(*end, exchange);
+        this->end(JobRows::jobOf(owner, end->job.value()), exchange);
     }
 }
 
-void JobApi::readResults(const ReadResultsCall &call, const Exchange &exchange)
+void JobApi::readResults(const JobId &job, std::uint64_t from, const Exchange &exchange)
 {
-    this->store.readResults(call.job, call.from, [this, call, exchange](JobResults read) {
+    this->store.readResults(job, from, [this, job, from, exchange](JobResults read) {
         if (read.outcome != JobReadOutcome::Found) {
-            this->reply(exchange, "results", call.job, statusOf(read.outcome));
+            this->reply(exchange, "results", job, statusOf(read.outcome));
             return;
         }
         std::size_t bytes = 0;
@@ -151,38 +160,38 @@
         const auto firstOver = std::ranges::find_if_not(read.results, fits);
         const auto kept = std::max<std::ptrdiff_t>(firstOver - read.results.begin(), read.results.empty() ? 0 : 1);
         read.results.resize(static_cast<std::size_t>(kept));
-        const std::uint64_t next = call.from + read.results.size();
-        this->reply(exchange, "results", call.job, statusOk, encodeResults(read.total, next, read.results));
+        const std::uint64_t next = from + read.results.size();
+        this->reply(exchange, "results", job, statusOk, encodeResults(read.total, next, read.results));
     });
 }
 
-void JobApi::readItem(const ReadItemCall &call, const Exchange &exchange)
+void JobApi::readItem(const JobId &job, const ItemId &item, const Exchange &exchange)
 {
-    this->store.load(call.job, [this, call, exchange](const LoadedJob &loaded) {
+    this->store.load(job, [this, job, item, exchange](const LoadedJob &loaded) {
         if (loaded.outcome != JobReadOutcome::Found || loaded.head.isEnded) {
             const bool isFailed = loaded.outcome == JobReadOutcome::Failed;
-            this->reply(exchange, "item", call.job, isFailed ? statusUnavailable : statusNotFound);
+            this->reply(exchange, "item", job, isFailed ? statusUnavailable : statusNotFound);
             return;
         }
-        const auto item = std::ranges::find(loaded.items, call.item, &JobItem::id);
-        if (item == loaded.items.end()) {
-            this->reply(exchange, "item", call.job, statusNotFound);
+        const auto found = std::ranges::find(loaded.items, item, &JobItem::id);
+        if (found == loaded.items.end()) {
+            this->reply(exchange, "item", job, statusNotFound);
             return;
         }
-        log(LogLevel::Info, "job call answered", {{"call", "item"}, {"job", call.job.value()}, {"status", statusOk}});
-        exchange->send(statusOk, {}, item->body);
+        log(LogLevel::Info, "job call answered", {{"call", "item"}, {"job", job.value()}, {"status", statusOk}});
+        exchange->send(statusOk, {}, found->body);
     });
 }
 
-void JobApi::end(const EndJobCall &call, const Exchange &exchange)
+void JobApi::end(const JobId &job, const Exchange &exchange)
 {
     const RequestTraits traits = decodeTraits(exchange->head().headers);
     const SteadyTime deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
-    this->store.end(call.job, deadline, [this, call, exchange](JobReadOutcome outcome) {
+    this->store.end(job, deadline, [this, job, exchange](JobReadOutcome outcome) {
         if (outcome == JobReadOutcome::Found) {
-            this->tellEnded(call.job);
+            this->tellEnded(job);
         }
-        this->reply(exchange, "end", call.job, statusOf(outcome));
+        this->reply(exchange, "end", job, statusOf(outcome));
     });
 }
 
--- a/Services/Gateway/JobApi.h
+++ b/Services/Gateway/JobApi.h
@@ -26,13 +26,16 @@
      */
     JobApi(GatewayContext &context, JobStore &store, JobHook accepted, JobHook tellEnded);
 
-    void submit(const Route &route, const Exchange &exchange);
-    void answer(const JobCall &call, const Exchange &exchange);
+    /** @param workspace whose job it is; null if callers need no key */
+    void submit(const Route &route, const Workspace *workspace, const Exchange &exchange);
+
+    /** @param workspace whose jobs may be met; null if callers need no key */
+    void answer(const JobCall &call, const Workspace *workspace, const Exchange &exchange);
 
 private:
-    void readResults(const ReadResultsCall &call, const Exchange &exchange);
-    void readItem(const ReadItemCall &call, const Exchange &exchange);
-    void end(const EndJobCall &call, const Exchange &exchange);
+    void readResults(const JobId &job, std::uint64_t from, const Exchange &exchange);
+    void readItem(const JobId &job, const ItemId &item, const Exchange &exchange);
+    void end(const JobId &job, const Exchange &exchange);
     void reply(const Exchange &exchange, const std::string &what, const JobId &job, int status, const std::string &body = {});
 
     GatewayContext &context;
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -173,9 +173,9 @@
     const SteadyTime due = this->context.clock.now() + this->completionTarget() - this->age();
     const std::weak_ptr<JobRun> self = this->weak_from_this();
     ItemAttempt::Hooks hooks{
-        .target = [self, host = this->ledger.head().host, path = item.target]() -> std::optional<ItemAttempt::Target> {
+        .target = [self, path = item.target]() -> std::optional<ItemAttempt::Target> {
             const std::shared_ptr<JobRun> run = self.lock();
-            return run && !run->isOver ? run->hooks.target(host, path) : std::nullopt;
+            return run && !run->isOver ? run->hooks.target(run->ledger.head(), path) : std::nullopt;
         },
         .ended =
             [self, number](ItemAttempt::End end, std::string output) {
@@ -185,7 +185,9 @@
                 }
             },
     };
-    auto attempt = std::make_shared<ItemAttempt>(this->context, item, this->ledger.head().host, due, std::move(hooks));
+    const JobHead &head = this->ledger.head();
+    auto attempt = std::make_shared<ItemAttempt>(
+        this->context, item, ItemAttempt::Origin{head.host, head.workspace}, due, std::move(hooks));
     this->open[number].attempt = attempt;
     const auto generated = this->before.find(number);
     attempt->start(generated != this->before.end() ? generated->second : JobRows::Generated());
@@ -285,7 +287,7 @@
     const JobLedger::Write next = this->ledger.nextWrite();
     std::optional<OpenJob> row;
     if (next.head.listed.size() < next.head.total) {
-        row = OpenJob{next.head.route, this->waitingTokens(next.head), this->hooks.self()};
+        row = OpenJob{next.head.route, next.head.workspace, this->waitingTokens(next.head), this->hooks.self()};
     }
     this->isBusyWithStore = true;
     this->store.update(this->job,
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -27,7 +27,7 @@
         /** @return the number that this node goes by now. */
         std::function<SessionNumber()> self;
         /** @return where an item of the job goes, by the configuration in force. */
-        std::function<std::optional<ItemAttempt::Target>(const std::string &host, const std::string &target)> target;
+        std::function<std::optional<ItemAttempt::Target>(const JobHead &job, const std::string &target)> target;
         /** @return the route of the job, or null if there is none any more. */
         std::function<const Route *(const std::string &name)> route;
         /** The job needs no runner any more. */
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -123,8 +123,8 @@
                 return this->peers.self();
             },
         .target =
-            [this](const std::string &host, const std::string &target) {
-                return this->targetOf(host, target);
+            [this](const JobHead &head, const std::string &target) {
+                return this->targetOf(head, target);
             },
         .route = [this](const std::string &name) -> const Route * {
             const ServingConfigurationPointer current = this->configuration();
@@ -144,10 +144,10 @@
     run->start(origin);
 }
 
-std::optional<ItemAttempt::Target> JobRunners::targetOf(const std::string &host, const std::string &target) const
+std::optional<ItemAttempt::Target> JobRunners::targetOf(const JobHead &job, const std::string &target) const
 {
     const ServingConfigurationPointer current = this->configuration();
-    const Route *const route = current ? current->findRoute(host, pathOf(target)) : nullptr;
+    const Route *const route = current ? current->findRoute(job.host, pathOf(target)) : nullptr;
     if (route == nullptr || route->kind != RouteKind::Batch) {
         return std::nullopt;
     }
@@ -157,7 +157,8 @@
     if (chosen == nullptr) {
         return std::nullopt;
     }
-    return ItemAttempt::Target{chosen->service, static_cast<std::uint32_t>(std::max(0, route->priority)), route->longestPause};
+    const Workspace *const workspace = current->workspaces ? current->workspaces->find(job.workspace) : nullptr;
+    return ItemAttempt::Target{chosen->service, priorityOf(*route, workspace), route->longestPause};
 }
 
 void JobRunners::setView(const MemberViewPointer &view)
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -50,7 +50,7 @@
     bool isOurs(const JobId &job, const OpenJob &open) const;
     void startRun(const JobId &job, JobRun::Origin origin);
     void stopRun(const JobId &job);
-    std::optional<ItemAttempt::Target> targetOf(const std::string &host, const std::string &target) const;
+    std::optional<ItemAttempt::Target> targetOf(const JobHead &job, const std::string &target) const;
 
     GatewayContext &context;
     JobStore &store;
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -140,14 +140,16 @@
             return;
         }
         const Submission &submission = submitting->submission;
+        const RowPlace order = JobRows::acceptanceOrder(submission.route, submission.workspace);
         std::uint64_t waiting = 0;
         RowVersion orderVersion = 0;
         bool isKnown = false;
         for (const StoredRow &row : result.rows) {
             const std::optional<OpenJob> open = JobRows::openJobOf(row.place.key) ? decode<OpenJob>(row.value) : std::nullopt;
-            waiting += open && open->route == submission.route ? open->waitingTokens : 0;
+            const bool isCounted = open && open->route == submission.route && open->workspace == submission.workspace;
+            waiting += isCounted ? open->waitingTokens : 0;
             isKnown = isKnown || row.place == JobRows::open(submission.id);
-            orderVersion = row.place == JobRows::routeOrder(submission.route) ? row.version : orderVersion;
+            orderVersion = row.place == order ? row.version : orderVersion;
         }
         if (isKnown) {
             submitting->done(SubmitOutcome::Known);
@@ -171,10 +173,11 @@
     JobHead head;
     head.route = submission.route;
     head.host = submission.host;
+    head.workspace = submission.workspace;
     head.submitted = *now;
     head.total = static_cast<std::uint32_t>(submission.items.size());
     head.contentPieces = static_cast<std::uint32_t>(submitting->pieces.size());
-    const OpenJob open{submission.route, submitting->tokens, this->self()};
+    const OpenJob open{submission.route, submission.workspace, submitting->tokens, this->self()};
     RowTransaction transaction;
     transaction.expectations.push_back({JobRows::head(submission.id), 0});
     transaction.puts.push_back({JobRows::head(submission.id), encode(head)});
@@ -184,8 +187,9 @@
     }
     if (submission.waitingTokensLimit > 0) {
         // Each acceptance changes this row, so that two nodes can't both fill the last room.
-        transaction.expectations.push_back({JobRows::routeOrder(submission.route), orderVersion});
-        transaction.puts.push_back({JobRows::routeOrder(submission.route), std::to_string(waiting + submitting->tokens)});
+        const RowPlace order = JobRows::acceptanceOrder(submission.route, submission.workspace);
+        transaction.expectations.push_back({order, orderVersion});
+        transaction.puts.push_back({order, std::to_string(waiting + submitting->tokens)});
     }
     this->store.transact(std::move(transaction), [this, alive = this->alive, submitting](const RowTransactionResult &result) {
         if (*alive) {
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -39,6 +39,9 @@
     JobId id;
     std::string route;
     std::string host;
+    /** Whose it is; empty if callers need no key. */
+    WorkspaceName workspace;
+    /** Tokens of the workspace that may wait on the route; 0: no limit. */
     std::uint64_t waitingTokensLimit = 0;
     std::chrono::milliseconds completionTarget{0};
     std::vector<JobItem> items;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -42,11 +42,12 @@
 
 OnlineCall::OnlineCall(GatewayContext &context,
                        ServingConfigurationPointer configuration,
-                       const Route &route,
+                       const Access &access,
                        std::shared_ptr<CallerExchange> exchange)
     : context(context)
     , configuration(std::move(configuration))
-    , route(route)
+    , route(*access.route)
+    , workspace(access.workspace)
     , exchange(std::move(exchange))
     , traits(decodeTraits(this->exchange->head().headers))
     , arrived(context.clock.now())
@@ -54,8 +55,8 @@
     , lastEvent(this->traits.lastEvent)
 {
     std::chrono::milliseconds patience = this->traits.patience.value_or(defaultPatience);
-    if (route.timeout.count() > 0) {
-        patience = std::min(patience, route.timeout);
+    if (this->route.timeout.count() > 0) {
+        patience = std::min(patience, this->route.timeout);
     }
     this->deadline = this->arrived + patience;
     this->fingerprint = stableHash(this->exchange->body(), stableHash(this->exchange->head().target));
@@ -81,6 +82,14 @@
     return this->mayRepeat() ? longestIdleIdempotent : longestIdleOnce;
 }
 
+std::optional<WorkspaceName> OnlineCall::sender() const
+{
+    if (!this->configuration->workspaces) {
+        return std::nullopt;
+    }
+    return this->workspace != nullptr ? this->workspace->name : WorkspaceName();
+}
+
 void OnlineCall::start()
 {
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
@@ -128,7 +137,7 @@
     this->asked = this->now();
     PlacementWish wish;
     wish.service = this->service;
-    wish.priority = static_cast<std::uint32_t>(std::max(0, this->route.priority));
+    wish.priority = priorityOf(this->route, this->workspace);
     wish.arrived = this->arrived;
     wish.due = this->isStream() ? this->context.firstEvents[this->service].placeBy(this->arrived, this->route.objective)
                                 : this->arrived + this->route.objective;
@@ -174,7 +183,7 @@
     const auto remaining = std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->now());
     OutboundCall outbound;
     outbound.address = replica.address;
-    outbound.head = encodeReplicaRequest(this->exchange->head(), replica, remaining, this->lastEvent);
+    outbound.head = encodeReplicaRequest(this->exchange->head(), this->sender(), replica, remaining, this->lastEvent);
     outbound.body = this->exchange->body();
     outbound.longestIdle = this->longestIdle();
     outbound.isAnswer = isAnswerTo(this->traits.id);
@@ -446,6 +455,7 @@
         {{"request", this->traits.id},
          {"route", this->route.name},
          {"service", this->service.value()},
+         {"workspace", this->sender().value_or(WorkspaceName()).value()},
          {"configuration", static_cast<std::int64_t>(this->configuration->version)},
          {"status", status},
          {"reason", std::string(reason)},
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/CallerAccess.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibProxy/CallerExchange.h>
@@ -25,9 +26,10 @@
 class OnlineCall final : public ReplicaAnswerTaker, public std::enable_shared_from_this<OnlineCall>
 {
 public:
+    /** @param access by the configuration; with a route */
     OnlineCall(GatewayContext &context,
                ServingConfigurationPointer configuration,
-               const Route &route,
+               const Access &access,
                std::shared_ptr<CallerExchange> exchange);
 
     void start();
@@ -44,6 +46,7 @@
     bool isStream() const;
     bool mayRepeat() const;
     std::chrono::milliseconds longestIdle() const;
+    std::optional<WorkspaceName> sender() const;
     void awaitReplicas();
     void askForPlace();
     void takePlacement(const Placement &placement);
@@ -70,6 +73,8 @@
     ServingConfigurationPointer configuration;
     /** Kept by the configuration. */
     const Route &route;
+    /** Whose request it is, kept by the configuration; null if nobody's. */
+    const Workspace *workspace;
     std::shared_ptr<CallerExchange> exchange;
     RequestTraits traits;
     std::uint64_t fingerprint = 0;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds tickInterval{20};
 /** A datagram that was lost is sent again after this: several round trips between failure domains. */
 constexpr std::chrono::milliseconds askRepeat{20};
 /** A dispatcher that has not answered by then is away. A fifth of the shortest objective that callers have. */
@@ -36,7 +35,8 @@
 
 } // namespace
 
-PlacementClient::PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, FailureDomain own)
+PlacementClient::PlacementClient(
+    EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own)
     : loop(loop)
     , clock(clock)
     , peers(peers)
@@ -44,6 +44,7 @@
     , server(loop,
              clock,
              peers,
+             duties,
              {.answerOwn =
                   [this](const PlacementAnswer &answer) {
                       this->takeAnswer(answer);
@@ -53,13 +54,11 @@
                       this->takeDispatcher(service);
                   }})
 {
-    this->tick();
 }
 
 PlacementClient::~PlacementClient()
 {
     *this->alive = false;
-    this->loop.cancel(this->timer);
 }
 
 PlacementClient::ServiceState &PlacementClient::stateOf(const ServiceName &service)
@@ -249,9 +248,6 @@
             this->report(service, state);
         }
     }
-    this->timer = this->loop.schedule(tickInterval, [this] {
-        this->tick();
-    });
 }
 
 void PlacementClient::tickTicket(Ticket ticket, Asked &asked)
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -6,6 +6,7 @@
 #include <LibGateway/ServingConfiguration.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
+#include <Services/Gateway/DutyKeeper.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/PlacementServer.h>
 
@@ -49,7 +50,7 @@
     /** Told Placed or Refused once; and Stopped after Placed if a batch item has to make room. */
     using Decided = std::function<void(const Placement &)>;
 
-    PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, FailureDomain own);
+    PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own);
     ~PlacementClient();
     PlacementClient(const PlacementClient &) = delete;
     PlacementClient &operator=(const PlacementClient &) = delete;
@@ -69,6 +70,9 @@
     /** The members changed. */
     void setView(const MemberViewPointer &view);
 
+    /** Look after what time brings, several times in the time that a dispatcher has to answer. */
+    void tick();
+
     /** A datagram about placements. */
     void receive(const Datagram &datagram);
 
@@ -113,7 +117,6 @@
     void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
     void placeLocally(Ticket ticket, Asked &asked);
     void decide(Ticket ticket, const Placement &placement);
-    void tick();
     void tickTicket(Ticket ticket, Asked &asked);
     void report(const ServiceName &service, ServiceState &state);
     void takeAnswer(const PlacementAnswer &answer);
@@ -128,7 +131,6 @@
     Ticket lastTicket = 0;
     std::uint64_t fallbackCount = 0;
     PlacementServer server;
-    TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-/** How often a node that knows no claim asks others for it, and how many: one that has just started is told in two round trips.
- */
-constexpr std::chrono::milliseconds questionInterval{100};
-constexpr std::size_t questionsAtOnce = 3;
-
 /** How long a dispatcher that this node should not be is kept after it was asked last: by then its placements are forgotten. */
 constexpr std::chrono::milliseconds strayKept{2000};
 
@@ -31,13 +26,8 @@
 
 } // namespace
 
-PlacementServer::PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, Hooks hooks)
-    : loop(loop)
-    , clock(clock)
-    , peers(peers)
-    , hooks(std::move(hooks))
-    , view(peers.dutyView())
-    , random(static_cast<std::minstd_rand::result_type>(peers.self().value()))
+PlacementServer::PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, Hooks hooks)
+    : loop(loop), clock(clock), peers(peers), duties(duties), hooks(std::move(hooks)), view(peers.dutyView())
 {
 }
 
@@ -48,14 +38,13 @@
 
 PlacementServer::ServiceState &PlacementServer::stateOf(const ServiceName &service)
 {
-    ServiceState &state = this->services[service];
-    if (!state.duty) {
-        state.duty = std::make_unique<ClaimedDuty>(this->clock, service.value());
-        state.duty->setView(this->peers.self(), this->peers.view(), this->view);
-        const Member *const holder = state.duty->holder();
-        state.holder = holder != nullptr ? holder->session : SessionNumber();
+    const auto [state, isNew] = this->services.try_emplace(service);
+    if (isNew) {
+        this->duties.follow(service.value(), [this, service](SessionNumber former) {
+            this->takeMove(service, former);
+        });
     }
-    return state;
+    return state->second;
 }
 
 void PlacementServer::setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas)
@@ -69,135 +58,36 @@
 
 void PlacementServer::setView(const MemberViewPointer &view)
 {
-    const MemberViewPointer before = std::exchange(this->view, view);
+    this->view = view;
     for (auto &[service, state] : this->services) {
-        state.duty->setView(this->peers.self(), this->peers.view(), view);
-        this->takeHolder(service, state);
         this->dropGoneAskers(state);
-        this->tellNewcomers(*state.duty, *before);
     }
 }
 
-void PlacementServer::takeHolder(const ServiceName &service, ServiceState &state)
+void PlacementServer::takeMove(const ServiceName &service, SessionNumber former)
 {
-    const Member *const holder = state.duty->holder();
-    const SessionNumber current = holder != nullptr ? holder->session : SessionNumber();
-    const SessionNumber former = std::exchange(state.holder, current);
-    if (former == current) {
-        return;
-    }
     if (former == this->peers.self()) {
         // What it knew is told to the new one by those who ask and run; kept, it would go on to give places away.
+        ServiceState &state = this->stateOf(service);
         state.dispatcher.reset();
         state.askers.clear();
     }
     this->hooks.moved(service);
 }
 
-void PlacementServer::claimDuty(const ServiceName &service, ServiceState &state)
-{
-    const std::optional<DutyClaim> claim = state.duty->makeClaim();
-    if (!claim) {
-        return;
-    }
-    log(LogLevel::Info,
-        "dispatcher claimed",
-        {{"service", service.value()},
-         {"term", static_cast<std::int64_t>(claim->term)},
-         {"holder", static_cast<std::int64_t>(claim->holder.value())},
-         {"members", static_cast<std::int64_t>(this->view->members().size())}});
-    for (const Member &member : this->view->members()) {
-        if (member.session != this->peers.self()) {
-            this->peers.datagrams().send(member.gossip, *claim);
-        }
-    }
-    this->takeHolder(service, state);
-}
-
 void PlacementServer::doubtDispatcher(const ServiceName &service)
 {
-    const Member *const dispatcher = this->otherDispatcher(service);
-    const Member *const successor = dispatcher != nullptr ? this->stateOf(service).duty->successor() : nullptr;
-    if (successor == nullptr) {
-        return;
-    }
-    const DutyDoubt doubt{service.value(), dispatcher->session, this->peers.self()};
-    if (successor->session == this->peers.self()) {
-        this->stateOf(service).duty->hearDoubt(doubt);
-    } else {
-        this->peers.datagrams().send(successor->gossip, doubt);
-    }
-}
-
-void PlacementServer::askForClaim(const ClaimedDuty &duty)
-{
-    const auto isOther = [this](const Member &member) {
-        return member.session != this->peers.self();
-    };
-    for (std::size_t asked = 0; asked < questionsAtOnce; ++asked) {
-        if (const Member *const member = randomMember(*this->view, this->random, isOther)) {
-            this->peers.datagrams().send(member->gossip, duty.question());
-        }
-    }
-}
-
-void PlacementServer::tellNewcomers(const ClaimedDuty &duty, const MemberView &before)
-{
-    const Member *const holder = duty.holder();
-    const bool isOurs = holder != nullptr && holder->session == this->peers.self();
-    if (!isOurs || !duty.claim()) {
-        return;
-    }
-    for (const Member &member : this->view->members()) {
-        if (before.find(member.session) == nullptr) {
-            this->peers.datagrams().send(member.gossip, *duty.claim());
-        }
-    }
-}
-
-void PlacementServer::receive(const Address &from, const DutyClaim &claim)
-{
-    const ServiceName service(claim.duty);
-    const auto found = this->services.find(service);
-    if (found == this->services.end()) {
-        return;
-    }
-    const Member *const holder = found->second.duty->holder();
-    // A question from its address is none of its own: it has started anew, and knows nothing of what it held.
-    const bool isFromHolder = holder != nullptr && holder->gossip == from && claim.term > 0;
-    if (isFromHolder) {
-        found->second.duty->noteHolderAlive();
-    }
-    switch (found->second.duty->hear(claim)) {
-    case ClaimedDuty::Heard::News:
-        this->takeHolder(service, found->second);
-        return;
-    case ClaimedDuty::Heard::Outdated:
-        this->tellClaim(from, service);
-        return;
-    case ClaimedDuty::Heard::Known:
-        return;
-    }
-}
-
-void PlacementServer::tellClaim(const Address &to, const ServiceName &service)
-{
-    const auto found = this->services.find(service);
-    if (found != this->services.end() && found->second.duty->claim()) {
-        this->peers.datagrams().send(to, *found->second.duty->claim());
-    }
+    this->duties.doubtHolder(service.value());
 }
 
 const Member *PlacementServer::dispatcherOf(const ServiceName &service) const
 {
-    const auto found = this->services.find(service);
-    return found != this->services.end() ? found->second.duty->holder() : nullptr;
+    return this->duties.holder(service.value());
 }
 
 const Member *PlacementServer::otherDispatcher(const ServiceName &service) const
 {
-    const Member *const holder = this->dispatcherOf(service);
-    return holder != nullptr && holder->session != this->peers.self() ? holder : nullptr;
+    return this->duties.otherHolder(service.value());
 }
 
 void PlacementServer::dropGoneAskers(ServiceState &state)
@@ -237,16 +127,6 @@
         if (report && !this->passOn(datagram, *report)) {
             this->take(*report, askerOf(datagram, *report));
         }
-    } else if (datagram.number == DutyClaim::number) {
-        if (const auto claim = decode<DutyClaim>(datagram.payload)) {
-            this->receive(datagram.from, *claim);
-        }
-    } else if (datagram.number == DutyDoubt::number) {
-        const auto doubt = decode<DutyDoubt>(datagram.payload);
-        const auto found = doubt ? this->services.find(ServiceName(doubt->duty)) : this->services.end();
-        if (found != this->services.end()) {
-            found->second.duty->hearDoubt(*doubt);
-        }
     }
 }
 
@@ -263,7 +143,7 @@
     Message passed = message;
     passed.replyTo = datagram.from;
     this->peers.datagrams().send(dispatcher->gossip, passed);
-    this->tellClaim(datagram.from, ServiceName(message.service));
+    this->duties.tellClaim(datagram.from, message.service);
     return true;
 }
 
@@ -376,19 +256,7 @@
 
 void PlacementServer::tick()
 {
-    const SteadyTime now = this->clock.now();
-    const bool isQuestionDue = now >= this->nextQuestion;
-    if (isQuestionDue) {
-        this->nextQuestion = now + questionInterval;
-    }
     for (auto &[service, state] : this->services) {
-        if (isQuestionDue && state.duty->isAsking()) {
-            this->askForClaim(*state.duty);
-        }
-        if (const Member *const doubted = state.duty->doubtedHolder()) {
-            this->peers.datagrams().send(doubted->gossip, state.duty->question());
-        }
-        this->claimDuty(service, state);
         this->tickDispatcher(service, state);
     }
 }
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -3,16 +3,15 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/Dispatcher.h>
 #include <LibGateway/ServingConfiguration.h>
-#include <LibMembership/ClaimedDuty.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
+#include <Services/Gateway/DutyKeeper.h>
 #include <Services/Gateway/PeerNetwork.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -35,7 +34,7 @@
         std::function<void(const ServiceName &)> moved;
     };
 
-    PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, Hooks hooks);
+    PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, Hooks hooks);
     ~PlacementServer();
     PlacementServer(const PlacementServer &) = delete;
     PlacementServer &operator=(const PlacementServer &) = delete;
@@ -77,10 +76,6 @@
     struct ServiceState
     {
         std::vector<DispatchReplica> replicas;
-        /** Who dispatches it. */
-        std::unique_ptr<ClaimedDuty> duty;
-        /** Who did when it was last looked. */
-        SessionNumber holder;
         /** Made when somebody asks this node. */
         std::unique_ptr<Dispatcher> dispatcher;
         /** Where the nodes that ask this dispatcher are. */
@@ -90,12 +85,7 @@
     };
 
     ServiceState &stateOf(const ServiceName &service);
-    void takeHolder(const ServiceName &service, ServiceState &state);
-    void claimDuty(const ServiceName &service, ServiceState &state);
-    void askForClaim(const ClaimedDuty &duty);
-    void tellNewcomers(const ClaimedDuty &duty, const MemberView &before);
-    void receive(const Address &from, const DutyClaim &claim);
-    void tellClaim(const Address &to, const ServiceName &service);
+    void takeMove(const ServiceName &service, SessionNumber former);
     void tickDispatcher(const ServiceName &service, ServiceState &state);
     void logLoad(const ServiceName &service, ServiceState &state);
     void dropGoneAskers(ServiceState &state);
@@ -110,12 +100,10 @@
     EventLoop &loop;
     const Clock &clock;
     PeerNetwork &peers;
+    DutyKeeper &duties;
     Hooks hooks;
     std::map<ServiceName, ServiceState> services;
     MemberViewPointer view;
-    std::minstd_rand random;
-    /** When nodes that may know a claim are asked for it again. */
-    SteadyTime nextQuestion{};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -257,7 +257,7 @@
     });
 }
 
-const Job *BatchOwner::jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const
+const Job *BatchOwner::jobOf(ShardState *state, const JobId &id, const WorkspaceName &tenant) const
 {
     const Job *const job = state->jobs.find(id);
     return job != nullptr && job->isDurable && job->record().tenant == tenant ? job : nullptr;
--- a/Services/Owner/BatchOwner.h
+++ b/Services/Owner/BatchOwner.h
@@ -85,7 +85,7 @@
     void giveBack(const ReturnItemsRequest &request, const Respond<ReturnItemsResponse> &respond);
 
     ShardState *stateOf(const JobId &id);
-    const Job *jobOf(ShardState *state, const JobId &id, const TenantName &tenant) const;
+    const Job *jobOf(ShardState *state, const JobId &id, const WorkspaceName &tenant) const;
     JobProgress progressOf(const ShardState &state, const JobId &id) const;
 
     void tick();
--- a/Tests/LibBatch/TestJobSchedule.cpp
+++ b/Tests/LibBatch/TestJobSchedule.cpp
@@ -16,7 +16,7 @@
 
 JobDemand demand(const std::string &id, const std::string &tenant, std::chrono::seconds due, std::uint32_t remaining)
 {
-    return {JobId(id), model, TenantName(tenant), WallTime(due), remaining, remaining};
+    return {JobId(id), model, WorkspaceName(tenant), WallTime(due), remaining, remaining};
 }
 
 /** Hands out items one by one. @return how many each job got */
--- a/Tests/LibBatch/TestJobTable.cpp
+++ b/Tests/LibBatch/TestJobTable.cpp
@@ -20,7 +20,7 @@
 {
     JobRecord job;
     job.jobId = JobId(id);
-    job.tenant = TenantName("shop");
+    job.tenant = WorkspaceName("shop");
     job.model = "appraisal";
     job.fingerprint = items;
     job.itemCount = items;
--- a/Tests/LibMetrics/TestTopTenants.cpp
+++ b/Tests/LibMetrics/TestTopTenants.cpp
@@ -67,7 +67,7 @@
 {
     NodeMetrics metrics;
     for (int i = 0; i < 20000; ++i) {
-        const TenantName tenant("tenant-" + std::to_string(i));
+        const WorkspaceName tenant("tenant-" + std::to_string(i));
         metrics.countRequest(tenant);
         metrics.observeTotal(tenant, std::chrono::milliseconds(1));
         metrics.countAnswer("online", "result-" + std::to_string(i));
--- a/Tests/LibRouting/TestTenantLimits.cpp
+++ b/Tests/LibRouting/TestTenantLimits.cpp
@@ -12,11 +12,11 @@
 namespace
 {
 
-const TenantName tenant("t");
+const WorkspaceName tenant("t");
 
 TenantLimits::LimitOf fixedLimit(double perSecond, double concurrency)
 {
-    return [=](const TenantName &, LimitClass) {
+    return [=](const WorkspaceName &, LimitClass) {
         return std::optional(RequestLimit{perSecond, concurrency});
     };
 }
--- a/Tests/LibWire/TestPeerLink.cpp
+++ b/Tests/LibWire/TestPeerLink.cpp
@@ -105,7 +105,7 @@
 {
     const auto promise = std::make_shared<std::promise<Result>>();
     host.post([=](ClientTask &task) {
-        task.client.call<JobStatusRequest>(address, {JobId(job), TenantName("t")}, timeout, [promise](Result result) {
+        task.client.call<JobStatusRequest>(address, {JobId(job), WorkspaceName("t")}, timeout, [promise](Result result) {
             promise->set_value(std::move(result));
         });
     });
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -96,7 +96,7 @@
     head.headers.add("Connection", "keep-alive, X-Hop");
     head.headers.add("X-Hop", "1");
     head.headers.add("Transfer-Encoding", "chunked");
-    const std::string text = encodeReplicaRequest(head, replica, std::chrono::milliseconds(1200), 9);
+    const std::string text = encodeReplicaRequest(head, std::nullopt, replica, std::chrono::milliseconds(1200), 9);
     CHECK(text
           == "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Custom: 1\r\nX-Custom: 2\r\n"
              "X-Deadline-Ms: 1200\r\nX-Expect-Instance: i-7\r\nLast-Event-Id: 9\r\n");
--- a/Tests/ServiceOwner/TestOwnerService.cpp
+++ b/Tests/ServiceOwner/TestOwnerService.cpp
@@ -46,7 +46,7 @@
     CHECK((fixture.result(fixture.a, "offer").state == RequestState::NotOwner));
     // A job that was accepted there is not called unknown either.
     Answers<JobStatusResponse> status;
-    fixture.a.service.batches().status({JobId("lot"), TenantName("retailer")}, status.keep());
+    fixture.a.service.batches().status({JobId("lot"), WorkspaceName("retailer")}, status.keep());
     fixture.clock.advance(1s);
     CHECK((status.count() == 1 && status.last().progress.state == JobState::NotOwner));
 }
