LibDispatch: Replicas with room are kept in order, and change one by one

Change: ReplicaIndex keeps the open replicas by failure domain and load, put in order again when one changes or time alone opens it; Dispatcher and LocalPlacement take updates (put, removed).

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -1,7 +1,5 @@
 #include <LibDispatch/Dispatcher.h>
 
-#include <LibDispatch/UpdateReplicas.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -24,12 +22,9 @@
 constexpr std::chrono::milliseconds stopSlack{500};
 /** Of an item whose slack was not told: it may be stopped, but after those that are known to have more. */
 constexpr std::chrono::milliseconds unknownSlack{1000};
-/** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it
- * again would make a replica read the item's tokens again. About two gaps between requests in a burst. */
-constexpr std::chrono::milliseconds batchCalm{30};
+/** How often what is over is looked for among all that runs and waits: several times as often as the shortest time below. */
+constexpr std::chrono::milliseconds cleanInterval{100};
 
-/** A connection that is open already is worth so many requests of difference in load. */
-constexpr double connectionWorth = 2;
 /** So many items with the most time to spare are looked at for one whose replica has an open connection. */
 constexpr std::size_t victimsCompared = 24;
 
@@ -41,31 +36,66 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), waiting(clock), forecast(clock)
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), index(clock), waiting(clock), forecast(clock)
 {
 }
 
 void Dispatcher::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
-    updateReplicas(this->replicas, replicas);
-    this->forecast.setSlots(this->totalSlots());
+    this->update(updateTo(replicas, this->replicas));
+}
+
+void Dispatcher::update(const ReplicaUpdate &update)
+{
+    bool isAnyLeaving = !update.removed.empty();
+    for (const DispatchReplica &traits : update.put) {
+        this->putReplica(traits);
+        isAnyLeaving = isAnyLeaving || traits.isDraining;
+    }
+    for (const EndpointName &instance : update.removed) {
+        const auto found = this->replicas.find(instance);
+        if (found != this->replicas.end()) {
+            this->slotCount -= slotsOf(found->second);
+            this->index.remove(found->second);
+            this->replicas.erase(found);
+        }
+    }
+    this->forecast.setSlots(this->slotCount);
+    if (isAnyLeaving) {
+        this->leaveReplicas();
+    }
+    this->assign();
+    this->tell();
+}
+
+void Dispatcher::putReplica(const DispatchReplica &traits)
+{
+    const auto [found, isNew] = this->replicas.try_emplace(traits.instance);
+    DispatchedReplica &replica = found->second;
+    if (isNew) {
+        replica.mark = markOf(traits.instance);
+        replica.number = ++this->lastReplica;
+    } else {
+        this->slotCount -= slotsOf(replica);
+    }
+    replica.traits = traits;
+    this->slotCount += slotsOf(replica);
+    this->index.update(replica);
+}
+
+void Dispatcher::leaveReplicas()
+{
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
-        if (!this->replicas.contains(placement->second.replica)) {
+        const DispatchedReplica *const replica = this->replicaOf(placement->second);
+        if (replica == nullptr) {
             this->forget(placement);
+        } else if (replica->traits.isDraining && placement->second.work == WorkClass::Batch && !placement->second.stopped) {
+            // Items make up what they lose; they must not hold up a replica that leaves.
+            this->stop(placement->second);
         }
         placement = next;
     }
-    // Items make up what they lose; they must not hold up a replica that leaves.
-    for (auto &[id, placement] : this->placements) {
-        const Replica *const replica = this->replicaOf(placement);
-        const bool isLeaving = replica != nullptr && replica->traits.isDraining;
-        if (isLeaving && placement.work == WorkClass::Batch && !placement.stopped) {
-            this->stop(placement);
-        }
-    }
-    this->assign();
-    this->tell();
 }
 
 bool Dispatcher::ask(const PlacementRequest &request)
@@ -207,6 +237,7 @@
     const auto found = this->replicas.find(instance);
     if (found != this->replicas.end()) {
         found->second.slots.noteTold(load, this->clock.now());
+        this->index.update(found->second);
         this->assign();
         this->tell();
     }
@@ -244,6 +275,7 @@
         this->waiting.remove(id);
         this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
         replica->second.slots.take(work);
+        this->index.update(replica->second);
         if (work == WorkClass::Batch) {
             this->stoppable.emplace(unknownSlack, id);
         }
@@ -270,33 +302,51 @@
 void Dispatcher::tick()
 {
     const SteadyTime now = this->clock.now();
-    this->waiting.removeIf([now](const WaitingQueue::Waiting &waiting) {
-        const bool isBatch = waiting.request.work == WorkClass::Batch;
-        return now - waiting.asked > (isBatch ? batchWaitingForgotten : waitingForgotten) || now > waiting.request.deadline;
-    });
+    if (now >= this->nextClean) {
+        this->nextClean = now + cleanInterval;
+        this->forgetOver();
+    }
     this->waiting.sinkLate();
     this->forecast.noteWaiting(this->waiting.isAnyOnTime());
     this->sendAwayHopeless();
     this->returns.forgetOld(now);
+    this->repeatStops();
+    this->assign();
+    this->tell();
+}
+
+void Dispatcher::forgetOver()
+{
+    const SteadyTime now = this->clock.now();
+    this->waiting.removeIf([now](const WaitingQueue::Waiting &waiting) {
+        const bool isBatch = waiting.request.work == WorkClass::Batch;
+        return now - waiting.asked > (isBatch ? batchWaitingForgotten : waitingForgotten) || now > waiting.request.deadline;
+    });
     for (auto placement = this->placements.begin(); placement != this->placements.end();) {
         const auto next = std::next(placement);
-        Placement &entry = placement->second;
-        if (now - entry.confirmed > placementForgotten) {
+        if (now - placement->second.confirmed > placementForgotten) {
             this->forget(placement);
-        } else if (entry.stopped && now - *entry.stopped > stopRepeat) {
-            entry.stopped = now;
-            this->decisions.push_back({PlacementDecision::Stopped, entry.id, {}, {}});
         }
         placement = next;
     }
-    this->assign();
-    this->tell();
+}
+
+void Dispatcher::repeatStops()
+{
+    const SteadyTime now = this->clock.now();
+    for (const TicketId id : this->stopping) {
+        Placement &entry = this->placements.at(id);
+        if (now - *entry.stopped > stopRepeat) {
+            entry.stopped = now;
+            this->decisions.push_back({PlacementDecision::Stopped, id, {}, {}});
+        }
+    }
 }
 
 Dispatcher::Load Dispatcher::load() const
 {
     Load load;
-    load.slots = this->totalSlots();
+    load.slots = this->slotCount;
     for (const auto &[instance, replica] : this->replicas) {
         load.onlineRunning += replica.slots.online();
         load.batchRunning += replica.slots.batch();
@@ -312,39 +362,19 @@
     if (online.empty() && this->waiting.of(WorkClass::Batch).empty()) {
         return;
     }
-    OpenReplicas open = this->openReplicas();
-    this->assignFrom(WorkClass::Online, open, &Dispatcher::placeOnline);
+    this->index.refresh();
+    this->assignFrom(WorkClass::Online, &Dispatcher::placeOnline);
     if (online.empty()) {
-        const SteadyTime now = this->clock.now();
-        std::erase_if(open, [now](const Replica *replica) {
-            return now - replica->lastFull < batchCalm;
-        });
-        this->assignFrom(WorkClass::Batch, open, &Dispatcher::placeOpen);
+        this->assignFrom(WorkClass::Batch, &Dispatcher::placeOpen);
     }
 }
 
-// Looked for once for all that wait. Looked for by each of them, a thousand waiting before a hundred replicas took the whole
-// processor of the dispatcher, which then answered nobody.
-Dispatcher::OpenReplicas Dispatcher::openReplicas()
-{
-    const SteadyTime now = this->clock.now();
-    OpenReplicas open;
-    for (auto &[instance, replica] : this->replicas) {
-        if (!replica.traits.isDraining && replica.gate.isOpen(now) && this->hasFreeSlot(replica)) {
-            open.push_back(&replica);
-        }
-    }
-    return open;
-}
-
-void Dispatcher::assignFrom(WorkClass work,
-                            OpenReplicas &open,
-                            bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &))
+void Dispatcher::assignFrom(WorkClass work, bool (Dispatcher::*place)(const PlacementRequest &))
 {
     const WaitingQueue::Queue &queue = this->waiting.of(work);
     const bool mayStop = work == WorkClass::Online;
     for (auto next = queue.begin(); next != queue.end();) {
-        if (open.empty() && (!mayStop || this->stoppable.empty())) {
+        if (this->index.isEmpty() && (!mayStop || this->stoppable.empty())) {
             return;
         }
         const WaitingQueue::Key key = next->first;
@@ -354,7 +384,7 @@
             next = queue.upper_bound(key);
             continue;
         }
-        if ((this->*place)(request, open)) {
+        if ((this->*place)(request)) {
             this->waiting.remove(request.id);
         } else if (request.avoided.empty()) {
             // One that finds no place though it avoids no replica shows that there is none for the others either.
@@ -364,60 +394,31 @@
     }
 }
 
-bool Dispatcher::placeOnline(const PlacementRequest &request, OpenReplicas &open)
+bool Dispatcher::placeOnline(const PlacementRequest &request)
 {
-    if (this->placeOpen(request, open)) {
+    if (this->placeOpen(request)) {
         return true;
     }
     Placement *const victim = this->victimFor(request);
     if (victim == nullptr) {
         return false;
     }
-    Replica *const replica = this->replicaOf(*victim);
+    DispatchedReplica *const replica = this->replicaOf(*victim);
     this->stop(*victim);
     this->place(request, *replica);
     return true;
 }
 
-bool Dispatcher::placeOpen(const PlacementRequest &request, OpenReplicas &open)
+bool Dispatcher::placeOpen(const PlacementRequest &request)
 {
-    const auto best = this->bestReplica(request, open);
-    if (best == open.end()) {
+    DispatchedReplica *const best = this->index.best(request);
+    if (best == nullptr) {
         return false;
     }
-    this->place(request, **best);
-    if (!this->hasFreeSlot(**best)) {
-        open.erase(best);
-    }
+    this->place(request, *best);
     return true;
 }
 
-Dispatcher::OpenReplicas::iterator Dispatcher::bestReplica(const PlacementRequest &request, OpenReplicas &open) const
-{
-    auto best = open.end();
-    double bestScore = 0;
-    const SteadyTime now = this->clock.now();
-    for (auto candidate = open.begin(); candidate != open.end(); ++candidate) {
-        const Replica &replica = **candidate;
-        if (isAvoided(request, replica.traits.instance)) {
-            continue;
-        }
-        if (request.work == WorkClass::Batch && !replica.slots.mayTakeItem(now)) {
-            continue;
-        }
-        // Between failure domains bytes cost; at equal load the near replica is taken.
-        const bool isNear = replica.traits.failureDomain == request.failureDomain;
-        const double running
-            = replica.slots.used(now) + (isNear ? 0.0 : 0.9) - (isConnected(request, replica) ? connectionWorth : 0.0);
-        const double score = running / replica.traits.slots;
-        if (best == open.end() || score < bestScore) {
-            best = candidate;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 Dispatcher::Placement *Dispatcher::victimFor(const PlacementRequest &request)
 {
     // The item with the most time left gives way, one that is late anyway before all; what it has generated is kept by its
@@ -429,7 +430,7 @@
             break;
         }
         const auto placement = this->placements.find(item->second);
-        const Replica *const replica = placement != this->placements.end() ? this->replicaOf(placement->second) : nullptr;
+        const DispatchedReplica *const replica = placement != this->placements.end() ? this->replicaOf(placement->second) : nullptr;
         if (replica == nullptr || !this->isUsable(*replica, request)) {
             continue;
         }
@@ -442,14 +443,15 @@
     return first;
 }
 
-void Dispatcher::place(const PlacementRequest &request, Replica &replica)
+void Dispatcher::place(const PlacementRequest &request, DispatchedReplica &replica)
 {
     const SteadyTime now = this->clock.now();
     replica.slots.take(request.work);
-    if (!this->hasFreeSlot(replica)) {
+    if (!replica.hasFreeSlot(now)) {
         replica.lastFull = now;
     }
     replica.gate.noteSent(now);
+    this->index.update(replica);
     if (request.work == WorkClass::Online && now > request.due) {
         this->forecast.noteLatePlaced();
     }
@@ -466,13 +468,15 @@
 {
     placement.stopped = this->clock.now();
     this->stoppable.erase({placement.slack, placement.id});
-    if (Replica *const replica = this->replicaOf(placement)) {
+    this->stopping.insert(placement.id);
+    if (DispatchedReplica *const replica = this->replicaOf(placement)) {
         replica->slots.release(WorkClass::Batch, this->clock.now());
+        this->index.update(*replica);
     }
     this->decisions.push_back({PlacementDecision::Stopped, placement.id, {}, {}});
 }
 
-Dispatcher::Replica *Dispatcher::replicaOf(const Placement &placement)
+DispatchedReplica *Dispatcher::replicaOf(const Placement &placement)
 {
     const auto found = this->replicas.find(placement.replica);
     return found != this->replicas.end() ? &found->second : nullptr;
@@ -482,8 +486,9 @@
 {
     const Placement &entry = placement->second;
     const SteadyTime now = this->clock.now();
-    if (Replica *const replica = this->replicaOf(entry)) {
+    if (DispatchedReplica *const replica = this->replicaOf(entry)) {
         replica->gate.noteEnd(verdict, now);
+        this->index.update(*replica);
     }
     if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
         this->forecast.noteRun(now - entry.placed);
@@ -494,44 +499,34 @@
 void Dispatcher::forget(Placements::iterator placement)
 {
     const Placement &entry = placement->second;
-    Replica *const replica = this->replicaOf(entry);
+    const SteadyTime now = this->clock.now();
+    DispatchedReplica *const replica = this->replicaOf(entry);
     if (replica != nullptr && !entry.stopped) {
-        if (!this->hasFreeSlot(*replica)) {
-            replica->lastFull = this->clock.now();
+        if (!replica->hasFreeSlot(now)) {
+            replica->lastFull = now;
         }
-        replica->slots.release(entry.work, this->clock.now());
+        replica->slots.release(entry.work, now);
+        this->index.update(*replica);
     }
     this->stoppable.erase({entry.slack, entry.id});
+    this->stopping.erase(entry.id);
     this->placements.erase(placement);
 }
 
-bool Dispatcher::isUsable(const Replica &replica, const PlacementRequest &request) const
+bool Dispatcher::isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const
 {
-    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !isAvoided(request, replica.traits.instance);
+    const bool isAvoided = std::ranges::find(request.avoided, replica.traits.instance) != request.avoided.end();
+    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !isAvoided;
 }
 
-bool Dispatcher::isConnected(const PlacementRequest &request, const Replica &replica)
+bool Dispatcher::isConnected(const PlacementRequest &request, const DispatchedReplica &replica)
 {
     return std::ranges::find(request.connected, replica.mark) != request.connected.end();
 }
 
-bool Dispatcher::isAvoided(const PlacementRequest &request, const EndpointName &instance)
+std::size_t Dispatcher::slotsOf(const DispatchedReplica &replica)
 {
-    return std::ranges::find(request.avoided, instance) != request.avoided.end();
-}
-
-bool Dispatcher::hasFreeSlot(const Replica &replica) const
-{
-    return replica.slots.used(this->clock.now()) < replica.traits.slots;
-}
-
-std::size_t Dispatcher::totalSlots() const
-{
-    std::size_t slots = 0;
-    for (const auto &[instance, replica] : this->replicas) {
-        slots += replica.traits.isDraining ? 0 : replica.traits.slots;
-    }
-    return slots;
+    return replica.traits.isDraining ? 0 : replica.traits.slots;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -3,8 +3,9 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/LoadForecast.h>
 #include <LibDispatch/PlacementTypes.h>
-#include <LibDispatch/ReplicaGate.h>
-#include <LibDispatch/ReplicaSlots.h>
+#include <LibDispatch/DispatchedReplica.h>
+#include <LibDispatch/ReplicaIndex.h>
+#include <LibDispatch/ReplicaUpdate.h>
 #include <LibDispatch/ReturnSchedule.h>
 #include <LibDispatch/WaitingQueue.h>
 
@@ -13,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -56,6 +58,9 @@
     /** The replicas there are now. */
     void setReplicas(const std::vector<DispatchReplica> &replicas);
 
+    /** What changed among the replicas. */
+    void update(const ReplicaUpdate &update);
+
     /** A request wants a place; asked again, it gets the same answer. @return whether it has one now */
     bool ask(const PlacementRequest &request);
 
@@ -97,17 +102,6 @@
         std::optional<SteadyTime> stopped;
     };
 
-    struct Replica
-    {
-        DispatchReplica traits;
-        /** Its short name. */
-        std::uint32_t mark = 0;
-        ReplicaGate gate;
-        ReplicaSlots slots;
-        /** When it last had no free slot. */
-        SteadyTime lastFull{};
-    };
-
     /** What is still to be told. */
     struct Decision
     {
@@ -119,19 +113,19 @@
         std::chrono::milliseconds comeBack{0};
     };
     using Placements = std::map<TicketId, Placement>;
-    /** Replicas that have a free slot and take requests now. */
-    using OpenReplicas = std::vector<Replica *>;
 
     void tell();
+    void putReplica(const DispatchReplica &traits);
+    void leaveReplicas();
+    void forgetOver();
+    void repeatStops();
     void assign();
-    OpenReplicas openReplicas();
-    void assignFrom(WorkClass work, OpenReplicas &open, bool (Dispatcher::*place)(const PlacementRequest &, OpenReplicas &));
-    bool placeOnline(const PlacementRequest &request, OpenReplicas &open);
-    bool placeOpen(const PlacementRequest &request, OpenReplicas &open);
-    OpenReplicas::iterator bestReplica(const PlacementRequest &request, OpenReplicas &open) const;
-    Replica *replicaOf(const Placement &placement);
+    void assignFrom(WorkClass work, bool (Dispatcher::*place)(const PlacementRequest &));
+    bool placeOnline(const PlacementRequest &request);
+    bool placeOpen(const PlacementRequest &request);
+    DispatchedReplica *replicaOf(const Placement &placement);
     Placement *victimFor(const PlacementRequest &request);
-    void place(const PlacementRequest &request, Replica &replica);
+    void place(const PlacementRequest &request, DispatchedReplica &replica);
     void welcome(PlacementRequest &request);
     void sendAwayIfLate(const PlacementRequest &request);
     void sendAwayHopeless();
@@ -139,20 +133,25 @@
     void stop(Placement &placement);
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
-    bool isUsable(const Replica &replica, const PlacementRequest &request) const;
-    static bool isConnected(const PlacementRequest &request, const Replica &replica);
-    static bool isAvoided(const PlacementRequest &request, const EndpointName &instance);
-    bool hasFreeSlot(const Replica &replica) const;
-    std::size_t totalSlots() const;
+    bool isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const;
+    static bool isConnected(const PlacementRequest &request, const DispatchedReplica &replica);
+    static std::size_t slotsOf(const DispatchedReplica &replica);
 
     const Clock &clock;
     Hooks hooks;
-    std::map<EndpointName, Replica> replicas;
+    std::unordered_map<EndpointName, DispatchedReplica> replicas;
+    std::uint64_t lastReplica = 0;
+    /** Of the replicas that do not leave. */
+    std::size_t slotCount = 0;
+    ReplicaIndex index;
     Placements placements;
     WaitingQueue waiting;
     std::vector<Decision> decisions;
     /** Batch items that run and were not told to stop, by their slack. */
     std::set<std::pair<std::chrono::nanoseconds, TicketId>> stoppable;
+    /** Batch items that were told to stop and are not over. */
+    std::set<TicketId> stopping;
+    SteadyTime nextClean{};
     LoadForecast forecast;
     ReturnSchedule returns;
 };
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -1,7 +1,5 @@
 #include <LibDispatch/LocalPlacement.h>
 
-#include <LibDispatch/UpdateReplicas.h>
-
 #include <algorithm>
 
 namespace Dogwoodkeel
@@ -26,7 +24,19 @@
 
 void LocalPlacement::setReplicas(const std::vector<DispatchReplica> &replicas)
 {
-    updateReplicas(this->replicas, replicas);
+    this->update(updateTo(replicas, this->replicas));
+}
+
+void LocalPlacement::update(const ReplicaUpdate &update)
+{
+    for (const DispatchReplica &traits : update.put) {
+        Replica &replica = this->replicas[traits.instance];
+        replica.traits = traits;
+        replica.mark = markOf(traits.instance);
+    }
+    for (const EndpointName &instance : update.removed) {
+        this->replicas.erase(instance);
+    }
 }
 
 std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near,
--- a/Libraries/LibDispatch/LocalPlacement.h
+++ b/Libraries/LibDispatch/LocalPlacement.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaGate.h>
+#include <LibDispatch/ReplicaUpdate.h>
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,9 @@
 
     void setReplicas(const std::vector<DispatchReplica> &replicas);
 
+    /** What changed among the replicas. */
+    void update(const ReplicaUpdate &update);
+
     /**
      * @param connected marks of the replicas to which this node has an open connection
      * @return the replica to use, or nothing if there is none that may be used
--- a/Libraries/LibDispatch/ReplicaGate.cpp
+++ b/Libraries/LibDispatch/ReplicaGate.cpp
@@ -25,6 +25,11 @@
     return now >= this->blockedUntil;
 }
 
+std::optional<SteadyTime> ReplicaGate::opensAt(SteadyTime now) const
+{
+    return this->isOpen(now) ? std::nullopt : std::optional(this->blockedUntil);
+}
+
 void ReplicaGate::noteSent(SteadyTime now)
 {
     if (this->failures >= brokenInRow) {
--- a/Libraries/LibDispatch/ReplicaGate.h
+++ b/Libraries/LibDispatch/ReplicaGate.h
@@ -4,6 +4,7 @@
 #include <LibWire/Generated/Messages.h>
 
 #include <chrono>
+#include <optional>
 
 namespace Dogwoodkeel
 {
@@ -19,6 +20,9 @@
     /** @return whether a request may be sent there now. */
     bool isOpen(SteadyTime now) const;
 
+    /** @return from when on it may be sent requests, if it may not now. */
+    std::optional<SteadyTime> opensAt(SteadyTime now) const;
+
     /** A request was sent there. */
     void noteSent(SteadyTime now);
 
--- /dev/null
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibDispatch/DispatchedReplica.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+/**
+ * The replicas that have a free slot and take requests now, by failure domain and load, so that the best one for a request is found
+ * without a look at all of them. A replica is put in order again when something of it changes, and when time alone opens it.
+ */
+class ReplicaIndex
+{
+public:
+    explicit ReplicaIndex(const Clock &clock);
+
+    /** Something of a replica changed; it stays where it is in memory until remove(). */
+    void update(DispatchedReplica &replica);
+
+    /** A replica is gone. */
+    void remove(const DispatchedReplica &replica);
+
+    /** Take in what time has changed since the last call. */
+    void refresh();
+
+    /** @return whether no replica has a free slot. */
+    bool isEmpty() const;
+
+    /** @return the best replica for a request, or null if there is none with a free slot that it may use. */
+    DispatchedReplica *best(const PlacementRequest &request) const;
+
+private:
+    /** Load, and the number among equals. */
+    using Key = std::pair<double, std::uint64_t>;
+    using Order = std::map<Key, DispatchedReplica *>;
+
+    /** The open replicas of one failure domain. */
+    struct Domain
+    {
+        Order open;
+        /** Those of them that may take an item. */
+        Order openForItems;
+    };
+
+    /** Where a replica stands. */
+    struct Place
+    {
+        FailureDomain domain;
+        Key key;
+        bool isForItems = false;
+    };
+
+    DispatchedReplica *bestConnected(const PlacementRequest &request, double &bestScore) const;
+    void drop(std::uint64_t number);
+    void wake(DispatchedReplica &replica, SteadyTime now);
+
+    const Clock &clock;
+    std::map<FailureDomain, Domain> domains;
+    std::unordered_map<std::uint64_t, Place> places;
+    std::unordered_multimap<std::uint32_t, DispatchedReplica *> byMark;
+    /** When time alone may change a replica. */
+    std::set<std::pair<SteadyTime, std::uint64_t>> wakeTimes;
+    std::unordered_map<std::uint64_t, std::pair<SteadyTime, DispatchedReplica *>> wakes;
+};
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/ReplicaSlots.cpp
+++ b/Libraries/LibDispatch/ReplicaSlots.cpp
@@ -63,6 +63,14 @@
     return this->onlineCount + this->batchCount + (this->isFresh(now) ? this->others : 0);
 }
 
+std::optional<SteadyTime> ReplicaSlots::forgetsAt(SteadyTime now) const
+{
+    if (this->others == 0 || !this->isFresh(now)) {
+        return std::nullopt;
+    }
+    return this->othersTold + othersKept + SteadyTime::duration(1);
+}
+
 bool ReplicaSlots::mayTakeItem(SteadyTime now) const
 {
     const bool isKnown = this->isHeard && (this->others == 0 || this->isFresh(now));
--- a/Libraries/LibDispatch/ReplicaSlots.h
+++ b/Libraries/LibDispatch/ReplicaSlots.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace Dogwoodkeel
 {
@@ -36,6 +37,9 @@
     /** @return slots that are taken, by whomever. */
     std::uint32_t used(SteadyTime now) const;
 
+    /** @return when what the replica told is too old to count, if that changes something after now. */
+    std::optional<SteadyTime> forgetsAt(SteadyTime now) const;
+
     /** @return whether it may get one more item. Where it isn't known what others have there, one item at a time asks. */
     bool mayTakeItem(SteadyTime now) const;
 
