ReplicaList, Gateway: A replica is a change, not a list

Change: replicas are found by instance, registered name and address without a search; the list tells what changed since it was asked last, one batch an answer of the store; only that goes to the dispatchers and the own counts. A configuration sets only services that it changes.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -1,7 +1,5 @@
 #include <LibGateway/ReplicaList.h>
 
-#include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -14,7 +12,7 @@
 
 void ReplicaList::replaceAll(const std::vector<ServingReplica> &replicas)
 {
-    std::set<EndpointName> present;
+    std::unordered_set<EndpointName> present;
     for (const ServingReplica &replica : replicas) {
         present.insert(replica.instance);
         this->put(replica);
@@ -33,14 +31,20 @@
 void ReplicaList::replaceNow(const std::vector<ServingReplica> &replicas)
 {
     this->lapsed.clear();
-    std::set<EndpointName> present;
+    std::unordered_set<EndpointName> present;
     for (const ServingReplica &replica : replicas) {
         present.insert(replica.instance);
         this->put(replica);
     }
-    std::erase_if(this->list, [&present](const auto &entry) {
-        return !present.contains(entry.first);
-    });
+    std::vector<EndpointName> missing;
+    for (const auto &[instance, replica] : this->list) {
+        if (!present.contains(instance)) {
+            missing.push_back(instance);
+        }
+    }
+    for (const EndpointName &instance : missing) {
+        this->erase(instance);
+    }
 }
 
 bool ReplicaList::isOut() const
@@ -50,36 +54,67 @@
 
 void ReplicaList::put(const ServingReplica &replica)
 {
-    std::erase(this->lapsed, replica.instance);
-    this->dropOthersLike(replica);
+    this->lapsed.erase(replica.instance);
+    const auto known = this->list.find(replica.instance);
+    if (known != this->list.end() && known->second == replica) {
+        return;
+    }
+    const ServingReplica *const sameName = this->findRegistered(replica.registeredName);
+    if (sameName != nullptr && sameName->instance != replica.instance) {
+        const ServingReplica former = *sameName;
+        this->erase(former.instance);
+        this->restarted(former);
+    }
+    // An address belongs to one replica at a time: whoever had it before is gone, whatever the list still says.
+    const ServingReplica *const sameAddress = this->findAt(replica.address);
+    if (sameAddress != nullptr && sameAddress->instance != replica.instance) {
+        this->erase(EndpointName(sameAddress->instance));
+    }
+    if (known != this->list.end() && known->second.service != replica.service) {
+        this->erase(EndpointName(replica.instance));
+    } else if (known != this->list.end()) {
+        this->byAddress.erase(known->second.address);
+        this->byRegisteredName.erase(known->second.registeredName);
+    }
     this->list.insert_or_assign(replica.instance, replica);
-    this->instancesAt.insert_or_assign(replica.address, replica.instance);
-    if (this->instancesAt.size() > this->list.size() * 2 + 16) {
-        std::erase_if(this->instancesAt, [this](const auto &entry) {
-            return !this->list.contains(entry.second);
-        });
+    this->byAddress.insert_or_assign(replica.address, replica.instance);
+    this->byRegisteredName.insert_or_assign(replica.registeredName, replica.instance);
+    this->change(replica.instance);
+}
+
+void ReplicaList::erase(const EndpointName &instance)
+{
+    auto node = this->list.extract(instance);
+    if (node.empty()) {
+        return;
     }
+    const ServingReplica &replica = node.mapped();
+    this->byAddress.erase(replica.address);
+    this->byRegisteredName.erase(replica.registeredName);
+    this->lapsed.erase(replica.instance);
+    this->changed.erase(replica.instance);
+    this->removed.insert_or_assign(replica.instance, replica);
 }
 
-void ReplicaList::dropOthersLike(const ServingReplica &replica)
+void ReplicaList::change(const EndpointName &instance)
 {
-    std::vector<ServingReplica> former;
-    std::erase_if(this->list, [&replica, &former](const auto &entry) {
-        const ServingReplica &other = entry.second;
-        if (other.instance == replica.instance) {
-            return false;
-        }
-        const bool isFormer = other.registeredName == replica.registeredName;
-        if (isFormer) {
-            former.push_back(other);
-        }
-        // An address belongs to one replica at a time: whoever had it before is gone, whatever the list still says.
-        return isFormer || other.address == replica.address;
-    });
-    for (const ServingReplica &over : former) {
-        std::erase(this->lapsed, over.instance);
-        this->restarted(over);
+    this->changed.insert(instance);
+    const auto gone = this->removed.find(instance);
+    if (gone != this->removed.end() && gone->second.service == this->list.at(instance).service) {
+        this->removed.erase(gone);
+    }
+}
+
+ReplicaChanges ReplicaList::takeChanges()
+{
+    ReplicaChanges changes;
+    for (const EndpointName &instance : std::exchange(this->changed, {})) {
+        changes.put.push_back(this->list.at(instance));
+    }
+    for (auto &[instance, replica] : std::exchange(this->removed, {})) {
+        changes.removed.push_back(replica);
     }
+    return changes;
 }
 
 void ReplicaList::remove(const EndpointName &registeredName)
@@ -90,37 +125,31 @@
     }
     const EndpointName instance = found->instance;
     if (this->isAroundOutage() && !found->isDraining) {
-        if (std::ranges::find(this->lapsed, instance) == this->lapsed.end()) {
-            this->lapsed.push_back(instance);
-        }
+        this->lapsed.insert(instance);
         return;
     }
-    this->list.erase(instance);
+    this->erase(instance);
 }
 
-bool ReplicaList::holdBack(const EndpointName &registeredName)
+void ReplicaList::holdBack(const EndpointName &registeredName)
 {
     const ServingReplica *const found = this->findRegistered(registeredName);
-    if (found == nullptr || found->isDraining) {
-        return false;
+    if (found != nullptr && !found->isDraining) {
+        this->list.at(found->instance).isDraining = true;
+        this->change(found->instance);
     }
-    this->list.at(found->instance).isDraining = true;
-    return true;
 }
 
 const ServingReplica *ReplicaList::findAt(const Address &address) const
 {
-    const auto named = this->instancesAt.find(address);
-    const auto found = named != this->instancesAt.end() ? this->list.find(named->second) : this->list.end();
-    return found != this->list.end() && found->second.address == address ? &found->second : nullptr;
+    const auto named = this->byAddress.find(address);
+    return named != this->byAddress.end() ? &this->list.at(named->second) : nullptr;
 }
 
 const ServingReplica *ReplicaList::findRegistered(const EndpointName &registeredName) const
 {
-    const auto found = std::ranges::find_if(this->list, [&registeredName](const auto &entry) {
-        return entry.second.registeredName == registeredName;
-    });
-    return found != this->list.end() ? &found->second : nullptr;
+    const auto named = this->byRegisteredName.find(registeredName);
+    return named != this->byRegisteredName.end() ? &this->list.at(named->second) : nullptr;
 }
 
 void ReplicaList::noteOutage()
@@ -136,19 +165,17 @@
     }
 }
 
-bool ReplicaList::expire()
+void ReplicaList::expire()
 {
-    if (this->isAroundOutage() || this->lapsed.empty()) {
-        return false;
+    if (this->isAroundOutage()) {
+        return;
     }
-    for (const EndpointName &instance : this->lapsed) {
-        this->list.erase(instance);
+    for (const EndpointName &instance : std::exchange(this->lapsed, {})) {
+        this->erase(instance);
     }
-    this->lapsed.clear();
-    return true;
 }
 
-const std::map<EndpointName, ServingReplica> &ReplicaList::replicas() const
+const ReplicaList::Replicas &ReplicaList::replicas() const
 {
     return this->list;
 }
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibGateway/ReplicaChanges.h>
 #include <LibGateway/ServingReplica.h>
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
-#include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -17,10 +19,14 @@
  * The replicas that the platform lists. While the platform is away, entries of replicas that live lapse, and they are back
  * a little after its return; so an entry that goes around an outage is kept for that time, or all requests would be refused
  * for want of a replica.
+ *
+ * Finding one, and changing one, takes the same time however many there are: each node takes each change of each replica.
  */
 class ReplicaList
 {
 public:
+    using Replicas = std::unordered_map<EndpointName, ServingReplica>;
+
     /** Told of the incarnation that is over when a replica has started again under its name. */
     using Restarted = std::function<void(const ServingReplica &former)>;
 
@@ -42,15 +48,11 @@
     /**
      * An entry can't be read any more: it names no replica to use until it is right again. What runs there goes on, as at one
      * that leaves, for most likely the replica is as it was and only its entry is spoilt.
-     * @return whether there was such an entry in use
      */
-    bool holdBack(const EndpointName &registeredName);
+    void holdBack(const EndpointName &registeredName);
 
-    /** @return the entry with an address, or null. */
-    const ServingReplica *findAt(const Address &address) const;
-
-    /** @return the entry under a registered name, or null. */
-    const ServingReplica *findRegistered(const EndpointName &registeredName) const;
+    /** Drop the entries whose time is over. */
+    void expire();
 
     /** The platform could not be reached just now. */
     void noteOutage();
@@ -58,26 +60,37 @@
     /** The platform answered. */
     void noteAnswer();
 
-    /** Drop the entries whose time is over. @return whether there was one */
-    bool expire();
-
     /** @return whether the platform has not answered since an outage began. */
     bool isOut() const;
 
+    /** @return what changed since the last call. */
+    ReplicaChanges takeChanges();
+
+    /** @return the entry with an address, or null. */
+    const ServingReplica *findAt(const Address &address) const;
+
+    /** @return the entry under a registered name, or null. */
+    const ServingReplica *findRegistered(const EndpointName &registeredName) const;
+
     /** @return the entries by instance, lapsed ones that are still kept among them. */
-    const std::map<EndpointName, ServingReplica> &replicas() const;
+    const Replicas &replicas() const;
 
 private:
     bool isAroundOutage() const;
-    void dropOthersLike(const ServingReplica &replica);
+    void erase(const EndpointName &instance);
+    void change(const EndpointName &instance);
 
     const Clock &clock;
     std::chrono::milliseconds lapsedKept;
     Restarted restarted;
-    std::map<EndpointName, ServingReplica> list;
-    std::map<Address, EndpointName> instancesAt;
+    Replicas list;
+    /** An address, and a registered name, belong to one replica at a time. */
+    std::map<Address, EndpointName> byAddress;
+    std::unordered_map<EndpointName, EndpointName> byRegisteredName;
     /** Entries that are gone from the platform. */
-    std::vector<EndpointName> lapsed;
+    std::unordered_set<EndpointName> lapsed;
+    std::unordered_set<EndpointName> changed;
+    std::unordered_map<EndpointName, ServingReplica> removed;
     bool isAway = false;
     std::optional<SteadyTime> returned;
 };
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -41,6 +41,12 @@
     exchange->send(status, headers, body);
 }
 
+DispatchReplica dispatchReplica(const Service &service, const ServingReplica &replica)
+{
+    const std::uint32_t slots = service.engine && service.engine->slots > 0 ? service.engine->slots : replica.slots;
+    return {replica.instance, replica.failureDomain, slots, replica.isDraining};
+}
+
 QuotaBounds quotaBounds(const GatewaySettings &settings)
 {
     return {settings.quotaWindow, settings.quotaOverrun, settings.quotaSlack};
@@ -84,8 +90,8 @@
              {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
              {replicaTable, &decodeReplica},
              {.changed =
-                  [this] {
-                      this->updateReplicas();
+                  [this](const ReplicaChanges &changes) {
+                      this->takeReplicas(changes);
                   },
               .restarted =
                   [this](const ServingReplica &former) {
@@ -306,26 +312,52 @@
     limits.headTimeout = stated.headTimeout.count() > 0 ? stated.headTimeout : limits.headTimeout;
     limits.idleTimeout = stated.idleTimeout.count() > 0 ? stated.idleTimeout : limits.idleTimeout;
     this->callers.setLimits(limits);
-    this->updateReplicas();
+    this->followServices(this->followed.get(), *configuration);
+    this->followed = configuration;
+    this->updateReadiness();
     this->router.retryHeld();
 }
 
-void Gateway::updateReplicas()
+void Gateway::followServices(const ServingConfiguration *before, const ServingConfiguration &current)
 {
-    if (!this->isComplete) {
-        return;
+    for (const Service &service : current.services) {
+        const Service *const known = before != nullptr ? before->findService(service.name) : nullptr;
+        if (known == nullptr || known->engine != service.engine) {
+            this->placements.setService(service.name, this->replicasOf(service), service.engine.has_value());
+        }
     }
-    const ServingConfigurationPointer current = this->configuration.current();
-    if (!current) {
+}
+
+std::vector<DispatchReplica> Gateway::replicasOf(const Service &service) const
+{
+    std::vector<DispatchReplica> replicas;
+    for (const ServingReplica &replica : this->listed.ofService(service.name)) {
+        replicas.push_back(dispatchReplica(service, replica));
+    }
+    return replicas;
+}
+
+void Gateway::takeReplicas(const ReplicaChanges &changes)
+{
+    if (!this->isComplete) {
         return;
     }
-    for (const Service &service : current->services) {
-        std::vector<DispatchReplica> replicas;
-        for (const ServingReplica &replica : this->listed.ofService(service.name)) {
-            const std::uint32_t slots = service.engine && service.engine->slots > 0 ? service.engine->slots : replica.slots;
-            replicas.push_back({replica.instance, replica.failureDomain, slots, replica.isDraining});
+    // What comes before the first configuration is taken with it.
+    if (this->followed) {
+        std::map<ServiceName, ReplicaUpdate> updates;
+        for (const ServingReplica &replica : changes.removed) {
+            updates[replica.service].removed.push_back(replica.instance);
+        }
+        for (const ServingReplica &replica : changes.put) {
+            if (const Service *const service = this->followed->findService(replica.service)) {
+                updates[replica.service].put.push_back(dispatchReplica(*service, replica));
+            }
+        }
+        for (const auto &[name, update] : updates) {
+            if (this->followed->findService(name) != nullptr) {
+                this->placements.updateService(name, update);
+            }
         }
-        this->placements.setService(service.name, replicas, service.engine.has_value());
     }
     this->updateReadiness();
 }
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -79,7 +79,9 @@
     void takeView(const MemberViewPointer &view);
     void takeDatagram(const Datagram &datagram);
     void takeConfiguration(const ServingConfigurationPointer &configuration);
-    void updateReplicas();
+    void takeReplicas(const ReplicaChanges &changes);
+    void followServices(const ServingConfiguration *before, const ServingConfiguration &current);
+    std::vector<DispatchReplica> replicasOf(const Service &service) const;
     void updateReadiness();
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
@@ -98,6 +100,8 @@
     bool isComplete = false;
     bool isReady = false;
     std::size_t memberCount = 0;
+    /** By which the services are known to the parts. */
+    ServingConfigurationPointer followed;
     /** Replicas that were seen to start again under their names. */
     std::uint64_t replicasRestarted = 0;
     std::function<void()> stopped;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -35,8 +35,7 @@
 
 } // namespace
 
-PlacementClient::PlacementClient(
-    EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own)
+PlacementClient::PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own)
     : loop(loop)
     , clock(clock)
     , peers(peers)
@@ -79,6 +78,12 @@
     this->server.setReplicas(service, replicas);
 }
 
+void PlacementClient::updateService(const ServiceName &service, const ReplicaUpdate &update)
+{
+    this->stateOf(service).local.update(update);
+    this->server.updateReplicas(service, update);
+}
+
 PlacementClient::Ticket PlacementClient::ask(const PlacementWish &wish, Decided decided)
 {
     const Ticket ticket = ++this->lastTicket;
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -58,6 +58,9 @@
     /** The replicas of a service, and whether places are given by a dispatcher or by each node itself. */
     void setService(const ServiceName &service, const std::vector<DispatchReplica> &replicas, bool isDispatched);
 
+    /** What changed among the replicas of a service that was set. */
+    void updateService(const ServiceName &service, const ReplicaUpdate &update);
+
     /** Ask for a place. The answer never comes from inside this call. */
     Ticket ask(const PlacementWish &wish, Decided decided);
 
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -48,11 +48,21 @@
 }
 
 void PlacementServer::setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas)
+{
+    this->updateReplicas(service, updateTo(replicas, this->stateOf(service).replicas));
+}
+
+void PlacementServer::updateReplicas(const ServiceName &service, const ReplicaUpdate &update)
 {
     ServiceState &state = this->stateOf(service);
-    state.replicas = replicas;
+    for (const EndpointName &instance : update.removed) {
+        state.replicas.erase(instance);
+    }
+    for (const DispatchReplica &replica : update.put) {
+        state.replicas.insert_or_assign(replica.instance, replica);
+    }
     if (state.dispatcher) {
-        state.dispatcher->setReplicas(replicas);
+        state.dispatcher->update(update);
     }
 }
 
@@ -232,7 +242,11 @@
                 },
         };
         state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
-        state.dispatcher->setReplicas(state.replicas);
+        ReplicaUpdate update;
+        for (const auto &[instance, replica] : state.replicas) {
+            update.put.push_back(replica);
+        }
+        state.dispatcher->update(update);
     }
     return *state.dispatcher;
 }
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -42,6 +43,9 @@
     /** The replicas of a service. */
     void setReplicas(const ServiceName &service, const std::vector<DispatchReplica> &replicas);
 
+    /** What changed among the replicas of a service. */
+    void updateReplicas(const ServiceName &service, const ReplicaUpdate &update);
+
     /** The dispatcher of a service, if it is another node, does not answer this one. */
     void doubtDispatcher(const ServiceName &service);
 
@@ -75,7 +79,8 @@
 private:
     struct ServiceState
     {
-        std::vector<DispatchReplica> replicas;
+        /** For the dispatcher, if this node comes to have it. */
+        std::unordered_map<EndpointName, DispatchReplica> replicas;
         /** Made when somebody asks this node. */
         std::unique_ptr<Dispatcher> dispatcher;
         /** Where the nodes that ask this dispatcher are. */
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -57,6 +57,10 @@
                                    [this](const StoredRow &row) {
                                        this->takeChange(row);
                                    },
+                               .onTold =
+                                   [this] {
+                                       this->tellChanges();
+                                   },
                                .onAnswer =
                                    [this] {
                                        this->lastTold = this->clock.now();
@@ -145,7 +149,15 @@
     this->list.replaceAll(replicas);
     this->known = true;
     log(LogLevel::Info, "replicas read", {{"count", static_cast<std::int64_t>(replicas.size())}});
-    this->hooks.changed();
+}
+
+void ReplicaFollower::tellChanges()
+{
+    const ReplicaChanges changes = this->list.takeChanges();
+    const bool isFirst = this->known && !std::exchange(this->hasTold, this->known);
+    if (isFirst || !changes.isEmpty()) {
+        this->hooks.changed(changes);
+    }
 }
 
 void ReplicaFollower::takeChange(const StoredRow &row)
@@ -155,14 +167,11 @@
         log(LogLevel::Info, "replica gone from the list", {{"replica", name.value()}});
         this->unreadable.erase(name);
         this->list.remove(name);
-        this->hooks.changed();
         return;
     }
     const std::optional<ServingReplica> replica = this->decode(row);
     if (!replica) {
-        if (this->list.holdBack(name)) {
-            this->hooks.changed();
-        }
+        this->list.holdBack(name);
         return;
     }
     const ServingReplica *const before = this->find(replica->instance);
@@ -178,15 +187,12 @@
          {"service", replica->service.value()},
          {"address", replica->address.toString()},
          {"draining", replica->isDraining}});
-    this->hooks.changed();
 }
 
 void ReplicaFollower::expire()
 {
-    if (this->list.expire()) {
-        log(LogLevel::Info, "replicas that lapsed around an outage of the store dropped");
-        this->hooks.changed();
-    }
+    this->list.expire();
+    this->tellChanges();
     this->expiryTimer = this->loop.schedule(expiryInterval, [this] {
         this->expire();
     });
@@ -257,7 +263,7 @@
         {{"count", static_cast<std::int64_t>(replicas.size())}, {"age_ms", records.age.count()}});
     this->list.replaceNow(replicas);
     this->known = true;
-    this->hooks.changed();
+    this->tellChanges();
 }
 
 ReplicaRecords ReplicaFollower::records() const
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -32,7 +32,7 @@
 
     struct Hooks
     {
-        std::function<void()> changed;
+        std::function<void(const ReplicaChanges &)> changed;
         /** A replica has started again under its name: nothing that is known of the one before holds. */
         std::function<void(const ServingReplica &former)> restarted;
     };
@@ -79,6 +79,7 @@
     void takeAll(const std::vector<StoredRow> &rows);
     void takeChange(const StoredRow &row);
     void takeRestart(const ServingReplica &former);
+    void tellChanges();
     void expire();
     void watchStore();
     void askPeer();
@@ -95,6 +96,8 @@
     /** Registered names whose entries can't be read; each is told once. */
     std::set<EndpointName> unreadable;
     bool known = false;
+    /** Whether the first list was told, which may be empty. */
+    bool hasTold = false;
     /** When the store, or a node that it answered, last told the list. */
     SteadyTime lastTold{};
     bool hasLostStore = false;
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -59,6 +59,7 @@
     this->since = version;
     this->hooks.onAnswer();
     this->hooks.onAll(rows);
+    this->hooks.onTold();
     this->follow();
 }
 
@@ -91,6 +92,7 @@
     for (const StoredRow &row : result.rows) {
         this->hooks.onChange(row);
     }
+    this->hooks.onTold();
     this->schedule(result.rows.empty() ? std::chrono::milliseconds(0) : this->options.pace, [this] {
         this->follow();
     });
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -32,6 +32,8 @@
         std::function<void(const std::vector<StoredRow> &)> onAll;
         /** A row was put or removed. */
         std::function<void(const StoredRow &)> onChange;
+        /** All rows of an answer have been told. */
+        std::function<void()> onTold = [] {};
         /** The store answered. */
         std::function<void()> onAnswer = [] {};
         /** The store did not answer. */
