--- a/Libraries/LibMembership/ClaimedDuty.cpp
+++ b/Libraries/LibMembership/ClaimedDuty.cpp
@@ -167,7 +167,7 @@
 
 const Member *ClaimedDuty::doubtedHolder() const
 {
-    return this->doubted ? this->chosen : nullptr;
+    return this->doubted && !this->isSilent() ? this->chosen : nullptr;
 }
 
 bool ClaimedDuty::isSilent() const
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -326,6 +326,27 @@
     CHECK(holderOf(duty) == successor);
 }
 
+// Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the doubts, and puts off its claim.
+TEST_CASE("once the holder's silence is settled, nobody is asked in its place")
+{
+    ManualClock clock;
+    ClaimedDuty duty(clock, "llm");
+    const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
+    duty.setView(SessionNumber(1), view, view);
+    duty.hear({"llm", 1, SessionNumber(2)});
+    const SessionNumber successor = duty.successor()->session;
+    // Another node than the one that will claim the duty: it takes the successor for the holder until it hears the claim.
+    duty.setView(successor == SessionNumber(6) ? SessionNumber(1) : SessionNumber(6), view, view);
+    for (Number from = 3; from < 6; ++from) {
+        duty.hearDoubt({"llm", SessionNumber(2), SessionNumber(from)});
+    }
+    CHECK(duty.doubtedHolder()->session == SessionNumber(2));
+    clock.advance(300ms);
+    CHECK(!duty.makeClaim());
+    CHECK(holderOf(duty) == successor);
+    CHECK(duty.doubtedHolder() == nullptr);
+}
+
 // A node that has just started is told who dispatches before gossip tells it of that member.
 TEST_CASE("a node that has never seen the holder waits before it claims the duty")
 {
