TableFollower, ReplicaFollower: Fewer and longer questions to the store; a list from a peer is followed from its version

Change: the configuration is waited for 8 s while other nodes are heard, which tell of newer versions; open jobs are asked for every 3 s, and at once when a node goes; all is asked anew when the store is reached again. A long reading that fails goes on where it was. A node that has not read the replicas takes them from one that has, with the table's version, and follows from there; a peer that has the same list says only that.

Ruled out: longer waits for the replicas. By their answers a node knows within 1.6 s that it has lost the store, which moves duties.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -1,10 +1,30 @@
 #include <LibGateway/ReplicaList.h>
 
+#include <LibBase/Hash.h>
+
 #include <utility>
 
 namespace Dogwoodkeel
 {
 
+namespace
+{
+
+std::uint64_t hashOf(const ServingReplica &replica)
+{
+    std::uint64_t hash = stableHash(replica.instance.value());
+    for (const std::string &text : {replica.registeredName.value(),
+                                    replica.service.value(),
+                                    replica.address.toString(),
+                                    replica.failureDomain.value(),
+                                    std::to_string(replica.slots * 2 + (replica.isDraining ? 1 : 0))}) {
+        hash = stableHash(text, hash);
+    }
+    return hash;
+}
+
+} // namespace
+
 ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted)
     : clock(clock), lapsedKept(lapsedKept), restarted(std::move(restarted))
 {
@@ -73,10 +93,12 @@
     if (known != this->list.end() && known->second.service != replica.service) {
         this->erase(EndpointName(replica.instance));
     } else if (known != this->list.end()) {
+        this->hash ^= hashOf(known->second);
         this->byAddress.erase(known->second.address);
         this->byRegisteredName.erase(known->second.registeredName);
     }
     this->list.insert_or_assign(replica.instance, replica);
+    this->hash ^= hashOf(replica);
     this->byAddress.insert_or_assign(replica.address, replica.instance);
     this->byRegisteredName.insert_or_assign(replica.registeredName, replica.instance);
     this->change(replica.instance);
@@ -89,6 +111,7 @@
         return;
     }
     const ServingReplica &replica = node.mapped();
+    this->hash ^= hashOf(replica);
     this->byAddress.erase(replica.address);
     this->byRegisteredName.erase(replica.registeredName);
     this->lapsed.erase(replica.instance);
@@ -135,7 +158,10 @@
 {
     const ServingReplica *const found = this->findRegistered(registeredName);
     if (found != nullptr && !found->isDraining) {
-        this->list.at(found->instance).isDraining = true;
+        ServingReplica &held = this->list.at(found->instance);
+        this->hash ^= hashOf(held);
+        held.isDraining = true;
+        this->hash ^= hashOf(held);
         this->change(found->instance);
     }
 }
@@ -175,6 +201,16 @@
     }
 }
 
+bool ReplicaList::hasLapsed() const
+{
+    return !this->lapsed.empty();
+}
+
+std::uint64_t ReplicaList::fingerprint() const
+{
+    return this->hash;
+}
+
 const ReplicaList::Replicas &ReplicaList::replicas() const
 {
     return this->list;
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -5,6 +5,7 @@
 #include <LibGateway/ServingReplica.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -72,6 +73,12 @@
     /** @return the entry under a registered name, or null. */
     const ServingReplica *findRegistered(const EndpointName &registeredName) const;
 
+    /** @return whether entries are kept that the platform does not list any more. */
+    bool hasLapsed() const;
+
+    /** @return a hash of all entries, whatever their order; the same lists have the same. */
+    std::uint64_t fingerprint() const;
+
     /** @return the entries by instance, lapsed ones that are still kept among them. */
     const Replicas &replicas() const;
 
@@ -91,6 +98,7 @@
     std::unordered_set<EndpointName> lapsed;
     std::unordered_set<EndpointName> changed;
     std::unordered_map<EndpointName, ServingReplica> removed;
+    std::uint64_t hash = 0;
     bool isAway = false;
     std::optional<SteadyTime> returned;
 };
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2894,7 +2894,11 @@
     bool isKnown = false;
     /** When the store last answered it, counted back. */
     std::chrono::milliseconds age = std::chrono::milliseconds(0);
-    /** The list. */
+    /** Of the store's table: what came later is not in the list. 0: the list is not the table as it was at any version. */
+    std::uint64_t version = 0;
+    /** Hash of the list. */
+    std::uint64_t fingerprint = 0;
+    /** The list; empty if the asking node has the same. */
     std::vector<ReplicaRecord> replicas;
 
     bool operator==(const ReplicaRecords &) const = default;
@@ -2902,24 +2906,26 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isKnown, this->age, this->replicas);
+        archive(this->isKnown, this->age, this->version, this->fingerprint, this->replicas);
     }
 };
 
-/** Asks a node for the replicas that it knows: from one that does not reach the store. */
+/** Asks a node for the replicas that it knows: from one that has not read them, or does not reach the store. */
 struct ReplicaRecordsRequest
 {
     static constexpr MessageNumber number{134};
     using Response = ReplicaRecords;
     /** Who asks. */
     SessionNumber from;
+    /** Hash of the list that it has; 0: none. */
+    std::uint64_t fingerprint = 0;
 
     bool operator==(const ReplicaRecordsRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from);
+        archive(this->from, this->fingerprint);
     }
 };
 
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds storePatience{450};
 /** A peer answers from memory; one that does not within this time is cut off. */
 constexpr std::chrono::milliseconds peerTimeout{400};
+/** While others tell which version they have, a connection to the store that is dead shows by that, and the store need not be
+ * asked again so soon. */
+constexpr std::chrono::milliseconds confirmedWait{8000};
 
 } // namespace
 
@@ -47,7 +50,11 @@
     this->follower.emplace(loop,
                            store,
                            stableHash(this->format.table) ^ peers.self().value(),
-                           TableFollower::Options{this->format.table, storeWait, std::chrono::milliseconds(0)},
+                           TableFollower::Options{this->format.table,
+                                                  [this, storeWait] {
+                                                      return this->peers.isInTouch() ? confirmedWait : storeWait;
+                                                  },
+                                                  std::chrono::milliseconds(0)},
                            TableFollower::Hooks{
                                .onAll =
                                    [takeRow](const std::vector<StoredRow> &rows) {
@@ -99,6 +106,10 @@
 
 void ConfigurationFollower::watch()
 {
+    const bool isInTouch = this->peers.isInTouch();
+    if (std::exchange(this->wasInTouch, isInTouch) && !isInTouch) {
+        this->hurry();
+    }
     const bool isBehind = this->isBehind();
     const SteadyTime now = this->clock.now();
     if (!isBehind) {
@@ -124,6 +135,11 @@
     });
 }
 
+void ConfigurationFollower::hurry()
+{
+    this->follower->hurry();
+}
+
 void ConfigurationFollower::catchUp()
 {
     if (this->isAsking) {
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -55,6 +55,9 @@
     /** Ask a node that has a newer version for it, at once. */
     void catchUp();
 
+    /** Ask the store anew, at once. */
+    void hurry();
+
 private:
     void take(const std::string &text, std::string_view source);
     void watch();
@@ -71,6 +74,7 @@
     bool isAsking = false;
     /** Since when others have a newer configuration than this node. */
     std::optional<SteadyTime> behindSince;
+    bool wasInTouch = false;
     TimerId watchTimer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<TableFollower> follower;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -97,6 +97,10 @@
                   [this](const ServingReplica &former) {
                       this->replicaPool.dropIdle(former.address);
                       ++this->replicasRestarted;
+                  },
+              .storeReached =
+                  [this](bool isReached) {
+                      this->takeStoreReach(isReached);
                   }})
     , configuration(loop,
                     clock,
@@ -328,6 +332,16 @@
     }
 }
 
+void Gateway::takeStoreReach(bool isReached)
+{
+    if (this->isComplete && isReached) {
+        // What was asked before may wait on connections that the outage has left dead.
+        this->configuration.hurry();
+        this->runners.hurry();
+        this->peers.hurry();
+    }
+}
+
 std::vector<DispatchReplica> Gateway::replicasOf(const Service &service) const
 {
     std::vector<DispatchReplica> replicas;
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -81,6 +81,7 @@
     void takeConfiguration(const ServingConfigurationPointer &configuration);
     void takeReplicas(const ReplicaChanges &changes);
     void followServices(const ServingConfiguration *before, const ServingConfiguration &current);
+    void takeStoreReach(bool isReached);
     std::vector<DispatchReplica> replicasOf(const Service &service) const;
     void updateReadiness();
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -5,6 +5,7 @@
 #include <LibWire/Codec.h>
 #include <platform/RequestFormat.h>
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 #include <utility>
@@ -15,9 +16,10 @@
 namespace
 {
 
-/** Each result changes its job's row; the changes are taken in groups. They tell of jobs that fall to another node, and of
- * ended jobs where the word of it was lost: seconds matter for neither. */
-constexpr std::chrono::milliseconds changesPace{1000};
+/** Each result changes its job's row; the changes are taken in groups. They tell of ended jobs where the word of it was lost, for
+ * which seconds do not matter; and of jobs that fall to another node, for which the store is asked at once when a node goes. */
+constexpr std::chrono::milliseconds changesPace{3000};
+constexpr std::chrono::milliseconds hurryDelay{100};
 
 } // namespace
 
@@ -32,7 +34,11 @@
     this->follower.emplace(context.loop,
                            rows,
                            stableHash(JobRows::openTable) ^ peers.self().value(),
-                           TableFollower::Options{JobRows::openTable, storeWait, changesPace},
+                           TableFollower::Options{JobRows::openTable,
+                                                  [storeWait] {
+                                                      return storeWait;
+                                                  },
+                                                  changesPace},
                            TableFollower::Hooks{
                                .onAll =
                                    [this](const std::vector<StoredRow> &all) {
@@ -48,6 +54,7 @@
 JobRunners::~JobRunners()
 {
     *this->alive = false;
+    this->context.loop.cancel(this->hurryTimer);
     this->stopAll();
 }
 
@@ -163,7 +170,18 @@
 
 void JobRunners::setView(const MemberViewPointer &view)
 {
-    this->view = view;
+    const MemberViewPointer before = std::exchange(this->view, view);
+    const bool isAnyGone = std::ranges::any_of(before->members(), [&view](const Member &member) {
+        const Member *const now = view->find(member.session);
+        return !member.isLeaving && (now == nullptr || now->isLeaving);
+    });
+    if (isAnyGone && this->hurryTimer == 0) {
+        // Where many go at once, the deaths are heard one by one.
+        this->hurryTimer = this->context.loop.schedule(hurryDelay, [this] {
+            this->hurryTimer = 0;
+            this->follower->hurry();
+        });
+    }
     std::vector<JobId> jobs;
     for (const auto &[job, row] : this->open) {
         jobs.push_back(job);
@@ -173,6 +191,11 @@
     }
 }
 
+void JobRunners::hurry()
+{
+    this->follower->hurry();
+}
+
 void JobRunners::takeAccepted(const JobId &job)
 {
     // The row that names this node as the runner is read back later; the items need not wait for that. A job that was
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -34,6 +34,9 @@
     /** This node has accepted a job, or found that it was: unless it is known to fall to another, it is run here. */
     void takeAccepted(const JobId &job);
 
+    /** Ask the store anew which jobs are open. */
+    void hurry();
+
     /** @return whether a job has items without a result, as far as this node knows. */
     bool isOpen(const JobId &job) const;
 
@@ -62,6 +65,7 @@
     bool isStopped = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<TableFollower> follower;
+    TimerId hurryTimer = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds reachLook{250};
 /** Nodes come and go rarely, and gossip tells of it much faster: the table only brings those together who never met. */
 constexpr std::chrono::milliseconds nodesWait{5000};
+/** Several probe intervals of the membership. */
+constexpr std::chrono::milliseconds touchTime{1000};
 
 PeerSecurity securityOf(const Settings &settings)
 {
@@ -92,7 +94,11 @@
     this->nodes.emplace(loop,
                         store,
                         seed,
-                        TableFollower::Options{nodeTable, nodesWait, nodesPace},
+                        TableFollower::Options{nodeTable,
+                                               [] {
+                                                   return nodesWait;
+                                               },
+                                               nodesPace},
                         TableFollower::Hooks{
                             .onAll =
                                 [this](const std::vector<StoredRow> &rows) {
@@ -259,6 +265,16 @@
     return this->peerClient;
 }
 
+bool PeerNetwork::isInTouch() const
+{
+    return this->clock.now() - this->heard < touchTime;
+}
+
+void PeerNetwork::hurry()
+{
+    this->nodes->hurry();
+}
+
 SteadyTime PeerNetwork::lastHeard() const
 {
     return this->heard;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -50,6 +50,12 @@
     /** @return when the last datagram of another node came. */
     SteadyTime lastHeard() const;
 
+    /** @return whether others have been heard within the time in which each node hears several. */
+    bool isInTouch() const;
+
+    /** Ask the store anew which nodes there are. */
+    void hurry();
+
     /** Tell the others whether this node takes callers. */
     void setReady(bool isReady);
 
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -41,13 +41,17 @@
            })
     , lastTold(clock.now())
 {
-    peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &, const auto &respond) {
-        respond(this->records());
+    peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &request, const auto &respond) {
+        respond(this->records(request));
     });
     this->follower.emplace(loop,
                            store,
                            options.seed,
-                           TableFollower::Options{this->format.table, options.storeWait, changesPace},
+                           TableFollower::Options{this->format.table,
+                                                  [wait = options.storeWait] {
+                                                      return wait;
+                                                  },
+                                                  changesPace},
                            TableFollower::Hooks{
                                .onAll =
                                    [this](const std::vector<StoredRow> &rows) {
@@ -214,6 +218,7 @@
     if (std::exchange(this->hasLostStore, isLost) != isLost) {
         log(LogLevel::Warning, isLost ? "store lost" : "store regained", {{"age_ms", this->age().count()}});
         this->peers.setStoreLost(isLost);
+        this->hooks.storeReached(!isLost);
     }
     if (isLost || !this->known) {
         this->askPeer();
@@ -226,14 +231,19 @@
 void ReplicaFollower::askPeer()
 {
     const MemberViewPointer view = this->peers.view();
-    const Member *const peer = randomMember(*view, this->random, [this](const Member &member) {
+    const auto isUseful = [this](const Member &member) {
         return member.session != this->peers.self() && (!member.hasLostStore || !this->known);
+    };
+    // Those that take callers have a list.
+    const Member *const ready = randomMember(*view, this->random, [&isUseful](const Member &member) {
+        return member.isReady && isUseful(member);
     });
+    const Member *const peer = ready != nullptr ? ready : randomMember(*view, this->random, isUseful);
     if (peer == nullptr) {
         return;
     }
     this->peers.client().call(peer->owner,
-                              ReplicaRecordsRequest{this->peers.self()},
+                              ReplicaRecordsRequest{this->peers.self(), this->list.fingerprint()},
                               peerTimeout,
                               [this, alive = this->alive](const CallResult<ReplicaRecords> &result) {
                                   if (*alive && result.response && result.response->isKnown) {
@@ -248,6 +258,9 @@
         return;
     }
     this->lastTold = this->clock.now() - records.age;
+    if (this->known && records.fingerprint == this->list.fingerprint()) {
+        return;
+    }
     std::vector<ServingReplica> replicas;
     for (const ReplicaRecord &record : records.replicas) {
         replicas.push_back({record.instance,
@@ -263,14 +276,20 @@
         {{"count", static_cast<std::int64_t>(replicas.size())}, {"age_ms", records.age.count()}});
     this->list.replaceNow(replicas);
     this->known = true;
+    this->follower->seed(records.version);
     this->tellChanges();
 }
 
-ReplicaRecords ReplicaFollower::records() const
+ReplicaRecords ReplicaFollower::records(const ReplicaRecordsRequest &request) const
 {
     ReplicaRecords records;
     records.isKnown = this->known;
     records.age = this->age();
+    records.version = this->list.hasLapsed() ? 0 : this->follower->version();
+    records.fingerprint = this->list.fingerprint();
+    if (request.fingerprint == records.fingerprint) {
+        return records;
+    }
     for (const auto &[instance, replica] : this->list.replicas()) {
         records.replicas.push_back({instance,
                                     replica.registeredName,
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -35,6 +35,8 @@
         std::function<void(const ReplicaChanges &)> changed;
         /** A replica has started again under its name: nothing that is known of the one before holds. */
         std::function<void(const ServingReplica &former)> restarted;
+        /** The store is lost, or reached again. */
+        std::function<void(bool isReached)> storeReached = [](bool) {};
     };
 
     struct Options
@@ -84,7 +86,7 @@
     void watchStore();
     void askPeer();
     void takePeer(const ReplicaRecords &records);
-    ReplicaRecords records() const;
+    ReplicaRecords records(const ReplicaRecordsRequest &request) const;
 
     EventLoop &loop;
     const Clock &clock;
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -1,7 +1,6 @@
 #include <Services/Gateway/TableFollower.h>
 
 #include <LibBase/Log.h>
-#include <LibPlatform/ReadAllRows.h>
 
 #include <algorithm>
 #include <utility>
@@ -36,41 +35,93 @@
 
 void TableFollower::readAll()
 {
+    this->reading = {};
+    this->readPart();
+}
+
+void TableFollower::readPart()
+{
+    this->current = [this] {
+        this->readPart();
+    };
     RowRange range;
     range.table = this->options.table;
-    readAllRows(this->store, range, [this, alive = this->alive](const RowRangeResult &result) {
-        if (!*alive) {
-            return;
-        }
-        if (result.outcome != ReadOutcome::Found || result.version < this->since) {
-            // An answer older than what is known already comes from a store that lags behind.
-            this->fail([this] {
-                this->readAll();
-            });
-            return;
+    range.from = this->reading.from;
+    this->store.read(range, [this, alive = this->alive, asked = ++this->question](const RowRangeResult &part) {
+        if (*alive && asked == this->question) {
+            this->takePart(part);
         }
-        this->takeAll(result.rows, result.version);
     });
 }
 
-void TableFollower::takeAll(const std::vector<StoredRow> &rows, RowVersion version)
+void TableFollower::takePart(const RowRangeResult &part)
 {
+    if (part.outcome != ReadOutcome::Found) {
+        // What was read so far holds: what changes meanwhile is followed from the first answer on.
+        this->fail([this] {
+            this->readPart();
+        });
+        return;
+    }
+    const bool isFirst = this->reading.version == 0;
+    if (part.version < std::max(this->since, this->reading.version)) {
+        // An answer older than what is known already comes from a store that lags behind.
+        this->fail([this] {
+            this->readAll();
+        });
+        return;
+    }
     this->failures = 0;
-    this->since = version;
+    this->reading.version = isFirst ? part.version : this->reading.version;
+    this->reading.rows.insert(this->reading.rows.end(), part.rows.begin(), part.rows.end());
+    if (part.isTruncated && !part.rows.empty()) {
+        this->reading.from = part.rows.back().place.key + '\0';
+        this->readPart();
+        return;
+    }
+    const Reading whole = std::exchange(this->reading, {});
+    this->since = whole.version;
     this->hooks.onAnswer();
-    this->hooks.onAll(rows);
+    this->hooks.onAll(whole.rows);
     this->hooks.onTold();
     this->follow();
 }
 
+void TableFollower::hurry()
+{
+    this->scheduler.cancel(std::exchange(this->timer, 0));
+    this->current();
+}
+
+void TableFollower::seed(RowVersion version)
+{
+    if (this->since > 0 || version == 0) {
+        return;
+    }
+    this->scheduler.cancel(std::exchange(this->timer, 0));
+    this->reading = {};
+    this->since = version;
+    this->follow();
+}
+
+RowVersion TableFollower::version() const
+{
+    return this->since;
+}
+
 void TableFollower::follow()
 {
-    this->store.follow(
-        this->options.table, this->since, this->options.wait, [this, alive = this->alive](const FollowResult &result) {
-            if (*alive) {
-                this->takeChanges(result);
-            }
-        });
+    this->current = [this] {
+        this->follow();
+    };
+    this->store.follow(this->options.table,
+                       this->since,
+                       this->options.wait(),
+                       [this, alive = this->alive, asked = ++this->question](const FollowResult &result) {
+                           if (*alive && asked == this->question) {
+                               this->takeChanges(result);
+                           }
+                       });
 }
 
 void TableFollower::takeChanges(const FollowResult &result)
@@ -113,7 +164,10 @@
 
 void TableFollower::schedule(std::chrono::milliseconds delay, std::function<void()> action)
 {
-    this->timer = this->scheduler.schedule(delay, std::move(action));
+    this->timer = this->scheduler.schedule(delay, [this, action = std::move(action)] {
+        this->timer = 0;
+        action();
+    });
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -20,8 +20,8 @@
     struct Options
     {
         std::string table;
-        /** How long the store is asked to wait for a change. */
-        std::chrono::milliseconds wait{1000};
+        /** @return how long the store is asked to wait for a change. */
+        std::function<std::chrono::milliseconds()> wait;
         /** Shortest time between two calls, so that frequent changes come in groups. */
         std::chrono::milliseconds pace{0};
     };
@@ -45,9 +45,29 @@
     TableFollower(const TableFollower &) = delete;
     TableFollower &operator=(const TableFollower &) = delete;
 
+    /** Ask the store anew, at once: what it was asked before may be waiting on a connection that is dead. */
+    void hurry();
+
+    /** Another node has told the whole table as it was at a version: what came since is followed, without reading it all. */
+    void seed(RowVersion version);
+
+    /** @return up to which version the changes have been told; 0: the table has not been read yet. */
+    RowVersion version() const;
+
 private:
+    /** A whole reading, which may take several answers. */
+    struct Reading
+    {
+        std::vector<StoredRow> rows;
+        /** Of the first answer: what changed after it comes again. */
+        RowVersion version = 0;
+        /** Behind which key to go on. */
+        std::string from;
+    };
+
     void readAll();
-    void takeAll(const std::vector<StoredRow> &rows, RowVersion version);
+    void readPart();
+    void takePart(const RowRangeResult &part);
     void follow();
     void takeChanges(const FollowResult &result);
     void fail(std::function<void()> again);
@@ -59,6 +79,11 @@
     Options options;
     Hooks hooks;
     RowVersion since = 0;
+    Reading reading;
+    /** Counts the questions to the store; only the answer to the last one counts. */
+    std::uint64_t question = 0;
+    /** Asks the last question again. */
+    std::function<void()> current;
     int failures = 0;
     TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Tests/Fakes/FakeRowStore.cpp
+++ b/Tests/Fakes/FakeRowStore.cpp
@@ -100,6 +100,7 @@
 
 void FakeRowStore::read(RowRange range, std::function<void(RowRangeResult)> done)
 {
+    ++this->readCount;
     RowRangeResult result;
     if (!this->down) {
         result.outcome = ReadOutcome::Found;
@@ -145,11 +146,24 @@
     return result;
 }
 
+void FakeRowStore::setMute(bool isMute)
+{
+    this->mute = isMute;
+}
+
+std::size_t FakeRowStore::reads() const
+{
+    return this->readCount;
+}
+
 void FakeRowStore::follow(const std::string &table,
                           RowVersion since,
                           std::chrono::milliseconds wait,
                           std::function<void(FollowResult)> done)
 {
+    if (this->mute) {
+        return;
+    }
     const FollowResult now = this->changesOf(table, since);
     const bool isNews = now.outcome != FollowOutcome::Followed || !now.rows.empty();
     this->later(isNews ? latency : std::min(wait, std::chrono::milliseconds(20)), [this, table, since, done] {
--- a/Tests/Fakes/FakeRowStore.h
+++ b/Tests/Fakes/FakeRowStore.h
@@ -38,6 +38,12 @@
     /** Turn all calls away, doing nothing. */
     void setDown(bool isDown);
 
+    /** Leave whoever asks for changes without an answer, as on a connection that is dead. */
+    void setMute(bool isMute);
+
+    /** @return how often rows were read. */
+    std::size_t reads() const;
+
     /** Give no more than so many rows in one answer. */
     void setPageSize(std::size_t rows);
 
@@ -75,6 +81,8 @@
     RowVersion version = 0;
     RowVersion historyFrom = 0;
     bool down = false;
+    bool mute = false;
+    std::size_t readCount = 0;
     std::size_t pageSize = 1'000'000;
     std::optional<RowPlace> removedAfterRead;
     std::size_t answersToLose = 0;
--- a/Tests/ServiceGateway/TestTableFollower.cpp
+++ b/Tests/ServiceGateway/TestTableFollower.cpp
@@ -19,7 +19,11 @@
         : follower(this->clock,
                    this->store,
                    1,
-                   {"t", std::chrono::milliseconds(1000), std::chrono::milliseconds(0)},
+                   {"t",
+                    [] {
+                        return std::chrono::milliseconds(1000);
+                    },
+                    std::chrono::milliseconds(0)},
                    {.onAll =
                         [this](const std::vector<StoredRow> &rows) {
                             this->known.clear();
@@ -116,3 +120,57 @@
     CHECK(bench.reads == 2);
     CHECK(bench.known == std::map<std::string, std::string>{{"b", "1"}, {"c", "1"}});
 }
+
+// Guards against a whole fleet that starts at once, each node of which reads a long table from its beginning again at each
+// failure.
+TEST_CASE("a long reading that fails goes on where it was")
+{
+    Bench bench;
+    bench.store.setPageSize(2);
+    for (const char *key : {"a", "b", "c", "d", "e", "f"}) {
+        bench.store.put(place(key), "1");
+    }
+    bench.clock.advance(std::chrono::milliseconds(3));
+    bench.store.setDown(true);
+    bench.clock.advance(std::chrono::milliseconds(40));
+    bench.store.setDown(false);
+    const std::size_t before = bench.store.reads();
+    bench.store.put(place("a"), "2");
+    bench.clock.advance(std::chrono::milliseconds(500));
+    CHECK(bench.known.size() == 6);
+    CHECK(bench.known["a"] == "2");
+    CHECK(bench.store.reads() - before < 3);
+}
+
+TEST_CASE("a table that another node has told is followed without reading it")
+{
+    Bench bench;
+    bench.store.setDown(true);
+    bench.clock.advance(std::chrono::milliseconds(100));
+    bench.store.put(place("a"), "1");
+    const RowVersion version = bench.store.rowsOf("t").at(0).version;
+    bench.follower.seed(version);
+    bench.store.setDown(false);
+    const std::size_t before = bench.store.reads();
+    bench.store.put(place("b"), "2");
+    bench.clock.advance(std::chrono::milliseconds(500));
+    CHECK(bench.known == std::map<std::string, std::string>{{"b", "2"}});
+    CHECK(bench.store.reads() == before);
+}
+
+// Guards against a question that waits for many seconds on a connection that an outage has left dead.
+TEST_CASE("a follower that is hurried asks anew, and takes no answer to what it asked before")
+{
+    Bench bench;
+    bench.store.put(place("a"), "1");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    bench.store.setMute(true);
+    bench.clock.advance(std::chrono::milliseconds(100));
+    bench.store.put(place("a"), "2");
+    bench.store.setMute(false);
+    bench.clock.advance(std::chrono::seconds(5));
+    CHECK(bench.known["a"] == "1");
+    bench.follower.hurry();
+    bench.clock.advance(std::chrono::milliseconds(50));
+    CHECK(bench.known["a"] == "2");
+}
