JobRunners: Jobs are taken over once the members stand still

Cause: after a loss of all nodes, or of many, each node sees other members for a moment, and several take the same job for theirs: on 299 VMs 35 open jobs were started 784 times within a second, and their items run and written as often, just when all callers come back.

--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -20,6 +20,7 @@
  * which seconds do not matter; and of jobs that fall to another node, for which the store is asked at once when a node goes. */
 constexpr std::chrono::milliseconds changesPace{3000};
 constexpr std::chrono::milliseconds hurryDelay{100};
+constexpr std::chrono::milliseconds settleLook{50};
 
 } // namespace
 
@@ -29,7 +30,12 @@
                        PeerNetwork &peers,
                        std::chrono::milliseconds storeWait,
                        std::function<ServingConfigurationPointer()> configuration)
-    : context(context), store(store), peers(peers), configuration(std::move(configuration)), view(peers.dutyView())
+    : context(context)
+    , store(store)
+    , peers(peers)
+    , configuration(std::move(configuration))
+    , view(peers.dutyView())
+    , settling(context.clock)
 {
     this->follower.emplace(context.loop,
                            rows,
@@ -55,6 +61,7 @@
 {
     *this->alive = false;
     this->context.loop.cancel(this->hurryTimer);
+    this->context.loop.cancel(this->settleTimer);
     this->stopAll();
 }
 
@@ -113,7 +120,9 @@
     const bool isOurs = !this->isStopped && row != this->open.end() && this->isOurs(job, row->second);
     const auto run = this->runs.find(job);
     const bool isRunning = run != this->runs.end();
-    if (isOurs && !isRunning) {
+    if (isOurs && !isRunning && !this->settling.isSettled()) {
+        this->decideSettled();
+    } else if (isOurs && !isRunning) {
         this->startRun(job, JobRun::Origin::TakenOver);
     } else if (!isOurs && isRunning) {
         log(LogLevel::Info, "job handed on", {{"job", job.value()}});
@@ -182,6 +191,12 @@
             this->follower->hurry();
         });
     }
+    this->settling.update(*view);
+    this->decideAll();
+}
+
+void JobRunners::decideAll()
+{
     std::vector<JobId> jobs;
     for (const auto &[job, row] : this->open) {
         jobs.push_back(job);
@@ -191,6 +206,19 @@
     }
 }
 
+// Taken over while views differ, a job would be run by several nodes: replicas and the store would do its work several times,
+// just when all callers come back.
+void JobRunners::decideSettled()
+{
+    if (this->settleTimer != 0) {
+        return;
+    }
+    this->settleTimer = this->context.loop.schedule(settleLook, [this] {
+        this->settleTimer = 0;
+        this->decideAll();
+    });
+}
+
 void JobRunners::hurry()
 {
     this->follower->hurry();
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/ServingConfiguration.h>
+#include <LibMembership/ViewSettling.h>
 #include <Services/Gateway/JobRun.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/TableFollower.h>
@@ -50,6 +51,8 @@
     void takeAll(const std::vector<StoredRow> &rows);
     void takeChange(const StoredRow &row);
     void decide(const JobId &job);
+    void decideAll();
+    void decideSettled();
     bool isOurs(const JobId &job, const OpenJob &open) const;
     void startRun(const JobId &job, JobRun::Origin origin);
     void stopRun(const JobId &job);
@@ -66,6 +69,8 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<TableFollower> follower;
     TimerId hurryTimer = 0;
+    TimerId settleTimer = 0;
+    ViewSettling settling;
 };
 
 } // namespace Dogwoodkeel
