--- a/Libraries/LibWorkspace/QuotaAsker.cpp
+++ b/Libraries/LibWorkspace/QuotaAsker.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds answerTimeout{60};
 /** How long a counter that did not answer is not waited for; then one request tries it again. */
 constexpr std::chrono::milliseconds doubtTime{400};
+/** A node that has just started meets others in some tens of milliseconds; until then there is nobody to ask. */
+constexpr std::chrono::milliseconds meetingTime{100};
 /** Told to who can't be counted: by then the duty has most likely been taken over, and other nodes may reach its holder now. */
 constexpr std::chrono::milliseconds unknownRetryAfter{200};
 /** A node whose counters have answered within this time sees the other nodes as they are. */
@@ -46,6 +48,7 @@
     Asked asked;
     asked.question = {ticket, workspace, quota, version};
     asked.decided = std::move(decided);
+    asked.begun = this->clock.now();
     this->open.emplace(ticket, std::move(asked));
     const bool isDoubted = this->clock.now() < this->parts[quotaPartOf(workspace)].holderDoubted;
     this->askCounter(ticket, isDoubted ? Counter::Successor : Counter::Holder);
@@ -66,6 +69,7 @@
     }
     asked.counter = counter;
     asked.last = now;
+    asked.isStranded = false;
     // Asking may answer at once, which ends the ticket.
     const QuotaQuestion question = asked.question;
     if (!this->hooks.ask(question, counter)) {
@@ -79,8 +83,11 @@
     if (found == this->open.end()) {
         return;
     }
-    if (found->second.counter == Counter::Holder) {
+    Asked &asked = found->second;
+    if (asked.counter == Counter::Holder) {
         this->askCounter(ticket, Counter::Successor);
+    } else if (this->clock.now() - asked.begun < meetingTime) {
+        asked.isStranded = true;
     } else {
         this->decideAlone(ticket);
     }
@@ -125,36 +132,49 @@
 void QuotaAsker::tick()
 {
     const SteadyTime now = this->clock.now();
-    std::vector<Ticket> tickets;
+    std::vector<Ticket> due;
     for (const auto &[ticket, asked] : this->open) {
         if (now - asked.last >= askRepeat) {
-            tickets.push_back(ticket);
+            due.push_back(ticket);
         }
     }
-    for (const Ticket ticket : tickets) {
-        const auto found = this->open.find(ticket);
-        if (found == this->open.end()) {
-            continue;
-        }
-        const Asked &asked = found->second;
-        const std::size_t number = quotaPartOf(asked.question.workspace);
-        if (now - asked.first < answerTimeout) {
-            this->askCounter(ticket, asked.counter);
-            continue;
-        }
-        Part &part = this->parts[number];
-        if (asked.counter == Counter::Holder) {
-            if (now >= part.holderDoubted) {
-                this->hooks.doubt(number);
-            }
-            part.holderDoubted = now + doubtTime;
-        } else {
-            part.successorDoubted = now + doubtTime;
-        }
+    for (const Ticket ticket : due) {
+        this->tickOne(ticket);
+    }
+}
+
+void QuotaAsker::tickOne(Ticket ticket)
+{
+    const auto found = this->open.find(ticket);
+    if (found == this->open.end()) {
+        return;
+    }
+    const Asked &asked = found->second;
+    if (asked.isStranded) {
+        this->askCounter(ticket, Counter::Holder);
+    } else if (this->clock.now() - asked.first < answerTimeout) {
+        this->askCounter(ticket, asked.counter);
+    } else {
+        this->doubtCounter(asked);
         this->askNext(ticket);
     }
 }
 
+void QuotaAsker::doubtCounter(const Asked &asked)
+{
+    const SteadyTime now = this->clock.now();
+    const std::size_t number = quotaPartOf(asked.question.workspace);
+    Part &part = this->parts[number];
+    if (asked.counter == Counter::Successor) {
+        part.successorDoubted = now + doubtTime;
+        return;
+    }
+    if (now >= part.holderDoubted) {
+        this->hooks.doubt(number);
+    }
+    part.holderDoubted = now + doubtTime;
+}
+
 std::uint64_t QuotaAsker::decidedAlone() const
 {
     return this->aloneCount;
--- a/Libraries/LibWorkspace/QuotaAsker.h
+++ b/Libraries/LibWorkspace/QuotaAsker.h
@@ -32,9 +32,9 @@
 };
 
 /**
- * Gets the requests of this node counted. It asks the counter of a workspace; without an answer the node that would take that duty
- * over; and if that does not answer either, it decides by its own part, see LoneQuota. A counter that is lost delays a request by some
- * tens of milliseconds, and only the first ones.
+ * Gets the requests of this node counted. It asks the counter of a workspace; without an answer the node that would take that
+ * duty over; and if that does not answer either, it decides by its own part, see LoneQuota. A counter that is lost delays a
+ * request by some tens of milliseconds, and only the first ones.
  */
 class QuotaAsker
 {
@@ -89,6 +89,9 @@
         QuotaQuestion question;
         Decided decided;
         Counter counter = Counter::Holder;
+        SteadyTime begun{};
+        /** Whether there was nobody to ask. */
+        bool isStranded = false;
         /** When that counter was first asked, and last. */
         SteadyTime first{};
         SteadyTime last{};
@@ -105,6 +108,8 @@
 
     void askCounter(Ticket ticket, Counter counter);
     void askNext(Ticket ticket);
+    void tickOne(Ticket ticket);
+    void doubtCounter(const Asked &asked);
     void decideAlone(Ticket ticket);
     void decide(Ticket ticket, const QuotaDecision &decision);
 
