RelayedStore: Another way to the store is tried beside one that is silent

Cause: a node that is cut off from the store without an error sees only silence.

Ruled out: a shorter timeout of the call (a slow store would be left for nothing, and its answer is then unknown).

Change: HedgedCall tries the next way after 150 ms, or four times the usual answer; reads and transactions that expect something of each row they write, so that a second doing is refused by the store. After a relay answered first, it is asked first for two seconds.

--- a/Libraries/LibDispatch/DispatchedReplica.h
+++ b/Libraries/LibDispatch/DispatchedReplica.h
@@ -12,8 +12,8 @@
 namespace Dogwoodkeel
 {
 
-/** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it again would
- * make a replica read the item's tokens again. About two gaps between requests in a burst. */
+/** A slot that online requests have just left is most likely wanted by the next one: starting an item in it only to stop it again
+ * would make a replica read the item's tokens again. About two gaps between requests in a burst. */
 inline constexpr std::chrono::milliseconds batchCalm{30};
 
 /** A replica as its dispatcher sees it. */
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, Hooks hooks) : clock(clock), hooks(std::move(hooks)), index(clock), waiting(clock), forecast(clock)
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks)
+    : clock(clock), hooks(std::move(hooks)), index(clock), waiting(clock), forecast(clock)
 {
 }
 
@@ -430,7 +431,8 @@
             break;
         }
         const auto placement = this->placements.find(item->second);
-        const DispatchedReplica *const replica = placement != this->placements.end() ? this->replicaOf(placement->second) : nullptr;
+        const DispatchedReplica *const replica
+            = placement != this->placements.end() ? this->replicaOf(placement->second) : nullptr;
         if (replica == nullptr || !this->isUsable(*replica, request)) {
             continue;
         }
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibDispatch/DispatchedReplica.h>
 #include <LibDispatch/LoadForecast.h>
 #include <LibDispatch/PlacementTypes.h>
-#include <LibDispatch/DispatchedReplica.h>
 #include <LibDispatch/ReplicaIndex.h>
 #include <LibDispatch/ReplicaUpdate.h>
 #include <LibDispatch/ReturnSchedule.h>
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -15,8 +15,9 @@
 {
 
 /**
- * The replicas that have a free slot and take requests now, by failure domain and load, so that the best one for a request is found
- * without a look at all of them. A replica is put in order again when something of it changes, and when time alone opens it.
+ * The replicas that have a free slot and take requests now, by failure domain and load, so that the best one for a request is
+ * found without a look at all of them. A replica is put in order again when something of it changes, and when time alone opens
+ * it.
  */
 class ReplicaIndex
 {
--- a/Libraries/LibWorkspace/Credentials.cpp
+++ b/Libraries/LibWorkspace/Credentials.cpp
@@ -25,10 +25,10 @@
 {
     const std::size_t padding = text.find('=');
     const std::string_view body = text.substr(0, padding);
-    const bool isPadded
-        = padding == std::string_view::npos || text.find_first_not_of('=', padding) == std::string_view::npos;
+    const bool isPadded = padding == std::string_view::npos || text.find_first_not_of('=', padding) == std::string_view::npos;
     const auto isAllowed = [](unsigned char character) {
-        return std::isalnum(character) != 0 || std::string_view("-._~+/").find(static_cast<char>(character)) != std::string_view::npos;
+        return std::isalnum(character) != 0
+            || std::string_view("-._~+/").find(static_cast<char>(character)) != std::string_view::npos;
     };
     return !body.empty() && isPadded && std::ranges::all_of(body, isAllowed);
 }
--- a/Libraries/LibWorkspace/LoneQuota.h
+++ b/Libraries/LibWorkspace/LoneQuota.h
@@ -13,8 +13,8 @@
 {
 
 /**
- * What a node may grant that reaches no counter. All such nodes together may grant only a small part of a window, mostly fewer requests
- * than there are nodes; so whole requests are dealt to nodes by the workspace's name, and most nodes get none.
+ * What a node may grant that reaches no counter. All such nodes together may grant only a small part of a window, mostly fewer
+ * requests than there are nodes; so whole requests are dealt to nodes by the workspace's name, and most nodes get none.
  */
 class LoneQuota
 {
@@ -22,7 +22,8 @@
     LoneQuota(const Clock &clock, const QuotaBounds &bounds);
 
     /**
-     * The nodes, as long as this one is in touch with them. One that is cut off sees the others vanish, and must not take their parts.
+     * The nodes, as long as this one is in touch with them. One that is cut off sees the others vanish, and must not take their
+     * parts.
      * @param place of this node among them, in an order that is the same for all
      */
     void setNodes(std::size_t place, std::size_t count);
--- a/Libraries/LibWorkspace/QuotaBounds.h
+++ b/Libraries/LibWorkspace/QuotaBounds.h
@@ -31,8 +31,8 @@
 
 /**
  * What the tolerance is spent on. A counter that takes a quota over does not know what was granted before it, so it has to assume
- * that all was; without some of the tolerance it would refuse everybody for a moment. The parts sum up to less than the whole, also
- * with a second counter that has no claim.
+ * that all was; without some of the tolerance it would refuse everybody for a moment. The parts sum up to less than the whole,
+ * also with a second counter that has no claim.
  */
 struct QuotaMargins
 {
@@ -43,8 +43,7 @@
     /** What all nodes together may grant that reach no counter. */
     double alone = 0;
 
-    explicit QuotaMargins(double tolerance)
-        : burst(tolerance / 4), takeover(tolerance / 4), alone(tolerance / 8)
+    explicit QuotaMargins(double tolerance) : burst(tolerance / 4), takeover(tolerance / 4), alone(tolerance / 8)
     {
     }
 };
--- a/Libraries/LibWorkspace/QuotaBucket.h
+++ b/Libraries/LibWorkspace/QuotaBucket.h
@@ -10,8 +10,8 @@
 {
 
 /**
- * A token bucket. In any time t it grants at most capacity + rate x t, also in parts of a window: so a counter that follows it, and
- * starts from nothing, keeps the window's bound together with it.
+ * A token bucket. In any time t it grants at most capacity + rate x t, also in parts of a window: so a counter that follows it,
+ * and starts from nothing, keeps the window's bound together with it.
  */
 class QuotaBucket
 {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -124,7 +124,7 @@
                   this->noteBreak(fingerprint, replica);
               },
               this->random}
-    , relayedStore(this->store, this->peers, this->storeClock, this->random())
+    , relayedStore(loop, clock, this->store, this->peers, this->storeClock, this->random())
     , jobs(
           loop,
           clock,
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -1,7 +1,9 @@
 #include <Services/Gateway/RelayedStore.h>
 
 #include <LibBase/Log.h>
+#include <LibPlatform/HedgedCall.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,15 @@
 
 /** The other node's own call may take a second and a half. */
 constexpr std::chrono::milliseconds relayTimeout{1700};
+/** Other nodes that are tried for one call: one of them may be cut off too, and not know it yet. */
+constexpr std::size_t mostRelays = 2;
+/** Another way is tried after this time, or after so many times the usual answer's time, whichever is longer. Callers want a job
+ * to be accepted within about four times the first. */
+constexpr std::chrono::milliseconds shortestHedgeDelay{150};
+constexpr double slowerThanUsual = 4;
+constexpr double newAnswerWeight = 0.1;
+/** How long the direct way is passed by after another one answered first; then one call tries it again. */
+constexpr std::chrono::milliseconds retryDirectAfter{2000};
 
 StoreRow encodeRow(const RowPlace &place, const std::string &value, RowVersion version)
 {
@@ -81,10 +92,54 @@
                                                                        : WriteOutcome::Unknown;
 }
 
+/** @return whether a transaction that was done can't be done again by a repeat of it */
+bool expectsAllItWrites(const RowTransaction &transaction)
+{
+    const auto isExpected = [&transaction](const RowPlace &place) {
+        return std::ranges::find(transaction.expectations, place, &RowExpectation::place) != transaction.expectations.end();
+    };
+    return std::ranges::all_of(transaction.puts, isExpected, &RowPut::place)
+        && std::ranges::all_of(transaction.removals, isExpected);
+}
+
+using TransactCall = HedgedCall<RowTransactionResult>;
+
+TransactCall::Meaning meaningOf(const RowTransactionResult &result)
+{
+    switch (result.outcome) {
+    case WriteOutcome::Done:
+        return TransactCall::Meaning::Final;
+    case WriteOutcome::NotApplied:
+        return TransactCall::Meaning::Failed;
+    case WriteOutcome::Refused:
+        // By somebody else's change, or because another way of the same call was done.
+    case WriteOutcome::Unknown:
+        return TransactCall::Meaning::Open;
+    }
+    return TransactCall::Meaning::Open;
+}
+
+/** @return what is sure of a transaction that was tried by several ways, and done by none as far as is known. */
+RowTransactionResult mergeResults(const std::vector<RowTransactionResult> &results)
+{
+    const auto find = [&results](WriteOutcome outcome) {
+        return std::ranges::find(results, outcome, &RowTransactionResult::outcome);
+    };
+    const auto unknown = find(WriteOutcome::Unknown);
+    const auto refused = find(WriteOutcome::Refused);
+    return unknown != results.end() ? *unknown : refused != results.end() ? *refused : results.back();
+}
+
 } // namespace
 
-RelayedStore::RelayedStore(RowStore &direct, PeerNetwork &peers, StoreClock &storeClock, std::uint64_t seed)
-    : direct(direct), peers(peers), storeClock(storeClock), random(static_cast<std::minstd_rand::result_type>(seed))
+RelayedStore::RelayedStore(
+    Scheduler &scheduler, const Clock &clock, RowStore &direct, PeerNetwork &peers, StoreClock &storeClock, std::uint64_t seed)
+    : scheduler(scheduler)
+    , clock(clock)
+    , direct(direct)
+    , peers(peers)
+    , storeClock(storeClock)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
 {
     peers.server().handle<StoreTransactRequest>([this](const StoreTransactRequest &request, const auto &respond) {
         this->direct.transact(decodeTransaction(request), [this, respond](const RowTransactionResult &result) {
@@ -119,33 +174,94 @@
     return own != nullptr && own->hasLostStore;
 }
 
-std::optional<Address> RelayedStore::relay()
+std::vector<Address> RelayedStore::relays()
 {
     const MemberViewPointer view = this->peers.view();
-    const Member *const reaching = randomMember(*view, this->random, [this](const Member &member) {
-        return member.session != this->peers.self() && member.isReady && !member.isLeaving && !member.hasLostStore;
-    });
-    return reaching != nullptr ? std::optional(reaching->owner) : std::nullopt;
+    std::vector<Address> found;
+    for (std::size_t tries = 0; tries < mostRelays; ++tries) {
+        const Member *const reaching = randomMember(*view, this->random, [this, &found](const Member &member) {
+            return member.session != this->peers.self() && member.isReady && !member.isLeaving && !member.hasLostStore
+                && std::ranges::find(found, member.owner) == found.end();
+        });
+        if (reaching != nullptr) {
+            found.push_back(reaching->owner);
+        }
+    }
+    return found;
 }
 
-void RelayedStore::transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done)
+std::vector<RelayedStore::Route> RelayedStore::routes()
 {
-    const std::optional<Address> peer = this->hasLostStore() ? this->relay() : std::nullopt;
-    if (peer) {
-        this->transactThrough(*peer, transaction, std::move(done));
+    std::vector<Route> routes;
+    const bool isSuspected = this->clock.now() < this->directSuspectedUntil;
+    if (isSuspected && this->goodRelay) {
+        routes.emplace_back(this->goodRelay);
+    }
+    for (const Address &relay : this->relays()) {
+        if (!isSuspected || relay != this->goodRelay) {
+            routes.emplace_back(relay);
+        }
+    }
+    const bool isDirectFirst = !isSuspected && !this->hasLostStore();
+    routes.insert(isDirectFirst ? routes.begin() : routes.end(), std::nullopt);
+    return routes;
+}
+
+std::chrono::milliseconds RelayedStore::hedgeDelay() const
+{
+    const auto several = std::chrono::ceil<std::chrono::milliseconds>(this->usualAnswer * slowerThanUsual);
+    return std::max(shortestHedgeDelay, several);
+}
+
+void RelayedStore::noteAnswer(const Route &route, SteadyTime asked)
+{
+    const std::chrono::duration<double, std::milli> took = this->clock.now() - asked;
+    if (!route) {
+        this->usualAnswer += (took - this->usualAnswer) * newAnswerWeight;
+        this->directSuspectedUntil = {};
         return;
     }
-    this->direct.transact(transaction,
-                          [this, alive = this->alive, transaction, done = std::move(done)](RowTransactionResult result) {
-                              // Only what is proved not to have been done may be tried by another way.
-                              const bool mayRelay = *alive && result.outcome == WriteOutcome::NotApplied;
-                              const std::optional<Address> other = mayRelay ? this->relay() : std::nullopt;
-                              if (other) {
-                                  this->transactThrough(*other, transaction, done);
-                              } else {
-                                  done(std::move(result));
-                              }
-                          });
+    this->goodRelay = route;
+    this->directSuspectedUntil = this->clock.now() + retryDirectAfter;
+}
+
+void RelayedStore::transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done)
+{
+    using Call = HedgedCall<RowTransactionResult>;
+    std::vector<Call::Way> ways;
+    for (const Route &route : this->routes()) {
+        ways.emplace_back([this, route, transaction](Call::Done answered) {
+            this->transactBy(route, transaction, std::move(answered));
+        });
+    }
+    Call::Policy policy{
+        // Another one could be done twice, the second time over what somebody else wrote meanwhile.
+        .hedgeDelay = expectsAllItWrites(transaction) ? std::optional(this->hedgeDelay()) : std::nullopt,
+        .meaning = &meaningOf,
+        .merge = &mergeResults,
+    };
+    std::make_shared<Call>(this->scheduler, std::move(ways), std::move(policy), std::move(done))->start();
+}
+
+void RelayedStore::transactBy(const Route &route,
+                              const RowTransaction &transaction,
+                              std::function<void(RowTransactionResult)> done)
+{
+    const auto answered = [this, alive = this->alive, route, asked = this->clock.now(), done = std::move(done)](
+                              const RowTransactionResult &result) {
+        if (!*alive) {
+            return;
+        }
+        if (result.outcome == WriteOutcome::Done || result.outcome == WriteOutcome::Refused) {
+            this->noteAnswer(route, asked);
+        }
+        done(result);
+    };
+    if (route) {
+        this->transactThrough(*route, transaction, answered);
+    } else {
+        this->direct.transact(transaction, answered);
+    }
 }
 
 void RelayedStore::transactThrough(const Address &peer,
@@ -183,20 +299,44 @@
 
 void RelayedStore::read(RowRange range, std::function<void(RowRangeResult)> done)
 {
-    const std::optional<Address> peer = this->hasLostStore() ? this->relay() : std::nullopt;
-    if (peer) {
-        this->readThrough(*peer, range, std::move(done));
-        return;
+    using Call = HedgedCall<RowRangeResult>;
+    std::vector<Call::Way> ways;
+    for (const Route &route : this->routes()) {
+        ways.emplace_back([this, route, range](Call::Done answered) {
+            this->readBy(route, range, std::move(answered));
+        });
+    }
+    Call::Policy policy{
+        .hedgeDelay = this->hedgeDelay(),
+        .meaning =
+            [](const RowRangeResult &result) {
+                return result.outcome == ReadOutcome::Failed ? Call::Meaning::Failed : Call::Meaning::Final;
+            },
+        .merge =
+            [](const std::vector<RowRangeResult> &results) {
+                return results.back();
+            },
+    };
+    std::make_shared<Call>(this->scheduler, std::move(ways), std::move(policy), std::move(done))->start();
+}
+
+void RelayedStore::readBy(const Route &route, const RowRange &range, std::function<void(RowRangeResult)> done)
+{
+    const auto answered
+        = [this, alive = this->alive, route, asked = this->clock.now(), done = std::move(done)](const RowRangeResult &result) {
+              if (!*alive) {
+                  return;
+              }
+              if (result.outcome != ReadOutcome::Failed) {
+                  this->noteAnswer(route, asked);
+              }
+              done(result);
+          };
+    if (route) {
+        this->readThrough(*route, range, answered);
+    } else {
+        this->direct.read(range, answered);
     }
-    this->direct.read(range, [this, alive = this->alive, range, done = std::move(done)](RowRangeResult result) {
-        const bool mayRelay = *alive && result.outcome == ReadOutcome::Failed;
-        const std::optional<Address> other = mayRelay ? this->relay() : std::nullopt;
-        if (other) {
-            this->readThrough(*other, range, done);
-        } else {
-            done(std::move(result));
-        }
-    });
 }
 
 void RelayedStore::readThrough(const Address &peer, const RowRange &range, std::function<void(RowRangeResult)> done)
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -326,7 +326,8 @@
     CHECK(holderOf(duty) == successor);
 }
 
-// Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the doubts, and puts off its claim.
+// Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the doubts, and puts off its
+// claim.
 TEST_CASE("once the holder's silence is settled, nobody is asked in its place")
 {
     ManualClock clock;
--- a/Tests/LibWorkspace/TestCredentials.cpp
+++ b/Tests/LibWorkspace/TestCredentials.cpp
@@ -38,7 +38,8 @@
 // Guards against a key that this system and a server behind it would read differently.
 TEST_CASE("whatever is no single bearer key is malformed")
 {
-    for (const char *const line : {"Basic abc", "Bearer a b", "Bearer a,b", "Bearer =", "Bearer a=b", "Bearer\tabc", "abc", "Bearer \"abc\""}) {
+    for (const char *const line :
+         {"Basic abc", "Bearer a b", "Bearer a,b", "Bearer =", "Bearer a=b", "Bearer\tabc", "abc", "Bearer \"abc\""}) {
         CHECK_MESSAGE(read(line).state == State::Malformed, line);
     }
     CHECK(readCredentials({"Bearer abc", "Bearer abc"}).state == State::Malformed);
