--- a/Benchmarks/Measure/History.cpp
+++ b/Benchmarks/Measure/History.cpp
@@ -34,8 +34,8 @@
 
 constexpr std::uint32_t itemsPerJob = 12;
 constexpr std::size_t readsPerId = 2;
-constexpr std::chrono::milliseconds patience{4000};
-constexpr std::chrono::milliseconds settlePatience{5000};
+constexpr std::chrono::milliseconds timeout{4000};
+constexpr std::chrono::milliseconds settleTimeout{5000};
 constexpr std::chrono::milliseconds pauseBetween{5};
 constexpr std::chrono::milliseconds settlePause{100};
 
@@ -61,13 +61,13 @@
         while (!this->pools.isOver) {
             const std::uint64_t dice = this->random() % 100;
             if (dice < 35) {
-                this->caller.complete(this->idFrom(this->pools.completions, "c"), this->node(), this->patienceOfOne());
+                this->caller.complete(this->idFrom(this->pools.completions, "c"), this->node(), this->timeoutOfOne());
             } else if (dice < 75) {
                 this->issue();
             } else if (dice < 92) {
                 this->read();
             } else if (dice < 99) {
-                this->caller.submitJob(this->idFrom(this->pools.jobs, "j"), itemsPerJob, this->node(), patience);
+                this->caller.submitJob(this->idFrom(this->pools.jobs, "j"), itemsPerJob, this->node(), timeout);
             } else {
                 this->cancel();
             }
@@ -82,9 +82,9 @@
     }
 
     /** Now and then a caller hangs up while its request runs. */
-    std::chrono::milliseconds patienceOfOne()
+    std::chrono::milliseconds timeoutOfOne()
     {
-        return this->random() % 4 == 0 ? std::chrono::milliseconds(10 + this->random() % 100) : patience;
+        return this->random() % 4 == 0 ? std::chrono::milliseconds(10 + this->random() % 100) : timeout;
     }
 
     std::string idFrom(SharedIds &ids, const std::string &prefix)
@@ -102,13 +102,13 @@
     {
         // One offer in three is sent by one caller only: it may be given up for good when told that it did not run.
         if (this->random() % 3 != 0) {
-            this->caller.issue(this->idFrom(this->pools.offers, "o"), this->node(), this->patienceOfOne());
+            this->caller.issue(this->idFrom(this->pools.offers, "o"), this->node(), this->timeoutOfOne());
             return;
         }
         const std::string id = "s" + std::to_string(this->number) + '-' + std::to_string(++this->made);
         CallOutcome outcome = CallOutcome::Lost;
         for (int attempt = 0; attempt < 3 && outcome != CallOutcome::NotRun && outcome != CallOutcome::Answered; ++attempt) {
-            outcome = this->caller.issue(id, this->node(), this->patienceOfOne());
+            outcome = this->caller.issue(id, this->node(), this->timeoutOfOne());
         }
         if (outcome != CallOutcome::NotRun) {
             this->pools.offers.add(id);
@@ -120,15 +120,15 @@
         const bool isCompletion = this->random() % 2 == 0;
         SharedIds &ids = isCompletion ? this->pools.completions : this->pools.offers;
         if (const auto id = ids.recent(this->random())) {
-            this->caller.readResult(*id, isCompletion, this->node(), patience);
+            this->caller.readResult(*id, isCompletion, this->node(), timeout);
         }
     }
 
     void cancel()
     {
         const std::string id = this->idFrom(this->pools.jobs, "j");
-        if (this->caller.submitJob(id, itemsPerJob, this->node(), patience) == CallOutcome::Answered) {
-            this->caller.cancelJob(id, this->node(), patience);
+        if (this->caller.submitJob(id, itemsPerJob, this->node(), timeout) == CallOutcome::Answered) {
+            this->caller.cancelJob(id, this->node(), timeout);
         }
     }
 
@@ -166,7 +166,7 @@
                     continue;
                 }
                 for (std::size_t read = 0; read < readsPerId; ++read) {
-                    this->caller.readResult(ids[i], isCompletion, (i + read) % this->nodes, settlePatience);
+                    this->caller.readResult(ids[i], isCompletion, (i + read) % this->nodes, settleTimeout);
                 }
             }
             ids = std::move(open);
@@ -182,7 +182,7 @@
                 FakeEngine::expectedText(HistoryCaller::promptOf(id + '-' + std::to_string(i)), HistoryCaller::tokens));
         }
         std::size_t node = 0;
-        while (this->caller.submitJob(id, itemsPerJob, node, settlePatience) != CallOutcome::Answered
+        while (this->caller.submitJob(id, itemsPerJob, node, settleTimeout) != CallOutcome::Answered
                && Steady::now() < this->deadline) {
             node = (node + 1) % this->nodes;
             std::this_thread::sleep_for(settlePause);
@@ -330,10 +330,10 @@
     HistoryCaller last(addresses, start);
     Settlement settlement(last, addresses.size());
     settlement.finish(pools.completions.live(), true, [&last](const std::string &id, std::size_t node) {
-        return last.complete(id, node, settlePatience);
+        return last.complete(id, node, settleTimeout);
     });
     settlement.finish(pools.offers.live(), false, [&last](const std::string &id, std::size_t node) {
-        return last.issue(id, node, settlePatience);
+        return last.issue(id, node, settleTimeout);
     });
     History history;
     for (const std::string &id : pools.jobs.live()) {
--- a/Benchmarks/Measure/Routing.cpp
+++ b/Benchmarks/Measure/Routing.cpp
@@ -147,7 +147,7 @@
 
 using Choose = std::function<Replica *(Node &node, std::uint64_t prefix)>;
 
-double toldLoad(const Replica *replica)
+double reportedLoad(const Replica *replica)
 {
     return replica->inFlight + replica->others.inFlight;
 }
@@ -165,12 +165,12 @@
      }},
     {"least_in_flight",
      [](Node &node, std::uint64_t) {
-         return *std::ranges::min_element(node.table.of(model), {}, toldLoad);
+         return *std::ranges::min_element(node.table.of(model), {}, reportedLoad);
      }},
     {"two_choices",
      [](Node &node, std::uint64_t) {
          return std::min(drawOne(node), drawOne(node), [](const Replica *left, const Replica *right) {
-             return toldLoad(left) < toldLoad(right);
+             return reportedLoad(left) < reportedLoad(right);
          });
      }},
     {"ours_without_prefix",
--- a/Benchmarks/Support/HistoryCaller.cpp
+++ b/Benchmarks/Support/HistoryCaller.cpp
@@ -13,7 +13,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::chrono::milliseconds readPatience{3000};
+constexpr std::chrono::milliseconds readTimeout{3000};
 constexpr std::size_t recentIds = 12;
 constexpr int statusOk = 200;
 constexpr int statusRunning = 202;
@@ -84,10 +84,10 @@
     return this->recorded;
 }
 
-HttpResponse HistoryCaller::send(std::size_t node, const HttpRequest &request, std::chrono::milliseconds patience)
+HttpResponse HistoryCaller::send(std::size_t node, const HttpRequest &request, std::chrono::milliseconds timeout)
 {
     HttpResponse answer;
-    this->client.fetch(this->nodes[node], request, patience, [this, &answer](ExchangeEnd end, const HttpResponse &response) {
+    this->client.fetch(this->nodes[node], request, timeout, [this, &answer](ExchangeEnd end, const HttpResponse &response) {
         answer = end == ExchangeEnd::Complete ? response : HttpResponse();
         this->loop.stop();
     });
@@ -116,14 +116,14 @@
                                   const std::string &id,
                                   std::size_t node,
                                   const HttpRequest &request,
-                                  std::chrono::milliseconds patience,
+                                  std::chrono::milliseconds timeout,
                                   bool isCompletion)
 {
     const auto now = [this] {
         return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - this->start);
     };
     HistoryCall call{kind, id, CallOutcome::Lost, {}, now(), {}, node};
-    const HttpResponse response = this->send(node, request, patience);
+    const HttpResponse response = this->send(node, request, timeout);
     call.ended = now();
     call.outcome = outcomeOf(response);
     if (call.outcome == CallOutcome::Answered || call.outcome == CallOutcome::Pending) {
@@ -139,34 +139,34 @@
     return call.outcome;
 }
 
-CallOutcome HistoryCaller::complete(const std::string &id, std::size_t node, std::chrono::milliseconds patience)
+CallOutcome HistoryCaller::complete(const std::string &id, std::size_t node, std::chrono::milliseconds timeout)
 {
     const Json body{{"model", "m"}, {"prompt", promptOf(id)}, {"max_tokens", tokens}};
     const HttpRequest request{.method = "POST",
                               .path = "/v1/completions",
                               .headers = {{"Content-Type", "application/json"}, {"Idempotency-Key", id}},
                               .body = body.dump()};
-    return this->record(CallKind::Completion, id, node, request, patience, true);
+    return this->record(CallKind::Completion, id, node, request, timeout, true);
 }
 
-CallOutcome HistoryCaller::issue(const std::string &id, std::size_t node, std::chrono::milliseconds patience)
+CallOutcome HistoryCaller::issue(const std::string &id, std::size_t node, std::chrono::milliseconds timeout)
 {
     const HttpRequest request{.method = "POST",
                               .path = "/v1/services/offers/issue",
                               .headers = {{"Content-Type", "application/json"}, {"Idempotency-Key", id}},
                               .body = offerOf(id)};
-    return this->record(CallKind::NonIdempotent, id, node, request, patience, false);
+    return this->record(CallKind::NonIdempotent, id, node, request, timeout, false);
 }
 
 CallOutcome
-HistoryCaller::readResult(const std::string &id, bool isCompletion, std::size_t node, std::chrono::milliseconds patience)
+HistoryCaller::readResult(const std::string &id, bool isCompletion, std::size_t node, std::chrono::milliseconds timeout)
 {
     const HttpRequest request{.method = "GET", .path = "/v1/results/" + id};
-    return this->record(CallKind::ResultRead, id, node, request, patience, isCompletion);
+    return this->record(CallKind::ResultRead, id, node, request, timeout, isCompletion);
 }
 
 CallOutcome
-HistoryCaller::submitJob(const std::string &id, std::uint32_t items, std::size_t node, std::chrono::milliseconds patience)
+HistoryCaller::submitJob(const std::string &id, std::uint32_t items, std::size_t node, std::chrono::milliseconds timeout)
 {
     std::string lines;
     for (std::uint32_t i = 0; i < items; ++i) {
@@ -174,18 +174,18 @@
         lines += item.dump() + '\n';
     }
     const HttpRequest request{.method = "POST", .path = "/v1/batches", .headers = {{"Idempotency-Key", id}}, .body = lines};
-    return this->record(CallKind::JobSubmission, id, node, request, patience, false);
+    return this->record(CallKind::JobSubmission, id, node, request, timeout, false);
 }
 
-CallOutcome HistoryCaller::cancelJob(const std::string &id, std::size_t node, std::chrono::milliseconds patience)
+CallOutcome HistoryCaller::cancelJob(const std::string &id, std::size_t node, std::chrono::milliseconds timeout)
 {
     const HttpRequest request{.method = "POST", .path = "/v1/batches/" + this->jobIds[id] + "/cancel"};
-    return this->record(CallKind::JobCancellation, id, node, request, patience, false);
+    return this->record(CallKind::JobCancellation, id, node, request, timeout, false);
 }
 
 std::optional<HistoryCaller::JobStatus> HistoryCaller::jobStatus(const std::string &id, std::size_t node)
 {
-    const HttpResponse response = this->send(node, {.method = "GET", .path = "/v1/batches/" + this->jobIds[id]}, readPatience);
+    const HttpResponse response = this->send(node, {.method = "GET", .path = "/v1/batches/" + this->jobIds[id]}, readTimeout);
     const Json body = Json::parse(response.body, nullptr, false);
     if (response.status != statusOk || !body.is_object()) {
         return std::nullopt;
@@ -196,7 +196,7 @@
 std::optional<std::map<std::uint32_t, std::string>> HistoryCaller::jobResults(const std::string &id, std::size_t node)
 {
     const HttpResponse response
-        = this->send(node, {.method = "GET", .path = "/v1/batches/" + this->jobIds[id] + "/results"}, readPatience);
+        = this->send(node, {.method = "GET", .path = "/v1/batches/" + this->jobIds[id] + "/results"}, readTimeout);
     if (response.status != statusOk) {
         return std::nullopt;
     }
--- a/Benchmarks/Support/HistoryCaller.h
+++ b/Benchmarks/Support/HistoryCaller.h
@@ -46,11 +46,11 @@
     static std::string offerOf(const std::string &id);
     static constexpr std::uint32_t tokens = 12;
 
-    CallOutcome complete(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
-    CallOutcome issue(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
-    CallOutcome readResult(const std::string &id, bool isCompletion, std::size_t node, std::chrono::milliseconds patience);
-    CallOutcome submitJob(const std::string &id, std::uint32_t items, std::size_t node, std::chrono::milliseconds patience);
-    CallOutcome cancelJob(const std::string &id, std::size_t node, std::chrono::milliseconds patience);
+    CallOutcome complete(const std::string &id, std::size_t node, std::chrono::milliseconds timeout);
+    CallOutcome issue(const std::string &id, std::size_t node, std::chrono::milliseconds timeout);
+    CallOutcome readResult(const std::string &id, bool isCompletion, std::size_t node, std::chrono::milliseconds timeout);
+    CallOutcome submitJob(const std::string &id, std::uint32_t items, std::size_t node, std::chrono::milliseconds timeout);
+    CallOutcome cancelJob(const std::string &id, std::size_t node, std::chrono::milliseconds timeout);
 
     /** @return a job's state as its status tells, with its finished items; nothing if it could not be read. */
     struct JobStatus
@@ -66,12 +66,12 @@
     const std::vector<HistoryCall> &calls() const;
 
 private:
-    HttpResponse send(std::size_t node, const HttpRequest &request, std::chrono::milliseconds patience);
+    HttpResponse send(std::size_t node, const HttpRequest &request, std::chrono::milliseconds timeout);
     CallOutcome record(CallKind kind,
                        const std::string &id,
                        std::size_t node,
                        const HttpRequest &request,
-                       std::chrono::milliseconds patience,
+                       std::chrono::milliseconds timeout,
                        bool isCompletion);
     static CallOutcome outcomeOf(const HttpResponse &response);
     static std::string jobPath(const std::string &id);
--- a/Benchmarks/Support/OpenLoad.cpp
+++ b/Benchmarks/Support/OpenLoad.cpp
@@ -12,7 +12,7 @@
 using Clock = std::chrono::steady_clock;
 
 /** How long past its deadline a caller still listens: what comes then counts as late, and what does not as lost. */
-constexpr std::chrono::seconds patience{5};
+constexpr std::chrono::seconds timeout{5};
 
 struct Call
 {
@@ -103,7 +103,7 @@
     };
     const Address &target = this->targets[call->number % this->targets.size()];
     const auto exchange = this->client.start(target, request, ConnectionChoice::Pooled, std::move(hooks));
-    call->timer = this->loop.schedule(this->kind.deadline + patience, [this, exchange, finish] {
+    call->timer = this->loop.schedule(this->kind.deadline + timeout, [this, exchange, finish] {
         this->client.cancel(exchange);
         finish();
     });
--- a/Libraries/LibBatch/LeaseBook.cpp
+++ b/Libraries/LibBatch/LeaseBook.cpp
@@ -22,8 +22,8 @@
         --range;
     }
     for (; range != this->ranges.end() && range->first < span.first + span.count; ++range) {
-        const bool isToldOf = range->first + range->second.count > span.first;
-        if (isToldOf && range->second.runner == runner) {
+        const bool isReported = range->first + range->second.count > span.first;
+        if (isReported && range->second.runner == runner) {
             range->second.end = end;
         }
     }
--- a/Libraries/LibClient/CallerClient.cpp
+++ b/Libraries/LibClient/CallerClient.cpp
@@ -60,11 +60,11 @@
         if (!answer || answer->status != statusOk) {
             continue;
         }
-        const nlohmann::json told = nlohmann::json::parse(answer->body, nullptr, false);
-        if (!told.is_object() || !told.contains("entries")) {
+        const nlohmann::json reported = nlohmann::json::parse(answer->body, nullptr, false);
+        if (!reported.is_object() || !reported.contains("entries")) {
             continue;
         }
-        for (const nlohmann::json &entry : told["entries"]) {
+        for (const nlohmann::json &entry : reported["entries"]) {
             const bool isNamed = entry.is_object() && entry.contains("address") && entry["address"].is_string();
             const auto address = isNamed ? Address::parse(entry["address"].get<std::string>()) : std::nullopt;
             if (address) {
--- a/Libraries/LibControl/ConfigurationWriter.cpp
+++ b/Libraries/LibControl/ConfigurationWriter.cpp
@@ -56,7 +56,7 @@
         });
     }
     attempt->applied = std::move(applied);
-    attempt->deadline = this->clock.now() + this->options.patience;
+    attempt->deadline = this->clock.now() + this->options.timeout;
     this->look(attempt);
 }
 
--- a/Libraries/LibControl/ConfigurationWriter.h
+++ b/Libraries/LibControl/ConfigurationWriter.h
@@ -72,7 +72,7 @@
         /** Between two tries of a call that failed. */
         std::chrono::milliseconds retry{100};
         /** When to give up. */
-        std::chrono::milliseconds patience{10000};
+        std::chrono::milliseconds timeout{10000};
         /** Tells of parts that are on the platform for sure, because an accepted version names them; may be empty. */
         std::function<bool(const std::string &key)> isStored;
     };
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -134,7 +134,7 @@
             this->hooks.stop(decision.id);
             break;
         case PlacementDecision::Refused:
-            this->hooks.refuse(decision.id, decision.comeBack);
+            this->hooks.refuse(decision.id, decision.retryAfter);
             break;
         case PlacementDecision::Waiting:
             break;
@@ -209,16 +209,16 @@
         }
     }
     for (const PlacementRequest &request : hopeless) {
-        const std::chrono::nanoseconds comeBack = (request.deadline - now) / returnShare;
-        this->returns.expect(request.content, request.arrived, now + comeBack);
-        this->sendAway(request, comeBack);
+        const std::chrono::nanoseconds retryAfter = (request.deadline - now) / returnShare;
+        this->returns.expect(request.content, request.arrived, now + retryAfter);
+        this->sendAway(request, retryAfter);
     }
 }
 
-void Dispatcher::sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack)
+void Dispatcher::sendAway(const PlacementRequest &request, std::chrono::nanoseconds retryAfter)
 {
     this->waiting.remove(request.id);
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(comeBack);
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(retryAfter);
     this->decisions.push_back({PlacementDecision::Refused, request.id, {}, wait});
 }
 
@@ -233,11 +233,11 @@
     this->tell();
 }
 
-void Dispatcher::noteLoad(const EndpointName &instance, const ToldLoad &load)
+void Dispatcher::noteLoad(const EndpointName &instance, const ReportedLoad &load)
 {
     const auto found = this->replicas.find(instance);
     if (found != this->replicas.end()) {
-        found->second.slots.noteTold(load, this->clock.now());
+        found->second.slots.noteReported(load, this->clock.now());
         this->index.update(found->second);
         this->assign();
         this->tell();
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -40,7 +40,7 @@
         /** A batch item has to give up its place. */
         std::function<void(TicketId)> stop;
         /** It can't be served in time. */
-        std::function<void(TicketId, std::chrono::milliseconds comeBack)> refuse;
+        std::function<void(TicketId, std::chrono::milliseconds retryAfter)> refuse;
     };
 
     /** What there is, for metrics and status. */
@@ -68,7 +68,7 @@
     void end(TicketId id, PlacementVerdict verdict);
 
     /** A replica told with an answer how much it has. */
-    void noteLoad(const EndpointName &instance, const ToldLoad &load);
+    void noteLoad(const EndpointName &instance, const ReportedLoad &load);
 
     /**
      * All that a node runs.
@@ -110,7 +110,7 @@
         /** With Placed. */
         EndpointName replica;
         /** With Refused. */
-        std::chrono::milliseconds comeBack{0};
+        std::chrono::milliseconds retryAfter{0};
     };
     using Placements = std::map<TicketId, Placement>;
 
@@ -129,7 +129,7 @@
     void welcome(PlacementRequest &request);
     void sendAwayIfLate(const PlacementRequest &request);
     void sendAwayHopeless();
-    void sendAway(const PlacementRequest &request, std::chrono::nanoseconds comeBack);
+    void sendAway(const PlacementRequest &request, std::chrono::nanoseconds retryAfter);
     void stop(Placement &placement);
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
--- a/Libraries/LibDispatch/ReplicaSlots.h
+++ b/Libraries/LibDispatch/ReplicaSlots.h
@@ -26,7 +26,7 @@
     void release(WorkClass work, SteadyTime now);
 
     /** The replica said how much it has. */
-    void noteTold(const ToldLoad &load, SteadyTime now);
+    void noteReported(const ReportedLoad &load, SteadyTime now);
 
     /** @return online requests that were placed there. */
     std::uint32_t online() const;
@@ -51,10 +51,10 @@
     std::uint32_t batchCount = 0;
     /** What was released a moment ago. */
     std::deque<SteadyTime> released;
-    bool isHeard = false;
+    bool hasReport = false;
     /** What it has that was not placed by this dispatcher, as it was told last. */
     std::uint32_t others = 0;
-    SteadyTime othersTold{};
+    SteadyTime othersReported{};
     /** Items that were placed since it told last. */
     std::uint32_t itemsUnanswered = 0;
 };
--- a/Libraries/LibJournal/RequestTable.cpp
+++ b/Libraries/LibJournal/RequestTable.cpp
@@ -301,9 +301,9 @@
     return isDone ? &found->second.answer : nullptr;
 }
 
-void RequestTable::await(const RequestId &id, std::function<void()> told)
+void RequestTable::await(const RequestId &id, std::function<void()> reported)
 {
-    this->entries.at(id).waiting.push_back(std::move(told));
+    this->entries.at(id).waiting.push_back(std::move(reported));
 }
 
 void RequestTable::replay(const IntentRecord &record)
@@ -354,8 +354,8 @@
 
 void RequestTable::tellWaiting(Entry &entry)
 {
-    for (const std::function<void()> &told : std::exchange(entry.waiting, {})) {
-        told();
+    for (const std::function<void()> &reported : std::exchange(entry.waiting, {})) {
+        reported();
     }
 }
 
--- a/Libraries/LibJournal/RequestTable.h
+++ b/Libraries/LibJournal/RequestTable.h
@@ -114,9 +114,9 @@
 
     /**
      * Wait for a request's result, or for its runner to give up.
-     * @param told called once: then claim() or answer() has news
+     * @param reported called once: then claim() or answer() has news
      */
-    void await(const RequestId &id, std::function<void()> told);
+    void await(const RequestId &id, std::function<void()> reported);
 
     /** @return durable results that are in no run of the shard's index yet, sorted by id. */
     std::vector<ResultRecord> unindexed() const;
--- a/Libraries/LibMembership/ClaimedDuty.cpp
+++ b/Libraries/LibMembership/ClaimedDuty.cpp
@@ -17,12 +17,12 @@
  * A node that has just started hears of the holder's claim before it hears of the holder. Were it to take the holder for dead, it
  * would claim what somebody has. In this time, several rounds of gossip, it meets all members.
  */
-constexpr std::chrono::milliseconds unknownPatience{3000};
+constexpr std::chrono::milliseconds unknownTimeout{3000};
 /**
  * A node that has just started asks others who has the duty. Only if nobody tells in this time, a dozen round trips between VMs
  * that have little processor, was it not claimed since all nodes started.
  */
-constexpr std::chrono::milliseconds askPatience{500};
+constexpr std::chrono::milliseconds askTimeout{500};
 
 /**
  * A node that was cut off for some seconds, and is back, still takes many members for dead that it has just suspected, the holder
@@ -31,17 +31,17 @@
  */
 constexpr std::size_t lostPart = 8;
 /** In this time the members that were lost by mistake are most likely heard again. */
-constexpr std::chrono::milliseconds lostLately{5000};
+constexpr std::chrono::milliseconds recentTime{5000};
 
 /** One node that gets no answer may itself be the one that is cut off; so many others at once are not. */
-constexpr std::size_t enoughDoubters = 3;
-/** A doubt is as old as this at most: a node asks its dispatcher several times in this time. */
-constexpr std::chrono::milliseconds doubtKept{1000};
+constexpr std::size_t enoughAccusers = 3;
+/** A suspicion is as old as this at most: a node asks its dispatcher several times in this time. */
+constexpr std::chrono::milliseconds suspicionRetained{1000};
 /**
  * A holder that gives no sign of life for so long is silent. Longer than a VM whose share of the processor is used up stands
  * still, and several times as long as a datagram travels; a tenth of what the membership needs to be sure.
  */
-constexpr std::chrono::milliseconds silencePatience{250};
+constexpr std::chrono::milliseconds silenceTimeout{250};
 
 /**
  * A holder that is not among the members any more keeps the duty for so long unless it is silent: a node that was cut off and is
@@ -72,7 +72,7 @@
         this->metOthers = this->clock.now();
     }
     const SteadyTime now = this->clock.now();
-    if (members->members().size() >= this->mostMembers || now - this->mostSeen > lostLately) {
+    if (members->members().size() >= this->mostMembers || now - this->mostSeen > recentTime) {
         this->mostMembers = members->members().size();
         this->mostSeen = now;
     }
@@ -84,28 +84,28 @@
 bool ClaimedDuty::hasLostMany() const
 {
     const std::size_t lost = this->mostMembers - std::min(this->mostMembers, this->members->members().size());
-    const bool isLately = this->clock.now() - this->mostSeen <= lostLately;
-    return this->members->isMinority() || (isLately && lost > 1 && lost * lostPart > this->mostMembers);
+    const bool isRecent = this->clock.now() - this->mostSeen <= recentTime;
+    return this->members->isMinority() || (isRecent && lost > 1 && lost * lostPart > this->mostMembers);
 }
 
-ClaimedDuty::Heard ClaimedDuty::hear(const DutyClaim &claim)
+ClaimedDuty::ReceiveOutcome ClaimedDuty::receive(const DutyClaim &claim)
 {
     if (!this->current && claim == this->question()) {
-        return Heard::Known;
+        return ReceiveOutcome::Known;
     }
     if (this->current && rankOf(claim) == rankOf(*this->current)) {
-        return Heard::Known;
+        return ReceiveOutcome::Known;
     }
     if (this->current && rankOf(claim) < rankOf(*this->current)) {
-        return Heard::Outdated;
+        return ReceiveOutcome::Outdated;
     }
     this->current = claim;
-    this->heardAt = this->clock.now();
+    this->receivedAt = this->clock.now();
     this->seenHolder.reset();
     this->holderMissed.reset();
     this->noteHolderAlive();
     this->choose();
-    return Heard::News;
+    return ReceiveOutcome::News;
 }
 
 const Member *ClaimedDuty::holder() const
@@ -134,50 +134,50 @@
     return dutyHolder(*this->members, this->key, holder);
 }
 
-void ClaimedDuty::hearDoubt(const DutyDoubt &doubt)
+void ClaimedDuty::receiveSuspicion(const DutySuspicion &suspicion)
 {
-    if (!this->current || this->current->holder != doubt.holder || doubt.holder == this->self) {
+    if (!this->current || this->current->holder != suspicion.holder || suspicion.holder == this->self) {
         return;
     }
     const SteadyTime now = this->clock.now();
-    this->doubters.insert_or_assign(doubt.from, now);
-    std::erase_if(this->doubters, [now](const auto &doubter) {
-        return now - doubter.second > doubtKept;
+    this->accusers.insert_or_assign(suspicion.from, now);
+    std::erase_if(this->accusers, [now](const auto &accuser) {
+        return now - accuser.second > suspicionRetained;
     });
-    if (this->hasEnoughDoubters()) {
-        this->doubted = this->doubted.value_or(now);
+    if (this->hasEnoughAccusers()) {
+        this->suspected = this->suspected.value_or(now);
     }
 }
 
-bool ClaimedDuty::hasEnoughDoubters() const
+bool ClaimedDuty::hasEnoughAccusers() const
 {
     // In a fleet of a few, all but this node and the holder.
     const std::size_t others = std::max<std::size_t>(this->members->members().size(), 3) - 2;
-    return this->doubters.size() >= std::min(enoughDoubters, others);
+    return this->accusers.size() >= std::min(enoughAccusers, others);
 }
 
 void ClaimedDuty::noteHolderAlive()
 {
-    this->doubters.clear();
-    this->doubted.reset();
+    this->accusers.clear();
+    this->suspected.reset();
     if (this->holderMissed) {
         this->holderMissed = this->clock.now();
     }
 }
 
-const Member *ClaimedDuty::doubtedHolder() const
+const Member *ClaimedDuty::suspectedHolder() const
 {
-    return this->doubted && !this->isSilent() ? this->chosen : nullptr;
+    return this->suspected && !this->isSilent() ? this->chosen : nullptr;
 }
 
 bool ClaimedDuty::isSilent() const
 {
-    return this->doubted && this->clock.now() - *this->doubted >= silencePatience;
+    return this->suspected && this->clock.now() - *this->suspected >= silenceTimeout;
 }
 
 std::optional<DutyClaim> ClaimedDuty::makeClaim()
 {
-    if (this->doubted || this->holderMissed) {
+    if (this->suspected || this->holderMissed) {
         this->choose();
     }
     if (this->chosen == nullptr) {
@@ -188,24 +188,24 @@
     const bool isOurs = next == this->self;
     const bool isGivenUp = this->current && this->current->holder == this->self;
     // Who is told by several others that they miss the holder as well is not the one that is cut off.
-    const bool isConfirmed = this->isSilent() && this->hasEnoughDoubters();
+    const bool isConfirmed = this->isSilent() && this->hasEnoughAccusers();
     const bool isSure = isConfirmed || (!this->hasLostMany() && !this->isNew() && !this->isHolderUnknown());
     if (isClaimed || !(isGivenUp || (isOurs && isSure))) {
         return std::nullopt;
     }
     const std::uint64_t term = this->current ? this->current->term + 1 : 1;
-    this->hear(DutyClaim{this->duty, term, next});
+    this->receive(DutyClaim{this->duty, term, next});
     return this->current;
 }
 
 bool ClaimedDuty::isNew() const
 {
-    return !this->current && (!this->metOthers || this->clock.now() - *this->metOthers < askPatience);
+    return !this->current && (!this->metOthers || this->clock.now() - *this->metOthers < askTimeout);
 }
 
 bool ClaimedDuty::isHolderUnknown() const
 {
-    return this->current && !this->seenHolder && this->clock.now() - this->heardAt < unknownPatience;
+    return this->current && !this->seenHolder && this->clock.now() - this->receivedAt < unknownTimeout;
 }
 
 bool ClaimedDuty::mayKeep(const Member &claimed) const
@@ -234,7 +234,7 @@
     if (now - *this->holderMissed > missingKept) {
         return nullptr;
     }
-    this->doubted = this->doubted.value_or(now);
+    this->suspected = this->suspected.value_or(now);
     return &*this->seenHolder;
 }
 
--- a/Libraries/LibMembership/ClaimedDuty.h
+++ b/Libraries/LibMembership/ClaimedDuty.h
@@ -28,7 +28,7 @@
 {
 public:
     /** What a claim of another node changes. */
-    enum class Heard {
+    enum class ReceiveOutcome {
         /** It counts from now on. */
         News,
         /** It is the one that is known. */
@@ -49,7 +49,7 @@
     void setView(SessionNumber self, const MemberViewPointer &members, const MemberViewPointer &settled);
 
     /** Another node tells who has the duty. */
-    Heard hear(const DutyClaim &claim);
+    ReceiveOutcome receive(const DutyClaim &claim);
 
     /** @return who has the duty, or null if nobody can have it; valid until the next call that changes something. */
     const Member *holder() const;
@@ -67,13 +67,13 @@
     const Member *successor() const;
 
     /** A node got no answer of the holder. */
-    void hearDoubt(const DutyDoubt &doubt);
+    void receiveSuspicion(const DutySuspicion &suspicion);
 
     /** The holder gave a sign of life. */
     void noteHolderAlive();
 
-    /** @return the holder, if it is doubted by several nodes and this one has to look whether it lives; else null. */
-    const Member *doubtedHolder() const;
+    /** @return the holder, if it is suspected by several nodes and this one has to look whether it lives; else null. */
+    const Member *suspectedHolder() const;
 
     /** @return a claim that this node makes now, to be told to all others; nothing if it has none to make. */
     std::optional<DutyClaim> makeClaim();
@@ -86,7 +86,7 @@
     bool isSilent() const;
     bool isHolderUnknown() const;
     bool hasLostMany() const;
-    bool hasEnoughDoubters() const;
+    bool hasEnoughAccusers() const;
 
     const Clock &clock;
     std::string duty;
@@ -95,7 +95,7 @@
     MemberViewPointer members;
     MemberViewPointer settled;
     std::optional<DutyClaim> current;
-    SteadyTime heardAt{};
+    SteadyTime receivedAt{};
     /** When this node first saw another member. */
     std::optional<SteadyTime> metOthers;
     /** The holder that the claim names, as it was last among the members. */
@@ -104,9 +104,9 @@
     std::optional<SteadyTime> holderMissed;
     const Member *chosen = nullptr;
     /** Who got no answer of the holder, and when. */
-    std::map<SessionNumber, SteadyTime> doubters;
-    /** Since when the holder is doubted by enough of them. */
-    std::optional<SteadyTime> doubted;
+    std::map<SessionNumber, SteadyTime> accusers;
+    /** Since when the holder is suspected by enough of them. */
+    std::optional<SteadyTime> suspected;
     /** The most members that were seen lately, and when. */
     std::size_t mostMembers = 0;
     SteadyTime mostSeen{};
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -34,23 +34,23 @@
     this->known[this->self] = {std::move(self), now, true};
 }
 
-bool MemberTable::isNewer(const MemberNews &told, const Member &known)
+bool MemberTable::isNewer(const MemberNews &reported, const Member &known)
 {
-    if (known.state == MemberState::Left || told.state == MemberState::Left) {
+    if (known.state == MemberState::Left || reported.state == MemberState::Left) {
         return known.state != MemberState::Left;
     }
-    if (told.incarnation != known.incarnation) {
-        return told.incarnation > known.incarnation;
+    if (reported.incarnation != known.incarnation) {
+        return reported.incarnation > known.incarnation;
     }
-    return told.state > known.state;
+    return reported.state > known.state;
 }
 
-MergeResult MemberTable::merge(const Member &told, SteadyTime now)
+MergeResult MemberTable::merge(const Member &reported, SteadyTime now)
 {
-    const auto [found, isNew] = this->known.try_emplace(told.session);
+    const auto [found, isNew] = this->known.try_emplace(reported.session);
     Entry &entry = found->second;
     if (isNew) {
-        entry = {told, now, true};
+        entry = {reported, now, true};
         this->digestChanged();
         return MergeResult::Changed;
     }
@@ -58,67 +58,67 @@
     if (!wasDescribed) {
         // Its state alone was known. That goes on to count: the description may come from one that has not heard.
         const MemberNews current = newsOf(entry.member);
-        entry.member = told;
+        entry.member = reported;
         entry.member.incarnation = current.incarnation;
         entry.member.state = current.state;
         this->digestChanged();
     }
-    const MergeResult result = this->merge(newsOf(told), now);
-    const MergeResult load = this->merge(loadOf(told));
+    const MergeResult result = this->merge(newsOf(reported), now);
+    const MergeResult load = this->merge(loadOf(reported));
     if (!wasDescribed || result == MergeResult::Changed) {
         return MergeResult::Changed;
     }
     return load;
 }
 
-MergeResult MemberTable::merge(const MemberNews &told, SteadyTime now)
+MergeResult MemberTable::merge(const MemberNews &reported, SteadyTime now)
 {
-    const auto found = this->known.find(told.session);
+    const auto found = this->known.find(reported.session);
     if (found == this->known.end()) {
-        if (told.state < MemberState::Dead) {
+        if (reported.state < MemberState::Dead) {
             return MergeResult::NeedsDescription;
         }
-        Entry &entry = this->known[told.session];
-        entry.member.session = told.session;
-        entry.member.incarnation = told.incarnation;
-        entry.member.state = told.state;
+        Entry &entry = this->known[reported.session];
+        entry.member.session = reported.session;
+        entry.member.incarnation = reported.incarnation;
+        entry.member.state = reported.state;
         entry.since = now;
         return MergeResult::Changed;
     }
     Entry &entry = found->second;
-    if (!isNewer(told, entry.member)) {
+    if (!isNewer(reported, entry.member)) {
         return MergeResult::Nothing;
     }
-    if (!entry.isDescribed && told.state < MemberState::Dead) {
+    if (!entry.isDescribed && reported.state < MemberState::Dead) {
         return MergeResult::NeedsDescription;
     }
-    if (entry.member.state != told.state) {
+    if (entry.member.state != reported.state) {
         entry.since = now;
     }
-    entry.member.incarnation = told.incarnation;
-    entry.member.state = told.state;
-    entry.member.isLeaving = told.isLeaving;
-    entry.member.isReady = told.isReady;
-    entry.member.hasLostStore = told.hasLostStore;
+    entry.member.incarnation = reported.incarnation;
+    entry.member.state = reported.state;
+    entry.member.isLeaving = reported.isLeaving;
+    entry.member.isReady = reported.isReady;
+    entry.member.hasLostStore = reported.hasLostStore;
     this->digestChanged();
     return MergeResult::Changed;
 }
 
-MergeResult MemberTable::merge(const MemberLoad &told)
+MergeResult MemberTable::merge(const MemberLoad &reported)
 {
-    const auto found = this->known.find(told.session);
+    const auto found = this->known.find(reported.session);
     if (found == this->known.end()) {
         return MergeResult::NeedsDescription;
     }
     Member &member = found->second.member;
-    if (told.version <= member.loadVersion) {
+    if (reported.version <= member.loadVersion) {
         return MergeResult::Nothing;
     }
-    member.loadVersion = told.version;
-    member.backlog = told.backlog;
-    member.configVersion = told.configVersion;
-    member.pressure = told.pressure;
-    member.backlogModels = told.backlogModels;
+    member.loadVersion = reported.version;
+    member.backlog = reported.backlog;
+    member.configVersion = reported.configVersion;
+    member.pressure = reported.pressure;
+    member.backlogModels = reported.backlogModels;
     return MergeResult::Changed;
 }
 
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -47,9 +47,9 @@
 
     explicit MemberTable(Member self, SteadyTime now);
 
-    MergeResult merge(const Member &told, SteadyTime now);
-    MergeResult merge(const MemberNews &told, SteadyTime now);
-    MergeResult merge(const MemberLoad &told);
+    MergeResult merge(const Member &reported, SteadyTime now);
+    MergeResult merge(const MemberNews &reported, SteadyTime now);
+    MergeResult merge(const MemberLoad &reported);
 
     /** @return this node itself, to be changed by its owner; call ownChanged() after. */
     Member &own();
@@ -77,7 +77,7 @@
     void forget(SteadyTime before);
 
 private:
-    static bool isNewer(const MemberNews &told, const Member &known);
+    static bool isNewer(const MemberNews &reported, const Member &known);
     void digestChanged();
 
     SessionNumber self;
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -46,7 +46,7 @@
     , hooks(std::move(hooks))
     , random(seed)
     , table(std::move(self), clock.now())
-    , lastHeard(clock.now())
+    , lastReceived(clock.now())
 {
     this->newMembers.add(this->self);
     this->current = std::make_shared<MemberView>(std::vector<Member>{this->table.own()});
@@ -139,8 +139,8 @@
         return false;
     }
     this->health.failed();
-    this->lastHeard += late;
-    this->lastHeard = std::min(this->lastHeard, this->clock.now());
+    this->lastReceived += late;
+    this->lastReceived = std::min(this->lastReceived, this->clock.now());
     for (auto &[sequence, probe] : this->probes) {
         this->scheduler.cancel(probe.timer);
     }
@@ -160,14 +160,14 @@
 bool Membership::isDeaf() const
 {
     // Where several others are known and none is heard, the fault is more likely here. If the silence lasts, they are gone.
-    const auto silence = this->clock.now() - this->lastHeard;
+    const auto silence = this->clock.now() - this->lastReceived;
     const bool hasOthers = this->table.others().size() >= smallestTalk;
     return hasOthers && silence > this->interval() * 2 && !this->isAlone();
 }
 
 bool Membership::isAlone() const
 {
-    return this->clock.now() - this->lastHeard >= this->options.suspicion * deafFactor;
+    return this->clock.now() - this->lastReceived >= this->options.suspicion * deafFactor;
 }
 
 SessionNumber Membership::nextTarget()
@@ -256,7 +256,7 @@
     const Probe probe = found->second;
     this->probes.erase(found);
     this->health.failed();
-    const bool hasWitness = this->lastHeard >= probe.started || this->table.others().size() < smallestTalk;
+    const bool hasWitness = this->lastReceived >= probe.started || this->table.others().size() < smallestTalk;
     if (hasWitness) {
         this->accuse(probe.target);
     } else if (this->isAlone()) {
@@ -388,7 +388,7 @@
     if (this->hasLeft) {
         return;
     }
-    this->hear(ping.from, ping.gossip);
+    this->receiveGossip(ping.from, ping.gossip);
     this->hooks.sendPong(from, {this->self, ping.sequence, this->gossipFor(ping.from)});
     this->tellNamesake(from, ping);
     this->compare(from, ping.gossip.digest);
@@ -416,7 +416,7 @@
     if (this->hasLeft) {
         return;
     }
-    this->hear(pong.from, pong.gossip);
+    this->receiveGossip(pong.from, pong.gossip);
     this->publish();
     if (const auto relay = this->relays.extract(pong.sequence); !relay.empty()) {
         this->hooks.sendPong(relay.mapped().asker, {pong.from, relay.mapped().sequence, this->gossipFor(SessionNumber(0))});
@@ -439,7 +439,7 @@
     if (this->hasLeft) {
         return;
     }
-    this->lastHeard = this->clock.now();
+    this->lastReceived = this->clock.now();
     while (this->relays.size() >= relaysKept) {
         this->relays.erase(this->relays.begin());
     }
@@ -453,7 +453,7 @@
     if (this->hasLeft || pull.digests.size() != MemberTable::parts) {
         return;
     }
-    this->lastHeard = this->clock.now();
+    this->lastReceived = this->clock.now();
     for (const MembersPush &push : this->answerTo(pull)) {
         this->hooks.sendPush(from, push);
     }
@@ -487,7 +487,7 @@
     if (this->hasLeft) {
         return;
     }
-    this->lastHeard = this->clock.now();
+    this->lastReceived = this->clock.now();
     for (const MemberNews &departed : push.departed) {
         this->take(departed);
     }
@@ -505,10 +505,10 @@
     this->publish();
 }
 
-void Membership::hear(SessionNumber session, const Gossip &gossip)
+void Membership::receiveGossip(SessionNumber session, const Gossip &gossip)
 {
-    this->lastHeard = this->clock.now();
-    this->hasHeard = this->hasHeard || session != this->self;
+    this->lastReceived = this->clock.now();
+    this->hasReceived = this->hasReceived || session != this->self;
     for (const Member &member : gossip.members) {
         this->take(member);
     }
@@ -547,29 +547,29 @@
     this->hooks.sendPing(entry->member.gossip, {this->self, ++this->lastSequence, this->gossipFor(session)});
 }
 
-void Membership::take(const Member &told)
+void Membership::take(const Member &reported)
 {
-    if (told.session == this->self && told.gossip != this->table.own().gossip) {
+    if (reported.session == this->self && reported.gossip != this->table.own().gossip) {
         this->loseSession("another node has the same number");
         return;
     }
-    if (told.session == this->self || !isValid(told.state)) {
-        this->take(newsOf(told));
+    if (reported.session == this->self || !isValid(reported.state)) {
+        this->take(newsOf(reported));
         return;
     }
-    const MemberTable::Entry *const before = this->table.find(told.session);
+    const MemberTable::Entry *const before = this->table.find(reported.session);
     if (before != nullptr && before->isDescribed) {
-        this->take(newsOf(told));
-        this->take(loadOf(told));
+        this->take(newsOf(reported));
+        this->take(loadOf(reported));
         return;
     }
-    if (this->table.merge(told, this->clock.now()) != MergeResult::Changed) {
+    if (this->table.merge(reported, this->clock.now()) != MergeResult::Changed) {
         return;
     }
     this->changed = true;
-    const Member &member = this->table.find(told.session)->member;
+    const Member &member = this->table.find(reported.session)->member;
     if (isGone(member)) {
-        this->changedMembers.add(told.session);
+        this->changedMembers.add(reported.session);
         return;
     }
     log(LogLevel::Info,
@@ -577,61 +577,61 @@
         {{"session", static_cast<std::int64_t>(member.session.value())},
          {"member_vm", member.vm.value()},
          {"state", std::string(toString(member.state))}});
-    this->newMembers.add(told.session);
+    this->newMembers.add(reported.session);
     this->supersede(member);
-    if (this->table.find(told.session)->member.state == MemberState::Suspect) {
-        this->startSuspicion(newsOf(told));
+    if (this->table.find(reported.session)->member.state == MemberState::Suspect) {
+        this->startSuspicion(newsOf(reported));
     }
 }
 
-void Membership::take(const MemberNews &told)
+void Membership::take(const MemberNews &reported)
 {
-    if (!isValid(told.state)) {
+    if (!isValid(reported.state)) {
         return;
     }
-    if (told.session == this->self) {
-        this->refute(told);
+    if (reported.session == this->self) {
+        this->refute(reported);
         return;
     }
-    const MemberTable::Entry *const entry = this->table.find(told.session);
+    const MemberTable::Entry *const entry = this->table.find(reported.session);
     const MemberState before = entry != nullptr ? entry->member.state : MemberState::Alive;
-    const auto suspected = this->suspected.find(told.session);
-    const bool isConfirmation = told.state == MemberState::Suspect && suspected != this->suspected.end()
-        && told.incarnation == entry->member.incarnation && told.accuser.value() != 0;
+    const auto suspected = this->suspected.find(reported.session);
+    const bool isConfirmation = reported.state == MemberState::Suspect && suspected != this->suspected.end()
+        && reported.incarnation == entry->member.incarnation && reported.accuser.value() != 0;
     if (isConfirmation) {
-        if (suspected->second.suspicion.confirm(told.accuser)) {
-            this->lastAccuser[told.session] = told.accuser;
-            this->changedMembers.add(told.session);
-            this->scheduleDeath(told.session);
-            if (told.accuser == this->self) {
-                this->tellConfirmers(told.session);
+        if (suspected->second.suspicion.confirm(reported.accuser)) {
+            this->lastAccuser[reported.session] = reported.accuser;
+            this->changedMembers.add(reported.session);
+            this->scheduleDeath(reported.session);
+            if (reported.accuser == this->self) {
+                this->tellConfirmers(reported.session);
             }
         }
         return;
     }
-    if (this->table.merge(told, this->clock.now()) != MergeResult::Changed) {
+    if (this->table.merge(reported, this->clock.now()) != MergeResult::Changed) {
         return;
     }
     this->changed = true;
-    this->changedMembers.add(told.session);
-    if (before != told.state) {
+    this->changedMembers.add(reported.session);
+    if (before != reported.state) {
         log(LogLevel::Info,
             "member changed",
-            {{"session", static_cast<std::int64_t>(told.session.value())},
-             {"member_vm", this->table.find(told.session)->member.vm.value()},
-             {"accuser", static_cast<std::int64_t>(told.accuser.value())},
-             {"state", std::string(toString(told.state))}});
+            {{"session", static_cast<std::int64_t>(reported.session.value())},
+             {"member_vm", this->table.find(reported.session)->member.vm.value()},
+             {"accuser", static_cast<std::int64_t>(reported.accuser.value())},
+             {"state", std::string(toString(reported.state))}});
     }
-    if (told.state != MemberState::Suspect) {
-        this->stopSuspicion(told.session);
+    if (reported.state != MemberState::Suspect) {
+        this->stopSuspicion(reported.session);
         return;
     }
-    this->startSuspicion(told);
+    this->startSuspicion(reported);
 }
 
-void Membership::take(const MemberLoad &told)
+void Membership::take(const MemberLoad &reported)
 {
-    if (told.session != this->self && this->table.merge(told) == MergeResult::Changed) {
+    if (reported.session != this->self && this->table.merge(reported) == MergeResult::Changed) {
         this->changed = true;
     }
 }
@@ -808,18 +808,18 @@
     }
     const std::uint32_t tellings = this->tellings();
     for (const SessionNumber session : this->newMembers.take(membersInDatagram, tellings)) {
-        if (const MemberTable::Entry *const told = this->table.find(session); told != nullptr && told->isDescribed) {
-            gossip.members.push_back(told->member);
+        if (const MemberTable::Entry *const reported = this->table.find(session); reported != nullptr && reported->isDescribed) {
+            gossip.members.push_back(reported->member);
         }
     }
     for (const SessionNumber session : this->changedMembers.take(newsInDatagram, tellings)) {
-        if (const MemberTable::Entry *const told = this->table.find(session)) {
-            gossip.news.push_back(this->tellable(told->member));
+        if (const MemberTable::Entry *const reported = this->table.find(session)) {
+            gossip.news.push_back(this->tellable(reported->member));
         }
     }
     for (const SessionNumber session : this->changedLoads.take(loadsInDatagram, tellings / tellingsPerDoubling)) {
-        if (const MemberTable::Entry *const told = this->table.find(session)) {
-            gossip.loads.push_back(loadOf(told->member));
+        if (const MemberTable::Entry *const reported = this->table.find(session)) {
+            gossip.loads.push_back(loadOf(reported->member));
         }
     }
     gossip.leavingVms = this->leavingVms.take(vmsInDatagram, tellings);
@@ -908,7 +908,7 @@
 
 bool Membership::hasHeardOthers() const
 {
-    return this->hasHeard;
+    return this->hasReceived;
 }
 
 std::optional<SteadyTime> Membership::goneSince(SessionNumber session) const
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -175,13 +175,13 @@
     void expire(SessionNumber target);
     void stopSuspicion(SessionNumber target);
 
-    void hear(SessionNumber session, const Gossip &gossip);
+    void receiveGossip(SessionNumber session, const Gossip &gossip);
     void compare(const Address &with, std::uint32_t digest);
     std::vector<MembersPush> answerTo(const MembersPull &pull) const;
     void correct(SessionNumber session);
-    void take(const Member &told);
-    void take(const MemberNews &told);
-    void take(const MemberLoad &told);
+    void take(const Member &reported);
+    void take(const MemberNews &reported);
+    void take(const MemberLoad &reported);
     void takeLeaving(const std::vector<VmName> &vms);
     void supersede(const Member &newcomer);
     void takeHolder(SessionNumber answered, SessionNumber expected);
@@ -219,10 +219,10 @@
     SteadyTime published{};
     TimerId publishTimer = 0;
     SteadyTime tickDue{};
-    SteadyTime lastHeard{};
+    SteadyTime lastReceived{};
     SteadyTime nextPull{};
     SteadyTime nextReconnect{};
-    bool hasHeard = false;
+    bool hasReceived = false;
     bool hasLeft = false;
     bool changed = false;
     MemberViewPointer current;
--- a/Libraries/LibMembership/NewsQueue.h
+++ b/Libraries/LibMembership/NewsQueue.h
@@ -41,15 +41,15 @@
         const std::size_t count = std::min(most, this->queued.size());
         const auto end = this->queued.begin() + static_cast<std::ptrdiff_t>(count);
         std::partial_sort(this->queued.begin(), end, this->queued.end(), [](const Piece &left, const Piece &right) {
-            return left.told != right.told ? left.told < right.told : left.order > right.order;
+            return left.reported != right.reported ? left.reported < right.reported : left.order > right.order;
         });
         std::vector<Key> taken;
         for (std::size_t i = 0; i < count; ++i) {
-            ++this->queued[i].told;
+            ++this->queued[i].reported;
             taken.push_back(this->queued[i].key);
         }
         std::erase_if(this->queued, [tellings](const Piece &piece) {
-            return piece.told >= tellings;
+            return piece.reported >= tellings;
         });
         return taken;
     }
@@ -63,7 +63,7 @@
     struct Piece
     {
         Key key;
-        std::uint32_t told = 0;
+        std::uint32_t reported = 0;
         std::uint64_t order = 0;
     };
 
--- a/Libraries/LibPlatform/StoreClock.cpp
+++ b/Libraries/LibPlatform/StoreClock.cpp
@@ -15,10 +15,10 @@
 {
 }
 
-void StoreClock::note(StoreTime told)
+void StoreClock::note(StoreTime reported)
 {
     const SteadyTime now = this->clock.now();
-    const std::chrono::nanoseconds difference = told.time_since_epoch() - now.time_since_epoch();
+    const std::chrono::nanoseconds difference = reported.time_since_epoch() - now.time_since_epoch();
     // What an answer tells is as old as it was on its way: of two, the later time is nearer to the truth. A VM that was paused
     // finds its own clock behind, and the difference larger, as it should.
     if (!this->offset || difference >= *this->offset || now - this->noted > offsetKept) {
--- a/Libraries/LibProxy/OutboundConnection.cpp
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -208,8 +208,8 @@
     this->isHeadRead = true;
     this->isSkipping = this->call.isAnswer && !this->call.isAnswer(this->reader.head());
     if (!this->isSkipping) {
-        const std::shared_ptr<const CallHooks> told = this->hooks;
-        told->onHead(this->reader.head());
+        const std::shared_ptr<const CallHooks> reported = this->hooks;
+        reported->onHead(this->reader.head());
     }
     return true;
 }
@@ -220,8 +220,8 @@
     const ReadProgress progress = this->reader.readBody(bufferevent_get_input(this->stream), data);
     const std::shared_ptr<bool> stillHere = this->alive;
     if (!data.empty() && !this->isSkipping) {
-        const std::shared_ptr<const CallHooks> told = this->hooks;
-        told->onBody(data);
+        const std::shared_ptr<const CallHooks> reported = this->hooks;
+        reported->onBody(data);
         if (!*stillHere || this->current == 0) {
             return false;
         }
@@ -260,7 +260,7 @@
 {
     const bool isKept = end == CallEnd::Complete && this->isReusable();
     const OutboundPool::CallId ended = std::exchange(this->current, 0);
-    const std::shared_ptr<const CallHooks> told = std::exchange(this->hooks, nullptr);
+    const std::shared_ptr<const CallHooks> reported = std::exchange(this->hooks, nullptr);
     this->idleStart = this->pool.clock.now();
     this->keepUntil = this->idleStart;
     if (isKept) {
@@ -268,8 +268,8 @@
         this->keepUntil += stated ? std::chrono::milliseconds(*stated) / 2 : unstatedKeepAlive;
     }
     this->pool.finished(ended, isKept);
-    if (told && told->onEnd) {
-        told->onEnd(end);
+    if (reported && reported->onEnd) {
+        reported->onEnd(end);
     }
 }
 
--- a/Libraries/LibRouting/ReplicaChooser.cpp
+++ b/Libraries/LibRouting/ReplicaChooser.cpp
@@ -20,27 +20,27 @@
 /** Points of the ring that are looked at for a replica with room. */
 constexpr std::size_t mostPoints = 64;
 
-bool wasTried(const Replica &replica, const ChoiceWish &wish)
+bool wasTried(const Replica &replica, const ChoiceQuery &query)
 {
-    return std::ranges::find(wish.avoid, replica.name) != wish.avoid.end();
+    return std::ranges::find(query.avoid, replica.name) != query.avoid.end();
 }
 
-bool hasAdapter(const Replica &replica, const ChoiceWish &wish)
+bool hasAdapter(const Replica &replica, const ChoiceQuery &query)
 {
-    return wish.adapter.empty() || std::ranges::find(replica.adapters, wish.adapter) != replica.adapters.end();
+    return query.adapter.empty() || std::ranges::find(replica.adapters, query.adapter) != replica.adapters.end();
 }
 
 /** @return whether it can serve the request at all. */
-bool canServe(const Replica &replica, const ChoiceWish &wish)
+bool canServe(const Replica &replica, const ChoiceQuery &query)
 {
-    return !replica.isLeaving && hasAdapter(replica, wish) && !wasTried(replica, wish);
+    return !replica.isLeaving && hasAdapter(replica, query) && !wasTried(replica, query);
 }
 
 /** @return whether nothing speaks against it. */
-bool isGood(const Replica &replica, const ChoiceWish &wish)
+bool isGood(const Replica &replica, const ChoiceQuery &query)
 {
-    const bool isElsewhere = wish.avoidDomain.value().empty() || replica.failureDomain != wish.avoidDomain;
-    return canServe(replica, wish) && !replica.ejection.isEjected && isElsewhere;
+    const bool isElsewhere = query.avoidDomain.value().empty() || replica.failureDomain != query.avoidDomain;
+    return canServe(replica, query) && !replica.ejection.isEjected && isElsewhere;
 }
 
 } // namespace
@@ -101,10 +101,10 @@
     pool.means = meansOf(pool.usable, now, this->settings->fleet);
 }
 
-std::string ReplicaChooser::versionFor(const Pool &pool, const ChoiceWish &wish)
+std::string ReplicaChooser::versionFor(const Pool &pool, const ChoiceQuery &query)
 {
-    if (!wish.version.empty() || pool.rollout.empty()) {
-        return wish.version;
+    if (!query.version.empty() || pool.rollout.empty()) {
+        return query.version;
     }
     double sum = 0;
     for (const VersionWeight &part : pool.rollout) {
@@ -120,7 +120,7 @@
     return {};
 }
 
-Replica *ReplicaChooser::choose(const std::string &serves, const ChoiceWish &wish)
+Replica *ReplicaChooser::choose(const std::string &serves, const ChoiceQuery &query)
 {
     Pool *const pool = this->poolOf(serves);
     if (pool == nullptr) {
@@ -128,14 +128,14 @@
     }
     const SteadyTime now = this->clock.now();
     this->renew(*pool, now);
-    const std::string version = this->versionFor(*pool, wish);
+    const std::string version = this->versionFor(*pool, query);
     const auto ofVersion = pool->usableByVersion.find(version);
-    if (!wish.version.empty() && ofVersion == pool->usableByVersion.end()) {
+    if (!query.version.empty() && ofVersion == pool->usableByVersion.end()) {
         return nullptr;
     }
     const bool anyVersion = version.empty() || ofVersion == pool->usableByVersion.end();
-    const Draw draw{*pool, anyVersion ? pool->usable : ofVersion->second, wish, now};
-    if (wish.prefix != 0) {
+    const Draw draw{*pool, anyVersion ? pool->usable : ofVersion->second, query, now};
+    if (query.prefix != 0) {
         if (Replica *const replica = this->byPrefix(draw, anyVersion ? std::string() : version)) {
             return replica;
         }
@@ -145,9 +145,9 @@
 
 Replica *ReplicaChooser::byPrefix(const Draw &draw, const std::string &version) const
 {
-    return draw.pool.ring.walk(draw.wish.prefix, mostPoints, [&](const Replica &replica) {
+    return draw.pool.ring.walk(draw.query.prefix, mostPoints, [&](const Replica &replica) {
         const bool isOfVersion = version.empty() || replica.version == version;
-        return isOfVersion && isGood(replica, draw.wish) && this->hasRoom(replica, draw);
+        return isOfVersion && isGood(replica, draw.query) && this->hasRoom(replica, draw);
     });
 }
 
@@ -161,7 +161,7 @@
 
 double ReplicaChooser::cost(const Replica &replica, const Draw &draw) const
 {
-    return replicaCost(replica, draw.pool.means, draw.wish.ownDomain, draw.wish.prefix, draw.now, this->settings->fleet);
+    return replicaCost(replica, draw.pool.means, draw.query.ownDomain, draw.query.prefix, draw.now, this->settings->fleet);
 }
 
 Replica *ReplicaChooser::cheaperOfTwo(const Draw &draw)
@@ -182,7 +182,7 @@
     std::uniform_int_distribution<std::size_t> place(0, draw.candidates.size() - 1);
     for (int tries = 0; tries < mostDraws; ++tries) {
         Replica *const replica = draw.candidates[place(this->random)];
-        if (replica != other && isGood(*replica, draw.wish)) {
+        if (replica != other && isGood(*replica, draw.query)) {
             return replica;
         }
     }
@@ -194,13 +194,13 @@
     // Few can serve, so all are looked at: those against which nothing speaks first, then those in the domain that just
     // failed, then those that were ejected. A try there may fail; refusing without one is sure to.
     const auto rank = [&draw](const Replica &replica) {
-        return isGood(replica, draw.wish) ? 0 : replica.ejection.isEjected ? 2 : 1;
+        return isGood(replica, draw.query) ? 0 : replica.ejection.isEjected ? 2 : 1;
     };
     std::vector<Replica *> best;
     int bestRank = 3;
     for (Replica *const replica : draw.pool.all) {
-        const bool isOfVersion = draw.wish.version.empty() || replica->version == draw.wish.version;
-        if (!isOfVersion || !canServe(*replica, draw.wish) || rank(*replica) > bestRank) {
+        const bool isOfVersion = draw.query.version.empty() || replica->version == draw.query.version;
+        if (!isOfVersion || !canServe(*replica, draw.query) || rank(*replica) > bestRank) {
             continue;
         }
         if (rank(*replica) < bestRank) {
--- a/Libraries/LibRouting/ReplicaChooser.h
+++ b/Libraries/LibRouting/ReplicaChooser.h
@@ -15,7 +15,7 @@
 {
 
 /** What a choice of a replica has to respect. */
-struct ChoiceWish
+struct ChoiceQuery
 {
     /** Where the choosing node is: a replica there is a little better. */
     FailureDomain ownDomain;
@@ -52,10 +52,10 @@
 
     /**
      * @param serves the model or plain service
-     * @param wish what to respect
+     * @param query what to respect
      * @return the choice, or null if no replica is eligible
      */
-    Replica *choose(const std::string &serves, const ChoiceWish &wish);
+    Replica *choose(const std::string &serves, const ChoiceQuery &query);
 
     /**
      * Set the parts that versions of a model get of the requests that name none. A version that is not listed gets
@@ -86,13 +86,13 @@
     {
         Pool &pool;
         const std::vector<Replica *> &candidates;
-        const ChoiceWish &wish;
+        const ChoiceQuery &query;
         SteadyTime now;
     };
 
     Pool *poolOf(const std::string &serves);
     void renew(Pool &pool, SteadyTime now);
-    std::string versionFor(const Pool &pool, const ChoiceWish &wish);
+    std::string versionFor(const Pool &pool, const ChoiceQuery &query);
     Replica *byPrefix(const Draw &draw, const std::string &version) const;
     bool hasRoom(const Replica &replica, const Draw &draw) const;
     Replica *cheaperOfTwo(const Draw &draw);
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -471,7 +471,7 @@
 struct LimitDemands;
 struct LimitShares;
 struct DutyClaim;
-struct DutyDoubt;
+struct DutySuspicion;
 struct QuotaAsk;
 struct QuotaAnswer;
 struct QuotaHandover;
@@ -1357,14 +1357,14 @@
 };
 
 /** The load that a replica states with an answer. */
-struct ToldLoad
+struct ReportedLoad
 {
     /** Requests that it runs. */
     std::uint32_t running = 0;
     /** Requests in its own queue. */
     std::uint32_t waiting = 0;
 
-    bool operator==(const ToldLoad &) const = default;
+    bool operator==(const ReportedLoad &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -2443,7 +2443,7 @@
 
 /** Datagram: the holder of a duty does not answer the sender. Told to the member that would have the duty if the holder were
  * gone. */
-struct DutyDoubt
+struct DutySuspicion
 {
     static constexpr MessageNumber number{145};
     /** As in DutyClaim. */
@@ -2453,7 +2453,7 @@
     /** Who did not get an answer. */
     SessionNumber from;
 
-    bool operator==(const DutyDoubt &) const = default;
+    bool operator==(const DutySuspicion &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -2562,7 +2562,7 @@
     /** Within which it has to have a place to be on time, counted from its arrival. */
     std::chrono::milliseconds objective = std::chrono::milliseconds(0);
     /** How long its caller will wait from now on. */
-    std::chrono::milliseconds patience = std::chrono::milliseconds(0);
+    std::chrono::milliseconds timeout = std::chrono::milliseconds(0);
     /** Where the asking node is. */
     FailureDomain failureDomain;
     /** Hash of what it asks for: a request that was sent away is known by it when it comes back. */
@@ -2588,7 +2588,7 @@
                 this->priority,
                 this->waited,
                 this->objective,
-                this->patience,
+                this->timeout,
                 this->failureDomain,
                 this->content,
                 this->mayRefuse,
@@ -2611,14 +2611,14 @@
     /** Of Placed: where it goes. */
     EndpointName replica;
     /** Of Refused: after which there is room. */
-    std::chrono::milliseconds comeBack = std::chrono::milliseconds(0);
+    std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0);
 
     bool operator==(const PlacementAnswer &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->ticket, this->service, this->decision, this->replica, this->comeBack);
+        archive(this->ticket, this->service, this->decision, this->replica, this->retryAfter);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->decision)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -2690,7 +2690,7 @@
     /** Who said it. */
     EndpointName replica;
     /** What it said. */
-    ToldLoad load;
+    ReportedLoad load;
     /** Whether this was passed on by another node. */
     bool isPassedOn = false;
 
--- a/Libraries/LibWorkspace/QuotaAsker.cpp
+++ b/Libraries/LibWorkspace/QuotaAsker.cpp
@@ -16,7 +16,7 @@
 /** A counter that has not answered by then is away. */
 constexpr std::chrono::milliseconds answerTimeout{60};
 /** How long a counter that did not answer is not waited for; then one request tries it again. */
-constexpr std::chrono::milliseconds doubtTime{400};
+constexpr std::chrono::milliseconds suspicionTime{400};
 /** A node that has just started meets others in some tens of milliseconds; until then there is nobody to ask. */
 constexpr std::chrono::milliseconds meetingTime{100};
 /** Told to who can't be counted: by then the duty has most likely been taken over, and other nodes may reach its holder now. */
@@ -50,8 +50,8 @@
     asked.decided = std::move(decided);
     asked.begun = this->clock.now();
     this->open.emplace(ticket, std::move(asked));
-    const bool isDoubted = this->clock.now() < this->parts[quotaPartOf(workspace)].holderDoubted;
-    this->askCounter(ticket, isDoubted ? Counter::Successor : Counter::Holder);
+    const bool isSuspected = this->clock.now() < this->parts[quotaPartOf(workspace)].holderSuspectedUntil;
+    this->askCounter(ticket, isSuspected ? Counter::Successor : Counter::Holder);
     return ticket;
 }
 
@@ -60,7 +60,7 @@
     Asked &asked = this->open.at(ticket);
     const SteadyTime now = this->clock.now();
     const Part &part = this->parts[quotaPartOf(asked.question.workspace)];
-    if (counter == Counter::Successor && now < part.successorDoubted) {
+    if (counter == Counter::Successor && now < part.successorSuspectedUntil) {
         this->decideAlone(ticket);
         return;
     }
@@ -115,9 +115,9 @@
     Part &part = this->parts[quotaPartOf(found->second.question.workspace)];
     part.answered = this->clock.now();
     if (found->second.counter == Counter::Holder) {
-        part.holderDoubted = {};
+        part.holderSuspectedUntil = {};
     }
-    part.successorDoubted = {};
+    part.successorSuspectedUntil = {};
     this->decide(ticket, decision);
 }
 
@@ -155,24 +155,24 @@
     } else if (this->clock.now() - asked.first < answerTimeout) {
         this->askCounter(ticket, asked.counter);
     } else {
-        this->doubtCounter(asked);
+        this->suspectCounter(asked);
         this->askNext(ticket);
     }
 }
 
-void QuotaAsker::doubtCounter(const Asked &asked)
+void QuotaAsker::suspectCounter(const Asked &asked)
 {
     const SteadyTime now = this->clock.now();
     const std::size_t number = quotaPartOf(asked.question.workspace);
     Part &part = this->parts[number];
     if (asked.counter == Counter::Successor) {
-        part.successorDoubted = now + doubtTime;
+        part.successorSuspectedUntil = now + suspicionTime;
         return;
     }
-    if (now >= part.holderDoubted) {
-        this->hooks.doubt(number);
+    if (now >= part.holderSuspectedUntil) {
+        this->hooks.suspicion(number);
     }
-    part.holderDoubted = now + doubtTime;
+    part.holderSuspectedUntil = now + suspicionTime;
 }
 
 std::uint64_t QuotaAsker::decidedAlone() const
--- a/Libraries/LibWorkspace/QuotaAsker.h
+++ b/Libraries/LibWorkspace/QuotaAsker.h
@@ -53,7 +53,7 @@
         /** Ask; the answer comes back by take(), maybe at once. @return whether there is such a node */
         std::function<bool(const QuotaQuestion &, Counter)> ask;
         /** The holder of a part did not answer. */
-        std::function<void(std::size_t part)> doubt;
+        std::function<void(std::size_t part)> suspicion;
     };
 
     QuotaAsker(const Clock &clock, const QuotaBounds &bounds, Hooks hooks);
@@ -101,15 +101,15 @@
     struct Part
     {
         /** Until then the holder, or its successor as well, is not waited for. */
-        SteadyTime holderDoubted{};
-        SteadyTime successorDoubted{};
+        SteadyTime holderSuspectedUntil{};
+        SteadyTime successorSuspectedUntil{};
         SteadyTime answered{};
     };
 
     void askCounter(Ticket ticket, Counter counter);
     void askNext(Ticket ticket);
     void tickOne(Ticket ticket);
-    void doubtCounter(const Asked &asked);
+    void suspectCounter(const Asked &asked);
     void decideAlone(Ticket ticket);
     void decide(Ticket ticket, const QuotaDecision &decision);
 
--- a/Libraries/LibWorkspace/QuotaBucket.cpp
+++ b/Libraries/LibWorkspace/QuotaBucket.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 QuotaBucket::QuotaBucket(SteadyTime now, const RequestQuota &quota, double margin, double level)
-    : limit(quota), margin(margin), tokens(std::min(level, quota.burst + margin)), filled(now), toldUntil(now)
+    : limit(quota), margin(margin), tokens(std::min(level, quota.burst + margin)), filled(now), announcedUntil(now)
 {
 }
 
@@ -69,9 +69,9 @@
     };
     // Each who is refused is told a time of its own. Told the same one, all would come back at once, and all but one in vain.
     const SteadyTime room = now + std::chrono::duration_cast<SteadyTime::duration>(secondsFor(1 - this->tokens));
-    const SteadyTime behindOthers = this->toldUntil + std::chrono::duration_cast<SteadyTime::duration>(secondsFor(1));
-    this->toldUntil = std::min(std::max(room, behindOthers), now + longestRetryAfter);
-    return std::chrono::ceil<std::chrono::milliseconds>(this->toldUntil - now);
+    const SteadyTime behindOthers = this->announcedUntil + std::chrono::duration_cast<SteadyTime::duration>(secondsFor(1));
+    this->announcedUntil = std::min(std::max(room, behindOthers), now + longestRetryAfter);
+    return std::chrono::ceil<std::chrono::milliseconds>(this->announcedUntil - now);
 }
 
 bool QuotaBucket::isFull(SteadyTime now) const
--- a/Libraries/LibWorkspace/QuotaBucket.h
+++ b/Libraries/LibWorkspace/QuotaBucket.h
@@ -49,7 +49,7 @@
     double tokens;
     SteadyTime filled;
     /** Up to when the room is told to those who were refused. */
-    SteadyTime toldUntil;
+    SteadyTime announcedUntil;
 };
 
 } // namespace Dogwoodkeel
--- a/Programs/dogwoodkeel/ConfigCommand.cpp
+++ b/Programs/dogwoodkeel/ConfigCommand.cpp
@@ -84,9 +84,9 @@
 ExitCode tellFindings(const Json &findings)
 {
     for (const Json &finding : findings) {
-        const Finding told{{finding.value("file", ""), finding.value("line", 0U), finding.value("column", 0U)},
-                           finding.value("message", "")};
-        std::fprintf(stderr, "%s\n", told.toString().c_str());
+        const Finding reported{{finding.value("file", ""), finding.value("line", 0U), finding.value("column", 0U)},
+                               finding.value("message", "")};
+        std::fprintf(stderr, "%s\n", reported.toString().c_str());
     }
     return ExitCode::Usage;
 }
--- a/Programs/dogwoodkeel/ConfigWait.cpp
+++ b/Programs/dogwoodkeel/ConfigWait.cpp
@@ -76,12 +76,12 @@
 ExitCode waitInForce(std::uint64_t version)
 {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(FLAGS_timeout);
-    std::string told;
+    std::string reported;
     for (;;) {
         const Survey survey = ask(version);
-        if (survey.progress != told) {
-            told = survey.progress;
-            std::printf("in force: %s\n", told.c_str());
+        if (survey.progress != reported) {
+            reported = survey.progress;
+            std::printf("in force: %s\n", reported.c_str());
         }
         if (survey.isComplete) {
             return ExitCode::Success;
--- a/Programs/dogwoodkeel/OperatorClient.cpp
+++ b/Programs/dogwoodkeel/OperatorClient.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::chrono::seconds patience{15};
+constexpr std::chrono::seconds timeout{15};
 
 std::string keyInFile()
 {
@@ -40,7 +40,7 @@
     EventLoop loop;
     HttpClient client(loop);
     HttpResponse answer;
-    client.fetch(*address, request, patience, [&loop, &answer](ExchangeEnd end, HttpResponse response) {
+    client.fetch(*address, request, timeout, [&loop, &answer](ExchangeEnd end, HttpResponse response) {
         answer = std::move(response);
         if (end != ExchangeEnd::Complete) {
             answer = {0, {}, FLAGS_node + " did not answer"};
--- a/Services/Control/ConfigurationKeeper.cpp
+++ b/Services/Control/ConfigurationKeeper.cpp
@@ -81,10 +81,10 @@
     for (const Peer &peer : this->peers) {
         highest = std::max(highest, peer.version);
     }
-    this->hear(highest);
+    this->receive(highest);
 }
 
-void ConfigurationKeeper::hear(std::uint64_t number)
+void ConfigurationKeeper::receive(std::uint64_t number)
 {
     this->newest = std::max(this->newest, number);
     const bool isBehind = this->newest > this->held.number;
@@ -192,7 +192,7 @@
     this->fetching = false;
     this->askPlatformNext = false;
     this->hold(fetch->row, std::move(fetch->parts));
-    this->hear(this->newest);
+    this->receive(this->newest);
 }
 
 void ConfigurationKeeper::onPart(const std::shared_ptr<Fetch> &fetch, const std::string &key, std::optional<std::string> content)
@@ -214,7 +214,7 @@
     this->scheduler.schedule(this->options.retry, [this, alive = this->alive] {
         if (*alive) {
             this->fetching = false;
-            this->hear(this->newest);
+            this->receive(this->newest);
         }
     });
 }
--- a/Services/Control/ConfigurationKeeper.h
+++ b/Services/Control/ConfigurationKeeper.h
@@ -125,7 +125,7 @@
     void look();
     void onLooked(const ConfigurationRows &read);
     void scheduleLook();
-    void hear(std::uint64_t number);
+    void receive(std::uint64_t number);
     void fetch();
     void fetchRowFromPeer(const Address &peer);
     void fetchRowFromPlatform();
--- a/Services/Control/ConfigurationService.cpp
+++ b/Services/Control/ConfigurationService.cpp
@@ -12,7 +12,7 @@
 {
 
 /** A peer that was paused or lost must not hold a version up: another, or the platform, is asked then. */
-constexpr std::chrono::milliseconds peerPatience{500};
+constexpr std::chrono::milliseconds peerTimeout{500};
 
 template <typename Request>
 void callPeer(PeerClient &peers,
@@ -20,7 +20,7 @@
               const Request &request,
               ConfigurationKeeper::Answered<typename Request::Response> answered)
 {
-    peers.call<Request>(peer, request, peerPatience, [answered = std::move(answered)](auto result) {
+    peers.call<Request>(peer, request, peerTimeout, [answered = std::move(answered)](auto result) {
         answered(std::move(result.response));
     });
 }
--- a/Services/Control/ControlTask.cpp
+++ b/Services/Control/ControlTask.cpp
@@ -162,7 +162,7 @@
     for (const Member &member : this->membership->view()->members()) {
         others.push_back(member.gossip);
     }
-    this->toldModels = 0;
+    this->reportedModels = 0;
     this->join(std::move(self), this->onChange);
     this->membership->contact(others);
 }
@@ -374,10 +374,10 @@
 
 void ControlTask::tellPressure(std::uint32_t pressure)
 {
-    if (!this->membership || pressure == this->toldPressure) {
+    if (!this->membership || pressure == this->reportedPressure) {
         return;
     }
-    this->toldPressure = pressure;
+    this->reportedPressure = pressure;
     this->membership->update([pressure](Member &member) {
         member.pressure = pressure;
     });
@@ -387,10 +387,10 @@
 {
     // Each change is news to every node. What matters to the lanes is for which models there is work; how much, and how
     // urgent it is, they learn when they ask for items.
-    if (!this->membership || models == this->toldModels) {
+    if (!this->membership || models == this->reportedModels) {
         return;
     }
-    this->toldModels = models;
+    this->reportedModels = models;
     this->membership->update([backlog, models](Member &member) {
         member.backlog = backlog;
         member.backlogModels = models;
--- a/Services/Control/ControlTask.h
+++ b/Services/Control/ControlTask.h
@@ -143,9 +143,9 @@
     bool meeting = false;
     std::function<void()> met;
     std::map<SessionNumber, SteadyTime> unknownRows;
-    std::uint32_t toldPressure = 0;
+    std::uint32_t reportedPressure = 0;
     std::chrono::milliseconds meetInterval{5000};
-    std::uint64_t toldModels = 0;
+    std::uint64_t reportedModels = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Control/OrderService.cpp
+++ b/Services/Control/OrderService.cpp
@@ -13,7 +13,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
-constexpr std::chrono::milliseconds enginePatience{2000};
+constexpr std::chrono::milliseconds engineTimeout{2000};
 
 OrderLease::Options leaseOptions(const Settings &settings)
 {
@@ -51,11 +51,11 @@
 {
     Reconciler::Hooks hooks;
     hooks.configuration = std::move(configuration);
-    hooks.fetchReport = [this](const Address &address, const std::function<void(std::optional<EngineStateReport>)> &heard) {
+    hooks.fetchReport = [this](const Address &address, const std::function<void(std::optional<EngineStateReport>)> &received) {
         const HttpRequest request{.method = "GET", .path = EngineProtocol::ordersPath};
-        this->http.fetch(address, request, enginePatience, [heard](ExchangeEnd end, const HttpResponse &response) {
+        this->http.fetch(address, request, engineTimeout, [received](ExchangeEnd end, const HttpResponse &response) {
             const bool isGood = end == ExchangeEnd::Complete && response.status == statusOk;
-            heard(isGood ? EngineProtocol::parseReport(response.body) : std::nullopt);
+            received(isGood ? EngineProtocol::parseReport(response.body) : std::nullopt);
         });
     };
     hooks.sendOrder = [this](const Address &address, const EngineOrder &order, const std::function<void(OrderOutcome)> &done) {
@@ -63,7 +63,7 @@
                                   .path = EngineProtocol::ordersPath,
                                   .headers = {{"Content-Type", "application/json"}},
                                   .body = EngineProtocol::format(order)};
-        this->http.fetch(address, request, enginePatience, [done](ExchangeEnd end, const HttpResponse &response) {
+        this->http.fetch(address, request, engineTimeout, [done](ExchangeEnd end, const HttpResponse &response) {
             done(outcomeOf(end, response));
         });
     };
--- a/Services/Control/PeerSurvey.h
+++ b/Services/Control/PeerSurvey.h
@@ -56,7 +56,7 @@
 
 private:
     static constexpr std::size_t atOnce = 32;
-    static constexpr std::chrono::milliseconds patience{1000};
+    static constexpr std::chrono::milliseconds timeout{1000};
 
     void askNext()
     {
@@ -66,7 +66,7 @@
         const std::size_t index = this->asked++;
         this->peers.template call<Request>(this->replies[index].member.owner,
                                            this->request,
-                                           patience,
+                                           timeout,
                                            [self = this->shared_from_this(), index](CallResult<Response> result) {
                                                self->replies[index].response = std::move(result.response);
                                                if (++self->answered == self->replies.size()) {
--- a/Services/Control/Reconciler.cpp
+++ b/Services/Control/Reconciler.cpp
@@ -16,7 +16,7 @@
 /** Engines asked side by side. */
 constexpr std::size_t atOnce = 64;
 /** Waits listed in the status. */
-constexpr std::size_t waitsTold = 20;
+constexpr std::size_t reportedWaits = 20;
 
 } // namespace
 
@@ -95,7 +95,7 @@
         return;
     }
     const EndpointSettings &endpoint = round->endpoints[round->asked++];
-    const auto heard
+    const auto received
         = [this, round, name = EndpointName(endpoint.name), alive = this->alive](std::optional<EngineStateReport> report) {
               if (!*alive) {
                   return;
@@ -109,7 +109,7 @@
               }
               this->askNext(round);
           };
-    this->hooks.fetchReport(endpoint.address, heard);
+    this->hooks.fetchReport(endpoint.address, received);
 }
 
 void Reconciler::decide(const RoundPointer &round)
@@ -193,7 +193,7 @@
         part.degradations.push_back({"the rollout of " + rollout + " made errors rise and was stopped",
                                      "apply a configuration without it (next_share = 0), or with another version"});
     }
-    for (std::size_t i = 0; i < std::min(waitsTold, this->waits.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(reportedWaits, this->waits.size()); ++i) {
         part.degradations.push_back({"engine not as intended: " + this->waits[i], ""});
     }
     return part;
--- a/Services/Entry/Attempt.cpp
+++ b/Services/Entry/Attempt.cpp
@@ -126,8 +126,8 @@
     *this->alive = false;
     this->loop.cancel(std::exchange(this->timer, 0));
     this->http.cancel(this->exchange);
-    const auto told = std::move(this->hooks.onEnd);
-    told(how);
+    const auto reported = std::move(this->hooks.onEnd);
+    reported(how);
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -21,8 +21,8 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-constexpr std::chrono::milliseconds patience{10000};
-constexpr std::chrono::seconds comeBack{1};
+constexpr std::chrono::milliseconds timeout{10000};
+constexpr std::chrono::seconds retryAfter{1};
 constexpr std::size_t idBytes = 12;
 constexpr std::uint32_t resultsPerPage = 1000;
 constexpr std::uint32_t jobsListed = 100;
@@ -106,7 +106,7 @@
 void refuseUnreachable(HttpReply &reply)
 {
     reply.send(
-        refusalResponse({statusUnavailable, "no_owner", "no node can answer for this job now", RunState::NotRun, comeBack}));
+        refusalResponse({statusUnavailable, "no_owner", "no node can answer for this job now", RunState::NotRun, retryAfter}));
 }
 
 void refuseUnknownJob(HttpReply &reply)
@@ -201,7 +201,7 @@
                                              "not_stored",
                                              "the file could not be stored; send it again",
                                              RunState::NotRun,
-                                             comeBack}));
+                                             retryAfter}));
                 return;
             }
             const nlohmann::json body{{"id", id}, {"object", "file"}, {"purpose", "batch"}, {"items", items.itemCount}};
@@ -217,7 +217,7 @@
     this->context.platform.objects().get(StoredFile::keyOf(file), [this, caller, head, reply](const ObjectResult &result) {
         if (result.outcome == ReadOutcome::Failed) {
             reply->send(
-                refusalResponse({statusUnavailable, "no_platform", "the file cannot be read now", RunState::NotRun, comeBack}));
+                refusalResponse({statusUnavailable, "no_platform", "the file cannot be read now", RunState::NotRun, retryAfter}));
             return;
         }
         auto items = StoredFile::decode(caller.tenant, result.content);
@@ -278,7 +278,7 @@
     this->context.owners.call<JobStatusRequest>(job.value(),
                                                 {job, caller.tenant},
                                                 std::chrono::milliseconds(0),
-                                                this->context.clock.now() + patience,
+                                                this->context.clock.now() + timeout,
                                                 isOwned,
                                                 [job, reply](const std::optional<JobStatusResponse> &response) {
                                                     answerProgress(job, *reply, response);
@@ -290,7 +290,7 @@
     this->context.owners.call<CancelJobRequest>(job.value(),
                                                 {job, caller.tenant},
                                                 std::chrono::milliseconds(0),
-                                                this->context.clock.now() + patience,
+                                                this->context.clock.now() + timeout,
                                                 isOwned,
                                                 [job, reply](const std::optional<JobStatusResponse> &response) {
                                                     answerProgress(job, *reply, response);
@@ -305,7 +305,7 @@
         job.value(),
         {job, caller.tenant, from, limit},
         std::chrono::milliseconds(0),
-        this->context.clock.now() + patience,
+        this->context.clock.now() + timeout,
         [](const JobResultsResponse &response) {
             return response.state != JobState::NotOwner;
         },
@@ -327,7 +327,7 @@
     this->customIds.find(job, first, end - first, [response, first, reply](const std::optional<CustomIds::Ids> &ids) {
         if (!ids) {
             reply->send(refusalResponse(
-                {statusUnavailable, "no_platform", "the items' custom ids cannot be read now", RunState::NotRun, comeBack}));
+                {statusUnavailable, "no_platform", "the items' custom ids cannot be read now", RunState::NotRun, retryAfter}));
             return;
         }
         std::string lines;
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -31,8 +31,8 @@
 constexpr int statusUnavailable = 503;
 constexpr std::size_t idBytes = 12;
 constexpr std::size_t longestKey = 256;
-constexpr std::chrono::milliseconds resultPatience{10000};
-constexpr std::chrono::seconds comeBack{1};
+constexpr std::chrono::milliseconds resultTimeout{10000};
+constexpr std::chrono::seconds retryAfter{1};
 
 constexpr std::string_view badDeadline = "Dogwoodkeel-Deadline-Ms must be a whole number of milliseconds above 0";
 constexpr std::string_view servicesPath = "/v1/services/";
@@ -156,7 +156,7 @@
     if (!this->waitingFor.empty()) {
         // Without the members it does not know who owns a request, and would make every caller wait for its timeout.
         reply->send(refusalResponse(
-            {statusUnavailable, "starting", "this node waits for " + this->waitingFor, RunState::NotRun, comeBack}));
+            {statusUnavailable, "starting", "this node waits for " + this->waitingFor, RunState::NotRun, retryAfter}));
         return;
     }
     const std::optional<Caller> caller = this->authenticator.authenticate(request.headers);
@@ -234,7 +234,7 @@
     if (!admitted.hold) {
         // An id that the caller chose may have run by an earlier sending.
         const RunState run = request.headers.contains("Idempotency-Key") ? RunState::Unknown : RunState::NotRun;
-        const auto seconds = std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(admitted.retryAfter));
+        const auto seconds = std::max(retryAfter, std::chrono::ceil<std::chrono::seconds>(admitted.retryAfter));
         this->context.metrics.countAnswer(kind == LimitClass::Lookup ? "lookup" : "online", "tenant_limit");
         reply->send(
             refusalResponse({statusTooManyRequests, "tenant_limit", "the tenant is at its limit of requests", run, seconds}));
@@ -357,14 +357,14 @@
         request.value(),
         {request},
         std::chrono::milliseconds(0),
-        this->context.clock.now() + resultPatience,
+        this->context.clock.now() + resultTimeout,
         [](const ResultResponse &response) {
             return response.state != RequestState::NotOwner;
         },
         [reply, request](const std::optional<ResultResponse> &response) {
             if (!response) {
                 reply->send(refusalResponse(
-                    {statusUnavailable, "no_owner", "no node can answer for this id now", RunState::Unknown, comeBack}));
+                    {statusUnavailable, "no_owner", "no node can answer for this id now", RunState::Unknown, retryAfter}));
                 return;
             }
             switch (response->state) {
--- a/Services/Entry/FleetWatch.cpp
+++ b/Services/Entry/FleetWatch.cpp
@@ -374,14 +374,14 @@
 
 void FleetWatch::tellChange(const Replica &replica)
 {
-    const bool wasTold = this->toldLeaving.contains(replica.name);
-    if (replica.isLeaving == wasTold) {
+    const bool wasReported = this->reportedLeaving.contains(replica.name);
+    if (replica.isLeaving == wasReported) {
         return;
     }
     if (replica.isLeaving) {
-        this->toldLeaving.insert(replica.name);
+        this->reportedLeaving.insert(replica.name);
     } else {
-        this->toldLeaving.erase(replica.name);
+        this->reportedLeaving.erase(replica.name);
         log(LogLevel::Info, "endpoint is back", {{"endpoint", replica.name.value()}});
     }
     if (this->leaving) {
--- a/Services/Entry/FleetWatch.h
+++ b/Services/Entry/FleetWatch.h
@@ -105,7 +105,7 @@
     std::uint64_t polledBasis = 0;
     /** Polls without an answer yet. */
     std::set<EndpointName> asked;
-    std::set<EndpointName> toldLeaving;
+    std::set<EndpointName> reportedLeaving;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Entry/JobSubmission.cpp
+++ b/Services/Entry/JobSubmission.cpp
@@ -17,8 +17,8 @@
 constexpr int statusUnprocessable = 422;
 constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds retryDelay{200};
-constexpr std::chrono::seconds patience{30};
-constexpr std::chrono::seconds comeBack{5};
+constexpr std::chrono::seconds timeout{30};
+constexpr std::chrono::seconds retryAfter{5};
 
 } // namespace
 
@@ -30,7 +30,7 @@
     , job(std::move(job))
     , idObjects(std::move(idObjects))
     , reply(std::move(reply))
-    , deadline(context.clock.now() + patience)
+    , deadline(context.clock.now() + timeout)
 {
 }
 
@@ -104,7 +104,7 @@
                                        "not_stored",
                                        "the job could not be made durable; submit it again with the same Idempotency-Key",
                                        RunState::Unknown,
-                                       comeBack}));
+                                       retryAfter}));
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/JobUpload.cpp
+++ b/Services/Entry/JobUpload.cpp
@@ -17,8 +17,8 @@
 /** Objects that may wait for the platform before reading stops. */
 constexpr std::size_t pendingMost = 4;
 constexpr std::chrono::milliseconds retryDelay{200};
-constexpr std::chrono::seconds patience{30};
-constexpr std::chrono::seconds comeBack{5};
+constexpr std::chrono::seconds timeout{30};
+constexpr std::chrono::seconds retryAfter{5};
 
 JobBounds boundsOf(const BatchSettings &batch)
 {
@@ -157,7 +157,7 @@
         this->putNext();
         return;
     }
-    if (this->context.clock.now() - this->lastProgress >= patience) {
+    if (this->context.clock.now() - this->lastProgress >= timeout) {
         this->giveUp();
         return;
     }
@@ -184,7 +184,7 @@
                                        "not_stored",
                                        "the platform takes no writes now: the items are not stored, and the job was not accepted",
                                        RunState::NotRun,
-                                       comeBack}));
+                                       retryAfter}));
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Entry/OnlineRequest.cpp
+++ b/Services/Entry/OnlineRequest.cpp
@@ -15,10 +15,10 @@
 constexpr std::size_t eventLimit = 1048576;
 constexpr std::chrono::milliseconds joinWait{2000};
 /** How long to look for an owner that can decide, before the caller is refused. */
-constexpr std::chrono::milliseconds claimPatience{5000};
+constexpr std::chrono::milliseconds claimTimeout{5000};
 /** An owner answers a claim that may be repeated from memory. What takes longer has been lost with its connection. */
 constexpr std::chrono::milliseconds claimAnswerTimeout{1000};
-constexpr std::chrono::seconds comeBack{1};
+constexpr std::chrono::seconds usualRetryAfter{1};
 /** How long an owner may hold a commit before it answers Held. */
 constexpr std::chrono::milliseconds commitWait{500};
 constexpr std::chrono::milliseconds firstCommitPause{500};
@@ -26,7 +26,7 @@
 /** How long a caller waits for a result to be durable when no owner answers at all. */
 constexpr std::chrono::milliseconds pendingAfter{5000};
 /** How long a runner keeps a result that its owner does not have durably. */
-constexpr std::chrono::minutes commitPatience{30};
+constexpr std::chrono::minutes commitTimeout{30};
 
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
@@ -99,7 +99,7 @@
         this->request.id.value(),
         claim,
         claim.wait,
-        std::min(this->deadline, now + claimPatience),
+        std::min(this->deadline, now + claimTimeout),
         [isNonIdempotent = this->request.isNonIdempotent](const ClaimResponse &response) {
             // Without the platform a non-idempotent request cannot run for now: its caller is told at once.
             const bool isUndecided = response.decision == ClaimDecision::Unavailable && !isNonIdempotent;
@@ -113,7 +113,7 @@
 
 void OnlineRequest::onClaim(const std::optional<ClaimResponse> &response)
 {
-    const Refusal noOwner{statusUnavailable, "no_owner", "no node can take the request now", this->runState(), comeBack};
+    const Refusal noOwner{statusUnavailable, "no_owner", "no node can take the request now", this->runState(), usualRetryAfter};
     if (!response) {
         this->refuse(noOwner);
         this->settleClaim();
@@ -150,14 +150,14 @@
                       "platform_unavailable",
                       "it must not be repeated, and that it runs cannot be recorded now",
                       this->runState(),
-                      comeBack});
+                      usualRetryAfter});
         return;
     case ClaimDecision::Full:
         this->refuse({statusUnavailable,
                       "platform_unavailable",
                       "no more results can be held until the platform takes writes again",
                       RunState::NotRun,
-                      comeBack});
+                      usualRetryAfter});
         return;
     case ClaimDecision::NotOwner:
         return;
@@ -239,7 +239,7 @@
                                "overloaded",
                                "it would not be answered by its deadline",
                                self->runState(),
-                               std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(retryAfter))});
+                               std::max(usualRetryAfter, std::chrono::ceil<std::chrono::seconds>(retryAfter))});
              }});
 }
 
@@ -251,12 +251,13 @@
         this->refuse({statusUnprocessable, "quarantined", "endpoints were lost while they ran it", this->runState(), left});
         return;
     }
-    ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
-    wish.prefix = this->request.prefix;
-    Replica *const chosen = this->context.chooser.choose(this->request.serves, wish);
+    ChoiceQuery query{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
+    query.prefix = this->request.prefix;
+    Replica *const chosen = this->context.chooser.choose(this->request.serves, query);
     const bool isExhausted = this->attempts >= static_cast<std::uint32_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
-        this->refuse({statusUnavailable, "no_endpoint", "no endpoint can serve the request now", this->runState(), comeBack});
+        this->refuse(
+            {statusUnavailable, "no_endpoint", "no endpoint can serve the request now", this->runState(), usualRetryAfter});
         return;
     }
     if (this->attempts > 0 && !this->mayRetryAt(*chosen)) {
@@ -273,7 +274,7 @@
         this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
-    this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), comeBack});
+    this->refuse({statusUnavailable, "retry_budget", "too many requests have to be retried", this->runState(), usualRetryAfter});
     return false;
 }
 
@@ -495,7 +496,7 @@
         this->request.id.value(),
         CommitRequest{this->request.id, this->request.fingerprint, this->runner, this->result},
         commitWait,
-        this->context.clock.now() + commitPatience,
+        this->context.clock.now() + commitTimeout,
         [](const CommitResponse &response) {
             return response.decision != CommitDecision::NotOwner && response.decision != CommitDecision::Unavailable;
         },
@@ -554,7 +555,7 @@
         return;
     }
     const Refusal refusal{
-        statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", this->runState(), comeBack};
+        statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", this->runState(), usualRetryAfter};
     if (this->replica == nullptr) {
         this->refuse(refusal);
         return;
--- a/Services/Entry/PlainCall.cpp
+++ b/Services/Entry/PlainCall.cpp
@@ -12,7 +12,7 @@
 constexpr int statusUnprocessable = 422;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
-constexpr std::chrono::seconds comeBack{1};
+constexpr std::chrono::seconds usualRetryAfter{1};
 
 } // namespace
 
@@ -60,7 +60,7 @@
                  self->refuse(statusUnavailable,
                               "overloaded",
                               "it would not be answered by its deadline",
-                              std::max(comeBack, std::chrono::ceil<std::chrono::seconds>(retryAfter)));
+                              std::max(usualRetryAfter, std::chrono::ceil<std::chrono::seconds>(retryAfter)));
              }});
 }
 
@@ -72,11 +72,11 @@
         this->refuse(statusUnprocessable, "quarantined", "endpoints were lost while they ran it", left);
         return;
     }
-    const ChoiceWish wish{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
-    Replica *const chosen = this->context.chooser.choose(this->service.name, wish);
+    const ChoiceQuery query{FailureDomain(this->context.settings->node.failureDomain), this->tried, this->failedDomain};
+    Replica *const chosen = this->context.chooser.choose(this->service.name, query);
     const bool isExhausted = this->tried.size() >= static_cast<std::size_t>(this->context.settings->entry.attempts);
     if (chosen == nullptr || isExhausted) {
-        this->refuse(statusUnavailable, "no_endpoint", "no endpoint can serve the request now", comeBack);
+        this->refuse(statusUnavailable, "no_endpoint", "no endpoint can serve the request now", usualRetryAfter);
         return;
     }
     if (!this->tried.empty() && !this->mayRetryAt(*chosen)) {
@@ -91,7 +91,7 @@
         this->context.metrics.countRetry(this->lastFailure);
         return true;
     }
-    this->refuse(statusUnavailable, "retry_budget", "too many requests have to be retried", comeBack);
+    this->refuse(statusUnavailable, "retry_budget", "too many requests have to be retried", usualRetryAfter);
     return false;
 }
 
@@ -207,7 +207,7 @@
     } else {
         this->context.admission.leave(this->service.name, this->ticket);
     }
-    this->refuse(statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", comeBack);
+    this->refuse(statusGatewayTimeout, "deadline_exceeded", "it was not answered by its deadline", usualRetryAfter);
 }
 
 void PlainCall::refuse(int status, std::string_view reason, std::string message, std::chrono::seconds retryAfter)
--- a/Services/Entry/StartingTask.cpp
+++ b/Services/Entry/StartingTask.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t bodyBytes = 65536;
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
-constexpr std::chrono::seconds comeBack{1};
+constexpr std::chrono::seconds retryAfter{1};
 
 } // namespace
 
@@ -27,7 +27,7 @@
             reply->send(notReadyResponse(this->waitingFor));
         } else {
             reply->send(refusalResponse(
-                {statusUnavailable, "starting", "this node waits for " + this->waitingFor, RunState::NotRun, comeBack}));
+                {statusUnavailable, "starting", "this node waits for " + this->waitingFor, RunState::NotRun, retryAfter}));
         }
     })
 {
--- a/Services/Gateway/CallerRouter.cpp
+++ b/Services/Gateway/CallerRouter.cpp
@@ -33,7 +33,7 @@
  */
 std::chrono::milliseconds retryAfterOutage(const RequestTraits &traits)
 {
-    return traits.patience.value_or(defaultTimeout) / returnShare;
+    return traits.timeout.value_or(defaultTimeout) / returnShare;
 }
 
 /** @return the challenge of an answer that asks for a key (RFC 6750, section 3). */
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds watchInterval{150};
 /** The store tells all nodes at once; another node is asked only if that does not reach this one. A configuration can be
  * large, and asking at each change would carry it between failure domains once more for each node. */
-constexpr std::chrono::milliseconds storePatience{450};
+constexpr std::chrono::milliseconds storeTimeout{450};
 /** A peer answers from memory; one that does not within this time is cut off. */
 constexpr std::chrono::milliseconds peerTimeout{400};
 /** While others tell which version they have, a connection to the store that is dead shows by that, and the store need not be
@@ -118,7 +118,7 @@
         this->behindSince = now;
     }
     // A node that has just started, perhaps while the store is away, answers no caller before it has one.
-    const bool isPatient = this->configuration && isBehind && now - *this->behindSince < storePatience;
+    const bool isPatient = this->configuration && isBehind && now - *this->behindSince < storeTimeout;
     if (isBehind && !isPatient) {
         this->catchUp();
     }
--- a/Services/Gateway/DutyKeeper.cpp
+++ b/Services/Gateway/DutyKeeper.cpp
@@ -75,18 +75,18 @@
     return followed != nullptr ? followed->duty->successor() : nullptr;
 }
 
-void DutyKeeper::doubtHolder(const std::string &duty)
+void DutyKeeper::suspectHolder(const std::string &duty)
 {
-    const Member *const doubted = this->otherHolder(duty);
-    const Member *const next = doubted != nullptr ? this->successor(duty) : nullptr;
+    const Member *const suspected = this->otherHolder(duty);
+    const Member *const next = suspected != nullptr ? this->successor(duty) : nullptr;
     if (next == nullptr) {
         return;
     }
-    const DutyDoubt doubt{duty, doubted->session, this->peers.self()};
+    const DutySuspicion suspicion{duty, suspected->session, this->peers.self()};
     if (next->session == this->peers.self()) {
-        this->duties.at(duty).duty->hearDoubt(doubt);
+        this->duties.at(duty).duty->receiveSuspicion(suspicion);
     } else {
-        this->peers.datagrams().send(next->gossip, doubt);
+        this->peers.datagrams().send(next->gossip, suspicion);
     }
 }
 
@@ -178,11 +178,11 @@
         }
         return true;
     }
-    if (datagram.number == DutyDoubt::number) {
-        const auto doubt = decode<DutyDoubt>(datagram.payload);
-        const auto found = doubt ? this->duties.find(doubt->duty) : this->duties.end();
+    if (datagram.number == DutySuspicion::number) {
+        const auto suspicion = decode<DutySuspicion>(datagram.payload);
+        const auto found = suspicion ? this->duties.find(suspicion->duty) : this->duties.end();
         if (found != this->duties.end()) {
-            found->second.duty->hearDoubt(*doubt);
+            found->second.duty->receiveSuspicion(*suspicion);
         }
         return true;
     }
@@ -202,14 +202,14 @@
     if (isFromHolder) {
         followed.duty->noteHolderAlive();
     }
-    switch (followed.duty->hear(claim)) {
-    case ClaimedDuty::Heard::News:
+    switch (followed.duty->receive(claim)) {
+    case ClaimedDuty::ReceiveOutcome::News:
         this->takeHolder(followed);
         return;
-    case ClaimedDuty::Heard::Outdated:
+    case ClaimedDuty::ReceiveOutcome::Outdated:
         this->tellClaim(from, claim.duty);
         return;
-    case ClaimedDuty::Heard::Known:
+    case ClaimedDuty::ReceiveOutcome::Known:
         return;
     }
 }
@@ -225,8 +225,8 @@
         if (isQuestionDue && followed.duty->isAsking()) {
             this->askForClaim(*followed.duty);
         }
-        if (const Member *const doubted = followed.duty->doubtedHolder()) {
-            this->peers.datagrams().send(doubted->gossip, followed.duty->question());
+        if (const Member *const suspected = followed.duty->suspectedHolder()) {
+            this->peers.datagrams().send(suspected->gossip, followed.duty->question());
         }
         this->claim(name, followed);
     }
--- a/Services/Gateway/DutyKeeper.h
+++ b/Services/Gateway/DutyKeeper.h
@@ -53,7 +53,7 @@
     const Member *successor(const std::string &duty) const;
 
     /** The holder of a duty does not answer this node. */
-    void doubtHolder(const std::string &duty);
+    void suspectHolder(const std::string &duty);
 
     /** Ask some members for a sign of life: each that knows another claim than an empty one tells it. */
     void probeMembers(const std::string &duty);
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -101,17 +101,17 @@
         return;
     }
     this->target = *found;
-    PlacementWish wish;
-    wish.service = this->target.service;
-    wish.work = WorkClass::Batch;
-    wish.priority = this->target.priority;
-    wish.arrived = this->context.clock.now();
+    PlacementQuery query;
+    query.service = this->target.service;
+    query.work = WorkClass::Batch;
+    query.priority = this->target.priority;
+    query.arrived = this->context.clock.now();
     // Until then it has to have a place to be done when its job is due.
-    wish.due = this->due - this->context.itemRuns[this->target.service].remaining(this->lastEvent.value_or(0));
-    wish.deadline = wish.arrived + std::chrono::hours(1);
-    wish.avoided = this->avoided;
-    wish.connected = connectedReplicas(this->context, wish.service, longestIdle);
-    this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
+    query.due = this->due - this->context.itemRuns[this->target.service].remaining(this->lastEvent.value_or(0));
+    query.deadline = query.arrived + std::chrono::hours(1);
+    query.avoided = this->avoided;
+    query.connected = connectedReplicas(this->context, query.service, longestIdle);
+    this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
 }
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -15,7 +15,7 @@
 {
 
 /** A caller that does not say how long it waits gets this long. */
-constexpr std::chrono::milliseconds defaultPatience{3000};
+constexpr std::chrono::milliseconds defaultTimeout{3000};
 /** After a refusal: about how long the store takes to be back, or some items to be done. */
 constexpr std::chrono::milliseconds storePause{300};
 constexpr std::chrono::milliseconds fullPause{1000};
@@ -115,7 +115,7 @@
     submission.completionTarget = route.completionTarget;
     submission.items = *std::move(items);
     const SteadyTime arrived = this->context.clock.now();
-    submission.deadline = arrived + traits.patience.value_or(defaultPatience);
+    submission.deadline = arrived + traits.timeout.value_or(defaultTimeout);
     const std::size_t count = submission.items.size();
     this->store.submit(std::move(submission), [this, exchange, job, arrived, count](SubmitOutcome outcome) {
         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(this->context.clock.now() - arrived);
@@ -186,7 +186,7 @@
 void JobApi::end(const JobId &job, const Exchange &exchange)
 {
     const RequestTraits traits = decodeTraits(exchange->head().headers);
-    const SteadyTime deadline = this->context.clock.now() + traits.patience.value_or(defaultPatience);
+    const SteadyTime deadline = this->context.clock.now() + traits.timeout.value_or(defaultTimeout);
     this->store.end(job, deadline, [this, job, exchange](JobReadOutcome outcome) {
         if (outcome == JobReadOutcome::Found) {
             this->tellEnded(job);
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -14,7 +14,7 @@
 {
 
 /** A caller that does not say how long it waits gets this long. */
-constexpr std::chrono::seconds defaultPatience{60};
+constexpr std::chrono::seconds defaultTimeout{60};
 /** Replicas that may turn a request away unrun before it is refused: enough to pass by all that are just full. */
 constexpr std::uint32_t mostUnrunAttempts = 6;
 /** A stream that may be resumed goes on elsewhere after so many of its longest pauses without an event. */
@@ -30,7 +30,7 @@
 constexpr std::chrono::milliseconds refusalPause{300};
 /** A node that has just started learns the replicas from the store or another node in about 0.2 s; after this, something
  * else is wrong, and another node may serve the caller sooner. */
-constexpr std::chrono::milliseconds listPatience{1000};
+constexpr std::chrono::milliseconds listTimeout{1000};
 constexpr std::chrono::milliseconds listLook{20};
 
 std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
@@ -54,11 +54,11 @@
     , splitter(largestStreamEvent)
     , lastEvent(this->traits.lastEvent)
 {
-    std::chrono::milliseconds patience = this->traits.patience.value_or(defaultPatience);
+    std::chrono::milliseconds allowed = this->traits.timeout.value_or(defaultTimeout);
     if (this->route.timeout.count() > 0) {
-        patience = std::min(patience, this->route.timeout);
+        allowed = std::min(allowed, this->route.timeout);
     }
-    this->deadline = this->arrived + patience;
+    this->deadline = this->arrived + allowed;
     this->fingerprint = stableHash(this->exchange->body(), stableHash(this->exchange->head().target));
 }
 
@@ -151,7 +151,7 @@
 
 void OnlineCall::awaitReplicas()
 {
-    if (this->now() - this->arrived > listPatience) {
+    if (this->now() - this->arrived > listTimeout) {
         this->refuse(statusUnavailable, refusalPause, "this node does not know the replicas yet");
         return;
     }
@@ -170,18 +170,18 @@
         return;
     }
     this->asked = this->now();
-    PlacementWish wish;
-    wish.service = this->service;
-    wish.priority = priorityOf(this->route, this->workspace);
-    wish.arrived = this->arrived;
-    wish.due = this->isStream() ? this->context.firstEvents[this->service].placeBy(this->arrived, this->route.objective)
-                                : this->arrived + this->route.objective;
-    wish.deadline = this->deadline;
-    wish.content = this->fingerprint;
-    wish.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
-    wish.avoided = this->avoided;
-    wish.connected = connectedReplicas(this->context, this->service, this->longestIdle());
-    this->ticket = this->context.placements.ask(wish, [self = this->shared_from_this()](const Placement &placement) {
+    PlacementQuery query;
+    query.service = this->service;
+    query.priority = priorityOf(this->route, this->workspace);
+    query.arrived = this->arrived;
+    query.due = this->isStream() ? this->context.firstEvents[this->service].placeBy(this->arrived, this->route.objective)
+                                 : this->arrived + this->route.objective;
+    query.deadline = this->deadline;
+    query.content = this->fingerprint;
+    query.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
+    query.avoided = this->avoided;
+    query.connected = connectedReplicas(this->context, this->service, this->longestIdle());
+    this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
 }
@@ -192,7 +192,7 @@
         return;
     }
     if (placement.decision == PlacementDecision::Refused) {
-        this->refuse(statusUnavailable, placement.comeBack, "there is no room in time");
+        this->refuse(statusUnavailable, placement.retryAfter, "there is no room in time");
         return;
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
@@ -457,10 +457,10 @@
     this->finish(0, "the caller left");
 }
 
-void OnlineCall::refuse(int status, std::chrono::milliseconds comeBack, std::string_view reason)
+void OnlineCall::refuse(int status, std::chrono::milliseconds retryAfter, std::string_view reason)
 {
     this->leaveReplica(PlacementVerdict::Finished);
-    this->exchange->send(status, retryHeaders(comeBack), {});
+    this->exchange->send(status, retryHeaders(retryAfter), {});
     this->finish(status, reason);
 }
 
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -68,7 +68,7 @@
     void onSilence();
     void onDeadline();
     void onGone();
-    void refuse(int status, std::chrono::milliseconds comeBack, std::string_view reason);
+    void refuse(int status, std::chrono::milliseconds retryAfter, std::string_view reason);
     void fail(std::string_view reason);
     void finish(int status, std::string_view reason);
     SteadyTime now() const;
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -270,7 +270,7 @@
 
 bool PeerNetwork::isInTouch() const
 {
-    return this->clock.now() - this->heard < touchTime;
+    return this->clock.now() - this->received < touchTime;
 }
 
 void PeerNetwork::hurry()
@@ -278,9 +278,9 @@
     this->nodes->hurry();
 }
 
-SteadyTime PeerNetwork::lastHeard() const
+SteadyTime PeerNetwork::lastReceived() const
 {
-    return this->heard;
+    return this->received;
 }
 
 void PeerNetwork::receive(const Datagram &datagram)
@@ -288,7 +288,7 @@
     if (!this->membership) {
         return;
     }
-    this->heard = this->clock.now();
+    this->received = this->clock.now();
     if (!receiveDatagram(*this->membership, datagram)) {
         this->hooks.onDatagram(datagram);
     }
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -48,7 +48,7 @@
     MemberViewPointer dutyView() const;
 
     /** @return when the last datagram of another node came. */
-    SteadyTime lastHeard() const;
+    SteadyTime lastReceived() const;
 
     /** @return whether others have been heard within the time in which each node hears several. */
     bool isInTouch() const;
@@ -94,7 +94,7 @@
     std::string vm;
     SessionNumber session;
     DatagramSocket socket;
-    SteadyTime heard{};
+    SteadyTime received{};
     PeerServer peerServer;
     PeerClient peerClient;
     std::optional<Membership> membership;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -16,15 +16,15 @@
 /** A datagram that was lost is sent again after this: several round trips between failure domains. */
 constexpr std::chrono::milliseconds askRepeat{20};
 /** A dispatcher that has not answered by then is away. A fifth of the shortest objective that callers have. */
-constexpr std::chrono::milliseconds askPatience{60};
+constexpr std::chrono::milliseconds askTimeout{60};
 /** While a request waits, it is asked for again this often; the answer may have been lost. Under overload hundreds wait, and
  * each question takes some of the dispatcher's processor. */
 constexpr std::chrono::milliseconds waitRepeat{200};
 constexpr std::chrono::milliseconds batchWaitRepeat{1000};
 /** A dispatcher that does not say any more that a request waits is away. */
-constexpr std::chrono::milliseconds waitPatience{500};
+constexpr std::chrono::milliseconds waitTimeout{500};
 /** How long a dispatcher that did not answer is not waited for; then one request tries it again. */
-constexpr std::chrono::milliseconds doubtTime{400};
+constexpr std::chrono::milliseconds suspicionTime{400};
 constexpr std::chrono::milliseconds reportInterval{200};
 
 template <typename Time>
@@ -84,14 +84,14 @@
     this->server.updateReplicas(service, update);
 }
 
-PlacementClient::Ticket PlacementClient::ask(const PlacementWish &wish, Decided decided)
+PlacementClient::Ticket PlacementClient::ask(const PlacementQuery &query, Decided decided)
 {
     const Ticket ticket = ++this->lastTicket;
-    Asked &asked = this->tickets.emplace(ticket, Asked{.wish = wish, .decided = std::move(decided)}).first->second;
-    ServiceState &state = this->stateOf(wish.service);
+    Asked &asked = this->tickets.emplace(ticket, Asked{.query = query, .decided = std::move(decided)}).first->second;
+    ServiceState &state = this->stateOf(query.service);
     asked.firstSent = this->clock.now();
-    const bool isDoubted = this->clock.now() < state.doubtedUntil && wish.work == WorkClass::Online;
-    if (!state.isDispatched || isDoubted) {
+    const bool isSuspected = this->clock.now() < state.suspectedUntil && query.work == WorkClass::Online;
+    if (!state.isDispatched || isSuspected) {
         this->placeLocally(ticket, asked);
         return ticket;
     }
@@ -103,22 +103,22 @@
 {
     const SteadyTime now = this->clock.now();
     asked.sent = now;
-    const PlacementWish &wish = asked.wish;
+    const PlacementQuery &query = asked.query;
     PlacementAsk ask;
     ask.from = this->peers.self();
     ask.ticket = ticket;
-    ask.service = wish.service.value();
-    ask.isBatch = wish.work == WorkClass::Batch;
-    ask.priority = wish.priority;
-    ask.waited = millisecondsOf(now - wish.arrived);
-    ask.objective = millisecondsOf(wish.due - wish.arrived);
-    ask.patience = millisecondsOf(wish.deadline - now);
+    ask.service = query.service.value();
+    ask.isBatch = query.work == WorkClass::Batch;
+    ask.priority = query.priority;
+    ask.waited = millisecondsOf(now - query.arrived);
+    ask.objective = millisecondsOf(query.due - query.arrived);
+    ask.timeout = millisecondsOf(query.deadline - now);
     ask.failureDomain = this->own;
-    ask.content = wish.content;
-    ask.mayRefuse = wish.mayRefuse;
-    ask.avoided = wish.avoided;
-    ask.connected = wish.connected;
-    this->tellDispatcher(wish.service, ask);
+    ask.content = query.content;
+    ask.mayRefuse = query.mayRefuse;
+    ask.avoided = query.avoided;
+    ask.connected = query.connected;
+    this->tellDispatcher(query.service, ask);
 }
 
 template <typename Message>
@@ -134,8 +134,8 @@
 
 void PlacementClient::placeLocally(Ticket ticket, Asked &asked)
 {
-    ServiceState &state = this->stateOf(asked.wish.service);
-    const std::optional<EndpointName> chosen = state.local.choose(this->own, asked.wish.avoided, asked.wish.connected);
+    ServiceState &state = this->stateOf(asked.query.service);
+    const std::optional<EndpointName> chosen = state.local.choose(this->own, asked.query.avoided, asked.query.connected);
     if (!chosen) {
         return;
     }
@@ -160,12 +160,12 @@
     }
     const Asked asked = std::move(found->second);
     this->tickets.erase(found);
-    ServiceState &state = this->stateOf(asked.wish.service);
+    ServiceState &state = this->stateOf(asked.query.service);
     if (asked.isLocal) {
         state.local.end(*asked.replica, verdict);
     }
     if (state.isDispatched) {
-        this->sendEnd(ticket, asked.wish.service, verdict);
+        this->sendEnd(ticket, asked.query.service, verdict);
     }
 }
 
@@ -174,13 +174,13 @@
     this->tellDispatcher(service, PlacementEnd{this->peers.self(), ticket, service.value(), verdict, false});
 }
 
-void PlacementClient::noteBegun(Ticket ticket, const ToldLoad &load)
+void PlacementClient::noteBegun(Ticket ticket, const ReportedLoad &load)
 {
     const auto found = this->tickets.find(ticket);
     if (found == this->tickets.end() || !found->second.replica) {
         return;
     }
-    const ServiceName &service = found->second.wish.service;
+    const ServiceName &service = found->second.query.service;
     if (!this->stateOf(service).isDispatched) {
         return;
     }
@@ -200,7 +200,7 @@
 void PlacementClient::takeAnswer(const PlacementAnswer &answer)
 {
     const ServiceName service(answer.service);
-    this->stateOf(service).doubtedUntil = {};
+    this->stateOf(service).suspectedUntil = {};
     const auto found = this->tickets.find(answer.ticket);
     if (found == this->tickets.end()) {
         // The request ended while this was on its way: the slot is given back.
@@ -210,7 +210,7 @@
         return;
     }
     Asked &asked = found->second;
-    asked.heard = this->clock.now();
+    asked.received = this->clock.now();
     switch (answer.decision) {
     case PlacementDecision::Waiting:
         return;
@@ -222,7 +222,7 @@
         return;
     case PlacementDecision::Refused:
         if (!asked.replica) {
-            this->decide(answer.ticket, {PlacementDecision::Refused, {}, answer.comeBack});
+            this->decide(answer.ticket, {PlacementDecision::Refused, {}, answer.retryAfter});
         }
         return;
     case PlacementDecision::Stopped:
@@ -257,28 +257,28 @@
 
 void PlacementClient::tickTicket(Ticket ticket, Asked &asked)
 {
-    ServiceState &state = this->stateOf(asked.wish.service);
+    ServiceState &state = this->stateOf(asked.query.service);
     const SteadyTime now = this->clock.now();
     if (!state.isDispatched) {
         this->placeLocally(ticket, asked);
         return;
     }
-    const bool isUnheard = !asked.heard && now - asked.firstSent > askPatience;
-    const bool isSilent = asked.heard && now - *asked.heard > waitPatience;
-    if ((isUnheard || isSilent) && asked.wish.work == WorkClass::Online) {
-        if (now >= state.doubtedUntil) {
+    const bool isUnanswered = !asked.received && now - asked.firstSent > askTimeout;
+    const bool isSilent = asked.received && now - *asked.received > waitTimeout;
+    if ((isUnanswered || isSilent) && asked.query.work == WorkClass::Online) {
+        if (now >= state.suspectedUntil) {
             log(LogLevel::Warning,
                 "dispatcher does not answer, placing by own counts",
-                {{"service", asked.wish.service.value()}, {"waited_ms", millisecondsOf(now - asked.firstSent).count()}});
-            this->server.doubtDispatcher(asked.wish.service);
+                {{"service", asked.query.service.value()}, {"waited_ms", millisecondsOf(now - asked.firstSent).count()}});
+            this->server.suspectDispatcher(asked.query.service);
         }
-        state.doubtedUntil = now + doubtTime;
+        state.suspectedUntil = now + suspicionTime;
         this->placeLocally(ticket, asked);
         return;
     }
-    const bool isBatch = asked.wish.work == WorkClass::Batch;
-    const std::chrono::milliseconds heardRepeat = isBatch ? batchWaitRepeat : waitRepeat;
-    if (now - asked.sent >= (asked.heard ? heardRepeat : askRepeat)) {
+    const bool isBatch = asked.query.work == WorkClass::Batch;
+    const std::chrono::milliseconds answeredRepeat = isBatch ? batchWaitRepeat : waitRepeat;
+    if (now - asked.sent >= (asked.received ? answeredRepeat : askRepeat)) {
         this->sendAsk(ticket, asked);
     }
 }
@@ -291,8 +291,8 @@
     running.service = service.value();
     running.lastTicket = this->lastTicket;
     for (const auto &[ticket, asked] : this->tickets) {
-        if (asked.wish.service == service && asked.replica) {
-            running.running.push_back({ticket, *asked.replica, asked.wish.work == WorkClass::Batch});
+        if (asked.query.service == service && asked.replica) {
+            running.running.push_back({ticket, *asked.replica, asked.query.work == WorkClass::Batch});
         }
     }
     const bool isNews = !running.running.empty() || state.hadRunning;
@@ -318,7 +318,7 @@
     log(LogLevel::Info,
         "dispatcher changed",
         {{"service", service.value()}, {"dispatcher_vm", dispatcher != nullptr ? dispatcher->vm.value() : std::string()}});
-    state.doubtedUntil = {};
+    state.suspectedUntil = {};
     // The new one has to know what runs before it fills the replicas a second time.
     this->report(service, state);
 }
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -26,13 +26,13 @@
     /** With Placed. */
     EndpointName replica;
     /** With Refused. */
-    std::chrono::milliseconds comeBack{0};
+    std::chrono::milliseconds retryAfter{0};
     /** Whether this node chose by its own counts, because it heard of no dispatcher. */
     bool isOwnChoice = false;
 };
 
 /** A request that wants a place, as its node knows it. */
-struct PlacementWish : PlacementTraits
+struct PlacementQuery : PlacementTraits
 {
     ServiceName service;
 };
@@ -62,13 +62,13 @@
     void updateService(const ServiceName &service, const ReplicaUpdate &update);
 
     /** Ask for a place. The answer never comes from inside this call. */
-    Ticket ask(const PlacementWish &wish, Decided decided);
+    Ticket ask(const PlacementQuery &query, Decided decided);
 
     /** The request is over, or wants no place any more. */
     void end(Ticket ticket, PlacementVerdict verdict);
 
     /** A placed request's replica has begun to answer, and said how much it has. */
-    void noteBegun(Ticket ticket, const ToldLoad &load);
+    void noteBegun(Ticket ticket, const ReportedLoad &load);
 
     /** The members changed. */
     void setView(const MemberViewPointer &view);
@@ -91,12 +91,12 @@
 private:
     struct Asked
     {
-        PlacementWish wish;
+        PlacementQuery query;
         Decided decided;
         SteadyTime sent{};
         SteadyTime firstSent{};
         /** When the dispatcher last said that it waits. */
-        std::optional<SteadyTime> heard;
+        std::optional<SteadyTime> received;
         std::optional<EndpointName> replica;
         /** Placed by this node alone. */
         bool isLocal = false;
@@ -107,7 +107,7 @@
         bool isDispatched = false;
         LocalPlacement local;
         /** Until then the dispatcher is taken to be away. */
-        SteadyTime doubtedUntil{};
+        SteadyTime suspectedUntil{};
         SteadyTime lastReport{};
         bool hadRunning = false;
     };
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -85,9 +85,9 @@
     this->hooks.moved(service);
 }
 
-void PlacementServer::doubtDispatcher(const ServiceName &service)
+void PlacementServer::suspectDispatcher(const ServiceName &service)
 {
-    this->duties.doubtHolder(service.value());
+    this->duties.suspectHolder(service.value());
 }
 
 const Member *PlacementServer::dispatcherOf(const ServiceName &service) const
@@ -198,7 +198,7 @@
     request.priority = ask.priority;
     request.arrived = now - ask.waited;
     request.due = request.arrived + ask.objective;
-    request.deadline = now + ask.patience;
+    request.deadline = now + ask.timeout;
     request.failureDomain = ask.failureDomain;
     request.content = ask.content;
     request.mayRefuse = ask.mayRefuse;
@@ -237,8 +237,8 @@
                     this->answer(service, id, {id.number, service.value(), PlacementDecision::Stopped, {}, {}});
                 },
             .refuse =
-                [this, service](TicketId id, std::chrono::milliseconds comeBack) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, comeBack});
+                [this, service](TicketId id, std::chrono::milliseconds retryAfter) {
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter});
                 },
         };
         state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -47,7 +47,7 @@
     void updateReplicas(const ServiceName &service, const ReplicaUpdate &update);
 
     /** The dispatcher of a service, if it is another node, does not answer this one. */
-    void doubtDispatcher(const ServiceName &service);
+    void suspectDispatcher(const ServiceName &service);
 
     /** The members changed, see PeerNetwork::dutyView(). */
     void setView(const MemberViewPointer &view);
--- a/Services/Gateway/QuotaService.cpp
+++ b/Services/Gateway/QuotaService.cpp
@@ -51,11 +51,11 @@
                  [this](const QuotaQuestion &question, QuotaAsker::Counter counter) {
                      return this->askCounter(question, counter);
                  },
-             .doubt =
+             .suspicion =
                  [this](std::size_t number) {
                      const std::string &duty = this->parts[number].duty;
                      log(LogLevel::Warning, "counter of quotas does not answer", {{"duty", duty}});
-                     this->duties.doubtHolder(duty);
+                     this->duties.suspectHolder(duty);
                  }})
 {
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
@@ -251,7 +251,7 @@
 
 bool QuotaService::isOutOfTouch() const
 {
-    return this->view->members().size() > 1 && this->clock.now() - this->peers.lastHeard() > touchLostAfter;
+    return this->view->members().size() > 1 && this->clock.now() - this->peers.lastReceived() > touchLostAfter;
 }
 
 void QuotaService::watchTouch()
@@ -267,7 +267,7 @@
     const auto inUse = std::ranges::find_if(this->parts, [](const Part &part) {
         return part.counter != nullptr;
     });
-    if (inUse != this->parts.end() && now - this->peers.lastHeard() > probeAfter && now >= this->nextProbe) {
+    if (inUse != this->parts.end() && now - this->peers.lastReceived() > probeAfter && now >= this->nextProbe) {
         this->nextProbe = now + probeInterval;
         this->duties.probeMembers(inUse->duty);
     }
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -289,11 +289,11 @@
         });
 }
 
-void RelayedStore::noteTime(StoreTime told)
+void RelayedStore::noteTime(StoreTime reported)
 {
     // The epoch: the other node does not know it either.
-    if (told != StoreTime()) {
-        this->storeClock.note(told);
+    if (reported != StoreTime()) {
+        this->storeClock.note(reported);
     }
 }
 
--- a/Services/Gateway/RelayedStore.h
+++ b/Services/Gateway/RelayedStore.h
@@ -57,7 +57,7 @@
     std::vector<Address> relays();
     bool hasLostStore() const;
     std::chrono::milliseconds hedgeDelay() const;
-    void noteTime(StoreTime told);
+    void noteTime(StoreTime reported);
     void noteAnswer(const Route &route, SteadyTime asked);
     void transactBy(const Route &route, const RowTransaction &transaction, std::function<void(RowTransactionResult)> done);
     void transactThrough(const Address &peer, const RowTransaction &transaction, std::function<void(RowTransactionResult)> done);
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -39,7 +39,7 @@
            [this](const ServingReplica &former) {
                this->takeRestart(former);
            })
-    , lastTold(clock.now())
+    , lastReported(clock.now())
 {
     peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &request, const auto &respond) {
         respond(this->records(request));
@@ -61,13 +61,13 @@
                                    [this](const StoredRow &row) {
                                        this->takeChange(row);
                                    },
-                               .onTold =
+                               .onRead =
                                    [this] {
                                        this->tellChanges();
                                    },
                                .onAnswer =
                                    [this] {
-                                       this->lastTold = this->clock.now();
+                                       this->lastReported = this->clock.now();
                                        this->list.noteAnswer();
                                    },
                                .onFailure =
@@ -158,7 +158,7 @@
 void ReplicaFollower::tellChanges()
 {
     const ReplicaChanges changes = this->list.takeChanges();
-    const bool isFirst = this->known && !std::exchange(this->hasTold, this->known);
+    const bool isFirst = this->known && !std::exchange(this->hasReported, this->known);
     if (isFirst || !changes.isEmpty()) {
         this->hooks.changed(changes);
     }
@@ -209,7 +209,7 @@
 
 std::chrono::milliseconds ReplicaFollower::age() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastTold);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastReported);
 }
 
 void ReplicaFollower::watchStore()
@@ -257,7 +257,7 @@
     if (this->known && records.age >= this->age()) {
         return;
     }
-    this->lastTold = this->clock.now() - records.age;
+    this->lastReported = this->clock.now() - records.age;
     if (this->known && records.fingerprint == this->list.fingerprint()) {
         return;
     }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -99,9 +99,9 @@
     std::set<EndpointName> unreadable;
     bool known = false;
     /** Whether the first list was told, which may be empty. */
-    bool hasTold = false;
+    bool hasReported = false;
     /** When the store, or a node that it answered, last told the list. */
-    SteadyTime lastTold{};
+    SteadyTime lastReported{};
     bool hasLostStore = false;
     TimerId expiryTimer = 0;
     TimerId watchTimer = 0;
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -83,7 +83,7 @@
     this->since = whole.version;
     this->hooks.onAnswer();
     this->hooks.onAll(whole.rows);
-    this->hooks.onTold();
+    this->hooks.onRead();
     this->follow();
 }
 
@@ -143,7 +143,7 @@
     for (const StoredRow &row : result.rows) {
         this->hooks.onChange(row);
     }
-    this->hooks.onTold();
+    this->hooks.onRead();
     this->schedule(result.rows.empty() ? std::chrono::milliseconds(0) : this->options.pace, [this] {
         this->follow();
     });
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -33,7 +33,7 @@
         /** A row was put or removed. */
         std::function<void(const StoredRow &)> onChange;
         /** All rows of an answer have been told. */
-        std::function<void()> onTold = [] {};
+        std::function<void()> onRead = [] {};
         /** The store answered. */
         std::function<void()> onAnswer = [] {};
         /** The store did not answer. */
--- a/Services/Lane/LeaseRenewer.cpp
+++ b/Services/Lane/LeaseRenewer.cpp
@@ -42,21 +42,21 @@
 void LeaseRenewer::tick()
 {
     const bool isTime = this->clock.now() - this->lastRenewal >= this->settings->batch.itemLease / 4;
-    if (!isTime && this->untold.empty()) {
+    if (!isTime && this->unreported.empty()) {
         return;
     }
     ItemsByJob items = this->hooks.held();
-    std::erase_if(this->toldOwner, [&items](const auto &entry) {
+    std::erase_if(this->reportedOwner, [&items](const auto &entry) {
         return !items.contains(entry.first);
     });
     if (isTime) {
         this->lastRenewal = this->clock.now();
     } else {
         std::erase_if(items, [this](const auto &entry) {
-            return !this->untold.contains(entry.first);
+            return !this->unreported.contains(entry.first);
         });
     }
-    this->untold.clear();
+    this->unreported.clear();
     this->renew(items);
 }
 
@@ -64,10 +64,10 @@
 {
     for (const auto &[job, items] : this->hooks.held()) {
         const Member *const owner = this->owners.of(job);
-        const auto told = this->toldOwner.find(job);
-        const bool isSame = owner != nullptr && told != this->toldOwner.end() && told->second == owner->session;
+        const auto reported = this->reportedOwner.find(job);
+        const bool isSame = owner != nullptr && reported != this->reportedOwner.end() && reported->second == owner->session;
         if (!isSame) {
-            this->untold.insert(job);
+            this->unreported.insert(job);
         }
     }
 }
@@ -87,7 +87,7 @@
 {
     for (const auto &[job, indexes] : items) {
         const Member *const owner = this->owners.of(job);
-        this->toldOwner[job] = owner != nullptr ? owner->session : SessionNumber(0);
+        this->reportedOwner[job] = owner != nullptr ? owner->session : SessionNumber(0);
     }
     for (const auto &[owner, held] : this->byOwner(items)) {
         std::vector<JobId> jobs;
@@ -102,7 +102,7 @@
                                                     return;
                                                 }
                                                 if (!result.response) {
-                                                    this->untold.insert(jobs.begin(), jobs.end());
+                                                    this->unreported.insert(jobs.begin(), jobs.end());
                                                     return;
                                                 }
                                                 this->answered(result);
@@ -124,7 +124,7 @@
         }
         this->hooks.dropItems(lost.jobId, items);
     }
-    this->untold.insert(result.response->notOwned.begin(), result.response->notOwned.end());
+    this->unreported.insert(result.response->notOwned.begin(), result.response->notOwned.end());
 }
 
 void LeaseRenewer::giveBack(const ItemsByJob &items)
--- a/Services/Lane/LeaseRenewer.h
+++ b/Services/Lane/LeaseRenewer.h
@@ -67,9 +67,9 @@
     Hooks hooks;
     SteadyTime lastRenewal{};
     /** Jobs whose owner has to be told of their items soon: it is new, or did not own the shard yet. */
-    std::set<JobId> untold;
+    std::set<JobId> unreported;
     /** Who was told last of each job. */
-    std::map<JobId, SessionNumber> toldOwner;
+    std::map<JobId, SessionNumber> reportedOwner;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Owner/BatchOwner.cpp
+++ b/Services/Owner/BatchOwner.cpp
@@ -290,12 +290,12 @@
     respond({this->progressOf(*state, request.jobId)});
 }
 
-void BatchOwner::confirmAbsent(const JobId &id, const std::function<void(JobState)> &told)
+void BatchOwner::confirmAbsent(const JobId &id, const std::function<void(JobState)> &reported)
 {
     // Another node may have taken the shard without this one having noticed, and may have the job: accepted work must not be
     // called unknown. So the shard's row is read first.
-    this->keeper.confirmOwned(this->keeper.shardOf(id.value()), [told](bool isOwned) {
-        told(isOwned ? JobState::Absent : JobState::NotOwner);
+    this->keeper.confirmOwned(this->keeper.shardOf(id.value()), [reported](bool isOwned) {
+        reported(isOwned ? JobState::Absent : JobState::NotOwner);
     });
 }
 
--- a/Services/Owner/BatchOwner.h
+++ b/Services/Owner/BatchOwner.h
@@ -73,8 +73,8 @@
     /** Results that are being journalled for a lane. */
     struct Commit;
 
-    /** @param told gets Absent only if this node still owns the job's shard */
-    void confirmAbsent(const JobId &id, const std::function<void(JobState)> &told);
+    /** @param reported gets Absent only if this node still owns the job's shard */
+    void confirmAbsent(const JobId &id, const std::function<void(JobState)> &reported);
     void submit(const SubmitJobRequest &request, const Respond<SubmitJobResponse> &respond);
     void list(const ListJobsRequest &request, const Respond<ListJobsResponse> &respond);
     void cancel(const CancelJobRequest &request, const Respond<JobStatusResponse> &respond);
--- a/Services/Owner/OwnerService.cpp
+++ b/Services/Owner/OwnerService.cpp
@@ -14,7 +14,7 @@
 /** How long a commit may wait for the platform before its runner is told that the result is held. */
 constexpr std::chrono::milliseconds holdAfter{500};
 /** How long an intent may wait for the platform before its claimer is told that the request was not run. */
-constexpr std::chrono::milliseconds intentPatience{1000};
+constexpr std::chrono::milliseconds intentTimeout{1000};
 
 ShardKeeper::Options keeperOptions(const Settings &settings, std::function<void(const Member &)> onReleased)
 {
@@ -256,7 +256,7 @@
     this->append(shard, RecordKind::Intent, record, [this, request, answer](AppendOutcome outcome) {
         this->onIntent(request, answer, outcome);
     });
-    this->scheduler.schedule(intentPatience, [this, shard, request, answer, alive = this->alive] {
+    this->scheduler.schedule(intentTimeout, [this, shard, request, answer, alive = this->alive] {
         if (!*alive) {
             return;
         }
--- a/Services/Owner/ShardKeeper.cpp
+++ b/Services/Owner/ShardKeeper.cpp
@@ -148,15 +148,15 @@
     return found && found->owner == state.row.owner && found->epoch == state.row.epoch;
 }
 
-void ShardKeeper::confirmOwned(ShardNumber shard, std::function<void(bool)> told)
+void ShardKeeper::confirmOwned(ShardNumber shard, std::function<void(bool)> reported)
 {
     this->platform.tables().read(
-        JournalKeys::shard(shard), [this, shard, told = std::move(told), alive = this->alive](const RowResult &result) {
+        JournalKeys::shard(shard), [this, shard, reported = std::move(reported), alive = this->alive](const RowResult &result) {
             if (!*alive) {
                 return;
             }
             ShardState *const state = this->find(shard);
-            told(state != nullptr && result.outcome == ReadOutcome::Found && isSameOwnership(*state, result.row));
+            reported(state != nullptr && result.outcome == ReadOutcome::Found && isSameOwnership(*state, result.row));
         });
 }
 
@@ -580,11 +580,11 @@
 
 void ShardKeeper::tellSuccessors()
 {
-    std::set<SessionNumber> told;
+    std::set<SessionNumber> reported;
     for (const ShardNumber shard : std::exchange(this->released, {})) {
         const Member *const successor = this->view->ownerOf(shard);
         const bool isOther = successor != nullptr && successor->session != this->self;
-        if (isOther && this->options.onReleased && told.insert(successor->session).second) {
+        if (isOther && this->options.onReleased && reported.insert(successor->session).second) {
             this->options.onReleased(*successor);
         }
     }
--- a/Services/Owner/ShardKeeper.h
+++ b/Services/Owner/ShardKeeper.h
@@ -78,9 +78,9 @@
 
     /**
      * Find out whether a shard is still this node's.
-     * @param told gets whether its row says so; false also if the platform does not answer
+     * @param reported gets whether its row says so; false also if the platform does not answer
      */
-    void confirmOwned(ShardNumber shard, std::function<void(bool isOwned)> told);
+    void confirmOwned(ShardNumber shard, std::function<void(bool isOwned)> reported);
 
     const std::map<ShardNumber, std::shared_ptr<ShardState>> &owned() const;
 
--- a/Tests/Fakes/DutyNetwork.cpp
+++ b/Tests/Fakes/DutyNetwork.cpp
@@ -19,7 +19,7 @@
 /** How often a node asks the holder for a place, as in a fleet of some hundred nodes under some hundred requests a second. */
 constexpr std::chrono::milliseconds askInterval{350};
 /** When a node takes an ask for unanswered. */
-constexpr std::chrono::milliseconds answerPatience{60};
+constexpr std::chrono::milliseconds answerTimeout{60};
 /** How often a node that knows no claim asks for one, and how many others. */
 constexpr std::chrono::milliseconds questionInterval{100};
 constexpr std::size_t questionsAtOnce = 3;
@@ -100,8 +100,8 @@
         node.nextQuestion = now + questionInterval;
         this->question(number, node);
     }
-    const Member *const doubted = node.duty->doubtedHolder();
-    const std::optional<Number> asked = doubted != nullptr ? this->numberOf(doubted->session) : std::nullopt;
+    const Member *const suspected = node.duty->suspectedHolder();
+    const std::optional<Number> asked = suspected != nullptr ? this->numberOf(suspected->session) : std::nullopt;
     if (asked) {
         this->tell(number, *asked, node.duty->question());
     }
@@ -120,7 +120,7 @@
     const std::optional<Number> asked = holder != nullptr ? this->numberOf(holder->session) : std::nullopt;
     const bool isCut = asked && this->gossip.isCut && this->gossip.isCut(number, *asked);
     if (holder != nullptr && (!asked || this->paused.contains(*asked) || isCut)) {
-        this->doubt(number, node, *holder);
+        this->suspicion(number, node, *holder);
         return;
     }
     if (!asked || *asked == number) {
@@ -133,18 +133,18 @@
     }
 }
 
-void DutyNetwork::doubt(Number number, const Node &node, const Member &holder)
+void DutyNetwork::suspicion(Number number, const Node &node, const Member &holder)
 {
     const Member *const successor = node.duty->successor();
     const std::optional<Number> to = successor != nullptr ? this->numberOf(successor->session) : std::nullopt;
     if (!to || (this->gossip.isCut && this->gossip.isCut(number, *to))) {
         return;
     }
-    this->gossip.clock.schedule(answerPatience,
-                                [this, to, doubt = DutyDoubt{dutyName, holder.session, this->gossip.sessionOf(number)}] {
+    this->gossip.clock.schedule(answerTimeout,
+                                [this, to, suspicion = DutySuspicion{dutyName, holder.session, this->gossip.sessionOf(number)}] {
                                     const auto found = this->nodes.find(*to);
                                     if (found != this->nodes.end() && !this->paused.contains(*to)) {
-                                        found->second.duty->hearDoubt(doubt);
+                                        found->second.duty->receiveSuspicion(suspicion);
                                     }
                                 });
 }
@@ -193,7 +193,7 @@
         if (duty.holder() != nullptr && this->numberOf(duty.holder()->session) == from) {
             duty.noteHolderAlive();
         }
-        if (duty.hear(claim) == ClaimedDuty::Heard::Outdated) {
+        if (duty.receive(claim) == ClaimedDuty::ReceiveOutcome::Outdated) {
             this->tell(to, from, *duty.claim());
         }
     });
@@ -242,7 +242,7 @@
 {
     const std::optional<DutyClaim> &known = this->nodes.at(number).duty->claim();
     const DutyClaim claim{dutyName, known ? known->term + 1 : 1, this->gossip.sessionOf(number)};
-    this->nodes.at(number).duty->hear(claim);
+    this->nodes.at(number).duty->receive(claim);
     this->tellAll(number, claim);
 }
 
--- a/Tests/Fakes/DutyNetwork.h
+++ b/Tests/Fakes/DutyNetwork.h
@@ -77,7 +77,7 @@
     void addNode(Number number, SessionNumber session);
     void step();
     void look(Number number, Node &node);
-    void doubt(Number number, const Node &node, const Member &holder);
+    void suspicion(Number number, const Node &node, const Member &holder);
     void question(Number number, Node &node);
     void tellNewcomers(Number number, Node &node, const MemberView &before);
     void askHolder(Number number, Node &node);
--- a/Tests/Fakes/RawConnection.cpp
+++ b/Tests/Fakes/RawConnection.cpp
@@ -16,14 +16,14 @@
 {
 
 /** Only so that a broken server fails the test instead of hanging it. */
-constexpr timeval patience{30, 0};
+constexpr timeval timeout{30, 0};
 
 } // namespace
 
 RawConnection::RawConnection(const Address &address) : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-    setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
     const sockaddr_in target = socketAddress(address);
     if (connect(this->descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
         close(this->descriptor);
--- a/Tests/LibControl/TestConfigurationWriter.cpp
+++ b/Tests/LibControl/TestConfigurationWriter.cpp
@@ -173,12 +173,12 @@
     });
     REQUIRE(fixture.results.size() == 1);
     CHECK(fixture.results[0].outcome == ApplyOutcome::Invalid);
-    const std::string told = fixture.results[0].findings.toString();
-    CHECK(told.find("base.toml:2:13: entry_ttl") != std::string::npos);
-    CHECK(told.find("entry_ttl", told.find("entry_ttl") + 1) == std::string::npos);
-    CHECK(told.find("sites/kyushu.toml:2:9: items") != std::string::npos);
-    CHECK(told.find("sites/montevideo.toml:2:1: [node]") != std::string::npos);
-    CHECK(told.find("sites/montevideo.toml:5:9: items") != std::string::npos);
+    const std::string reported = fixture.results[0].findings.toString();
+    CHECK(reported.find("base.toml:2:13: entry_ttl") != std::string::npos);
+    CHECK(reported.find("entry_ttl", reported.find("entry_ttl") + 1) == std::string::npos);
+    CHECK(reported.find("sites/kyushu.toml:2:9: items") != std::string::npos);
+    CHECK(reported.find("sites/montevideo.toml:2:1: [node]") != std::string::npos);
+    CHECK(reported.find("sites/montevideo.toml:5:9: items") != std::string::npos);
     CHECK(fixture.versions() == 0);
 }
 
--- a/Tests/LibDispatch/TestConnectionReplay.cpp
+++ b/Tests/LibDispatch/TestConnectionReplay.cpp
@@ -40,7 +40,7 @@
 /** Idle connections of one node, by the replica's mark, with when they were last used. */
 using Idle = std::multimap<std::uint32_t, SteadyTime>;
 
-Outcome replay(Told told)
+Outcome replay(Told reported)
 {
     ManualClock clock;
     Outcome outcome;
@@ -90,7 +90,7 @@
         request.arrived = clock.now();
         request.due = clock.now() + 250ms;
         request.deadline = clock.now() + 5s;
-        if (told == Told::Yes) {
+        if (reported == Told::Yes) {
             for (const auto &[mark, used] : idle[node]) {
                 request.connected.push_back(mark);
             }
--- a/Tests/LibDispatch/TestLeftoverReplay.cpp
+++ b/Tests/LibDispatch/TestLeftoverReplay.cpp
@@ -101,7 +101,7 @@
         return begun;
     }
 
-    ToldLoad load(const EndpointName &instance) const
+    ReportedLoad load(const EndpointName &instance) const
     {
         const Engine &engine = this->engines.at(instance);
         return {static_cast<std::uint32_t>(engine.running.size()), static_cast<std::uint32_t>(engine.waiting.size())};
@@ -118,7 +118,7 @@
     std::map<EndpointName, Engine> engines;
 };
 
-Outcome replay(Told told)
+Outcome replay(Told reported)
 {
     ManualClock clock;
     Engines engines(clock);
@@ -138,7 +138,7 @@
                                },
                            .refuse = [](TicketId, std::chrono::milliseconds) {}});
     dispatcher.setReplicas(equalReplicas(replicaCount, slots));
-    if (told == Told::No) {
+    if (reported == Told::No) {
         for (const DispatchReplica &replica : equalReplicas(replicaCount, slots)) {
             dispatcher.noteLoad(replica.instance, {});
         }
@@ -177,9 +177,9 @@
             const auto online = arrived.find(number);
             const bool isOnline = online != arrived.end();
             outcome.onTime += isOnline && clock.now() - online->second <= objective ? 1 : 0;
-            const ToldLoad load = engines.load(instance);
+            const ReportedLoad load = engines.load(instance);
             const bool isNews = !isOnline || load.waiting > 0 || load.running >= slots;
-            if (told == Told::Yes && isNews) {
+            if (reported == Told::Yes && isNews) {
                 dispatcher.noteLoad(instance, load);
             }
         }
@@ -203,9 +203,9 @@
 // replicas' queues. From the load that replicas state with their answers it learns what is taken.
 TEST_CASE("a new dispatcher learns from what replicas state that they are busy with requests of the dead")
 {
-    const Outcome told = replay(Told::Yes);
-    const Outcome untold = replay(Told::No);
-    MESSAGE("requests ", told.requests, ", on time: told ", told.onTime, ", untold ", untold.onTime);
-    CHECK(told.onTime * 10 > told.requests * 9);
-    CHECK(untold.onTime * 2 < untold.requests);
+    const Outcome reported = replay(Told::Yes);
+    const Outcome unreported = replay(Told::No);
+    MESSAGE("requests ", reported.requests, ", on time: told ", reported.onTime, ", unreported ", unreported.onTime);
+    CHECK(reported.onTime * 10 > reported.requests * 9);
+    CHECK(unreported.onTime * 2 < unreported.requests);
 }
--- a/Tests/LibDispatch/TestRefusalReplay.cpp
+++ b/Tests/LibDispatch/TestRefusalReplay.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint32_t slots = 8;
 constexpr std::chrono::milliseconds streamTime{770};
 constexpr std::chrono::milliseconds objective{250};
-constexpr std::chrono::seconds patience{5};
+constexpr std::chrono::seconds timeout{5};
 constexpr std::chrono::milliseconds step{1};
 constexpr std::chrono::milliseconds tickInterval{20};
 constexpr std::chrono::milliseconds askInterval{200};
@@ -70,8 +70,8 @@
                           },
                       .stop = [](TicketId) {},
                       .refuse =
-                          [this](TicketId id, std::chrono::milliseconds comeBack) {
-                              this->takeRefusal(id.number, comeBack);
+                          [this](TicketId id, std::chrono::milliseconds retryAfter) {
+                              this->takeRefusal(id.number, retryAfter);
                           }})
     {
     }
@@ -87,7 +87,7 @@
                 ++this->outcome.callers;
                 this->ask({++this->lastContent, this->clock.now(), true, {}});
             }
-            this->comeBack();
+            this->comeAgain();
             if (time % tickInterval == std::chrono::milliseconds(0)) {
                 this->dispatcher.tick();
             }
@@ -124,7 +124,7 @@
         request.id = {SessionNumber(1), ++this->lastTicket};
         request.arrived = now;
         request.due = now + objective;
-        request.deadline = caller.first + patience;
+        request.deadline = caller.first + timeout;
         request.content = caller.content;
         request.mayRefuse = this->refusing == Refusing::Yes;
         this->waiting[request.id.number] = caller;
@@ -163,7 +163,7 @@
         this->waiting.erase(found);
     }
 
-    void takeRefusal(std::uint64_t ticket, std::chrono::milliseconds comeBack)
+    void takeRefusal(std::uint64_t ticket, std::chrono::milliseconds retryAfter)
     {
         const auto found = this->waiting.find(ticket);
         REQUIRE(found != this->waiting.end());
@@ -174,11 +174,11 @@
             this->wasSentAwayEarly[caller.content] = (this->clock.now() - caller.first) * 4 <= objective;
             caller.isFirstTry = false;
             const auto most = (caller.request.deadline - this->clock.now()) / 3;
-            this->returns.emplace(this->clock.now() + std::min<std::chrono::nanoseconds>(comeBack, most), caller);
+            this->returns.emplace(this->clock.now() + std::min<std::chrono::nanoseconds>(retryAfter, most), caller);
         }
     }
 
-    void comeBack()
+    void comeAgain()
     {
         while (!this->returns.empty() && this->returns.begin()->first <= this->clock.now()) {
             const Caller caller = this->returns.begin()->second;
--- a/Tests/LibDispatch/TestReplicaSlots.cpp
+++ b/Tests/LibDispatch/TestReplicaSlots.cpp
@@ -11,7 +11,7 @@
     ManualClock clock;
     ReplicaSlots slots;
     slots.take(WorkClass::Online);
-    slots.noteTold({6, 2}, clock.now());
+    slots.noteReported({6, 2}, clock.now());
     CHECK(slots.used(clock.now()) == 8);
     slots.take(WorkClass::Online);
     CHECK(slots.used(clock.now()) == 9);
@@ -29,10 +29,10 @@
     slots.take(WorkClass::Batch);
     slots.release(WorkClass::Batch, clock.now());
     clock.advance(50ms);
-    slots.noteTold({2, 0}, clock.now());
+    slots.noteReported({2, 0}, clock.now());
     CHECK(slots.used(clock.now()) == 1);
     clock.advance(20ms);
-    slots.noteTold({2, 0}, clock.now());
+    slots.noteReported({2, 0}, clock.now());
     CHECK(slots.used(clock.now()) == 2);
 }
 
@@ -45,11 +45,11 @@
     for (int item = 0; item < 3; ++item) {
         slots.take(WorkClass::Batch);
     }
-    slots.noteTold({7, 0}, clock.now());
+    slots.noteReported({7, 0}, clock.now());
     CHECK(slots.used(clock.now()) == 7);
     slots.release(WorkClass::Batch, clock.now());
     slots.take(WorkClass::Online);
-    slots.noteTold({7, 0}, clock.now());
+    slots.noteReported({7, 0}, clock.now());
     CHECK(slots.used(clock.now()) == 7);
 }
 
@@ -59,7 +59,7 @@
     ReplicaSlots slots;
     slots.take(WorkClass::Online);
     slots.take(WorkClass::Online);
-    slots.noteTold({0, 0}, clock.now());
+    slots.noteReported({0, 0}, clock.now());
     CHECK(slots.used(clock.now()) == 2);
 }
 
@@ -70,7 +70,7 @@
     CHECK(slots.mayTakeItem(clock.now()));
     slots.take(WorkClass::Batch);
     CHECK_FALSE(slots.mayTakeItem(clock.now()));
-    slots.noteTold({}, clock.now());
+    slots.noteReported({}, clock.now());
     CHECK(slots.mayTakeItem(clock.now()));
 }
 
@@ -80,11 +80,11 @@
 {
     ManualClock clock;
     ReplicaSlots slots;
-    slots.noteTold({6, 0}, clock.now());
+    slots.noteReported({6, 0}, clock.now());
     slots.take(WorkClass::Batch);
     CHECK(slots.mayTakeItem(clock.now()));
     clock.advance(801ms);
     CHECK_FALSE(slots.mayTakeItem(clock.now()));
-    slots.noteTold({1, 0}, clock.now());
+    slots.noteReported({1, 0}, clock.now());
     CHECK(slots.mayTakeItem(clock.now()));
 }
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -201,11 +201,11 @@
     std::vector<Member> members{memberOf(1), memberOf(2)};
     ClaimedDuty duty(clock, "llm");
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
-    duty.hear({"llm", 1, SessionNumber(1)});
+    duty.receive({"llm", 1, SessionNumber(1)});
     for (Number number = 3; number < 40; ++number) {
         members.push_back(memberOf(number));
         ClaimedDuty newcomer(clock, "llm");
-        newcomer.hear(*duty.claim());
+        newcomer.receive(*duty.claim());
         for (auto [node, session] : {std::pair(&duty, Number(1)), std::pair(&newcomer, number)}) {
             node->setView(SessionNumber(session), viewOf(members), viewOf(members));
             CHECK(holderOf(*node) == SessionNumber(1));
@@ -220,12 +220,12 @@
     ClaimedDuty duty(clock, "llm");
     const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3)});
     duty.setView(SessionNumber(1), view, view);
-    CHECK(duty.hear({"llm", 2, SessionNumber(2)}) == ClaimedDuty::Heard::News);
-    CHECK(duty.hear({"llm", 1, SessionNumber(3)}) == ClaimedDuty::Heard::Outdated);
-    CHECK(duty.hear({"llm", 2, SessionNumber(1)}) == ClaimedDuty::Heard::Outdated);
-    CHECK(duty.hear({"llm", 2, SessionNumber(2)}) == ClaimedDuty::Heard::Known);
+    CHECK(duty.receive({"llm", 2, SessionNumber(2)}) == ClaimedDuty::ReceiveOutcome::News);
+    CHECK(duty.receive({"llm", 1, SessionNumber(3)}) == ClaimedDuty::ReceiveOutcome::Outdated);
+    CHECK(duty.receive({"llm", 2, SessionNumber(1)}) == ClaimedDuty::ReceiveOutcome::Outdated);
+    CHECK(duty.receive({"llm", 2, SessionNumber(2)}) == ClaimedDuty::ReceiveOutcome::Known);
     CHECK(holderOf(duty) == SessionNumber(2));
-    CHECK(duty.hear({"llm", 2, SessionNumber(3)}) == ClaimedDuty::Heard::News);
+    CHECK(duty.receive({"llm", 2, SessionNumber(3)}) == ClaimedDuty::ReceiveOutcome::News);
     CHECK(holderOf(duty) == SessionNumber(3));
 }
 
@@ -245,11 +245,11 @@
     duty.setView(SessionNumber(1), both, both);
     CHECK(duty.isAsking());
     CHECK(!duty.makeClaim());
-    CHECK(duty.hear(duty.question()) == ClaimedDuty::Heard::Known);
+    CHECK(duty.receive(duty.question()) == ClaimedDuty::ReceiveOutcome::Known);
     clock.advance(10s);
     CHECK(duty.makeClaim() == DutyClaim{"llm", 1, SessionNumber(1)});
     CHECK(!duty.isAsking());
-    CHECK(duty.hear(duty.question()) == ClaimedDuty::Heard::Outdated);
+    CHECK(duty.receive(duty.question()) == ClaimedDuty::ReceiveOutcome::Outdated);
 }
 
 // A node that is cut off sees all others dead. A claim of its own, with a higher term, would take the duty from its holder when
@@ -260,7 +260,7 @@
     ClaimedDuty duty(clock, "llm");
     const MemberViewPointer all = viewOf({memberOf(1), memberOf(2), memberOf(3)});
     duty.setView(SessionNumber(1), all, all);
-    duty.hear({"llm", 1, SessionNumber(2)});
+    duty.receive({"llm", 1, SessionNumber(2)});
     const MemberViewPointer alone = viewOf({memberOf(1)}, true);
     duty.setView(SessionNumber(1), alone, alone);
     CHECK(!duty.makeClaim());
@@ -277,14 +277,14 @@
     ClaimedDuty duty(clock, "llm");
     std::vector<Member> members{memberOf(1), memberOf(2), memberOf(3)};
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
-    duty.hear({"llm", 1, SessionNumber(2)});
+    duty.receive({"llm", 1, SessionNumber(2)});
     members.erase(members.begin() + 1);
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
     for (int look = 0; look < 100; ++look) {
         clock.advance(200ms);
         CHECK(!duty.makeClaim());
         CHECK(holderOf(duty) == SessionNumber(2));
-        CHECK(duty.doubtedHolder() != nullptr);
+        CHECK(duty.suspectedHolder() != nullptr);
         duty.noteHolderAlive();
     }
 }
@@ -297,55 +297,55 @@
     ClaimedDuty duty(clock, "llm");
     const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
     duty.setView(SessionNumber(1), view, view);
-    duty.hear({"llm", 1, SessionNumber(2)});
+    duty.receive({"llm", 1, SessionNumber(2)});
     REQUIRE(duty.successor() != nullptr);
     const SessionNumber successor = duty.successor()->session;
     duty.setView(successor, view, view);
-    const auto doubtOf = [](Number from) {
-        return DutyDoubt{"llm", SessionNumber(2), SessionNumber(from)};
+    const auto suspicionOf = [](Number from) {
+        return DutySuspicion{"llm", SessionNumber(2), SessionNumber(from)};
     };
     for (int times = 0; times < 5; ++times) {
-        duty.hearDoubt(doubtOf(3));
-        duty.hearDoubt(doubtOf(4));
+        duty.receiveSuspicion(suspicionOf(3));
+        duty.receiveSuspicion(suspicionOf(4));
     }
-    CHECK(duty.doubtedHolder() == nullptr);
-    duty.hearDoubt({"llm", SessionNumber(6), SessionNumber(5)});
-    CHECK(duty.doubtedHolder() == nullptr);
-    duty.hearDoubt(doubtOf(5));
-    REQUIRE(duty.doubtedHolder() != nullptr);
-    CHECK(duty.doubtedHolder()->session == SessionNumber(2));
+    CHECK(duty.suspectedHolder() == nullptr);
+    duty.receiveSuspicion({"llm", SessionNumber(6), SessionNumber(5)});
+    CHECK(duty.suspectedHolder() == nullptr);
+    duty.receiveSuspicion(suspicionOf(5));
+    REQUIRE(duty.suspectedHolder() != nullptr);
+    CHECK(duty.suspectedHolder()->session == SessionNumber(2));
     CHECK(!duty.makeClaim());
     duty.noteHolderAlive();
     clock.advance(300ms);
     CHECK(!duty.makeClaim());
     for (Number from = 3; from < 6; ++from) {
-        duty.hearDoubt(doubtOf(from));
+        duty.receiveSuspicion(suspicionOf(from));
     }
     clock.advance(300ms);
     CHECK(duty.makeClaim() == DutyClaim{"llm", 2, successor});
     CHECK(holderOf(duty) == successor);
 }
 
-// Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the doubts, and puts off its
-// claim.
+// Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the suspicions, and puts off
+// its claim.
 TEST_CASE("once the holder's silence is settled, nobody is asked in its place")
 {
     ManualClock clock;
     ClaimedDuty duty(clock, "llm");
     const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
     duty.setView(SessionNumber(1), view, view);
-    duty.hear({"llm", 1, SessionNumber(2)});
+    duty.receive({"llm", 1, SessionNumber(2)});
     const SessionNumber successor = duty.successor()->session;
     // Another node than the one that will claim the duty: it takes the successor for the holder until it hears the claim.
     duty.setView(successor == SessionNumber(6) ? SessionNumber(1) : SessionNumber(6), view, view);
     for (Number from = 3; from < 6; ++from) {
-        duty.hearDoubt({"llm", SessionNumber(2), SessionNumber(from)});
+        duty.receiveSuspicion({"llm", SessionNumber(2), SessionNumber(from)});
     }
-    CHECK(duty.doubtedHolder()->session == SessionNumber(2));
+    CHECK(duty.suspectedHolder()->session == SessionNumber(2));
     clock.advance(300ms);
     CHECK(!duty.makeClaim());
     CHECK(holderOf(duty) == successor);
-    CHECK(duty.doubtedHolder() == nullptr);
+    CHECK(duty.suspectedHolder() == nullptr);
 }
 
 // A node that has just started is told who dispatches before gossip tells it of that member.
@@ -355,7 +355,7 @@
     ClaimedDuty duty(clock, "llm");
     const MemberViewPointer own = viewOf({memberOf(1)});
     duty.setView(SessionNumber(1), own, own);
-    duty.hear({"llm", 5, SessionNumber(2)});
+    duty.receive({"llm", 5, SessionNumber(2)});
     CHECK(!duty.makeClaim());
     clock.advance(10s);
     const std::optional<DutyClaim> claim = duty.makeClaim();
@@ -374,7 +374,7 @@
         members.push_back(memberOf(number));
     }
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
-    duty.hear({"llm", 1, SessionNumber(10)});
+    duty.receive({"llm", 1, SessionNumber(10)});
     members.resize(5);
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
     const SessionNumber successor = duty.successor()->session;
@@ -383,7 +383,7 @@
     CHECK(!duty.makeClaim());
     for (Number from = 1; from <= 5; ++from) {
         if (SessionNumber(from) != successor) {
-            duty.hearDoubt({"llm", SessionNumber(10), SessionNumber(from)});
+            duty.receiveSuspicion({"llm", SessionNumber(10), SessionNumber(from)});
         }
     }
     duty.makeClaim();
@@ -411,7 +411,7 @@
     ClaimedDuty duty(clock, "llm");
     std::vector<Member> members{memberOf(1), memberOf(2)};
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
-    duty.hear({"llm", 1, SessionNumber(1)});
+    duty.receive({"llm", 1, SessionNumber(1)});
     members[0].isLeaving = true;
     duty.setView(SessionNumber(1), viewOf(members), viewOf(members));
     CHECK(duty.makeClaim() == DutyClaim{"llm", 2, SessionNumber(2)});
--- a/Tests/LibPlatform/TestGuardedPlatform.cpp
+++ b/Tests/LibPlatform/TestGuardedPlatform.cpp
@@ -38,8 +38,8 @@
     std::optional<WriteOutcome> write(const std::string &key, std::chrono::milliseconds wait = std::chrono::milliseconds(1))
     {
         const auto outcome = std::make_shared<std::optional<WriteOutcome>>();
-        this->platform->tables().insertIfAbsent(key, "value", [outcome](WriteOutcome told) {
-            *outcome = told;
+        this->platform->tables().insertIfAbsent(key, "value", [outcome](WriteOutcome reported) {
+            *outcome = reported;
         });
         this->clock.advance(wait);
         return *outcome;
--- a/Tests/LibPlatform/TestVmWatch.cpp
+++ b/Tests/LibPlatform/TestVmWatch.cpp
@@ -28,18 +28,18 @@
     // goes down; a failed read taken for an empty list would forget it and send it new work.
     ManualClock clock;
     SetVmList list;
-    ListedVmsPointer told;
+    ListedVmsPointer reported;
     std::size_t changes = 0;
     VmWatch watch(list, clock, [&](const ListedVmsPointer &vms) {
-        told = vms;
+        reported = vms;
         ++changes;
     });
     watch.start(1s);
     CHECK(changes == 0);
     list.listed = std::vector<ListedVm>{{VmName("engine-1"), true}};
     clock.advance(1s);
-    REQUIRE(told);
-    CHECK(told->front().isLeaving);
+    REQUIRE(reported);
+    CHECK(reported->front().isLeaving);
     list.listed.reset();
     clock.advance(5s);
     CHECK(changes == 1);
--- a/Tests/LibRouting/TestReplicaChooser.cpp
+++ b/Tests/LibRouting/TestReplicaChooser.cpp
@@ -37,17 +37,17 @@
         return *this->table->find(EndpointName("r" + std::to_string(index)));
     }
 
-    Replica *choose(const ChoiceWish &wish = {})
+    Replica *choose(const ChoiceQuery &query = {})
     {
-        return this->chooser->choose("m", wish);
+        return this->chooser->choose("m", query);
     }
 
     /** @return how often each replica was chosen, each choice staying in flight. */
-    std::map<std::string, int> fill(int requests, const ChoiceWish &wish = {})
+    std::map<std::string, int> fill(int requests, const ChoiceQuery &query = {})
     {
         std::map<std::string, int> counts;
         for (int i = 0; i < requests; ++i) {
-            Replica *const chosen = this->choose(wish);
+            Replica *const chosen = this->choose(query);
             this->state->begin(*chosen);
             ++counts[chosen->name.value()];
         }
@@ -96,18 +96,18 @@
 TEST_CASE("after a failure the other failure domains come first, and the failed one still serves if it is all there is")
 {
     Fixture fixture(9);
-    ChoiceWish wish;
-    wish.avoid = {EndpointName("r0")};
-    wish.avoidDomain = FailureDomain("d0");
+    ChoiceQuery query;
+    query.avoid = {EndpointName("r0")};
+    query.avoidDomain = FailureDomain("d0");
     for (int i = 0; i < 100; ++i) {
-        CHECK(fixture.choose(wish)->failureDomain != wish.avoidDomain);
+        CHECK(fixture.choose(query)->failureDomain != query.avoidDomain);
     }
     for (const std::size_t index : {1U, 2U, 4U, 5U, 7U, 8U}) {
         fixture.state->markLeaving(fixture.replica(index));
     }
-    Replica *const chosen = fixture.choose(wish);
+    Replica *const chosen = fixture.choose(query);
     REQUIRE(chosen != nullptr);
-    CHECK(chosen->failureDomain == wish.avoidDomain);
+    CHECK(chosen->failureDomain == query.avoidDomain);
     CHECK(chosen->name != EndpointName("r0"));
 }
 
@@ -129,13 +129,13 @@
     // One prompt template is suddenly behind every request. Sending all of them where its prefix is cached would queue
     // them on one replica while the others idle.
     Fixture fixture(9);
-    ChoiceWish wish;
-    wish.prefix = 42;
-    Replica *const home = fixture.choose(wish);
+    ChoiceQuery query;
+    query.prefix = 42;
+    Replica *const home = fixture.choose(query);
     fixture.state->begin(*home);
     fixture.state->end(*home, {AttemptOutcome::Succeeded, {}});
-    CHECK(fixture.choose(wish) == home);
-    const std::map<std::string, int> counts = fixture.fill(45, wish);
+    CHECK(fixture.choose(query) == home);
+    const std::map<std::string, int> counts = fixture.fill(45, query);
     int most = 0;
     for (const auto &[name, count] : counts) {
         most = std::max(most, count);
@@ -149,16 +149,16 @@
     Fixture fixture(9);
     std::map<std::uint64_t, Replica *> homes;
     for (std::uint64_t i = 1; i <= 400; ++i) {
-        ChoiceWish wish;
-        wish.prefix = stableHash(std::to_string(i));
-        homes[wish.prefix] = fixture.choose(wish);
+        ChoiceQuery query;
+        query.prefix = stableHash(std::to_string(i));
+        homes[query.prefix] = fixture.choose(query);
     }
     fixture.state->markLeaving(fixture.replica(4));
     std::set<Replica *> heirs;
     for (const auto &[prefix, home] : homes) {
-        ChoiceWish wish;
-        wish.prefix = prefix;
-        Replica *const now = fixture.choose(wish);
+        ChoiceQuery query;
+        query.prefix = prefix;
+        Replica *const now = fixture.choose(query);
         if (home == &fixture.replica(4)) {
             heirs.insert(now);
         } else {
@@ -243,24 +243,24 @@
     CHECK(second > 60);
     CHECK(second < 150);
 
-    ChoiceWish wish;
-    wish.version = "2";
-    CHECK(fixture.choose(wish)->version == "2");
-    wish.version = "3";
-    CHECK(fixture.choose(wish) == nullptr);
-    wish = {};
-    wish.adapter = "notes";
-    CHECK(fixture.choose(wish) == &fixture.replica(8));
-    wish.adapter = "other";
-    CHECK(fixture.choose(wish) == nullptr);
+    ChoiceQuery query;
+    query.version = "2";
+    CHECK(fixture.choose(query)->version == "2");
+    query.version = "3";
+    CHECK(fixture.choose(query) == nullptr);
+    query = {};
+    query.adapter = "notes";
+    CHECK(fixture.choose(query) == &fixture.replica(8));
+    query.adapter = "other";
+    CHECK(fixture.choose(query) == nullptr);
 }
 
 TEST_CASE("a replica that a new configuration takes out is not chosen, and one that it adds is")
 {
     Fixture fixture(3);
-    ChoiceWish wish;
-    wish.prefix = 5;
-    fixture.choose(wish);
+    ChoiceQuery query;
+    query.prefix = 5;
+    fixture.choose(query);
     fixture.endpoints.erase(fixture.endpoints.begin(), fixture.endpoints.begin() + 2);
     fixture.endpoints.push_back(fixture.endpoints.front());
     fixture.endpoints.back().name = "new";
@@ -268,5 +268,5 @@
     const std::map<std::string, int> counts = fixture.fill(20);
     CHECK(counts.size() == 2);
     CHECK(counts.contains("new"));
-    CHECK(fixture.choose(wish) != nullptr);
+    CHECK(fixture.choose(query) != nullptr);
 }
--- a/Tests/LibWire/TestPeerLink.cpp
+++ b/Tests/LibWire/TestPeerLink.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::chrono::hours never{1};
 /** Only so that a broken client fails the test instead of hanging it. */
-constexpr std::chrono::seconds patience{30};
+constexpr std::chrono::seconds answerTimeout{30};
 
 PeerSecurity quickSecurity()
 {
@@ -114,7 +114,7 @@
 
 Result resultOf(std::future<Result> &future)
 {
-    REQUIRE(future.wait_for(patience) == std::future_status::ready);
+    REQUIRE(future.wait_for(answerTimeout) == std::future_status::ready);
     return future.get();
 }
 
--- a/Tests/LibWorkspace/QuotaFleet.h
+++ b/Tests/LibWorkspace/QuotaFleet.h
@@ -145,13 +145,13 @@
         Node &started = *this->nodes[node];
         started.isRunning = true;
         started.isFrozen = false;
-        started.heard = this->time.now();
+        started.received = this->time.now();
         QuotaAsker::Hooks hooks{
             .ask =
                 [this, node](const QuotaQuestion &question, QuotaAsker::Counter counter) {
                     return this->ask(node, question, counter);
                 },
-            .doubt = [](std::size_t) {},
+            .suspicion = [](std::size_t) {},
         };
         started.asker = std::make_unique<QuotaAsker>(this->time, this->bounds, std::move(hooks));
         this->tick(node, started.incarnation);
@@ -212,7 +212,7 @@
         bool isFrozen = false;
         std::uint64_t incarnation = 0;
         /** When it was last not cut off. */
-        SteadyTime heard{};
+        SteadyTime received{};
         std::size_t holder = 0;
         std::unique_ptr<QuotaAsker> asker;
         std::unique_ptr<QuotaCounter> counter;
@@ -221,7 +221,7 @@
 
     bool isOutOfTouch(const Node &node) const
     {
-        return this->time.now() - node.heard > touchLostAfter;
+        return this->time.now() - node.received > touchLostAfter;
     }
 
     QuotaCounter &counterOf(std::size_t node)
@@ -242,7 +242,7 @@
             return;
         }
         if (!ticked.isFrozen) {
-            ticked.heard = ticked.isCut ? ticked.heard : this->time.now();
+            ticked.received = ticked.isCut ? ticked.received : this->time.now();
             if (this->isOutOfTouch(ticked)) {
                 ticked.counter.reset();
             }
--- a/Tests/LibWorkspace/TestQuotaAsker.cpp
+++ b/Tests/LibWorkspace/TestQuotaAsker.cpp
@@ -38,7 +38,7 @@
     bool hasHolder = true;
     bool hasSuccessor = true;
     std::vector<Counter> asked;
-    int doubts = 0;
+    int suspicions = 0;
     std::optional<QuotaDecision> decision;
     QuotaAsker::Ticket last = 0;
     QuotaAsker asker{this->clock,
@@ -51,9 +51,9 @@
                               }
                               return isThere;
                           },
-                      .doubt =
+                      .suspicion =
                           [this](std::size_t) {
-                              ++this->doubts;
+                              ++this->suspicions;
                           }}};
 };
 
@@ -67,7 +67,7 @@
     CHECK(bench.asked == std::vector{Counter::Holder, Counter::Holder, Counter::Holder});
     bench.pass(milliseconds(20));
     CHECK(bench.asked.back() == Counter::Successor);
-    CHECK(bench.doubts == 1);
+    CHECK(bench.suspicions == 1);
     CHECK_FALSE(bench.decision);
     bench.pass(milliseconds(80));
     REQUIRE(bench.decision);
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -112,12 +112,12 @@
     headers.add("Last-Event-Id", "x");
     const RequestTraits traits = decodeTraits(headers);
     CHECK(traits.id == "r1");
-    CHECK(traits.patience == std::chrono::milliseconds(5000));
+    CHECK(traits.timeout == std::chrono::milliseconds(5000));
     CHECK(traits.promptTokens == 1460);
     CHECK(traits.mostOutputTokens == 80);
     CHECK(traits.lastPromptPart == "e440");
     CHECK_FALSE(traits.lastEvent);
-    CHECK_FALSE(decodeTraits({}).patience);
+    CHECK_FALSE(decodeTraits({}).timeout);
 }
 
 TEST_CASE("only a replica's own word says that a request was not run")
--- a/Tests/ServiceEntry/TestFleetWatch.cpp
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -20,7 +20,7 @@
 {
 
 const Address anyPort{"127.0.0.1", 0};
-constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::seconds timeout{20};
 
 /** An endpoint that only reports. */
 struct Endpoint
@@ -75,7 +75,7 @@
     FleetState state;
     DatagramSocket datagrams;
     FleetWatch watch;
-    std::vector<bool> told;
+    std::vector<bool> reported;
 };
 
 struct Fixture
@@ -103,7 +103,7 @@
             each->state.begin(each->replica());
             each->watch.setView(view);
             each->watch.start([each](const EndpointName &, bool isLeaving) {
-                each->told.push_back(isLeaving);
+                each->reported.push_back(isLeaving);
             });
         }
     }
@@ -111,7 +111,7 @@
     /** Run until something is so for all three watchers. @return whether it was in time */
     bool reached(const std::function<bool(Watcher &)> &isSo)
     {
-        const SteadyTime end = this->clock.now() + patience;
+        const SteadyTime end = this->clock.now() + timeout;
         bool isReached = false;
         std::function<void()> look = [&] {
             isReached = std::ranges::all_of(this->watchers, [&isSo](const auto &watcher) {
@@ -175,11 +175,11 @@
     Watcher &witness = *fixture.watchers[1];
     witness.watch.sawHeaders(witness.replica(), {{"dogwoodkeel-leaving", "true"}});
     CHECK(fixture.reached([](Watcher &watcher) {
-        return watcher.replica().isLeaving && watcher.told == std::vector<bool>{true};
+        return watcher.replica().isLeaving && watcher.reported == std::vector<bool>{true};
     }));
     fixture.endpoint.report = R"({"running":0,"instance":"second"})";
     CHECK(fixture.reached([](Watcher &watcher) {
-        return !watcher.replica().isLeaving && watcher.told == std::vector<bool>{true, false};
+        return !watcher.replica().isLeaving && watcher.reported == std::vector<bool>{true, false};
     }));
 }
 
--- a/Tests/ServiceGateway/TestJobStore.cpp
+++ b/Tests/ServiceGateway/TestJobStore.cpp
@@ -13,11 +13,11 @@
 {
 
 /** @return the store's time as a node knows it after an answer. */
-StoreClock toldClock(const Clock &clock)
+StoreClock reportedClock(const Clock &clock)
 {
-    StoreClock told(clock);
-    told.note(StoreTime(std::chrono::hours(1)));
-    return told;
+    StoreClock reported(clock);
+    reported.note(StoreTime(std::chrono::hours(1)));
+    return reported;
 }
 
 constexpr std::size_t rowBytes = 65536;
@@ -45,52 +45,52 @@
     std::optional<SubmitOutcome>
     submit(JobStore &node, const Submission &submission, std::chrono::milliseconds wait = std::chrono::seconds(5))
     {
-        this->told.reset();
+        this->reported.reset();
         node.submit(submission, [this](SubmitOutcome outcome) {
-            this->told = outcome;
+            this->reported = outcome;
         });
         this->clock.advance(wait);
-        return this->told;
+        return this->reported;
     }
 
     LoadedJob load(JobStore &node, const std::string &job)
     {
-        LoadedJob told;
-        node.load(JobId(job), [&told](const LoadedJob &loaded) {
-            told = loaded;
+        LoadedJob reported;
+        node.load(JobId(job), [&reported](const LoadedJob &loaded) {
+            reported = loaded;
         });
         this->clock.advance(std::chrono::milliseconds(100));
-        return told;
+        return reported;
     }
 
     JobResults results(JobStore &node, const std::string &job, std::uint64_t from)
     {
-        JobResults told;
-        node.readResults(JobId(job), from, [&told](JobResults read) {
-            told = std::move(read);
+        JobResults reported;
+        node.readResults(JobId(job), from, [&reported](JobResults read) {
+            reported = std::move(read);
         });
         this->clock.advance(std::chrono::milliseconds(100));
-        return told;
+        return reported;
     }
 
     WriteOutcome add(JobStore &node, const LoadedJob &loaded, std::uint32_t item, const std::string &output)
     {
         JobHead head = loaded.head;
         head.listed.push_back(item);
-        WriteOutcome told = WriteOutcome::Unknown;
+        WriteOutcome reported = WriteOutcome::Unknown;
         const ItemResult result{loaded.items[item].id, ItemOutcome::Completed, output};
-        node.update(JobId("j"), loaded.version, head, {result}, OpenJob{}, [&told](WriteOutcome outcome, RowVersion) {
-            told = outcome;
+        node.update(JobId("j"), loaded.version, head, {result}, OpenJob{}, [&reported](WriteOutcome outcome, RowVersion) {
+            reported = outcome;
         });
         this->clock.advance(std::chrono::milliseconds(300));
-        return told;
+        return reported;
     }
 
     ManualClock clock;
     /** What became of the last submission. */
-    std::optional<SubmitOutcome> told;
+    std::optional<SubmitOutcome> reported;
     FakeRowStore store{this->clock};
-    StoreClock storeClock = toldClock(this->clock);
+    StoreClock storeClock = reportedClock(this->clock);
     JobStore one{this->clock,
                  this->clock,
                  this->store,
@@ -151,15 +151,15 @@
 TEST_CASE("two nodes can't both fill the last room of a route")
 {
     Bench bench;
-    std::vector<SubmitOutcome> told;
-    const auto done = [&told](SubmitOutcome outcome) {
-        told.push_back(outcome);
+    std::vector<SubmitOutcome> reported;
+    const auto done = [&reported](SubmitOutcome outcome) {
+        reported.push_back(outcome);
     };
     bench.one.submit(submissionOf("a", 3, bench.clock, 500), done);
     bench.two.submit(submissionOf("b", 3, bench.clock, 500), done);
     bench.clock.advance(std::chrono::seconds(5));
-    std::ranges::sort(told);
-    CHECK(told == std::vector{SubmitOutcome::Accepted, SubmitOutcome::Full});
+    std::ranges::sort(reported);
+    CHECK(reported == std::vector{SubmitOutcome::Accepted, SubmitOutcome::Full});
 }
 
 // More jobs are open than one answer of the store holds. Their tokens fit, so a refusal would be wrong; and two nodes that
@@ -171,15 +171,15 @@
     for (const char *job : {"c", "d", "e", "f", "g"}) {
         CHECK(bench.submit(bench.one, submissionOf(job, 1, bench.clock, 1000)) == SubmitOutcome::Accepted);
     }
-    std::vector<SubmitOutcome> told;
-    const auto done = [&told](SubmitOutcome outcome) {
-        told.push_back(outcome);
+    std::vector<SubmitOutcome> reported;
+    const auto done = [&reported](SubmitOutcome outcome) {
+        reported.push_back(outcome);
     };
     bench.one.submit(submissionOf("a", 3, bench.clock, 1000), done);
     bench.two.submit(submissionOf("z", 3, bench.clock, 1000), done);
     bench.clock.advance(std::chrono::seconds(5));
-    std::ranges::sort(told);
-    CHECK(told == std::vector{SubmitOutcome::Accepted, SubmitOutcome::Full});
+    std::ranges::sort(reported);
+    CHECK(reported == std::vector{SubmitOutcome::Accepted, SubmitOutcome::Full});
 }
 
 // The answer to the write is lost, but the job is kept. A refusal would say that it never runs; it will.
@@ -230,7 +230,7 @@
     bench.submit(bench.one, submissionOf("j", 3, bench.clock, 1000), std::chrono::milliseconds(1));
     bench.store.setDown(false);
     bench.clock.advance(std::chrono::milliseconds(100));
-    CHECK(bench.told == SubmitOutcome::Accepted);
+    CHECK(bench.reported == SubmitOutcome::Accepted);
 }
 
 // Two nodes run the same job for a while, because each believes the other gone. The one that lists an item first decides
@@ -256,14 +256,14 @@
     Bench bench;
     bench.submit(bench.one, submissionOf("j", 2, bench.clock));
     const LoadedJob before = bench.load(bench.one, "j");
-    std::vector<JobReadOutcome> told;
+    std::vector<JobReadOutcome> reported;
     for (int i = 0; i < 2; ++i) {
-        bench.two.end(JobId("j"), bench.clock.now() + std::chrono::seconds(2), [&told](JobReadOutcome outcome) {
-            told.push_back(outcome);
+        bench.two.end(JobId("j"), bench.clock.now() + std::chrono::seconds(2), [&reported](JobReadOutcome outcome) {
+            reported.push_back(outcome);
         });
         bench.clock.advance(std::chrono::seconds(1));
     }
-    CHECK(told == std::vector{JobReadOutcome::Found, JobReadOutcome::Found});
+    CHECK(reported == std::vector{JobReadOutcome::Found, JobReadOutcome::Found});
     CHECK(bench.add(bench.one, before, 0, "late") == WriteOutcome::Refused);
     CHECK(bench.submit(bench.one, submissionOf("j", 2, bench.clock)) == SubmitOutcome::Known);
     CHECK(bench.load(bench.two, "j").head.isEnded);
--- a/Tests/ServiceGateway/TestPlacementPassOn.cpp
+++ b/Tests/ServiceGateway/TestPlacementPassOn.cpp
@@ -34,7 +34,7 @@
     ask.ticket = 1;
     ask.service = service;
     ask.objective = std::chrono::seconds(10);
-    ask.patience = std::chrono::seconds(10);
+    ask.timeout = std::chrono::seconds(10);
     return ask;
 }
 
--- a/Tests/ServiceOwner/TestCheckpoint.cpp
+++ b/Tests/ServiceOwner/TestCheckpoint.cpp
@@ -144,12 +144,12 @@
     REQUIRE(fixture.commitMany(200, 400) == 200);
     const auto recovery
         = std::make_shared<ShardRecovery>(fixture.taker.platform, fixture.clock, Checkpointed::takerSession, rows);
-    std::vector<bool> told;
-    recovery->start([&told](bool isComplete) {
-        told.push_back(isComplete);
+    std::vector<bool> reported;
+    recovery->start([&reported](bool isComplete) {
+        reported.push_back(isComplete);
     });
     fixture.clock.advance(1s);
-    CHECK(told == std::vector<bool>{false});
+    CHECK(reported == std::vector<bool>{false});
 }
 
 TEST_CASE("results are forgotten after their retention")
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -40,9 +40,9 @@
 constexpr std::chrono::milliseconds longestPause{900};
 /** Everything is back this long after the last fault; what callers were promised holds from then on. */
 constexpr std::chrono::seconds recovery{12};
-constexpr std::chrono::seconds jobPatience{60};
+constexpr std::chrono::seconds jobTimeout{60};
 /** A node ends by itself this long after SIGTERM: the grace of its settings, and a busy machine. */
-constexpr std::chrono::seconds stopPatience{20};
+constexpr std::chrono::seconds stopTimeout{20};
 constexpr double servedAfter = 0.9;
 constexpr int probes = 40;
 constexpr std::uint16_t peerPort = 7601;
@@ -217,7 +217,7 @@
                    + std::to_string(length.count()) + " ms");
         this->fleet.signal(this->processes[node], signal);
         if (signal == SIGTERM) {
-            this->awaitStop(node, Clock::now() + stopPatience);
+            this->awaitStop(node, Clock::now() + stopTimeout);
             return;
         }
         this->later(length, [this, node, signal] {
@@ -374,7 +374,7 @@
     void finish()
     {
         SoakCaller last(this->record, this->addresses, "last", FLAGS_seed);
-        last.finishJobs(jobPatience);
+        last.finishJobs(jobTimeout);
         for (const std::string &job : this->record.openJobs()) {
             this->note("rows of " + job + ": " + this->rowsOf(job));
         }
@@ -386,7 +386,7 @@
             this->fleet.signal(process, SIGTERM);
         }
         for (const std::size_t process : this->processes) {
-            if (this->fleet.waitEnd(process, stopPatience) != 0) {
+            if (this->fleet.waitEnd(process, stopTimeout) != 0) {
                 this->record.violate(this->fleet.process(process).name + " did not stop as planned in the end");
             }
         }
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -195,9 +195,9 @@
     this->call("DELETE /lots/" + job, this->nextId(), {});
 }
 
-void SoakCaller::finishJobs(std::chrono::seconds patience)
+void SoakCaller::finishJobs(std::chrono::seconds timeout)
 {
-    const auto end = std::chrono::steady_clock::now() + patience;
+    const auto end = std::chrono::steady_clock::now() + timeout;
     while (std::chrono::steady_clock::now() < end) {
         const std::vector<std::string> open = this->record.openJobs();
         if (open.empty()) {
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -30,7 +30,7 @@
     void run(const std::atomic<bool> &isStopped);
 
     /** Read the results of all open jobs until they are complete, or the time is over. */
-    void finishJobs(std::chrono::seconds patience);
+    void finishJobs(std::chrono::seconds timeout);
 
     /** @return the share of so many ordinary requests that are served. */
     double probe(int count);
