--- /dev/null
+++ b/Tests/LibDispatch/TestReplicaIndex.cpp
@@ -0,0 +1,145 @@
+#include <LibBase/ManualClock.h>
+#include <LibDispatch/ReplicaIndex.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Dogwoodkeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** Some replicas in three failure domains, what is done to them, and a look at all of them. */
+class Replicas
+{
+public:
+    explicit Replicas(std::size_t count) : index(this->clock)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            this->put(number);
+        }
+    }
+
+    void put(std::size_t number)
+    {
+        DispatchedReplica &replica = this->all[number];
+        replica.number = number;
+        replica.traits = {EndpointName("r" + std::to_string(number)), FailureDomain("z" + std::to_string(number % 3)), 4, false};
+        replica.mark = markOf(replica.traits.instance);
+        this->index.update(replica);
+    }
+
+    void remove(std::size_t number)
+    {
+        const auto found = this->all.find(number);
+        if (found != this->all.end()) {
+            this->index.remove(found->second);
+            this->all.erase(found);
+        }
+    }
+
+    /** One of the things that happen to a replica. */
+    void change(DispatchedReplica &replica, int what, int amount)
+    {
+        const SteadyTime now = this->clock.now();
+        const WorkClass work = amount % 2 == 0 ? WorkClass::Online : WorkClass::Batch;
+        switch (what) {
+        case 0:
+            replica.slots.take(work);
+            replica.lastFull = replica.hasFreeSlot(now) ? replica.lastFull : now;
+            break;
+        case 1:
+            if ((work == WorkClass::Online ? replica.slots.online() : replica.slots.batch()) > 0) {
+                replica.slots.release(work, now);
+            }
+            break;
+        case 2:
+            replica.slots.noteReported({static_cast<std::uint32_t>(amount), 0}, now);
+            break;
+        case 3:
+            replica.gate.noteEnd(amount % 2 == 0 ? PlacementVerdict::Broken : PlacementVerdict::Rejected, now);
+            break;
+        default:
+            replica.traits.isDraining = !replica.traits.isDraining;
+        }
+        this->index.update(replica);
+    }
+
+    /** @return whether a replica may get the request now, by its own state alone. */
+    bool isPossible(const DispatchedReplica &replica, const PlacementRequest &request) const
+    {
+        const SteadyTime now = this->clock.now();
+        const bool isAvoided = std::ranges::find(request.avoided, replica.traits.instance) != request.avoided.end();
+        return !isAvoided && replica.isOpen(now) && (request.work == WorkClass::Online || replica.mayTakeItem(now));
+    }
+
+    /** @return whether the chosen replica is possible, and none that differs from it in load alone has less. */
+    bool isBest(const DispatchedReplica *chosen, const PlacementRequest &request) const
+    {
+        const auto isConnected = [&request](const DispatchedReplica &replica) {
+            return std::ranges::find(request.connected, replica.mark) != request.connected.end();
+        };
+        return std::ranges::all_of(this->all, [&](const auto &entry) {
+            const DispatchedReplica &other = entry.second;
+            if (!this->isPossible(other, request)) {
+                return chosen != &other;
+            }
+            const bool isAlike = chosen != nullptr && other.traits.failureDomain == chosen->traits.failureDomain
+                && isConnected(other) == isConnected(*chosen);
+            return chosen != nullptr && (!isAlike || other.load(this->clock.now()) >= chosen->load(this->clock.now()));
+        });
+    }
+
+    ManualClock clock;
+    ReplicaIndex index;
+    std::map<std::size_t, DispatchedReplica> all;
+};
+
+} // namespace
+
+// Guards against a replica that stands in the order by what it was before: it would get what it can't take, or nothing more.
+TEST_CASE("what the index finds is what a look at all replicas finds, whatever happens to them")
+{
+    const bool holds = rc::check("the best is found", [] {
+        const auto count = static_cast<std::size_t>(*rc::gen::inRange(1, 12));
+        Replicas replicas(count);
+        for (int step = 0; step < 60; ++step) {
+            const auto number = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(count)));
+            const int what = *rc::gen::inRange(0, 8);
+            if (what == 7) {
+                replicas.clock.advance(std::chrono::milliseconds(*rc::gen::inRange(1, 900)));
+            } else if (what == 6) {
+                replicas.remove(number);
+            } else if (!replicas.all.contains(number)) {
+                replicas.put(number);
+            } else {
+                replicas.change(replicas.all.at(number), what, *rc::gen::inRange(0, 6));
+            }
+            PlacementRequest request;
+            request.work = step % 2 == 0 ? WorkClass::Online : WorkClass::Batch;
+            request.failureDomain = FailureDomain("z" + std::to_string(step % 3));
+            request.avoided = {EndpointName("r" + std::to_string(step % 5))};
+            request.connected = {markOf(EndpointName("r" + std::to_string(step % 7)))};
+            replicas.index.refresh();
+            RC_ASSERT(replicas.isBest(replicas.index.best(request), request));
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("a replica that is removed is found no more, by its load or by its connection")
+{
+    Replicas replicas(1);
+    PlacementRequest request;
+    request.connected = {markOf(EndpointName("r0"))};
+    REQUIRE(replicas.index.best(request) == &replicas.all.at(0));
+    replicas.remove(0);
+    CHECK(replicas.index.best(request) == nullptr);
+    CHECK(replicas.index.isEmpty());
+}
