--- a/Libraries/LibDispatch/ReplicaSlots.cpp
+++ b/Libraries/LibDispatch/ReplicaSlots.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds reportLag{60};
 /** Nobody says when what others have placed ends. Items are told of anew at each that begins; a replica without news is taken to
  * be free for requests again after about the time of a run; items go on one by one. */
-constexpr std::chrono::milliseconds othersKept{800};
+constexpr std::chrono::milliseconds othersRetained{800};
 
 } // namespace
 
@@ -68,7 +68,7 @@
     if (this->others == 0 || !this->isFresh(now)) {
         return std::nullopt;
     }
-    return this->othersReported + othersKept + SteadyTime::duration(1);
+    return this->othersReported + othersRetained + SteadyTime::duration(1);
 }
 
 bool ReplicaSlots::mayTakeItem(SteadyTime now) const
@@ -79,7 +79,7 @@
 
 bool ReplicaSlots::isFresh(SteadyTime now) const
 {
-    return now - this->othersReported <= othersKept;
+    return now - this->othersReported <= othersRetained;
 }
 
 void ReplicaSlots::forgetReleased(SteadyTime now)
--- a/Libraries/LibWorkspace/QuotaAsker.cpp
+++ b/Libraries/LibWorkspace/QuotaAsker.cpp
@@ -170,7 +170,7 @@
         return;
     }
     if (now >= part.holderSuspectedUntil) {
-        this->hooks.suspicion(number);
+        this->hooks.suspectHolder(number);
     }
     part.holderSuspectedUntil = now + suspicionTime;
 }
--- a/Libraries/LibWorkspace/QuotaAsker.h
+++ b/Libraries/LibWorkspace/QuotaAsker.h
@@ -53,7 +53,7 @@
         /** Ask; the answer comes back by take(), maybe at once. @return whether there is such a node */
         std::function<bool(const QuotaQuestion &, Counter)> ask;
         /** The holder of a part did not answer. */
-        std::function<void(std::size_t part)> suspicion;
+        std::function<void(std::size_t part)> suspectHolder;
     };
 
     QuotaAsker(const Clock &clock, const QuotaBounds &bounds, Hooks hooks);
--- a/Services/Gateway/QuotaService.cpp
+++ b/Services/Gateway/QuotaService.cpp
@@ -13,21 +13,21 @@
 {
 
 /** Longer than a question is repeated, or travels. */
-constexpr std::chrono::milliseconds answeredKept{2000};
+constexpr std::chrono::milliseconds answersRetained{2000};
 constexpr std::chrono::milliseconds cleanInterval{500};
-constexpr std::chrono::milliseconds handoverKept{1000};
+constexpr std::chrono::milliseconds handoverRetained{1000};
 /** Entries of one datagram; with names of some tens of bytes it stays below what a network carries whole. */
 constexpr std::size_t restsAtOnce = 24;
 /** A node that has met nobody by then is the only one. */
 constexpr std::chrono::milliseconds aloneAfter{3000};
 /**
- * A counter that hears of nobody for so long is cut off from all others: these have another one by then or soon, and two would
+ * A counter that receives nothing for so long is cut off from all others: these have another one by then or soon, and two would
  * each grant the whole limit. Before that it asks others for a sign of life.
  */
 constexpr std::chrono::milliseconds touchLostAfter{400};
 constexpr std::chrono::milliseconds probeAfter{200};
 constexpr std::chrono::milliseconds probeInterval{100};
-/** A machine that stood still for longer has most likely lost its duty without having heard of it. */
+/** A machine that stood still for longer has most likely lost its duty without knowing it. */
 constexpr std::chrono::milliseconds longestPause{200};
 
 QuotaAnswer answerOf(QuotaAsker::Ticket ticket, const QuotaDecision &decision)
@@ -51,7 +51,7 @@
                  [this](const QuotaQuestion &question, QuotaAsker::Counter counter) {
                      return this->askCounter(question, counter);
                  },
-             .suspicion =
+             .suspectHolder =
                  [this](std::size_t number) {
                      const std::string &duty = this->parts[number].duty;
                      log(LogLevel::Warning, "counter of quotas does not answer", {{"duty", duty}});
@@ -141,7 +141,7 @@
     const bool isPassedOn = ask.replyTo != Address();
     const Member *const other = isPassedOn || ask.isToSuccessor ? nullptr : this->duties.otherHolder(duty);
     if (other != nullptr) {
-        // Who asks has not heard of the holder yet. Were it answered here, two would count the same workspace.
+        // Who asks does not know the holder yet. Were it answered here, two would count the same workspace.
         QuotaAsk passed = ask;
         passed.replyTo = datagram.from;
         this->peers.datagrams().send(other->gossip, passed);
@@ -236,7 +236,7 @@
         return;
     }
     // One that comes long before the claim tells of a duty that somebody else took.
-    const bool isCurrent = this->clock.now() - part.handoverReceived < handoverKept;
+    const bool isCurrent = this->clock.now() - part.handoverReceived < handoverRetained;
     std::vector<QuotaLevel> levels;
     for (const auto &[index, received] : part.handover) {
         for (const QuotaRest &rest : received.rests) {
@@ -262,7 +262,7 @@
     if (paused > longestPause) {
         this->dropCounters("the machine stood still");
     } else if (this->isOutOfTouch()) {
-        this->dropCounters("no other node is heard");
+        this->dropCounters("no other node answers");
     }
     const auto inUse = std::ranges::find_if(this->parts, [](const Part &part) {
         return part.counter != nullptr;
@@ -314,7 +314,7 @@
         return;
     }
     part.nextClean = now + cleanInterval;
-    while (!part.answeredOrder.empty() && now - part.answeredOrder.front().first > answeredKept) {
+    while (!part.answeredOrder.empty() && now - part.answeredOrder.front().first > answersRetained) {
         part.answered.erase(part.answeredOrder.front().second);
         part.answeredOrder.pop_front();
     }
--- a/Tests/LibWorkspace/QuotaFleet.h
+++ b/Tests/LibWorkspace/QuotaFleet.h
@@ -151,7 +151,7 @@
                 [this, node](const QuotaQuestion &question, QuotaAsker::Counter counter) {
                     return this->ask(node, question, counter);
                 },
-            .suspicion = [](std::size_t) {},
+            .suspectHolder = [](std::size_t) {},
         };
         started.asker = std::make_unique<QuotaAsker>(this->time, this->bounds, std::move(hooks));
         this->tick(node, started.incarnation);
--- a/Tests/LibWorkspace/TestQuotaAsker.cpp
+++ b/Tests/LibWorkspace/TestQuotaAsker.cpp
@@ -51,7 +51,7 @@
                               }
                               return isThere;
                           },
-                      .suspicion =
+                      .suspectHolder =
                           [this](std::size_t) {
                               ++this->suspicions;
                           }}};
