RelayedStore, LibDispatch, LibBase: One piece of code where the change had two

No behaviour is changed.

- RelayedStore: calls and reads are hedged by one function; the ways of a call share its rows instead of a copy each.
- PlacementTraits::avoids and isConnectedTo serve the dispatcher and the index of replicas.
- sha256 in LibBase serves the digest of a workspace's key and hashOfKey.
- TestClaimedDuty: the two tests that begin with a holder that is suspected share that beginning; their assertions are as before.
- ReplicaUpdate::isEmpty, which nothing called, is gone.
Told in two tests is Reported.

--- a/Libraries/LibBase/Encoding.cpp
+++ b/Libraries/LibBase/Encoding.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 #include <openssl/rand.h>
+#include <openssl/sha.h>
 
 #include <stdexcept>
 
@@ -51,13 +52,19 @@
     return text;
 }
 
+static_assert(sha256Size == SHA256_DIGEST_LENGTH);
+
+std::array<unsigned char, sha256Size> sha256(std::string_view bytes)
+{
+    std::array<unsigned char, sha256Size> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), digest.data());
+    return digest;
+}
+
 std::string hashOfKey(std::string_view key)
 {
-    std::string digest(EVP_MAX_MD_SIZE, '\0');
-    unsigned int length = 0;
-    EVP_Digest(key.data(), key.size(), reinterpret_cast<unsigned char *>(digest.data()), &length, EVP_sha256(), nullptr);
-    digest.resize(length);
-    return encodeHex(digest);
+    const auto digest = sha256(key);
+    return encodeHex(std::string_view(reinterpret_cast<const char *>(digest.data()), digest.size()));
 }
 
 std::string randomHex(std::size_t count)
--- a/Libraries/LibBase/Encoding.h
+++ b/Libraries/LibBase/Encoding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -17,6 +18,12 @@
 /** @return the bytes as lower-case hexadecimal digits. */
 std::string encodeHex(std::string_view bytes);
 
+/** Bytes of a SHA-256. */
+inline constexpr std::size_t sha256Size = 32;
+
+/** @return the SHA-256 of some bytes. */
+std::array<unsigned char, sha256Size> sha256(std::string_view bytes);
+
 /** @return the SHA-256 of an API key as hexadecimal digits: what the settings hold in its place. */
 std::string hashOfKey(std::string_view key);
 
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -436,7 +436,7 @@
         if (replica == nullptr || !this->isUsable(*replica, request)) {
             continue;
         }
-        if (isConnected(request, *replica)) {
+        if (request.isConnectedTo(replica->mark)) {
             return &placement->second;
         }
         first = first == nullptr ? &placement->second : first;
@@ -517,13 +517,7 @@
 
 bool Dispatcher::isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const
 {
-    const bool isAvoided = std::ranges::find(request.avoided, replica.traits.instance) != request.avoided.end();
-    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !isAvoided;
-}
-
-bool Dispatcher::isConnected(const PlacementRequest &request, const DispatchedReplica &replica)
-{
-    return std::ranges::find(request.connected, replica.mark) != request.connected.end();
+    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !request.avoids(replica.traits.instance);
 }
 
 std::size_t Dispatcher::slotsOf(const DispatchedReplica &replica)
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -134,7 +134,6 @@
     void remove(Placements::iterator placement, PlacementVerdict verdict);
     void forget(Placements::iterator placement);
     bool isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const;
-    static bool isConnected(const PlacementRequest &request, const DispatchedReplica &replica);
     static std::size_t slotsOf(const DispatchedReplica &replica);
 
     const Clock &clock;
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -4,6 +4,7 @@
 #include <LibBase/Identifiers.h>
 #include <LibWire/Generated/Messages.h>
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -53,6 +54,18 @@
     std::vector<EndpointName> avoided;
     /** Marks of the replicas to which its node has an open connection that it can use. */
     std::vector<std::uint32_t> connected;
+
+    /** @return whether a replica turned it away or failed it. */
+    bool avoids(const EndpointName &instance) const
+    {
+        return std::ranges::find(this->avoided, instance) != this->avoided.end();
+    }
+
+    /** @return whether its node has an open connection to the replica with a mark. */
+    bool isConnectedTo(std::uint32_t mark) const
+    {
+        return std::ranges::find(this->connected, mark) != this->connected.end();
+    }
 };
 
 /** A request that wants a place, as its dispatcher knows it. */
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -1,7 +1,6 @@
 #include <LibDispatch/ReplicaIndex.h>
 
 #include <algorithm>
-#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -14,11 +13,6 @@
 /** Between failure domains bytes cost; at equal load the near replica is taken. */
 constexpr double farPenalty = 0.9;
 
-bool isAvoided(const PlacementRequest &request, const DispatchedReplica &replica)
-{
-    return std::ranges::find(request.avoided, replica.traits.instance) != request.avoided.end();
-}
-
 /** @return what a replica's load is for a request: less is better. */
 double scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, double load, bool isConnected)
 {
@@ -118,7 +112,7 @@
         const Order &order = request.work == WorkClass::Batch ? domain.openForItems : domain.open;
         // All in the order score alike, but those that are connected, which were looked at before: the first one is the best.
         for (const auto &[key, replica] : order) {
-            if (isAvoided(request, *replica)) {
+            if (request.avoids(replica->traits.instance)) {
                 continue;
             }
             const double score = scoreOf(request, *replica, key.first, false);
@@ -140,7 +134,7 @@
         for (auto marked = first; marked != last; ++marked) {
             DispatchedReplica &replica = *marked->second;
             const auto place = this->places.find(replica.number);
-            const bool isUsable = place != this->places.end() && !isAvoided(request, replica)
+            const bool isUsable = place != this->places.end() && !request.avoids(replica.traits.instance)
                 && (request.work == WorkClass::Online || place->second.isForItems);
             if (!isUsable) {
                 continue;
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
--- a/Libraries/LibDispatch/ReplicaUpdate.h
+++ b/Libraries/LibDispatch/ReplicaUpdate.h
@@ -14,11 +14,6 @@
     /** Those that are new, or not as they were. */
     std::vector<DispatchReplica> put;
     std::vector<EndpointName> removed;
-
-    bool isEmpty() const
-    {
-        return this->put.empty() && this->removed.empty();
-    }
 };
 
 /**
--- a/Libraries/LibWorkspace/KeyDigest.cpp
+++ b/Libraries/LibWorkspace/KeyDigest.cpp
@@ -1,18 +1,14 @@
 #include <LibWorkspace/KeyDigest.h>
 
-#include <openssl/sha.h>
-
 #include <cstring>
 
 namespace Dogwoodkeel
 {
 
-static_assert(KeyDigest::size == SHA256_DIGEST_LENGTH);
-
 KeyDigest KeyDigest::of(std::string_view key)
 {
     KeyDigest digest;
-    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.content.data());
+    digest.content = sha256(key);
     return digest;
 }
 
--- a/Libraries/LibWorkspace/KeyDigest.h
+++ b/Libraries/LibWorkspace/KeyDigest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibBase/Encoding.h>
+
 #include <array>
 #include <compare>
 #include <cstddef>
@@ -13,7 +15,7 @@
 class KeyDigest
 {
 public:
-    static constexpr std::size_t size = 32;
+    static constexpr std::size_t size = sha256Size;
 
     KeyDigest() = default;
 
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -1,7 +1,6 @@
 #include <Services/Gateway/RelayedStore.h>
 
 #include <LibBase/Log.h>
-#include <LibPlatform/HedgedCall.h>
 
 #include <algorithm>
 #include <utility>
@@ -103,6 +102,18 @@
 }
 
 using TransactCall = HedgedCall<RowTransactionResult>;
+using ReadCall = HedgedCall<RowRangeResult>;
+
+/** @return whether a result came from the store, so that its way to it is good. */
+bool isFromStore(const RowTransactionResult &result)
+{
+    return result.outcome == WriteOutcome::Done || result.outcome == WriteOutcome::Refused;
+}
+
+bool isFromStore(const RowRangeResult &result)
+{
+    return result.outcome != ReadOutcome::Failed;
+}
 
 TransactCall::Meaning meaningOf(const RowTransactionResult &result)
 {
@@ -225,43 +236,52 @@
     this->directSuspectedUntil = this->clock.now() + retryDirectAfter;
 }
 
-void RelayedStore::transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done)
+template <typename Result, typename Attempt>
+void RelayedStore::hedge(const Attempt &attempt,
+                         typename HedgedCall<Result>::Policy policy,
+                         typename HedgedCall<Result>::Done done)
 {
-    using Call = HedgedCall<RowTransactionResult>;
-    std::vector<Call::Way> ways;
+    using Call = HedgedCall<Result>;
+    std::vector<typename Call::Way> ways;
     for (const Route &route : this->routes()) {
-        ways.emplace_back([this, route, transaction](Call::Done answered) {
-            this->transactBy(route, transaction, std::move(answered));
+        ways.emplace_back([this, alive = this->alive, route, attempt](typename Call::Done answered) {
+            if (!*alive) {
+                return;
+            }
+            const SteadyTime asked = this->clock.now();
+            attempt(route, [this, alive, route, asked, answered = std::move(answered)](const Result &result) {
+                if (!*alive) {
+                    return;
+                }
+                if (isFromStore(result)) {
+                    this->noteAnswer(route, asked);
+                }
+                answered(result);
+            });
         });
     }
-    Call::Policy policy{
-        // Another one could be done twice, the second time over what somebody else wrote meanwhile.
-        .hedgeDelay = expectsAllItWrites(transaction) ? std::optional(this->hedgeDelay()) : std::nullopt,
-        .meaning = &meaningOf,
-        .merge = &mergeResults,
-    };
     std::make_shared<Call>(this->scheduler, std::move(ways), std::move(policy), std::move(done))->start();
 }
 
-void RelayedStore::transactBy(const Route &route,
-                              const RowTransaction &transaction,
-                              std::function<void(RowTransactionResult)> done)
+void RelayedStore::transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done)
 {
-    const auto answered = [this, alive = this->alive, route, asked = this->clock.now(), done = std::move(done)](
-                              const RowTransactionResult &result) {
-        if (!*alive) {
-            return;
-        }
-        if (result.outcome == WriteOutcome::Done || result.outcome == WriteOutcome::Refused) {
-            this->noteAnswer(route, asked);
-        }
-        done(result);
-    };
-    if (route) {
-        this->transactThrough(*route, transaction, answered);
-    } else {
-        this->direct.transact(transaction, answered);
-    }
+    // The ways share it: the rows of a job may be large.
+    const auto shared = std::make_shared<const RowTransaction>(std::move(transaction));
+    this->hedge<RowTransactionResult>(
+        [this, shared](const Route &route, TransactCall::Done answered) {
+            if (route) {
+                this->transactThrough(*route, *shared, std::move(answered));
+            } else {
+                this->direct.transact(*shared, std::move(answered));
+            }
+        },
+        {
+            // Another one could be done twice, the second time over what somebody else wrote meanwhile.
+            .hedgeDelay = expectsAllItWrites(*shared) ? std::optional(this->hedgeDelay()) : std::nullopt,
+            .meaning = &meaningOf,
+            .merge = &mergeResults,
+        },
+        std::move(done));
 }
 
 void RelayedStore::transactThrough(const Address &peer,
@@ -299,44 +319,26 @@
 
 void RelayedStore::read(RowRange range, std::function<void(RowRangeResult)> done)
 {
-    using Call = HedgedCall<RowRangeResult>;
-    std::vector<Call::Way> ways;
-    for (const Route &route : this->routes()) {
-        ways.emplace_back([this, route, range](Call::Done answered) {
-            this->readBy(route, range, std::move(answered));
-        });
-    }
-    Call::Policy policy{
-        .hedgeDelay = this->hedgeDelay(),
-        .meaning =
-            [](const RowRangeResult &result) {
-                return result.outcome == ReadOutcome::Failed ? Call::Meaning::Failed : Call::Meaning::Final;
-            },
-        .merge =
-            [](const std::vector<RowRangeResult> &results) {
-                return results.back();
-            },
-    };
-    std::make_shared<Call>(this->scheduler, std::move(ways), std::move(policy), std::move(done))->start();
-}
-
-void RelayedStore::readBy(const Route &route, const RowRange &range, std::function<void(RowRangeResult)> done)
-{
-    const auto answered
-        = [this, alive = this->alive, route, asked = this->clock.now(), done = std::move(done)](const RowRangeResult &result) {
-              if (!*alive) {
-                  return;
-              }
-              if (result.outcome != ReadOutcome::Failed) {
-                  this->noteAnswer(route, asked);
-              }
-              done(result);
-          };
-    if (route) {
-        this->readThrough(*route, range, answered);
-    } else {
-        this->direct.read(range, answered);
-    }
+    this->hedge<RowRangeResult>(
+        [this, range = std::move(range)](const Route &route, ReadCall::Done answered) {
+            if (route) {
+                this->readThrough(*route, range, std::move(answered));
+            } else {
+                this->direct.read(range, std::move(answered));
+            }
+        },
+        {
+            .hedgeDelay = this->hedgeDelay(),
+            .meaning =
+                [](const RowRangeResult &result) {
+                    return isFromStore(result) ? ReadCall::Meaning::Final : ReadCall::Meaning::Failed;
+                },
+            .merge =
+                [](const std::vector<RowRangeResult> &results) {
+                    return results.back();
+                },
+        },
+        std::move(done));
 }
 
 void RelayedStore::readThrough(const Address &peer, const RowRange &range, std::function<void(RowRangeResult)> done)
--- a/Services/Gateway/RelayedStore.h
+++ b/Services/Gateway/RelayedStore.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Scheduler.h>
+#include <LibPlatform/HedgedCall.h>
 #include <LibPlatform/RowStore.h>
 #include <LibPlatform/StoreClock.h>
 #include <Services/Gateway/PeerNetwork.h>
@@ -59,9 +60,10 @@
     std::chrono::milliseconds hedgeDelay() const;
     void noteTime(StoreTime reported);
     void noteAnswer(const Route &route, SteadyTime asked);
-    void transactBy(const Route &route, const RowTransaction &transaction, std::function<void(RowTransactionResult)> done);
+    /** @param attempt makes the call by a route, and hands on its result */
+    template <typename Result, typename Attempt>
+    void hedge(const Attempt &attempt, typename HedgedCall<Result>::Policy policy, typename HedgedCall<Result>::Done done);
     void transactThrough(const Address &peer, const RowTransaction &transaction, std::function<void(RowTransactionResult)> done);
-    void readBy(const Route &route, const RowRange &range, std::function<void(RowRangeResult)> done);
     void readThrough(const Address &peer, const RowRange &range, std::function<void(RowRangeResult)> done);
 
     Scheduler &scheduler;
--- a/Tests/LibDispatch/TestConnectionReplay.cpp
+++ b/Tests/LibDispatch/TestConnectionReplay.cpp
@@ -24,7 +24,7 @@
 constexpr double perSecond = 160;
 
 /** Whether nodes tell the dispatcher to which replicas they have a connection. */
-enum class Told {
+enum class Reported {
     Yes,
     No,
 };
@@ -40,7 +40,7 @@
 /** Idle connections of one node, by the replica's mark, with when they were last used. */
 using Idle = std::multimap<std::uint32_t, SteadyTime>;
 
-Outcome replay(Told reported)
+Outcome replay(Reported reported)
 {
     ManualClock clock;
     Outcome outcome;
@@ -90,7 +90,7 @@
         request.arrived = clock.now();
         request.due = clock.now() + 250ms;
         request.deadline = clock.now() + 5s;
-        if (reported == Told::Yes) {
+        if (reported == Reported::Yes) {
             for (const auto &[mark, used] : idle[node]) {
                 request.connected.push_back(mark);
             }
@@ -106,8 +106,8 @@
 // which costs the replica's processor and the caller a round trip.
 TEST_CASE("requests go where their node has a connection, at no cost in waiting")
 {
-    const Outcome blind = replay(Told::No);
-    const Outcome aware = replay(Told::Yes);
+    const Outcome blind = replay(Reported::No);
+    const Outcome aware = replay(Reported::Yes);
     MESSAGE("connections for ",
             blind.requests,
             " requests: ",
--- a/Tests/LibDispatch/TestLeftoverReplay.cpp
+++ b/Tests/LibDispatch/TestLeftoverReplay.cpp
@@ -30,7 +30,7 @@
 constexpr double perSecond = 60;
 
 /** Whether the dispatcher hears what the replicas state. */
-enum class Told {
+enum class Reported {
     Yes,
     No,
 };
@@ -118,7 +118,7 @@
     std::map<EndpointName, Engine> engines;
 };
 
-Outcome replay(Told reported)
+Outcome replay(Reported reported)
 {
     ManualClock clock;
     Engines engines(clock);
@@ -138,7 +138,7 @@
                                },
                            .refuse = [](TicketId, std::chrono::milliseconds) {}});
     dispatcher.setReplicas(equalReplicas(replicaCount, slots));
-    if (reported == Told::No) {
+    if (reported == Reported::No) {
         for (const DispatchReplica &replica : equalReplicas(replicaCount, slots)) {
             dispatcher.noteLoad(replica.instance, {});
         }
@@ -179,7 +179,7 @@
             outcome.onTime += isOnline && clock.now() - online->second <= objective ? 1 : 0;
             const ReportedLoad load = engines.load(instance);
             const bool isNews = !isOnline || load.waiting > 0 || load.running >= slots;
-            if (reported == Told::Yes && isNews) {
+            if (reported == Reported::Yes && isNews) {
                 dispatcher.noteLoad(instance, load);
             }
         }
@@ -203,8 +203,8 @@
 // replicas' queues. From the load that replicas state with their answers it learns what is taken.
 TEST_CASE("a new dispatcher learns from what replicas state that they are busy with requests of the dead")
 {
-    const Outcome reported = replay(Told::Yes);
-    const Outcome unreported = replay(Told::No);
+    const Outcome reported = replay(Reported::Yes);
+    const Outcome unreported = replay(Reported::No);
     MESSAGE("requests ", reported.requests, ", on time: told ", reported.onTime, ", unreported ", unreported.onTime);
     CHECK(reported.onTime * 10 > reported.requests * 9);
     CHECK(unreported.onTime * 2 < unreported.requests);
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -74,6 +74,35 @@
     return duty.holder()->session;
 }
 
+/** A duty that the second of six members has, as one of them sees it. */
+struct HeldBySecond
+{
+    HeldBySecond()
+    {
+        this->seeAs(SessionNumber(1));
+        this->duty.receive({"llm", 1, SessionNumber(2)});
+        REQUIRE(this->duty.successor() != nullptr);
+        this->successor = this->duty.successor()->session;
+    }
+
+    void seeAs(SessionNumber self)
+    {
+        this->duty.setView(self, this->view, this->view);
+    }
+
+    void suspectFrom(Number first, Number last)
+    {
+        for (Number from = first; from <= last; ++from) {
+            this->duty.receiveSuspicion({"llm", SessionNumber(2), SessionNumber(from)});
+        }
+    }
+
+    ManualClock clock;
+    ClaimedDuty duty{clock, "llm"};
+    MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
+    SessionNumber successor;
+};
+
 } // namespace
 
 // The store turns a third of the nodes away for nine seconds. Each notices it at a moment of its own, tells it to the others by
@@ -293,58 +322,41 @@
 // membership is sure of the death only seconds later.
 TEST_CASE("a holder that several nodes and the successor get no answer of loses its duty")
 {
-    ManualClock clock;
-    ClaimedDuty duty(clock, "llm");
-    const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
-    duty.setView(SessionNumber(1), view, view);
-    duty.receive({"llm", 1, SessionNumber(2)});
-    REQUIRE(duty.successor() != nullptr);
-    const SessionNumber successor = duty.successor()->session;
-    duty.setView(successor, view, view);
-    const auto suspicionOf = [](Number from) {
-        return DutySuspicion{"llm", SessionNumber(2), SessionNumber(from)};
-    };
+    HeldBySecond held;
+    ClaimedDuty &duty = held.duty;
+    held.seeAs(held.successor);
     for (int times = 0; times < 5; ++times) {
-        duty.receiveSuspicion(suspicionOf(3));
-        duty.receiveSuspicion(suspicionOf(4));
+        held.suspectFrom(3, 4);
     }
     CHECK(duty.suspectedHolder() == nullptr);
     duty.receiveSuspicion({"llm", SessionNumber(6), SessionNumber(5)});
     CHECK(duty.suspectedHolder() == nullptr);
-    duty.receiveSuspicion(suspicionOf(5));
+    held.suspectFrom(5, 5);
     REQUIRE(duty.suspectedHolder() != nullptr);
     CHECK(duty.suspectedHolder()->session == SessionNumber(2));
     CHECK(!duty.makeClaim());
     duty.noteHolderAlive();
-    clock.advance(300ms);
+    held.clock.advance(300ms);
     CHECK(!duty.makeClaim());
-    for (Number from = 3; from < 6; ++from) {
-        duty.receiveSuspicion(suspicionOf(from));
-    }
-    clock.advance(300ms);
-    CHECK(duty.makeClaim() == DutyClaim{"llm", 2, successor});
-    CHECK(holderOf(duty) == successor);
+    held.suspectFrom(3, 5);
+    held.clock.advance(300ms);
+    CHECK(duty.makeClaim() == DutyClaim{"llm", 2, held.successor});
+    CHECK(holderOf(duty) == held.successor);
 }
 
 // Guards against a successor that is asked whether it lives in the holder's stead: its answer clears the suspicions, and puts off
 // its claim.
 TEST_CASE("once the holder's silence is settled, nobody is asked in its place")
 {
-    ManualClock clock;
-    ClaimedDuty duty(clock, "llm");
-    const MemberViewPointer view = viewOf({memberOf(1), memberOf(2), memberOf(3), memberOf(4), memberOf(5), memberOf(6)});
-    duty.setView(SessionNumber(1), view, view);
-    duty.receive({"llm", 1, SessionNumber(2)});
-    const SessionNumber successor = duty.successor()->session;
+    HeldBySecond held;
+    ClaimedDuty &duty = held.duty;
     // Another node than the one that will claim the duty: it takes the successor for the holder until it hears the claim.
-    duty.setView(successor == SessionNumber(6) ? SessionNumber(1) : SessionNumber(6), view, view);
-    for (Number from = 3; from < 6; ++from) {
-        duty.receiveSuspicion({"llm", SessionNumber(2), SessionNumber(from)});
-    }
+    held.seeAs(held.successor == SessionNumber(6) ? SessionNumber(1) : SessionNumber(6));
+    held.suspectFrom(3, 5);
     CHECK(duty.suspectedHolder()->session == SessionNumber(2));
-    clock.advance(300ms);
+    held.clock.advance(300ms);
     CHECK(!duty.makeClaim());
-    CHECK(holderOf(duty) == successor);
+    CHECK(holderOf(duty) == held.successor);
     CHECK(duty.suspectedHolder() == nullptr);
 }
 
