TrafficMeter: Messages and bytes of a node by kind and direction, as metrics and in the log

Change: datagrams, frames between nodes and calls to the store are counted by name (generated from Schema/) and direction; metrics, and a line a kind every 30 s.

--- a/Libraries/LibWire/DatagramSocket.cpp
+++ b/Libraries/LibWire/DatagramSocket.cpp
@@ -3,6 +3,7 @@
 #include <LibTask/EventGuard.h>
 #include <LibTask/EventLoop.h>
 #include <LibTask/Sockets.h>
+#include <LibWire/Generated/Messages.h>
 
 #include <arpa/inet.h>
 #include <event2/event.h>
@@ -58,9 +59,11 @@
 DatagramSocket::DatagramSocket(EventLoop &loop,
                                const Address &address,
                                const MessageKey &siteKey,
-                               std::function<void(Datagram)> received)
+                               std::function<void(Datagram)> received,
+                               TrafficMeter *traffic)
     : key(siteKey.derive("datagrams"))
     , received(std::move(received))
+    , traffic(traffic)
     , descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
 {
     const sockaddr_in target = socketAddress(address);
@@ -97,6 +100,14 @@
     const sockaddr_in to = socketAddress(target);
     sendto(this->descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
     this->sentBytes += bytes.size();
+    this->count(number, TrafficMeter::Direction::Sent, bytes.size());
+}
+
+void DatagramSocket::count(MessageNumber number, TrafficMeter::Direction direction, std::size_t bytes)
+{
+    if (this->traffic != nullptr) {
+        this->traffic->count(TrafficMeter::Means::Datagram, messageName(number), direction, bytes);
+    }
 }
 
 void DatagramSocket::onReadable(int, short, void *self)
@@ -137,6 +148,7 @@
     if (!this->seen.admit(header.stream, header.sequence)) {
         return;
     }
+    this->count(header.number, TrafficMeter::Direction::Received, bytes.size());
     this->received({from, header.number, std::string(body.substr(headerSize))});
 }
 
--- a/Libraries/LibWire/DatagramSocket.h
+++ b/Libraries/LibWire/DatagramSocket.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Address.h>
 #include <LibBase/Identifiers.h>
+#include <LibBase/TrafficMeter.h>
 #include <LibWire/Codec.h>
 #include <LibWire/MessageKey.h>
 #include <LibWire/MessageNumber.h>
@@ -37,9 +38,14 @@
      * @param address where to take datagrams; port 0 takes a free one
      * @param siteKey shared by all nodes
      * @param received told of each genuine datagram
+     * @param traffic counts what is sent and received, if set
      * @throws std::runtime_error if the address cannot be bound
      */
-    DatagramSocket(EventLoop &loop, const Address &address, const MessageKey &siteKey, std::function<void(Datagram)> received);
+    DatagramSocket(EventLoop &loop,
+                   const Address &address,
+                   const MessageKey &siteKey,
+                   std::function<void(Datagram)> received,
+                   TrafficMeter *traffic = nullptr);
     ~DatagramSocket();
     DatagramSocket(const DatagramSocket &) = delete;
     DatagramSocket &operator=(const DatagramSocket &) = delete;
@@ -62,9 +68,11 @@
     void sendEncoded(const Address &target, MessageNumber number, const std::string &payload);
     void receive();
     void take(const Address &from, std::string_view bytes);
+    void count(MessageNumber number, TrafficMeter::Direction direction, std::size_t bytes);
 
     MessageKey key;
     std::function<void(Datagram)> received;
+    TrafficMeter *traffic;
     int descriptor = -1;
     event *readable = nullptr;
     Address boundTo;
--- a/Libraries/LibWire/FrameCodec.h
+++ b/Libraries/LibWire/FrameCodec.h
@@ -10,6 +10,10 @@
 namespace Dogwoodkeel
 {
 
+/** Bytes of a frame beside its payload. */
+inline constexpr std::size_t frameOverhead
+    = sizeof(std::uint32_t) + sizeof(std::uint64_t) + sizeof(MessageNumber) + messageCodeSize;
+
 /**
  * Writes the frames of one direction of one connection.
  *
--- /dev/null
+++ b/Libraries/LibWire/FrameTraffic.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibBase/TrafficMeter.h>
+#include <LibWire/MessageNumber.h>
+
+#include <string_view>
+
+namespace Dogwoodkeel
+{
+
+/** Count a frame between two nodes. @param traffic may be null: then nothing is counted */
+void countFrame(TrafficMeter *traffic, MessageNumber number, TrafficMeter::Direction direction, std::string_view payload);
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibWire/PeerClient.cpp
+++ b/Libraries/LibWire/PeerClient.cpp
@@ -56,8 +56,12 @@
     EventLoop *loop;
 };
 
-PeerClient::PeerClient(EventLoop &loop, PeerSecurity security, std::optional<LocalPeer> local)
-    : loop(loop), security(std::move(security)), local(std::move(local)), localReturn(std::make_shared<LocalReturn>(loop))
+PeerClient::PeerClient(EventLoop &loop, PeerSecurity security, std::optional<LocalPeer> local, TrafficMeter *traffic)
+    : loop(loop)
+    , security(std::move(security))
+    , local(std::move(local))
+    , localReturn(std::make_shared<LocalReturn>(loop))
+    , traffic(traffic)
 {
 }
 
@@ -86,6 +90,7 @@
     }
     Link &link = this->linkTo(address);
     link.calls.insert(correlation);
+    countFrame(this->traffic, number, TrafficMeter::Direction::Sent, payload);
     link.connection->send({correlation, number, std::move(payload)});
     if (link.timer == 0) {
         link.bytesSeen = link.connection->bytesReceived();
@@ -111,6 +116,7 @@
         PeerLink::Hooks hooks{
             .onFrame =
                 [this](const Frame &frame) {
+                    countFrame(this->traffic, frame.number, TrafficMeter::Direction::Received, frame.payload);
                     this->receive(frame);
                 },
             .onClosed =
--- a/Libraries/LibWire/PeerClient.h
+++ b/Libraries/LibWire/PeerClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibWire/Codec.h>
+#include <LibWire/FrameTraffic.h>
 #include <LibWire/PeerLink.h>
 
 #include <chrono>
@@ -53,8 +54,14 @@
     template <typename Response>
     using Answered = std::function<void(CallResult<Response>)>;
 
-    /** @param local if set, calls to its address go to it instead of through a socket */
-    PeerClient(EventLoop &loop, PeerSecurity security, std::optional<LocalPeer> local = std::nullopt);
+    /**
+     * @param local if set, calls to its address go to it instead of through a socket
+     * @param traffic counts what is sent and received, if set
+     */
+    PeerClient(EventLoop &loop,
+               PeerSecurity security,
+               std::optional<LocalPeer> local = std::nullopt,
+               TrafficMeter *traffic = nullptr);
     ~PeerClient();
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
@@ -125,6 +132,7 @@
     PeerSecurity security;
     std::optional<LocalPeer> local;
     std::shared_ptr<LocalReturn> localReturn;
+    TrafficMeter *traffic;
     std::map<Address, Link> links;
     Correlation lastCorrelation = 0;
     std::unordered_map<Correlation, Call> calls;
--- a/Libraries/LibWire/PeerServer.cpp
+++ b/Libraries/LibWire/PeerServer.cpp
@@ -13,7 +13,8 @@
 namespace Dogwoodkeel
 {
 
-PeerServer::PeerServer(EventLoop &loop, const Address &address, PeerSecurity security) : loop(loop), security(std::move(security))
+PeerServer::PeerServer(EventLoop &loop, const Address &address, PeerSecurity security, TrafficMeter *traffic)
+    : loop(loop), security(std::move(security)), traffic(traffic)
 {
     const sockaddr_in target = socketAddress(address);
     this->listener = evconnlistener_new_bind(loop.base(),
@@ -65,6 +66,7 @@
 
 void PeerServer::receive(LinkId id, const Frame &frame)
 {
+    countFrame(this->traffic, frame.number, TrafficMeter::Direction::Received, frame.payload);
     const auto send
         = [this, id, correlation = frame.correlation, alive = this->alive](MessageNumber number, std::string payload) {
               if (!*alive) {
@@ -72,6 +74,7 @@
               }
               const auto link = this->links.find(id);
               if (link != this->links.end()) {
+                  countFrame(this->traffic, number, TrafficMeter::Direction::Sent, payload);
                   link->second->send({correlation, number, std::move(payload)});
               }
           };
--- a/Libraries/LibWire/PeerServer.h
+++ b/Libraries/LibWire/PeerServer.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Log.h>
 #include <LibWire/Codec.h>
+#include <LibWire/FrameTraffic.h>
 #include <LibWire/PeerLink.h>
 
 #include <functional>
@@ -26,9 +27,10 @@
 
     /**
      * @param address where to listen; port 0 takes a free one
+     * @param traffic counts what is sent and received, if set
      * @throws std::runtime_error if it cannot listen there
      */
-    PeerServer(EventLoop &loop, const Address &address, PeerSecurity security);
+    PeerServer(EventLoop &loop, const Address &address, PeerSecurity security, TrafficMeter *traffic = nullptr);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
@@ -75,6 +77,7 @@
 
     EventLoop &loop;
     PeerSecurity security;
+    TrafficMeter *traffic;
     Address listenAddress;
     evconnlistener *listener = nullptr;
     std::map<MessageNumber, Handler> handlers;
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -129,6 +129,12 @@
     lines.append("")
     for struct in structs:
         lines += struct_code(struct, known, enums)
+    lines += ["/** @return the name of a message, for logs and metrics. */",
+              "constexpr std::string_view messageName(MessageNumber number)", "{",
+              "    switch (static_cast<std::uint16_t>(number)) {"]
+    for message in schema["message"]:
+        lines += [f"    case {message['number']}:", f'        return "{message["name"]}";']
+    lines += ["    default:", '        return "unknown";', "    }", "}", ""]
     lines += ["}", ""]
     return formatted("\n".join(lines))
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds graceMargin{700};
 /** Told to who asks for addresses while there are none: a node is ready again about so long after its start. */
 constexpr std::chrono::milliseconds unknownPause{300};
+/** How often the traffic since the start is logged, a line a kind: often enough to see what grew, and rare beside other lines. */
+constexpr std::chrono::seconds trafficInterval{30};
+
 void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const std::string &type, const std::string &body)
 {
     HeaderList headers;
@@ -66,11 +69,12 @@
     , storeClock(clock)
     , storePool(loop, clock, idleToStore)
     , replicaPool(loop, clock, idleToReplica)
-    , store(this->storePool, settings->platform.address, this->storeClock, settings->platform.timeout)
+    , store(this->storePool, settings->platform.address, this->storeClock, this->traffic, settings->platform.timeout)
     , peers(loop,
             clock,
             this->store,
             *settings,
+            this->traffic,
             {.onView =
                  [this](const MemberViewPointer &view) {
                      this->takeView(view);
@@ -196,11 +200,15 @@
     this->isComplete = true;
     this->takeView(this->peers.dutyView());
     this->tick();
+    this->trafficTimer = loop.schedule(trafficInterval, [this] {
+        this->logTraffic();
+    });
 }
 
 Gateway::~Gateway()
 {
     this->loop.cancel(this->tickTimer);
+    this->loop.cancel(this->trafficTimer);
     this->loop.cancel(this->stopTimer);
 }
 
@@ -264,6 +272,22 @@
     });
 }
 
+void Gateway::logTraffic()
+{
+    for (const auto &[kind, total] : this->traffic.totals()) {
+        log(LogLevel::Info,
+            "traffic",
+            {{"means", std::string(toString(kind.means))},
+             {"name", kind.name},
+             {"direction", std::string(toString(kind.direction))},
+             {"messages", static_cast<std::int64_t>(total.messages)},
+             {"bytes", static_cast<std::int64_t>(total.bytes)}});
+    }
+    this->trafficTimer = this->loop.schedule(trafficInterval, [this] {
+        this->logTraffic();
+    });
+}
+
 void Gateway::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
 {
     this->crashes.noteBreak(fingerprint, replica);
@@ -434,6 +458,9 @@
             }
         }
     }
+    for (const auto &[kind, total] : this->traffic.totals()) {
+        this->metrics.setTraffic(kind, total);
+    }
     this->metrics.setGauge("replicas_restarted", static_cast<double>(this->replicasRestarted));
     this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->listed.unreadableEntries()));
     this->metrics.setGauge("events_given_up", static_cast<double>(eventsGivenUp()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibBase/TrafficMeter.h>
 #include <LibGateway/CrashMemory.h>
 #include <LibProxy/CallerServer.h>
 #include <LibProxy/OutboundPool.h>
@@ -92,6 +93,7 @@
     void tellAll(const std::function<void(const Address &)> &send);
     void watchStop();
     void tick();
+    void logTraffic();
 
     EventLoop &loop;
     const Clock &clock;
@@ -109,8 +111,10 @@
     SteadyTime stopStarted{};
     TimerId stopTimer = 0;
     TimerId tickTimer = 0;
+    TimerId trafficTimer = 0;
     std::minstd_rand random;
     GatewayMetrics metrics;
+    TrafficMeter traffic;
     CrashMemory crashes;
     StoreClock storeClock;
     OutboundPool storePool;
--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,14 @@
                      .Register(*this->registry))
     , events(prometheus::BuildCounter().Name("dogwoodkeel_events_total").Help("What happened").Register(*this->registry))
     , gauges(prometheus::BuildGauge().Name("dogwoodkeel_value").Help("What there is now").Register(*this->registry))
+    , trafficMessages(prometheus::BuildGauge()
+                          .Name("dogwoodkeel_traffic_messages")
+                          .Help("Messages exchanged with other nodes and the store since the start")
+                          .Register(*this->registry))
+    , trafficBytes(prometheus::BuildGauge()
+                       .Name("dogwoodkeel_traffic_bytes")
+                       .Help("Bytes of these messages, without the headers of the transport")
+                       .Register(*this->registry))
 {
 }
 
@@ -69,6 +77,14 @@
     this->gauges.Add({{"name", name}}).Set(value);
 }
 
+void GatewayMetrics::setTraffic(const TrafficMeter::Kind &kind, const TrafficMeter::Total &total)
+{
+    const prometheus::Labels labels{
+        {"means", std::string(toString(kind.means))}, {"name", kind.name}, {"direction", std::string(toString(kind.direction))}};
+    this->trafficMessages.Add(labels).Set(static_cast<double>(total.messages));
+    this->trafficBytes.Add(labels).Set(static_cast<double>(total.bytes));
+}
+
 std::string GatewayMetrics::toText() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibBase/TrafficMeter.h>
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -37,6 +39,9 @@
     /** Set a value that goes up and down. */
     void setGauge(const std::string &name, double value);
 
+    /** Set what was exchanged with others of a kind since the start. */
+    void setTraffic(const TrafficMeter::Kind &kind, const TrafficMeter::Total &total);
+
     /** @return all metrics as text. */
     std::string toText() const;
 
@@ -51,6 +56,8 @@
     prometheus::Family<prometheus::Histogram> &placements;
     prometheus::Family<prometheus::Counter> &events;
     prometheus::Family<prometheus::Gauge> &gauges;
+    prometheus::Family<prometheus::Gauge> &trafficMessages;
+    prometheus::Family<prometheus::Gauge> &trafficBytes;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -64,7 +64,8 @@
     return SessionNumber(number & mask);
 }
 
-PeerNetwork::PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks)
+PeerNetwork::PeerNetwork(
+    EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, TrafficMeter &traffic, Hooks hooks)
     : loop(loop)
     , clock(clock)
     , store(store)
@@ -72,14 +73,16 @@
     , seeds(gossipSeeds(settings))
     , vm(settings.node.vm)
     , session(this->hooks.newSession())
-    , socket(loop,
-             settings.listen.gossip,
-             MessageKey(settings.peers.siteKey),
-             [this](const Datagram &datagram) {
-                 this->receive(datagram);
-             })
-    , peerServer(loop, settings.listen.owner, securityOf(settings))
-    , peerClient(loop, securityOf(settings))
+    , socket(
+          loop,
+          settings.listen.gossip,
+          MessageKey(settings.peers.siteKey),
+          [this](const Datagram &datagram) {
+              this->receive(datagram);
+          },
+          &traffic)
+    , peerServer(loop, settings.listen.owner, securityOf(settings), &traffic)
+    , peerClient(loop, securityOf(settings), std::nullopt, &traffic)
     , reach(clock)
 {
     Membership::Options options;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibBase/TrafficMeter.h>
 #include <LibMembership/DutyHolder.h>
 #include <LibMembership/Membership.h>
 #include <LibMembership/StoreReach.h>
@@ -35,7 +36,9 @@
         std::function<SessionNumber()> newSession;
     };
 
-    PeerNetwork(EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, Hooks hooks);
+    /** @param traffic counts what is exchanged with other nodes */
+    PeerNetwork(
+        EventLoop &loop, const Clock &clock, RowStore &store, const Settings &settings, TrafficMeter &traffic, Hooks hooks);
     ~PeerNetwork();
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
