MemberTable: Count and digest the members with each change, not with each datagram

Cause: others() walked and collected all members, and each datagram asked it twice or more (how often to tell news, how long the interval is), each probe and each answer. isMinority() copied the names of all VMs for each view. Per node that is members x datagrams: at 984 the most of a node's processor time, on VMs of 0.12 cores. Change: the table keeps the count and the digests and changes them with the one member that changes; names of VMs are only compared while somebody is lost. Ruled out: one array in place of the map (views are built in the map's order; the copies are next, if they show).

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -31,7 +31,30 @@
 
 MemberTable::MemberTable(Member self, SteadyTime now) : self(self.session)
 {
-    this->known[this->self] = {std::move(self), now, true};
+    Entry &own = this->known[this->self];
+    own = {std::move(self), now, true};
+    this->recount(own);
+}
+
+void MemberTable::recount(Entry &entry)
+{
+    this->uncount(entry);
+    if (!isGone(entry.member)) {
+        // NOTE: Suspect counts as alive: it is on its way to one or the other, and each step would cost a comparison.
+        const std::uint64_t session = entry.member.session.value();
+        entry.weight = static_cast<std::uint32_t>(rendezvousWeight(session, entry.member.incarnation));
+        this->partDigests[session % parts] += *entry.weight;
+        ++this->presentCount;
+    }
+}
+
+void MemberTable::uncount(Entry &entry)
+{
+    if (entry.weight) {
+        this->partDigests[entry.member.session.value() % parts] -= *entry.weight;
+        --this->presentCount;
+        entry.weight.reset();
+    }
 }
 
 bool MemberTable::isNewer(const MemberNews &reported, const Member &known)
@@ -51,17 +74,18 @@
     Entry &entry = found->second;
     if (isNew) {
         entry = {reported, now, true};
-        this->digestChanged();
+        this->recount(entry);
         return MergeResult::Changed;
     }
     const bool wasDescribed = std::exchange(entry.isDescribed, true);
     if (!wasDescribed) {
         // Its state alone was known. That goes on to count: the description may come from one that has not heard.
         const MemberNews current = newsOf(entry.member);
+        this->uncount(entry);
         entry.member = reported;
         entry.member.incarnation = current.incarnation;
         entry.member.state = current.state;
-        this->digestChanged();
+        this->recount(entry);
     }
     const MergeResult result = this->merge(newsOf(reported), now);
     const MergeResult load = this->merge(loadOf(reported));
@@ -97,10 +121,10 @@
     }
     entry.member.incarnation = reported.incarnation;
     entry.member.state = reported.state;
+    this->recount(entry);
     entry.member.isLeaving = reported.isLeaving;
     entry.member.isReady = reported.isReady;
     entry.member.hasLostStore = reported.hasLostStore;
-    this->digestChanged();
     return MergeResult::Changed;
 }
 
@@ -134,18 +158,22 @@
 
 void MemberTable::ownChanged()
 {
-    this->digestChanged();
+    this->recount(this->known.at(this->self));
 }
 
 void MemberTable::renameOwn(SessionNumber next)
 {
     auto node = this->known.extract(this->self);
-    this->known.erase(next);
+    this->uncount(node.mapped());
+    if (const auto namesake = this->known.find(next); namesake != this->known.end()) {
+        this->uncount(namesake->second);
+        this->known.erase(namesake);
+    }
     node.key() = next;
     node.mapped().member.session = next;
     this->known.insert(std::move(node));
     this->self = next;
-    this->digestChanged();
+    this->ownChanged();
 }
 
 const MemberTable::Entry *MemberTable::find(SessionNumber session) const
@@ -170,26 +198,19 @@
     return members;
 }
 
-std::vector<std::uint32_t> MemberTable::digests() const
+std::size_t MemberTable::otherCount() const
+{
+    return this->presentCount - (this->known.at(this->self).weight ? 1 : 0);
+}
+
+const std::array<std::uint32_t, MemberTable::parts> &MemberTable::digests() const
 {
-    if (!std::exchange(this->isDigestCurrent, true)) {
-        this->partDigests.assign(parts, 0);
-        for (const auto &[session, entry] : this->known) {
-            if (isGone(entry.member)) {
-                continue;
-            }
-            // NOTE: Suspect counts as alive: it is on its way to one or the other, and each step would cost a comparison.
-            const std::uint64_t weight = rendezvousWeight(session.value(), entry.member.incarnation);
-            this->partDigests[session.value() % parts] += static_cast<std::uint32_t>(weight);
-        }
-    }
     return this->partDigests;
 }
 
 std::uint32_t MemberTable::digest() const
 {
-    const std::vector<std::uint32_t> all = this->digests();
-    return std::accumulate(all.begin(), all.end(), std::uint32_t(0));
+    return std::accumulate(this->partDigests.begin(), this->partDigests.end(), std::uint32_t(0));
 }
 
 void MemberTable::forget(SteadyTime before)
@@ -199,9 +220,4 @@
     });
 }
 
-void MemberTable::digestChanged()
-{
-    this->isDigestCurrent = false;
-}
-
 } // namespace Dogwoodkeel
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -3,10 +3,12 @@
 #include <LibBase/Clock.h>
 #include <LibWire/Generated/Messages.h>
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -40,6 +42,8 @@
         SteadyTime since{};
         /** Whether its addresses are known; not so for one that was first heard of when it was dead. */
         bool isDescribed = false;
+        /** Its part of the digests, if it is counted as present there. */
+        std::optional<std::uint32_t> weight{};
     };
 
     /** Parts of the digest, so that only members in parts that differ are sent. */
@@ -67,8 +71,11 @@
     /** @return the other members that are neither dead nor left. */
     std::vector<const Member *> others() const;
 
+    /** @return how many others() there are, without looking at them. */
+    std::size_t otherCount() const;
+
     /** @return digests of the parts. */
-    std::vector<std::uint32_t> digests() const;
+    const std::array<std::uint32_t, parts> &digests() const;
 
     /** @return digest of all members that are neither dead nor left. */
     std::uint32_t digest() const;
@@ -78,12 +85,15 @@
 
 private:
     static bool isNewer(const MemberNews &reported, const Member &known);
-    void digestChanged();
+    void recount(Entry &entry);
+    void uncount(Entry &entry);
 
     SessionNumber self;
     std::map<SessionNumber, Entry> known;
-    mutable std::vector<std::uint32_t> partDigests;
-    mutable bool isDigestCurrent = false;
+    /** Members that are neither dead nor left, this node among them. */
+    std::size_t presentCount = 0;
+    /** Of the members that are present; changed with each of them. */
+    std::array<std::uint32_t, parts> partDigests{};
 };
 
 /** @return whether a member is dead or left. */
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -99,7 +99,7 @@
     if (const SessionNumber target = this->nextTarget(); target.value() != 0) {
         this->probe(target);
     }
-    if (this->table.others().empty()) {
+    if (this->table.otherCount() == 0) {
         // The first word to the others may have been lost.
         this->contact(this->contacts);
     }
@@ -113,7 +113,7 @@
 
 std::chrono::milliseconds Membership::interval() const
 {
-    const auto nodes = static_cast<std::int64_t>(this->table.others().size() + 1);
+    const auto nodes = static_cast<std::int64_t>(this->table.otherCount() + 1);
     const auto stretched = this->options.probeInterval * nodes / static_cast<std::int64_t>(this->options.stretchFrom);
     const auto longest = std::max(this->options.probeInterval, this->options.longestProbeInterval);
     return std::clamp(stretched, this->options.probeInterval, longest) * this->health.factor();
@@ -126,7 +126,7 @@
 
 std::uint32_t Membership::tellings() const
 {
-    const std::size_t nodes = this->table.others().size() + 1;
+    const std::size_t nodes = this->table.otherCount() + 1;
     return std::max(fewestTellings, tellingsPerDoubling * static_cast<std::uint32_t>(std::bit_width(nodes)));
 }
 
@@ -161,7 +161,7 @@
 {
     // Where several others are known and none is heard, the fault is more likely here. If the silence lasts, they are gone.
     const auto silence = this->clock.now() - this->lastReceived;
-    const bool hasOthers = this->table.others().size() >= smallestTalk;
+    const bool hasOthers = this->table.otherCount() >= smallestTalk;
     return hasOthers && silence > this->interval() * 2 && !this->isAlone();
 }
 
@@ -256,7 +256,7 @@
     const Probe probe = found->second;
     this->probes.erase(found);
     this->health.failed();
-    const bool hasWitness = this->lastReceived >= probe.started || this->table.others().size() < smallestTalk;
+    const bool hasWitness = this->lastReceived >= probe.started || this->table.otherCount() < smallestTalk;
     if (hasWitness) {
         this->accuse(probe.target);
     } else if (this->isAlone()) {
@@ -461,7 +461,7 @@
 
 std::vector<MembersPush> Membership::answerTo(const MembersPull &pull) const
 {
-    const std::vector<std::uint32_t> digests = this->table.digests();
+    const auto &digests = this->table.digests();
     std::vector<MembersPush> pushes;
     MembersPush push{this->self, {}, {}};
     for (const auto &[session, entry] : this->table.entries()) {
@@ -528,9 +528,10 @@
     if (digest == this->table.digest() || now < this->nextPull) {
         return;
     }
-    const bool isJoining = this->table.others().size() < smallestTalk;
+    const bool isJoining = this->table.otherCount() < smallestTalk;
     this->nextPull = now + (isJoining ? this->options.probeTimeout : this->interval() * pullFactor);
-    this->hooks.sendPull(with, {this->self, this->table.digests()});
+    const auto &digests = this->table.digests();
+    this->hooks.sendPull(with, {this->self, {digests.begin(), digests.end()}});
 }
 
 void Membership::correct(SessionNumber session)
@@ -759,7 +760,7 @@
     if (isLoadNew || isVersionNew) {
         ++own.loadVersion;
         this->changed = true;
-        if (isLoadNew || this->table.others().size() < tellVersionsUpTo) {
+        if (isLoadNew || this->table.otherCount() < tellVersionsUpTo) {
             this->changedLoads.add(this->self);
         }
     }
@@ -844,6 +845,7 @@
     this->changed = false;
     this->published = this->clock.now();
     std::vector<Member> members;
+    members.reserve(this->table.otherCount() + 1);
     for (const auto &[session, entry] : this->table.entries()) {
         if (isGone(entry.member)) {
             continue;
@@ -877,23 +879,28 @@
 
 bool Membership::isMinority() const
 {
-    std::set<VmName> present;
-    std::size_t alive = 0;
-    std::size_t lost = 0;
+    const SteadyTime now = this->clock.now();
+    /** Sessions that were lost, by their VMs. */
+    std::map<VmName, std::size_t> lost;
     for (const auto &[session, entry] : this->table.entries()) {
-        if (!isGone(entry.member)) {
-            ++alive;
-            present.insert(entry.member.vm);
+        if (entry.member.state == MemberState::Dead && now - entry.since < lostFor) {
+            ++lost[entry.member.vm];
         }
     }
-    const SteadyTime now = this->clock.now();
+    // Mostly nobody is lost, and each new view asks.
+    if (lost.empty()) {
+        return false;
+    }
     for (const auto &[session, entry] : this->table.entries()) {
-        const bool isBack = !entry.member.vm.value().empty() && present.contains(entry.member.vm);
-        if (entry.member.state == MemberState::Dead && now - entry.since < lostFor && !isBack) {
-            ++lost;
+        if (!isGone(entry.member) && !entry.member.vm.value().empty()) {
+            lost.erase(entry.member.vm);
         }
     }
-    return lost > alive;
+    std::size_t count = 0;
+    for (const auto &[vm, sessions] : lost) {
+        count += sessions;
+    }
+    return count > this->table.otherCount() + (isGone(this->table.own()) ? 0 : 1);
 }
 
 MemberViewPointer Membership::view() const
@@ -903,7 +910,7 @@
 
 std::chrono::milliseconds Membership::spreadTime() const
 {
-    return this->interval() * std::bit_width(this->table.others().size() + 1);
+    return this->interval() * std::bit_width(this->table.otherCount() + 1);
 }
 
 bool Membership::hasHeardOthers() const
