--- /dev/null
+++ b/Libraries/LibGateway/RecentReplicas.cpp
@@ -0,0 +1,31 @@
+#include <LibGateway/RecentReplicas.h>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** A bound on memory, several times the connections to replicas that a node keeps. */
+constexpr std::size_t mostReplicas = 1024;
+
+} // namespace
+
+void RecentReplicas::note(const ServingReplica &replica)
+{
+    if (this->byAddress.insert_or_assign(replica.address, replica).second) {
+        this->order.push_back(replica.address);
+    }
+    if (this->order.size() > mostReplicas) {
+        this->byAddress.erase(this->order.front());
+        this->order.pop_front();
+    }
+}
+
+const ServingReplica *RecentReplicas::findAt(const Address &address) const
+{
+    const auto found = this->byAddress.find(address);
+    return found != this->byAddress.end() ? &found->second : nullptr;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -7,10 +7,7 @@
 namespace Dogwoodkeel
 {
 
-namespace
-{
-
-std::uint64_t hashOf(const ServingReplica &replica)
+std::uint64_t fingerprintOf(const ServingReplica &replica)
 {
     std::uint64_t hash = stableHash(replica.instance.value());
     for (const std::string &text : {replica.registeredName.value(),
@@ -23,8 +20,6 @@
     return hash;
 }
 
-} // namespace
-
 ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted)
     : clock(clock), lapsedKept(lapsedKept), restarted(std::move(restarted))
 {
@@ -93,12 +88,12 @@
     if (known != this->list.end() && known->second.service != replica.service) {
         this->erase(EndpointName(replica.instance));
     } else if (known != this->list.end()) {
-        this->hash ^= hashOf(known->second);
+        this->hash ^= fingerprintOf(known->second);
         this->byAddress.erase(known->second.address);
         this->byRegisteredName.erase(known->second.registeredName);
     }
     this->list.insert_or_assign(replica.instance, replica);
-    this->hash ^= hashOf(replica);
+    this->hash ^= fingerprintOf(replica);
     this->byAddress.insert_or_assign(replica.address, replica.instance);
     this->byRegisteredName.insert_or_assign(replica.registeredName, replica.instance);
     this->change(replica.instance);
@@ -111,7 +106,7 @@
         return;
     }
     const ServingReplica &replica = node.mapped();
-    this->hash ^= hashOf(replica);
+    this->hash ^= fingerprintOf(replica);
     this->byAddress.erase(replica.address);
     this->byRegisteredName.erase(replica.registeredName);
     this->lapsed.erase(replica.instance);
@@ -159,9 +154,9 @@
     const ServingReplica *const found = this->findRegistered(registeredName);
     if (found != nullptr && !found->isDraining) {
         ServingReplica &held = this->list.at(found->instance);
-        this->hash ^= hashOf(held);
+        this->hash ^= fingerprintOf(held);
         held.isDraining = true;
-        this->hash ^= hashOf(held);
+        this->hash ^= fingerprintOf(held);
         this->change(found->instance);
     }
 }
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -16,6 +16,9 @@
 namespace Dogwoodkeel
 {
 
+/** @return a hash of an entry; that of a list is the XOR of those of its entries. */
+std::uint64_t fingerprintOf(const ServingReplica &replica);
+
 /**
  * The replicas that the platform lists. While the platform is away, entries of replicas that live lapse, and they are back
  * a little after its return; so an entry that goes around an outage is kept for that time, or all requests would be refused
--- a/Libraries/LibMembership/ClaimedDuty.cpp
+++ b/Libraries/LibMembership/ClaimedDuty.cpp
@@ -49,6 +49,9 @@
  */
 constexpr std::chrono::milliseconds missingKept{3000};
 
+/** Several rounds of gossip: by then all have heard why a member gave the duty up. */
+constexpr std::chrono::milliseconds givenUpRetained{3000};
+
 auto rankOf(const DutyClaim &claim)
 {
     return std::tuple(claim.term, claim.holder);
@@ -99,6 +102,7 @@
     if (this->current && rankOf(claim) < rankOf(*this->current)) {
         return ReceiveOutcome::Outdated;
     }
+    this->noteGivenUp(claim);
     this->current = claim;
     this->receivedAt = this->clock.now();
     this->seenHolder.reset();
@@ -130,8 +134,11 @@
 
 const Member *ClaimedDuty::successor() const
 {
-    const std::optional<SessionNumber> holder = this->chosen != nullptr ? std::optional(this->chosen->session) : std::nullopt;
-    return dutyHolder(*this->members, this->key, holder);
+    std::set<SessionNumber> except = this->unableMembers();
+    if (this->chosen != nullptr) {
+        except.insert(this->chosen->session);
+    }
+    return dutyHolder(*this->members, this->key, DutyFor::Relays, except);
 }
 
 void ClaimedDuty::receiveSuspicion(const DutySuspicion &suspicion)
@@ -246,9 +253,31 @@
         return;
     }
     // A successor must reach the store now; whether it lost it for long does not matter yet.
-    const std::optional<SessionNumber> silent
-        = this->isSilent() && this->current ? std::optional(this->current->holder) : std::nullopt;
-    this->chosen = dutyHolder(*this->members, this->key, silent);
+    std::set<SessionNumber> except = this->unableMembers();
+    if (this->isSilent() && this->current) {
+        except.insert(this->current->holder);
+    }
+    this->chosen = dutyHolder(*this->members, this->key, DutyFor::Relays, except);
+}
+
+// Of two that can't go on, each may hold the other for able until it hears of it: they would name each other in turn.
+void ClaimedDuty::noteGivenUp(const DutyClaim &claim)
+{
+    const bool isNamedByHolder = this->current && claim.holder == this->self && this->current->holder != this->self;
+    if (isNamedByHolder) {
+        this->givenUp.insert_or_assign(this->current->holder, this->clock.now());
+    }
+}
+
+std::set<SessionNumber> ClaimedDuty::unableMembers() const
+{
+    std::set<SessionNumber> unable;
+    for (const auto &[session, when] : this->givenUp) {
+        if (this->clock.now() - when < givenUpRetained) {
+            unable.insert(session);
+        }
+    }
+    return unable;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibMembership/ClaimedDuty.h
+++ b/Libraries/LibMembership/ClaimedDuty.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Dogwoodkeel
@@ -80,6 +81,8 @@
 
 private:
     void choose();
+    void noteGivenUp(const DutyClaim &claim);
+    std::set<SessionNumber> unableMembers() const;
     const Member *findClaimed();
     bool mayKeep(const Member &claimed) const;
     bool isNew() const;
@@ -103,6 +106,8 @@
     /** Since when it is not among them any more, or when it last gave a sign of life after that. */
     std::optional<SteadyTime> holderMissed;
     const Member *chosen = nullptr;
+    /** Who gave the duty up lately, and when: they know that they can't have it before the others hear why. */
+    std::map<SessionNumber, SteadyTime> givenUp;
     /** Who got no answer of the holder, and when. */
     std::map<SessionNumber, SteadyTime> accusers;
     /** Since when the holder is suspected by enough of them. */
--- a/Libraries/LibMembership/DutyHolder.cpp
+++ b/Libraries/LibMembership/DutyHolder.cpp
@@ -1,8 +1,10 @@
 #include <LibMembership/DutyHolder.h>
 
 #include <LibBase/Hash.h>
+#include <LibMembership/RelayChoice.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -26,6 +28,28 @@
     return member.processorShare * 2 >= largest;
 }
 
+/** @return whether any failure domain has so many members that only its relays follow the tables. */
+bool needsRelays(const MemberView &view)
+{
+    std::map<FailureDomain, std::size_t> counts;
+    return std::ranges::any_of(view.members(), [&counts](const Member &member) {
+        return ++counts[member.failureDomain] > membersWithoutRelays;
+    });
+}
+
+bool isAnyRelay(const MemberView &view)
+{
+    return std::ranges::any_of(view.members(), [](const Member &member) {
+        return member.isRelay && takesDuties(member);
+    });
+}
+
+/** @return whether a duty that needs relays is one for relays only, in this view. */
+bool isForRelaysOnly(const MemberView &view)
+{
+    return isAnyRelay(view) || needsRelays(view);
+}
+
 } // namespace
 
 bool takesDuties(const Member &member)
@@ -33,18 +57,26 @@
     return member.isReady && !member.isLeaving;
 }
 
+bool isLargeEnough(const MemberView &view, const Member &member)
+{
+    return isLargeEnough(member, largestShare(view));
+}
+
 bool mayKeepDuty(const MemberView &view, const Member &member)
 {
-    return takesDuties(member) && !member.hasLostStore && isLargeEnough(member, largestShare(view));
+    const bool isEligible = member.isRelay || !isForRelaysOnly(view);
+    return isEligible && takesDuties(member) && !member.hasLostStore && isLargeEnough(view, member);
 }
 
-const Member *dutyHolder(const MemberView &view, std::uint64_t key, std::optional<SessionNumber> except)
+const Member *dutyHolder(const MemberView &view, std::uint64_t key, DutyFor who, const std::set<SessionNumber> &except)
 {
     const std::uint32_t largest = largestShare(view);
+    const bool isForRelays = who == DutyFor::Relays && isForRelaysOnly(view);
     const Member *holder = nullptr;
     std::pair<bool, std::uint64_t> best;
     for (const Member &member : view.members()) {
-        if (!takesDuties(member) || !isLargeEnough(member, largest) || member.session == except) {
+        const bool isEligible = member.isRelay || !isForRelays;
+        if (!isEligible || !takesDuties(member) || !isLargeEnough(member, largest) || except.contains(member.session)) {
             continue;
         }
         const std::pair weight(!member.hasLostStore, rendezvousWeight(key, member.session.value()));
@@ -56,9 +88,9 @@
     return holder;
 }
 
-bool hasDuty(const MemberView &view, SessionNumber session, std::uint64_t key)
+bool hasDuty(const MemberView &view, SessionNumber session, std::uint64_t key, DutyFor who)
 {
-    const Member *const holder = dutyHolder(view, key);
+    const Member *const holder = dutyHolder(view, key, who);
     return holder != nullptr && holder->session == session;
 }
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -21,7 +21,8 @@
             member.isLeaving,
             member.isReady,
             SessionNumber(0),
-            member.hasLostStore};
+            member.hasLostStore,
+            member.isRelay};
 }
 
 MemberLoad loadOf(const Member &member)
@@ -125,6 +126,7 @@
     entry.member.isLeaving = reported.isLeaving;
     entry.member.isReady = reported.isReady;
     entry.member.hasLostStore = reported.hasLostStore;
+    entry.member.isRelay = reported.isRelay;
     return MergeResult::Changed;
 }
 
--- a/Libraries/LibMembership/StoreReach.cpp
+++ b/Libraries/LibMembership/StoreReach.cpp
@@ -25,6 +25,11 @@
 {
     const SteadyTime now = this->clock.now();
     this->view = view;
+    // Where there are relays, only they follow the store and see whether it answers.
+    const bool hasRelays = std::ranges::any_of(view->members(), &Member::isRelay);
+    const auto watchers = std::ranges::count_if(view->members(), [hasRelays](const Member &member) {
+        return member.isRelay || member.hasLostStore || !hasRelays;
+    });
     std::map<SessionNumber, SteadyTime> lost;
     for (const Member &member : view->members()) {
         if (member.hasLostStore) {
@@ -33,7 +38,7 @@
         }
     }
     this->lostSince = std::move(lost);
-    const bool isCommon = this->lostSince.size() * 2 < view->members().size();
+    const bool isCommon = this->lostSince.size() * 2 < static_cast<std::size_t>(watchers);
     if (!isCommon) {
         this->commonSince.reset();
     } else if (!this->commonSince) {
--- a/Libraries/LibPlatform/RowStore.h
+++ b/Libraries/LibPlatform/RowStore.h
@@ -114,13 +114,12 @@
     RowVersion version = 0;
 };
 
-/** The platform's rows and objects. Answers come on the owning loop, never from inside the call. */
-class RowStore
+/** Tables that can be read and followed. Answers come on the owning loop, never from inside the call. */
+class RowFeed
 {
 public:
-    virtual ~RowStore() = default;
+    virtual ~RowFeed() = default;
 
-    virtual void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) = 0;
     virtual void read(RowRange range, std::function<void(RowRangeResult)> done) = 0;
 
     /**
@@ -130,6 +129,13 @@
     virtual void
     follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, std::function<void(FollowResult)> done)
         = 0;
+};
+
+/** The platform's rows and objects. */
+class RowStore : public RowFeed
+{
+public:
+    virtual void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) = 0;
 
     /** List parts of a table in order. @param after the last part of the answer before; empty: from the start */
     virtual void listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done) = 0;
--- /dev/null
+++ b/Libraries/LibPlatform/TableMirror.cpp
@@ -0,0 +1,114 @@
+#include <LibPlatform/TableMirror.h>
+
+#include <algorithm>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** A bound on memory; who follows without a pause misses none of so many removals. */
+constexpr std::size_t removalsRetained = 4096;
+
+} // namespace
+
+void TableMirror::replaceAll(const std::vector<StoredRow> &rows, RowVersion version)
+{
+    // Who follows through this node need not read anew: what went while the history was lost shows by what is there no more.
+    std::set<Key> present;
+    for (const StoredRow &row : rows) {
+        present.emplace(row.place.part, row.place.key);
+    }
+    std::vector<StoredRow> gone;
+    for (const auto &[key, row] : this->rows) {
+        if (!present.contains(key)) {
+            gone.push_back({row.place, {}, version, true});
+        }
+    }
+    if (this->latest == 0) {
+        this->historyFrom = version;
+    }
+    for (const StoredRow &row : gone) {
+        this->take(row);
+    }
+    for (const StoredRow &row : rows) {
+        this->take(row);
+    }
+    this->noteVersion(version);
+}
+
+void TableMirror::take(const StoredRow &row)
+{
+    const Key key(row.place.part, row.place.key);
+    const auto known = this->rows.find(key);
+    if (known != this->rows.end()) {
+        this->byVersion.erase({known->second.version, key});
+        this->rows.erase(known);
+    }
+    this->latest = std::max(this->latest, row.version);
+    if (!row.isRemoved) {
+        this->byVersion.emplace(row.version, key);
+        this->rows.emplace(key, row);
+        return;
+    }
+    this->removed.push_back(row);
+    if (this->removed.size() > removalsRetained) {
+        this->historyFrom = std::max(this->historyFrom, this->removed.front().version);
+        this->removed.pop_front();
+    }
+}
+
+void TableMirror::noteVersion(RowVersion version)
+{
+    this->latest = std::max(this->latest, version);
+}
+
+bool TableMirror::isRead() const
+{
+    return this->latest > 0;
+}
+
+RowVersion TableMirror::version() const
+{
+    return this->latest;
+}
+
+FollowResult TableMirror::changesSince(RowVersion since) const
+{
+    FollowResult result;
+    result.version = std::max(this->latest, since);
+    if (since < this->historyFrom) {
+        result.outcome = FollowOutcome::HistoryLost;
+        return result;
+    }
+    result.outcome = FollowOutcome::Followed;
+    const std::pair<RowVersion, Key> first(since + 1, Key());
+    for (auto changed = this->byVersion.lower_bound(first); changed != this->byVersion.end(); ++changed) {
+        result.rows.push_back(this->rows.at(changed->second));
+    }
+    for (const StoredRow &row : this->removed) {
+        if (row.version > since) {
+            result.rows.push_back(row);
+        }
+    }
+    std::ranges::sort(result.rows, {}, &StoredRow::version);
+    return result;
+}
+
+RowRangeResult TableMirror::read(const std::string &part, const std::string &from, std::size_t most) const
+{
+    RowRangeResult result;
+    result.outcome = ReadOutcome::Found;
+    result.version = this->latest;
+    for (auto row = this->rows.lower_bound(Key(part, from)); row != this->rows.end() && row->first.first == part; ++row) {
+        if (result.rows.size() == most) {
+            result.isTruncated = true;
+            break;
+        }
+        result.rows.push_back(row->second);
+    }
+    return result;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -421,6 +421,36 @@
     return value <= PlacementVerdict::Broken;
 }
 
+/** What a relay says to a node that follows a table through it. */
+enum class FeedOutcome : std::uint8_t {
+    /** The rows are enclosed, possibly none. */
+    Told,
+    /** What was removed since that version is not kept: the table has to be read anew. */
+    HistoryLost,
+    /** The node does not follow the table, or has not read it yet. */
+    NotRelay,
+};
+
+/** @return the value's name, for logs. */
+constexpr std::string_view toString(FeedOutcome value)
+{
+    switch (value) {
+    case FeedOutcome::Told:
+        return "Told";
+    case FeedOutcome::HistoryLost:
+        return "HistoryLost";
+    case FeedOutcome::NotRelay:
+        return "NotRelay";
+    }
+    return "invalid";
+}
+
+/** @return whether a decoded number is a value of the enum. */
+constexpr bool isValid(FeedOutcome value)
+{
+    return value <= FeedOutcome::NotRelay;
+}
+
 struct ClaimRequest;
 struct ClaimResponse;
 struct CommitRequest;
@@ -496,6 +526,9 @@
 struct StoreTransactRequest;
 struct StoreReadResponse;
 struct StoreReadRequest;
+struct FeedAnswer;
+struct FeedReadRequest;
+struct FeedFollowRequest;
 
 /** The whole answer to one request, as the caller gets it. */
 struct Answer
@@ -1026,6 +1059,8 @@
     bool hasLostStore = false;
     /** The processor that its VM has, in hundredths of a core; 0: not told. */
     std::uint32_t processorShare = 0;
+    /** Whether it follows the platform's tables for others and knows all replicas. */
+    bool isRelay = false;
 
     bool operator==(const Member &) const = default;
 
@@ -1051,7 +1086,8 @@
                 this->isReady,
                 Compact::field(this->started),
                 this->hasLostStore,
-                Compact::field(this->processorShare));
+                Compact::field(this->processorShare),
+                this->isRelay);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->state)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -1077,6 +1113,8 @@
     SessionNumber accuser;
     /** As in Member. */
     bool hasLostStore = false;
+    /** As in Member. */
+    bool isRelay = false;
 
     bool operator==(const MemberNews &) const = default;
 
@@ -1089,7 +1127,8 @@
                 this->isLeaving,
                 this->isReady,
                 Compact::field(this->accuser),
-                this->hasLostStore);
+                this->hasLostStore,
+                this->isRelay);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->state)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -1469,6 +1508,29 @@
     }
 };
 
+/** A row of a table that a relay follows, as it is or as it was removed. */
+struct FeedRow
+{
+    /** Its part. */
+    std::string part;
+    /** Its key. */
+    std::string key;
+    /** Its value. */
+    std::string value;
+    /** Its version. */
+    std::uint64_t version = 0;
+    /** Whether it is gone. */
+    bool isRemoved = false;
+
+    bool operator==(const FeedRow &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->part, this->key, this->value, this->version, this->isRemoved);
+    }
+};
+
 /** A node asks the owner of a request whether it shall run it. */
 struct ClaimRequest
 {
@@ -2612,13 +2674,18 @@
     EndpointName replica;
     /** Of Refused: after which there is room. */
     std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0);
+    /** Of Placed: where that replica takes requests. */
+    Address address;
+    /** Of Placed: the name under which it registers itself. */
+    EndpointName registeredName;
 
     bool operator==(const PlacementAnswer &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->ticket, this->service, this->decision, this->replica, this->retryAfter);
+        archive(
+            this->ticket, this->service, this->decision, this->replica, this->retryAfter, this->address, this->registeredName);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->decision)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -2898,15 +2965,19 @@
     std::uint64_t version = 0;
     /** Hash of the list. */
     std::uint64_t fingerprint = 0;
-    /** The list; empty if the asking node has the same. */
+    /** The list, unless the asking node has it. */
     std::vector<ReplicaRecord> replicas;
+    /** Whether it is the list of all replicas, or a set that was chosen for the asking node. */
+    bool isWhole = false;
+    /** Whether the asking node had the same list when it asked, which is not enclosed then. */
+    bool isSame = false;
 
     bool operator==(const ReplicaRecords &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->isKnown, this->age, this->version, this->fingerprint, this->replicas);
+        archive(this->isKnown, this->age, this->version, this->fingerprint, this->replicas, this->isWhole, this->isSame);
     }
 };
 
@@ -2919,13 +2990,17 @@
     SessionNumber from;
     /** Hash of the list that it has; 0: none. */
     std::uint64_t fingerprint = 0;
+    /** How many replicas of each service it wants to know; 0: all. */
+    std::uint32_t mostOfService = 0;
+    /** Where it is: replicas there are told before others. */
+    FailureDomain failureDomain;
 
     bool operator==(const ReplicaRecordsRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->fingerprint);
+        archive(this->from, this->fingerprint, this->mostOfService, this->failureDomain);
     }
 };
 
@@ -3049,6 +3124,73 @@
     }
 };
 
+/** Rows of a table that a relay follows. */
+struct FeedAnswer
+{
+    static constexpr MessageNumber number{149};
+    /** Whether it could answer. */
+    FeedOutcome outcome = FeedOutcome::Told;
+    /** The changes in their order, or a part of the table in the order of its keys. */
+    std::vector<FeedRow> rows;
+    /** Of the table: what came later is not enclosed. */
+    std::uint64_t version = 0;
+    /** Of a reading: whether there are more rows. */
+    bool isTruncated = false;
+
+    bool operator==(const FeedAnswer &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->outcome, this->rows, this->version, this->isTruncated);
+        if constexpr (Archive::is_loading::value) {
+            if (!isValid(this->outcome)) {
+                throw cereal::Exception("a number is no value of its enum");
+            }
+        }
+    }
+};
+
+/** Asks a relay for a table. */
+struct FeedReadRequest
+{
+    static constexpr MessageNumber number{150};
+    using Response = FeedAnswer;
+    /** The table. */
+    std::string table;
+    /** The first key. */
+    std::string from;
+
+    bool operator==(const FeedReadRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->table, this->from);
+    }
+};
+
+/** Asks a relay for the changes of a table; answered as soon as there is one. */
+struct FeedFollowRequest
+{
+    static constexpr MessageNumber number{151};
+    using Response = FeedAnswer;
+    /** The table. */
+    std::string table;
+    /** The version behind which the changes are wanted. */
+    std::uint64_t since = 0;
+    /** How long to wait for one. */
+    std::chrono::milliseconds wait = std::chrono::milliseconds(0);
+
+    bool operator==(const FeedFollowRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->table, this->since, this->wait);
+    }
+};
+
 /** @return the name of a message, for logs and metrics. */
 constexpr std::string_view messageName(MessageNumber number)
 {
@@ -3203,6 +3345,12 @@
         return "StoreReadResponse";
     case 139:
         return "StoreReadRequest";
+    case 149:
+        return "FeedAnswer";
+    case 150:
+        return "FeedReadRequest";
+    case 151:
+        return "FeedFollowRequest";
     default:
         return "unknown";
     }
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -26,7 +26,7 @@
 
 ConfigurationFollower::ConfigurationFollower(EventLoop &loop,
                                              const Clock &clock,
-                                             RowStore &store,
+                                             RowFeed &store,
                                              PeerNetwork &peers,
                                              std::chrono::milliseconds storeWait,
                                              Format format,
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -34,7 +34,7 @@
 
     ConfigurationFollower(EventLoop &loop,
                           const Clock &clock,
-                          RowStore &store,
+                          RowFeed &store,
                           PeerNetwork &peers,
                           std::chrono::milliseconds storeWait,
                           Format format,
--- a/Services/Gateway/DutyKeeper.cpp
+++ b/Services/Gateway/DutyKeeper.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Log.h>
 #include <LibWire/Codec.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -63,6 +64,13 @@
     return followed != nullptr && followed->duty->claim() && followed->duty->claim()->holder == this->peers.self();
 }
 
+bool DutyKeeper::isAnyClaimedHere() const
+{
+    return std::ranges::any_of(this->duties, [this](const auto &followed) {
+        return this->isClaimedHere(followed.first);
+    });
+}
+
 bool DutyKeeper::isClaimed(const std::string &duty) const
 {
     const Followed *const followed = this->find(duty);
--- a/Services/Gateway/DutyKeeper.h
+++ b/Services/Gateway/DutyKeeper.h
@@ -46,6 +46,9 @@
     /** @return whether this node has a duty by a claim, and not only because nobody has told of one. */
     bool isClaimedHere(const std::string &duty) const;
 
+    /** @return whether this node has any duty by a claim. */
+    bool isAnyClaimedHere() const;
+
     /** @return whether any claim of a duty is known. */
     bool isClaimed(const std::string &duty) const;
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds graceMargin{700};
 /** Told to who asks for addresses while there are none: a node is ready again about so long after its start. */
 constexpr std::chrono::milliseconds unknownPause{300};
+/** A node that has heard no relay for so long follows the tables itself. A relay that is lost is replaced sooner. */
+constexpr std::chrono::milliseconds forsakenTime{3000};
+
 /** How often the traffic since the start is logged, a line a kind: often enough to see what grew, and rare beside other lines. */
 constexpr std::chrono::seconds trafficInterval{30};
 
@@ -85,14 +88,24 @@
                  },
              .newSession = newSession})
     , duties(clock, this->peers)
-    , placements(loop, clock, this->peers, this->duties, FailureDomain(settings->node.failureDomain))
+    , placements(loop,
+                 clock,
+                 this->peers,
+                 this->duties,
+                 FailureDomain(settings->node.failureDomain),
+                 [this](const EndpointName &instance) {
+                     return this->listed.find(instance);
+                 })
     , quotas(clock, this->peers, this->duties, quotaBounds(settings->gateway))
+    , relayRole(clock)
+    , relays(clock)
     , listed(loop,
              clock,
              this->store,
              this->peers,
+             this->relays,
              {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
-             {replicaTable, &decodeReplica},
+             {replicaTable, &decodeReplica, &randomReplicaKey},
              {.changed =
                   [this](const ReplicaChanges &changes) {
                       this->takeReplicas(changes);
@@ -105,10 +118,16 @@
               .storeReached =
                   [this](bool isReached) {
                       this->takeStoreReach(isReached);
+                  },
+              .relaySilent =
+                  [this](SessionNumber relay) {
+                      this->takeSilentRelay(relay);
                   }})
+    , tableRelay(loop, this->store, {{configurationTable, JobRows::openTable}, settings->gateway.storeWait, this->random()})
+    , feed(loop, this->store, this->peers, this->tableRelay, this->relays)
     , configuration(loop,
                     clock,
-                    this->store,
+                    this->feed,
                     this->peers,
                     settings->gateway.storeWait,
                     {configurationTable, configurationKey, &decodeConfiguration},
@@ -152,7 +171,7 @@
               });
           })
     , runners(this->context,
-              this->store,
+              this->feed,
               this->jobs,
               this->peers,
               settings->gateway.storeWait,
@@ -197,6 +216,7 @@
         this->handleMetrics(exchange);
     })
 {
+    this->tableRelay.serve(this->peers.server());
     this->isComplete = true;
     this->takeView(this->peers.dutyView());
     this->tick();
@@ -227,6 +247,26 @@
     return static_cast<std::size_t>(std::ranges::count(this->peers.view()->members(), true, &Member::isReady));
 }
 
+SessionNumber Gateway::session() const
+{
+    return this->peers.self();
+}
+
+bool Gateway::isServingAsRelay() const
+{
+    return this->isRelay;
+}
+
+std::size_t Gateway::knownReplicas() const
+{
+    return this->listed.count();
+}
+
+std::uint64_t Gateway::configurationVersion() const
+{
+    return this->configuration.version();
+}
+
 MemberViewPointer Gateway::dutyView() const
 {
     return this->peers.dutyView();
@@ -256,6 +296,8 @@
     if (std::exchange(this->memberCount, view->members().size()) != view->members().size()) {
         log(LogLevel::Info, "members changed", {{"members", static_cast<std::int64_t>(view->members().size())}});
     }
+    this->relays.update(this->peers.view(), this->peers.self());
+    this->relayRole.update(*view, this->peers.self());
     this->duties.setView(view);
     this->placements.setView(view);
     this->quotas.setView(view);
@@ -264,6 +306,7 @@
 
 void Gateway::tick()
 {
+    this->updateRelayRole();
     this->duties.tick();
     this->quotas.tick();
     this->placements.tick();
@@ -272,6 +315,39 @@
     });
 }
 
+void Gateway::updateRelayRole()
+{
+    const SteadyTime now = this->clock.now();
+    // Whoever hears others is not cut off: lost relays are replaced, and all nodes at once would read all tables.
+    if (!this->relays.isForsaken() || this->peers.isInTouch()) {
+        this->forsakenSince.reset();
+    } else if (now - this->forsakenSince.value_or(now) >= forsakenTime) {
+        this->relayRole.noteAlone();
+    } else {
+        this->forsakenSince = this->forsakenSince.value_or(now);
+    }
+    RelayRole::Use use = RelayRole::Use::None;
+    if (this->isRelay) {
+        use = this->duties.isAnyClaimedHere() ? RelayRole::Use::OnDuty : RelayRole::Use::Serving;
+    }
+    const bool isActive = this->relayRole.isRelay(use);
+    this->listed.setRelay(isActive);
+    this->tableRelay.setActive(isActive);
+    this->peers.followNodes(isActive);
+    const bool isRelayNow = isActive && this->listed.isWhole();
+    if (std::exchange(this->isRelay, isRelayNow) != isRelayNow) {
+        this->peers.setRelay(isRelayNow);
+    }
+}
+
+void Gateway::takeSilentRelay(SessionNumber relay)
+{
+    this->relays.noteSilent(relay);
+    // What was asked of it before waits in vain.
+    this->configuration.hurry();
+    this->runners.hurry();
+}
+
 void Gateway::logTraffic()
 {
     for (const auto &[kind, total] : this->traffic.totals()) {
@@ -363,6 +439,7 @@
 {
     if (this->isComplete && isReached) {
         // What was asked before may wait on connections that the outage has left dead.
+        this->tableRelay.hurry();
         this->configuration.hurry();
         this->runners.hurry();
         this->peers.hurry();
@@ -462,6 +539,8 @@
         this->metrics.setTraffic(kind, total);
     }
     this->metrics.setGauge("replicas_restarted", static_cast<double>(this->replicasRestarted));
+    this->metrics.setGauge("replicas_known", static_cast<double>(this->listed.count()));
+    this->metrics.setGauge("is_relay", this->isRelay ? 1 : 0);
     this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->listed.unreadableEntries()));
     this->metrics.setGauge("events_given_up", static_cast<double>(eventsGivenUp()));
     this->metrics.setGauge("members", static_cast<double>(this->peers.view()->members().size()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -3,6 +3,8 @@
 #include <LibBase/Clock.h>
 #include <LibBase/TrafficMeter.h>
 #include <LibGateway/CrashMemory.h>
+#include <LibMembership/RelayPicker.h>
+#include <LibMembership/RelayRole.h>
 #include <LibProxy/CallerServer.h>
 #include <LibProxy/OutboundPool.h>
 #include <LibSettings/SettingsHandle.h>
@@ -19,8 +21,10 @@
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/PlacementClient.h>
 #include <Services/Gateway/QuotaService.h>
+#include <Services/Gateway/RelayedFeed.h>
 #include <Services/Gateway/RelayedStore.h>
 #include <Services/Gateway/ReplicaFollower.h>
+#include <Services/Gateway/TableRelay.h>
 #include <platform/PlatformStore.h>
 
 #include <functional>
@@ -64,6 +68,18 @@
     /** @return how many of them take callers. */
     std::size_t readyMembers() const;
 
+    /** @return the number of this start of the node. */
+    SessionNumber session() const;
+
+    /** @return whether this node follows the store's tables for others. */
+    bool isServingAsRelay() const;
+
+    /** @return how many replicas this node knows. */
+    std::size_t knownReplicas() const;
+
+    /** @return the version of the configuration in force here; 0: none. */
+    std::uint64_t configurationVersion() const;
+
     /** @return the members by which duties are given. */
     MemberViewPointer dutyView() const;
 
@@ -84,6 +100,8 @@
     void followServices(const ServingConfiguration *before, const ServingConfiguration &current);
     void takeStoreReach(bool isReached);
     std::vector<DispatchReplica> replicasOf(const Service &service) const;
+    void updateRelayRole();
+    void takeSilentRelay(SessionNumber relay);
     void updateReadiness();
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
@@ -102,6 +120,10 @@
     /** Whether all parts are made. */
     bool isComplete = false;
     bool isReady = false;
+    /** Whether the others are told that this node is a relay. */
+    bool isRelay = false;
+    /** Since when no relay has answered. */
+    std::optional<SteadyTime> forsakenSince;
     std::size_t memberCount = 0;
     /** By which the services are known to the parts. */
     ServingConfigurationPointer followed;
@@ -124,7 +146,11 @@
     DutyKeeper duties;
     PlacementClient placements;
     QuotaService quotas;
+    RelayRole relayRole;
+    RelayPicker relays;
     ReplicaFollower listed;
+    TableRelay tableRelay;
+    RelayedFeed feed;
     ConfigurationFollower configuration;
     GatewayContext context;
     RelayedStore relayedStore;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -140,9 +140,9 @@
         this->askLater();
         return;
     }
-    const ServingReplica *const found = this->context.listed.find(placement.replica);
+    const std::optional<ServingReplica> found = this->context.listed.resolve(placedReplica(placement, this->target.service));
     const std::optional<Target> current = this->hooks.target();
-    if (found == nullptr || found->isDraining || !current || current->service != this->target.service) {
+    if (!found || !current || current->service != this->target.service) {
         this->goOn(PlacementVerdict::Finished, "the replica is leaving or not listed any more, or the route has moved");
         return;
     }
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -21,27 +21,39 @@
 constexpr std::chrono::milliseconds changesPace{3000};
 constexpr std::chrono::milliseconds hurryDelay{100};
 constexpr std::chrono::milliseconds settleLook{50};
+constexpr std::chrono::milliseconds considerInterval{1000};
+/** Several times as long as a change of a job takes to come here. */
+constexpr std::chrono::seconds followedAfterRuns{15};
 
 } // namespace
 
 JobRunners::JobRunners(GatewayContext &context,
-                       RowStore &rows,
+                       RowFeed &rows,
                        JobStore &store,
                        PeerNetwork &peers,
                        std::chrono::milliseconds storeWait,
                        std::function<ServingConfigurationPointer()> configuration)
     : context(context)
+    , rows(rows)
     , store(store)
     , peers(peers)
+    , storeWait(storeWait)
     , configuration(std::move(configuration))
     , view(peers.dutyView())
     , settling(context.clock)
+    , lastBusy(context.clock.now())
 {
-    this->follower.emplace(context.loop,
-                           rows,
-                           stableHash(JobRows::openTable) ^ peers.self().value(),
+    this->followOpenJobs();
+    this->considerFollowing();
+}
+
+void JobRunners::followOpenJobs()
+{
+    this->follower.emplace(this->context.loop,
+                           this->rows,
+                           stableHash(JobRows::openTable) ^ this->peers.self().value(),
                            TableFollower::Options{JobRows::openTable,
-                                                  [storeWait] {
+                                                  [storeWait = this->storeWait] {
                                                       return storeWait;
                                                   },
                                                   changesPace},
@@ -57,11 +69,35 @@
                            });
 }
 
+// Only who runs a job, or may take one over, has to know which are open. Were all to know, each change of a job would go to every
+// node.
+void JobRunners::considerFollowing()
+{
+    const Member *const own = this->view->find(this->peers.self());
+    const bool mayTakeOver = own == nullptr || !own->isReady || isLargeEnough(*this->view, *own);
+    const SteadyTime now = this->context.clock.now();
+    // A row that names this node may still be on its way when its last run has ended, and then nobody else runs that job.
+    const bool isBusy = !this->runs.empty() || now - this->lastBusy < followedAfterRuns;
+    if (!this->runs.empty()) {
+        this->lastBusy = now;
+    }
+    if (!mayTakeOver && !isBusy && this->follower) {
+        this->follower.reset();
+        this->open.clear();
+    } else if (mayTakeOver && !this->follower) {
+        this->followOpenJobs();
+    }
+    this->considerTimer = this->context.loop.schedule(considerInterval, [this] {
+        this->considerFollowing();
+    });
+}
+
 JobRunners::~JobRunners()
 {
     *this->alive = false;
     this->context.loop.cancel(this->hurryTimer);
     this->context.loop.cancel(this->settleTimer);
+    this->context.loop.cancel(this->considerTimer);
     this->stopAll();
 }
 
@@ -155,6 +191,10 @@
                 });
             },
     };
+    if (!this->follower) {
+        this->followOpenJobs();
+    }
+    this->lastBusy = this->context.clock.now();
     const auto run = std::make_shared<JobRun>(this->context, this->store, job, std::move(hooks));
     this->runs.emplace(job, run);
     run->start(origin);
@@ -188,7 +228,7 @@
         // Where many go at once, the deaths are heard one by one.
         this->hurryTimer = this->context.loop.schedule(hurryDelay, [this] {
             this->hurryTimer = 0;
-            this->follower->hurry();
+            this->hurry();
         });
     }
     this->settling.update(*view);
@@ -221,7 +261,9 @@
 
 void JobRunners::hurry()
 {
-    this->follower->hurry();
+    if (this->follower) {
+        this->follower->hurry();
+    }
 }
 
 void JobRunners::takeAccepted(const JobId &job)
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -18,9 +18,12 @@
 class JobRunners
 {
 public:
-    /** @param configuration gives the configuration in force, or null */
+    /**
+     * @param rows by which the open jobs are followed
+     * @param configuration gives the configuration in force, or null
+     */
     JobRunners(GatewayContext &context,
-               RowStore &rows,
+               RowFeed &rows,
                JobStore &store,
                PeerNetwork &peers,
                std::chrono::milliseconds storeWait,
@@ -48,6 +51,8 @@
     void stopAll();
 
 private:
+    void followOpenJobs();
+    void considerFollowing();
     void takeAll(const std::vector<StoredRow> &rows);
     void takeChange(const StoredRow &row);
     void decide(const JobId &job);
@@ -59,8 +64,10 @@
     std::optional<ItemAttempt::Target> targetOf(const JobHead &job, const std::string &target) const;
 
     GatewayContext &context;
+    RowFeed &rows;
     JobStore &store;
     PeerNetwork &peers;
+    std::chrono::milliseconds storeWait;
     std::function<ServingConfigurationPointer()> configuration;
     MemberViewPointer view;
     std::map<JobId, OpenJob> open;
@@ -70,7 +77,10 @@
     std::optional<TableFollower> follower;
     TimerId hurryTimer = 0;
     TimerId settleTimer = 0;
+    TimerId considerTimer = 0;
     ViewSettling settling;
+    /** When this node last ran a job, as far as was looked. */
+    SteadyTime lastBusy;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -198,8 +198,8 @@
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
     this->isOwnChoice = placement.isOwnChoice;
     this->listAge = this->context.listed.age();
-    const ServingReplica *const found = this->context.listed.find(placement.replica);
-    if (found == nullptr || found->isDraining) {
+    const std::optional<ServingReplica> found = this->context.listed.resolve(placedReplica(placement, this->service));
+    if (!found) {
         this->avoided.push_back(placement.replica);
         this->retryUnrun(PlacementVerdict::Finished, "the replica is not listed any more, or is leaving");
         return;
@@ -375,6 +375,7 @@
 void OnlineCall::retryUnrun(PlacementVerdict verdict, std::string_view reason)
 {
     const bool wasSent = this->replica.has_value();
+    this->context.metrics.countEvent("request was not run at its place");
     this->leaveReplica(verdict);
     this->attempts -= wasSent ? 1 : 0;
     log(LogLevel::Info,
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -25,6 +25,9 @@
 /** A row of a node that nobody sees is removed after this look and the next: a node that died cannot do so itself. */
 constexpr std::chrono::seconds cleanInterval{20};
 constexpr std::chrono::milliseconds nodesPace{500};
+/** How often a node that knows no other one looks for some, and for how many at once. */
+constexpr std::chrono::milliseconds aloneLook{1000};
+constexpr std::size_t nodesAtOnce = 16;
 /** How often it is looked whether a member's loss of the store has stood for long enough to count; short against that time. */
 constexpr std::chrono::milliseconds reachLook{250};
 /** Nodes come and go rarely, and gossip tells of it much faster: the table only brings those together who never met. */
@@ -97,24 +100,7 @@
     this->membership->start(this->seeds);
     this->watchReach();
     this->announce();
-    this->nodes.emplace(loop,
-                        store,
-                        seed,
-                        TableFollower::Options{nodeTable,
-                                               [] {
-                                                   return nodesWait;
-                                               },
-                                               nodesPace},
-                        TableFollower::Hooks{
-                            .onAll =
-                                [this](const std::vector<StoredRow> &rows) {
-                                    this->takeNodes(rows);
-                                },
-                            .onChange =
-                                [this](const StoredRow &row) {
-                                    this->takeNode(row);
-                                },
-                        });
+    this->lookForOthers();
     this->cleanTimer = loop.schedule(cleanInterval, [this] {
         this->removeStaleRows();
     });
@@ -126,6 +112,7 @@
     this->loop.cancel(this->announceTimer);
     this->loop.cancel(this->cleanTimer);
     this->loop.cancel(this->reachTimer);
+    this->loop.cancel(this->lookTimer);
 }
 
 Member PeerNetwork::makeMember(const Settings &settings) const
@@ -229,6 +216,13 @@
     });
 }
 
+void PeerNetwork::setRelay(bool isRelay)
+{
+    this->membership->update([isRelay](Member &member) {
+        member.isRelay = isRelay;
+    });
+}
+
 void PeerNetwork::setConfigurationVersion(std::uint64_t version)
 {
     this->membership->update([version](Member &member) {
@@ -278,7 +272,66 @@
 
 void PeerNetwork::hurry()
 {
-    this->nodes->hurry();
+    if (this->nodes) {
+        this->nodes->hurry();
+    }
+}
+
+void PeerNetwork::followNodes(bool isFollowing)
+{
+    if (isFollowing == this->nodes.has_value()) {
+        return;
+    }
+    if (!isFollowing) {
+        this->nodes.reset();
+        this->known.clear();
+        return;
+    }
+    this->nodes.emplace(this->loop,
+                        this->store,
+                        stableHash(this->rowKey()),
+                        TableFollower::Options{nodeTable,
+                                               [] {
+                                                   return nodesWait;
+                                               },
+                                               nodesPace},
+                        TableFollower::Hooks{
+                            .onAll =
+                                [this](const std::vector<StoredRow> &rows) {
+                                    this->takeNodes(rows);
+                                },
+                            .onChange =
+                                [this](const StoredRow &row) {
+                                    this->takeNode(row);
+                                },
+                        });
+}
+
+// The seeds may be stale or down. A few other nodes are enough: gossip tells of the rest.
+void PeerNetwork::lookForOthers()
+{
+    if (!this->nodes && !this->hasLeft && this->view()->members().size() < 2) {
+        this->readSomeNodes(this->rowKey(), {});
+    }
+    this->lookTimer = this->loop.schedule(aloneLook, [this] {
+        this->lookForOthers();
+    });
+}
+
+void PeerNetwork::readSomeNodes(const std::string &from, const std::string &to)
+{
+    const RowRange range{nodeTable, "", from, to, nodesAtOnce};
+    this->store.read(range, [this, alive = this->alive, from](const RowRangeResult &result) {
+        if (!*alive || result.outcome != ReadOutcome::Found) {
+            return;
+        }
+        for (const StoredRow &row : result.rows) {
+            this->takeNode(row);
+        }
+        if (result.rows.size() < nodesAtOnce && !from.empty()) {
+            this->readSomeNodes({}, from);
+        }
+    });
 }
 
 SteadyTime PeerNetwork::lastReceived() const
@@ -332,7 +385,9 @@
         log(LogLevel::Warning, "unreadable node row", {{"key", row.place.key}});
         return;
     }
-    this->known.insert_or_assign(row.place.key, *record);
+    if (this->nodes) {
+        this->known.insert_or_assign(row.place.key, *record);
+    }
     const bool isNamesake = record->session == this->session && record->gossip != this->socket.address();
     if (isNamesake) {
         log(LogLevel::Warning, "another node has the same session number", {{"key", row.place.key}});
@@ -347,7 +402,7 @@
 {
     // One node cleans: the one that would also have any other duty of this name.
     const MemberView &view = *this->duties;
-    if (hasDuty(view, this->session, stableHash(nodeTable)) && !view.isMinority()) {
+    if (hasDuty(view, this->session, stableHash(nodeTable), DutyFor::Relays) && !view.isMinority()) {
         RowTransaction removal;
         std::vector<Address> strangers;
         for (const auto &[key, record] : this->known) {
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -56,6 +56,12 @@
     /** @return whether others have been heard within the time in which each node hears several. */
     bool isInTouch() const;
 
+    /** Tell the others whether this node follows the store's tables for them. */
+    void setRelay(bool isRelay);
+
+    /** Begin or end to follow the table of nodes, by which nodes that never met find each other. */
+    void followNodes(bool isFollowing);
+
     /** Ask the store anew which nodes there are. */
     void hurry();
 
@@ -81,6 +87,8 @@
     void removeRow();
     void renewSession();
     std::string rowKey() const;
+    void lookForOthers();
+    void readSomeNodes(const std::string &from, const std::string &to);
     void takeNodes(const std::vector<StoredRow> &rows);
     void takeNode(const StoredRow &row);
     void removeStaleRows();
@@ -109,6 +117,7 @@
     bool hasLeft = false;
     TimerId announceTimer = 0;
     TimerId cleanTimer = 0;
+    TimerId lookTimer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -35,7 +35,12 @@
 
 } // namespace
 
-PlacementClient::PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own)
+PlacementClient::PlacementClient(EventLoop &loop,
+                                 const Clock &clock,
+                                 PeerNetwork &peers,
+                                 DutyKeeper &duties,
+                                 FailureDomain own,
+                                 PlacementServer::Describe describe)
     : loop(loop)
     , clock(clock)
     , peers(peers)
@@ -51,7 +56,8 @@
               .moved =
                   [this](const ServiceName &service) {
                       this->takeDispatcher(service);
-                  }})
+                  },
+              .describe = std::move(describe)})
 {
 }
 
@@ -147,7 +153,7 @@
         const auto found = *alive ? this->tickets.find(ticket) : this->tickets.end();
         if (*alive && found != this->tickets.end()) {
             const Decided decided = found->second.decided;
-            decided({PlacementDecision::Placed, instance, {}, true});
+            decided({.decision = PlacementDecision::Placed, .replica = instance, .isOwnChoice = true});
         }
     });
 }
@@ -217,17 +223,21 @@
     case PlacementDecision::Placed:
         if (!asked.replica) {
             asked.replica = answer.replica;
-            this->decide(answer.ticket, {PlacementDecision::Placed, answer.replica, {}});
+            this->decide(answer.ticket,
+                         {.decision = PlacementDecision::Placed,
+                          .replica = answer.replica,
+                          .registeredName = answer.registeredName,
+                          .address = answer.address});
         }
         return;
     case PlacementDecision::Refused:
         if (!asked.replica) {
-            this->decide(answer.ticket, {PlacementDecision::Refused, {}, answer.retryAfter});
+            this->decide(answer.ticket, {.decision = PlacementDecision::Refused, .retryAfter = answer.retryAfter});
         }
         return;
     case PlacementDecision::Stopped:
         if (asked.replica) {
-            this->decide(answer.ticket, {PlacementDecision::Stopped, {}, {}});
+            this->decide(answer.ticket, {.decision = PlacementDecision::Stopped});
         }
         return;
     }
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -25,6 +25,9 @@
     PlacementDecision decision = PlacementDecision::Placed;
     /** With Placed. */
     EndpointName replica;
+    /** With Placed, where a dispatcher gave the place: of that replica, which this node may not know. */
+    EndpointName registeredName{};
+    Address address{};
     /** With Refused. */
     std::chrono::milliseconds retryAfter{0};
     /** Whether this node chose by its own counts, because it heard of no dispatcher. */
@@ -50,7 +53,13 @@
     /** Told Placed or Refused once; and Stopped after Placed if a batch item has to make room. */
     using Decided = std::function<void(const Placement &)>;
 
-    PlacementClient(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, FailureDomain own);
+    /** @param describe see PlacementServer::Hooks */
+    PlacementClient(EventLoop &loop,
+                    const Clock &clock,
+                    PeerNetwork &peers,
+                    DutyKeeper &duties,
+                    FailureDomain own,
+                    PlacementServer::Describe describe);
     ~PlacementClient();
     PlacementClient(const PlacementClient &) = delete;
     PlacementClient &operator=(const PlacementClient &) = delete;
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/Dispatcher.h>
 #include <LibGateway/ServingConfiguration.h>
+#include <LibGateway/ServingReplica.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
 #include <Services/Gateway/DutyKeeper.h>
@@ -27,12 +28,16 @@
 class PlacementServer
 {
 public:
+    /** @return the replica of an instance, which whoever gets a place there is told of, or null if it is not known. */
+    using Describe = std::function<const ServingReplica *(const EndpointName &)>;
+
     struct Hooks
     {
         /** Told of answers to this node itself; never from inside a call. */
         std::function<void(const PlacementAnswer &)> answerOwn;
         /** Another node dispatches a service now. */
         std::function<void(const ServiceName &)> moved;
+        Describe describe;
     };
 
     PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, DutyKeeper &duties, Hooks hooks);
@@ -100,6 +105,7 @@
     bool passOn(const Message &message);
     Dispatcher *findDispatcher(const ServiceName &service);
     Dispatcher &dispatcherFor(const ServiceName &service);
+    void answerPlaced(const ServiceName &service, TicketId id, const EndpointName &instance);
     void answer(const ServiceName &service, TicketId id, const PlacementAnswer &answer);
 
     EventLoop &loop;
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -188,11 +188,13 @@
 std::vector<Address> RelayedStore::relays()
 {
     const MemberViewPointer view = this->peers.view();
+    // Where only some members follow the store, only they know whether they reach it.
+    const bool hasRelays = std::ranges::any_of(view->members(), &Member::isRelay);
     std::vector<Address> found;
     for (std::size_t tries = 0; tries < mostRelays; ++tries) {
-        const Member *const reaching = randomMember(*view, this->random, [this, &found](const Member &member) {
-            return member.session != this->peers.self() && member.isReady && !member.isLeaving && !member.hasLostStore
-                && std::ranges::find(found, member.owner) == found.end();
+        const Member *const reaching = randomMember(*view, this->random, [this, &found, hasRelays](const Member &member) {
+            return member.session != this->peers.self() && (member.isRelay || !hasRelays) && member.isReady && !member.isLeaving
+                && !member.hasLostStore && std::ranges::find(found, member.owner) == found.end();
         });
         if (reaching != nullptr) {
             found.push_back(reaching->owner);
--- a/Services/Gateway/ReplicaCall.cpp
+++ b/Services/Gateway/ReplicaCall.cpp
@@ -46,4 +46,14 @@
     return marks;
 }
 
+ServingReplica placedReplica(const Placement &placement, const ServiceName &service)
+{
+    ServingReplica replica;
+    replica.instance = placement.replica;
+    replica.registeredName = placement.registeredName;
+    replica.service = service;
+    replica.address = placement.address;
+    return replica;
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ReplicaCall.h
+++ b/Services/Gateway/ReplicaCall.h
@@ -43,4 +43,7 @@
 std::vector<std::uint32_t>
 connectedReplicas(const GatewayContext &context, const ServiceName &service, std::chrono::milliseconds longestIdle);
 
+/** @return the replica of a place as the dispatcher told it. */
+ServingReplica placedReplica(const Placement &placement, const ServiceName &service);
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-TableFollower::TableFollower(Scheduler &scheduler, RowStore &store, std::uint64_t seed, Options options, Hooks hooks)
+TableFollower::TableFollower(Scheduler &scheduler, RowFeed &store, std::uint64_t seed, Options options, Hooks hooks)
     : scheduler(scheduler)
     , store(store)
     , random(static_cast<std::minstd_rand::result_type>(seed))
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -40,7 +40,7 @@
         std::function<void()> onFailure = [] {};
     };
 
-    TableFollower(Scheduler &scheduler, RowStore &store, std::uint64_t seed, Options options, Hooks hooks);
+    TableFollower(Scheduler &scheduler, RowFeed &store, std::uint64_t seed, Options options, Hooks hooks);
     ~TableFollower();
     TableFollower(const TableFollower &) = delete;
     TableFollower &operator=(const TableFollower &) = delete;
@@ -74,7 +74,7 @@
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
 
     Scheduler &scheduler;
-    RowStore &store;
+    RowFeed &store;
     std::minstd_rand random;
     Options options;
     Hooks hooks;
--- /dev/null
+++ b/Services/Gateway/TableRelay.cpp
@@ -0,0 +1,222 @@
+#include <Services/Gateway/TableRelay.h>
+
+#include <LibBase/Hash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Changes are taken in groups: each costs every node of the failure domain an answer. */
+constexpr std::chrono::milliseconds changesPace{100};
+/** Rows of one answer. */
+constexpr std::size_t mostRows = 500;
+/** Nobody waits for longer, whatever it asks for. */
+constexpr std::chrono::milliseconds longestWait{10000};
+
+FollowResult failed()
+{
+    return {FollowOutcome::Failed, {}, 0};
+}
+
+std::vector<FeedRow> encodeRows(const std::vector<StoredRow> &rows)
+{
+    std::vector<FeedRow> encoded;
+    encoded.reserve(rows.size());
+    for (const StoredRow &row : rows) {
+        encoded.push_back({row.place.part, row.place.key, row.isRemoved ? std::string() : row.value, row.version, row.isRemoved});
+    }
+    return encoded;
+}
+
+} // namespace
+
+FeedAnswer encodeFeed(const FollowResult &result)
+{
+    switch (result.outcome) {
+    case FollowOutcome::Followed:
+        return {FeedOutcome::Told, encodeRows(result.rows), result.version, false};
+    case FollowOutcome::HistoryLost:
+        return {FeedOutcome::HistoryLost, {}, result.version, false};
+    case FollowOutcome::Failed:
+        break;
+    }
+    return {FeedOutcome::NotRelay, {}, 0, false};
+}
+
+FollowResult decodeFeed(const FeedAnswer &answer, const std::string &table)
+{
+    FollowResult result;
+    if (answer.outcome == FeedOutcome::NotRelay) {
+        return result;
+    }
+    result.outcome = answer.outcome == FeedOutcome::Told ? FollowOutcome::Followed : FollowOutcome::HistoryLost;
+    result.version = answer.version;
+    for (const FeedRow &row : answer.rows) {
+        result.rows.push_back({{table, row.part, row.key}, row.value, row.version, row.isRemoved});
+    }
+    return result;
+}
+
+TableRelay::TableRelay(Scheduler &scheduler, RowFeed &store, Options options)
+    : scheduler(scheduler), store(store), options(std::move(options))
+{
+    for (const std::string &name : this->options.tables) {
+        this->tables.try_emplace(name);
+    }
+}
+
+TableRelay::~TableRelay()
+{
+    for (auto &[name, table] : this->tables) {
+        this->stop(table);
+    }
+}
+
+void TableRelay::serve(PeerServer &server)
+{
+    server.handle<FeedReadRequest>([this](const FeedReadRequest &request, const auto &respond) {
+        respond(this->answer(request));
+    });
+    server.handle<FeedFollowRequest>([this](const FeedFollowRequest &request, const auto &respond) {
+        this->follow(request.table, request.since, std::min(request.wait, longestWait), [respond](const FollowResult &result) {
+            respond(encodeFeed(result));
+        });
+    });
+}
+
+void TableRelay::setActive(bool isActive)
+{
+    for (auto &[name, table] : this->tables) {
+        if (isActive && !table.follower) {
+            this->start(name, table);
+        } else if (!isActive) {
+            this->stop(table);
+        }
+    }
+}
+
+void TableRelay::start(const std::string &name, Table &table)
+{
+    TableFollower::Hooks hooks{
+        .onAll =
+            [&table](const std::vector<StoredRow> &rows) {
+                table.mirror.replaceAll(rows, table.follower ? table.follower->version() : 0);
+            },
+        .onChange =
+            [&table](const StoredRow &row) {
+                table.mirror.take(row);
+            },
+        .onRead =
+            [this, &table] {
+                table.mirror.noteVersion(table.follower->version());
+                this->tellWaiting(table);
+            },
+        .onAnswer =
+            [&table] {
+                table.isAnswered = true;
+            },
+        .onFailure =
+            [this, &table] {
+                table.isAnswered = false;
+                this->tellWaiting(table);
+            },
+    };
+    const auto wait = [wait = this->options.storeWait] {
+        return wait;
+    };
+    const std::uint64_t seed = stableHash(name, this->options.seed);
+    table.follower = std::make_unique<TableFollower>(
+        this->scheduler, this->store, seed, TableFollower::Options{name, wait, changesPace}, std::move(hooks));
+}
+
+void TableRelay::stop(Table &table)
+{
+    table.follower.reset();
+    table.isAnswered = false;
+    this->tellWaiting(table);
+    table.mirror = TableMirror();
+}
+
+void TableRelay::hurry()
+{
+    for (auto &[name, table] : this->tables) {
+        if (table.follower) {
+            table.follower->hurry();
+        }
+    }
+}
+
+bool TableRelay::isCurrent(const std::string &table) const
+{
+    const auto found = this->tables.find(table);
+    return found != this->tables.end() && found->second.isAnswered && found->second.mirror.isRead();
+}
+
+RowRangeResult TableRelay::read(const RowRange &range) const
+{
+    if (!this->isCurrent(range.table)) {
+        return {};
+    }
+    return this->tables.at(range.table).mirror.read(range.part, range.from, mostRows);
+}
+
+FeedAnswer TableRelay::answer(const FeedReadRequest &request) const
+{
+    const RowRangeResult result = this->read({request.table, {}, request.from, {}, 0});
+    if (result.outcome != ReadOutcome::Found) {
+        return {FeedOutcome::NotRelay, {}, 0, false};
+    }
+    return {FeedOutcome::Told, encodeRows(result.rows), result.version, result.isTruncated};
+}
+
+void TableRelay::follow(const std::string &table,
+                        RowVersion since,
+                        std::chrono::milliseconds wait,
+                        std::function<void(FollowResult)> done)
+{
+    if (!this->isCurrent(table)) {
+        done(failed());
+        return;
+    }
+    Table &followed = this->tables.at(table);
+    const FollowResult changes = followed.mirror.changesSince(since);
+    if (changes.outcome == FollowOutcome::HistoryLost || !changes.rows.empty()) {
+        done(changes);
+        return;
+    }
+    const WaitingId id = ++this->lastWaiting;
+    const TimerId timer = this->scheduler.schedule(wait, [this, &followed, id] {
+        this->end(followed, id, followed.mirror.changesSince(followed.waiting.at(id).since));
+    });
+    followed.waiting.emplace(id, Waiting{since, std::move(done), timer});
+}
+
+void TableRelay::tellWaiting(Table &table)
+{
+    std::vector<std::pair<WaitingId, FollowResult>> told;
+    for (const auto &[id, waiting] : table.waiting) {
+        FollowResult result = table.isAnswered ? table.mirror.changesSince(waiting.since) : failed();
+        if (result.outcome != FollowOutcome::Followed || !result.rows.empty()) {
+            told.emplace_back(id, std::move(result));
+        }
+    }
+    for (const auto &[id, result] : told) {
+        this->end(table, id, result);
+    }
+}
+
+void TableRelay::end(Table &table, WaitingId id, const FollowResult &result)
+{
+    auto waiting = table.waiting.extract(id);
+    if (!waiting.empty()) {
+        this->scheduler.cancel(waiting.mapped().timer);
+        waiting.mapped().done(result);
+    }
+}
+
+} // namespace Dogwoodkeel
--- a/Tests/Fakes/GossipNetwork.cpp
+++ b/Tests/Fakes/GossipNetwork.cpp
@@ -151,6 +151,7 @@
     self.http = self.owner = self.lane = self.gossip;
     self.isReady = true;
     self.processorShare = this->processorShareOf ? this->processorShareOf(number) : 0;
+    self.isRelay = !this->isRelay || this->isRelay(number);
     const auto node = std::make_shared<Node>(this->clock);
     node->session = session;
     node->membership
--- a/Tests/Fakes/GossipNetwork.h
+++ b/Tests/Fakes/GossipNetwork.h
@@ -69,6 +69,8 @@
     std::function<bool(Number from, Number to)> isCut;
     /** The processor of a node's VM, in hundredths of a core; not told where this is empty. */
     std::function<std::uint32_t(Number)> processorShareOf;
+    /** Whether a node is a relay; all are where this is empty. */
+    std::function<bool(Number)> isRelay;
     /** Told of each new view. */
     std::function<void(Number, const MemberView &)> onView;
     std::uint64_t bytes = 0;
--- a/Tests/LibMembership/TestClaimedDuty.cpp
+++ b/Tests/LibMembership/TestClaimedDuty.cpp
@@ -60,6 +60,7 @@
     member.session = SessionNumber(number);
     member.isReady = true;
     member.processorShare = 50;
+    member.isRelay = true;
     return member;
 }
 
@@ -243,6 +244,35 @@
     }
 }
 
+// Both are told to stop at once. Each held the other for able until it heard of it, and they named each other with each look,
+// which every member was told.
+TEST_CASE("two members that can't go on do not name each other in turn")
+{
+    ManualClock clock;
+    const auto viewOfOneThatLeaves = [](Number leaving) {
+        std::vector<Member> members{memberOf(1), memberOf(2)};
+        members.at(leaving - 1).isLeaving = true;
+        return viewOf(members);
+    };
+    ClaimedDuty first(clock, "llm");
+    ClaimedDuty second(clock, "llm");
+    const MemberViewPointer calm = viewOf({memberOf(1), memberOf(2)});
+    first.setView(SessionNumber(1), calm, calm);
+    second.setView(SessionNumber(2), calm, calm);
+    const DutyClaim held{"llm", 1, SessionNumber(1)};
+    first.receive(held);
+    second.receive(held);
+    first.setView(SessionNumber(1), viewOfOneThatLeaves(1), viewOfOneThatLeaves(1));
+    second.setView(SessionNumber(2), viewOfOneThatLeaves(2), viewOfOneThatLeaves(2));
+    const std::optional<DutyClaim> named = first.makeClaim();
+    REQUIRE(named);
+    CHECK(named->holder == SessionNumber(2));
+    second.receive(*named);
+    CHECK_FALSE(second.makeClaim());
+    clock.advance(2s);
+    CHECK_FALSE(second.makeClaim());
+}
+
 TEST_CASE("of two claims the higher term counts, then the higher session, and who tells an old one is to hear the new one")
 {
     ManualClock clock;
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-// The digest and the count are asked for with each datagram: looked up anew each time, they would cost as much as there are members.
+// The digest and the count are asked for with each datagram: looked up anew each time, they would cost as much as there are
+// members.
 TEST_CASE("what is kept of all members with each change is what a look at all of them finds")
 {
     ManualClock clock;
--- /dev/null
+++ b/Tests/LibPlatform/TestTableMirror.cpp
@@ -0,0 +1,85 @@
+#include <LibPlatform/TableMirror.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+StoredRow row(const std::string &key, RowVersion version, bool isRemoved = false)
+{
+    return {{"t", "", key}, isRemoved ? "" : "value of " + key, version, isRemoved};
+}
+
+} // namespace
+
+TEST_CASE("who follows a mirror is told each row once, as it is now, in the order of the versions")
+{
+    TableMirror mirror;
+    mirror.replaceAll({row("a", 1), row("b", 2)}, 5);
+    mirror.take(row("b", 7));
+    mirror.take(row("c", 7));
+    mirror.take(row("a", 8, true));
+    mirror.noteVersion(9);
+    const FollowResult changes = mirror.changesSince(5);
+    REQUIRE(changes.outcome == FollowOutcome::Followed);
+    REQUIRE(changes.rows.size() == 3);
+    CHECK(changes.rows[0].version == 7);
+    CHECK(changes.rows[1].version == 7);
+    CHECK(changes.rows[2].place.key == "a");
+    CHECK(changes.rows[2].isRemoved);
+    CHECK(changes.version == 9);
+    CHECK(mirror.changesSince(8).rows.empty());
+    CHECK(mirror.changesSince(20).version == 20);
+}
+
+// What was removed before the mirror was read is not known there: who follows from before must read the table anew.
+TEST_CASE("who follows from before the mirror was read has to read anew")
+{
+    TableMirror mirror;
+    CHECK_FALSE(mirror.isRead());
+    mirror.replaceAll({row("a", 1)}, 5);
+    CHECK(mirror.isRead());
+    CHECK(mirror.changesSince(4).outcome == FollowOutcome::HistoryLost);
+    CHECK(mirror.changesSince(5).outcome == FollowOutcome::Followed);
+}
+
+// The store may drop its history at any time. Were the mirror's followers to read anew each time, all nodes would read at once.
+TEST_CASE("a mirror that is read anew tells its followers what changed and what went meanwhile")
+{
+    TableMirror mirror;
+    mirror.replaceAll({row("a", 1), row("b", 2)}, 5);
+    mirror.replaceAll({row("b", 2), row("c", 8)}, 9);
+    const FollowResult changes = mirror.changesSince(5);
+    REQUIRE(changes.outcome == FollowOutcome::Followed);
+    REQUIRE(changes.rows.size() == 2);
+    CHECK(changes.rows[0].place.key == "c");
+    CHECK(changes.rows[1].place.key == "a");
+    CHECK(changes.rows[1].isRemoved);
+}
+
+TEST_CASE("removals are remembered up to a bound, and who is behind it reads anew")
+{
+    TableMirror mirror;
+    mirror.replaceAll({}, 1);
+    for (RowVersion version = 2; version < 6000; ++version) {
+        mirror.take(row("k" + std::to_string(version), version, true));
+    }
+    CHECK(mirror.changesSince(1).outcome == FollowOutcome::HistoryLost);
+    CHECK(mirror.changesSince(5000).rows.size() == 999);
+}
+
+TEST_CASE("a mirror is read in key order and in parts")
+{
+    TableMirror mirror;
+    mirror.replaceAll({row("c", 1), row("a", 2), row("b", 3)}, 5);
+    const RowRangeResult first = mirror.read("", "", 2);
+    REQUIRE(first.rows.size() == 2);
+    CHECK(first.isTruncated);
+    CHECK(first.version == 5);
+    CHECK(first.rows[1].place.key == "b");
+    const RowRangeResult rest = mirror.read("", "b\x01", 2);
+    REQUIRE(rest.rows.size() == 1);
+    CHECK_FALSE(rest.isTruncated);
+}
