JobRun, ItemAttempt, Gateway: Log why a run of a job begins and ends, and each item that is sent

The logs could not tell by which way a runner learns of a job's end, why it began a run, or when it sent an item, so the hypotheses in docs/incidents/ended-jobs-ran.md could not be told apart. Lines are new where a decision is made: - "job ended for its caller" at the node that ended it, with the number of members it was reported to; - "run of a job begins" (reason; whether its open row is known here); - "run of a job ended" (reason: reported, row removed, not listed, head, complete, handed on, leaving; items left), also counted by reason; - "batch item sent" (job, item, replica, event it goes on behind). "job handed on" is now a reason of the third. Nothing is decided otherwise.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -165,10 +165,7 @@
               this->runners.takeAccepted(job);
           },
           [this](const JobId &job) {
-              this->runners.stopJob(job);
-              this->tellAll([this, &job](const Address &peer) {
-                  this->peers.datagrams().send(peer, JobEnded{job});
-              });
+              this->reportEnded(job);
           })
     , runners(this->context,
               this->feed,
@@ -397,7 +394,7 @@
         }
     } else if (datagram.number == JobEnded::number) {
         if (const auto ended = decode<JobEnded>(datagram.payload)) {
-            this->runners.stopJob(ended->job);
+            this->runners.stopJob(ended->job, RunEnd::EndReported);
         }
     } else if (!this->duties.receive(datagram) && !this->quotas.receive(datagram)) {
         this->placements.receive(datagram);
@@ -551,6 +548,17 @@
     answer(exchange, statusOk, "text/plain; version=0.0.4", this->metrics.toText());
 }
 
+void Gateway::reportEnded(const JobId &job)
+{
+    log(LogLevel::Info,
+        "job ended for its caller",
+        {{"job", job.value()}, {"reported_to", static_cast<std::int64_t>(this->peers.view()->members().size())}});
+    this->runners.stopJob(job, RunEnd::EndReported);
+    this->tellAll([this, &job](const Address &peer) {
+        this->peers.datagrams().send(peer, JobEnded{job});
+    });
+}
+
 void Gateway::tellAll(const std::function<void(const Address &)> &send)
 {
     const MemberViewPointer view = this->peers.view();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -108,6 +108,7 @@
     void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
     void noteBreak(std::uint64_t fingerprint, const EndpointName &replica);
     void judgeBreaks();
+    void reportEnded(const JobId &job);
     void tellAll(const std::function<void(const Address &)> &send);
     void watchStop();
     void tick();
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -163,6 +163,12 @@
     outbound.body = this->item.body;
     outbound.longestIdle = longestIdle;
     outbound.isAnswer = isAnswerTo(this->item.id.value());
+    log(LogLevel::Info,
+        "batch item sent",
+        {{"job", this->origin.job.value()},
+         {"item", this->item.id.value()},
+         {"replica", replica.instance.value()},
+         {"last_event", static_cast<std::int64_t>(this->run.after)}});
     this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armSilence();
 }
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -40,6 +40,7 @@
     /** What all items of its job have in common. */
     struct Origin
     {
+        JobId job;
         std::string host;
         /** Whose job it is; empty if its caller needed no key. */
         WorkspaceName workspace;
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -25,6 +25,29 @@
 
 } // namespace
 
+std::string_view toString(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Complete:
+        return "complete";
+    case RunEnd::EndReported:
+        return "its end was reported";
+    case RunEnd::RowRemoved:
+        return "its open row was removed";
+    case RunEnd::NotListed:
+        return "it is not listed as open";
+    case RunEnd::HeadEnded:
+        return "its head says that it was ended";
+    case RunEnd::Absent:
+        return "the store has no such job";
+    case RunEnd::HandedOn:
+        return "another node runs it";
+    case RunEnd::NodeLeaving:
+        return "this node is leaving";
+    }
+    return "invalid";
+}
+
 JobRun::JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks)
     : context(context), store(store), job(std::move(job)), hooks(std::move(hooks))
 {
@@ -84,9 +107,17 @@
     }
 }
 
-void JobRun::cancel()
+void JobRun::cancel(RunEnd end)
 {
-    this->isOver = true;
+    if (std::exchange(this->isOver, true)) {
+        return;
+    }
+    this->context.metrics.countEvent("run of a job ended: " + std::string(toString(end)));
+    log(LogLevel::Info,
+        "run of a job ended",
+        {{"job", this->job.value()},
+         {"reason", std::string(toString(end))},
+         {"open_items", static_cast<std::int64_t>(this->open.size())}});
     this->context.loop.cancel(std::exchange(this->timer, 0));
     this->context.loop.cancel(std::exchange(this->retentionTimer, 0));
     this->context.loop.cancel(std::exchange(this->progressTimer, 0));
@@ -122,12 +153,12 @@
     }
     this->isBusyWithStore = false;
     if (loaded.outcome == JobReadOutcome::Absent || loaded.head.isEnded) {
-        this->endRun();
+        this->endRun(loaded.outcome == JobReadOutcome::Absent ? RunEnd::Absent : RunEnd::HeadEnded);
         return;
     }
     this->ledger.adopt(loaded.head, loaded.version);
     if (this->ledger.isComplete()) {
-        this->endRun();
+        this->endRun(RunEnd::Complete);
         return;
     }
     this->items = loaded.items;
@@ -144,11 +175,11 @@
     }
 }
 
-void JobRun::endRun()
+void JobRun::endRun(RunEnd end)
 {
-    const std::function<void()> over = this->hooks.over;
-    this->cancel();
-    over();
+    const std::function<void(RunEnd)> over = this->hooks.over;
+    this->cancel(end);
+    over(end);
 }
 
 void JobRun::startItems()
@@ -187,7 +218,7 @@
     };
     const JobHead &head = this->ledger.head();
     auto attempt = std::make_shared<ItemAttempt>(
-        this->context, item, ItemAttempt::Origin{head.host, head.workspace}, due, std::move(hooks));
+        this->context, item, ItemAttempt::Origin{this->job, head.host, head.workspace}, due, std::move(hooks));
     this->open[number].attempt = attempt;
     const auto generated = this->before.find(number);
     attempt->start(generated != this->before.end() ? generated->second : JobRows::Generated());
@@ -338,7 +369,7 @@
          {"age_ms", this->age().count()}});
     if (this->ledger.isComplete()) {
         log(LogLevel::Info, "job complete", {{"job", this->job.value()}});
-        this->endRun();
+        this->endRun(RunEnd::Complete);
         return;
     }
     if (this->ledger.hasNews()) {
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -9,11 +9,32 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
 {
 
+/** Why a node ends its run of a job. */
+enum class RunEnd {
+    Complete,
+    /** The node that ended the job for its caller reported it. */
+    EndReported,
+    /** The job's row among the open jobs was removed. */
+    RowRemoved,
+    /** A whole reading of the open jobs does not list it. */
+    NotListed,
+    /** The job's head says that it was ended. */
+    HeadEnded,
+    /** The store has no such job. */
+    Absent,
+    /** Another node runs it. */
+    HandedOn,
+    NodeLeaving,
+};
+
+std::string_view toString(RunEnd end);
+
 /**
  * Runs the items of one job on this node, and adds their results to the job. Another node may run the same job at the same
  * time, after a change of the members: each change is made under the condition of the head's version, so positions and
@@ -31,7 +52,7 @@
         /** @return the route of the job, or null if there is none any more. */
         std::function<const Route *(const std::string &name)> route;
         /** The job needs no runner any more. */
-        std::function<void()> over;
+        std::function<void(RunEnd)> over;
     };
 
     /** Whether another node may have run items of the job before. */
@@ -48,7 +69,7 @@
     void saveProgress();
 
     /** Stop all items at once, and tell nothing more. */
-    void cancel();
+    void cancel(RunEnd end);
 
 private:
     /** An item without a result. */
@@ -71,7 +92,7 @@
     void write();
     void takeWritten(const JobHead &written, RowVersion version);
     void takeUnwritten(WriteOutcome outcome);
-    void endRun();
+    void endRun(RunEnd end);
     std::uint64_t waitingTokens(const JobHead &head) const;
     std::chrono::milliseconds completionTarget() const;
     std::chrono::milliseconds age() const;
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -117,7 +117,7 @@
         }
     }
     for (const JobId &job : gone) {
-        this->stopJob(job);
+        this->stopJob(job, RunEnd::NotListed);
     }
 }
 
@@ -128,7 +128,7 @@
         return;
     }
     if (row.isRemoved) {
-        this->stopJob(*job);
+        this->stopJob(*job, RunEnd::RowRemoved);
         return;
     }
     const std::optional<OpenJob> decoded = decode<OpenJob>(row.value);
@@ -161,9 +161,8 @@
     } else if (isOurs && !isRunning) {
         this->startRun(job, JobRun::Origin::TakenOver);
     } else if (!isOurs && isRunning) {
-        log(LogLevel::Info, "job handed on", {{"job", job.value()}});
         run->second->saveProgress();
-        this->stopRun(job);
+        this->stopRun(job, RunEnd::HandedOn);
     }
 }
 
@@ -183,10 +182,10 @@
             return current ? current->findRoute(name) : nullptr;
         },
         .over =
-            [this, job, alive = this->alive] {
-                this->context.loop.post([this, job, alive] {
+            [this, job, alive = this->alive](RunEnd end) {
+                this->context.loop.post([this, job, end, alive] {
                     if (*alive) {
-                        this->stopJob(job);
+                        this->stopJob(job, end);
                     }
                 });
             },
@@ -197,6 +196,11 @@
     this->lastBusy = this->context.clock.now();
     const auto run = std::make_shared<JobRun>(this->context, this->store, job, std::move(hooks));
     this->runs.emplace(job, run);
+    log(LogLevel::Info,
+        "run of a job begins",
+        {{"job", job.value()},
+         {"reason", origin == JobRun::Origin::Accepted ? "accepted here" : "its open row falls to this node"},
+         {"is_row_known", this->open.contains(job)}});
     run->start(origin);
 }
 
@@ -280,19 +284,19 @@
     return this->open.contains(job) || this->runs.contains(job);
 }
 
-void JobRunners::stopJob(const JobId &job)
+void JobRunners::stopJob(const JobId &job, RunEnd end)
 {
     this->open.erase(job);
-    this->stopRun(job);
+    this->stopRun(job, end);
 }
 
-void JobRunners::stopRun(const JobId &job)
+void JobRunners::stopRun(const JobId &job, RunEnd end)
 {
     const auto found = this->runs.find(job);
     if (found != this->runs.end()) {
         const std::shared_ptr<JobRun> run = found->second;
         this->runs.erase(found);
-        run->cancel();
+        run->cancel(end);
     }
 }
 
@@ -301,7 +305,7 @@
     this->isStopped = true;
     for (const auto &[job, run] : std::exchange(this->runs, {})) {
         run->saveProgress();
-        run->cancel();
+        run->cancel(RunEnd::NodeLeaving);
     }
 }
 
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -44,8 +44,8 @@
     /** @return whether a job has items without a result, as far as this node knows. */
     bool isOpen(const JobId &job) const;
 
-    /** A job was ended by its caller. */
-    void stopJob(const JobId &job);
+    /** A job needs no runner any more. */
+    void stopJob(const JobId &job, RunEnd end);
 
     /** Give all jobs back: this node is leaving. */
     void stopAll();
@@ -60,7 +60,7 @@
     void decideSettled();
     bool isOurs(const JobId &job, const OpenJob &open) const;
     void startRun(const JobId &job, JobRun::Origin origin);
-    void stopRun(const JobId &job);
+    void stopRun(const JobId &job, RunEnd end);
     std::optional<ItemAttempt::Target> targetOf(const JobHead &job, const std::string &target) const;
 
     GatewayContext &context;
