OpenConfirmation: An item is sent only if the store has shown recently that its job is open

Cause: an effect rested on a notice. The node that ends a job sends JobEnded once, by datagram, to the members that it sees; nobody confirms it. Behind that stands the table of open jobs, followed with a pace of 3 s and through a relay, so that it is later than 3 s by design. An item was sent as soon as it got a place, whatever had happened to its job while it waited.

Class: acting on what was true once; a time bound that only a best-effort message keeps.

Ruled out as mends: a shorter pace of the follower (a smaller constant; a relay that is cut off is late all the same) and an end that waits until the runner has confirmed it (the runner may be unknown, cut off, or two).

Change: OpenConfirmation (LibGateway) keeps when the store last showed that the job is open: at its loading, at each write of results, or by a reading of its head. Each answer counts from when it was asked, and time for which the machine was suspended counts too. An item that has got its place is sent only if that is no longer ago than half of gateway.job_end_bound (new setting, from the platform's bounds); else the head is read first, once for all items of the job. While the store does not answer, the place is given back, and none is asked for before it answers: nobody can end a job meanwhile, but it may have been ended just before. The notices stay: they stop what runs, sooner. "batch item sent" has the age of the confirmation.

TestOpenConfirmation covers late answers, suspension, outages, in virtual time.

--- /dev/null
+++ b/Libraries/LibGateway/OpenConfirmation.cpp
@@ -0,0 +1,123 @@
+#include <LibGateway/OpenConfirmation.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Between two questions while the store does not answer. */
+constexpr std::chrono::milliseconds retryPause{400};
+
+} // namespace
+
+OpenConfirmation::OpenConfirmation(Scheduler &scheduler, const Clock &clock, std::chrono::milliseconds validity, Hooks hooks)
+    : scheduler(scheduler), clock(clock), validity(validity), hooks(std::move(hooks))
+{
+}
+
+OpenConfirmation::~OpenConfirmation()
+{
+    this->cancel();
+}
+
+SteadyTime OpenConfirmation::askTime() const
+{
+    // A job may be ended while this machine is suspended.
+    return this->clock.now() + std::chrono::duration_cast<SteadyTime::duration>(this->clock.suspended());
+}
+
+void OpenConfirmation::note(SteadyTime asked)
+{
+    this->confirmed = std::max(asked, this->confirmed.value_or(asked));
+}
+
+std::optional<std::chrono::milliseconds> OpenConfirmation::validAge() const
+{
+    if (!this->confirmed) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(this->askTime() - *this->confirmed);
+    return age <= this->validity ? std::optional(age) : std::nullopt;
+}
+
+void OpenConfirmation::request(Confirmed confirmed)
+{
+    if (const std::optional<std::chrono::milliseconds> age = this->validAge()) {
+        confirmed(age);
+        return;
+    }
+    this->waiting.push_back(std::move(confirmed));
+    if (!this->isAsking && this->retryTimer == 0) {
+        this->ask();
+    }
+}
+
+void OpenConfirmation::renew()
+{
+    this->confirmed.reset();
+    this->isRenewing = true;
+    if (this->retryTimer == 0) {
+        this->ask();
+    }
+}
+
+void OpenConfirmation::cancel()
+{
+    *this->alive = false;
+    this->alive = std::make_shared<bool>(true);
+    this->isAsking = false;
+    this->isRenewing = false;
+    this->waiting.clear();
+    this->scheduler.cancel(std::exchange(this->retryTimer, 0));
+}
+
+void OpenConfirmation::ask()
+{
+    this->isAsking = true;
+    this->hooks.ask([this, alive = this->alive, asked = this->askTime(), number = ++this->question](Reply reply) {
+        if (*alive && number == this->question) {
+            this->take(reply, asked);
+        }
+    });
+}
+
+void OpenConfirmation::take(Reply reply, SteadyTime asked)
+{
+    this->isAsking = false;
+    switch (reply) {
+    case Reply::Open:
+        this->isRenewing = false;
+        this->note(asked);
+        // An answer that was long on its way may be too old already.
+        this->callBack(this->validAge());
+        return;
+    case Reply::Closed:
+        this->hooks.closed();
+        return;
+    case Reply::Unknown:
+        this->retryTimer = this->scheduler.schedule(retryPause, [this] {
+            this->retryTimer = 0;
+            if (this->isRenewing || !this->waiting.empty()) {
+                this->ask();
+            }
+        });
+        this->callBack(std::nullopt);
+        return;
+    }
+}
+
+void OpenConfirmation::callBack(std::optional<std::chrono::milliseconds> age)
+{
+    const std::shared_ptr<bool> alive = this->alive;
+    for (const Confirmed &confirmed : std::exchange(this->waiting, {})) {
+        if (*alive) {
+            confirmed(age);
+        }
+    }
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -378,6 +378,8 @@
     std::chrono::milliseconds lapsedKept = std::chrono::milliseconds(2500);
     /** How long after its submission a job without open items can be read; then its rows are removed. */
     std::chrono::milliseconds jobsKept = std::chrono::milliseconds(300000);
+    /** How long after the end of a job was acknowledged its items may still reach replicas. */
+    std::chrono::milliseconds jobEndBound = std::chrono::milliseconds(3000);
     /** The processor cores that this VM has: its weight when callers and duties are spread. */
     double processorShare = 1;
     /** Memory that the process may use, in MB. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -436,6 +436,7 @@
                               "store_wait",
                               "lapsed_kept",
                               "jobs_kept",
+                              "job_end_bound",
                               "processor_share",
                               "memory_mb",
                               "quota_window",
@@ -474,6 +475,11 @@
                         target.jobsKept,
                         Presence::Optional,
                         {.least = std::chrono::milliseconds(1000), .most = std::chrono::milliseconds(31536000000)});
+    reader.readDuration(table,
+                        "job_end_bound",
+                        target.jobEndBound,
+                        Presence::Optional,
+                        {.least = std::chrono::milliseconds(100), .most = std::chrono::milliseconds(60000)});
     reader.readNumber(table, "processor_share", target.processorShare, Presence::Optional, {.least = 0.01, .most = 1000.0});
     reader.readInteger(table, "memory_mb", target.memoryMb, Presence::Optional, {.least = 16, .most = 1048576});
     reader.readDuration(table,
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -171,7 +171,7 @@
               this->feed,
               this->jobs,
               this->peers,
-              settings->gateway.storeWait,
+              settings->gateway,
               [this] {
                   return this->configuration.current();
               })
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -88,6 +88,10 @@
 void ItemAttempt::askForPlace()
 {
     this->retryTimer = 0;
+    if (std::exchange(this->mustConfirmFirst, false)) {
+        this->confirmBeforeAsking();
+        return;
+    }
     const std::optional<Target> found = this->hooks.target();
     if (!found) {
         this->askLater();
@@ -116,6 +120,21 @@
     });
 }
 
+void ItemAttempt::confirmBeforeAsking()
+{
+    this->hooks.confirmOpen([self = this->shared_from_this()](const auto &age) {
+        if (self->isOver) {
+            return;
+        }
+        if (age) {
+            self->askForPlace();
+            return;
+        }
+        self->mustConfirmFirst = true;
+        self->askLater();
+    });
+}
+
 void ItemAttempt::askLater()
 {
     this->retryTimer = this->context.loop.schedule(retryPause, [self = this->shared_from_this()] {
@@ -140,16 +159,32 @@
         this->askLater();
         return;
     }
+    this->hooks.confirmOpen([self = this->shared_from_this(), ticket = this->ticket, placement](const auto &age) {
+        if (self->isOver || self->ticket != ticket) {
+            return;
+        }
+        if (age) {
+            self->takeConfirmation(placement, *age);
+            return;
+        }
+        // The place is for others until the store answers.
+        self->goOn(PlacementVerdict::Finished, "the store does not confirm that the job is open");
+        self->mustConfirmFirst = true;
+    });
+}
+
+void ItemAttempt::takeConfirmation(const Placement &placement, std::chrono::milliseconds age)
+{
     const std::optional<ServingReplica> found = this->context.listed.resolve(placedReplica(placement, this->target.service));
     const std::optional<Target> current = this->hooks.target();
     if (!found || !current || current->service != this->target.service) {
         this->goOn(PlacementVerdict::Finished, "the replica is leaving or not listed any more, or the route has moved");
         return;
     }
-    this->send(*found);
+    this->send(*found, age);
 }
 
-void ItemAttempt::send(const ServingReplica &replica)
+void ItemAttempt::send(const ServingReplica &replica, std::chrono::milliseconds confirmedAge)
 {
     this->replica = replica;
     this->sent = this->context.clock.now();
@@ -168,7 +203,8 @@
         {{"job", this->origin.job.value()},
          {"item", this->item.id.value()},
          {"replica", replica.instance.value()},
-         {"last_event", static_cast<std::int64_t>(this->run.after)}});
+         {"last_event", static_cast<std::int64_t>(this->run.after)},
+         {"open_confirmed_ms", confirmedAge.count()}});
     this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armSilence();
 }
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -3,6 +3,7 @@
 #include <LibGateway/BatchTypes.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/JobRows.h>
+#include <LibGateway/OpenConfirmation.h>
 #include <Services/Gateway/GatewayContext.h>
 #include <Services/Gateway/ReplicaCall.h>
 
@@ -51,6 +52,8 @@
         /** @return where it goes, by the configuration in force; nothing: nowhere for now. */
         std::function<std::optional<Target>()> target;
         std::function<void(End, std::string output)> ended;
+        /** Confirms by the store that the job is open. */
+        std::function<void(OpenConfirmation::Confirmed)> confirmOpen;
     };
 
     ItemAttempt(GatewayContext &context, const JobItem &item, Origin origin, SteadyTime due, Hooks hooks);
@@ -70,8 +73,10 @@
 private:
     void askForPlace();
     void askLater();
+    void confirmBeforeAsking();
     void takePlacement(const Placement &placement);
-    void send(const ServingReplica &replica);
+    void takeConfirmation(const Placement &placement, std::chrono::milliseconds age);
+    void send(const ServingReplica &replica, std::chrono::milliseconds confirmedAge);
     void takeHead(const MessageHead &head) override;
     void takeBody(std::string_view data) override;
     void takeEnd(CallEnd end) override;
@@ -111,6 +116,8 @@
     Run lastGenerated;
     TimerId silenceTimer = 0;
     TimerId retryTimer = 0;
+    /** The store did not confirm that the job is open when it was asked last: no place is taken before it does. */
+    bool mustConfirmFirst = false;
     bool isOver = false;
 };
 
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -36,8 +36,8 @@
         return "its open row was removed";
     case RunEnd::NotListed:
         return "it is not listed as open";
-    case RunEnd::HeadEnded:
-        return "its head says that it was ended";
+    case RunEnd::HeadClosed:
+        return "its head says that it is closed";
     case RunEnd::Absent:
         return "the store has no such job";
     case RunEnd::HandedOn:
@@ -48,8 +48,23 @@
     return "invalid";
 }
 
-JobRun::JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks)
-    : context(context), store(store), job(std::move(job)), hooks(std::move(hooks))
+JobRun::JobRun(GatewayContext &context, JobStore &store, JobId job, std::chrono::milliseconds endBound, Hooks hooks)
+    : context(context)
+    , store(store)
+    , job(std::move(job))
+    , hooks(std::move(hooks))
+    // The other half is for an item's way to its replica.
+    , confirmation(context.loop,
+                   context.clock,
+                   endBound / 2,
+                   {.ask =
+                        [this](std::function<void(OpenConfirmation::Reply)> answer) {
+                            this->askWhetherOpen(std::move(answer));
+                        },
+                    .closed =
+                        [this] {
+                            this->endRun(RunEnd::HeadClosed);
+                        }})
 {
 }
 
@@ -121,6 +136,7 @@
     this->context.loop.cancel(std::exchange(this->timer, 0));
     this->context.loop.cancel(std::exchange(this->retentionTimer, 0));
     this->context.loop.cancel(std::exchange(this->progressTimer, 0));
+    this->confirmation.cancel();
     this->stopAll();
     this->hooks = {};
 }
@@ -136,10 +152,28 @@
 void JobRun::load()
 {
     this->isBusyWithStore = true;
-    this->store.load(this->job, [self = this->shared_from_this()](const LoadedJob &loaded) {
-        if (!self->isOver) {
-            self->takeLoaded(loaded);
+    const SteadyTime asked = this->confirmation.askTime();
+    this->store.load(this->job, [self = this->shared_from_this(), asked](const LoadedJob &loaded) {
+        if (self->isOver) {
+            return;
+        }
+        if (loaded.outcome == JobReadOutcome::Found && !loaded.head.isEnded) {
+            self->confirmation.note(asked);
+        }
+        self->takeLoaded(loaded);
+    });
+}
+
+void JobRun::askWhetherOpen(std::function<void(OpenConfirmation::Reply)> answer)
+{
+    this->store.loadHead(this->job, [self = this->shared_from_this(), answer = std::move(answer)](const LoadedJob &loaded) {
+        if (loaded.outcome == JobReadOutcome::Failed) {
+            answer(OpenConfirmation::Reply::Unknown);
+            return;
         }
+        const bool isOpen
+            = loaded.outcome == JobReadOutcome::Found && !loaded.head.isEnded && loaded.head.listed.size() < loaded.head.total;
+        answer(isOpen ? OpenConfirmation::Reply::Open : OpenConfirmation::Reply::Closed);
     });
 }
 
@@ -153,7 +187,7 @@
     }
     this->isBusyWithStore = false;
     if (loaded.outcome == JobReadOutcome::Absent || loaded.head.isEnded) {
-        this->endRun(loaded.outcome == JobReadOutcome::Absent ? RunEnd::Absent : RunEnd::HeadEnded);
+        this->endRun(loaded.outcome == JobReadOutcome::Absent ? RunEnd::Absent : RunEnd::HeadClosed);
         return;
     }
     this->ledger.adopt(loaded.head, loaded.version);
@@ -215,6 +249,13 @@
                     run->takeItemEnd(number, end, std::move(output));
                 }
             },
+        .confirmOpen =
+            [self](OpenConfirmation::Confirmed confirmed) {
+                const std::shared_ptr<JobRun> run = self.lock();
+                if (run && !run->isOver) {
+                    run->confirmation.request(std::move(confirmed));
+                }
+            },
     };
     const JobHead &head = this->ledger.head();
     auto attempt = std::make_shared<ItemAttempt>(
@@ -326,11 +367,13 @@
                        next.head,
                        next.results,
                        row,
-                       [self = this->shared_from_this(), head = next.head](WriteOutcome outcome, RowVersion version) {
+                       [self = this->shared_from_this(), head = next.head, asked = this->confirmation.askTime()](
+                           WriteOutcome outcome, RowVersion version) {
                            if (self->isOver) {
                                return;
                            }
                            if (outcome == WriteOutcome::Done) {
+                               self->confirmation.note(asked);
                                self->takeWritten(head, version);
                            } else {
                                self->takeUnwritten(outcome);
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/JobLedger.h>
+#include <LibGateway/OpenConfirmation.h>
 #include <Services/Gateway/ItemAttempt.h>
 #include <Services/Gateway/JobStore.h>
 
@@ -24,8 +25,8 @@
     RowRemoved,
     /** A whole reading of the open jobs does not list it. */
     NotListed,
-    /** The job's head says that it was ended. */
-    HeadEnded,
+    /** The job's head says that it was ended, or is complete by another node's results. */
+    HeadClosed,
     /** The store has no such job. */
     Absent,
     /** Another node runs it. */
@@ -61,7 +62,8 @@
         TakenOver,
     };
 
-    JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks);
+    /** @param endBound how long after the end of a job its items may still reach replicas */
+    JobRun(GatewayContext &context, JobStore &store, JobId job, std::chrono::milliseconds endBound, Hooks hooks);
 
     void start(Origin origin);
 
@@ -82,6 +84,7 @@
     void keepProgress();
     void load();
     void takeLoaded(const LoadedJob &loaded);
+    void askWhetherOpen(std::function<void(OpenConfirmation::Reply)> answer);
     void startItems();
     void startItem(std::uint32_t number);
     void takeItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output);
@@ -107,6 +110,7 @@
     std::map<std::uint32_t, Open> open;
     /** What items had generated before this run. */
     std::map<std::uint32_t, JobRows::Generated> before;
+    OpenConfirmation confirmation;
     bool isLoaded = false;
     /** Reading and writing the job take turns: the answer to one is understood by what the other left. */
     bool isBusyWithStore = false;
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -31,13 +31,14 @@
                        RowFeed &rows,
                        JobStore &store,
                        PeerNetwork &peers,
-                       std::chrono::milliseconds storeWait,
+                       const GatewaySettings &settings,
                        std::function<ServingConfigurationPointer()> configuration)
     : context(context)
     , rows(rows)
     , store(store)
     , peers(peers)
-    , storeWait(storeWait)
+    , storeWait(settings.storeWait)
+    , endBound(settings.jobEndBound)
     , configuration(std::move(configuration))
     , view(peers.dutyView())
     , settling(context.clock)
@@ -194,7 +195,7 @@
         this->followOpenJobs();
     }
     this->lastBusy = this->context.clock.now();
-    const auto run = std::make_shared<JobRun>(this->context, this->store, job, std::move(hooks));
+    const auto run = std::make_shared<JobRun>(this->context, this->store, job, this->endBound, std::move(hooks));
     this->runs.emplace(job, run);
     log(LogLevel::Info,
         "run of a job begins",
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/ServingConfiguration.h>
 #include <LibMembership/ViewSettling.h>
+#include <LibSettings/Generated/Settings.h>
 #include <Services/Gateway/JobRun.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/TableFollower.h>
@@ -20,13 +21,14 @@
 public:
     /**
      * @param rows by which the open jobs are followed
+     * @param settings how long the store is asked to wait, and how soon ended jobs stop
      * @param configuration gives the configuration in force, or null
      */
     JobRunners(GatewayContext &context,
                RowFeed &rows,
                JobStore &store,
                PeerNetwork &peers,
-               std::chrono::milliseconds storeWait,
+               const GatewaySettings &settings,
                std::function<ServingConfigurationPointer()> configuration);
     ~JobRunners();
     JobRunners(const JobRunners &) = delete;
@@ -68,6 +70,7 @@
     JobStore &store;
     PeerNetwork &peers;
     std::chrono::milliseconds storeWait;
+    std::chrono::milliseconds endBound;
     std::function<ServingConfigurationPointer()> configuration;
     MemberViewPointer view;
     std::map<JobId, OpenJob> open;
--- /dev/null
+++ b/Tests/LibGateway/TestOpenConfirmation.cpp
@@ -0,0 +1,180 @@
+#include <LibBase/ManualClock.h>
+#include <LibGateway/OpenConfirmation.h>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds validity{1500};
+
+/** A clock that can be told that the machine was suspended. */
+class SuspendableClock final : public Clock
+{
+public:
+    explicit SuspendableClock(const ManualClock &running) : running(running)
+    {
+    }
+
+    SteadyTime now() const override
+    {
+        return this->running.now();
+    }
+
+    WallTime wallNow() const override
+    {
+        return this->running.wallNow();
+    }
+
+    std::chrono::nanoseconds suspended() const override
+    {
+        return this->pause;
+    }
+
+    std::chrono::nanoseconds pause{0};
+
+private:
+    const ManualClock &running;
+};
+
+/** A confirmation before a store whose answers a test gives. */
+class Bench
+{
+public:
+    void answer(OpenConfirmation::Reply reply)
+    {
+        const auto answers = std::exchange(this->asked, {});
+        for (const auto &answer : answers) {
+            answer(reply);
+        }
+    }
+
+    void request()
+    {
+        this->confirmation.request([this](std::optional<std::chrono::milliseconds> age) {
+            this->ages.push_back(age);
+        });
+    }
+
+    ManualClock time;
+    SuspendableClock clock{this->time};
+    std::vector<std::function<void(OpenConfirmation::Reply)>> asked;
+    std::vector<std::optional<std::chrono::milliseconds>> ages;
+    int closed = 0;
+    OpenConfirmation confirmation{this->time,
+                                  this->clock,
+                                  validity,
+                                  {.ask =
+                                       [this](std::function<void(OpenConfirmation::Reply)> answer) {
+                                           this->asked.push_back(std::move(answer));
+                                       },
+                                   .closed =
+                                       [this] {
+                                           ++this->closed;
+                                           this->confirmation.cancel();
+                                       }}};
+};
+
+using Reply = OpenConfirmation::Reply;
+
+} // namespace
+
+TEST_CASE("a recent answer confirms at once, an older one only after the store was asked again")
+{
+    Bench bench;
+    bench.confirmation.note(bench.confirmation.askTime());
+    bench.time.advance(validity);
+    bench.request();
+    CHECK(bench.asked.empty());
+    REQUIRE(bench.ages.size() == 1);
+    CHECK(bench.ages[0] == validity);
+    bench.time.advance(std::chrono::milliseconds(1));
+    bench.request();
+    bench.request();
+    CHECK(bench.ages.size() == 1);
+    CHECK(bench.asked.size() == 1);
+    bench.answer(Reply::Open);
+    REQUIRE(bench.ages.size() == 3);
+    CHECK(bench.ages[2] == std::chrono::milliseconds(0));
+}
+
+TEST_CASE("nobody is called back for a job that is closed")
+{
+    Bench bench;
+    bench.request();
+    bench.answer(Reply::Closed);
+    CHECK(bench.ages.empty());
+    CHECK(bench.closed == 1);
+}
+
+// The store can't be reached: items give their places back, and the store isn't asked without a pause for each of them.
+TEST_CASE("while the store does not answer, who asks is told so, and the store is asked now and then")
+{
+    Bench bench;
+    bench.request();
+    bench.answer(Reply::Unknown);
+    REQUIRE(bench.ages.size() == 1);
+    CHECK_FALSE(bench.ages[0]);
+    bench.request();
+    bench.request();
+    CHECK(bench.asked.empty());
+    bench.time.advance(std::chrono::milliseconds(1000));
+    CHECK(bench.asked.size() == 1);
+    bench.answer(Reply::Open);
+    CHECK(bench.ages.size() == 3);
+}
+
+// The answer shows what was true when the question was asked; the job may have been ended while it was on its way.
+TEST_CASE("an answer that was longer on its way than it is valid confirms nothing")
+{
+    Bench bench;
+    bench.request();
+    bench.time.advance(validity + std::chrono::milliseconds(1));
+    bench.answer(Reply::Open);
+    REQUIRE(bench.ages.size() == 1);
+    CHECK_FALSE(bench.ages[0]);
+}
+
+TEST_CASE("the time for which the machine was suspended counts")
+{
+    Bench bench;
+    bench.confirmation.note(bench.confirmation.askTime());
+    bench.clock.pause = std::chrono::seconds(5);
+    bench.request();
+    CHECK(bench.ages.empty());
+    CHECK(bench.asked.size() == 1);
+}
+
+TEST_CASE("a sign that the job is closed outweighs a recent answer and a question that was asked before it")
+{
+    Bench bench;
+    bench.confirmation.note(bench.confirmation.askTime());
+    bench.confirmation.renew();
+    bench.request();
+    CHECK(bench.ages.empty());
+    bench.confirmation.renew();
+    REQUIRE(bench.asked.size() == 2);
+    bench.asked[0](Reply::Open);
+    CHECK(bench.ages.empty());
+    bench.asked[1](Reply::Closed);
+    CHECK(bench.closed == 1);
+}
+
+TEST_CASE("a sign that the job is closed is followed up until the store answers")
+{
+    Bench bench;
+    bench.confirmation.renew();
+    bench.answer(Reply::Unknown);
+    bench.time.advance(std::chrono::milliseconds(1000));
+    CHECK(bench.asked.size() == 1);
+    bench.answer(Reply::Open);
+    bench.time.advance(std::chrono::seconds(10));
+    CHECK(bench.asked.empty());
+}
--- a/Tests/ServiceGateway/TestEndedJobs.cpp
+++ b/Tests/ServiceGateway/TestEndedJobs.cpp
@@ -13,6 +13,7 @@
 {
 
 const JobId job("q1");
+constexpr std::chrono::milliseconds endBound{200};
 
 std::string submission()
 {
@@ -48,6 +49,7 @@
     explicit Waiting(const std::string &configuration = benchConfiguration)
         : Running([this, &configuration](GatewayBench &bench) {
             bench.configure(configuration);
+            bench.settings.gateway.jobEndBound = endBound;
             bench.addReplica("i-1", "llm", [this](const std::shared_ptr<CallerExchange> &exchange) {
                 this->held.push_back(exchange);
             });
@@ -100,7 +102,7 @@
         endHead(bench);
         return true;
     });
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    std::this_thread::sleep_for(endBound);
     running.host.ask<bool>([&running](GatewayBench &) {
         sendEvents(running.held.front(), 3);
         running.held.front()->end();
