JobRunners: A run whose job a whole reading of the open jobs lacks looks at the job's head

Cause: after the store has dropped its history the table of open jobs is read whole, and what is missing from it has ended. Only jobs whose row had been read before were looked at; a job that this node had accepted less than one poll ago was in no list, so its run was never told.

Change: each run that a whole reading lacks asks the store for its job's head (OpenConfirmation::renew). It isn't ended outright: the reading may be older than the acceptance, where a relay lags behind.

Evidence: TestEndedJobs, second case: before, the run never ended (10 s); now it ends.

--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -177,6 +177,11 @@
     });
 }
 
+void JobRun::checkOpen()
+{
+    this->confirmation.renew();
+}
+
 void JobRun::takeLoaded(const LoadedJob &loaded)
 {
     if (loaded.outcome == JobReadOutcome::Failed) {
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -70,6 +70,9 @@
     /** Keep what the items have generated, for whoever runs them next. */
     void saveProgress();
 
+    /** Something says that the job is closed: end if the store confirms it. */
+    void checkOpen();
+
     /** Stop all items at once, and tell nothing more. */
     void cancel(RunEnd end);
 
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -120,6 +120,12 @@
     for (const JobId &job : gone) {
         this->stopJob(job, RunEnd::NotListed);
     }
+    // A job that was accepted here may be closed before its row was ever read. It may also be too new for this reading.
+    for (const auto &[job, run] : this->runs) {
+        if (!listed.contains(job)) {
+            run->checkOpen();
+        }
+    }
 }
 
 void JobRunners::takeChange(const StoredRow &row)
