QuotaService, ContactSample: Counters of quotas grant by the share of the fleet that they are in contact with

Once the members of the other part are held dead, each part sees itself as the whole.

Ways weighed: a leased row in the store (an outage of the store would end all counting, or need a second rule), a majority of acknowledgements at each claim (says nothing of the holder that is cut off), probes to all members (grow with the fleet). Built: ContactSample probes 4 (16 while requests are refused) members drawn at random every 100 ms, whatever the fleet's size, and counts a probe only after it had time to be answered; RecentMembers adds those that were lost in the last 30 s. A counter grants all with over 0.6 of the fleet, nothing below 0.45, a part between: two parts never grant more than one together. Rate and burst follow. Nobody counts before there is a claim, but a node that has no others. A node forgets its suspicion when the duty moves.

The existing cases are unchanged and pass.

Left: parts that are apart for longer than 30 s each grant the whole.

--- a/Libraries/LibWorkspace/QuotaAsker.cpp
+++ b/Libraries/LibWorkspace/QuotaAsker.cpp
@@ -129,6 +129,12 @@
     }
 }
 
+void QuotaAsker::noteHolderChanged(std::size_t part)
+{
+    this->parts[part].holderSuspectedUntil = {};
+    this->parts[part].successorSuspectedUntil = {};
+}
+
 void QuotaAsker::tick()
 {
     const SteadyTime now = this->clock.now();
--- a/Libraries/LibWorkspace/QuotaAsker.h
+++ b/Libraries/LibWorkspace/QuotaAsker.h
@@ -74,6 +74,9 @@
     /** A counter has answered. */
     void take(Ticket ticket, const QuotaDecision &decision);
 
+    /** Another node has the duty of a counter now: what is suspected of the one before does not count. */
+    void noteHolderChanged(std::size_t part);
+
     /** Look after what time brings. */
     void tick();
 
--- a/Libraries/LibWorkspace/QuotaBucket.cpp
+++ b/Libraries/LibWorkspace/QuotaBucket.cpp
@@ -20,13 +20,13 @@
 
 double QuotaBucket::capacity() const
 {
-    return this->limit.burst + this->margin;
+    return this->limit.burst * this->share + this->margin;
 }
 
 double QuotaBucket::level(SteadyTime now) const
 {
     const std::chrono::duration<double> passed = std::max(now, this->filled) - this->filled;
-    return std::min(this->capacity(), this->tokens + passed.count() * this->limit.perSecond * this->filling);
+    return std::min(this->capacity(), this->tokens + passed.count() * this->limit.perSecond * this->share);
 }
 
 void QuotaBucket::fill(SteadyTime now)
@@ -43,10 +43,11 @@
     this->tokens = std::min(this->tokens, this->capacity());
 }
 
-void QuotaBucket::setFilling(SteadyTime now, double share)
+void QuotaBucket::setShare(SteadyTime now, double share)
 {
     this->fill(now);
-    this->filling = share;
+    this->share = share;
+    this->tokens = std::min(this->tokens, this->capacity());
 }
 
 void QuotaBucket::add(SteadyTime now, double tokens)
@@ -62,7 +63,7 @@
         this->tokens -= 1;
         return std::nullopt;
     }
-    const double rate = this->limit.perSecond;
+    const double rate = this->limit.perSecond * (this->share > 0 ? this->share : 1);
     const std::chrono::duration<double> longest = longestRetryAfter;
     const auto secondsFor = [rate, longest](double missing) {
         return std::chrono::duration<double>(rate > 0 ? std::min(missing / rate, longest.count()) : longest.count());
--- a/Libraries/LibWorkspace/QuotaBucket.h
+++ b/Libraries/LibWorkspace/QuotaBucket.h
@@ -22,8 +22,8 @@
     /** The quota was changed; what is above the new capacity is lost. */
     void setQuota(SteadyTime now, const RequestQuota &quota, double margin);
 
-    /** @param share of the rate by which it fills from now on */
-    void setFilling(SteadyTime now, double share);
+    /** @param share of the quota that is granted here from now on: of its rate, and of its burst */
+    void setShare(SteadyTime now, double share);
 
     /** Add to what it may grant at once, up to its capacity. */
     void add(SteadyTime now, double tokens);
@@ -45,7 +45,7 @@
 
     RequestQuota limit;
     double margin;
-    double filling = 1;
+    double share = 1;
     double tokens;
     SteadyTime filled;
     /** Up to when the room is told to those who were refused. */
--- a/Libraries/LibWorkspace/QuotaCounter.cpp
+++ b/Libraries/LibWorkspace/QuotaCounter.cpp
@@ -9,7 +9,17 @@
 {
 
 /** While nobody has a claim, two may count for a moment. */
-constexpr double sharedFilling = 0.5;
+constexpr double unclaimedShare = 0.5;
+/** With more of the fleet a counter grants the whole quotas, with less nothing; between, its part grows evenly. */
+constexpr double leastShare = 0.45;
+constexpr double wholeShare = 0.6;
+
+// The parts of two counters that share a fleet between them add up to one at most, and to less where the fleet is cut in the
+// middle: there each estimate moves its part most.
+double partOf(double share)
+{
+    return std::clamp((share - leastShare) / (wholeShare - leastShare), 0.0, 1.0);
+}
 
 } // namespace
 
@@ -28,11 +38,49 @@
     if (this->confirmed) {
         return;
     }
+    this->confirmed = this->clock.now();
+    this->filledUntil = *this->confirmed;
+    this->applyPart();
+}
+
+void QuotaCounter::setShare(double share)
+{
+    const double granted = partOf(share);
+    if (this->part == granted) {
+        return;
+    }
+    this->filledBefore = this->filledSeconds();
+    this->filledUntil = this->clock.now();
+    this->part = granted;
+    this->applyPart();
+}
+
+double QuotaCounter::grantedPart() const
+{
+    if (!this->confirmed) {
+        // Beside one that goes on counting, what is granted here is not replaced before it has left the window.
+        return this->beginning == Beginning::NobodyClaimed ? unclaimedShare : 0;
+    }
+    // One that follows a silent counter may be the one that is cut off.
+    const double assumed = this->beginning == Beginning::HolderSilent && !this->isInformed ? 0 : 1;
+    return this->part.value_or(assumed);
+}
+
+void QuotaCounter::applyPart()
+{
     const SteadyTime now = this->clock.now();
-    this->confirmed = now;
     for (auto &[workspace, entry] : this->counted) {
-        entry.bucket.setFilling(now, 1);
+        entry.bucket.setShare(now, this->grantedPart());
+    }
+}
+
+double QuotaCounter::filledSeconds() const
+{
+    if (!this->confirmed) {
+        return 0;
     }
+    const std::chrono::duration<double> passed = this->clock.now() - this->filledUntil;
+    return this->filledBefore + passed.count() * this->grantedPart();
 }
 
 void QuotaCounter::inform(const std::vector<QuotaLevel> &left)
@@ -41,7 +89,10 @@
         return;
     }
     this->confirm();
+    this->filledBefore = this->filledSeconds();
+    this->filledUntil = this->clock.now();
     this->isInformed = true;
+    this->applyPart();
     for (const QuotaLevel &entry : left) {
         this->inherited.insert_or_assign(entry.workspace, entry.level);
     }
@@ -62,15 +113,13 @@
 QuotaBucket QuotaCounter::makeBucket(const WorkspaceName &workspace, const RequestQuota &quota) const
 {
     const QuotaMargins margins = this->marginsOf(quota);
-    if (!this->confirmed) {
-        QuotaBucket bucket(this->clock.now(), quota, margins.burst, margins.takeover);
-        // Beside one that goes on counting, what is granted here is not replaced before it has left the window.
-        bucket.setFilling(this->clock.now(), this->beginning == Beginning::NobodyClaimed ? sharedFilling : 0);
-        return bucket;
-    }
+    const bool isInherited = this->confirmed && this->isInformed;
     // As it would be, had it been made when the duty was taken over.
-    const double level = this->isInformed ? this->inheritedLevel(workspace, quota) : margins.takeover;
-    return {*this->confirmed, quota, margins.burst, level};
+    const double level
+        = (isInherited ? this->inheritedLevel(workspace, quota) : margins.takeover) + quota.perSecond * this->filledSeconds();
+    QuotaBucket bucket(this->clock.now(), quota, margins.burst, level);
+    bucket.setShare(this->clock.now(), this->grantedPart());
+    return bucket;
 }
 
 QuotaDecision QuotaCounter::take(const WorkspaceName &workspace, const RequestQuota &quota, std::uint64_t version)
--- a/Libraries/LibWorkspace/QuotaCounter.h
+++ b/Libraries/LibWorkspace/QuotaCounter.h
@@ -41,6 +41,12 @@
     /** This counter has the duty by a claim from now on. */
     void confirm();
 
+    /**
+     * @param share of the fleet with which its node is in contact. Another part of a fleet that is cut in two has a counter of
+     * its own, so each grants only its share of the quotas.
+     */
+    void setShare(double share);
+
     /** The one that had the duty before tells what it left. Those that are not listed are whole. */
     void inform(const std::vector<QuotaLevel> &left);
 
@@ -67,6 +73,9 @@
         SteadyTime granted{};
     };
 
+    double grantedPart() const;
+    void applyPart();
+    double filledSeconds() const;
     QuotaBucket makeBucket(const WorkspaceName &workspace, const RequestQuota &quota) const;
     double inheritedLevel(const WorkspaceName &workspace, const RequestQuota &quota) const;
     QuotaMargins marginsOf(const RequestQuota &quota) const;
@@ -76,6 +85,11 @@
     Beginning beginning;
     /** Since when it has the duty by a claim. */
     std::optional<SteadyTime> confirmed;
+    /** Of the quotas, by the share of the fleet in contact; nothing until it is known. */
+    std::optional<double> part;
+    /** Seconds, weighed by that part, in which quotas have filled since it had the duty; up to when they are summed up. */
+    double filledBefore = 0;
+    SteadyTime filledUntil{};
     /** Whether what was granted before it had the duty is known, or too long ago to count. */
     bool isInformed = false;
     /** What the one before told. */
--- a/Services/Gateway/DutyKeeper.cpp
+++ b/Services/Gateway/DutyKeeper.cpp
@@ -105,6 +105,13 @@
     }
 }
 
+void DutyKeeper::probe(const Address &node, const std::string &duty)
+{
+    if (const Followed *const followed = this->find(duty)) {
+        this->peers.datagrams().send(node, followed->duty->question());
+    }
+}
+
 void DutyKeeper::tellClaim(const Address &to, const std::string &duty)
 {
     const Followed *const followed = this->find(duty);
--- a/Services/Gateway/DutyKeeper.h
+++ b/Services/Gateway/DutyKeeper.h
@@ -61,6 +61,9 @@
     /** Ask some members for a sign of life: each that knows another claim than an empty one tells it. */
     void probeMembers(const std::string &duty);
 
+    /** Ask a node for a sign of life: it answers if it knows a claim of the duty. */
+    void probe(const Address &node, const std::string &duty);
+
     /** Tell a node who has a duty, if a claim is known. */
     void tellClaim(const Address &to, const std::string &duty);
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -388,6 +388,7 @@
     if (!this->isComplete) {
         return;
     }
+    this->quotas.noteReceived(datagram.from);
     if (datagram.number == CrashNotice::number) {
         if (const auto notice = decode<CrashNotice>(datagram.payload)) {
             this->crashes.noteCrash(notice->fingerprint);
--- a/Services/Gateway/PeerNetwork.cpp
+++ b/Services/Gateway/PeerNetwork.cpp
@@ -265,6 +265,13 @@
     return this->peerClient;
 }
 
+bool PeerNetwork::hasSeeds() const
+{
+    return std::ranges::any_of(this->seeds, [this](const Address &seed) {
+        return seed != this->socket.address();
+    });
+}
+
 bool PeerNetwork::isInTouch() const
 {
     return this->clock.now() - this->received < touchTime;
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -56,6 +56,9 @@
     /** @return whether others have been heard within the time in which each node hears several. */
     bool isInTouch() const;
 
+    /** @return whether the settings name other nodes. */
+    bool hasSeeds() const;
+
     /** Tell the others whether this node follows the store's tables for them. */
     void setRelay(bool isRelay);
 
--- a/Services/Gateway/QuotaService.cpp
+++ b/Services/Gateway/QuotaService.cpp
@@ -30,6 +30,16 @@
 /** A machine that stood still for longer has most likely lost its duty without knowing it. */
 constexpr std::chrono::milliseconds longestPause{200};
 
+/** After a refusal, quotas are used up, and it matters at once if another part of the fleet counts for itself. */
+constexpr std::chrono::seconds pressedTime{2};
+
+/** How often those are left out that were lost too long ago; a change of the members is taken at once. */
+constexpr std::chrono::milliseconds othersInterval{1000};
+
+/** For the log: below the one a part of the fleet is cut off, above the other none is. The estimate moves between them. */
+constexpr double cutShare = 0.6;
+constexpr double wholeShare = 0.9;
+
 QuotaAnswer answerOf(QuotaAsker::Ticket ticket, const QuotaDecision &decision)
 {
     return {ticket, decision.kind == QuotaDecision::Kind::Granted, decision.retryAfter};
@@ -57,6 +67,10 @@
                      log(LogLevel::Warning, "counter of quotas does not answer", {{"duty", duty}});
                      this->duties.suspectHolder(duty);
                  }})
+    , recent(clock)
+    , contact(clock, peers.self().value(), [this](const Address &other) {
+        this->duties.probe(other, this->parts.front().duty);
+    })
 {
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
         this->parts[number].duty = "quota/" + std::to_string(number);
@@ -92,7 +106,7 @@
         return false;
     }
     if (member->session == this->peers.self()) {
-        if (this->isOutOfTouch()) {
+        if (this->isOutOfTouch() || !this->mayCount(duty)) {
             return false;
         }
         this->asker.take(question.ticket, this->count(number, {this->peers.self(), question.ticket}, question));
@@ -148,6 +162,9 @@
         this->duties.tellClaim(datagram.from, duty);
         return;
     }
+    if (!this->mayCount(duty)) {
+        return;
+    }
     const QuotaQuestion question{ask.ticket, ask.workspace, {ask.perSecond, ask.burst}, ask.version};
     const QuotaDecision decision = this->count(number, {ask.from, ask.ticket}, question);
     this->peers.datagrams().send(isPassedOn ? ask.replyTo : datagram.from, answerOf(ask.ticket, decision));
@@ -161,6 +178,9 @@
         return known->second;
     }
     const QuotaDecision decision = this->counterOf(part).take(question.workspace, question.quota, question.version);
+    if (decision.kind == QuotaDecision::Kind::OverLimit) {
+        this->refused = this->clock.now();
+    }
     part.answered.emplace(id, decision);
     part.answeredOrder.emplace_back(this->clock.now(), id);
     return decision;
@@ -172,6 +192,9 @@
         const auto beginning
             = this->duties.isClaimed(part.duty) ? QuotaCounter::Beginning::HolderSilent : QuotaCounter::Beginning::NobodyClaimed;
         part.counter = std::make_unique<QuotaCounter>(this->clock, this->bounds, beginning);
+        if (this->share) {
+            part.counter->setShare(*this->share);
+        }
     }
     if (this->duties.isClaimedHere(part.duty) || this->isAlone()) {
         part.counter->confirm();
@@ -180,14 +203,22 @@
     return *part.counter;
 }
 
+// While a fleet starts, each node sees a few others, and many would count for themselves.
+bool QuotaService::mayCount(const std::string &duty) const
+{
+    return this->duties.isClaimed(duty) || this->isAlone();
+}
+
 bool QuotaService::isAlone() const
 {
-    return this->view->members().size() <= 1 && this->clock.now() - this->started > aloneAfter;
+    const bool isSure = !this->peers.hasSeeds() || this->clock.now() - this->started > aloneAfter;
+    return this->view->members().size() <= 1 && isSure;
 }
 
 void QuotaService::handOver(std::size_t number, const DutyKeeper::Move &move)
 {
     Part &part = this->parts[number];
+    this->asker.noteHolderChanged(number);
     if (move.former != this->peers.self() || !part.counter) {
         return;
     }
@@ -273,6 +304,40 @@
     }
 }
 
+// Beside a part of the fleet that is cut off from this one, each grants its share: both may have a counter.
+void QuotaService::watchContact()
+{
+    const bool isCounting = std::ranges::any_of(this->parts, [](const Part &part) {
+        return part.counter != nullptr;
+    });
+    if (!isCounting) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    if (now >= this->nextOthers) {
+        this->nextOthers = now + othersInterval;
+        this->contact.setOthers(this->recent.others());
+    }
+    const bool isPressed = now - this->refused < pressedTime;
+    this->contact.tick(isPressed ? ContactSample::Pace::Fast : ContactSample::Pace::Calm);
+    const std::optional<double> measured = this->contact.share();
+    if (!measured || measured == this->share) {
+        return;
+    }
+    if (this->isCut ? *measured > wholeShare : *measured < cutShare) {
+        this->isCut = !this->isCut;
+        log(LogLevel::Info,
+            this->isCut ? "a part of the fleet is cut off" : "no part of the fleet is cut off",
+            {{"share", *measured}, {"members", static_cast<std::int64_t>(this->view->members().size())}});
+    }
+    this->share = measured;
+    for (Part &part : this->parts) {
+        if (part.counter) {
+            part.counter->setShare(*measured);
+        }
+    }
+}
+
 void QuotaService::dropCounters(std::string_view reason)
 {
     for (Part &part : this->parts) {
@@ -286,11 +351,19 @@
 void QuotaService::setView(const MemberViewPointer &view)
 {
     this->view = view;
+    this->recent.update(*view, this->peers.self());
+    this->nextOthers = {};
+}
+
+void QuotaService::noteReceived(const Address &from)
+{
+    this->contact.receive(from);
 }
 
 void QuotaService::tick()
 {
     this->watchTouch();
+    this->watchContact();
     this->asker.tick();
     bool isInTouch = false;
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
--- a/Services/Gateway/QuotaService.h
+++ b/Services/Gateway/QuotaService.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibMembership/ContactSample.h>
+#include <LibMembership/RecentMembers.h>
 #include <LibWire/DatagramSocket.h>
 #include <LibWorkspace/QuotaAsker.h>
 #include <LibWorkspace/QuotaCounter.h>
@@ -37,6 +39,9 @@
     /** The answer is not wanted any more. */
     void cancel(QuotaAsker::Ticket ticket);
 
+    /** Any datagram of another node came. */
+    void noteReceived(const Address &from);
+
     /** @return whether the datagram was about quotas. */
     bool receive(const Datagram &datagram);
 
@@ -79,9 +84,11 @@
     QuotaCounter &counterOf(Part &part);
     void handOver(std::size_t number, const DutyKeeper::Move &move);
     void clean(Part &part);
+    bool mayCount(const std::string &duty) const;
     bool isAlone() const;
     bool isOutOfTouch() const;
     void watchTouch();
+    void watchContact();
     void dropCounters(std::string_view reason);
 
     const Clock &clock;
@@ -94,6 +101,15 @@
     SteadyTime nextProbe{};
     std::array<Part, quotaParts> parts;
     QuotaAsker asker;
+    RecentMembers recent;
+    ContactSample contact;
+    /** When the sample is next told who the others are. */
+    SteadyTime nextOthers{};
+    /** When a request was last refused by a counter of this node. */
+    SteadyTime refused{};
+    /** The share of the fleet that the counters were last given. */
+    std::optional<double> share;
+    bool isCut = false;
 };
 
 } // namespace Dogwoodkeel
--- a/Tests/LibWorkspace/QuotaFleet.h
+++ b/Tests/LibWorkspace/QuotaFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibMembership/ContactSample.h>
 #include <LibWorkspace/QuotaAsker.h>
 #include <LibWorkspace/QuotaCounter.h>
 
@@ -76,6 +77,8 @@
     {
         for (std::size_t node = 0; node < nodes; ++node) {
             this->nodes.push_back(std::make_unique<Node>());
+        }
+        for (std::size_t node = 0; node < nodes; ++node) {
             this->start(node);
         }
     }
@@ -96,7 +99,10 @@
 
     void setHolder(std::size_t node, std::size_t holder)
     {
-        this->nodes[node]->holder = holder;
+        Node &told = *this->nodes[node];
+        if (std::exchange(told.holder, holder) != holder && told.asker) {
+            told.asker->noteHolderChanged(quotaPartOf(this->workspace));
+        }
     }
 
     /** A node has the duty by a claim. */
@@ -121,6 +127,14 @@
         this->nodes[node]->isCut = isCut;
     }
 
+    /** The fleet is cut in two: the first so many nodes, and the others. None: it is whole again. */
+    void cutInTwo(std::size_t first)
+    {
+        for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+            this->nodes[node]->side = node < first ? 1 : 0;
+        }
+    }
+
     /** A node neither sends nor answers. */
     void setFrozen(std::size_t node, bool isFrozen)
     {
@@ -154,6 +168,16 @@
             .suspectHolder = [](std::size_t) {},
         };
         started.asker = std::make_unique<QuotaAsker>(this->time, this->bounds, std::move(hooks));
+        started.contact = std::make_unique<ContactSample>(this->time, node + 1, [this, node](const Address &other) {
+            this->probe(node, other.port);
+        });
+        std::vector<Address> others;
+        for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+            if (other != node) {
+                others.push_back({"n", static_cast<std::uint16_t>(other)});
+            }
+        }
+        started.contact->setOthers(std::move(others));
         this->tick(node, started.incarnation);
     }
 
@@ -210,12 +234,16 @@
         bool isRunning = false;
         bool isCut = false;
         bool isFrozen = false;
+        int side = 0;
         std::uint64_t incarnation = 0;
         /** When it was last not cut off. */
         SteadyTime received{};
+        /** When it last refused a request as a counter. */
+        SteadyTime refused{};
         std::size_t holder = 0;
         std::unique_ptr<QuotaAsker> asker;
         std::unique_ptr<QuotaCounter> counter;
+        std::unique_ptr<ContactSample> contact;
         std::map<std::pair<std::size_t, std::uint64_t>, QuotaDecision> answered;
     };
 
@@ -248,6 +276,7 @@
             }
             ticked.asker->tick();
             if (ticked.counter) {
+                this->measureContact(ticked);
                 ticked.counter->forgetUnused();
             }
             if (ticked.asker->isInTouch(quotaPartOf(this->workspace))) {
@@ -259,11 +288,30 @@
         });
     }
 
+    void measureContact(Node &node)
+    {
+        const bool isPressed = this->time.now() - node.refused < std::chrono::seconds(2);
+        node.contact->tick(isPressed ? ContactSample::Pace::Fast : ContactSample::Pace::Calm);
+        if (const std::optional<double> share = node.contact->share()) {
+            node.counter->setShare(*share);
+        }
+    }
+
+    void probe(std::size_t from, std::size_t to)
+    {
+        this->send(from, to, [this, from, to] {
+            this->send(to, from, [this, from, to] {
+                this->nodes[from]->contact->receive({"n", static_cast<std::uint16_t>(to)});
+            });
+        });
+    }
+
     bool ask(std::size_t node, const QuotaQuestion &question, QuotaAsker::Counter counter)
     {
         const std::size_t holder = this->nodes[node]->holder;
         const std::size_t asked = counter == QuotaAsker::Counter::Holder ? holder : (holder + 1) % this->nodes.size();
-        if (asked == node && this->isOutOfTouch(*this->nodes[node])) {
+        // Nobody counts before there is a claim.
+        if (asked == node && (this->isOutOfTouch(*this->nodes[node]) || !this->isAnyClaimed)) {
             return false;
         }
         if (asked == node) {
@@ -271,6 +319,9 @@
             return true;
         }
         this->send(node, asked, [this, node, asked, question] {
+            if (!this->isAnyClaimed) {
+                return;
+            }
             const QuotaDecision decision = this->count(asked, node, question);
             this->send(asked, node, [this, node, question, decision] {
                 this->nodes[node]->asker->take(question.ticket, decision);
@@ -288,6 +339,9 @@
             return known->second;
         }
         const QuotaDecision decision = this->counterOf(counter).take(question.workspace, question.quota, question.version);
+        if (decision.kind == QuotaDecision::Kind::OverLimit) {
+            this->nodes[counter]->refused = this->time.now();
+        }
         answered.emplace(id, decision);
         return decision;
     }
@@ -297,7 +351,8 @@
         std::uniform_real_distribution<double> chance(0, 1);
         const int copies = chance(this->random) < this->links.twice ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            if (this->nodes[from]->isCut || this->nodes[to]->isCut || chance(this->random) < this->links.lost) {
+            const bool isApart = this->nodes[from]->side != this->nodes[to]->side;
+            if (this->nodes[from]->isCut || this->nodes[to]->isCut || isApart || chance(this->random) < this->links.lost) {
                 continue;
             }
             const std::uint64_t incarnation = this->nodes[to]->incarnation;
--- a/Tests/LibWorkspace/TestQuotaReplay.cpp
+++ b/Tests/LibWorkspace/TestQuotaReplay.cpp
@@ -138,6 +138,30 @@
     }
 }
 
+// Guards against a fleet of counters: nodes that have just started take callers before they have met the others.
+TEST_CASE("the limit holds over a loss of all nodes after which each holds itself for the counter at first")
+{
+    for (const RequestQuota &quota : {small, large}) {
+        QuotaFleet fleet(59, bounds, quota, 14);
+        fleet.setHolder(0);
+        playEverywhere(fleet, 0, seconds(6));
+        playEverywhere(fleet, quota.perSecond * 8, seconds(3));
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.kill(node);
+        }
+        fleet.isAnyClaimed = false;
+        fleet.time.runFor(seconds(1));
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.start(node);
+            fleet.setHolder(node, node);
+        }
+        playEverywhere(fleet, quota.perSecond * 8, milliseconds(500));
+        fleet.setHolder(4);
+        playEverywhere(fleet, quota.perSecond * 8, seconds(6));
+        CHECK(static_cast<double>(fleet.mostInWindow()) <= bound(quota));
+    }
+}
+
 TEST_CASE("a third of the nodes, each cut off alone, serve on and keep the limit together with the others")
 {
     for (const RequestQuota &quota : {small, large}) {
@@ -189,6 +213,40 @@
     }
 }
 
+// Guards against a whole limit in each part of a fleet that is cut in two, where each part has a counter.
+TEST_CASE("a fleet that is cut in two keeps the limit together, whichever part the counter is in, and serves on")
+{
+    for (const RequestQuota &quota : {small, large}) {
+        for (const std::size_t first : {std::size_t(9), std::size_t(21), std::size_t(30)}) {
+            // Its successor, the next one, is in the other part.
+            for (const std::size_t holder : {first - 1, std::size_t(58)}) {
+                QuotaFleet fleet(59, bounds, quota, 13);
+                fleet.setHolder(holder);
+                playEverywhere(fleet, 0, seconds(6));
+                playEverywhere(fleet, quota.perSecond * 4, seconds(2));
+                fleet.cutInTwo(first);
+                playEverywhere(fleet, quota.perSecond * 4, milliseconds(350));
+                // Those that are cut off from the counter have another one.
+                const std::size_t other = (holder + 1) % fleet.size();
+                for (std::size_t node = 0; node < fleet.size(); ++node) {
+                    fleet.setHolder(node, (node < first) == (holder < first) ? holder : other);
+                }
+                fleet.claim(other);
+                const std::size_t before = fleet.granted.size();
+                playEverywhere(fleet, quota.perSecond * 8, seconds(12));
+                CHECK_MESSAGE(static_cast<double>(fleet.mostInWindow()) <= bound(quota), first, holder, fleet.mostInWindow());
+                // Of two halves neither knows which one is the larger.
+                const double served = first == 30 ? 0.6 : 0.8;
+                CHECK(static_cast<double>(fleet.granted.size() - before) >= quota.perSecond * 12 * served);
+                fleet.cutInTwo(0);
+                fleet.setHolder(other);
+                playEverywhere(fleet, quota.perSecond * 8, seconds(8));
+                CHECK_MESSAGE(static_cast<double>(fleet.mostInWindow()) <= bound(quota), first, holder, fleet.mostInWindow());
+            }
+        }
+    }
+}
+
 // Guards against each node taking what is left for its own: alone, none knows what the others grant.
 TEST_CASE("nodes that are all cut off from each other keep the limit together")
 {
@@ -313,3 +371,40 @@
     });
     CHECK(holds);
 }
+
+// Guards against two counters at the moments when a fleet is cut in two and when it is whole again.
+TEST_CASE("the limit holds wherever and whenever a fleet is cut in two")
+{
+    const bool holds = rc::check("no window goes beyond its bound", [] {
+        const RequestQuota quota{static_cast<double>(*rc::gen::inRange(2, 80)), static_cast<double>(*rc::gen::inRange(0, 80))};
+        const auto nodes = static_cast<std::size_t>(*rc::gen::inRange(6, 64));
+        QuotaFleet fleet(nodes, bounds, quota, *rc::gen::arbitrary<std::uint16_t>());
+        fleet.links = {0.02, 0.02};
+        auto holder = static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(nodes)));
+        fleet.setHolder(holder);
+        playEverywhere(fleet, quota.perSecond * 0.5, seconds(5));
+        for (int round = 0; round < 2; ++round) {
+            const double flood = *rc::gen::inRange(1, 9);
+            // Its successor is in the other part.
+            const std::size_t other = (holder + 1) % nodes;
+            const std::size_t first
+                = other > 0 ? other : static_cast<std::size_t>(*rc::gen::inRange<int>(1, static_cast<int>(nodes)));
+            playEverywhere(fleet, quota.perSecond * flood * *rc::gen::inRange(0, 2), seconds(2));
+            fleet.cutInTwo(first);
+            // Others miss the counter, and its silence is waited for.
+            playEverywhere(fleet, quota.perSecond * flood, milliseconds(*rc::gen::inRange(310, 600)));
+            for (std::size_t node = 0; node < nodes; ++node) {
+                fleet.setHolder(node, (node < first) == (holder < first) ? holder : other);
+            }
+            fleet.claim(other);
+            playEverywhere(fleet, quota.perSecond * flood, milliseconds(*rc::gen::inRange(200, 8000)));
+            fleet.cutInTwo(0);
+            playEverywhere(fleet, quota.perSecond * flood, milliseconds(*rc::gen::inRange(0, 300)));
+            fleet.setHolder(other);
+            holder = other;
+            playEverywhere(fleet, quota.perSecond * flood, milliseconds(5200));
+        }
+        RC_ASSERT(static_cast<double>(fleet.mostInWindow()) <= bound(quota));
+    });
+    CHECK(holds);
+}
