--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/JobLedger.h>
+#include <LibGateway/OpenConfirmation.h>
 #include <Services/Gateway/ItemAttempt.h>
 #include <Services/Gateway/JobStore.h>
 
@@ -24,8 +25,8 @@
     RowRemoved,
     /** A whole reading of the open jobs does not list it. */
     NotListed,
-    /** The job's head says that it was ended. */
-    HeadEnded,
+    /** The job's head says that it was ended, or is complete by another node's results. */
+    HeadClosed,
     /** The store has no such job. */
     Absent,
     /** Another node runs it. */
@@ -61,13 +62,17 @@
         TakenOver,
     };
 
-    JobRun(GatewayContext &context, JobStore &store, JobId job, Hooks hooks);
+    /** @param endBound how long after the end of a job its items may still reach replicas */
+    JobRun(GatewayContext &context, JobStore &store, JobId job, std::chrono::milliseconds endBound, Hooks hooks);
 
     void start(Origin origin);
 
     /** Keep what the items have generated, for whoever runs them next. */
     void saveProgress();
 
+    /** Something says that the job is closed: end if the store confirms it. */
+    void checkOpen();
+
     /** Stop all items at once, and tell nothing more. */
     void cancel(RunEnd end);
 
@@ -82,6 +87,7 @@
     void keepProgress();
     void load();
     void takeLoaded(const LoadedJob &loaded);
+    void askWhetherOpen(std::function<void(OpenConfirmation::Reply)> answer);
     void startItems();
     void startItem(std::uint32_t number);
     void takeItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output);
@@ -107,6 +113,7 @@
     std::map<std::uint32_t, Open> open;
     /** What items had generated before this run. */
     std::map<std::uint32_t, JobRows::Generated> before;
+    OpenConfirmation confirmation;
     bool isLoaded = false;
     /** Reading and writing the job take turns: the answer to one is understood by what the other left. */
     bool isBusyWithStore = false;
