--- /dev/null
+++ b/Tests/Fakes/ShiftedClock.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibBase/SystemClock.h>
+
+#include <chrono>
+
+namespace Dogwoodkeel
+{
+
+/** The machine's clocks, with a steady time that a test can move forward. */
+class ShiftedClock final : public Clock
+{
+public:
+    SteadyTime now() const override
+    {
+        return this->system.now() + this->offset;
+    }
+
+    WallTime wallNow() const override
+    {
+        return this->system.wallNow();
+    }
+
+    /** Move the steady time forward; timers of the event loop stay as they are. */
+    void shift(std::chrono::seconds forward)
+    {
+        this->offset += forward;
+    }
+
+private:
+    SystemClock system;
+    std::chrono::seconds offset{0};
+};
+
+} // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <LibBase/SystemClock.h>
 #include <LibProxy/CallerServer.h>
 #include <LibTask/TaskHost.h>
 #include <Services/Gateway/Gateway.h>
 #include <Tests/Fakes/RawConnection.h>
+#include <Tests/Fakes/ShiftedClock.h>
 #include <Tests/Fakes/SignedHeaders.h>
 #include <Tests/Fakes/StandInStore.h>
 
@@ -117,7 +117,7 @@
     }
 
     EventLoop &loop;
-    SystemClock clock;
+    ShiftedClock clock;
     Settings settings;
     /** Gives the nodes their session numbers. */
     std::function<SessionNumber()> newSession = &randomSession;
--- a/Tests/ServiceGateway/TestJobRunners.cpp
+++ b/Tests/ServiceGateway/TestJobRunners.cpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <thread>
+
 using namespace Dogwoodkeel;
 
 namespace
@@ -12,6 +15,8 @@
 
 constexpr double smallShare = 0.12;
 constexpr double largeShare = 0.5;
+/** Longer than a node follows the open jobs after its last run. */
+constexpr std::chrono::seconds longAfterStart{60};
 
 std::size_t runsOf(Running &running)
 {
@@ -20,6 +25,39 @@
     });
 }
 
+/** Start a small node and a large one, and wait until the small one does not follow the open jobs any more. */
+void startSmallBesideLarge(Running &running)
+{
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.clock.shift(longAfterStart);
+        bench.settings.gateway.processorShare = largeShare;
+        bench.startOther();
+        return true;
+    });
+    await([&running] {
+        return running.host.ask<bool>([](GatewayBench &bench) {
+            return bench.gateway->readyMembers() == 2 && bench.other->readyMembers() == 2;
+        });
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+}
+
+/** Write a job's rows as a node does that accepts it. */
+void putJob(GatewayBench &bench, SessionNumber runner)
+{
+    const JobId job("late");
+    JobContent content;
+    content.items.push_back(JobRows::recordOf({ItemId("a"), "/b/a", {}, "x", 9}));
+    JobHead head;
+    head.route = "batch";
+    head.host = "h";
+    head.total = 1;
+    head.contentPieces = 1;
+    bench.store.rows().put(JobRows::head(job), encode(head));
+    bench.store.rows().put(JobRows::contentPiece(job, 0), encode(content));
+    bench.store.rows().put(JobRows::open(job), encode(OpenJob{head.route, head.workspace, 9, runner}));
+}
+
 /** Write that a node runs the job, as if it had. */
 void nameRunner(GatewayBench &bench, const Gateway &node)
 {
@@ -73,3 +111,38 @@
         return runsOf(running) == 3;
     });
 }
+
+// The write of an acceptance took effect after its answer was lost. The row named a node that ran nothing and did not follow the
+// open jobs, and the others left the job to it: its items never ran.
+TEST_CASE("a job whose row names a node that does not know of it is run")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", ignore);
+        bench.settings.gateway.processorShare = smallShare;
+    });
+    startSmallBesideLarge(running);
+    running.host.ask<bool>([](GatewayBench &bench) {
+        putJob(bench, bench.gateway->session());
+        return true;
+    });
+    await([&running] {
+        return runsOf(running) == 1;
+    });
+}
+
+// The node that accepted a job took another session before its write took effect: the row names a member that never was.
+TEST_CASE("a job whose row names a session that was never a member is run")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", ignore);
+        bench.settings.gateway.processorShare = smallShare;
+    });
+    startSmallBesideLarge(running);
+    running.host.ask<bool>([](GatewayBench &bench) {
+        putJob(bench, randomSession());
+        return true;
+    });
+    await([&running] {
+        return runsOf(running) == 1;
+    });
+}
