JobRunners: Who would inherit a job looks at it while its row is open; the runner it names is reminded

Cause: who runs a job was told once, at edges: by the answer to the submission's write, or by the row as it was read by its runner. Where the answer was lost and the runner didn't follow the open jobs, nobody had to do anything any more.

Change: for each open row the member that would inherit the job looks at it again and again while the row stands still. A node that is reminded of a job that it doesn't run reads the open jobs; it runs what they, not the datagram, say is its own, so that an old reminder starts nothing. A run that ended as the store had no such job leaves the open row to the next look. And a job that is found behind an unanswered write is accepted, and begun at once, if its open row names this node.

Logged: a job that is left to its runner, with the runner; a reminder of a job that does not run here, with what is done of it; an accepted job that needs no new run, with the reason.

--- a/Libraries/LibGateway/JobRows.cpp
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -91,6 +91,11 @@
     return {openTable, "", std::string(openPrefix) + job.value()};
 }
 
+RowRange openOnly(const JobId &job)
+{
+    return {openTable, "", open(job).key, "", 1};
+}
+
 std::optional<JobId> openJobOf(const std::string &key)
 {
     return key.starts_with(openPrefix) ? std::optional(JobId(key.substr(openPrefix.size()))) : std::nullopt;
--- a/Libraries/LibGateway/JobRows.h
+++ b/Libraries/LibGateway/JobRows.h
@@ -59,6 +59,9 @@
 /** @return the row of an open job. */
 RowPlace open(const JobId &job);
 
+/** @return a range that begins with the row of an open job, and holds no more than one row. */
+RowRange openOnly(const JobId &job);
+
 /** @return the job whose open row has that key, or nothing if it is another row. */
 std::optional<JobId> openJobOf(const std::string &key);
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -513,6 +513,7 @@
 struct ConfigurationText;
 struct ConfigurationTextRequest;
 struct JobEnded;
+struct JobReminder;
 struct JobContent;
 struct JobHead;
 struct OpenJob;
@@ -2821,6 +2822,22 @@
     }
 };
 
+/** Datagram: the rows of open jobs name the receiver as their runner. If it does not know of them, it looks at the rows. */
+struct JobReminder
+{
+    static constexpr MessageNumber number{152};
+    /** Which. */
+    std::vector<JobId> jobs;
+
+    bool operator==(const JobReminder &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->jobs);
+    }
+};
+
 /** Record: the items of a job. Written once, at its submission. */
 struct JobContent
 {
@@ -3319,6 +3336,8 @@
         return "ConfigurationTextRequest";
     case 126:
         return "JobEnded";
+    case 152:
+        return "JobReminder";
     case 127:
         return "JobContent";
     case 128:
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -396,6 +396,10 @@
         if (const auto ended = decode<JobEnded>(datagram.payload)) {
             this->runners.stopJob(ended->job, RunEnd::EndReported);
         }
+    } else if (datagram.number == JobReminder::number) {
+        if (const auto reminder = decode<JobReminder>(datagram.payload)) {
+            this->runners.takeReminder(reminder->jobs);
+        }
     } else if (!this->duties.receive(datagram) && !this->quotas.receive(datagram)) {
         this->placements.receive(datagram);
     }
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -24,6 +24,11 @@
 constexpr std::chrono::milliseconds considerInterval{1000};
 /** Several times as long as a change of a job takes to come here. */
 constexpr std::chrono::seconds followedAfterRuns{15};
+/** Bounds the work of one look; the other jobs have their turn at the next. */
+constexpr std::chrono::milliseconds lookInterval{250};
+constexpr std::size_t looksAtOnce = 250;
+/** So that a datagram fits into one frame of the network. */
+constexpr std::size_t jobsInReminder = 16;
 
 } // namespace
 
@@ -41,11 +46,13 @@
     , endBound(settings.jobEndBound)
     , configuration(std::move(configuration))
     , view(peers.dutyView())
+    , looks(context.clock)
     , settling(context.clock)
     , lastBusy(context.clock.now())
 {
     this->followOpenJobs();
     this->considerFollowing();
+    this->lookAtJobs();
 }
 
 void JobRunners::followOpenJobs()
@@ -85,6 +92,8 @@
     if (!mayTakeOver && !isBusy && this->follower) {
         this->follower.reset();
         this->open.clear();
+        this->looks.clear();
+        this->reminded.clear();
     } else if (mayTakeOver && !this->follower) {
         this->followOpenJobs();
     }
@@ -99,6 +108,7 @@
     this->context.loop.cancel(this->hurryTimer);
     this->context.loop.cancel(this->settleTimer);
     this->context.loop.cancel(this->considerTimer);
+    this->context.loop.cancel(this->lookTimer);
     this->stopAll();
 }
 
@@ -144,15 +154,21 @@
         return;
     }
     this->open.insert_or_assign(*job, *decoded);
+    this->looks.noteRow(*job);
     this->decide(*job);
 }
 
+const Member *JobRunners::presentRunner(const OpenJob &open) const
+{
+    const Member *const runner = this->view->find(open.runner);
+    return runner != nullptr && !runner->isLeaving ? runner : nullptr;
+}
+
 bool JobRunners::isOurs(const JobId &job, const OpenJob &open) const
 {
     // Its runner keeps it as long as it is there: a change of the members must not make items run twice.
-    const Member *const runner = this->view->find(open.runner);
-    if (runner != nullptr && !runner->isLeaving) {
-        return open.runner == this->peers.self();
+    if (const Member *const runner = this->presentRunner(open)) {
+        return runner->session == this->peers.self();
     }
     return hasDuty(*this->view, this->peers.self(), stableHash(job.value()));
 }
@@ -192,7 +208,7 @@
             [this, job, alive = this->alive](RunEnd end) {
                 this->context.loop.post([this, job, end, alive] {
                     if (*alive) {
-                        this->stopJob(job, end);
+                        this->takeRunEnd(job, end);
                     }
                 });
             },
@@ -283,6 +299,99 @@
     // accepted before may be run elsewhere, or be complete: the row, or the job itself, tells.
     if (!this->isStopped && !this->open.contains(job) && !this->runs.contains(job)) {
         this->startRun(job, JobRun::Origin::Accepted);
+        return;
+    }
+    std::string_view reason = "its open row tells who runs it";
+    if (this->isStopped) {
+        reason = "this node is leaving";
+    } else if (this->runs.contains(job)) {
+        reason = "it runs here already";
+    }
+    log(LogLevel::Info, "no new run of an accepted job", {{"job", job.value()}, {"reason", std::string(reason)}});
+    this->decide(job);
+}
+
+void JobRunners::takeReminder(const std::vector<JobId> &jobs)
+{
+    for (const JobId &job : jobs) {
+        if (!this->runs.contains(job)) {
+            const std::string_view decision = this->takeReminder(job);
+            log(LogLevel::Info,
+                "reminded of a job that does not run here",
+                {{"job", job.value()}, {"decision", std::string(decision)}});
+        }
+    }
+}
+
+std::string_view JobRunners::takeReminder(const JobId &job)
+{
+    if (this->isStopped) {
+        return "none: this node is leaving";
+    }
+    // For as long as there are reminders, the rows are followed: this node's own copy of them may be behind.
+    this->lastBusy = this->context.clock.now();
+    if (!this->follower) {
+        this->followOpenJobs();
+        return "read the open jobs";
+    }
+    const auto row = this->open.find(job);
+    if (row == this->open.end()) {
+        return "none: no open row of it is known yet, or no more";
+    }
+    if (!this->isOurs(job, row->second)) {
+        return "none: its open row names another node";
+    }
+    this->decide(job);
+    return this->runs.contains(job) ? "run it" : "run it once the members have settled";
+}
+
+void JobRunners::lookAtJobs()
+{
+    std::map<SessionNumber, JobReminder> reminders;
+    for (const JobId &job : this->looks.takeDue(looksAtOnce)) {
+        this->look(job, reminders);
+    }
+    for (const auto &[runner, reminder] : reminders) {
+        if (!reminder.jobs.empty()) {
+            this->peers.datagrams().send(this->view->find(runner)->gossip, reminder);
+        }
+    }
+    this->lookTimer = this->context.loop.schedule(lookInterval, [this] {
+        this->lookAtJobs();
+    });
+}
+
+void JobRunners::look(const JobId &job, std::map<SessionNumber, JobReminder> &reminders)
+{
+    const auto row = this->open.find(job);
+    if (this->isStopped || row == this->open.end()) {
+        return;
+    }
+    const Member *const runner = this->presentRunner(row->second);
+    if (runner == nullptr || runner->session == this->peers.self()) {
+        this->decide(job);
+        return;
+    }
+    if (!hasDuty(*this->view, this->peers.self(), stableHash(job.value()))) {
+        return;
+    }
+    this->reportReminder(job, runner->session);
+    JobReminder &reminder = reminders[runner->session];
+    reminder.jobs.push_back(job);
+    if (reminder.jobs.size() == jobsInReminder) {
+        this->peers.datagrams().send(runner->gossip, std::exchange(reminder, {}));
+    }
+}
+
+void JobRunners::reportReminder(const JobId &job, SessionNumber runner)
+{
+    const auto [entry, isNew] = this->reminded.emplace(job, runner);
+    if (isNew || std::exchange(entry->second, runner) != runner) {
+        log(LogLevel::Info,
+            "open job left to its runner",
+            {{"job", job.value()},
+             {"runner", std::to_string(runner.value())},
+             {"reason", "its open row names a member; it is reminded while the row stands still"}});
     }
 }
 
@@ -294,9 +403,21 @@
 void JobRunners::stopJob(const JobId &job, RunEnd end)
 {
     this->open.erase(job);
+    this->looks.forget(job);
+    this->reminded.erase(job);
     this->stopRun(job, end);
 }
 
+void JobRunners::takeRunEnd(const JobId &job, RunEnd end)
+{
+    if (end == RunEnd::Absent) {
+        // The store may have answered with what it knew earlier. While the open row is there, it is looked at again.
+        this->stopRun(job, end);
+        return;
+    }
+    this->stopJob(job, end);
+}
+
 void JobRunners::stopRun(const JobId &job, RunEnd end)
 {
     const auto found = this->runs.find(job);
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/JobLooks.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibMembership/ViewSettling.h>
 #include <LibSettings/Generated/Settings.h>
@@ -11,11 +12,19 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace Dogwoodkeel
 {
 
-/** Runs the open jobs that fall to this node. */
+/**
+ * Runs the open jobs that fall to this node.
+ *
+ * For each open row there is a node that knows it has to see to the job, whatever was lost and whoever follows the rows: the member
+ * that would inherit the job follows them, and as long as the row is there it looks at it again and again. If the runner that the
+ * row names is gone, it runs the job itself; else it reminds the runner, which looks at the row if it does not run the job.
+ */
 class JobRunners
 {
 public:
@@ -40,6 +49,9 @@
     /** This node has accepted a job, or found that it was: unless it is known to fall to another, it is run here. */
     void takeAccepted(const JobId &job);
 
+    /** Another node reads rows that name this one as the runner of these jobs. */
+    void takeReminder(const std::vector<JobId> &jobs);
+
     /** Ask the store anew which jobs are open. */
     void hurry();
 
@@ -60,6 +72,12 @@
     void decide(const JobId &job);
     void decideAll();
     void decideSettled();
+    void takeRunEnd(const JobId &job, RunEnd end);
+    void lookAtJobs();
+    void look(const JobId &job, std::map<SessionNumber, JobReminder> &reminders);
+    void reportReminder(const JobId &job, SessionNumber runner);
+    std::string_view takeReminder(const JobId &job);
+    const Member *presentRunner(const OpenJob &open) const;
     bool isOurs(const JobId &job, const OpenJob &open) const;
     void startRun(const JobId &job, JobRun::Origin origin);
     void stopRun(const JobId &job, RunEnd end);
@@ -74,6 +92,9 @@
     std::function<ServingConfigurationPointer()> configuration;
     MemberViewPointer view;
     std::map<JobId, OpenJob> open;
+    JobLooks looks;
+    /** The runners that were reminded of open jobs. */
+    std::map<JobId, SessionNumber> reminded;
     std::map<JobId, std::shared_ptr<JobRun>> runs;
     bool isStopped = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -81,6 +102,7 @@
     TimerId hurryTimer = 0;
     TimerId settleTimer = 0;
     TimerId considerTimer = 0;
+    TimerId lookTimer = 0;
     ViewSettling settling;
     /** When this node last ran a job, as far as was looked. */
     SteadyTime lastBusy;
--- a/Services/Gateway/JobStore.cpp
+++ b/Services/Gateway/JobStore.cpp
@@ -152,7 +152,7 @@
             orderVersion = row.place == order ? row.version : orderVersion;
         }
         if (isKnown) {
-            submitting->done(SubmitOutcome::Known);
+            this->takeFound(submitting);
         } else if (limit > 0 && waiting + submitting->tokens > limit) {
             this->confirm(submitting, SubmitOutcome::Full);
         } else {
@@ -211,7 +211,7 @@
             return row.place == JobRows::head(job) && row.version > 0 && !row.isRemoved;
         });
         if (isKnown) {
-            submitting->done(SubmitOutcome::Known);
+            this->takeFound(submitting);
             return;
         }
         this->retry(submitting, SubmitOutcome::NotStored);
@@ -231,7 +231,7 @@
 {
     this->loadHead(submitting->submission.id, [this, submitting, otherwise](const LoadedJob &loaded) {
         if (loaded.outcome == JobReadOutcome::Found) {
-            submitting->done(SubmitOutcome::Known);
+            this->takeFound(submitting);
         } else if (loaded.outcome == JobReadOutcome::Absent && otherwise == SubmitOutcome::Full) {
             submitting->done(submitting->isMaybeWritten ? SubmitOutcome::Unknown : SubmitOutcome::Full);
         } else {
@@ -240,6 +240,27 @@
     });
 }
 
+// What was found may be what this submission's unanswered write has stored. Then its open row names this node.
+void JobStore::takeFound(const std::shared_ptr<Submitting> &submitting)
+{
+    if (!submitting->isMaybeWritten) {
+        submitting->done(SubmitOutcome::Known);
+        return;
+    }
+    const RowPlace place = JobRows::open(submitting->submission.id);
+    this->store.read(JobRows::openOnly(submitting->submission.id),
+                     [this, alive = this->alive, submitting, place](const RowRangeResult &result) {
+                         if (!*alive) {
+                             return;
+                         }
+                         const bool isOurs = std::ranges::any_of(result.rows, [this, &place](const StoredRow &row) {
+                             const std::optional<OpenJob> open = row.place == place ? decode<OpenJob>(row.value) : std::nullopt;
+                             return open && open->runner == this->self();
+                         });
+                         submitting->done(isOurs ? SubmitOutcome::Accepted : SubmitOutcome::Known);
+                     });
+}
+
 void JobStore::retry(const std::shared_ptr<Submitting> &submitting, SubmitOutcome otherwise)
 {
     const std::chrono::milliseconds delay = this->pause(submitting->tries);
--- a/Services/Gateway/JobStore.h
+++ b/Services/Gateway/JobStore.h
@@ -138,6 +138,7 @@
     void write(const std::shared_ptr<Submitting> &submitting, std::uint64_t waiting, RowVersion orderVersion);
     void takeWritten(const std::shared_ptr<Submitting> &submitting, const RowTransactionResult &result);
     void confirm(const std::shared_ptr<Submitting> &submitting, SubmitOutcome otherwise);
+    void takeFound(const std::shared_ptr<Submitting> &submitting);
     void retry(const std::shared_ptr<Submitting> &submitting, SubmitOutcome otherwise);
     void retryUnanswered(const std::shared_ptr<Submitting> &submitting);
     void tryEnd(const std::shared_ptr<Ending> &ending);
--- a/Tests/ServiceGateway/TestJobRunners.cpp
+++ b/Tests/ServiceGateway/TestJobRunners.cpp
@@ -42,10 +42,10 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(2500));
 }
 
-/** Write a job's rows as a node does that accepts it. */
-void putJob(GatewayBench &bench, SessionNumber runner)
+const JobId lateJob("late");
+
+void putHead(GatewayBench &bench)
 {
-    const JobId job("late");
     JobContent content;
     content.items.push_back(JobRows::recordOf({ItemId("a"), "/b/a", {}, "x", 9}));
     JobHead head;
@@ -53,9 +53,20 @@
     head.host = "h";
     head.total = 1;
     head.contentPieces = 1;
-    bench.store.rows().put(JobRows::head(job), encode(head));
-    bench.store.rows().put(JobRows::contentPiece(job, 0), encode(content));
-    bench.store.rows().put(JobRows::open(job), encode(OpenJob{head.route, head.workspace, 9, runner}));
+    bench.store.rows().put(JobRows::head(lateJob), encode(head));
+    bench.store.rows().put(JobRows::contentPiece(lateJob, 0), encode(content));
+}
+
+void putOpenRow(GatewayBench &bench, SessionNumber runner)
+{
+    bench.store.rows().put(JobRows::open(lateJob), encode(OpenJob{"batch", {}, 9, runner}));
+}
+
+/** Write a job's rows as a node does that accepts it. */
+void putJob(GatewayBench &bench, SessionNumber runner)
+{
+    putHead(bench);
+    putOpenRow(bench, runner);
 }
 
 /** Write that a node runs the job, as if it had. */
@@ -146,3 +157,23 @@
         return runsOf(running) == 1;
     });
 }
+
+// A run ended as the store had answered with what it knew before the job. Its row was forgotten with the run, and nothing began
+// another.
+TEST_CASE("a job that the store does not show at first is run once it does")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "llm", ignore);
+        putOpenRow(bench, randomSession());
+    });
+    await([&running] {
+        return has(running.metrics(), "run of a job ended: the store has no such job");
+    });
+    running.host.ask<bool>([](GatewayBench &bench) {
+        putHead(bench);
+        return true;
+    });
+    await([&running] {
+        return runsOf(running) == 1;
+    });
+}
