--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -79,6 +79,15 @@
     return "$failures"
 }
 
+checkJobRunners() {
+    holds JobRunners
+    holds JobRunners -DLOST=3
+    mutation JobRunners -DNO_LOOK
+    mutation JobRunners -DNO_REMINDER
+    mutation JobRunners -DONE_REMINDER
+    return "$failures"
+}
+
 checkCoreProtocol &
 core=$!
 work=$root/chain
@@ -87,5 +96,8 @@
 work=$root/jobs
 mkdir "$work"
 checkJobRows || failures=1
+work=$root/runners
+mkdir "$work"
+checkJobRunners || failures=1
 wait "$core" || failures=1
 exit "$failures"
