--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -21,9 +21,10 @@
 /**
  * Runs the open jobs that fall to this node.
  *
- * For each open row there is a node that knows it has to see to the job, whatever was lost and whoever follows the rows: the member
- * that would inherit the job follows them, and as long as the row is there it looks at it again and again. If the runner that the
- * row names is gone, it runs the job itself; else it reminds the runner, which looks at the row if it does not run the job.
+ * For each open row there is a node that knows it has to see to the job, whatever was lost and whoever follows the rows: the
+ * member that would inherit the job follows them, and as long as the row is there it looks at it again and again. If the runner
+ * that the row names is gone, it runs the job itself; else it reminds the runner, which looks at the row if it does not run the
+ * job.
  */
 class JobRunners
 {
