EventLoop: A timer does not run before its delay has passed

A request that crashes the replicas that run it reaches more of them than it may.

Cause: libevent counts from a coarse clock (ticks of 4 ms here) that lags by a changing part of a tick, so a timer runs up to some 4 ms early. Gateway sets one timer for each connection that broke, and when it comes CrashMemory judges the breaks that are judgeAfter (60 ms) old. A break whose timer is early is not old enough, and no other timer comes: it is judged with the node's next break, minutes later or never, and the other nodes are not told.

Ruled out: a longer wait in the gateway (a larger constant, and whoever else counts on a timer stays wrong); libevent's precise timer and no cached time (a file descriptor more, and a system call for each change of the next timer).

Change: EventLoop keeps when a timer is due; one that comes early waits for the rest. Scheduler says so.

It never fails where no timer is early; the ticks only make an early one likely.

--- a/Libraries/LibBase/Scheduler.h
+++ b/Libraries/LibBase/Scheduler.h
@@ -16,7 +16,7 @@
     virtual ~Scheduler() = default;
 
     /**
-     * @param delay how long to wait; zero runs the action after the current one
+     * @param delay how long to wait, no less; zero runs the action after the current one
      * @param action what to run, once
      * @return an id to cancel it by, never 0
      */
--- a/Libraries/LibTask/EventLoop.cpp
+++ b/Libraries/LibTask/EventLoop.cpp
@@ -16,8 +16,16 @@
     EventLoop *loop = nullptr;
     TimerId id = 0;
     event *timeout = nullptr;
+    std::chrono::steady_clock::time_point due;
     std::function<void()> action;
 
+    void start(std::chrono::microseconds wait)
+    {
+        const auto seconds = std::chrono::floor<std::chrono::seconds>(wait);
+        const timeval time{seconds.count(), (wait - seconds).count()};
+        event_add(this->timeout, &time);
+    }
+
     ~Timer()
     {
         event_free(this->timeout);
@@ -70,10 +78,8 @@
     timer->id = ++this->lastTimer;
     timer->action = std::move(action);
     timer->timeout = event_new(this->eventBase, -1, 0, &EventLoop::onTimer, timer.get());
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(delay);
-    const std::chrono::microseconds rest = delay - seconds;
-    const timeval wait{seconds.count(), rest.count()};
-    event_add(timer->timeout, &wait);
+    timer->due = std::chrono::steady_clock::now() + delay;
+    timer->start(delay);
     const TimerId id = timer->id;
     this->timers.emplace(id, std::move(timer));
     return id;
@@ -96,10 +102,16 @@
 
 void EventLoop::onTimer(int, short, void *timer)
 {
-    auto *const due = static_cast<Timer *>(timer);
-    EventLoop *const loop = due->loop;
-    const std::function<void()> action = std::move(due->action);
-    loop->timers.erase(due->id);
+    auto *const fired = static_cast<Timer *>(timer);
+    // The event base counts from when it last looked at a coarse clock, and is early by as much.
+    const auto rest = std::chrono::ceil<std::chrono::milliseconds>(fired->due - std::chrono::steady_clock::now());
+    if (rest.count() > 0) {
+        fired->start(rest);
+        return;
+    }
+    EventLoop *const loop = fired->loop;
+    const std::function<void()> action = std::move(fired->action);
+    loop->timers.erase(fired->id);
     runGuarded("timer", action);
 }
 
--- a/Tests/LibTask/TestEventLoop.cpp
+++ b/Tests/LibTask/TestEventLoop.cpp
@@ -3,11 +3,53 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <ctime>
 #include <future>
 #include <stdexcept>
+#include <thread>
+#include <vector>
 
 using namespace Dogwoodkeel;
 
+namespace
+{
+
+constexpr std::chrono::milliseconds timerDelay{20};
+
+std::chrono::nanoseconds durationOf(const timespec &time)
+{
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+std::chrono::nanoseconds read(clockid_t clock)
+{
+    timespec time{};
+    ::clock_gettime(clock, &time);
+    return durationOf(time);
+}
+
+void awaitTick()
+{
+    const std::chrono::nanoseconds before = read(CLOCK_MONOTONIC_COARSE);
+    while (read(CLOCK_MONOTONIC_COARSE) == before) {
+        std::this_thread::yield();
+    }
+}
+
+/** Wait for three quarters of the time between two ticks. */
+void awaitNextTickIsNear()
+{
+    timespec tick{};
+    ::clock_getres(CLOCK_MONOTONIC_COARSE, &tick);
+    const std::chrono::nanoseconds begun = read(CLOCK_MONOTONIC);
+    while ((read(CLOCK_MONOTONIC) - begun) * 4 < durationOf(tick) * 3) {
+        std::this_thread::yield();
+    }
+}
+
+} // namespace
+
 // All callers of a node lose their requests at once: the handler of one event throws, the exception leaves the event loop, and
 // the process ends with everything else that it was serving.
 TEST_CASE("an event whose handler throws is given up, and all others are handled")
@@ -41,3 +83,29 @@
     }),
                     std::runtime_error);
 }
+
+// Something is looked at once, a set time after it happened. A timer that is early finds that it is not time yet, and no other
+// one comes.
+TEST_CASE("a timer does not run before its delay has passed")
+{
+    constexpr int rounds = 30;
+    Task task("test");
+    std::vector<std::chrono::nanoseconds> early;
+    for (int round = 0; round < rounds; ++round) {
+        std::promise<std::chrono::nanoseconds> passed;
+        task.loop().post([&task, &passed] {
+            // Scheduled just before a tick of the clock by which the event base counts, waited for from just behind it.
+            awaitTick();
+            awaitNextTickIsNear();
+            task.loop().schedule(timerDelay, [&passed, scheduled = std::chrono::steady_clock::now()] {
+                passed.set_value(std::chrono::steady_clock::now() - scheduled);
+            });
+            awaitTick();
+        });
+        const std::chrono::nanoseconds measured = passed.get_future().get();
+        if (measured < timerDelay) {
+            early.push_back(timerDelay - measured);
+        }
+    }
+    CHECK(early.empty());
+}
