CrashExchange: Nodes ask each other for the crashes that they know

Cause: CrashNotice goes once, by datagram, to the members that the sender sees; nobody confirms it, and nothing stands behind it. A node that is restarted, cut off or frozen meanwhile remembers no crash, and has to meet three itself or be told of three. With each restart the request may cost a replica again.

Ruled out: to confirm each notice (a node that is not there yet can't confirm); a row in the store for each crash (a write on the way of requests, and it is soft state); a call instead of a datagram (a connection between any two nodes).

Change: each node asks a random other member once a second (CrashQuestion), and is answered with the 40 most recent crashes, if there are any (CrashCounts). The larger count holds, so what both were told of counts once. A notice that comes behind an answer that covers it counts twice; that takes a race within a datagram's way. New gauge: requests_with_crashes.

Evidence: TestCrashNotices: before, a node started after the crashes sent the request on: 4 requests at the replica instead of 3 (3 of 3 runs; the test did not wait for the new gauge then); now 503 and 3 (3 of 3 runs). TestCrashMemory covers the merge. Open: in its first second a new node may still hand the request on. It is not in touch by then.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -71,6 +71,36 @@
     entry.last = now;
 }
 
+std::vector<CrashMemory::Known> CrashMemory::known(std::size_t most) const
+{
+    const SteadyTime now = this->clock.now();
+    std::vector<Known> found;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.last);
+        if (age <= remembered) {
+            found.push_back({fingerprint, entry.crashes, age});
+        }
+    }
+    std::ranges::sort(found, {}, &Known::age);
+    found.resize(std::min(found.size(), most));
+    return found;
+}
+
+void CrashMemory::merge(const Known &reported)
+{
+    if (reported.age > remembered) {
+        return;
+    }
+    if (this->entries.size() >= mostEntries) {
+        this->forgetOld();
+    }
+    Entry &entry = this->entries[reported.fingerprint];
+    const SteadyTime now = this->clock.now();
+    const bool isForgotten = now - entry.last > remembered;
+    entry.crashes = isForgotten ? reported.crashes : std::max(entry.crashes, reported.crashes);
+    entry.last = std::max(entry.last, now - reported.age);
+}
+
 bool CrashMemory::isRefused(std::uint64_t fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -4,6 +4,7 @@
 #include <LibBase/Identifiers.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -37,6 +38,21 @@
     /** A replica crashed while it ran the request; another node has judged so. */
     void noteCrash(std::uint64_t fingerprint);
 
+    /** What a node knows of a request that met crashes. */
+    struct Known
+    {
+        std::uint64_t fingerprint = 0;
+        int crashes = 0;
+        /** How long ago the last one was. */
+        std::chrono::milliseconds age{0};
+    };
+
+    /** @return what is remembered, the most recent first. @param most how many at most */
+    std::vector<Known> known(std::size_t most) const;
+
+    /** Another node remembers crashes. Those that both have been told of count once. */
+    void merge(const Known &reported);
+
     /** @return whether an online request has to be refused. */
     bool isRefused(std::uint64_t fingerprint) const;
 
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -520,6 +520,8 @@
 struct ItemResultRecord;
 struct NodeRecord;
 struct CrashNotice;
+struct CrashQuestion;
+struct CrashCounts;
 struct ReplicaRecords;
 struct ReplicaRecordsRequest;
 struct ItemProgress;
@@ -1453,6 +1455,25 @@
     }
 };
 
+/** How many replicas broke off while they ran a request. */
+struct CrashCount
+{
+    /** Hash of what the request asks for. */
+    std::uint64_t fingerprint = 0;
+    /** How many. */
+    std::uint32_t crashes = 0;
+    /** How long ago the last one did. */
+    std::chrono::milliseconds age = std::chrono::milliseconds(0);
+
+    bool operator==(const CrashCount &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->crashes, this->age);
+    }
+};
+
 /** A replica as the platform lists it. */
 struct ReplicaRecord
 {
@@ -2970,6 +2991,39 @@
     }
 };
 
+/** Datagram: asks another node for the crashes that it knows. Notices may have been lost, or came before the asking node was
+ * there. */
+struct CrashQuestion
+{
+    static constexpr MessageNumber number{153};
+    /** Who asks. */
+    SessionNumber from;
+
+    bool operator==(const CrashQuestion &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from);
+    }
+};
+
+/** Datagram: the crashes that a node knows. */
+struct CrashCounts
+{
+    static constexpr MessageNumber number{154};
+    /** The most recent ones. */
+    std::vector<CrashCount> counts;
+
+    bool operator==(const CrashCounts &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->counts);
+    }
+};
+
 /** The replicas that a node knows. */
 struct ReplicaRecords
 {
@@ -3350,6 +3404,10 @@
         return "NodeRecord";
     case 132:
         return "CrashNotice";
+    case 153:
+        return "CrashQuestion";
+    case 154:
+        return "CrashCounts";
     case 133:
         return "ReplicaRecords";
     case 134:
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -37,6 +37,8 @@
 
 /** How often the traffic since the start is logged, a line a kind: often enough to see what grew, and rare beside other lines. */
 constexpr std::chrono::seconds trafficInterval{30};
+/** More need not be told apart in a metric. */
+constexpr std::size_t mostCrashesCounted = 1000;
 
 void answer(const std::shared_ptr<CallerExchange> &exchange, int status, const std::string &type, const std::string &body)
 {
@@ -87,6 +89,7 @@
                      this->takeDatagram(datagram);
                  },
              .newSession = newSession})
+    , crashExchange(clock, this->peers, this->crashes, this->random())
     , duties(clock, this->peers)
     , placements(loop,
                  clock,
@@ -304,6 +307,7 @@
 void Gateway::tick()
 {
     this->updateRelayRole();
+    this->crashExchange.tick();
     this->duties.tick();
     this->quotas.tick();
     this->placements.tick();
@@ -401,7 +405,7 @@
         if (const auto reminder = decode<JobReminder>(datagram.payload)) {
             this->runners.takeReminder(reminder->jobs);
         }
-    } else if (!this->duties.receive(datagram) && !this->quotas.receive(datagram)) {
+    } else if (!this->crashExchange.receive(datagram) && !this->duties.receive(datagram) && !this->quotas.receive(datagram)) {
         this->placements.receive(datagram);
     }
 }
@@ -541,6 +545,7 @@
         this->metrics.setTraffic(kind, total);
     }
     this->metrics.setGauge("replicas_restarted", static_cast<double>(this->replicasRestarted));
+    this->metrics.setGauge("requests_with_crashes", static_cast<double>(this->crashes.known(mostCrashesCounted).size()));
     this->metrics.setGauge("replicas_known", static_cast<double>(this->listed.count()));
     this->metrics.setGauge("is_relay", this->isRelay ? 1 : 0);
     this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->listed.unreadableEntries()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include <LibTask/EventLoop.h>
 #include <Services/Gateway/CallerRouter.h>
 #include <Services/Gateway/ConfigurationFollower.h>
+#include <Services/Gateway/CrashExchange.h>
 #include <Services/Gateway/DutyKeeper.h>
 #include <Services/Gateway/GatewayContext.h>
 #include <Services/Gateway/GatewayMetrics.h>
@@ -144,6 +145,7 @@
     OutboundPool replicaPool;
     PlatformStore store;
     PeerNetwork peers;
+    CrashExchange crashExchange;
     DutyKeeper duties;
     PlacementClient placements;
     QuotaService quotas;
--- a/Tests/LibGateway/TestCrashMemory.cpp
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -105,3 +105,30 @@
     clock.advance(std::chrono::milliseconds(200));
     CHECK_FALSE(crashes.isHeld(7));
 }
+
+// Two nodes were told of the same crashes: added up, ordinary requests that met one crash by chance would be refused.
+TEST_CASE("crashes that another node remembers too count once, and no longer than there")
+{
+    ManualClock clock;
+    CrashMemory here(clock);
+    CrashMemory there(clock);
+    for (int crash = 0; crash < 2; ++crash) {
+        here.noteCrash(7);
+        there.noteCrash(7);
+    }
+    const auto tell = [&here, &there] {
+        for (const CrashMemory::Known &known : there.known(10)) {
+            here.merge(known);
+        }
+    };
+    tell();
+    tell();
+    CHECK_FALSE(here.isRefused(7));
+    there.noteCrash(7);
+    clock.advance(std::chrono::seconds(100));
+    tell();
+    CHECK(here.isRefused(7));
+    clock.advance(std::chrono::seconds(21));
+    tell();
+    CHECK_FALSE(here.isRefused(7));
+}
--- /dev/null
+++ b/Tests/ServiceGateway/TestCrashNotices.cpp
@@ -0,0 +1,69 @@
+#include <Tests/ServiceGateway/RunningGateway.h>
+
+#include <string>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+constexpr int crashes = 3;
+
+std::string sendTo(const Address &address)
+{
+    RawConnection caller(address);
+    caller.send("POST /u/poison HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: q\r\nX-Deadline-Ms: 20000\r\n"
+                "Content-Length: 1\r\n\r\nx");
+    return caller.readAll();
+}
+
+std::string metricsOf(const Address &address)
+{
+    RawConnection reader(address);
+    reader.send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return reader.readAll();
+}
+
+} // namespace
+
+// Notices of crashes go to the members that are there: one that comes later would hand the request to one replica after another.
+TEST_CASE("a request that crashed three replicas is refused by a node that was started after the crashes")
+{
+    Running running([](GatewayBench &bench) {
+        bench.addReplica("i-1", "api", [](const std::shared_ptr<CallerExchange> &exchange) {
+            exchange->breakOff();
+        });
+    });
+    const auto ran = [&running] {
+        return running.host.ask<std::size_t>([](GatewayBench &bench) {
+            return bench.replicas.front()->heads.size();
+        });
+    };
+    for (int crash = 1; crash <= crashes; ++crash) {
+        CHECK(has(sendTo(running.address(&Gateway::callerAddress)), "HTTP/1.1 502"));
+        await([&running, crash] {
+            return has(running.metrics(), "request met a crash\"} " + std::to_string(crash));
+        });
+    }
+    CHECK(has(sendTo(running.address(&Gateway::callerAddress)), "HTTP/1.1 503"));
+    REQUIRE(ran() == crashes);
+    running.host.ask<bool>([](GatewayBench &bench) {
+        bench.startOther();
+        return true;
+    });
+    await([&running] {
+        return running.host.ask<bool>([](GatewayBench &bench) {
+            return bench.gateway->readyMembers() == 2 && bench.other->readyMembers() == 2;
+        });
+    });
+    const auto other = [&running](const Address &(Gateway::*which)() const) {
+        return running.host.ask<Address>([which](GatewayBench &bench) {
+            return (bench.other.get()->*which)();
+        });
+    };
+    await([&other] {
+        return has(metricsOf(other(&Gateway::metricsAddress)), "requests_with_crashes\"} 1");
+    });
+    CHECK(has(sendTo(other(&Gateway::callerAddress)), "HTTP/1.1 503"));
+    CHECK(ran() == crashes);
+}
