--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -94,7 +95,9 @@
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
-        if (this->proxy.mode != Mode::Delay && this->delayed == 0) {
+        this->watchRequest(from);
+        const bool isDelayed = this->proxy.mode == Mode::Delay || (this->isHeld && from == this->server);
+        if (!isDelayed && this->delayed == 0) {
             bufferevent_write_buffer(this->otherOf(from), input);
             return;
         }
@@ -102,10 +105,31 @@
         evbuffer_remove(input, bytes.data(), bytes.size());
         // Later parts wait for those that are delayed, so that the order stays.
         ++this->delayed;
-        this->later([bytes = std::move(bytes), to = this->otherOf(from)](Link &link) {
-            --link.delayed;
-            bufferevent_write(to, bytes.data(), bytes.size());
-        });
+        const std::chrono::milliseconds hold = isDelayed && this->isHeld ? this->proxy.holdTime : std::chrono::milliseconds(0);
+        this->later(
+            [bytes = std::move(bytes), to = this->otherOf(from)](Link &link) {
+                --link.delayed;
+                bufferevent_write(to, bytes.data(), bytes.size());
+            },
+            hold);
+    }
+
+    /** Whether the answers to come are those that are held back. */
+    void watchRequest(const bufferevent *from)
+    {
+        if (from != this->client) {
+            return;
+        }
+        evbuffer *const input = bufferevent_get_input(this->client);
+        const evbuffer_ptr line = evbuffer_search_eol(input, nullptr, nullptr, EVBUFFER_EOL_CRLF);
+        if (line.pos < 0) {
+            return;
+        }
+        std::string first(static_cast<std::size_t>(line.pos), '\0');
+        evbuffer_copyout(input, first.data(), first.size());
+        if (first.ends_with(" HTTP/1.1")) {
+            this->isHeld = !this->proxy.heldText.empty() && first.find(this->proxy.heldText) != std::string::npos;
+        }
     }
 
     void end(const bufferevent *from, bool isReset)
@@ -122,10 +146,13 @@
         });
     }
 
-    void later(std::function<void(Link &)> action)
+    void later(std::function<void(Link &)> action, std::chrono::milliseconds hold = std::chrono::milliseconds(0))
     {
         constexpr std::chrono::milliseconds moment{5};
-        this->proxy.loop.schedule(this->proxy.delay + moment, [weak = this->weak_from_this(), action = std::move(action)] {
+        const auto now = std::chrono::steady_clock::now();
+        this->due = std::max(this->due + std::chrono::milliseconds(1), now + this->proxy.delay + hold + moment);
+        const auto delay = std::chrono::ceil<std::chrono::milliseconds>(this->due - now);
+        this->proxy.loop.schedule(delay, [weak = this->weak_from_this(), action = std::move(action)] {
             if (const std::shared_ptr<Link> link = weak.lock()) {
                 action(*link);
             }
@@ -136,6 +163,8 @@
     bufferevent *client = nullptr;
     bufferevent *server = nullptr;
     std::size_t delayed = 0;
+    bool isHeld = false;
+    std::chrono::steady_clock::time_point due;
 };
 
 FaultProxy::FaultProxy(EventLoop &loop, const Address &target) : loop(loop), target(target)
@@ -180,6 +209,12 @@
     }
 }
 
+void FaultProxy::holdBack(const std::string &text, std::chrono::milliseconds delay)
+{
+    this->heldText = text;
+    this->holdTime = delay;
+}
+
 void FaultProxy::onAccept(evconnlistener *, int descriptor, sockaddr *, int, void *self)
 {
     auto &proxy = *static_cast<FaultProxy *>(self);
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <memory>
 #include <set>
+#include <string>
 
 struct evconnlistener;
 struct sockaddr;
@@ -42,6 +43,9 @@
     /** @param delay of each part, with Delay */
     void setMode(Mode mode, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
+    /** Bring answers to requests that name this text in their first line so much later. @param text none if empty */
+    void holdBack(const std::string &text, std::chrono::milliseconds delay);
+
 private:
     class Link;
 
@@ -52,6 +56,8 @@
     Address own;
     Mode mode = Mode::Pass;
     std::chrono::milliseconds delay{0};
+    std::string heldText;
+    std::chrono::milliseconds holdTime{0};
     evconnlistener *listener = nullptr;
     std::set<std::shared_ptr<Link>> links;
 };
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -21,6 +21,9 @@
 constexpr int mostTries = 3;
 constexpr int mostSubmissions = 6;
 constexpr std::size_t itemsOfJob = 4;
+/** More than there are places at a few replicas, so that some wait. */
+constexpr std::size_t itemsOfLargeJob = 24;
+constexpr int mostEnds = 3;
 constexpr std::chrono::milliseconds pauseAfterFailure{150};
 constexpr std::chrono::milliseconds jobLook{300};
 /** One in so many requests is a job, a look at one, or the end of one. */
@@ -87,7 +90,7 @@
         }
         const std::vector<std::string> open = this->record.openJobs();
         if (open.size() < this->nodes.size() || this->random() % 2 == 0) {
-            this->submitJob();
+            this->submitJob(itemsOfJob);
         } else if (this->random() % 8 == 0) {
             this->endJob(open[this->random() % open.size()]);
         } else {
@@ -142,13 +145,37 @@
     }
 }
 
-void SoakCaller::submitJob()
+void SoakCaller::runJobs(const std::atomic<bool> &isStopped)
+{
+    while (!isStopped) {
+        this->connection.reset();
+        const std::optional<std::string> job = this->submitJob(itemsOfLargeJob);
+        if (!job) {
+            continue;
+        }
+        std::this_thread::sleep_for(this->timeBeforeEnd());
+        this->connection.reset();
+        if (this->random() % 4 != 0) {
+            this->endJob(*job);
+        } else {
+            this->readJob(*job);
+        }
+    }
+}
+
+std::chrono::milliseconds SoakCaller::timeBeforeEnd()
+{
+    static constexpr std::array<unsigned, 4> longest{1, 60, 500, 2500};
+    return std::chrono::milliseconds(this->random() % longest[this->random() % longest.size()]);
+}
+
+std::optional<std::string> SoakCaller::submitJob(std::size_t itemCount)
 {
     const std::string job = this->nextId();
     nlohmann::json requests = nlohmann::json::array();
     std::map<std::string, std::string> outputs;
     std::vector<std::string> items;
-    for (std::size_t number = 0; number < itemsOfJob; ++number) {
+    for (std::size_t number = 0; number < itemCount; ++number) {
         const std::string item = job + "." + std::to_string(number);
         const std::string body = "item " + item;
         requests.push_back({{"id", item}, {"path", "/b/" + item}, {"body", encodeBase64(body)}, {"tokens", 9}});
@@ -161,7 +188,7 @@
         const int status = this->call("POST /b/job", job, body).status;
         if (status == 202) {
             this->record.noteJob(job, outputs);
-            return;
+            return job;
         }
         isRefused = isRefused && (status == 503 || status == 429);
         std::this_thread::sleep_for(pauseAfterFailure);
@@ -169,6 +196,7 @@
     if (isRefused) {
         this->record.noteRefusedJob(items);
     }
+    return std::nullopt;
 }
 
 void SoakCaller::readJob(const std::string &job)
@@ -192,7 +220,14 @@
 void SoakCaller::endJob(const std::string &job)
 {
     this->record.noteEndAsked(job);
-    this->call("DELETE /lots/" + job, this->nextId(), {});
+    for (int attempt = 0; attempt < mostEnds; ++attempt) {
+        const Response response = this->call("DELETE /lots/" + job, this->nextId(), {});
+        if (response.isComplete && response.status >= 200 && response.status < 300) {
+            this->record.noteEndAcknowledged(job);
+            return;
+        }
+        std::this_thread::sleep_for(pauseAfterFailure);
+    }
 }
 
 void SoakCaller::finishJobs(std::chrono::seconds timeout)
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -29,6 +29,9 @@
     /** Send requests until told to stop. */
     void run(const std::atomic<bool> &isStopped);
 
+    /** Submit jobs of many items and end most of them at any moment, each call at any node, until told to stop. */
+    void runJobs(const std::atomic<bool> &isStopped);
+
     /** Read the results of all open jobs until they are complete, or the time is over. */
     void finishJobs(std::chrono::seconds timeout);
 
@@ -53,10 +56,12 @@
 
     std::string nextId();
     Address anyNode();
+    std::chrono::milliseconds timeBeforeEnd();
     bool callOnline(const Kind &kind);
     TryEnd tryOnline(const Kind &kind, const std::string &body);
     void checkAnswer(const Kind &kind, const std::string &id, const std::string &body, const Response &response);
-    void submitJob();
+    /** @return its name, if it was accepted. */
+    std::optional<std::string> submitJob(std::size_t itemCount);
     void readJob(const std::string &job);
     void endJob(const std::string &job);
     Response call(const std::string &startLine, const std::string &id, const std::string &body);
--- a/Tests/Soak/SoakRecord.cpp
+++ b/Tests/Soak/SoakRecord.cpp
@@ -8,7 +8,7 @@
 void SoakRecord::noteRun(const std::string &id)
 {
     const std::lock_guard lock(this->mutex);
-    ++this->runs[id];
+    this->runs[id].push_back(std::chrono::steady_clock::now());
 }
 
 void SoakRecord::noteTry(const std::string &id, Repeats repeats, TryEnd end)
@@ -75,6 +75,33 @@
     this->jobs[job].isEndAsked = true;
 }
 
+void SoakRecord::noteEndAcknowledged(const std::string &job)
+{
+    const std::lock_guard lock(this->mutex);
+    std::optional<Time> &first = this->jobs[job].endAcknowledged;
+    first = first.value_or(std::chrono::steady_clock::now());
+}
+
+std::vector<SoakRecord::LateItem> SoakRecord::itemsAfterEnd(std::chrono::milliseconds bound) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<LateItem> late;
+    for (const auto &[name, job] : this->jobs) {
+        if (!job.endAcknowledged) {
+            continue;
+        }
+        for (const auto &[item, output] : job.outputs) {
+            const auto found = this->runs.find(item);
+            for (const Time reached : found != this->runs.end() ? found->second : std::vector<Time>()) {
+                if (reached > *job.endAcknowledged + bound) {
+                    late.push_back({name, item, *job.endAcknowledged, reached});
+                }
+            }
+        }
+    }
+    return late;
+}
+
 void SoakRecord::violate(const std::string &what)
 {
     const std::lock_guard lock(this->mutex);
@@ -101,7 +128,7 @@
     const std::lock_guard lock(this->mutex);
     for (const auto &[id, kind] : this->repeats) {
         const auto count = this->runs.find(id);
-        const int ran = count != this->runs.end() ? count->second : 0;
+        const std::size_t ran = count != this->runs.end() ? count->second.size() : 0;
         if (kind == Repeats::Never && ran > 1) {
             this->broken.push_back("request " + id + " ran " + std::to_string(ran) + " times");
         }
@@ -126,12 +153,14 @@
 {
     const std::lock_guard lock(this->mutex);
     std::size_t listed = 0;
+    std::size_t ended = 0;
     for (const auto &[name, job] : this->jobs) {
         listed += job.results.size();
+        ended += job.endAcknowledged ? 1 : 0;
     }
     return std::to_string(this->answered) + " answered, " + std::to_string(this->refused.size()) + " refused, "
-        + std::to_string(this->open) + " left open, " + std::to_string(this->jobs.size()) + " jobs, " + std::to_string(listed)
-        + " results";
+        + std::to_string(this->open) + " left open, " + std::to_string(this->jobs.size()) + " jobs, " + std::to_string(ended)
+        + " of them ended, " + std::to_string(listed) + " results";
 }
 
 } // namespace Dogwoodkeel
--- a/Tests/Soak/SoakRecord.h
+++ b/Tests/Soak/SoakRecord.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,16 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
+    /** An item that reached a replica though its job had ended. */
+    struct LateItem
+    {
+        std::string job;
+        std::string item;
+        /** When its caller read the acknowledgement. */
+        Time acknowledged;
+        Time reached;
+    };
+
     /** A replica begins to run a request. */
     void noteRun(const std::string &id);
 
@@ -54,6 +65,12 @@
     /** The end of a job is asked for. Also without an acknowledgement it may take effect: its items need not be done. */
     void noteEndAsked(const std::string &job);
 
+    /** The end of a job was acknowledged to its caller. */
+    void noteEndAcknowledged(const std::string &job);
+
+    /** @return items that reached a replica later than so long after the end of their job was acknowledged. */
+    std::vector<LateItem> itemsAfterEnd(std::chrono::milliseconds bound) const;
+
     /** A promise was broken. */
     void violate(const std::string &what);
 
@@ -74,10 +91,11 @@
         std::map<std::string, std::string> outputs;
         std::vector<std::pair<std::string, std::string>> results;
         bool isEndAsked = false;
+        std::optional<Time> endAcknowledged;
     };
 
     mutable std::mutex mutex;
-    std::map<std::string, int> runs;
+    std::map<std::string, std::vector<Time>> runs;
     std::map<std::string, Repeats> repeats;
     std::set<std::string> refused;
     std::set<std::string> refusedItems;
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds eventPause{15};
 constexpr std::size_t fewestEvents = 5;
 constexpr std::size_t mostEvents = 25;
 constexpr int replicaSlots = 4;
@@ -54,7 +53,7 @@
 }
 
 SoakWorld::SoakWorld(EventLoop &loop, SoakRecord &record, std::size_t nodes, std::size_t replicas)
-    : loop(loop), record(record), store(loop, this->clock)
+    : loop(loop), record(record), store(loop, this->clock), eventPause(usualEventPause)
 {
     this->store.rows().setPageSize(storePage);
     for (std::size_t node = 0; node < nodes; ++node) {
@@ -87,7 +86,7 @@
 {
     this->record.noteRun(header(exchange, "X-Request-Id"));
     if (service == plainService) {
-        this->loop.schedule(eventPause, [exchange] {
+        this->loop.schedule(this->eventPause, [exchange] {
             exchange->send(200, signedHeaders(exchange), "done " + exchange->body());
         });
         return;
@@ -106,7 +105,7 @@
         return;
     }
     exchange->write("id: " + std::to_string(next + 1) + "\ndata: " + output[next] + "\n\n");
-    this->loop.schedule(eventPause, [this, exchange, output, next] {
+    this->loop.schedule(this->eventPause, [this, exchange, output, next] {
         if (!exchange->isOver()) {
             this->generate(exchange, output, next + 1);
         }
@@ -177,6 +176,11 @@
     this->registerReplica(replica, "ready");
 }
 
+void SoakWorld::setEventPause(std::chrono::milliseconds pause)
+{
+    this->eventPause = pause;
+}
+
 void SoakWorld::spoilEntry(std::size_t replica, const std::string &text)
 {
     this->store.rows().put({"servers", "", this->replicas.at(replica).instance}, text);
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -7,6 +7,7 @@
 #include <Tests/Soak/FaultProxy.h>
 #include <Tests/Soak/SoakRecord.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,6 +15,9 @@
 namespace Dogwoodkeel
 {
 
+/** How far apart the events of a replica are that isn't slow. */
+inline constexpr std::chrono::milliseconds usualEventPause{15};
+
 /** @return the output that a replica generates for a request with this body: its events in order. */
 std::vector<std::string> outputOf(const std::string &body);
 
@@ -40,6 +44,9 @@
     /** A replica crashes, and is there again under its name at once. */
     void restartReplica(std::size_t replica);
 
+    /** Generate an event each so long. */
+    void setEventPause(std::chrono::milliseconds pause);
+
     /** Another program writes over a replica's entry. */
     void spoilEntry(std::size_t replica, const std::string &text);
 
@@ -64,6 +71,7 @@
     StandInStore store;
     std::vector<std::unique_ptr<FaultProxy>> storeWays;
     std::vector<Replica> replicas;
+    std::chrono::milliseconds eventPause;
     int version = 0;
     std::uint64_t entriesWritten = 0;
 };
