Soak: Sockets that can't be reached are a broken promise of the soak, and end no node

What was seen: nothing yet; from reading. PeerCut throws where the system doesn't let it reach a node's sockets, which would have ended the driver with its nodes left running.

Change: it is reported as a violation, so the run fails and ends all nodes.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -26,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -512,7 +513,11 @@
         for (std::uint32_t node = 0; node < FLAGS_nodes; ++node) {
             peers.push_back({this->fleet.process(this->processes[node]).pid, this->addresses[node].ip});
         }
-        this->cut.apply(peers, pairs);
+        try {
+            this->cut.apply(peers, pairs);
+        } catch (const std::system_error &failure) {
+            this->record.violate(std::string("nodes aren't cut off: ") + failure.what());
+        }
     }
 
     /** A node follows a table through something that lags. Its other calls to the store go on as ever. */
