FaultProxy: Delayed parts keep their order

Cause: a fault of the soak, not of the product. At 23:41:49.545 the way to replica 4 was in the mode of delay: the end of c1-75's stream overtook its last event, and two more streams on that way were "out of order" at the same millisecond.

Change: parts wait in one queue for each connection, and a timer sends the first of them; what waits is sent before the connection ends.

--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <deque>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -97,19 +98,26 @@
         }
         this->watchRequest(from);
         const bool isDelayed = this->proxy.mode == Mode::Delay || (this->isHeld && from == this->server);
-        if (!isDelayed && this->delayed == 0) {
+        if (!isDelayed && this->delayed.empty()) {
             bufferevent_write_buffer(this->otherOf(from), input);
             return;
         }
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
         // Later parts wait for those that are delayed, so that the order stays.
-        ++this->delayed;
         const std::chrono::milliseconds hold = isDelayed && this->isHeld ? this->proxy.holdTime : std::chrono::milliseconds(0);
+        this->delayed.push_back([bytes = std::move(bytes), to = this->otherOf(from)] {
+            bufferevent_write(to, bytes.data(), bytes.size());
+        });
+        // Timers that end close to each other may come in another order than they were set.
         this->later(
-            [bytes = std::move(bytes), to = this->otherOf(from)](Link &link) {
-                --link.delayed;
-                bufferevent_write(to, bytes.data(), bytes.size());
+            [](Link &link) {
+                if (link.delayed.empty()) {
+                    return;
+                }
+                const std::function<void()> first = std::move(link.delayed.front());
+                link.delayed.pop_front();
+                first();
             },
             hold);
     }
@@ -142,7 +150,12 @@
         }
         // What was passed on before leaves first: a moment is enough on loopback.
         this->later([](Link &link) {
-            link.proxy.links.erase(link.shared_from_this());
+            for (const std::function<void()> &part : std::exchange(link.delayed, {})) {
+                part();
+            }
+            link.later([](Link &over) {
+                over.proxy.links.erase(over.shared_from_this());
+            });
         });
     }
 
@@ -162,7 +175,7 @@
     FaultProxy &proxy;
     bufferevent *client = nullptr;
     bufferevent *server = nullptr;
-    std::size_t delayed = 0;
+    std::deque<std::function<void()>> delayed;
     bool isHeld = false;
     std::chrono::steady_clock::time_point due;
 };
