Gateway: Nodes know and log the software version of each replica

The logs could not tell whether a stream changed versions within one answer (the node went on elsewhere) or over a caller's tries (the caller took it up at another node), nor whether a node's idea of a version was right. Now 'replica changed', 'request goes on at another replica', 'request over' and 'batch item sent' name the version, 'request takes up a stream' says which attempt began it, and 'request over' names that attempt too. Nodes that are given replicas by a relay, or places by a dispatcher, are told the version with them. No decision depends on it yet.

--- a/Libraries/LibBase/Identifiers.h
+++ b/Libraries/LibBase/Identifiers.h
@@ -30,5 +30,7 @@
 using VmName = StrongType<struct VmNameTag, std::string>;
 /** Name of an endpoint (a model replica or a plain service's replica). */
 using EndpointName = StrongType<struct EndpointNameTag, std::string>;
+/** Version of the software that an endpoint runs. Versions are only compared for equality. */
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -14,6 +14,7 @@
                                     replica.service.value(),
                                     replica.address.toString(),
                                     replica.failureDomain.value(),
+                                    replica.version.value(),
                                     std::to_string(replica.slots * 2 + (replica.isDraining ? 1 : 0))}) {
         hash = stableHash(text, hash);
     }
--- a/Libraries/LibGateway/ServingReplica.h
+++ b/Libraries/LibGateway/ServingReplica.h
@@ -23,6 +23,8 @@
     std::uint32_t slots = 1;
     /** Whether it is leaving: it finishes what it has and takes nothing new. */
     bool isDraining = false;
+    /** Of its software, not of a model's weights. */
+    SoftwareVersion version{};
 
     bool operator==(const ServingReplica &) const = default;
 };
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1491,6 +1491,8 @@
     std::uint32_t slots = 0;
     /** Whether it is leaving. */
     bool isDraining = false;
+    /** Of its software. */
+    SoftwareVersion version;
 
     bool operator==(const ReplicaRecord &) const = default;
 
@@ -1503,7 +1505,8 @@
                 this->address,
                 this->failureDomain,
                 this->slots,
-                this->isDraining);
+                this->isDraining,
+                this->version);
     }
 };
 
@@ -2700,14 +2703,22 @@
     Address address;
     /** Of Placed: the name under which it registers itself. */
     EndpointName registeredName;
+    /** Of Placed: of that replica's software. */
+    SoftwareVersion version;
 
     bool operator==(const PlacementAnswer &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(
-            this->ticket, this->service, this->decision, this->replica, this->retryAfter, this->address, this->registeredName);
+        archive(this->ticket,
+                this->service,
+                this->decision,
+                this->replica,
+                this->retryAfter,
+                this->address,
+                this->registeredName,
+                this->version);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->decision)) {
                 throw cereal::Exception("a number is no value of its enum");
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -26,7 +26,7 @@
     "Address": "Address",
 }
 IDENTIFIERS = ["SessionNumber", "ShardNumber", "ShardEpoch", "GroupNumber", "RequestId", "AttemptId", "JobId",
-               "WorkspaceName", "FailureDomain", "VmName", "EndpointName"]
+               "WorkspaceName", "FailureDomain", "VmName", "EndpointName", "SoftwareVersion"]
 WIRE_TYPES.update({name: name for name in IDENTIFIERS})
 NEEDS_DEFAULT = {"bool": "false", "u16": "0", "u32": "0", "u64": "0", "double": "0",
                  "milliseconds": "std::chrono::milliseconds(0)"}
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -203,6 +203,7 @@
         {{"job", this->origin.job.value()},
          {"item", this->item.id.value()},
          {"replica", replica.instance.value()},
+         {"version", replica.version.value()},
          {"last_event", static_cast<std::int64_t>(this->run.after)},
          {"open_confirmed_ms", confirmedAge.count()}});
     this->call = this->context.replicas.start(std::move(outbound), hooksFor(this->shared_from_this()));
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -93,6 +93,13 @@
 void OnlineCall::start()
 {
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
+    if (this->lastEvent) {
+        log(LogLevel::Info,
+            "request takes up a stream",
+            {{"request", this->traits.id},
+             {"resumes", this->traits.resumedId},
+             {"last_event", static_cast<std::int64_t>(*this->lastEvent)}});
+    }
     this->exchange->whenGone([self] {
         self->onGone();
     });
@@ -210,6 +217,7 @@
 void OnlineCall::send(const ServingReplica &replica)
 {
     this->replica = replica;
+    this->version = replica.version;
     this->stage = Stage::Sending;
     this->sent = this->now();
     ++this->attempts;
@@ -366,6 +374,7 @@
         "request goes on at another replica",
         {{"request", this->traits.id},
          {"from", this->avoided.back().value()},
+         {"version", this->version.value()},
          {"reason", std::string(reason)},
          {"last_event", static_cast<std::int64_t>(this->lastEvent.value_or(0))}});
     this->context.metrics.countEvent("request repeated");
@@ -500,6 +509,8 @@
          {"turned_away", static_cast<std::int64_t>(this->unrunAttempts)},
          {"events", static_cast<std::int64_t>(this->eventsPassed)},
          {"replica", this->avoided.empty() ? std::string() : this->avoided.back().value()},
+         {"version", this->version.value()},
+         {"resumes", this->traits.resumedId},
          {"placed_by", this->isOwnChoice ? "own counts" : "dispatcher"},
          {"list_age_ms", static_cast<std::int64_t>(this->listAge.count())},
          {"sent_after_ms", this->sent > this->arrived ? millisecondsBetween(this->arrived, this->sent) : -1},
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -100,6 +100,8 @@
     std::chrono::milliseconds listAge{0};
     SteadyTime sent{};
     std::optional<ServingReplica> replica;
+    /** Of the replica that it was sent to last. */
+    SoftwareVersion version;
     OutboundPool::CallId call = 0;
     MessageHead answer;
     std::string body;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -227,7 +227,8 @@
                          {.decision = PlacementDecision::Placed,
                           .replica = answer.replica,
                           .registeredName = answer.registeredName,
-                          .address = answer.address});
+                          .address = answer.address,
+                          .version = answer.version});
         }
         return;
     case PlacementDecision::Refused:
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -28,6 +28,7 @@
     /** With Placed, where a dispatcher gave the place: of that replica, which this node may not know. */
     EndpointName registeredName{};
     Address address{};
+    SoftwareVersion version{};
     /** With Refused. */
     std::chrono::milliseconds retryAfter{0};
     /** Whether this node chose by its own counts, because it heard of no dispatcher. */
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -205,7 +205,7 @@
     request.avoided = ask.avoided;
     request.connected = ask.connected;
     if (!dispatcher.ask(request)) {
-        this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}, {}, {}});
+        this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}, {}, {}, {}});
     }
 }
 
@@ -234,11 +234,11 @@
                 },
             .stop =
                 [this, service](TicketId id) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Stopped, {}, {}, {}, {}});
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Stopped, {}, {}, {}, {}, {}});
                 },
             .refuse =
                 [this, service](TicketId id, std::chrono::milliseconds retryAfter) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter, {}, {}});
+                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter, {}, {}, {}});
                 },
         };
         state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
@@ -253,10 +253,11 @@
 
 void PlacementServer::answerPlaced(const ServiceName &service, TicketId id, const EndpointName &instance)
 {
-    PlacementAnswer placed{id.number, service.value(), PlacementDecision::Placed, instance, {}, {}, {}};
+    PlacementAnswer placed{id.number, service.value(), PlacementDecision::Placed, instance, {}, {}, {}, {}};
     if (const ServingReplica *const replica = this->hooks.describe(instance)) {
         placed.address = replica->address;
         placed.registeredName = replica->registeredName;
+        placed.version = replica->version;
     }
     this->answer(service, id, placed);
 }
--- a/Services/Gateway/ReplicaCall.cpp
+++ b/Services/Gateway/ReplicaCall.cpp
@@ -53,6 +53,7 @@
     replica.registeredName = placement.registeredName;
     replica.service = service;
     replica.address = placement.address;
+    replica.version = placement.version;
     return replica;
 }
 
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -42,7 +42,8 @@
             record.address,
             record.failureDomain,
             std::max<std::uint32_t>(1, record.slots),
-            record.isDraining};
+            record.isDraining,
+            record.version};
 }
 
 ReplicaRecord recordOf(const ServingReplica &replica)
@@ -53,7 +54,8 @@
             replica.address,
             replica.failureDomain,
             replica.slots,
-            replica.isDraining};
+            replica.isDraining,
+            replica.version};
 }
 
 } // namespace
@@ -329,6 +331,7 @@
         {{"replica", replica->instance.value()},
          {"service", replica->service.value()},
          {"address", replica->address.toString()},
+         {"version", replica->version.value()},
          {"draining", replica->isDraining}});
 }
 
