--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -86,7 +86,7 @@
         const nlohmann::json entry{{"service", service},
                                    {"address", address.toString()},
                                    {"zone", "z"},
-                                   {"version", "v1"},
+                                   {"version", this->version},
                                    {"slots", 2},
                                    {"state", state},
                                    {"coldLeftMs", 0},
@@ -125,6 +125,8 @@
     /** When the replicas say they were started, and entries written. */
     std::uint64_t born = 1764700000000;
     std::uint64_t entries = 0;
+    /** Of the replicas that are registered from now on. */
+    std::string version = "v1";
     StandInStore otherWay{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
     std::unique_ptr<Gateway> gateway;
