Dispatcher, OnlineCall: A stream goes on only at the software version that began it

Cause: a node that goes on with a stream after its replica broke off took any replica of the service; the version in a replica's entry was required and then dropped, and no placement knew of it.

Now the version that brought the first event to the caller is part of each further question for a place. The dispatcher's index of open replicas is kept by failure domain and version, so that the search stays as long as it was; items give way only at that version; who waits for a version that no replica has, or whose replicas have all failed it, is told so at once and its answer is broken off, rather than held until its time is over. Nodes that place by their own counts do the same.

Ruled out: comparing versions only where the request is sent (the dispatcher would give places of other versions again and again, six tries and the stream is lost).

Dispatcher: three new cases.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -57,6 +57,7 @@
         const auto found = this->replicas.find(instance);
         if (found != this->replicas.end()) {
             this->slotCount -= slotsOf(found->second);
+            this->countVersion(found->second.traits, -1);
             this->index.remove(found->second);
             this->replicas.erase(found);
         }
@@ -78,8 +79,10 @@
         replica.number = ++this->lastReplica;
     } else {
         this->slotCount -= slotsOf(replica);
+        this->countVersion(replica.traits, -1);
     }
     replica.traits = traits;
+    this->countVersion(traits, 1);
     this->slotCount += slotsOf(replica);
     this->index.update(replica);
 }
@@ -112,6 +115,11 @@
         waiting->asked = this->clock.now();
         return false;
     }
+    if (!this->isVersionServed(request)) {
+        this->sendAway(request, (request.deadline - this->clock.now()) / returnShare);
+        this->tell();
+        return true;
+    }
     PlacementRequest taken = request;
     this->welcome(taken);
     this->waiting.add(taken, this->clock.now());
@@ -142,6 +150,48 @@
     }
 }
 
+void Dispatcher::countVersion(const DispatchReplica &replica, int change)
+{
+    if (replica.isDraining) {
+        return;
+    }
+    const auto counted = this->openVersions.try_emplace(replica.version, 0).first;
+    counted->second += change;
+    if (counted->second == 0) {
+        this->openVersions.erase(counted);
+    }
+}
+
+bool Dispatcher::isVersionServed(const PlacementRequest &request) const
+{
+    if (request.version.value().empty()) {
+        return true;
+    }
+    const auto open = this->openVersions.find(request.version);
+    const std::set<EndpointName> avoided(request.avoided.begin(), request.avoided.end());
+    const auto unusable = std::ranges::count_if(avoided, [this, &request](const EndpointName &instance) {
+        const auto found = this->replicas.find(instance);
+        return found != this->replicas.end() && !found->second.traits.isDraining
+            && found->second.traits.version == request.version;
+    });
+    return open != this->openVersions.end() && open->second > unusable;
+}
+
+void Dispatcher::sendAwayUnserved()
+{
+    std::vector<PlacementRequest> unserved;
+    for (const WorkClass work : {WorkClass::Online, WorkClass::Batch}) {
+        for (const auto &[key, waiting] : this->waiting.of(work)) {
+            if (!this->isVersionServed(waiting.request)) {
+                unserved.push_back(waiting.request);
+            }
+        }
+    }
+    for (const PlacementRequest &request : unserved) {
+        this->sendAway(request, (request.deadline - this->clock.now()) / returnShare);
+    }
+}
+
 void Dispatcher::welcome(PlacementRequest &request)
 {
     if (request.work != WorkClass::Online || !request.mayRefuse) {
@@ -306,6 +356,7 @@
     if (now >= this->nextClean) {
         this->nextClean = now + cleanInterval;
         this->forgetOver();
+        this->sendAwayUnserved();
     }
     this->waiting.sinkLate();
     this->forecast.noteWaiting(this->waiting.isAnyOnTime());
@@ -387,8 +438,8 @@
         }
         if ((this->*place)(request)) {
             this->waiting.remove(request.id);
-        } else if (request.avoided.empty()) {
-            // One that finds no place though it avoids no replica shows that there is none for the others either.
+        } else if (!request.isChoosy()) {
+            // One that finds no place though any replica will do shows that there is none for the others either.
             return;
         }
         next = queue.upper_bound(key);
@@ -517,7 +568,8 @@
 
 bool Dispatcher::isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const
 {
-    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !request.avoids(replica.traits.instance);
+    return !replica.traits.isDraining && replica.gate.isOpen(this->clock.now()) && !request.avoids(replica.traits.instance)
+        && request.acceptsVersion(replica.traits.version);
 }
 
 std::size_t Dispatcher::slotsOf(const DispatchedReplica &replica)
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 #include <LibDispatch/WaitingQueue.h>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -116,6 +117,7 @@
 
     void tell();
     void putReplica(const DispatchReplica &traits);
+    void countVersion(const DispatchReplica &replica, int change);
     void leaveReplicas();
     void forgetOver();
     void repeatStops();
@@ -126,6 +128,9 @@
     DispatchedReplica *replicaOf(const Placement &placement);
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, DispatchedReplica &replica);
+    /** @return whether a replica that takes requests has the version that it needs, if it needs one. */
+    bool isVersionServed(const PlacementRequest &request) const;
+    void sendAwayUnserved();
     void welcome(PlacementRequest &request);
     void sendAwayIfLate(const PlacementRequest &request);
     void sendAwayHopeless();
@@ -140,6 +145,8 @@
     Hooks hooks;
     std::unordered_map<EndpointName, DispatchedReplica> replicas;
     std::uint64_t lastReplica = 0;
+    /** Replicas of each version that do not leave. */
+    std::map<SoftwareVersion, std::ptrdiff_t> openVersions;
     /** Of the replicas that do not leave. */
     std::size_t slotCount = 0;
     ReplicaIndex index;
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -39,21 +39,18 @@
     }
 }
 
-std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near,
-                                                   const std::vector<EndpointName> &avoided,
-                                                   const std::vector<std::uint32_t> &connected)
+std::optional<EndpointName> LocalPlacement::choose(const FailureDomain &near, const PlacementTraits &request)
 {
     std::optional<EndpointName> best;
     double bestScore = 0;
     std::uniform_real_distribution<double> tieBreak(0, 0.25);
     for (const auto &[instance, replica] : this->replicas) {
-        if (replica.traits.isDraining || std::ranges::find(avoided, instance) != avoided.end()) {
+        if (replica.traits.isDraining || request.avoids(instance) || !request.acceptsVersion(replica.traits.version)) {
             continue;
         }
         const bool isOpen = replica.gate.isOpen(this->clock.now());
         const double far = replica.traits.failureDomain == near ? 0 : farPenalty;
-        const bool isConnected = std::ranges::find(connected, replica.mark) != connected.end();
-        const double open = isConnected ? connectionWorth : 0;
+        const double open = request.isConnectedTo(replica.mark) ? connectionWorth : 0;
         const double load = (replica.running + far - open + tieBreak(this->random)) / replica.traits.slots;
         const double score = load + (isOpen ? 0 : blockedPenalty);
         if (!best || score < bestScore) {
--- a/Libraries/LibDispatch/LocalPlacement.h
+++ b/Libraries/LibDispatch/LocalPlacement.h
@@ -28,12 +28,8 @@
     /** What changed among the replicas. */
     void update(const ReplicaUpdate &update);
 
-    /**
-     * @param connected marks of the replicas to which this node has an open connection
-     * @return the replica to use, or nothing if there is none that may be used
-     */
-    std::optional<EndpointName>
-    choose(const FailureDomain &near, const std::vector<EndpointName> &avoided, const std::vector<std::uint32_t> &connected = {});
+    /** @return the replica to use, or nothing if there is none that may be used */
+    std::optional<EndpointName> choose(const FailureDomain &near, const PlacementTraits &request);
 
     /** A request was sent there; end() has to follow. */
     void begin(const EndpointName &instance);
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -54,6 +54,20 @@
     std::vector<EndpointName> avoided;
     /** Marks of the replicas to which its node has an open connection that it can use. */
     std::vector<std::uint32_t> connected;
+    /** The only version that can go on with its stream; empty: any will do. */
+    SoftwareVersion version{};
+
+    /** @return whether only some replicas can serve it, so that it may find no place where others would. */
+    bool isChoosy() const
+    {
+        return !this->avoided.empty() || !this->version.value().empty();
+    }
+
+    /** @return whether replicas of a version can serve it. */
+    bool acceptsVersion(const SoftwareVersion &offered) const
+    {
+        return this->version.value().empty() || this->version == offered;
+    }
 
     /** @return whether a replica turned it away or failed it. */
     bool avoids(const EndpointName &instance) const
@@ -85,6 +99,8 @@
     std::uint32_t slots = 1;
     /** Whether it takes no new requests. */
     bool isDraining = false;
+    /** Of its software. */
+    SoftwareVersion version{};
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -35,11 +35,13 @@
     }
     this->drop(replica.number);
     if (replica.isOpen(now)) {
-        const Place place{replica.traits.failureDomain, {replica.load(now), replica.number}, replica.mayTakeItem(now)};
-        Domain &domain = this->domains[place.domain];
-        domain.open.emplace(place.key, &replica);
+        const Place place{{replica.traits.failureDomain, replica.traits.version},
+                          {replica.load(now), replica.number},
+                          replica.mayTakeItem(now)};
+        OpenReplicas &group = this->groups[place.group];
+        group.open.emplace(place.key, &replica);
         if (place.isForItems) {
-            domain.openForItems.emplace(place.key, &replica);
+            group.openForItems.emplace(place.key, &replica);
         }
         this->places.emplace(replica.number, place);
     }
@@ -66,10 +68,13 @@
     if (found == this->places.end()) {
         return;
     }
-    Domain &domain = this->domains.at(found->second.domain);
-    domain.open.erase(found->second.key);
+    const auto group = this->groups.find(found->second.group);
+    group->second.open.erase(found->second.key);
     if (found->second.isForItems) {
-        domain.openForItems.erase(found->second.key);
+        group->second.openForItems.erase(found->second.key);
+    }
+    if (group->second.open.empty()) {
+        this->groups.erase(group);
     }
     this->places.erase(found);
 }
@@ -108,8 +113,11 @@
 {
     double bestScore = 0;
     DispatchedReplica *best = this->bestConnected(request, bestScore);
-    for (const auto &[name, domain] : this->domains) {
-        const Order &order = request.work == WorkClass::Batch ? domain.openForItems : domain.open;
+    for (const auto &[name, group] : this->groups) {
+        if (!request.acceptsVersion(name.second)) {
+            continue;
+        }
+        const Order &order = request.work == WorkClass::Batch ? group.openForItems : group.open;
         // All in the order score alike, but those that are connected, which were looked at before: the first one is the best.
         for (const auto &[key, replica] : order) {
             if (request.avoids(replica->traits.instance)) {
@@ -135,6 +143,7 @@
             DispatchedReplica &replica = *marked->second;
             const auto place = this->places.find(replica.number);
             const bool isUsable = place != this->places.end() && !request.avoids(replica.traits.instance)
+                && request.acceptsVersion(replica.traits.version)
                 && (request.work == WorkClass::Online || place->second.isForItems);
             if (!isUsable) {
                 continue;
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -43,8 +43,11 @@
     using Key = std::pair<double, std::uint64_t>;
     using Order = std::map<Key, DispatchedReplica *>;
 
-    /** The open replicas of one failure domain. */
-    struct Domain
+    /** Replicas among which any is as good as another of the same load. */
+    using Group = std::pair<FailureDomain, SoftwareVersion>;
+
+    /** The open replicas of one group. */
+    struct OpenReplicas
     {
         Order open;
         /** Those of them that may take an item. */
@@ -54,7 +57,7 @@
     /** Where a replica stands. */
     struct Place
     {
-        FailureDomain domain;
+        Group group;
         Key key;
         bool isForItems = false;
     };
@@ -64,7 +67,7 @@
     void wake(DispatchedReplica &replica, SteadyTime now);
 
     const Clock &clock;
-    std::map<FailureDomain, Domain> domains;
+    std::map<Group, OpenReplicas> groups;
     std::unordered_map<std::uint64_t, Place> places;
     std::unordered_multimap<std::uint32_t, DispatchedReplica *> byMark;
     /** When time alone may change a replica. */
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -2660,6 +2660,8 @@
     std::vector<EndpointName> avoided;
     /** Marks of the replicas to which the asking node has an open connection. */
     std::vector<std::uint32_t> connected;
+    /** The only version that can go on with its stream; empty: any will do. */
+    SoftwareVersion version;
     /** Where the asking node is, if this was passed on by another one. */
     Address replyTo;
 
@@ -2681,6 +2683,7 @@
                 this->mayRefuse,
                 this->avoided,
                 this->connected,
+                this->version,
                 this->replyTo);
     }
 };
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -52,7 +52,7 @@
 DispatchReplica dispatchReplica(const Service &service, const ServingReplica &replica)
 {
     const std::uint32_t slots = service.engine && service.engine->slots > 0 ? service.engine->slots : replica.slots;
-    return {replica.instance, replica.failureDomain, slots, replica.isDraining};
+    return {replica.instance, replica.failureDomain, slots, replica.isDraining, replica.version};
 }
 
 QuotaBounds quotaBounds(const GatewaySettings &settings)
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -188,6 +188,7 @@
     query.mayRefuse = this->attempts == 0 && !this->exchange->isBegun();
     query.avoided = this->avoided;
     query.connected = connectedReplicas(this->context, this->service, this->longestIdle());
+    query.version = this->begunVersion;
     this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
@@ -199,7 +200,7 @@
         return;
     }
     if (placement.decision == PlacementDecision::Refused) {
-        this->refuse(statusUnavailable, placement.retryAfter, "there is no room in time");
+        this->takeRefusal(placement.retryAfter);
         return;
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
@@ -214,6 +215,17 @@
     this->send(*found);
 }
 
+void OnlineCall::takeRefusal(std::chrono::milliseconds retryAfter)
+{
+    const bool goesOn = !this->begunVersion.value().empty();
+    if (this->attempts > 0) {
+        this->fail("no replica of the version that began the stream");
+        return;
+    }
+    this->refuse(
+        statusUnavailable, retryAfter, goesOn ? "no replica of the version that began the stream" : "there is no room in time");
+}
+
 void OnlineCall::send(const ServingReplica &replica)
 {
     this->replica = replica;
@@ -295,6 +307,7 @@
             this->lastEvent = event.id;
         }
         if (this->eventsPassed++ == 0) {
+            this->begunVersion = this->replica->version;
             this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
             this->context.metrics.countFirstByte(this->route.name, this->now() - this->arrived);
             this->context.firstEvents[this->service].note(this->now() - this->sent);
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -54,6 +54,7 @@
     void awaitReplicas();
     void askForPlace();
     void takePlacement(const Placement &placement);
+    void takeRefusal(std::chrono::milliseconds retryAfter);
     void send(const ServingReplica &replica);
     void takeHead(const MessageHead &head) override;
     void takeBody(std::string_view data) override;
@@ -102,6 +103,8 @@
     std::optional<ServingReplica> replica;
     /** Of the replica that it was sent to last. */
     SoftwareVersion version;
+    /** Of the replica that began the stream, once the caller has an event of it; empty before. */
+    SoftwareVersion begunVersion;
     OutboundPool::CallId call = 0;
     MessageHead answer;
     std::string body;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -124,6 +124,7 @@
     ask.mayRefuse = query.mayRefuse;
     ask.avoided = query.avoided;
     ask.connected = query.connected;
+    ask.version = query.version;
     this->tellDispatcher(query.service, ask);
 }
 
@@ -141,7 +142,11 @@
 void PlacementClient::placeLocally(Ticket ticket, Asked &asked)
 {
     ServiceState &state = this->stateOf(asked.query.service);
-    const std::optional<EndpointName> chosen = state.local.choose(this->own, asked.query.avoided, asked.query.connected);
+    PlacementQuery &query = asked.query;
+    const std::optional<EndpointName> chosen = state.local.choose(this->own, query);
+    if (!chosen && !state.isDispatched && !query.version.value().empty()) {
+        this->refuseLater(ticket, query);
+    }
     if (!chosen) {
         return;
     }
@@ -149,11 +154,20 @@
     asked.replica = *chosen;
     state.local.begin(*chosen);
     this->fallbackCount += state.isDispatched ? 1 : 0;
-    this->loop.post([this, ticket, instance = *chosen, alive = this->alive] {
-        const auto found = *alive ? this->tickets.find(ticket) : this->tickets.end();
-        if (*alive && found != this->tickets.end()) {
-            const Decided decided = found->second.decided;
-            decided({.decision = PlacementDecision::Placed, .replica = instance, .isOwnChoice = true});
+    this->decideLater(ticket, {.decision = PlacementDecision::Placed, .replica = *chosen, .isOwnChoice = true});
+}
+
+void PlacementClient::refuseLater(Ticket ticket, const PlacementQuery &query)
+{
+    const auto retryAfter = millisecondsOf((query.deadline - this->clock.now()) / returnShare);
+    this->decideLater(ticket, {.decision = PlacementDecision::Refused, .retryAfter = retryAfter});
+}
+
+void PlacementClient::decideLater(Ticket ticket, const Placement &placement)
+{
+    this->loop.post([this, ticket, placement, alive = this->alive] {
+        if (*alive) {
+            this->decide(ticket, placement);
         }
     });
 }
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -130,6 +130,8 @@
     void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
     void placeLocally(Ticket ticket, Asked &asked);
     void decide(Ticket ticket, const Placement &placement);
+    void decideLater(Ticket ticket, const Placement &placement);
+    void refuseLater(Ticket ticket, const PlacementQuery &query);
     void tickTicket(Ticket ticket, Asked &asked);
     void report(const ServiceName &service, ServiceState &state);
     void takeAnswer(const PlacementAnswer &answer);
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -204,6 +204,7 @@
     request.mayRefuse = ask.mayRefuse;
     request.avoided = ask.avoided;
     request.connected = ask.connected;
+    request.version = ask.version;
     if (!dispatcher.ask(request)) {
         this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}, {}, {}, {}});
     }
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -29,7 +29,10 @@
                           [this](TicketId id) {
                               this->stopped.push_back(id.number);
                           },
-                      .refuse = [](TicketId, std::chrono::milliseconds) {}})
+                      .refuse =
+                          [this](TicketId id, std::chrono::milliseconds) {
+                              this->refused.insert(id.number);
+                          }})
     {
         this->replicas = equalReplicas(replicas, slots);
         this->dispatcher.setReplicas(this->replicas);
@@ -75,6 +78,7 @@
     std::vector<DispatchReplica> replicas;
     std::map<std::uint64_t, EndpointName> placed;
     std::vector<std::uint64_t> stopped;
+    std::set<std::uint64_t> refused;
     Dispatcher dispatcher;
 };
 
@@ -443,3 +447,94 @@
         CHECK(load.batchWaiting == 0);
     }
 }
+
+namespace
+{
+
+const SoftwareVersion oldVersion("v1");
+const SoftwareVersion newVersion("v2");
+
+/** Half of the replicas have been replaced by ones of a newer version. */
+class TwoVersions : public Bench
+{
+public:
+    TwoVersions() : Bench(4, 2)
+    {
+        for (std::size_t number = 0; number < this->replicas.size(); ++number) {
+            this->replicas[number].version = number % 2 == 0 ? oldVersion : newVersion;
+        }
+        this->dispatcher.setReplicas(this->replicas);
+    }
+
+    SoftwareVersion versionOf(std::uint64_t number) const
+    {
+        for (const DispatchReplica &replica : this->replicas) {
+            if (replica.instance == this->placed.at(number)) {
+                return replica.version;
+            }
+        }
+        return {};
+    }
+
+    void askAt(std::uint64_t number, const SoftwareVersion &version, const std::vector<EndpointName> &avoided = {})
+    {
+        PlacementRequest wanted = this->request(number);
+        wanted.version = version;
+        wanted.avoided = avoided;
+        this->dispatcher.ask(wanted);
+    }
+};
+
+} // namespace
+
+// A stream goes on after its replica crashed; another version's replica would write what does not fit.
+TEST_CASE("a stream that goes on gets a place only at its version, and waits while that is full")
+{
+    TwoVersions bench;
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        bench.askAt(number, newVersion);
+    }
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        CHECK(bench.versionOf(number) == newVersion);
+    }
+    CHECK_FALSE(bench.isPlaced(5));
+    bench.ask(6);
+    CHECK(bench.versionOf(6) == oldVersion);
+    bench.end(1);
+    CHECK(bench.versionOf(5) == newVersion);
+    CHECK(bench.refused.empty());
+}
+
+// The place of a batch item is no use if its replica has another version.
+TEST_CASE("a stream that goes on takes the place of an item only at its version")
+{
+    TwoVersions bench;
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        bench.ask(number, WorkClass::Batch);
+    }
+    REQUIRE(bench.isPlaced(8));
+    bench.askAt(9, newVersion);
+    CHECK(bench.versionOf(9) == newVersion);
+    REQUIRE(bench.stopped.size() == 1);
+    CHECK(bench.versionOf(bench.stopped[0]) == newVersion);
+}
+
+// A release is over, or the only replica of a version has crashed: nobody can go on with its streams.
+TEST_CASE("a stream whose version no replica has is refused at once, and one that waits once its version goes")
+{
+    TwoVersions bench;
+    bench.askAt(1, SoftwareVersion("v0"));
+    CHECK(bench.refused == std::set<std::uint64_t>{1});
+    bench.askAt(2, newVersion, {bench.replicas[1].instance, bench.replicas[3].instance});
+    CHECK(bench.refused == std::set<std::uint64_t>{1, 2});
+    for (std::uint64_t number = 3; number <= 7; ++number) {
+        bench.askAt(number, newVersion);
+    }
+    REQUIRE_FALSE(bench.isPlaced(7));
+    for (DispatchReplica &replica : bench.replicas) {
+        replica.isDraining = replica.version == newVersion;
+    }
+    bench.dispatcher.setReplicas(bench.replicas);
+    bench.pass(std::chrono::milliseconds(200));
+    CHECK(bench.refused == std::set<std::uint64_t>{1, 2, 7});
+}
