StreamOriginExchange: A stream that a caller takes up elsewhere goes on at the version that began it

Ways weighed: rows in the store (each stream a write: 42 a second at ten nodes, and 9,400 at the fleet, whose store takes 4,000), the dispatcher alone (it knows each place that it gives; but where most nodes are lost at once it is most likely among them, and then nobody's streams go on), and a few members. Built: before the caller gets the first event, its node tells four members where the stream began, chosen by the attempt's id (rendezvous hashing, one of each failure domain first); whoever takes it up asks eight, which are nearly the same ones also where a few members come or go. One datagram to each, repeated for 150 ms if nobody answers.

Where nobody knows, two versions may both be wrong: the stream goes on only if the service has had one version since it may have begun (VersionHistory, kept by each node, so that it does not go with a dispatcher), else it is refused at once with the time to come back. Callers that name no attempt are served by the same rule.

A route with several services goes on at the one that began the stream.

--- /dev/null
+++ b/Libraries/LibDispatch/VersionHistory.cpp
@@ -0,0 +1,55 @@
+#include <LibDispatch/VersionHistory.h>
+
+namespace Dogwoodkeel
+{
+
+namespace
+{
+
+/** Longer than callers wait for a stream. */
+constexpr std::chrono::minutes retained{5};
+
+} // namespace
+
+VersionHistory::VersionHistory(const Clock &clock) : clock(clock), since(clock.now())
+{
+}
+
+void VersionHistory::add(const SoftwareVersion &version)
+{
+    ++this->entries[version].replicas;
+}
+
+void VersionHistory::remove(const SoftwareVersion &version)
+{
+    const auto found = this->entries.find(version);
+    if (found == this->entries.end() || found->second.replicas == 0) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    if (--found->second.replicas == 0) {
+        found->second.gone = now;
+    }
+    std::erase_if(this->entries, [now](const auto &entry) {
+        return entry.second.replicas == 0 && now - entry.second.gone > retained;
+    });
+}
+
+std::optional<SoftwareVersion> VersionHistory::sole(std::chrono::milliseconds period) const
+{
+    const SteadyTime now = this->clock.now();
+    if (now - this->since < period || period > retained) {
+        return std::nullopt;
+    }
+    std::optional<SoftwareVersion> sole;
+    for (const auto &[version, entry] : this->entries) {
+        const bool isRecent = entry.replicas > 0 || now - entry.gone <= period;
+        if (isRecent && sole) {
+            return std::nullopt;
+        }
+        sole = isRecent ? std::optional(version) : sole;
+    }
+    return sole;
+}
+
+} // namespace Dogwoodkeel
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -522,6 +522,9 @@
 struct CrashNotice;
 struct CrashQuestion;
 struct CrashCounts;
+struct StreamBegun;
+struct StreamOriginQuestion;
+struct StreamOriginAnswer;
 struct ReplicaRecords;
 struct ReplicaRecordsRequest;
 struct ItemProgress;
@@ -2662,6 +2665,8 @@
     std::vector<std::uint32_t> connected;
     /** The only version that can go on with its stream; empty: any will do. */
     SoftwareVersion version;
+    /** Of a stream whose version nobody knows: how long the service must have had no more than one version; else 0. */
+    std::chrono::milliseconds soleVersionFor = std::chrono::milliseconds(0);
     /** Where the asking node is, if this was passed on by another one. */
     Address replyTo;
 
@@ -2684,6 +2689,7 @@
                 this->avoided,
                 this->connected,
                 this->version,
+                this->soleVersionFor,
                 this->replyTo);
     }
 };
@@ -3038,6 +3044,70 @@
     }
 };
 
+/** Datagram: where a stream began. Its receiver remembers it for whoever goes on with the stream. */
+struct StreamBegun
+{
+    static constexpr MessageNumber number{155};
+    /** Hash of the id of the attempt that brought its first event. */
+    std::uint64_t request = 0;
+    /** Of the replica that began it. */
+    std::string service;
+    /** Of that replica. */
+    SoftwareVersion version;
+    /** How long its caller may take it up again. */
+    std::chrono::milliseconds lifetime = std::chrono::milliseconds(0);
+
+    bool operator==(const StreamBegun &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->request, this->service, this->version, this->lifetime);
+    }
+};
+
+/** Datagram: asks where a stream began. It is sent again until there is an answer. */
+struct StreamOriginQuestion
+{
+    static constexpr MessageNumber number{156};
+    /** Names the question at the asking node. */
+    std::uint64_t ticket = 0;
+    /** Of the StreamBegun. */
+    std::uint64_t request = 0;
+
+    bool operator==(const StreamOriginQuestion &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->ticket, this->request);
+    }
+};
+
+/** Datagram: the answer to StreamOriginQuestion. */
+struct StreamOriginAnswer
+{
+    static constexpr MessageNumber number{157};
+    /** Who answers. */
+    SessionNumber from;
+    /** Of the question. */
+    std::uint64_t ticket = 0;
+    /** Whether it remembers the stream. */
+    bool isKnown = false;
+    /** Of the StreamBegun. */
+    std::string service;
+    /** Of the StreamBegun. */
+    SoftwareVersion version;
+
+    bool operator==(const StreamOriginAnswer &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->ticket, this->isKnown, this->service, this->version);
+    }
+};
+
 /** The replicas that a node knows. */
 struct ReplicaRecords
 {
@@ -3422,6 +3492,12 @@
         return "CrashQuestion";
     case 154:
         return "CrashCounts";
+    case 155:
+        return "StreamBegun";
+    case 156:
+        return "StreamOriginQuestion";
+    case 157:
+        return "StreamOriginAnswer";
     case 133:
         return "ReplicaRecords";
     case 134:
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -90,6 +90,7 @@
                  },
              .newSession = newSession})
     , crashExchange(clock, this->peers, this->crashes, this->random())
+    , origins(clock, this->peers)
     , duties(clock, this->peers)
     , placements(loop,
                  clock,
@@ -146,6 +147,7 @@
               this->listed,
               this->metrics,
               this->crashes,
+              this->origins,
               [this](std::uint64_t fingerprint, const EndpointName &replica) {
                   this->noteBreak(fingerprint, replica);
               },
@@ -308,6 +310,7 @@
 {
     this->updateRelayRole();
     this->crashExchange.tick();
+    this->origins.tick();
     this->duties.tick();
     this->quotas.tick();
     this->placements.tick();
@@ -405,7 +408,8 @@
         if (const auto reminder = decode<JobReminder>(datagram.payload)) {
             this->runners.takeReminder(reminder->jobs);
         }
-    } else if (!this->crashExchange.receive(datagram) && !this->duties.receive(datagram) && !this->quotas.receive(datagram)) {
+    } else if (!this->crashExchange.receive(datagram) && !this->origins.receive(datagram) && !this->duties.receive(datagram)
+               && !this->quotas.receive(datagram)) {
         this->placements.receive(datagram);
     }
 }
@@ -546,6 +550,7 @@
     }
     this->metrics.setGauge("replicas_restarted", static_cast<double>(this->replicasRestarted));
     this->metrics.setGauge("requests_with_crashes", static_cast<double>(this->crashes.known(mostCrashesCounted).size()));
+    this->metrics.setGauge("stream_origins", static_cast<double>(this->origins.count()));
     this->metrics.setGauge("replicas_known", static_cast<double>(this->listed.count()));
     this->metrics.setGauge("is_relay", this->isRelay ? 1 : 0);
     this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->listed.unreadableEntries()));
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -25,6 +25,7 @@
 #include <Services/Gateway/RelayedFeed.h>
 #include <Services/Gateway/RelayedStore.h>
 #include <Services/Gateway/ReplicaFollower.h>
+#include <Services/Gateway/StreamOriginExchange.h>
 #include <Services/Gateway/TableRelay.h>
 #include <platform/PlatformStore.h>
 
@@ -146,6 +147,7 @@
     PlatformStore store;
     PeerNetwork peers;
     CrashExchange crashExchange;
+    StreamOriginExchange origins;
     DutyKeeper duties;
     PlacementClient placements;
     QuotaService quotas;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -11,6 +11,7 @@
 #include <Services/Gateway/PlacementClient.h>
 #include <Services/Gateway/QuotaService.h>
 #include <Services/Gateway/ReplicaFollower.h>
+#include <Services/Gateway/StreamOriginExchange.h>
 
 #include <functional>
 #include <map>
@@ -33,6 +34,7 @@
     ReplicaFollower &listed;
     GatewayMetrics &metrics;
     CrashMemory &crashes;
+    StreamOriginExchange &origins;
     /** A connection broke while a request ran on it: if its replica crashed, all nodes are told. */
     std::function<void(std::uint64_t fingerprint, const EndpointName &replica)> noteBreak;
     std::minstd_rand &random;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -32,6 +32,8 @@
  * else is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listTimeout{1000};
 constexpr std::chrono::milliseconds listLook{20};
+/** A stream's origin is remembered for so long after its caller's time is over: the caller's clock is not this node's. */
+constexpr std::chrono::milliseconds originMargin{1000};
 
 std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
@@ -93,13 +95,6 @@
 void OnlineCall::start()
 {
     const std::shared_ptr<OnlineCall> self = this->shared_from_this();
-    if (this->lastEvent) {
-        log(LogLevel::Info,
-            "request takes up a stream",
-            {{"request", this->traits.id},
-             {"resumes", this->traits.resumedId},
-             {"last_event", static_cast<std::int64_t>(*this->lastEvent)}});
-    }
     this->exchange->whenGone([self] {
         self->onGone();
     });
@@ -118,6 +113,51 @@
         return;
     }
     this->service = target->service;
+    if (this->isStream() && this->lastEvent.value_or(0) > 0) {
+        this->askForOrigin();
+    } else {
+        this->askForQuota();
+    }
+}
+
+void OnlineCall::askForOrigin()
+{
+    this->stage = Stage::Locating;
+    // The answer may come from inside the call.
+    const StreamOriginExchange::Ticket asked = this->context.origins.find(
+        this->traits.resumedId, [self = this->shared_from_this()](const std::optional<StreamOrigin> &origin) {
+            self->takeOrigin(origin);
+        });
+    if (this->stage == Stage::Locating) {
+        this->originTicket = asked;
+    }
+}
+
+void OnlineCall::takeOrigin(const std::optional<StreamOrigin> &origin)
+{
+    this->originTicket = 0;
+    if (this->stage != Stage::Locating) {
+        return;
+    }
+    this->context.metrics.countEvent(origin ? "stream taken up" : "stream of unknown origin taken up");
+    log(LogLevel::Info,
+        "request takes up a stream",
+        {{"request", this->traits.id},
+         {"resumes", this->traits.resumedId},
+         {"last_event", static_cast<std::int64_t>(this->lastEvent.value_or(0))},
+         {"is_origin_known", origin.has_value()},
+         {"version", origin ? origin->version.value() : std::string()}});
+    if (origin) {
+        this->begunVersion = origin->version;
+        const bool isStillTarget = std::ranges::any_of(this->route.targets, [&origin](const RouteTarget &target) {
+            return target.service == origin->service && target.weight > 0;
+        });
+        this->service = isStillTarget ? origin->service : this->service;
+    } else {
+        // It may have begun before its caller's time was as short as it is now.
+        this->soleVersionFor = this->route.timeout.count() > 0 ? this->route.timeout : defaultTimeout;
+    }
+    this->stage = Stage::Counting;
     this->askForQuota();
 }
 
@@ -189,6 +229,7 @@
     query.avoided = this->avoided;
     query.connected = connectedReplicas(this->context, this->service, this->longestIdle());
     query.version = this->begunVersion;
+    query.soleVersionFor = this->soleVersionFor;
     this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
@@ -217,7 +258,7 @@
 
 void OnlineCall::takeRefusal(std::chrono::milliseconds retryAfter)
 {
-    const bool goesOn = !this->begunVersion.value().empty();
+    const bool goesOn = !this->begunVersion.value().empty() || this->soleVersionFor.count() > 0;
     if (this->attempts > 0) {
         this->fail("no replica of the version that began the stream");
         return;
@@ -307,7 +348,7 @@
             this->lastEvent = event.id;
         }
         if (this->eventsPassed++ == 0) {
-            this->begunVersion = this->replica->version;
+            this->noteOrigin();
             this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
             this->context.metrics.countFirstByte(this->route.name, this->now() - this->arrived);
             this->context.firstEvents[this->service].note(this->now() - this->sent);
@@ -327,6 +368,20 @@
     }
 }
 
+void OnlineCall::noteOrigin()
+{
+    const bool isNews = this->begunVersion.value().empty();
+    this->begunVersion = this->replica->version;
+    this->soleVersionFor = std::chrono::milliseconds(0);
+    if (!isNews || !this->route.isResumable) {
+        return;
+    }
+    // The caller names the attempt that brought the first event, however often it takes the stream up.
+    const std::string &first = this->traits.resumedId.empty() ? this->traits.id : this->traits.resumedId;
+    const auto lifetime = this->traits.timeout.value_or(defaultTimeout) + originMargin;
+    this->context.origins.note(first, {this->service, this->begunVersion}, lifetime);
+}
+
 void OnlineCall::takeEnd(CallEnd end)
 {
     this->call = 0;
@@ -507,6 +562,7 @@
     this->context.loop.cancel(this->silenceTimer);
     this->context.loop.cancel(this->listTimer);
     this->context.quotas.cancel(std::exchange(this->quotaTicket, 0));
+    this->context.origins.cancel(std::exchange(this->originTicket, 0));
     const SteadyTime ended = this->now();
     this->context.metrics.countRequest(this->route.name, status, ended - this->arrived);
     log(LogLevel::Info,
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -36,6 +36,8 @@
 
 private:
     enum class Stage {
+        /** Where its stream began is asked for. */
+        Locating,
         /** Its workspace's quota is asked for. */
         Counting,
         Placing,
@@ -49,6 +51,9 @@
     bool mayRepeat() const;
     std::chrono::milliseconds longestIdle() const;
     std::optional<WorkspaceName> sender() const;
+    void askForOrigin();
+    void takeOrigin(const std::optional<StreamOrigin> &origin);
+    void noteOrigin();
     void askForQuota();
     void takeQuota(const QuotaDecision &decision);
     void awaitReplicas();
@@ -105,6 +110,10 @@
     SoftwareVersion version;
     /** Of the replica that began the stream, once the caller has an event of it; empty before. */
     SoftwareVersion begunVersion;
+    /** See PlacementTraits. */
+    std::chrono::milliseconds soleVersionFor{0};
+    /** Until it is known where the stream began. */
+    StreamOriginExchange::Ticket originTicket = 0;
     OutboundPool::CallId call = 0;
     MessageHead answer;
     std::string body;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -125,6 +125,7 @@
     ask.avoided = query.avoided;
     ask.connected = query.connected;
     ask.version = query.version;
+    ask.soleVersionFor = query.soleVersionFor;
     this->tellDispatcher(query.service, ask);
 }
 
@@ -143,6 +144,17 @@
 {
     ServiceState &state = this->stateOf(asked.query.service);
     PlacementQuery &query = asked.query;
+    if (query.soleVersionFor.count() > 0) {
+        // Of a dispatched service this node may know but some replicas.
+        const std::optional<SoftwareVersion> sole
+            = state.isDispatched ? std::nullopt : this->server.soleVersion(query.service, query.soleVersionFor);
+        if (!sole) {
+            this->refuseLater(ticket, query);
+            return;
+        }
+        query.version = *sole;
+        query.soleVersionFor = std::chrono::milliseconds(0);
+    }
     const std::optional<EndpointName> chosen = state.local.choose(this->own, query);
     if (!chosen && !state.isDispatched && !query.version.value().empty()) {
         this->refuseLater(ticket, query);
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -39,6 +39,11 @@
 struct PlacementQuery : PlacementTraits
 {
     ServiceName service;
+    /**
+     * Of a stream whose version nobody knows: it may have begun so long ago. It goes on only if the service has had one version
+     * since. Else 0.
+     */
+    std::chrono::milliseconds soleVersionFor{0};
 };
 
 /**
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -38,7 +38,7 @@
 
 PlacementServer::ServiceState &PlacementServer::stateOf(const ServiceName &service)
 {
-    const auto [state, isNew] = this->services.try_emplace(service);
+    const auto [state, isNew] = this->services.try_emplace(service, this->clock);
     if (isNew) {
         this->duties.follow(service.value(), [this, service](const DutyKeeper::Move &move) {
             this->takeMove(service, move.former);
@@ -56,16 +56,33 @@
 {
     ServiceState &state = this->stateOf(service);
     for (const EndpointName &instance : update.removed) {
-        state.replicas.erase(instance);
+        this->dropReplica(state, instance);
     }
     for (const DispatchReplica &replica : update.put) {
-        state.replicas.insert_or_assign(replica.instance, replica);
+        this->dropReplica(state, replica.instance);
+        state.replicas.emplace(replica.instance, replica);
+        state.versions.add(replica.version);
     }
     if (state.dispatcher) {
         state.dispatcher->update(update);
     }
 }
 
+void PlacementServer::dropReplica(ServiceState &state, const EndpointName &instance)
+{
+    const auto found = state.replicas.find(instance);
+    if (found != state.replicas.end()) {
+        state.versions.remove(found->second.version);
+        state.replicas.erase(found);
+    }
+}
+
+std::optional<SoftwareVersion> PlacementServer::soleVersion(const ServiceName &service, std::chrono::milliseconds period) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() ? found->second.versions.sole(period) : std::nullopt;
+}
+
 void PlacementServer::setView(const MemberViewPointer &view)
 {
     this->view = view;
@@ -205,6 +222,15 @@
     request.avoided = ask.avoided;
     request.connected = ask.connected;
     request.version = ask.version;
+    if (ask.soleVersionFor.count() > 0) {
+        const std::optional<SoftwareVersion> sole = this->soleVersion(service, ask.soleVersionFor);
+        if (!sole) {
+            const std::chrono::milliseconds retryAfter = ask.timeout / returnShare;
+            this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Refused, {}, retryAfter, {}, {}, {}});
+            return;
+        }
+        request.version = *sole;
+    }
     if (!dispatcher.ask(request)) {
         this->answer(service, request.id, {ask.ticket, ask.service, PlacementDecision::Waiting, {}, {}, {}, {}, {}});
     }
@@ -239,7 +265,8 @@
                 },
             .refuse =
                 [this, service](TicketId id, std::chrono::milliseconds retryAfter) {
-                    this->answer(service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter, {}, {}, {}});
+                    this->answer(
+                        service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter, {}, {}, {}});
                 },
         };
         state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibDispatch/Dispatcher.h>
+#include <LibDispatch/VersionHistory.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibGateway/ServingReplica.h>
 #include <LibTask/EventLoop.h>
@@ -78,14 +79,23 @@
     /** Look after what time brings. */
     void tick();
 
+    /** @return the version that all replicas of a service that this node knew have had for a period, see VersionHistory. */
+    std::optional<SoftwareVersion> soleVersion(const ServiceName &service, std::chrono::milliseconds period) const;
+
     /** @return what this node's dispatcher for a service has, or nothing if there is none. */
     std::optional<Dispatcher::Load> load(const ServiceName &service) const;
 
 private:
     struct ServiceState
     {
+        explicit ServiceState(const Clock &clock) : versions(clock)
+        {
+        }
+
         /** For the dispatcher, if this node comes to have it. */
         std::unordered_map<EndpointName, DispatchReplica> replicas;
+        /** Of these replicas, and of those before them. */
+        VersionHistory versions;
         /** Made when somebody asks this node. */
         std::unique_ptr<Dispatcher> dispatcher;
         /** Where the nodes that ask this dispatcher are. */
@@ -95,6 +105,7 @@
     };
 
     ServiceState &stateOf(const ServiceName &service);
+    void dropReplica(ServiceState &state, const EndpointName &instance);
     void takeMove(const ServiceName &service, SessionNumber former);
     void tickDispatcher(const ServiceName &service, ServiceState &state);
     void logLoad(const ServiceName &service, ServiceState &state);
--- /dev/null
+++ b/Tests/LibGateway/TestStreamOrigins.cpp
@@ -0,0 +1,55 @@
+#include <LibBase/ManualClock.h>
+#include <LibGateway/StreamOrigins.h>
+
+#include <doctest/doctest.h>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+const StreamOrigin origin{ServiceName("llm"), SoftwareVersion("v1")};
+constexpr std::chrono::seconds lifetime{5};
+
+} // namespace
+
+TEST_CASE("an origin is known as long as the stream's caller may come again")
+{
+    ManualClock clock;
+    StreamOrigins origins(clock);
+    origins.note(1, origin, lifetime);
+    CHECK(origins.find(1) == origin);
+    CHECK_FALSE(origins.find(2));
+    clock.advance(lifetime);
+    CHECK(origins.find(1) == origin);
+    clock.advance(std::chrono::milliseconds(1));
+    CHECK_FALSE(origins.find(1));
+}
+
+// An attempt is told once by its node and once more by whoever took its stream up: the later end counts.
+TEST_CASE("an origin that is told again is known for the longer time")
+{
+    ManualClock clock;
+    StreamOrigins origins(clock);
+    origins.note(1, origin, lifetime);
+    clock.advance(lifetime / 2);
+    origins.note(1, origin, lifetime);
+    clock.advance(lifetime / 2 + std::chrono::seconds(1));
+    origins.note(2, origin, lifetime);
+    CHECK(origins.find(1) == origin);
+}
+
+// Callers state how long they wait, and may state anything.
+TEST_CASE("origins take bounded memory, whatever lifetimes are stated")
+{
+    ManualClock clock;
+    StreamOrigins origins(clock);
+    for (std::uint64_t request = 1; request <= 50000; ++request) {
+        origins.note(request, origin, std::chrono::hours(1000));
+    }
+    CHECK(origins.count() <= 20000);
+    CHECK(origins.find(50000) == origin);
+    clock.advance(std::chrono::minutes(3));
+    origins.note(1, origin, lifetime);
+    CHECK(origins.count() == 1);
+}
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -76,6 +76,7 @@
     REQUIRE(read);
     CHECK(read->registeredName == EndpointName("i-1"));
     CHECK(read->slots == 8);
+    CHECK(read->version == SoftwareVersion("v1"));
     CHECK(read->isDraining);
     CHECK_FALSE(decodeReplica("i-1", R"({"service":"s"})"));
     CHECK_FALSE(decodeReplica("i-1", "nonsense"));
@@ -110,6 +111,7 @@
     headers.add("X-Token-Usage", "1460,80");
     headers.add("X-Prefix-Hash", "5c1e:800,e440:250");
     headers.add("Last-Event-Id", "x");
+    headers.add("Resumes", "r0");
     const RequestTraits traits = decodeTraits(headers);
     CHECK(traits.id == "r1");
     CHECK(traits.timeout == std::chrono::milliseconds(5000));
@@ -117,6 +119,7 @@
     CHECK(traits.mostOutputTokens == 80);
     CHECK(traits.lastPromptPart == "e440");
     CHECK_FALSE(traits.lastEvent);
+    CHECK(traits.resumedId == "r0");
     CHECK_FALSE(decodeTraits({}).timeout);
 }
 
