ItemAttempt, JobRows: The text of a batch item is of one software version

Two versions' texts were joined in one result. Red test: the item's second half came from another version.

An item now asks for the version that began its text, the progress in rows names it, and parts of different versions are not joined. If no replica has the version any more, the item begins anew, which its route allows: an item may run more than once. Ruled out: to wait for the version, as after a release it does not come back.

--- a/Libraries/LibGateway/JobRows.cpp
+++ b/Libraries/LibGateway/JobRows.cpp
@@ -198,7 +198,7 @@
 std::map<std::uint32_t, Generated> readProgress(const std::vector<StoredRow> &rows)
 {
     // Two runners may have written parts of the same item side by side. A part follows another only if it is of the same run,
-    // or of a run that was asked to go on just there: whatever else is joined was never one generation.
+    // or of a run of the same software that was asked to go on just there: whatever else is joined was never one generation.
     std::map<std::uint32_t, Generated> items;
     std::map<std::uint32_t, std::uint64_t> lastRuns;
     for (const StoredRow &row : rows) {
@@ -210,7 +210,9 @@
         std::uint64_t &lastRun = lastRuns[part->item];
         const bool isNext = part->firstEvent == generated.lastEvent + 1 && part->lastEvent >= part->firstEvent;
         const bool isSameRun = generated.lastEvent > 0 && part->firstRun == lastRun;
-        if (isNext && (isSameRun || part->firstRunAfter == generated.lastEvent)) {
+        const bool isSameVersion = generated.lastEvent == 0 || part->version == generated.version;
+        if (isNext && isSameVersion && (isSameRun || part->firstRunAfter == generated.lastEvent)) {
+            generated.version = part->version;
             generated.output.append(part->firstEvent > 1 ? "\n" : "").append(part->output);
             generated.lastEvent = part->lastEvent;
             lastRun = part->lastRun;
--- a/Libraries/LibGateway/JobRows.h
+++ b/Libraries/LibGateway/JobRows.h
@@ -97,6 +97,8 @@
 {
     std::uint64_t lastEvent = 0;
     std::string output;
+    /** Of the replicas that generated it. */
+    SoftwareVersion version{};
 };
 
 /** @return where a part of an item's progress lies. */
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -3177,13 +3177,22 @@
     std::uint64_t firstRunAfter = 0;
     /** Names the run that generated the last event. */
     std::uint64_t lastRun = 0;
+    /** Of the replicas that generated it. */
+    SoftwareVersion version;
 
     bool operator==(const ItemProgress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->item, this->firstEvent, this->lastEvent, this->output, this->firstRun, this->firstRunAfter, this->lastRun);
+        archive(this->item,
+                this->firstEvent,
+                this->lastEvent,
+                this->output,
+                this->firstRun,
+                this->firstRunAfter,
+                this->lastRun,
+                this->version);
     }
 };
 
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -44,17 +44,24 @@
     this->keptBytes = this->output.size();
     if (before.lastEvent > 0) {
         this->lastEvent = before.lastEvent;
+        this->version = std::move(before.version);
     }
     this->askForPlace();
 }
 
 void ItemAttempt::restart()
+{
+    this->dropOutput();
+    this->askForPlace();
+}
+
+void ItemAttempt::dropOutput()
 {
     this->lastEvent.reset();
     this->output.clear();
+    this->version = SoftwareVersion();
     this->keptEvent = 0;
     this->keptBytes = 0;
-    this->askForPlace();
 }
 
 std::optional<ItemProgress> ItemAttempt::takeProgress(std::uint32_t number)
@@ -71,7 +78,8 @@
                       this->output.substr(from),
                       this->firstUnkept.name,
                       this->firstUnkept.after,
-                      this->lastGenerated.name};
+                      this->lastGenerated.name,
+                      this->version};
     this->keptEvent = last;
     this->keptBytes = this->output.size();
     return part;
@@ -115,6 +123,7 @@
     query.deadline = query.arrived + std::chrono::hours(1);
     query.avoided = this->avoided;
     query.connected = connectedReplicas(this->context, query.service, longestIdle);
+    query.version = this->version;
     this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
@@ -156,7 +165,7 @@
     }
     if (placement.decision == PlacementDecision::Refused) {
         this->leave(PlacementVerdict::Finished);
-        this->askLater();
+        this->beginAnew();
         return;
     }
     this->hooks.confirmOpen([self = this->shared_from_this(), ticket = this->ticket, placement](const auto &age) {
@@ -173,6 +182,19 @@
     });
 }
 
+void ItemAttempt::beginAnew()
+{
+    log(LogLevel::Info,
+        "batch item begins anew",
+        {{"item", this->item.id.value()},
+         {"reason", "no replica of the version that began it"},
+         {"version", this->version.value()},
+         {"last_event", static_cast<std::int64_t>(this->lastEvent.value_or(0))}});
+    this->context.metrics.countEvent("batch item began anew");
+    this->dropOutput();
+    this->askLater();
+}
+
 void ItemAttempt::takeConfirmation(const Placement &placement, std::chrono::milliseconds age)
 {
     const std::optional<ServingReplica> found = this->context.listed.resolve(placedReplica(placement, this->target.service));
@@ -243,6 +265,7 @@
             return;
         }
         this->output.append(expected > 1 ? "\n" : "").append(event.data);
+        this->version = this->replica->version;
         if (expected == this->keptEvent + 1) {
             this->firstUnkept = this->run;
         }
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -74,6 +74,8 @@
     void askForPlace();
     void askLater();
     void confirmBeforeAsking();
+    void beginAnew();
+    void dropOutput();
     void takePlacement(const Placement &placement);
     void takeConfirmation(const Placement &placement, std::chrono::milliseconds age);
     void send(const ServingReplica &replica, std::chrono::milliseconds confirmedAge);
@@ -100,6 +102,8 @@
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::string output;
+    /** Of the replicas that generated the output; empty if there is none. */
+    SoftwareVersion version;
     /** Up to where the output is kept. */
     std::uint64_t keptEvent = 0;
     std::size_t keptBytes = 0;
