PlacementClient: Who knows all replicas judges by itself where a stream may go on

Such a node, if it was told the list in the last 2 s, now goes by its own history of versions.

TestStreamVersions: a stream of unknown origin goes on while one version serves.

--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -32,6 +32,8 @@
  * else is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listTimeout{1000};
 constexpr std::chrono::milliseconds listLook{20};
+/** A list that was not told for so long may lack a version that other nodes know. */
+constexpr std::chrono::milliseconds freshListAge{2000};
 /** A stream's origin is remembered for so long after its caller's time is over: the caller's clock is not this node's. */
 constexpr std::chrono::milliseconds originMargin{1000};
 
@@ -230,6 +232,7 @@
     query.connected = connectedReplicas(this->context, this->service, this->longestIdle());
     query.version = this->begunVersion;
     query.soleVersionFor = this->soleVersionFor;
+    query.knowsAllReplicas = this->context.listed.isWhole() && this->context.listed.age() <= freshListAge;
     this->ticket = this->context.placements.ask(query, [self = this->shared_from_this()](const Placement &placement) {
         self->takePlacement(placement);
     });
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -145,9 +145,8 @@
     ServiceState &state = this->stateOf(asked.query.service);
     PlacementQuery &query = asked.query;
     if (query.soleVersionFor.count() > 0) {
-        // Of a dispatched service this node may know but some replicas.
         const std::optional<SoftwareVersion> sole
-            = state.isDispatched ? std::nullopt : this->server.soleVersion(query.service, query.soleVersionFor);
+            = query.knowsAllReplicas ? this->server.soleVersion(query.service, query.soleVersionFor) : std::nullopt;
         if (!sole) {
             this->refuseLater(ticket, query);
             return;
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -44,6 +44,8 @@
      * since. Else 0.
      */
     std::chrono::milliseconds soleVersionFor{0};
+    /** Whether this node knows all replicas, and so their versions, also without a dispatcher. */
+    bool knowsAllReplicas = false;
 };
 
 /**
--- a/Tests/ServiceGateway/TestStreamVersions.cpp
+++ b/Tests/ServiceGateway/TestStreamVersions.cpp
@@ -60,6 +60,16 @@
         + "Content-Length: 0\r\n\r\n";
 }
 
+/** @return the usual configuration, in which streams may have begun no longer than a moment ago. */
+std::string withShortTimeouts()
+{
+    nlohmann::json configuration = nlohmann::json::parse(benchConfiguration);
+    for (nlohmann::json &route : configuration["routes"]) {
+        route["timeoutMs"] = 300;
+    }
+    return configuration.dump();
+}
+
 /** Two nodes that know each other, before replicas of two versions. */
 class TwoNodes : public Running
 {
@@ -211,3 +221,20 @@
     }
     CHECK(begun.size() + versionsOf(running, "a", true).size() >= 2);
 }
+
+// All nodes that knew where the stream began are lost, or its caller names no attempt; only one version has served since.
+TEST_CASE("a stream of unknown origin goes on while one software version serves")
+{
+    Running running([](GatewayBench &bench) {
+        bench.configure(withShortTimeouts());
+        bench.addReplica("i-1-v1", "llm", crashUnlessResumed);
+    });
+    std::string answer;
+    await([&running, &answer] {
+        RawConnection caller(running.address(&Gateway::callerAddress));
+        caller.send(requestHead("r", "Last-Event-Id: 2\r\n"));
+        answer = caller.readAll();
+        return answer.starts_with("HTTP/1.1 200");
+    });
+    CHECK(has(answer, "id: 3\n"));
+}
