Gateway: The logs tell which prompt parts and replica a crash met, and which breaks are none

'a request met the crash of a replica' named a hash alone, and a break that was taken for the network's doing left no line: the hypotheses could not be told apart. Both are logged now, with the replica, the parts of the prompt that other requests may have too, and the events that the run had written. CrashMemory gets and gives back broken runs with these; what it decides is the same, and its tests check the same.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -27,36 +27,40 @@
 {
 }
 
-void CrashMemory::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
+void CrashMemory::noteBreak(const BrokenRun &run)
 {
-    this->breaks.push_back({fingerprint, replica, this->clock.now()});
+    this->breaks.push_back({run, this->clock.now()});
 }
 
-std::vector<std::uint64_t> CrashMemory::takeCrashes()
+std::vector<JudgedBreak> CrashMemory::judgeBreaks()
 {
     const SteadyTime now = this->clock.now();
-    std::vector<std::uint64_t> crashed;
+    std::vector<JudgedBreak> judged;
     while (this->judgedBreaks < this->breaks.size() && now - this->breaks[this->judgedBreaks].time >= judgeAfter) {
         const Break &next = this->breaks[this->judgedBreaks++];
-        const bool isCopy = std::ranges::find(crashed, next.fingerprint) != crashed.end();
-        if (!isCopy && !this->isOneOfMany(next)) {
-            crashed.push_back(next.fingerprint);
+        const bool isCopy = std::ranges::any_of(judged, [&next](const JudgedBreak &other) {
+            return other.isCrash && other.run.fingerprint == next.run.fingerprint;
+        });
+        if (!isCopy) {
+            judged.push_back({next.run, !this->isOneOfMany(next)});
         }
     }
     while (this->judgedBreaks > 0 && now - this->breaks.front().time > judgeAfter + sameMoment) {
         this->breaks.pop_front();
         --this->judgedBreaks;
     }
-    for (const std::uint64_t fingerprint : crashed) {
-        this->noteCrash(fingerprint);
+    for (const JudgedBreak &entry : judged) {
+        if (entry.isCrash) {
+            this->noteCrash(entry.run.fingerprint);
+        }
     }
-    return crashed;
+    return judged;
 }
 
 bool CrashMemory::isOneOfMany(const Break &judged) const
 {
     return std::ranges::any_of(this->breaks, [&judged](const Break &other) {
-        return other.replica != judged.replica && std::chrono::abs(other.time - judged.time) <= sameMoment;
+        return other.run.replica != judged.run.replica && std::chrono::abs(other.time - judged.time) <= sameMoment;
     });
 }
 
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -8,11 +8,34 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace Dogwoodkeel
 {
 
+/** A run of a request that ended with its connection. */
+struct BrokenRun
+{
+    /** Hash of what the request asks for. */
+    std::uint64_t fingerprint = 0;
+    EndpointName replica;
+    /** Names of the parts of its prompt that other requests may have too. */
+    std::vector<std::string> promptParts{};
+    /** Events that the replica had written in this run. */
+    std::uint32_t events = 0;
+
+    bool operator==(const BrokenRun &) const = default;
+};
+
+/** What a broken run is taken for. */
+struct JudgedBreak
+{
+    BrokenRun run;
+    /** Whether its replica crashed; else many connections broke at once. */
+    bool isCrash = false;
+};
+
 /**
  * Remembers which requests were running when their replica broke off. A request that crashes each replica that runs it
  * comes again with new ids; unless it is recognised, it takes one replica after the other away from everybody else.
@@ -26,14 +49,11 @@
 
     explicit CrashMemory(const Clock &clock);
 
-    /**
-     * A connection broke while the request ran on it. Whether its replica crashed is judged a little later.
-     * @param fingerprint hash of what the request asks for
-     */
-    void noteBreak(std::uint64_t fingerprint, const EndpointName &replica);
+    /** A connection broke while a request ran on it. Whether its replica crashed is judged a little later. */
+    void noteBreak(const BrokenRun &run);
 
-    /** Judge the breaks that are old enough. @return the requests that met a crash; they are noted here. */
-    std::vector<std::uint64_t> takeCrashes();
+    /** Judge the breaks that are old enough. Crashes are noted here, once for copies of a request. */
+    std::vector<JudgedBreak> judgeBreaks();
 
     /** A replica crashed while it ran the request; another node has judged so. */
     void noteCrash(std::uint64_t fingerprint);
@@ -68,8 +88,7 @@
 
     struct Break
     {
-        std::uint64_t fingerprint = 0;
-        EndpointName replica;
+        BrokenRun run;
         SteadyTime time{};
     };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -49,6 +49,15 @@
     exchange->send(status, headers, body);
 }
 
+std::string joined(const std::vector<std::string> &texts)
+{
+    std::string all;
+    for (const std::string &text : texts) {
+        all.append(all.empty() ? "" : ",").append(text);
+    }
+    return all;
+}
+
 DispatchReplica dispatchReplica(const Service &service, const ServingReplica &replica)
 {
     const std::uint32_t slots = service.engine && service.engine->slots > 0 ? service.engine->slots : replica.slots;
@@ -148,8 +157,8 @@
               this->metrics,
               this->crashes,
               this->origins,
-              [this](std::uint64_t fingerprint, const EndpointName &replica) {
-                  this->noteBreak(fingerprint, replica);
+              [this](const BrokenRun &run) {
+                  this->noteBreak(run);
               },
               this->random}
     , relayedStore(loop, clock, this->store, this->peers, this->storeClock, this->random())
@@ -368,9 +377,9 @@
     });
 }
 
-void Gateway::noteBreak(std::uint64_t fingerprint, const EndpointName &replica)
+void Gateway::noteBreak(const BrokenRun &run)
 {
-    this->crashes.noteBreak(fingerprint, replica);
+    this->crashes.noteBreak(run);
     // Each break has a timer of its own: a later one is judged later.
     this->loop.schedule(CrashMemory::judgeAfter, [this, alive = std::weak_ptr<bool>(this->alive)] {
         if (!alive.expired()) {
@@ -381,10 +390,18 @@
 
 void Gateway::judgeBreaks()
 {
-    for (const std::uint64_t fingerprint : this->crashes.takeCrashes()) {
-        log(LogLevel::Info, "a request met the crash of a replica", {{"fingerprint", std::to_string(fingerprint)}});
+    for (const auto &[run, isCrash] : this->crashes.judgeBreaks()) {
+        log(LogLevel::Info,
+            isCrash ? "a request met the crash of a replica" : "connections to several replicas broke at once",
+            {{"fingerprint", std::to_string(run.fingerprint)},
+             {"replica", run.replica.value()},
+             {"prompt_parts", joined(run.promptParts)},
+             {"events", static_cast<std::int64_t>(run.events)}});
+        if (!isCrash) {
+            continue;
+        }
         this->metrics.countEvent("request met a crash");
-        this->tellAll([this, fingerprint](const Address &peer) {
+        this->tellAll([this, fingerprint = run.fingerprint](const Address &peer) {
             this->peers.datagrams().send(peer, CrashNotice{fingerprint});
         });
     }
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -108,7 +108,7 @@
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
     void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
-    void noteBreak(std::uint64_t fingerprint, const EndpointName &replica);
+    void noteBreak(const BrokenRun &run);
     void judgeBreaks();
     void reportEnded(const JobId &job);
     void tellAll(const std::function<void(const Address &)> &send);
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -36,7 +36,7 @@
     CrashMemory &crashes;
     StreamOriginExchange &origins;
     /** A connection broke while a request ran on it: if its replica crashed, all nodes are told. */
-    std::function<void(std::uint64_t fingerprint, const EndpointName &replica)> noteBreak;
+    std::function<void(const BrokenRun &)> noteBreak;
     std::minstd_rand &random;
     /** By service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEvents{};
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -33,6 +33,7 @@
     , due(due)
     , hooks(std::move(hooks))
     , fingerprint(stableHash(item.body, stableHash(item.target)))
+    , promptParts(decodeTraits(item.headers).sharedPromptParts)
     , splitter(largestStreamEvent)
 {
 }
@@ -288,7 +289,9 @@
     if (end == CallEnd::NotSent) {
         this->goOn(PlacementVerdict::Unreachable, "no connection to the replica");
     } else if (end == CallEnd::Broken) {
-        this->context.noteBreak(this->fingerprint, this->replica->instance);
+        const std::uint64_t events = this->lastEvent.value_or(0) - this->run.after;
+        this->context.noteBreak(
+            {this->fingerprint, this->replica->instance, this->promptParts, static_cast<std::uint32_t>(events)});
         this->goOn(PlacementVerdict::Broken, "the connection to the replica broke");
     } else if (this->splitter.hasRest()) {
         this->goOn(PlacementVerdict::Broken, "the stream ended inside an event");
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -93,6 +93,8 @@
     SteadyTime due;
     Hooks hooks;
     std::uint64_t fingerprint;
+    /** Those that other requests may have too. */
+    std::vector<std::string> promptParts;
     Target target;
     std::vector<EndpointName> avoided;
     PlacementClient::Ticket ticket = 0;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -278,6 +278,7 @@
     this->sent = this->now();
     ++this->attempts;
     this->body.clear();
+    this->eventsBefore = this->eventsPassed;
     this->splitter = EventSplitter(largestStreamEvent);
     const auto remaining = std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->now());
     OutboundCall outbound;
@@ -396,7 +397,10 @@
         return;
     }
     if (end == CallEnd::Broken) {
-        this->context.noteBreak(this->fingerprint, this->replica->instance);
+        this->context.noteBreak({this->fingerprint,
+                                 this->replica->instance,
+                                 this->traits.sharedPromptParts,
+                                 this->eventsPassed - this->eventsBefore});
         this->recover(PlacementVerdict::Broken, "the connection to the replica broke");
         return;
     }
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -120,6 +120,8 @@
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventsPassed = 0;
+    /** Those of them that came before it was sent last. */
+    std::uint32_t eventsBefore = 0;
     TimerId deadlineTimer = 0;
     TimerId listTimer = 0;
     TimerId silenceTimer = 0;
--- a/Tests/LibGateway/TestCrashMemory.cpp
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -14,6 +14,18 @@
 const EndpointName b{"b"};
 const EndpointName c{"c"};
 
+/** @return the requests that met a crash. */
+std::vector<std::uint64_t> crashesOf(const std::vector<JudgedBreak> &judged)
+{
+    std::vector<std::uint64_t> crashed;
+    for (const JudgedBreak &entry : judged) {
+        if (entry.isCrash) {
+            crashed.push_back(entry.run.fingerprint);
+        }
+    }
+    return crashed;
+}
+
 } // namespace
 
 // A request crashes each replica that runs it, and its caller sends it again, with another id and to another node. Each
@@ -42,11 +54,11 @@
     ManualClock clock;
     CrashMemory crashes(clock);
     for (int reset = 0; reset < 4; ++reset) {
-        crashes.noteBreak(7, a);
+        crashes.noteBreak({7, a});
         clock.advance(std::chrono::milliseconds(8));
-        crashes.noteBreak(8, b);
+        crashes.noteBreak({8, b});
         clock.advance(judged);
-        CHECK(crashes.takeCrashes().empty());
+        CHECK(crashesOf(crashes.judgeBreaks()).empty());
         clock.advance(std::chrono::seconds(7));
     }
     CHECK_FALSE(crashes.isRefused(7));
@@ -60,13 +72,13 @@
     ManualClock clock;
     CrashMemory crashes(clock);
     for (int copy = 0; copy < 4; ++copy) {
-        crashes.noteBreak(7, a);
+        crashes.noteBreak({7, a});
     }
-    crashes.noteBreak(9, a);
-    CHECK(crashes.takeCrashes().empty());
+    crashes.noteBreak({9, a});
+    CHECK(crashesOf(crashes.judgeBreaks()).empty());
     clock.advance(judged);
-    CHECK(crashes.takeCrashes() == std::vector<std::uint64_t>{7, 9});
-    CHECK(crashes.takeCrashes().empty());
+    CHECK(crashesOf(crashes.judgeBreaks()) == std::vector<std::uint64_t>{7, 9});
+    CHECK(crashesOf(crashes.judgeBreaks()).empty());
     CHECK_FALSE(crashes.isRefused(7));
 }
 
@@ -77,9 +89,9 @@
     CrashMemory crashes(clock);
     for (const EndpointName &replica : {a, b, c}) {
         CHECK_FALSE(crashes.isRefused(7));
-        crashes.noteBreak(7, replica);
+        crashes.noteBreak({7, replica});
         clock.advance(judged);
-        CHECK(crashes.takeCrashes() == std::vector<std::uint64_t>{7});
+        CHECK(crashesOf(crashes.judgeBreaks()) == std::vector<std::uint64_t>{7});
     }
     CHECK(crashes.isRefused(7));
 }
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -117,6 +117,7 @@
     CHECK(traits.timeout == std::chrono::milliseconds(5000));
     CHECK(traits.promptTokens == 1460);
     CHECK(traits.mostOutputTokens == 80);
+    CHECK(traits.sharedPromptParts == std::vector<std::string>{"5c1e"});
     CHECK(traits.lastPromptPart == "e440");
     CHECK_FALSE(traits.lastEvent);
     CHECK(traits.resumedId == "r0");
