Soak: Replicas of two software versions, streams taken up at other nodes, items of one version

The soak's replicas have two versions, each with an output of its own, and change it as they start again. What a caller gets of a stream, over all its tries, and what is listed of an item has to be the output of one version. Callers take up streams that broke off, at any node.

--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -10,6 +10,9 @@
 #include <chrono>
 #include <cstdlib>
 #include <exception>
+#include <map>
+#include <set>
+#include <string_view>
 #include <thread>
 
 namespace Dogwoodkeel
@@ -29,6 +32,7 @@
 /** One in so many requests is a job, a look at one, or the end of one. */
 constexpr int jobEvery = 12;
 constexpr const char *lineEnd = "\r\n";
+constexpr std::string_view eventEnd = "\n\n";
 
 std::string valueOf(const std::string &head, const std::string &name)
 {
@@ -40,17 +44,33 @@
     return head.substr(from, head.find(lineEnd, from) - from);
 }
 
-/** @return the stream that a replica generates, as far as a number of events. */
-std::string streamOf(const std::string &body)
+/** @return the stream that a replica of a version generates. */
+std::string streamOf(const std::string &body, std::string_view version)
 {
     std::string text;
     std::size_t number = 0;
-    for (const std::string &event : outputOf(body)) {
+    for (const std::string &event : outputOf(body, version)) {
         text += "id: " + std::to_string(++number) + "\ndata: " + event + "\n\n";
     }
     return text;
 }
 
+/** @return the whole events at the start of a stream. */
+std::string wholeEvents(const std::string &text)
+{
+    const std::size_t end = text.rfind(eventEnd);
+    return end == std::string::npos ? std::string() : text.substr(0, end + eventEnd.size());
+}
+
+std::size_t countEvents(const std::string &events)
+{
+    std::size_t count = 0;
+    for (std::size_t end = events.find(eventEnd); end != std::string::npos; end = events.find(eventEnd, end + 1)) {
+        ++count;
+    }
+    return count;
+}
+
 std::string joined(const std::vector<std::string> &parts)
 {
     std::string text;
@@ -102,8 +122,9 @@
 bool SoakCaller::callOnline(const Kind &kind)
 {
     const std::string body = "body of " + this->nextId();
+    Received received;
     for (int attempt = 0; attempt < mostTries; ++attempt) {
-        const TryEnd end = this->tryOnline(kind, body);
+        const TryEnd end = this->tryOnline(kind, body, received);
         if (end == TryEnd::Answered) {
             return true;
         }
@@ -115,33 +136,56 @@
     return false;
 }
 
-TryEnd SoakCaller::tryOnline(const Kind &kind, const std::string &body)
+TryEnd SoakCaller::tryOnline(const Kind &kind, const std::string &body, Received &received)
 {
     const std::string id = this->nextId();
-    const Response response = this->call(std::string("POST /") + kind.prefix + "/x", id, body);
+    const std::size_t known = countEvents(received.events);
+    const bool isTakenUp = known > 0;
+    const std::string headers
+        = isTakenUp ? "Resumes: " + received.firstId + "\r\nLast-Event-Id: " + std::to_string(known) + "\r\n" : "";
+    const Response response = this->call(std::string("POST /") + kind.prefix + "/x", id, body, headers);
     TryEnd end = TryEnd::Open;
     if (response.status == 200 && response.isComplete) {
         end = TryEnd::Answered;
     } else if (response.status == 503 || response.status == 429) {
         end = TryEnd::Refused;
     }
-    if (response.status == 200) {
-        this->checkAnswer(kind, id, body, response);
+    if (response.status == 200 && kind.isStream) {
+        received.events += response.isComplete ? response.body : wholeEvents(response.body);
+        received.firstId = isTakenUp ? received.firstId : id;
+        received.isComplete = response.isComplete;
+        this->checkStream(id, body, received);
+    } else if (response.status == 200) {
+        this->checkAnswer(id, body, response);
     } else if (response.status >= 400 && response.status < 500 && response.status != 429) {
         this->record.violate("request " + id + " got " + std::to_string(response.status));
     }
+    if (isTakenUp) {
+        this->record.noteTakenUp(countEvents(received.events) > known || received.isComplete);
+    }
     this->record.noteTry(id, kind.repeats, end);
     return end;
 }
 
-void SoakCaller::checkAnswer(const Kind &kind, const std::string &id, const std::string &body, const Response &response)
+void SoakCaller::checkAnswer(const std::string &id, const std::string &body, const Response &response)
+{
+    const std::string whole = "done " + body;
+    if (response.isComplete ? response.body != whole : !whole.starts_with(response.body)) {
+        this->record.violate("request " + id + " got a wrong answer: " + response.body);
+    }
+}
+
+void SoakCaller::checkStream(const std::string &id, const std::string &body, const Received &received)
 {
-    const std::string whole = kind.isStream ? streamOf(body) : "done " + body;
-    // A stream may break off, but what came of it must be its beginning, and it must not look whole.
-    const bool isRight = response.isComplete ? response.body == whole : whole.starts_with(response.body);
+    // A stream may break off, but what came of it must be the beginning of what one version generates, and it must not look
+    // whole.
+    const bool isRight = std::ranges::any_of(softwareVersions, [&body, &received](std::string_view version) {
+        const std::string whole = streamOf(body, version);
+        return received.isComplete ? received.events == whole : whole.starts_with(received.events);
+    });
     if (!isRight) {
-        this->record.violate("request " + id + (response.isComplete ? " got a wrong whole answer: " : " got wrong parts: ")
-                             + response.body);
+        this->record.violate("request " + id + (received.isComplete ? " got a wrong whole stream: " : " got wrong parts: ")
+                             + received.events);
     }
 }
 
@@ -173,13 +217,15 @@
 {
     const std::string job = this->nextId();
     nlohmann::json requests = nlohmann::json::array();
-    std::map<std::string, std::string> outputs;
+    std::map<std::string, std::set<std::string>> outputs;
     std::vector<std::string> items;
     for (std::size_t number = 0; number < itemCount; ++number) {
         const std::string item = job + "." + std::to_string(number);
         const std::string body = "item " + item;
         requests.push_back({{"id", item}, {"path", "/b/" + item}, {"body", encodeBase64(body)}, {"tokens", 9}});
-        outputs[item] = joined(outputOf(body));
+        for (const std::string_view version : softwareVersions) {
+            outputs[item].insert(joined(outputOf(body, version)));
+        }
         items.push_back(item);
     }
     const std::string body = nlohmann::json{{"requests", requests}}.dump();
@@ -255,7 +301,8 @@
     return static_cast<double>(served) / count;
 }
 
-SoakCaller::Response SoakCaller::call(const std::string &startLine, const std::string &id, const std::string &body)
+SoakCaller::Response
+SoakCaller::call(const std::string &startLine, const std::string &id, const std::string &body, const std::string &headers)
 {
     try {
         if (!this->connection) {
@@ -266,8 +313,8 @@
         std::this_thread::sleep_for(pauseAfterFailure);
         return {};
     }
-    const std::string head = startLine + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
-        + "\r\nX-Deadline-Ms: 4000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const std::string head = startLine + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 4000\r\n" + headers
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     const bool isSent = this->connection->send(head + body);
     Response response = isSent ? this->readResponse() : Response();
     if (!response.isComplete) {
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -54,17 +54,29 @@
         bool isStream;
     };
 
+    /** What has come of a stream over its tries. */
+    struct Received
+    {
+        /** The try that brought its first event. */
+        std::string firstId;
+        /** Whole events, as they came. */
+        std::string events;
+        /** Whether the tries complete it. */
+        bool isComplete = false;
+    };
+
     std::string nextId();
     Address anyNode();
     std::chrono::milliseconds timeBeforeEnd();
     bool callOnline(const Kind &kind);
-    TryEnd tryOnline(const Kind &kind, const std::string &body);
-    void checkAnswer(const Kind &kind, const std::string &id, const std::string &body, const Response &response);
+    TryEnd tryOnline(const Kind &kind, const std::string &body, Received &received);
+    void checkAnswer(const std::string &id, const std::string &body, const Response &response);
+    void checkStream(const std::string &id, const std::string &body, const Received &received);
     /** @return its name, if it was accepted. */
     std::optional<std::string> submitJob(std::size_t itemCount);
     void readJob(const std::string &job);
     void endJob(const std::string &job);
-    Response call(const std::string &startLine, const std::string &id, const std::string &body);
+    Response call(const std::string &startLine, const std::string &id, const std::string &body, const std::string &headers = {});
     Response readResponse();
     void readChunks(Response &response, std::size_t from);
 
--- a/Tests/Soak/SoakRecord.cpp
+++ b/Tests/Soak/SoakRecord.cpp
@@ -22,7 +22,14 @@
     }
 }
 
-void SoakRecord::noteJob(const std::string &job, const std::map<std::string, std::string> &outputs)
+void SoakRecord::noteTakenUp(bool wentOn)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->takenUp;
+    this->wentOn += wentOn ? 1 : 0;
+}
+
+void SoakRecord::noteJob(const std::string &job, const std::map<std::string, std::set<std::string>> &outputs)
 {
     const std::lock_guard lock(this->mutex);
     this->jobs[job].outputs = outputs;
@@ -57,7 +64,7 @@
             continue;
         }
         const auto expected = known.outputs.find(item);
-        if (expected == known.outputs.end() || expected->second != output) {
+        if (expected == known.outputs.end() || !expected->second.contains(output)) {
             violateItem(item, " has a wrong output: " + output);
         }
         for (const auto &[before, text] : known.results) {
@@ -159,7 +166,8 @@
         ended += job.endAcknowledged ? 1 : 0;
     }
     return std::to_string(this->answered) + " answered, " + std::to_string(this->refused.size()) + " refused, "
-        + std::to_string(this->open) + " left open, " + std::to_string(this->jobs.size()) + " jobs, " + std::to_string(ended)
+        + std::to_string(this->open) + " left open, " + std::to_string(this->takenUp) + " taken up ("
+        + std::to_string(this->wentOn) + " went on), " + std::to_string(this->jobs.size()) + " jobs, " + std::to_string(ended)
         + " of them ended, " + std::to_string(listed) + " results";
 }
 
--- a/Tests/Soak/SoakRecord.h
+++ b/Tests/Soak/SoakRecord.h
@@ -52,8 +52,11 @@
     /** A caller's try is over. */
     void noteTry(const std::string &id, Repeats repeats, TryEnd end);
 
-    /** A job was accepted. @param outputs the expected output of each item, by its id */
-    void noteJob(const std::string &job, const std::map<std::string, std::string> &outputs);
+    /** A caller took a stream up at any node. @param wentOn whether more of it came */
+    void noteTakenUp(bool wentOn);
+
+    /** A job was accepted. @param outputs the outputs that each item may have, by its id */
+    void noteJob(const std::string &job, const std::map<std::string, std::set<std::string>> &outputs);
 
     /** A submission was refused, with the word that nothing of it will run. @param items their ids */
     void noteRefusedJob(const std::vector<std::string> &items);
@@ -88,7 +91,7 @@
 private:
     struct Job
     {
-        std::map<std::string, std::string> outputs;
+        std::map<std::string, std::set<std::string>> outputs;
         std::vector<std::pair<std::string, std::string>> results;
         bool isEndAsked = false;
         std::optional<Time> endAcknowledged;
@@ -103,6 +106,8 @@
     std::vector<std::string> broken;
     int answered = 0;
     int open = 0;
+    int takenUp = 0;
+    int wentOn = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -42,12 +42,12 @@
 
 } // namespace
 
-std::vector<std::string> outputOf(const std::string &body)
+std::vector<std::string> outputOf(const std::string &body, std::string_view version)
 {
     const std::uint64_t hash = stableHash(body);
     std::vector<std::string> output;
     for (std::size_t event = 0; event < fewestEvents + hash % (mostEvents - fewestEvents); ++event) {
-        output.push_back("e" + std::to_string(hash % 99991) + "." + std::to_string(event + 1));
+        output.push_back(std::string(version) + "e" + std::to_string(hash % 99991) + "." + std::to_string(event + 1));
     }
     return output;
 }
@@ -71,21 +71,23 @@
     Replica made;
     made.instance = "i-" + std::to_string(this->replicas.size());
     made.service = service;
+    made.version = this->replicas.size() % softwareVersions.size();
     made.server = std::make_unique<CallerServer>(this->loop,
                                                  this->clock,
                                                  Address{"127.0.0.1", 0},
                                                  CallerLimits{},
-                                                 [this, service](const std::shared_ptr<CallerExchange> &exchange) {
-                                                     this->serve(service, exchange);
+                                                 [this, replica = this->replicas.size()](const auto &exchange) {
+                                                     this->serve(replica, exchange);
                                                  });
     made.way = std::make_unique<FaultProxy>(this->loop, made.server->address());
     this->replicas.push_back(std::move(made));
 }
 
-void SoakWorld::serve(const std::string &service, const std::shared_ptr<CallerExchange> &exchange)
+void SoakWorld::serve(std::size_t replica, const std::shared_ptr<CallerExchange> &exchange)
 {
+    const Replica &one = this->replicas.at(replica);
     this->record.noteRun(header(exchange, "X-Request-Id"));
-    if (service == plainService) {
+    if (one.service == plainService) {
         this->loop.schedule(this->eventPause, [exchange] {
             exchange->send(200, signedHeaders(exchange), "done " + exchange->body());
         });
@@ -93,7 +95,7 @@
     }
     const std::string last = header(exchange, "Last-Event-Id");
     exchange->begin(200, signedHeaders(exchange));
-    this->generate(exchange, outputOf(exchange->body()), last.empty() ? 0 : std::stoul(last));
+    this->generate(exchange, outputOf(exchange->body(), softwareVersions.at(one.version)), last.empty() ? 0 : std::stoul(last));
 }
 
 void SoakWorld::generate(const std::shared_ptr<CallerExchange> &exchange,
@@ -157,7 +159,7 @@
     const nlohmann::json entry{{"service", one.service},
                                {"address", one.way->address().toString()},
                                {"zone", "z" + std::to_string(replica % 3)},
-                               {"version", "v1"},
+                               {"version", softwareVersions.at(one.version)},
                                {"slots", replicaSlots},
                                {"state", state},
                                {"coldLeftMs", 0},
@@ -170,6 +172,7 @@
 {
     Replica &one = this->replicas.at(replica);
     ++one.born;
+    one.version = (one.version + 1) % softwareVersions.size();
     // What ran there is over: its connections are reset, and its runs end with them.
     one.way->setMode(FaultProxy::Mode::Reset);
     one.way->setMode(FaultProxy::Mode::Pass);
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -7,9 +7,12 @@
 #include <Tests/Soak/FaultProxy.h>
 #include <Tests/Soak/SoakRecord.h>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -18,8 +21,11 @@
 /** How far apart the events of a replica are that isn't slow. */
 inline constexpr std::chrono::milliseconds usualEventPause{15};
 
-/** @return the output that a replica generates for a request with this body: its events in order. */
-std::vector<std::string> outputOf(const std::string &body);
+/** Versions of the replicas' software that serve side by side. */
+inline constexpr std::array<std::string_view, 2> softwareVersions{"v1", "v2"};
+
+/** @return the output that a replica of a version generates for a request with this body: its events in order. */
+std::vector<std::string> outputOf(const std::string &body, std::string_view version);
 
 /** What is outside the nodes: the platform's store and the replicas, each behind a proxy. Lives on one event loop. */
 class SoakWorld
@@ -41,7 +47,7 @@
     /** Tell the nodes that a replica is there, or leaves. */
     void registerReplica(std::size_t replica, const std::string &state);
 
-    /** A replica crashes, and is there again under its name at once. */
+    /** A replica crashes, and is there again under its name at once, with the other version of its software. */
     void restartReplica(std::size_t replica);
 
     /** Generate an event each so long. */
@@ -55,6 +61,8 @@
     {
         std::string instance;
         std::string service;
+        /** Which of the versions its software has. */
+        std::size_t version = 0;
         /** Its start, in milliseconds of the time of day. */
         std::uint64_t born = 1764700000000;
         std::unique_ptr<CallerServer> server;
@@ -62,7 +70,7 @@
     };
 
     void addReplica(const std::string &service);
-    void serve(const std::string &service, const std::shared_ptr<CallerExchange> &exchange);
+    void serve(std::size_t replica, const std::shared_ptr<CallerExchange> &exchange);
     void generate(const std::shared_ptr<CallerExchange> &exchange, const std::vector<std::string> &output, std::size_t next);
 
     EventLoop &loop;
