PlacementClient: A question that this node can't answer by itself is asked again

While no dispatcher answered, a request for which this node knew no replica was not asked for any more: a stream that goes on at one version, of which a node in a large fleet may know no replica, would have waited to the end of its time though another dispatcher had taken over. Beside it, two vectors are given their size beforehand, as the linter asks.

--- a/Libraries/LibGateway/PromptPartGuard.cpp
+++ b/Libraries/LibGateway/PromptPartGuard.cpp
@@ -56,6 +56,7 @@
 std::vector<PromptPart> promptParts(const ServiceName &service, const std::vector<std::string> &names)
 {
     std::vector<PromptPart> parts;
+    parts.reserve(names.size());
     const std::uint64_t seed = stableHash(service.value());
     for (const std::string &name : names) {
         parts.push_back(stableHash(name, seed));
--- a/Libraries/LibMembership/SpreadMembers.cpp
+++ b/Libraries/LibMembership/SpreadMembers.cpp
@@ -21,6 +21,7 @@
     std::ranges::sort(weighted, std::greater<>());
     std::map<FailureDomain, std::size_t> ofDomain;
     std::vector<std::tuple<std::size_t, std::size_t, const Member *>> ranked;
+    ranked.reserve(weighted.size());
     for (const auto &[weight, member] : weighted) {
         ranked.emplace_back(ofDomain[member->failureDomain]++, ranked.size(), member);
     }
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -310,7 +310,10 @@
         }
         state.suspectedUntil = now + suspicionTime;
         this->placeLocally(ticket, asked);
-        return;
+        if (asked.replica) {
+            return;
+        }
+        // This node knows no replica that will do; whoever dispatches next may.
     }
     const bool isBatch = asked.query.work == WorkClass::Batch;
     const std::chrono::milliseconds answeredRepeat = isBatch ? batchWaitRepeat : waitRepeat;
