OnlineCall, ItemAttempt: A stream without a length that ends before or inside an event broke off

Two faults were found by looking for BUDGET's cause elsewhere (crashes that are not recognised): such a crash was held against nothing, as only a reset or a short body counted, and a replica that crashed before its first event left a stream that was passed on as complete, or a batch item that was listed as completed without output.

Both are crashes now, and what they cut goes on elsewhere.

--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -323,7 +323,9 @@
     } else if (end == CallEnd::Broken) {
         this->noteBreak();
         this->goOn(PlacementVerdict::Broken, "the connection to the replica broke");
-    } else if (this->splitter.hasRest()) {
+    } else if (this->splitter.hasRest() || (!this->lastEvent && this->answer->framing == BodyFraming::UntilClose)) {
+        // A replica that crashes ends its connection as after a whole stream.
+        this->noteBreak();
         this->goOn(PlacementVerdict::Broken, "the stream ended inside an event");
     } else {
         this->finish(End::Completed);
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -466,9 +466,16 @@
     this->finish(this->answer.status, "answered");
 }
 
+bool OnlineCall::isEmptyUnframed() const
+{
+    // A replica that crashes as it begins to write ends its connection as after a whole stream.
+    return this->answer.framing == BodyFraming::UntilClose && this->eventsPassed == 0 && !this->lastEvent;
+}
+
 void OnlineCall::completeStream()
 {
-    if (this->splitter.hasRest()) {
+    if (this->splitter.hasRest() || this->isEmptyUnframed()) {
+        this->noteBreak();
         this->recover(PlacementVerdict::Broken, "the stream ended inside an event");
         return;
     }
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -71,6 +71,7 @@
     void takeEvents(std::string_view data);
     void takeEnd(CallEnd end) override;
     void completeWhole();
+    bool isEmptyUnframed() const;
     void completeStream();
     void recover(PlacementVerdict verdict, std::string_view reason);
     void retryUnrun(PlacementVerdict verdict, std::string_view reason);
--- a/Tests/Fakes/ScriptedEndpoint.cpp
+++ b/Tests/Fakes/ScriptedEndpoint.cpp
@@ -84,6 +84,11 @@
     this->endpoint.write(this->connection, "0\r\n\r\n");
 }
 
+void ScriptedEndpoint::Exchange::raw(const std::string &bytes)
+{
+    this->endpoint.write(this->connection, bytes);
+}
+
 void ScriptedEndpoint::Exchange::close()
 {
     this->endpoint.drop(this->connection);
--- a/Tests/Fakes/ScriptedEndpoint.h
+++ b/Tests/Fakes/ScriptedEndpoint.h
@@ -38,6 +38,8 @@
         /** @param finishReason empty but for the last token */
         void token(const std::string &text, const std::string &finishReason = {});
         void endStream();
+        /** Write bytes as they are, head and all. */
+        void raw(const std::string &bytes);
         /** Break the connection off, as a crash does. */
         void close();
 
