Dispatcher: Items that wait for a full version are looked at once a message, not one by one

After a burst each message would have looked for a place for each waiting item. A version without a place is now remembered for the rest of the message, and the search ends once no other version has room. TestDispatcher: one new case.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -425,11 +425,16 @@
 {
     const WaitingQueue::Queue &queue = this->waiting.of(work);
     const bool mayStop = work == WorkClass::Online;
+    std::set<SoftwareVersion> full;
     for (auto next = queue.begin(); next != queue.end();) {
         if (this->index.isEmpty() && (!mayStop || this->stoppable.empty())) {
             return;
         }
         const WaitingQueue::Key key = next->first;
+        if (full.contains(next->second.request.version)) {
+            ++next;
+            continue;
+        }
         const PlacementRequest request = next->second.request;
         if (this->waiting.sinkIfLate(request.id)) {
             // Since the last look it has become late: who is still on time goes first. It comes again behind those.
@@ -441,6 +446,12 @@
         } else if (!request.isChoosy()) {
             // One that finds no place though any replica will do shows that there is none for the others either.
             return;
+        } else if (request.avoided.empty()) {
+            // The same for others of its version.
+            full.insert(request.version);
+            if (!mayStop && !this->index.isAnyOpenForItems(full)) {
+                return;
+            }
         }
         next = queue.upper_bound(key);
     }
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -109,6 +109,13 @@
     return this->places.empty();
 }
 
+bool ReplicaIndex::isAnyOpenForItems(const std::set<SoftwareVersion> &exceptVersions) const
+{
+    return std::ranges::any_of(this->groups, [&exceptVersions](const auto &entry) {
+        return !entry.second.openForItems.empty() && !exceptVersions.contains(entry.first.second);
+    });
+}
+
 DispatchedReplica *ReplicaIndex::best(const PlacementRequest &request) const
 {
     double bestScore = 0;
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -35,6 +35,9 @@
     /** @return whether no replica has a free slot. */
     bool isEmpty() const;
 
+    /** @return whether a replica of any other version may take an item. */
+    bool isAnyOpenForItems(const std::set<SoftwareVersion> &exceptVersions) const;
+
     /** @return the best replica for a request, or null if there is none with a free slot that it may use. */
     DispatchedReplica *best(const PlacementRequest &request) const;
 
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -301,13 +301,13 @@
 
 void OnlineCall::takeRefusal(std::chrono::milliseconds retryAfter)
 {
-    const bool goesOn = !this->begunVersion.value().empty() || this->soleVersionFor.count() > 0;
+    const bool needsVersion = !this->begunVersion.value().empty() || this->soleVersionFor.count() > 0;
+    const std::string_view reason = needsVersion ? "no replica of the version that began the stream" : "there is no room in time";
     if (this->attempts > 0) {
-        this->fail("no replica of the version that began the stream");
+        this->fail(reason);
         return;
     }
-    this->refuse(
-        statusUnavailable, retryAfter, goesOn ? "no replica of the version that began the stream" : "there is no room in time");
+    this->refuse(statusUnavailable, retryAfter, reason);
 }
 
 void OnlineCall::send(const ServingReplica &replica)
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -155,10 +155,10 @@
         query.soleVersionFor = std::chrono::milliseconds(0);
     }
     const std::optional<EndpointName> chosen = state.local.choose(this->own, query);
-    if (!chosen && !state.isDispatched && !query.version.value().empty()) {
-        this->refuseLater(ticket, query);
-    }
     if (!chosen) {
+        if (!state.isDispatched && !query.version.value().empty()) {
+            this->refuseLater(ticket, query);
+        }
         return;
     }
     asked.isLocal = true;
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -538,3 +538,32 @@
     bench.pass(std::chrono::milliseconds(200));
     CHECK(bench.refused == std::set<std::uint64_t>{1, 2, 7});
 }
+
+// Items that were stopped in a burst wait for their version again, and some of them for one that is full.
+TEST_CASE("items that wait for a version that is full do not keep others from their places")
+{
+    TwoVersions bench;
+    const auto askItem = [&bench](std::uint64_t number, const SoftwareVersion &version) {
+        PlacementRequest item = bench.request(number, WorkClass::Batch);
+        item.version = version;
+        bench.dispatcher.ask(item);
+    };
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        askItem(number, number % 2 == 0 ? newVersion : oldVersion);
+    }
+    for (std::uint64_t number = 9; number <= 12; ++number) {
+        askItem(number, newVersion);
+    }
+    askItem(13, oldVersion);
+    bench.ask(14, WorkClass::Batch);
+    CHECK_FALSE(bench.isPlaced(9));
+    CHECK_FALSE(bench.isPlaced(13));
+    bench.end(1);
+    bench.pass(std::chrono::milliseconds(100));
+    CHECK(bench.versionOf(13) == oldVersion);
+    CHECK_FALSE(bench.isPlaced(9));
+    bench.end(3);
+    bench.pass(std::chrono::milliseconds(100));
+    CHECK(bench.versionOf(14) == oldVersion);
+    CHECK_FALSE(bench.isPlaced(9));
+}
