PromptPartGuard: Notices of crashes without parts are held against nothing

Found by reading: a request that had been answered for a while is told of without parts, and other nodes took it for one more crash that nothing explains, so that a part that explains all the others was no longer most of them, and was blocked only after eight crashes. TestPromptPartGuard, the new case: failed before.

--- a/Libraries/LibGateway/PromptPartGuard.cpp
+++ b/Libraries/LibGateway/PromptPartGuard.cpp
@@ -70,6 +70,9 @@
 
 void PromptPartGuard::noteCrash(const EndpointName &replica, const std::vector<PromptPart> &parts)
 {
+    if (parts.empty()) {
+        return;
+    }
     this->forgetOld();
     const SteadyTime now = this->clock.now();
     const auto known = std::ranges::find_if(this->crashes, [&replica, now](const Crash &crash) {
--- a/Tests/LibGateway/TestPromptPartGuard.cpp
+++ b/Tests/LibGateway/TestPromptPartGuard.cpp
@@ -97,6 +97,18 @@
     CHECK_FALSE(bench.guard.isBlocked({first}));
 }
 
+// Most requests of a crashed replica had been answered for a while: they tell nothing of what else crashed it.
+TEST_CASE("crashes that are held against no part do not hide one under which others crash")
+{
+    Bench bench;
+    for (int crash = 0; crash < crashesToBlock; ++crash) {
+        bench.crash({{first, bad}});
+        bench.crash({{}});
+        bench.crash({{}});
+    }
+    CHECK(bench.guard.isBlocked({bad}));
+}
+
 // A part was sound until something changed at the replicas.
 TEST_CASE("a part that was served before its crashes is blocked all the same")
 {
