ReplicaIndex, PeerNetwork: Groups of replicas and sending to all members under plainer names

Reading the change as a newcomer: a group of the index was a pair whose second part was the version, its orders were 'open' twice, and a datagram to all members was 'told'. Behaviour as before.

--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -38,10 +38,10 @@
         const Place place{{replica.traits.failureDomain, replica.traits.version},
                           {replica.load(now), replica.number},
                           replica.mayTakeItem(now)};
-        OpenReplicas &group = this->groups[place.group];
-        group.open.emplace(place.key, &replica);
+        OpenReplicas &open = this->groups[place.group];
+        open.all.emplace(place.key, &replica);
         if (place.isForItems) {
-            group.openForItems.emplace(place.key, &replica);
+            open.forItems.emplace(place.key, &replica);
         }
         this->places.emplace(replica.number, place);
     }
@@ -69,11 +69,11 @@
         return;
     }
     const auto group = this->groups.find(found->second.group);
-    group->second.open.erase(found->second.key);
+    group->second.all.erase(found->second.key);
     if (found->second.isForItems) {
-        group->second.openForItems.erase(found->second.key);
+        group->second.forItems.erase(found->second.key);
     }
-    if (group->second.open.empty()) {
+    if (group->second.all.empty()) {
         this->groups.erase(group);
     }
     this->places.erase(found);
@@ -112,7 +112,7 @@
 bool ReplicaIndex::isAnyOpenForItems(const std::set<SoftwareVersion> &exceptVersions) const
 {
     return std::ranges::any_of(this->groups, [&exceptVersions](const auto &entry) {
-        return !entry.second.openForItems.empty() && !exceptVersions.contains(entry.first.second);
+        return !entry.second.forItems.empty() && !exceptVersions.contains(entry.first.version);
     });
 }
 
@@ -120,11 +120,11 @@
 {
     double bestScore = 0;
     DispatchedReplica *best = this->bestConnected(request, bestScore);
-    for (const auto &[name, group] : this->groups) {
-        if (!request.acceptsVersion(name.second)) {
+    for (const auto &[group, open] : this->groups) {
+        if (!request.acceptsVersion(group.version)) {
             continue;
         }
-        const Order &order = request.work == WorkClass::Batch ? group.openForItems : group.open;
+        const Order &order = request.work == WorkClass::Batch ? open.forItems : open.all;
         // All in the order score alike, but those that are connected, which were looked at before: the first one is the best.
         for (const auto &[key, replica] : order) {
             if (request.avoids(replica->traits.instance)) {
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/DispatchedReplica.h>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -47,14 +48,20 @@
     using Order = std::map<Key, DispatchedReplica *>;
 
     /** Replicas among which any is as good as another of the same load. */
-    using Group = std::pair<FailureDomain, SoftwareVersion>;
+    struct Group
+    {
+        FailureDomain domain;
+        SoftwareVersion version;
+
+        auto operator<=>(const Group &) const = default;
+    };
 
     /** The open replicas of one group. */
     struct OpenReplicas
     {
-        Order open;
+        Order all;
         /** Those of them that may take an item. */
-        Order openForItems;
+        Order forItems;
     };
 
     /** Where a replica stands. */
--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -59,7 +59,7 @@
         notice.promptParts = promptParts(run.service, run.promptParts);
         this->noteCrash(notice);
     }
-    this->peers.tellAll(notice);
+    this->peers.broadcast(notice);
 }
 
 void CrashExchange::noteCrash(const CrashNotice &notice)
@@ -78,7 +78,7 @@
 {
     const std::vector<PromptPart> suspected = this->parts.noteServed(served);
     if (!suspected.empty()) {
-        this->peers.tellAll(PromptPartsServed{suspected});
+        this->peers.broadcast(PromptPartsServed{suspected});
     }
 }
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -562,7 +562,7 @@
         "job ended for its caller",
         {{"job", job.value()}, {"reported_to", static_cast<std::int64_t>(this->peers.view()->members().size())}});
     this->runners.stopJob(job, RunEnd::EndReported);
-    this->peers.tellAll(JobEnded{job});
+    this->peers.broadcast(JobEnded{job});
 }
 
 void Gateway::stop(std::function<void()> done)
--- a/Services/Gateway/PeerNetwork.h
+++ b/Services/Gateway/PeerNetwork.h
@@ -82,7 +82,7 @@
 
     /** Send a datagram to each other member. */
     template <typename Message>
-    void tellAll(const Message &message)
+    void broadcast(const Message &message)
     {
         const MemberViewPointer members = this->view();
         for (const Member &member : members->members()) {
