CrashMemory: A request that breaks two replicas within a moment has met two crashes

Found by reading the record of BUDGET again: a request that crashes replicas reaches its second one some 55 ms after the first has gone (17.304 to 17.362 s), hardly more than the 50 ms within which breaks at two replicas are taken for one reset of the network. On a faster replica neither would have counted, at any node. Tries of one request follow each other, so they are told apart from a reset by the request.

TestCrashMemory: one new case, which failed before.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -59,8 +59,10 @@
 
 bool CrashMemory::isOneOfMany(const Break &judged) const
 {
+    // Tries of one request follow each other: what breaks them in turn is not one reset of many connections.
     return std::ranges::any_of(this->breaks, [&judged](const Break &other) {
-        return other.run.replica != judged.run.replica && std::chrono::abs(other.time - judged.time) <= sameMoment;
+        return other.run.replica != judged.run.replica && other.run.fingerprint != judged.run.fingerprint
+            && std::chrono::abs(other.time - judged.time) <= sameMoment;
     });
 }
 
--- a/Tests/LibGateway/TestCrashMemory.cpp
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -144,3 +144,17 @@
     tell();
     CHECK_FALSE(here.isRefused(7));
 }
+
+// A request crashes its replica, and a moment later the one to which its node sends it again.
+TEST_CASE("a request that breaks two replicas in turn has met two crashes")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    crashes.noteBreak({7, a});
+    clock.advance(std::chrono::milliseconds(30));
+    crashes.noteBreak({7, b});
+    clock.advance(CrashMemory::judgeAfter - std::chrono::milliseconds(30));
+    CHECK(crashesOf(crashes.judgeBreaks()) == std::vector<std::uint64_t>{7});
+    clock.advance(std::chrono::milliseconds(30));
+    CHECK(crashesOf(crashes.judgeBreaks()) == std::vector<std::uint64_t>{7});
+}
