PromptPartGuard: Crashes are remembered for five minutes

A part that crashes a replica a minute was never blocked, as no four of its crashes fell into the minute for which they were remembered. What was last served is remembered as long, so that parts of sound requests are cleared as before. TestPromptPartGuard: one new case, which failed before.

--- a/Libraries/LibGateway/PromptPartGuard.cpp
+++ b/Libraries/LibGateway/PromptPartGuard.cpp
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds sameMoment{60};
 /** Nodes tell of the same crash within this time, as each judges it and tells the others. */
 constexpr std::chrono::milliseconds sameCrash{500};
-constexpr std::chrono::seconds crashesRetained{60};
+constexpr std::chrono::minutes crashesRetained{5};
 constexpr std::size_t mostCrashes = 128;
 /** How long a part is blocked after the last crash that it explains. It doubles each time that it crashes a replica afterwards.
  */
--- a/Tests/LibGateway/TestPromptPartGuard.cpp
+++ b/Tests/LibGateway/TestPromptPartGuard.cpp
@@ -60,6 +60,19 @@
     CHECK_FALSE(bench.guard.isBlocked({first, other}));
 }
 
+// One replica a minute is lost: few requests have the part, and each of them crashes what it reaches.
+TEST_CASE("a part under which replicas crash now and then is blocked as well")
+{
+    Bench bench;
+    for (int crash = 0; crash < crashesToBlock; ++crash) {
+        bench.guard.noteServed({first, other});
+        bench.crash({{first, bad}});
+        bench.clock.advance(std::chrono::minutes(1));
+    }
+    CHECK(bench.guard.isBlocked({bad}));
+    CHECK_FALSE(bench.guard.isBlocked({first, other}));
+}
+
 // Sound requests have the same first part, and all replicas are down most of the time: they are hardly served any more.
 TEST_CASE("crashes that a blocked part explains are held against no other one")
 {
