Gateway: The logs tell what each notice of a crash did to the count of its request

- "a request met the crash of a replica" and "connections to several replicas broke at once" name the count, the other replica and how far apart they broke; the second is counted as well, so both counters are kept by CrashExchange.
- "another node reported the crash of a replica" from the second crash of a request on.
- "request over" and "batch item held" carry the fingerprint.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -42,7 +42,7 @@
             return other.isCrash && other.run.fingerprint == next.run.fingerprint;
         });
         if (!isCopy) {
-            judged.push_back({next.run, !this->isOneOfMany(next)});
+            judged.push_back(this->judge(next));
         }
     }
     while (this->judgedBreaks > 0 && now - this->breaks.front().time > judgeAfter + sameMoment) {
@@ -57,13 +57,18 @@
     return judged;
 }
 
-bool CrashMemory::isOneOfMany(const Break &judged) const
+JudgedBreak CrashMemory::judge(const Break &next) const
 {
     // Tries of one request follow each other: what breaks them in turn is not one reset of many connections.
-    return std::ranges::any_of(this->breaks, [&judged](const Break &other) {
-        return other.run.replica != judged.run.replica && other.run.fingerprint != judged.run.fingerprint
-            && std::chrono::abs(other.time - judged.time) <= sameMoment;
+    const auto other = std::ranges::find_if(this->breaks, [&next](const Break &candidate) {
+        return candidate.run.replica != next.run.replica && candidate.run.fingerprint != next.run.fingerprint
+            && std::chrono::abs(candidate.time - next.time) <= sameMoment;
     });
+    if (other == this->breaks.end()) {
+        return {next.run, true};
+    }
+    const auto apart = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::abs(other->time - next.time));
+    return {next.run, false, other->run.replica, apart};
 }
 
 void CrashMemory::noteCrash(std::uint64_t fingerprint)
@@ -107,11 +112,16 @@
     entry.last = std::max(entry.last, now - reported.age);
 }
 
-bool CrashMemory::isRefused(std::uint64_t fingerprint) const
+int CrashMemory::crashesOf(std::uint64_t fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
-    return found != this->entries.end() && found->second.crashes >= mostCrashes
-        && this->clock.now() - found->second.last <= remembered;
+    const bool isKnown = found != this->entries.end() && this->clock.now() - found->second.last <= remembered;
+    return isKnown ? found->second.crashes : 0;
+}
+
+bool CrashMemory::isRefused(std::uint64_t fingerprint) const
+{
+    return this->crashesOf(fingerprint) >= mostCrashes;
 }
 
 bool CrashMemory::isHeld(std::uint64_t fingerprint) const
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -36,6 +36,10 @@
     BrokenRun run;
     /** Whether its replica crashed; else many connections broke at once. */
     bool isCrash = false;
+    /** If it did not: another replica at which a connection broke at the same moment. */
+    EndpointName otherReplica{};
+    /** How long before or after this one the other connection broke. */
+    std::chrono::milliseconds apart{0};
 };
 
 /**
@@ -75,6 +79,9 @@
     /** Another node remembers crashes. Those that both have been told of count once. */
     void merge(const Known &reported);
 
+    /** @return how many crashes a request has met that are remembered. */
+    int crashesOf(std::uint64_t fingerprint) const;
+
     /** @return whether an online request has to be refused. */
     bool isRefused(std::uint64_t fingerprint) const;
 
@@ -94,7 +101,7 @@
         SteadyTime time{};
     };
 
-    bool isOneOfMany(const Break &judged) const;
+    JudgedBreak judge(const Break &next) const;
     void forgetOld();
 
     const Clock &clock;
--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -28,28 +28,54 @@
 
 } // namespace
 
-CrashExchange::CrashExchange(
-    const Clock &clock, PeerNetwork &peers, CrashMemory &crashes, PromptPartGuard &parts, std::uint64_t seed)
-    : clock(clock), peers(peers), crashes(crashes), parts(parts), random(static_cast<std::minstd_rand::result_type>(seed))
+CrashExchange::CrashExchange(const Clock &clock,
+                             PeerNetwork &peers,
+                             GatewayMetrics &metrics,
+                             CrashMemory &crashes,
+                             PromptPartGuard &parts,
+                             std::uint64_t seed)
+    : clock(clock)
+    , peers(peers)
+    , metrics(metrics)
+    , crashes(crashes)
+    , parts(parts)
+    , random(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
 
-std::size_t CrashExchange::judgeBreaks()
+void CrashExchange::judgeBreaks()
 {
-    std::size_t count = 0;
-    for (const auto &[run, isCrash] : this->crashes.judgeBreaks()) {
+    for (const JudgedBreak &judged : this->crashes.judgeBreaks()) {
+        const BrokenRun &run = judged.run;
         log(LogLevel::Info,
-            isCrash ? "a request met the crash of a replica" : "connections to several replicas broke at once",
+            judged.isCrash ? "a request met the crash of a replica" : "connections to several replicas broke at once",
             {{"fingerprint", std::to_string(run.fingerprint)},
              {"replica", run.replica.value()},
              {"prompt_parts", joined(run.promptParts)},
-             {"events", static_cast<std::int64_t>(run.events)}});
-        if (isCrash) {
+             {"events", static_cast<std::int64_t>(run.events)},
+             {"crashes", static_cast<std::int64_t>(this->crashes.crashesOf(run.fingerprint))},
+             {"other_replica", judged.otherReplica.value()},
+             {"apart_ms", static_cast<std::int64_t>(judged.apart.count())}});
+        this->metrics.countEvent(judged.isCrash ? "request met a crash" : "connections to several replicas broke at once");
+        if (judged.isCrash) {
             this->takeCrash(run);
-            ++count;
         }
     }
-    return count;
+}
+
+void CrashExchange::takeNotice(const CrashNotice &notice)
+{
+    this->crashes.noteCrash(notice.fingerprint);
+    const int known = this->crashes.crashesOf(notice.fingerprint);
+    // Most requests meet one crash by chance.
+    if (known > 1) {
+        log(LogLevel::Info,
+            "another node reported the crash of a replica",
+            {{"fingerprint", std::to_string(notice.fingerprint)},
+             {"replica", notice.replica.value()},
+             {"crashes", static_cast<std::int64_t>(known)}});
+    }
+    this->noteCrash(notice);
 }
 
 void CrashExchange::takeCrash(const BrokenRun &run)
@@ -102,8 +128,7 @@
 {
     if (datagram.number == CrashNotice::number) {
         if (const auto notice = decode<CrashNotice>(datagram.payload)) {
-            this->crashes.noteCrash(notice->fingerprint);
-            this->noteCrash(*notice);
+            this->takeNotice(*notice);
         }
     } else if (datagram.number == PromptPartsServed::number) {
         if (const auto served = decode<PromptPartsServed>(datagram.payload)) {
--- a/Services/Gateway/CrashExchange.h
+++ b/Services/Gateway/CrashExchange.h
@@ -2,9 +2,9 @@
 
 #include <LibGateway/CrashMemory.h>
 #include <LibGateway/PromptPartGuard.h>
+#include <Services/Gateway/GatewayMetrics.h>
 #include <Services/Gateway/PeerNetwork.h>
 
-#include <cstddef>
 #include <cstdint>
 #include <random>
 #include <vector>
@@ -20,10 +20,15 @@
 class CrashExchange
 {
 public:
-    CrashExchange(const Clock &clock, PeerNetwork &peers, CrashMemory &crashes, PromptPartGuard &parts, std::uint64_t seed);
+    CrashExchange(const Clock &clock,
+                  PeerNetwork &peers,
+                  GatewayMetrics &metrics,
+                  CrashMemory &crashes,
+                  PromptPartGuard &parts,
+                  std::uint64_t seed);
 
-    /** Judge the connections that broke, and tell the others of the crashes. @return how many requests met one */
-    std::size_t judgeBreaks();
+    /** Judge the connections that broke, and tell the others of the crashes. */
+    void judgeBreaks();
 
     /** A replica has served a prompt with these parts. */
     void noteServed(const std::vector<PromptPart> &served);
@@ -36,12 +41,14 @@
 
 private:
     void takeCrash(const BrokenRun &run);
+    void takeNotice(const CrashNotice &notice);
     void noteCrash(const CrashNotice &notice);
     void answer(const Address &asker) const;
     void merge(const CrashCounts &reported);
 
     const Clock &clock;
     PeerNetwork &peers;
+    GatewayMetrics &metrics;
     CrashMemory &crashes;
     PromptPartGuard &parts;
     std::minstd_rand random;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -90,7 +90,7 @@
                      this->takeDatagram(datagram);
                  },
              .newSession = newSession})
-    , crashExchange(clock, this->peers, this->crashes, this->promptParts, this->random())
+    , crashExchange(clock, this->peers, this->metrics, this->crashes, this->promptParts, this->random())
     , origins(clock, this->peers)
     , duties(clock, this->peers)
     , placements(loop,
@@ -379,9 +379,7 @@
     // Each break has a timer of its own: a later one is judged later.
     this->loop.schedule(CrashMemory::judgeAfter, [this, alive = std::weak_ptr<bool>(this->alive)] {
         if (!alive.expired()) {
-            for (std::size_t crash = this->crashExchange.judgeBreaks(); crash > 0; --crash) {
-                this->metrics.countEvent("request met a crash");
-            }
+            this->crashExchange.judgeBreaks();
         }
     });
 }
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -129,7 +129,11 @@
 
 void ItemAttempt::hold()
 {
-    log(LogLevel::Info, "batch item held", {{"item", this->item.id.value()}, {"reason", "its replicas crashed"}});
+    log(LogLevel::Info,
+        "batch item held",
+        {{"item", this->item.id.value()},
+         {"fingerprint", std::to_string(this->fingerprint)},
+         {"reason", "its replicas crashed"}});
     this->retryTimer = this->context.loop.schedule(crashPause, [self = this->shared_from_this()] {
         self->askForPlace();
     });
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -626,6 +626,7 @@
         {{"request", this->traits.id},
          {"route", this->route.name},
          {"service", this->service.value()},
+         {"fingerprint", std::to_string(this->fingerprint)},
          {"workspace", this->sender().value_or(WorkspaceName()).value()},
          {"configuration", static_cast<std::int64_t>(this->configuration->version)},
          {"status", status},
