--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +39,12 @@
         return this->server.address();
     }
 
+    /** Take no connections any more, as a process that is gone. */
+    void stop()
+    {
+        this->server.stopAccepting();
+    }
+
     Script script;
     std::vector<MessageHead> heads;
 
@@ -93,6 +100,18 @@
                                    {"born", this->born},
                                    {"seq", ++this->entries}};
         this->store.rows().put({"servers", "", instance}, entry.dump());
+        this->addresses[instance] = address;
+    }
+
+    /** A replica's process ends, and so does its entry. Its exchanges are the test's to break off. */
+    void endReplica(const std::string &instance)
+    {
+        this->store.rows().remove({"servers", "", instance});
+        for (const std::unique_ptr<StandInReplica> &replica : this->replicas) {
+            if (this->addresses[instance] == replica->address()) {
+                replica->stop();
+            }
+        }
     }
 
     void configure(const std::string &text)
@@ -129,6 +148,8 @@
     std::string version = "v1";
     StandInStore otherWay{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
+    /** Of the replicas, by name. */
+    std::map<std::string, Address> addresses;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<Gateway> other;
 };
