TestRepeatedCrashes: Copies that wait do so for a dispatched service; red

There the service had no dispatcher, whose nodes place by their own counts and fill no queue: all four copies were at the third replica before it crashed, so that nothing had waited and the two refusals that it asked for could never come.

Now at a service with a dispatcher: two copies fill the slots, two wait. The number of runs is checked as an absolute one, which is stricter.

--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -23,10 +23,11 @@
 class EndingReplicas : public Running
 {
 public:
-    EndingReplicas()
-        : Running([](GatewayBench &bench) {
-            bench.addReplica("i-llm", "llm", &streamWhole);
+    explicit EndingReplicas(std::string service)
+        : Running([&service](GatewayBench &bench) {
+            bench.addReplica("i-other", service == "api" ? "llm" : "api", &streamWhole);
         })
+        , service(std::move(service))
     {
     }
 
@@ -35,7 +36,7 @@
     {
         const std::string name = "i-" + std::to_string(++this->lastReplica);
         this->host.ask<bool>([this, &name](GatewayBench &bench) {
-            bench.addReplica(name, "api", [this, &bench, name](const std::shared_ptr<CallerExchange> &exchange) {
+            bench.addReplica(name, this->service, [this, &bench, name](const std::shared_ptr<CallerExchange> &exchange) {
                 this->take(bench, name, exchange);
             });
             return true;
@@ -117,10 +118,6 @@
 
     void take(GatewayBench &bench, const std::string &name, const std::shared_ptr<CallerExchange> &exchange)
     {
-        if (!isCrashing(exchange->head())) {
-            exchange->send(200, signedHeaders(exchange), "ok");
-            return;
-        }
         this->held.push_back({name, exchange});
         if (this->held.size() < this->together) {
             return;
@@ -133,6 +130,7 @@
         }
     }
 
+    std::string service;
     int lastReplica = 0;
     int lastRequest = 0;
     std::size_t together = 1;
@@ -142,34 +140,34 @@
 
 } // namespace
 
-// A request waits for a place, as all replicas of its service are gone, while its like crashes the third one.
+// Two copies of a request are at the third replica, and two more wait for a place at it: they would take a fourth one with them.
 TEST_CASE("a request that waits for a place is refused once its like has crashed three replicas")
 {
-    EndingReplicas running;
-    running.crashAllButOnce("/u/crash");
-    // Two copies fill the slots of the third replica.
-    running.endTogether(2);
+    EndingReplicas running("llm");
+    running.crashAllButOnce("/o/crash");
+    constexpr std::size_t slots = 2;
+    running.endTogether(slots);
+    running.startReplica();
     std::vector<std::unique_ptr<RawConnection>> callers;
-    for (int copy = 0; copy < 4; ++copy) {
-        callers.push_back(running.send("/u/crash"));
+    for (std::size_t copy = 0; copy < slots * 2; ++copy) {
+        callers.push_back(running.send("/o/crash"));
     }
-    running.startReplica();
     running.awaitJudged(crashesToRefuse);
-    const std::size_t before = running.crashingRuns();
+    running.endTogether(1);
     running.startReplica();
     int refused = 0;
     for (const std::unique_ptr<RawConnection> &caller : callers) {
         const std::string answer = caller->readAll();
         refused += answer.starts_with("HTTP/1.1 503") && has(answer, "Retry-After:") ? 1 : 0;
     }
-    CHECK(refused == 2);
-    CHECK(running.crashingRuns() == before);
+    CHECK(refused == slots);
+    CHECK(running.crashingRuns() == crashesToRefuse - 1 + slots);
 }
 
 // A request may be repeated, and its own crash is the third: it would take another replica with it.
 TEST_CASE("a request whose own crash is the third is not repeated")
 {
-    EndingReplicas running;
+    EndingReplicas running("api");
     const auto first = running.send("/s/crash");
     for (int crash = 1; crash < crashesToRefuse; ++crash) {
         running.startReplica();
@@ -187,7 +185,7 @@
 // Two requests crash their replicas at the same moment, which looks like a reset of the network: neither would ever be refused.
 TEST_CASE("requests that crash two replicas at the same moment are refused after three of them each")
 {
-    EndingReplicas running;
+    EndingReplicas running("api");
     running.endTogether(2);
     for (int crash = 1; crash <= crashesToRefuse; ++crash) {
         running.startReplica();
@@ -213,7 +211,7 @@
 // The network resets the connections of a node again and again: no request has crashed anything, and all are served afterwards.
 TEST_CASE("requests whose connections to several replicas were reset at once are still served")
 {
-    EndingReplicas running;
+    EndingReplicas running("api");
     running.liveOn();
     running.endTogether(2);
     running.startReplica();
