OnlineCall, ItemAttempt: What waits for a place is compared with the crashes that are known by then

Cause: only a request that arrived was compared with the crashes. One that waited for a place, or was repeated after its own run broke, was sent without another look. While all replicas of a service are gone everything waits, so all copies went out together when the replicas came back. Parts of prompts were looked at again, whole requests were not.

Change: one decision (OnlineCall::endIfCrashing) for the request and the parts of its prompt, asked as it arrives, asks for a place, and gets one. Those that wait are asked again when a node learns of crashes (WaitingRequests), so that they are refused at once and not when their time is up: 503 with Retry-After if no replica had them, 502 else. Items ask the same again when they get a place; they wait, as before.

--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -33,12 +33,14 @@
                              GatewayMetrics &metrics,
                              CrashMemory &crashes,
                              PromptPartGuard &parts,
+                             WaitingRequests &waiting,
                              std::uint64_t seed)
     : clock(clock)
     , peers(peers)
     , metrics(metrics)
     , crashes(crashes)
     , parts(parts)
+    , waiting(waiting)
     , random(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
@@ -61,6 +63,7 @@
             this->takeCrash(run);
         }
     }
+    this->waiting.recheckAll();
 }
 
 void CrashExchange::takeNotice(const CrashNotice &notice)
@@ -76,6 +79,7 @@
              {"crashes", static_cast<std::int64_t>(known)}});
     }
     this->noteCrash(notice);
+    this->waiting.recheckAll();
 }
 
 void CrashExchange::takeCrash(const BrokenRun &run)
@@ -154,6 +158,7 @@
     for (const BlockedPromptPart &blocked : reported.blocked) {
         this->parts.merge({blocked.promptPart, blocked.age, blocked.times});
     }
+    this->waiting.recheckAll();
 }
 
 void CrashExchange::answer(const Address &asker) const
--- a/Services/Gateway/CrashExchange.h
+++ b/Services/Gateway/CrashExchange.h
@@ -4,6 +4,7 @@
 #include <LibGateway/PromptPartGuard.h>
 #include <Services/Gateway/GatewayMetrics.h>
 #include <Services/Gateway/PeerNetwork.h>
+#include <Services/Gateway/WaitingRequests.h>
 
 #include <cstdint>
 #include <random>
@@ -25,6 +26,7 @@
                   GatewayMetrics &metrics,
                   CrashMemory &crashes,
                   PromptPartGuard &parts,
+                  WaitingRequests &waiting,
                   std::uint64_t seed);
 
     /** Judge the connections that broke, and tell the others of the crashes. */
@@ -51,6 +53,7 @@
     GatewayMetrics &metrics;
     CrashMemory &crashes;
     PromptPartGuard &parts;
+    WaitingRequests &waiting;
     std::minstd_rand random;
     SteadyTime nextQuestion{};
 };
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -90,7 +90,7 @@
                      this->takeDatagram(datagram);
                  },
              .newSession = newSession})
-    , crashExchange(clock, this->peers, this->metrics, this->crashes, this->promptParts, this->random())
+    , crashExchange(clock, this->peers, this->metrics, this->crashes, this->promptParts, this->waiting, this->random())
     , origins(clock, this->peers)
     , duties(clock, this->peers)
     , placements(loop,
@@ -150,6 +150,7 @@
               this->crashes,
               this->origins,
               this->promptParts,
+              this->waiting,
               [this](const BrokenRun &run) {
                   this->noteBreak(run);
               },
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -28,6 +28,7 @@
 #include <Services/Gateway/ReplicaFollower.h>
 #include <Services/Gateway/StreamOriginExchange.h>
 #include <Services/Gateway/TableRelay.h>
+#include <Services/Gateway/WaitingRequests.h>
 #include <platform/PlatformStore.h>
 
 #include <functional>
@@ -141,6 +142,7 @@
     TrafficMeter traffic;
     CrashMemory crashes;
     PromptPartGuard promptParts;
+    WaitingRequests waiting;
     StoreClock storeClock;
     OutboundPool storePool;
     OutboundPool replicaPool;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -13,6 +13,7 @@
 #include <Services/Gateway/QuotaService.h>
 #include <Services/Gateway/ReplicaFollower.h>
 #include <Services/Gateway/StreamOriginExchange.h>
+#include <Services/Gateway/WaitingRequests.h>
 
 #include <functional>
 #include <map>
@@ -37,6 +38,7 @@
     CrashMemory &crashes;
     StreamOriginExchange &origins;
     PromptPartGuard &promptParts;
+    WaitingRequests &waiting;
     /** A connection broke while a request ran on it: if its replica crashed, all nodes are told. */
     std::function<void(const BrokenRun &)> noteBreak;
     /** A replica has served a prompt with these parts. */
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -107,7 +107,7 @@
         return;
     }
     this->target = *found;
-    if (this->context.crashes.isHeld(this->fingerprint) || this->isBlocked()) {
+    if (this->isHeldBack()) {
         this->hold();
         return;
     }
@@ -139,9 +139,10 @@
     });
 }
 
-bool ItemAttempt::isBlocked() const
+bool ItemAttempt::isHeldBack() const
 {
-    return this->context.promptParts.isBlocked(promptParts(this->target.service, this->sharedParts));
+    return this->context.crashes.isHeld(this->fingerprint)
+        || this->context.promptParts.isBlocked(promptParts(this->target.service, this->sharedParts));
 }
 
 std::uint64_t ItemAttempt::eventsOfRun() const
@@ -232,7 +233,7 @@
         this->goOn(PlacementVerdict::Finished, "the replica is leaving or not listed any more, or the route has moved");
         return;
     }
-    if (this->isBlocked()) {
+    if (this->isHeldBack()) {
         this->leave(PlacementVerdict::Finished);
         this->hold();
         return;
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -74,8 +74,8 @@
     void askForPlace();
     void askLater();
     void hold();
-    /** @return whether replicas crash under a part of its prompt. */
-    bool isBlocked() const;
+    /** @return whether it must not be sent now: replicas crash under it, or under a part of its prompt. */
+    bool isHeldBack() const;
     std::uint64_t eventsOfRun() const;
     void noteBreak();
     void confirmBeforeAsking();
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -104,10 +104,6 @@
     this->deadlineTimer = this->context.loop.schedule(std::max(remaining, std::chrono::milliseconds(0)), [self] {
         self->onDeadline();
     });
-    if (this->context.crashes.isRefused(this->fingerprint)) {
-        this->refuse(statusUnavailable, refusalPause, "it crashed the replicas that ran it");
-        return;
-    }
     std::uniform_real_distribution<double> point(0, 1);
     const RouteTarget *const target = chooseTarget(this->route, point(this->context.random));
     if (target == nullptr) {
@@ -115,6 +111,9 @@
         return;
     }
     this->service = target->service;
+    if (this->endIfCrashing()) {
+        return;
+    }
     if (this->isStream() && this->lastEvent.value_or(0) > 0) {
         this->askForOrigin();
     } else {
@@ -122,9 +121,47 @@
     }
 }
 
-bool OnlineCall::isBlocked() const
+std::optional<std::string_view> OnlineCall::crashReason() const
+{
+    if (this->context.crashes.isRefused(this->fingerprint)) {
+        return "it crashed the replicas that ran it";
+    }
+    if (this->context.promptParts.isBlocked(promptParts(this->service, this->traits.sharedPromptParts))) {
+        return "replicas crashed under a part of its prompt";
+    }
+    return std::nullopt;
+}
+
+bool OnlineCall::endIfCrashing()
+{
+    const std::optional<std::string_view> reason = this->crashReason();
+    if (!reason) {
+        return false;
+    }
+    if (this->attempts > 0) {
+        this->leaveReplica(PlacementVerdict::Finished);
+        this->fail(*reason);
+    } else {
+        this->refuse(statusUnavailable, refusalPause, *reason);
+    }
+    return true;
+}
+
+void OnlineCall::beginToWait()
 {
-    return this->context.promptParts.isBlocked(promptParts(this->service, this->traits.sharedPromptParts));
+    this->stage = Stage::Placing;
+    if (this->waiting == 0) {
+        this->waiting = this->context.waiting.add([call = this->weak_from_this()] {
+            if (const std::shared_ptr<OnlineCall> self = call.lock()) {
+                self->endIfCrashing();
+            }
+        });
+    }
+}
+
+void OnlineCall::stopWaiting()
+{
+    this->context.waiting.remove(std::exchange(this->waiting, 0));
 }
 
 void OnlineCall::noteBreak()
@@ -233,11 +270,10 @@
 
 void OnlineCall::askForPlace()
 {
-    if (this->isBlocked()) {
-        this->giveUpBlocked();
+    if (this->endIfCrashing()) {
         return;
     }
-    this->stage = Stage::Placing;
+    this->beginToWait();
     if (!this->context.listed.isKnown()) {
         // A dispatcher at another node would give places at replicas whose addresses this one does not have.
         this->awaitReplicas();
@@ -272,8 +308,7 @@
         this->takeRefusal(placement.retryAfter);
         return;
     }
-    if (this->isBlocked()) {
-        this->giveUpBlocked();
+    if (this->endIfCrashing()) {
         return;
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->asked);
@@ -288,17 +323,6 @@
     this->send(*found);
 }
 
-void OnlineCall::giveUpBlocked()
-{
-    constexpr std::string_view reason = "replicas crashed under a part of its prompt";
-    if (this->attempts > 0) {
-        this->leaveReplica(PlacementVerdict::Finished);
-        this->fail(reason);
-        return;
-    }
-    this->refuse(statusUnavailable, refusalPause, reason);
-}
-
 void OnlineCall::takeRefusal(std::chrono::milliseconds retryAfter)
 {
     const bool needsVersion = !this->begunVersion.value().empty() || this->soleVersionFor.count() > 0;
@@ -312,6 +336,7 @@
 
 void OnlineCall::send(const ServingReplica &replica)
 {
+    this->stopWaiting();
     this->replica = replica;
     this->version = replica.version;
     this->stage = Stage::Sending;
@@ -617,6 +642,7 @@
     this->context.loop.cancel(this->deadlineTimer);
     this->context.loop.cancel(this->silenceTimer);
     this->context.loop.cancel(this->listTimer);
+    this->stopWaiting();
     this->context.quotas.cancel(std::exchange(this->quotaTicket, 0));
     this->context.origins.cancel(std::exchange(this->originTicket, 0));
     const SteadyTime ended = this->now();
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -60,9 +61,12 @@
     void askForPlace();
     void takePlacement(const Placement &placement);
     void takeRefusal(std::chrono::milliseconds retryAfter);
-    /** @return whether replicas crash under a part of its prompt. */
-    bool isBlocked() const;
-    void giveUpBlocked();
+    /** @return why it must not be sent: replicas crash under it, or under a part of its prompt. */
+    std::optional<std::string_view> crashReason() const;
+    /** End it if it must not be sent. @return whether it was ended */
+    bool endIfCrashing();
+    void beginToWait();
+    void stopWaiting();
     void noteBreak();
     void notePromptServed();
     void send(const ServingReplica &replica);
@@ -105,6 +109,8 @@
     /** Until its quota is decided. */
     QuotaAsker::Ticket quotaTicket = 0;
     PlacementClient::Ticket ticket = 0;
+    /** While it waits for a place. */
+    WaitingRequests::Ticket waiting = 0;
     SteadyTime asked{};
     /** Whether this node chose the last replica by its own counts. */
     bool isOwnChoice = false;
