CrashExchange: Replicas whose connections broke at once are asked whether they are there

Cause: breaks at two replicas within 50 ms were taken for a reset of the network and held against nothing. The gap between two breaks says nothing of what broke: requests that crash what runs them do so at a fixed time after they begin, so two of them, or one beside crashes of other requests, are always close together. Class: a cause is inferred from a coincidence while the evidence can be had.

Change: a node connects to each replica whose break is in doubt (ConnectProbe). Refused: the replica is gone, and its runs have met a crash. Connected, or no answer in 300 ms: not counted, as before. A connection each, only after breaks that coincide. Copies of a request that break at two replicas are one crash each, not one in all.

"requests whose connections ... were reset at once are still served" stays green: 4 resets, no crash. The test waits for judged outcomes by their own counters, as a break in doubt is counted once it is decided.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -39,7 +39,7 @@
     while (this->judgedBreaks < this->breaks.size() && now - this->breaks[this->judgedBreaks].time >= judgeAfter) {
         const Break &next = this->breaks[this->judgedBreaks++];
         const bool isCopy = std::ranges::any_of(judged, [&next](const JudgedBreak &other) {
-            return other.isCrash && other.run.fingerprint == next.run.fingerprint;
+            return other.run.fingerprint == next.run.fingerprint && other.run.replica == next.run.replica;
         });
         if (!isCopy) {
             judged.push_back(this->judge(next));
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/Identifiers.h>
 #include <LibGateway/ServingConfiguration.h>
@@ -21,6 +22,7 @@
     /** Hash of what the request asks for. */
     std::uint64_t fingerprint = 0;
     EndpointName replica;
+    Address address{};
     ServiceName service{};
     /** Names of the parts of its prompt that other requests may have too. */
     std::vector<std::string> promptParts{};
@@ -34,9 +36,9 @@
 struct JudgedBreak
 {
     BrokenRun run;
-    /** Whether its replica crashed; else many connections broke at once. */
+    /** Whether its replica crashed; else connections to several replicas broke at once, and only these can tell why. */
     bool isCrash = false;
-    /** If it did not: another replica at which a connection broke at the same moment. */
+    /** If that is open: another replica at which a connection broke at the same moment. */
     EndpointName otherReplica{};
     /** How long before or after this one the other connection broke. */
     std::chrono::milliseconds apart{0};
--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -4,6 +4,7 @@
 #include <LibWire/Codec.h>
 
 #include <string>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -13,6 +14,8 @@
 
 /** A member that has just come back asks several others before it counts on the platform as one that has been there. */
 constexpr std::chrono::milliseconds questionInterval{1000};
+/** A replica that is there answers within a round trip. */
+constexpr std::chrono::milliseconds probeTimeout{300};
 /** What one datagram carries whole. */
 constexpr std::size_t mostCounts = 30;
 constexpr std::size_t mostBlocked = 20;
@@ -34,6 +37,7 @@
                              CrashMemory &crashes,
                              PromptPartGuard &parts,
                              WaitingRequests &waiting,
+                             ConnectProbe &probe,
                              std::uint64_t seed)
     : clock(clock)
     , peers(peers)
@@ -41,6 +45,7 @@
     , crashes(crashes)
     , parts(parts)
     , waiting(waiting)
+    , probe(probe)
     , random(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
@@ -58,8 +63,40 @@
              {"crashes", static_cast<std::int64_t>(this->crashes.crashesOf(run.fingerprint))},
              {"other_replica", judged.otherReplica.value()},
              {"apart_ms", static_cast<std::int64_t>(judged.apart.count())}});
-        this->metrics.countEvent(judged.isCrash ? "request met a crash" : "connections to several replicas broke at once");
         if (judged.isCrash) {
+            this->metrics.countEvent("request met a crash");
+            this->takeCrash(run);
+        } else {
+            this->askReplica(run);
+        }
+    }
+    this->waiting.recheckAll();
+}
+
+void CrashExchange::askReplica(const BrokenRun &run)
+{
+    std::vector<BrokenRun> &runs = this->doubtful[run.replica];
+    runs.push_back(run);
+    if (runs.size() == 1) {
+        this->probe.start(run.address, probeTimeout, [this, replica = run.replica](ConnectOutcome outcome) {
+            this->takeOutcome(replica, outcome);
+        });
+    }
+}
+
+void CrashExchange::takeOutcome(const EndpointName &replica, ConnectOutcome outcome)
+{
+    const std::vector<BrokenRun> runs = std::move(this->doubtful.extract(replica).mapped());
+    const bool isGone = outcome == ConnectOutcome::Refused;
+    log(LogLevel::Info,
+        isGone ? "a replica crashed as others did" : "a replica outlived its connections",
+        {{"replica", replica.value()},
+         {"requests", static_cast<std::int64_t>(runs.size())},
+         {"is_answering", outcome == ConnectOutcome::Connected}});
+    for (const BrokenRun &run : runs) {
+        this->metrics.countEvent(isGone ? "request met a crash" : "request met a broken connection");
+        if (isGone) {
+            this->crashes.noteCrash(run.fingerprint);
             this->takeCrash(run);
         }
     }
--- a/Services/Gateway/CrashExchange.h
+++ b/Services/Gateway/CrashExchange.h
@@ -2,11 +2,13 @@
 
 #include <LibGateway/CrashMemory.h>
 #include <LibGateway/PromptPartGuard.h>
+#include <LibProxy/ConnectProbe.h>
 #include <Services/Gateway/GatewayMetrics.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/WaitingRequests.h>
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -27,9 +29,13 @@
                   CrashMemory &crashes,
                   PromptPartGuard &parts,
                   WaitingRequests &waiting,
+                  ConnectProbe &probe,
                   std::uint64_t seed);
 
-    /** Judge the connections that broke, and tell the others of the crashes. */
+    /**
+     * Judge the connections that broke, and tell the others of the crashes. Where connections to several replicas broke at once,
+     * each of these replicas is asked whether it is still there.
+     */
     void judgeBreaks();
 
     /** A replica has served a prompt with these parts. */
@@ -42,6 +48,8 @@
     bool receive(const Datagram &datagram);
 
 private:
+    void askReplica(const BrokenRun &run);
+    void takeOutcome(const EndpointName &replica, ConnectOutcome outcome);
     void takeCrash(const BrokenRun &run);
     void takeNotice(const CrashNotice &notice);
     void noteCrash(const CrashNotice &notice);
@@ -54,6 +62,9 @@
     CrashMemory &crashes;
     PromptPartGuard &parts;
     WaitingRequests &waiting;
+    ConnectProbe &probe;
+    /** By replica: runs that broke together with runs at other replicas, until it is known whether the replica is there. */
+    std::map<EndpointName, std::vector<BrokenRun>> doubtful;
     std::minstd_rand random;
     SteadyTime nextQuestion{};
 };
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -75,6 +75,7 @@
     , storeClock(clock)
     , storePool(loop, clock, idleToStore)
     , replicaPool(loop, clock, idleToReplica)
+    , probe(loop)
     , store(this->storePool, settings->platform.address, this->storeClock, this->traffic, settings->platform.timeout)
     , peers(loop,
             clock,
@@ -90,7 +91,8 @@
                      this->takeDatagram(datagram);
                  },
              .newSession = newSession})
-    , crashExchange(clock, this->peers, this->metrics, this->crashes, this->promptParts, this->waiting, this->random())
+    , crashExchange(
+          clock, this->peers, this->metrics, this->crashes, this->promptParts, this->waiting, this->probe, this->random())
     , origins(clock, this->peers)
     , duties(clock, this->peers)
     , placements(loop,
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -146,6 +146,7 @@
     StoreClock storeClock;
     OutboundPool storePool;
     OutboundPool replicaPool;
+    ConnectProbe probe;
     PlatformStore store;
     PeerNetwork peers;
     CrashExchange crashExchange;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -154,6 +154,7 @@
 {
     this->context.noteBreak({this->fingerprint,
                              this->replica->instance,
+                             this->replica->address,
                              this->target.service,
                              this->sharedParts,
                              static_cast<std::uint32_t>(this->eventsOfRun())});
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -168,6 +168,7 @@
 {
     this->context.noteBreak({this->fingerprint,
                              this->replica->instance,
+                             this->replica->address,
                              this->service,
                              this->traits.sharedPromptParts,
                              this->eventsPassed - this->eventsBefore});
--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -78,7 +78,7 @@
     void awaitJudged(int count)
     {
         await([this, count] {
-            return this->counted("request met a crash") + this->counted("connections to several replicas broke at once") >= count;
+            return this->counted("request met a crash") + this->counted("request met a broken connection") >= count;
         });
     }
 
