CrashMemory: Crashes are counted by the replicas that ended, so that what nodes know can be joined

Cause: crashes of a request were a number. Of two nodes' numbers only the larger one could be taken, so nodes that were out of contact while a request crashed replicas under each of them never came to three. And each node that had a copy at one replica reported its crash, which counted once a node: an ordinary request was refused after one crash. What a node tells of crashes (30 requests) was chosen by age, so requests that met the last crash by chance crowded out the one that had crashed several.

Change: a request's entry holds the replicas that crashed, by hash of their incarnation; what another node knows is joined, and requests with more crashes are told first, at most 60 replicas a datagram.

Tests changed: TestCrashMemory names a replica with each crash. TestCrashNotices had one stand-in replica that broke off three times and lived; a replica ends once, so three replicas end now, and the runs at all of them are counted, as strictly as before.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -1,6 +1,9 @@
 #include <LibGateway/CrashMemory.h>
 
+#include <LibBase/Hash.h>
+
 #include <algorithm>
+#include <tuple>
 
 namespace Dogwoodkeel
 {
@@ -20,6 +23,18 @@
 /** An item's pause after its third crash. It doubles with each further one, as it is then ever likelier to be the cause. */
 constexpr std::chrono::seconds firstHold{5};
 constexpr int mostDoublings = 6;
+/** Further ones change nothing. */
+constexpr std::size_t mostReplicas = mostCrashes + mostDoublings;
+
+/** Add replicas to those that crashed under a request. */
+void join(std::vector<std::uint64_t> &replicas, const std::vector<std::uint64_t> &more)
+{
+    for (const std::uint64_t replica : more) {
+        if (replicas.size() < mostReplicas && std::ranges::find(replicas, replica) == replicas.end()) {
+            replicas.push_back(replica);
+        }
+    }
+}
 
 } // namespace
 
@@ -51,7 +66,7 @@
     }
     for (const JudgedBreak &entry : judged) {
         if (entry.isCrash) {
-            this->noteCrash(entry.run.fingerprint);
+            this->noteCrash(entry.run.fingerprint, entry.run.replica);
         }
     }
     return judged;
@@ -71,15 +86,22 @@
     return {next.run, false, other->run.replica, apart};
 }
 
-void CrashMemory::noteCrash(std::uint64_t fingerprint)
+CrashMemory::Entry &CrashMemory::entryOf(std::uint64_t fingerprint, SteadyTime time)
 {
     if (this->entries.size() >= mostEntries) {
         this->forgetOld();
     }
     Entry &entry = this->entries[fingerprint];
-    const SteadyTime now = this->clock.now();
-    entry.crashes = now - entry.last > remembered ? 1 : entry.crashes + 1;
-    entry.last = now;
+    if (this->clock.now() - entry.last > remembered) {
+        entry.replicas.clear();
+    }
+    entry.last = std::max(entry.last, time);
+    return entry;
+}
+
+void CrashMemory::noteCrash(std::uint64_t fingerprint, const EndpointName &replica)
+{
+    join(this->entryOf(fingerprint, this->clock.now()).replicas, {stableHash(replica.value())});
 }
 
 std::vector<CrashMemory::Known> CrashMemory::known(std::size_t most) const
@@ -89,10 +111,12 @@
     for (const auto &[fingerprint, entry] : this->entries) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.last);
         if (age <= remembered) {
-            found.push_back({fingerprint, entry.crashes, age});
+            found.push_back({fingerprint, entry.replicas, age});
         }
     }
-    std::ranges::sort(found, {}, &Known::age);
+    std::ranges::sort(found, [](const Known &one, const Known &other) {
+        return std::tuple(other.replicas.size(), one.age) < std::tuple(one.replicas.size(), other.age);
+    });
     found.resize(std::min(found.size(), most));
     return found;
 }
@@ -102,21 +126,14 @@
     if (reported.age > remembered) {
         return;
     }
-    if (this->entries.size() >= mostEntries) {
-        this->forgetOld();
-    }
-    Entry &entry = this->entries[reported.fingerprint];
-    const SteadyTime now = this->clock.now();
-    const bool isForgotten = now - entry.last > remembered;
-    entry.crashes = isForgotten ? reported.crashes : std::max(entry.crashes, reported.crashes);
-    entry.last = std::max(entry.last, now - reported.age);
+    join(this->entryOf(reported.fingerprint, this->clock.now() - reported.age).replicas, reported.replicas);
 }
 
 int CrashMemory::crashesOf(std::uint64_t fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
     const bool isKnown = found != this->entries.end() && this->clock.now() - found->second.last <= remembered;
-    return isKnown ? found->second.crashes : 0;
+    return isKnown ? static_cast<int>(found->second.replicas.size()) : 0;
 }
 
 bool CrashMemory::isRefused(std::uint64_t fingerprint) const
@@ -126,12 +143,12 @@
 
 bool CrashMemory::isHeld(std::uint64_t fingerprint) const
 {
-    const auto found = this->entries.find(fingerprint);
-    if (found == this->entries.end() || found->second.crashes < mostCrashes) {
+    const int crashes = this->crashesOf(fingerprint);
+    if (crashes < mostCrashes) {
         return false;
     }
-    const int doublings = std::min(found->second.crashes - mostCrashes, mostDoublings);
-    return this->clock.now() - found->second.last <= firstHold * (1 << doublings);
+    const int doublings = std::min(crashes - mostCrashes, mostDoublings);
+    return this->clock.now() - this->entries.at(fingerprint).last <= firstHold * (1 << doublings);
 }
 
 void CrashMemory::forgetOld()
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -63,22 +63,26 @@
     /** Judge the breaks that are old enough. Crashes are noted here, once for copies of a request. */
     std::vector<JudgedBreak> judgeBreaks();
 
-    /** A replica crashed while it ran the request; another node has judged so. */
-    void noteCrash(std::uint64_t fingerprint);
+    /** A replica crashed while it ran the request. Its crash counts once, however many copies it ran and nodes report it. */
+    void noteCrash(std::uint64_t fingerprint, const EndpointName &replica);
 
     /** What a node knows of a request that met crashes. */
     struct Known
     {
         std::uint64_t fingerprint = 0;
-        int crashes = 0;
-        /** How long ago the last one was. */
+        /** Hashes of the replicas that crashed. */
+        std::vector<std::uint64_t> replicas{};
+        /** How long ago the last one did. */
         std::chrono::milliseconds age{0};
     };
 
-    /** @return what is remembered, the most recent first. @param most how many at most */
+    /**
+     * @return what is remembered: requests with more crashes first, the most recent first of those with as many
+     * @param most how many requests at most
+     */
     std::vector<Known> known(std::size_t most) const;
 
-    /** Another node remembers crashes. Those that both have been told of count once. */
+    /** Another node remembers crashes. */
     void merge(const Known &reported);
 
     /** @return how many crashes a request has met that are remembered. */
@@ -93,7 +97,8 @@
 private:
     struct Entry
     {
-        int crashes = 0;
+        /** Hashes of the replicas that crashed. */
+        std::vector<std::uint64_t> replicas;
         SteadyTime last{};
     };
 
@@ -104,6 +109,7 @@
     };
 
     JudgedBreak judge(const Break &next) const;
+    Entry &entryOf(std::uint64_t fingerprint, SteadyTime time);
     void forgetOld();
 
     const Clock &clock;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1478,13 +1478,13 @@
     }
 };
 
-/** How many replicas broke off while they ran a request. */
+/** The replicas that broke off while they ran a request. */
 struct CrashCount
 {
     /** Hash of what the request asks for. */
     std::uint64_t fingerprint = 0;
-    /** How many. */
-    std::uint32_t crashes = 0;
+    /** Hashes of their names. */
+    std::vector<std::uint64_t> replicas;
     /** How long ago the last one did. */
     std::chrono::milliseconds age = std::chrono::milliseconds(0);
 
@@ -1493,7 +1493,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->fingerprint, this->crashes, this->age);
+        archive(this->fingerprint, this->replicas, this->age);
     }
 };
 
@@ -3073,7 +3073,7 @@
 struct CrashCounts
 {
     static constexpr MessageNumber number{154};
-    /** The most recent ones. */
+    /** Of the requests with most crashes. */
     std::vector<CrashCount> counts;
     /** The parts of prompts that it has blocked. */
     std::vector<BlockedPromptPart> blocked;
--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds probeTimeout{300};
 /** What one datagram carries whole. */
 constexpr std::size_t mostCounts = 30;
+constexpr std::size_t mostReplicas = 60;
 constexpr std::size_t mostBlocked = 20;
 
 std::string joined(const std::vector<std::string> &texts)
@@ -96,7 +97,7 @@
     for (const BrokenRun &run : runs) {
         this->metrics.countEvent(isGone ? "request met a crash" : "request met a broken connection");
         if (isGone) {
-            this->crashes.noteCrash(run.fingerprint);
+            this->crashes.noteCrash(run.fingerprint, run.replica);
             this->takeCrash(run);
         }
     }
@@ -105,7 +106,7 @@
 
 void CrashExchange::takeNotice(const CrashNotice &notice)
 {
-    this->crashes.noteCrash(notice.fingerprint);
+    this->crashes.noteCrash(notice.fingerprint, notice.replica);
     const int known = this->crashes.crashesOf(notice.fingerprint);
     // Most requests meet one crash by chance.
     if (known > 1) {
@@ -190,7 +191,7 @@
 void CrashExchange::merge(const CrashCounts &reported)
 {
     for (const CrashCount &count : reported.counts) {
-        this->crashes.merge({count.fingerprint, static_cast<int>(count.crashes), count.age});
+        this->crashes.merge({count.fingerprint, count.replicas, count.age});
     }
     for (const BlockedPromptPart &blocked : reported.blocked) {
         this->parts.merge({blocked.promptPart, blocked.age, blocked.times});
@@ -201,8 +202,13 @@
 void CrashExchange::answer(const Address &asker) const
 {
     CrashCounts answer;
+    std::size_t replicas = 0;
     for (const CrashMemory::Known &known : this->crashes.known(mostCounts)) {
-        answer.counts.push_back({known.fingerprint, static_cast<std::uint32_t>(known.crashes), known.age});
+        replicas += known.replicas.size();
+        if (replicas > mostReplicas) {
+            break;
+        }
+        answer.counts.push_back({known.fingerprint, known.replicas, known.age});
     }
     for (const PromptPartGuard::Blocked &blocked : this->parts.blocked(mostBlocked)) {
         answer.blocked.push_back({blocked.part, blocked.age, blocked.times});
--- a/Tests/LibGateway/TestCrashMemory.cpp
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -13,6 +13,7 @@
 const EndpointName a{"a"};
 const EndpointName b{"b"};
 const EndpointName c{"c"};
+const EndpointName d{"d"};
 
 /** @return the requests that met a crash. */
 std::vector<std::uint64_t> crashesOf(const std::vector<JudgedBreak> &judged)
@@ -34,15 +35,15 @@
 {
     ManualClock clock;
     CrashMemory crashes(clock);
-    crashes.noteCrash(7);
-    crashes.noteCrash(7);
+    crashes.noteCrash(7, a);
+    crashes.noteCrash(7, b);
     CHECK_FALSE(crashes.isRefused(7));
-    crashes.noteCrash(7);
+    crashes.noteCrash(7, c);
     CHECK(crashes.isRefused(7));
     CHECK_FALSE(crashes.isRefused(8));
     clock.advance(std::chrono::minutes(3));
     CHECK_FALSE(crashes.isRefused(7));
-    crashes.noteCrash(7);
+    crashes.noteCrash(7, d);
     CHECK_FALSE(crashes.isRefused(7));
 }
 
@@ -102,16 +103,16 @@
 {
     ManualClock clock;
     CrashMemory crashes(clock);
-    for (int crash = 0; crash < 3; ++crash) {
+    for (const EndpointName &replica : {a, b, c}) {
         CHECK_FALSE(crashes.isHeld(7));
-        crashes.noteCrash(7);
+        crashes.noteCrash(7, replica);
     }
     CHECK(crashes.isHeld(7));
     clock.advance(std::chrono::milliseconds(4900));
     CHECK(crashes.isHeld(7));
     clock.advance(std::chrono::milliseconds(200));
     CHECK_FALSE(crashes.isHeld(7));
-    crashes.noteCrash(7);
+    crashes.noteCrash(7, d);
     clock.advance(std::chrono::milliseconds(9900));
     CHECK(crashes.isHeld(7));
     clock.advance(std::chrono::milliseconds(200));
@@ -124,9 +125,9 @@
     ManualClock clock;
     CrashMemory here(clock);
     CrashMemory there(clock);
-    for (int crash = 0; crash < 2; ++crash) {
-        here.noteCrash(7);
-        there.noteCrash(7);
+    for (const EndpointName &replica : {a, b}) {
+        here.noteCrash(7, replica);
+        there.noteCrash(7, replica);
     }
     const auto tell = [&here, &there] {
         for (const CrashMemory::Known &known : there.known(10)) {
@@ -136,7 +137,7 @@
     tell();
     tell();
     CHECK_FALSE(here.isRefused(7));
-    there.noteCrash(7);
+    there.noteCrash(7, c);
     clock.advance(std::chrono::seconds(100));
     tell();
     CHECK(here.isRefused(7));
@@ -158,3 +159,46 @@
     clock.advance(std::chrono::milliseconds(30));
     CHECK(crashesOf(crashes.judgeBreaks()) == std::vector<std::uint64_t>{7});
 }
+
+// Several nodes had copies of a request at one replica, and each reports its crash: an ordinary request would be refused.
+TEST_CASE("a crash of one replica that several nodes report counts once")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (int node = 0; node < 4; ++node) {
+        crashes.noteCrash(7, a);
+    }
+    CHECK(crashes.crashesOf(7) == 1);
+}
+
+// Nodes were out of contact while a request crashed replicas under each of them: none would ever know of three.
+TEST_CASE("crashes that different nodes saw are joined")
+{
+    ManualClock clock;
+    CrashMemory here(clock);
+    CrashMemory there(clock);
+    here.noteCrash(7, a);
+    here.noteCrash(7, b);
+    there.noteCrash(7, c);
+    for (const CrashMemory::Known &known : there.known(10)) {
+        here.merge(known);
+    }
+    CHECK(here.isRefused(7));
+}
+
+// A crash meets all requests at its replica: those that met it by chance must not crowd out the one that crashed several.
+TEST_CASE("of more requests than can be told those with most crashes are")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (const EndpointName &replica : {a, b, c}) {
+        crashes.noteCrash(7, replica);
+    }
+    clock.advance(std::chrono::seconds(1));
+    for (std::uint64_t other = 100; other < 200; ++other) {
+        crashes.noteCrash(other, d);
+    }
+    const std::vector<CrashMemory::Known> known = crashes.known(10);
+    REQUIRE(known.size() == 10);
+    CHECK(known.front().fingerprint == 7);
+}
--- a/Tests/ServiceGateway/TestCrashNotices.cpp
+++ b/Tests/ServiceGateway/TestCrashNotices.cpp
@@ -30,13 +30,22 @@
 TEST_CASE("a request that crashed three replicas is refused by a node that was started after the crashes")
 {
     Running running([](GatewayBench &bench) {
-        bench.addReplica("i-1", "api", [](const std::shared_ptr<CallerExchange> &exchange) {
-            exchange->breakOff();
-        });
+        // One more than crash: a replica crashes once.
+        for (int number = 0; number <= crashes; ++number) {
+            const std::string name = "i-" + std::to_string(number);
+            bench.addReplica(name, "api", [&bench, name](const std::shared_ptr<CallerExchange> &exchange) {
+                bench.endReplica(name);
+                exchange->breakOff();
+            });
+        }
     });
     const auto ran = [&running] {
         return running.host.ask<std::size_t>([](GatewayBench &bench) {
-            return bench.replicas.front()->heads.size();
+            std::size_t count = 0;
+            for (const std::unique_ptr<StandInReplica> &replica : bench.replicas) {
+                count += replica->heads.size();
+            }
+            return count;
         });
     };
     for (int crash = 1; crash <= crashes; ++crash) {
