--- a/Libraries/LibGateway/PromptPartGuard.cpp
+++ b/Libraries/LibGateway/PromptPartGuard.cpp
@@ -64,7 +64,7 @@
     return parts;
 }
 
-PromptPartGuard::PromptPartGuard(const Clock &clock) : clock(clock), spanStart(clock.now())
+PromptPartGuard::PromptPartGuard(const Clock &clock) : clock(clock), served(clock, crashesRetained, mostServed)
 {
 }
 
@@ -143,7 +143,7 @@
 
 PromptPartGuard::Suspect PromptPartGuard::suspicionOf(PromptPart part) const
 {
-    Suspect suspect{part, 0, 0, this->lastServed(part).value_or(SteadyTime()), 0};
+    Suspect suspect{part, 0, 0, this->served.last(part).value_or(SteadyTime()), 0};
     std::optional<SteadyTime> counted;
     std::optional<SteadyTime> countedOfAll;
     for (const Crash &crash : this->crashes) {
@@ -167,7 +167,7 @@
     if (this->blocks.contains(suspect.part)) {
         return 1;
     }
-    const std::optional<SteadyTime> last = this->lastServed(suspect.part);
+    const std::optional<SteadyTime> last = this->served.last(suspect.part);
     const bool isServed = last && this->clock.now() - *last <= servedRecently;
     const bool explainsMost = suspect.crashes * 2 > suspect.allCrashes;
     return explainsMost && !isServed ? fewestCrashes : fewestCrashesIfUncertain;
@@ -190,7 +190,7 @@
 {
     std::vector<PromptPart> suspected;
     for (const PromptPart part : parts) {
-        const std::optional<SteadyTime> last = this->lastServed(part);
+        const std::optional<SteadyTime> last = this->served.last(part);
         const bool isSuspected
             = this->blocks.contains(part) || std::ranges::any_of(this->crashes, [part, last](const Crash &crash) {
                   return crash.parts.contains(part) && (!last || crash.time > *last);
@@ -198,33 +198,12 @@
         if (isSuspected) {
             suspected.push_back(part);
         }
-        this->markServed(part);
+        this->served.note(part);
         this->blocks.erase(part);
     }
     return suspected;
 }
 
-void PromptPartGuard::markServed(PromptPart part)
-{
-    const SteadyTime now = this->clock.now();
-    if (now - this->spanStart > crashesRetained || this->served.size() >= mostServed) {
-        this->servedBefore = std::exchange(this->served, {});
-        this->spanStart = now;
-    }
-    this->served.insert_or_assign(part, now);
-}
-
-std::optional<SteadyTime> PromptPartGuard::lastServed(PromptPart part) const
-{
-    for (const auto *const span : {&this->served, &this->servedBefore}) {
-        const auto found = span->find(part);
-        if (found != span->end()) {
-            return found->second;
-        }
-    }
-    return std::nullopt;
-}
-
 bool PromptPartGuard::isBlocked(const std::vector<PromptPart> &parts) const
 {
     return std::ranges::any_of(parts, [this](PromptPart part) {
@@ -250,7 +229,7 @@
 void PromptPartGuard::merge(const Blocked &reported)
 {
     const SteadyTime lastCrash = this->clock.now() - reported.age;
-    const std::optional<SteadyTime> last = this->lastServed(reported.part);
+    const std::optional<SteadyTime> last = this->served.last(reported.part);
     // The other node may not have been told that a prompt with it was served since.
     if (reported.times == 0 || (last && *last >= lastCrash) || this->blocks.size() >= mostBlocks) {
         return;
--- a/Libraries/LibGateway/PromptPartGuard.h
+++ b/Libraries/LibGateway/PromptPartGuard.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Identifiers.h>
+#include <LibGateway/ServedTimes.h>
 #include <LibGateway/ServingConfiguration.h>
 
 #include <chrono>
@@ -11,7 +12,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -106,16 +106,12 @@
     int crashesToBlock(const Suspect &suspect) const;
     bool isExplained(const Crash &crash) const;
     bool isBlocking(const Block &block) const;
-    std::optional<SteadyTime> lastServed(PromptPart part) const;
-    void markServed(PromptPart part);
 
     const Clock &clock;
     std::deque<Crash> crashes;
     std::map<PromptPart, Block> blocks;
-    /** When prompts with a part were last served: of this span of time, and of the one before. */
-    std::unordered_map<PromptPart, SteadyTime> served;
-    std::unordered_map<PromptPart, SteadyTime> servedBefore;
-    SteadyTime spanStart;
+    /** When prompts with a part were last served. */
+    ServedTimes served;
 };
 
 } // namespace Dogwoodkeel
