CrashMemory: A request that was served a moment ago is not taken for the cause of crashes

Ended replicas tell what ran on them, not which of it ended them.

Change: what was answered whole within 30 s has crashed nothing. A request that crashes what runs it is never answered whole.

Ruled out: counting crashes at the same moment as one (a service of three replicas is gone in one moment, and the request that did it would go on), a higher number of crashes (no number tells the two apart).

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -12,6 +12,10 @@
 {
 
 constexpr int mostCrashes = 3;
+/** For so long after it was served a request is not taken for the cause of crashes. */
+constexpr std::chrono::seconds servedRecently{30};
+/** A bound on memory: far more than one node serves within that time. */
+constexpr std::size_t mostServed = 20000;
 /** Longer than a caller goes on sending the same request, short enough for a replica's fault to be mended. */
 constexpr std::chrono::minutes remembered{2};
 /** A bound on memory: far more than there can be at the rate at which replicas come back. */
@@ -38,7 +42,7 @@
 
 } // namespace
 
-CrashMemory::CrashMemory(const Clock &clock) : clock(clock)
+CrashMemory::CrashMemory(const Clock &clock) : clock(clock), served(clock, servedRecently, mostServed)
 {
 }
 
@@ -126,7 +130,13 @@
     if (reported.age > remembered) {
         return;
     }
-    join(this->entryOf(reported.fingerprint, this->clock.now() - reported.age).replicas, reported.replicas);
+    const SteadyTime lastCrash = this->clock.now() - reported.age;
+    const std::optional<SteadyTime> lastServed = this->served.last(reported.fingerprint);
+    // The other node may not have been told yet that it was served since.
+    if (lastServed && *lastServed >= lastCrash) {
+        return;
+    }
+    join(this->entryOf(reported.fingerprint, lastCrash).replicas, reported.replicas);
 }
 
 int CrashMemory::crashesOf(std::uint64_t fingerprint) const
@@ -136,15 +146,27 @@
     return isKnown ? static_cast<int>(found->second.replicas.size()) : 0;
 }
 
+bool CrashMemory::noteServed(std::uint64_t fingerprint)
+{
+    this->served.note(fingerprint);
+    return this->entries.erase(fingerprint) > 0;
+}
+
+bool CrashMemory::isServed(std::uint64_t fingerprint) const
+{
+    const std::optional<SteadyTime> last = this->served.last(fingerprint);
+    return last && this->clock.now() - *last <= servedRecently;
+}
+
 bool CrashMemory::isRefused(std::uint64_t fingerprint) const
 {
-    return this->crashesOf(fingerprint) >= mostCrashes;
+    return this->crashesOf(fingerprint) >= mostCrashes && !this->isServed(fingerprint);
 }
 
 bool CrashMemory::isHeld(std::uint64_t fingerprint) const
 {
     const int crashes = this->crashesOf(fingerprint);
-    if (crashes < mostCrashes) {
+    if (crashes < mostCrashes || this->isServed(fingerprint)) {
         return false;
     }
     const int doublings = std::min(crashes - mostCrashes, mostDoublings);
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/Identifiers.h>
+#include <LibGateway/ServedTimes.h>
 #include <LibGateway/ServingConfiguration.h>
 
 #include <chrono>
@@ -47,7 +48,8 @@
 /**
  * Remembers which requests were running when their replica broke off. A request that crashes each replica that runs it
  * comes again with new ids; unless it is recognised, it takes one replica after the other away from everybody else.
- * Ordinary requests meet a crash by chance once, seldom twice; after the third, one is refused for a while.
+ * Ordinary requests meet a crash by chance once, seldom twice; after the third, one is refused for a while. One that many callers
+ * send may meet several at once, and is told from it by having been served.
  */
 class CrashMemory
 {
@@ -66,6 +68,12 @@
     /** A replica crashed while it ran the request. Its crash counts once, however many copies it ran and nodes report it. */
     void noteCrash(std::uint64_t fingerprint, const EndpointName &replica);
 
+    /**
+     * A replica has answered the request whole: it crashes nothing.
+     * @return whether crashes were held against it, as they may be at other nodes
+     */
+    bool noteServed(std::uint64_t fingerprint);
+
     /** What a node knows of a request that met crashes. */
     struct Known
     {
@@ -112,8 +120,11 @@
     Entry &entryOf(std::uint64_t fingerprint, SteadyTime time);
     void forgetOld();
 
+    bool isServed(std::uint64_t fingerprint) const;
+
     const Clock &clock;
     std::map<std::uint64_t, Entry> entries;
+    ServedTimes served;
     /** In order of time: those to be judged, and before them those that they are compared with. */
     std::deque<Break> breaks;
     /** So many at the front of `breaks` are judged. */
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -521,6 +521,7 @@
 struct NodeRecord;
 struct CrashNotice;
 struct PromptPartsServed;
+struct RequestServed;
 struct CrashQuestion;
 struct CrashCounts;
 struct StreamBegun;
@@ -3052,6 +3053,22 @@
     }
 };
 
+/** Datagram: a replica has answered a request whole that crashes were held against. */
+struct RequestServed
+{
+    static constexpr MessageNumber number{159};
+    /** Hash of what the request asks for. */
+    std::uint64_t fingerprint = 0;
+
+    bool operator==(const RequestServed &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint);
+    }
+};
+
 /** Datagram: asks another node for the crashes that it knows. Notices may have been lost, or came before the asking node was
  * there. */
 struct CrashQuestion
@@ -3542,6 +3559,8 @@
         return "CrashNotice";
     case 158:
         return "PromptPartsServed";
+    case 159:
+        return "RequestServed";
     case 153:
         return "CrashQuestion";
     case 154:
--- a/Services/Gateway/CrashExchange.cpp
+++ b/Services/Gateway/CrashExchange.cpp
@@ -150,6 +150,13 @@
     }
 }
 
+void CrashExchange::noteRequestServed(std::uint64_t fingerprint)
+{
+    if (this->crashes.noteServed(fingerprint)) {
+        this->peers.broadcast(RequestServed{fingerprint});
+    }
+}
+
 void CrashExchange::tick()
 {
     const SteadyTime now = this->clock.now();
@@ -176,6 +183,10 @@
         if (const auto served = decode<PromptPartsServed>(datagram.payload)) {
             this->parts.noteServed(served->promptParts);
         }
+    } else if (datagram.number == RequestServed::number) {
+        if (const auto served = decode<RequestServed>(datagram.payload)) {
+            this->crashes.noteServed(served->fingerprint);
+        }
     } else if (datagram.number == CrashQuestion::number) {
         this->answer(datagram.from);
     } else if (datagram.number == CrashCounts::number) {
--- a/Services/Gateway/CrashExchange.h
+++ b/Services/Gateway/CrashExchange.h
@@ -41,6 +41,9 @@
     /** A replica has served a prompt with these parts. */
     void noteServed(const std::vector<PromptPart> &served);
 
+    /** A replica has answered a request whole. */
+    void noteRequestServed(std::uint64_t fingerprint);
+
     /** Ask when it is time to; called often. */
     void tick();
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -159,6 +159,9 @@
               [this](const std::vector<PromptPart> &served) {
                   this->crashExchange.noteServed(served);
               },
+              [this](std::uint64_t fingerprint) {
+                  this->crashExchange.noteRequestServed(fingerprint);
+              },
               this->random}
     , relayedStore(loop, clock, this->store, this->peers, this->storeClock, this->random())
     , jobs(
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -43,6 +43,8 @@
     std::function<void(const BrokenRun &)> noteBreak;
     /** A replica has served a prompt with these parts. */
     std::function<void(const std::vector<PromptPart> &)> notePromptServed;
+    /** A replica has answered the request with this fingerprint whole. */
+    std::function<void(std::uint64_t)> noteRequestServed;
     std::minstd_rand &random;
     /** By service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEvents{};
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -391,6 +391,7 @@
 {
     this->leave(PlacementVerdict::Finished);
     if (end == End::Completed) {
+        this->context.noteRequestServed(this->fingerprint);
         this->context.itemRuns[this->target.service].noteCompleted(this->lastEvent.value_or(0));
     }
     const std::function<void(End, std::string)> ended = this->hooks.ended;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -481,6 +481,7 @@
 void OnlineCall::completeWhole()
 {
     this->notePromptServed();
+    this->context.noteRequestServed(this->fingerprint);
     this->leaveReplica(PlacementVerdict::Finished);
     if (this->exchange->isBegun()) {
         this->exchange->breakOff();
@@ -506,6 +507,7 @@
         return;
     }
     this->notePromptServed();
+    this->context.noteRequestServed(this->fingerprint);
     this->leaveReplica(PlacementVerdict::Finished);
     this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
     this->exchange->end();
--- a/Tests/LibGateway/TestCrashMemory.cpp
+++ b/Tests/LibGateway/TestCrashMemory.cpp
@@ -202,3 +202,39 @@
     REQUIRE(known.size() == 10);
     CHECK(known.front().fingerprint == 7);
 }
+
+// Many callers send the same request, and a failure domain is lost with several replicas that ran it: it is still served.
+TEST_CASE("a request that was served a moment ago is not refused for crashes, and is once that is long ago")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    CHECK_FALSE(crashes.noteServed(7));
+    for (const EndpointName &replica : {a, b, c}) {
+        crashes.noteCrash(7, replica);
+    }
+    CHECK_FALSE(crashes.isRefused(7));
+    CHECK_FALSE(crashes.isHeld(7));
+    clock.advance(std::chrono::seconds(31));
+    crashes.noteCrash(7, d);
+    CHECK(crashes.isRefused(7));
+}
+
+// Another node has served a request that this one refuses for crashes which it met by chance.
+TEST_CASE("a request that is served has crashed nothing")
+{
+    ManualClock clock;
+    CrashMemory crashes(clock);
+    for (const EndpointName &replica : {a, b, c}) {
+        crashes.noteCrash(7, replica);
+    }
+    REQUIRE(crashes.isRefused(7));
+    const std::vector<CrashMemory::Known> before = crashes.known(1);
+    CHECK(crashes.noteServed(7));
+    CHECK_FALSE(crashes.isRefused(7));
+    // Of a node that was not told of it.
+    crashes.merge(before.front());
+    CHECK(crashes.crashesOf(7) == 0);
+    clock.advance(std::chrono::seconds(31));
+    crashes.noteCrash(7, d);
+    CHECK_FALSE(crashes.isRefused(7));
+}
--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -62,6 +62,15 @@
         });
     }
 
+    /** Whether requests end the replicas that run them. */
+    void setCrashing(bool isCrashing)
+    {
+        this->host.ask<bool>([this, isCrashing](GatewayBench &) {
+            this->crashes = isCrashing;
+            return true;
+        });
+    }
+
     /** @return how many crashing requests reached replicas. */
     std::size_t crashingRuns()
     {
@@ -118,6 +127,10 @@
 
     void take(GatewayBench &bench, const std::string &name, const std::shared_ptr<CallerExchange> &exchange)
     {
+        if (!this->crashes) {
+            exchange->send(200, signedHeaders(exchange), "ok");
+            return;
+        }
         this->held.push_back({name, exchange});
         if (this->held.size() < this->together) {
             return;
@@ -135,6 +148,7 @@
     int lastRequest = 0;
     std::size_t together = 1;
     bool endsReplicas = true;
+    bool crashes = true;
     std::vector<Held> held;
 };
 
@@ -227,3 +241,27 @@
     CHECK(running.crashingRuns() == resets * 2);
     CHECK(running.counted("request met a crash") == 0);
 }
+
+// A failure domain is lost with several replicas, each with a copy of a request that many callers send: it has crashed none.
+TEST_CASE("a request that was served a moment ago is served on after replicas that ran it ended together")
+{
+    EndingReplicas running("api");
+    running.setCrashing(false);
+    for (int replica = 0; replica < crashesToRefuse; ++replica) {
+        running.startReplica();
+    }
+    CHECK(has(running.send("/u/crash")->readAll(), "ok"));
+    running.setCrashing(true);
+    running.endTogether(crashesToRefuse);
+    std::vector<std::unique_ptr<RawConnection>> copies;
+    for (int copy = 0; copy < crashesToRefuse; ++copy) {
+        copies.push_back(running.send("/u/crash"));
+    }
+    for (const std::unique_ptr<RawConnection> &copy : copies) {
+        CHECK(copy->readAll().starts_with("HTTP/1.1 502"));
+    }
+    running.awaitJudged(crashesToRefuse);
+    running.setCrashing(false);
+    running.startReplica();
+    CHECK(has(running.send("/u/crash")->readAll(), "ok"));
+}
