Soak: Callers send requests that crash the replicas that run them

Copies, repeats, waiting requests and several such contents at once come of themselves. Only replicas meet other faults then, so that nodes and store are in steady state and the promise holds without excuse: after three ends and three seconds a content reaches replicas three times more at most.

--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -182,27 +182,50 @@
 
 FaultProxy::FaultProxy(EventLoop &loop, const Address &target) : loop(loop), target(target)
 {
-    const sockaddr_in any = socketAddress({"127.0.0.1", 0});
-    this->listener = evconnlistener_new_bind(loop.base(),
+    if (!this->listen({"127.0.0.1", 0})) {
+        throw std::runtime_error("no port for a proxy");
+    }
+}
+
+bool FaultProxy::listen(const Address &at)
+{
+    const sockaddr_in address = socketAddress(at);
+    this->listener = evconnlistener_new_bind(this->loop.base(),
                                              onAccept,
                                              this,
-                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
                                              backlog,
-                                             reinterpret_cast<const sockaddr *>(&any),
-                                             sizeof(any));
+                                             reinterpret_cast<const sockaddr *>(&address),
+                                             sizeof(address));
     if (this->listener == nullptr) {
-        throw std::runtime_error("no port for a proxy");
+        return false;
     }
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
     getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&bound), &size);
     this->own = {"127.0.0.1", ntohs(bound.sin_port)};
+    return true;
 }
 
 FaultProxy::~FaultProxy()
 {
     this->links.clear();
-    evconnlistener_free(this->listener);
+    this->stop();
+}
+
+void FaultProxy::stop()
+{
+    this->resetLinks();
+    if (this->listener != nullptr) {
+        evconnlistener_free(std::exchange(this->listener, nullptr));
+    }
+}
+
+void FaultProxy::resume()
+{
+    if (this->listener == nullptr && !this->listen(this->own) && !this->listen({"127.0.0.1", 0})) {
+        throw std::runtime_error("no port for a proxy");
+    }
 }
 
 const Address &FaultProxy::address() const
@@ -215,13 +238,18 @@
     this->mode = mode;
     this->delay = delay;
     if (mode == Mode::Reset) {
-        for (const std::shared_ptr<Link> &link : this->links) {
-            link->reset();
-        }
-        this->links.clear();
+        this->resetLinks();
     }
 }
 
+void FaultProxy::resetLinks()
+{
+    for (const std::shared_ptr<Link> &link : this->links) {
+        link->reset();
+    }
+    this->links.clear();
+}
+
 void FaultProxy::holdBack(const std::string &text, std::chrono::milliseconds delay)
 {
     this->heldText = text;
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -43,12 +43,20 @@
     /** @param delay of each part, with Delay */
     void setMode(Mode mode, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
+    /** The process behind it ends: connections are reset, and new ones refused. */
+    void stop();
+
+    /** It is there again, at the same address if that is free. */
+    void resume();
+
     /** Bring answers to requests that name this text in their first line so much later. @param text none if empty */
     void holdBack(const std::string &text, std::chrono::milliseconds delay);
 
 private:
     class Link;
 
+    bool listen(const Address &at);
+    void resetLinks();
     static void onAccept(evconnlistener *listener, int descriptor, sockaddr *from, int size, void *self);
 
     EventLoop &loop;
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -40,6 +40,9 @@
 DEFINE_uint32(replicas, 6, "stand-in replicas; one in three is a plain service");
 DEFINE_uint32(callers, 12, "callers at once");
 DEFINE_uint32(enders, 3, "callers that submit large jobs and end most of them; with all kinds of faults only");
+DEFINE_uint32(crashers,
+              0,
+              "callers whose requests crash what runs them, two with the same; only replicas meet other faults then");
 DEFINE_bool(upgrade_in_place, false, "replicas that start again under their names have another version of their software");
 DEFINE_uint32(kinds, 26, "kinds of faults; a seed that was found with fewer of them is played with as many as then");
 
@@ -66,6 +69,12 @@
 constexpr std::chrono::milliseconds longestCut{12000};
 /** With fewer kinds of faults there are no callers that end large jobs. */
 constexpr std::uint32_t kindsWithoutEnders = 14;
+/** After so many crashes, and so long for all nodes to know, a content may reach replicas so many times more. */
+constexpr std::size_t crashesToRefuse = 3;
+constexpr std::chrono::seconds crashesSettle{3};
+constexpr std::size_t runsAfterwards = 3;
+/** The kinds of faults that only replicas meet: nodes and store are then undisturbed all the while. */
+constexpr std::array replicaFaults{6u, 10u, 12u, 13u, 21u};
 constexpr std::size_t mostPeersCut = 8;
 constexpr const char *storeParty = "store";
 constexpr double servedAfter = 0.9;
@@ -90,7 +99,11 @@
 class Soak
 {
 public:
-    Soak() : fleet(FLAGS_programs), world("world", this->record, FLAGS_nodes, FLAGS_replicas), random(FLAGS_seed), cut(peerPort)
+    Soak()
+        : fleet(FLAGS_programs)
+        , world("world", this->record, this->crashes, FLAGS_nodes, FLAGS_replicas)
+        , random(FLAGS_seed)
+        , cut(peerPort)
     {
         for (std::uint32_t node = 0; node < FLAGS_nodes; ++node) {
             this->addresses.push_back(this->fleet.nextAddress());
@@ -116,6 +129,13 @@
                     .runJobs(this->isStopped);
             });
         }
+        for (std::uint32_t number = 0; number < FLAGS_crashers; ++number) {
+            threads.emplace_back([this, number] {
+                SoakCaller(this->record, this->addresses, "x" + std::to_string(number), FLAGS_seed * 1000 + 700 + number)
+                    .runCrashing(std::string(crashMark) + " " + std::to_string(FLAGS_seed) + "." + std::to_string(number / 2),
+                                 this->isStopped);
+            });
+        }
         this->passTime(Clock::now() + std::chrono::seconds(2));
         const auto end = Clock::now() + std::chrono::seconds(FLAGS_seconds);
         while (Clock::now() < end) {
@@ -136,10 +156,11 @@
 
     void report() const
     {
-        std::printf("seed %u: %s; %u items late after the end of their jobs beside a disturbance\n",
+        std::printf("seed %u: %s; %u items late after the end of their jobs beside a disturbance; %s\n",
                     FLAGS_seed,
                     this->record.summary().c_str(),
-                    this->allowedAfterEnd);
+                    this->allowedAfterEnd,
+                    this->crashes.summary().c_str());
         for (const std::string &violation : this->record.violations()) {
             std::printf("  BROKEN %s\n", violation.c_str());
         }
@@ -226,7 +247,7 @@
     void injectFault()
     {
         const std::chrono::milliseconds length = this->randomTime(shortestFault, longestFault);
-        switch (this->random() % FLAGS_kinds) {
+        switch (FLAGS_crashers > 0 ? replicaFaults[this->random() % replicaFaults.size()] : this->random() % FLAGS_kinds) {
         case 0:
             this->disturbNode(SIGKILL, length);
             return;
@@ -658,6 +679,9 @@
             }
         }
         this->checkItemsAfterEnd();
+        for (const std::string &excess : this->crashes.excesses(crashesToRefuse, crashesSettle, runsAfterwards)) {
+            this->record.violate(excess);
+        }
         this->record.checkEnd();
     }
 
@@ -678,6 +702,7 @@
     }
 
     SoakRecord record;
+    CrashRecord crashes;
     LocalFleet fleet;
     TaskHost<SoakWorld> world;
     std::minstd_rand random;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -82,6 +82,11 @@
 
 } // namespace
 
+const std::array<SoakCaller::Kind, 4> SoakCaller::onlineKinds{Kind{"r", Repeats::Allowed, true},
+                                                              Kind{"o", Repeats::Never, true},
+                                                              Kind{"s", Repeats::Allowed, false},
+                                                              Kind{"u", Repeats::Never, false}};
+
 SoakCaller::SoakCaller(SoakRecord &record, std::vector<Address> nodes, std::string name, unsigned seed)
     : record(record), nodes(std::move(nodes)), name(std::move(name)), random(seed)
 {
@@ -99,13 +104,9 @@
 
 void SoakCaller::run(const std::atomic<bool> &isStopped)
 {
-    static constexpr std::array kinds{Kind{"r", Repeats::Allowed, true},
-                                      Kind{"o", Repeats::Never, true},
-                                      Kind{"s", Repeats::Allowed, false},
-                                      Kind{"u", Repeats::Never, false}};
     while (!isStopped) {
         if (this->random() % jobEvery != 0) {
-            this->callOnline(kinds[this->random() % kinds.size()]);
+            this->callOnline(onlineKinds[this->random() % onlineKinds.size()]);
             continue;
         }
         const std::vector<std::string> open = this->record.openJobs();
@@ -189,6 +190,19 @@
     }
 }
 
+void SoakCaller::runCrashing(const std::string &content, const std::atomic<bool> &isStopped)
+{
+    // Of one kind, as its target is part of what the request is known by.
+    const Kind &kind = onlineKinds[std::hash<std::string>()(content) % onlineKinds.size()];
+    while (!isStopped) {
+        Received received;
+        if (this->tryOnline(kind, content, received) == TryEnd::Answered) {
+            this->record.violate("a request that crashes replicas was answered as if it had been served");
+        }
+        std::this_thread::sleep_for(pauseAfterFailure * (1 + this->random() % 4));
+    }
+}
+
 void SoakCaller::runJobs(const std::atomic<bool> &isStopped)
 {
     while (!isStopped) {
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -4,6 +4,7 @@
 #include <Tests/Fakes/RawConnection.h>
 #include <Tests/Soak/SoakRecord.h>
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <functional>
@@ -29,6 +30,9 @@
     /** Send requests until told to stop. */
     void run(const std::atomic<bool> &isStopped);
 
+    /** Send requests with a content that crashes replicas, at any node, until told to stop. */
+    void runCrashing(const std::string &content, const std::atomic<bool> &isStopped);
+
     /** Submit jobs of many items and end most of them at any moment, each call at any node, until told to stop. */
     void runJobs(const std::atomic<bool> &isStopped);
 
@@ -54,6 +58,8 @@
         bool isStream;
     };
 
+    static const std::array<Kind, 4> onlineKinds;
+
     /** What has come of a stream over its tries. */
     struct Received
     {
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t fewestEvents = 5;
 constexpr std::size_t mostEvents = 25;
 constexpr int replicaSlots = 4;
+/** How long a replica runs a request that crashes it. */
+constexpr std::chrono::milliseconds timeToCrash{30};
+constexpr std::chrono::milliseconds timeToReturn{2000};
 constexpr const char *streamService = "llm";
 constexpr const char *plainService = "api";
 /** Reading rows by the thousand, as the table of jobs of a whole run; a page of the store is as large. */
@@ -52,8 +55,8 @@
     return output;
 }
 
-SoakWorld::SoakWorld(EventLoop &loop, SoakRecord &record, std::size_t nodes, std::size_t replicas)
-    : loop(loop), record(record), store(loop, this->clock), eventPause(usualEventPause)
+SoakWorld::SoakWorld(EventLoop &loop, SoakRecord &record, CrashRecord &crashes, std::size_t nodes, std::size_t replicas)
+    : loop(loop), record(record), crashes(crashes), store(loop, this->clock), eventPause(usualEventPause)
 {
     this->store.rows().setPageSize(storePage);
     for (std::size_t node = 0; node < nodes; ++node) {
@@ -87,6 +90,10 @@
 {
     const Replica &one = this->replicas.at(replica);
     this->record.noteRun(header(exchange, "X-Request-Id"));
+    if (exchange->body().starts_with(crashMark)) {
+        this->runCrashing(replica, exchange->body());
+        return;
+    }
     if (one.service == plainService) {
         this->loop.schedule(this->eventPause, [exchange] {
             exchange->send(200, signedHeaders(exchange), "done " + exchange->body());
@@ -114,6 +121,35 @@
     });
 }
 
+void SoakWorld::runCrashing(std::size_t replica, const std::string &content)
+{
+    Replica &one = this->replicas.at(replica);
+    this->crashes.noteRun(content);
+    one.crashing.insert(content);
+    this->loop.schedule(timeToCrash, [this, replica, born = one.born] {
+        if (this->replicas.at(replica).born == born) {
+            this->endReplica(replica);
+        }
+    });
+}
+
+void SoakWorld::endReplica(std::size_t replica)
+{
+    Replica &one = this->replicas.at(replica);
+    if (std::exchange(one.isGone, true)) {
+        return;
+    }
+    this->crashes.noteEnd(std::exchange(one.crashing, {}));
+    one.way->stop();
+    this->loop.schedule(timeToReturn, [this, replica] {
+        Replica &back = this->replicas.at(replica);
+        back.isGone = false;
+        ++back.born;
+        back.way->resume();
+        this->registerReplica(replica, "ready");
+    });
+}
+
 FaultProxy &SoakWorld::storeWay(std::size_t node)
 {
     return *this->storeWays.at(node);
@@ -172,6 +208,7 @@
 {
     Replica &one = this->replicas.at(replica);
     ++one.born;
+    one.crashing.clear();
     one.version = (one.version + (restart == Restart::Upgraded ? 1 : 0)) % softwareVersions.size();
     // What ran there is over: its connections are reset, and its runs end with them.
     one.way->setMode(FaultProxy::Mode::Reset);
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -4,6 +4,7 @@
 #include <LibProxy/CallerServer.h>
 #include <LibTask/EventLoop.h>
 #include <Tests/Fakes/StandInStore.h>
+#include <Tests/Soak/CrashRecord.h>
 #include <Tests/Soak/FaultProxy.h>
 #include <Tests/Soak/SoakRecord.h>
 
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +26,9 @@
 /** Versions of the replicas' software that serve side by side. */
 inline constexpr std::array<std::string_view, 2> softwareVersions{"v1", "v2"};
 
+/** What begins so is a request that crashes the replica that runs it. */
+inline constexpr std::string_view crashMark = "crash";
+
 /** @return the output that a replica of a version generates for a request with this body: its events in order. */
 std::vector<std::string> outputOf(const std::string &body, std::string_view version);
 
@@ -32,7 +37,7 @@
 {
 public:
     /** @param nodes as many ways to the store are made */
-    SoakWorld(EventLoop &loop, SoakRecord &record, std::size_t nodes, std::size_t replicas);
+    SoakWorld(EventLoop &loop, SoakRecord &record, CrashRecord &crashes, std::size_t nodes, std::size_t replicas);
 
     /** @return the way of a node to the store. */
     FaultProxy &storeWay(std::size_t node);
@@ -72,16 +77,22 @@
         std::size_t version = 0;
         /** Its start, in milliseconds of the time of day. */
         std::uint64_t born = 1764700000000;
+        /** What it runs that crashes replicas. */
+        std::set<std::string> crashing;
+        bool isGone = false;
         std::unique_ptr<CallerServer> server;
         std::unique_ptr<FaultProxy> way;
     };
 
     void addReplica(const std::string &service);
+    void runCrashing(std::size_t replica, const std::string &content);
+    void endReplica(std::size_t replica);
     void serve(std::size_t replica, const std::shared_ptr<CallerExchange> &exchange);
     void generate(const std::shared_ptr<CallerExchange> &exchange, const std::vector<std::string> &output, std::size_t next);
 
     EventLoop &loop;
     SoakRecord &record;
+    CrashRecord &crashes;
     SystemClock clock;
     StandInStore store;
     std::vector<std::unique_ptr<FaultProxy>> storeWays;
