--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -129,6 +129,7 @@
 
 void ItemAttempt::hold()
 {
+    this->context.metrics.countEvent("batch item held");
     log(LogLevel::Info,
         "batch item held",
         {{"item", this->item.id.value()},
--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -1,5 +1,7 @@
 #include <Tests/ServiceGateway/RunningGateway.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -265,3 +267,30 @@
     running.startReplica();
     CHECK(has(running.send("/u/crash")->readAll(), "ok"));
 }
+
+// Items of one content run two at a time, and two more wait for a place: they would take a fourth replica with them.
+TEST_CASE("an item that waits for a place is held once its like has crashed three replicas")
+{
+    EndingReplicas running("llm");
+    constexpr std::size_t slots = 2;
+    running.endTogether(slots);
+    nlohmann::json items = nlohmann::json::array();
+    for (const char *const id : {"a", "b", "c", "d"}) {
+        items.push_back({{"id", id}, {"path", "/b/crash"}, {"body", ""}, {"tokens", 9}});
+    }
+    REQUIRE(running.call("POST /b/job", {}, nlohmann::json{{"requests", items}}.dump()).starts_with("HTTP/1.1 202"));
+    for (std::size_t crash = 1; crash <= crashesToRefuse; ++crash) {
+        running.startReplica();
+        await([&running, crash] {
+            return running.crashingRuns() == crash * slots;
+        });
+    }
+    await([&running] {
+        return running.counted("batch item held") >= static_cast<int>(slots);
+    });
+    running.startReplica();
+    await([&running] {
+        return running.counted("batch item held") >= static_cast<int>(slots * 2);
+    });
+    CHECK(running.crashingRuns() == crashesToRefuse * slots);
+}
