OnlineCall: A repeat waits until the crash that may be the third is judged

A break is judged 60 ms after it, a repeat was sent at once: a request whose crash was the third reached a fourth replica before any node could know. Now a request that would be refused if its last break was a crash is repeated once that is judged. It delays only requests with two known crashes, by 60 ms.

Not covered: a break in doubt, whose replica is still asked when the repeat goes out (some 3 ms more).

TestRepeatedCrashes "a request is repeated only once ...": 4 runs instead of 3 without it, now 3.

--- a/Libraries/LibGateway/CrashMemory.cpp
+++ b/Libraries/LibGateway/CrashMemory.cpp
@@ -51,6 +51,15 @@
     this->breaks.push_back({run, this->clock.now()});
 }
 
+bool CrashMemory::isLastCrashInDoubt(std::uint64_t fingerprint) const
+{
+    const auto firstOpen = this->breaks.begin() + static_cast<std::ptrdiff_t>(this->judgedBreaks);
+    return this->crashesOf(fingerprint) == mostCrashes - 1
+        && std::any_of(firstOpen, this->breaks.end(), [fingerprint](const Break &open) {
+               return open.run.fingerprint == fingerprint;
+           });
+}
+
 std::vector<JudgedBreak> CrashMemory::judgeBreaks()
 {
     const SteadyTime now = this->clock.now();
--- a/Libraries/LibGateway/CrashMemory.h
+++ b/Libraries/LibGateway/CrashMemory.h
@@ -62,6 +62,9 @@
     /** A connection broke while a request ran on it. Whether its replica crashed is judged a little later. */
     void noteBreak(const BrokenRun &run);
 
+    /** @return whether a break of the request that is not judged yet would be the crash after which it is refused. */
+    bool isLastCrashInDoubt(std::uint64_t fingerprint) const;
+
     /** Judge the breaks that are old enough. Crashes are noted here, once for copies of a request. */
     std::vector<JudgedBreak> judgeBreaks();
 
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -147,18 +147,25 @@
     return true;
 }
 
-void OnlineCall::beginToWait()
+void OnlineCall::beginToWait(Stage stage)
 {
-    this->stage = Stage::Placing;
+    this->stage = stage;
     if (this->waiting == 0) {
         this->waiting = this->context.waiting.add([call = this->weak_from_this()] {
             if (const std::shared_ptr<OnlineCall> self = call.lock()) {
-                self->endIfCrashing();
+                self->recheck();
             }
         });
     }
 }
 
+void OnlineCall::recheck()
+{
+    if (!this->endIfCrashing() && this->stage == Stage::Judging) {
+        this->askForPlace();
+    }
+}
+
 void OnlineCall::stopWaiting()
 {
     this->context.waiting.remove(std::exchange(this->waiting, 0));
@@ -274,7 +281,11 @@
     if (this->endIfCrashing()) {
         return;
     }
-    this->beginToWait();
+    if (this->context.crashes.isLastCrashInDoubt(this->fingerprint)) {
+        this->beginToWait(Stage::Judging);
+        return;
+    }
+    this->beginToWait(Stage::Placing);
     if (!this->context.listed.isKnown()) {
         // A dispatcher at another node would give places at replicas whose addresses this one does not have.
         this->awaitReplicas();
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -42,6 +42,8 @@
         /** Its workspace's quota is asked for. */
         Counting,
         Placing,
+        /** Whether its last replica crashed is judged: it may have been one too many. */
+        Judging,
         Sending,
         /** The replica's answer has begun. */
         Receiving,
@@ -65,7 +67,9 @@
     std::optional<std::string_view> crashReason() const;
     /** End it if it must not be sent. @return whether it was ended */
     bool endIfCrashing();
-    void beginToWait();
+    /** Be asked again when more is known of crashes. */
+    void beginToWait(Stage stage);
+    void recheck();
     void stopWaiting();
     void noteBreak();
     void notePromptServed();
--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -198,6 +198,20 @@
     CHECK(running.crashingRuns() == crashesToRefuse);
 }
 
+// Other replicas are there, and a repeat finds one before the crash that it has just met is counted.
+TEST_CASE("a request is repeated only once its last crash is judged if that may be the third")
+{
+    EndingReplicas running("api");
+    for (int replica = 0; replica <= crashesToRefuse; ++replica) {
+        running.startReplica();
+    }
+    CHECK(running.send("/s/crash")->readAll().starts_with("HTTP/1.1 502"));
+    running.awaitJudged(crashesToRefuse - 1);
+    CHECK(running.send("/s/crash")->readAll().starts_with("HTTP/1.1 502"));
+    running.awaitJudged(crashesToRefuse);
+    CHECK(running.crashingRuns() == crashesToRefuse);
+}
+
 // Two requests crash their replicas at the same moment, which looks like a reset of the network: neither would ever be refused.
 TEST_CASE("requests that crash two replicas at the same moment are refused after three of them each")
 {
