--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -36,7 +36,7 @@
     /** Start a replica that ends under the first crashing request, unless a test makes it wait. */
     std::string startReplica()
     {
-        const std::string name = "i-" + std::to_string(++this->lastReplica);
+        std::string name = "i-" + std::to_string(++this->lastReplica);
         this->host.ask<bool>([this, &name](GatewayBench &bench) {
             bench.addReplica(name, this->service, [this, &bench, name](const std::shared_ptr<CallerExchange> &exchange) {
                 this->take(bench, name, exchange);
@@ -165,6 +165,7 @@
     running.endTogether(slots);
     running.startReplica();
     std::vector<std::unique_ptr<RawConnection>> callers;
+    callers.reserve(slots * 2);
     for (std::size_t copy = 0; copy < slots * 2; ++copy) {
         callers.push_back(running.send("/o/crash"));
     }
@@ -270,6 +271,7 @@
     running.setCrashing(true);
     running.endTogether(crashesToRefuse);
     std::vector<std::unique_ptr<RawConnection>> copies;
+    copies.reserve(crashesToRefuse);
     for (int copy = 0; copy < crashesToRefuse; ++copy) {
         copies.push_back(running.send("/u/crash"));
     }
