LibDispatch, Gateway: Carry run timings, stated pace and workspace to the dispatcher

Cause: a load header with four figures was rejected as malformed, so nothing was reported of replicas that share their machines. The dispatcher knows neither how fast a replica is nor which workspace a request belongs to. Change: the fourth figure is parsed; SlotRequest, PlacementEnd and PlacementStarted get fields at their ends, ReplicaTimings is new, and the settings of the parts to come are declared.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -47,8 +47,8 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, Hooks hooks)
-    : clock(clock), hooks(std::move(hooks)), index(clock), waiting(clock), forecast(clock)
+Dispatcher::Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options)
+    : clock(clock), hooks(std::move(hooks)), options(options), index(clock), waiting(clock), forecast(clock)
 {
 }
 
@@ -284,7 +284,7 @@
     this->decisions.push_back({PlacementDecision::Refused, request.id, {}, wait});
 }
 
-void Dispatcher::end(TicketId id, PlacementVerdict verdict)
+void Dispatcher::end(TicketId id, PlacementVerdict verdict, const RunTiming & /*timing*/)
 {
     this->waiting.remove(id);
     const auto placed = this->placements.find(id);
@@ -295,7 +295,7 @@
     this->deliverDecisions();
 }
 
-void Dispatcher::recordLoad(const EndpointName &instance, const ReportedLoad &load)
+void Dispatcher::recordLoad(const EndpointName &instance, const ReportedLoad &load, std::uint32_t /*pace*/)
 {
     const auto found = this->replicas.find(instance);
     if (found != this->replicas.end()) {
@@ -306,6 +306,10 @@
     }
 }
 
+void Dispatcher::recordTimings(const std::vector<ReplicaTiming> & /*timings*/)
+{
+}
+
 void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
 {
     const SteadyTime now = this->clock.now();
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibDispatch/DispatchedReplica.h>
+#include <LibDispatch/DispatcherOptions.h>
 #include <LibDispatch/LoadForecast.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaIndex.h>
@@ -59,7 +60,7 @@
         std::size_t batchWaiting = 0;
     };
 
-    Dispatcher(const Clock &clock, Hooks hooks);
+    Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options = {});
 
     /** Sets the complete list of replicas. */
     void setReplicas(const std::vector<DispatchReplica> &replicas);
@@ -74,11 +75,20 @@
      */
     bool submit(const PlacementRequest &request);
 
-    /** Ends a request that finished, or withdraws one that waits. */
-    void end(TicketId id, PlacementVerdict verdict);
+    /**
+     * Ends a request that finished, or withdraws one that waits.
+     * @param timing what the run showed of its replica's speed
+     */
+    void end(TicketId id, PlacementVerdict verdict, const RunTiming &timing = {});
+
+    /**
+     * Records the load that a replica reported with an answer.
+     * @param pace how long work takes on its machine at this moment, in percent of usual; 0: not stated
+     */
+    void recordLoad(const EndpointName &instance, const ReportedLoad &load, std::uint32_t pace = 0);
 
-    /** Records the load that a replica reported with an answer. */
-    void recordLoad(const EndpointName &instance, const ReportedLoad &load);
+    /** Adds what a node has measured of replicas before this dispatcher started. */
+    void recordTimings(const std::vector<ReplicaTiming> &timings);
 
     /**
      * Applies a node's report of all its running requests.
@@ -159,6 +169,7 @@
 
     const Clock &clock;
     Hooks hooks;
+    DispatcherOptions options;
     std::unordered_map<EndpointName, DispatchedReplica> replicas;
     std::uint64_t lastReplica = 0;
     /** Number of replicas of each version that are not draining. */
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -58,6 +58,12 @@
     std::vector<std::uint32_t> connected;
     /** The only version that can resume its stream; empty if any version will do. */
     SoftwareVersion version{};
+    /** The workspace that it belongs to; empty if it belongs to none. */
+    WorkspaceName workspace{};
+    /** Weight of that workspace when slots are shared between workspaces. */
+    double weight = 1;
+    /** Expected work, in tokens. */
+    std::uint32_t cost = 0;
 
     /** @return whether only some replicas can serve it, so that it may find no slot where other requests would. */
     bool isRestricted() const
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -44,6 +44,16 @@
     Unlimited,
 };
 
+/** For which services the dispatcher learns the speed and the capacity of each replica. */
+enum class CapacityLearning : std::uint8_t {
+    /** Services whose replicas state how long work takes on their machines. */
+    Stated,
+    /** All services. */
+    Always,
+    /** None. */
+    Never,
+};
+
 /** This VM. Set per VM, in its own file. */
 struct NodeSettings
 {
@@ -391,6 +401,20 @@
     double quotaOverrun = 0.1;
     /** Requests by which a window may exceed its quota in addition. */
     double quotaSlack = 20;
+    /** Whether the dispatcher learns the speed and the capacity of each replica: stated (for services whose replicas state how
+     * long work takes on their machines), always or never. */
+    CapacityLearning capacityLearning = CapacityLearning::Stated;
+    /** Whether workspaces get fair shares of a service's slots while there are too few. Without workspaces in the configuration
+     * it has no effect. */
+    bool workspaceShares = true;
+    /** Maximum size of an answer that is held until it is complete. */
+    std::int64_t answerBytes = 4194304;
+    /** Unread data of one caller from which on reading from its replica is paused. */
+    std::int64_t unreadBytes = 262144;
+    /** How long reading from a replica is paused for a slow caller before the caller is disconnected. */
+    std::chrono::milliseconds unreadPause = std::chrono::milliseconds(1000);
+    /** Maximum share of memory_mb that the unread data of all callers may take. */
+    double unreadShare = 0.25;
 };
 
 /** All settings of a node. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -426,22 +426,27 @@
 
 void readGatewaySettings(SettingsReader &reader, const toml::table &table, GatewaySettings &target)
 {
-    reader.rejectUnknownKeys(table,
-                             {"ready",
-                              "directory",
-                              "metrics",
-                              "grace",
-                              "address_ttl",
-                              "apply_bound",
-                              "store_wait",
-                              "lapsed_kept",
-                              "jobs_kept",
-                              "job_end_bound",
-                              "processor_share",
-                              "memory_mb",
-                              "quota_window",
-                              "quota_overrun",
-                              "quota_slack"});
+    reader.rejectUnknownKeys(table, {"ready",
+                                     "directory",
+                                     "metrics",
+                                     "grace",
+                                     "address_ttl",
+                                     "apply_bound",
+                                     "store_wait",
+                                     "lapsed_kept",
+                                     "jobs_kept",
+                                     "job_end_bound",
+                                     "processor_share",
+                                     "memory_mb",
+                                     "quota_window",
+                                     "quota_overrun",
+                                     "quota_slack",
+                                     "capacity_learning",
+                                     "workspace_shares",
+                                     "answer_bytes",
+                                     "unread_bytes",
+                                     "unread_pause",
+                                     "unread_share"});
     reader.readAddress(table, "ready", target.ready, Presence::Optional);
     reader.readAddress(table, "directory", target.directory, Presence::Optional);
     reader.readAddress(table, "metrics", target.metrics, Presence::Optional);
@@ -489,6 +494,21 @@
                         {.min = std::chrono::milliseconds(100), .max = std::chrono::milliseconds(3600000)});
     reader.readNumber(table, "quota_overrun", target.quotaOverrun, Presence::Optional, {.min = 0.0, .max = 10.0});
     reader.readNumber(table, "quota_slack", target.quotaSlack, Presence::Optional, {.min = 0.0, .max = 1000000.0});
+    reader.readEnum<CapacityLearning>(
+        table,
+        "capacity_learning",
+        target.capacityLearning,
+        Presence::Optional,
+        {{"stated", CapacityLearning::Stated}, {"always", CapacityLearning::Always}, {"never", CapacityLearning::Never}});
+    reader.readBool(table, "workspace_shares", target.workspaceShares, Presence::Optional);
+    reader.readInteger(table, "answer_bytes", target.answerBytes, Presence::Optional, {.min = 65536, .max = 1073741824});
+    reader.readInteger(table, "unread_bytes", target.unreadBytes, Presence::Optional, {.min = 16384, .max = 1073741824});
+    reader.readDuration(table,
+                        "unread_pause",
+                        target.unreadPause,
+                        Presence::Optional,
+                        {.min = std::chrono::milliseconds(10), .max = std::chrono::milliseconds(60000)});
+    reader.readNumber(table, "unread_share", target.unreadShare, Presence::Optional, {.min = 0.01, .max = 1.0});
 }
 
 } // namespace
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -510,6 +510,7 @@
 struct PlacementEnd;
 struct PlacementsRunning;
 struct PlacementStarted;
+struct ReplicaTimings;
 struct ConfigurationText;
 struct ConfigurationTextRequest;
 struct JobEnded;
@@ -1384,6 +1385,29 @@
     }
 };
 
+/** What one run at a replica showed of the replica's speed. */
+struct RunTiming
+{
+    /** From sending the request to the first event, or to the end of an answer that is no stream. */
+    std::chrono::microseconds firstEvent = std::chrono::microseconds(0);
+    /** From the first event to the last one. */
+    std::chrono::microseconds generation = std::chrono::microseconds(0);
+    /** Events generated in this run; 1 for an answer that is no stream; 0: nothing was measured. */
+    std::uint32_t events = 0;
+    /** The pace that the replica stated when it started to answer, as in PlacementStarted. */
+    std::uint32_t statedPace = 0;
+    /** Whether the replica answered with an error of its own. */
+    bool isError = false;
+
+    bool operator==(const RunTiming &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->firstEvent, this->generation, this->events, this->statedPace, this->isError);
+    }
+};
+
 /** A request that a node has at a replica. */
 struct RunningPlacement
 {
@@ -1420,6 +1444,27 @@
     }
 };
 
+/** What a node has measured of one replica. */
+struct ReplicaTiming
+{
+    /** Name hash of the replica. */
+    std::uint32_t replica = 0;
+    /** Mean time between two events of a stream; 0: not measured. */
+    std::chrono::microseconds perEvent = std::chrono::microseconds(0);
+    /** Mean time to the first event, or to the end of an answer that is no stream. */
+    std::chrono::microseconds firstEvent = std::chrono::microseconds(0);
+    /** Number of runs that were measured. */
+    std::uint32_t runs = 0;
+
+    bool operator==(const ReplicaTiming &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->replica, this->perEvent, this->firstEvent, this->runs);
+    }
+};
+
 /** One header line of a batch item. */
 struct HeaderRecord
 {
@@ -2693,6 +2738,12 @@
     std::chrono::milliseconds soleVersionFor = std::chrono::milliseconds(0);
     /** Address of the requesting node if another node forwarded this. */
     Address replyTo;
+    /** The workspace that it belongs to; empty: none. */
+    WorkspaceName workspace;
+    /** Weight of that workspace when slots are shared between workspaces. */
+    double weight = 0;
+    /** Expected work of the request, in tokens. */
+    std::uint32_t cost = 0;
 
     bool operator==(const SlotRequest &) const = default;
 
@@ -2714,7 +2765,10 @@
                 this->connected,
                 this->version,
                 this->soleVersionFor,
-                this->replyTo);
+                this->replyTo,
+                this->workspace,
+                this->weight,
+                this->cost);
     }
 };
 
@@ -2774,13 +2828,15 @@
     PlacementVerdict verdict = PlacementVerdict::Finished;
     /** Whether another node forwarded it. */
     bool isPassedOn = false;
+    /** What the run showed of the replica's speed. */
+    RunTiming timing;
 
     bool operator==(const PlacementEnd &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->ticket, this->service, this->verdict, this->isPassedOn);
+        archive(this->from, this->ticket, this->service, this->verdict, this->isPassedOn, this->timing);
         if constexpr (Archive::is_loading::value) {
             if (!isValid(this->verdict)) {
                 throw cereal::Exception("a number is no value of its enum");
@@ -2826,13 +2882,37 @@
     ReportedLoad load;
     /** Whether another node forwarded this. */
     bool isPassedOn = false;
+    /** How long work takes on the replica's machine at this moment, in percent of usual; 0: not stated. */
+    std::uint32_t pace = 0;
 
     bool operator==(const PlacementStarted &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->service, this->replica, this->load, this->isPassedOn);
+        archive(this->service, this->replica, this->load, this->isPassedOn, this->pace);
+    }
+};
+
+/** Datagram: what a node has measured of the replicas of a service, for a new dispatcher. */
+struct ReplicaTimings
+{
+    static constexpr MessageNumber number{160};
+    /** The sending node. */
+    SessionNumber from;
+    /** The service. */
+    std::string service;
+    /** The measurements. */
+    std::vector<ReplicaTiming> replicas;
+    /** Whether another node forwarded this. */
+    bool isPassedOn = false;
+
+    bool operator==(const ReplicaTimings &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->from, this->service, this->replicas, this->isPassedOn);
     }
 };
 
@@ -3541,6 +3621,8 @@
         return "PlacementsRunning";
     case 143:
         return "PlacementBegun";
+    case 160:
+        return "ReplicaTimings";
     case 124:
         return "ConfigurationText";
     case 125:
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -21,6 +21,7 @@
     "u64": "std::uint64_t",
     "double": "double",
     "milliseconds": "std::chrono::milliseconds",
+    "microseconds": "std::chrono::microseconds",
     "WallTime": "WallTime",
     "StoreTime": "StoreTime",
     "Address": "Address",
@@ -29,7 +30,7 @@
                "WorkspaceName", "FailureDomain", "VmName", "EndpointName", "SoftwareVersion"]
 WIRE_TYPES.update({name: name for name in IDENTIFIERS})
 ZERO_VALUES = {"bool": "false", "u16": "0", "u32": "0", "u64": "0", "double": "0",
-                 "milliseconds": "std::chrono::milliseconds(0)"}
+                 "milliseconds": "std::chrono::milliseconds(0)", "microseconds": "std::chrono::microseconds(0)"}
 
 
 def load(name):
@@ -83,7 +84,7 @@
 
 def archived(struct, field, enums):
     name = f"this->{field['name']}"
-    has_fixed_form = field["type"] in ("bool", "double", "milliseconds") or field["type"] in enums
+    has_fixed_form = field["type"] in ("bool", "double", "milliseconds", "microseconds") or field["type"] in enums
     is_wire_type = field["type"] in WIRE_TYPES or field["type"].startswith("[")
     return f"Compact::field({name})" if struct.get("compact") and is_wire_type and not has_fixed_form else name
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -103,7 +103,8 @@
                  FailureDomain(settings->node.failureDomain),
                  [this](const EndpointName &instance) {
                      return this->replicaFollower.find(instance);
-                 })
+                 },
+                 {settings->gateway.capacityLearning, settings->gateway.workspaceShares})
     , quotas(clock, this->peers, this->elections, quotaBounds(settings->gateway))
     , relayRole(clock)
     , relays(clock)
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -40,7 +40,8 @@
                                  PeerNetwork &peers,
                                  CoordinatorElections &elections,
                                  FailureDomain ownDomain,
-                                 PlacementServer::FindReplica findReplica)
+                                 PlacementServer::FindReplica findReplica,
+                                 const DispatcherOptions &options)
     : loop(loop)
     , clock(clock)
     , peers(peers)
@@ -57,7 +58,8 @@
                   [this](const ServiceName &service) {
                       this->handleDispatcherChange(service);
                   },
-              .findReplica = std::move(findReplica)})
+              .findReplica = std::move(findReplica)},
+             options)
 {
 }
 
@@ -127,6 +129,9 @@
     slotRequest.connected = query.connected;
     slotRequest.version = query.version;
     slotRequest.soleVersionFor = query.soleVersionFor;
+    slotRequest.workspace = query.workspace;
+    slotRequest.weight = query.weight;
+    slotRequest.cost = query.cost;
     this->sendToDispatcher(query.service, slotRequest);
 }
 
@@ -184,7 +189,7 @@
     });
 }
 
-void PlacementClient::end(Ticket ticket, PlacementVerdict verdict)
+void PlacementClient::end(Ticket ticket, PlacementVerdict verdict, const RunTiming &timing)
 {
     const auto found = this->requests.find(ticket);
     if (found == this->requests.end()) {
@@ -197,16 +202,16 @@
         state.local.end(*request.replica, verdict);
     }
     if (state.isDispatched) {
-        this->sendEnd(ticket, request.query.service, verdict);
+        this->sendEnd(ticket, request.query.service, verdict, timing);
     }
 }
 
-void PlacementClient::sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict)
+void PlacementClient::sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict, const RunTiming &timing)
 {
-    this->sendToDispatcher(service, PlacementEnd{this->peers.self(), ticket, service.value(), verdict, false});
+    this->sendToDispatcher(service, PlacementEnd{this->peers.self(), ticket, service.value(), verdict, false, timing});
 }
 
-void PlacementClient::reportStarted(Ticket ticket, const ReportedLoad &load)
+void PlacementClient::reportStarted(Ticket ticket, const ReportedLoad &load, std::uint32_t pace)
 {
     const auto found = this->requests.find(ticket);
     if (found == this->requests.end() || !found->second.replica) {
@@ -216,7 +221,7 @@
     if (!this->stateOf(service).isDispatched) {
         return;
     }
-    this->sendToDispatcher(service, PlacementStarted{service.value(), *found->second.replica, load, false});
+    this->sendToDispatcher(service, PlacementStarted{service.value(), *found->second.replica, load, false, pace});
 }
 
 void PlacementClient::decide(Ticket ticket, const Placement &placement)
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -67,7 +67,8 @@
                     PeerNetwork &peers,
                     CoordinatorElections &elections,
                     FailureDomain ownDomain,
-                    PlacementServer::FindReplica findReplica);
+                    PlacementServer::FindReplica findReplica,
+                    const DispatcherOptions &options);
     ~PlacementClient();
     PlacementClient(const PlacementClient &) = delete;
     PlacementClient &operator=(const PlacementClient &) = delete;
@@ -81,11 +82,17 @@
     /** Requests a slot. The handler is never called from inside this call. */
     Ticket requestSlot(const PlacementQuery &query, DecisionHandler decided);
 
-    /** Ends a request that is complete or no longer needs a slot. */
-    void end(Ticket ticket, PlacementVerdict verdict);
+    /**
+     * Ends a request that is complete or no longer needs a slot.
+     * @param timing what the run showed of its replica's speed
+     */
+    void end(Ticket ticket, PlacementVerdict verdict, const RunTiming &timing = {});
 
-    /** Reports to the dispatcher that the replica of a placed request has started to answer, and the load that it stated. */
-    void reportStarted(Ticket ticket, const ReportedLoad &load);
+    /**
+     * Reports to the dispatcher that the replica of a placed request has started to answer, and the load that it stated.
+     * @param pace how long work takes on its machine, in percent of usual; 0: not stated
+     */
+    void reportStarted(Ticket ticket, const ReportedLoad &load, std::uint32_t pace = 0);
 
     /** Sets the members after a change. */
     void setView(const MemberViewPointer &view);
@@ -134,7 +141,7 @@
     /** Sends a message to the dispatcher of a service, or handles it on this node if no other one dispatches. */
     template <typename Message>
     void sendToDispatcher(const ServiceName &service, const Message &message);
-    void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict);
+    void sendEnd(Ticket ticket, const ServiceName &service, PlacementVerdict verdict, const RunTiming &timing = {});
     void placeLocally(Ticket ticket, OpenRequest &request);
     void decide(Ticket ticket, const Placement &placement);
     void decideLater(Ticket ticket, const Placement &placement);
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -26,9 +26,19 @@
 
 } // namespace
 
-PlacementServer::PlacementServer(
-    EventLoop &loop, const Clock &clock, PeerNetwork &peers, CoordinatorElections &elections, Hooks hooks)
-    : loop(loop), clock(clock), peers(peers), elections(elections), hooks(std::move(hooks)), view(peers.roleView())
+PlacementServer::PlacementServer(EventLoop &loop,
+                                 const Clock &clock,
+                                 PeerNetwork &peers,
+                                 CoordinatorElections &elections,
+                                 Hooks hooks,
+                                 const DispatcherOptions &options)
+    : loop(loop)
+    , clock(clock)
+    , peers(peers)
+    , elections(elections)
+    , hooks(std::move(hooks))
+    , options(options)
+    , view(peers.roleView())
 {
 }
 
@@ -150,6 +160,11 @@
         if (started && !this->forward(*started)) {
             this->handle(*started);
         }
+    } else if (datagram.number == ReplicaTimings::number) {
+        const auto timings = decode<ReplicaTimings>(datagram.payload);
+        if (timings && !this->forward(*timings)) {
+            this->handle(*timings);
+        }
     } else if (datagram.number == PlacementsRunning::number) {
         const auto report = decode<PlacementsRunning>(datagram.payload);
         if (report && !this->forward(datagram, *report)) {
@@ -192,14 +207,21 @@
 void PlacementServer::handle(const PlacementEnd &end)
 {
     if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(end.service))) {
-        dispatcher->end({end.from, end.ticket}, end.verdict);
+        dispatcher->end({end.from, end.ticket}, end.verdict, end.timing);
     }
 }
 
 void PlacementServer::handle(const PlacementStarted &started)
 {
     if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(started.service))) {
-        dispatcher->recordLoad(started.replica, started.load);
+        dispatcher->recordLoad(started.replica, started.load, started.pace);
+    }
+}
+
+void PlacementServer::handle(const ReplicaTimings &timings)
+{
+    if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(timings.service))) {
+        dispatcher->recordTimings(timings.replicas);
     }
 }
 
@@ -223,6 +245,9 @@
     request.avoided = slotRequest.avoided;
     request.connected = slotRequest.connected;
     request.version = slotRequest.version;
+    request.workspace = slotRequest.workspace;
+    request.weight = slotRequest.weight;
+    request.cost = slotRequest.cost;
     if (slotRequest.soleVersionFor.count() > 0) {
         const std::optional<SoftwareVersion> sole = this->soleVersion(service, slotRequest.soleVersionFor);
         if (!sole) {
@@ -273,7 +298,7 @@
                         service, id, {id.number, service.value(), PlacementDecision::Refused, {}, retryAfter, {}, {}, {}});
                 },
         };
-        state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks));
+        state.dispatcher = std::make_unique<Dispatcher>(this->clock, std::move(hooks), this->options);
         ReplicaUpdate update;
         for (const auto &[instance, replica] : state.replicas) {
             update.put.push_back(replica);
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -42,7 +42,12 @@
         FindReplica findReplica;
     };
 
-    PlacementServer(EventLoop &loop, const Clock &clock, PeerNetwork &peers, CoordinatorElections &elections, Hooks hooks);
+    PlacementServer(EventLoop &loop,
+                    const Clock &clock,
+                    PeerNetwork &peers,
+                    CoordinatorElections &elections,
+                    Hooks hooks,
+                    const DispatcherOptions &options);
     ~PlacementServer();
     PlacementServer(const PlacementServer &) = delete;
     PlacementServer &operator=(const PlacementServer &) = delete;
@@ -73,6 +78,7 @@
     void handle(const PlacementsRunning &report, const Address &client = {});
     void handle(const PlacementEnd &end);
     void handle(const PlacementStarted &started);
+    void handle(const ReplicaTimings &timings);
 
     /** Handles a datagram of another node. */
     void receive(const Datagram &datagram);
@@ -125,6 +131,7 @@
     PeerNetwork &peers;
     CoordinatorElections &elections;
     Hooks hooks;
+    DispatcherOptions options;
     std::map<ServiceName, ServiceState> services;
     MemberViewPointer view;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -136,7 +136,9 @@
     CHECK(decodeReplicaAnswer(misdirected).isNotExecuted);
 }
 
-TEST_CASE("the load header of a replica must consist of three whole numbers")
+// A replica that shares its machine states a fourth number. If that made the header invalid, the dispatcher would know nothing of
+// such replicas' load.
+TEST_CASE("the load header of a replica must consist of three or four whole numbers")
 {
     const auto stated = [](const std::string &text) {
         MessageHead head;
@@ -149,7 +151,25 @@
     CHECK(load->load.running == 3);
     CHECK(load->load.waiting == 1);
     CHECK(load->slots == 8);
-    for (const char *const bad : {"", "3", "3,1", "3,1,", "3,1,8,", "3,1,8x", "-3,1,8", "3, 1,8", "3,,8", "3,1,99999999999"}) {
+    CHECK(load->pace == 0);
+    const auto onSharedMachine = stated("3,1,8,250");
+    REQUIRE(onSharedMachine);
+    CHECK(onSharedMachine->load.running == 3);
+    CHECK(onSharedMachine->slots == 8);
+    CHECK(onSharedMachine->pace == 250);
+    for (const char *const bad : {"",
+                                  "3",
+                                  "3,1",
+                                  "3,1,",
+                                  "3,1,8,",
+                                  "3,1,8x",
+                                  "-3,1,8",
+                                  "3, 1,8",
+                                  "3,,8",
+                                  "3,1,99999999999",
+                                  "3,1,8,x",
+                                  "3,1,8,250,",
+                                  "3,1,8,250,1"}) {
         CHECK_FALSE_MESSAGE(stated(bad), bad);
     }
     CHECK_FALSE(decodeReplicaAnswer(MessageHead()).stated);
