LibDispatch: Learn the speed and the concurrency limit of each replica

Cause: replicas were ordered by used slots alone, so a slow one and a fast one looked equal, and one that answers errors quickly looked free. Change: for services whose replicas state the pace of their machine, the dispatcher learns from finished runs how fast each replica is (ReplicaSpeed, ServiceSpeed), at which concurrency it works best (ConcurrencyLimit), and how large a part of its answers are errors (ReplicaCircuitBreaker). Nodes measure runs (RunMeasurement) and report their means to a new dispatcher (MeasuredReplicas).

--- a/Libraries/LibDispatch/DispatchedReplica.h
+++ b/Libraries/LibDispatch/DispatchedReplica.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibDispatch/ConcurrencyLimit.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaCircuitBreaker.h>
 #include <LibDispatch/ReplicaSlots.h>
+#include <LibDispatch/ReplicaSpeed.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -19,6 +22,13 @@
  */
 inline constexpr std::chrono::milliseconds batchStartDelay{30};
 
+/**
+ * Minimum share by which the expected time of a request grows from an idle replica to a full one. It keeps equal replicas
+ * evenly loaded where measurements show no effect of the load.
+ */
+inline constexpr double minLoadEffect = 0.25;
+inline constexpr double maxLoadEffect = 2;
+
 /** The state of one replica at its dispatcher. */
 struct DispatchedReplica
 {
@@ -31,11 +41,21 @@
     ReplicaSlots slots;
     /** When it last had no free slot. */
     SteadyTime lastFull{};
+    /** Whether it is selected by its learned speed and concurrency limit, and not by its slots alone. */
+    bool isCapacityLearned = false;
+    ReplicaSpeed speed;
+    ConcurrencyLimit concurrency;
+
+    /** @return the number of requests that it may run concurrently. */
+    std::uint32_t usableSlots() const
+    {
+        return this->isCapacityLearned ? this->concurrency.value(this->traits.slots) : this->traits.slots;
+    }
 
     /** @return whether at least one slot is free. */
     bool hasFreeSlot(SteadyTime now) const
     {
-        return this->slots.used(now) < this->traits.slots;
+        return this->slots.used(now) < this->usableSlots();
     }
 
     /** @return whether it accepts requests and has a free slot. */
@@ -58,16 +78,43 @@
             next = time && (!next || *time < *next) ? time : next;
         };
         consider(this->breaker.maySendAt(now));
+        if (this->isCapacityLearned) {
+            const SteadyTime speedChange = this->speed.nextChange(now);
+            consider(speedChange == SteadyTime::max() ? std::nullopt : std::optional(speedChange));
+        }
         if (now - this->lastFull < batchStartDelay) {
             consider(this->lastFull + batchStartDelay);
         }
         return next;
     }
 
-    /** @return the share of its slots that is in use. */
+    /**
+     * @return how unfavourable it is for one more request: the share of its slots that is in use, or, if its capacity is
+     * learned, the expected time of the request relative to an idle replica of the service's median speed
+     */
     double load(SteadyTime now) const
     {
-        return static_cast<double>(this->slots.used(now)) / this->traits.slots;
+        const double used = static_cast<double>(this->slots.used(now)) / this->usableSlots();
+        return this->isCapacityLearned ? this->idleTime(now) * (1 + this->loadEffect() * used) : used;
+    }
+
+    /** @return by how much one more running request changes load(). */
+    double loadOfRequest(SteadyTime now) const
+    {
+        const double effect = this->isCapacityLearned ? this->idleTime(now) * this->loadEffect() : 1;
+        return effect / this->usableSlots();
+    }
+
+private:
+    /** @return the expected time of a request while nothing else runs, with the repetitions that its errors cause. */
+    double idleTime(SteadyTime now) const
+    {
+        return this->speed.expected(now) / (1 - std::min(this->breaker.errorShare(), 0.9));
+    }
+
+    double loadEffect() const
+    {
+        return std::clamp(this->concurrency.slowdown(), minLoadEffect, maxLoadEffect);
     }
 };
 
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -1,5 +1,7 @@
 #include <LibDispatch/Dispatcher.h>
 
+#include <LibBase/Log.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -48,7 +50,13 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options)
-    : clock(clock), hooks(std::move(hooks)), options(options), index(clock), waiting(clock), forecast(clock)
+    : clock(clock)
+    , hooks(std::move(hooks))
+    , options(options)
+    , index(clock)
+    , waiting(clock)
+    , forecast(clock)
+    , isCapacityLearned(options.capacityLearning == CapacityLearning::Always)
 {
 }
 
@@ -88,6 +96,7 @@
     if (isNew) {
         replica.nameHash = nameHashOf(traits.instance);
         replica.number = ++this->lastReplica;
+        replica.isCapacityLearned = this->isCapacityLearned;
     } else {
         this->slotCount -= slotsOf(replica);
         this->countVersion(replica.traits, -1);
@@ -284,30 +293,109 @@
     this->decisions.push_back({PlacementDecision::Refused, request.id, {}, wait});
 }
 
-void Dispatcher::end(TicketId id, PlacementVerdict verdict, const RunTiming & /*timing*/)
+void Dispatcher::end(TicketId id, PlacementVerdict verdict, const RunTiming &timing)
 {
     this->waiting.remove(id);
     const auto placed = this->placements.find(id);
     if (placed != this->placements.end()) {
-        this->endPlacement(placed, verdict);
+        this->endPlacement(placed, verdict, timing);
     }
     this->assign();
     this->deliverDecisions();
 }
 
-void Dispatcher::recordLoad(const EndpointName &instance, const ReportedLoad &load, std::uint32_t /*pace*/)
+void Dispatcher::recordLoad(const EndpointName &instance, const ReportedLoad &load, std::uint32_t pace)
 {
+    this->recordStatedPace(pace);
     const auto found = this->replicas.find(instance);
     if (found != this->replicas.end()) {
         found->second.slots.recordReport(load, this->clock.now());
+        found->second.speed.recordPace(pace, this->clock.now());
         this->index.update(found->second);
         this->assign();
         this->deliverDecisions();
     }
 }
 
-void Dispatcher::recordTimings(const std::vector<ReplicaTiming> & /*timings*/)
+void Dispatcher::recordTimings(const std::vector<ReplicaTiming> &timings)
+{
+    if (!this->isCapacityLearned) {
+        return;
+    }
+    std::unordered_map<std::uint32_t, DispatchedReplica *> byNameHash;
+    for (auto &[instance, replica] : this->replicas) {
+        byNameHash.emplace(replica.nameHash, &replica);
+    }
+    const SteadyTime now = this->clock.now();
+    for (const ReplicaTiming &timing : timings) {
+        const auto found = byNameHash.find(timing.replica);
+        const std::optional<double> relative = this->serviceSpeed.compare(timing);
+        if (found != byNameHash.end() && relative) {
+            found->second->speed.recordMean(*relative, timing.runs, now);
+            this->index.update(*found->second);
+        }
+    }
+    this->assign();
+    this->deliverDecisions();
+}
+
+void Dispatcher::recordStatedPace(std::uint32_t pace)
 {
+    if (pace > 0 && this->options.capacityLearning == CapacityLearning::Stated && !this->isCapacityLearned) {
+        this->learnCapacity();
+    }
+}
+
+void Dispatcher::learnCapacity()
+{
+    this->isCapacityLearned = true;
+    for (auto &[instance, replica] : this->replicas) {
+        replica.isCapacityLearned = true;
+        this->index.update(replica);
+    }
+}
+
+void Dispatcher::recordTiming(const Placement &placement, const RunTiming &timing)
+{
+    this->recordStatedPace(timing.statedPace);
+    DispatchedReplica *const replica = this->replicaOf(placement);
+    if (!this->isCapacityLearned || replica == nullptr) {
+        return;
+    }
+    const std::optional<double> relative = this->serviceSpeed.recordRun(placement.work, timing, replica->speed.usual());
+    if (!relative) {
+        return;
+    }
+    const SteadyTime now = this->clock.now();
+    const std::size_t former = slotsOf(*replica);
+    const std::uint32_t concurrency = (placement.concurrency + replica->slots.used(now) + 1) / 2;
+    replica->concurrency.recordRun(*relative / replica->speed.usual(), concurrency, now);
+    replica->speed.recordRun(*relative, timing.statedPace, now);
+    this->recountSlots(*replica, former);
+}
+
+void Dispatcher::recountSlots(DispatchedReplica &replica, std::size_t former)
+{
+    const std::size_t current = slotsOf(replica);
+    if (current != former) {
+        this->slotCount += current - former;
+        this->forecast.setSlots(this->slotCount);
+        log(LogLevel::Info,
+            "concurrency limit of a replica changed",
+            {{"replica", replica.traits.instance.value()},
+             {"slots", static_cast<std::int64_t>(replica.traits.slots)},
+             {"former", static_cast<std::int64_t>(former)},
+             {"limit", static_cast<std::int64_t>(current)}});
+    }
+}
+
+bool Dispatcher::mayBlockForErrors(const DispatchedReplica &replica) const
+{
+    std::size_t blocked = replica.breaker.isBlockedForErrors() ? 0 : slotsOf(replica);
+    for (const auto &[instance, other] : this->replicas) {
+        blocked += other.breaker.isBlockedForErrors() ? slotsOf(other) : 0;
+    }
+    return blocked * 2 <= this->slotCount;
 }
 
 void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
@@ -340,7 +428,7 @@
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
         this->waiting.remove(id);
-        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
+        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt, 0});
         replica->second.slots.acquire(work);
         this->index.update(replica->second);
         if (work == WorkClass::Batch) {
@@ -539,7 +627,8 @@
     }
     const std::chrono::nanoseconds slack = now > request.due ? std::chrono::nanoseconds::max() : request.due - now;
     this->placements.insert_or_assign(
-        request.id, Placement{request.id, request.work, replica.traits.instance, now, now, slack, std::nullopt});
+        request.id,
+        Placement{request.id, request.work, replica.traits.instance, now, now, slack, std::nullopt, replica.slots.used(now)});
     if (request.work == WorkClass::Batch) {
         this->stoppable.emplace(slack, request.id);
     }
@@ -564,12 +653,19 @@
     return found != this->replicas.end() ? &found->second : nullptr;
 }
 
-void Dispatcher::endPlacement(Placements::iterator placement, PlacementVerdict verdict)
+void Dispatcher::endPlacement(Placements::iterator placement, PlacementVerdict verdict, const RunTiming &timing)
 {
     const Placement &entry = placement->second;
     const SteadyTime now = this->clock.now();
     if (DispatchedReplica *const replica = this->replicaOf(entry)) {
-        replica->breaker.recordEnd(verdict, now);
+        if (this->isCapacityLearned && timing.isError) {
+            replica->breaker.recordError(this->mayBlockForErrors(*replica), now);
+        } else {
+            replica->breaker.recordEnd(verdict, now);
+        }
+        if (verdict == PlacementVerdict::Finished) {
+            this->recordTiming(entry, timing);
+        }
         this->index.update(*replica);
     }
     if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
@@ -603,7 +699,7 @@
 
 std::size_t Dispatcher::slotsOf(const DispatchedReplica &replica)
 {
-    return replica.traits.isDraining ? 0 : replica.traits.slots;
+    return replica.traits.isDraining ? 0 : replica.usableSlots();
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/ReplicaIndex.h>
 #include <LibDispatch/ReplicaUpdate.h>
 #include <LibDispatch/RetrySchedule.h>
+#include <LibDispatch/ServiceSpeed.h>
 #include <LibDispatch/WaitingQueue.h>
 
 #include <chrono>
@@ -120,6 +121,8 @@
         std::chrono::nanoseconds slack{0};
         /** When the last stop order was sent, if any. */
         std::optional<SteadyTime> stopped;
+        /** Number of requests at the replica when it was placed, with this one. */
+        std::uint32_t concurrency = 0;
     };
 
     /** A decision that is not delivered to the hooks yet. */
@@ -160,9 +163,18 @@
     /** Refuses, under sustained overload, late requests that are unlikely to get a slot before their deadline. */
     void refuseUnplaceable();
     void refuseRequest(const PlacementRequest &request, std::chrono::nanoseconds retryAfter);
+    /** Starts to learn the capacity of all replicas once one of them states the pace of its machine, if the options say so. */
+    void recordStatedPace(std::uint32_t pace);
+    void learnCapacity();
+    /** Learns from a run what its replica can do. */
+    void recordTiming(const Placement &placement, const RunTiming &timing);
+    /** Applies a change of a replica's usable slots to their total. */
+    void recountSlots(DispatchedReplica &replica, std::size_t former);
+    /** @return whether one more replica may be blocked for errors: at most half of the slots may be. */
+    bool mayBlockForErrors(const DispatchedReplica &replica) const;
     void stop(Placement &placement);
     /** Records the outcome of a placement and erases it. */
-    void endPlacement(Placements::iterator placement, PlacementVerdict verdict);
+    void endPlacement(Placements::iterator placement, PlacementVerdict verdict, const RunTiming &timing);
     void erasePlacement(Placements::iterator placement);
     bool isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const;
     static std::size_t slotsOf(const DispatchedReplica &replica);
@@ -187,6 +199,8 @@
     SteadyTime nextCleanup{};
     LoadForecast forecast;
     RetrySchedule retries;
+    bool isCapacityLearned = false;
+    ServiceSpeed serviceSpeed;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
+++ b/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/ReplicaCircuitBreaker.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -20,6 +21,13 @@
 constexpr std::chrono::milliseconds maxPause{1600};
 /** How long the outcome of a probe request is awaited before the next request may probe the replica. */
 constexpr std::chrono::milliseconds probeTimeout{400};
+/** Weight of one answer in the share of errors; about the last six count. */
+constexpr double errorWeight = 0.15;
+/** Blocked from this share on: three errors in a row, or about four of eight answers. Single requests that always fail are not
+ * that many. */
+constexpr double maxErrorShare = 0.38;
+/** A replica whose probe succeeds is used again, but a further error blocks it soon. */
+constexpr double errorShareAfterProbe = 0.2;
 
 } // namespace
 
@@ -35,7 +43,7 @@
 
 void ReplicaCircuitBreaker::recordSent(SteadyTime now)
 {
-    if (this->failures >= disconnectsToBlock) {
+    if (this->failures >= disconnectsToBlock || this->errorBlocks > 0) {
         this->block(probeTimeout, now);
     }
 }
@@ -46,6 +54,10 @@
     case PlacementVerdict::Finished:
         this->failures = 0;
         this->blockedUntil = {};
+        this->recentErrors -= errorWeight * this->recentErrors;
+        if (std::exchange(this->errorBlocks, 0) > 0) {
+            this->recentErrors = errorShareAfterProbe;
+        }
         return;
     case PlacementVerdict::Rejected:
         this->block(rejectedPause, now);
@@ -63,6 +75,33 @@
     this->block(std::min(initialPause * (1 << doublings), maxPause), now);
 }
 
+void ReplicaCircuitBreaker::recordError(bool mayBlock, SteadyTime now)
+{
+    this->failures = 0;
+    this->recentErrors += errorWeight * (1 - this->recentErrors);
+    if (!mayBlock) {
+        this->errorBlocks = 0;
+        this->blockedUntil = {};
+        return;
+    }
+    if (this->errorBlocks == 0 && this->recentErrors < maxErrorShare) {
+        return;
+    }
+    const int doublings = std::min(this->errorBlocks, 3);
+    ++this->errorBlocks;
+    this->block(std::min(initialPause * (1 << doublings), maxPause), now);
+}
+
+double ReplicaCircuitBreaker::errorShare() const
+{
+    return this->recentErrors;
+}
+
+bool ReplicaCircuitBreaker::isBlockedForErrors() const
+{
+    return this->errorBlocks > 0;
+}
+
 void ReplicaCircuitBreaker::block(std::chrono::milliseconds time, SteadyTime now)
 {
     this->blockedUntil = std::max(this->blockedUntil, now + time);
--- a/Libraries/LibDispatch/ReplicaCircuitBreaker.h
+++ b/Libraries/LibDispatch/ReplicaCircuitBreaker.h
@@ -28,10 +28,25 @@
     /** Records how a request ended. */
     void recordEnd(PlacementVerdict verdict, SteadyTime now);
 
+    /**
+     * Records that the replica answered a request with an error of its own. Such a replica answers quickly, and it looks free.
+     * @param mayBlock whether it may be blocked, because enough other replicas are usable
+     */
+    void recordError(bool mayBlock, SteadyTime now);
+
+    /** @return the share of errors among recent answers. */
+    double errorShare() const;
+
+    /** @return whether it is blocked, or probed, because of errors. */
+    bool isBlockedForErrors() const;
+
 private:
     void block(std::chrono::milliseconds time, SteadyTime now);
 
     int failures = 0;
+    double recentErrors = 0;
+    /** How often it was blocked for errors without a successful answer since. */
+    int errorBlocks = 0;
     SteadyTime blockedUntil{};
 };
 
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -17,10 +17,11 @@
 constexpr double crossDomainPenalty = 0.9;
 
 /** @return the score of a replica for a request; the lowest is best. */
-double scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, double load, bool isConnected)
+double scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, double load, bool isConnected, SteadyTime now)
 {
     const bool isSameDomain = replica.traits.failureDomain == request.failureDomain;
-    return load + ((isSameDomain ? 0.0 : crossDomainPenalty) - (isConnected ? connectionBonus : 0.0)) / replica.traits.slots;
+    const double requests = (isSameDomain ? 0.0 : crossDomainPenalty) - (isConnected ? connectionBonus : 0.0);
+    return load + requests * replica.loadOfRequest(now);
 }
 
 } // namespace
@@ -134,7 +135,7 @@
             if (request.avoids(replica->traits.instance)) {
                 continue;
             }
-            const double score = scoreOf(request, *replica, key.first, false);
+            const double score = scoreOf(request, *replica, key.first, false, this->clock.now());
             if (best == nullptr || score < bestScore) {
                 best = replica;
                 bestScore = score;
@@ -159,7 +160,7 @@
             if (!isUsable) {
                 continue;
             }
-            const double score = scoreOf(request, replica, position->second.key.first, true);
+            const double score = scoreOf(request, replica, position->second.key.first, true, this->clock.now());
             const bool isFirst = best == nullptr || score < bestScore || (score == bestScore && replica.number < best->number);
             if (isFirst) {
                 best = &replica;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -249,6 +249,7 @@
 {
     this->replica = replica;
     this->sentAt = this->context.clock.now();
+    this->measurement.start(this->sentAt);
     this->run
         = {(static_cast<std::uint64_t>(this->context.random()) << 32) ^ this->context.random(), this->lastEvent.value_or(0)};
     this->answer.reset();
@@ -276,6 +277,7 @@
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     this->answer = head;
     const bool isGood = isSuccess(read.status);
+    this->measurement.recordHead(read.stated ? read.stated->pace : 0, read.isSigned && read.status >= statusServerError);
     if (read.isNotExecuted) {
         const bool isFull = read.status == statusUnavailable;
         this->continueElsewhere(isFull ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable,
@@ -288,7 +290,8 @@
         this->finish(End::Failed);
     } else {
         // The dispatcher waits for this report: it places no second item at the replica before its load is known.
-        this->context.placements.reportStarted(this->ticket, read.stated.value_or(StatedLoad()).load);
+        const StatedLoad stated = read.stated.value_or(StatedLoad());
+        this->context.placements.reportStarted(this->ticket, stated.load, stated.pace);
     }
 }
 
@@ -312,6 +315,7 @@
         this->lastGenerated = this->run;
         this->lastEvent = event.id;
     }
+    this->measurement.recordEvents(static_cast<std::uint32_t>(events.size()), this->context.clock.now());
     if (this->eventsOfRun() >= minEventsOfServedPrompt && !std::exchange(this->isPromptServed, true)) {
         this->context.recordPromptServed(promptParts(this->target.service, this->sharedParts));
     }
@@ -353,7 +357,8 @@
         this->context.replicaConnections.cancel(std::exchange(this->call, 0));
     }
     if (this->ticket != 0) {
-        this->context.placements.end(std::exchange(this->ticket, 0), verdict);
+        const RunTiming timing = this->replica ? this->measurement.timing() : RunTiming();
+        this->context.placements.end(std::exchange(this->ticket, 0), verdict, timing);
     }
     if (this->replica && verdict != PlacementVerdict::Finished) {
         this->avoided.push_back(this->replica->instance);
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDispatch/RunMeasurement.h>
 #include <LibGateway/BatchTypes.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/JobRows.h>
@@ -108,6 +109,7 @@
     PlacementClient::Ticket ticket = 0;
     std::optional<ServingReplica> replica;
     OutboundPool::CallId call = 0;
+    RunMeasurement measurement;
     std::optional<MessageHead> answer;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -34,9 +34,18 @@
 constexpr std::chrono::milliseconds listCheckInterval{20};
 /** A list of replicas that is older than this may lack a version that other nodes know. */
 constexpr std::chrono::milliseconds maxFreshListAge{2000};
+/** From this pace on, in percent of usual, the dispatcher is notified that a replica's machine is disturbed. */
+constexpr std::uint32_t disturbedPace = 150;
 /** A stream's origin is kept this long after its caller's timeout, as the caller's clock differs from this node's. */
 constexpr std::chrono::milliseconds originMargin{1000};
 
+/** @return whether the dispatcher has to know of this load, because requests wait there or the machine is disturbed. */
+bool isUnexpected(const StatedLoad &stated)
+{
+    const bool isFull = stated.load.waiting > 0 || stated.load.running >= stated.slots;
+    return isFull || stated.pace >= disturbedPace;
+}
+
 std::int64_t millisecondsBetween(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
@@ -356,6 +365,7 @@
     this->version = replica.version;
     this->stage = Stage::Sending;
     this->sent = this->now();
+    this->measurement.start(this->sent);
     ++this->attempts;
     this->body.clear();
     this->eventsBeforeAttempt = this->eventsForwarded;
@@ -380,9 +390,10 @@
     }
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     const bool isGood = isSuccess(read.status);
+    this->measurement.recordHead(read.stated ? read.stated->pace : 0, read.isSigned && read.status >= statusServerError);
     // Reports only a load that the dispatcher does not expect; a datagram for each request would repeat what it knows.
-    if (isGood && read.stated && (read.stated->load.waiting > 0 || read.stated->load.running >= read.stated->slots)) {
-        this->context.placements.reportStarted(this->placementTicket, read.stated->load);
+    if (isGood && read.stated && isUnexpected(*read.stated)) {
+        this->context.placements.reportStarted(this->placementTicket, read.stated->load, read.stated->pace);
     }
     if (read.isNotExecuted) {
         const PlacementVerdict verdict
@@ -439,6 +450,7 @@
         }
         passed.append(event.text);
     }
+    this->measurement.recordEvents(static_cast<std::uint32_t>(events.size()), this->now());
     this->exchange->write(passed);
     if (this->eventsForwarded - this->eventsBeforeAttempt >= minEventsOfServedPrompt) {
         this->recordPromptServed();
@@ -496,6 +508,7 @@
 {
     this->recordPromptServed();
     this->context.recordRequestServed(this->fingerprint);
+    this->measurement.recordWholeAnswer(this->now());
     this->releaseReplica(PlacementVerdict::Finished);
     if (this->exchange->isStarted()) {
         this->exchange->abort();
@@ -576,7 +589,8 @@
         this->context.replicaConnections.cancel(std::exchange(this->call, 0));
     }
     if (this->placementTicket != 0) {
-        this->context.placements.end(std::exchange(this->placementTicket, 0), verdict);
+        const RunTiming timing = this->replica ? this->measurement.timing() : RunTiming();
+        this->context.placements.end(std::exchange(this->placementTicket, 0), verdict, timing);
     }
     if (this->replica) {
         this->avoided.push_back(this->replica->instance);
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDispatch/RunMeasurement.h>
 #include <LibGateway/CallerAccess.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ServingConfiguration.h>
@@ -133,6 +134,7 @@
     /** Set until the query for the origin of the stream is answered. */
     StreamOriginExchange::Ticket originTicket = 0;
     OutboundPool::CallId call = 0;
+    RunMeasurement measurement;
     MessageHead answer;
     std::string body;
     EventSplitter splitter;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -201,6 +201,9 @@
     if (request.isLocal) {
         state.local.end(*request.replica, verdict);
     }
+    if (request.replica && verdict == PlacementVerdict::Finished) {
+        state.measured.record(nameHashOf(*request.replica), timing, this->clock.now());
+    }
     if (state.isDispatched) {
         this->sendEnd(ticket, request.query.service, verdict, timing);
     }
@@ -366,6 +369,15 @@
     state.suspectedUntil = {};
     // The new dispatcher has to know which requests run, or it would fill the replicas a second time.
     this->reportRunning(service, state);
+    this->reportMeasured(service, state);
+}
+
+void PlacementClient::reportMeasured(const ServiceName &service, const ServiceState &state)
+{
+    const std::vector<ReplicaTiming> timings = state.measured.timings(this->clock.now());
+    if (!timings.empty()) {
+        this->sendToDispatcher(service, ReplicaTimings{this->peers.self(), service.value(), timings, false});
+    }
 }
 
 void PlacementClient::receive(const Datagram &datagram)
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/Dispatcher.h>
 #include <LibDispatch/LocalPlacement.h>
+#include <LibDispatch/MeasuredReplicas.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/DatagramSocket.h>
@@ -130,6 +131,7 @@
     {
         bool isDispatched = false;
         LocalPlacement local;
+        MeasuredReplicas measured{};
         /** Until then the dispatcher is considered unavailable. */
         SteadyTime suspectedUntil{};
         SteadyTime lastReport{};
@@ -148,6 +150,7 @@
     void refuseLater(Ticket ticket, const PlacementQuery &query);
     void tickRequest(Ticket ticket, OpenRequest &request);
     void reportRunning(const ServiceName &service, ServiceState &state);
+    void reportMeasured(const ServiceName &service, const ServiceState &state);
     void handleAnswer(const PlacementAnswer &answer);
     void handleDispatcherChange(const ServiceName &service);
 
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -220,9 +220,7 @@
 
 void PlacementServer::handle(const ReplicaTimings &timings)
 {
-    if (Dispatcher *const dispatcher = this->findDispatcher(ServiceName(timings.service))) {
-        dispatcher->recordTimings(timings.replicas);
-    }
+    this->dispatcherFor(ServiceName(timings.service)).recordTimings(timings.replicas);
 }
 
 void PlacementServer::handle(const SlotRequest &slotRequest, const Address &client)
