LibDispatch: Share slots between workspaces when there are too few

Cause: requests waited by priority, lateness and arrival, so a workspace that sent many times its usual load took the slots of all others. Change: start-time fair queueing within a priority (WorkspaceShares), charged by expected tokens and corrected by the time for which the slot was held; a request that would be late because of its own workspace's backlog is refused at once; reservations for retries are limited to the workspace's share; waiting items of a workspace with debt are placed later, by half of their slack at most.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -47,6 +47,11 @@
  */
 constexpr double minSpareShare = 0.05;
 
+/** Weight of one request in the mean cost and in the mean time per token. */
+constexpr double workWeight = 0.02;
+/** A run is charged at most this many times its expected work: a slow replica is not the fault of a workspace. */
+constexpr double maxRealCost = 4;
+
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options)
@@ -54,7 +59,7 @@
     , hooks(std::move(hooks))
     , options(options)
     , index(clock)
-    , waiting(clock)
+    , waiting(clock, options.hasWorkspaceShares)
     , forecast(clock)
     , isCapacityLearned(options.capacityLearning == CapacityLearning::Always)
 {
@@ -141,11 +146,14 @@
         return true;
     }
     PlacementRequest admitted = request;
-    this->recognizeRetry(admitted);
+    const bool isRetry = this->recognizeRetry(admitted);
     this->waiting.add(admitted, this->clock.now());
     this->assign();
     this->forecast.recordWaiting(this->waiting.isAnyOnTime());
     this->refuseIfLate(admitted);
+    if (!isRetry) {
+        this->refuseIfOverShare(admitted);
+    }
     const bool isDecided = !this->waiting.contains(request.id);
     this->deliverDecisions();
     return isDecided;
@@ -212,24 +220,87 @@
     }
 }
 
-void Dispatcher::recognizeRetry(PlacementRequest &request)
+bool Dispatcher::recognizeRetry(PlacementRequest &request)
 {
     if (request.work != WorkClass::Online || !request.mayRefuse) {
-        return;
+        return false;
     }
     const std::optional<RetrySchedule::Retry> retry = this->retries.extract(request.content);
     if (!retry) {
         this->forecast.recordArrival();
-        return;
+        return false;
     }
     // A retry with reserved capacity is served before all later arrivals and is not refused again. A retry without goes
     // behind the requests that can be on time, because it would make them late in its place.
     request.arrived = std::min(request.arrived, retry->arrived);
     if (retry->isReserved) {
         request.mayRefuse = false;
+        request.isReserved = true;
     } else {
         request.due = this->clock.now() - std::chrono::milliseconds(1);
     }
+    return true;
+}
+
+std::chrono::duration<double> Dispatcher::expectedWait(const PlacementRequest &request, double rate) const
+{
+    auto ahead = static_cast<double>(this->waiting.onTimeAhead(request.priority));
+    const WaitingQueue::Waiting *const waiting = this->waiting.find(request.id);
+    if (this->waiting.isShared() && this->meanCost > 0 && waiting != nullptr) {
+        // Of the others only what their shares allow is served before it.
+        const double work = this->waiting.sharesOf(WorkClass::Online).workAhead(waiting->startTag);
+        ahead = std::min(ahead, work / this->meanCost);
+    }
+    return std::chrono::duration<double>(ahead / rate);
+}
+
+double Dispatcher::reservableShare(const PlacementRequest &request) const
+{
+    return this->waiting.isShared() ? this->waiting.sharesOf(WorkClass::Online).shareOf(request.workspace, request.weight) : 1;
+}
+
+void Dispatcher::refuseIfOverShare(const PlacementRequest &request)
+{
+    const double rate = this->forecast.serviceRate();
+    const WaitingQueue::Waiting *const waiting = this->waiting.find(request.id);
+    if (waiting == nullptr || request.work != WorkClass::Online || !request.mayRefuse || rate <= 0 || !this->waiting.isShared()) {
+        return;
+    }
+    const WorkspaceShares &shares = this->waiting.sharesOf(WorkClass::Online);
+    const SteadyTime now = this->clock.now();
+    const auto wait = std::chrono::ceil<std::chrono::nanoseconds>(this->expectedWait(request, rate));
+    const bool isOverShare = shares.isContended() && shares.debtOf(waiting->startTag) > 0;
+    if (!isOverShare || now > request.due || now + wait <= request.due) {
+        return;
+    }
+    const std::chrono::nanoseconds retryAfter
+        = std::min<std::chrono::nanoseconds>(wait, (request.deadline - now) / retryAfterDivisor);
+    this->retries.expect(request.content, request.arrived, now + retryAfter);
+    log(LogLevel::Info,
+        "request refused, its workspace is over its share",
+        {{"workspace", request.workspace.value()},
+         {"ticket", static_cast<std::int64_t>(request.id.number)},
+         {"priority", static_cast<std::int64_t>(request.priority)},
+         {"wait_ms", std::chrono::ceil<std::chrono::milliseconds>(wait).count()},
+         {"retry_after_ms", std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count()}});
+    this->refuseRequest(request, retryAfter);
+}
+
+void Dispatcher::chargeRun(const Placement &placement, std::chrono::nanoseconds holdTime)
+{
+    if (!this->waiting.isShared() || placement.cost == 0) {
+        return;
+    }
+    const bool isBatch = placement.work == WorkClass::Batch;
+    std::chrono::duration<double> &perToken = isBatch ? this->batchTimePerToken : this->onlineTimePerToken;
+    if (!placement.stopped) {
+        const std::chrono::duration<double> value = std::chrono::duration<double>(holdTime) / placement.cost;
+        perToken += (perToken.count() == 0 ? 1 : workWeight) * (value - perToken);
+    }
+    if (perToken.count() > 0) {
+        const double real = std::min(std::chrono::duration<double>(holdTime) / perToken, maxRealCost * placement.cost);
+        this->waiting.sharesOf(placement.work).charge(placement.workspace, real - placement.cost, placement.weight);
+    }
 }
 
 void Dispatcher::refuseIfLate(const PlacementRequest &request)
@@ -239,7 +310,7 @@
         return;
     }
     const SteadyTime now = this->clock.now();
-    const std::chrono::duration<double> wait(static_cast<double>(this->waiting.onTimeAhead(request.priority)) / rate);
+    const std::chrono::duration<double> wait = this->expectedWait(request, rate);
     const SteadyTime latest = now + (request.deadline - now) / retryAfterDivisor;
     const std::optional<SteadyTime> burstEnd = this->forecast.burstEnd();
     // A retry within the same burst would take the slot of a request that can still be on time. Serving this one late
@@ -248,8 +319,13 @@
         return;
     }
     const SteadyTime earliest = std::max(*burstEnd, now + (latest - now) / 2);
-    const std::optional<SteadyTime> retryAt
-        = this->retries.reserve(request.content, request.arrived, earliest, latest, this->forecast.spareCapacity());
+    const std::optional<SteadyTime> retryAt = this->retries.reserve(request.content,
+                                                                    request.arrived,
+                                                                    earliest,
+                                                                    latest,
+                                                                    this->forecast.spareCapacity(),
+                                                                    request.workspace,
+                                                                    this->reservableShare(request));
     if (retryAt) {
         this->refuseRequest(request, *retryAt - now);
     }
@@ -369,7 +445,9 @@
     const SteadyTime now = this->clock.now();
     const std::size_t former = slotsOf(*replica);
     const std::uint32_t concurrency = (placement.concurrency + replica->slots.used(now) + 1) / 2;
-    replica->concurrency.recordRun(*relative / replica->speed.usual(), concurrency, now);
+    if (placement.concurrency > 0) {
+        replica->concurrency.recordRun(*relative / replica->speed.usual(), concurrency, now);
+    }
     replica->speed.recordRun(*relative, timing.statedPace, now);
     this->recountSlots(*replica, former);
 }
@@ -428,7 +506,7 @@
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
         this->waiting.remove(id);
-        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt, 0});
+        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
         replica->second.slots.acquire(work);
         this->index.update(replica->second);
         if (work == WorkClass::Batch) {
@@ -547,7 +625,7 @@
             continue;
         }
         if ((this->*place)(request)) {
-            this->waiting.remove(request.id);
+            this->waiting.removePlaced(request.id);
         } else if (!request.isRestricted()) {
             // A request that any replica can serve finds no slot, so there is none for the others either.
             return;
@@ -625,10 +703,22 @@
     if (request.work == WorkClass::Online && now > request.due) {
         this->forecast.recordLatePlacement();
     }
+    if (request.work == WorkClass::Online && request.cost > 0) {
+        this->meanCost += (this->meanCost == 0 ? 1 : workWeight) * (request.cost - this->meanCost);
+    }
     const std::chrono::nanoseconds slack = now > request.due ? std::chrono::nanoseconds::max() : request.due - now;
-    this->placements.insert_or_assign(
-        request.id,
-        Placement{request.id, request.work, replica.traits.instance, now, now, slack, std::nullopt, replica.slots.used(now)});
+    this->placements.insert_or_assign(request.id,
+                                      Placement{request.id,
+                                                request.work,
+                                                replica.traits.instance,
+                                                now,
+                                                now,
+                                                slack,
+                                                std::nullopt,
+                                                replica.slots.used(now),
+                                                request.workspace,
+                                                request.weight,
+                                                request.cost});
     if (request.work == WorkClass::Batch) {
         this->stoppable.emplace(slack, request.id);
     }
@@ -668,6 +758,9 @@
         }
         this->index.update(*replica);
     }
+    if (verdict == PlacementVerdict::Finished) {
+        this->chargeRun(entry, now - entry.placed);
+    }
     if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
         this->forecast.recordRun(now - entry.placed);
     }
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -123,6 +123,9 @@
         std::optional<SteadyTime> stopped;
         /** Number of requests at the replica when it was placed, with this one. */
         std::uint32_t concurrency = 0;
+        WorkspaceName workspace{};
+        double weight = 1;
+        std::uint32_t cost = 0;
     };
 
     /** A decision that is not delivered to the hooks yet. */
@@ -156,8 +159,19 @@
     bool isVersionServed(const PlacementRequest &request) const;
     /** Refuses waiting requests whose version no replica has. */
     void refuseUnserved();
-    /** Records the arrival of a request, or applies what was agreed if it is the retry of a refused one. */
-    void recognizeRetry(PlacementRequest &request);
+    /**
+     * Records the arrival of a request, or applies what was agreed if it is the retry of a refused one.
+     * @return whether it is a retry
+     */
+    bool recognizeRetry(PlacementRequest &request);
+    /** Refuses a new request of a workspace over its share that would be late because of the workspace's own backlog. */
+    void refuseIfOverShare(const PlacementRequest &request);
+    /** @return how long a waiting request has to wait for those that are served before it. */
+    std::chrono::duration<double> expectedWait(const PlacementRequest &request, double rate) const;
+    /** @return the share of the spare capacity that the workspace of a request may reserve for retries. */
+    double reservableShare(const PlacementRequest &request) const;
+    /** Charges the workspace of a run by the time for which it held its slot. */
+    void chargeRun(const Placement &placement, std::chrono::nanoseconds holdTime);
     /** Refuses a new request that would be late in a burst, if capacity can be reserved for its retry after the burst. */
     void refuseIfLate(const PlacementRequest &request);
     /** Refuses, under sustained overload, late requests that are unlikely to get a slot before their deadline. */
@@ -201,6 +215,11 @@
     RetrySchedule retries;
     bool isCapacityLearned = false;
     ServiceSpeed serviceSpeed;
+    /** Mean cost of online requests, in tokens, and mean time for which a slot is held per token, of online requests and of
+     * items. */
+    double meanCost = 0;
+    std::chrono::duration<double> onlineTimePerToken{0};
+    std::chrono::duration<double> batchTimePerToken{0};
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -96,6 +96,8 @@
     TicketId id;
     /** The failure domain of its node. */
     FailureDomain failureDomain;
+    /** Whether it is the retry of a refused request for which a slot was reserved. */
+    bool isReserved = false;
 };
 
 /** The properties of a replica that placement depends on. */
--- a/Libraries/LibDispatch/RetrySchedule.cpp
+++ b/Libraries/LibDispatch/RetrySchedule.cpp
@@ -13,8 +13,13 @@
 
 } // namespace
 
-std::optional<SteadyTime>
-RetrySchedule::reserve(std::uint64_t content, SteadyTime arrived, SteadyTime earliest, SteadyTime latest, double perSecond)
+std::optional<SteadyTime> RetrySchedule::reserve(std::uint64_t content,
+                                                 SteadyTime arrived,
+                                                 SteadyTime earliest,
+                                                 SteadyTime latest,
+                                                 double perSecond,
+                                                 const WorkspaceName &workspace,
+                                                 double share)
 {
     if (perSecond <= 0) {
         return std::nullopt;
@@ -24,14 +29,21 @@
     if (retryAt > latest) {
         return std::nullopt;
     }
+    // One reservation is always allowed, or a small workspace would have none while there is little capacity.
+    const double window = std::chrono::duration<double>(latest - earliest).count();
+    const std::size_t held = this->reservations[workspace];
+    if (share < 1 && held > 0 && static_cast<double>(held) >= perSecond * window * share) {
+        return std::nullopt;
+    }
+    ++this->reservations[workspace];
     this->last = retryAt;
-    this->expected.emplace(content, Retry{arrived, retryAt, true});
+    this->expected.emplace(content, Retry{arrived, retryAt, true, workspace});
     return retryAt;
 }
 
 void RetrySchedule::expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt)
 {
-    this->expected.emplace(content, Retry{arrived, retryAt, false});
+    this->expected.emplace(content, Retry{arrived, retryAt, false, {}});
 }
 
 std::optional<RetrySchedule::Retry> RetrySchedule::extract(std::uint64_t content)
@@ -42,14 +54,27 @@
     }
     const Retry retry = found->second;
     this->expected.erase(found);
+    this->releaseReservation(retry);
     return retry;
 }
 
 void RetrySchedule::removeExpired(SteadyTime now)
 {
-    std::erase_if(this->expected, [now](const auto &entry) {
-        return now > entry.second.retryAt + retention;
+    std::erase_if(this->expected, [this, now](const auto &entry) {
+        const bool isExpired = now > entry.second.retryAt + retention;
+        if (isExpired) {
+            this->releaseReservation(entry.second);
+        }
+        return isExpired;
     });
 }
 
+void RetrySchedule::releaseReservation(const Retry &retry)
+{
+    const auto held = this->reservations.find(retry.workspace);
+    if (retry.isReserved && held != this->reservations.end() && --held->second == 0) {
+        this->reservations.erase(held);
+    }
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/RetrySchedule.h
+++ b/Libraries/LibDispatch/RetrySchedule.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibBase/Identifiers.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <unordered_map>
 
 namespace Dogwoodkeel
 {
@@ -25,6 +28,8 @@
         SteadyTime retryAt{};
         /** Whether capacity is reserved for it. */
         bool isReserved = false;
+        /** The workspace that sent it; empty if it belongs to none. */
+        WorkspaceName workspace{};
     };
 
     /**
@@ -33,10 +38,17 @@
      * @param arrived when it came first
      * @param latest the last time at which the caller retries
      * @param perSecond retries for which there is capacity
+     * @param workspace of the request
+     * @param share of the capacity that the workspace may reserve
      * @return when the retry is due, or nothing if all capacity until then is reserved
      */
-    std::optional<SteadyTime>
-    reserve(std::uint64_t content, SteadyTime arrived, SteadyTime earliest, SteadyTime latest, double perSecond);
+    std::optional<SteadyTime> reserve(std::uint64_t content,
+                                      SteadyTime arrived,
+                                      SteadyTime earliest,
+                                      SteadyTime latest,
+                                      double perSecond,
+                                      const WorkspaceName &workspace = {},
+                                      double share = 1);
 
     /** Records a refused request without reserved capacity. */
     void expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt);
@@ -51,6 +63,10 @@
     void removeExpired(SteadyTime now);
 
 private:
+    void releaseReservation(const Retry &retry);
+
+    /** Number of reservations by workspace. */
+    std::unordered_map<WorkspaceName, std::size_t> reservations;
     std::multimap<std::uint64_t, Retry> expected;
     SteadyTime last{};
 };
--- a/Libraries/LibDispatch/WaitingQueue.h
+++ b/Libraries/LibDispatch/WaitingQueue.h
@@ -2,11 +2,13 @@
 
 #include <LibBase/Clock.h>
 #include <LibDispatch/PlacementTypes.h>
+#include <LibDispatch/WorkspaceShares.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <tuple>
 
 namespace Dogwoodkeel
@@ -14,8 +16,8 @@
 
 /**
  * Holds the requests and items that wait for a slot, in the order in which they are served: by priority; then those
- * that can still be on time before the late ones; then online requests by arrival and batch items by the time they have
- * to start.
+ * that can still be on time before the late ones; then online requests by the shares of their workspaces and by arrival,
+ * and batch items by the time they have to start.
  *
  * Under overload, serving in order of arrival or of deadline alone makes every request late: the slots go to requests
  * that have just missed their objective.
@@ -28,28 +30,37 @@
         PlacementRequest request;
         /** When its node last sent the request. */
         SteadyTime lastRequested{};
+        /** See WorkspaceShares; 0 if slots are not shared between workspaces. */
+        double startTag = 0;
+        /** Whether its workspace is charged for it. */
+        bool isCharged = false;
     };
 
     /**
-     * Priority, whether it is late, arrival (online) or latest start (batch), and ticket; the smallest key is served
-     * first.
+     * Priority, whether it is late, start tag (online), arrival (online) or latest start (batch), and ticket; the smallest
+     * key is served first.
      */
-    using Key = std::tuple<std::uint32_t, bool, SteadyTime, TicketId>;
+    using Key = std::tuple<std::uint32_t, bool, double, SteadyTime, TicketId>;
     using Queue = std::map<Key, Waiting>;
 
-    explicit WaitingQueue(const Clock &clock);
+    /** @param hasShares whether slots are shared between workspaces once a request belongs to one */
+    explicit WaitingQueue(const Clock &clock, bool hasShares = true);
 
     void add(const PlacementRequest &request, SteadyTime lastRequested);
 
-    /** Removes a waiting request; does nothing if it does not wait. */
+    /** Removes a waiting request that is not placed; does nothing if it does not wait. */
     void remove(TicketId id);
 
+    /** Removes a waiting request that is placed now. */
+    void removePlaced(TicketId id);
+
     void removeIf(const std::function<bool(const Waiting &)> &isRemoved);
 
     bool contains(TicketId id) const;
 
     /** @return the waiting request, or null. */
     Waiting *find(TicketId id);
+    const Waiting *find(TicketId id) const;
 
     /** @return all waiting requests of a class, in the order of service. */
     const Queue &of(WorkClass work) const;
@@ -69,6 +80,13 @@
     /** @return whether an online request waits that can still be on time. */
     bool isAnyOnTime() const;
 
+    /** @return whether slots are shared between workspaces. */
+    bool isShared() const;
+
+    /** @return the shares of online requests or of batch items. */
+    WorkspaceShares &sharesOf(WorkClass work);
+    const WorkspaceShares &sharesOf(WorkClass work) const;
+
 private:
     /** The position of a request in the queues. */
     struct Position
@@ -78,8 +96,16 @@
     };
 
     Queue &queueOf(WorkClass work);
+    void insert(Waiting waiting);
+    /** @return the removed request; it has to be accounted for. */
+    std::optional<Waiting> extract(TicketId id);
+    SteadyTime orderOf(const Waiting &waiting) const;
 
     const Clock &clock;
+    bool hasShares;
+    bool isAnyWorkspaceSeen = false;
+    WorkspaceShares onlineShares;
+    WorkspaceShares batchShares;
     Queue online;
     Queue batch;
     std::map<TicketId, Position> positions;
--- a/Libraries/LibWorkspace/WorkspaceDirectory.cpp
+++ b/Libraries/LibWorkspace/WorkspaceDirectory.cpp
@@ -8,6 +8,8 @@
     const auto [known, isNew] = this->byName.try_emplace(workspace.name, static_cast<std::uint32_t>(this->list.size()));
     if (isNew) {
         this->list.push_back(workspace);
+        this->quotaSum += workspace.quota.perSecond;
+        this->quotaCount += workspace.quota.perSecond > 0 ? 1 : 0;
     }
     std::size_t duplicates = 0;
     for (const KeyDigest &key : keys) {
@@ -29,6 +31,14 @@
     return found != this->byName.end() ? &this->list[found->second] : nullptr;
 }
 
+double WorkspaceDirectory::shareWeight(const Workspace &workspace) const
+{
+    if (workspace.quota.perSecond > 0) {
+        return workspace.quota.perSecond;
+    }
+    return this->quotaCount > 0 ? this->quotaSum / static_cast<double>(this->quotaCount) : 1;
+}
+
 std::size_t WorkspaceDirectory::size() const
 {
     return this->list.size();
--- a/Libraries/LibWorkspace/WorkspaceDirectory.h
+++ b/Libraries/LibWorkspace/WorkspaceDirectory.h
@@ -28,6 +28,12 @@
     /** @return the workspace of that name, or null. */
     const Workspace *find(const WorkspaceName &name) const;
 
+    /**
+     * @return the weight of a workspace when slots are shared: the rate of its quota, or the mean rate of the quotas if it has
+     * none
+     */
+    double shareWeight(const Workspace &workspace) const;
+
     /** @return number of workspaces. */
     std::size_t size() const;
 
@@ -37,6 +43,8 @@
     std::vector<Workspace> list;
     std::unordered_map<KeyDigest, std::uint32_t> byKey;
     std::unordered_map<WorkspaceName, std::uint32_t> byName;
+    double quotaSum = 0;
+    std::size_t quotaCount = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -34,9 +34,11 @@
     , due(due)
     , hooks(std::move(hooks))
     , fingerprint(stableHash(item.body, stableHash(item.target)))
-    , sharedParts(decodeTraits(item.headers).sharedPromptParts)
     , splitter(maxStreamEventBytes)
 {
+    RequestTraits traits = decodeTraits(item.headers);
+    this->cost = expectedCost(traits);
+    this->sharedParts = std::move(traits.sharedPromptParts);
 }
 
 void ItemAttempt::start(JobRows::Generated before)
@@ -123,6 +125,9 @@
     query.avoided = this->avoided;
     query.connected = connectedReplicas(this->context, query.service, maxIdleTime);
     query.version = this->version;
+    query.workspace = this->origin.workspace;
+    query.weight = this->target.weight;
+    query.cost = this->cost;
     this->ticket = this->context.placements.requestSlot(query, [self = this->shared_from_this()](const Placement &placement) {
         self->handlePlacement(placement);
     });
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -38,6 +38,8 @@
         ServiceName service;
         std::uint32_t priority = 0;
         std::chrono::milliseconds longestPause{0};
+        /** Weight of the job's workspace when slots are shared between workspaces. */
+        double weight = 1;
     };
 
     /** Properties that all items of a job share. */
@@ -100,6 +102,8 @@
     SteadyTime due;
     Hooks hooks;
     std::uint64_t fingerprint;
+    /** Expected work in tokens. */
+    std::uint32_t cost = 0;
     /** Parts of the prompt that other requests may contain too. */
     std::vector<std::string> sharedParts;
     /** Whether it was recorded that a replica has served the prompt. */
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -241,7 +241,8 @@
         return std::nullopt;
     }
     const Workspace *const workspace = current->workspaces ? current->workspaces->find(job.workspace) : nullptr;
-    return ItemAttempt::Target{selected->service, priorityOf(*route, workspace), route->longestPause};
+    const double weight = workspace != nullptr ? current->workspaces->shareWeight(*workspace) : 1;
+    return ItemAttempt::Target{selected->service, priorityOf(*route, workspace), route->longestPause, weight};
 }
 
 void JobRunners::setView(const MemberViewPointer &view)
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -304,6 +304,11 @@
     PlacementQuery query;
     query.service = this->service;
     query.priority = priorityOf(this->route, this->workspace);
+    if (this->workspace != nullptr) {
+        query.workspace = this->workspace->name;
+        query.weight = this->configuration->workspaces->shareWeight(*this->workspace);
+    }
+    query.cost = expectedCost(this->traits);
     query.arrived = this->arrived;
     query.due = this->isStream()
         ? this->context.firstEventEstimates[this->service].placementDeadline(this->arrived, this->route.objective)
