Entry: No operator rights without a key where tenants are configured

Cause: if no tenant had a key hash, Authenticator made every caller an operator. That is right for a trial installation without tenants, but it also opened the configuration to everyone where tenants, even operators, had been configured and their keys had been left out.

Change: a caller without a key has operator rights only if the settings have no tenants. Callers are accepted as the tenant "default" as before. This is what the check of a new configuration version presumes: with tenants and no operator's key it says that nobody could change the configuration again.

Result: TestServiceEntry "without keys a caller is an operator only if there are no tenants" failed before (isOperator was true); after, all 54 cases of TestServiceEntry pass.

--- a/Services/Entry/Authenticator.cpp
+++ b/Services/Entry/Authenticator.cpp
@@ -12,7 +12,7 @@
 
 }
 
-Authenticator::Authenticator(const std::vector<TenantSettings> &tenants)
+Authenticator::Authenticator(const std::vector<TenantSettings> &tenants) : hasTenants(!tenants.empty())
 {
     for (const TenantSettings &tenant : tenants) {
         for (const std::string &hash : tenant.keyHashes) {
@@ -24,7 +24,7 @@
 std::optional<Caller> Authenticator::authenticate(const HttpHeaders &headers) const
 {
     if (this->byKeyHash.empty()) {
-        return Caller{WorkspaceName("default"), true};
+        return Caller{WorkspaceName("default"), !this->hasTenants};
     }
     const std::string credentials = headerValue(headers, "Authorization").value_or(std::string());
     if (!credentials.starts_with(scheme)) {
--- a/Services/Entry/Authenticator.h
+++ b/Services/Entry/Authenticator.h
@@ -20,8 +20,8 @@
 };
 
 /**
- * Maps API keys to tenants. If the settings have no API keys, as in a trial installation, every caller is the tenant
- * "default" with operator rights.
+ * Maps API keys to tenants. If the settings have no API keys, every caller is the tenant "default". Such a caller has operator
+ * rights only if the settings have no tenants either, as in a trial installation: with tenants, operator rights need a key.
  */
 class Authenticator
 {
@@ -33,6 +33,7 @@
 
 private:
     std::unordered_map<std::string, Caller> byKeyHash;
+    bool hasTenants;
 };
 
 } // namespace Dogwoodkeel
