platform: Reject a configuration with a number out of range

Cause: decodeConfiguration clamped numbers to 9e15 and cast them to fields of 32 bits, so that 2^32 + 1 attempts became 1 or were undefined. Times of up to 9e15 ms overflowed when they were converted to nanoseconds, and two versions beyond 9e15 looked equal.

--- a/Tests/Platform/TestFormats.cpp
+++ b/Tests/Platform/TestFormats.cpp
@@ -70,6 +70,30 @@
     CHECK(decodeConfiguration(R"({"version":1,"routes":[{"timeoutMs":-5,"maxAttempts":"x","split":7}]})"));
 }
 
+// Guards against numbers that wrap: 2^32 + 1 attempts would be one, and the end of a wait of 9e15 ms would lie in the past.
+TEST_CASE("a configuration with a number out of range is rejected")
+{
+    for (const char *const part : {R"("routes":[{"maxAttempts":4294967297}])",
+                                   R"("routes":[{"priority":2147483648}])",
+                                   R"("routes":[{"split":[{"service":"s","weight":4294967296}]}])",
+                                   R"("routes":[{"maxCount":1e20}])",
+                                   R"("routes":[{"timeoutMs":9e15}])",
+                                   R"("routes":[{"retentionS":9223372036854775807}])",
+                                   R"("services":[{"maxConns":4294967296}])",
+                                   R"("services":[{"engine":{"slots":4294967304}}])",
+                                   R"("limits":{"idleTimeoutMs":1e300})",
+                                   R"("tenants":[{"name":"w","priority":4294967296}])"}) {
+        CAPTURE(std::string(part));
+        CHECK_FALSE(decodeConfiguration(R"({"version":1,)" + std::string(part) + '}'));
+    }
+    CHECK_FALSE(decodeConfiguration(R"({"version":1e16})"));
+    const auto largest = decodeConfiguration(
+        R"({"version":1,"routes":[{"maxAttempts":4294967295,"priority":2147483647,"maxCount":1e19,"retentionS":4294967295}]})");
+    REQUIRE(largest);
+    CHECK(largest->routes[0].maxAttempts == 4294967295);
+    CHECK(largest->routes[0].priority == 2147483647);
+}
+
 TEST_CASE("a replica's entry is decoded, and an entry without an address is rejected")
 {
     const auto read = decodeReplica("i-1", replicaEntry().dump());
