Entry, Control: Refuse query parameters that are no numbers

Change: QueryNumbers reads them as whole decimal numbers in the range of their type and records the first invalid one. Such a request gets 400 with the reason bad_query, a job before its body is read. A missing parameter and a large limit, which is cut to the maximum, are served as before.

--- a/Services/Control/OperatorApi.cpp
+++ b/Services/Control/OperatorApi.cpp
@@ -2,12 +2,12 @@
 
 #include <LibControl/ConfigurationCheck.h>
 #include <LibControl/ConfigurationJson.h>
+#include <LibHttp/QueryNumbers.h>
 #include <Services/Control/PeerSurvey.h>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -37,16 +37,6 @@
     return answer(status, {{"error", {{"reason", reason}, {"message", message}}}, {"run", "not_run"}});
 }
 
-std::optional<std::uint64_t> numberIn(const HttpRequest &request, std::string_view name)
-{
-    const auto text = queryValue(request.query, name);
-    std::uint64_t number = 0;
-    if (!text || std::from_chars(text->data(), text->data() + text->size(), number).ec != std::errc()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 Json describe(const ConfigurationStateResponse &state)
 {
     return {{"vm", state.vm.value()},
@@ -101,13 +91,18 @@
 
 void OperatorApi::show(const HttpRequest &request, const OperatorRespond &respond)
 {
-    const auto number = numberIn(request, "version");
     const ConfigurationKeeper &keeper = this->configuration.keeper();
-    if (!number || *number == keeper.row().number) {
+    QueryNumbers numbers(request.query);
+    const auto number = numbers.number<std::uint64_t>("version", keeper.row().number);
+    if (!numbers.isValid()) {
+        respond(refusal(statusBadRequest, "bad_query", numbers.error()));
+        return;
+    }
+    if (number == keeper.row().number) {
         respond(answer(statusOk, ConfigurationJson::format(keeper.row(), keeper.content())));
         return;
     }
-    this->readVersion(*number, [respond](const ConfigurationRow *row, const ConfigurationContent *content) {
+    this->readVersion(number, [respond](const ConfigurationRow *row, const ConfigurationContent *content) {
         if (row == nullptr) {
             respond(refusal(statusNotFound, "no_such_version", "there is no such version, or it cannot be read now"));
             return;
@@ -133,7 +128,12 @@
 
 void OperatorApi::log(const HttpRequest &request, const OperatorRespond &respond)
 {
-    const std::size_t limit = std::min<std::size_t>(numberIn(request, "limit").value_or(defaultLogLimit), maxLogLimit);
+    QueryNumbers numbers(request.query);
+    const std::size_t limit = std::min(numbers.number("limit", defaultLogLimit), maxLogLimit);
+    if (!numbers.isValid()) {
+        respond(refusal(statusBadRequest, "bad_query", numbers.error()));
+        return;
+    }
     this->configuration.store().readNewest(limit, [respond](const ConfigurationRows &read) {
         if (read.outcome != ReadOutcome::Found) {
             respond(refusal(statusUnavailable, "platform_down", "the platform does not answer now"));
--- a/Services/Entry/BatchApi.cpp
+++ b/Services/Entry/BatchApi.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Encoding.h>
 #include <LibBase/JsonDepth.h>
+#include <LibHttp/QueryNumbers.h>
 #include <Services/Entry/ApiErrors.h>
 #include <Services/Entry/JobSubmission.h>
 #include <Services/Entry/StoredFile.h>
@@ -9,7 +10,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -19,6 +19,7 @@
 {
 
 constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds timeout{10000};
@@ -94,13 +95,15 @@
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
 }
 
-std::uint32_t numberOr(const std::optional<std::string> &text, std::uint32_t fallback)
+/** @return the time in which a job is due, as its caller requests; zero: as the settings say. */
+std::chrono::seconds dueIn(QueryNumbers &numbers)
 {
-    std::uint32_t number = fallback;
-    if (text) {
-        std::from_chars(text->data(), text->data() + text->size(), number);
-    }
-    return number;
+    return std::chrono::seconds(numbers.number<std::uint32_t>("due_in", 0));
+}
+
+void refuseQuery(HttpReply &reply, const QueryNumbers &numbers)
+{
+    reply.send(refusalResponse({statusBadRequest, "bad_query", numbers.error(), RunState::NotRun, {}}));
 }
 
 void refuseUnreachable(HttpReply &reply)
@@ -138,6 +141,12 @@
 
 BodyHooks BatchApi::submit(const Caller &caller, const HttpRequest &head, const std::shared_ptr<HttpReply> &reply)
 {
+    QueryNumbers numbers(head.query);
+    dueIn(numbers);
+    if (!numbers.isValid()) {
+        refuseQuery(*reply, numbers);
+        return {};
+    }
     /** Buffers the beginning of a body, until it is known whether it references a file or holds items. */
     struct BodyStart
     {
@@ -245,8 +254,9 @@
     job.fingerprint = items.fingerprint;
     job.model = items.model;
     job.created = this->context.clock.wallNow();
-    const std::uint32_t dueInSeconds = numberOr(queryValue(head.query, "due_in"), 0);
-    job.due = job.created + (dueInSeconds > 0 ? std::chrono::seconds(dueInSeconds) : this->context.settings->batch.due);
+    QueryNumbers numbers(head.query);
+    const std::chrono::seconds requested = dueIn(numbers);
+    job.due = job.created + (requested.count() > 0 ? requested : this->context.settings->batch.due);
     job.itemCount = items.itemCount;
     job.itemsPerObject = items.itemsPerObject;
     job.itemObjects = std::move(items.objects);
@@ -255,7 +265,12 @@
 
 void BatchApi::list(const Caller &caller, const std::string &query, const std::shared_ptr<HttpReply> &reply)
 {
-    const std::uint32_t limit = std::clamp(numberOr(queryValue(query, "limit"), maxListedJobs), 1U, maxListedJobs);
+    QueryNumbers numbers(query);
+    const std::uint32_t limit = std::clamp(numbers.number("limit", maxListedJobs), 1U, maxListedJobs);
+    if (!numbers.isValid()) {
+        refuseQuery(*reply, numbers);
+        return;
+    }
     this->context.owners.callAll<ListJobsRequest>(
         {caller.tenant, limit}, [limit, reply](const std::vector<ListJobsResponse> &responses, std::size_t unresponsiveNodes) {
             std::vector<ListedJob> jobs;
@@ -302,8 +317,13 @@
 
 void BatchApi::results(const Caller &caller, const JobId &job, const std::string &query, const std::shared_ptr<HttpReply> &reply)
 {
-    const std::uint32_t from = numberOr(queryValue(query, "from"), 0);
-    const std::uint32_t limit = numberOr(queryValue(query, "limit"), defaultResultsPerPage);
+    QueryNumbers numbers(query);
+    const auto from = numbers.number<std::uint32_t>("from", 0);
+    const std::uint32_t limit = numbers.number("limit", defaultResultsPerPage);
+    if (!numbers.isValid()) {
+        refuseQuery(*reply, numbers);
+        return;
+    }
     this->context.owners.call<JobResultsRequest>(
         job.value(),
         {job, caller.tenant, from, limit},
