Entry, Lane: Load reports of engines neither wrap nor end the node

Cause: running + queued was added in 32 bits, in the entry and in the lane, and larger numbers were cast to 32 bits. An engine that reported 2^32 - 1 running and 2 queued requests looked nearly idle, and a lane started items there. The lane also read the fields with json.value, which throws out of the event loop if a field is of another type. The age of a report could wrap when the time of its transfer was added.

Change: countIn reads a count and cuts it at the largest number, saturatingSum adds two. A lane counts at most its capacity as streams of others. The lane's reading is a function of its own, parseEngineReport, with defaults for invalid fields as in the entry.

--- a/Libraries/LibBase/Numbers.cpp
+++ b/Libraries/LibBase/Numbers.cpp
@@ -1,6 +1,7 @@
 #include <LibBase/Numbers.h>
 
 #include <charconv>
+#include <limits>
 
 namespace Dogwoodkeel
 {
@@ -13,4 +14,10 @@
     return isNumber ? std::optional(number) : std::nullopt;
 }
 
+std::uint32_t saturatingSum(std::uint32_t left, std::uint32_t right)
+{
+    constexpr std::uint32_t max = std::numeric_limits<std::uint32_t>::max();
+    return right > max - left ? max : left + right;
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibBatch/Lane.cpp
+++ b/Libraries/LibBatch/Lane.cpp
@@ -1,5 +1,7 @@
 #include <LibBatch/Lane.h>
 
+#include <LibBase/Numbers.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -84,7 +86,7 @@
 void Lane::observeReport(const EngineLoad &report)
 {
     const std::uint32_t known = this->items + this->onlineSum;
-    const std::uint32_t reported = report.running + report.queued;
+    const std::uint32_t reported = saturatingSum(report.running, report.queued);
     const std::uint32_t excessStreams = reported > known + toleratedStreams ? reported - known : 0;
     this->reportsWithUnknownStreams = excessStreams > 0 ? this->reportsWithUnknownStreams + 1 : 0;
     if (this->isSettled()) {
@@ -94,7 +96,8 @@
         this->unsettle();
     }
     ++this->reportsSeen;
-    this->unknownStreams = excessStreams;
+    // More than the capacity makes no difference, and must not wrap when it is added to other streams.
+    this->unknownStreams = std::min(excessStreams, this->options.capacity);
     this->reportsUntilSettled = excessStreams > 0 ? reportsToSettle : this->reportsUntilSettled - 1;
 }
 
--- a/Services/Entry/EndpointReports.cpp
+++ b/Services/Entry/EndpointReports.cpp
@@ -1,7 +1,12 @@
 #include <Services/Entry/EndpointReports.h>
 
+#include <LibBase/JsonCounts.h>
+#include <LibBase/Numbers.h>
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Dogwoodkeel
 {
 
@@ -10,20 +15,11 @@
 
 using Json = nlohmann::json;
 
+/** One day. The time that a report takes to this node is added to its age, and the sum must not wrap. */
+constexpr std::uint32_t maxAgeMilliseconds = 86'400'000;
 constexpr std::size_t maxAdapters = 256;
 constexpr std::size_t maxNameLength = 128;
 
-/**
- * @return the member as a number; 0 if it is missing or not a number, so that invalid input from an endpoint cannot
- * end this node.
- */
-template <typename Number>
-Number numberIn(const Json &object, const char *name)
-{
-    const auto found = object.find(name);
-    return found != object.end() && found->is_number_unsigned() ? found->get<Number>() : Number(0);
-}
-
 std::string textIn(const Json &object, const char *name, std::size_t maxLength)
 {
     const auto found = object.find(name);
@@ -46,8 +42,8 @@
         return {};
     }
     ReplicaReport report;
-    report.inFlight = numberIn<std::uint32_t>(json, "running") + numberIn<std::uint32_t>(json, "queued");
-    report.ageMilliseconds = numberIn<std::uint32_t>(json, "age_ms");
+    report.inFlight = saturatingSum(countIn(json, "running"), countIn(json, "queued"));
+    report.ageMilliseconds = std::min(countIn(json, "age_ms"), maxAgeMilliseconds);
     report.isLeaving = flagIn(json, "leaving");
     report.instance = textIn(json, "instance", maxNameLength);
     report.version = textIn(json, "version", maxNameLength);
@@ -74,10 +70,10 @@
         if (!event.is_object()) {
             continue;
         }
-        events.push_back({numberIn<std::uint64_t>(event, "number"),
+        events.push_back({countIn<std::uint64_t>(event, "number"),
                           textIn(event, "kind", maxNameLength) == "stored",
-                          numberIn<std::uint64_t>(event, "hash"),
-                          numberIn<std::uint64_t>(event, "parent"),
+                          countIn<std::uint64_t>(event, "hash"),
+                          countIn<std::uint64_t>(event, "parent"),
                           textIn(event, "text", maxNameLength)});
     }
     return events;
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -1,8 +1,7 @@
 #include <Services/Lane/LaneService.h>
 
 #include <LibBase/Log.h>
-
-#include <nlohmann/json.hpp>
+#include <Services/Lane/EngineReport.h>
 
 #include <algorithm>
 #include <utility>
@@ -355,21 +354,20 @@
 
 void LaneService::onReport(const EndpointName &name, const HttpResponse &response)
 {
-    const auto json = nlohmann::json::parse(response.body, nullptr, false);
-    if (!json.is_object()) {
+    const std::optional<EngineReport> report = parseEngineReport(response.body);
+    if (!report) {
         return;
     }
     HeldLane &held = this->lanes.at(name);
-    const EngineLoad report{json.value("running", 0U), json.value("queued", 0U)};
     // The entry task sets the lasting mark (setLeaving), which holds until the endpoint restarts, even if lists lag behind.
-    held.isLeaving = json.value("leaving", false);
+    held.isLeaving = report->isLeaving;
     if (held.isLocal) {
-        held.lane.observeReport(report);
+        held.lane.observeReport(report->load);
         this->fill(name, held);
         return;
     }
     // Entries report their requests to the new holder, not to this node, which knows only the queue of the engine.
-    this->stopItems(name, held, report.queued);
+    this->stopItems(name, held, report->load.queued);
 }
 
 void LaneService::yield(const EndpointName &name, HeldLane &held)
--- a/Tests/LibBatch/TestLane.cpp
+++ b/Tests/LibBatch/TestLane.cpp
@@ -143,6 +143,21 @@
     CHECK(lane.freeSlots() == 6);
 }
 
+// Guards against sums that wrap: an engine that reports very many streams would look free, and items would start there.
+TEST_CASE("a report of very many streams leaves no slot free")
+{
+    for (const EngineLoad &report : {EngineLoad{4294967295, 3}, EngineLoad{4294967295, 0}}) {
+        ManualClock clock;
+        Lane lane(clock, options(16, 1));
+        start(lane, 2);
+        for (int i = 0; i < 3; ++i) {
+            lane.observeReport(report);
+        }
+        CHECK(lane.freeSlots() == 0);
+        CHECK_FALSE(lane.isSettled());
+    }
+}
+
 TEST_CASE("headroom follows the arrival rate of online requests")
 {
     ManualClock clock;
--- a/Tests/ServiceEntry/TestFleetWatch.cpp
+++ b/Tests/ServiceEntry/TestFleetWatch.cpp
@@ -222,3 +222,13 @@
     CHECK_FALSE(parseLoadReport(R"({"path":"/load","run":1})"));
     CHECK(parseCacheEvents(R"({"events":[1,{"number":"x"},{"number":4,"kind":"stored","hash":9,"text":"abc"}]})").size() == 2);
 }
+
+// Guards against sums that wrap, which make an overloaded endpoint look idle.
+TEST_CASE("a load report with very large numbers reads as the largest load")
+{
+    for (const char *const body : {R"({"running":4294967295,"queued":2})", R"({"running":4294967297})"}) {
+        const auto report = parseLoadReport(body);
+        REQUIRE(report);
+        CHECK(report->inFlight == 4294967295);
+    }
+}
