LibDispatch: Keep learned capacity in a class of its own, and correct its estimates

Cause: a run's time at a loaded replica counted as the replica's speed, estimates had no common median, timings sent to a new dispatcher were dropped before a pace was stated, a refused request (503) counted as an error, a quick answer of status 4xx counted as a measurement, and each error was checked against all replicas. Change: CapacityLearner holds what was learned; times are corrected by the concurrency, compared with the replica's last runs, and scaled to the median once a second. A limit keeps nearly the greatest throughput. Items that can wait use spare capacity.

--- a/Libraries/LibDispatch/ConcurrencyLimit.cpp
+++ b/Libraries/LibDispatch/ConcurrencyLimit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace Dogwoodkeel
 {
@@ -19,6 +20,10 @@
 constexpr double maxInnovation = 0.3;
 /** A limit has to improve the ratio of throughput to latency by this factor: less may be scatter. */
 constexpr double minImprovement = 1.15;
+/** A limit has to keep this share of the greatest throughput measured. */
+constexpr double minThroughputShare = 0.9;
+/** Number of assumed runs without an effect of the concurrency, so that the first runs of a level do not decide alone. */
+constexpr double assumedRuns = 1;
 constexpr std::chrono::seconds firstRetryInterval{10};
 constexpr std::chrono::seconds maxRetryInterval{300};
 
@@ -52,24 +57,33 @@
 std::uint32_t ConcurrencyLimit::bestConcurrency() const
 {
     // The time per unit of work is taken not to fall with the concurrency, as measurements of single levels scatter.
-    double time = -1;
-    double bestPower = 0;
-    double fullPower = 0;
-    std::uint32_t best = 0;
+    struct Point
+    {
+        std::uint32_t concurrency;
+        double throughput;
+        double power;
+    };
+    std::vector<Point> points;
+    double time = 0;
+    double bestThroughput = 0;
     for (std::size_t index = 0; index < this->levels.size(); ++index) {
-        const Level &level = this->levels[index];
-        if (level.count < minRuns) {
+        if (this->levels[index].count < minRuns) {
             continue;
         }
-        time = time < 0 ? std::exp(level.logarithm) : std::max(time, std::exp(level.logarithm));
+        time = std::max(time, std::exp(this->levels[index].logarithm));
         const auto concurrency = static_cast<std::uint32_t>(index + 1);
-        fullPower = concurrency / (time * time);
-        if (fullPower >= bestPower) {
-            bestPower = fullPower;
-            best = concurrency;
+        points.push_back({concurrency, concurrency / time, concurrency / (time * time)});
+        bestThroughput = std::max(bestThroughput, points.back().throughput);
+    }
+    double bestPower = 0;
+    std::uint32_t best = 0;
+    for (const Point &point : points) {
+        if (point.throughput >= bestThroughput * minThroughputShare && point.power >= bestPower) {
+            bestPower = point.power;
+            best = point.concurrency;
         }
     }
-    return bestPower > fullPower * minImprovement ? best : 0;
+    return !points.empty() && bestPower > points.back().power * minImprovement ? best : 0;
 }
 
 void ConcurrencyLimit::forgetOldLevels(SteadyTime now)
@@ -93,19 +107,25 @@
     return this->limit == 0 ? slots : std::clamp<std::uint32_t>(this->limit, 1, slots);
 }
 
-double ConcurrencyLimit::slowdown() const
+double ConcurrencyLimit::factor(std::uint32_t concurrency) const
 {
-    double first = -1;
-    double last = -1;
-    for (std::size_t index = 0; index < this->levels.size(); ++index) {
-        const bool isWithinLimit = this->limit == 0 || index < this->limit;
-        if (this->levels[index].count < minRuns || !isWithinLimit) {
-            continue;
+    std::optional<double> least;
+    double greatest = 0;
+    const std::size_t end = std::min<std::size_t>(this->levels.size(), std::min(concurrency, maxLevels));
+    for (std::size_t index = 0; index < end; ++index) {
+        const Level &level = this->levels[index];
+        if (level.count > 0) {
+            const double logarithm = level.logarithm * level.count / (level.count + assumedRuns);
+            least = least.value_or(logarithm);
+            greatest = std::max(greatest, logarithm - *least);
         }
-        first = first < 0 ? this->levels[index].logarithm : first;
-        last = this->levels[index].logarithm;
     }
-    return first < 0 ? 0 : std::max(std::exp(last - first) - 1, 0.0);
+    return std::exp(greatest);
+}
+
+double ConcurrencyLimit::slowdown() const
+{
+    return this->factor(this->limit == 0 ? maxLevels : this->limit) - 1;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/DispatchedReplica.h
+++ b/Libraries/LibDispatch/DispatchedReplica.h
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -45,6 +47,12 @@
     bool isCapacityLearned = false;
     ReplicaSpeed speed;
     ConcurrencyLimit concurrency;
+    /** What of it is counted in the slots of the service, see CapacityLearner. */
+    std::size_t countedSlots = 0;
+    bool isCountedBlocked = false;
+    /** The expected time that was last logged, and when. */
+    double reportedTime = 1;
+    SteadyTime lastSpeedLog{};
 
     /** @return the number of requests that it may run concurrently. */
     std::uint32_t usableSlots() const
@@ -98,6 +106,22 @@
         return this->isCapacityLearned ? this->idleTime(now) * (1 + this->loadEffect() * used) : used;
     }
 
+    /**
+     * @return how unfavourable it is for a batch item that can wait: the share of used slots, and, if the capacity is learned,
+     * how fast it is. Such items use spare capacity, so that fast replicas are free for requests that can not wait.
+     */
+    double itemLoad(SteadyTime now) const
+    {
+        const double used = static_cast<double>(this->slots.used(now)) / this->usableSlots();
+        return this->isCapacityLearned ? used - std::log(this->speed.expected(now)) : used;
+    }
+
+    /** @return by how much one more running request changes itemLoad(). */
+    double itemLoadOfRequest() const
+    {
+        return 1.0 / this->usableSlots();
+    }
+
     /** @return by how much one more running request changes load(). */
     double loadOfRequest(SteadyTime now) const
     {
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -59,9 +59,9 @@
     , hooks(std::move(hooks))
     , options(options)
     , index(clock)
+    , capacity(clock, options.capacityLearning, this->replicas, this->index)
     , waiting(clock, options.hasWorkspaceShares)
     , forecast(clock)
-    , isCapacityLearned(options.capacityLearning == CapacityLearning::Always)
 {
 }
 
@@ -80,13 +80,13 @@
     for (const EndpointName &instance : update.removed) {
         const auto found = this->replicas.find(instance);
         if (found != this->replicas.end()) {
-            this->slotCount -= slotsOf(found->second);
+            this->capacity.remove(found->second);
             this->countVersion(found->second.traits, -1);
             this->index.remove(found->second);
             this->replicas.erase(found);
         }
     }
-    this->forecast.setSlots(this->slotCount);
+    this->forecast.setSlots(this->capacity.slots());
     if (isAnyLeaving) {
         this->drainReplicas();
     }
@@ -101,14 +101,12 @@
     if (isNew) {
         replica.nameHash = nameHashOf(traits.instance);
         replica.number = ++this->lastReplica;
-        replica.isCapacityLearned = this->isCapacityLearned;
     } else {
-        this->slotCount -= slotsOf(replica);
         this->countVersion(replica.traits, -1);
     }
     replica.traits = traits;
     this->countVersion(traits, 1);
-    this->slotCount += slotsOf(replica);
+    this->capacity.recount(replica);
     this->index.update(replica);
 }
 
@@ -382,11 +380,10 @@
 
 void Dispatcher::recordLoad(const EndpointName &instance, const ReportedLoad &load, std::uint32_t pace)
 {
-    this->recordStatedPace(pace);
     const auto found = this->replicas.find(instance);
     if (found != this->replicas.end()) {
         found->second.slots.recordReport(load, this->clock.now());
-        found->second.speed.recordPace(pace, this->clock.now());
+        this->capacity.recordPace(found->second, pace);
         this->index.update(found->second);
         this->assign();
         this->deliverDecisions();
@@ -395,87 +392,11 @@
 
 void Dispatcher::recordTimings(const std::vector<ReplicaTiming> &timings)
 {
-    if (!this->isCapacityLearned) {
-        return;
-    }
-    std::unordered_map<std::uint32_t, DispatchedReplica *> byNameHash;
-    for (auto &[instance, replica] : this->replicas) {
-        byNameHash.emplace(replica.nameHash, &replica);
-    }
-    const SteadyTime now = this->clock.now();
-    for (const ReplicaTiming &timing : timings) {
-        const auto found = byNameHash.find(timing.replica);
-        const std::optional<double> relative = this->serviceSpeed.compare(timing);
-        if (found != byNameHash.end() && relative) {
-            found->second->speed.recordMean(*relative, timing.runs, now);
-            this->index.update(*found->second);
-        }
-    }
+    this->capacity.recordTimings(timings);
     this->assign();
     this->deliverDecisions();
 }
 
-void Dispatcher::recordStatedPace(std::uint32_t pace)
-{
-    if (pace > 0 && this->options.capacityLearning == CapacityLearning::Stated && !this->isCapacityLearned) {
-        this->learnCapacity();
-    }
-}
-
-void Dispatcher::learnCapacity()
-{
-    this->isCapacityLearned = true;
-    for (auto &[instance, replica] : this->replicas) {
-        replica.isCapacityLearned = true;
-        this->index.update(replica);
-    }
-}
-
-void Dispatcher::recordTiming(const Placement &placement, const RunTiming &timing)
-{
-    this->recordStatedPace(timing.statedPace);
-    DispatchedReplica *const replica = this->replicaOf(placement);
-    if (!this->isCapacityLearned || replica == nullptr) {
-        return;
-    }
-    const std::optional<double> relative = this->serviceSpeed.recordRun(placement.work, timing, replica->speed.usual());
-    if (!relative) {
-        return;
-    }
-    const SteadyTime now = this->clock.now();
-    const std::size_t former = slotsOf(*replica);
-    const std::uint32_t concurrency = (placement.concurrency + replica->slots.used(now) + 1) / 2;
-    if (placement.concurrency > 0) {
-        replica->concurrency.recordRun(*relative / replica->speed.usual(), concurrency, now);
-    }
-    replica->speed.recordRun(*relative, timing.statedPace, now);
-    this->recountSlots(*replica, former);
-}
-
-void Dispatcher::recountSlots(DispatchedReplica &replica, std::size_t former)
-{
-    const std::size_t current = slotsOf(replica);
-    if (current != former) {
-        this->slotCount += current - former;
-        this->forecast.setSlots(this->slotCount);
-        log(LogLevel::Info,
-            "concurrency limit of a replica changed",
-            {{"replica", replica.traits.instance.value()},
-             {"slots", static_cast<std::int64_t>(replica.traits.slots)},
-             {"former", static_cast<std::int64_t>(former)},
-             {"limit", static_cast<std::int64_t>(current)}});
-    }
-}
-
-bool Dispatcher::mayBlockForErrors(const DispatchedReplica &replica) const
-{
-    std::size_t blocked = replica.breaker.isBlockedForErrors() ? 0 : slotsOf(replica);
-    for (const auto &[instance, other] : this->replicas) {
-        blocked += other.breaker.isBlockedForErrors() ? slotsOf(other) : 0;
-    }
-    return blocked * 2 <= this->slotCount;
-}
-
 void Dispatcher::reconcile(SessionNumber node, std::uint64_t lastTicket, const std::vector<RunningPlacement> &running)
 {
     const SteadyTime now = this->clock.now();
@@ -540,6 +461,7 @@
         this->removeExpiredWork();
         this->refuseUnserved();
     }
+    this->capacity.tick();
     this->waiting.demoteLate();
     this->forecast.recordWaiting(this->waiting.isAnyOnTime());
     this->refuseUnplaceable();
@@ -581,7 +503,8 @@
 Dispatcher::Load Dispatcher::load() const
 {
     Load load;
-    load.slots = this->slotCount;
+    load.slots = this->capacity.slots();
+    load.learned = this->capacity.summary();
     for (const auto &[instance, replica] : this->replicas) {
         load.onlineRunning += replica.slots.online();
         load.batchRunning += replica.slots.batch();
@@ -748,14 +671,8 @@
     const Placement &entry = placement->second;
     const SteadyTime now = this->clock.now();
     if (DispatchedReplica *const replica = this->replicaOf(entry)) {
-        if (this->isCapacityLearned && timing.isError) {
-            replica->breaker.recordError(this->mayBlockForErrors(*replica), now);
-        } else {
-            replica->breaker.recordEnd(verdict, now);
-        }
-        if (verdict == PlacementVerdict::Finished) {
-            this->recordTiming(entry, timing);
-        }
+        this->capacity.recordEnd(*replica, entry.work, entry.concurrency, verdict, timing);
+        this->forecast.setSlots(this->capacity.slots());
         this->index.update(*replica);
     }
     if (verdict == PlacementVerdict::Finished) {
@@ -790,9 +707,4 @@
         && request.acceptsVersion(replica.traits.version);
 }
 
-std::size_t Dispatcher::slotsOf(const DispatchedReplica &replica)
-{
-    return replica.traits.isDraining ? 0 : replica.usableSlots();
-}
-
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibDispatch/CapacityLearner.h>
 #include <LibDispatch/DispatchedReplica.h>
 #include <LibDispatch/DispatcherOptions.h>
 #include <LibDispatch/LoadForecast.h>
@@ -8,7 +9,6 @@
 #include <LibDispatch/ReplicaIndex.h>
 #include <LibDispatch/ReplicaUpdate.h>
 #include <LibDispatch/RetrySchedule.h>
-#include <LibDispatch/ServiceSpeed.h>
 #include <LibDispatch/WaitingQueue.h>
 
 #include <chrono>
@@ -59,6 +59,7 @@
         std::size_t batchRunning = 0;
         std::size_t onlineWaiting = 0;
         std::size_t batchWaiting = 0;
+        CapacityLearner::Summary learned;
     };
 
     Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options = {});
@@ -177,21 +178,11 @@
     /** Refuses, under sustained overload, late requests that are unlikely to get a slot before their deadline. */
     void refuseUnplaceable();
     void refuseRequest(const PlacementRequest &request, std::chrono::nanoseconds retryAfter);
-    /** Starts to learn the capacity of all replicas once one of them states the pace of its machine, if the options say so. */
-    void recordStatedPace(std::uint32_t pace);
-    void learnCapacity();
-    /** Learns from a run what its replica can do. */
-    void recordTiming(const Placement &placement, const RunTiming &timing);
-    /** Applies a change of a replica's usable slots to their total. */
-    void recountSlots(DispatchedReplica &replica, std::size_t former);
-    /** @return whether one more replica may be blocked for errors: at most half of the slots may be. */
-    bool mayBlockForErrors(const DispatchedReplica &replica) const;
     void stop(Placement &placement);
     /** Records the outcome of a placement and erases it. */
     void endPlacement(Placements::iterator placement, PlacementVerdict verdict, const RunTiming &timing);
     void erasePlacement(Placements::iterator placement);
     bool isUsable(const DispatchedReplica &replica, const PlacementRequest &request) const;
-    static std::size_t slotsOf(const DispatchedReplica &replica);
 
     const Clock &clock;
     Hooks hooks;
@@ -200,9 +191,8 @@
     std::uint64_t lastReplica = 0;
     /** Number of replicas of each version that are not draining. */
     std::map<SoftwareVersion, std::ptrdiff_t> openVersions;
-    /** Slots of all replicas that are not draining. */
-    std::size_t slotCount = 0;
     ReplicaIndex index;
+    CapacityLearner capacity;
     Placements placements;
     WaitingQueue waiting;
     std::vector<Decision> decisions;
@@ -213,8 +203,6 @@
     SteadyTime nextCleanup{};
     LoadForecast forecast;
     RetrySchedule retries;
-    bool isCapacityLearned = false;
-    ServiceSpeed serviceSpeed;
     /** Mean cost of online requests, in tokens, and mean time for which a slot is held per token, of online requests and of
      * items. */
     double meanCost = 0;
--- a/Libraries/LibDispatch/MeasuredReplicas.cpp
+++ b/Libraries/LibDispatch/MeasuredReplicas.cpp
@@ -36,12 +36,20 @@
     }
     Measured &measured = this->replicas[replica];
     ReplicaTiming &mean = measured.timing;
+    const bool isStream = timing.events > 1;
+    if (!isStream && mean.perEvent.count() > 0) {
+        // Whole answers and streams are not comparable; streams show the replica's speed more precisely.
+        return;
+    }
+    if (isStream && mean.perEvent.count() == 0) {
+        mean = ReplicaTiming();
+    }
     mean.replica = replica;
     mean.runs = std::min(mean.runs + 1, maxRuns);
-    const std::chrono::microseconds perEvent
-        = timing.events > 1 ? timing.generation / (timing.events - 1) : std::chrono::microseconds(0);
-    mean.perEvent = meanOf(mean.perEvent, perEvent, mean.runs);
     mean.firstEvent = meanOf(mean.firstEvent, timing.firstEvent, mean.runs);
+    if (isStream) {
+        mean.perEvent = meanOf(mean.perEvent, timing.generation / (timing.events - 1), mean.runs);
+    }
     measured.last = now;
 }
 
--- a/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
+++ b/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
@@ -80,8 +80,9 @@
     this->failures = 0;
     this->recentErrors += errorWeight * (1 - this->recentErrors);
     if (!mayBlock) {
-        this->errorBlocks = 0;
-        this->blockedUntil = {};
+        if (std::exchange(this->errorBlocks, 0) > 0) {
+            this->blockedUntil = {};
+        }
         return;
     }
     if (this->errorBlocks == 0 && this->recentErrors < maxErrorShare) {
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -16,13 +16,10 @@
  */
 constexpr double crossDomainPenalty = 0.9;
 
-/** @return the score of a replica for a request; the lowest is best. */
-double scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, double load, bool isConnected, SteadyTime now)
-{
-    const bool isSameDomain = replica.traits.failureDomain == request.failureDomain;
-    const double requests = (isSameDomain ? 0.0 : crossDomainPenalty) - (isConnected ? connectionBonus : 0.0);
-    return load + requests * replica.loadOfRequest(now);
-}
+/** An item that has to start within this time goes to a fast replica: about the time of a short item. */
+constexpr std::chrono::milliseconds urgentSlack{2000};
+/** How many replicas are examined to find a fast one that may accept an item. */
+constexpr int maxExamined = 32;
 
 } // namespace
 
@@ -41,11 +38,12 @@
     if (replica.isOpen(now)) {
         const Position position{{replica.traits.failureDomain, replica.traits.version},
                                 {replica.load(now), replica.number},
+                                {replica.itemLoad(now), replica.number},
                                 replica.mayAcceptItem(now)};
         OpenReplicas &open = this->groups[position.group];
         open.all.emplace(position.key, &replica);
         if (position.isForItems) {
-            open.forItems.emplace(position.key, &replica);
+            open.forItems.emplace(position.itemKey, &replica);
         }
         this->positions.emplace(replica.number, position);
     }
@@ -75,7 +73,7 @@
     const auto group = this->groups.find(found->second.group);
     group->second.all.erase(found->second.key);
     if (found->second.isForItems) {
-        group->second.forItems.erase(found->second.key);
+        group->second.forItems.erase(found->second.itemKey);
     }
     if (group->second.all.empty()) {
         this->groups.erase(group);
@@ -120,35 +118,65 @@
     });
 }
 
+bool ReplicaIndex::isPatient(const PlacementRequest &request) const
+{
+    const std::chrono::nanoseconds slack = request.due - this->clock.now();
+    return request.work == WorkClass::Batch && (slack <= std::chrono::nanoseconds(0) || slack > urgentSlack);
+}
+
+double ReplicaIndex::scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, bool isConnected) const
+{
+    const Position &position = this->positions.at(replica.number);
+    const bool isSameDomain = replica.traits.failureDomain == request.failureDomain;
+    const double requests = (isSameDomain ? 0.0 : crossDomainPenalty) - (isConnected ? connectionBonus : 0.0);
+    if (this->isPatient(request)) {
+        return position.itemKey.first + requests * replica.itemLoadOfRequest();
+    }
+    return position.key.first + requests * replica.loadOfRequest(this->clock.now());
+}
+
 DispatchedReplica *ReplicaIndex::best(const PlacementRequest &request) const
 {
-    double bestScore = 0;
-    DispatchedReplica *best = this->bestConnected(request, bestScore);
+    Candidate best = this->bestConnected(request);
     for (const auto &[group, open] : this->groups) {
-        if (!request.acceptsVersion(group.version)) {
-            continue;
+        if (request.acceptsVersion(group.version)) {
+            this->considerGroup(request, open, best);
         }
-        const Order &order = request.work == WorkClass::Batch ? open.forItems : open.all;
-        // Without connections the score depends on the load alone, and connected replicas were compared above, so the
-        // first usable replica is the best of its group.
+    }
+    return best.replica;
+}
+
+void ReplicaIndex::considerGroup(const PlacementRequest &request, const OpenReplicas &open, Candidate &best) const
+{
+    const bool isItem = request.work == WorkClass::Batch;
+    const bool isLearned = !open.all.empty() && open.all.begin()->second->isCapacityLearned;
+    const bool isFastNeeded = isItem && isLearned && !open.forItems.empty() && !this->isPatient(request);
+    // Without connections the score depends on the load alone, and connected replicas were compared before, so the
+    // first usable replica is the best of its group.
+    const auto consider = [&](const Order &order, int maxCount) {
         for (const auto &[key, replica] : order) {
-            if (request.avoids(replica->traits.instance)) {
+            if (maxCount-- == 0) {
+                return false;
+            }
+            if (request.avoids(replica->traits.instance) || (isItem && !this->positions.at(replica->number).isForItems)) {
                 continue;
             }
-            const double score = scoreOf(request, *replica, key.first, false, this->clock.now());
-            if (best == nullptr || score < bestScore) {
-                best = replica;
-                bestScore = score;
+            const double score = this->scoreOf(request, *replica, false);
+            if (best.replica == nullptr || score < best.score) {
+                best = {replica, score};
             }
-            break;
+            return true;
         }
+        return true;
+    };
+    if (!isFastNeeded || !consider(open.all, maxExamined)) {
+        consider(isItem ? open.forItems : open.all, -1);
     }
-    return best;
 }
 
-DispatchedReplica *ReplicaIndex::bestConnected(const PlacementRequest &request, double &bestScore) const
+ReplicaIndex::Candidate ReplicaIndex::bestConnected(const PlacementRequest &request) const
 {
-    DispatchedReplica *best = nullptr;
+    Candidate best;
     for (const std::uint32_t nameHash : request.connected) {
         const auto [first, last] = this->byNameHash.equal_range(nameHash);
         for (auto entry = first; entry != last; ++entry) {
@@ -160,11 +188,11 @@
             if (!isUsable) {
                 continue;
             }
-            const double score = scoreOf(request, replica, position->second.key.first, true, this->clock.now());
-            const bool isFirst = best == nullptr || score < bestScore || (score == bestScore && replica.number < best->number);
+            const double score = this->scoreOf(request, replica, true);
+            const bool isFirst
+                = best.replica == nullptr || score < best.score || (score == best.score && replica.number < best.replica->number);
             if (isFirst) {
-                best = &replica;
-                bestScore = score;
+                best = {&replica, score};
             }
         }
     }
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -60,7 +60,7 @@
     struct OpenReplicas
     {
         Order all;
-        /** Those of them that may accept a batch item. */
+        /** Those of them that may accept a batch item, ordered by DispatchedReplica::itemLoad(). */
         Order forItems;
     };
 
@@ -69,10 +69,23 @@
     {
         Group group;
         Key key;
+        Key itemKey;
         bool isForItems = false;
     };
 
-    DispatchedReplica *bestConnected(const PlacementRequest &request, double &bestScore) const;
+    /** The best replica so far, and its score; the lowest is best. */
+    struct Candidate
+    {
+        DispatchedReplica *replica = nullptr;
+        double score = 0;
+    };
+
+    /** @return whether a replica is selected by its item load, because the request is an item that can wait. */
+    bool isPatient(const PlacementRequest &request) const;
+    Candidate bestConnected(const PlacementRequest &request) const;
+    /** Compares the first usable replica of a group. */
+    void considerGroup(const PlacementRequest &request, const OpenReplicas &open, Candidate &best) const;
+    double scoreOf(const PlacementRequest &request, const DispatchedReplica &replica, bool isConnected) const;
     void removePosition(std::uint64_t number);
     void scheduleRefresh(DispatchedReplica &replica, SteadyTime now);
 
--- a/Libraries/LibDispatch/ReplicaSpeed.cpp
+++ b/Libraries/LibDispatch/ReplicaSpeed.cpp
@@ -16,18 +16,22 @@
 /** Weight of one run in the long-term estimate; about the last fifty runs count. */
 constexpr double longTermWeight = 0.02;
 /**
- * Maximum difference from the long-term estimate that one run counts with, as a logarithm (a fifth). Machines that are
- * disturbed for a sixth of the time would otherwise look slow for good.
+ * Maximum difference from the long-term estimate that one run counts with, as a logarithm. A machine that is disturbed for 15%
+ * of the time, in periods as long as a run, disturbs about a third of the runs and must not look slow for good.
  */
-constexpr double maxInnovation = 0.2;
+constexpr double maxInnovation = 0.1;
 /** A single run is taken to be within a factor of 20 of what is expected; beyond that something else was measured. */
 constexpr double maxDeviation = 3;
 /** How fast the recent estimate returns to the long-term one without new runs. Short, so that a replica recovers. */
 constexpr std::chrono::duration<double> recentRetention{1};
 /** How fast the long-term estimate returns to the median without new runs. */
 constexpr std::chrono::duration<double> longTermRetention{30};
-/** How long a stated pace counts, decreasing linearly. Disturbances last about half a second. */
-constexpr std::chrono::duration<double> paceRetention{0.3};
+/** Steps in which the two estimates return. */
+constexpr std::chrono::milliseconds recentStep{250};
+constexpr std::chrono::milliseconds longTermStep{2000};
+/** A stated pace counts for this many steps of this length, decreasing linearly. Disturbances last about half a second. */
+constexpr std::chrono::milliseconds paceStep{100};
+constexpr int paceSteps = 3;
 /** Weight of a run in the sums that show whether the stated pace is true. */
 constexpr double paceWeight = 0.05;
 /** Trust in the stated pace before any run has confirmed or refuted it, and the weight of this assumption. */
@@ -38,8 +42,8 @@
  * load would move back and forth between equal replicas.
  */
 constexpr double ignoredDeviation = 0.1;
-/** Interval at which the estimates that return to the median are applied. */
-constexpr std::chrono::milliseconds refreshInterval{250};
+/** Smaller logarithms count as 0, so that an estimate that returns is at its end in finite time. */
+constexpr double negligible = 0.02;
 constexpr double usualPace = 100;
 
 double decay(SteadyTime from, SteadyTime now, std::chrono::duration<double> timeConstant)
@@ -47,6 +51,17 @@
     return std::exp(-std::max((now - from) / timeConstant, 0.0));
 }
 
+/** @return the end of the last whole step since a time. */
+SteadyTime lastStep(SteadyTime from, SteadyTime now, std::chrono::milliseconds step)
+{
+    return from + std::max<std::int64_t>((now - from) / step, 0) * step;
+}
+
+double withoutNegligible(double logarithm)
+{
+    return std::abs(logarithm) < negligible ? 0 : logarithm;
+}
+
 /** @return the value without the part that may be scatter. */
 double withoutScatter(double logarithm)
 {
@@ -61,27 +76,25 @@
     if (!(relativeTime > 0)) {
         return;
     }
-    const double value = std::clamp(std::log(relativeTime), this->longTerm - maxDeviation, this->longTerm + maxDeviation);
-    double explained = 0;
+    const double base = this->runCount == 0 ? 0 : this->longTerm * decay(this->measured, now, longTermRetention);
+    const double value = std::clamp(std::log(relativeTime), base - maxDeviation, base + maxDeviation);
     if (statedPace > 0) {
         const double stated = std::log(statedPace / usualPace);
-        this->paceProducts += paceWeight * (stated * (value - this->longTerm) - this->paceProducts);
+        this->paceProducts += paceWeight * (stated * (value - base) - this->paceProducts);
         this->paceSquares += paceWeight * (stated * stated - this->paceSquares);
-        const double trust
-            = (this->paceProducts + initialPaceTrust * initialPaceWeight) / (this->paceSquares + initialPaceWeight);
-        explained = std::clamp(trust, 0.0, 1.0) * stated;
     }
-    const double withoutPace = value - explained;
+    const double withoutPace = value - std::log(this->paceFactor(statedPace));
     // After a pause the first runs weigh more, because the estimate has aged.
     const double aged = this->runCount == 0 ? 1 : 1 - decay(this->measured, now, recentTimeConstant);
     const double weight = std::max({minRecentWeight, aged, 1 / (this->runCount + 1)});
-    this->recent = this->recentLogarithm(now) + weight * (withoutPace - this->recentLogarithm(now));
-    this->longTerm *= this->runCount == 0 ? 1 : decay(this->measured, now, longTermRetention);
-    const double innovation = withoutPace - this->longTerm;
+    const double former = base + this->deviation * decay(this->measured, now, recentRetention);
+    const double recent = former + weight * (withoutPace - former);
     this->runCount += 1;
+    const double innovation = withoutPace - base;
     const bool isFirst = this->runCount * longTermWeight < 1;
-    this->longTerm
-        += isFirst ? innovation / (this->runCount + 1) : longTermWeight * std::clamp(innovation, -maxInnovation, maxInnovation);
+    this->longTerm = base
+        + (isFirst ? innovation / (this->runCount + 1) : longTermWeight * std::clamp(innovation, -maxInnovation, maxInnovation));
+    this->deviation = recent - this->longTerm;
     this->measured = now;
 }
 
@@ -91,9 +104,9 @@
         return;
     }
     const double value = std::clamp(std::log(relativeTime), -maxDeviation, maxDeviation);
-    const double weight = runs / (this->runCount + runs + 1);
+    const double weight = runs / (this->runCount + runs);
     this->longTerm += weight * (value - this->longTerm);
-    this->recent += weight * (value - this->recent);
+    this->deviation *= 1 - weight;
     this->runCount = std::min(this->runCount + runs, 1 / longTermWeight);
     this->measured = now;
 }
@@ -104,25 +117,55 @@
     this->paceReported = now;
 }
 
-double ReplicaSpeed::recentLogarithm(SteadyTime now) const
+void ReplicaSpeed::rescale(double factor)
+{
+    if (this->isMeasured()) {
+        this->longTerm -= std::log(factor);
+    }
+}
+
+double ReplicaSpeed::longTermLogarithm(SteadyTime now) const
 {
-    const double base = this->longTerm * decay(this->measured, now, longTermRetention);
-    return base + (this->recent - this->longTerm) * decay(this->measured, now, recentRetention);
+    const SteadyTime step = lastStep(this->measured, now, longTermStep);
+    return withoutNegligible(this->longTerm * decay(this->measured, step, longTermRetention));
+}
+
+double ReplicaSpeed::deviationLogarithm(SteadyTime now) const
+{
+    const SteadyTime step = lastStep(this->measured, now, recentStep);
+    return withoutNegligible(this->deviation * decay(this->measured, step, recentRetention));
 }
 
 double ReplicaSpeed::paceLogarithm(SteadyTime now) const
 {
-    const double remaining = 1 - (now - this->paceReported) / paceRetention;
-    if (this->pace == 0 || remaining <= 0) {
+    const std::int64_t steps = (now - this->paceReported) / paceStep;
+    if (this->pace == 0 || steps >= paceSteps) {
         return 0;
     }
+    const double remaining = 1 - static_cast<double>(steps) / paceSteps;
+    return remaining * std::log(this->paceFactor(this->pace));
+}
+
+double ReplicaSpeed::paceTrust() const
+{
     const double trust = (this->paceProducts + initialPaceTrust * initialPaceWeight) / (this->paceSquares + initialPaceWeight);
-    return std::clamp(trust, 0.0, 1.0) * remaining * std::log(this->pace / usualPace);
+    return std::clamp(trust, 0.0, 1.0);
+}
+
+double ReplicaSpeed::paceFactor(std::uint32_t statedPace) const
+{
+    return statedPace == 0 ? 1 : std::pow(statedPace / usualPace, this->paceTrust());
 }
 
 double ReplicaSpeed::expected(SteadyTime now) const
 {
-    return std::exp(withoutScatter(this->recentLogarithm(now) + this->paceLogarithm(now)));
+    const double recent = this->longTermLogarithm(now) + this->deviationLogarithm(now);
+    return std::exp(withoutScatter(recent + this->paceLogarithm(now)));
+}
+
+double ReplicaSpeed::recentTime(SteadyTime now) const
+{
+    return std::exp(this->longTermLogarithm(now) + this->deviationLogarithm(now));
 }
 
 double ReplicaSpeed::usual() const
@@ -130,15 +173,24 @@
     return std::exp(this->longTerm);
 }
 
+bool ReplicaSpeed::isMeasured() const
+{
+    return this->runCount > 0;
+}
+
 SteadyTime ReplicaSpeed::nextChange(SteadyTime now) const
 {
-    const bool isReturning = std::abs(this->recentLogarithm(now)) > ignoredDeviation;
-    const bool isPaceFresh = this->pace != 0 && now - this->paceReported < paceRetention;
-    if (!isReturning && !isPaceFresh) {
-        return SteadyTime::max();
+    SteadyTime next = SteadyTime::max();
+    if (this->deviationLogarithm(now) != 0) {
+        next = std::min(next, lastStep(this->measured, now, recentStep) + recentStep);
+    }
+    if (this->longTermLogarithm(now) != 0) {
+        next = std::min(next, lastStep(this->measured, now, longTermStep) + longTermStep);
+    }
+    if (this->paceLogarithm(now) != 0) {
+        next = std::min(next, lastStep(this->paceReported, now, paceStep) + paceStep);
     }
-    // On a grid, so that the time stays the same when it is requested again.
-    return SteadyTime(now.time_since_epoch() / refreshInterval * refreshInterval + refreshInterval);
+    return next;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/ReplicaSpeed.h
+++ b/Libraries/LibDispatch/ReplicaSpeed.h
@@ -11,11 +11,12 @@
 /**
  * Learns how long one replica takes for a unit of work, relative to its service, from finished runs.
  *
- * It keeps two estimates, because spells of slowness that last less than a second must not be taken for a slow replica: the
- * recent one follows a change within a few runs, the usual one needs many. While nothing is measured the recent estimate returns
- * to the usual one, and the usual one, much more slowly, to the service's median. So a slow replica is tried again.
+ * It keeps two estimates, because periods of slowness that last less than a second must not be taken for a slow replica: the
+ * recent one follows a change within a few runs, the long-term one needs many. While nothing is measured, the recent estimate
+ * returns to the long-term one, and the long-term one, much more slowly, to the service's median. So a slow replica is retried.
  *
- * All times are relative: 1 is the service's median, 2 takes twice as long.
+ * All times are relative: 1 is the service's median, 2 takes twice as long. The passing of time changes them in steps, so that an
+ * index of them is exact if it is updated at nextChange().
  */
 class ReplicaSpeed
 {
@@ -36,22 +37,36 @@
     /** Records what the replica states of its machine at this moment, in percent of usual. */
     void recordPace(std::uint32_t pace, SteadyTime now);
 
+    /** Divides all estimates by a factor, because the service's median has changed by it. */
+    void rescale(double factor);
+
     /** @return the expected time per unit of work of a run that starts now. */
     double expected(SteadyTime now) const;
 
+    /** @return the time per unit of work of the last runs, without the stated pace. */
+    double recentTime(SteadyTime now) const;
+
     /** @return the time per unit of work in the long run. */
     double usual() const;
 
+    /** @return the factor by which a stated pace lengthens a run, as far as it is trusted. */
+    double paceFactor(std::uint32_t statedPace) const;
+
+    /** @return whether any run has been recorded. */
+    bool isMeasured() const;
+
     /** @return when the passing of time next changes the expected time, or a far time if it does not. */
     SteadyTime nextChange(SteadyTime now) const;
 
 private:
-    double recentLogarithm(SteadyTime now) const;
+    double longTermLogarithm(SteadyTime now) const;
+    double deviationLogarithm(SteadyTime now) const;
     double paceLogarithm(SteadyTime now) const;
+    double paceTrust() const;
 
-    /** Natural logarithms of relative times. */
-    double recent = 0;
+    /** Natural logarithms of relative times: the long-term estimate, and the recent one's difference from it. */
     double longTerm = 0;
+    double deviation = 0;
     double runCount = 0;
     SteadyTime measured{};
     std::uint32_t pace = 0;
--- a/Libraries/LibDispatch/RunMeasurement.cpp
+++ b/Libraries/LibDispatch/RunMeasurement.cpp
@@ -35,6 +35,8 @@
     if (!this->firstEvent) {
         this->firstEvent = now;
         this->measured.firstEvent = elapsed(this->sent, now);
+        // Events that arrive together with the first one took no time that is measured.
+        count = 1;
     }
     this->measured.events += count;
     this->measured.generation = elapsed(*this->firstEvent, now);
--- a/Libraries/LibDispatch/ServiceSpeed.cpp
+++ b/Libraries/LibDispatch/ServiceSpeed.cpp
@@ -30,6 +30,18 @@
     return time > 0 ? std::optional(time) : std::nullopt;
 }
 
+bool isStream(const ReplicaTiming &timing)
+{
+    return timing.perEvent.count() > 0;
+}
+
+/** @return the mean time per unit of work in microseconds; nothing if there is none. */
+std::optional<double> timePerUnit(const ReplicaTiming &timing)
+{
+    const auto time = static_cast<double>((isStream(timing) ? timing.perEvent : timing.firstEvent).count());
+    return time > 0 && timing.runs > 0 ? std::optional(time) : std::nullopt;
+}
+
 } // namespace
 
 void ServiceSpeed::Usual::add(double value, double runs)
@@ -51,19 +63,38 @@
     return std::exp(relative);
 }
 
-std::optional<double> ServiceSpeed::compare(const ReplicaTiming &timing)
+std::vector<double> ServiceSpeed::compare(const std::vector<ReplicaTiming> &timings)
 {
-    const bool isStream = timing.perEvent.count() > 0;
-    const auto time = static_cast<double>((isStream ? timing.perEvent : timing.firstEvent).count());
-    if (time <= 0 || timing.runs == 0) {
-        return std::nullopt;
+    std::array<std::vector<double>, 2> logarithms;
+    std::vector<std::optional<double>> times;
+    for (const ReplicaTiming &timing : timings) {
+        times.push_back(timePerUnit(timing));
+        if (times.back()) {
+            logarithms[isStream(timing) ? 1 : 0].push_back(std::log(*times.back()));
+        }
     }
-    Usual &usual = this->usual[indexOf(WorkClass::Online, isStream)];
-    const double relative = usual.count > 0 ? std::log(time) - usual.logarithm : 0;
-    if (usual.count < maxRuns / 2) {
-        usual.add(std::log(time), timing.runs);
+    for (const bool isOfStreams : {false, true}) {
+        std::vector<double> &values = logarithms[isOfStreams ? 1 : 0];
+        Usual &usual = this->usual[indexOf(WorkClass::Online, isOfStreams)];
+        if (usual.count == 0 && !values.empty()) {
+            const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+            std::ranges::nth_element(values, middle);
+            usual.add(*middle, 1);
+        }
+    }
+    std::vector<double> relative;
+    for (std::size_t index = 0; index < timings.size(); ++index) {
+        const Usual &usual = this->usual[indexOf(WorkClass::Online, isStream(timings[index]))];
+        relative.push_back(times[index] ? *times[index] / std::exp(usual.logarithm) : 0);
+    }
+    return relative;
+}
+
+void ServiceSpeed::rescale(double factor)
+{
+    for (Usual &usual : this->usual) {
+        usual.logarithm += std::log(factor);
     }
-    return std::exp(relative);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/ServiceSpeed.h
+++ b/Libraries/LibDispatch/ServiceSpeed.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -19,13 +20,19 @@
 public:
     /**
      * Compares a run with what is usual, and adjusts that.
-     * @param replicaTime the usual relative time of the replica that ran it, see ReplicaSpeed
+     * @param replicaTime the usual relative time of the replica that ran it at its load, see ReplicaSpeed and ConcurrencyLimit
      * @return its time per unit of work, relative to the service; nothing if the run shows none
      */
     std::optional<double> recordRun(WorkClass work, const RunTiming &timing, double replicaTime);
 
-    /** @return a node's mean measurements of a replica, relative to the service; nothing if there is nothing to compare with. */
-    std::optional<double> compare(const ReplicaTiming &timing);
+    /**
+     * Compares a node's mean measurements of replicas with what is usual, or with each other if nothing is known yet.
+     * @return their times per unit of work, relative to the service, in the same order; 0 for one that shows none
+     */
+    std::vector<double> compare(const std::vector<ReplicaTiming> &timings);
+
+    /** Multiplies the usual times by a factor. */
+    void rescale(double factor);
 
 private:
     /** An average of the logarithms of times, in microseconds. */
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -530,6 +530,194 @@
     answer(exchange, this->isReady ? statusOk : statusUnavailable, {}, {});
 }
 
+void Gateway::setDispatcherGauges(const std::string &service, const Dispatcher::Load &load)
+{
+    const auto set = [this, &service](const char *name, std::size_t value) {
+        this->metrics.setGauge(service + name, static_cast<double>(value));
+    };
+    set("_slots", load.slots);
+    set("_online_running", load.onlineRunning);
+    set("_batch_running", load.batchRunning);
+    set("_online_waiting", load.onlineWaiting);
+    set("_batch_waiting", load.batchWaiting);
+    set("_replicas_limited", load.learned.limited);
+    set("_replicas_blocked", load.learned.blocked);
+    this->metrics.setGauge(service + "_slowest_time", load.learned.slowest);
+    this->metrics.setGauge(service + "_fastest_time", load.learned.fastest);
+}
+
+void Gateway::handleMetrics(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (const ServingConfigurationPointer current = this->configuration.current()) {
+        this->metrics.setGauge("configuration_version", static_cast<double>(current->version));
+        for (const Service &service : current->services) {
+            if (const std::optional<Dispatcher::Load> load = this->placements.dispatcherLoad(service.name)) {
+                this->setDispatcherGauges(service.name.value(), *load);
+            }
+        }
+    }
+    for (const auto &[kind, total] : this->traffic.totals()) {
+        log(LogLevel::Info,
+            "traffic",
+            {{"means", std::string(toString(kind.means))},
+             {"name", kind.name},
+             {"direction", std::string(toString(kind.direction))},
+             {"messages", static_cast<std::int64_t>(total.messages)},
+             {"bytes", static_cast<std::int64_t>(total.bytes)}});
+    }
+    this->trafficTimer = this->loop.schedule(trafficInterval, [this] {
+        this->logTraffic();
+    });
+}
+
+void Gateway::recordDisconnect(const InterruptedRun &run)
+{
+    this->crashes.recordDisconnect(run);
+    // One timer for each disconnect: a later one is classified later.
+    this->loop.schedule(CrashHistory::classificationDelay, [this, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired()) {
+            this->crashExchange.classifyDisconnects();
+        }
+    });
+}
+
+void Gateway::handleDatagram(const Datagram &datagram)
+{
+    if (!this->isComplete) {
+        return;
+    }
+    this->quotas.recordReceived(datagram.from);
+    if (datagram.number == JobEnded::number) {
+        if (const auto ended = decode<JobEnded>(datagram.payload)) {
+            this->runners.stopJob(ended->job, RunEnd::EndReported);
+        }
+    } else if (datagram.number == JobReminder::number) {
+        if (const auto reminder = decode<JobReminder>(datagram.payload)) {
+            this->runners.handleReminder(reminder->jobs);
+        }
+    } else if (!this->crashExchange.receive(datagram) && !this->origins.receive(datagram) && !this->elections.receive(datagram)
+               && !this->quotas.receive(datagram)) {
+        this->placements.receive(datagram);
+    }
+}
+
+void Gateway::applyConfiguration(const ServingConfigurationPointer &configuration)
+{
+    if (!this->isComplete) {
+        return;
+    }
+    const ConfiguredLimits &stated = configuration->limits;
+    CallerLimits limits;
+    limits.headBytes = stated.headBytes > 0 ? stated.headBytes : limits.headBytes;
+    limits.bodyBytes = stated.bodyBytes > 0 ? stated.bodyBytes : limits.bodyBytes;
+    limits.headTimeout = stated.headTimeout.count() > 0 ? stated.headTimeout : limits.headTimeout;
+    limits.idleTimeout = stated.idleTimeout.count() > 0 ? stated.idleTimeout : limits.idleTimeout;
+    this->callers.setLimits(limits);
+    if (configuration->workspaces) {
+        this->quotas.start();
+    }
+    this->updateServices(this->appliedConfiguration.get(), *configuration);
+    this->appliedConfiguration = configuration;
+    this->updateReadiness();
+    this->router.retryHeld();
+}
+
+void Gateway::updateServices(const ServingConfiguration *before, const ServingConfiguration &current)
+{
+    for (const Service &service : current.services) {
+        const Service *const known = before != nullptr ? before->findService(service.name) : nullptr;
+        if (known == nullptr || known->engine != service.engine) {
+            this->placements.setService(service.name, this->replicasOf(service), service.engine.has_value());
+        }
+    }
+}
+
+void Gateway::handleStoreReach(bool isReached)
+{
+    if (this->isComplete && isReached) {
+        // Pending requests may wait on connections that died in the outage.
+        this->tableRelay.refresh();
+        this->configuration.refresh();
+        this->runners.refreshOpenJobs();
+        this->peers.refresh();
+    }
+}
+
+std::vector<DispatchReplica> Gateway::replicasOf(const Service &service) const
+{
+    std::vector<DispatchReplica> replicas;
+    for (const ServingReplica &replica : this->replicaFollower.ofService(service.name)) {
+        replicas.push_back(dispatchReplica(service, replica));
+    }
+    return replicas;
+}
+
+void Gateway::applyReplicaChanges(const ReplicaChanges &changes)
+{
+    if (!this->isComplete) {
+        return;
+    }
+    // Changes that arrive before the first configuration are applied together with it.
+    if (this->appliedConfiguration) {
+        std::map<ServiceName, ReplicaUpdate> updates;
+        for (const ServingReplica &replica : changes.removed) {
+            updates[replica.service].removed.push_back(replica.instance);
+        }
+        for (const ServingReplica &replica : changes.put) {
+            if (const Service *const service = this->appliedConfiguration->findService(replica.service)) {
+                updates[replica.service].put.push_back(dispatchReplica(*service, replica));
+            }
+        }
+        for (const auto &[name, update] : updates) {
+            if (this->appliedConfiguration->findService(name) != nullptr) {
+                this->placements.updateService(name, update);
+            }
+        }
+    }
+    this->updateReadiness();
+}
+
+void Gateway::updateReadiness()
+{
+    const bool isReadyNow = this->configuration.current() && this->replicaFollower.isKnown() && !this->stopped;
+    if (std::exchange(this->isReady, isReadyNow) != isReadyNow) {
+        log(LogLevel::Info, isReadyNow ? "ready for callers" : "not ready for callers");
+        this->peers.setReady(isReadyNow);
+    }
+}
+
+void Gateway::handleDirectory(const std::shared_ptr<CallerExchange> &exchange)
+{
+    const std::optional<AddressQuery> query = decodeAddressQuery(exchange->head());
+    if (!query) {
+        answer(exchange, statusNotFound, "text/plain", "not found\n");
+        return;
+    }
+    std::vector<Address> addresses;
+    const MemberViewPointer view = this->peers.view();
+    for (const Member &member : view->members()) {
+        if (member.isReady && !member.isLeaving) {
+            addresses.push_back(member.http);
+        }
+    }
+    std::ranges::shuffle(addresses, this->random);
+    addresses.resize(std::min(addresses.size(), maxAddresses));
+    if (addresses.empty()) {
+        exchange->send(statusUnavailable, retryHeaders(noAddressRetryAfter), {});
+        return;
+    }
+    answer(exchange, statusOk, "application/json", encodeAddresses(addresses, this->settings->gateway.addressTtl));
+}
+
+void Gateway::handleReadiness(const std::shared_ptr<CallerExchange> &exchange)
+{
+    if (!isReadinessQuery(exchange->head())) {
+        answer(exchange, statusNotFound, "text/plain", "not found\n");
+        return;
+    }
+    answer(exchange, this->isReady ? statusOk : statusUnavailable, {}, {});
+}
+
 void Gateway::handleMetrics(const std::shared_ptr<CallerExchange> &exchange)
 {
     if (const ServingConfigurationPointer current = this->configuration.current()) {
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -111,6 +111,8 @@
     void handleDirectory(const std::shared_ptr<CallerExchange> &exchange);
     void handleReadiness(const std::shared_ptr<CallerExchange> &exchange);
     void handleMetrics(const std::shared_ptr<CallerExchange> &exchange);
+    /** Sets the gauges of a service whose dispatcher is this node. */
+    void setDispatcherGauges(const std::string &service, const Dispatcher::Load &load);
     void recordDisconnect(const InterruptedRun &run);
     void reportEnded(const JobId &job);
     void watchStop();
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -282,7 +282,8 @@
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     this->answer = head;
     const bool isGood = isSuccess(read.status);
-    this->measurement.recordHead(read.stated ? read.stated->pace : 0, read.isSigned && read.status >= statusServerError);
+    const bool isError = read.isSigned && !read.isNotExecuted && read.status >= statusServerError;
+    this->measurement.recordHead(read.stated ? read.stated->pace : 0, isError);
     if (read.isNotExecuted) {
         const bool isFull = read.status == statusUnavailable;
         this->continueElsewhere(isFull ? PlacementVerdict::Rejected : PlacementVerdict::Unreachable,
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -395,7 +395,8 @@
     }
     const ReplicaAnswer read = decodeReplicaAnswer(head);
     const bool isGood = isSuccess(read.status);
-    this->measurement.recordHead(read.stated ? read.stated->pace : 0, read.isSigned && read.status >= statusServerError);
+    const bool isError = read.isSigned && !read.isNotExecuted && read.status >= statusServerError;
+    this->measurement.recordHead(read.stated ? read.stated->pace : 0, isError);
     // Reports only a load that the dispatcher does not expect; a datagram for each request would repeat what it knows.
     if (isGood && read.stated && isUnexpected(*read.stated)) {
         this->context.placements.reportStarted(this->placementTicket, read.stated->load, read.stated->pace);
@@ -513,7 +514,9 @@
 {
     this->recordPromptServed();
     this->context.recordRequestServed(this->fingerprint);
-    this->measurement.recordWholeAnswer(this->now());
+    if (isSuccess(this->answer.status)) {
+        this->measurement.recordWholeAnswer(this->now());
+    }
     this->releaseReplica(PlacementVerdict::Finished);
     if (this->exchange->isStarted()) {
         this->exchange->abort();
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Log.h>
 #include <LibWire/Codec.h>
 
+#include <cmath>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -220,7 +221,10 @@
 
 void PlacementServer::handle(const ReplicaTimings &timings)
 {
-    this->dispatcherFor(ServiceName(timings.service)).recordTimings(timings.replicas);
+    const ServiceName service(timings.service);
+    // Nodes learn of a new dispatcher at different times; a dispatcher that is created early must not be dropped before it acts.
+    this->stateOf(service).lastRequest = this->clock.now();
+    this->dispatcherFor(service).recordTimings(timings.replicas);
 }
 
 void PlacementServer::handle(const SlotRequest &slotRequest, const Address &client)
@@ -374,7 +378,11 @@
          {"online_running", static_cast<std::int64_t>(load.onlineRunning)},
          {"batch_running", static_cast<std::int64_t>(load.batchRunning)},
          {"online_waiting", static_cast<std::int64_t>(load.onlineWaiting)},
-         {"batch_waiting", static_cast<std::int64_t>(load.batchWaiting)}});
+         {"batch_waiting", static_cast<std::int64_t>(load.batchWaiting)},
+         {"limited_replicas", static_cast<std::int64_t>(load.learned.limited)},
+         {"blocked_replicas", static_cast<std::int64_t>(load.learned.blocked)},
+         {"slowest_percent", std::llround(load.learned.slowest * 100)},
+         {"fastest_percent", std::llround(load.learned.fastest * 100)}});
 }
 
 std::optional<Dispatcher::Load> PlacementServer::load(const ServiceName &service) const
