LibDispatch: Try concurrencies that are not measured, and replay uneven replicas

Cause: a replica that is slow at all its slots and always full was never measured at fewer; estimates followed a change too slowly. Change: bounded trials of other concurrencies; stated disturbances do not count in the long-term estimate; TestSpeedReplay.

--- a/Libraries/LibDispatch/CapacityLearner.cpp
+++ b/Libraries/LibDispatch/CapacityLearner.cpp
@@ -19,6 +19,8 @@
 constexpr double reportedChange = 1.6;
 /** At most one such line for a replica in this time. */
 constexpr std::chrono::seconds speedLogInterval{1};
+/** One replica, and one more of this number, may be reduced to half of its slots for a trial at a time. */
+constexpr std::size_t maxTrialDivisor = 10;
 
 } // namespace
 
@@ -33,6 +35,8 @@
     replica.isCapacityLearned = this->isUsed;
     replica.countedSlots = replica.traits.isDraining ? 0 : replica.usableSlots();
     replica.isCountedBlocked = replica.breaker.isBlockedForErrors();
+    replica.isCountedTrial = replica.concurrency.isReducedForTrial();
+    this->trials += replica.isCountedTrial ? 1 : 0;
     this->slotCount += replica.countedSlots;
     this->blockedSlots += replica.isCountedBlocked ? replica.countedSlots : 0;
 }
@@ -41,7 +45,9 @@
 {
     this->slotCount -= replica.countedSlots;
     this->blockedSlots -= replica.isCountedBlocked ? replica.countedSlots : 0;
+    this->trials -= replica.isCountedTrial ? 1 : 0;
     replica.countedSlots = 0;
+    replica.isCountedTrial = false;
 }
 
 std::size_t CapacityLearner::slots() const
@@ -76,13 +82,13 @@
     } else {
         replica.breaker.recordEnd(verdict, this->clock.now());
     }
-    const std::size_t former = replica.countedSlots;
+    const std::uint32_t former = replica.concurrency.learnedLimit();
     if (isFinished && !timing.isError) {
         this->recordStatedPace(timing.statedPace);
         this->recordRun(replica, work, concurrency, timing);
     }
     this->recount(replica);
-    if (replica.countedSlots != former) {
+    if (replica.concurrency.learnedLimit() != former) {
         this->logLimit(replica, former);
     }
 }
@@ -103,7 +109,8 @@
     if (running > 0 && replica.speed.isMeasured()) {
         // Compared with the last runs, so that neither a slow replica nor a disturbance is taken for an effect of the load.
         const double recent = replica.speed.recentTime(now) * replica.speed.paceFactor(timing.statedPace);
-        replica.concurrency.recordRun(*relative / recent, running, now);
+        const bool mayReduce = this->trials * maxTrialDivisor <= this->replicas.size();
+        replica.concurrency.recordRun(*relative / recent, running, {replica.traits.slots, mayReduce}, now);
     }
     replica.speed.recordRun(*relative / loadFactor, timing.statedPace, now);
     this->logSpeed(replica);
@@ -138,7 +145,13 @@
     }
     this->nextAdjustment = now + adjustmentInterval;
     std::vector<double> times;
-    for (const auto &[instance, replica] : this->replicas) {
+    for (auto &[instance, replica] : this->replicas) {
+        const std::uint32_t former = replica.usableSlots();
+        replica.concurrency.endTrialAfterTimeout(now);
+        if (replica.usableSlots() != former) {
+            this->recount(replica);
+            this->index.update(replica);
+        }
         if (replica.speed.isMeasured()) {
             times.push_back(replica.speed.usual());
         }
@@ -166,14 +179,14 @@
     return (others + replica.countedSlots) * 2 <= this->slotCount;
 }
 
-void CapacityLearner::logLimit(const DispatchedReplica &replica, std::size_t former) const
+void CapacityLearner::logLimit(const DispatchedReplica &replica, std::uint32_t former) const
 {
     log(LogLevel::Info,
         "concurrency limit of a replica changed",
         {{"replica", replica.traits.instance.value()},
          {"slots", static_cast<std::int64_t>(replica.traits.slots)},
          {"former", static_cast<std::int64_t>(former)},
-         {"limit", static_cast<std::int64_t>(replica.countedSlots)}});
+         {"limit", static_cast<std::int64_t>(replica.concurrency.learnedLimit())}});
 }
 
 void CapacityLearner::logSpeed(DispatchedReplica &replica) const
@@ -204,7 +217,8 @@
             continue;
         }
         const double expected = replica.speed.expected(now);
-        summary.limited += replica.usableSlots() < replica.traits.slots ? 1 : 0;
+        const std::uint32_t limit = replica.concurrency.learnedLimit();
+        summary.limited += limit != 0 && limit < replica.traits.slots ? 1 : 0;
         summary.blocked += replica.breaker.isBlockedForErrors() ? 1 : 0;
         const double usual = replica.speed.usual();
         summary.slowest = isFirst ? expected : std::max(summary.slowest, expected);
--- a/Libraries/LibDispatch/CapacityLearner.h
+++ b/Libraries/LibDispatch/CapacityLearner.h
@@ -77,7 +77,7 @@
     void recordRun(DispatchedReplica &replica, WorkClass work, std::uint32_t concurrency, const RunTiming &timing);
     /** @return whether one more replica may be blocked for errors: at most half of the slots may be. */
     bool mayBlock(const DispatchedReplica &replica) const;
-    void logLimit(const DispatchedReplica &replica, std::size_t former) const;
+    void logLimit(const DispatchedReplica &replica, std::uint32_t former) const;
     void logSpeed(DispatchedReplica &replica) const;
 
     const Clock &clock;
@@ -89,6 +89,8 @@
     std::size_t slotCount = 0;
     /** Those of replicas that are blocked for errors. */
     std::size_t blockedSlots = 0;
+    /** Number of replicas that are reduced for a trial. */
+    std::size_t trials = 0;
     SteadyTime nextAdjustment{};
 };
 
--- a/Libraries/LibDispatch/ConcurrencyLimit.cpp
+++ b/Libraries/LibDispatch/ConcurrencyLimit.cpp
@@ -19,22 +19,25 @@
 /** Maximum difference that one run counts with, as a logarithm: some runs are disturbed by others on the same machine. */
 constexpr double maxInnovation = 0.3;
 /** A limit has to improve the ratio of throughput to latency by this factor: less may be scatter. */
-constexpr double minImprovement = 1.15;
+constexpr double minImprovement = 1.3;
 /** A limit has to keep this share of the greatest throughput measured. */
 constexpr double minThroughputShare = 0.9;
 /** Number of assumed runs without an effect of the concurrency, so that the first runs of a level do not decide alone. */
 constexpr double assumedRuns = 1;
-constexpr std::chrono::seconds firstRetryInterval{10};
-constexpr std::chrono::seconds maxRetryInterval{300};
+constexpr std::chrono::seconds firstTrialInterval{10};
+constexpr std::chrono::seconds maxTrialInterval{320};
+/** By then a replica that is in use has finished the runs that exceed the tried concurrency, and enough others. */
+constexpr std::chrono::seconds maxTrialTime{8};
+/** A replica that has run more than half of its slots for this long is reduced for a trial; bursts end sooner. */
+constexpr std::chrono::seconds reductionDelay{60};
 
 } // namespace
 
-void ConcurrencyLimit::recordRun(double relativeTime, std::uint32_t concurrency, SteadyTime now)
+void ConcurrencyLimit::recordRun(double relativeTime, std::uint32_t concurrency, const Bounds &bounds, SteadyTime now)
 {
     if (!(relativeTime > 0) || concurrency == 0) {
         return;
     }
-    this->forgetOldLevels(now);
     const std::uint32_t index = std::min(concurrency, maxLevels) - 1;
     if (this->levels.size() <= index) {
         this->levels.resize(index + 1);
@@ -44,14 +47,68 @@
     level.count += 1;
     const bool isFirst = level.count * weight < 1;
     level.logarithm += isFirst ? innovation / level.count : weight * std::clamp(innovation, -maxInnovation, maxInnovation);
-    level.measured = now;
-    const std::uint32_t best = this->bestConcurrency();
-    if (best != 0 && this->limit == 0) {
-        const bool isRepeated = best + 1 >= this->formerLimit && best <= this->formerLimit + 1;
-        this->retryInterval = isRepeated ? std::min(this->retryInterval * 2, maxRetryInterval) : firstRetryInterval;
+    if (this->trial == 0) {
+        this->limit = this->bestConcurrency();
+        this->startTrial(concurrency, bounds, now);
+        return;
+    }
+    const bool isRaised = this->trial > this->limit && this->limit != 0;
+    const bool isMeasured = isRaised ? this->trial <= this->levels.size() && this->levels[this->trial - 1].count >= minRuns
+                                     : this->isMeasuredUpTo(this->trial);
+    if (isMeasured) {
+        this->endTrial(now);
+    } else {
+        this->endTrialAfterTimeout(now);
+    }
+}
+
+void ConcurrencyLimit::startTrial(std::uint32_t concurrency, const Bounds &bounds, SteadyTime now)
+{
+    if (this->trialInterval.count() == 0) {
+        this->trialInterval = firstTrialInterval;
+        this->nextTrial = now + this->trialInterval;
+        this->lastHalfUsed = now;
+    }
+    const std::uint32_t half = bounds.slots / 2;
+    this->lastHalfUsed = concurrency <= half ? now : this->lastHalfUsed;
+    if (now < this->nextTrial) {
+        return;
     }
+    const bool isAlwaysBusy = now - this->lastHalfUsed >= reductionDelay;
+    if (this->limit != 0 && this->limit < bounds.slots) {
+        this->trial = this->limit + 1;
+        if (this->limit < this->levels.size()) {
+            this->levels[this->limit] = Level();
+        }
+    } else if (this->limit == 0 && bounds.mayReduce && half > 0 && isAlwaysBusy && !this->isMeasuredUpTo(half)) {
+        this->trial = half;
+    }
+    this->trialEnd = now + maxTrialTime;
+}
+
+void ConcurrencyLimit::endTrialAfterTimeout(SteadyTime now)
+{
+    if (this->trial != 0 && now >= this->trialEnd) {
+        this->endTrial(now);
+    }
+}
+
+void ConcurrencyLimit::endTrial(SteadyTime now)
+{
+    this->trial = 0;
+    const std::uint32_t best = this->bestConcurrency();
+    this->trialInterval = best == this->limit ? std::min(this->trialInterval * 2, maxTrialInterval) : firstTrialInterval;
+    // A limit that could be raised is raised further at once.
+    this->nextTrial = best > this->limit && this->limit != 0 ? now : now + this->trialInterval;
     this->limit = best;
-    this->formerLimit = best != 0 ? best : this->formerLimit;
+}
+
+bool ConcurrencyLimit::isMeasuredUpTo(std::uint32_t concurrency) const
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min<std::size_t>(concurrency, this->levels.size()));
+    return std::any_of(this->levels.begin(), this->levels.begin() + count, [](const Level &level) {
+        return level.count >= minRuns;
+    });
 }
 
 std::uint32_t ConcurrencyLimit::bestConcurrency() const
@@ -86,25 +143,20 @@
     return !points.empty() && bestPower > points.back().power * minImprovement ? best : 0;
 }
 
-void ConcurrencyLimit::forgetOldLevels(SteadyTime now)
+std::uint32_t ConcurrencyLimit::value(std::uint32_t slots) const
 {
-    if (this->limit == 0) {
-        return;
-    }
-    const auto isAbove = [this](std::size_t index) {
-        return index >= this->limit;
-    };
-    for (std::size_t index = 0; index < this->levels.size(); ++index) {
-        Level &level = this->levels[index];
-        if (isAbove(index) && level.count > 0 && now - level.measured > this->retryInterval) {
-            level = Level();
-        }
-    }
+    const std::uint32_t allowed = this->trial != 0 ? this->trial : this->limit;
+    return allowed == 0 ? slots : std::clamp<std::uint32_t>(allowed, 1, slots);
 }
 
-std::uint32_t ConcurrencyLimit::value(std::uint32_t slots) const
+bool ConcurrencyLimit::isReducedForTrial() const
+{
+    return this->trial != 0 && this->limit == 0;
+}
+
+std::uint32_t ConcurrencyLimit::learnedLimit() const
 {
-    return this->limit == 0 ? slots : std::clamp<std::uint32_t>(this->limit, 1, slots);
+    return this->limit;
 }
 
 double ConcurrencyLimit::factor(std::uint32_t concurrency) const
--- a/Libraries/LibDispatch/DispatchedReplica.h
+++ b/Libraries/LibDispatch/DispatchedReplica.h
@@ -50,6 +50,7 @@
     /** What of it is counted in the slots of the service, see CapacityLearner. */
     std::size_t countedSlots = 0;
     bool isCountedBlocked = false;
+    bool isCountedTrial = false;
     /** The expected time that was last logged, and when. */
     double reportedTime = 1;
     SteadyTime lastSpeedLog{};
--- a/Libraries/LibDispatch/ReplicaSpeed.cpp
+++ b/Libraries/LibDispatch/ReplicaSpeed.cpp
@@ -10,7 +10,7 @@
 {
 
 /** Time constant of the recent estimate: a change is visible within a second of runs. */
-constexpr std::chrono::duration<double> recentTimeConstant{0.5};
+constexpr std::chrono::duration<double> recentTimeConstant{0.25};
 /** Minimum weight of one run in the recent estimate, for replicas that finish many runs a second. */
 constexpr double minRecentWeight = 0.15;
 /** Weight of one run in the long-term estimate; about the last fifty runs count. */
@@ -20,10 +20,13 @@
  * of the time, in periods as long as a run, disturbs about a third of the runs and must not look slow for good.
  */
 constexpr double maxInnovation = 0.1;
+/** The first runs may count with this much, divided by their number: they find the speed, but a disturbed one does not decide. */
+constexpr double maxFirstInnovation = 2;
 /** A single run is taken to be within a factor of 20 of what is expected; beyond that something else was measured. */
 constexpr double maxDeviation = 3;
-/** How fast the recent estimate returns to the long-term one without new runs. Short, so that a replica recovers. */
-constexpr std::chrono::duration<double> recentRetention{1};
+/** How fast the recent estimate returns to the long-term one without new runs. Longer than the gap between two runs of a
+ * replica that is in use, short enough that a replica recovers. */
+constexpr std::chrono::duration<double> recentRetention{2};
 /** How fast the long-term estimate returns to the median without new runs. */
 constexpr std::chrono::duration<double> longTermRetention{30};
 /** Steps in which the two estimates return. */
@@ -34,8 +37,11 @@
 constexpr int paceSteps = 3;
 /** Weight of a run in the sums that show whether the stated pace is true. */
 constexpr double paceWeight = 0.05;
-/** Trust in the stated pace before any run has confirmed or refuted it, and the weight of this assumption. */
-constexpr double initialPaceTrust = 0.5;
+/**
+ * Trust in the stated pace before any run has confirmed or refuted it, and the weight of this assumption. A disturbance that ends
+ * during a run lengthens it by a part only.
+ */
+constexpr double initialPaceTrust = 0.3;
 constexpr double initialPaceWeight = 0.05;
 /**
  * Smaller deviations from the service's median are ignored, as a logarithm. Estimates scatter by some percent; without this,
@@ -45,6 +51,8 @@
 /** Smaller logarithms count as 0, so that an estimate that returns is at its end in finite time. */
 constexpr double negligible = 0.02;
 constexpr double usualPace = 100;
+/** A stated pace that is expected to lengthen a run by more than this, as a logarithm, is a disturbance. */
+constexpr double disturbedPace = 0.05;
 
 double decay(SteadyTime from, SteadyTime now, std::chrono::duration<double> timeConstant)
 {
@@ -91,9 +99,11 @@
     const double recent = former + weight * (withoutPace - former);
     this->runCount += 1;
     const double innovation = withoutPace - base;
-    const bool isFirst = this->runCount * longTermWeight < 1;
-    this->longTerm = base
-        + (isFirst ? innovation / (this->runCount + 1) : longTermWeight * std::clamp(innovation, -maxInnovation, maxInnovation));
+    // A run that started in a stated disturbance shows nothing of the long term, unless such statements are wrong.
+    const bool isDisturbed = std::log(this->paceFactor(statedPace)) > disturbedPace;
+    const double limit = isDisturbed ? 0 : std::max(maxInnovation, maxFirstInnovation / this->runCount);
+    const double longTermStepWeight = std::max(longTermWeight, 1 / (this->runCount + 1));
+    this->longTerm = base + longTermStepWeight * std::clamp(innovation, -limit, limit);
     this->deviation = recent - this->longTerm;
     this->measured = now;
 }
--- a/Tests/LibDispatch/TestSpeedReplay.cpp
+++ b/Tests/LibDispatch/TestSpeedReplay.cpp
@@ -45,6 +45,8 @@
     std::chrono::milliseconds length{40000};
     unsigned seed = 11;
     bool isPaceStated = false;
+    /** Square bursts: 2.8 s of 6.6 s at 1.84 times the mean, the remainder at 0.377 times. */
+    bool isBursty = false;
     /** How many times as long work takes at a replica, at a time. */
     std::function<double(std::size_t, std::chrono::milliseconds)> disturbance = [](std::size_t, std::chrono::milliseconds) {
         return 1.0;
@@ -96,17 +98,24 @@
         for (this->time = 0ms; this->time < this->scenario.length; this->time += 1ms) {
             this->clock.advance(1ms);
             this->work();
-            if (chance(this->random) < capacity * this->scenario.utilization) {
+            const double factor = !this->scenario.isBursty ? 1 : this->time % 6600ms >= 3800ms ? 1.84 : 0.377;
+            if (chance(this->random) < capacity * this->scenario.utilization * factor) {
                 this->arrive();
             }
             this->maintain();
         }
+        // Requests without a first event are counted as if it came at the end.
+        for (const auto &[number, request] : this->requests) {
+            if (request.arrived >= warmUp && request.timing.firstEvent.count() == 0) {
+                this->firstEvents.push_back(static_cast<double>((this->time - request.arrived).count()));
+            }
+        }
         std::ranges::sort(this->firstEvents);
         const auto onTime = std::ranges::count_if(this->firstEvents, [](double first) {
             return first <= objective.count();
         });
         return {this->firstEvents.at(this->firstEvents.size() * 99 / 100),
-                static_cast<double>(onTime) / static_cast<double>(this->arrivals)};
+                static_cast<double>(onTime) / static_cast<double>(this->firstEvents.size())};
     }
 
 private:
@@ -132,7 +141,6 @@
         request.arrived = this->clock.now();
         request.due = request.arrived + objective;
         request.deadline = request.arrived + 1h;
-        this->arrivals += this->time >= warmUp ? 1 : 0;
         this->requests[this->last] = {request, this->time};
         if (this->policy == Policy::Oracle) {
             this->queue.add(request, this->clock.now());
@@ -165,10 +173,12 @@
     void start(std::uint64_t number, std::size_t replica)
     {
         Request &request = this->requests.at(number);
+        // The same for each policy.
+        std::minstd_rand variationOf(static_cast<unsigned>(number * 7919));
         std::uniform_real_distribution<double> variation(0.9, 1.1);
         request.replica = replica;
         request.started = this->clock.now();
-        request.remaining = (firstWork + otherWork) * variation(this->random);
+        request.remaining = (firstWork + otherWork) * variation(variationOf);
         const double pace = this->scenario.disturbance(replica, this->time) * 100;
         request.timing.statedPace = this->scenario.isPaceStated ? static_cast<std::uint32_t>(pace) : 0;
         ++this->counts[replica];
@@ -254,7 +264,6 @@
     std::vector<std::size_t> counts;
     std::minstd_rand random;
     std::uint64_t last = 0;
-    std::size_t arrivals = 0;
     std::map<std::uint64_t, Request> requests;
     std::vector<std::uint64_t> running;
     std::vector<std::pair<std::size_t, std::uint32_t>> reports;
@@ -315,13 +324,16 @@
         };
         std::chrono::milliseconds detected{0};
         std::chrono::milliseconds recovered{0};
+        int falseAlarms = 0;
         scenario.observe = [&](std::chrono::milliseconds time, const Dispatcher::Load &load) {
-            const bool isSlow = load.learned.slowest > 1.25;
+            const bool isSlow = load.learned.slowest > 1.15;
+            falseAlarms += time < 10s && isSlow ? 1 : 0;
             detected = detected == 0ms && time >= 10s && isSlow ? time : detected;
             recovered = time >= 20s && isSlow ? time : recovered;
         };
         replay(scenario, Policy::Learned);
         MESSAGE(utilization, " detected after ", (detected - 10s).count(), " ms, recovered after ", (recovered - 20s).count());
+        CHECK(falseAlarms == 0);
         CHECK(detected >= 10s);
         CHECK(detected <= 11s);
         CHECK(recovered <= 23s);
@@ -336,14 +348,15 @@
             Scenario scenario{equalSpeeds, 0.6};
             scenario.isPaceStated = isPaceStated;
             scenario.disturbance = [isOneDisturbed](std::size_t replica, std::chrono::milliseconds time) {
-                const bool isDisturbed = (!isOneDisturbed || replica == 3) && (time + replica * 1373ms) % 4000ms < 600ms;
+                const bool isDisturbed
+                    = time >= 10s && (!isOneDisturbed || replica == 3) && (time + replica * 1373ms) % 4000ms < 600ms;
                 return isDisturbed ? 2.5 : 1.0;
             };
             double slowest = 1;
             double fastest = 1;
             scenario.observe = [&](std::chrono::milliseconds time, const Dispatcher::Load &load) {
-                slowest = time > warmUp ? std::max(slowest, load.learned.slowestUsual) : slowest;
-                fastest = time > warmUp ? std::min(fastest, load.learned.fastestUsual) : fastest;
+                slowest = time >= 10s ? std::max(slowest, load.learned.slowestUsual) : slowest;
+                fastest = time >= 10s ? std::min(fastest, load.learned.fastestUsual) : fastest;
             };
             const Outcome usedSlots = replay(scenario, Policy::UsedSlots);
             const Outcome oracle = replay(scenario, Policy::Oracle);
@@ -356,27 +369,28 @@
     }
 }
 
-// Guards against replicas that are filled beyond what they can run well.
+// Guards against replicas that are filled beyond what they can run well, in bursts and in a steady overload without troughs.
 TEST_CASE("replicas that are slow from five requests on settle at a limit of four to five")
 {
-    for (const double utilization : {0.4, 0.6}) {
-        Scenario scenario{equalSpeeds, utilization};
-        scenario.length = 60s;
+    for (const bool isBursty : {true, false}) {
+        Scenario scenario{equalSpeeds, isBursty ? 0.35 : 0.5};
+        scenario.isBursty = isBursty;
+        scenario.length = 150s;
         scenario.effect = [](std::size_t running) {
             return running >= 5 ? 2.5 : 1.0;
         };
         std::vector<double> limits;
         scenario.observe = [&limits](std::chrono::milliseconds time, const Dispatcher::Load &load) {
-            if (time > 30s) {
+            if (time > 120s) {
                 limits.push_back(static_cast<double>(load.slots) / static_cast<double>(equalSpeeds.size()));
             }
         };
         const Outcome learned = replay(scenario, Policy::Learned);
         const Outcome usedSlots = replay(scenario, Policy::UsedSlots);
         std::ranges::sort(limits);
-        MESSAGE("mean limit: median ", limits[limits.size() / 2], " greatest ", limits.back());
+        MESSAGE("mean limit: least ", limits.front(), " greatest ", limits.back());
         MESSAGE("p99 learned ", learned.p99, " used slots ", usedSlots.p99, " on time ", learned.onTime, " ", usedSlots.onTime);
-        CHECK(limits[limits.size() / 2] >= 4);
-        CHECK(limits[limits.size() / 2] <= 5);
+        CHECK(limits.front() >= 4);
+        CHECK(limits.back() <= 5);
     }
 }
