--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -530,17 +530,29 @@
     answer(exchange, this->isReady ? statusOk : statusUnavailable, {}, {});
 }
 
+void Gateway::setDispatcherGauges(const std::string &service, const Dispatcher::Load &load)
+{
+    const auto set = [this, &service](const char *name, std::size_t value) {
+        this->metrics.setGauge(service + name, static_cast<double>(value));
+    };
+    set("_slots", load.slots);
+    set("_online_running", load.onlineRunning);
+    set("_batch_running", load.batchRunning);
+    set("_online_waiting", load.onlineWaiting);
+    set("_batch_waiting", load.batchWaiting);
+    set("_replicas_limited", load.learned.limited);
+    set("_replicas_blocked", load.learned.blocked);
+    this->metrics.setGauge(service + "_slowest_time", load.learned.slowest);
+    this->metrics.setGauge(service + "_fastest_time", load.learned.fastest);
+}
+
 void Gateway::handleMetrics(const std::shared_ptr<CallerExchange> &exchange)
 {
     if (const ServingConfigurationPointer current = this->configuration.current()) {
         this->metrics.setGauge("configuration_version", static_cast<double>(current->version));
         for (const Service &service : current->services) {
             if (const std::optional<Dispatcher::Load> load = this->placements.dispatcherLoad(service.name)) {
-                this->metrics.setGauge(service.name.value() + "_slots", static_cast<double>(load->slots));
-                this->metrics.setGauge(service.name.value() + "_online_running", static_cast<double>(load->onlineRunning));
-                this->metrics.setGauge(service.name.value() + "_batch_running", static_cast<double>(load->batchRunning));
-                this->metrics.setGauge(service.name.value() + "_online_waiting", static_cast<double>(load->onlineWaiting));
-                this->metrics.setGauge(service.name.value() + "_batch_waiting", static_cast<double>(load->batchWaiting));
+                this->setDispatcherGauges(service.name.value(), *load);
             }
         }
     }
