LibDispatch: Charge workspaces at service, decide about refusals in a class of its own

Cause: a request was charged when it began to wait. One that was withdrawn or became late left gaps in the tags of those behind it, which cost its workspace slots; corrections for workspaces without debt were lost; one virtual time served all priorities; runs that a replica rejected were charged; a workspace without more than one request waiting could be refused for its debt alone; an empty entry per workspace remained in RetrySchedule. Change: only the first waiting request of a workspace has a tag, and the charge is made when it is placed. Shares are kept for each priority. Corrections are made by the ratio of the mean cost and the mean time of the same runs. Refusals and retries move from Dispatcher to OverloadControl.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -36,22 +36,6 @@
  */
 constexpr std::size_t maxVictimsCompared = 24;
 
-/**
- * A late request that is unlikely to get a slot is refused after this fraction (1/lateRefusalDivisor) of its caller's
- * timeout, so that the caller has time left to retry.
- */
-constexpr int lateRefusalDivisor = 3;
-/**
- * Minimum share of a service's capacity that is unused in the long run if an overload is only a burst; with less, the
- * overload is sustained.
- */
-constexpr double minSpareShare = 0.05;
-
-/** Weight of one request in the mean cost and in the mean time per token. */
-constexpr double workWeight = 0.02;
-/** A run is charged at most this many times its expected work: a slow replica is not the fault of a workspace. */
-constexpr double maxRealCost = 4;
-
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options)
@@ -60,7 +44,7 @@
     , options(options)
     , index(clock)
     , waiting(clock, options.hasWorkspaceShares)
-    , forecast(clock)
+    , overload(clock, this->waiting)
     , isCapacityLearned(options.capacityLearning == CapacityLearning::Always)
 {
 }
@@ -86,7 +70,7 @@
             this->replicas.erase(found);
         }
     }
-    this->forecast.setSlots(this->slotCount);
+    this->overload.setSlots(this->slotCount);
     if (isAnyLeaving) {
         this->drainReplicas();
     }
@@ -146,13 +130,11 @@
         return true;
     }
     PlacementRequest admitted = request;
-    const bool isRetry = this->recognizeRetry(admitted);
+    const bool isRetry = this->overload.admit(admitted);
     this->waiting.add(admitted, this->clock.now());
     this->assign();
-    this->forecast.recordWaiting(this->waiting.isAnyOnTime());
-    this->refuseIfLate(admitted);
-    if (!isRetry) {
-        this->refuseIfOverShare(admitted);
+    if (const auto retryAfter = this->overload.refuseNew(admitted.id, isRetry)) {
+        this->refuseRequest(admitted, *retryAfter);
     }
     const bool isDecided = !this->waiting.contains(request.id);
     this->deliverDecisions();
@@ -220,148 +202,6 @@
     }
 }
 
-bool Dispatcher::recognizeRetry(PlacementRequest &request)
-{
-    if (request.work != WorkClass::Online || !request.mayRefuse) {
-        return false;
-    }
-    const std::optional<RetrySchedule::Retry> retry = this->retries.extract(request.content);
-    if (!retry) {
-        this->forecast.recordArrival();
-        return false;
-    }
-    // A retry with reserved capacity is served before all later arrivals and is not refused again. A retry without goes
-    // behind the requests that can be on time, because it would make them late in its place.
-    request.arrived = std::min(request.arrived, retry->arrived);
-    if (retry->isReserved) {
-        request.mayRefuse = false;
-        request.isReserved = true;
-    } else {
-        request.due = this->clock.now() - std::chrono::milliseconds(1);
-    }
-    return true;
-}
-
-std::chrono::duration<double> Dispatcher::expectedWait(const PlacementRequest &request, double rate) const
-{
-    auto ahead = static_cast<double>(this->waiting.onTimeAhead(request.priority));
-    const WaitingQueue::Waiting *const waiting = this->waiting.find(request.id);
-    if (this->waiting.isShared() && this->meanCost > 0 && waiting != nullptr) {
-        // Of the others only what their shares allow is served before it.
-        const double work = this->waiting.sharesOf(WorkClass::Online).workAhead(waiting->startTag);
-        ahead = std::min(ahead, work / this->meanCost);
-    }
-    return std::chrono::duration<double>(ahead / rate);
-}
-
-double Dispatcher::reservableShare(const PlacementRequest &request) const
-{
-    return this->waiting.isShared() ? this->waiting.sharesOf(WorkClass::Online).shareOf(request.workspace, request.weight) : 1;
-}
-
-void Dispatcher::refuseIfOverShare(const PlacementRequest &request)
-{
-    const double rate = this->forecast.serviceRate();
-    const WaitingQueue::Waiting *const waiting = this->waiting.find(request.id);
-    if (waiting == nullptr || request.work != WorkClass::Online || !request.mayRefuse || rate <= 0 || !this->waiting.isShared()) {
-        return;
-    }
-    const WorkspaceShares &shares = this->waiting.sharesOf(WorkClass::Online);
-    const SteadyTime now = this->clock.now();
-    const auto wait = std::chrono::ceil<std::chrono::nanoseconds>(this->expectedWait(request, rate));
-    const bool isOverShare = shares.isContended() && shares.debtOf(waiting->startTag) > 0;
-    if (!isOverShare || now > request.due || now + wait <= request.due) {
-        return;
-    }
-    const std::chrono::nanoseconds retryAfter
-        = std::min<std::chrono::nanoseconds>(wait, (request.deadline - now) / retryAfterDivisor);
-    this->retries.expect(request.content, request.arrived, now + retryAfter);
-    log(LogLevel::Info,
-        "request refused, its workspace is over its share",
-        {{"workspace", request.workspace.value()},
-         {"ticket", static_cast<std::int64_t>(request.id.number)},
-         {"priority", static_cast<std::int64_t>(request.priority)},
-         {"wait_ms", std::chrono::ceil<std::chrono::milliseconds>(wait).count()},
-         {"retry_after_ms", std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count()}});
-    this->refuseRequest(request, retryAfter);
-}
-
-void Dispatcher::chargeRun(const Placement &placement, std::chrono::nanoseconds holdTime)
-{
-    if (!this->waiting.isShared() || placement.cost == 0) {
-        return;
-    }
-    const bool isBatch = placement.work == WorkClass::Batch;
-    std::chrono::duration<double> &perToken = isBatch ? this->batchTimePerToken : this->onlineTimePerToken;
-    if (!placement.stopped) {
-        const std::chrono::duration<double> value = std::chrono::duration<double>(holdTime) / placement.cost;
-        perToken += (perToken.count() == 0 ? 1 : workWeight) * (value - perToken);
-    }
-    if (perToken.count() > 0) {
-        const double real = std::min(std::chrono::duration<double>(holdTime) / perToken, maxRealCost * placement.cost);
-        this->waiting.sharesOf(placement.work).charge(placement.workspace, real - placement.cost, placement.weight);
-    }
-}
-
-void Dispatcher::refuseIfLate(const PlacementRequest &request)
-{
-    const double rate = this->forecast.serviceRate();
-    if (!request.mayRefuse || !this->waiting.contains(request.id) || rate <= 0) {
-        return;
-    }
-    const SteadyTime now = this->clock.now();
-    const std::chrono::duration<double> wait = this->expectedWait(request, rate);
-    const SteadyTime latest = now + (request.deadline - now) / retryAfterDivisor;
-    const std::optional<SteadyTime> burstEnd = this->forecast.burstEnd();
-    // A retry within the same burst would take the slot of a request that can still be on time. Serving this one late
-    // after the burst costs less.
-    if (now + wait <= request.due || !burstEnd || *burstEnd > latest) {
-        return;
-    }
-    const SteadyTime earliest = std::max(*burstEnd, now + (latest - now) / 2);
-    const std::optional<SteadyTime> retryAt = this->retries.reserve(request.content,
-                                                                    request.arrived,
-                                                                    earliest,
-                                                                    latest,
-                                                                    this->forecast.spareCapacity(),
-                                                                    request.workspace,
-                                                                    this->reservableShare(request));
-    if (retryAt) {
-        this->refuseRequest(request, *retryAt - now);
-    }
-}
-
-void Dispatcher::refuseUnplaceable()
-{
-    // Late requests are served after a burst; only under sustained overload they are not. A dispatcher that has not
-    // observed the load for long enough assumes a sustained overload: the refused requests then retry within a third of
-    // their remaining time.
-    const double rate = this->forecast.serviceRate();
-    if (rate <= 0 || this->forecast.spareCapacity() > rate * minSpareShare) {
-        return;
-    }
-    const SteadyTime now = this->clock.now();
-    const double latePlacementRate = this->forecast.latePlacementRate();
-    std::vector<PlacementRequest> unplaceable;
-    std::size_t ahead = 0;
-    for (const auto &[key, waiting] : this->waiting.of(WorkClass::Online)) {
-        const PlacementRequest &request = waiting.request;
-        const bool isLate = std::get<1>(key);
-        const bool hasWaitedLong = (now - request.arrived) * lateRefusalDivisor > request.deadline - request.arrived;
-        const std::chrono::duration<double> remaining = request.deadline - now;
-        ahead += isLate ? 1 : 0;
-        if (isLate && request.mayRefuse && hasWaitedLong && static_cast<double>(ahead) > latePlacementRate * remaining.count()) {
-            unplaceable.push_back(request);
-            --ahead;
-        }
-    }
-    for (const PlacementRequest &request : unplaceable) {
-        const std::chrono::nanoseconds retryAfter = (request.deadline - now) / retryAfterDivisor;
-        this->retries.expect(request.content, request.arrived, now + retryAfter);
-        this->refuseRequest(request, retryAfter);
-    }
-}
-
 void Dispatcher::refuseRequest(const PlacementRequest &request, std::chrono::nanoseconds retryAfter)
 {
     this->waiting.remove(request.id);
@@ -457,7 +297,7 @@
     const std::size_t current = slotsOf(replica);
     if (current != former) {
         this->slotCount += current - former;
-        this->forecast.setSlots(this->slotCount);
+        this->overload.setSlots(this->slotCount);
         log(LogLevel::Info,
             "concurrency limit of a replica changed",
             {{"replica", replica.traits.instance.value()},
@@ -506,7 +346,8 @@
         const WorkClass work = entry->isBatch ? WorkClass::Batch : WorkClass::Online;
         const TicketId id{node, number};
         this->waiting.remove(id);
-        this->placements.emplace(id, Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt});
+        this->placements.emplace(id,
+                                 Placement{id, work, entry->replica, now, now, unknownSlack, std::nullopt, 0, {.work = work}});
         replica->second.slots.acquire(work);
         this->index.update(replica->second);
         if (work == WorkClass::Batch) {
@@ -541,9 +382,10 @@
         this->refuseUnserved();
     }
     this->waiting.demoteLate();
-    this->forecast.recordWaiting(this->waiting.isAnyOnTime());
-    this->refuseUnplaceable();
-    this->retries.removeExpired(now);
+    this->overload.tick();
+    for (const OverloadControl::Refusal &refusal : this->overload.refuseUnplaceable()) {
+        this->refuseRequest(refusal.request, refusal.retryAfter);
+    }
     this->repeatStops();
     this->assign();
     this->deliverDecisions();
@@ -588,6 +430,8 @@
     }
     load.onlineWaiting = this->waiting.of(WorkClass::Online).size();
     load.batchWaiting = this->waiting.of(WorkClass::Batch).size();
+    load.waitingWorkspaces = this->waiting.waitingWorkspaces();
+    load.shareRefusals = this->overload.shareRefusals();
     return load;
 }
 
@@ -700,12 +544,6 @@
     }
     replica.breaker.recordSent(now);
     this->index.update(replica);
-    if (request.work == WorkClass::Online && now > request.due) {
-        this->forecast.recordLatePlacement();
-    }
-    if (request.work == WorkClass::Online && request.cost > 0) {
-        this->meanCost += (this->meanCost == 0 ? 1 : workWeight) * (request.cost - this->meanCost);
-    }
     const std::chrono::nanoseconds slack = now > request.due ? std::chrono::nanoseconds::max() : request.due - now;
     this->placements.insert_or_assign(request.id,
                                       Placement{request.id,
@@ -716,9 +554,7 @@
                                                 slack,
                                                 std::nullopt,
                                                 replica.slots.used(now),
-                                                request.workspace,
-                                                request.weight,
-                                                request.cost});
+                                                this->overload.recordPlacement(request)});
     if (request.work == WorkClass::Batch) {
         this->stoppable.emplace(slack, request.id);
     }
@@ -758,12 +594,7 @@
         }
         this->index.update(*replica);
     }
-    if (verdict == PlacementVerdict::Finished) {
-        this->chargeRun(entry, now - entry.placed);
-    }
-    if (entry.work == WorkClass::Online && verdict == PlacementVerdict::Finished) {
-        this->forecast.recordRun(now - entry.placed);
-    }
+    this->overload.recordRun(entry.charge, verdict, now - entry.placed, entry.stopped.has_value());
     this->erasePlacement(placement);
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -3,11 +3,10 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/DispatchedReplica.h>
 #include <LibDispatch/DispatcherOptions.h>
-#include <LibDispatch/LoadForecast.h>
+#include <LibDispatch/OverloadControl.h>
 #include <LibDispatch/PlacementTypes.h>
 #include <LibDispatch/ReplicaIndex.h>
 #include <LibDispatch/ReplicaUpdate.h>
-#include <LibDispatch/RetrySchedule.h>
 #include <LibDispatch/ServiceSpeed.h>
 #include <LibDispatch/WaitingQueue.h>
 
@@ -59,6 +58,10 @@
         std::size_t batchRunning = 0;
         std::size_t onlineWaiting = 0;
         std::size_t batchWaiting = 0;
+        /** Workspaces with waiting requests, counted for each priority and for online requests and items. */
+        std::size_t waitingWorkspaces = 0;
+        /** Requests refused so far because their workspace was over its share. */
+        std::size_t shareRefusals = 0;
     };
 
     Dispatcher(const Clock &clock, Hooks hooks, const DispatcherOptions &options = {});
@@ -123,9 +126,7 @@
         std::optional<SteadyTime> stopped;
         /** Number of requests at the replica when it was placed, with this one. */
         std::uint32_t concurrency = 0;
-        WorkspaceName workspace{};
-        double weight = 1;
-        std::uint32_t cost = 0;
+        OverloadControl::Charge charge{};
     };
 
     /** A decision that is not delivered to the hooks yet. */
@@ -159,23 +160,6 @@
     bool isVersionServed(const PlacementRequest &request) const;
     /** Refuses waiting requests whose version no replica has. */
     void refuseUnserved();
-    /**
-     * Records the arrival of a request, or applies what was agreed if it is the retry of a refused one.
-     * @return whether it is a retry
-     */
-    bool recognizeRetry(PlacementRequest &request);
-    /** Refuses a new request of a workspace over its share that would be late because of the workspace's own backlog. */
-    void refuseIfOverShare(const PlacementRequest &request);
-    /** @return how long a waiting request has to wait for those that are served before it. */
-    std::chrono::duration<double> expectedWait(const PlacementRequest &request, double rate) const;
-    /** @return the share of the spare capacity that the workspace of a request may reserve for retries. */
-    double reservableShare(const PlacementRequest &request) const;
-    /** Charges the workspace of a run by the time for which it held its slot. */
-    void chargeRun(const Placement &placement, std::chrono::nanoseconds holdTime);
-    /** Refuses a new request that would be late in a burst, if capacity can be reserved for its retry after the burst. */
-    void refuseIfLate(const PlacementRequest &request);
-    /** Refuses, under sustained overload, late requests that are unlikely to get a slot before their deadline. */
-    void refuseUnplaceable();
     void refuseRequest(const PlacementRequest &request, std::chrono::nanoseconds retryAfter);
     /** Starts to learn the capacity of all replicas once one of them states the pace of its machine, if the options say so. */
     void recordStatedPace(std::uint32_t pace);
@@ -211,15 +195,9 @@
     /** Batch items that were sent a stop order and have not ended yet. */
     std::set<TicketId> stopping;
     SteadyTime nextCleanup{};
-    LoadForecast forecast;
-    RetrySchedule retries;
+    OverloadControl overload;
     bool isCapacityLearned = false;
     ServiceSpeed serviceSpeed;
-    /** Mean cost of online requests, in tokens, and mean time for which a slot is held per token, of online requests and of
-     * items. */
-    double meanCost = 0;
-    std::chrono::duration<double> onlineTimePerToken{0};
-    std::chrono::duration<double> batchTimePerToken{0};
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/RetrySchedule.cpp
+++ b/Libraries/LibDispatch/RetrySchedule.cpp
@@ -31,19 +31,20 @@
     }
     // One reservation is always allowed, or a small workspace would have none while there is little capacity.
     const double window = std::chrono::duration<double>(latest - earliest).count();
-    const std::size_t held = this->reservations[workspace];
+    const auto reserved = this->reservations.find(workspace);
+    const std::size_t held = reserved != this->reservations.end() ? reserved->second : 0;
     if (share < 1 && held > 0 && static_cast<double>(held) >= perSecond * window * share) {
         return std::nullopt;
     }
     ++this->reservations[workspace];
     this->last = retryAt;
-    this->expected.emplace(content, Retry{arrived, retryAt, true, workspace});
+    this->expected.emplace(content, Retry{arrived, retryAt, true, false, workspace});
     return retryAt;
 }
 
-void RetrySchedule::expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt)
+void RetrySchedule::expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt, bool mayRefuse)
 {
-    this->expected.emplace(content, Retry{arrived, retryAt, false, {}});
+    this->expected.emplace(content, Retry{arrived, retryAt, false, mayRefuse, {}});
 }
 
 std::optional<RetrySchedule::Retry> RetrySchedule::extract(std::uint64_t content)
--- a/Libraries/LibDispatch/RetrySchedule.h
+++ b/Libraries/LibDispatch/RetrySchedule.h
@@ -28,6 +28,8 @@
         SteadyTime retryAt{};
         /** Whether capacity is reserved for it. */
         bool isReserved = false;
+        /** Whether it may be refused again. */
+        bool mayRefuse = true;
         /** The workspace that sent it; empty if it belongs to none. */
         WorkspaceName workspace{};
     };
@@ -50,8 +52,11 @@
                                       const WorkspaceName &workspace = {},
                                       double share = 1);
 
-    /** Records a refused request without reserved capacity. */
-    void expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt);
+    /**
+     * Records a refused request without reserved capacity.
+     * @param mayRefuse whether its retry may be refused again
+     */
+    void expect(std::uint64_t content, SteadyTime arrived, SteadyTime retryAt, bool mayRefuse = true);
 
     /**
      * Removes a request's expected retry.
--- a/Libraries/LibDispatch/WaitingQueue.cpp
+++ b/Libraries/LibDispatch/WaitingQueue.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/** Number of own items ahead of an item at which it gives way by half of what it can at most. */
+/** Number of own items ahead, or of debt, at which an item gives way by half of what it can at most. */
 constexpr double itemsToYield = 10;
 /** An item of a workspace with debt gives way by at most this share of the time that is left until it has to start. */
 constexpr double maxYieldedSlack = 0.5;
@@ -58,28 +58,29 @@
     this->isAnyWorkspaceSeen = this->isAnyWorkspaceSeen || !request.workspace.value().empty();
     Waiting waiting{request, lastRequested};
     if (this->isShared()) {
+        const bool hasWeight = request.weight > 0 && !request.workspace.value().empty();
         waiting.request.cost = std::max<std::uint32_t>(request.cost, 1);
-        waiting.request.weight = request.weight > 0 ? request.weight : 1;
-        waiting.startTag = this->sharesOf(request.work)
-                               .add(request.workspace, waiting.request.cost, waiting.request.weight, request.isReserved);
-        waiting.isCharged = true;
+        waiting.request.weight = hasWeight ? request.weight : 1;
+        waiting.isShared = true;
+        this->sharesOf(request.work, request.priority).addWaiting(request.workspace, waiting.request.weight);
     }
     this->insert(std::move(waiting));
 }
 
 void WaitingQueue::insert(Waiting waiting)
 {
-    const PlacementRequest &request = waiting.request;
-    const TicketId id = request.id;
-    const WorkClass work = request.work;
-    const bool isOnline = work == WorkClass::Online;
-    const bool isLate = this->clock.now() > request.due;
-    const Key key(request.priority, isLate, isOnline ? waiting.startTag : 0, this->orderOf(waiting), id);
-    if (isOnline && !isLate) {
-        ++this->onTime[request.priority];
+    const WorkClass work = waiting.request.work;
+    const bool isLate = this->clock.now() > waiting.request.due;
+    waiting.startTag = this->tagOf(waiting, isLate);
+    // The position of an item depends on those that were added before it.
+    const SteadyTime order = this->orderOf(waiting);
+    const bool isFollower = this->addToChain(waiting, isLate);
+    const Key key(waiting.request.priority, isLate, isFollower, waiting.startTag, order, waiting.request.id);
+    if (work == WorkClass::Online && !isLate) {
+        ++this->onTime[waiting.request.priority];
     }
+    this->positions.insert_or_assign(waiting.request.id, Position{work, key});
     this->queueOf(work).insert_or_assign(key, std::move(waiting));
-    this->positions.insert_or_assign(id, Position{work, key});
 }
 
 SteadyTime WaitingQueue::orderOf(const Waiting &waiting) const
@@ -89,30 +90,133 @@
         return request.arrived;
     }
     const SteadyTime now = this->clock.now();
-    const double debt = waiting.isCharged ? this->batchShares.debtOf(waiting.startTag) : 0;
-    if (debt <= 0 || now >= request.due) {
+    if (!waiting.isShared || now >= request.due) {
         return request.due;
     }
+    const WorkspaceShares &shares = this->sharesOf(request.work, request.priority);
+    // In items of usual weight: a workspace of twice the weight may have twice as many waiting.
+    const double itemsAhead = this->ownWorkAhead(request) / request.cost * shares.meanWeight() / request.weight;
     // An item with little slack hardly gives way, so that it never waits for one that has much.
-    const double share = maxYieldedSlack * debt / (debt + itemsToYield * request.cost / request.weight);
+    const double share = maxYieldedSlack * itemsAhead / (itemsAhead + itemsToYield);
     return request.due + std::chrono::duration_cast<SteadyTime::duration>(share * (request.due - now));
 }
 
+bool WaitingQueue::isChained(const Waiting &waiting)
+{
+    // A request that only some replicas can serve must not hold up the others of its workspace.
+    return waiting.isShared && !waiting.request.isReserved && !waiting.request.isRestricted();
+}
+
+WaitingQueue::ChainKey WaitingQueue::chainKeyOf(const PlacementRequest &request, bool isLate)
+{
+    return {request.work, request.priority, isLate, request.workspace};
+}
+
+double WaitingQueue::tagOf(const Waiting &waiting, bool isLate) const
+{
+    const PlacementRequest &request = waiting.request;
+    if (!waiting.isShared || request.work != WorkClass::Online) {
+        return 0;
+    }
+    const WorkspaceShares &shares = this->sharesOf(request.work, request.priority);
+    if (request.isReserved) {
+        return shares.currentTag();
+    }
+    const double tag = shares.nextTag(request.workspace);
+    const auto chain = this->chains.find(chainKeyOf(request, isLate));
+    if (!isChained(waiting) || chain == this->chains.end()) {
+        return tag;
+    }
+    const auto &[arrived, id] = *chain->second.requests.begin();
+    return std::pair(request.arrived, request.id) < std::pair(arrived, id) ? this->find(id)->startTag
+                                                                           : tag + chain->second.work / request.weight;
+}
+
+bool WaitingQueue::addToChain(const Waiting &waiting, bool isLate)
+{
+    if (!isChained(waiting)) {
+        return false;
+    }
+    const PlacementRequest &request = waiting.request;
+    const ChainKey key = chainKeyOf(request, isLate);
+    Chain &chain = this->chains[key];
+    const auto added = chain.requests.emplace(request.arrived, request.id).first;
+    chain.work += request.cost;
+    if (request.work != WorkClass::Online || chain.requests.size() == 1) {
+        return false;
+    }
+    if (added == chain.requests.begin()) {
+        // It has the tag of the one that was the first until now, which has to wait for it.
+        const TicketId former = std::next(added)->second;
+        this->move(former, true, this->find(former)->startTag);
+        return false;
+    }
+    return true;
+}
+
+void WaitingQueue::removeFromChain(const Waiting &waiting, bool isLate)
+{
+    if (!isChained(waiting)) {
+        return;
+    }
+    const PlacementRequest &request = waiting.request;
+    const auto chain = this->chains.find(chainKeyOf(request, isLate));
+    chain->second.requests.erase({request.arrived, request.id});
+    chain->second.work -= request.cost;
+    if (chain->second.requests.empty()) {
+        this->chains.erase(chain);
+    }
+}
+
+void WaitingQueue::updateFirst(const ChainKey &key)
+{
+    const auto chain = this->chains.find(key);
+    if (chain == this->chains.end() || std::get<WorkClass>(key) != WorkClass::Online) {
+        return;
+    }
+    const TicketId first = chain->second.requests.begin()->second;
+    if (std::get<2>(this->positions.at(first).key)) {
+        this->move(first, false, this->sharesOf(WorkClass::Online, std::get<1>(key)).nextTag(std::get<WorkspaceName>(key)));
+    }
+}
+
+void WaitingQueue::move(TicketId id, bool isFollower, double startTag)
+{
+    Key &key = this->positions.at(id).key;
+    auto entry = this->online.extract(key);
+    entry.mapped().startTag = startTag;
+    std::get<2>(key) = isFollower;
+    std::get<3>(key) = startTag;
+    entry.key() = key;
+    this->online.insert(std::move(entry));
+}
+
 void WaitingQueue::remove(TicketId id)
 {
     const std::optional<Waiting> removed = this->extract(id);
-    if (removed && removed->isCharged) {
+    if (removed && removed->isShared) {
         const PlacementRequest &request = removed->request;
-        this->sharesOf(request.work).withdraw(request.workspace, request.cost, request.weight);
+        this->sharesOf(request.work, request.priority).removeWaiting(request.workspace);
     }
 }
 
 void WaitingQueue::removePlaced(TicketId id)
 {
-    const std::optional<Waiting> removed = this->extract(id);
-    if (removed && removed->isCharged) {
-        this->sharesOf(removed->request.work).recordService(removed->request.workspace, removed->startTag);
+    const auto position = this->positions.find(id);
+    if (position == this->positions.end()) {
+        return;
     }
+    const Waiting &waiting = this->of(position->second.work).at(position->second.key);
+    if (waiting.isShared) {
+        const PlacementRequest &request = waiting.request;
+        WorkspaceShares &shares = this->sharesOf(request.work, request.priority);
+        if (request.work == WorkClass::Online) {
+            shares.recordService(request.workspace, waiting.startTag, request.cost);
+        } else {
+            shares.recordSharedService(request.workspace, request.cost);
+        }
+    }
+    this->extract(id);
 }
 
 std::optional<WaitingQueue::Waiting> WaitingQueue::extract(TicketId id)
@@ -121,13 +225,16 @@
     if (found == this->positions.end()) {
         return std::nullopt;
     }
-    const auto &[work, key] = found->second;
-    if (work == WorkClass::Online && !std::get<1>(key)) {
+    const auto [work, key] = found->second;
+    const bool isLate = std::get<1>(key);
+    if (work == WorkClass::Online && !isLate) {
         --this->onTime[std::get<0>(key)];
     }
-    auto removed = this->queueOf(work).extract(key);
+    Waiting removed = std::move(this->queueOf(work).extract(key).mapped());
     this->positions.erase(found);
-    return std::move(removed.mapped());
+    this->removeFromChain(removed, isLate);
+    this->updateFirst(chainKeyOf(removed.request, isLate));
+    return removed;
 }
 
 void WaitingQueue::removeIf(const std::function<bool(const Waiting &)> &isRemoved)
@@ -193,14 +300,42 @@
     return this->hasShares && this->isAnyWorkspaceSeen;
 }
 
-WorkspaceShares &WaitingQueue::sharesOf(WorkClass work)
+WorkspaceShares &WaitingQueue::sharesOf(WorkClass work, std::uint32_t priority)
 {
-    return work == WorkClass::Online ? this->onlineShares : this->batchShares;
+    return this->shares[{work, priority}];
 }
 
-const WorkspaceShares &WaitingQueue::sharesOf(WorkClass work) const
+const WorkspaceShares &WaitingQueue::sharesOf(WorkClass work, std::uint32_t priority) const
 {
-    return work == WorkClass::Online ? this->onlineShares : this->batchShares;
+    static const WorkspaceShares none;
+    const auto found = this->shares.find({work, priority});
+    return found != this->shares.end() ? found->second : none;
+}
+
+double WaitingQueue::ownWorkAhead(const PlacementRequest &request) const
+{
+    const double debt = this->sharesOf(request.work, request.priority).debtOf(request.workspace);
+    const auto chain = this->chains.find(chainKeyOf(request, false));
+    if (chain == this->chains.end()) {
+        return debt;
+    }
+    const bool isIncluded = chain->second.requests.contains({request.arrived, request.id});
+    return debt + chain->second.work - (isIncluded ? request.cost : 0);
+}
+
+bool WaitingQueue::hasOwnAhead(const PlacementRequest &request) const
+{
+    const auto chain = this->chains.find(chainKeyOf(request, false));
+    return chain != this->chains.end() && *chain->second.requests.begin() < std::pair(request.arrived, request.id);
+}
+
+std::size_t WaitingQueue::waitingWorkspaces() const
+{
+    std::size_t count = 0;
+    for (const auto &[key, shares] : this->shares) {
+        count += shares.waiting();
+    }
+    return count;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/WaitingQueue.h
+++ b/Libraries/LibDispatch/WaitingQueue.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -32,15 +34,15 @@
         SteadyTime lastRequested{};
         /** See WorkspaceShares; 0 if slots are not shared between workspaces. */
         double startTag = 0;
-        /** Whether its workspace is charged for it. */
-        bool isCharged = false;
+        /** Whether it counts among the waiting requests of its workspace. */
+        bool isShared = false;
     };
 
     /**
-     * Priority, whether it is late, start tag (online), arrival (online) or latest start (batch), and ticket; the smallest
-     * key is served first.
+     * Priority, whether it is late, whether it waits for another of its workspace, start tag (online), arrival (online) or
+     * latest start (batch), and ticket; the smallest key is served first.
      */
-    using Key = std::tuple<std::uint32_t, bool, double, SteadyTime, TicketId>;
+    using Key = std::tuple<std::uint32_t, bool, bool, double, SteadyTime, TicketId>;
     using Queue = std::map<Key, Waiting>;
 
     /** @param hasShares whether slots are shared between workspaces once a request belongs to one */
@@ -83,9 +85,18 @@
     /** @return whether slots are shared between workspaces. */
     bool isShared() const;
 
-    /** @return the shares of online requests or of batch items. */
-    WorkspaceShares &sharesOf(WorkClass work);
-    const WorkspaceShares &sharesOf(WorkClass work) const;
+    /** @return the shares of the online requests or the items of a priority. */
+    WorkspaceShares &sharesOf(WorkClass work, std::uint32_t priority);
+    const WorkspaceShares &sharesOf(WorkClass work, std::uint32_t priority) const;
+
+    /** @return the work, in tokens, that a workspace has waiting on time before this request and got beyond its share. */
+    double ownWorkAhead(const PlacementRequest &request) const;
+
+    /** @return whether an earlier request of its workspace waits that can still be on time. */
+    bool hasOwnAhead(const PlacementRequest &request) const;
+
+    /** @return number of workspaces with waiting requests, counted for each priority and class. */
+    std::size_t waitingWorkspaces() const;
 
 private:
     /** The position of a request in the queues. */
@@ -95,17 +106,45 @@
         Key key;
     };
 
+    /**
+     * The waiting requests of a workspace that are served one after another. The first online request has the workspace's tag.
+     * The others have expected tags, which are replaced when they become the first, so that a withdrawn request costs its
+     * workspace nothing.
+     */
+    struct Chain
+    {
+        std::set<std::pair<SteadyTime, TicketId>> requests;
+        /** Sum of their expected work. */
+        double work = 0;
+    };
+
+    using ShareKey = std::pair<WorkClass, std::uint32_t>;
+    /** Class, priority, whether its requests are late, and workspace. */
+    using ChainKey = std::tuple<WorkClass, std::uint32_t, bool, WorkspaceName>;
+
     Queue &queueOf(WorkClass work);
     void insert(Waiting waiting);
-    /** @return the removed request; it has to be accounted for. */
+    /** @return the removed request; its workspace still counts it. */
     std::optional<Waiting> extract(TicketId id);
+    /** @return when a request arrived, or when an item has to start, or later for an item of a workspace over its share. */
     SteadyTime orderOf(const Waiting &waiting) const;
+    /** @return whether a request is served in turn with the others of its workspace. */
+    static bool isChained(const Waiting &waiting);
+    static ChainKey chainKeyOf(const PlacementRequest &request, bool isLate);
+    /** @return the tag of a request that is added to the end of its chain. */
+    double tagOf(const Waiting &waiting, bool isLate) const;
+    /** @return whether it was added behind another online request. */
+    bool addToChain(const Waiting &waiting, bool isLate);
+    void removeFromChain(const Waiting &waiting, bool isLate);
+    /** Gives the first online request of a chain its workspace's tag. */
+    void updateFirst(const ChainKey &key);
+    void move(TicketId id, bool isFollower, double startTag);
 
     const Clock &clock;
     bool hasShares;
     bool isAnyWorkspaceSeen = false;
-    WorkspaceShares onlineShares;
-    WorkspaceShares batchShares;
+    std::map<ShareKey, WorkspaceShares> shares;
+    std::map<ChainKey, Chain> chains;
     Queue online;
     Queue batch;
     std::map<TicketId, Position> positions;
--- a/Libraries/LibDispatch/WorkspaceShares.cpp
+++ b/Libraries/LibDispatch/WorkspaceShares.cpp
@@ -5,95 +5,163 @@
 namespace Dogwoodkeel
 {
 
-double WorkspaceShares::add(const WorkspaceName &workspace, double cost, double weight, bool isReserved)
+namespace
+{
+
+/** Fewer runs say little about the share that a workspace gets. */
+constexpr std::size_t minRunsForShare = 8;
+/** At this number of runs the older half is forgotten, so that the share follows the load. */
+constexpr std::size_t maxRunsForShare = 64;
+
+} // namespace
+
+WorkspaceShares::Account &WorkspaceShares::accountOf(const WorkspaceName &workspace, double weight)
 {
     const auto [found, isNew] = this->accounts.try_emplace(workspace);
     Account &account = found->second;
+    if (isNew) {
+        account.finishTag = this->virtualTime;
+        account.weight = weight;
+        account.servedSince = this->totalServed;
+        this->activeWeight += weight;
+    }
+    return account;
+}
+
+void WorkspaceShares::addWaiting(const WorkspaceName &workspace, double weight)
+{
+    Account &account = this->accountOf(workspace, weight);
     if (account.waiting++ == 0) {
         this->idle.erase({account.finishTag, workspace});
+        // A new configuration may have changed the weight.
+        this->activeWeight += weight - account.weight;
         account.weight = weight;
         this->waitingWeight += weight;
         ++this->waitingWorkspaces;
     }
-    const double startTag = isNew ? this->virtualTime : std::max(this->virtualTime, account.finishTag);
-    account.finishTag = startTag + cost / weight;
-    return isReserved ? this->virtualTime : startTag;
 }
 
-void WorkspaceShares::recordService(const WorkspaceName &workspace, double startTag)
+void WorkspaceShares::removeWaiting(const WorkspaceName &workspace)
+{
+    Account &account = this->accounts.at(workspace);
+    if (--account.waiting > 0) {
+        return;
+    }
+    this->idle.emplace(account.finishTag, workspace);
+    --this->waitingWorkspaces;
+    // Starts from zero again, or rounding errors would remain.
+    this->waitingWeight = this->waitingWorkspaces == 0 ? 0 : this->waitingWeight - account.weight;
+    this->removeSettled();
+}
+
+double WorkspaceShares::currentTag() const
+{
+    return this->virtualTime;
+}
+
+double WorkspaceShares::nextTag(const WorkspaceName &workspace) const
+{
+    const auto found = this->accounts.find(workspace);
+    return found == this->accounts.end() ? this->virtualTime : std::max(this->virtualTime, found->second.finishTag);
+}
+
+void WorkspaceShares::recordService(const WorkspaceName &workspace, double startTag, double cost)
 {
     this->virtualTime = std::max(this->virtualTime, startTag);
+    this->chargeAccount(workspace, startTag, cost);
     this->removeWaiting(workspace);
-    this->removeSettled();
 }
 
-void WorkspaceShares::withdraw(const WorkspaceName &workspace, double cost, double weight)
+void WorkspaceShares::recordSharedService(const WorkspaceName &workspace, double cost)
 {
+    this->chargeAccount(workspace, this->virtualTime, cost);
+    this->virtualTime += cost / this->waitingWeight;
     this->removeWaiting(workspace);
-    this->charge(workspace, -cost, weight);
 }
 
-void WorkspaceShares::charge(const WorkspaceName &workspace, double cost, double weight)
+void WorkspaceShares::chargeAccount(const WorkspaceName &workspace, double startTag, double cost)
+{
+    Account &account = this->accounts.at(workspace);
+    account.finishTag = std::max(account.finishTag, startTag) + cost / account.weight;
+    this->totalServed += cost;
+    account.served += cost;
+    if (++account.runs >= maxRunsForShare) {
+        account.runs /= 2;
+        account.served /= 2;
+        account.servedSince = (account.servedSince + this->totalServed) / 2;
+    }
+}
+
+void WorkspaceShares::correct(const WorkspaceName &workspace, double weight, double startTag, double cost, double realCost)
 {
     const auto found = this->accounts.find(workspace);
     if (found == this->accounts.end()) {
+        // Its debt is worked off unless this run alone took more than its share allowed since it was placed.
+        const double finishTag = startTag + realCost / weight;
+        if (realCost > cost && finishTag > this->virtualTime) {
+            this->accountOf(workspace, weight).finishTag = finishTag;
+            this->idle.emplace(finishTag, workspace);
+        }
         return;
     }
     Account &account = found->second;
     const bool isIdle = this->idle.erase({account.finishTag, workspace}) > 0;
-    account.finishTag += cost / weight;
+    account.finishTag += (realCost - cost) / account.weight;
     if (isIdle) {
         this->idle.emplace(account.finishTag, workspace);
     }
     this->removeSettled();
 }
 
-double WorkspaceShares::debtOf(double startTag) const
+double WorkspaceShares::debtOf(const WorkspaceName &workspace) const
 {
-    return std::max(startTag - this->virtualTime, 0.0);
+    const auto found = this->accounts.find(workspace);
+    return found == this->accounts.end() ? 0 : std::max(found->second.finishTag - this->virtualTime, 0.0) * found->second.weight;
 }
 
-double WorkspaceShares::workAhead(double startTag) const
+bool WorkspaceShares::isContended(const WorkspaceName &workspace) const
 {
-    return this->debtOf(startTag) * this->waitingWeight;
+    return this->accounts.size() > (this->accounts.contains(workspace) ? 1U : 0U);
 }
 
-bool WorkspaceShares::isContended() const
+double WorkspaceShares::shareOf(const WorkspaceName &workspace, double weight) const
 {
-    return this->waitingWorkspaces > 1;
+    const auto found = this->accounts.find(workspace);
+    if (found == this->accounts.end()) {
+        return weight / (this->activeWeight + weight);
+    }
+    const Account &account = found->second;
+    const double byWeight = std::min(account.weight / this->activeWeight, 1.0);
+    const double total = this->totalServed - account.servedSince;
+    return account.runs < minRunsForShare || total <= 0 ? byWeight : std::clamp(account.served / total, byWeight, 1.0);
 }
 
-double WorkspaceShares::shareOf(const WorkspaceName &workspace, double weight) const
+double WorkspaceShares::meanWeight() const
 {
-    const auto found = this->accounts.find(workspace);
-    const bool isWaiting = found != this->accounts.end() && found->second.waiting > 0;
-    const double others = this->waitingWeight - (isWaiting ? found->second.weight : 0);
-    return others > 0 && weight > 0 ? weight / (others + weight) : 1;
+    return this->waitingWorkspaces > 0 ? this->waitingWeight / static_cast<double>(this->waitingWorkspaces) : 1;
 }
 
-std::size_t WorkspaceShares::size() const
+std::size_t WorkspaceShares::waiting() const
 {
-    return this->accounts.size();
+    return this->waitingWorkspaces;
 }
 
-void WorkspaceShares::removeWaiting(const WorkspaceName &workspace)
+std::size_t WorkspaceShares::size() const
 {
-    Account &account = this->accounts.at(workspace);
-    if (--account.waiting > 0) {
-        return;
-    }
-    this->idle.emplace(account.finishTag, workspace);
-    --this->waitingWorkspaces;
-    // Starts from zero again, or rounding errors would remain.
-    this->waitingWeight = this->waitingWorkspaces == 0 ? 0 : this->waitingWeight - account.weight;
+    return this->accounts.size();
 }
 
 void WorkspaceShares::removeSettled()
 {
     while (!this->idle.empty() && this->idle.begin()->first <= this->virtualTime) {
-        this->accounts.erase(this->idle.begin()->second);
+        const auto settled = this->accounts.find(this->idle.begin()->second);
+        this->activeWeight -= settled->second.weight;
+        this->accounts.erase(settled);
         this->idle.erase(this->idle.begin());
     }
+    if (this->accounts.empty()) {
+        this->activeWeight = 0;
+    }
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibDispatch/WorkspaceShares.h
+++ b/Libraries/LibDispatch/WorkspaceShares.h
@@ -11,45 +11,70 @@
 {
 
 /**
- * Shares the slots of a service between workspaces by start-time fair queueing: weighted max-min fairness in proportion to work.
+ * Shares the slots of one priority between workspaces by start-time fair queueing: weighted max-min fairness in proportion to
+ * work.
  *
- * Each request gets a start tag, and the one with the lowest tag is served first. A workspace within its share gets the virtual
- * time as tag; one that has requested more than its share gets later tags. Nothing is reserved: a workspace that is alone is
- * served at once, whatever its tags. Workspaces without debt are not kept.
+ * A workspace is charged when a request of it is placed. The next request to serve is that of the workspace with the lowest
+ * tag: the virtual time for a workspace within its share, later for one that got more. Nothing is reserved: a workspace that is
+ * alone is served at once, whatever its tag. Workspaces with neither debt nor waiting requests are not kept.
  */
 class WorkspaceShares
 {
 public:
     /**
-     * Adds a request that waits, and charges its workspace.
-     * @param cost expected work, in the same unit for all requests
+     * Counts a request that waits.
      * @param weight of the workspace; positive
-     * @param isReserved whether its slot is reserved, so that it is served before the requests of workspaces with debt
-     * @return the start tag
      */
-    double add(const WorkspaceName &workspace, double cost, double weight, bool isReserved = false);
+    void addWaiting(const WorkspaceName &workspace, double weight);
+
+    /** Removes a request that was counted by addWaiting. */
+    void removeWaiting(const WorkspaceName &workspace);
+
+    /** @return the virtual time: the start tag of a request of a workspace within its share, in work per weight. */
+    double currentTag() const;
 
-    /** Removes a request that is placed now. */
-    void recordService(const WorkspaceName &workspace, double startTag);
+    /** @return the start tag of the workspace's next request, in work per weight. */
+    double nextTag(const WorkspaceName &workspace) const;
 
-    /** Removes a request that is not placed any more, and takes back its charge. */
-    void withdraw(const WorkspaceName &workspace, double cost, double weight);
+    /**
+     * Charges the workspace of an online request that is placed now and still counts as waiting.
+     * @param startTag the tag by which it was ordered; the virtual time advances to it
+     * @param cost expected work, in the same unit for all requests
+     */
+    void recordService(const WorkspaceName &workspace, double startTag, double cost);
 
-    /** Charges the difference between the expected and the real work of a request that has ended. */
-    void charge(const WorkspaceName &workspace, double cost, double weight);
+    /**
+     * Charges the workspace of an item that is placed now and still counts as waiting. Items are not served by tag, so the
+     * virtual time advances by what each workspace with waiting items would have got of the work.
+     */
+    void recordSharedService(const WorkspaceName &workspace, double cost);
 
-    /** @return how far a start tag is ahead of the virtual time: 0 for a workspace within its share. */
-    double debtOf(double startTag) const;
+    /**
+     * Corrects the charge of a request that has ended.
+     * @param startTag the tag with which it was placed
+     * @param cost the work that it was charged
+     * @param realCost the work that it took
+     */
+    void correct(const WorkspaceName &workspace, double weight, double startTag, double cost, double realCost);
 
-    /** @return how much work of all workspaces with waiting requests is ahead of a start tag at most. */
-    double workAhead(double startTag) const;
+    /** @return the work that a workspace has got beyond its share; 0 if none. */
+    double debtOf(const WorkspaceName &workspace) const;
 
-    /** @return whether requests of several workspaces wait. */
-    bool isContended() const;
+    /** @return whether another workspace has waiting requests or debt, so that this one cannot use all slots. */
+    bool isContended(const WorkspaceName &workspace) const;
 
-    /** @return the share of the slots that a workspace of this weight gets beside the others with waiting requests. */
+    /**
+     * @return the share of the capacity that a workspace can expect: by its weight among the workspaces that wait or have debt,
+     * or what it has got recently if that is more, because others do not use all of theirs
+     */
     double shareOf(const WorkspaceName &workspace, double weight) const;
 
+    /** @return the mean weight of the workspaces with waiting requests; 1 if there are none. */
+    double meanWeight() const;
+
+    /** @return number of workspaces with waiting requests. */
+    std::size_t waiting() const;
+
     /** @return number of workspaces that are kept. */
     std::size_t size() const;
 
@@ -59,13 +84,22 @@
         double finishTag = 0;
         double weight = 1;
         std::size_t waiting = 0;
+        /** Number of recent runs, their work, and the work of all workspaces when they began. */
+        std::size_t runs = 0;
+        double served = 0;
+        double servedSince = 0;
     };
 
-    void removeWaiting(const WorkspaceName &workspace);
+    Account &accountOf(const WorkspaceName &workspace, double weight);
+    void chargeAccount(const WorkspaceName &workspace, double startTag, double cost);
     /** Removes the accounts that have neither debt nor waiting requests. */
     void removeSettled();
 
     double virtualTime = 0;
+    /** Work of all workspaces so far. */
+    double totalServed = 0;
+    /** Sum over the workspaces that are kept. */
+    double activeWeight = 0;
     /** Sum over the workspaces with waiting requests. */
     double waitingWeight = 0;
     std::size_t waitingWorkspaces = 0;
