--- a/Libraries/LibDispatch/WaitingQueue.cpp
+++ b/Libraries/LibDispatch/WaitingQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -120,7 +121,7 @@
     }
     const WorkspaceShares &shares = this->sharesOf(request.work, request.priority);
     if (request.isReserved) {
-        return shares.currentTag();
+        return -std::numeric_limits<double>::infinity();
     }
     const double tag = shares.nextTag(request.workspace);
     const auto chain = this->chains.find(chainKeyOf(request, isLate));
--- a/Libraries/LibDispatch/WorkspaceShares.cpp
+++ b/Libraries/LibDispatch/WorkspaceShares.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t minRunsForShare = 8;
 /** At this number of runs the older half is forgotten, so that the share follows the load. */
 constexpr std::size_t maxRunsForShare = 64;
+/** Mean requests that an idle workspace may get ahead of its share. */
+constexpr double burstRequests = 4;
+/** Weight of one request in the mean cost. */
+constexpr double costWeight = 0.02;
 
 } // namespace
 
@@ -20,7 +24,7 @@
     const auto [found, isNew] = this->accounts.try_emplace(workspace);
     Account &account = found->second;
     if (isNew) {
-        account.finishTag = this->virtualTime;
+        account.finishTag = this->virtualTime - this->allowance(weight);
         account.weight = weight;
         account.servedSince = this->totalServed;
         this->activeWeight += weight;
@@ -32,7 +36,7 @@
 {
     Account &account = this->accountOf(workspace, weight);
     if (account.waiting++ == 0) {
-        this->idle.erase({account.finishTag, workspace});
+        this->idle.erase({account.settledTag, workspace});
         // A new configuration may have changed the weight.
         this->activeWeight += weight - account.weight;
         account.weight = weight;
@@ -47,22 +51,21 @@
     if (--account.waiting > 0) {
         return;
     }
-    this->idle.emplace(account.finishTag, workspace);
+    this->addIdle(workspace, account);
     --this->waitingWorkspaces;
     // Starts from zero again, or rounding errors would remain.
     this->waitingWeight = this->waitingWorkspaces == 0 ? 0 : this->waitingWeight - account.weight;
     this->removeSettled();
 }
 
-double WorkspaceShares::currentTag() const
-{
-    return this->virtualTime;
-}
-
 double WorkspaceShares::nextTag(const WorkspaceName &workspace) const
 {
     const auto found = this->accounts.find(workspace);
-    return found == this->accounts.end() ? this->virtualTime : std::max(this->virtualTime, found->second.finishTag);
+    if (found == this->accounts.end()) {
+        return this->virtualTime;
+    }
+    const Account &account = found->second;
+    return std::max(this->virtualTime - this->allowance(account.weight), account.finishTag);
 }
 
 void WorkspaceShares::recordService(const WorkspaceName &workspace, double startTag, double cost)
@@ -83,6 +86,7 @@
 {
     Account &account = this->accounts.at(workspace);
     account.finishTag = std::max(account.finishTag, startTag) + cost / account.weight;
+    this->meanCost += (this->meanCost == 0 ? 1 : costWeight) * (cost - this->meanCost);
     this->totalServed += cost;
     account.served += cost;
     if (++account.runs >= maxRunsForShare) {
@@ -98,17 +102,18 @@
     if (found == this->accounts.end()) {
         // Its debt is worked off unless this run alone took more than its share allowed since it was placed.
         const double finishTag = startTag + realCost / weight;
-        if (realCost > cost && finishTag > this->virtualTime) {
-            this->accountOf(workspace, weight).finishTag = finishTag;
-            this->idle.emplace(finishTag, workspace);
+        if (realCost > cost && finishTag + this->allowance(weight) > this->virtualTime) {
+            Account &account = this->accountOf(workspace, weight);
+            account.finishTag = finishTag;
+            this->addIdle(workspace, account);
         }
         return;
     }
     Account &account = found->second;
-    const bool isIdle = this->idle.erase({account.finishTag, workspace}) > 0;
+    const bool isIdle = this->idle.erase({account.settledTag, workspace}) > 0;
     account.finishTag += (realCost - cost) / account.weight;
     if (isIdle) {
-        this->idle.emplace(account.finishTag, workspace);
+        this->addIdle(workspace, account);
     }
     this->removeSettled();
 }
@@ -151,6 +156,17 @@
     return this->accounts.size();
 }
 
+double WorkspaceShares::allowance(double weight) const
+{
+    return burstRequests * this->meanCost / weight;
+}
+
+void WorkspaceShares::addIdle(const WorkspaceName &workspace, Account &account)
+{
+    account.settledTag = account.finishTag + this->allowance(account.weight);
+    this->idle.emplace(account.settledTag, workspace);
+}
+
 void WorkspaceShares::removeSettled()
 {
     while (!this->idle.empty() && this->idle.begin()->first <= this->virtualTime) {
--- a/Libraries/LibDispatch/WorkspaceShares.h
+++ b/Libraries/LibDispatch/WorkspaceShares.h
@@ -15,8 +15,10 @@
  * work.
  *
  * A workspace is charged when a request of it is placed. The next request to serve is that of the workspace with the lowest
- * tag: the virtual time for a workspace within its share, later for one that got more. Nothing is reserved: a workspace that is
- * alone is served at once, whatever its tag. Workspaces with neither debt nor waiting requests are not kept.
+ * tag: at most the virtual time for a workspace within its share, later for one that got more. Nothing is reserved: a workspace
+ * that is alone is served at once, whatever its tag. A workspace that was idle may get a few requests ahead of its share, or
+ * the second of two requests of a small workspace would wait for seconds. Workspaces with neither a charge that matters nor
+ * waiting requests are not kept.
  */
 class WorkspaceShares
 {
@@ -30,9 +32,6 @@
     /** Removes a request that was counted by addWaiting. */
     void removeWaiting(const WorkspaceName &workspace);
 
-    /** @return the virtual time: the start tag of a request of a workspace within its share, in work per weight. */
-    double currentTag() const;
-
     /** @return the start tag of the workspace's next request, in work per weight. */
     double nextTag(const WorkspaceName &workspace) const;
 
@@ -81,7 +80,10 @@
 private:
     struct Account
     {
+        /** Virtual time at which its share covers what it got. */
         double finishTag = 0;
+        /** Virtual time from which the account makes no difference; valid while nothing waits. */
+        double settledTag = 0;
         double weight = 1;
         std::size_t waiting = 0;
         /** Number of recent runs, their work, and the work of all workspaces when they began. */
@@ -92,10 +94,15 @@
 
     Account &accountOf(const WorkspaceName &workspace, double weight);
     void chargeAccount(const WorkspaceName &workspace, double startTag, double cost);
-    /** Removes the accounts that have neither debt nor waiting requests. */
+    /** @return how far, in virtual time, an idle workspace may get ahead of its share. */
+    double allowance(double weight) const;
+    void addIdle(const WorkspaceName &workspace, Account &account);
+    /** Removes the accounts that make no difference any more. */
     void removeSettled();
 
     double virtualTime = 0;
+    /** Mean cost of a request. */
+    double meanCost = 0;
     /** Work of all workspaces so far. */
     double totalServed = 0;
     /** Sum over the workspaces that are kept. */
@@ -104,7 +111,7 @@
     double waitingWeight = 0;
     std::size_t waitingWorkspaces = 0;
     std::unordered_map<WorkspaceName, Account> accounts;
-    /** Accounts without waiting requests by finish tag; those up to the virtual time have no debt. */
+    /** Accounts without waiting requests by the virtual time from which they make no difference. */
     std::set<std::pair<double, WorkspaceName>> idle;
 };
 
