LibDispatch: A workspace's allowance is part of its debt, not of its start tag

Cause: with start tags before the virtual time, the virtual time stood still while all workspaces sent little, and their accounts were kept. Change: a request of a workspace with debt up to the allowance has the virtual time as tag. The virtual time advances with every placed request by what each kept workspace would have got of it.

--- a/Libraries/LibDispatch/WaitingQueue.cpp
+++ b/Libraries/LibDispatch/WaitingQueue.cpp
@@ -210,12 +210,7 @@
     const Waiting &waiting = this->of(position->second.work).at(position->second.key);
     if (waiting.isShared) {
         const PlacementRequest &request = waiting.request;
-        WorkspaceShares &shares = this->sharesOf(request.work, request.priority);
-        if (request.work == WorkClass::Online) {
-            shares.recordService(request.workspace, waiting.startTag, request.cost);
-        } else {
-            shares.recordSharedService(request.workspace, request.cost);
-        }
+        this->sharesOf(request.work, request.priority).recordService(request.workspace, waiting.startTag, request.cost);
     }
     this->extract(id);
 }
--- a/Libraries/LibDispatch/WorkspaceShares.cpp
+++ b/Libraries/LibDispatch/WorkspaceShares.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t minRunsForShare = 8;
 /** At this number of runs the older half is forgotten, so that the share follows the load. */
 constexpr std::size_t maxRunsForShare = 64;
-/** Mean requests that an idle workspace may get ahead of its share. */
+/** Mean requests that a workspace may get ahead of its share. */
 constexpr double burstRequests = 4;
 /** Weight of one request in the mean cost. */
 constexpr double costWeight = 0.02;
@@ -24,7 +24,7 @@
     const auto [found, isNew] = this->accounts.try_emplace(workspace);
     Account &account = found->second;
     if (isNew) {
-        account.finishTag = this->virtualTime - this->allowance(weight);
+        account.finishTag = this->virtualTime;
         account.weight = weight;
         account.servedSince = this->totalServed;
         this->activeWeight += weight;
@@ -36,7 +36,7 @@
 {
     Account &account = this->accountOf(workspace, weight);
     if (account.waiting++ == 0) {
-        this->idle.erase({account.settledTag, workspace});
+        this->idle.erase({account.finishTag, workspace});
         // A new configuration may have changed the weight.
         this->activeWeight += weight - account.weight;
         account.weight = weight;
@@ -51,7 +51,7 @@
     if (--account.waiting > 0) {
         return;
     }
-    this->addIdle(workspace, account);
+    this->idle.emplace(account.finishTag, workspace);
     --this->waitingWorkspaces;
     // Starts from zero again, or rounding errors would remain.
     this->waitingWeight = this->waitingWorkspaces == 0 ? 0 : this->waitingWeight - account.weight;
@@ -61,31 +61,20 @@
 double WorkspaceShares::nextTag(const WorkspaceName &workspace) const
 {
     const auto found = this->accounts.find(workspace);
-    if (found == this->accounts.end()) {
-        return this->virtualTime;
-    }
-    const Account &account = found->second;
-    return std::max(this->virtualTime - this->allowance(account.weight), account.finishTag);
+    return this->virtualTime + (found != this->accounts.end() ? this->excessTag(found->second) : 0);
 }
 
-void WorkspaceShares::recordService(const WorkspaceName &workspace, double startTag, double cost)
+double WorkspaceShares::excessTag(const Account &account) const
 {
-    this->virtualTime = std::max(this->virtualTime, startTag);
-    this->chargeAccount(workspace, startTag, cost);
-    this->removeWaiting(workspace);
-}
-
-void WorkspaceShares::recordSharedService(const WorkspaceName &workspace, double cost)
-{
-    this->chargeAccount(workspace, this->virtualTime, cost);
-    this->virtualTime += cost / this->waitingWeight;
-    this->removeWaiting(workspace);
+    const double allowance = burstRequests * this->meanCost / account.weight;
+    return std::max(account.finishTag - allowance - this->virtualTime, 0.0);
 }
 
-void WorkspaceShares::chargeAccount(const WorkspaceName &workspace, double startTag, double cost)
+void WorkspaceShares::recordService(const WorkspaceName &workspace, double startTag, double cost)
 {
     Account &account = this->accounts.at(workspace);
-    account.finishTag = std::max(account.finishTag, startTag) + cost / account.weight;
+    account.finishTag = std::max(account.finishTag, this->virtualTime) + cost / account.weight;
+    this->virtualTime = std::max(this->virtualTime + cost / this->activeWeight, startTag);
     this->meanCost += (this->meanCost == 0 ? 1 : costWeight) * (cost - this->meanCost);
     this->totalServed += cost;
     account.served += cost;
@@ -94,6 +83,8 @@
         account.served /= 2;
         account.servedSince = (account.servedSince + this->totalServed) / 2;
     }
+    this->removeWaiting(workspace);
+    this->removeSettled();
 }
 
 void WorkspaceShares::correct(const WorkspaceName &workspace, double weight, double startTag, double cost, double realCost)
@@ -102,18 +93,17 @@
     if (found == this->accounts.end()) {
         // Its debt is worked off unless this run alone took more than its share allowed since it was placed.
         const double finishTag = startTag + realCost / weight;
-        if (realCost > cost && finishTag + this->allowance(weight) > this->virtualTime) {
-            Account &account = this->accountOf(workspace, weight);
-            account.finishTag = finishTag;
-            this->addIdle(workspace, account);
+        if (realCost > cost && finishTag > this->virtualTime) {
+            this->accountOf(workspace, weight).finishTag = finishTag;
+            this->idle.emplace(finishTag, workspace);
         }
         return;
     }
     Account &account = found->second;
-    const bool isIdle = this->idle.erase({account.settledTag, workspace}) > 0;
+    const bool isIdle = this->idle.erase({account.finishTag, workspace}) > 0;
     account.finishTag += (realCost - cost) / account.weight;
     if (isIdle) {
-        this->addIdle(workspace, account);
+        this->idle.emplace(account.finishTag, workspace);
     }
     this->removeSettled();
 }
@@ -121,7 +111,7 @@
 double WorkspaceShares::debtOf(const WorkspaceName &workspace) const
 {
     const auto found = this->accounts.find(workspace);
-    return found == this->accounts.end() ? 0 : std::max(found->second.finishTag - this->virtualTime, 0.0) * found->second.weight;
+    return found != this->accounts.end() ? this->excessTag(found->second) * found->second.weight : 0;
 }
 
 bool WorkspaceShares::isContended(const WorkspaceName &workspace) const
@@ -156,17 +146,6 @@
     return this->accounts.size();
 }
 
-double WorkspaceShares::allowance(double weight) const
-{
-    return burstRequests * this->meanCost / weight;
-}
-
-void WorkspaceShares::addIdle(const WorkspaceName &workspace, Account &account)
-{
-    account.settledTag = account.finishTag + this->allowance(account.weight);
-    this->idle.emplace(account.settledTag, workspace);
-}
-
 void WorkspaceShares::removeSettled()
 {
     while (!this->idle.empty() && this->idle.begin()->first <= this->virtualTime) {
--- a/Libraries/LibDispatch/WorkspaceShares.h
+++ b/Libraries/LibDispatch/WorkspaceShares.h
@@ -15,10 +15,9 @@
  * work.
  *
  * A workspace is charged when a request of it is placed. The next request to serve is that of the workspace with the lowest
- * tag: at most the virtual time for a workspace within its share, later for one that got more. Nothing is reserved: a workspace
- * that is alone is served at once, whatever its tag. A workspace that was idle may get a few requests ahead of its share, or
- * the second of two requests of a small workspace would wait for seconds. Workspaces with neither a charge that matters nor
- * waiting requests are not kept.
+ * tag: the virtual time for a workspace within its share, later for one that got more. Nothing is reserved: a workspace that is
+ * alone is served at once, whatever its tag. Each workspace may get a few requests ahead of its share, or the second of two
+ * requests of a small workspace would wait for seconds. Workspaces with neither debt nor waiting requests are not kept.
  */
 class WorkspaceShares
 {
@@ -36,18 +35,14 @@
     double nextTag(const WorkspaceName &workspace) const;
 
     /**
-     * Charges the workspace of an online request that is placed now and still counts as waiting.
-     * @param startTag the tag by which it was ordered; the virtual time advances to it
+     * Charges the workspace of a request that is placed now, and removes the request. The virtual time advances to its start tag,
+     * and at least by what each workspace that is kept would have got of the work; so it advances also while no request waits
+     * for its tag, and for items, which are not served by tag.
+     * @param startTag the tag by which it was ordered; 0 if it was not
      * @param cost expected work, in the same unit for all requests
      */
     void recordService(const WorkspaceName &workspace, double startTag, double cost);
 
-    /**
-     * Charges the workspace of an item that is placed now and still counts as waiting. Items are not served by tag, so the
-     * virtual time advances by what each workspace with waiting items would have got of the work.
-     */
-    void recordSharedService(const WorkspaceName &workspace, double cost);
-
     /**
      * Corrects the charge of a request that has ended.
      * @param startTag the tag with which it was placed
@@ -56,7 +51,7 @@
      */
     void correct(const WorkspaceName &workspace, double weight, double startTag, double cost, double realCost);
 
-    /** @return the work that a workspace has got beyond its share; 0 if none. */
+    /** @return the work that a workspace has got beyond its share and what every workspace may get; 0 if none. */
     double debtOf(const WorkspaceName &workspace) const;
 
     /** @return whether another workspace has waiting requests or debt, so that this one cannot use all slots. */
@@ -82,8 +77,6 @@
     {
         /** Virtual time at which its share covers what it got. */
         double finishTag = 0;
-        /** Virtual time from which the account makes no difference; valid while nothing waits. */
-        double settledTag = 0;
         double weight = 1;
         std::size_t waiting = 0;
         /** Number of recent runs, their work, and the work of all workspaces when they began. */
@@ -94,10 +87,9 @@
 
     Account &accountOf(const WorkspaceName &workspace, double weight);
     void chargeAccount(const WorkspaceName &workspace, double startTag, double cost);
-    /** @return how far, in virtual time, an idle workspace may get ahead of its share. */
-    double allowance(double weight) const;
-    void addIdle(const WorkspaceName &workspace, Account &account);
-    /** Removes the accounts that make no difference any more. */
+    /** @return the virtual time that what an account got beyond its share is ahead, without what every workspace may get. */
+    double excessTag(const Account &account) const;
+    /** Removes the accounts that have neither debt nor waiting requests. */
     void removeSettled();
 
     double virtualTime = 0;
@@ -111,7 +103,7 @@
     double waitingWeight = 0;
     std::size_t waitingWorkspaces = 0;
     std::unordered_map<WorkspaceName, Account> accounts;
-    /** Accounts without waiting requests by the virtual time from which they make no difference. */
+    /** Accounts without waiting requests by finish tag; those up to the virtual time have no debt. */
     std::set<std::pair<double, WorkspaceName>> idle;
 };
 
--- a/Tests/LibDispatch/TestShareReplay.cpp
+++ b/Tests/LibDispatch/TestShareReplay.cpp
@@ -337,10 +337,9 @@
     return total / (1 + (flood - 1) * std::pow(static_cast<double>(flooder + 1), -skew) / sum);
 }
 
-void checkFlood(double flood, double total, std::uint32_t floodCost)
+void checkFlood(double flood, double total, std::uint32_t floodCost, const Outcome &calm)
 {
     const double usual = usualLoad(total, flood);
-    const Outcome calm = Replay({1, usual, meanCost, true}).run();
     const Outcome arrivalOrder = Replay({flood, usual, floodCost, false}).run();
     const Outcome shares = Replay({flood, usual, floodCost, true}).run();
     MESSAGE("flood ", flood, ", requests of ", floodCost, ", total load ", total, ": no flood: ", describe(calm));
@@ -359,10 +358,10 @@
 TEST_CASE("a flood of one workspace costs the others nothing, and no throughput")
 {
     for (const double flood : {7.5, 20.0}) {
-        for (const std::uint32_t floodCost : {smallest, largest}) {
-            for (const double total : {1.0, 1.4, 1.8}) {
-                checkFlood(flood, total, floodCost);
-            }
+        for (const double total : {1.0, 1.4, 1.8}) {
+            const Outcome calm = Replay({1, usualLoad(total, flood), meanCost, true}).run();
+            checkFlood(flood, total, smallest, calm);
+            checkFlood(flood, total, largest, calm);
         }
     }
 }
