--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -541,6 +541,9 @@
                 this->metrics.setGauge(service.name.value() + "_batch_running", static_cast<double>(load->batchRunning));
                 this->metrics.setGauge(service.name.value() + "_online_waiting", static_cast<double>(load->onlineWaiting));
                 this->metrics.setGauge(service.name.value() + "_batch_waiting", static_cast<double>(load->batchWaiting));
+                this->metrics.setGauge(service.name.value() + "_workspaces_waiting",
+                                       static_cast<double>(load->waitingWorkspaces));
+                this->metrics.setGauge(service.name.value() + "_over_share_refused", static_cast<double>(load->shareRefusals));
             }
         }
     }
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -374,7 +374,9 @@
          {"online_running", static_cast<std::int64_t>(load.onlineRunning)},
          {"batch_running", static_cast<std::int64_t>(load.batchRunning)},
          {"online_waiting", static_cast<std::int64_t>(load.onlineWaiting)},
-         {"batch_waiting", static_cast<std::int64_t>(load.batchWaiting)}});
+         {"batch_waiting", static_cast<std::int64_t>(load.batchWaiting)},
+         {"workspaces_waiting", static_cast<std::int64_t>(load.waitingWorkspaces)},
+         {"over_share_refused", static_cast<std::int64_t>(load.shareRefusals)}});
 }
 
 std::optional<Dispatcher::Load> PlacementServer::load(const ServiceName &service) const
