--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -542,6 +542,8 @@
     set("_batch_waiting", load.batchWaiting);
     set("_replicas_limited", load.learned.limited);
     set("_replicas_blocked", load.learned.blocked);
+    set("_workspaces_waiting", load.waitingWorkspaces);
+    set("_over_share_refused", load.shareRefusals);
     this->metrics.setGauge(service + "_slowest_time", load.learned.slowest);
     this->metrics.setGauge(service + "_fastest_time", load.learned.fastest);
 }
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -382,7 +382,9 @@
          {"limited_replicas", static_cast<std::int64_t>(load.learned.limited)},
          {"blocked_replicas", static_cast<std::int64_t>(load.learned.blocked)},
          {"slowest_percent", std::llround(load.learned.slowest * 100)},
-         {"fastest_percent", std::llround(load.learned.fastest * 100)}});
+         {"fastest_percent", std::llround(load.learned.fastest * 100)},
+         {"workspaces_waiting", static_cast<std::int64_t>(load.waitingWorkspaces)},
+         {"over_share_refused", static_cast<std::int64_t>(load.shareRefusals)}});
 }
 
 std::optional<Dispatcher::Load> PlacementServer::load(const ServiceName &service) const
