LibProxy: Read the final response behind interim responses

The parser stops behind the status line of a 1xx response, so its head was taken for malformed and the call ended as Incomplete. The headers of an interim response are not used; its head is now skipped up to the empty line.

--- a/Libraries/LibProxy/MessageReader.cpp
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -169,6 +169,10 @@
     if (!hasValidLineEnds(text) || !this->parseStartLine(startLine)) {
         return ReadProgress::Malformed;
     }
+    if (this->kind == Kind::Response && this->current.status < firstFinalStatus) {
+        // The parser stops behind the status line of an interim response, whose headers are not used.
+        return ReadProgress::Done;
+    }
     Collected collected;
     collected.headers = &this->current.headers;
     htparser_init(this->parser.get(), this->kind == Kind::Request ? htp_type_request : htp_type_response);
--- a/Tests/LibProxy/TestMessageReader.cpp
+++ b/Tests/LibProxy/TestMessageReader.cpp
@@ -149,3 +149,17 @@
         RC_ASSERT(remainderOf(buffer) == "NEXT");
     });
 }
+
+// An interim response (RFC 9110, section 15.2) makes the final response behind it count as malformed.
+TEST_CASE("the final response is read behind interim responses")
+{
+    MessageReader reader(MessageReader::Kind::Response, 4096);
+    const Buffer buffer = bufferOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+    for (const int status : {100, 103, 200}) {
+        reader.reset();
+        REQUIRE(reader.readHead(buffer.get()) == ReadProgress::Done);
+        CHECK(reader.head().status == status);
+    }
+    CHECK(remainderOf(buffer) == "good");
+}
