LibProxy: Bound the bytes of a response that is held or skipped

Only the head of a response had a bound. A body without end, interim responses or empty lines without end, a skipped response and chunk framing without data were read until the deadline of the call, and bodies were held in memory. Each has a bound now: bodyBytes of the call (16 MB unless it states another; streams are exempt), 64 KB for the others. A response that exceeds one closes its connection and ends as Incomplete, and the pool reports which bound it was. Reading a response can also be paused.

--- a/Libraries/LibProxy/OutboundConnection.cpp
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -10,7 +10,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -20,6 +22,12 @@
 {
 
 constexpr std::size_t responseHeadBytes = 65536;
+/** Maximum size of all interim responses and empty lines before a head: none of them is an answer. */
+constexpr std::size_t maxInterimBytes = 65536;
+/** Maximum size of the body of a skipped response. It is only read to keep the connection, and a new one costs less. */
+constexpr std::uint64_t maxSkippedBytes = 65536;
+/** Maximum size of chunk framing, such as chunk extensions, between two parts of a body's data. */
+constexpr std::size_t maxFramingBytes = 65536;
 /** Maximum number of responses to earlier requests that are skipped before the expected one. */
 constexpr int maxSkipped = 4;
 /** Assumed keep-alive time if the server states none: one below a second cannot be stated, as the header has whole
@@ -82,10 +90,8 @@
     this->current = id;
     this->call = std::move(call);
     this->hooks = std::make_shared<const CallHooks>(std::move(hooks));
-    this->isHeadRead = false;
-    this->isSkipping = false;
     this->skipped = 0;
-    this->reader.reset();
+    this->startResponse();
     if (this->stream == nullptr) {
         this->connect(this->call.connectTimeout);
     }
@@ -107,6 +113,18 @@
     this->hooks.reset();
 }
 
+void OutboundConnection::setReading(bool isReading)
+{
+    if (this->stream == nullptr) {
+        return;
+    }
+    if (isReading) {
+        bufferevent_enable(this->stream, EV_READ);
+    } else {
+        bufferevent_disable(this->stream, EV_READ);
+    }
+}
+
 void OutboundConnection::connect(std::chrono::milliseconds timeout)
 {
     this->stream = bufferevent_socket_new(this->pool.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -193,7 +211,18 @@
 bool OutboundConnection::readHead()
 {
     evbuffer *const input = bufferevent_get_input(this->stream);
+    const std::size_t available = evbuffer_get_length(input);
     const ReadProgress progress = this->reader.readHead(input);
+    const bool isFinal = progress == ReadProgress::Done && this->reader.head().status >= firstFinalStatus;
+    this->interimBytes += isFinal ? 0 : available - evbuffer_get_length(input);
+    if (progress == ReadProgress::TooLarge) {
+        this->cut("the head is too large");
+        return false;
+    }
+    if (this->interimBytes > maxInterimBytes) {
+        this->cut("there are too many bytes before the response");
+        return false;
+    }
     if (progress == ReadProgress::NeedMore) {
         return false;
     }
@@ -201,12 +230,16 @@
         this->finish(CallEnd::Incomplete);
         return false;
     }
-    if (this->reader.head().status < firstFinalStatus) {
+    if (!isFinal) {
         this->reader.reset();
         return true;
     }
     this->isHeadRead = true;
     this->isSkipping = this->call.isAnswer && !this->call.isAnswer(this->reader.head());
+    this->maxBodyBytes = this->findBodyBound();
+    if (this->cutLargeBody()) {
+        return false;
+    }
     if (!this->isSkipping) {
         const std::shared_ptr<const CallHooks> reported = this->hooks;
         reported->onHead(this->reader.head());
@@ -217,7 +250,15 @@
 bool OutboundConnection::readBody()
 {
     std::string data;
-    const ReadProgress progress = this->reader.readBody(bufferevent_get_input(this->stream), data);
+    evbuffer *const input = bufferevent_get_input(this->stream);
+    const std::size_t available = evbuffer_get_length(input);
+    const ReadProgress progress = this->reader.readBody(input, data);
+    const std::size_t consumed = available - evbuffer_get_length(input);
+    this->bodyBytes += data.size();
+    this->framingBytes = data.empty() ? this->framingBytes + consumed : 0;
+    if (this->cutLargeBody()) {
+        return false;
+    }
     const std::shared_ptr<bool> isAlive = this->alive;
     if (!data.empty() && !this->isSkipping) {
         const std::shared_ptr<const CallHooks> reported = this->hooks;
@@ -238,15 +279,53 @@
         return false;
     }
     const bool hasMore = this->reader.head().isPersistent && ++this->skipped < maxSkipped;
-    this->reader.reset();
-    this->isHeadRead = false;
-    this->isSkipping = false;
+    this->startResponse();
     if (!hasMore) {
         this->finish(CallEnd::Incomplete);
     }
     return hasMore;
 }
 
+void OutboundConnection::startResponse()
+{
+    this->reader.reset();
+    this->isHeadRead = false;
+    this->isSkipping = false;
+    this->interimBytes = 0;
+    this->bodyBytes = 0;
+    this->framingBytes = 0;
+}
+
+std::uint64_t OutboundConnection::findBodyBound() const
+{
+    if (this->isSkipping) {
+        return maxSkippedBytes;
+    }
+    const bool isStream = this->call.isStream && this->call.isStream(this->reader.head());
+    return isStream ? std::numeric_limits<std::uint64_t>::max() : this->call.bodyBytes;
+}
+
+bool OutboundConnection::cutLargeBody()
+{
+    if (std::max(this->bodyBytes, this->reader.head().length) > this->maxBodyBytes) {
+        this->cut(this->isSkipping ? "the skipped response is too large" : "the body is too large");
+        return true;
+    }
+    if (this->framingBytes > maxFramingBytes) {
+        this->cut("the body has too much framing");
+        return true;
+    }
+    return false;
+}
+
+void OutboundConnection::cut(std::string_view reason)
+{
+    if (this->pool.onCut) {
+        this->pool.onCut({this->target, reason});
+    }
+    this->finish(CallEnd::Incomplete);
+}
+
 bool OutboundConnection::isReusable() const
 {
     // A server may respond before it has read the whole request; it would then parse the next request as the remainder of
@@ -261,6 +340,7 @@
     const bool isKept = end == CallEnd::Complete && this->isReusable();
     const OutboundPool::CallId ended = std::exchange(this->current, 0);
     const std::shared_ptr<const CallHooks> reported = std::exchange(this->hooks, nullptr);
+    this->setReading(true);
     this->idleStart = this->pool.clock.now();
     this->keepUntil = this->idleStart;
     if (isKept) {
--- a/Libraries/LibProxy/OutboundConnection.h
+++ b/Libraries/LibProxy/OutboundConnection.h
@@ -22,6 +22,9 @@
     /** Detaches the current call; its hooks are not called any more. */
     void detachCall();
 
+    /** Pauses or resumes reading the response of the current call. */
+    void setReading(bool isReading);
+
     const Address &address() const;
 
     /** @return when the last call on this connection ended. */
@@ -44,6 +47,14 @@
     void read();
     bool readHead();
     bool readBody();
+    /** Prepares for the head of the next response to the same request. */
+    void startResponse();
+    /** @return the maximum size of the body that follows the current head. */
+    std::uint64_t findBodyBound() const;
+    /** Ends the call if the body exceeds a bound. @return whether it does */
+    bool cutLargeBody();
+    /** Reports that the response exceeded a bound, and ends the call. */
+    void cut(std::string_view reason);
     void finish(CallEnd end);
     bool isReusable() const;
 
@@ -60,6 +71,12 @@
     bool isHeadRead = false;
     bool isSkipping = false;
     int skipped = 0;
+    /** Size of the interim responses and empty lines before the head. */
+    std::size_t interimBytes = 0;
+    std::uint64_t bodyBytes = 0;
+    std::uint64_t maxBodyBytes = 0;
+    /** Bytes of chunk framing since the last data of the body. */
+    std::size_t framingBytes = 0;
     SteadyTime idleStart{};
     SteadyTime keepUntil{};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -16,8 +16,11 @@
 
 } // namespace
 
-OutboundPool::OutboundPool(EventLoop &loop, const Clock &clock, std::size_t idlePerAddress)
-    : loop(loop), clock(clock), idlePerAddress(idlePerAddress)
+OutboundPool::OutboundPool(EventLoop &loop,
+                           const Clock &clock,
+                           std::size_t idlePerAddress,
+                           std::function<void(const CutResponse &)> onCut)
+    : loop(loop), clock(clock), idlePerAddress(idlePerAddress), onCut(std::move(onCut))
 {
     this->sweep();
 }
@@ -89,6 +92,13 @@
     this->freeLater(std::move(connection));
 }
 
+void OutboundPool::setReading(CallId id, bool isReading)
+{
+    if (const auto found = this->active.find(id); found != this->active.end()) {
+        found->second->setReading(isReading);
+    }
+}
+
 std::uint64_t OutboundPool::connectionsMade() const
 {
     return this->made;
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -49,6 +49,22 @@
      * earlier request on the same connection. If not set, every response belongs to the call.
      */
     std::function<bool(const MessageHead &)> isAnswer;
+    /** Maximum size of the response's body; a larger response ends the call as Incomplete. */
+    std::size_t bodyBytes = 16777216;
+    /**
+     * @return whether the body of this response may be of any size, because the caller of the pool holds only parts of it. If
+     * not set, every body is bounded.
+     */
+    std::function<bool(const MessageHead &)> isStream;
+};
+
+/** A response that exceeded one of its bounds, so that its connection was closed. */
+struct CutResponse
+{
+    /** The server that sent it. */
+    Address address;
+    /** Which bound it exceeded. */
+    std::string_view reason;
 };
 
 /** Callbacks of a call. None is called after onEnd or after the call is cancelled. */
@@ -73,8 +89,14 @@
 public:
     using CallId = std::uint64_t;
 
-    /** @param idlePerAddress maximum number of idle connections per address */
-    OutboundPool(EventLoop &loop, const Clock &clock, std::size_t idlePerAddress);
+    /**
+     * @param idlePerAddress maximum number of idle connections per address
+     * @param onCut called for each response that exceeded a bound, before its call ends
+     */
+    OutboundPool(EventLoop &loop,
+                 const Clock &clock,
+                 std::size_t idlePerAddress,
+                 std::function<void(const CutResponse &)> onCut = nullptr);
     ~OutboundPool();
     OutboundPool(const OutboundPool &) = delete;
     OutboundPool &operator=(const OutboundPool &) = delete;
@@ -91,6 +113,12 @@
     /** Cancels a call and closes its connection. Its hooks are not called any more. */
     void cancel(CallId id);
 
+    /**
+     * Pauses or resumes reading the response of a call, so that the server has to keep what the caller of the pool cannot pass
+     * on. No end of the connection is noticed during a pause. Does nothing if the call has ended.
+     */
+    void setReading(CallId id, bool isReading);
+
     /**
      * @param maxIdleTime maximum idle time of a connection to be counted
      * @return the addresses with an idle connection that a call can reuse now
@@ -117,6 +145,7 @@
     EventLoop &loop;
     const Clock &clock;
     std::size_t idlePerAddress;
+    std::function<void(const CutResponse &)> onCut;
     std::map<Address, Connections> idle;
     std::unordered_map<CallId, std::unique_ptr<OutboundConnection>> active;
     CallId lastCall = 0;
