LibProxy: Decide which callers are too slow for their response data

Unread data was bounded for each caller (4 MB) but not for all together, and the server behind a stream could not be held back. UnreadDataBudget counts the unread bytes of each caller and decides, with the clock passed in, who is paused, resumed or disconnected. CallerServer carries the decisions out; an exchange reports a pause to its handler, and no further request is read from a paused caller.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -33,6 +33,7 @@
     , lastProgress(clock.now())
 {
     bufferevent_setcb(stream, &onReadable, &onWritten, &onEvent, this);
+    evbuffer_add_cb(bufferevent_get_output(stream), &onOutput, this);
     bufferevent_setwatermark(stream, EV_READ, 0, readAheadBytes);
     bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
@@ -58,7 +59,8 @@
 {
     const std::chrono::nanoseconds sinceProgress = this->clock.now() - this->lastProgress;
     const CallerLimits &limits = this->hooks.limits();
-    const bool isReading = this->state == State::ReadingBody || (this->state == State::AwaitingHead && this->isBusy());
+    const bool isReadingHead = this->state == State::AwaitingHead && this->isBusy() && !this->hasPause;
+    const bool isReading = this->state == State::ReadingBody || isReadingHead;
     const bool isSlow = isReading && sinceProgress > limits.headTimeout;
     const bool isIdle = this->state == State::AwaitingHead && sinceProgress > limits.idleTimeout;
     const bool hasLingered = this->state == State::Closing && sinceProgress > std::max(limits.headTimeout, lingerTime);
@@ -67,6 +69,22 @@
     }
 }
 
+void CallerConnection::setPaused(bool isPaused)
+{
+    this->hasPause = isPaused;
+    if (const std::shared_ptr<CallerExchange> open = this->exchange) {
+        open->notifyPause(isPaused);
+    } else if (!isPaused && this->state == State::AwaitingHead) {
+        this->lastProgress = this->clock.now();
+        this->advance();
+    }
+}
+
+bool CallerConnection::isPaused() const
+{
+    return this->hasPause;
+}
+
 void CallerConnection::closeIfIdle()
 {
     if (this->state == State::AwaitingHead && !this->isBusy()) {
@@ -105,6 +123,21 @@
     });
 }
 
+void CallerConnection::onOutput(evbuffer *, const evbuffer_cb_info *, void *self)
+{
+    runGuarded("counting unread data", [self] {
+        static_cast<CallerConnection *>(self)->reportUnread();
+    });
+}
+
+void CallerConnection::reportUnread()
+{
+    if (this->stream != nullptr) {
+        const bool isStreaming = this->exchange && this->exchange->isStarted();
+        this->hooks.onUnread(evbuffer_get_length(bufferevent_get_output(this->stream)), isStreaming);
+    }
+}
+
 void CallerConnection::advance()
 {
     if (std::exchange(this->isAdvancing, true)) {
@@ -134,7 +167,7 @@
 bool CallerConnection::readHead()
 {
     evbuffer *const input = bufferevent_get_input(this->stream);
-    if (evbuffer_get_length(input) == 0) {
+    if (this->hasPause || evbuffer_get_length(input) == 0) {
         return false;
     }
     const ReadProgress progress = this->reader.readHead(input);
@@ -252,6 +285,7 @@
 void CallerConnection::abort()
 {
     this->exchange.reset();
+    this->reportUnread();
     this->lastProgress = this->clock.now();
     // Data already written is still sent. The missing last chunk marks the response as incomplete.
     const bool isSent = this->stream == nullptr || evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
@@ -272,6 +306,7 @@
 void CallerConnection::finishAnswer()
 {
     this->exchange.reset();
+    this->reportUnread();
     this->lastProgress = this->clock.now();
     if (this->isLast) {
         this->startClosing();
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibProxy/CallerExchange.h>
 #include <LibProxy/MessageReader.h>
+#include <LibProxy/UnreadDataBudget.h>
 
 #include <chrono>
 #include <cstdint>
@@ -11,6 +12,8 @@
 #include <string>
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace Dogwoodkeel
 {
@@ -28,6 +31,8 @@
     std::chrono::milliseconds idleTimeout{15000};
     /** Maximum size of unsent response data; a caller that reads too slowly and exceeds it is disconnected. */
     std::size_t unreadBytes = 4194304;
+    /** From when on a caller counts as too slow. */
+    UnreadDataLimits unread;
 };
 
 /** Serves the requests of one connection, one at a time. */
@@ -40,6 +45,8 @@
         std::function<const CallerLimits &()> limits;
         std::function<bool()> isClosing;
         std::function<void(const std::shared_ptr<CallerExchange> &)> onRequest;
+        /** Called when the size of the unread response data has changed; see UnreadDataBudget::record(). */
+        std::function<void(std::size_t bytes, bool isStreaming)> onUnread;
         /** Called when the connection is closed. The owner must not destroy it within this call. */
         std::function<void()> onClosed;
     };
@@ -59,6 +66,18 @@
     /** Closes the connection if it has exceeded one of the time limits. */
     void checkTimeouts();
 
+    /**
+     * Pauses or resumes the production of response data: notifies the current exchange, and reads no further request during
+     * a pause.
+     */
+    void setPaused(bool isPaused);
+
+    /** @return whether the production of response data is paused. */
+    bool isPaused() const;
+
+    /** Closes the connection and discards unread data. */
+    void close();
+
     /** Closes the connection if no request is being read or answered. */
     void closeIfIdle();
 
@@ -77,6 +96,7 @@
     static void onReadable(bufferevent *stream, void *self);
     static void onWritten(bufferevent *stream, void *self);
     static void onEvent(bufferevent *stream, short what, void *self);
+    static void onOutput(evbuffer *output, const evbuffer_cb_info *change, void *self);
 
     void sendWhole(int status, const HeaderList &headers, std::string_view body);
     void sendHead(int status, const HeaderList &headers);
@@ -92,7 +112,7 @@
     void finishAnswer();
     void write(std::string_view text);
     void startClosing();
-    void close();
+    void reportUnread();
 
     const Clock &clock;
     bufferevent *stream;
@@ -106,6 +126,7 @@
     bool isChunked = true;
     bool isAdvancing = false;
     bool isShutDown = false;
+    bool hasPause = false;
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibProxy/CallerExchange.cpp
+++ b/Libraries/LibProxy/CallerExchange.cpp
@@ -37,11 +37,21 @@
     this->disconnectHandler = std::move(handler);
 }
 
+void CallerExchange::onPause(std::function<void(bool)> handler)
+{
+    this->pauseHandler = std::move(handler);
+}
+
+bool CallerExchange::isPaused() const
+{
+    return this->connection != nullptr && this->connection->isPaused();
+}
+
 void CallerExchange::send(int status, const HeaderList &headers, std::string_view body)
 {
     if (CallerConnection *const active = std::exchange(this->connection, nullptr)) {
         this->hasStarted = true;
-        this->disconnectHandler = nullptr;
+        this->clearHandlers();
         active->sendWhole(status, headers, body);
     }
 }
@@ -63,7 +73,7 @@
 void CallerExchange::end()
 {
     if (CallerConnection *const active = std::exchange(this->connection, nullptr)) {
-        this->disconnectHandler = nullptr;
+        this->clearHandlers();
         active->sendEnd();
     }
 }
@@ -71,7 +81,7 @@
 void CallerExchange::abort()
 {
     if (CallerConnection *const active = std::exchange(this->connection, nullptr)) {
-        this->disconnectHandler = nullptr;
+        this->clearHandlers();
         active->abort();
     }
 }
@@ -79,9 +89,24 @@
 void CallerExchange::disconnect()
 {
     this->connection = nullptr;
+    this->pauseHandler = nullptr;
     if (const std::function<void()> handler = std::exchange(this->disconnectHandler, nullptr)) {
         handler();
     }
 }
 
+void CallerExchange::notifyPause(bool isPaused)
+{
+    // A copy, because the handler may end the exchange, which clears its handlers.
+    if (const std::function<void(bool)> handler = this->pauseHandler) {
+        handler(isPaused);
+    }
+}
+
+void CallerExchange::clearHandlers()
+{
+    this->disconnectHandler = nullptr;
+    this->pauseHandler = nullptr;
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibProxy/CallerExchange.h
+++ b/Libraries/LibProxy/CallerExchange.h
@@ -33,6 +33,15 @@
     /** @param handler called once if the caller disconnects before the response is complete */
     void onDisconnect(std::function<void()> handler);
 
+    /**
+     * @param handler called with true when the caller has too much unread data, so that no more is to be written, and with
+     *        false when it has read enough. Both may be called several times before the response is complete
+     */
+    void onPause(std::function<void(bool)> handler);
+
+    /** @return whether the caller has too much unread data at present. */
+    bool isPaused() const;
+
     /** Sends a complete response. */
     void send(int status, const HeaderList &headers, std::string_view body);
 
@@ -54,10 +63,14 @@
     /** Detaches the exchange from its closed connection and calls the disconnect handler. */
     void disconnect();
 
+    void notifyPause(bool isPaused);
+    void clearHandlers();
+
     CallerConnection *connection;
     MessageHead requestHead;
     std::string requestBody;
     std::function<void()> disconnectHandler;
+    std::function<void(bool)> pauseHandler;
     bool hasStarted = false;
 };
 
--- a/Libraries/LibProxy/CallerServer.h
+++ b/Libraries/LibProxy/CallerServer.h
@@ -25,9 +25,15 @@
     /**
      * @param address where to listen; port 0 selects a free port
      * @param handler called with each complete request
+     * @param onDecision called after each decision about a slow caller was carried out
      * @throws std::runtime_error if the address cannot be bound
      */
-    CallerServer(EventLoop &loop, const Clock &clock, const Address &address, const CallerLimits &limits, Handler handler);
+    CallerServer(EventLoop &loop,
+                 const Clock &clock,
+                 const Address &address,
+                 const CallerLimits &limits,
+                 Handler handler,
+                 std::function<void(const UnreadDataBudget::Decision &)> onDecision = nullptr);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -47,15 +53,26 @@
     /** @return the number of connections on which a request is being read or answered. */
     std::size_t busyConnections() const;
 
+    /** @return the unread response data of all callers. */
+    const UnreadDataBudget &unreadData() const;
+
 private:
     static void onAccept(evconnlistener *listener, int descriptor, sockaddr *peer, int size, void *self);
     void accept(int descriptor);
     void sweep();
+    void recordUnread(std::uint64_t number, std::size_t bytes, bool isStreaming);
+    void applyDecisions();
+    void apply(const UnreadDataBudget::Decision &decision);
 
     EventLoop &loop;
     const Clock &clock;
     CallerLimits limits;
     Handler handler;
+    std::function<void(const UnreadDataBudget::Decision &)> onDecision;
+    UnreadDataBudget budget;
+    bool isDecisionPosted = false;
+    /** Set while a caller is paused. */
+    TimerId pauseTimer = 0;
     evconnlistener *listener = nullptr;
     Address listenAddress;
     bool isClosing = false;
