Gateway: Bound answers of replicas and pause them for slow callers

A whole answer of a replica was held without a bound, and a stream was read as fast as the replica sent it, whether or not its caller read it. Whole answers and outputs of batch items are bounded by gateway.answer_bytes now. A stream is paused for its caller from gateway.unread_bytes on; the caller is disconnected and its call cancelled after gateway.unread_pause, or if all unread data exceeds gateway.unread_share of memory_mb. A paused run reports no timing and has no stall timer. Each cut and each disconnect is logged and counted.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -56,6 +56,18 @@
     return {replica.instance, replica.failureDomain, slots, replica.isDraining, replica.version};
 }
 
+/** @return the limits for callers before a configuration is known. */
+CallerLimits defaultCallerLimits(const GatewaySettings &settings)
+{
+    constexpr double bytesPerMegabyte = 1048576;
+    CallerLimits limits;
+    limits.unread.pauseBytes = static_cast<std::size_t>(settings.unreadBytes);
+    limits.unread.maxPause = settings.unreadPause;
+    limits.unread.totalBytes
+        = static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMegabyte * settings.unreadShare);
+    return limits;
+}
+
 QuotaBounds quotaBounds(const GatewaySettings &settings)
 {
     return {settings.quotaWindow, settings.quotaOverrun, settings.quotaSlack};
@@ -74,8 +86,18 @@
     , crashes(clock)
     , promptParts(clock)
     , storeClock(clock)
-    , storePool(loop, clock, idleToStore)
-    , replicaPool(loop, clock, idleToReplica)
+    , storePool(loop,
+                clock,
+                idleToStore,
+                [this](const CutResponse &cut) {
+                    this->recordCut(cut);
+                })
+    , replicaPool(loop,
+                  clock,
+                  idleToReplica,
+                  [this](const CutResponse &cut) {
+                      this->recordCut(cut);
+                  })
     , probe(loop)
     , store(this->storePool, settings->platform.address, this->storeClock, this->traffic, settings->platform.timeout)
     , peers(loop,
@@ -164,7 +186,8 @@
               [this](std::uint64_t fingerprint) {
                   this->crashExchange.recordRequestServed(fingerprint);
               },
-              this->random}
+              this->random,
+              static_cast<std::size_t>(settings->gateway.answerBytes)}
     , relayedStore(loop, clock, this->store, this->peers, this->storeClock, this->random())
     , jobs(
           loop,
@@ -206,13 +229,17 @@
                        return this->runners.isOpen(job);
                    }})
     , router(this->context, this->configuration, this->jobApi)
-    , callers(loop,
-              clock,
-              settings->listen.http,
-              {},
-              [this](const std::shared_ptr<CallerExchange> &exchange) {
-                  this->router.handle(exchange);
-              })
+    , callers(
+          loop,
+          clock,
+          settings->listen.http,
+          defaultCallerLimits(settings->gateway),
+          [this](const std::shared_ptr<CallerExchange> &exchange) {
+              this->router.handle(exchange);
+          },
+          [this](const UnreadDataBudget::Decision &decision) {
+              this->recordSlowCaller(decision);
+          })
     , directory(loop,
                 clock,
                 settings->gateway.directory,
@@ -393,6 +420,36 @@
     });
 }
 
+void Gateway::recordCut(const CutResponse &cut)
+{
+    this->metrics.countEvent("response cut");
+    log(LogLevel::Warning, "response cut", {{"from", cut.address.toString()}, {"reason", std::string(cut.reason)}});
+}
+
+void Gateway::recordSlowCaller(const UnreadDataBudget::Decision &decision)
+{
+    switch (decision.action) {
+    case UnreadDataBudget::Action::Pause:
+        this->metrics.countEvent("slow caller paused");
+        return;
+    case UnreadDataBudget::Action::Resume:
+        this->metrics.countEvent("slow caller resumed");
+        return;
+    case UnreadDataBudget::Action::DisconnectPaused:
+        this->metrics.countEvent("slow caller disconnected after a pause");
+        break;
+    case UnreadDataBudget::Action::DisconnectLargest:
+        this->metrics.countEvent("slow caller disconnected for its share of memory");
+        break;
+    }
+    const bool isPause = decision.action == UnreadDataBudget::Action::DisconnectPaused;
+    log(LogLevel::Warning,
+        "slow caller disconnected",
+        {{"reason", isPause ? "its stream was paused too long" : "all callers have too much unread data"},
+         {"unread_bytes", static_cast<std::int64_t>(decision.bytes)},
+         {"all_unread_bytes", static_cast<std::int64_t>(this->callers.unreadData().total())}});
+}
+
 void Gateway::handleDatagram(const Datagram &datagram)
 {
     if (!this->isComplete) {
@@ -419,7 +476,7 @@
         return;
     }
     const ConfiguredLimits &stated = configuration->limits;
-    CallerLimits limits;
+    CallerLimits limits = defaultCallerLimits(this->settings->gateway);
     limits.headBytes = stated.headBytes > 0 ? stated.headBytes : limits.headBytes;
     limits.bodyBytes = stated.bodyBytes > 0 ? stated.bodyBytes : limits.bodyBytes;
     limits.headTimeout = stated.headTimeout.count() > 0 ? stated.headTimeout : limits.headTimeout;
@@ -559,6 +616,8 @@
     this->metrics.setGauge("placed_by_own_counts", static_cast<double>(this->placements.fallbacks()));
     this->metrics.setGauge("quotas_decided_alone", static_cast<double>(this->quotas.decidedAlone()));
     this->metrics.setGauge("workspaces_counted", static_cast<double>(this->quotas.counted()));
+    this->metrics.setGauge("unread_bytes_of_callers", static_cast<double>(this->callers.unreadData().total()));
+    this->metrics.setGauge("paused_callers", static_cast<double>(this->callers.unreadData().pausedCallers()));
     this->metrics.setGauge("connections_to_replicas", static_cast<double>(this->replicaPool.connectionsMade()));
     answer(exchange, statusOk, "text/plain; version=0.0.4", this->metrics.toText());
 }
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -116,6 +116,8 @@
     void watchStop();
     void tick();
     void logTraffic();
+    void recordCut(const CutResponse &cut);
+    void recordSlowCaller(const UnreadDataBudget::Decision &decision);
 
     EventLoop &loop;
     const Clock &clock;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -46,6 +46,8 @@
     /** Records that a replica has answered the request with this fingerprint completely. */
     std::function<void(std::uint64_t)> recordRequestServed;
     std::minstd_rand &random;
+    /** Maximum size of an answer that is held until it is complete. */
+    std::size_t answerBytes;
     /** Estimates by service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEventEstimates{};
     std::map<ServiceName, ItemEstimate> itemEstimates{};
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -265,6 +265,11 @@
     outbound.body = this->item.body;
     outbound.maxIdleTime = maxIdleTime;
     outbound.isAnswer = isAnswerTo(this->item.id.value());
+    outbound.bodyBytes = this->context.answerBytes;
+    // The output is bounded instead: the framing of short events takes several times their data.
+    outbound.isStream = [](const MessageHead &head) {
+        return isSuccess(head.status);
+    };
     log(LogLevel::Info,
         "batch item sent",
         {{"job", this->origin.job.value()},
@@ -324,13 +329,28 @@
     if (this->eventsOfRun() >= minEventsOfServedPrompt && !std::exchange(this->isPromptServed, true)) {
         this->context.recordPromptServed(promptParts(this->target.service, this->sharedParts));
     }
-    if (this->splitter.isBroken()) {
+    if (this->output.size() > this->context.answerBytes) {
+        this->cutOutput();
+    } else if (this->splitter.isBroken()) {
         this->continueElsewhere(PlacementVerdict::Broken, "an event is too large");
     } else if (!events.empty()) {
         this->armResponseTimer();
     }
 }
 
+void ItemAttempt::cutOutput()
+{
+    log(LogLevel::Warning,
+        "output of a batch item cut",
+        {{"item", this->item.id.value()},
+         {"replica", this->replica->instance.value()},
+         {"bytes", static_cast<std::int64_t>(this->output.size())}});
+    this->context.metrics.countEvent("output of a batch item cut");
+    this->leaveReplica(PlacementVerdict::Broken);
+    // Another replica would continue behind this output, so the item fails and starts from the beginning if it is retried.
+    this->finish(End::Failed);
+}
+
 void ItemAttempt::handleEnd(CallEnd end)
 {
     this->call = 0;
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -91,6 +91,8 @@
     void handleHead(const MessageHead &head) override;
     void handleBody(std::string_view data) override;
     void handleEnd(CallEnd end) override;
+    /** Ends the run because its output exceeds the maximum size of an answer. */
+    void cutOutput();
     void leaveReplica(PlacementVerdict verdict);
     void continueElsewhere(PlacementVerdict verdict, std::string_view reason);
     void armResponseTimer();
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -109,6 +109,9 @@
     this->exchange->onDisconnect([self] {
         self->onCallerDisconnected();
     });
+    this->exchange->onPause([self](bool isPaused) {
+        self->handleCallerPause(isPaused);
+    });
     const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(this->deadline - this->now()) - answerMargin;
     this->deadlineTimer = this->context.loop.schedule(std::max(remaining, std::chrono::milliseconds(0)), [self] {
         self->onDeadline();
@@ -382,10 +385,32 @@
     outbound.body = this->exchange->body();
     outbound.maxIdleTime = this->maxConnectionIdle();
     outbound.isAnswer = isAnswerTo(this->traits.id);
+    outbound.bodyBytes = this->context.answerBytes;
+    outbound.isStream = [isStream = this->isStream()](const MessageHead &head) {
+        return isStream && isSuccess(head.status);
+    };
     this->call = this->context.replicaConnections.start(std::move(outbound), hooksFor(this->shared_from_this()));
+    this->wasPaused = this->exchange->isPaused();
+    if (this->wasPaused) {
+        this->context.replicaConnections.setReading(this->call, false);
+    }
     this->armStallTimer();
 }
 
+void OnlineCall::handleCallerPause(bool isPaused)
+{
+    if (this->call == 0) {
+        return;
+    }
+    this->context.replicaConnections.setReading(this->call, !isPaused);
+    this->wasPaused = true;
+    if (isPaused) {
+        this->context.loop.cancel(std::exchange(this->stallTimer, 0));
+    } else {
+        this->armStallTimer();
+    }
+}
+
 void OnlineCall::handleHead(const MessageHead &head)
 {
     this->stage = Stage::Receiving;
@@ -594,7 +619,8 @@
         this->context.replicaConnections.cancel(std::exchange(this->call, 0));
     }
     if (this->placementTicket != 0) {
-        const RunTiming timing = this->replica ? this->measurement.timing() : RunTiming();
+        // The time of a run that waited for its caller says nothing about the replica.
+        const RunTiming timing = this->replica && !this->wasPaused ? this->measurement.timing() : RunTiming();
         this->context.placements.end(std::exchange(this->placementTicket, 0), verdict, timing);
     }
     if (this->replica) {
@@ -605,7 +631,8 @@
 
 void OnlineCall::armStallTimer()
 {
-    if (!this->isStream() || !this->mayRepeat() || this->attempts >= this->route.maxAttempts) {
+    const bool isRepeatable = this->isStream() && this->mayRepeat() && this->attempts < this->route.maxAttempts;
+    if (!isRepeatable || this->exchange->isPaused()) {
         return;
     }
     // Before the first event the replica processes the prompt, and the request may wait in the replica's queue.
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -90,6 +90,8 @@
     void onStall();
     void onDeadline();
     void onCallerDisconnected();
+    /** Pauses or resumes reading from the replica, so that no more is held for a slow caller. */
+    void handleCallerPause(bool isPaused);
     void refuse(int status, std::chrono::milliseconds retryAfter, std::string_view reason);
     void fail(std::string_view reason);
     void finish(int status, std::string_view reason);
@@ -135,6 +137,8 @@
     StreamOriginExchange::Ticket originTicket = 0;
     OutboundPool::CallId call = 0;
     RunMeasurement measurement;
+    /** Whether reading from the replica was paused for the caller in this attempt. */
+    bool wasPaused = false;
     MessageHead answer;
     std::string body;
     EventSplitter splitter;
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -94,7 +94,7 @@
                                    {"address", address.toString()},
                                    {"zone", "z"},
                                    {"version", this->version},
-                                   {"slots", 2},
+                                   {"slots", this->slots},
                                    {"state", state},
                                    {"coldLeftMs", 0},
                                    {"born", this->born},
@@ -146,6 +146,8 @@
     std::uint64_t entries = 0;
     /** The version of replicas that are registered from now on. */
     std::string version = "v1";
+    /** The number of slots of replicas that are registered from now on. */
+    int slots = 2;
     StandInStore otherStoreRoute{this->loop, this->clock, this->store};
     std::vector<std::unique_ptr<StandInReplica>> replicas;
     /** The addresses of the replicas, by name. */
