--- a/Tests/Fakes/ScriptedEndpoint.cpp
+++ b/Tests/Fakes/ScriptedEndpoint.cpp
@@ -198,8 +198,10 @@
     if (const auto found = this->connections.find(id); found != this->connections.end()) {
         bufferevent_flush(found->second->stream, EV_WRITE, BEV_FLUSH);
         constexpr std::chrono::milliseconds writeTime{2};
-        this->loop.schedule(writeTime, [this, id] {
-            this->connections.erase(id);
+        this->loop.schedule(writeTime, [this, id, isAlive = std::weak_ptr<bool>(this->alive)] {
+            if (!isAlive.expired()) {
+                this->connections.erase(id);
+            }
         });
     }
 }
--- a/Tests/Fakes/ScriptedEndpoint.h
+++ b/Tests/Fakes/ScriptedEndpoint.h
@@ -79,6 +79,7 @@
     std::uint64_t lastConnection = 0;
     std::size_t count = 0;
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/TestSlowPeers.cpp
+++ b/Tests/ServiceGateway/TestSlowPeers.cpp
@@ -278,3 +278,23 @@
     CHECK(received.size() > 50 * largeEvent.size());
     CHECK(received.ends_with("0\r\n\r\n"));
 }
+
+// A replica sends events of a batch item without end, and another one would continue behind them.
+TEST_CASE("a batch item whose output exceeds the bound fails at each attempt and is abandoned")
+{
+    RunningGateway gateway([](GatewayBench &bench) {
+        bench.settings.gateway.answerBytes = 65536;
+        bench.addReplica("m", "llm", [](const std::shared_ptr<CallerExchange> &exchange) {
+            exchange->begin(200, signedHeaders(exchange));
+            for (int part = 1; part <= 5; ++part) {
+                exchange->write("id: " + std::to_string(part) + "\n" + largeEvent);
+            }
+        });
+    });
+    const std::string job = R"({"requests":[{"id":"a","path":"/b/a","body":"","tokens":9}]})";
+    CHECK(gateway.call("POST /b/job", {}, job).starts_with("HTTP/1.1 202"));
+    await([&gateway] {
+        return has(gateway.call("GET /lots/q1?afterRev=0"), R"("id":"a","output":"","state":"abandoned")");
+    });
+    CHECK(has(gateway.metrics(), "dogwoodkeel_events_total{event=\"output of a batch item cut\"} 2"));
+}
