LibProxy: Hold back requests of a caller with much unread data

A caller that pipelines requests got them all answered in the event that read them, before the decision to pause it: 50 of 50 answers of 300 kB were held.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -59,7 +59,7 @@
 {
     const std::chrono::nanoseconds sinceProgress = this->clock.now() - this->lastProgress;
     const CallerLimits &limits = this->hooks.limits();
-    const bool isReadingHead = this->state == State::AwaitingHead && this->isBusy() && !this->hasPause;
+    const bool isReadingHead = this->state == State::AwaitingHead && this->isBusy() && !this->isHeldBack();
     const bool isReading = this->state == State::ReadingBody || isReadingHead;
     const bool isSlow = isReading && sinceProgress > limits.headTimeout;
     const bool isIdle = this->state == State::AwaitingHead && sinceProgress > limits.idleTimeout;
@@ -80,6 +80,12 @@
     }
 }
 
+bool CallerConnection::isHeldBack() const
+{
+    // The decision to pause comes after the current event, in which many requests may be read.
+    return this->hasPause || evbuffer_get_length(bufferevent_get_output(this->stream)) >= this->hooks.limits().unread.pauseBytes;
+}
+
 bool CallerConnection::isPaused() const
 {
     return this->hasPause;
@@ -113,6 +119,10 @@
         ::shutdown(bufferevent_getfd(stream), SHUT_WR);
         connection->lastProgress = connection->clock.now();
     }
+    if (connection->state == State::AwaitingHead) {
+        // A request may have been held back for a size of unread data that was never decided about.
+        onReadable(stream, self);
+    }
 }
 
 void CallerConnection::onEvent(bufferevent *, short, void *self)
@@ -167,7 +177,7 @@
 bool CallerConnection::readHead()
 {
     evbuffer *const input = bufferevent_get_input(this->stream);
-    if (this->hasPause || evbuffer_get_length(input) == 0) {
+    if (this->isHeldBack() || evbuffer_get_length(input) == 0) {
         return false;
     }
     const ReadProgress progress = this->reader.readHead(input);
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -113,6 +113,8 @@
     void write(std::string_view text);
     void startClosing();
     void reportUnread();
+    /** @return whether no further request is to be read, because the caller has too much unread data. */
+    bool isHeldBack() const;
 
     const Clock &clock;
     bufferevent *stream;
--- a/Tests/LibProxy/TestCallerServer.cpp
+++ b/Tests/LibProxy/TestCallerServer.cpp
@@ -14,20 +14,24 @@
 namespace
 {
 
-/** A server whose handler throws for each request for /bad/. */
+constexpr std::size_t largeBytes = 300000;
+
+/** A server whose handler throws for each request for /bad/, and sends a large answer to each for /large/. */
 class Served
 {
 public:
     explicit Served(EventLoop &loop)
-        : server(loop, this->clock, {"127.0.0.1", 0}, {}, [](const std::shared_ptr<CallerExchange> &exchange) {
+        : server(loop, this->clock, {"127.0.0.1", 0}, {}, [this](const std::shared_ptr<CallerExchange> &exchange) {
             if (exchange->head().target == "/bad/") {
                 throw std::runtime_error("a fault of the handler");
             }
-            exchange->send(200, {}, "good");
+            ++this->handled;
+            exchange->send(200, {}, exchange->head().target == "/large/" ? std::string(largeBytes, 'x') : "good");
         })
     {
     }
 
+    int handled = 0;
     SystemClock clock;
     CallerServer server;
 };
@@ -51,3 +55,28 @@
     good.send("GET /second/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     CHECK(good.readAll().ends_with("good"));
 }
+
+// A caller pipelines requests and reads no answer; the node would hold all of the answers.
+TEST_CASE("requests of a caller with much unread data wait until it has read, and are all answered")
+{
+    TaskHost<Served> host("server");
+    const Address address = host.ask<Address>([](Served &served) {
+        return served.server.address();
+    });
+    constexpr int requests = 50;
+    RawConnection caller(address);
+    std::string pipelined;
+    for (int request = 1; request < requests; ++request) {
+        pipelined.append("GET /large/ HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    caller.send(pipelined + "GET /large/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    caller.readUntil("HTTP/1.1 200");
+    // Half of the answers are more than the buffers of the operating system take.
+    CHECK(host.ask<int>([](Served &served) {
+        return served.handled;
+    }) < requests / 2);
+    CHECK(caller.readAll().size() > requests * largeBytes);
+    CHECK(host.ask<std::size_t>([](Served &served) {
+        return served.server.unreadData().total();
+    }) == 0);
+}
