--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -346,9 +346,8 @@
          {"replica", this->replica->instance.value()},
          {"bytes", static_cast<std::int64_t>(this->output.size())}});
     this->context.metrics.countEvent("output of a batch item cut");
-    this->leaveReplica(PlacementVerdict::Broken);
     // Another replica would continue behind this output, so the item fails and starts from the beginning if it is retried.
-    this->finish(End::Failed);
+    this->finish(End::Failed, PlacementVerdict::Broken);
 }
 
 void ItemAttempt::handleEnd(CallEnd end)
@@ -421,9 +420,9 @@
     });
 }
 
-void ItemAttempt::finish(End end)
+void ItemAttempt::finish(End end, PlacementVerdict verdict)
 {
-    this->leaveReplica(PlacementVerdict::Finished);
+    this->leaveReplica(verdict);
     if (end == End::Completed) {
         this->context.recordRequestServed(this->fingerprint);
         this->context.itemEstimates[this->target.service].recordCompleted(this->lastEvent.value_or(0));
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -96,7 +96,8 @@
     void leaveReplica(PlacementVerdict verdict);
     void continueElsewhere(PlacementVerdict verdict, std::string_view reason);
     void armResponseTimer();
-    void finish(End end);
+    /** Ends the attempt. @param verdict how the run ended for its replica */
+    void finish(End end, PlacementVerdict verdict = PlacementVerdict::Finished);
 
     GatewayContext &context;
     const JobItem item;
