--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -265,6 +265,11 @@
     outbound.body = this->item.body;
     outbound.maxIdleTime = maxIdleTime;
     outbound.isAnswer = isAnswerTo(this->item.id.value());
+    outbound.bodyBytes = this->context.answerBytes;
+    // The output is bounded instead: the framing of short events takes several times their data.
+    outbound.isStream = [](const MessageHead &head) {
+        return isSuccess(head.status);
+    };
     log(LogLevel::Info,
         "batch item sent",
         {{"job", this->origin.job.value()},
@@ -325,13 +330,27 @@
     if (this->eventsOfRun() >= minEventsOfServedPrompt && !std::exchange(this->isPromptServed, true)) {
         this->context.recordPromptServed(promptParts(this->target.service, this->sharedParts));
     }
-    if (this->splitter.isBroken()) {
+    if (this->output.size() > this->context.answerBytes) {
+        this->cutOutput();
+    } else if (this->splitter.isBroken()) {
         this->continueElsewhere(PlacementVerdict::Broken, "an event is too large");
     } else if (!events.empty()) {
         this->armResponseTimer();
     }
 }
 
+void ItemAttempt::cutOutput()
+{
+    log(LogLevel::Warning,
+        "output of a batch item cut",
+        {{"item", this->item.id.value()},
+         {"replica", this->replica->instance.value()},
+         {"bytes", static_cast<std::int64_t>(this->output.size())}});
+    this->context.metrics.countEvent("output of a batch item cut");
+    // Another replica would continue behind this output, so the item fails and starts from the beginning if it is retried.
+    this->finish(End::Failed, PlacementVerdict::Broken);
+}
+
 void ItemAttempt::handleEnd(CallEnd end)
 {
     this->call = 0;
@@ -402,9 +421,9 @@
     });
 }
 
-void ItemAttempt::finish(End end)
+void ItemAttempt::finish(End end, PlacementVerdict verdict)
 {
-    this->leaveReplica(PlacementVerdict::Finished);
+    this->leaveReplica(verdict);
     if (end == End::Completed) {
         this->context.recordRequestServed(this->fingerprint);
         this->context.itemEstimates[this->target.service].recordCompleted(this->lastEvent.value_or(0));
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -91,10 +91,13 @@
     void handleHead(const MessageHead &head) override;
     void handleBody(std::string_view data) override;
     void handleEnd(CallEnd end) override;
+    /** Ends the run because its output exceeds the maximum size of an answer. */
+    void cutOutput();
     void leaveReplica(PlacementVerdict verdict);
     void continueElsewhere(PlacementVerdict verdict, std::string_view reason);
     void armResponseTimer();
-    void finish(End end);
+    /** Ends the attempt. @param verdict how the run ended for its replica */
+    void finish(End end, PlacementVerdict verdict = PlacementVerdict::Finished);
 
     GatewayContext &context;
     const JobItem item;
