Entry: A job that could not be journalled is refused as not_journalled

Cause: JobSubmission counted not_journalled but sent not_stored. The latter is also the reason of items that were certainly not stored (run: not_run), while a job that could not be journalled may have been accepted (run: unknown).

Change: the refusal has the reason under which it is counted, as docs/operators/metrics.md describes the counter. EntryBench has a clock that a test can move and an owner that answers submissions.

--- a/Services/Entry/JobSubmission.cpp
+++ b/Services/Entry/JobSubmission.cpp
@@ -101,7 +101,7 @@
     // The job may be journalled nevertheless, if the owner failed before it answered: a resend finds the job.
     this->context.metrics.countAnswer("job", "not_journalled");
     this->reply->send(refusalResponse({statusUnavailable,
-                                       "not_stored",
+                                       "not_journalled",
                                        "the job could not be made durable; submit it again with the same Idempotency-Key",
                                        RunState::Unknown,
                                        retryAfter}));
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <LibBase/SystemClock.h>
 #include <LibHttp/HttpServer.h>
 #include <LibHttp/ServerSentEvents.h>
 #include <LibPlatform/EmbeddedPlatform.h>
 #include <LibWire/PeerServer.h>
 #include <Services/Entry/EntryTask.h>
 #include <Tests/Fakes/ScriptedEndpoint.h>
+#include <Tests/Fakes/ShiftedClock.h>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -37,8 +37,15 @@
             this->releases.push_back(request);
             this->onRelease(request, respond);
         });
+        this->server.handle<SubmitJobRequest>([this](const SubmitJobRequest &, const auto &respond) {
+            this->onSubmit(respond);
+        });
     }
 
+    std::function<void(const PeerServer::Respond<SubmitJobResponse> &)> onSubmit = [](const auto &respond) {
+        respond({SubmitDecision::Accepted});
+    };
+
     std::function<void(const ReleaseRequest &, const PeerServer::Respond<ReleaseResponse> &)> onRelease
         = [](const ReleaseRequest &, const auto &respond) {
               respond({true, true});
@@ -203,7 +210,7 @@
     }
 
     EventLoop loop;
-    SystemClock clock;
+    ShiftedClock clock;
     Settings settings;
     NodeMetrics metrics;
     OperatorGateway operators;
