--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibMembership/RelayAssignment.h>
 #include <LibProxy/HttpStatus.h>
 #include <LibTask/EventGuard.h>
 #include <LibWire/Codec.h>
@@ -354,6 +355,10 @@
     this->peers.followNodes(isActive);
     const bool isRelayNow = isActive && this->replicaFollower.isComplete();
     if (std::exchange(this->isRelay, isRelayNow) != isRelayNow) {
+        log(LogLevel::Info,
+            isRelayNow ? "serving as a relay" : "no longer serving as a relay",
+            {{"members", static_cast<std::int64_t>(this->memberCount)},
+             {"selected", shouldRelay(*this->peers.roleView(), this->peers.self())}});
         this->peers.setRelay(isRelayNow);
     }
 }
