LibDispatch: Learn the effect of the concurrency against a slow baseline

Cause: the recent estimate and the service's usual time follow the load within seconds, so that a replica that is slow when full looked as if it had become slow. Change: the concurrency limit compares runs with a baseline of 30 s in absolute time; unmeasured concurrencies are taken to be as good as the next lower one until they are tried.

--- a/Benchmarks/Measure/Placing.cpp
+++ b/Benchmarks/Measure/Placing.cpp
@@ -10,7 +10,8 @@
 #include <vector>
 
 // Measures the processor time that a dispatcher spends on one online request: the request for a slot, the load report of its
-// replica, and its end, which passes the slot to a waiting request. Arguments: numbers of replicas and of waiting requests.
+// replica, and its end, which passes the slot to a waiting request. Arguments: numbers of replicas and of waiting requests, and
+// whether the capacity of the replicas is learned.
 
 using namespace Dogwoodkeel;
 
@@ -25,14 +26,15 @@
 class FullService
 {
 public:
-    FullService(std::size_t replicaCount, std::size_t waiting)
+    FullService(std::size_t replicaCount, std::size_t waiting, bool isCapacityLearned)
         : dispatcher(this->clock,
                      {.place =
                           [this](TicketId id, const EndpointName &replica) {
                               this->placed.emplace_back(id, replica);
                           },
                       .stop = [](TicketId) {},
-                      .refuse = [](TicketId, std::chrono::milliseconds) {}})
+                      .refuse = [](TicketId, std::chrono::milliseconds) {}},
+                     {isCapacityLearned ? CapacityLearning::Always : CapacityLearning::Never, true})
         , replicas(equalReplicas(replicaCount, slots))
     {
         this->dispatcher.setReplicas(this->replicas);
@@ -47,8 +49,10 @@
         this->submitRequest();
         const auto [id, replica] = this->placed.front();
         this->placed.pop_front();
-        this->dispatcher.recordLoad(replica, {slots, 0});
-        this->dispatcher.end(id, PlacementVerdict::Finished);
+        this->dispatcher.recordLoad(replica, {slots, 0}, 100);
+        // Times that differ from replica to replica and from run to run.
+        const std::chrono::microseconds perEvent(20000 + 4000 * (nameHashOf(replica) % 8) + 100 * (this->last % 16));
+        this->dispatcher.end(id, PlacementVerdict::Finished, {perEvent, perEvent * 20, 21, 100, false});
     }
 
     void tick()
@@ -79,7 +83,7 @@
 
 void serveOne(benchmark::State &state)
 {
-    FullService service(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+    FullService service(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)), state.range(2) != 0);
     for (auto _ : state) {
         service.serveOne();
     }
@@ -87,7 +91,7 @@
 
 void tickOnce(benchmark::State &state)
 {
-    FullService service(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+    FullService service(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)), state.range(2) != 0);
     for (auto _ : state) {
         service.tick();
     }
@@ -95,8 +99,8 @@
 
 } // namespace
 
-BENCHMARK(serveOne)->ArgsProduct({{9, 127, 400, 1800}, {0, 100, 1000}})->Unit(benchmark::kMicrosecond);
-BENCHMARK(tickOnce)->ArgsProduct({{9, 127, 400, 1800}, {0, 100, 1000, 10000}})->Unit(benchmark::kMicrosecond);
+BENCHMARK(serveOne)->ArgsProduct({{9, 127, 400, 1800}, {0, 100, 1000}, {0, 1}})->Unit(benchmark::kMicrosecond);
+BENCHMARK(tickOnce)->ArgsProduct({{9, 127, 400, 1800}, {0, 100, 1000, 10000}, {0, 1}})->Unit(benchmark::kMicrosecond);
 
 int main(int argc, char **argv)
 {
--- a/Libraries/LibDispatch/CapacityLearner.cpp
+++ b/Libraries/LibDispatch/CapacityLearner.cpp
@@ -14,7 +14,7 @@
 /** Interval at which the service's median is adjusted. */
 constexpr std::chrono::seconds adjustmentInterval{1};
 /** A median that differs less from 1, as a logarithm, is left: an adjustment changes all positions in the index. */
-constexpr double minAdjustment = 0.05;
+constexpr double minAdjustment = 0.02;
 /** A replica is reported as slower or faster if its expected time changed by this factor since it was last reported. */
 constexpr double reportedChange = 1.6;
 /** At most one such line for a replica in this time. */
@@ -99,20 +99,22 @@
         return;
     }
     const SteadyTime now = this->clock.now();
-    // The number of requests changed during the run; the mean of its start and its end is taken.
-    const std::uint32_t running = concurrency == 0 ? 0 : (concurrency + replica.slots.used(now) + 1) / 2;
+    // The number of requests may change during the run; the mean of its start and its end is taken.
+    const std::uint32_t atEnd = replica.slots.used(now);
+    const std::uint32_t running = concurrency == 0 ? 0 : (concurrency + atEnd + 1) / 2;
+    const bool isConstant = running > 0 && std::max(concurrency, atEnd) - std::min(concurrency, atEnd) <= 1;
     const double loadFactor = running == 0 ? 1 : replica.concurrency.factor(running);
-    const std::optional<double> relative = this->service.recordRun(work, timing, replica.speed.usual() * loadFactor);
-    if (!relative) {
+    const std::optional<ServiceSpeed::Comparison> time
+        = this->service.recordRun(work, timing, replica.speed.usual() * loadFactor);
+    if (!time) {
         return;
     }
-    if (running > 0 && replica.speed.isMeasured()) {
-        // Compared with the last runs, so that neither a slow replica nor a disturbance is taken for an effect of the load.
-        const double recent = replica.speed.recentTime(now) * replica.speed.paceFactor(timing.statedPace);
+    if (isConstant) {
         const bool mayReduce = this->trials * maxTrialDivisor <= this->replicas.size();
-        replica.concurrency.recordRun(*relative / recent, running, {replica.traits.slots, mayReduce}, now);
+        replica.concurrency.recordRun(
+            time->toConstant / replica.speed.paceFactor(timing.statedPace), running, {replica.traits.slots, mayReduce}, now);
     }
-    replica.speed.recordRun(*relative / loadFactor, timing.statedPace, now);
+    replica.speed.recordRun(time->toUsual / loadFactor, timing.statedPace, now);
     this->logSpeed(replica);
 }
 
--- a/Libraries/LibDispatch/ConcurrencyLimit.cpp
+++ b/Libraries/LibDispatch/ConcurrencyLimit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace Dogwoodkeel
 {
@@ -17,7 +18,12 @@
 /** Runs after which the estimate of a level is used. */
 constexpr double minRuns = 8;
 /** Maximum difference that one run counts with, as a logarithm: some runs are disturbed by others on the same machine. */
-constexpr double maxInnovation = 0.3;
+constexpr double maxInnovation = 0.15;
+/**
+ * Time constant of a replica's own time, with which its levels are compared. Longer than a burst, so that the effect of the load
+ * is not taken for a change of speed; short, so that a change of speed is not taken for an effect of the load.
+ */
+constexpr std::chrono::duration<double> baselineTimeConstant{30};
 /** A limit has to improve the ratio of throughput to latency by this factor: less may be scatter. */
 constexpr double minImprovement = 1.3;
 /** A limit has to keep this share of the greatest throughput measured. */
@@ -38,17 +44,13 @@
     if (!(relativeTime > 0) || concurrency == 0) {
         return;
     }
-    const std::uint32_t index = std::min(concurrency, maxLevels) - 1;
-    if (this->levels.size() <= index) {
-        this->levels.resize(index + 1);
-    }
-    Level &level = this->levels[index];
-    const double innovation = std::log(relativeTime) - level.logarithm;
-    level.count += 1;
-    const bool isFirst = level.count * weight < 1;
-    level.logarithm += isFirst ? innovation / level.count : weight * std::clamp(innovation, -maxInnovation, maxInnovation);
+    this->updateLevel(std::log(relativeTime), std::min(concurrency, maxLevels), now);
     if (this->trial == 0) {
-        this->limit = this->bestConcurrency();
+        const std::uint32_t former = std::exchange(this->limit, this->bestConcurrency());
+        if (this->limit != former) {
+            this->trialInterval = firstTrialInterval;
+            this->nextTrial = now + this->trialInterval;
+        }
         this->startTrial(concurrency, bounds, now);
         return;
     }
@@ -62,6 +64,23 @@
     }
 }
 
+void ConcurrencyLimit::updateLevel(double value, std::uint32_t concurrency, SteadyTime now)
+{
+    if (this->levels.size() < concurrency) {
+        this->levels.resize(concurrency);
+    }
+    this->baseline = this->runCount == 0 ? value : this->baseline;
+    Level &level = this->levels[concurrency - 1];
+    const double innovation = value - this->baseline - level.logarithm;
+    level.count += 1;
+    const bool isFirst = level.count * weight < 1;
+    level.logarithm += isFirst ? innovation / level.count : weight * std::clamp(innovation, -maxInnovation, maxInnovation);
+    const double aged = 1 - std::exp(-std::max((now - this->measured) / baselineTimeConstant, 0.0));
+    this->runCount += 1;
+    this->baseline += std::max(aged, 1 / this->runCount) * (value - std::log(this->factor(concurrency)) - this->baseline);
+    this->measured = now;
+}
+
 void ConcurrencyLimit::startTrial(std::uint32_t concurrency, const Bounds &bounds, SteadyTime now)
 {
     if (this->trialInterval.count() == 0) {
@@ -113,7 +132,8 @@
 
 std::uint32_t ConcurrencyLimit::bestConcurrency() const
 {
-    // The time per unit of work is taken not to fall with the concurrency, as measurements of single levels scatter.
+    // The time per unit of work is taken not to fall with the concurrency, as measurements of single levels scatter. A level that
+    // is not measured is taken to be as good as the one below it; if it is selected, it is measured soon.
     struct Point
     {
         std::uint32_t concurrency;
@@ -123,14 +143,19 @@
     std::vector<Point> points;
     double time = 0;
     double bestThroughput = 0;
+    std::size_t measuredPoints = 0;
     for (std::size_t index = 0; index < this->levels.size(); ++index) {
-        if (this->levels[index].count < minRuns) {
-            continue;
+        const bool isMeasured = this->levels[index].count >= minRuns;
+        time = isMeasured ? std::max(time, std::exp(this->levels[index].logarithm)) : time;
+        if (time > 0) {
+            const auto concurrency = static_cast<std::uint32_t>(index + 1);
+            points.push_back({concurrency, concurrency / time, concurrency / (time * time)});
+            measuredPoints = isMeasured ? points.size() : measuredPoints;
         }
-        time = std::max(time, std::exp(this->levels[index].logarithm));
-        const auto concurrency = static_cast<std::uint32_t>(index + 1);
-        points.push_back({concurrency, concurrency / time, concurrency / (time * time)});
-        bestThroughput = std::max(bestThroughput, points.back().throughput);
+    }
+    points.resize(measuredPoints);
+    for (const Point &point : points) {
+        bestThroughput = std::max(bestThroughput, point.throughput);
     }
     double bestPower = 0;
     std::uint32_t best = 0;
--- a/Libraries/LibDispatch/ConcurrencyLimit.h
+++ b/Libraries/LibDispatch/ConcurrencyLimit.h
@@ -32,7 +32,7 @@
 
     /**
      * Records a run.
-     * @param relativeTime its time per unit of work, relative to the replica's recent time while nothing else runs there
+     * @param relativeTime its time per unit of work, relative to a constant
      * @param concurrency number of requests that ran at the replica, with this one
      */
     void recordRun(double relativeTime, std::uint32_t concurrency, const Bounds &bounds, SteadyTime now);
@@ -62,13 +62,18 @@
         double count = 0;
     };
 
+    void updateLevel(double value, std::uint32_t concurrency, SteadyTime now);
     std::uint32_t bestConcurrency() const;
     bool isMeasuredUpTo(std::uint32_t concurrency) const;
     void startTrial(std::uint32_t concurrency, const Bounds &bounds, SteadyTime now);
     void endTrial(SteadyTime now);
 
-    /** By concurrency, from 1. */
+    /** By concurrency, from 1: logarithms of times relative to the baseline. */
     std::vector<Level> levels;
+    /** Logarithm of the replica's time over some seconds, without the effect of the concurrency. */
+    double baseline = 0;
+    double runCount = 0;
+    SteadyTime measured{};
     /** 0: none. */
     std::uint32_t limit = 0;
     /** The concurrency that is tried; 0: none. */
--- a/Libraries/LibDispatch/ReplicaSpeed.cpp
+++ b/Libraries/LibDispatch/ReplicaSpeed.cpp
@@ -15,11 +15,13 @@
 constexpr double minRecentWeight = 0.15;
 /** Weight of one run in the long-term estimate; about the last fifty runs count. */
 constexpr double longTermWeight = 0.02;
+/** The first runs are averaged with more weight on the later ones, because at the start the service's usual time still moves. */
+constexpr double firstWeight = 1.5;
 /**
  * Maximum difference from the long-term estimate that one run counts with, as a logarithm. A machine that is disturbed for 15%
  * of the time, in periods as long as a run, disturbs about a third of the runs and must not look slow for good.
  */
-constexpr double maxInnovation = 0.1;
+constexpr double maxInnovation = 0.07;
 /** The first runs may count with this much, divided by their number: they find the speed, but a disturbed one does not decide. */
 constexpr double maxFirstInnovation = 2;
 /** A single run is taken to be within a factor of 20 of what is expected; beyond that something else was measured. */
@@ -102,7 +104,7 @@
     // A run that started in a stated disturbance shows nothing of the long term, unless such statements are wrong.
     const bool isDisturbed = std::log(this->paceFactor(statedPace)) > disturbedPace;
     const double limit = isDisturbed ? 0 : std::max(maxInnovation, maxFirstInnovation / this->runCount);
-    const double longTermStepWeight = std::max(longTermWeight, 1 / (this->runCount + 1));
+    const double longTermStepWeight = std::max(longTermWeight, firstWeight / (this->runCount + firstWeight));
     this->longTerm = base + longTermStepWeight * std::clamp(innovation, -limit, limit);
     this->deviation = recent - this->longTerm;
     this->measured = now;
--- a/Libraries/LibDispatch/ServiceSpeed.cpp
+++ b/Libraries/LibDispatch/ServiceSpeed.cpp
@@ -50,7 +50,7 @@
     this->logarithm += std::min(runs / this->count, 1.0) * (value - this->logarithm);
 }
 
-std::optional<double> ServiceSpeed::recordRun(WorkClass work, const RunTiming &timing, double replicaTime)
+std::optional<ServiceSpeed::Comparison> ServiceSpeed::recordRun(WorkClass work, const RunTiming &timing, double replicaTime)
 {
     const std::optional<double> time = timePerUnit(timing);
     if (!time) {
@@ -60,7 +60,8 @@
     const double relative = usual.count > 0 ? std::log(*time) - usual.logarithm : 0;
     // What is usual of the replica itself is taken off, or a fast replica that serves most requests would become the norm.
     usual.add(std::log(*time) - std::log(replicaTime), 1);
-    return std::exp(relative);
+    usual.first = usual.first.value_or(std::log(*time));
+    return Comparison{std::exp(relative), *time / std::exp(*usual.first)};
 }
 
 std::vector<double> ServiceSpeed::compare(const std::vector<ReplicaTiming> &timings)
--- a/Libraries/LibDispatch/ServiceSpeed.h
+++ b/Libraries/LibDispatch/ServiceSpeed.h
@@ -18,12 +18,21 @@
 class ServiceSpeed
 {
 public:
+    /** The time per unit of work of a run, as a ratio. */
+    struct Comparison
+    {
+        /** To what is usual at present. */
+        double toUsual = 1;
+        /** To a constant. What is usual changes with the load of the replicas, so it does not show the effect of the load. */
+        double toConstant = 1;
+    };
+
     /**
      * Compares a run with what is usual, and adjusts that.
      * @param replicaTime the usual relative time of the replica that ran it at its load, see ReplicaSpeed and ConcurrencyLimit
      * @return its time per unit of work, relative to the service; nothing if the run shows none
      */
-    std::optional<double> recordRun(WorkClass work, const RunTiming &timing, double replicaTime);
+    std::optional<Comparison> recordRun(WorkClass work, const RunTiming &timing, double replicaTime);
 
     /**
      * Compares a node's mean measurements of replicas with what is usual, or with each other if nothing is known yet.
@@ -40,6 +49,8 @@
     {
         double logarithm = 0;
         double count = 0;
+        /** The logarithm of the first time. */
+        std::optional<double> first{};
 
         void add(double value, double runs);
     };
