--- a/Libraries/LibDispatch/ReplicaSpeed.cpp
+++ b/Libraries/LibDispatch/ReplicaSpeed.cpp
@@ -15,11 +15,13 @@
 constexpr double minRecentWeight = 0.15;
 /** Weight of one run in the long-term estimate; about the last fifty runs count. */
 constexpr double longTermWeight = 0.02;
+/** The first runs are averaged with more weight on the later ones, because at the start the service's usual time still moves. */
+constexpr double firstWeight = 1.5;
 /**
  * Maximum difference from the long-term estimate that one run counts with, as a logarithm. A machine that is disturbed for 15%
  * of the time, in periods as long as a run, disturbs about a third of the runs and must not look slow for good.
  */
-constexpr double maxInnovation = 0.1;
+constexpr double maxInnovation = 0.07;
 /** The first runs may count with this much, divided by their number: they find the speed, but a disturbed one does not decide. */
 constexpr double maxFirstInnovation = 2;
 /** A single run is taken to be within a factor of 20 of what is expected; beyond that something else was measured. */
@@ -29,6 +31,8 @@
 constexpr std::chrono::duration<double> recentRetention{2};
 /** How fast the long-term estimate returns to the median without new runs. */
 constexpr std::chrono::duration<double> longTermRetention{30};
+/** A replica without runs for this long is not used any more; until then its long-term estimate stays. */
+constexpr std::chrono::seconds unusedDelay{5};
 /** Steps in which the two estimates return. */
 constexpr std::chrono::milliseconds recentStep{250};
 constexpr std::chrono::milliseconds longTermStep{2000};
@@ -84,7 +88,7 @@
     if (!(relativeTime > 0)) {
         return;
     }
-    const double base = this->runCount == 0 ? 0 : this->longTerm * decay(this->measured, now, longTermRetention);
+    const double base = this->runCount == 0 ? 0 : this->longTerm * decay(this->measured + unusedDelay, now, longTermRetention);
     const double value = std::clamp(std::log(relativeTime), base - maxDeviation, base + maxDeviation);
     if (statedPace > 0) {
         const double stated = std::log(statedPace / usualPace);
@@ -102,7 +106,7 @@
     // A run that started in a stated disturbance shows nothing of the long term, unless such statements are wrong.
     const bool isDisturbed = std::log(this->paceFactor(statedPace)) > disturbedPace;
     const double limit = isDisturbed ? 0 : std::max(maxInnovation, maxFirstInnovation / this->runCount);
-    const double longTermStepWeight = std::max(longTermWeight, 1 / (this->runCount + 1));
+    const double longTermStepWeight = std::max(longTermWeight, firstWeight / (this->runCount + firstWeight));
     this->longTerm = base + longTermStepWeight * std::clamp(innovation, -limit, limit);
     this->deviation = recent - this->longTerm;
     this->measured = now;
@@ -136,8 +140,8 @@
 
 double ReplicaSpeed::longTermLogarithm(SteadyTime now) const
 {
-    const SteadyTime step = lastStep(this->measured, now, longTermStep);
-    return withoutNegligible(this->longTerm * decay(this->measured, step, longTermRetention));
+    const SteadyTime step = lastStep(this->measured + unusedDelay, now, longTermStep);
+    return withoutNegligible(this->longTerm * decay(this->measured + unusedDelay, step, longTermRetention));
 }
 
 double ReplicaSpeed::deviationLogarithm(SteadyTime now) const
@@ -195,7 +199,7 @@
         next = std::min(next, lastStep(this->measured, now, recentStep) + recentStep);
     }
     if (this->longTermLogarithm(now) != 0) {
-        next = std::min(next, lastStep(this->measured, now, longTermStep) + longTermStep);
+        next = std::min(next, lastStep(this->measured + unusedDelay, now, longTermStep) + longTermStep);
     }
     if (this->paceLogarithm(now) != 0) {
         next = std::min(next, lastStep(this->paceReported, now, paceStep) + paceStep);
