Entry: An upload that has ended counts no later refusal

Cause: when a caller disconnected, or was refused because of an invalid item, while an object was being written, the upload went on handling the end of that write. If the write failed after 30 s without progress, the upload was refused again: not_stored was counted although no caller received it, which looks like a platform that takes no writes. After a disconnect up to four objects that waited to be stored also stayed in memory until the write ended.

Change: JobUpload::finish stops the upload in all three cases and frees what is not stored yet; the end of a pending write is ignored afterwards. What is stored already remains, as before: its keys may belong to another submission.

--- a/Services/Entry/JobUpload.cpp
+++ b/Services/Entry/JobUpload.cpp
@@ -65,7 +65,7 @@
                 },
             .onAborted =
                 [self = this->shared_from_this()] {
-                    self->isFinished = true;
+                    self->finish();
                 }};
 }
 
@@ -148,13 +148,15 @@
 
 void JobUpload::onPut(WriteOutcome outcome)
 {
+    // The caller has disconnected or was refused while this object was written.
+    if (this->isFinished) {
+        return;
+    }
     // Refused means that an earlier submission already stored the same items under this key.
     if (outcome == WriteOutcome::Done || outcome == WriteOutcome::Refused) {
         this->isPutting = false;
         this->lastProgress = this->context.clock.now();
-        if (!this->pending.empty()) {
-            this->pending.pop_front();
-        }
+        this->pending.pop_front();
         this->putNext();
         return;
     }
@@ -168,18 +170,22 @@
     });
 }
 
-void JobUpload::refuseItems()
+void JobUpload::finish()
 {
     this->isFinished = true;
     this->pending.clear();
+}
+
+void JobUpload::refuseItems()
+{
+    this->finish();
     this->context.metrics.countAnswer("job", "bad_items");
     this->reply->send(refusalResponse({statusBadRequest, "bad_items", this->parser.findings().toString(), RunState::NotRun, {}}));
 }
 
 void JobUpload::refuseNotStored()
 {
-    this->isFinished = true;
-    this->pending.clear();
+    this->finish();
     this->context.metrics.countAnswer("job", "not_stored");
     this->reply->send(refusalResponse({statusUnavailable,
                                        "not_stored",
--- a/Services/Entry/JobUpload.h
+++ b/Services/Entry/JobUpload.h
@@ -67,6 +67,8 @@
     void queueChunks();
     void putNext();
     void onPut(WriteOutcome outcome);
+    /** Stops the upload, and frees what is not stored yet: a pending write may keep this object for a long time. */
+    void finish();
     void refuseItems();
     void refuseNotStored();
 
--- a/Tests/ServiceEntry/EntryBench.h
+++ b/Tests/ServiceEntry/EntryBench.h
@@ -133,19 +133,15 @@
 
     void start()
     {
-        const auto store = std::make_shared<EmbeddedStore>();
-        this->entry = std::make_unique<EntryTask>(
-            this->loop,
-            this->clock,
-            std::make_shared<const Settings>(this->settings),
-            SessionNumber(1),
-            PeerSecurity{MessageKey(""), 1048576},
-            std::nullopt,
-            [store](EventLoop &eventLoop) {
-                return std::make_unique<EmbeddedPlatform>(store, eventLoop);
-            },
-            this->metrics,
-            this->operators);
+        this->entry = std::make_unique<EntryTask>(this->loop,
+                                                  this->clock,
+                                                  std::make_shared<const Settings>(this->settings),
+                                                  SessionNumber(1),
+                                                  PeerSecurity{MessageKey(""), 1048576},
+                                                  std::nullopt,
+                                                  this->makePlatform,
+                                                  this->metrics,
+                                                  this->operators);
         Member member;
         member.session = SessionNumber(1);
         member.owner = this->owner.server.address();
@@ -214,6 +210,9 @@
     Settings settings;
     NodeMetrics metrics;
     OperatorGateway operators;
+    std::function<std::unique_ptr<Platform>(EventLoop &)> makePlatform = [](EventLoop &eventLoop) {
+        return std::make_unique<EmbeddedPlatform>(std::make_shared<EmbeddedStore>(), eventLoop);
+    };
     ScriptedOwner owner{loop};
     std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
     HttpClient client{loop};
