Lane: Measure the reaction by confirmed cancellations, check liveness first

Cause: ItemRun::stop ignored the callback for the engine's confirmation, so Lane::observeCancel was never called and the reaction time was always that of load reports, other than docs/design/batch-yielding.md says. In LaneService the callbacks for a cancellation, a first token and a gap read members before they checked *alive, or without checking it, which reads freed memory if they come after the service was destroyed.

Change: stop() passes the time until the engine answers the cancellation with 200; without such an answer nothing is reported. The callbacks check *alive first.

The order of the checks was confirmed by reading only. The effect on yielding was not measured.

--- a/Services/Lane/ItemRun.cpp
+++ b/Services/Lane/ItemRun.cpp
@@ -93,14 +93,18 @@
     this->exchange = this->http.start(engine, request, connection, std::move(exchangeHooks));
 }
 
-HeldItem ItemRun::stop(const Gap &)
+HeldItem ItemRun::stop(const Gap &cancelled)
 {
     const Json body{{"request_id", this->runId}};
     this->http.fetch(
         this->engine,
         {.method = "POST", .path = "/cancel", .headers = {{"Content-Type", "application/json"}}, .body = body.dump()},
         cancelTimeout,
-        [](ExchangeEnd, const HttpResponse &) {});
+        [cancelled, &clock = this->clock, sent = this->clock.now()](ExchangeEnd end, const HttpResponse &response) {
+            if (cancelled && end == ExchangeEnd::Complete && response.status == statusOk) {
+                cancelled(clock.now() - sent);
+            }
+        });
     this->http.cancel(this->exchange);
     this->hooks = {};
     return this->current;
--- a/Services/Lane/ItemRun.h
+++ b/Services/Lane/ItemRun.h
@@ -65,7 +65,7 @@
     /**
      * Cancels the run at the engine by its id, which takes effect at once, and by closing the connection, which engines
      * detect only at a later token.
-     * @param cancelled meant to receive the time until the engine confirms; may be empty. Not called at present.
+     * @param cancelled called once with the time until the engine confirmed, unless it does not confirm; may be empty
      * @return the item with the tokens received
      */
     HeldItem stop(const Gap &cancelled = {});
--- a/Services/Lane/LaneService.cpp
+++ b/Services/Lane/LaneService.cpp
@@ -381,8 +381,10 @@
         return;
     }
     const auto cancelled = [this, name, alive = this->alive](std::chrono::nanoseconds passed) {
-        const auto found = this->lanes.find(name);
-        if (*alive && found != this->lanes.end()) {
+        if (!*alive) {
+            return;
+        }
+        if (const auto found = this->lanes.find(name); found != this->lanes.end()) {
             found->second.lane.observeCancel(passed);
         }
     };
@@ -476,14 +478,19 @@
 ItemRun::Hooks LaneService::hooksOf(const EndpointName &name, const std::shared_ptr<ItemRun> &run)
 {
     return {.firstToken =
-                [this, name] {
+                [this, name, alive = this->alive] {
+                    if (!*alive) {
+                        return;
+                    }
                     HeldLane &held = this->lanes.at(name);
                     held.lane.itemGotFirstToken();
                     this->fill(name, held);
                 },
             .gap =
-                [this, name](std::chrono::nanoseconds passed) {
-                    this->lanes.at(name).lane.observeTokenGap(passed);
+                [this, name, alive = this->alive](std::chrono::nanoseconds passed) {
+                    if (*alive) {
+                        this->lanes.at(name).lane.observeTokenGap(passed);
+                    }
                 },
             .ended =
                 [this, name, run, alive = this->alive](RunEnd end, const std::string &detail) {
--- a/Tests/ServiceLane/TestItemRun.cpp
+++ b/Tests/ServiceLane/TestItemRun.cpp
@@ -7,8 +7,10 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Dogwoodkeel;
@@ -73,3 +75,53 @@
     CHECK(result["text"] == "ab");
     CHECK(result["finish_reason"] == "stop");
 }
+
+namespace
+{
+
+/** @return how often a stopped run reports a confirmed cancellation, if the engine answers it with that status. */
+int confirmationsWith(int cancelStatus)
+{
+    EventLoop loop;
+    const SystemClock clock;
+    HttpClient http(loop);
+    int confirmations = 0;
+    std::shared_ptr<ItemRun> run;
+    ScriptedEndpoint endpoint(loop, [&](const auto &exchange) {
+        if (exchange->head.starts_with("POST /cancel")) {
+            exchange->answer(cancelStatus, "{}");
+            return;
+        }
+        run->stop([&confirmations](std::chrono::nanoseconds passed) {
+            confirmations += passed.count() > 0 ? 1 : 0;
+        });
+    });
+    HeldItem held;
+    held.item.body = R"({"prompt":"p"})";
+    run = std::make_shared<ItemRun>(http, clock, held, "run");
+    run->start(endpoint.address(), ConnectionChoice::Fresh, {});
+    // A later request on a connection of its own is answered after the cancellation.
+    bool isOver = false;
+    std::function<void()> poll = [&] {
+        if (endpoint.requests() >= 2 && !std::exchange(isOver, true)) {
+            http.fetch(
+                endpoint.address(), {.method = "POST", .path = "/cancel"}, std::chrono::seconds(10), [&](auto, const auto &) {
+                    loop.stop();
+                });
+        } else if (!isOver) {
+            loop.schedule(std::chrono::milliseconds(1), poll);
+        }
+    };
+    loop.post(poll);
+    loop.run();
+    return confirmations;
+}
+
+} // namespace
+
+// Guards against a reaction time that is never measured: a lane would keep slots free by the response time of load reports only.
+TEST_CASE("a cancellation that the engine confirms is reported, and another one is not")
+{
+    CHECK(confirmationsWith(200) == 1);
+    CHECK(confirmationsWith(500) == 0);
+}
