--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -346,8 +346,9 @@
          {"replica", this->replica->instance.value()},
          {"bytes", static_cast<std::int64_t>(this->output.size())}});
     this->context.metrics.countEvent("output of a batch item cut");
+    this->leaveReplica(PlacementVerdict::Broken);
     // Another replica would continue behind this output, so the item fails and starts from the beginning if it is retried.
-    this->finish(End::Failed, PlacementVerdict::Broken);
+    this->finish(End::Failed);
 }
 
 void ItemAttempt::handleEnd(CallEnd end)
@@ -420,9 +421,9 @@
     });
 }
 
-void ItemAttempt::finish(End end, PlacementVerdict verdict)
+void ItemAttempt::finish(End end)
 {
-    this->leaveReplica(verdict);
+    this->leaveReplica(PlacementVerdict::Finished);
     if (end == End::Completed) {
         this->context.recordRequestServed(this->fingerprint);
         this->context.itemEstimates[this->target.service].recordCompleted(this->lastEvent.value_or(0));
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -96,8 +96,7 @@
     void leaveReplica(PlacementVerdict verdict);
     void continueElsewhere(PlacementVerdict verdict, std::string_view reason);
     void armResponseTimer();
-    /** Ends the attempt. @param verdict how the run ended for its replica */
-    void finish(End end, PlacementVerdict verdict = PlacementVerdict::Finished);
+    void finish(End end);
 
     GatewayContext &context;
     const JobItem item;
