LibDispatch: Let the share of errors fade, and update a replica's position once when a run ends

Cause: a replica with one error was not selected again while others had free slots; a run's end updated the index twice, and the score of each compared replica was computed anew. Change: the share of errors halves each second without answers; the index stores the effect of one more request.

--- a/Libraries/LibDispatch/DispatchedReplica.h
+++ b/Libraries/LibDispatch/DispatchedReplica.h
@@ -86,7 +86,7 @@
         const auto consider = [&next](std::optional<SteadyTime> time) {
             next = time && (!next || *time < *next) ? time : next;
         };
-        consider(this->breaker.maySendAt(now));
+        consider(this->breaker.nextChange(now));
         if (this->isCapacityLearned) {
             const SteadyTime speedChange = this->speed.nextChange(now);
             consider(speedChange == SteadyTime::max() ? std::nullopt : std::optional(speedChange));
@@ -134,7 +134,7 @@
     /** @return the expected time of a request while nothing else runs, with the repetitions that its errors cause. */
     double idleTime(SteadyTime now) const
     {
-        return this->speed.expected(now) / (1 - std::min(this->breaker.errorShare(), 0.9));
+        return this->speed.expected(now) / (1 - std::min(this->breaker.errorShare(now), 0.9));
     }
 
     double loadEffect() const
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -673,7 +673,10 @@
     if (DispatchedReplica *const replica = this->replicaOf(entry)) {
         this->capacity.recordEnd(*replica, entry.work, entry.concurrency, verdict, timing);
         this->forecast.setSlots(this->capacity.slots());
-        this->index.update(*replica);
+        if (entry.stopped) {
+            // Its slot is released already, so erasePlacement() does not update the replica.
+            this->index.update(*replica);
+        }
     }
     if (verdict == PlacementVerdict::Finished) {
         this->chargeRun(entry, now - entry.placed);
--- a/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
+++ b/Libraries/LibDispatch/ReplicaCircuitBreaker.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/ReplicaCircuitBreaker.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -29,6 +30,11 @@
 /** A replica whose probe succeeds is used again, but a further error blocks it soon. */
 constexpr double errorShareAfterProbe = 0.2;
 
+/** The share of errors halves in this time without answers, so that a replica that gets no requests is tried again. */
+constexpr std::chrono::seconds errorHalfLife{1};
+/** A smaller share counts as none. */
+constexpr double negligibleShare = 0.02;
+
 } // namespace
 
 bool ReplicaCircuitBreaker::maySend(SteadyTime now) const
@@ -54,7 +60,8 @@
     case PlacementVerdict::Finished:
         this->failures = 0;
         this->blockedUntil = {};
-        this->recentErrors -= errorWeight * this->recentErrors;
+        this->recentErrors = (1 - errorWeight) * this->errorShare(now);
+        this->lastAnswer = now;
         if (std::exchange(this->errorBlocks, 0) > 0) {
             this->recentErrors = errorShareAfterProbe;
         }
@@ -78,7 +85,8 @@
 void ReplicaCircuitBreaker::recordError(bool mayBlock, SteadyTime now)
 {
     this->failures = 0;
-    this->recentErrors += errorWeight * (1 - this->recentErrors);
+    this->recentErrors = errorWeight + (1 - errorWeight) * this->errorShare(now);
+    this->lastAnswer = now;
     if (!mayBlock) {
         if (std::exchange(this->errorBlocks, 0) > 0) {
             this->blockedUntil = {};
@@ -93,9 +101,23 @@
     this->block(std::min(initialPause * (1 << doublings), maxPause), now);
 }
 
-double ReplicaCircuitBreaker::errorShare() const
+double ReplicaCircuitBreaker::errorShare(SteadyTime now) const
+{
+    if (this->recentErrors == 0) {
+        return 0;
+    }
+    const double share = std::ldexp(this->recentErrors, -static_cast<int>((now - this->lastAnswer) / errorHalfLife));
+    return share < negligibleShare ? 0 : share;
+}
+
+std::optional<SteadyTime> ReplicaCircuitBreaker::nextChange(SteadyTime now) const
 {
-    return this->recentErrors;
+    const std::optional<SteadyTime> sendAt = this->maySendAt(now);
+    if (this->errorShare(now) == 0) {
+        return sendAt;
+    }
+    const SteadyTime next = this->lastAnswer + ((now - this->lastAnswer) / errorHalfLife + 1) * errorHalfLife;
+    return sendAt ? std::min(*sendAt, next) : next;
 }
 
 bool ReplicaCircuitBreaker::isBlockedForErrors() const
--- a/Libraries/LibDispatch/ReplicaCircuitBreaker.h
+++ b/Libraries/LibDispatch/ReplicaCircuitBreaker.h
@@ -34,8 +34,11 @@
      */
     void recordError(bool mayBlock, SteadyTime now);
 
-    /** @return the share of errors among recent answers. */
-    double errorShare() const;
+    /** @return the share of errors among recent answers. It falls in steps while there are no answers. */
+    double errorShare(SteadyTime now) const;
+
+    /** @return when the passing of time next changes anything, or nothing if it does not. */
+    std::optional<SteadyTime> nextChange(SteadyTime now) const;
 
     /** @return whether it is blocked, or probed, because of errors. */
     bool isBlockedForErrors() const;
@@ -45,6 +48,7 @@
 
     int failures = 0;
     double recentErrors = 0;
+    SteadyTime lastAnswer{};
     /** How often it was blocked for errors without a successful answer since. */
     int errorBlocks = 0;
     SteadyTime blockedUntil{};
--- a/Libraries/LibDispatch/ReplicaIndex.cpp
+++ b/Libraries/LibDispatch/ReplicaIndex.cpp
@@ -39,6 +39,7 @@
         const Position position{{replica.traits.failureDomain, replica.traits.version},
                                 {replica.load(now), replica.number},
                                 {replica.itemLoad(now), replica.number},
+                                replica.loadOfRequest(now),
                                 replica.mayAcceptItem(now)};
         OpenReplicas &open = this->groups[position.group];
         open.all.emplace(position.key, &replica);
@@ -132,7 +133,7 @@
     if (this->isPatient(request)) {
         return position.itemKey.first + requests * replica.itemLoadOfRequest();
     }
-    return position.key.first + requests * replica.loadOfRequest(this->clock.now());
+    return position.key.first + requests * position.loadOfRequest;
 }
 
 DispatchedReplica *ReplicaIndex::best(const PlacementRequest &request) const
--- a/Libraries/LibDispatch/ReplicaIndex.h
+++ b/Libraries/LibDispatch/ReplicaIndex.h
@@ -70,6 +70,8 @@
         Group group;
         Key key;
         Key itemKey;
+        /** By how much one more request changes the load, see DispatchedReplica. */
+        double loadOfRequest = 0;
         bool isForItems = false;
     };
 
--- a/Tests/LibDispatch/TestCapacityLearner.cpp
+++ b/Tests/LibDispatch/TestCapacityLearner.cpp
@@ -48,15 +48,20 @@
         this->dispatcher.end({SessionNumber(1), number}, PlacementVerdict::Finished, timing);
     }
 
-    /** Serves requests one after another; a replica whose number is below a bound answers an error at once. */
-    void serve(int requests, std::size_t failing)
+    /** Serves requests in groups; a replica whose number is below a bound answers errors at once. */
+    void serve(int groups, int size, std::size_t failing)
     {
-        for (int request = 0; request < requests; ++request) {
-            const std::uint64_t number = this->submit();
-            REQUIRE(this->placed.contains(number));
-            const bool isError = std::stoul(this->placed[number].value().substr(1)) < failing;
-            this->clock.advance(isError ? 1ms : 100ms);
-            this->end(number, isError ? RunTiming{1ms, 0ms, 1, 0, true} : RunTiming{20ms, 80ms, 21, 0, false});
+        for (int group = 0; group < groups; ++group) {
+            const std::uint64_t first = this->last + 1;
+            for (int request = 0; request < size; ++request) {
+                this->submit();
+            }
+            this->clock.advance(100ms);
+            for (std::uint64_t number = first; number <= this->last; ++number) {
+                REQUIRE(this->placed.contains(number));
+                const bool isError = std::stoul(this->placed[number].value().substr(1)) < failing;
+                this->end(number, isError ? RunTiming{1ms, 0ms, 1, 0, true} : RunTiming{20ms, 80ms, 21, 0, false});
+            }
             this->dispatcher.tick();
         }
     }
@@ -85,20 +90,21 @@
 TEST_CASE("a replica that answers errors gets probes only")
 {
     Service service(4, CapacityLearning::Always);
-    service.serve(200, 1);
+    service.serve(20, 10, 1);
     MESSAGE("requests at the failing replica: ", service.counts[EndpointName("r0")], " of 200");
-    CHECK(service.counts[EndpointName("r0")] < 30);
+    CHECK(service.counts[EndpointName("r0")] < 20);
     CHECK(service.dispatcher.load().learned.blocked == 1);
     service.clock.advance(2s);
-    service.serve(100, 0);
+    service.serve(60, 10, 0);
     CHECK(service.dispatcher.load().learned.blocked == 0);
+    CHECK(service.counts[EndpointName("r0")] > 30);
 }
 
 // Guards against an error of all replicas, such as a wrong request, that blocks the service.
 TEST_CASE("at most half of the slots are blocked for errors")
 {
     Service service(4, CapacityLearning::Always);
-    service.serve(400, 4);
+    service.serve(40, 8, 4);
     CHECK(service.dispatcher.load().learned.blocked == 2);
 }
 
@@ -130,11 +136,11 @@
 TEST_CASE("nothing is learned without a stated pace, or if it is switched off")
 {
     Service unstated(2, CapacityLearning::Stated);
-    unstated.serve(100, 1);
+    unstated.serve(25, 4, 1);
     CHECK(unstated.counts[EndpointName("r0")] == 50);
     Service never(2, CapacityLearning::Never);
     never.dispatcher.recordTimings(unevenTimings());
     never.dispatcher.recordLoad(EndpointName("r0"), {0, 0}, 250);
-    never.serve(100, 1);
+    never.serve(25, 4, 1);
     CHECK(never.counts[EndpointName("r0")] == 50);
 }
