--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -509,7 +509,10 @@
     if (DispatchedReplica *const replica = this->replicaOf(entry)) {
         this->capacity.recordEnd(*replica, entry.work, entry.concurrency, verdict, timing);
         this->overload.setSlots(this->capacity.slots());
-        this->index.update(*replica);
+        if (entry.stopped) {
+            // Its slot is released already, so erasePlacement() does not update the replica.
+            this->index.update(*replica);
+        }
     }
     this->overload.recordRun(entry.charge, verdict, now - entry.placed, entry.stopped.has_value());
     this->erasePlacement(placement);
