--- a/Libraries/LibDispatch/OverloadControl.cpp
+++ b/Libraries/LibDispatch/OverloadControl.cpp
@@ -20,17 +20,8 @@
  * overload is sustained.
  */
 constexpr double minSpareShare = 0.05;
-
-void logShareRefusal(const PlacementRequest &request, std::chrono::nanoseconds wait, std::chrono::nanoseconds retryAfter)
-{
-    log(LogLevel::Info,
-        "request refused, its workspace is over its share",
-        {{"workspace", request.workspace.value()},
-         {"ticket", static_cast<std::int64_t>(request.id.number)},
-         {"priority", static_cast<std::int64_t>(request.priority)},
-         {"wait_ms", std::chrono::ceil<std::chrono::milliseconds>(wait).count()},
-         {"retry_after_ms", std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count()}});
-}
+/** A flood causes a thousand refusals per second; a line for each would take the processor time of a small VM. */
+constexpr std::chrono::seconds shareLogInterval{1};
 
 } // namespace
 
@@ -119,10 +110,29 @@
         = std::min<std::chrono::nanoseconds>(wait, (request.deadline - now) / retryAfterDivisor);
     this->retries.expect(request.content, request.arrived, now + retryAfter, false);
     ++this->shareRefusalCount;
-    logShareRefusal(request, wait, retryAfter);
+    this->logShareRefusal(request, wait, retryAfter);
     return retryAfter;
 }
 
+void OverloadControl::logShareRefusal(const PlacementRequest &request,
+                                      std::chrono::nanoseconds wait,
+                                      std::chrono::nanoseconds retryAfter)
+{
+    const SteadyTime now = this->clock.now();
+    if (now < this->nextShareLog) {
+        return;
+    }
+    this->nextShareLog = now + shareLogInterval;
+    log(LogLevel::Info,
+        "requests refused, their workspace is over its share",
+        {{"workspace", request.workspace.value()},
+         {"ticket", static_cast<std::int64_t>(request.id.number)},
+         {"priority", static_cast<std::int64_t>(request.priority)},
+         {"wait_ms", std::chrono::ceil<std::chrono::milliseconds>(wait).count()},
+         {"retry_after_ms", std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count()},
+         {"refused", static_cast<std::int64_t>(this->shareRefusalCount)}});
+}
+
 std::chrono::duration<double> OverloadControl::expectedWait(const PlacementRequest &request, double rate) const
 {
     const std::chrono::duration<double> wait(static_cast<double>(this->waiting.onTimeAhead(request.priority)) / rate);
--- a/Libraries/LibDispatch/OverloadControl.h
+++ b/Libraries/LibDispatch/OverloadControl.h
@@ -85,6 +85,8 @@
     std::optional<std::chrono::nanoseconds> refuseIfLate(const PlacementRequest &request);
     /** Refuses a request of a workspace over its share that would be late because of the workspace's own backlog. */
     std::optional<std::chrono::nanoseconds> refuseIfOverShare(const PlacementRequest &request);
+    /** Logs a refusal, at most one a second, with the number of all so far. */
+    void logShareRefusal(const PlacementRequest &request, std::chrono::nanoseconds wait, std::chrono::nanoseconds retryAfter);
     /** @return how long a waiting request has to wait for those that are served before it. */
     std::chrono::duration<double> expectedWait(const PlacementRequest &request, double rate) const;
     /** @return how long it has to wait for the debt and the waiting requests of its own workspace; nothing while unknown. */
@@ -99,6 +101,7 @@
     WorkEstimate onlineWork;
     WorkEstimate batchWork;
     std::size_t shareRefusalCount = 0;
+    SteadyTime nextShareLog{};
 };
 
 } // namespace Dogwoodkeel
