--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -50,6 +50,13 @@
     int cuts = 0;
 };
 
+std::string contentOf(std::size_t bytes)
+{
+    std::string content;
+    content.resize(bytes, 'x');
+    return content;
+}
+
 ObjectRead readObject(const std::string &answer)
 {
     TaskHost<ScriptedStore> host("store", answer);
@@ -68,13 +75,13 @@
 TEST_CASE("an answer of the store beyond 16 MB is cut, and the largest object is read whole")
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
-    const ObjectRead endless = readObject(head + "\r\n" + std::string(16777217, 'x'));
+    const ObjectRead endless = readObject(head + "\r\n" + contentOf(16777217));
     CHECK(endless.outcome == ReadOutcome::Failed);
     CHECK(endless.cuts == 1);
     const ObjectRead stated = readObject(head + "Content-Length: 16777217\r\n\r\n");
     CHECK(stated.outcome == ReadOutcome::Failed);
     CHECK(stated.cuts == 1);
-    const ObjectRead largest = readObject(head + "Content-Length: 8388608\r\n\r\n" + std::string(8388608, 'x'));
+    const ObjectRead largest = readObject(head + "Content-Length: 8388608\r\n\r\n" + contentOf(8388608));
     CHECK(largest.outcome == ReadOutcome::Found);
     CHECK(largest.bytes == 8388608);
     CHECK(largest.cuts == 0);
