--- a/Tests/LibDispatch/TestWorkspaceShares.cpp
+++ b/Tests/LibDispatch/TestWorkspaceShares.cpp
@@ -137,7 +137,7 @@
 TEST_CASE("withdrawn requests cost nothing, and a workspace's order is by arrival")
 {
     QueueFixture fixture;
-    for (std::uint64_t number = 1; number <= 2 * manyRequests; ++number) {
+    for (std::uint64_t number = 1; number <= std::uint64_t{2} * manyRequests; ++number) {
         fixture.add(number, "a");
     }
     fixture.add(100, "b");
@@ -165,7 +165,7 @@
 TEST_CASE("an item with little slack does not wait for one with much, whatever its workspace has got")
 {
     QueueFixture fixture;
-    for (std::uint64_t number = 1; number <= 10 * manyRequests; ++number) {
+    for (std::uint64_t number = 1; number <= std::uint64_t{10} * manyRequests; ++number) {
         fixture.add(number, "flooder", std::chrono::seconds(8), 0, WorkClass::Batch);
     }
     fixture.add(1001, "flooder", std::chrono::seconds(1), 0, WorkClass::Batch);
