--- a/review/standin/Net.h
+++ b/review/standin/Net.h
@@ -346,6 +346,15 @@
         return this->hasCrashed;
     }
 
+    /** From now on nothing is read or answered on the open connections, which stay open. New ones work. */
+    void silenceConnections()
+    {
+        this->silentBefore = Clock::now();
+    }
+
+    /** Called for a request that arrives on a connection that has gone silent. */
+    std::function<void(const Message &)> onLost;
+
 private:
     void accept()
     {
@@ -356,8 +365,16 @@
             }
             std::thread([this, descriptor] {
                 Connection connection(descriptor);
+                const Time opened = Clock::now();
                 Message request;
-                while (this->next(connection, request) && this->handler(request, connection) && !this->hasCrashed) {
+                while (this->next(connection, request)) {
+                    if (opened < this->silentBefore.load()) {
+                        this->lose(connection, request);
+                        break;
+                    }
+                    if (!this->handler(request, connection) || this->hasCrashed) {
+                        break;
+                    }
                     request = {};
                 }
                 if (this->hasCrashed) {
@@ -381,6 +398,17 @@
         return isRead && !this->hasCrashed;
     }
 
+    void lose(Connection &connection, const Message &request)
+    {
+        if (this->onLost) {
+            this->onLost(request);
+        }
+        while (!connection.isClosedByPeer()) {
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+
+    std::atomic<Time> silentBefore{Time()};
     std::mutex mutex;
     /** Connections on which no request is being handled. */
     std::set<int> waiting;
--- a/review/standin/World.h
+++ b/review/standin/World.h
@@ -350,11 +350,27 @@
         this->server.crash();
     }
 
+    /** The open connections go silent for good; new ones work. */
+    void silenceConnections()
+    {
+        this->server.silenceConnections();
+    }
+
+    void setLostHook(std::function<void(const Message &)> onLost)
+    {
+        this->server.onLost = std::move(onLost);
+    }
+
     bool isDown() const
     {
         return this->server.isDown();
     }
 
+    const Address &at() const
+    {
+        return this->server.at();
+    }
+
     int port() const
     {
         return this->server.at().port;
