--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -25,10 +25,21 @@
 Json configuration()
 {
     const Json engine{{"slots", slots}, {"kvCapacity", 110792}, {"kvBytes", 35136}, {"models", Json::array({{{"name", "m"}}})}};
-    const Json batch{{"name", "r-batch"}, {"host", "lots.example"}, {"prefix", "/lots-in/"}, {"routeKind", "batch"},
-                     {"timeoutMs", 15000}, {"fullValueMs", 800}, {"priority", 2}, {"service", "llm"}, {"maxAttempts", 3},
-                     {"sticky", true}, {"resumable", true}, {"gapTargetMs", 250}, {"completionTargetMs", 18000},
-                     {"retentionS", 60}, {"maxCount", 2200000}};
+    const Json batch{{"name", "r-batch"},
+                     {"host", "lots.example"},
+                     {"prefix", "/lots-in/"},
+                     {"routeKind", "batch"},
+                     {"timeoutMs", 15000},
+                     {"fullValueMs", 800},
+                     {"priority", 2},
+                     {"service", "llm"},
+                     {"maxAttempts", 3},
+                     {"sticky", true},
+                     {"resumable", true},
+                     {"gapTargetMs", 250},
+                     {"completionTargetMs", 18000},
+                     {"retentionS", 60},
+                     {"maxCount", 2200000}};
     return {{"version", 7},
             {"routes", Json::array({batch})},
             {"services", Json::array({{{"name", "llm"}, {"healthPath", "/healthz"}, {"maxConns", 370}, {"engine", engine}}})},
@@ -39,7 +50,8 @@
 {
     const std::string last = request.header("Last-Event-Id");
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout="
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout="
         + std::to_string(statedKeepAlive) + "\r\n" + headers + "\r\n";
     if (!connection.send(head)) {
         return false;
@@ -62,10 +74,15 @@
     Json items = Json::array();
     for (int item = 0; item < count; ++item) {
         const std::string id = job + "-item-" + std::to_string(item);
-        items.push_back({{"id", id}, {"path", "/lots-in/3/" + id}, {"headers", {{"X-Model", "m"}, {"X-Token-Usage", "350,200"}}},
-                         {"body", encodeBase64("photo of " + id)}, {"tokens", 550}});
+        items.push_back({{"id", id},
+                         {"path", "/lots-in/3/" + id},
+                         {"headers", {{"X-Model", "m"}, {"X-Token-Usage", "350,200"}}},
+                         {"body", encodeBase64("photo of " + id)},
+                         {"tokens", 550}});
     }
-    const Reply reply = call(world.nodes[0]->frontend, "POST", "/lots-in/" + job,
+    const Reply reply = call(world.nodes[0]->frontend,
+                             "POST",
+                             "/lots-in/" + job,
                              {{"Host", "lots.example"}, {"X-Request-Id", job}, {"Content-Type", "application/json"}},
                              Json{{"requests", items}}.dump());
     world.record.line(job + " with " + std::to_string(count) + " items: answered " + std::to_string(reply.message.status));
@@ -77,8 +94,12 @@
 {
     int position = 0;
     while (true) {
-        const Reply reply = call(world.nodes[node]->frontend, "GET", "/lots/" + job + "?afterRev=" + std::to_string(position),
-                                 {{"Host", "lots.example"}, {"X-Wait-Ms", "1000"}}, "", {milliseconds(2500)});
+        const Reply reply = call(world.nodes[node]->frontend,
+                                 "GET",
+                                 "/lots/" + job + "?afterRev=" + std::to_string(position),
+                                 {{"Host", "lots.example"}, {"X-Wait-Ms", "1000"}},
+                                 "",
+                                 {milliseconds(2500)});
         const Json body = Json::parse(reply.message.body, nullptr, false);
         if (!reply.complete || reply.message.status != 200 || !body.is_object()) {
             return -1;
@@ -111,8 +132,11 @@
 {
     std::vector<Replica *> replicas;
     for (const std::string id : {"i-a1", "i-b2"}) {
-        replicas.push_back(new Replica(world.ip(101 + int(replicas.size())), *world.store, world.record,
-                                       Replica::Options{id, "llm", "zone-a", slots}, &runItem));
+        replicas.push_back(new Replica(world.ip(101 + int(replicas.size())),
+                                       *world.store,
+                                       world.record,
+                                       Replica::Options{id, "llm", "zone-a", slots},
+                                       &runItem));
         replicas.back()->setLostHook([&world, id](const Message &request) {
             ++lost;
             world.record.line(request.header("X-Request-Id") + " is lost on a silent connection to " + id);
@@ -149,9 +173,11 @@
     if (awaitJob(world, "job-2", 1, Clock::now() + std::max(finish, excused) + std::chrono::seconds(5))) {
         return 0;
     }
-    world.record.line("the item of job-2 isn't listed; running at replicas: " + std::to_string(replicas[0]->running + replicas[1]->running));
+    world.record.line("the item of job-2 isn't listed; running at replicas: "
+                      + std::to_string(replicas[0]->running + replicas[1]->running));
     const bool isOpen = listed(world, "job-2", 0) == 0 && listed(world, "job-2", 1) == 0 && listed(world, "job-2", 2) == 0;
-    std::cout << "an accepted item was lost on " << lost << " silent connections and is never sent again, though job-3 was done\n";
+    std::cout << "an accepted item was lost on " << lost
+              << " silent connections and is never sent again, though job-3 was done\n";
     return isOpen ? 1 : 2;
 }
 
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,5 +1,5 @@
-// A replica that crashes as it begins to work, a few times in a row, under items of a batch job that share a part of their prompts.
-// Usage: case2 REPOSITORY RECORD TROUBLE
+// A replica that crashes as it begins to work, a few times in a row, under items of a batch job that share a part of their
+// prompts. Usage: case2 REPOSITORY RECORD TROUBLE
 #include "../standin/World.h"
 
 using namespace standin;
@@ -30,13 +30,33 @@
 Json configuration()
 {
     const Json engine{{"slots", slots}, {"kvCapacity", 110792}, {"kvBytes", 35136}, {"models", Json::array({{{"name", "m"}}})}};
-    const Json batch{{"name", "r-batch"}, {"host", "lots.example"}, {"prefix", "/lots-in/"}, {"routeKind", "batch"},
-                     {"timeoutMs", 15000}, {"fullValueMs", 400}, {"priority", 2}, {"service", "llm"}, {"maxAttempts", 3},
-                     {"sticky", true}, {"resumable", true}, {"gapTargetMs", 200}, {"completionTargetMs", 18000},
-                     {"retentionS", 60}, {"maxCount", 2200000}};
-    const Json notes{{"name", "r-notes"}, {"host", "lots.example"}, {"prefix", "/notes/"}, {"routeKind", "streaming"},
-                     {"timeoutMs", 5000}, {"fullValueMs", 300}, {"priority", 0}, {"service", "llm"}, {"maxAttempts", 2},
-                     {"sticky", true}, {"resumable", true}, {"gapTargetMs", 200}};
+    const Json batch{{"name", "r-batch"},
+                     {"host", "lots.example"},
+                     {"prefix", "/lots-in/"},
+                     {"routeKind", "batch"},
+                     {"timeoutMs", 15000},
+                     {"fullValueMs", 400},
+                     {"priority", 2},
+                     {"service", "llm"},
+                     {"maxAttempts", 3},
+                     {"sticky", true},
+                     {"resumable", true},
+                     {"gapTargetMs", 200},
+                     {"completionTargetMs", 18000},
+                     {"retentionS", 60},
+                     {"maxCount", 2200000}};
+    const Json notes{{"name", "r-notes"},
+                     {"host", "lots.example"},
+                     {"prefix", "/notes/"},
+                     {"routeKind", "streaming"},
+                     {"timeoutMs", 5000},
+                     {"fullValueMs", 300},
+                     {"priority", 0},
+                     {"service", "llm"},
+                     {"maxAttempts", 2},
+                     {"sticky", true},
+                     {"resumable", true},
+                     {"gapTargetMs", 200}};
     return {{"version", 7},
             {"routes", Json::array({notes, batch})},
             {"services", Json::array({{{"name", "llm"}, {"healthPath", "/healthz"}, {"maxConns", 370}, {"engine", engine}}})},
@@ -63,12 +83,14 @@
     };
     const std::string last = request.header("Last-Event-Id");
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + headers + "\r\n";
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + headers + "\r\n";
     if (!work(prefillTime) || !connection.send(head)) {
         return false;
     }
     for (int event = from; event <= events; ++event) {
-        const std::string text = "id: " + std::to_string(event) + "\ndata: " + itemOf(request) + "." + std::to_string(event) + "\n\n";
+        const std::string text
+            = "id: " + std::to_string(event) + "\ndata: " + itemOf(request) + "." + std::to_string(event) + "\n\n";
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
         if (!work(eventTime) || !connection.send(size + text + "\r\n")) {
@@ -84,7 +106,10 @@
     auto down = std::make_shared<std::function<bool()>>([] {
         return false;
     });
-    auto *const replica = new Replica(world.ip(101 + number), *world.store, world.record, Replica::Options{id, "llm", "zone-a", slots, port},
+    auto *const replica = new Replica(world.ip(101 + number),
+                                      *world.store,
+                                      world.record,
+                                      Replica::Options{id, "llm", "zone-a", slots, port},
                                       [down](const Message &request, Connection &connection, const std::string &headers) {
                                           return runItem(request, connection, headers, *down);
                                       });
@@ -99,14 +124,22 @@
     Json items = Json::array();
     for (int item = 0; item < count; ++item) {
         const std::string id = job + "-item-" + std::to_string(item);
-        items.push_back({{"id", id}, {"path", "/lots-in/3/" + id},
-                         {"headers", {{"X-Model", "m"}, {"X-Token-Usage", "350,1300"}, {"X-Prefix-Hash", part + ":100," + std::to_string(item) + "f:250"}}},
-                         {"body", encodeBase64("photo of " + id)}, {"tokens", 1650}});
+        items.push_back({{"id", id},
+                         {"path", "/lots-in/3/" + id},
+                         {"headers",
+                          {{"X-Model", "m"},
+                           {"X-Token-Usage", "350,1300"},
+                           {"X-Prefix-Hash", part + ":100," + std::to_string(item) + "f:250"}}},
+                         {"body", encodeBase64("photo of " + id)},
+                         {"tokens", 1650}});
     }
-    const Reply reply = call(world.nodes[0]->frontend, "POST", "/lots-in/" + job,
+    const Reply reply = call(world.nodes[0]->frontend,
+                             "POST",
+                             "/lots-in/" + job,
                              {{"Host", "lots.example"}, {"X-Request-Id", job}, {"Content-Type", "application/json"}},
                              Json{{"requests", items}}.dump());
-    world.record.line(job + " with " + std::to_string(count) + " items, shared part " + part + ": answered " + std::to_string(reply.message.status));
+    world.record.line(job + " with " + std::to_string(count) + " items, shared part " + part + ": answered "
+                      + std::to_string(reply.message.status));
     return reply.message.status == 202;
 }
 
@@ -115,8 +148,12 @@
 {
     int position = 0;
     while (true) {
-        const Reply reply = call(world.nodes[node % world.nodes.size()]->frontend, "GET", "/lots/" + job + "?afterRev=" + std::to_string(position),
-                                 {{"Host", "lots.example"}, {"X-Wait-Ms", "1000"}}, "", {milliseconds(2500)});
+        const Reply reply = call(world.nodes[node % world.nodes.size()]->frontend,
+                                 "GET",
+                                 "/lots/" + job + "?afterRev=" + std::to_string(position),
+                                 {{"Host", "lots.example"}, {"X-Wait-Ms", "1000"}},
+                                 "",
+                                 {milliseconds(2500)});
         const Json body = Json::parse(reply.message.body, nullptr, false);
         if (!reply.complete || reply.message.status != 200 || !body.is_object()) {
             return -1;
@@ -131,6 +168,7 @@
 int play(World &world, bool isTroubled)
 {
     std::vector<Replica *> replicas;
+    replicas.reserve(replicaCount);
     for (int number = 0; number < replicaCount; ++number) {
         replicas.push_back(startReplica(world, number, 1, 0));
     }
@@ -181,28 +219,36 @@
         lastBusy = running > 0 ? Clock::now() : lastBusy;
         const int first = listed(world, "job-1", 0);
         const int second = listed(world, "job-2", 1);
-        world.record.line("listed: job-1 " + std::to_string(first) + " of " + std::to_string(longItems) + ", job-2 " + std::to_string(second)
-                          + " of " + std::to_string(sharedItems) + "; running at replicas " + std::to_string(running));
+        world.record.line("listed: job-1 " + std::to_string(first) + " of " + std::to_string(longItems) + ", job-2 "
+                          + std::to_string(second) + " of " + std::to_string(sharedItems) + "; running at replicas "
+                          + std::to_string(running));
         if (first == longItems && second == sharedItems) {
             world.record.line("all items are listed");
             return 0;
         }
     }
-    const Reply note = call(world.nodes[0]->frontend, "POST", "/notes/1",
-                            {{"Host", "lots.example"}, {"X-Request-Id", "note-1"}, {"X-Deadline-Ms", "5000"}, {"X-Model", "m"},
-                             {"X-Token-Usage", "350,100"}, {"X-Prefix-Hash", "bb02:100,77f:250"}}, "q");
+    const Reply note = call(world.nodes[0]->frontend,
+                            "POST",
+                            "/notes/1",
+                            {{"Host", "lots.example"},
+                             {"X-Request-Id", "note-1"},
+                             {"X-Deadline-Ms", "5000"},
+                             {"X-Model", "m"},
+                             {"X-Token-Usage", "350,100"},
+                             {"X-Prefix-Hash", "bb02:100,77f:250"}},
+                            "q");
     world.record.line("an online request with the same shared part is answered " + std::to_string(note.message.status));
     const auto idle = std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - lastBusy).count();
     const auto since = std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - lastCrash).count();
     int unlisted = 0;
     for (std::size_t node = 0; node < world.nodes.size(); ++node) {
         const int found = listed(world, "job-2", node);
-        world.record.line("at the end, node-" + std::to_string(node + 1) + " lists " + std::to_string(found) + " of " + std::to_string(sharedItems)
-                          + " items of job-2");
+        world.record.line("at the end, node-" + std::to_string(node + 1) + " lists " + std::to_string(found) + " of "
+                          + std::to_string(sharedItems) + " items of job-2");
         unlisted = std::max(unlisted, found < 0 ? 0 : sharedItems - found);
     }
-    std::cout << unlisted << " items of an open job are unlisted " << since << " s after the last crash, all replicas idle for " << idle
-              << " s\n";
+    std::cout << unlisted << " items of an open job are unlisted " << since << " s after the last crash, all replicas idle for "
+              << idle << " s\n";
     return unlisted > 0 && idle >= 5 ? 1 : 2;
 }
 
--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -16,17 +16,37 @@
 
 Json batchRoute()
 {
-    return {{"name", "r-batch"}, {"host", "lots.example"}, {"prefix", "/lots-in/"}, {"routeKind", "batch"},
-            {"timeoutMs", 15000}, {"fullValueMs", 400}, {"priority", 2}, {"service", "llm"}, {"maxAttempts", 3},
-            {"sticky", true}, {"resumable", true}, {"gapTargetMs", 200}, {"completionTargetMs", 18000},
-            {"retentionS", retention.count()}, {"maxCount", 2200000}};
+    return {{"name", "r-batch"},
+            {"host", "lots.example"},
+            {"prefix", "/lots-in/"},
+            {"routeKind", "batch"},
+            {"timeoutMs", 15000},
+            {"fullValueMs", 400},
+            {"priority", 2},
+            {"service", "llm"},
+            {"maxAttempts", 3},
+            {"sticky", true},
+            {"resumable", true},
+            {"gapTargetMs", 200},
+            {"completionTargetMs", 18000},
+            {"retentionS", retention.count()},
+            {"maxCount", 2200000}};
 }
 
 Json streamRoute()
 {
-    return {{"name", "r-notes"}, {"host", "lots.example"}, {"prefix", "/notes/"}, {"routeKind", "streaming"},
-            {"timeoutMs", 5000}, {"fullValueMs", 300}, {"priority", 0}, {"service", "llm"}, {"maxAttempts", 2},
-            {"sticky", true}, {"resumable", true}, {"gapTargetMs", 200}};
+    return {{"name", "r-notes"},
+            {"host", "lots.example"},
+            {"prefix", "/notes/"},
+            {"routeKind", "streaming"},
+            {"timeoutMs", 5000},
+            {"fullValueMs", 300},
+            {"priority", 0},
+            {"service", "llm"},
+            {"maxAttempts", 2},
+            {"sticky", true},
+            {"resumable", true},
+            {"gapTargetMs", 200}};
 }
 
 Json configuration(int version, const Json &routes)
@@ -43,7 +63,8 @@
 {
     const std::string last = request.header("Last-Event-Id");
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
-    if (!connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + headers + "\r\n")) {
+    if (!connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + headers
+                         + "\r\n")) {
         return false;
     }
     for (int event = from; event <= events; ++event) {
@@ -99,16 +120,19 @@
     for (const auto &[item, state] : listing.states) {
         ++counts[state];
     }
-    return "completed " + std::to_string(counts["completed"]) + ", abandoned " + std::to_string(counts["abandoned"]) + ", unlisted "
-        + std::to_string(itemCount - int(listing.states.size())) + " of " + std::to_string(itemCount);
+    return "completed " + std::to_string(counts["completed"]) + ", abandoned " + std::to_string(counts["abandoned"])
+        + ", unlisted " + std::to_string(itemCount - int(listing.states.size())) + " of " + std::to_string(itemCount);
 }
 
 int play(World &world, bool isTroubled)
 {
     std::vector<Replica *> replicas;
     for (const std::string id : {"i-a1", "i-b2"}) {
-        replicas.push_back(new Replica(
-            world.ip(100 + int(replicas.size())), *world.store, world.record, Replica::Options{id, "llm", "zone-a", 4}, &runItem));
+        replicas.push_back(new Replica(world.ip(100 + int(replicas.size())),
+                                       *world.store,
+                                       world.record,
+                                       Replica::Options{id, "llm", "zone-a", 4},
+                                       &runItem));
     }
     world.configure(configuration(7, Json::array({streamRoute(), batchRoute()})));
     if (!world.startNodes(3)) {
@@ -120,10 +144,15 @@
     Json items = Json::array();
     for (int item = 0; item < itemCount; ++item) {
         const std::string id = "item-" + std::to_string(item);
-        items.push_back({{"id", id}, {"path", "/lots-in/3/" + id}, {"headers", {{"X-Model", "m"}, {"X-Token-Usage", "350,200"}}},
-                         {"body", encodeBase64("photo of " + id)}, {"tokens", 550}});
+        items.push_back({{"id", id},
+                         {"path", "/lots-in/3/" + id},
+                         {"headers", {{"X-Model", "m"}, {"X-Token-Usage", "350,200"}}},
+                         {"body", encodeBase64("photo of " + id)},
+                         {"tokens", 550}});
     }
-    const Reply submitted = call(world.nodes[0]->frontend, "POST", "/lots-in/job-1",
+    const Reply submitted = call(world.nodes[0]->frontend,
+                                 "POST",
+                                 "/lots-in/job-1",
                                  {{"Host", "lots.example"}, {"X-Request-Id", "job-1"}, {"Content-Type", "application/json"}},
                                  Json{{"requests", items}}.dump());
     const Time accepted = Clock::now();
--- a/review/standin/World.h
+++ b/review/standin/World.h
@@ -409,16 +409,17 @@
         const std::string id = request.header("X-Request-Id");
         if (this->running.fetch_add(1) >= this->options.slots) {
             --this->running;
-            return connection.send(response(503, "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nX-Server-Load: " + load + "\r\n", ""));
+            return connection.send(
+                response(503, "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nX-Server-Load: " + load + "\r\n", ""));
         }
         ++this->runs;
         this->record.line(this->options.id + " runs " + id + " " + request.method + " " + request.target
                           + (request.has("Last-Event-Id") ? " from event " + request.header("Last-Event-Id") : ""));
         const std::string signature = "sig." + this->options.id + "." + id;
-        const bool isKept = this->run(request,
-                                      connection,
-                                      "X-Request-Id: " + id + "\r\nX-Server-Signature: " + signature + "\r\nX-Server-Load: " + load
-                                          + "\r\n");
+        const bool isKept
+            = this->run(request,
+                        connection,
+                        "X-Request-Id: " + id + "\r\nX-Server-Signature: " + signature + "\r\nX-Server-Load: " + load + "\r\n");
         --this->running;
         return isKept;
     }
@@ -482,7 +483,8 @@
         return value->is_string() ? value->get<std::string>() : value->dump();
     }
 
-    static std::string render(const std::string &source, const std::vector<Json> &scopes, const std::string &index, const std::string &separator)
+    static std::string
+    render(const std::string &source, const std::vector<Json> &scopes, const std::string &index, const std::string &separator)
     {
         std::string result;
         std::size_t position = 0;
@@ -710,8 +712,7 @@
                 {"internalPorts", {base + 20, base + 35}},
                 {"seeds", seeds},
                 {"limits", {{"cpuShare", 0.5}, {"memoryMb", 280}, {"maxFds", 8200}}},
-                {"bounds",
-                 {{"graceS", 8}, {"configApplyMs", 2000}, {"statusS", 120}, {"cancelMs", 3000}, {"quotaOverrun", 0.1}}},
+                {"bounds", {{"graceS", 8}, {"configApplyMs", 2000}, {"statusS", 120}, {"cancelMs", 3000}, {"quotaOverrun", 0.1}}},
                 {"platform", {{"address", this->store->at().text()}, {"rowBytes", 65536}}}};
             this->names.push_back(name);
             this->nodes.push_back(std::make_unique<Node>(this->repository, this->folder, this->record, settings));
@@ -724,14 +725,13 @@
     void configure(const Json &configuration)
     {
         this->store->put("op", "config", configuration.dump());
-        this->record.line("operator: version " + configuration["version"].dump() + " acknowledged, routes "
-                          + [&configuration] {
-                                std::string list;
-                                for (const Json &route : configuration["routes"]) {
-                                    list += route["name"].get<std::string>() + " ";
-                                }
-                                return list;
-                            }());
+        this->record.line("operator: version " + configuration["version"].dump() + " acknowledged, routes " + [&configuration] {
+            std::string list;
+            for (const Json &route : configuration["routes"]) {
+                list += route["name"].get<std::string>() + " ";
+            }
+            return list;
+        }());
     }
 
     const std::string repository;
