--- a/review/1/Case.cpp
+++ b/review/1/Case.cc
@@ -1,6 +1,6 @@
 // Open connections to two sound replicas go silent once, and a batch job comes afterwards.
 // Usage: case1 REPOSITORY RECORD TROUBLE
-#include "../standin/World.h"
+#include "../standin/World.hpp"
 
 using namespace standin;
 
--- a/review/2/Case.cpp
+++ b/review/2/Case.cc
@@ -1,6 +1,6 @@
 // A replica that crashes as it begins to work, a few times in a row, under items of a batch job that share a part of their
 // prompts. Usage: case2 REPOSITORY RECORD TROUBLE
-#include "../standin/World.h"
+#include "../standin/World.hpp"
 
 using namespace standin;
 
--- a/review/3/Case.cpp
+++ b/review/3/Case.cc
@@ -1,6 +1,6 @@
 // An accepted batch job whose route the operator removes while most of its items wait.
 // Usage: case3 REPOSITORY RECORD TROUBLE
-#include "../standin/World.h"
+#include "../standin/World.hpp"
 
 using namespace standin;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/Case.cpp; do
+for source in review/*/Case.cc; do
     name=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -pthread -o "target/review/case$name" "$source"
 done
--- a/review/standin/World.h
+++ b/review/standin/World.hpp
@@ -1,7 +1,7 @@
 // Stand-ins of a small deployment: the platform's store, replicas, and nodes started with the command of the deploy file.
 #pragma once
 
-#include "Net.h"
+#include "Net.hpp"
 
 #include <nlohmann/json.hpp>
 
