Gateway: Log what an accepted item waits for

The log could not tell the possible causes apart: an item that waits for the dispatcher wrote nothing after it had left its last replica, one that is held gave the same reason for its own crashes and for a blocked part of its prompt, and one without a route wrote nothing at all.

No decision is changed.

--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -25,6 +25,15 @@
 constexpr std::chrono::milliseconds crashCheckInterval{2000};
 constexpr std::chrono::milliseconds maxIdleTime{10000};
 
+std::string namesOf(const std::vector<EndpointName> &replicas)
+{
+    std::string names;
+    for (const EndpointName &replica : replicas) {
+        names.append(names.empty() ? "" : ",").append(replica.value());
+    }
+    return names;
+}
+
 } // namespace
 
 ItemAttempt::ItemAttempt(GatewayContext &context, const JobItem &item, Origin origin, SteadyTime due, Hooks hooks)
@@ -106,14 +115,23 @@
     }
     const std::optional<Target> found = this->hooks.target();
     if (!found) {
-        this->requestPlacementLater();
+        this->waitForRoute();
         return;
     }
+    this->unroutedSince.reset();
     this->target = *found;
-    if (this->mustBeHeld()) {
-        this->hold();
+    if (const std::optional<std::string_view> reason = this->holdReason()) {
+        this->hold(*reason);
         return;
     }
+    if (!this->avoided.empty()) {
+        log(LogLevel::Info,
+            "batch item requests another replica",
+            {{"item", this->item.id.value()},
+             {"service", this->target.service.value()},
+             {"avoided", namesOf(this->avoided)},
+             {"version", this->version.value()}});
+    }
     PlacementQuery query;
     query.service = this->target.service;
     query.work = WorkClass::Batch;
@@ -133,23 +151,39 @@
     });
 }
 
-void ItemAttempt::hold()
+void ItemAttempt::waitForRoute()
+{
+    if (!this->unroutedSince) {
+        this->unroutedSince = this->context.clock.now();
+        log(LogLevel::Info, "batch item has no route", {{"job", this->origin.job.value()}, {"item", this->item.id.value()}});
+        this->context.metrics.countEvent("batch item without a route");
+    }
+    this->requestPlacementLater();
+}
+
+void ItemAttempt::hold(std::string_view reason)
 {
     this->context.metrics.countEvent("batch item held");
     log(LogLevel::Info,
         "batch item held",
         {{"item", this->item.id.value()},
          {"fingerprint", std::to_string(this->fingerprint)},
-         {"reason", "its replicas crashed"}});
+         {"crashes", static_cast<std::int64_t>(this->context.crashHistory.crashCount(this->fingerprint))},
+         {"reason", std::string(reason)}});
     this->retryTimer = this->context.loop.schedule(crashCheckInterval, [self = this->shared_from_this()] {
         self->requestPlacement();
     });
 }
 
-bool ItemAttempt::mustBeHeld() const
+std::optional<std::string_view> ItemAttempt::holdReason() const
 {
-    return this->context.crashHistory.isHeld(this->fingerprint)
-        || this->context.promptPartBlocklist.isBlocked(promptParts(this->target.service, this->sharedParts));
+    if (this->context.crashHistory.isHeld(this->fingerprint)) {
+        return "its replicas crashed";
+    }
+    if (this->context.promptPartBlocklist.isBlocked(promptParts(this->target.service, this->sharedParts))) {
+        return "replicas crashed under a part of its prompt";
+    }
+    return std::nullopt;
 }
 
 std::uint64_t ItemAttempt::eventsOfRun() const
@@ -242,9 +276,9 @@
                                 "the replica is no longer listed, or is leaving, or the route has another service");
         return;
     }
-    if (this->mustBeHeld()) {
+    if (const std::optional<std::string_view> reason = this->holdReason()) {
         this->leaveReplica(PlacementVerdict::Finished);
-        this->hold();
+        this->hold(*reason);
         return;
     }
     this->send(*found, age);
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -77,9 +78,10 @@
 private:
     void requestPlacement();
     void requestPlacementLater();
-    void hold();
-    /** @return whether the item must not be sent now, because replicas crash when they run it or a part of its prompt. */
-    bool mustBeHeld() const;
+    void waitForRoute();
+    void hold(std::string_view reason);
+    /** @return why the item must not be sent now, because replicas crash when they run it or a part of its prompt; or nothing. */
+    std::optional<std::string_view> holdReason() const;
     std::uint64_t eventsOfRun() const;
     void recordLostConnection();
     void confirmBeforeRequest();
@@ -111,6 +113,8 @@
     /** Whether it was recorded that a replica has served the prompt. */
     bool isPromptServed = false;
     Target target;
+    /** Since when the configuration has no route for the item; nothing if it has one. */
+    std::optional<SteadyTime> unroutedSince;
     std::vector<EndpointName> avoided;
     PlacementClient::Ticket ticket = 0;
     std::optional<ServingReplica> replica;
