Dispatch: Let requests use replicas that failed them if there is no other

An idempotent online request that failed once at the only replica of its service waited until its deadline and got 504.

Cause: a request lists the replicas that rejected or failed it. The dispatcher and LocalPlacement never selected one of these. The list is cleared only when an attempt ends well, so where it covers the service the request can't leave this state.

Change: the list is a preference. The dispatcher drops it for a request when no other replica accepts requests, or when none had a free slot for 5 s. LocalPlacement selects an avoided replica if there is no other and its circuit breaker lets a request through. Without that condition a request used up its attempts at once at a replica that had just crashed: tried, two cases of TestRepeatedCrashes failed, not kept.

Looked at for the same cause: online beside batch (the same list, fixed by the same change); placement without a dispatcher; services that are not dispatched; takeover of a job (a new run has an empty list); a request that needs a version (refused at once when all its replicas failed it, left); the product's own interface (refuses at once, left).

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Log.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -27,6 +28,8 @@
  * more.
  */
 constexpr std::chrono::milliseconds unknownSlack{1000};
+/** A request that has found no free slot elsewhere for this time no longer avoids the replicas that failed it. */
+constexpr std::chrono::seconds maxAvoidance{5};
 /** Interval of the cleanup of expired requests and placements; several times shorter than the retention times. */
 constexpr std::chrono::milliseconds cleanupInterval{100};
 
@@ -170,19 +173,37 @@
     }
 }
 
-bool Dispatcher::isVersionServed(const PlacementRequest &request) const
+bool Dispatcher::isAnyReplicaPreferred(const PlacementRequest &request) const
 {
-    if (request.version.value().empty()) {
-        return true;
-    }
-    const auto open = this->openVersions.find(request.version);
+    const auto accepting
+        = std::accumulate(this->openVersions.begin(), this->openVersions.end(), 0, [&request](int sum, const auto &open) {
+              return sum + (request.acceptsVersion(open.first) ? open.second : 0);
+          });
     const std::set<EndpointName> avoided(request.avoided.begin(), request.avoided.end());
-    const auto unusable = std::ranges::count_if(avoided, [this, &request](const EndpointName &instance) {
+    const auto acceptingAvoided = std::ranges::count_if(avoided, [this, &request](const EndpointName &instance) {
         const auto found = this->replicas.find(instance);
         return found != this->replicas.end() && !found->second.traits.isDraining
-            && found->second.traits.version == request.version;
+            && request.acceptsVersion(found->second.traits.version);
     });
-    return open != this->openVersions.end() && open->second > unusable;
+    return accepting > acceptingAvoided;
+}
+
+bool Dispatcher::isVersionServed(const PlacementRequest &request) const
+{
+    return request.version.value().empty() || this->isAnyReplicaPreferred(request);
+}
+
+PlacementRequest Dispatcher::placeable(const WaitingQueue::Waiting &waiting) const
+{
+    PlacementRequest request = waiting.request;
+    if (request.avoided.empty()) {
+        return request;
+    }
+    const bool hasWaitedLong = this->clock.now() - waiting.added >= maxAvoidance;
+    if (hasWaitedLong || !this->isAnyReplicaPreferred(request)) {
+        request.avoided.clear();
+    }
+    return request;
 }
 
 void Dispatcher::refuseUnserved()
@@ -385,7 +406,7 @@
             ++next;
             continue;
         }
-        const PlacementRequest request = next->second.request;
+        const PlacementRequest request = this->placeable(next->second);
         if (this->waiting.demoteIfLate(request.id)) {
             // It has become late since the last check, so it moves behind those on time and is reached again there.
             next = queue.upper_bound(key);
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -157,8 +157,12 @@
     /** @return the batch item to stop in favour of an online request, or null. */
     Placement *victimFor(const PlacementRequest &request);
     void place(const PlacementRequest &request, DispatchedReplica &replica);
-    /** @return whether a replica that accepts requests has the version that the request needs, if it needs one. */
+    /** @return whether a replica accepts requests, has the version that the request needs, and is not avoided by it. */
+    bool isAnyReplicaPreferred(const PlacementRequest &request) const;
+    /** @return whether the request needs no version, or a replica that it does not avoid has it. */
     bool isVersionServed(const PlacementRequest &request) const;
+    /** @return a waiting request, without the replicas that it avoids if there is no other, or none had a free slot for long. */
+    PlacementRequest placeable(const WaitingQueue::Waiting &waiting) const;
     /** Refuses waiting requests whose version no replica has. */
     void refuseUnserved();
     void refuseRequest(const PlacementRequest &request, std::chrono::nanoseconds retryAfter);
--- a/Libraries/LibDispatch/LocalPlacement.cpp
+++ b/Libraries/LibDispatch/LocalPlacement.cpp
@@ -14,8 +14,10 @@
 constexpr double crossDomainPenalty = 0.5;
 /** Bonus for an open connection, in requests. */
 constexpr double connectionBonus = 0.6;
-/** A blocked replica is selected only if all are blocked: an attempt is better than no answer. */
+/** A blocked replica is selected only if all others are blocked: an attempt is better than no answer. */
 constexpr double blockedPenalty = 1000;
+/** A replica that failed the request is selected only if there is no other. */
+constexpr double avoidedPenalty = 1e6;
 
 } // namespace
 
@@ -47,14 +49,19 @@
     double bestScore = 0;
     std::uniform_real_distribution<double> tieBreak(0, 0.25);
     for (const auto &[instance, replica] : this->replicas) {
-        if (replica.traits.isDraining || request.avoids(instance) || !request.acceptsVersion(replica.traits.version)) {
+        if (replica.traits.isDraining || !request.acceptsVersion(replica.traits.version)) {
             continue;
         }
         const bool maySend = replica.breaker.maySend(this->clock.now());
+        const bool isAvoided = request.avoids(instance);
+        if (isAvoided && !maySend) {
+            // The request would fail there again at once, and run out of attempts.
+            continue;
+        }
         const double domainPenalty = replica.traits.failureDomain == ownDomain ? 0 : crossDomainPenalty;
         const double bonus = request.isConnectedTo(replica.nameHash) ? connectionBonus : 0;
         const double load = (replica.running + domainPenalty - bonus + tieBreak(this->random)) / replica.traits.slots;
-        const double score = load + (maySend ? 0 : blockedPenalty);
+        const double score = load + (maySend ? 0 : blockedPenalty) + (isAvoided ? avoidedPenalty : 0);
         if (!best || score < bestScore) {
             best = instance;
             bestScore = score;
--- a/Libraries/LibDispatch/PlacementTypes.h
+++ b/Libraries/LibDispatch/PlacementTypes.h
@@ -52,7 +52,7 @@
     std::uint64_t content = 0;
     /** Whether it may be refused: only a request that was never sent to a replica. */
     bool mayRefuse = false;
-    /** Replicas that rejected it or failed while serving it. */
+    /** Replicas that rejected it or failed while serving it. Others are preferred, but where there are none, these are used. */
     std::vector<EndpointName> avoided;
     /** Name hashes of the replicas to which its node has a usable open connection. */
     std::vector<std::uint32_t> connected;
--- a/Libraries/LibDispatch/WaitingQueue.cpp
+++ b/Libraries/LibDispatch/WaitingQueue.cpp
@@ -57,7 +57,7 @@
 {
     this->remove(request.id);
     this->isAnyWorkspaceSeen = this->isAnyWorkspaceSeen || !request.workspace.value().empty();
-    Waiting waiting{request, lastRequested};
+    Waiting waiting{request, lastRequested, this->clock.now()};
     if (this->isShared()) {
         const bool hasWeight = request.weight > 0 && !request.workspace.value().empty();
         waiting.request.cost = std::max<std::uint32_t>(request.cost, 1);
--- a/Libraries/LibDispatch/WaitingQueue.h
+++ b/Libraries/LibDispatch/WaitingQueue.h
@@ -32,6 +32,8 @@
         PlacementRequest request;
         /** When its node last sent the request. */
         SteadyTime lastRequested{};
+        /** When it was added to the queue. */
+        SteadyTime added{};
         /** See WorkspaceShares; 0 if slots are not shared between workspaces. */
         double startTag = 0;
         /** The virtual time when it was added. */
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -187,6 +187,52 @@
     CHECK(fixture.placed[13] != unreachable);
 }
 
+// A connection to each replica of a service went silent once. A request that avoided all of them would never be sent again.
+TEST_CASE("a request that failed at every replica that accepts requests is placed at one of them again")
+{
+    for (const WorkClass work : {WorkClass::Online, WorkClass::Batch}) {
+        DispatcherFixture fixture(3);
+        PlacementRequest request = fixture.request(1, work);
+        request.avoided = {fixture.replicas[0].instance, fixture.replicas[1].instance};
+        fixture.dispatcher.submit(request);
+        CHECK(fixture.placed[1] == fixture.replicas[2].instance);
+        fixture.replicas[2].isDraining = true;
+        fixture.dispatcher.setReplicas(fixture.replicas);
+        request.id.number = 2;
+        fixture.dispatcher.submit(request);
+        fixture.advanceAndTick(std::chrono::milliseconds(300));
+        CHECK(fixture.isPlaced(2));
+        CHECK(fixture.placed[2] != fixture.replicas[2].instance);
+    }
+}
+
+// The only other replica stays full with long runs, while the replica that failed the item once is idle again.
+TEST_CASE("a request that found no slot elsewhere for seconds is placed at a replica that failed it")
+{
+    DispatcherFixture fixture(2);
+    const EndpointName failed = fixture.replicas[0].instance;
+    for (const std::uint64_t number : {1, 2}) {
+        PlacementRequest online = fixture.request(number);
+        online.avoided = {failed};
+        fixture.dispatcher.submit(online);
+        REQUIRE(fixture.placed[number] == fixture.replicas[1].instance);
+    }
+    PlacementRequest item = fixture.request(3, WorkClass::Batch);
+    item.avoided = {failed};
+    const auto waitFor = [&fixture, &item](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            fixture.dispatcher.submit(item);
+            fixture.dispatcher.reconcile(
+                SessionNumber(1), 3, {{1, fixture.replicas[1].instance, false}, {2, fixture.replicas[1].instance, false}});
+            fixture.advanceAndTick(std::chrono::seconds(1));
+        }
+    };
+    waitFor(4);
+    CHECK_FALSE(fixture.isPlaced(3));
+    waitFor(2);
+    CHECK(fixture.placed[3] == failed);
+}
+
 // The datagram with a request's end is lost. Without the node's next report the slot would stay in use for ever.
 TEST_CASE("a report corrects the effect of lost datagrams")
 {
