Gateway: Let one batch item at a time test a blocked part of prompts

Cause: PromptPartBlocklist blocks a part for two minutes after the last crash that it explains. Only a served prompt ends the block earlier, and the block kept every prompt with the part from being served. Ruled out: a hold for the items' own crashes; a block that was right (all items ran once let through).

Change: 5 s after the last crash, and after its own last test, a node lets one item with a blocked part through. A served prompt unblocks the part everywhere, a crash holds the others again. Online requests are refused as before, so requests that crash replicas are still stopped after few crashes. Two smaller faults of the kind, found with the tests: an item reported only once, for all its runs, that its prompt was served, and never if its last run brought a single event; OnlineCall had the first as well.

--- a/Libraries/LibGateway/PromptPartBlocklist.h
+++ b/Libraries/LibGateway/PromptPartBlocklist.h
@@ -34,6 +34,8 @@
  * blocked once it explains several crashes at separate times since a prompt with it was last served. Crashes that a blocked part
  * explains are not attributed to other parts. Among parts that explain equally many crashes, the one served least recently, or
  * never, is blocked; then the one that is later in the prompt.
+ *
+ * Crashes with another cause may block a valid part. Batch items are owed, so they test a blocked part one at a time.
  */
 class PromptPartBlocklist
 {
@@ -56,6 +58,15 @@
     /** @return whether a request with these parts must not be sent to a replica. */
     bool isBlocked(const std::vector<PromptPart> &parts) const;
 
+    /**
+     * @return whether a batch item with these parts may be sent to a replica. If one of them is blocked, the item tests it, and a
+     * run that is served unblocks it. On each node one item at a time tests a part, some seconds after its last crash.
+     */
+    bool mayTest(const std::vector<PromptPart> &parts) const;
+
+    /** Records that an item with these parts is sent to a replica. */
+    void recordTest(const std::vector<PromptPart> &parts);
+
     /** A blocked part, as nodes exchange it. */
     struct BlockedPart
     {
@@ -90,6 +101,8 @@
         /** Time of the last crash that the part explains. */
         SteadyTime lastCrash{};
         std::uint32_t times = 0;
+        /** When this node last sent an item to test the part. */
+        SteadyTime lastTest{};
     };
 
     /** A part that may cause crashes, and the evidence against it. */
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -180,12 +180,32 @@
     if (this->context.crashHistory.isHeld(this->fingerprint)) {
         return "its replicas crashed";
     }
-    if (this->context.promptPartBlocklist.isBlocked(promptParts(this->target.service, this->sharedParts))) {
+    if (!this->context.promptPartBlocklist.mayTest(promptParts(this->target.service, this->sharedParts))) {
         return "replicas crashed under a part of its prompt";
     }
     return std::nullopt;
 }
 
+void ItemAttempt::recordTest()
+{
+    const std::vector<PromptPart> parts = promptParts(this->target.service, this->sharedParts);
+    if (!this->context.promptPartBlocklist.isBlocked(parts)) {
+        return;
+    }
+    this->context.promptPartBlocklist.recordTest(parts);
+    this->context.metrics.countEvent("blocked part of prompts tested");
+    log(LogLevel::Info,
+        "batch item tests a blocked part of its prompt",
+        {{"item", this->item.id.value()}, {"replica", this->replica->instance.value()}});
+}
+
+void ItemAttempt::recordPromptServed()
+{
+    if (!std::exchange(this->isPromptServed, true)) {
+        this->context.recordPromptServed(promptParts(this->target.service, this->sharedParts));
+    }
+}
+
 std::uint64_t ItemAttempt::eventsOfRun() const
 {
     return this->lastEvent.value_or(0) - this->run.after;
@@ -287,6 +307,8 @@
 void ItemAttempt::send(const ServingReplica &replica, std::chrono::milliseconds confirmedAge)
 {
     this->replica = replica;
+    this->isPromptServed = false;
+    this->recordTest();
     this->sentAt = this->context.clock.now();
     this->measurement.start(this->sentAt);
     this->run
@@ -361,8 +383,8 @@
         this->lastEvent = event.id;
     }
     this->measurement.recordEvents(static_cast<std::uint32_t>(events.size()), this->context.clock.now());
-    if (this->eventsOfRun() >= minEventsOfServedPrompt && !std::exchange(this->isPromptServed, true)) {
-        this->context.recordPromptServed(promptParts(this->target.service, this->sharedParts));
+    if (this->eventsOfRun() >= minEventsOfServedPrompt) {
+        this->recordPromptServed();
     }
     if (this->output.size() > this->context.answerBytes) {
         this->cutOutput();
@@ -459,6 +481,8 @@
 void ItemAttempt::finish(End end)
 {
     this->leaveReplica(PlacementVerdict::Finished);
+    // The rest of an item may be a single event.
+    this->recordPromptServed();
     if (end == End::Completed) {
         this->context.recordRequestServed(this->fingerprint);
         this->context.itemEstimates[this->target.service].recordCompleted(this->lastEvent.value_or(0));
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -82,6 +82,9 @@
     void hold(std::string_view reason);
     /** @return why the item must not be sent now, because replicas crash when they run it or a part of its prompt; or nothing. */
     std::optional<std::string_view> holdReason() const;
+    /** Records that the item tests the blocked parts of its prompt, if there are any. */
+    void recordTest();
+    void recordPromptServed();
     std::uint64_t eventsOfRun() const;
     void recordLostConnection();
     void confirmBeforeRequest();
@@ -110,7 +113,7 @@
     std::uint32_t cost = 0;
     /** Parts of the prompt that other requests may contain too. */
     std::vector<std::string> sharedParts;
-    /** Whether it was recorded that a replica has served the prompt. */
+    /** Whether it was recorded that the replica of this run has served the prompt. */
     bool isPromptServed = false;
     Target target;
     /** Since when the configuration has no route for the item; nothing if it has one. */
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -370,6 +370,7 @@
 {
     this->stopWaiting();
     this->replica = replica;
+    this->isPromptServed = false;
     this->version = replica.version;
     this->stage = Stage::Sending;
     this->sent = this->now();
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -146,7 +146,7 @@
     std::uint32_t eventsForwarded = 0;
     /** Those of them that were forwarded before the last attempt. */
     std::uint32_t eventsBeforeAttempt = 0;
-    /** Whether it was recorded that a replica has served the prompt. */
+    /** Whether it was recorded that the replica of this attempt has served the prompt. */
     bool isPromptServed = false;
     TimerId deadlineTimer = 0;
     TimerId listTimer = 0;
--- a/Tests/LibGateway/TestPromptPartBlocklist.cpp
+++ b/Tests/LibGateway/TestPromptPartBlocklist.cpp
@@ -221,6 +221,28 @@
     CHECK_FALSE(late.blocklist.isBlocked({bad}));
 }
 
+// A block that nothing may test ends only by time, although replicas are idle and the items are owed.
+TEST_CASE("a blocked part may be tested by one item at a time, some seconds after its last crash")
+{
+    Bench bench;
+    for (int crash = 0; crash < crashesToBlock; ++crash) {
+        bench.crash({{first, bad}});
+    }
+    CHECK_FALSE(bench.blocklist.mayTest({first, bad}));
+    CHECK(bench.blocklist.mayTest({first, other}));
+    bench.clock.advance(std::chrono::seconds(5));
+    CHECK(bench.blocklist.mayTest({first, bad}));
+    CHECK(bench.blocklist.isBlocked({first, bad}));
+    bench.blocklist.recordTest({first, bad});
+    CHECK_FALSE(bench.blocklist.mayTest({first, bad}));
+    bench.clock.advance(std::chrono::seconds(4));
+    bench.crash({{first, bad}});
+    bench.clock.advance(std::chrono::seconds(4));
+    CHECK_FALSE(bench.blocklist.mayTest({first, bad}));
+    bench.clock.advance(std::chrono::seconds(1));
+    CHECK(bench.blocklist.mayTest({first, bad}));
+}
+
 // Requests of all kinds run while one part crashes replicas at random times; some crashes show no request with the part.
 TEST_CASE("among many parts, only the one that crashes replicas is blocked")
 {
