Gateway: Give up items whose route was removed

The 8 of 24 items that waited were neither run nor listed, also after finishS and retentionS, and the job never ended.

Cause: an item without a route waits for one, and the limits that could end it (retention, attempts) are read from the removed route. Ruled out: items left at the dispatcher (not here; shown to be possible by a test), a run that ended with the route.

Change: an item for whose path no batch route exists, and whose job's route is gone too, is given up after 5 s; nothing of it runs meanwhile, and what runs is completed. Without any configuration nothing is given up. Found on related paths and fixed with it: - an item that waited for a slot read the configuration again only when it got one: for ever at a service without replicas, also when the route had moved to another service.

Looked at: takeover by a node that never saw the route, reload, kind of a route changed, a route without a service, online calls, calls on jobs. Weighed and left: limits in the job's head (nodes of two versions would have to read each other's heads).

--- a/Libraries/LibGateway/ServingConfiguration.cpp
+++ b/Libraries/LibGateway/ServingConfiguration.cpp
@@ -18,9 +18,17 @@
     return best;
 }
 
-const Route *ServingConfiguration::findRoute(std::string_view name) const
+const Route *ServingConfiguration::findBatchRoute(std::string_view host, std::string_view path) const
 {
-    const auto found = std::ranges::find(this->routes, name, &Route::name);
+    const Route *const route = this->findRoute(host, path);
+    return route != nullptr && route->kind == RouteKind::Batch ? route : nullptr;
+}
+
+const Route *ServingConfiguration::findBatchRoute(std::string_view name) const
+{
+    const auto found = std::ranges::find_if(this->routes, [name](const Route &route) {
+        return route.name == name && route.kind == RouteKind::Batch;
+    });
     return found != this->routes.end() ? &*found : nullptr;
 }
 
--- a/Libraries/LibGateway/ServingConfiguration.h
+++ b/Libraries/LibGateway/ServingConfiguration.h
@@ -119,8 +119,11 @@
     /** @return the route of the host with the longest prefix of the path, or null. */
     const Route *findRoute(std::string_view host, std::string_view path) const;
 
-    /** @return the route with that name, or null. */
-    const Route *findRoute(std::string_view name) const;
+    /** @return the route that findRoute() returns, if it is one of batch jobs, or null. */
+    const Route *findBatchRoute(std::string_view host, std::string_view path) const;
+
+    /** @return the route of batch jobs with that name, or null. */
+    const Route *findBatchRoute(std::string_view name) const;
 
     /** @return the service with that name, or null. */
     const Service *findService(const ServiceName &name) const;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -24,6 +24,8 @@
 /** Interval between checks of an item that is held because the replicas that run it crash. */
 constexpr std::chrono::milliseconds crashCheckInterval{2000};
 constexpr std::chrono::milliseconds maxIdleTime{10000};
+/** An item whose route is removed is given up after this time: versions in quick succession may lack the route only briefly. */
+constexpr std::chrono::seconds removedRouteGrace{5};
 
 std::string namesOf(const std::vector<EndpointName> &replicas)
 {
@@ -113,13 +115,13 @@
         this->confirmBeforeRequest();
         return;
     }
-    const std::optional<Target> found = this->hooks.target();
-    if (!found) {
-        this->waitForRoute();
+    const Routing routing = this->hooks.routing();
+    if (!routing.target) {
+        this->waitForRoute(routing);
         return;
     }
     this->unroutedSince.reset();
-    this->target = *found;
+    this->target = *routing.target;
     if (const std::optional<std::string_view> reason = this->holdReason()) {
         this->hold(*reason);
         return;
@@ -151,13 +153,39 @@
     });
 }
 
-void ItemAttempt::waitForRoute()
+void ItemAttempt::waitForRoute(const Routing &routing)
 {
-    if (!this->unroutedSince) {
-        this->unroutedSince = this->context.clock.now();
+    const SteadyTime now = this->context.clock.now();
+    if (!routing.isRemoved) {
+        this->unroutedSince.reset();
+    } else if (!this->unroutedSince) {
+        this->unroutedSince = now;
         log(LogLevel::Info, "batch item has no route", {{"job", this->origin.job.value()}, {"item", this->item.id.value()}});
         this->context.metrics.countEvent("batch item without a route");
+    } else if (now - *this->unroutedSince >= removedRouteGrace) {
+        this->leaveReplica(PlacementVerdict::Finished);
+        this->end(End::Unrouted);
+        return;
+    }
+    this->requestPlacementLater();
+}
+
+void ItemAttempt::handleConfigurationChange()
+{
+    const bool isWaitingForSlot = !this->isOver && this->ticket != 0 && !this->replica;
+    if (!isWaitingForSlot) {
+        return;
     }
+    const Routing routing = this->hooks.routing();
+    if (routing.target && routing.target->service == this->target.service) {
+        return;
+    }
+    log(LogLevel::Info,
+        "batch item no longer waits for its service",
+        {{"item", this->item.id.value()},
+         {"service", this->target.service.value()},
+         {"next_service", routing.target ? routing.target->service.value() : std::string()}});
+    this->leaveReplica(PlacementVerdict::Finished);
     this->requestPlacementLater();
 }
 
@@ -290,7 +318,7 @@
 void ItemAttempt::handleConfirmation(const Placement &placement, std::chrono::milliseconds age)
 {
     const std::optional<ServingReplica> found = this->context.replicaList.resolve(placedReplica(placement, this->target.service));
-    const std::optional<Target> current = this->hooks.target();
+    const std::optional<Target> current = this->hooks.routing().target;
     if (!found || !current || current->service != this->target.service) {
         this->continueElsewhere(PlacementVerdict::Finished,
                                 "the replica is no longer listed, or is leaving, or the route has another service");
@@ -487,6 +515,12 @@
         this->context.recordRequestServed(this->fingerprint);
         this->context.itemEstimates[this->target.service].recordCompleted(this->lastEvent.value_or(0));
     }
+    this->end(end);
+}
+
+void ItemAttempt::end(End end)
+{
+    // The handler may restart or cancel this attempt.
     const std::function<void(End, std::string)> ended = this->hooks.ended;
     ended(end, std::move(this->output));
 }
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -31,6 +31,8 @@
         Failed,
         /** A replica reported that the item can never be processed. */
         Impossible,
+        /** The configuration has had no route for the item for some seconds. */
+        Unrouted,
     };
 
     /** The service that runs items of the job, by the configuration in force. */
@@ -43,6 +45,15 @@
         double weight = 1;
     };
 
+    /** The route of an item by the configuration in force. */
+    struct Routing
+    {
+        /** Where the item is to run; nothing if that is not known at present. */
+        std::optional<Target> target;
+        /** Whether neither the job's route nor another one for the item exists any more. */
+        bool isRemoved = false;
+    };
+
     /** Properties that all items of a job share. */
     struct Origin
     {
@@ -54,8 +65,7 @@
 
     struct Hooks
     {
-        /** @return the target by the configuration in force, or nothing if there is none at present. */
-        std::function<std::optional<Target>()> target;
+        std::function<Routing()> routing;
         std::function<void(End, std::string output)> ended;
         /** Confirms with the store that the job is open. */
         std::function<void(OpenConfirmation::Callback)> confirmOpen;
@@ -72,13 +82,17 @@
     /** @return the output received since the last call, to be stored; nothing if there is none. */
     std::optional<ItemProgress> takeProgress(std::uint32_t number);
 
+    /** Requests a slot anew if the item waits for one at a service that is no longer its target. */
+    void handleConfigurationChange();
+
     /** Stops at once; no hook is called any more. */
     void cancel();
 
 private:
     void requestPlacement();
     void requestPlacementLater();
-    void waitForRoute();
+    /** Waits until there is a target, or ends the attempt if the route has been removed for some seconds. */
+    void waitForRoute(const Routing &routing);
     void hold(std::string_view reason);
     /** @return why the item must not be sent now, because replicas crash when they run it or a part of its prompt; or nothing. */
     std::optional<std::string_view> holdReason() const;
@@ -101,7 +115,9 @@
     void leaveReplica(PlacementVerdict verdict);
     void continueElsewhere(PlacementVerdict verdict, std::string_view reason);
     void armResponseTimer();
+    /** Ends the attempt after an answer of the replica. */
     void finish(End end);
+    void end(End end);
 
     GatewayContext &context;
     const JobItem item;
@@ -116,7 +132,7 @@
     /** Whether it was recorded that the replica of this run has served the prompt. */
     bool isPromptServed = false;
     Target target;
-    /** Since when the configuration has no route for the item; nothing if it has one. */
+    /** Since when the configuration has no route for the item; nothing if it has one, or is not known. */
     std::optional<SteadyTime> unroutedSince;
     std::vector<EndpointName> avoided;
     PlacementClient::Ticket ticket = 0;
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds minRetry{50};
 constexpr std::chrono::milliseconds maxRetry{400};
 constexpr std::chrono::milliseconds loadRetry{200};
-constexpr std::chrono::milliseconds retentionCheckInterval{1000};
+constexpr std::chrono::milliseconds checkInterval{1000};
 /** An item runs for some seconds; if its node is lost, at most this much of its output must be generated again. */
 constexpr std::chrono::milliseconds progressInterval{1000};
 constexpr std::chrono::milliseconds takeoverDelay{100};
@@ -79,7 +79,7 @@
             self->readProgress();
         });
     }
-    this->checkRetention();
+    this->checkItems();
     this->saveProgressPeriodically();
 }
 
@@ -134,7 +134,7 @@
          {"reason", std::string(toString(end))},
          {"open_items", static_cast<std::int64_t>(this->open.size())}});
     this->context.loop.cancel(std::exchange(this->timer, 0));
-    this->context.loop.cancel(std::exchange(this->retentionTimer, 0));
+    this->context.loop.cancel(std::exchange(this->checkTimer, 0));
     this->context.loop.cancel(std::exchange(this->progressTimer, 0));
     this->confirmation.cancel();
     this->stopAll();
@@ -240,13 +240,16 @@
 void JobRun::startItem(std::uint32_t number)
 {
     const JobItem &item = this->items[number];
-    const SteadyTime due = this->context.clock.now() + this->completionTarget() - this->age();
+    const Route *const limits = this->limitingRoute(number);
+    const auto completionTarget = limits != nullptr ? limits->completionTarget : std::chrono::milliseconds(0);
+    const SteadyTime due = this->context.clock.now() + completionTarget - this->age();
     const std::weak_ptr<JobRun> self = this->weak_from_this();
     ItemAttempt::Hooks hooks{
-        .target = [self, path = item.target]() -> std::optional<ItemAttempt::Target> {
-            const std::shared_ptr<JobRun> run = self.lock();
-            return run && !run->isOver ? run->hooks.target(run->ledger.head(), path) : std::nullopt;
-        },
+        .routing =
+            [self, target = item.target] {
+                const std::shared_ptr<JobRun> run = self.lock();
+                return run && !run->isOver ? run->hooks.routing(run->ledger.head(), target) : ItemAttempt::Routing();
+            },
         .ended =
             [self, number](ItemAttempt::End end, std::string output) {
                 const std::shared_ptr<JobRun> run = self.lock();
@@ -277,10 +280,9 @@
     return this->context.storeClock.now().value_or(submitted) - submitted;
 }
 
-std::chrono::milliseconds JobRun::completionTarget() const
+const Route *JobRun::limitingRoute(std::uint32_t number) const
 {
-    const Route *const route = this->hooks.route(this->ledger.head().route);
-    return route != nullptr ? route->completionTarget : std::chrono::milliseconds(0);
+    return this->hooks.limitingRoute(this->ledger.head(), this->items[number].target);
 }
 
 void JobRun::handleItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output)
@@ -298,6 +300,9 @@
     case ItemAttempt::End::Failed:
         this->handleItemFailure(number);
         return;
+    case ItemAttempt::End::Unrouted:
+        this->abandon(number, "its route was removed");
+        return;
     }
 }
 
@@ -305,8 +310,8 @@
 {
     // Failures are written to the store, so that another runner continues their count.
     const std::uint32_t failed = this->ledger.recordFailure(number);
-    const Route *const route = this->hooks.route(this->ledger.head().route);
-    if (route != nullptr && failed >= route->maxAttempts) {
+    const Route *const limits = this->limitingRoute(number);
+    if (limits != nullptr && failed >= limits->maxAttempts) {
         this->abandon(number, "it reached the max attempts of its route");
         return;
     }
@@ -332,20 +337,37 @@
     this->writeSoon();
 }
 
-void JobRun::checkRetention()
+void JobRun::checkItems()
 {
-    const Route *const route = this->isLoaded ? this->hooks.route(this->ledger.head().route) : nullptr;
-    const bool isKnown = route != nullptr && route->retention.count() > 0;
-    if (isKnown && this->age() > route->retention) {
-        while (!this->open.empty()) {
-            this->abandon(this->open.begin()->first, "its retention has ended");
+    if (std::exchange(this->checkedVersion, this->hooks.configurationVersion()) != this->checkedVersion) {
+        for (const auto &[number, item] : this->open) {
+            item.attempt->handleConfigurationChange();
         }
     }
-    this->retentionTimer = this->context.loop.schedule(retentionCheckInterval, [self = this->shared_from_this()] {
-        self->checkRetention();
+    this->abandonExpired();
+    this->checkTimer = this->context.loop.schedule(checkInterval, [self = this->shared_from_this()] {
+        self->checkItems();
     });
 }
 
+void JobRun::abandonExpired()
+{
+    if (!this->isLoaded) {
+        return;
+    }
+    std::vector<std::uint32_t> expired;
+    for (const auto &[number, item] : this->open) {
+        const Route *const limits = this->limitingRoute(number);
+        const bool isLimited = limits != nullptr && limits->retention.count() > 0;
+        if (isLimited && this->age() > limits->retention) {
+            expired.push_back(number);
+        }
+    }
+    for (const std::uint32_t number : expired) {
+        this->abandon(number, "its retention has ended");
+    }
+}
+
 void JobRun::writeSoon()
 {
     if (this->isBusyWithStore || std::exchange(this->isWriteScheduled, true)) {
--- a/Services/Gateway/JobRun.h
+++ b/Services/Gateway/JobRun.h
@@ -48,10 +48,13 @@
     {
         /** @return the current session number of this node. */
         std::function<SessionNumber()> self;
-        /** @return the target of an item of the job, by the configuration in force. */
-        std::function<std::optional<ItemAttempt::Target>(const JobHead &job, const std::string &target)> target;
-        /** @return the route of the job, or null if it was removed. */
-        std::function<const Route *(const std::string &name)> route;
+        /** @return the version of the configuration in force; 0 if there is none. */
+        std::function<std::uint64_t()> configurationVersion;
+        /** @return the route of an item of the job, which has a path and query, by the configuration in force. */
+        std::function<ItemAttempt::Routing(const JobHead &job, const std::string &target)> routing;
+        /** @return the route whose limits apply to an item: that of the job, or, if it was removed, the one for the item's path;
+         * or null. */
+        std::function<const Route *(const JobHead &job, const std::string &target)> limitingRoute;
         /** Called when the run has ended by itself. */
         std::function<void(RunEnd)> runEnded;
     };
@@ -93,14 +96,16 @@
     void handleItemEnd(std::uint32_t number, ItemAttempt::End end, std::string output);
     void handleItemFailure(std::uint32_t number);
     void abandon(std::uint32_t number, std::string_view reason);
-    void checkRetention();
+    /** Applies a changed configuration to the items that wait, and gives up those whose retention has ended. */
+    void checkItems();
+    void abandonExpired();
     void writeSoon();
     void write();
     void handleWritten(const JobHead &written, RowVersion version);
     void handleFailedWrite(WriteOutcome outcome);
     void endRun(RunEnd end);
     std::uint64_t waitingTokens(const JobHead &head) const;
-    std::chrono::milliseconds completionTarget() const;
+    const Route *limitingRoute(std::uint32_t number) const;
     std::chrono::milliseconds age() const;
     void stopAll();
 
@@ -120,7 +125,9 @@
     bool isWriteScheduled = false;
     int writeFailures = 0;
     TimerId timer = 0;
-    TimerId retentionTimer = 0;
+    TimerId checkTimer = 0;
+    /** The version of the configuration that the waiting items were last checked with. */
+    std::uint64_t checkedVersion = 0;
     TimerId progressTimer = 0;
     bool isOver = false;
 };
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -196,14 +196,19 @@
             [this] {
                 return this->peers.self();
             },
-        .target =
+        .configurationVersion =
+            [this] {
+                const ServingConfigurationPointer current = this->configuration();
+                return current ? current->version : 0;
+            },
+        .routing =
             [this](const JobHead &head, const std::string &target) {
-                return this->targetOf(head, target);
+                return this->routingOf(head, target);
+            },
+        .limitingRoute =
+            [this](const JobHead &head, const std::string &target) {
+                return this->limitingRouteOf(head, target);
             },
-        .route = [this](const std::string &name) -> const Route * {
-            const ServingConfigurationPointer current = this->configuration();
-            return current ? current->findRoute(name) : nullptr;
-        },
         .runEnded =
             [this, job, alive = this->alive](RunEnd end) {
                 this->context.loop.post([this, job, end, alive] {
@@ -227,22 +232,36 @@
     run->start(origin);
 }
 
-std::optional<ItemAttempt::Target> JobRunners::targetOf(const JobHead &job, const std::string &target) const
+const Route *JobRunners::limitingRouteOf(const JobHead &job, const std::string &target) const
+{
+    const ServingConfigurationPointer current = this->configuration();
+    if (!current) {
+        return nullptr;
+    }
+    const Route *const named = current->findBatchRoute(job.route);
+    return named != nullptr ? named : current->findBatchRoute(job.host, pathOf(target));
+}
+
+ItemAttempt::Routing JobRunners::routingOf(const JobHead &job, const std::string &target) const
 {
     const ServingConfigurationPointer current = this->configuration();
-    const Route *const route = current ? current->findRoute(job.host, pathOf(target)) : nullptr;
-    if (route == nullptr || route->kind != RouteKind::Batch) {
-        return std::nullopt;
+    if (!current) {
+        return {};
+    }
+    const Route *const route = current->findBatchRoute(job.host, pathOf(target));
+    if (route == nullptr) {
+        // If the job's route has another path now, the retention of that route ends the item.
+        return {std::nullopt, current->findBatchRoute(job.route) == nullptr};
     }
     // An item always gets the same service of a split, so that a stopped item can continue from its last event.
     const double point = std::ldexp(static_cast<double>(stableHash(target) >> 11), -53);
     const RouteTarget *const selected = selectTarget(*route, point);
     if (selected == nullptr) {
-        return std::nullopt;
+        return {};
     }
     const Workspace *const workspace = current->workspaces ? current->workspaces->find(job.workspace) : nullptr;
     const double weight = workspace != nullptr ? current->workspaces->shareWeight(*workspace) : 1;
-    return ItemAttempt::Target{selected->service, priorityOf(*route, workspace), route->longestPause, weight};
+    return {ItemAttempt::Target{selected->service, priorityOf(*route, workspace), route->longestPause, weight}, false};
 }
 
 void JobRunners::setView(const MemberViewPointer &view)
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -81,7 +81,9 @@
     bool isLocal(const JobId &job, const OpenJob &open) const;
     void startRun(const JobId &job, JobRun::Origin origin);
     void stopRun(const JobId &job, RunEnd end);
-    std::optional<ItemAttempt::Target> targetOf(const JobHead &job, const std::string &target) const;
+    ItemAttempt::Routing routingOf(const JobHead &job, const std::string &target) const;
+    /** @return see JobRun::Hooks::limitingRoute. */
+    const Route *limitingRouteOf(const JobHead &job, const std::string &target) const;
 
     GatewayContext &context;
     RowFeed &rows;
