Gateway: Bound the time that an item is held after crashes

A report of users of a system like ours: replicas crashed in a burst while they ran the same valid item, and the item was never placed again although all was calm. It can happen here: CrashHistory holds an item after its third crash, and doubled the hold with each further one (320 s after nine, cut to two minutes by the time that crashes are remembered). An item is owed and is no more likely the cause because a burst hit it more often.

Change: 5 s after the third crash, 10 s after each later one. The safeguard stays: an item that crashes replicas costs at most one in 10 s, online requests are refused after three crashes as before.

Looked at: blocked parts of prompts, circuit breakers, avoided replicas, capacity learning, takeover (the count is by content, known to all nodes).

Tests, red before: TestCrashHistory (twelve crashes: still held after 10 s) and TestRepeatedCrashes (ended at the fifth crash, held for 20 s).

--- a/Libraries/LibGateway/CrashHistory.cpp
+++ b/Libraries/LibGateway/CrashHistory.cpp
@@ -28,11 +28,14 @@
  */
 constexpr std::chrono::milliseconds simultaneityWindow{50};
 static_assert(simultaneityWindow < CrashHistory::classificationDelay);
-/** How long an item is held after its third crash. Doubles with each further crash, which makes it more likely the cause. */
-constexpr std::chrono::seconds initialHold{5};
-constexpr int maxDoublings = 6;
-/** Further replicas would not change the hold time. */
-constexpr std::size_t maxReplicas = crashLimit + maxDoublings;
+/**
+ * How long an item is held after its third crash, and after each further one. It is owed, and a valid item may meet many crashes
+ * in a burst, so the hold does not grow with their number.
+ */
+constexpr std::chrono::seconds holdAtLimit{5};
+constexpr std::chrono::seconds maxHold{10};
+/** Limits memory and the size of reports; further replicas change no decision. */
+constexpr std::size_t maxReplicas = 9;
 
 /** Adds replicas to those that crashed under a request. */
 void addReplicas(std::vector<std::uint64_t> &replicas, const std::vector<std::uint64_t> &more)
@@ -183,8 +186,7 @@
     if (crashes < crashLimit || this->isRecentlyServed(fingerprint)) {
         return false;
     }
-    const int doublings = std::min(crashes - crashLimit, maxDoublings);
-    return this->clock.now() - this->entries.at(fingerprint).last <= initialHold * (1 << doublings);
+    return this->clock.now() - this->entries.at(fingerprint).last < (crashes > crashLimit ? maxHold : holdAtLimit);
 }
 
 void CrashHistory::removeExpired()
--- a/Libraries/LibGateway/CrashHistory.h
+++ b/Libraries/LibGateway/CrashHistory.h
@@ -104,7 +104,7 @@
     /** @return whether an online request has to be refused. */
     bool isRefused(std::uint64_t fingerprint) const;
 
-    /** @return whether a batch item must wait. It is retried after a delay, as only a run shows whether it is the cause. */
+    /** @return whether a batch item must wait. It is retried after seconds, as only a run shows whether it is the cause. */
     bool isHeld(std::uint64_t fingerprint) const;
 
 private:
--- a/Tests/LibGateway/TestCrashHistory.cpp
+++ b/Tests/LibGateway/TestCrashHistory.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 using namespace Dogwoodkeel;
 
 namespace
@@ -237,3 +239,19 @@
     crashes.recordCrash(7, d);
     CHECK_FALSE(crashes.isRefused(7));
 }
+
+// Replicas crash in a burst, several of them under the same item. Afterwards all are sound, and the item is still owed.
+TEST_CASE("an item that met many crashes is not held for longer than ten seconds after the last of them")
+{
+    ManualClock clock;
+    CrashHistory crashes(clock);
+    for (int crash = 0; crash < 12; ++crash) {
+        crashes.recordCrash(7, EndpointName("i-" + std::to_string(crash)));
+        clock.advance(std::chrono::milliseconds(400));
+    }
+    CHECK(crashes.isHeld(7));
+    CHECK(crashes.isRefused(7));
+    clock.advance(std::chrono::seconds(10));
+    CHECK_FALSE(crashes.isHeld(7));
+    CHECK(crashes.isRefused(7));
+}
--- a/Tests/ServiceGateway/TestRepeatedCrashes.cpp
+++ b/Tests/ServiceGateway/TestRepeatedCrashes.cpp
@@ -73,6 +73,14 @@
         });
     }
 
+    void advance(std::chrono::seconds time)
+    {
+        this->host.ask<bool>([time](GatewayBench &bench) {
+            bench.clock.shift(time);
+            return true;
+        });
+    }
+
     /** @return how many crashing requests have reached replicas. */
     std::size_t crashingRuns()
     {
@@ -129,6 +137,10 @@
 
     void handle(GatewayBench &bench, const std::string &name, const std::shared_ptr<CallerExchange> &exchange)
     {
+        if (!this->crashes && exchange->head().target.starts_with("/b/")) {
+            streamWhole(exchange);
+            return;
+        }
         if (!this->crashes) {
             exchange->send(200, signedHeaders(exchange), "ok");
             return;
@@ -311,3 +323,26 @@
     });
     CHECK(running.crashingRuns() == crashesToRefuse * slots);
 }
+
+// Nine replicas crash one after another under the same valid item. With all replicas sound again, it was held for minutes.
+TEST_CASE("an item that met a burst of crashes is sent again within seconds after them and completed")
+{
+    constexpr int burst = 9;
+    constexpr std::chrono::seconds maxHold{10};
+    StoppableReplicas running("llm");
+    const nlohmann::json job{{"requests", {{{"id", "a"}, {"path", "/b/crash"}, {"body", ""}, {"tokens", 9}}}}};
+    REQUIRE(running.call("POST /b/job", {}, job.dump()).starts_with("HTTP/1.1 202"));
+    for (int crash = 1; crash <= burst; ++crash) {
+        running.startReplica();
+        await([&running, crash] {
+            return running.crashingRuns() == static_cast<std::size_t>(crash);
+        });
+        running.awaitClassified(crash);
+        running.advance(crash >= crashesToRefuse ? maxHold : std::chrono::seconds(0));
+    }
+    running.setCrashing(false);
+    running.startReplica();
+    await([&running] {
+        return has(running.call("GET /lots/q1?afterRev=0"), R"("state":"completed")");
+    });
+}
