Gateway: Test a part that still crashes replicas less often

After its first test a blocked part was tested every 5 s as long as items with it wait: with a part that does crash replicas, that is twelve replicas a minute on each node. Now the first test comes 5 s after the last crash, as before, and each later one 10 s after the test or a later crash, like the hold of an item that met crashes itself.

The tests of the block follow. One of them was wrong: after the block it waited for crashes that no longer come, and passed only when an item had timed out and crashed a replica in between. It now ends its crashes with the block, and items in these tests don't time out.

--- a/Libraries/LibGateway/PromptPartBlocklist.cpp
+++ b/Libraries/LibGateway/PromptPartBlocklist.cpp
@@ -28,9 +28,11 @@
 /** How long a part is blocked after the last crash that it explains. Doubles each time it crashes a replica after a block. */
 constexpr std::chrono::minutes initialBlockDuration{2};
 constexpr std::uint32_t maxDoublings = 4;
-/** How long after the last crash, and after its own last test, a node lets an item test a blocked part. Longer than a replica
- * takes to restart, and short enough that a job with a valid part is still completed in time. */
-constexpr std::chrono::seconds testInterval{5};
+/** How long after the last crash a node lets an item test a blocked part: a replica has restarted by then. */
+constexpr std::chrono::seconds firstTestDelay{5};
+/** The same after a test that has not unblocked the part, counted from the test or a later crash. Short enough that a job with a
+ * valid part is still completed in time. */
+constexpr std::chrono::seconds nextTestDelay{10};
 /** How long an expired block is kept, so that the next block of the same part is longer. */
 constexpr std::chrono::hours blockRetention{2};
 constexpr std::size_t maxBlocks = 1000;
@@ -215,9 +217,13 @@
 bool PromptPartBlocklist::mayTest(const std::vector<PromptPart> &parts) const
 {
     return std::ranges::none_of(parts, [this](PromptPart part) {
-        const auto block = this->blocks.find(part);
-        return block != this->blocks.end() && this->isActive(block->second)
-            && this->clock.now() - std::max(block->second.lastCrash, block->second.lastTest) < testInterval;
+        const auto found = this->blocks.find(part);
+        if (found == this->blocks.end() || !this->isActive(found->second)) {
+            return false;
+        }
+        const Block &block = found->second;
+        const std::chrono::seconds delay = block.lastTest == SteadyTime() ? firstTestDelay : nextTestDelay;
+        return this->clock.now() - std::max(block.lastCrash, block.lastTest) < delay;
     });
 }
 
--- a/Libraries/LibGateway/PromptPartBlocklist.h
+++ b/Libraries/LibGateway/PromptPartBlocklist.h
@@ -101,7 +101,7 @@
         /** Time of the last crash that the part explains. */
         SteadyTime lastCrash{};
         std::uint32_t times = 0;
-        /** When this node last sent an item to test the part. */
+        /** When this node last sent an item to test the part; unset if it has not. */
         SteadyTime lastTest{};
     };
 
--- a/Tests/LibGateway/TestPromptPartBlocklist.cpp
+++ b/Tests/LibGateway/TestPromptPartBlocklist.cpp
@@ -235,9 +235,9 @@
     CHECK(bench.blocklist.isBlocked({first, bad}));
     bench.blocklist.recordTest({first, bad});
     CHECK_FALSE(bench.blocklist.mayTest({first, bad}));
-    bench.clock.advance(std::chrono::seconds(4));
+    bench.clock.advance(std::chrono::seconds(9));
     bench.crash({{first, bad}});
-    bench.clock.advance(std::chrono::seconds(4));
+    bench.clock.advance(std::chrono::seconds(9));
     CHECK_FALSE(bench.blocklist.mayTest({first, bad}));
     bench.clock.advance(std::chrono::seconds(1));
     CHECK(bench.blocklist.mayTest({first, bad}));
--- a/Tests/ServiceGateway/GatewayBench.h
+++ b/Tests/ServiceGateway/GatewayBench.h
@@ -176,4 +176,12 @@
     "services":[{"name":"llm","engine":{"slots":2}},{"name":"api"}],
     "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+/** @return the default configuration with a pause between events of items that is longer than any test takes. */
+inline nlohmann::json configurationWithLongPauses()
+{
+    nlohmann::json configuration = nlohmann::json::parse(benchConfiguration);
+    configuration["routes"].back()["gapTargetMs"] = 10000;
+    return configuration;
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/TestCrashingPromptParts.cpp
+++ b/Tests/ServiceGateway/TestCrashingPromptParts.cpp
@@ -15,11 +15,13 @@
 
 /** More crashes than it takes to distinguish the part from the others. */
 constexpr int crashes = 5;
+/** Crashes that it takes if a prompt with the part was served recently. */
+constexpr int crashesOfServedPart = 8;
 /** More replicas than crash, as each incarnation of a replica crashes once. */
 constexpr int replicas = 12;
 
-/** Longer than it takes until an item may test a blocked part. */
-constexpr std::chrono::seconds testInterval{6};
+/** Longer than it takes until an item may test a blocked part, also for another time. */
+constexpr std::chrono::seconds testInterval{11};
 
 bool hasBadPart(const MessageHead &head)
 {
@@ -32,6 +34,7 @@
 public:
     CrashingReplicas()
         : RunningGateway([this](GatewayBench &bench) {
+            bench.configure(configurationWithLongPauses().dump());
             for (int number = 1; number <= replicas; ++number) {
                 bench.addReplica("i-" + std::to_string(number), "llm", [this](const std::shared_ptr<CallerExchange> &exchange) {
                     this->handle(exchange);
@@ -267,7 +270,7 @@
         return running.badPartRuns() == 1;
     });
     running.setOnBadPart(CrashingReplicas::OnBadPart::Crash);
-    running.crash(crashes * 2);
+    running.crash(crashesOfServedPart);
     running.breakStalled();
     await([&running] {
         return running.itemsHeld() >= 1;
--- a/Tests/ServiceGateway/TestRemovedRoutes.cpp
+++ b/Tests/ServiceGateway/TestRemovedRoutes.cpp
@@ -16,14 +16,6 @@
 /** Longer than the route of an item has to be missing until the item is given up. */
 constexpr std::chrono::seconds afterGrace{6};
 
-/** @return the default configuration with a pause between events of items that is longer than any test takes. */
-nlohmann::json configurationWithLongPauses()
-{
-    nlohmann::json configuration = nlohmann::json::parse(benchConfiguration);
-    configuration["routes"].back()["gapTargetMs"] = 10000;
-    return configuration;
-}
-
 /** A node with one replica of two slots, which holds all requests until the test lets it complete them. */
 class NodeWithJob : public RunningGateway
 {
