Gateway: Compare versions of the configuration in a defined order

On reading the change: JobRun::checkItems() set the checked version and compared it in one expression, whose operands C++ evaluates in any order. The sum over versions in the dispatcher was an int by its first value.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -3,7 +3,6 @@
 #include <LibBase/Log.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -175,10 +174,10 @@
 
 bool Dispatcher::isAnyReplicaPreferred(const PlacementRequest &request) const
 {
-    const auto accepting
-        = std::accumulate(this->openVersions.begin(), this->openVersions.end(), 0, [&request](int sum, const auto &open) {
-              return sum + (request.acceptsVersion(open.first) ? open.second : 0);
-          });
+    std::ptrdiff_t accepting = 0;
+    for (const auto &[version, count] : this->openVersions) {
+        accepting += request.acceptsVersion(version) ? count : 0;
+    }
     const std::set<EndpointName> avoided(request.avoided.begin(), request.avoided.end());
     const auto acceptingAvoided = std::ranges::count_if(avoided, [this, &request](const EndpointName &instance) {
         const auto found = this->replicas.find(instance);
--- a/Services/Gateway/JobRun.cpp
+++ b/Services/Gateway/JobRun.cpp
@@ -339,7 +339,8 @@
 
 void JobRun::checkItems()
 {
-    if (std::exchange(this->checkedVersion, this->hooks.configurationVersion()) != this->checkedVersion) {
+    const std::uint64_t version = this->hooks.configurationVersion();
+    if (std::exchange(this->checkedVersion, version) != version) {
         for (const auto &[number, item] : this->open) {
             item.attempt->handleConfigurationChange();
         }
