Gateway: Log by which entry of the list of replicas a request is sent

Three hypotheses of the requests that reached departed replicas looked alike in the logs: nothing told by which version of an entry a request was sent, whether the store, another node, the sample of the start or a dispatcher had provided it, or that it was kept although its removal was known.

ReplicaList keeps the origin of each entry. `request sent` (new, for each request) and `batch item sent` state source, version, age and the time since a known removal; a kept, a removed and a resumed entry each write a line; a list of another node that replaces the own one states version and age of both. A metric counts requests that are sent by a kept entry. No decision is changed.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -21,17 +21,17 @@
     return hash;
 }
 
-ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted)
-    : clock(clock), lapsedKept(lapsedKept), restarted(std::move(restarted))
+ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Hooks hooks)
+    : clock(clock), lapsedKept(lapsedKept), hooks(std::move(hooks))
 {
 }
 
-void ReplicaList::replaceAll(const std::vector<ServingReplica> &replicas)
+void ReplicaList::replaceAll(const std::vector<ListedReplica> &replicas)
 {
     std::unordered_set<EndpointName> present;
-    for (const ServingReplica &replica : replicas) {
-        present.insert(replica.instance);
-        this->put(replica);
+    for (const ListedReplica &entry : replicas) {
+        present.insert(entry.replica.instance);
+        this->put(entry);
     }
     std::vector<EndpointName> missing;
     for (const auto &[instance, replica] : this->list) {
@@ -44,13 +44,13 @@
     }
 }
 
-void ReplicaList::replaceExactly(const std::vector<ServingReplica> &replicas)
+void ReplicaList::replaceExactly(const std::vector<ListedReplica> &replicas)
 {
     this->lapsed.clear();
     std::unordered_set<EndpointName> present;
-    for (const ServingReplica &replica : replicas) {
-        present.insert(replica.instance);
-        this->put(replica);
+    for (const ListedReplica &entry : replicas) {
+        present.insert(entry.replica.instance);
+        this->put(entry);
     }
     std::vector<EndpointName> missing;
     for (const auto &[instance, replica] : this->list) {
@@ -68,18 +68,23 @@
     return this->isUnreachable;
 }
 
-void ReplicaList::put(const ServingReplica &replica)
+void ReplicaList::put(const ListedReplica &entry)
 {
+    const ServingReplica &replica = entry.replica;
     this->lapsed.erase(replica.instance);
+    this->origins.insert_or_assign(replica.instance, entry.origin);
     const auto known = this->list.find(replica.instance);
     if (known != this->list.end() && known->second == replica) {
         return;
     }
+    if (known != this->list.end() && known->second.isDraining && !replica.isDraining) {
+        this->hooks.resumed(entry);
+    }
     const ServingReplica *const sameName = this->findRegistered(replica.registeredName);
     if (sameName != nullptr && sameName->instance != replica.instance) {
         const ServingReplica former = *sameName;
         this->erase(former.instance);
-        this->restarted(former);
+        this->hooks.restarted(former);
     }
     // An address belongs to one replica at a time, so the replica that had it before no longer exists, even if it is still
     // listed.
@@ -89,6 +94,7 @@
     }
     if (known != this->list.end() && known->second.service != replica.service) {
         this->erase(EndpointName(replica.instance));
+        this->origins.insert_or_assign(replica.instance, entry.origin);
     } else if (known != this->list.end()) {
         this->hash ^= fingerprintOf(known->second);
         this->byAddress.erase(known->second.address);
@@ -112,6 +118,7 @@
     this->byAddress.erase(replica.address);
     this->byRegisteredName.erase(replica.registeredName);
     this->lapsed.erase(replica.instance);
+    this->origins.erase(replica.instance);
     this->changed.erase(replica.instance);
     this->removed.insert_or_assign(replica.instance, replica);
 }
@@ -145,7 +152,9 @@
     }
     const EndpointName instance = found->instance;
     if (this->isRetainingLapsed() && !found->isDraining) {
-        this->lapsed.insert(instance);
+        if (this->lapsed.try_emplace(instance, this->clock.now()).second) {
+            this->hooks.kept(*found);
+        }
         return;
     }
     this->erase(instance);
@@ -193,11 +202,21 @@
     if (this->isRetainingLapsed()) {
         return;
     }
-    for (const EndpointName &instance : std::exchange(this->lapsed, {})) {
+    for (const auto &[instance, removed] : std::exchange(this->lapsed, {})) {
         this->erase(instance);
     }
 }
 
+std::optional<EntryState> ReplicaList::state(const EndpointName &instance) const
+{
+    const auto origin = this->origins.find(instance);
+    if (origin == this->origins.end()) {
+        return std::nullopt;
+    }
+    const auto removed = this->lapsed.find(instance);
+    return EntryState{origin->second, removed != this->lapsed.end() ? std::optional(removed->second) : std::nullopt};
+}
+
 bool ReplicaList::hasLapsed() const
 {
     return !this->lapsed.empty();
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibGateway/EntryOrigin.h>
 #include <LibGateway/ReplicaChanges.h>
 #include <LibGateway/ServingReplica.h>
 
@@ -11,6 +12,7 @@
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -19,6 +21,17 @@
 /** @return a hash of an entry. The hash of a list is the XOR of the hashes of its entries. */
 std::uint64_t fingerprintOf(const ServingReplica &replica);
 
+/** A replica as it was received, with the origin of its entry. */
+struct ListedReplica
+{
+    ListedReplica(ServingReplica replica, EntryOrigin origin = {}) : replica(std::move(replica)), origin(origin)
+    {
+    }
+
+    ServingReplica replica;
+    EntryOrigin origin;
+};
+
 /**
  * The replicas that the platform lists.
  *
@@ -32,21 +45,28 @@
 public:
     using Replicas = std::unordered_map<EndpointName, ServingReplica>;
 
-    /** Called with the previous incarnation when a replica has restarted under the same registered name. */
-    using Restarted = std::function<void(const ServingReplica &former)>;
+    struct Hooks
+    {
+        /** Called with the previous incarnation when a replica has restarted under the same registered name. */
+        std::function<void(const ServingReplica &former)> restarted = [](const ServingReplica &) {};
+        /** Called when the platform no longer lists a replica, but its entry is kept as it may have lapsed. */
+        std::function<void(const ServingReplica &replica)> kept = [](const ServingReplica &) {};
+        /** Called when an entry is received that says that a draining replica accepts requests again. */
+        std::function<void(const ListedReplica &entry)> resumed = [](const ListedReplica &) {};
+    };
 
     /** @param lapsedKept how long missing entries are kept after an outage of the platform ended */
-    ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Restarted restarted);
+    ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Hooks hooks);
 
     /** Replaces the list by a complete one, read after a start or a gap in the followed changes. Missing entries may be kept. */
-    void replaceAll(const std::vector<ServingReplica> &replicas);
+    void replaceAll(const std::vector<ListedReplica> &replicas);
 
     /** Replaces the list by that of another node, which has already applied the rules for lapsed entries. No other entry is kept.
      */
-    void replaceExactly(const std::vector<ServingReplica> &replicas);
+    void replaceExactly(const std::vector<ListedReplica> &replicas);
 
     /** Adds or updates an entry. */
-    void put(const ServingReplica &replica);
+    void put(const ListedReplica &entry);
 
     /** Removes an entry, or marks it as lapsed during or shortly after an outage. */
     void remove(const EndpointName &registeredName);
@@ -78,6 +98,9 @@
     /** @return the entry under a registered name, or null. */
     const ServingReplica *findRegistered(const EndpointName &registeredName) const;
 
+    /** @return the origin of an entry and whether its removal is known, or nothing if it is not in the list. */
+    std::optional<EntryState> state(const EndpointName &instance) const;
+
     /** @return whether entries are kept that the platform no longer lists. */
     bool hasLapsed() const;
 
@@ -95,13 +118,14 @@
 
     const Clock &clock;
     std::chrono::milliseconds lapsedKept;
-    Restarted restarted;
+    Hooks hooks;
     Replicas list;
+    std::unordered_map<EndpointName, EntryOrigin> origins;
     /** Each address and each registered name belongs to one replica at a time. */
     std::map<Address, EndpointName> byAddress;
     std::unordered_map<EndpointName, EndpointName> byRegisteredName;
-    /** Entries that the platform no longer lists. */
-    std::unordered_set<EndpointName> lapsed;
+    /** Entries that the platform no longer lists, with the time at which their removal became known. */
+    std::unordered_map<EndpointName, SteadyTime> lapsed;
     std::unordered_set<EndpointName> changed;
     std::unordered_map<EndpointName, ServingReplica> removed;
     std::uint64_t hash = 0;
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -354,6 +354,7 @@
     outbound.isStream = [](const MessageHead &head) {
         return isSuccess(head.status);
     };
+    const SentEntry entry = describeEntry(this->context, replica);
     log(LogLevel::Info,
         "batch item sent",
         {{"job", this->origin.job.value()},
@@ -361,7 +362,11 @@
          {"replica", replica.instance.value()},
          {"version", replica.version.value()},
          {"last_event", static_cast<std::int64_t>(this->run.after)},
-         {"open_confirmed_ms", confirmedAge.count()}});
+         {"open_confirmed_ms", confirmedAge.count()},
+         {"entry_source", entry.source},
+         {"entry_version", entry.version},
+         {"entry_age_ms", entry.age.count()},
+         {"entry_removed_ms", entry.sinceRemoval.count()}});
     this->call = this->context.replicaConnections.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->armResponseTimer();
 }
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -390,6 +390,15 @@
     outbound.isStream = [isStream = this->isStream()](const MessageHead &head) {
         return isStream && isSuccess(head.status);
     };
+    const SentEntry entry = describeEntry(this->context, replica);
+    log(LogLevel::Info,
+        "request sent",
+        {{"request", this->traits.id},
+         {"replica", replica.instance.value()},
+         {"entry_source", entry.source},
+         {"entry_version", entry.version},
+         {"entry_age_ms", entry.age.count()},
+         {"entry_removed_ms", entry.sinceRemoval.count()}});
     this->call = this->context.replicaConnections.start(std::move(outbound), hooksFor(this->shared_from_this()));
     this->wasPaused = this->exchange->isPaused();
     if (this->wasPaused) {
--- a/Services/Gateway/ReplicaCall.cpp
+++ b/Services/Gateway/ReplicaCall.cpp
@@ -46,6 +46,21 @@
     return marks;
 }
 
+SentEntry describeEntry(const GatewayContext &context, const ServingReplica &replica)
+{
+    const EntryState state = context.replicaList.state(replica.instance);
+    const SteadyTime now = context.clock.now();
+    SentEntry entry;
+    entry.source = nameOf(state.origin.source);
+    entry.version = static_cast<std::int64_t>(state.origin.version);
+    entry.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.origin.received);
+    if (state.removed) {
+        entry.sinceRemoval = std::chrono::duration_cast<std::chrono::milliseconds>(now - *state.removed);
+        context.metrics.countEvent("request sent by a kept entry");
+    }
+    return entry;
+}
+
 ServingReplica placedReplica(const Placement &placement, const ServiceName &service)
 {
     ServingReplica replica;
--- a/Services/Gateway/ReplicaCall.h
+++ b/Services/Gateway/ReplicaCall.h
@@ -44,6 +44,20 @@
 std::vector<std::uint32_t>
 connectedReplicas(const GatewayContext &context, const ServiceName &service, std::chrono::milliseconds maxIdle);
 
+/** The entry by which a request is sent to a replica, as it is logged. */
+struct SentEntry
+{
+    std::string source;
+    std::int64_t version = 0;
+    /** Time since the entry was last received. */
+    std::chrono::milliseconds age{0};
+    /** Time since its removal became known, if it is kept nevertheless; otherwise -1 ms. */
+    std::chrono::milliseconds sinceRemoval{-1};
+};
+
+/** Describes the entry of a replica to which a request is sent, and counts the request if the entry is kept after its removal. */
+SentEntry describeEntry(const GatewayContext &context, const ServingReplica &replica);
+
 /** @return the replica of a placement, as far as the dispatcher described it. */
 ServingReplica placedReplica(const Placement &placement, const ServiceName &service);
 
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -77,11 +77,7 @@
     , random(static_cast<std::minstd_rand::result_type>(options.seed))
     , format(std::move(format))
     , hooks(std::move(hooks))
-    , list(clock,
-           options.lapsedKept,
-           [this](const ServingReplica &former) {
-               this->reportRestart(former);
-           })
+    , list(clock, options.lapsedKept, this->listHooks())
     , lastReported(clock.now())
 {
     peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &request, const auto &respond) {
@@ -157,6 +153,30 @@
                            });
 }
 
+ReplicaList::Hooks ReplicaFollower::listHooks()
+{
+    return {
+        .restarted =
+            [this](const ServingReplica &former) {
+                this->reportRestart(former);
+            },
+        .kept =
+            [this](const ServingReplica &replica) {
+                log(LogLevel::Info,
+                    "replica kept, as its entry may have lapsed",
+                    {{"replica", replica.instance.value()}, {"list_age_ms", this->age().count()}});
+            },
+        .resumed =
+            [](const ListedReplica &entry) {
+                log(LogLevel::Warning,
+                    "draining replica accepts requests again",
+                    {{"replica", entry.replica.instance.value()},
+                     {"entry_source", std::string(nameOf(entry.origin.source))},
+                     {"entry_version", static_cast<std::int64_t>(entry.origin.version)}});
+            },
+    };
+}
+
 bool ReplicaFollower::isComplete() const
 {
     return this->follower && this->follower->version() > 0;
@@ -193,10 +213,10 @@
 
 void ReplicaFollower::applySample(const std::vector<StoredRow> &rows)
 {
-    std::vector<ServingReplica> replicas;
+    std::vector<ListedReplica> replicas;
     for (const StoredRow &row : rows) {
         if (std::optional<ServingReplica> replica = this->decode(row)) {
-            replicas.push_back(*std::move(replica));
+            replicas.emplace_back(*std::move(replica), EntryOrigin{EntrySource::Sample, row.version, this->clock.now()});
         }
     }
     log(LogLevel::Info, "sample of replicas read", {{"count", static_cast<std::int64_t>(replicas.size())}});
@@ -218,6 +238,16 @@
     return placed;
 }
 
+EntryState ReplicaFollower::state(const EndpointName &instance) const
+{
+    return this->list.state(instance).value_or(EntryState{{EntrySource::Dispatcher, 0, this->clock.now()}, std::nullopt});
+}
+
+RowVersion ReplicaFollower::listVersion() const
+{
+    return this->isComplete() ? this->follower->version() : this->reportedVersion;
+}
+
 bool ReplicaFollower::isKnown() const
 {
     return this->isListKnown;
@@ -271,16 +301,17 @@
 
 void ReplicaFollower::applySnapshot(const std::vector<StoredRow> &rows)
 {
-    std::vector<ServingReplica> replicas;
+    std::vector<ListedReplica> replicas;
     for (const StoredRow &row : rows) {
+        const EntryOrigin origin{EntrySource::Store, row.version, this->clock.now()};
         if (std::optional<ServingReplica> replica = this->decode(row)) {
-            replicas.push_back(*std::move(replica));
+            replicas.emplace_back(*std::move(replica), origin);
             continue;
         }
         const EndpointName name(row.key.key);
         this->list.markUnreadable(name);
         if (const ServingReplica *const listed = this->list.findRegistered(name)) {
-            replicas.push_back(*listed);
+            replicas.emplace_back(*listed, origin);
         }
     }
     this->list.replaceAll(replicas);
@@ -291,6 +322,14 @@
 void ReplicaFollower::publishChanges()
 {
     const ReplicaChanges changes = this->list.popChanges();
+    for (const ServingReplica &replica : changes.removed) {
+        log(LogLevel::Info,
+            "replica removed from the list",
+            {{"replica", replica.instance.value()},
+             {"draining", replica.isDraining},
+             {"list_version", static_cast<std::int64_t>(this->listVersion())},
+             {"list_age_ms", this->age().count()}});
+    }
     if (this->follower) {
         for (const ServingReplica &replica : changes.removed) {
             this->ring.remove(replica);
@@ -309,7 +348,6 @@
 {
     const EndpointName name(row.key.key);
     if (row.isRemoved) {
-        log(LogLevel::Info, "replica removed from the list", {{"replica", name.value()}});
         this->unreadable.erase(name);
         this->list.remove(name);
         return;
@@ -322,7 +360,7 @@
     const ServingReplica *const before = this->find(replica->instance);
     const bool isSame = before != nullptr && *before == *replica;
     // Also if the entry is unchanged: this restores one that had lapsed.
-    this->list.put(*replica);
+    this->list.put({*replica, {EntrySource::Store, row.version, this->clock.now()}});
     if (isSame) {
         return;
     }
@@ -332,6 +370,7 @@
          {"service", replica->service.value()},
          {"address", replica->address.toString()},
          {"version", replica->version.value()},
+         {"entry_version", static_cast<std::int64_t>(row.version)},
          {"draining", replica->isDraining}});
 }
 
@@ -458,8 +497,9 @@
     if (!records.isComplete || (this->isComplete() && records.age >= this->age())) {
         return;
     }
+    const std::chrono::milliseconds ownAge = this->age();
     this->lastReported = this->clock.now() - records.age;
-    this->replaceList(records);
+    this->replaceList(records, ownAge);
     if (records.fingerprint == this->list.fingerprint()) {
         this->follower->followFrom(records.version);
     }
@@ -471,22 +511,30 @@
     if (this->isListKnown && records.version < this->reportedVersion) {
         return;
     }
+    const std::chrono::milliseconds ownAge = this->age();
     this->reportedVersion = records.version;
     this->lastReported = this->clock.now() - records.age;
-    this->replaceList(records);
+    this->replaceList(records, ownAge);
     this->publishChanges();
 }
 
-void ReplicaFollower::replaceList(const ReplicaRecords &records)
+void ReplicaFollower::replaceList(const ReplicaRecords &records, std::chrono::milliseconds ownAge)
 {
     if (records.isUnchanged || (this->isListKnown && records.fingerprint == this->list.fingerprint())) {
         return;
     }
-    std::vector<ServingReplica> replicas;
-    std::ranges::transform(records.replicas, std::back_inserter(replicas), &replicaOf);
-    log(LogLevel::Debug,
+    std::vector<ListedReplica> replicas;
+    const EntryOrigin origin{EntrySource::OtherNode, records.version, this->clock.now()};
+    for (const ReplicaRecord &record : records.replicas) {
+        replicas.emplace_back(replicaOf(record), origin);
+    }
+    log(this->follower ? LogLevel::Info : LogLevel::Debug,
         "replicas received from another node",
-        {{"count", static_cast<std::int64_t>(replicas.size())}, {"age_ms", records.age.count()}});
+        {{"count", static_cast<std::int64_t>(replicas.size())},
+         {"age_ms", records.age.count()},
+         {"version", static_cast<std::int64_t>(records.version)},
+         {"own_age_ms", ownAge.count()},
+         {"own_version", static_cast<std::int64_t>(this->listVersion())}});
     this->list.replaceExactly(replicas);
     this->isListKnown = true;
 }
@@ -523,7 +571,7 @@
 {
     ReplicaRecords records;
     records.isKnown = this->isListKnown;
-    records.version = this->isComplete() ? this->follower->version() : this->reportedVersion;
+    records.version = this->listVersion();
     ReplicaRing::Selection choice;
     if (this->isComplete()) {
         choice = this->ring.select(
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -87,6 +87,9 @@
     /** @return the replica with that instance name, or null if it is not in the list. */
     const ServingReplica *find(const EndpointName &instance) const;
 
+    /** @return what is known of the entry of a replica at which a slot was assigned, for logs. */
+    EntryState state(const EndpointName &instance) const;
+
     /** @return the number of replicas in the list; these are all replicas only if isComplete(). */
     std::size_t count() const;
 
@@ -103,6 +106,7 @@
     std::optional<ServingReplica> decode(const StoredRow &row);
     void applySnapshot(const std::vector<StoredRow> &rows);
     void applyChange(const StoredRow &row);
+    ReplicaList::Hooks listHooks();
     void reportRestart(const ServingReplica &former);
     void publishChanges();
     void expire();
@@ -119,7 +123,9 @@
     void applyRecords(const ReplicaRecords &records);
     void applyAllRecords(const ReplicaRecords &records);
     void applyRecordSet(const ReplicaRecords &records);
-    void replaceList(const ReplicaRecords &records);
+    void replaceList(const ReplicaRecords &records, std::chrono::milliseconds ownAge);
+    /** @return the version of the table up to which the list holds all changes; 0: unknown. */
+    RowVersion listVersion() const;
     ReplicaRecords records(const ReplicaRecordsRequest &request) const;
     ReplicaRecords allRecords(const ReplicaRecordsRequest &request) const;
     ReplicaRecords selectedRecords(const ReplicaRecordsRequest &request) const;
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("entries that lapse during or after an outage are kept until they reappear or their retention ends")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.recordOutage();
     clock.advance(std::chrono::seconds(5));
@@ -47,7 +47,7 @@
 TEST_CASE("without an outage an entry is removed immediately")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.remove(EndpointName("a"));
     CHECK(list.replicas().size() == 1);
@@ -56,7 +56,7 @@
 TEST_CASE("a draining replica is not kept during an outage")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     ServingReplica leaving = replica("a", 1);
     leaving.isDraining = true;
     list.put(leaving);
@@ -69,7 +69,7 @@
 TEST_CASE("an entry is removed when another replica has its address")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.put(replica("a", 1));
     list.put(replica("b", 1));
     CHECK(list.replicas().size() == 1);
@@ -82,9 +82,9 @@
 {
     ManualClock clock;
     std::vector<EndpointName> ended;
-    ReplicaList list(clock, lapsedKept, [&ended](const ServingReplica &former) {
-        ended.push_back(former.instance);
-    });
+    ReplicaList list(clock, lapsedKept, {.restarted = [&ended](const ServingReplica &former) {
+                         ended.push_back(former.instance);
+                     }});
     ServingReplica first = replica("a", 1);
     first.instance = EndpointName("a@1");
     ServingReplica second = first;
@@ -106,7 +106,7 @@
 TEST_CASE("a replica with an unreadable entry is draining until the entry is valid again")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.popChanges();
     list.markUnreadable(EndpointName("a"));
@@ -123,7 +123,7 @@
 TEST_CASE("changes are returned once, and an entry that reappears before the call is not returned as removed")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
     CHECK(list.popChanges().put.size() == 3);
     CHECK(list.popChanges().isEmpty());
@@ -144,7 +144,7 @@
 TEST_CASE("a replica that moves to another service is removed from the former one")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.put(replica("a", 1));
     list.popChanges();
     ServingReplica moved = replica("a", 1);
@@ -160,7 +160,7 @@
 TEST_CASE("a replica that moves to another address is found only there")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, [](const ServingReplica &) {});
+    ReplicaList list(clock, lapsedKept, {});
     list.put(replica("a", 1));
     list.put(replica("a", 2));
     CHECK(list.findAt({"10.0.0.1", 1}) == nullptr);
