Tests: Reproduce replicas that stay in use after they left (red)

- Any failed call counts as an outage, after which a removed entry is kept as lapsed for 2.5 s.
- A node that takes over the list of another node forgets which entries are kept, and keeps them without end.
- A list replaces the own one if its age is less, even if its version is older.
- A call that is never answered delays changes until long after the store's return: a follower has one call at a time.

A fifth test, that most entries of a fleet are kept if they vanish in a short outage, passes before and must after.

--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
+#include <LibGateway/ListStamp.h>
 
 #include <algorithm>
 #include <iterator>
@@ -494,7 +495,8 @@
 void ReplicaFollower::applyAllRecords(const ReplicaRecords &records)
 {
     // A request sent before this node became a relay is answered with a set.
-    if (!records.isComplete || (this->isComplete() && records.age >= this->age())) {
+    const ListStamp own{this->listVersion(), this->age()};
+    if (!records.isComplete || (this->isComplete() && !isMoreRecent({records.version, records.age}, own))) {
         return;
     }
     const std::chrono::milliseconds ownAge = this->age();
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -167,3 +167,54 @@
     CHECK(list.findAt({"10.0.0.1", 2})->instance == EndpointName("a"));
     CHECK(list.findRegistered(EndpointName("a"))->address.port == 2);
 }
+
+// Guards against requests to a departed replica: its entry is removed right after a single call to the store has failed.
+TEST_CASE("an entry that is removed after a short outage is not kept as lapsed")
+{
+    ManualClock clock;
+    ReplicaList list(clock, lapsedKept, {});
+    list.replaceAll({replica("a", 1), replica("b", 2)});
+    list.recordAnswer();
+    clock.advance(std::chrono::milliseconds(200));
+    list.recordOutage();
+    clock.advance(std::chrono::milliseconds(157));
+    list.recordAnswer();
+    clock.advance(std::chrono::milliseconds(100));
+    list.remove(EndpointName("a"));
+    CHECK_FALSE(list.replicas().contains(EndpointName("a")));
+    CHECK(list.replicas().contains(EndpointName("b")));
+}
+
+// Guards against an empty fleet: the store returns after a moment, but without the entries that it had.
+TEST_CASE("if most entries are missing after a short outage, they are kept until they reappear or their retention ends")
+{
+    ManualClock clock;
+    ReplicaList list(clock, lapsedKept, {});
+    list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
+    list.recordOutage();
+    clock.advance(std::chrono::milliseconds(157));
+    list.recordAnswer();
+    list.replaceAll({replica("a", 1)});
+    CHECK(list.replicas().size() == 3);
+    clock.advance(lapsedKept);
+    list.expire();
+    CHECK(list.replicas().size() == 1);
+}
+
+// Guards against requests to a departed replica: this node has lost the store and receives the list of a node that still keeps
+// the replica's entry as lapsed.
+TEST_CASE("an entry that another node keeps as lapsed expires here too")
+{
+    ManualClock clock;
+    ReplicaList list(clock, lapsedKept, {});
+    list.replaceAll({replica("a", 1), replica("b", 2)});
+    list.recordOutage();
+    clock.advance(std::chrono::seconds(5));
+    list.recordAnswer();
+    list.remove(EndpointName("a"));
+    list.replaceExactly({replica("a", 1), replica("b", 2)});
+    clock.advance(std::chrono::seconds(10));
+    list.expire();
+    CHECK_FALSE(list.replicas().contains(EndpointName("a")));
+    CHECK(list.replicas().contains(EndpointName("b")));
+}
--- a/Tests/ServiceGateway/TestTableFollower.cpp
+++ b/Tests/ServiceGateway/TestTableFollower.cpp
@@ -179,3 +179,21 @@
     bench.clock.advance(std::chrono::milliseconds(50));
     CHECK(bench.known["a"] == "2");
 }
+
+// Guards against requests to departed replicas: the store is silent for a while, and a call that it never answers delays the
+// removal of a row until long after the store's return.
+TEST_CASE("changes are delivered soon after the return of a silent store, although a call to it is still pending")
+{
+    Bench bench;
+    bench.store.put(rowKey("a"), "1");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    for (const std::chrono::milliseconds silence : {std::chrono::milliseconds(1500), std::chrono::milliseconds(3000)}) {
+        bench.store.setFollowMuted(true);
+        bench.clock.advance(silence);
+        bench.store.put(rowKey("a"), std::to_string(silence.count()));
+        bench.store.setFollowMuted(false);
+        bench.clock.advance(std::chrono::milliseconds(500));
+        CHECK(bench.known["a"] == std::to_string(silence.count()));
+        bench.clock.advance(std::chrono::seconds(5));
+    }
+}
