LibGateway: Keep only entries that may have lapsed

Cause: any failed call to the store counted as an outage. From then until 2.5 s after the next answer, each entry that was missing and had not reported draining was kept as lapsed. All nodes whose calls are cut at the same moment, as when the store drops its history, kept it alike, so that neither the dispatcher nor the sending node turned the request away. An entry lapses only after three heartbeat intervals of silence, so one with a more recent heartbeat was removed because its replica left.

Change: a removed entry is kept only if it may have lapsed: the outage lasted a second or more, and the entry's newest heartbeat may be older than three intervals. The list knows for each entry a time after which a heartbeat was sent: that of the answer before the one that brought it. If most entries vanish at once, all are kept as before, however short the outage: the store has lost them. Removals of one answer are therefore decided together.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -2,11 +2,20 @@
 
 #include <LibBase/Hash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
 {
 
+namespace
+{
+
+/** Replicas send their heartbeats again soon after an outage; in a shorter one, no entry times out. */
+constexpr std::chrono::milliseconds minOutage{1000};
+
+} // namespace
+
 std::uint64_t fingerprintOf(const ServingReplica &replica)
 {
     std::uint64_t hash = stableHash(replica.instance.value());
@@ -21,8 +30,8 @@
     return hash;
 }
 
-ReplicaList::ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Hooks hooks)
-    : clock(clock), lapsedKept(lapsedKept), hooks(std::move(hooks))
+ReplicaList::ReplicaList(const Clock &clock, const LapseRules &rules, Hooks hooks)
+    : clock(clock), rules(rules), hooks(std::move(hooks)), confirmed(clock.now()), confirmedBefore(clock.now())
 {
 }
 
@@ -39,9 +48,7 @@
             missing.push_back(replica.registeredName);
         }
     }
-    for (const EndpointName &registeredName : missing) {
-        this->remove(registeredName);
-    }
+    this->remove(missing);
 }
 
 void ReplicaList::replaceExactly(const std::vector<ListedReplica> &replicas)
@@ -144,20 +151,35 @@
     return changes;
 }
 
-void ReplicaList::remove(const EndpointName &registeredName)
+void ReplicaList::remove(const std::vector<EndpointName> &registeredNames)
 {
-    const ServingReplica *const found = this->findRegistered(registeredName);
-    if (found == nullptr) {
-        return;
+    std::vector<ServingReplica> gone;
+    for (const EndpointName &registeredName : registeredNames) {
+        const ServingReplica *const found = this->findRegistered(registeredName);
+        if (found != nullptr && !this->lapsed.contains(found->instance)) {
+            gone.push_back(*found);
+        }
     }
-    const EndpointName instance = found->instance;
-    if (this->isRetainingLapsed() && !found->isDraining) {
-        if (this->lapsed.try_emplace(instance, this->clock.now()).second) {
-            this->hooks.kept(*found);
+    // Replicas leave a few at a time. If most are gone at once, the platform has lost their entries.
+    const bool areMostGone = gone.size() * 2 > this->list.size() - this->lapsed.size();
+    for (const ServingReplica &replica : gone) {
+        const bool mayReturn = areMostGone || this->mayHaveLapsed(replica.instance);
+        if (!mayReturn || replica.isDraining || !this->isRetainingLapsed()) {
+            this->erase(replica.instance);
+            continue;
         }
-        return;
+        this->lapsed.emplace(replica.instance, this->clock.now());
+        this->hooks.kept(replica);
+    }
+}
+
+bool ReplicaList::mayHaveLapsed(const EndpointName &instance) const
+{
+    if (this->outageLength < minOutage) {
+        return false;
     }
-    this->erase(instance);
+    const std::optional<SteadyTime> heartbeatAfter = this->origins.at(instance).heartbeatAfter;
+    return !heartbeatAfter || this->clock.now() - *heartbeatAfter >= this->rules.heartbeatTimeout;
 }
 
 void ReplicaList::markUnreadable(const EndpointName &registeredName)
@@ -191,10 +213,18 @@
 
 void ReplicaList::recordAnswer()
 {
-    if (this->isUnreachable) {
-        this->isUnreachable = false;
-        this->outageEnd = this->clock.now();
+    const SteadyTime now = this->clock.now();
+    if (std::exchange(this->isUnreachable, false)) {
+        this->outageEnd = now;
+        this->outageLength = now - this->confirmed;
     }
+    this->confirmedBefore = this->confirmed;
+    this->confirmed = now;
+}
+
+SteadyTime ReplicaList::previouslyConfirmed() const
+{
+    return this->confirmedBefore;
 }
 
 void ReplicaList::expire()
@@ -234,7 +264,7 @@
 
 bool ReplicaList::isRetainingLapsed() const
 {
-    return this->isUnreachable || (this->outageEnd && this->clock.now() - *this->outageEnd < this->lapsedKept);
+    return this->isUnreachable || (this->outageEnd && this->clock.now() - *this->outageEnd < this->rules.kept);
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -32,11 +32,21 @@
     EntryOrigin origin;
 };
 
+/** Which entries are kept for how long after the platform has removed them. */
+struct LapseRules
+{
+    /** How long lapsed entries are kept after an outage of the platform ended. */
+    std::chrono::milliseconds kept{0};
+    /** An entry lapses after this time without a heartbeat; until then it is removed only because its replica has left. */
+    std::chrono::milliseconds heartbeatTimeout{0};
+};
+
 /**
  * The replicas that the platform lists.
  *
  * During an outage of the platform, entries of live replicas lapse and reappear shortly after it ends. An entry that is removed
- * during or shortly after an outage is therefore kept for a while; otherwise all requests would be refused for lack of replicas.
+ * shortly after an outage, and may have lapsed, is therefore kept for a while; otherwise all requests would be refused for lack
+ * of replicas. An entry whose replica has left is removed immediately: the replica serves on for a short time only.
  *
  * The cost of a look-up or a change does not grow with the list, as each node applies each change of each replica.
  */
@@ -55,10 +65,10 @@
         std::function<void(const ListedReplica &entry)> resumed = [](const ListedReplica &) {};
     };
 
-    /** @param lapsedKept how long missing entries are kept after an outage of the platform ended */
-    ReplicaList(const Clock &clock, std::chrono::milliseconds lapsedKept, Hooks hooks);
+    ReplicaList(const Clock &clock, const LapseRules &rules, Hooks hooks);
 
-    /** Replaces the list by a complete one, read after a start or a gap in the followed changes. Missing entries may be kept. */
+    /** Replaces the list by a complete one, read after a start or a gap in the followed changes. Missing entries that may have
+     * lapsed are kept. */
     void replaceAll(const std::vector<ListedReplica> &replicas);
 
     /** Replaces the list by that of another node, which has already applied the rules for lapsed entries. No other entry is kept.
@@ -68,8 +78,8 @@
     /** Adds or updates an entry. */
     void put(const ListedReplica &entry);
 
-    /** Removes an entry, or marks it as lapsed during or shortly after an outage. */
-    void remove(const EndpointName &registeredName);
+    /** Removes entries that the platform removed together. Those that may have lapsed are kept. */
+    void remove(const std::vector<EndpointName> &registeredNames);
 
     /**
      * Marks an entry as unreadable: its replica is treated as draining until a valid entry is put. Running requests continue, as
@@ -83,9 +93,12 @@
     /** Records that the platform is unreachable. */
     void recordOutage();
 
-    /** Records that the platform answered. */
+    /** Records that the platform answered. Called before the changes of that answer are applied. */
     void recordAnswer();
 
+    /** @return when the list was confirmed before the newest answer: heartbeats in that answer were sent later. */
+    SteadyTime previouslyConfirmed() const;
+
     /** @return whether the platform has not answered since it was last unreachable. */
     bool isPlatformUnreachable() const;
 
@@ -111,13 +124,15 @@
     const Replicas &replicas() const;
 
 private:
-    /** @return whether removed entries are kept, as the platform is unreachable or was until recently. */
+    /** @return whether the platform is unreachable or was until recently. */
     bool isRetainingLapsed() const;
+    /** @return whether the entry of a replica may have lapsed in the latest outage. */
+    bool mayHaveLapsed(const EndpointName &instance) const;
     void erase(const EndpointName &instance);
     void recordChange(const EndpointName &instance);
 
     const Clock &clock;
-    std::chrono::milliseconds lapsedKept;
+    LapseRules rules;
     Hooks hooks;
     Replicas list;
     std::unordered_map<EndpointName, EntryOrigin> origins;
@@ -130,7 +145,11 @@
     std::unordered_map<EndpointName, ServingReplica> removed;
     std::uint64_t hash = 0;
     bool isUnreachable = false;
+    SteadyTime confirmed;
+    SteadyTime confirmedBefore;
     std::optional<SteadyTime> outageEnd;
+    /** For how long no node had confirmed the list when the latest outage ended. */
+    SteadyTime::duration outageLength{0};
 };
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -387,6 +387,9 @@
     std::chrono::milliseconds storeWait = std::chrono::milliseconds(1000);
     /** How long the lapsed entry of a replica is kept after the store is reachable again. */
     std::chrono::milliseconds lapsedKept = std::chrono::milliseconds(2500);
+    /** How often a replica writes its entry. The platform removes the entry of a replica that has not written it for three
+     * intervals. */
+    std::chrono::milliseconds heartbeatInterval = std::chrono::milliseconds(1200);
     /** How long after its submission a job without open items stays readable; then its rows are removed. */
     std::chrono::milliseconds jobsKept = std::chrono::milliseconds(300000);
     /** How long its items may still reach replicas after the end of a job was acknowledged. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -426,26 +426,13 @@
 
 void readGatewaySettings(SettingsReader &reader, const toml::table &table, GatewaySettings &target)
 {
-    reader.rejectUnknownKeys(table, {"ready",
-                                     "directory",
-                                     "metrics",
-                                     "grace",
-                                     "address_ttl",
-                                     "apply_bound",
-                                     "store_wait",
-                                     "lapsed_kept",
-                                     "jobs_kept",
-                                     "job_end_bound",
-                                     "processor_share",
-                                     "memory_mb",
-                                     "quota_window",
-                                     "quota_overrun",
-                                     "quota_slack",
-                                     "capacity_learning",
-                                     "workspace_shares",
-                                     "answer_bytes",
-                                     "unread_bytes",
-                                     "unread_pause",
+    reader.rejectUnknownKeys(table, {"ready",        "directory",         "metrics",
+                                     "grace",        "address_ttl",       "apply_bound",
+                                     "store_wait",   "lapsed_kept",       "heartbeat_interval",
+                                     "jobs_kept",    "job_end_bound",     "processor_share",
+                                     "memory_mb",    "quota_window",      "quota_overrun",
+                                     "quota_slack",  "capacity_learning", "workspace_shares",
+                                     "answer_bytes", "unread_bytes",      "unread_pause",
                                      "unread_share"});
     reader.readAddress(table, "ready", target.ready, Presence::Optional);
     reader.readAddress(table, "directory", target.directory, Presence::Optional);
@@ -475,6 +462,11 @@
                         target.lapsedKept,
                         Presence::Optional,
                         {.min = std::chrono::milliseconds(0), .max = std::chrono::milliseconds(60000)});
+    reader.readDuration(table,
+                        "heartbeat_interval",
+                        target.heartbeatInterval,
+                        Presence::Optional,
+                        {.min = std::chrono::milliseconds(10), .max = std::chrono::milliseconds(60000)});
     reader.readDuration(table,
                         "jobs_kept",
                         target.jobsKept,
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -74,6 +74,14 @@
     return {settings.quotaWindow, settings.quotaOverrun, settings.quotaSlack};
 }
 
+/** The platform removes an entry after this number of heartbeat intervals without a heartbeat. */
+constexpr int intervalsUntilLapse = 3;
+
+LapseRules lapseRules(const GatewaySettings &settings)
+{
+    return {settings.lapsedKept, settings.heartbeatInterval * intervalsUntilLapse};
+}
+
 } // namespace
 
 Gateway::Gateway(EventLoop &loop,
@@ -136,7 +144,7 @@
                       this->store,
                       this->peers,
                       this->relays,
-                      {settings->gateway.storeWait, settings->gateway.lapsedKept, this->random()},
+                      {settings->gateway.storeWait, lapseRules(settings->gateway), this->random()},
                       {replicaTable, &decodeReplica, &randomReplicaKey},
                       {.changed =
                            [this](const ReplicaChanges &changes) {
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -78,7 +78,7 @@
     , random(static_cast<std::minstd_rand::result_type>(options.seed))
     , format(std::move(format))
     , hooks(std::move(hooks))
-    , list(clock, options.lapsedKept, this->listHooks())
+    , list(clock, options.lapseRules, this->listHooks())
     , lastReported(clock.now())
 {
     peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &request, const auto &respond) {
@@ -140,6 +140,7 @@
                                    },
                                .onDelivered =
                                    [this] {
+                                       this->applyRemovals();
                                        this->publishChanges();
                                    },
                                .onAnswer =
@@ -300,11 +301,22 @@
     this->hooks.restarted(former);
 }
 
+EntryOrigin ReplicaFollower::originOf(const StoredRow &row) const
+{
+    EntryOrigin origin{EntrySource::Store, row.version, this->clock.now()};
+    const ServingReplica *const listed = this->list.findRegistered(EndpointName(row.key.key));
+    const std::optional<EntryState> known = listed != nullptr ? this->list.state(listed->instance) : std::nullopt;
+    if (known && known->origin.version == row.version) {
+        origin.heartbeatAfter = known->origin.heartbeatAfter;
+    }
+    return origin;
+}
+
 void ReplicaFollower::applySnapshot(const std::vector<StoredRow> &rows)
 {
     std::vector<ListedReplica> replicas;
     for (const StoredRow &row : rows) {
-        const EntryOrigin origin{EntrySource::Store, row.version, this->clock.now()};
+        const EntryOrigin origin = this->originOf(row);
         if (std::optional<ServingReplica> replica = this->decode(row)) {
             replicas.emplace_back(*std::move(replica), origin);
             continue;
@@ -350,9 +362,10 @@
     const EndpointName name(row.key.key);
     if (row.isRemoved) {
         this->unreadable.erase(name);
-        this->list.remove(name);
+        this->pendingRemovals.insert(name);
         return;
     }
+    this->pendingRemovals.erase(name);
     const std::optional<ServingReplica> replica = this->decode(row);
     if (!replica) {
         this->list.markUnreadable(name);
@@ -361,7 +374,7 @@
     const ServingReplica *const before = this->find(replica->instance);
     const bool isSame = before != nullptr && *before == *replica;
     // Also if the entry is unchanged: this restores one that had lapsed.
-    this->list.put({*replica, {EntrySource::Store, row.version, this->clock.now()}});
+    this->list.put({*replica, {EntrySource::Store, row.version, this->clock.now(), this->list.previouslyConfirmed()}});
     if (isSame) {
         return;
     }
@@ -375,6 +388,12 @@
          {"draining", replica->isDraining}});
 }
 
+void ReplicaFollower::applyRemovals()
+{
+    const std::set<EndpointName> names = std::exchange(this->pendingRemovals, {});
+    this->list.remove({names.begin(), names.end()});
+}
+
 void ReplicaFollower::expire()
 {
     this->list.expire();
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -51,8 +51,7 @@
     struct Options
     {
         std::chrono::milliseconds storeWait{1000};
-        /** How long an entry that lapsed in an outage of the store is kept after the store's return. */
-        std::chrono::milliseconds lapsedKept{2500};
+        LapseRules lapseRules;
         std::uint64_t seed = 0;
     };
 
@@ -104,8 +103,11 @@
 
 private:
     std::optional<ServingReplica> decode(const StoredRow &row);
+    /** @return the origin of a row of the whole table. */
+    EntryOrigin originOf(const StoredRow &row) const;
     void applySnapshot(const std::vector<StoredRow> &rows);
     void applyChange(const StoredRow &row);
+    void applyRemovals();
     ReplicaList::Hooks listHooks();
     void reportRestart(const ServingReplica &former);
     void publishChanges();
@@ -143,6 +145,8 @@
     /** Holds all replicas while this node follows them; selects the sets for other nodes. */
     ReplicaRing ring;
     RecentReplicas recent;
+    /** Registered names of the entries that the answer being applied removes. */
+    std::set<EndpointName> pendingRemovals;
     /** Registered names whose entries can't be decoded, so that each is logged once. */
     std::set<EndpointName> unreadable;
     bool isListKnown = false;
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::chrono::milliseconds lapsedKept{2500};
+constexpr LapseRules rules{lapsedKept, std::chrono::milliseconds(3600)};
 
 ServingReplica replica(const std::string &instance, std::uint16_t port)
 {
@@ -22,7 +23,7 @@
 TEST_CASE("entries that lapse during or after an outage are kept until they reappear or their retention ends")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.recordOutage();
     clock.advance(std::chrono::seconds(5));
@@ -47,21 +48,21 @@
 TEST_CASE("without an outage an entry is removed immediately")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     CHECK(list.replicas().size() == 1);
 }
 
 TEST_CASE("a draining replica is not kept during an outage")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     ServingReplica leaving = replica("a", 1);
     leaving.isDraining = true;
     list.put(leaving);
     list.recordOutage();
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     CHECK(list.replicas().empty());
 }
 
@@ -69,7 +70,7 @@
 TEST_CASE("an entry is removed when another replica has its address")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.put(replica("a", 1));
     list.put(replica("b", 1));
     CHECK(list.replicas().size() == 1);
@@ -82,7 +83,7 @@
 {
     ManualClock clock;
     std::vector<EndpointName> ended;
-    ReplicaList list(clock, lapsedKept, {.restarted = [&ended](const ServingReplica &former) {
+    ReplicaList list(clock, rules, {.restarted = [&ended](const ServingReplica &former) {
                          ended.push_back(former.instance);
                      }});
     ServingReplica first = replica("a", 1);
@@ -98,7 +99,7 @@
     CHECK(list.replicas().contains(EndpointName("a@2")));
     list.replaceExactly({first});
     CHECK(ended.size() == 2);
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     CHECK(list.replicas().empty());
 }
 
@@ -106,7 +107,7 @@
 TEST_CASE("a replica with an unreadable entry is draining until the entry is valid again")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.popChanges();
     list.markUnreadable(EndpointName("a"));
@@ -123,19 +124,19 @@
 TEST_CASE("changes are returned once, and an entry that reappears before the call is not returned as removed")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
     CHECK(list.popChanges().put.size() == 3);
     CHECK(list.popChanges().isEmpty());
     list.put(replica("a", 1));
     CHECK(list.popChanges().isEmpty());
-    list.remove(EndpointName("b"));
+    list.remove({EndpointName("b")});
     list.put(replica("d", 3));
     const ReplicaChanges changes = list.popChanges();
     REQUIRE(changes.put.size() == 1);
     CHECK(changes.put[0].instance == EndpointName("d"));
     CHECK(changes.removed.size() == 2);
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     list.put(replica("a", 1));
     CHECK(list.popChanges().removed.empty());
 }
@@ -144,7 +145,7 @@
 TEST_CASE("a replica that moves to another service is removed from the former one")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.put(replica("a", 1));
     list.popChanges();
     ServingReplica moved = replica("a", 1);
@@ -160,7 +161,7 @@
 TEST_CASE("a replica that moves to another address is found only there")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.put(replica("a", 1));
     list.put(replica("a", 2));
     CHECK(list.findAt({"10.0.0.1", 1}) == nullptr);
@@ -172,7 +173,7 @@
 TEST_CASE("an entry that is removed after a short outage is not kept as lapsed")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.recordAnswer();
     clock.advance(std::chrono::milliseconds(200));
@@ -180,7 +181,7 @@
     clock.advance(std::chrono::milliseconds(157));
     list.recordAnswer();
     clock.advance(std::chrono::milliseconds(100));
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     CHECK_FALSE(list.replicas().contains(EndpointName("a")));
     CHECK(list.replicas().contains(EndpointName("b")));
 }
@@ -189,7 +190,7 @@
 TEST_CASE("if most entries are missing after a short outage, they are kept until they reappear or their retention ends")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
     list.recordOutage();
     clock.advance(std::chrono::milliseconds(157));
@@ -206,15 +207,42 @@
 TEST_CASE("an entry that another node keeps as lapsed expires here too")
 {
     ManualClock clock;
-    ReplicaList list(clock, lapsedKept, {});
+    ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2)});
     list.recordOutage();
     clock.advance(std::chrono::seconds(5));
     list.recordAnswer();
-    list.remove(EndpointName("a"));
+    list.remove({EndpointName("a")});
     list.replaceExactly({replica("a", 1), replica("b", 2)});
     clock.advance(std::chrono::seconds(10));
     list.expire();
     CHECK_FALSE(list.replicas().contains(EndpointName("a")));
     CHECK(list.replicas().contains(EndpointName("b")));
 }
+
+// Guards against requests to a departed replica: the outage was long enough for entries to lapse, but this one had a heartbeat
+// just before it was removed.
+TEST_CASE("after a long outage only an entry without a recent heartbeat is kept as lapsed")
+{
+    ManualClock clock;
+    ReplicaList list(clock, rules, {});
+    list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3), replica("d", 4), replica("e", 5)});
+    const auto heartbeat = [&list, &clock](const std::string &instance, std::uint16_t port) {
+        list.recordAnswer();
+        list.put({replica(instance, port), {EntrySource::Store, 1, clock.now(), list.previouslyConfirmed()}});
+    };
+    heartbeat("a", 1);
+    clock.advance(std::chrono::milliseconds(1400));
+    list.recordAnswer();
+    clock.advance(std::chrono::milliseconds(100));
+    heartbeat("b", 2);
+    list.recordOutage();
+    clock.advance(std::chrono::milliseconds(2200));
+    list.recordAnswer();
+    list.remove({EndpointName("a"), EndpointName("b")});
+    CHECK(list.replicas().contains(EndpointName("a")));
+    CHECK_FALSE(list.replicas().contains(EndpointName("b")));
+    clock.advance(lapsedKept);
+    list.expire();
+    CHECK_FALSE(list.replicas().contains(EndpointName("a")));
+}
--- a/Tests/LibGateway/TestReplicaRing.cpp
+++ b/Tests/LibGateway/TestReplicaRing.cpp
@@ -74,7 +74,7 @@
     ring.put(replica(100, "other"));
     const ReplicaRing::Selection selection = ring.select(7, FailureDomain("z1"), setSize);
     CHECK(selection.replicas.size() == 13);
-    ReplicaList list(clock, std::chrono::milliseconds(0), {});
+    ReplicaList list(clock, {}, {});
     list.replaceExactly({selection.replicas.begin(), selection.replicas.end()});
     CHECK(list.fingerprint() == selection.fingerprint);
     CHECK(ring.select(7, FailureDomain("elsewhere"), setSize).replicas.size() == 13);
