Gateway: Kept entries expire on all nodes that received them

Callers: a node kept sending requests to a replica that had left, without end as long as the replica ran.

Cause: a node that has lost the store replaces its list by that of another node. Entries that the other one kept as lapsed arrived as if the store listed them, and the marks of the own ones were dropped. The own follower goes on from a version after the removal, so nothing removed them again. On the nodes that keep a set of replicas, an entry stayed until their next list.

Change: a list states for each entry how much longer it is kept; the receiver lets it expire at the same time, unless the list has not been confirmed by the store meanwhile. Such a list is always sent whole, as its fingerprint does not tell what is kept; an unchanged one says that nothing is kept. It now also states its version.

A test that the entries stay while no node confirms the list is new.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -13,6 +13,8 @@
 
 /** Replicas send their heartbeats again soon after an outage; in a shorter one, no entry times out. */
 constexpr std::chrono::milliseconds minOutage{1000};
+/** A list that was not confirmed for this time is that of a node without the platform: its lapsed entries can't reappear. */
+constexpr std::chrono::milliseconds maxConfirmationAge{1600};
 
 } // namespace
 
@@ -54,10 +56,14 @@
 void ReplicaList::replaceExactly(const std::vector<ListedReplica> &replicas)
 {
     this->lapsed.clear();
+    const SteadyTime now = this->clock.now();
     std::unordered_set<EndpointName> present;
     for (const ListedReplica &entry : replicas) {
         present.insert(entry.replica.instance);
         this->put(entry);
+        if (entry.keptFor) {
+            this->lapsed.insert_or_assign(entry.replica.instance, Lapsed{now, now + *entry.keptFor});
+        }
     }
     std::vector<EndpointName> missing;
     for (const auto &[instance, replica] : this->list) {
@@ -70,6 +76,11 @@
     }
 }
 
+void ReplicaList::confirmEntries()
+{
+    this->lapsed.clear();
+}
+
 bool ReplicaList::isPlatformUnreachable() const
 {
     return this->isUnreachable;
@@ -168,7 +179,7 @@
             this->erase(replica.instance);
             continue;
         }
-        this->lapsed.emplace(replica.instance, this->clock.now());
+        this->lapsed.emplace(replica.instance, Lapsed{this->clock.now(), std::nullopt});
         this->hooks.kept(replica);
     }
 }
@@ -222,6 +233,11 @@
     this->confirmed = now;
 }
 
+void ReplicaList::recordConfirmation(SteadyTime at)
+{
+    this->confirmed = std::max(this->confirmed, at);
+}
+
 SteadyTime ReplicaList::previouslyConfirmed() const
 {
     return this->confirmedBefore;
@@ -229,14 +245,39 @@
 
 void ReplicaList::expire()
 {
-    if (this->isRetainingLapsed()) {
-        return;
+    std::vector<EndpointName> expired;
+    for (const auto &[instance, entry] : this->lapsed) {
+        if (this->isExpired(entry)) {
+            expired.push_back(instance);
+        }
     }
-    for (const auto &[instance, removed] : std::exchange(this->lapsed, {})) {
+    for (const EndpointName &instance : expired) {
         this->erase(instance);
     }
 }
 
+SteadyTime ReplicaList::keptUntil(const Lapsed &entry) const
+{
+    return entry.keptUntil.value_or(this->outageEnd.value_or(entry.removed) + this->rules.kept);
+}
+
+bool ReplicaList::isExpired(const Lapsed &entry) const
+{
+    const SteadyTime now = this->clock.now();
+    const bool isOutage = entry.keptUntil ? now - this->confirmed > maxConfirmationAge : this->isUnreachable;
+    return !isOutage && now >= this->keptUntil(entry);
+}
+
+std::optional<std::chrono::milliseconds> ReplicaList::keptFor(const EndpointName &instance) const
+{
+    const auto found = this->lapsed.find(instance);
+    if (found == this->lapsed.end()) {
+        return std::nullopt;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->keptUntil(found->second) - this->clock.now());
+    return std::max(left, std::chrono::milliseconds(1));
+}
+
 std::optional<EntryState> ReplicaList::state(const EndpointName &instance) const
 {
     const auto origin = this->origins.find(instance);
@@ -244,7 +285,7 @@
         return std::nullopt;
     }
     const auto removed = this->lapsed.find(instance);
-    return EntryState{origin->second, removed != this->lapsed.end() ? std::optional(removed->second) : std::nullopt};
+    return EntryState{origin->second, removed != this->lapsed.end() ? std::optional(removed->second.removed) : std::nullopt};
 }
 
 bool ReplicaList::hasLapsed() const
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -30,6 +30,8 @@
 
     ServingReplica replica;
     EntryOrigin origin;
+    /** How much longer another node keeps the entry, as it may have lapsed; nothing if the platform lists it. */
+    std::optional<std::chrono::milliseconds> keptFor;
 };
 
 /** Which entries are kept for how long after the platform has removed them. */
@@ -71,10 +73,13 @@
      * lapsed are kept. */
     void replaceAll(const std::vector<ListedReplica> &replicas);
 
-    /** Replaces the list by that of another node, which has already applied the rules for lapsed entries. No other entry is kept.
-     */
+    /** Replaces the list by that of another node, which has already applied the rules for lapsed entries. No other entry is kept,
+     * and those that are kept there expire here at the same time. */
     void replaceExactly(const std::vector<ListedReplica> &replicas);
 
+    /** Records that another node's list of the same entries has none that is kept as lapsed. */
+    void confirmEntries();
+
     /** Adds or updates an entry. */
     void put(const ListedReplica &entry);
 
@@ -96,6 +101,9 @@
     /** Records that the platform answered. Called before the changes of that answer are applied. */
     void recordAnswer();
 
+    /** Records that the list was confirmed through another node. @param at when the platform answered that node */
+    void recordConfirmation(SteadyTime at);
+
     /** @return when the list was confirmed before the newest answer: heartbeats in that answer were sent later. */
     SteadyTime previouslyConfirmed() const;
 
@@ -114,6 +122,9 @@
     /** @return the origin of an entry and whether its removal is known, or nothing if it is not in the list. */
     std::optional<EntryState> state(const EndpointName &instance) const;
 
+    /** @return how much longer an entry is kept, or nothing if the platform lists it or it is unknown. */
+    std::optional<std::chrono::milliseconds> keptFor(const EndpointName &instance) const;
+
     /** @return whether entries are kept that the platform no longer lists. */
     bool hasLapsed() const;
 
@@ -124,8 +135,21 @@
     const Replicas &replicas() const;
 
 private:
+    /** An entry that the platform no longer lists. */
+    struct Lapsed
+    {
+        /** When its removal became known. */
+        SteadyTime removed;
+        /** When another node, from which the entry was received, ceases to keep it. */
+        std::optional<SteadyTime> keptUntil;
+    };
+
     /** @return whether the platform is unreachable or was until recently. */
     bool isRetainingLapsed() const;
+    /** @return until when an entry is kept. */
+    SteadyTime keptUntil(const Lapsed &entry) const;
+    /** @return whether an entry is no longer kept. */
+    bool isExpired(const Lapsed &entry) const;
     /** @return whether the entry of a replica may have lapsed in the latest outage. */
     bool mayHaveLapsed(const EndpointName &instance) const;
     void erase(const EndpointName &instance);
@@ -139,8 +163,7 @@
     /** Each address and each registered name belongs to one replica at a time. */
     std::map<Address, EndpointName> byAddress;
     std::unordered_map<EndpointName, EndpointName> byRegisteredName;
-    /** Entries that the platform no longer lists, with the time at which their removal became known. */
-    std::unordered_map<EndpointName, SteadyTime> lapsed;
+    std::unordered_map<EndpointName, Lapsed> lapsed;
     std::unordered_set<EndpointName> changed;
     std::unordered_map<EndpointName, ServingReplica> removed;
     std::uint64_t hash = 0;
--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -1562,6 +1562,8 @@
     bool isDraining = false;
     /** Version of its software. */
     SoftwareVersion version;
+    /** How much longer the entry is kept, as it may have lapsed; 0: the platform lists it. */
+    std::chrono::milliseconds keptFor = std::chrono::milliseconds(0);
 
     bool operator==(const ReplicaRecord &) const = default;
 
@@ -1575,7 +1577,8 @@
                 this->failureDomain,
                 this->slots,
                 this->isDraining,
-                this->version);
+                this->version,
+                this->keptFor);
     }
 };
 
@@ -3259,8 +3262,7 @@
     bool isKnown = false;
     /** Time since the store last answered it. */
     std::chrono::milliseconds age = std::chrono::milliseconds(0);
-    /** Version of the store's table; later changes are not in the list. 0: the list does not match any one version of the table.
-     */
+    /** Version of the store's table; later changes are not in the list. 0: unknown. */
     std::uint64_t version = 0;
     /** Hash of the list. */
     std::uint64_t fingerprint = 0;
@@ -3268,7 +3270,7 @@
     std::vector<ReplicaRecord> replicas;
     /** Whether it lists all replicas, or else a subset that was selected for the requesting node. */
     bool isComplete = false;
-    /** Whether the requesting node already has this list, which is then not enclosed. */
+    /** Whether the requesting node already has this list, which is then not enclosed. Never, if an entry is kept as lapsed. */
     bool isUnchanged = false;
 
     bool operator==(const ReplicaRecords &) const = default;
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -47,7 +47,7 @@
             record.version};
 }
 
-ReplicaRecord recordOf(const ServingReplica &replica)
+ReplicaRecord recordOf(const ServingReplica &replica, const ReplicaList &list)
 {
     return {replica.instance,
             replica.registeredName,
@@ -56,7 +56,8 @@
             replica.failureDomain,
             replica.slots,
             replica.isDraining,
-            replica.version};
+            replica.version,
+            list.keptFor(replica.instance).value_or(std::chrono::milliseconds(0))};
 }
 
 } // namespace
@@ -535,19 +536,24 @@
     const std::chrono::milliseconds ownAge = this->age();
     this->reportedVersion = records.version;
     this->lastReported = this->clock.now() - records.age;
+    this->list.recordConfirmation(this->lastReported);
     this->replaceList(records, ownAge);
     this->publishChanges();
 }
 
 void ReplicaFollower::replaceList(const ReplicaRecords &records, std::chrono::milliseconds ownAge)
 {
-    if (records.isUnchanged || (this->isListKnown && records.fingerprint == this->list.fingerprint())) {
+    if (records.isUnchanged) {
+        this->list.confirmEntries();
         return;
     }
     std::vector<ListedReplica> replicas;
     const EntryOrigin origin{EntrySource::OtherNode, records.version, this->clock.now()};
     for (const ReplicaRecord &record : records.replicas) {
-        replicas.emplace_back(replicaOf(record), origin);
+        ListedReplica &entry = replicas.emplace_back(replicaOf(record), origin);
+        if (record.keptFor.count() > 0) {
+            entry.keptFor = record.keptFor;
+        }
     }
     log(this->follower ? LogLevel::Info : LogLevel::Debug,
         "replicas received from another node",
@@ -577,12 +583,13 @@
     ReplicaRecords records;
     records.isKnown = true;
     records.isComplete = true;
-    records.version = this->list.hasLapsed() ? 0 : this->follower->version();
+    records.version = this->listVersion();
     records.fingerprint = this->list.fingerprint();
-    records.isUnchanged = request.fingerprint == records.fingerprint;
+    // The fingerprint does not tell which entries are kept, and for how long.
+    records.isUnchanged = request.fingerprint == records.fingerprint && !this->list.hasLapsed();
     if (!records.isUnchanged) {
         for (const auto &[instance, replica] : this->list.replicas()) {
-            records.replicas.push_back(recordOf(replica));
+            records.replicas.push_back(recordOf(replica, this->list));
         }
     }
     return records;
@@ -605,9 +612,12 @@
         choice.fingerprint = this->list.fingerprint();
     }
     records.fingerprint = choice.fingerprint;
-    records.isUnchanged = request.fingerprint == records.fingerprint;
+    // The fingerprint does not tell which entries are kept, and for how long.
+    records.isUnchanged = request.fingerprint == records.fingerprint && !this->list.hasLapsed();
     if (!records.isUnchanged) {
-        std::ranges::transform(choice.replicas, std::back_inserter(records.replicas), &recordOf);
+        for (const ServingReplica &replica : choice.replicas) {
+            records.replicas.push_back(recordOf(replica, this->list));
+        }
     }
     return records;
 }
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -213,13 +213,36 @@
     clock.advance(std::chrono::seconds(5));
     list.recordAnswer();
     list.remove({EndpointName("a")});
-    list.replaceExactly({replica("a", 1), replica("b", 2)});
-    clock.advance(std::chrono::seconds(10));
+    ListedReplica kept = replica("a", 1);
+    kept.keptFor = std::chrono::milliseconds(1700);
+    list.replaceExactly({kept, replica("b", 2)});
+    CHECK(list.keptFor(EndpointName("a")) == kept.keptFor);
+    clock.advance(std::chrono::milliseconds(1600));
+    list.recordAnswer();
+    list.expire();
+    CHECK(list.replicas().contains(EndpointName("a")));
+    clock.advance(std::chrono::milliseconds(100));
     list.expire();
     CHECK_FALSE(list.replicas().contains(EndpointName("a")));
     CHECK(list.replicas().contains(EndpointName("b")));
 }
 
+// Guards against an empty node: it received lapsed entries from a node that it lost, and the store is still away.
+TEST_CASE("entries that another node kept as lapsed stay while no node confirms the list")
+{
+    ManualClock clock;
+    ReplicaList list(clock, rules, {});
+    ListedReplica kept = replica("a", 1);
+    kept.keptFor = std::chrono::milliseconds(1700);
+    list.replaceExactly({kept});
+    clock.advance(std::chrono::seconds(10));
+    list.expire();
+    CHECK(list.replicas().contains(EndpointName("a")));
+    list.recordConfirmation(clock.now());
+    list.expire();
+    CHECK(list.replicas().empty());
+}
+
 // Guards against requests to a departed replica: the outage was long enough for entries to lapse, but this one had a heartbeat
 // just before it was removed.
 TEST_CASE("after a long outage only an entry without a recent heartbeat is kept as lapsed")
