Gateway: Compare lists of replicas by version, not by age

Cause: a node that has lost the store took over another node's list if its age was less. The age of that list is measured when it is sent and that of the own one when it arrives, a round trip later, so that an older list can look younger. The own follower went on from its newer version, and the change was not delivered again.

Change: the version of the store's table decides; at the same version, the age. The follower goes on from the version of the list that was taken over, and a pending answer or a read in several pages that is older than it is not applied on top of it.

Two tests of TableFollower are new.

--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -519,9 +519,9 @@
     if (!records.isComplete || (this->isComplete() && !isMoreRecent({records.version, records.age}, own))) {
         return;
     }
-    const std::chrono::milliseconds ownAge = this->age();
     this->lastReported = this->clock.now() - records.age;
-    this->replaceList(records, ownAge);
+    this->list.recordConfirmation(this->lastReported);
+    this->replaceList(records, own.age);
     if (records.fingerprint == this->list.fingerprint()) {
         this->follower->followFrom(records.version);
     }
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -81,6 +81,11 @@
         return;
     }
     const TableRead complete = std::exchange(this->tableRead, {});
+    if (complete.version < this->knownVersion) {
+        // Another node has sent a newer table meanwhile.
+        this->readAll();
+        return;
+    }
     this->knownVersion = complete.version;
     this->hooks.onAnswer();
     this->hooks.onSnapshot(complete.rows);
@@ -96,13 +101,16 @@
 
 void TableFollower::followFrom(RowVersion version)
 {
-    if (this->knownVersion > 0 || version == 0) {
+    if (version <= this->knownVersion) {
         return;
     }
-    this->scheduler.cancel(std::exchange(this->timer, 0));
-    this->tableRead = {};
+    const bool isFirst = this->knownVersion == 0;
     this->knownVersion = version;
-    this->follow();
+    if (isFirst) {
+        this->scheduler.cancel(std::exchange(this->timer, 0));
+        this->tableRead = {};
+        this->follow();
+    }
 }
 
 RowVersion TableFollower::version() const
@@ -139,10 +147,13 @@
         return;
     }
     this->failures = 0;
+    const RowVersion deliveredBefore = this->knownVersion;
     this->knownVersion = std::max(this->knownVersion, result.version);
     this->hooks.onAnswer();
     for (const StoredRow &row : result.rows) {
-        this->hooks.onChange(row);
+        if (row.version > deliveredBefore) {
+            this->hooks.onChange(row);
+        }
     }
     this->hooks.onDelivered();
     this->schedule(result.rows.empty() ? std::chrono::milliseconds(0) : this->options.minInterval, [this] {
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -51,8 +51,8 @@
     /** Repeats the pending request without delay: it may be waiting on a dead connection. */
     void refresh();
 
-    /** Follows the changes since a version at which another node sent the whole table, without reading the table. Does nothing
-     * if a version is known already. */
+    /** Follows the changes since a version at which another node sent the whole table, without reading the table. Changes up to
+     * that version are not delivered any more. Does nothing if a version that is as new is known already. */
     void followFrom(RowVersion version);
 
     /** @return the version up to which changes were delivered; 0: the table has not been read yet. */
--- a/Tests/ServiceGateway/TestTableFollower.cpp
+++ b/Tests/ServiceGateway/TestTableFollower.cpp
@@ -180,6 +180,45 @@
     CHECK(bench.known["a"] == "2");
 }
 
+// Guards against requests to departed replicas: an answer that was pending undoes what the newer table of another node says.
+TEST_CASE("changes up to the version of a table that another node sent are not delivered again")
+{
+    Bench bench;
+    bench.store.put(rowKey("a"), "1");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    const RowVersion known = bench.follower.version();
+    bench.store.put(rowKey("a"), "2");
+    bench.follower.followFrom(known + 1);
+    bench.clock.advance(std::chrono::milliseconds(100));
+    CHECK(bench.known["a"] == "1");
+    bench.follower.followFrom(known);
+    CHECK(bench.follower.version() == known + 1);
+    bench.store.put(rowKey("a"), "3");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    CHECK(bench.known["a"] == "3");
+}
+
+// Guards against requests to departed replicas: a read in several pages ends after a newer table was received.
+TEST_CASE("a table that is older than one that another node sent is read again")
+{
+    Bench bench;
+    bench.store.setPageSize(1);
+    bench.store.put(rowKey("a"), "1");
+    bench.store.put(rowKey("b"), "1");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    bench.store.dropHistory();
+    const std::size_t first = bench.store.reads();
+    while (bench.store.reads() < first + 2) {
+        bench.clock.advance(std::chrono::milliseconds(1));
+    }
+    const int before = bench.reads;
+    bench.store.put(rowKey("a"), "2");
+    bench.follower.followFrom(bench.follower.version() + 2);
+    bench.clock.advance(std::chrono::milliseconds(100));
+    CHECK(bench.reads == before + 1);
+    CHECK(bench.known["a"] == "2");
+}
+
 // Guards against requests to departed replicas: the store is silent for a while, and a call that it never answers delays the
 // removal of a row until long after the store's return.
 TEST_CASE("changes are delivered soon after the return of a silent store, although a call to it is still pending")
