Gateway: Detect the store's return although a call to it hangs

Cause: a follower has one call at a time. A call on a connection that died ends by its timeout, 2.5 s after it was sent, and its repetition waits up to a second for a change.

Change: a call that is not answered within 0.4 s after its wait (0.8 s for a page) counts as failed and is sent again while it is still pending; the first answer counts, and calls after a failure don't wait for a change. The return is detected within about 0.4 s. Lapsed entries are dropped on time instead of at the next quarter of a second, and 2.2 instead of 2.5 s after the first answer: replicas register again within about two seconds, and three seconds after its return the store counts as stable.

The test of refresh() asserted that a follower stays without an answer for 5 s, which it no longer does; it now asserts the same within 0.8 s, before the repetition.

--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -385,8 +385,9 @@
     /** How long the store waits for a change before it answers. Short, so that an unresponsive connection is detected within
      * apply_bound. */
     std::chrono::milliseconds storeWait = std::chrono::milliseconds(1000);
-    /** How long the lapsed entry of a replica is kept after the store is reachable again. */
-    std::chrono::milliseconds lapsedKept = std::chrono::milliseconds(2500);
+    /** How long the lapsed entry of a replica is kept after the store is reachable again. Replicas register again within about
+     * two seconds. */
+    std::chrono::milliseconds lapsedKept = std::chrono::milliseconds(2200);
     /** How often a replica writes its entry. The platform removes the entry of a replica that has not written it for three
      * intervals. */
     std::chrono::milliseconds heartbeatInterval = std::chrono::milliseconds(1200);
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -18,6 +18,8 @@
  * draining replica must get no new requests. */
 constexpr std::chrono::milliseconds changesInterval{200};
 constexpr std::chrono::milliseconds expiryInterval{250};
+/** The same while entries are kept as lapsed, which are to be dropped on time. */
+constexpr std::chrono::milliseconds lapsedExpiryInterval{50};
 /** A store that has not answered for this time is lost. Longer than the wait for a change plus a slow answer. */
 constexpr std::chrono::milliseconds storeLostTimeout{1600};
 /** A draining replica may get requests for at most two seconds: requests to other relays are repeated well within that. */
@@ -399,7 +401,7 @@
 {
     this->list.expire();
     this->publishChanges();
-    this->expiryTimer = this->loop.schedule(expiryInterval, [this] {
+    this->expiryTimer = this->loop.schedule(this->list.hasLapsed() ? lapsedExpiryInterval : expiryInterval, [this] {
         this->expire();
     });
 }
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -15,6 +15,11 @@
  * is detected. */
 constexpr std::chrono::milliseconds minRetryDelay{50};
 constexpr std::chrono::milliseconds maxRetryDelay{400};
+/** An answer that is later than this, after the wait for a change, is taken for lost. Limits how late the store's return is
+ * detected. */
+constexpr std::chrono::milliseconds followTimeout{400};
+/** Pages are large, and while a fleet starts, the store answers many reads at once. */
+constexpr std::chrono::milliseconds pageTimeout{800};
 
 } // namespace
 
@@ -40,18 +45,45 @@
     this->readPage();
 }
 
+void TableFollower::request(SendCall send)
+{
+    this->firstCall = this->callNumber + 1;
+    this->sendCall = std::move(send);
+    this->sendRequest();
+}
+
+void TableFollower::sendRequest()
+{
+    const std::chrono::milliseconds timeout = this->sendCall();
+    this->schedule(timeout, [this] {
+        this->recordFailure();
+        this->sendRequest();
+    });
+}
+
+std::chrono::milliseconds TableFollower::wait() const
+{
+    // After a failure the first answer is needed soon, whether or not there are changes.
+    return this->failures > 0 ? std::chrono::milliseconds(0) : this->options.wait();
+}
+
+bool TableFollower::isCurrent(std::uint64_t number) const
+{
+    return number >= this->firstCall;
+}
+
 void TableFollower::readPage()
 {
-    this->repeatRequest = [this] {
-        this->readPage();
-    };
-    RowRange range;
-    range.table = this->options.table;
-    range.from = this->tableRead.from;
-    this->store.read(range, [this, alive = this->alive, number = ++this->requestNumber](const RowRangeResult &page) {
-        if (*alive && number == this->requestNumber) {
-            this->applyPage(page);
-        }
+    this->request([this] {
+        RowRange range;
+        range.table = this->options.table;
+        range.from = this->tableRead.from;
+        this->store.read(range, [this, alive = this->alive, number = ++this->callNumber](const RowRangeResult &page) {
+            if (*alive && this->isCurrent(number)) {
+                this->applyPage(page);
+            }
+        });
+        return pageTimeout;
     });
 }
 
@@ -60,7 +92,7 @@
     if (page.outcome != ReadOutcome::Found) {
         // The pages read so far stay valid: changes since the first one are followed afterwards.
         this->retryLater([this] {
-            this->readPage();
+            this->sendRequest();
         });
         return;
     }
@@ -72,7 +104,7 @@
         });
         return;
     }
-    this->failures = 0;
+    this->recordAnswer();
     this->tableRead.version = isFirst ? page.version : this->tableRead.version;
     this->tableRead.rows.insert(this->tableRead.rows.end(), page.rows.begin(), page.rows.end());
     if (page.isTruncated && !page.rows.empty()) {
@@ -95,8 +127,7 @@
 
 void TableFollower::refresh()
 {
-    this->scheduler.cancel(std::exchange(this->timer, 0));
-    this->repeatRequest();
+    this->request(this->sendCall);
 }
 
 void TableFollower::followFrom(RowVersion version)
@@ -107,7 +138,6 @@
     const bool isFirst = this->knownVersion == 0;
     this->knownVersion = version;
     if (isFirst) {
-        this->scheduler.cancel(std::exchange(this->timer, 0));
         this->tableRead = {};
         this->follow();
     }
@@ -120,17 +150,18 @@
 
 void TableFollower::follow()
 {
-    this->repeatRequest = [this] {
-        this->follow();
-    };
-    this->store.follow(this->options.table,
-                       this->knownVersion,
-                       this->options.wait(),
-                       [this, alive = this->alive, number = ++this->requestNumber](const FollowResult &result) {
-                           if (*alive && number == this->requestNumber) {
-                               this->applyChanges(result);
-                           }
-                       });
+    this->request([this] {
+        const std::chrono::milliseconds wait = this->wait();
+        this->store.follow(this->options.table,
+                           this->knownVersion,
+                           wait,
+                           [this, alive = this->alive, number = ++this->callNumber](const FollowResult &result) {
+                               if (*alive && this->isCurrent(number)) {
+                                   this->applyChanges(result);
+                               }
+                           });
+        return wait + followTimeout;
+    });
 }
 
 void TableFollower::applyChanges(const FollowResult &result)
@@ -142,11 +173,11 @@
     }
     if (result.outcome == FollowOutcome::Failed) {
         this->retryLater([this] {
-            this->follow();
+            this->sendRequest();
         });
         return;
     }
-    this->failures = 0;
+    this->recordAnswer();
     const RowVersion deliveredBefore = this->knownVersion;
     this->knownVersion = std::max(this->knownVersion, result.version);
     this->hooks.onAnswer();
@@ -161,14 +192,25 @@
     });
 }
 
-void TableFollower::retryLater(std::function<void()> request)
+void TableFollower::recordAnswer()
+{
+    this->firstCall = this->callNumber + 1;
+    this->failures = 0;
+}
+
+void TableFollower::recordFailure()
 {
     if (this->failures == 0) {
         log(LogLevel::Warning, "lost the store", {{"table", this->options.table}});
     }
     this->hooks.onFailure();
-    const auto backoff = minRetryDelay * (1 << std::min(this->failures, 3));
     ++this->failures;
+}
+
+void TableFollower::retryLater(std::function<void()> request)
+{
+    const auto backoff = minRetryDelay * (1 << std::min(this->failures, 3));
+    this->recordFailure();
     const auto maxDelay = std::min(backoff, maxRetryDelay);
     std::uniform_int_distribution<std::int64_t> spread(maxDelay.count() / 2, maxDelay.count());
     this->schedule(std::chrono::milliseconds(spread(this->random)), std::move(request));
@@ -176,6 +218,7 @@
 
 void TableFollower::schedule(std::chrono::milliseconds delay, std::function<void()> action)
 {
+    this->scheduler.cancel(std::exchange(this->timer, 0));
     this->timer = this->scheduler.schedule(delay, [this, action = std::move(action)] {
         this->timer = 0;
         action();
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -16,6 +16,9 @@
 /**
  * Reads a table of the platform's store and then follows its changes until it is destroyed. After a gap in the history it reads
  * the whole table again, so that no change is missed. The known version never decreases.
+ *
+ * A request that is not answered in time is sent again while it is still pending, and the first answer counts: a connection that
+ * died in an outage would otherwise delay all changes until long after the store's return.
  */
 class TableFollower
 {
@@ -70,6 +73,20 @@
     };
 
     void readAll();
+    /** Sends one call to the store. @return the time within which it has to be answered */
+    using SendCall = std::function<std::chrono::milliseconds()>;
+
+    /** Replaces the current request. */
+    void request(SendCall send);
+    /** Sends the current request, and again whenever it is not answered in time. */
+    void sendRequest();
+    /** @return for how long a call that follows the table may wait for a change. */
+    std::chrono::milliseconds wait() const;
+    /** @return whether an answer belongs to the current request. */
+    bool isCurrent(std::uint64_t number) const;
+    /** Records that the current request was answered; later answers to it are ignored. */
+    void recordAnswer();
+    void recordFailure();
     void readPage();
     void applyPage(const RowRangeResult &page);
     void follow();
@@ -84,10 +101,11 @@
     Hooks hooks;
     RowVersion knownVersion = 0;
     TableRead tableRead;
-    /** The number of the latest request to the store; answers to earlier ones are ignored. */
-    std::uint64_t requestNumber = 0;
-    /** Repeats the latest request. */
-    std::function<void()> repeatRequest;
+    /** The number of the latest call to the store. */
+    std::uint64_t callNumber = 0;
+    /** The number of the first call of the current request; answers to earlier ones are ignored. */
+    std::uint64_t firstCall = 1;
+    SendCall sendCall;
     int failures = 0;
     TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Tests/ServiceGateway/TestTableFollower.cpp
+++ b/Tests/ServiceGateway/TestTableFollower.cpp
@@ -173,7 +173,7 @@
     bench.clock.advance(std::chrono::milliseconds(100));
     bench.store.put(rowKey("a"), "2");
     bench.store.setFollowMuted(false);
-    bench.clock.advance(std::chrono::seconds(5));
+    bench.clock.advance(std::chrono::milliseconds(800));
     CHECK(bench.known["a"] == "1");
     bench.follower.refresh();
     bench.clock.advance(std::chrono::milliseconds(50));
