LibGateway: Decide by the start of the outage whether entries may have lapsed

Cause: judged by an entry's newest heartbeat.

Change: an entry may have lapsed only from two heartbeat intervals after the start of the outage on, as the newest heartbeat was sent at most one interval before it and three have to be missing. The outage starts with the last confirmation of the list, by the store or by another node that reaches it: a node that alone loses the store keeps nothing. The knowledge of single heartbeats is removed again.

--- a/Libraries/LibGateway/EntryOrigin.h
+++ b/Libraries/LibGateway/EntryOrigin.h
@@ -32,8 +32,6 @@
     RowVersion version = 0;
     /** When the entry was last received. */
     SteadyTime received{};
-    /** A time after which the replica has sent a heartbeat, as late as is known; nothing if none is known. */
-    std::optional<SteadyTime> heartbeatAfter{};
 };
 
 /** The origin of the entry by which a request is sent, and what has happened to it since. */
--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-/** Replicas send their heartbeats again soon after an outage; in a shorter one, no entry times out. */
-constexpr std::chrono::milliseconds minOutage{1000};
 /** A list that was not confirmed for this time is that of a node without the platform: its lapsed entries can't reappear. */
 constexpr std::chrono::milliseconds maxConfirmationAge{1600};
 
@@ -33,7 +31,7 @@
 }
 
 ReplicaList::ReplicaList(const Clock &clock, const LapseRules &rules, Hooks hooks)
-    : clock(clock), rules(rules), hooks(std::move(hooks)), confirmed(clock.now()), confirmedBefore(clock.now())
+    : clock(clock), rules(rules), hooks(std::move(hooks)), confirmed(clock.now()), outageStart(clock.now())
 {
 }
 
@@ -174,7 +172,7 @@
     // Replicas leave a few at a time. If most are gone at once, the platform has lost their entries.
     const bool areMostGone = gone.size() * 2 > this->list.size() - this->lapsed.size();
     for (const ServingReplica &replica : gone) {
-        const bool mayReturn = areMostGone || this->mayHaveLapsed(replica.instance);
+        const bool mayReturn = areMostGone || this->mayLapse();
         if (!mayReturn || replica.isDraining || !this->isRetainingLapsed()) {
             this->erase(replica.instance);
             continue;
@@ -184,13 +182,9 @@
     }
 }
 
-bool ReplicaList::mayHaveLapsed(const EndpointName &instance) const
+bool ReplicaList::mayLapse() const
 {
-    if (this->outageLength < minOutage) {
-        return false;
-    }
-    const std::optional<SteadyTime> heartbeatAfter = this->origins.at(instance).heartbeatAfter;
-    return !heartbeatAfter || this->clock.now() - *heartbeatAfter >= this->rules.heartbeatTimeout;
+    return this->clock.now() - this->outageStart >= this->rules.earliest;
 }
 
 void ReplicaList::markUnreadable(const EndpointName &registeredName)
@@ -226,10 +220,9 @@
 {
     const SteadyTime now = this->clock.now();
     if (std::exchange(this->isUnreachable, false)) {
+        this->outageStart = this->confirmed;
         this->outageEnd = now;
-        this->outageLength = now - this->confirmed;
     }
-    this->confirmedBefore = this->confirmed;
     this->confirmed = now;
 }
 
@@ -238,11 +231,6 @@
     this->confirmed = std::max(this->confirmed, at);
 }
 
-SteadyTime ReplicaList::previouslyConfirmed() const
-{
-    return this->confirmedBefore;
-}
-
 void ReplicaList::expire()
 {
     std::vector<EndpointName> expired;
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -39,8 +39,9 @@
 {
     /** How long lapsed entries are kept after an outage of the platform ended. */
     std::chrono::milliseconds kept{0};
-    /** An entry lapses after this time without a heartbeat; until then it is removed only because its replica has left. */
-    std::chrono::milliseconds heartbeatTimeout{0};
+    /** No entry lapses sooner than this after the start of an outage; until then it is removed only because its replica has left.
+     */
+    std::chrono::milliseconds earliest{0};
 };
 
 /**
@@ -104,9 +105,6 @@
     /** Records that the list was confirmed through another node. @param at when the platform answered that node */
     void recordConfirmation(SteadyTime at);
 
-    /** @return when the list was confirmed before the newest answer: heartbeats in that answer were sent later. */
-    SteadyTime previouslyConfirmed() const;
-
     /** @return whether the platform has not answered since it was last unreachable. */
     bool isPlatformUnreachable() const;
 
@@ -150,8 +148,8 @@
     SteadyTime keptUntil(const Lapsed &entry) const;
     /** @return whether an entry is no longer kept. */
     bool isExpired(const Lapsed &entry) const;
-    /** @return whether the entry of a replica may have lapsed in the latest outage. */
-    bool mayHaveLapsed(const EndpointName &instance) const;
+    /** @return whether entries that are removed now may have lapsed in the latest outage. */
+    bool mayLapse() const;
     void erase(const EndpointName &instance);
     void recordChange(const EndpointName &instance);
 
@@ -168,11 +166,11 @@
     std::unordered_map<EndpointName, ServingReplica> removed;
     std::uint64_t hash = 0;
     bool isUnreachable = false;
+    /** When the list was last confirmed by the platform, directly or through another node. */
     SteadyTime confirmed;
-    SteadyTime confirmedBefore;
+    /** When the list was last confirmed before the latest outage. */
+    SteadyTime outageStart;
     std::optional<SteadyTime> outageEnd;
-    /** For how long no node had confirmed the list when the latest outage ended. */
-    SteadyTime::duration outageLength{0};
 };
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -74,12 +74,11 @@
     return {settings.quotaWindow, settings.quotaOverrun, settings.quotaSlack};
 }
 
-/** The platform removes an entry after this number of heartbeat intervals without a heartbeat. */
-constexpr int intervalsUntilLapse = 3;
-
 LapseRules lapseRules(const GatewaySettings &settings)
 {
-    return {settings.lapsedKept, settings.heartbeatInterval * intervalsUntilLapse};
+    // The platform removes an entry after three intervals without a heartbeat, the last of which was sent at most one interval
+    // before the start of an outage.
+    return {settings.lapsedKept, settings.heartbeatInterval * 2};
 }
 
 } // namespace
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -304,22 +304,11 @@
     this->hooks.restarted(former);
 }
 
-EntryOrigin ReplicaFollower::originOf(const StoredRow &row) const
-{
-    EntryOrigin origin{EntrySource::Store, row.version, this->clock.now()};
-    const ServingReplica *const listed = this->list.findRegistered(EndpointName(row.key.key));
-    const std::optional<EntryState> known = listed != nullptr ? this->list.state(listed->instance) : std::nullopt;
-    if (known && known->origin.version == row.version) {
-        origin.heartbeatAfter = known->origin.heartbeatAfter;
-    }
-    return origin;
-}
-
 void ReplicaFollower::applySnapshot(const std::vector<StoredRow> &rows)
 {
     std::vector<ListedReplica> replicas;
     for (const StoredRow &row : rows) {
-        const EntryOrigin origin = this->originOf(row);
+        const EntryOrigin origin{EntrySource::Store, row.version, this->clock.now()};
         if (std::optional<ServingReplica> replica = this->decode(row)) {
             replicas.emplace_back(*std::move(replica), origin);
             continue;
@@ -377,7 +366,7 @@
     const ServingReplica *const before = this->find(replica->instance);
     const bool isSame = before != nullptr && *before == *replica;
     // Also if the entry is unchanged: this restores one that had lapsed.
-    this->list.put({*replica, {EntrySource::Store, row.version, this->clock.now(), this->list.previouslyConfirmed()}});
+    this->list.put({*replica, {EntrySource::Store, row.version, this->clock.now()}});
     if (isSame) {
         return;
     }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -103,8 +103,6 @@
 
 private:
     std::optional<ServingReplica> decode(const StoredRow &row);
-    /** @return the origin of a row of the whole table. */
-    EntryOrigin originOf(const StoredRow &row) const;
     void applySnapshot(const std::vector<StoredRow> &rows);
     void applyChange(const StoredRow &row);
     void applyRemovals();
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::chrono::milliseconds lapsedKept{2500};
-constexpr LapseRules rules{lapsedKept, std::chrono::milliseconds(3600)};
+constexpr LapseRules rules{lapsedKept, std::chrono::milliseconds(2400)};
 
 ServingReplica replica(const std::string &instance, std::uint16_t port)
 {
@@ -243,29 +243,42 @@
     CHECK(list.replicas().empty());
 }
 
-// Guards against requests to a departed replica: the outage was long enough for entries to lapse, but this one had a heartbeat
-// just before it was removed.
-TEST_CASE("after a long outage only an entry without a recent heartbeat is kept as lapsed")
+// Guards against requests to a departed replica: its heartbeat cannot have timed out when its entry was removed. Guards against
+// requests without a replica: heartbeats that the outage delayed time out soon after its end.
+TEST_CASE("an entry is kept as lapsed only if heartbeats have been missing for long enough")
 {
     ManualClock clock;
     ReplicaList list(clock, rules, {});
     list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3), replica("d", 4), replica("e", 5)});
-    const auto heartbeat = [&list, &clock](const std::string &instance, std::uint16_t port) {
-        list.recordAnswer();
-        list.put({replica(instance, port), {EntrySource::Store, 1, clock.now(), list.previouslyConfirmed()}});
-    };
-    heartbeat("a", 1);
-    clock.advance(std::chrono::milliseconds(1400));
     list.recordAnswer();
-    clock.advance(std::chrono::milliseconds(100));
-    heartbeat("b", 2);
     list.recordOutage();
     clock.advance(std::chrono::milliseconds(2200));
     list.recordAnswer();
-    list.remove({EndpointName("a"), EndpointName("b")});
-    CHECK(list.replicas().contains(EndpointName("a")));
-    CHECK_FALSE(list.replicas().contains(EndpointName("b")));
-    clock.advance(lapsedKept);
+    list.remove({EndpointName("a")});
+    CHECK_FALSE(list.replicas().contains(EndpointName("a")));
+    clock.advance(std::chrono::milliseconds(200));
+    list.recordAnswer();
+    list.remove({EndpointName("b")});
+    CHECK(list.replicas().contains(EndpointName("b")));
+    clock.advance(lapsedKept - std::chrono::milliseconds(201));
+    list.expire();
+    CHECK(list.replicas().contains(EndpointName("b")));
+    clock.advance(std::chrono::milliseconds(1));
     list.expire();
+    CHECK_FALSE(list.replicas().contains(EndpointName("b")));
+}
+
+// Guards against requests to a departed replica: only this node had lost the store, and the others' replicas could register.
+TEST_CASE("an entry is not kept as lapsed if another node confirmed the list during the outage")
+{
+    ManualClock clock;
+    ReplicaList list(clock, rules, {});
+    list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
+    list.recordAnswer();
+    list.recordOutage();
+    clock.advance(std::chrono::seconds(10));
+    list.recordConfirmation(clock.now() - std::chrono::milliseconds(300));
+    list.recordAnswer();
+    list.remove({EndpointName("a")});
     CHECK_FALSE(list.replicas().contains(EndpointName("a")));
 }
--- a/Tests/ServiceGateway/TestDepartedReplicas.cpp
+++ b/Tests/ServiceGateway/TestDepartedReplicas.cpp
@@ -8,24 +8,20 @@
 /** Longer than any test takes, so that an entry that is kept as lapsed stays. */
 constexpr std::chrono::minutes keptLong{1};
 
-/** Starts a node with two replicas that have sent heartbeats, and one that has just registered. */
+/** A node with three replicas. */
 class DepartureBench : public RunningGateway
 {
 public:
     DepartureBench(const std::string &service, const StandInReplica::Script &script)
         : RunningGateway([&service, &script](GatewayBench &bench) {
             bench.settings.gateway.lapsedKept = keptLong;
+            // However long the outage of a test takes, no heartbeat times out in it.
+            bench.settings.gateway.heartbeatInterval = keptLong;
             bench.addReplica("i-1", service, script);
             bench.addReplica("i-2", service, script);
+            bench.addReplica("i-3", service, script);
         })
     {
-        this->host.ask<bool>([&service, &script](GatewayBench &bench) {
-            for (const char *const instance : {"i-1", "i-2"}) {
-                bench.registerReplica(instance, service, bench.addresses[instance], "ready");
-            }
-            bench.addReplica("i-3", service, script);
-            return true;
-        });
         this->awaitKnown(3);
     }
 
