LibGateway: Count a failure right after an outage as part of it

Change: failures less than a heartbeat interval after the end of an outage belong to it. Calm times of an interval or more end it, so that single failures that come again and again are not taken for one long outage.

Tests: one for each side; the first fails on the code before.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -184,7 +184,8 @@
 
 bool ReplicaList::mayLapse() const
 {
-    return this->clock.now() - this->outageStart >= this->rules.earliest;
+    // The newest heartbeat was sent at most one interval before the outage, and three have to be missing.
+    return this->clock.now() - this->outageStart >= this->rules.heartbeatInterval * 2;
 }
 
 void ReplicaList::markUnreadable(const EndpointName &registeredName)
@@ -220,7 +221,9 @@
 {
     const SteadyTime now = this->clock.now();
     if (std::exchange(this->isUnreachable, false)) {
-        this->outageStart = this->confirmed;
+        // Until all replicas have sent a heartbeat again, another failure belongs to the same outage.
+        const bool isSameOutage = this->outageEnd && this->confirmed - *this->outageEnd < this->rules.heartbeatInterval;
+        this->outageStart = isSameOutage ? this->outageStart : this->confirmed;
         this->outageEnd = now;
     }
     this->confirmed = now;
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -39,9 +39,8 @@
 {
     /** How long lapsed entries are kept after an outage of the platform ended. */
     std::chrono::milliseconds kept{0};
-    /** No entry lapses sooner than this after the start of an outage; until then it is removed only because its replica has left.
-     */
-    std::chrono::milliseconds earliest{0};
+    /** How often a replica writes its entry, which lapses after three intervals without a heartbeat. */
+    std::chrono::milliseconds heartbeatInterval{0};
 };
 
 /**
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -74,13 +74,6 @@
     return {settings.quotaWindow, settings.quotaOverrun, settings.quotaSlack};
 }
 
-LapseRules lapseRules(const GatewaySettings &settings)
-{
-    // The platform removes an entry after three intervals without a heartbeat, the last of which was sent at most one interval
-    // before the start of an outage.
-    return {settings.lapsedKept, settings.heartbeatInterval * 2};
-}
-
 } // namespace
 
 Gateway::Gateway(EventLoop &loop,
@@ -138,30 +131,31 @@
     , quotas(clock, this->peers, this->elections, quotaBounds(settings->gateway))
     , relayRole(clock)
     , relays(clock)
-    , replicaFollower(loop,
-                      clock,
-                      this->store,
-                      this->peers,
-                      this->relays,
-                      {settings->gateway.storeWait, lapseRules(settings->gateway), this->random()},
-                      {replicaTable, &decodeReplica, &randomReplicaKey},
-                      {.changed =
-                           [this](const ReplicaChanges &changes) {
-                               this->applyReplicaChanges(changes);
-                           },
-                       .restarted =
-                           [this](const ServingReplica &former) {
-                               this->replicaPool.closeIdle(former.address);
-                               ++this->replicasRestarted;
-                           },
-                       .storeReached =
-                           [this](bool isReached) {
-                               this->handleStoreReach(isReached);
-                           },
-                       .relayUnresponsive =
-                           [this](SessionNumber relay) {
-                               this->handleUnresponsiveRelay(relay);
-                           }})
+    , replicaFollower(
+          loop,
+          clock,
+          this->store,
+          this->peers,
+          this->relays,
+          {settings->gateway.storeWait, {settings->gateway.lapsedKept, settings->gateway.heartbeatInterval}, this->random()},
+          {replicaTable, &decodeReplica, &randomReplicaKey},
+          {.changed =
+               [this](const ReplicaChanges &changes) {
+                   this->applyReplicaChanges(changes);
+               },
+           .restarted =
+               [this](const ServingReplica &former) {
+                   this->replicaPool.closeIdle(former.address);
+                   ++this->replicasRestarted;
+               },
+           .storeReached =
+               [this](bool isReached) {
+                   this->handleStoreReach(isReached);
+               },
+           .relayUnresponsive =
+               [this](SessionNumber relay) {
+                   this->handleUnresponsiveRelay(relay);
+               }})
     , tableRelay(loop, this->store, {{configurationTable, JobRows::openTable}, settings->gateway.storeWait, this->random()})
     , feed(loop, this->store, this->peers, this->tableRelay, this->relays)
     , configuration(loop,
--- a/Tests/LibGateway/TestReplicaList.cpp
+++ b/Tests/LibGateway/TestReplicaList.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::chrono::milliseconds lapsedKept{2500};
-constexpr LapseRules rules{lapsedKept, std::chrono::milliseconds(2400)};
+constexpr LapseRules rules{lapsedKept, std::chrono::milliseconds(1200)};
 
 ServingReplica replica(const std::string &instance, std::uint16_t port)
 {
@@ -282,3 +282,41 @@
     list.remove({EndpointName("a")});
     CHECK_FALSE(list.replicas().contains(EndpointName("a")));
 }
+
+// Guards against requests without a replica: the store fails once more right after its return, before the heartbeats time out
+// that the outage delayed.
+TEST_CASE("a failure right after an outage does not hide that entries may lapse")
+{
+    ManualClock clock;
+    ReplicaList list(clock, rules, {});
+    list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
+    list.recordAnswer();
+    list.recordOutage();
+    clock.advance(std::chrono::milliseconds(2300));
+    for (int failure = 0; failure < 2; ++failure) {
+        list.recordAnswer();
+        clock.advance(std::chrono::milliseconds(50));
+        list.recordOutage();
+        clock.advance(std::chrono::milliseconds(50));
+    }
+    list.recordAnswer();
+    list.remove({EndpointName("a")});
+    CHECK(list.replicas().contains(EndpointName("a")));
+}
+
+// Guards against requests to a departed replica: single calls fail again and again, with calm times between them.
+TEST_CASE("single failures with calm times between them are not taken for one long outage")
+{
+    ManualClock clock;
+    ReplicaList list(clock, rules, {});
+    list.replaceAll({replica("a", 1), replica("b", 2), replica("c", 3)});
+    for (int failure = 0; failure < 5; ++failure) {
+        list.recordAnswer();
+        list.recordOutage();
+        clock.advance(std::chrono::milliseconds(50));
+        list.recordAnswer();
+        clock.advance(std::chrono::milliseconds(1300));
+    }
+    list.remove({EndpointName("a")});
+    CHECK_FALSE(list.replicas().contains(EndpointName("a")));
+}
