Gateway: Log which copies of a configuration arrive, late or in vain

The logs of an incident in which VMs stayed on an old configuration could not tell apart copies that arrive too late, answers that never arrive, and a busy processor. The logic is unchanged.

- `configuration in force` states its size, the time to decode it, for how long the node had been behind and how many copies it received; a copy that is not newer has a line of its own
- requests to other nodes and their failures, and failed calls to relays
- answers that arrive after the timeout of their call, counted apart
- relays: how much one change sends to all followers at once
- metric configuration_behind_ms

--- a/Libraries/LibWire/FrameTraffic.cpp
+++ b/Libraries/LibWire/FrameTraffic.cpp
@@ -3,6 +3,8 @@
 #include <LibWire/FrameCodec.h>
 #include <LibWire/Generated/Messages.h>
 
+#include <string>
+
 namespace Dogwoodkeel
 {
 
@@ -13,4 +15,12 @@
     }
 }
 
+void countLateAnswer(TrafficMeter *traffic, MessageNumber number, std::string_view payload)
+{
+    if (traffic != nullptr) {
+        const std::string name = std::string(messageName(number)) + " after its timeout";
+        traffic->count(TrafficMeter::Means::PeerLink, name, TrafficMeter::Direction::Received, payload.size() + frameOverhead);
+    }
+}
+
 } // namespace Dogwoodkeel
--- a/Libraries/LibWire/PeerClient.cpp
+++ b/Libraries/LibWire/PeerClient.cpp
@@ -1,5 +1,6 @@
 #include <LibWire/PeerClient.h>
 
+#include <LibBase/Log.h>
 #include <LibTask/EventLoop.h>
 #include <LibWire/Generated/Messages.h>
 
@@ -116,8 +117,8 @@
     if (!link.connection) {
         PeerLink::Hooks hooks{
             .onFrame =
-                [this](const Frame &frame) {
-                    countFrame(this->traffic, frame.number, TrafficMeter::Direction::Received, frame.payload);
+                [this, address](const Frame &frame) {
+                    this->countAnswer(address, frame);
                     this->receive(frame);
                 },
             .onClosed =
@@ -159,6 +160,21 @@
     this->scheduleCheck(address, link);
 }
 
+void PeerClient::countAnswer(const Address &from, const Frame &frame)
+{
+    const bool isLate = frame.number != LinkProbe::number && !this->calls.contains(frame.correlation);
+    if (!isLate) {
+        countFrame(this->traffic, frame.number, TrafficMeter::Direction::Received, frame.payload);
+        return;
+    }
+    countLateAnswer(this->traffic, frame.number, frame.payload);
+    log(LogLevel::Info,
+        "answer of another node arrived after its timeout",
+        {{"from", from.toString()},
+         {"message", std::string(messageName(frame.number))},
+         {"bytes", static_cast<std::int64_t>(frame.payload.size())}});
+}
+
 void PeerClient::receive(const Frame &frame)
 {
     // A response whose call has timed out is dropped: its correlation is never reused for another call.
--- a/Libraries/LibWire/PeerClient.h
+++ b/Libraries/LibWire/PeerClient.h
@@ -124,6 +124,8 @@
     void checkLink(const Address &address);
     void scheduleCheck(const Address &address, Link &link);
     void receive(const Frame &frame);
+    /** Counts an answer, separately if its call has timed out. */
+    void countAnswer(const Address &from, const Frame &frame);
     void onTimeout(Correlation correlation);
     void onClosed(const Address &address);
     void finish(Correlation correlation, CallOutcome outcome, const Frame &frame);
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -85,19 +85,34 @@
 
 void ConfigurationFollower::apply(const std::string &text, std::string_view source)
 {
+    const SteadyTime started = this->clock.now();
     std::optional<ServingConfiguration> decoded = this->format.decode(text);
+    const auto decodeTime = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - started);
+    ++this->copiesReceived;
     if (!decoded) {
         log(LogLevel::Error, "unreadable configuration ignored", {{"source", std::string(source)}});
         return;
     }
     if (this->configuration && decoded->version <= this->version()) {
+        log(LogLevel::Info,
+            "configuration received that is not newer",
+            {{"version", static_cast<std::int64_t>(decoded->version)},
+             {"current", static_cast<std::int64_t>(this->version())},
+             {"source", std::string(source)},
+             {"bytes", static_cast<std::int64_t>(text.size())},
+             {"decode_ms", decodeTime.count()}});
         return;
     }
     log(LogLevel::Info,
         "configuration in force",
         {{"version", static_cast<std::int64_t>(decoded->version)},
          {"before", static_cast<std::int64_t>(this->version())},
-         {"source", std::string(source)}});
+         {"source", std::string(source)},
+         {"bytes", static_cast<std::int64_t>(text.size())},
+         {"routes", static_cast<std::int64_t>(decoded->routes.size())},
+         {"decode_ms", decodeTime.count()},
+         {"behind_ms", this->behindFor().count()},
+         {"copies_received", static_cast<std::int64_t>(std::exchange(this->copiesReceived, 0))}});
     this->text = text;
     this->configuration = std::make_shared<const ServingConfiguration>(*std::move(decoded));
     this->peers.setConfigurationVersion(this->version());
@@ -135,6 +150,12 @@
     });
 }
 
+std::chrono::milliseconds ConfigurationFollower::behindFor() const
+{
+    const SteadyTime now = this->clock.now();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - this->behindSince.value_or(now));
+}
+
 void ConfigurationFollower::refresh()
 {
     this->follower->refresh();
@@ -150,22 +171,32 @@
         return member.configVersion > this->version();
     });
     if (newer != nullptr) {
-        this->requestFromPeer(newer->owner);
+        this->requestFromPeer(*newer);
     }
 }
 
-void ConfigurationFollower::requestFromPeer(const Address &peer)
+void ConfigurationFollower::requestFromPeer(const Member &peer)
 {
     this->isRequestPending = true;
-    this->peers.client().call(peer,
+    log(LogLevel::Info,
+        "configuration requested from another node",
+        {{"from", peer.vm.value()},
+         {"version", static_cast<std::int64_t>(this->version())},
+         {"newer", static_cast<std::int64_t>(peer.configVersion)},
+         {"behind_ms", this->behindFor().count()}});
+    this->peers.client().call(peer.owner,
                               ConfigurationTextRequest{this->version()},
                               peerTimeout,
-                              [this, alive = this->alive](const CallResult<ConfigurationText> &result) {
+                              [this, alive = this->alive, vm = peer.vm](const CallResult<ConfigurationText> &result) {
                                   if (!*alive) {
                                       return;
                                   }
                                   this->isRequestPending = false;
-                                  if (result.response && !result.response->text.empty()) {
+                                  if (!result.response) {
+                                      log(LogLevel::Info,
+                                          "configuration not received from another node",
+                                          {{"from", vm.value()}, {"behind_ms", this->behindFor().count()}});
+                                  } else if (!result.response->text.empty()) {
                                       this->apply(result.response->text, "peer");
                                   }
                               });
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -52,6 +52,9 @@
     /** @return whether another node publishes a newer version. */
     bool isBehind() const;
 
+    /** @return for how long this node has known that another one has a newer configuration; 0: it knows of none. */
+    std::chrono::milliseconds behindFor() const;
+
     /** Requests the newer version from a node that has it, without delay. */
     void catchUp();
 
@@ -61,7 +64,7 @@
 private:
     void apply(const std::string &text, std::string_view source);
     void watch();
-    void requestFromPeer(const Address &peer);
+    void requestFromPeer(const Member &peer);
 
     EventLoop &loop;
     const Clock &clock;
@@ -74,6 +77,8 @@
     bool isRequestPending = false;
     /** When this node first saw that others have a newer configuration. */
     std::optional<SteadyTime> behindSince;
+    /** Texts of configurations received since the current one came into force. */
+    std::size_t copiesReceived = 0;
     bool hadRecentContact = false;
     TimerId watchTimer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -615,6 +615,7 @@
 {
     if (const ServingConfigurationPointer current = this->configuration.current()) {
         this->metrics.setGauge("configuration_version", static_cast<double>(current->version));
+        this->metrics.setGauge("configuration_behind_ms", static_cast<double>(this->configuration.behindFor().count()));
         for (const Service &service : current->services) {
             if (const std::optional<Dispatcher::Load> load = this->placements.dispatcherLoad(service.name)) {
                 this->setDispatcherGauges(service.name.value(), *load);
--- a/Services/Gateway/RelayedFeed.cpp
+++ b/Services/Gateway/RelayedFeed.cpp
@@ -1,5 +1,7 @@
 #include <Services/Gateway/RelayedFeed.h>
 
+#include <LibBase/Log.h>
+
 #include <utility>
 
 namespace Dogwoodkeel
@@ -36,17 +38,23 @@
     return this->relays.select();
 }
 
-bool RelayedFeed::recordOutcome(SessionNumber relay, const CallResult<FeedAnswer> &result)
+bool RelayedFeed::recordOutcome(const Member &relay, const std::string &table, const CallResult<FeedAnswer> &result)
 {
     if (result.response && result.response->outcome != FeedOutcome::NotRelay) {
         this->failures = 0;
         return true;
     }
     ++this->failures;
+    log(LogLevel::Info,
+        "relay delivered no rows",
+        {{"relay", relay.vm.value()},
+         {"table", table},
+         {"reason", std::string(result.response ? "it does not follow the table" : "no answer in time")},
+         {"failures", static_cast<std::int64_t>(this->failures)}});
     if (result.response) {
-        this->relays.recordOutdated(relay);
+        this->relays.recordOutdated(relay.session);
     } else {
-        this->relays.recordUnresponsive(relay);
+        this->relays.recordUnresponsive(relay.session);
     }
     return false;
 }
@@ -70,13 +78,13 @@
     this->peers.client().call(relay->owner,
                               FeedReadRequest{range.table, range.from},
                               relayTimeout,
-                              [this, alive = this->alive, session = relay->session, table = range.table, done = std::move(done)](
+                              [this, alive = this->alive, relay = *relay, table = range.table, done = std::move(done)](
                                   const CallResult<FeedAnswer> &result) {
                                   if (!*alive) {
                                       return;
                                   }
                                   RowRangeResult read;
-                                  if (this->recordOutcome(session, result)) {
+                                  if (this->recordOutcome(relay, table, result)) {
                                       read.outcome = ReadOutcome::Found;
                                       read.rows = decodeFeed(*result.response, table).rows;
                                       read.isTruncated = result.response->isTruncated;
@@ -110,17 +118,17 @@
         this->store.follow(table, since, wait, std::move(done));
         return;
     }
-    this->peers.client().call(relay->owner,
-                              FeedFollowRequest{table, since, wait},
-                              wait + relayTimeout,
-                              [this, alive = this->alive, session = relay->session, table, done = std::move(done)](
-                                  const CallResult<FeedAnswer> &result) {
-                                  if (!*alive) {
-                                      return;
-                                  }
-                                  const bool isDelivered = this->recordOutcome(session, result);
-                                  done(isDelivered ? decodeFeed(*result.response, table) : FollowResult());
-                              });
+    this->peers.client().call(
+        relay->owner,
+        FeedFollowRequest{table, since, wait},
+        wait + relayTimeout,
+        [this, alive = this->alive, relay = *relay, table, done = std::move(done)](const CallResult<FeedAnswer> &result) {
+            if (!*alive) {
+                return;
+            }
+            const bool isDelivered = this->recordOutcome(relay, table, result);
+            done(isDelivered ? decodeFeed(*result.response, table) : FollowResult());
+        });
 }
 
 } // namespace Dogwoodkeel
--- a/Services/Gateway/RelayedFeed.h
+++ b/Services/Gateway/RelayedFeed.h
@@ -38,7 +38,7 @@
 private:
     const Member *relay();
     /** Records whether a relay answered. @return whether the answer holds the requested rows */
-    bool recordOutcome(SessionNumber relay, const CallResult<FeedAnswer> &result);
+    bool recordOutcome(const Member &relay, const std::string &table, const CallResult<FeedAnswer> &result);
 
     Scheduler &scheduler;
     RowFeed &store;
--- a/Services/Gateway/TableRelay.cpp
+++ b/Services/Gateway/TableRelay.cpp
@@ -1,6 +1,7 @@
 #include <Services/Gateway/TableRelay.h>
 
 #include <LibBase/Hash.h>
+#include <LibBase/Log.h>
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,9 @@
 constexpr std::size_t maxRows = 500;
 /** The limit for the wait that a request may state. */
 constexpr std::chrono::milliseconds maxWait{10000};
+/** Answers to a change are logged if they have this size together: they occupy the link of a small VM for tens of milliseconds.
+ */
+constexpr std::size_t minLoggedBytes = 65536;
 
 FollowResult failed()
 {
@@ -66,7 +70,7 @@
     : scheduler(scheduler), store(store), options(std::move(options))
 {
     for (const std::string &name : this->options.tables) {
-        this->tables.try_emplace(name);
+        this->tables.try_emplace(name).first->second.name = name;
     }
 }
 
@@ -93,14 +97,14 @@
 {
     for (auto &[name, table] : this->tables) {
         if (isActive && !table.follower) {
-            this->start(name, table);
+            this->start(table);
         } else if (!isActive) {
             this->stop(table);
         }
     }
 }
 
-void TableRelay::start(const std::string &name, Table &table)
+void TableRelay::start(Table &table)
 {
     TableFollower::Hooks hooks{
         .onSnapshot =
@@ -129,9 +133,9 @@
     const auto wait = [wait = this->options.storeWait] {
         return wait;
     };
-    const std::uint64_t seed = stableHash(name, this->options.seed);
+    const std::uint64_t seed = stableHash(table.name, this->options.seed);
     table.follower = std::make_unique<TableFollower>(
-        this->scheduler, this->store, seed, TableFollower::Options{name, wait, changesInterval}, std::move(hooks));
+        this->scheduler, this->store, seed, TableFollower::Options{table.name, wait, changesInterval}, std::move(hooks));
 }
 
 void TableRelay::stop(Table &table)
@@ -205,11 +209,29 @@
             ready.emplace_back(id, std::move(result));
         }
     }
+    logLargeAnswers(table, ready);
     for (const auto &[id, result] : ready) {
         this->complete(table, id, result);
     }
 }
 
+void TableRelay::logLargeAnswers(const Table &table, const std::vector<std::pair<WaiterId, FollowResult>> &answers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, result] : answers) {
+        for (const StoredRow &row : result.rows) {
+            bytes += row.value.size();
+        }
+    }
+    if (bytes >= minLoggedBytes) {
+        log(LogLevel::Info,
+            "large changes sent to followers",
+            {{"table", table.name},
+             {"followers", static_cast<std::int64_t>(answers.size())},
+             {"bytes", static_cast<std::int64_t>(bytes)}});
+    }
+}
+
 void TableRelay::complete(Table &table, WaiterId id, const FollowResult &result)
 {
     auto waiter = table.waiters.extract(id);
--- a/Services/Gateway/TableRelay.h
+++ b/Services/Gateway/TableRelay.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -69,6 +70,7 @@
 
     struct Table
     {
+        std::string name;
         TableMirror mirror;
         /** Whether the store answered the last request. */
         bool isStoreAnswering = false;
@@ -76,10 +78,11 @@
         std::unique_ptr<TableFollower> follower;
     };
 
-    void start(const std::string &name, Table &table);
+    void start(Table &table);
     void stop(Table &table);
     void notifyWaiters(Table &table);
     void complete(Table &table, WaiterId id, const FollowResult &result);
+    static void logLargeAnswers(const Table &table, const std::vector<std::pair<WaiterId, FollowResult>> &answers);
     FeedAnswer answer(const FeedReadRequest &request) const;
 
     Scheduler &scheduler;
