Tests: Reproduce a large configuration that never comes into force (red)

Twelve gateway processes of one failure domain behind connections of 500 kB/s: what a relay of 75 Mbit/s has for each of eighteen followers that it answers at the same moment.

In the run that was read, eleven nodes had each version in force after up to 3.2 s behind; one received 175 copies after their timeouts, 108 MB in a minute, and kept version 2. Decoding took 34 ms, once for a version.

The sockets of node processes are changed by a class of their own now, which the soak's partitions use too.

--- /dev/null
+++ b/Tests/Processes/TestLargeConfigurations.cpp
@@ -0,0 +1,93 @@
+#include <Tests/Processes/GatewayProcesses.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+using namespace Dogwoodkeel;
+
+namespace
+{
+
+/** More nodes than a failure domain needs to use relays. */
+constexpr std::size_t nodeCount = 12;
+constexpr double relayCount = 2;
+/** The share of a connection in the link of a relay to which all nodes of its failure domain are connected. */
+constexpr std::uint32_t bytesPerSecond = 500'000;
+/** A text of 800 kB. */
+constexpr int routeCount = 4200;
+
+std::string configurationOf(int version, int routes, int timeout)
+{
+    nlohmann::json configuration{
+        {"version", version},
+        {"routes", nlohmann::json::array()},
+        {"services", {{{"name", "api"}}}},
+        {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 100000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+    for (int number = 0; number < routes; ++number) {
+        const std::string name = "route-" + std::to_string(number * 7919 % 99991);
+        configuration["routes"].push_back({{"name", name},
+                                           {"host", name + ".example"},
+                                           {"prefix", "/" + name + "/"},
+                                           {"routeKind", "safe"},
+                                           {"timeoutMs", timeout},
+                                           {"fullValueMs", 300},
+                                           {"service", "api"},
+                                           {"maxAttempts", 2},
+                                           {"priority", 1}});
+    }
+    return configuration.dump();
+}
+
+class ConfiguredProcesses : public GatewayProcesses
+{
+public:
+    ConfiguredProcesses() : GatewayProcesses(nodeCount)
+    {
+        this->configure(1, 3, 5000);
+        awaitProcesses([this] {
+            return this->all([this](std::size_t node) {
+                return this->isReady(node) && this->metric(node, "members") == nodeCount;
+            });
+        });
+        awaitProcesses([this] {
+            double relays = 0;
+            for (std::size_t node = 0; node < this->count(); ++node) {
+                relays += this->metric(node, "is_relay");
+            }
+            return relays == relayCount;
+        });
+    }
+
+    void configure(int version, int routes, int timeout)
+    {
+        this->put({"op", "", "config"}, configurationOf(version, routes, timeout));
+    }
+
+    void awaitVersion(int version)
+    {
+        awaitProcesses([this, version] {
+            return this->all([this, version](std::size_t node) {
+                return this->metric(node, "configuration_version") == version;
+            });
+        });
+    }
+};
+
+} // namespace
+
+// Guards against copies of a large configuration that hold each other up: each was given up before it had arrived, and another
+// one was requested.
+TEST_CASE("a configuration that takes longer to arrive than a call may take comes into force on all nodes")
+{
+    ConfiguredProcesses processes;
+    processes.setConnectionRate(bytesPerSecond);
+    processes.configure(2, routeCount, 5000);
+    processes.awaitVersion(2);
+    // A change of one field, while the former version may still be on its way.
+    processes.configure(3, routeCount, 6000);
+    processes.configure(4, routeCount, 7000);
+    processes.awaitVersion(4);
+}
--- a/Tests/Soak/PeerPartition.h
+++ b/Tests/Soak/PeerPartition.h
@@ -42,8 +42,6 @@
     void apply(const std::vector<Peer> &peers, const std::set<Pair> &pairs);
 
 private:
-    class Socket;
-
     std::uint16_t port;
     std::set<std::size_t> filteredReceivers;
 };
