Gateway: Fetch large values in chunks, each once, whatever times out

Callers were served by an old configuration for up to half a minute after a newer one had been acknowledged. Nodes knew of it, but received only copies that came too late: a relay sends the whole text to all followers at once, which takes longer than a call may (0.4 s); late copies were dropped; each repetition, of the follower, to another relay and to other members, had a whole copy sent again. Datagrams of relays waited behind the copies, so that living relays were taken for dead.

A value over 16 kB is replaced by an outline, the hashes of its content-defined chunks. The receiver requests the chunks that it lacks, 16 kB at a time, from the sender of the outline or members that have the newer configuration. A chunk counts whenever and from whomever it arrives, and a failed attempt loses none, so that the text arrives on any link that carries anything. Relays and members use it alike.

FeedRow has a new field, and other messages replace ConfigurationText: nodes of both program versions fall back to the store while they run side by side.

--- a/Libraries/LibWire/Generated/Messages.h
+++ b/Libraries/LibWire/Generated/Messages.h
@@ -511,8 +511,10 @@
 struct PlacementsRunning;
 struct PlacementStarted;
 struct ReplicaTimings;
-struct ConfigurationText;
-struct ConfigurationTextRequest;
+struct ConfigurationOutline;
+struct ConfigurationOutlineRequest;
+struct ChunkAnswer;
+struct ChunkRequest;
 struct JobEnded;
 struct JobReminder;
 struct JobContent;
@@ -1465,6 +1467,40 @@
     }
 };
 
+/** A part of a large text. */
+struct ChunkReference
+{
+    /** Hash of its content. */
+    std::uint64_t digest = 0;
+    /** Size of its content. */
+    std::uint32_t bytes = 0;
+
+    bool operator==(const ChunkReference &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->digest, this->bytes);
+    }
+};
+
+/** The chunks of which a large text consists, for nodes that have most of them. */
+struct TextOutline
+{
+    /** Hash of the text. */
+    std::uint64_t digest = 0;
+    /** Its chunks in order. */
+    std::vector<ChunkReference> chunks;
+
+    bool operator==(const TextOutline &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->digest, this->chunks);
+    }
+};
+
 /** One header line of a batch item. */
 struct HeaderRecord
 {
@@ -1612,19 +1648,21 @@
     std::string part;
     /** Its key. */
     std::string key;
-    /** Its value. */
+    /** Its value; empty if there is an outline. */
     std::string value;
     /** Its version. */
     std::uint64_t version = 0;
     /** Whether it was removed. */
     bool isRemoved = false;
+    /** A large value, which is fetched in chunks. */
+    TextOutline outline;
 
     bool operator==(const FeedRow &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->part, this->key, this->value, this->version, this->isRemoved);
+        archive(this->part, this->key, this->value, this->version, this->isRemoved, this->outline);
     }
 };
 
@@ -2919,16 +2957,16 @@
     }
 };
 
-/** The newest configuration that a node has, in the form that the platform stores. */
-struct ConfigurationText
+/** The newest configuration that a node has. */
+struct ConfigurationOutline
 {
-    static constexpr MessageNumber number{124};
+    static constexpr MessageNumber number{161};
     /** Its version; 0 if the node has none. */
     std::uint64_t version = 0;
-    /** The configuration in the platform's format. */
-    std::string text;
+    /** The configuration in the platform's format; empty if it is not newer than the known one. */
+    TextOutline text;
 
-    bool operator==(const ConfigurationText &) const = default;
+    bool operator==(const ConfigurationOutline &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -2938,14 +2976,14 @@
 };
 
 /** Asks a node for the newest configuration that it has. */
-struct ConfigurationTextRequest
+struct ConfigurationOutlineRequest
 {
-    static constexpr MessageNumber number{125};
-    using Response = ConfigurationText;
-    /** The version that the requesting node has; an older one is not sent. */
+    static constexpr MessageNumber number{162};
+    using Response = ConfigurationOutline;
+    /** The version that the requesting node has. */
     std::uint64_t known = 0;
 
-    bool operator==(const ConfigurationTextRequest &) const = default;
+    bool operator==(const ConfigurationOutlineRequest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -2954,6 +2992,39 @@
     }
 };
 
+/** Chunks of large texts. */
+struct ChunkAnswer
+{
+    static constexpr MessageNumber number{163};
+    /** Their contents, in the order of the request; empty for chunks that the node does not have. */
+    std::vector<std::string> chunks;
+
+    bool operator==(const ChunkAnswer &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->chunks);
+    }
+};
+
+/** Asks a node for chunks of large texts. */
+struct ChunkRequest
+{
+    static constexpr MessageNumber number{164};
+    using Response = ChunkAnswer;
+    /** The hashes of their contents. */
+    std::vector<std::uint64_t> digests;
+
+    bool operator==(const ChunkRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->digests);
+    }
+};
+
 /** Datagram: the caller ended a job; nodes that run its items stop them. */
 struct JobEnded
 {
@@ -3625,10 +3696,14 @@
         return "PlacementBegun";
     case 160:
         return "ReplicaTimings";
-    case 124:
-        return "ConfigurationText";
-    case 125:
-        return "ConfigurationTextRequest";
+    case 161:
+        return "ConfigurationOutline";
+    case 162:
+        return "ConfigurationOutlineRequest";
+    case 163:
+        return "ChunkAnswer";
+    case 164:
+        return "ChunkRequest";
     case 126:
         return "JobEnded";
     case 152:
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -28,6 +28,7 @@
                                              const Clock &clock,
                                              RowFeed &store,
                                              PeerNetwork &peers,
+                                             ChunkExchange &chunks,
                                              std::chrono::milliseconds storeWait,
                                              Format format,
                                              Changed changed)
@@ -35,12 +36,13 @@
     , clock(clock)
     , random(static_cast<std::minstd_rand::result_type>(peers.self().value()))
     , peers(peers)
+    , chunks(chunks)
     , format(std::move(format))
     , changed(std::move(changed))
 {
-    peers.server().handle<ConfigurationTextRequest>([this](const ConfigurationTextRequest &request, const auto &respond) {
+    peers.server().handle<ConfigurationOutlineRequest>([this](const ConfigurationOutlineRequest &request, const auto &respond) {
         const bool isNewer = this->version() > request.known;
-        respond(ConfigurationText{this->version(), isNewer ? this->text : std::string()});
+        respond(ConfigurationOutline{this->version(), isNewer ? this->outline : TextOutline()});
     });
     const auto applyRow = [this](const StoredRow &row) {
         if (row.key.key == this->format.key && !row.isRemoved) {
@@ -113,7 +115,7 @@
          {"decode_ms", decodeTime.count()},
          {"behind_ms", this->behindFor().count()},
          {"copies_received", static_cast<std::int64_t>(std::exchange(this->copiesReceived, 0))}});
-    this->text = text;
+    this->outline = this->chunks.publish(this->row(), text);
     this->configuration = std::make_shared<const ServingConfiguration>(*std::move(decoded));
     this->peers.setConfigurationVersion(this->version());
     this->changed(this->configuration);
@@ -185,21 +187,46 @@
          {"newer", static_cast<std::int64_t>(peer.configVersion)},
          {"behind_ms", this->behindFor().count()}});
     this->peers.client().call(peer.owner,
-                              ConfigurationTextRequest{this->version()},
+                              ConfigurationOutlineRequest{this->version()},
                               peerTimeout,
-                              [this, alive = this->alive, vm = peer.vm](const CallResult<ConfigurationText> &result) {
-                                  if (!*alive) {
-                                      return;
-                                  }
-                                  this->isRequestPending = false;
-                                  if (!result.response) {
-                                      log(LogLevel::Info,
-                                          "configuration not received from another node",
-                                          {{"from", vm.value()}, {"behind_ms", this->behindFor().count()}});
-                                  } else if (!result.response->text.empty()) {
-                                      this->apply(result.response->text, "peer");
+                              [this, alive = this->alive, peer](const CallResult<ConfigurationOutline> &result) {
+                                  if (*alive) {
+                                      this->receiveOutline(peer, result);
                                   }
                               });
 }
 
+void ConfigurationFollower::receiveOutline(const Member &peer, const CallResult<ConfigurationOutline> &result)
+{
+    if (!result.response || result.response->text.chunks.empty()) {
+        this->recordPeerFailure(peer);
+        return;
+    }
+    const auto receive = [this, alive = this->alive, peer](const std::optional<std::string> &text) {
+        if (!*alive) {
+            return;
+        }
+        if (!text) {
+            this->recordPeerFailure(peer);
+            return;
+        }
+        this->isRequestPending = false;
+        this->apply(*text, "peer");
+    };
+    this->chunks.fetch(this->row(), result.response->text, peer.owner, receive);
+}
+
+void ConfigurationFollower::recordPeerFailure(const Member &peer)
+{
+    this->isRequestPending = false;
+    log(LogLevel::Info,
+        "configuration not received from another node",
+        {{"from", peer.vm.value()}, {"behind_ms", this->behindFor().count()}});
+}
+
+RowKey ConfigurationFollower::row() const
+{
+    return {this->format.table, {}, this->format.key};
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibPlatform/RowStore.h>
+#include <Services/Gateway/ChunkExchange.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/TableFollower.h>
 
@@ -36,6 +37,7 @@
                           const Clock &clock,
                           RowFeed &store,
                           PeerNetwork &peers,
+                          ChunkExchange &chunks,
                           std::chrono::milliseconds storeWait,
                           Format format,
                           Changed changed);
@@ -65,14 +67,18 @@
     void apply(const std::string &text, std::string_view source);
     void watch();
     void requestFromPeer(const Member &peer);
+    void receiveOutline(const Member &peer, const CallResult<ConfigurationOutline> &result);
+    void recordPeerFailure(const Member &peer);
+    RowKey row() const;
 
     EventLoop &loop;
     const Clock &clock;
     std::minstd_rand random;
     PeerNetwork &peers;
+    ChunkExchange &chunks;
     Format format;
     Changed changed;
-    std::string text;
+    TextOutline outline;
     ServingConfigurationPointer configuration;
     bool isRequestPending = false;
     /** When this node first saw that others have a newer configuration. */
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -156,12 +156,14 @@
                [this](SessionNumber relay) {
                    this->handleUnresponsiveRelay(relay);
                }})
+    , chunks(loop, this->peers, this->random())
     , tableRelay(loop, this->store, {{configurationTable, JobRows::openTable}, settings->gateway.storeWait, this->random()})
-    , feed(loop, this->store, this->peers, this->tableRelay, this->relays)
+    , feed(loop, this->store, this->peers, this->tableRelay, this->relays, this->chunks)
     , configuration(loop,
                     clock,
                     this->feed,
                     this->peers,
+                    this->chunks,
                     settings->gateway.storeWait,
                     {configurationTable, configurationKey, &decodeConfiguration},
                     [this](const ServingConfigurationPointer &received) {
@@ -260,7 +262,9 @@
         this->handleMetrics(exchange);
     })
 {
-    this->tableRelay.serve(this->peers.server());
+    this->tableRelay.serve(this->peers.server(), [this](const StoredRow &row) {
+        return this->chunks.encode(row);
+    });
     this->isComplete = true;
     this->applyView(this->peers.roleView());
     this->tick();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include <LibSettings/SettingsHandle.h>
 #include <LibTask/EventLoop.h>
 #include <Services/Gateway/CallerRouter.h>
+#include <Services/Gateway/ChunkExchange.h>
 #include <Services/Gateway/ConfigurationFollower.h>
 #include <Services/Gateway/CoordinatorElections.h>
 #include <Services/Gateway/CrashExchange.h>
@@ -162,6 +163,7 @@
     RelayRole relayRole;
     RelaySelector relays;
     ReplicaFollower replicaFollower;
+    ChunkExchange chunks;
     TableRelay tableRelay;
     RelayedFeed feed;
     ConfigurationFollower configuration;
--- a/Services/Gateway/RelayedFeed.cpp
+++ b/Services/Gateway/RelayedFeed.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-RelayedFeed::RelayedFeed(Scheduler &scheduler, RowFeed &store, PeerNetwork &peers, TableRelay &own, RelaySelector &relays)
-    : scheduler(scheduler), store(store), peers(peers), own(own), relays(relays)
+RelayedFeed::RelayedFeed(
+    Scheduler &scheduler, RowFeed &store, PeerNetwork &peers, TableRelay &own, RelaySelector &relays, ChunkExchange &chunks)
+    : scheduler(scheduler), store(store), peers(peers), own(own), relays(relays), chunks(chunks)
 {
 }
 
@@ -75,23 +76,25 @@
         this->store.read(std::move(range), std::move(done));
         return;
     }
-    this->peers.client().call(relay->owner,
-                              FeedReadRequest{range.table, range.from},
-                              relayTimeout,
-                              [this, alive = this->alive, relay = *relay, table = range.table, done = std::move(done)](
-                                  const CallResult<FeedAnswer> &result) {
-                                  if (!*alive) {
-                                      return;
-                                  }
-                                  RowRangeResult read;
-                                  if (this->recordOutcome(relay, table, result)) {
-                                      read.outcome = ReadOutcome::Found;
-                                      read.rows = decodeFeed(*result.response, table).rows;
-                                      read.isTruncated = result.response->isTruncated;
-                                      read.version = result.response->version;
-                                  }
-                                  done(std::move(read));
-                              });
+    this->peers.client().call(
+        relay->owner,
+        FeedReadRequest{range.table, range.from},
+        relayTimeout,
+        [this, alive = this->alive, relay = *relay, table = range.table, done = std::move(done)](
+            const CallResult<FeedAnswer> &result) {
+            if (!*alive) {
+                return;
+            }
+            if (!this->recordOutcome(relay, table, result)) {
+                done({});
+                return;
+            }
+            const FeedAnswer &answer = *result.response;
+            const auto receive = [done, version = answer.version, isTruncated = answer.isTruncated](auto rows) {
+                done(rows ? RowRangeResult{ReadOutcome::Found, *std::move(rows), isTruncated, version} : RowRangeResult());
+            };
+            this->receiveRows(answer, table, relay, receive);
+        });
 }
 
 void RelayedFeed::follow(const std::string &table,
@@ -126,9 +129,60 @@
             if (!*alive) {
                 return;
             }
-            const bool isDelivered = this->recordOutcome(relay, table, result);
-            done(isDelivered ? decodeFeed(*result.response, table) : FollowResult());
+            if (!this->recordOutcome(relay, table, result)) {
+                done({});
+                return;
+            }
+            const auto receive
+                = [done, outcome = decodeFeed(*result.response, table).outcome, version = result.response->version](auto rows) {
+                      done(rows ? FollowResult{outcome, *std::move(rows), version} : FollowResult());
+                  };
+            this->receiveRows(*result.response, table, relay, receive);
         });
 }
 
+void RelayedFeed::receiveRows(const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done)
+{
+    const auto reception = std::make_shared<Reception>();
+    reception->rows = decodeFeed(answer, table).rows;
+    reception->relay = relay;
+    reception->done = std::move(done);
+    for (std::size_t index = 0; index < answer.rows.size(); ++index) {
+        if (!answer.rows[index].outline.chunks.empty()) {
+            reception->missing.emplace(index, answer.rows[index].outline);
+        }
+    }
+    this->fetchNext(reception);
+}
+
+void RelayedFeed::fetchNext(const std::shared_ptr<Reception> &reception)
+{
+    const auto next = reception->missing.begin();
+    if (next == reception->missing.end()) {
+        reception->done(std::move(reception->rows));
+        return;
+    }
+    const auto &[index, outline] = *next;
+    const auto receive = [this, alive = this->alive, reception, index](std::optional<std::string> value) {
+        if (*alive) {
+            this->receiveValue(reception, index, std::move(value));
+        }
+    };
+    this->chunks.fetch(reception->rows[index].key, outline, reception->relay.owner, receive);
+}
+
+void RelayedFeed::receiveValue(const std::shared_ptr<Reception> &reception, std::size_t index, std::optional<std::string> value)
+{
+    StoredRow &row = reception->rows[index];
+    if (!value) {
+        log(LogLevel::Info, "large value not received", {{"relay", reception->relay.vm.value()}, {"table", row.key.table}});
+        this->relays.recordUnresponsive(reception->relay.session);
+        reception->done(std::nullopt);
+        return;
+    }
+    row.value = *std::move(value);
+    reception->missing.erase(index);
+    this->fetchNext(reception);
+}
+
 } // namespace Dogwoodkeel
--- a/Services/Gateway/RelayedFeed.h
+++ b/Services/Gateway/RelayedFeed.h
@@ -3,12 +3,17 @@
 #include <LibBase/Scheduler.h>
 #include <LibMembership/RelaySelector.h>
 #include <LibPlatform/RowStore.h>
+#include <Services/Gateway/ChunkExchange.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/TableRelay.h>
 
+#include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -23,8 +28,10 @@
     /**
      * @param own the tables that this node follows while it is a relay
      * @param relays selects the relay that gets the requests while this node is none
+     * @param chunks through which large values are fetched
      */
-    RelayedFeed(Scheduler &scheduler, RowFeed &store, PeerNetwork &peers, TableRelay &own, RelaySelector &relays);
+    RelayedFeed(
+        Scheduler &scheduler, RowFeed &store, PeerNetwork &peers, TableRelay &own, RelaySelector &relays, ChunkExchange &chunks);
     ~RelayedFeed() override;
     RelayedFeed(const RelayedFeed &) = delete;
     RelayedFeed &operator=(const RelayedFeed &) = delete;
@@ -36,7 +43,23 @@
                 std::function<void(FollowResult)> done) override;
 
 private:
+    using RowsReceived = std::function<void(std::optional<std::vector<StoredRow>>)>;
+
+    /** Rows of an answer whose large values are being fetched. */
+    struct Reception
+    {
+        std::vector<StoredRow> rows;
+        /** The outlines of the missing values, by the index of their rows. */
+        std::map<std::size_t, TextOutline> missing;
+        Member relay;
+        RowsReceived done;
+    };
+
     const Member *relay();
+    /** Passes on the rows of an answer once their large values have been fetched, or nothing if a value can't be fetched. */
+    void receiveRows(const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done);
+    void fetchNext(const std::shared_ptr<Reception> &reception);
+    void receiveValue(const std::shared_ptr<Reception> &reception, std::size_t index, std::optional<std::string> value);
     /** Records whether a relay answered. @return whether the answer holds the requested rows */
     bool recordOutcome(const Member &relay, const std::string &table, const CallResult<FeedAnswer> &result);
 
@@ -45,6 +68,7 @@
     PeerNetwork &peers;
     TableRelay &own;
     RelaySelector &relays;
+    ChunkExchange &chunks;
     /** Consecutive calls to relays without a usable answer. */
     std::size_t failures = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Services/Gateway/TableRelay.cpp
+++ b/Services/Gateway/TableRelay.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Log.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -27,23 +28,26 @@
     return {FollowOutcome::Failed, {}, 0};
 }
 
-std::vector<FeedRow> encodeRows(const std::vector<StoredRow> &rows)
+std::vector<FeedRow> encodeRows(const std::vector<StoredRow> &rows, const TableRelay::EncodeRow &encodeRow)
 {
     std::vector<FeedRow> encoded;
     encoded.reserve(rows.size());
-    for (const StoredRow &row : rows) {
-        encoded.push_back({row.key.part, row.key.key, row.isRemoved ? std::string() : row.value, row.version, row.isRemoved});
-    }
+    std::ranges::transform(rows, std::back_inserter(encoded), encodeRow);
     return encoded;
 }
 
 } // namespace
 
-FeedAnswer encodeFeed(const FollowResult &result)
+FeedRow encodeWholeRow(const StoredRow &row)
+{
+    return {row.key.part, row.key.key, row.isRemoved ? std::string() : row.value, row.version, row.isRemoved, {}};
+}
+
+FeedAnswer encodeFeed(const FollowResult &result, const TableRelay::EncodeRow &encodeRow)
 {
     switch (result.outcome) {
     case FollowOutcome::Followed:
-        return {FeedOutcome::Delivered, encodeRows(result.rows), result.version, false};
+        return {FeedOutcome::Delivered, encodeRows(result.rows, encodeRow), result.version, false};
     case FollowOutcome::HistoryLost:
         return {FeedOutcome::HistoryLost, {}, result.version, false};
     case FollowOutcome::Failed:
@@ -81,15 +85,16 @@
     }
 }
 
-void TableRelay::serve(PeerServer &server)
+void TableRelay::serve(PeerServer &server, EncodeRow encodeRow)
 {
-    server.handle<FeedReadRequest>([this](const FeedReadRequest &request, const auto &respond) {
-        respond(this->answer(request));
+    server.handle<FeedReadRequest>([this, encodeRow](const FeedReadRequest &request, const auto &respond) {
+        respond(this->answer(request, encodeRow));
     });
-    server.handle<FeedFollowRequest>([this](const FeedFollowRequest &request, const auto &respond) {
-        this->follow(request.table, request.since, std::min(request.wait, maxWait), [respond](const FollowResult &result) {
-            respond(encodeFeed(result));
-        });
+    server.handle<FeedFollowRequest>([this, encodeRow](const FeedFollowRequest &request, const auto &respond) {
+        const auto answer = [respond, encodeRow](const FollowResult &result) {
+            respond(encodeFeed(result, encodeRow));
+        };
+        this->follow(request.table, request.since, std::min(request.wait, maxWait), answer);
     });
 }
 
@@ -169,13 +174,13 @@
     return this->tables.at(range.table).mirror.read(range.part, range.from, maxRows);
 }
 
-FeedAnswer TableRelay::answer(const FeedReadRequest &request) const
+FeedAnswer TableRelay::answer(const FeedReadRequest &request, const EncodeRow &encodeRow) const
 {
     const RowRangeResult result = this->read({request.table, {}, request.from, {}, 0});
     if (result.outcome != ReadOutcome::Found) {
         return {FeedOutcome::NotRelay, {}, 0, false};
     }
-    return {FeedOutcome::Delivered, encodeRows(result.rows), result.version, result.isTruncated};
+    return {FeedOutcome::Delivered, encodeRows(result.rows, encodeRow), result.version, result.isTruncated};
 }
 
 void TableRelay::follow(const std::string &table,
--- a/Services/Gateway/TableRelay.h
+++ b/Services/Gateway/TableRelay.h
@@ -38,8 +38,10 @@
     TableRelay(const TableRelay &) = delete;
     TableRelay &operator=(const TableRelay &) = delete;
 
-    /** Registers the handlers for requests of other nodes. */
-    void serve(PeerServer &server);
+    using EncodeRow = std::function<FeedRow(const StoredRow &)>;
+
+    /** Registers the handlers for requests of other nodes. @param encodeRow converts a row to the message for another node */
+    void serve(PeerServer &server, EncodeRow encodeRow);
 
     /** Starts or stops following the tables. */
     void setActive(bool isActive);
@@ -83,7 +85,7 @@
     void notifyWaiters(Table &table);
     void complete(Table &table, WaiterId id, const FollowResult &result);
     static void logLargeAnswers(const Table &table, const std::vector<std::pair<WaiterId, FollowResult>> &answers);
-    FeedAnswer answer(const FeedReadRequest &request) const;
+    FeedAnswer answer(const FeedReadRequest &request, const EncodeRow &encodeRow) const;
 
     Scheduler &scheduler;
     RowFeed &store;
@@ -92,8 +94,11 @@
     WaiterId lastWaiter = 0;
 };
 
+/** @return the message for a row, with its value. */
+FeedRow encodeWholeRow(const StoredRow &row);
+
 /** Converts the result of following a table to the message for another node, and back. */
-FeedAnswer encodeFeed(const FollowResult &result);
+FeedAnswer encodeFeed(const FollowResult &result, const TableRelay::EncodeRow &encodeRow = &encodeWholeRow);
 FollowResult decodeFeed(const FeedAnswer &answer, const std::string &table);
 
 } // namespace Dogwoodkeel
--- a/Tests/Processes/TestLargeConfigurations.cpp
+++ b/Tests/Processes/TestLargeConfigurations.cpp
@@ -86,7 +86,7 @@
     processes.setConnectionRate(bytesPerSecond);
     processes.configure(2, routeCount, 5000);
     processes.awaitVersion(2);
-    // A change of one field, while the former version may still be on its way.
+    // Each route changes, twice, so that a version is requested while the former one may still be on its way.
     processes.configure(3, routeCount, 6000);
     processes.configure(4, routeCount, 7000);
     processes.awaitVersion(4);
