Gateway: Neither repeat nor give up a call to the store whose answer arrives

The same cause as between nodes: a call that follows a table was repeated every 0.4 s after its wait, and given up after platform.timeout, however much of its answer had arrived. An answer that takes longer than the timeout never arrived, and up to five copies of it filled the link: a configuration of 738 kB (1 MB as the store sends it) never came into force behind connections of 200 kB/s. Nodes that follow the store themselves are relays, nodes of small failure domains and all that start.

PlatformStore counts a timeout from the last byte, up to ten times; a feed reports progress, and TableFollower repeats a request only if nothing of its answer has arrived for 0.4 s. A dead connection is detected as before. The fetch of a value in chunks reports progress in the same way.

--- a/Libraries/LibGateway/ChunkFetcher.cpp
+++ b/Libraries/LibGateway/ChunkFetcher.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-void ChunkFetcher::fetch(const TextOutline &outline, const Address &source, Fetched done)
+void ChunkFetcher::fetch(const TextOutline &outline, const Address &source, Fetched done, std::function<void()> progressed)
 {
     if (sizeOf(outline) > maxTextBytes) {
         this->scheduler.schedule(std::chrono::milliseconds(0), [done = std::move(done)] {
@@ -69,6 +69,7 @@
     fetch.sources.insert(source);
     fetch.failedSources.erase(source);
     fetch.done.push_back(std::move(done));
+    fetch.progressed.push_back(std::move(progressed));
     std::erase(this->order, outline.digest);
     this->order.push_back(outline.digest);
     this->scheduler.schedule(std::chrono::milliseconds(0), [this, alive = this->alive] {
@@ -181,6 +182,9 @@
     }
     if (const auto fetch = this->fetches.find(text); hasContent && fetch != this->fetches.end()) {
         fetch->second.failedSources.erase(source);
+        for (const std::function<void()> &progressed : fetch->second.progressed) {
+            progressed();
+        }
     }
     if (this->current && this->current->number == number) {
         this->scheduler.cancel(this->current->timer);
@@ -234,6 +238,7 @@
         std::erase(this->order, text);
         this->store.release(expired.mapped().outline);
     });
+    fetch.progressed.clear();
     for (const Fetched &done : std::exchange(fetch.done, {})) {
         done(std::nullopt);
     }
--- a/Libraries/LibGateway/ChunkFetcher.h
+++ b/Libraries/LibGateway/ChunkFetcher.h
@@ -53,8 +53,10 @@
      * Fetches a text. Joins a fetch of the same text.
      * @param source the node that sent the outline
      * @param done receives the text, or nothing if no source answers any more; called from the loop
+     * @param progressed called whenever chunks have arrived
      */
-    void fetch(const TextOutline &outline, const Address &source, Fetched done);
+    void fetch(
+        const TextOutline &outline, const Address &source, Fetched done, std::function<void()> progressed = [] {});
 
 private:
     using Digest = ChunkStore::Digest;
@@ -67,6 +69,7 @@
         std::set<Address> failedSources;
         /** Empty after a failure: chunks that arrive late are still kept for the next attempt. */
         std::vector<Fetched> done;
+        std::vector<std::function<void()>> progressed;
         TimerId expiry = 0;
     };
 
--- a/Libraries/LibPlatform/RowStore.h
+++ b/Libraries/LibPlatform/RowStore.h
@@ -3,9 +3,11 @@
 #include <LibPlatform/Outcomes.h>
 
 #include <chrono>
+#include <concepts>
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Dogwoodkeel
@@ -114,20 +116,54 @@
     RowVersion version = 0;
 };
 
+/** Receives the answer to a call of a feed. */
+template <typename Result>
+class FeedCallback
+{
+public:
+    /** @param answered receives the result */
+    template <std::invocable<Result> Function>
+    FeedCallback(Function answered) : answered(std::move(answered))
+    {
+    }
+
+    /** @param progressed is called whenever a part of the answer has arrived: a large one may take long on a slow link */
+    FeedCallback(std::function<void(Result)> answered, std::function<void()> progressed)
+        : answered(std::move(answered)), progressed(std::move(progressed))
+    {
+    }
+
+    void operator()(Result result) const
+    {
+        this->answered(std::move(result));
+    }
+
+    void reportProgress() const
+    {
+        if (this->progressed) {
+            this->progressed();
+        }
+    }
+
+private:
+    std::function<void(Result)> answered;
+    std::function<void()> progressed;
+};
+
 /** Tables that can be read and followed. Callbacks run on the owning loop, never from inside the call. */
 class RowFeed
 {
 public:
     virtual ~RowFeed() = default;
 
-    virtual void read(RowRange range, std::function<void(RowRangeResult)> done) = 0;
+    virtual void read(RowRange range, FeedCallback<RowRangeResult> done) = 0;
 
     /**
      * Requests the changes of a table since a version; answered as soon as there is one (long poll).
      * @param wait how long the platform may wait for a change
      */
     virtual void
-    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, std::function<void(FollowResult)> done)
+    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, FeedCallback<FollowResult> done)
         = 0;
 };
 
--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -13,6 +13,9 @@
 
 /** How often expired idle connections are closed. */
 constexpr std::chrono::milliseconds sweepInterval{1000};
+/** How often the timeout of a response that is arriving is extended. Bounds how long a server can hold a call by sending slowly.
+ */
+constexpr int maxExtensions = 10;
 
 } // namespace
 
@@ -45,25 +48,46 @@
     return id;
 }
 
-OutboundPool::CallId
-OutboundPool::fetch(OutboundCall call, std::chrono::milliseconds timeout, std::function<void(CollectedResponse)> done)
+struct OutboundPool::PendingFetch
 {
-    struct Pending
+    CallId id = 0;
+    FetchTimeouts timeouts;
+    CollectedResponse response;
+    TimerId timer = 0;
+    /** Whether a part of the response has arrived since the timer was set. */
+    bool hasProgress = false;
+    int extensions = 0;
+    std::function<void(CollectedResponse)> done;
+    std::function<void()> progressed;
+
+    void recordProgress()
     {
-        CollectedResponse response;
-        TimerId timer = 0;
-        std::function<void(CollectedResponse)> done;
-    };
-    const auto pending = std::make_shared<Pending>();
+        this->hasProgress = true;
+        if (this->progressed) {
+            this->progressed();
+        }
+    }
+};
+
+OutboundPool::CallId OutboundPool::fetch(OutboundCall call,
+                                         const FetchTimeouts &timeouts,
+                                         std::function<void(CollectedResponse)> done,
+                                         std::function<void()> progressed)
+{
+    const auto pending = std::make_shared<PendingFetch>();
+    pending->timeouts = timeouts;
     pending->done = std::move(done);
+    pending->progressed = std::move(progressed);
     CallHooks hooks{
         .onHead =
             [pending](const MessageHead &head) {
                 pending->response.head = head;
+                pending->recordProgress();
             },
         .onBody =
             [pending](std::string_view data) {
                 pending->response.body.append(data);
+                pending->recordProgress();
             },
         .onEnd =
             [this, pending](CallEnd end) {
@@ -72,12 +96,27 @@
                 pending->done(std::move(pending->response));
             },
     };
-    const CallId id = this->start(std::move(call), std::move(hooks));
-    pending->timer = this->loop.schedule(timeout, [this, id, pending] {
-        this->cancel(id);
-        pending->done(CollectedResponse{});
+    pending->id = this->start(std::move(call), std::move(hooks));
+    this->watchFetch(pending, timeouts.response);
+    return pending->id;
+}
+
+OutboundPool::CallId
+OutboundPool::fetch(OutboundCall call, std::chrono::milliseconds timeout, std::function<void(CollectedResponse)> done)
+{
+    return this->fetch(std::move(call), FetchTimeouts{timeout, timeout}, std::move(done));
+}
+
+void OutboundPool::watchFetch(const std::shared_ptr<PendingFetch> &fetch, std::chrono::milliseconds timeout)
+{
+    fetch->timer = this->loop.schedule(timeout, [this, fetch] {
+        if (std::exchange(fetch->hasProgress, false) && ++fetch->extensions <= maxExtensions) {
+            this->watchFetch(fetch, fetch->timeouts.silence);
+            return;
+        }
+        this->cancel(fetch->id);
+        fetch->done(CollectedResponse{});
     });
-    return id;
 }
 
 void OutboundPool::cancel(CallId id)
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -104,10 +104,25 @@
     /** Sends a request. The hooks are never called within this call. */
     CallId start(OutboundCall call, CallHooks hooks);
 
+    /** When a call without progress is cancelled and ends as Incomplete. */
+    struct FetchTimeouts
+    {
+        /** Until the first byte of the response. */
+        std::chrono::milliseconds response{0};
+        /** Without a further byte of it. A response may take several times this long: the link may be slow, or full. */
+        std::chrono::milliseconds silence{0};
+    };
+
     /**
      * Sends a request and collects the response.
-     * @param timeout after which the call is cancelled and ends as Incomplete
+     * @param progressed called whenever a part of the response has arrived
      */
+    CallId fetch(OutboundCall call,
+                 const FetchTimeouts &timeouts,
+                 std::function<void(CollectedResponse)> done,
+                 std::function<void()> progressed = nullptr);
+
+    /** The same with one timeout for the first byte of the response and for each silence. */
     CallId fetch(OutboundCall call, std::chrono::milliseconds timeout, std::function<void(CollectedResponse)> done);
 
     /** Cancels a call and closes its connection. Its hooks are not called any more. */
@@ -133,8 +148,11 @@
 
 private:
     friend class OutboundConnection;
+    struct PendingFetch;
+
     using Connections = std::list<std::unique_ptr<OutboundConnection>>;
 
+    void watchFetch(const std::shared_ptr<PendingFetch> &fetch, std::chrono::milliseconds timeout);
     bool isUsable(const OutboundConnection &idle, std::chrono::milliseconds maxIdleTime) const;
     std::unique_ptr<OutboundConnection> acquireIdle(const OutboundCall &call);
     void finished(CallId id, bool isReusable);
--- a/Services/Gateway/ChunkExchange.cpp
+++ b/Services/Gateway/ChunkExchange.cpp
@@ -64,15 +64,19 @@
     return {row.key.part, row.key.key, {}, row.version, false, this->publish(row.key, row.value)};
 }
 
-void ChunkExchange::fetch(const RowKey &row, const TextOutline &outline, const Address &source, ChunkFetcher::Fetched done)
+void ChunkExchange::fetch(const RowKey &row,
+                          const TextOutline &outline,
+                          const Address &source,
+                          ChunkFetcher::Fetched done,
+                          std::function<void()> progressed)
 {
-    this->fetcher.fetch(
-        outline, source, [this, name = nameOf(row), outline, done = std::move(done)](std::optional<std::string> value) {
-            if (value) {
-                this->store.put(name, outline);
-            }
-            done(std::move(value));
-        });
+    const auto receive = [this, name = nameOf(row), outline, done = std::move(done)](std::optional<std::string> value) {
+        if (value) {
+            this->store.put(name, outline);
+        }
+        done(std::move(value));
+    };
+    this->fetcher.fetch(outline, source, receive, std::move(progressed));
 }
 
 ChunkAnswer ChunkExchange::answer(const ChunkRequest &request) const
--- a/Services/Gateway/ChunkExchange.h
+++ b/Services/Gateway/ChunkExchange.h
@@ -32,8 +32,14 @@
      * Fetches the value of a row, and makes it available to other nodes.
      * @param source the node that sent the outline
      * @param done receives the value, or nothing if no node sends it any more
+     * @param progressed called whenever a part of it has arrived
      */
-    void fetch(const RowKey &row, const TextOutline &outline, const Address &source, ChunkFetcher::Fetched done);
+    void fetch(
+        const RowKey &row,
+        const TextOutline &outline,
+        const Address &source,
+        ChunkFetcher::Fetched done,
+        std::function<void()> progressed = [] {});
 
 private:
     ChunkAnswer answer(const ChunkRequest &request) const;
--- a/Services/Gateway/RelayedFeed.cpp
+++ b/Services/Gateway/RelayedFeed.cpp
@@ -60,7 +60,7 @@
     return false;
 }
 
-void RelayedFeed::read(RowRange range, std::function<void(RowRangeResult)> done)
+void RelayedFeed::read(RowRange range, FeedCallback<RowRangeResult> done)
 {
     if (this->own.isCurrent(range.table)) {
         this->scheduler.schedule(std::chrono::milliseconds(0),
@@ -93,14 +93,16 @@
             const auto receive = [done, version = answer.version, isTruncated = answer.isTruncated](auto rows) {
                 done(rows ? RowRangeResult{ReadOutcome::Found, *std::move(rows), isTruncated, version} : RowRangeResult());
             };
-            this->receiveRows(answer, table, relay, receive);
+            this->receiveRows(answer, table, relay, receive, [done] {
+                done.reportProgress();
+            });
         });
 }
 
 void RelayedFeed::follow(const std::string &table,
                          RowVersion since,
                          std::chrono::milliseconds wait,
-                         std::function<void(FollowResult)> done)
+                         FeedCallback<FollowResult> done)
 {
     if (this->own.isCurrent(table)) {
         // Answers from the event loop, never from within this call.
@@ -137,16 +139,20 @@
                 = [done, outcome = decodeFeed(*result.response, table).outcome, version = result.response->version](auto rows) {
                       done(rows ? FollowResult{outcome, *std::move(rows), version} : FollowResult());
                   };
-            this->receiveRows(*result.response, table, relay, receive);
+            this->receiveRows(*result.response, table, relay, receive, [done] {
+                done.reportProgress();
+            });
         });
 }
 
-void RelayedFeed::receiveRows(const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done)
+void RelayedFeed::receiveRows(
+    const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done, std::function<void()> progressed)
 {
     const auto reception = std::make_shared<Reception>();
     reception->rows = decodeFeed(answer, table).rows;
     reception->relay = relay;
     reception->done = std::move(done);
+    reception->progressed = std::move(progressed);
     for (std::size_t index = 0; index < answer.rows.size(); ++index) {
         if (!answer.rows[index].outline.chunks.empty()) {
             reception->missing.emplace(index, answer.rows[index].outline);
@@ -168,7 +174,7 @@
             this->receiveValue(reception, index, std::move(value));
         }
     };
-    this->chunks.fetch(reception->rows[index].key, outline, reception->relay.owner, receive);
+    this->chunks.fetch(reception->rows[index].key, outline, reception->relay.owner, receive, reception->progressed);
 }
 
 void RelayedFeed::receiveValue(const std::shared_ptr<Reception> &reception, std::size_t index, std::optional<std::string> value)
--- a/Services/Gateway/RelayedFeed.h
+++ b/Services/Gateway/RelayedFeed.h
@@ -36,11 +36,9 @@
     RelayedFeed(const RelayedFeed &) = delete;
     RelayedFeed &operator=(const RelayedFeed &) = delete;
 
-    void read(RowRange range, std::function<void(RowRangeResult)> done) override;
-    void follow(const std::string &table,
-                RowVersion since,
-                std::chrono::milliseconds wait,
-                std::function<void(FollowResult)> done) override;
+    void read(RowRange range, FeedCallback<RowRangeResult> done) override;
+    void
+    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, FeedCallback<FollowResult> done) override;
 
 private:
     using RowsReceived = std::function<void(std::optional<std::vector<StoredRow>>)>;
@@ -53,11 +51,16 @@
         std::map<std::size_t, TextOutline> missing;
         Member relay;
         RowsReceived done;
+        std::function<void()> progressed;
     };
 
     const Member *relay();
     /** Passes on the rows of an answer once their large values have been fetched, or nothing if a value can't be fetched. */
-    void receiveRows(const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done);
+    void receiveRows(const FeedAnswer &answer,
+                     const std::string &table,
+                     const Member &relay,
+                     RowsReceived done,
+                     std::function<void()> progressed);
     void fetchNext(const std::shared_ptr<Reception> &reception);
     void receiveValue(const std::shared_ptr<Reception> &reception, std::size_t index, std::optional<std::string> value);
     /** Records whether a relay answered. @return whether the answer holds the requested rows */
--- a/Services/Gateway/RelayedStore.cpp
+++ b/Services/Gateway/RelayedStore.cpp
@@ -319,7 +319,7 @@
     }
 }
 
-void RelayedStore::read(RowRange range, std::function<void(RowRangeResult)> done)
+void RelayedStore::read(RowRange range, FeedCallback<RowRangeResult> done)
 {
     this->hedge<RowRangeResult>(
         [this, range = std::move(range)](const Route &route, ReadCall::Done answered) {
@@ -368,7 +368,7 @@
 void RelayedStore::follow(const std::string &table,
                           RowVersion since,
                           std::chrono::milliseconds wait,
-                          std::function<void(FollowResult)> done)
+                          FeedCallback<FollowResult> done)
 {
     this->direct.follow(table, since, wait, std::move(done));
 }
--- a/Services/Gateway/RelayedStore.h
+++ b/Services/Gateway/RelayedStore.h
@@ -41,11 +41,9 @@
     RelayedStore &operator=(const RelayedStore &) = delete;
 
     void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) override;
-    void read(RowRange range, std::function<void(RowRangeResult)> done) override;
-    void follow(const std::string &table,
-                RowVersion since,
-                std::chrono::milliseconds wait,
-                std::function<void(FollowResult)> done) override;
+    void read(RowRange range, FeedCallback<RowRangeResult> done) override;
+    void
+    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, FeedCallback<FollowResult> done) override;
     void listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done) override;
     void putObject(const std::string &name, std::string content, std::function<void(WriteOutcome)> done) override;
     void readObject(const std::string &name, std::function<void(ReadOutcome, std::string)> done) override;
--- a/Services/Gateway/TableFollower.cpp
+++ b/Services/Gateway/TableFollower.cpp
@@ -15,8 +15,8 @@
  * is detected. */
 constexpr std::chrono::milliseconds minRetryDelay{50};
 constexpr std::chrono::milliseconds maxRetryDelay{400};
-/** An answer that is later than this, after the wait for a change, is taken for lost. Limits how late the store's return is
- * detected. */
+/** An answer of which nothing has arrived for this time, after the wait for a change, is taken for lost. Limits how late the
+ * store's return is detected. */
 constexpr std::chrono::milliseconds followTimeout{400};
 /** Pages are large, and while a fleet starts, the store answers many reads at once. */
 constexpr std::chrono::milliseconds pageTimeout{800};
@@ -54,13 +54,31 @@
 
 void TableFollower::sendRequest()
 {
-    const std::chrono::milliseconds timeout = this->sendCall();
+    this->hasProgress = false;
+    this->watchRequest(this->sendCall());
+}
+
+void TableFollower::watchRequest(std::chrono::milliseconds timeout)
+{
     this->schedule(timeout, [this] {
+        if (std::exchange(this->hasProgress, false)) {
+            this->watchRequest(followTimeout);
+            return;
+        }
         this->recordFailure();
         this->sendRequest();
     });
 }
 
+std::function<void()> TableFollower::progressHook(std::uint64_t number)
+{
+    return [this, alive = this->alive, number] {
+        if (*alive && this->isCurrent(number)) {
+            this->hasProgress = true;
+        }
+    };
+}
+
 std::chrono::milliseconds TableFollower::wait() const
 {
     // After a failure the first answer is needed soon, whether or not there are changes.
@@ -78,11 +96,13 @@
         RowRange range;
         range.table = this->options.table;
         range.from = this->tableRead.from;
-        this->store.read(range, [this, alive = this->alive, number = ++this->callNumber](const RowRangeResult &page) {
+        const std::uint64_t number = ++this->callNumber;
+        const auto receive = [this, alive = this->alive, number](const RowRangeResult &page) {
             if (*alive && this->isCurrent(number)) {
                 this->applyPage(page);
             }
-        });
+        };
+        this->store.read(range, {receive, this->progressHook(number)});
         return pageTimeout;
     });
 }
@@ -152,14 +172,13 @@
 {
     this->request([this] {
         const std::chrono::milliseconds wait = this->wait();
-        this->store.follow(this->options.table,
-                           this->knownVersion,
-                           wait,
-                           [this, alive = this->alive, number = ++this->callNumber](const FollowResult &result) {
-                               if (*alive && this->isCurrent(number)) {
-                                   this->applyChanges(result);
-                               }
-                           });
+        const std::uint64_t number = ++this->callNumber;
+        const auto receive = [this, alive = this->alive, number](const FollowResult &result) {
+            if (*alive && this->isCurrent(number)) {
+                this->applyChanges(result);
+            }
+        };
+        this->store.follow(this->options.table, this->knownVersion, wait, {receive, this->progressHook(number)});
         return wait + followTimeout;
     });
 }
--- a/Services/Gateway/TableFollower.h
+++ b/Services/Gateway/TableFollower.h
@@ -18,7 +18,8 @@
  * the whole table again, so that no change is missed. The known version never decreases.
  *
  * A request that is not answered in time is sent again while it is still pending, and the first answer counts: a connection that
- * died in an outage would otherwise delay all changes until long after the store's return.
+ * died in an outage would otherwise delay all changes until long after the store's return. A request whose answer is arriving is
+ * not sent again, as a second large answer would delay both.
  */
 class TableFollower
 {
@@ -80,6 +81,9 @@
     void request(SendCall send);
     /** Sends the current request, and again whenever it is not answered in time. */
     void sendRequest();
+    void watchRequest(std::chrono::milliseconds timeout);
+    /** @return a hook that records that a part of the answer to a call has arrived. */
+    std::function<void()> progressHook(std::uint64_t number);
     /** @return for how long a call that follows the table may wait for a change. */
     std::chrono::milliseconds wait() const;
     /** @return whether an answer belongs to the current request. */
@@ -106,6 +110,8 @@
     /** The number of the first call of the current request; answers to earlier ones are ignored. */
     std::uint64_t firstCall = 1;
     SendCall sendCall;
+    /** Whether a part of an answer to the current request has arrived since its timeout began. */
+    bool hasProgress = false;
     int failures = 0;
     TimerId timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Tests/Fakes/FakeRowStore.cpp
+++ b/Tests/Fakes/FakeRowStore.cpp
@@ -1,5 +1,6 @@
 #include <Tests/Fakes/FakeRowStore.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -10,6 +11,7 @@
 
 constexpr std::chrono::milliseconds latency{2};
 constexpr std::chrono::milliseconds callTimeout{200};
+constexpr std::chrono::milliseconds progressInterval{100};
 
 } // namespace
 
@@ -98,7 +100,7 @@
     });
 }
 
-void FakeRowStore::read(RowRange range, std::function<void(RowRangeResult)> done)
+void FakeRowStore::read(RowRange range, FeedCallback<RowRangeResult> done)
 {
     ++this->readCount;
     RowRangeResult result;
@@ -121,8 +123,22 @@
     if (const auto key = std::exchange(this->removedAfterRead, std::nullopt)) {
         this->remove(*key);
     }
-    this->answer([done = std::move(done), result = std::move(result)] {
-        done(result);
+    this->answer([this, done = std::move(done), result = std::move(result)] {
+        this->transfer(done, result, this->transferTime);
+    });
+}
+
+template <typename Result>
+void FakeRowStore::transfer(const FeedCallback<Result> &done, Result result, std::chrono::milliseconds remaining)
+{
+    if (remaining.count() == 0) {
+        done(std::move(result));
+        return;
+    }
+    const std::chrono::milliseconds step = std::min(remaining, progressInterval);
+    this->runAfter(step, [this, done, result = std::move(result), left = remaining - step] {
+        done.reportProgress();
+        this->transfer(done, result, left);
     });
 }
 
@@ -151,23 +167,35 @@
     this->followMuted = isMuted;
 }
 
+void FakeRowStore::setTransferTime(std::chrono::milliseconds time)
+{
+    this->transferTime = time;
+}
+
 std::size_t FakeRowStore::reads() const
 {
     return this->readCount;
 }
 
+std::size_t FakeRowStore::follows() const
+{
+    return this->followCount;
+}
+
 void FakeRowStore::follow(const std::string &table,
                           RowVersion since,
                           std::chrono::milliseconds wait,
-                          std::function<void(FollowResult)> done)
+                          FeedCallback<FollowResult> done)
 {
+    ++this->followCount;
     if (this->followMuted) {
         return;
     }
     const FollowResult now = this->changesOf(table, since);
     const bool hasChanges = now.outcome != FollowOutcome::Followed || !now.rows.empty();
     this->runAfter(hasChanges ? latency : std::min(wait, std::chrono::milliseconds(20)), [this, table, since, done] {
-        done(this->changesOf(table, since));
+        const FollowResult result = this->changesOf(table, since);
+        this->transfer(done, result, result.rows.empty() ? std::chrono::milliseconds(0) : this->transferTime);
     });
 }
 
--- a/Tests/Fakes/FakeRowStore.h
+++ b/Tests/Fakes/FakeRowStore.h
@@ -25,11 +25,9 @@
     FakeRowStore &operator=(const FakeRowStore &) = delete;
 
     void transact(RowTransaction transaction, std::function<void(RowTransactionResult)> done) override;
-    void read(RowRange range, std::function<void(RowRangeResult)> done) override;
-    void follow(const std::string &table,
-                RowVersion since,
-                std::chrono::milliseconds wait,
-                std::function<void(FollowResult)> done) override;
+    void read(RowRange range, FeedCallback<RowRangeResult> done) override;
+    void
+    follow(const std::string &table, RowVersion since, std::chrono::milliseconds wait, FeedCallback<FollowResult> done) override;
     void listParts(const std::string &table, const std::string &after, std::function<void(RowPartsResult)> done) override;
     void putObject(const std::string &name, std::string content, std::function<void(WriteOutcome)> done) override;
     void readObject(const std::string &name, std::function<void(ReadOutcome, std::string)> done) override;
@@ -41,9 +39,15 @@
     /** Sets whether calls that follow a table are never answered, as on a dead connection. */
     void setFollowMuted(bool isMuted);
 
+    /** Sets how long answers to reads and calls that follow a table take to arrive, as over a slow link. */
+    void setTransferTime(std::chrono::milliseconds time);
+
     /** @return the number of reads of rows. */
     std::size_t reads() const;
 
+    /** @return the number of calls that follow a table. */
+    std::size_t follows() const;
+
     /** Limits the rows in one answer. */
     void setPageSize(std::size_t rows);
 
@@ -73,6 +77,9 @@
     FollowResult changesOf(const std::string &table, RowVersion since) const;
     void runAfter(std::chrono::milliseconds delay, std::function<void()> action);
     void answer(std::function<void()> action);
+    /** Reports progress until the transfer time is over, and then passes on a result. */
+    template <typename Result>
+    void transfer(const FeedCallback<Result> &done, Result result, std::chrono::milliseconds remaining);
 
     Scheduler &scheduler;
     std::map<RowKey, StoredRow> rows;
@@ -83,6 +90,8 @@
     bool down = false;
     bool followMuted = false;
     std::size_t readCount = 0;
+    std::size_t followCount = 0;
+    std::chrono::milliseconds transferTime{0};
     std::size_t pageSize = 1'000'000;
     std::optional<RowKey> removedAfterRead;
     std::size_t answersToLose = 0;
--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -95,6 +95,14 @@
         });
     }
 
+    /** Kills a node and starts it again. */
+    void restart(std::size_t node)
+    {
+        this->fleet.signal(this->nodes.at(node), SIGKILL);
+        this->fleet.waitEnd(this->nodes.at(node), processWaitLimit);
+        this->fleet.restart(this->nodes.at(node));
+    }
+
     /** Limits the rate of each connection between nodes, and of the store to a node. */
     void setConnectionRate(std::uint32_t bytesPerSecond)
     {
--- a/Tests/Processes/TestLargeConfigurations.cpp
+++ b/Tests/Processes/TestLargeConfigurations.cpp
@@ -14,8 +14,12 @@
 /** More nodes than a failure domain needs to use relays. */
 constexpr std::size_t nodeCount = 12;
 constexpr double relayCount = 2;
+/** So few nodes that each follows the store. */
+constexpr std::size_t storeFollowerCount = 3;
 /** The share of a connection in the link of a relay to which all nodes of its failure domain are connected. */
 constexpr std::uint32_t bytesPerSecond = 500'000;
+/** The store's answer of 1 MB takes 5 s, which is more than platform.timeout. */
+constexpr std::uint32_t slowStoreBytesPerSecond = 200'000;
 /** A text of 800 kB. */
 constexpr int routeCount = 4200;
 
@@ -44,15 +48,15 @@
 class ConfiguredProcesses : public GatewayProcesses
 {
 public:
-    ConfiguredProcesses() : GatewayProcesses(nodeCount)
+    ConfiguredProcesses(std::size_t count, double relayCount) : GatewayProcesses(count)
     {
         this->configure(1, 3, 5000);
-        awaitProcesses([this] {
-            return this->all([this](std::size_t node) {
-                return this->isReady(node) && this->metric(node, "members") == nodeCount;
+        awaitProcesses([this, count] {
+            return this->all([this, count](std::size_t node) {
+                return this->isReady(node) && this->metric(node, "members") == static_cast<double>(count);
             });
         });
-        awaitProcesses([this] {
+        awaitProcesses([this, relayCount] {
             double relays = 0;
             for (std::size_t node = 0; node < this->count(); ++node) {
                 relays += this->metric(node, "is_relay");
@@ -82,7 +86,7 @@
 // one was requested.
 TEST_CASE("a configuration that takes longer to arrive than a call may take comes into force on all nodes")
 {
-    ConfiguredProcesses processes;
+    ConfiguredProcesses processes(nodeCount, relayCount);
     processes.setConnectionRate(bytesPerSecond);
     processes.configure(2, routeCount, 5000);
     processes.awaitVersion(2);
@@ -91,3 +95,15 @@
     processes.configure(4, routeCount, 7000);
     processes.awaitVersion(4);
 }
+
+// Guards against answers of the store that are requested again, or given up, while they arrive.
+TEST_CASE("a configuration that takes longer to arrive from the store than a call may take comes into force")
+{
+    ConfiguredProcesses processes(storeFollowerCount, storeFollowerCount);
+    processes.setConnectionRate(slowStoreBytesPerSecond);
+    processes.configure(2, routeCount, 5000);
+    processes.awaitVersion(2);
+    // Reads the whole table while it starts.
+    processes.restart(0);
+    processes.awaitVersion(2);
+}
--- a/Tests/ServiceGateway/TestTableFollower.cpp
+++ b/Tests/ServiceGateway/TestTableFollower.cpp
@@ -236,3 +236,27 @@
         bench.clock.advance(std::chrono::seconds(5));
     }
 }
+
+// Guards against a link that is filled by answers that are requested again while they arrive.
+TEST_CASE("a request is not repeated while its answer arrives")
+{
+    Bench bench;
+    bench.store.put(rowKey("a"), "1");
+    bench.clock.advance(std::chrono::milliseconds(100));
+    bench.store.setTransferTime(std::chrono::milliseconds(5000));
+    const std::size_t before = bench.store.follows();
+    bench.store.put(rowKey("a"), "2");
+    bench.clock.advance(std::chrono::milliseconds(4900));
+    CHECK(bench.known["a"] == "1");
+    CHECK(bench.store.follows() - before <= 1);
+    bench.clock.advance(std::chrono::milliseconds(200));
+    CHECK(bench.known["a"] == "2");
+    CHECK(bench.failures == 0);
+
+    bench.store.dropHistory();
+    const std::size_t reads = bench.store.reads();
+    bench.clock.advance(std::chrono::milliseconds(5200));
+    CHECK(bench.reads == 2);
+    CHECK(bench.store.reads() - reads == 1);
+    CHECK(bench.failures == 0);
+}
