LibProxy: Decode chunked bodies alike where char is unsigned

On arm64 libevhtp's parser takes any character for a digit of a chunk's size: its table of digits says -1 in plain chars, which are unsigned there. A body of chunk size "x" was complete and empty, so that a caller, a replica and this node could place the end of a message differently (request smuggling), and TestMessageReader was red on this machine ("an invalid size makes the body malformed").

Heads are still read by the library.

--- a/Libraries/LibProxy/MessageReader.cpp
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -17,8 +17,6 @@
 
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view tokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
-/** Fed to the parser before a chunked body, because it decodes chunks only after a head that announces them. */
-constexpr std::string_view chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr int stopParsing = 1;
 
 /** Output of the parser's hooks. */
@@ -28,9 +26,6 @@
     std::string name;
     bool isNamePending = false;
     bool isFolded = false;
-    std::string *body = nullptr;
-    bool isComplete = false;
-    bool hasTrailer = false;
 };
 
 Collected &collectedOf(htparser *parser)
@@ -61,24 +56,6 @@
     return stopParsing;
 }
 
-int onTrailer(htparser *parser, const char *, std::size_t)
-{
-    collectedOf(parser).hasTrailer = true;
-    return stopParsing;
-}
-
-int onBody(htparser *parser, const char *text, std::size_t size)
-{
-    collectedOf(parser).body->append(text, size);
-    return 0;
-}
-
-int onMessageComplete(htparser *parser)
-{
-    collectedOf(parser).isComplete = true;
-    return stopParsing;
-}
-
 htparse_hooks headHooks()
 {
     htparse_hooks hooks{};
@@ -88,15 +65,6 @@
     return hooks;
 }
 
-htparse_hooks chunkHooks()
-{
-    htparse_hooks hooks{};
-    hooks.hdr_key = &onTrailer;
-    hooks.body = &onBody;
-    hooks.on_msg_complete = &onMessageComplete;
-    return hooks;
-}
-
 bool isToken(std::string_view text)
 {
     return !text.empty() && text.find_first_not_of(tokenCharacters) == std::string_view::npos;
@@ -229,9 +197,7 @@
             return false;
         }
         head.framing = BodyFraming::Chunked;
-        htparser_init(this->parser.get(), htp_type_response);
-        htparse_hooks noHooks{};
-        htparser_run(this->parser.get(), &noHooks, chunkedHead.data(), chunkedHead.size());
+        this->chunks.reset();
         return true;
     }
     if (lengths == 1) {
@@ -276,27 +242,18 @@
     if (size == 0) {
         return ReadProgress::NeedMore;
     }
-    Collected collected;
-    collected.body = &data;
-    htparser_set_userdata(this->parser.get(), &collected);
-    htparse_hooks hooks = chunkHooks();
     const auto *const bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
-    const std::size_t read = htparser_run(this->parser.get(), &hooks, bytes, size);
-    const htpparse_error error = htparser_get_error(this->parser.get());
-    htparser_set_userdata(this->parser.get(), nullptr);
-    // NOTE: The parser cannot determine the end of a message with trailers, so such a body is treated as malformed.
-    if (collected.hasTrailer) {
-        return ReadProgress::Malformed;
-    }
-    if (collected.isComplete) {
-        evbuffer_drain(input, read);
+    const ChunkedBodyReader::Progress progress = this->chunks.read({bytes, size}, data);
+    evbuffer_drain(input, this->chunks.consumed());
+    switch (progress) {
+    case ChunkedBodyReader::Progress::NeedMore:
+        return ReadProgress::NeedMore;
+    case ChunkedBodyReader::Progress::Done:
         return ReadProgress::Done;
+    case ChunkedBodyReader::Progress::Malformed:
+        break;
     }
-    if (error != htparse_error_none) {
-        return ReadProgress::Malformed;
-    }
-    evbuffer_drain(input, size);
-    return ReadProgress::NeedMore;
+    return ReadProgress::Malformed;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibProxy/MessageReader.h
+++ b/Libraries/LibProxy/MessageReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibProxy/ChunkedBodyReader.h>
 #include <LibProxy/HeaderList.h>
 
 #include <cstdint>
@@ -94,6 +95,7 @@
     Kind kind;
     std::size_t headBytes;
     std::unique_ptr<htparser, Free> parser;
+    ChunkedBodyReader chunks;
     MessageHead current;
     std::uint64_t remaining = 0;
 };
