LibWire: Do not give up a call whose answer is arriving

The timeout is extended, up to ten times, while a frame arrives on the connection: the answer is that frame, or follows it. A silent node is given up as before.

--- a/Libraries/LibWire/FrameCodec.cpp
+++ b/Libraries/LibWire/FrameCodec.cpp
@@ -99,6 +99,11 @@
                  std::string(body.substr(headerSize))};
 }
 
+bool FrameReader::hasPartialFrame() const
+{
+    return this->buffer.size() > this->consumed;
+}
+
 bool FrameReader::isBroken() const
 {
     return this->broken;
--- a/Libraries/LibWire/FrameCodec.h
+++ b/Libraries/LibWire/FrameCodec.h
@@ -52,6 +52,9 @@
     /** @return the next complete frame, or nothing if there is none yet or the input is invalid. */
     std::optional<Frame> next();
 
+    /** @return whether a part of a frame has been received. */
+    bool hasPartialFrame() const;
+
     /** @return whether the input held an invalid frame, so that the connection must be closed. */
     bool isBroken() const;
 
--- a/Libraries/LibWire/PeerClient.cpp
+++ b/Libraries/LibWire/PeerClient.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+/** How often the timeout of a call is extended. Bounds how long a node can hold it by sending slowly. */
+constexpr int maxExtensions = 10;
 /** Maximum consecutive checks without new bytes; each sends a probe. The next such check closes the connection. */
 constexpr int maxIdleChecks = 2;
 
@@ -81,10 +83,8 @@
     const Address &address, MessageNumber number, std::string payload, std::chrono::milliseconds timeout, Finish finish)
 {
     const Correlation correlation = ++this->lastCorrelation;
-    const TimerId timer = this->loop.schedule(timeout, [this, correlation] {
-        this->onTimeout(correlation);
-    });
-    this->calls.emplace(correlation, Call{address, std::move(finish), timer});
+    this->calls.emplace(correlation, Call{.address = address, .finish = std::move(finish), .timeout = timeout});
+    this->watchTimeout(correlation);
     if (this->local && this->local->address == address) {
         this->callLocal(correlation, number, std::move(payload));
         return;
@@ -181,8 +181,32 @@
     this->finish(frame.correlation, CallOutcome::Answered, frame);
 }
 
+void PeerClient::watchTimeout(Correlation correlation)
+{
+    Call &call = this->calls.at(correlation);
+    const PeerLink *const connection = this->connectionOf(call);
+    call.bytesAtStart = connection != nullptr ? connection->bytesReceived() : 0;
+    call.timer = this->loop.schedule(call.timeout, [this, correlation] {
+        this->onTimeout(correlation);
+    });
+}
+
+const PeerLink *PeerClient::connectionOf(const Call &call) const
+{
+    const auto link = this->links.find(call.address);
+    return link != this->links.end() ? link->second.connection.get() : nullptr;
+}
+
 void PeerClient::onTimeout(Correlation correlation)
 {
+    Call &call = this->calls.at(correlation);
+    const PeerLink *const connection = this->connectionOf(call);
+    const bool isArriving
+        = connection != nullptr && connection->isReceivingFrame() && connection->bytesReceived() > call.bytesAtStart;
+    if (isArriving && ++call.extensions <= maxExtensions) {
+        this->watchTimeout(correlation);
+        return;
+    }
     // Ends this call only: a slow response to one call does not mean that the connection is unresponsive. The periodic
     // checks detect that.
     this->finish(correlation, CallOutcome::Unknown, {});
--- a/Libraries/LibWire/PeerClient.h
+++ b/Libraries/LibWire/PeerClient.h
@@ -70,7 +70,8 @@
      * Calls a node.
      * @param address where the node listens
      * @param request the request
-     * @param timeout how long to wait for the response
+     * @param timeout how long to wait for the response; extended while a frame arrives on the connection, as the response is that
+     * frame or follows it
      * @param answered called once, from the loop
      */
     template <typename Request>
@@ -100,7 +101,11 @@
     {
         Address address;
         Finish finish;
+        std::chrono::milliseconds timeout{0};
         std::uint64_t timer = 0;
+        /** Bytes received on its connection when the timer was set. */
+        std::uint64_t bytesAtStart = 0;
+        int extensions = 0;
     };
 
     void callEncoded(
@@ -126,7 +131,10 @@
     void receive(const Frame &frame);
     /** Counts an answer, separately if its call has timed out. */
     void countAnswer(const Address &from, const Frame &frame);
+    void watchTimeout(Correlation correlation);
     void onTimeout(Correlation correlation);
+    /** @return the open connection of a call, or null. */
+    const PeerLink *connectionOf(const Call &call) const;
     void onClosed(const Address &address);
     void finish(Correlation correlation, CallOutcome outcome, const Frame &frame);
 
--- a/Libraries/LibWire/PeerLink.cpp
+++ b/Libraries/LibWire/PeerLink.cpp
@@ -81,6 +81,11 @@
     return this->received;
 }
 
+bool PeerLink::isReceivingFrame() const
+{
+    return this->reader && this->reader->hasPartialFrame();
+}
+
 bool PeerLink::wasOpen() const
 {
     return this->opened;
--- a/Libraries/LibWire/PeerLink.h
+++ b/Libraries/LibWire/PeerLink.h
@@ -64,6 +64,9 @@
     /** @return bytes received from the other end; a connection is alive while this count grows. */
     std::uint64_t bytesReceived() const;
 
+    /** @return whether a frame has begun to arrive; later ones follow it. */
+    bool isReceivingFrame() const;
+
     /** @return whether the connection was established; no frame is sent before that. */
     bool wasOpen() const;
 
--- a/Tests/LibWire/TestPeerLink.cpp
+++ b/Tests/LibWire/TestPeerLink.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -90,10 +91,43 @@
     std::vector<PeerServer::Respond<JobStatusResponse>> waiting;
 };
 
+/** Answers with a large text, over connections of a limited rate. */
+class LargeServer
+{
+public:
+    explicit LargeServer(EventLoop &loop) : server(loop, {"127.0.0.1", 0}, largeSecurity())
+    {
+        this->server.handle<ChunkRequest>([](const ChunkRequest &, auto respond) {
+            respond({{std::string(largeBytes, 'x')}});
+        });
+        constexpr int maxDescriptor = 1024;
+        constexpr std::uint32_t bytesPerSecond = 500'000;
+        for (int descriptor = 0; descriptor < maxDescriptor; ++descriptor) {
+            sockaddr_in bound{};
+            socklen_t size = sizeof(bound);
+            const bool isSocket = getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &size) == 0;
+            if (isSocket && ntohs(bound.sin_port) == this->server.address().port) {
+                // The connections that it accepts inherit the option.
+                setsockopt(descriptor, SOL_SOCKET, SO_MAX_PACING_RATE, &bytesPerSecond, sizeof(bytesPerSecond));
+            }
+        }
+    }
+
+    static constexpr std::size_t largeBytes = 2'000'000;
+
+    static PeerSecurity largeSecurity()
+    {
+        return {MessageKey("site"), 2 * largeBytes, std::chrono::milliseconds(1000)};
+    }
+
+    PeerServer server;
+};
+
 class ClientTask
 {
 public:
-    ClientTask(EventLoop &loop, std::optional<LocalPeer> local) : client(loop, quickSecurity(), std::move(local))
+    ClientTask(EventLoop &loop, std::optional<LocalPeer> local, const PeerSecurity &security = quickSecurity())
+        : client(loop, security, std::move(local))
     {
     }
 
@@ -178,3 +212,31 @@
         return true;
     });
 }
+
+// Guards against a large answer that is dropped because it takes longer to arrive than a small one may.
+TEST_CASE("A call whose answer arrives is not given up, nor is one whose answer follows it")
+{
+    TaskHost<LargeServer> server("server");
+    const Address address = server.ask<Address>([](LargeServer &large) {
+        return large.server.address();
+    });
+    TaskHost<ClientTask> host("client", std::nullopt, LargeServer::largeSecurity());
+    using LargeResult = CallResult<ChunkAnswer>;
+    const auto call = [&host, &address] {
+        const auto promise = std::make_shared<std::promise<LargeResult>>();
+        host.post([promise, address](ClientTask &task) {
+            task.client.call<ChunkRequest>(address, {}, std::chrono::milliseconds(700), [promise](LargeResult result) {
+                promise->set_value(std::move(result));
+            });
+        });
+        return promise->get_future();
+    };
+    auto first = call();
+    auto second = call();
+    for (std::future<LargeResult> *const future : {&first, &second}) {
+        REQUIRE(future->wait_for(answerTimeout) == std::future_status::ready);
+        const LargeResult result = future->get();
+        CHECK(result.outcome == CallOutcome::Answered);
+        CHECK((result.response && result.response->chunks.at(0).size() == LargeServer::largeBytes));
+    }
+}
