Gateway: Do not decode a configuration that is in force already

Decoding takes 34 ms of a whole core for 4,200 routes, so some 0.4 s on the smallest VMs. The digests of the texts tell that they are the same.

--- a/Libraries/LibGateway/ChunkStore.cpp
+++ b/Libraries/LibGateway/ChunkStore.cpp
@@ -17,9 +17,14 @@
 
 } // namespace
 
+ChunkStore::Digest ChunkStore::digestOf(std::string_view text)
+{
+    return stableHash(text, textSeed);
+}
+
 const TextOutline &ChunkStore::put(const std::string &name, std::string_view text)
 {
-    const Digest digest = stableHash(text, textSeed);
+    const Digest digest = digestOf(text);
     const auto known = this->texts.find(name);
     if (known != this->texts.end() && known->second.digest == digest) {
         return known->second;
@@ -110,7 +115,7 @@
         }
         text.append(*content);
     }
-    return stableHash(text, textSeed) == outline.digest ? std::optional(std::move(text)) : std::nullopt;
+    return digestOf(text) == outline.digest ? std::optional(std::move(text)) : std::nullopt;
 }
 
 } // namespace Dogwoodkeel
--- a/Libraries/LibGateway/ChunkStore.h
+++ b/Libraries/LibGateway/ChunkStore.h
@@ -23,6 +23,9 @@
 public:
     using Digest = std::uint64_t;
 
+    /** @return the digest that the outline of a text has. */
+    static Digest digestOf(std::string_view text);
+
     /** Makes a text the newest content under a name. @return its outline */
     const TextOutline &put(const std::string &name, std::string_view text);
 
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -87,22 +87,21 @@
 
 void ConfigurationFollower::apply(const std::string &text, std::string_view source)
 {
+    ++this->copiesReceived;
+    // Decoding takes a small VM tenths of a second.
+    if (this->configuration && ChunkStore::digestOf(text) == this->outline.digest) {
+        this->logNotNewer(this->version(), source);
+        return;
+    }
     const SteadyTime started = this->clock.now();
     std::optional<ServingConfiguration> decoded = this->format.decode(text);
     const auto decodeTime = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - started);
-    ++this->copiesReceived;
     if (!decoded) {
         log(LogLevel::Error, "unreadable configuration ignored", {{"source", std::string(source)}});
         return;
     }
     if (this->configuration && decoded->version <= this->version()) {
-        log(LogLevel::Info,
-            "configuration received that is not newer",
-            {{"version", static_cast<std::int64_t>(decoded->version)},
-             {"current", static_cast<std::int64_t>(this->version())},
-             {"source", std::string(source)},
-             {"bytes", static_cast<std::int64_t>(text.size())},
-             {"decode_ms", decodeTime.count()}});
+        this->logNotNewer(decoded->version, source);
         return;
     }
     log(LogLevel::Info,
@@ -121,6 +120,15 @@
     this->changed(this->configuration);
 }
 
+void ConfigurationFollower::logNotNewer(std::uint64_t received, std::string_view source) const
+{
+    log(LogLevel::Info,
+        "configuration received that is not newer",
+        {{"version", static_cast<std::int64_t>(received)},
+         {"current", static_cast<std::int64_t>(this->version())},
+         {"source", std::string(source)}});
+}
+
 void ConfigurationFollower::watch()
 {
     const bool hasRecentContact = this->peers.hasRecentContact();
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -65,6 +65,7 @@
 
 private:
     void apply(const std::string &text, std::string_view source);
+    void logNotNewer(std::uint64_t received, std::string_view source) const;
     void watch();
     void requestFromPeer(const Member &peer);
     void receiveOutline(const Member &peer, const CallResult<ConfigurationOutline> &result);
