--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -5,16 +5,20 @@
 #include <LibBase/SystemClock.h>
 #include <LibTask/TaskHost.h>
 #include <Tests/Fakes/RawConnection.h>
+#include <Tests/Fakes/ScriptedEndpoint.h>
 #include <Tests/Fakes/StandInStore.h>
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <unistd.h>
@@ -34,31 +38,91 @@
     REQUIRE(isReached());
 }
 
-/** A stand-in for the platform's store in the process of the test. */
-class StoreHost
+/** The environment of the nodes in the process of the test: a stand-in for the platform's store, and replicas. */
+class PlatformHost
 {
 public:
-    explicit StoreHost(EventLoop &loop) : loop(loop), store(loop, this->clock)
+    explicit PlatformHost(EventLoop &loop) : loop(loop), store(loop, this->clock)
     {
         // A node may have closed the connection on which it is answered.
         std::signal(SIGPIPE, SIG_IGN);
     }
 
+    /** Starts a replica and registers it in the store. */
+    void addReplica(const std::string &instance,
+                    const std::string &service,
+                    const std::string &version,
+                    ScriptedEndpoint::Script script)
+    {
+        this->endpoints.push_back(std::make_unique<ScriptedEndpoint>(this->loop, std::move(script)));
+        this->store.rows().put({"servers", "", instance}, entryOf(service, version, this->endpoints.back()->address()).dump());
+    }
+
+    /** @return the entry of a replica that is ready. */
+    static nlohmann::json entryOf(const std::string &service, const std::string &version, const Address &address)
+    {
+        return {{"service", service},
+                {"address", address.toString()},
+                {"zone", "z"},
+                {"version", version},
+                {"slots", 8},
+                {"state", "ready"},
+                {"coldLeftMs", 0},
+                {"born", 1764700000000},
+                {"seq", 1}};
+    }
+
     EventLoop &loop;
     SystemClock clock;
     StandInStore store;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
 };
 
+/** @return a configuration with routes of all kinds; "/r/" is a stream that may be resumed, "/o/" one that runs once. */
+inline nlohmann::json processConfiguration(int version)
+{
+    nlohmann::json routes = nlohmann::json::array();
+    const auto add
+        = [&routes](const char *name, const char *kind, const char *service, std::uint32_t attempts) -> nlohmann::json & {
+        routes.push_back({{"name", name},
+                          {"host", "h"},
+                          {"prefix", std::string("/") + name + "/"},
+                          {"routeKind", kind},
+                          {"timeoutMs", 5000},
+                          {"fullValueMs", 300},
+                          {"service", service},
+                          {"maxAttempts", attempts}});
+        return routes.back();
+    };
+    add("r", "streaming", "llm", 2).update({{"resumable", true}, {"gapTargetMs", 300}});
+    add("o", "streaming", "llm", 1).update({{"resumable", false}, {"gapTargetMs", 300}});
+    add("s", "safe", "api", 2);
+    add("u", "unsafe", "api", 2);
+    add("b", "batch", "llm", 3).update({{"completionTargetMs", 18000}, {"maxCount", 100000}, {"retentionS", 60}});
+    return {
+        {"version", version},
+        {"routes", routes},
+        {"services", {{{"name", "llm"}, {"engine", {{"slots", 8}}}}, {{"name", "api"}}}},
+        {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 100000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+}
+
 /** Gateway nodes as processes of their own, in front of a stand-in store. */
 class GatewayProcesses
 {
 public:
-    /** Starts the nodes. They become ready once the store has a configuration. */
-    explicit GatewayProcesses(std::size_t count) : fleet(PROGRAMS_FOLDER)
+    /**
+     * Starts the nodes. They become ready once the store has a configuration.
+     * @param storeScript answers the calls to the store in place of the stand-in, if set
+     */
+    explicit GatewayProcesses(std::size_t count, const ScriptedEndpoint::Script &storeScript = nullptr) : fleet(PROGRAMS_FOLDER)
     {
         const std::string store = this->host
-                                      .ask<Address>([](StoreHost &host) {
-                                          return host.store.address();
+                                      .ask<Address>([&storeScript](PlatformHost &host) {
+                                          if (!storeScript) {
+                                              return host.store.address();
+                                          }
+                                          host.endpoints.push_back(std::make_unique<ScriptedEndpoint>(host.loop, storeScript));
+                                          return host.endpoints.back()->address();
                                       })
                                       .toString();
         std::vector<Address> addresses;
@@ -89,20 +153,65 @@
     /** Writes a row to the store, as the operator or a replica does. */
     void put(const RowKey &key, const std::string &value)
     {
-        this->host.ask<bool>([&key, &value](StoreHost &host) {
+        this->host.ask<bool>([&key, &value](PlatformHost &host) {
             host.store.rows().put(key, value);
             return true;
         });
     }
 
+    /** Kills all nodes at once and starts them again. */
+    void restartAll()
+    {
+        for (const std::size_t node : this->nodes) {
+            this->fleet.signal(node, SIGKILL);
+        }
+        for (const std::size_t node : this->nodes) {
+            this->fleet.restart(node);
+        }
+    }
+
     /** Kills a node and starts it again. */
     void restart(std::size_t node)
     {
         this->fleet.signal(this->nodes.at(node), SIGKILL);
-        this->fleet.waitEnd(this->nodes.at(node), processWaitLimit);
         this->fleet.restart(this->nodes.at(node));
     }
 
+    /** Waits until all nodes are ready and know each other. */
+    void awaitReady() const
+    {
+        awaitProcesses([this] {
+            return this->all([this](std::size_t node) {
+                return this->isReady(node) && this->metric(node, "members") == static_cast<double>(this->count());
+            });
+        });
+    }
+
+    /** Waits until a number of nodes follow the tables of the store for the others. */
+    void awaitRelays(std::size_t relays) const
+    {
+        awaitProcesses([this, relays] {
+            double serving = 0;
+            for (std::size_t node = 0; node < this->count(); ++node) {
+                serving += this->metric(node, "is_relay");
+            }
+            return serving == static_cast<double>(relays);
+        });
+    }
+
+    /** Sends a request to a node. @return all bytes received until the connection was closed */
+    std::string call(std::size_t node,
+                     const std::string &startLine,
+                     const std::string &id,
+                     const std::string &headers = {},
+                     const std::string &body = {}) const
+    {
+        RawConnection caller(this->addressOf(node));
+        caller.send(startLine + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 5000\r\n"
+                    + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return caller.readAll();
+    }
+
     /** Limits the rate of each connection between nodes, and of the store to a node. */
     void setConnectionRate(std::uint32_t bytesPerSecond)
     {
@@ -150,7 +259,7 @@
         return true;
     }
 
-    TaskHost<StoreHost> host{"store"};
+    TaskHost<PlatformHost> host{"platform"};
     LocalFleet fleet;
     std::vector<std::size_t> nodes;
 
--- a/Tests/Processes/TestLargeConfigurations.cpp
+++ b/Tests/Processes/TestLargeConfigurations.cpp
@@ -13,7 +13,7 @@
 
 /** More nodes than a failure domain needs to use relays. */
 constexpr std::size_t nodeCount = 12;
-constexpr double relayCount = 2;
+constexpr std::size_t relayCount = 2;
 /** So few nodes that each follows the store. */
 constexpr std::size_t storeFollowerCount = 3;
 /** The share of a connection in the link of a relay to which all nodes of its failure domain are connected. */
@@ -48,21 +48,11 @@
 class ConfiguredProcesses : public GatewayProcesses
 {
 public:
-    ConfiguredProcesses(std::size_t count, double relayCount) : GatewayProcesses(count)
+    ConfiguredProcesses(std::size_t count, std::size_t relayCount) : GatewayProcesses(count)
     {
         this->configure(1, 3, 5000);
-        awaitProcesses([this, count] {
-            return this->all([this, count](std::size_t node) {
-                return this->isReady(node) && this->metric(node, "members") == static_cast<double>(count);
-            });
-        });
-        awaitProcesses([this, relayCount] {
-            double relays = 0;
-            for (std::size_t node = 0; node < this->count(); ++node) {
-                relays += this->metric(node, "is_relay");
-            }
-            return relays == relayCount;
-        });
+        this->awaitReady();
+        this->awaitRelays(relayCount);
     }
 
     void configure(int version, int routes, int timeout)
