Gateway: Judge the version of a stream only by a history of all replicas

A stream of unknown origin goes on if its service has had one software version for as long as the stream may be old. The history behind that could lack replicas: a node that has just become a relay knew a few of them before, and a dispatcher asked neither that nor how old its list was, so that a version which began the stream could be one that it had never seen. Callers would get a text of two versions.

The history begins anew whenever the node gets to know all replicas, after its start, after it became a relay and after its list was out of date for two seconds, and answers nothing until then. Such streams are refused at once with 503 and Retry-After, for the route's timeout at most, and the reason says that the version is unknown, where it said that no replica had it.

--- a/Libraries/LibDispatch/VersionHistory.cpp
+++ b/Libraries/LibDispatch/VersionHistory.cpp
@@ -15,6 +15,11 @@
 {
 }
 
+void VersionHistory::restart()
+{
+    this->since = this->clock.now();
+}
+
 void VersionHistory::add(const SoftwareVersion &version)
 {
     ++this->entries[version].replicas;
--- a/Libraries/LibDispatch/VersionHistory.h
+++ b/Libraries/LibDispatch/VersionHistory.h
@@ -17,6 +17,9 @@
 public:
     explicit VersionHistory(const Clock &clock);
 
+    /** Begins anew with the current replicas, because others may have come and gone without being recorded. */
+    void restart();
+
     /** Records that a replica of a version was added. */
     void add(const SoftwareVersion &version);
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds graceMargin{700};
 /** Retry-After of the directory while no node is ready: a node becomes ready about this long after its start. */
 constexpr std::chrono::milliseconds noAddressRetryAfter{300};
+/** A list of replicas that is older than this may lack a version that other nodes know. */
+constexpr std::chrono::milliseconds maxFreshListAge{2000};
 /** A node without any responsive relay for this time follows the tables itself. A lost relay is replaced sooner. */
 constexpr std::chrono::milliseconds noRelayTimeout{3000};
 
@@ -124,9 +126,14 @@
                  this->peers,
                  this->elections,
                  FailureDomain(settings->node.failureDomain),
-                 [this](const EndpointName &instance) {
-                     return this->replicaFollower.find(instance);
-                 },
+                 {.find =
+                      [this](const EndpointName &instance) {
+                          return this->replicaFollower.find(instance);
+                      },
+                  .knowsAll =
+                      [this] {
+                          return this->replicaFollower.isComplete() && this->replicaFollower.age() <= maxFreshListAge;
+                      }},
                  {settings->gateway.capacityLearning, settings->gateway.workspaceShares})
     , quotas(clock, this->peers, this->elections, quotaBounds(settings->gateway))
     , relayRole(clock)
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -32,8 +32,6 @@
  * is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listTimeout{1000};
 constexpr std::chrono::milliseconds listCheckInterval{20};
-/** A list of replicas that is older than this may lack a version that other nodes know. */
-constexpr std::chrono::milliseconds maxFreshListAge{2000};
 /** From this pace on, in percent of usual, the dispatcher is notified that a replica's machine is disturbed. */
 constexpr std::uint32_t disturbedPace = 150;
 /** A stream's origin is kept this long after its caller's timeout, as the caller's clock differs from this node's. */
@@ -323,7 +321,6 @@
     query.connected = connectedReplicas(this->context, this->service, this->maxConnectionIdle());
     query.version = this->startedVersion;
     query.soleVersionFor = this->soleVersionFor;
-    query.knowsAllReplicas = this->context.replicaList.isComplete() && this->context.replicaList.age() <= maxFreshListAge;
     this->placementTicket
         = this->context.placements.requestSlot(query, [self = this->shared_from_this()](const Placement &placement) {
               self->handlePlacement(placement);
@@ -356,9 +353,12 @@
 
 void OnlineCall::handleRefusal(std::chrono::milliseconds retryAfter)
 {
-    const bool needsVersion = !this->startedVersion.value().empty() || this->soleVersionFor.count() > 0;
-    const std::string_view reason
-        = needsVersion ? "no replica of the version that began the stream" : "no replica has capacity in time";
+    std::string_view reason = "no replica has capacity in time";
+    if (this->soleVersionFor.count() > 0) {
+        reason = "the version that began the stream is unknown";
+    } else if (!this->startedVersion.value().empty()) {
+        reason = "no replica of the version that began the stream";
+    }
     if (this->attempts > 0) {
         this->fail(reason);
         return;
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -40,7 +40,7 @@
                                  PeerNetwork &peers,
                                  CoordinatorElections &elections,
                                  FailureDomain ownDomain,
-                                 PlacementServer::FindReplica findReplica,
+                                 ReplicaLookup replicas,
                                  const DispatcherOptions &options)
     : loop(loop)
     , clock(clock)
@@ -58,7 +58,8 @@
                   [this](const ServiceName &service) {
                       this->handleDispatcherChange(service);
                   },
-              .findReplica = std::move(findReplica)},
+              .findReplica = std::move(replicas.find),
+              .knowsAllReplicas = std::move(replicas.knowsAll)},
              options)
 {
 }
@@ -151,8 +152,7 @@
     ServiceState &state = this->stateOf(request.query.service);
     PlacementQuery &query = request.query;
     if (query.soleVersionFor.count() > 0) {
-        const std::optional<SoftwareVersion> sole
-            = query.knowsAllReplicas ? this->server.soleVersion(query.service, query.soleVersionFor) : std::nullopt;
+        const std::optional<SoftwareVersion> sole = this->server.soleVersion(query.service, query.soleVersionFor);
         if (!sole) {
             this->refuseLater(ticket, query);
             return;
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -45,8 +45,6 @@
      * single version since then. Else 0.
      */
     std::chrono::milliseconds soleVersionFor{0};
-    /** Whether this node knows all replicas, and thus their versions, without a dispatcher. */
-    bool knowsAllReplicas = false;
 };
 
 /**
@@ -62,13 +60,20 @@
     /** Called once with Placed or Refused, and after Placed with Stopped if a batch item has to release its slot. */
     using DecisionHandler = std::function<void(const Placement &)>;
 
-    /** @param findReplica see PlacementServer::Hooks */
+    /** Looks up replicas of this node's list, see PlacementServer::Hooks. */
+    struct ReplicaLookup
+    {
+        PlacementServer::FindReplica find;
+        std::function<bool()> knowsAll;
+    };
+
+    /** @param replicas this node's list of replicas */
     PlacementClient(EventLoop &loop,
                     const Clock &clock,
                     PeerNetwork &peers,
                     CoordinatorElections &elections,
                     FailureDomain ownDomain,
-                    PlacementServer::FindReplica findReplica,
+                    ReplicaLookup replicas,
                     const DispatcherOptions &options);
     ~PlacementClient();
     PlacementClient(const PlacementClient &) = delete;
--- a/Services/Gateway/PlacementServer.cpp
+++ b/Services/Gateway/PlacementServer.cpp
@@ -92,7 +92,19 @@
 std::optional<SoftwareVersion> PlacementServer::soleVersion(const ServiceName &service, std::chrono::milliseconds period) const
 {
     const auto found = this->services.find(service);
-    return found != this->services.end() ? found->second.versions.sole(period) : std::nullopt;
+    const bool isKnown = found != this->services.end() && this->knewAllReplicas && this->hooks.knowsAllReplicas();
+    return isKnown ? found->second.versions.sole(period) : std::nullopt;
+}
+
+void PlacementServer::updateHistories()
+{
+    const bool knowsAllReplicas = this->hooks.knowsAllReplicas();
+    if (std::exchange(this->knewAllReplicas, knowsAllReplicas) || !knowsAllReplicas) {
+        return;
+    }
+    for (auto &[service, state] : this->services) {
+        state.versions.restart();
+    }
 }
 
 void PlacementServer::setView(const MemberViewPointer &view)
@@ -340,6 +352,7 @@
 
 void PlacementServer::tick()
 {
+    this->updateHistories();
     for (auto &[service, state] : this->services) {
         this->tickDispatcher(service, state);
     }
--- a/Services/Gateway/PlacementServer.h
+++ b/Services/Gateway/PlacementServer.h
@@ -40,6 +40,8 @@
         /** Called when another node has become the dispatcher of a service. */
         std::function<void(const ServiceName &)> dispatcherChanged;
         FindReplica findReplica;
+        /** @return whether this node's list holds all replicas and is up to date, so that it knows all versions in service. */
+        std::function<bool()> knowsAllReplicas;
     };
 
     PlacementServer(EventLoop &loop,
@@ -86,7 +88,10 @@
     /** Runs the periodic work of the dispatchers, and drops those that are no longer needed here. */
     void tick();
 
-    /** @return the only version that known replicas of a service have had for a period, see VersionHistory. */
+    /**
+     * @return the only version that replicas of a service have had for a period, see VersionHistory; nothing if this node has not
+     * known all replicas for the whole period
+     */
     std::optional<SoftwareVersion> soleVersion(const ServiceName &service, std::chrono::milliseconds period) const;
 
     /** @return the load of this node's dispatcher for a service, or nothing if this node has none. */
@@ -114,6 +119,8 @@
     ServiceState &stateOf(const ServiceName &service);
     void dropReplica(ServiceState &state, const EndpointName &instance);
     void handleDispatcherChange(const ServiceName &service, SessionNumber former);
+    /** Lets the histories of versions begin anew once this node knows all replicas. */
+    void updateHistories();
     void tickDispatcher(const ServiceName &service, ServiceState &state);
     void logLoad(const ServiceName &service, ServiceState &state);
     void dropDepartedClients(ServiceState &state);
@@ -133,6 +140,7 @@
     Hooks hooks;
     DispatcherOptions options;
     std::map<ServiceName, ServiceState> services;
+    bool knewAllReplicas = false;
     MemberViewPointer view;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/LibDispatch/TestVersionHistory.cpp
+++ b/Tests/LibDispatch/TestVersionHistory.cpp
@@ -61,3 +61,16 @@
     CHECK(versions.sole(period) == newVersion);
     CHECK_FALSE(versions.sole(std::chrono::hours(1)));
 }
+
+// A node that did not know all replicas for a while may have missed a version.
+TEST_CASE("a history that was restarted reports no version for the time before")
+{
+    ManualClock clock;
+    VersionHistory versions(clock);
+    versions.add(oldVersion);
+    clock.advance(period);
+    versions.restart();
+    CHECK_FALSE(versions.sole(period));
+    clock.advance(period);
+    CHECK(versions.sole(period) == oldVersion);
+}
--- a/Tests/ServiceGateway/TestStreamVersions.cpp
+++ b/Tests/ServiceGateway/TestStreamVersions.cpp
@@ -60,12 +60,12 @@
         + extraHeaders + "Content-Length: 0\r\n\r\n";
 }
 
-/** @return the usual configuration with route timeouts so short that a resumed stream can have started only recently. */
-std::string withShortTimeouts()
+/** @return the usual configuration with these route timeouts: a resumed stream can have started only that long ago. */
+std::string withTimeouts(int milliseconds)
 {
     nlohmann::json configuration = nlohmann::json::parse(benchConfiguration);
     for (nlohmann::json &route : configuration["routes"]) {
-        route["timeoutMs"] = 300;
+        route["timeoutMs"] = milliseconds;
     }
     return configuration.dump();
 }
@@ -226,7 +226,7 @@
 TEST_CASE("a stream of unknown origin is resumed while only one software version serves")
 {
     RunningGateway running([](GatewayBench &bench) {
-        bench.configure(withShortTimeouts());
+        bench.configure(withTimeouts(300));
         bench.addReplica("i-1-v1", "llm", crashUnlessResumed);
     });
     std::string answer;
@@ -238,3 +238,90 @@
     });
     CHECK(has(answer, "id: 3\n"));
 }
+
+namespace
+{
+
+/** A gateway with replicas of one version, whose history of versions is as long as any stream. */
+class OneVersion : public RunningGateway
+{
+public:
+    OneVersion()
+        : RunningGateway([](GatewayBench &bench) {
+            bench.configure(withTimeouts(3000));
+            bench.version = "v1";
+            bench.addReplica("i-1-v1", "llm", crashUnlessResumed);
+        })
+    {
+        this->awaitResumed("before");
+    }
+
+    /** Waits until a stream of unknown origin is resumed, once the history is longer than the routes' timeouts. */
+    void awaitResumed(const std::string &id)
+    {
+        await([this, &id] {
+            return this->resume(id).starts_with("HTTP/1.1 200");
+        });
+    }
+
+    /** @return the answer to a caller that resumes a stream of unknown origin. */
+    std::string resume(const std::string &id)
+    {
+        RawConnection caller(this->address(&Gateway::callerAddress));
+        caller.send(requestHead(id, "Last-Event-Id: 2\r\n"));
+        return caller.readAll();
+    }
+
+    /** Makes the list of replicas unavailable, for longer than it counts as up to date. */
+    void loseList()
+    {
+        this->host.ask<bool>([](GatewayBench &bench) {
+            bench.store.setUnavailableTable("servers");
+            return true;
+        });
+        // A call that was pending before is still answered, after the store's wait at the latest.
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        this->host.ask<bool>([](GatewayBench &bench) {
+            bench.clock.shift(std::chrono::seconds(3));
+            return true;
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+
+    void restoreList()
+    {
+        this->host.ask<bool>([](GatewayBench &bench) {
+            bench.store.setUnavailableTable({});
+            bench.addReplica("i-2-v1", "llm", crashUnlessResumed);
+            return true;
+        });
+        await([this] {
+            return this->host.ask<bool>([](GatewayBench &bench) {
+                return bench.gateway->knownReplicas() == 2;
+            });
+        });
+    }
+};
+
+} // namespace
+
+// Replicas of another version may have begun the stream since, without this node's knowledge.
+TEST_CASE("a stream of unknown origin is refused while the list of replicas is out of date")
+{
+    OneVersion running;
+    running.loseList();
+    const std::string answer = running.resume("stale");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(versionsOf(running, "stale", true).empty());
+}
+
+// The same right after the list is up to date again: replicas of another version may have come and gone meanwhile.
+TEST_CASE("a history of versions begins anew once the list of replicas is up to date again")
+{
+    OneVersion running;
+    running.loseList();
+    running.restoreList();
+    const std::string answer = running.resume("gap");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    running.awaitResumed("after");
+}
