Gateway: Do not serve by a configuration that a newer one has long replaced

A node that knew of a newer configuration and could not get it went on serving by its own, without end, and ran requests by a route that had been dropped: it only held back what it would have refused. However well versions travel, such a node exists now and then (a link that carries datagrams only).

A node that has been behind a living member for half of gateway.apply_bound rejects requests with 503 and a short Retry-After, is not ready, so that callers are no longer sent to it, and sends no items, until it has the newer version. Members that are suspected or leaving don't count: they may never be able to send theirs.

--- a/Services/Gateway/CallerRouter.cpp
+++ b/Services/Gateway/CallerRouter.cpp
@@ -77,6 +77,10 @@
 
 void CallerRouter::process(const HeldRequest &request)
 {
+    if (this->configuration.isOutdated()) {
+        this->refuseTemporarily(*request.exchange, outdatedRetryAfter, "this node's configuration is outdated");
+        return;
+    }
     const Access access = this->decide(*request.exchange, request.credentials);
     if (access.outcome == AccessOutcome::Granted) {
         this->route(request.exchange, access);
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -29,7 +29,7 @@
                                              RowFeed &store,
                                              PeerNetwork &peers,
                                              ChunkExchange &chunks,
-                                             std::chrono::milliseconds storeWait,
+                                             const Timing &timing,
                                              Format format,
                                              Changed changed)
     : loop(loop)
@@ -37,6 +37,7 @@
     , random(static_cast<std::minstd_rand::result_type>(peers.self().value()))
     , peers(peers)
     , chunks(chunks)
+    , maxBehind(timing.maxBehind)
     , format(std::move(format))
     , changed(std::move(changed))
 {
@@ -53,7 +54,7 @@
                            store,
                            stableHash(this->format.table) ^ peers.self().value(),
                            TableFollower::Options{this->format.table,
-                                                  [this, storeWait] {
+                                                  [this, storeWait = timing.storeWait] {
                                                       return this->peers.hasRecentContact() ? storeWaitWithPeers : storeWait;
                                                   },
                                                   std::chrono::milliseconds(0)},
@@ -116,6 +117,7 @@
          {"copies_received", static_cast<std::int64_t>(std::exchange(this->copiesReceived, 0))}});
     this->outline = this->chunks.publish(this->row(), text);
     this->configuration = std::make_shared<const ServingConfiguration>(*std::move(decoded));
+    this->behindLivingSince.reset();
     this->peers.setConfigurationVersion(this->version());
     this->changed(this->configuration);
 }
@@ -137,10 +139,14 @@
     }
     const bool isBehind = this->isBehind();
     const SteadyTime now = this->clock.now();
-    if (!isBehind) {
-        this->behindSince.reset();
-    } else if (!this->behindSince) {
-        this->behindSince = now;
+    this->updateBehind(this->behindSince, isBehind);
+    this->updateBehind(this->behindLivingSince, this->hasNewerMember([](const Member &member) {
+        return member.state == MemberState::Alive && !member.isLeaving;
+    }));
+    if (std::exchange(this->wasOutdated, this->isOutdated()) != this->isOutdated()) {
+        log(LogLevel::Warning,
+            this->isOutdated() ? "configuration outdated, not serving" : "configuration no longer outdated",
+            {{"version", static_cast<std::int64_t>(this->version())}, {"behind_ms", this->behindFor().count()}});
     }
     // A node without a configuration can't answer callers and doesn't wait for the store, which may be unavailable.
     const bool mayWaitForStore = this->configuration && isBehind && now - *this->behindSince < storeTimeout;
@@ -152,14 +158,31 @@
     });
 }
 
-bool ConfigurationFollower::isBehind() const
+void ConfigurationFollower::updateBehind(std::optional<SteadyTime> &since, bool isBehind) const
+{
+    since = isBehind ? since.value_or(this->clock.now()) : std::optional<SteadyTime>();
+}
+
+bool ConfigurationFollower::hasNewerMember(const std::function<bool(const Member &)> &counts) const
 {
     const MemberViewPointer view = this->peers.view();
-    return std::ranges::any_of(view->members(), [this](const Member &member) {
-        return member.configVersion > this->version();
+    return std::ranges::any_of(view->members(), [this, &counts](const Member &member) {
+        return member.configVersion > this->version() && counts(member);
     });
 }
 
+bool ConfigurationFollower::isBehind() const
+{
+    return this->hasNewerMember([](const Member &) {
+        return true;
+    });
+}
+
+bool ConfigurationFollower::isOutdated() const
+{
+    return this->configuration && this->behindLivingSince && this->clock.now() - *this->behindLivingSince >= this->maxBehind;
+}
+
 std::chrono::milliseconds ConfigurationFollower::behindFor() const
 {
     const SteadyTime now = this->clock.now();
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -31,6 +31,14 @@
         std::function<std::optional<ServingConfiguration>(std::string_view)> decode;
     };
 
+    struct Timing
+    {
+        /** How long the store may wait for a change before it answers. */
+        std::chrono::milliseconds storeWait{0};
+        /** How long this node may work by its configuration after another one was found to have a newer version in force. */
+        std::chrono::milliseconds maxBehind{0};
+    };
+
     using Changed = std::function<void(const ServingConfigurationPointer &)>;
 
     ConfigurationFollower(EventLoop &loop,
@@ -38,7 +46,7 @@
                           RowFeed &store,
                           PeerNetwork &peers,
                           ChunkExchange &chunks,
-                          std::chrono::milliseconds storeWait,
+                          const Timing &timing,
                           Format format,
                           Changed changed);
     ~ConfigurationFollower();
@@ -54,6 +62,12 @@
     /** @return whether another node publishes a newer version. */
     bool isBehind() const;
 
+    /**
+     * @return whether this node has not been able to get a newer version for so long that it must not serve any more: the newer
+     * one may forbid what its own allows
+     */
+    bool isOutdated() const;
+
     /** @return for how long this node has known that another one has a newer configuration; 0: it knows of none. */
     std::chrono::milliseconds behindFor() const;
 
@@ -67,6 +81,8 @@
     void apply(const std::string &text, std::string_view source);
     void logNotNewer(std::uint64_t received, std::string_view source) const;
     void watch();
+    void updateBehind(std::optional<SteadyTime> &since, bool isBehind) const;
+    bool hasNewerMember(const std::function<bool(const Member &)> &counts) const;
     void requestFromPeer(const Member &peer);
     void receiveOutline(const Member &peer, const CallResult<ConfigurationOutline> &result);
     void recordPeerFailure(const Member &peer);
@@ -77,6 +93,7 @@
     std::minstd_rand random;
     PeerNetwork &peers;
     ChunkExchange &chunks;
+    std::chrono::milliseconds maxBehind;
     Format format;
     Changed changed;
     TextOutline outline;
@@ -84,6 +101,9 @@
     bool isRequestPending = false;
     /** When this node first saw that others have a newer configuration. */
     std::optional<SteadyTime> behindSince;
+    /** The same for members that are known to be alive: others may never be able to send it. */
+    std::optional<SteadyTime> behindLivingSince;
+    bool wasOutdated = false;
     /** Texts of configurations received since the current one came into force. */
     std::size_t copiesReceived = 0;
     bool hadRecentContact = false;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -171,7 +171,7 @@
                     this->feed,
                     this->peers,
                     this->chunks,
-                    settings->gateway.storeWait,
+                    {settings->gateway.storeWait, settings->gateway.applyBound / 2},
                     {configurationTable, configurationKey, &decodeConfiguration},
                     [this](const ServingConfigurationPointer &received) {
                         this->applyConfiguration(received);
@@ -224,9 +224,14 @@
               this->jobs,
               this->peers,
               settings->gateway,
-              [this] {
-                  return this->configuration.current();
-              })
+              {.current =
+                   [this] {
+                       return this->configuration.current();
+                   },
+               .isOutdated =
+                   [this] {
+                       return this->configuration.isOutdated();
+                   }})
     , cleaner(loop,
               this->storeClock,
               this->store,
@@ -362,6 +367,7 @@
 void Gateway::tick()
 {
     this->updateRelayRole();
+    this->updateReadiness();
     this->crashExchange.tick();
     this->origins.tick();
     this->elections.tick();
@@ -565,7 +571,8 @@
 
 void Gateway::updateReadiness()
 {
-    const bool isReadyNow = this->configuration.current() && this->replicaFollower.isKnown() && !this->stopped;
+    const bool isConfigured = this->configuration.current() && !this->configuration.isOutdated();
+    const bool isReadyNow = isConfigured && this->replicaFollower.isKnown() && !this->stopped;
     if (std::exchange(this->isReady, isReadyNow) != isReadyNow) {
         log(LogLevel::Info, isReadyNow ? "ready for callers" : "not ready for callers");
         this->peers.setReady(isReadyNow);
--- a/Services/Gateway/JobRunners.cpp
+++ b/Services/Gateway/JobRunners.cpp
@@ -37,7 +37,7 @@
                        JobStore &store,
                        PeerNetwork &peers,
                        const GatewaySettings &settings,
-                       std::function<ServingConfigurationPointer()> configuration)
+                       ConfigurationSource configuration)
     : context(context)
     , rows(rows)
     , store(store)
@@ -198,7 +198,7 @@
             },
         .configurationVersion =
             [this] {
-                const ServingConfigurationPointer current = this->configuration();
+                const ServingConfigurationPointer current = this->configuration.current();
                 return current ? current->version : 0;
             },
         .routing =
@@ -234,7 +234,7 @@
 
 const Route *JobRunners::limitingRouteOf(const JobHead &job, const std::string &target) const
 {
-    const ServingConfigurationPointer current = this->configuration();
+    const ServingConfigurationPointer current = this->configuration.current();
     if (!current) {
         return nullptr;
     }
@@ -244,8 +244,8 @@
 
 ItemAttempt::Routing JobRunners::routingOf(const JobHead &job, const std::string &target) const
 {
-    const ServingConfigurationPointer current = this->configuration();
-    if (!current) {
+    const ServingConfigurationPointer current = this->configuration.current();
+    if (!current || this->configuration.isOutdated()) {
         return {};
     }
     const Route *const route = current->findBatchRoute(job.host, pathOf(target));
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -33,12 +33,20 @@
      * @param settings the wait time of reads from the store, and the max time in which ended jobs stop
      * @param configuration returns the configuration in force, or null
      */
+    /** The configuration by which items are sent. */
+    struct ConfigurationSource
+    {
+        std::function<ServingConfigurationPointer()> current;
+        /** @return whether nothing may be sent by it any more. */
+        std::function<bool()> isOutdated;
+    };
+
     JobRunners(GatewayContext &context,
                RowFeed &rows,
                JobStore &store,
                PeerNetwork &peers,
                const GatewaySettings &settings,
-               std::function<ServingConfigurationPointer()> configuration);
+               ConfigurationSource configuration);
     ~JobRunners();
     JobRunners(const JobRunners &) = delete;
     JobRunners &operator=(const JobRunners &) = delete;
@@ -91,7 +99,7 @@
     PeerNetwork &peers;
     std::chrono::milliseconds storeWait;
     std::chrono::milliseconds endBound;
-    std::function<ServingConfigurationPointer()> configuration;
+    ConfigurationSource configuration;
     MemberViewPointer view;
     std::map<JobId, OpenJob> open;
     JobCheckSchedule checkSchedule;
--- a/Tests/ServiceGateway/TestConfigurationFollower.cpp
+++ b/Tests/ServiceGateway/TestConfigurationFollower.cpp
@@ -31,7 +31,7 @@
                    this->store,
                    this->peers,
                    this->chunks,
-                   std::chrono::milliseconds(100),
+                   {std::chrono::milliseconds(100), std::chrono::seconds(10)},
                    {"op",
                     "config",
                     [this](std::string_view text) {
