Gateway: State the replaced list's own version in the log

The line `replicas received from another node` named the version of the list that replaced the own one on nodes that keep a set, and 0 on those that had not read the table. Behaviour is as it was.

--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -2,10 +2,8 @@
 
 #include <LibBase/Hash.h>
 #include <LibBase/Log.h>
-#include <LibGateway/ListStamp.h>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace Dogwoodkeel
@@ -512,7 +510,7 @@
     }
     this->lastReported = this->clock.now() - records.age;
     this->list.recordConfirmation(this->lastReported);
-    this->replaceList(records, own.age);
+    this->replaceList(records, own);
     if (records.fingerprint == this->list.fingerprint()) {
         this->follower->followFrom(records.version);
     }
@@ -524,15 +522,15 @@
     if (this->isListKnown && records.version < this->reportedVersion) {
         return;
     }
-    const std::chrono::milliseconds ownAge = this->age();
+    const ListStamp own{this->listVersion(), this->age()};
     this->reportedVersion = records.version;
     this->lastReported = this->clock.now() - records.age;
     this->list.recordConfirmation(this->lastReported);
-    this->replaceList(records, ownAge);
+    this->replaceList(records, own);
     this->publishChanges();
 }
 
-void ReplicaFollower::replaceList(const ReplicaRecords &records, std::chrono::milliseconds ownAge)
+void ReplicaFollower::replaceList(const ReplicaRecords &records, const ListStamp &own)
 {
     if (records.isUnchanged) {
         this->list.confirmEntries();
@@ -551,8 +549,8 @@
         {{"count", static_cast<std::int64_t>(replicas.size())},
          {"age_ms", records.age.count()},
          {"version", static_cast<std::int64_t>(records.version)},
-         {"own_age_ms", ownAge.count()},
-         {"own_version", static_cast<std::int64_t>(this->listVersion())}});
+         {"own_age_ms", own.age.count()},
+         {"own_version", static_cast<std::int64_t>(own.version)}});
     this->list.replaceExactly(replicas);
     this->isListKnown = true;
 }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/ListStamp.h>
 #include <LibGateway/RecentReplicas.h>
 #include <LibGateway/ReplicaList.h>
 #include <LibGateway/ReplicaRing.h>
@@ -123,7 +124,8 @@
     void applyRecords(const ReplicaRecords &records);
     void applyAllRecords(const ReplicaRecords &records);
     void applyRecordSet(const ReplicaRecords &records);
-    void replaceList(const ReplicaRecords &records, std::chrono::milliseconds ownAge);
+    /** @param own how recent the list was that is replaced */
+    void replaceList(const ReplicaRecords &records, const ListStamp &own);
     /** @return the version of the table up to which the list holds all changes; 0: unknown. */
     RowVersion listVersion() const;
     ReplicaRecords records(const ReplicaRecordsRequest &request) const;
