--- a/Libraries/LibGateway/ChunkFetcher.cpp
+++ b/Libraries/LibGateway/ChunkFetcher.cpp
@@ -124,7 +124,7 @@
     std::vector<ChunkReference> missing = this->store.missing(fetch.outline);
     // Nodes that fetch the same text at the same time begin at different chunks, so that they can help each other.
     std::ranges::shuffle(missing, this->random);
-    std::ranges::stable_partition(missing, [this](const ChunkReference &chunk) {
+    std::stable_partition(missing.begin(), missing.end(), [this](const ChunkReference &chunk) {
         return !this->isUnanswered(chunk.digest);
     });
     ChunkRequest batch;
--- a/Services/Gateway/RelayedFeed.cpp
+++ b/Services/Gateway/RelayedFeed.cpp
@@ -168,7 +168,8 @@
         reception->done(std::move(reception->rows));
         return;
     }
-    const auto &[index, outline] = *next;
+    const std::size_t index = next->first;
+    const TextOutline &outline = next->second;
     const auto receive = [this, alive = this->alive, reception, index](std::optional<std::string> value) {
         if (*alive) {
             this->receiveValue(reception, index, std::move(value));
--- a/Services/Gateway/TableRelay.cpp
+++ b/Services/Gateway/TableRelay.cpp
@@ -85,7 +85,7 @@
     }
 }
 
-void TableRelay::serve(PeerServer &server, EncodeRow encodeRow)
+void TableRelay::serve(PeerServer &server, const EncodeRow &encodeRow)
 {
     server.handle<FeedReadRequest>([this, encodeRow](const FeedReadRequest &request, const auto &respond) {
         respond(this->answer(request, encodeRow));
--- a/Services/Gateway/TableRelay.h
+++ b/Services/Gateway/TableRelay.h
@@ -41,7 +41,7 @@
     using EncodeRow = std::function<FeedRow(const StoredRow &)>;
 
     /** Registers the handlers for requests of other nodes. @param encodeRow converts a row to the message for another node */
-    void serve(PeerServer &server, EncodeRow encodeRow);
+    void serve(PeerServer &server, const EncodeRow &encodeRow);
 
     /** Starts or stops following the tables. */
     void setActive(bool isActive);
--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -135,11 +136,13 @@
             const Address &own = addresses[number];
             const std::string name = "node-" + std::to_string(number);
             const std::string peer = Address{own.ip, peerPort}.toString();
-            const std::string settings = "[node]\nvm = \"" + name + "\"\nfailure_domain = \"z\"\n[listen]\nhttp = \""
-                + own.toString() + "\"\ngossip = \"" + peer + "\"\nowner = \"" + peer + "\"\n[platform]\naddress = \"" + store
-                + "\"\ntimeout = \"2s\"\n[peers]\nsite_key = \"test\"\nseeds = [" + seeds + "]\n[gateway]\nready = \""
-                + Address{own.ip, readyPort}.toString() + "\"\nmetrics = \"" + Address{own.ip, metricsPort}.toString() + "\"\n";
-            const std::string file = this->fleet.writeFile(name + ".toml", settings);
+            std::ostringstream settings;
+            settings << "[node]\nvm = \"" << name << "\"\nfailure_domain = \"z\"\n[listen]\nhttp = \"" << own.toString()
+                     << "\"\ngossip = \"" << peer << "\"\nowner = \"" << peer << "\"\n[platform]\naddress = \"" << store
+                     << "\"\ntimeout = \"2s\"\n[peers]\nsite_key = \"test\"\nseeds = [" << seeds << "]\n[gateway]\nready = \""
+                     << Address{own.ip, readyPort}.toString() << "\"\nmetrics = \"" << Address{own.ip, metricsPort}.toString()
+                     << "\"\n";
+            const std::string file = this->fleet.writeFile(name + ".toml", settings.str());
             this->nodes.push_back(
                 this->fleet.start(name, {PROGRAMS_FOLDER "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, own));
         }
--- a/Tests/Processes/TestStreamsAfterRestart.cpp
+++ b/Tests/Processes/TestStreamsAfterRestart.cpp
@@ -21,7 +21,7 @@
     std::string text;
     for (int event = from; event <= to; ++event) {
         const std::string number = std::to_string(event);
-        text += "id: " + number + "\ndata: " + version + "." + number + "\n\n";
+        text.append("id: ").append(number).append("\ndata: ").append(version).append(".").append(number).append("\n\n");
     }
     return text;
 }
