Gateway: Keep the time of the last confirmation of replicas in one place

ReplicaFollower::lastReported and ReplicaList::confirmed were nearly the same time, and storeLostTimeout and maxConfirmationAge one bound in two places. The list now keeps the time alone. They differed in two cases: a node that became a relay took its old list for confirmed at that moment, and a list from another node with an older confirmation set the time back. The first kept a relay from being taken for cut off from the store right after its start; it still has the same time for its first answer, but its list's age is stated as it is.

--- a/Libraries/LibGateway/ReplicaList.cpp
+++ b/Libraries/LibGateway/ReplicaList.cpp
@@ -8,14 +8,6 @@
 namespace Dogwoodkeel
 {
 
-namespace
-{
-
-/** A list that was not confirmed for this time is that of a node without the platform: its lapsed entries can't reappear. */
-constexpr std::chrono::milliseconds maxConfirmationAge{1600};
-
-} // namespace
-
 std::uint64_t fingerprintOf(const ServingReplica &replica)
 {
     std::uint64_t hash = stableHash(replica.instance.value());
@@ -234,6 +226,11 @@
     this->confirmed = std::max(this->confirmed, at);
 }
 
+std::chrono::milliseconds ReplicaList::age() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->confirmed);
+}
+
 void ReplicaList::expire()
 {
     std::vector<EndpointName> expired;
@@ -254,9 +251,9 @@
 
 bool ReplicaList::isExpired(const Lapsed &entry) const
 {
-    const SteadyTime now = this->clock.now();
-    const bool isOutage = entry.keptUntil ? now - this->confirmed > maxConfirmationAge : this->isUnreachable;
-    return !isOutage && now >= this->keptUntil(entry);
+    // The list of a node without the platform is not confirmed: its lapsed entries can't reappear.
+    const bool isOutage = entry.keptUntil ? this->age() > maxConfirmationAge : this->isUnreachable;
+    return !isOutage && this->clock.now() >= this->keptUntil(entry);
 }
 
 std::optional<std::chrono::milliseconds> ReplicaList::keptFor(const EndpointName &instance) const
--- a/Libraries/LibGateway/ReplicaList.h
+++ b/Libraries/LibGateway/ReplicaList.h
@@ -18,6 +18,9 @@
 namespace Dogwoodkeel
 {
 
+/** A platform that has not confirmed the list for this time is lost. Longer than the wait for a change plus a slow answer. */
+inline constexpr std::chrono::milliseconds maxConfirmationAge{1600};
+
 /** @return a hash of an entry. The hash of a list is the XOR of the hashes of its entries. */
 std::uint64_t fingerprintOf(const ServingReplica &replica);
 
@@ -101,6 +104,9 @@
     /** Records that the platform answered. Called before the changes of that answer are applied. */
     void recordAnswer();
 
+    /** @return the time since the list was last confirmed by the platform, directly or through another node. */
+    std::chrono::milliseconds age() const;
+
     /** Records that the list was confirmed through another node. @param at when the platform answered that node */
     void recordConfirmation(SteadyTime at);
 
--- a/Services/Gateway/ReplicaFollower.cpp
+++ b/Services/Gateway/ReplicaFollower.cpp
@@ -18,8 +18,6 @@
 constexpr std::chrono::milliseconds expiryInterval{250};
 /** The same while entries are kept as lapsed, which are to be dropped on time. */
 constexpr std::chrono::milliseconds lapsedExpiryInterval{50};
-/** A store that has not answered for this time is lost. Longer than the wait for a change plus a slow answer. */
-constexpr std::chrono::milliseconds storeLostTimeout{1600};
 /** A draining replica may get requests for at most two seconds: requests to other relays are repeated well within that. */
 constexpr std::chrono::milliseconds peerInterval{250};
 constexpr std::chrono::milliseconds peerTimeout{400};
@@ -80,7 +78,6 @@
     , format(std::move(format))
     , hooks(std::move(hooks))
     , list(clock, options.lapseRules, this->listHooks())
-    , lastReported(clock.now())
 {
     peers.server().handle<ReplicaRecordsRequest>([this](const ReplicaRecordsRequest &request, const auto &respond) {
         respond(this->records(request));
@@ -121,7 +118,7 @@
     for (const auto &[instance, replica] : this->list.replicas()) {
         this->ring.put(replica);
     }
-    this->lastReported = this->clock.now();
+    this->followingSince = this->clock.now();
     this->follower.emplace(this->loop,
                            this->store,
                            this->options.seed,
@@ -146,7 +143,6 @@
                                    },
                                .onAnswer =
                                    [this] {
-                                       this->lastReported = this->clock.now();
                                        this->list.recordAnswer();
                                    },
                                .onFailure =
@@ -225,7 +221,7 @@
     log(LogLevel::Info, "sample of replicas read", {{"count", static_cast<std::int64_t>(replicas.size())}});
     this->list.replaceExactly(replicas);
     this->isListKnown = true;
-    this->lastReported = this->clock.now();
+    this->list.recordConfirmation(this->clock.now());
     this->publishChanges();
 }
 
@@ -405,7 +401,7 @@
 
 std::chrono::milliseconds ReplicaFollower::age() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastReported);
+    return this->list.age();
 }
 
 void ReplicaFollower::watch()
@@ -422,7 +418,8 @@
 
 void ReplicaFollower::watchStore()
 {
-    const bool isLost = this->list.isPlatformUnreachable() || this->age() > storeLostTimeout;
+    const bool hasJustStarted = this->clock.now() - this->followingSince <= maxConfirmationAge;
+    const bool isLost = this->list.isPlatformUnreachable() || (this->age() > maxConfirmationAge && !hasJustStarted);
     if (std::exchange(this->hasLostStore, isLost) != isLost) {
         log(LogLevel::Warning, isLost ? "store lost" : "store regained", {{"age_ms", this->age().count()}});
         this->peers.setStoreLost(isLost);
@@ -508,8 +505,7 @@
     if (!records.isComplete || (this->isComplete() && !isMoreRecent({records.version, records.age}, own))) {
         return;
     }
-    this->lastReported = this->clock.now() - records.age;
-    this->list.recordConfirmation(this->lastReported);
+    this->list.recordConfirmation(this->clock.now() - records.age);
     this->replaceList(records, own);
     if (records.fingerprint == this->list.fingerprint()) {
         this->follower->followFrom(records.version);
@@ -524,8 +520,7 @@
     }
     const ListStamp own{this->listVersion(), this->age()};
     this->reportedVersion = records.version;
-    this->lastReported = this->clock.now() - records.age;
-    this->list.recordConfirmation(this->lastReported);
+    this->list.recordConfirmation(this->clock.now() - records.age);
     this->replaceList(records, own);
     this->publishChanges();
 }
--- a/Services/Gateway/ReplicaFollower.h
+++ b/Services/Gateway/ReplicaFollower.h
@@ -152,8 +152,8 @@
     bool isListKnown = false;
     /** Whether the first list, which may be empty, was published to the hooks. */
     bool hasReported = false;
-    /** When the list was last confirmed by the store, directly or through another node. */
-    SteadyTime lastReported{};
+    /** When this node began to follow all replicas. */
+    SteadyTime followingSince{};
     bool hasLostStore = false;
     /** The version of the table of the last list received from a relay. */
     RowVersion reportedVersion = 0;
