Gateway: Count the time behind from the first newer version that is missing

The time began anew with any version that came into force, also with one that another had replaced: a node that got one version after the other, each late, served by outdated ones without end. Found on reading.

NewerVersions keeps since when each newer version has been known. The comment of the constructor of JobRunners stands where it belongs again.

--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -38,6 +38,7 @@
     , peers(peers)
     , chunks(chunks)
     , maxBehind(timing.maxBehind)
+    , newerVersions(clock)
     , format(std::move(format))
     , changed(std::move(changed))
 {
@@ -117,7 +118,7 @@
          {"copies_received", static_cast<std::int64_t>(std::exchange(this->copiesReceived, 0))}});
     this->outline = this->chunks.publish(this->row(), text);
     this->configuration = std::make_shared<const ServingConfiguration>(*std::move(decoded));
-    this->behindLivingSince.reset();
+    this->updateNewerVersions();
     this->peers.setConfigurationVersion(this->version());
     this->changed(this->configuration);
 }
@@ -139,10 +140,8 @@
     }
     const bool isBehind = this->isBehind();
     const SteadyTime now = this->clock.now();
-    this->updateBehind(this->behindSince, isBehind);
-    this->updateBehind(this->behindLivingSince, this->hasNewerMember([](const Member &member) {
-        return member.state == MemberState::Alive && !member.isLeaving;
-    }));
+    this->behindSince = isBehind ? this->behindSince.value_or(now) : std::optional<SteadyTime>();
+    this->updateNewerVersions();
     if (std::exchange(this->wasOutdated, this->isOutdated()) != this->isOutdated()) {
         log(LogLevel::Warning,
             this->isOutdated() ? "configuration outdated, not serving" : "configuration no longer outdated",
@@ -158,29 +157,30 @@
     });
 }
 
-void ConfigurationFollower::updateBehind(std::optional<SteadyTime> &since, bool isBehind) const
-{
-    since = isBehind ? since.value_or(this->clock.now()) : std::optional<SteadyTime>();
-}
-
-bool ConfigurationFollower::hasNewerMember(const std::function<bool(const Member &)> &counts) const
+// Only living members count: others may never be able to send their configuration.
+void ConfigurationFollower::updateNewerVersions()
 {
     const MemberViewPointer view = this->peers.view();
-    return std::ranges::any_of(view->members(), [this, &counts](const Member &member) {
-        return member.configVersion > this->version() && counts(member);
-    });
+    std::uint64_t newest = 0;
+    for (const Member &member : view->members()) {
+        if (member.state == MemberState::Alive && !member.isLeaving) {
+            newest = std::max(newest, member.configVersion);
+        }
+    }
+    this->newerVersions.update(this->version(), newest);
 }
 
 bool ConfigurationFollower::isBehind() const
 {
-    return this->hasNewerMember([](const Member &) {
-        return true;
+    const MemberViewPointer view = this->peers.view();
+    return std::ranges::any_of(view->members(), [this](const Member &member) {
+        return member.configVersion > this->version();
     });
 }
 
 bool ConfigurationFollower::isOutdated() const
 {
-    return this->configuration && this->behindLivingSince && this->clock.now() - *this->behindLivingSince >= this->maxBehind;
+    return this->configuration && this->newerVersions.behindFor() >= this->maxBehind;
 }
 
 std::chrono::milliseconds ConfigurationFollower::behindFor() const
--- a/Services/Gateway/ConfigurationFollower.h
+++ b/Services/Gateway/ConfigurationFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibGateway/NewerVersions.h>
 #include <LibGateway/ServingConfiguration.h>
 #include <LibPlatform/RowStore.h>
 #include <Services/Gateway/ChunkExchange.h>
@@ -81,8 +82,7 @@
     void apply(const std::string &text, std::string_view source);
     void logNotNewer(std::uint64_t received, std::string_view source) const;
     void watch();
-    void updateBehind(std::optional<SteadyTime> &since, bool isBehind) const;
-    bool hasNewerMember(const std::function<bool(const Member &)> &counts) const;
+    void updateNewerVersions();
     void requestFromPeer(const Member &peer);
     void receiveOutline(const Member &peer, const CallResult<ConfigurationOutline> &result);
     void recordPeerFailure(const Member &peer);
@@ -94,6 +94,7 @@
     PeerNetwork &peers;
     ChunkExchange &chunks;
     std::chrono::milliseconds maxBehind;
+    NewerVersions newerVersions;
     Format format;
     Changed changed;
     TextOutline outline;
@@ -101,8 +102,6 @@
     bool isRequestPending = false;
     /** When this node first saw that others have a newer configuration. */
     std::optional<SteadyTime> behindSince;
-    /** The same for members that are known to be alive: others may never be able to send it. */
-    std::optional<SteadyTime> behindLivingSince;
     bool wasOutdated = false;
     /** Texts of configurations received since the current one came into force. */
     std::size_t copiesReceived = 0;
--- a/Services/Gateway/JobRunners.h
+++ b/Services/Gateway/JobRunners.h
@@ -28,19 +28,19 @@
 class JobRunners
 {
 public:
-    /**
-     * @param rows feed of the table of open jobs
-     * @param settings the wait time of reads from the store, and the max time in which ended jobs stop
-     * @param configuration returns the configuration in force, or null
-     */
     /** The configuration by which items are sent. */
     struct ConfigurationSource
     {
+        /** @return the configuration in force, or null. */
         std::function<ServingConfigurationPointer()> current;
         /** @return whether nothing may be sent by it any more. */
         std::function<bool()> isOutdated;
     };
 
+    /**
+     * @param rows feed of the table of open jobs
+     * @param settings the wait time of reads from the store, and the max time in which ended jobs stop
+     */
     JobRunners(GatewayContext &context,
                RowFeed &rows,
                JobStore &store,
--- a/Tests/ServiceGateway/TestOutdatedConfiguration.cpp
+++ b/Tests/ServiceGateway/TestOutdatedConfiguration.cpp
@@ -37,31 +37,43 @@
         });
     }
 
-    /** Starts the other node, and waits until the gateway stops serving. */
-    void awaitOutdated()
+    /** Starts the other node. @param version the version that it has in force */
+    void startNewer(std::uint64_t version)
     {
-        this->host.ask<bool>([this](GatewayBench &bench) {
+        this->host.ask<bool>([this, version](GatewayBench &bench) {
             Settings settings = bench.settings;
             settings.node.vm = "newer";
             PeerNetwork::Hooks hooks{
                 .onView = [](const MemberViewPointer &) {}, .onDatagram = [](const Datagram &) {}, .newSession = &randomSession};
             this->newer = std::make_unique<PeerNetwork>(
                 bench.loop, bench.clock, bench.store.rows(), settings, this->traffic, std::move(hooks));
-            this->newer->setConfigurationVersion(2);
+            this->newer->setConfigurationVersion(version);
             return true;
         });
+    }
+
+    /** Starts the other node, and waits until the gateway stops serving. */
+    void awaitOutdated()
+    {
+        this->startNewer(2);
         await([this] {
             return !this->isReady();
         });
     }
 
-    /** Writes the newer configuration to the store, and waits until the gateway serves again. */
-    void awaitUpdated()
+    /** Writes a configuration to the store. */
+    void configure(int version)
     {
-        this->host.ask<bool>([](GatewayBench &bench) {
-            bench.configure(configurationOf(2));
+        this->host.ask<bool>([version](GatewayBench &bench) {
+            bench.configure(configurationOf(version));
             return true;
         });
+    }
+
+    /** Writes the newer configuration to the store, and waits until the gateway serves again. */
+    void awaitUpdated()
+    {
+        this->configure(2);
         await([this] {
             return this->isReady();
         });
@@ -96,6 +108,24 @@
     CHECK(running.call("POST /s/x").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against nodes that serve by one outdated configuration after the other.
+TEST_CASE("a node that gets one version after the other, but none in time, stops serving")
+{
+    constexpr int newest = 1000;
+    OutdatedGateway running;
+    running.startNewer(newest);
+    int version = 1;
+    await([&running, &version] {
+        running.configure(++version);
+        return !running.isReady();
+    });
+    CHECK(version < newest);
+    running.configure(newest);
+    await([&running] {
+        return running.isReady();
+    });
+}
+
 // The same for the items of jobs that it runs.
 TEST_CASE("items wait while their node can't get a newer configuration")
 {
