Tests/Soak: Check the configuration in force and requests to departed replicas

Each version of the configuration has a route of its own, which the next one drops. Two callers use the newest two: served on a dropped route, or 404 on one that is there, later than 3 s after the version was written is a violation, unless the store, the node or its links were disturbed; an older version after a newer one on the same connection always is. Replicas leave without notice as well as drain; a request that reaches one 2 s later is a violation on the same terms.

--- a/Tests/Soak/Disturbances.cpp
+++ b/Tests/Soak/Disturbances.cpp
@@ -10,6 +10,14 @@
     this->spans[component].emplace_back(from, until);
 }
 
+void Disturbances::addAll(const Disturbances &other)
+{
+    for (const auto &[component, periods] : other.spans) {
+        std::vector<std::pair<Time, Time>> &own = this->spans[component];
+        own.insert(own.end(), periods.begin(), periods.end());
+    }
+}
+
 bool Disturbances::overlaps(const std::string &component, Time from, Time until) const
 {
     const auto found = this->spans.find(component);
@@ -18,4 +26,11 @@
            });
 }
 
+bool Disturbances::overlapsAny(Time from, Time until) const
+{
+    return std::ranges::any_of(this->spans, [this, from, until](const auto &component) {
+        return this->overlaps(component.first, from, until);
+    });
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/Soak/Disturbances.h
+++ b/Tests/Soak/Disturbances.h
@@ -18,9 +18,15 @@
     /** Records that a component, a node or the store, was disturbed in a period. */
     void add(const std::string &component, Time from, Time until);
 
+    /** Adds the records of another object. */
+    void addAll(const Disturbances &other);
+
     /** @return whether the component was disturbed at any time in the period. */
     bool overlaps(const std::string &component, Time from, Time until) const;
 
+    /** @return whether any component was disturbed at any time in the period. */
+    bool overlapsAny(Time from, Time until) const;
+
 private:
     std::map<std::string, std::vector<std::pair<Time, Time>>> spans;
 };
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -2,6 +2,7 @@
 // replicas observe against the guarantees of the software.
 
 #include <Benchmarks/Support/LocalFleet.h>
+#include <Benchmarks/Support/ProcessSocket.h>
 #include <LibTask/TaskHost.h>
 #include <Tests/Soak/Disturbances.h>
 #include <Tests/Soak/PeerPartition.h>
@@ -32,6 +33,7 @@
 
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 DEFINE_string(programs, "build", "folder with the build's programs");
 DEFINE_uint32(seed, 1, "seed of the random faults and their times");
@@ -44,6 +46,8 @@
     crashers,
     0,
     "number of callers whose requests crash the replicas; two each share a content; other faults affect only replicas then");
+DEFINE_uint32(routes, 0, "number of routes that no caller uses, all of which each version of the configuration changes");
+DEFINE_uint32(link_rate, 0, "limits each connection of a node and of the store to this many bytes per second; 0: unlimited");
 DEFINE_bool(upgrade_in_place, false, "restart replicas with the other version of their software");
 DEFINE_uint32(kinds, 26, "number of kinds of faults; a seed found with fewer kinds is reproduced only with that number");
 
@@ -64,6 +68,14 @@
 constexpr std::chrono::seconds stopTimeout{20};
 /** Items of a job may still reach replicas for this long after the end of the job was acknowledged. */
 constexpr std::chrono::seconds jobEndBound{3};
+/** Each version of the configuration must be in force on all nodes within this time. */
+constexpr std::chrono::milliseconds applyBound{3000};
+/** The interval at which large configurations are written. */
+constexpr std::chrono::milliseconds configurationInterval{2500};
+/** Requests may still reach a replica for this long after it is draining or gone. */
+constexpr std::chrono::milliseconds drainBound{2000};
+/** The number of callers that use the routes of the versions of the configuration. */
+constexpr unsigned versionCallers = 2;
 /** A disturbance is considered effective for this long after its end. */
 constexpr std::chrono::seconds disturbanceMargin{4};
 constexpr std::chrono::milliseconds minPartitionTime{4000};
@@ -103,7 +115,7 @@
 public:
     Soak()
         : fleet(FLAGS_programs)
-        , world("world", this->record, this->crashes, FLAGS_nodes, FLAGS_replicas)
+        , world("world", this->records, SoakWorld::Size{FLAGS_nodes, FLAGS_replicas, FLAGS_routes})
         , random(FLAGS_seed)
         , peerPartition(peerPort)
     {
@@ -121,26 +133,41 @@
         std::vector<std::thread> threads;
         for (std::uint32_t number = 0; number < FLAGS_callers; ++number) {
             threads.emplace_back([this, number] {
-                SoakCaller(this->record, this->addresses, "c" + std::to_string(number), FLAGS_seed * 1000 + number)
+                SoakCaller(this->records.requests, this->addresses, "c" + std::to_string(number), FLAGS_seed * 1000 + number)
                     .run(this->isStopped);
             });
         }
         for (std::uint32_t number = 0; FLAGS_kinds > kindsWithoutEnders && number < FLAGS_enders; ++number) {
             threads.emplace_back([this, number] {
-                SoakCaller(this->record, this->addresses, "e" + std::to_string(number), FLAGS_seed * 1000 + 500 + number)
+                SoakCaller(
+                    this->records.requests, this->addresses, "e" + std::to_string(number), FLAGS_seed * 1000 + 500 + number)
                     .runJobs(this->isStopped);
             });
         }
+        for (unsigned number = 0; number < versionCallers; ++number) {
+            threads.emplace_back([this, number] {
+                SoakCaller(
+                    this->records.requests, this->addresses, "v" + std::to_string(number), FLAGS_seed * 1000 + 900 + number)
+                    .followConfigurations(this->records.configurations, this->isStopped);
+            });
+        }
         for (std::uint32_t number = 0; number < FLAGS_crashers; ++number) {
             threads.emplace_back([this, number] {
-                SoakCaller(this->record, this->addresses, "x" + std::to_string(number), FLAGS_seed * 1000 + 700 + number)
+                SoakCaller(
+                    this->records.requests, this->addresses, "x" + std::to_string(number), FLAGS_seed * 1000 + 700 + number)
                     .sendCrashingRequests(std::string(crashPrefix) + " " + std::to_string(FLAGS_seed) + "."
                                               + std::to_string(number / 2),
                                           this->isStopped);
             });
         }
         this->runUntil(Clock::now() + std::chrono::seconds(2));
-        const auto end = Clock::now() + std::chrono::seconds(FLAGS_seconds);
+        const std::chrono::seconds faultTime(FLAGS_seconds);
+        for (std::chrono::milliseconds delay{0}; FLAGS_routes > 0 && delay < faultTime; delay += configurationInterval) {
+            this->scheduleAction(delay, [this] {
+                this->configure();
+            });
+        }
+        const auto end = Clock::now() + faultTime;
         while (Clock::now() < end) {
             this->injectFault();
             this->runUntil(Clock::now() + this->randomTime(std::chrono::milliseconds(0), maxPause));
@@ -154,20 +181,22 @@
             thread.join();
         }
         this->finish();
-        return this->record.violations().empty();
+        return this->records.requests.violations().empty();
     }
 
     void report() const
     {
-        std::printf("seed %u: %s; %u items that reached replicas late after the end of their jobs during a disturbance; %s\n",
+        std::printf("seed %u: %s; %u items that reached replicas late after the end of their jobs during a disturbance; %s; %s; %s\n",
                     FLAGS_seed,
-                    this->record.summary().c_str(),
+                    this->records.requests.summary().c_str(),
                     this->allowedAfterEnd,
-                    this->crashes.summary().c_str());
-        for (const std::string &violation : this->record.violations()) {
+                    this->records.crashes.summary().c_str(),
+                    this->records.configurations.summary().c_str(),
+                    this->records.drains.summary().c_str());
+        for (const std::string &violation : this->records.requests.violations()) {
             std::printf("  VIOLATION %s\n", violation.c_str());
         }
-        if (!this->record.violations().empty()) {
+        if (!this->records.requests.violations().empty()) {
             std::printf("  faults:\n");
             for (const std::string &fault : this->faults) {
                 std::printf("    %s\n", fault.c_str());
@@ -193,7 +222,8 @@
             + "\"\n[listen]\nhttp = \"" + ownAddress.toString() + "\"\ngossip = \"" + peer + "\"\nowner = \"" + peer
             + "\"\n[platform]\naddress = \"" + store.toString()
             + "\"\ntimeout = \"1500ms\"\n[peers]\nsite_key = \"soak\"\nseeds = [" + seeds + "]\n[gateway]\nready = \""
-            + Address{ownAddress.ip, readyPort}.toString() + "\"\n";
+            + Address{ownAddress.ip, readyPort}.toString() + "\"\napply_bound = \"" + std::to_string(applyBound.count())
+            + "ms\"\n";
         const std::string file = this->fleet.writeFile(name + ".toml", settings);
         this->processes.push_back(
             this->fleet.start(name, {FLAGS_programs + "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, ownAddress));
@@ -223,9 +253,10 @@
                 action();
             }
             for (const std::string &ended : this->fleet.takeEnded()) {
-                this->record.recordViolation(ended);
+                this->records.requests.recordViolation(ended);
             }
             this->applyPartitions();
+            this->limitRates();
             std::this_thread::sleep_for(pollInterval);
         }
     }
@@ -351,7 +382,7 @@
             return;
         }
         if (status != 0) {
-            this->record.recordViolation("node " + std::to_string(node) + " did not stop cleanly");
+            this->records.requests.recordViolation("node " + std::to_string(node) + " did not stop cleanly");
             this->fleet.signal(this->processes[node], SIGKILL);
         }
         this->fleet.restart(this->processes[node]);
@@ -429,9 +460,14 @@
         });
     }
 
+    /** Lets a replica drain, or leave without notice, and return later. */
     void drainReplica(std::chrono::milliseconds length)
     {
         const std::uint32_t replica = this->random() % FLAGS_replicas;
+        if (length.count() % 2 == 0) {
+            this->removeReplica(replica, length + drainBound);
+            return;
+        }
         this->recordFault("replica " + std::to_string(replica) + " is draining for " + std::to_string(length.count()) + " ms");
         this->world.post([replica](SoakWorld &world) {
             world.registerReplica(replica, "draining");
@@ -443,6 +479,19 @@
         });
     }
 
+    void removeReplica(std::uint32_t replica, std::chrono::milliseconds length)
+    {
+        this->recordFault("replica " + std::to_string(replica) + " is gone for " + std::to_string(length.count()) + " ms");
+        this->world.post([replica](SoakWorld &world) {
+            world.removeEntry(replica);
+        });
+        this->scheduleAction(length, [this, replica] {
+            this->world.post([replica](SoakWorld &world) {
+                world.registerReplica(replica, "ready");
+            });
+        });
+    }
+
     void restartReplica()
     {
         const std::uint32_t replica = this->random() % FLAGS_replicas;
@@ -470,13 +519,18 @@
         });
     }
 
-    /** Writes a new configuration; in one of three cases, all nodes are killed right after it. */
-    void changeConfiguration(std::chrono::milliseconds length)
+    void configure()
     {
         this->recordFault("new configuration");
         this->world.post([](SoakWorld &world) {
             world.configure();
         });
+    }
+
+    /** Writes a new configuration; in one of three cases, all nodes are killed right after it. */
+    void changeConfiguration(std::chrono::milliseconds length)
+    {
+        this->configure();
         if (this->random() % 3 != 0) {
             return;
         }
@@ -510,6 +564,7 @@
                 continue;
             }
             others += ' ' + std::to_string(other);
+            this->linkDisturbances.add(nodeName(other), Clock::now(), Clock::now() + length);
             if (direction != 0) {
                 pairs.emplace(target, other);
             }
@@ -520,6 +575,7 @@
         static constexpr const char *directions[] = {" receives nothing from", " is not received by", " is partitioned from"};
         this->recordFault("node " + std::to_string(target) + directions[direction] + others + " for "
                           + std::to_string(length.count()) + " ms");
+        this->linkDisturbances.add(nodeName(target), Clock::now(), Clock::now() + length);
         const auto added = this->partitions.insert(this->partitions.end(), std::move(pairs));
         this->scheduleAction(length, [this, added] {
             this->partitions.erase(added);
@@ -545,7 +601,36 @@
         try {
             this->peerPartition.apply(peers, pairs);
         } catch (const std::system_error &failure) {
-            this->record.recordViolation(std::string("cannot partition nodes: ") + failure.what());
+            this->records.requests.recordViolation(std::string("cannot partition nodes: ") + failure.what());
+        }
+    }
+
+    /** Limits the rates at regular intervals, because connections are opened meanwhile. */
+    void limitRates()
+    {
+        constexpr std::chrono::milliseconds interval{50};
+        if (FLAGS_link_rate == 0 || Clock::now() < this->ratesLimited + interval) {
+            return;
+        }
+        this->ratesLimited = Clock::now();
+        limitRatesOf(getpid());
+        for (const std::size_t process : this->processes) {
+            if (const pid_t pid = this->fleet.process(process).pid; pid > 0) {
+                limitRatesOf(pid);
+            }
+        }
+    }
+
+    static void limitRatesOf(pid_t pid)
+    {
+        try {
+            for (const ProcessSocket &socket : ProcessSocket::of(pid)) {
+                if (!socket.isDatagram()) {
+                    socket.setMaxRate(FLAGS_link_rate);
+                }
+            }
+        } catch (const std::system_error &) {
+            // The process is being ended; its successor is limited later.
         }
     }
 
@@ -559,6 +644,7 @@
         const std::chrono::milliseconds length = this->randomTime(minPartitionTime, maxPartitionTime);
         this->recordFault("updates of table " + table + " arrive " + std::to_string(delay.count()) + " ms late to node "
                           + std::to_string(node) + " for " + std::to_string(length.count()) + " ms");
+        this->linkDisturbances.add(nodeName(node), Clock::now(), Clock::now() + length);
         this->world.post([node, table, delay](SoakWorld &world) {
             world.storeProxy(node).delayResponses("/rows-feed?table=" + table + '&', delay);
         });
@@ -645,7 +731,7 @@
     void checkItemsAfterEnd()
     {
         std::map<std::string, unsigned> reported;
-        for (const SoakRecord::LateItem &item : this->record.itemsAfterEnd(jobEndBound)) {
+        for (const SoakRecord::LateItem &item : this->records.requests.itemsAfterEnd(jobEndBound)) {
             const std::optional<Sending> sending = this->lastSending(item);
             const Clock::time_point from = item.reached - disturbanceMargin;
             const bool isAllowed = this->disturbances.overlaps(storeComponent, from, item.reached)
@@ -659,9 +745,10 @@
             }
             const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(item.reached - item.acknowledged);
             const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(item.reached - this->started);
-            this->record.recordViolation("item " + item.item + " reached a replica at " + std::to_string(since.count()) + " ms, "
-                                         + std::to_string(late.count()) + " ms after the end of its job was acknowledged, from "
-                                         + (sending ? sending->node + ": " + sending->line : "a node that has not logged it"));
+            this->records.requests.recordViolation(
+                "item " + item.item + " reached a replica at " + std::to_string(since.count()) + " ms, "
+                + std::to_string(late.count()) + " ms after the end of its job was acknowledged, from "
+                + (sending ? sending->node + ": " + sending->line : "a node that has not logged it"));
         }
         for (const auto &[job, items] : reported) {
             this->recordFault("number of items of " + job
@@ -669,31 +756,46 @@
         }
     }
 
+    /** Checks when versions of the configuration and states of replicas took effect. */
+    void checkBounds()
+    {
+        Disturbances all = this->disturbances;
+        all.addAll(this->linkDisturbances);
+        for (const std::string &late : this->records.configurations.violations(applyBound, disturbanceMargin, all)) {
+            this->records.requests.recordViolation(late);
+        }
+        for (const std::string &late : this->records.drains.violations(drainBound, disturbanceMargin, all)) {
+            this->records.requests.recordViolation(late);
+        }
+    }
+
     void finish()
     {
-        SoakCaller last(this->record, this->addresses, "last", FLAGS_seed);
+        SoakCaller last(this->records.requests, this->addresses, "last", FLAGS_seed);
         last.finishJobs(jobTimeout);
-        for (const std::string &job : this->record.openJobs()) {
+        for (const std::string &job : this->records.requests.openJobs()) {
             this->recordFault("rows of " + job + ": " + this->rowsOf(job));
         }
         const double served = last.probe(probeCount);
         if (served < minServedShare) {
-            this->record.recordViolation("only " + std::to_string(served)
-                                         + " of the requests were served after all faults were over");
+            this->records.requests.recordViolation("only " + std::to_string(served)
+                                                   + " of the requests were served after all faults were over");
         }
         for (const std::size_t process : this->processes) {
             this->fleet.signal(process, SIGTERM);
         }
         for (const std::size_t process : this->processes) {
             if (this->fleet.waitEnd(process, stopTimeout) != 0) {
-                this->record.recordViolation(this->fleet.process(process).name + " did not stop cleanly after the run");
+                this->records.requests.recordViolation(this->fleet.process(process).name + " did not stop cleanly after the run");
             }
         }
         this->checkItemsAfterEnd();
-        for (const std::string &excess : this->crashes.excessRuns(crashesToRefuse, crashPropagationTime, maxRunsAfterRefusal)) {
-            this->record.recordViolation(excess);
+        this->checkBounds();
+        for (const std::string &excess :
+             this->records.crashes.excessRuns(crashesToRefuse, crashPropagationTime, maxRunsAfterRefusal)) {
+            this->records.requests.recordViolation(excess);
         }
-        this->record.checkEnd();
+        this->records.requests.checkEnd();
     }
 
     /** @return the rows of a job in the store, to diagnose why the job is not complete. */
@@ -711,8 +813,7 @@
         });
     }
 
-    SoakRecord record;
-    CrashRecord crashes;
+    SoakWorld::Records records;
     LocalFleet fleet;
     TaskHost<SoakWorld> world;
     std::minstd_rand random;
@@ -725,7 +826,10 @@
     PeerPartition peerPartition;
     std::list<std::set<PeerPartition::Pair>> partitions;
     Clock::time_point partitionsApplied;
+    Clock::time_point ratesLimited;
     Disturbances disturbances;
+    /** Of links between nodes, and of single tables; they excuse less than those of nodes. */
+    Disturbances linkDisturbances;
     unsigned allowedAfterEnd = 0;
     std::atomic<bool> isStopped = false;
 };
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -29,6 +29,9 @@
 constexpr int maxEndAttempts = 3;
 constexpr std::chrono::milliseconds pauseAfterFailure{150};
 constexpr std::chrono::milliseconds jobPollInterval{300};
+constexpr std::chrono::milliseconds pauseBetweenVersionRequests{10};
+/** One in this many requests on the routes of versions opens a new connection. */
+constexpr unsigned requestsPerConnection = 50;
 /** One in this many requests submits, reads or ends a job. */
 constexpr int requestsPerJobCall = 12;
 constexpr const char *lineEnd = "\r\n";
@@ -97,9 +100,9 @@
     return this->name + "-" + std::to_string(++this->lastId);
 }
 
-Address SoakCaller::randomNode()
+std::size_t SoakCaller::randomNode()
 {
-    return this->nodes[this->random() % this->nodes.size()];
+    return this->random() % this->nodes.size();
 }
 
 void SoakCaller::run(const std::atomic<bool> &isStopped)
@@ -203,6 +206,30 @@
     }
 }
 
+void SoakCaller::followConfigurations(ConfigurationRecord &configurations, const std::atomic<bool> &isStopped)
+{
+    std::uint64_t effective = 0;
+    while (!isStopped) {
+        if (!this->connection || this->random() % requestsPerConnection == 0) {
+            this->connection.reset();
+            effective = 0;
+        }
+        const std::uint64_t newest = configurations.newest();
+        ConfigurationRecord::Answer answer;
+        answer.version = newest > 1 && this->random() % 2 == 0 ? newest - 1 : newest;
+        answer.effective = effective;
+        answer.sent = std::chrono::steady_clock::now();
+        const std::string id = this->nextId();
+        answer.status
+            = this->call("POST /" + std::string(versionRoutePrefix) + std::to_string(answer.version) + "/x", id, id).status;
+        answer.node = this->connectedNode;
+        answer.received = std::chrono::steady_clock::now();
+        configurations.recordAnswer(answer);
+        effective = answer.status == 200 ? std::max(effective, answer.version) : effective;
+        std::this_thread::sleep_for(pauseBetweenVersionRequests);
+    }
+}
+
 void SoakCaller::runJobs(const std::atomic<bool> &isStopped)
 {
     while (!isStopped) {
@@ -320,7 +347,8 @@
 {
     try {
         if (!this->connection) {
-            this->connection = std::make_unique<RawConnection>(this->randomNode());
+            this->connectedNode = this->randomNode();
+            this->connection = std::make_unique<RawConnection>(this->nodes[this->connectedNode]);
         }
     } catch (const std::exception &) {
         // The node is not reachable; the next call selects another one.
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Address.h>
 #include <Tests/Fakes/RawConnection.h>
+#include <Tests/Soak/ConfigurationRecord.h>
 #include <Tests/Soak/SoakRecord.h>
 
 #include <array>
@@ -33,6 +34,9 @@
     /** Sends requests with a content that crashes replicas to random nodes until isStopped is set. */
     void sendCrashingRequests(const std::string &content, const std::atomic<bool> &isStopped);
 
+    /** Sends requests on the routes of the newest versions of the configuration until isStopped is set. */
+    void followConfigurations(ConfigurationRecord &configurations, const std::atomic<bool> &isStopped);
+
     /**
      * Submits jobs of many items and ends most of them after a random time, until isStopped is set. Sends each request to a
      * random node.
@@ -75,7 +79,7 @@
     };
 
     std::string nextId();
-    Address randomNode();
+    std::size_t randomNode();
     std::chrono::milliseconds timeBeforeEnd();
     bool callOnline(const Kind &kind);
     AttemptOutcome attemptOnline(const Kind &kind, const std::string &body, Received &received);
@@ -95,6 +99,8 @@
     std::minstd_rand random;
     std::uint64_t lastId = 0;
     std::unique_ptr<RawConnection> connection;
+    /** The node to which the connection was opened. */
+    std::size_t connectedNode = 0;
 };
 
 } // namespace Dogwoodkeel
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -55,14 +55,14 @@
     return output;
 }
 
-SoakWorld::SoakWorld(EventLoop &loop, SoakRecord &record, CrashRecord &crashes, std::size_t nodes, std::size_t replicas)
-    : loop(loop), record(record), crashes(crashes), store(loop, this->clock), eventInterval(defaultEventInterval)
+SoakWorld::SoakWorld(EventLoop &loop, Records &records, const Size &size)
+    : loop(loop), records(records), unusedRoutes(size.unusedRoutes), store(loop, this->clock), eventInterval(defaultEventInterval)
 {
     this->store.rows().setPageSize(storePageSize);
-    for (std::size_t node = 0; node < nodes; ++node) {
+    for (std::size_t node = 0; node < size.nodes; ++node) {
         this->storeProxies.push_back(std::make_unique<FaultProxy>(loop, this->store.address()));
     }
-    for (std::size_t replica = 0; replica < replicas; ++replica) {
+    for (std::size_t replica = 0; replica < size.replicas; ++replica) {
         this->addReplica(replica % 3 == 2 ? plainService : streamService);
         this->registerReplica(replica, "ready");
     }
@@ -89,7 +89,8 @@
 void SoakWorld::serve(std::size_t replica, const std::shared_ptr<CallerExchange> &exchange)
 {
     const Replica &target = this->replicas.at(replica);
-    this->record.recordRun(header(exchange, "X-Request-Id"));
+    this->records.requests.recordRun(header(exchange, "X-Request-Id"));
+    this->records.drains.recordRun(replica, header(exchange, "X-Request-Id"));
     if (exchange->body().starts_with(crashPrefix)) {
         this->runCrashingRequest(replica, exchange->body());
         return;
@@ -125,7 +126,7 @@
 void SoakWorld::runCrashingRequest(std::size_t replica, const std::string &content)
 {
     Replica &target = this->replicas.at(replica);
-    this->crashes.recordRun(content);
+    this->records.crashes.recordRun(content);
     target.crashingContents.insert(content);
     this->loop.schedule(crashDelay, [this, replica, startTime = target.startTime] {
         if (this->replicas.at(replica).startTime == startTime) {
@@ -140,7 +141,7 @@
     if (std::exchange(target.isDown, true)) {
         return;
     }
-    this->crashes.recordCrash(std::exchange(target.crashingContents, {}));
+    this->records.crashes.recordCrash(std::exchange(target.crashingContents, {}));
     target.proxy->stop();
     this->loop.schedule(restartDelay, [this, replica] {
         Replica &restarted = this->replicas.at(replica);
@@ -177,17 +178,26 @@
     batch["completionTargetMs"] = 8000;
     batch["maxCount"] = 1000000;
     batch["retentionS"] = 600;
+    const std::string versionRoute = versionRoutePrefix + std::to_string(++this->version);
+    nlohmann::json routes{route("r", "streaming", streamService, true),
+                          route("o", "streaming", streamService, false),
+                          route("s", "safe", plainService, true),
+                          route("u", "unsafe", plainService, false),
+                          route(versionRoute.c_str(), "safe", plainService, true),
+                          batch};
+    for (std::size_t number = 0; number < this->unusedRoutes; ++number) {
+        const std::string name = "unused-" + std::to_string(number);
+        nlohmann::json unused = route(name.c_str(), "safe", plainService, false);
+        unused["timeoutMs"] = 5000 + this->version;
+        routes.push_back(std::move(unused));
+    }
     const nlohmann::json configuration{
-        {"version", ++this->version},
-        {"routes",
-         {route("r", "streaming", streamService, true),
-          route("o", "streaming", streamService, false),
-          route("s", "safe", plainService, true),
-          route("u", "unsafe", plainService, false),
-          batch}},
+        {"version", this->version},
+        {"routes", std::move(routes)},
         {"services", {{{"name", streamService}, {"engine", {{"slots", replicaSlots}}}}, {{"name", plainService}}}},
         {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 100000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
     this->store.rows().put({"op", "", "config"}, configuration.dump());
+    this->records.configurations.recordVersion(this->version);
 }
 
 void SoakWorld::registerReplica(std::size_t replica, const std::string &state)
@@ -203,6 +213,7 @@
                                {"born", target.startTime},
                                {"seq", ++this->entriesWritten}};
     this->store.rows().put({"servers", "", target.instance}, entry.dump());
+    this->records.drains.recordState(replica, state == "ready");
 }
 
 void SoakWorld::restartReplica(std::size_t replica, Restart restart)
@@ -225,6 +236,14 @@
 void SoakWorld::corruptEntry(std::size_t replica, const std::string &text)
 {
     this->store.rows().put({"servers", "", this->replicas.at(replica).instance}, text);
+    // Nodes may use the replica as it was before.
+    this->records.drains.recordState(replica, true);
+}
+
+void SoakWorld::removeEntry(std::size_t replica)
+{
+    this->store.rows().remove({"servers", "", this->replicas.at(replica).instance});
+    this->records.drains.recordState(replica, false);
 }
 
 } // namespace Dogwoodkeel
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -4,7 +4,9 @@
 #include <LibProxy/CallerServer.h>
 #include <LibTask/EventLoop.h>
 #include <Tests/Fakes/StandInStore.h>
+#include <Tests/Soak/ConfigurationRecord.h>
 #include <Tests/Soak/CrashRecord.h>
+#include <Tests/Soak/DrainRecord.h>
 #include <Tests/Soak/FaultProxy.h>
 #include <Tests/Soak/SoakRecord.h>
 
@@ -26,6 +28,9 @@
 /** Software versions of the replicas; both serve at the same time. */
 inline constexpr std::array<std::string_view, 2> softwareVersions{"v1", "v2"};
 
+/** Each version of the configuration has a route of this name and its number, which the next version drops. */
+inline constexpr const char *versionRoutePrefix = "v";
+
 /** A request whose body has this prefix crashes the replica that runs it. */
 inline constexpr std::string_view crashPrefix = "crash";
 
@@ -36,8 +41,25 @@
 class SoakWorld
 {
 public:
-    /** @param nodes number of nodes; each has a proxy of its own for the store */
-    SoakWorld(EventLoop &loop, SoakRecord &record, CrashRecord &crashes, std::size_t nodes, std::size_t replicas);
+    /** What is recorded of the callers, the store and the replicas. */
+    struct Records
+    {
+        SoakRecord requests;
+        CrashRecord crashes;
+        ConfigurationRecord configurations;
+        DrainRecord drains;
+    };
+
+    struct Size
+    {
+        /** Each node has a proxy of its own for the store. */
+        std::size_t nodes = 0;
+        std::size_t replicas = 0;
+        /** Routes that no caller uses; each version changes all of them. */
+        std::size_t unusedRoutes = 0;
+    };
+
+    SoakWorld(EventLoop &loop, Records &records, const Size &size);
 
     /** @return the proxy through which a node connects to the store. */
     FaultProxy &storeProxy(std::size_t node);
@@ -68,6 +90,9 @@
     /** Overwrites the entry of a replica, as another program might. */
     void corruptEntry(std::size_t replica, const std::string &text);
 
+    /** Removes the entry of a replica, as if it had left at once. */
+    void removeEntry(std::size_t replica);
+
 private:
     struct Replica
     {
@@ -91,14 +116,14 @@
     void generate(const std::shared_ptr<CallerExchange> &exchange, const std::vector<std::string> &output, std::size_t next);
 
     EventLoop &loop;
-    SoakRecord &record;
-    CrashRecord &crashes;
+    Records &records;
+    std::size_t unusedRoutes;
     SystemClock clock;
     StandInStore store;
     std::vector<std::unique_ptr<FaultProxy>> storeProxies;
     std::vector<Replica> replicas;
     std::chrono::milliseconds eventInterval;
-    int version = 0;
+    std::uint64_t version = 0;
     std::uint64_t entriesWritten = 0;
 };
 
