--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -186,13 +186,14 @@
 
     void report() const
     {
-        std::printf("seed %u: %s; %u items that reached replicas late after the end of their jobs during a disturbance; %s; %s; %s\n",
-                    FLAGS_seed,
-                    this->records.requests.summary().c_str(),
-                    this->allowedAfterEnd,
-                    this->records.crashes.summary().c_str(),
-                    this->records.configurations.summary().c_str(),
-                    this->records.drains.summary().c_str());
+        std::printf(
+            "seed %u: %s; %u items that reached replicas late after the end of their jobs during a disturbance; %s; %s; %s\n",
+            FLAGS_seed,
+            this->records.requests.summary().c_str(),
+            this->allowedAfterEnd,
+            this->records.crashes.summary().c_str(),
+            this->records.configurations.summary().c_str(),
+            this->records.drains.summary().c_str());
         for (const std::string &violation : this->records.requests.violations()) {
             std::printf("  VIOLATION %s\n", violation.c_str());
         }
