--- a/Libraries/LibGateway/NewerVersions.h
+++ b/Libraries/LibGateway/NewerVersions.h
@@ -30,7 +30,7 @@
 
 private:
     const Clock &clock;
-    /** When each version was first known to be in force. */
+    /** When each version was first known to be in force; a newer one never before an older one. */
     std::map<std::uint64_t, SteadyTime> firstKnown;
 };
 
--- a/Services/Gateway/ConfigurationFollower.cpp
+++ b/Services/Gateway/ConfigurationFollower.cpp
@@ -142,9 +142,10 @@
     const SteadyTime now = this->clock.now();
     this->behindSince = isBehind ? this->behindSince.value_or(now) : std::optional<SteadyTime>();
     this->updateNewerVersions();
-    if (std::exchange(this->wasOutdated, this->isOutdated()) != this->isOutdated()) {
+    const bool isOutdatedNow = this->isOutdated();
+    if (std::exchange(this->wasOutdated, isOutdatedNow) != isOutdatedNow) {
         log(LogLevel::Warning,
-            this->isOutdated() ? "configuration outdated, not serving" : "configuration no longer outdated",
+            isOutdatedNow ? "configuration outdated, not serving" : "configuration no longer outdated",
             {{"version", static_cast<std::int64_t>(this->version())}, {"behind_ms", this->behindFor().count()}});
     }
     // A node without a configuration can't answer callers and doesn't wait for the store, which may be unavailable.
