Gateway: Decode each answer of a relay once, and pass on its progress hook

RelayedFeed decoded the answer to a follow call twice, once for its outcome alone, which copied all rows.

--- a/Libraries/LibPlatform/RowStore.h
+++ b/Libraries/LibPlatform/RowStore.h
@@ -138,16 +138,15 @@
         this->answered(std::move(result));
     }
 
-    void reportProgress() const
+    /** @return the hook to call whenever a part of the answer has arrived; never empty. */
+    const std::function<void()> &progress() const
     {
-        if (this->progressed) {
-            this->progressed();
-        }
+        return this->progressed;
     }
 
 private:
     std::function<void(Result)> answered;
-    std::function<void()> progressed;
+    std::function<void()> progressed = [] {};
 };
 
 /** Tables that can be read and followed. Callbacks run on the owning loop, never from inside the call. */
--- a/Services/Gateway/RelayedFeed.cpp
+++ b/Services/Gateway/RelayedFeed.cpp
@@ -93,9 +93,7 @@
             const auto receive = [done, version = answer.version, isTruncated = answer.isTruncated](auto rows) {
                 done(rows ? RowRangeResult{ReadOutcome::Found, *std::move(rows), isTruncated, version} : RowRangeResult());
             };
-            this->receiveRows(answer, table, relay, receive, [done] {
-                done.reportProgress();
-            });
+            this->receiveRows(answer, decodeFeed(answer, table).rows, relay, receive, done.progress());
         });
 }
 
@@ -135,21 +133,22 @@
                 done({});
                 return;
             }
-            const auto receive
-                = [done, outcome = decodeFeed(*result.response, table).outcome, version = result.response->version](auto rows) {
-                      done(rows ? FollowResult{outcome, *std::move(rows), version} : FollowResult());
-                  };
-            this->receiveRows(*result.response, table, relay, receive, [done] {
-                done.reportProgress();
-            });
+            FollowResult changes = decodeFeed(*result.response, table);
+            const auto receive = [done, outcome = changes.outcome, version = changes.version](auto rows) {
+                done(rows ? FollowResult{outcome, *std::move(rows), version} : FollowResult());
+            };
+            this->receiveRows(*result.response, std::move(changes.rows), relay, receive, done.progress());
         });
 }
 
-void RelayedFeed::receiveRows(
-    const FeedAnswer &answer, const std::string &table, const Member &relay, RowsReceived done, std::function<void()> progressed)
+void RelayedFeed::receiveRows(const FeedAnswer &answer,
+                              std::vector<StoredRow> rows,
+                              const Member &relay,
+                              RowsReceived done,
+                              std::function<void()> progressed)
 {
     const auto reception = std::make_shared<Reception>();
-    reception->rows = decodeFeed(answer, table).rows;
+    reception->rows = std::move(rows);
     reception->relay = relay;
     reception->done = std::move(done);
     reception->progressed = std::move(progressed);
--- a/Services/Gateway/RelayedFeed.h
+++ b/Services/Gateway/RelayedFeed.h
@@ -55,9 +55,12 @@
     };
 
     const Member *relay();
-    /** Passes on the rows of an answer once their large values have been fetched, or nothing if a value can't be fetched. */
+    /**
+     * Passes on the rows of an answer once their large values have been fetched, or nothing if a value can't be fetched.
+     * @param rows the decoded rows of the answer, in its order
+     */
     void receiveRows(const FeedAnswer &answer,
-                     const std::string &table,
+                     std::vector<StoredRow> rows,
                      const Member &relay,
                      RowsReceived done,
                      std::function<void()> progressed);
--- a/Tests/Fakes/FakeRowStore.cpp
+++ b/Tests/Fakes/FakeRowStore.cpp
@@ -137,7 +137,7 @@
     }
     const std::chrono::milliseconds step = std::min(remaining, progressInterval);
     this->runAfter(step, [this, done, result = std::move(result), left = remaining - step] {
-        done.reportProgress();
+        done.progress()();
         this->transfer(done, result, left);
     });
 }
