--- a/Benchmarks/Support/ProcessSocket.cpp
+++ b/Benchmarks/Support/ProcessSocket.cpp
@@ -122,4 +122,13 @@
     }
 }
 
+void limitConnectionRates(pid_t pid, std::uint32_t bytesPerSecond)
+{
+    for (const ProcessSocket &socket : ProcessSocket::of(pid)) {
+        if (!socket.isDatagram()) {
+            socket.setMaxRate(bytesPerSecond);
+        }
+    }
+}
+
 } // namespace Dogwoodkeel
--- a/Benchmarks/Support/ProcessSocket.h
+++ b/Benchmarks/Support/ProcessSocket.h
@@ -55,4 +55,10 @@
     std::optional<Address> remote;
 };
 
+/**
+ * Limits the rate at which each connection of a process sends, and those that its listening sockets accept later.
+ * @throws std::system_error if the sockets can't be accessed
+ */
+void limitConnectionRates(pid_t pid, std::uint32_t bytesPerSecond);
+
 } // namespace Dogwoodkeel
--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -219,9 +219,9 @@
     void setConnectionRate(std::uint32_t bytesPerSecond)
     {
         for (const std::size_t node : this->nodes) {
-            limitRates(this->fleet.process(node).pid, bytesPerSecond);
+            limitConnectionRates(this->fleet.process(node).pid, bytesPerSecond);
         }
-        limitRates(getpid(), bytesPerSecond);
+        limitConnectionRates(getpid(), bytesPerSecond);
     }
 
     /** @return a value of a node's metrics; 0 if it is not exported. */
@@ -270,15 +270,6 @@
     static constexpr std::uint16_t peerPort = 7601;
     static constexpr std::uint16_t readyPort = 7602;
     static constexpr std::uint16_t metricsPort = 7603;
-
-    static void limitRates(pid_t process, std::uint32_t bytesPerSecond)
-    {
-        for (const ProcessSocket &socket : ProcessSocket::of(process)) {
-            if (!socket.isDatagram()) {
-                socket.setMaxRate(bytesPerSecond);
-            }
-        }
-    }
 };
 
 } // namespace Dogwoodkeel
--- a/Tests/Soak/ConfigurationRecord.cpp
+++ b/Tests/Soak/ConfigurationRecord.cpp
@@ -65,8 +65,8 @@
         const bool isLate
             = (isServed && this->isDropped(answer, bound)) || (answer.status == statusNotFound && this->isInForce(answer, bound));
         const Time from = answer.sent - bound - margin;
-        if (isLate && !disturbances.overlaps("store", from, answer.received)
-            && !disturbances.overlaps("node-" + std::to_string(answer.node), from, answer.received)) {
+        if (isLate && !disturbances.overlaps(Disturbances::store, from, answer.received)
+            && !disturbances.overlaps(Disturbances::nameOfNode(answer.node), from, answer.received)) {
             found.push_back(describe(answer, "later than it may"));
         }
     }
--- a/Tests/Soak/Disturbances.cpp
+++ b/Tests/Soak/Disturbances.cpp
@@ -5,6 +5,11 @@
 namespace Dogwoodkeel
 {
 
+std::string Disturbances::nameOfNode(std::size_t node)
+{
+    return "node-" + std::to_string(node);
+}
+
 void Disturbances::add(const std::string &component, Time from, Time until)
 {
     this->spans[component].emplace_back(from, until);
--- a/Tests/Soak/Disturbances.h
+++ b/Tests/Soak/Disturbances.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <utility>
@@ -18,6 +19,12 @@
     /** Records that a component, a node or the store, was disturbed in a period. */
     void add(const std::string &component, Time from, Time until);
 
+    /** The name of the store as a component. */
+    static constexpr const char *store = "store";
+
+    /** @return the name of a node as a component. */
+    static std::string nameOfNode(std::size_t node);
+
     /** Adds the records of another object. */
     void addAll(const Disturbances &other);
 
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -89,7 +89,6 @@
 /** Kinds of faults that affect only replicas; nodes and the store stay undisturbed. */
 constexpr std::array replicaFaults{6u, 10u, 12u, 13u, 21u};
 constexpr std::size_t maxPartitionedPeers = 8;
-constexpr const char *storeComponent = "store";
 constexpr double minServedShare = 0.9;
 constexpr int probeCount = 40;
 constexpr std::uint16_t peerPort = 7601;
@@ -214,7 +213,7 @@
             seeds += (seeds.empty() ? "\"" : ", \"") + Address{address.ip, peerPort}.toString() + '"';
         }
         const Address &ownAddress = this->addresses[node];
-        const std::string name = "node-" + std::to_string(node);
+        const std::string name = Disturbances::nameOfNode(node);
         const Address store = this->world.ask<Address>([node](SoakWorld &world) {
             return world.storeProxy(node).address();
         });
@@ -262,15 +261,10 @@
         }
     }
 
-    static std::string nodeName(std::uint32_t node)
-    {
-        return "node-" + std::to_string(node);
-    }
-
     /** Records that a node is disturbed for this long from now on. */
     void recordNodeDisturbance(std::uint32_t node, std::chrono::milliseconds length = std::chrono::milliseconds(0))
     {
-        this->disturbances.add(nodeName(node), Clock::now(), Clock::now() + length);
+        this->disturbances.add(Disturbances::nameOfNode(node), Clock::now(), Clock::now() + length);
     }
 
     void recordFault(const std::string &fault)
@@ -435,9 +429,9 @@
             world.platform().setResponseMode(isUnresponsive ? StandInStore::ResponseMode::Unresponsive
                                                             : StandInStore::ResponseMode::Busy);
         });
-        this->disturbances.add(storeComponent, Clock::now(), Clock::now() + length);
+        this->disturbances.add(Disturbances::store, Clock::now(), Clock::now() + length);
         this->scheduleAction(length, [this] {
-            this->disturbances.add(storeComponent, Clock::now(), Clock::now());
+            this->disturbances.add(Disturbances::store, Clock::now(), Clock::now());
             this->world.post([](SoakWorld &world) {
                 world.platform().setResponseMode(StandInStore::ResponseMode::Serving);
             });
@@ -565,7 +559,7 @@
                 continue;
             }
             others += ' ' + std::to_string(other);
-            this->linkDisturbances.add(nodeName(other), Clock::now(), Clock::now() + length);
+            this->linkDisturbances.add(Disturbances::nameOfNode(other), Clock::now(), Clock::now() + length);
             if (direction != 0) {
                 pairs.emplace(target, other);
             }
@@ -576,7 +570,7 @@
         static constexpr const char *directions[] = {" receives nothing from", " is not received by", " is partitioned from"};
         this->recordFault("node " + std::to_string(target) + directions[direction] + others + " for "
                           + std::to_string(length.count()) + " ms");
-        this->linkDisturbances.add(nodeName(target), Clock::now(), Clock::now() + length);
+        this->linkDisturbances.add(Disturbances::nameOfNode(target), Clock::now(), Clock::now() + length);
         const auto added = this->partitions.insert(this->partitions.end(), std::move(pairs));
         this->scheduleAction(length, [this, added] {
             this->partitions.erase(added);
@@ -625,11 +619,7 @@
     static void limitRatesOf(pid_t pid)
     {
         try {
-            for (const ProcessSocket &socket : ProcessSocket::of(pid)) {
-                if (!socket.isDatagram()) {
-                    socket.setMaxRate(FLAGS_link_rate);
-                }
-            }
+            limitConnectionRates(pid, FLAGS_link_rate);
         } catch (const std::system_error &) {
             // The process is being ended; its successor is limited later.
         }
@@ -645,7 +635,7 @@
         const std::chrono::milliseconds length = this->randomTime(minPartitionTime, maxPartitionTime);
         this->recordFault("updates of table " + table + " arrive " + std::to_string(delay.count()) + " ms late to node "
                           + std::to_string(node) + " for " + std::to_string(length.count()) + " ms");
-        this->linkDisturbances.add(nodeName(node), Clock::now(), Clock::now() + length);
+        this->linkDisturbances.add(Disturbances::nameOfNode(node), Clock::now(), Clock::now() + length);
         this->world.post([node, table, delay](SoakWorld &world) {
             world.storeProxy(node).delayResponses("/rows-feed?table=" + table + '&', delay);
         });
@@ -722,7 +712,7 @@
                 }
                 const std::string time = nlohmann::json::parse(line).value("time", "");
                 if (time < latest && (!found || time > found->time)) {
-                    found = {nodeName(node), line, time};
+                    found = {Disturbances::nameOfNode(node), line, time};
                 }
             }
         }
@@ -735,7 +725,7 @@
         for (const SoakRecord::LateItem &item : this->records.requests.itemsAfterEnd(jobEndBound)) {
             const std::optional<Sending> sending = this->lastSending(item);
             const Clock::time_point from = item.reached - disturbanceMargin;
-            const bool isAllowed = this->disturbances.overlaps(storeComponent, from, item.reached)
+            const bool isAllowed = this->disturbances.overlaps(Disturbances::store, from, item.reached)
                 || (sending && this->disturbances.overlaps(sending->node, from, item.reached));
             if (isAllowed) {
                 ++this->allowedAfterEnd;
