--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -368,11 +368,210 @@
     return isBroken ? 1 : 0;
 }
 
+/** Sends a request and reads the response at a limited rate. @return the response, complete or not */
+inline Message
+readSlowly(const std::string &address, const std::string &head, const std::string &body, int bytesPerSecond, int timeoutMs)
+{
+    constexpr int receiveBytes = 16384;
+    constexpr int stepMs = 20;
+    Message answer;
+    const int fd = connectTo(address, 1000, receiveBytes);
+    if (fd < 0) {
+        return answer;
+    }
+    const auto until = Clock::now() + Milliseconds(timeoutMs);
+    sendAll(fd, head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    std::string received;
+    std::size_t expected = std::string::npos;
+    while (Clock::now() < until && received.size() < expected) {
+        std::vector<char> bytes(static_cast<std::size_t>(bytesPerSecond * stepMs / 1000));
+        const ssize_t got = ::recv(fd, bytes.data(), bytes.size(), 0);
+        if (got <= 0) {
+            answer.isReset = got < 0;
+            break;
+        }
+        received.append(bytes.data(), static_cast<std::size_t>(got));
+        const std::size_t end = received.find("\r\n\r\n");
+        const std::size_t length = received.find("Content-Length: ");
+        if (end != std::string::npos && length < end) {
+            answer.start = received.substr(0, received.find("\r\n"));
+            expected = end + 4 + std::stoul(received.substr(length + 16));
+        }
+        std::this_thread::sleep_for(std::chrono::microseconds(std::int64_t(got) * 1000000 / bytesPerSecond));
+    }
+    answer.body = std::move(received);
+    answer.isComplete = answer.body.size() == expected;
+    answer.headers["expected"] = std::to_string(expected);
+    ::close(fd);
+    return answer;
+}
+
+/** Clients read whole answers slowly while their node stops: what the node holds for them must still be sent. */
+inline int slowReadersAtStop(World &world, bool hasTrouble)
+{
+    constexpr int answerBytes = 1800000;
+    constexpr int bytesPerSecond = 400000;
+    constexpr int deadlineMs = 5000;
+    ReplicaOptions options;
+    options.answerBytes = answerBytes;
+    options.slots = 6;
+    options.id = "i-aaaa0001";
+    bool isStarted = world.addReplica(1, options, "svc-app", "zone-1");
+    options.id = "i-bbbb0001";
+    isStarted = isStarted && world.addReplica(2, options, "svc-app", "zone-2");
+    const Json service{{"name", "svc-app"}, {"healthPath", "/healthz"}, {"maxConns", 100}, {"protocol", "h1"}, {"tls", false}};
+    writeConfiguration(world, 7, Json::array({route("fetch", "safe", "svc-app")}), Json::array({service}));
+    for (int number = 1; number <= 3; ++number) {
+        world.startNode(number, "zone-" + std::to_string(number));
+    }
+    if (!isStarted || !world.awaitReady(3)) {
+        return 2;
+    }
+    pause(1500);
+    std::atomic<int> cut{0};
+    std::vector<std::thread> clients;
+    for (int number = 0; number < 4; ++number) {
+        clients.emplace_back([&world, &cut, number] {
+            const std::string id = "f37c00" + std::to_string(number);
+            world.record.add("request " + id + " sent to node-1");
+            const auto sent = Clock::now();
+            const std::string head = "POST /fetch/2f HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: " + id
+                + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
+            const Message answer = readSlowly(world.ip(1) + ":8144", head, "body-" + id, bytesPerSecond, deadlineMs);
+            const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - sent).count();
+            const bool isCut = !answer.isComplete && !answer.body.empty() && took < deadlineMs;
+            world.record.add("request " + id + ": " + std::to_string(answer.body.size()) + " of " + answer.header("expected")
+                             + " bytes after " + std::to_string(took) + " ms" + (isCut ? ", the connection ended" : ""));
+            if (isCut) {
+                std::printf("LOST: the connection of %s ended after %d ms with %zu of %s bytes\n",
+                            id.c_str(),
+                            static_cast<int>(took),
+                            answer.body.size(),
+                            answer.header("expected").c_str());
+                ++cut;
+            }
+        });
+    }
+    pause(300);
+    if (hasTrouble) {
+        world.signalNode(1, SIGTERM);
+    }
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    return cut > 0 ? 1 : 0;
+}
+
+/** @return the number of a job's results so far; 0 if it can't be read now. */
+inline std::size_t countResults(World &world, int node, const std::string &job)
+{
+    const Json read = readJob(world, node, job);
+    return read.is_object() && read.contains("results") ? read["results"].size() : 0;
+}
+
+/**
+ * The only replica of a version crashes under streams that may be resumed, and is back soon. Items that the version began must go
+ * on there, or begin anew elsewhere.
+ */
+inline int slotsOfBrokenStreams(World &world, bool hasTrouble)
+{
+    constexpr int replicas = 6;
+    constexpr int slots = 8;
+    constexpr int itemsOfJob = 24;
+    const std::vector<std::string> jobs{"7c41e09b52d6a3f8", "51fe08c2a97be604"};
+    ReplicaOptions options;
+    options.slots = slots;
+    options.events = 100;
+    options.intervalMs = 40;
+    bool isStarted = true;
+    for (int number = 1; number <= replicas; ++number) {
+        options.id = "i-0000000" + std::to_string(number);
+        options.version = number == replicas ? "v2" : "v1";
+        isStarted = isStarted && world.addReplica(number, options, "svc-lm", "zone-" + std::to_string(number % 3 + 1));
+    }
+    Json talk = route("talk", "streaming", "svc-lm");
+    talk["resumable"] = true;
+    talk["maxAttempts"] = 2;
+    writeConfiguration(world, 7, Json::array({talk, batchRoute("lot", "svc-lm")}), Json::array({engineService("svc-lm", slots)}));
+    for (int number = 1; number <= 3; ++number) {
+        world.startNode(number, "zone-" + std::to_string(number));
+    }
+    if (!isStarted || !world.awaitReady(3)) {
+        return 2;
+    }
+    pause(1500);
+    for (std::size_t number = 0; number < jobs.size(); ++number) {
+        std::vector<std::string> bodies;
+        for (int item = 0; item < itemsOfJob; ++item) {
+            bodies.push_back("body-" + jobs[number].substr(0, 4) + "-" + std::to_string(item));
+        }
+        if (!submitJob(world, static_cast<int>(number) + 1, "/lot/", jobs[number], bodies)) {
+            return 2;
+        }
+    }
+    pause(1500);
+    std::vector<std::thread> clients;
+    for (int number = 0; number < replicas * slots; ++number) {
+        clients.emplace_back([&world, number] {
+            const std::string id = "c0de" + std::to_string(100 + number);
+            const Message answer = request(world.ip(1 + number % 3) + ":8144", streamHead("/talk/2f", id), "body-" + id, 5000);
+            world.record.add("stream " + id + " answered " + std::to_string(answer.status()) + ", "
+                             + std::to_string(eventsIn(answer.body)) + " events, "
+                             + (answer.isComplete ? "ends as complete" : "ends as broken off"));
+        });
+    }
+    pause(1000);
+    if (hasTrouble) {
+        world.killReplica(replicas);
+        pause(1500);
+        world.restartReplica(replicas, "i-00000009");
+    }
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    world.record.add("all streams are over");
+    const auto until = Clock::now() + std::chrono::seconds(30);
+    std::size_t listed = 0;
+    std::size_t before = 0;
+    auto lastChange = Clock::now();
+    while (Clock::now() < until && listed < jobs.size() * itemsOfJob) {
+        pause(500);
+        listed = 0;
+        for (const std::string &job : jobs) {
+            listed += countResults(world, 3, job);
+        }
+        if (listed != before) {
+            lastChange = Clock::now();
+            before = listed;
+            world.record.add(std::to_string(listed) + " of " + std::to_string(jobs.size() * itemsOfJob) + " items are listed");
+        }
+    }
+    const std::size_t missing = jobs.size() * itemsOfJob - listed;
+    const auto calm = std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - lastChange).count();
+    if (missing > 0) {
+        // The rule asks for 5 s without a run; the replicas write each event.
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto nowMs = std::chrono::duration_cast<Milliseconds>(now).count();
+        std::int64_t lastEventMs = 0;
+        for (const auto &line : world.runs()) {
+            lastEventMs = std::max<std::int64_t>(lastEventMs, std::stoll(line[0]));
+        }
+        const std::string text = std::to_string(missing) + " items are neither completed nor abandoned; no result for "
+            + std::to_string(calm) + " s, no replica at work for " + std::to_string((nowMs - lastEventMs) / 1000) + " s";
+        world.record.add(text);
+        std::printf("LOST: %s\n", text.c_str());
+        return calm >= 18 && nowMs - lastEventMs >= 5000 ? 1 : 2;
+    }
+    return 0;
+}
+
 inline const std::map<std::string, Case> &cases()
 {
     static const std::map<std::string, Case> all{
+        {"slots-of-broken-streams", &slotsOfBrokenStreams},
         {"end-behind-cut", &endBehindCut},
         {"waiting-at-stop", &waitingAtStop},
+        {"slow-readers-at-stop", &slowReadersAtStop},
         {"next-on-kept-connection", &nextOnKeptConnection},
     };
     return all;
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -54,10 +54,13 @@
     return fd;
 }
 
-/** @return a connected socket, or -1. */
-inline int connectTo(const std::string &address, int timeoutMs = 1000)
+/** @param receiveBytes size of the receive buffer; 0 leaves it to the system. @return a connected socket, or -1. */
+inline int connectTo(const std::string &address, int timeoutMs = 1000, int receiveBytes = 0)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (receiveBytes > 0) {
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+    }
     const sockaddr_in where = addressOf(address);
     int result = ::connect(fd, reinterpret_cast<const sockaddr *>(&where), sizeof(where));
     if (result != 0 && errno == EINPROGRESS) {
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -8,7 +8,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const std::vector<std::string> words(argv + 1, argv + argc);
-    if (words.size() == 8 && words[0] == "replica") {
+    if (words.size() == 9 && words[0] == "replica") {
         ReplicaOptions options;
         options.listen = words[1];
         options.id = words[2];
@@ -17,6 +17,7 @@
         options.events = std::stoi(words[5]);
         options.intervalMs = std::stoi(words[6]);
         options.isUnframed = words[7] == "1";
+        options.answerBytes = std::stoi(words[8]);
         return Replica(options).run();
     }
     if (words.size() == 4 && words[0] == "check" && cases().count(words[1]) != 0) {
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -12,6 +12,8 @@
 {
     std::string listen;
     std::string id;
+    /** Version of its software, as its entry states it. */
+    std::string version = "v1";
     int slots = 8;
     int queue = 24;
     /** Events of a stream, and the pause before each. */
@@ -19,6 +21,8 @@
     int intervalMs = 50;
     /** Whether streams have no length and end with their connection. */
     bool isUnframed = false;
+    /** Size of a whole answer that is given instead of a stream; 0: a stream. */
+    int answerBytes = 0;
 };
 
 class Replica
@@ -107,7 +111,7 @@
                                + message.header("x-request-id") + "\r\nX-Server-Load: " + this->load()
                                + "\r\nContent-Length: 0\r\n\r\n");
         }
-        const bool isKept = this->stream(fd, message);
+        const bool isKept = this->options.answerBytes > 0 ? this->answerWhole(fd, message) : this->stream(fd, message);
         {
             const std::lock_guard lock(this->mutex);
             --this->running;
@@ -136,6 +140,18 @@
         return true;
     }
 
+    bool answerWhole(int fd, const Message &message)
+    {
+        this->report("run", message, 0);
+        const std::string body(static_cast<std::size_t>(this->options.answerBytes), 'x');
+        const bool isSent = sendAll(fd,
+                                    "HTTP/1.1 200 OK\r\nX-Server-Signature: sig." + this->options.id + "\r\nX-Request-Id: "
+                                        + message.header("x-request-id") + "\r\nX-Server-Load: " + this->load()
+                                        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        this->report(isSent ? "end" : "dropped", message, 0);
+        return isSent;
+    }
+
     bool stream(int fd, const Message &message)
     {
         const int after = std::atoi(message.header("last-event-id").c_str());
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -216,7 +216,7 @@
                                 Json({{"service", listed.service},
                                       {"address", listed.address},
                                       {"zone", listed.zone},
-                                      {"version", "v1"},
+                                      {"version", listed.options.version},
                                       {"slots", listed.options.slots},
                                       {"state", "ready"},
                                       {"coldLeftMs", 0},
@@ -325,7 +325,8 @@
                      std::to_string(options.queue),
                      std::to_string(options.events),
                      std::to_string(options.intervalMs),
-                     options.isUnframed ? "1" : "0"},
+                     options.isUnframed ? "1" : "0",
+                     std::to_string(options.answerBytes)},
                     this->folder + "/" + name + ".log",
                     "X=1");
         this->record.add("replica " + id + " starts");
