--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -138,15 +138,17 @@
  */
 inline int endBehindCut(World &world, bool hasTrouble)
 {
+    constexpr int replicas = 3;
     constexpr int events = 60;
     ReplicaOptions options;
     options.events = events;
     options.intervalMs = 50;
     options.isUnframed = true;
-    options.id = "i-aaaa0001";
-    bool isStarted = world.addReplica(1, options, "svc-lm", "zone-1");
-    options.id = "i-bbbb0001";
-    isStarted = isStarted && world.addReplica(2, options, "svc-lm", "zone-2");
+    bool isStarted = true;
+    for (int replica = 1; replica <= replicas; ++replica) {
+        options.id = "i-aaaa000" + std::to_string(replica);
+        isStarted = isStarted && world.addReplica(replica, options, "svc-lm", "zone-" + std::to_string(replica));
+    }
     writeConfiguration(world,
                        7,
                        Json::array({route("talk", "streaming", "svc-lm"), batchRoute("lot", "svc-lm")}),
@@ -158,16 +160,16 @@
         return 2;
     }
     pause(1500);
-    // One item, and streams that are spread over both replicas.
+    // One item, and streams that are spread over all replicas.
     if (!submitJob(world, 1, "/lot/", "7c41e09b52d6a3f8", {"item-body"})) {
         return 2;
     }
-    constexpr int streams = 8;
+    constexpr int streams = 12;
     std::vector<Message> answers(streams);
     std::vector<std::thread> clients;
     for (int number = 0; number < streams; ++number) {
         clients.emplace_back([&world, &answers, number] {
-            const std::string id = "c0de00" + std::to_string(number);
+            const std::string id = "c0de" + std::to_string(100 + number);
             const std::string body = "body-" + id;
             answers[static_cast<std::size_t>(number)]
                 = request(world.ip(1 + number % 3) + ":8144", streamHead("/talk/2f", id), body, 5000);
@@ -181,13 +183,13 @@
         }
         return 2;
     }
-    const int number = runner.starts_with("i-aaaa") ? 1 : 2;
+    const int number = runner.back() - '0';
     if (hasTrouble) {
         world.cutReplica(number, true);
         pause(20);
         world.killReplica(number);
         pause(900);
-        world.restartReplica(number, number == 1 ? "i-aaaa0002" : "i-bbbb0002");
+        world.restartReplica(number, "i-bbbb000" + std::to_string(number));
         pause(400);
         world.cutReplica(number, false);
     }
@@ -195,7 +197,7 @@
     for (int stream = 0; stream < streams; ++stream) {
         clients[static_cast<std::size_t>(stream)].join();
         const Message &answer = answers[static_cast<std::size_t>(stream)];
-        const std::string id = "c0de00" + std::to_string(stream);
+        const std::string id = "c0de" + std::to_string(100 + stream);
         const bool isWhole = answer.body == wholeStream("body-" + id, events);
         const bool looksComplete = answer.status() == 200 && answer.isComplete;
         world.record.add("stream " + id + " answered " + std::to_string(answer.status()) + ", "
