--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
     echo "build the program with the command of deploy/system.toml and the stand-ins with review/build-2.sh first" >&2
     exit 2
 fi
-exec "$standin" check waiting-at-stop "$program" review/7
+exec "$standin" check next-on-kept-connection "$program" review/7
