--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o target/review-2/standin review/standin-2/main.cpp
+g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o target/review-2/standin review/standin-2/main.cc
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.hpp
@@ -1,7 +1,7 @@
 // The cases of this review.
 #pragma once
 
-#include "world.h"
+#include "world.hpp"
 
 using Case = std::function<int(World &, bool)>;
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cc
@@ -1,6 +1,6 @@
 // Stand-ins and checks of this review. "replica ..." runs one replica; "check CASE PROGRAM FOLDER" runs a case: it exits with 1
 // if the rule was broken, with 0 if it held, and with 2 if the case could not run.
-#include "cases.h"
+#include "cases.hpp"
 
 #include <cstdio>
 
--- a/review/standin-2/proxy.h
+++ b/review/standin-2/proxy.hpp
@@ -2,7 +2,7 @@
 // path is back; what was sent meanwhile, and the end of a connection, arrive then.
 #pragma once
 
-#include "http.h"
+#include "http.hpp"
 
 #include <memory>
 #include <mutex>
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.hpp
@@ -2,7 +2,7 @@
 // queues a few more, and drops a request when its connection closes. It writes each run to its standard output.
 #pragma once
 
-#include "http.h"
+#include "http.hpp"
 
 #include <condition_variable>
 #include <cstdio>
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.hpp
@@ -1,7 +1,7 @@
 // The users' platform store, as PROTOCOL.md describes it: rows, a feed of changes and objects, all in memory.
 #pragma once
 
-#include "http.h"
+#include "http.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.hpp
@@ -1,9 +1,9 @@
 // A small deployment on loopback addresses: the store, replicas and nodes that one case uses, and its record.
 #pragma once
 
-#include "proxy.h"
-#include "replica.h"
-#include "store.h"
+#include "proxy.hpp"
+#include "replica.hpp"
+#include "store.hpp"
 
 #include <csignal>
 #include <filesystem>
