gateway: metrics of held slots and of open calls to replicas

Three hypotheses: (1) a request that ends keeps its slot request at its node, (2) the same by the way of a placement without a listed replica, (3) the dispatcher counts a placement that its node has ended. The dispatcher's log could not tell (3) from the others. New gauges of each node: slots_requested, slots_held, calls_to_replicas.

--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -138,6 +138,11 @@
     }
 }
 
+std::size_t OutboundPool::openCalls() const
+{
+    return this->active.size();
+}
+
 std::uint64_t OutboundPool::connectionsMade() const
 {
     return this->made;
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -143,6 +143,9 @@
     /** Closes the idle connections to an address whose server has stopped. */
     void closeIdle(const Address &address);
 
+    /** @return the number of calls that have not ended. */
+    std::size_t openCalls() const;
+
     /** @return the number of connections created so far. */
     std::uint64_t connectionsMade() const;
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -691,6 +691,10 @@
     this->metrics.setGauge("replicas_unreadable", static_cast<double>(this->replicaFollower.unreadableEntries()));
     this->metrics.setGauge("events_given_up", static_cast<double>(failedEventCount()));
     this->metrics.setGauge("members", static_cast<double>(this->peers.view()->members().size()));
+    const PlacementClient::RequestCounts requests = this->placements.requestCounts();
+    this->metrics.setGauge("slots_requested", static_cast<double>(requests.waiting));
+    this->metrics.setGauge("slots_held", static_cast<double>(requests.placed));
+    this->metrics.setGauge("calls_to_replicas", static_cast<double>(this->replicaPool.openCalls()));
     this->metrics.setGauge("placed_by_own_counts", static_cast<double>(this->placements.fallbacks()));
     this->metrics.setGauge("quotas_decided_alone", static_cast<double>(this->quotas.decidedAlone()));
     this->metrics.setGauge("workspaces_counted", static_cast<double>(this->quotas.counted()));
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -440,6 +440,15 @@
     return this->server.dispatcherOf(service);
 }
 
+PlacementClient::RequestCounts PlacementClient::requestCounts() const
+{
+    RequestCounts counts;
+    for (const auto &[ticket, request] : this->requests) {
+        ++(request.replica ? counts.placed : counts.waiting);
+    }
+    return counts;
+}
+
 std::uint64_t PlacementClient::fallbacks() const
 {
     return this->fallbackCount;
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -132,6 +132,17 @@
     /** @return the member that dispatches a service, or null if there is none. */
     const Member *dispatcherOf(const ServiceName &service) const;
 
+    /** The requests of this node that have not ended. */
+    struct RequestCounts
+    {
+        std::size_t waiting = 0;
+        /** Those that have a slot. */
+        std::size_t placed = 0;
+    };
+
+    /** @return the number of requests that have not ended. In the long run, no more are placed than calls to replicas are open. */
+    RequestCounts requestCounts() const;
+
     /** @return how many requests this node placed by its own counts because the dispatcher did not answer. */
     std::uint64_t fallbacks() const;
 
