gateway: a slot request ends with its owner

Cause: a slot request had a number and no owner, so that each way out of a request had to end it. A stream that has run and finds no other replica of its version ended by fail(), which does not. Its node requested the slot for ever, got it when the replica was back, and reported it as in use.

Change: SlotLease owns the request and the slot; OnlineCall::finish() and ItemAttempt::leaveReplica() release it, and at the latest the end of its owner does. Handlers of decisions no longer keep their owners alive. This rules out the class, not only the branch that was found: the other way that was seen (a placement at a replica that the node does not list) ends at the same line.

--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -150,8 +150,10 @@
     query.workspace = this->origin.workspace;
     query.weight = this->target.weight;
     query.cost = this->cost;
-    this->ticket = this->context.placements.requestSlot(query, [self = this->shared_from_this()](const Placement &placement) {
-        self->handlePlacement(placement);
+    this->slot = this->context.placements.requestSlot(query, [attempt = this->weak_from_this()](const Placement &placement) {
+        if (const std::shared_ptr<ItemAttempt> self = attempt.lock()) {
+            self->handlePlacement(placement);
+        }
     });
 }
 
@@ -174,7 +176,7 @@
 
 void ItemAttempt::handleConfigurationChange()
 {
-    const bool isWaitingForSlot = !this->isOver && this->ticket != 0 && !this->replica;
+    const bool isWaitingForSlot = !this->isOver && this->slot.isOpen() && !this->replica;
     if (!isWaitingForSlot) {
         return;
     }
@@ -296,8 +298,8 @@
         this->restartOnOtherVersion();
         return;
     }
-    this->hooks.confirmOpen([self = this->shared_from_this(), ticket = this->ticket, placement](const auto &age) {
-        if (self->isOver || self->ticket != ticket) {
+    this->hooks.confirmOpen([self = this->shared_from_this(), ticket = this->slot.ticket(), placement](const auto &age) {
+        if (self->isOver || self->slot.ticket() != ticket) {
             return;
         }
         if (age) {
@@ -389,17 +391,17 @@
     if (this->retryTimer != 0) {
         return "its next attempt";
     }
-    if (this->ticket == 0) {
+    if (!this->slot.isOpen()) {
         return "the store, before it requests a slot";
     }
-    const std::optional<PlacementClient::RequestState> request = this->context.placements.requestState(this->ticket);
+    const std::optional<PlacementClient::RequestState> request = this->context.placements.requestState(this->slot.ticket());
     return request && request->isPlaced ? "the store, after it got a slot" : "a slot";
 }
 
 void ItemAttempt::logWait(std::size_t waitingItems) const
 {
     const SteadyTime now = this->context.clock.now();
-    const auto request = this->context.placements.requestState(this->ticket).value_or(PlacementClient::RequestState());
+    const auto request = this->context.placements.requestState(this->slot.ticket()).value_or(PlacementClient::RequestState());
     const auto ageOf = [now](std::optional<SteadyTime> time) -> std::int64_t {
         return time ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *time).count() : -1;
     };
@@ -412,7 +414,7 @@
          {"service", this->target.service.value()},
          {"version", this->version.value()},
          {"avoided", namesOf(this->avoided)},
-         {"ticket", static_cast<std::int64_t>(this->ticket)},
+         {"ticket", static_cast<std::int64_t>(this->slot.ticket())},
          {"requested_ms", ageOf(request.firstSent)},
          {"answered_ms", ageOf(request.lastAnswer)},
          {"items_waiting", static_cast<std::int64_t>(waitingItems)}});
@@ -444,7 +446,7 @@
     } else {
         // The dispatcher waits for this report: it places no second item at the replica before its load is known.
         const StatedLoad stated = read.stated.value_or(StatedLoad());
-        this->context.placements.reportStarted(this->ticket, stated.load, stated.pace);
+        this->context.placements.reportStarted(this->slot.ticket(), stated.load, stated.pace);
     }
 }
 
@@ -567,10 +569,7 @@
     if (this->call != 0) {
         this->context.replicaConnections.cancel(std::exchange(this->call, 0));
     }
-    if (this->ticket != 0) {
-        const RunTiming timing = this->replica ? this->measurement.timing() : RunTiming();
-        this->context.placements.end(std::exchange(this->ticket, 0), verdict, timing);
-    }
+    this->slot.release(verdict, this->replica ? this->measurement.timing() : RunTiming());
     if (this->replica && verdict != PlacementVerdict::Finished) {
         this->avoided.push_back(this->replica->instance);
         if (this->avoided.size() > maxAvoided) {
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -152,7 +152,8 @@
     /** Since when the configuration has no route for the item; nothing if it has one, or is not known. */
     std::optional<SteadyTime> unroutedSince;
     std::vector<EndpointName> avoided;
-    PlacementClient::Ticket ticket = 0;
+    /** The slot at the replica, or the request for one. */
+    SlotLease slot;
     std::optional<ServingReplica> replica;
     /** When the last run ended, or the attempt began. */
     SteadyTime lastLeft{};
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -149,7 +149,6 @@
         return false;
     }
     if (this->attempts > 0) {
-        this->releaseReplica(PlacementVerdict::Finished);
         this->fail(*reason);
     } else {
         this->refuse(statusUnavailable, refusalRetryAfter, *reason);
@@ -326,10 +325,11 @@
     query.connected = connectedReplicas(this->context, this->service, this->maxConnectionIdle());
     query.version = this->startedVersion;
     query.soleVersionFor = this->soleVersionFor;
-    this->placementTicket
-        = this->context.placements.requestSlot(query, [self = this->shared_from_this()](const Placement &placement) {
-              self->handlePlacement(placement);
-          });
+    this->slot = this->context.placements.requestSlot(query, [call = this->weak_from_this()](const Placement &placement) {
+        if (const std::shared_ptr<OnlineCall> self = call.lock()) {
+            self->handlePlacement(placement);
+        }
+    });
 }
 
 void OnlineCall::handlePlacement(const Placement &placement)
@@ -440,7 +440,7 @@
     this->measurement.recordHead(read.stated ? read.stated->pace : 0, isError);
     // Reports only a load that the dispatcher does not expect; a datagram for each request would repeat what it knows.
     if (isGood && read.stated && isUnexpected(*read.stated)) {
-        this->context.placements.reportStarted(this->placementTicket, read.stated->load, read.stated->pace);
+        this->context.placements.reportStarted(this->slot.ticket(), read.stated->load, read.stated->pace);
     }
     if (read.isNotExecuted) {
         const PlacementVerdict verdict
@@ -603,7 +603,6 @@
     if (isSuccess(this->answer.status)) {
         this->measurement.recordWholeAnswer(this->now());
     }
-    this->releaseReplica(PlacementVerdict::Finished);
     if (this->exchange->isStarted()) {
         this->exchange->abort();
         this->finish(0, "the stream could not be resumed");
@@ -628,7 +627,6 @@
     }
     this->recordPromptServed();
     this->context.recordRequestServed(this->fingerprint);
-    this->releaseReplica(PlacementVerdict::Finished);
     this->exchange->begin(this->answer.status, this->answer.headers.forwarded());
     this->exchange->end();
     this->finish(this->answer.status, "answered");
@@ -681,11 +679,9 @@
     if (this->call != 0) {
         this->context.replicaConnections.cancel(std::exchange(this->call, 0));
     }
-    if (this->placementTicket != 0) {
-        // The time of a run that waited for its caller says nothing about the replica.
-        const RunTiming timing = this->replica && !this->wasPaused ? this->measurement.timing() : RunTiming();
-        this->context.placements.end(std::exchange(this->placementTicket, 0), verdict, timing);
-    }
+    // The time of a run that waited for its caller says nothing about the replica.
+    const RunTiming timing = this->replica && !this->wasPaused ? this->measurement.timing() : RunTiming();
+    this->slot.release(verdict, timing);
     if (this->replica) {
         this->avoided.push_back(this->replica->instance);
         this->replica.reset();
@@ -721,7 +717,6 @@
         return;
     }
     const bool mayHaveRun = this->attempts > 0;
-    this->releaseReplica(PlacementVerdict::Finished);
     if (this->exchange->isStarted()) {
         this->exchange->abort();
         this->finish(0, "time is up");
@@ -738,13 +733,11 @@
     if (this->stage == Stage::Over) {
         return;
     }
-    this->releaseReplica(PlacementVerdict::Finished);
     this->finish(0, "the caller disconnected");
 }
 
 void OnlineCall::refuse(int status, std::chrono::milliseconds retryAfter, std::string_view reason)
 {
-    this->releaseReplica(PlacementVerdict::Finished);
     this->exchange->send(status, retryHeaders(retryAfter), {});
     this->finish(status, reason);
 }
@@ -765,8 +758,8 @@
     if (std::exchange(this->stage, Stage::Over) == Stage::Over) {
         return;
     }
+    this->releaseReplica(PlacementVerdict::Finished);
     this->context.loop.cancel(this->deadlineTimer);
-    this->context.loop.cancel(this->stallTimer);
     this->context.loop.cancel(this->listTimer);
     this->stopWaiting();
     this->context.quotas.cancel(std::exchange(this->quotaTicket, 0));
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -123,7 +123,8 @@
     std::vector<EndpointName> avoided;
     /** Set until the quota is decided. */
     QuotaClient::Ticket quotaTicket = 0;
-    PlacementClient::Ticket placementTicket = 0;
+    /** The slot at the replica, or the request for one. */
+    SlotLease slot;
     /** Set while the request waits for a slot. */
     WaitingRequests::Ticket waitingTicket = 0;
     SteadyTime placementRequested{};
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -98,9 +98,15 @@
     this->server.restartHistories();
 }
 
-PlacementClient::Ticket PlacementClient::requestSlot(const PlacementQuery &query, DecisionHandler decided)
+SlotLease PlacementClient::requestSlot(const PlacementQuery &query, DecisionHandler decided)
 {
     const Ticket ticket = ++this->lastTicket;
+    const auto endRequest
+        = [this, alive = this->alive](Ticket ended, PlacementVerdict verdict, const RunTiming &timing) {
+              if (*alive) {
+                  this->end(ended, verdict, timing);
+              }
+          };
     OpenRequest &request
         = this->requests.emplace(ticket, OpenRequest{.query = query, .decided = std::move(decided)}).first->second;
     ServiceState &state = this->stateOf(query.service);
@@ -108,10 +114,10 @@
     const bool isSuspected = this->clock.now() < state.suspectedUntil && query.work == WorkClass::Online;
     if (!state.isDispatched || isSuspected) {
         this->placeLocally(ticket, request);
-        return ticket;
+    } else {
+        this->sendRequest(ticket, request);
     }
-    this->sendRequest(ticket, request);
-    return ticket;
+    return {ticket, endRequest};
 }
 
 void PlacementClient::sendRequest(Ticket ticket, OpenRequest &request)
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -10,6 +10,7 @@
 #include <Services/Gateway/CoordinatorElections.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/PlacementServer.h>
+#include <Services/Gateway/SlotLease.h>
 
 #include <chrono>
 #include <functional>
@@ -56,7 +57,7 @@
 class PlacementClient
 {
 public:
-    using Ticket = std::uint64_t;
+    using Ticket = SlotLease::Ticket;
     /** Called once with Placed or Refused, and after Placed with Stopped if a batch item has to release its slot. */
     using DecisionHandler = std::function<void(const Placement &)>;
 
@@ -88,14 +89,12 @@
     /** Lets the histories of versions begin anew, see PlacementServer. */
     void restartHistories();
 
-    /** Requests a slot. The handler is never called from inside this call. */
-    Ticket requestSlot(const PlacementQuery &query, DecisionHandler decided);
-
     /**
-     * Ends a request that is complete or no longer needs a slot.
-     * @param timing what the run showed of its replica's speed
+     * Requests a slot.
+     * @param decided never called from inside this call, nor after the lease has ended
+     * @return the request, and the slot once it has one. It ends at the latest with this lease
      */
-    void end(Ticket ticket, PlacementVerdict verdict, const RunTiming &timing = {});
+    [[nodiscard]] SlotLease requestSlot(const PlacementQuery &query, DecisionHandler decided);
 
     /**
      * Reports to the dispatcher that the replica of a placed request has started to answer, and the load that it stated.
@@ -174,6 +173,7 @@
     };
 
     ServiceState &stateOf(const ServiceName &service);
+    void end(Ticket ticket, PlacementVerdict verdict, const RunTiming &timing);
     void sendRequest(Ticket ticket, OpenRequest &request);
     /** Sends a message to the dispatcher of a service, or handles it on this node if no other one dispatches. */
     template <typename Message>
