gateway: one class decides what a stopping node owes its callers

What may still be taken, what waits, and what is owed to a connection was decided in five places, by the state of the connection; none knew how long a request may take, and a request that no replica had learned nothing of the stop.

Change: PlannedStop decides by phase and deadline. Once callers have moved to other addresses, a request that no replica has had is served only if its deadline is before the last answers; otherwise it is refused at once, on whatever connection, also while it waits. At the last answers, what runs at a replica is answered 502; open calls of jobs too. Nothing here depends on a case: stages for the origin, the quota, a slot and crashes are covered alike.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -98,6 +98,14 @@
     }
 }
 
+void CallerConnection::answerOpenRequest(int status)
+{
+    const std::shared_ptr<CallerExchange> open = this->exchange;
+    if (open && !open->isStarted()) {
+        open->send(status, {}, {});
+    }
+}
+
 void CallerConnection::onReadable(bufferevent *, void *self)
 {
     auto *const connection = static_cast<CallerConnection *>(self);
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -75,6 +75,9 @@
     /** @return whether the production of response data is paused. */
     bool isPaused() const;
 
+    /** Answers the current request if its answer has not begun. */
+    void answerOpenRequest(int status);
+
     /** Closes the connection and discards unread data. */
     void close();
 
--- a/Libraries/LibProxy/CallerServer.cpp
+++ b/Libraries/LibProxy/CallerServer.cpp
@@ -103,6 +103,13 @@
     }
 }
 
+void CallerServer::answerOpenRequests(int status)
+{
+    for (const auto &[number, connection] : this->connections) {
+        connection->answerOpenRequest(status);
+    }
+}
+
 std::size_t CallerServer::busyConnections() const
 {
     std::size_t busy = 0;
--- a/Libraries/LibProxy/CallerServer.h
+++ b/Libraries/LibProxy/CallerServer.h
@@ -50,7 +50,10 @@
     /** Stops accepting connections and closes idle ones. */
     void stopAccepting();
 
-    /** @return the number of connections on which a request is being read or answered. */
+    /** Answers the requests whose answer has not begun; what their handler sends later is dropped. */
+    void answerOpenRequests(int status);
+
+    /** @return the number of connections on which a request is being read or answered, or an answer is not yet read. */
     std::size_t busyConnections() const;
 
     /** @return the unread response data of all callers. */
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -29,10 +29,6 @@
 /** A tick that is later than this shows that the process did not run, or that one event took very long. */
 constexpr std::chrono::milliseconds minReportedPause{250};
 constexpr std::chrono::milliseconds stopCheckInterval{100};
-/** Callers cache an address for its time to live, some of them for three times as long. */
-constexpr int addressLifetimes = 3;
-/** The part of the platform's grace period that is reserved for the exit of the process. */
-constexpr std::chrono::milliseconds graceMargin{700};
 /** Retry-After of the directory while no node is ready: a node becomes ready about this long after its start. */
 constexpr std::chrono::milliseconds noAddressRetryAfter{300};
 /** A node without any responsive relay for this time follows the tables itself. A lost relay is replaced sooner. */
@@ -86,6 +82,7 @@
     , clock(clock)
     , settings(settings)
     , random(static_cast<std::minstd_rand::result_type>(randomSession().value()))
+    , plannedStop(clock, settings->gateway.grace, settings->gateway.addressTtl)
     , crashes(clock)
     , promptParts(clock)
     , storeClock(clock)
@@ -185,6 +182,7 @@
     , context{loop,
               clock,
               this->storeClock,
+              this->plannedStop,
               this->replicaPool,
               this->placements,
               this->quotas,
@@ -717,7 +715,7 @@
 {
     log(LogLevel::Info, "stopping");
     this->stopped = std::move(done);
-    this->stopStarted = this->clock.now();
+    this->plannedStop.begin();
     this->updateReadiness();
     this->peers.leave();
     this->runners.stopAll();
@@ -727,14 +725,18 @@
 
 void Gateway::watchStop()
 {
-    const std::chrono::nanoseconds passed = this->clock.now() - this->stopStarted;
-    const std::chrono::milliseconds maxTime = this->settings->gateway.grace - graceMargin;
-    const auto addressPeriod = std::min(this->settings->gateway.addressTtl * addressLifetimes, maxTime / 2);
-    if (passed > addressPeriod) {
+    this->plannedStop.update();
+    const PlannedStop::Phase phase = this->plannedStop.phase();
+    const bool isFinishing = phase >= PlannedStop::Phase::Finishing;
+    if (isFinishing) {
         this->callers.stopAccepting();
     }
+    if (phase >= PlannedStop::Phase::LastAnswers) {
+        // Calls of batch jobs: whether they have had an effect is not known.
+        this->callers.answerOpenRequests(statusBadGateway);
+    }
     const std::size_t busy = this->callers.busyConnections();
-    if ((passed > addressPeriod && busy == 0) || passed > maxTime) {
+    if ((isFinishing && busy == 0) || phase == PlannedStop::Phase::Over) {
         log(LogLevel::Info, "stopped", {{"open_requests", static_cast<std::int64_t>(busy)}});
         this->stopped();
         return;
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/TrafficMeter.h>
 #include <LibGateway/CrashHistory.h>
+#include <LibGateway/PlannedStop.h>
 #include <LibGateway/PromptPartBlocklist.h>
 #include <LibMembership/RelayRole.h>
 #include <LibMembership/RelaySelector.h>
@@ -60,9 +61,9 @@
     Gateway &operator=(const Gateway &) = delete;
 
     /**
-     * Stops the node gracefully: withdraws its address from the directory, hands batch jobs over to other nodes, finishes the
-     * requests that run.
-     * @param done called once no request runs any more, or shortly before the platform's grace period ends
+     * Stops the node gracefully: withdraws its address from the directory, hands batch jobs over to other nodes, and serves or
+     * refuses its requests as PlannedStop decides.
+     * @param done called once no request runs and all answers are read, or shortly before the platform's grace period ends
      */
     void stop(std::function<void()> done);
 
@@ -143,7 +144,6 @@
     /** Counts restarts of replicas under the same name. */
     std::uint64_t replicasRestarted = 0;
     std::function<void()> stopped;
-    SteadyTime stopStarted{};
     TimerId stopTimer = 0;
     TimerId tickTimer = 0;
     SteadyTime lastTick{};
@@ -151,6 +151,7 @@
     std::chrono::nanoseconds suspendedAtTick{0};
     TimerId trafficTimer = 0;
     std::minstd_rand random;
+    PlannedStop plannedStop;
     GatewayMetrics metrics;
     TrafficMeter traffic;
     CrashHistory crashes;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include <LibDispatch/FirstEventEstimate.h>
 #include <LibDispatch/ItemEstimate.h>
 #include <LibGateway/CrashHistory.h>
+#include <LibGateway/PlannedStop.h>
 #include <LibGateway/PromptPartBlocklist.h>
 #include <LibPlatform/StoreClock.h>
 #include <LibProxy/OutboundPool.h>
@@ -30,6 +31,8 @@
     const Clock &clock;
     /** Clock of the store, from which the ages of jobs are computed. */
     const StoreClock &storeClock;
+    /** Decides which requests are still served while this node stops. */
+    PlannedStop &plannedStop;
     /** Connections to replicas. */
     OutboundPool &replicaConnections;
     PlacementClient &placements;
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds answerMargin{20};
 /** Sent with a refusal for lack of a replica or a configuration: about the time until there may be one. */
 constexpr std::chrono::milliseconds refusalRetryAfter{300};
+/** Sent with a refusal by a node that stops: other nodes can serve the caller at once. */
+constexpr std::chrono::milliseconds stopRetryAfter{50};
 /** A node that has just started reads the replicas from the store or another node in about 0.2 s. After this time something else
  * is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listTimeout{1000};
@@ -114,6 +116,11 @@
     this->deadlineTimer = this->context.loop.schedule(std::max(remaining, std::chrono::milliseconds(0)), [self] {
         self->onDeadline();
     });
+    this->stopTicket = this->context.plannedStop.observe([call = this->weak_from_this()](PlannedStop::Phase phase) {
+        if (const std::shared_ptr<OnlineCall> waiting = call.lock()) {
+            waiting->handleStopPhase(phase);
+        }
+    });
     std::uniform_real_distribution<double> point(0, 1);
     const RouteTarget *const target = selectTarget(this->route, point(this->context.random));
     if (target == nullptr) {
@@ -121,7 +128,7 @@
         return;
     }
     this->service = target->service;
-    if (this->endIfCrashing()) {
+    if (this->endIfCrashing() || this->endIfStopping()) {
         return;
     }
     if (this->isStream() && this->lastEvent.value_or(0) > 0) {
@@ -156,6 +163,26 @@
     return true;
 }
 
+bool OnlineCall::endIfStopping()
+{
+    const bool mayBeRefused = this->attempts == 0 && !this->exchange->isStarted();
+    if (!mayBeRefused || this->context.plannedStop.mayServe(this->deadline)) {
+        return false;
+    }
+    this->refuse(statusUnavailable, stopRetryAfter, "this node stops before it could answer");
+    return true;
+}
+
+void OnlineCall::handleStopPhase(PlannedStop::Phase phase)
+{
+    if (this->stage == Stage::Over || this->endIfStopping()) {
+        return;
+    }
+    if (phase == PlannedStop::Phase::LastAnswers && !this->exchange->isStarted()) {
+        this->fail("this node stops while a replica runs the request");
+    }
+}
+
 void OnlineCall::startWaiting(Stage stage)
 {
     this->stage = stage;
@@ -292,7 +319,7 @@
 
 void OnlineCall::requestPlacement()
 {
-    if (this->endIfCrashing()) {
+    if (this->endIfCrashing() || this->endIfStopping()) {
         return;
     }
     if (this->context.crashHistory.mayReachCrashLimit(this->fingerprint)) {
@@ -341,7 +368,7 @@
         this->handleRefusal(placement.retryAfter);
         return;
     }
-    if (this->endIfCrashing()) {
+    if (this->endIfCrashing() || this->endIfStopping()) {
         return;
     }
     this->context.metrics.countPlacement(this->service.value(), this->now() - this->placementRequested);
@@ -762,6 +789,7 @@
     this->context.loop.cancel(this->deadlineTimer);
     this->context.loop.cancel(this->listTimer);
     this->stopWaiting();
+    this->context.plannedStop.remove(std::exchange(this->stopTicket, 0));
     this->context.quotas.cancel(std::exchange(this->quotaTicket, 0));
     this->context.streamOrigins.cancel(std::exchange(this->originTicket, 0));
     const SteadyTime ended = this->now();
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -71,6 +71,10 @@
     std::optional<std::string_view> crashReason() const;
     /** Ends the request if it must not be sent. @return whether it was ended */
     bool endIfCrashing();
+    /** Ends the request if no replica has had it, and this node stops too soon to serve it. @return whether it was ended */
+    bool endIfStopping();
+    /** Does what the request is due when this node's stop has entered a phase. */
+    void handleStopPhase(PlannedStop::Phase phase);
     /** Enters a stage in which recheck() is called when more becomes known about crashes. */
     void startWaiting(Stage stage);
     void recheck();
@@ -125,6 +129,8 @@
     QuotaClient::Ticket quotaTicket = 0;
     /** The slot at the replica, or the request for one. */
     SlotLease slot;
+    /** Set from the start to the end. */
+    PlannedStop::Ticket stopTicket = 0;
     /** Set while the request waits for a slot. */
     WaitingRequests::Ticket waitingTicket = 0;
     SteadyTime placementRequested{};
