gateway: late calls of batch jobs are refused by a stopping node

The same cause on a related path: calls of jobs came late on a kept connection, and were cut with the process if the store was slow.

Change: CallerRouter asks PlannedStop for them as OnlineCall does for online requests.

--- a/Services/Gateway/CallerRouter.h
+++ b/Services/Gateway/CallerRouter.h
@@ -43,6 +43,8 @@
     };
 
     Access decide(const CallerExchange &exchange, const Credentials &credentials) const;
+    /** Ends the call of a batch job if this node stops too soon to serve it. @return whether it was ended */
+    bool endIfStopping(CallerExchange &exchange);
     void route(const std::shared_ptr<CallerExchange> &exchange, const Access &access);
     void process(const HeldRequest &request);
     void hold(const HeldRequest &request);
--- a/Tests/Fakes/StandInStore.cpp
+++ b/Tests/Fakes/StandInStore.cpp
@@ -98,6 +98,7 @@
 void StandInStore::handle(const std::shared_ptr<CallerExchange> &exchange)
 {
     if (this->responseMode == ResponseMode::Unresponsive || this->responseMode == ResponseMode::Silent) {
+        this->unanswered.push_back(exchange->head().target + " " + exchange->body());
         return;
     }
     if (this->responseMode == ResponseMode::Busy) {
--- a/Tests/Fakes/StandInStore.h
+++ b/Tests/Fakes/StandInStore.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Dogwoodkeel
 {
@@ -36,6 +37,9 @@
     /** Answers 503 to requests that read or follow this table; an empty name lifts this. */
     void setUnavailableTable(const std::string &table);
 
+    /** Targets and bodies of the requests that it received and did not answer. */
+    std::vector<std::string> unanswered;
+
 private:
     /** @return its own steady time, which differs from the clock of every node. */
     std::int64_t nowMs() const;
--- a/Tests/ServiceGateway/StoppingNode.h
+++ b/Tests/ServiceGateway/StoppingNode.h
@@ -29,6 +29,10 @@
 public:
     StoppingNode()
         : RunningGateway([this](GatewayBench &bench) {
+            // A job without a limit of waiting tokens is written to the store at once.
+            nlohmann::json configuration = nlohmann::json::parse(benchConfiguration);
+            configuration["routes"].back()["maxCount"] = 0;
+            bench.configure(configuration.dump());
             bench.slots = slots;
             for (const char *const service : {"llm", "api"}) {
                 bench.addReplica(std::string("i-") + service, service, [this](const std::shared_ptr<CallerExchange> &exchange) {
--- a/Tests/ServiceGateway/TestLateRequests.cpp
+++ b/Tests/ServiceGateway/TestLateRequests.cpp
@@ -1,5 +1,6 @@
 #include <Tests/ServiceGateway/StoppingNode.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -70,6 +71,20 @@
     node.awaitStopped();
 }
 
+// Calls of batch jobs came late on a kept connection while the store was slow, and were cut with the process.
+TEST_CASE("a late call of a batch job at a stopping node is refused if it can't end in time")
+{
+    StoppingNode node;
+    const std::unique_ptr<RawConnection> caller = node.startStream("first");
+    node.stop();
+    node.advance(callersMoved);
+    node.answerHeld();
+    dropStream(*caller);
+    caller->send("DELETE /lots/none HTTP/1.1\r\nHost: h\r\nX-Request-Id: late\r\nX-Deadline-Ms: 20000\r\n\r\n");
+    checkRefused(caller->readUntil("\r\n\r\n"));
+    node.awaitStopped();
+}
+
 // A job was being submitted when the last answers were due: its caller was cut off and could not know that it may be accepted.
 TEST_CASE("a submission whose outcome is unknown at the end of a stop is answered as one that may have been accepted")
 {
@@ -80,8 +95,15 @@
     });
     const std::unique_ptr<RawConnection> caller = node.connect();
     const std::string job = R"({"requests":[{"id":"a","path":"/b/a","body":"","tokens":9}]})";
-    caller->send("POST /b/job HTTP/1.1\r\nHost: h\r\nX-Request-Id: job\r\nX-Deadline-Ms: 20000\r\nContent-Length: "
+    caller->send("POST /b/job HTTP/1.1\r\nHost: h\r\nX-Request-Id: openjob\r\nX-Deadline-Ms: 20000\r\nContent-Length: "
                  + std::to_string(job.size()) + "\r\n\r\n" + job);
+    await([&node] {
+        return node.host.ask<bool>([](GatewayBench &bench) {
+            return std::ranges::any_of(bench.store.unanswered, [](const std::string &request) {
+                return has(request, "openjob");
+            });
+        });
+    });
     node.stop();
     node.advance(nearEnd);
     const std::string answer = caller->readUntil("\r\n\r\n");
