proxy: a connection is busy until its answer is sent

Cause: an answer in the output buffer counted as over, so that a stop closed its connection as idle. The timeouts of an idle and of a closing connection counted from the end of the answer too, and not from the caller's progress.

Change: unsent output makes a connection busy, and sent output is progress.

--- a/Libraries/LibProxy/CallerConnection.cpp
+++ b/Libraries/LibProxy/CallerConnection.cpp
@@ -51,15 +51,24 @@
 bool CallerConnection::isBusy() const
 {
     const bool isWaiting = this->state == State::AwaitingHead;
-    const bool hasBytes = this->stream != nullptr && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
-    return this->state != State::Closed && (!isWaiting || hasBytes);
+    return this->state != State::Closed && (!isWaiting || this->hasInput() || this->hasOutput());
+}
+
+bool CallerConnection::hasInput() const
+{
+    return this->stream != nullptr && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+}
+
+bool CallerConnection::hasOutput() const
+{
+    return this->stream != nullptr && evbuffer_get_length(bufferevent_get_output(this->stream)) > 0;
 }
 
 void CallerConnection::checkTimeouts()
 {
     const std::chrono::nanoseconds sinceProgress = this->clock.now() - this->lastProgress;
     const CallerLimits &limits = this->hooks.limits();
-    const bool isReadingHead = this->state == State::AwaitingHead && this->isBusy() && !this->isHeldBack();
+    const bool isReadingHead = this->state == State::AwaitingHead && this->hasInput() && !this->isHeldBack();
     const bool isReading = this->state == State::ReadingBody || isReadingHead;
     const bool isSlow = isReading && sinceProgress > limits.headTimeout;
     const bool isIdle = this->state == State::AwaitingHead && sinceProgress > limits.idleTimeout;
@@ -141,10 +150,14 @@
     });
 }
 
-void CallerConnection::onOutput(evbuffer *, const evbuffer_cb_info *, void *self)
+void CallerConnection::onOutput(evbuffer *, const evbuffer_cb_info *change, void *self)
 {
-    runGuarded("counting unread data", [self] {
-        static_cast<CallerConnection *>(self)->reportUnread();
+    auto *const connection = static_cast<CallerConnection *>(self);
+    if (change->n_deleted > 0) {
+        connection->lastProgress = connection->clock.now();
+    }
+    runGuarded("counting unread data", [connection] {
+        connection->reportUnread();
     });
 }
 
--- a/Libraries/LibProxy/CallerConnection.h
+++ b/Libraries/LibProxy/CallerConnection.h
@@ -60,7 +60,7 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    /** @return whether a request is being read or answered. */
+    /** @return whether a request is being read or answered, or an answer is not yet sent whole. */
     bool isBusy() const;
 
     /** Closes the connection if it has exceeded one of the time limits. */
@@ -81,7 +81,7 @@
     /** Closes the connection and discards unread data. */
     void close();
 
-    /** Closes the connection if no request is being read or answered. */
+    /** Closes the connection unless it is busy. */
     void closeIfIdle();
 
 private:
@@ -116,6 +116,8 @@
     void write(std::string_view text);
     void startClosing();
     void reportUnread();
+    bool hasInput() const;
+    bool hasOutput() const;
     /** @return whether no further request is to be read, because the caller has too much unread data. */
     bool isHeldBack() const;
 
--- a/Tests/LibProxy/TestCallerServer.cpp
+++ b/Tests/LibProxy/TestCallerServer.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr std::size_t largeBytes = 300000;
+/** More than the buffers of the operating system take. */
+constexpr std::size_t hugeBytes = 20'000'000;
 
 /** A server whose handler throws for each request for /bad/, and sends a large answer to each for /large/. */
 class Served
@@ -26,7 +28,9 @@
                 throw std::runtime_error("a fault of the handler");
             }
             ++this->handled;
-            exchange->send(200, {}, exchange->head().target == "/large/" ? std::string(largeBytes, 'x') : "good");
+            const std::string &target = exchange->head().target;
+            const std::size_t bytes = target == "/huge/" ? hugeBytes : largeBytes;
+            exchange->send(200, {}, target == "/huge/" || target == "/large/" ? std::string(bytes, 'x') : "good");
         })
     {
     }
@@ -80,3 +84,27 @@
         return served.server.unreadData().total();
     }) == 0);
 }
+
+// A caller read a large answer slowly while its node stopped: the connection was closed as idle with most of the answer unsent.
+TEST_CASE("a server that stops sends the rest of its answers before it closes their connections")
+{
+    TaskHost<Served> host("server");
+    const Address address = host.ask<Address>([](Served &served) {
+        return served.server.address();
+    });
+    RawConnection caller(address);
+    caller.send("GET /huge/ HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.readUntil("\r\n\r\n");
+    const std::size_t busy = host.ask<std::size_t>([](Served &served) {
+        served.server.stopAccepting();
+        return served.server.busyConnections();
+    });
+    CHECK(busy == 1);
+    CHECK(caller.readBytes(hugeBytes).size() >= hugeBytes);
+    const std::size_t busyAfterwards = host.ask<std::size_t>([](Served &served) {
+        served.server.stopAccepting();
+        return served.server.busyConnections();
+    });
+    CHECK(busyAfterwards == 0);
+    CHECK(caller.readAll().size() >= hugeBytes);
+}
