--- a/Libraries/LibProxy/MessageReader.cpp
+++ b/Libraries/LibProxy/MessageReader.cpp
@@ -84,6 +84,18 @@
     return true;
 }
 
+/** @return the status at the start of a text that ends or goes on with a space behind it (RFC 9110, section 15). */
+std::optional<int> parseStatus(std::string_view text)
+{
+    constexpr std::size_t digits = 3;
+    constexpr std::uint64_t minStatus = 100;
+    constexpr std::uint64_t maxStatus = 599;
+    const std::string_view number = text.substr(0, text.find(' '));
+    const std::optional<std::uint64_t> status = number.size() == digits ? parseNumber(number) : std::nullopt;
+    const bool isValid = status && *status >= minStatus && *status <= maxStatus;
+    return isValid ? std::optional(static_cast<int>(*status)) : std::nullopt;
+}
+
 } // namespace
 
 std::string_view nameOf(BodyFraming framing)
@@ -180,9 +192,9 @@
         return false;
     }
     if (this->kind == Kind::Response) {
-        const std::optional<std::uint64_t> status = parseNumber(line.substr(first + 1, 3));
-        this->current.status = static_cast<int>(status.value_or(0));
-        return line.starts_with("HTTP/1.") && status.has_value() && *status >= 100;
+        const std::optional<int> status = parseStatus(line.substr(first + 1));
+        this->current.status = status.value_or(0);
+        return line.starts_with("HTTP/1.") && status.has_value();
     }
     const std::size_t last = line.rfind(' ');
     const std::string_view version = line.substr(last + 1);
--- a/Tests/LibProxy/TestMessageReader.cpp
+++ b/Tests/LibProxy/TestMessageReader.cpp
@@ -107,6 +107,25 @@
     CHECK(readAll("0\r\nX-Late: 1\r\n\r\n", body) == ReadProgress::Malformed);
 }
 
+// A replica in trouble sent an answer whose status was no status, and its caller got it as an answer.
+TEST_CASE("a response whose status is not one of 100 to 599 is malformed")
+{
+    const auto response = [](std::string_view startLine) {
+        return headOf(MessageReader::Kind::Response, std::string(startLine) + "\r\nContent-Length: 0\r\n\r\n");
+    };
+    for (const char *const status : {"000", "099", "600", "999", "20", "2", "2000", "2 0", "", " 200", "-200", "+20", "0x1", "20x"}) {
+        CAPTURE(status);
+        CHECK(response("HTTP/1.1 " + std::string(status)) == ReadProgress::Malformed);
+        CHECK(response("HTTP/1.1 " + std::string(status) + " OK") == ReadProgress::Malformed);
+    }
+    CHECK(response("HTTP/1.1") == ReadProgress::Malformed);
+    CHECK(response("HTTP/1.1 200") == ReadProgress::Done);
+    CHECK(response("HTTP/1.1 200 ") == ReadProgress::Done);
+    CHECK(response("HTTP/1.1 200 All right") == ReadProgress::Done);
+    CHECK(response("HTTP/1.0 599 x") == ReadProgress::Done);
+    CHECK(response("HTTP/1.1 100 Continue") == ReadProgress::Done);
+}
+
 TEST_CASE("a response without a length ends when its connection closes, and the connection is not reused")
 {
     MessageReader reader(MessageReader::Kind::Response, 4096);
