--- a/Libraries/LibProxy/OutboundPool.cpp
+++ b/Libraries/LibProxy/OutboundPool.cpp
@@ -207,8 +207,14 @@
 void OutboundPool::freeLater(std::unique_ptr<OutboundConnection> connection)
 {
     // The connection may be executing one of its own callbacks.
-    std::shared_ptr<OutboundConnection> held = std::move(connection);
-    this->loop.post([held] {});
+    this->released.push_back(std::move(connection));
+    if (this->released.size() == 1) {
+        this->loop.post([this, alive = this->alive] {
+            if (*alive) {
+                this->released.clear();
+            }
+        });
+    }
 }
 
 void OutboundPool::closeIdle(const Address &address)
--- a/Libraries/LibProxy/OutboundPool.h
+++ b/Libraries/LibProxy/OutboundPool.h
@@ -169,6 +169,8 @@
     std::function<void(const CutResponse &)> onCut;
     std::map<Address, Connections> idle;
     std::unordered_map<CallId, std::unique_ptr<OutboundConnection>> active;
+    /** Connections that are freed after the current event. */
+    Connections released;
     CallId lastCall = 0;
     std::uint64_t made = 0;
     TimerId sweepTimer = 0;
