proxy: an answer that ends before its request is read is incomplete

Cause: the end of the connection counted as the end of such an answer, also with the request partly unsent, and with a reset behind the end, which shows only in the socket's error.

Change: the end counts if the request is sent, and no reset has arrived then or 20 ms later.

--- a/Libraries/LibProxy/OutboundConnection.cpp
+++ b/Libraries/LibProxy/OutboundConnection.cpp
@@ -40,6 +40,12 @@
  */
 constexpr unsigned int unacknowledgedMilliseconds = 1500;
 
+/**
+ * A server that closes a connection with a part of the request unread ends its side first, and resets the connection when it
+ * receives more or closes it. Longer than a round trip within a region.
+ */
+constexpr std::chrono::milliseconds resetDelay{20};
+
 std::optional<std::chrono::seconds> statedKeepAlive(const HeaderList &headers)
 {
     constexpr std::string_view name = "timeout=";
@@ -65,6 +71,7 @@
 {
     *this->alive = false;
     this->pool.loop.cancel(this->connectTimer);
+    this->pool.loop.cancel(this->endTimer);
     if (this->stream != nullptr) {
         bufferevent_free(this->stream);
     }
@@ -98,6 +105,7 @@
     if (this->stream == nullptr) {
         return;
     }
+    this->hasRequestBody = !this->call.body.empty();
     std::string text = std::move(this->call.head);
     if (!this->call.body.empty() || text.starts_with("POST") || text.starts_with("PUT")) {
         text.append("Content-Length: ").append(std::to_string(this->call.body.size())).append("\r\n");
@@ -191,12 +199,44 @@
     if (!this->isConnected) {
         this->finish(CallEnd::NotSent);
     } else if (isEndOfFile && endsBody) {
-        this->finish(CallEnd::Complete);
+        this->finishAtEnd();
     } else {
         this->finish(CallEnd::Incomplete);
     }
 }
 
+void OutboundConnection::finishAtEnd()
+{
+    if (this->endTimer != 0) {
+        return;
+    }
+    if (this->isRequestLost()) {
+        this->finish(CallEnd::Incomplete);
+        return;
+    }
+    if (!this->hasRequestBody) {
+        this->finish(CallEnd::Complete);
+        return;
+    }
+    this->endTimer = this->pool.loop.schedule(resetDelay, [this] {
+        this->endTimer = 0;
+        this->handle([](OutboundConnection &connection) {
+            if (connection.current != 0) {
+                connection.finish(connection.isRequestLost() ? CallEnd::Incomplete : CallEnd::Complete);
+            }
+        });
+    });
+}
+
+bool OutboundConnection::isRequestLost()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    // After the end of the other side, a reset shows in the socket's error only: reading returns the end again.
+    const int failed = ::getsockopt(bufferevent_getfd(this->stream), SOL_SOCKET, SO_ERROR, &error, &size);
+    return failed != 0 || error != 0 || evbuffer_get_length(bufferevent_get_output(this->stream)) > 0;
+}
+
 void OutboundConnection::read()
 {
     if (this->current == 0) {
--- a/Libraries/LibProxy/OutboundConnection.h
+++ b/Libraries/LibProxy/OutboundConnection.h
@@ -55,6 +55,13 @@
     bool cutLargeBody();
     /** Reports that the response exceeded a bound, and ends the call. */
     void cut(std::string_view reason);
+    /** Ends the call whose response ended with its connection, once a reset that follows the end would have arrived. */
+    void finishAtEnd();
+    /**
+     * @return whether a part of the request is unsent, or the connection was reset since the last call: the server has not read
+     *         all of it
+     */
+    bool isRequestLost();
     void finish(CallEnd end);
     bool isReusable() const;
 
@@ -62,10 +69,12 @@
     Address target;
     bufferevent *stream = nullptr;
     TimerId connectTimer = 0;
+    TimerId endTimer = 0;
     bool isConnected = false;
     MessageReader reader;
     OutboundPool::CallId current = 0;
     OutboundCall call;
+    bool hasRequestBody = false;
     /** Shared, because a hook that cancels the call must not be destroyed while it runs. */
     std::shared_ptr<const CallHooks> hooks;
     bool isHeadRead = false;
