--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -84,6 +84,11 @@
     return !this->remainder.empty();
 }
 
+std::size_t EventSplitter::memory() const
+{
+    return this->remainder.capacity();
+}
+
 bool EventSplitter::isBroken() const
 {
     return this->broken;
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -37,6 +37,9 @@
     /** @return whether the buffer holds bytes of an incomplete event. */
     bool hasRemainder() const;
 
+    /** @return the memory of the buffer in bytes. */
+    std::size_t memory() const;
+
     /** @return whether an incomplete event exceeded the maximum size. */
     bool isBroken() const;
 
--- a/Libraries/LibSettings/Generated/Settings.h
+++ b/Libraries/LibSettings/Generated/Settings.h
@@ -413,6 +413,8 @@
     bool workspaceShares = true;
     /** Maximum size of an answer that is held until it is complete. */
     std::int64_t answerBytes = 4194304;
+    /** Maximum share of memory_mb that all answers together may take that are held until they are complete. */
+    double answersShare = 0.25;
     /** Unread data of one caller from which on reading from its replica is paused. */
     std::int64_t unreadBytes = 262144;
     /** How long reading from a replica is paused for a slow caller before the caller is disconnected. */
--- a/Libraries/LibSettings/Generated/SettingsTables.cpp
+++ b/Libraries/LibSettings/Generated/SettingsTables.cpp
@@ -432,8 +432,8 @@
                                      "jobs_kept",    "job_end_bound",     "processor_share",
                                      "memory_mb",    "quota_window",      "quota_overrun",
                                      "quota_slack",  "capacity_learning", "workspace_shares",
-                                     "answer_bytes", "unread_bytes",      "unread_pause",
-                                     "unread_share"});
+                                     "answer_bytes", "answers_share",     "unread_bytes",
+                                     "unread_pause", "unread_share"});
     reader.readAddress(table, "ready", target.ready, Presence::Optional);
     reader.readAddress(table, "directory", target.directory, Presence::Optional);
     reader.readAddress(table, "metrics", target.metrics, Presence::Optional);
@@ -494,6 +494,7 @@
         {{"stated", CapacityLearning::Stated}, {"always", CapacityLearning::Always}, {"never", CapacityLearning::Never}});
     reader.readBool(table, "workspace_shares", target.workspaceShares, Presence::Optional);
     reader.readInteger(table, "answer_bytes", target.answerBytes, Presence::Optional, {.min = 65536, .max = 1073741824});
+    reader.readNumber(table, "answers_share", target.answersShare, Presence::Optional, {.min = 0.01, .max = 1.0});
     reader.readInteger(table, "unread_bytes", target.unreadBytes, Presence::Optional, {.min = 16384, .max = 1073741824});
     reader.readDuration(table,
                         "unread_pause",
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -55,15 +55,20 @@
     return {replica.instance, replica.failureDomain, slots, replica.isDraining, replica.version};
 }
 
+/** @return a share of the node's memory in bytes. */
+std::size_t memoryShare(const GatewaySettings &settings, double share)
+{
+    constexpr double bytesPerMegabyte = 1048576;
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMegabyte * share);
+}
+
 /** @return the limits for callers before a configuration is known. */
 CallerLimits defaultCallerLimits(const GatewaySettings &settings)
 {
-    constexpr double bytesPerMegabyte = 1048576;
     CallerLimits limits;
     limits.unread.pauseBytes = static_cast<std::size_t>(settings.unreadBytes);
     limits.unread.maxPause = settings.unreadPause;
-    limits.unread.totalBytes
-        = static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMegabyte * settings.unreadShare);
+    limits.unread.totalBytes = memoryShare(settings, settings.unreadShare);
     return limits;
 }
 
@@ -83,6 +88,7 @@
     , settings(settings)
     , random(static_cast<std::minstd_rand::result_type>(randomSession().value()))
     , plannedStop(clock, settings->gateway.grace, settings->gateway.addressTtl)
+    , answerBudget(memoryShare(settings->gateway, settings->gateway.answersShare))
     , crashes(clock)
     , promptParts(clock)
     , storeClock(clock)
@@ -203,7 +209,8 @@
                   this->crashExchange.recordRequestServed(fingerprint);
               },
               this->random,
-              static_cast<std::size_t>(settings->gateway.answerBytes)}
+              static_cast<std::size_t>(settings->gateway.answerBytes),
+              this->answerBudget}
     , relayedStore(loop, clock, this->store, this->peers, this->storeClock, this->random())
     , jobs(
           loop,
@@ -697,6 +704,7 @@
     this->metrics.setGauge("quotas_decided_alone", static_cast<double>(this->quotas.decidedAlone()));
     this->metrics.setGauge("workspaces_counted", static_cast<double>(this->quotas.counted()));
     this->metrics.setGauge("unread_bytes_of_callers", static_cast<double>(this->callers.unreadData().total()));
+    this->metrics.setGauge("held_bytes_of_answers", static_cast<double>(this->answerBudget.total()));
     this->metrics.setGauge("paused_callers", static_cast<double>(this->callers.unreadData().pausedCallers()));
     this->metrics.setGauge("connections_to_replicas", static_cast<double>(this->replicaPool.connectionsMade()));
     answer(exchange, statusOk, "text/plain; version=0.0.4", this->metrics.toText());
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/TrafficMeter.h>
+#include <LibGateway/AnswerBudget.h>
 #include <LibGateway/CrashHistory.h>
 #include <LibGateway/PlannedStop.h>
 #include <LibGateway/PromptPartBlocklist.h>
@@ -152,6 +153,7 @@
     TimerId trafficTimer = 0;
     std::minstd_rand random;
     PlannedStop plannedStop;
+    AnswerBudget answerBudget;
     GatewayMetrics metrics;
     TrafficMeter traffic;
     CrashHistory crashes;
--- a/Services/Gateway/GatewayContext.h
+++ b/Services/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibDispatch/FirstEventEstimate.h>
 #include <LibDispatch/ItemEstimate.h>
+#include <LibGateway/AnswerBudget.h>
 #include <LibGateway/CrashHistory.h>
 #include <LibGateway/PlannedStop.h>
 #include <LibGateway/PromptPartBlocklist.h>
@@ -53,6 +54,8 @@
     std::minstd_rand &random;
     /** Maximum size of an answer that is held until it is complete. */
     std::size_t answerBytes;
+    /** Bounds the memory of all of them. */
+    AnswerBudget &answerBudget;
     /** Estimates by service, learned from this node's requests. */
     std::map<ServiceName, FirstEventEstimate> firstEventEstimates{};
     std::map<ServiceName, ItemEstimate> itemEstimates{};
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -47,6 +47,10 @@
     , fingerprint(stableHash(item.body, stableHash(item.target)))
     , lastLeft(context.clock.now())
     , splitter(maxStreamEventBytes)
+    , held(context.answerBudget,
+           [this] {
+               this->dropForMemory();
+           })
 {
     RequestTraits traits = decodeTraits(item.headers);
     this->cost = expectedCost(traits);
@@ -75,7 +79,8 @@
 void ItemAttempt::dropOutput()
 {
     this->lastEvent.reset();
-    this->output.clear();
+    std::string().swap(this->output);
+    this->held.release();
     this->version = SoftwareVersion();
     this->savedEvent = 0;
     this->savedBytes = 0;
@@ -478,8 +483,27 @@
         this->cutOutput();
     } else if (this->splitter.isBroken()) {
         this->continueElsewhere(PlacementVerdict::Broken, "an event is too large");
-    } else if (!events.empty()) {
-        this->armResponseTimer();
+    } else {
+        if (!events.empty()) {
+            this->armResponseTimer();
+        }
+        this->held.record(this->output.capacity() + this->splitter.memory());
+    }
+}
+
+void ItemAttempt::dropForMemory()
+{
+    const std::shared_ptr<ItemAttempt> self = this->shared_from_this();
+    log(LogLevel::Warning,
+        "output of a batch item dropped, all answers take too much memory",
+        {{"item", this->item.id.value()},
+         {"replica", this->replica ? this->replica->instance.value() : std::string()},
+         {"bytes", static_cast<std::int64_t>(this->output.size())}});
+    this->context.metrics.countEvent("answer cut for memory");
+    this->dropOutput();
+    this->splitter = EventSplitter(maxStreamEventBytes);
+    if (this->replica) {
+        this->continueElsewhere(PlacementVerdict::Broken, "all answers take too much memory");
     }
 }
 
@@ -620,6 +644,7 @@
 
 void ItemAttempt::end(End end)
 {
+    this->held.release();
     // The handler may restart or cancel this attempt.
     const std::function<void(End, std::string)> ended = this->hooks.ended;
     ended(end, std::move(this->output));
--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/RunMeasurement.h>
+#include <LibGateway/AnswerBudget.h>
 #include <LibGateway/BatchTypes.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/JobRows.h>
@@ -123,6 +124,8 @@
     void checkEnd();
     void handleBrokenStream(std::string_view reason);
     void complete();
+    /** Drops the output, because all answers together take too much memory, and starts anew. */
+    void dropForMemory();
     /** Ends the run because its output exceeds the maximum size of an answer. */
     void cutOutput();
     void logCompletion() const;
@@ -163,6 +166,8 @@
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     std::string output;
+    /** The memory of the output and of the splitter. */
+    AnswerBudget::Share held;
     /** The version of the replicas that generated the output; empty if there is no output. */
     SoftwareVersion version;
     /** The last event, and the size of the output, that takeProgress() has returned or that was stored before the start. */
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -65,6 +65,10 @@
     , traits(decodeTraits(this->exchange->head().headers))
     , arrived(context.clock.now())
     , splitter(maxStreamEventBytes)
+    , held(context.answerBudget,
+           [this] {
+               this->cutAnswer();
+           })
     , lastEvent(this->traits.lastEvent)
 {
     std::chrono::milliseconds allowed = this->traits.timeout.value_or(defaultTimeout);
@@ -500,6 +504,20 @@
         return;
     }
     this->body.append(data);
+    this->held.record(this->body.capacity());
+}
+
+void OnlineCall::cutAnswer()
+{
+    // The call may hold its last reference to itself.
+    const std::shared_ptr<OnlineCall> self = this->shared_from_this();
+    log(LogLevel::Warning,
+        "answer cut, all answers take too much memory",
+        {{"request", this->traits.id},
+         {"replica", this->replica ? this->replica->instance.value() : std::string()},
+         {"bytes", static_cast<std::int64_t>(this->body.size() + this->splitter.memory())}});
+    this->context.metrics.countEvent("answer cut for memory");
+    this->recover(PlacementVerdict::Broken, "all answers take too much memory");
 }
 
 void OnlineCall::handleEvents(std::string_view data)
@@ -544,6 +562,7 @@
     if (!events.empty()) {
         this->armStallTimer();
     }
+    this->held.record(this->splitter.memory());
 }
 
 void OnlineCall::recordOrigin()
@@ -713,6 +732,9 @@
         this->avoided.push_back(this->replica->instance);
         this->replica.reset();
     }
+    std::string().swap(this->body);
+    this->splitter = EventSplitter(maxStreamEventBytes);
+    this->held.release();
 }
 
 void OnlineCall::armStallTimer()
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/RunMeasurement.h>
+#include <LibGateway/AnswerBudget.h>
 #include <LibGateway/CallerAccess.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ServingConfiguration.h>
@@ -85,6 +86,8 @@
     void handleHead(const MessageHead &head) override;
     void handleBody(std::string_view data) override;
     void handleEvents(std::string_view data);
+    /** Drops what is held of the answer, because all answers together take too much memory. */
+    void cutAnswer();
     void handleEnd(CallEnd end) override;
     void checkEnd();
     void handleEndCheck(bool isProven);
@@ -157,6 +160,8 @@
     BodyFraming framing = BodyFraming::None;
     std::string body;
     EventSplitter splitter;
+    /** The memory of both. */
+    AnswerBudget::Share held;
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t eventsForwarded = 0;
     /** Those of them that were forwarded before the last attempt. */
--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -118,8 +118,12 @@
     /**
      * Starts the nodes, each with a route of its own to the store. They become ready once the store has a configuration.
      * @param storeScript answers the calls to the store in place of the stand-in, if set
+     * @param gatewaySettings further lines of the section "gateway" of the settings
      */
-    explicit GatewayProcesses(std::size_t count, const ScriptedEndpoint::Script &storeScript = nullptr) : fleet(PROGRAMS_FOLDER)
+    explicit GatewayProcesses(std::size_t count,
+                              const ScriptedEndpoint::Script &storeScript = nullptr,
+                              const std::string &gatewaySettings = {})
+        : fleet(PROGRAMS_FOLDER)
     {
         std::vector<Address> addresses;
         std::string seeds;
@@ -137,7 +141,7 @@
                      << "\"\ngossip = \"" << peer << "\"\nowner = \"" << peer << "\"\n[platform]\naddress = \"" << store
                      << "\"\ntimeout = \"2s\"\n[peers]\nsite_key = \"test\"\nseeds = [" << seeds << "]\n[gateway]\nready = \""
                      << Address{own.ip, readyPort}.toString() << "\"\nmetrics = \"" << Address{own.ip, metricsPort}.toString()
-                     << "\"\n";
+                     << "\"\n" << gatewaySettings;
             const std::string file = this->fleet.writeFile(name + ".toml", settings.str());
             this->nodes.push_back(
                 this->fleet.start(name, {PROGRAMS_FOLDER "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, own));
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -26,6 +26,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -94,6 +95,9 @@
 constexpr int probeCount = 40;
 constexpr std::uint16_t peerPort = 7601;
 constexpr std::uint16_t readyPort = 7602;
+constexpr std::uint16_t metricsPort = 7603;
+/** The slots of all requests are free again this long after the last one: a dispatcher drops what no node reports sooner. */
+constexpr std::chrono::seconds slotReleaseTime{5};
 
 /** @return a time in the format of the nodes' logs, with microseconds. */
 std::string logTime(std::chrono::system_clock::time_point time)
@@ -236,7 +240,8 @@
             + "\"\n[listen]\nhttp = \"" + ownAddress.toString() + "\"\ngossip = \"" + peer + "\"\nowner = \"" + peer
             + "\"\n[platform]\naddress = \"" + store.toString()
             + "\"\ntimeout = \"1500ms\"\n[peers]\nsite_key = \"soak\"\nseeds = [" + seeds + "]\n[gateway]\nready = \""
-            + Address{ownAddress.ip, readyPort}.toString() + "\"\napply_bound = \"" + std::to_string(applyBound.count())
+            + Address{ownAddress.ip, readyPort}.toString() + "\"\nmetrics = \""
+            + Address{ownAddress.ip, metricsPort}.toString() + "\"\napply_bound = \"" + std::to_string(applyBound.count())
             + "ms\"\n";
         const std::string file = this->fleet.writeFile(name + ".toml", settings);
         this->processes.push_back(
@@ -788,6 +793,40 @@
         }
     }
 
+    /** @return the sum of a gauge, by the end of its name, over all nodes. */
+    double sumOfGauges(const std::string &suffix) const
+    {
+        double sum = 0;
+        for (const Address &address : this->addresses) {
+            RawConnection reader({address.ip, metricsPort});
+            reader.send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            std::istringstream lines(reader.readAll());
+            const std::string name = suffix + "\"} ";
+            for (std::string line; std::getline(lines, line);) {
+                const std::size_t position = line.find(name);
+                sum += position == std::string::npos ? 0 : std::stod(line.substr(position + name.size()));
+            }
+        }
+        return sum;
+    }
+
+    /** Checks that no slot is taken once no request runs, neither by a node nor by the count of a dispatcher. */
+    void checkSlots()
+    {
+        const Clock::time_point end = Clock::now() + slotReleaseTime;
+        for (const char *const gauge : {"slots_held", "slots_requested", "_online_running", "_batch_running"}) {
+            double taken = this->sumOfGauges(gauge);
+            while (taken > 0 && Clock::now() < end) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                taken = this->sumOfGauges(gauge);
+            }
+            if (taken > 0) {
+                this->records.requests.recordViolation(std::string(gauge) + " is " + std::to_string(taken)
+                                                       + " although no request runs");
+            }
+        }
+    }
+
     void finish()
     {
         SoakCaller last(this->records.requests, this->records.runs, this->addresses, "last", FLAGS_seed);
@@ -800,6 +839,9 @@
             this->records.requests.recordViolation("only " + std::to_string(served)
                                                    + " of the requests were served after all faults were over");
         }
+        if (this->records.requests.openJobs().empty()) {
+            this->checkSlots();
+        }
         for (const std::size_t process : this->processes) {
             this->fleet.signal(process, SIGTERM);
         }
