--- a/Libraries/LibGateway/AnswerBudget.h
+++ b/Libraries/LibGateway/AnswerBudget.h
@@ -9,8 +9,8 @@
 {
 
 /**
- * Bounds the memory of all answers that a node holds until they are complete. Each has a bound of its own, but faulty replicas may
- * send as much as that to all calls at once. When the bound is exceeded, the largest answer is cut.
+ * Bounds the memory of all answers that a node holds until they are complete. Each has a bound of its own, but faulty replicas
+ * may send as much as that to all calls at once. When the bound is exceeded, the largest answer is cut.
  */
 class AnswerBudget
 {
--- a/Services/Gateway/ItemAttempt.cpp
+++ b/Services/Gateway/ItemAttempt.cpp
@@ -47,10 +47,9 @@
     , fingerprint(stableHash(item.body, stableHash(item.target)))
     , lastLeft(context.clock.now())
     , splitter(maxStreamEventBytes)
-    , held(context.answerBudget,
-           [this] {
-               this->dropForMemory();
-           })
+    , held(context.answerBudget, [this] {
+        this->dropForMemory();
+    })
 {
     RequestTraits traits = decodeTraits(item.headers);
     this->cost = expectedCost(traits);
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -101,12 +101,11 @@
 SlotLease PlacementClient::requestSlot(const PlacementQuery &query, DecisionHandler decided)
 {
     const Ticket ticket = ++this->lastTicket;
-    const auto endRequest
-        = [this, alive = this->alive](Ticket ended, PlacementVerdict verdict, const RunTiming &timing) {
-              if (*alive) {
-                  this->end(ended, verdict, timing);
-              }
-          };
+    const auto endRequest = [this, alive = this->alive](Ticket ended, PlacementVerdict verdict, const RunTiming &timing) {
+        if (*alive) {
+            this->end(ended, verdict, timing);
+        }
+    };
     OpenRequest &request
         = this->requests.emplace(ticket, OpenRequest{.query = query, .decided = std::move(decided)}).first->second;
     ServiceState &state = this->stateOf(query.service);
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -139,7 +139,8 @@
         std::size_t placed = 0;
     };
 
-    /** @return the number of requests that have not ended. In the long run, no more are placed than calls to replicas are open. */
+    /** @return the number of requests that have not ended. In the long run, no more are placed than calls to replicas are open.
+     */
     RequestCounts requestCounts() const;
 
     /** @return how many requests this node placed by its own counts because the dispatcher did not answer. */
--- a/Tests/LibGateway/TestPlannedStop.cpp
+++ b/Tests/LibGateway/TestPlannedStop.cpp
@@ -76,8 +76,10 @@
 {
     Stopping node;
     int calls = 0;
+    constexpr int observers = 3;
     std::vector<PlannedStop::Ticket> tickets;
-    for (int observer = 0; observer < 3; ++observer) {
+    tickets.reserve(observers);
+    for (int observer = 0; observer < observers; ++observer) {
         tickets.push_back(node.stop.observe([&](Phase) {
             ++calls;
             for (const PlannedStop::Ticket ticket : tickets) {
--- a/Tests/LibProxy/TestMessageReader.cpp
+++ b/Tests/LibProxy/TestMessageReader.cpp
@@ -113,7 +113,8 @@
     const auto response = [](std::string_view startLine) {
         return headOf(MessageReader::Kind::Response, std::string(startLine) + "\r\nContent-Length: 0\r\n\r\n");
     };
-    for (const char *const status : {"000", "099", "600", "999", "20", "2", "2000", "2 0", "", " 200", "-200", "+20", "0x1", "20x"}) {
+    for (const char *const status :
+         {"000", "099", "600", "999", "20", "2", "2000", "2 0", "", " 200", "-200", "+20", "0x1", "20x"}) {
         CAPTURE(status);
         CHECK(response("HTTP/1.1 " + std::string(status)) == ReadProgress::Malformed);
         CHECK(response("HTTP/1.1 " + std::string(status) + " OK") == ReadProgress::Malformed);
--- a/Tests/Processes/GatewayProcesses.h
+++ b/Tests/Processes/GatewayProcesses.h
@@ -141,7 +141,8 @@
                      << "\"\ngossip = \"" << peer << "\"\nowner = \"" << peer << "\"\n[platform]\naddress = \"" << store
                      << "\"\ntimeout = \"2s\"\n[peers]\nsite_key = \"test\"\nseeds = [" << seeds << "]\n[gateway]\nready = \""
                      << Address{own.ip, readyPort}.toString() << "\"\nmetrics = \"" << Address{own.ip, metricsPort}.toString()
-                     << "\"\n" << gatewaySettings;
+                     << "\"\n"
+                     << gatewaySettings;
             const std::string file = this->fleet.writeFile(name + ".toml", settings.str());
             this->nodes.push_back(
                 this->fleet.start(name, {PROGRAMS_FOLDER "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, own));
--- a/Tests/Processes/TestEndlessAnswers.cpp
+++ b/Tests/Processes/TestEndlessAnswers.cpp
@@ -73,6 +73,7 @@
     CAPTURE(target);
     std::vector<std::string> flooded(endlessCalls);
     std::vector<std::jthread> callers;
+    callers.reserve(endlessCalls);
     for (int call = 0; call < endlessCalls; ++call) {
         callers.emplace_back([&node, &flooded, &target, call] {
             flooded[static_cast<std::size_t>(call)]
