--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -240,9 +240,8 @@
             + "\"\n[listen]\nhttp = \"" + ownAddress.toString() + "\"\ngossip = \"" + peer + "\"\nowner = \"" + peer
             + "\"\n[platform]\naddress = \"" + store.toString()
             + "\"\ntimeout = \"1500ms\"\n[peers]\nsite_key = \"soak\"\nseeds = [" + seeds + "]\n[gateway]\nready = \""
-            + Address{ownAddress.ip, readyPort}.toString() + "\"\nmetrics = \""
-            + Address{ownAddress.ip, metricsPort}.toString() + "\"\napply_bound = \"" + std::to_string(applyBound.count())
-            + "ms\"\n";
+            + Address{ownAddress.ip, readyPort}.toString() + "\"\nmetrics = \"" + Address{ownAddress.ip, metricsPort}.toString()
+            + "\"\napply_bound = \"" + std::to_string(applyBound.count()) + "ms\"\n";
         const std::string file = this->fleet.writeFile(name + ".toml", settings);
         this->processes.push_back(
             this->fleet.start(name, {FLAGS_programs + "/Programs/dogwoodkeel", "gateway", "--settings=" + file}, ownAddress));
