PlannedStop: say what a connection is owed in all phases

Wording of the class comment only: a connection is kept until its last answer is sent, which is what the code checks; what the caller has read is not known.

--- a/Libraries/LibGateway/PlannedStop.h
+++ b/Libraries/LibGateway/PlannedStop.h
@@ -24,8 +24,8 @@
  * |             |                 |                                              | a stream goes on until the end |
  * | Over        | closed          | refused                                      | its connection is closed       |
  *
- * A refusal is true: only a request that no replica has had is refused. A connection is kept until its caller has read the last
- * answer, and closed then.
+ * A refusal is true: only a request that no replica has had is refused. In all phases a connection is kept until its last answer
+ * is sent.
  */
 class PlannedStop
 {
