SlotLease is SlotHandle, and tests of late requests share their set-up

The glossary's lease is a right that ends by itself if it is not renewed; this one ends with its owner. A rename and a moved set-up of tests: the checks are the same.

--- a/Services/Gateway/ItemAttempt.h
+++ b/Services/Gateway/ItemAttempt.h
@@ -156,7 +156,7 @@
     std::optional<SteadyTime> unroutedSince;
     std::vector<EndpointName> avoided;
     /** The slot at the replica, or the request for one. */
-    SlotLease slot;
+    SlotHandle slot;
     std::optional<ServingReplica> replica;
     /** When the last run ended, or the attempt began. */
     SteadyTime lastLeft{};
--- a/Services/Gateway/OnlineCall.h
+++ b/Services/Gateway/OnlineCall.h
@@ -131,7 +131,7 @@
     /** Set until the quota is decided. */
     QuotaClient::Ticket quotaTicket = 0;
     /** The slot at the replica, or the request for one. */
-    SlotLease slot;
+    SlotHandle slot;
     /** Set from the start to the end. */
     PlannedStop::Ticket stopTicket = 0;
     /** Set while the request waits for a slot. */
--- a/Services/Gateway/PlacementClient.cpp
+++ b/Services/Gateway/PlacementClient.cpp
@@ -98,7 +98,7 @@
     this->server.restartHistories();
 }
 
-SlotLease PlacementClient::requestSlot(const PlacementQuery &query, DecisionHandler decided)
+SlotHandle PlacementClient::requestSlot(const PlacementQuery &query, DecisionHandler decided)
 {
     const Ticket ticket = ++this->lastTicket;
     const auto endRequest = [this, alive = this->alive](Ticket ended, PlacementVerdict verdict, const RunTiming &timing) {
--- a/Services/Gateway/PlacementClient.h
+++ b/Services/Gateway/PlacementClient.h
@@ -10,7 +10,7 @@
 #include <Services/Gateway/CoordinatorElections.h>
 #include <Services/Gateway/PeerNetwork.h>
 #include <Services/Gateway/PlacementServer.h>
-#include <Services/Gateway/SlotLease.h>
+#include <Services/Gateway/SlotHandle.h>
 
 #include <chrono>
 #include <functional>
@@ -57,7 +57,7 @@
 class PlacementClient
 {
 public:
-    using Ticket = SlotLease::Ticket;
+    using Ticket = SlotHandle::Ticket;
     /** Called once with Placed or Refused, and after Placed with Stopped if a batch item has to release its slot. */
     using DecisionHandler = std::function<void(const Placement &)>;
 
@@ -91,10 +91,10 @@
 
     /**
      * Requests a slot.
-     * @param decided never called from inside this call, nor after the lease has ended
-     * @return the request, and the slot once it has one. It ends at the latest with this lease
+     * @param decided never called from inside this call, nor after the handle has ended
+     * @return the request, and the slot once it has one. It ends at the latest with this handle
      */
-    [[nodiscard]] SlotLease requestSlot(const PlacementQuery &query, DecisionHandler decided);
+    [[nodiscard]] SlotHandle requestSlot(const PlacementQuery &query, DecisionHandler decided);
 
     /**
      * Reports to the dispatcher that the replica of a placed request has started to answer, and the load that it stated.
--- a/Services/Gateway/SlotLease.cpp
+++ b/Services/Gateway/SlotHandle.cpp
@@ -1,24 +1,24 @@
-#include <Services/Gateway/SlotLease.h>
+#include <Services/Gateway/SlotHandle.h>
 
 #include <utility>
 
 namespace Dogwoodkeel
 {
 
-SlotLease::SlotLease(Ticket ticket, End end) : owned(ticket), end(std::move(end))
+SlotHandle::SlotHandle(Ticket ticket, End end) : owned(ticket), end(std::move(end))
 {
 }
 
-SlotLease::~SlotLease()
+SlotHandle::~SlotHandle()
 {
     this->release(PlacementVerdict::Finished);
 }
 
-SlotLease::SlotLease(SlotLease &&other) noexcept : owned(std::exchange(other.owned, 0)), end(std::move(other.end))
+SlotHandle::SlotHandle(SlotHandle &&other) noexcept : owned(std::exchange(other.owned, 0)), end(std::move(other.end))
 {
 }
 
-SlotLease &SlotLease::operator=(SlotLease &&other) noexcept
+SlotHandle &SlotHandle::operator=(SlotHandle &&other) noexcept
 {
     if (this != &other) {
         this->release(PlacementVerdict::Finished);
@@ -28,17 +28,17 @@
     return *this;
 }
 
-bool SlotLease::isOpen() const
+bool SlotHandle::isOpen() const
 {
     return this->owned != 0;
 }
 
-SlotLease::Ticket SlotLease::ticket() const
+SlotHandle::Ticket SlotHandle::ticket() const
 {
     return this->owned;
 }
 
-void SlotLease::release(PlacementVerdict verdict, const RunTiming &timing)
+void SlotHandle::release(PlacementVerdict verdict, const RunTiming &timing)
 {
     if (const Ticket ended = std::exchange(this->owned, 0); ended != 0) {
         this->end(ended, verdict, timing);
--- a/Services/Gateway/SlotLease.h
+++ b/Services/Gateway/SlotHandle.h
@@ -12,7 +12,7 @@
  * Owns a request for a slot, and the slot that it gets. Both end with their owner at the latest, so that no way out of a request
  * can keep a slot taken.
  */
-class SlotLease
+class SlotHandle
 {
 public:
     using Ticket = std::uint64_t;
@@ -20,14 +20,14 @@
     using End = std::function<void(Ticket, PlacementVerdict, const RunTiming &)>;
 
     /** Owns nothing. */
-    SlotLease() = default;
-    SlotLease(Ticket ticket, End end);
-    ~SlotLease();
-    SlotLease(SlotLease &&other) noexcept;
+    SlotHandle() = default;
+    SlotHandle(Ticket ticket, End end);
+    ~SlotHandle();
+    SlotHandle(SlotHandle &&other) noexcept;
     /** Ends the request owned so far, if there is one. */
-    SlotLease &operator=(SlotLease &&other) noexcept;
-    SlotLease(const SlotLease &) = delete;
-    SlotLease &operator=(const SlotLease &) = delete;
+    SlotHandle &operator=(SlotHandle &&other) noexcept;
+    SlotHandle(const SlotHandle &) = delete;
+    SlotHandle &operator=(const SlotHandle &) = delete;
 
     /** @return whether it owns a request that has not ended. */
     bool isOpen() const;
--- a/Tests/ServiceGateway/StoppingNode.h
+++ b/Tests/ServiceGateway/StoppingNode.h
@@ -176,6 +176,17 @@
     caller.drop(received.find(lastChunk) + lastChunk.size());
 }
 
+/** Stops a node while a stream runs, which ends once callers have moved. @return the connection of the stream, still open */
+inline std::unique_ptr<RawConnection> keepConnection(StoppingNode &node)
+{
+    std::unique_ptr<RawConnection> caller = node.startStream("first");
+    node.stop();
+    node.advance(callersMoved);
+    node.answerHeld();
+    dropStream(*caller);
+    return caller;
+}
+
 inline void checkRefused(const std::string &answer)
 {
     CHECK(answer.starts_with("HTTP/1.1 503"));
--- a/Tests/ServiceGateway/TestLateRequests.cpp
+++ b/Tests/ServiceGateway/TestLateRequests.cpp
@@ -12,11 +12,7 @@
     for (const char *const target : {"/o/x", "/r/x", "/s/x", "/u/x"}) {
         CAPTURE(target);
         StoppingNode node;
-        const std::unique_ptr<RawConnection> caller = node.startStream("first");
-        node.stop();
-        node.advance(callersMoved);
-        node.answerHeld();
-        dropStream(*caller);
+        const std::unique_ptr<RawConnection> caller = keepConnection(node);
         caller->send(requestText(target, "late"));
         checkRefused(caller->readUntil("\r\n\r\n"));
         CHECK_FALSE(node.hasReceived("late"));
@@ -55,11 +51,7 @@
 TEST_CASE("a late request whose deadline is before the end of the stop is served")
 {
     StoppingNode node;
-    const std::unique_ptr<RawConnection> caller = node.startStream("first");
-    node.stop();
-    node.advance(callersMoved);
-    node.answerHeld();
-    dropStream(*caller);
+    const std::unique_ptr<RawConnection> caller = keepConnection(node);
     caller->send(requestText("/u/x", "late", shortDeadline));
     await([&node] {
         return node.hasReceived("late");
@@ -75,11 +67,7 @@
 TEST_CASE("a late call of a batch job at a stopping node is refused if it can't end in time")
 {
     StoppingNode node;
-    const std::unique_ptr<RawConnection> caller = node.startStream("first");
-    node.stop();
-    node.advance(callersMoved);
-    node.answerHeld();
-    dropStream(*caller);
+    const std::unique_ptr<RawConnection> caller = keepConnection(node);
     caller->send("DELETE /lots/none HTTP/1.1\r\nHost: h\r\nX-Request-Id: late\r\nX-Deadline-Ms: 20000\r\n\r\n");
     checkRefused(caller->readUntil("\r\n\r\n"));
     node.awaitStopped();
