tests: endless heads, interim responses and chunk extensions too

TestEndlessAnswers played bodies and events only. Four more floods of 60 calls at once: heads (two kinds of routes), interim responses, chunk extensions. On the untouched code these four were not played.

--- a/Tests/Processes/TestEndlessAnswers.cpp
+++ b/Tests/Processes/TestEndlessAnswers.cpp
@@ -20,6 +20,17 @@
 
 const std::string signedHead = "HTTP/1.1 200 OK\r\nX-Server-Signature: sig\r\n";
 
+/** @return as many bytes of interim responses as an endless answer has. */
+std::string interimResponses()
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string text;
+    while (text.size() < endlessBytes.size()) {
+        text.append(interim);
+    }
+    return text;
+}
+
 /** Sends bytes without end to requests whose target says so, and answers the others. */
 void flood(const std::shared_ptr<ScriptedEndpoint::Exchange> &exchange)
 {
@@ -28,6 +39,12 @@
         exchange->raw(signedHead + "Content-Length: 2\r\n\r\nok");
     } else if (target.find("events") != std::string::npos) {
         exchange->raw(signedHead + "Content-Type: text/event-stream\r\n\r\ndata: " + endlessBytes.substr(0, 1'000'000));
+    } else if (target.find("head") != std::string::npos) {
+        exchange->raw(signedHead + "X-Endless: " + endlessBytes);
+    } else if (target.find("interim") != std::string::npos) {
+        exchange->raw(interimResponses());
+    } else if (target.find("extension") != std::string::npos) {
+        exchange->raw(signedHead + "Transfer-Encoding: chunked\r\n\r\n1;" + endlessBytes);
     } else if (target.find("chunks") != std::string::npos) {
         exchange->raw(signedHead + "Transfer-Encoding: chunked\r\n\r\n3d0900\r\n" + endlessBytes + "\r\n");
     } else {
@@ -101,7 +118,15 @@
 TEST_CASE("answers without end to many calls leave a node within its memory, and its other callers are served")
 {
     const FloodedNode node;
-    for (const char *const target : {"/s/endless-", "/s/chunks-", "/u/endless-", "/r/events-", "/o/events-"}) {
+    for (const char *const target : {"/s/endless-",
+                                     "/s/chunks-",
+                                     "/u/endless-",
+                                     "/r/events-",
+                                     "/o/events-",
+                                     "/s/head-",
+                                     "/o/head-",
+                                     "/u/interim-",
+                                     "/s/extension-"}) {
         checkFlood(node, target);
     }
 }
