gateway: one place for what a refusal by a stopping node says

Read of the whole change: the Retry-After and the reason of such a refusal, and the timeout of job calls without one, stood twice (OnlineCall, CallerRouter, JobApi); PlannedStop and JobApi have them now. The check of a 502 stood in two test files; SlotHandle has a test of its own. Behaviour and assertions are the same.

--- a/Libraries/LibGateway/PlannedStop.h
+++ b/Libraries/LibGateway/PlannedStop.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string_view>
 
 namespace Dogwoodkeel
 {
@@ -39,6 +40,10 @@
         Over,
     };
 
+    /** Sent with a refusal: other nodes can serve the caller at once. */
+    static constexpr std::chrono::milliseconds retryAfter{50};
+    static constexpr std::string_view refusalReason = "this node stops before it could answer";
+
     using Ticket = std::uint64_t;
     using PhaseHandler = std::function<void(Phase)>;
 
--- a/Services/Gateway/CallerRouter.cpp
+++ b/Services/Gateway/CallerRouter.cpp
@@ -19,16 +19,15 @@
 
 /** Timeout of a caller that states none. */
 constexpr std::chrono::milliseconds defaultTimeout{900};
-/** The same for the calls of batch jobs. */
-constexpr std::chrono::milliseconds defaultJobTimeout{3000};
 /** A peer sends its configuration within some tens of milliseconds; if none arrives by then, another node serves the caller
  * sooner. */
 constexpr std::chrono::milliseconds maxHoldTime{300};
 constexpr std::chrono::milliseconds holdCheckInterval{20};
 /** Bounds the memory used while many callers send unknown keys. */
 constexpr std::size_t maxHeldRequests = 500;
-/** Sent with a refusal by a node that is outdated or stops: the next node that the caller tries most likely can serve it. */
-constexpr std::chrono::milliseconds otherNodeRetryAfter{50};
+/** Sent with a refusal by a node whose configuration is outdated: the next node that the caller tries most likely has a newer
+ * one. */
+constexpr std::chrono::milliseconds outdatedRetryAfter{50};
 
 /**
  * Returns the delay after which a caller retries during an outage. It cannot be known when the platform answers again. Callers
@@ -79,7 +78,7 @@
 void CallerRouter::process(const HeldRequest &request)
 {
     if (this->configuration.isOutdated()) {
-        this->refuseTemporarily(*request.exchange, otherNodeRetryAfter, "this node's configuration is outdated");
+        this->refuseTemporarily(*request.exchange, outdatedRetryAfter, "this node's configuration is outdated");
         return;
     }
     const Access access = this->decide(*request.exchange, request.credentials);
@@ -90,7 +89,7 @@
     } else if (this->heldRequests.size() < maxHeldRequests) {
         this->hold(request);
     } else {
-        this->refuseTemporarily(*request.exchange, otherNodeRetryAfter, "this node's configuration is behind");
+        this->refuseTemporarily(*request.exchange, outdatedRetryAfter, "this node's configuration is behind");
     }
 }
 
@@ -106,11 +105,11 @@
 
 bool CallerRouter::endIfStopping(CallerExchange &exchange)
 {
-    const std::chrono::milliseconds timeout = decodeTraits(exchange.head().headers).timeout.value_or(defaultJobTimeout);
+    const std::chrono::milliseconds timeout = decodeTraits(exchange.head().headers).timeout.value_or(JobApi::defaultTimeout);
     if (this->context.plannedStop.mayServe(this->context.clock.now() + timeout)) {
         return false;
     }
-    this->refuseTemporarily(exchange, otherNodeRetryAfter, "this node stops before it could answer");
+    this->refuseTemporarily(exchange, PlannedStop::retryAfter, PlannedStop::refusalReason);
     return true;
 }
 
@@ -163,7 +162,7 @@
         return isExpired;
     });
     for (const HeldRequest &request : expired) {
-        this->refuseTemporarily(*request.exchange, otherNodeRetryAfter, "this node's configuration is behind");
+        this->refuseTemporarily(*request.exchange, outdatedRetryAfter, "this node's configuration is behind");
     }
     this->timer = this->heldRequests.empty() ? 0 : this->context.loop.schedule(holdCheckInterval, [this] {
         this->expireHeld();
--- a/Services/Gateway/JobApi.cpp
+++ b/Services/Gateway/JobApi.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-/** Timeout of a caller that states none. */
-constexpr std::chrono::milliseconds defaultTimeout{3000};
 /** Sent with a refusal: about the time until the store is reachable again, or until some items are completed. */
 constexpr std::chrono::milliseconds storePause{300};
 constexpr std::chrono::milliseconds fullPause{1000};
--- a/Services/Gateway/JobApi.h
+++ b/Services/Gateway/JobApi.h
@@ -6,6 +6,7 @@
 #include <Services/Gateway/JobStore.h>
 #include <platform/JobFormat.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -20,6 +21,9 @@
 
     using JobHook = std::function<void(const JobId &)>;
 
+    /** Timeout of a caller that states none. */
+    static constexpr std::chrono::milliseconds defaultTimeout{3000};
+
     /**
      * @param accepted called for each job that this node has accepted
      * @param broadcastEnd reports to all nodes that a job was ended
--- a/Services/Gateway/OnlineCall.cpp
+++ b/Services/Gateway/OnlineCall.cpp
@@ -28,8 +28,6 @@
 constexpr std::chrono::milliseconds answerMargin{20};
 /** Sent with a refusal for lack of a replica or a configuration: about the time until there may be one. */
 constexpr std::chrono::milliseconds refusalRetryAfter{300};
-/** Sent with a refusal by a node that stops: other nodes can serve the caller at once. */
-constexpr std::chrono::milliseconds stopRetryAfter{50};
 /** A node that has just started reads the replicas from the store or another node in about 0.2 s. After this time something else
  * is wrong, and another node may serve the caller sooner. */
 constexpr std::chrono::milliseconds listTimeout{1000};
@@ -173,7 +171,7 @@
     if (!mayBeRefused || this->context.plannedStop.mayServe(this->deadline)) {
         return false;
     }
-    this->refuse(statusUnavailable, stopRetryAfter, "this node stops before it could answer");
+    this->refuse(statusUnavailable, PlannedStop::retryAfter, PlannedStop::refusalReason);
     return true;
 }
 
--- a/Tests/ServiceGateway/StoppingNode.h
+++ b/Tests/ServiceGateway/StoppingNode.h
@@ -194,4 +194,10 @@
     CHECK(has(answer, "Retry-After"));
 }
 
+inline void checkMayHaveRun(const std::string &answer)
+{
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(has(answer, "Connection: close\r\n"));
+}
+
 } // namespace Dogwoodkeel
--- a/Tests/ServiceGateway/TestLateRequests.cpp
+++ b/Tests/ServiceGateway/TestLateRequests.cpp
@@ -94,8 +94,6 @@
     });
     node.stop();
     node.advance(nearEnd);
-    const std::string answer = caller->readUntil("\r\n\r\n");
-    CHECK(answer.starts_with("HTTP/1.1 502"));
-    CHECK(has(answer, "Connection: close\r\n"));
+    checkMayHaveRun(caller->readUntil("\r\n\r\n"));
     node.awaitStopped();
 }
--- a/Tests/ServiceGateway/TestPlannedStop.cpp
+++ b/Tests/ServiceGateway/TestPlannedStop.cpp
@@ -31,9 +31,7 @@
         const std::unique_ptr<RawConnection> caller = node.sendToReplica(target, "slow");
         node.stop();
         node.advance(nearEnd);
-        const std::string answer = caller->readUntil("\r\n\r\n");
-        CHECK(answer.starts_with("HTTP/1.1 502"));
-        CHECK(has(answer, "Connection: close\r\n"));
+        checkMayHaveRun(caller->readUntil("\r\n\r\n"));
         node.awaitStopped();
     }
 }
--- a/Tests/ServiceGateway/TestSlotRelease.cpp
+++ b/Tests/ServiceGateway/TestSlotRelease.cpp
@@ -1,7 +1,9 @@
+#include <Services/Gateway/SlotHandle.h>
 #include <Tests/ServiceGateway/RunningGateway.h>
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Dogwoodkeel;
@@ -61,6 +63,24 @@
 
 } // namespace
 
+TEST_CASE("a slot handle ends its request once, when it is released, replaced or destroyed")
+{
+    std::vector<SlotHandle::Ticket> ended;
+    const auto end = [&ended](SlotHandle::Ticket ticket, PlacementVerdict, const RunTiming &) {
+        ended.push_back(ticket);
+    };
+    {
+        SlotHandle released(1, end);
+        released.release(PlacementVerdict::Broken);
+        SlotHandle replaced(2, end);
+        replaced = SlotHandle(3, end);
+        CHECK(ended == std::vector<SlotHandle::Ticket>{1, 2});
+        const SlotHandle moved = std::move(replaced);
+        CHECK(moved.ticket() == 3);
+    }
+    CHECK(ended == std::vector<SlotHandle::Ticket>{1, 2, 3});
+}
+
 // The only replica of a version crashes under streams that fill it, and is replaced. Streams that had ended kept its slots.
 TEST_CASE("a stream that breaks and can't be resumed leaves no slot request behind")
 {
